Whole path: caller, router, scheduler, engine and back as a stream

Six routers and schedulers, stand-ins for the platform and the engines, a command line to apply configuration and a load tool that checks every answer against its own request.

--- /dev/null
+++ b/include/monsoongrade/endpoints/endpointend.h
@@ -0,0 +1,22 @@
+#ifndef MONSOONGRADE_ENDPOINTS_ENDPOINTEND_H
+#define MONSOONGRADE_ENDPOINTS_ENDPOINTEND_H
+
+#include <monsoongrade/units/resultcode.h>
+
+#include <string>
+
+namespace monsoongrade::endpoints {
+
+// How a call to an endpoint ended.
+struct EndpointEnd
+{
+    // Ok, EndpointUnreachable, EndpointBrokeBeforeAnswer, EndpointBrokeInAnswer, EndpointSilent.
+    units::ResultCode code = units::ResultCode::Ok;
+    // False only where it is certain that no byte of the request left this host.
+    bool requestSent = true;
+    std::string message;
+};
+
+} // namespace monsoongrade::endpoints
+
+#endif // MONSOONGRADE_ENDPOINTS_ENDPOINTEND_H
--- /dev/null
+++ b/include/monsoongrade/http/httpserver.h
@@ -0,0 +1,48 @@
+#ifndef MONSOONGRADE_HTTP_HTTPSERVER_H
+#define MONSOONGRADE_HTTP_HTTPSERVER_H
+
+#include <monsoongrade/http/httpresponder.h>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace monsoongrade::http {
+
+struct HttpServerSettings
+{
+    std::string address = "127.0.0.1";
+    std::uint16_t port = 0;
+    std::size_t threads = 1;
+    std::size_t bodyLimit = 8 * 1024 * 1024;
+    std::size_t headerLimit = 32 * 1024;
+    std::size_t headerCountLimit = 100;
+    std::size_t connectionLimit = 10000;
+    std::chrono::seconds readTimeout{60};
+    // Longest time that one piece of an answer may wait for a slow reader.
+    std::chrono::seconds writeTimeout{60};
+};
+
+using HttpHandler = std::function<void(HttpRequest, std::shared_ptr<HttpResponder>)>;
+
+// An HTTP/1.1 server with streamed answers. The handler is called on the server's threads.
+class HttpServer
+{
+public:
+    // Throws std::runtime_error where the address can't be listened on.
+    HttpServer(const HttpServerSettings &settings, HttpHandler handler);
+    ~HttpServer();
+
+    // Stops at once; open answers are cut. Callers drain first.
+    void stop();
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+} // namespace monsoongrade::http
+
+#endif // MONSOONGRADE_HTTP_HTTPSERVER_H
--- /dev/null
+++ b/include/monsoongrade/load/loadresult.h
@@ -0,0 +1,45 @@
+#ifndef MONSOONGRADE_LOAD_LOADRESULT_H
+#define MONSOONGRADE_LOAD_LOADRESULT_H
+
+#include <monsoongrade/units/clock.h>
+
+#include <cstdint>
+#include <string>
+
+namespace monsoongrade::load {
+
+enum class LoadOutcome {
+    Answered,
+    // Turned away with a numbered code.
+    Refused,
+    // Ended with an explicit error after it may have run.
+    Failed,
+    // Another caller's bytes, or bytes missing without an error: a broken promise.
+    Mixed,
+    CutShort,
+    // No end within the script's limit.
+    Lost,
+};
+
+const char *loadOutcomeName(LoadOutcome outcome);
+
+// What became of one request, as its caller saw it.
+struct LoadResult
+{
+    std::string className;
+    LoadOutcome outcome = LoadOutcome::Lost;
+    // Numbered code of the last refusal or error; 0 where there was none.
+    int code = 0;
+    std::string reason;
+    // Since the start of the run.
+    units::Duration sentAt{};
+    // Since the request was first sent, come-backs included.
+    units::Duration firstToken{};
+    units::Duration whole{};
+    std::int64_t tokens = 0;
+    int attempts = 1;
+};
+
+} // namespace monsoongrade::load
+
+#endif // MONSOONGRADE_LOAD_LOADRESULT_H
--- /dev/null
+++ b/include/monsoongrade/requests/callerfrontend.h
@@ -0,0 +1,49 @@
+#ifndef MONSOONGRADE_REQUESTS_CALLERFRONTEND_H
+#define MONSOONGRADE_REQUESTS_CALLERFRONTEND_H
+
+#include <monsoongrade/configuration/configurationholder.h>
+#include <monsoongrade/http/httpresponder.h>
+#include <monsoongrade/requests/flowservices.h>
+#include <monsoongrade/requests/flowtable.h>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace monsoongrade::requests {
+
+// Answers callers: health, metrics, which addresses to use, and every other path as a request
+// to be routed.
+class CallerFrontend
+{
+public:
+    // entryPoints gives the JSON answer to /v1/entry-points.
+    CallerFrontend(const FlowServices &services, configuration::ConfigurationHolder &holder,
+                   std::size_t openLimit, std::function<std::string()> entryPoints);
+
+    void handle(const http::HttpRequest &request, std::shared_ptr<http::HttpResponder> responder);
+
+    // From now on /readyz says no; requests are served as before.
+    void startLeaving() { leaving_ = true; }
+    std::size_t open() const { return flows_.open(); }
+
+private:
+    bool answerOwnPath(const http::HttpRequest &request, http::HttpResponder &responder);
+    void route(const http::HttpRequest &request, std::shared_ptr<http::HttpResponder> responder);
+    void refuseUnclassified(http::HttpResponder &responder, const units::RequestId &id,
+                            const units::Error &error, units::Duration retryAfter);
+    units::RequestId nextRequestId();
+
+    const FlowServices &services_;
+    configuration::ConfigurationHolder &holder_;
+    std::size_t openLimit_;
+    std::function<std::string()> entryPoints_;
+    FlowTable flows_;
+    std::atomic<std::uint64_t> nextNumber_{1};
+    std::atomic<bool> leaving_{false};
+};
+
+} // namespace monsoongrade::requests
+
+#endif // MONSOONGRADE_REQUESTS_CALLERFRONTEND_H
--- /dev/null
+++ b/include/monsoongrade/requests/classifiedrequest.h
@@ -0,0 +1,34 @@
+#ifndef MONSOONGRADE_REQUESTS_CLASSIFIEDREQUEST_H
+#define MONSOONGRADE_REQUESTS_CLASSIFIEDREQUEST_H
+
+#include <monsoongrade/configuration/configuration.h>
+#include <monsoongrade/endpoints/endpointrequest.h>
+
+#include <memory>
+#include <string>
+
+namespace monsoongrade::requests {
+
+// A caller's request after the rules were applied to it.
+struct ClassifiedRequest
+{
+    units::RequestId id;
+    units::WorkspaceName workspace;
+    configuration::ClassConfig classConfig;
+    configuration::PoolConfig pool;
+    configuration::RunRule run = configuration::RunRule::Idempotent;
+    units::IdempotencyKey idempotencyKey;
+    units::PrefixHash prefix;
+    bool streamed = false;
+    // What is sent to the endpoint, but for its address.
+    std::string method;
+    std::string pathAndQuery;
+    endpoints::Headers headers;
+    std::string body;
+    // Keeps the configuration that the request was classified under.
+    std::shared_ptr<const configuration::Configuration> configuration;
+};
+
+} // namespace monsoongrade::requests
+
+#endif // MONSOONGRADE_REQUESTS_CLASSIFIEDREQUEST_H
--- /dev/null
+++ b/include/monsoongrade/requests/flowservices.h
@@ -0,0 +1,25 @@
+#ifndef MONSOONGRADE_REQUESTS_FLOWSERVICES_H
+#define MONSOONGRADE_REQUESTS_FLOWSERVICES_H
+
+#include <monsoongrade/endpoints/endpointclient.h>
+#include <monsoongrade/observability/metrics.h>
+#include <monsoongrade/requests/decisionlog.h>
+#include <monsoongrade/scheduling/slotsource.h>
+#include <monsoongrade/units/clock.h>
+
+namespace monsoongrade::requests {
+
+// What every request flow of a router works with. All outlive the flows.
+struct FlowServices
+{
+    const units::Clock &clock;
+    scheduling::SlotSource &slots;
+    endpoints::EndpointClient &client;
+    observability::Metrics &metrics;
+    DecisionLog &decisions;
+    units::DaemonId self;
+};
+
+} // namespace monsoongrade::requests
+
+#endif // MONSOONGRADE_REQUESTS_FLOWSERVICES_H
--- /dev/null
+++ b/include/monsoongrade/requests/retrypolicy.h
@@ -0,0 +1,43 @@
+#ifndef MONSOONGRADE_REQUESTS_RETRYPOLICY_H
+#define MONSOONGRADE_REQUESTS_RETRYPOLICY_H
+
+#include <monsoongrade/configuration/configuration.h>
+#include <monsoongrade/endpoints/endpointend.h>
+
+namespace monsoongrade::requests {
+
+// How one call to an endpoint went, as far as the next step depends on it.
+struct AttemptResult
+{
+    endpoints::EndpointEnd end;
+    // 0 where no status line arrived.
+    int status = 0;
+    // Bytes of the answer have already gone to the caller.
+    bool answerStarted = false;
+    // A stream that ended without its closing marker.
+    bool truncated = false;
+    int attemptsMade = 1;
+};
+
+enum class NextStep {
+    Complete,
+    // Ask for a slot on another endpoint.
+    TryElsewhere,
+    // Final: nothing ran.
+    RefuseNotRun,
+    // Final: it may have run.
+    FailUnknown,
+    // Final: part of the answer was delivered.
+    FailPartial,
+};
+
+// Decides what follows a call's end. Pure.
+NextStep decideNextStep(const AttemptResult &attempt, configuration::RunRule run,
+                        configuration::PoolKind kind);
+
+// True where the endpoint itself said that it did not begin to run the request.
+bool refusedBeforeRunning(const AttemptResult &attempt, configuration::PoolKind kind);
+
+} // namespace monsoongrade::requests
+
+#endif // MONSOONGRADE_REQUESTS_RETRYPOLICY_H
--- /dev/null
+++ b/include/monsoongrade/scheduling/slotgrant.h
@@ -0,0 +1,19 @@
+#ifndef MONSOONGRADE_SCHEDULING_SLOTGRANT_H
+#define MONSOONGRADE_SCHEDULING_SLOTGRANT_H
+
+#include <monsoongrade/units/ids.h>
+
+namespace monsoongrade::scheduling {
+
+// The right to run one request on one endpoint until it is released.
+struct SlotGrant
+{
+    units::GrantId id;
+    units::RequestId request;
+    units::DaemonId router;
+    units::EndpointId endpoint;
+};
+
+} // namespace monsoongrade::scheduling
+
+#endif // MONSOONGRADE_SCHEDULING_SLOTGRANT_H
--- /dev/null
+++ b/programs/monsoongrade-fake-engine/main.cpp
@@ -0,0 +1,39 @@
+#include <monsoongrade/daemon/stopsignal.h>
+#include <monsoongrade/http/httpserver.h>
+#include <monsoongrade/standins/fakeengine.h>
+
+#include <CLI/CLI.hpp>
+
+#include <iostream>
+
+int main(int argc, char **argv)
+{
+    using namespace monsoongrade;
+    CLI::App app("Stands in for a model engine or a plain service.", "monsoongrade-fake-engine");
+    http::HttpServerSettings listener;
+    standins::FakeEngineSettings engineSettings;
+    app.add_option("--address", listener.address, "IP number to listen on");
+    app.add_option("--port", listener.port, "TCP port to listen on")->required();
+    app.add_option("--slots", engineSettings.slots, "streams that run at once");
+    app.add_option("--tokens-per-second", engineSettings.tokensPerSecond,
+                   "speed of one stream that runs alone");
+    app.add_option("--batch-cost", engineSettings.batchCost,
+                   "slowing of each stream by every further one");
+    app.add_option("--prefill-micros", engineSettings.prefillMicrosPerByte,
+                   "microseconds to read one byte of prompt");
+    app.set_version_flag("--version", std::string(MONSOONGRADE_VERSION));
+    CLI11_PARSE(app, argc, argv);
+    daemon::blockStopSignals();
+    try {
+        standins::FakeEngine engine(engineSettings);
+        http::HttpServer server(listener, [&](http::HttpRequest request, auto responder) {
+            engine.handle(request, std::move(responder));
+        });
+        daemon::waitForStopSignal();
+        server.stop();
+    } catch (const std::exception &error) {
+        std::cerr << "monsoongrade-fake-engine: " << error.what() << "\n";
+        return 1;
+    }
+    return 0;
+}
--- /dev/null
+++ b/programs/monsoongrade-scheduler/main.cpp
@@ -0,0 +1,60 @@
+#include <monsoongrade/configuration/configurationwatcher.h>
+#include <monsoongrade/daemon/commandline.h>
+#include <monsoongrade/daemon/daemonid.h>
+#include <monsoongrade/daemon/loglevels.h>
+#include <monsoongrade/daemon/stopsignal.h>
+#include <monsoongrade/endpoints/curlendpointclient.h>
+#include <monsoongrade/membership/fleetwatcher.h>
+#include <monsoongrade/observability/log.h>
+#include <monsoongrade/platform/httpplatform.h>
+#include <monsoongrade/rpc/schedulerserver.h>
+#include <monsoongrade/units/steadyclock.h>
+
+#include <iostream>
+
+namespace {
+
+using namespace monsoongrade;
+
+int run(const configuration::DaemonSettings &settings)
+{
+    const units::SteadyClock clock;
+    observability::Metrics metrics;
+    endpoints::CurlEndpointClient platformClient;
+    platform::HttpPlatform platform(platformClient, settings.platform);
+    configuration::ConfigurationHolder configuration;
+    membership::FleetHolder fleet;
+    rpc::RpcLoop rpcLoop;
+    const units::DaemonId self = daemon::newDaemonId(settings.host, "scheduler");
+    rpc::SchedulerServer server(
+        rpcLoop, clock, {settings.cluster, self, settings.address, settings.schedulerRpcPort},
+        configuration, fleet, metrics);
+    membership::FleetWatcher fleetWatcher(platform, fleet);
+    configuration::ConfigurationWatcher configurationWatcher(platform, configuration);
+    observability::log(
+        observability::LogLevel::Info, "scheduler-started",
+        {{"daemon", self.value()}, {"port", static_cast<int>(settings.schedulerRpcPort)}});
+    daemon::waitForStopSignal();
+    observability::log(observability::LogLevel::Info, "scheduler-stopped", {});
+    return daemon::ExitOk;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const auto commandLine = monsoongrade::daemon::readCommandLine(
+        "monsoongrade-scheduler", "Grants places on endpoints to all routers of the cluster.", argc,
+        argv);
+    if (!commandLine.settings)
+        return commandLine.exitCode;
+    monsoongrade::daemon::blockStopSignals();
+    monsoongrade::observability::startLogging(
+        monsoongrade::daemon::logLevelFor(commandLine.settings->logLevel));
+    try {
+        return run(*commandLine.settings);
+    } catch (const std::exception &error) {
+        std::cerr << "monsoongrade-scheduler: " << error.what() << "\n";
+        return monsoongrade::daemon::ExitFailed;
+    }
+}
--- /dev/null
+++ b/src/configuration/configuration.cpp
@@ -0,0 +1,33 @@
+#include <monsoongrade/configuration/configuration.h>
+
+namespace monsoongrade::configuration {
+
+const EndpointConfig *Configuration::findEndpoint(const units::EndpointId &id) const
+{
+    for (const auto &entry : pools) {
+        for (const EndpointConfig &endpoint : entry.second.endpoints) {
+            if (endpoint.id == id)
+                return &endpoint;
+        }
+    }
+    return nullptr;
+}
+
+scheduling::CellPolicy Configuration::cellPolicy(const units::PoolName &pool) const
+{
+    scheduling::CellPolicy policy;
+    for (const auto &[name, config] : classes)
+        policy.classes.emplace(name, config.policy);
+    for (const auto &[name, config] : workspaces)
+        policy.workspaceWeights.emplace(name, config.weight);
+    policy.queueLimit = queueLimit;
+    policy.guaranteedShare = guaranteedShare;
+    const auto found = pools.find(pool);
+    if (found == pools.end())
+        return policy;
+    for (const EndpointConfig &endpoint : found->second.endpoints)
+        policy.endpoints.push_back({endpoint.id, endpoint.slots});
+    return policy;
+}
+
+} // namespace monsoongrade::configuration
--- /dev/null
+++ b/src/configuration/configurationparser.cpp
@@ -0,0 +1,220 @@
+#include <monsoongrade/configuration/configurationparser.h>
+
+#include <monsoongrade/configuration/mappingreader.h>
+
+#include <algorithm>
+#include <set>
+
+namespace monsoongrade::configuration {
+
+namespace {
+
+using units::ResultCode;
+
+constexpr int MostTiers = 16;
+constexpr double MostWeight = 1e6;
+constexpr int MostSlots = 100000;
+
+// Gathers one file after the other into the configuration, and remembers where each name was
+// given, so that a second one and a dangling reference can be shown with their places.
+class Merger
+{
+public:
+    explicit Merger(ParsedConfiguration &parsed)
+        : parsed_(parsed)
+        , configuration_(parsed.configuration)
+    {
+    }
+
+    void merge(const SourceFile &file)
+    {
+        YAML::Node root;
+        try {
+            root = YAML::Load(file.text);
+        } catch (const YAML::Exception &error) {
+            parsed_.problems.push_back(
+                {ResultCode::NotYaml, file.name, error.mark.line + 1, {}, error.msg});
+            return;
+        }
+        MappingReader reader(file.name, root, parsed_.problems);
+        readScheduling(reader);
+        for (MappingReader &item : reader.mappings("classes"))
+            readClass(item);
+        for (MappingReader &item : reader.mappings("workspaces"))
+            readWorkspace(item);
+        for (MappingReader &item : reader.mappings("pools"))
+            readPool(item);
+        for (MappingReader &item : reader.mappings("rules"))
+            readRule(item);
+        reader.finish();
+    }
+
+    void checkReferences()
+    {
+        for (const Reference &reference : references_) {
+            if (names_.count({reference.kind, reference.name}) == 0)
+                parsed_.problems.push_back(
+                    {ResultCode::DanglingReference, reference.file, reference.line, reference.key,
+                     "no file gives a " + reference.kind + " named \"" + reference.name + "\""});
+        }
+    }
+
+private:
+    struct Reference
+    {
+        std::string kind;
+        std::string name;
+        std::string file;
+        int line = 0;
+        std::string key;
+    };
+
+    void readScheduling(MappingReader &reader)
+    {
+        if (!reader.has("scheduling")) {
+            reader.mapping("scheduling");
+            return;
+        }
+        if (!declare(reader, "setting", "scheduling"))
+            return;
+        MappingReader item = reader.mapping("scheduling");
+        configuration_.queueLimit
+            = static_cast<std::size_t>(item.integer("queue-limit", 10000, 1, 1000000));
+        configuration_.guaranteedShare = item.number("guaranteed-share", 0.05, 0.001, 0.5);
+        item.finish();
+    }
+
+    void readClass(MappingReader &item)
+    {
+        ClassConfig config;
+        config.policy.name = units::ClassName(item.requiredText("name"));
+        config.policy.tier
+            = units::Tier(static_cast<std::uint32_t>(item.integer("tier", 0, 0, MostTiers - 1)));
+        config.policy.weight = item.number("weight", 1, 1e-3, MostWeight);
+        MappingReader target = item.mapping("target");
+        config.policy.firstTokenTarget
+            = target.duration("first-token", config.policy.firstTokenTarget);
+        config.policy.wholeAnswerTarget
+            = target.duration("whole-answer", config.policy.wholeAnswerTarget);
+        target.finish();
+        config.policy.maxWait = item.duration("max-wait", config.policy.maxWait);
+        config.policy.late = item.choice("late", {"serve", "drop"}, 0) == 0
+            ? scheduling::LatePolicy::Serve
+            : scheduling::LatePolicy::Drop;
+        config.cancelOnDisconnect = item.choice("on-disconnect", {"cancel", "finish"}, 0) == 0;
+        item.finish();
+        if (declare(item, "class", config.policy.name.value()))
+            configuration_.classes.emplace(config.policy.name, config);
+    }
+
+    void readWorkspace(MappingReader &item)
+    {
+        WorkspaceConfig config;
+        config.name = units::WorkspaceName(item.requiredText("name"));
+        config.weight = item.number("weight", 1, 1e-3, MostWeight);
+        config.keys = item.texts("keys");
+        config.defaultClass = units::ClassName(item.text("default-class"));
+        config.openLimit = static_cast<std::size_t>(item.integer("open-limit", 0, 0, 1000000));
+        item.finish();
+        refer(item, "class", "default-class", config.defaultClass.value());
+        for (const std::string &key : config.keys)
+            declare(item, "key", key);
+        if (declare(item, "workspace", config.name.value()))
+            configuration_.workspaces.emplace(config.name, config);
+    }
+
+    void readPool(MappingReader &item)
+    {
+        PoolConfig config;
+        config.name = units::PoolName(item.requiredText("name"));
+        config.kind = item.choice("kind", {"engine", "service"}, 0) == 0 ? PoolKind::Engine
+                                                                         : PoolKind::Service;
+        for (const std::string &model : item.texts("models"))
+            config.models.emplace_back(model);
+        config.honoursPriority = item.flag("honours-priority", false);
+        config.canResume = item.flag("can-resume", false);
+        config.checksFencing = item.flag("checks-fencing", false);
+        config.silenceTimeout = item.duration("silence-timeout", config.silenceTimeout);
+        for (MappingReader &endpoint : item.mappings("endpoints"))
+            readEndpoint(endpoint, config);
+        item.finish();
+        if (declare(item, "pool", config.name.value()))
+            configuration_.pools.emplace(config.name, config);
+    }
+
+    void readEndpoint(MappingReader &item, PoolConfig &pool)
+    {
+        EndpointConfig config;
+        config.id = units::EndpointId(item.requiredText("name"));
+        config.host = units::HostName(item.text("host", config.id.value()));
+        config.address = item.requiredText("address");
+        config.port = static_cast<std::uint16_t>(item.integer("port", 8000, 1, 65535));
+        config.slots = static_cast<int>(item.integer("slots", 1, 1, MostSlots));
+        item.finish();
+        if (declare(item, "endpoint", config.id.value()))
+            pool.endpoints.push_back(config);
+    }
+
+    void readRule(MappingReader &item)
+    {
+        RuleConfig config;
+        MappingReader match = item.mapping("match");
+        config.pathPrefix = match.text("path");
+        config.method = match.text("method");
+        config.model = units::ModelName(match.text("model"));
+        config.workspace = units::WorkspaceName(match.text("workspace"));
+        config.headerName = match.text("header");
+        config.headerValue = match.text("value");
+        match.finish();
+        config.className = units::ClassName(item.text("class"));
+        config.pool = units::PoolName(item.text("pool"));
+        config.run = item.choice("run", {"idempotent", "at-most-once"}, 0) == 0
+            ? RunRule::Idempotent
+            : RunRule::AtMostOnce;
+        item.finish();
+        refer(match, "workspace", "workspace", config.workspace.value());
+        refer(item, "class", "class", config.className.value());
+        refer(item, "pool", "pool", config.pool.value());
+        configuration_.rules.push_back(config);
+    }
+
+    bool declare(MappingReader &item, const std::string &kind, const std::string &name)
+    {
+        const std::string place = item.file() + ":" + std::to_string(item.line());
+        const auto [entry, isNew] = names_.emplace(std::pair(kind, name), place);
+        // A key is a secret and never shown.
+        if (!isNew)
+            item.problem(ResultCode::DuplicateName, kind == "key" ? "keys" : "name",
+                         kind + (kind == "key" ? "" : " \"" + name + "\"") + " is already given at "
+                             + entry->second);
+        return isNew;
+    }
+
+    void refer(const MappingReader &item, const std::string &kind, const std::string &key,
+               const std::string &name)
+    {
+        if (!name.empty())
+            references_.push_back({kind, name, item.file(), item.line(), key});
+    }
+
+    ParsedConfiguration &parsed_;
+    Configuration &configuration_;
+    std::map<std::pair<std::string, std::string>, std::string> names_;
+    std::vector<Reference> references_;
+};
+
+} // namespace
+
+ParsedConfiguration parseConfiguration(std::vector<SourceFile> files)
+{
+    std::sort(files.begin(), files.end(),
+              [](const SourceFile &a, const SourceFile &b) { return a.name < b.name; });
+    ParsedConfiguration parsed;
+    Merger merger(parsed);
+    for (const SourceFile &file : files)
+        merger.merge(file);
+    merger.checkReferences();
+    return parsed;
+}
+
+} // namespace monsoongrade::configuration
--- /dev/null
+++ b/src/configuration/daemonsettings.cpp
@@ -0,0 +1,51 @@
+#include <monsoongrade/configuration/daemonsettings.h>
+
+#include <monsoongrade/configuration/mappingreader.h>
+
+namespace monsoongrade::configuration {
+
+namespace {
+
+std::uint16_t port(MappingReader &reader, const std::string &key, std::uint16_t fallback)
+{
+    return static_cast<std::uint16_t>(reader.integer(key, fallback, 1, 65535));
+}
+
+} // namespace
+
+DaemonSettings parseDaemonSettings(const SourceFile &file, Problems &problems)
+{
+    DaemonSettings settings;
+    YAML::Node root;
+    try {
+        root = YAML::Load(file.text);
+    } catch (const YAML::Exception &error) {
+        problems.push_back(
+            {units::ResultCode::NotYaml, file.name, error.mark.line + 1, {}, error.msg});
+        return settings;
+    }
+    MappingReader reader(file.name, root, problems);
+    settings.cluster = units::ClusterName(reader.requiredText("cluster"));
+    settings.host = units::HostName(reader.requiredText("host"));
+    settings.address = reader.requiredText("address");
+    settings.failureDomain = units::FailureDomain(reader.requiredText("failure-domain"));
+    settings.platform = reader.requiredText("platform");
+    settings.httpPort = port(reader, "http-port", settings.httpPort);
+    settings.operatorPort = port(reader, "operator-port", settings.operatorPort);
+    settings.routerRpcPort = port(reader, "router-rpc-port", settings.routerRpcPort);
+    settings.schedulerRpcPort = port(reader, "scheduler-rpc-port", settings.schedulerRpcPort);
+    settings.threads = static_cast<std::size_t>(reader.integer("threads", 2, 1, 64));
+    const std::vector<std::string> levels{"debug", "info", "warning", "error"};
+    settings.logLevel = levels[reader.choice("log-level", levels, 1)];
+    settings.slots = static_cast<SlotPolicy>(
+        reader.choice("slots", {"scheduler", "fixed-share", "two-choices"}, 0));
+    settings.operatorToken = reader.text("operator-token");
+    settings.bodyLimit
+        = static_cast<std::size_t>(reader.integer("body-limit", 8 << 20, 1024, 256 << 20));
+    settings.openLimit = static_cast<std::size_t>(reader.integer("open-limit", 5000, 1, 1000000));
+    settings.keepAddress = reader.duration("keep-address", settings.keepAddress);
+    reader.finish();
+    return settings;
+}
+
+} // namespace monsoongrade::configuration
--- /dev/null
+++ b/src/endpoints/internal/curlcall.cpp
@@ -0,0 +1,137 @@
+#include <endpoints/internal/curlcall.h>
+
+#include <algorithm>
+#include <cctype>
+
+namespace monsoongrade::endpoints::internal {
+
+namespace {
+
+long milliseconds(units::Duration duration)
+{
+    return static_cast<long>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+long wholeSeconds(units::Duration duration)
+{
+    return std::max<long>(1, (milliseconds(duration) + 999) / 1000);
+}
+
+std::string lowerCase(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return text;
+}
+
+} // namespace
+
+CurlCall::CurlCall(CallId id, EndpointRequest request, std::shared_ptr<EndpointListener> listener)
+    : id_(id)
+    , request_(std::move(request))
+    , listener_(std::move(listener))
+    , handle_(curl_easy_init())
+{
+    curl_easy_setopt(handle_, CURLOPT_URL, request_.url.c_str());
+    curl_easy_setopt(handle_, CURLOPT_PROXY, "");
+    curl_easy_setopt(handle_, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle_, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(handle_, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(handle_, CURLOPT_CONNECTTIMEOUT_MS, milliseconds(request_.connectTimeout));
+    curl_easy_setopt(handle_, CURLOPT_LOW_SPEED_LIMIT, 1L);
+    curl_easy_setopt(handle_, CURLOPT_LOW_SPEED_TIME, wholeSeconds(request_.silenceTimeout));
+    curl_easy_setopt(handle_, CURLOPT_CUSTOMREQUEST, request_.method.c_str());
+    if (!request_.body.empty() || request_.method == "POST" || request_.method == "PUT") {
+        curl_easy_setopt(handle_, CURLOPT_POSTFIELDSIZE_LARGE,
+                         static_cast<curl_off_t>(request_.body.size()));
+        curl_easy_setopt(handle_, CURLOPT_POSTFIELDS, request_.body.data());
+    }
+    if (request_.freshConnection) {
+        curl_easy_setopt(handle_, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(handle_, CURLOPT_FORBID_REUSE, 1L);
+    }
+    // Without this a large body waits for "100 Continue", which engines don't send.
+    headerList_ = curl_slist_append(headerList_, "Expect:");
+    for (const auto &[name, value] : request_.headers)
+        headerList_ = curl_slist_append(headerList_, (name + ": " + value).c_str());
+    curl_easy_setopt(handle_, CURLOPT_HTTPHEADER, headerList_);
+    curl_easy_setopt(handle_, CURLOPT_HEADERFUNCTION, &CurlCall::onHeader);
+    curl_easy_setopt(handle_, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(handle_, CURLOPT_WRITEFUNCTION, &CurlCall::onBody);
+    curl_easy_setopt(handle_, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(handle_, CURLOPT_PRIVATE, this);
+}
+
+CurlCall::~CurlCall()
+{
+    curl_easy_cleanup(handle_);
+    curl_slist_free_all(headerList_);
+}
+
+void CurlCall::finish(CURLcode result)
+{
+    if (result == CURLE_OK)
+        giveHead();
+    listener_->answerEnd(endFor(result));
+}
+
+std::size_t CurlCall::onHeader(char *data, std::size_t size, std::size_t count, void *call)
+{
+    static_cast<CurlCall *>(call)->readHeaderLine({data, size * count});
+    return size * count;
+}
+
+std::size_t CurlCall::onBody(char *data, std::size_t size, std::size_t count, void *call)
+{
+    auto *self = static_cast<CurlCall *>(call);
+    self->giveHead();
+    if (self->listener_->answerBody({data, size * count}) == FlowControl::Pause)
+        curl_easy_pause(self->handle_, CURLPAUSE_RECV);
+    return size * count;
+}
+
+void CurlCall::readHeaderLine(std::string_view line)
+{
+    while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
+        line.remove_suffix(1);
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos)
+        return;
+    std::string_view value = line.substr(colon + 1);
+    while (!value.empty() && value.front() == ' ')
+        value.remove_prefix(1);
+    answerHeaders_.emplace_back(lowerCase(std::string(line.substr(0, colon))), std::string(value));
+}
+
+void CurlCall::giveHead()
+{
+    if (headGiven_)
+        return;
+    headGiven_ = true;
+    long status = 0;
+    curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &status);
+    listener_->answerHead(static_cast<int>(status), answerHeaders_);
+}
+
+EndpointEnd CurlCall::endFor(CURLcode result) const
+{
+    EndpointEnd end;
+    if (result == CURLE_OK)
+        return end;
+    long requestBytes = 0;
+    curl_easy_getinfo(handle_, CURLINFO_REQUEST_SIZE, &requestBytes);
+    end.requestSent = requestBytes > 0;
+    end.message = curl_easy_strerror(result);
+    if (!end.requestSent)
+        end.code = units::ResultCode::EndpointUnreachable;
+    else if (result == CURLE_OPERATION_TIMEDOUT)
+        end.code = units::ResultCode::EndpointSilent;
+    else if (headGiven_)
+        end.code = units::ResultCode::EndpointBrokeInAnswer;
+    else
+        end.code = units::ResultCode::EndpointBrokeBeforeAnswer;
+    return end;
+}
+
+} // namespace monsoongrade::endpoints::internal
--- /dev/null
+++ b/src/endpoints/internal/curlcall.h
@@ -0,0 +1,42 @@
+#ifndef MONSOONGRADE_SRC_ENDPOINTS_INTERNAL_CURLCALL_H
+#define MONSOONGRADE_SRC_ENDPOINTS_INTERNAL_CURLCALL_H
+
+#include <monsoongrade/endpoints/endpointclient.h>
+
+#include <curl/curl.h>
+
+namespace monsoongrade::endpoints::internal {
+
+// One libcurl transfer and the listener that it feeds.
+class CurlCall
+{
+public:
+    CurlCall(CallId id, EndpointRequest request, std::shared_ptr<EndpointListener> listener);
+    ~CurlCall();
+    CurlCall(const CurlCall &) = delete;
+    CurlCall &operator=(const CurlCall &) = delete;
+
+    CURL *handle() const { return handle_; }
+    CallId id() const { return id_; }
+    // Tells the listener how the transfer ended.
+    void finish(CURLcode result);
+
+private:
+    static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *call);
+    static std::size_t onBody(char *data, std::size_t size, std::size_t count, void *call);
+    void readHeaderLine(std::string_view line);
+    void giveHead();
+    EndpointEnd endFor(CURLcode result) const;
+
+    CallId id_;
+    EndpointRequest request_;
+    std::shared_ptr<EndpointListener> listener_;
+    CURL *handle_;
+    curl_slist *headerList_ = nullptr;
+    Headers answerHeaders_;
+    bool headGiven_ = false;
+};
+
+} // namespace monsoongrade::endpoints::internal
+
+#endif // MONSOONGRADE_SRC_ENDPOINTS_INTERNAL_CURLCALL_H
--- /dev/null
+++ b/src/requests/refusal.cpp
@@ -0,0 +1,86 @@
+#include <monsoongrade/requests/refusal.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace monsoongrade::requests {
+
+namespace {
+
+using nlohmann::json;
+using units::ResultCode;
+
+long retrySeconds(units::Duration wait)
+{
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+    return std::max<long>(1, (milliseconds + 999) / 1000);
+}
+
+json body(const Refusal &refusal)
+{
+    json error;
+    error["code"] = static_cast<int>(refusal.error.code);
+    error["reason"] = units::resultCodeName(refusal.error.code);
+    error["message"] = refusal.error.message;
+    error["run_state"] = runStateName(refusal.runState);
+    error["request_id"] = refusal.request.value();
+    if (refusal.retryAfter > units::Duration::zero())
+        error["retry_after_seconds"] = retrySeconds(refusal.retryAfter);
+    return json{{"error", error}};
+}
+
+std::string dump(const json &value)
+{
+    // A caller's bytes may be no valid UTF-8; they are replaced, not thrown at.
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace
+
+int httpStatusFor(ResultCode code)
+{
+    switch (code) {
+    case ResultCode::MalformedRequest:
+    case ResultCode::MissingIdempotencyKey:
+        return 400;
+    case ResultCode::UnknownKey:
+        return 401;
+    case ResultCode::NoRouteForRequest:
+    case ResultCode::UnknownModel:
+    case ResultCode::NoSuchPath:
+        return 404;
+    case ResultCode::KeyReusedForOtherRequest:
+        return 409;
+    case ResultCode::BodyTooLarge:
+        return 413;
+    case ResultCode::WorkspaceLimitReached:
+        return 429;
+    case ResultCode::EndpointUnreachable:
+    case ResultCode::EndpointBrokeBeforeAnswer:
+    case ResultCode::EndpointBrokeInAnswer:
+    case ResultCode::OutcomeUnknown:
+        return 502;
+    case ResultCode::EndpointSilent:
+        return 504;
+    default:
+        return 503;
+    }
+}
+
+void sendRefusal(http::HttpResponder &responder, const Refusal &refusal)
+{
+    http::Headers headers{{"Content-Type", "application/json"},
+                          {"monsoongrade-request-id", refusal.request.value()},
+                          {"monsoongrade-run-state", std::string(runStateName(refusal.runState))}};
+    if (refusal.retryAfter > units::Duration::zero())
+        headers.emplace_back("Retry-After", std::to_string(retrySeconds(refusal.retryAfter)));
+    responder.answer(httpStatusFor(refusal.error.code), headers, dump(body(refusal)));
+}
+
+std::string refusalEvent(const Refusal &refusal)
+{
+    return "event: error\ndata: " + dump(body(refusal)) + "\n\n";
+}
+
+} // namespace monsoongrade::requests
