--- a/include/monsoongrade/configuration/configuration.h
+++ b/include/monsoongrade/configuration/configuration.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -80,7 +81,11 @@
     std::vector<RuleConfig> rules;
     std::size_t queueLimit = 10000;
     double guaranteedShare = 0.05;
+    // Hosts and endpoints that operators have taken out of service.
+    std::set<std::string> drained;
 
+    // True where the endpoint or its host is drained.
+    bool isDrained(const EndpointConfig &endpoint) const;
     const EndpointConfig *findEndpoint(const units::EndpointId &id) const;
     // The policy of the one cell that holds the whole pool.
     scheduling::CellPolicy cellPolicy(const units::PoolName &pool) const;
--- /dev/null
+++ b/include/monsoongrade/ctl/options.h
@@ -0,0 +1,31 @@
+#ifndef MONSOONGRADE_CTL_OPTIONS_H
+#define MONSOONGRADE_CTL_OPTIONS_H
+
+#include <cstdint>
+#include <string>
+
+namespace monsoongrade::ctl {
+
+enum class OutputFormat { Text, Json, Yaml };
+
+// What every command of monsoongradectl shares.
+struct Options
+{
+    // "http://address:port" of the platform's API.
+    std::string platform;
+    std::string operatorToken;
+    std::uint16_t operatorPort = 8081;
+    OutputFormat output = OutputFormat::Text;
+};
+
+constexpr int ExitOk = 0;
+// The platform or a daemon did not answer, or refused.
+constexpr int ExitFailed = 1;
+// Wrong words on the command line, or mistakes in files.
+constexpr int ExitBadInput = 2;
+// Accepted, but not yet in force on every daemon that was asked.
+constexpr int ExitBehind = 3;
+
+} // namespace monsoongrade::ctl
+
+#endif // MONSOONGRADE_CTL_OPTIONS_H
--- a/include/monsoongrade/requests/callerfrontend.h
+++ b/include/monsoongrade/requests/callerfrontend.h
@@ -26,6 +26,9 @@
 
     // From now on /readyz says no; requests are served as before.
     void startLeaving() { leaving_ = true; }
+    bool isLeaving() const { return leaving_; }
+    // All metrics in the text exposition format.
+    std::string metricsPage();
     std::size_t open() const { return flows_.open(); }
 
 private:
--- a/programs/monsoongrade-router/main.cpp
+++ b/programs/monsoongrade-router/main.cpp
@@ -3,9 +3,12 @@
 #include <monsoongrade/daemon/daemonid.h>
 #include <monsoongrade/daemon/entrypoints.h>
 #include <monsoongrade/daemon/loglevels.h>
+#include <monsoongrade/daemon/operatorservice.h>
+#include <monsoongrade/daemon/statuspage.h>
 #include <monsoongrade/daemon/stopsignal.h>
 #include <monsoongrade/endpoints/curlendpointclient.h>
 #include <monsoongrade/http/httpserver.h>
+#include <monsoongrade/http/query.h>
 #include <monsoongrade/membership/fleetwatcher.h>
 #include <monsoongrade/observability/log.h>
 #include <monsoongrade/platform/httpplatform.h>
@@ -13,6 +16,7 @@
 #include <monsoongrade/rpc/rpcslotsource.h>
 #include <monsoongrade/units/steadyclock.h>
 
+#include <atomic>
 #include <iostream>
 #include <thread>
 
@@ -21,6 +25,8 @@
 using namespace monsoongrade;
 
 constexpr auto DrainCheck = std::chrono::milliseconds(50);
+constexpr std::size_t OperatorBodyLimit = 64 * 1024;
+constexpr std::size_t OperatorConnections = 100;
 
 http::HttpServerSettings callerListener(const configuration::DaemonSettings &settings)
 {
@@ -32,6 +38,16 @@
     return listener;
 }
 
+http::HttpServerSettings operatorListener(const configuration::DaemonSettings &settings)
+{
+    http::HttpServerSettings listener;
+    listener.address = settings.address;
+    listener.port = settings.operatorPort;
+    listener.bodyLimit = OperatorBodyLimit;
+    listener.connectionLimit = OperatorConnections;
+    return listener;
+}
+
 // A planned stop: callers keep addresses for a while, so the listener serves until the last of
 // them has run out and the last answer has ended.
 void drain(requests::CallerFrontend &frontend, const configuration::DaemonSettings &settings)
@@ -59,7 +75,9 @@
     requests::DecisionLog decisions;
     const requests::FlowServices services{clock, slots, endpointClient, metrics, decisions, self};
     requests::CallerFrontend frontend(services, configuration, settings.openLimit, [&] {
-        return daemon::entryPointsAnswer(*fleet.current(), settings.failureDomain,
+        const auto inForce = configuration.current();
+        const std::set<std::string> drained = inForce ? inForce->drained : std::set<std::string>();
+        return daemon::entryPointsAnswer(*fleet.current(), drained, settings.failureDomain,
                                          settings.httpPort, settings.keepAddress);
     });
     membership::FleetWatcher fleetWatcher(platform, fleet);
@@ -68,6 +86,28 @@
                             [&](http::HttpRequest request, auto responder) {
                                 frontend.handle(request, std::move(responder));
                             });
+    daemon::OperatorService operators(settings.operatorToken);
+    std::atomic<units::TimePoint> configuredAt{clock.now()};
+    configuration.addListener([&](const auto &) { configuredAt = clock.now(); });
+    const units::TimePoint startedAt = clock.now();
+    operators.addPage("/operator/status", [&](const std::string &) {
+        const daemon::DaemonStatus status{self,
+                                          settings.failureDomain,
+                                          frontend.isLeaving(),
+                                          frontend.open(),
+                                          clock.now() - startedAt,
+                                          clock.now() - configuredAt.load()};
+        return daemon::statusPage(status, configuration.current().get(), *fleet.current());
+    });
+    operators.addPage("/operator/explain", [&](const std::string &query) {
+        const units::RequestId request(http::queryValue(query, "request"));
+        return daemon::explainPage(request, decisions.find(request));
+    });
+    operators.addPage("/metrics", [&](const std::string &) { return frontend.metricsPage(); });
+    http::HttpServer operatorServer(operatorListener(settings),
+                                    [&](const http::HttpRequest &request, const auto &responder) {
+                                        operators.handle(request, *responder);
+                                    });
     observability::log(observability::LogLevel::Info, "router-started",
                        {{"daemon", self.value()}, {"port", static_cast<int>(settings.httpPort)}});
     daemon::waitForStopSignal();
--- a/programs/monsoongradectl/main.cpp
+++ b/programs/monsoongradectl/main.cpp
@@ -1,81 +1,119 @@
-#include <monsoongrade/configuration/configurationstore.h>
-#include <monsoongrade/configuration/folder.h>
-#include <monsoongrade/daemon/commandline.h>
-#include <monsoongrade/endpoints/curlendpointclient.h>
-#include <monsoongrade/platform/httpplatform.h>
+#include <monsoongrade/ctl/commands.h>
 
 #include <CLI/CLI.hpp>
 
 #include <iostream>
-#include <random>
 
 namespace {
 
 using namespace monsoongrade;
 
-int printProblems(const configuration::Problems &problems)
+constexpr int DefaultWaitSeconds = 30;
+
+// Words that the completion script offers after the program's name.
+const char *const Completion = R"(_monsoongradectl()
 {
-    for (const configuration::Problem &problem : problems)
-        std::cerr << configuration::describe(problem) << "\n";
-    return problems.empty() ? daemon::ExitOk : daemon::ExitBadSettings;
+    local commands="check diff apply status drain undrain explain top completion"
+    local options="--platform --token --operator-port --output --help --version"
+    local word=${COMP_WORDS[COMP_CWORD]}
+    case ${COMP_WORDS[COMP_CWORD-1]} in
+    check|diff|apply) COMPREPLY=($(compgen -f -- "$word")) ;;
+    --output) COMPREPLY=($(compgen -W "text json yaml" -- "$word")) ;;
+    *) COMPREPLY=($(compgen -W "$commands $options" -- "$word")) ;;
+    esac
 }
+complete -F _monsoongradectl monsoongradectl
+)";
 
-int checkFolder(const std::string &folder)
+// The command line as it was given.
+struct Arguments
 {
-    return units::orElse(
-        [&]() -> units::Result<int> {
-            BOOST_LEAF_AUTO(files, configuration::readFolder(folder));
-            const auto parsed = configuration::parseConfiguration(files);
-            if (parsed.isValid())
-                std::cout << files.size() << " files are valid\n";
-            return printProblems(parsed.problems);
-        },
-        [](const units::Error &error) {
-            std::cerr << units::describe(error) << "\n";
-            return daemon::ExitFailed;
-        });
-}
+    ctl::Options options;
+    std::string path;
+    std::string name;
+    int waitSeconds = DefaultWaitSeconds;
+    int rounds = 0;
+};
 
-std::string newChangeId()
+void addShared(CLI::App &app, ctl::Options &options)
 {
-    std::random_device random;
-    return std::to_string(random()) + "-" + std::to_string(random());
+    const std::map<std::string, ctl::OutputFormat> formats{{"text", ctl::OutputFormat::Text},
+                                                           {"json", ctl::OutputFormat::Json},
+                                                           {"yaml", ctl::OutputFormat::Yaml}};
+    app.add_option("--platform", options.platform, "http://address:port of the platform's API")
+        ->envname("MONSOONGRADE_PLATFORM");
+    app.add_option("--token", options.operatorToken, "operator token of the daemons")
+        ->envname("MONSOONGRADE_OPERATOR_TOKEN");
+    app.add_option("--operator-port", options.operatorPort, "operator port of the routers");
+    app.add_option("--output", options.output, "text, json or yaml")
+        ->transform(CLI::CheckedTransformer(formats, CLI::ignore_case));
 }
 
-int applyFolder(const std::string &folder, const std::string &platformUrl)
+int dispatch(const std::string &command, const Arguments &given)
 {
-    endpoints::CurlEndpointClient client;
-    platform::HttpPlatform platform(client, platformUrl);
-    configuration::ConfigurationStore store(platform);
-    return units::orElse(
-        [&]() -> units::Result<int> {
-            BOOST_LEAF_AUTO(files, configuration::readFolder(folder));
-            BOOST_LEAF_AUTO(applied, store.apply(files, newChangeId()));
-            if (applied.problems.empty())
-                std::cout << "accepted as generation " << applied.generation << "\n";
-            return printProblems(applied.problems);
-        },
-        [](const units::Error &error) {
-            std::cerr << units::describe(error) << "\n";
-            return daemon::ExitFailed;
-        });
+    if (command == "completion") {
+        std::cout << Completion;
+        return ctl::ExitOk;
+    }
+    if (command == "check")
+        return ctl::checkCommand(given.path, given.options);
+    if (given.options.platform.empty()) {
+        std::cerr << "4004 missing-setting: give --platform http://address:port, or set "
+                     "MONSOONGRADE_PLATFORM\n";
+        return ctl::ExitBadInput;
+    }
+    if (command == "diff")
+        return ctl::diffCommand(given.path, given.options);
+    if (command == "apply")
+        return ctl::applyCommand(given.path, given.waitSeconds, given.options);
+    if (command == "status")
+        return ctl::statusCommand(given.options);
+    if (command == "explain")
+        return ctl::explainCommand(given.name, given.options);
+    if (command == "top")
+        return ctl::topCommand(given.rounds, given.options);
+    return ctl::drainCommand(given.name, command == "undrain", given.waitSeconds, given.options);
 }
 
 } // namespace
 
 int main(int argc, char **argv)
 {
-    CLI::App app("Operates a monsoongrade cluster.", "monsoongradectl");
+    CLI::App app("Operates a monsoongrade cluster.\nExit codes: 0 done, 1 no answer or refused, "
+                 "2 wrong input, 3 accepted but not yet in force everywhere.",
+                 "monsoongradectl");
     app.set_version_flag("--version", std::string(MONSOONGRADE_VERSION));
     app.require_subcommand(1);
-    std::string folder;
-    std::string platform;
-    auto *checkCommand = app.add_subcommand("check", "check a folder of configuration files");
-    checkCommand->add_option("folder", folder, "folder or one file")->required();
-    auto *applyCommand = app.add_subcommand("apply", "put files into force");
-    applyCommand->add_option("folder", folder, "folder or one file")->required();
-    applyCommand->add_option("--platform", platform, "http://address:port of the platform's API")
+    app.fallthrough();
+    Arguments given;
+    addShared(app, given.options);
+    for (const auto &[name, help] : std::map<std::string, std::string>{
+             {"check", "check a folder or file of configuration"},
+             {"diff", "show how it differs from what is in force"},
+             {"apply", "put it in force; files of other names stay as they are"}}) {
+        auto *command = app.add_subcommand(name, help);
+        command->add_option("path", given.path, "folder or one file")->required();
+        if (name == "apply")
+            command->add_option("--wait", given.waitSeconds, "seconds to wait; 0 does not wait");
+    }
+    for (const auto &[name, help] :
+         std::map<std::string, std::string>{{"drain", "take a host or an endpoint out of service"},
+                                            {"undrain", "put it back into service"}}) {
+        auto *command = app.add_subcommand(name, help);
+        command->add_option("name", given.name, "host or endpoint")->required();
+        command->add_option("--wait", given.waitSeconds, "seconds to wait; 0 does not wait");
+    }
+    app.add_subcommand("status", "show every entry host");
+    app.add_subcommand("explain", "show each decision about a request")
+        ->add_option("request", given.name, "request id")
         ->required();
-    CLI11_PARSE(app, argc, argv);
-    return *checkCommand ? checkFolder(folder) : applyFolder(folder, platform);
+    app.add_subcommand("top", "show counts per class, live")
+        ->add_option("--rounds", given.rounds, "how often; 0 goes on without end");
+    app.add_subcommand("completion", "print the completion script for bash");
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError &error) {
+        return app.exit(error) == 0 ? ctl::ExitOk : ctl::ExitBadInput;
+    }
+    return dispatch(app.get_subcommands().front()->get_name(), given);
 }
--- a/src/configuration/configuration.cpp
+++ b/src/configuration/configuration.cpp
@@ -2,6 +2,11 @@
 
 namespace monsoongrade::configuration {
 
+bool Configuration::isDrained(const EndpointConfig &endpoint) const
+{
+    return drained.count(endpoint.id.value()) > 0 || drained.count(endpoint.host.value()) > 0;
+}
+
 const EndpointConfig *Configuration::findEndpoint(const units::EndpointId &id) const
 {
     for (const auto &entry : pools) {
--- a/src/configuration/configurationparser.cpp
+++ b/src/configuration/configurationparser.cpp
@@ -46,6 +46,8 @@
             readPool(item);
         for (MappingReader &item : reader.mappings("rules"))
             readRule(item);
+        for (const std::string &name : reader.texts("drained"))
+            configuration_.drained.insert(name);
         reader.finish();
     }
 
--- /dev/null
+++ b/src/ctl/configurationcommands.cpp
@@ -0,0 +1,151 @@
+#include <monsoongrade/ctl/commands.h>
+
+#include <ctl/internal/session.h>
+
+#include <monsoongrade/configuration/folder.h>
+#include <monsoongrade/ctl/linediff.h>
+#include <monsoongrade/ctl/printer.h>
+
+#include <yaml-cpp/yaml.h>
+
+#include <algorithm>
+
+namespace monsoongrade::ctl {
+
+namespace {
+
+using configuration::SourceFile;
+using nlohmann::json;
+
+// Keeps the hosts and endpoints that drain took out of service.
+const char *const DrainedFile = "zz-drained.yaml";
+
+json problemJson(const configuration::Problem &problem)
+{
+    return {{"code", static_cast<int>(problem.code)},
+            {"file", problem.file},
+            {"line", problem.line},
+            {"key", problem.key},
+            {"message", problem.message}};
+}
+
+std::string diffText(const json &differences)
+{
+    std::string out;
+    for (const json &file : differences["files"]) {
+        out += file["state"].get<std::string>() + " " + file["file"].get<std::string>();
+        if (file["state"] == "new") {
+            out += " (" + std::to_string(file["lines"].size()) + " lines)\n";
+            continue;
+        }
+        out += "\n";
+        for (const json &line : file["lines"])
+            out += "  " + line.get<std::string>() + "\n";
+    }
+    return out.empty() ? "no difference\n" : out;
+}
+
+json differencesOf(const std::vector<SourceFile> &files, const std::vector<SourceFile> &inForce)
+{
+    json out{{"files", json::array()}};
+    for (const SourceFile &file : files) {
+        const auto old = std::find_if(inForce.begin(), inForce.end(),
+                                      [&](const SourceFile &f) { return f.name == file.name; });
+        const bool isNew = old == inForce.end();
+        const auto lines = lineDiff(isNew ? std::string() : old->text, file.text);
+        if (!lines.empty())
+            out["files"].push_back(
+                {{"file", file.name}, {"state", isNew ? "new" : "changed"}, {"lines", lines}});
+    }
+    return out;
+}
+
+std::vector<std::string> drainedNames(const std::vector<SourceFile> &files)
+{
+    std::vector<std::string> names;
+    for (const SourceFile &file : files) {
+        if (file.name != DrainedFile)
+            continue;
+        for (const YAML::Node &name : YAML::Load(file.text)["drained"])
+            names.push_back(name.as<std::string>());
+    }
+    return names;
+}
+
+SourceFile drainedFile(const std::vector<std::string> &names)
+{
+    std::string text = "# Written by monsoongradectl drain.\ndrained:";
+    for (const std::string &name : names)
+        text += "\n  - " + json(name).dump();
+    return {DrainedFile, text + (names.empty() ? " []\n" : "\n")};
+}
+
+} // namespace
+
+int checkCommand(const std::string &path, const Options &options)
+{
+    return internal::runReportingErrors([&]() -> units::Result<int> {
+        BOOST_LEAF_AUTO(files, configuration::readFolder(path));
+        const auto parsed = configuration::parseConfiguration(files);
+        json out{{"files", files.size()}, {"problems", json::array()}};
+        for (const auto &problem : parsed.problems)
+            out["problems"].push_back(problemJson(problem));
+        if (options.output == OutputFormat::Text)
+            internal::printProblems(parsed.problems);
+        print(std::cout, options.output, out, [&](const json &) {
+            return parsed.isValid() ? std::to_string(files.size()) + " files are valid\n"
+                                    : std::string();
+        });
+        return parsed.isValid() ? ExitOk : ExitBadInput;
+    });
+}
+
+int diffCommand(const std::string &path, const Options &options)
+{
+    internal::Session session(options);
+    return internal::runReportingErrors([&]() -> units::Result<int> {
+        BOOST_LEAF_AUTO(files, configuration::readFolder(path));
+        BOOST_LEAF_AUTO(manifest, session.store.manifest());
+        BOOST_LEAF_AUTO(inForce, session.store.files(manifest));
+        print(std::cout, options.output, differencesOf(files, inForce), diffText);
+        return ExitOk;
+    });
+}
+
+int applyCommand(const std::string &path, int waitSeconds, const Options &options)
+{
+    internal::Session session(options);
+    return internal::runReportingErrors([&]() -> units::Result<int> {
+        BOOST_LEAF_AUTO(files, configuration::readFolder(path));
+        BOOST_LEAF_AUTO(manifest, session.store.manifest());
+        BOOST_LEAF_AUTO(inForce, session.store.files(manifest));
+        const json differences = differencesOf(files, inForce);
+        if (options.output == OutputFormat::Text)
+            std::cout << diffText(differences);
+        if (differences["files"].empty())
+            return ExitOk;
+        return internal::applyAndWait(session, files, waitSeconds, options);
+    });
+}
+
+int drainCommand(const std::string &name, bool undo, int waitSeconds, const Options &options)
+{
+    internal::Session session(options);
+    return internal::runReportingErrors([&]() -> units::Result<int> {
+        BOOST_LEAF_AUTO(manifest, session.store.manifest());
+        BOOST_LEAF_AUTO(inForce, session.store.files(manifest));
+        std::vector<std::string> names = drainedNames(inForce);
+        const auto found = std::find(names.begin(), names.end(), name);
+        if ((found != names.end()) != undo) {
+            std::cout << name << (undo ? " is in service already\n" : " is drained already\n");
+            return ExitOk;
+        }
+        if (undo)
+            names.erase(found);
+        else
+            names.push_back(name);
+        return internal::applyAndWait(session, {drainedFile(names)}, waitSeconds, options);
+    });
+}
+
+} // namespace monsoongrade::ctl
--- /dev/null
+++ b/src/ctl/internal/session.h
@@ -0,0 +1,54 @@
+#ifndef MONSOONGRADE_CTL_INTERNAL_SESSION_H
+#define MONSOONGRADE_CTL_INTERNAL_SESSION_H
+
+#include <monsoongrade/configuration/configurationstore.h>
+#include <monsoongrade/ctl/fleetclient.h>
+#include <monsoongrade/endpoints/curlendpointclient.h>
+#include <monsoongrade/platform/httpplatform.h>
+
+#include <iostream>
+
+namespace monsoongrade::ctl::internal {
+
+// The clients that a command needs, made from the options.
+struct Session
+{
+    explicit Session(const Options &options)
+        : platform(client, options.platform)
+        , store(platform)
+        , fleet(options, client, platform)
+    {
+    }
+
+    endpoints::CurlEndpointClient client;
+    platform::HttpPlatform platform;
+    configuration::ConfigurationStore store;
+    FleetClient fleet;
+};
+
+// Prints each problem on a line of its own.
+inline void printProblems(const configuration::Problems &problems)
+{
+    for (const configuration::Problem &problem : problems)
+        std::cerr << configuration::describe(problem) << "\n";
+}
+
+// Runs a command's body; an error that it fails with is printed.
+template <typename Body>
+int runReportingErrors(Body body)
+{
+    return units::orElse(body, [](const units::Error &error) {
+        std::cerr << units::describe(error) << "\n";
+        const bool isInput = error.code == units::ResultCode::FileUnreadable;
+        return isInput ? ExitBadInput : ExitFailed;
+    });
+}
+
+// Puts the files in force and waits for the daemons; used by apply and drain.
+units::Result<int> applyAndWait(Session &session,
+                                const std::vector<configuration::SourceFile> &files,
+                                int waitSeconds, const Options &options);
+
+} // namespace monsoongrade::ctl::internal
+
+#endif // MONSOONGRADE_CTL_INTERNAL_SESSION_H
--- a/src/standins/query.cpp
+++ b/src/http/query.cpp
@@ -1,9 +1,9 @@
-#include <monsoongrade/standins/query.h>
+#include <monsoongrade/http/query.h>
 
 #include <cstdlib>
 #include <sstream>
 
-namespace monsoongrade::standins {
+namespace monsoongrade::http {
 
 namespace {
 
@@ -39,4 +39,4 @@
     return std::strtoull(queryValue(query, key).c_str(), nullptr, 10);
 }
 
-} // namespace monsoongrade::standins
+} // namespace monsoongrade::http
--- a/src/requests/callerfrontend.cpp
+++ b/src/requests/callerfrontend.cpp
@@ -40,8 +40,7 @@
         const bool ready = !leaving_ && holder_.current() != nullptr;
         responder.answer(ready ? 200 : 503, TextHeaders, ready ? "ready\n" : "not ready\n");
     } else if (request.path == "/metrics") {
-        services_.metrics.set("monsoongrade_requests_open", {}, static_cast<double>(flows_.open()));
-        responder.answer(200, TextHeaders, services_.metrics.exposition());
+        responder.answer(200, TextHeaders, metricsPage());
     } else if (request.path == "/v1/entry-points") {
         responder.answer(200, JsonHeaders, entryPoints_());
     } else {
@@ -50,6 +49,12 @@
     return true;
 }
 
+std::string CallerFrontend::metricsPage()
+{
+    services_.metrics.set("monsoongrade_requests_open", {}, static_cast<double>(flows_.open()));
+    return services_.metrics.exposition();
+}
+
 void CallerFrontend::route(const http::HttpRequest &request,
                            std::shared_ptr<http::HttpResponder> responder)
 {
--- a/src/requests/classifier.cpp
+++ b/src/requests/classifier.cpp
@@ -1,5 +1,7 @@
 #include <monsoongrade/requests/classifier.h>
 
+#include <monsoongrade/units/secrets.h>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -17,7 +19,6 @@
 using units::ResultCode;
 
 constexpr std::size_t PrefixBytes = 256;
-const std::string BearerPrefix = "Bearer ";
 
 // What the rules can see of a request's body.
 struct BodyView
@@ -27,22 +28,10 @@
     std::string promptStart;
 };
 
-// Looks at every byte, whatever differs: an early exit would tell a guesser how much of a key
-// is right.
-bool equalInConstantTime(const std::string &a, const std::string &b)
-{
-    unsigned difference = a.size() == b.size() ? 0 : 1;
-    for (std::size_t i = 0; i < a.size() && i < b.size(); ++i)
-        difference |= static_cast<unsigned char>(a[i]) ^ static_cast<unsigned char>(b[i]);
-    return difference == 0;
-}
-
 std::string keyOf(const http::HttpRequest &request)
 {
-    const std::string value = request.header("authorization");
-    if (value.compare(0, BearerPrefix.size(), BearerPrefix) == 0)
-        return value.substr(BearerPrefix.size());
-    return request.header("x-api-key");
+    const std::string token = units::bearerToken(request.header("authorization"));
+    return token.empty() ? request.header("x-api-key") : token;
 }
 
 const WorkspaceConfig *findWorkspace(const Configuration &configuration, const std::string &key)
@@ -52,7 +41,7 @@
         return found;
     for (const auto &entry : configuration.workspaces) {
         for (const std::string &candidate : entry.second.keys) {
-            if (equalInConstantTime(candidate, key))
+            if (units::equalInConstantTime(candidate, key))
                 found = &entry.second;
         }
     }
--- a/src/rpc/internal/cell.cpp
+++ b/src/rpc/internal/cell.cpp
@@ -55,8 +55,10 @@
     const auto pool = configuration.pools.find(pool_);
     if (pool == configuration.pools.end())
         return;
-    for (const auto &endpoint : pool->second.endpoints)
-        scheduler_.setLeaving(endpoint.id, fleet.leavingEndpointHosts.count(endpoint.host) > 0);
+    for (const auto &endpoint : pool->second.endpoints) {
+        const bool hostLeaves = fleet.leavingEndpointHosts.count(endpoint.host) > 0;
+        scheduler_.setLeaving(endpoint.id, hostLeaves || configuration.isDrained(endpoint));
+    }
 }
 
 kj::Promise<SlotOutcome> Cell::ask(scheduling::SlotAsk ask)
--- a/src/standins/fakeplatform.cpp
+++ b/src/standins/fakeplatform.cpp
@@ -1,6 +1,6 @@
 #include <monsoongrade/standins/fakeplatform.h>
 
-#include <monsoongrade/standins/query.h>
+#include <monsoongrade/http/query.h>
 #include <monsoongrade/standins/timerthread.h>
 
 #include <nlohmann/json.hpp>
@@ -120,7 +120,7 @@
         if (request.path == "/v1/hosts")
             return {200, json{{"hosts", visibleHosts()}}.dump()};
         if (request.path == "/v1/list")
-            return listObjects(queryValue(request.query, "prefix"));
+            return listObjects(http::queryValue(request.query, "prefix"));
         if (!startsWith(request.path, ObjectsPath))
             return error(404, "no such path");
         const std::string name = request.path.substr(ObjectsPath.size());
@@ -166,7 +166,7 @@
     void watch(const http::HttpRequest &request, Responder responder)
     {
         const std::string name = request.path.substr(WatchPath.size());
-        const std::uint64_t above = queryNumber(request.query, "above");
+        const std::uint64_t above = http::queryNumber(request.query, "above");
         const auto found = objects_.find(name);
         if (found != objects_.end() && found->second.version > above) {
             send(responder, {200, toJson(name, found->second).dump()},
@@ -175,7 +175,7 @@
         }
         const std::uint64_t id = ++lastWatch_;
         watches_.push_back({name, above, std::move(responder), id});
-        timers_.after(std::chrono::milliseconds(queryNumber(request.query, "wait_ms")),
+        timers_.after(std::chrono::milliseconds(http::queryNumber(request.query, "wait_ms")),
                       [this, id] { expireWatch(id); });
     }
 
