Rules: a plain service's call may not be repeated unless a rule says so

Cause: a rule that gave a path a pool and left out 'run' counted as idempotent, so that a broken shelf-tag call would have been repeated. Found by writing the classifier's tests. Without 'run' the pool's kind now decides.

--- a/include/monsoongrade/configuration/configuration.h
+++ b/include/monsoongrade/configuration/configuration.h
@@ -68,7 +68,8 @@
     std::string headerValue;
     units::ClassName className;
     units::PoolName pool;
-    RunRule run = RunRule::Idempotent;
+    // Without it, engines may repeat a request and plain services may not.
+    std::optional<RunRule> run;
 };
 
 // The merged whole of all files, checked.
--- a/src/configuration/configurationparser.cpp
+++ b/src/configuration/configurationparser.cpp
@@ -170,9 +170,9 @@
         match.finish();
         config.className = units::ClassName(item.text("class"));
         config.pool = units::PoolName(item.text("pool"));
-        config.run = item.choice("run", {"idempotent", "at-most-once"}, 0) == 0
-            ? RunRule::Idempotent
-            : RunRule::AtMostOnce;
+        const bool mayRepeat = item.choice("run", {"idempotent", "at-most-once"}, 0) == 0;
+        if (item.has("run"))
+            config.run = mayRepeat ? RunRule::Idempotent : RunRule::AtMostOnce;
         item.finish();
         refer(match, "workspace", "workspace", config.workspace.value());
         refer(item, "class", "class", config.className.value());
--- a/src/requests/classifier.cpp
+++ b/src/requests/classifier.cpp
@@ -161,8 +161,8 @@
     // Without a rule nobody has said that a service's call may be repeated.
     result.run = pool->kind == PoolKind::Engine ? configuration::RunRule::Idempotent
                                                 : configuration::RunRule::AtMostOnce;
-    if (ruled)
-        result.run = rule->run;
+    if (ruled && rule->run)
+        result.run = *rule->run;
     return {};
 }
 
