Scheduling: tiers, starvation, lost routers and sick endpoints, proved by state tests

The state test found or the work on it showed: - routerLost left the router's asks waiting, and gave the freed slots to the dead router. The old test LostRouterFreesItsSlots expected just that: its second ask came from the lost router. It now comes from another one, and LostRouterGetsNoMoreSlots checks the rest. - A guaranteed grant could pass over the same higher ask again and again until its time was up. The ask passed over now gets its tier's next slot and a new waiting limit. - A queue full of the highest tier shed every lower ask, so that the guaranteed share found nobody waiting. Lower tiers now have reserved places that were never the higher one's. - Credit of several lower tiers was lost when one of them had its turn. - Fair shares: service without competition was held against a key once a second one came; idle keys were kept for ever. - One ask that avoids the only free endpoint held up everybody behind it. - The highest tier was refused as "no endpoint" while lower ones waited for the same suspected endpoint. Now all wait while one may come back, and all are told when the last has left. - A suspected endpoint that was away from the configuration came back as healthy (kept as KeepsTheMarksOfAnEndpointThatWasAwayFromTheConfiguration). - An engine that fails at once drew in all requests; now it gets probes only.

--- a/include/monsoongrade/scheduling/cellpolicy.h
+++ b/include/monsoongrade/scheduling/cellpolicy.h
@@ -23,8 +23,22 @@
     std::map<units::WorkspaceName, double> workspaceWeights;
     std::vector<EndpointPolicy> endpoints;
     std::size_t queueLimit = 10000;
-    // Share of the grants kept for backlogged lower tiers, so that none of them starves.
+    // Share of the grants, and of the queue's places, kept for backlogged lower tiers, so that
+    // none of them starves.
     double guaranteedShare = 0.05;
+    // Off only to measure what spreading the refused over time is worth.
+    bool spreadRetries = true;
+
+    // The tier of a class. One that is not configured here (a router may know newer
+    // configuration) counts as the lowest, so that a mistake can't overtake a voucher.
+    units::Tier tierOf(const units::ClassName &className) const;
+    // Lower tiers: all but the highest configured one.
+    int lowerTiers() const;
+    // Places in the queue that only this tier's asks may take; none for the highest tier. An
+    // ask in a reserved place is never shed for a higher tier: the place was never the higher
+    // tier's to lose. Without them a queue full of the highest tier would shed all others at
+    // once, and a guaranteed share of the grants would find nobody waiting.
+    std::size_t reservedPlaces(units::Tier tier) const;
 };
 
 } // namespace monsoongrade::scheduling
--- a/include/monsoongrade/scheduling/cellscheduler.h
+++ b/include/monsoongrade/scheduling/cellscheduler.h
@@ -3,9 +3,12 @@
 
 #include <monsoongrade/scheduling/cellpolicy.h>
 #include <monsoongrade/scheduling/decisionsink.h>
+#include <monsoongrade/scheduling/drainrate.h>
 #include <monsoongrade/scheduling/endpointbook.h>
+#include <monsoongrade/scheduling/guaranteedshare.h>
 #include <monsoongrade/scheduling/lengthestimator.h>
-#include <monsoongrade/scheduling/slotrelease.h>
+#include <monsoongrade/scheduling/retryplanner.h>
+#include <monsoongrade/scheduling/slotpolicy.h>
 #include <monsoongrade/scheduling/waitingqueue.h>
 #include <monsoongrade/units/clock.h>
 
@@ -15,32 +18,42 @@
 
 // Decides who of all routers' callers is answered first on the endpoints of one cell.
 // Pure decision code: no socket, thread or clock of its own; not thread-safe. Decisions leave
-// through the sink, from within the call that made them possible.
-class CellScheduler
+// through the sink, from within the call that made them possible; each ask gets exactly one,
+// unless it is cancelled.
+//
+// What holds: a full queue sheds no ask while one of a lower tier holds more than its reserved
+// places. A lower tier is granted a slot before a waiting higher one only as a guaranteed grant
+// (see GuaranteedShare), and the ask that was passed over gets its tier's next slot and a whole
+// new waiting limit, so the grant is never the reason that it is refused.
+class CellScheduler : public SlotPolicy
 {
 public:
     CellScheduler(const units::Clock &clock, DecisionSink &sink);
 
-    void configure(const CellPolicy &policy);
+    void configure(const CellPolicy &policy) override;
 
-    void ask(const SlotAsk &ask);
-    // Withdraws an ask that still waits. Returns false if it does not.
-    bool cancel(const units::RequestId &request);
-    void release(const SlotRelease &release);
+    // An ask that repeats one that still waits is ignored; the one decision answers both.
+    void ask(const SlotAsk &ask) override;
+    bool cancel(const units::RequestId &request) override;
+    void release(const SlotRelease &release) override;
 
-    // Counts a grant of an earlier scheduler that a router still holds.
+    // Counts a grant of an earlier scheduler that a router still holds. Told twice, or of a grant
+    // made here, it counts once and has the same number. May take an endpoint above its limit: the
+    // request runs.
     units::GrantId adopt(const SlotAsk &ask, const units::EndpointId &endpoint);
-    // Frees all that a router held and withdraws all that it asked for.
+    // Frees all that a router held and refuses all that it asked for as left by the caller.
     void routerLost(const units::DaemonId &router);
 
-    void setLeaving(const units::EndpointId &endpoint, bool leaving);
-    void setSuspected(const units::EndpointId &endpoint, bool suspected);
+    void setLeaving(const units::EndpointId &endpoint, bool leaving) override;
+    void setSuspected(const units::EndpointId &endpoint, bool suspected) override;
 
-    // Refuses those who waited too long. Call it at nextWakeup() or every 50 ms.
-    void tick();
+    // Refuses those who waited too long, finds silent endpoints and probes them. Call it every
+    // 50 ms.
+    void tick() override;
 
-    std::size_t waiting() const { return queue_.size(); }
-    std::size_t held() const { return grants_.size(); }
+    std::size_t waiting() const override { return queue_.size(); }
+    std::size_t held() const override { return grants_.size(); }
+    int limitOf(const units::EndpointId &endpoint) const { return endpoints_.limitOf(endpoint); }
 
 private:
     struct HeldGrant
@@ -49,15 +62,20 @@
         units::EndpointId endpoint;
         double estimate = 0;
     };
+    using Grants = std::map<units::GrantId, HeldGrant>;
 
-    WaitingAsk withPolicy(const SlotAsk &ask) const;
+    void applyPolicy(WaitingAsk &waiting) const;
+    bool isHopeless(const WaitingAsk &waiting) const;
     void grantWhilePossible();
-    bool grantNext();
-    units::Tier nextTier();
+    bool grantNext(std::vector<WaitingAsk> &setAside);
+    units::Tier nextTier(const std::vector<units::Tier> &backlogged) const;
     units::GrantId hold(const SlotAsk &ask, const units::EndpointId &endpoint);
-    void refuse(const units::RequestId &request, units::ResultCode code);
-    units::Duration retryAfter(const units::RequestId &request) const;
-    void forget(std::map<units::GrantId, HeldGrant>::iterator grant);
+    void expire();
+    void shed(units::Tier arrived);
+    void refuseAllWithoutFuture();
+    void refuse(const WaitingAsk &ask, units::ResultCode code);
+    double drainPerSecond() const;
+    void forget(Grants::iterator grant);
 
     const units::Clock &clock_;
     DecisionSink &sink_;
@@ -65,11 +83,12 @@
     WaitingQueue queue_;
     EndpointBook endpoints_;
     LengthEstimator lengths_;
-    std::map<units::GrantId, HeldGrant> grants_;
-    std::map<units::Tier, double> guaranteedCredit_;
+    GuaranteedShare guaranteed_;
+    DrainRate drain_;
+    RetryPlanner retries_;
+    Grants grants_;
+    std::map<std::pair<units::DaemonId, units::RequestId>, units::GrantId> byRequest_;
     std::uint64_t nextGrant_ = 1;
-    double releasesPerSecond_ = 0;
-    units::TimePoint lastRelease_{};
 };
 
 } // namespace monsoongrade::scheduling
--- a/include/monsoongrade/scheduling/endpointbook.h
+++ b/include/monsoongrade/scheduling/endpointbook.h
@@ -2,7 +2,9 @@
 #define MONSOONGRADE_SCHEDULING_ENDPOINTBOOK_H
 
 #include <monsoongrade/scheduling/cellpolicy.h>
+#include <monsoongrade/scheduling/endpointstate.h>
 #include <monsoongrade/scheduling/slotask.h>
+#include <monsoongrade/scheduling/slotrelease.h>
 
 #include <map>
 #include <optional>
@@ -10,7 +12,8 @@
 namespace monsoongrade::scheduling {
 
 // What a cell knows about its endpoints. Grants in flight are counted here, so the choice does
-// not depend on load reports, which lag.
+// not depend on load reports, which lag. All operations are linear in the endpoints, which are
+// few in a cell, and independent of how many asks wait.
 class EndpointBook
 {
 public:
@@ -18,35 +21,31 @@
 
     // The endpoint with the least expected wait that may take the ask now; nothing if all are
     // full, leaving or suspected. Endpoints to avoid are taken only if no other one lives.
-    std::optional<units::EndpointId> choose(const SlotAsk &ask) const;
+    std::optional<units::EndpointId> choose(const SlotAsk &ask, units::TimePoint now) const;
 
-    void begin(const units::EndpointId &endpoint, units::PrefixHash prefix, double tokens);
+    void begin(const units::EndpointId &endpoint, units::PrefixHash prefix, double tokens,
+               units::TimePoint now);
+    // Frees the slot without learning anything.
     void end(const units::EndpointId &endpoint, double estimatedTokens);
-    void noteSpeed(const units::EndpointId &endpoint, double tokensPerSecond);
+    // Learns the speed and the health from what a slot was used for. Call it before end().
+    void learn(const units::EndpointId &endpoint, const SlotRelease &release, units::TimePoint now);
+    // Finds the endpoints that are silent: nothing finished for much longer than their answers
+    // should take.
+    void tick(units::TimePoint now);
 
     void setLeaving(const units::EndpointId &endpoint, bool leaving);
     void setSuspected(const units::EndpointId &endpoint, bool suspected);
 
-    bool hasFreeSlot() const;
-    bool hasLiveEndpoint() const;
-    int totalSlots() const;
+    bool hasFreeSlot(units::TimePoint now) const;
+    // False if nothing can be granted until the configuration or the fleet changes.
+    bool hasFuture() const;
+    // Of all live endpoints' streams together, at their present limits.
+    double tokensPerSecond() const;
+    // The present limit of one endpoint; 0 if it is not known.
+    int limitOf(const units::EndpointId &endpoint) const;
 
 private:
-    struct EndpointState
-    {
-        int slots = 1;
-        int inFlight = 0;
-        double tokensInFlight = 0;
-        double tokensPerSecond = 30;
-        bool configured = false;
-        bool leaving = false;
-        bool suspected = false;
-        units::PrefixHash lastPrefix;
-
-        bool isLive() const { return configured && !leaving && !suspected; }
-        bool isFree() const { return isLive() && inFlight < slots; }
-    };
-
+    double peerSpeed(const units::EndpointId &endpoint) const;
     static double expectedWait(const EndpointState &state, units::PrefixHash prefix);
 
     std::map<units::EndpointId, EndpointState> endpoints_;
--- a/include/monsoongrade/scheduling/slotgrant.h
+++ b/include/monsoongrade/scheduling/slotgrant.h
@@ -12,6 +12,9 @@
     units::RequestId request;
     units::DaemonId router;
     units::EndpointId endpoint;
+    // The ask of a higher tier that was next by order, if this is a guaranteed grant of a lower
+    // tier; else empty.
+    units::RequestId passedOver = {};
 };
 
 } // namespace monsoongrade::scheduling
--- /dev/null
+++ b/include/monsoongrade/scheduling/waitingask.h
@@ -0,0 +1,29 @@
+#ifndef MONSOONGRADE_SCHEDULING_WAITINGASK_H
+#define MONSOONGRADE_SCHEDULING_WAITINGASK_H
+
+#include <monsoongrade/scheduling/classpolicy.h>
+#include <monsoongrade/scheduling/slotask.h>
+
+#include <cstdint>
+
+namespace monsoongrade::scheduling {
+
+// One ask in the queue, with the times that its class's policy gave it.
+struct WaitingAsk
+{
+    SlotAsk ask;
+    units::Tier tier;
+    units::TimePoint arrived;
+    units::TimePoint firstTokenDue;
+    units::TimePoint giveUpAt;
+    LatePolicy late = LatePolicy::Serve;
+    // Set when a guaranteed grant of a lower tier took the slot that was this ask's by order:
+    // it gets the tier's next one.
+    bool passedOver = false;
+    // Order of arrival; given by the queue.
+    std::uint64_t sequence = 0;
+};
+
+} // namespace monsoongrade::scheduling
+
+#endif // MONSOONGRADE_SCHEDULING_WAITINGASK_H
--- a/include/monsoongrade/scheduling/waitingqueue.h
+++ b/include/monsoongrade/scheduling/waitingqueue.h
@@ -1,80 +1,92 @@
 #ifndef MONSOONGRADE_SCHEDULING_WAITINGQUEUE_H
 #define MONSOONGRADE_SCHEDULING_WAITINGQUEUE_H
 
+#include <monsoongrade/scheduling/backlogorder.h>
 #include <monsoongrade/scheduling/cellpolicy.h>
 #include <monsoongrade/scheduling/fairshare.h>
-#include <monsoongrade/scheduling/slotask.h>
+#include <monsoongrade/scheduling/waitingask.h>
 
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <vector>
 
 namespace monsoongrade::scheduling {
 
-// One ask in the queue, with the times that its class's policy gave it.
-struct WaitingAsk
-{
-    SlotAsk ask;
-    units::Tier tier;
-    units::TimePoint arrived;
-    units::TimePoint firstTokenDue;
-    units::TimePoint giveUpAt;
-    LatePolicy late = LatePolicy::Serve;
-    std::uint64_t sequence = 0;
-};
-
-// The asks that wait for a slot. Order: tiers strictly; within a tier weighted fair by class,
-// then by workspace, by tokens; within a workspace by deadline. Each operation costs
-// O(log n) in the number waiting.
+// The asks that wait for a slot. Order: tiers strictly; within a tier first those that were
+// passed over, then weighted fair by class, then by workspace, by tokens; within a workspace by
+// deadline. Each operation costs O(log n) in the number waiting; tiers are few.
 class WaitingQueue
 {
 public:
+    // Requires an empty queue: take everything out with takeAll() and put it back after.
     void setPolicy(const CellPolicy &policy);
+
     std::size_t size() const { return asks_.size(); }
-    std::size_t size(units::Tier tier) const;
+    // Asks of the given and of all higher tiers.
+    std::size_t sizeUpTo(units::Tier tier) const;
+    bool contains(const units::RequestId &request) const;
 
     void push(WaitingAsk ask);
     // Takes an ask out, wherever it stands; nothing if it does not wait.
     std::optional<WaitingAsk> take(const units::RequestId &request);
+    // Takes out all asks, or all those of one router, in order of arrival. Linear: only for
+    // changes of the policy and the loss of a router.
+    std::vector<WaitingAsk> takeAll();
+    std::vector<WaitingAsk> takeAll(const units::DaemonId &router);
 
     // The next ask in order within the given tier; null if the tier has none.
     const WaitingAsk *first(units::Tier tier) const;
-    // The ask to shed first: of the lowest tier, of the class and workspace furthest over
-    // their share, the one with the latest deadline.
-    const WaitingAsk *leastEntitled() const;
+    // The ask to shed if more wait than have a place, else null: of the lowest tier that has
+    // more than its reserved places, of the class and workspace with the most waiting for their
+    // weight, the one with the latest deadline.
+    const WaitingAsk *toShed() const;
     // The ask that must be given up first; null if none waits.
     const WaitingAsk *nextToGiveUp() const;
+    // Gives the ask the tier's next slot, and time until the given moment to get it. It no longer
+    // takes a place in the queue and can't be shed. At most one a tier of the highest backlogged
+    // ones, since its tier's next slot is its own.
+    void markPassedOver(const units::RequestId &request, units::TimePoint giveUpAt);
+    bool hasPassedOver(units::Tier tier) const;
 
     // Tiers with somebody waiting, highest first.
     std::vector<units::Tier> backloggedTiers() const;
 
-    // Books tokens against a class and a workspace; negative tokens correct an estimate.
-    void charge(const units::ClassName &className, const units::WorkspaceName &workspace,
-                double tokens);
+    // Books the tokens of a grant that starts now; correct() books what an estimate was off by.
+    void serve(const units::ClassName &className, const units::WorkspaceName &workspace,
+               double tokens);
+    void correct(const units::ClassName &className, const units::WorkspaceName &workspace,
+                 double tokens);
 
 private:
     using DeadlineOrder = std::set<std::pair<units::TimePoint, std::uint64_t>>;
     struct ClassQueue
     {
         FairShare<units::WorkspaceName> workspaces;
+        BacklogOrder<units::WorkspaceName> backlog;
         std::map<units::WorkspaceName, DeadlineOrder> waiting;
-        std::size_t size = 0;
     };
     struct TierQueue
     {
         FairShare<units::ClassName> classes;
+        BacklogOrder<units::ClassName> backlog;
         std::map<units::ClassName, ClassQueue> waiting;
-        std::size_t size = 0;
+        std::set<std::uint64_t> passedOver;
+        std::size_t inOrder = 0;
+
+        std::size_t size() const { return inOrder + passedOver.size(); }
     };
 
-    units::Tier tierOf(const units::ClassName &className) const;
+    std::vector<WaitingAsk> takeAllOf(const units::DaemonId *router);
+    void insertInOrder(const WaitingAsk &ask);
+    void removeFromOrder(const WaitingAsk &ask);
     double classWeight(const units::ClassName &className) const;
     double workspaceWeight(const units::WorkspaceName &workspace) const;
 
-    std::map<units::ClassName, ClassPolicy> classes_;
-    std::map<units::WorkspaceName, double> workspaceWeights_;
+    CellPolicy policy_;
+    std::map<units::Tier, std::size_t> reserved_;
+    std::size_t sharedPlaces_ = 0;
     std::map<units::Tier, TierQueue> tiers_;
     std::unordered_map<std::uint64_t, WaitingAsk> asks_;
     std::unordered_map<units::RequestId, std::uint64_t> sequenceByRequest_;
--- /dev/null
+++ b/src/scheduling/cellpolicy.cpp
@@ -0,0 +1,45 @@
+#include <monsoongrade/scheduling/cellpolicy.h>
+
+#include <algorithm>
+#include <set>
+
+namespace monsoongrade::scheduling {
+
+namespace {
+
+std::set<units::Tier> tiersOf(const CellPolicy &policy)
+{
+    std::set<units::Tier> tiers;
+    for (const auto &entry : policy.classes)
+        tiers.insert(entry.second.tier);
+    return tiers;
+}
+
+} // namespace
+
+units::Tier CellPolicy::tierOf(const units::ClassName &className) const
+{
+    const auto found = classes.find(className);
+    if (found != classes.end())
+        return found->second.tier;
+    units::Tier lowest;
+    for (const auto &entry : classes)
+        lowest = std::max(lowest, entry.second.tier);
+    return lowest;
+}
+
+int CellPolicy::lowerTiers() const
+{
+    return std::max(0, static_cast<int>(tiersOf(*this).size()) - 1);
+}
+
+std::size_t CellPolicy::reservedPlaces(units::Tier tier) const
+{
+    const std::set<units::Tier> tiers = tiersOf(*this);
+    if (tiers.size() < 2 || tier == *tiers.begin() || tiers.count(tier) == 0)
+        return 0;
+    return static_cast<std::size_t>(static_cast<double>(queueLimit) * guaranteedShare
+                                    / static_cast<double>(tiers.size() - 1));
+}
+
+} // namespace monsoongrade::scheduling
--- a/src/scheduling/cellscheduler.cpp
+++ b/src/scheduling/cellscheduler.cpp
@@ -1,22 +1,19 @@
 #include <monsoongrade/scheduling/cellscheduler.h>
 
 #include <algorithm>
-#include <functional>
 #include <vector>
 
 namespace monsoongrade::scheduling {
 
 namespace {
 
-constexpr double RateSmoothing = 0.1;
 constexpr double LeastDrainRate = 0.5;
-constexpr auto LeastRetryAfter = std::chrono::seconds(1);
-constexpr auto LongestRetryAfter = std::chrono::seconds(120);
-
-double seconds(units::Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
+// A deadline is given up on a prediction only if that misses it by this factor; the prediction
+// is an estimate, and an ask refused too early can't be taken back.
+constexpr double HopelessFactor = 2;
+// Asks stepped over in one round because they avoid all free endpoints. Bounds the round's
+// cost; retries are few, since their budget is a share of live traffic.
+constexpr std::size_t MostSetAside = 8;
 
 } // namespace
 
@@ -28,25 +25,41 @@
 
 void CellScheduler::configure(const CellPolicy &policy)
 {
+    std::vector<WaitingAsk> waiting = queue_.takeAll();
     policy_ = policy;
     queue_.setPolicy(policy);
+    retries_.setSpreading(policy.spreadRetries);
+    for (WaitingAsk &ask : waiting) {
+        applyPolicy(ask);
+        queue_.push(std::move(ask));
+    }
     endpoints_.setEndpoints(policy.endpoints);
+    refuseAllWithoutFuture();
     grantWhilePossible();
+    shed(units::Tier());
 }
 
 void CellScheduler::ask(const SlotAsk &ask)
 {
-    if (!endpoints_.hasLiveEndpoint()) {
-        refuse(ask.request, units::ResultCode::NoEndpointAvailable);
+    if (queue_.contains(ask.request))
+        return;
+    WaitingAsk waiting;
+    waiting.ask = ask;
+    waiting.arrived = clock_.now() - ask.waited;
+    applyPolicy(waiting);
+    if (!endpoints_.hasFuture()) {
+        refuse(waiting, units::ResultCode::NoEndpointAvailable);
         return;
     }
-    queue_.push(withPolicy(ask));
-    grantWhilePossible();
-    if (queue_.size() > policy_.queueLimit) {
-        const units::RequestId shed = queue_.leastEntitled()->ask.request;
-        queue_.take(shed);
-        refuse(shed, units::ResultCode::QueueFull);
+    if (isHopeless(waiting)) {
+        refuse(waiting, units::ResultCode::DeadlineHopeless);
+        return;
     }
+    const units::Tier tier = waiting.tier;
+    queue_.push(std::move(waiting));
+    grantWhilePossible();
+    expire();
+    shed(tier);
 }
 
 bool CellScheduler::cancel(const units::RequestId &request)
@@ -61,29 +74,31 @@
         return;
     const HeldGrant &held = grant->second;
     const double tokens = static_cast<double>(release.tokens.value());
-    queue_.charge(held.ask.className, held.ask.workspace, tokens - held.estimate);
-    if (release.outcome == ReleaseOutcome::Completed) {
+    queue_.correct(held.ask.className, held.ask.workspace, tokens - held.estimate);
+    if (release.outcome == ReleaseOutcome::Completed)
         lengths_.learn(held.ask.className, held.ask.workspace, tokens);
-        if (release.held > units::Duration::zero())
-            endpoints_.noteSpeed(held.endpoint, tokens / seconds(release.held));
-    }
     const units::TimePoint now = clock_.now();
-    if (lastRelease_ != units::TimePoint()) {
-        const double gap = std::max(1e-3, seconds(now - lastRelease_));
-        releasesPerSecond_ += RateSmoothing * (1.0 / gap - releasesPerSecond_);
-    }
-    lastRelease_ = now;
+    endpoints_.learn(held.endpoint, release, now);
+    drain_.count(now);
     forget(grant);
     grantWhilePossible();
+    expire();
 }
 
 units::GrantId CellScheduler::adopt(const SlotAsk &ask, const units::EndpointId &endpoint)
 {
+    const auto known = byRequest_.find({ask.router, ask.request});
+    if (known != byRequest_.end() && grants_.at(known->second).endpoint == endpoint)
+        return known->second;
     return hold(ask, endpoint);
 }
 
 void CellScheduler::routerLost(const units::DaemonId &router)
 {
+    // First the asks: a slot that comes free must not go to the router that is gone, where it
+    // would be held until somebody noticed again.
+    for (const WaitingAsk &ask : queue_.takeAll(router))
+        refuse(ask, units::ResultCode::CallerLeft);
     for (auto grant = grants_.begin(); grant != grants_.end();) {
         const auto current = grant++;
         if (current->second.ask.router == router)
@@ -95,6 +110,7 @@
 void CellScheduler::setLeaving(const units::EndpointId &endpoint, bool leaving)
 {
     endpoints_.setLeaving(endpoint, leaving);
+    refuseAllWithoutFuture();
     grantWhilePossible();
 }
 
@@ -106,101 +122,155 @@
 
 void CellScheduler::tick()
 {
-    const units::TimePoint now = clock_.now();
-    while (const WaitingAsk *oldest = queue_.nextToGiveUp()) {
-        if (oldest->giveUpAt > now)
-            break;
-        const units::RequestId request = oldest->ask.request;
-        queue_.take(request);
-        refuse(request, units::ResultCode::WaitedTooLong);
-    }
+    endpoints_.tick(clock_.now());
     grantWhilePossible();
+    expire();
 }
 
-WaitingAsk CellScheduler::withPolicy(const SlotAsk &ask) const
+void CellScheduler::applyPolicy(WaitingAsk &waiting) const
 {
-    WaitingAsk waiting;
-    waiting.ask = ask;
-    waiting.arrived = clock_.now() - ask.waited;
     ClassPolicy policy;
-    const auto found = policy_.classes.find(ask.className);
+    const auto found = policy_.classes.find(waiting.ask.className);
     if (found != policy_.classes.end())
         policy = found->second;
-    waiting.tier = policy.tier;
+    waiting.tier = policy_.tierOf(waiting.ask.className);
     waiting.firstTokenDue = waiting.arrived + policy.firstTokenTarget;
-    waiting.giveUpAt = waiting.arrived + policy.maxWait;
     waiting.late = policy.late;
-    return waiting;
+    if (waiting.passedOver)
+        return;
+    waiting.giveUpAt = waiting.arrived + policy.maxWait;
+    if (policy.late == LatePolicy::Drop)
+        waiting.giveUpAt = std::min(waiting.giveUpAt, waiting.firstTokenDue);
+}
+
+// True if so many asks of its own and higher tiers stand before it that its target can't be met.
+// Lower tiers don't count: they must not be the reason that a higher one is refused.
+bool CellScheduler::isHopeless(const WaitingAsk &waiting) const
+{
+    if (waiting.late != LatePolicy::Drop)
+        return false;
+    const std::size_t ahead = queue_.sizeUpTo(waiting.tier);
+    if (ahead == 0)
+        return false;
+    const std::chrono::duration<double> left = waiting.firstTokenDue - clock_.now();
+    return static_cast<double>(ahead) / drainPerSecond() > HopelessFactor * left.count();
 }
 
 void CellScheduler::grantWhilePossible()
 {
-    while (queue_.size() > 0 && endpoints_.hasFreeSlot()) {
-        if (!grantNext())
-            return;
+    std::vector<WaitingAsk> setAside;
+    while (queue_.size() > 0 && endpoints_.hasFreeSlot(clock_.now())) {
+        if (!grantNext(setAside) && setAside.size() >= MostSetAside)
+            break;
     }
+    for (WaitingAsk &ask : setAside)
+        queue_.push(std::move(ask));
 }
 
-bool CellScheduler::grantNext()
+// Returns false if the next ask avoids every free endpoint; it is then set aside, so that a
+// slot which it does not want doesn't stay idle.
+bool CellScheduler::grantNext(std::vector<WaitingAsk> &setAside)
 {
-    const WaitingAsk *next = queue_.first(nextTier());
-    const std::optional<units::EndpointId> endpoint = endpoints_.choose(next->ask);
-    if (!endpoint)
+    const std::vector<units::Tier> backlogged = queue_.backloggedTiers();
+    const units::Tier tier = nextTier(backlogged);
+    const WaitingAsk *next = queue_.first(tier);
+    const std::optional<units::EndpointId> endpoint = endpoints_.choose(next->ask, clock_.now());
+    if (!endpoint) {
+        setAside.push_back(*queue_.take(next->ask.request));
         return false;
+    }
     const WaitingAsk taken = *queue_.take(next->ask.request);
+    units::RequestId passedOver;
+    if (tier != backlogged.front()) {
+        const WaitingAsk &ask = *queue_.first(backlogged.front());
+        passedOver = ask.ask.request;
+        const auto policy = policy_.classes.find(ask.ask.className);
+        const units::Duration limit
+            = policy == policy_.classes.end() ? ClassPolicy().maxWait : policy->second.maxWait;
+        queue_.markPassedOver(passedOver, clock_.now() + limit);
+        guaranteed_.spent(tier);
+    }
+    guaranteed_.granted(backlogged, policy_.guaranteedShare);
     const units::GrantId id = hold(taken.ask, *endpoint);
-    sink_.granted({id, taken.ask.request, taken.ask.router, *endpoint});
+    queue_.serve(taken.ask.className, taken.ask.workspace, grants_.at(id).estimate);
+    sink_.granted({id, taken.ask.request, taken.ask.router, *endpoint, passedOver});
     return true;
 }
 
-// Without the guaranteed share a steady overload of the highest tier would leave the lower ones
-// waiting for ever. Each grant earns every lower backlogged tier a fraction of a grant; a tier
-// that has earned a whole one goes next. The higher tier waits for at most one such grant in
-// 1 / guaranteedShare.
-units::Tier CellScheduler::nextTier()
-{
-    const std::vector<units::Tier> tiers = queue_.backloggedTiers();
-    for (std::size_t i = 1; i < tiers.size(); ++i) {
-        double &credit = guaranteedCredit_[tiers[i]];
-        credit += policy_.guaranteedShare / static_cast<double>(tiers.size() - 1);
-        if (credit >= 1) {
-            credit = 0;
-            return tiers[i];
-        }
-    }
-    return tiers.front();
+// An ask that was passed over goes before the next guaranteed grant; else two of these in a row
+// could pass over the same one, and its wait would have no bound.
+units::Tier CellScheduler::nextTier(const std::vector<units::Tier> &backlogged) const
+{
+    if (queue_.hasPassedOver(backlogged.front()))
+        return backlogged.front();
+    return guaranteed_.due(backlogged).value_or(backlogged.front());
 }
 
 units::GrantId CellScheduler::hold(const SlotAsk &ask, const units::EndpointId &endpoint)
 {
     const units::GrantId id(nextGrant_++);
     const double estimate = lengths_.estimate(ask.className, ask.workspace);
-    endpoints_.begin(endpoint, ask.prefix, estimate);
-    queue_.charge(ask.className, ask.workspace, estimate);
+    endpoints_.begin(endpoint, ask.prefix, estimate, clock_.now());
     grants_.emplace(id, HeldGrant{ask, endpoint, estimate});
+    byRequest_[{ask.router, ask.request}] = id;
     return id;
 }
 
-void CellScheduler::refuse(const units::RequestId &request, units::ResultCode code)
+void CellScheduler::expire()
+{
+    const units::TimePoint now = clock_.now();
+    while (const WaitingAsk *oldest = queue_.nextToGiveUp()) {
+        if (oldest->giveUpAt > now)
+            return;
+        const WaitingAsk ask = *queue_.take(oldest->ask.request);
+        refuse(ask,
+               ask.late == LatePolicy::Drop ? units::ResultCode::DeadlineHopeless
+                                            : units::ResultCode::WaitedTooLong);
+    }
+}
+
+void CellScheduler::shed(units::Tier arrived)
 {
-    sink_.refused({request, code, retryAfter(request)});
+    while (const WaitingAsk *last = queue_.toShed()) {
+        const WaitingAsk ask = *queue_.take(last->ask.request);
+        refuse(ask,
+               ask.tier > arrived ? units::ResultCode::ShedForHigherTier
+                                  : units::ResultCode::QueueFull);
+    }
 }
 
-// The time the backlog needs to drain, spread over as much again by the request's id: a refused
-// audience that was told one moment would come back as one burst.
-units::Duration CellScheduler::retryAfter(const units::RequestId &request) const
+// When the last endpoint leaves, all who wait are told at once. Suspicion alone keeps them
+// waiting: it mostly passes, and a wrong one must not turn a whole audience away.
+void CellScheduler::refuseAllWithoutFuture()
 {
-    const double rate = std::max(LeastDrainRate, releasesPerSecond_);
-    const double drain = static_cast<double>(queue_.size() + 1) / rate;
-    const double spread = static_cast<double>(std::hash<units::RequestId>()(request) % 1000) / 1000;
-    const auto wait = std::chrono::duration_cast<units::Duration>(
-        std::chrono::duration<double>(drain * (1 + spread)));
-    return std::clamp<units::Duration>(wait, LeastRetryAfter, LongestRetryAfter);
+    if (endpoints_.hasFuture())
+        return;
+    for (const WaitingAsk &ask : queue_.takeAll())
+        refuse(ask, units::ResultCode::NoEndpointAvailable);
 }
 
-void CellScheduler::forget(std::map<units::GrantId, HeldGrant>::iterator grant)
+void CellScheduler::refuse(const WaitingAsk &ask, units::ResultCode code)
 {
-    endpoints_.end(grant->second.endpoint, grant->second.estimate);
+    const units::Duration retryAfter = retries_.retryAfter(
+        ask.tier, ask.ask.request, queue_.sizeUpTo(ask.tier), drainPerSecond(), clock_.now());
+    sink_.refused({ask.ask.request, code, retryAfter});
+}
+
+// Measured where there is something to measure. Half of what the endpoints should manage stands
+// in for it at the start of a burst; half, because that guess knows no prefill and no batching.
+double CellScheduler::drainPerSecond() const
+{
+    const double guess = endpoints_.tokensPerSecond() / lengths_.mean() / 2;
+    return std::max({LeastDrainRate, drain_.perSecond(clock_.now()), guess});
+}
+
+void CellScheduler::forget(Grants::iterator grant)
+{
+    const HeldGrant &held = grant->second;
+    const auto known = byRequest_.find({held.ask.router, held.ask.request});
+    if (known != byRequest_.end() && known->second == grant->first)
+        byRequest_.erase(known);
+    endpoints_.end(held.endpoint, held.estimate);
     grants_.erase(grant);
 }
 
--- /dev/null
+++ b/tests/scheduling/celloracle.h
@@ -0,0 +1,68 @@
+#ifndef MONSOONGRADE_TESTS_SCHEDULING_CELLORACLE_H
+#define MONSOONGRADE_TESTS_SCHEDULING_CELLORACLE_H
+
+#include <monsoongrade/scheduling/cellscheduler.h>
+#include <monsoongrade/units/manualclock.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace monsoongrade::scheduling {
+
+// What a decision may be, told by counting alone: who waits, who holds what, and what the
+// endpoints allow. Knows nothing of fair shares or estimates. Collects each broken promise.
+class CellOracle : public DecisionSink
+{
+public:
+    struct Waiting
+    {
+        SlotAsk ask;
+        units::Tier tier;
+        units::TimePoint arrived;
+    };
+    struct Held
+    {
+        SlotAsk ask;
+        units::EndpointId endpoint;
+    };
+
+    explicit CellOracle(const units::Clock &clock)
+        : clock_(clock)
+    {
+    }
+
+    void asked(const SlotAsk &ask);
+    void cancelled(const units::RequestId &request);
+    void granted(const SlotGrant &grant) override;
+    void refused(const SlotRefusal &refusal) override;
+    // The sums must close after every command.
+    void compare(const CellScheduler &scheduler);
+
+    CellPolicy policy;
+    std::set<units::EndpointId> leaving;
+    std::set<units::EndpointId> suspected;
+    units::DaemonId losing;
+    std::map<units::RequestId, Waiting> waiting;
+    std::map<units::GrantId, Held> held;
+    std::vector<std::string> broken;
+    int grants = 0;
+    int guaranteedGrants = 0;
+
+private:
+    void check(bool holds, const std::string &message);
+    void checkOrder(const Waiting &ask, const SlotGrant &grant);
+    void checkShed(const Waiting &ask);
+    void checkDeadline(const Waiting &ask, units::ResultCode code);
+    // Those in the queue's places; an ask that was passed over stands outside them.
+    std::size_t count(units::Tier tier) const;
+    int inFlight(const units::EndpointId &endpoint) const;
+
+    const units::Clock &clock_;
+    std::map<units::RequestId, units::TimePoint> passedOver_;
+};
+
+} // namespace monsoongrade::scheduling
+
+#endif // MONSOONGRADE_TESTS_SCHEDULING_CELLORACLE_H
