Endpoint calls: 'not sent' rests on no connection having been made

A call was taken as not sent when libcurl's CURLINFO_REQUEST_SIZE was 0. That figure is a count of bytes and not specified as a proof. libcurl's pre-request callback runs when a connection stands and before any byte leaves, so 'it never ran' is the proof. It also sees the library's own repeat on a second connection and ends it for calls that must not be repeated.

Fields of an interim answer (100) were mixed into those of the final one; they are dropped.

Proof: a TCP server in the test keeps a connection and dies on it after the second request.

--- a/include/monsoongrade/endpoints/endpointend.h
+++ b/include/monsoongrade/endpoints/endpointend.h
@@ -12,7 +12,7 @@
 {
     // Ok, EndpointUnreachable, EndpointBrokeBeforeAnswer, EndpointBrokeInAnswer, EndpointSilent.
     units::ResultCode code = units::ResultCode::Ok;
-    // False only where it is certain that no byte of the request left this host.
+    // False only where no connection to the endpoint was made, so that no byte can have left.
     bool requestSent = true;
     std::string message;
 };
--- a/src/endpoints/internal/curlcall.cpp
+++ b/src/endpoints/internal/curlcall.cpp
@@ -60,6 +60,8 @@
     curl_easy_setopt(handle_, CURLOPT_HEADERDATA, this);
     curl_easy_setopt(handle_, CURLOPT_WRITEFUNCTION, &CurlCall::onBody);
     curl_easy_setopt(handle_, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(handle_, CURLOPT_PREREQFUNCTION, &CurlCall::onConnected);
+    curl_easy_setopt(handle_, CURLOPT_PREREQDATA, this);
     curl_easy_setopt(handle_, CURLOPT_PRIVATE, this);
 }
 
@@ -76,6 +78,19 @@
     listener_->answerEnd(endFor(result));
 }
 
+// libcurl calls this when a connection stands and before the first byte of a request leaves, so a
+// call for which it never ran sent nothing. Its byte count (CURLINFO_REQUEST_SIZE) isn't specified
+// as such a proof; were it 0 after bytes had left, the caller would be told "not run" of a request
+// that ran. A second run of this function is the library's own repeat of the call, which one that
+// must not be repeated ends with an error.
+int CurlCall::onConnected(void *call, char *, char *, int, int)
+{
+    auto *self = static_cast<CurlCall *>(call);
+    const bool isRepeat = self->mayHaveSent_;
+    self->mayHaveSent_ = true;
+    return isRepeat && self->request_.freshConnection ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 std::size_t CurlCall::onHeader(char *data, std::size_t size, std::size_t count, void *call)
 {
     static_cast<CurlCall *>(call)->readHeaderLine({data, size * count});
@@ -95,6 +110,9 @@
 {
     while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
         line.remove_suffix(1);
+    // Fields of an interim answer, such as 100, are not those of the final one.
+    if (line.substr(0, 5) == "HTTP/")
+        answerHeaders_.clear();
     const std::size_t colon = line.find(':');
     if (colon == std::string_view::npos)
         return;
@@ -119,9 +137,7 @@
     EndpointEnd end;
     if (result == CURLE_OK)
         return end;
-    long requestBytes = 0;
-    curl_easy_getinfo(handle_, CURLINFO_REQUEST_SIZE, &requestBytes);
-    end.requestSent = requestBytes > 0;
+    end.requestSent = mayHaveSent_;
     end.message = curl_easy_strerror(result);
     if (!end.requestSent)
         end.code = units::ResultCode::EndpointUnreachable;
--- a/src/endpoints/internal/curlcall.h
+++ b/src/endpoints/internal/curlcall.h
@@ -22,6 +22,7 @@
     void finish(CURLcode result);
 
 private:
+    static int onConnected(void *call, char *, char *, int, int);
     static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *call);
     static std::size_t onBody(char *data, std::size_t size, std::size_t count, void *call);
     void readHeaderLine(std::string_view line);
@@ -35,6 +36,7 @@
     curl_slist *headerList_ = nullptr;
     Headers answerHeaders_;
     bool headGiven_ = false;
+    bool mayHaveSent_ = false;
 };
 
 } // namespace monsoongrade::endpoints::internal
--- /dev/null
+++ b/tests/endpoints/scriptedserver.h
@@ -0,0 +1,97 @@
+#ifndef MONSOONGRADE_TESTS_ENDPOINTS_SCRIPTEDSERVER_H
+#define MONSOONGRADE_TESTS_ENDPOINTS_SCRIPTEDSERVER_H
+
+#include <asio.hpp>
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace monsoongrade::endpoints {
+
+// A TCP server that plays an endpoint: for the n-th request on a connection it sends the n-th
+// text of that connection's script and closes behind the last one. Connections beyond the last
+// script get the last one.
+class ScriptedServer
+{
+public:
+    using Script = std::vector<std::string>;
+
+    explicit ScriptedServer(std::vector<Script> scripts, bool reset = false)
+        : scripts_(std::move(scripts))
+        , reset_(reset)
+        , acceptor_(io_, {asio::ip::address_v4::loopback(), 0})
+    {
+        acceptor_.listen();
+        thread_ = std::thread([this] { run(); });
+    }
+
+    ~ScriptedServer()
+    {
+        stopping_ = true;
+        asio::io_context io;
+        asio::ip::tcp::socket waker(io);
+        asio::error_code ignored;
+        waker.connect(acceptor_.local_endpoint(), ignored);
+        thread_.join();
+        for (const auto &socket : sockets_)
+            socket->shutdown(asio::socket_base::shutdown_both, ignored);
+        for (std::thread &thread : connections_)
+            thread.join();
+    }
+
+    std::string url(const std::string &path) const
+    {
+        return "http://127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()) + path;
+    }
+    // Requests that arrived whole.
+    int requests() const { return requests_; }
+
+private:
+    void run()
+    {
+        for (std::size_t number = 0;; ++number) {
+            const auto socket = std::make_shared<asio::ip::tcp::socket>(io_);
+            acceptor_.accept(*socket);
+            if (stopping_)
+                return;
+            sockets_.push_back(socket);
+            connections_.emplace_back([this, socket, number] {
+                serve(*socket, scripts_[std::min(number, scripts_.size() - 1)]);
+                if (reset_)
+                    socket->set_option(asio::socket_base::linger(true, 0));
+                socket->close();
+            });
+        }
+    }
+
+    void serve(asio::ip::tcp::socket &socket, const Script &script)
+    {
+        asio::streambuf received;
+        for (const std::string &answer : script) {
+            asio::error_code error;
+            const std::size_t head = asio::read_until(socket, received, "\r\n\r\n", error);
+            if (error)
+                return;
+            received.consume(head);
+            ++requests_;
+            asio::write(socket, asio::buffer(answer), error);
+        }
+    }
+
+    std::vector<Script> scripts_;
+    const bool reset_;
+    asio::io_context io_;
+    asio::ip::tcp::acceptor acceptor_;
+    std::atomic<int> requests_{0};
+    std::atomic<bool> stopping_{false};
+    std::vector<std::shared_ptr<asio::ip::tcp::socket>> sockets_;
+    std::vector<std::thread> connections_;
+    std::thread thread_;
+};
+
+} // namespace monsoongrade::endpoints
+
+#endif // MONSOONGRADE_TESTS_ENDPOINTS_SCRIPTEDSERVER_H
