Requests: events of a given-up call, whole events, true run states, retry budget

Faults found in the standing version, each seen to fail in the random test before it was mended: - A retry refused by a full queue was told 'not-run' although the first call had begun to run (kept as RequestFlow.RefusalOfARetryIsNotSaidToBeNotRun). The run state now follows from all calls made for the request. - Events of an earlier call reached the flow's next one. Each ask and its call now carry a step number; without the number the caller gets bytes of two runs (commands {0,0} {3,0} {5,0} {9,0} {16,0} {3,0} {11,0} of the random test). - A stream that broke within an event glued half an event to the error event. Only whole events are relayed (kept as RequestFlow.HalfEventIsNotGivenToTheCaller). - A grant that crossed with a cancel overwrote the running one. - An answer that ends with its connection, without a length or chunks, was given as whole.

New: retries only inside the class's whole-answer target and a budget (0.1 a request, 20 saved), after a jitter; a stream is resumed behind the delivered events where the pool can; the workspaces' open-limit holds; in-flight gauge for each class, so that the sums can be checked; each refusal says whether the request ran and what to do next.

With all in place it passes, 17 cases of requests_tests passed.

--- a/include/monsoongrade/requests/callerfrontend.h
+++ b/include/monsoongrade/requests/callerfrontend.h
@@ -4,7 +4,7 @@
 #include <monsoongrade/configuration/configurationholder.h>
 #include <monsoongrade/http/httpresponder.h>
 #include <monsoongrade/requests/flowservices.h>
-#include <monsoongrade/requests/flowtable.h>
+#include <monsoongrade/requests/openrequests.h>
 
 #include <atomic>
 #include <functional>
@@ -26,20 +26,21 @@
 
     // From now on /readyz says no; requests are served as before.
     void startLeaving() { leaving_ = true; }
-    std::size_t open() const { return flows_.open(); }
+    std::size_t open() const { return open_.total(); }
 
 private:
     bool answerOwnPath(const http::HttpRequest &request, http::HttpResponder &responder);
+    std::string metricsAnswer();
     void route(const http::HttpRequest &request, std::shared_ptr<http::HttpResponder> responder);
+    void begin(ClassifiedRequest classified, std::shared_ptr<http::HttpResponder> responder);
     void refuseUnclassified(http::HttpResponder &responder, const units::RequestId &id,
                             const units::Error &error, units::Duration retryAfter);
     units::RequestId nextRequestId();
 
     const FlowServices &services_;
     configuration::ConfigurationHolder &holder_;
-    std::size_t openLimit_;
     std::function<std::string()> entryPoints_;
-    FlowTable flows_;
+    OpenRequests open_;
     std::atomic<std::uint64_t> nextNumber_{1};
     std::atomic<bool> leaving_{false};
 };
--- a/include/monsoongrade/requests/classifiedrequest.h
+++ b/include/monsoongrade/requests/classifiedrequest.h
@@ -20,6 +20,8 @@
     units::IdempotencyKey idempotencyKey;
     units::PrefixHash prefix;
     bool streamed = false;
+    // The answer is kept for repeats of the request, so no single slow caller holds it back.
+    bool answerShared = false;
     // What is sent to the endpoint, but for its address.
     std::string method;
     std::string pathAndQuery;
--- /dev/null
+++ b/include/monsoongrade/requests/delayer.h
@@ -0,0 +1,20 @@
+#ifndef MONSOONGRADE_REQUESTS_DELAYER_H
+#define MONSOONGRADE_REQUESTS_DELAYER_H
+
+#include <monsoongrade/units/clock.h>
+
+#include <functional>
+
+namespace monsoongrade::requests {
+
+// Runs a function later. Thread-safe; never runs it from within after().
+class Delayer
+{
+public:
+    virtual ~Delayer() = default;
+    virtual void after(units::Duration delay, std::function<void()> function) = 0;
+};
+
+} // namespace monsoongrade::requests
+
+#endif // MONSOONGRADE_REQUESTS_DELAYER_H
--- a/include/monsoongrade/requests/flowservices.h
+++ b/include/monsoongrade/requests/flowservices.h
@@ -4,6 +4,8 @@
 #include <monsoongrade/endpoints/endpointclient.h>
 #include <monsoongrade/observability/metrics.h>
 #include <monsoongrade/requests/decisionlog.h>
+#include <monsoongrade/requests/delayer.h>
+#include <monsoongrade/requests/retrybudget.h>
 #include <monsoongrade/scheduling/slotsource.h>
 #include <monsoongrade/units/clock.h>
 
@@ -17,6 +19,8 @@
     endpoints::EndpointClient &client;
     observability::Metrics &metrics;
     DecisionLog &decisions;
+    RetryBudget &retries;
+    Delayer &delayer;
     units::DaemonId self;
 };
 
--- a/include/monsoongrade/requests/refusal.h
+++ b/include/monsoongrade/requests/refusal.h
@@ -17,6 +17,8 @@
     RunState runState = RunState::NotRun;
     // Zero where a retry can't help.
     units::Duration retryAfter{};
+    // The same request may be sent again even if it has run: it is idempotent or has a key.
+    bool mayRepeat = false;
 };
 
 // HTTP status that goes with a result code.
--- a/include/monsoongrade/requests/retrypolicy.h
+++ b/include/monsoongrade/requests/retrypolicy.h
@@ -14,8 +14,10 @@
     int status = 0;
     // Bytes of the answer have already gone to the caller.
     bool answerStarted = false;
-    // A stream that ended without its closing marker.
+    // The answer's end doesn't prove that it is whole.
     bool truncated = false;
+    // The endpoint's pool can go on with the stream behind what the caller has.
+    bool resumable = false;
     int attemptsMade = 1;
 };
 
@@ -23,6 +25,8 @@
     Complete,
     // Ask for a slot on another endpoint.
     TryElsewhere,
+    // Ask for a slot and let its endpoint go on with the stream.
+    Resume,
     // Final: nothing ran.
     RefuseNotRun,
     // Final: it may have run.
--- a/include/monsoongrade/requests/streamscanner.h
+++ b/include/monsoongrade/requests/streamscanner.h
@@ -6,8 +6,9 @@
 
 namespace monsoongrade::requests {
 
-// Follows a stream of server-sent events: counts the events and knows whether the closing
-// marker "[DONE]" has come. A stream without it was cut, even if the connection ended regularly.
+// Follows a stream of server-sent events: counts the finished events with data and knows whether
+// the closing marker "[DONE]" has come. A stream without it was cut, even if the connection ended
+// regularly.
 class StreamScanner
 {
 public:
@@ -20,6 +21,7 @@
 
     std::string line_;
     std::int64_t events_ = 0;
+    bool eventHasData_ = false;
     bool closed_ = false;
 };
 
--- /dev/null
+++ b/include/monsoongrade/requests/wholeevents.h
@@ -0,0 +1,32 @@
+#ifndef MONSOONGRADE_REQUESTS_WHOLEEVENTS_H
+#define MONSOONGRADE_REQUESTS_WHOLEEVENTS_H
+
+#include <string>
+#include <string_view>
+
+namespace monsoongrade::requests {
+
+// Cuts a stream of server-sent events at the ends of events. A caller is given whole events
+// only: behind a piece of one, neither the closing error event nor the continuation from another
+// endpoint could be told from the piece's own bytes.
+class WholeEvents
+{
+public:
+    // The bytes up to the last end of an event; the rest is kept for the next call. An event
+    // beyond the limit is passed on in pieces.
+    std::string take(std::string_view bytes);
+    // What is kept of an unfinished event; kept no more.
+    std::string takeRest();
+    // Forgets the piece of an event that an endpoint broke off in.
+    void dropRest() { rest_.clear(); }
+    // False while the caller has a piece of an unfinished event.
+    bool isAtBoundary() const { return !insideOversized_; }
+
+private:
+    std::string rest_;
+    bool insideOversized_ = false;
+};
+
+} // namespace monsoongrade::requests
+
+#endif // MONSOONGRADE_REQUESTS_WHOLEEVENTS_H
--- a/programs/monsoongrade-router/main.cpp
+++ b/programs/monsoongrade-router/main.cpp
@@ -10,6 +10,7 @@
 #include <monsoongrade/observability/log.h>
 #include <monsoongrade/platform/httpplatform.h>
 #include <monsoongrade/requests/callerfrontend.h>
+#include <monsoongrade/requests/threaddelayer.h>
 #include <monsoongrade/rpc/rpcslotsource.h>
 #include <monsoongrade/units/steadyclock.h>
 
@@ -47,6 +48,8 @@
 {
     const units::SteadyClock clock;
     observability::Metrics metrics;
+    requests::DecisionLog decisions;
+    requests::RetryBudget retries;
     endpoints::CurlEndpointClient platformClient;
     endpoints::CurlEndpointClient endpointClient;
     platform::HttpPlatform platform(platformClient, settings.platform);
@@ -56,8 +59,9 @@
     const units::DaemonId self = daemon::newDaemonId(settings.host, "router");
     rpc::RpcSlotSource slots(rpcLoop, {settings.cluster, self, settings.schedulerRpcPort}, fleet,
                              metrics);
-    requests::DecisionLog decisions;
-    const requests::FlowServices services{clock, slots, endpointClient, metrics, decisions, self};
+    requests::ThreadDelayer delayer;
+    const requests::FlowServices services{clock,     slots,   endpointClient, metrics,
+                                          decisions, retries, delayer,        self};
     requests::CallerFrontend frontend(services, configuration, settings.openLimit, [&] {
         return daemon::entryPointsAnswer(*fleet.current(), settings.failureDomain,
                                          settings.httpPort, settings.keepAddress);
--- a/src/requests/callerfrontend.cpp
+++ b/src/requests/callerfrontend.cpp
@@ -1,6 +1,7 @@
 #include <monsoongrade/requests/callerfrontend.h>
 
 #include <monsoongrade/requests/classifier.h>
+#include <monsoongrade/requests/requestflow.h>
 
 namespace monsoongrade::requests {
 
@@ -20,8 +21,8 @@
                                std::function<std::string()> entryPoints)
     : services_(services)
     , holder_(holder)
-    , openLimit_(openLimit)
     , entryPoints_(std::move(entryPoints))
+    , open_(openLimit)
 {
 }
 
@@ -40,8 +41,7 @@
         const bool ready = !leaving_ && holder_.current() != nullptr;
         responder.answer(ready ? 200 : 503, TextHeaders, ready ? "ready\n" : "not ready\n");
     } else if (request.path == "/metrics") {
-        services_.metrics.set("monsoongrade_requests_open", {}, static_cast<double>(flows_.open()));
-        responder.answer(200, TextHeaders, services_.metrics.exposition());
+        responder.answer(200, TextHeaders, metricsAnswer());
     } else if (request.path == "/v1/entry-points") {
         responder.answer(200, JsonHeaders, entryPoints_());
     } else {
@@ -61,27 +61,46 @@
                            RetryAfterFull);
         return;
     }
-    if (!flows_.tryReserve(openLimit_)) {
+    // Looked at before the body is read, which costs most of what can be spared here.
+    if (open_.isFull()) {
         refuseUnclassified(*responder, id,
-                           {ResultCode::TooManyRequestsOpen, "this router is full; use another"},
+                           {ResultCode::TooManyRequestsOpen,
+                            "this router has as many requests open as it may; use another"},
                            RetryAfterFull);
         return;
     }
-    const bool started = units::orElse(
-        [&]() -> units::Result<bool> {
-            BOOST_LEAF_AUTO(classified, classify(request, id, configuration));
-            const auto flow = std::make_shared<RequestFlow>(
-                services_, std::move(classified), responder, [this, id] { flows_.remove(id); });
-            flows_.add(id, flow);
-            flow->start();
-            return true;
-        },
-        [&](const Error &error) {
-            refuseUnclassified(*responder, id, error, {});
-            return false;
-        });
-    if (!started)
-        flows_.unreserve();
+    auto classified
+        = units::capture([&] { return classify(request, id, std::move(configuration)); });
+    if (classified.value)
+        begin(std::move(*classified.value), std::move(responder));
+    else
+        refuseUnclassified(*responder, id, classified.error, {});
+}
+
+void CallerFrontend::begin(ClassifiedRequest classified,
+                           std::shared_ptr<http::HttpResponder> responder)
+{
+    auto ticket = units::capture([&] { return open_.open(classified); });
+    RequestAccount account(services_, classified, ticket.value.value_or(nullptr));
+    account.accept();
+    if (!ticket.value) {
+        sendRefusal(*responder, {classified.id, ticket.error, RunState::NotRun, RetryAfterFull});
+        account.refuse(ticket.error.code, ticket.error.message);
+        return;
+    }
+    std::make_shared<RequestFlow>(services_, std::move(classified), std::move(account),
+                                  std::move(responder), [](const FlowEnd &) {})
+        ->start();
+}
+
+std::string CallerFrontend::metricsAnswer()
+{
+    services_.metrics.set("monsoongrade_requests_open", {}, static_cast<double>(open_.total()));
+    for (const auto &[className, count] : open_.byClass())
+        services_.metrics.set("monsoongrade_requests_in_flight",
+                              observability::label("class", className.value()),
+                              static_cast<double>(count));
+    return services_.metrics.exposition();
 }
 
 void CallerFrontend::refuseUnclassified(http::HttpResponder &responder, const units::RequestId &id,
--- a/src/requests/refusal.cpp
+++ b/src/requests/refusal.cpp
@@ -17,12 +17,41 @@
     return std::max<long>(1, (milliseconds + 999) / 1000);
 }
 
+bool isCallersFault(ResultCode code)
+{
+    const int number = static_cast<int>(code);
+    return number >= 1000 && number < 2000 && code != ResultCode::WorkspaceLimitReached;
+}
+
+// Whether it ran, and what the caller should do next.
+std::string advice(const Refusal &refusal)
+{
+    switch (refusal.runState) {
+    case RunState::NotRun:
+        if (isCallersFault(refusal.error.code))
+            return "The request did not run. Correct it before you send it again.";
+        return refusal.retryAfter > units::Duration::zero()
+            ? "The request did not run. Send it again after the given time."
+            : "The request did not run. Send it again.";
+    case RunState::Unknown:
+        return refusal.mayRepeat
+            ? "The request may have run. Send it again as it is; that does no harm."
+            : "The request may have run. Look at its effect before you send it again.";
+    case RunState::Partial:
+        return refusal.mayRepeat
+            ? "The request ran and this answer is not whole. Send it again for a whole one."
+            : "The request ran and this answer is not whole. Look at its effect before you "
+              "send it again.";
+    }
+    return {};
+}
+
 json body(const Refusal &refusal)
 {
     json error;
     error["code"] = static_cast<int>(refusal.error.code);
     error["reason"] = units::resultCodeName(refusal.error.code);
-    error["message"] = refusal.error.message;
+    error["message"] = refusal.error.message + ". " + advice(refusal);
     error["run_state"] = runStateName(refusal.runState);
     error["request_id"] = refusal.request.value();
     if (refusal.retryAfter > units::Duration::zero())
--- a/src/requests/requestflow.cpp
+++ b/src/requests/requestflow.cpp
@@ -1,12 +1,15 @@
 #include <monsoongrade/requests/requestflow.h>
 
-#include <monsoongrade/observability/log.h>
+#include <requests/internal/answerheaders.h>
+#include <requests/internal/endpointcall.h>
+#include <requests/internal/steplistener.h>
 
 namespace monsoongrade::requests {
 
 namespace {
 
 using endpoints::FlowControl;
+using internal::StepListener;
 using scheduling::ReleaseOutcome;
 using units::ResultCode;
 
@@ -17,40 +20,27 @@
 // is relayed as it comes.
 constexpr std::size_t MostBytesHeld = 8 * 1024 * 1024;
 constexpr auto RetryAfterFault = std::chrono::seconds(2);
-
-bool isEventStream(const endpoints::Headers &headers)
-{
-    for (const auto &[name, value] : headers) {
-        if (name == "content-type")
-            return value.compare(0, 17, "text/event-stream") == 0;
-    }
-    return false;
-}
-
-http::Headers passedBack(const endpoints::Headers &headers, const units::RequestId &id)
-{
-    http::Headers out;
-    for (const auto &[name, value] : headers) {
-        if (name == "content-length" || name == "transfer-encoding" || name == "connection"
-            || name == "keep-alive" || name == "server" || name == "date")
-            continue;
-        out.emplace_back(name, value);
-    }
-    out.emplace_back("monsoongrade-request-id", id.value());
-    return out;
-}
+// A retry waits a part of this, more for each attempt, so that requests that failed together
+// don't come back together.
+constexpr std::uint64_t MostJitterMillis = 50;
 
 } // namespace
 
 RequestFlow::RequestFlow(const FlowServices &services, ClassifiedRequest request,
-                         std::shared_ptr<http::HttpResponder> responder,
-                         std::function<void()> onEnd)
+                         RequestAccount account, std::shared_ptr<http::HttpResponder> responder,
+                         std::function<void(const FlowEnd &)> onEnd)
     : services_(services)
     , request_(std::move(request))
     , responder_(std::move(responder))
     , onEnd_(std::move(onEnd))
-    , arrived_(services.clock.now())
+    , account_(std::move(account))
+{
+}
+
+RequestFlow::~RequestFlow()
 {
+    if (state_ != State::Ended)
+        giveUp(ResultCode::InternalFault, "the router lost track of the request", RetryAfterFault);
 }
 
 void RequestFlow::start()
@@ -60,10 +50,8 @@
             self->callerGone();
     });
     const std::lock_guard lock(mutex_);
-    services_.metrics.add("monsoongrade_requests_accepted_total", classLabel());
-    record(DecisionKind::Classified, ResultCode::Ok,
-           request_.classConfig.policy.name.value() + " of " + request_.workspace.value());
-    askForSlot();
+    if (state_ == State::New)
+        askForSlot();
 }
 
 void RequestFlow::callerGone()
@@ -72,113 +60,138 @@
     if (state_ == State::Ended || callerGone_)
         return;
     callerGone_ = true;
-    if (state_ == State::Asking) {
+    if (state_ == State::Calling) {
+        if (!request_.classConfig.cancelOnDisconnect)
+            return;
+        services_.client.cancel(call_);
+        mayHaveRun_ = true;
+        releaseSlot(ReleaseOutcome::CallerLeft);
+    } else if (state_ == State::Asking) {
         services_.slots.cancel(makeAsk());
-        end("monsoongrade_requests_refused_total", ResultCode::CallerLeft);
-        return;
     }
-    if (!request_.classConfig.cancelOnDisconnect)
-        return;
-    services_.client.cancel(call_);
-    releaseSlot(ReleaseOutcome::CallerLeft);
-    end("monsoongrade_requests_failed_total", ResultCode::CallerLeft);
+    end({ResultCode::CallerLeft, mayHaveRun_ ? RunState::Unknown : RunState::NotRun},
+        "the caller closed its connection");
 }
 
-void RequestFlow::slotGranted(const scheduling::SlotGrant &grant)
+void RequestFlow::slotGranted(std::uint64_t step, const scheduling::SlotGrant &grant)
 {
     const std::lock_guard lock(mutex_);
-    grant_ = grant;
-    callStarted_ = services_.clock.now();
-    if (state_ != State::Asking) {
-        releaseSlot(ReleaseOutcome::NotRun);
+    if (step != step_ || state_ != State::Asking) {
+        services_.slots.release(grant, {grant.id, {}, {}, ReleaseOutcome::NotRun});
         return;
     }
-    record(DecisionKind::Granted, ResultCode::Ok, grant.endpoint.value());
+    grant_ = grant;
+    callStarted_ = services_.clock.now();
+    eventsAtCall_ = scanner_.events();
+    account_.record(DecisionKind::Granted, ResultCode::Ok, grant.endpoint.value());
     const auto *endpoint = request_.configuration->findEndpoint(grant.endpoint);
     if (endpoint == nullptr) {
-        attempt_.end.code = ResultCode::NoEndpointAvailable;
         releaseSlot(ReleaseOutcome::NotRun);
-        refuse(ResultCode::NoEndpointAvailable, "the endpoint is no longer configured",
+        giveUp(ResultCode::NoEndpointAvailable,
+               "the endpoint " + grant.endpoint.value() + " is no longer configured",
                RetryAfterFault);
         return;
     }
     call(*endpoint);
 }
 
-void RequestFlow::slotRefused(const scheduling::SlotRefusal &refusal)
+void RequestFlow::slotRefused(std::uint64_t step, const scheduling::SlotRefusal &refusal)
 {
     const std::lock_guard lock(mutex_);
-    if (state_ != State::Asking)
-        return;
-    refuse(refusal.code, "no place on an endpoint; come back after the given time",
-           refusal.retryAfter);
+    if (step == step_ && state_ == State::Asking)
+        giveUp(refusal.code, "there was no place on an endpoint", refusal.retryAfter);
 }
 
-void RequestFlow::answerHead(int status, const endpoints::Headers &headers)
+void RequestFlow::answerHead(std::uint64_t step, int status, const endpoints::Headers &headers)
 {
     const std::lock_guard lock(mutex_);
-    if (state_ != State::Calling)
+    if (step != step_ || state_ != State::Calling)
         return;
     attempt_.status = status;
     answerHeaders_ = headers;
-    if (isEventStream(headers) && !refusedBeforeRunning(attempt_, request_.pool.kind))
-        beginRelay(status, headers);
+    if (!resumes_ && isEventStream() && !refusedBeforeRunning(attempt_, request_.pool.kind))
+        beginRelay();
 }
 
-FlowControl RequestFlow::answerBody(std::string_view bytes)
+FlowControl RequestFlow::answerBody(std::uint64_t step, std::string_view bytes)
 {
     const std::lock_guard lock(mutex_);
-    if (state_ != State::Calling)
+    if (step != step_ || state_ != State::Calling)
         return FlowControl::Continue;
     if (!firstTokenSeen_ && !refusedBeforeRunning(attempt_, request_.pool.kind)) {
         firstTokenSeen_ = true;
-        services_.metrics.observe("monsoongrade_first_token_seconds", classLabel(),
-                                  services_.clock.now() - arrived_);
+        services_.metrics.observe("monsoongrade_first_token_seconds", account_.classLabel(),
+                                  account_.age());
     }
     if (!relaying_ && wholeBody_.size() + bytes.size() > MostBytesHeld)
-        beginRelay(attempt_.status, answerHeaders_);
+        beginRelay();
     if (!relaying_) {
         wholeBody_.append(bytes);
         return FlowControl::Continue;
     }
+    // A call that was to go on with a stream and was answered with something else adds nothing.
+    if (relaysEvents_ && !isEventStream())
+        return FlowControl::Continue;
     relay(bytes);
     paused_ = bytesWaiting_ > MostBytesWaiting;
     return paused_ ? FlowControl::Pause : FlowControl::Continue;
 }
 
-void RequestFlow::answerEnd(const endpoints::EndpointEnd &endpointEnd)
+void RequestFlow::answerEnd(std::uint64_t step, const endpoints::EndpointEnd &endpointEnd)
 {
     const std::lock_guard lock(mutex_);
-    if (state_ != State::Calling)
+    if (step != step_ || state_ != State::Calling)
         return;
+    judgeEnd(endpointEnd);
+    const bool refused = refusedBeforeRunning(attempt_, request_.pool.kind);
+    const ResultCode code = refused ? ResultCode::EndpointRefused : attempt_.end.code;
+    const bool ran = attempt_.end.requestSent && !refused;
+    mayHaveRun_ = mayHaveRun_ || ran;
+    const NextStep next = decideNextStep(attempt_, request_.run, request_.pool.kind);
+    if (next == NextStep::Complete)
+        releaseSlot(ReleaseOutcome::Completed);
+    else
+        releaseSlot(next == NextStep::RefuseNotRun ? ReleaseOutcome::NotRun
+                                                   : ReleaseOutcome::EndpointFailed);
+    followUp(next, code);
+}
+
+// An answer counts as whole only where something in it says so.
+void RequestFlow::judgeEnd(const endpoints::EndpointEnd &endpointEnd)
+{
     attempt_.end = endpointEnd;
-    attempt_.truncated = relaying_ && isEventStream(answerHeaders_) && !scanner_.isClosed();
+    attempt_.answerStarted = relaying_;
+    if (endpointEnd.code == ResultCode::Ok && relaysEvents_ && isEventStream()
+        && events_.isAtBoundary())
+        write(events_.takeRest());
+    if (relaysEvents_)
+        attempt_.truncated = !scanner_.isClosed();
+    else
+        attempt_.truncated
+            = !internal::hasKnownEnd(attempt_.status, request_.method, answerHeaders_);
     if (attempt_.truncated && attempt_.end.code == ResultCode::Ok)
         attempt_.end.code = ResultCode::EndpointBrokeInAnswer;
-    const ResultCode code = refusedBeforeRunning(attempt_, request_.pool.kind)
-        ? ResultCode::EndpointRefused
-        : attempt_.end.code;
-    switch (decideNextStep(attempt_, request_.run, request_.pool.kind)) {
+    attempt_.resumable = request_.pool.canResume && relaysEvents_ && events_.isAtBoundary();
+}
+
+void RequestFlow::followUp(NextStep next, ResultCode code)
+{
+    switch (next) {
     case NextStep::Complete:
-        releaseSlot(ReleaseOutcome::Completed);
         complete();
         return;
     case NextStep::TryElsewhere:
-        releaseSlot(ReleaseOutcome::EndpointFailed);
+    case NextStep::Resume:
         tryElsewhere(code);
         return;
     case NextStep::RefuseNotRun:
-        releaseSlot(ReleaseOutcome::NotRun);
-        refuse(code, "no endpoint ran the request; come back after the given time",
-               RetryAfterFault);
+        giveUp(code, "no endpoint took the request", RetryAfterFault);
         return;
     case NextStep::FailUnknown:
-        releaseSlot(ReleaseOutcome::EndpointFailed);
-        fail(code, "the endpoint broke off; the request may have run", RunState::Unknown);
+        giveUp(code, "the endpoint broke off before its answer was whole", {});
         return;
     case NextStep::FailPartial:
-        releaseSlot(ReleaseOutcome::EndpointFailed);
-        fail(code, "the endpoint broke off within the answer", RunState::Partial);
+        giveUp(code, "the endpoint broke off within the answer", {});
         return;
     }
 }
@@ -192,7 +205,7 @@
     ask.className = request_.classConfig.policy.name;
     ask.workspace = request_.workspace;
     ask.prefix = request_.prefix;
-    ask.waited = services_.clock.now() - arrived_;
+    ask.waited = account_.age();
     ask.avoid = failedEndpoints_;
     return ask;
 }
@@ -200,41 +213,60 @@
 void RequestFlow::askForSlot()
 {
     state_ = State::Asking;
-    record(DecisionKind::Queued, ResultCode::Ok, request_.pool.name.value());
-    services_.slots.ask(makeAsk(), shared_from_this());
+    ++step_;
+    account_.record(DecisionKind::Queued, ResultCode::Ok, request_.pool.name.value());
+    services_.slots.ask(makeAsk(), std::make_shared<StepListener>(shared_from_this(), step_));
 }
 
 void RequestFlow::call(const configuration::EndpointConfig &endpoint)
 {
     state_ = State::Calling;
-    endpoints::EndpointRequest request;
-    request.method = request_.method;
-    request.url = "http://" + endpoint.address + ":" + std::to_string(endpoint.port)
-        + request_.pathAndQuery;
-    request.headers = request_.headers;
-    request.body = request_.body;
-    request.silenceTimeout = request_.pool.silenceTimeout;
-    request.freshConnection = request_.run == configuration::RunRule::AtMostOnce;
-    record(DecisionKind::Called, ResultCode::Ok, endpoint.id.value());
-    call_ = services_.client.start(std::move(request), shared_from_this());
+    paused_ = false;
+    endpoints::EndpointRequest request = internal::endpointCall(request_, endpoint);
+    resumes_ = relaying_;
+    if (resumes_)
+        request.headers.emplace_back("resume-offset", std::to_string(scanner_.events()));
+    account_.record(DecisionKind::Called, ResultCode::Ok, endpoint.id.value());
+    call_ = services_.client.start(std::move(request),
+                                   std::make_shared<StepListener>(shared_from_this(), step_));
+}
+
+// While a stream is resumed only an answer that goes on behind the same event counts as one; an
+// engine that started anew would splice two runs.
+bool RequestFlow::isEventStream() const
+{
+    if (!internal::isEventStream(answerHeaders_))
+        return false;
+    if (!resumes_)
+        return true;
+    const std::string offset = internal::valueOf(answerHeaders_, "resume-offset");
+    return attempt_.status == 200 && (offset.empty() || offset == std::to_string(eventsAtCall_));
 }
 
-void RequestFlow::beginRelay(int status, const endpoints::Headers &headers)
+void RequestFlow::beginRelay()
 {
     relaying_ = true;
-    attempt_.answerStarted = true;
-    responder_->begin(status, passedBack(headers, request_.id));
+    relaysEvents_ = internal::isEventStream(answerHeaders_);
+    responder_->begin(attempt_.status, internal::passedBack(answerHeaders_, request_.id));
     if (!wholeBody_.empty())
         relay(std::exchange(wholeBody_, {}));
 }
 
 void RequestFlow::relay(std::string_view bytes)
 {
+    write(relaysEvents_ ? events_.take(bytes) : std::string(bytes));
+}
+
+void RequestFlow::write(std::string bytes)
+{
+    if (bytes.empty())
+        return;
     scanner_.scan(bytes);
     if (callerGone_)
         return;
-    bytesWaiting_ += bytes.size();
-    responder_->write(std::string(bytes), [weak = weak_from_this()](std::size_t count) {
+    if (!request_.answerShared)
+        bytesWaiting_ += bytes.size();
+    responder_->write(std::move(bytes), [weak = weak_from_this()](std::size_t count) {
         if (const auto self = weak.lock())
             self->bytesLeft(count);
     });
@@ -255,24 +287,63 @@
 {
     scheduling::SlotRelease release;
     release.grant = grant_.id;
-    release.tokens = units::TokenCount(scanner_.events());
+    release.tokens = units::TokenCount(scanner_.events() - eventsAtCall_);
     release.held = services_.clock.now() - callStarted_;
     release.outcome = outcome;
     services_.slots.release(grant_, release);
 }
 
+// Retries stay inside the time that the class gives an answer and inside the router's budget.
+bool RequestFlow::mayTryAgain(ResultCode code)
+{
+    std::string denied;
+    if (callerGone_)
+        denied = "caller-left";
+    else if (account_.age() >= request_.classConfig.policy.wholeAnswerTarget)
+        denied = "deadline";
+    else if (!services_.retries.trySpend())
+        denied = "budget";
+    if (denied.empty())
+        return true;
+    services_.metrics.add("monsoongrade_retries_denied_total",
+                          observability::label("reason", denied));
+    const bool isBudget = denied == "budget";
+    giveUp(isBudget ? ResultCode::RetryBudgetSpent : code,
+           "the endpoint failed (" + std::string(resultCodeName(code)) + ") and another try was "
+               + (isBudget ? "beyond the router's retry budget" : "too late"),
+           RetryAfterFault);
+    return false;
+}
+
 void RequestFlow::tryElsewhere(ResultCode code)
 {
+    if (!mayTryAgain(code))
+        return;
     services_.metrics.add("monsoongrade_retries_total",
                           observability::label("reason", std::string(resultCodeName(code))));
-    record(DecisionKind::Retried, code, grant_.endpoint.value());
+    account_.record(DecisionKind::Retried, code,
+                    grant_.endpoint.value() + (relaying_ ? ", to be resumed" : ""));
     failedEndpoints_.push_back(grant_.endpoint);
     const int made = attempt_.attemptsMade + 1;
     attempt_ = AttemptResult();
     attempt_.attemptsMade = made;
     wholeBody_.clear();
+    events_.dropRest();
     answerHeaders_.clear();
-    askForSlot();
+    backOff();
+}
+
+void RequestFlow::backOff()
+{
+    state_ = State::BackingOff;
+    ++step_;
+    const std::uint64_t spread = std::hash<units::RequestId>()(request_.id) % MostJitterMillis;
+    const auto delay = std::chrono::milliseconds(spread * (attempt_.attemptsMade - 1));
+    services_.delayer.after(delay, [self = shared_from_this(), step = step_] {
+        const std::lock_guard lock(self->mutex_);
+        if (self->step_ == step && self->state_ == State::BackingOff)
+            self->askForSlot();
+    });
 }
 
 void RequestFlow::complete()
@@ -280,64 +351,46 @@
     if (relaying_)
         responder_->end();
     else
-        responder_->answer(attempt_.status, passedBack(answerHeaders_, request_.id),
+        responder_->answer(attempt_.status, internal::passedBack(answerHeaders_, request_.id),
                            std::move(wholeBody_));
-    record(DecisionKind::Completed, ResultCode::Ok, std::to_string(scanner_.events()) + " events");
-    end("monsoongrade_requests_completed_total", ResultCode::Ok);
+    end({}, std::to_string(scanner_.events()) + " events");
 }
 
-void RequestFlow::refuse(ResultCode code, const std::string &message, units::Duration retryAfter)
+// Ends the request without a whole answer. Whether it may have run follows from all calls made
+// for it, not only from the last one.
+void RequestFlow::giveUp(ResultCode code, const std::string &message, units::Duration retryAfter)
 {
-    record(DecisionKind::Refused, code, message);
-    sendRefusal(*responder_, {request_.id, {code, message}, RunState::NotRun, retryAfter});
-    end("monsoongrade_requests_refused_total", code);
-}
-
-void RequestFlow::fail(ResultCode code, const std::string &message, RunState runState)
-{
-    record(DecisionKind::Failed, code, message);
-    const Refusal refusal{request_.id, {code, message}, runState, {}};
+    RunState runState = mayHaveRun_ ? RunState::Unknown : RunState::NotRun;
+    if (relaying_)
+        runState = RunState::Partial;
+    Refusal refusal{request_.id, {code, message}, runState, {}};
+    refusal.mayRepeat
+        = request_.run == configuration::RunRule::Idempotent || !request_.idempotencyKey.isEmpty();
+    if (runState == RunState::NotRun || refusal.mayRepeat)
+        refusal.retryAfter = retryAfter;
     if (!relaying_) {
         sendRefusal(*responder_, refusal);
-    } else if (isEventStream(answerHeaders_)) {
+    } else if (relaysEvents_ && events_.isAtBoundary()) {
         responder_->write(refusalEvent(refusal), {});
         responder_->end();
     } else {
         // Only a broken connection tells this caller that the answer is not whole.
         responder_->abort();
     }
-    end("monsoongrade_requests_failed_total", code);
+    end({code, runState}, message);
 }
 
-void RequestFlow::end(const std::string &outcomeMetric, ResultCode code)
+void RequestFlow::end(const FlowEnd &flowEnd, const std::string &detail)
 {
     state_ = State::Ended;
-    std::string labels = classLabel();
-    if (code != ResultCode::Ok)
-        labels += "," + observability::label("reason", std::string(resultCodeName(code)));
-    services_.metrics.add(outcomeMetric, labels);
-    services_.metrics.observe("monsoongrade_request_seconds", classLabel(),
-                              services_.clock.now() - arrived_);
-    onEnd_();
-}
-
-void RequestFlow::record(DecisionKind kind, ResultCode code, const std::string &detail)
-{
-    services_.decisions.add({request_.id, services_.clock.now(), kind, code, detail});
-    const auto level = kind == DecisionKind::Refused || kind == DecisionKind::Failed
-        ? observability::LogLevel::Info
-        : observability::LogLevel::Debug;
-    observability::log(level, decisionKindName(kind),
-                       {{"request", request_.id.value()},
-                        {"class", request_.classConfig.policy.name.value()},
-                        {"workspace", request_.workspace.value()},
-                        {"code", static_cast<int>(code)},
-                        {"detail", detail}});
-}
-
-std::string RequestFlow::classLabel() const
-{
-    return observability::label("class", request_.classConfig.policy.name.value());
+    ++step_;
+    if (flowEnd.code == ResultCode::Ok)
+        account_.complete(detail);
+    else if (flowEnd.runState == RunState::NotRun)
+        account_.refuse(flowEnd.code, detail);
+    else
+        account_.fail(flowEnd.code, detail);
+    onEnd_(flowEnd);
 }
 
 } // namespace monsoongrade::requests
--- a/src/requests/retrypolicy.cpp
+++ b/src/requests/retrypolicy.cpp
@@ -28,8 +28,11 @@
     const bool provedNotRun = !attempt.end.requestSent || refusedBeforeRunning(attempt, kind);
     if (attempt.end.code == ResultCode::Ok && !provedNotRun && !attempt.truncated)
         return NextStep::Complete;
-    if (attempt.answerStarted)
-        return NextStep::FailPartial;
+    if (attempt.answerStarted) {
+        const bool mayResume = attempt.resumable && run == RunRule::Idempotent;
+        return mayResume && attempt.attemptsMade < MostAttempts ? NextStep::Resume
+                                                                : NextStep::FailPartial;
+    }
     const bool mayRepeat = provedNotRun || run == RunRule::Idempotent;
     if (mayRepeat && attempt.attemptsMade < MostAttempts)
         return NextStep::TryElsewhere;
--- a/src/requests/streamscanner.cpp
+++ b/src/requests/streamscanner.cpp
@@ -29,12 +29,14 @@
 void StreamScanner::scanLine()
 {
     const std::string_view line = line_;
-    if (line.substr(0, DataPrefix.size()) != DataPrefix)
-        return;
-    if (line.find(ClosingMarker) != std::string_view::npos)
-        closed_ = true;
-    else
-        ++events_;
+    if (line.empty() || line == "\r") {
+        events_ += eventHasData_ ? 1 : 0;
+        eventHasData_ = false;
+    } else if (line.substr(0, DataPrefix.size()) == DataPrefix) {
+        const bool closes = line.find(ClosingMarker) != std::string_view::npos;
+        closed_ = closed_ || closes;
+        eventHasData_ = !closes;
+    }
 }
 
 } // namespace monsoongrade::requests
