--- a/programs/monsoongrade-router/main.cpp
+++ b/programs/monsoongrade-router/main.cpp
@@ -13,6 +13,7 @@
 #include <monsoongrade/observability/log.h>
 #include <monsoongrade/platform/httpplatform.h>
 #include <monsoongrade/requests/callerfrontend.h>
+#include <monsoongrade/requests/threaddelayer.h>
 #include <monsoongrade/rpc/rpcslotsource.h>
 #include <monsoongrade/units/steadyclock.h>
 
@@ -63,6 +64,8 @@
 {
     const units::SteadyClock clock;
     observability::Metrics metrics;
+    requests::DecisionLog decisions;
+    requests::RetryBudget retries;
     endpoints::CurlEndpointClient platformClient;
     endpoints::CurlEndpointClient endpointClient;
     platform::HttpPlatform platform(platformClient, settings.platform);
@@ -72,8 +75,9 @@
     const units::DaemonId self = daemon::newDaemonId(settings.host, "router");
     rpc::RpcSlotSource slots(rpcLoop, {settings.cluster, self, settings.schedulerRpcPort}, fleet,
                              metrics);
-    requests::DecisionLog decisions;
-    const requests::FlowServices services{clock, slots, endpointClient, metrics, decisions, self};
+    requests::ThreadDelayer delayer;
+    const requests::FlowServices services{clock,     slots,   endpointClient, metrics,
+                                          decisions, retries, delayer,        self};
     requests::CallerFrontend frontend(services, configuration, settings.openLimit, [&] {
         const auto inForce = configuration.current();
         const std::set<std::string> drained = inForce ? inForce->drained : std::set<std::string>();
