Requests: tokens of whole answers, and attainment counted where it happens

A completions answer that is not streamed was released with 0 tokens: it cost its workspace nothing of its fair share and taught the scheduler that answers are empty. Its usage is read now. Whole answers within both targets of their class are counted, so that 'top' shows attainment live.

--- a/include/monsoongrade/requests/requestaccount.h
+++ b/include/monsoongrade/requests/requestaccount.h
@@ -5,6 +5,7 @@
 #include <monsoongrade/requests/flowservices.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace monsoongrade::requests {
@@ -21,6 +22,8 @@
                    std::shared_ptr<void> ticket);
 
     void accept();
+    // The answer's first byte has arrived; later calls do nothing.
+    void firstToken();
     void complete(const std::string &detail);
     // Ended without a run.
     void refuse(units::ResultCode code, const std::string &detail);
@@ -40,7 +43,10 @@
     units::RequestId id_;
     units::ClassName className_;
     units::WorkspaceName workspace_;
+    units::Duration firstTokenTarget_;
+    units::Duration wholeAnswerTarget_;
     units::TimePoint arrived_;
+    std::optional<units::Duration> firstTokenAge_;
     std::shared_ptr<void> ticket_;
 };
 
--- a/include/monsoongrade/requests/requestflow.h
+++ b/include/monsoongrade/requests/requestflow.h
@@ -92,7 +92,6 @@
     bool resumes_ = false;
     bool paused_ = false;
     bool callerGone_ = false;
-    bool firstTokenSeen_ = false;
     std::size_t bytesWaiting_ = 0;
 };
 
--- a/src/requests/requestaccount.cpp
+++ b/src/requests/requestaccount.cpp
@@ -12,6 +12,8 @@
     , id_(request.id)
     , className_(request.classConfig.policy.name)
     , workspace_(request.workspace)
+    , firstTokenTarget_(request.classConfig.policy.firstTokenTarget)
+    , wholeAnswerTarget_(request.classConfig.policy.wholeAnswerTarget)
     , arrived_(services.clock.now())
     , ticket_(std::move(ticket))
 {
@@ -25,9 +27,19 @@
            className_.value() + " of " + workspace_.value());
 }
 
+void RequestAccount::firstToken()
+{
+    if (firstTokenAge_)
+        return;
+    firstTokenAge_ = age();
+    services_->metrics.observe("monsoongrade_first_token_seconds", classLabel(), *firstTokenAge_);
+}
+
 void RequestAccount::complete(const std::string &detail)
 {
     record(DecisionKind::Completed, ResultCode::Ok, detail);
+    if (firstTokenAge_.value_or(age()) <= firstTokenTarget_ && age() <= wholeAnswerTarget_)
+        services_->metrics.add("monsoongrade_requests_attained_total", classLabel());
     end("monsoongrade_requests_completed_total", ResultCode::Ok);
 }
 
--- a/src/requests/requestflow.cpp
+++ b/src/requests/requestflow.cpp
@@ -3,6 +3,7 @@
 #include <requests/internal/answerheaders.h>
 #include <requests/internal/endpointcall.h>
 #include <requests/internal/steplistener.h>
+#include <requests/internal/tokensused.h>
 
 namespace monsoongrade::requests {
 
@@ -118,11 +119,8 @@
     const std::lock_guard lock(mutex_);
     if (step != step_ || state_ != State::Calling)
         return FlowControl::Continue;
-    if (!firstTokenSeen_ && !refusedBeforeRunning(attempt_, request_.pool.kind)) {
-        firstTokenSeen_ = true;
-        services_.metrics.observe("monsoongrade_first_token_seconds", account_.classLabel(),
-                                  account_.age());
-    }
+    if (!refusedBeforeRunning(attempt_, request_.pool.kind))
+        account_.firstToken();
     if (!relaying_ && wholeBody_.size() + bytes.size() > MostBytesHeld)
         beginRelay();
     if (!relaying_) {
@@ -287,7 +285,9 @@
 {
     scheduling::SlotRelease release;
     release.grant = grant_.id;
-    release.tokens = units::TokenCount(scanner_.events() - eventsAtCall_);
+    const bool isWhole = !relaying_ && request_.pool.kind == configuration::PoolKind::Engine;
+    release.tokens = units::TokenCount(isWhole ? internal::tokensOfWholeAnswer(wholeBody_)
+                                               : scanner_.events() - eventsAtCall_);
     release.held = services_.clock.now() - callStarted_;
     release.outcome = outcome;
     services_.slots.release(grant_, release);
