--- a/include/monsoongrade/rpc/rpcslotsource.h
+++ b/include/monsoongrade/rpc/rpcslotsource.h
@@ -5,22 +5,31 @@
 #include <monsoongrade/observability/metrics.h>
 #include <monsoongrade/rpc/rpcloop.h>
 #include <monsoongrade/scheduling/slotsource.h>
+#include <monsoongrade/units/clock.h>
 
 #include <cstdint>
 #include <memory>
 
 namespace monsoongrade::rpc {
 
+namespace internal {
+class SlotClient;
+}
+
 struct RpcSlotSourceSettings
 {
     units::ClusterName cluster;
     units::DaemonId self;
     std::uint16_t schedulerPort = 0;
+    // A scheduler where something waits or is held, and that said nothing for this long, is
+    // asked for a sign of life; it must give one within the limit, or the next one is asked.
+    units::Duration heartbeat = std::chrono::milliseconds(500);
+    units::Duration silenceLimit = std::chrono::milliseconds(1000);
 };
 
 // Gets slots from the scheduler that rendezvous hashing names for the pool. When it is lost,
-// asks the next one, reports the grants still held there first, and asks again for whoever
-// waits.
+// silent or leaving, asks the next one, reports the grants still held there first, and asks again
+// for whoever waits. With none reachable asks are refused as SchedulerUnreachable.
 class RpcSlotSource : public scheduling::SlotSource
 {
 public:
@@ -35,9 +44,8 @@
                  const scheduling::SlotRelease &release) override;
 
 private:
-    class Impl;
     RpcLoop &loop_;
-    std::shared_ptr<Impl> impl_;
+    std::shared_ptr<internal::SlotClient> client_;
 };
 
 } // namespace monsoongrade::rpc
--- a/include/monsoongrade/rpc/schedulerserver.h
+++ b/include/monsoongrade/rpc/schedulerserver.h
@@ -18,7 +18,15 @@
     units::ClusterName cluster;
     units::DaemonId self;
     std::string address;
+    // 0 takes any free one.
     std::uint16_t port = 0;
+    // From the first router's coming to the first grant, unless all routers came before.
+    units::Duration settlingTime = std::chrono::milliseconds(300);
+    // A router that is silent for this long loses what it holds. Routers that hold or wait say
+    // something twice a second.
+    units::Duration lease = std::chrono::seconds(5);
+    // Asks for a pool that no configuration names wait for one this long.
+    units::Duration unknownPoolWait = std::chrono::seconds(2);
 };
 
 // The scheduler's side of the protocol: one CellScheduler per pool, fed by routers over RPC, by
@@ -26,16 +34,26 @@
 class SchedulerServer
 {
 public:
+    // Throws std::runtime_error where the address can't be listened on.
     SchedulerServer(RpcLoop &loop, const units::Clock &clock,
                     const SchedulerServerSettings &settings,
                     configuration::ConfigurationHolder &configuration,
                     membership::FleetHolder &fleet, observability::Metrics &metrics);
     ~SchedulerServer();
 
+    std::uint16_t port() const { return port_; }
+
+    // For a planned stop: answers every ask, waiting or new, as moved, and tells routers by
+    // their heartbeat. They report what they hold to the next scheduler and hang up.
+    void startLeaving();
+    // Routers that hold or wait for a slot here.
+    std::size_t routersUsing() const;
+
 private:
     class Impl;
     RpcLoop &loop_;
     std::shared_ptr<Impl> impl_;
+    std::uint16_t port_ = 0;
 };
 
 } // namespace monsoongrade::rpc
--- a/schema/monsoongrade.capnp
+++ b/schema/monsoongrade.capnp
@@ -38,6 +38,7 @@
       code @2 :Int32;
       retryAfterMillis @3 :UInt32;
     }
+    moved @4 :Void;          # not decided here any more: ask the next scheduler
   }
 }
 
@@ -54,14 +55,20 @@
 }
 
 # The slots of one scheduler, for the one router that said hello on this connection. When the
-# connection breaks, what the router held is freed.
+# connection breaks or is silent for too long, what the router held is freed.
 interface SlotService {
   # Returns when the decision is made.
   ask @0 (ask :SlotAsk) -> (decision :SlotDecision);
   release @1 (pool :Text, release :SlotRelease) -> ();
-  # Counts grants of an earlier scheduler that the router still holds; gives their new numbers.
-  adopt @2 (held :List(HeldGrant)) -> (grants :List(UInt64));
+  # Says that the router asks here from now on for the pool. Counts grants of an earlier
+  # scheduler that the router still holds; gives their new numbers, 0 where one is not counted.
+  adopt @2 (pool :Text, held :List(HeldGrant)) -> (grants :List(UInt64));
   # Withdraws an ask: its call returns as refused, unless a grant is already on its way; that
   # one is released like any other.
   cancel @3 (pool :Text, request :Text) -> ();
+  # The heartbeat. A leaving scheduler stops as soon as its routers have moved.
+  ping @4 () -> (leaving :Bool);
+  # Takes back what adopt said: the router asks elsewhere for the pool. What it holds here stays
+  # counted until it is released.
+  detach @5 (pool :Text) -> ();
 }
--- a/schema/monsoongrade.capnp.c++
+++ b/schema/monsoongrade.capnp.c++
@@ -422,17 +422,17 @@
   0, 7, i_cdf807d9c062d383, nullptr, nullptr, { &s_cdf807d9c062d383, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<34> b_bdc22935405f1c41 = {
+static const ::capnp::_::AlignedData<49> b_bdc22935405f1c41 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      65,  28,  95,  64,  53,  41, 194, 189,
      19,   0,   0,   0,   1,   0,   2,   0,
     129, 144, 228, 179, 167, 194, 241, 213,
-      1,   0,   7,   0,   0,   0,   2,   0,
+      1,   0,   7,   0,   0,   0,   3,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0,   2,   1,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 119,   0,   0,   0,
+     29,   0,   0,   0, 175,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     109, 111, 110, 115, 111, 111, 110, 103,
@@ -440,23 +440,38 @@
     110, 112,  58,  83, 108, 111, 116,  68,
     101,  99, 105, 115, 105, 111, 110,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-      8,   0,   0,   0,   3,   0,   4,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
       0,   0, 255, 255,   0,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     221, 112, 181, 205, 235, 108, 125, 226,
-     41,   0,   0,   0,  66,   0,   0,   0,
+     69,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0, 254, 255,   0,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     226,   1, 251,  81, 118, 134,   9, 137,
-     17,   0,   0,   0,  66,   0,   0,   0,
+     45,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+      2,   0, 253, 255,   0,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   3,   0,   1,   0,
+     28,   0,   0,   0,   2,   0,   1,   0,
     103, 114,  97, 110, 116, 101, 100,   0,
-    114, 101, 102, 117, 115, 101, 100,   0, }
+    114, 101, 102, 117, 115, 101, 100,   0,
+    109, 111, 118, 101, 100,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_bdc22935405f1c41 = b_bdc22935405f1c41.words;
 #if !CAPNP_LITE
@@ -464,11 +479,11 @@
   &s_8909867651fb01e2,
   &s_e27d6cebcdb570dd,
 };
-static const uint16_t m_bdc22935405f1c41[] = {0, 1};
-static const uint16_t i_bdc22935405f1c41[] = {0, 1};
+static const uint16_t m_bdc22935405f1c41[] = {0, 2, 1};
+static const uint16_t i_bdc22935405f1c41[] = {0, 1, 2};
 const ::capnp::_::RawSchema s_bdc22935405f1c41 = {
-  0xbdc22935405f1c41, b_bdc22935405f1c41.words, 34, d_bdc22935405f1c41, m_bdc22935405f1c41,
-  2, 2, i_bdc22935405f1c41, nullptr, nullptr, { &s_bdc22935405f1c41, nullptr, nullptr, 0, 0, nullptr }
+  0xbdc22935405f1c41, b_bdc22935405f1c41.words, 49, d_bdc22935405f1c41, m_bdc22935405f1c41,
+  2, 3, i_bdc22935405f1c41, nullptr, nullptr, { &s_bdc22935405f1c41, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<49> b_e27d6cebcdb570dd = {
@@ -751,7 +766,7 @@
   1, 2, i_d4bff95420687b61, nullptr, nullptr, { &s_d4bff95420687b61, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<59> b_d0d098660620dec2 = {
+static const ::capnp::_::AlignedData<79> b_d0d098660620dec2 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     194, 222,  32,   6, 102, 152, 208, 208,
      19,   0,   0,   0,   3,   0,   0,   0,
@@ -761,47 +776,63 @@
      21,   0,   0,   0, 250,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,   7,   1,   0,   0,
-    189,   0,   0,   0,   7,   0,   0,   0,
+     29,   0,   0,   0, 135,   1,   0,   0,
+     13,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     109, 111, 110, 115, 111, 111, 110, 103,
     114,  97, 100, 101,  46,  99,  97, 112,
     110, 112,  58,  83, 108, 111, 116,  83,
     101, 114, 118, 105,  99, 101,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     16,   0,   0,   0,   3,   0,   5,   0,
+     24,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     234, 244, 141, 224, 143,  58, 230, 214,
     139,   3, 219, 171, 254, 234,  11, 241,
-    113,   0,   0,   0,  34,   0,   0,   0,
+    177,   0,   0,   0,  34,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    101,   0,   0,   0,   7,   0,   0,   0,
+    165,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
      30, 205, 100, 117,  64,  62,  88, 134,
     156,  29,  58, 128,  65,  72,  76, 230,
-     89,   0,   0,   0,  66,   0,   0,   0,
+    153,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     77,   0,   0,   0,   7,   0,   0,   0,
+    141,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
      39,  89,  70,  97,  24, 110,  61, 170,
     202,   3, 143,  71,   8, 149, 185, 182,
-     65,   0,   0,   0,  50,   0,   0,   0,
+    129,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     53,   0,   0,   0,   7,   0,   0,   0,
+    117,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     221,  93,  77,  38,  46, 231, 168, 166,
     228, 174,  72,  76,  58,  15,  15, 134,
-     41,   0,   0,   0,  58,   0,   0,   0,
+    105,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,   7,   0,   0,   0,
+     93,   0,   0,   0,   7,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+     57, 213, 236, 222, 232,  88, 102, 217,
+     38, 192,  73, 243,  38,  83, 111, 181,
+     81,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,   7,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+     24, 118,  72,  97, 240, 133, 206, 143,
+     75,  73,  17,  15, 228,  26,  65, 237,
+     57,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,   7,   0,   0,   0,
      97, 115, 107,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     114, 101, 108, 101,  97, 115, 101,   0,
@@ -810,6 +841,10 @@
       0,   0,   0,   0,   0,   0,   1,   0,
      99,  97, 110,  99, 101, 108,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    112, 105, 110, 103,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
+    100, 101, 116,  97,  99, 104,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_d0d098660620dec2 = b_d0d098660620dec2.words;
@@ -817,17 +852,21 @@
 static const ::capnp::_::RawSchema* const d_d0d098660620dec2[] = {
   &s_860f0f3a4c48aee4,
   &s_86583e407564cd1e,
+  &s_8fce85f061487618,
   &s_a6a8e72e264d5ddd,
   &s_aa3d6e1861465927,
+  &s_b56f5326f349c026,
   &s_b6b99508478f03ca,
   &s_d6e63a8fe08df4ea,
+  &s_d96658e8deecd539,
   &s_e64c4841803a1d9c,
+  &s_ed411ae40f11494b,
   &s_f10beafeabdb038b,
 };
-static const uint16_t m_d0d098660620dec2[] = {2, 0, 3, 1};
+static const uint16_t m_d0d098660620dec2[] = {2, 0, 3, 5, 4, 1};
 const ::capnp::_::RawSchema s_d0d098660620dec2 = {
-  0xd0d098660620dec2, b_d0d098660620dec2.words, 59, d_d0d098660620dec2, m_d0d098660620dec2,
-  8, 4, nullptr, nullptr, nullptr, { &s_d0d098660620dec2, nullptr, nullptr, 0, 0, nullptr }
+  0xd0d098660620dec2, b_d0d098660620dec2.words, 79, d_d0d098660620dec2, m_d0d098660620dec2,
+  12, 6, nullptr, nullptr, nullptr, { &s_d0d098660620dec2, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<34> b_d6e63a8fe08df4ea = {
@@ -1017,17 +1056,17 @@
   0, 0, nullptr, nullptr, nullptr, { &s_e64c4841803a1d9c, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<38> b_aa3d6e1861465927 = {
+static const ::capnp::_::AlignedData<53> b_aa3d6e1861465927 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      39,  89,  70,  97,  24, 110,  61, 170,
      31,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      1,   0,   7,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0,  98,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     33,   0,   0,   0,  63,   0,   0,   0,
+     33,   0,   0,   0, 119,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     109, 111, 110, 115, 111, 111, 110, 103,
@@ -1036,14 +1075,29 @@
     101, 114, 118, 105,  99, 101,  46,  97,
     100, 111, 112, 116,  36,  80,  97, 114,
      97, 109, 115,   0,   0,   0,   0,   0,
-      4,   0,   0,   0,   3,   0,   4,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,  42,   0,   0,   0,
+     41,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     68,   0,   0,   0,   2,   0,   1,   0,
+    112, 111, 111, 108,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      8,   0,   0,   0,   3,   0,   1,   0,
-     36,   0,   0,   0,   2,   0,   1,   0,
     104, 101, 108, 100,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -1062,11 +1116,11 @@
 static const ::capnp::_::RawSchema* const d_aa3d6e1861465927[] = {
   &s_d4bff95420687b61,
 };
-static const uint16_t m_aa3d6e1861465927[] = {0};
-static const uint16_t i_aa3d6e1861465927[] = {0};
+static const uint16_t m_aa3d6e1861465927[] = {1, 0};
+static const uint16_t i_aa3d6e1861465927[] = {0, 1};
 const ::capnp::_::RawSchema s_aa3d6e1861465927 = {
-  0xaa3d6e1861465927, b_aa3d6e1861465927.words, 38, d_aa3d6e1861465927, m_aa3d6e1861465927,
-  1, 1, i_aa3d6e1861465927, nullptr, nullptr, { &s_aa3d6e1861465927, nullptr, nullptr, 0, 0, nullptr }
+  0xaa3d6e1861465927, b_aa3d6e1861465927.words, 53, d_aa3d6e1861465927, m_aa3d6e1861465927,
+  1, 2, i_aa3d6e1861465927, nullptr, nullptr, { &s_aa3d6e1861465927, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<38> b_b6b99508478f03ca = {
@@ -1205,6 +1259,150 @@
   0, 0, nullptr, nullptr, nullptr, { &s_860f0f3a4c48aee4, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<18> b_d96658e8deecd539 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     57, 213, 236, 222, 232,  88, 102, 217,
+     31,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  90,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109, 111, 110, 115, 111, 111, 110, 103,
+    114,  97, 100, 101,  46,  99,  97, 112,
+    110, 112,  58,  83, 108, 111, 116,  83,
+    101, 114, 118, 105,  99, 101,  46, 112,
+    105, 110, 103,  36,  80,  97, 114,  97,
+    109, 115,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d96658e8deecd539 = b_d96658e8deecd539.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_d96658e8deecd539 = {
+  0xd96658e8deecd539, b_d96658e8deecd539.words, 18, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_d96658e8deecd539, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<34> b_b56f5326f349c026 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     38, 192,  73, 243,  38,  83, 111, 181,
+     31,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  98,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109, 111, 110, 115, 111, 111, 110, 103,
+    114,  97, 100, 101,  46,  99,  97, 112,
+    110, 112,  58,  83, 108, 111, 116,  83,
+    101, 114, 118, 105,  99, 101,  46, 112,
+    105, 110, 103,  36,  82, 101, 115, 117,
+    108, 116, 115,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    108, 101,  97, 118, 105, 110, 103,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_b56f5326f349c026 = b_b56f5326f349c026.words;
+#if !CAPNP_LITE
+static const uint16_t m_b56f5326f349c026[] = {0};
+static const uint16_t i_b56f5326f349c026[] = {0};
+const ::capnp::_::RawSchema s_b56f5326f349c026 = {
+  0xb56f5326f349c026, b_b56f5326f349c026.words, 34, nullptr, m_b56f5326f349c026,
+  0, 1, i_b56f5326f349c026, nullptr, nullptr, { &s_b56f5326f349c026, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<34> b_8fce85f061487618 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     24, 118,  72,  97, 240, 133, 206, 143,
+     31,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 106,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109, 111, 110, 115, 111, 111, 110, 103,
+    114,  97, 100, 101,  46,  99,  97, 112,
+    110, 112,  58,  83, 108, 111, 116,  83,
+    101, 114, 118, 105,  99, 101,  46, 100,
+    101, 116,  97,  99, 104,  36,  80,  97,
+    114,  97, 109, 115,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    112, 111, 111, 108,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_8fce85f061487618 = b_8fce85f061487618.words;
+#if !CAPNP_LITE
+static const uint16_t m_8fce85f061487618[] = {0};
+static const uint16_t i_8fce85f061487618[] = {0};
+const ::capnp::_::RawSchema s_8fce85f061487618 = {
+  0x8fce85f061487618, b_8fce85f061487618.words, 34, nullptr, m_8fce85f061487618,
+  0, 1, i_8fce85f061487618, nullptr, nullptr, { &s_8fce85f061487618, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<18> b_ed411ae40f11494b = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     75,  73,  17,  15, 228,  26,  65, 237,
+     31,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 114,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109, 111, 110, 115, 111, 111, 110, 103,
+    114,  97, 100, 101,  46,  99,  97, 112,
+    110, 112,  58,  83, 108, 111, 116,  83,
+    101, 114, 118, 105,  99, 101,  46, 100,
+    101, 116,  97,  99, 104,  36,  82, 101,
+    115, 117, 108, 116, 115,   0,   0,   0, }
+};
+::capnp::word const* const bp_ed411ae40f11494b = b_ed411ae40f11494b.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_ed411ae40f11494b = {
+  0xed411ae40f11494b, b_ed411ae40f11494b.words, 18, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_ed411ae40f11494b, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -1372,6 +1570,26 @@
       "monsoongrade.capnp:SlotService", "cancel",
       0xd0d098660620dec2ull, 3);
 }
+::capnp::Request< ::monsoongrade::schema::SlotService::PingParams,  ::monsoongrade::schema::SlotService::PingResults>
+SlotService::Client::pingRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::monsoongrade::schema::SlotService::PingParams,  ::monsoongrade::schema::SlotService::PingResults>(
+      0xd0d098660620dec2ull, 4, sizeHint);
+}
+::kj::Promise<void> SlotService::Server::ping(PingContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "monsoongrade.capnp:SlotService", "ping",
+      0xd0d098660620dec2ull, 4);
+}
+::capnp::Request< ::monsoongrade::schema::SlotService::DetachParams,  ::monsoongrade::schema::SlotService::DetachResults>
+SlotService::Client::detachRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::monsoongrade::schema::SlotService::DetachParams,  ::monsoongrade::schema::SlotService::DetachResults>(
+      0xd0d098660620dec2ull, 5, sizeHint);
+}
+::kj::Promise<void> SlotService::Server::detach(DetachContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "monsoongrade.capnp:SlotService", "detach",
+      0xd0d098660620dec2ull, 5);
+}
 ::capnp::Capability::Server::DispatchCallResult SlotService::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -1410,6 +1628,18 @@
              ::monsoongrade::schema::SlotService::CancelParams,  ::monsoongrade::schema::SlotService::CancelResults>(context)),
         false
       };
+    case 4:
+      return {
+        ping(::capnp::Capability::Server::internalGetTypedContext<
+             ::monsoongrade::schema::SlotService::PingParams,  ::monsoongrade::schema::SlotService::PingResults>(context)),
+        false
+      };
+    case 5:
+      return {
+        detach(::capnp::Capability::Server::internalGetTypedContext<
+             ::monsoongrade::schema::SlotService::DetachParams,  ::monsoongrade::schema::SlotService::DetachResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -1489,6 +1719,38 @@
 constexpr ::capnp::_::RawSchema const* SlotService::CancelResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// SlotService::PingParams
+constexpr uint16_t SlotService::PingParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t SlotService::PingParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind SlotService::PingParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* SlotService::PingParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// SlotService::PingResults
+constexpr uint16_t SlotService::PingResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t SlotService::PingResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind SlotService::PingResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* SlotService::PingResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// SlotService::DetachParams
+constexpr uint16_t SlotService::DetachParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t SlotService::DetachParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind SlotService::DetachParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* SlotService::DetachParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// SlotService::DetachResults
+constexpr uint16_t SlotService::DetachResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t SlotService::DetachResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind SlotService::DetachResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* SlotService::DetachResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/schema/monsoongrade.capnp.h
+++ b/schema/monsoongrade.capnp.h
@@ -39,6 +39,10 @@
 CAPNP_DECLARE_SCHEMA(b6b99508478f03ca);
 CAPNP_DECLARE_SCHEMA(a6a8e72e264d5ddd);
 CAPNP_DECLARE_SCHEMA(860f0f3a4c48aee4);
+CAPNP_DECLARE_SCHEMA(d96658e8deecd539);
+CAPNP_DECLARE_SCHEMA(b56f5326f349c026);
+CAPNP_DECLARE_SCHEMA(8fce85f061487618);
+CAPNP_DECLARE_SCHEMA(ed411ae40f11494b);
 
 } // namespace schemas
 } // namespace capnp
@@ -161,6 +165,7 @@
     enum Which : uint16_t {
         GRANTED,
         REFUSED,
+        MOVED,
     };
     struct Granted;
     struct Refused;
@@ -274,6 +279,10 @@
     struct AdoptResults;
     struct CancelParams;
     struct CancelResults;
+    struct PingParams;
+    struct PingResults;
+    struct DetachParams;
+    struct DetachResults;
 
 #if !CAPNP_LITE
     struct _capnpPrivate
@@ -377,7 +386,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(aa3d6e1861465927, 0, 1)
+        CAPNP_DECLARE_STRUCT_HEADER(aa3d6e1861465927, 0, 2)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -447,6 +456,86 @@
     };
 };
 
+struct SlotService::PingParams
+{
+    PingParams() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(d96658e8deecd539, 0, 0)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
+struct SlotService::PingResults
+{
+    PingResults() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(b56f5326f349c026, 1, 0)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
+struct SlotService::DetachParams
+{
+    DetachParams() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(8fce85f061487618, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
+struct SlotService::DetachResults
+{
+    DetachResults() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(ed411ae40f11494b, 0, 0)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
 // =======================================================================================
 
 #if !CAPNP_LITE
@@ -1008,6 +1097,9 @@
     inline bool isRefused() const;
     inline typename Refused::Reader getRefused() const;
 
+    inline bool isMoved() const;
+    inline ::capnp::Void getMoved() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -1052,6 +1144,10 @@
     inline typename Refused::Builder getRefused();
     inline typename Refused::Builder initRefused();
 
+    inline bool isMoved();
+    inline ::capnp::Void getMoved();
+    inline void setMoved(::capnp::Void value = ::capnp::VOID);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -1530,6 +1626,12 @@
     ::capnp::Request<::monsoongrade::schema::SlotService::CancelParams,
                      ::monsoongrade::schema::SlotService::CancelResults>
     cancelRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+    ::capnp::Request<::monsoongrade::schema::SlotService::PingParams,
+                     ::monsoongrade::schema::SlotService::PingResults>
+    pingRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+    ::capnp::Request<::monsoongrade::schema::SlotService::DetachParams,
+                     ::monsoongrade::schema::SlotService::DetachResults>
+    detachRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
     Client() = default;
@@ -1561,6 +1663,14 @@
     typedef ::monsoongrade::schema::SlotService::CancelResults CancelResults;
     typedef ::capnp::CallContext<CancelParams, CancelResults> CancelContext;
     virtual ::kj::Promise<void> cancel(CancelContext context);
+    typedef ::monsoongrade::schema::SlotService::PingParams PingParams;
+    typedef ::monsoongrade::schema::SlotService::PingResults PingResults;
+    typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
+    virtual ::kj::Promise<void> ping(PingContext context);
+    typedef ::monsoongrade::schema::SlotService::DetachParams DetachParams;
+    typedef ::monsoongrade::schema::SlotService::DetachResults DetachResults;
+    typedef ::capnp::CallContext<DetachParams, DetachResults> DetachContext;
+    virtual ::kj::Promise<void> detach(DetachContext context);
 
     inline ::monsoongrade::schema::SlotService::Client thisCap()
     {
@@ -1988,6 +2098,9 @@
     }
 #endif // !CAPNP_LITE
 
+    inline bool hasPool() const;
+    inline ::capnp::Text::Reader getPool() const;
+
     inline bool hasHeld() const;
     inline ::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>::Reader
     getHeld() const;
@@ -2027,6 +2140,13 @@
     }
 #endif // !CAPNP_LITE
 
+    inline bool hasPool();
+    inline ::capnp::Text::Builder getPool();
+    inline void setPool(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initPool(unsigned int size);
+    inline void adoptPool(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownPool();
+
     inline bool hasHeld();
     inline ::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>::Builder
     getHeld();
@@ -2366,6 +2486,369 @@
 };
 #endif // !CAPNP_LITE
 
+class SlotService::PingParams::Reader
+{
+public:
+    typedef PingParams Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+private:
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class SlotService::PingParams::Builder
+{
+public:
+    typedef PingParams Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+private:
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SlotService::PingParams::Pipeline
+{
+public:
+    typedef PingParams Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+class SlotService::PingResults::Reader
+{
+public:
+    typedef PingResults Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+    inline bool getLeaving() const;
+
+private:
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class SlotService::PingResults::Builder
+{
+public:
+    typedef PingResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool getLeaving();
+    inline void setLeaving(bool value);
+
+private:
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SlotService::PingResults::Pipeline
+{
+public:
+    typedef PingResults Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+class SlotService::DetachParams::Reader
+{
+public:
+    typedef DetachParams Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasPool() const;
+    inline ::capnp::Text::Reader getPool() const;
+
+private:
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class SlotService::DetachParams::Builder
+{
+public:
+    typedef DetachParams Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasPool();
+    inline ::capnp::Text::Builder getPool();
+    inline void setPool(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initPool(unsigned int size);
+    inline void adoptPool(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownPool();
+
+private:
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SlotService::DetachParams::Pipeline
+{
+public:
+    typedef DetachParams Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+class SlotService::DetachResults::Reader
+{
+public:
+    typedef DetachResults Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+private:
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class SlotService::DetachResults::Builder
+{
+public:
+    typedef DetachResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+private:
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SlotService::DetachResults::Pipeline
+{
+public:
+    typedef DetachResults Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
 // =======================================================================================
 
 #if !CAPNP_LITE
@@ -2939,6 +3422,34 @@
     _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
     return typename SlotDecision::Refused::Builder(_builder);
 }
+inline bool SlotDecision::Reader::isMoved() const
+{
+    return which() == SlotDecision::MOVED;
+}
+inline bool SlotDecision::Builder::isMoved()
+{
+    return which() == SlotDecision::MOVED;
+}
+inline ::capnp::Void SlotDecision::Reader::getMoved() const
+{
+    KJ_IREQUIRE((which() == SlotDecision::MOVED),
+                "Must check which() before get()ing a union member.");
+    return _reader.getDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::capnp::Void SlotDecision::Builder::getMoved()
+{
+    KJ_IREQUIRE((which() == SlotDecision::MOVED),
+                "Must check which() before get()ing a union member.");
+    return _builder.getDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SlotDecision::Builder::setMoved(::capnp::Void value)
+{
+    _builder.setDataField<SlotDecision::Which>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
+                                               SlotDecision::MOVED);
+    _builder.setDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline ::uint64_t SlotDecision::Granted::Reader::getGrant() const
 {
     return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3383,41 +3894,80 @@
         _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool SlotService::AdoptParams::Reader::hasHeld() const
+inline bool SlotService::AdoptParams::Reader::hasPool() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SlotService::AdoptParams::Builder::hasHeld()
+inline bool SlotService::AdoptParams::Builder::hasPool()
 {
     return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
+inline ::capnp::Text::Reader SlotService::AdoptParams::Reader::getPool() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder SlotService::AdoptParams::Builder::getPool()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SlotService::AdoptParams::Builder::setPool(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder SlotService::AdoptParams::Builder::initPool(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SlotService::AdoptParams::Builder::adoptPool(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> SlotService::AdoptParams::Builder::disownPool()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SlotService::AdoptParams::Reader::hasHeld() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotService::AdoptParams::Builder::hasHeld()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
 inline ::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>::Reader
 SlotService::AdoptParams::Reader::getHeld() const
 {
     return ::capnp::_::PointerHelpers<
         ::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>>::
-        get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+        get(_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline ::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>::Builder
 SlotService::AdoptParams::Builder::getHeld()
 {
     return ::capnp::_::PointerHelpers<
         ::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>>::
-        get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+        get(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void SlotService::AdoptParams::Builder::setHeld(
     ::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>::Reader value)
 {
     ::capnp::_::PointerHelpers<
         ::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>>::
-        set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+        set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
 inline ::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>::Builder
 SlotService::AdoptParams::Builder::initHeld(unsigned int size)
 {
     return ::capnp::_::PointerHelpers<
         ::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>>::
-        init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+        init(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void SlotService::AdoptParams::Builder::adoptHeld(
     ::capnp::Orphan<::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>>
@@ -3425,14 +3975,14 @@
 {
     ::capnp::_::PointerHelpers<
         ::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>>::
-        adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+        adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan<::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>>
 SlotService::AdoptParams::Builder::disownHeld()
 {
     return ::capnp::_::PointerHelpers<
         ::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>>::
-        disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+        disown(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool SlotService::AdoptResults::Reader::hasGrants() const
@@ -3563,6 +4113,59 @@
         _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool SlotService::PingResults::Reader::getLeaving() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool SlotService::PingResults::Builder::getLeaving()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SlotService::PingResults::Builder::setLeaving(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SlotService::DetachParams::Reader::hasPool() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotService::DetachParams::Builder::hasPool()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader SlotService::DetachParams::Reader::getPool() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder SlotService::DetachParams::Builder::getPool()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SlotService::DetachParams::Builder::setPool(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder SlotService::DetachParams::Builder::initPool(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SlotService::DetachParams::Builder::adoptPool(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> SlotService::DetachParams::Builder::disownPool()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 } // namespace schema
 } // namespace monsoongrade
 
--- a/src/rpc/internal/cell.cpp
+++ b/src/rpc/internal/cell.cpp
@@ -1,18 +1,34 @@
 #include <rpc/internal/cell.h>
 
+#include <monsoongrade/observability/log.h>
+
+#include <kj/debug.h>
+
+#include <algorithm>
+#include <vector>
+
 namespace monsoongrade::rpc::internal {
 
 // The place of one waiting call; lives as long as its promise.
 class Cell::Waiter
 {
 public:
-    Waiter(kj::PromiseFulfiller<SlotOutcome> &fulfiller, Cell &cell, scheduling::SlotAsk ask)
+    Waiter(kj::PromiseFulfiller<SlotOutcome> &fulfiller, Cell &cell, const scheduling::SlotAsk &ask)
         : fulfiller_(fulfiller)
         , cell_(cell)
         , request_(ask.request)
+        , session_(ask.router)
     {
+        // A router that lost its connection asks again for the same request, maybe before this
+        // side noticed. Both at once in the queue would give it two slots, one of them for ever.
+        const auto earlier = cell_.waiters_.find(request_);
+        if (earlier != cell_.waiters_.end()) {
+            cell_.withdraw(request_);
+            earlier->second->decide(scheduling::SlotRefusal{request_, units::ResultCode::CallerLeft,
+                                                            units::Duration()});
+        }
         cell_.waiters_[request_] = this;
-        cell_.scheduler_.ask(ask);
+        cell_.enter(ask);
     }
 
     ~Waiter()
@@ -20,7 +36,7 @@
         if (decided_)
             return;
         cell_.waiters_.erase(request_);
-        cell_.scheduler_.cancel(request_);
+        cell_.withdraw(request_);
     }
 
     void decide(SlotOutcome outcome)
@@ -30,28 +46,49 @@
         fulfiller_.fulfill(std::move(outcome));
     }
 
+    // The session was ended: the call fails, and a router that lives connects again.
+    void fail()
+    {
+        decided_ = true;
+        cell_.waiters_.erase(request_);
+        fulfiller_.reject(KJ_EXCEPTION(DISCONNECTED, "the session was ended"));
+    }
+
+    const units::DaemonId &session() const { return session_; }
+
 private:
     kj::PromiseFulfiller<SlotOutcome> &fulfiller_;
     Cell &cell_;
     units::RequestId request_;
+    units::DaemonId session_;
     bool decided_ = false;
 };
 
-Cell::Cell(units::PoolName pool, const units::Clock &clock, observability::Metrics &metrics)
+Cell::Cell(units::PoolName pool, const units::Clock &clock, observability::Metrics &metrics,
+           units::Duration settlingTime)
     : pool_(std::move(pool))
+    , clock_(clock)
     , metrics_(metrics)
+    , settlingTime_(settlingTime)
     , scheduler_(clock, *this)
 {
 }
 
 void Cell::configure(const configuration::Configuration &configuration)
 {
-    scheduler_.configure(configuration.cellPolicy(pool_));
+    const scheduling::CellPolicy policy = configuration.cellPolicy(pool_);
+    tiers_.clear();
+    for (const auto &[name, classPolicy] : policy.classes)
+        tiers_.emplace(name, classPolicy.tier);
+    endpointCount_ = policy.endpoints.size();
+    scheduler_.configure(policy);
 }
 
 void Cell::applyFleet(const configuration::Configuration &configuration,
                       const membership::FleetView &fleet)
 {
+    routerCount_ = fleet.liveEntryHosts().size();
+    openIfSettled();
     const auto pool = configuration.pools.find(pool_);
     if (pool == configuration.pools.end())
         return;
@@ -59,32 +96,118 @@
         scheduler_.setLeaving(endpoint.id, fleet.leavingEndpointHosts.count(endpoint.host) > 0);
 }
 
+void Cell::attach(const units::DaemonId &session)
+{
+    attached_.insert(session);
+    if (state_ == State::Closed) {
+        state_ = State::Settling;
+        opensAt_ = clock_.now() + settlingTime_;
+    }
+    openIfSettled();
+}
+
+void Cell::detach(const units::DaemonId &session)
+{
+    attached_.erase(session);
+    if (attached_.empty())
+        state_ = State::Closed;
+}
+
+void Cell::sessionEnded(const units::DaemonId &session)
+{
+    std::vector<std::pair<units::RequestId, Waiter *>> orphans;
+    for (const auto &entry : waiters_) {
+        if (entry.second->session() == session)
+            orphans.emplace_back(entry);
+    }
+    for (const auto &[request, waiter] : orphans) {
+        withdraw(request);
+        waiter->fail();
+    }
+    for (auto entry = held_.begin(); entry != held_.end();)
+        entry = entry->second.session == session ? held_.erase(entry) : std::next(entry);
+    detach(session);
+    scheduler_.routerLost(session);
+}
+
 kj::Promise<SlotOutcome> Cell::ask(scheduling::SlotAsk ask)
 {
-    return kj::newAdaptedPromise<SlotOutcome, Waiter>(*this, std::move(ask));
+    attach(ask.router);
+    return kj::newAdaptedPromise<SlotOutcome, Waiter>(*this, ask);
 }
 
-void Cell::cancel(const units::RequestId &request)
+void Cell::cancel(const units::DaemonId &session, const units::RequestId &request)
 {
-    if (!scheduler_.cancel(request))
-        return;
     const auto found = waiters_.find(request);
-    if (found != waiters_.end())
-        found->second->decide(
-            scheduling::SlotRefusal{request, units::ResultCode::CallerLeft, units::Duration()});
+    if (found == waiters_.end() || found->second->session() != session || !withdraw(request))
+        return;
+    found->second->decide(
+        scheduling::SlotRefusal{request, units::ResultCode::CallerLeft, units::Duration()});
+}
+
+void Cell::release(const units::DaemonId &session, const scheduling::SlotRelease &release)
+{
+    const auto found = held_.find(release.grant);
+    if (found == held_.end() || found->second.session != session)
+        return;
+    const units::EndpointId endpoint = found->second.endpoint;
+    held_.erase(found);
+    noteHealth(endpoint, release.outcome);
+    scheduler_.release(release);
+}
+
+units::GrantId Cell::adopt(const scheduling::SlotAsk &ask, const units::EndpointId &endpoint)
+{
+    const units::GrantId grant = scheduler_.adopt(ask, endpoint);
+    held_[grant] = {ask.router, endpoint};
+    return grant;
+}
+
+void Cell::moveAll()
+{
+    while (!waiters_.empty()) {
+        Waiter *waiter = waiters_.begin()->second;
+        withdraw(waiters_.begin()->first);
+        waiter->decide(Moved{});
+    }
 }
 
 void Cell::tick()
 {
+    openIfSettled();
+    for (const units::EndpointId &endpoint : suspicion_.takeExpired(clock_.now()))
+        scheduler_.setSuspected(endpoint, false);
     scheduler_.tick();
+}
+
+void Cell::writeMetrics()
+{
     const std::string labels = observability::label("pool", pool_.value());
-    metrics_.set("monsoongrade_cell_waiting", labels, static_cast<double>(scheduler_.waiting()));
-    metrics_.set("monsoongrade_cell_held", labels, static_cast<double>(scheduler_.held()));
+    metrics_.set("monsoongrade_cell_waiting", labels, static_cast<double>(waiters_.size()));
+    metrics_.set("monsoongrade_cell_held", labels, static_cast<double>(held_.size()));
+    metrics_.set("monsoongrade_cell_routers", labels, static_cast<double>(attached_.size()));
+    metrics_.set("monsoongrade_cell_suspected_endpoints", labels,
+                 static_cast<double>(suspicion_.suspected()));
+}
+
+std::size_t Cell::heldBy(const units::DaemonId &session) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(held_.begin(), held_.end(),
+                      [&](const auto &entry) { return entry.second.session == session; }));
+}
+
+std::size_t Cell::waitingOf(const units::DaemonId &session) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(waiters_.begin(), waiters_.end(),
+                      [&](const auto &entry) { return entry.second->session() == session; }));
 }
 
 void Cell::granted(const scheduling::SlotGrant &grant)
 {
     metrics_.add("monsoongrade_slots_granted_total", observability::label("pool", pool_.value()));
+    held_[grant.id] = {grant.router, grant.endpoint};
     const auto found = waiters_.find(grant.request);
     if (found != waiters_.end())
         found->second->decide(grant);
@@ -101,4 +224,63 @@
         found->second->decide(refusal);
 }
 
+void Cell::enter(const scheduling::SlotAsk &ask)
+{
+    if (state_ == State::Open)
+        scheduler_.ask(ask);
+    else
+        parked_[ask.request] = {ask, clock_.now()};
+}
+
+bool Cell::withdraw(const units::RequestId &request)
+{
+    return parked_.erase(request) > 0 || scheduler_.cancel(request);
+}
+
+void Cell::openIfSettled()
+{
+    if (state_ != State::Settling)
+        return;
+    const units::TimePoint now = clock_.now();
+    const bool allCame = routerCount_ > 0 && attached_.size() >= routerCount_;
+    if (now < opensAt_ && !allCame)
+        return;
+    state_ = State::Open;
+    std::vector<scheduling::SlotAsk> asks;
+    for (auto &entry : parked_) {
+        entry.second.ask.waited += now - entry.second.since;
+        asks.push_back(std::move(entry.second.ask));
+    }
+    parked_.clear();
+    // In the order of the queue: slots are granted while this hands over, and one in any other
+    // order would put a lower tier's ask before a higher one's.
+    std::sort(asks.begin(), asks.end(), [this](const auto &a, const auto &b) {
+        return std::pair(tiers_[a.className], b.waited) < std::pair(tiers_[b.className], a.waited);
+    });
+    for (const scheduling::SlotAsk &ask : asks)
+        scheduler_.ask(ask);
+    observability::log(observability::LogLevel::Info, "cell-opened",
+                       {{"pool", pool_.value()},
+                        {"routers", static_cast<std::int64_t>(attached_.size())},
+                        {"adopted", static_cast<std::int64_t>(held_.size())}});
+}
+
+// The last endpoint is never suspected: with none left every ask would be refused, though a
+// probe could still be answered.
+void Cell::noteHealth(const units::EndpointId &endpoint, scheduling::ReleaseOutcome outcome)
+{
+    if (outcome == scheduling::ReleaseOutcome::Completed)
+        suspicion_.completed(endpoint);
+    if (outcome != scheduling::ReleaseOutcome::EndpointFailed
+        || suspicion_.suspected() + 1 >= endpointCount_)
+        return;
+    if (!suspicion_.failed(endpoint, clock_.now()))
+        return;
+    scheduler_.setSuspected(endpoint, true);
+    metrics_.add("monsoongrade_endpoints_suspected_total",
+                 observability::label("pool", pool_.value()));
+    observability::log(observability::LogLevel::Warning, "endpoint-suspected",
+                       {{"pool", pool_.value()}, {"endpoint", endpoint.value()}});
+}
+
 } // namespace monsoongrade::rpc::internal
--- a/src/rpc/internal/messages.cpp
+++ b/src/rpc/internal/messages.cpp
@@ -71,4 +71,23 @@
     return release;
 }
 
+void write(schema::SlotDecision::Builder out, const SlotOutcome &outcome)
+{
+    if (const auto *grant = std::get_if<scheduling::SlotGrant>(&outcome)) {
+        auto granted = out.initGranted();
+        granted.setGrant(grant->id.value());
+        granted.setEndpoint(grant->endpoint.value());
+        return;
+    }
+    if (std::holds_alternative<Moved>(outcome)) {
+        out.setMoved();
+        return;
+    }
+    const auto &refusal = std::get<scheduling::SlotRefusal>(outcome);
+    auto refused = out.initRefused();
+    refused.setCode(static_cast<int>(refusal.code));
+    refused.setRetryAfterMillis(static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(refusal.retryAfter).count()));
+}
+
 } // namespace monsoongrade::rpc::internal
--- a/src/rpc/internal/messages.h
+++ b/src/rpc/internal/messages.h
@@ -1,6 +1,8 @@
 #ifndef MONSOONGRADE_SRC_RPC_INTERNAL_MESSAGES_H
 #define MONSOONGRADE_SRC_RPC_INTERNAL_MESSAGES_H
 
+#include <rpc/internal/cell.h>
+
 #include <monsoongrade/scheduling/slotask.h>
 #include <monsoongrade/scheduling/slotrelease.h>
 
@@ -16,6 +18,8 @@
 void write(schema::SlotRelease::Builder out, const scheduling::SlotRelease &release);
 scheduling::SlotRelease read(schema::SlotRelease::Reader in);
 
+void write(schema::SlotDecision::Builder out, const SlotOutcome &outcome);
+
 } // namespace monsoongrade::rpc::internal
 
 #endif // MONSOONGRADE_SRC_RPC_INTERNAL_MESSAGES_H
--- a/src/rpc/internal/schedulerconnection.h
+++ b/src/rpc/internal/schedulerconnection.h
@@ -7,7 +7,8 @@
 #include <kj/async-io.h>
 #include <monsoongrade.capnp.h>
 
-#include <optional>
+#include <functional>
+#include <memory>
 #include <string>
 
 namespace monsoongrade::rpc::internal {
@@ -17,28 +18,31 @@
 class SchedulerConnection
 {
 public:
+    // broken is called at most once, when the peer closes a connection that stood.
     SchedulerConnection(RpcLoop &loop, const RpcSlotSourceSettings &settings,
-                        const std::string &address);
+                        const std::string &address, std::function<void()> broken);
+    ~SchedulerConnection();
 
     // Usable at once: calls wait until hello was answered, and fail if it was refused.
     schema::SlotService::Client slots() { return slots_; }
 
 private:
+    // Calls that still wait for the connection keep it from being destroyed with this object;
+    // they find it closed.
     struct Transport
     {
-        explicit Transport(kj::Own<kj::AsyncIoStream> stream)
-            : stream(kj::mv(stream))
-            , client(*this->stream)
-        {
-        }
+        bool closed = false;
         kj::Own<kj::AsyncIoStream> stream;
-        capnp::TwoPartyClient client;
+        kj::Own<capnp::TwoPartyClient> client;
+        kj::Maybe<kj::Promise<void>> watch;
     };
 
-    schema::SlotService::Client connect(RpcLoop &loop, const RpcSlotSourceSettings &settings,
-                                        const std::string &address);
+    static schema::SlotService::Client connect(RpcLoop &loop, const RpcSlotSourceSettings &settings,
+                                               const std::string &address,
+                                               std::function<void()> broken,
+                                               std::shared_ptr<Transport> transport);
 
-    kj::Own<Transport> transport_;
+    std::shared_ptr<Transport> transport_ = std::make_shared<Transport>();
     schema::SlotService::Client slots_;
 };
 
--- /dev/null
+++ b/src/rpc/internal/slotservice.cpp
@@ -0,0 +1,129 @@
+#include <rpc/internal/slotservice.h>
+
+#include <rpc/internal/messages.h>
+
+#include <kj/debug.h>
+
+namespace monsoongrade::rpc::internal {
+
+namespace {
+
+constexpr auto RetryAfterUnknownPool = std::chrono::seconds(2);
+
+} // namespace
+
+SlotService::SlotService(std::shared_ptr<Cells> cells, std::shared_ptr<SlotSessions> sessions,
+                         const units::Clock &clock, const units::DaemonId &router)
+    : cells_(std::move(cells))
+    , sessions_(std::move(sessions))
+    , clock_(clock)
+    , router_(router)
+    , session_(router.value() + "#" + std::to_string(sessions_->nextNumber++))
+    , lastHeard_(clock.now())
+{
+    // The router lost its earlier connection before this side noticed. It reports what it still
+    // holds here; counted there too, every such slot would be taken twice.
+    SlotService *&current = sessions_->byRouter[router_];
+    if (current != nullptr)
+        current->end();
+    sessions_->byRouter[router_] = this;
+}
+
+SlotService::~SlotService()
+{
+    end();
+}
+
+kj::Promise<void> SlotService::ask(AskContext context)
+{
+    hear();
+    const scheduling::SlotAsk ask = read(context.getParams().getAsk(), session_);
+    return cells_->findOrWait(ask.pool)
+        .then([this, ask](Cell *cell) -> kj::Promise<SlotOutcome> {
+            failIfEnded();
+            if (cells_->isLeaving())
+                return SlotOutcome(Moved{});
+            if (cell == nullptr)
+                return SlotOutcome(scheduling::SlotRefusal{
+                    ask.request, units::ResultCode::NoEndpointAvailable, RetryAfterUnknownPool});
+            return cell->ask(ask);
+        })
+        .then([context](const SlotOutcome &outcome) mutable {
+            write(context.getResults().initDecision(), outcome);
+        });
+}
+
+kj::Promise<void> SlotService::release(ReleaseContext context)
+{
+    hear();
+    const auto params = context.getParams();
+    if (Cell *cell = cells_->find(units::PoolName(params.getPool())))
+        cell->release(session_, read(params.getRelease()));
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> SlotService::adopt(AdoptContext context)
+{
+    hear();
+    return cells_->findOrWait(units::PoolName(context.getParams().getPool()))
+        .then([this, context](Cell *cell) mutable {
+            const auto held = context.getParams().getHeld();
+            auto grants = context.getResults().initGrants(held.size());
+            if (cell == nullptr || ended_)
+                return;
+            for (unsigned i = 0; i < held.size(); ++i) {
+                const units::EndpointId endpoint(held[i].getEndpoint());
+                grants.set(i, cell->adopt(read(held[i].getAsk(), session_), endpoint).value());
+            }
+            cell->attach(session_);
+        });
+}
+
+kj::Promise<void> SlotService::cancel(CancelContext context)
+{
+    hear();
+    const auto params = context.getParams();
+    if (Cell *cell = cells_->find(units::PoolName(params.getPool())))
+        cell->cancel(session_, units::RequestId(params.getRequest()));
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> SlotService::ping(PingContext context)
+{
+    hear();
+    context.getResults().setLeaving(cells_->isLeaving());
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> SlotService::detach(DetachContext context)
+{
+    hear();
+    if (Cell *cell = cells_->find(units::PoolName(context.getParams().getPool())))
+        cell->detach(session_);
+    return kj::READY_NOW;
+}
+
+void SlotService::end()
+{
+    if (ended_)
+        return;
+    ended_ = true;
+    const auto found = sessions_->byRouter.find(router_);
+    if (found != sessions_->byRouter.end() && found->second == this)
+        sessions_->byRouter.erase(found);
+    cells_->sessionEnded(session_);
+}
+
+void SlotService::hear()
+{
+    failIfEnded();
+    lastHeard_ = clock_.now();
+}
+
+void SlotService::failIfEnded() const
+{
+    if (ended_)
+        kj::throwFatalException(KJ_EXCEPTION(DISCONNECTED, "the session was ended"));
+}
+
+} // namespace monsoongrade::rpc::internal
--- a/src/rpc/schedulerserver.cpp
+++ b/src/rpc/schedulerserver.cpp
@@ -1,7 +1,6 @@
 #include <monsoongrade/rpc/schedulerserver.h>
 
-#include <rpc/internal/cell.h>
-#include <rpc/internal/messages.h>
+#include <rpc/internal/slotservice.h>
 
 #include <monsoongrade/observability/log.h>
 
@@ -9,153 +8,29 @@
 #include <kj/async-io.h>
 #include <kj/timer.h>
 
-#include <map>
+#include <future>
+#include <stdexcept>
+#include <vector>
 
 namespace monsoongrade::rpc {
 
 namespace {
 
-using internal::Cell;
-using internal::SlotOutcome;
+using internal::Cells;
+using internal::SlotSessions;
 using units::ResultCode;
 
 constexpr auto TickPeriod = 50 * kj::MILLISECONDS;
-constexpr auto RetryAfterUnknownPool = std::chrono::seconds(2);
-
-void writeDecision(schema::SlotDecision::Builder out, const SlotOutcome &outcome)
-{
-    if (const auto *grant = std::get_if<scheduling::SlotGrant>(&outcome)) {
-        auto granted = out.initGranted();
-        granted.setGrant(grant->id.value());
-        granted.setEndpoint(grant->endpoint.value());
-        return;
-    }
-    const auto &refusal = std::get<scheduling::SlotRefusal>(outcome);
-    auto refused = out.initRefused();
-    refused.setCode(static_cast<int>(refusal.code));
-    refused.setRetryAfterMillis(static_cast<std::uint32_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(refusal.retryAfter).count()));
-}
-
-// All cells of this scheduler. On the RPC loop's thread only.
-class Cells
-{
-public:
-    Cells(const units::Clock &clock, observability::Metrics &metrics)
-        : clock_(clock)
-        , metrics_(metrics)
-    {
-    }
-
-    void apply(configuration::ConfigurationHolder::Snapshot configuration,
-               membership::FleetHolder::Snapshot fleet)
-    {
-        if (!configuration)
-            return;
-        for (const auto &entry : configuration->pools) {
-            auto &cell = cells_[entry.first];
-            if (!cell)
-                cell = std::make_unique<Cell>(entry.first, clock_, metrics_);
-            cell->configure(*configuration);
-            cell->applyFleet(*configuration, *fleet);
-        }
-    }
-
-    Cell *find(const units::PoolName &pool)
-    {
-        const auto found = cells_.find(pool);
-        return found == cells_.end() ? nullptr : found->second.get();
-    }
-
-    void tick()
-    {
-        for (auto &entry : cells_)
-            entry.second->tick();
-    }
-
-    void routerLost(const units::DaemonId &router)
-    {
-        for (auto &entry : cells_)
-            entry.second->scheduler().routerLost(router);
-    }
-
-private:
-    const units::Clock &clock_;
-    observability::Metrics &metrics_;
-    std::map<units::PoolName, std::unique_ptr<Cell>> cells_;
-};
-
-// The slots of one router's connection.
-class SlotServiceImpl final : public schema::SlotService::Server
-{
-public:
-    SlotServiceImpl(std::shared_ptr<Cells> cells, units::DaemonId router)
-        : cells_(std::move(cells))
-        , router_(std::move(router))
-    {
-    }
-
-    // The connection is gone: a dead router releases nothing any more, and its slots would stay
-    // taken for ever.
-    ~SlotServiceImpl() { cells_->routerLost(router_); }
-
-    kj::Promise<void> ask(AskContext context) override
-    {
-        const scheduling::SlotAsk ask = internal::read(context.getParams().getAsk(), router_);
-        Cell *cell = cells_->find(ask.pool);
-        if (cell == nullptr) {
-            writeDecision(context.getResults().initDecision(),
-                          scheduling::SlotRefusal{ask.request, ResultCode::NoEndpointAvailable,
-                                                  RetryAfterUnknownPool});
-            return kj::READY_NOW;
-        }
-        return cell->ask(ask).then([context](SlotOutcome outcome) mutable {
-            writeDecision(context.getResults().initDecision(), outcome);
-        });
-    }
-
-    kj::Promise<void> release(ReleaseContext context) override
-    {
-        const auto params = context.getParams();
-        if (Cell *cell = cells_->find(units::PoolName(params.getPool())))
-            cell->scheduler().release(internal::read(params.getRelease()));
-        return kj::READY_NOW;
-    }
-
-    kj::Promise<void> cancel(CancelContext context) override
-    {
-        const auto params = context.getParams();
-        if (Cell *cell = cells_->find(units::PoolName(params.getPool())))
-            cell->cancel(units::RequestId(params.getRequest()));
-        return kj::READY_NOW;
-    }
-
-    kj::Promise<void> adopt(AdoptContext context) override
-    {
-        const auto held = context.getParams().getHeld();
-        auto grants = context.getResults().initGrants(held.size());
-        for (unsigned i = 0; i < held.size(); ++i) {
-            const scheduling::SlotAsk ask = internal::read(held[i].getAsk(), router_);
-            Cell *cell = cells_->find(ask.pool);
-            if (cell == nullptr)
-                continue;
-            const units::EndpointId endpoint(held[i].getEndpoint());
-            grants.set(i, cell->scheduler().adopt(ask, endpoint).value());
-        }
-        return kj::READY_NOW;
-    }
-
-private:
-    std::shared_ptr<Cells> cells_;
-    units::DaemonId router_;
-};
 
 class DaemonImpl final : public schema::Daemon::Server
 {
 public:
-    DaemonImpl(SchedulerServerSettings settings, std::shared_ptr<Cells> cells)
+    DaemonImpl(SchedulerServerSettings settings, std::shared_ptr<Cells> cells,
+               std::shared_ptr<SlotSessions> sessions, const units::Clock &clock)
         : settings_(std::move(settings))
         , cells_(std::move(cells))
+        , sessions_(std::move(sessions))
+        , clock_(clock)
     {
     }
 
@@ -172,49 +47,106 @@
             return kj::READY_NOW;
         }
         result.setIncarnation(settings_.self.value());
-        result.setSlots(kj::heap<SlotServiceImpl>(cells_, units::DaemonId(params.getDaemon())));
+        result.setSlots(kj::heap<internal::SlotService>(cells_, sessions_, clock_,
+                                                        units::DaemonId(params.getDaemon())));
         return kj::READY_NOW;
     }
 
 private:
     SchedulerServerSettings settings_;
     std::shared_ptr<Cells> cells_;
+    std::shared_ptr<SlotSessions> sessions_;
+    const units::Clock &clock_;
 };
 
 } // namespace
 
-class SchedulerServer::Impl : private kj::TaskSet::ErrorHandler,
-                              public std::enable_shared_from_this<SchedulerServer::Impl>
+class SchedulerServer::Impl : private kj::TaskSet::ErrorHandler
 {
 public:
     Impl(RpcLoop &loop, const units::Clock &clock, const SchedulerServerSettings &settings,
          configuration::ConfigurationHolder &configuration, membership::FleetHolder &fleet,
          observability::Metrics &metrics)
         : loop_(loop)
+        , clock_(clock)
+        , lease_(settings.lease)
         , configuration_(configuration)
         , fleet_(fleet)
-        , cells_(std::make_shared<Cells>(clock, metrics))
+        , metrics_(metrics)
+        , cells_(std::make_shared<Cells>(clock, metrics, settings.settlingTime,
+                                         settings.unknownPoolWait))
+        , sessions_(std::make_shared<SlotSessions>())
+        , server_(kj::heap<DaemonImpl>(settings, cells_, sessions_, clock))
         , tasks_(*this)
-        , server_(kj::heap<DaemonImpl>(settings, cells_))
     {
-        auto address = loop.io().getNetwork().parseAddress(settings.address, settings.port);
-        tasks_.add(address.then([this](kj::Own<kj::NetworkAddress> parsed) {
-            receiver_ = parsed->listen();
-            return server_.listen(*receiver_);
-        }));
+        lastTick_ = clock.now();
         applyAll();
         tick();
     }
 
+    // Fulfils the promise with the port once it listens, or with the error.
+    void listen(const std::string &address, std::uint16_t port, std::promise<std::uint16_t> &done)
+    {
+        auto parsed
+            = kj::evalNow([&] { return loop_.io().getNetwork().parseAddress(address, port); });
+        tasks_.add(parsed
+                       .then([this, &done](kj::Own<kj::NetworkAddress> target) {
+                           receiver_ = target->listen();
+                           done.set_value(static_cast<std::uint16_t>(receiver_->getPort()));
+                           tasks_.add(server_.listen(*receiver_));
+                       })
+                       .catch_([&done](kj::Exception &&error) {
+                           done.set_exception(std::make_exception_ptr(
+                               std::runtime_error(error.getDescription().cStr())));
+                       }));
+    }
+
     void applyAll() { cells_->apply(configuration_.current(), fleet_.current()); }
+    void startLeaving() { cells_->startLeaving(); }
+
+    std::size_t routersUsing() const
+    {
+        std::size_t count = 0;
+        for (const auto &entry : sessions_->byRouter)
+            count += entry.second->isUsed() ? 1 : 0;
+        return count;
+    }
 
 private:
     void tick()
     {
         cells_->tick();
+        endSilentSessions();
         tasks_.add(loop_.timer().afterDelay(TickPeriod).then([this] { tick(); }));
     }
 
+    // A router that was cut off or frozen closes no connection, and its slots would stay taken.
+    // Its silence is measured against ticks of this process: after a pause of its own, the
+    // router's messages are still unread.
+    void endSilentSessions()
+    {
+        const units::TimePoint now = clock_.now();
+        const bool paused = now - lastTick_ > lease_ / 2;
+        lastTick_ = now;
+        if (paused) {
+            pausedUntil_ = now + lease_;
+            return;
+        }
+        if (now < pausedUntil_)
+            return;
+        std::vector<internal::SlotService *> silent;
+        for (const auto &entry : sessions_->byRouter) {
+            if (now - entry.second->lastHeard() > lease_ && entry.second->isUsed())
+                silent.push_back(entry.second);
+        }
+        for (internal::SlotService *service : silent) {
+            metrics_.add("monsoongrade_router_leases_expired_total");
+            observability::log(observability::LogLevel::Warning, "router-lease-expired",
+                               {{"session", service->session().value()}});
+            service->end();
+        }
+    }
+
     void taskFailed(kj::Exception &&exception) override
     {
         observability::log(observability::LogLevel::Error, "rpc-task-failed",
@@ -222,12 +154,18 @@
     }
 
     RpcLoop &loop_;
+    const units::Clock &clock_;
+    const units::Duration lease_;
+    units::TimePoint lastTick_;
+    units::TimePoint pausedUntil_;
     configuration::ConfigurationHolder &configuration_;
     membership::FleetHolder &fleet_;
+    observability::Metrics &metrics_;
     std::shared_ptr<Cells> cells_;
-    kj::TaskSet tasks_;
+    std::shared_ptr<SlotSessions> sessions_;
     kj::Own<kj::ConnectionReceiver> receiver_;
     capnp::TwoPartyServer server_;
+    kj::TaskSet tasks_;
 };
 
 SchedulerServer::SchedulerServer(RpcLoop &loop, const units::Clock &clock,
@@ -236,11 +174,20 @@
                                  membership::FleetHolder &fleet, observability::Metrics &metrics)
     : loop_(loop)
 {
+    std::promise<std::uint16_t> listening;
     loop_.postAndWait([&] {
         impl_ = std::make_shared<Impl>(loop, clock, settings, configuration, fleet, metrics);
+        impl_->listen(settings.address, settings.port, listening);
     });
-    const auto reapply = [this, weak = std::weak_ptr<Impl>(impl_)](const auto &) {
-        loop_.post([weak] {
+    try {
+        port_ = listening.get_future().get();
+    } catch (const std::exception &) {
+        loop_.postAndWait([&] { impl_.reset(); });
+        throw;
+    }
+    // The holders outlive this server and keep their listeners.
+    const auto reapply = [&loop, weak = std::weak_ptr<Impl>(impl_)](const auto &) {
+        loop.post([weak] {
             if (const auto impl = weak.lock())
                 impl->applyAll();
         });
@@ -254,4 +201,16 @@
     loop_.postAndWait([&] { impl_.reset(); });
 }
 
+void SchedulerServer::startLeaving()
+{
+    loop_.postAndWait([&] { impl_->startLeaving(); });
+}
+
+std::size_t SchedulerServer::routersUsing() const
+{
+    std::size_t count = 0;
+    loop_.postAndWait([&] { count = impl_->routersUsing(); });
+    return count;
+}
+
 } // namespace monsoongrade::rpc
