--- a/include/monsoongrade/configuration/daemonsettings.h
+++ b/include/monsoongrade/configuration/daemonsettings.h
@@ -24,6 +24,7 @@
     std::string platform;
     std::uint16_t httpPort = 8080;
     std::uint16_t operatorPort = 8081;
+    std::uint16_t schedulerOperatorPort = 8082;
     std::uint16_t routerRpcPort = 7001;
     std::uint16_t schedulerRpcPort = 7002;
     std::size_t threads = 2;
--- a/programs/monsoongrade-router/main.cpp
+++ b/programs/monsoongrade-router/main.cpp
@@ -1,3 +1,5 @@
+#include "slotsources.h"
+
 #include <monsoongrade/configuration/configurationwatcher.h>
 #include <monsoongrade/daemon/commandline.h>
 #include <monsoongrade/daemon/daemonid.h>
@@ -10,7 +12,6 @@
 #include <monsoongrade/observability/log.h>
 #include <monsoongrade/platform/httpplatform.h>
 #include <monsoongrade/requests/callerfrontend.h>
-#include <monsoongrade/rpc/rpcslotsource.h>
 #include <monsoongrade/units/steadyclock.h>
 
 #include <iostream>
@@ -54,10 +55,11 @@
     membership::FleetHolder fleet;
     rpc::RpcLoop rpcLoop;
     const units::DaemonId self = daemon::newDaemonId(settings.host, "router");
-    rpc::RpcSlotSource slots(rpcLoop, {settings.cluster, self, settings.schedulerRpcPort}, fleet,
-                             metrics);
+    SlotSources slots(settings, self, clock, rpcLoop, endpointClient, configuration, fleet,
+                      metrics);
     requests::DecisionLog decisions;
-    const requests::FlowServices services{clock, slots, endpointClient, metrics, decisions, self};
+    const requests::FlowServices services{clock,   slots.chosen(), endpointClient,
+                                          metrics, decisions,      self};
     requests::CallerFrontend frontend(services, configuration, settings.openLimit, [&] {
         return daemon::entryPointsAnswer(*fleet.current(), settings.failureDomain,
                                          settings.httpPort, settings.keepAddress);
--- a/programs/monsoongrade-scheduler/main.cpp
+++ b/programs/monsoongrade-scheduler/main.cpp
@@ -1,3 +1,5 @@
+#include "operatorpage.h"
+
 #include <monsoongrade/configuration/configurationwatcher.h>
 #include <monsoongrade/daemon/commandline.h>
 #include <monsoongrade/daemon/daemonid.h>
@@ -11,11 +13,30 @@
 #include <monsoongrade/units/steadyclock.h>
 
 #include <iostream>
+#include <thread>
 
 namespace {
 
 using namespace monsoongrade;
 
+constexpr auto StopCheck = std::chrono::milliseconds(50);
+// Routers move within a heartbeat; one that does not is cut off or frozen.
+constexpr auto LongestStop = std::chrono::seconds(15);
+// Answers that are decided reach their routers in this time.
+constexpr auto LastAnswers = std::chrono::milliseconds(100);
+
+// A planned stop: every router moves to the next scheduler and reports what it holds there,
+// before this one goes.
+void drain(rpc::SchedulerServer &server)
+{
+    server.startLeaving();
+    observability::log(observability::LogLevel::Info, "leaving", {});
+    const auto end = std::chrono::steady_clock::now() + LongestStop;
+    while (server.routersUsing() > 0 && std::chrono::steady_clock::now() < end)
+        std::this_thread::sleep_for(StopCheck);
+    std::this_thread::sleep_for(LastAnswers);
+}
+
 int run(const configuration::DaemonSettings &settings)
 {
     const units::SteadyClock clock;
@@ -34,8 +55,19 @@
     observability::log(
         observability::LogLevel::Info, "scheduler-started",
         {{"daemon", self.value()}, {"port", static_cast<int>(settings.schedulerRpcPort)}});
+    OperatorPage page(metrics);
+    http::HttpServerSettings operatorListener;
+    operatorListener.address = settings.address;
+    operatorListener.port = settings.schedulerOperatorPort;
+    http::HttpServer operatorServer(
+        operatorListener, [&page](const http::HttpRequest &request, const auto &responder) {
+            page.handle(request, *responder);
+        });
     daemon::waitForStopSignal();
-    observability::log(observability::LogLevel::Info, "scheduler-stopped", {});
+    page.startLeaving();
+    drain(server);
+    observability::log(observability::LogLevel::Info, "scheduler-stopped",
+                       {{"routers-left", static_cast<std::int64_t>(server.routersUsing())}});
     return daemon::ExitOk;
 }
 
--- a/src/configuration/daemonsettings.cpp
+++ b/src/configuration/daemonsettings.cpp
@@ -32,6 +32,8 @@
     settings.platform = reader.requiredText("platform");
     settings.httpPort = port(reader, "http-port", settings.httpPort);
     settings.operatorPort = port(reader, "operator-port", settings.operatorPort);
+    settings.schedulerOperatorPort
+        = port(reader, "scheduler-operator-port", settings.schedulerOperatorPort);
     settings.routerRpcPort = port(reader, "router-rpc-port", settings.routerRpcPort);
     settings.schedulerRpcPort = port(reader, "scheduler-rpc-port", settings.schedulerRpcPort);
     settings.threads = static_cast<std::size_t>(reader.integer("threads", 2, 1, 64));
