--- a/programs/monsoongrade-router/main.cpp
+++ b/programs/monsoongrade-router/main.cpp
@@ -1,3 +1,5 @@
+#include "slotsources.h"
+
 #include <monsoongrade/configuration/configurationwatcher.h>
 #include <monsoongrade/daemon/commandline.h>
 #include <monsoongrade/daemon/daemonid.h>
@@ -14,7 +16,6 @@
 #include <monsoongrade/platform/httpplatform.h>
 #include <monsoongrade/requests/callerfrontend.h>
 #include <monsoongrade/requests/threaddelayer.h>
-#include <monsoongrade/rpc/rpcslotsource.h>
 #include <monsoongrade/units/steadyclock.h>
 
 #include <atomic>
@@ -73,17 +74,20 @@
     membership::FleetHolder fleet;
     rpc::RpcLoop rpcLoop;
     const units::DaemonId self = daemon::newDaemonId(settings.host, "router");
-    rpc::RpcSlotSource slots(rpcLoop, {settings.cluster, self, settings.schedulerRpcPort}, fleet,
-                             metrics);
+    SlotSources slots(settings, self, clock, rpcLoop, endpointClient, configuration, fleet,
+                      metrics);
     requests::ThreadDelayer delayer;
-    const requests::FlowServices services{clock,     slots,   endpointClient, metrics,
-                                          decisions, retries, delayer,        self};
+    const requests::FlowServices services{clock,     slots.chosen(), endpointClient, metrics,
+                                          decisions, retries,        delayer,        self};
     requests::CallerFrontend frontend(services, configuration, settings.openLimit, [&] {
         const auto inForce = configuration.current();
         const std::set<std::string> drained = inForce ? inForce->drained : std::set<std::string>();
         return daemon::entryPointsAnswer(*fleet.current(), drained, settings.failureDomain,
                                          settings.httpPort, settings.keepAddress);
     });
+    std::atomic<units::TimePoint> configuredAt{clock.now()};
+    configuration.addListener([&](const auto &) { configuredAt = clock.now(); });
+    const units::TimePoint startedAt = clock.now();
     membership::FleetWatcher fleetWatcher(platform, fleet);
     configuration::ConfigurationWatcher configurationWatcher(platform, configuration);
     http::HttpServer server(callerListener(settings),
@@ -91,9 +95,6 @@
                                 frontend.handle(request, std::move(responder));
                             });
     daemon::OperatorService operators(settings.operatorToken);
-    std::atomic<units::TimePoint> configuredAt{clock.now()};
-    configuration.addListener([&](const auto &) { configuredAt = clock.now(); });
-    const units::TimePoint startedAt = clock.now();
     operators.addPage("/operator/status", [&](const std::string &) {
         const daemon::DaemonStatus status{self,
                                           settings.failureDomain,
