Membership: protocol core of probes, suspicion, denial and bounded news

Cause: the fleet view came from the platform's lagging list alone, so a dead or leaving host was known tens of seconds late, and not at all in an outage of the platform.

The core is decisions only: messages go in and out, the clock is passed in. Records merge to the same result in any order, a daemon's life is its start time, leaving is never taken back within a life, and endpoint marks carry an epoch.

--- a/include/monsoongrade/membership/member.h
+++ b/include/monsoongrade/membership/member.h
@@ -14,8 +14,13 @@
     units::HostName host;
     std::string address;
     units::FailureDomain failureDomain;
+    // Of the host's router.
     bool leaving = false;
     bool suspected = false;
+    // Of its scheduler. A suspected scheduler keeps its cells until it is held dead: moving them
+    // on every lost probe would cost more than waiting for the answer.
+    bool schedulerLeaving = false;
+    bool schedulerDead = false;
 };
 
 } // namespace monsoongrade::membership
--- /dev/null
+++ b/src/membership/endpointmarks.cpp
@@ -0,0 +1,85 @@
+#include <monsoongrade/membership/endpointmarks.h>
+
+namespace monsoongrade::membership {
+
+EndpointMarks::EndpointMarks(units::Duration listLagBound)
+    : listLagBound_(listLagBound)
+{
+}
+
+std::vector<EndpointMark> EndpointMarks::applyList(const std::vector<platform::Host> &hosts,
+                                                   units::TimePoint now)
+{
+    std::vector<EndpointMark> changed;
+    std::map<units::HostName, units::TimePoint> liveSince;
+    for (const platform::Host &host : hosts) {
+        if (host.role != platform::HostRole::Endpoint)
+            continue;
+        const bool isLeaving = host.state == platform::HostState::Leaving;
+        if (!isLeaving) {
+            const auto since = liveSince_.find(host.name);
+            liveSince[host.name] = since == liveSince_.end() ? now : since->second;
+        }
+        const auto known = marks_.find(host.name);
+        const bool held = known != marks_.end() && known->second.state == EndpointState::Leaving;
+        if (isLeaving == held)
+            continue;
+        if (held && now - liveSince[host.name] < listLagBound_)
+            continue;
+        EndpointMark &mark = marks_[host.name];
+        mark.host = host.name;
+        ++mark.epoch;
+        mark.state = isLeaving ? EndpointState::Leaving : EndpointState::Live;
+        changed.push_back(mark);
+    }
+    liveSince_ = std::move(liveSince);
+    return changed;
+}
+
+bool EndpointMarks::setSuspected(const units::HostName &host, bool suspected)
+{
+    const auto known = marks_.find(host);
+    const EndpointState now = known == marks_.end() ? EndpointState::Live : known->second.state;
+    const EndpointState wanted = suspected ? EndpointState::Suspected : EndpointState::Live;
+    if (now == EndpointState::Leaving || now == wanted)
+        return false;
+    EndpointMark &mark = marks_[host];
+    mark.host = host;
+    ++mark.epoch;
+    mark.state = wanted;
+    return true;
+}
+
+bool EndpointMarks::merge(const EndpointMark &news)
+{
+    const auto known = marks_.find(news.host);
+    if (known != marks_.end() && !(known->second < news))
+        return false;
+    // Reads from before the news say nothing on the host as it is now.
+    if (news.state == EndpointState::Leaving)
+        liveSince_.erase(news.host);
+    marks_[news.host] = news;
+    return true;
+}
+
+std::set<units::HostName> EndpointMarks::leaving() const
+{
+    return withState(EndpointState::Leaving);
+}
+
+std::set<units::HostName> EndpointMarks::suspected() const
+{
+    return withState(EndpointState::Suspected);
+}
+
+std::set<units::HostName> EndpointMarks::withState(EndpointState state) const
+{
+    std::set<units::HostName> hosts;
+    for (const auto &[host, mark] : marks_) {
+        if (mark.state == state)
+            hosts.insert(host);
+    }
+    return hosts;
+}
+
+} // namespace monsoongrade::membership
--- a/src/membership/fleetview.cpp
+++ b/src/membership/fleetview.cpp
@@ -12,4 +12,14 @@
     return live;
 }
 
+std::vector<Member> FleetView::liveSchedulerHosts() const
+{
+    std::vector<Member> live;
+    for (const Member &member : entryHosts) {
+        if (!member.schedulerLeaving && !member.schedulerDead)
+            live.push_back(member);
+    }
+    return live;
+}
+
 } // namespace monsoongrade::membership
