Membership: the few that are left find each other after a cut

Ruled out: lost denials; the record was never sent.

The dead are now asked in turn, and more often while few neighbours are left.

--- a/include/monsoongrade/membership/endpointmarks.h
+++ b/include/monsoongrade/membership/endpointmarks.h
@@ -27,7 +27,9 @@
     // Marks a host as suspected or as answering again; never overrules leaving. Returns whether
     // the mark changed.
     bool setSuspected(const units::HostName &host, bool suspected);
-    // Takes over news that overrule what is known; tells whether they did.
+    // Takes over news that overrule what is known; tells whether the mark changed. A host that
+    // the last read calls leaving stays so, in an epoch that overrules the news: whoever called
+    // it live may have seen an older list.
     bool merge(const EndpointMark &news);
 
     const std::map<units::HostName, EndpointMark> &all() const { return marks_; }
@@ -39,6 +41,8 @@
 
     units::Duration listLagBound_;
     std::map<units::HostName, EndpointMark> marks_;
+    // What the last read called leaving.
+    std::set<units::HostName> listedLeaving_;
     // Since when each read of the list has called the host live.
     std::map<units::HostName, units::TimePoint> liveSince_;
 };
--- a/include/monsoongrade/membership/membershipprotocol.h
+++ b/include/monsoongrade/membership/membershipprotocol.h
@@ -92,6 +92,7 @@
     void expireSuspicions();
     void startProbe(Outgoing &out);
     std::optional<MemberId> nextTarget();
+    std::optional<MemberId> nextDead();
     void flushNews(Outgoing &out);
 
     void answerPing(const PeerMessage &message, Outgoing &out);
@@ -143,6 +144,7 @@
     std::size_t nextNeighbour_ = 0;
     std::size_t nextGossip_ = 0;
     std::size_t probeCount_ = 0;
+    MemberId lastDead_;
 
     units::TimePoint started_;
     units::TimePoint lastTick_;
--- a/src/membership/endpointmarks.cpp
+++ b/src/membership/endpointmarks.cpp
@@ -12,19 +12,24 @@
 {
     std::vector<EndpointMark> changed;
     std::map<units::HostName, units::TimePoint> liveSince;
+    listedLeaving_.clear();
     for (const platform::Host &host : hosts) {
         if (host.role != platform::HostRole::Endpoint)
             continue;
         const bool isLeaving = host.state == platform::HostState::Leaving;
-        if (!isLeaving) {
-            const auto since = liveSince_.find(host.name);
+        const auto since = liveSince_.find(host.name);
+        if (isLeaving)
+            listedLeaving_.insert(host.name);
+        else
             liveSince[host.name] = since == liveSince_.end() ? now : since->second;
-        }
         const auto known = marks_.find(host.name);
         const bool held = known != marks_.end() && known->second.state == EndpointState::Leaving;
-        if (isLeaving == held)
+        // Leaves for a second time before the first mark has gone: others may be about to end
+        // the first, and a mark of the same epoch would go with it.
+        const bool again = isLeaving && held && since != liveSince_.end();
+        if (isLeaving == held && !again)
             continue;
-        if (held && now - liveSince[host.name] < listLagBound_)
+        if (held && !isLeaving && now - liveSince[host.name] < listLagBound_)
             continue;
         EndpointMark &mark = marks_[host.name];
         mark.host = host.name;
@@ -58,7 +63,12 @@
     // Reads from before the news say nothing on the host as it is now.
     if (news.state == EndpointState::Leaving)
         liveSince_.erase(news.host);
-    marks_[news.host] = news;
+    EndpointMark &mark = marks_[news.host];
+    mark = news;
+    if (news.state != EndpointState::Leaving && listedLeaving_.count(news.host) > 0) {
+        ++mark.epoch;
+        mark.state = EndpointState::Leaving;
+    }
     return true;
 }
 
--- a/src/membership/membershipprobing.cpp
+++ b/src/membership/membershipprobing.cpp
@@ -140,21 +140,34 @@
 
 std::optional<MemberId> MembershipProtocol::nextTarget()
 {
-    if (++probeCount_ % ProbesPerDeadProbe == 0) {
-        std::vector<MemberId> dead;
-        for (const auto &[id, entry] : entries_) {
-            if (entry.record.health == Health::Dead)
-                dead.push_back(id);
-        }
-        if (!dead.empty())
-            return dead[random_() % dead.size()];
-    }
     const std::vector<MemberId> &around = neighbours();
+    // With few neighbours left, more likely this daemon is cut off than all others are dead.
+    const bool isolated = around.size() < settings_.ringNeighbours;
+    const std::size_t every = around.empty() ? 1 : isolated ? 2 : ProbesPerDeadProbe;
+    if (++probeCount_ % every == 0) {
+        if (auto dead = nextDead())
+            return dead;
+    }
     if (around.empty())
         return std::nullopt;
     return around[nextNeighbour_++ % around.size()];
 }
 
+// In turn; drawn at random, the one that is back could be passed over for long.
+std::optional<MemberId> MembershipProtocol::nextDead()
+{
+    auto entry = entries_.upper_bound(lastDead_);
+    for (std::size_t looked = 0; looked < entries_.size(); ++looked, ++entry) {
+        if (entry == entries_.end())
+            entry = entries_.begin();
+        if (entry->second.record.health != Health::Dead)
+            continue;
+        lastDead_ = entry->first;
+        return lastDead_;
+    }
+    return std::nullopt;
+}
+
 const std::vector<MemberId> &MembershipProtocol::neighbours()
 {
     if (neighboursKnown_)
