--- a/src/membership/memberrecord.cpp
+++ b/src/membership/memberrecord.cpp
@@ -26,7 +26,9 @@
 std::uint64_t stableHash(const MemberId &id, const std::string &salt)
 {
     std::uint64_t hash = 14695981039346656037ULL;
-    const auto mix = [&hash](unsigned char byte) { hash = (hash ^ byte) * 1099511628211ULL; };
+    const auto mix = [&hash](unsigned char byte) {
+        hash = (hash ^ byte) * 1099511628211ULL;
+    };
     for (const char c : salt)
         mix(static_cast<unsigned char>(c));
     mix(0xff);
--- a/src/membership/membershipprobing.cpp
+++ b/src/membership/membershipprobing.cpp
@@ -177,8 +177,7 @@
         if (entry.record.health != Health::Dead)
             others.push_back(id);
     }
-    neighbours_
-        = watchSet(self_.id, others, settings_.ringNeighbours, settings_.randomNeighbours);
+    neighbours_ = watchSet(self_.id, others, settings_.ringNeighbours, settings_.randomNeighbours);
     neighboursKnown_ = true;
     return neighbours_;
 }
--- a/src/membership/membershipprotocol.cpp
+++ b/src/membership/membershipprotocol.cpp
@@ -203,8 +203,8 @@
         if (host.state == platform::HostState::Leaving)
             listedLeaving_.insert(host.name);
         for (const DaemonRole role : {DaemonRole::Router, DaemonRole::Scheduler})
-            addListed({{host.name, role}, host.address, host.failureDomain, 0, 0, Health::Alive,
-                       false});
+            addListed(
+                {{host.name, role}, host.address, host.failureDomain, 0, 0, Health::Alive, false});
     }
     for (const EndpointMark &mark : marks_.applyList(hosts, clock_.now()))
         announceMark(mark.host);
--- a/tests/membership/fakefleet.h
+++ b/tests/membership/fakefleet.h
@@ -14,8 +14,8 @@
 
 using namespace std::chrono_literals;
 
-// Routers of many hosts on a network in memory that loses, delays, repeats and reorders messages,
-// and can cut one direction of a link. One seed gives one course of events.
+// The daemons of many hosts on a network in memory that loses, delays, repeats and reorders
+// messages, and can cut one direction of a link. One seed gives one course of events.
 class FakeFleet
 {
 public:
@@ -35,26 +35,31 @@
         std::vector<PeerMessage> waiting;
     };
 
-    explicit FakeFleet(std::size_t hosts, std::uint32_t seed = 1)
+    explicit FakeFleet(std::size_t daemons, std::uint32_t seed = 1)
         : random_(seed)
-        , listed_(hosts)
+        , listedHosts_(daemons / 2)
     {
-        for (std::size_t i = 0; i < hosts; ++i)
+        for (std::size_t i = 0; i < daemons; ++i)
             start(i);
     }
 
-    static units::HostName hostName(std::size_t i)
+    // Daemon 2n is host n's router, daemon 2n + 1 its scheduler.
+    static MemberId id(std::size_t i)
     {
-        return units::HostName("entry-" + std::to_string(i));
+        return {units::HostName("entry-" + std::to_string(i / 2)),
+                i % 2 == 0 ? DaemonRole::Router : DaemonRole::Scheduler};
+    }
+    static std::size_t indexOf(const MemberId &id)
+    {
+        return std::stoul(id.host.value().substr(6)) * 2 + (id.role == DaemonRole::Router ? 0 : 1);
     }
-    static MemberId id(std::size_t i) { return {hostName(i), DaemonRole::Router}; }
 
     // A new process on the host, and its first read of the list.
     void start(std::size_t i)
     {
         MemberRecord self;
         self.id = id(i);
-        self.address = "127.33.0." + std::to_string(i);
+        self.address = "127.33.0." + std::to_string(i / 2);
         self.failureDomain = units::FailureDomain("domain-" + std::to_string(i % 3));
         self.life = static_cast<std::uint64_t>(clock_.now().time_since_epoch() / 1us);
         auto &daemon = daemons_[i];
@@ -67,20 +72,28 @@
     std::vector<platform::Host> list() const
     {
         std::vector<platform::Host> hosts = endpoints;
-        for (std::size_t i = 0; i < listed_; ++i)
-            hosts.push_back({hostName(i), "127.33.0." + std::to_string(i), units::FailureDomain(),
-                             platform::HostRole::Entry, platform::HostState::Live});
+        for (std::size_t i = 0; i < listedHosts_; ++i)
+            hosts.push_back({id(i * 2).host, "127.33.0." + std::to_string(i),
+                             units::FailureDomain(), platform::HostRole::Entry,
+                             platform::HostState::Live});
         return hosts;
     }
 
     void kill(std::size_t i) { daemons_[i].running = false; }
     void freeze(std::size_t i) { daemons_[i].frozen = true; }
+    // What arrived meanwhile is read now.
     void wake(std::size_t i)
     {
         daemons_[i].frozen = false;
         for (const PeerMessage &message : std::exchange(daemons_[i].waiting, {}))
             deliver(i, message);
     }
+    // What arrived meanwhile is lost, as when the connections broke.
+    void wakeDeaf(std::size_t i)
+    {
+        daemons_[i].waiting.clear();
+        wake(i);
+    }
     void cutLink(std::size_t from, std::size_t to) { cuts_.insert({from, to}); }
     void mendLinks() { cuts_.clear(); }
 
@@ -146,10 +159,11 @@
         for (const OutgoingMessage &outgoing : messages) {
             if (onSend)
                 onSend(outgoing.message);
-            const std::size_t to = std::stoul(outgoing.to.host.value().substr(6));
+            const std::size_t to = indexOf(outgoing.to);
             if (cuts_.count({from, to}) > 0)
                 continue;
-            const int copies = (chance() < faults.loss ? 0 : 1) + (chance() < faults.repeat ? 1 : 0);
+            const int copies
+                = (chance() < faults.loss ? 0 : 1) + (chance() < faults.repeat ? 1 : 0);
             for (int copy = 0; copy < copies; ++copy) {
                 const auto late = std::chrono::duration_cast<units::Duration>(
                     faults.delay + faults.jitter * chance());
@@ -170,7 +184,7 @@
 
     units::ManualClock clock_;
     std::mt19937 random_;
-    std::size_t listed_;
+    std::size_t listedHosts_;
     std::map<std::size_t, Daemon> daemons_;
     std::multimap<units::TimePoint, std::pair<std::size_t, PeerMessage>> queue_;
     std::set<std::pair<std::size_t, std::size_t>> cuts_;
--- a/tests/membership/membershipprotocol_statetest.cpp
+++ b/tests/membership/membershipprotocol_statetest.cpp
@@ -63,8 +63,7 @@
                 const MemberRecord *record = daemon.protocol->find(FakeFleet::id(i));
                 if (record == nullptr)
                     continue;
-                bool &held
-                    = leaving[{observer, daemon.protocol->self().life, i, record->life}];
+                bool &held = leaving[{observer, daemon.protocol->self().life, i, record->life}];
                 RC_ASSERT(!held || record->leaving);
                 held = record->leaving;
             }
@@ -195,12 +194,10 @@
         sut.run(AgreeWithin);
         sut.fleet.cutLink(host, other);
         sut.run(15s);
-        RC_ASSERT(sut.fleet.all(host, [&](std::size_t i) {
-            return sut.fleet.healthOf(host, i) != Health::Dead;
-        }));
-        RC_ASSERT(sut.fleet.all(other, [&](std::size_t i) {
-            return sut.fleet.healthOf(other, i) != Health::Dead;
-        }));
+        RC_ASSERT(sut.fleet.all(
+            host, [&](std::size_t i) { return sut.fleet.healthOf(host, i) != Health::Dead; }));
+        RC_ASSERT(sut.fleet.all(
+            other, [&](std::size_t i) { return sut.fleet.healthOf(other, i) != Health::Dead; }));
     }
     void show(std::ostream &out) const override
     {
@@ -322,12 +319,11 @@
 TEST_CASE("MembershipProtocol.ThreeLeftOfSixFindEachOtherAfterACut")
 {
     // Found with seed 1; the same fault by another way, with loss and a frozen host before.
-    CHECK_NOTHROW(replay({make<Lossy>(0.0, 0.0),  make<Isolate>(2), make<Kill>(3),
-                          make<Leave>(4),         make<Kill>(2),    make<Settle>(),
-                          make<Settle>(),         make<Leave>(0),   make<Settle>(),
-                          make<Lossy>(0.0, 0.1),  make<Lossy>(0.05, 0.0), make<Settle>(),
-                          make<Freeze>(5),        make<Isolate>(0), make<Settle>(),
-                          make<Isolate>(5),       make<Kill>(1),    make<Lossy>(0.01, 0.0)}));
+    CHECK_NOTHROW(replay({make<Lossy>(0.0, 0.0), make<Isolate>(2), make<Kill>(3), make<Leave>(4),
+                          make<Kill>(2), make<Settle>(), make<Settle>(), make<Leave>(0),
+                          make<Settle>(), make<Lossy>(0.0, 0.1), make<Lossy>(0.05, 0.0),
+                          make<Settle>(), make<Freeze>(5), make<Isolate>(0), make<Settle>(),
+                          make<Isolate>(5), make<Kill>(1), make<Lossy>(0.01, 0.0)}));
 }
 
 TEST_CASE("MembershipProtocol.KeepsItsPromisesUnderRandomFaults")
--- a/tests/membership/membershipprotocol_test.cpp
+++ b/tests/membership/membershipprotocol_test.cpp
@@ -22,8 +22,9 @@
     fleet.protocol(3).leave();
     const auto took = fleet.runUntil(
         [&] {
-            return fleet.all(
-                3, [&](std::size_t i) { return fleet.protocol(i).find(FakeFleet::id(3))->leaving; });
+            return fleet.all(3, [&](std::size_t i) {
+                return fleet.protocol(i).find(FakeFleet::id(3))->leaving;
+            });
         },
         5s);
     CHECK_MESSAGE(took <= 1s, "expected at most 1 s, actual ", seconds(took));
@@ -35,11 +36,13 @@
     // platform's list lags and calls it live.
     FakeFleet fleet(4);
     fleet.run(3s);
-    fleet.protocol(1).leave();
+    fleet.protocol(2).leave();
     fleet.run(1s);
     fleet.readList(0);
-    for (const Member &member : fleet.protocol(0).view().liveEntryHosts())
-        CHECK(member.host != FakeFleet::hostName(1));
+    const auto live = fleet.protocol(0).view().liveEntryHosts();
+    REQUIRE(live.size() == 1);
+    CHECK(live[0].host == FakeFleet::id(0).host);
+    CHECK(fleet.protocol(0).view().liveSchedulerHosts().size() == 2);
 }
 
 TEST_CASE("MembershipProtocol.DeadDaemonIsSuspectedThenDead")
@@ -49,8 +52,8 @@
     fleet.kill(2);
     const auto suspected = fleet.runUntil(
         [&] {
-            return fleet.all(
-                2, [&](std::size_t i) { return fleet.healthOf(2, i) != Health::Alive; });
+            return fleet.all(2,
+                             [&](std::size_t i) { return fleet.healthOf(2, i) != Health::Alive; });
         },
         20s);
     CHECK_MESSAGE(suspected <= 6s, "expected at most 6 s, actual ", seconds(suspected));
@@ -83,6 +86,41 @@
     CHECK(fleet.all(4, [&](std::size_t i) { return fleet.healthOf(4, i) == Health::Alive; }));
 }
 
+TEST_CASE("MembershipProtocol.WokenDaemonSuspectsNobodyForItsOwnPause")
+{
+    // Callers would be sent away from healthy hosts: a daemon was frozen just after a probe, the
+    // answer was lost with its connection, and on waking up the probe's time has long run out.
+    FakeFleet fleet(8);
+    fleet.faults.delay = 30ms;
+    fleet.run(5s);
+    const auto probes = fleet.protocol(4).counters().probes;
+    fleet.runUntil([&] { return fleet.protocol(4).counters().probes > probes; }, 1s);
+    fleet.freeze(4);
+    fleet.run(30s);
+    const auto suspicions = fleet.protocol(4).counters().suspicions;
+    fleet.wakeDeaf(4);
+    fleet.run(5s);
+    CHECK(fleet.protocol(4).counters().suspicions == suspicions);
+}
+
+TEST_CASE("MembershipProtocol.WokenDaemonDeclaresNobodyDeadOnAnOldSuspicion")
+{
+    // A healthy host would be held dead: daemon 4 suspects 5, is frozen, meanwhile 5 denies it
+    // to all others, and 4 wakes up with the old suspicion's time over.
+    FakeFleet fleet(8);
+    fleet.run(5s);
+    fleet.freeze(5);
+    fleet.runUntil([&] { return fleet.healthOf(5, 4) == Health::Suspected; }, 10s);
+    REQUIRE(fleet.healthOf(5, 4) == Health::Suspected);
+    fleet.freeze(4);
+    fleet.wake(5);
+    fleet.run(30s);
+    fleet.wakeDeaf(4);
+    const auto dead = fleet.runUntil([&] { return fleet.healthOf(5, 4) == Health::Dead; }, 5s);
+    CHECK_MESSAGE(dead == 5s, "held dead after ", seconds(dead));
+    CHECK(fleet.healthOf(5, 4) == Health::Alive);
+}
+
 TEST_CASE("MembershipProtocol.FrozenOldProcessGivesWayToItsReplacement")
 {
     // Two processes of one name would take turns in the eyes of the rest: a host was frozen and
@@ -134,9 +172,28 @@
     }));
 }
 
+TEST_CASE("MembershipProtocol.AnswerOfAnotherDaemonAtTheAddressProvesNothing")
+{
+    // A dead host would be held alive because its address was given to another one.
+    units::ManualClock clock;
+    MembershipProtocol protocol(clock, {FakeFleet::id(0), "127.33.0.1", {}, 1}, {}, 1);
+    protocol.addSeed({FakeFleet::id(2), "127.33.0.2", {}, 1});
+    for (int i = 0; i < 40; ++i) {
+        for (const OutgoingMessage &outgoing : protocol.tick()) {
+            PeerMessage ack;
+            ack.kind = PeerMessageKind::Ack;
+            ack.from = {FakeFleet::id(4), "127.33.0.2", {}, 1};
+            ack.sequence = outgoing.message.sequence;
+            protocol.receive(ack);
+        }
+        clock.advance(50ms);
+    }
+    CHECK(protocol.find(FakeFleet::id(2))->health == Health::Suspected);
+}
+
 TEST_CASE("MembershipProtocol.RestartedDaemonIsTakenBackUnderTheSameAddress")
 {
-    FakeFleet fleet(5);
+    FakeFleet fleet(6);
     fleet.run(5s);
     fleet.protocol(2).leave();
     fleet.run(1s);
