--- a/include/monsoongrade/configuration/configuration.h
+++ b/include/monsoongrade/configuration/configuration.h
@@ -1,12 +1,14 @@
 #ifndef MONSOONGRADE_CONFIGURATION_CONFIGURATION_H
 #define MONSOONGRADE_CONFIGURATION_CONFIGURATION_H
 
+#include <monsoongrade/configuration/keyindex.h>
 #include <monsoongrade/scheduling/cellpolicy.h>
 #include <monsoongrade/units/ids.h>
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -67,7 +69,8 @@
     std::string headerValue;
     units::ClassName className;
     units::PoolName pool;
-    RunRule run = RunRule::Idempotent;
+    // Without it, engines may repeat a request and plain services may not.
+    std::optional<RunRule> run;
 };
 
 // The merged whole of all files, checked.
@@ -76,11 +79,16 @@
     units::Generation generation;
     std::map<units::ClassName, ClassConfig> classes;
     std::map<units::WorkspaceName, WorkspaceConfig> workspaces;
+    KeyIndex keys;
     std::map<units::PoolName, PoolConfig> pools;
     std::vector<RuleConfig> rules;
     std::size_t queueLimit = 10000;
     double guaranteedShare = 0.05;
+    // Hosts and endpoints that operators have taken out of service.
+    std::set<std::string> drained;
 
+    // True where the endpoint or its host is drained.
+    bool isDrained(const EndpointConfig &endpoint) const;
     const EndpointConfig *findEndpoint(const units::EndpointId &id) const;
     // The policy of the one cell that holds the whole pool.
     scheduling::CellPolicy cellPolicy(const units::PoolName &pool) const;
