--- a/src/configuration/configurationparser.cpp
+++ b/src/configuration/configurationparser.cpp
@@ -46,6 +46,8 @@
             readPool(item);
         for (MappingReader &item : reader.mappings("rules"))
             readRule(item);
+        for (const std::string &name : reader.texts("drained"))
+            configuration_.drained.insert(name);
         reader.finish();
     }
 
@@ -118,11 +120,19 @@
         item.finish();
         refer(item, "class", "default-class", config.defaultClass.value());
         for (const std::string &key : config.keys)
-            declare(item, "key", key);
+            addKey(item, key, config.name);
         if (declare(item, "workspace", config.name.value()))
             configuration_.workspaces.emplace(config.name, config);
     }
 
+    void addKey(MappingReader &item, const std::string &key, const units::WorkspaceName &workspace)
+    {
+        if (key.empty())
+            item.problem(ResultCode::OutOfRange, "keys", "a key must not be empty");
+        else if (declare(item, "key", key))
+            configuration_.keys.add(key, workspace);
+    }
+
     void readPool(MappingReader &item)
     {
         PoolConfig config;
@@ -168,9 +178,9 @@
         match.finish();
         config.className = units::ClassName(item.text("class"));
         config.pool = units::PoolName(item.text("pool"));
-        config.run = item.choice("run", {"idempotent", "at-most-once"}, 0) == 0
-            ? RunRule::Idempotent
-            : RunRule::AtMostOnce;
+        const bool mayRepeat = item.choice("run", {"idempotent", "at-most-once"}, 0) == 0;
+        if (item.has("run"))
+            config.run = mayRepeat ? RunRule::Idempotent : RunRule::AtMostOnce;
         item.finish();
         refer(match, "workspace", "workspace", config.workspace.value());
         refer(item, "class", "class", config.className.value());
