--- a/include/monsoongrade/scheduling/cellscheduler.h
+++ b/include/monsoongrade/scheduling/cellscheduler.h
@@ -13,6 +13,7 @@
 #include <monsoongrade/units/clock.h>
 
 #include <map>
+#include <memory>
 
 namespace monsoongrade::scheduling {
 
@@ -29,6 +30,9 @@
 {
 public:
     CellScheduler(const units::Clock &clock, DecisionSink &sink);
+    // With another way to guess lengths.
+    CellScheduler(const units::Clock &clock, DecisionSink &sink,
+                  std::unique_ptr<LengthEstimator> lengths);
 
     void configure(const CellPolicy &policy) override;
 
@@ -64,7 +68,6 @@
     };
     using Grants = std::map<units::GrantId, HeldGrant>;
 
-    void applyPolicy(WaitingAsk &waiting) const;
     bool isHopeless(const WaitingAsk &waiting) const;
     void grantWhilePossible();
     bool grantNext(std::vector<WaitingAsk> &setAside);
@@ -82,7 +85,7 @@
     CellPolicy policy_;
     WaitingQueue queue_;
     EndpointBook endpoints_;
-    LengthEstimator lengths_;
+    std::unique_ptr<LengthEstimator> lengths_;
     GuaranteedShare guaranteed_;
     DrainRate drain_;
     RetryPlanner retries_;
--- a/include/monsoongrade/scheduling/lengthestimator.h
+++ b/include/monsoongrade/scheduling/lengthestimator.h
@@ -18,7 +18,10 @@
 public:
     static constexpr std::size_t MostWorkspaces = 8192;
 
-    double estimate(const units::ClassName &className, const units::WorkspaceName &workspace) const;
+    virtual ~LengthEstimator() = default;
+
+    virtual double estimate(const units::ClassName &className,
+                            const units::WorkspaceName &workspace) const;
     // The mean over everything seen.
     double mean() const { return mean_; }
     void learn(const units::ClassName &className, const units::WorkspaceName &workspace,
--- a/include/monsoongrade/scheduling/waitingask.h
+++ b/include/monsoongrade/scheduling/waitingask.h
@@ -1,7 +1,7 @@
 #ifndef MONSOONGRADE_SCHEDULING_WAITINGASK_H
 #define MONSOONGRADE_SCHEDULING_WAITINGASK_H
 
-#include <monsoongrade/scheduling/classpolicy.h>
+#include <monsoongrade/scheduling/cellpolicy.h>
 #include <monsoongrade/scheduling/slotask.h>
 
 #include <cstdint>
@@ -22,6 +22,9 @@
     bool passedOver = false;
     // Order of arrival; given by the queue.
     std::uint64_t sequence = 0;
+
+    // Takes tier and times from the class's policy; expects "ask" and "arrived".
+    void applyPolicy(const CellPolicy &policy);
 };
 
 } // namespace monsoongrade::scheduling
--- a/src/scheduling/cellscheduler.cpp
+++ b/src/scheduling/cellscheduler.cpp
@@ -18,8 +18,15 @@
 } // namespace
 
 CellScheduler::CellScheduler(const units::Clock &clock, DecisionSink &sink)
+    : CellScheduler(clock, sink, std::make_unique<LengthEstimator>())
+{
+}
+
+CellScheduler::CellScheduler(const units::Clock &clock, DecisionSink &sink,
+                             std::unique_ptr<LengthEstimator> lengths)
     : clock_(clock)
     , sink_(sink)
+    , lengths_(std::move(lengths))
 {
 }
 
@@ -30,7 +37,7 @@
     queue_.setPolicy(policy);
     retries_.setSpreading(policy.spreadRetries);
     for (WaitingAsk &ask : waiting) {
-        applyPolicy(ask);
+        ask.applyPolicy(policy);
         queue_.push(std::move(ask));
     }
     endpoints_.setEndpoints(policy.endpoints);
@@ -46,7 +53,7 @@
     WaitingAsk waiting;
     waiting.ask = ask;
     waiting.arrived = clock_.now() - ask.waited;
-    applyPolicy(waiting);
+    waiting.applyPolicy(policy_);
     if (!endpoints_.hasFuture()) {
         refuse(waiting, units::ResultCode::NoEndpointAvailable);
         return;
@@ -76,7 +83,7 @@
     const double tokens = static_cast<double>(release.tokens.value());
     queue_.correct(held.ask.className, held.ask.workspace, tokens - held.estimate);
     if (release.outcome == ReleaseOutcome::Completed)
-        lengths_.learn(held.ask.className, held.ask.workspace, tokens);
+        lengths_->learn(held.ask.className, held.ask.workspace, tokens);
     const units::TimePoint now = clock_.now();
     endpoints_.learn(held.endpoint, release, now);
     drain_.count(now);
@@ -127,22 +134,6 @@
     expire();
 }
 
-void CellScheduler::applyPolicy(WaitingAsk &waiting) const
-{
-    ClassPolicy policy;
-    const auto found = policy_.classes.find(waiting.ask.className);
-    if (found != policy_.classes.end())
-        policy = found->second;
-    waiting.tier = policy_.tierOf(waiting.ask.className);
-    waiting.firstTokenDue = waiting.arrived + policy.firstTokenTarget;
-    waiting.late = policy.late;
-    if (waiting.passedOver)
-        return;
-    waiting.giveUpAt = waiting.arrived + policy.maxWait;
-    if (policy.late == LatePolicy::Drop)
-        waiting.giveUpAt = std::min(waiting.giveUpAt, waiting.firstTokenDue);
-}
-
 // True if so many asks of its own and higher tiers stand before it that its target can't be met.
 // Lower tiers don't count: they must not be the reason that a higher one is refused.
 bool CellScheduler::isHopeless(const WaitingAsk &waiting) const
@@ -209,7 +200,7 @@
 units::GrantId CellScheduler::hold(const SlotAsk &ask, const units::EndpointId &endpoint)
 {
     const units::GrantId id(nextGrant_++);
-    const double estimate = lengths_.estimate(ask.className, ask.workspace);
+    const double estimate = lengths_->estimate(ask.className, ask.workspace);
     endpoints_.begin(endpoint, ask.prefix, estimate, clock_.now());
     grants_.emplace(id, HeldGrant{ask, endpoint, estimate});
     byRequest_[{ask.router, ask.request}] = id;
@@ -260,7 +251,7 @@
 // in for it at the start of a burst; half, because that guess knows no prefill and no batching.
 double CellScheduler::drainPerSecond() const
 {
-    const double guess = endpoints_.tokensPerSecond() / lengths_.mean() / 2;
+    const double guess = endpoints_.tokensPerSecond() / lengths_->mean() / 2;
     return std::max({LeastDrainRate, drain_.perSecond(clock_.now()), guess});
 }
 
