--- /dev/null
+++ b/bench/slot-policies/main.cpp
@@ -0,0 +1,94 @@
+#include "report.h"
+#include "simulation.h"
+
+#include <CLI/CLI.hpp>
+
+#include <fstream>
+#include <iostream>
+
+namespace monsoongrade::bench {
+
+namespace {
+
+struct Arguments
+{
+    int seeds = 3;
+    std::string json;
+    std::string only;
+};
+
+// One line of the table: the same script for every seed.
+Line measure(const Site &site, const std::string &scriptName, PolicyKind kind, int routers,
+             const Arguments &arguments, double wrongLengths = 1)
+{
+    Line line{site.name, scriptName, policyName(kind), routers, {}};
+    for (int seed = 1; seed <= arguments.seeds; ++seed) {
+        const Script script = makeScript(scriptName, site, static_cast<std::uint64_t>(seed));
+        Fleet::Options options;
+        options.routers = routers;
+        options.seed = static_cast<std::uint64_t>(seed);
+        options.wrongLengths = wrongLengths;
+        line.results.push_back(Simulation(site, script, kind, options).run());
+    }
+    return line;
+}
+
+// The three policies on every script, at both sites.
+void comparePolicies(const Arguments &arguments, Report &report)
+{
+    for (const Site &site : {touchline(), tesfaye(), touchlinePortal(), tesfayeDesk()}) {
+        for (const std::string &name : scriptNames()) {
+            if (!arguments.only.empty() && arguments.only != name)
+                continue;
+            if (site.isService && name != "same-minute" && name != "killed")
+                continue;
+            for (const int routers : {6, 8}) {
+                for (const PolicyKind kind :
+                     {PolicyKind::FleetWide, PolicyKind::FixedShare, PolicyKind::TwoChoices})
+                    report.add(measure(site, name, kind, routers, arguments));
+            }
+        }
+    }
+}
+
+// The fleet-wide policy with one thing changed.
+void compareVariants(const Arguments &arguments, Report &report)
+{
+    Site site = touchline();
+    for (const double factor : {1.0, 4.0, 16.0}) {
+        Line line = measure(site, "one-class", PolicyKind::FleetWide, 6, arguments, factor);
+        line.policy = "lengths off by " + std::to_string(static_cast<int>(factor));
+        report.add(line);
+    }
+    site.policy.queueLimit = 100;
+    for (const bool spread : {true, false}) {
+        site.policy.spreadRetries = spread;
+        Line line = measure(site, "one-class", PolicyKind::FleetWide, 6, arguments);
+        line.policy = spread ? "queue 100, spread" : "queue 100, not spread";
+        report.add(line);
+    }
+}
+
+} // namespace
+
+} // namespace monsoongrade::bench
+
+int main(int argc, char **argv)
+{
+    using namespace monsoongrade::bench;
+    CLI::App app("Plays the same scripts with three policies for slots and compares them");
+    Arguments arguments;
+    app.add_option("--seeds", arguments.seeds, "runs a line, with seeds 1 to this")
+        ->check(CLI::Range(1, 100));
+    app.add_option("--script", arguments.only, "only this script");
+    app.add_option("--json", arguments.json, "also write every run to this file");
+    CLI11_PARSE(app, argc, argv);
+    Report report;
+    comparePolicies(arguments, report);
+    if (arguments.only.empty())
+        compareVariants(arguments, report);
+    report.print(std::cout);
+    if (!arguments.json.empty())
+        std::ofstream(arguments.json) << report.json();
+    return 0;
+}
