Endpoint calls: silence is counted from the last byte

Cause: libcurl's low-speed limit compares an average over its last seconds with one byte a second, so an engine that froze within an answer was noticed only seconds after the pool's silence timeout, or not at all if it woke before.

Each call now notes its last byte; calls are looked through every 50 ms. A pause of our own, for a slow reader, is not counted. Ruled out: a shorter low-speed time, whose least step is a second and which keeps the average.

--- a/src/endpoints/curlendpointclient.cpp
+++ b/src/endpoints/curlendpointclient.cpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <thread>
 #include <unordered_map>
+#include <vector>
 
 namespace monsoongrade::endpoints {
 
@@ -32,6 +33,8 @@
 };
 
 constexpr long IdleConnectionsKept = 256;
+// How often silent calls are looked for.
+constexpr auto SweepPeriod = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -40,6 +43,7 @@
 public:
     Loop()
         : timer_(io_)
+        , sweepTimer_(io_)
         , work_(asio::make_work_guard(io_))
         , multi_(curl_multi_init())
     {
@@ -48,6 +52,7 @@
         curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &Loop::onTimer);
         curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
         curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, IdleConnectionsKept);
+        sweepLater();
         thread_ = std::thread([this] { io_.run(); });
     }
 
@@ -84,6 +89,7 @@
             const auto call = calls_.find(id);
             if (call == calls_.end())
                 return;
+            call->second->resumed();
             curl_easy_pause(call->second->handle(), CURLPAUSE_CONT);
             // Unpaused data may already be in libcurl's buffer, where no socket event shows it.
             drive(CURL_SOCKET_TIMEOUT, 0);
@@ -164,6 +170,33 @@
             arm(socket, entry);
     }
 
+    void sweepLater()
+    {
+        sweepTimer_.expires_after(SweepPeriod);
+        sweepTimer_.async_wait([this](auto error) {
+            if (error)
+                return;
+            endSilentCalls();
+            sweepLater();
+        });
+    }
+
+    void endSilentCalls()
+    {
+        const units::TimePoint now = std::chrono::steady_clock::now();
+        std::vector<std::unique_ptr<CurlCall>> silent;
+        for (auto call = calls_.begin(); call != calls_.end();) {
+            const auto current = call++;
+            if (!current->second->isSilent(now))
+                continue;
+            curl_multi_remove_handle(multi_, current->second->handle());
+            silent.push_back(std::move(current->second));
+            calls_.erase(current);
+        }
+        for (const auto &call : silent)
+            call->finishSilent();
+    }
+
     void setTimer(long milliseconds)
     {
         timer_.cancel();
@@ -200,6 +233,7 @@
 
     asio::io_context io_{1};
     asio::steady_timer timer_;
+    asio::steady_timer sweepTimer_;
     asio::executor_work_guard<asio::io_context::executor_type> work_;
     CURLM *multi_;
     std::unordered_map<curl_socket_t, std::shared_ptr<WatchedSocket>> sockets_;
--- a/src/endpoints/internal/curlcall.cpp
+++ b/src/endpoints/internal/curlcall.cpp
@@ -13,11 +13,6 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
-long wholeSeconds(units::Duration duration)
-{
-    return std::max<long>(1, (milliseconds(duration) + 999) / 1000);
-}
-
 std::string lowerCase(std::string text)
 {
     std::transform(text.begin(), text.end(), text.begin(),
@@ -32,6 +27,7 @@
     , request_(std::move(request))
     , listener_(std::move(listener))
     , handle_(curl_easy_init())
+    , lastActivity_(std::chrono::steady_clock::now())
 {
     curl_easy_setopt(handle_, CURLOPT_URL, request_.url.c_str());
     curl_easy_setopt(handle_, CURLOPT_PROXY, "");
@@ -39,8 +35,6 @@
     curl_easy_setopt(handle_, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(handle_, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(handle_, CURLOPT_CONNECTTIMEOUT_MS, milliseconds(request_.connectTimeout));
-    curl_easy_setopt(handle_, CURLOPT_LOW_SPEED_LIMIT, 1L);
-    curl_easy_setopt(handle_, CURLOPT_LOW_SPEED_TIME, wholeSeconds(request_.silenceTimeout));
     curl_easy_setopt(handle_, CURLOPT_CUSTOMREQUEST, request_.method.c_str());
     if (!request_.body.empty() || request_.method == "POST" || request_.method == "PUT") {
         curl_easy_setopt(handle_, CURLOPT_POSTFIELDSIZE_LARGE,
@@ -78,6 +72,22 @@
     listener_->answerEnd(endFor(result));
 }
 
+bool CurlCall::isSilent(units::TimePoint now) const
+{
+    return !paused_ && now - lastActivity_ > request_.silenceTimeout;
+}
+
+void CurlCall::finishSilent()
+{
+    finish(CURLE_OPERATION_TIMEDOUT);
+}
+
+void CurlCall::resumed()
+{
+    paused_ = false;
+    lastActivity_ = std::chrono::steady_clock::now();
+}
+
 // libcurl calls this when a connection stands and before the first byte of a request leaves, so a
 // call for which it never ran sent nothing. Its byte count (CURLINFO_REQUEST_SIZE) isn't specified
 // as such a proof; were it 0 after bytes had left, the caller would be told "not run" of a request
@@ -93,16 +103,21 @@
 
 std::size_t CurlCall::onHeader(char *data, std::size_t size, std::size_t count, void *call)
 {
-    static_cast<CurlCall *>(call)->readHeaderLine({data, size * count});
+    auto *self = static_cast<CurlCall *>(call);
+    self->lastActivity_ = std::chrono::steady_clock::now();
+    self->readHeaderLine({data, size * count});
     return size * count;
 }
 
 std::size_t CurlCall::onBody(char *data, std::size_t size, std::size_t count, void *call)
 {
     auto *self = static_cast<CurlCall *>(call);
+    self->lastActivity_ = std::chrono::steady_clock::now();
     self->giveHead();
-    if (self->listener_->answerBody({data, size * count}) == FlowControl::Pause)
+    if (self->listener_->answerBody({data, size * count}) == FlowControl::Pause) {
+        self->paused_ = true;
         curl_easy_pause(self->handle_, CURLPAUSE_RECV);
+    }
     return size * count;
 }
 
--- a/src/endpoints/internal/curlcall.h
+++ b/src/endpoints/internal/curlcall.h
@@ -21,6 +21,14 @@
     // Tells the listener how the transfer ended.
     void finish(CURLcode result);
 
+    // True where the endpoint has sent nothing for the request's silence timeout, though it was
+    // read from. libcurl's own limit compares an average over several seconds and so notices a
+    // silence within an answer only long after.
+    bool isSilent(units::TimePoint now) const;
+    void finishSilent();
+    // Reading goes on after a pause; the pause was ours and is not counted as silence.
+    void resumed();
+
 private:
     static int onConnected(void *call, char *, char *, int, int);
     static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *call);
@@ -37,6 +45,8 @@
     Headers answerHeaders_;
     bool headGiven_ = false;
     bool mayHaveSent_ = false;
+    bool paused_ = false;
+    units::TimePoint lastActivity_;
 };
 
 } // namespace monsoongrade::endpoints::internal
--- a/tests/endpoints/curlendpointclient_test.cpp
+++ b/tests/endpoints/curlendpointclient_test.cpp
@@ -99,4 +99,21 @@
     CHECK(answer.headers == Headers{{"content-length", "2"}});
 }
 
+// The engine freezes within its answer and keeps the connection. The caller must learn of it
+// after the pool's silence timeout; libcurl's own limit took an average and let a freeze of
+// several seconds pass, so that the caller waited with no word.
+TEST_CASE("CurlEndpointClient.SilenceWithinAnAnswerEndsTheCall")
+{
+    const std::string begun = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf";
+    ScriptedServer server({{begun}});
+    server.keepOpenFor(std::chrono::seconds(4));
+    CurlEndpointClient client;
+    EndpointRequest request = post(server.url("/"), true);
+    request.silenceTimeout = std::chrono::milliseconds(200);
+    const WholeAnswer answer = callAndWait(client, request);
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "half");
+    CHECK(answer.end.code == ResultCode::EndpointSilent);
+}
+
 } // namespace monsoongrade::endpoints
--- a/tests/endpoints/scriptedserver.h
+++ b/tests/endpoints/scriptedserver.h
@@ -3,7 +3,10 @@
 
 #include <asio.hpp>
 
+#include <poll.h>
+
 #include <atomic>
+#include <chrono>
 #include <memory>
 #include <string>
 #include <thread>
@@ -46,6 +49,8 @@
     {
         return "http://127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()) + path;
     }
+    // Connections are closed this long after the last text, or when the client closes them.
+    void keepOpenFor(std::chrono::milliseconds time) { keepOpen_ = time; }
     // Requests that arrived whole.
     int requests() const { return requests_; }
 
@@ -60,6 +65,7 @@
             sockets_.push_back(socket);
             connections_.emplace_back([this, socket, number] {
                 serve(*socket, scripts_[std::min(number, scripts_.size() - 1)]);
+                waitForClient(*socket);
                 if (reset_)
                     socket->set_option(asio::socket_base::linger(true, 0));
                 socket->close();
@@ -81,12 +87,20 @@
         }
     }
 
+    void waitForClient(asio::ip::tcp::socket &socket) const
+    {
+        pollfd client{socket.native_handle(), POLLIN | POLLRDHUP, 0};
+        if (keepOpen_.load().count() > 0)
+            poll(&client, 1, static_cast<int>(keepOpen_.load().count()));
+    }
+
     std::vector<Script> scripts_;
     const bool reset_;
     asio::io_context io_;
     asio::ip::tcp::acceptor acceptor_;
     std::atomic<int> requests_{0};
     std::atomic<bool> stopping_{false};
+    std::atomic<std::chrono::milliseconds> keepOpen_{std::chrono::milliseconds(0)};
     std::vector<std::shared_ptr<asio::ip::tcp::socket>> sockets_;
     std::vector<std::thread> connections_;
     std::thread thread_;
