--- a/include/monsoongrade/configuration/mappingreader.h
+++ b/include/monsoongrade/configuration/mappingreader.h
@@ -2,6 +2,7 @@
 #define MONSOONGRADE_CONFIGURATION_MAPPINGREADER_H
 
 #include <monsoongrade/configuration/problem.h>
+#include <monsoongrade/configuration/sourcefile.h>
 #include <monsoongrade/units/clock.h>
 
 #include <yaml-cpp/yaml.h>
@@ -19,6 +20,10 @@
 class MappingReader
 {
 public:
+    // Parses a file whose top is one mapping. A text that is no YAML is noted as a problem and
+    // read as an empty mapping.
+    static MappingReader ofFile(const SourceFile &file, Problems &problems);
+
     MappingReader(std::string file, const YAML::Node &node, Problems &problems);
 
     bool has(const std::string &key) const;
--- a/include/monsoongrade/daemon/commandline.h
+++ b/include/monsoongrade/daemon/commandline.h
@@ -3,6 +3,7 @@
 
 #include <monsoongrade/configuration/daemonsettings.h>
 
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -24,6 +25,11 @@
 CommandLine readCommandLine(const std::string &program, const std::string &purpose, int argc,
                             char **argv);
 
+// The whole of a daemon's main: reads the command line, starts logging, blocks the stop signals
+// and runs it with its settings. Returns the exit code; a fault is printed.
+int runDaemon(const std::string &program, const std::string &purpose, int argc, char **argv,
+              const std::function<int(const configuration::DaemonSettings &)> &run);
+
 } // namespace monsoongrade::daemon
 
 #endif // MONSOONGRADE_DAEMON_COMMANDLINE_H
--- a/programs/monsoongrade-router/main.cpp
+++ b/programs/monsoongrade-router/main.cpp
@@ -4,7 +4,6 @@
 #include <monsoongrade/daemon/commandline.h>
 #include <monsoongrade/daemon/daemonid.h>
 #include <monsoongrade/daemon/entrypoints.h>
-#include <monsoongrade/daemon/loglevels.h>
 #include <monsoongrade/daemon/operatorservice.h>
 #include <monsoongrade/daemon/statuspage.h>
 #include <monsoongrade/daemon/stopsignal.h>
@@ -19,7 +18,6 @@
 #include <monsoongrade/units/steadyclock.h>
 
 #include <atomic>
-#include <iostream>
 #include <thread>
 
 namespace {
@@ -125,18 +123,7 @@
 
 int main(int argc, char **argv)
 {
-    const auto commandLine = monsoongrade::daemon::readCommandLine(
+    return monsoongrade::daemon::runDaemon(
         "monsoongrade-router", "Takes callers' requests and relays the answers of endpoints.", argc,
-        argv);
-    if (!commandLine.settings)
-        return commandLine.exitCode;
-    monsoongrade::daemon::blockStopSignals();
-    monsoongrade::observability::startLogging(
-        monsoongrade::daemon::logLevelFor(commandLine.settings->logLevel));
-    try {
-        return run(*commandLine.settings);
-    } catch (const std::exception &error) {
-        std::cerr << "monsoongrade-router: " << error.what() << "\n";
-        return monsoongrade::daemon::ExitFailed;
-    }
+        argv, run);
 }
--- a/programs/monsoongrade-scheduler/main.cpp
+++ b/programs/monsoongrade-scheduler/main.cpp
@@ -3,7 +3,6 @@
 #include <monsoongrade/configuration/configurationwatcher.h>
 #include <monsoongrade/daemon/commandline.h>
 #include <monsoongrade/daemon/daemonid.h>
-#include <monsoongrade/daemon/loglevels.h>
 #include <monsoongrade/daemon/stopsignal.h>
 #include <monsoongrade/endpoints/curlendpointclient.h>
 #include <monsoongrade/membership/fleetwatcher.h>
@@ -12,7 +11,6 @@
 #include <monsoongrade/rpc/schedulerserver.h>
 #include <monsoongrade/units/steadyclock.h>
 
-#include <iostream>
 #include <thread>
 
 namespace {
@@ -75,18 +73,7 @@
 
 int main(int argc, char **argv)
 {
-    const auto commandLine = monsoongrade::daemon::readCommandLine(
+    return monsoongrade::daemon::runDaemon(
         "monsoongrade-scheduler", "Grants places on endpoints to all routers of the cluster.", argc,
-        argv);
-    if (!commandLine.settings)
-        return commandLine.exitCode;
-    monsoongrade::daemon::blockStopSignals();
-    monsoongrade::observability::startLogging(
-        monsoongrade::daemon::logLevelFor(commandLine.settings->logLevel));
-    try {
-        return run(*commandLine.settings);
-    } catch (const std::exception &error) {
-        std::cerr << "monsoongrade-scheduler: " << error.what() << "\n";
-        return monsoongrade::daemon::ExitFailed;
-    }
+        argv, run);
 }
--- a/src/configuration/configurationparser.cpp
+++ b/src/configuration/configurationparser.cpp
@@ -28,15 +28,7 @@
 
     void merge(const SourceFile &file)
     {
-        YAML::Node root;
-        try {
-            root = YAML::Load(file.text);
-        } catch (const YAML::Exception &error) {
-            parsed_.problems.push_back(
-                {ResultCode::NotYaml, file.name, error.mark.line + 1, {}, error.msg});
-            return;
-        }
-        MappingReader reader(file.name, root, parsed_.problems);
+        MappingReader reader = MappingReader::ofFile(file, parsed_.problems);
         readScheduling(reader);
         for (MappingReader &item : reader.mappings("classes"))
             readClass(item);
--- a/src/configuration/daemonsettings.cpp
+++ b/src/configuration/daemonsettings.cpp
@@ -16,15 +16,7 @@
 DaemonSettings parseDaemonSettings(const SourceFile &file, Problems &problems)
 {
     DaemonSettings settings;
-    YAML::Node root;
-    try {
-        root = YAML::Load(file.text);
-    } catch (const YAML::Exception &error) {
-        problems.push_back(
-            {units::ResultCode::NotYaml, file.name, error.mark.line + 1, {}, error.msg});
-        return settings;
-    }
-    MappingReader reader(file.name, root, problems);
+    MappingReader reader = MappingReader::ofFile(file, problems);
     settings.cluster = units::ClusterName(reader.requiredText("cluster"));
     settings.host = units::HostName(reader.requiredText("host"));
     settings.address = reader.requiredText("address");
--- a/src/configuration/mappingreader.cpp
+++ b/src/configuration/mappingreader.cpp
@@ -45,6 +45,17 @@
 
 } // namespace
 
+MappingReader MappingReader::ofFile(const SourceFile &file, Problems &problems)
+{
+    YAML::Node root;
+    try {
+        root = YAML::Load(file.text);
+    } catch (const YAML::Exception &error) {
+        problems.push_back({ResultCode::NotYaml, file.name, error.mark.line + 1, {}, error.msg});
+    }
+    return {file.name, root, problems};
+}
+
 MappingReader::MappingReader(std::string file, const YAML::Node &node, Problems &problems)
     : file_(std::move(file))
     , node_(node)
--- a/src/daemon/commandline.cpp
+++ b/src/daemon/commandline.cpp
@@ -1,6 +1,8 @@
 #include <monsoongrade/daemon/commandline.h>
 
 #include <monsoongrade/configuration/folder.h>
+#include <monsoongrade/daemon/loglevels.h>
+#include <monsoongrade/daemon/stopsignal.h>
 
 #include <CLI/CLI.hpp>
 
@@ -54,4 +56,20 @@
     return {settings, ExitOk};
 }
 
+int runDaemon(const std::string &program, const std::string &purpose, int argc, char **argv,
+              const std::function<int(const configuration::DaemonSettings &)> &run)
+{
+    const CommandLine commandLine = readCommandLine(program, purpose, argc, argv);
+    if (!commandLine.settings)
+        return commandLine.exitCode;
+    blockStopSignals();
+    observability::startLogging(logLevelFor(commandLine.settings->logLevel));
+    try {
+        return run(*commandLine.settings);
+    } catch (const std::exception &error) {
+        std::cerr << program << ": " << error.what() << "\n";
+        return ExitFailed;
+    }
+}
+
 } // namespace monsoongrade::daemon
--- a/src/load/loadscript.cpp
+++ b/src/load/loadscript.cpp
@@ -46,15 +46,7 @@
 LoadScript parseLoadScript(const configuration::SourceFile &file, configuration::Problems &problems)
 {
     LoadScript script;
-    YAML::Node root;
-    try {
-        root = YAML::Load(file.text);
-    } catch (const YAML::Exception &error) {
-        problems.push_back(
-            {units::ResultCode::NotYaml, file.name, error.mark.line + 1, {}, error.msg});
-        return script;
-    }
-    MappingReader reader(file.name, root, problems);
+    MappingReader reader = MappingReader::ofFile(file, problems);
     script.seed = static_cast<std::uint64_t>(reader.integer("seed", 1, 0, INT64_MAX));
     script.entry = reader.texts("entry");
     script.engines = reader.texts("engines");
