--- a/include/monsoongrade/configuration/mappingreader.h
+++ b/include/monsoongrade/configuration/mappingreader.h
@@ -8,6 +8,7 @@
 #include <yaml-cpp/yaml.h>
 
 #include <limits>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -20,9 +21,9 @@
 class MappingReader
 {
 public:
-    // Parses a file whose top is one mapping. A text that is no YAML is noted as a problem and
-    // read as an empty mapping.
-    static MappingReader ofFile(const SourceFile &file, Problems &problems);
+    // Parses a file whose top is one mapping. Nothing, and a problem noted, where the text is no
+    // YAML.
+    static std::optional<MappingReader> ofFile(const SourceFile &file, Problems &problems);
 
     MappingReader(std::string file, const YAML::Node &node, Problems &problems);
 
--- a/src/configuration/configurationparser.cpp
+++ b/src/configuration/configurationparser.cpp
@@ -28,7 +28,10 @@
 
     void merge(const SourceFile &file)
     {
-        MappingReader reader = MappingReader::ofFile(file, parsed_.problems);
+        auto top = MappingReader::ofFile(file, parsed_.problems);
+        if (!top)
+            return;
+        MappingReader &reader = *top;
         readScheduling(reader);
         for (MappingReader &item : reader.mappings("classes"))
             readClass(item);
--- a/src/configuration/daemonsettings.cpp
+++ b/src/configuration/daemonsettings.cpp
@@ -16,7 +16,10 @@
 DaemonSettings parseDaemonSettings(const SourceFile &file, Problems &problems)
 {
     DaemonSettings settings;
-    MappingReader reader = MappingReader::ofFile(file, problems);
+    auto top = MappingReader::ofFile(file, problems);
+    if (!top)
+        return settings;
+    MappingReader &reader = *top;
     settings.cluster = units::ClusterName(reader.requiredText("cluster"));
     settings.host = units::HostName(reader.requiredText("host"));
     settings.address = reader.requiredText("address");
--- a/src/configuration/mappingreader.cpp
+++ b/src/configuration/mappingreader.cpp
@@ -45,15 +45,14 @@
 
 } // namespace
 
-MappingReader MappingReader::ofFile(const SourceFile &file, Problems &problems)
+std::optional<MappingReader> MappingReader::ofFile(const SourceFile &file, Problems &problems)
 {
-    YAML::Node root;
     try {
-        root = YAML::Load(file.text);
+        return MappingReader(file.name, YAML::Load(file.text), problems);
     } catch (const YAML::Exception &error) {
         problems.push_back({ResultCode::NotYaml, file.name, error.mark.line + 1, {}, error.msg});
+        return std::nullopt;
     }
-    return {file.name, root, problems};
 }
 
 MappingReader::MappingReader(std::string file, const YAML::Node &node, Problems &problems)
--- a/src/load/loadscript.cpp
+++ b/src/load/loadscript.cpp
@@ -46,7 +46,10 @@
 LoadScript parseLoadScript(const configuration::SourceFile &file, configuration::Problems &problems)
 {
     LoadScript script;
-    MappingReader reader = MappingReader::ofFile(file, problems);
+    auto top = MappingReader::ofFile(file, problems);
+    if (!top)
+        return script;
+    MappingReader &reader = *top;
     script.seed = static_cast<std::uint64_t>(reader.integer("seed", 1, 0, INT64_MAX));
     script.entry = reader.texts("entry");
     script.engines = reader.texts("engines");
--- a/tests/configuration/configurationparser_test.cpp
+++ b/tests/configuration/configurationparser_test.cpp
@@ -46,8 +46,9 @@
 TEST_CASE("ConfigurationParser.BrokenYamlIsAProblemWithALine")
 {
     const auto parsed = parseConfiguration({{"a.yaml", "classes:\n  - {name: x\n"}});
-    REQUIRE_FALSE(parsed.isValid());
+    REQUIRE(parsed.problems.size() == 1);
     CHECK(parsed.problems[0].code == ResultCode::NotYaml);
+    CHECK(parsed.problems[0].line > 0);
 }
 
 } // namespace monsoongrade::configuration
