Scheduling: serve those still in time before those already late

In an overload of the highest tier alone the order of arrival made nearly everybody late, each by a little. Within a workspace the asks whose target has passed now go behind the others; they are still served, or refused at the end of their longest wait, as their class says.

The new test fails without the change (seen on the former commit's order: the late one is granted first).

--- a/include/monsoongrade/scheduling/waitingqueue.h
+++ b/include/monsoongrade/scheduling/waitingqueue.h
@@ -16,7 +16,8 @@
 
 // The asks that wait for a slot. Order: tiers strictly; within a tier first those that were
 // passed over, then weighted fair by class, then by workspace, by tokens; within a workspace by
-// deadline. Each operation costs O(log n) in the number waiting; tiers are few.
+// deadline, those still in time first. Each operation costs O(log n) in the number waiting; tiers
+// are few.
 class WaitingQueue
 {
 public:
@@ -36,8 +37,10 @@
     std::vector<WaitingAsk> takeAll();
     std::vector<WaitingAsk> takeAll(const units::DaemonId &router);
 
-    // The next ask in order within the given tier; null if the tier has none.
-    const WaitingAsk *first(units::Tier tier) const;
+    // The next ask in order within the given tier; null if the tier has none. Those whose target
+    // has passed go behind the others of their workspace: serving in order of arrival under a
+    // lasting overload would make everybody late, each by a little.
+    const WaitingAsk *first(units::Tier tier, units::TimePoint now) const;
     // The ask to shed if more wait than have a place, else null: of the lowest tier that has
     // more than its reserved places, of the class and workspace with the most waiting for their
     // weight, the one with the latest deadline.
--- a/src/scheduling/cellscheduler.cpp
+++ b/src/scheduling/cellscheduler.cpp
@@ -164,7 +164,7 @@
 {
     const std::vector<units::Tier> backlogged = queue_.backloggedTiers();
     const units::Tier tier = nextTier(backlogged);
-    const WaitingAsk *next = queue_.first(tier);
+    const WaitingAsk *next = queue_.first(tier, clock_.now());
     const std::optional<units::EndpointId> endpoint = endpoints_.choose(next->ask, clock_.now());
     if (!endpoint) {
         setAside.push_back(*queue_.take(next->ask.request));
@@ -173,7 +173,7 @@
     const WaitingAsk taken = *queue_.take(next->ask.request);
     units::RequestId passedOver;
     if (tier != backlogged.front()) {
-        const WaitingAsk &ask = *queue_.first(backlogged.front());
+        const WaitingAsk &ask = *queue_.first(backlogged.front(), clock_.now());
         passedOver = ask.ask.request;
         const auto policy = policy_.classes.find(ask.ask.className);
         const units::Duration limit
--- a/src/scheduling/twochoicespolicy.cpp
+++ b/src/scheduling/twochoicespolicy.cpp
@@ -121,7 +121,7 @@
         const std::optional<units::EndpointId> endpoint = choose();
         if (!endpoint)
             return;
-        const WaitingAsk *next = queue_.first(queue_.backloggedTiers().front());
+        const WaitingAsk *next = queue_.first(queue_.backloggedTiers().front(), clock_.now());
         const WaitingAsk taken = *queue_.take(next->ask.request);
         const units::GrantId id(nextGrant_++);
         ++loads_[*endpoint].own;
--- a/src/scheduling/waitingqueue.cpp
+++ b/src/scheduling/waitingqueue.cpp
@@ -85,7 +85,7 @@
     return taken;
 }
 
-const WaitingAsk *WaitingQueue::first(units::Tier tier) const
+const WaitingAsk *WaitingQueue::first(units::Tier tier, units::TimePoint now) const
 {
     const auto found = tiers_.find(tier);
     if (found == tiers_.end() || found->second.size() == 0)
@@ -94,7 +94,8 @@
         return &asks_.at(*found->second.passedOver.begin());
     const ClassQueue &classQueue = found->second.waiting.at(found->second.classes.first());
     const DeadlineOrder &order = classQueue.waiting.at(classQueue.workspaces.first());
-    return &asks_.at(order.begin()->second);
+    const auto inTime = order.lower_bound({now, 0});
+    return &asks_.at((inTime == order.end() ? order.begin() : inTime)->second);
 }
 
 const WaitingAsk *WaitingQueue::toShed() const
--- a/tests/scheduling/cellscheduler_test.cpp
+++ b/tests/scheduling/cellscheduler_test.cpp
@@ -120,6 +120,22 @@
     CHECK(scheduler.waiting() == 1);
 }
 
+// Both wait, and the first one's target has just passed: served first it would still be late, and
+// the second one soon as well.
+TEST_CASE_FIXTURE(Fixture, "CellScheduler.ServesThoseInTimeBeforeThoseAlreadyLate")
+{
+    ask("running", "high");
+    ask("late", "high");
+    clock.advance(std::chrono::seconds(6));
+    ask("in time", "high");
+    releaseLast();
+    REQUIRE(sink.grants.size() == 2);
+    CHECK(sink.grants[1].request == RequestId("in time"));
+    releaseLast();
+    REQUIRE(sink.grants.size() == 3);
+    CHECK(sink.grants[2].request == RequestId("late"));
+}
+
 // Far more of its own tier wait than can be served within the target: refused at once.
 TEST_CASE_FIXTURE(Fixture, "CellScheduler.RefusesAHopelessDeadlineOnArrival")
 {
