Scheduling: count the time to the first token when judging who is still in time

Serving an ask at the last moment before its target made it late by the endpoint's own time to the first token, and the next one behind it too. Half a second is allowed for it.

--- a/src/scheduling/waitingqueue.cpp
+++ b/src/scheduling/waitingqueue.cpp
@@ -4,6 +4,14 @@
 
 namespace monsoongrade::scheduling {
 
+namespace {
+
+// An ask granted in the last moment before its target is late all the same: the endpoint needs
+// this long for the first token.
+constexpr auto FirstTokenAllowance = std::chrono::milliseconds(500);
+
+} // namespace
+
 void WaitingQueue::setPolicy(const CellPolicy &policy)
 {
     policy_ = policy;
@@ -94,7 +102,7 @@
         return &asks_.at(*found->second.passedOver.begin());
     const ClassQueue &classQueue = found->second.waiting.at(found->second.classes.first());
     const DeadlineOrder &order = classQueue.waiting.at(classQueue.workspaces.first());
-    const auto inTime = order.lower_bound({now, 0});
+    const auto inTime = order.lower_bound({now + FirstTokenAllowance, 0});
     return &asks_.at((inTime == order.end() ? order.begin() : inTime)->second);
 }
 
