Scheduling: count the guaranteed share in tokens, not in grants

The share is now one of tokens, by estimate.

The lowest tier pays for it under an overload of the highest: it gets its 2.5% of the tokens and no more.

The state test guesses one length for all, so that it counts the share as strictly as before. LongAnswersOfLowerTiersTakeTheirShareOfTokensOnly fails with grants counted (396040 tokens for the lower tiers where 54884 are theirs) and passes with tokens.

--- a/include/monsoongrade/scheduling/cellpolicy.h
+++ b/include/monsoongrade/scheduling/cellpolicy.h
@@ -23,8 +23,8 @@
     std::map<units::WorkspaceName, double> workspaceWeights;
     std::vector<EndpointPolicy> endpoints;
     std::size_t queueLimit = 10000;
-    // Share of the grants, and of the queue's places, kept for backlogged lower tiers, so that
-    // none of them starves.
+    // Share of the tokens granted, and of the queue's places, kept for backlogged lower tiers, so
+    // that none of them starves.
     double guaranteedShare = 0.05;
     // Off only to measure what spreading the refused over time is worth.
     bool spreadRetries = true;
--- a/include/monsoongrade/scheduling/cellscheduler.h
+++ b/include/monsoongrade/scheduling/cellscheduler.h
@@ -76,7 +76,8 @@
     bool isHopeless(const WaitingAsk &waiting) const;
     void grantWhilePossible();
     bool grantNext(std::vector<WaitingAsk> &setAside);
-    units::Tier nextTier(const std::vector<units::Tier> &backlogged) const;
+    std::vector<GuaranteedShare::Backlogged> backloggedTiers() const;
+    units::Tier nextTier(const std::vector<GuaranteedShare::Backlogged> &backlogged) const;
     units::GrantId hold(const SlotAsk &ask, const units::EndpointId &endpoint);
     void expire();
     void shed(units::Tier arrived);
--- a/include/monsoongrade/scheduling/guaranteedshare.h
+++ b/include/monsoongrade/scheduling/guaranteedshare.h
@@ -9,29 +9,40 @@
 
 namespace monsoongrade::scheduling {
 
-// Keeps a share of the grants for backlogged lower tiers. Without it a steady overload of the
-// highest tier would leave the others waiting for ever. Each grant earns every lower backlogged
-// tier share / (number of them) of a grant; a tier that has earned a whole one goes next.
+// Keeps a share of the tokens for backlogged lower tiers. Without it a steady overload of the
+// highest tier would leave the others waiting for ever. The tokens of each grant earn every
+// lower backlogged tier share / (number of them) of as many; a tier that has earned the tokens
+// of its next ask goes next. Tokens and not grants, since one long answer of the lowest tier
+// takes as much as ten short ones.
 //
-// Bound: with L lower tiers a backlogged one is granted at least once in
-// ceil(L / share) + 2 L grants. It earns a whole grant in the first term; then each of the other
-// L - 1 may go before it, each followed by the one ask that it passed over. Together the lower
-// tiers get at most one grant in 1 / share over the time, plus L kept ones.
+// Bound: with L lower tiers, and a next ask of c tokens, a backlogged tier is granted before
+// the others together have got c * L / share tokens and 2 L grants more. It has earned its c
+// tokens in the first term; then each of the other L - 1 may go before it, each followed by the
+// one ask that it passed over, and one grant may overshoot. For asks of equal length that is
+// ceil(L / share) + 2 L grants. Together the lower tiers get at most the share of the tokens
+// over the time, plus what they keep: two asks' worth each.
 class GuaranteedShare
 {
 public:
-    // The largest number of grants between two of a backlogged lower tier; 0 if share is 0,
-    // which keeps nothing for anybody.
+    // A backlogged tier and the tokens of its next ask.
+    struct Backlogged
+    {
+        units::Tier tier;
+        double tokens = 0;
+    };
+
+    // The largest number of grants between two of a backlogged lower tier if all asks have the
+    // same length; 0 if the share is 0, which keeps nothing for anybody.
     static int bound(double share, int lowerTiers);
 
     // The lower tier whose turn it is; nothing if none has earned a grant. Takes the backlogged
     // tiers, highest first.
-    std::optional<units::Tier> due(const std::vector<units::Tier> &backlogged) const;
+    std::optional<units::Tier> due(const std::vector<Backlogged> &backlogged) const;
 
-    // Counts a grant made while these tiers were backlogged, highest first.
-    void granted(const std::vector<units::Tier> &backlogged, double share);
-    // Takes back the whole grant that a tier has used.
-    void spent(units::Tier tier) { credit_[tier] -= 1; }
+    // Books a grant of so many tokens made while these were backlogged, highest first.
+    void granted(const std::vector<Backlogged> &backlogged, double tokens, double share);
+    // Takes back the tokens of a guaranteed grant.
+    void spent(units::Tier tier, double tokens) { credit_[tier] -= tokens; }
 
 private:
     std::map<units::Tier, double> credit_;
--- a/src/scheduling/cellscheduler.cpp
+++ b/src/scheduling/cellscheduler.cpp
@@ -164,7 +164,7 @@
 // slot which it does not want doesn't stay idle.
 bool CellScheduler::grantNext(std::vector<WaitingAsk> &setAside)
 {
-    const std::vector<units::Tier> backlogged = queue_.backloggedTiers();
+    const std::vector<GuaranteedShare::Backlogged> backlogged = backloggedTiers();
     const units::Tier tier = nextTier(backlogged);
     const WaitingAsk *next = queue_.first(tier, clock_.now());
     const std::optional<units::EndpointId> endpoint = endpoints_.choose(next->ask, clock_.now());
@@ -174,29 +174,43 @@
     }
     const WaitingAsk taken = *queue_.take(next->ask.request);
     units::RequestId passedOver;
-    if (tier != backlogged.front()) {
-        const WaitingAsk &ask = *queue_.first(backlogged.front(), clock_.now());
+    const units::GrantId id = hold(taken.ask, *endpoint);
+    const double tokens = grants_.at(id).estimate;
+    const units::Tier highest = backlogged.front().tier;
+    if (tier != highest) {
+        const WaitingAsk &ask = *queue_.first(highest, clock_.now());
         passedOver = ask.ask.request;
         const auto policy = policy_.classes.find(ask.ask.className);
         const units::Duration limit
             = policy == policy_.classes.end() ? ClassPolicy().maxWait : policy->second.maxWait;
         queue_.markPassedOver(passedOver, clock_.now() + limit);
-        guaranteed_.spent(tier);
+        guaranteed_.spent(tier, tokens);
     }
-    guaranteed_.granted(backlogged, policy_.guaranteedShare);
-    const units::GrantId id = hold(taken.ask, *endpoint);
-    queue_.serve(taken.ask.className, taken.ask.workspace, grants_.at(id).estimate);
+    guaranteed_.granted(backlogged, tokens, policy_.guaranteedShare);
+    queue_.serve(taken.ask.className, taken.ask.workspace, tokens);
     sink_.granted({id, taken.ask.request, taken.ask.router, *endpoint, passedOver});
     return true;
 }
 
+std::vector<GuaranteedShare::Backlogged> CellScheduler::backloggedTiers() const
+{
+    std::vector<GuaranteedShare::Backlogged> backlogged;
+    for (const units::Tier tier : queue_.backloggedTiers()) {
+        const SlotAsk &next = queue_.first(tier, clock_.now())->ask;
+        backlogged.push_back({tier, lengths_->estimate(next.className, next.workspace)});
+    }
+    return backlogged;
+}
+
 // An ask that was passed over goes before the next guaranteed grant; else two of these in a row
 // could pass over the same one, and its wait would have no bound.
-units::Tier CellScheduler::nextTier(const std::vector<units::Tier> &backlogged) const
+units::Tier
+CellScheduler::nextTier(const std::vector<GuaranteedShare::Backlogged> &backlogged) const
 {
-    if (queue_.hasPassedOver(backlogged.front()))
-        return backlogged.front();
-    return guaranteed_.due(backlogged).value_or(backlogged.front());
+    const units::Tier highest = backlogged.front().tier;
+    if (queue_.hasPassedOver(highest))
+        return highest;
+    return guaranteed_.due(backlogged).value_or(highest);
 }
 
 units::GrantId CellScheduler::hold(const SlotAsk &ask, const units::EndpointId &endpoint)
--- a/src/scheduling/guaranteedshare.cpp
+++ b/src/scheduling/guaranteedshare.cpp
@@ -9,7 +9,7 @@
 
 // A tier keeps what it earned while it had to wait for another one's turn, but no more: it must
 // not save up for a burst of its own. The slack absorbs rounding of the sums.
-constexpr double MostCredit = 2;
+constexpr double MostAsksKept = 2;
 constexpr double Whole = 1 - 1e-9;
 
 } // namespace
@@ -21,27 +21,30 @@
     return static_cast<int>(std::ceil(lowerTiers / share)) + 2 * lowerTiers;
 }
 
-std::optional<units::Tier> GuaranteedShare::due(const std::vector<units::Tier> &backlogged) const
+std::optional<units::Tier> GuaranteedShare::due(const std::vector<Backlogged> &backlogged) const
 {
     std::optional<units::Tier> best;
     double most = Whole;
     for (std::size_t i = 1; i < backlogged.size(); ++i) {
-        const auto found = credit_.find(backlogged[i]);
-        if (found == credit_.end() || found->second < most || (best && found->second == most))
+        const auto found = credit_.find(backlogged[i].tier);
+        const double asks = found == credit_.end() ? 0 : found->second / backlogged[i].tokens;
+        if (asks < most || (best && asks == most))
             continue;
-        best = backlogged[i];
-        most = found->second;
+        best = backlogged[i].tier;
+        most = asks;
     }
     return best;
 }
 
-void GuaranteedShare::granted(const std::vector<units::Tier> &backlogged, double share)
+void GuaranteedShare::granted(const std::vector<Backlogged> &backlogged, double tokens,
+                              double share)
 {
-    const double each
-        = backlogged.size() < 2 ? 0 : share / static_cast<double>(backlogged.size() - 1);
+    if (backlogged.size() < 2)
+        return;
+    const double each = tokens * share / static_cast<double>(backlogged.size() - 1);
     for (std::size_t i = 1; i < backlogged.size(); ++i) {
-        double &credit = credit_[backlogged[i]];
-        credit = std::min(MostCredit, credit + each);
+        double &credit = credit_[backlogged[i].tier];
+        credit = std::min(MostAsksKept * backlogged[i].tokens, credit + each);
     }
 }
 
