--- a/include/monsoongrade/load/answerchecker.h
+++ b/include/monsoongrade/load/answerchecker.h
@@ -20,8 +20,11 @@
     // After the last byte.
     AnswerVerdict verdict();
     std::int64_t tokens() const { return tokens_; }
+    // Of all that was read, so that two answers can be compared.
+    std::size_t contentHash() const { return hash_; }
     int errorCode() const { return errorCode_; }
     const std::string &errorReason() const { return errorReason_; }
+    const std::string &errorRunState() const { return errorRunState_; }
 
 private:
     void readLine(const std::string &line);
@@ -34,8 +37,10 @@
     std::int64_t tokens_ = 0;
     bool mixed_ = false;
     bool closed_ = false;
+    std::size_t hash_ = 0;
     int errorCode_ = 0;
     std::string errorReason_;
+    std::string errorRunState_;
 };
 
 } // namespace monsoongrade::load
--- a/include/monsoongrade/load/loadresult.h
+++ b/include/monsoongrade/load/loadresult.h
@@ -17,6 +17,10 @@
     // Another caller's bytes, or bytes missing without an error: a broken promise.
     Mixed,
     CutShort,
+    // Answers to one idempotency key differ: a broken promise.
+    Unequal,
+    // The caller left of its own will.
+    Left,
     // No end within the script's limit.
     Lost,
 };
@@ -31,6 +35,15 @@
     // Numbered code of the last refusal or error; 0 where there was none.
     int code = 0;
     std::string reason;
+    // What the refusal said: "not-run", "unknown", "partial", or nothing.
+    std::string runState;
+    std::string requestId;
+    std::string idempotencyKey;
+    // Of the answer's content; equal for equal answers.
+    std::size_t answerHash = 0;
+    // Where a refusal said when to come back.
+    bool retryAfterGiven = false;
+    std::string address;
     // Since the start of the run.
     units::Duration sentAt{};
     // Since the request was first sent, come-backs included.
--- a/include/monsoongrade/standins/fakeengine.h
+++ b/include/monsoongrade/standins/fakeengine.h
@@ -3,7 +3,9 @@
 
 #include <monsoongrade/http/httpresponder.h>
 
+#include <functional>
 #include <memory>
+#include <string>
 
 namespace monsoongrade::standins {
 
@@ -17,19 +19,33 @@
     // Time to read one byte of a prompt that is not cached, in microseconds.
     double prefillMicrosPerByte = 20;
     std::size_t cachedPrefixes = 32;
+    // Continues an answer after the number of events that the header resume-offset gives. Without
+    // it the header is not understood, as on an engine that doesn't know it.
+    bool canResume = false;
+    // How many request ids and keys /runs remembers.
+    std::size_t mostRunsKept = 100000;
+    // Each run's begin and end is appended here; empty is no file.
+    std::string journalPath;
+    // Called after a crash has broken all streams; may end the process.
+    std::function<void()> onCrash;
 };
 
 // Stands in for a model engine and for a plain service.
 //
-//   POST /v1/chat/completions, /v1/completions   metadata.answer_tokens gives the length
-//   POST any other path   a plain service's call; counted as a run, answered at once
-//   GET  /load            running, waiting, tokens per second, draining
-//   GET  /runs            per request id and idempotency key: begun, ended, cancelled
-//   PUT  /admin/switches  {"slow":factor,"freeze":bool,"crash_after_tokens":n,"refuse":bool,
-//                          "reset":"before"|"after"|"","draining":bool,"load_lag_ms":n}
+//   POST /v1/chat/completions, /v1/completions   metadata.answer_tokens gives the length; the
+//        header priority orders those that wait, the lower number first, then by arrival
+//   any other path   a plain service's call; its effect is the count in /runs
+//   GET  /load       running, waiting, slots, tokens_per_second, draining, as old as load_lag_ms
+//   GET  /runs       per request id and idempotency key: begun, ended, cancelled, broken,
+//                    resumed, the answer's hash; tokens made, and of these in answers that ended
+//   PUT  /admin/switches  {"slow":factor,"freeze":bool,"crash":true,"crash_after_tokens":n,
+//                          "refuse":bool,"reset":"before"|"after"|"","reset_next":n,
+//                          "draining":bool,"load_lag_ms":n}
+//        reset_next limits the reset to the next n requests
 class FakeEngine
 {
 public:
+    // Throws std::runtime_error where the journal can't be opened.
     explicit FakeEngine(const FakeEngineSettings &settings);
     ~FakeEngine();
 
@@ -37,7 +53,7 @@
 
 private:
     class Impl;
-    std::unique_ptr<Impl> impl_;
+    std::shared_ptr<Impl> impl_;
 };
 
 } // namespace monsoongrade::standins
--- a/include/monsoongrade/standins/fakeplatform.h
+++ b/include/monsoongrade/standins/fakeplatform.h
@@ -3,27 +3,23 @@
 
 #include <monsoongrade/http/httpresponder.h>
 
-#include <chrono>
-#include <condition_variable>
-#include <cstdint>
-#include <map>
 #include <memory>
-#include <mutex>
-#include <string>
-#include <vector>
 
 namespace monsoongrade::standins {
 
 // Stands in for the platform: an object API with versions, conditional updates and watches, and
 // a lagging host list. Switched over HTTP at run time; counts its calls by kind.
 //
-//   GET|PUT|DELETE /v1/objects/NAME   If-None-Match: *  or  If-Match: VERSION
+//   GET|PUT|DELETE /v1/objects/NAME   PUT: If-None-Match: *; PUT, DELETE: If-Match: VERSION
 //   GET  /v1/list?prefix=P
 //   GET  /v1/watch/NAME?above=VERSION&wait_ms=N
 //   GET  /v1/hosts
 //   PUT  /admin/hosts      {"hosts":[{name,address,failure_domain,role,state}]}
-//   PUT  /admin/switches   {"outage":bool,"delay_ms":n,"lose_replies":n,"list_lag_ms":n}
-//   GET  /admin/calls      calls by kind since the start
+//   PUT  /admin/switches   {"outage":bool,"delay_ms":n,"lose_replies":n,"list_lag_ms":n,
+//                           "stale_reads":n}
+//        lose_replies: the next n writes take effect but are not answered; stale_reads: the next
+//        n reads of an object that was overwritten answer what was there before
+//   GET  /admin/calls      calls by kind since the start, and the most within one second
 class FakePlatform
 {
 public:
--- a/programs/monsoongrade-fake-engine/main.cpp
+++ b/programs/monsoongrade-fake-engine/main.cpp
@@ -4,8 +4,15 @@
 
 #include <CLI/CLI.hpp>
 
+#include <cstdlib>
 #include <iostream>
 
+namespace {
+
+constexpr int ExitAfterCrash = 70;
+
+} // namespace
+
 int main(int argc, char **argv)
 {
     using namespace monsoongrade;
@@ -21,8 +28,17 @@
                    "slowing of each stream by every further one");
     app.add_option("--prefill-micros", engineSettings.prefillMicrosPerByte,
                    "microseconds to read one byte of prompt");
+    app.add_flag("--can-resume", engineSettings.canResume,
+                 "continue an answer at the header resume-offset");
+    app.add_option("--journal", engineSettings.journalPath,
+                   "append each run's begin and end to this file");
+    app.add_option("--threads", listener.threads, "threads of the HTTP server");
+    bool exitOnCrash = false;
+    app.add_flag("--exit-on-crash", exitOnCrash, "a crash ends the process");
     app.set_version_flag("--version", std::string(MONSOONGRADE_VERSION));
     CLI11_PARSE(app, argc, argv);
+    if (exitOnCrash)
+        engineSettings.onCrash = [] { std::_Exit(ExitAfterCrash); };
     daemon::blockStopSignals();
     try {
         standins::FakeEngine engine(engineSettings);
--- a/src/load/answerchecker.cpp
+++ b/src/load/answerchecker.cpp
@@ -60,6 +60,7 @@
     } else if (event.contains("error")) {
         errorCode_ = event["error"].value("code", 0);
         errorReason_ = event["error"].value("reason", "");
+        errorRunState_ = event["error"].value("run_state", "");
     } else if (event.contains("choices")) {
         const json &choice = event["choices"][0];
         readContent(choice.contains("delta") ? choice["delta"].value("content", "")
@@ -77,6 +78,7 @@
             return;
         }
         at += wanted.size();
+        hash_ = hash_ * 31 + std::hash<std::string>()(wanted);
         ++tokens_;
     }
 }
--- a/src/load/loadreport.cpp
+++ b/src/load/loadreport.cpp
@@ -57,6 +57,15 @@
     return found == counts.end() ? 0 : found->second;
 }
 
+std::size_t brokenIn(const ClassReport &report)
+{
+    std::size_t count = 0;
+    for (const LoadOutcome outcome : {LoadOutcome::Mixed, LoadOutcome::CutShort,
+                                      LoadOutcome::Unequal, LoadOutcome::Lost})
+        count += countOf(report.byOutcome, outcome);
+    return count;
+}
+
 json classJson(const ClassReport &report)
 {
     return {{"class", report.name},
@@ -108,10 +117,7 @@
 bool LoadReport::hasBrokenPromise() const
 {
     return std::any_of(classes.begin(), classes.end(), [](const ClassReport &report) {
-        return countOf(report.byOutcome, LoadOutcome::Mixed)
-            + countOf(report.byOutcome, LoadOutcome::CutShort)
-            + countOf(report.byOutcome, LoadOutcome::Lost)
-            > 0;
+        return brokenIn(report) > 0;
     });
 }
 
@@ -133,8 +139,7 @@
                   "p99 s");
     std::string out = line;
     for (const ClassReport &c : report.classes) {
-        const std::size_t broken = countOf(c.byOutcome, LoadOutcome::Mixed)
-            + countOf(c.byOutcome, LoadOutcome::CutShort) + countOf(c.byOutcome, LoadOutcome::Lost);
+        const std::size_t broken = brokenIn(c);
         std::snprintf(
             line, sizeof(line), "%-16s %6zu %8zu %7zu %6zu %6zu %8.1f%% %8.3f %8.3f %8.3f\n",
             c.name.c_str(), c.sent, countOf(c.byOutcome, LoadOutcome::Answered),
--- a/src/load/loadresult.cpp
+++ b/src/load/loadresult.cpp
@@ -15,6 +15,10 @@
         return "mixed";
     case LoadOutcome::CutShort:
         return "cut-short";
+    case LoadOutcome::Unequal:
+        return "unequal";
+    case LoadOutcome::Left:
+        return "left";
     case LoadOutcome::Lost:
         return "lost";
     }
--- a/src/standins/fakeengine.cpp
+++ b/src/standins/fakeengine.cpp
@@ -1,6 +1,9 @@
 #include <monsoongrade/standins/fakeengine.h>
 
-#include <monsoongrade/standins/answertext.h>
+#include <standins/internal/enginestream.h>
+
+#include <monsoongrade/standins/loadhistory.h>
+#include <monsoongrade/standins/runbook.h>
 #include <monsoongrade/standins/timerthread.h>
 
 #include <nlohmann/json.hpp>
@@ -15,204 +18,234 @@
 
 namespace {
 
+using internal::EngineStream;
+using internal::EngineStreamPointer;
 using nlohmann::json;
 using Responder = std::shared_ptr<http::HttpResponder>;
+using Clock = std::chrono::steady_clock;
 
 const http::Headers JsonHeaders{{"Content-Type", "application/json"}};
 const http::Headers StreamHeaders{{"Content-Type", "text/event-stream"}};
-constexpr std::int64_t DefaultTokens = 16;
-constexpr std::int64_t MostTokens = 100000;
 constexpr std::size_t PrefixBytes = 256;
 constexpr auto FrozenCheck = std::chrono::milliseconds(50);
+constexpr auto SpeedWindow = std::chrono::seconds(1);
 
-struct RunCount
-{
-    std::int64_t begun = 0;
-    std::int64_t ended = 0;
-    std::int64_t cancelled = 0;
-};
-
-struct Stream
+struct Switches
 {
-    std::string requestId;
-    std::string idempotencyKey;
-    std::string prompt;
-    Responder responder;
-    std::int64_t length = DefaultTokens;
-    std::int64_t sent = 0;
-    int priority = 0;
-    bool streamed = false;
-    bool chat = true;
-    bool gone = false;
-    std::string whole;
+    double slow = 1;
+    bool frozen = false;
+    std::int64_t crashAfterTokens = 0;
+    bool refuse = false;
+    std::string reset;
+    // Resets left; negative is without end.
+    std::int64_t resetNext = -1;
+    bool draining = false;
+    std::chrono::milliseconds loadLag{0};
 };
 
-using StreamPointer = std::shared_ptr<Stream>;
-
-std::string promptOf(const json &body)
-{
-    std::string prompt;
-    if (body.contains("messages") && body["messages"].is_array()) {
-        for (const json &message : body["messages"])
-            prompt += message.value("content", "");
-    } else {
-        prompt = body.value("prompt", "");
-    }
-    return prompt;
-}
-
-std::string eventFor(const Stream &stream, const std::string &token)
+json countsOf(const std::map<std::string, RunCount> &runs)
 {
-    json choice{{"index", 0}};
-    if (stream.chat)
-        choice["delta"] = {{"content", token}};
-    else
-        choice["text"] = token;
-    return "data: " + json{{"choices", json::array({choice})}}.dump() + "\n\n";
-}
-
-std::string wholeAnswer(const Stream &stream)
-{
-    json choice{{"index", 0}, {"finish_reason", "stop"}};
-    if (stream.chat)
-        choice["message"] = {{"role", "assistant"}, {"content", stream.whole}};
-    else
-        choice["text"] = stream.whole;
-    return json{{"choices", json::array({choice})}, {"usage", {{"completion_tokens", stream.sent}}}}
-        .dump();
+    json out = json::object();
+    for (const auto &[name, count] : runs)
+        out[name] = {{"begun", count.begun},         {"ended", count.ended},
+                     {"cancelled", count.cancelled}, {"broken", count.broken},
+                     {"resumed", count.resumed},     {"hash", count.answerHash}};
+    return out;
 }
 
 } // namespace
 
-class FakeEngine::Impl
+// The timer thread's functions may use this as it is: the timers are the last member, so they
+// have stopped before anything else is destroyed. Handlers of responders can outlive the engine
+// and so hold it weakly.
+class FakeEngine::Impl : public std::enable_shared_from_this<FakeEngine::Impl>
 {
 public:
     explicit Impl(const FakeEngineSettings &settings)
         : settings_(settings)
+        , runs_(settings.mostRunsKept, settings.journalPath)
     {
     }
 
     void handle(const http::HttpRequest &request, Responder responder)
     {
         const std::lock_guard lock(mutex_);
-        if (request.path == "/runs" || request.path == "/load"
-            || request.path == "/admin/switches") {
-            answerAdmin(request, *responder);
+        if (answerAdmin(request, *responder))
             return;
-        }
-        if (reset_ == "before") {
+        if (switches_.reset == "before" && takeReset()) {
             responder->abort();
             return;
         }
-        if (refuse_ || draining_) {
+        if (switches_.refuse || switches_.draining) {
             responder->answer(503, JsonHeaders, R"({"error":"not accepting"})");
             return;
         }
         if (request.path != "/v1/chat/completions" && request.path != "/v1/completions")
-            serve(request, *responder);
+            serve(request, std::move(responder));
         else
             complete(request, std::move(responder));
     }
 
 private:
-    void answerAdmin(const http::HttpRequest &request, http::HttpResponder &responder)
+    bool answerAdmin(const http::HttpRequest &request, http::HttpResponder &responder)
     {
         if (request.path == "/admin/switches") {
-            setSwitches(request.body);
-            responder.answer(200, JsonHeaders, "{}");
-            return;
-        }
-        if (request.path == "/load") {
-            responder.answer(200, JsonHeaders,
-                             json{{"running", running_.size()},
-                                  {"waiting", waiting_.size()},
-                                  {"slots", settings_.slots},
-                                  {"draining", draining_}}
-                                 .dump());
-            return;
+            const bool understood = setSwitches(request.body);
+            responder.answer(understood ? 200 : 400, JsonHeaders, "{}");
+        } else if (request.path == "/load") {
+            responder.answer(200, JsonHeaders, loadReport());
+        } else if (request.path == "/runs") {
+            responder.answer(200, JsonHeaders, runReport());
+        } else {
+            return false;
         }
-        responder.answer(200, JsonHeaders,
-                         json{{"requests", countsOf(runsByRequest_)},
-                              {"keys", countsOf(runsByKey_)},
-                              {"tokens", tokensMade_},
-                              {"tokens_cancelled", tokensCancelled_}}
-                             .dump());
+        return true;
     }
 
-    static json countsOf(const std::map<std::string, RunCount> &runs)
+    std::string loadReport() const
     {
-        json out = json::object();
-        for (const auto &[name, count] : runs)
-            out[name]
-                = {{"begun", count.begun}, {"ended", count.ended}, {"cancelled", count.cancelled}};
-        return out;
+        const auto then = Clock::now() - switches_.loadLag;
+        const EngineLoad load = loads_.at(then);
+        return json{{"running", load.running},
+                    {"waiting", load.waiting},
+                    {"slots", settings_.slots},
+                    {"tokens_per_second",
+                     load.tokensMade - loads_.at(then - SpeedWindow).tokensMade},
+                    {"draining", load.draining}}
+            .dump();
     }
 
-    void setSwitches(const std::string &text)
+    std::string runReport() const
+    {
+        return json{{"incarnation", incarnation_},
+                    {"requests", countsOf(runs_.requests())},
+                    {"keys", countsOf(runs_.keys())},
+                    {"forgotten", runs_.forgotten()},
+                    {"runs", runsBegun_},
+                    {"tokens", tokensMade_},
+                    {"tokens_ended", tokensEnded_},
+                    {"tokens_cancelled", tokensCancelled_}}
+            .dump();
+    }
+
+    bool setSwitches(const std::string &text)
     {
         const json body = json::parse(text, nullptr, false);
         if (!body.is_object())
-            return;
-        slow_ = body.value("slow", slow_);
-        frozen_ = body.value("freeze", frozen_);
-        crashAfterTokens_ = body.value("crash_after_tokens", crashAfterTokens_);
-        refuse_ = body.value("refuse", refuse_);
-        reset_ = body.value("reset", reset_);
-        draining_ = body.value("draining", draining_);
+            return false;
+        Switches next = switches_;
+        bool crashes = false;
+        try {
+            next.slow = body.value("slow", next.slow);
+            next.frozen = body.value("freeze", next.frozen);
+            next.crashAfterTokens = body.value("crash_after_tokens", next.crashAfterTokens);
+            next.refuse = body.value("refuse", next.refuse);
+            next.reset = body.value("reset", next.reset);
+            next.resetNext = body.value("reset_next", body.contains("reset") ? -1 : next.resetNext);
+            next.draining = body.value("draining", next.draining);
+            next.loadLag = std::chrono::milliseconds(
+                body.value("load_lag_ms", static_cast<std::int64_t>(next.loadLag.count())));
+            crashes = body.value("crash", false);
+        } catch (const json::exception &) {
+            return false;
+        }
+        switches_ = next;
+        noteLoad();
+        if (crashes)
+            crash();
+        return true;
+    }
+
+    bool takeReset()
+    {
+        if (switches_.resetNext < 0)
+            return true;
+        if (switches_.resetNext == 0)
+            return false;
+        --switches_.resetNext;
+        return true;
+    }
+
+    void crash()
+    {
+        // Those that wait have not begun.
+        for (const auto &entry : waiting_) {
+            entry.second->responder->abort();
+            entry.second->gone = true;
+        }
+        waiting_.clear();
+        while (!running_.empty())
+            breakOff(*running_.begin());
+        if (settings_.onCrash)
+            settings_.onCrash();
     }
 
-    // A plain service's call: its effect is the count in /runs.
-    void serve(const http::HttpRequest &request, http::HttpResponder &responder)
+    void serve(const http::HttpRequest &request, Responder responder)
     {
         const std::string id = request.header("monsoongrade-request-id");
         const std::string key = request.header("idempotency-key");
-        count(id, key, &RunCount::begun);
-        if (reset_ == "after") {
-            responder.abort();
+        runs_.begun(id, key);
+        ++runsBegun_;
+        if (switches_.reset == "after" && takeReset()) {
+            runs_.broken(id, key);
+            responder->abort();
+            return;
+        }
+        // The run's number makes each run's answer another: an answer that two callers got for
+        // one key shows that they share a run.
+        const std::string answer
+            = json{{"path", request.path},
+                   {"echo", request.body},
+                   {"run", std::to_string(incarnation_) + "-" + std::to_string(runsBegun_)}}
+                  .dump(-1, ' ', false, json::error_handler_t::replace);
+        endService(id, key, answer, responder);
+    }
+
+    void endService(const std::string &id, const std::string &key, const std::string &answer,
+                    const Responder &responder)
+    {
+        if (switches_.frozen) {
+            timers_.after(FrozenCheck, [=] {
+                const std::lock_guard lock(mutex_);
+                endService(id, key, answer, responder);
+            });
             return;
         }
-        count(id, key, &RunCount::ended);
-        responder.answer(200, JsonHeaders,
-                         json{{"path", request.path}, {"echo", request.body}}.dump(
-                             -1, ' ', false, json::error_handler_t::replace));
+        runs_.ended(id, key, static_cast<std::uint32_t>(std::hash<std::string>()(answer)));
+        responder->answer(200, JsonHeaders, answer);
     }
 
     void complete(const http::HttpRequest &request, Responder responder)
     {
-        const json body = json::parse(request.body, nullptr, false);
-        if (!body.is_object()) {
-            responder->answer(400, JsonHeaders, R"({"error":"not a JSON object"})");
+        auto read = internal::readCompletion(request, settings_.canResume);
+        if (!read) {
+            responder->answer(400, JsonHeaders, R"({"error":"not a completions request"})");
             return;
         }
-        const auto stream = std::make_shared<Stream>();
-        stream->requestId = request.header("monsoongrade-request-id");
-        stream->idempotencyKey = request.header("idempotency-key");
-        stream->prompt = promptOf(body);
-        stream->streamed = body.value("stream", false);
-        stream->chat = request.path == "/v1/chat/completions";
+        const auto stream = std::make_shared<EngineStream>(std::move(*read));
         stream->responder = std::move(responder);
-        if (body.contains("metadata") && body["metadata"].is_object())
-            stream->length = std::clamp<std::int64_t>(
-                body["metadata"].value("answer_tokens", DefaultTokens), 1, MostTokens);
-        stream->priority = std::atoi(request.header("priority").c_str());
-        std::weak_ptr<Stream> weak = stream;
-        stream->responder->onGone([this, weak] {
-            if (const auto left = weak.lock())
-                callerGone(left);
+        stream->responder->onGone([engine = weak_from_this(), weak = std::weak_ptr(stream)] {
+            const auto self = engine.lock();
+            const auto left = weak.lock();
+            if (self && left)
+                self->callerGone(left);
         });
         if (static_cast<int>(running_.size()) < settings_.slots)
             begin(stream);
         else
             waiting_.insert({{stream->priority, ++arrivals_}, stream});
+        noteLoad();
     }
 
-    void begin(const StreamPointer &stream)
+    void begin(const EngineStreamPointer &stream)
     {
         running_.insert(stream);
-        count(stream->requestId, stream->idempotencyKey, &RunCount::begun);
-        if (reset_ == "after") {
-            stream->responder->abort();
-            finish(stream);
+        runs_.begun(stream->requestId, stream->idempotencyKey);
+        ++runsBegun_;
+        if (stream->done > 0)
+            runs_.resumed(stream->requestId, stream->idempotencyKey);
+        if (switches_.reset == "after" && takeReset()) {
+            breakOff(stream);
             return;
         }
         if (stream->streamed)
@@ -222,54 +255,65 @@
             ? stream->prompt.size() - std::min(PrefixBytes, stream->prompt.size())
             : stream->prompt.size();
         const auto prefill = std::chrono::duration<double, std::micro>(
-            settings_.prefillMicrosPerByte * static_cast<double>(toRead) * slow_);
+            settings_.prefillMicrosPerByte * static_cast<double>(toRead) * switches_.slow);
         schedule(stream, std::chrono::duration_cast<std::chrono::nanoseconds>(prefill));
     }
 
-    void schedule(const StreamPointer &stream, std::chrono::nanoseconds prefill)
+    void schedule(const EngineStreamPointer &stream, std::chrono::nanoseconds prefill)
     {
         const double batch = 1 + settings_.batchCost * static_cast<double>(running_.size() - 1);
         const auto gap = std::chrono::duration_cast<std::chrono::nanoseconds>(
-            std::chrono::duration<double>(slow_ * batch / settings_.tokensPerSecond));
+            std::chrono::duration<double>(switches_.slow * batch / settings_.tokensPerSecond));
         timers_.after(prefill + gap, [this, stream] { makeToken(stream); });
     }
 
-    void makeToken(const StreamPointer &stream)
+    void makeToken(const EngineStreamPointer &stream)
     {
         const std::lock_guard lock(mutex_);
         if (stream->gone)
             return;
-        if (frozen_) {
+        if (switches_.frozen) {
             timers_.after(FrozenCheck, [this, stream] { makeToken(stream); });
             return;
         }
-        if (crashAfterTokens_ > 0 && stream->sent >= crashAfterTokens_) {
-            stream->responder->abort();
-            finish(stream);
+        if (switches_.crashAfterTokens > 0 && stream->madeHere >= switches_.crashAfterTokens) {
+            breakOff(stream);
             return;
         }
-        const std::string token = answerToken(stream->prompt, stream->sent);
-        ++stream->sent;
-        ++tokensMade_;
-        if (stream->streamed)
-            stream->responder->write(eventFor(*stream, token), {});
-        else
-            stream->whole += token;
-        if (stream->sent < stream->length) {
-            schedule(stream, std::chrono::nanoseconds(0));
-            return;
+        if (stream->done < stream->length) {
+            ++tokensMade_;
+            const std::string event = stream->makeToken();
+            if (stream->streamed)
+                stream->responder->write(event, {});
         }
+        noteLoad();
+        if (stream->done < stream->length)
+            schedule(stream, std::chrono::nanoseconds(0));
+        else
+            end(stream);
+    }
+
+    void end(const EngineStreamPointer &stream)
+    {
         if (stream->streamed) {
             stream->responder->write("data: [DONE]\n\n", {});
             stream->responder->end();
         } else {
-            stream->responder->answer(200, JsonHeaders, wholeAnswer(*stream));
+            stream->responder->answer(200, JsonHeaders, stream->wholeAnswer());
         }
-        count(stream->requestId, stream->idempotencyKey, &RunCount::ended);
+        runs_.ended(stream->requestId, stream->idempotencyKey, stream->answerHash);
+        tokensEnded_ += stream->madeHere;
         finish(stream);
     }
 
-    void callerGone(const StreamPointer &stream)
+    void breakOff(const EngineStreamPointer &stream)
+    {
+        runs_.broken(stream->requestId, stream->idempotencyKey);
+        stream->responder->abort();
+        finish(stream);
+    }
+
+    void callerGone(const EngineStreamPointer &stream)
     {
         const std::lock_guard lock(mutex_);
         if (stream->gone)
@@ -281,20 +325,28 @@
             stream->gone = true;
             return;
         }
-        count(stream->requestId, stream->idempotencyKey, &RunCount::cancelled);
-        tokensCancelled_ += stream->sent;
+        runs_.cancelled(stream->requestId, stream->idempotencyKey);
+        tokensCancelled_ += stream->madeHere;
         finish(stream);
     }
 
-    void finish(const StreamPointer &stream)
+    // By value: the caller may pass an entry of the set that it is erased from.
+    void finish(EngineStreamPointer stream)
     {
         stream->gone = true;
         running_.erase(stream);
-        if (waiting_.empty() || static_cast<int>(running_.size()) >= settings_.slots)
-            return;
-        const StreamPointer next = waiting_.begin()->second;
-        waiting_.erase(waiting_.begin());
-        begin(next);
+        if (!waiting_.empty() && static_cast<int>(running_.size()) < settings_.slots) {
+            const EngineStreamPointer next = waiting_.begin()->second;
+            waiting_.erase(waiting_.begin());
+            begin(next);
+        }
+        noteLoad();
+    }
+
+    void noteLoad()
+    {
+        loads_.add(Clock::now(),
+                   {running_.size(), waiting_.size(), tokensMade_, switches_.draining});
     }
 
     bool useCache(const std::string &prefix)
@@ -309,34 +361,26 @@
         return cached;
     }
 
-    void count(const std::string &request, const std::string &key, std::int64_t RunCount::*field)
-    {
-        ++(runsByRequest_[request].*field);
-        if (!key.empty())
-            ++(runsByKey_[key].*field);
-    }
-
     const FakeEngineSettings settings_;
+    // Tells this life of the process from any other.
+    const std::int64_t incarnation_ = Clock::now().time_since_epoch().count();
     std::mutex mutex_;
-    std::set<StreamPointer> running_;
-    std::map<std::pair<int, std::uint64_t>, StreamPointer> waiting_;
+    Switches switches_;
+    RunBook runs_;
+    LoadHistory loads_;
+    std::set<EngineStreamPointer> running_;
+    std::map<std::pair<int, std::uint64_t>, EngineStreamPointer> waiting_;
     std::list<std::string> cache_;
-    std::map<std::string, RunCount> runsByRequest_;
-    std::map<std::string, RunCount> runsByKey_;
     std::uint64_t arrivals_ = 0;
+    std::int64_t runsBegun_ = 0;
     std::int64_t tokensMade_ = 0;
+    std::int64_t tokensEnded_ = 0;
     std::int64_t tokensCancelled_ = 0;
-    double slow_ = 1;
-    bool frozen_ = false;
-    std::int64_t crashAfterTokens_ = 0;
-    bool refuse_ = false;
-    std::string reset_;
-    bool draining_ = false;
     TimerThread timers_;
 };
 
 FakeEngine::FakeEngine(const FakeEngineSettings &settings)
-    : impl_(std::make_unique<Impl>(settings))
+    : impl_(std::make_shared<Impl>(settings))
 {
 }
 
--- a/src/standins/fakeplatform.cpp
+++ b/src/standins/fakeplatform.cpp
@@ -5,8 +5,11 @@
 
 #include <nlohmann/json.hpp>
 
-#include <atomic>
+#include <algorithm>
+#include <chrono>
 #include <list>
+#include <map>
+#include <mutex>
 
 namespace monsoongrade::standins {
 
@@ -25,6 +28,29 @@
 {
     std::uint64_t version = 0;
     std::string value;
+    // What stale reads answer.
+    std::uint64_t previousVersion = 0;
+    std::string previousValue;
+};
+
+struct CallCount
+{
+    std::uint64_t total = 0;
+    std::uint64_t peakPerSecond = 0;
+    std::int64_t second = 0;
+    std::uint64_t inSecond = 0;
+
+    void add()
+    {
+        const std::int64_t now = std::chrono::duration_cast<std::chrono::seconds>(
+                                     Clock::now().time_since_epoch())
+                                     .count();
+        if (now != second)
+            inSecond = 0;
+        second = now;
+        ++total;
+        peakPerSecond = std::max(peakPerSecond, ++inSecond);
+    }
 };
 
 struct Watch
@@ -74,7 +100,7 @@
             return;
         }
         std::unique_lock lock(mutex_);
-        ++calls_[kindOf(request)];
+        calls_[kindOf(request)].add();
         const auto delay = std::chrono::milliseconds(delayMs_);
         if (outage_) {
             send(responder, error(503, "outage"), delay);
@@ -88,7 +114,7 @@
         if (loseReplies_ > 0 && request.method != "GET") {
             // The effect stays; only the caller doesn't learn of it.
             --loseReplies_;
-            responder->abort();
+            timers_.after(delay, [responder] { responder->abort(); });
             return;
         }
         send(responder, answer, delay);
@@ -130,10 +156,18 @@
         if (found == objects_.end())
             return error(404, "no such object");
         if (request.method == "DELETE") {
+            const std::string version = request.header("if-match");
+            if (!version.empty() && std::to_string(found->second.version) != version)
+                return error(412, "has another version");
             objects_.erase(found);
             return {};
         }
-        return {200, toJson(name, found->second).dump()};
+        const Object &object = found->second;
+        if (staleReads_ > 0 && object.previousVersion > 0) {
+            --staleReads_;
+            return {200, toJson(name, {object.previousVersion, object.previousValue, 0, {}}).dump()};
+        }
+        return {200, toJson(name, object).dump()};
     }
 
     Answer put(const std::string &name, const http::HttpRequest &request)
@@ -148,6 +182,8 @@
         if (!version.empty() && (!exists || std::to_string(found->second.version) != version))
             return error(412, "has another version");
         Object &object = objects_[name];
+        object.previousVersion = object.version;
+        object.previousValue = std::move(object.value);
         object.version = ++lastVersion_;
         object.value = request.body;
         wakeWatches(name, object);
@@ -200,7 +236,8 @@
                 continue;
             const auto found = objects_.find(watch->name);
             const Object object = found == objects_.end() ? Object() : found->second;
-            watch->responder->answer(200, JsonHeaders, toJson(watch->name, object).dump());
+            send(watch->responder, {200, toJson(watch->name, object).dump()},
+                 std::chrono::milliseconds(delayMs_));
             watches_.erase(watch);
             return;
         }
@@ -218,11 +255,21 @@
         return visible;
     }
 
+    std::string callReport() const
+    {
+        json report = json::object();
+        for (const auto &[kind, count] : calls_) {
+            report[kind] = count.total;
+            report["peak_per_second"][kind] = count.peakPerSecond;
+        }
+        return report.dump();
+    }
+
     Answer admin(const http::HttpRequest &request)
     {
         const std::lock_guard lock(mutex_);
         if (request.path == "/admin/calls")
-            return {200, json(calls_).dump()};
+            return {200, callReport()};
         const json body = json::parse(request.body, nullptr, false);
         if (!body.is_object())
             return error(400, "expected a JSON object");
@@ -232,10 +279,15 @@
         }
         if (request.path != "/admin/switches")
             return error(404, "no such path");
-        outage_ = body.value("outage", outage_);
-        delayMs_ = body.value("delay_ms", delayMs_);
-        loseReplies_ = body.value("lose_replies", loseReplies_);
-        listLagMs_ = body.value("list_lag_ms", listLagMs_);
+        try {
+            outage_ = body.value("outage", outage_);
+            delayMs_ = body.value("delay_ms", delayMs_);
+            loseReplies_ = body.value("lose_replies", loseReplies_);
+            listLagMs_ = body.value("list_lag_ms", listLagMs_);
+            staleReads_ = body.value("stale_reads", staleReads_);
+        } catch (const json::exception &problem) {
+            return error(400, problem.what());
+        }
         if (outage_)
             dropWatches();
         return {};
@@ -252,13 +304,14 @@
     std::map<std::string, Object> objects_;
     std::list<Watch> watches_;
     std::list<HostListVersion> hostLists_;
-    std::map<std::string, std::uint64_t> calls_;
+    std::map<std::string, CallCount> calls_;
     std::uint64_t lastVersion_ = 0;
     std::uint64_t lastWatch_ = 0;
     bool outage_ = false;
     int delayMs_ = 0;
     int loseReplies_ = 0;
     int listLagMs_ = 0;
+    int staleReads_ = 0;
     TimerThread timers_;
 };
 
--- a/src/standins/timerthread.cpp
+++ b/src/standins/timerthread.cpp
@@ -19,11 +19,16 @@
 
 void TimerThread::after(std::chrono::nanoseconds delay, std::function<void()> function)
 {
+    bool isFirst = false;
     {
         const std::lock_guard lock(mutex_);
-        waiting_.emplace(std::chrono::steady_clock::now() + delay, std::move(function));
+        const auto entry
+            = waiting_.emplace(std::chrono::steady_clock::now() + delay, std::move(function));
+        isFirst = entry == waiting_.begin();
     }
-    changed_.notify_one();
+    // The thread already waits for whatever is due before this one.
+    if (isFirst)
+        changed_.notify_one();
 }
 
 void TimerThread::run()
