--- a/include/monsoongrade/load/addressbook.h
+++ b/include/monsoongrade/load/addressbook.h
@@ -24,7 +24,7 @@
 
     // Hands over the place-th of the addresses, at once or, where the kept ones have run out,
     // after asking. Where nobody answers, the entry addresses are used for a second.
-    void pick(std::size_t place, Receiver receiver);
+    void pick(std::size_t place, const Receiver &receiver);
 
 private:
     struct Waiting
--- a/programs/monsoongrade-fake-engine/main.cpp
+++ b/programs/monsoongrade-fake-engine/main.cpp
@@ -38,7 +38,9 @@
     app.set_version_flag("--version", std::string(MONSOONGRADE_VERSION));
     CLI11_PARSE(app, argc, argv);
     if (exitOnCrash)
-        engineSettings.onCrash = [] { std::_Exit(ExitAfterCrash); };
+        engineSettings.onCrash = [] {
+            std::_Exit(ExitAfterCrash);
+        };
     daemon::blockStopSignals();
     try {
         standins::FakeEngine engine(engineSettings);
--- a/src/load/addressbook.cpp
+++ b/src/load/addressbook.cpp
@@ -46,7 +46,7 @@
 {
 }
 
-void AddressBook::pick(std::size_t place, Receiver receiver)
+void AddressBook::pick(std::size_t place, const Receiver &receiver)
 {
     std::string address;
     {
@@ -56,7 +56,7 @@
         } else if (Clock::now() < keepUntil_) {
             address = addresses_[place % addresses_.size()];
         } else {
-            waiting_.push_back({place, std::move(receiver)});
+            waiting_.push_back({place, receiver});
             if (waiting_.size() > 1)
                 return;
             // The entry addresses in an order of the caller's own, so that not all ask one host.
@@ -83,12 +83,11 @@
     request.silenceTimeout = AskTimeout;
     // The time to keep the answer counts from the asking: the system counts from its answer.
     const auto asked = Clock::now();
-    client_.start(
-        request,
-        std::make_shared<AskListener>([self = shared_from_this(), candidate, asked](
-                                          int status, const std::string &body) {
-            self->answered(candidate, status, body, asked);
-        }));
+    client_.start(request,
+                  std::make_shared<AskListener>([self = shared_from_this(), candidate,
+                                                 asked](int status, const std::string &body) {
+                      self->answered(candidate, status, body, asked);
+                  }));
 }
 
 void AddressBook::answered(std::size_t candidate, int status, const std::string &body,
--- a/src/load/internal/attempt.cpp
+++ b/src/load/internal/attempt.cpp
@@ -53,9 +53,8 @@
     }
     if (loadClass_.readBytesPerSecond == 0)
         return FlowControl::Continue;
-    handlers_.paused(std::chrono::duration_cast<units::Duration>(
-        std::chrono::duration<double>(static_cast<double>(bytes.size())
-                                      / static_cast<double>(loadClass_.readBytesPerSecond))));
+    handlers_.paused(std::chrono::duration_cast<units::Duration>(std::chrono::duration<double>(
+        static_cast<double>(bytes.size()) / static_cast<double>(loadClass_.readBytesPerSecond))));
     return FlowControl::Pause;
 }
 
--- a/src/load/loadreport.cpp
+++ b/src/load/loadreport.cpp
@@ -60,8 +60,8 @@
 std::size_t brokenIn(const ClassReport &report)
 {
     std::size_t count = 0;
-    for (const LoadOutcome outcome : {LoadOutcome::Mixed, LoadOutcome::CutShort,
-                                      LoadOutcome::Unequal, LoadOutcome::Lost})
+    for (const LoadOutcome outcome :
+         {LoadOutcome::Mixed, LoadOutcome::CutShort, LoadOutcome::Unequal, LoadOutcome::Lost})
         count += countOf(report.byOutcome, outcome);
     return count;
 }
@@ -116,9 +116,8 @@
 
 bool LoadReport::hasBrokenPromise() const
 {
-    return std::any_of(classes.begin(), classes.end(), [](const ClassReport &report) {
-        return brokenIn(report) > 0;
-    });
+    return std::any_of(classes.begin(), classes.end(),
+                       [](const ClassReport &report) { return brokenIn(report) > 0; });
 }
 
 LoadReport makeReport(const LoadScript &script, const std::vector<LoadResult> &results)
--- a/src/load/loadrunner.cpp
+++ b/src/load/loadrunner.cpp
@@ -97,8 +97,8 @@
             call.firstSent = Clock::now();
         auto &book = books_[{call.loadClass, call.caller}];
         if (!book)
-            book = std::make_shared<AddressBook>(client_, script_.entry,
-                                                 script_.asksForEntryPoints);
+            book
+                = std::make_shared<AddressBook>(client_, script_.entry, script_.asksForEntryPoints);
         // Come-backs and repeats go to another address.
         const std::size_t place
             = call.caller + call.repeat + static_cast<std::size_t>(call.result.attempts - 1);
@@ -126,17 +126,22 @@
         call.result.address = address;
         const auto self = shared_from_this();
         internal::AttemptHandlers handlers;
-        handlers.ended = [self, &call](const AttemptEnd &end) { self->ended(call, end); };
+        handlers.ended = [self, &call](const AttemptEnd &end) {
+            self->ended(call, end);
+        };
         handlers.paused = [self, &call](units::Duration pause) {
             self->doAt(Clock::now() + pause,
                        [&self = *self, &call] { self.client_.resume(call.call); });
         };
         handlers.left = [self, &call](const AttemptEnd &end) {
-            self->ended(call, end);
-            self->doAt(Clock::now(), [&self = *self, &call] { self.client_.cancel(call.call); });
+            self->doAt(Clock::now(), [&self = *self, &call, end] {
+                self.client_.cancel(call.call);
+                self.ended(call, end);
+            });
         };
-        call.call = client_.start(std::move(request), std::make_shared<internal::AttemptListener>(
-                                                          call, std::move(handlers)));
+        call.call
+            = client_.start(std::move(request),
+                            std::make_shared<internal::AttemptListener>(call, std::move(handlers)));
     }
 
     void ended(PlannedCall &call, const AttemptEnd &end)
--- a/src/load/loadscript.cpp
+++ b/src/load/loadscript.cpp
@@ -17,8 +17,6 @@
     LoadClass result;
     result.name = item.requiredText("name");
     result.keys = item.texts("keys");
-    if (result.keys.empty())
-        item.problem(units::ResultCode::MissingSetting, "keys", "give at least one API key");
     result.method = item.text("method", result.method);
     result.body = item.text("body");
     result.path = item.text("path", result.path);
@@ -71,6 +69,8 @@
     script.asksForEntryPoints = reader.flag("ask-entry-points", true);
     for (MappingReader &item : reader.mappings("classes")) {
         script.classes.push_back(readLoadClass(item));
+        if (script.classes.back().keys.empty())
+            item.problem(units::ResultCode::MissingSetting, "keys", "give at least one API key");
         item.finish();
     }
     reader.finish();
--- a/src/standins/fakeengine.cpp
+++ b/src/standins/fakeengine.cpp
@@ -47,9 +47,9 @@
 {
     json out = json::object();
     for (const auto &[name, count] : runs)
-        out[name] = {{"begun", count.begun},         {"ended", count.ended},
-                     {"cancelled", count.cancelled}, {"broken", count.broken},
-                     {"resumed", count.resumed},     {"hash", count.answerHash}};
+        out[name]
+            = {{"begun", count.begun},   {"ended", count.ended},     {"cancelled", count.cancelled},
+               {"broken", count.broken}, {"resumed", count.resumed}, {"hash", count.answerHash}};
     return out;
 }
 
@@ -106,12 +106,12 @@
     {
         const auto then = Clock::now() - switches_.loadLag;
         const EngineLoad load = loads_.at(then);
-        return json{{"running", load.running},
-                    {"waiting", load.waiting},
-                    {"slots", settings_.slots},
-                    {"tokens_per_second",
-                     load.tokensMade - loads_.at(then - SpeedWindow).tokensMade},
-                    {"draining", load.draining}}
+        return json{
+            {"running", load.running},
+            {"waiting", load.waiting},
+            {"slots", settings_.slots},
+            {"tokens_per_second", load.tokensMade - loads_.at(then - SpeedWindow).tokensMade},
+            {"draining", load.draining}}
             .dump();
     }
 
--- a/src/standins/fakeplatform.cpp
+++ b/src/standins/fakeplatform.cpp
@@ -42,9 +42,9 @@
 
     void add()
     {
-        const std::int64_t now = std::chrono::duration_cast<std::chrono::seconds>(
-                                     Clock::now().time_since_epoch())
-                                     .count();
+        const std::int64_t now
+            = std::chrono::duration_cast<std::chrono::seconds>(Clock::now().time_since_epoch())
+                  .count();
         if (now != second)
             inSecond = 0;
         second = now;
@@ -165,7 +165,8 @@
         const Object &object = found->second;
         if (staleReads_ > 0 && object.previousVersion > 0) {
             --staleReads_;
-            return {200, toJson(name, {object.previousVersion, object.previousValue, 0, {}}).dump()};
+            return {200,
+                    toJson(name, {object.previousVersion, object.previousValue, 0, {}}).dump()};
         }
         return {200, toJson(name, object).dump()};
     }
