--- a/tests/scenario_runner/cluster.cpp
+++ b/tests/scenario_runner/cluster.cpp
@@ -102,9 +102,9 @@
     std::filesystem::create_directories(folder);
     for (const auto &[name, text] : files)
         writeFile(folder / name, text);
-    Process process(
-        {program("monsoongradectl"), "apply", folder.string(), "--platform", url("platform")},
-        (folder_ / (logName + ".log")).string());
+    Process process({program("monsoongradectl"), "apply", folder.string(), "--platform",
+                     url("platform"), "--wait", "0"},
+                    (folder_ / (logName + ".log")).string());
     const auto code = process.waitForExit(ApplyLimit);
     if (!code)
         throw std::runtime_error("monsoongradectl apply has not ended in 10 s");
