--- a/include/monsoongrade/standins/fakeengine.h
+++ b/include/monsoongrade/standins/fakeengine.h
@@ -19,8 +19,9 @@
     // Time to read one byte of a prompt that is not cached, in microseconds.
     double prefillMicrosPerByte = 20;
     std::size_t cachedPrefixes = 32;
-    // Continues an answer after the number of events that the header resume-offset gives. Without
-    // it the header is not understood, as on an engine that doesn't know it.
+    // Continues an answer after the number of events that the header resume-offset gives, and says
+    // so by the same header in its answer. Without it the header is not understood, as on an
+    // engine that doesn't know it.
     bool canResume = false;
     // How many request ids and keys /runs remembers.
     std::size_t mostRunsKept = 100000;
--- a/src/standins/fakeengine.cpp
+++ b/src/standins/fakeengine.cpp
@@ -249,7 +249,7 @@
             return;
         }
         if (stream->streamed)
-            stream->responder->begin(200, StreamHeaders);
+            beginStream(*stream);
         const bool cached = useCache(stream->prompt.substr(0, PrefixBytes));
         const std::size_t toRead = cached
             ? stream->prompt.size() - std::min(PrefixBytes, stream->prompt.size())
@@ -259,6 +259,15 @@
         schedule(stream, std::chrono::duration_cast<std::chrono::nanoseconds>(prefill));
     }
 
+    // The header says that the offset was understood: an answer without it begins anew.
+    static void beginStream(EngineStream &stream)
+    {
+        http::Headers headers = StreamHeaders;
+        if (stream.done > 0)
+            headers.emplace_back("resume-offset", std::to_string(stream.done));
+        stream.responder->begin(200, headers);
+    }
+
     void schedule(const EngineStreamPointer &stream, std::chrono::nanoseconds prefill)
     {
         const double batch = 1 + settings_.batchCost * static_cast<double>(running_.size() - 1);
--- a/tests/scenario_runner/clusterplan.cpp
+++ b/tests/scenario_runner/clusterplan.cpp
@@ -66,7 +66,7 @@
     plan.silenceTimeout = reader.text("silence-timeout", plan.silenceTimeout);
     plan.canResume = reader.flag("can-resume", false);
     plan.engineArguments = reader.texts("engine-arguments");
-    if (plan.canResume)
+    if (reader.flag("engines-resume", plan.canResume))
         plan.engineArguments.emplace_back("--can-resume");
     for (const auto &[name, text] : reader.textPairs("files"))
         plan.files[name] = text;
--- a/tests/scenario_runner/clusterplan.h
+++ b/tests/scenario_runner/clusterplan.h
@@ -26,6 +26,7 @@
     std::string late = "serve";
     std::string keepAddress = "1s";
     std::string silenceTimeout = "10s";
+    // What the configuration says; the key engines-resume, the same without it, is the truth.
     bool canResume = false;
     std::vector<std::string> engineArguments;
     // Added to the configuration, or put in place of a file of the same name.
--- a/tests/scenario_runner/expectations.cpp
+++ b/tests/scenario_runner/expectations.cpp
@@ -157,8 +157,8 @@
     }
 }
 
-// expect-runs: {load: NAME, most-per-key: 1, most-per-request: 1, begun: ">= 3"}; a request that
-// its caller was told not to have run must always have no run.
+// expect-runs: {load: NAME, most-per-key: 1, most-per-request: 1, endpoint: E, begun: ">= 3"}; a
+// request that its caller was told not to have run must always have no run.
 Action readExpectRuns(MappingReader &step, const std::string &word)
 {
     MappingReader item = step.mapping(word);
@@ -166,7 +166,9 @@
     const auto perKey = static_cast<int>(item.integer("most-per-key", 1000, 0, 1000));
     const auto perRequest = static_cast<int>(item.integer("most-per-request", 1000, 0, 1000));
     const std::string endpoint = item.text("endpoint");
-    const Condition begun = readCondition(item, "begun", item.text("begun", ">= 0"));
+    std::map<std::string, Condition> events;
+    for (const char *event : {"begun", "ended", "cancelled", "broken", "resumed"})
+        events.emplace(event, readCondition(item, event, item.text(event, ">= 0")));
     item.finish();
     return [=](Stage &stage) {
         const auto results = stage.results(load);
@@ -182,10 +184,13 @@
         }
         checkMost(stage, "request", load.empty() ? byRequest : ofLoad, {}, perRequest);
         checkNotRun(stage, load, byRequest);
-        const auto total = std::count_if(journal.begin(), journal.end(),
-                                         [](const auto &entry) { return entry.event == "begun"; });
-        if (!begun.holds(static_cast<double>(total)))
-            stage.fail("runs begun", begun.text(), std::to_string(total));
+        for (const auto &[event, condition] : events) {
+            const auto total = std::count_if(
+                journal.begin(), journal.end(),
+                [name = event](const JournalEntry &entry) { return entry.event == name; });
+            if (!condition.holds(static_cast<double>(total)))
+                stage.fail("runs " + event, condition.text(), std::to_string(total));
+        }
     };
 }
 
