--- a/src/slots/loadtable.cpp
+++ b/src/slots/loadtable.cpp
@@ -37,14 +37,17 @@
     loads_[endpoint].answers = false;
 }
 
-std::optional<units::EndpointId> LoadTable::choose(const configuration::PoolConfig &pool,
-                                                   const membership::FleetView &fleet,
-                                                   const scheduling::SlotAsk &ask)
+std::optional<units::EndpointId>
+LoadTable::choose(const configuration::Configuration &configuration,
+                  const membership::FleetView &fleet, const scheduling::SlotAsk &ask)
 {
+    const auto pool = configuration.pools.find(ask.pool);
+    if (pool == configuration.pools.end())
+        return std::nullopt;
     std::vector<const configuration::EndpointConfig *> live;
     std::vector<const configuration::EndpointConfig *> notAvoided;
-    for (const auto &endpoint : pool.endpoints) {
-        if (!isLive(endpoint, fleet))
+    for (const auto &endpoint : pool->second.endpoints) {
+        if (!isLive(configuration, endpoint, fleet))
             continue;
         live.push_back(&endpoint);
         if (std::find(ask.avoid.begin(), ask.avoid.end(), endpoint.id) == ask.avoid.end())
@@ -64,10 +67,11 @@
     return best->id;
 }
 
-bool LoadTable::isLive(const configuration::EndpointConfig &endpoint,
+bool LoadTable::isLive(const configuration::Configuration &configuration,
+                       const configuration::EndpointConfig &endpoint,
                        const membership::FleetView &fleet) const
 {
-    if (fleet.leavingEndpointHosts.count(endpoint.host) > 0)
+    if (fleet.leavingEndpointHosts.count(endpoint.host) > 0 || configuration.isDrained(endpoint))
         return false;
     const auto found = loads_.find(endpoint.id);
     return found == loads_.end() || (found->second.answers && !found->second.draining);
--- a/tests/rpc/poolunknown_test.cpp
+++ b/tests/rpc/poolunknown_test.cpp
@@ -17,6 +17,8 @@
     TwoSchedulers::publish(fleet, {scheduler.member()});
     TestRouter router("r", scheduler.server->port(), fleet);
     const Noted asked = router.ask("early");
+    REQUIRE(
+        eventually([&] { return scheduler.gauge("monsoongrade_asks_awaiting_pool", "") >= 1; }));
     configuration.offer(configurationOf(1, 1));
     CHECK(eventually([&] { return asked->isGranted(); }));
 }
--- a/tests/slots/loadtable_test.cpp
+++ b/tests/slots/loadtable_test.cpp
@@ -6,9 +6,10 @@
 
 namespace {
 
-configuration::PoolConfig poolOf(int endpoints)
+configuration::Configuration poolOf(int endpoints)
 {
-    configuration::PoolConfig pool;
+    configuration::Configuration configuration;
+    configuration::PoolConfig &pool = configuration.pools[units::PoolName()];
     for (int i = 1; i <= endpoints; ++i) {
         configuration::EndpointConfig endpoint;
         endpoint.id = units::EndpointId("e" + std::to_string(i));
@@ -16,7 +17,7 @@
         endpoint.slots = 2;
         pool.endpoints.push_back(endpoint);
     }
-    return pool;
+    return configuration;
 }
 
 const units::EndpointId One("e1");
