--- a/bench/router-speed.cpp
+++ b/bench/router-speed.cpp
@@ -217,9 +217,9 @@
     {
         const double before = processorSeconds(options_.routerPid);
         const auto begin = steady_clock::now();
-        std::vector<CallPointer> calls;
-        for (int i = 0; i < options_.streams; ++i)
-            calls.push_back(start(base, options_.tokens));
+        std::vector<CallPointer> calls(static_cast<std::size_t>(options_.streams));
+        for (CallPointer &call : calls)
+            call = start(base, options_.tokens);
         gate_.waitBelow(1);
         const double seconds = secondsSince(begin);
         const double spent = processorSeconds(options_.routerPid) - before;
--- a/programs/monsoongrade-router/main.cpp
+++ b/programs/monsoongrade-router/main.cpp
@@ -85,6 +85,9 @@
         return daemon::entryPointsAnswer(*fleet.current(), drained, settings.failureDomain,
                                          settings.httpPort, settings.keepAddress);
     });
+    std::atomic<units::TimePoint> configuredAt{clock.now()};
+    configuration.addListener([&](const auto &) { configuredAt = clock.now(); });
+    const units::TimePoint startedAt = clock.now();
     membership::FleetWatcher fleetWatcher(platform, fleet);
     configuration::ConfigurationWatcher configurationWatcher(platform, configuration);
     http::HttpServer server(callerListener(settings),
@@ -92,9 +95,6 @@
                                 frontend.handle(request, std::move(responder));
                             });
     daemon::OperatorService operators(settings.operatorToken);
-    std::atomic<units::TimePoint> configuredAt{clock.now()};
-    configuration.addListener([&](const auto &) { configuredAt = clock.now(); });
-    const units::TimePoint startedAt = clock.now();
     operators.addPage("/operator/status", [&](const std::string &) {
         const daemon::DaemonStatus status{self,
                                           settings.failureDomain,
