--- a/src/configuration/mappingreader.cpp
+++ b/src/configuration/mappingreader.cpp
@@ -45,6 +45,16 @@
 
 } // namespace
 
+std::optional<MappingReader> MappingReader::ofFile(const SourceFile &file, Problems &problems)
+{
+    try {
+        return MappingReader(file.name, YAML::Load(file.text), problems);
+    } catch (const YAML::Exception &error) {
+        problems.push_back({ResultCode::NotYaml, file.name, error.mark.line + 1, {}, error.msg});
+        return std::nullopt;
+    }
+}
+
 MappingReader::MappingReader(std::string file, const YAML::Node &node, Problems &problems)
     : file_(std::move(file))
     , node_(node)
--- a/tests/scheduling/cellscheduler_test.cpp
+++ b/tests/scheduling/cellscheduler_test.cpp
@@ -88,6 +88,20 @@
     CHECK(sink.grants.size() == 1);
 }
 
+// After a scheduler died the routers tell the next one what waits, one ask after another. The
+// first one told must not get the slot because of that alone.
+TEST_CASE_FIXTURE(Fixture, "CellScheduler.HearsEverybodyBeforeItGrantsAfterATakeover")
+{
+    scheduler.settleUntil(clock.now() + std::chrono::milliseconds(200));
+    ask("low", "low");
+    ask("high", "high");
+    CHECK(sink.grants.empty());
+    clock.advance(std::chrono::milliseconds(200));
+    scheduler.tick();
+    REQUIRE(sink.grants.size() == 1);
+    CHECK(sink.grants[0].request == RequestId("high"));
+}
+
 // A whole tier's queue fills from one workspace. The next workspace still finds a place: the
 // one with most waiting gives it up, not whoever came last.
 TEST_CASE_FIXTURE(Fixture, "CellScheduler.OneWorkspaceCannotFillTheQueue")
@@ -120,6 +134,22 @@
     CHECK(scheduler.waiting() == 1);
 }
 
+// Both wait, and the first one's target has just passed: served first it would still be late, and
+// the second one soon as well.
+TEST_CASE_FIXTURE(Fixture, "CellScheduler.ServesThoseInTimeBeforeThoseAlreadyLate")
+{
+    ask("running", "high");
+    ask("late", "high");
+    clock.advance(std::chrono::seconds(6));
+    ask("in time", "high");
+    releaseLast();
+    REQUIRE(sink.grants.size() == 2);
+    CHECK(sink.grants[1].request == RequestId("in time"));
+    releaseLast();
+    REQUIRE(sink.grants.size() == 3);
+    CHECK(sink.grants[2].request == RequestId("late"));
+}
+
 // Far more of its own tier wait than can be served within the target: refused at once.
 TEST_CASE_FIXTURE(Fixture, "CellScheduler.RefusesAHopelessDeadlineOnArrival")
 {
