--- a/include/monsoongrade/slots/loadtable.h
+++ b/include/monsoongrade/slots/loadtable.h
@@ -29,7 +29,7 @@
     // The less loaded of two endpoints picked at random among those that answer, are not
     // leaving, and are not to be avoided while another one lives. Nothing where both have as
     // many waiting as they run at once, or none is left.
-    std::optional<units::EndpointId> choose(const configuration::PoolConfig &pool,
+    std::optional<units::EndpointId> choose(const configuration::Configuration &configuration,
                                             const membership::FleetView &fleet,
                                             const scheduling::SlotAsk &ask);
 
@@ -42,7 +42,8 @@
         bool answers = true;
     };
 
-    bool isLive(const configuration::EndpointConfig &endpoint,
+    bool isLive(const configuration::Configuration &configuration,
+                const configuration::EndpointConfig &endpoint,
                 const membership::FleetView &fleet) const;
     double loadOf(const configuration::EndpointConfig &endpoint) const;
 
--- a/src/slots/twochoicesslotsource.cpp
+++ b/src/slots/twochoicesslotsource.cpp
@@ -60,11 +60,8 @@
     {
         const auto configuration = configuration_.current();
         std::optional<units::EndpointId> endpoint;
-        if (configuration) {
-            const auto pool = configuration->pools.find(waiting.ask.pool);
-            if (pool != configuration->pools.end())
-                endpoint = table_.choose(pool->second, *fleet_.current(), waiting.ask);
-        }
+        if (configuration)
+            endpoint = table_.choose(*configuration, *fleet_.current(), waiting.ask);
         if (endpoint) {
             waiting.listener->slotGranted(
                 {units::GrantId(nextGrant_++), waiting.ask.request, waiting.ask.router, *endpoint});
