Scheduling: a cached prefix counts for more in the choice of the endpoint

APopularPrefixMakesNoHotSpot holds the other side: no endpoint gets more than half of twelve requests that share one prefix.

--- a/src/scheduling/endpointbook.cpp
+++ b/src/scheduling/endpointbook.cpp
@@ -9,10 +9,10 @@
 
 constexpr double SpeedSmoothing = 0.2;
 constexpr double FirstGuessOfSpeed = 30;
-// A cached prefix spares its prefill; worth this share of the expected wait. It is smaller than
-// what one more request in flight costs on a loaded endpoint, so a popular prefix spreads over
-// endpoints instead of making one of them a hot spot.
-constexpr double CachedPrefixDiscount = 0.7;
+// A cached prefix spares its prefill; the endpoint's expected wait counts for this share only.
+// On a loaded endpoint that is worth about two requests more in flight than elsewhere, so a
+// popular prefix spreads over endpoints instead of making one of them a hot spot.
+constexpr double CachedPrefixDiscount = 0.4;
 constexpr auto LeastPatience = std::chrono::seconds(5);
 constexpr double PatienceInAnswers = 4;
 
--- a/tests/scheduling/endpointhealth_test.cpp
+++ b/tests/scheduling/endpointhealth_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <map>
 
 namespace monsoongrade::scheduling {
 
@@ -116,6 +117,25 @@
     CHECK(limit() == 8);
 }
 
+// Every coach sends the same footage. All their requests have one prefix, and the endpoint that
+// has it cached must not get more than a little more of them than the others.
+TEST_CASE_FIXTURE(CellFixture, "EndpointBook.APopularPrefixMakesNoHotSpot")
+{
+    policy.endpoints = {{EndpointId("a"), 8}, {EndpointId("b"), 8}, {EndpointId("c"), 8}};
+    scheduler.configure(policy);
+    for (int i = 0; i < 12; ++i) {
+        SlotAsk ask = makeAsk(std::to_string(i), "high");
+        ask.prefix = units::PrefixHash(7);
+        scheduler.ask(ask);
+    }
+    std::map<EndpointId, int> granted;
+    for (const SlotGrant &grant : sink.grants)
+        ++granted[grant.endpoint];
+    for (const auto &entry : granted)
+        CHECK_MESSAGE(entry.second <= 6, entry.first);
+    CHECK(granted.size() == 3);
+}
+
 TEST_CASE("RecentPrefixes.RemembersTheLastOnesOnly")
 {
     RecentPrefixes prefixes;
