--- a/bench/slot-policies/report.cpp
+++ b/bench/slot-policies/report.cpp
@@ -73,7 +73,8 @@
 {
     out << "Medians over the seeds (least-most). Attainment, completed and p95 of the first token"
            " by class, highest tier first. Percent, but for seconds and counts.\n\n"
-        << "| site | script | policy | routers | attainment | completed | grants | first token p95"
+        << "| site | script | policy | routers | attainment | completed | tokens granted | first "
+           "token p95"
            " s | goodput | wasted | prefill saved | messages | bytes | at death, after |"
            " small workspaces | most returns/s | refusals "
            "|\n|---|---|---|---|---|---|---|---|---|---|---|---|---|---"
@@ -91,7 +92,7 @@
                    line, [](const auto &each) { return each.completed; }, 1)
             << " | "
             << perClass(
-                   line, [](const auto &each) { return each.grants; }, 1)
+                   line, [](const auto &each) { return each.tokensGranted; }, 1)
             << " | "
             << perClass(
                    line, [](const auto &each) { return each.firstTokenP95; }, 1)
@@ -119,7 +120,7 @@
             for (const ClassResult &each : result.classes)
                 classes[each.name] = {{"attainment", each.attainment},
                                       {"completed", each.completed},
-                                      {"grants", each.grants},
+                                      {"tokens-granted", each.tokensGranted},
                                       {"first-token-p95-s", each.firstTokenP95}};
             all.push_back({{"site", line.site},
                            {"script", line.script},
--- a/bench/slot-policies/result.h
+++ b/bench/slot-policies/result.h
@@ -14,8 +14,8 @@
     std::string name;
     double attainment = 0;
     double completed = 0;
-    // Share of the grants made from the tenth to the sixtieth second, while callers arrive.
-    double grants = 0;
+    // Share of the tokens granted from the tenth to the sixtieth second, while callers arrive.
+    double tokensGranted = 0;
     double firstTokenP95 = 0;
 };
 
--- a/bench/slot-policies/simulation.cpp
+++ b/bench/slot-policies/simulation.cpp
@@ -131,7 +131,7 @@
     caller.engine = std::stoi(grant.endpoint.value().substr(grant.endpoint.value().find('-') + 1));
     caller.began = timeline_.clock().now();
     if (timeline_.seconds() >= CountFrom && timeline_.seconds() < CountUntil)
-        ++grants_[className];
+        tokensGranted_[className] += spec.tokens;
     engines_[static_cast<std::size_t>(caller.engine)].add(
         {request, site_.policy.tierOf(className).value(), spec.prefix, spec.tokens});
 }
@@ -245,10 +245,10 @@
     double wanted = 0;
     double completed = 0;
     double inTime = 0;
-    double allGrants = 0;
+    double allTokens = 0;
     std::vector<double> firstTokens;
-    for (const auto &entry : grants_)
-        allGrants += entry.second;
+    for (const auto &entry : tokensGranted_)
+        allTokens += entry.second;
     for (std::size_t i = 0; i < callers_.size(); ++i) {
         if (script_.requests[i].className != name.value())
             continue;
@@ -259,12 +259,13 @@
             firstTokens.push_back(callers_[i].firstTokenAt - script_.requests[i].arrivesAt);
     }
     std::sort(firstTokens.begin(), firstTokens.end());
-    const auto grants = grants_.find(name);
+    const auto granted = tokensGranted_.find(name);
     ClassResult result;
     result.name = name.value();
     result.attainment = percent(inTime, wanted);
     result.completed = percent(completed, wanted);
-    result.grants = grants == grants_.end() ? 0 : percent(grants->second, allGrants);
+    result.tokensGranted
+        = granted == tokensGranted_.end() ? 0 : percent(granted->second, allTokens);
     if (!firstTokens.empty())
         result.firstTokenP95 = firstTokens[firstTokens.size() * 95 / 100];
     return result;
--- a/bench/slot-policies/simulation.h
+++ b/bench/slot-policies/simulation.h
@@ -73,7 +73,7 @@
     double wasted_ = 0;
     double lost_ = 0;
     std::map<std::string, int> refusals_;
-    std::map<units::ClassName, int> grants_;
+    std::map<units::ClassName, double> tokensGranted_;
     std::map<int, int> returnsPerSecond_;
     std::size_t mostWaiting_ = 0;
 };
