--- a/programs/monsoongrade-router/main.cpp
+++ b/programs/monsoongrade-router/main.cpp
@@ -1,8 +1,9 @@
+#include "slotsources.h"
+
 #include <monsoongrade/configuration/configurationwatcher.h>
 #include <monsoongrade/daemon/commandline.h>
 #include <monsoongrade/daemon/daemonid.h>
 #include <monsoongrade/daemon/entrypoints.h>
-#include <monsoongrade/daemon/loglevels.h>
 #include <monsoongrade/daemon/operatorservice.h>
 #include <monsoongrade/daemon/statuspage.h>
 #include <monsoongrade/daemon/stopsignal.h>
@@ -13,11 +14,10 @@
 #include <monsoongrade/observability/log.h>
 #include <monsoongrade/platform/httpplatform.h>
 #include <monsoongrade/requests/callerfrontend.h>
-#include <monsoongrade/rpc/rpcslotsource.h>
+#include <monsoongrade/requests/threaddelayer.h>
 #include <monsoongrade/units/steadyclock.h>
 
 #include <atomic>
-#include <iostream>
 #include <thread>
 
 namespace {
@@ -63,6 +63,8 @@
 {
     const units::SteadyClock clock;
     observability::Metrics metrics;
+    requests::DecisionLog decisions;
+    requests::RetryBudget retries;
     endpoints::CurlEndpointClient platformClient;
     endpoints::CurlEndpointClient endpointClient;
     platform::HttpPlatform platform(platformClient, settings.platform);
@@ -70,16 +72,20 @@
     membership::FleetHolder fleet;
     rpc::RpcLoop rpcLoop;
     const units::DaemonId self = daemon::newDaemonId(settings.host, "router");
-    rpc::RpcSlotSource slots(rpcLoop, {settings.cluster, self, settings.schedulerRpcPort}, fleet,
-                             metrics);
-    requests::DecisionLog decisions;
-    const requests::FlowServices services{clock, slots, endpointClient, metrics, decisions, self};
+    SlotSources slots(settings, self, clock, rpcLoop, endpointClient, configuration, fleet,
+                      metrics);
+    requests::ThreadDelayer delayer;
+    const requests::FlowServices services{clock,     slots.chosen(), endpointClient, metrics,
+                                          decisions, retries,        delayer,        self};
     requests::CallerFrontend frontend(services, configuration, settings.openLimit, [&] {
         const auto inForce = configuration.current();
         const std::set<std::string> drained = inForce ? inForce->drained : std::set<std::string>();
         return daemon::entryPointsAnswer(*fleet.current(), drained, settings.failureDomain,
                                          settings.httpPort, settings.keepAddress);
     });
+    std::atomic<units::TimePoint> configuredAt{clock.now()};
+    configuration.addListener([&](const auto &) { configuredAt = clock.now(); });
+    const units::TimePoint startedAt = clock.now();
     membership::FleetWatcher fleetWatcher(platform, fleet);
     configuration::ConfigurationWatcher configurationWatcher(platform, configuration);
     http::HttpServer server(callerListener(settings),
@@ -87,9 +93,6 @@
                                 frontend.handle(request, std::move(responder));
                             });
     daemon::OperatorService operators(settings.operatorToken);
-    std::atomic<units::TimePoint> configuredAt{clock.now()};
-    configuration.addListener([&](const auto &) { configuredAt = clock.now(); });
-    const units::TimePoint startedAt = clock.now();
     operators.addPage("/operator/status", [&](const std::string &) {
         const daemon::DaemonStatus status{self,
                                           settings.failureDomain,
@@ -120,18 +123,7 @@
 
 int main(int argc, char **argv)
 {
-    const auto commandLine = monsoongrade::daemon::readCommandLine(
+    return monsoongrade::daemon::runDaemon(
         "monsoongrade-router", "Takes callers' requests and relays the answers of endpoints.", argc,
-        argv);
-    if (!commandLine.settings)
-        return commandLine.exitCode;
-    monsoongrade::daemon::blockStopSignals();
-    monsoongrade::observability::startLogging(
-        monsoongrade::daemon::logLevelFor(commandLine.settings->logLevel));
-    try {
-        return run(*commandLine.settings);
-    } catch (const std::exception &error) {
-        std::cerr << "monsoongrade-router: " << error.what() << "\n";
-        return monsoongrade::daemon::ExitFailed;
-    }
+        argv, run);
 }
--- a/src/configuration/daemonsettings.cpp
+++ b/src/configuration/daemonsettings.cpp
@@ -16,15 +16,10 @@
 DaemonSettings parseDaemonSettings(const SourceFile &file, Problems &problems)
 {
     DaemonSettings settings;
-    YAML::Node root;
-    try {
-        root = YAML::Load(file.text);
-    } catch (const YAML::Exception &error) {
-        problems.push_back(
-            {units::ResultCode::NotYaml, file.name, error.mark.line + 1, {}, error.msg});
+    auto top = MappingReader::ofFile(file, problems);
+    if (!top)
         return settings;
-    }
-    MappingReader reader(file.name, root, problems);
+    MappingReader &reader = *top;
     settings.cluster = units::ClusterName(reader.requiredText("cluster"));
     settings.host = units::HostName(reader.requiredText("host"));
     settings.address = reader.requiredText("address");
@@ -32,6 +27,8 @@
     settings.platform = reader.requiredText("platform");
     settings.httpPort = port(reader, "http-port", settings.httpPort);
     settings.operatorPort = port(reader, "operator-port", settings.operatorPort);
+    settings.schedulerOperatorPort
+        = port(reader, "scheduler-operator-port", settings.schedulerOperatorPort);
     settings.routerRpcPort = port(reader, "router-rpc-port", settings.routerRpcPort);
     settings.schedulerRpcPort = port(reader, "scheduler-rpc-port", settings.schedulerRpcPort);
     settings.threads = static_cast<std::size_t>(reader.integer("threads", 2, 1, 64));
