--- a/include/monsoongrade/requests/callerfrontend.h
+++ b/include/monsoongrade/requests/callerfrontend.h
@@ -26,11 +26,13 @@
 
     // From now on /readyz says no; requests are served as before.
     void startLeaving() { leaving_ = true; }
+    bool isLeaving() const { return leaving_; }
+    // All metrics in the text exposition format.
+    std::string metricsPage();
     std::size_t open() const { return open_.total(); }
 
 private:
     bool answerOwnPath(const http::HttpRequest &request, http::HttpResponder &responder);
-    std::string metricsAnswer();
     void route(const http::HttpRequest &request, std::shared_ptr<http::HttpResponder> responder);
     void begin(ClassifiedRequest classified, std::shared_ptr<http::HttpResponder> responder);
     void refuseUnclassified(http::HttpResponder &responder, const units::RequestId &id,
--- a/src/requests/callerfrontend.cpp
+++ b/src/requests/callerfrontend.cpp
@@ -41,7 +41,7 @@
         const bool ready = !leaving_ && holder_.current() != nullptr;
         responder.answer(ready ? 200 : 503, TextHeaders, ready ? "ready\n" : "not ready\n");
     } else if (request.path == "/metrics") {
-        responder.answer(200, TextHeaders, metricsAnswer());
+        responder.answer(200, TextHeaders, metricsPage());
     } else if (request.path == "/v1/entry-points") {
         responder.answer(200, JsonHeaders, entryPoints_());
     } else {
@@ -93,7 +93,7 @@
         ->start();
 }
 
-std::string CallerFrontend::metricsAnswer()
+std::string CallerFrontend::metricsPage()
 {
     services_.metrics.set("monsoongrade_requests_open", {}, static_cast<double>(open_.total()));
     for (const auto &[className, count] : open_.byClass())
