Requests: idempotency keys run at most once

A keyed at-most-once request is claimed through the platform's create-if-absent before it asks for a slot; the attempt's id tells a router whose reply was lost that the claim it reads back is its own. A repeat on the same router is attached to the running or kept answer; elsewhere the holder named by the claim is asked (KeyHolderClient); a holder that is gone makes the outcome unknown and nothing runs. A holder that surely ran nothing gives the claim up when asked, and only a conditional update takes it over. Store down: refused as not run at once. Keys handed out by POST /v1/idempotency-keys name the router and its incarnation and need no store.

Calls to the store block and run on a pool of their own. The way to other routers is not there yet: every holder counts as unreachable.

The HTTP server counts answers whose bytes have not left, so that a planned stop can wait for them, and refuses bodies over the limit with 1002 up to twice the limit.

--- a/include/monsoongrade/http/httpserver.h
+++ b/include/monsoongrade/http/httpserver.h
@@ -16,6 +16,8 @@
     std::string address = "127.0.0.1";
     std::uint16_t port = 0;
     std::size_t threads = 1;
+    // A larger body, up to twice as large, is refused with 1002; above that the connection is
+    // closed.
     std::size_t bodyLimit = 8 * 1024 * 1024;
     std::size_t headerLimit = 32 * 1024;
     std::size_t headerCountLimit = 100;
@@ -35,6 +37,9 @@
     HttpServer(const HttpServerSettings &settings, HttpHandler handler);
     ~HttpServer();
 
+    // Answers that were begun or are still to come and have not left whole for their callers. A
+    // process that ends while one is open cuts it off.
+    std::size_t openAnswers() const;
     // Stops at once; open answers are cut. Callers drain first.
     void stop();
 
--- a/include/monsoongrade/requests/callerfrontend.h
+++ b/include/monsoongrade/requests/callerfrontend.h
@@ -4,6 +4,7 @@
 #include <monsoongrade/configuration/configurationholder.h>
 #include <monsoongrade/http/httpresponder.h>
 #include <monsoongrade/requests/flowservices.h>
+#include <monsoongrade/requests/keyedrequests.h>
 #include <monsoongrade/requests/openrequests.h>
 
 #include <atomic>
@@ -19,8 +20,9 @@
 {
 public:
     // entryPoints gives the JSON answer to /v1/entry-points.
-    CallerFrontend(const FlowServices &services, configuration::ConfigurationHolder &holder,
-                   std::size_t openLimit, std::function<std::string()> entryPoints);
+    CallerFrontend(const FlowServices &services, KeyedRequests &keyed,
+                   configuration::ConfigurationHolder &holder, std::size_t openLimit,
+                   std::function<std::string()> entryPoints);
 
     void handle(const http::HttpRequest &request, std::shared_ptr<http::HttpResponder> responder);
 
@@ -32,6 +34,7 @@
     std::size_t open() const { return open_.total(); }
 
 private:
+    void issueKey(const http::HttpRequest &request, http::HttpResponder &responder);
     bool answerOwnPath(const http::HttpRequest &request, http::HttpResponder &responder);
     void route(const http::HttpRequest &request, std::shared_ptr<http::HttpResponder> responder);
     void begin(ClassifiedRequest classified, std::shared_ptr<http::HttpResponder> responder);
@@ -40,6 +43,7 @@
     units::RequestId nextRequestId();
 
     const FlowServices &services_;
+    KeyedRequests &keyed_;
     configuration::ConfigurationHolder &holder_;
     std::function<std::string()> entryPoints_;
     OpenRequests open_;
--- a/include/monsoongrade/requests/classifier.h
+++ b/include/monsoongrade/requests/classifier.h
@@ -7,6 +7,10 @@
 
 namespace monsoongrade::requests {
 
+// The workspace whose API key the request carries. Errors: UnknownKey.
+units::Result<units::WorkspaceName> workspaceOf(const http::HttpRequest &request,
+                                                const configuration::Configuration &configuration);
+
 // Finds the workspace by API key and the class, pool and run rule by the configuration's rules.
 // Errors: UnknownKey, MalformedRequest, UnknownModel, NoRouteForRequest.
 units::Result<ClassifiedRequest>
--- a/include/monsoongrade/requests/decisionlog.h
+++ b/include/monsoongrade/requests/decisionlog.h
@@ -15,6 +15,10 @@
 
 enum class DecisionKind {
     Classified,
+    // Given the answer of the request that holds its idempotency key.
+    Attached,
+    // The router that holds the key was asked.
+    HolderAsked,
     Queued,
     Granted,
     Called,
--- /dev/null
+++ b/include/monsoongrade/requests/unreachableholders.h
@@ -0,0 +1,30 @@
+#ifndef MONSOONGRADE_REQUESTS_UNREACHABLEHOLDERS_H
+#define MONSOONGRADE_REQUESTS_UNREACHABLEHOLDERS_H
+
+#include <monsoongrade/requests/delayer.h>
+#include <monsoongrade/requests/keyholderclient.h>
+
+namespace monsoongrade::requests {
+
+// Finds every holder unreachable, for a router that can't ask others: its callers learn that the
+// outcome is unknown there and go to the router that they used first.
+class UnreachableHolders : public KeyHolderClient
+{
+public:
+    explicit UnreachableHolders(Delayer &delayer)
+        : delayer_(delayer)
+    {
+    }
+
+    void ask(const HolderQuestion &, ReplyHandler reply) override
+    {
+        delayer_.after({}, [reply = std::move(reply)] { reply({}); });
+    }
+
+private:
+    Delayer &delayer_;
+};
+
+} // namespace monsoongrade::requests
+
+#endif // MONSOONGRADE_REQUESTS_UNREACHABLEHOLDERS_H
--- a/programs/monsoongrade-router/main.cpp
+++ b/programs/monsoongrade-router/main.cpp
@@ -14,6 +14,8 @@
 #include <monsoongrade/platform/httpplatform.h>
 #include <monsoongrade/requests/callerfrontend.h>
 #include <monsoongrade/requests/threaddelayer.h>
+#include <monsoongrade/requests/unreachableholders.h>
+#include <monsoongrade/requests/workerpool.h>
 #include <monsoongrade/rpc/rpcslotsource.h>
 #include <monsoongrade/units/steadyclock.h>
 
@@ -26,6 +28,11 @@
 using namespace monsoongrade;
 
 constexpr auto DrainCheck = std::chrono::milliseconds(50);
+constexpr auto QuietBeforeExit = std::chrono::milliseconds(250);
+// Longest time until the other routers leave this one out of their entry points.
+constexpr auto LeavingSpread = std::chrono::seconds(3);
+constexpr std::size_t ClaimThreads = 4;
+constexpr std::size_t MostClaimsWaiting = 256;
 constexpr std::size_t OperatorBodyLimit = 64 * 1024;
 constexpr std::size_t OperatorConnections = 100;
 
@@ -49,15 +56,21 @@
     return listener;
 }
 
-// A planned stop: callers keep addresses for a while, so the listener serves until the last of
-// them has run out and the last answer has ended.
-void drain(requests::CallerFrontend &frontend, const configuration::DaemonSettings &settings)
+// A planned stop: callers keep addresses for a while, and other routers hand this one's out until
+// they have heard that it leaves. The listener serves until the last of these has run out, the
+// last answer's bytes have left, and nothing has come for a moment.
+void drain(requests::CallerFrontend &frontend, const http::HttpServer &server,
+           const configuration::DaemonSettings &settings)
 {
     frontend.startLeaving();
     observability::log(observability::LogLevel::Info, "leaving", {});
-    std::this_thread::sleep_for(settings.keepAddress);
-    while (frontend.open() > 0)
+    std::this_thread::sleep_for(settings.keepAddress + LeavingSpread);
+    auto idleFor = std::chrono::milliseconds(0);
+    while (idleFor < QuietBeforeExit) {
         std::this_thread::sleep_for(DrainCheck);
+        const bool isIdle = frontend.open() == 0 && server.openAnswers() == 0;
+        idleFor = isIdle ? idleFor + DrainCheck : std::chrono::milliseconds(0);
+    }
 }
 
 int run(const configuration::DaemonSettings &settings)
@@ -78,7 +91,11 @@
     requests::ThreadDelayer delayer;
     const requests::FlowServices services{clock,     slots,   endpointClient, metrics,
                                           decisions, retries, delayer,        self};
-    requests::CallerFrontend frontend(services, configuration, settings.openLimit, [&] {
+    requests::ClaimStore claims(platform, clock, metrics);
+    requests::UnreachableHolders holders(delayer);
+    requests::WorkerPool claimWorker(ClaimThreads, MostClaimsWaiting);
+    requests::KeyedRequests keyed(services, claims, holders, claimWorker, {});
+    requests::CallerFrontend frontend(services, keyed, configuration, settings.openLimit, [&] {
         const auto inForce = configuration.current();
         const std::set<std::string> drained = inForce ? inForce->drained : std::set<std::string>();
         return daemon::entryPointsAnswer(*fleet.current(), drained, settings.failureDomain,
@@ -115,7 +132,7 @@
     observability::log(observability::LogLevel::Info, "router-started",
                        {{"daemon", self.value()}, {"port", static_cast<int>(settings.httpPort)}});
     daemon::waitForStopSignal();
-    drain(frontend, settings);
+    drain(frontend, server, settings);
     observability::log(observability::LogLevel::Info, "router-stopped", {});
     return daemon::ExitOk;
 }
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -34,10 +34,13 @@
 class Responder : public HttpResponder, public std::enable_shared_from_this<Responder>
 {
 public:
-    Responder(Strand strand, restinio::request_handle_t request, std::uint16_t localPort)
+    // The ticket counts the answer as open until it is destroyed.
+    Responder(Strand strand, restinio::request_handle_t request, std::uint16_t localPort,
+              std::shared_ptr<void> ticket)
         : strand_(std::move(strand))
         , request_(std::move(request))
         , localPort_(localPort)
+        , ticket_(std::move(ticket))
     {
     }
 
@@ -93,6 +96,7 @@
             if (self->goneHandler_ && !self->ended_)
                 self->goneHandler_();
             self->goneHandler_ = nullptr;
+            self->ticket_.reset();
         });
     }
 
@@ -105,7 +109,7 @@
         for (const auto &[name, value] : headers)
             builder.append_header(name, value);
         builder.set_body(std::move(body));
-        builder.done();
+        builder.done([ticket = ticket_](const auto &) {});
         finish();
     }
 
@@ -134,7 +138,7 @@
         if (!builder_ || ended_)
             return;
         if (!gone_)
-            builder_->done();
+            builder_->done([ticket = ticket_](const auto &) {});
         finish();
     }
 
@@ -153,11 +157,13 @@
         builder_.reset();
         goneHandler_ = nullptr;
         request_.reset();
+        ticket_.reset();
     }
 
     Strand strand_;
     restinio::request_handle_t request_;
     std::uint16_t localPort_;
+    std::shared_ptr<void> ticket_;
     std::optional<ChunkedBuilder> builder_;
     std::function<void()> goneHandler_;
     bool ended_ = false;
@@ -241,7 +247,8 @@
 {
 public:
     Impl(const HttpServerSettings &settings, HttpHandler handler)
-        : io_(static_cast<int>(settings.threads))
+        : bodyLimit_(settings.bodyLimit)
+        , io_(static_cast<int>(settings.threads))
         , work_(asio::make_work_guard(io_))
         , port_(settings.port)
         , handler_(std::move(handler))
@@ -255,6 +262,8 @@
 
     ~Impl() { stop(); }
 
+    std::size_t openAnswers() const { return openAnswers_; }
+
     void stop()
     {
         if (threads_.empty())
@@ -270,7 +279,7 @@
     void fill(Settings &target, const HttpServerSettings &settings)
     {
         restinio::incoming_http_msg_limits_t limits;
-        limits.max_body_size(settings.bodyLimit)
+        limits.max_body_size(settings.bodyLimit * 2)
             .max_url_size(settings.headerLimit)
             .max_field_value_size(settings.headerLimit)
             .max_field_name_size(settings.headerLimit)
@@ -295,12 +304,28 @@
 
     restinio::request_handling_status_t handle(restinio::request_handle_t request)
     {
-        const auto responder = std::make_shared<Responder>(asio::make_strand(io_), request, port_);
+        ++openAnswers_;
+        std::shared_ptr<void> ticket(nullptr, [this](void *) { --openAnswers_; });
+        const auto responder = std::make_shared<Responder>(asio::make_strand(io_), request, port_,
+                                                           std::move(ticket));
         listener_->add(request->connection_id(), responder);
-        handler_(read(request), responder);
+        if (request->body().size() > bodyLimit_)
+            responder->answer(413, {{"Content-Type", "application/json"}}, bodyTooLarge());
+        else
+            handler_(read(request), responder);
         return restinio::request_accepted();
     }
 
+    std::string bodyTooLarge() const
+    {
+        return R"({"error":{"code":1002,"reason":"body-too-large","message":"the body is larger than )"
+            + std::to_string(bodyLimit_)
+            + R"( bytes. The request did not run. Send less.","run_state":"not-run"}})";
+    }
+
+    // Outlives the io context, whose handlers hold tickets.
+    std::atomic<std::size_t> openAnswers_{0};
+    const std::size_t bodyLimit_;
     asio::io_context io_;
     asio::executor_work_guard<asio::io_context::executor_type> work_;
     std::uint16_t port_;
@@ -317,6 +342,11 @@
 
 HttpServer::~HttpServer() = default;
 
+std::size_t HttpServer::openAnswers() const
+{
+    return impl_->openAnswers();
+}
+
 void HttpServer::stop()
 {
     impl_->stop();
--- a/src/requests/callerfrontend.cpp
+++ b/src/requests/callerfrontend.cpp
@@ -3,6 +3,8 @@
 #include <monsoongrade/requests/classifier.h>
 #include <monsoongrade/requests/requestflow.h>
 
+#include <nlohmann/json.hpp>
+
 namespace monsoongrade::requests {
 
 namespace {
@@ -16,10 +18,11 @@
 
 } // namespace
 
-CallerFrontend::CallerFrontend(const FlowServices &services,
+CallerFrontend::CallerFrontend(const FlowServices &services, KeyedRequests &keyed,
                                configuration::ConfigurationHolder &holder, std::size_t openLimit,
                                std::function<std::string()> entryPoints)
     : services_(services)
+    , keyed_(keyed)
     , holder_(holder)
     , entryPoints_(std::move(entryPoints))
     , open_(openLimit)
@@ -44,6 +47,8 @@
         responder.answer(200, TextHeaders, metricsPage());
     } else if (request.path == "/v1/entry-points") {
         responder.answer(200, JsonHeaders, entryPoints_());
+    } else if (request.path == "/v1/idempotency-keys" && request.method == "POST") {
+        issueKey(request, responder);
     } else {
         return false;
     }
@@ -88,11 +93,41 @@
         account.refuse(ticket.error.code, ticket.error.message);
         return;
     }
+    if (classified.run == configuration::RunRule::AtMostOnce
+        && !classified.idempotencyKey.isEmpty()) {
+        ticket.value.reset();
+        keyed_.handle(std::move(classified), std::move(account), responder);
+        return;
+    }
     std::make_shared<RequestFlow>(services_, std::move(classified), std::move(account),
                                   std::move(responder), [](const FlowEnd &) {})
         ->start();
 }
 
+void CallerFrontend::issueKey(const http::HttpRequest &request, http::HttpResponder &responder)
+{
+    const auto configuration = holder_.current();
+    if (!configuration) {
+        refuseUnclassified(responder, nextRequestId(),
+                           {ResultCode::NoConfiguration, "this router has no configuration yet"},
+                           RetryAfterFull);
+        return;
+    }
+    const auto workspace = units::capture([&] { return workspaceOf(request, *configuration); });
+    if (!workspace.value) {
+        refuseUnclassified(responder, nextRequestId(), workspace.error, {});
+        return;
+    }
+    services_.metrics.add("monsoongrade_keys_issued_total");
+    const auto lifetime
+        = std::chrono::duration_cast<std::chrono::seconds>(KeyedRequests::KeyLifetime);
+    responder.answer(200, JsonHeaders,
+                     nlohmann::json{{"idempotency_key", keyed_.issue().value()},
+                                    {"router", services_.self.value()},
+                                    {"first_use_within_seconds", lifetime.count()}}
+                         .dump());
+}
+
 std::string CallerFrontend::metricsPage()
 {
     services_.metrics.set("monsoongrade_requests_open", {}, static_cast<double>(open_.total()));
--- a/src/requests/classifier.cpp
+++ b/src/requests/classifier.cpp
@@ -19,6 +19,7 @@
 using units::ResultCode;
 
 constexpr std::size_t PrefixBytes = 256;
+constexpr std::size_t LongestIdempotencyKey = 200;
 
 // What the rules can see of a request's body.
 struct BodyView
@@ -160,21 +161,33 @@
 
 } // namespace
 
-units::Result<ClassifiedRequest> classify(const http::HttpRequest &request,
-                                          const units::RequestId &id,
-                                          std::shared_ptr<const Configuration> configuration)
+units::Result<units::WorkspaceName> workspaceOf(const http::HttpRequest &request,
+                                                const Configuration &configuration)
 {
-    const WorkspaceConfig *workspace = findWorkspace(*configuration, keyOf(request));
+    const WorkspaceConfig *workspace = findWorkspace(configuration, keyOf(request));
     if (workspace == nullptr)
         return units::fail(ResultCode::UnknownKey,
                            "give a known API key as \"Authorization: Bearer KEY\"");
+    return workspace->name;
+}
+
+units::Result<ClassifiedRequest> classify(const http::HttpRequest &request,
+                                          const units::RequestId &id,
+                                          std::shared_ptr<const Configuration> configuration)
+{
+    BOOST_LEAF_AUTO(workspaceName, workspaceOf(request, *configuration));
+    const WorkspaceConfig &workspace = configuration->workspaces.at(workspaceName);
     BOOST_LEAF_AUTO(body, viewBody(request));
     ClassifiedRequest result;
     result.id = id;
-    result.workspace = workspace->name;
+    result.workspace = workspaceName;
     result.configuration = std::move(configuration);
-    BOOST_LEAF_CHECK(applyRules(result, request, body, *workspace));
+    BOOST_LEAF_CHECK(applyRules(result, request, body, workspace));
     result.idempotencyKey = units::IdempotencyKey(request.header("idempotency-key"));
+    if (result.idempotencyKey.value().size() > LongestIdempotencyKey)
+        return units::fail(ResultCode::MalformedRequest,
+                           "the idempotency key is longer than "
+                               + std::to_string(LongestIdempotencyKey) + " bytes");
     result.prefix = prefixHash(body.promptStart);
     result.streamed = body.streamed;
     result.method = request.method;
--- a/src/requests/decisionlog.cpp
+++ b/src/requests/decisionlog.cpp
@@ -7,6 +7,10 @@
     switch (kind) {
     case DecisionKind::Classified:
         return "classified";
+    case DecisionKind::Attached:
+        return "attached";
+    case DecisionKind::HolderAsked:
+        return "holder-asked";
     case DecisionKind::Queued:
         return "queued";
     case DecisionKind::Granted:
--- a/tests/requests/fakes.h
+++ b/tests/requests/fakes.h
@@ -71,6 +71,8 @@
         std::shared_ptr<endpoints::EndpointListener> listener;
         bool cancelled = false;
         bool paused = false;
+        // The test's endpoint runs it.
+        bool begun = false;
 
         std::string header(const std::string &name) const
         {
--- /dev/null
+++ b/tests/requests/faultystore.h
@@ -0,0 +1,106 @@
+#ifndef MONSOONGRADE_TESTS_REQUESTS_FAULTYSTORE_H
+#define MONSOONGRADE_TESTS_REQUESTS_FAULTYSTORE_H
+
+#include <monsoongrade/platform/objectstore.h>
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace monsoongrade::requests {
+
+// An object store in memory whose next calls can fail in the ways that the platform's do.
+class FaultyStore : public platform::ObjectStore
+{
+public:
+    enum Fault {
+        None,
+        // No call has an effect.
+        Down,
+        // Writes take effect; their replies are lost.
+        LostReply,
+        // Writes are lost for now and take effect, if they still can, on land().
+        Delayed,
+        FaultCount
+    };
+
+    units::Result<platform::StoredObject> get(const std::string &name) override
+    {
+        ++reads;
+        if (fault == Down)
+            return down();
+        const auto found = objects.find(name);
+        if (found == objects.end())
+            return units::fail(units::ResultCode::ObjectNotFound, name);
+        return found->second;
+    }
+    units::Result<platform::ObjectVersion> createIfAbsent(const std::string &name,
+                                                          const std::string &value) override
+    {
+        return write([this, name, value]() -> units::Result<platform::ObjectVersion> {
+            if (objects.count(name) > 0)
+                return units::fail(units::ResultCode::ObjectAlreadyExists, name);
+            return put(name, value);
+        });
+    }
+    units::Result<platform::ObjectVersion> updateIfVersion(const std::string &name,
+                                                           platform::ObjectVersion version,
+                                                           const std::string &value) override
+    {
+        return write([this, name, version, value]() -> units::Result<platform::ObjectVersion> {
+            if (objects.count(name) == 0 || objects[name].version != version)
+                return units::fail(units::ResultCode::VersionConflict, name);
+            return put(name, value);
+        });
+    }
+    units::Result<std::vector<platform::StoredObject>> list(const std::string &) override
+    {
+        return down();
+    }
+    units::Result<void> remove(const std::string &) override { return down(); }
+    units::Result<platform::StoredObject>
+    waitForChange(const std::string &, platform::ObjectVersion, units::Duration) override
+    {
+        return down();
+    }
+
+    void land()
+    {
+        for (const auto &write : std::exchange(delayed, {}))
+            units::capture(write);
+    }
+
+    int fault = None;
+    int reads = 0;
+    int writes = 0;
+    std::map<std::string, platform::StoredObject> objects;
+    std::vector<std::function<units::Result<platform::ObjectVersion>()>> delayed;
+
+private:
+    static boost::leaf::error_id down()
+    {
+        return units::fail(units::ResultCode::PlatformUnavailable, "down");
+    }
+    units::Result<platform::ObjectVersion> put(const std::string &name, const std::string &value)
+    {
+        const platform::ObjectVersion version(++version_);
+        objects[name] = {name, version, value};
+        return version;
+    }
+    units::Result<platform::ObjectVersion>
+    write(const std::function<units::Result<platform::ObjectVersion>()> &effect)
+    {
+        ++writes;
+        if (fault == Delayed)
+            delayed.push_back(effect);
+        if (fault == LostReply)
+            units::capture(effect);
+        return fault == None ? effect() : units::Result<platform::ObjectVersion>(down());
+    }
+
+    std::uint64_t version_ = 0;
+};
+
+} // namespace monsoongrade::requests
+
+#endif // MONSOONGRADE_TESTS_REQUESTS_FAULTYSTORE_H
--- a/tests/requests/flowfixture.h
+++ b/tests/requests/flowfixture.h
@@ -16,8 +16,11 @@
 // A router's services made of fakes.
 struct FlowFixture
 {
-    explicit FlowFixture(double retryShare = 0.1, double mostRetries = 20)
+    explicit FlowFixture(double retryShare = 0.1, double mostRetries = 20,
+                         const std::string &daemon = "a.router.1")
         : retries(retryShare, mostRetries)
+        , services{clock,     slots,   client,  metrics,
+                   decisions, retries, delayer, units::DaemonId(daemon)}
     {
         observability::startLogging(observability::LogLevel::Error);
         configuration::PoolConfig pool;
@@ -35,7 +38,7 @@
     ClassifiedRequest request(configuration::RunRule run, bool canResume = false)
     {
         ClassifiedRequest result;
-        result.id = units::RequestId("r" + std::to_string(++requests));
+        result.id = units::RequestId(prefix + std::to_string(++requests));
         result.workspace = units::WorkspaceName("w");
         result.classConfig.policy.name = units::ClassName("c");
         result.pool = configuration->pools.at(units::PoolName("pool"));
@@ -60,6 +63,14 @@
         return responder;
     }
 
+    // Lets go of every flow; each then ends as lost.
+    void dropFlows()
+    {
+        std::exchange(slots.asks, {}).clear();
+        std::exchange(client.calls, {}).clear();
+        std::exchange(delayer.waiting, {}).clear();
+    }
+
     // Sum over all reasons of a counter of class "c".
     std::int64_t sum(const std::string &name) const
     {
@@ -78,14 +89,14 @@
     std::shared_ptr<configuration::Configuration> configuration
         = std::make_shared<configuration::Configuration>();
     OpenRequests open{100};
+    std::string prefix = "r";
     int requests = 0;
     int flowsEnded = 0;
     // These hold the flows, which use all of the above up to their end.
     ManualDelayer delayer;
     FakeSlotSource slots;
     FakeEndpointClient client;
-    const FlowServices services{clock,     slots,   client,  metrics,
-                                decisions, retries, delayer, units::DaemonId("a.router.1")};
+    const FlowServices services;
 };
 
 } // namespace monsoongrade::requests
