Requests: focused proofs for idempotency keys

Two safeguards were not missed by the random test when taken out: the attempt's id in the claim (a router that had forgotten a key took its own claim for the right to run again) and the mark of a claim that was given up. The random test's waits reach beyond the time that answers are kept.

--- a/tests/requests/keyedrequests_fuzz_test.cpp
+++ b/tests/requests/keyedrequests_fuzz_test.cpp
@@ -46,4 +46,33 @@
     }));
 }
 
+// The first router's queue was full, so nothing ran; a second router was told that it may take the
+// claim over, and runs. A repeat at the first one must not run on the claim that it gave up.
+TEST_CASE("KeyedRequests.GivenUpClaimIsNotUsedAgainByItsEarlierHolder")
+{
+    CHECK(run({{KeyedCommand::Send, 0, 0},
+               {KeyedCommand::Work, 0, 0},
+               {KeyedCommand::RefuseAsk, 0, 0},
+               {KeyedCommand::Send, 1, 0},
+               {KeyedCommand::Work, 1, 0},
+               {KeyedCommand::DeliverQuestion, 1, 0},
+               {KeyedCommand::DeliverReply, 1, 0},
+               {KeyedCommand::Work, 1, 0},
+               {KeyedCommand::Grant, 1, 0},
+               {KeyedCommand::Run, 1, 0},
+               {KeyedCommand::Send, 0, 0}})
+          == "");
+}
+
+// A router ran a key and forgot it when the time for answers was over. It reads its own name in
+// the claim of a late repeat; that must not count as the right to run it again.
+TEST_CASE("KeyedRequests.ForgottenKeyIsNotRunAgainByItsHolder")
+{
+    std::vector<KeyedCommand> commands{{KeyedCommand::Send, 0, 0},  {KeyedCommand::Work, 0, 0},
+                                       {KeyedCommand::Grant, 0, 0}, {KeyedCommand::Finish, 0, 0},
+                                       {KeyedCommand::Wait, 0, 7},  {KeyedCommand::Send, 0, 0},
+                                       {KeyedCommand::Work, 0, 0}};
+    CHECK(run(commands) == "");
+}
+
 } // namespace monsoongrade::requests
--- a/tests/requests/keyedworld.cpp
+++ b/tests/requests/keyedworld.cpp
@@ -87,7 +87,7 @@
             "h" + std::to_string(place) + ".router." + std::to_string(++lives_), *this);
         return;
     case KeyedCommand::Wait:
-        router.fixture.clock.advance(std::chrono::seconds(command.which * 20));
+        router.fixture.clock.advance(std::chrono::seconds(command.which * 100));
         return router.fixture.delayer.runAll();
     case KeyedCommand::Leave:
         if (!callers_.empty()) {
