--- a/programs/monsoongrade-router/main.cpp
+++ b/programs/monsoongrade-router/main.cpp
@@ -1,3 +1,5 @@
+#include "slotsources.h"
+
 #include <monsoongrade/configuration/configurationwatcher.h>
 #include <monsoongrade/daemon/commandline.h>
 #include <monsoongrade/daemon/daemonid.h>
@@ -16,7 +18,6 @@
 #include <monsoongrade/requests/threaddelayer.h>
 #include <monsoongrade/requests/unreachableholders.h>
 #include <monsoongrade/requests/workerpool.h>
-#include <monsoongrade/rpc/rpcslotsource.h>
 #include <monsoongrade/units/steadyclock.h>
 
 #include <atomic>
@@ -86,21 +87,26 @@
     membership::FleetHolder fleet;
     rpc::RpcLoop rpcLoop;
     const units::DaemonId self = daemon::newDaemonId(settings.host, "router");
-    rpc::RpcSlotSource slots(rpcLoop, {settings.cluster, self, settings.schedulerRpcPort}, fleet,
-                             metrics);
+    SlotSources slots(settings, self, clock, rpcLoop, endpointClient, configuration, fleet,
+                      metrics);
     requests::ThreadDelayer delayer;
-    const requests::FlowServices services{clock,     slots,   endpointClient, metrics,
-                                          decisions, retries, delayer,        self};
+    const requests::FlowServices services{clock,     slots.chosen(), endpointClient, metrics,
+                                          decisions, retries,        delayer,        self};
     requests::ClaimStore claims(platform, clock, metrics);
     requests::UnreachableHolders holders(delayer);
     requests::WorkerPool claimWorker(ClaimThreads, MostClaimsWaiting);
     requests::KeyedRequests keyed(services, claims, holders, claimWorker, {});
     requests::CallerFrontend frontend(services, keyed, configuration, settings.openLimit, [&] {
         const auto inForce = configuration.current();
-        const std::set<std::string> drained = inForce ? inForce->drained : std::set<std::string>();
+        std::set<std::string> drained = inForce ? inForce->drained : std::set<std::string>();
+        if (frontend.isLeaving())
+            drained.insert(settings.host.value());
         return daemon::entryPointsAnswer(*fleet.current(), drained, settings.failureDomain,
                                          settings.httpPort, settings.keepAddress);
     });
+    std::atomic<units::TimePoint> configuredAt{clock.now()};
+    configuration.addListener([&](const auto &) { configuredAt = clock.now(); });
+    const units::TimePoint startedAt = clock.now();
     membership::FleetWatcher fleetWatcher(platform, fleet);
     configuration::ConfigurationWatcher configurationWatcher(platform, configuration);
     http::HttpServer server(callerListener(settings),
@@ -108,9 +114,6 @@
                                 frontend.handle(request, std::move(responder));
                             });
     daemon::OperatorService operators(settings.operatorToken);
-    std::atomic<units::TimePoint> configuredAt{clock.now()};
-    configuration.addListener([&](const auto &) { configuredAt = clock.now(); });
-    const units::TimePoint startedAt = clock.now();
     operators.addPage("/operator/status", [&](const std::string &) {
         const daemon::DaemonStatus status{self,
                                           settings.failureDomain,
