Requests: a stream is resumed only where the engine says that it goes on

Cause: an answer to a call with resume-offset counted as the rest of the stream even where the engine did not echo the offset. The echo is required now. The new case of BrokenStreamIsResumedBehindWhatTheCallerHas fails without it and passes with it; the random test's engine echoes the offset as the stand-in does.

--- a/src/requests/requestflow.cpp
+++ b/src/requests/requestflow.cpp
@@ -229,8 +229,9 @@
                                    std::make_shared<StepListener>(shared_from_this(), step_));
 }
 
-// While a stream is resumed only an answer that goes on behind the same event counts as one; an
-// engine that started anew would splice two runs.
+// While a stream is resumed only an answer that says that it goes on behind the same event counts
+// as one. An engine that doesn't know how to resume starts anew and says nothing; taken for the
+// rest, its answer would give the caller a splice of two runs.
 bool RequestFlow::isEventStream() const
 {
     if (!internal::isEventStream(answerHeaders_))
@@ -238,7 +239,7 @@
     if (!resumes_)
         return true;
     const std::string offset = internal::valueOf(answerHeaders_, "resume-offset");
-    return attempt_.status == 200 && (offset.empty() || offset == std::to_string(eventsAtCall_));
+    return attempt_.status == 200 && offset == std::to_string(eventsAtCall_);
 }
 
 void RequestFlow::beginRelay()
--- a/tests/requests/flowworld.cpp
+++ b/tests/requests/flowworld.cpp
@@ -124,6 +124,16 @@
     work.next = std::atoi(offset.c_str());
 }
 
+// An engine that goes on behind an offset says so.
+endpoints::Headers FlowWorld::headOf(std::size_t call) const
+{
+    endpoints::Headers headers{{"content-type", "text/event-stream"}};
+    const std::string offset = fixture_.client.calls[call].header("resume-offset");
+    if (!offset.empty())
+        headers.emplace_back("resume-offset", offset);
+    return headers;
+}
+
 void FlowWorld::send(std::size_t call, const std::string &bytes)
 {
     beginRun(call);
@@ -132,7 +142,7 @@
         return;
     const auto listener = fixture_.client.calls[call].listener;
     if (!std::exchange(work.head, true))
-        listener->answerHead(200, {{"content-type", "text/event-stream"}});
+        listener->answerHead(200, headOf(call));
     if (!bytes.empty() && listener->answerBody(bytes) == FlowControl::Pause)
         fixture_.client.calls[call].paused = true;
 }
--- a/tests/requests/flowworld.h
+++ b/tests/requests/flowworld.h
@@ -69,6 +69,7 @@
     void actOnCall(const FlowCommand &command);
     void beginRun(std::size_t call);
     void send(std::size_t call, const std::string &bytes);
+    endpoints::Headers headOf(std::size_t call) const;
     void finish(std::size_t call, bool whole);
     std::string eventOf(const std::string &id, int run, int number) const;
     std::string violationOf(const Caller &caller);
--- a/tests/requests/requestflow_test.cpp
+++ b/tests/requests/requestflow_test.cpp
@@ -103,11 +103,20 @@
 
     SUBCASE("it goes on")
     {
-        second.listener->answerHead(200, EventStream);
+        auto headers = EventStream;
+        headers.emplace_back("resume-offset", "2");
+        second.listener->answerHead(200, headers);
         second.listener->answerBody("data: 3\n\ndata: [DONE]\n\n");
         second.listener->answerEnd({});
         CHECK(caller->body == "data: 1\n\ndata: 2\n\ndata: 3\n\ndata: [DONE]\n\n");
     }
+    SUBCASE("it starts anew and does not know that it should go on")
+    {
+        second.listener->answerHead(200, EventStream);
+        second.listener->answerBody("data: 1\n\ndata: [DONE]\n\n");
+        second.listener->answerEnd({});
+        CHECK(caller->body == "data: 1\n\ndata: 2\n\n");
+    }
     SUBCASE("it starts anew and says so")
     {
         auto headers = EventStream;
