Scheduling: negative counts and waits from a router earn nothing

Tokens and waits come from other processes. A release with a negative count would have credited its workspace, which then went before all others; a negative wait would have moved deadlines into the future. Both count as zero. ANegativeTokenCountEarnsNothing fails without the bound (the faulty workspace is granted first) and passes with it.

--- a/src/scheduling/cellscheduler.cpp
+++ b/src/scheduling/cellscheduler.cpp
@@ -52,7 +52,7 @@
         return;
     WaitingAsk waiting;
     waiting.ask = ask;
-    waiting.arrived = clock_.now() - ask.waited;
+    waiting.arrived = clock_.now() - std::max(ask.waited, units::Duration::zero());
     waiting.applyPolicy(policy_);
     if (!endpoints_.hasFuture()) {
         refuse(waiting, units::ResultCode::NoEndpointAvailable);
@@ -80,7 +80,8 @@
     if (grant == grants_.end())
         return;
     const HeldGrant &held = grant->second;
-    const double tokens = static_cast<double>(release.tokens.value());
+    // A negative count would credit its class and workspace for work that others did.
+    const double tokens = std::max<double>(0, static_cast<double>(release.tokens.value()));
     queue_.correct(held.ask.className, held.ask.workspace, tokens - held.estimate);
     if (release.outcome == ReleaseOutcome::Completed)
         lengths_->learn(held.ask.className, held.ask.workspace, tokens);
--- a/src/scheduling/twochoicespolicy.cpp
+++ b/src/scheduling/twochoicespolicy.cpp
@@ -40,7 +40,7 @@
         return;
     WaitingAsk waiting;
     waiting.ask = ask;
-    waiting.arrived = clock_.now() - ask.waited;
+    waiting.arrived = clock_.now() - std::max(ask.waited, units::Duration::zero());
     waiting.applyPolicy(policy_);
     queue_.push(std::move(waiting));
     grantWhilePossible();
--- a/tests/scheduling/cellscheduler_test.cpp
+++ b/tests/scheduling/cellscheduler_test.cpp
@@ -102,6 +102,20 @@
     CHECK(sink.grants[0].request == RequestId("high"));
 }
 
+// A faulty router releases with a negative count of tokens. Taken as it is, its workspace would
+// go before all others from then on.
+TEST_CASE_FIXTURE(Fixture, "CellScheduler.ANegativeTokenCountEarnsNothing")
+{
+    ask("first", "high", "router", "faulty");
+    ask("faulty-1", "high", "router", "faulty");
+    ask("faulty-2", "high", "router", "faulty");
+    ask("other", "high", "router", "other");
+    release(0, ReleaseOutcome::CallerLeft, std::chrono::seconds(1), -1000000);
+    release(1, ReleaseOutcome::CallerLeft, std::chrono::seconds(1), 100);
+    REQUIRE(sink.grants.size() == 3);
+    CHECK(sink.grants[2].request == RequestId("other"));
+}
+
 // A whole tier's queue fills from one workspace. The next workspace still finds a place: the
 // one with most waiting gives it up, not whoever came last.
 TEST_CASE_FIXTURE(Fixture, "CellScheduler.OneWorkspaceCannotFillTheQueue")
