--- a/src/rpc/internal/slotclient.cpp
+++ b/src/rpc/internal/slotclient.cpp
@@ -30,6 +30,7 @@
     , tasks_(kj::heap<kj::TaskSet>(static_cast<kj::TaskSet::ErrorHandler &>(*this)))
     , settings_(settings)
     , fleet_(fleet)
+    , metrics_(metrics)
     , links_(loop, settings, metrics, *tasks_, [this](const LinkPointer &link) { gone(link); })
     , held_(*tasks_)
 {
@@ -182,6 +183,8 @@
         return;
     const LinkPointer old = std::move(pool.link);
     pool.link = next;
+    if (next)
+        metrics_.add("monsoongrade_pool_moves_total", observability::label("pool", name.value()));
     if (old && old->isOpen() && next)
         ++old->movesPending;
     if (next)
@@ -211,8 +214,7 @@
     }
 }
 
-// Until the next scheduler counts what is held, the old one must: with its connection closed
-// before, others could be given those slots.
+// The next scheduler has counted what is held, so the old one may go.
 void SlotClient::reported(const units::PoolName &name, const LinkPointer &old)
 {
     if (!old || !old->isOpen())
