--- a/include/monsoongrade/load/loadreport.h
+++ b/include/monsoongrade/load/loadreport.h
@@ -3,6 +3,7 @@
 
 #include <monsoongrade/load/loadresult.h>
 #include <monsoongrade/load/loadscript.h>
+#include <monsoongrade/load/loadseries.h>
 
 #include <cstdint>
 #include <map>
@@ -52,7 +53,8 @@
 
 // The table for people.
 std::string reportTable(const LoadReport &report);
-std::string reportJson(const LoadReport &report, const std::vector<LoadResult> &results);
+std::string reportJson(const LoadReport &report, const std::vector<ClassSeries> &series,
+                       const std::vector<LoadResult> &results);
 
 } // namespace monsoongrade::load
 
--- a/include/monsoongrade/standins/fakeengine.h
+++ b/include/monsoongrade/standins/fakeengine.h
@@ -38,7 +38,9 @@
 //   any other path   a plain service's call; its effect is the count in /runs
 //   GET  /load       running, waiting, slots, tokens_per_second, draining, as old as load_lag_ms
 //   GET  /runs       per request id and idempotency key: begun, ended, cancelled, broken,
-//                    resumed, the answer's hash; tokens made, and of these in answers that ended
+//                    resumed, the answer's hash; and what /totals gives
+//   GET  /totals     incarnation, runs, tokens made, and of these in answers that ended and in
+//                    those that callers left
 //   PUT  /admin/switches  {"slow":factor,"freeze":bool,"crash":true,"crash_after_tokens":n,
 //                          "refuse":bool,"reset":"before"|"after"|"","reset_next":n,
 //                          "draining":bool,"load_lag_ms":n}
--- a/programs/monsoongrade-load/main.cpp
+++ b/programs/monsoongrade-load/main.cpp
@@ -1,55 +1,67 @@
 #include <monsoongrade/configuration/folder.h>
 #include <monsoongrade/daemon/commandline.h>
 #include <monsoongrade/endpoints/curlendpointclient.h>
-#include <monsoongrade/endpoints/wholeanswer.h>
+#include <monsoongrade/load/enginewatch.h>
+#include <monsoongrade/load/loadplot.h>
 #include <monsoongrade/load/loadreport.h>
 #include <monsoongrade/load/loadrunner.h>
 
 #include <CLI/CLI.hpp>
-#include <nlohmann/json.hpp>
 
+#include <cstdlib>
 #include <fstream>
+#include <future>
 #include <iostream>
+#include <thread>
 
 namespace {
 
 using namespace monsoongrade;
 
-load::EngineTotals askEngines(endpoints::EndpointClient &client,
-                              const std::vector<std::string> &engines)
+constexpr auto LookPeriod = std::chrono::seconds(1);
+
+struct Outputs
 {
-    load::EngineTotals totals;
-    for (const std::string &engine : engines) {
-        endpoints::EndpointRequest request;
-        request.method = "GET";
-        request.url = engine + "/runs";
-        const auto answer = endpoints::callAndWait(client, request);
-        const auto body = nlohmann::json::parse(answer.body, nullptr, false);
-        if (!body.is_object())
-            continue;
-        totals.tokensMade = std::max<std::int64_t>(0, totals.tokensMade) + body.value("tokens", 0);
-        totals.runsBegun = std::max<std::int64_t>(0, totals.runsBegun);
-        for (const auto &run : body["requests"])
-            totals.runsBegun += run.value("begun", 0);
-    }
-    return totals;
+    std::string json;
+    std::string svg;
+    std::vector<load::PlotMark> marks;
+};
+
+// "12.5=router-1 killed"
+bool readMark(const std::string &text, std::vector<load::PlotMark> &marks)
+{
+    char *end = nullptr;
+    const double second = std::strtod(text.c_str(), &end);
+    if (end == text.c_str() || *end != '=')
+        return false;
+    marks.push_back({second, end + 1});
+    return true;
 }
 
-int runScript(const load::LoadScript &script, const std::string &jsonPath)
+int runScript(const load::LoadScript &script, const Outputs &outputs)
 {
     endpoints::CurlEndpointClient client;
-    const load::EngineTotals before = askEngines(client, script.engines);
+    load::EngineWatch engines(client, script.engines);
+    engines.look();
+    // Beside the callers: an engine that doesn't answer must not hold them up.
+    std::promise<void> ended;
+    std::thread looking([&engines, over = ended.get_future()] {
+        while (over.wait_for(LookPeriod) != std::future_status::ready)
+            engines.look();
+    });
     const auto results
         = load::runLoad(script, client, [](const std::string &line) { std::cerr << line << "\n"; });
+    ended.set_value();
+    looking.join();
+    engines.look();
     load::LoadReport report = load::makeReport(script, results);
-    report.engines = askEngines(client, script.engines);
-    if (report.engines.tokensMade >= 0) {
-        report.engines.tokensMade -= before.tokensMade;
-        report.engines.runsBegun -= before.runsBegun;
-    }
+    report.engines = engines.totals();
+    const auto series = load::makeSeries(script, results);
     std::cout << load::reportTable(report);
-    if (!jsonPath.empty())
-        std::ofstream(jsonPath) << load::reportJson(report, results) << "\n";
+    if (!outputs.json.empty())
+        std::ofstream(outputs.json) << load::reportJson(report, series, results) << "\n";
+    if (!outputs.svg.empty())
+        std::ofstream(outputs.svg) << load::plotSvg(series, outputs.marks);
     return report.hasBrokenPromise() ? daemon::ExitFailed : daemon::ExitOk;
 }
 
@@ -59,13 +71,22 @@
 {
     CLI::App app("Drives a running system by a script and reports per class.", "monsoongrade-load");
     std::string path;
-    std::string jsonPath;
+    Outputs outputs;
+    std::vector<std::string> marks;
     bool checkOnly = false;
     app.add_option("--config", path, "YAML load script")->required();
-    app.add_option("--json", jsonPath, "also write the report to this file");
+    app.add_option("--json", outputs.json, "also write the report to this file");
+    app.add_option("--svg", outputs.svg, "also draw attainment and first-token time to this file");
+    app.add_option("--mark", marks, "moment to show in the drawing, as SECONDS=LABEL");
     app.add_flag("--check", checkOnly, "check the script and exit");
     app.set_version_flag("--version", std::string(MONSOONGRADE_VERSION));
     CLI11_PARSE(app, argc, argv);
+    for (const std::string &mark : marks) {
+        if (!readMark(mark, outputs.marks)) {
+            std::cerr << "--mark: expected SECONDS=LABEL, not " << mark << "\n";
+            return daemon::ExitBadSettings;
+        }
+    }
     return units::orElse(
         [&]() -> units::Result<int> {
             BOOST_LEAF_AUTO(file, configuration::readFile(path));
@@ -75,7 +96,7 @@
                 std::cerr << configuration::describe(problem) << "\n";
             if (!problems.empty())
                 return daemon::ExitBadSettings;
-            return checkOnly ? daemon::ExitOk : runScript(script, jsonPath);
+            return checkOnly ? daemon::ExitOk : runScript(script, outputs);
         },
         [](const units::Error &error) {
             std::cerr << units::describe(error) << "\n";
--- a/src/load/loadreport.cpp
+++ b/src/load/loadreport.cpp
@@ -1,5 +1,7 @@
 #include <monsoongrade/load/loadreport.h>
 
+#include <monsoongrade/load/loadseries.h>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -40,9 +42,7 @@
         }
         report.tokensDelivered += result.tokens;
         firstTokens.push_back(seconds(result.firstToken));
-        if (result.firstToken <= loadClass.firstTokenTarget
-            && result.whole <= loadClass.wholeAnswerTarget)
-            ++report.attained;
+        report.attained += isAttained(loadClass, result) ? 1 : 0;
     }
     std::sort(firstTokens.begin(), firstTokens.end());
     report.firstTokenP50 = quantile(firstTokens, 0.50);
@@ -92,6 +92,20 @@
             {"attempts", result.attempts}};
 }
 
+json seriesJson(const ClassSeries &series)
+{
+    json points = json::array();
+    for (const SeriesPoint &point : series.points)
+        points.push_back({{"second", point.second},
+                          {"sent", point.sent},
+                          {"answered", point.answered},
+                          {"attained", point.attained},
+                          {"refused", point.refused},
+                          {"failed", point.failed},
+                          {"first_token_p95_s", point.firstTokenP95}});
+    return {{"class", series.name}, {"points", points}};
+}
+
 } // namespace
 
 double ClassReport::attainment() const
@@ -161,7 +175,8 @@
     return out + "\n";
 }
 
-std::string reportJson(const LoadReport &report, const std::vector<LoadResult> &results)
+std::string reportJson(const LoadReport &report, const std::vector<ClassSeries> &series,
+                       const std::vector<LoadResult> &results)
 {
     json out;
     for (const ClassReport &c : report.classes)
@@ -172,6 +187,8 @@
     out["wasted_share"] = report.wastedShare();
     out["seconds"] = report.seconds;
     out["broken_promise"] = report.hasBrokenPromise();
+    for (const ClassSeries &one : series)
+        out["series"].push_back(seriesJson(one));
     for (const LoadResult &result : results)
         out["requests"].push_back(resultJson(result));
     return out.dump(1);
--- a/src/standins/fakeengine.cpp
+++ b/src/standins/fakeengine.cpp
@@ -96,6 +96,8 @@
             responder.answer(200, JsonHeaders, loadReport());
         } else if (request.path == "/runs") {
             responder.answer(200, JsonHeaders, runReport());
+        } else if (request.path == "/totals") {
+            responder.answer(200, JsonHeaders, totals().dump());
         } else {
             return false;
         }
@@ -115,17 +117,22 @@
             .dump();
     }
 
+    json totals() const
+    {
+        return {{"incarnation", incarnation_},
+                {"runs", runsBegun_},
+                {"tokens", tokensMade_},
+                {"tokens_ended", tokensEnded_},
+                {"tokens_cancelled", tokensCancelled_}};
+    }
+
     std::string runReport() const
     {
-        return json{{"incarnation", incarnation_},
-                    {"requests", countsOf(runs_.requests())},
-                    {"keys", countsOf(runs_.keys())},
-                    {"forgotten", runs_.forgotten()},
-                    {"runs", runsBegun_},
-                    {"tokens", tokensMade_},
-                    {"tokens_ended", tokensEnded_},
-                    {"tokens_cancelled", tokensCancelled_}}
-            .dump();
+        json report = totals();
+        report["requests"] = countsOf(runs_.requests());
+        report["keys"] = countsOf(runs_.keys());
+        report["forgotten"] = runs_.forgotten();
+        return report.dump();
     }
 
     bool setSwitches(const std::string &text)
--- a/tests/scenario_runner/main.cpp
+++ b/tests/scenario_runner/main.cpp
@@ -1,3 +1,4 @@
+#include "chaos.h"
 #include "process.h"
 #include "scenario.h"
 
@@ -7,6 +8,7 @@
 
 #include <condition_variable>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <mutex>
 #include <thread>
@@ -101,10 +103,22 @@
     std::string path;
     std::string programs;
     bool checkOnly = false;
-    app.add_option("scenario", path, "YAML file")->required();
+    std::uint64_t seed = 0;
+    int seconds = 0;
+    std::string trace;
+    app.add_option("scenario", path, "YAML file; not with --seconds");
     app.add_option("--programs", programs, "folder of the programs")->required();
     app.add_flag("--check", checkOnly, "check the file and exit");
+    app.add_option("--seconds", seconds, "run random faults for so long");
+    app.add_option("--seed", seed, "of the random faults");
+    app.add_option("--trace", trace, "write the random scenario to this file, to run it again");
     CLI11_PARSE(app, argc, argv);
+    if (seconds > 0) {
+        const std::string text = scenarios::randomScenario(seed, seconds);
+        if (!trace.empty())
+            std::ofstream(trace) << text;
+        return run({"random-faults-" + std::to_string(seed), text}, programs, checkOnly);
+    }
     return units::orElse(
         [&]() -> units::Result<int> {
             BOOST_LEAF_AUTO(file, configuration::readFile(path));
--- a/tests/scenario_runner/scenario.cpp
+++ b/tests/scenario_runner/scenario.cpp
@@ -1,6 +1,6 @@
 #include "scenario.h"
 
-#include <iostream>
+#include <fstream>
 #include <stdexcept>
 
 namespace monsoongrade::scenarios {
@@ -65,11 +65,16 @@
                         const std::string &folder)
 {
     Stage stage(scenario.cluster, programs, folder);
+    std::ofstream log(folder + "/steps.log");
+    const auto begin = std::chrono::steady_clock::now();
     try {
         stage.setPlace("starting");
         stage.cluster().start();
         for (const Step &step : scenario.steps) {
             stage.setPlace(step.place);
+            const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+                std::chrono::steady_clock::now() - begin);
+            log << now.count() << " ms " << step.place << std::endl;
             step.action(stage);
         }
         stage.join({});
