--- a/src/load/loadscript.cpp
+++ b/src/load/loadscript.cpp
@@ -53,15 +53,10 @@
 LoadScript parseLoadScript(const configuration::SourceFile &file, configuration::Problems &problems)
 {
     LoadScript script;
-    YAML::Node root;
-    try {
-        root = YAML::Load(file.text);
-    } catch (const YAML::Exception &error) {
-        problems.push_back(
-            {units::ResultCode::NotYaml, file.name, error.mark.line + 1, {}, error.msg});
+    auto top = MappingReader::ofFile(file, problems);
+    if (!top)
         return script;
-    }
-    MappingReader reader(file.name, root, problems);
+    MappingReader &reader = *top;
     script.seed = static_cast<std::uint64_t>(reader.integer("seed", 1, 0, INT64_MAX));
     script.entry = reader.texts("entry");
     script.engines = reader.texts("engines");
