--- a/src/rpc/internal/cell.h
+++ b/src/rpc/internal/cell.h
@@ -1,8 +1,6 @@
 #ifndef MONSOONGRADE_SRC_RPC_INTERNAL_CELL_H
 #define MONSOONGRADE_SRC_RPC_INTERNAL_CELL_H
 
-#include <rpc/internal/endpointsuspicion.h>
-
 #include <monsoongrade/configuration/configuration.h>
 #include <monsoongrade/membership/fleetview.h>
 #include <monsoongrade/observability/metrics.h>
@@ -65,11 +63,6 @@
 private:
     class Waiter;
     enum class State { Closed, Settling, Open };
-    struct Held
-    {
-        units::DaemonId session;
-        units::EndpointId endpoint;
-    };
     struct Parked
     {
         scheduling::SlotAsk ask;
@@ -81,22 +74,20 @@
     void enter(const scheduling::SlotAsk &ask);
     bool withdraw(const units::RequestId &request);
     void openIfSettled();
-    void noteHealth(const units::EndpointId &endpoint, scheduling::ReleaseOutcome outcome);
 
     units::PoolName pool_;
     const units::Clock &clock_;
     observability::Metrics &metrics_;
     const units::Duration settlingTime_;
     scheduling::CellScheduler scheduler_;
-    EndpointSuspicion suspicion_;
     std::map<units::ClassName, units::Tier> tiers_;
-    std::size_t endpointCount_ = 0;
     std::size_t routerCount_ = 0;
     State state_ = State::Closed;
     units::TimePoint opensAt_;
     std::set<units::DaemonId> attached_;
     std::map<units::RequestId, Parked> parked_;
-    std::map<units::GrantId, Held> held_;
+    // By grant: the session that holds it.
+    std::map<units::GrantId, units::DaemonId> held_;
     std::map<units::RequestId, Waiter *> waiters_;
 };
 
--- a/src/rpc/internal/heldslots.cpp
+++ b/src/rpc/internal/heldslots.cpp
@@ -43,7 +43,8 @@
                               units::GrantId grant)
 {
     scheduling::SlotRelease release;
-    release.outcome = scheduling::ReleaseOutcome::NotRun;
+    // As not run it would count against the endpoint, which was never called.
+    release.outcome = scheduling::ReleaseOutcome::CallerLeft;
     sendRelease(pool, link, grant, release);
 }
 
--- a/src/rpc/internal/slotclient.h
+++ b/src/rpc/internal/slotclient.h
@@ -70,6 +70,7 @@
     kj::Own<kj::TaskSet> tasks_;
     const RpcSlotSourceSettings settings_;
     membership::FleetHolder &fleet_;
+    observability::Metrics &metrics_;
     std::map<units::PoolName, Pool> pools_;
     std::uint64_t nextAttempt_ = 1;
     SchedulerLinks links_;
--- a/tests/rpc/schedulermove_test.cpp
+++ b/tests/rpc/schedulermove_test.cpp
@@ -43,6 +43,7 @@
     CHECK(eventually([&] { return two->isGranted(); }));
     CHECK(cluster.second->metrics.counter("monsoongrade_slots_granted_total", "pool=\"pool\"")
           == 2);
+    CHECK(router.metrics.counter("monsoongrade_pool_moves_total", "pool=\"pool\"") == 1);
 }
 
 // The caller sees nothing; no request is refused for the stop. The scheduler is told to stop
