Peers: daemons exchange membership news and configuration over RPC

Cause: the fleet view was the platform's list alone, and each daemon waited on the store's manifest by itself, so both stood still in an outage and the store's calls grew with the fleet.

Every router and scheduler answers a Peer service on its RPC port. The fleet view merges list and protocol; a planned stop marks itself leaving first. Three daemons watch the manifest, the others fetch the texts they lack from a peer that has the newer generation, also after a restart in an outage. The manifest keeps the last 64 change ids, since one id alone is hidden by the next change when the reply is lost; a whole that is not complete, unharmed and valid is not put into force.

--- a/include/monsoongrade/configuration/configurationwatcher.h
+++ b/include/monsoongrade/configuration/configurationwatcher.h
@@ -1,28 +1,34 @@
 #ifndef MONSOONGRADE_CONFIGURATION_CONFIGURATIONWATCHER_H
 #define MONSOONGRADE_CONFIGURATION_CONFIGURATIONWATCHER_H
 
-#include <monsoongrade/configuration/configurationholder.h>
-#include <monsoongrade/platform/objectstore.h>
+#include <monsoongrade/configuration/configurationupdater.h>
 
 #include <atomic>
+#include <random>
 #include <thread>
 
 namespace monsoongrade::configuration {
 
-// Watches the platform's manifest on a thread of its own and offers each newer configuration
-// to the holder. While the platform is down it keeps trying, and the holder keeps what it has.
+// Keeps the configuration up to date on a thread of its own. A few daemons wait on the store;
+// the others ask a peer as soon as membership news name a newer generation, and read the store
+// now and then in case news got lost. While the platform is down peers are asked.
 class ConfigurationWatcher
 {
 public:
-    ConfigurationWatcher(platform::ObjectStore &store, ConfigurationHolder &holder);
+    ConfigurationWatcher(platform::ObjectStore &store, ConfigurationPeers &peers,
+                         ConfigurationContents &contents, ConfigurationHolder &holder);
     ~ConfigurationWatcher();
 
 private:
     void run();
     void watchOnce();
+    void pause(units::Duration time);
+    bool attempt(const char *source, units::Result<bool> (ConfigurationUpdater::*update)());
 
-    platform::ObjectStore &store_;
-    ConfigurationHolder &holder_;
+    ConfigurationPeers &peers_;
+    ConfigurationUpdater updater_;
+    std::mt19937 random_;
+    units::TimePoint nextStoreRead_;
     std::atomic<bool> stopping_{false};
     std::thread thread_;
 };
--- a/include/monsoongrade/rpc/schedulerserver.h
+++ b/include/monsoongrade/rpc/schedulerserver.h
@@ -13,12 +13,16 @@
 
 namespace monsoongrade::rpc {
 
+class PeerServer;
+
 struct SchedulerServerSettings
 {
     units::ClusterName cluster;
     units::DaemonId self;
     std::string address;
     std::uint16_t port = 0;
+    // Handed out with hello on the same listener; must outlive the server.
+    PeerServer *peers = nullptr;
 };
 
 // The scheduler's side of the protocol: one CellScheduler per pool, fed by routers over RPC, by
--- a/programs/monsoongrade-router/main.cpp
+++ b/programs/monsoongrade-router/main.cpp
@@ -1,4 +1,3 @@
-#include <monsoongrade/configuration/configurationwatcher.h>
 #include <monsoongrade/daemon/commandline.h>
 #include <monsoongrade/daemon/daemonid.h>
 #include <monsoongrade/daemon/entrypoints.h>
@@ -9,11 +8,11 @@
 #include <monsoongrade/endpoints/curlendpointclient.h>
 #include <monsoongrade/http/httpserver.h>
 #include <monsoongrade/http/query.h>
-#include <monsoongrade/membership/fleetwatcher.h>
 #include <monsoongrade/observability/log.h>
 #include <monsoongrade/platform/httpplatform.h>
 #include <monsoongrade/requests/callerfrontend.h>
 #include <monsoongrade/requests/threaddelayer.h>
+#include <monsoongrade/rpc/fleetservices.h>
 #include <monsoongrade/rpc/rpcslotsource.h>
 #include <monsoongrade/units/steadyclock.h>
 
@@ -51,8 +50,10 @@
 
 // A planned stop: callers keep addresses for a while, so the listener serves until the last of
 // them has run out and the last answer has ended.
-void drain(requests::CallerFrontend &frontend, const configuration::DaemonSettings &settings)
+void drain(requests::CallerFrontend &frontend, membership::Membership &membership,
+           const configuration::DaemonSettings &settings)
 {
+    membership.leave();
     frontend.startLeaving();
     observability::log(observability::LogLevel::Info, "leaving", {});
     std::this_thread::sleep_for(settings.keepAddress);
@@ -84,8 +85,8 @@
         return daemon::entryPointsAnswer(*fleet.current(), drained, settings.failureDomain,
                                          settings.httpPort, settings.keepAddress);
     });
-    membership::FleetWatcher fleetWatcher(platform, fleet);
-    configuration::ConfigurationWatcher configurationWatcher(platform, configuration);
+    rpc::FleetServices fleetServices(rpcLoop, clock, settings, membership::DaemonRole::Router, self,
+                                     fleet, configuration, metrics);
     http::HttpServer server(callerListener(settings),
                             [&](http::HttpRequest request, auto responder) {
                                 frontend.handle(request, std::move(responder));
@@ -112,10 +113,11 @@
                                     [&](const http::HttpRequest &request, const auto &responder) {
                                         operators.handle(request, *responder);
                                     });
+    fleetServices.start(platform, platform);
     observability::log(observability::LogLevel::Info, "router-started",
                        {{"daemon", self.value()}, {"port", static_cast<int>(settings.httpPort)}});
     daemon::waitForStopSignal();
-    drain(frontend, settings);
+    drain(frontend, fleetServices.membership(), settings);
     observability::log(observability::LogLevel::Info, "router-stopped", {});
     return daemon::ExitOk;
 }
--- a/programs/monsoongrade-scheduler/main.cpp
+++ b/programs/monsoongrade-scheduler/main.cpp
@@ -1,21 +1,24 @@
-#include <monsoongrade/configuration/configurationwatcher.h>
 #include <monsoongrade/daemon/commandline.h>
 #include <monsoongrade/daemon/daemonid.h>
 #include <monsoongrade/daemon/loglevels.h>
 #include <monsoongrade/daemon/stopsignal.h>
 #include <monsoongrade/endpoints/curlendpointclient.h>
-#include <monsoongrade/membership/fleetwatcher.h>
 #include <monsoongrade/observability/log.h>
 #include <monsoongrade/platform/httpplatform.h>
+#include <monsoongrade/rpc/fleetservices.h>
 #include <monsoongrade/rpc/schedulerserver.h>
 #include <monsoongrade/units/steadyclock.h>
 
 #include <iostream>
+#include <thread>
 
 namespace {
 
 using namespace monsoongrade;
 
+// The others learn within about a second that this scheduler leaves, and ask elsewhere.
+constexpr auto LeavingTime = std::chrono::milliseconds(1500);
+
 int run(const configuration::DaemonSettings &settings)
 {
     const units::SteadyClock clock;
@@ -26,15 +29,20 @@
     membership::FleetHolder fleet;
     rpc::RpcLoop rpcLoop;
     const units::DaemonId self = daemon::newDaemonId(settings.host, "scheduler");
-    rpc::SchedulerServer server(
-        rpcLoop, clock, {settings.cluster, self, settings.address, settings.schedulerRpcPort},
-        configuration, fleet, metrics);
-    membership::FleetWatcher fleetWatcher(platform, fleet);
-    configuration::ConfigurationWatcher configurationWatcher(platform, configuration);
+    rpc::FleetServices fleetServices(rpcLoop, clock, settings, membership::DaemonRole::Scheduler,
+                                     self, fleet, configuration, metrics);
+    rpc::SchedulerServer server(rpcLoop, clock,
+                                {settings.cluster, self, settings.address,
+                                 settings.schedulerRpcPort, &fleetServices.peers()},
+                                configuration, fleet, metrics);
+    fleetServices.start(platform, platform);
     observability::log(
         observability::LogLevel::Info, "scheduler-started",
         {{"daemon", self.value()}, {"port", static_cast<int>(settings.schedulerRpcPort)}});
     daemon::waitForStopSignal();
+    fleetServices.membership().leave();
+    observability::log(observability::LogLevel::Info, "leaving", {});
+    std::this_thread::sleep_for(LeavingTime);
     observability::log(observability::LogLevel::Info, "scheduler-stopped", {});
     return daemon::ExitOk;
 }
--- a/schema/monsoongrade.capnp
+++ b/schema/monsoongrade.capnp
@@ -1,6 +1,7 @@
 @0xd5f1c2a7b3e49081;
 
 using Cxx = import "/capnp/c++.capnp";
+using import "peer.capnp".Peer;
 $Cxx.namespace("monsoongrade::schema");
 
 # The protocol between monsoongrade's own processes. Every connection starts with hello, which
@@ -16,6 +17,7 @@
   code @0 :Int32;            # numbered result code, 0 is welcome
   incarnation @1 :Text;      # id of this life of the answering daemon
   slots @2 :SlotService;     # null where the daemon is no scheduler
+  peer @3 :Peer;
 }
 
 struct SlotAsk {
--- a/src/configuration/configurationwatcher.cpp
+++ b/src/configuration/configurationwatcher.cpp
@@ -1,6 +1,5 @@
 #include <monsoongrade/configuration/configurationwatcher.h>
 
-#include <monsoongrade/configuration/configurationstore.h>
 #include <monsoongrade/observability/log.h>
 
 namespace monsoongrade::configuration {
@@ -9,15 +8,21 @@
 
 using observability::LogLevel;
 
-constexpr auto WatchTime = std::chrono::seconds(1);
+constexpr auto NewsCheck = std::chrono::milliseconds(50);
 constexpr auto PauseAfterError = std::chrono::milliseconds(500);
+// A daemon that doesn't watch reads the store this seldom all the same: should all news be lost
+// to it, it would otherwise stay behind for ever.
+constexpr auto ShortestStoreRead = std::chrono::seconds(45);
+constexpr auto LongestStoreRead = std::chrono::seconds(90);
 
 } // namespace
 
-ConfigurationWatcher::ConfigurationWatcher(platform::ObjectStore &store,
+ConfigurationWatcher::ConfigurationWatcher(platform::ObjectStore &store, ConfigurationPeers &peers,
+                                           ConfigurationContents &contents,
                                            ConfigurationHolder &holder)
-    : store_(store)
-    , holder_(holder)
+    : peers_(peers)
+    , updater_(store, peers, contents, holder)
+    , random_(std::random_device{}())
     , thread_([this] { run(); })
 {
 }
@@ -36,29 +41,52 @@
 
 void ConfigurationWatcher::watchOnce()
 {
-    ConfigurationStore store(store_);
-    const auto snapshot = holder_.current();
-    const units::Generation known = snapshot ? snapshot->generation : units::Generation();
-    units::orElse(
-        [&]() -> units::Result<void> {
-            BOOST_LEAF_AUTO(manifest, store.waitForChange(known, WatchTime));
-            if (manifest.generation <= known)
-                return {};
-            BOOST_LEAF_AUTO(files, store.files(manifest));
-            ParsedConfiguration parsed = parseConfiguration(std::move(files));
-            parsed.configuration.generation = manifest.generation;
-            holder_.offer(std::make_shared<const Configuration>(std::move(parsed.configuration)));
-            observability::log(LogLevel::Info, "configuration-in-force",
-                               {{"generation", manifest.generation.value()}});
-            return {};
-        },
-        [&](const units::Error &error) {
-            if (error.code != units::ResultCode::ObjectNotFound)
-                observability::log(
-                    LogLevel::Warning, "configuration-watch-failed",
-                    {{"code", static_cast<int>(error.code)}, {"message", error.message}});
-            std::this_thread::sleep_for(PauseAfterError);
-        });
+    // A peer that fails to answer is asked again; the store below is the other way.
+    if (peers_.hasNewer() && attempt("peer", &ConfigurationUpdater::askPeer))
+        return;
+    const auto now = std::chrono::steady_clock::now();
+    if (updater_.known() == units::Generation()) {
+        // Just started: the store if it answers, else whoever is there.
+        attempt("store", &ConfigurationUpdater::readStore);
+        if (updater_.known() == units::Generation())
+            attempt("peer", &ConfigurationUpdater::askPeer);
+        if (updater_.known() == units::Generation())
+            pause(PauseAfterError);
+        return;
+    }
+    if (peers_.isWatcher()) {
+        if (!attempt("store", &ConfigurationUpdater::watchStore))
+            pause(PauseAfterError);
+        return;
+    }
+    if (now < nextStoreRead_) {
+        pause(NewsCheck);
+        return;
+    }
+    std::uniform_int_distribution<std::int64_t> spread(
+        units::Duration(ShortestStoreRead).count(), units::Duration(LongestStoreRead).count());
+    nextStoreRead_ = now + units::Duration(spread(random_));
+    attempt("store", &ConfigurationUpdater::readStore);
+}
+
+// Whether the source answered.
+bool ConfigurationWatcher::attempt(const char *source,
+                                   units::Result<bool> (ConfigurationUpdater::*update)())
+{
+    const auto answered = units::capture([&] { return (updater_.*update)(); });
+    if (answered.value)
+        return true;
+    observability::log(LogLevel::Warning, "configuration-read-failed",
+                       {{"source", source},
+                        {"code", static_cast<int>(answered.error.code)},
+                        {"message", answered.error.message}});
+    return false;
+}
+
+void ConfigurationWatcher::pause(units::Duration time)
+{
+    for (auto left = time; left > units::Duration() && !stopping_; left -= NewsCheck)
+        std::this_thread::sleep_for(NewsCheck);
 }
 
 } // namespace monsoongrade::configuration
--- a/src/configuration/manifest.cpp
+++ b/src/configuration/manifest.cpp
@@ -9,12 +9,31 @@
 
 using nlohmann::json;
 
+std::optional<units::Generation> Manifest::acceptedAs(const std::string &changeId) const
+{
+    for (const AcceptedChange &change : recentChanges) {
+        if (change.id == changeId)
+            return change.generation;
+    }
+    return std::nullopt;
+}
+
+void Manifest::accept(const std::string &changeId)
+{
+    generation += units::Generation(1);
+    recentChanges.push_back({changeId, generation});
+    if (recentChanges.size() > MostRecentChanges)
+        recentChanges.pop_front();
+}
+
 std::string encodeManifest(const Manifest &manifest)
 {
     json out;
     out["generation"] = manifest.generation.value();
-    out["change"] = manifest.changeId;
     out["files"] = manifest.contentHashByFile;
+    out["changes"] = json::array();
+    for (const AcceptedChange &change : manifest.recentChanges)
+        out["changes"].push_back({{"id", change.id}, {"generation", change.generation.value()}});
     return out.dump();
 }
 
@@ -24,8 +43,11 @@
         const json in = json::parse(text);
         Manifest manifest;
         manifest.generation = units::Generation(in.at("generation").get<std::uint64_t>());
-        manifest.changeId = in.at("change").get<std::string>();
         manifest.contentHashByFile = in.at("files").get<std::map<std::string, std::string>>();
+        for (const json &change : in.at("changes"))
+            manifest.recentChanges.push_back(
+                {change.at("id").get<std::string>(),
+                 units::Generation(change.at("generation").get<std::uint64_t>())});
         return manifest;
     } catch (const json::exception &error) {
         return units::fail(units::ResultCode::PlatformAnswerMalformed,
--- a/src/membership/fleetwatcher.cpp
+++ b/src/membership/fleetwatcher.cpp
@@ -1,34 +1,31 @@
 #include <monsoongrade/membership/fleetwatcher.h>
 
 #include <monsoongrade/observability/log.h>
-#include <monsoongrade/units/clock.h>
+
+#include <algorithm>
+#include <random>
 
 namespace monsoongrade::membership {
 
 namespace {
 
-constexpr auto PollPeriod = std::chrono::seconds(1);
+constexpr auto PeriodPerDaemon = std::chrono::milliseconds(125);
+constexpr auto ShortestPeriod = std::chrono::seconds(1);
+// Two reads must fit into the time after which a host that is back gets work again.
+constexpr auto LongestPeriod = std::chrono::seconds(30);
 constexpr auto StopCheck = std::chrono::milliseconds(50);
 
-FleetView viewOf(const std::vector<platform::Host> &hosts)
+} // namespace
+
+units::Duration listPollPeriod(std::size_t daemons)
 {
-    FleetView view;
-    for (const platform::Host &host : hosts) {
-        const bool leaving = host.state == platform::HostState::Leaving;
-        if (host.role == platform::HostRole::Entry)
-            view.entryHosts.push_back(
-                {host.name, host.address, host.failureDomain, leaving, false});
-        else if (leaving)
-            view.leavingEndpointHosts.insert(host.name);
-    }
-    return view;
+    const units::Duration period = PeriodPerDaemon * daemons;
+    return std::clamp<units::Duration>(period, ShortestPeriod, LongestPeriod);
 }
 
-} // namespace
-
-FleetWatcher::FleetWatcher(platform::HostList &hosts, FleetHolder &holder)
+FleetWatcher::FleetWatcher(platform::HostList &hosts, Membership &membership)
     : hosts_(hosts)
-    , holder_(holder)
+    , membership_(membership)
     , thread_([this] { run(); })
 {
 }
@@ -41,22 +38,31 @@
 
 void FleetWatcher::run()
 {
+    std::mt19937 random(std::random_device{}());
     while (!stopping_) {
-        units::orElse(
-            [&]() -> units::Result<void> {
-                BOOST_LEAF_AUTO(hosts, hosts_.hosts());
-                holder_.publish(viewOf(hosts));
-                return {};
-            },
-            [](const units::Error &error) {
-                observability::log(
-                    observability::LogLevel::Warning, "host-list-failed",
-                    {{"code", static_cast<int>(error.code)}, {"message", error.message}});
-            });
-        for (auto waited = units::Duration(); waited < PollPeriod && !stopping_;
-             waited += StopCheck)
+        pollOnce();
+        // Daemons that were started together would otherwise all read at the same moment.
+        std::uniform_real_distribution<double> spread(0.75, 1.25);
+        const units::Duration period = std::chrono::duration_cast<units::Duration>(
+            listPollPeriod(membership_.members().size() + 1) * spread(random));
+        for (auto waited = units::Duration(); waited < period && !stopping_; waited += StopCheck)
             std::this_thread::sleep_for(StopCheck);
     }
 }
 
+void FleetWatcher::pollOnce()
+{
+    units::orElse(
+        [&]() -> units::Result<void> {
+            BOOST_LEAF_AUTO(hosts, hosts_.hosts());
+            membership_.applyList(hosts);
+            return {};
+        },
+        [](const units::Error &error) {
+            observability::log(
+                observability::LogLevel::Warning, "host-list-failed",
+                {{"code", static_cast<int>(error.code)}, {"message", error.message}});
+        });
+}
+
 } // namespace monsoongrade::membership
--- /dev/null
+++ b/src/rpc/internal/peerconnection.h
@@ -0,0 +1,44 @@
+#ifndef MONSOONGRADE_SRC_RPC_INTERNAL_PEERCONNECTION_H
+#define MONSOONGRADE_SRC_RPC_INTERNAL_PEERCONNECTION_H
+
+#include <monsoongrade/rpc/peersettings.h>
+#include <monsoongrade/rpc/rpcloop.h>
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+#include <monsoongrade.capnp.h>
+
+namespace monsoongrade::rpc::internal {
+
+// One connection to the Peer service of one daemon. On the RPC loop's thread only.
+class PeerConnection
+{
+public:
+    PeerConnection(RpcLoop &loop, const PeerSettings &settings, const std::string &address,
+                   std::uint16_t port);
+
+    // Usable at once: calls wait until hello was answered, and fail if it was refused.
+    schema::Peer::Client peer() { return peer_; }
+
+private:
+    struct Transport
+    {
+        explicit Transport(kj::Own<kj::AsyncIoStream> connected)
+            : stream(kj::mv(connected))
+            , client(*stream)
+        {
+        }
+        kj::Own<kj::AsyncIoStream> stream;
+        capnp::TwoPartyClient client;
+    };
+
+    schema::Peer::Client connect(RpcLoop &loop, const PeerSettings &settings,
+                                 const std::string &address, std::uint16_t port);
+
+    kj::Own<Transport> transport_;
+    schema::Peer::Client peer_;
+};
+
+} // namespace monsoongrade::rpc::internal
+
+#endif // MONSOONGRADE_SRC_RPC_INTERNAL_PEERCONNECTION_H
--- a/src/rpc/schedulerserver.cpp
+++ b/src/rpc/schedulerserver.cpp
@@ -2,6 +2,7 @@
 
 #include <rpc/internal/cell.h>
 #include <rpc/internal/messages.h>
+#include <rpc/internal/peerservice.h>
 
 #include <monsoongrade/observability/log.h>
 
@@ -172,6 +173,8 @@
             return kj::READY_NOW;
         }
         result.setIncarnation(settings_.self.value());
+        if (settings_.peers != nullptr)
+            result.setPeer(internal::peerService(*settings_.peers));
         result.setSlots(kj::heap<SlotServiceImpl>(cells_, units::DaemonId(params.getDaemon())));
         return kj::READY_NOW;
     }
