--- a/include/monsoongrade/configuration/configurationwatcher.h
+++ b/include/monsoongrade/configuration/configurationwatcher.h
@@ -29,6 +29,7 @@
     ConfigurationUpdater updater_;
     std::mt19937 random_;
     units::TimePoint nextStoreRead_;
+    std::map<std::string, bool> failing_;
     std::atomic<bool> stopping_{false};
     std::thread thread_;
 };
--- a/include/monsoongrade/membership/fleetwatcher.h
+++ b/include/monsoongrade/membership/fleetwatcher.h
@@ -26,6 +26,7 @@
 
     platform::HostList &hosts_;
     Membership &membership_;
+    bool failing_ = false;
     std::atomic<bool> stopping_{false};
     std::thread thread_;
 };
--- a/src/configuration/configurationupdater.cpp
+++ b/src/configuration/configurationupdater.cpp
@@ -93,8 +93,6 @@
     contents_.put(std::move(next));
     holder_.offer(std::make_shared<const Configuration>(std::move(parsed.configuration)));
     peers_.inForce(generation);
-    observability::log(LogLevel::Info, "configuration-in-force",
-                       {{"generation", generation.value()}});
     return true;
 }
 
--- a/src/configuration/configurationwatcher.cpp
+++ b/src/configuration/configurationwatcher.cpp
@@ -2,6 +2,8 @@
 
 #include <monsoongrade/observability/log.h>
 
+#include <utility>
+
 namespace monsoongrade::configuration {
 
 namespace {
@@ -73,13 +75,24 @@
 bool ConfigurationWatcher::attempt(const char *source,
                                    units::Result<bool> (ConfigurationUpdater::*update)())
 {
+    const units::Generation before = updater_.known();
     const auto answered = units::capture([&] { return (updater_.*update)(); });
+    if (answered.value && *answered.value)
+        observability::log(LogLevel::Info, "configuration-in-force",
+                           {{"generation", updater_.known().value()},
+                            {"before", before.value()},
+                            {"source", source}});
+    // One line at the start and one at the end of a fault, not one for each attempt.
+    const bool wasFailing = std::exchange(failing_[source], !answered.value);
+    if (answered.value && wasFailing)
+        observability::log(LogLevel::Info, "configuration-read-again", {{"source", source}});
     if (answered.value)
         return true;
-    observability::log(LogLevel::Warning, "configuration-read-failed",
-                       {{"source", source},
-                        {"code", static_cast<int>(answered.error.code)},
-                        {"message", answered.error.message}});
+    if (!wasFailing)
+        observability::log(LogLevel::Warning, "configuration-read-failed",
+                           {{"source", source},
+                            {"code", static_cast<int>(answered.error.code)},
+                            {"message", answered.error.message}});
     return false;
 }
 
--- a/src/membership/fleetwatcher.cpp
+++ b/src/membership/fleetwatcher.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 namespace monsoongrade::membership {
 
@@ -52,17 +53,17 @@
 
 void FleetWatcher::pollOnce()
 {
-    units::orElse(
-        [&]() -> units::Result<void> {
-            BOOST_LEAF_AUTO(hosts, hosts_.hosts());
-            membership_.applyList(hosts);
-            return {};
-        },
-        [](const units::Error &error) {
-            observability::log(
-                observability::LogLevel::Warning, "host-list-failed",
-                {{"code", static_cast<int>(error.code)}, {"message", error.message}});
-        });
+    const auto read = units::capture([this] { return hosts_.hosts(); });
+    if (read.value)
+        membership_.applyList(*read.value);
+    // One line at the start and one at the end of a fault, not one for each attempt.
+    const bool wasFailing = std::exchange(failing_, !read.value);
+    if (read.value && wasFailing)
+        observability::log(observability::LogLevel::Info, "host-list-read-again", {});
+    if (!read.value && !wasFailing)
+        observability::log(observability::LogLevel::Warning, "host-list-failed",
+                           {{"code", static_cast<int>(read.error.code)},
+                            {"message", read.error.message}});
 }
 
 } // namespace monsoongrade::membership
