--- a/bench/membership-cost.cpp
+++ b/bench/membership-cost.cpp
@@ -58,8 +58,8 @@
     traffic = {};
     const std::uint64_t before = suspicions(fleet);
     fleet.run(MeasuredTime);
-    const double perDaemonSecond = static_cast<double>(daemons)
-        * std::chrono::duration<double>(MeasuredTime).count();
+    const double perDaemonSecond
+        = static_cast<double>(daemons) * std::chrono::duration<double>(MeasuredTime).count();
     const double messages = static_cast<double>(traffic.messages) / perDaemonSecond;
     const double bytes = static_cast<double>(traffic.bytes) / perDaemonSecond;
     const std::uint64_t wrong = suspicions(fleet) - before;
@@ -90,7 +90,8 @@
         sizes.push_back(std::strtoul(argv[i], nullptr, 10));
     std::printf("Membership on a network in memory, %d s each, one-way delay 2 to 5 ms.\n",
                 static_cast<int>(MeasuredTime.count()));
-    std::printf("daemons  loss messages/s    B/s sent B/s in + out leave, s  suspicions  B at start\n");
+    std::printf(
+        "daemons  loss messages/s    B/s sent B/s in + out leave, s  suspicions  B at start\n");
     for (const std::size_t size : sizes) {
         for (const double loss : {0.0, 0.01, 0.05})
             measure(size, loss);
--- a/include/monsoongrade/configuration/configurationpeers.h
+++ b/include/monsoongrade/configuration/configurationpeers.h
@@ -18,8 +18,7 @@
     // was just started knows of nobody's generation yet. Texts whose hashes are known are left
     // out; generation 0 where the daemon asked has nothing newer.
     // Errors: NoConfiguration, PeerMessageMalformed.
-    virtual units::Result<ManifestContents> fetch(units::Generation above,
-                                                  const TextByHash &known)
+    virtual units::Result<ManifestContents> fetch(units::Generation above, const TextByHash &known)
         = 0;
     // Tells the others what is in force here.
     virtual void inForce(units::Generation generation) = 0;
--- a/include/monsoongrade/endpoints/wholeanswer.h
+++ b/include/monsoongrade/endpoints/wholeanswer.h
@@ -3,6 +3,8 @@
 
 #include <monsoongrade/endpoints/endpointclient.h>
 
+#include <cstddef>
+#include <limits>
 #include <string>
 
 namespace monsoongrade::endpoints {
@@ -16,8 +18,10 @@
     EndpointEnd end;
 };
 
-// Makes the call and waits for its end. Blocks; not for the client's own thread.
-WholeAnswer callAndWait(EndpointClient &client, EndpointRequest request);
+// Makes the call and waits for its end. Blocks; not for the client's own thread. A body of more
+// than mostBytes ends the call with BodyTooLarge.
+WholeAnswer callAndWait(EndpointClient &client, EndpointRequest request,
+                        std::size_t mostBytes = std::numeric_limits<std::size_t>::max());
 
 } // namespace monsoongrade::endpoints
 
--- a/include/monsoongrade/rpc/peerserver.h
+++ b/include/monsoongrade/rpc/peerserver.h
@@ -13,8 +13,7 @@
 {
 public:
     PeerServer(RpcLoop &loop, const PeerSettings &settings, PeerClient &client,
-               membership::Membership &membership,
-               configuration::ConfigurationContents &contents);
+               membership::Membership &membership, configuration::ConfigurationContents &contents);
     ~PeerServer();
 
     class Impl;
--- a/schema/monsoongrade.capnp.h
+++ b/schema/monsoongrade.capnp.h
@@ -7,10 +7,11 @@
 #include <kj/windows-sanity.h>
 #if !CAPNP_LITE
 #include <capnp/capability.h>
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
-#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error                                                                                             \
+    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
 #include "peer.capnp.h"
@@ -41,3011 +42,3590 @@
 CAPNP_DECLARE_SCHEMA(a6a8e72e264d5ddd);
 CAPNP_DECLARE_SCHEMA(860f0f3a4c48aee4);
 
-}  // namespace schemas
-}  // namespace capnp
+} // namespace schemas
+} // namespace capnp
 
 namespace monsoongrade {
 namespace schema {
 
-static constexpr  ::uint32_t PROTOCOL_VERSION = 1u;
-struct Daemon {
-  Daemon() = delete;
+static constexpr ::uint32_t PROTOCOL_VERSION = 1u;
+struct Daemon
+{
+    Daemon() = delete;
 
 #if !CAPNP_LITE
-  class Client;
-  class Server;
-#endif  // !CAPNP_LITE
+    class Client;
+    class Server;
+#endif // !CAPNP_LITE
 
-  struct HelloParams;
-  struct HelloResults;
+    struct HelloParams;
+    struct HelloResults;
 
-  #if !CAPNP_LITE
-  struct _capnpPrivate {
-    CAPNP_DECLARE_INTERFACE_HEADER(de3297de66671ef6)
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-  };
-  #endif  // !CAPNP_LITE
-};
-
-struct Daemon::HelloParams {
-  HelloParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c5a8d1d7fcb0b1fb, 1, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Daemon::HelloResults {
-  HelloResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ff7be3fd4bca34ea, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct HelloResult {
-  HelloResult() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b2bf1eb25d35b7a1, 1, 3)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct SlotAsk {
-  SlotAsk() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cdf807d9c062d383, 2, 5)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct SlotDecision {
-  SlotDecision() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-  enum Which: uint16_t {
-    GRANTED,
-    REFUSED,
-  };
-  struct Granted;
-  struct Refused;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bdc22935405f1c41, 2, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+#if !CAPNP_LITE
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_INTERFACE_HEADER(de3297de66671ef6)
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+    };
+#endif // !CAPNP_LITE
 };
 
-struct SlotDecision::Granted {
-  Granted() = delete;
+struct Daemon::HelloParams
+{
+    HelloParams() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e27d6cebcdb570dd, 2, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(c5a8d1d7fcb0b1fb, 1, 2)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct SlotDecision::Refused {
-  Refused() = delete;
+struct Daemon::HelloResults
+{
+    HelloResults() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8909867651fb01e2, 2, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(ff7be3fd4bca34ea, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct SlotRelease {
-  SlotRelease() = delete;
+struct HelloResult
+{
+    HelloResult() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f5e3b4aa86f55886, 4, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(b2bf1eb25d35b7a1, 1, 3)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct HeldGrant {
-  HeldGrant() = delete;
+struct SlotAsk
+{
+    SlotAsk() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d4bff95420687b61, 0, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(cdf807d9c062d383, 2, 5)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct SlotService {
-  SlotService() = delete;
-
+struct SlotDecision
+{
+    SlotDecision() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+    enum Which : uint16_t {
+        GRANTED,
+        REFUSED,
+    };
+    struct Granted;
+    struct Refused;
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(bdc22935405f1c41, 2, 1)
 #if !CAPNP_LITE
-  class Client;
-  class Server;
-#endif  // !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
+struct SlotDecision::Granted
+{
+    Granted() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(e27d6cebcdb570dd, 2, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
+struct SlotDecision::Refused
+{
+    Refused() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(8909867651fb01e2, 2, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
+struct SlotRelease
+{
+    SlotRelease() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(f5e3b4aa86f55886, 4, 0)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
+struct HeldGrant
+{
+    HeldGrant() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(d4bff95420687b61, 0, 2)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
+struct SlotService
+{
+    SlotService() = delete;
+
+#if !CAPNP_LITE
+    class Client;
+    class Server;
+#endif // !CAPNP_LITE
+
+    struct AskParams;
+    struct AskResults;
+    struct ReleaseParams;
+    struct ReleaseResults;
+    struct AdoptParams;
+    struct AdoptResults;
+    struct CancelParams;
+    struct CancelResults;
 
-  struct AskParams;
-  struct AskResults;
-  struct ReleaseParams;
-  struct ReleaseResults;
-  struct AdoptParams;
-  struct AdoptResults;
-  struct CancelParams;
-  struct CancelResults;
-
-  #if !CAPNP_LITE
-  struct _capnpPrivate {
-    CAPNP_DECLARE_INTERFACE_HEADER(d0d098660620dec2)
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-  };
-  #endif  // !CAPNP_LITE
-};
+#if !CAPNP_LITE
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_INTERFACE_HEADER(d0d098660620dec2)
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+    };
+#endif // !CAPNP_LITE
+};
 
-struct SlotService::AskParams {
-  AskParams() = delete;
+struct SlotService::AskParams
+{
+    AskParams() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d6e63a8fe08df4ea, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(d6e63a8fe08df4ea, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
 
-struct SlotService::AskResults {
-  AskResults() = delete;
+struct SlotService::AskResults
+{
+    AskResults() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f10beafeabdb038b, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(f10beafeabdb038b, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
 
-struct SlotService::ReleaseParams {
-  ReleaseParams() = delete;
+struct SlotService::ReleaseParams
+{
+    ReleaseParams() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(86583e407564cd1e, 0, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(86583e407564cd1e, 0, 2)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
 
-struct SlotService::ReleaseResults {
-  ReleaseResults() = delete;
+struct SlotService::ReleaseResults
+{
+    ReleaseResults() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e64c4841803a1d9c, 0, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(e64c4841803a1d9c, 0, 0)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct SlotService::AdoptParams {
-  AdoptParams() = delete;
+struct SlotService::AdoptParams
+{
+    AdoptParams() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aa3d6e1861465927, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(aa3d6e1861465927, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct SlotService::AdoptResults {
-  AdoptResults() = delete;
+struct SlotService::AdoptResults
+{
+    AdoptResults() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b6b99508478f03ca, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(b6b99508478f03ca, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct SlotService::CancelParams {
-  CancelParams() = delete;
+struct SlotService::CancelParams
+{
+    CancelParams() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a6a8e72e264d5ddd, 0, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(a6a8e72e264d5ddd, 0, 2)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct SlotService::CancelResults {
-  CancelResults() = delete;
+struct SlotService::CancelResults
+{
+    CancelResults() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(860f0f3a4c48aee4, 0, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(860f0f3a4c48aee4, 0, 0)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 // =======================================================================================
 
 #if !CAPNP_LITE
-class Daemon::Client
-    : public virtual ::capnp::Capability::Client {
+class Daemon::Client : public virtual ::capnp::Capability::Client
+{
 public:
-  typedef Daemon Calls;
-  typedef Daemon Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::monsoongrade::schema::Daemon::HelloParams,  ::monsoongrade::schema::Daemon::HelloResults> helloRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+    typedef Daemon Calls;
+    typedef Daemon Reads;
+
+    Client(decltype(nullptr));
+    explicit Client(::kj::Own<::capnp::ClientHook> &&hook);
+    template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t *, Server *>()>>
+    Client(::kj::Own<_t> &&server);
+    template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t *, Client *>()>>
+    Client(::kj::Promise<_t> &&promise);
+    Client(::kj::Exception &&exception);
+    Client(Client &) = default;
+    Client(Client &&) = default;
+    Client &operator=(Client &other);
+    Client &operator=(Client &&other);
+
+    ::capnp::Request<::monsoongrade::schema::Daemon::HelloParams,
+                     ::monsoongrade::schema::Daemon::HelloResults>
+    helloRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
-  Client() = default;
+    Client() = default;
 };
 
-class Daemon::Server
-    : public virtual ::capnp::Capability::Server {
+class Daemon::Server : public virtual ::capnp::Capability::Server
+{
 public:
-  typedef Daemon Serves;
+    typedef Daemon Serves;
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
+    ::capnp::Capability::Server::DispatchCallResult
+    dispatchCall(uint64_t interfaceId, uint16_t methodId,
+                 ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context) override;
 
 protected:
-  typedef  ::monsoongrade::schema::Daemon::HelloParams HelloParams;
-  typedef  ::monsoongrade::schema::Daemon::HelloResults HelloResults;
-  typedef ::capnp::CallContext<HelloParams, HelloResults> HelloContext;
-  virtual ::kj::Promise<void> hello(HelloContext context);
+    typedef ::monsoongrade::schema::Daemon::HelloParams HelloParams;
+    typedef ::monsoongrade::schema::Daemon::HelloResults HelloResults;
+    typedef ::capnp::CallContext<HelloParams, HelloResults> HelloContext;
+    virtual ::kj::Promise<void> hello(HelloContext context);
 
-  inline  ::monsoongrade::schema::Daemon::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::monsoongrade::schema::Daemon>();
-  }
+    inline ::monsoongrade::schema::Daemon::Client thisCap()
+    {
+        return ::capnp::Capability::Server::thisCap()
+            .template castAs<::monsoongrade::schema::Daemon>();
+    }
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+    ::capnp::Capability::Server::DispatchCallResult
+    dispatchCallInternal(uint16_t methodId,
+                         ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Daemon::HelloParams::Reader {
+class Daemon::HelloParams::Reader
+{
 public:
-  typedef HelloParams Reads;
+    typedef HelloParams Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasCluster() const;
-  inline  ::capnp::Text::Reader getCluster() const;
+    inline bool hasCluster() const;
+    inline ::capnp::Text::Reader getCluster() const;
 
-  inline  ::uint32_t getVersion() const;
+    inline ::uint32_t getVersion() const;
 
-  inline bool hasDaemon() const;
-  inline  ::capnp::Text::Reader getDaemon() const;
+    inline bool hasDaemon() const;
+    inline ::capnp::Text::Reader getDaemon() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Daemon::HelloParams::Builder {
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class Daemon::HelloParams::Builder
+{
 public:
-  typedef HelloParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasCluster();
-  inline  ::capnp::Text::Builder getCluster();
-  inline void setCluster( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initCluster(unsigned int size);
-  inline void adoptCluster(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownCluster();
-
-  inline  ::uint32_t getVersion();
-  inline void setVersion( ::uint32_t value);
-
-  inline bool hasDaemon();
-  inline  ::capnp::Text::Builder getDaemon();
-  inline void setDaemon( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDaemon(unsigned int size);
-  inline void adoptDaemon(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDaemon();
+    typedef HelloParams Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasCluster();
+    inline ::capnp::Text::Builder getCluster();
+    inline void setCluster(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initCluster(unsigned int size);
+    inline void adoptCluster(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownCluster();
+
+    inline ::uint32_t getVersion();
+    inline void setVersion(::uint32_t value);
+
+    inline bool hasDaemon();
+    inline ::capnp::Text::Builder getDaemon();
+    inline void setDaemon(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initDaemon(unsigned int size);
+    inline void adoptDaemon(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownDaemon();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Daemon::HelloParams::Pipeline {
+class Daemon::HelloParams::Pipeline
+{
 public:
-  typedef HelloParams Pipelines;
+    typedef HelloParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Daemon::HelloResults::Reader {
+class Daemon::HelloResults::Reader
+{
 public:
-  typedef HelloResults Reads;
+    typedef HelloResults Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasResult() const;
-  inline  ::monsoongrade::schema::HelloResult::Reader getResult() const;
+    inline bool hasResult() const;
+    inline ::monsoongrade::schema::HelloResult::Reader getResult() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Daemon::HelloResults::Builder {
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class Daemon::HelloResults::Builder
+{
 public:
-  typedef HelloResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasResult();
-  inline  ::monsoongrade::schema::HelloResult::Builder getResult();
-  inline void setResult( ::monsoongrade::schema::HelloResult::Reader value);
-  inline  ::monsoongrade::schema::HelloResult::Builder initResult();
-  inline void adoptResult(::capnp::Orphan< ::monsoongrade::schema::HelloResult>&& value);
-  inline ::capnp::Orphan< ::monsoongrade::schema::HelloResult> disownResult();
+    typedef HelloResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasResult();
+    inline ::monsoongrade::schema::HelloResult::Builder getResult();
+    inline void setResult(::monsoongrade::schema::HelloResult::Reader value);
+    inline ::monsoongrade::schema::HelloResult::Builder initResult();
+    inline void adoptResult(::capnp::Orphan<::monsoongrade::schema::HelloResult> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::HelloResult> disownResult();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Daemon::HelloResults::Pipeline {
+class Daemon::HelloResults::Pipeline
+{
 public:
-  typedef HelloResults Pipelines;
+    typedef HelloResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+    inline ::monsoongrade::schema::HelloResult::Pipeline getResult();
 
-  inline  ::monsoongrade::schema::HelloResult::Pipeline getResult();
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class HelloResult::Reader {
+class HelloResult::Reader
+{
 public:
-  typedef HelloResult Reads;
+    typedef HelloResult Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::int32_t getCode() const;
+    inline ::int32_t getCode() const;
 
-  inline bool hasIncarnation() const;
-  inline  ::capnp::Text::Reader getIncarnation() const;
+    inline bool hasIncarnation() const;
+    inline ::capnp::Text::Reader getIncarnation() const;
 
-  inline bool hasSlots() const;
+    inline bool hasSlots() const;
 #if !CAPNP_LITE
-  inline  ::monsoongrade::schema::SlotService::Client getSlots() const;
-#endif  // !CAPNP_LITE
+    inline ::monsoongrade::schema::SlotService::Client getSlots() const;
+#endif // !CAPNP_LITE
 
-  inline bool hasPeer() const;
+    inline bool hasPeer() const;
 #if !CAPNP_LITE
-  inline  ::monsoongrade::schema::Peer::Client getPeer() const;
-#endif  // !CAPNP_LITE
+    inline ::monsoongrade::schema::Peer::Client getPeer() const;
+#endif // !CAPNP_LITE
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class HelloResult::Builder {
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class HelloResult::Builder
+{
 public:
-  typedef HelloResult Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::int32_t getCode();
-  inline void setCode( ::int32_t value);
-
-  inline bool hasIncarnation();
-  inline  ::capnp::Text::Builder getIncarnation();
-  inline void setIncarnation( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initIncarnation(unsigned int size);
-  inline void adoptIncarnation(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownIncarnation();
-
-  inline bool hasSlots();
-#if !CAPNP_LITE
-  inline  ::monsoongrade::schema::SlotService::Client getSlots();
-  inline void setSlots( ::monsoongrade::schema::SlotService::Client&& value);
-  inline void setSlots( ::monsoongrade::schema::SlotService::Client& value);
-  inline void adoptSlots(::capnp::Orphan< ::monsoongrade::schema::SlotService>&& value);
-  inline ::capnp::Orphan< ::monsoongrade::schema::SlotService> disownSlots();
-#endif  // !CAPNP_LITE
-
-  inline bool hasPeer();
-#if !CAPNP_LITE
-  inline  ::monsoongrade::schema::Peer::Client getPeer();
-  inline void setPeer( ::monsoongrade::schema::Peer::Client&& value);
-  inline void setPeer( ::monsoongrade::schema::Peer::Client& value);
-  inline void adoptPeer(::capnp::Orphan< ::monsoongrade::schema::Peer>&& value);
-  inline ::capnp::Orphan< ::monsoongrade::schema::Peer> disownPeer();
-#endif  // !CAPNP_LITE
+    typedef HelloResult Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline ::int32_t getCode();
+    inline void setCode(::int32_t value);
+
+    inline bool hasIncarnation();
+    inline ::capnp::Text::Builder getIncarnation();
+    inline void setIncarnation(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initIncarnation(unsigned int size);
+    inline void adoptIncarnation(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownIncarnation();
+
+    inline bool hasSlots();
+#if !CAPNP_LITE
+    inline ::monsoongrade::schema::SlotService::Client getSlots();
+    inline void setSlots(::monsoongrade::schema::SlotService::Client &&value);
+    inline void setSlots(::monsoongrade::schema::SlotService::Client &value);
+    inline void adoptSlots(::capnp::Orphan<::monsoongrade::schema::SlotService> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::SlotService> disownSlots();
+#endif // !CAPNP_LITE
+
+    inline bool hasPeer();
+#if !CAPNP_LITE
+    inline ::monsoongrade::schema::Peer::Client getPeer();
+    inline void setPeer(::monsoongrade::schema::Peer::Client &&value);
+    inline void setPeer(::monsoongrade::schema::Peer::Client &value);
+    inline void adoptPeer(::capnp::Orphan<::monsoongrade::schema::Peer> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::Peer> disownPeer();
+#endif // !CAPNP_LITE
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class HelloResult::Pipeline {
+class HelloResult::Pipeline
+{
 public:
-  typedef HelloResult Pipelines;
+    typedef HelloResult Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline ::monsoongrade::schema::SlotService::Client getSlots();
+    inline ::monsoongrade::schema::Peer::Client getPeer();
 
-  inline  ::monsoongrade::schema::SlotService::Client getSlots();
-  inline  ::monsoongrade::schema::Peer::Client getPeer();
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class SlotAsk::Reader {
+class SlotAsk::Reader
+{
 public:
-  typedef SlotAsk Reads;
+    typedef SlotAsk Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::capnp::Text::Reader getRequest() const;
+    inline bool hasRequest() const;
+    inline ::capnp::Text::Reader getRequest() const;
 
-  inline bool hasPool() const;
-  inline  ::capnp::Text::Reader getPool() const;
+    inline bool hasPool() const;
+    inline ::capnp::Text::Reader getPool() const;
 
-  inline bool hasClassName() const;
-  inline  ::capnp::Text::Reader getClassName() const;
+    inline bool hasClassName() const;
+    inline ::capnp::Text::Reader getClassName() const;
 
-  inline bool hasWorkspace() const;
-  inline  ::capnp::Text::Reader getWorkspace() const;
+    inline bool hasWorkspace() const;
+    inline ::capnp::Text::Reader getWorkspace() const;
 
-  inline  ::uint64_t getPrefix() const;
+    inline ::uint64_t getPrefix() const;
 
-  inline  ::uint64_t getWaitedMicros() const;
+    inline ::uint64_t getWaitedMicros() const;
 
-  inline bool hasAvoid() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getAvoid() const;
+    inline bool hasAvoid() const;
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getAvoid() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class SlotAsk::Builder {
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class SlotAsk::Builder
+{
 public:
-  typedef SlotAsk Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasRequest();
-  inline  ::capnp::Text::Builder getRequest();
-  inline void setRequest( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequest(unsigned int size);
-  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
-
-  inline bool hasPool();
-  inline  ::capnp::Text::Builder getPool();
-  inline void setPool( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPool(unsigned int size);
-  inline void adoptPool(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPool();
-
-  inline bool hasClassName();
-  inline  ::capnp::Text::Builder getClassName();
-  inline void setClassName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initClassName(unsigned int size);
-  inline void adoptClassName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownClassName();
-
-  inline bool hasWorkspace();
-  inline  ::capnp::Text::Builder getWorkspace();
-  inline void setWorkspace( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
-  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
-
-  inline  ::uint64_t getPrefix();
-  inline void setPrefix( ::uint64_t value);
-
-  inline  ::uint64_t getWaitedMicros();
-  inline void setWaitedMicros( ::uint64_t value);
-
-  inline bool hasAvoid();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getAvoid();
-  inline void setAvoid( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setAvoid(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initAvoid(unsigned int size);
-  inline void adoptAvoid(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownAvoid();
+    typedef SlotAsk Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasRequest();
+    inline ::capnp::Text::Builder getRequest();
+    inline void setRequest(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initRequest(unsigned int size);
+    inline void adoptRequest(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownRequest();
+
+    inline bool hasPool();
+    inline ::capnp::Text::Builder getPool();
+    inline void setPool(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initPool(unsigned int size);
+    inline void adoptPool(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownPool();
+
+    inline bool hasClassName();
+    inline ::capnp::Text::Builder getClassName();
+    inline void setClassName(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initClassName(unsigned int size);
+    inline void adoptClassName(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownClassName();
+
+    inline bool hasWorkspace();
+    inline ::capnp::Text::Builder getWorkspace();
+    inline void setWorkspace(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initWorkspace(unsigned int size);
+    inline void adoptWorkspace(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownWorkspace();
+
+    inline ::uint64_t getPrefix();
+    inline void setPrefix(::uint64_t value);
+
+    inline ::uint64_t getWaitedMicros();
+    inline void setWaitedMicros(::uint64_t value);
+
+    inline bool hasAvoid();
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getAvoid();
+    inline void setAvoid(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
+    inline void setAvoid(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initAvoid(unsigned int size);
+    inline void
+    adoptAvoid(::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> disownAvoid();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class SlotAsk::Pipeline {
+class SlotAsk::Pipeline
+{
 public:
-  typedef SlotAsk Pipelines;
+    typedef SlotAsk Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class SlotDecision::Reader {
+class SlotDecision::Reader
+{
 public:
-  typedef SlotDecision Reads;
+    typedef SlotDecision Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isGranted() const;
-  inline typename Granted::Reader getGranted() const;
+    inline Which which() const;
+    inline bool isGranted() const;
+    inline typename Granted::Reader getGranted() const;
 
-  inline bool isRefused() const;
-  inline typename Refused::Reader getRefused() const;
+    inline bool isRefused() const;
+    inline typename Refused::Reader getRefused() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class SlotDecision::Builder {
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class SlotDecision::Builder
+{
 public:
-  typedef SlotDecision Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline Which which();
-  inline bool isGranted();
-  inline typename Granted::Builder getGranted();
-  inline typename Granted::Builder initGranted();
-
-  inline bool isRefused();
-  inline typename Refused::Builder getRefused();
-  inline typename Refused::Builder initRefused();
+    typedef SlotDecision Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline Which which();
+    inline bool isGranted();
+    inline typename Granted::Builder getGranted();
+    inline typename Granted::Builder initGranted();
+
+    inline bool isRefused();
+    inline typename Refused::Builder getRefused();
+    inline typename Refused::Builder initRefused();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class SlotDecision::Pipeline {
+class SlotDecision::Pipeline
+{
 public:
-  typedef SlotDecision Pipelines;
+    typedef SlotDecision Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class SlotDecision::Granted::Reader {
+class SlotDecision::Granted::Reader
+{
 public:
-  typedef Granted Reads;
+    typedef Granted Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getGrant() const;
+    inline ::uint64_t getGrant() const;
 
-  inline bool hasEndpoint() const;
-  inline  ::capnp::Text::Reader getEndpoint() const;
+    inline bool hasEndpoint() const;
+    inline ::capnp::Text::Reader getEndpoint() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class SlotDecision::Granted::Builder {
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class SlotDecision::Granted::Builder
+{
 public:
-  typedef Granted Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getGrant();
-  inline void setGrant( ::uint64_t value);
-
-  inline bool hasEndpoint();
-  inline  ::capnp::Text::Builder getEndpoint();
-  inline void setEndpoint( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
-  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+    typedef Granted Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline ::uint64_t getGrant();
+    inline void setGrant(::uint64_t value);
+
+    inline bool hasEndpoint();
+    inline ::capnp::Text::Builder getEndpoint();
+    inline void setEndpoint(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initEndpoint(unsigned int size);
+    inline void adoptEndpoint(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownEndpoint();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class SlotDecision::Granted::Pipeline {
+class SlotDecision::Granted::Pipeline
+{
 public:
-  typedef Granted Pipelines;
+    typedef Granted Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class SlotDecision::Refused::Reader {
+class SlotDecision::Refused::Reader
+{
 public:
-  typedef Refused Reads;
+    typedef Refused Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::int32_t getCode() const;
+    inline ::int32_t getCode() const;
 
-  inline  ::uint32_t getRetryAfterMillis() const;
+    inline ::uint32_t getRetryAfterMillis() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class SlotDecision::Refused::Builder {
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class SlotDecision::Refused::Builder
+{
 public:
-  typedef Refused Builds;
+    typedef Refused Builds;
 
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::int32_t getCode();
-  inline void setCode( ::int32_t value);
+    inline ::int32_t getCode();
+    inline void setCode(::int32_t value);
 
-  inline  ::uint32_t getRetryAfterMillis();
-  inline void setRetryAfterMillis( ::uint32_t value);
+    inline ::uint32_t getRetryAfterMillis();
+    inline void setRetryAfterMillis(::uint32_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class SlotDecision::Refused::Pipeline {
+class SlotDecision::Refused::Pipeline
+{
 public:
-  typedef Refused Pipelines;
+    typedef Refused Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class SlotRelease::Reader {
+class SlotRelease::Reader
+{
 public:
-  typedef SlotRelease Reads;
+    typedef SlotRelease Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getGrant() const;
+    inline ::uint64_t getGrant() const;
 
-  inline  ::int64_t getTokens() const;
+    inline ::int64_t getTokens() const;
 
-  inline  ::uint64_t getHeldMicros() const;
+    inline ::uint64_t getHeldMicros() const;
 
-  inline  ::uint8_t getOutcome() const;
+    inline ::uint8_t getOutcome() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class SlotRelease::Builder {
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class SlotRelease::Builder
+{
 public:
-  typedef SlotRelease Builds;
+    typedef SlotRelease Builds;
 
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getGrant();
-  inline void setGrant( ::uint64_t value);
+    inline ::uint64_t getGrant();
+    inline void setGrant(::uint64_t value);
 
-  inline  ::int64_t getTokens();
-  inline void setTokens( ::int64_t value);
+    inline ::int64_t getTokens();
+    inline void setTokens(::int64_t value);
 
-  inline  ::uint64_t getHeldMicros();
-  inline void setHeldMicros( ::uint64_t value);
+    inline ::uint64_t getHeldMicros();
+    inline void setHeldMicros(::uint64_t value);
 
-  inline  ::uint8_t getOutcome();
-  inline void setOutcome( ::uint8_t value);
+    inline ::uint8_t getOutcome();
+    inline void setOutcome(::uint8_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class SlotRelease::Pipeline {
+class SlotRelease::Pipeline
+{
 public:
-  typedef SlotRelease Pipelines;
+    typedef SlotRelease Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class HeldGrant::Reader {
+class HeldGrant::Reader
+{
 public:
-  typedef HeldGrant Reads;
+    typedef HeldGrant Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasAsk() const;
-  inline  ::monsoongrade::schema::SlotAsk::Reader getAsk() const;
+    inline bool hasAsk() const;
+    inline ::monsoongrade::schema::SlotAsk::Reader getAsk() const;
 
-  inline bool hasEndpoint() const;
-  inline  ::capnp::Text::Reader getEndpoint() const;
+    inline bool hasEndpoint() const;
+    inline ::capnp::Text::Reader getEndpoint() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class HeldGrant::Builder {
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class HeldGrant::Builder
+{
 public:
-  typedef HeldGrant Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasAsk();
-  inline  ::monsoongrade::schema::SlotAsk::Builder getAsk();
-  inline void setAsk( ::monsoongrade::schema::SlotAsk::Reader value);
-  inline  ::monsoongrade::schema::SlotAsk::Builder initAsk();
-  inline void adoptAsk(::capnp::Orphan< ::monsoongrade::schema::SlotAsk>&& value);
-  inline ::capnp::Orphan< ::monsoongrade::schema::SlotAsk> disownAsk();
-
-  inline bool hasEndpoint();
-  inline  ::capnp::Text::Builder getEndpoint();
-  inline void setEndpoint( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
-  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+    typedef HeldGrant Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasAsk();
+    inline ::monsoongrade::schema::SlotAsk::Builder getAsk();
+    inline void setAsk(::monsoongrade::schema::SlotAsk::Reader value);
+    inline ::monsoongrade::schema::SlotAsk::Builder initAsk();
+    inline void adoptAsk(::capnp::Orphan<::monsoongrade::schema::SlotAsk> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::SlotAsk> disownAsk();
+
+    inline bool hasEndpoint();
+    inline ::capnp::Text::Builder getEndpoint();
+    inline void setEndpoint(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initEndpoint(unsigned int size);
+    inline void adoptEndpoint(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownEndpoint();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class HeldGrant::Pipeline {
+class HeldGrant::Pipeline
+{
 public:
-  typedef HeldGrant Pipelines;
+    typedef HeldGrant Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline ::monsoongrade::schema::SlotAsk::Pipeline getAsk();
 
-  inline  ::monsoongrade::schema::SlotAsk::Pipeline getAsk();
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class SlotService::Client
-    : public virtual ::capnp::Capability::Client {
+class SlotService::Client : public virtual ::capnp::Capability::Client
+{
 public:
-  typedef SlotService Calls;
-  typedef SlotService Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::monsoongrade::schema::SlotService::AskParams,  ::monsoongrade::schema::SlotService::AskResults> askRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::monsoongrade::schema::SlotService::ReleaseParams,  ::monsoongrade::schema::SlotService::ReleaseResults> releaseRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::monsoongrade::schema::SlotService::AdoptParams,  ::monsoongrade::schema::SlotService::AdoptResults> adoptRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::monsoongrade::schema::SlotService::CancelParams,  ::monsoongrade::schema::SlotService::CancelResults> cancelRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+    typedef SlotService Calls;
+    typedef SlotService Reads;
+
+    Client(decltype(nullptr));
+    explicit Client(::kj::Own<::capnp::ClientHook> &&hook);
+    template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t *, Server *>()>>
+    Client(::kj::Own<_t> &&server);
+    template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t *, Client *>()>>
+    Client(::kj::Promise<_t> &&promise);
+    Client(::kj::Exception &&exception);
+    Client(Client &) = default;
+    Client(Client &&) = default;
+    Client &operator=(Client &other);
+    Client &operator=(Client &&other);
+
+    ::capnp::Request<::monsoongrade::schema::SlotService::AskParams,
+                     ::monsoongrade::schema::SlotService::AskResults>
+    askRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+    ::capnp::Request<::monsoongrade::schema::SlotService::ReleaseParams,
+                     ::monsoongrade::schema::SlotService::ReleaseResults>
+    releaseRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+    ::capnp::Request<::monsoongrade::schema::SlotService::AdoptParams,
+                     ::monsoongrade::schema::SlotService::AdoptResults>
+    adoptRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+    ::capnp::Request<::monsoongrade::schema::SlotService::CancelParams,
+                     ::monsoongrade::schema::SlotService::CancelResults>
+    cancelRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
-  Client() = default;
+    Client() = default;
 };
 
-class SlotService::Server
-    : public virtual ::capnp::Capability::Server {
+class SlotService::Server : public virtual ::capnp::Capability::Server
+{
 public:
-  typedef SlotService Serves;
+    typedef SlotService Serves;
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
+    ::capnp::Capability::Server::DispatchCallResult
+    dispatchCall(uint64_t interfaceId, uint16_t methodId,
+                 ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context) override;
 
 protected:
-  typedef  ::monsoongrade::schema::SlotService::AskParams AskParams;
-  typedef  ::monsoongrade::schema::SlotService::AskResults AskResults;
-  typedef ::capnp::CallContext<AskParams, AskResults> AskContext;
-  virtual ::kj::Promise<void> ask(AskContext context);
-  typedef  ::monsoongrade::schema::SlotService::ReleaseParams ReleaseParams;
-  typedef  ::monsoongrade::schema::SlotService::ReleaseResults ReleaseResults;
-  typedef ::capnp::CallContext<ReleaseParams, ReleaseResults> ReleaseContext;
-  virtual ::kj::Promise<void> release(ReleaseContext context);
-  typedef  ::monsoongrade::schema::SlotService::AdoptParams AdoptParams;
-  typedef  ::monsoongrade::schema::SlotService::AdoptResults AdoptResults;
-  typedef ::capnp::CallContext<AdoptParams, AdoptResults> AdoptContext;
-  virtual ::kj::Promise<void> adopt(AdoptContext context);
-  typedef  ::monsoongrade::schema::SlotService::CancelParams CancelParams;
-  typedef  ::monsoongrade::schema::SlotService::CancelResults CancelResults;
-  typedef ::capnp::CallContext<CancelParams, CancelResults> CancelContext;
-  virtual ::kj::Promise<void> cancel(CancelContext context);
-
-  inline  ::monsoongrade::schema::SlotService::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::monsoongrade::schema::SlotService>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class SlotService::AskParams::Reader {
+    typedef ::monsoongrade::schema::SlotService::AskParams AskParams;
+    typedef ::monsoongrade::schema::SlotService::AskResults AskResults;
+    typedef ::capnp::CallContext<AskParams, AskResults> AskContext;
+    virtual ::kj::Promise<void> ask(AskContext context);
+    typedef ::monsoongrade::schema::SlotService::ReleaseParams ReleaseParams;
+    typedef ::monsoongrade::schema::SlotService::ReleaseResults ReleaseResults;
+    typedef ::capnp::CallContext<ReleaseParams, ReleaseResults> ReleaseContext;
+    virtual ::kj::Promise<void> release(ReleaseContext context);
+    typedef ::monsoongrade::schema::SlotService::AdoptParams AdoptParams;
+    typedef ::monsoongrade::schema::SlotService::AdoptResults AdoptResults;
+    typedef ::capnp::CallContext<AdoptParams, AdoptResults> AdoptContext;
+    virtual ::kj::Promise<void> adopt(AdoptContext context);
+    typedef ::monsoongrade::schema::SlotService::CancelParams CancelParams;
+    typedef ::monsoongrade::schema::SlotService::CancelResults CancelResults;
+    typedef ::capnp::CallContext<CancelParams, CancelResults> CancelContext;
+    virtual ::kj::Promise<void> cancel(CancelContext context);
+
+    inline ::monsoongrade::schema::SlotService::Client thisCap()
+    {
+        return ::capnp::Capability::Server::thisCap()
+            .template castAs<::monsoongrade::schema::SlotService>();
+    }
+
+    ::capnp::Capability::Server::DispatchCallResult
+    dispatchCallInternal(uint16_t methodId,
+                         ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif // !CAPNP_LITE
+
+class SlotService::AskParams::Reader
+{
 public:
-  typedef AskParams Reads;
+    typedef AskParams Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasAsk() const;
-  inline  ::monsoongrade::schema::SlotAsk::Reader getAsk() const;
+    inline bool hasAsk() const;
+    inline ::monsoongrade::schema::SlotAsk::Reader getAsk() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class SlotService::AskParams::Builder {
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class SlotService::AskParams::Builder
+{
 public:
-  typedef AskParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasAsk();
-  inline  ::monsoongrade::schema::SlotAsk::Builder getAsk();
-  inline void setAsk( ::monsoongrade::schema::SlotAsk::Reader value);
-  inline  ::monsoongrade::schema::SlotAsk::Builder initAsk();
-  inline void adoptAsk(::capnp::Orphan< ::monsoongrade::schema::SlotAsk>&& value);
-  inline ::capnp::Orphan< ::monsoongrade::schema::SlotAsk> disownAsk();
+    typedef AskParams Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasAsk();
+    inline ::monsoongrade::schema::SlotAsk::Builder getAsk();
+    inline void setAsk(::monsoongrade::schema::SlotAsk::Reader value);
+    inline ::monsoongrade::schema::SlotAsk::Builder initAsk();
+    inline void adoptAsk(::capnp::Orphan<::monsoongrade::schema::SlotAsk> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::SlotAsk> disownAsk();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class SlotService::AskParams::Pipeline {
+class SlotService::AskParams::Pipeline
+{
 public:
-  typedef AskParams Pipelines;
+    typedef AskParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+    inline ::monsoongrade::schema::SlotAsk::Pipeline getAsk();
 
-  inline  ::monsoongrade::schema::SlotAsk::Pipeline getAsk();
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class SlotService::AskResults::Reader {
+class SlotService::AskResults::Reader
+{
 public:
-  typedef AskResults Reads;
+    typedef AskResults Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasDecision() const;
-  inline  ::monsoongrade::schema::SlotDecision::Reader getDecision() const;
+    inline bool hasDecision() const;
+    inline ::monsoongrade::schema::SlotDecision::Reader getDecision() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class SlotService::AskResults::Builder {
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class SlotService::AskResults::Builder
+{
 public:
-  typedef AskResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasDecision();
-  inline  ::monsoongrade::schema::SlotDecision::Builder getDecision();
-  inline void setDecision( ::monsoongrade::schema::SlotDecision::Reader value);
-  inline  ::monsoongrade::schema::SlotDecision::Builder initDecision();
-  inline void adoptDecision(::capnp::Orphan< ::monsoongrade::schema::SlotDecision>&& value);
-  inline ::capnp::Orphan< ::monsoongrade::schema::SlotDecision> disownDecision();
+    typedef AskResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasDecision();
+    inline ::monsoongrade::schema::SlotDecision::Builder getDecision();
+    inline void setDecision(::monsoongrade::schema::SlotDecision::Reader value);
+    inline ::monsoongrade::schema::SlotDecision::Builder initDecision();
+    inline void adoptDecision(::capnp::Orphan<::monsoongrade::schema::SlotDecision> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::SlotDecision> disownDecision();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class SlotService::AskResults::Pipeline {
+class SlotService::AskResults::Pipeline
+{
 public:
-  typedef AskResults Pipelines;
+    typedef AskResults Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline ::monsoongrade::schema::SlotDecision::Pipeline getDecision();
 
-  inline  ::monsoongrade::schema::SlotDecision::Pipeline getDecision();
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class SlotService::ReleaseParams::Reader {
+class SlotService::ReleaseParams::Reader
+{
 public:
-  typedef ReleaseParams Reads;
+    typedef ReleaseParams Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasPool() const;
-  inline  ::capnp::Text::Reader getPool() const;
+    inline bool hasPool() const;
+    inline ::capnp::Text::Reader getPool() const;
 
-  inline bool hasRelease() const;
-  inline  ::monsoongrade::schema::SlotRelease::Reader getRelease() const;
+    inline bool hasRelease() const;
+    inline ::monsoongrade::schema::SlotRelease::Reader getRelease() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class SlotService::ReleaseParams::Builder {
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class SlotService::ReleaseParams::Builder
+{
 public:
-  typedef ReleaseParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasPool();
-  inline  ::capnp::Text::Builder getPool();
-  inline void setPool( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPool(unsigned int size);
-  inline void adoptPool(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPool();
-
-  inline bool hasRelease();
-  inline  ::monsoongrade::schema::SlotRelease::Builder getRelease();
-  inline void setRelease( ::monsoongrade::schema::SlotRelease::Reader value);
-  inline  ::monsoongrade::schema::SlotRelease::Builder initRelease();
-  inline void adoptRelease(::capnp::Orphan< ::monsoongrade::schema::SlotRelease>&& value);
-  inline ::capnp::Orphan< ::monsoongrade::schema::SlotRelease> disownRelease();
+    typedef ReleaseParams Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasPool();
+    inline ::capnp::Text::Builder getPool();
+    inline void setPool(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initPool(unsigned int size);
+    inline void adoptPool(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownPool();
+
+    inline bool hasRelease();
+    inline ::monsoongrade::schema::SlotRelease::Builder getRelease();
+    inline void setRelease(::monsoongrade::schema::SlotRelease::Reader value);
+    inline ::monsoongrade::schema::SlotRelease::Builder initRelease();
+    inline void adoptRelease(::capnp::Orphan<::monsoongrade::schema::SlotRelease> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::SlotRelease> disownRelease();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class SlotService::ReleaseParams::Pipeline {
+class SlotService::ReleaseParams::Pipeline
+{
 public:
-  typedef ReleaseParams Pipelines;
+    typedef ReleaseParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+    inline ::monsoongrade::schema::SlotRelease::Pipeline getRelease();
 
-  inline  ::monsoongrade::schema::SlotRelease::Pipeline getRelease();
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class SlotService::ReleaseResults::Reader {
+class SlotService::ReleaseResults::Reader
+{
 public:
-  typedef ReleaseResults Reads;
+    typedef ReleaseResults Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class SlotService::ReleaseResults::Builder {
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class SlotService::ReleaseResults::Builder
+{
 public:
-  typedef ReleaseResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    typedef ReleaseResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class SlotService::ReleaseResults::Pipeline {
+class SlotService::ReleaseResults::Pipeline
+{
 public:
-  typedef ReleaseResults Pipelines;
+    typedef ReleaseResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class SlotService::AdoptParams::Reader {
+class SlotService::AdoptParams::Reader
+{
 public:
-  typedef AdoptParams Reads;
+    typedef AdoptParams Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasHeld() const;
-  inline  ::capnp::List< ::monsoongrade::schema::HeldGrant,  ::capnp::Kind::STRUCT>::Reader getHeld() const;
+    inline bool hasHeld() const;
+    inline ::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>::Reader
+    getHeld() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class SlotService::AdoptParams::Builder {
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class SlotService::AdoptParams::Builder
+{
 public:
-  typedef AdoptParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasHeld();
-  inline  ::capnp::List< ::monsoongrade::schema::HeldGrant,  ::capnp::Kind::STRUCT>::Builder getHeld();
-  inline void setHeld( ::capnp::List< ::monsoongrade::schema::HeldGrant,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::monsoongrade::schema::HeldGrant,  ::capnp::Kind::STRUCT>::Builder initHeld(unsigned int size);
-  inline void adoptHeld(::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::HeldGrant,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::HeldGrant,  ::capnp::Kind::STRUCT>> disownHeld();
+    typedef AdoptParams Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasHeld();
+    inline ::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>::Builder
+    getHeld();
+    inline void
+    setHeld(::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>::Builder
+    initHeld(unsigned int size);
+    inline void adoptHeld(
+        ::capnp::Orphan<::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>>
+            &&value);
+    inline ::capnp::Orphan<::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>>
+    disownHeld();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class SlotService::AdoptParams::Pipeline {
+class SlotService::AdoptParams::Pipeline
+{
 public:
-  typedef AdoptParams Pipelines;
+    typedef AdoptParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class SlotService::AdoptResults::Reader {
+class SlotService::AdoptResults::Reader
+{
 public:
-  typedef AdoptResults Reads;
+    typedef AdoptResults Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasGrants() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getGrants() const;
+    inline bool hasGrants() const;
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader getGrants() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class SlotService::AdoptResults::Builder {
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class SlotService::AdoptResults::Builder
+{
 public:
-  typedef AdoptResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasGrants();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getGrants();
-  inline void setGrants( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setGrants(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initGrants(unsigned int size);
-  inline void adoptGrants(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownGrants();
+    typedef AdoptResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasGrants();
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder getGrants();
+    inline void setGrants(::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+    inline void setGrants(::kj::ArrayPtr<const ::uint64_t> value);
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+    initGrants(unsigned int size);
+    inline void
+    adoptGrants(::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> disownGrants();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class SlotService::AdoptResults::Pipeline {
+class SlotService::AdoptResults::Pipeline
+{
 public:
-  typedef AdoptResults Pipelines;
+    typedef AdoptResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class SlotService::CancelParams::Reader {
+class SlotService::CancelParams::Reader
+{
 public:
-  typedef CancelParams Reads;
+    typedef CancelParams Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasPool() const;
-  inline  ::capnp::Text::Reader getPool() const;
+    inline bool hasPool() const;
+    inline ::capnp::Text::Reader getPool() const;
 
-  inline bool hasRequest() const;
-  inline  ::capnp::Text::Reader getRequest() const;
+    inline bool hasRequest() const;
+    inline ::capnp::Text::Reader getRequest() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class SlotService::CancelParams::Builder {
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class SlotService::CancelParams::Builder
+{
 public:
-  typedef CancelParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasPool();
-  inline  ::capnp::Text::Builder getPool();
-  inline void setPool( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPool(unsigned int size);
-  inline void adoptPool(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPool();
-
-  inline bool hasRequest();
-  inline  ::capnp::Text::Builder getRequest();
-  inline void setRequest( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequest(unsigned int size);
-  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
+    typedef CancelParams Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasPool();
+    inline ::capnp::Text::Builder getPool();
+    inline void setPool(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initPool(unsigned int size);
+    inline void adoptPool(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownPool();
+
+    inline bool hasRequest();
+    inline ::capnp::Text::Builder getRequest();
+    inline void setRequest(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initRequest(unsigned int size);
+    inline void adoptRequest(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownRequest();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class SlotService::CancelParams::Pipeline {
+class SlotService::CancelParams::Pipeline
+{
 public:
-  typedef CancelParams Pipelines;
+    typedef CancelParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class SlotService::CancelResults::Reader {
+class SlotService::CancelResults::Reader
+{
 public:
-  typedef CancelResults Reads;
+    typedef CancelResults Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class SlotService::CancelResults::Builder {
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class SlotService::CancelResults::Builder
+{
 public:
-  typedef CancelResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    typedef CancelResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class SlotService::CancelResults::Pipeline {
+class SlotService::CancelResults::Pipeline
+{
 public:
-  typedef CancelResults Pipelines;
+    typedef CancelResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 // =======================================================================================
 
 #if !CAPNP_LITE
 inline Daemon::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline Daemon::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+    : ::capnp::Capability::Client(nullptr)
+{
+}
+inline Daemon::Client::Client(::kj::Own<::capnp::ClientHook> &&hook)
+    : ::capnp::Capability::Client(::kj::mv(hook))
+{
+}
 template <typename _t, typename>
-inline Daemon::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
+inline Daemon::Client::Client(::kj::Own<_t> &&server)
+    : ::capnp::Capability::Client(::kj::mv(server))
+{
+}
 template <typename _t, typename>
-inline Daemon::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline Daemon::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::monsoongrade::schema::Daemon::Client& Daemon::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
+inline Daemon::Client::Client(::kj::Promise<_t> &&promise)
+    : ::capnp::Capability::Client(::kj::mv(promise))
+{
+}
+inline Daemon::Client::Client(::kj::Exception &&exception)
+    : ::capnp::Capability::Client(::kj::mv(exception))
+{
+}
+inline ::monsoongrade::schema::Daemon::Client &Daemon::Client::operator=(Client &other)
+{
+    ::capnp::Capability::Client::operator=(other);
+    return *this;
 }
-inline  ::monsoongrade::schema::Daemon::Client& Daemon::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
+inline ::monsoongrade::schema::Daemon::Client &Daemon::Client::operator=(Client &&other)
+{
+    ::capnp::Capability::Client::operator=(kj::mv(other));
+    return *this;
 }
 
-#endif  // !CAPNP_LITE
-inline bool Daemon::HelloParams::Reader::hasCluster() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+#endif // !CAPNP_LITE
+inline bool Daemon::HelloParams::Reader::hasCluster() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Daemon::HelloParams::Builder::hasCluster()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Daemon::HelloParams::Reader::getCluster() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline bool Daemon::HelloParams::Builder::hasCluster() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline ::capnp::Text::Builder Daemon::HelloParams::Builder::getCluster()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Reader Daemon::HelloParams::Reader::getCluster() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Daemon::HelloParams::Builder::setCluster(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Daemon::HelloParams::Builder::getCluster() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Daemon::HelloParams::Builder::initCluster(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Daemon::HelloParams::Builder::setCluster( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Daemon::HelloParams::Builder::adoptCluster(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline  ::capnp::Text::Builder Daemon::HelloParams::Builder::initCluster(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Daemon::HelloParams::Builder::adoptCluster(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Daemon::HelloParams::Builder::disownCluster() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Daemon::HelloParams::Builder::disownCluster()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Daemon::HelloParams::Reader::getVersion() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Daemon::HelloParams::Reader::getVersion() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Daemon::HelloParams::Builder::getVersion() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Daemon::HelloParams::Builder::getVersion()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Daemon::HelloParams::Builder::setVersion( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Daemon::HelloParams::Builder::setVersion(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Daemon::HelloParams::Reader::hasDaemon() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool Daemon::HelloParams::Reader::hasDaemon() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Daemon::HelloParams::Builder::hasDaemon() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool Daemon::HelloParams::Builder::hasDaemon()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Daemon::HelloParams::Reader::getDaemon() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Daemon::HelloParams::Reader::getDaemon() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Daemon::HelloParams::Builder::getDaemon() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Daemon::HelloParams::Builder::getDaemon()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Daemon::HelloParams::Builder::setDaemon( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Daemon::HelloParams::Builder::setDaemon(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Daemon::HelloParams::Builder::initDaemon(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Daemon::HelloParams::Builder::initDaemon(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Daemon::HelloParams::Builder::adoptDaemon(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Daemon::HelloParams::Builder::adoptDaemon(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Daemon::HelloParams::Builder::disownDaemon() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Daemon::HelloParams::Builder::disownDaemon()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Daemon::HelloResults::Reader::hasResult() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Daemon::HelloResults::Reader::hasResult() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Daemon::HelloResults::Builder::hasResult() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Daemon::HelloResults::Builder::hasResult()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::monsoongrade::schema::HelloResult::Reader Daemon::HelloResults::Reader::getResult() const
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::HelloResult>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::monsoongrade::schema::HelloResult::Reader Daemon::HelloResults::Reader::getResult() const {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::HelloResult>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::monsoongrade::schema::HelloResult::Builder Daemon::HelloResults::Builder::getResult() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::HelloResult>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::monsoongrade::schema::HelloResult::Builder Daemon::HelloResults::Builder::getResult()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::HelloResult>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::monsoongrade::schema::HelloResult::Pipeline Daemon::HelloResults::Pipeline::getResult() {
-  return  ::monsoongrade::schema::HelloResult::Pipeline(_typeless.getPointerField(0));
+inline ::monsoongrade::schema::HelloResult::Pipeline Daemon::HelloResults::Pipeline::getResult()
+{
+    return ::monsoongrade::schema::HelloResult::Pipeline(_typeless.getPointerField(0));
 }
-#endif  // !CAPNP_LITE
-inline void Daemon::HelloResults::Builder::setResult( ::monsoongrade::schema::HelloResult::Reader value) {
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::HelloResult>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+#endif // !CAPNP_LITE
+inline void
+Daemon::HelloResults::Builder::setResult(::monsoongrade::schema::HelloResult::Reader value)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::HelloResult>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::monsoongrade::schema::HelloResult::Builder Daemon::HelloResults::Builder::initResult() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::HelloResult>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::monsoongrade::schema::HelloResult::Builder Daemon::HelloResults::Builder::initResult()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::HelloResult>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Daemon::HelloResults::Builder::adoptResult(
-    ::capnp::Orphan< ::monsoongrade::schema::HelloResult>&& value) {
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::HelloResult>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::monsoongrade::schema::HelloResult> &&value)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::HelloResult>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::monsoongrade::schema::HelloResult> Daemon::HelloResults::Builder::disownResult() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::HelloResult>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::monsoongrade::schema::HelloResult>
+Daemon::HelloResults::Builder::disownResult()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::HelloResult>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int32_t HelloResult::Reader::getCode() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::int32_t HelloResult::Reader::getCode() const
+{
+    return _reader.getDataField<::int32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int32_t HelloResult::Builder::getCode() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::int32_t HelloResult::Builder::getCode()
+{
+    return _builder.getDataField<::int32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HelloResult::Builder::setCode( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void HelloResult::Builder::setCode(::int32_t value)
+{
+    _builder.setDataField<::int32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool HelloResult::Reader::hasIncarnation() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool HelloResult::Reader::hasIncarnation() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool HelloResult::Builder::hasIncarnation() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool HelloResult::Builder::hasIncarnation()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HelloResult::Reader::getIncarnation() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader HelloResult::Reader::getIncarnation() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HelloResult::Builder::getIncarnation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder HelloResult::Builder::getIncarnation()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HelloResult::Builder::setIncarnation( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void HelloResult::Builder::setIncarnation(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HelloResult::Builder::initIncarnation(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder HelloResult::Builder::initIncarnation(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void HelloResult::Builder::adoptIncarnation(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void HelloResult::Builder::adoptIncarnation(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HelloResult::Builder::disownIncarnation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> HelloResult::Builder::disownIncarnation()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool HelloResult::Reader::hasSlots() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool HelloResult::Builder::hasSlots() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool HelloResult::Reader::hasSlots() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool HelloResult::Builder::hasSlots()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 #if !CAPNP_LITE
-inline  ::monsoongrade::schema::SlotService::Client HelloResult::Reader::getSlots() const {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotService>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::monsoongrade::schema::SlotService::Client HelloResult::Builder::getSlots() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotService>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::monsoongrade::schema::SlotService::Client HelloResult::Pipeline::getSlots() {
-  return  ::monsoongrade::schema::SlotService::Client(_typeless.getPointerField(1).asCap());
-}
-inline void HelloResult::Builder::setSlots( ::monsoongrade::schema::SlotService::Client&& cap) {
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotService>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
-}
-inline void HelloResult::Builder::setSlots( ::monsoongrade::schema::SlotService::Client& cap) {
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotService>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), cap);
+inline ::monsoongrade::schema::SlotService::Client HelloResult::Reader::getSlots() const
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotService>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void HelloResult::Builder::adoptSlots(
-    ::capnp::Orphan< ::monsoongrade::schema::SlotService>&& value) {
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotService>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline ::monsoongrade::schema::SlotService::Client HelloResult::Builder::getSlots()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotService>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::monsoongrade::schema::SlotService::Client HelloResult::Pipeline::getSlots()
+{
+    return ::monsoongrade::schema::SlotService::Client(_typeless.getPointerField(1).asCap());
+}
+inline void HelloResult::Builder::setSlots(::monsoongrade::schema::SlotService::Client &&cap)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotService>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
+}
+inline void HelloResult::Builder::setSlots(::monsoongrade::schema::SlotService::Client &cap)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotService>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), cap);
+}
+inline void
+HelloResult::Builder::adoptSlots(::capnp::Orphan<::monsoongrade::schema::SlotService> &&value)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotService>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::monsoongrade::schema::SlotService> HelloResult::Builder::disownSlots() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotService>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::monsoongrade::schema::SlotService> HelloResult::Builder::disownSlots()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotService>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-inline bool HelloResult::Reader::hasPeer() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool HelloResult::Reader::hasPeer() const
+{
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool HelloResult::Builder::hasPeer()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+#if !CAPNP_LITE
+inline ::monsoongrade::schema::Peer::Client HelloResult::Reader::getPeer() const
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::Peer>::get(
+        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::monsoongrade::schema::Peer::Client HelloResult::Builder::getPeer()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::Peer>::get(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::monsoongrade::schema::Peer::Client HelloResult::Pipeline::getPeer()
+{
+    return ::monsoongrade::schema::Peer::Client(_typeless.getPointerField(2).asCap());
+}
+inline void HelloResult::Builder::setPeer(::monsoongrade::schema::Peer::Client &&cap)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::Peer>::set(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(cap));
+}
+inline void HelloResult::Builder::setPeer(::monsoongrade::schema::Peer::Client &cap)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::Peer>::set(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), cap);
+}
+inline void HelloResult::Builder::adoptPeer(::capnp::Orphan<::monsoongrade::schema::Peer> &&value)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::Peer>::adopt(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::monsoongrade::schema::Peer> HelloResult::Builder::disownPeer()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::Peer>::disown(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#endif // !CAPNP_LITE
+
+inline bool SlotAsk::Reader::hasRequest() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotAsk::Builder::hasRequest()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader SlotAsk::Reader::getRequest() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder SlotAsk::Builder::getRequest()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SlotAsk::Builder::setRequest(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder SlotAsk::Builder::initRequest(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SlotAsk::Builder::adoptRequest(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> SlotAsk::Builder::disownRequest()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SlotAsk::Reader::hasPool() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotAsk::Builder::hasPool()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader SlotAsk::Reader::getPool() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder SlotAsk::Builder::getPool()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SlotAsk::Builder::setPool(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder SlotAsk::Builder::initPool(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SlotAsk::Builder::adoptPool(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> SlotAsk::Builder::disownPool()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool SlotAsk::Reader::hasClassName() const
+{
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotAsk::Builder::hasClassName()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool HelloResult::Builder::hasPeer() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline ::capnp::Text::Reader SlotAsk::Reader::getClassName() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::monsoongrade::schema::Peer::Client HelloResult::Reader::getPeer() const {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::Peer>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::monsoongrade::schema::Peer::Client HelloResult::Builder::getPeer() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::Peer>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::monsoongrade::schema::Peer::Client HelloResult::Pipeline::getPeer() {
-  return  ::monsoongrade::schema::Peer::Client(_typeless.getPointerField(2).asCap());
-}
-inline void HelloResult::Builder::setPeer( ::monsoongrade::schema::Peer::Client&& cap) {
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::Peer>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(cap));
+inline ::capnp::Text::Builder SlotAsk::Builder::getClassName()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void HelloResult::Builder::setPeer( ::monsoongrade::schema::Peer::Client& cap) {
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::Peer>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), cap);
+inline void SlotAsk::Builder::setClassName(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder SlotAsk::Builder::initClassName(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void SlotAsk::Builder::adoptClassName(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> SlotAsk::Builder::disownClassName()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool SlotAsk::Reader::hasWorkspace() const
+{
+    return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void HelloResult::Builder::adoptPeer(
-    ::capnp::Orphan< ::monsoongrade::schema::Peer>&& value) {
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::Peer>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::monsoongrade::schema::Peer> HelloResult::Builder::disownPeer() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::Peer>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-#endif  // !CAPNP_LITE
-
-inline bool SlotAsk::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool SlotAsk::Builder::hasWorkspace()
+{
+    return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool SlotAsk::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline ::capnp::Text::Reader SlotAsk::Reader::getWorkspace() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Reader SlotAsk::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder SlotAsk::Builder::getWorkspace()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SlotAsk::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void SlotAsk::Builder::setWorkspace(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder SlotAsk::Builder::initWorkspace(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void SlotAsk::Builder::setRequest( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void SlotAsk::Builder::adoptWorkspace(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline  ::capnp::Text::Builder SlotAsk::Builder::initRequest(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void SlotAsk::Builder::adoptRequest(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> SlotAsk::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool SlotAsk::Reader::hasPool() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool SlotAsk::Builder::hasPool() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader SlotAsk::Reader::getPool() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder SlotAsk::Builder::getPool() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void SlotAsk::Builder::setPool( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder SlotAsk::Builder::initPool(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void SlotAsk::Builder::adoptPool(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> SlotAsk::Builder::disownPool() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool SlotAsk::Reader::hasClassName() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool SlotAsk::Builder::hasClassName() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader SlotAsk::Reader::getClassName() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder SlotAsk::Builder::getClassName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void SlotAsk::Builder::setClassName( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder SlotAsk::Builder::initClassName(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void SlotAsk::Builder::adoptClassName(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> SlotAsk::Builder::disownClassName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> SlotAsk::Builder::disownWorkspace()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool SlotAsk::Reader::hasWorkspace() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool SlotAsk::Builder::hasWorkspace() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader SlotAsk::Reader::getWorkspace() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder SlotAsk::Builder::getWorkspace() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void SlotAsk::Builder::setWorkspace( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder SlotAsk::Builder::initWorkspace(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
-}
-inline void SlotAsk::Builder::adoptWorkspace(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> SlotAsk::Builder::disownWorkspace() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::uint64_t SlotAsk::Reader::getPrefix() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t SlotAsk::Reader::getPrefix() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t SlotAsk::Builder::getPrefix()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-
-inline  ::uint64_t SlotAsk::Builder::getPrefix() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void SlotAsk::Builder::setPrefix( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void SlotAsk::Builder::setPrefix(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t SlotAsk::Reader::getWaitedMicros() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t SlotAsk::Reader::getWaitedMicros() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t SlotAsk::Builder::getWaitedMicros() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t SlotAsk::Builder::getWaitedMicros()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void SlotAsk::Builder::setWaitedMicros( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void SlotAsk::Builder::setWaitedMicros(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool SlotAsk::Reader::hasAvoid() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+inline bool SlotAsk::Reader::hasAvoid() const
+{
+    return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool SlotAsk::Builder::hasAvoid() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+inline bool SlotAsk::Builder::hasAvoid()
+{
+    return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader SlotAsk::Reader::getAvoid() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader SlotAsk::Reader::getAvoid() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+        _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder SlotAsk::Builder::getAvoid() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder SlotAsk::Builder::getAvoid()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void SlotAsk::Builder::setAvoid( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void
+SlotAsk::Builder::setAvoid(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline void SlotAsk::Builder::setAvoid(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void SlotAsk::Builder::setAvoid(::kj::ArrayPtr<const ::capnp::Text::Reader> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder SlotAsk::Builder::initAvoid(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+SlotAsk::Builder::initAvoid(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
 inline void SlotAsk::Builder::adoptAvoid(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> SlotAsk::Builder::disownAvoid() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+SlotAsk::Builder::disownAvoid()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline ::monsoongrade::schema::SlotDecision::Which SlotDecision::Reader::which() const
+{
+    return _reader.getDataField<Which>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline ::monsoongrade::schema::SlotDecision::Which SlotDecision::Builder::which()
+{
+    return _builder.getDataField<Which>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline bool SlotDecision::Reader::isGranted() const
+{
+    return which() == SlotDecision::GRANTED;
+}
+inline bool SlotDecision::Builder::isGranted()
+{
+    return which() == SlotDecision::GRANTED;
+}
+inline typename SlotDecision::Granted::Reader SlotDecision::Reader::getGranted() const
+{
+    KJ_IREQUIRE((which() == SlotDecision::GRANTED),
+                "Must check which() before get()ing a union member.");
+    return typename SlotDecision::Granted::Reader(_reader);
+}
+inline typename SlotDecision::Granted::Builder SlotDecision::Builder::getGranted()
+{
+    KJ_IREQUIRE((which() == SlotDecision::GRANTED),
+                "Must check which() before get()ing a union member.");
+    return typename SlotDecision::Granted::Builder(_builder);
+}
+inline typename SlotDecision::Granted::Builder SlotDecision::Builder::initGranted()
+{
+    _builder.setDataField<SlotDecision::Which>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
+                                               SlotDecision::GRANTED);
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+    return typename SlotDecision::Granted::Builder(_builder);
 }
-
-inline  ::monsoongrade::schema::SlotDecision::Which SlotDecision::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline  ::monsoongrade::schema::SlotDecision::Which SlotDecision::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline bool SlotDecision::Reader::isGranted() const {
-  return which() == SlotDecision::GRANTED;
-}
-inline bool SlotDecision::Builder::isGranted() {
-  return which() == SlotDecision::GRANTED;
-}
-inline typename SlotDecision::Granted::Reader SlotDecision::Reader::getGranted() const {
-  KJ_IREQUIRE((which() == SlotDecision::GRANTED),
-              "Must check which() before get()ing a union member.");
-  return typename SlotDecision::Granted::Reader(_reader);
-}
-inline typename SlotDecision::Granted::Builder SlotDecision::Builder::getGranted() {
-  KJ_IREQUIRE((which() == SlotDecision::GRANTED),
-              "Must check which() before get()ing a union member.");
-  return typename SlotDecision::Granted::Builder(_builder);
-}
-inline typename SlotDecision::Granted::Builder SlotDecision::Builder::initGranted() {
-  _builder.setDataField<SlotDecision::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, SlotDecision::GRANTED);
-  _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
-  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
-  return typename SlotDecision::Granted::Builder(_builder);
+inline bool SlotDecision::Reader::isRefused() const
+{
+    return which() == SlotDecision::REFUSED;
 }
-inline bool SlotDecision::Reader::isRefused() const {
-  return which() == SlotDecision::REFUSED;
+inline bool SlotDecision::Builder::isRefused()
+{
+    return which() == SlotDecision::REFUSED;
 }
-inline bool SlotDecision::Builder::isRefused() {
-  return which() == SlotDecision::REFUSED;
+inline typename SlotDecision::Refused::Reader SlotDecision::Reader::getRefused() const
+{
+    KJ_IREQUIRE((which() == SlotDecision::REFUSED),
+                "Must check which() before get()ing a union member.");
+    return typename SlotDecision::Refused::Reader(_reader);
 }
-inline typename SlotDecision::Refused::Reader SlotDecision::Reader::getRefused() const {
-  KJ_IREQUIRE((which() == SlotDecision::REFUSED),
-              "Must check which() before get()ing a union member.");
-  return typename SlotDecision::Refused::Reader(_reader);
+inline typename SlotDecision::Refused::Builder SlotDecision::Builder::getRefused()
+{
+    KJ_IREQUIRE((which() == SlotDecision::REFUSED),
+                "Must check which() before get()ing a union member.");
+    return typename SlotDecision::Refused::Builder(_builder);
 }
-inline typename SlotDecision::Refused::Builder SlotDecision::Builder::getRefused() {
-  KJ_IREQUIRE((which() == SlotDecision::REFUSED),
-              "Must check which() before get()ing a union member.");
-  return typename SlotDecision::Refused::Builder(_builder);
+inline typename SlotDecision::Refused::Builder SlotDecision::Builder::initRefused()
+{
+    _builder.setDataField<SlotDecision::Which>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
+                                               SlotDecision::REFUSED);
+    _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
+    _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
+    return typename SlotDecision::Refused::Builder(_builder);
 }
-inline typename SlotDecision::Refused::Builder SlotDecision::Builder::initRefused() {
-  _builder.setDataField<SlotDecision::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, SlotDecision::REFUSED);
-  _builder.setDataField< ::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
-  _builder.setDataField< ::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
-  return typename SlotDecision::Refused::Builder(_builder);
-}
-inline  ::uint64_t SlotDecision::Granted::Reader::getGrant() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t SlotDecision::Granted::Reader::getGrant() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t SlotDecision::Granted::Builder::getGrant() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t SlotDecision::Granted::Builder::getGrant()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void SlotDecision::Granted::Builder::setGrant( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void SlotDecision::Granted::Builder::setGrant(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool SlotDecision::Granted::Reader::hasEndpoint() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool SlotDecision::Granted::Reader::hasEndpoint() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SlotDecision::Granted::Builder::hasEndpoint() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool SlotDecision::Granted::Builder::hasEndpoint()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SlotDecision::Granted::Reader::getEndpoint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader SlotDecision::Granted::Reader::getEndpoint() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SlotDecision::Granted::Builder::getEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder SlotDecision::Granted::Builder::getEndpoint()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SlotDecision::Granted::Builder::setEndpoint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void SlotDecision::Granted::Builder::setEndpoint(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SlotDecision::Granted::Builder::initEndpoint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder SlotDecision::Granted::Builder::initEndpoint(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void SlotDecision::Granted::Builder::adoptEndpoint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void SlotDecision::Granted::Builder::adoptEndpoint(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SlotDecision::Granted::Builder::disownEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> SlotDecision::Granted::Builder::disownEndpoint()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int32_t SlotDecision::Refused::Reader::getCode() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::int32_t SlotDecision::Refused::Reader::getCode() const
+{
+    return _reader.getDataField<::int32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int32_t SlotDecision::Refused::Builder::getCode() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::int32_t SlotDecision::Refused::Builder::getCode()
+{
+    return _builder.getDataField<::int32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void SlotDecision::Refused::Builder::setCode( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void SlotDecision::Refused::Builder::setCode(::int32_t value)
+{
+    _builder.setDataField<::int32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t SlotDecision::Refused::Reader::getRetryAfterMillis() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t SlotDecision::Refused::Reader::getRetryAfterMillis() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t SlotDecision::Refused::Builder::getRetryAfterMillis() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t SlotDecision::Refused::Builder::getRetryAfterMillis()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void SlotDecision::Refused::Builder::setRetryAfterMillis( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void SlotDecision::Refused::Builder::setRetryAfterMillis(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t SlotRelease::Reader::getGrant() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t SlotRelease::Reader::getGrant() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t SlotRelease::Builder::getGrant() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t SlotRelease::Builder::getGrant()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void SlotRelease::Builder::setGrant( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void SlotRelease::Builder::setGrant(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t SlotRelease::Reader::getTokens() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::int64_t SlotRelease::Reader::getTokens() const
+{
+    return _reader.getDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t SlotRelease::Builder::getTokens() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::int64_t SlotRelease::Builder::getTokens()
+{
+    return _builder.getDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void SlotRelease::Builder::setTokens( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void SlotRelease::Builder::setTokens(::int64_t value)
+{
+    _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t SlotRelease::Reader::getHeldMicros() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t SlotRelease::Reader::getHeldMicros() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t SlotRelease::Builder::getHeldMicros() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t SlotRelease::Builder::getHeldMicros()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void SlotRelease::Builder::setHeldMicros( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void SlotRelease::Builder::setHeldMicros(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t SlotRelease::Reader::getOutcome() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
+inline ::uint8_t SlotRelease::Reader::getOutcome() const
+{
+    return _reader.getDataField<::uint8_t>(::capnp::bounded<24>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t SlotRelease::Builder::getOutcome() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
+inline ::uint8_t SlotRelease::Builder::getOutcome()
+{
+    return _builder.getDataField<::uint8_t>(::capnp::bounded<24>() * ::capnp::ELEMENTS);
 }
-inline void SlotRelease::Builder::setOutcome( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<24>() * ::capnp::ELEMENTS, value);
+inline void SlotRelease::Builder::setOutcome(::uint8_t value)
+{
+    _builder.setDataField<::uint8_t>(::capnp::bounded<24>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool HeldGrant::Reader::hasAsk() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool HeldGrant::Reader::hasAsk() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool HeldGrant::Builder::hasAsk() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool HeldGrant::Builder::hasAsk()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::monsoongrade::schema::SlotAsk::Reader HeldGrant::Reader::getAsk() const {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotAsk>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::monsoongrade::schema::SlotAsk::Reader HeldGrant::Reader::getAsk() const
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotAsk>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::monsoongrade::schema::SlotAsk::Builder HeldGrant::Builder::getAsk() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotAsk>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::monsoongrade::schema::SlotAsk::Builder HeldGrant::Builder::getAsk()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotAsk>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::monsoongrade::schema::SlotAsk::Pipeline HeldGrant::Pipeline::getAsk() {
-  return  ::monsoongrade::schema::SlotAsk::Pipeline(_typeless.getPointerField(0));
+inline ::monsoongrade::schema::SlotAsk::Pipeline HeldGrant::Pipeline::getAsk()
+{
+    return ::monsoongrade::schema::SlotAsk::Pipeline(_typeless.getPointerField(0));
 }
-#endif  // !CAPNP_LITE
-inline void HeldGrant::Builder::setAsk( ::monsoongrade::schema::SlotAsk::Reader value) {
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotAsk>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+#endif // !CAPNP_LITE
+inline void HeldGrant::Builder::setAsk(::monsoongrade::schema::SlotAsk::Reader value)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotAsk>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::monsoongrade::schema::SlotAsk::Builder HeldGrant::Builder::initAsk() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotAsk>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::monsoongrade::schema::SlotAsk::Builder HeldGrant::Builder::initAsk()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotAsk>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HeldGrant::Builder::adoptAsk(
-    ::capnp::Orphan< ::monsoongrade::schema::SlotAsk>&& value) {
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotAsk>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void HeldGrant::Builder::adoptAsk(::capnp::Orphan<::monsoongrade::schema::SlotAsk> &&value)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotAsk>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::monsoongrade::schema::SlotAsk> HeldGrant::Builder::disownAsk() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotAsk>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::monsoongrade::schema::SlotAsk> HeldGrant::Builder::disownAsk()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotAsk>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool HeldGrant::Reader::hasEndpoint() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool HeldGrant::Reader::hasEndpoint() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool HeldGrant::Builder::hasEndpoint() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool HeldGrant::Builder::hasEndpoint()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HeldGrant::Reader::getEndpoint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader HeldGrant::Reader::getEndpoint() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HeldGrant::Builder::getEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder HeldGrant::Builder::getEndpoint()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void HeldGrant::Builder::setEndpoint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
