-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void HeldGrant::Builder::setEndpoint(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HeldGrant::Builder::initEndpoint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder HeldGrant::Builder::initEndpoint(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void HeldGrant::Builder::adoptEndpoint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void HeldGrant::Builder::adoptEndpoint(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HeldGrant::Builder::disownEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> HeldGrant::Builder::disownEndpoint()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
 inline SlotService::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline SlotService::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline SlotService::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline SlotService::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline SlotService::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::monsoongrade::schema::SlotService::Client& SlotService::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
-}
-inline  ::monsoongrade::schema::SlotService::Client& SlotService::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
-}
-
-#endif  // !CAPNP_LITE
-inline bool SlotService::AskParams::Reader::hasAsk() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool SlotService::AskParams::Builder::hasAsk() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+    : ::capnp::Capability::Client(nullptr)
+{
 }
-inline  ::monsoongrade::schema::SlotAsk::Reader SlotService::AskParams::Reader::getAsk() const {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotAsk>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline SlotService::Client::Client(::kj::Own<::capnp::ClientHook> &&hook)
+    : ::capnp::Capability::Client(::kj::mv(hook))
+{
 }
-inline  ::monsoongrade::schema::SlotAsk::Builder SlotService::AskParams::Builder::getAsk() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotAsk>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::monsoongrade::schema::SlotAsk::Pipeline SlotService::AskParams::Pipeline::getAsk() {
-  return  ::monsoongrade::schema::SlotAsk::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void SlotService::AskParams::Builder::setAsk( ::monsoongrade::schema::SlotAsk::Reader value) {
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotAsk>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::monsoongrade::schema::SlotAsk::Builder SlotService::AskParams::Builder::initAsk() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotAsk>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void SlotService::AskParams::Builder::adoptAsk(
-    ::capnp::Orphan< ::monsoongrade::schema::SlotAsk>&& value) {
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotAsk>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::monsoongrade::schema::SlotAsk> SlotService::AskParams::Builder::disownAsk() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotAsk>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool SlotService::AskResults::Reader::hasDecision() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool SlotService::AskResults::Builder::hasDecision() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::monsoongrade::schema::SlotDecision::Reader SlotService::AskResults::Reader::getDecision() const {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotDecision>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::monsoongrade::schema::SlotDecision::Builder SlotService::AskResults::Builder::getDecision() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotDecision>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::monsoongrade::schema::SlotDecision::Pipeline SlotService::AskResults::Pipeline::getDecision() {
-  return  ::monsoongrade::schema::SlotDecision::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void SlotService::AskResults::Builder::setDecision( ::monsoongrade::schema::SlotDecision::Reader value) {
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotDecision>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+template <typename _t, typename>
+inline SlotService::Client::Client(::kj::Own<_t> &&server)
+    : ::capnp::Capability::Client(::kj::mv(server))
+{
 }
-inline  ::monsoongrade::schema::SlotDecision::Builder SlotService::AskResults::Builder::initDecision() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotDecision>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+template <typename _t, typename>
+inline SlotService::Client::Client(::kj::Promise<_t> &&promise)
+    : ::capnp::Capability::Client(::kj::mv(promise))
+{
+}
+inline SlotService::Client::Client(::kj::Exception &&exception)
+    : ::capnp::Capability::Client(::kj::mv(exception))
+{
+}
+inline ::monsoongrade::schema::SlotService::Client &SlotService::Client::operator=(Client &other)
+{
+    ::capnp::Capability::Client::operator=(other);
+    return *this;
+}
+inline ::monsoongrade::schema::SlotService::Client &SlotService::Client::operator=(Client &&other)
+{
+    ::capnp::Capability::Client::operator=(kj::mv(other));
+    return *this;
+}
+
+#endif // !CAPNP_LITE
+inline bool SlotService::AskParams::Reader::hasAsk() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotService::AskParams::Builder::hasAsk()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::monsoongrade::schema::SlotAsk::Reader SlotService::AskParams::Reader::getAsk() const
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotAsk>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::monsoongrade::schema::SlotAsk::Builder SlotService::AskParams::Builder::getAsk()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotAsk>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline ::monsoongrade::schema::SlotAsk::Pipeline SlotService::AskParams::Pipeline::getAsk()
+{
+    return ::monsoongrade::schema::SlotAsk::Pipeline(_typeless.getPointerField(0));
+}
+#endif // !CAPNP_LITE
+inline void SlotService::AskParams::Builder::setAsk(::monsoongrade::schema::SlotAsk::Reader value)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotAsk>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::monsoongrade::schema::SlotAsk::Builder SlotService::AskParams::Builder::initAsk()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotAsk>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+SlotService::AskParams::Builder::adoptAsk(::capnp::Orphan<::monsoongrade::schema::SlotAsk> &&value)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotAsk>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::monsoongrade::schema::SlotAsk> SlotService::AskParams::Builder::disownAsk()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotAsk>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SlotService::AskResults::Reader::hasDecision() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotService::AskResults::Builder::hasDecision()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::monsoongrade::schema::SlotDecision::Reader
+SlotService::AskResults::Reader::getDecision() const
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotDecision>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::monsoongrade::schema::SlotDecision::Builder SlotService::AskResults::Builder::getDecision()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotDecision>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline ::monsoongrade::schema::SlotDecision::Pipeline
+SlotService::AskResults::Pipeline::getDecision()
+{
+    return ::monsoongrade::schema::SlotDecision::Pipeline(_typeless.getPointerField(0));
+}
+#endif // !CAPNP_LITE
+inline void
+SlotService::AskResults::Builder::setDecision(::monsoongrade::schema::SlotDecision::Reader value)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotDecision>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::monsoongrade::schema::SlotDecision::Builder
+SlotService::AskResults::Builder::initDecision()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotDecision>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void SlotService::AskResults::Builder::adoptDecision(
-    ::capnp::Orphan< ::monsoongrade::schema::SlotDecision>&& value) {
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotDecision>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::monsoongrade::schema::SlotDecision> SlotService::AskResults::Builder::disownDecision() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotDecision>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool SlotService::ReleaseParams::Reader::hasPool() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool SlotService::ReleaseParams::Builder::hasPool() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader SlotService::ReleaseParams::Reader::getPool() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder SlotService::ReleaseParams::Builder::getPool() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void SlotService::ReleaseParams::Builder::setPool( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder SlotService::ReleaseParams::Builder::initPool(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void SlotService::ReleaseParams::Builder::adoptPool(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> SlotService::ReleaseParams::Builder::disownPool() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool SlotService::ReleaseParams::Reader::hasRelease() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool SlotService::ReleaseParams::Builder::hasRelease() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::monsoongrade::schema::SlotRelease::Reader SlotService::ReleaseParams::Reader::getRelease() const {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotRelease>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::monsoongrade::schema::SlotRelease::Builder SlotService::ReleaseParams::Builder::getRelease() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotRelease>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::monsoongrade::schema::SlotRelease::Pipeline SlotService::ReleaseParams::Pipeline::getRelease() {
-  return  ::monsoongrade::schema::SlotRelease::Pipeline(_typeless.getPointerField(1));
-}
-#endif  // !CAPNP_LITE
-inline void SlotService::ReleaseParams::Builder::setRelease( ::monsoongrade::schema::SlotRelease::Reader value) {
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotRelease>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::monsoongrade::schema::SlotRelease::Builder SlotService::ReleaseParams::Builder::initRelease() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotRelease>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+    ::capnp::Orphan<::monsoongrade::schema::SlotDecision> &&value)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotDecision>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::monsoongrade::schema::SlotDecision>
+SlotService::AskResults::Builder::disownDecision()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotDecision>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SlotService::ReleaseParams::Reader::hasPool() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotService::ReleaseParams::Builder::hasPool()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader SlotService::ReleaseParams::Reader::getPool() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder SlotService::ReleaseParams::Builder::getPool()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SlotService::ReleaseParams::Builder::setPool(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder SlotService::ReleaseParams::Builder::initPool(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SlotService::ReleaseParams::Builder::adoptPool(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> SlotService::ReleaseParams::Builder::disownPool()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SlotService::ReleaseParams::Reader::hasRelease() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotService::ReleaseParams::Builder::hasRelease()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::monsoongrade::schema::SlotRelease::Reader
+SlotService::ReleaseParams::Reader::getRelease() const
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotRelease>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::monsoongrade::schema::SlotRelease::Builder
+SlotService::ReleaseParams::Builder::getRelease()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotRelease>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline ::monsoongrade::schema::SlotRelease::Pipeline
+SlotService::ReleaseParams::Pipeline::getRelease()
+{
+    return ::monsoongrade::schema::SlotRelease::Pipeline(_typeless.getPointerField(1));
+}
+#endif // !CAPNP_LITE
+inline void
+SlotService::ReleaseParams::Builder::setRelease(::monsoongrade::schema::SlotRelease::Reader value)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotRelease>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::monsoongrade::schema::SlotRelease::Builder
+SlotService::ReleaseParams::Builder::initRelease()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotRelease>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void SlotService::ReleaseParams::Builder::adoptRelease(
-    ::capnp::Orphan< ::monsoongrade::schema::SlotRelease>&& value) {
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotRelease>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::monsoongrade::schema::SlotRelease> SlotService::ReleaseParams::Builder::disownRelease() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::SlotRelease>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool SlotService::AdoptParams::Reader::hasHeld() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool SlotService::AdoptParams::Builder::hasHeld() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::monsoongrade::schema::HeldGrant,  ::capnp::Kind::STRUCT>::Reader SlotService::AdoptParams::Reader::getHeld() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::HeldGrant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::monsoongrade::schema::HeldGrant,  ::capnp::Kind::STRUCT>::Builder SlotService::AdoptParams::Builder::getHeld() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::HeldGrant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void SlotService::AdoptParams::Builder::setHeld( ::capnp::List< ::monsoongrade::schema::HeldGrant,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::HeldGrant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::monsoongrade::schema::HeldGrant,  ::capnp::Kind::STRUCT>::Builder SlotService::AdoptParams::Builder::initHeld(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::HeldGrant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+    ::capnp::Orphan<::monsoongrade::schema::SlotRelease> &&value)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotRelease>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::monsoongrade::schema::SlotRelease>
+SlotService::ReleaseParams::Builder::disownRelease()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::SlotRelease>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool SlotService::AdoptParams::Reader::hasHeld() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotService::AdoptParams::Builder::hasHeld()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>::Reader
+SlotService::AdoptParams::Reader::getHeld() const
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>>::
+        get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>::Builder
+SlotService::AdoptParams::Builder::getHeld()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>>::
+        get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SlotService::AdoptParams::Builder::setHeld(
+    ::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>>::
+        set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>::Builder
+SlotService::AdoptParams::Builder::initHeld(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>>::
+        init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void SlotService::AdoptParams::Builder::adoptHeld(
-    ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::HeldGrant,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::HeldGrant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::HeldGrant,  ::capnp::Kind::STRUCT>> SlotService::AdoptParams::Builder::disownHeld() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::HeldGrant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool SlotService::AdoptResults::Reader::hasGrants() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool SlotService::AdoptResults::Builder::hasGrants() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader SlotService::AdoptResults::Reader::getGrants() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SlotService::AdoptResults::Builder::getGrants() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void SlotService::AdoptResults::Builder::setGrants( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline void SlotService::AdoptResults::Builder::setGrants(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SlotService::AdoptResults::Builder::initGrants(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+    ::capnp::Orphan<::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>>
+        &&value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>>::
+        adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>>
+SlotService::AdoptParams::Builder::disownHeld()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::HeldGrant, ::capnp::Kind::STRUCT>>::
+        disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SlotService::AdoptResults::Reader::hasGrants() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotService::AdoptResults::Builder::hasGrants()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
+SlotService::AdoptResults::Reader::getGrants() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+SlotService::AdoptResults::Builder::getGrants()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SlotService::AdoptResults::Builder::setGrants(
+    ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void SlotService::AdoptResults::Builder::setGrants(::kj::ArrayPtr<const ::uint64_t> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+SlotService::AdoptResults::Builder::initGrants(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void SlotService::AdoptResults::Builder::adoptGrants(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> SlotService::AdoptResults::Builder::disownGrants() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool SlotService::CancelParams::Reader::hasPool() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool SlotService::CancelParams::Builder::hasPool() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader SlotService::CancelParams::Reader::getPool() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder SlotService::CancelParams::Builder::getPool() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void SlotService::CancelParams::Builder::setPool( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder SlotService::CancelParams::Builder::initPool(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void SlotService::CancelParams::Builder::adoptPool(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> SlotService::CancelParams::Builder::disownPool() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool SlotService::CancelParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool SlotService::CancelParams::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader SlotService::CancelParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder SlotService::CancelParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void SlotService::CancelParams::Builder::setRequest( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder SlotService::CancelParams::Builder::initRequest(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void SlotService::CancelParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> SlotService::CancelParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-}  // namespace
-}  // namespace
+    ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+SlotService::AdoptResults::Builder::disownGrants()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SlotService::CancelParams::Reader::hasPool() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotService::CancelParams::Builder::hasPool()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader SlotService::CancelParams::Reader::getPool() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder SlotService::CancelParams::Builder::getPool()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SlotService::CancelParams::Builder::setPool(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder SlotService::CancelParams::Builder::initPool(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SlotService::CancelParams::Builder::adoptPool(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> SlotService::CancelParams::Builder::disownPool()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SlotService::CancelParams::Reader::hasRequest() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotService::CancelParams::Builder::hasRequest()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader SlotService::CancelParams::Reader::getRequest() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder SlotService::CancelParams::Builder::getRequest()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SlotService::CancelParams::Builder::setRequest(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder SlotService::CancelParams::Builder::initRequest(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SlotService::CancelParams::Builder::adoptRequest(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> SlotService::CancelParams::Builder::disownRequest()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+} // namespace schema
+} // namespace monsoongrade
 
 CAPNP_END_HEADER
-
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -7,13 +7,13 @@
 #include <kj/windows-sanity.h>
 #if !CAPNP_LITE
 #include <capnp/capability.h>
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
-#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error                                                                                             \
+    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
-
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -29,1739 +29,2114 @@
 CAPNP_DECLARE_SCHEMA(cd03cf9edce9e6d4);
 CAPNP_DECLARE_SCHEMA(bf05cabaa7600f72);
 
-}  // namespace schemas
-}  // namespace capnp
+} // namespace schemas
+} // namespace capnp
 
 namespace monsoongrade {
 namespace schema {
 
-struct PeerMember {
-  PeerMember() = delete;
+struct PeerMember
+{
+    PeerMember() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d68405b4c3e39122, 2, 3)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(d68405b4c3e39122, 2, 3)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct PeerEndpointMark {
-  PeerEndpointMark() = delete;
+struct PeerEndpointMark
+{
+    PeerEndpointMark() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(88be6ce10b656162, 2, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(88be6ce10b656162, 2, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct PeerNews {
-  PeerNews() = delete;
+struct PeerNews
+{
+    PeerNews() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8a53ab6813e1dd11, 4, 4)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(8a53ab6813e1dd11, 4, 4)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct ConfigurationContent {
-  ConfigurationContent() = delete;
+struct ConfigurationContent
+{
+    ConfigurationContent() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(813e00b0ba4b6811, 0, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(813e00b0ba4b6811, 0, 2)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Peer {
-  Peer() = delete;
+struct Peer
+{
+    Peer() = delete;
 
 #if !CAPNP_LITE
-  class Client;
-  class Server;
-#endif  // !CAPNP_LITE
-
-  struct TellParams;
-  struct TellResults;
-  struct FetchConfigurationParams;
-  struct FetchConfigurationResults;
-
-  #if !CAPNP_LITE
-  struct _capnpPrivate {
-    CAPNP_DECLARE_INTERFACE_HEADER(bc6beb81ad7c0de0)
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-  };
-  #endif  // !CAPNP_LITE
+    class Client;
+    class Server;
+#endif // !CAPNP_LITE
+
+    struct TellParams;
+    struct TellResults;
+    struct FetchConfigurationParams;
+    struct FetchConfigurationResults;
+
+#if !CAPNP_LITE
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_INTERFACE_HEADER(bc6beb81ad7c0de0)
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+    };
+#endif // !CAPNP_LITE
 };
 
-struct Peer::TellParams {
-  TellParams() = delete;
+struct Peer::TellParams
+{
+    TellParams() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fe970c1df41ce16c, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(fe970c1df41ce16c, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Peer::TellResults {
-  TellResults() = delete;
+struct Peer::TellResults
+{
+    TellResults() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a02af15d5e96f52f, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(a02af15d5e96f52f, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Peer::FetchConfigurationParams {
-  FetchConfigurationParams() = delete;
+struct Peer::FetchConfigurationParams
+{
+    FetchConfigurationParams() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cd03cf9edce9e6d4, 1, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(cd03cf9edce9e6d4, 1, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Peer::FetchConfigurationResults {
-  FetchConfigurationResults() = delete;
+struct Peer::FetchConfigurationResults
+{
+    FetchConfigurationResults() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bf05cabaa7600f72, 0, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(bf05cabaa7600f72, 0, 2)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 // =======================================================================================
 
-class PeerMember::Reader {
+class PeerMember::Reader
+{
 public:
-  typedef PeerMember Reads;
+    typedef PeerMember Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasHost() const;
-  inline  ::capnp::Text::Reader getHost() const;
+    inline bool hasHost() const;
+    inline ::capnp::Text::Reader getHost() const;
 
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
+    inline bool hasAddress() const;
+    inline ::capnp::Text::Reader getAddress() const;
 
-  inline bool hasFailureDomain() const;
-  inline  ::capnp::Text::Reader getFailureDomain() const;
+    inline bool hasFailureDomain() const;
+    inline ::capnp::Text::Reader getFailureDomain() const;
 
-  inline  ::uint64_t getLife() const;
+    inline ::uint64_t getLife() const;
 
-  inline  ::uint32_t getRefutation() const;
+    inline ::uint32_t getRefutation() const;
 
-  inline  ::uint8_t getRole() const;
+    inline ::uint8_t getRole() const;
 
-  inline  ::uint8_t getHealth() const;
+    inline ::uint8_t getHealth() const;
 
-  inline bool getLeaving() const;
+    inline bool getLeaving() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class PeerMember::Builder {
+class PeerMember::Builder
+{
 public:
-  typedef PeerMember Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef PeerMember Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasHost();
-  inline  ::capnp::Text::Builder getHost();
-  inline void setHost( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHost(unsigned int size);
-  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHost();
-
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
-
-  inline bool hasFailureDomain();
-  inline  ::capnp::Text::Builder getFailureDomain();
-  inline void setFailureDomain( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
-  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
-
-  inline  ::uint64_t getLife();
-  inline void setLife( ::uint64_t value);
-
-  inline  ::uint32_t getRefutation();
-  inline void setRefutation( ::uint32_t value);
-
-  inline  ::uint8_t getRole();
-  inline void setRole( ::uint8_t value);
-
-  inline  ::uint8_t getHealth();
-  inline void setHealth( ::uint8_t value);
-
-  inline bool getLeaving();
-  inline void setLeaving(bool value);
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasHost();
+    inline ::capnp::Text::Builder getHost();
+    inline void setHost(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initHost(unsigned int size);
+    inline void adoptHost(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownHost();
+
+    inline bool hasAddress();
+    inline ::capnp::Text::Builder getAddress();
+    inline void setAddress(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initAddress(unsigned int size);
+    inline void adoptAddress(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownAddress();
+
+    inline bool hasFailureDomain();
+    inline ::capnp::Text::Builder getFailureDomain();
+    inline void setFailureDomain(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initFailureDomain(unsigned int size);
+    inline void adoptFailureDomain(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownFailureDomain();
+
+    inline ::uint64_t getLife();
+    inline void setLife(::uint64_t value);
+
+    inline ::uint32_t getRefutation();
+    inline void setRefutation(::uint32_t value);
+
+    inline ::uint8_t getRole();
+    inline void setRole(::uint8_t value);
+
+    inline ::uint8_t getHealth();
+    inline void setHealth(::uint8_t value);
+
+    inline bool getLeaving();
+    inline void setLeaving(bool value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class PeerMember::Pipeline {
+class PeerMember::Pipeline
+{
 public:
-  typedef PeerMember Pipelines;
+    typedef PeerMember Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class PeerEndpointMark::Reader {
+class PeerEndpointMark::Reader
+{
 public:
-  typedef PeerEndpointMark Reads;
+    typedef PeerEndpointMark Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasHost() const;
-  inline  ::capnp::Text::Reader getHost() const;
+    inline bool hasHost() const;
+    inline ::capnp::Text::Reader getHost() const;
 
-  inline  ::uint64_t getEpoch() const;
+    inline ::uint64_t getEpoch() const;
 
-  inline  ::uint8_t getState() const;
+    inline ::uint8_t getState() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class PeerEndpointMark::Builder {
+class PeerEndpointMark::Builder
+{
 public:
-  typedef PeerEndpointMark Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef PeerEndpointMark Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasHost();
-  inline  ::capnp::Text::Builder getHost();
-  inline void setHost( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHost(unsigned int size);
-  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHost();
+    inline bool hasHost();
+    inline ::capnp::Text::Builder getHost();
+    inline void setHost(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initHost(unsigned int size);
+    inline void adoptHost(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownHost();
 
-  inline  ::uint64_t getEpoch();
-  inline void setEpoch( ::uint64_t value);
+    inline ::uint64_t getEpoch();
+    inline void setEpoch(::uint64_t value);
 
-  inline  ::uint8_t getState();
-  inline void setState( ::uint8_t value);
+    inline ::uint8_t getState();
+    inline void setState(::uint8_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class PeerEndpointMark::Pipeline {
+class PeerEndpointMark::Pipeline
+{
 public:
-  typedef PeerEndpointMark Pipelines;
+    typedef PeerEndpointMark Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class PeerNews::Reader {
+class PeerNews::Reader
+{
 public:
-  typedef PeerNews Reads;
+    typedef PeerNews Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint8_t getKind() const;
+    inline ::uint8_t getKind() const;
 
-  inline bool hasFrom() const;
-  inline  ::monsoongrade::schema::PeerMember::Reader getFrom() const;
+    inline bool hasFrom() const;
+    inline ::monsoongrade::schema::PeerMember::Reader getFrom() const;
 
-  inline  ::uint64_t getSequence() const;
+    inline ::uint64_t getSequence() const;
 
-  inline  ::uint64_t getGeneration() const;
+    inline ::uint64_t getGeneration() const;
 
-  inline  ::uint64_t getDigest() const;
+    inline ::uint64_t getDigest() const;
 
-  inline bool hasBucketDigests() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getBucketDigests() const;
+    inline bool hasBucketDigests() const;
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader getBucketDigests() const;
 
-  inline  ::uint32_t getBuckets() const;
+    inline ::uint32_t getBuckets() const;
 
-  inline bool hasMembers() const;
-  inline  ::capnp::List< ::monsoongrade::schema::PeerMember,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
+    inline bool hasMembers() const;
+    inline ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>::Reader
+    getMembers() const;
 
-  inline bool hasEndpoints() const;
-  inline  ::capnp::List< ::monsoongrade::schema::PeerEndpointMark,  ::capnp::Kind::STRUCT>::Reader getEndpoints() const;
+    inline bool hasEndpoints() const;
+    inline ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>::Reader
+    getEndpoints() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class PeerNews::Builder {
+class PeerNews::Builder
+{
 public:
-  typedef PeerNews Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef PeerNews Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint8_t getKind();
-  inline void setKind( ::uint8_t value);
-
-  inline bool hasFrom();
-  inline  ::monsoongrade::schema::PeerMember::Builder getFrom();
-  inline void setFrom( ::monsoongrade::schema::PeerMember::Reader value);
-  inline  ::monsoongrade::schema::PeerMember::Builder initFrom();
-  inline void adoptFrom(::capnp::Orphan< ::monsoongrade::schema::PeerMember>&& value);
-  inline ::capnp::Orphan< ::monsoongrade::schema::PeerMember> disownFrom();
-
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
-
-  inline  ::uint64_t getGeneration();
-  inline void setGeneration( ::uint64_t value);
-
-  inline  ::uint64_t getDigest();
-  inline void setDigest( ::uint64_t value);
-
-  inline bool hasBucketDigests();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getBucketDigests();
-  inline void setBucketDigests( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setBucketDigests(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initBucketDigests(unsigned int size);
-  inline void adoptBucketDigests(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownBucketDigests();
-
-  inline  ::uint32_t getBuckets();
-  inline void setBuckets( ::uint32_t value);
-
-  inline bool hasMembers();
-  inline  ::capnp::List< ::monsoongrade::schema::PeerMember,  ::capnp::Kind::STRUCT>::Builder getMembers();
-  inline void setMembers( ::capnp::List< ::monsoongrade::schema::PeerMember,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::monsoongrade::schema::PeerMember,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
-  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::PeerMember,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::PeerMember,  ::capnp::Kind::STRUCT>> disownMembers();
-
-  inline bool hasEndpoints();
-  inline  ::capnp::List< ::monsoongrade::schema::PeerEndpointMark,  ::capnp::Kind::STRUCT>::Builder getEndpoints();
-  inline void setEndpoints( ::capnp::List< ::monsoongrade::schema::PeerEndpointMark,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::monsoongrade::schema::PeerEndpointMark,  ::capnp::Kind::STRUCT>::Builder initEndpoints(unsigned int size);
-  inline void adoptEndpoints(::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::PeerEndpointMark,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::PeerEndpointMark,  ::capnp::Kind::STRUCT>> disownEndpoints();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline ::uint8_t getKind();
+    inline void setKind(::uint8_t value);
+
+    inline bool hasFrom();
+    inline ::monsoongrade::schema::PeerMember::Builder getFrom();
+    inline void setFrom(::monsoongrade::schema::PeerMember::Reader value);
+    inline ::monsoongrade::schema::PeerMember::Builder initFrom();
+    inline void adoptFrom(::capnp::Orphan<::monsoongrade::schema::PeerMember> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::PeerMember> disownFrom();
+
+    inline ::uint64_t getSequence();
+    inline void setSequence(::uint64_t value);
+
+    inline ::uint64_t getGeneration();
+    inline void setGeneration(::uint64_t value);
+
+    inline ::uint64_t getDigest();
+    inline void setDigest(::uint64_t value);
+
+    inline bool hasBucketDigests();
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder getBucketDigests();
+    inline void setBucketDigests(::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+    inline void setBucketDigests(::kj::ArrayPtr<const ::uint64_t> value);
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+    initBucketDigests(unsigned int size);
+    inline void adoptBucketDigests(
+        ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+    disownBucketDigests();
+
+    inline ::uint32_t getBuckets();
+    inline void setBuckets(::uint32_t value);
+
+    inline bool hasMembers();
+    inline ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>::Builder
+    getMembers();
+    inline void setMembers(
+        ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>::Builder
+    initMembers(unsigned int size);
+    inline void adoptMembers(
+        ::capnp::Orphan<::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>>
+            &&value);
+    inline ::capnp::Orphan<::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>>
+    disownMembers();
+
+    inline bool hasEndpoints();
+    inline ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>::Builder
+    getEndpoints();
+    inline void setEndpoints(::capnp::List<::monsoongrade::schema::PeerEndpointMark,
+                                           ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>::Builder
+    initEndpoints(unsigned int size);
+    inline void
+    adoptEndpoints(::capnp::Orphan<::capnp::List<::monsoongrade::schema::PeerEndpointMark,
+                                                 ::capnp::Kind::STRUCT>> &&value);
+    inline ::capnp::Orphan<
+        ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>>
+    disownEndpoints();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class PeerNews::Pipeline {
+class PeerNews::Pipeline
+{
 public:
-  typedef PeerNews Pipelines;
+    typedef PeerNews Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline ::monsoongrade::schema::PeerMember::Pipeline getFrom();
 
-  inline  ::monsoongrade::schema::PeerMember::Pipeline getFrom();
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class ConfigurationContent::Reader {
+class ConfigurationContent::Reader
+{
 public:
-  typedef ConfigurationContent Reads;
+    typedef ConfigurationContent Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasHash() const;
-  inline  ::capnp::Text::Reader getHash() const;
+    inline bool hasHash() const;
+    inline ::capnp::Text::Reader getHash() const;
 
-  inline bool hasText() const;
-  inline  ::capnp::Data::Reader getText() const;
+    inline bool hasText() const;
+    inline ::capnp::Data::Reader getText() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class ConfigurationContent::Builder {
+class ConfigurationContent::Builder
+{
 public:
-  typedef ConfigurationContent Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef ConfigurationContent Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasHash();
-  inline  ::capnp::Text::Builder getHash();
-  inline void setHash( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHash(unsigned int size);
-  inline void adoptHash(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHash();
-
-  inline bool hasText();
-  inline  ::capnp::Data::Builder getText();
-  inline void setText( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initText(unsigned int size);
-  inline void adoptText(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownText();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasHash();
+    inline ::capnp::Text::Builder getHash();
+    inline void setHash(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initHash(unsigned int size);
+    inline void adoptHash(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownHash();
+
+    inline bool hasText();
+    inline ::capnp::Data::Builder getText();
+    inline void setText(::capnp::Data::Reader value);
+    inline ::capnp::Data::Builder initText(unsigned int size);
+    inline void adoptText(::capnp::Orphan<::capnp::Data> &&value);
+    inline ::capnp::Orphan<::capnp::Data> disownText();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class ConfigurationContent::Pipeline {
+class ConfigurationContent::Pipeline
+{
 public:
-  typedef ConfigurationContent Pipelines;
+    typedef ConfigurationContent Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class Peer::Client
-    : public virtual ::capnp::Capability::Client {
+class Peer::Client : public virtual ::capnp::Capability::Client
+{
 public:
-  typedef Peer Calls;
-  typedef Peer Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::monsoongrade::schema::Peer::TellParams,  ::monsoongrade::schema::Peer::TellResults> tellRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::monsoongrade::schema::Peer::FetchConfigurationParams,  ::monsoongrade::schema::Peer::FetchConfigurationResults> fetchConfigurationRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+    typedef Peer Calls;
+    typedef Peer Reads;
+
+    Client(decltype(nullptr));
+    explicit Client(::kj::Own<::capnp::ClientHook> &&hook);
+    template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t *, Server *>()>>
+    Client(::kj::Own<_t> &&server);
+    template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t *, Client *>()>>
+    Client(::kj::Promise<_t> &&promise);
+    Client(::kj::Exception &&exception);
+    Client(Client &) = default;
+    Client(Client &&) = default;
+    Client &operator=(Client &other);
+    Client &operator=(Client &&other);
+
+    ::capnp::Request<::monsoongrade::schema::Peer::TellParams,
+                     ::monsoongrade::schema::Peer::TellResults>
+    tellRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+    ::capnp::Request<::monsoongrade::schema::Peer::FetchConfigurationParams,
+                     ::monsoongrade::schema::Peer::FetchConfigurationResults>
+    fetchConfigurationRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
-  Client() = default;
+    Client() = default;
 };
 
-class Peer::Server
-    : public virtual ::capnp::Capability::Server {
+class Peer::Server : public virtual ::capnp::Capability::Server
+{
 public:
-  typedef Peer Serves;
+    typedef Peer Serves;
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
+    ::capnp::Capability::Server::DispatchCallResult
+    dispatchCall(uint64_t interfaceId, uint16_t methodId,
+                 ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context) override;
 
 protected:
-  typedef  ::monsoongrade::schema::Peer::TellParams TellParams;
-  typedef  ::monsoongrade::schema::Peer::TellResults TellResults;
-  typedef ::capnp::CallContext<TellParams, TellResults> TellContext;
-  virtual ::kj::Promise<void> tell(TellContext context);
-  typedef  ::monsoongrade::schema::Peer::FetchConfigurationParams FetchConfigurationParams;
-  typedef  ::monsoongrade::schema::Peer::FetchConfigurationResults FetchConfigurationResults;
-  typedef ::capnp::CallContext<FetchConfigurationParams, FetchConfigurationResults> FetchConfigurationContext;
-  virtual ::kj::Promise<void> fetchConfiguration(FetchConfigurationContext context);
-
-  inline  ::monsoongrade::schema::Peer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::monsoongrade::schema::Peer>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+    typedef ::monsoongrade::schema::Peer::TellParams TellParams;
+    typedef ::monsoongrade::schema::Peer::TellResults TellResults;
+    typedef ::capnp::CallContext<TellParams, TellResults> TellContext;
+    virtual ::kj::Promise<void> tell(TellContext context);
+    typedef ::monsoongrade::schema::Peer::FetchConfigurationParams FetchConfigurationParams;
+    typedef ::monsoongrade::schema::Peer::FetchConfigurationResults FetchConfigurationResults;
+    typedef ::capnp::CallContext<FetchConfigurationParams, FetchConfigurationResults>
+        FetchConfigurationContext;
+    virtual ::kj::Promise<void> fetchConfiguration(FetchConfigurationContext context);
+
+    inline ::monsoongrade::schema::Peer::Client thisCap()
+    {
+        return ::capnp::Capability::Server::thisCap()
+            .template castAs<::monsoongrade::schema::Peer>();
+    }
+
+    ::capnp::Capability::Server::DispatchCallResult
+    dispatchCallInternal(uint16_t methodId,
+                         ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::TellParams::Reader {
+class Peer::TellParams::Reader
+{
 public:
-  typedef TellParams Reads;
+    typedef TellParams Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasNews() const;
-  inline  ::monsoongrade::schema::PeerNews::Reader getNews() const;
+    inline bool hasNews() const;
+    inline ::monsoongrade::schema::PeerNews::Reader getNews() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::TellParams::Builder {
+class Peer::TellParams::Builder
+{
 public:
-  typedef TellParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef TellParams Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasNews();
-  inline  ::monsoongrade::schema::PeerNews::Builder getNews();
-  inline void setNews( ::monsoongrade::schema::PeerNews::Reader value);
-  inline  ::monsoongrade::schema::PeerNews::Builder initNews();
-  inline void adoptNews(::capnp::Orphan< ::monsoongrade::schema::PeerNews>&& value);
-  inline ::capnp::Orphan< ::monsoongrade::schema::PeerNews> disownNews();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasNews();
+    inline ::monsoongrade::schema::PeerNews::Builder getNews();
+    inline void setNews(::monsoongrade::schema::PeerNews::Reader value);
+    inline ::monsoongrade::schema::PeerNews::Builder initNews();
+    inline void adoptNews(::capnp::Orphan<::monsoongrade::schema::PeerNews> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::PeerNews> disownNews();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::TellParams::Pipeline {
+class Peer::TellParams::Pipeline
+{
 public:
-  typedef TellParams Pipelines;
+    typedef TellParams Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline ::monsoongrade::schema::PeerNews::Pipeline getNews();
 
-  inline  ::monsoongrade::schema::PeerNews::Pipeline getNews();
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::TellResults::Reader {
+class Peer::TellResults::Reader
+{
 public:
-  typedef TellResults Reads;
+    typedef TellResults Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasAnswers() const;
-  inline  ::capnp::List< ::monsoongrade::schema::PeerNews,  ::capnp::Kind::STRUCT>::Reader getAnswers() const;
+    inline bool hasAnswers() const;
+    inline ::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>::Reader
+    getAnswers() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::TellResults::Builder {
+class Peer::TellResults::Builder
+{
 public:
-  typedef TellResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef TellResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasAnswers();
-  inline  ::capnp::List< ::monsoongrade::schema::PeerNews,  ::capnp::Kind::STRUCT>::Builder getAnswers();
-  inline void setAnswers( ::capnp::List< ::monsoongrade::schema::PeerNews,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::monsoongrade::schema::PeerNews,  ::capnp::Kind::STRUCT>::Builder initAnswers(unsigned int size);
-  inline void adoptAnswers(::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::PeerNews,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::PeerNews,  ::capnp::Kind::STRUCT>> disownAnswers();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasAnswers();
+    inline ::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>::Builder
+    getAnswers();
+    inline void setAnswers(
+        ::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>::Builder
+    initAnswers(unsigned int size);
+    inline void adoptAnswers(
+        ::capnp::Orphan<::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>>
+            &&value);
+    inline ::capnp::Orphan<::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>>
+    disownAnswers();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::TellResults::Pipeline {
+class Peer::TellResults::Pipeline
+{
 public:
-  typedef TellResults Pipelines;
+    typedef TellResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::FetchConfigurationParams::Reader {
+class Peer::FetchConfigurationParams::Reader
+{
 public:
-  typedef FetchConfigurationParams Reads;
+    typedef FetchConfigurationParams Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getAbove() const;
+    inline ::uint64_t getAbove() const;
 
-  inline bool hasKnown() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getKnown() const;
+    inline bool hasKnown() const;
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getKnown() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchConfigurationParams::Builder {
+class Peer::FetchConfigurationParams::Builder
+{
 public:
-  typedef FetchConfigurationParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef FetchConfigurationParams Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getAbove();
-  inline void setAbove( ::uint64_t value);
-
-  inline bool hasKnown();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getKnown();
-  inline void setKnown( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setKnown(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initKnown(unsigned int size);
-  inline void adoptKnown(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownKnown();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline ::uint64_t getAbove();
+    inline void setAbove(::uint64_t value);
+
+    inline bool hasKnown();
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getKnown();
+    inline void setKnown(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
+    inline void setKnown(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initKnown(unsigned int size);
+    inline void
+    adoptKnown(::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> disownKnown();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::FetchConfigurationParams::Pipeline {
+class Peer::FetchConfigurationParams::Pipeline
+{
 public:
-  typedef FetchConfigurationParams Pipelines;
+    typedef FetchConfigurationParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::FetchConfigurationResults::Reader {
+class Peer::FetchConfigurationResults::Reader
+{
 public:
-  typedef FetchConfigurationResults Reads;
+    typedef FetchConfigurationResults Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasManifest() const;
-  inline  ::capnp::Text::Reader getManifest() const;
+    inline bool hasManifest() const;
+    inline ::capnp::Text::Reader getManifest() const;
 
-  inline bool hasContents() const;
-  inline  ::capnp::List< ::monsoongrade::schema::ConfigurationContent,  ::capnp::Kind::STRUCT>::Reader getContents() const;
+    inline bool hasContents() const;
+    inline ::capnp::List<::monsoongrade::schema::ConfigurationContent,
+                         ::capnp::Kind::STRUCT>::Reader
+    getContents() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchConfigurationResults::Builder {
+class Peer::FetchConfigurationResults::Builder
+{
 public:
-  typedef FetchConfigurationResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef FetchConfigurationResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasManifest();
-  inline  ::capnp::Text::Builder getManifest();
-  inline void setManifest( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initManifest(unsigned int size);
-  inline void adoptManifest(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownManifest();
-
-  inline bool hasContents();
-  inline  ::capnp::List< ::monsoongrade::schema::ConfigurationContent,  ::capnp::Kind::STRUCT>::Builder getContents();
-  inline void setContents( ::capnp::List< ::monsoongrade::schema::ConfigurationContent,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::monsoongrade::schema::ConfigurationContent,  ::capnp::Kind::STRUCT>::Builder initContents(unsigned int size);
-  inline void adoptContents(::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::ConfigurationContent,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::ConfigurationContent,  ::capnp::Kind::STRUCT>> disownContents();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasManifest();
+    inline ::capnp::Text::Builder getManifest();
+    inline void setManifest(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initManifest(unsigned int size);
+    inline void adoptManifest(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownManifest();
+
+    inline bool hasContents();
+    inline ::capnp::List<::monsoongrade::schema::ConfigurationContent,
+                         ::capnp::Kind::STRUCT>::Builder
+    getContents();
+    inline void setContents(::capnp::List<::monsoongrade::schema::ConfigurationContent,
+                                          ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::monsoongrade::schema::ConfigurationContent,
+                         ::capnp::Kind::STRUCT>::Builder
+    initContents(unsigned int size);
+    inline void
+    adoptContents(::capnp::Orphan<::capnp::List<::monsoongrade::schema::ConfigurationContent,
+                                                ::capnp::Kind::STRUCT>> &&value);
+    inline ::capnp::Orphan<
+        ::capnp::List<::monsoongrade::schema::ConfigurationContent, ::capnp::Kind::STRUCT>>
+    disownContents();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::FetchConfigurationResults::Pipeline {
+class Peer::FetchConfigurationResults::Pipeline
+{
 public:
-  typedef FetchConfigurationResults Pipelines;
+    typedef FetchConfigurationResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 // =======================================================================================
 
-inline bool PeerMember::Reader::hasHost() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool PeerMember::Reader::hasHost() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMember::Builder::hasHost()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader PeerMember::Reader::getHost() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder PeerMember::Builder::getHost()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMember::Builder::setHost(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder PeerMember::Builder::initHost(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PeerMember::Builder::adoptHost(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline bool PeerMember::Builder::hasHost() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader PeerMember::Reader::getHost() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder PeerMember::Builder::getHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMember::Builder::setHost( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder PeerMember::Builder::initHost(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void PeerMember::Builder::adoptHost(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> PeerMember::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> PeerMember::Builder::disownHost()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool PeerMember::Reader::hasAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool PeerMember::Reader::hasAddress() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerMember::Builder::hasAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool PeerMember::Builder::hasAddress()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader PeerMember::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader PeerMember::Reader::getAddress() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder PeerMember::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder PeerMember::Builder::getAddress()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void PeerMember::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void PeerMember::Builder::setAddress(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder PeerMember::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder PeerMember::Builder::initAddress(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void PeerMember::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void PeerMember::Builder::adoptAddress(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> PeerMember::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> PeerMember::Builder::disownAddress()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool PeerMember::Reader::hasFailureDomain() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool PeerMember::Reader::hasFailureDomain() const
+{
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerMember::Builder::hasFailureDomain() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool PeerMember::Builder::hasFailureDomain()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader PeerMember::Reader::getFailureDomain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader PeerMember::Reader::getFailureDomain() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder PeerMember::Builder::getFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder PeerMember::Builder::getFailureDomain()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void PeerMember::Builder::setFailureDomain( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void PeerMember::Builder::setFailureDomain(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder PeerMember::Builder::initFailureDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder PeerMember::Builder::initFailureDomain(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void PeerMember::Builder::adoptFailureDomain(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void PeerMember::Builder::adoptFailureDomain(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> PeerMember::Builder::disownFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> PeerMember::Builder::disownFailureDomain()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t PeerMember::Reader::getLife() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t PeerMember::Reader::getLife() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PeerMember::Builder::getLife() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t PeerMember::Builder::getLife()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PeerMember::Builder::setLife( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void PeerMember::Builder::setLife(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t PeerMember::Reader::getRefutation() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t PeerMember::Reader::getRefutation() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PeerMember::Builder::getRefutation() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t PeerMember::Builder::getRefutation()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void PeerMember::Builder::setRefutation( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void PeerMember::Builder::setRefutation(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t PeerMember::Reader::getRole() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+inline ::uint8_t PeerMember::Reader::getRole() const
+{
+    return _reader.getDataField<::uint8_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t PeerMember::Builder::getRole() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+inline ::uint8_t PeerMember::Builder::getRole()
+{
+    return _builder.getDataField<::uint8_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS);
 }
-inline void PeerMember::Builder::setRole( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+inline void PeerMember::Builder::setRole(::uint8_t value)
+{
+    _builder.setDataField<::uint8_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t PeerMember::Reader::getHealth() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+inline ::uint8_t PeerMember::Reader::getHealth() const
+{
+    return _reader.getDataField<::uint8_t>(::capnp::bounded<13>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t PeerMember::Builder::getHealth() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+inline ::uint8_t PeerMember::Builder::getHealth()
+{
+    return _builder.getDataField<::uint8_t>(::capnp::bounded<13>() * ::capnp::ELEMENTS);
 }
-inline void PeerMember::Builder::setHealth( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+inline void PeerMember::Builder::setHealth(::uint8_t value)
+{
+    _builder.setDataField<::uint8_t>(::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PeerMember::Reader::getLeaving() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<112>() * ::capnp::ELEMENTS);
+inline bool PeerMember::Reader::getLeaving() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<112>() * ::capnp::ELEMENTS);
 }
 
-inline bool PeerMember::Builder::getLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<112>() * ::capnp::ELEMENTS);
+inline bool PeerMember::Builder::getLeaving()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<112>() * ::capnp::ELEMENTS);
 }
-inline void PeerMember::Builder::setLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<112>() * ::capnp::ELEMENTS, value);
+inline void PeerMember::Builder::setLeaving(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<112>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PeerEndpointMark::Reader::hasHost() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool PeerEndpointMark::Reader::hasHost() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerEndpointMark::Builder::hasHost() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool PeerEndpointMark::Builder::hasHost()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader PeerEndpointMark::Reader::getHost() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader PeerEndpointMark::Reader::getHost() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder PeerEndpointMark::Builder::getHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder PeerEndpointMark::Builder::getHost()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerEndpointMark::Builder::setHost( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void PeerEndpointMark::Builder::setHost(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder PeerEndpointMark::Builder::initHost(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder PeerEndpointMark::Builder::initHost(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void PeerEndpointMark::Builder::adoptHost(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void PeerEndpointMark::Builder::adoptHost(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> PeerEndpointMark::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> PeerEndpointMark::Builder::disownHost()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t PeerEndpointMark::Reader::getEpoch() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t PeerEndpointMark::Reader::getEpoch() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PeerEndpointMark::Builder::getEpoch() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t PeerEndpointMark::Builder::getEpoch()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PeerEndpointMark::Builder::setEpoch( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void PeerEndpointMark::Builder::setEpoch(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t PeerEndpointMark::Reader::getState() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline ::uint8_t PeerEndpointMark::Reader::getState() const
+{
+    return _reader.getDataField<::uint8_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t PeerEndpointMark::Builder::getState() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline ::uint8_t PeerEndpointMark::Builder::getState()
+{
+    return _builder.getDataField<::uint8_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void PeerEndpointMark::Builder::setState( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void PeerEndpointMark::Builder::setState(::uint8_t value)
+{
+    _builder.setDataField<::uint8_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t PeerNews::Reader::getKind() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint8_t PeerNews::Reader::getKind() const
+{
+    return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t PeerNews::Builder::getKind() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint8_t PeerNews::Builder::getKind()
+{
+    return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PeerNews::Builder::setKind( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void PeerNews::Builder::setKind(::uint8_t value)
+{
+    _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PeerNews::Reader::hasFrom() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool PeerNews::Reader::hasFrom() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerNews::Builder::hasFrom() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool PeerNews::Builder::hasFrom()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::monsoongrade::schema::PeerMember::Reader PeerNews::Reader::getFrom() const {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::PeerMember>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::monsoongrade::schema::PeerMember::Reader PeerNews::Reader::getFrom() const
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PeerMember>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::monsoongrade::schema::PeerMember::Builder PeerNews::Builder::getFrom() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::PeerMember>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::monsoongrade::schema::PeerMember::Builder PeerNews::Builder::getFrom()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PeerMember>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::monsoongrade::schema::PeerMember::Pipeline PeerNews::Pipeline::getFrom() {
-  return  ::monsoongrade::schema::PeerMember::Pipeline(_typeless.getPointerField(0));
+inline ::monsoongrade::schema::PeerMember::Pipeline PeerNews::Pipeline::getFrom()
+{
+    return ::monsoongrade::schema::PeerMember::Pipeline(_typeless.getPointerField(0));
 }
-#endif  // !CAPNP_LITE
-inline void PeerNews::Builder::setFrom( ::monsoongrade::schema::PeerMember::Reader value) {
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::PeerMember>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+#endif // !CAPNP_LITE
+inline void PeerNews::Builder::setFrom(::monsoongrade::schema::PeerMember::Reader value)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::PeerMember>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::monsoongrade::schema::PeerMember::Builder PeerNews::Builder::initFrom() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::PeerMember>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::monsoongrade::schema::PeerMember::Builder PeerNews::Builder::initFrom()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PeerMember>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerNews::Builder::adoptFrom(
-    ::capnp::Orphan< ::monsoongrade::schema::PeerMember>&& value) {
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::PeerMember>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void
+PeerNews::Builder::adoptFrom(::capnp::Orphan<::monsoongrade::schema::PeerMember> &&value)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::PeerMember>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::monsoongrade::schema::PeerMember> PeerNews::Builder::disownFrom() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::PeerMember>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::monsoongrade::schema::PeerMember> PeerNews::Builder::disownFrom()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PeerMember>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t PeerNews::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t PeerNews::Reader::getSequence() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PeerNews::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t PeerNews::Builder::getSequence()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void PeerNews::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void PeerNews::Builder::setSequence(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t PeerNews::Reader::getGeneration() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t PeerNews::Reader::getGeneration() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PeerNews::Builder::getGeneration() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t PeerNews::Builder::getGeneration()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void PeerNews::Builder::setGeneration( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void PeerNews::Builder::setGeneration(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t PeerNews::Reader::getDigest() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint64_t PeerNews::Reader::getDigest() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PeerNews::Builder::getDigest() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint64_t PeerNews::Builder::getDigest()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void PeerNews::Builder::setDigest( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void PeerNews::Builder::setDigest(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PeerNews::Reader::hasBucketDigests() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool PeerNews::Reader::hasBucketDigests() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerNews::Builder::hasBucketDigests() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool PeerNews::Builder::hasBucketDigests()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerNews::Reader::getBucketDigests() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
+PeerNews::Reader::getBucketDigests() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerNews::Builder::getBucketDigests() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+PeerNews::Builder::getBucketDigests()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void PeerNews::Builder::setBucketDigests( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void PeerNews::Builder::setBucketDigests(
+    ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void PeerNews::Builder::setBucketDigests(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void PeerNews::Builder::setBucketDigests(::kj::ArrayPtr<const ::uint64_t> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerNews::Builder::initBucketDigests(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+PeerNews::Builder::initBucketDigests(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void PeerNews::Builder::adoptBucketDigests(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PeerNews::Builder::disownBucketDigests() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline  ::uint32_t PeerNews::Reader::getBuckets() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t PeerNews::Builder::getBuckets() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void PeerNews::Builder::setBuckets( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool PeerNews::Reader::hasMembers() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerNews::Builder::hasMembers() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::monsoongrade::schema::PeerMember,  ::capnp::Kind::STRUCT>::Reader PeerNews::Reader::getMembers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::PeerMember,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::monsoongrade::schema::PeerMember,  ::capnp::Kind::STRUCT>::Builder PeerNews::Builder::getMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::PeerMember,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void PeerNews::Builder::setMembers( ::capnp::List< ::monsoongrade::schema::PeerMember,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::PeerMember,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::monsoongrade::schema::PeerMember,  ::capnp::Kind::STRUCT>::Builder PeerNews::Builder::initMembers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::PeerMember,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+    ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+PeerNews::Builder::disownBucketDigests()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline ::uint32_t PeerNews::Reader::getBuckets() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t PeerNews::Builder::getBuckets()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PeerNews::Builder::setBuckets(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerNews::Reader::hasMembers() const
+{
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerNews::Builder::hasMembers()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>::Reader
+PeerNews::Reader::getMembers() const
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>>::
+        get(_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>::Builder
+PeerNews::Builder::getMembers()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>>::
+        get(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void PeerNews::Builder::setMembers(
+    ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>>::
+        set(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>::Builder
+PeerNews::Builder::initMembers(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>>::
+        init(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void PeerNews::Builder::adoptMembers(
-    ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::PeerMember,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::PeerMember,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::PeerMember,  ::capnp::Kind::STRUCT>> PeerNews::Builder::disownMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::PeerMember,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline bool PeerNews::Reader::hasEndpoints() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerNews::Builder::hasEndpoints() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::monsoongrade::schema::PeerEndpointMark,  ::capnp::Kind::STRUCT>::Reader PeerNews::Reader::getEndpoints() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::PeerEndpointMark,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::monsoongrade::schema::PeerEndpointMark,  ::capnp::Kind::STRUCT>::Builder PeerNews::Builder::getEndpoints() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::PeerEndpointMark,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void PeerNews::Builder::setEndpoints( ::capnp::List< ::monsoongrade::schema::PeerEndpointMark,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::PeerEndpointMark,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::monsoongrade::schema::PeerEndpointMark,  ::capnp::Kind::STRUCT>::Builder PeerNews::Builder::initEndpoints(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::PeerEndpointMark,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+    ::capnp::Orphan<::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>>
+        &&value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>>::
+        adopt(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>>
+PeerNews::Builder::disownMembers()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>>::
+        disown(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool PeerNews::Reader::hasEndpoints() const
+{
+    return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerNews::Builder::hasEndpoints()
+{
+    return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>::Reader
+PeerNews::Reader::getEndpoints() const
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>>::
+        get(_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>::Builder
+PeerNews::Builder::getEndpoints()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>>::
+        get(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void PeerNews::Builder::setEndpoints(
+    ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>>::
+        set(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>::Builder
+PeerNews::Builder::initEndpoints(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>>::
+        init(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void PeerNews::Builder::adoptEndpoints(
-    ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::PeerEndpointMark,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::PeerEndpointMark,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::PeerEndpointMark,  ::capnp::Kind::STRUCT>> PeerNews::Builder::disownEndpoints() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::PeerEndpointMark,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
-inline bool ConfigurationContent::Reader::hasHash() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool ConfigurationContent::Builder::hasHash() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader ConfigurationContent::Reader::getHash() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder ConfigurationContent::Builder::getHash() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void ConfigurationContent::Builder::setHash( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder ConfigurationContent::Builder::initHash(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void ConfigurationContent::Builder::adoptHash(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> ConfigurationContent::Builder::disownHash() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool ConfigurationContent::Reader::hasText() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool ConfigurationContent::Builder::hasText() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader ConfigurationContent::Reader::getText() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Data::Builder ConfigurationContent::Builder::getText() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void ConfigurationContent::Builder::setText( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Data::Builder ConfigurationContent::Builder::initText(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void ConfigurationContent::Builder::adoptText(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Data> ConfigurationContent::Builder::disownText() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+    ::capnp::Orphan<::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>>
+        &&value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>>::
+        adopt(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<
+    ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>>
+PeerNews::Builder::disownEndpoints()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>>::
+        disown(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool ConfigurationContent::Reader::hasHash() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigurationContent::Builder::hasHash()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader ConfigurationContent::Reader::getHash() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder ConfigurationContent::Builder::getHash()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ConfigurationContent::Builder::setHash(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder ConfigurationContent::Builder::initHash(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ConfigurationContent::Builder::adoptHash(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> ConfigurationContent::Builder::disownHash()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ConfigurationContent::Reader::hasText() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigurationContent::Builder::hasText()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Data::Reader ConfigurationContent::Reader::getText() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Data::Builder ConfigurationContent::Builder::getText()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ConfigurationContent::Builder::setText(::capnp::Data::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Data>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Data::Builder ConfigurationContent::Builder::initText(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ConfigurationContent::Builder::adoptText(::capnp::Orphan<::capnp::Data> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Data> ConfigurationContent::Builder::disownText()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline Peer::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline Peer::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline Peer::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline Peer::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::monsoongrade::schema::Peer::Client& Peer::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
-}
-inline  ::monsoongrade::schema::Peer::Client& Peer::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
+    : ::capnp::Capability::Client(nullptr)
+{
 }
-
-#endif  // !CAPNP_LITE
-inline bool Peer::TellParams::Reader::hasNews() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::TellParams::Builder::hasNews() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::monsoongrade::schema::PeerNews::Reader Peer::TellParams::Reader::getNews() const {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::PeerNews>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::monsoongrade::schema::PeerNews::Builder Peer::TellParams::Builder::getNews() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::PeerNews>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline Peer::Client::Client(::kj::Own<::capnp::ClientHook> &&hook)
+    : ::capnp::Capability::Client(::kj::mv(hook))
+{
 }
-#if !CAPNP_LITE
-inline  ::monsoongrade::schema::PeerNews::Pipeline Peer::TellParams::Pipeline::getNews() {
-  return  ::monsoongrade::schema::PeerNews::Pipeline(_typeless.getPointerField(0));
+template <typename _t, typename>
+inline Peer::Client::Client(::kj::Own<_t> &&server)
+    : ::capnp::Capability::Client(::kj::mv(server))
+{
 }
-#endif  // !CAPNP_LITE
-inline void Peer::TellParams::Builder::setNews( ::monsoongrade::schema::PeerNews::Reader value) {
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::PeerNews>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+template <typename _t, typename>
+inline Peer::Client::Client(::kj::Promise<_t> &&promise)
+    : ::capnp::Capability::Client(::kj::mv(promise))
+{
 }
-inline  ::monsoongrade::schema::PeerNews::Builder Peer::TellParams::Builder::initNews() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::PeerNews>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline Peer::Client::Client(::kj::Exception &&exception)
+    : ::capnp::Capability::Client(::kj::mv(exception))
+{
 }
-inline void Peer::TellParams::Builder::adoptNews(
-    ::capnp::Orphan< ::monsoongrade::schema::PeerNews>&& value) {
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::PeerNews>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline ::monsoongrade::schema::Peer::Client &Peer::Client::operator=(Client &other)
+{
+    ::capnp::Capability::Client::operator=(other);
+    return *this;
 }
-inline ::capnp::Orphan< ::monsoongrade::schema::PeerNews> Peer::TellParams::Builder::disownNews() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::PeerNews>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::monsoongrade::schema::Peer::Client &Peer::Client::operator=(Client &&other)
+{
+    ::capnp::Capability::Client::operator=(kj::mv(other));
+    return *this;
 }
 
-inline bool Peer::TellResults::Reader::hasAnswers() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::TellResults::Builder::hasAnswers() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+#endif // !CAPNP_LITE
+inline bool Peer::TellParams::Reader::hasNews() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::monsoongrade::schema::PeerNews,  ::capnp::Kind::STRUCT>::Reader Peer::TellResults::Reader::getAnswers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::PeerNews,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline bool Peer::TellParams::Builder::hasNews()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::monsoongrade::schema::PeerNews,  ::capnp::Kind::STRUCT>::Builder Peer::TellResults::Builder::getAnswers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::PeerNews,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::monsoongrade::schema::PeerNews::Reader Peer::TellParams::Reader::getNews() const
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PeerNews>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::TellResults::Builder::setAnswers( ::capnp::List< ::monsoongrade::schema::PeerNews,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::PeerNews,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline ::monsoongrade::schema::PeerNews::Builder Peer::TellParams::Builder::getNews()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PeerNews>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::monsoongrade::schema::PeerNews,  ::capnp::Kind::STRUCT>::Builder Peer::TellResults::Builder::initAnswers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::PeerNews,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+#if !CAPNP_LITE
+inline ::monsoongrade::schema::PeerNews::Pipeline Peer::TellParams::Pipeline::getNews()
+{
+    return ::monsoongrade::schema::PeerNews::Pipeline(_typeless.getPointerField(0));
+}
+#endif // !CAPNP_LITE
+inline void Peer::TellParams::Builder::setNews(::monsoongrade::schema::PeerNews::Reader value)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::PeerNews>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::monsoongrade::schema::PeerNews::Builder Peer::TellParams::Builder::initNews()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PeerNews>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+Peer::TellParams::Builder::adoptNews(::capnp::Orphan<::monsoongrade::schema::PeerNews> &&value)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::PeerNews>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::monsoongrade::schema::PeerNews> Peer::TellParams::Builder::disownNews()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PeerNews>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::TellResults::Reader::hasAnswers() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::TellResults::Builder::hasAnswers()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>::Reader
+Peer::TellResults::Reader::getAnswers() const
+{
+    return ::capnp::_::
+        PointerHelpers<::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>::Builder
+Peer::TellResults::Builder::getAnswers()
+{
+    return ::capnp::_::
+        PointerHelpers<::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::TellResults::Builder::setAnswers(
+    ::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::
+        PointerHelpers<::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>::Builder
+Peer::TellResults::Builder::initAnswers(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>>::
+        init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Peer::TellResults::Builder::adoptAnswers(
-    ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::PeerNews,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::PeerNews,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::PeerNews,  ::capnp::Kind::STRUCT>> Peer::TellResults::Builder::disownAnswers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::PeerNews,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t Peer::FetchConfigurationParams::Reader::getAbove() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Peer::FetchConfigurationParams::Builder::getAbove() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Peer::FetchConfigurationParams::Builder::setAbove( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Peer::FetchConfigurationParams::Reader::hasKnown() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::FetchConfigurationParams::Builder::hasKnown() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Peer::FetchConfigurationParams::Reader::getKnown() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Peer::FetchConfigurationParams::Builder::getKnown() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::FetchConfigurationParams::Builder::setKnown( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline void Peer::FetchConfigurationParams::Builder::setKnown(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Peer::FetchConfigurationParams::Builder::initKnown(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+    ::capnp::Orphan<::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>> &&value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>>::
+        adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>>
+Peer::TellResults::Builder::disownAnswers()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>>::
+        disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::uint64_t Peer::FetchConfigurationParams::Reader::getAbove() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t Peer::FetchConfigurationParams::Builder::getAbove()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::FetchConfigurationParams::Builder::setAbove(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::FetchConfigurationParams::Reader::hasKnown() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::FetchConfigurationParams::Builder::hasKnown()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
+Peer::FetchConfigurationParams::Reader::getKnown() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+Peer::FetchConfigurationParams::Builder::getKnown()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::FetchConfigurationParams::Builder::setKnown(
+    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void
+Peer::FetchConfigurationParams::Builder::setKnown(::kj::ArrayPtr<const ::capnp::Text::Reader> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+Peer::FetchConfigurationParams::Builder::initKnown(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Peer::FetchConfigurationParams::Builder::adoptKnown(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Peer::FetchConfigurationParams::Builder::disownKnown() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::FetchConfigurationResults::Reader::hasManifest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::FetchConfigurationResults::Builder::hasManifest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Peer::FetchConfigurationResults::Reader::getManifest() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Peer::FetchConfigurationResults::Builder::getManifest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::FetchConfigurationResults::Builder::setManifest( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Peer::FetchConfigurationResults::Builder::initManifest(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Peer::FetchConfigurationResults::Builder::adoptManifest(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Peer::FetchConfigurationResults::Builder::disownManifest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::FetchConfigurationResults::Reader::hasContents() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::FetchConfigurationResults::Builder::hasContents() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::monsoongrade::schema::ConfigurationContent,  ::capnp::Kind::STRUCT>::Reader Peer::FetchConfigurationResults::Reader::getContents() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::ConfigurationContent,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::monsoongrade::schema::ConfigurationContent,  ::capnp::Kind::STRUCT>::Builder Peer::FetchConfigurationResults::Builder::getContents() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::ConfigurationContent,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Peer::FetchConfigurationResults::Builder::setContents( ::capnp::List< ::monsoongrade::schema::ConfigurationContent,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::ConfigurationContent,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::monsoongrade::schema::ConfigurationContent,  ::capnp::Kind::STRUCT>::Builder Peer::FetchConfigurationResults::Builder::initContents(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::ConfigurationContent,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+Peer::FetchConfigurationParams::Builder::disownKnown()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::FetchConfigurationResults::Reader::hasManifest() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::FetchConfigurationResults::Builder::hasManifest()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Peer::FetchConfigurationResults::Reader::getManifest() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Peer::FetchConfigurationResults::Builder::getManifest()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::FetchConfigurationResults::Builder::setManifest(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder
+Peer::FetchConfigurationResults::Builder::initManifest(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void
+Peer::FetchConfigurationResults::Builder::adoptManifest(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Peer::FetchConfigurationResults::Builder::disownManifest()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::FetchConfigurationResults::Reader::hasContents() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::FetchConfigurationResults::Builder::hasContents()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::monsoongrade::schema::ConfigurationContent, ::capnp::Kind::STRUCT>::Reader
+Peer::FetchConfigurationResults::Reader::getContents() const
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::ConfigurationContent, ::capnp::Kind::STRUCT>>::
+        get(_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::monsoongrade::schema::ConfigurationContent, ::capnp::Kind::STRUCT>::Builder
+Peer::FetchConfigurationResults::Builder::getContents()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::ConfigurationContent, ::capnp::Kind::STRUCT>>::
+        get(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::FetchConfigurationResults::Builder::setContents(
+    ::capnp::List<::monsoongrade::schema::ConfigurationContent, ::capnp::Kind::STRUCT>::Reader
+        value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::ConfigurationContent, ::capnp::Kind::STRUCT>>::
+        set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::monsoongrade::schema::ConfigurationContent, ::capnp::Kind::STRUCT>::Builder
+Peer::FetchConfigurationResults::Builder::initContents(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::ConfigurationContent, ::capnp::Kind::STRUCT>>::
+        init(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void Peer::FetchConfigurationResults::Builder::adoptContents(
-    ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::ConfigurationContent,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::ConfigurationContent,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<
+        ::capnp::List<::monsoongrade::schema::ConfigurationContent, ::capnp::Kind::STRUCT>> &&value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::ConfigurationContent, ::capnp::Kind::STRUCT>>::
+        adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::ConfigurationContent,  ::capnp::Kind::STRUCT>> Peer::FetchConfigurationResults::Builder::disownContents() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::ConfigurationContent,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<
+    ::capnp::List<::monsoongrade::schema::ConfigurationContent, ::capnp::Kind::STRUCT>>
+Peer::FetchConfigurationResults::Builder::disownContents()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::ConfigurationContent, ::capnp::Kind::STRUCT>>::
+        disown(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-}  // namespace
-}  // namespace
+} // namespace schema
+} // namespace monsoongrade
 
 CAPNP_END_HEADER
-
--- a/src/configuration/configurationstore.cpp
+++ b/src/configuration/configurationstore.cpp
@@ -54,7 +54,9 @@
     , pause_(std::move(pause))
 {
     if (!pause_)
-        pause_ = [](units::Duration time) { std::this_thread::sleep_for(time); };
+        pause_ = [](units::Duration time) {
+            std::this_thread::sleep_for(time);
+        };
 }
 
 units::Result<Manifest> ConfigurationStore::manifest()
@@ -219,8 +221,7 @@
             if (write.value || write.error.code == ResultCode::ObjectAlreadyExists)
                 break;
             if (attempt == MostContentAttempts)
-                return units::fail(write.error.code,
-                                   write.error.message + "; nothing was changed");
+                return units::fail(write.error.code, write.error.message + "; nothing was changed");
             pause_(PauseStep * attempt);
         }
     }
--- a/src/configuration/configurationwatcher.cpp
+++ b/src/configuration/configurationwatcher.cpp
@@ -65,8 +65,8 @@
         pause(NewsCheck);
         return;
     }
-    std::uniform_int_distribution<std::int64_t> spread(
-        units::Duration(ShortestStoreRead).count(), units::Duration(LongestStoreRead).count());
+    std::uniform_int_distribution<std::int64_t> spread(units::Duration(ShortestStoreRead).count(),
+                                                       units::Duration(LongestStoreRead).count());
     nextStoreRead_ = now + units::Duration(spread(random_));
     attempt("store", &ConfigurationUpdater::readStore);
 }
--- a/src/membership/fleetwatcher.cpp
+++ b/src/membership/fleetwatcher.cpp
@@ -61,9 +61,9 @@
     if (read.value && wasFailing)
         observability::log(observability::LogLevel::Info, "host-list-read-again", {});
     if (!read.value && !wasFailing)
-        observability::log(observability::LogLevel::Warning, "host-list-failed",
-                           {{"code", static_cast<int>(read.error.code)},
-                            {"message", read.error.message}});
+        observability::log(
+            observability::LogLevel::Warning, "host-list-failed",
+            {{"code", static_cast<int>(read.error.code)}, {"message", read.error.message}});
 }
 
 } // namespace monsoongrade::membership
--- a/src/platform/httpplatform.cpp
+++ b/src/platform/httpplatform.cpp
@@ -12,6 +12,8 @@
 using units::ResultCode;
 
 constexpr auto CallLimit = std::chrono::seconds(2);
+// A list of all hosts, or of many small objects; a single value has a megabyte at most.
+constexpr std::size_t MostAnswerBytes = 16 * 1024 * 1024;
 
 ResultCode codeFor(int status)
 {
@@ -27,21 +29,39 @@
     }
 }
 
+ObjectVersion readVersion(const json &item)
+{
+    const json &version = item.at("version");
+    // The library would turn -1 into the highest version there is.
+    if (!version.is_number_unsigned())
+        throw json::type_error::create(302, "version must be a whole number from 0", &version);
+    return ObjectVersion(version.get<std::uint64_t>());
+}
+
 StoredObject readObject(const json &item)
 {
-    return {item.at("name").get<std::string>(),
-            ObjectVersion(item.at("version").get<std::uint64_t>()),
+    return {item.at("name").get<std::string>(), readVersion(item),
             item.at("value").get<std::string>()};
 }
 
+// Whether the text is the first of the two; any third is an error, since a guess at a host's role
+// or state would send work to the wrong place.
+bool isFirstOf(const json &item, const char *key, const char *first, const char *second)
+{
+    const auto text = item.at(key).get<std::string>();
+    if (text != first && text != second)
+        throw json::type_error::create(302, "unknown " + std::string(key) + " " + text, &item);
+    return text == first;
+}
+
 Host readHost(const json &item)
 {
     Host host;
     host.name = units::HostName(item.at("name").get<std::string>());
     host.address = item.at("address").get<std::string>();
     host.failureDomain = units::FailureDomain(item.at("failure_domain").get<std::string>());
-    host.role = item.at("role") == "entry" ? HostRole::Entry : HostRole::Endpoint;
-    host.state = item.at("state") == "live" ? HostState::Live : HostState::Leaving;
+    host.role = isFirstOf(item, "role", "entry", "endpoint") ? HostRole::Entry : HostRole::Endpoint;
+    host.state = isFirstOf(item, "state", "live", "leaving") ? HostState::Live : HostState::Leaving;
     return host;
 }
 
@@ -148,7 +168,10 @@
     request.headers = headers;
     request.body = body;
     request.silenceTimeout = limit;
-    const endpoints::WholeAnswer answer = endpoints::callAndWait(client_, request);
+    const endpoints::WholeAnswer answer = endpoints::callAndWait(client_, request, MostAnswerBytes);
+    if (answer.end.code == ResultCode::BodyTooLarge)
+        return units::fail(ResultCode::PlatformAnswerMalformed,
+                           method + " " + pathAndQuery + ": " + answer.end.message);
     if (answer.end.code != ResultCode::Ok)
         return units::fail(ResultCode::PlatformUnavailable,
                            "the platform's API at " + base_ + ": " + answer.end.message);
@@ -165,9 +188,7 @@
 {
     BOOST_LEAF_AUTO(body,
                     call("PUT", "/v1/objects/" + escaped(name), {condition}, value, CallLimit));
-    return parsed(body, [](const json &answer) {
-        return ObjectVersion(answer.at("version").get<std::uint64_t>());
-    });
+    return parsed(body, [](const json &answer) { return readVersion(answer); });
 }
 
 } // namespace monsoongrade::platform
--- a/src/rpc/peerclient.cpp
+++ b/src/rpc/peerclient.cpp
@@ -75,18 +75,18 @@
         unsigned next = 0;
         for (const auto &entry : known)
             hashes.set(next++, entry.first);
-        auto promise = loop_.timer()
-                           .timeoutAfter(CallTimeout, call.send())
-                           .then([&done](auto response) {
-                               done.set_value(
-                                   units::capture([&] { return readContents(response); }));
-                           })
-                           .catch_([this, &done, id = from.id](kj::Exception &&exception) {
-                               done.set_value({std::nullopt,
-                                               {ResultCode::NoConfiguration,
-                                                exception.getDescription().cStr()}});
-                               drop(id);
-                           });
+        auto promise
+            = loop_.timer()
+                  .timeoutAfter(CallTimeout, call.send())
+                  .then([&done](auto response) {
+                      done.set_value(units::capture([&] { return readContents(response); }));
+                  })
+                  .catch_([this, &done, id = from.id](kj::Exception &&exception) {
+                      done.set_value(
+                          {std::nullopt,
+                           {ResultCode::NoConfiguration, exception.getDescription().cStr()}});
+                      drop(id);
+                  });
         tasks_.add(kj::mv(promise));
     }
 
--- a/src/rpc/peerserver.cpp
+++ b/src/rpc/peerserver.cpp
@@ -209,9 +209,8 @@
                        configuration::ConfigurationContents &contents)
     : loop_(loop)
 {
-    loop_.postAndWait([&] {
-        impl_ = std::make_shared<Impl>(loop, settings, client, membership, contents);
-    });
+    loop_.postAndWait(
+        [&] { impl_ = std::make_shared<Impl>(loop, settings, client, membership, contents); });
 }
 
 PeerServer::~PeerServer()
--- a/src/rpc/rpcconfigurationpeers.cpp
+++ b/src/rpc/rpcconfigurationpeers.cpp
@@ -14,8 +14,7 @@
 
 } // namespace
 
-RpcConfigurationPeers::RpcConfigurationPeers(PeerClient &client,
-                                             membership::Membership &membership)
+RpcConfigurationPeers::RpcConfigurationPeers(PeerClient &client, membership::Membership &membership)
     : client_(client)
     , membership_(membership)
     , random_(std::random_device{}())
@@ -53,8 +52,8 @@
     }
     std::shuffle(alive.begin(), alive.end(), random_);
     for (std::size_t i = 0; i < alive.size() && i < MostAsked; ++i) {
-        const auto answer = units::capture(
-            [&] { return client_.fetchConfiguration(alive[i], above, known); });
+        const auto answer
+            = units::capture([&] { return client_.fetchConfiguration(alive[i], above, known); });
         if (answer.value && answer.value->manifest.generation > above)
             return *answer.value;
     }
--- a/tests/configuration/configuration_statetest.cpp
+++ b/tests/configuration/configuration_statetest.cpp
@@ -127,7 +127,9 @@
     int other = *rc::gen::inRange(0, Owners);
     void run(const NoModel &, World &sut) const override
     {
-        sut.store.beforeUpdate = [&] { sut.apply(other, 5); };
+        sut.store.beforeUpdate = [&] {
+            sut.apply(other, 5);
+        };
         sut.apply(owner, 6);
         sut.store.beforeUpdate = {};
     }
@@ -155,9 +157,8 @@
     void run(const NoModel &, World &sut) const override
     {
         const std::string id = std::to_string(++sut.changes);
-        const auto told = units::capture([&] {
-            return ConfigurationStore(sut.store, [](auto) {}).remove({fileOf(owner)}, id);
-        });
+        const auto told = units::capture(
+            [&] { return ConfigurationStore(sut.store, [](auto) {}).remove({fileOf(owner)}, id); });
         sut.note({{fileOf(owner), ""}}, told);
     }
     void show(std::ostream &out) const override { out << "Remove(" << owner << ")"; }
@@ -196,7 +197,10 @@
                              : updater.askPeer();
         });
     }
-    void show(std::ostream &out) const override { out << "Update(" << daemon << "," << from << ")"; }
+    void show(std::ostream &out) const override
+    {
+        out << "Update(" << daemon << "," << from << ")";
+    }
 };
 
 struct Restart : Command
@@ -220,8 +224,8 @@
     CHECK(rc::check("changes of configuration under random faults", [] {
         World sut;
         rc::state::check(NoModel(), sut,
-                         rc::state::gen::execOneOfWithArgs<Apply, Apply, Race, ApplyInvalid,
-                                                           Remove, Faults, Update, Restart>());
+                         rc::state::gen::execOneOfWithArgs<Apply, Apply, Race, ApplyInvalid, Remove,
+                                                           Faults, Update, Restart>());
         sut.store.lostReplies = 0;
         sut.store.staleReads = 0;
         sut.store.outageCalls = 0;
--- a/tests/configuration/configurationstore_test.cpp
+++ b/tests/configuration/configurationstore_test.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-const auto NoPause = [](units::Duration) {};
+const auto NoPause = [](units::Duration) {
+};
 
 SourceFile file(const std::string &owner, const std::string &className)
 {
@@ -38,7 +39,9 @@
     // update comes between the first one's read and its write.
     FakeStore store;
     REQUIRE(apply(store, file("a", "first"), "0").value);
-    store.beforeUpdate = [&] { REQUIRE(apply(store, file("b", "second"), "1").value); };
+    store.beforeUpdate = [&] {
+        REQUIRE(apply(store, file("b", "second"), "1").value);
+    };
     const auto applied = apply(store, file("c", "third"), "2");
     REQUIRE(applied.value);
     CHECK(applied.value->generation == units::Generation(3));
@@ -51,7 +54,9 @@
     // file, the later one without having seen the other's text.
     FakeStore store;
     REQUIRE(apply(store, file("a", "first"), "0").value);
-    store.beforeUpdate = [&] { REQUIRE(apply(store, file("a", "theirs"), "1").value); };
+    store.beforeUpdate = [&] {
+        REQUIRE(apply(store, file("a", "theirs"), "1").value);
+    };
     const auto applied = apply(store, file("a", "mine"), "2");
     CHECK(applied.error.code == ResultCode::VersionConflict);
     CHECK(inForce(store).at("a.yaml") == contentHash(file("a", "theirs").text));
@@ -62,7 +67,9 @@
     // Two valid changes can be invalid together; in force they would stop every daemon.
     FakeStore store;
     REQUIRE(apply(store, file("a", "first"), "0").value);
-    store.beforeUpdate = [&] { REQUIRE(apply(store, file("b", "same"), "1").value); };
+    store.beforeUpdate = [&] {
+        REQUIRE(apply(store, file("b", "same"), "1").value);
+    };
     const auto applied = apply(store, file("c", "same"), "2");
     REQUIRE(applied.value);
     REQUIRE(applied.value->problems.size() == 1);
@@ -81,9 +88,10 @@
         if (inForce(store).count("c.yaml") == 0)
             REQUIRE(apply(store, file("c", "third"), "2").value);
     });
-    store.beforeUpdate = [&] { store.lostReplies = 1; };
-    const auto applied
-        = units::capture([&] { return mine.apply({file("b", "second")}, "1"); });
+    store.beforeUpdate = [&] {
+        store.lostReplies = 1;
+    };
+    const auto applied = units::capture([&] { return mine.apply({file("b", "second")}, "1"); });
     REQUIRE_MESSAGE(applied.value, applied.error.message);
     CHECK(applied.value->generation == units::Generation(2));
     CHECK(inForce(store).size() == 3);
--- a/tests/configuration/configurationupdater_test.cpp
+++ b/tests/configuration/configurationupdater_test.cpp
@@ -129,8 +129,8 @@
     ConfigurationStore store(daemon.store);
     std::vector<SourceFile> files;
     for (int i = 0; i < 20; ++i)
-        files.push_back({std::to_string(i) + ".yaml",
-                         "classes:\n  - name: c" + std::to_string(i) + "\n"});
+        files.push_back(
+            {std::to_string(i) + ".yaml", "classes:\n  - name: c" + std::to_string(i) + "\n"});
     REQUIRE(units::capture([&] { return store.apply(files, "1"); }).value);
     REQUIRE(daemon.readStore().value);
     REQUIRE(units::capture([&] { return store.apply({{"3.yaml", Valid}}, "2"); }).value);
