--- /dev/null
+++ b/tests/platform/httpplatform_test.cpp
@@ -0,0 +1,105 @@
+#include <monsoongrade/platform/httpplatform.h>
+
+#include <doctest/doctest.h>
+
+#include <thread>
+
+namespace monsoongrade::platform {
+
+using units::ResultCode;
+
+namespace {
+
+// Answers every call with the same status and body, the latter in pieces of its own thread.
+class CannedClient : public endpoints::EndpointClient
+{
+public:
+    ~CannedClient() override
+    {
+        for (std::thread &thread : threads_)
+            thread.join();
+    }
+    endpoints::CallId start(endpoints::EndpointRequest,
+                            std::shared_ptr<endpoints::EndpointListener> listener) override
+    {
+        threads_.emplace_back([this, listener = std::move(listener)] {
+            listener->answerHead(status, {});
+            for (int i = 0; i < repeats; ++i)
+                listener->answerBody(body);
+            listener->answerEnd(endpoints::EndpointEnd());
+        });
+        return threads_.size();
+    }
+    void resume(endpoints::CallId) override { }
+    void cancel(endpoints::CallId) override { ++cancelled; }
+
+    int status = 200;
+    std::string body;
+    int repeats = 1;
+    int cancelled = 0;
+
+private:
+    std::vector<std::thread> threads_;
+};
+
+template <typename Call>
+ResultCode codeOf(Call call)
+{
+    return units::capture(call).error.code;
+}
+
+} // namespace
+
+TEST_CASE("HttpPlatform.MalformedAnswersAreNumberedErrors")
+{
+    for (
+        const char *body :
+        {"", "{", "null", "7", "[]", "{}", R"({"name":1,"version":1,"value":"x"})",
+         R"({"name":"a","version":-1,"value":"x"})", R"({"name":"a","version":1.5,"value":"x"})",
+         R"({"name":"a","version":"1","value":"x"})", R"({"name":"a","version":1,"value":{}})",
+         "{\"name\":\"a\",\"version\":1,\"value\":\"\xff\xfe\"}", R"({"hosts":7})",
+         R"({"hosts":[7]})", R"({"hosts":[{"name":"h"}]})",
+         R"({"hosts":[{"name":"h","address":"a","failure_domain":"d","role":"x","state":"live"}]})",
+         R"({"hosts":[{"name":"h","address":"a","failure_domain":"d","role":"entry","state":"x"}]})",
+         R"({"objects":{"a":7}})"}) {
+        CannedClient client;
+        client.body = body;
+        HttpPlatform platform(client, "http://127.33.0.1:1");
+        CAPTURE(body);
+        const auto expected = ResultCode::PlatformAnswerMalformed;
+        CHECK(codeOf([&] { return platform.get("a"); }) == expected);
+        CHECK(codeOf([&] { return platform.hosts(); }) == expected);
+        CHECK(codeOf([&] { return platform.list("a"); }) == expected);
+        CHECK(
+            codeOf([&] { return platform.waitForChange("a", ObjectVersion(), units::Duration()); })
+            == expected);
+    }
+}
+
+TEST_CASE("HttpPlatform.EndlessAnswerIsCutOffAndIsAnError")
+{
+    // The daemon would run out of its memory while it reads one answer.
+    CannedClient client;
+    client.body = std::string(1024 * 1024, '[');
+    client.repeats = 40;
+    HttpPlatform platform(client, "http://127.33.0.1:1");
+    CHECK(codeOf([&] { return platform.hosts(); }) == ResultCode::PlatformAnswerMalformed);
+    CHECK(client.cancelled == 1);
+}
+
+TEST_CASE("HttpPlatform.StatusesAreNumberedErrors")
+{
+    const std::pair<int, ResultCode> expected[]
+        = {{404, ResultCode::ObjectNotFound},      {409, ResultCode::ObjectAlreadyExists},
+           {412, ResultCode::VersionConflict},     {413, ResultCode::PlatformUnavailable},
+           {500, ResultCode::PlatformUnavailable}, {503, ResultCode::PlatformUnavailable}};
+    for (const auto &[status, code] : expected) {
+        CannedClient client;
+        client.status = status;
+        HttpPlatform platform(client, "http://127.33.0.1:1");
+        CAPTURE(status);
+        CHECK(codeOf([&] { return platform.createIfAbsent("a", "x"); }) == code);
+    }
+}
+
+} // namespace monsoongrade::platform
