--- a/src/rpc/internal/peermessages.cpp
+++ b/src/rpc/internal/peermessages.cpp
@@ -5,7 +5,6 @@
 namespace {
 
 using membership::DaemonRole;
-using membership::EndpointMark;
 using membership::EndpointState;
 using membership::Health;
 using membership::MemberRecord;
--- a/src/rpc/peerserver.cpp
+++ b/src/rpc/peerserver.cpp
@@ -80,7 +80,7 @@
         if (!message.value) {
             observability::log(observability::LogLevel::Warning, "peer-message-refused",
                                {{"code", static_cast<int>(message.error.code)}});
-            KJ_FAIL_REQUIRE("malformed peer message", static_cast<int>(message.error.code));
+            return KJ_EXCEPTION(FAILED, "malformed peer message");
         }
         const auto answers = exchange_->receive(*message.value);
         auto out = context.getResults().initAnswers(static_cast<unsigned>(answers.size()));
--- a/tests/configuration/configuration_statetest.cpp
+++ b/tests/configuration/configuration_statetest.cpp
@@ -31,7 +31,7 @@
 struct Daemon : ConfigurationPeers
 {
     Daemon(FakeStore &store, std::vector<std::unique_ptr<Daemon>> &all)
-        : all_(all)
+        : peers(all)
         , updater(store, *this, contents, holder)
     {
     }
@@ -39,7 +39,7 @@
     bool hasNewer() override { return false; }
     units::Result<ManifestContents> fetch(units::Generation above, const TextByHash &) override
     {
-        for (const auto &other : all_) {
+        for (const auto &other : peers) {
             if (other.get() != this && other->contents.current()->manifest.generation > above)
                 return *other->contents.current();
         }
@@ -51,7 +51,7 @@
         reported = generation;
     }
 
-    std::vector<std::unique_ptr<Daemon>> &all_;
+    std::vector<std::unique_ptr<Daemon>> &peers;
     ConfigurationContents contents;
     ConfigurationHolder holder;
     units::Generation reported;
--- a/tests/configuration/configurationupdater_test.cpp
+++ b/tests/configuration/configurationupdater_test.cpp
@@ -128,6 +128,7 @@
     Daemon daemon;
     ConfigurationStore store(daemon.store);
     std::vector<SourceFile> files;
+    files.reserve(20);
     for (int i = 0; i < 20; ++i)
         files.push_back(
             {std::to_string(i) + ".yaml", "classes:\n  - name: c" + std::to_string(i) + "\n"});
--- a/tests/platform/httpplatform_test.cpp
+++ b/tests/platform/httpplatform_test.cpp
@@ -93,12 +93,12 @@
         = {{404, ResultCode::ObjectNotFound},      {409, ResultCode::ObjectAlreadyExists},
            {412, ResultCode::VersionConflict},     {413, ResultCode::PlatformUnavailable},
            {500, ResultCode::PlatformUnavailable}, {503, ResultCode::PlatformUnavailable}};
-    for (const auto &[status, code] : expected) {
+    for (const auto &expectation : expected) {
         CannedClient client;
-        client.status = status;
+        client.status = expectation.first;
         HttpPlatform platform(client, "http://127.33.0.1:1");
-        CAPTURE(status);
-        CHECK(codeOf([&] { return platform.createIfAbsent("a", "x"); }) == code);
+        CAPTURE(expectation.first);
+        CHECK(codeOf([&] { return platform.createIfAbsent("a", "x"); }) == expectation.second);
     }
 }
 
