--- a/include/monsoongrade/scheduling/cellscheduler.h
+++ b/include/monsoongrade/scheduling/cellscheduler.h
@@ -13,6 +13,7 @@
 #include <monsoongrade/units/clock.h>
 
 #include <map>
+#include <memory>
 
 namespace monsoongrade::scheduling {
 
@@ -29,6 +30,9 @@
 {
 public:
     CellScheduler(const units::Clock &clock, DecisionSink &sink);
+    // With another way to guess lengths.
+    CellScheduler(const units::Clock &clock, DecisionSink &sink,
+                  std::unique_ptr<LengthEstimator> lengths);
 
     void configure(const CellPolicy &policy) override;
 
@@ -37,6 +41,11 @@
     bool cancel(const units::RequestId &request) override;
     void release(const SlotRelease &release) override;
 
+    // Grants nothing before the given time. A scheduler that takes over must first hear all
+    // routers: while their asks come in one by one, free slots would go to whoever is told
+    // first, and a long answer of the lowest tier could take the place of a voucher's.
+    void settleUntil(units::TimePoint time) { opensAt_ = time; }
+
     // Counts a grant of an earlier scheduler that a router still holds. Told twice, or of a grant
     // made here, it counts once and has the same number. May take an endpoint above its limit: the
     // request runs.
@@ -64,11 +73,11 @@
     };
     using Grants = std::map<units::GrantId, HeldGrant>;
 
-    void applyPolicy(WaitingAsk &waiting) const;
     bool isHopeless(const WaitingAsk &waiting) const;
     void grantWhilePossible();
     bool grantNext(std::vector<WaitingAsk> &setAside);
-    units::Tier nextTier(const std::vector<units::Tier> &backlogged) const;
+    std::vector<GuaranteedShare::Backlogged> backloggedTiers() const;
+    units::Tier nextTier(const std::vector<GuaranteedShare::Backlogged> &backlogged) const;
     units::GrantId hold(const SlotAsk &ask, const units::EndpointId &endpoint);
     void expire();
     void shed(units::Tier arrived);
@@ -82,13 +91,14 @@
     CellPolicy policy_;
     WaitingQueue queue_;
     EndpointBook endpoints_;
-    LengthEstimator lengths_;
+    std::unique_ptr<LengthEstimator> lengths_;
     GuaranteedShare guaranteed_;
     DrainRate drain_;
     RetryPlanner retries_;
     Grants grants_;
     std::map<std::pair<units::DaemonId, units::RequestId>, units::GrantId> byRequest_;
     std::uint64_t nextGrant_ = 1;
+    units::TimePoint opensAt_{};
 };
 
 } // namespace monsoongrade::scheduling
--- a/programs/monsoongrade-router/main.cpp
+++ b/programs/monsoongrade-router/main.cpp
@@ -1,7 +1,8 @@
+#include "slotsources.h"
+
 #include <monsoongrade/daemon/commandline.h>
 #include <monsoongrade/daemon/daemonid.h>
 #include <monsoongrade/daemon/entrypoints.h>
-#include <monsoongrade/daemon/loglevels.h>
 #include <monsoongrade/daemon/operatorservice.h>
 #include <monsoongrade/daemon/statuspage.h>
 #include <monsoongrade/daemon/stopsignal.h>
@@ -13,11 +14,9 @@
 #include <monsoongrade/requests/callerfrontend.h>
 #include <monsoongrade/requests/threaddelayer.h>
 #include <monsoongrade/rpc/fleetservices.h>
-#include <monsoongrade/rpc/rpcslotsource.h>
 #include <monsoongrade/units/steadyclock.h>
 
 #include <atomic>
-#include <iostream>
 #include <thread>
 
 namespace {
@@ -74,17 +73,20 @@
     membership::FleetHolder fleet;
     rpc::RpcLoop rpcLoop;
     const units::DaemonId self = daemon::newDaemonId(settings.host, "router");
-    rpc::RpcSlotSource slots(rpcLoop, {settings.cluster, self, settings.schedulerRpcPort}, fleet,
-                             metrics);
+    SlotSources slots(settings, self, clock, rpcLoop, endpointClient, configuration, fleet,
+                      metrics);
     requests::ThreadDelayer delayer;
-    const requests::FlowServices services{clock,     slots,   endpointClient, metrics,
-                                          decisions, retries, delayer,        self};
+    const requests::FlowServices services{clock,     slots.chosen(), endpointClient, metrics,
+                                          decisions, retries,        delayer,        self};
     requests::CallerFrontend frontend(services, configuration, settings.openLimit, [&] {
         const auto inForce = configuration.current();
         const std::set<std::string> drained = inForce ? inForce->drained : std::set<std::string>();
         return daemon::entryPointsAnswer(*fleet.current(), drained, settings.failureDomain,
                                          settings.httpPort, settings.keepAddress);
     });
+    std::atomic<units::TimePoint> configuredAt{clock.now()};
+    configuration.addListener([&](const auto &) { configuredAt = clock.now(); });
+    const units::TimePoint startedAt = clock.now();
     rpc::FleetServices fleetServices(rpcLoop, clock, settings, membership::DaemonRole::Router, self,
                                      fleet, configuration, metrics);
     http::HttpServer server(callerListener(settings),
@@ -92,9 +94,6 @@
                                 frontend.handle(request, std::move(responder));
                             });
     daemon::OperatorService operators(settings.operatorToken);
-    std::atomic<units::TimePoint> configuredAt{clock.now()};
-    configuration.addListener([&](const auto &) { configuredAt = clock.now(); });
-    const units::TimePoint startedAt = clock.now();
     operators.addPage("/operator/status", [&](const std::string &) {
         const daemon::DaemonStatus status{self,
                                           settings.failureDomain,
@@ -126,18 +125,7 @@
 
 int main(int argc, char **argv)
 {
-    const auto commandLine = monsoongrade::daemon::readCommandLine(
+    return monsoongrade::daemon::runDaemon(
         "monsoongrade-router", "Takes callers' requests and relays the answers of endpoints.", argc,
-        argv);
-    if (!commandLine.settings)
-        return commandLine.exitCode;
-    monsoongrade::daemon::blockStopSignals();
-    monsoongrade::observability::startLogging(
-        monsoongrade::daemon::logLevelFor(commandLine.settings->logLevel));
-    try {
-        return run(*commandLine.settings);
-    } catch (const std::exception &error) {
-        std::cerr << "monsoongrade-router: " << error.what() << "\n";
-        return monsoongrade::daemon::ExitFailed;
-    }
+        argv, run);
 }
--- a/programs/monsoongrade-scheduler/main.cpp
+++ b/programs/monsoongrade-scheduler/main.cpp
@@ -1,6 +1,7 @@
+#include "operatorpage.h"
+
 #include <monsoongrade/daemon/commandline.h>
 #include <monsoongrade/daemon/daemonid.h>
-#include <monsoongrade/daemon/loglevels.h>
 #include <monsoongrade/daemon/stopsignal.h>
 #include <monsoongrade/endpoints/curlendpointclient.h>
 #include <monsoongrade/observability/log.h>
@@ -9,15 +10,29 @@
 #include <monsoongrade/rpc/schedulerserver.h>
 #include <monsoongrade/units/steadyclock.h>
 
-#include <iostream>
 #include <thread>
 
 namespace {
 
 using namespace monsoongrade;
 
-// The others learn within about a second that this scheduler leaves, and ask elsewhere.
-constexpr auto LeavingTime = std::chrono::milliseconds(1500);
+constexpr auto StopCheck = std::chrono::milliseconds(50);
+// Routers move within a heartbeat; one that does not is cut off or frozen.
+constexpr auto LongestStop = std::chrono::seconds(15);
+// Answers that are decided reach their routers in this time.
+constexpr auto LastAnswers = std::chrono::milliseconds(100);
+
+// A planned stop: every router moves to the next scheduler and reports what it holds there,
+// before this one goes.
+void drain(rpc::SchedulerServer &server)
+{
+    server.startLeaving();
+    observability::log(observability::LogLevel::Info, "leaving", {});
+    const auto end = std::chrono::steady_clock::now() + LongestStop;
+    while (server.routersUsing() > 0 && std::chrono::steady_clock::now() < end)
+        std::this_thread::sleep_for(StopCheck);
+    std::this_thread::sleep_for(LastAnswers);
+}
 
 int run(const configuration::DaemonSettings &settings)
 {
@@ -31,19 +46,28 @@
     const units::DaemonId self = daemon::newDaemonId(settings.host, "scheduler");
     rpc::FleetServices fleetServices(rpcLoop, clock, settings, membership::DaemonRole::Scheduler,
                                      self, fleet, configuration, metrics);
-    rpc::SchedulerServer server(rpcLoop, clock,
-                                {settings.cluster, self, settings.address,
-                                 settings.schedulerRpcPort, &fleetServices.peers()},
-                                configuration, fleet, metrics);
+    rpc::SchedulerServerSettings listener{settings.cluster, self, settings.address,
+                                          settings.schedulerRpcPort};
+    listener.peers = &fleetServices.peers();
+    rpc::SchedulerServer server(rpcLoop, clock, listener, configuration, fleet, metrics);
     fleetServices.start(platform, platform);
     observability::log(
         observability::LogLevel::Info, "scheduler-started",
         {{"daemon", self.value()}, {"port", static_cast<int>(settings.schedulerRpcPort)}});
+    OperatorPage page(metrics);
+    http::HttpServerSettings operatorListener;
+    operatorListener.address = settings.address;
+    operatorListener.port = settings.schedulerOperatorPort;
+    http::HttpServer operatorServer(
+        operatorListener, [&page](const http::HttpRequest &request, const auto &responder) {
+            page.handle(request, *responder);
+        });
     daemon::waitForStopSignal();
     fleetServices.membership().leave();
-    observability::log(observability::LogLevel::Info, "leaving", {});
-    std::this_thread::sleep_for(LeavingTime);
-    observability::log(observability::LogLevel::Info, "scheduler-stopped", {});
+    page.startLeaving();
+    drain(server);
+    observability::log(observability::LogLevel::Info, "scheduler-stopped",
+                       {{"routers-left", static_cast<std::int64_t>(server.routersUsing())}});
     return daemon::ExitOk;
 }
 
@@ -51,18 +75,7 @@
 
 int main(int argc, char **argv)
 {
-    const auto commandLine = monsoongrade::daemon::readCommandLine(
+    return monsoongrade::daemon::runDaemon(
         "monsoongrade-scheduler", "Grants places on endpoints to all routers of the cluster.", argc,
-        argv);
-    if (!commandLine.settings)
-        return commandLine.exitCode;
-    monsoongrade::daemon::blockStopSignals();
-    monsoongrade::observability::startLogging(
-        monsoongrade::daemon::logLevelFor(commandLine.settings->logLevel));
-    try {
-        return run(*commandLine.settings);
-    } catch (const std::exception &error) {
-        std::cerr << "monsoongrade-scheduler: " << error.what() << "\n";
-        return monsoongrade::daemon::ExitFailed;
-    }
+        argv, run);
 }
--- a/src/configuration/configurationwatcher.cpp
+++ b/src/configuration/configurationwatcher.cpp
@@ -43,9 +43,15 @@
 
 void ConfigurationWatcher::watchOnce()
 {
-    // A peer that fails to answer is asked again; the store below is the other way.
-    if (peers_.hasNewer() && attempt("peer", &ConfigurationUpdater::askPeer))
-        return;
+    if (peers_.hasNewer()) {
+        const units::Generation before = updater_.known();
+        attempt("peer", &ConfigurationUpdater::askPeer);
+        if (updater_.known() > before)
+            return;
+        // The peer failed, or has what was rejected here: without a pause it would be asked
+        // without end.
+        pause(PauseAfterError);
+    }
     const auto now = std::chrono::steady_clock::now();
     if (updater_.known() == units::Generation()) {
         // Just started: the store if it answers, else whoever is there.
--- a/src/rpc/internal/peerconnection.cpp
+++ b/src/rpc/internal/peerconnection.cpp
@@ -16,9 +16,10 @@
         .then([](kj::Own<kj::NetworkAddress> target) {
             return target->connect().attach(kj::mv(target));
         })
-        .then([this, settings](kj::Own<kj::AsyncIoStream> stream) -> schema::Peer::Client {
-            transport_ = kj::heap<Transport>(kj::mv(stream));
-            auto daemon = transport_->client.bootstrap().castAs<schema::Daemon>();
+        .then([transport = transport_,
+               settings](kj::Own<kj::AsyncIoStream> stream) -> schema::Peer::Client {
+            *transport = kj::heap<Transport>(kj::mv(stream));
+            auto daemon = (*transport)->client.bootstrap().castAs<schema::Daemon>();
             auto hello = daemon.helloRequest();
             hello.setCluster(settings.cluster.value());
             hello.setVersion(schema::PROTOCOL_VERSION);
--- a/src/rpc/internal/peerconnection.h
+++ b/src/rpc/internal/peerconnection.h
@@ -8,6 +8,9 @@
 #include <kj/async-io.h>
 #include <monsoongrade.capnp.h>
 
+#include <memory>
+#include <string>
+
 namespace monsoongrade::rpc::internal {
 
 // One connection to the Peer service of one daemon. On the RPC loop's thread only.
@@ -35,7 +38,8 @@
     schema::Peer::Client connect(RpcLoop &loop, const PeerSettings &settings,
                                  const std::string &address, std::uint16_t port);
 
-    kj::Own<Transport> transport_;
+    // Outlives this object while connecting goes on: calls may still wait for it.
+    std::shared_ptr<kj::Own<Transport>> transport_ = std::make_shared<kj::Own<Transport>>();
     schema::Peer::Client peer_;
 };
 
