--- a/src/slots/localslotsource.cpp
+++ b/src/slots/localslotsource.cpp
@@ -97,8 +97,8 @@
             }
             for (const auto &endpoint : pool.endpoints) {
                 poolOf_[endpoint.id] = name;
-                scheduler.setLeaving(endpoint.id,
-                                     fleet->leavingEndpointHosts.count(endpoint.host) > 0);
+                const bool hostLeaves = fleet->leavingEndpointHosts.count(endpoint.host) > 0;
+                scheduler.setLeaving(endpoint.id, hostLeaves || configuration->isDrained(endpoint));
             }
         }
     }
