--- a/include/monsoongrade/rpc/schedulerserver.h
+++ b/include/monsoongrade/rpc/schedulerserver.h
@@ -13,6 +13,8 @@
 
 namespace monsoongrade::rpc {
 
+class PeerServer;
+
 struct SchedulerServerSettings
 {
     units::ClusterName cluster;
@@ -27,6 +29,8 @@
     units::Duration lease = std::chrono::seconds(5);
     // Asks for a pool that no configuration names wait for one this long.
     units::Duration unknownPoolWait = std::chrono::seconds(2);
+    // Handed out with hello on the same listener; must outlive the server.
+    PeerServer *peers = nullptr;
 };
 
 // The scheduler's side of the protocol: one CellScheduler per pool, fed by routers over RPC, by
--- a/programs/monsoongrade-router/main.cpp
+++ b/programs/monsoongrade-router/main.cpp
@@ -1,6 +1,5 @@
 #include "slotsources.h"
 
-#include <monsoongrade/configuration/configurationwatcher.h>
 #include <monsoongrade/daemon/commandline.h>
 #include <monsoongrade/daemon/daemonid.h>
 #include <monsoongrade/daemon/entrypoints.h>
@@ -10,13 +9,13 @@
 #include <monsoongrade/endpoints/curlendpointclient.h>
 #include <monsoongrade/http/httpserver.h>
 #include <monsoongrade/http/query.h>
-#include <monsoongrade/membership/fleetwatcher.h>
 #include <monsoongrade/observability/log.h>
 #include <monsoongrade/platform/httpplatform.h>
 #include <monsoongrade/requests/callerfrontend.h>
 #include <monsoongrade/requests/threaddelayer.h>
 #include <monsoongrade/requests/unreachableholders.h>
 #include <monsoongrade/requests/workerpool.h>
+#include <monsoongrade/rpc/fleetservices.h>
 #include <monsoongrade/units/steadyclock.h>
 
 #include <atomic>
@@ -59,8 +58,9 @@
 // they have heard that it leaves. The listener serves until the last of these has run out, the
 // last answer's bytes have left, and nothing has come for a moment.
 void drain(requests::CallerFrontend &frontend, const http::HttpServer &server,
-           const configuration::DaemonSettings &settings)
+           membership::Membership &membership, const configuration::DaemonSettings &settings)
 {
+    membership.leave();
     frontend.startLeaving();
     observability::log(observability::LogLevel::Info, "leaving", {});
     std::this_thread::sleep_for(settings.keepAddress + LeavingSpread);
@@ -105,8 +105,8 @@
     std::atomic<units::TimePoint> configuredAt{clock.now()};
     configuration.addListener([&](const auto &) { configuredAt = clock.now(); });
     const units::TimePoint startedAt = clock.now();
-    membership::FleetWatcher fleetWatcher(platform, fleet);
-    configuration::ConfigurationWatcher configurationWatcher(platform, configuration);
+    rpc::FleetServices fleetServices(rpcLoop, clock, settings, membership::DaemonRole::Router, self,
+                                     fleet, configuration, metrics);
     http::HttpServer server(callerListener(settings),
                             [&](http::HttpRequest request, auto responder) {
                                 frontend.handle(request, std::move(responder));
@@ -130,10 +130,11 @@
                                     [&](const http::HttpRequest &request, const auto &responder) {
                                         operators.handle(request, *responder);
                                     });
+    fleetServices.start(platform, platform);
     observability::log(observability::LogLevel::Info, "router-started",
                        {{"daemon", self.value()}, {"port", static_cast<int>(settings.httpPort)}});
     daemon::waitForStopSignal();
-    drain(frontend, server, settings);
+    drain(frontend, server, fleetServices.membership(), settings);
     observability::log(observability::LogLevel::Info, "router-stopped", {});
     return daemon::ExitOk;
 }
--- a/schema/monsoongrade.capnp.h
+++ b/schema/monsoongrade.capnp.h
@@ -14,6 +14,8 @@
     "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
+#include "peer.capnp.h"
+
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -125,7 +127,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(b2bf1eb25d35b7a1, 1, 2)
+        CAPNP_DECLARE_STRUCT_HEADER(b2bf1eb25d35b7a1, 1, 3)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -833,6 +835,11 @@
     inline ::monsoongrade::schema::SlotService::Client getSlots() const;
 #endif // !CAPNP_LITE
 
+    inline bool hasPeer() const;
+#if !CAPNP_LITE
+    inline ::monsoongrade::schema::Peer::Client getPeer() const;
+#endif // !CAPNP_LITE
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -887,6 +894,15 @@
     inline ::capnp::Orphan<::monsoongrade::schema::SlotService> disownSlots();
 #endif // !CAPNP_LITE
 
+    inline bool hasPeer();
+#if !CAPNP_LITE
+    inline ::monsoongrade::schema::Peer::Client getPeer();
+    inline void setPeer(::monsoongrade::schema::Peer::Client &&value);
+    inline void setPeer(::monsoongrade::schema::Peer::Client &value);
+    inline void adoptPeer(::capnp::Orphan<::monsoongrade::schema::Peer> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::Peer> disownPeer();
+#endif // !CAPNP_LITE
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -912,6 +928,7 @@
     }
 
     inline ::monsoongrade::schema::SlotService::Client getSlots();
+    inline ::monsoongrade::schema::Peer::Client getPeer();
 
 private:
     ::capnp::AnyPointer::Pipeline _typeless;
@@ -3125,6 +3142,51 @@
 }
 #endif // !CAPNP_LITE
 
+inline bool HelloResult::Reader::hasPeer() const
+{
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool HelloResult::Builder::hasPeer()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+#if !CAPNP_LITE
+inline ::monsoongrade::schema::Peer::Client HelloResult::Reader::getPeer() const
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::Peer>::get(
+        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::monsoongrade::schema::Peer::Client HelloResult::Builder::getPeer()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::Peer>::get(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::monsoongrade::schema::Peer::Client HelloResult::Pipeline::getPeer()
+{
+    return ::monsoongrade::schema::Peer::Client(_typeless.getPointerField(2).asCap());
+}
+inline void HelloResult::Builder::setPeer(::monsoongrade::schema::Peer::Client &&cap)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::Peer>::set(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(cap));
+}
+inline void HelloResult::Builder::setPeer(::monsoongrade::schema::Peer::Client &cap)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::Peer>::set(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), cap);
+}
+inline void HelloResult::Builder::adoptPeer(::capnp::Orphan<::monsoongrade::schema::Peer> &&value)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::Peer>::adopt(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::monsoongrade::schema::Peer> HelloResult::Builder::disownPeer()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::Peer>::disown(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#endif // !CAPNP_LITE
+
 inline bool SlotAsk::Reader::hasRequest() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/rpc/internal/slotclient.cpp
+++ b/src/rpc/internal/slotclient.cpp
@@ -34,7 +34,7 @@
     , links_(loop, settings, metrics, *tasks_, [this](const LinkPointer &link) { gone(link); })
     , held_(*tasks_)
 {
-    links_.setMembers(fleet_.current()->liveEntryHosts());
+    links_.setMembers(fleet_.current()->liveSchedulerHosts());
     tick();
 }
 
@@ -72,7 +72,7 @@
 
 void SlotClient::fleetChanged()
 {
-    if (!links_.setMembers(fleet_.current()->liveEntryHosts()))
+    if (!links_.setMembers(fleet_.current()->liveSchedulerHosts()))
         return;
     for (const auto &entry : pools_)
         assign(entry.first);
