--- a/tests/rpc/rpcfixture.h
+++ b/tests/rpc/rpcfixture.h
@@ -118,13 +118,16 @@
                   configuration::ConfigurationHolder &configuration, membership::FleetHolder &fleet,
                   rpc::SchedulerServerSettings settings = {})
         : address_(address)
+        , configuration_(configuration)
+        , fleet_(fleet)
+        , settings_(settings)
     {
-        settings.cluster = testCluster();
-        settings.self = units::DaemonId(address);
-        settings.address = address;
-        settings.port = port;
-        server = std::make_unique<rpc::SchedulerServer>(loop, clock, settings, configuration, fleet,
-                                                        metrics);
+        settings_.cluster = testCluster();
+        settings_.self = units::DaemonId(address);
+        settings_.address = address;
+        settings_.port = port;
+        start();
+        settings_.port = server->port();
     }
     ~TestScheduler() { wake(); }
 
@@ -133,8 +136,14 @@
         return {units::HostName(address_), address_, units::FailureDomain("d"), false, false};
     }
     void kill() { server.reset(); }
+    void start()
+    {
+        server = std::make_unique<rpc::SchedulerServer>(loop, clock, settings_, configuration_,
+                                                        fleet_, metrics);
+    }
     void freeze()
     {
+        woken_ = {};
         const std::shared_future<void> woken = woken_.get_future().share();
         loop.post([woken] { woken.wait(); });
         frozen_ = true;
@@ -161,6 +170,9 @@
 
 private:
     std::string address_;
+    configuration::ConfigurationHolder &configuration_;
+    membership::FleetHolder &fleet_;
+    rpc::SchedulerServerSettings settings_;
     std::promise<void> woken_;
     bool frozen_ = false;
 };
--- a/tests/rpc/schedulerdeath_test.cpp
+++ b/tests/rpc/schedulerdeath_test.cpp
@@ -143,3 +143,27 @@
     REQUIRE(eventually([&] { return cluster.first->holds(6); }));
     CHECK(granted() == 6);
 }
+
+// The next caller sees its answer. A request ends between the report of its grant to the next
+// scheduler and the answer with the grant's new number; sent with the old number or not at all,
+// its release would leave the slot taken for ever.
+TEST_CASE("HeldSlots.ReleaseThatOvertakesTheReportsAnswerFreesTheSlot")
+{
+    TwoSchedulers cluster;
+    rpc::RpcSlotSourceSettings patient;
+    patient.silenceLimit = std::chrono::minutes(2);
+    TestRouter router("r", cluster.port, cluster.fleet, patient);
+    const Noted held = router.ask("held");
+    REQUIRE(eventually([&] { return held->isGranted(); }));
+    cluster.second->freeze();
+    cluster.publish({cluster.second->member()});
+    cluster.first->kill();
+    REQUIRE(eventually([&] {
+        return router.metrics.counter("monsoongrade_pool_moves_total", "pool=\"pool\"") == 2;
+    }));
+    router.release(held);
+    router.loop.postAndWait([] {});
+    cluster.second->wake();
+    const Noted next = router.ask("next");
+    CHECK(eventually([&] { return next->isGranted(); }));
+}
