--- a/src/load/loadreport.cpp
+++ b/src/load/loadreport.cpp
@@ -1,5 +1,7 @@
 #include <monsoongrade/load/loadreport.h>
 
+#include <monsoongrade/load/loadseries.h>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -40,9 +42,7 @@
         }
         report.tokensDelivered += result.tokens;
         firstTokens.push_back(seconds(result.firstToken));
-        if (result.firstToken <= loadClass.firstTokenTarget
-            && result.whole <= loadClass.wholeAnswerTarget)
-            ++report.attained;
+        report.attained += isAttained(loadClass, result) ? 1 : 0;
     }
     std::sort(firstTokens.begin(), firstTokens.end());
     report.firstTokenP50 = quantile(firstTokens, 0.50);
@@ -57,6 +57,15 @@
     return found == counts.end() ? 0 : found->second;
 }
 
+std::size_t brokenIn(const ClassReport &report)
+{
+    std::size_t count = 0;
+    for (const LoadOutcome outcome :
+         {LoadOutcome::Mixed, LoadOutcome::CutShort, LoadOutcome::Unequal, LoadOutcome::Lost})
+        count += countOf(report.byOutcome, outcome);
+    return count;
+}
+
 json classJson(const ClassReport &report)
 {
     return {{"class", report.name},
@@ -83,6 +92,20 @@
             {"attempts", result.attempts}};
 }
 
+json seriesJson(const ClassSeries &series)
+{
+    json points = json::array();
+    for (const SeriesPoint &point : series.points)
+        points.push_back({{"second", point.second},
+                          {"sent", point.sent},
+                          {"answered", point.answered},
+                          {"attained", point.attained},
+                          {"refused", point.refused},
+                          {"failed", point.failed},
+                          {"first_token_p95_s", point.firstTokenP95}});
+    return {{"class", series.name}, {"points", points}};
+}
+
 } // namespace
 
 double ClassReport::attainment() const
@@ -107,12 +130,8 @@
 
 bool LoadReport::hasBrokenPromise() const
 {
-    return std::any_of(classes.begin(), classes.end(), [](const ClassReport &report) {
-        return countOf(report.byOutcome, LoadOutcome::Mixed)
-            + countOf(report.byOutcome, LoadOutcome::CutShort)
-            + countOf(report.byOutcome, LoadOutcome::Lost)
-            > 0;
-    });
+    return std::any_of(classes.begin(), classes.end(),
+                       [](const ClassReport &report) { return brokenIn(report) > 0; });
 }
 
 LoadReport makeReport(const LoadScript &script, const std::vector<LoadResult> &results)
@@ -133,8 +152,7 @@
                   "p99 s");
     std::string out = line;
     for (const ClassReport &c : report.classes) {
-        const std::size_t broken = countOf(c.byOutcome, LoadOutcome::Mixed)
-            + countOf(c.byOutcome, LoadOutcome::CutShort) + countOf(c.byOutcome, LoadOutcome::Lost);
+        const std::size_t broken = brokenIn(c);
         std::snprintf(
             line, sizeof(line), "%-16s %6zu %8zu %7zu %6zu %6zu %8.1f%% %8.3f %8.3f %8.3f\n",
             c.name.c_str(), c.sent, countOf(c.byOutcome, LoadOutcome::Answered),
@@ -157,7 +175,8 @@
     return out + "\n";
 }
 
-std::string reportJson(const LoadReport &report, const std::vector<LoadResult> &results)
+std::string reportJson(const LoadReport &report, const std::vector<ClassSeries> &series,
+                       const std::vector<LoadResult> &results)
 {
     json out;
     for (const ClassReport &c : report.classes)
@@ -168,6 +187,8 @@
     out["wasted_share"] = report.wastedShare();
     out["seconds"] = report.seconds;
     out["broken_promise"] = report.hasBrokenPromise();
+    for (const ClassSeries &one : series)
+        out["series"].push_back(seriesJson(one));
     for (const LoadResult &result : results)
         out["requests"].push_back(resultJson(result));
     return out.dump(1);
