--- a/include/monsoongrade/configuration/mappingreader.h
+++ b/include/monsoongrade/configuration/mappingreader.h
@@ -2,11 +2,13 @@
 #define MONSOONGRADE_CONFIGURATION_MAPPINGREADER_H
 
 #include <monsoongrade/configuration/problem.h>
+#include <monsoongrade/configuration/sourcefile.h>
 #include <monsoongrade/units/clock.h>
 
 #include <yaml-cpp/yaml.h>
 
 #include <limits>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -19,6 +21,10 @@
 class MappingReader
 {
 public:
+    // Parses a file whose top is one mapping. Nothing, and a problem noted, where the text is no
+    // YAML.
+    static std::optional<MappingReader> ofFile(const SourceFile &file, Problems &problems);
+
     MappingReader(std::string file, const YAML::Node &node, Problems &problems);
 
     bool has(const std::string &key) const;
--- a/src/requests/requestflow.cpp
+++ b/src/requests/requestflow.cpp
@@ -229,16 +229,16 @@
                                    std::make_shared<StepListener>(shared_from_this(), step_));
 }
 
-// While a stream is resumed only an answer that goes on behind the same event counts as one; an
-// engine that started anew would splice two runs.
+// An engine that doesn't know how to resume ignores the offset and starts anew; the caller would
+// get a splice of two runs. So a resumed stream counts only where the answer names the offset.
 bool RequestFlow::isEventStream() const
 {
     if (!internal::isEventStream(answerHeaders_))
         return false;
-    if (!resumes_)
+    if (!resumes_ || eventsAtCall_ == 0)
         return true;
-    const std::string offset = internal::valueOf(answerHeaders_, "resume-offset");
-    return attempt_.status == 200 && (offset.empty() || offset == std::to_string(eventsAtCall_));
+    return attempt_.status == 200
+        && internal::valueOf(answerHeaders_, "resume-offset") == std::to_string(eventsAtCall_);
 }
 
 void RequestFlow::beginRelay()
--- a/src/rpc/internal/cell.cpp
+++ b/src/rpc/internal/cell.cpp
@@ -80,7 +80,6 @@
     tiers_.clear();
     for (const auto &[name, classPolicy] : policy.classes)
         tiers_.emplace(name, classPolicy.tier);
-    endpointCount_ = policy.endpoints.size();
     scheduler_.configure(policy);
 }
 
@@ -127,7 +126,7 @@
         waiter->fail();
     }
     for (auto entry = held_.begin(); entry != held_.end();)
-        entry = entry->second.session == session ? held_.erase(entry) : std::next(entry);
+        entry = entry->second == session ? held_.erase(entry) : std::next(entry);
     detach(session);
     scheduler_.routerLost(session);
 }
@@ -150,18 +149,16 @@
 void Cell::release(const units::DaemonId &session, const scheduling::SlotRelease &release)
 {
     const auto found = held_.find(release.grant);
-    if (found == held_.end() || found->second.session != session)
+    if (found == held_.end() || found->second != session)
         return;
-    const units::EndpointId endpoint = found->second.endpoint;
     held_.erase(found);
-    noteHealth(endpoint, release.outcome);
     scheduler_.release(release);
 }
 
 units::GrantId Cell::adopt(const scheduling::SlotAsk &ask, const units::EndpointId &endpoint)
 {
     const units::GrantId grant = scheduler_.adopt(ask, endpoint);
-    held_[grant] = {ask.router, endpoint};
+    held_[grant] = ask.router;
     return grant;
 }
 
@@ -177,8 +174,6 @@
 void Cell::tick()
 {
     openIfSettled();
-    for (const units::EndpointId &endpoint : suspicion_.takeExpired(clock_.now()))
-        scheduler_.setSuspected(endpoint, false);
     scheduler_.tick();
 }
 
@@ -188,15 +183,12 @@
     metrics_.set("monsoongrade_cell_waiting", labels, static_cast<double>(waiters_.size()));
     metrics_.set("monsoongrade_cell_held", labels, static_cast<double>(held_.size()));
     metrics_.set("monsoongrade_cell_routers", labels, static_cast<double>(attached_.size()));
-    metrics_.set("monsoongrade_cell_suspected_endpoints", labels,
-                 static_cast<double>(suspicion_.suspected()));
 }
 
 std::size_t Cell::heldBy(const units::DaemonId &session) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(held_.begin(), held_.end(),
-                      [&](const auto &entry) { return entry.second.session == session; }));
+    return static_cast<std::size_t>(std::count_if(
+        held_.begin(), held_.end(), [&](const auto &entry) { return entry.second == session; }));
 }
 
 std::size_t Cell::waitingOf(const units::DaemonId &session) const
@@ -209,7 +201,7 @@
 void Cell::granted(const scheduling::SlotGrant &grant)
 {
     metrics_.add("monsoongrade_slots_granted_total", observability::label("pool", pool_.value()));
-    held_[grant.id] = {grant.router, grant.endpoint};
+    held_[grant.id] = grant.router;
     const auto found = waiters_.find(grant.request);
     if (found != waiters_.end())
         found->second->decide(grant);
@@ -267,22 +259,4 @@
                         {"adopted", static_cast<std::int64_t>(held_.size())}});
 }
 
-// The last endpoint is never suspected: with none left every ask would be refused, though a
-// probe could still be answered.
-void Cell::noteHealth(const units::EndpointId &endpoint, scheduling::ReleaseOutcome outcome)
-{
-    if (outcome == scheduling::ReleaseOutcome::Completed)
-        suspicion_.completed(endpoint);
-    if (outcome != scheduling::ReleaseOutcome::EndpointFailed
-        || suspicion_.suspected() + 1 >= endpointCount_)
-        return;
-    if (!suspicion_.failed(endpoint, clock_.now()))
-        return;
-    scheduler_.setSuspected(endpoint, true);
-    metrics_.add("monsoongrade_endpoints_suspected_total",
-                 observability::label("pool", pool_.value()));
-    observability::log(observability::LogLevel::Warning, "endpoint-suspected",
-                       {{"pool", pool_.value()}, {"endpoint", endpoint.value()}});
-}
-
 } // namespace monsoongrade::rpc::internal
--- a/src/rpc/internal/cells.cpp
+++ b/src/rpc/internal/cells.cpp
@@ -57,8 +57,10 @@
 {
     const units::TimePoint now = clock_.now();
     const bool write = now - metricsWritten_ >= MetricsPeriod;
-    if (write)
+    if (write) {
         metricsWritten_ = now;
+        metrics_.set("monsoongrade_asks_awaiting_pool", {}, static_cast<double>(awaited_.size()));
+    }
     for (auto &entry : cells_) {
         entry.second->tick();
         if (write)
--- a/tests/endpoints/scriptedserver.h
+++ b/tests/endpoints/scriptedserver.h
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <chrono>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -39,8 +40,11 @@
         asio::error_code ignored;
         waker.connect(acceptor_.local_endpoint(), ignored);
         thread_.join();
-        for (const auto &socket : sockets_)
-            socket->shutdown(asio::socket_base::shutdown_both, ignored);
+        {
+            const std::lock_guard lock(mutex_);
+            for (const auto &socket : sockets_)
+                socket->shutdown(asio::socket_base::shutdown_both, ignored);
+        }
         for (std::thread &thread : connections_)
             thread.join();
     }
@@ -66,6 +70,7 @@
             connections_.emplace_back([this, socket, number] {
                 serve(*socket, scripts_[std::min(number, scripts_.size() - 1)]);
                 waitForClient(*socket);
+                const std::lock_guard lock(mutex_);
                 if (reset_)
                     socket->set_option(asio::socket_base::linger(true, 0));
                 socket->close();
@@ -101,6 +106,8 @@
     std::atomic<int> requests_{0};
     std::atomic<bool> stopping_{false};
     std::atomic<std::chrono::milliseconds> keepOpen_{std::chrono::milliseconds(0)};
+    // Sockets are closed on one thread and shut down on another.
+    std::mutex mutex_;
     std::vector<std::shared_ptr<asio::ip::tcp::socket>> sockets_;
     std::vector<std::thread> connections_;
     std::thread thread_;
--- a/tests/requests/flowworld.cpp
+++ b/tests/requests/flowworld.cpp
@@ -131,8 +131,13 @@
     if (work.ended)
         return;
     const auto listener = fixture_.client.calls[call].listener;
-    if (!std::exchange(work.head, true))
-        listener->answerHead(200, {{"content-type", "text/event-stream"}});
+    if (!std::exchange(work.head, true)) {
+        endpoints::Headers headers{{"content-type", "text/event-stream"}};
+        const std::string offset = fixture_.client.calls[call].header("resume-offset");
+        if (!offset.empty())
+            headers.emplace_back("resume-offset", offset);
+        listener->answerHead(200, headers);
+    }
     if (!bytes.empty() && listener->answerBody(bytes) == FlowControl::Pause)
         fixture_.client.calls[call].paused = true;
 }
--- a/tests/rpc/rpcfixture.h
+++ b/tests/rpc/rpcfixture.h
@@ -146,10 +146,10 @@
         frozen_ = false;
     }
     bool holds(double slots) { return gauge("monsoongrade_cell_held") == slots; }
-    double gauge(const std::string &name)
+    double gauge(const std::string &name, const std::string &labels = "{pool=\"pool\"}")
     {
         const std::string text = metrics.exposition();
-        const std::string line = name + "{pool=\"pool\"} ";
+        const std::string line = "\n" + name + labels + " ";
         const std::size_t found = text.find(line);
         return found == std::string::npos ? 0 : std::stod(text.substr(found + line.size()));
     }
