--- a/src/requests/requestflow.cpp
+++ b/src/requests/requestflow.cpp
@@ -236,10 +236,10 @@
 {
     if (!internal::isEventStream(answerHeaders_))
         return false;
-    if (!resumes_)
+    if (!resumes_ || eventsAtCall_ == 0)
         return true;
-    const std::string offset = internal::valueOf(answerHeaders_, "resume-offset");
-    return attempt_.status == 200 && offset == std::to_string(eventsAtCall_);
+    return attempt_.status == 200
+        && internal::valueOf(answerHeaders_, "resume-offset") == std::to_string(eventsAtCall_);
 }
 
 void RequestFlow::beginRelay()
--- a/tests/http/httpserver_test.cpp
+++ b/tests/http/httpserver_test.cpp
@@ -130,6 +130,8 @@
     }
     CHECK(gone.get_future().wait_for(std::chrono::seconds(5)) == std::future_status::ready);
     CHECK(fixture.becomesIdle());
+    // No responder may outlive its server.
+    open.reset();
 }
 
 } // namespace monsoongrade::http
--- a/tests/requests/keyedrequests_threads_test.cpp
+++ b/tests/requests/keyedrequests_threads_test.cpp
@@ -101,7 +101,9 @@
     ThreadDelayer delayer;
     UnreachableHolders holders(delayer);
     auto configuration = std::make_shared<configuration::Configuration>();
-    configuration->pools[units::PoolName("p")].endpoints.push_back({units::EndpointId("e")});
+    configuration::EndpointConfig endpoint;
+    endpoint.id = units::EndpointId("e");
+    configuration->pools[units::PoolName("p")].endpoints.push_back(endpoint);
     GrantingSource slots;
     AnsweringClient client;
     const FlowServices services{clock,     slots,   client,  metrics,
