--- a/programs/monsoongrade-scheduler/main.cpp
+++ b/programs/monsoongrade-scheduler/main.cpp
@@ -1,13 +1,12 @@
 #include "operatorpage.h"
 
-#include <monsoongrade/configuration/configurationwatcher.h>
 #include <monsoongrade/daemon/commandline.h>
 #include <monsoongrade/daemon/daemonid.h>
 #include <monsoongrade/daemon/stopsignal.h>
 #include <monsoongrade/endpoints/curlendpointclient.h>
-#include <monsoongrade/membership/fleetwatcher.h>
 #include <monsoongrade/observability/log.h>
 #include <monsoongrade/platform/httpplatform.h>
+#include <monsoongrade/rpc/fleetservices.h>
 #include <monsoongrade/rpc/schedulerserver.h>
 #include <monsoongrade/units/steadyclock.h>
 
@@ -45,11 +44,13 @@
     membership::FleetHolder fleet;
     rpc::RpcLoop rpcLoop;
     const units::DaemonId self = daemon::newDaemonId(settings.host, "scheduler");
-    rpc::SchedulerServer server(
-        rpcLoop, clock, {settings.cluster, self, settings.address, settings.schedulerRpcPort},
-        configuration, fleet, metrics);
-    membership::FleetWatcher fleetWatcher(platform, fleet);
-    configuration::ConfigurationWatcher configurationWatcher(platform, configuration);
+    rpc::FleetServices fleetServices(rpcLoop, clock, settings, membership::DaemonRole::Scheduler,
+                                     self, fleet, configuration, metrics);
+    rpc::SchedulerServerSettings listener{settings.cluster, self, settings.address,
+                                          settings.schedulerRpcPort};
+    listener.peers = &fleetServices.peers();
+    rpc::SchedulerServer server(rpcLoop, clock, listener, configuration, fleet, metrics);
+    fleetServices.start(platform, platform);
     observability::log(
         observability::LogLevel::Info, "scheduler-started",
         {{"daemon", self.value()}, {"port", static_cast<int>(settings.schedulerRpcPort)}});
@@ -62,6 +63,7 @@
             page.handle(request, *responder);
         });
     daemon::waitForStopSignal();
+    fleetServices.membership().leave();
     page.startLeaving();
     drain(server);
     observability::log(observability::LogLevel::Info, "scheduler-stopped",
--- a/src/requests/requestflow.cpp
+++ b/src/requests/requestflow.cpp
@@ -229,16 +229,17 @@
                                    std::make_shared<StepListener>(shared_from_this(), step_));
 }
 
-// An engine that doesn't know how to resume ignores the offset and starts anew; the caller would
-// get a splice of two runs. So a resumed stream counts only where the answer names the offset.
+// While a stream is resumed only an answer that says that it goes on behind the same event counts
+// as one. An engine that doesn't know how to resume starts anew and says nothing; taken for the
+// rest, its answer would give the caller a splice of two runs.
 bool RequestFlow::isEventStream() const
 {
     if (!internal::isEventStream(answerHeaders_))
         return false;
     if (!resumes_ || eventsAtCall_ == 0)
         return true;
-    return attempt_.status == 200
-        && internal::valueOf(answerHeaders_, "resume-offset") == std::to_string(eventsAtCall_);
+    const std::string offset = internal::valueOf(answerHeaders_, "resume-offset");
+    return attempt_.status == 200 && offset == std::to_string(eventsAtCall_);
 }
 
 void RequestFlow::beginRelay()
--- a/src/rpc/schedulerserver.cpp
+++ b/src/rpc/schedulerserver.cpp
@@ -1,5 +1,6 @@
 #include <monsoongrade/rpc/schedulerserver.h>
 
+#include <rpc/internal/peerservice.h>
 #include <rpc/internal/slotservice.h>
 
 #include <monsoongrade/observability/log.h>
@@ -47,6 +48,8 @@
             return kj::READY_NOW;
         }
         result.setIncarnation(settings_.self.value());
+        if (settings_.peers != nullptr)
+            result.setPeer(internal::peerService(*settings_.peers));
         result.setSlots(kj::heap<internal::SlotService>(cells_, sessions_, clock_,
                                                         units::DaemonId(params.getDaemon())));
         return kj::READY_NOW;
--- a/tests/requests/requestflow_test.cpp
+++ b/tests/requests/requestflow_test.cpp
@@ -110,13 +110,22 @@
         second.listener->answerEnd({});
         CHECK(caller->body == "data: 1\n\ndata: 2\n\ndata: 3\n\ndata: [DONE]\n\n");
     }
-    SUBCASE("it starts anew")
+    SUBCASE("it starts anew and does not know that it should go on")
     {
         second.listener->answerHead(200, EventStream);
         second.listener->answerBody("data: 1\n\ndata: [DONE]\n\n");
         second.listener->answerEnd({});
         CHECK(caller->body == "data: 1\n\ndata: 2\n\n");
     }
+    SUBCASE("it starts anew and says so")
+    {
+        auto headers = EventStream;
+        headers.emplace_back("resume-offset", "0");
+        second.listener->answerHead(200, headers);
+        second.listener->answerBody("data: 1\n\ndata: [DONE]\n\n");
+        second.listener->answerEnd({});
+        CHECK(caller->body == "data: 1\n\ndata: 2\n\n");
+    }
     CHECK(fixture.slots.released.size() == 2);
 }
 
