--- a/tests/load/loadseries_test.cpp
+++ b/tests/load/loadseries_test.cpp
@@ -33,9 +33,10 @@
 
 TEST_CASE("makeSeries.CountsBySecondOfSending")
 {
-    const auto series = load::makeSeries(
-        script(), {result(100ms, LoadOutcome::Answered, 500ms),
-                   result(900ms, LoadOutcome::Answered, 2s), result(2s, LoadOutcome::Refused, 0s)});
+    const auto series = load::makeSeries(script(),
+                                         {result(100ms, LoadOutcome::Answered, 500ms),
+                                          result(900ms, LoadOutcome::Answered, 2s),
+                                          result(2s, LoadOutcome::Refused, 0s)});
     REQUIRE(series.size() == 1);
     REQUIRE(series[0].points.size() == 2);
     CHECK(series[0].points[0].sent == 2);
