--- a/include/monsoongrade/rpc/fleetservices.h
+++ b/include/monsoongrade/rpc/fleetservices.h
@@ -28,6 +28,7 @@
 
     membership::Membership &membership() { return membership_; }
     PeerServer &peers() { return server_; }
+    PeerClient &client() { return client_; }
 
 private:
     configuration::ConfigurationHolder &configuration_;
--- a/include/monsoongrade/rpc/peerclient.h
+++ b/include/monsoongrade/rpc/peerclient.h
@@ -3,6 +3,7 @@
 
 #include <monsoongrade/configuration/configurationcontents.h>
 #include <monsoongrade/membership/peermessage.h>
+#include <monsoongrade/requests/keyholderclient.h>
 #include <monsoongrade/rpc/peersettings.h>
 #include <monsoongrade/rpc/rpcloop.h>
 
@@ -33,6 +34,12 @@
     fetchConfiguration(const membership::MemberRecord &from, units::Generation above,
                        const configuration::TextByHash &known);
 
+    // Asks a router about an idempotency key that it holds. Replies on the loop's thread, once;
+    // as Unreachable where the router can't be reached or does not answer within a minute. From
+    // any thread.
+    void askKey(const membership::MemberRecord &holder, const requests::HolderQuestion &question,
+                requests::KeyHolderClient::ReplyHandler reply);
+
 private:
     class Impl;
     RpcLoop &loop_;
--- a/programs/monsoongrade-router/main.cpp
+++ b/programs/monsoongrade-router/main.cpp
@@ -13,9 +13,9 @@
 #include <monsoongrade/platform/httpplatform.h>
 #include <monsoongrade/requests/callerfrontend.h>
 #include <monsoongrade/requests/threaddelayer.h>
-#include <monsoongrade/requests/unreachableholders.h>
 #include <monsoongrade/requests/workerpool.h>
 #include <monsoongrade/rpc/fleetservices.h>
+#include <monsoongrade/rpc/rpckeyholders.h>
 #include <monsoongrade/units/steadyclock.h>
 
 #include <atomic>
@@ -90,10 +90,16 @@
     requests::ThreadDelayer delayer;
     const requests::FlowServices services{clock,     slots.chosen(), endpointClient, metrics,
                                           decisions, retries,        delayer,        self};
+    std::atomic<units::TimePoint> configuredAt{clock.now()};
+    configuration.addListener([&](const auto &) { configuredAt = clock.now(); });
+    rpc::FleetServices fleetServices(rpcLoop, clock, settings, membership::DaemonRole::Router, self,
+                                     fleet, configuration, metrics);
     requests::ClaimStore claims(platform, clock, metrics);
-    requests::UnreachableHolders holders(delayer);
+    rpc::RpcKeyHolders holders(rpcLoop, fleetServices.client(), fleetServices.membership());
     requests::WorkerPool claimWorker(ClaimThreads, MostClaimsWaiting);
     requests::KeyedRequests keyed(services, claims, holders, claimWorker, {});
+    fleetServices.peers().answerKeysWith(
+        [&keyed](const auto &question, const auto &reply) { keyed.answerPeer(question, reply); });
     requests::CallerFrontend frontend(services, keyed, configuration, settings.openLimit, [&] {
         const auto inForce = configuration.current();
         std::set<std::string> drained = inForce ? inForce->drained : std::set<std::string>();
@@ -102,11 +108,7 @@
         return daemon::entryPointsAnswer(*fleet.current(), drained, settings.failureDomain,
                                          settings.httpPort, settings.keepAddress);
     });
-    std::atomic<units::TimePoint> configuredAt{clock.now()};
-    configuration.addListener([&](const auto &) { configuredAt = clock.now(); });
     const units::TimePoint startedAt = clock.now();
-    rpc::FleetServices fleetServices(rpcLoop, clock, settings, membership::DaemonRole::Router, self,
-                                     fleet, configuration, metrics);
     http::HttpServer server(callerListener(settings),
                             [&](http::HttpRequest request, auto responder) {
                                 frontend.handle(request, std::move(responder));
@@ -135,6 +137,7 @@
                        {{"daemon", self.value()}, {"port", static_cast<int>(settings.httpPort)}});
     daemon::waitForStopSignal();
     drain(frontend, server, fleetServices.membership(), settings);
+    fleetServices.peers().answerKeysWith({});
     observability::log(observability::LogLevel::Info, "router-stopped", {});
     return daemon::ExitOk;
 }
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -39,6 +39,25 @@
   text @1 :Data;
 }
 
+struct KeyQuestion {
+  holder @0 :Text;           # id of the life of the router that is asked
+  workspace @1 :Text;
+  key @2 :Text;
+  fingerprint @3 :Text;
+}
+
+struct KeyHeader {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct KeyReply {
+  kind @0 :UInt8;
+  status @1 :UInt16;
+  headers @2 :List(KeyHeader);
+  body @3 :Data;
+}
+
 interface Peer {
   # Returns what the receiver has to say to the sender at once.
   tell @0 (news :PeerNews) -> (answers :List(PeerNews));
@@ -46,4 +65,6 @@
   # not. Contents whose hashes the caller names are left out.
   fetchConfiguration @1 (above :UInt64, known :List(Text))
       -> (manifest :Text, contents :List(ConfigurationContent));
+  # What became of an idempotency key that this router holds. Returns when its run has ended.
+  askKey @2 (question :KeyQuestion) -> (reply :KeyReply);
 }
--- a/schema/peer.capnp.c++
+++ b/schema/peer.capnp.c++
@@ -471,7 +471,250 @@
   0, 2, i_813e00b0ba4b6811, nullptr, nullptr, { &s_813e00b0ba4b6811, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<39> b_bc6beb81ad7c0de0 = {
+static const ::capnp::_::AlignedData<79> b_9e2233b3cfbc54e2 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    226,  84, 188, 207, 179,  51,  34, 158,
+     11,   0,   0,   0,   1,   0,   0,   0,
+    102,  66, 125, 224,  91,  31, 169, 195,
+      4,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 186,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 231,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  75, 101, 121,  81, 117,
+    101, 115, 116, 105, 111, 110,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100,   0,   0,   0,   3,   0,   1,   0,
+    112,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109,   0,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104,   0,   0,   0,   3,   0,   1,   0,
+    116,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   3,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    113,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112,   0,   0,   0,   3,   0,   1,   0,
+    124,   0,   0,   0,   2,   0,   1,   0,
+    104, 111, 108, 100, 101, 114,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    119, 111, 114, 107, 115, 112,  97,  99,
+    101,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    107, 101, 121,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    102, 105, 110, 103, 101, 114, 112, 114,
+    105, 110, 116,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_9e2233b3cfbc54e2 = b_9e2233b3cfbc54e2.words;
+#if !CAPNP_LITE
+static const uint16_t m_9e2233b3cfbc54e2[] = {3, 0, 2, 1};
+static const uint16_t i_9e2233b3cfbc54e2[] = {0, 1, 2, 3};
+const ::capnp::_::RawSchema s_9e2233b3cfbc54e2 = {
+  0x9e2233b3cfbc54e2, b_9e2233b3cfbc54e2.words, 79, nullptr, m_9e2233b3cfbc54e2,
+  0, 4, i_9e2233b3cfbc54e2, nullptr, nullptr, { &s_9e2233b3cfbc54e2, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<47> b_c1119d68c26d7beb = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    235, 123, 109, 194, 104, 157,  17, 193,
+     11,   0,   0,   0,   1,   0,   0,   0,
+    102,  66, 125, 224,  91,  31, 169, 195,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 170,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  75, 101, 121,  72, 101,
+     97, 100, 101, 114,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    110,  97, 109, 101,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    118,  97, 108, 117, 101,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_c1119d68c26d7beb = b_c1119d68c26d7beb.words;
+#if !CAPNP_LITE
+static const uint16_t m_c1119d68c26d7beb[] = {0, 1};
+static const uint16_t i_c1119d68c26d7beb[] = {0, 1};
+const ::capnp::_::RawSchema s_c1119d68c26d7beb = {
+  0xc1119d68c26d7beb, b_c1119d68c26d7beb.words, 47, nullptr, m_c1119d68c26d7beb,
+  0, 2, i_c1119d68c26d7beb, nullptr, nullptr, { &s_c1119d68c26d7beb, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<81> b_c28d4cc93cea408a = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    138,  64, 234,  60, 201,  76, 141, 194,
+     11,   0,   0,   0,   1,   0,   1,   0,
+    102,  66, 125, 224,  91,  31, 169, 195,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 162,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 231,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  75, 101, 121,  82, 101,
+    112, 108, 121,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     96,   0,   0,   0,   3,   0,   1,   0,
+    108,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100,   0,   0,   0,   3,   0,   1,   0,
+    128,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    125,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    120,   0,   0,   0,   3,   0,   1,   0,
+    132,   0,   0,   0,   2,   0,   1,   0,
+    107, 105, 110, 100,   0,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116,  97, 116, 117, 115,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104, 101,  97, 100, 101, 114, 115,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    235, 123, 109, 194, 104, 157,  17, 193,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     98, 111, 100, 121,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_c28d4cc93cea408a = b_c28d4cc93cea408a.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_c28d4cc93cea408a[] = {
+  &s_c1119d68c26d7beb,
+};
+static const uint16_t m_c28d4cc93cea408a[] = {3, 2, 0, 1};
+static const uint16_t i_c28d4cc93cea408a[] = {0, 1, 2, 3};
+const ::capnp::_::RawSchema s_c28d4cc93cea408a = {
+  0xc28d4cc93cea408a, b_c28d4cc93cea408a.words, 81, d_c28d4cc93cea408a, m_c28d4cc93cea408a,
+  1, 4, i_c28d4cc93cea408a, nullptr, nullptr, { &s_c28d4cc93cea408a, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<49> b_bc6beb81ad7c0de0 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     224,  13, 124, 173, 129, 235, 107, 188,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -481,49 +724,61 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 135,   0,   0,   0,
-    109,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0, 199,   0,   0,   0,
+    149,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-      8,   0,   0,   0,   3,   0,   5,   0,
+     12,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     108, 225,  28, 244,  29,  12, 151, 254,
      47, 245, 150,  94,  93, 241,  42, 160,
-     49,   0,   0,   0,  42,   0,   0,   0,
+     81,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     37,   0,   0,   0,   7,   0,   0,   0,
+     69,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     212, 230, 233, 220, 158, 207,   3, 205,
     114,  15,  96, 167, 186, 202,   5, 191,
-     25,   0,   0,   0, 154,   0,   0,   0,
+     57,   0,   0,   0, 154,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+     53,   0,   0,   0,   7,   0,   0,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+    223,   7,  46, 165,  65, 187,  18, 145,
+    208,  69, 229, 138,  67, 168, 202, 180,
+     41,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
     116, 101, 108, 108,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     102, 101, 116,  99, 104,  67, 111, 110,
     102, 105, 103, 117, 114,  97, 116, 105,
     111, 110,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+     97, 115, 107,  75, 101, 121,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_bc6beb81ad7c0de0 = b_bc6beb81ad7c0de0.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_bc6beb81ad7c0de0[] = {
+  &s_9112bb41a52e07df,
   &s_a02af15d5e96f52f,
+  &s_b4caa8438ae545d0,
   &s_bf05cabaa7600f72,
   &s_cd03cf9edce9e6d4,
   &s_fe970c1df41ce16c,
 };
-static const uint16_t m_bc6beb81ad7c0de0[] = {1, 0};
+static const uint16_t m_bc6beb81ad7c0de0[] = {2, 1, 0};
 const ::capnp::_::RawSchema s_bc6beb81ad7c0de0 = {
-  0xbc6beb81ad7c0de0, b_bc6beb81ad7c0de0.words, 39, d_bc6beb81ad7c0de0, m_bc6beb81ad7c0de0,
-  4, 2, nullptr, nullptr, nullptr, { &s_bc6beb81ad7c0de0, nullptr, nullptr, 0, 0, nullptr }
+  0xbc6beb81ad7c0de0, b_bc6beb81ad7c0de0.words, 49, d_bc6beb81ad7c0de0, m_bc6beb81ad7c0de0,
+  6, 3, nullptr, nullptr, nullptr, { &s_bc6beb81ad7c0de0, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<32> b_fe970c1df41ce16c = {
@@ -755,6 +1010,99 @@
   1, 2, i_bf05cabaa7600f72, nullptr, nullptr, { &s_bf05cabaa7600f72, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<33> b_9112bb41a52e07df = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    223,   7,  46, 165,  65, 187,  18, 145,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 242,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+     97, 115, 107,  75, 101, 121,  36,  80,
+     97, 114,  97, 109, 115,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   3,   0,   1,   0,
+     24,   0,   0,   0,   2,   0,   1,   0,
+    113, 117, 101, 115, 116, 105, 111, 110,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    226,  84, 188, 207, 179,  51,  34, 158,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_9112bb41a52e07df = b_9112bb41a52e07df.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_9112bb41a52e07df[] = {
+  &s_9e2233b3cfbc54e2,
+};
+static const uint16_t m_9112bb41a52e07df[] = {0};
+static const uint16_t i_9112bb41a52e07df[] = {0};
+const ::capnp::_::RawSchema s_9112bb41a52e07df = {
+  0x9112bb41a52e07df, b_9112bb41a52e07df.words, 33, d_9112bb41a52e07df, m_9112bb41a52e07df,
+  1, 1, i_9112bb41a52e07df, nullptr, nullptr, { &s_9112bb41a52e07df, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<32> b_b4caa8438ae545d0 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    208,  69, 229, 138,  67, 168, 202, 180,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 250,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+     97, 115, 107,  75, 101, 121,  36,  82,
+    101, 115, 117, 108, 116, 115,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    114, 101, 112, 108, 121,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    138,  64, 234,  60, 201,  76, 141, 194,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_b4caa8438ae545d0 = b_b4caa8438ae545d0.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_b4caa8438ae545d0[] = {
+  &s_c28d4cc93cea408a,
+};
+static const uint16_t m_b4caa8438ae545d0[] = {0};
+static const uint16_t i_b4caa8438ae545d0[] = {0};
+const ::capnp::_::RawSchema s_b4caa8438ae545d0 = {
+  0xb4caa8438ae545d0, b_b4caa8438ae545d0.words, 32, d_b4caa8438ae545d0, m_b4caa8438ae545d0,
+  1, 1, i_b4caa8438ae545d0, nullptr, nullptr, { &s_b4caa8438ae545d0, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -795,6 +1143,30 @@
 constexpr ::capnp::_::RawSchema const* ConfigurationContent::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// KeyQuestion
+constexpr uint16_t KeyQuestion::_capnpPrivate::dataWordSize;
+constexpr uint16_t KeyQuestion::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind KeyQuestion::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* KeyQuestion::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// KeyHeader
+constexpr uint16_t KeyHeader::_capnpPrivate::dataWordSize;
+constexpr uint16_t KeyHeader::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind KeyHeader::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* KeyHeader::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// KeyReply
+constexpr uint16_t KeyReply::_capnpPrivate::dataWordSize;
+constexpr uint16_t KeyReply::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind KeyReply::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* KeyReply::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::monsoongrade::schema::Peer::TellParams,  ::monsoongrade::schema::Peer::TellResults>
 Peer::Client::tellRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
@@ -816,6 +1188,16 @@
       "peer.capnp:Peer", "fetchConfiguration",
       0xbc6beb81ad7c0de0ull, 1);
 }
+::capnp::Request< ::monsoongrade::schema::Peer::AskKeyParams,  ::monsoongrade::schema::Peer::AskKeyResults>
+Peer::Client::askKeyRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::monsoongrade::schema::Peer::AskKeyParams,  ::monsoongrade::schema::Peer::AskKeyResults>(
+      0xbc6beb81ad7c0de0ull, 2, sizeHint);
+}
+::kj::Promise<void> Peer::Server::askKey(AskKeyContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "askKey",
+      0xbc6beb81ad7c0de0ull, 2);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -842,6 +1224,12 @@
              ::monsoongrade::schema::Peer::FetchConfigurationParams,  ::monsoongrade::schema::Peer::FetchConfigurationResults>(context)),
         false
       };
+    case 2:
+      return {
+        askKey(::capnp::Capability::Server::internalGetTypedContext<
+             ::monsoongrade::schema::Peer::AskKeyParams,  ::monsoongrade::schema::Peer::AskKeyResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -889,6 +1277,22 @@
 constexpr ::capnp::_::RawSchema const* Peer::FetchConfigurationResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::AskKeyParams
+constexpr uint16_t Peer::AskKeyParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::AskKeyParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::AskKeyParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::AskKeyParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::AskKeyResults
+constexpr uint16_t Peer::AskKeyResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::AskKeyResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::AskKeyResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::AskKeyResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -23,11 +23,16 @@
 CAPNP_DECLARE_SCHEMA(88be6ce10b656162);
 CAPNP_DECLARE_SCHEMA(8a53ab6813e1dd11);
 CAPNP_DECLARE_SCHEMA(813e00b0ba4b6811);
+CAPNP_DECLARE_SCHEMA(9e2233b3cfbc54e2);
+CAPNP_DECLARE_SCHEMA(c1119d68c26d7beb);
+CAPNP_DECLARE_SCHEMA(c28d4cc93cea408a);
 CAPNP_DECLARE_SCHEMA(bc6beb81ad7c0de0);
 CAPNP_DECLARE_SCHEMA(fe970c1df41ce16c);
 CAPNP_DECLARE_SCHEMA(a02af15d5e96f52f);
 CAPNP_DECLARE_SCHEMA(cd03cf9edce9e6d4);
 CAPNP_DECLARE_SCHEMA(bf05cabaa7600f72);
+CAPNP_DECLARE_SCHEMA(9112bb41a52e07df);
+CAPNP_DECLARE_SCHEMA(b4caa8438ae545d0);
 
 } // namespace schemas
 } // namespace capnp
@@ -115,6 +120,66 @@
     };
 };
 
+struct KeyQuestion
+{
+    KeyQuestion() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(9e2233b3cfbc54e2, 0, 4)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
+struct KeyHeader
+{
+    KeyHeader() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(c1119d68c26d7beb, 0, 2)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
+struct KeyReply
+{
+    KeyReply() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(c28d4cc93cea408a, 1, 2)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
 struct Peer
 {
     Peer() = delete;
@@ -128,6 +193,8 @@
     struct TellResults;
     struct FetchConfigurationParams;
     struct FetchConfigurationResults;
+    struct AskKeyParams;
+    struct AskKeyResults;
 
 #if !CAPNP_LITE
     struct _capnpPrivate
@@ -221,6 +288,46 @@
     };
 };
 
+struct Peer::AskKeyParams
+{
+    AskKeyParams() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(9112bb41a52e07df, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
+struct Peer::AskKeyResults
+{
+    AskKeyResults() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(b4caa8438ae545d0, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
 // =======================================================================================
 
 class PeerMember::Reader
@@ -752,72 +859,10 @@
 };
 #endif // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Peer::Client : public virtual ::capnp::Capability::Client
-{
-public:
-    typedef Peer Calls;
-    typedef Peer Reads;
-
-    Client(decltype(nullptr));
-    explicit Client(::kj::Own<::capnp::ClientHook> &&hook);
-    template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t *, Server *>()>>
-    Client(::kj::Own<_t> &&server);
-    template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t *, Client *>()>>
-    Client(::kj::Promise<_t> &&promise);
-    Client(::kj::Exception &&exception);
-    Client(Client &) = default;
-    Client(Client &&) = default;
-    Client &operator=(Client &other);
-    Client &operator=(Client &&other);
-
-    ::capnp::Request<::monsoongrade::schema::Peer::TellParams,
-                     ::monsoongrade::schema::Peer::TellResults>
-    tellRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-    ::capnp::Request<::monsoongrade::schema::Peer::FetchConfigurationParams,
-                     ::monsoongrade::schema::Peer::FetchConfigurationResults>
-    fetchConfigurationRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-    Client() = default;
-};
-
-class Peer::Server : public virtual ::capnp::Capability::Server
-{
-public:
-    typedef Peer Serves;
-
-    ::capnp::Capability::Server::DispatchCallResult
-    dispatchCall(uint64_t interfaceId, uint16_t methodId,
-                 ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context) override;
-
-protected:
-    typedef ::monsoongrade::schema::Peer::TellParams TellParams;
-    typedef ::monsoongrade::schema::Peer::TellResults TellResults;
-    typedef ::capnp::CallContext<TellParams, TellResults> TellContext;
-    virtual ::kj::Promise<void> tell(TellContext context);
-    typedef ::monsoongrade::schema::Peer::FetchConfigurationParams FetchConfigurationParams;
-    typedef ::monsoongrade::schema::Peer::FetchConfigurationResults FetchConfigurationResults;
-    typedef ::capnp::CallContext<FetchConfigurationParams, FetchConfigurationResults>
-        FetchConfigurationContext;
-    virtual ::kj::Promise<void> fetchConfiguration(FetchConfigurationContext context);
-
-    inline ::monsoongrade::schema::Peer::Client thisCap()
-    {
-        return ::capnp::Capability::Server::thisCap()
-            .template castAs<::monsoongrade::schema::Peer>();
-    }
-
-    ::capnp::Capability::Server::DispatchCallResult
-    dispatchCallInternal(uint16_t methodId,
-                         ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif // !CAPNP_LITE
-
-class Peer::TellParams::Reader
+class KeyQuestion::Reader
 {
 public:
-    typedef TellParams Reads;
+    typedef KeyQuestion Reads;
 
     Reader() = default;
     inline explicit Reader(::capnp::_::StructReader base)
@@ -834,8 +879,17 @@
     }
 #endif // !CAPNP_LITE
 
-    inline bool hasNews() const;
-    inline ::monsoongrade::schema::PeerNews::Reader getNews() const;
+    inline bool hasHolder() const;
+    inline ::capnp::Text::Reader getHolder() const;
+
+    inline bool hasWorkspace() const;
+    inline ::capnp::Text::Reader getWorkspace() const;
+
+    inline bool hasKey() const;
+    inline ::capnp::Text::Reader getKey() const;
+
+    inline bool hasFingerprint() const;
+    inline ::capnp::Text::Reader getFingerprint() const;
 
 private:
     ::capnp::_::StructReader _reader;
@@ -849,10 +903,10 @@
     friend class ::capnp::Orphanage;
 };
 
-class Peer::TellParams::Builder
+class KeyQuestion::Builder
 {
 public:
-    typedef TellParams Builds;
+    typedef KeyQuestion Builds;
 
     Builder() = delete; // Deleted to discourage incorrect usage.
                         // You can explicitly initialize to nullptr instead.
@@ -872,12 +926,33 @@
     }
 #endif // !CAPNP_LITE
 
-    inline bool hasNews();
-    inline ::monsoongrade::schema::PeerNews::Builder getNews();
-    inline void setNews(::monsoongrade::schema::PeerNews::Reader value);
-    inline ::monsoongrade::schema::PeerNews::Builder initNews();
-    inline void adoptNews(::capnp::Orphan<::monsoongrade::schema::PeerNews> &&value);
-    inline ::capnp::Orphan<::monsoongrade::schema::PeerNews> disownNews();
+    inline bool hasHolder();
+    inline ::capnp::Text::Builder getHolder();
+    inline void setHolder(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initHolder(unsigned int size);
+    inline void adoptHolder(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownHolder();
+
+    inline bool hasWorkspace();
+    inline ::capnp::Text::Builder getWorkspace();
+    inline void setWorkspace(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initWorkspace(unsigned int size);
+    inline void adoptWorkspace(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownWorkspace();
+
+    inline bool hasKey();
+    inline ::capnp::Text::Builder getKey();
+    inline void setKey(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initKey(unsigned int size);
+    inline void adoptKey(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownKey();
+
+    inline bool hasFingerprint();
+    inline ::capnp::Text::Builder getFingerprint();
+    inline void setFingerprint(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initFingerprint(unsigned int size);
+    inline void adoptFingerprint(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownFingerprint();
 
 private:
     ::capnp::_::StructBuilder _builder;
@@ -889,10 +964,10 @@
 };
 
 #if !CAPNP_LITE
-class Peer::TellParams::Pipeline
+class KeyQuestion::Pipeline
 {
 public:
-    typedef TellParams Pipelines;
+    typedef KeyQuestion Pipelines;
 
     inline Pipeline(decltype(nullptr))
         : _typeless(nullptr)
@@ -903,8 +978,6 @@
     {
     }
 
-    inline ::monsoongrade::schema::PeerNews::Pipeline getNews();
-
 private:
     ::capnp::AnyPointer::Pipeline _typeless;
     friend class ::capnp::PipelineHook;
@@ -913,10 +986,10 @@
 };
 #endif // !CAPNP_LITE
 
-class Peer::TellResults::Reader
+class KeyHeader::Reader
 {
 public:
-    typedef TellResults Reads;
+    typedef KeyHeader Reads;
 
     Reader() = default;
     inline explicit Reader(::capnp::_::StructReader base)
@@ -933,9 +1006,11 @@
     }
 #endif // !CAPNP_LITE
 
-    inline bool hasAnswers() const;
-    inline ::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>::Reader
-    getAnswers() const;
+    inline bool hasName() const;
+    inline ::capnp::Text::Reader getName() const;
+
+    inline bool hasValue() const;
+    inline ::capnp::Text::Reader getValue() const;
 
 private:
     ::capnp::_::StructReader _reader;
@@ -949,10 +1024,10 @@
     friend class ::capnp::Orphanage;
 };
 
-class Peer::TellResults::Builder
+class KeyHeader::Builder
 {
 public:
-    typedef TellResults Builds;
+    typedef KeyHeader Builds;
 
     Builder() = delete; // Deleted to discourage incorrect usage.
                         // You can explicitly initialize to nullptr instead.
@@ -972,18 +1047,19 @@
     }
 #endif // !CAPNP_LITE
 
-    inline bool hasAnswers();
-    inline ::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>::Builder
-    getAnswers();
-    inline void setAnswers(
-        ::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>::Reader value);
-    inline ::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>::Builder
-    initAnswers(unsigned int size);
-    inline void adoptAnswers(
-        ::capnp::Orphan<::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>>
-            &&value);
-    inline ::capnp::Orphan<::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>>
-    disownAnswers();
+    inline bool hasName();
+    inline ::capnp::Text::Builder getName();
+    inline void setName(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initName(unsigned int size);
+    inline void adoptName(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownName();
+
+    inline bool hasValue();
+    inline ::capnp::Text::Builder getValue();
+    inline void setValue(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initValue(unsigned int size);
+    inline void adoptValue(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownValue();
 
 private:
     ::capnp::_::StructBuilder _builder;
@@ -995,10 +1071,10 @@
 };
 
 #if !CAPNP_LITE
-class Peer::TellResults::Pipeline
+class KeyHeader::Pipeline
 {
 public:
-    typedef TellResults Pipelines;
+    typedef KeyHeader Pipelines;
 
     inline Pipeline(decltype(nullptr))
         : _typeless(nullptr)
@@ -1017,10 +1093,10 @@
 };
 #endif // !CAPNP_LITE
 
-class Peer::FetchConfigurationParams::Reader
+class KeyReply::Reader
 {
 public:
-    typedef FetchConfigurationParams Reads;
+    typedef KeyReply Reads;
 
     Reader() = default;
     inline explicit Reader(::capnp::_::StructReader base)
@@ -1037,10 +1113,16 @@
     }
 #endif // !CAPNP_LITE
 
-    inline ::uint64_t getAbove() const;
+    inline ::uint8_t getKind() const;
 
-    inline bool hasKnown() const;
-    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getKnown() const;
+    inline ::uint16_t getStatus() const;
+
+    inline bool hasHeaders() const;
+    inline ::capnp::List<::monsoongrade::schema::KeyHeader, ::capnp::Kind::STRUCT>::Reader
+    getHeaders() const;
+
+    inline bool hasBody() const;
+    inline ::capnp::Data::Reader getBody() const;
 
 private:
     ::capnp::_::StructReader _reader;
@@ -1054,10 +1136,10 @@
     friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchConfigurationParams::Builder
+class KeyReply::Builder
 {
 public:
-    typedef FetchConfigurationParams Builds;
+    typedef KeyReply Builds;
 
     Builder() = delete; // Deleted to discourage incorrect usage.
                         // You can explicitly initialize to nullptr instead.
@@ -1077,17 +1159,31 @@
     }
 #endif // !CAPNP_LITE
 
-    inline ::uint64_t getAbove();
-    inline void setAbove(::uint64_t value);
+    inline ::uint8_t getKind();
+    inline void setKind(::uint8_t value);
 
-    inline bool hasKnown();
-    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getKnown();
-    inline void setKnown(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-    inline void setKnown(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initKnown(unsigned int size);
-    inline void
-    adoptKnown(::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value);
-    inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> disownKnown();
+    inline ::uint16_t getStatus();
+    inline void setStatus(::uint16_t value);
+
+    inline bool hasHeaders();
+    inline ::capnp::List<::monsoongrade::schema::KeyHeader, ::capnp::Kind::STRUCT>::Builder
+    getHeaders();
+    inline void setHeaders(
+        ::capnp::List<::monsoongrade::schema::KeyHeader, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::monsoongrade::schema::KeyHeader, ::capnp::Kind::STRUCT>::Builder
+    initHeaders(unsigned int size);
+    inline void adoptHeaders(
+        ::capnp::Orphan<::capnp::List<::monsoongrade::schema::KeyHeader, ::capnp::Kind::STRUCT>>
+            &&value);
+    inline ::capnp::Orphan<::capnp::List<::monsoongrade::schema::KeyHeader, ::capnp::Kind::STRUCT>>
+    disownHeaders();
+
+    inline bool hasBody();
+    inline ::capnp::Data::Builder getBody();
+    inline void setBody(::capnp::Data::Reader value);
+    inline ::capnp::Data::Builder initBody(unsigned int size);
+    inline void adoptBody(::capnp::Orphan<::capnp::Data> &&value);
+    inline ::capnp::Orphan<::capnp::Data> disownBody();
 
 private:
     ::capnp::_::StructBuilder _builder;
@@ -1099,10 +1195,10 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FetchConfigurationParams::Pipeline
+class KeyReply::Pipeline
 {
 public:
-    typedef FetchConfigurationParams Pipelines;
+    typedef KeyReply Pipelines;
 
     inline Pipeline(decltype(nullptr))
         : _typeless(nullptr)
@@ -1121,33 +1217,97 @@
 };
 #endif // !CAPNP_LITE
 
-class Peer::FetchConfigurationResults::Reader
+#if !CAPNP_LITE
+class Peer::Client : public virtual ::capnp::Capability::Client
 {
 public:
-    typedef FetchConfigurationResults Reads;
-
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+    typedef Peer Calls;
+    typedef Peer Reads;
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+    Client(decltype(nullptr));
+    explicit Client(::kj::Own<::capnp::ClientHook> &&hook);
+    template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t *, Server *>()>>
+    Client(::kj::Own<_t> &&server);
+    template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t *, Client *>()>>
+    Client(::kj::Promise<_t> &&promise);
+    Client(::kj::Exception &&exception);
+    Client(Client &) = default;
+    Client(Client &&) = default;
+    Client &operator=(Client &other);
+    Client &operator=(Client &&other);
 
-#if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+    ::capnp::Request<::monsoongrade::schema::Peer::TellParams,
+                     ::monsoongrade::schema::Peer::TellResults>
+    tellRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+    ::capnp::Request<::monsoongrade::schema::Peer::FetchConfigurationParams,
+                     ::monsoongrade::schema::Peer::FetchConfigurationResults>
+    fetchConfigurationRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+    ::capnp::Request<::monsoongrade::schema::Peer::AskKeyParams,
+                     ::monsoongrade::schema::Peer::AskKeyResults>
+    askKeyRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
 
-    inline bool hasManifest() const;
-    inline ::capnp::Text::Reader getManifest() const;
+protected:
+    Client() = default;
+};
 
-    inline bool hasContents() const;
-    inline ::capnp::List<::monsoongrade::schema::ConfigurationContent,
-                         ::capnp::Kind::STRUCT>::Reader
-    getContents() const;
+class Peer::Server : public virtual ::capnp::Capability::Server
+{
+public:
+    typedef Peer Serves;
+
+    ::capnp::Capability::Server::DispatchCallResult
+    dispatchCall(uint64_t interfaceId, uint16_t methodId,
+                 ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context) override;
+
+protected:
+    typedef ::monsoongrade::schema::Peer::TellParams TellParams;
+    typedef ::monsoongrade::schema::Peer::TellResults TellResults;
+    typedef ::capnp::CallContext<TellParams, TellResults> TellContext;
+    virtual ::kj::Promise<void> tell(TellContext context);
+    typedef ::monsoongrade::schema::Peer::FetchConfigurationParams FetchConfigurationParams;
+    typedef ::monsoongrade::schema::Peer::FetchConfigurationResults FetchConfigurationResults;
+    typedef ::capnp::CallContext<FetchConfigurationParams, FetchConfigurationResults>
+        FetchConfigurationContext;
+    virtual ::kj::Promise<void> fetchConfiguration(FetchConfigurationContext context);
+    typedef ::monsoongrade::schema::Peer::AskKeyParams AskKeyParams;
+    typedef ::monsoongrade::schema::Peer::AskKeyResults AskKeyResults;
+    typedef ::capnp::CallContext<AskKeyParams, AskKeyResults> AskKeyContext;
+    virtual ::kj::Promise<void> askKey(AskKeyContext context);
+
+    inline ::monsoongrade::schema::Peer::Client thisCap()
+    {
+        return ::capnp::Capability::Server::thisCap()
+            .template castAs<::monsoongrade::schema::Peer>();
+    }
+
+    ::capnp::Capability::Server::DispatchCallResult
+    dispatchCallInternal(uint16_t methodId,
+                         ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif // !CAPNP_LITE
+
+class Peer::TellParams::Reader
+{
+public:
+    typedef TellParams Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasNews() const;
+    inline ::monsoongrade::schema::PeerNews::Reader getNews() const;
 
 private:
     ::capnp::_::StructReader _reader;
@@ -1161,10 +1321,10 @@
     friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchConfigurationResults::Builder
+class Peer::TellParams::Builder
 {
 public:
-    typedef FetchConfigurationResults Builds;
+    typedef TellParams Builds;
 
     Builder() = delete; // Deleted to discourage incorrect usage.
                         // You can explicitly initialize to nullptr instead.
@@ -1184,28 +1344,118 @@
     }
 #endif // !CAPNP_LITE
 
-    inline bool hasManifest();
-    inline ::capnp::Text::Builder getManifest();
-    inline void setManifest(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initManifest(unsigned int size);
-    inline void adoptManifest(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownManifest();
+    inline bool hasNews();
+    inline ::monsoongrade::schema::PeerNews::Builder getNews();
+    inline void setNews(::monsoongrade::schema::PeerNews::Reader value);
+    inline ::monsoongrade::schema::PeerNews::Builder initNews();
+    inline void adoptNews(::capnp::Orphan<::monsoongrade::schema::PeerNews> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::PeerNews> disownNews();
 
-    inline bool hasContents();
-    inline ::capnp::List<::monsoongrade::schema::ConfigurationContent,
-                         ::capnp::Kind::STRUCT>::Builder
-    getContents();
-    inline void setContents(::capnp::List<::monsoongrade::schema::ConfigurationContent,
-                                          ::capnp::Kind::STRUCT>::Reader value);
-    inline ::capnp::List<::monsoongrade::schema::ConfigurationContent,
-                         ::capnp::Kind::STRUCT>::Builder
-    initContents(unsigned int size);
-    inline void
-    adoptContents(::capnp::Orphan<::capnp::List<::monsoongrade::schema::ConfigurationContent,
-                                                ::capnp::Kind::STRUCT>> &&value);
-    inline ::capnp::Orphan<
-        ::capnp::List<::monsoongrade::schema::ConfigurationContent, ::capnp::Kind::STRUCT>>
-    disownContents();
+private:
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::TellParams::Pipeline
+{
+public:
+    typedef TellParams Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+    inline ::monsoongrade::schema::PeerNews::Pipeline getNews();
+
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+class Peer::TellResults::Reader
+{
+public:
+    typedef TellResults Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasAnswers() const;
+    inline ::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>::Reader
+    getAnswers() const;
+
+private:
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class Peer::TellResults::Builder
+{
+public:
+    typedef TellResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasAnswers();
+    inline ::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>::Builder
+    getAnswers();
+    inline void setAnswers(
+        ::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>::Builder
+    initAnswers(unsigned int size);
+    inline void adoptAnswers(
+        ::capnp::Orphan<::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>>
+            &&value);
+    inline ::capnp::Orphan<::capnp::List<::monsoongrade::schema::PeerNews, ::capnp::Kind::STRUCT>>
+    disownAnswers();
 
 private:
     ::capnp::_::StructBuilder _builder;
@@ -1217,10 +1467,10 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FetchConfigurationResults::Pipeline
+class Peer::TellResults::Pipeline
 {
 public:
-    typedef FetchConfigurationResults Pipelines;
+    typedef TellResults Pipelines;
 
     inline Pipeline(decltype(nullptr))
         : _typeless(nullptr)
@@ -1231,614 +1481,1387 @@
     {
     }
 
-private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-};
-#endif // !CAPNP_LITE
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+class Peer::FetchConfigurationParams::Reader
+{
+public:
+    typedef FetchConfigurationParams Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+    inline ::uint64_t getAbove() const;
+
+    inline bool hasKnown() const;
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getKnown() const;
+
+private:
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class Peer::FetchConfigurationParams::Builder
+{
+public:
+    typedef FetchConfigurationParams Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline ::uint64_t getAbove();
+    inline void setAbove(::uint64_t value);
+
+    inline bool hasKnown();
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getKnown();
+    inline void setKnown(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
+    inline void setKnown(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initKnown(unsigned int size);
+    inline void
+    adoptKnown(::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> disownKnown();
+
+private:
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::FetchConfigurationParams::Pipeline
+{
+public:
+    typedef FetchConfigurationParams Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+class Peer::FetchConfigurationResults::Reader
+{
+public:
+    typedef FetchConfigurationResults Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasManifest() const;
+    inline ::capnp::Text::Reader getManifest() const;
+
+    inline bool hasContents() const;
+    inline ::capnp::List<::monsoongrade::schema::ConfigurationContent,
+                         ::capnp::Kind::STRUCT>::Reader
+    getContents() const;
+
+private:
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class Peer::FetchConfigurationResults::Builder
+{
+public:
+    typedef FetchConfigurationResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasManifest();
+    inline ::capnp::Text::Builder getManifest();
+    inline void setManifest(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initManifest(unsigned int size);
+    inline void adoptManifest(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownManifest();
+
+    inline bool hasContents();
+    inline ::capnp::List<::monsoongrade::schema::ConfigurationContent,
+                         ::capnp::Kind::STRUCT>::Builder
+    getContents();
+    inline void setContents(::capnp::List<::monsoongrade::schema::ConfigurationContent,
+                                          ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::monsoongrade::schema::ConfigurationContent,
+                         ::capnp::Kind::STRUCT>::Builder
+    initContents(unsigned int size);
+    inline void
+    adoptContents(::capnp::Orphan<::capnp::List<::monsoongrade::schema::ConfigurationContent,
+                                                ::capnp::Kind::STRUCT>> &&value);
+    inline ::capnp::Orphan<
+        ::capnp::List<::monsoongrade::schema::ConfigurationContent, ::capnp::Kind::STRUCT>>
+    disownContents();
+
+private:
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::FetchConfigurationResults::Pipeline
+{
+public:
+    typedef FetchConfigurationResults Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+class Peer::AskKeyParams::Reader
+{
+public:
+    typedef AskKeyParams Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasQuestion() const;
+    inline ::monsoongrade::schema::KeyQuestion::Reader getQuestion() const;
+
+private:
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class Peer::AskKeyParams::Builder
+{
+public:
+    typedef AskKeyParams Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasQuestion();
+    inline ::monsoongrade::schema::KeyQuestion::Builder getQuestion();
+    inline void setQuestion(::monsoongrade::schema::KeyQuestion::Reader value);
+    inline ::monsoongrade::schema::KeyQuestion::Builder initQuestion();
+    inline void adoptQuestion(::capnp::Orphan<::monsoongrade::schema::KeyQuestion> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::KeyQuestion> disownQuestion();
+
+private:
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::AskKeyParams::Pipeline
+{
+public:
+    typedef AskKeyParams Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+    inline ::monsoongrade::schema::KeyQuestion::Pipeline getQuestion();
+
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+class Peer::AskKeyResults::Reader
+{
+public:
+    typedef AskKeyResults Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasReply() const;
+    inline ::monsoongrade::schema::KeyReply::Reader getReply() const;
+
+private:
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class Peer::AskKeyResults::Builder
+{
+public:
+    typedef AskKeyResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasReply();
+    inline ::monsoongrade::schema::KeyReply::Builder getReply();
+    inline void setReply(::monsoongrade::schema::KeyReply::Reader value);
+    inline ::monsoongrade::schema::KeyReply::Builder initReply();
+    inline void adoptReply(::capnp::Orphan<::monsoongrade::schema::KeyReply> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::KeyReply> disownReply();
+
+private:
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::AskKeyResults::Pipeline
+{
+public:
+    typedef AskKeyResults Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+    inline ::monsoongrade::schema::KeyReply::Pipeline getReply();
+
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool PeerMember::Reader::hasHost() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMember::Builder::hasHost()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader PeerMember::Reader::getHost() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder PeerMember::Builder::getHost()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMember::Builder::setHost(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder PeerMember::Builder::initHost(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PeerMember::Builder::adoptHost(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> PeerMember::Builder::disownHost()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMember::Reader::hasAddress() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMember::Builder::hasAddress()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader PeerMember::Reader::getAddress() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder PeerMember::Builder::getAddress()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PeerMember::Builder::setAddress(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder PeerMember::Builder::initAddress(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PeerMember::Builder::adoptAddress(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> PeerMember::Builder::disownAddress()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMember::Reader::hasFailureDomain() const
+{
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMember::Builder::hasFailureDomain()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader PeerMember::Reader::getFailureDomain() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder PeerMember::Builder::getFailureDomain()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void PeerMember::Builder::setFailureDomain(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder PeerMember::Builder::initFailureDomain(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void PeerMember::Builder::adoptFailureDomain(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> PeerMember::Builder::disownFailureDomain()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline ::uint64_t PeerMember::Reader::getLife() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t PeerMember::Builder::getLife()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PeerMember::Builder::setLife(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint32_t PeerMember::Reader::getRefutation() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t PeerMember::Builder::getRefutation()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PeerMember::Builder::setRefutation(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint8_t PeerMember::Reader::getRole() const
+{
+    return _reader.getDataField<::uint8_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint8_t PeerMember::Builder::getRole()
+{
+    return _builder.getDataField<::uint8_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void PeerMember::Builder::setRole(::uint8_t value)
+{
+    _builder.setDataField<::uint8_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint8_t PeerMember::Reader::getHealth() const
+{
+    return _reader.getDataField<::uint8_t>(::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint8_t PeerMember::Builder::getHealth()
+{
+    return _builder.getDataField<::uint8_t>(::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+inline void PeerMember::Builder::setHealth(::uint8_t value)
+{
+    _builder.setDataField<::uint8_t>(::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerMember::Reader::getLeaving() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<112>() * ::capnp::ELEMENTS);
+}
 
-// =======================================================================================
+inline bool PeerMember::Builder::getLeaving()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<112>() * ::capnp::ELEMENTS);
+}
+inline void PeerMember::Builder::setLeaving(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<112>() * ::capnp::ELEMENTS, value);
+}
 
-inline bool PeerMember::Reader::hasHost() const
+inline bool PeerEndpointMark::Reader::hasHost() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerMember::Builder::hasHost()
+inline bool PeerEndpointMark::Builder::hasHost()
 {
     return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader PeerMember::Reader::getHost() const
+inline ::capnp::Text::Reader PeerEndpointMark::Reader::getHost() const
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::get(
         _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder PeerMember::Builder::getHost()
+inline ::capnp::Text::Builder PeerEndpointMark::Builder::getHost()
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::get(
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMember::Builder::setHost(::capnp::Text::Reader value)
+inline void PeerEndpointMark::Builder::setHost(::capnp::Text::Reader value)
 {
     ::capnp::_::PointerHelpers<::capnp::Text>::set(
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder PeerMember::Builder::initHost(unsigned int size)
+inline ::capnp::Text::Builder PeerEndpointMark::Builder::initHost(unsigned int size)
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::init(
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void PeerMember::Builder::adoptHost(::capnp::Orphan<::capnp::Text> &&value)
+inline void PeerEndpointMark::Builder::adoptHost(::capnp::Orphan<::capnp::Text> &&value)
 {
     ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> PeerMember::Builder::disownHost()
+inline ::capnp::Orphan<::capnp::Text> PeerEndpointMark::Builder::disownHost()
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool PeerMember::Reader::hasAddress() const
+inline ::uint64_t PeerEndpointMark::Reader::getEpoch() const
 {
-    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool PeerMember::Builder::hasAddress()
+
+inline ::uint64_t PeerEndpointMark::Builder::getEpoch()
 {
-    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Text::Reader PeerMember::Reader::getAddress() const
+inline void PeerEndpointMark::Builder::setEpoch(::uint64_t value)
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline ::capnp::Text::Builder PeerMember::Builder::getAddress()
+
+inline ::uint8_t PeerEndpointMark::Reader::getState() const
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+    return _reader.getDataField<::uint8_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void PeerMember::Builder::setAddress(::capnp::Text::Reader value)
+
+inline ::uint8_t PeerEndpointMark::Builder::getState()
 {
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+    return _builder.getDataField<::uint8_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Text::Builder PeerMember::Builder::initAddress(unsigned int size)
+inline void PeerEndpointMark::Builder::setState(::uint8_t value)
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+    _builder.setDataField<::uint8_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
-inline void PeerMember::Builder::adoptAddress(::capnp::Orphan<::capnp::Text> &&value)
+
+inline ::uint8_t PeerNews::Reader::getKind() const
 {
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan<::capnp::Text> PeerMember::Builder::disownAddress()
+
+inline ::uint8_t PeerNews::Builder::getKind()
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+    return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PeerNews::Builder::setKind(::uint8_t value)
+{
+    _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PeerMember::Reader::hasFailureDomain() const
+inline bool PeerNews::Reader::hasFrom() const
 {
-    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerMember::Builder::hasFailureDomain()
+inline bool PeerNews::Builder::hasFrom()
 {
-    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader PeerMember::Reader::getFailureDomain() const
+inline ::monsoongrade::schema::PeerMember::Reader PeerNews::Reader::getFrom() const
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PeerMember>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder PeerMember::Builder::getFailureDomain()
+inline ::monsoongrade::schema::PeerMember::Builder PeerNews::Builder::getFrom()
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PeerMember>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMember::Builder::setFailureDomain(::capnp::Text::Reader value)
+#if !CAPNP_LITE
+inline ::monsoongrade::schema::PeerMember::Pipeline PeerNews::Pipeline::getFrom()
 {
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+    return ::monsoongrade::schema::PeerMember::Pipeline(_typeless.getPointerField(0));
 }
-inline ::capnp::Text::Builder PeerMember::Builder::initFailureDomain(unsigned int size)
+#endif // !CAPNP_LITE
+inline void PeerNews::Builder::setFrom(::monsoongrade::schema::PeerMember::Reader value)
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::PeerMember>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void PeerMember::Builder::adoptFailureDomain(::capnp::Orphan<::capnp::Text> &&value)
+inline ::monsoongrade::schema::PeerMember::Builder PeerNews::Builder::initFrom()
 {
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PeerMember>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan<::capnp::Text> PeerMember::Builder::disownFailureDomain()
+inline void
+PeerNews::Builder::adoptFrom(::capnp::Orphan<::monsoongrade::schema::PeerMember> &&value)
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::PeerMember>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::monsoongrade::schema::PeerMember> PeerNews::Builder::disownFrom()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PeerMember>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t PeerMember::Reader::getLife() const
+inline ::uint64_t PeerNews::Reader::getSequence() const
 {
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t PeerMember::Builder::getLife()
+inline ::uint64_t PeerNews::Builder::getSequence()
 {
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PeerNews::Builder::setSequence(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint64_t PeerNews::Reader::getGeneration() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t PeerNews::Builder::getGeneration()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PeerNews::Builder::setGeneration(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint64_t PeerNews::Reader::getDigest() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t PeerNews::Builder::getDigest()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PeerNews::Builder::setDigest(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerNews::Reader::hasBucketDigests() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerNews::Builder::hasBucketDigests()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
+PeerNews::Reader::getBucketDigests() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+PeerNews::Builder::getBucketDigests()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PeerNews::Builder::setBucketDigests(
+    ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void PeerNews::Builder::setBucketDigests(::kj::ArrayPtr<const ::uint64_t> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+PeerNews::Builder::initBucketDigests(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PeerNews::Builder::adoptBucketDigests(
+    ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+PeerNews::Builder::disownBucketDigests()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline ::uint32_t PeerNews::Reader::getBuckets() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t PeerNews::Builder::getBuckets()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PeerNews::Builder::setBuckets(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerNews::Reader::hasMembers() const
+{
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerNews::Builder::hasMembers()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>::Reader
+PeerNews::Reader::getMembers() const
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>>::
+        get(_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void PeerMember::Builder::setLife(::uint64_t value)
+inline ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>::Builder
+PeerNews::Builder::getMembers()
 {
-    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>>::
+        get(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline ::uint32_t PeerMember::Reader::getRefutation() const
+inline void PeerNews::Builder::setMembers(
+    ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>::Reader value)
 {
-    return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>>::
+        set(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-
-inline ::uint32_t PeerMember::Builder::getRefutation()
+inline ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>::Builder
+PeerNews::Builder::initMembers(unsigned int size)
 {
-    return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>>::
+        init(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void PeerMember::Builder::setRefutation(::uint32_t value)
+inline void PeerNews::Builder::adoptMembers(
+    ::capnp::Orphan<::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>>
+        &&value)
 {
-    _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>>::
+        adopt(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline ::uint8_t PeerMember::Reader::getRole() const
+inline ::capnp::Orphan<::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>>
+PeerNews::Builder::disownMembers()
 {
-    return _reader.getDataField<::uint8_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS);
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>>::
+        disown(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline ::uint8_t PeerMember::Builder::getRole()
+inline bool PeerNews::Reader::hasEndpoints() const
 {
-    return _builder.getDataField<::uint8_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS);
+    return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void PeerMember::Builder::setRole(::uint8_t value)
+inline bool PeerNews::Builder::hasEndpoints()
 {
-    _builder.setDataField<::uint8_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+    return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-
-inline ::uint8_t PeerMember::Reader::getHealth() const
+inline ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>::Reader
+PeerNews::Reader::getEndpoints() const
 {
-    return _reader.getDataField<::uint8_t>(::capnp::bounded<13>() * ::capnp::ELEMENTS);
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>>::
+        get(_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-
-inline ::uint8_t PeerMember::Builder::getHealth()
+inline ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>::Builder
+PeerNews::Builder::getEndpoints()
 {
-    return _builder.getDataField<::uint8_t>(::capnp::bounded<13>() * ::capnp::ELEMENTS);
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>>::
+        get(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void PeerMember::Builder::setHealth(::uint8_t value)
+inline void PeerNews::Builder::setEndpoints(
+    ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>::Reader value)
 {
-    _builder.setDataField<::uint8_t>(::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>>::
+        set(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-
-inline bool PeerMember::Reader::getLeaving() const
+inline ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>::Builder
+PeerNews::Builder::initEndpoints(unsigned int size)
 {
-    return _reader.getDataField<bool>(::capnp::bounded<112>() * ::capnp::ELEMENTS);
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>>::
+        init(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-
-inline bool PeerMember::Builder::getLeaving()
+inline void PeerNews::Builder::adoptEndpoints(
+    ::capnp::Orphan<::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>>
+        &&value)
 {
-    return _builder.getDataField<bool>(::capnp::bounded<112>() * ::capnp::ELEMENTS);
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>>::
+        adopt(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void PeerMember::Builder::setLeaving(bool value)
+inline ::capnp::Orphan<
+    ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>>
+PeerNews::Builder::disownEndpoints()
 {
-    _builder.setDataField<bool>(::capnp::bounded<112>() * ::capnp::ELEMENTS, value);
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>>::
+        disown(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool PeerEndpointMark::Reader::hasHost() const
+inline bool ConfigurationContent::Reader::hasHash() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerEndpointMark::Builder::hasHost()
+inline bool ConfigurationContent::Builder::hasHash()
 {
     return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader PeerEndpointMark::Reader::getHost() const
+inline ::capnp::Text::Reader ConfigurationContent::Reader::getHash() const
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::get(
         _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder PeerEndpointMark::Builder::getHost()
+inline ::capnp::Text::Builder ConfigurationContent::Builder::getHash()
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::get(
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerEndpointMark::Builder::setHost(::capnp::Text::Reader value)
+inline void ConfigurationContent::Builder::setHash(::capnp::Text::Reader value)
 {
     ::capnp::_::PointerHelpers<::capnp::Text>::set(
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder PeerEndpointMark::Builder::initHost(unsigned int size)
+inline ::capnp::Text::Builder ConfigurationContent::Builder::initHash(unsigned int size)
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::init(
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void PeerEndpointMark::Builder::adoptHost(::capnp::Orphan<::capnp::Text> &&value)
+inline void ConfigurationContent::Builder::adoptHash(::capnp::Orphan<::capnp::Text> &&value)
 {
     ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> PeerEndpointMark::Builder::disownHost()
+inline ::capnp::Orphan<::capnp::Text> ConfigurationContent::Builder::disownHash()
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t PeerEndpointMark::Reader::getEpoch() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline ::uint64_t PeerEndpointMark::Builder::getEpoch()
+inline bool ConfigurationContent::Reader::hasText() const
 {
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void PeerEndpointMark::Builder::setEpoch(::uint64_t value)
+inline bool ConfigurationContent::Builder::hasText()
 {
-    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline ::uint8_t PeerEndpointMark::Reader::getState() const
+inline ::capnp::Data::Reader ConfigurationContent::Reader::getText() const
 {
-    return _reader.getDataField<::uint8_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline ::uint8_t PeerEndpointMark::Builder::getState()
+inline ::capnp::Data::Builder ConfigurationContent::Builder::getText()
 {
-    return _builder.getDataField<::uint8_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void PeerEndpointMark::Builder::setState(::uint8_t value)
+inline void ConfigurationContent::Builder::setText(::capnp::Data::Reader value)
 {
-    _builder.setDataField<::uint8_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+    ::capnp::_::PointerHelpers<::capnp::Data>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-
-inline ::uint8_t PeerNews::Reader::getKind() const
+inline ::capnp::Data::Builder ConfigurationContent::Builder::initText(unsigned int size)
 {
-    return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-
-inline ::uint8_t PeerNews::Builder::getKind()
+inline void ConfigurationContent::Builder::adoptText(::capnp::Orphan<::capnp::Data> &&value)
 {
-    return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void PeerNews::Builder::setKind(::uint8_t value)
+inline ::capnp::Orphan<::capnp::Data> ConfigurationContent::Builder::disownText()
 {
-    _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool PeerNews::Reader::hasFrom() const
+inline bool KeyQuestion::Reader::hasHolder() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerNews::Builder::hasFrom()
+inline bool KeyQuestion::Builder::hasHolder()
 {
     return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::monsoongrade::schema::PeerMember::Reader PeerNews::Reader::getFrom() const
+inline ::capnp::Text::Reader KeyQuestion::Reader::getHolder() const
 {
-    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PeerMember>::get(
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
         _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::monsoongrade::schema::PeerMember::Builder PeerNews::Builder::getFrom()
+inline ::capnp::Text::Builder KeyQuestion::Builder::getHolder()
 {
-    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PeerMember>::get(
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline ::monsoongrade::schema::PeerMember::Pipeline PeerNews::Pipeline::getFrom()
-{
-    return ::monsoongrade::schema::PeerMember::Pipeline(_typeless.getPointerField(0));
-}
-#endif // !CAPNP_LITE
-inline void PeerNews::Builder::setFrom(::monsoongrade::schema::PeerMember::Reader value)
+inline void KeyQuestion::Builder::setHolder(::capnp::Text::Reader value)
 {
-    ::capnp::_::PointerHelpers<::monsoongrade::schema::PeerMember>::set(
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::monsoongrade::schema::PeerMember::Builder PeerNews::Builder::initFrom()
+inline ::capnp::Text::Builder KeyQuestion::Builder::initHolder(unsigned int size)
 {
-    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PeerMember>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void
-PeerNews::Builder::adoptFrom(::capnp::Orphan<::monsoongrade::schema::PeerMember> &&value)
+inline void KeyQuestion::Builder::adoptHolder(::capnp::Orphan<::capnp::Text> &&value)
 {
-    ::capnp::_::PointerHelpers<::monsoongrade::schema::PeerMember>::adopt(
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::monsoongrade::schema::PeerMember> PeerNews::Builder::disownFrom()
+inline ::capnp::Orphan<::capnp::Text> KeyQuestion::Builder::disownHolder()
 {
-    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PeerMember>::disown(
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t PeerNews::Reader::getSequence() const
+inline bool KeyQuestion::Reader::hasWorkspace() const
 {
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline ::uint64_t PeerNews::Builder::getSequence()
+inline bool KeyQuestion::Builder::hasWorkspace()
 {
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void PeerNews::Builder::setSequence(::uint64_t value)
+inline ::capnp::Text::Reader KeyQuestion::Reader::getWorkspace() const
 {
-    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline ::uint64_t PeerNews::Reader::getGeneration() const
+inline ::capnp::Text::Builder KeyQuestion::Builder::getWorkspace()
 {
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline ::uint64_t PeerNews::Builder::getGeneration()
+inline void KeyQuestion::Builder::setWorkspace(::capnp::Text::Reader value)
 {
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void PeerNews::Builder::setGeneration(::uint64_t value)
+inline ::capnp::Text::Builder KeyQuestion::Builder::initWorkspace(unsigned int size)
 {
-    _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void KeyQuestion::Builder::adoptWorkspace(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> KeyQuestion::Builder::disownWorkspace()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t PeerNews::Reader::getDigest() const
+inline bool KeyQuestion::Reader::hasKey() const
 {
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool KeyQuestion::Builder::hasKey()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader KeyQuestion::Reader::getKey() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder KeyQuestion::Builder::getKey()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void KeyQuestion::Builder::setKey(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder KeyQuestion::Builder::initKey(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void KeyQuestion::Builder::adoptKey(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> KeyQuestion::Builder::disownKey()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t PeerNews::Builder::getDigest()
+inline bool KeyQuestion::Reader::hasFingerprint() const
 {
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+    return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void PeerNews::Builder::setDigest(::uint64_t value)
+inline bool KeyQuestion::Builder::hasFingerprint()
 {
-    _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+    return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool PeerNews::Reader::hasBucketDigests() const
+inline ::capnp::Text::Reader KeyQuestion::Reader::getFingerprint() const
 {
-    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline bool PeerNews::Builder::hasBucketDigests()
+inline ::capnp::Text::Builder KeyQuestion::Builder::getFingerprint()
 {
-    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
-PeerNews::Reader::getBucketDigests() const
+inline void KeyQuestion::Builder::setFingerprint(::capnp::Text::Reader value)
 {
-    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
-        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
-PeerNews::Builder::getBucketDigests()
+inline ::capnp::Text::Builder KeyQuestion::Builder::initFingerprint(unsigned int size)
 {
-    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void PeerNews::Builder::setBucketDigests(
-    ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value)
+inline void KeyQuestion::Builder::adoptFingerprint(::capnp::Orphan<::capnp::Text> &&value)
 {
-    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void PeerNews::Builder::setBucketDigests(::kj::ArrayPtr<const ::uint64_t> value)
+inline ::capnp::Orphan<::capnp::Text> KeyQuestion::Builder::disownFingerprint()
 {
-    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
-PeerNews::Builder::initBucketDigests(unsigned int size)
+
+inline bool KeyHeader::Reader::hasName() const
 {
-    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::init(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void PeerNews::Builder::adoptBucketDigests(
-    ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> &&value)
+inline bool KeyHeader::Builder::hasName()
 {
-    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::adopt(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
-PeerNews::Builder::disownBucketDigests()
+inline ::capnp::Text::Reader KeyHeader::Reader::getName() const
 {
-    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::disown(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline ::uint32_t PeerNews::Reader::getBuckets() const
+inline ::capnp::Text::Builder KeyHeader::Builder::getName()
 {
-    return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline ::uint32_t PeerNews::Builder::getBuckets()
+inline void KeyHeader::Builder::setName(::capnp::Text::Reader value)
 {
-    return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void PeerNews::Builder::setBuckets(::uint32_t value)
+inline ::capnp::Text::Builder KeyHeader::Builder::initName(unsigned int size)
 {
-    _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-
-inline bool PeerNews::Reader::hasMembers() const
+inline void KeyHeader::Builder::adoptName(::capnp::Orphan<::capnp::Text> &&value)
 {
-    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline bool PeerNews::Builder::hasMembers()
+inline ::capnp::Orphan<::capnp::Text> KeyHeader::Builder::disownName()
 {
-    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>::Reader
-PeerNews::Reader::getMembers() const
+
+inline bool KeyHeader::Reader::hasValue() const
 {
-    return ::capnp::_::PointerHelpers<
-        ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>>::
-        get(_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>::Builder
-PeerNews::Builder::getMembers()
+inline bool KeyHeader::Builder::hasValue()
 {
-    return ::capnp::_::PointerHelpers<
-        ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>>::
-        get(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void PeerNews::Builder::setMembers(
-    ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>::Reader value)
+inline ::capnp::Text::Reader KeyHeader::Reader::getValue() const
 {
-    ::capnp::_::PointerHelpers<
-        ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>>::
-        set(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>::Builder
-PeerNews::Builder::initMembers(unsigned int size)
+inline ::capnp::Text::Builder KeyHeader::Builder::getValue()
 {
-    return ::capnp::_::PointerHelpers<
-        ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>>::
-        init(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void PeerNews::Builder::adoptMembers(
-    ::capnp::Orphan<::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>>
-        &&value)
+inline void KeyHeader::Builder::setValue(::capnp::Text::Reader value)
 {
-    ::capnp::_::PointerHelpers<
-        ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>>::
-        adopt(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Orphan<::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>>
-PeerNews::Builder::disownMembers()
+inline ::capnp::Text::Builder KeyHeader::Builder::initValue(unsigned int size)
 {
-    return ::capnp::_::PointerHelpers<
-        ::capnp::List<::monsoongrade::schema::PeerMember, ::capnp::Kind::STRUCT>>::
-        disown(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-
-inline bool PeerNews::Reader::hasEndpoints() const
+inline void KeyHeader::Builder::adoptValue(::capnp::Orphan<::capnp::Text> &&value)
 {
-    return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline bool PeerNews::Builder::hasEndpoints()
+inline ::capnp::Orphan<::capnp::Text> KeyHeader::Builder::disownValue()
 {
-    return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>::Reader
-PeerNews::Reader::getEndpoints() const
+
+inline ::uint8_t KeyReply::Reader::getKind() const
 {
-    return ::capnp::_::PointerHelpers<
-        ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>>::
-        get(_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+    return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>::Builder
-PeerNews::Builder::getEndpoints()
+
+inline ::uint8_t KeyReply::Builder::getKind()
 {
-    return ::capnp::_::PointerHelpers<
-        ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>>::
-        get(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+    return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PeerNews::Builder::setEndpoints(
-    ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>::Reader value)
+inline void KeyReply::Builder::setKind(::uint8_t value)
 {
-    ::capnp::_::PointerHelpers<
-        ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>>::
-        set(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
+    _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>::Builder
-PeerNews::Builder::initEndpoints(unsigned int size)
+
+inline ::uint16_t KeyReply::Reader::getStatus() const
 {
-    return ::capnp::_::PointerHelpers<
-        ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>>::
-        init(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
+    return _reader.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void PeerNews::Builder::adoptEndpoints(
-    ::capnp::Orphan<::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>>
-        &&value)
+
+inline ::uint16_t KeyReply::Builder::getStatus()
 {
-    ::capnp::_::PointerHelpers<
-        ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>>::
-        adopt(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+    return _builder.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan<
-    ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>>
-PeerNews::Builder::disownEndpoints()
+inline void KeyReply::Builder::setStatus(::uint16_t value)
 {
-    return ::capnp::_::PointerHelpers<
-        ::capnp::List<::monsoongrade::schema::PeerEndpointMark, ::capnp::Kind::STRUCT>>::
-        disown(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+    _builder.setDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ConfigurationContent::Reader::hasHash() const
+inline bool KeyReply::Reader::hasHeaders() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ConfigurationContent::Builder::hasHash()
+inline bool KeyReply::Builder::hasHeaders()
 {
     return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ConfigurationContent::Reader::getHash() const
+inline ::capnp::List<::monsoongrade::schema::KeyHeader, ::capnp::Kind::STRUCT>::Reader
+KeyReply::Reader::getHeaders() const
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::KeyHeader, ::capnp::Kind::STRUCT>>::
+        get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ConfigurationContent::Builder::getHash()
+inline ::capnp::List<::monsoongrade::schema::KeyHeader, ::capnp::Kind::STRUCT>::Builder
+KeyReply::Builder::getHeaders()
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::KeyHeader, ::capnp::Kind::STRUCT>>::
+        get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ConfigurationContent::Builder::setHash(::capnp::Text::Reader value)
+inline void KeyReply::Builder::setHeaders(
+    ::capnp::List<::monsoongrade::schema::KeyHeader, ::capnp::Kind::STRUCT>::Reader value)
 {
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::KeyHeader, ::capnp::Kind::STRUCT>>::
+        set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ConfigurationContent::Builder::initHash(unsigned int size)
+inline ::capnp::List<::monsoongrade::schema::KeyHeader, ::capnp::Kind::STRUCT>::Builder
+KeyReply::Builder::initHeaders(unsigned int size)
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::KeyHeader, ::capnp::Kind::STRUCT>>::
+        init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ConfigurationContent::Builder::adoptHash(::capnp::Orphan<::capnp::Text> &&value)
+inline void KeyReply::Builder::adoptHeaders(
+    ::capnp::Orphan<::capnp::List<::monsoongrade::schema::KeyHeader, ::capnp::Kind::STRUCT>>
+        &&value)
 {
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::KeyHeader, ::capnp::Kind::STRUCT>>::
+        adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ConfigurationContent::Builder::disownHash()
+inline ::capnp::Orphan<::capnp::List<::monsoongrade::schema::KeyHeader, ::capnp::Kind::STRUCT>>
+KeyReply::Builder::disownHeaders()
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::KeyHeader, ::capnp::Kind::STRUCT>>::
+        disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ConfigurationContent::Reader::hasText() const
+inline bool KeyReply::Reader::hasBody() const
 {
     return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ConfigurationContent::Builder::hasText()
+inline bool KeyReply::Builder::hasBody()
 {
     return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader ConfigurationContent::Reader::getText() const
+inline ::capnp::Data::Reader KeyReply::Reader::getBody() const
 {
     return ::capnp::_::PointerHelpers<::capnp::Data>::get(
         _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder ConfigurationContent::Builder::getText()
+inline ::capnp::Data::Builder KeyReply::Builder::getBody()
 {
     return ::capnp::_::PointerHelpers<::capnp::Data>::get(
         _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ConfigurationContent::Builder::setText(::capnp::Data::Reader value)
+inline void KeyReply::Builder::setBody(::capnp::Data::Reader value)
 {
     ::capnp::_::PointerHelpers<::capnp::Data>::set(
         _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder ConfigurationContent::Builder::initText(unsigned int size)
+inline ::capnp::Data::Builder KeyReply::Builder::initBody(unsigned int size)
 {
     return ::capnp::_::PointerHelpers<::capnp::Data>::init(
         _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ConfigurationContent::Builder::adoptText(::capnp::Orphan<::capnp::Data> &&value)
+inline void KeyReply::Builder::adoptBody(::capnp::Orphan<::capnp::Data> &&value)
 {
     ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
         _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> ConfigurationContent::Builder::disownText()
+inline ::capnp::Orphan<::capnp::Data> KeyReply::Builder::disownBody()
 {
     return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
         _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
@@ -2136,6 +3159,100 @@
         disown(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::AskKeyParams::Reader::hasQuestion() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::AskKeyParams::Builder::hasQuestion()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::monsoongrade::schema::KeyQuestion::Reader Peer::AskKeyParams::Reader::getQuestion() const
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::KeyQuestion>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::monsoongrade::schema::KeyQuestion::Builder Peer::AskKeyParams::Builder::getQuestion()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::KeyQuestion>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline ::monsoongrade::schema::KeyQuestion::Pipeline Peer::AskKeyParams::Pipeline::getQuestion()
+{
+    return ::monsoongrade::schema::KeyQuestion::Pipeline(_typeless.getPointerField(0));
+}
+#endif // !CAPNP_LITE
+inline void
+Peer::AskKeyParams::Builder::setQuestion(::monsoongrade::schema::KeyQuestion::Reader value)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::KeyQuestion>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::monsoongrade::schema::KeyQuestion::Builder Peer::AskKeyParams::Builder::initQuestion()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::KeyQuestion>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::AskKeyParams::Builder::adoptQuestion(
+    ::capnp::Orphan<::monsoongrade::schema::KeyQuestion> &&value)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::KeyQuestion>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::monsoongrade::schema::KeyQuestion>
+Peer::AskKeyParams::Builder::disownQuestion()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::KeyQuestion>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::AskKeyResults::Reader::hasReply() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::AskKeyResults::Builder::hasReply()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::monsoongrade::schema::KeyReply::Reader Peer::AskKeyResults::Reader::getReply() const
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::KeyReply>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::monsoongrade::schema::KeyReply::Builder Peer::AskKeyResults::Builder::getReply()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::KeyReply>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline ::monsoongrade::schema::KeyReply::Pipeline Peer::AskKeyResults::Pipeline::getReply()
+{
+    return ::monsoongrade::schema::KeyReply::Pipeline(_typeless.getPointerField(0));
+}
+#endif // !CAPNP_LITE
+inline void Peer::AskKeyResults::Builder::setReply(::monsoongrade::schema::KeyReply::Reader value)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::KeyReply>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::monsoongrade::schema::KeyReply::Builder Peer::AskKeyResults::Builder::initReply()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::KeyReply>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+Peer::AskKeyResults::Builder::adoptReply(::capnp::Orphan<::monsoongrade::schema::KeyReply> &&value)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::KeyReply>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::monsoongrade::schema::KeyReply> Peer::AskKeyResults::Builder::disownReply()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::KeyReply>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 } // namespace schema
 } // namespace monsoongrade
 
--- a/src/rpc/peerclient.cpp
+++ b/src/rpc/peerclient.cpp
@@ -1,5 +1,6 @@
 #include <monsoongrade/rpc/peerclient.h>
 
+#include <rpc/internal/keymessages.h>
 #include <rpc/internal/peerconnection.h>
 #include <rpc/internal/peermessages.h>
 
@@ -21,6 +22,8 @@
 using units::ResultCode;
 
 constexpr auto CallTimeout = 2 * kj::SECONDS;
+// A run that another router is asked about may itself take a while.
+constexpr auto KeyAnswerTimeout = 60 * kj::SECONDS;
 // Neighbours, whoever was asked to help, and some to spare.
 constexpr std::size_t MostConnections = 48;
 
@@ -90,6 +93,21 @@
         tasks_.add(kj::mv(promise));
     }
 
+    void askKey(const membership::MemberRecord &holder, const requests::HolderQuestion &question,
+                const requests::KeyHolderClient::ReplyHandler &reply)
+    {
+        auto call = peerAt(holder.id, holder.address).askKeyRequest();
+        internal::write(call.initQuestion(), question);
+        tasks_.add(loop_.timer()
+                       .timeoutAfter(KeyAnswerTimeout, call.send())
+                       .then([](auto response) { return internal::read(response.getReply()); })
+                       .catch_([this, id = holder.id](kj::Exception &&) {
+                           drop(id);
+                           return requests::HolderReply();
+                       })
+                       .then([reply](requests::HolderReply known) { reply(known); }));
+    }
+
 private:
     struct Connection
     {
@@ -188,4 +206,13 @@
                        "asked " + from.id.host.value() + ": " + fetched.error.message);
 }
 
+void PeerClient::askKey(const membership::MemberRecord &holder,
+                        const requests::HolderQuestion &question,
+                        requests::KeyHolderClient::ReplyHandler reply)
+{
+    loop_.post([impl = impl_, holder, question, reply = std::move(reply)] {
+        impl->askKey(holder, question, reply);
+    });
+}
+
 } // namespace monsoongrade::rpc
--- a/src/rpc/peerserver.cpp
+++ b/src/rpc/peerserver.cpp
@@ -1,5 +1,7 @@
 #include <monsoongrade/rpc/peerserver.h>
 
+#include <rpc/internal/keyanswers.h>
+#include <rpc/internal/keymessages.h>
 #include <rpc/internal/peermessages.h>
 #include <rpc/internal/peerservice.h>
 
@@ -67,9 +69,11 @@
 class PeerImpl final : public schema::Peer::Server
 {
 public:
-    PeerImpl(std::shared_ptr<Exchange> exchange, configuration::ConfigurationContents &contents)
+    PeerImpl(std::shared_ptr<Exchange> exchange, configuration::ConfigurationContents &contents,
+             std::shared_ptr<internal::KeyAnswers> keys)
         : exchange_(std::move(exchange))
         , contents_(contents)
+        , keys_(std::move(keys))
     {
     }
 
@@ -115,9 +119,18 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> askKey(AskKeyContext context) override
+    {
+        return keys_->ask(internal::read(context.getParams().getQuestion()))
+            .then([context](requests::HolderReply reply) mutable {
+                internal::write(context.getResults().initReply(), reply);
+            });
+    }
+
 private:
     std::shared_ptr<Exchange> exchange_;
     configuration::ConfigurationContents &contents_;
+    std::shared_ptr<internal::KeyAnswers> keys_;
 };
 
 // What a daemon without another listener answers hello with.
@@ -158,7 +171,8 @@
          membership::Membership &membership, configuration::ConfigurationContents &contents)
         : loop_(loop)
         , exchange_(std::make_shared<Exchange>(client, membership))
-        , peer_(kj::heap<PeerImpl>(exchange_, contents))
+        , keys_(std::make_shared<internal::KeyAnswers>(loop, settings.self))
+        , peer_(kj::heap<PeerImpl>(exchange_, contents, keys_))
         , tasks_(*this)
         , server_(kj::heap<HelloImpl>(settings, peer_))
     {
@@ -173,6 +187,7 @@
     }
 
     schema::Peer::Client peer() { return peer_; }
+    internal::KeyAnswers &keys() { return *keys_; }
 
 private:
     void tick()
@@ -189,6 +204,7 @@
 
     RpcLoop &loop_;
     std::shared_ptr<Exchange> exchange_;
+    std::shared_ptr<internal::KeyAnswers> keys_;
     schema::Peer::Client peer_;
     kj::TaskSet tasks_;
     kj::Own<kj::ConnectionReceiver> receiver_;
@@ -218,4 +234,9 @@
     loop_.postAndWait([&] { impl_.reset(); });
 }
 
+void PeerServer::answerKeysWith(KeyAnswerer answerer)
+{
+    loop_.postAndWait([&] { impl_->keys().setAnswerer(std::move(answerer)); });
+}
+
 } // namespace monsoongrade::rpc
--- /dev/null
+++ b/src/rpc/rpckeyholders.cpp
@@ -0,0 +1,47 @@
+#include <monsoongrade/rpc/rpckeyholders.h>
+
+#include <optional>
+
+namespace monsoongrade::rpc {
+
+namespace {
+
+using membership::MemberRecord;
+
+// A router's id begins with its host's name and its role.
+bool isRouterOf(const MemberRecord &record, const units::DaemonId &router)
+{
+    const std::string start = record.id.host.value() + ".router.";
+    return record.id.role == membership::DaemonRole::Router
+        && router.value().compare(0, start.size(), start) == 0;
+}
+
+std::optional<MemberRecord> findRouter(const std::vector<MemberRecord> &members,
+                                       const units::DaemonId &router)
+{
+    for (const MemberRecord &record : members) {
+        if (isRouterOf(record, router))
+            return record;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+RpcKeyHolders::RpcKeyHolders(RpcLoop &loop, PeerClient &client, membership::Membership &membership)
+    : loop_(loop)
+    , client_(client)
+    , membership_(membership)
+{
+}
+
+void RpcKeyHolders::ask(const requests::HolderQuestion &question, ReplyHandler reply)
+{
+    const auto holder = findRouter(membership_.members(), question.holder);
+    if (holder)
+        client_.askKey(*holder, question, std::move(reply));
+    else
+        loop_.post([reply = std::move(reply)] { reply(requests::HolderReply()); });
+}
+
+} // namespace monsoongrade::rpc
