monsoongradectl: a refused token is told at once

Cause: apply without a token waited its whole 30 s and called every host behind, since the operator pages answered 401. The change was accepted all the same.

--- a/include/monsoongrade/ctl/fleetclient.h
+++ b/include/monsoongrade/ctl/fleetclient.h
@@ -20,6 +20,8 @@
     // Empty where the host did not answer.
     std::string body;
     std::string fault;
+    // The host answered, and did not take the operator token.
+    bool isTokenRefused = false;
 };
 
 // Asks the operator listeners of all entry hosts. Blocks.
--- a/src/ctl/fleetclient.cpp
+++ b/src/ctl/fleetclient.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr auto PageLimit = std::chrono::seconds(2);
+constexpr int Unauthorized = 401;
 
 } // namespace
 
@@ -39,10 +40,10 @@
     request.silenceTimeout = PageLimit;
     const endpoints::WholeAnswer answer = endpoints::callAndWait(client_, request);
     if (answer.end.code != units::ResultCode::Ok)
-        return {host, {}, answer.end.message};
+        return {host, {}, answer.end.message, false};
     if (answer.status != 200)
-        return {host, {}, "status " + std::to_string(answer.status) + ": " + answer.body};
-    return {host, answer.body, {}};
+        return {host, {}, "status " + std::to_string(answer.status), answer.status == Unauthorized};
+    return {host, answer.body, {}, false};
 }
 
 units::Result<std::vector<HostPage>> FleetClient::pages(const std::string &pathAndQuery)
--- a/src/ctl/internal/session.cpp
+++ b/src/ctl/internal/session.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <random>
 #include <thread>
@@ -45,6 +46,13 @@
     std::size_t lastBehind = 0;
     for (;;) {
         BOOST_LEAF_AUTO(pages, session.fleet.pages("/operator/status"));
+        // Asking again would not help, and the change is accepted all the same.
+        if (std::any_of(pages.begin(), pages.end(),
+                        [](const HostPage &page) { return page.isTokenRefused; })) {
+            std::cerr << "accepted, but can't tell where it is in force: the operator token was "
+                         "refused; give it by --token\n";
+            return ExitBehind;
+        }
         const std::vector<std::string> behind = hostsBehind(pages, generation);
         if (behind.empty()) {
             if (talk)
