Cells: the queue itself waits until the cell opens

While a cell settled, its asks were parked beside the queue and entered it sorted by tier and waited time, a second order that knew no shares.

--- a/src/rpc/internal/cell.cpp
+++ b/src/rpc/internal/cell.cpp
@@ -23,12 +23,12 @@
         // side noticed. Both at once in the queue would give it two slots, one of them for ever.
         const auto earlier = cell_.waiters_.find(request_);
         if (earlier != cell_.waiters_.end()) {
-            cell_.withdraw(request_);
+            cell_.scheduler_.cancel(request_);
             earlier->second->decide(scheduling::SlotRefusal{request_, units::ResultCode::CallerLeft,
                                                             units::Duration()});
         }
         cell_.waiters_[request_] = this;
-        cell_.enter(ask);
+        cell_.scheduler_.ask(ask);
     }
 
     ~Waiter()
@@ -36,7 +36,7 @@
         if (decided_)
             return;
         cell_.waiters_.erase(request_);
-        cell_.withdraw(request_);
+        cell_.scheduler_.cancel(request_);
     }
 
     void decide(SlotOutcome outcome)
@@ -76,11 +76,7 @@
 
 void Cell::configure(const configuration::Configuration &configuration)
 {
-    const scheduling::CellPolicy policy = configuration.cellPolicy(pool_);
-    tiers_.clear();
-    for (const auto &[name, classPolicy] : policy.classes)
-        tiers_.emplace(name, classPolicy.tier);
-    scheduler_.configure(policy);
+    scheduler_.configure(configuration.cellPolicy(pool_));
 }
 
 void Cell::applyFleet(const configuration::Configuration &configuration,
@@ -103,6 +99,7 @@
     if (state_ == State::Closed) {
         state_ = State::Settling;
         opensAt_ = clock_.now() + settlingTime_;
+        scheduler_.settleUntil(opensAt_);
     }
     openIfSettled();
 }
@@ -122,7 +119,7 @@
             orphans.emplace_back(entry);
     }
     for (const auto &[request, waiter] : orphans) {
-        withdraw(request);
+        scheduler_.cancel(request);
         waiter->fail();
     }
     for (auto entry = held_.begin(); entry != held_.end();)
@@ -140,7 +137,8 @@
 void Cell::cancel(const units::DaemonId &session, const units::RequestId &request)
 {
     const auto found = waiters_.find(request);
-    if (found == waiters_.end() || found->second->session() != session || !withdraw(request))
+    if (found == waiters_.end() || found->second->session() != session
+        || !scheduler_.cancel(request))
         return;
     found->second->decide(
         scheduling::SlotRefusal{request, units::ResultCode::CallerLeft, units::Duration()});
@@ -166,7 +164,7 @@
 {
     while (!waiters_.empty()) {
         Waiter *waiter = waiters_.begin()->second;
-        withdraw(waiters_.begin()->first);
+        scheduler_.cancel(waiters_.begin()->first);
         waiter->decide(Moved{});
     }
 }
@@ -218,19 +216,6 @@
         found->second->decide(refusal);
 }
 
-void Cell::enter(const scheduling::SlotAsk &ask)
-{
-    if (state_ == State::Open)
-        scheduler_.ask(ask);
-    else
-        parked_[ask.request] = {ask, clock_.now()};
-}
-
-bool Cell::withdraw(const units::RequestId &request)
-{
-    return parked_.erase(request) > 0 || scheduler_.cancel(request);
-}
-
 void Cell::openIfSettled()
 {
     if (state_ != State::Settling)
@@ -240,19 +225,8 @@
     if (now < opensAt_ && !allCame)
         return;
     state_ = State::Open;
-    std::vector<scheduling::SlotAsk> asks;
-    for (auto &entry : parked_) {
-        entry.second.ask.waited += now - entry.second.since;
-        asks.push_back(std::move(entry.second.ask));
-    }
-    parked_.clear();
-    // In the order of the queue: slots are granted while this hands over, and one in any other
-    // order would put a lower tier's ask before a higher one's.
-    std::sort(asks.begin(), asks.end(), [this](const auto &a, const auto &b) {
-        return std::pair(tiers_[a.className], b.waited) < std::pair(tiers_[b.className], a.waited);
-    });
-    for (const scheduling::SlotAsk &ask : asks)
-        scheduler_.ask(ask);
+    scheduler_.settleUntil(now);
+    scheduler_.tick();
     observability::log(observability::LogLevel::Info, "cell-opened",
                        {{"pool", pool_.value()},
                         {"routers", static_cast<std::int64_t>(attached_.size())},
--- a/src/rpc/internal/cell.h
+++ b/src/rpc/internal/cell.h
@@ -63,16 +63,9 @@
 private:
     class Waiter;
     enum class State { Closed, Settling, Open };
-    struct Parked
-    {
-        scheduling::SlotAsk ask;
-        units::TimePoint since;
-    };
 
     void granted(const scheduling::SlotGrant &grant) override;
     void refused(const scheduling::SlotRefusal &refusal) override;
-    void enter(const scheduling::SlotAsk &ask);
-    bool withdraw(const units::RequestId &request);
     void openIfSettled();
 
     units::PoolName pool_;
@@ -80,12 +73,10 @@
     observability::Metrics &metrics_;
     const units::Duration settlingTime_;
     scheduling::CellScheduler scheduler_;
-    std::map<units::ClassName, units::Tier> tiers_;
     std::size_t routerCount_ = 0;
     State state_ = State::Closed;
     units::TimePoint opensAt_;
     std::set<units::DaemonId> attached_;
-    std::map<units::RequestId, Parked> parked_;
     // By grant: the session that holds it.
     std::map<units::GrantId, units::DaemonId> held_;
     std::map<units::RequestId, Waiter *> waiters_;
