--- a/include/monsoongrade/ctl/commands.h
+++ b/include/monsoongrade/ctl/commands.h
@@ -19,6 +19,9 @@
 // Puts the files in force and waits until every daemon has them, for at most waitSeconds.
 int applyCommand(const std::string &path, int waitSeconds, const Options &options);
 
+// Takes one file out of force; the others stay.
+int removeCommand(const std::string &file, int waitSeconds, const Options &options);
+
 // Shows every entry host: generation, age, open requests, what it suspects.
 int statusCommand(const Options &options);
 
--- a/programs/monsoongradectl/main.cpp
+++ b/programs/monsoongradectl/main.cpp
@@ -13,7 +13,7 @@
 // Words that the completion script offers after the program's name.
 const char *const Completion = R"(_monsoongradectl()
 {
-    local commands="check diff apply status drain undrain explain top completion"
+    local commands="check diff apply remove status drain undrain explain top completion"
     local options="--platform --token --operator-port --output --help --version"
     local word=${COMP_WORDS[COMP_CWORD]}
     case ${COMP_WORDS[COMP_CWORD-1]} in
@@ -72,6 +72,8 @@
         return ctl::explainCommand(given.name, given.options);
     if (command == "top")
         return ctl::topCommand(given.rounds, given.options);
+    if (command == "remove")
+        return ctl::removeCommand(given.name, given.waitSeconds, given.options);
     return ctl::drainCommand(given.name, command == "undrain", given.waitSeconds, given.options);
 }
 
@@ -97,10 +99,11 @@
             command->add_option("--wait", given.waitSeconds, "seconds to wait; 0 does not wait");
     }
     for (const auto &[name, help] :
-         std::map<std::string, std::string>{{"drain", "take a host or an endpoint out of service"},
+         std::map<std::string, std::string>{{"remove", "take one file out of force, by its name"},
+                                            {"drain", "take a host or an endpoint out of service"},
                                             {"undrain", "put it back into service"}}) {
         auto *command = app.add_subcommand(name, help);
-        command->add_option("name", given.name, "host or endpoint")->required();
+        command->add_option("name", given.name, "file, host or endpoint")->required();
         command->add_option("--wait", given.waitSeconds, "seconds to wait; 0 does not wait");
     }
     app.add_subcommand("status", "show every entry host");
--- a/src/ctl/configurationcommands.cpp
+++ b/src/ctl/configurationcommands.cpp
@@ -124,7 +124,22 @@
             std::cout << diffText(differences);
         if (differences["files"].empty())
             return ExitOk;
-        return internal::applyAndWait(session, files, waitSeconds, options);
+        BOOST_LEAF_AUTO(applied, session.store.apply(files, internal::newChangeId()));
+        return internal::reportAndWait(session, applied, waitSeconds, options);
+    });
+}
+
+int removeCommand(const std::string &file, int waitSeconds, const Options &options)
+{
+    internal::Session session(options);
+    return internal::runReportingErrors([&]() -> units::Result<int> {
+        BOOST_LEAF_AUTO(manifest, session.store.manifest());
+        if (manifest.contentHashByFile.count(file) == 0) {
+            std::cerr << "4008 file-unreadable: no file named " << file << " is in force\n";
+            return ExitBadInput;
+        }
+        BOOST_LEAF_AUTO(applied, session.store.remove({file}, internal::newChangeId()));
+        return internal::reportAndWait(session, applied, waitSeconds, options);
     });
 }
 
@@ -144,7 +159,9 @@
             names.erase(found);
         else
             names.push_back(name);
-        return internal::applyAndWait(session, {drainedFile(names)}, waitSeconds, options);
+        BOOST_LEAF_AUTO(applied,
+                        session.store.apply({drainedFile(names)}, internal::newChangeId()));
+        return internal::reportAndWait(session, applied, waitSeconds, options);
     });
 }
 
--- a/src/ctl/internal/session.cpp
+++ b/src/ctl/internal/session.cpp
@@ -16,12 +16,6 @@
 
 constexpr auto AskAgainAfter = std::chrono::milliseconds(250);
 
-std::string newChangeId()
-{
-    std::random_device random;
-    return std::to_string(random()) + "-" + std::to_string(random());
-}
-
 // Names of the hosts that do not have the generation yet, with what they say instead.
 std::vector<std::string> hostsBehind(const std::vector<HostPage> &pages,
                                      units::Generation generation)
@@ -74,11 +68,16 @@
 
 } // namespace
 
-units::Result<int> applyAndWait(Session &session,
-                                const std::vector<configuration::SourceFile> &files,
-                                int waitSeconds, const Options &options)
+std::string newChangeId()
+{
+    std::random_device random;
+    return std::to_string(random()) + "-" + std::to_string(random());
+}
+
+units::Result<int> reportAndWait(Session &session,
+                                 const configuration::ConfigurationStore::Applied &applied,
+                                 int waitSeconds, const Options &options)
 {
-    BOOST_LEAF_AUTO(applied, session.store.apply(files, newChangeId()));
     printProblems(applied.problems);
     if (!applied.problems.empty()) {
         std::cerr << "nothing was changed\n";
--- a/src/ctl/internal/session.h
+++ b/src/ctl/internal/session.h
@@ -44,10 +44,13 @@
     });
 }
 
-// Puts the files in force and waits for the daemons; used by apply and drain.
-units::Result<int> applyAndWait(Session &session,
-                                const std::vector<configuration::SourceFile> &files,
-                                int waitSeconds, const Options &options);
+// An id that no other change has.
+std::string newChangeId();
+
+// Tells what became of a change and, where it was accepted, waits until the daemons have it.
+units::Result<int> reportAndWait(Session &session,
+                                 const configuration::ConfigurationStore::Applied &applied,
+                                 int waitSeconds, const Options &options);
 
 } // namespace monsoongrade::ctl::internal
 
