Keys: an answer that was given is not kept by its caller's connection

Cause: the responder's handler for a caller that leaves held the reader, and the reader the responder. Both stayed until the caller closed its connection, with every repeat on it. Found by the address sanitizer's leak check: 10 of 231 tests, all of keyed requests; the other 221 passed under it. The handlers hold the reader weakly now, and a responder that has ended takes no handler any more.

--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -82,6 +82,8 @@
     void onGone(std::function<void()> handler) override
     {
         asio::post(strand_, [self = shared_from_this(), handler = std::move(handler)]() mutable {
+            if (self->ended_)
+                return;
             if (self->gone_)
                 handler();
             else
--- a/src/requests/sharedanswer.cpp
+++ b/src/requests/sharedanswer.cpp
@@ -34,9 +34,13 @@
         if (flowEnd_)
             readers_.clear();
     }
-    responder->onGone([weak = weak_from_this(), reader] {
-        if (const auto self = weak.lock())
-            self->callerGone(reader);
+    // The responder keeps this handler and the reader keeps the responder: held strongly here,
+    // the two would keep each other, and the answer, for as long as the caller's connection.
+    responder->onGone([weak = weak_from_this(), weakReader = std::weak_ptr<Reader>(reader)] {
+        const auto self = weak.lock();
+        const auto gone = weakReader.lock();
+        if (self && gone)
+            self->callerGone(gone);
     });
 }
 
@@ -114,10 +118,13 @@
         return;
     }
     reader->waiting += bytes.size();
-    reader->responder->write(bytes, [weak = weak_from_this(), reader](std::size_t count) {
-        if (const auto self = weak.lock())
-            self->left(*reader, count);
-    });
+    reader->responder->write(
+        bytes, [weak = weak_from_this(), weakReader = std::weak_ptr<Reader>(reader)](auto count) {
+            const auto self = weak.lock();
+            const auto relieved = weakReader.lock();
+            if (self && relieved)
+                self->left(*relieved, count);
+        });
 }
 
 void SharedAnswer::left(Reader &reader, std::size_t bytes)
