Tests: a frozen scheduler stands still before the test goes on

LeavesAFrozenSchedulerWhichFreesItsLateGrantsWhenItWakes failed twice under load. Cause: freeze() posted the stop to the scheduler's loop and did not wait for it, so the ask after it could still be granted by that scheduler (its successor then had granted 0 instead of 1). freeze() returns now once the loop stands; what the test asks is the same.

--- a/tests/rpc/rpcfixture.h
+++ b/tests/rpc/rpcfixture.h
@@ -145,7 +145,13 @@
     {
         woken_ = {};
         const std::shared_future<void> woken = woken_.get_future().share();
-        loop.post([woken] { woken.wait(); });
+        // Until the loop stands still it may yet grant what is asked after freeze().
+        std::promise<void> stands;
+        loop.post([woken, &stands] {
+            stands.set_value();
+            woken.wait();
+        });
+        stands.get_future().wait();
         frozen_ = true;
     }
     void wake()
