--- a/programs/monsoongrade-fake-engine/main.cpp
+++ b/programs/monsoongrade-fake-engine/main.cpp
@@ -1,3 +1,4 @@
+#include <monsoongrade/daemon/parsearguments.h>
 #include <monsoongrade/daemon/stopsignal.h>
 #include <monsoongrade/http/httpserver.h>
 #include <monsoongrade/standins/fakeengine.h>
@@ -36,7 +37,8 @@
     bool exitOnCrash = false;
     app.add_flag("--exit-on-crash", exitOnCrash, "a crash ends the process");
     app.set_version_flag("--version", std::string(MONSOONGRADE_VERSION));
-    CLI11_PARSE(app, argc, argv);
+    if (const auto exitCode = daemon::parseArguments(app, argc, argv))
+        return *exitCode;
     if (exitOnCrash)
         engineSettings.onCrash = [] {
             std::_Exit(ExitAfterCrash);
--- a/programs/monsoongrade-fake-platform/main.cpp
+++ b/programs/monsoongrade-fake-platform/main.cpp
@@ -1,3 +1,4 @@
+#include <monsoongrade/daemon/parsearguments.h>
 #include <monsoongrade/daemon/stopsignal.h>
 #include <monsoongrade/http/httpserver.h>
 #include <monsoongrade/standins/fakeplatform.h>
@@ -16,7 +17,8 @@
     app.add_option("--address", settings.address, "IP number to listen on");
     app.add_option("--port", settings.port, "TCP port to listen on")->required();
     app.set_version_flag("--version", std::string(MONSOONGRADE_VERSION));
-    CLI11_PARSE(app, argc, argv);
+    if (const auto exitCode = daemon::parseArguments(app, argc, argv))
+        return *exitCode;
     daemon::blockStopSignals();
     try {
         standins::FakePlatform platform;
--- a/programs/monsoongrade-load/main.cpp
+++ b/programs/monsoongrade-load/main.cpp
@@ -1,5 +1,6 @@
 #include <monsoongrade/configuration/folder.h>
 #include <monsoongrade/daemon/commandline.h>
+#include <monsoongrade/daemon/parsearguments.h>
 #include <monsoongrade/endpoints/curlendpointclient.h>
 #include <monsoongrade/load/enginewatch.h>
 #include <monsoongrade/load/loadplot.h>
@@ -80,7 +81,8 @@
     app.add_option("--mark", marks, "moment to show in the drawing, as SECONDS=LABEL");
     app.add_flag("--check", checkOnly, "check the script and exit");
     app.set_version_flag("--version", std::string(MONSOONGRADE_VERSION));
-    CLI11_PARSE(app, argc, argv);
+    if (const auto exitCode = daemon::parseArguments(app, argc, argv))
+        return *exitCode;
     for (const std::string &mark : marks) {
         if (!readMark(mark, outputs.marks)) {
             std::cerr << "--mark: expected SECONDS=LABEL, not " << mark << "\n";
--- a/src/daemon/commandline.cpp
+++ b/src/daemon/commandline.cpp
@@ -2,6 +2,7 @@
 
 #include <monsoongrade/configuration/folder.h>
 #include <monsoongrade/daemon/loglevels.h>
+#include <monsoongrade/daemon/parsearguments.h>
 #include <monsoongrade/daemon/stopsignal.h>
 
 #include <CLI/CLI.hpp>
@@ -39,12 +40,8 @@
     app.add_option("--config", path, "YAML file with this daemon's settings")->required();
     app.add_flag("--check", checkOnly, "check the settings and exit");
     app.set_version_flag("--version", std::string(MONSOONGRADE_VERSION));
-    try {
-        app.parse(argc, argv);
-    } catch (const CLI::ParseError &error) {
-        const int code = app.exit(error);
-        return {std::nullopt, code == 0 ? ExitOk : ExitBadSettings};
-    }
+    if (const auto exitCode = parseArguments(app, argc, argv))
+        return {std::nullopt, *exitCode};
     configuration::DaemonSettings settings;
     const configuration::Problems problems = readSettings(path, settings);
     for (const configuration::Problem &problem : problems)
--- a/src/standins/fakeengine.cpp
+++ b/src/standins/fakeengine.cpp
@@ -1,6 +1,7 @@
 #include <monsoongrade/standins/fakeengine.h>
 
 #include <standins/internal/enginestream.h>
+#include <standins/internal/engineswitches.h>
 
 #include <monsoongrade/standins/loadhistory.h>
 #include <monsoongrade/standins/runbook.h>
@@ -20,6 +21,7 @@
 
 using internal::EngineStream;
 using internal::EngineStreamPointer;
+using internal::EngineSwitches;
 using nlohmann::json;
 using Responder = std::shared_ptr<http::HttpResponder>;
 using Clock = std::chrono::steady_clock;
@@ -30,19 +32,6 @@
 constexpr auto FrozenCheck = std::chrono::milliseconds(50);
 constexpr auto SpeedWindow = std::chrono::seconds(1);
 
-struct Switches
-{
-    double slow = 1;
-    bool frozen = false;
-    std::int64_t crashAfterTokens = 0;
-    bool refuse = false;
-    std::string reset;
-    // Resets left; negative is without end.
-    std::int64_t resetNext = -1;
-    bool draining = false;
-    std::chrono::milliseconds loadLag{0};
-};
-
 json countsOf(const std::map<std::string, RunCount> &runs)
 {
     json out = json::object();
@@ -72,7 +61,7 @@
         const std::lock_guard lock(mutex_);
         if (answerAdmin(request, *responder))
             return;
-        if (switches_.reset == "before" && takeReset()) {
+        if (switches_.reset == "before" && switches_.takeReset()) {
             responder->abort();
             return;
         }
@@ -137,42 +126,16 @@
 
     bool setSwitches(const std::string &text)
     {
-        const json body = json::parse(text, nullptr, false);
-        if (!body.is_object())
+        const auto next = switches_.changedBy(text);
+        if (!next)
             return false;
-        Switches next = switches_;
-        bool crashes = false;
-        try {
-            next.slow = body.value("slow", next.slow);
-            next.frozen = body.value("freeze", next.frozen);
-            next.crashAfterTokens = body.value("crash_after_tokens", next.crashAfterTokens);
-            next.refuse = body.value("refuse", next.refuse);
-            next.reset = body.value("reset", next.reset);
-            next.resetNext = body.value("reset_next", body.contains("reset") ? -1 : next.resetNext);
-            next.draining = body.value("draining", next.draining);
-            next.loadLag = std::chrono::milliseconds(
-                body.value("load_lag_ms", static_cast<std::int64_t>(next.loadLag.count())));
-            crashes = body.value("crash", false);
-        } catch (const json::exception &) {
-            return false;
-        }
-        switches_ = next;
+        switches_ = *next;
         noteLoad();
-        if (crashes)
+        if (switches_.crash)
             crash();
         return true;
     }
 
-    bool takeReset()
-    {
-        if (switches_.resetNext < 0)
-            return true;
-        if (switches_.resetNext == 0)
-            return false;
-        --switches_.resetNext;
-        return true;
-    }
-
     void crash()
     {
         // Those that wait have not begun.
@@ -193,7 +156,7 @@
         const std::string key = request.header("idempotency-key");
         runs_.begun(id, key);
         ++runsBegun_;
-        if (switches_.reset == "after" && takeReset()) {
+        if (switches_.reset == "after" && switches_.takeReset()) {
             runs_.broken(id, key);
             responder->abort();
             return;
@@ -251,7 +214,7 @@
         ++runsBegun_;
         if (stream->done > 0)
             runs_.resumed(stream->requestId, stream->idempotencyKey);
-        if (switches_.reset == "after" && takeReset()) {
+        if (switches_.reset == "after" && switches_.takeReset()) {
             breakOff(stream);
             return;
         }
@@ -381,7 +344,7 @@
     // Tells this life of the process from any other.
     const std::int64_t incarnation_ = Clock::now().time_since_epoch().count();
     std::mutex mutex_;
-    Switches switches_;
+    EngineSwitches switches_;
     RunBook runs_;
     LoadHistory loads_;
     std::set<EngineStreamPointer> running_;
