--- a/tests/requests/flowworld.h
+++ b/tests/requests/flowworld.h
@@ -42,6 +42,8 @@
 class FlowWorld
 {
 public:
+    using Command = FlowCommand;
+
     void apply(const FlowCommand &command);
     // Lets everything that is still open come to its end.
     void settle();
--- a/tests/requests/keyedrequests_fuzz_test.cpp
+++ b/tests/requests/keyedrequests_fuzz_test.cpp
@@ -1,4 +1,5 @@
 #include <requests/keyedworld.h>
+#include <requests/violation.h>
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -12,23 +13,6 @@
     return out << "{" << command.kind << ", " << command.router << ", " << command.which << "}";
 }
 
-namespace {
-
-std::string run(const std::vector<KeyedCommand> &commands)
-{
-    KeyedWorld world;
-    for (const KeyedCommand &command : commands) {
-        world.apply(command);
-        std::string broken = world.violation();
-        if (!broken.empty())
-            return broken;
-    }
-    world.settle();
-    return world.violation();
-}
-
-} // namespace
-
 // Callers repeat their keys at three routers at the same moment. The store is down, loses replies
 // or applies a write later; routers freeze between claim and call and restart; questions between
 // routers are lost. Each key must run at most once, and all who get its answer get the same one.
@@ -40,7 +24,7 @@
             rc::gen::inRange(0, 8));
         const auto commands
             = *rc::gen::resize(250, rc::gen::container<std::vector<KeyedCommand>>(command));
-        const std::string broken = run(commands);
+        const std::string broken = violationAfter<KeyedWorld>(commands);
         if (!broken.empty())
             RC_FAIL(broken);
     }));
@@ -50,17 +34,17 @@
 // claim over, and runs. A repeat at the first one must not run on the claim that it gave up.
 TEST_CASE("KeyedRequests.GivenUpClaimIsNotUsedAgainByItsEarlierHolder")
 {
-    CHECK(run({{KeyedCommand::Send, 0, 0},
-               {KeyedCommand::Work, 0, 0},
-               {KeyedCommand::RefuseAsk, 0, 0},
-               {KeyedCommand::Send, 1, 0},
-               {KeyedCommand::Work, 1, 0},
-               {KeyedCommand::DeliverQuestion, 1, 0},
-               {KeyedCommand::DeliverReply, 1, 0},
-               {KeyedCommand::Work, 1, 0},
-               {KeyedCommand::Grant, 1, 0},
-               {KeyedCommand::Run, 1, 0},
-               {KeyedCommand::Send, 0, 0}})
+    CHECK(violationAfter<KeyedWorld>({{KeyedCommand::Send, 0, 0},
+                                      {KeyedCommand::Work, 0, 0},
+                                      {KeyedCommand::RefuseAsk, 0, 0},
+                                      {KeyedCommand::Send, 1, 0},
+                                      {KeyedCommand::Work, 1, 0},
+                                      {KeyedCommand::DeliverQuestion, 1, 0},
+                                      {KeyedCommand::DeliverReply, 1, 0},
+                                      {KeyedCommand::Work, 1, 0},
+                                      {KeyedCommand::Grant, 1, 0},
+                                      {KeyedCommand::Run, 1, 0},
+                                      {KeyedCommand::Send, 0, 0}})
           == "");
 }
 
@@ -72,7 +56,7 @@
                                        {KeyedCommand::Grant, 0, 0}, {KeyedCommand::Finish, 0, 0},
                                        {KeyedCommand::Wait, 0, 7},  {KeyedCommand::Send, 0, 0},
                                        {KeyedCommand::Work, 0, 0}};
-    CHECK(run(commands) == "");
+    CHECK(violationAfter<KeyedWorld>(commands) == "");
 }
 
 } // namespace monsoongrade::requests
--- a/tests/requests/keyedrequests_threads_test.cpp
+++ b/tests/requests/keyedrequests_threads_test.cpp
@@ -4,9 +4,9 @@
 #include <monsoongrade/requests/keyedrequests.h>
 #include <monsoongrade/requests/openrequests.h>
 #include <monsoongrade/requests/threaddelayer.h>
-#include <monsoongrade/requests/unreachableholders.h>
 #include <monsoongrade/requests/workerpool.h>
 #include <monsoongrade/units/steadyclock.h>
+#include <requests/unreachableholders.h>
 
 #include <doctest/doctest.h>
 
--- a/tests/requests/keyedworld.h
+++ b/tests/requests/keyedworld.h
@@ -60,6 +60,8 @@
 class KeyedWorld : private KeyHolderClient
 {
 public:
+    using Command = KeyedCommand;
+
     KeyedWorld();
     ~KeyedWorld() override;
 
--- a/tests/requests/requestflow_fuzz_test.cpp
+++ b/tests/requests/requestflow_fuzz_test.cpp
@@ -1,4 +1,5 @@
 #include <requests/flowworld.h>
+#include <requests/violation.h>
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -12,23 +13,6 @@
     return out << "{" << command.kind << ", " << command.which << "}";
 }
 
-namespace {
-
-std::string run(const std::vector<FlowCommand> &commands)
-{
-    FlowWorld world;
-    for (const FlowCommand &command : commands) {
-        world.apply(command);
-        std::string broken = world.violation();
-        if (!broken.empty())
-            return broken;
-    }
-    world.settle();
-    return world.violation();
-}
-
-} // namespace
-
 // Callers start, leave and read slowly; slots are granted late, also after the caller left;
 // endpoints refuse, run, break at any point, and their events arrive after they were given up.
 // Each caller must get the events of one run of its own request or an explicit error; runs, slots
@@ -40,7 +24,7 @@
             rc::gen::inRange(0, static_cast<int>(FlowCommand::KindCount)), rc::gen::inRange(0, 12));
         const auto commands
             = *rc::gen::resize(200, rc::gen::container<std::vector<FlowCommand>>(command));
-        const std::string broken = run(commands);
+        const std::string broken = violationAfter<FlowWorld>(commands);
         if (!broken.empty())
             RC_FAIL(broken);
     }));
@@ -50,11 +34,11 @@
 // the second ask found the queue full. "not run" would be untrue of the first call.
 TEST_CASE("RequestFlow.RefusalOfARetryIsNotSaidToBeNotRun")
 {
-    CHECK(run({{FlowCommand::StartIdempotent, 0},
-               {FlowCommand::Grant, 0},
-               {FlowCommand::Break, 0},
-               {FlowCommand::Wait, 0},
-               {FlowCommand::RefuseAsk, 0}})
+    CHECK(violationAfter<FlowWorld>({{FlowCommand::StartIdempotent, 0},
+                                     {FlowCommand::Grant, 0},
+                                     {FlowCommand::Break, 0},
+                                     {FlowCommand::Wait, 0},
+                                     {FlowCommand::RefuseAsk, 0}})
           == "");
 }
 
@@ -63,7 +47,9 @@
 TEST_CASE("RequestFlow.HalfEventIsNotGivenToTheCaller")
 {
     for (const int start : {FlowCommand::StartIdempotent, FlowCommand::StartResumable})
-        CHECK(run({{start, 0}, {FlowCommand::Grant, 0}, {FlowCommand::SendHalfEvent, 0}}) == "");
+        CHECK(violationAfter<FlowWorld>(
+                  {{start, 0}, {FlowCommand::Grant, 0}, {FlowCommand::SendHalfEvent, 0}})
+              == "");
 }
 
 } // namespace monsoongrade::requests
--- a/include/monsoongrade/requests/unreachableholders.h
+++ b/tests/requests/unreachableholders.h
@@ -1,13 +1,13 @@
-#ifndef MONSOONGRADE_REQUESTS_UNREACHABLEHOLDERS_H
-#define MONSOONGRADE_REQUESTS_UNREACHABLEHOLDERS_H
+#ifndef MONSOONGRADE_TESTS_REQUESTS_UNREACHABLEHOLDERS_H
+#define MONSOONGRADE_TESTS_REQUESTS_UNREACHABLEHOLDERS_H
 
 #include <monsoongrade/requests/delayer.h>
 #include <monsoongrade/requests/keyholderclient.h>
 
 namespace monsoongrade::requests {
 
-// Finds every holder unreachable, for a router that can't ask others: its callers learn that the
-// outcome is unknown there and go to the router that they used first.
+// Finds every holder unreachable: callers learn that the outcome is unknown at this router and go
+// to the one that they used first.
 class UnreachableHolders : public KeyHolderClient
 {
 public:
@@ -27,4 +27,4 @@
 
 } // namespace monsoongrade::requests
 
-#endif // MONSOONGRADE_REQUESTS_UNREACHABLEHOLDERS_H
+#endif // MONSOONGRADE_TESTS_REQUESTS_UNREACHABLEHOLDERS_H
