--- a/include/monsoongrade/scheduling/waitingask.h
+++ b/include/monsoongrade/scheduling/waitingask.h
@@ -3,6 +3,7 @@
 
 #include <monsoongrade/scheduling/cellpolicy.h>
 #include <monsoongrade/scheduling/slotask.h>
+#include <monsoongrade/units/resultcode.h>
 
 #include <cstdint>
 
@@ -25,6 +26,8 @@
 
     // Takes tier and times from the class's policy; expects "ask" and "arrived".
     void applyPolicy(const CellPolicy &policy);
+    // Why it is refused when its time to be given up has come.
+    units::ResultCode givenUpCode() const;
 };
 
 } // namespace monsoongrade::scheduling
--- a/include/monsoongrade/scheduling/waitingqueue.h
+++ b/include/monsoongrade/scheduling/waitingqueue.h
@@ -45,8 +45,8 @@
     // more than its reserved places, of the class and workspace with the most waiting for their
     // weight, the one with the latest deadline.
     const WaitingAsk *toShed() const;
-    // The ask that must be given up first; null if none waits.
-    const WaitingAsk *nextToGiveUp() const;
+    // Takes out the ask that must be given up first, if its time has come.
+    std::optional<WaitingAsk> takeGivenUp(units::TimePoint now);
     // Gives the ask the tier's next slot, and time until the given moment to get it. It no longer
     // takes a place in the queue and can't be shed. At most one a tier of the highest backlogged
     // ones, since its tier's next slot is its own.
--- a/src/scheduling/cellscheduler.cpp
+++ b/src/scheduling/cellscheduler.cpp
@@ -227,14 +227,8 @@
 void CellScheduler::expire()
 {
     const units::TimePoint now = clock_.now();
-    while (const WaitingAsk *oldest = queue_.nextToGiveUp()) {
-        if (oldest->giveUpAt > now)
-            return;
-        const WaitingAsk ask = *queue_.take(oldest->ask.request);
-        refuse(ask,
-               ask.late == LatePolicy::Drop ? units::ResultCode::DeadlineHopeless
-                                            : units::ResultCode::WaitedTooLong);
-    }
+    while (const auto ask = queue_.takeGivenUp(now))
+        refuse(*ask, ask->givenUpCode());
 }
 
 void CellScheduler::shed(units::Tier arrived)
--- a/src/scheduling/waitingask.cpp
+++ b/src/scheduling/waitingask.cpp
@@ -20,4 +20,10 @@
         giveUpAt = std::min(giveUpAt, firstTokenDue);
 }
 
+units::ResultCode WaitingAsk::givenUpCode() const
+{
+    return late == LatePolicy::Drop ? units::ResultCode::DeadlineHopeless
+                                    : units::ResultCode::WaitedTooLong;
+}
+
 } // namespace monsoongrade::scheduling
--- a/src/scheduling/waitingqueue.cpp
+++ b/src/scheduling/waitingqueue.cpp
@@ -125,9 +125,11 @@
     return &asks_.at(order.rbegin()->second);
 }
 
-const WaitingAsk *WaitingQueue::nextToGiveUp() const
+std::optional<WaitingAsk> WaitingQueue::takeGivenUp(units::TimePoint now)
 {
-    return byGiveUp_.empty() ? nullptr : &asks_.at(byGiveUp_.begin()->second);
+    if (byGiveUp_.empty() || byGiveUp_.begin()->first > now)
+        return std::nullopt;
+    return take(asks_.at(byGiveUp_.begin()->second).ask.request);
 }
 
 void WaitingQueue::markPassedOver(const units::RequestId &request, units::TimePoint giveUpAt)
