Tests: a scripted server resets only once the request's bytes have arrived

Cause: ResetConnectionCountsAsSent resets a connection as soon as it is accepted. When the reset reaches the client before libcurl has looked at the connection, libcurl reports a failed connect and never ran the function that goes before the first byte; the client then says 3001, not sent. That is true, so the test was wrong and not the client. Ruled out: a byte leaving without that function having run (the library calls it before it writes), and an effect of the kept connection (the call asks for a fresh one).

--- a/tests/endpoints/curlendpointclient_test.cpp
+++ b/tests/endpoints/curlendpointclient_test.cpp
@@ -63,17 +63,33 @@
     CHECK_FALSE(answer.end.requestSent);
 }
 
-// The endpoint takes the connection and resets it before it has read anything. The router can't
-// know how much was read, so it must not claim that nothing ran.
+// The endpoint takes the connection, and resets it when the request's bytes arrive, before it has
+// read any. The router can't know how much was read, so it must not claim that nothing ran.
 TEST_CASE("CurlEndpointClient.ResetConnectionCountsAsSent")
 {
-    ScriptedServer server({{}}, true);
+    ScriptedServer server({{}}, ConnectionEnd::ResetWhenRequestArrives);
     CurlEndpointClient client;
     const WholeAnswer answer = callAndWait(client, post(server.url("/tags"), true));
     CHECK(answer.end.code == ResultCode::EndpointBrokeBeforeAnswer);
     CHECK(answer.end.requestSent);
 }
 
+// The endpoint resets the connection as soon as it stands. If the reset is there before the client
+// has seen the connection, no byte left and "not sent" is true; if it comes after, bytes may have
+// left. Which of the two happens is up to the kernel; code and flag must agree in both.
+TEST_CASE("CurlEndpointClient.ResetAtOnceIsNotSentOnlyWhereNoConnectionWasSeen")
+{
+    constexpr int Calls = 50;
+    ScriptedServer server({{}}, ConnectionEnd::ResetAtOnce);
+    CurlEndpointClient client;
+    for (int call = 0; call < Calls; ++call) {
+        const WholeAnswer answer = callAndWait(client, post(server.url("/tags"), true));
+        const ResultCode expected = answer.end.requestSent ? ResultCode::EndpointBrokeBeforeAnswer
+                                                           : ResultCode::EndpointUnreachable;
+        CHECK(answer.end.code == expected);
+    }
+}
+
 // The endpoint dies within a body whose length it gave, or within a chunk. The caller must not
 // get the piece as if it were the whole.
 TEST_CASE("CurlEndpointClient.AnswerThatIsCutEndsInAnError")
--- a/tests/endpoints/scriptedserver.h
+++ b/tests/endpoints/scriptedserver.h
@@ -15,17 +15,26 @@
 
 namespace monsoongrade::endpoints {
 
+// How a scripted connection ends behind its last text.
+enum class ConnectionEnd {
+    Close,
+    // As soon as the connection stands, whether or not the client has seen that it does.
+    ResetAtOnce,
+    // Once bytes of a request have arrived, which stay unread.
+    ResetWhenRequestArrives,
+};
+
 // A TCP server that plays an endpoint: for the n-th request on a connection it sends the n-th
-// text of that connection's script and closes behind the last one. Connections beyond the last
+// text of that connection's script and ends it behind the last one. Connections beyond the last
 // script get the last one.
 class ScriptedServer
 {
 public:
     using Script = std::vector<std::string>;
 
-    explicit ScriptedServer(std::vector<Script> scripts, bool reset = false)
+    explicit ScriptedServer(std::vector<Script> scripts, ConnectionEnd end = ConnectionEnd::Close)
         : scripts_(std::move(scripts))
-        , reset_(reset)
+        , end_(end)
         , acceptor_(io_, {asio::ip::address_v4::loopback(), 0})
     {
         acceptor_.listen();
@@ -59,6 +68,8 @@
     int requests() const { return requests_; }
 
 private:
+    static constexpr int UntilReady = -1;
+
     void run()
     {
         for (std::size_t number = 0;; ++number) {
@@ -71,7 +82,7 @@
                 serve(*socket, scripts_[std::min(number, scripts_.size() - 1)]);
                 waitForClient(*socket);
                 const std::lock_guard lock(mutex_);
-                if (reset_)
+                if (end_ != ConnectionEnd::Close)
                     socket->set_option(asio::socket_base::linger(true, 0));
                 socket->close();
             });
@@ -95,12 +106,14 @@
     void waitForClient(asio::ip::tcp::socket &socket) const
     {
         pollfd client{socket.native_handle(), POLLIN | POLLRDHUP, 0};
-        if (keepOpen_.load().count() > 0)
+        if (end_ == ConnectionEnd::ResetWhenRequestArrives)
+            poll(&client, 1, UntilReady);
+        else if (keepOpen_.load().count() > 0)
             poll(&client, 1, static_cast<int>(keepOpen_.load().count()));
     }
 
     std::vector<Script> scripts_;
-    const bool reset_;
+    const ConnectionEnd end_;
     asio::io_context io_;
     asio::ip::tcp::acceptor acceptor_;
     std::atomic<int> requests_{0};
