Scheduler: a dead router's slots are free at once although it had asks waiting

Cause: a call under way holds the session's object, and a waiting ask could not be cancelled with its connection. Calls that may wait (ask, adopt) allow their cancellation now.

--- a/src/rpc/internal/slotservice.cpp
+++ b/src/rpc/internal/slotservice.cpp
@@ -34,9 +34,13 @@
     end();
 }
 
+// A call under way holds this object, so each that may wait can be cancelled with its
+// connection: otherwise a dead router's waiting ask kept its session, and all slots it held,
+// until the lease ran out.
 kj::Promise<void> SlotService::ask(AskContext context)
 {
     hear();
+    context.allowCancellation();
     const scheduling::SlotAsk ask = read(context.getParams().getAsk(), session_);
     return cells_->findOrWait(ask.pool)
         .then([this, ask](Cell *cell) -> kj::Promise<SlotOutcome> {
@@ -65,6 +69,7 @@
 kj::Promise<void> SlotService::adopt(AdoptContext context)
 {
     hear();
+    context.allowCancellation();
     return cells_->findOrWait(units::PoolName(context.getParams().getPool()))
         .then([this, context](Cell *cell) mutable {
             const auto held = context.getParams().getHeld();
--- a/tests/rpc/routerloss_test.cpp
+++ b/tests/rpc/routerloss_test.cpp
@@ -7,10 +7,12 @@
 
 // Callers of other routers see their answers. A router dies while it holds the only slot and
 // has asks in the queue; its slot must come free at once, and none of its asks may be granted to
-// nobody.
+// nobody. The lease is too long to be what frees it.
 TEST_CASE("SlotService.FreesSlotsAndAsksOfADeadRouter")
 {
-    TwoSchedulers cluster;
+    rpc::SchedulerServerSettings settings;
+    settings.lease = std::chrono::hours(1);
+    TwoSchedulers cluster(1, 1, settings);
     auto dying = std::make_unique<TestRouter>("dying", cluster.port, cluster.fleet);
     TestRouter other("other", cluster.port, cluster.fleet);
     const Noted held = dying->ask("held");
