Slots: signs of life only where something is awaited

Now a router times only answers that are due (asks, reports, releases, withdrawals), and asks suspected schedulers where it holds slots. A scheduler asks a quiet router 4 s after its last word, where others wait for what it holds or the fleet suspects it, and ends its session 1 s later. It asks by answering the ping that it keeps open, which also tells of a planned stop at once. The view of the fleet names suspected schedulers for this.

Ruled out: membership alone (a connection can be dead while both hosts are seen alive), TCP's keepalive (answers for a frozen process), renewing every 4 s (8.6 KB/s).

Routers and schedulers of before and after this don't go together: an old router takes the open ping for silence. The protocol's version is not raised yet.

--- a/bench/slot-rpc-cost.cpp
+++ b/bench/slot-rpc-cost.cpp
@@ -2,7 +2,7 @@
 #include <monsoongrade/rpc/schedulerserver.h>
 #include <monsoongrade/units/steadyclock.h>
 
-#include <asio.hpp>
+#include <rpc/testrelay.h>
 
 #include <atomic>
 #include <condition_variable>
@@ -15,77 +15,16 @@
 namespace {
 
 using namespace monsoongrade;
-using asio::ip::tcp;
+using monsoongrade::tests::TestRelay;
 
 constexpr int Asks = 50000;
 constexpr int Open = 64;
+constexpr int Endpoints = 8;
+constexpr int SlotsEach = 16;
+constexpr int Slots = Endpoints * SlotsEach;
+constexpr auto SettleFor = std::chrono::milliseconds(200);
 constexpr auto HoldFor = std::chrono::seconds(10);
 
-// Passes one connection on and counts its bytes.
-class CountingRelay
-{
-public:
-    CountingRelay(const std::string &address, const std::string &target, std::uint16_t port)
-        : acceptor_(io_, {asio::ip::make_address(address), 0})
-        , target_(asio::ip::make_address(target), port)
-        , thread_([this] { run(); })
-    {
-    }
-    ~CountingRelay()
-    {
-        asio::post(io_, [this] {
-            near_.close();
-            far_.close();
-            io_.stop();
-        });
-        thread_.join();
-    }
-
-    std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
-    std::int64_t toScheduler() const { return toScheduler_; }
-    std::int64_t toRouter() const { return toRouter_; }
-
-private:
-    using Buffer = std::array<char, 65536>;
-
-    void run()
-    {
-        acceptor_.async_accept(near_, [this](auto error) {
-            if (error)
-                return;
-            far_.connect(target_);
-            near_.set_option(tcp::no_delay(true));
-            far_.set_option(tcp::no_delay(true));
-            pump(near_, far_, up_, toScheduler_);
-            pump(far_, near_, down_, toRouter_);
-        });
-        io_.run();
-    }
-
-    void pump(tcp::socket &from, tcp::socket &to, Buffer &buffer, std::atomic<std::int64_t> &count)
-    {
-        from.async_read_some(asio::buffer(buffer), [&](auto error, std::size_t size) {
-            if (error)
-                return;
-            count += static_cast<std::int64_t>(size);
-            asio::write(to, asio::buffer(buffer, size), error);
-            if (!error)
-                pump(from, to, buffer, count);
-        });
-    }
-
-    asio::io_context io_{1};
-    tcp::acceptor acceptor_;
-    tcp::endpoint target_;
-    tcp::socket near_{io_};
-    tcp::socket far_{io_};
-    Buffer up_{};
-    Buffer down_{};
-    std::atomic<std::int64_t> toScheduler_{0};
-    std::atomic<std::int64_t> toRouter_{0};
-    std::thread thread_;
-};
-
 double threadSeconds(rpc::RpcLoop &loop)
 {
     timespec time{};
@@ -143,10 +82,10 @@
     auto configuration = std::make_shared<configuration::Configuration>();
     configuration->generation = units::Generation(1);
     auto &pool = configuration->pools[units::PoolName("model-pool")];
-    for (int i = 1; i <= 8; ++i) {
+    for (int i = 1; i <= Endpoints; ++i) {
         configuration::EndpointConfig endpoint;
         endpoint.id = units::EndpointId("model-pool-" + std::to_string(i));
-        endpoint.slots = 16;
+        endpoint.slots = SlotsEach;
         pool.endpoints.push_back(endpoint);
     }
     return configuration;
@@ -163,6 +102,19 @@
     return ask;
 }
 
+// What passes while nothing is asked, granted or released.
+void printRest(const TestRelay &relay, const char *what)
+{
+    std::this_thread::sleep_for(SettleFor);
+    const auto up = relay.toScheduler();
+    const auto down = relay.toRouter();
+    std::this_thread::sleep_for(HoldFor);
+    const double seconds = std::chrono::duration<double>(HoldFor).count();
+    std::cout << "while " << what << ": " << double(relay.toScheduler() - up) / seconds
+              << " bytes/s to the scheduler, " << double(relay.toRouter() - down) / seconds
+              << " to the router\n";
+}
+
 } // namespace
 
 int main()
@@ -179,7 +131,7 @@
     serverSettings.address = "127.34.4.2";
     rpc::SchedulerServer server(schedulerLoop, clock, serverSettings, configuration, fleet,
                                 metrics);
-    CountingRelay relay("127.34.4.1", "127.34.4.2", server.port());
+    TestRelay relay("127.34.4.1", 0, "127.34.4.2", server.port());
     membership::FleetView view;
     view.entryHosts = {{units::HostName("entry-1"), "127.34.4.1", {}, false, false}};
     fleet.publish(view);
@@ -220,12 +172,13 @@
     releaser->waitBelow(Open);
     source.ask(makeAsk(Asks + 1), releaser);
     releaser->waitForAll();
-    const auto heldUp = relay.toScheduler();
-    const auto heldDown = relay.toRouter();
-    std::this_thread::sleep_for(HoldFor);
-    const double seconds = std::chrono::duration<double>(HoldFor).count();
-    std::cout << "heartbeat while one slot is held: "
-              << double(relay.toScheduler() - heldUp) / seconds << " bytes/s to the scheduler, "
-              << double(relay.toRouter() - heldDown) / seconds << " to the router\n";
+    printRest(relay, "one slot is held and nothing is awaited");
+    for (int i = 2; i <= Slots; ++i) {
+        releaser->waitBelow(Open);
+        source.ask(makeAsk(Asks + i), releaser);
+    }
+    releaser->waitForAll();
+    source.ask(makeAsk(Asks + Slots + 1), releaser);
+    printRest(relay, "all slots are held and one ask waits");
     return releaser->refused == 0 ? 0 : 1;
 }
--- a/include/monsoongrade/membership/member.h
+++ b/include/monsoongrade/membership/member.h
@@ -20,6 +20,7 @@
     // Of its scheduler. A suspected scheduler keeps its cells until it is held dead: moving them
     // on every lost probe would cost more than waiting for the answer.
     bool schedulerLeaving = false;
+    bool schedulerSuspected = false;
     bool schedulerDead = false;
 };
 
--- a/include/monsoongrade/rpc/rpcslotsource.h
+++ b/include/monsoongrade/rpc/rpcslotsource.h
@@ -21,8 +21,8 @@
     units::ClusterName cluster;
     units::DaemonId self;
     std::uint16_t schedulerPort = 0;
-    // A scheduler where something waits or is held, and that said nothing for this long, is
-    // asked for a sign of life; it must give one within the limit, or the next one is asked.
+    // A scheduler that owes an answer and said nothing for this long is asked for a sign of
+    // life; it must give one within the limit, or the next one is asked.
     units::Duration heartbeat = std::chrono::milliseconds(500);
     units::Duration silenceLimit = std::chrono::milliseconds(1000);
 };
--- a/include/monsoongrade/rpc/schedulerserver.h
+++ b/include/monsoongrade/rpc/schedulerserver.h
@@ -24,9 +24,12 @@
     std::uint16_t port = 0;
     // From the first router's coming to the first grant, unless all routers came before.
     units::Duration settlingTime = std::chrono::milliseconds(300);
-    // A router that is silent for this long loses what it holds. Routers that hold or wait say
-    // something twice a second.
+    // A router that is silent for this long loses what it holds. It is asked for a sign of life
+    // the answer limit before, and only where others wait for what it holds or the fleet
+    // suspects it.
     units::Duration lease = std::chrono::seconds(5);
+    // Less than the lease.
+    units::Duration answerLimit = std::chrono::seconds(1);
     // Asks for a pool that no configuration names wait for one this long.
     units::Duration unknownPoolWait = std::chrono::seconds(2);
     // Handed out with hello on the same listener; must outlive the server.
--- a/schema/monsoongrade.capnp
+++ b/schema/monsoongrade.capnp
@@ -68,7 +68,8 @@
   # Withdraws an ask: its call returns as refused, unless a grant is already on its way; that
   # one is released like any other.
   cancel @3 (pool :Text, request :Text) -> ();
-  # The heartbeat. A leaving scheduler stops as soon as its routers have moved.
+  # A sign of life. The first is answered at once; of the later ones the last is kept open until
+  # the next one comes, the scheduler wants a sign of life, or it leaves.
   ping @4 () -> (leaving :Bool);
   # Takes back what adopt said: the router asks elsewhere for the pool. What it holds here stays
   # counted until it is released.
--- a/src/membership/membershipview.cpp
+++ b/src/membership/membershipview.cpp
@@ -14,6 +14,7 @@
         member.suspected = record.health != Health::Alive;
     } else {
         member.schedulerLeaving = record.leaving;
+        member.schedulerSuspected = record.health == Health::Suspected;
         member.schedulerDead = record.health == Health::Dead;
     }
 }
--- a/src/rpc/internal/cell.cpp
+++ b/src/rpc/internal/cell.cpp
@@ -28,6 +28,7 @@
                                                             units::Duration()});
         }
         cell_.waiters_[request_] = this;
+        cell_.uses_.add(session_);
         cell_.scheduler_.ask(ask);
     }
 
@@ -35,14 +36,14 @@
     {
         if (decided_)
             return;
-        cell_.waiters_.erase(request_);
+        leave();
         cell_.scheduler_.cancel(request_);
     }
 
     void decide(SlotOutcome outcome)
     {
         decided_ = true;
-        cell_.waiters_.erase(request_);
+        leave();
         fulfiller_.fulfill(std::move(outcome));
     }
 
@@ -50,13 +51,19 @@
     void fail()
     {
         decided_ = true;
-        cell_.waiters_.erase(request_);
+        leave();
         fulfiller_.reject(KJ_EXCEPTION(DISCONNECTED, "the session was ended"));
     }
 
     const units::DaemonId &session() const { return session_; }
 
 private:
+    void leave()
+    {
+        cell_.waiters_.erase(request_);
+        cell_.uses_.remove(session_);
+    }
+
     kj::PromiseFulfiller<SlotOutcome> &fulfiller_;
     Cell &cell_;
     units::RequestId request_;
@@ -122,8 +129,14 @@
         scheduler_.cancel(request);
         waiter->fail();
     }
-    for (auto entry = held_.begin(); entry != held_.end();)
-        entry = entry->second == session ? held_.erase(entry) : std::next(entry);
+    for (auto entry = held_.begin(); entry != held_.end();) {
+        if (entry->second == session) {
+            uses_.remove(session);
+            entry = held_.erase(entry);
+        } else {
+            ++entry;
+        }
+    }
     detach(session);
     scheduler_.routerLost(session);
 }
@@ -150,13 +163,14 @@
     if (found == held_.end() || found->second != session)
         return;
     held_.erase(found);
+    uses_.remove(session);
     scheduler_.release(release);
 }
 
 units::GrantId Cell::adopt(const scheduling::SlotAsk &ask, const units::EndpointId &endpoint)
 {
     const units::GrantId grant = scheduler_.adopt(ask, endpoint);
-    held_[grant] = ask.router;
+    hold(grant, ask.router);
     return grant;
 }
 
@@ -183,23 +197,16 @@
     metrics_.set("monsoongrade_cell_routers", labels, static_cast<double>(attached_.size()));
 }
 
-std::size_t Cell::heldBy(const units::DaemonId &session) const
-{
-    return static_cast<std::size_t>(std::count_if(
-        held_.begin(), held_.end(), [&](const auto &entry) { return entry.second == session; }));
-}
-
-std::size_t Cell::waitingOf(const units::DaemonId &session) const
+void Cell::hold(units::GrantId grant, const units::DaemonId &session)
 {
-    return static_cast<std::size_t>(
-        std::count_if(waiters_.begin(), waiters_.end(),
-                      [&](const auto &entry) { return entry.second->session() == session; }));
+    held_[grant] = session;
+    uses_.add(session);
 }
 
 void Cell::granted(const scheduling::SlotGrant &grant)
 {
     metrics_.add("monsoongrade_slots_granted_total", observability::label("pool", pool_.value()));
-    held_[grant.id] = grant.router;
+    hold(grant.id, grant.router);
     const auto found = waiters_.find(grant.request);
     if (found != waiters_.end())
         found->second->decide(grant);
--- a/src/rpc/internal/cell.h
+++ b/src/rpc/internal/cell.h
@@ -1,6 +1,8 @@
 #ifndef MONSOONGRADE_SRC_RPC_INTERNAL_CELL_H
 #define MONSOONGRADE_SRC_RPC_INTERNAL_CELL_H
 
+#include <rpc/internal/sessionuses.h>
+
 #include <monsoongrade/configuration/configuration.h>
 #include <monsoongrade/membership/fleetview.h>
 #include <monsoongrade/observability/metrics.h>
@@ -57,8 +59,8 @@
 
     bool isOpen() const { return state_ == State::Open; }
     std::size_t waiting() const { return waiters_.size(); }
-    std::size_t heldBy(const units::DaemonId &session) const;
-    std::size_t waitingOf(const units::DaemonId &session) const;
+    // Holds or waits for a slot.
+    bool isUsedBy(const units::DaemonId &session) const { return uses_.has(session); }
 
 private:
     class Waiter;
@@ -67,6 +69,7 @@
     void granted(const scheduling::SlotGrant &grant) override;
     void refused(const scheduling::SlotRefusal &refusal) override;
     void openIfSettled();
+    void hold(units::GrantId grant, const units::DaemonId &session);
 
     units::PoolName pool_;
     const units::Clock &clock_;
@@ -79,6 +82,7 @@
     std::set<units::DaemonId> attached_;
     // By grant: the session that holds it.
     std::map<units::GrantId, units::DaemonId> held_;
+    SessionUses uses_;
     std::map<units::RequestId, Waiter *> waiters_;
 };
 
--- a/src/rpc/internal/cells.cpp
+++ b/src/rpc/internal/cells.cpp
@@ -78,7 +78,16 @@
 bool Cells::isUsing(const units::DaemonId &session) const
 {
     for (const auto &entry : cells_) {
-        if (entry.second->heldBy(session) > 0 || entry.second->waitingOf(session) > 0)
+        if (entry.second->isUsedBy(session))
+            return true;
+    }
+    return false;
+}
+
+bool Cells::isContended(const units::DaemonId &session) const
+{
+    for (const auto &entry : cells_) {
+        if (entry.second->waiting() > 0 && entry.second->isUsedBy(session))
             return true;
     }
     return false;
--- a/src/rpc/internal/cells.h
+++ b/src/rpc/internal/cells.h
@@ -31,6 +31,8 @@
     void sessionEnded(const units::DaemonId &session);
     // Holds or waits for anything.
     bool isUsing(const units::DaemonId &session) const;
+    // Holds or waits where anybody waits for a slot.
+    bool isContended(const units::DaemonId &session) const;
 
     void startLeaving();
     bool isLeaving() const { return leaving_; }
--- a/src/rpc/internal/heldslots.cpp
+++ b/src/rpc/internal/heldslots.cpp
@@ -77,12 +77,14 @@
     }
     tasks_.add(call.send()
                    .then([this, reported, link, done = std::move(done)](auto response) {
+                       link->hear(std::chrono::steady_clock::now());
                        const auto grants = response.getGrants();
                        for (unsigned i = 0; i < reported.size() && i < grants.size(); ++i)
                            numbered(reported[i], link, units::GrantId(grants[i]));
                        done();
                    })
-                   .catch_([failed = std::move(failed)](kj::Exception &&) { failed(); }));
+                   .catch_([failed = std::move(failed)](kj::Exception &&) { failed(); })
+                   .attach(kj::heap<AwaitedCall>(link)));
 }
 
 void HeldSlots::numbered(const HeldPointer &held, const LinkPointer &link, units::GrantId grant)
@@ -108,7 +110,7 @@
     auto call = link->connection->slots().releaseRequest();
     call.setPool(pool.value());
     write(call.initRelease(), release);
-    tasks_.add(call.send().ignoreResult());
+    tasks_.add(awaited(link, call.send()));
 }
 
 } // namespace monsoongrade::rpc::internal
--- a/src/rpc/internal/schedulerlink.h
+++ b/src/rpc/internal/schedulerlink.h
@@ -18,7 +18,13 @@
     // Null once given up.
     std::unique_ptr<SchedulerConnection> connection;
     units::TimePoint lastHeard;
-    std::optional<units::TimePoint> pingSent;
+    // Calls under way whose answer shows that it lives; there are none while slots are only held.
+    int awaited = 0;
+    units::TimePoint awaitedSince;
+    // Since when a sign of life is asked for.
+    std::optional<units::TimePoint> signAskedAt;
+    // Calls of ping under way; the scheduler keeps the last one open.
+    int pingsOpen = 0;
     // It answered at least once.
     bool heard = false;
     bool leaving = false;
@@ -28,10 +34,41 @@
     int held = 0;
 
     bool isOpen() const { return connection != nullptr; }
+    void hear(units::TimePoint now)
+    {
+        lastHeard = now;
+        signAskedAt.reset();
+    }
 };
 
 using LinkPointer = std::shared_ptr<SchedulerLink>;
 
+// Counts a call as awaited for as long as it lives; attach it to the call's promise.
+class AwaitedCall
+{
+public:
+    explicit AwaitedCall(LinkPointer link)
+        : link_(std::move(link))
+    {
+        if (link_->awaited++ == 0)
+            link_->awaitedSince = std::chrono::steady_clock::now();
+    }
+    AwaitedCall(const AwaitedCall &) = delete;
+    AwaitedCall &operator=(const AwaitedCall &) = delete;
+    ~AwaitedCall() { --link_->awaited; }
+
+private:
+    LinkPointer link_;
+};
+
+// The call's end; its answer shows that the scheduler lives, and says nothing else.
+template <typename Answer>
+kj::Promise<void> awaited(const LinkPointer &link, kj::Promise<Answer> &&answer)
+{
+    return answer.then([link](auto &&) { link->hear(std::chrono::steady_clock::now()); })
+        .attach(kj::heap<AwaitedCall>(link));
+}
+
 } // namespace monsoongrade::rpc::internal
 
 #endif // MONSOONGRADE_SRC_RPC_INTERNAL_SCHEDULERLINK_H
--- a/src/rpc/internal/schedulerlinks.cpp
+++ b/src/rpc/internal/schedulerlinks.cpp
@@ -93,7 +93,7 @@
 
 void SchedulerLinks::heard(const LinkPointer &link)
 {
-    link->lastHeard = steady_clock::now();
+    link->hear(steady_clock::now());
     link->heard = true;
     if (!link->leaving)
         avoided_.erase(link->scheduler.host);
@@ -135,26 +135,37 @@
             [connection = std::move(link->connection)]() mutable { connection.reset(); }));
 }
 
-// A frozen scheduler closes no connection: the asks that wait there would wait for ever. It gets
-// the ping only while something is at stake, so that idle connections cost nothing. After a
-// pause of this process the answers are still unread, so that round judges nobody.
-void SchedulerLinks::heartbeat(const std::function<bool(const SchedulerLink &)> &isInUse)
+// A frozen scheduler closes no connection: the asks that wait there would wait for ever. Only
+// what is awaited is timed. While slots are merely held nothing is: a sign of life from each
+// scheduler twice a second was most of a router's control traffic, and membership watches the
+// processes. After a pause of this process the answers are still unread, so that round judges
+// nobody.
+void SchedulerLinks::heartbeat()
 {
     const units::TimePoint now = steady_clock::now();
     const bool paused = now - lastHeartbeat_ > settings_.silenceLimit / 2;
     lastHeartbeat_ = now;
     for (const LinkPointer &link : links()) {
-        if (link->pingSent && paused)
-            link->pingSent = now;
-        if (link->pingSent && now - *link->pingSent > settings_.silenceLimit
-            && now - link->lastHeard > settings_.silenceLimit) {
+        if (link->signAskedAt && paused)
+            link->signAskedAt = now;
+        if (link->signAskedAt && now - *link->signAskedAt > settings_.silenceLimit) {
             metrics_.add("monsoongrade_scheduler_silent_total");
             link->heard = false;
             lost(link);
             continue;
         }
-        if (!link->pingSent && now - link->lastHeard >= settings_.heartbeat && isInUse(*link))
-            ping(link);
+        const units::TimePoint quietSince = std::max(link->lastHeard, link->awaitedSince);
+        if (link->awaited > 0 && now - quietSince >= settings_.heartbeat)
+            askForSign(link);
+    }
+}
+
+void SchedulerLinks::askSuspected(const std::vector<membership::Member> &members)
+{
+    for (const membership::Member &member : members) {
+        const auto found = links_.find(member.host);
+        if (member.schedulerSuspected && found != links_.end() && found->second->held > 0)
+            askForSign(found->second);
     }
 }
 
@@ -177,23 +188,36 @@
                 lost(broken);
         });
     links_[member.host] = link;
-    ping(link);
+    askForSign(link);
     return link;
 }
 
+void SchedulerLinks::askForSign(const LinkPointer &link)
+{
+    if (link->signAskedAt)
+        return;
+    link->signAskedAt = steady_clock::now();
+    metrics_.add("monsoongrade_scheduler_signs_asked_total");
+    ping(link);
+}
+
+// The scheduler keeps the last ping open and answers it when another one comes, when it wants a
+// sign of life itself, or when it leaves. So one is always under way.
 void SchedulerLinks::ping(const LinkPointer &link)
 {
-    link->pingSent = steady_clock::now();
+    ++link->pingsOpen;
     tasks_.add(link->connection->slots()
                    .pingRequest()
                    .send()
                    .then([this, link](auto response) {
-                       link->pingSent.reset();
+                       --link->pingsOpen;
                        if (!link->isOpen())
                            return;
                        heard(link);
                        if (response.getLeaving())
                            leaving(link);
+                       else if (link->pingsOpen == 0)
+                           ping(link);
                    })
                    .catch_([this, link](kj::Exception &&) { lost(link); }));
 }
--- a/src/rpc/internal/schedulerlinks.h
+++ b/src/rpc/internal/schedulerlinks.h
@@ -41,8 +41,11 @@
     // Ends the connection; the scheduler frees what the router holds there.
     void close(const LinkPointer &link);
 
-    // Asks schedulers in use for a sign of life and gives up those that are silent.
-    void heartbeat(const std::function<bool(const SchedulerLink &)> &isInUse);
+    // Asks schedulers that are late with an answer for a sign of life, and gives up those that
+    // give none.
+    void heartbeat();
+    // The same now for schedulers that the fleet suspects and where slots are held.
+    void askSuspected(const std::vector<membership::Member> &members);
     std::vector<LinkPointer> links() const;
 
 private:
@@ -56,6 +59,7 @@
     bool isPassedOver(const membership::Member &member);
     LinkPointer linkTo(const membership::Member &member);
     LinkPointer open(const membership::Member &member);
+    void askForSign(const LinkPointer &link);
     void ping(const LinkPointer &link);
     void avoid(const units::HostName &host);
 
--- a/src/rpc/internal/slotclient.cpp
+++ b/src/rpc/internal/slotclient.cpp
@@ -72,7 +72,9 @@
 
 void SlotClient::fleetChanged()
 {
-    if (!links_.setMembers(fleet_.current()->liveSchedulerHosts()))
+    const auto members = fleet_.current()->liveSchedulerHosts();
+    links_.askSuspected(members);
+    if (!links_.setMembers(members))
         return;
     for (const auto &entry : pools_)
         assign(entry.first);
@@ -110,7 +112,8 @@
                         links_.heard(link);
                         decided(name, request, attempt, link, response.getDecision());
                     })
-                    .catch_([this, link](kj::Exception &&) { links_.lost(link); }));
+                    .catch_([this, link](kj::Exception &&) { links_.lost(link); })
+                    .attach(kj::heap<AwaitedCall>(link)));
 }
 
 void SlotClient::decided(const units::PoolName &name, const units::RequestId &request,
@@ -172,7 +175,7 @@
     auto call = link->connection->slots().cancelRequest();
     call.setPool(name.value());
     call.setRequest(request.value());
-    tasks_->add(call.send().ignoreResult());
+    tasks_->add(awaited(link, call.send()));
 }
 
 void SlotClient::assign(const units::PoolName &name)
@@ -229,7 +232,7 @@
         return;
     auto call = old->connection->slots().detachRequest();
     call.setPool(name.value());
-    tasks_->add(call.send().ignoreResult());
+    tasks_->add(awaited(old, call.send()));
 }
 
 void SlotClient::gone(const LinkPointer &link)
@@ -264,26 +267,17 @@
         assign(name);
     for (const auto &[name, request] : unsent)
         send(name, request);
-    links_.heartbeat([this](const SchedulerLink &link) { return isInUse(link); });
+    links_.heartbeat();
     for (const LinkPointer &link : links_.links()) {
         const bool isCurrent = std::any_of(pools_.begin(), pools_.end(), [&](const auto &entry) {
             return entry.second.link == link;
         });
-        if (!isCurrent && link->held == 0 && link->movesPending == 0 && !link->pingSent)
+        if (!isCurrent && link->held == 0 && link->movesPending == 0 && !link->signAskedAt)
             links_.close(link);
     }
     tasks_->add(loop_.timer().afterDelay(TickPeriod).then([this] { tick(); }));
 }
 
-bool SlotClient::isInUse(const SchedulerLink &link) const
-{
-    if (link.held > 0 || link.movesPending > 0)
-        return true;
-    return std::any_of(pools_.begin(), pools_.end(), [&](const auto &entry) {
-        return entry.second.link.get() == &link && !entry.second.waiting.empty();
-    });
-}
-
 void SlotClient::taskFailed(kj::Exception &&exception)
 {
     observability::log(observability::LogLevel::Debug, "scheduler-call-failed",
--- a/src/rpc/internal/slotclient.h
+++ b/src/rpc/internal/slotclient.h
@@ -62,7 +62,6 @@
     void reported(const units::PoolName &name, const LinkPointer &old);
     void gone(const LinkPointer &link);
     void tick();
-    bool isInUse(const SchedulerLink &link) const;
     void taskFailed(kj::Exception &&exception) override;
 
     RpcLoop &loop_;
--- a/src/rpc/internal/slotservice.cpp
+++ b/src/rpc/internal/slotservice.cpp
@@ -93,11 +93,24 @@
     return kj::READY_NOW;
 }
 
+// The first one is answered at once and shows the router that this connection works. Of the
+// later ones the last is kept open: it costs nothing while it waits, and its answer reaches the
+// router when this side has something to say.
 kj::Promise<void> SlotService::ping(PingContext context)
 {
     hear();
-    context.getResults().setLeaving(cells_->isLeaving());
-    return kj::READY_NOW;
+    answerPing();
+    if (cells_->isLeaving() || !pinged_) {
+        pinged_ = true;
+        context.getResults().setLeaving(cells_->isLeaving());
+        return kj::READY_NOW;
+    }
+    auto pair = kj::newPromiseAndFulfiller<void>();
+    openPing_ = kj::mv(pair.fulfiller);
+    context.allowCancellation();
+    return pair.promise.then([cells = cells_, context]() mutable {
+        context.getResults().setLeaving(cells->isLeaving());
+    });
 }
 
 kj::Promise<void> SlotService::detach(DetachContext context)
@@ -117,12 +130,28 @@
     if (found != sessions_->byRouter.end() && found->second == this)
         sessions_->byRouter.erase(found);
     cells_->sessionEnded(session_);
+    if (openPing_.get() != nullptr)
+        openPing_->reject(KJ_EXCEPTION(DISCONNECTED, "the session was ended"));
+}
+
+void SlotService::askForSign()
+{
+    signAskedAt_ = clock_.now();
+    answerPing();
+}
+
+void SlotService::answerPing()
+{
+    if (openPing_.get() != nullptr)
+        openPing_->fulfill();
+    openPing_ = nullptr;
 }
 
 void SlotService::hear()
 {
     failIfEnded();
     lastHeard_ = clock_.now();
+    signAskedAt_.reset();
 }
 
 void SlotService::failIfEnded() const
--- a/src/rpc/internal/slotservice.h
+++ b/src/rpc/internal/slotservice.h
@@ -6,6 +6,7 @@
 #include <monsoongrade.capnp.h>
 
 #include <memory>
+#include <optional>
 
 namespace monsoongrade::rpc::internal {
 
@@ -40,9 +41,18 @@
     // again and report what it still holds.
     void end();
     bool isUsed() const { return !ended_ && cells_->isUsing(session_); }
+    bool isContended() const { return !ended_ && cells_->isContended(session_); }
     units::TimePoint lastHeard() const { return lastHeard_; }
+    const units::DaemonId &router() const { return router_; }
     const units::DaemonId &session() const { return session_; }
 
+    // Answers the ping that is kept open; the router sends the next one at once.
+    void askForSign();
+    // Since when; none once the router said anything.
+    std::optional<units::TimePoint> signAskedAt() const { return signAskedAt_; }
+    // For a scheduler that leaves.
+    void answerPing();
+
 private:
     void hear();
     void failIfEnded() const;
@@ -53,6 +63,9 @@
     units::DaemonId router_;
     units::DaemonId session_;
     units::TimePoint lastHeard_;
+    std::optional<units::TimePoint> signAskedAt_;
+    bool pinged_ = false;
+    kj::Own<kj::PromiseFulfiller<void>> openPing_;
     bool ended_ = false;
 };
 
--- a/src/rpc/schedulerserver.cpp
+++ b/src/rpc/schedulerserver.cpp
@@ -9,6 +9,7 @@
 #include <kj/async-io.h>
 #include <kj/timer.h>
 
+#include <algorithm>
 #include <future>
 #include <stdexcept>
 #include <vector>
@@ -23,6 +24,15 @@
 
 constexpr auto TickPeriod = 50 * kj::MILLISECONDS;
 
+// A router's id begins with its host's name and its role.
+bool isSuspected(const membership::FleetView &fleet, const units::DaemonId &router)
+{
+    return std::any_of(fleet.entryHosts.begin(), fleet.entryHosts.end(), [&](const auto &member) {
+        const std::string start = member.host.value() + ".router.";
+        return member.suspected && router.value().compare(0, start.size(), start) == 0;
+    });
+}
+
 class DaemonImpl final : public schema::Daemon::Server
 {
 public:
@@ -73,6 +83,7 @@
         : loop_(loop)
         , clock_(clock)
         , lease_(settings.lease)
+        , answerLimit_(settings.answerLimit)
         , configuration_(configuration)
         , fleet_(fleet)
         , metrics_(metrics)
@@ -105,7 +116,12 @@
     }
 
     void applyAll() { cells_->apply(configuration_.current(), fleet_.current()); }
-    void startLeaving() { cells_->startLeaving(); }
+    void startLeaving()
+    {
+        cells_->startLeaving();
+        for (const auto &entry : sessions_->byRouter)
+            entry.second->answerPing();
+    }
 
     std::size_t routersUsing() const
     {
@@ -124,22 +140,22 @@
     }
 
     // A router that was cut off or frozen closes no connection, and its slots would stay taken.
-    // Its silence is measured against ticks of this process: after a pause of its own, the
-    // router's messages are still unread.
+    // One that only holds slots has nothing to say, so silence alone means nothing: it is asked
+    // for a sign of life, where it matters, and loses its session without one. Times are
+    // measured against ticks of this process: after a pause of its own, the routers' messages
+    // are still unread.
     void endSilentSessions()
     {
         const units::TimePoint now = clock_.now();
-        const bool paused = now - lastTick_ > lease_ / 2;
+        const bool paused = now - lastTick_ > answerLimit_ / 2;
         lastTick_ = now;
-        if (paused) {
-            pausedUntil_ = now + lease_;
-            return;
-        }
+        if (paused)
+            pausedUntil_ = now + answerLimit_;
         if (now < pausedUntil_)
             return;
         std::vector<internal::SlotService *> silent;
         for (const auto &entry : sessions_->byRouter) {
-            if (now - entry.second->lastHeard() > lease_ && entry.second->isUsed())
+            if (isSilent(*entry.second, now))
                 silent.push_back(entry.second);
         }
         for (internal::SlotService *service : silent) {
@@ -150,6 +166,24 @@
         }
     }
 
+    // True where the sign of life that it was asked for is overdue; asks for one.
+    bool isSilent(internal::SlotService &service, units::TimePoint now)
+    {
+        if (const auto asked = service.signAskedAt())
+            return now - *asked > answerLimit_;
+        if (now - service.lastHeard() < lease_ - answerLimit_ || !isSignWanted(service))
+            return false;
+        metrics_.add("monsoongrade_router_signs_asked_total");
+        service.askForSign();
+        return false;
+    }
+
+    bool isSignWanted(const internal::SlotService &service) const
+    {
+        return service.isContended()
+            || (service.isUsed() && isSuspected(*fleet_.current(), service.router()));
+    }
+
     void taskFailed(kj::Exception &&exception) override
     {
         observability::log(observability::LogLevel::Error, "rpc-task-failed",
@@ -159,6 +193,7 @@
     RpcLoop &loop_;
     const units::Clock &clock_;
     const units::Duration lease_;
+    const units::Duration answerLimit_;
     units::TimePoint lastTick_;
     units::TimePoint pausedUntil_;
     configuration::ConfigurationHolder &configuration_;
