Timing: one thread that runs functions later, for requests and stand-ins

The requests part and the stand-ins each had a class of their own with the same loop. One is enough; it keeps the stand-ins' rule that only a function that is due first wakes the thread.

--- a/include/monsoongrade/requests/flowservices.h
+++ b/include/monsoongrade/requests/flowservices.h
@@ -4,9 +4,9 @@
 #include <monsoongrade/endpoints/endpointclient.h>
 #include <monsoongrade/observability/metrics.h>
 #include <monsoongrade/requests/decisionlog.h>
-#include <monsoongrade/requests/delayer.h>
 #include <monsoongrade/requests/retrybudget.h>
 #include <monsoongrade/scheduling/slotsource.h>
+#include <monsoongrade/timing/delayer.h>
 #include <monsoongrade/units/clock.h>
 
 namespace monsoongrade::requests {
@@ -20,7 +20,7 @@
     observability::Metrics &metrics;
     DecisionLog &decisions;
     RetryBudget &retries;
-    Delayer &delayer;
+    timing::Delayer &delayer;
     units::DaemonId self;
 };
 
--- a/include/monsoongrade/requests/delayer.h
+++ b/include/monsoongrade/timing/delayer.h
@@ -1,11 +1,11 @@
-#ifndef MONSOONGRADE_REQUESTS_DELAYER_H
-#define MONSOONGRADE_REQUESTS_DELAYER_H
+#ifndef MONSOONGRADE_TIMING_DELAYER_H
+#define MONSOONGRADE_TIMING_DELAYER_H
 
 #include <monsoongrade/units/clock.h>
 
 #include <functional>
 
-namespace monsoongrade::requests {
+namespace monsoongrade::timing {
 
 // Runs a function later. Thread-safe; never runs it from within after().
 class Delayer
@@ -15,6 +15,6 @@
     virtual void after(units::Duration delay, std::function<void()> function) = 0;
 };
 
-} // namespace monsoongrade::requests
+} // namespace monsoongrade::timing
 
-#endif // MONSOONGRADE_REQUESTS_DELAYER_H
+#endif // MONSOONGRADE_TIMING_DELAYER_H
--- a/include/monsoongrade/requests/threaddelayer.h
+++ b/include/monsoongrade/timing/threaddelayer.h
@@ -1,14 +1,14 @@
-#ifndef MONSOONGRADE_REQUESTS_THREADDELAYER_H
-#define MONSOONGRADE_REQUESTS_THREADDELAYER_H
+#ifndef MONSOONGRADE_TIMING_THREADDELAYER_H
+#define MONSOONGRADE_TIMING_THREADDELAYER_H
 
-#include <monsoongrade/requests/delayer.h>
+#include <monsoongrade/timing/delayer.h>
 
 #include <condition_variable>
 #include <map>
 #include <mutex>
 #include <thread>
 
-namespace monsoongrade::requests {
+namespace monsoongrade::timing {
 
 // Delayer on one thread of its own.
 class ThreadDelayer : public Delayer
@@ -30,6 +30,6 @@
     std::thread thread_;
 };
 
-} // namespace monsoongrade::requests
+} // namespace monsoongrade::timing
 
-#endif // MONSOONGRADE_REQUESTS_THREADDELAYER_H
+#endif // MONSOONGRADE_TIMING_THREADDELAYER_H
--- a/programs/monsoongrade-router/main.cpp
+++ b/programs/monsoongrade-router/main.cpp
@@ -12,10 +12,10 @@
 #include <monsoongrade/observability/log.h>
 #include <monsoongrade/platform/httpplatform.h>
 #include <monsoongrade/requests/callerfrontend.h>
-#include <monsoongrade/requests/threaddelayer.h>
 #include <monsoongrade/requests/workerpool.h>
 #include <monsoongrade/rpc/fleetservices.h>
 #include <monsoongrade/rpc/rpckeyholders.h>
+#include <monsoongrade/timing/threaddelayer.h>
 #include <monsoongrade/units/steadyclock.h>
 
 #include <atomic>
@@ -87,7 +87,7 @@
     const units::DaemonId self = daemon::newDaemonId(settings.host, "router");
     SlotSources slots(settings, self, clock, rpcLoop, endpointClient, configuration, fleet,
                       metrics);
-    requests::ThreadDelayer delayer;
+    timing::ThreadDelayer delayer;
     const requests::FlowServices services{clock,     slots.chosen(), endpointClient, metrics,
                                           decisions, retries,        delayer,        self};
     std::atomic<units::TimePoint> configuredAt{clock.now()};
--- a/src/standins/fakeengine.cpp
+++ b/src/standins/fakeengine.cpp
@@ -5,7 +5,7 @@
 
 #include <monsoongrade/standins/loadhistory.h>
 #include <monsoongrade/standins/runbook.h>
-#include <monsoongrade/standins/timerthread.h>
+#include <monsoongrade/timing/threaddelayer.h>
 
 #include <nlohmann/json.hpp>
 
@@ -355,7 +355,7 @@
     std::int64_t tokensMade_ = 0;
     std::int64_t tokensEnded_ = 0;
     std::int64_t tokensCancelled_ = 0;
-    TimerThread timers_;
+    timing::ThreadDelayer timers_;
 };
 
 FakeEngine::FakeEngine(const FakeEngineSettings &settings)
--- a/src/standins/fakeplatform.cpp
+++ b/src/standins/fakeplatform.cpp
@@ -1,7 +1,7 @@
 #include <monsoongrade/standins/fakeplatform.h>
 
 #include <monsoongrade/http/query.h>
-#include <monsoongrade/standins/timerthread.h>
+#include <monsoongrade/timing/threaddelayer.h>
 
 #include <nlohmann/json.hpp>
 
@@ -313,7 +313,7 @@
     int loseReplies_ = 0;
     int listLagMs_ = 0;
     int staleReads_ = 0;
-    TimerThread timers_;
+    timing::ThreadDelayer timers_;
 };
 
 FakePlatform::FakePlatform()
--- a/src/requests/threaddelayer.cpp
+++ b/src/timing/threaddelayer.cpp
@@ -1,6 +1,6 @@
-#include <monsoongrade/requests/threaddelayer.h>
+#include <monsoongrade/timing/threaddelayer.h>
 
-namespace monsoongrade::requests {
+namespace monsoongrade::timing {
 
 ThreadDelayer::ThreadDelayer()
     : thread_([this] { run(); })
@@ -19,11 +19,16 @@
 
 void ThreadDelayer::after(units::Duration delay, std::function<void()> function)
 {
+    bool isFirst = false;
     {
         const std::lock_guard lock(mutex_);
-        waiting_.emplace(std::chrono::steady_clock::now() + delay, std::move(function));
+        const auto entry
+            = waiting_.emplace(std::chrono::steady_clock::now() + delay, std::move(function));
+        isFirst = entry == waiting_.begin();
     }
-    changed_.notify_one();
+    // The thread already waits for whatever is due before this one.
+    if (isFirst)
+        changed_.notify_one();
 }
 
 void ThreadDelayer::run()
@@ -45,4 +50,4 @@
     }
 }
 
-} // namespace monsoongrade::requests
+} // namespace monsoongrade::timing
--- a/tests/requests/fakes.h
+++ b/tests/requests/fakes.h
@@ -2,8 +2,8 @@
 #define MONSOONGRADE_TESTS_REQUESTS_FAKES_H
 
 #include <monsoongrade/endpoints/endpointclient.h>
-#include <monsoongrade/requests/delayer.h>
 #include <monsoongrade/scheduling/slotsource.h>
+#include <monsoongrade/timing/delayer.h>
 
 #include <map>
 #include <string>
@@ -97,7 +97,7 @@
 };
 
 // Runs delayed functions when the test says so.
-class ManualDelayer : public Delayer
+class ManualDelayer : public timing::Delayer
 {
 public:
     void after(units::Duration, std::function<void()> function) override
--- a/tests/requests/keyedrequests_threads_test.cpp
+++ b/tests/requests/keyedrequests_threads_test.cpp
@@ -3,8 +3,8 @@
 
 #include <monsoongrade/requests/keyedrequests.h>
 #include <monsoongrade/requests/openrequests.h>
-#include <monsoongrade/requests/threaddelayer.h>
 #include <monsoongrade/requests/workerpool.h>
+#include <monsoongrade/timing/threaddelayer.h>
 #include <monsoongrade/units/steadyclock.h>
 #include <requests/unreachableholders.h>
 
@@ -98,7 +98,7 @@
     OpenRequests open(1000);
     LockedStore store;
     ClaimStore claims(store, clock, metrics);
-    ThreadDelayer delayer;
+    timing::ThreadDelayer delayer;
     UnreachableHolders holders(delayer);
     auto configuration = std::make_shared<configuration::Configuration>();
     configuration::EndpointConfig endpoint;
--- a/tests/requests/unreachableholders.h
+++ b/tests/requests/unreachableholders.h
@@ -1,8 +1,8 @@
 #ifndef MONSOONGRADE_TESTS_REQUESTS_UNREACHABLEHOLDERS_H
 #define MONSOONGRADE_TESTS_REQUESTS_UNREACHABLEHOLDERS_H
 
-#include <monsoongrade/requests/delayer.h>
 #include <monsoongrade/requests/keyholderclient.h>
+#include <monsoongrade/timing/delayer.h>
 
 namespace monsoongrade::requests {
 
@@ -11,7 +11,7 @@
 class UnreachableHolders : public KeyHolderClient
 {
 public:
-    explicit UnreachableHolders(Delayer &delayer)
+    explicit UnreachableHolders(timing::Delayer &delayer)
         : delayer_(delayer)
     {
     }
@@ -22,7 +22,7 @@
     }
 
 private:
-    Delayer &delayer_;
+    timing::Delayer &delayer_;
 };
 
 } // namespace monsoongrade::requests
