Requests: a grant is looked up among the endpoints now in service

Cause: a granted endpoint was looked up in the configuration under which its request had been classified. A request that waited through a change of the configuration was refused (2005, not run) when it got the slot of an endpoint added meanwhile; and a slot on an endpoint that had been taken away, drained or called leaving since was used, if the scheduler had not heard of it. Ruled out: the scheduler's own marks as enough; one that is cut off from the news and still reached by routers goes on granting. Now the router asks a directory of the configuration in force less what is drained or leaving; a grant of anything else is given back unused, with a counter, and the request asks again, avoiding it, five times in 1.5 s at most. Seen to fail: EndpointAddedWhileTheRequestWaitedIsCalled on the code before (refused, no call made); GrantOfAnEndpointOutOfServiceIsGivenBackUnused with the check taken out (the call was made). scripts/test: 237 passed, 0 failed.

--- a/include/monsoongrade/configuration/configuration.h
+++ b/include/monsoongrade/configuration/configuration.h
@@ -89,7 +89,9 @@
 
     // True where the endpoint or its host is drained.
     bool isDrained(const EndpointConfig &endpoint) const;
-    const EndpointConfig *findEndpoint(const units::EndpointId &id) const;
+    // Null where the pool or the endpoint is unknown.
+    const EndpointConfig *findEndpoint(const units::PoolName &pool,
+                                       const units::EndpointId &id) const;
     // The policy of the one cell that holds the whole pool.
     scheduling::CellPolicy cellPolicy(const units::PoolName &pool) const;
 };
--- a/include/monsoongrade/requests/flowservices.h
+++ b/include/monsoongrade/requests/flowservices.h
@@ -4,6 +4,7 @@
 #include <monsoongrade/endpoints/endpointclient.h>
 #include <monsoongrade/observability/metrics.h>
 #include <monsoongrade/requests/decisionlog.h>
+#include <monsoongrade/requests/endpointdirectory.h>
 #include <monsoongrade/requests/retrybudget.h>
 #include <monsoongrade/scheduling/slotsource.h>
 #include <monsoongrade/timing/delayer.h>
@@ -17,6 +18,7 @@
     const units::Clock &clock;
     scheduling::SlotSource &slots;
     endpoints::EndpointClient &client;
+    const EndpointDirectory &directory;
     observability::Metrics &metrics;
     DecisionLog &decisions;
     RetryBudget &retries;
--- a/include/monsoongrade/requests/requestflow.h
+++ b/include/monsoongrade/requests/requestflow.h
@@ -50,6 +50,7 @@
     scheduling::SlotAsk makeAsk() const;
     void askForSlot();
     void call(const configuration::EndpointConfig &endpoint);
+    void returnGrant();
     bool isEventStream() const;
     void judgeEnd(const endpoints::EndpointEnd &end);
     void beginRelay();
@@ -61,6 +62,7 @@
     bool mayTryAgain(units::ResultCode code);
     void tryElsewhere(units::ResultCode code);
     void backOff();
+    void askLater(units::Duration delay);
     void complete();
     void giveUp(units::ResultCode code, const std::string &message, units::Duration retryAfter);
     void end(const FlowEnd &flowEnd, const std::string &detail);
@@ -78,6 +80,7 @@
     endpoints::CallId call_ = 0;
     units::TimePoint callStarted_;
     std::vector<units::EndpointId> failedEndpoints_;
+    int grantsReturned_ = 0;
     AttemptResult attempt_;
     endpoints::Headers answerHeaders_;
     std::string wholeBody_;
--- a/programs/monsoongrade-router/main.cpp
+++ b/programs/monsoongrade-router/main.cpp
@@ -3,6 +3,7 @@
 #include <monsoongrade/daemon/commandline.h>
 #include <monsoongrade/daemon/daemonid.h>
 #include <monsoongrade/daemon/entrypoints.h>
+#include <monsoongrade/daemon/liveendpoints.h>
 #include <monsoongrade/daemon/operatorservice.h>
 #include <monsoongrade/daemon/statuspage.h>
 #include <monsoongrade/daemon/stopsignal.h>
@@ -88,8 +89,10 @@
     SlotSources slots(settings, self, clock, rpcLoop, endpointClient, configuration, fleet,
                       metrics);
     timing::ThreadDelayer delayer;
-    const requests::FlowServices services{clock,     slots.chosen(), endpointClient, metrics,
-                                          decisions, retries,        delayer,        self};
+    const daemon::LiveEndpoints directory(configuration, fleet);
+    const requests::FlowServices services{clock,     slots.chosen(), endpointClient,
+                                          directory, metrics,        decisions,
+                                          retries,   delayer,        self};
     std::atomic<units::TimePoint> configuredAt{clock.now()};
     configuration.addListener([&](const auto &) { configuredAt = clock.now(); });
     rpc::FleetServices fleetServices(rpcLoop, clock, settings, membership::DaemonRole::Router, self,
--- a/src/configuration/configuration.cpp
+++ b/src/configuration/configuration.cpp
@@ -7,13 +7,15 @@
     return drained.count(endpoint.id.value()) > 0 || drained.count(endpoint.host.value()) > 0;
 }
 
-const EndpointConfig *Configuration::findEndpoint(const units::EndpointId &id) const
+const EndpointConfig *Configuration::findEndpoint(const units::PoolName &pool,
+                                                  const units::EndpointId &id) const
 {
-    for (const auto &entry : pools) {
-        for (const EndpointConfig &endpoint : entry.second.endpoints) {
-            if (endpoint.id == id)
-                return &endpoint;
-        }
+    const auto found = pools.find(pool);
+    if (found == pools.end())
+        return nullptr;
+    for (const EndpointConfig &endpoint : found->second.endpoints) {
+        if (endpoint.id == id)
+            return &endpoint;
     }
     return nullptr;
 }
--- a/src/requests/requestflow.cpp
+++ b/src/requests/requestflow.cpp
@@ -24,6 +24,10 @@
 // A retry waits a part of this, more for each attempt, so that requests that failed together
 // don't come back together.
 constexpr std::uint64_t MostJitterMillis = 50;
+// Grants of endpoints that this router does not know as being in service. The pauses add up to
+// 1.5 s, longer than news of a change takes to all daemons.
+constexpr int MostGrantsReturned = 5;
+constexpr auto PauseAfterReturn = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -85,15 +89,33 @@
     callStarted_ = services_.clock.now();
     eventsAtCall_ = scanner_.events();
     account_.record(DecisionKind::Granted, ResultCode::Ok, grant.endpoint.value());
-    const auto *endpoint = request_.configuration->findEndpoint(grant.endpoint);
-    if (endpoint == nullptr) {
-        releaseSlot(ReleaseOutcome::NotRun);
+    // Not the configuration under which the request was classified: while it waited, endpoints may
+    // have been added, whose slot would be refused, or taken away, which must get no new work.
+    const auto endpoint = services_.directory.find(request_.pool.name, grant.endpoint);
+    if (endpoint)
+        call(*endpoint);
+    else
+        returnGrant();
+}
+
+// The scheduler knows more or less than this router; for a moment they differ at each change. A
+// few other grants are waited for, so that a request isn't refused for the change, and no more
+// than a few, so that a scheduler that stays cut off doesn't keep it for ever.
+void RequestFlow::returnGrant()
+{
+    releaseSlot(ReleaseOutcome::NotRun);
+    services_.metrics.add("monsoongrade_grants_returned_total");
+    if (++grantsReturned_ > MostGrantsReturned) {
         giveUp(ResultCode::NoEndpointAvailable,
-               "the endpoint " + grant.endpoint.value() + " is no longer configured",
+               "the endpoints that were granted are not in service here, the last one "
+                   + grant_.endpoint.value(),
                RetryAfterFault);
         return;
     }
-    call(*endpoint);
+    account_.record(DecisionKind::Queued, ResultCode::NoEndpointAvailable,
+                    grant_.endpoint.value() + " is not in service here");
+    failedEndpoints_.push_back(grant_.endpoint);
+    askLater(PauseAfterReturn * grantsReturned_);
 }
 
 void RequestFlow::slotRefused(std::uint64_t step, const scheduling::SlotRefusal &refusal)
@@ -335,11 +357,15 @@
 }
 
 void RequestFlow::backOff()
+{
+    const std::uint64_t spread = std::hash<units::RequestId>()(request_.id) % MostJitterMillis;
+    askLater(std::chrono::milliseconds(spread * (attempt_.attemptsMade - 1)));
+}
+
+void RequestFlow::askLater(units::Duration delay)
 {
     state_ = State::BackingOff;
     ++step_;
-    const std::uint64_t spread = std::hash<units::RequestId>()(request_.id) % MostJitterMillis;
-    const auto delay = std::chrono::milliseconds(spread * (attempt_.attemptsMade - 1));
     services_.delayer.after(delay, [self = shared_from_this(), step = step_] {
         const std::lock_guard lock(self->mutex_);
         if (self->step_ == step && self->state_ == State::BackingOff)
--- a/tests/requests/flowfixture.h
+++ b/tests/requests/flowfixture.h
@@ -1,6 +1,7 @@
 #ifndef MONSOONGRADE_TESTS_REQUESTS_FLOWFIXTURE_H
 #define MONSOONGRADE_TESTS_REQUESTS_FLOWFIXTURE_H
 
+#include <requests/fakedirectory.h>
 #include <requests/fakes.h>
 #include <requests/recordingresponder.h>
 
@@ -19,18 +20,13 @@
     explicit FlowFixture(double retryShare = 0.1, double mostRetries = 20,
                          const std::string &daemon = "a.router.1")
         : retries(retryShare, mostRetries)
-        , services{clock,     slots,   client,  metrics,
-                   decisions, retries, delayer, units::DaemonId(daemon)}
+        , services{clock,     slots,   client,
+                   directory, metrics, decisions,
+                   retries,   delayer, units::DaemonId(daemon)}
     {
         observability::startLogging(observability::LogLevel::Error);
         configuration::PoolConfig pool;
         pool.name = units::PoolName("pool");
-        for (const char *name : {"e1", "e2", "e3"}) {
-            configuration::EndpointConfig endpoint;
-            endpoint.id = units::EndpointId(name);
-            endpoint.address = "127.0.0.1";
-            pool.endpoints.push_back(endpoint);
-        }
         configuration->pools.emplace(pool.name, pool);
         configuration->workspaces[units::WorkspaceName("w")].openLimit = 50;
     }
@@ -96,6 +92,7 @@
     ManualDelayer delayer;
     FakeSlotSource slots;
     FakeEndpointClient client;
+    FakeDirectory directory{{"e1", "e2", "e3"}};
     const FlowServices services;
 };
 
--- a/tests/requests/keyedrequests_threads_test.cpp
+++ b/tests/requests/keyedrequests_threads_test.cpp
@@ -1,3 +1,4 @@
+#include <requests/fakedirectory.h>
 #include <requests/faultystore.h>
 #include <requests/recordingresponder.h>
 
@@ -101,13 +102,12 @@
     timing::ThreadDelayer delayer;
     UnreachableHolders holders(delayer);
     auto configuration = std::make_shared<configuration::Configuration>();
-    configuration::EndpointConfig endpoint;
-    endpoint.id = units::EndpointId("e");
-    configuration->pools[units::PoolName("p")].endpoints.push_back(endpoint);
     GrantingSource slots;
     AnsweringClient client;
-    const FlowServices services{clock,     slots,   client,  metrics,
-                                decisions, retries, delayer, units::DaemonId("a.router.1")};
+    const FakeDirectory directory({"e"});
+    const FlowServices services{clock,     slots,   client,
+                                directory, metrics, decisions,
+                                retries,   delayer, units::DaemonId("a.router.1")};
     WorkerPool worker(2, 10000);
     KeyedRequests keyed(services, claims, holders, worker, {});
 
--- a/tests/requests/requestflow_test.cpp
+++ b/tests/requests/requestflow_test.cpp
@@ -84,6 +84,53 @@
     CHECK(fixture.slots.asks[0].ask.avoid == std::vector{units::EndpointId("e1")});
 }
 
+// Workers are added while an audience waits. The scheduler grants a slot on a new one to a
+// request that was classified under the old configuration. Looked up there, the endpoint was
+// unknown, and the caller who had waited was refused though a place was free.
+TEST_CASE("RequestFlow.EndpointAddedWhileTheRequestWaitedIsCalled")
+{
+    FlowFixture fixture;
+    const auto caller = fixture.start(fixture.request(RunRule::Idempotent));
+    fixture.directory.inService.insert("e4");
+    fixture.slots.grant(0, "e4");
+    CHECK(caller->ends == 0);
+    CHECK(fixture.client.calls.size() == 1);
+}
+
+// The router has heard that an endpoint leaves; the scheduler, cut off from the news, still grants
+// its slots. The endpoint must get no new work, and the caller a slot elsewhere.
+TEST_CASE("RequestFlow.GrantOfAnEndpointOutOfServiceIsGivenBackUnused")
+{
+    FlowFixture fixture;
+    const auto caller = fixture.start(fixture.request(RunRule::AtMostOnce));
+    fixture.directory.inService.erase("e1");
+    fixture.slots.grant(0, "e1");
+    CHECK(fixture.client.calls.empty());
+    CHECK(fixture.slots.released.size() == 1);
+    fixture.delayer.runAll();
+    REQUIRE(fixture.slots.asks.size() == 1);
+    CHECK(fixture.slots.asks[0].ask.avoid == std::vector{units::EndpointId("e1")});
+
+    SUBCASE("another endpoint takes it")
+    {
+        fixture.slots.grant(0, "e2");
+        CHECK(fixture.client.calls.size() == 1);
+        CHECK(caller->ends == 0);
+    }
+    SUBCASE("the scheduler has no other: refused as not run, and not kept for ever")
+    {
+        int more = 0;
+        while (caller->ends == 0 && ++more < 100) {
+            fixture.slots.grant(0, "e1");
+            fixture.delayer.runAll();
+        }
+        CHECK(more == 5);
+        CHECK(fixture.client.calls.empty());
+        CHECK(caller->header("monsoongrade-run-state") == "not-run");
+        CHECK_FALSE(caller->header("Retry-After").empty());
+    }
+}
+
 // The engine dies after two events. Its pool can resume, so another engine goes on behind them.
 // One that starts anew instead would give the caller a mixture of two runs.
 TEST_CASE("RequestFlow.BrokenStreamIsResumedBehindWhatTheCallerHas")
