Requests: headers that only the router sets are taken from nobody else

Cause: the caller's own priority, resume-offset and monsoongrade-* headers went on to the endpoint, before the router's. An engine that reads the first one let a caller of a low tier overtake higher ones, or left out the start of an answer; a forged request id made the engine's run untraceable. An endpoint's own monsoongrade-run-state came back to the caller as the router's word. Ruled out: the scheduler's order, which takes the tier from the class alone. Now both ways drop them, by one list.

--- a/src/requests/classifier.cpp
+++ b/src/requests/classifier.cpp
@@ -1,5 +1,7 @@
 #include <monsoongrade/requests/classifier.h>
 
+#include <requests/internal/ownheaders.h>
+
 #include <monsoongrade/units/secrets.h>
 
 #include <nlohmann/json.hpp>
@@ -117,7 +119,8 @@
         "authorization",  "x-api-key",  "keep-alive",       "te",
         "upgrade",        "expect",     "proxy-connection", "trailer",
         "accept-encoding"};
-    return std::find(NotPassedOn.begin(), NotPassedOn.end(), name) == NotPassedOn.end();
+    return !internal::isOwnHeader(name)
+        && std::find(NotPassedOn.begin(), NotPassedOn.end(), name) == NotPassedOn.end();
 }
 
 units::PrefixHash prefixHash(const std::string &start)
--- a/src/requests/internal/answerheaders.cpp
+++ b/src/requests/internal/answerheaders.cpp
@@ -1,5 +1,7 @@
 #include <requests/internal/answerheaders.h>
 
+#include <requests/internal/ownheaders.h>
+
 namespace monsoongrade::requests::internal {
 
 std::string valueOf(const endpoints::Headers &headers, const std::string &name)
@@ -28,8 +30,7 @@
     http::Headers out;
     for (const auto &[name, value] : headers) {
         if (name == "content-length" || name == "transfer-encoding" || name == "connection"
-            || name == "keep-alive" || name == "server" || name == "date" || name == "resume-offset"
-            || name == "monsoongrade-request-id")
+            || name == "keep-alive" || name == "server" || name == "date" || isOwnHeader(name))
             continue;
         out.emplace_back(name, value);
     }
--- a/tests/requests/classifier_test.cpp
+++ b/tests/requests/classifier_test.cpp
@@ -7,6 +7,8 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <map>
+
 namespace monsoongrade::requests {
 
 namespace {
@@ -76,6 +78,22 @@
         CHECK_MESSAGE(header.second.find("secret") == std::string::npos, header.first);
 }
 
+// A caller of a lower tier sends the headers that the router itself sets for engines. Passed on,
+// its priority stood before the router's own, and the engine let it overtake higher tiers.
+TEST_CASE("Classifier.HeadersThatTheRouterSetsAreNotTakenFromCallers")
+{
+    const auto outcome = outcomeOf(
+        chat(R"({"model":"m"})",
+             {{"priority", "0"}, {"resume-offset", "3"}, {"monsoongrade-request-id", "another"}}));
+    REQUIRE(outcome.value);
+    std::map<std::string, std::vector<std::string>> sent;
+    for (const auto &[name, value] : outcome.value->headers)
+        sent[name].push_back(value);
+    CHECK(sent["priority"] == std::vector<std::string>{"1"});
+    CHECK(sent["monsoongrade-request-id"] == std::vector<std::string>{"r"});
+    CHECK(sent.count("resume-offset") == 0);
+}
+
 TEST_CASE("Classifier.WrongRequestsHaveTheirCodes")
 {
     CHECK(outcomeOf(chat("[]")).error.code == ResultCode::MalformedRequest);
--- a/tests/requests/requestflow_test.cpp
+++ b/tests/requests/requestflow_test.cpp
@@ -131,6 +131,22 @@
     }
 }
 
+// A service answers with the router's own headers, as one that stands behind another router may.
+// Passed back, they told the caller that a request which ran had not run.
+TEST_CASE("RequestFlow.EndpointsWordOnTheRunStateIsNotPassedBack")
+{
+    FlowFixture fixture;
+    const auto caller = fixture.start(fixture.request(RunRule::AtMostOnce));
+    fixture.slots.grant(0, "e1");
+    const auto call = fixture.client.calls[0].listener;
+    call->answerHead(200, {{"content-length", "2"}, {"monsoongrade-run-state", "not-run"}});
+    call->answerBody("ok");
+    call->answerEnd({});
+    CHECK(caller->body == "ok");
+    CHECK(caller->header("monsoongrade-run-state").empty());
+    CHECK(caller->header("monsoongrade-request-id") == "r1");
+}
+
 // The engine dies after two events. Its pool can resume, so another engine goes on behind them.
 // One that starts anew instead would give the caller a mixture of two runs.
 TEST_CASE("RequestFlow.BrokenStreamIsResumedBehindWhatTheCallerHas")
