Requests: callers refused by one fault are told different times to come back

Cause: every refusal that no scheduler had planned said 2 s: an endpoint that crashed, a router with too many requests open, an outage of the store. All callers refused in one moment came back in the same second. Ruled out: planning these by the drain rate as the scheduler does; the router does not know the rate of a pool whose scheduler said nothing.

--- a/include/monsoongrade/requests/callerfrontend.h
+++ b/include/monsoongrade/requests/callerfrontend.h
@@ -39,7 +39,7 @@
     void route(const http::HttpRequest &request, std::shared_ptr<http::HttpResponder> responder);
     void begin(ClassifiedRequest classified, std::shared_ptr<http::HttpResponder> responder);
     void refuseUnclassified(http::HttpResponder &responder, const units::RequestId &id,
-                            const units::Error &error, units::Duration retryAfter);
+                            const units::Error &error, units::Duration shortestRetryAfter);
     units::RequestId nextRequestId();
 
     const FlowServices &services_;
--- a/include/monsoongrade/requests/requestflow.h
+++ b/include/monsoongrade/requests/requestflow.h
@@ -64,6 +64,7 @@
     void backOff();
     void askLater(units::Duration delay);
     void complete();
+    units::Duration retryAfterFault() const;
     void giveUp(units::ResultCode code, const std::string &message, units::Duration retryAfter);
     void end(const FlowEnd &flowEnd, const std::string &detail);
 
--- a/src/requests/callerfrontend.cpp
+++ b/src/requests/callerfrontend.cpp
@@ -1,5 +1,7 @@
 #include <monsoongrade/requests/callerfrontend.h>
 
+#include <requests/internal/spreadretry.h>
+
 #include <monsoongrade/requests/classifier.h>
 #include <monsoongrade/requests/requestflow.h>
 
@@ -12,7 +14,7 @@
 using units::Error;
 using units::ResultCode;
 
-constexpr auto RetryAfterFull = std::chrono::seconds(2);
+constexpr auto ShortestRetryAfter = std::chrono::seconds(2);
 const http::Headers JsonHeaders{{"Content-Type", "application/json"}};
 const http::Headers TextHeaders{{"Content-Type", "text/plain; version=0.0.4"}};
 
@@ -63,7 +65,7 @@
     if (!configuration) {
         refuseUnclassified(*responder, id,
                            {ResultCode::NoConfiguration, "this router has no configuration yet"},
-                           RetryAfterFull);
+                           ShortestRetryAfter);
         return;
     }
     // Looked at before the body is read, which costs most of what can be spared here.
@@ -71,7 +73,7 @@
         refuseUnclassified(*responder, id,
                            {ResultCode::TooManyRequestsOpen,
                             "this router has as many requests open as it may; use another"},
-                           RetryAfterFull);
+                           ShortestRetryAfter);
         return;
     }
     auto classified
@@ -89,7 +91,9 @@
     RequestAccount account(services_, classified, ticket.value.value_or(nullptr));
     account.accept();
     if (!ticket.value) {
-        sendRefusal(*responder, {classified.id, ticket.error, RunState::NotRun, RetryAfterFull});
+        sendRefusal(*responder,
+                    {classified.id, ticket.error, RunState::NotRun,
+                     internal::spreadRetry(ShortestRetryAfter, classified.id)});
         account.refuse(ticket.error.code, ticket.error.message);
         return;
     }
@@ -110,7 +114,7 @@
     if (!configuration) {
         refuseUnclassified(responder, nextRequestId(),
                            {ResultCode::NoConfiguration, "this router has no configuration yet"},
-                           RetryAfterFull);
+                           ShortestRetryAfter);
         return;
     }
     const auto workspace = units::capture([&] { return workspaceOf(request, *configuration); });
@@ -139,14 +143,15 @@
 }
 
 void CallerFrontend::refuseUnclassified(http::HttpResponder &responder, const units::RequestId &id,
-                                        const Error &error, units::Duration retryAfter)
+                                        const Error &error, units::Duration shortestRetryAfter)
 {
     services_.metrics.add(
         "monsoongrade_requests_unclassified_total",
         observability::label("reason", std::string(units::resultCodeName(error.code))));
     services_.decisions.add(
         {id, services_.clock.now(), DecisionKind::Refused, error.code, error.message});
-    sendRefusal(responder, {id, error, RunState::NotRun, retryAfter});
+    sendRefusal(responder,
+                {id, error, RunState::NotRun, internal::spreadRetry(shortestRetryAfter, id)});
 }
 
 units::RequestId CallerFrontend::nextRequestId()
--- a/src/requests/keyedrequests.cpp
+++ b/src/requests/keyedrequests.cpp
@@ -2,6 +2,7 @@
 
 #include <requests/internal/collectingresponder.h>
 #include <requests/internal/fingerprint.h>
+#include <requests/internal/spreadretry.h>
 
 #include <algorithm>
 
@@ -13,7 +14,7 @@
 
 // A larger answer is given to those who wait for it and not kept for later repeats.
 constexpr std::size_t MostKeptOfAnswer = 1024 * 1024;
-constexpr auto RetryAfterOutage = std::chrono::seconds(2);
+constexpr auto ShortestRetryAfterOutage = std::chrono::seconds(2);
 const char *const EarlierMayHaveRun
     = "An earlier request with this key may have run; keep the key when you send it again";
 
@@ -262,7 +263,7 @@
 {
     Refusal refusal{pending->request.id, {code, message}, RunState::NotRun, {}};
     if (code != ResultCode::KeyReusedForOtherRequest && code != ResultCode::NoRouteForRequest)
-        refusal.retryAfter = RetryAfterOutage;
+        refusal.retryAfter = internal::spreadRetry(ShortestRetryAfterOutage, pending->request.id);
     giveUp(pending, refusal);
 }
 
--- a/src/requests/requestflow.cpp
+++ b/src/requests/requestflow.cpp
@@ -2,6 +2,7 @@
 
 #include <requests/internal/answerheaders.h>
 #include <requests/internal/endpointcall.h>
+#include <requests/internal/spreadretry.h>
 #include <requests/internal/steplistener.h>
 #include <requests/internal/tokensused.h>
 
@@ -20,7 +21,7 @@
 // Answers that are not streamed are held until they are whole, up to this size; a larger one
 // is relayed as it comes.
 constexpr std::size_t MostBytesHeld = 8 * 1024 * 1024;
-constexpr auto RetryAfterFault = std::chrono::seconds(2);
+constexpr auto ShortestRetryAfterFault = std::chrono::seconds(2);
 // A retry waits a part of this, more for each attempt, so that requests that failed together
 // don't come back together.
 constexpr std::uint64_t MostJitterMillis = 50;
@@ -45,7 +46,8 @@
 RequestFlow::~RequestFlow()
 {
     if (state_ != State::Ended)
-        giveUp(ResultCode::InternalFault, "the router lost track of the request", RetryAfterFault);
+        giveUp(ResultCode::InternalFault, "the router lost track of the request",
+               retryAfterFault());
 }
 
 void RequestFlow::start()
@@ -109,7 +111,7 @@
         giveUp(ResultCode::NoEndpointAvailable,
                "the endpoints that were granted are not in service here, the last one "
                    + grant_.endpoint.value(),
-               RetryAfterFault);
+               retryAfterFault());
         return;
     }
     account_.record(DecisionKind::Queued, ResultCode::NoEndpointAvailable,
@@ -205,7 +207,7 @@
         tryElsewhere(code);
         return;
     case NextStep::RefuseNotRun:
-        giveUp(code, "no endpoint took the request", RetryAfterFault);
+        giveUp(code, "no endpoint took the request", retryAfterFault());
         return;
     case NextStep::FailUnknown:
         giveUp(code, "the endpoint broke off before its answer was whole", {});
@@ -334,7 +336,7 @@
     giveUp(isBudget ? ResultCode::RetryBudgetSpent : code,
            "the endpoint failed (" + std::string(resultCodeName(code)) + ") and another try was "
                + (isBudget ? "beyond the router's retry budget" : "too late"),
-           RetryAfterFault);
+           retryAfterFault());
     return false;
 }
 
@@ -383,6 +385,11 @@
     end({}, std::to_string(scanner_.events()) + " events");
 }
 
+units::Duration RequestFlow::retryAfterFault() const
+{
+    return internal::spreadRetry(ShortestRetryAfterFault, request_.id);
+}
+
 // Ends the request without a whole answer. Whether it may have run follows from all calls made
 // for it, not only from the last one.
 void RequestFlow::giveUp(ResultCode code, const std::string &message, units::Duration retryAfter)
