--- a/programs/monsoongrade-router/main.cpp
+++ b/programs/monsoongrade-router/main.cpp
@@ -3,6 +3,7 @@
 #include <monsoongrade/daemon/commandline.h>
 #include <monsoongrade/daemon/daemonid.h>
 #include <monsoongrade/daemon/entrypoints.h>
+#include <monsoongrade/daemon/liveendpoints.h>
 #include <monsoongrade/daemon/operatorservice.h>
 #include <monsoongrade/daemon/statuspage.h>
 #include <monsoongrade/daemon/stopsignal.h>
@@ -12,10 +13,10 @@
 #include <monsoongrade/observability/log.h>
 #include <monsoongrade/platform/httpplatform.h>
 #include <monsoongrade/requests/callerfrontend.h>
-#include <monsoongrade/requests/threaddelayer.h>
 #include <monsoongrade/requests/workerpool.h>
 #include <monsoongrade/rpc/fleetservices.h>
 #include <monsoongrade/rpc/rpckeyholders.h>
+#include <monsoongrade/timing/threaddelayer.h>
 #include <monsoongrade/units/steadyclock.h>
 
 #include <atomic>
@@ -87,9 +88,11 @@
     const units::DaemonId self = daemon::newDaemonId(settings.host, "router");
     SlotSources slots(settings, self, clock, rpcLoop, endpointClient, configuration, fleet,
                       metrics);
-    requests::ThreadDelayer delayer;
-    const requests::FlowServices services{clock,     slots.chosen(), endpointClient, metrics,
-                                          decisions, retries,        delayer,        self};
+    timing::ThreadDelayer delayer;
+    const daemon::LiveEndpoints directory(configuration, fleet);
+    const requests::FlowServices services{clock,     slots.chosen(), endpointClient,
+                                          directory, metrics,        decisions,
+                                          retries,   delayer,        self};
     std::atomic<units::TimePoint> configuredAt{clock.now()};
     configuration.addListener([&](const auto &) { configuredAt = clock.now(); });
     rpc::FleetServices fleetServices(rpcLoop, clock, settings, membership::DaemonRole::Router, self,
--- a/src/requests/requestflow.cpp
+++ b/src/requests/requestflow.cpp
@@ -2,6 +2,7 @@
 
 #include <requests/internal/answerheaders.h>
 #include <requests/internal/endpointcall.h>
+#include <requests/internal/spreadretry.h>
 #include <requests/internal/steplistener.h>
 #include <requests/internal/tokensused.h>
 
@@ -20,10 +21,14 @@
 // Answers that are not streamed are held until they are whole, up to this size; a larger one
 // is relayed as it comes.
 constexpr std::size_t MostBytesHeld = 8 * 1024 * 1024;
-constexpr auto RetryAfterFault = std::chrono::seconds(2);
+constexpr auto ShortestRetryAfterFault = std::chrono::seconds(2);
 // A retry waits a part of this, more for each attempt, so that requests that failed together
 // don't come back together.
 constexpr std::uint64_t MostJitterMillis = 50;
+// Grants of endpoints that this router does not know as being in service. The pauses add up to
+// 1.5 s, longer than news of a change takes to all daemons.
+constexpr int MostGrantsReturned = 5;
+constexpr auto PauseAfterReturn = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -41,7 +46,8 @@
 RequestFlow::~RequestFlow()
 {
     if (state_ != State::Ended)
-        giveUp(ResultCode::InternalFault, "the router lost track of the request", RetryAfterFault);
+        giveUp(ResultCode::InternalFault, "the router lost track of the request",
+               retryAfterFault());
 }
 
 void RequestFlow::start()
@@ -85,15 +91,33 @@
     callStarted_ = services_.clock.now();
     eventsAtCall_ = scanner_.events();
     account_.record(DecisionKind::Granted, ResultCode::Ok, grant.endpoint.value());
-    const auto *endpoint = request_.configuration->findEndpoint(grant.endpoint);
-    if (endpoint == nullptr) {
-        releaseSlot(ReleaseOutcome::NotRun);
+    // Not the configuration under which the request was classified: while it waited, endpoints may
+    // have been added, whose slot would be refused, or taken away, which must get no new work.
+    const auto endpoint = services_.directory.find(request_.pool.name, grant.endpoint);
+    if (endpoint)
+        call(*endpoint);
+    else
+        returnGrant();
+}
+
+// The scheduler knows more or less than this router; for a moment they differ at each change. A
+// few other grants are waited for, so that a request isn't refused for the change, and no more
+// than a few, so that a scheduler that stays cut off doesn't keep it for ever.
+void RequestFlow::returnGrant()
+{
+    releaseSlot(ReleaseOutcome::NotRun);
+    services_.metrics.add("monsoongrade_grants_returned_total");
+    if (++grantsReturned_ > MostGrantsReturned) {
         giveUp(ResultCode::NoEndpointAvailable,
-               "the endpoint " + grant.endpoint.value() + " is no longer configured",
-               RetryAfterFault);
+               "the endpoints that were granted are not in service here, the last one "
+                   + grant_.endpoint.value(),
+               retryAfterFault());
         return;
     }
-    call(*endpoint);
+    account_.record(DecisionKind::Queued, ResultCode::NoEndpointAvailable,
+                    grant_.endpoint.value() + " is not in service here");
+    failedEndpoints_.push_back(grant_.endpoint);
+    askLater(PauseAfterReturn * grantsReturned_);
 }
 
 void RequestFlow::slotRefused(std::uint64_t step, const scheduling::SlotRefusal &refusal)
@@ -183,7 +207,7 @@
         tryElsewhere(code);
         return;
     case NextStep::RefuseNotRun:
-        giveUp(code, "no endpoint took the request", RetryAfterFault);
+        giveUp(code, "no endpoint took the request", retryAfterFault());
         return;
     case NextStep::FailUnknown:
         giveUp(code, "the endpoint broke off before its answer was whole", {});
@@ -312,7 +336,7 @@
     giveUp(isBudget ? ResultCode::RetryBudgetSpent : code,
            "the endpoint failed (" + std::string(resultCodeName(code)) + ") and another try was "
                + (isBudget ? "beyond the router's retry budget" : "too late"),
-           RetryAfterFault);
+           retryAfterFault());
     return false;
 }
 
@@ -335,11 +359,15 @@
 }
 
 void RequestFlow::backOff()
+{
+    const std::uint64_t spread = std::hash<units::RequestId>()(request_.id) % MostJitterMillis;
+    askLater(std::chrono::milliseconds(spread * (attempt_.attemptsMade - 1)));
+}
+
+void RequestFlow::askLater(units::Duration delay)
 {
     state_ = State::BackingOff;
     ++step_;
-    const std::uint64_t spread = std::hash<units::RequestId>()(request_.id) % MostJitterMillis;
-    const auto delay = std::chrono::milliseconds(spread * (attempt_.attemptsMade - 1));
     services_.delayer.after(delay, [self = shared_from_this(), step = step_] {
         const std::lock_guard lock(self->mutex_);
         if (self->step_ == step && self->state_ == State::BackingOff)
@@ -357,6 +385,11 @@
     end({}, std::to_string(scanner_.events()) + " events");
 }
 
+units::Duration RequestFlow::retryAfterFault() const
+{
+    return internal::spreadRetry(ShortestRetryAfterFault, request_.id);
+}
+
 // Ends the request without a whole answer. Whether it may have run follows from all calls made
 // for it, not only from the last one.
 void RequestFlow::giveUp(ResultCode code, const std::string &message, units::Duration retryAfter)
