Scenarios: hosts cut off one another, in one direction too, and two schedulers at once

Cause: no scenario could cut daemons apart; only state tests had a cut of one direction or two schedulers at once. The runner now has a relay on loopback between daemons (and to the platform) that holds what one process sends another until the cut heals; each daemon reaches the others at ports of its own, so the relay needs to know nothing of the protocol. Weighed: finding the sender by the system's socket tables (slow and racy), or by the first bytes of the protocol (a second parser of it).

--- a/tests/scenario_runner/cluster.cpp
+++ b/tests/scenario_runner/cluster.cpp
@@ -13,11 +13,6 @@
 constexpr auto CallLimit = std::chrono::seconds(3);
 constexpr auto ApplyLimit = std::chrono::seconds(10);
 
-int numberIn(const std::string &name)
-{
-    return std::stoi(name.substr(name.rfind('-') + 1));
-}
-
 bool startsWith(const std::string &text, const std::string &beginning)
 {
     return text.compare(0, beginning.size(), beginning) == 0;
@@ -42,6 +37,8 @@
 
 void Cluster::start()
 {
+    for (const RelayRoute &route : relayRoutes(plan_, subnet_))
+        relay_.add(route);
     startProcess("platform");
     waitForAnswer(url("platform") + "/v1/hosts");
     call("PUT", url("platform") + "/admin/hosts", hostList(plan_, subnet_, hostStates_));
@@ -123,6 +120,8 @@
         return "http://" + subnet_.address(9, 1) + ":9000";
     if (startsWith(name, "router-"))
         return "http://" + subnet_.address(0, numberIn(name)) + ":8080";
+    if (startsWith(name, "scheduler-"))
+        return "http://" + subnet_.address(0, numberIn(name)) + ":8082";
     return "http://" + subnet_.address(startsWith(name, "model-") ? 1 : 2, numberIn(name))
         + ":8000";
 }
@@ -169,15 +168,14 @@
                                          "--port",
                                          "8000",
                                          "--slots",
-                                         std::to_string(plan_.slots),
+                                         std::to_string(plan_.engineSlots),
                                          "--journal",
                                          journal(name).string()};
         command.insert(command.end(), plan_.engineArguments.begin(), plan_.engineArguments.end());
         return command;
     }
-    const int number = numberIn(name);
-    const auto settings = folder_ / ("entry-" + std::to_string(number) + ".yaml");
-    writeFile(settings, entryHostSettings(plan_, subnet_, number));
+    const auto settings = folder_ / (name + ".yaml");
+    writeFile(settings, daemonSettings(plan_, subnet_, name));
     return {program(startsWith(name, "router-") ? "monsoongrade-router" : "monsoongrade-scheduler"),
             "--config", settings.string()};
 }
--- a/tests/scenario_runner/cluster.h
+++ b/tests/scenario_runner/cluster.h
@@ -46,6 +46,7 @@
     void waitForAnswer(const std::string &url);
     std::filesystem::path journal(const std::string &endpoint) const;
     endpoints::EndpointClient &client() { return client_; }
+    Relay &relay() { return relay_; }
     const ClusterPlan &plan() const { return plan_; }
 
 private:
@@ -56,6 +57,7 @@
     const std::filesystem::path programs_;
     const std::filesystem::path folder_;
     Subnet subnet_;
+    Relay relay_;
     endpoints::CurlEndpointClient client_;
     std::map<std::string, std::unique_ptr<Process>> processes_;
     std::set<std::string> down_;
--- a/tests/scenario_runner/clusterplan.cpp
+++ b/tests/scenario_runner/clusterplan.cpp
@@ -7,6 +7,23 @@
 namespace {
 
 constexpr int FailureDomains = 3;
+constexpr int PlatformPort = 9000;
+// Where relayed daemons listen. Each has a number of its own and reaches all others at ports with
+// its number, so that the relay knows by the port who connects.
+constexpr int RouterPorts = 7100;
+constexpr int SchedulerPorts = 7200;
+constexpr int PlatformPorts = 9100;
+constexpr int FirstScheduler = 40;
+
+bool isRouter(const std::string &name)
+{
+    return name.compare(0, 7, "router-") == 0;
+}
+
+int daemonNumber(const std::string &name)
+{
+    return numberIn(name) + (isRouter(name) ? 0 : FirstScheduler);
+}
 
 std::string endpointLines(const Subnet &subnet, const std::string &kind, int x, int count,
                           int slots)
@@ -59,12 +76,14 @@
     plan.engines = static_cast<int>(reader.integer("engines", plan.engines, 1, 32));
     plan.services = static_cast<int>(reader.integer("services", plan.services, 0, 32));
     plan.slots = static_cast<int>(reader.integer("slots", plan.slots, 1, 1000));
+    plan.engineSlots = static_cast<int>(reader.integer("engine-slots", plan.slots, 1, 1000));
     plan.queueLimit = static_cast<int>(reader.integer("queue-limit", plan.queueLimit, 1, 100000));
     plan.maxWait = reader.text("max-wait", plan.maxWait);
     plan.late = reader.text("late", plan.late);
     plan.keepAddress = reader.text("keep-address", plan.keepAddress);
     plan.silenceTimeout = reader.text("silence-timeout", plan.silenceTimeout);
     plan.canResume = reader.flag("can-resume", false);
+    plan.relayed = reader.flag("relayed", false);
     plan.engineArguments = reader.texts("engine-arguments");
     if (reader.flag("engines-resume", plan.canResume))
         plan.engineArguments.emplace_back("--can-resume");
@@ -90,12 +109,50 @@
     return files;
 }
 
-std::string entryHostSettings(const ClusterPlan &plan, const Subnet &subnet, int number)
+int numberIn(const std::string &name)
 {
-    return "cluster: scenario\nhost: entry-" + std::to_string(number)
-        + "\naddress: " + subnet.address(0, number) + "\nfailure-domain: domain-"
-        + std::to_string(number % FailureDomains) + "\nplatform: http://" + subnet.address(9, 1)
-        + ":9000\noperator-token: scenario-operator\nkeep-address: " + plan.keepAddress + "\n";
+    return std::stoi(name.substr(name.rfind('-') + 1));
+}
+
+std::string daemonSettings(const ClusterPlan &plan, const Subnet &subnet, const std::string &name)
+{
+    const std::string host = std::to_string(numberIn(name));
+    const int number = daemonNumber(name);
+    const int platformPort = plan.relayed ? PlatformPorts + number : PlatformPort;
+    std::string text = "cluster: scenario\nhost: entry-" + host
+        + "\naddress: " + subnet.address(0, numberIn(name)) + "\nfailure-domain: domain-"
+        + std::to_string(numberIn(name) % FailureDomains) + "\nplatform: http://"
+        + subnet.address(9, 1) + ":" + std::to_string(platformPort)
+        + "\noperator-token: scenario-operator\nkeep-address: " + plan.keepAddress + "\n";
+    if (plan.relayed)
+        text += "router-rpc-port: " + std::to_string(RouterPorts + number)
+            + "\nscheduler-rpc-port: " + std::to_string(SchedulerPorts + number) + "\n";
+    return text;
+}
+
+std::vector<RelayRoute> relayRoutes(const ClusterPlan &plan, const Subnet &subnet)
+{
+    std::vector<std::string> daemons;
+    for (int i = 1; plan.relayed && i <= plan.entryHosts; ++i) {
+        daemons.push_back("router-" + std::to_string(i));
+        daemons.push_back("scheduler-" + std::to_string(i));
+    }
+    const auto port = [](int number) {
+        return static_cast<std::uint16_t>(number);
+    };
+    std::vector<RelayRoute> routes;
+    for (const std::string &from : daemons) {
+        const int number = daemonNumber(from);
+        for (const std::string &to : daemons) {
+            const int ports = isRouter(to) ? RouterPorts : SchedulerPorts;
+            if (to != from)
+                routes.push_back({from, to, subnet.address(0, numberIn(to)), port(ports + number),
+                                  port(ports + daemonNumber(to))});
+        }
+        routes.push_back({from, "platform", subnet.address(9, 1), port(PlatformPorts + number),
+                          port(PlatformPort)});
+    }
+    return routes;
 }
 
 std::string hostList(const ClusterPlan &plan, const Subnet &subnet,
--- a/tests/scenario_runner/clusterplan.h
+++ b/tests/scenario_runner/clusterplan.h
@@ -1,6 +1,7 @@
 #ifndef MONSOONGRADE_TESTS_SCENARIO_RUNNER_CLUSTERPLAN_H
 #define MONSOONGRADE_TESTS_SCENARIO_RUNNER_CLUSTERPLAN_H
 
+#include "relay.h"
 #include "subnet.h"
 
 #include <monsoongrade/configuration/mappingreader.h>
@@ -21,6 +22,8 @@
     int engines = 2;
     int services = 1;
     int slots = 4;
+    // What an endpoint really runs at once; the same without it.
+    int engineSlots = 4;
     int queueLimit = 1000;
     std::string maxWait = "15s";
     std::string late = "serve";
@@ -28,6 +31,8 @@
     std::string silenceTimeout = "10s";
     // What the configuration says; the key engines-resume, the same without it, is the truth.
     bool canResume = false;
+    // Daemons reach one another and the platform through a relay, so that they can be cut off.
+    bool relayed = false;
     std::vector<std::string> engineArguments;
     // Added to the configuration, or put in place of a file of the same name.
     std::map<std::string, std::string> files;
@@ -38,7 +43,12 @@
 // Texts of the configuration's files by name.
 std::map<std::string, std::string> configurationFiles(const ClusterPlan &plan,
                                                       const Subnet &subnet);
-std::string entryHostSettings(const ClusterPlan &plan, const Subnet &subnet, int number);
+// Settings of router-N or scheduler-N.
+std::string daemonSettings(const ClusterPlan &plan, const Subnet &subnet, const std::string &name);
+// One route for each daemon to each other one and to the platform; none where nothing is relayed.
+std::vector<RelayRoute> relayRoutes(const ClusterPlan &plan, const Subnet &subnet);
+// N of a name that ends so.
+int numberIn(const std::string &name);
 // The body for the platform's host list; states by host name, "live" where none is given.
 std::string hostList(const ClusterPlan &plan, const Subnet &subnet,
                      const std::map<std::string, std::string> &states);
--- a/tests/scenario_runner/expectations.cpp
+++ b/tests/scenario_runner/expectations.cpp
@@ -21,15 +21,6 @@
 constexpr int FirstOtherCode = 3000;
 const std::string CodePrefix = "code:";
 
-Condition readCondition(MappingReader &item, const std::string &key, const std::string &text)
-{
-    const auto condition = Condition::parse(text);
-    if (!condition)
-        item.problem(units::ResultCode::WrongType, key,
-                     "expected a number, or >= or <= and a number");
-    return condition.value_or(*Condition::parse("0"));
-}
-
 bool isBroken(const LoadResult &r)
 {
     return r.outcome == LoadOutcome::Mixed || r.outcome == LoadOutcome::CutShort
@@ -125,95 +116,6 @@
     };
 }
 
-template <typename IdOf>
-std::map<std::string, int> begunBy(const std::vector<JournalEntry> &journal, IdOf idOf)
-{
-    std::map<std::string, int> counts;
-    for (const JournalEntry &entry : journal) {
-        const std::string id = idOf(entry);
-        if (entry.event == "begun" && !id.empty())
-            ++counts[id];
-    }
-    return counts;
-}
-
-void checkMost(Stage &stage, const std::string &what, const std::map<std::string, int> &counts,
-               const std::string &beginning, int most)
-{
-    for (const auto &[id, count] : counts) {
-        if (count > most && id.compare(0, beginning.size(), beginning) == 0)
-            stage.fail("runs of " + what + " " + id, "at most " + std::to_string(most),
-                       std::to_string(count));
-    }
-}
-
-void checkNotRun(Stage &stage, const std::string &load, const std::map<std::string, int> &byRequest)
-{
-    for (const LoadResult &result : stage.results(load)) {
-        const auto found = byRequest.find(result.requestId);
-        if (result.runState == "not-run" && found != byRequest.end())
-            stage.fail("runs of " + result.requestId + ", said not to have run", "0",
-                       std::to_string(found->second));
-    }
-}
-
-// expect-runs: {load: NAME, most-per-key: 1, most-per-request: 1, endpoint: E, begun: ">= 3"}; a
-// request that its caller was told not to have run must always have no run.
-Action readExpectRuns(MappingReader &step, const std::string &word)
-{
-    MappingReader item = step.mapping(word);
-    const std::string load = item.text("load");
-    const auto perKey = static_cast<int>(item.integer("most-per-key", 1000, 0, 1000));
-    const auto perRequest = static_cast<int>(item.integer("most-per-request", 1000, 0, 1000));
-    const std::string endpoint = item.text("endpoint");
-    std::map<std::string, Condition> events;
-    for (const char *event : {"begun", "ended", "cancelled", "broken", "resumed"})
-        events.emplace(event, readCondition(item, event, item.text(event, ">= 0")));
-    item.finish();
-    return [=](Stage &stage) {
-        const auto results = stage.results(load);
-        const auto journal = stage.journal(endpoint);
-        const auto byKey = begunBy(journal, [](const JournalEntry &e) { return e.key; });
-        const auto byRequest = begunBy(journal, [](const JournalEntry &e) { return e.request; });
-        checkMost(stage, "key", byKey, load.empty() ? "" : load + "-", perKey);
-        std::map<std::string, int> ofLoad;
-        for (const LoadResult &result : results) {
-            const auto found = byRequest.find(result.requestId);
-            if (found != byRequest.end())
-                ofLoad.insert(*found);
-        }
-        checkMost(stage, "request", load.empty() ? byRequest : ofLoad, {}, perRequest);
-        checkNotRun(stage, load, byRequest);
-        for (const auto &[event, condition] : events) {
-            const auto total = std::count_if(
-                journal.begin(), journal.end(),
-                [name = event](const JournalEntry &entry) { return entry.event == name; });
-            if (!condition.holds(static_cast<double>(total)))
-                stage.fail("runs " + event, condition.text(), std::to_string(total));
-        }
-    };
-}
-
-// expect-no-new-runs: {endpoint: model-1, since: MARK, grace: 3s}
-Action readExpectNoNewRuns(MappingReader &step, const std::string &word)
-{
-    MappingReader item = step.mapping(word);
-    const std::string endpoint = item.requiredText("endpoint");
-    const std::string mark = item.requiredText("since");
-    const units::Duration grace = item.duration("grace", std::chrono::seconds(3));
-    item.finish();
-    return [=](Stage &stage) {
-        const auto from = stage.marked(mark) + grace;
-        const auto journal = stage.journal(endpoint);
-        const auto late = std::count_if(journal.begin(), journal.end(), [&](const auto &entry) {
-            return entry.event == "begun" && entry.time > from;
-        });
-        if (late != 0)
-            stage.fail("runs begun on " + endpoint + " after the mark " + mark, "0",
-                       std::to_string(late));
-    };
-}
-
 // What doesn't close on one router; empty where all does.
 std::string openAccounts(Cluster &cluster, const std::string &router)
 {
@@ -279,12 +181,12 @@
     };
 }
 
-// expect-metric: {router: router-1, name: N, labels: 'a="b"', value: ">= 1", within: 5s}; without
-// router, the sum over all that are up.
+// expect-metric: {of: router-1, name: N, labels: 'a="b"', value: ">= 1", within: 5s}; the sum over
+// the processes whose names begin so and that are up; without of, over all routers.
 Action readExpectMetric(MappingReader &step, const std::string &word)
 {
     MappingReader item = step.mapping(word);
-    const std::string router = item.text("router");
+    const std::string of = item.text("of", "router-");
     const std::string name = item.requiredText("name");
     const std::string labels = item.text("labels");
     const Condition condition = readCondition(item, "value", item.requiredText("value"));
@@ -295,8 +197,8 @@
         double sum = 0;
         do {
             sum = 0;
-            for (const std::string &one : stage.cluster().names("router-")) {
-                if (stage.cluster().isDown(one) || (!router.empty() && one != router))
+            for (const std::string &one : stage.cluster().names(of)) {
+                if (stage.cluster().isDown(one))
                     continue;
                 const auto answer
                     = stage.cluster().call("GET", stage.cluster().url(one) + "/metrics");
@@ -306,7 +208,8 @@
                 return;
             std::this_thread::sleep_for(Check);
         } while (Clock::now() < until);
-        stage.fail("sum of " + name + " " + labels, condition.text(), std::to_string(sum));
+        stage.fail("sum of " + name + " " + labels + " over " + of, condition.text(),
+                   std::to_string(sum));
     };
 }
 
@@ -343,8 +246,6 @@
 std::map<std::string, StepReader> expectationSteps()
 {
     return {{"expect", readExpect},
-            {"expect-runs", readExpectRuns},
-            {"expect-no-new-runs", readExpectNoNewRuns},
             {"expect-accounts", readExpectAccounts},
             {"expect-exit", readExpectExit},
             {"expect-metric", readExpectMetric},
--- a/tests/scenario_runner/process.cpp
+++ b/tests/scenario_runner/process.cpp
@@ -36,6 +36,8 @@
     posix_spawn_file_actions_addopen(&actions, 1, logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND,
                                      0644);
     posix_spawn_file_actions_adddup2(&actions, 1, 2);
+    // Connections of the runner must not stay open in its children.
+    posix_spawn_file_actions_addclosefrom_np(&actions, 3);
     const std::lock_guard lock(runningMutex);
     const int error = posix_spawn(&pid_, argv[0], &actions, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
--- a/tests/scenario_runner/scenario.cpp
+++ b/tests/scenario_runner/scenario.cpp
@@ -54,7 +54,9 @@
     scenario.limit = reader.duration("limit", UsualLimit);
     scenario.cluster = readClusterPlan(reader.mapping("cluster"));
     auto readers = actionSteps();
+    readers.merge(networkSteps());
     readers.merge(expectationSteps());
+    readers.merge(runExpectationSteps());
     for (MappingReader &step : reader.mappings("steps"))
         scenario.steps.push_back(readStep(step, readers));
     reader.finish();
--- a/tests/scenario_runner/steps.h
+++ b/tests/scenario_runner/steps.h
@@ -1,6 +1,7 @@
 #ifndef MONSOONGRADE_TESTS_SCENARIO_RUNNER_STEPS_H
 #define MONSOONGRADE_TESTS_SCENARIO_RUNNER_STEPS_H
 
+#include "condition.h"
 #include "stage.h"
 
 #include <monsoongrade/configuration/mappingreader.h>
@@ -19,8 +20,16 @@
 
 // Steps that do something: send, kill, platform and so on; docs/design/scenarios.md lists them.
 std::map<std::string, StepReader> actionSteps();
+// Steps that cut daemons off one another: cut and heal.
+std::map<std::string, StepReader> networkSteps();
 // Steps that check something; their words begin with "expect".
 std::map<std::string, StepReader> expectationSteps();
+// Those that look at the journals of endpoints.
+std::map<std::string, StepReader> runExpectationSteps();
+
+// Notes a problem at the key where the text is no condition.
+Condition readCondition(configuration::MappingReader &item, const std::string &key,
+                        const std::string &text);
 
 } // namespace monsoongrade::scenarios
 
