Scenarios: two routers stopped at once, starvation, an endpoint that comes back, twelve hosts

Cause: no scenario looked at these on real processes; state tests only. How long a refusal was held back is now taken from the routers' own records.

--- a/tests/scenario_runner/actions.cpp
+++ b/tests/scenario_runner/actions.cpp
@@ -17,20 +17,12 @@
 constexpr auto RunsLimit = std::chrono::seconds(10);
 constexpr auto RunsCheck = std::chrono::milliseconds(10);
 
-// One name, or all whose names begin with what stands before a "*".
-std::vector<std::string> chosen(Cluster &cluster, const std::string &name)
-{
-    if (name.empty() || name.back() != '*')
-        return {name};
-    return cluster.names(name.substr(0, name.size() - 1));
-}
-
 StepReader signalStep(int number, bool isDown)
 {
     return [number, isDown](MappingReader &step, const std::string &word) -> Action {
         const std::string name = step.requiredText(word);
         return [=](Stage &stage) {
-            for (const std::string &one : chosen(stage.cluster(), name)) {
+            for (const std::string &one : stage.cluster().chosen(name)) {
                 stage.cluster().setDown(one, isDown);
                 stage.cluster().process(one).signal(number);
             }
@@ -81,7 +73,7 @@
         step.problem(units::ResultCode::MissingSetting, word, "give the endpoint's name");
     const std::string body = switchesBody(switches);
     return [=](Stage &stage) {
-        for (const std::string &one : chosen(stage.cluster(), name))
+        for (const std::string &one : stage.cluster().chosen(name))
             setSwitches(stage.cluster(), one, body);
     };
 }
@@ -139,25 +131,29 @@
 }
 
 // Waits until endpoints have begun so many runs, so that a fault falls into the middle of work
-// whatever the machine's speed.
+// whatever the machine's speed; with since, counted from that mark.
 Action readWaitRuns(MappingReader &step, const std::string &word)
 {
     MappingReader item = step.mapping(word);
     const std::string endpoint = item.text("endpoint");
     const auto least = static_cast<std::size_t>(item.integer("begun", 1, 1, 1000000));
+    const std::string mark = item.text("since");
+    const units::Duration limit = item.duration("within", RunsLimit);
     item.finish();
     return [=](Stage &stage) {
-        const auto until = std::chrono::steady_clock::now() + RunsLimit;
+        const auto from
+            = mark.empty() ? std::chrono::steady_clock::time_point() : stage.marked(mark);
+        const auto until = std::chrono::steady_clock::now() + limit;
         std::size_t begun = 0;
         while (std::chrono::steady_clock::now() < until) {
             begun = 0;
             for (const JournalEntry &entry : stage.journal(endpoint))
-                begun += entry.event == "begun" ? 1 : 0;
+                begun += entry.event == "begun" && entry.time >= from ? 1 : 0;
             if (begun >= least)
                 return;
             std::this_thread::sleep_for(RunsCheck);
         }
-        stage.fail("runs begun within 10 s", "at least " + std::to_string(least),
+        stage.fail("runs begun in time", "at least " + std::to_string(least),
                    std::to_string(begun));
     };
 }
@@ -166,7 +162,7 @@
 {
     const std::string name = step.requiredText(word);
     return [name](Stage &stage) {
-        for (const std::string &one : chosen(stage.cluster(), name))
+        for (const std::string &one : stage.cluster().chosen(name))
             stage.cluster().startProcess(one);
     };
 }
--- a/tests/scenario_runner/cluster.cpp
+++ b/tests/scenario_runner/cluster.cpp
@@ -85,6 +85,15 @@
     return found;
 }
 
+std::vector<std::string> Cluster::chosen(const std::string &name) const
+{
+    if (startsWith(name, "entry-"))
+        return {"router-" + name.substr(6), "scheduler-" + name.substr(6)};
+    if (name.empty() || name.back() != '*')
+        return {name};
+    return names(name.substr(0, name.size() - 1));
+}
+
 void Cluster::setDown(const std::string &name, bool isDown)
 {
     if (isDown)
@@ -127,12 +136,13 @@
 }
 
 endpoints::WholeAnswer Cluster::call(const std::string &method, const std::string &url,
-                                     const std::string &body)
+                                     const std::string &body, const endpoints::Headers &headers)
 {
     endpoints::EndpointRequest request;
     request.method = method;
     request.url = url;
     request.body = body;
+    request.headers = headers;
     request.connectTimeout = CallLimit;
     request.silenceTimeout = CallLimit;
     request.freshConnection = true;
--- a/tests/scenario_runner/cluster.h
+++ b/tests/scenario_runner/cluster.h
@@ -32,6 +32,9 @@
     // Names of all, or of those that begin so.
     std::vector<std::string> names(const std::string &beginning = {}) const;
 
+    // One name, all whose names begin with what stands before a "*", or both daemons of entry-N.
+    std::vector<std::string> chosen(const std::string &name) const;
+
     // The runner has ended, stopped or frozen it, so that it is not expected to answer.
     void setDown(const std::string &name, bool isDown);
     bool isDown(const std::string &name) const { return down_.count(name) > 0; }
@@ -42,7 +45,8 @@
     // "http://address:port" of a process that speaks HTTP.
     std::string url(const std::string &name) const;
     endpoints::WholeAnswer call(const std::string &method, const std::string &url,
-                                const std::string &body = {});
+                                const std::string &body = {},
+                                const endpoints::Headers &headers = {});
     void waitForAnswer(const std::string &url);
     std::filesystem::path journal(const std::string &endpoint) const;
     endpoints::EndpointClient &client() { return client_; }
--- a/tests/scenario_runner/clusterplan.cpp
+++ b/tests/scenario_runner/clusterplan.cpp
@@ -137,20 +137,17 @@
         daemons.push_back("router-" + std::to_string(i));
         daemons.push_back("scheduler-" + std::to_string(i));
     }
-    const auto port = [](int number) {
-        return static_cast<std::uint16_t>(number);
-    };
     std::vector<RelayRoute> routes;
     for (const std::string &from : daemons) {
         const int number = daemonNumber(from);
         for (const std::string &to : daemons) {
             const int ports = isRouter(to) ? RouterPorts : SchedulerPorts;
             if (to != from)
-                routes.push_back({from, to, subnet.address(0, numberIn(to)), port(ports + number),
-                                  port(ports + daemonNumber(to))});
+                routes.push_back({from, to, subnet.address(0, numberIn(to)), ports + number,
+                                  ports + daemonNumber(to)});
         }
-        routes.push_back({from, "platform", subnet.address(9, 1), port(PlatformPorts + number),
-                          port(PlatformPort)});
+        routes.push_back(
+            {from, "platform", subnet.address(9, 1), PlatformPorts + number, PlatformPort});
     }
     return routes;
 }
--- a/tests/scenario_runner/relay.cpp
+++ b/tests/scenario_runner/relay.cpp
@@ -1,13 +1,7 @@
 #include "relay.h"
 
-#include <asio.hpp>
-
 #include <array>
-#include <functional>
 #include <list>
-#include <map>
-#include <set>
-#include <thread>
 
 namespace monsoongrade::scenarios {
 
@@ -17,49 +11,19 @@
 
 constexpr std::size_t PieceBytes = 16 * 1024;
 
-// The directions that are cut, and what waits for them to heal. On the relay's thread only.
-class Cuts
+tcp::endpoint endpointOf(const RelayRoute &route, int port)
 {
-public:
-    using Direction = std::pair<std::string, std::string>;
-
-    // Goes on now, or once the direction has healed.
-    void whenOpen(const Direction &direction, std::function<void()> goOn)
-    {
-        if (cut_.count(direction) > 0)
-            held_.emplace(direction, std::move(goOn));
-        else
-            goOn();
-    }
-
-    void set(const Direction &direction, bool isCut)
-    {
-        if (isCut) {
-            cut_.insert(direction);
-            return;
-        }
-        cut_.erase(direction);
-        const auto [begin, end] = held_.equal_range(direction);
-        std::list<std::function<void()>> healed;
-        for (auto entry = begin; entry != end; ++entry)
-            healed.push_back(std::move(entry->second));
-        held_.erase(begin, end);
-        for (const auto &goOn : healed)
-            goOn();
-    }
+    return {asio::ip::make_address(route.address), static_cast<asio::ip::port_type>(port)};
+}
 
-private:
-    std::set<Direction> cut_;
-    std::multimap<Direction, std::function<void()>> held_;
-};
+} // namespace
 
 // One direction of one connection; keeps itself alive while it reads or writes.
-class Pump : public std::enable_shared_from_this<Pump>
+class Relay::Pump : public std::enable_shared_from_this<Pump>
 {
 public:
-    Pump(Cuts &cuts, Cuts::Direction direction, std::shared_ptr<tcp::socket> in,
-         std::shared_ptr<tcp::socket> out)
-        : cuts_(cuts)
+    Pump(Relay &relay, Direction direction, Socket in, Socket out)
+        : relay_(relay)
         , direction_(std::move(direction))
         , in_(std::move(in))
         , out_(std::move(out))
@@ -70,8 +34,10 @@
     {
         in_->async_read_some(
             asio::buffer(piece_), [self = shared_from_this()](const auto &error, std::size_t size) {
-                self->cuts_.whenOpen(self->direction_,
-                                     [self, error, size] { self->pass(!error, size); });
+                const bool isOpen = !error;
+                self->relay_.whenOpen(self->direction_, [self, isOpen, size](bool isPassed) {
+                    isPassed ? self->pass(isOpen, size) : self->breakOff();
+                });
             });
     }
 
@@ -85,102 +51,98 @@
         }
         asio::async_write(*out_, asio::buffer(piece_, size),
                           [self = shared_from_this()](const auto &error, std::size_t) {
-                              asio::error_code ignored;
-                              if (error)
-                                  self->in_->shutdown(tcp::socket::shutdown_both, ignored);
-                              else
-                                  self->read();
+                              error ? self->breakOff() : self->read();
                           });
     }
 
-    Cuts &cuts_;
-    const Cuts::Direction direction_;
-    const std::shared_ptr<tcp::socket> in_;
-    const std::shared_ptr<tcp::socket> out_;
-    std::array<char, PieceBytes> piece_{};
-};
-
-} // namespace
-
-class Relay::Impl
-{
-public:
-    Impl()
-        : work_(asio::make_work_guard(io_))
-        , thread_([this] { io_.run(); })
-    {
-    }
-
-    ~Impl()
+    void breakOff()
     {
-        io_.stop();
-        thread_.join();
+        asio::error_code ignored;
+        in_->shutdown(tcp::socket::shutdown_both, ignored);
+        out_->shutdown(tcp::socket::shutdown_both, ignored);
     }
 
-    void add(const RelayRoute &route)
-    {
-        const auto address = asio::ip::make_address(route.address);
-        auto acceptor
-            = std::make_shared<tcp::acceptor>(io_, tcp::endpoint(address, route.listenPort));
-        asio::post(io_, [=] { accept(acceptor, route); });
-    }
+    Relay &relay_;
+    const Direction direction_;
+    const Socket in_;
+    const Socket out_;
+    std::array<char, PieceBytes> piece_{};
+};
 
-    void setCut(const std::string &from, const std::string &to, bool isCut)
-    {
-        asio::post(io_, [=] { cuts_.set({from, to}, isCut); });
-    }
+Relay::Relay()
+    : work_(asio::make_work_guard(io_))
+    , thread_([this] { io_.run(); })
+{
+}
 
-private:
-    void accept(const std::shared_ptr<tcp::acceptor> &acceptor, const RelayRoute &route)
-    {
-        acceptor->async_accept([=](const auto &error, tcp::socket socket) {
-            if (!error)
-                connect(std::make_shared<tcp::socket>(std::move(socket)), route);
-            accept(acceptor, route);
-        });
-    }
+Relay::~Relay()
+{
+    io_.stop();
+    thread_.join();
+}
 
-    // A connection needs both directions to begin.
-    void connect(const std::shared_ptr<tcp::socket> &near, const RelayRoute &route)
-    {
-        const Cuts::Direction there{route.from, route.to};
-        const Cuts::Direction back{route.to, route.from};
-        cuts_.whenOpen(there, [=] {
-            cuts_.whenOpen(back, [=] {
-                const auto far = std::make_shared<tcp::socket>(io_);
-                const tcp::endpoint target(asio::ip::make_address(route.address), route.targetPort);
-                far->async_connect(target, [=](const auto &error) {
-                    if (error)
-                        return;
-                    std::make_shared<Pump>(cuts_, there, near, far)->read();
-                    std::make_shared<Pump>(cuts_, back, far, near)->read();
-                });
-            });
-        });
-    }
+void Relay::add(const RelayRoute &route)
+{
+    const tcp::endpoint listen = endpointOf(route, route.listenPort);
+    asio::post(io_, [this, route, acceptor = std::make_shared<tcp::acceptor>(io_, listen)] {
+        accept(acceptor, route);
+    });
+}
 
-    // The sockets of what is held and of what still runs go before the context.
-    asio::io_context io_;
-    Cuts cuts_;
-    asio::executor_work_guard<asio::io_context::executor_type> work_;
-    std::thread thread_;
-};
+void Relay::cut(const Direction &direction)
+{
+    asio::post(io_, [this, direction] { cut_.insert(direction); });
+}
 
-Relay::Relay()
-    : impl_(std::make_unique<Impl>())
+void Relay::heal(const Direction &direction, bool isPassed)
 {
+    asio::post(io_, [this, direction, isPassed] {
+        cut_.erase(direction);
+        const auto [begin, end] = held_.equal_range(direction);
+        std::list<GoOn> healed;
+        for (auto entry = begin; entry != end; ++entry)
+            healed.push_back(std::move(entry->second));
+        held_.erase(begin, end);
+        for (const GoOn &goOn : healed)
+            goOn(isPassed);
+    });
 }
 
-Relay::~Relay() = default;
+void Relay::whenOpen(const Direction &direction, GoOn goOn)
+{
+    if (cut_.count(direction) > 0)
+        held_.emplace(direction, std::move(goOn));
+    else
+        goOn(true);
+}
 
-void Relay::add(const RelayRoute &route)
+void Relay::accept(const Acceptor &acceptor, const RelayRoute &route)
 {
-    impl_->add(route);
+    acceptor->async_accept([=](const auto &error, tcp::socket socket) {
+        if (!error)
+            connect(std::make_shared<tcp::socket>(std::move(socket)), route);
+        accept(acceptor, route);
+    });
 }
 
-void Relay::setCut(const std::string &from, const std::string &to, bool isCut)
+// A connection needs both directions to begin.
+void Relay::connect(const Socket &near, const RelayRoute &route)
 {
-    impl_->setCut(from, to, isCut);
+    const Direction there{route.from, route.to};
+    const Direction back{route.to, route.from};
+    whenOpen(there, [=](bool isThere) {
+        whenOpen(back, [=](bool isBack) {
+            if (!isThere || !isBack)
+                return;
+            const auto far = std::make_shared<tcp::socket>(io_);
+            far->async_connect(endpointOf(route, route.targetPort), [=](const auto &error) {
+                if (error)
+                    return;
+                std::make_shared<Pump>(*this, there, near, far)->read();
+                std::make_shared<Pump>(*this, back, far, near)->read();
+            });
+        });
+    });
 }
 
 } // namespace monsoongrade::scenarios
--- a/tests/scenario_runner/runexpectations.cpp
+++ b/tests/scenario_runner/runexpectations.cpp
@@ -78,19 +78,23 @@
     };
 }
 
-// expect-no-new-runs: {endpoint: model-1, since: MARK, grace: 3s}
+// expect-no-new-runs: {endpoint: model-1, since: MARK, grace: 3s, until: MARK}; without until, to
+// the end.
 Action readExpectNoNewRuns(MappingReader &step, const std::string &word)
 {
     MappingReader item = step.mapping(word);
     const std::string endpoint = item.requiredText("endpoint");
     const std::string mark = item.requiredText("since");
     const units::Duration grace = item.duration("grace", std::chrono::seconds(3));
+    const std::string end = item.text("until");
     item.finish();
     return [=](Stage &stage) {
         const auto from = stage.marked(mark) + grace;
+        const auto to
+            = end.empty() ? std::chrono::steady_clock::time_point::max() : stage.marked(end);
         const auto journal = stage.journal(endpoint);
         const auto late = std::count_if(journal.begin(), journal.end(), [&](const auto &entry) {
-            return entry.event == "begun" && entry.time > from;
+            return entry.event == "begun" && entry.time > from && entry.time < to;
         });
         if (late != 0)
             stage.fail("runs begun on " + endpoint + " after the mark " + mark, "0",
--- a/tests/scenario_runner/scenario.cpp
+++ b/tests/scenario_runner/scenario.cpp
@@ -57,6 +57,7 @@
     readers.merge(networkSteps());
     readers.merge(expectationSteps());
     readers.merge(runExpectationSteps());
+    readers.merge(refusalSteps());
     for (MappingReader &step : reader.mappings("steps"))
         scenario.steps.push_back(readStep(step, readers));
     reader.finish();
--- a/tests/scenario_runner/steps.h
+++ b/tests/scenario_runner/steps.h
@@ -26,6 +26,8 @@
 std::map<std::string, StepReader> expectationSteps();
 // Those that look at the journals of endpoints.
 std::map<std::string, StepReader> runExpectationSteps();
+// Those that look at the routers' records of refusals.
+std::map<std::string, StepReader> refusalSteps();
 
 // Notes a problem at the key where the text is no condition.
 Condition readCondition(configuration::MappingReader &item, const std::string &key,
