Schedulers: one that was restarted in its place is asked again at once

Cause: a router passed a leaving scheduler over for 10 s, also the process that followed it. Restarted in turn, all three were passed over, the router knew none to ask and took its own share on top of the slots that were held: up to 4 runs on an engine with 2 slots, and 68 asks by the own share, in a planned stop that is said to grant nothing twice. 300 ms bridge the time until membership says that it leaves; after that the leaving one is not in the order anyway. No test beside the part: only time tells the two apart there.

--- a/src/rpc/internal/schedulerlinks.cpp
+++ b/src/rpc/internal/schedulerlinks.cpp
@@ -13,7 +13,11 @@
 
 constexpr units::Duration FirstAvoid = std::chrono::seconds(1);
 constexpr int MostAvoidDoublings = 5;
-constexpr auto AvoidLeaving = std::chrono::seconds(10);
+// Until membership says that it leaves. Passed over for longer, a scheduler that was restarted in
+// its place got its routers back at different moments, up to ten seconds apart: meanwhile two
+// schedulers granted the same slots, and with all of them passed over the routers took their own
+// shares beside what was held. Endpoints got up to twice their slots for a planned stop.
+constexpr auto AvoidLeaving = std::chrono::milliseconds(300);
 
 bool isSame(const membership::Member &a, const membership::Member &b)
 {
