Requests: the relay to the caller is a class of its own; who may repeat is told when

AnswerRelay now holds the events, the count of what a slow caller has still to read, and how a begun answer is broken off; the flow decides. Behaviour of this part is as before.

With it a fault: an idempotent request whose last try broke was told that it may be sent again, but not when. Cause: these two ends passed no time. Now they pass the spread time of other faults, and only who may repeat gets it.

--- a/include/monsoongrade/requests/requestflow.h
+++ b/include/monsoongrade/requests/requestflow.h
@@ -2,14 +2,13 @@
 #define MONSOONGRADE_REQUESTS_REQUESTFLOW_H
 
 #include <monsoongrade/http/httpresponder.h>
+#include <monsoongrade/requests/answerrelay.h>
 #include <monsoongrade/requests/classifiedrequest.h>
 #include <monsoongrade/requests/flowend.h>
 #include <monsoongrade/requests/flowservices.h>
 #include <monsoongrade/requests/refusal.h>
 #include <monsoongrade/requests/requestaccount.h>
 #include <monsoongrade/requests/retrypolicy.h>
-#include <monsoongrade/requests/streamscanner.h>
-#include <monsoongrade/requests/wholeevents.h>
 
 #include <functional>
 #include <memory>
@@ -54,8 +53,6 @@
     bool isEventStream() const;
     void judgeEnd(const endpoints::EndpointEnd &end);
     void beginRelay();
-    void relay(std::string_view bytes);
-    void write(std::string bytes);
     void bytesLeft(std::size_t bytes);
     void releaseSlot(scheduling::ReleaseOutcome outcome);
     void followUp(NextStep step, units::ResultCode code);
@@ -64,7 +61,6 @@
     void backOff();
     void askLater(units::Duration delay);
     void complete();
-    units::Duration retryAfterFault() const;
     void giveUp(units::ResultCode code, const std::string &message, units::Duration retryAfter);
     void end(const FlowEnd &flowEnd, const std::string &detail);
 
@@ -75,6 +71,8 @@
 
     std::mutex mutex_;
     RequestAccount account_;
+    AnswerRelay relay_;
+    const units::Duration retryAfterFault_;
     State state_ = State::New;
     std::uint64_t step_ = 0;
     scheduling::SlotGrant grant_;
@@ -85,18 +83,13 @@
     AttemptResult attempt_;
     endpoints::Headers answerHeaders_;
     std::string wholeBody_;
-    WholeEvents events_;
-    StreamScanner scanner_;
     std::int64_t eventsAtCall_ = 0;
     // Some call may have been run, so that "not run" would be untrue.
     bool mayHaveRun_ = false;
-    bool relaying_ = false;
-    bool relaysEvents_ = false;
     // The current call goes on with a stream that has begun.
     bool resumes_ = false;
     bool paused_ = false;
     bool callerGone_ = false;
-    std::size_t bytesWaiting_ = 0;
 };
 
 } // namespace monsoongrade::requests
--- /dev/null
+++ b/src/requests/internal/slotask.cpp
@@ -0,0 +1,17 @@
+#include <requests/internal/slotask.h>
+
+namespace monsoongrade::requests::internal {
+
+scheduling::SlotAsk slotAsk(const ClassifiedRequest &request, const units::DaemonId &router)
+{
+    scheduling::SlotAsk ask;
+    ask.request = request.id;
+    ask.router = router;
+    ask.pool = request.pool.name;
+    ask.className = request.classConfig.policy.name;
+    ask.workspace = request.workspace;
+    ask.prefix = request.prefix;
+    return ask;
+}
+
+} // namespace monsoongrade::requests::internal
--- a/src/requests/internal/spreadretry.h
+++ b/src/requests/internal/spreadretry.h
@@ -1,5 +1,5 @@
-#ifndef MONSOONGRADE_REQUESTS_INTERNAL_SPREADRETRY_H
-#define MONSOONGRADE_REQUESTS_INTERNAL_SPREADRETRY_H
+#ifndef MONSOONGRADE_SRC_REQUESTS_INTERNAL_SPREADRETRY_H
+#define MONSOONGRADE_SRC_REQUESTS_INTERNAL_SPREADRETRY_H
 
 #include <monsoongrade/units/clock.h>
 #include <monsoongrade/units/ids.h>
@@ -14,4 +14,4 @@
 
 } // namespace monsoongrade::requests::internal
 
-#endif // MONSOONGRADE_REQUESTS_INTERNAL_SPREADRETRY_H
+#endif // MONSOONGRADE_SRC_REQUESTS_INTERNAL_SPREADRETRY_H
--- a/src/requests/requestflow.cpp
+++ b/src/requests/requestflow.cpp
@@ -2,6 +2,7 @@
 
 #include <requests/internal/answerheaders.h>
 #include <requests/internal/endpointcall.h>
+#include <requests/internal/slotask.h>
 #include <requests/internal/spreadretry.h>
 #include <requests/internal/steplistener.h>
 #include <requests/internal/tokensused.h>
@@ -15,9 +16,6 @@
 using scheduling::ReleaseOutcome;
 using units::ResultCode;
 
-// A slow reader's answer waits in this much memory; above it the endpoint is not read, and the
-// reading goes on when half has left.
-constexpr std::size_t MostBytesWaiting = 256 * 1024;
 // Answers that are not streamed are held until they are whole, up to this size; a larger one
 // is relayed as it comes.
 constexpr std::size_t MostBytesHeld = 8 * 1024 * 1024;
@@ -40,14 +38,15 @@
     , responder_(std::move(responder))
     , onEnd_(std::move(onEnd))
     , account_(std::move(account))
+    , relay_(*responder_, request_.answerShared)
+    , retryAfterFault_(internal::spreadRetry(ShortestRetryAfterFault, request_.id))
 {
 }
 
 RequestFlow::~RequestFlow()
 {
     if (state_ != State::Ended)
-        giveUp(ResultCode::InternalFault, "the router lost track of the request",
-               retryAfterFault());
+        giveUp(ResultCode::InternalFault, "the router lost track of the request", retryAfterFault_);
 }
 
 void RequestFlow::start()
@@ -57,6 +56,10 @@
             self->callerGone();
     });
     const std::lock_guard lock(mutex_);
+    relay_.onLeft([weak = weak_from_this()](std::size_t bytes) {
+        if (const auto self = weak.lock())
+            self->bytesLeft(bytes);
+    });
     if (state_ == State::New)
         askForSlot();
 }
@@ -67,6 +70,7 @@
     if (state_ == State::Ended || callerGone_)
         return;
     callerGone_ = true;
+    relay_.callerGone();
     if (state_ == State::Calling) {
         if (!request_.classConfig.cancelOnDisconnect)
             return;
@@ -89,7 +93,7 @@
     }
     grant_ = grant;
     callStarted_ = services_.clock.now();
-    eventsAtCall_ = scanner_.events();
+    eventsAtCall_ = relay_.events();
     account_.record(DecisionKind::Granted, ResultCode::Ok, grant.endpoint.value());
     // Not the configuration under which the request was classified: while it waited, endpoints may
     // have been added, whose slot would be refused, or taken away, which must get no new work.
@@ -111,7 +115,7 @@
         giveUp(ResultCode::NoEndpointAvailable,
                "the endpoints that were granted are not in service here, the last one "
                    + grant_.endpoint.value(),
-               retryAfterFault());
+               retryAfterFault_);
         return;
     }
     account_.record(DecisionKind::Queued, ResultCode::NoEndpointAvailable,
@@ -145,17 +149,17 @@
         return FlowControl::Continue;
     if (!refusedBeforeRunning(attempt_, request_.pool.kind))
         account_.firstToken();
-    if (!relaying_ && wholeBody_.size() + bytes.size() > MostBytesHeld)
+    if (!relay_.hasBegun() && wholeBody_.size() + bytes.size() > MostBytesHeld)
         beginRelay();
-    if (!relaying_) {
+    if (!relay_.hasBegun()) {
         wholeBody_.append(bytes);
         return FlowControl::Continue;
     }
     // A call that was to go on with a stream and was answered with something else adds nothing.
-    if (relaysEvents_ && !isEventStream())
+    if (relay_.passesEvents() && !isEventStream())
         return FlowControl::Continue;
-    relay(bytes);
-    paused_ = bytesWaiting_ > MostBytesWaiting;
+    relay_.take(bytes);
+    paused_ = relay_.isFull();
     return paused_ ? FlowControl::Pause : FlowControl::Continue;
 }
 
@@ -182,18 +186,18 @@
 void RequestFlow::judgeEnd(const endpoints::EndpointEnd &endpointEnd)
 {
     attempt_.end = endpointEnd;
-    attempt_.answerStarted = relaying_;
-    if (endpointEnd.code == ResultCode::Ok && relaysEvents_ && isEventStream()
-        && events_.isAtBoundary())
-        write(events_.takeRest());
-    if (relaysEvents_)
-        attempt_.truncated = !scanner_.isClosed();
+    attempt_.answerStarted = relay_.hasBegun();
+    if (endpointEnd.code == ResultCode::Ok && relay_.passesEvents() && isEventStream()
+        && relay_.isAtBoundary())
+        relay_.takeRest();
+    if (relay_.passesEvents())
+        attempt_.truncated = !relay_.isClosed();
     else
         attempt_.truncated
             = !internal::hasKnownEnd(attempt_.status, request_.method, answerHeaders_);
     if (attempt_.truncated && attempt_.end.code == ResultCode::Ok)
         attempt_.end.code = ResultCode::EndpointBrokeInAnswer;
-    attempt_.resumable = request_.pool.canResume && relaysEvents_ && events_.isAtBoundary();
+    attempt_.resumable = request_.pool.canResume && relay_.passesEvents() && relay_.isAtBoundary();
 }
 
 void RequestFlow::followUp(NextStep next, ResultCode code)
@@ -207,26 +211,20 @@
         tryElsewhere(code);
         return;
     case NextStep::RefuseNotRun:
-        giveUp(code, "no endpoint took the request", retryAfterFault());
+        giveUp(code, "no endpoint took the request", retryAfterFault_);
         return;
     case NextStep::FailUnknown:
-        giveUp(code, "the endpoint broke off before its answer was whole", {});
+        giveUp(code, "the endpoint broke off before its answer was whole", retryAfterFault_);
         return;
     case NextStep::FailPartial:
-        giveUp(code, "the endpoint broke off within the answer", {});
+        giveUp(code, "the endpoint broke off within the answer", retryAfterFault_);
         return;
     }
 }
 
 scheduling::SlotAsk RequestFlow::makeAsk() const
 {
-    scheduling::SlotAsk ask;
-    ask.request = request_.id;
-    ask.router = services_.self;
-    ask.pool = request_.pool.name;
-    ask.className = request_.classConfig.policy.name;
-    ask.workspace = request_.workspace;
-    ask.prefix = request_.prefix;
+    scheduling::SlotAsk ask = internal::slotAsk(request_, services_.self);
     ask.waited = account_.age();
     ask.avoid = failedEndpoints_;
     return ask;
@@ -245,9 +243,9 @@
     state_ = State::Calling;
     paused_ = false;
     endpoints::EndpointRequest request = internal::endpointCall(request_, endpoint);
-    resumes_ = relaying_;
+    resumes_ = relay_.hasBegun();
     if (resumes_)
-        request.headers.emplace_back("resume-offset", std::to_string(scanner_.events()));
+        request.headers.emplace_back("resume-offset", std::to_string(relay_.events()));
     account_.record(DecisionKind::Called, ResultCode::Ok, endpoint.id.value());
     call_ = services_.client.start(std::move(request),
                                    std::make_shared<StepListener>(shared_from_this(), step_));
@@ -268,38 +266,16 @@
 
 void RequestFlow::beginRelay()
 {
-    relaying_ = true;
-    relaysEvents_ = internal::isEventStream(answerHeaders_);
-    responder_->begin(attempt_.status, internal::passedBack(answerHeaders_, request_.id));
+    relay_.begin(attempt_.status, internal::passedBack(answerHeaders_, request_.id),
+                 internal::isEventStream(answerHeaders_));
     if (!wholeBody_.empty())
-        relay(std::exchange(wholeBody_, {}));
-}
-
-void RequestFlow::relay(std::string_view bytes)
-{
-    write(relaysEvents_ ? events_.take(bytes) : std::string(bytes));
-}
-
-void RequestFlow::write(std::string bytes)
-{
-    if (bytes.empty())
-        return;
-    scanner_.scan(bytes);
-    if (callerGone_)
-        return;
-    if (!request_.answerShared)
-        bytesWaiting_ += bytes.size();
-    responder_->write(std::move(bytes), [weak = weak_from_this()](std::size_t count) {
-        if (const auto self = weak.lock())
-            self->bytesLeft(count);
-    });
+        relay_.take(std::exchange(wholeBody_, {}));
 }
 
 void RequestFlow::bytesLeft(std::size_t bytes)
 {
     const std::lock_guard lock(mutex_);
-    bytesWaiting_ -= std::min(bytes, bytesWaiting_);
-    if (!paused_ || bytesWaiting_ > MostBytesWaiting / 2)
+    if (!relay_.makeRoom(bytes) || !paused_)
         return;
     paused_ = false;
     if (state_ == State::Calling)
@@ -310,9 +286,10 @@
 {
     scheduling::SlotRelease release;
     release.grant = grant_.id;
-    const bool isWhole = !relaying_ && request_.pool.kind == configuration::PoolKind::Engine;
+    const bool isWhole
+        = !relay_.hasBegun() && request_.pool.kind == configuration::PoolKind::Engine;
     release.tokens = units::TokenCount(isWhole ? internal::tokensOfWholeAnswer(wholeBody_)
-                                               : scanner_.events() - eventsAtCall_);
+                                               : relay_.events() - eventsAtCall_);
     release.held = services_.clock.now() - callStarted_;
     release.outcome = outcome;
     services_.slots.release(grant_, release);
@@ -336,7 +313,7 @@
     giveUp(isBudget ? ResultCode::RetryBudgetSpent : code,
            "the endpoint failed (" + std::string(resultCodeName(code)) + ") and another try was "
                + (isBudget ? "beyond the router's retry budget" : "too late"),
-           retryAfterFault());
+           retryAfterFault_);
     return false;
 }
 
@@ -347,13 +324,13 @@
     services_.metrics.add("monsoongrade_retries_total",
                           observability::label("reason", std::string(resultCodeName(code))));
     account_.record(DecisionKind::Retried, code,
-                    grant_.endpoint.value() + (relaying_ ? ", to be resumed" : ""));
+                    grant_.endpoint.value() + (relay_.hasBegun() ? ", to be resumed" : ""));
     failedEndpoints_.push_back(grant_.endpoint);
     const int made = attempt_.attemptsMade + 1;
     attempt_ = AttemptResult();
     attempt_.attemptsMade = made;
     wholeBody_.clear();
-    events_.dropRest();
+    relay_.dropRest();
     answerHeaders_.clear();
     backOff();
 }
@@ -377,17 +354,12 @@
 
 void RequestFlow::complete()
 {
-    if (relaying_)
-        responder_->end();
+    if (relay_.hasBegun())
+        relay_.end();
     else
         responder_->answer(attempt_.status, internal::passedBack(answerHeaders_, request_.id),
                            std::move(wholeBody_));
-    end({}, std::to_string(scanner_.events()) + " events");
-}
-
-units::Duration RequestFlow::retryAfterFault() const
-{
-    return internal::spreadRetry(ShortestRetryAfterFault, request_.id);
+    end({}, std::to_string(relay_.events()) + " events");
 }
 
 // Ends the request without a whole answer. Whether it may have run follows from all calls made
@@ -395,22 +367,17 @@
 void RequestFlow::giveUp(ResultCode code, const std::string &message, units::Duration retryAfter)
 {
     RunState runState = mayHaveRun_ ? RunState::Unknown : RunState::NotRun;
-    if (relaying_)
+    if (relay_.hasBegun())
         runState = RunState::Partial;
     Refusal refusal{request_.id, {code, message}, runState, {}};
     refusal.mayRepeat
         = request_.run == configuration::RunRule::Idempotent || !request_.idempotencyKey.isEmpty();
     if (runState == RunState::NotRun || refusal.mayRepeat)
         refusal.retryAfter = retryAfter;
-    if (!relaying_) {
+    if (relay_.hasBegun())
+        relay_.breakOff(refusal);
+    else
         sendRefusal(*responder_, refusal);
-    } else if (relaysEvents_ && events_.isAtBoundary()) {
-        responder_->write(refusalEvent(refusal), {});
-        responder_->end();
-    } else {
-        // Only a broken connection tells this caller that the answer is not whole.
-        responder_->abort();
-    }
     end({code, runState}, message);
 }
 
--- a/tests/requests/requestflow_test.cpp
+++ b/tests/requests/requestflow_test.cpp
@@ -131,6 +131,31 @@
     }
 }
 
+// Three engines in a row break before they answer. The caller of a request that may be repeated is
+// told when to come back; of one that must not run twice it is not known whether it ran, so no
+// time is named at which to send it again.
+TEST_CASE("RequestFlow.OnlyWhoMayRepeatABrokenRequestIsToldWhen")
+{
+    FlowFixture fixture;
+    RunRule run = RunRule::Idempotent;
+    bool mayRepeat = true;
+    SUBCASE("idempotent") { }
+    SUBCASE("at most once")
+    {
+        run = RunRule::AtMostOnce;
+        mayRepeat = false;
+    }
+    const auto caller = fixture.start(fixture.request(run));
+    for (int attempt = 0; caller->ends == 0 && attempt < 10; ++attempt) {
+        fixture.slots.grant(0, "e" + std::to_string(1 + attempt % 3));
+        fixture.client.calls.back().listener->answerEnd(
+            {ResultCode::EndpointBrokeBeforeAnswer, true, ""});
+        fixture.delayer.runAll();
+    }
+    CHECK(caller->header("monsoongrade-run-state") == "unknown");
+    CHECK(caller->header("Retry-After").empty() != mayRepeat);
+}
+
 // A service answers with the router's own headers, as one that stands behind another router may.
 // Passed back, they told the caller that a request which ran had not run.
 TEST_CASE("RequestFlow.EndpointsWordOnTheRunStateIsNotPassedBack")
