--- a/src/rpc/internal/slotservice.cpp
+++ b/src/rpc/internal/slotservice.cpp
@@ -34,9 +34,13 @@
     end();
 }
 
+// A call under way holds this object, so each that may wait can be cancelled with its
+// connection: otherwise a dead router's waiting ask kept its session, and all slots it held,
+// until the lease ran out.
 kj::Promise<void> SlotService::ask(AskContext context)
 {
     hear();
+    context.allowCancellation();
     const scheduling::SlotAsk ask = read(context.getParams().getAsk(), session_);
     return cells_->findOrWait(ask.pool)
         .then([this, ask](Cell *cell) -> kj::Promise<SlotOutcome> {
@@ -65,6 +69,7 @@
 kj::Promise<void> SlotService::adopt(AdoptContext context)
 {
     hear();
+    context.allowCancellation();
     return cells_->findOrWait(units::PoolName(context.getParams().getPool()))
         .then([this, context](Cell *cell) mutable {
             const auto held = context.getParams().getHeld();
@@ -88,11 +93,24 @@
     return kj::READY_NOW;
 }
 
+// The first one is answered at once and shows the router that this connection works. Of the
+// later ones the last is kept open: it costs nothing while it waits, and its answer reaches the
+// router when this side has something to say.
 kj::Promise<void> SlotService::ping(PingContext context)
 {
     hear();
-    context.getResults().setLeaving(cells_->isLeaving());
-    return kj::READY_NOW;
+    answerPing();
+    if (cells_->isLeaving() || !pinged_) {
+        pinged_ = true;
+        context.getResults().setLeaving(cells_->isLeaving());
+        return kj::READY_NOW;
+    }
+    auto pair = kj::newPromiseAndFulfiller<void>();
+    openPing_ = kj::mv(pair.fulfiller);
+    context.allowCancellation();
+    return pair.promise.then([cells = cells_, context]() mutable {
+        context.getResults().setLeaving(cells->isLeaving());
+    });
 }
 
 kj::Promise<void> SlotService::detach(DetachContext context)
@@ -112,12 +130,28 @@
     if (found != sessions_->byRouter.end() && found->second == this)
         sessions_->byRouter.erase(found);
     cells_->sessionEnded(session_);
+    if (openPing_.get() != nullptr)
+        openPing_->reject(KJ_EXCEPTION(DISCONNECTED, "the session was ended"));
+}
+
+void SlotService::askForSign()
+{
+    signAskedAt_ = clock_.now();
+    answerPing();
+}
+
+void SlotService::answerPing()
+{
+    if (openPing_.get() != nullptr)
+        openPing_->fulfill();
+    openPing_ = nullptr;
 }
 
 void SlotService::hear()
 {
     failIfEnded();
     lastHeard_ = clock_.now();
+    signAskedAt_.reset();
 }
 
 void SlotService::failIfEnded() const
