--- a/bench/slot-policies/main.cpp
+++ b/bench/slot-policies/main.cpp
@@ -13,6 +13,7 @@
 struct Arguments
 {
     int seeds = 3;
+    int firstSeed = 1;
     std::string json;
     std::string only;
 };
@@ -21,8 +22,8 @@
 Line measure(const Site &site, const std::string &scriptName, PolicyKind kind, int routers,
              const Arguments &arguments, double wrongLengths = 1)
 {
-    Line line{site.name, scriptName, policyName(kind), routers, {}};
-    for (int seed = 1; seed <= arguments.seeds; ++seed) {
+    Line line{site.name, scriptName, policyName(kind), routers, arguments.firstSeed, {}};
+    for (int seed = arguments.firstSeed; seed < arguments.firstSeed + arguments.seeds; ++seed) {
         const Script script = makeScript(scriptName, site, static_cast<std::uint64_t>(seed));
         Fleet::Options options;
         options.routers = routers;
@@ -78,8 +79,11 @@
     using namespace monsoongrade::bench;
     CLI::App app("Plays the same scripts with three policies for slots and compares them");
     Arguments arguments;
-    app.add_option("--seeds", arguments.seeds, "runs a line, with seeds 1 to this")
+    app.add_option("--seeds", arguments.seeds, "runs a line, each with its own seed")
         ->check(CLI::Range(1, 100));
+    app.add_option("--first-seed", arguments.firstSeed,
+                   "seed of the first run; thresholds are tuned on 1 to 5, reported on 101 to 110")
+        ->check(CLI::PositiveNumber);
     app.add_option("--script", arguments.only, "only this script");
     app.add_option("--json", arguments.json, "also write every run to this file");
     CLI11_PARSE(app, argc, argv);
--- a/bench/slot-policies/report.cpp
+++ b/bench/slot-policies/report.cpp
@@ -13,6 +13,13 @@
 
 using Measure = std::function<double(const Result &)>;
 
+// Of sorted values; with an even number of them the mean of the two in the middle.
+double median(const std::vector<double> &values)
+{
+    const std::size_t middle = values.size() / 2;
+    return values.size() % 2 == 1 ? values[middle] : (values[middle - 1] + values[middle]) / 2;
+}
+
 // "median (least-most)", or the median alone where all runs agree.
 std::string summary(const Line &line, const Measure &measure, int digits)
 {
@@ -22,7 +29,7 @@
         values.push_back(measure(result));
     std::sort(values.begin(), values.end());
     std::ostringstream out;
-    out << std::fixed << std::setprecision(digits) << values[values.size() / 2];
+    out << std::fixed << std::setprecision(digits) << median(values);
     if (values.back() - values.front() >= 0.1)
         out << " (" << values.front() << "-" << values.back() << ")";
     return out.str();
@@ -126,7 +133,7 @@
                            {"script", line.script},
                            {"policy", line.policy},
                            {"routers", line.routers},
-                           {"seed", i + 1},
+                           {"seed", line.firstSeed + static_cast<int>(i)},
                            {"classes", classes},
                            {"goodput", result.goodput},
                            {"wasted", result.wasted},
--- a/bench/slot-policies/report.h
+++ b/bench/slot-policies/report.h
@@ -10,13 +10,15 @@
 
 namespace monsoongrade::bench {
 
-// One script on one site with one policy, and a result for each seed.
+// One script on one site with one policy, and a result for each seed from
+// the first on.
 struct Line
 {
     std::string site;
     std::string script;
     std::string policy;
     int routers = 0;
+    int firstSeed = 1;
     std::vector<Result> results;
 };
 
