--- a/programs/monsoongrade-fake-engine/main.cpp
+++ b/programs/monsoongrade-fake-engine/main.cpp
@@ -1,7 +1,7 @@
-#include <monsoongrade/daemon/parsearguments.h>
+#include <monsoongrade/daemon/commandline.h>
+#include <monsoongrade/daemon/standincommandline.h>
 #include <monsoongrade/daemon/stopsignal.h>
-#include <monsoongrade/http/httpserver.h>
-#include <monsoongrade/standins/fakeengine.h>
+#include <monsoongrade/standins/standinsettings.h>
 
 #include <CLI/CLI.hpp>
 
@@ -10,50 +10,69 @@
 
 namespace {
 
-constexpr int ExitAfterCrash = 70;
+using namespace monsoongrade;
 
-} // namespace
+constexpr int ExitAfterCrash = 70;
+constexpr int MostSlots = 100000;
+constexpr double MostSpeed = 1e6;
 
-int main(int argc, char **argv)
+void addOptions(CLI::App &app, standins::FakeEngineProgram &settings)
 {
-    using namespace monsoongrade;
-    CLI::App app("Stands in for a model engine or a plain service.", "monsoongrade-fake-engine");
-    http::HttpServerSettings listener;
-    standins::FakeEngineSettings engineSettings;
-    app.add_option("--address", listener.address, "IP number to listen on");
-    app.add_option("--port", listener.port, "TCP port to listen on")->required();
-    app.add_option("--slots", engineSettings.slots, "streams that run at once");
-    app.add_option("--tokens-per-second", engineSettings.tokensPerSecond,
-                   "speed of one stream that runs alone");
-    app.add_option("--batch-cost", engineSettings.batchCost,
-                   "slowing of each stream by every further one");
-    app.add_option("--prefill-micros", engineSettings.prefillMicrosPerByte,
-                   "microseconds to read one byte of prompt");
-    app.add_flag("--can-resume", engineSettings.canResume,
+    standins::FakeEngineSettings &engine = settings.engine;
+    app.add_option("--address", settings.listener.address, "IP number to listen on");
+    app.add_option("--port", settings.listener.port, "TCP port to listen on")
+        ->check(CLI::Range(1, 65535));
+    app.add_option("--slots", engine.slots, "streams that run at once")
+        ->check(CLI::Range(1, MostSlots));
+    app.add_option("--tokens-per-second", engine.tokensPerSecond,
+                   "speed of one stream that runs alone")
+        ->check(CLI::Range(0.001, MostSpeed));
+    app.add_option("--batch-cost", engine.batchCost, "slowing of each stream by every further one")
+        ->check(CLI::Range(0.0, 100.0));
+    app.add_option("--prefill-micros", engine.prefillMicrosPerByte,
+                   "microseconds to read one byte of prompt")
+        ->check(CLI::Range(0.0, MostSpeed));
+    app.add_flag("--can-resume", engine.canResume,
                  "continue an answer at the header resume-offset");
-    app.add_option("--journal", engineSettings.journalPath,
-                   "append each run's begin and end to this file");
-    app.add_option("--threads", listener.threads, "threads of the HTTP server");
-    bool exitOnCrash = false;
-    app.add_flag("--exit-on-crash", exitOnCrash, "a crash ends the process");
-    app.set_version_flag("--version", std::string(MONSOONGRADE_VERSION));
-    if (const auto exitCode = daemon::parseArguments(app, argc, argv))
-        return *exitCode;
-    if (exitOnCrash)
-        engineSettings.onCrash = [] {
+    app.add_option("--journal", engine.journalPath, "append each run's begin and end to this file");
+    app.add_option("--threads", settings.listener.threads, "threads of the HTTP server")
+        ->check(CLI::Range(1, 64));
+    app.add_flag("--exit-on-crash", settings.exitOnCrash, "a crash ends the process");
+}
+
+int run(standins::FakeEngineProgram settings)
+{
+    if (settings.exitOnCrash)
+        settings.engine.onCrash = [] {
             std::_Exit(ExitAfterCrash);
         };
     daemon::blockStopSignals();
     try {
-        standins::FakeEngine engine(engineSettings);
-        http::HttpServer server(listener, [&](http::HttpRequest request, auto responder) {
+        standins::FakeEngine engine(settings.engine);
+        http::HttpServer server(settings.listener, [&](http::HttpRequest request, auto responder) {
             engine.handle(request, std::move(responder));
         });
         daemon::waitForStopSignal();
         server.stop();
     } catch (const std::exception &error) {
         std::cerr << "monsoongrade-fake-engine: " << error.what() << "\n";
-        return 1;
+        return daemon::ExitFailed;
     }
-    return 0;
+    return daemon::ExitOk;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app("Stands in for a model engine or a plain service.", "monsoongrade-fake-engine");
+    standins::FakeEngineProgram settings;
+    addOptions(app, settings);
+    const auto parse = [&](const auto &file, auto &problems) {
+        standins::parseFakeEngineSettings(file, settings, problems);
+    };
+    if (const auto exitCode
+        = daemon::readStandInCommandLine(app, argc, argv, parse, settings.listener.port))
+        return *exitCode;
+    return run(settings);
 }
--- a/programs/monsoongrade-fake-platform/main.cpp
+++ b/programs/monsoongrade-fake-platform/main.cpp
@@ -1,7 +1,8 @@
-#include <monsoongrade/daemon/parsearguments.h>
+#include <monsoongrade/daemon/commandline.h>
+#include <monsoongrade/daemon/standincommandline.h>
 #include <monsoongrade/daemon/stopsignal.h>
-#include <monsoongrade/http/httpserver.h>
 #include <monsoongrade/standins/fakeplatform.h>
+#include <monsoongrade/standins/standinsettings.h>
 
 #include <CLI/CLI.hpp>
 
@@ -15,9 +16,13 @@
     http::HttpServerSettings settings;
     settings.bodyLimit = 4 * 1024 * 1024;
     app.add_option("--address", settings.address, "IP number to listen on");
-    app.add_option("--port", settings.port, "TCP port to listen on")->required();
-    app.set_version_flag("--version", std::string(MONSOONGRADE_VERSION));
-    if (const auto exitCode = daemon::parseArguments(app, argc, argv))
+    app.add_option("--port", settings.port, "TCP port to listen on")->check(CLI::Range(1, 65535));
+    app.add_option("--threads", settings.threads, "threads of the HTTP server")
+        ->check(CLI::Range(1, 64));
+    const auto parse = [&](const auto &file, auto &problems) {
+        standins::parseFakePlatformSettings(file, settings, problems);
+    };
+    if (const auto exitCode = daemon::readStandInCommandLine(app, argc, argv, parse, settings.port))
         return *exitCode;
     daemon::blockStopSignals();
     try {
@@ -29,7 +34,7 @@
         server.stop();
     } catch (const std::exception &error) {
         std::cerr << "monsoongrade-fake-platform: " << error.what() << "\n";
-        return 1;
+        return daemon::ExitFailed;
     }
-    return 0;
+    return daemon::ExitOk;
 }
--- a/programs/monsoongrade-load/main.cpp
+++ b/programs/monsoongrade-load/main.cpp
@@ -1,6 +1,6 @@
-#include <monsoongrade/configuration/folder.h>
 #include <monsoongrade/daemon/commandline.h>
 #include <monsoongrade/daemon/parsearguments.h>
+#include <monsoongrade/daemon/settingsfile.h>
 #include <monsoongrade/endpoints/curlendpointclient.h>
 #include <monsoongrade/load/enginewatch.h>
 #include <monsoongrade/load/loadplot.h>
@@ -89,19 +89,11 @@
             return daemon::ExitBadSettings;
         }
     }
-    return units::orElse(
-        [&]() -> units::Result<int> {
-            BOOST_LEAF_AUTO(file, configuration::readFile(path));
-            configuration::Problems problems;
-            const load::LoadScript script = load::parseLoadScript(file, problems);
-            for (const auto &problem : problems)
-                std::cerr << configuration::describe(problem) << "\n";
-            if (!problems.empty())
-                return daemon::ExitBadSettings;
-            return checkOnly ? daemon::ExitOk : runScript(script, outputs);
-        },
-        [](const units::Error &error) {
-            std::cerr << units::describe(error) << "\n";
-            return daemon::ExitBadSettings;
-        });
+    load::LoadScript script;
+    const auto parse = [&](const auto &file, auto &problems) {
+        script = load::parseLoadScript(file, problems);
+    };
+    if (!daemon::readSettingsFile(path, parse))
+        return daemon::ExitBadSettings;
+    return checkOnly ? daemon::ExitOk : runScript(script, outputs);
 }
--- a/programs/monsoongradectl/main.cpp
+++ b/programs/monsoongradectl/main.cpp
@@ -1,4 +1,5 @@
 #include <monsoongrade/ctl/commands.h>
+#include <monsoongrade/daemon/parsearguments.h>
 
 #include <CLI/CLI.hpp>
 
@@ -113,10 +114,7 @@
     app.add_subcommand("top", "show counts per class, live")
         ->add_option("--rounds", given.rounds, "how often; 0 goes on without end");
     app.add_subcommand("completion", "print the completion script for bash");
-    try {
-        app.parse(argc, argv);
-    } catch (const CLI::ParseError &error) {
-        return app.exit(error) == 0 ? ctl::ExitOk : ctl::ExitBadInput;
-    }
+    if (const auto exitCode = daemon::parseArguments(app, argc, argv))
+        return *exitCode;
     return dispatch(app.get_subcommands().front()->get_name(), given);
 }
--- a/src/daemon/commandline.cpp
+++ b/src/daemon/commandline.cpp
@@ -1,8 +1,8 @@
 #include <monsoongrade/daemon/commandline.h>
 
-#include <monsoongrade/configuration/folder.h>
 #include <monsoongrade/daemon/loglevels.h>
 #include <monsoongrade/daemon/parsearguments.h>
+#include <monsoongrade/daemon/settingsfile.h>
 #include <monsoongrade/daemon/stopsignal.h>
 
 #include <CLI/CLI.hpp>
@@ -11,26 +11,6 @@
 
 namespace monsoongrade::daemon {
 
-namespace {
-
-configuration::Problems readSettings(const std::string &path,
-                                     configuration::DaemonSettings &settings)
-{
-    configuration::Problems problems;
-    units::orElse(
-        [&]() -> units::Result<void> {
-            BOOST_LEAF_AUTO(file, configuration::readFile(path));
-            settings = configuration::parseDaemonSettings(file, problems);
-            return {};
-        },
-        [&](const units::Error &error) {
-            problems.push_back({error.code, path, 0, {}, error.message});
-        });
-    return problems;
-}
-
-} // namespace
-
 CommandLine readCommandLine(const std::string &program, const std::string &purpose, int argc,
                             char **argv)
 {
@@ -43,10 +23,10 @@
     if (const auto exitCode = parseArguments(app, argc, argv))
         return {std::nullopt, *exitCode};
     configuration::DaemonSettings settings;
-    const configuration::Problems problems = readSettings(path, settings);
-    for (const configuration::Problem &problem : problems)
-        std::cerr << configuration::describe(problem) << "\n";
-    if (!problems.empty())
+    const auto parse = [&](const auto &file, auto &problems) {
+        settings = configuration::parseDaemonSettings(file, problems);
+    };
+    if (!readSettingsFile(path, parse))
         return {std::nullopt, ExitBadSettings};
     if (checkOnly)
         return {std::nullopt, ExitOk};
--- a/tests/docs/reference_test.cpp
+++ b/tests/docs/reference_test.cpp
@@ -71,8 +71,9 @@
 TEST_CASE("Reference.NamesEveryKeyOfSettingsAndConfiguration")
 {
     std::string text;
-    for (const char *file : {"configuration/daemonsettings.cpp",
-                             "configuration/configurationparser.cpp", "load/loadscript.cpp"})
+    for (const char *file :
+         {"configuration/daemonsettings.cpp", "configuration/configurationparser.cpp",
+          "load/loadscript.cpp", "standins/standinsettings.cpp"})
         text += textOf(Root + "/src/" + file);
     checkAllNamed(matches(text,
                           "(?:text|requiredText|texts|textPairs|number|integer|flag|duration|"
