Listeners: limits are settings, refusals carry ids, schedulers need the token

A body over the limit was refused with 1002 but without a request id, uncounted and unexplained; a header over the limit only closed the connection. The server now hands both to its owner, and the router refuses them like every other request. Headers get 1010 (431).

A scheduler gave its metrics to anyone. It now serves them and a status page by the router's operator service: token for all but /healthz and /readyz, on a listener with few connections of its own. Ruled out: a second copy of the token check in the scheduler's program.

--- a/include/monsoongrade/configuration/daemonsettings.h
+++ b/include/monsoongrade/configuration/daemonsettings.h
@@ -34,6 +34,14 @@
     std::string operatorToken;
     std::size_t bodyLimit = 8 * 1024 * 1024;
     std::size_t openLimit = 5000;
+    // Bytes of a request's target and headers together, and how many headers.
+    std::size_t headerLimit = 32 * 1024;
+    std::size_t headerCountLimit = 100;
+    // Callers connected at once; further ones wait until one leaves.
+    std::size_t connectionLimit = 10000;
+    // Longest time for a request to come in, and for one piece of an answer to be taken.
+    units::Duration readTimeout = std::chrono::seconds(60);
+    units::Duration writeTimeout = std::chrono::seconds(60);
     // How long callers may keep an address; a planned stop serves for at least this long.
     units::Duration keepAddress = std::chrono::seconds(5);
 };
--- a/include/monsoongrade/daemon/operatorservice.h
+++ b/include/monsoongrade/daemon/operatorservice.h
@@ -10,23 +10,27 @@
 
 namespace monsoongrade::daemon {
 
-// Answers operators on a listener of its own. Every path but /healthz needs the operator token
-// as a bearer token; with an empty token all of them are turned off.
+// Answers operators on a listener of its own. Every path needs the operator token as a bearer
+// token, but /healthz (the process runs) and /readyz (it takes new work); with an empty token all
+// others are turned off.
 class OperatorService
 {
 public:
     // Gives the answer's body for the query string.
     using Page = std::function<std::string(const std::string &query)>;
 
-    explicit OperatorService(std::string token);
+    // isReady answers /readyz.
+    OperatorService(std::string token, std::function<bool()> isReady);
 
     void addPage(const std::string &path, Page page);
     void handle(const http::HttpRequest &request, http::HttpResponder &responder) const;
 
 private:
+    bool answerOpenPath(const std::string &path, http::HttpResponder &responder) const;
     bool isAllowed(const http::HttpRequest &request) const;
 
     std::string token_;
+    std::function<bool()> isReady_;
     std::map<std::string, Page> pages_;
 };
 
--- a/include/monsoongrade/daemon/statuspage.h
+++ b/include/monsoongrade/daemon/statuspage.h
@@ -3,6 +3,7 @@
 
 #include <monsoongrade/configuration/configuration.h>
 #include <monsoongrade/membership/fleetview.h>
+#include <monsoongrade/membership/memberrecord.h>
 #include <monsoongrade/requests/decisionlog.h>
 #include <monsoongrade/units/clock.h>
 
@@ -14,8 +15,10 @@
 struct DaemonStatus
 {
     units::DaemonId daemon;
+    membership::DaemonRole role = membership::DaemonRole::Router;
     units::FailureDomain failureDomain;
     bool leaving = false;
+    // Of a router its open requests, of a scheduler the routers that hold or wait for slots.
     std::size_t open = 0;
     units::Duration upSince{};
     // Time since the configuration in force was taken up.
--- a/include/monsoongrade/http/httpserver.h
+++ b/include/monsoongrade/http/httpserver.h
@@ -2,6 +2,7 @@
 #define MONSOONGRADE_HTTP_HTTPSERVER_H
 
 #include <monsoongrade/http/httpresponder.h>
+#include <monsoongrade/units/error.h>
 
 #include <chrono>
 #include <cstdint>
@@ -19,12 +20,19 @@
     // A larger body, up to twice as large, is refused with 1002; above that the connection is
     // closed.
     std::size_t bodyLimit = 8 * 1024 * 1024;
+    // Bytes of the target and of all headers together, and how many headers there may be. More of
+    // either, up to twice as much, is refused with 1010; above that the connection is closed,
+    // since the library leaves no way to answer what it has not read.
     std::size_t headerLimit = 32 * 1024;
     std::size_t headerCountLimit = 100;
+    // Further callers wait in the system's queue until a connection ends.
     std::size_t connectionLimit = 10000;
-    std::chrono::seconds readTimeout{60};
+    // Longest time for a whole request to come in, and for a connection to stay idle.
+    std::chrono::milliseconds readTimeout = std::chrono::seconds(60);
     // Longest time that one piece of an answer may wait for a slow reader.
-    std::chrono::seconds writeTimeout{60};
+    std::chrono::milliseconds writeTimeout = std::chrono::seconds(60);
+    // Answers a request that is over one of these limits; empty is a plain numbered answer.
+    std::function<void(const units::Error &, HttpResponder &)> refuse;
 };
 
 using HttpHandler = std::function<void(HttpRequest, std::shared_ptr<HttpResponder>)>;
--- a/include/monsoongrade/requests/callerfrontend.h
+++ b/include/monsoongrade/requests/callerfrontend.h
@@ -26,9 +26,14 @@
 
     void handle(const http::HttpRequest &request, std::shared_ptr<http::HttpResponder> responder);
 
+    // Refuses what the server did not hand over because it is over one of its limits.
+    void refuseUnread(const units::Error &error, http::HttpResponder &responder);
+
     // From now on /readyz says no; requests are served as before.
     void startLeaving() { leaving_ = true; }
     bool isLeaving() const { return leaving_; }
+    // It has a configuration and is not leaving.
+    bool isReady() const { return !leaving_ && holder_.current() != nullptr; }
     // All metrics in the text exposition format.
     std::string metricsPage();
     std::size_t open() const { return open_.total(); }
--- a/include/monsoongrade/units/resultcode.h
+++ b/include/monsoongrade/units/resultcode.h
@@ -20,6 +20,7 @@
     KeyReusedForOtherRequest = 1007,
     WorkspaceLimitReached = 1008,
     MissingIdempotencyKey = 1009,
+    HeaderTooLarge = 1010,
     QueueFull = 2001,
     DeadlineHopeless = 2002,
     WaitedTooLong = 2003,
--- a/programs/monsoongrade-router/main.cpp
+++ b/programs/monsoongrade-router/main.cpp
@@ -3,7 +3,7 @@
 #include <monsoongrade/daemon/commandline.h>
 #include <monsoongrade/daemon/daemonid.h>
 #include <monsoongrade/daemon/entrypoints.h>
-#include <monsoongrade/daemon/operatorservice.h>
+#include <monsoongrade/daemon/operatorlistener.h>
 #include <monsoongrade/daemon/statuspage.h>
 #include <monsoongrade/daemon/stopsignal.h>
 #include <monsoongrade/endpoints/curlendpointclient.h>
@@ -31,8 +31,11 @@
 constexpr auto LeavingSpread = std::chrono::seconds(3);
 constexpr std::size_t ClaimThreads = 4;
 constexpr std::size_t MostClaimsWaiting = 256;
-constexpr std::size_t OperatorBodyLimit = 64 * 1024;
-constexpr std::size_t OperatorConnections = 100;
+
+std::chrono::milliseconds milliseconds(units::Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+}
 
 http::HttpServerSettings callerListener(const configuration::DaemonSettings &settings)
 {
@@ -41,16 +44,11 @@
     listener.port = settings.httpPort;
     listener.threads = settings.threads;
     listener.bodyLimit = settings.bodyLimit;
-    return listener;
-}
-
-http::HttpServerSettings operatorListener(const configuration::DaemonSettings &settings)
-{
-    http::HttpServerSettings listener;
-    listener.address = settings.address;
-    listener.port = settings.operatorPort;
-    listener.bodyLimit = OperatorBodyLimit;
-    listener.connectionLimit = OperatorConnections;
+    listener.headerLimit = settings.headerLimit;
+    listener.headerCountLimit = settings.headerCountLimit;
+    listener.connectionLimit = settings.connectionLimit;
+    listener.readTimeout = milliseconds(settings.readTimeout);
+    listener.writeTimeout = milliseconds(settings.writeTimeout);
     return listener;
 }
 
@@ -109,13 +107,17 @@
                                          settings.httpPort, settings.keepAddress);
     });
     const units::TimePoint startedAt = clock.now();
-    http::HttpServer server(callerListener(settings),
-                            [&](http::HttpRequest request, auto responder) {
-                                frontend.handle(request, std::move(responder));
-                            });
-    daemon::OperatorService operators(settings.operatorToken);
+    http::HttpServerSettings listener = callerListener(settings);
+    listener.refuse = [&](const units::Error &error, http::HttpResponder &responder) {
+        frontend.refuseUnread(error, responder);
+    };
+    http::HttpServer server(listener, [&](http::HttpRequest request, auto responder) {
+        frontend.handle(request, std::move(responder));
+    });
+    daemon::OperatorService operators(settings.operatorToken, [&] { return frontend.isReady(); });
     operators.addPage("/operator/status", [&](const std::string &) {
         const daemon::DaemonStatus status{self,
+                                          membership::DaemonRole::Router,
                                           settings.failureDomain,
                                           frontend.isLeaving(),
                                           frontend.open(),
@@ -128,10 +130,8 @@
         return daemon::explainPage(request, decisions.find(request));
     });
     operators.addPage("/metrics", [&](const std::string &) { return frontend.metricsPage(); });
-    http::HttpServer operatorServer(operatorListener(settings),
-                                    [&](const http::HttpRequest &request, const auto &responder) {
-                                        operators.handle(request, *responder);
-                                    });
+    const daemon::OperatorListener operatorListener(settings.address, settings.operatorPort,
+                                                    operators);
     fleetServices.start(platform, platform);
     observability::log(observability::LogLevel::Info, "router-started",
                        {{"daemon", self.value()}, {"port", static_cast<int>(settings.httpPort)}});
--- a/programs/monsoongrade-scheduler/main.cpp
+++ b/programs/monsoongrade-scheduler/main.cpp
@@ -1,7 +1,7 @@
-#include "operatorpage.h"
-
 #include <monsoongrade/daemon/commandline.h>
 #include <monsoongrade/daemon/daemonid.h>
+#include <monsoongrade/daemon/operatorlistener.h>
+#include <monsoongrade/daemon/statuspage.h>
 #include <monsoongrade/daemon/stopsignal.h>
 #include <monsoongrade/endpoints/curlendpointclient.h>
 #include <monsoongrade/observability/log.h>
@@ -10,6 +10,7 @@
 #include <monsoongrade/rpc/schedulerserver.h>
 #include <monsoongrade/units/steadyclock.h>
 
+#include <atomic>
 #include <thread>
 
 namespace {
@@ -42,6 +43,9 @@
     platform::HttpPlatform platform(platformClient, settings.platform);
     configuration::ConfigurationHolder configuration;
     membership::FleetHolder fleet;
+    const units::TimePoint startedAt = clock.now();
+    std::atomic<units::TimePoint> configuredAt{startedAt};
+    configuration.addListener([&](const auto &) { configuredAt = clock.now(); });
     rpc::RpcLoop rpcLoop;
     const units::DaemonId self = daemon::newDaemonId(settings.host, "scheduler");
     rpc::FleetServices fleetServices(rpcLoop, clock, settings, membership::DaemonRole::Scheduler,
@@ -54,17 +58,24 @@
     observability::log(
         observability::LogLevel::Info, "scheduler-started",
         {{"daemon", self.value()}, {"port", static_cast<int>(settings.schedulerRpcPort)}});
-    OperatorPage page(metrics);
-    http::HttpServerSettings operatorListener;
-    operatorListener.address = settings.address;
-    operatorListener.port = settings.schedulerOperatorPort;
-    http::HttpServer operatorServer(
-        operatorListener, [&page](const http::HttpRequest &request, const auto &responder) {
-            page.handle(request, *responder);
-        });
+    std::atomic<bool> leaving{false};
+    daemon::OperatorService operators(settings.operatorToken, [&leaving] { return !leaving; });
+    operators.addPage("/metrics", [&](const std::string &) { return metrics.exposition(); });
+    operators.addPage("/operator/status", [&](const std::string &) {
+        const daemon::DaemonStatus status{self,
+                                          membership::DaemonRole::Scheduler,
+                                          settings.failureDomain,
+                                          leaving,
+                                          server.routersUsing(),
+                                          clock.now() - startedAt,
+                                          clock.now() - configuredAt.load()};
+        return daemon::statusPage(status, configuration.current().get(), *fleet.current());
+    });
+    const daemon::OperatorListener operatorListener(settings.address,
+                                                    settings.schedulerOperatorPort, operators);
     daemon::waitForStopSignal();
     fleetServices.membership().leave();
-    page.startLeaving();
+    leaving = true;
     drain(server);
     observability::log(observability::LogLevel::Info, "scheduler-stopped",
                        {{"routers-left", static_cast<std::int64_t>(server.routersUsing())}});
--- a/src/configuration/daemonsettings.cpp
+++ b/src/configuration/daemonsettings.cpp
@@ -11,6 +11,33 @@
     return static_cast<std::uint16_t>(reader.integer(key, fallback, 1, 65535));
 }
 
+std::size_t count(MappingReader &reader, const std::string &key, std::size_t fallback,
+                  std::int64_t least, std::int64_t most)
+{
+    return static_cast<std::size_t>(
+        reader.integer(key, static_cast<std::int64_t>(fallback), least, most));
+}
+
+// A limit of no time would close every connection at once.
+units::Duration timeLimit(MappingReader &reader, const std::string &key, units::Duration fallback)
+{
+    const units::Duration value = reader.duration(key, fallback);
+    if (value < std::chrono::milliseconds(1))
+        reader.problem(units::ResultCode::OutOfRange, key, "expected a time of at least 1ms");
+    return value;
+}
+
+void readListenerLimits(MappingReader &reader, DaemonSettings &settings)
+{
+    settings.headerLimit = count(reader, "header-limit", settings.headerLimit, 1024, 1 << 20);
+    settings.headerCountLimit
+        = count(reader, "header-count-limit", settings.headerCountLimit, 8, 10000);
+    settings.connectionLimit
+        = count(reader, "connection-limit", settings.connectionLimit, 1, 1000000);
+    settings.readTimeout = timeLimit(reader, "read-timeout", settings.readTimeout);
+    settings.writeTimeout = timeLimit(reader, "write-timeout", settings.writeTimeout);
+}
+
 } // namespace
 
 DaemonSettings parseDaemonSettings(const SourceFile &file, Problems &problems)
@@ -40,6 +67,7 @@
     settings.bodyLimit
         = static_cast<std::size_t>(reader.integer("body-limit", 8 << 20, 1024, 256 << 20));
     settings.openLimit = static_cast<std::size_t>(reader.integer("open-limit", 5000, 1, 1000000));
+    readListenerLimits(reader, settings);
     settings.keepAddress = reader.duration("keep-address", settings.keepAddress);
     reader.finish();
     return settings;
--- a/src/daemon/operatorservice.cpp
+++ b/src/daemon/operatorservice.cpp
@@ -11,8 +11,9 @@
 
 } // namespace
 
-OperatorService::OperatorService(std::string token)
+OperatorService::OperatorService(std::string token, std::function<bool()> isReady)
     : token_(std::move(token))
+    , isReady_(std::move(isReady))
 {
 }
 
@@ -23,10 +24,8 @@
 
 void OperatorService::handle(const http::HttpRequest &request, http::HttpResponder &responder) const
 {
-    if (request.path == "/healthz") {
-        responder.answer(200, TextHeaders, "ok\n");
+    if (answerOpenPath(request.path, responder))
         return;
-    }
     if (!isAllowed(request)) {
         responder.answer(401, TextHeaders, "give the operator token as a bearer token\n");
         return;
@@ -41,6 +40,19 @@
     responder.answer(200, isJson ? JsonHeaders : TextHeaders, std::move(body));
 }
 
+bool OperatorService::answerOpenPath(const std::string &path, http::HttpResponder &responder) const
+{
+    if (path == "/healthz") {
+        responder.answer(200, TextHeaders, "ok\n");
+    } else if (path == "/readyz") {
+        const bool ready = isReady_();
+        responder.answer(ready ? 200 : 503, TextHeaders, ready ? "ready\n" : "not ready\n");
+    } else {
+        return false;
+    }
+    return true;
+}
+
 bool OperatorService::isAllowed(const http::HttpRequest &request) const
 {
     const std::string token = units::bearerToken(request.header("authorization"));
--- a/src/daemon/statuspage.cpp
+++ b/src/daemon/statuspage.cpp
@@ -24,10 +24,12 @@
                        const configuration::Configuration *configuration,
                        const membership::FleetView &fleet)
 {
+    const bool isRouter = status.role == membership::DaemonRole::Router;
     json out{{"daemon", status.daemon.value()},
+             {"role", isRouter ? "router" : "scheduler"},
              {"failure_domain", status.failureDomain.value()},
              {"leaving", status.leaving},
-             {"open_requests", status.open},
+             {isRouter ? "open_requests" : "routers_using", status.open},
              {"up_seconds", seconds(status.upSince)},
              {"generation", configuration == nullptr ? 0 : configuration->generation.value()},
              {"generation_age_seconds", seconds(status.configurationAge)}};
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -16,6 +16,7 @@
 
 namespace {
 
+using units::ResultCode;
 using Strand = asio::strand<asio::io_context::executor_type>;
 using ChunkedBuilder = restinio::response_builder_t<restinio::chunked_output_t>;
 
@@ -24,6 +25,8 @@
 // Two, so that the library goes on reading while an answer is open; only then does it notice
 // that the caller has closed the connection.
 constexpr std::size_t PipelinedRequests = 2;
+// What is over a limit, up to so many times, is still read, so that the refusal can be sent.
+constexpr std::size_t ReadBeyondLimit = 2;
 
 restinio::http_status_line_t statusLine(int status)
 {
@@ -243,6 +246,22 @@
     return result;
 }
 
+std::size_t headerBytes(const restinio::request_t &request)
+{
+    std::size_t bytes = request.header().request_target().size();
+    request.header().for_each_field([&bytes](const restinio::http_header_field_t &field) {
+        bytes += field.name().size() + field.value().size();
+    });
+    return bytes;
+}
+
+void refusePlainly(const units::Error &error, HttpResponder &responder)
+{
+    const int status = error.code == ResultCode::BodyTooLarge ? 413 : 431;
+    responder.answer(status, {{"Content-Type", "text/plain"}},
+                     units::describe(error) + ". The request did not run. Send less.\n");
+}
+
 } // namespace
 
 class HttpServer::Impl
@@ -250,6 +269,9 @@
 public:
     Impl(const HttpServerSettings &settings, HttpHandler handler)
         : bodyLimit_(settings.bodyLimit)
+        , headerLimit_(settings.headerLimit)
+        , headerCountLimit_(settings.headerCountLimit)
+        , refuse_(settings.refuse ? settings.refuse : refusePlainly)
         , io_(static_cast<int>(settings.threads))
         , work_(asio::make_work_guard(io_))
         , port_(settings.port)
@@ -281,11 +303,11 @@
     void fill(Settings &target, const HttpServerSettings &settings)
     {
         restinio::incoming_http_msg_limits_t limits;
-        limits.max_body_size(settings.bodyLimit * 2)
-            .max_url_size(settings.headerLimit)
-            .max_field_value_size(settings.headerLimit)
-            .max_field_name_size(settings.headerLimit)
-            .max_field_count(settings.headerCountLimit);
+        limits.max_body_size(settings.bodyLimit * ReadBeyondLimit)
+            .max_url_size(settings.headerLimit * ReadBeyondLimit)
+            .max_field_value_size(settings.headerLimit * ReadBeyondLimit)
+            .max_field_name_size(settings.headerLimit * ReadBeyondLimit)
+            .max_field_count(settings.headerCountLimit * ReadBeyondLimit);
         target.address(settings.address)
             .port(settings.port)
             .incoming_http_msg_limits(limits)
@@ -311,23 +333,35 @@
         const auto responder = std::make_shared<Responder>(asio::make_strand(io_), request, port_,
                                                            std::move(ticket));
         listener_->add(request->connection_id(), responder);
-        if (request->body().size() > bodyLimit_)
-            responder->answer(413, {{"Content-Type", "application/json"}}, bodyTooLarge());
+        if (const auto fault = overLimit(*request))
+            refuse_(*fault, *responder);
         else
             handler_(read(request), responder);
         return restinio::request_accepted();
     }
 
-    std::string bodyTooLarge() const
+    std::optional<units::Error> overLimit(const restinio::request_t &request) const
     {
-        return R"({"error":{"code":1002,"reason":"body-too-large","message":"the body is larger than )"
-            + std::to_string(bodyLimit_)
-            + R"( bytes. The request did not run. Send less.","run_state":"not-run"}})";
+        if (request.header().fields_count() > headerCountLimit_)
+            return units::Error{ResultCode::HeaderTooLarge,
+                                "there are more than " + std::to_string(headerCountLimit_)
+                                    + " headers"};
+        if (headerBytes(request) > headerLimit_)
+            return units::Error{ResultCode::HeaderTooLarge,
+                                "the target and the headers are larger than "
+                                    + std::to_string(headerLimit_) + " bytes"};
+        if (request.body().size() > bodyLimit_)
+            return units::Error{ResultCode::BodyTooLarge,
+                                "the body is larger than " + std::to_string(bodyLimit_) + " bytes"};
+        return std::nullopt;
     }
 
     // Outlives the io context, whose handlers hold tickets.
     std::atomic<std::size_t> openAnswers_{0};
     const std::size_t bodyLimit_;
+    const std::size_t headerLimit_;
+    const std::size_t headerCountLimit_;
+    const std::function<void(const units::Error &, HttpResponder &)> refuse_;
     asio::io_context io_;
     asio::executor_work_guard<asio::io_context::executor_type> work_;
     std::uint16_t port_;
--- a/src/requests/callerfrontend.cpp
+++ b/src/requests/callerfrontend.cpp
@@ -36,12 +36,17 @@
         route(request, std::move(responder));
 }
 
+void CallerFrontend::refuseUnread(const Error &error, http::HttpResponder &responder)
+{
+    refuseUnclassified(responder, nextRequestId(), error, {});
+}
+
 bool CallerFrontend::answerOwnPath(const http::HttpRequest &request, http::HttpResponder &responder)
 {
     if (request.path == "/healthz") {
         responder.answer(200, TextHeaders, "ok\n");
     } else if (request.path == "/readyz") {
-        const bool ready = !leaving_ && holder_.current() != nullptr;
+        const bool ready = isReady();
         responder.answer(ready ? 200 : 503, TextHeaders, ready ? "ready\n" : "not ready\n");
     } else if (request.path == "/metrics") {
         responder.answer(200, TextHeaders, metricsPage());
--- a/src/requests/refusal.cpp
+++ b/src/requests/refusal.cpp
@@ -83,6 +83,8 @@
         return 409;
     case ResultCode::BodyTooLarge:
         return 413;
+    case ResultCode::HeaderTooLarge:
+        return 431;
     case ResultCode::WorkspaceLimitReached:
         return 429;
     case ResultCode::EndpointUnreachable:
--- a/src/units/resultcode.cpp
+++ b/src/units/resultcode.cpp
@@ -27,6 +27,8 @@
         return "workspace-limit-reached";
     case ResultCode::MissingIdempotencyKey:
         return "missing-idempotency-key";
+    case ResultCode::HeaderTooLarge:
+        return "header-too-large";
     case ResultCode::QueueFull:
         return "queue-full";
     case ResultCode::DeadlineHopeless:
--- a/tests/daemon/operatorservice_test.cpp
+++ b/tests/daemon/operatorservice_test.cpp
@@ -39,7 +39,8 @@
 
 TEST_CASE("OperatorService.PagesNeedTheToken")
 {
-    OperatorService service("secret");
+    bool ready = true;
+    OperatorService service("secret", [&ready] { return ready; });
     service.addPage("/page", [](const std::string &) { return "text"; });
     CHECK(statusOf(service, "/page", "Bearer secret") == 200);
     CHECK(statusOf(service, "/page", "Bearer secreT") == 401);
@@ -47,12 +48,16 @@
     CHECK(statusOf(service, "/page", "") == 401);
     CHECK(statusOf(service, "/other", "Bearer secret") == 404);
     CHECK(statusOf(service, "/healthz", "") == 200);
+    CHECK(statusOf(service, "/readyz", "") == 200);
+    ready = false;
+    CHECK(statusOf(service, "/readyz", "") == 503);
+    CHECK(statusOf(service, "/healthz", "") == 200);
 }
 
 // With no token set, an empty bearer token must not open the pages.
 TEST_CASE("OperatorService.EmptyTokenTurnsPagesOff")
 {
-    OperatorService service("");
+    OperatorService service("", [] { return true; });
     service.addPage("/page", [](const std::string &) { return "text"; });
     CHECK(statusOf(service, "/page", "Bearer ") == 401);
 }
--- a/tests/http/httpserver_test.cpp
+++ b/tests/http/httpserver_test.cpp
@@ -17,6 +17,8 @@
 using units::ResultCode;
 
 constexpr std::size_t BodyLimit = 1000;
+constexpr std::size_t HeaderLimit = 1000;
+constexpr std::size_t HeaderCountLimit = 20;
 
 std::uint16_t freePort()
 {
@@ -32,12 +34,15 @@
     {
         settings.port = freePort();
         settings.bodyLimit = BodyLimit;
+        settings.headerLimit = HeaderLimit;
+        settings.headerCountLimit = HeaderCountLimit;
         server = std::make_unique<HttpServer>(settings, std::move(handler));
     }
 
-    endpoints::WholeAnswer post(const std::string &body)
+    endpoints::WholeAnswer post(const std::string &body, const Headers &headers = {})
     {
         endpoints::EndpointRequest request;
+        request.headers = headers;
         request.url = "http://127.0.0.1:" + std::to_string(settings.port) + "/";
         request.body = body;
         return endpoints::callAndWait(client, request);
@@ -68,12 +73,51 @@
     const auto refused = fixture.post(std::string(BodyLimit + 1, 'x'));
     CHECK(refused.status == 413);
     CHECK(refused.body.find("1002") != std::string::npos);
+    CHECK(refused.body.find("did not run") != std::string::npos);
     // Far beyond it the connection is closed; the server goes on.
     CHECK(fixture.post(std::string(BodyLimit * 100, 'x')).status == 0);
     CHECK(fixture.post("small").status == 200);
     CHECK(handled == 2);
 }
 
+TEST_CASE("HttpServer.HeadersOverALimitAreRefusedWithTheirCode")
+{
+    std::atomic<int> handled{0};
+    ServerFixture fixture([&](const HttpRequest &, const auto &responder) {
+        ++handled;
+        responder->answer(200, {}, "ok");
+    });
+    const auto large = fixture.post("x", {{"x-large", std::string(HeaderLimit, 'v')}});
+    CHECK(large.status == 431);
+    CHECK(large.body.find("1010 header-too-large") != std::string::npos);
+    // The same connection goes on after a refusal.
+    CHECK(fixture.post("x").status == 200);
+    const auto many = fixture.post("x", Headers(HeaderCountLimit + 1, {"x", "y"}));
+    CHECK(many.status == 431);
+    CHECK(many.body.find("1010 header-too-large") != std::string::npos);
+    // Far beyond the limits the connection is closed; the server goes on.
+    CHECK(fixture.post("x", {{"x-large", std::string(HeaderLimit * 3, 'v')}}).status == 0);
+    CHECK(fixture.post("x", Headers(HeaderCountLimit * 3, {"x", "y"})).status == 0);
+    CHECK(fixture.post("x").status == 200);
+    CHECK(handled == 2);
+}
+
+// Whoever serves callers wants its own form of refusal, with a request id.
+TEST_CASE("HttpServer.RefusalCanBeTheOwners")
+{
+    ServerFixture fixture([](const HttpRequest &, const auto &) {});
+    HttpServerSettings settings = fixture.settings;
+    settings.port = freePort();
+    settings.refuse = [](const units::Error &error, HttpResponder &responder) {
+        responder.answer(418, {}, "own " + std::to_string(static_cast<int>(error.code)));
+    };
+    fixture.server = std::make_unique<HttpServer>(settings, [](const auto &, const auto &) {});
+    fixture.settings.port = settings.port;
+    const auto refused = fixture.post(std::string(BodyLimit + 1, 'x'));
+    CHECK(refused.status == 418);
+    CHECK(refused.body == "own 1002");
+}
+
 // The engine broke off in the middle of a chunked answer that is no event stream. Only a broken
 // connection tells the caller; a regular end would make the half look whole.
 TEST_CASE("HttpServer.AbortedAnswerEndsInAnErrorForTheCaller")
