Configuration: mistakes that went in unseen are refused with their line

Found wanting: bytes that are no UTF-8, and UTF-16, were taken (and stored as other names than were checked); a file with nothing but comments was taken, which takes its club out of force when applied; an empty file 'can't be read'; targets of 0s, addresses such as -1, empty conditions and a header without its value were taken; a folder and a missing file gave the same words.

--- a/include/monsoongrade/configuration/mappingreader.h
+++ b/include/monsoongrade/configuration/mappingreader.h
@@ -28,10 +28,16 @@
     MappingReader(std::string file, const YAML::Node &node, Problems &problems);
 
     bool has(const std::string &key) const;
+    // No key at all is given.
+    bool isEmpty() const { return !node_.IsDefined() || node_.IsNull(); }
     // Each returns the fallback, and notes a problem, where the value is of a wrong type or
     // out of range.
     std::string text(const std::string &key, const std::string &fallback = {});
     std::string requiredText(const std::string &key);
+    // A text that may be left out but not be empty.
+    std::string givenText(const std::string &key);
+    // An IP number or a name of a host.
+    std::string requiredAddress(const std::string &key);
     std::vector<std::string> texts(const std::string &key);
     // A mapping of free keys to texts, in the order of the file.
     std::vector<std::pair<std::string, std::string>> textPairs(const std::string &key);
@@ -41,6 +47,8 @@
     bool flag(const std::string &key, bool fallback);
     // "250ms", "2s", "5m"
     units::Duration duration(const std::string &key, units::Duration fallback);
+    // The same for a time within which something must be able to happen.
+    units::Duration positiveDuration(const std::string &key, units::Duration fallback);
     // One of the given words; returns its index.
     std::size_t choice(const std::string &key, const std::vector<std::string> &words,
                        std::size_t fallback);
--- a/src/configuration/configurationparser.cpp
+++ b/src/configuration/configurationparser.cpp
@@ -32,6 +32,10 @@
         if (!top)
             return;
         MappingReader &reader = *top;
+        // An emptied file would take all that it gave out of force without a word.
+        if (reader.isEmpty())
+            reader.problem(ResultCode::MissingSetting, {},
+                           "the file gives nothing; monsoongradectl remove takes one out of force");
         readScheduling(reader);
         for (MappingReader &item : reader.mappings("classes"))
             readClass(item);
@@ -90,9 +94,9 @@
         config.policy.weight = item.number("weight", 1, 1e-3, MostWeight);
         MappingReader target = item.mapping("target");
         config.policy.firstTokenTarget
-            = target.duration("first-token", config.policy.firstTokenTarget);
+            = target.positiveDuration("first-token", config.policy.firstTokenTarget);
         config.policy.wholeAnswerTarget
-            = target.duration("whole-answer", config.policy.wholeAnswerTarget);
+            = target.positiveDuration("whole-answer", config.policy.wholeAnswerTarget);
         target.finish();
         config.policy.maxWait = item.duration("max-wait", config.policy.maxWait);
         config.policy.late = item.choice("late", {"serve", "drop"}, 0) == 0
@@ -110,7 +114,7 @@
         config.name = units::WorkspaceName(item.requiredText("name"));
         config.weight = item.number("weight", 1, 1e-3, MostWeight);
         config.keys = item.texts("keys");
-        config.defaultClass = units::ClassName(item.text("default-class"));
+        config.defaultClass = units::ClassName(item.givenText("default-class"));
         config.openLimit = static_cast<std::size_t>(item.integer("open-limit", 0, 0, 1000000));
         item.finish();
         refer(item, "class", "default-class", config.defaultClass.value());
@@ -139,7 +143,7 @@
         config.honoursPriority = item.flag("honours-priority", false);
         config.canResume = item.flag("can-resume", false);
         config.checksFencing = item.flag("checks-fencing", false);
-        config.silenceTimeout = item.duration("silence-timeout", config.silenceTimeout);
+        config.silenceTimeout = item.positiveDuration("silence-timeout", config.silenceTimeout);
         for (MappingReader &endpoint : item.mappings("endpoints"))
             readEndpoint(endpoint, config);
         item.finish();
@@ -152,7 +156,7 @@
         EndpointConfig config;
         config.id = units::EndpointId(item.requiredText("name"));
         config.host = units::HostName(item.text("host", config.id.value()));
-        config.address = item.requiredText("address");
+        config.address = item.requiredAddress("address");
         config.port = static_cast<std::uint16_t>(item.integer("port", 8000, 1, 65535));
         config.slots = static_cast<int>(item.integer("slots", 1, 1, MostSlots));
         item.finish();
@@ -160,19 +164,28 @@
             pool.endpoints.push_back(config);
     }
 
+    static void readMatch(MappingReader &match, RuleConfig &config)
+    {
+        config.pathPrefix = match.givenText("path");
+        config.method = match.givenText("method");
+        config.model = units::ModelName(match.givenText("model"));
+        config.workspace = units::WorkspaceName(match.givenText("workspace"));
+        config.headerName = match.givenText("header");
+        config.headerValue = match.givenText("value");
+        match.finish();
+        // Either alone would match requests that nobody meant.
+        if (match.has("header") != match.has("value"))
+            match.problem(ResultCode::MissingSetting, match.has("header") ? "value" : "header",
+                          "header and value must be given together");
+    }
+
     void readRule(MappingReader &item)
     {
         RuleConfig config;
         MappingReader match = item.mapping("match");
-        config.pathPrefix = match.text("path");
-        config.method = match.text("method");
-        config.model = units::ModelName(match.text("model"));
-        config.workspace = units::WorkspaceName(match.text("workspace"));
-        config.headerName = match.text("header");
-        config.headerValue = match.text("value");
-        match.finish();
-        config.className = units::ClassName(item.text("class"));
-        config.pool = units::PoolName(item.text("pool"));
+        readMatch(match, config);
+        config.className = units::ClassName(item.givenText("class"));
+        config.pool = units::PoolName(item.givenText("pool"));
         const bool mayRepeat = item.choice("run", {"idempotent", "at-most-once"}, 0) == 0;
         if (item.has("run"))
             config.run = mayRepeat ? RunRule::Idempotent : RunRule::AtMostOnce;
--- a/src/configuration/daemonsettings.cpp
+++ b/src/configuration/daemonsettings.cpp
@@ -2,6 +2,8 @@
 
 #include <monsoongrade/configuration/mappingreader.h>
 
+#include <arpa/inet.h>
+
 namespace monsoongrade::configuration {
 
 namespace {
@@ -11,22 +13,32 @@
     return static_cast<std::uint16_t>(reader.integer(key, fallback, 1, 65535));
 }
 
-std::size_t count(MappingReader &reader, const std::string &key, std::size_t fallback,
-                  std::int64_t least, std::int64_t most)
+// What the daemon listens on; a name could mean several.
+std::string ipNumber(MappingReader &reader)
 {
-    return static_cast<std::size_t>(
-        reader.integer(key, static_cast<std::int64_t>(fallback), least, most));
+    std::string value = reader.requiredText("address");
+    in_addr number{};
+    if (!value.empty() && inet_pton(AF_INET, value.c_str(), &number) != 1)
+        reader.problem(units::ResultCode::OutOfRange, "address", "expected an IP number");
+    return value;
 }
 
-// A limit of no time would close every connection at once.
-units::Duration timeLimit(MappingReader &reader, const std::string &key, units::Duration fallback)
+std::string platformUrl(MappingReader &reader)
 {
-    const units::Duration value = reader.duration(key, fallback);
-    if (value < std::chrono::milliseconds(1))
-        reader.problem(units::ResultCode::OutOfRange, key, "expected a time of at least 1ms");
+    std::string value = reader.requiredText("platform");
+    const std::string scheme = "http://";
+    if (!value.empty() && (value.compare(0, scheme.size(), scheme) != 0 || value == scheme))
+        reader.problem(units::ResultCode::OutOfRange, "platform", "expected http://address:port");
     return value;
 }
 
+std::size_t count(MappingReader &reader, const std::string &key, std::size_t fallback,
+                  std::int64_t least, std::int64_t most)
+{
+    return static_cast<std::size_t>(
+        reader.integer(key, static_cast<std::int64_t>(fallback), least, most));
+}
+
 void readListenerLimits(MappingReader &reader, DaemonSettings &settings)
 {
     settings.headerLimit = count(reader, "header-limit", settings.headerLimit, 1024, 1 << 20);
@@ -34,8 +46,8 @@
         = count(reader, "header-count-limit", settings.headerCountLimit, 8, 10000);
     settings.connectionLimit
         = count(reader, "connection-limit", settings.connectionLimit, 1, 1000000);
-    settings.readTimeout = timeLimit(reader, "read-timeout", settings.readTimeout);
-    settings.writeTimeout = timeLimit(reader, "write-timeout", settings.writeTimeout);
+    settings.readTimeout = reader.positiveDuration("read-timeout", settings.readTimeout);
+    settings.writeTimeout = reader.positiveDuration("write-timeout", settings.writeTimeout);
 }
 
 } // namespace
@@ -49,9 +61,9 @@
     MappingReader &reader = *top;
     settings.cluster = units::ClusterName(reader.requiredText("cluster"));
     settings.host = units::HostName(reader.requiredText("host"));
-    settings.address = reader.requiredText("address");
+    settings.address = ipNumber(reader);
     settings.failureDomain = units::FailureDomain(reader.requiredText("failure-domain"));
-    settings.platform = reader.requiredText("platform");
+    settings.platform = platformUrl(reader);
     settings.httpPort = port(reader, "http-port", settings.httpPort);
     settings.operatorPort = port(reader, "operator-port", settings.operatorPort);
     settings.schedulerOperatorPort
--- a/src/configuration/mappingreader.cpp
+++ b/src/configuration/mappingreader.cpp
@@ -1,6 +1,9 @@
 #include <monsoongrade/configuration/mappingreader.h>
 
+#include <monsoongrade/configuration/textcheck.h>
+
 #include <algorithm>
+#include <cctype>
 #include <cmath>
 #include <cstdlib>
 #include <optional>
@@ -47,6 +50,10 @@
 
 std::optional<MappingReader> MappingReader::ofFile(const SourceFile &file, Problems &problems)
 {
+    if (auto unreadable = findUnreadableText(file)) {
+        problems.push_back(std::move(*unreadable));
+        return std::nullopt;
+    }
     try {
         return MappingReader(file.name, YAML::Load(file.text), problems);
     } catch (const YAML::Exception &error) {
@@ -185,6 +192,35 @@
     return result;
 }
 
+std::string MappingReader::givenText(const std::string &key)
+{
+    std::string value = text(key);
+    if (has(key) && node_[key].IsScalar() && value.empty())
+        problem(ResultCode::OutOfRange, key, "must not be empty; leave the key out instead");
+    return value;
+}
+
+std::string MappingReader::requiredAddress(const std::string &key)
+{
+    std::string value = requiredText(key);
+    const auto isPart = [](unsigned char c) {
+        return std::isalnum(c) != 0 || c == '.' || c == '-';
+    };
+    const bool isAddress = std::all_of(value.begin(), value.end(), isPart)
+        && (value.empty() || std::isalnum(static_cast<unsigned char>(value.front())) != 0);
+    if (!isAddress)
+        problem(ResultCode::OutOfRange, key, "expected an IP number or a host's name");
+    return value;
+}
+
+units::Duration MappingReader::positiveDuration(const std::string &key, units::Duration fallback)
+{
+    const units::Duration value = duration(key, fallback);
+    if (value < std::chrono::milliseconds(1))
+        problem(ResultCode::OutOfRange, key, "expected a time of at least 1ms");
+    return value;
+}
+
 units::Duration MappingReader::duration(const std::string &key, units::Duration fallback)
 {
     const YAML::Node value = find(key);
