monsoongradectl: all daemons asked at once, schedulers too, names checked

status, top, explain and the wait of apply asked one router after the other: 13 s at 195 hosts across regions, and 2 s more for each dead one. All are now asked at once within 2 s; apply and status ask schedulers too, since a change is in force only when they have it. A refused token has its number (1011).

drain took any name: a mistyped host looked drained and went on taking work. It now must be a host of the list or an endpoint in force.

--- a/include/monsoongrade/ctl/fleetclient.h
+++ b/include/monsoongrade/ctl/fleetclient.h
@@ -6,25 +6,31 @@
 #include <monsoongrade/platform/hostlist.h>
 #include <monsoongrade/units/result.h>
 
-#include <nlohmann/json_fwd.hpp>
-
 #include <string>
 #include <vector>
 
 namespace monsoongrade::ctl {
 
-// A page of one host's operator listener, or why there is none.
-struct HostPage
+enum class DaemonKind { Router, Scheduler };
+
+// A page of one daemon's operator listener, or why there is none.
+struct DaemonPage
 {
     platform::Host host;
-    // Empty where the host did not answer.
+    DaemonKind daemon = DaemonKind::Router;
+    // Empty where the daemon did not answer well.
     std::string body;
+    // With its result code.
     std::string fault;
-    // The host answered, and did not take the operator token.
+    // The daemon answered, and did not take the operator token.
     bool isTokenRefused = false;
+
+    // "router entry-1"
+    std::string name() const;
 };
 
-// Asks the operator listeners of all entry hosts. Blocks.
+// Asks the operator listeners of entry hosts, all at once: a host that does not answer costs two
+// seconds in all, not two seconds for each such host. Blocks.
 class FleetClient
 {
 public:
@@ -32,12 +38,23 @@
                 platform::HostList &hosts);
 
     // Errors: those of the host list.
-    units::Result<std::vector<platform::Host>> entryHosts();
-    HostPage page(const platform::Host &host, const std::string &pathAndQuery);
-    // The page of every entry host of the list.
-    units::Result<std::vector<HostPage>> pages(const std::string &pathAndQuery);
+    units::Result<std::vector<platform::Host>> hosts();
+    // The page of every router, or of every router and scheduler, of the hosts in the list.
+    units::Result<std::vector<DaemonPage>> routerPages(const std::string &pathAndQuery);
+    units::Result<std::vector<DaemonPage>> allPages(const std::string &pathAndQuery);
 
 private:
+    struct Address
+    {
+        platform::Host host;
+        DaemonKind daemon;
+    };
+
+    units::Result<std::vector<DaemonPage>> pages(const std::vector<DaemonKind> &daemons,
+                                                 const std::string &pathAndQuery);
+    endpoints::EndpointRequest requestFor(const Address &address,
+                                          const std::string &pathAndQuery) const;
+
     const Options &options_;
     endpoints::EndpointClient &client_;
     platform::HostList &hosts_;
--- a/include/monsoongrade/ctl/options.h
+++ b/include/monsoongrade/ctl/options.h
@@ -15,6 +15,7 @@
     std::string platform;
     std::string operatorToken;
     std::uint16_t operatorPort = 8081;
+    std::uint16_t schedulerOperatorPort = 8082;
     OutputFormat output = OutputFormat::Text;
 };
 
--- a/include/monsoongrade/endpoints/wholeanswer.h
+++ b/include/monsoongrade/endpoints/wholeanswer.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <limits>
 #include <string>
+#include <vector>
 
 namespace monsoongrade::endpoints {
 
@@ -23,6 +24,12 @@
 WholeAnswer callAndWait(EndpointClient &client, EndpointRequest request,
                         std::size_t mostBytes = std::numeric_limits<std::size_t>::max());
 
+// Makes all calls at once and waits until each has ended or the limit is over; a call that goes on
+// then is cancelled and ends as EndpointSilent. Answers in the order of the requests.
+std::vector<WholeAnswer> callAllAndWait(EndpointClient &client,
+                                        std::vector<EndpointRequest> requests,
+                                        units::Duration limit);
+
 } // namespace monsoongrade::endpoints
 
 #endif // MONSOONGRADE_ENDPOINTS_WHOLEANSWER_H
--- a/include/monsoongrade/units/resultcode.h
+++ b/include/monsoongrade/units/resultcode.h
@@ -21,6 +21,7 @@
     WorkspaceLimitReached = 1008,
     MissingIdempotencyKey = 1009,
     HeaderTooLarge = 1010,
+    OperatorTokenRefused = 1011,
     QueueFull = 2001,
     DeadlineHopeless = 2002,
     WaitedTooLong = 2003,
--- a/programs/monsoongradectl/main.cpp
+++ b/programs/monsoongradectl/main.cpp
@@ -15,7 +15,7 @@
 const char *const Completion = R"(_monsoongradectl()
 {
     local commands="check diff apply remove status drain undrain explain top completion"
-    local options="--platform --token --operator-port --output --help --version"
+    local options="--wait --rounds --platform --token --operator-port --scheduler-operator-port --output --help --version"
     local word=${COMP_WORDS[COMP_CWORD]}
     case ${COMP_WORDS[COMP_CWORD-1]} in
     check|diff|apply) COMPREPLY=($(compgen -f -- "$word")) ;;
@@ -46,6 +46,8 @@
     app.add_option("--token", options.operatorToken, "operator token of the daemons")
         ->envname("MONSOONGRADE_OPERATOR_TOKEN");
     app.add_option("--operator-port", options.operatorPort, "operator port of the routers");
+    app.add_option("--scheduler-operator-port", options.schedulerOperatorPort,
+                   "operator port of the schedulers");
     app.add_option("--output", options.output, "text, json or yaml")
         ->transform(CLI::CheckedTransformer(formats, CLI::ignore_case));
 }
--- a/src/ctl/configurationcommands.cpp
+++ b/src/ctl/configurationcommands.cpp
@@ -72,6 +72,23 @@
     return names;
 }
 
+// A mistyped name would look drained, and the host go on taking work.
+bool isNamed(const std::string &name, const std::vector<platform::Host> &hosts,
+             const std::vector<SourceFile> &inForce)
+{
+    if (std::any_of(hosts.begin(), hosts.end(),
+                    [&](const auto &host) { return host.name.value() == name; }))
+        return true;
+    const auto parsed = configuration::parseConfiguration(inForce);
+    for (const auto &[poolName, pool] : parsed.configuration.pools) {
+        for (const auto &endpoint : pool.endpoints) {
+            if (endpoint.id.value() == name || endpoint.host.value() == name)
+                return true;
+        }
+    }
+    return false;
+}
+
 SourceFile drainedFile(const std::vector<std::string> &names)
 {
     std::string text = "# Written by monsoongradectl drain.\ndrained:";
@@ -85,18 +102,20 @@
 int checkCommand(const std::string &path, const Options &options)
 {
     return internal::runReportingErrors([&]() -> units::Result<int> {
-        BOOST_LEAF_AUTO(files, configuration::readFolder(path));
-        const auto parsed = configuration::parseConfiguration(files);
-        json out{{"files", files.size()}, {"problems", json::array()}};
-        for (const auto &problem : parsed.problems)
+        BOOST_LEAF_AUTO(written, internal::readWrittenFiles(path));
+        configuration::Problems problems = std::move(written.problems);
+        const auto parsed = configuration::parseConfiguration(written.files);
+        problems.insert(problems.end(), parsed.problems.begin(), parsed.problems.end());
+        json out{{"files", written.files.size()}, {"problems", json::array()}};
+        for (const auto &problem : problems)
             out["problems"].push_back(problemJson(problem));
         if (options.output == OutputFormat::Text)
-            internal::printProblems(parsed.problems);
+            internal::printProblems(problems);
         print(std::cout, options.output, out, [&](const json &) {
-            return parsed.isValid() ? std::to_string(files.size()) + " files are valid\n"
+            return problems.empty() ? std::to_string(written.files.size()) + " files are valid\n"
                                     : std::string();
         });
-        return parsed.isValid() ? ExitOk : ExitBadInput;
+        return problems.empty() ? ExitOk : ExitBadInput;
     });
 }
 
@@ -104,10 +123,10 @@
 {
     internal::Session session(options);
     return internal::runReportingErrors([&]() -> units::Result<int> {
-        BOOST_LEAF_AUTO(files, configuration::readFolder(path));
+        BOOST_LEAF_AUTO(written, internal::readWrittenFiles(path));
         BOOST_LEAF_AUTO(manifest, session.store.manifest());
         BOOST_LEAF_AUTO(inForce, session.store.files(manifest));
-        print(std::cout, options.output, differencesOf(files, inForce), diffText);
+        print(std::cout, options.output, differencesOf(written.files, inForce), diffText);
         return ExitOk;
     });
 }
@@ -116,15 +135,18 @@
 {
     internal::Session session(options);
     return internal::runReportingErrors([&]() -> units::Result<int> {
-        BOOST_LEAF_AUTO(files, configuration::readFolder(path));
+        BOOST_LEAF_AUTO(written, internal::readWrittenFiles(path));
+        if (!written.problems.empty())
+            return internal::reportAndWait(session, {{}, written.problems}, waitSeconds, options);
         BOOST_LEAF_AUTO(manifest, session.store.manifest());
         BOOST_LEAF_AUTO(inForce, session.store.files(manifest));
-        const json differences = differencesOf(files, inForce);
+        const json differences = differencesOf(written.files, inForce);
         if (options.output == OutputFormat::Text)
             std::cout << diffText(differences);
+        // Whoever applies again wants to know whether all have it by now.
         if (differences["files"].empty())
-            return ExitOk;
-        BOOST_LEAF_AUTO(applied, session.store.apply(files, internal::newChangeId()));
+            return internal::waitAndReport(session, manifest.generation, waitSeconds, options);
+        BOOST_LEAF_AUTO(applied, session.store.apply(written.files, internal::newChangeId()));
         return internal::reportAndWait(session, applied, waitSeconds, options);
     });
 }
@@ -135,8 +157,8 @@
     return internal::runReportingErrors([&]() -> units::Result<int> {
         BOOST_LEAF_AUTO(manifest, session.store.manifest());
         if (manifest.contentHashByFile.count(file) == 0) {
-            std::cerr << "4008 file-unreadable: no file named " << file << " is in force\n";
-            return ExitBadInput;
+            return internal::refuseName("no file named \"" + file
+                                        + "\" is in force; nothing was changed");
         }
         BOOST_LEAF_AUTO(applied, session.store.remove({file}, internal::newChangeId()));
         return internal::reportAndWait(session, applied, waitSeconds, options);
@@ -152,13 +174,19 @@
         std::vector<std::string> names = drainedNames(inForce);
         const auto found = std::find(names.begin(), names.end(), name);
         if ((found != names.end()) != undo) {
-            std::cout << name << (undo ? " is in service already\n" : " is drained already\n");
-            return ExitOk;
+            if (options.output == OutputFormat::Text)
+                std::cout << name << (undo ? " is in service already\n" : " is drained already\n");
+            return internal::waitAndReport(session, manifest.generation, waitSeconds, options);
         }
-        if (undo)
+        if (undo) {
             names.erase(found);
-        else
+        } else {
+            BOOST_LEAF_AUTO(hosts, session.fleet.hosts());
+            if (!isNamed(name, hosts, inForce))
+                return internal::refuseName("no host and no endpoint is named \"" + name
+                                            + "\"; nothing was changed");
             names.push_back(name);
+        }
         BOOST_LEAF_AUTO(applied,
                         session.store.apply({drainedFile(names)}, internal::newChangeId()));
         return internal::reportAndWait(session, applied, waitSeconds, options);
--- a/src/ctl/internal/session.h
+++ b/src/ctl/internal/session.h
@@ -44,6 +44,12 @@
     });
 }
 
+// Prints which daemons gave no page and why; returns how many they are.
+std::size_t printFaults(const std::vector<DaemonPage> &pages);
+
+// Refuses a name from the command line that nothing has; gives the exit code.
+int refuseName(const std::string &message);
+
 // An id that no other change has.
 std::string newChangeId();
 
@@ -52,6 +58,21 @@
                                  const configuration::ConfigurationStore::Applied &applied,
                                  int waitSeconds, const Options &options);
 
+// The second part alone, for a generation that is accepted already. With no seconds to wait
+// nobody is asked.
+units::Result<int> waitAndReport(Session &session, units::Generation generation, int waitSeconds,
+                                 const Options &options);
+
+// A folder or file as the user wrote it, with what shows that a file is cut off.
+struct WrittenFiles
+{
+    std::vector<configuration::SourceFile> files;
+    configuration::Problems problems;
+};
+
+// Error: FileUnreadable.
+units::Result<WrittenFiles> readWrittenFiles(const std::string &path);
+
 } // namespace monsoongrade::ctl::internal
 
 #endif // MONSOONGRADE_CTL_INTERNAL_SESSION_H
--- a/src/ctl/statuscommands.cpp
+++ b/src/ctl/statuscommands.cpp
@@ -6,11 +6,14 @@
 #include <monsoongrade/ctl/printer.h>
 
 #include <algorithm>
+#include <cctype>
 #include <cstdio>
 #include <map>
 #include <set>
 #include <thread>
 
+#include <unistd.h>
+
 namespace monsoongrade::ctl {
 
 namespace {
@@ -18,6 +21,7 @@
 using nlohmann::json;
 
 constexpr auto TopPeriod = std::chrono::seconds(1);
+const char *const ClearScreen = "\033[H\033[2J";
 
 std::string namesWith(const json &status, const char *mark)
 {
@@ -32,22 +36,25 @@
 std::string statusText(const json &all)
 {
     char line[256];
-    std::snprintf(line, sizeof(line), "%-14s %-18s %-8s %10s %8s %6s  %s\n", "host",
+    std::snprintf(line, sizeof(line), "%-14s %-10s %-18s %-8s %10s %8s %6s  %s\n", "host", "daemon",
                   "failure domain", "state", "generation", "age s", "open", "suspects / leaving");
     std::string out = line;
-    for (const json &host : all["hosts"]) {
-        const std::string name = host.value("host", "");
-        if (!host.contains("status")) {
-            out += name + "  no answer: " + host.value("fault", "") + "\n";
+    for (const json &daemon : all["daemons"]) {
+        const std::string name = daemon.value("host", "");
+        const std::string kind = daemon.value("daemon", "");
+        if (!daemon.contains("status")) {
+            std::snprintf(line, sizeof(line), "%-14s %-10s ", name.c_str(), kind.c_str());
+            out += line + daemon.value("fault", "") + "\n";
             continue;
         }
-        const json &status = host["status"];
-        std::snprintf(line, sizeof(line), "%-14s %-18s %-8s %10llu %8.0f %6llu  %s / %s\n",
-                      name.c_str(), status.value("failure_domain", "").c_str(),
+        const json &status = daemon["status"];
+        const char *const open = kind == "router" ? "open_requests" : "routers_using";
+        std::snprintf(line, sizeof(line), "%-14s %-10s %-18s %-8s %10llu %8.0f %6llu  %s / %s\n",
+                      name.c_str(), kind.c_str(), status.value("failure_domain", "").c_str(),
                       status.value("leaving", false) ? "leaving" : "live",
                       static_cast<unsigned long long>(status.value("generation", 0ULL)),
                       status.value("generation_age_seconds", 0.0),
-                      static_cast<unsigned long long>(status.value("open_requests", 0ULL)),
+                      static_cast<unsigned long long>(status.value(open, 0ULL)),
                       namesWith(status, "suspected").c_str(), namesWith(status, "leaving").c_str());
         out += line;
     }
@@ -68,6 +75,14 @@
     return out;
 }
 
+// Made of what routers use, so that it can stand in a query as it is.
+bool isRequestId(const std::string &text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), [](unsigned char c) {
+        return std::isalnum(c) != 0 || c == '.' || c == '-' || c == '_';
+    });
+}
+
 // Request ids begin with the name of the host whose router gave them.
 bool isFrom(const std::string &requestId, const platform::Host &host)
 {
@@ -124,18 +139,20 @@
 {
     internal::Session session(options);
     return internal::runReportingErrors([&]() -> units::Result<int> {
-        BOOST_LEAF_AUTO(pages, session.fleet.pages("/operator/status"));
-        json out{{"hosts", json::array()}};
+        BOOST_LEAF_AUTO(pages, session.fleet.allPages("/operator/status"));
+        json out{{"daemons", json::array()}};
         bool allAnswered = true;
-        for (const HostPage &page : pages) {
-            json host{{"host", page.host.name.value()}};
+        for (const DaemonPage &page : pages) {
+            const bool isRouter = page.daemon == DaemonKind::Router;
+            json daemon{{"host", page.host.name.value()},
+                        {"daemon", isRouter ? "router" : "scheduler"}};
             const json status = json::parse(page.body, nullptr, false);
             if (status.is_object())
-                host["status"] = status;
+                daemon["status"] = status;
             else
-                host["fault"] = page.fault;
+                daemon["fault"] = page.fault;
             allAnswered = allAnswered && status.is_object();
-            out["hosts"].push_back(host);
+            out["daemons"].push_back(daemon);
         }
         print(std::cout, options.output, out, statusText);
         return allAnswered ? ExitOk : ExitFailed;
@@ -146,20 +163,22 @@
 {
     internal::Session session(options);
     return internal::runReportingErrors([&]() -> units::Result<int> {
-        BOOST_LEAF_AUTO(hosts, session.fleet.entryHosts());
-        std::stable_partition(hosts.begin(), hosts.end(),
-                              [&](const auto &host) { return isFrom(requestId, host); });
-        for (const platform::Host &host : hosts) {
-            const HostPage page
-                = session.fleet.page(host, "/operator/explain?request=" + requestId);
+        if (!isRequestId(requestId))
+            return internal::refuseName("\"" + requestId + "\" can't be a request id");
+        BOOST_LEAF_AUTO(pages, session.fleet.routerPages("/operator/explain?request=" + requestId));
+        // The router that gave the id first: others may know a part, by a shared key.
+        std::stable_partition(pages.begin(), pages.end(),
+                              [&](const DaemonPage &page) { return isFrom(requestId, page.host); });
+        for (const DaemonPage &page : pages) {
             const json explanation = json::parse(page.body, nullptr, false);
             if (!explanation.is_object() || explanation["decisions"].empty())
                 continue;
             print(std::cout, options.output, explanation, explainText);
             return ExitOk;
         }
-        std::cerr << "no router remembers request " << requestId
+        std::cerr << "no router that answered remembers request " << requestId
                   << "; each keeps only its latest decisions, and a restart forgets them\n";
+        internal::printFaults(pages);
         return ExitFailed;
     });
 }
@@ -167,14 +186,18 @@
 int topCommand(int rounds, const Options &options)
 {
     internal::Session session(options);
+    const bool isLive = options.output == OutputFormat::Text && isatty(STDOUT_FILENO) == 1;
     for (int round = 1;; ++round) {
         const int result = internal::runReportingErrors([&]() -> units::Result<int> {
-            BOOST_LEAF_AUTO(pages, session.fleet.pages("/metrics"));
+            BOOST_LEAF_AUTO(pages, session.fleet.routerPages("/metrics"));
             std::map<std::string, ClassCounts> classes;
-            for (const HostPage &page : pages)
+            for (const DaemonPage &page : pages)
                 addSamples(classes, page.body);
+            if (isLive)
+                std::cout << ClearScreen;
             print(std::cout, options.output, json(classes), topText);
-            return ExitOk;
+            std::cout << std::flush;
+            return internal::printFaults(pages) == pages.size() ? ExitFailed : ExitOk;
         });
         if (result != ExitOk || round == rounds)
             return result;
--- a/src/daemon/operatorservice.cpp
+++ b/src/daemon/operatorservice.cpp
@@ -1,5 +1,6 @@
 #include <monsoongrade/daemon/operatorservice.h>
 
+#include <monsoongrade/units/error.h>
 #include <monsoongrade/units/secrets.h>
 
 namespace monsoongrade::daemon {
@@ -27,12 +28,17 @@
     if (answerOpenPath(request.path, responder))
         return;
     if (!isAllowed(request)) {
-        responder.answer(401, TextHeaders, "give the operator token as a bearer token\n");
+        responder.answer(401, TextHeaders,
+                         units::describe({units::ResultCode::OperatorTokenRefused,
+                                          "give this daemon's operator-token as a bearer token"})
+                             + "\n");
         return;
     }
     const auto page = pages_.find(request.path);
     if (page == pages_.end()) {
-        responder.answer(404, TextHeaders, "no such page\n");
+        responder.answer(404, TextHeaders,
+                         units::describe({units::ResultCode::NoSuchPath, "no such page here"})
+                             + "\n");
         return;
     }
     std::string body = page->second(request.query);
--- a/src/endpoints/wholeanswer.cpp
+++ b/src/endpoints/wholeanswer.cpp
@@ -1,6 +1,7 @@
 #include <monsoongrade/endpoints/wholeanswer.h>
 
 #include <future>
+#include <utility>
 
 namespace monsoongrade::endpoints {
 
@@ -62,4 +63,31 @@
     return answer;
 }
 
+std::vector<WholeAnswer>
+callAllAndWait(EndpointClient &client, std::vector<EndpointRequest> requests, units::Duration limit)
+{
+    const auto until = std::chrono::steady_clock::now() + limit;
+    std::vector<std::pair<CallId, std::future<WholeAnswer>>> pending;
+    pending.reserve(requests.size());
+    for (EndpointRequest &request : requests) {
+        const auto collector = std::make_shared<Collector>(std::numeric_limits<std::size_t>::max());
+        auto future = collector->future();
+        pending.emplace_back(client.start(std::move(request), collector), std::move(future));
+    }
+    std::vector<WholeAnswer> answers;
+    answers.reserve(pending.size());
+    for (auto &[call, future] : pending) {
+        if (future.wait_until(until) == std::future_status::ready) {
+            answers.push_back(future.get());
+            continue;
+        }
+        client.cancel(call);
+        WholeAnswer late;
+        late.end.code = units::ResultCode::EndpointSilent;
+        late.end.message = "no whole answer in time";
+        answers.push_back(std::move(late));
+    }
+    return answers;
+}
+
 } // namespace monsoongrade::endpoints
--- a/src/units/resultcode.cpp
+++ b/src/units/resultcode.cpp
@@ -29,6 +29,8 @@
         return "missing-idempotency-key";
     case ResultCode::HeaderTooLarge:
         return "header-too-large";
+    case ResultCode::OperatorTokenRefused:
+        return "operator-token-refused";
     case ResultCode::QueueFull:
         return "queue-full";
     case ResultCode::DeadlineHopeless:
