--- a/programs/monsoongradectl/main.cpp
+++ b/programs/monsoongradectl/main.cpp
@@ -1,4 +1,5 @@
 #include <monsoongrade/ctl/commands.h>
+#include <monsoongrade/daemon/parsearguments.h>
 
 #include <CLI/CLI.hpp>
 
@@ -14,7 +15,7 @@
 const char *const Completion = R"(_monsoongradectl()
 {
     local commands="check diff apply remove status drain undrain explain top completion"
-    local options="--platform --token --operator-port --output --help --version"
+    local options="--wait --rounds --platform --token --operator-port --scheduler-operator-port --output --help --version"
     local word=${COMP_WORDS[COMP_CWORD]}
     case ${COMP_WORDS[COMP_CWORD-1]} in
     check|diff|apply) COMPREPLY=($(compgen -f -- "$word")) ;;
@@ -45,6 +46,8 @@
     app.add_option("--token", options.operatorToken, "operator token of the daemons")
         ->envname("MONSOONGRADE_OPERATOR_TOKEN");
     app.add_option("--operator-port", options.operatorPort, "operator port of the routers");
+    app.add_option("--scheduler-operator-port", options.schedulerOperatorPort,
+                   "operator port of the schedulers");
     app.add_option("--output", options.output, "text, json or yaml")
         ->transform(CLI::CheckedTransformer(formats, CLI::ignore_case));
 }
@@ -113,10 +116,7 @@
     app.add_subcommand("top", "show counts per class, live")
         ->add_option("--rounds", given.rounds, "how often; 0 goes on without end");
     app.add_subcommand("completion", "print the completion script for bash");
-    try {
-        app.parse(argc, argv);
-    } catch (const CLI::ParseError &error) {
-        return app.exit(error) == 0 ? ctl::ExitOk : ctl::ExitBadInput;
-    }
+    if (const auto exitCode = daemon::parseArguments(app, argc, argv))
+        return *exitCode;
     return dispatch(app.get_subcommands().front()->get_name(), given);
 }
--- a/src/configuration/daemonsettings.cpp
+++ b/src/configuration/daemonsettings.cpp
@@ -2,6 +2,8 @@
 
 #include <monsoongrade/configuration/mappingreader.h>
 
+#include <arpa/inet.h>
+
 namespace monsoongrade::configuration {
 
 namespace {
@@ -11,6 +13,43 @@
     return static_cast<std::uint16_t>(reader.integer(key, fallback, 1, 65535));
 }
 
+// What the daemon listens on; a name could mean several.
+std::string ipNumber(MappingReader &reader)
+{
+    std::string value = reader.requiredText("address");
+    in_addr number{};
+    if (!value.empty() && inet_pton(AF_INET, value.c_str(), &number) != 1)
+        reader.problem(units::ResultCode::OutOfRange, "address", "expected an IP number");
+    return value;
+}
+
+std::string platformUrl(MappingReader &reader)
+{
+    std::string value = reader.requiredText("platform");
+    const std::string scheme = "http://";
+    if (!value.empty() && (value.compare(0, scheme.size(), scheme) != 0 || value == scheme))
+        reader.problem(units::ResultCode::OutOfRange, "platform", "expected http://address:port");
+    return value;
+}
+
+std::size_t count(MappingReader &reader, const std::string &key, std::size_t fallback,
+                  std::int64_t least, std::int64_t most)
+{
+    return static_cast<std::size_t>(
+        reader.integer(key, static_cast<std::int64_t>(fallback), least, most));
+}
+
+void readListenerLimits(MappingReader &reader, DaemonSettings &settings)
+{
+    settings.headerLimit = count(reader, "header-limit", settings.headerLimit, 1024, 1 << 20);
+    settings.headerCountLimit
+        = count(reader, "header-count-limit", settings.headerCountLimit, 8, 10000);
+    settings.connectionLimit
+        = count(reader, "connection-limit", settings.connectionLimit, 1, 1000000);
+    settings.readTimeout = reader.positiveDuration("read-timeout", settings.readTimeout);
+    settings.writeTimeout = reader.positiveDuration("write-timeout", settings.writeTimeout);
+}
+
 } // namespace
 
 DaemonSettings parseDaemonSettings(const SourceFile &file, Problems &problems)
@@ -22,9 +61,9 @@
     MappingReader &reader = *top;
     settings.cluster = units::ClusterName(reader.requiredText("cluster"));
     settings.host = units::HostName(reader.requiredText("host"));
-    settings.address = reader.requiredText("address");
+    settings.address = ipNumber(reader);
     settings.failureDomain = units::FailureDomain(reader.requiredText("failure-domain"));
-    settings.platform = reader.requiredText("platform");
+    settings.platform = platformUrl(reader);
     settings.httpPort = port(reader, "http-port", settings.httpPort);
     settings.operatorPort = port(reader, "operator-port", settings.operatorPort);
     settings.schedulerOperatorPort
@@ -40,6 +79,7 @@
     settings.bodyLimit
         = static_cast<std::size_t>(reader.integer("body-limit", 8 << 20, 1024, 256 << 20));
     settings.openLimit = static_cast<std::size_t>(reader.integer("open-limit", 5000, 1, 1000000));
+    readListenerLimits(reader, settings);
     settings.keepAddress = reader.duration("keep-address", settings.keepAddress);
     reader.finish();
     return settings;
