Scenarios: counters are read with the operator's token, and an unread page fails

Cause: the scheduler's pages now open only with the operator's token, which the runner did not send. The runner now sends the token, and a page that can't be read is a failed expectation with the daemon's name.

--- a/tests/scenario_runner/cluster.cpp
+++ b/tests/scenario_runner/cluster.cpp
@@ -1,5 +1,7 @@
 #include "cluster.h"
 
+#include "metricstext.h"
+
 #include <fstream>
 #include <stdexcept>
 #include <thread>
@@ -149,6 +151,19 @@
     return endpoints::callAndWait(client_, request);
 }
 
+endpoints::Headers Cluster::operatorHeaders()
+{
+    return {{"Authorization", "Bearer " + std::string(OperatorToken)}};
+}
+
+std::optional<std::map<std::string, double>> Cluster::metrics(const std::string &daemon)
+{
+    const auto page = call("GET", url(daemon) + "/metrics", {}, operatorHeaders());
+    if (page.status != 200)
+        return std::nullopt;
+    return readMetrics(page.body);
+}
+
 void Cluster::waitForAnswer(const std::string &url)
 {
     const auto until = std::chrono::steady_clock::now() + ReadyLimit;
--- a/tests/scenario_runner/cluster.h
+++ b/tests/scenario_runner/cluster.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -47,6 +48,11 @@
     endpoints::WholeAnswer call(const std::string &method, const std::string &url,
                                 const std::string &body = {},
                                 const endpoints::Headers &headers = {});
+    // Operators' pages open only with this.
+    static endpoints::Headers operatorHeaders();
+    // The values on a daemon's metrics page; nothing where the page can't be read, which must not
+    // pass for counters that are all 0.
+    std::optional<std::map<std::string, double>> metrics(const std::string &daemon);
     void waitForAnswer(const std::string &url);
     std::filesystem::path journal(const std::string &endpoint) const;
     endpoints::EndpointClient &client() { return client_; }
--- a/tests/scenario_runner/clusterplan.cpp
+++ b/tests/scenario_runner/clusterplan.cpp
@@ -123,7 +123,7 @@
         + "\naddress: " + subnet.address(0, numberIn(name)) + "\nfailure-domain: domain-"
         + std::to_string(numberIn(name) % FailureDomains) + "\nplatform: http://"
         + subnet.address(9, 1) + ":" + std::to_string(platformPort)
-        + "\noperator-token: scenario-operator\nkeep-address: " + plan.keepAddress + "\n";
+        + "\noperator-token: " + OperatorToken + "\nkeep-address: " + plan.keepAddress + "\n";
     if (plan.relayed)
         text += "router-rpc-port: " + std::to_string(RouterPorts + number)
             + "\nscheduler-rpc-port: " + std::to_string(SchedulerPorts + number) + "\n";
--- a/tests/scenario_runner/clusterplan.h
+++ b/tests/scenario_runner/clusterplan.h
@@ -12,6 +12,9 @@
 
 namespace monsoongrade::scenarios {
 
+// Every daemon's setting operator-token.
+constexpr const char *OperatorToken = "scenario-operator";
+
 // What a scenario runs on: the cluster section of its file. Without files of its own a scenario
 // has classes high, mid and low (tiers 0 to 2, chosen by the header x-work), the workspaces a and
 // b with the keys key-a and key-b, the model test-model, and services below /portal/ whose calls
--- a/tests/scenario_runner/expectations.cpp
+++ b/tests/scenario_runner/expectations.cpp
@@ -119,10 +119,10 @@
 // What doesn't close on one router; empty where all does.
 std::string openAccounts(Cluster &cluster, const std::string &router)
 {
-    const auto answer = cluster.call("GET", cluster.url(router) + "/metrics");
-    if (answer.status != 200)
+    const auto page = cluster.metrics(router);
+    if (!page)
         return "no metrics";
-    const auto metrics = readMetrics(answer.body);
+    const auto &metrics = *page;
     const auto by = [&](const std::string &name) {
         return metricByLabel(metrics, "monsoongrade_requests_" + name, "class");
     };
@@ -195,21 +195,25 @@
     return [=](Stage &stage) {
         const auto until = Clock::now() + limit;
         double sum = 0;
+        std::string unread;
         do {
             sum = 0;
+            unread.clear();
             for (const std::string &one : stage.cluster().names(of)) {
                 if (stage.cluster().isDown(one))
                     continue;
-                const auto answer
-                    = stage.cluster().call("GET", stage.cluster().url(one) + "/metrics");
-                sum += metricSum(readMetrics(answer.body), name, labels);
+                const auto page = stage.cluster().metrics(one);
+                if (page)
+                    sum += metricSum(*page, name, labels);
+                else
+                    unread += ", no metrics of " + one;
             }
-            if (condition.holds(sum))
+            if (unread.empty() && condition.holds(sum))
                 return;
             std::this_thread::sleep_for(Check);
         } while (Clock::now() < until);
         stage.fail("sum of " + name + " " + labels + " over " + of, condition.text(),
-                   std::to_string(sum));
+                   std::to_string(sum) + unread);
     };
 }
 
--- a/tests/scenario_runner/refusaltimes.cpp
+++ b/tests/scenario_runner/refusaltimes.cpp
@@ -20,7 +20,7 @@
     const std::string operators = result.address.substr(0, result.address.rfind(':')) + ":8081";
     const auto answer
         = cluster.call("GET", operators + "/operator/explain?request=" + result.requestId, {},
-                       {{"Authorization", "Bearer scenario-operator"}});
+                       Cluster::operatorHeaders());
     const json page = json::parse(answer.body, nullptr, false);
     if (answer.status != 200 || page.is_discarded())
         return std::nullopt;
