--- a/bench/slot-policies/main.cpp
+++ b/bench/slot-policies/main.cpp
@@ -13,21 +13,20 @@
 struct Arguments
 {
     int seeds = 3;
+    int firstSeed = 1;
     std::string json;
     std::string only;
 };
 
 // One line of the table: the same script for every seed.
 Line measure(const Site &site, const std::string &scriptName, PolicyKind kind, int routers,
-             const Arguments &arguments, double wrongLengths = 1)
+             const Arguments &arguments, Fleet::Options options = {})
 {
-    Line line{site.name, scriptName, policyName(kind), routers, {}};
-    for (int seed = 1; seed <= arguments.seeds; ++seed) {
+    Line line{site.name, scriptName, policyName(kind), routers, arguments.firstSeed, {}};
+    for (int seed = arguments.firstSeed; seed < arguments.firstSeed + arguments.seeds; ++seed) {
         const Script script = makeScript(scriptName, site, static_cast<std::uint64_t>(seed));
-        Fleet::Options options;
         options.routers = routers;
         options.seed = static_cast<std::uint64_t>(seed);
-        options.wrongLengths = wrongLengths;
         line.results.push_back(Simulation(site, script, kind, options).run());
     }
     return line;
@@ -54,9 +53,18 @@
 // The fleet-wide policy with one thing changed.
 void compareVariants(const Arguments &arguments, Report &report)
 {
+    Fleet::Options untold;
+    untold.patienceTold = false;
+    for (const Site &each : {touchline(), tesfaye()}) {
+        Line line = measure(each, "top-overload", PolicyKind::FleetWide, 6, arguments, untold);
+        line.policy = "patience not told";
+        report.add(line);
+    }
     Site site = touchline();
     for (const double factor : {1.0, 4.0, 16.0}) {
-        Line line = measure(site, "one-class", PolicyKind::FleetWide, 6, arguments, factor);
+        Fleet::Options options;
+        options.wrongLengths = factor;
+        Line line = measure(site, "one-class", PolicyKind::FleetWide, 6, arguments, options);
         line.policy = "lengths off by " + std::to_string(static_cast<int>(factor));
         report.add(line);
     }
@@ -78,8 +86,11 @@
     using namespace monsoongrade::bench;
     CLI::App app("Plays the same scripts with three policies for slots and compares them");
     Arguments arguments;
-    app.add_option("--seeds", arguments.seeds, "runs a line, with seeds 1 to this")
+    app.add_option("--seeds", arguments.seeds, "runs a line, each with its own seed")
         ->check(CLI::Range(1, 100));
+    app.add_option("--first-seed", arguments.firstSeed,
+                   "seed of the first run; thresholds are tuned on 1 to 5, reported on 101 to 110")
+        ->check(CLI::PositiveNumber);
     app.add_option("--script", arguments.only, "only this script");
     app.add_option("--json", arguments.json, "also write every run to this file");
     CLI11_PARSE(app, argc, argv);
--- a/tests/scenario_runner/scenario.cpp
+++ b/tests/scenario_runner/scenario.cpp
@@ -54,7 +54,10 @@
     scenario.limit = reader.duration("limit", UsualLimit);
     scenario.cluster = readClusterPlan(reader.mapping("cluster"));
     auto readers = actionSteps();
+    readers.merge(networkSteps());
     readers.merge(expectationSteps());
+    readers.merge(runExpectationSteps());
+    readers.merge(refusalSteps());
     for (MappingReader &step : reader.mappings("steps"))
         scenario.steps.push_back(readStep(step, readers));
     reader.finish();
