Claims: removed after keep-claims, by a few hosts, at a bounded rate

Promise: two runs of one key begin at least keep-claims apart. A claim's age is the claim epoch, a number in the store that nobody raises before he has seen one version of it for a twelfth of keep-claims on his own clock; no wall clock is in it. The sender looks at the claim's age on CLOCK_BOOTTIME right before the first byte: steady_clock is CLOCK_MONOTONIC and stands still in a suspended host. Ruled out: wall clocks in claims, removal by the holder, time buckets in names, versions as a clock over objects (the platform promises none of what they need).

Found and mended on the way: an epoch that can't be raised kept all removals waiting; a router's own earlier claim was run on without looking at its age.

Claims at 270 a second stay missed: 50 removals a second is the bound.

--- a/include/monsoongrade/configuration/daemonsettings.h
+++ b/include/monsoongrade/configuration/daemonsettings.h
@@ -36,6 +36,8 @@
     std::size_t openLimit = 5000;
     // How long callers may keep an address; a planned stop serves for at least this long.
     units::Duration keepAddress = std::chrono::seconds(5);
+    // Two runs of one idempotency key begin at least so long apart; the same on all routers.
+    units::Duration keepClaims = std::chrono::hours(24);
 };
 
 // Reads the settings of a router or scheduler. The settings count only where no problem is
--- a/include/monsoongrade/endpoints/endpointrequest.h
+++ b/include/monsoongrade/endpoints/endpointrequest.h
@@ -3,6 +3,7 @@
 
 #include <monsoongrade/units/clock.h>
 
+#include <functional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -26,6 +27,9 @@
     // A reused connection may have died unseen; the HTTP library then repeats the call on a new
     // one by itself. Set for calls that must not be repeated: a new connection is never retried.
     bool freshConnection = false;
+    // Asked on the client's thread when a connection stands, right before the first byte leaves;
+    // false ends the call as WaitedTooLong and not sent. Not asked where it is empty.
+    std::function<bool()> maySend;
 };
 
 } // namespace monsoongrade::endpoints
--- a/include/monsoongrade/platform/httpplatform.h
+++ b/include/monsoongrade/platform/httpplatform.h
@@ -22,6 +22,7 @@
     units::Result<ObjectVersion> updateIfVersion(const std::string &name, ObjectVersion version,
                                                  const std::string &value) override;
     units::Result<void> remove(const std::string &name) override;
+    units::Result<void> removeIfVersion(const std::string &name, ObjectVersion version) override;
     units::Result<StoredObject> waitForChange(const std::string &name, ObjectVersion above,
                                               units::Duration wait) override;
     units::Result<std::vector<Host>> hosts() override;
--- a/include/monsoongrade/platform/objectstore.h
+++ b/include/monsoongrade/platform/objectstore.h
@@ -20,7 +20,9 @@
     std::string value;
 };
 
-// The platform's object API. Calls block until the answer or a time limit.
+// The platform's object API. Calls block until the answer or a time limit. A version is never
+// given twice under one name, also not after a removal: a late conditional write or removal can
+// then hit only the object that its sender had read.
 // Errors: PlatformUnavailable (the call may have taken effect all the same), VersionConflict,
 // ObjectNotFound, ObjectAlreadyExists, PlatformAnswerMalformed.
 class ObjectStore
@@ -35,6 +37,8 @@
     virtual units::Result<ObjectVersion>
     updateIfVersion(const std::string &name, ObjectVersion version, const std::string &value) = 0;
     virtual units::Result<void> remove(const std::string &name) = 0;
+    // Removes the object only while it has this version.
+    virtual units::Result<void> removeIfVersion(const std::string &name, ObjectVersion version) = 0;
     // Waits until the object has a version above the given one, or the wait is over, and
     // returns it as it then is. Counts as one read call.
     virtual units::Result<StoredObject> waitForChange(const std::string &name, ObjectVersion above,
--- a/include/monsoongrade/requests/classifiedrequest.h
+++ b/include/monsoongrade/requests/classifiedrequest.h
@@ -4,6 +4,7 @@
 #include <monsoongrade/configuration/configuration.h>
 #include <monsoongrade/endpoints/endpointrequest.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -27,6 +28,8 @@
     std::string pathAndQuery;
     endpoints::Headers headers;
     std::string body;
+    // See endpoints::EndpointRequest::maySend.
+    std::function<bool()> maySend;
     // Keeps the configuration that the request was classified under.
     std::shared_ptr<const configuration::Configuration> configuration;
 };
--- a/include/monsoongrade/requests/keyedrequests.h
+++ b/include/monsoongrade/requests/keyedrequests.h
@@ -51,6 +51,8 @@
         std::string fingerprint;
         std::shared_ptr<SharedAnswer> answer;
         bool claimTaken = false;
+        // Set where the request runs under a claim: see ClaimOutcome.
+        std::optional<units::TimePoint> sendBefore;
         // Set where another router was asked and said that it gave the claim up.
         bool takesOver = false;
         platform::ObjectVersion version;
--- a/include/monsoongrade/requests/keytable.h
+++ b/include/monsoongrade/requests/keytable.h
@@ -31,6 +31,8 @@
     std::vector<units::RequestId> attempts;
     // The claim is surely this router's, so that another request needs no call to the store.
     bool claimTaken = false;
+    // With claimTaken: see ClaimOutcome.
+    units::TimePoint sendBefore{};
     // Another router was told that it may take the claim over.
     bool givenUp = false;
     // Must be remembered until then, even if finished: no claim in the platform guards it.
--- a/programs/monsoongrade-router/main.cpp
+++ b/programs/monsoongrade-router/main.cpp
@@ -1,3 +1,4 @@
+#include "claimservices.h"
 #include "slotsources.h"
 
 #include <monsoongrade/daemon/commandline.h>
@@ -97,10 +98,10 @@
     configuration.addListener([&](const auto &) { configuredAt = clock.now(); });
     rpc::FleetServices fleetServices(rpcLoop, clock, settings, membership::DaemonRole::Router, self,
                                      fleet, configuration, metrics);
-    requests::ClaimStore claims(platform, clock, metrics);
+    ClaimServices claims(platform, metrics, settings, self);
     rpc::RpcKeyHolders holders(rpcLoop, fleetServices.client(), fleetServices.membership());
     requests::WorkerPool claimWorker(ClaimThreads, MostClaimsWaiting);
-    requests::KeyedRequests keyed(services, claims, holders, claimWorker, {});
+    requests::KeyedRequests keyed(services, claims.claims(), holders, claimWorker, {});
     fleetServices.peers().answerKeysWith(
         [&keyed](const auto &question, const auto &reply) { keyed.answerPeer(question, reply); });
     requests::CallerFrontend frontend(services, keyed, configuration, settings.openLimit, [&] {
@@ -136,6 +137,7 @@
                                         operators.handle(request, *responder);
                                     });
     fleetServices.start(platform, platform);
+    claims.startSweeping(fleet);
     observability::log(observability::LogLevel::Info, "router-started",
                        {{"daemon", self.value()}, {"port", static_cast<int>(settings.httpPort)}});
     daemon::waitForStopSignal();
--- a/src/configuration/daemonsettings.cpp
+++ b/src/configuration/daemonsettings.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr auto ShortestKeepClaims = std::chrono::hours(1);
+
 std::uint16_t port(MappingReader &reader, const std::string &key, std::uint16_t fallback)
 {
     return static_cast<std::uint16_t>(reader.integer(key, fallback, 1, 65535));
@@ -41,6 +43,10 @@
         = static_cast<std::size_t>(reader.integer("body-limit", 8 << 20, 1024, 256 << 20));
     settings.openLimit = static_cast<std::size_t>(reader.integer("open-limit", 5000, 1, 1000000));
     settings.keepAddress = reader.duration("keep-address", settings.keepAddress);
+    settings.keepClaims = reader.duration("keep-claims", settings.keepClaims);
+    // Below this an epoch would be shorter than some requests wait for a slot.
+    if (settings.keepClaims < ShortestKeepClaims)
+        reader.problem(units::ResultCode::OutOfRange, "keep-claims", "must be at least 1h");
     reader.finish();
     return settings;
 }
--- a/src/endpoints/internal/curlcall.cpp
+++ b/src/endpoints/internal/curlcall.cpp
@@ -96,6 +96,9 @@
 int CurlCall::onConnected(void *call, char *, char *, int, int)
 {
     auto *self = static_cast<CurlCall *>(call);
+    self->sendingDenied_ = self->request_.maySend && !self->request_.maySend();
+    if (self->sendingDenied_)
+        return CURL_PREREQFUNC_ABORT;
     const bool isRepeat = self->mayHaveSent_;
     self->mayHaveSent_ = true;
     return isRepeat && self->request_.freshConnection ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
@@ -155,7 +158,8 @@
     end.requestSent = mayHaveSent_;
     end.message = curl_easy_strerror(result);
     if (!end.requestSent)
-        end.code = units::ResultCode::EndpointUnreachable;
+        end.code = sendingDenied_ ? units::ResultCode::WaitedTooLong
+                                  : units::ResultCode::EndpointUnreachable;
     else if (result == CURLE_OPERATION_TIMEDOUT)
         end.code = units::ResultCode::EndpointSilent;
     else if (headGiven_)
--- a/src/endpoints/internal/curlcall.h
+++ b/src/endpoints/internal/curlcall.h
@@ -45,6 +45,7 @@
     Headers answerHeaders_;
     bool headGiven_ = false;
     bool mayHaveSent_ = false;
+    bool sendingDenied_ = false;
     bool paused_ = false;
     units::TimePoint lastActivity_;
 };
--- a/src/platform/httpplatform.cpp
+++ b/src/platform/httpplatform.cpp
@@ -136,6 +136,13 @@
     return {};
 }
 
+units::Result<void> HttpPlatform::removeIfVersion(const std::string &name, ObjectVersion version)
+{
+    const endpoints::Header condition{"If-Match", std::to_string(version.value())};
+    BOOST_LEAF_CHECK(call("DELETE", "/v1/objects/" + escaped(name), {condition}, {}, CallLimit));
+    return {};
+}
+
 units::Result<StoredObject> HttpPlatform::waitForChange(const std::string &name,
                                                         ObjectVersion above, units::Duration wait)
 {
--- a/src/requests/claimstore.cpp
+++ b/src/requests/claimstore.cpp
@@ -13,10 +13,12 @@
 } // namespace
 
 ClaimStore::ClaimStore(platform::ObjectStore &store, const units::Clock &clock,
-                       observability::Metrics &metrics)
+                       observability::Metrics &metrics, const ClaimTimes &times)
     : store_(store)
     , clock_(clock)
     , metrics_(metrics)
+    , times_(times)
+    , epoch_(clock, times)
 {
 }
 
@@ -28,11 +30,13 @@
 
 ClaimOutcome ClaimStore::claim(const std::string &name, const Claim &mine)
 {
-    const std::string value = toText(mine);
+    const UnderWay underWay(underWay_);
+    const units::TimePoint begun = clock_.now();
+    const std::string value = toText(marked(mine));
     for (int round = 0; round < MostRounds; ++round) {
         if (write([&] { return store_.createIfAbsent(name, value); }) == WriteResult::Done)
-            return {ClaimState::Taken, {}, {}};
-        if (const auto found = readBack(name, mine))
+            return taken(begun);
+        if (const auto found = readBack(name, mine, begun))
             return *found;
     }
     return down();
@@ -41,10 +45,12 @@
 ClaimOutcome ClaimStore::takeOver(const std::string &name, platform::ObjectVersion version,
                                   const Claim &mine)
 {
-    const std::string value = toText(mine);
+    const UnderWay underWay(underWay_);
+    const units::TimePoint begun = clock_.now();
+    const std::string value = toText(marked(mine));
     if (write([&] { return store_.updateIfVersion(name, version, value); }) == WriteResult::Done)
-        return {ClaimState::Taken, {}, {}};
-    const auto found = readBack(name, mine);
+        return taken(begun);
+    const auto found = readBack(name, mine, begun);
     if (!found)
         return down();
     // The earlier claim, still there: the write was lost and may yet take effect.
@@ -66,7 +72,21 @@
         : WriteResult::Lost;
 }
 
-std::optional<ClaimOutcome> ClaimStore::readBack(const std::string &name, const Claim &mine)
+Claim ClaimStore::marked(const Claim &mine) const
+{
+    Claim written = mine;
+    written.epoch = epoch_.mark();
+    return written;
+}
+
+// Counted from before the first call: however long the store took, the claim is no older.
+ClaimOutcome ClaimStore::taken(units::TimePoint begun) const
+{
+    return {ClaimState::Taken, begun + times_.sendWithin(), {}, {}};
+}
+
+std::optional<ClaimOutcome> ClaimStore::readBack(const std::string &name, const Claim &mine,
+                                                 units::TimePoint begun)
 {
     metrics_.add(CallsCounter, observability::label("call", "read"));
     const auto object = units::capture([&] { return store_.get(name); });
@@ -78,15 +98,15 @@
     if (!claim.value)
         return down();
     if (claim.value->attempt == mine.attempt)
-        return ClaimOutcome{ClaimState::Taken, {}, {}};
-    return ClaimOutcome{ClaimState::HeldByOther, *claim.value, object.value->version};
+        return taken(begun);
+    return ClaimOutcome{ClaimState::HeldByOther, {}, *claim.value, object.value->version};
 }
 
 ClaimOutcome ClaimStore::down()
 {
     const std::lock_guard lock(mutex_);
     downUntil_ = clock_.now() + DownFor;
-    return {ClaimState::StoreDown, {}, {}};
+    return {ClaimState::StoreDown, {}, {}, {}};
 }
 
 } // namespace monsoongrade::requests
--- a/src/requests/internal/endpointcall.cpp
+++ b/src/requests/internal/endpointcall.cpp
@@ -12,6 +12,7 @@
     call.headers = request.headers;
     call.body = request.body;
     call.silenceTimeout = request.pool.silenceTimeout;
+    call.maySend = request.maySend;
     call.freshConnection = request.run == configuration::RunRule::AtMostOnce;
     return call;
 }
--- a/src/requests/keyedrequests.cpp
+++ b/src/requests/keyedrequests.cpp
@@ -83,7 +83,9 @@
     entry.answer = std::make_shared<SharedAnswer>(pending.request.id, MostKeptOfAnswer);
     entry.attempts.push_back(pending.request.id);
     pending.answer = entry.answer;
-    pending.claimTaken = entry.claimTaken && !entry.givenUp;
+    pending.claimTaken = entry.claimTaken && !entry.givenUp && claims_.maySend(entry.sendBefore);
+    if (pending.claimTaken)
+        pending.sendBefore = entry.sendBefore;
     return Admission::Begin;
 }
 
@@ -146,10 +148,12 @@
     switch (outcome.state) {
     case ClaimState::Taken:
         count(services_, "claimed");
-        table_.with(pending->name, [](KeyEntry *entry) {
+        pending->sendBefore = outcome.sendBefore;
+        table_.with(pending->name, [&outcome](KeyEntry *entry) {
             if (entry == nullptr)
                 return;
             entry->claimTaken = true;
+            entry->sendBefore = outcome.sendBefore;
             entry->givenUp = false;
         });
         run(pending);
@@ -178,23 +182,20 @@
         return;
     }
     bool isOwnAttempt = false;
-    bool givenUp = false;
     table_.with(pending->name, [&](KeyEntry *entry) {
         if (entry == nullptr)
             return;
         const auto &attempts = entry->attempts;
         isOwnAttempt
             = std::find(attempts.begin(), attempts.end(), outcome.holder.attempt) != attempts.end();
-        givenUp = entry->givenUp;
     });
     if (!isOwnAttempt) {
         giveUpUnknown(pending, "a request with this key has run; its answer is no longer kept");
-    } else if (givenUp) {
+    } else {
+        // An earlier attempt's claim, and that attempt ended without a run. It may be too old to
+        // send under, or be given up to another router, so it is taken anew.
         pending->takesOver = true;
         postClaim(pending);
-    } else {
-        // An earlier attempt's claim, whose reply was lost; that attempt ended without a run.
-        run(pending);
     }
 }
 
@@ -239,6 +240,11 @@
 
 void KeyedRequests::run(const PendingPointer &pending)
 {
+    if (pending->sendBefore) {
+        pending->request.maySend = [&claims = claims_, sendBefore = *pending->sendBefore] {
+            return claims.maySend(sendBefore);
+        };
+    }
     std::make_shared<RequestFlow>(
         services_, std::move(pending->request), std::move(pending->account), pending->answer,
         [this, name = pending->name, answer = pending->answer](const FlowEnd &end) {
--- a/tests/configuration/fakestore.h
+++ b/tests/configuration/fakestore.h
@@ -48,6 +48,7 @@
         return write(name, version, value, units::ResultCode::VersionConflict);
     }
     units::Result<void> remove(const std::string &) override { return {}; }
+    units::Result<void> removeIfVersion(const std::string &, Version) override { return {}; }
     units::Result<Object> waitForChange(const std::string &name, Version, units::Duration) override
     {
         return get(name);
