--- a/programs/monsoongrade-router/main.cpp
+++ b/programs/monsoongrade-router/main.cpp
@@ -3,7 +3,8 @@
 #include <monsoongrade/daemon/commandline.h>
 #include <monsoongrade/daemon/daemonid.h>
 #include <monsoongrade/daemon/entrypoints.h>
-#include <monsoongrade/daemon/operatorservice.h>
+#include <monsoongrade/daemon/liveendpoints.h>
+#include <monsoongrade/daemon/operatorlistener.h>
 #include <monsoongrade/daemon/statuspage.h>
 #include <monsoongrade/daemon/stopsignal.h>
 #include <monsoongrade/endpoints/curlendpointclient.h>
@@ -12,10 +13,10 @@
 #include <monsoongrade/observability/log.h>
 #include <monsoongrade/platform/httpplatform.h>
 #include <monsoongrade/requests/callerfrontend.h>
-#include <monsoongrade/requests/threaddelayer.h>
 #include <monsoongrade/requests/workerpool.h>
 #include <monsoongrade/rpc/fleetservices.h>
 #include <monsoongrade/rpc/rpckeyholders.h>
+#include <monsoongrade/timing/threaddelayer.h>
 #include <monsoongrade/units/steadyclock.h>
 
 #include <atomic>
@@ -31,8 +32,11 @@
 constexpr auto LeavingSpread = std::chrono::seconds(3);
 constexpr std::size_t ClaimThreads = 4;
 constexpr std::size_t MostClaimsWaiting = 256;
-constexpr std::size_t OperatorBodyLimit = 64 * 1024;
-constexpr std::size_t OperatorConnections = 100;
+
+std::chrono::milliseconds milliseconds(units::Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+}
 
 http::HttpServerSettings callerListener(const configuration::DaemonSettings &settings)
 {
@@ -41,16 +45,11 @@
     listener.port = settings.httpPort;
     listener.threads = settings.threads;
     listener.bodyLimit = settings.bodyLimit;
-    return listener;
-}
-
-http::HttpServerSettings operatorListener(const configuration::DaemonSettings &settings)
-{
-    http::HttpServerSettings listener;
-    listener.address = settings.address;
-    listener.port = settings.operatorPort;
-    listener.bodyLimit = OperatorBodyLimit;
-    listener.connectionLimit = OperatorConnections;
+    listener.headerLimit = settings.headerLimit;
+    listener.headerCountLimit = settings.headerCountLimit;
+    listener.connectionLimit = settings.connectionLimit;
+    listener.readTimeout = milliseconds(settings.readTimeout);
+    listener.writeTimeout = milliseconds(settings.writeTimeout);
     return listener;
 }
 
@@ -87,9 +86,11 @@
     const units::DaemonId self = daemon::newDaemonId(settings.host, "router");
     SlotSources slots(settings, self, clock, rpcLoop, endpointClient, configuration, fleet,
                       metrics);
-    requests::ThreadDelayer delayer;
-    const requests::FlowServices services{clock,     slots.chosen(), endpointClient, metrics,
-                                          decisions, retries,        delayer,        self};
+    timing::ThreadDelayer delayer;
+    const daemon::LiveEndpoints directory(configuration, fleet);
+    const requests::FlowServices services{clock,     slots.chosen(), endpointClient,
+                                          directory, metrics,        decisions,
+                                          retries,   delayer,        self};
     std::atomic<units::TimePoint> configuredAt{clock.now()};
     configuration.addListener([&](const auto &) { configuredAt = clock.now(); });
     rpc::FleetServices fleetServices(rpcLoop, clock, settings, membership::DaemonRole::Router, self,
@@ -109,13 +110,17 @@
                                          settings.httpPort, settings.keepAddress);
     });
     const units::TimePoint startedAt = clock.now();
-    http::HttpServer server(callerListener(settings),
-                            [&](http::HttpRequest request, auto responder) {
-                                frontend.handle(request, std::move(responder));
-                            });
-    daemon::OperatorService operators(settings.operatorToken);
+    http::HttpServerSettings listener = callerListener(settings);
+    listener.refuse = [&](const units::Error &error, http::HttpResponder &responder) {
+        frontend.refuseUnread(error, responder);
+    };
+    http::HttpServer server(listener, [&](http::HttpRequest request, auto responder) {
+        frontend.handle(request, std::move(responder));
+    });
+    daemon::OperatorService operators(settings.operatorToken, [&] { return frontend.isReady(); });
     operators.addPage("/operator/status", [&](const std::string &) {
         const daemon::DaemonStatus status{self,
+                                          membership::DaemonRole::Router,
                                           settings.failureDomain,
                                           frontend.isLeaving(),
                                           frontend.open(),
@@ -128,10 +133,8 @@
         return daemon::explainPage(request, decisions.find(request));
     });
     operators.addPage("/metrics", [&](const std::string &) { return frontend.metricsPage(); });
-    http::HttpServer operatorServer(operatorListener(settings),
-                                    [&](const http::HttpRequest &request, const auto &responder) {
-                                        operators.handle(request, *responder);
-                                    });
+    const daemon::OperatorListener operatorListener(settings.address, settings.operatorPort,
+                                                    operators);
     fleetServices.start(platform, platform);
     observability::log(observability::LogLevel::Info, "router-started",
                        {{"daemon", self.value()}, {"port", static_cast<int>(settings.httpPort)}});
--- a/tests/requests/requestflow_test.cpp
+++ b/tests/requests/requestflow_test.cpp
@@ -84,6 +84,94 @@
     CHECK(fixture.slots.asks[0].ask.avoid == std::vector{units::EndpointId("e1")});
 }
 
+// Workers are added while an audience waits. The scheduler grants a slot on a new one to a
+// request that was classified under the old configuration. Looked up there, the endpoint was
+// unknown, and the caller who had waited was refused though a place was free.
+TEST_CASE("RequestFlow.EndpointAddedWhileTheRequestWaitedIsCalled")
+{
+    FlowFixture fixture;
+    const auto caller = fixture.start(fixture.request(RunRule::Idempotent));
+    fixture.directory.inService.insert("e4");
+    fixture.slots.grant(0, "e4");
+    CHECK(caller->ends == 0);
+    CHECK(fixture.client.calls.size() == 1);
+}
+
+// The router has heard that an endpoint leaves; the scheduler, cut off from the news, still grants
+// its slots. The endpoint must get no new work, and the caller a slot elsewhere.
+TEST_CASE("RequestFlow.GrantOfAnEndpointOutOfServiceIsGivenBackUnused")
+{
+    FlowFixture fixture;
+    const auto caller = fixture.start(fixture.request(RunRule::AtMostOnce));
+    fixture.directory.inService.erase("e1");
+    fixture.slots.grant(0, "e1");
+    CHECK(fixture.client.calls.empty());
+    CHECK(fixture.slots.released.size() == 1);
+    fixture.delayer.runAll();
+    REQUIRE(fixture.slots.asks.size() == 1);
+    CHECK(fixture.slots.asks[0].ask.avoid == std::vector{units::EndpointId("e1")});
+
+    SUBCASE("another endpoint takes it")
+    {
+        fixture.slots.grant(0, "e2");
+        CHECK(fixture.client.calls.size() == 1);
+        CHECK(caller->ends == 0);
+    }
+    SUBCASE("the scheduler has no other: refused as not run, and not kept for ever")
+    {
+        int more = 0;
+        while (caller->ends == 0 && ++more < 100) {
+            fixture.slots.grant(0, "e1");
+            fixture.delayer.runAll();
+        }
+        CHECK(more == 5);
+        CHECK(fixture.client.calls.empty());
+        CHECK(caller->header("monsoongrade-run-state") == "not-run");
+        CHECK_FALSE(caller->header("Retry-After").empty());
+    }
+}
+
+// Three engines in a row break before they answer. The caller of a request that may be repeated is
+// told when to come back; of one that must not run twice it is not known whether it ran, so no
+// time is named at which to send it again.
+TEST_CASE("RequestFlow.OnlyWhoMayRepeatABrokenRequestIsToldWhen")
+{
+    FlowFixture fixture;
+    RunRule run = RunRule::Idempotent;
+    bool mayRepeat = true;
+    SUBCASE("idempotent") { }
+    SUBCASE("at most once")
+    {
+        run = RunRule::AtMostOnce;
+        mayRepeat = false;
+    }
+    const auto caller = fixture.start(fixture.request(run));
+    for (int attempt = 0; caller->ends == 0 && attempt < 10; ++attempt) {
+        fixture.slots.grant(0, "e" + std::to_string(1 + attempt % 3));
+        fixture.client.calls.back().listener->answerEnd(
+            {ResultCode::EndpointBrokeBeforeAnswer, true, ""});
+        fixture.delayer.runAll();
+    }
+    CHECK(caller->header("monsoongrade-run-state") == "unknown");
+    CHECK(caller->header("Retry-After").empty() != mayRepeat);
+}
+
+// A service answers with the router's own headers, as one that stands behind another router may.
+// Passed back, they told the caller that a request which ran had not run.
+TEST_CASE("RequestFlow.EndpointsWordOnTheRunStateIsNotPassedBack")
+{
+    FlowFixture fixture;
+    const auto caller = fixture.start(fixture.request(RunRule::AtMostOnce));
+    fixture.slots.grant(0, "e1");
+    const auto call = fixture.client.calls[0].listener;
+    call->answerHead(200, {{"content-length", "2"}, {"monsoongrade-run-state", "not-run"}});
+    call->answerBody("ok");
+    call->answerEnd({});
+    CHECK(caller->body == "ok");
+    CHECK(caller->header("monsoongrade-run-state").empty());
+    CHECK(caller->header("monsoongrade-request-id") == "r1");
+}
+
 // The engine dies after two events. Its pool can resume, so another engine goes on behind them.
 // One that starts anew instead would give the caller a mixture of two runs.
 TEST_CASE("RequestFlow.BrokenStreamIsResumedBehindWhatTheCallerHas")
