--- a/bench/slot-policies/report.cpp
+++ b/bench/slot-policies/report.cpp
@@ -82,9 +82,9 @@
            " by class, highest tier first. Percent, but for seconds and counts.\n\n"
         << "| site | script | policy | routers | attainment | completed | tokens granted | first "
            "token p95"
-           " s | goodput | wasted | prefill saved | messages | bytes | at death, after |"
+           " s | between tokens p95 ms | within 63 ms | goodput | wasted | prefill saved | messages | bytes | at death, after |"
            " small workspaces | most returns/s | refusals "
-           "|\n|---|---|---|---|---|---|---|---|---|---|---|---|---|---"
+           "|\n|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---"
            "|---|---|---|\n";
     for (const Line &line : lines_) {
         const auto cell = [&](const Measure &measure, int digits = 1) {
@@ -103,6 +103,12 @@
             << " | "
             << perClass(
                    line, [](const auto &each) { return each.firstTokenP95; }, 1)
+            << " | "
+            << perClass(
+                   line, [](const auto &each) { return each.betweenTokensP95; }, 0)
+            << " | "
+            << perClass(
+                   line, [](const auto &each) { return each.betweenTokensKept; }, 1)
             << cell([](const auto &r) { return r.goodput; })
             << cell([](const auto &r) { return r.wasted; }, 2)
             << cell([](const auto &r) { return r.prefillSaved; })
@@ -128,7 +134,9 @@
                 classes[each.name] = {{"attainment", each.attainment},
                                       {"completed", each.completed},
                                       {"tokens-granted", each.tokensGranted},
-                                      {"first-token-p95-s", each.firstTokenP95}};
+                                      {"first-token-p95-s", each.firstTokenP95},
+                                      {"between-tokens-p95-ms", each.betweenTokensP95},
+                                      {"between-tokens-kept", each.betweenTokensKept}};
             all.push_back({{"site", line.site},
                            {"script", line.script},
                            {"policy", line.policy},
--- a/bench/slot-policies/result.h
+++ b/bench/slot-policies/result.h
@@ -17,6 +17,10 @@
     // Share of the tokens granted from the tenth to the sixtieth second, while callers arrive.
     double tokensGranted = 0;
     double firstTokenP95 = 0;
+    // Of the answers completed, the time between two tokens that 95 in 100 keep to, and the share
+    // that keeps to the target. An answer counts with its mean.
+    double betweenTokensP95 = 0;
+    double betweenTokensKept = 0;
 };
 
 // What one run measured. Percentages, but for the counts.
--- a/bench/slot-policies/script.cpp
+++ b/bench/slot-policies/script.cpp
@@ -135,7 +135,7 @@
 
 std::vector<std::string> scriptNames()
 {
-    return {"same-minute", "one-class",    "long-answer", "slow-engine",
+    return {"same-minute", "one-class",    "long-answer", "slow-engine", "half-speed-engine",
             "killed",      "top-overload", "lowest-first"};
 }
 
@@ -158,8 +158,9 @@
         writer.addAll(0.8, 0, 60);
         writer.stretchSome(3000);
     }
-    if (name == "slow-engine") {
+    if (name == "slow-engine" || name == "half-speed-engine") {
         writer.addAll(1.2, 0, 60);
+        script.slowFactor = name == "slow-engine" ? 1.0 / 3 : 1.0 / 2;
         script.slowFrom = 10;
         script.slowUntil = 40;
     }
--- a/bench/slot-policies/script.h
+++ b/bench/slot-policies/script.h
@@ -47,7 +47,8 @@
     std::vector<RequestSpec> requests;
     std::optional<double> schedulerDiesAt;
     std::optional<double> routerDiesAt;
-    // The first engine runs at a third of its speed in between, and its report comes late.
+    // The first engine runs at a part of its speed in between, and its report comes late.
+    double slowFactor = 1;
     double slowFrom = 0;
     double slowUntil = 0;
 };
--- a/bench/slot-policies/simulation.cpp
+++ b/bench/slot-policies/simulation.cpp
@@ -15,6 +15,7 @@
 constexpr double CountFrom = 10;
 constexpr double CountUntil = 60;
 constexpr int FirstSmallWorkspace = 3;
+constexpr double BetweenTokensTarget = 0.063;
 constexpr int StepsPerTick = 5;
 constexpr int StepsPerReport = 100;
 
@@ -68,7 +69,7 @@
     if (script_.routerDiesAt)
         timeline_.after(*script_.routerDiesAt, [this] { killRouter(); });
     if (script_.slowUntil > 0) {
-        timeline_.after(script_.slowFrom, [this] { engines_[0].setSpeed(1.0 / 3); });
+        timeline_.after(script_.slowFrom, [this] { engines_[0].setSpeed(script_.slowFactor); });
         timeline_.after(script_.slowUntil, [this] { engines_[0].setSpeed(1); });
     }
 }
@@ -277,9 +278,28 @@
         = granted == tokensGranted_.end() ? 0 : percent(granted->second, allTokens);
     if (!firstTokens.empty())
         result.firstTokenP95 = firstTokens[firstTokens.size() * 95 / 100];
+    addBetweenTokens(name, result);
     return result;
 }
 
+void Simulation::addBetweenTokens(const units::ClassName &name, ClassResult &result) const
+{
+    std::vector<double> means;
+    double kept = 0;
+    for (std::size_t i = 0; i < callers_.size(); ++i) {
+        const RequestSpec &spec = script_.requests[i];
+        if (spec.className != name.value() || !callers_[i].completed || spec.tokens < 2)
+            continue;
+        means.push_back((callers_[i].doneAt - callers_[i].firstTokenAt) / (spec.tokens - 1));
+        kept += means.back() <= BetweenTokensTarget ? 1 : 0;
+    }
+    if (means.empty())
+        return;
+    std::sort(means.begin(), means.end());
+    result.betweenTokensP95 = 1000 * means[means.size() * 95 / 100];
+    result.betweenTokensKept = percent(kept, static_cast<double>(means.size()));
+}
+
 Result Simulation::result() const
 {
     Result result;
--- a/bench/slot-policies/simulation.h
+++ b/bench/slot-policies/simulation.h
@@ -53,6 +53,7 @@
     bool isCurrent(const units::RequestId &id, std::size_t &request) const;
     Result result() const;
     ClassResult classResult(const units::ClassName &name) const;
+    void addBetweenTokens(const units::ClassName &name, ClassResult &result) const;
     bool attained(std::size_t request) const;
     // Attainment of one class's callers who came in between, from a workspace whose number is at
     // least the given one.
