--- a/tests/ctl/commands_test.cpp
+++ b/tests/ctl/commands_test.cpp
@@ -32,8 +32,9 @@
         {"", "4004"},
         {"classes:\n  - name: c", "a.yaml:2: 4007"},
     };
-    for (const auto &[text, expected] : mistakes) {
-        const Outcome outcome = apply(write("a.yaml", text));
+    for (const auto &mistake : mistakes) {
+        const std::string &expected = mistake.second;
+        const Outcome outcome = apply(write("a.yaml", mistake.first));
         CHECK(outcome.code == ExitBadInput);
         CHECK_MESSAGE(holds(outcome.err, expected), expected, " is not in ", outcome.err);
         CHECK(holds(outcome.err, "nothing was changed"));
