--- a/include/monsoongrade/requests/flowservices.h
+++ b/include/monsoongrade/requests/flowservices.h
@@ -4,9 +4,10 @@
 #include <monsoongrade/endpoints/endpointclient.h>
 #include <monsoongrade/observability/metrics.h>
 #include <monsoongrade/requests/decisionlog.h>
-#include <monsoongrade/requests/delayer.h>
+#include <monsoongrade/requests/endpointdirectory.h>
 #include <monsoongrade/requests/retrybudget.h>
 #include <monsoongrade/scheduling/slotsource.h>
+#include <monsoongrade/timing/delayer.h>
 #include <monsoongrade/units/clock.h>
 
 namespace monsoongrade::requests {
@@ -17,10 +18,11 @@
     const units::Clock &clock;
     scheduling::SlotSource &slots;
     endpoints::EndpointClient &client;
+    const EndpointDirectory &directory;
     observability::Metrics &metrics;
     DecisionLog &decisions;
     RetryBudget &retries;
-    Delayer &delayer;
+    timing::Delayer &delayer;
     units::DaemonId self;
 };
 
--- a/tests/requests/keyedrequests_threads_test.cpp
+++ b/tests/requests/keyedrequests_threads_test.cpp
@@ -1,10 +1,11 @@
+#include <requests/fakedirectory.h>
 #include <requests/faultystore.h>
 #include <requests/recordingresponder.h>
 
 #include <monsoongrade/requests/keyedrequests.h>
 #include <monsoongrade/requests/openrequests.h>
-#include <monsoongrade/requests/threaddelayer.h>
 #include <monsoongrade/requests/workerpool.h>
+#include <monsoongrade/timing/threaddelayer.h>
 #include <monsoongrade/units/steadyclock.h>
 #include <requests/unreachableholders.h>
 
@@ -98,16 +99,15 @@
     OpenRequests open(1000);
     LockedStore store;
     ClaimStore claims(store, clock, metrics);
-    ThreadDelayer delayer;
+    timing::ThreadDelayer delayer;
     UnreachableHolders holders(delayer);
     auto configuration = std::make_shared<configuration::Configuration>();
-    configuration::EndpointConfig endpoint;
-    endpoint.id = units::EndpointId("e");
-    configuration->pools[units::PoolName("p")].endpoints.push_back(endpoint);
     GrantingSource slots;
     AnsweringClient client;
-    const FlowServices services{clock,     slots,   client,  metrics,
-                                decisions, retries, delayer, units::DaemonId("a.router.1")};
+    const FakeDirectory directory({"e"});
+    const FlowServices services{clock,     slots,   client,
+                                directory, metrics, decisions,
+                                retries,   delayer, units::DaemonId("a.router.1")};
     WorkerPool worker(2, 10000);
     KeyedRequests keyed(services, claims, holders, worker, {});
 
