--- a/src/requests/refusal.cpp
+++ b/src/requests/refusal.cpp
@@ -23,13 +23,39 @@
     return number >= 1000 && number < 2000 && code != ResultCode::WorkspaceLimitReached;
 }
 
+// What a request needs that did not run and would be refused again as it is; empty for all others.
+std::string correction(ResultCode code)
+{
+    switch (code) {
+    case ResultCode::BodyTooLarge:
+    case ResultCode::HeaderTooLarge:
+        return "Send less.";
+    case ResultCode::UnknownKey:
+        return "Ask the operator for a key.";
+    case ResultCode::NoRouteForRequest:
+    case ResultCode::NoSuchPath:
+        return "Use another path, or ask the operator to route this one.";
+    case ResultCode::UnknownModel:
+        return "Use the name of another model.";
+    case ResultCode::KeyReusedForOtherRequest:
+        return "Use a new idempotency key for a new request.";
+    case ResultCode::MissingIdempotencyKey:
+        return "Send it with an Idempotency-Key header.";
+    default:
+        return isCallersFault(code) ? "Correct it before you send it again." : "";
+    }
+}
+
 // Whether it ran, and what the caller should do next.
 std::string advice(const Refusal &refusal)
 {
     switch (refusal.runState) {
     case RunState::NotRun:
-        if (isCallersFault(refusal.error.code))
-            return "The request did not run. Correct it before you send it again.";
+        if (const std::string next = correction(refusal.error.code); !next.empty())
+            return "The request did not run. " + next;
+        if (refusal.error.code == ResultCode::TooManyRequestsOpen
+            || refusal.error.code == ResultCode::RouterStopping)
+            return "The request did not run. Send it to another address of /v1/entry-points.";
         return refusal.retryAfter > units::Duration::zero()
             ? "The request did not run. Send it again after the given time."
             : "The request did not run. Send it again.";
@@ -74,6 +100,7 @@
     case ResultCode::MissingIdempotencyKey:
         return 400;
     case ResultCode::UnknownKey:
+    case ResultCode::OperatorTokenRefused:
         return 401;
     case ResultCode::NoRouteForRequest:
     case ResultCode::UnknownModel:
