monsoongradectl: check beside what is in force, look without the platform

A platform lost while apply waits ended with the words of a failed apply although the change had been accepted: exit 3 and 'accepted, but' now.

--- a/include/monsoongrade/ctl/commands.h
+++ b/include/monsoongrade/ctl/commands.h
@@ -10,7 +10,8 @@
 // Each command prints its answer to standard output, faults to standard error, and returns the
 // exit code of the program.
 
-// Checks a folder or one file by itself; every mistake with file, line and key.
+// Checks a folder or file; every mistake with file, line and key. Where the options name a
+// platform the files are checked together with those in force there, else by themselves.
 int checkCommand(const std::string &path, const Options &options);
 
 // Shows how the files differ from those in force.
@@ -34,6 +35,9 @@
 // Shows counts per class, refreshed each second; 0 rounds is without end.
 int topCommand(int rounds, const Options &options);
 
+// The command works without the platform where Options::hosts says whom to ask.
+bool asksDaemonsOnly(const std::string &command);
+
 } // namespace monsoongrade::ctl
 
 #endif // MONSOONGRADE_CTL_COMMANDS_H
--- a/include/monsoongrade/ctl/fleetclient.h
+++ b/include/monsoongrade/ctl/fleetclient.h
@@ -39,7 +39,8 @@
 
     // Errors: those of the host list.
     units::Result<std::vector<platform::Host>> hosts();
-    // The page of every router, or of every router and scheduler, of the hosts in the list.
+    // The page of every router, or of every router and scheduler, of the hosts in the list or in
+    // the options.
     units::Result<std::vector<DaemonPage>> routerPages(const std::string &pathAndQuery);
     units::Result<std::vector<DaemonPage>> allPages(const std::string &pathAndQuery);
 
@@ -50,6 +51,7 @@
         DaemonKind daemon;
     };
 
+    units::Result<std::vector<platform::Host>> givenHosts() const;
     units::Result<std::vector<DaemonPage>> pages(const std::vector<DaemonKind> &daemons,
                                                  const std::string &pathAndQuery);
     endpoints::EndpointRequest requestFor(const Address &address,
--- a/include/monsoongrade/ctl/options.h
+++ b/include/monsoongrade/ctl/options.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace monsoongrade::ctl {
 
@@ -16,6 +17,9 @@
     std::string operatorToken;
     std::uint16_t operatorPort = 8081;
     std::uint16_t schedulerOperatorPort = 8082;
+    // Addresses of entry hosts to ask instead of those in the platform's list, which can't be read
+    // while the platform is down.
+    std::vector<std::string> hosts;
     OutputFormat output = OutputFormat::Text;
 };
 
--- a/programs/monsoongradectl/main.cpp
+++ b/programs/monsoongradectl/main.cpp
@@ -15,7 +15,7 @@
 const char *const Completion = R"(_monsoongradectl()
 {
     local commands="check diff apply remove status drain undrain explain top completion"
-    local options="--wait --rounds --platform --token --operator-port --scheduler-operator-port --output --help --version"
+    local options="--wait --rounds --platform --token --operator-port --scheduler-operator-port --hosts --output --help --version"
     local word=${COMP_WORDS[COMP_CWORD]}
     case ${COMP_WORDS[COMP_CWORD-1]} in
     check|diff|apply) COMPREPLY=($(compgen -f -- "$word")) ;;
@@ -48,6 +48,9 @@
     app.add_option("--operator-port", options.operatorPort, "operator port of the routers");
     app.add_option("--scheduler-operator-port", options.schedulerOperatorPort,
                    "operator port of the schedulers");
+    app.add_option("--hosts", options.hosts,
+                   "addresses of entry hosts to ask while the platform is down, with commas")
+        ->delimiter(',');
     app.add_option("--output", options.output, "text, json or yaml")
         ->transform(CLI::CheckedTransformer(formats, CLI::ignore_case));
 }
@@ -60,7 +63,8 @@
     }
     if (command == "check")
         return ctl::checkCommand(given.path, given.options);
-    if (given.options.platform.empty()) {
+    const bool needsPlatform = given.options.hosts.empty() || !ctl::asksDaemonsOnly(command);
+    if (given.options.platform.empty() && needsPlatform) {
         std::cerr << "4004 missing-setting: give --platform http://address:port, or set "
                      "MONSOONGRADE_PLATFORM\n";
         return ctl::ExitBadInput;
--- a/src/ctl/configurationcommands.cpp
+++ b/src/ctl/configurationcommands.cpp
@@ -72,6 +72,31 @@
     return names;
 }
 
+units::Result<int> waitForAccepted(internal::Session &session, units::Generation generation,
+                                   int waitSeconds, const Options &options)
+{
+    if (options.output == OutputFormat::Text)
+        std::cout << "generation " << generation << " was accepted before\n" << std::flush;
+    return internal::waitAndReport(session, generation, waitSeconds, options);
+}
+
+// The files of the platform that is named, under those to be checked.
+units::Result<std::vector<SourceFile>> withThoseInForce(std::vector<SourceFile> files,
+                                                        const Options &options)
+{
+    if (options.platform.empty())
+        return files;
+    internal::Session session(options);
+    BOOST_LEAF_AUTO(manifest, session.store.manifest());
+    BOOST_LEAF_AUTO(inForce, session.store.files(manifest));
+    for (SourceFile &file : inForce) {
+        if (std::none_of(files.begin(), files.end(),
+                         [&](const SourceFile &own) { return own.name == file.name; }))
+            files.push_back(std::move(file));
+    }
+    return files;
+}
+
 // A mistyped name would look drained, and the host go on taking work.
 bool isNamed(const std::string &name, const std::vector<platform::Host> &hosts,
              const std::vector<SourceFile> &inForce)
@@ -104,7 +129,8 @@
     return internal::runReportingErrors([&]() -> units::Result<int> {
         BOOST_LEAF_AUTO(written, internal::readWrittenFiles(path));
         configuration::Problems problems = std::move(written.problems);
-        const auto parsed = configuration::parseConfiguration(written.files);
+        BOOST_LEAF_AUTO(whole, withThoseInForce(written.files, options));
+        const auto parsed = configuration::parseConfiguration(std::move(whole));
         problems.insert(problems.end(), parsed.problems.begin(), parsed.problems.end());
         json out{{"files", written.files.size()}, {"problems", json::array()}};
         for (const auto &problem : problems)
@@ -145,7 +171,7 @@
             std::cout << diffText(differences);
         // Whoever applies again wants to know whether all have it by now.
         if (differences["files"].empty())
-            return internal::waitAndReport(session, manifest.generation, waitSeconds, options);
+            return waitForAccepted(session, manifest.generation, waitSeconds, options);
         BOOST_LEAF_AUTO(applied, session.store.apply(written.files, internal::newChangeId()));
         return internal::reportAndWait(session, applied, waitSeconds, options);
     });
@@ -176,7 +202,7 @@
         if ((found != names.end()) != undo) {
             if (options.output == OutputFormat::Text)
                 std::cout << name << (undo ? " is in service already\n" : " is drained already\n");
-            return internal::waitAndReport(session, manifest.generation, waitSeconds, options);
+            return waitForAccepted(session, manifest.generation, waitSeconds, options);
         }
         if (undo) {
             names.erase(found);
--- a/src/ctl/fleetclient.cpp
+++ b/src/ctl/fleetclient.cpp
@@ -43,6 +43,19 @@
     return hosts_.hosts();
 }
 
+units::Result<std::vector<platform::Host>> FleetClient::givenHosts() const
+{
+    std::vector<platform::Host> hosts;
+    for (const std::string &address : options_.hosts) {
+        platform::Host host;
+        host.name = units::HostName(address);
+        host.address = address;
+        host.role = platform::HostRole::Entry;
+        hosts.push_back(std::move(host));
+    }
+    return hosts;
+}
+
 units::Result<std::vector<DaemonPage>> FleetClient::routerPages(const std::string &pathAndQuery)
 {
     return pages({DaemonKind::Router}, pathAndQuery);
@@ -56,7 +69,7 @@
 units::Result<std::vector<DaemonPage>> FleetClient::pages(const std::vector<DaemonKind> &daemons,
                                                           const std::string &pathAndQuery)
 {
-    BOOST_LEAF_AUTO(hosts, hosts_.hosts());
+    BOOST_LEAF_AUTO(hosts, options_.hosts.empty() ? hosts_.hosts() : givenHosts());
     std::vector<Address> addresses;
     std::vector<endpoints::EndpointRequest> requests;
     for (const platform::Host &host : hosts) {
--- a/src/ctl/internal/session.cpp
+++ b/src/ctl/internal/session.cpp
@@ -126,6 +126,8 @@
         std::cerr << "nothing was changed\n";
         return ExitBadInput;
     }
+    if (options.output == OutputFormat::Text)
+        std::cout << "accepted as generation " << applied.generation << "\n" << std::flush;
     return waitAndReport(session, applied.generation, waitSeconds, options);
 }
 
@@ -133,13 +135,18 @@
                                  const Options &options)
 {
     const bool talk = options.output == OutputFormat::Text;
-    if (talk)
-        std::cout << "accepted as generation " << generation << "\n" << std::flush;
     json out{{"generation", generation.value()}};
     Reach reach;
     if (waitSeconds > 0) {
-        BOOST_LEAF_AUTO(reached, waitUntilInForce(session, generation, waitSeconds, talk));
-        reach = std::move(reached);
+        auto reached = units::capture(
+            [&] { return waitUntilInForce(session, generation, waitSeconds, talk); });
+        // The change stands all the same; an error's words would deny it.
+        if (!reached.value) {
+            std::cerr << "accepted, but can't tell where it is in force: "
+                      << units::describe(reached.error) << "\n";
+            return ExitBehind;
+        }
+        reach = std::move(*reached.value);
         out["in_force"] = reach.inForce;
         out["behind"] = reach.behind;
     }
--- a/src/ctl/internal/session.h
+++ b/src/ctl/internal/session.h
@@ -39,6 +39,10 @@
 {
     return units::orElse(body, [](const units::Error &error) {
         std::cerr << units::describe(error) << "\n";
+        if (error.code == units::ResultCode::PlatformUnavailable)
+            std::cerr
+                << "nothing was changed; try again when the platform answers (status, top and "
+                   "explain take --hosts meanwhile)\n";
         const bool isInput = error.code == units::ResultCode::FileUnreadable;
         return isInput ? ExitBadInput : ExitFailed;
     });
@@ -58,7 +62,7 @@
                                  const configuration::ConfigurationStore::Applied &applied,
                                  int waitSeconds, const Options &options);
 
-// The second part alone, for a generation that is accepted already. With no seconds to wait
+// The second part alone, for a generation that was accepted before. With no seconds to wait
 // nobody is asked.
 units::Result<int> waitAndReport(Session &session, units::Generation generation, int waitSeconds,
                                  const Options &options);
--- a/src/ctl/statuscommands.cpp
+++ b/src/ctl/statuscommands.cpp
@@ -135,6 +135,11 @@
 
 } // namespace
 
+bool asksDaemonsOnly(const std::string &command)
+{
+    return command == "status" || command == "explain" || command == "top";
+}
+
 int statusCommand(const Options &options)
 {
     internal::Session session(options);
--- a/tests/ctl/commandfixture.h
+++ b/tests/ctl/commandfixture.h
@@ -57,22 +57,23 @@
             });
         options.platform = "http://" + address(9) + ":9000";
         options.operatorToken = "token";
-        endpoints::EndpointRequest hosts;
-        hosts.method = "PUT";
-        hosts.url = options.platform + "/admin/hosts";
-        hosts.body = R"({"hosts":[)" + host(1) + "," + host(2) + "]}";
-        endpoints::callAndWait(client_, hosts);
+        tellPlatform("/admin/hosts", R"({"hosts":[)" + host(1) + "," + host(2) + "]}");
         std::filesystem::remove_all(folder);
         std::filesystem::create_directories(folder);
     }
     ~CommandFixture() { std::filesystem::remove_all(folder); }
 
     // A daemon at the host's router or scheduler port that says this about itself.
-    void serve(int number, DaemonKind kind, const std::string &status,
-               const std::string &explanation = R"({"decisions":[]})")
+    void serve(
+        int number, DaemonKind kind, const std::string &status,
+        const std::string &explanation = R"({"decisions":[]})",
+        const std::function<void()> &onStatus = [] {})
     {
         auto &service = services_.emplace_back("token", [] { return true; });
-        service.addPage("/operator/status", [status](const std::string &) { return status; });
+        service.addPage("/operator/status", [status, onStatus](const std::string &) {
+            onStatus();
+            return status;
+        });
         service.addPage("/operator/explain",
                         [explanation](const std::string &) { return explanation; });
         service.addPage("/metrics", [](const std::string &) { return std::string("a 1\n"); });
@@ -88,6 +89,10 @@
             serve(number, DaemonKind::Scheduler, status);
         }
     }
+    void setOutage(bool isDown)
+    {
+        tellPlatform("/admin/switches", isDown ? R"({"outage":true})" : R"({"outage":false})");
+    }
     std::string write(const std::string &name, const std::string &text) const
     {
         std::ofstream(folder / name) << text;
@@ -98,10 +103,6 @@
         return outcomeOf([&] { return applyCommand(path, wait, options); });
     }
 
-    std::filesystem::path folder;
-    Options options;
-
-private:
     // Test cases run as processes beside each other; each has addresses of its own.
     static std::string address(int number)
     {
@@ -109,6 +110,19 @@
         return "127." + std::to_string(100 + getpid() / Numbers % 100) + "."
             + std::to_string(getpid() % Numbers) + "." + std::to_string(number);
     }
+
+    std::filesystem::path folder;
+    Options options;
+
+private:
+    void tellPlatform(const std::string &path, const std::string &body)
+    {
+        endpoints::EndpointRequest request;
+        request.method = "PUT";
+        request.url = options.platform + path;
+        request.body = body;
+        endpoints::callAndWait(client_, request);
+    }
     static std::string host(int number)
     {
         return R"({"name":"entry-)" + std::to_string(number) + R"(","address":")" + address(number)
--- a/tests/ctl/commands_test.cpp
+++ b/tests/ctl/commands_test.cpp
@@ -42,7 +42,7 @@
     // What was accepted is in force as before.
     const Outcome again = apply(write("a.yaml", Good));
     CHECK(holds(again.out, "no difference"));
-    CHECK(holds(again.out, "generation 1"));
+    CHECK(holds(again.out, "generation 1 was accepted before"));
 }
 
 TEST_CASE_FIXTURE(CommandFixture, "Commands.ApplyNamesWhoIsBehindAndAppliedAgainWaits")
@@ -66,6 +66,46 @@
     CHECK(out["behind"].count("router entry-2") == 1);
 }
 
+// Whoever owns one file checks that one; alone its references always dangle.
+TEST_CASE_FIXTURE(CommandFixture, "Commands.CheckLooksAtWhatIsInForceWhereAPlatformIsNamed")
+{
+    CHECK(apply(write("a.yaml", Good)).code == ExitOk);
+    const std::string own = write("b.yaml", "workspaces:\n  - {name: w, default-class: c}\n");
+    CHECK(outcomeOf([&] { return checkCommand(own, options); }).code == ExitOk);
+    const std::string wrong = write("b.yaml", "workspaces:\n  - {name: w, default-class: d}\n");
+    CHECK(outcomeOf([&] { return checkCommand(wrong, options); }).code == ExitBadInput);
+    CHECK(outcomeOf([&] { return checkCommand(own, Options()); }).code == ExitBadInput);
+}
+
+// The platform goes down right after the change was accepted; "nothing was changed" would be false.
+TEST_CASE_FIXTURE(CommandFixture, "Commands.OutageWhileApplyWaitsDoesNotDenyTheChange")
+{
+    serve(1, DaemonKind::Router, R"({"generation":0})", {}, [this] { setOutage(true); });
+    const std::string file = write("a.yaml", Good);
+    const Outcome outcome = apply(file, 30);
+    CHECK(outcome.code == ExitBehind);
+    CHECK(holds(outcome.out, "accepted as generation 1"));
+    CHECK(holds(outcome.err, "accepted, but can't tell where it is in force: 5001"));
+    CHECK_FALSE(holds(outcome.err, "nothing was changed"));
+    const Outcome during = apply(file, 30);
+    CHECK(during.code == ExitFailed);
+    CHECK(holds(during.err, "nothing was changed"));
+}
+
+// In an outage the host list can't be read, and operators want to look just then.
+TEST_CASE_FIXTURE(CommandFixture, "Commands.StatusAsksTheGivenHostsWithoutThePlatform")
+{
+    serve(1, DaemonKind::Router, R"({"generation":3,"hosts":[]})");
+    setOutage(true);
+    CHECK(holds(outcomeOf([&] { return statusCommand(options); }).err, "--hosts"));
+    options.hosts = {address(1)};
+    options.output = OutputFormat::Json;
+    const Outcome outcome = outcomeOf([&] { return statusCommand(options); });
+    const auto out = nlohmann::json::parse(outcome.out);
+    REQUIRE(out["daemons"].size() == 2);
+    CHECK(out["daemons"][0]["status"]["generation"] == 3);
+}
+
 TEST_CASE_FIXTURE(CommandFixture, "Commands.ApplyEndsWhenAllHaveIt")
 {
     serveAll(R"({"generation":1})");
--- a/tests/platform/httpplatform_test.cpp
+++ b/tests/platform/httpplatform_test.cpp
@@ -1,47 +1,15 @@
+#include "cannedclient.h"
+
 #include <monsoongrade/platform/httpplatform.h>
 
 #include <doctest/doctest.h>
 
-#include <thread>
-
 namespace monsoongrade::platform {
 
 using units::ResultCode;
 
 namespace {
 
-// Answers every call with the same status and body, the latter in pieces of its own thread.
-class CannedClient : public endpoints::EndpointClient
-{
-public:
-    ~CannedClient() override
-    {
-        for (std::thread &thread : threads_)
-            thread.join();
-    }
-    endpoints::CallId start(endpoints::EndpointRequest,
-                            std::shared_ptr<endpoints::EndpointListener> listener) override
-    {
-        threads_.emplace_back([this, listener = std::move(listener)] {
-            listener->answerHead(status, {});
-            for (int i = 0; i < repeats; ++i)
-                listener->answerBody(body);
-            listener->answerEnd(endpoints::EndpointEnd());
-        });
-        return threads_.size();
-    }
-    void resume(endpoints::CallId) override { }
-    void cancel(endpoints::CallId) override { ++cancelled; }
-
-    int status = 200;
-    std::string body;
-    int repeats = 1;
-    int cancelled = 0;
-
-private:
-    std::vector<std::thread> threads_;
-};
-
 template <typename Call>
 ResultCode codeOf(Call call)
 {
