--- a/bench/slot-policies/report.cpp
+++ b/bench/slot-policies/report.cpp
@@ -82,7 +82,8 @@
            " by class, highest tier first. Percent, but for seconds and counts.\n\n"
         << "| site | script | policy | routers | attainment | completed | tokens granted | first "
            "token p95"
-           " s | between tokens p95 ms | within 63 ms | goodput | wasted | prefill saved | messages | bytes | at death, after |"
+           " s | between tokens p95 ms | within 63 ms | goodput | wasted | prefill saved | "
+           "messages | bytes | at death, after |"
            " small workspaces | most returns/s | refusals "
            "|\n|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---"
            "|---|---|---|\n";
