--- a/tests/platform/httpplatform_test.cpp
+++ b/tests/platform/httpplatform_test.cpp
@@ -1,47 +1,15 @@
+#include "cannedclient.h"
+
 #include <monsoongrade/platform/httpplatform.h>
 
 #include <doctest/doctest.h>
 
-#include <thread>
-
 namespace monsoongrade::platform {
 
 using units::ResultCode;
 
 namespace {
 
-// Answers every call with the same status and body, the latter in pieces of its own thread.
-class CannedClient : public endpoints::EndpointClient
-{
-public:
-    ~CannedClient() override
-    {
-        for (std::thread &thread : threads_)
-            thread.join();
-    }
-    endpoints::CallId start(endpoints::EndpointRequest,
-                            std::shared_ptr<endpoints::EndpointListener> listener) override
-    {
-        threads_.emplace_back([this, listener = std::move(listener)] {
-            listener->answerHead(status, {});
-            for (int i = 0; i < repeats; ++i)
-                listener->answerBody(body);
-            listener->answerEnd(endpoints::EndpointEnd());
-        });
-        return threads_.size();
-    }
-    void resume(endpoints::CallId) override { }
-    void cancel(endpoints::CallId) override { ++cancelled; }
-
-    int status = 200;
-    std::string body;
-    int repeats = 1;
-    int cancelled = 0;
-
-private:
-    std::vector<std::thread> threads_;
-};
-
 template <typename Call>
 ResultCode codeOf(Call call)
 {
@@ -102,4 +70,20 @@
     }
 }
 
+TEST_CASE("HttpPlatform.ConditionalRemovalNamesItsVersion")
+{
+    CannedClient client;
+    HttpPlatform platform(client, "http://127.33.0.1:1");
+    CHECK(platform.removeIfVersion("a", ObjectVersion(7)));
+    CHECK(client.last.method == "DELETE");
+    REQUIRE(client.last.headers.size() == 1);
+    CHECK(client.last.headers[0] == endpoints::Header("If-Match", "7"));
+    client.status = 412;
+    CHECK(codeOf([&]() -> units::Result<bool> {
+              BOOST_LEAF_CHECK(platform.removeIfVersion("a", ObjectVersion(7)));
+              return true;
+          })
+          == ResultCode::VersionConflict);
+}
+
 } // namespace monsoongrade::platform
