--- a/tests/scenario_runner/chaos.cpp
+++ b/tests/scenario_runner/chaos.cpp
@@ -81,7 +81,9 @@
 
     Fault randomFault()
     {
-        switch (between(0, 3)) {
+        switch (between(0, 4)) {
+        case 4:
+            return cutFault();
         case 0:
             return daemonFault(one(between(0, 1) == 0 ? "router" : "scheduler", EntryHosts));
         case 1:
@@ -107,6 +109,17 @@
         }
     }
 
+    // Between a router and a scheduler, in one direction or both.
+    Fault cutFault()
+    {
+        const bool fromRouter = between(0, 1) == 0;
+        const std::string ends = "{from: " + one(fromRouter ? "router" : "scheduler", EntryHosts)
+            + ", to: " + one(fromRouter ? "scheduler" : "router", EntryHosts)
+            + ", both: " + (between(0, 1) == 0 ? "true" : "false");
+        const char *breaks = between(0, 1) == 0 ? "true" : "false";
+        return {"cut", {"cut: " + ends + "}"}, {"heal: " + ends + ", breaks: " + breaks + "}"}};
+    }
+
     Fault platformFault()
     {
         const std::string count = std::to_string(between(1, 5));
@@ -177,7 +190,8 @@
         + "# or in an error with a reason; nothing runs twice that must not, nothing that was "
           "said\n"
         + "# not to have run has run, and the accounts of every router close.\n";
-    text += "cluster: {entry-hosts: 3, engines: 3, services: 2, slots: 6, can-resume: true, "
+    text += "cluster: {entry-hosts: 3, engines: 3, services: 2, slots: 6, relayed: true, "
+            "can-resume: true, "
             "keep-address: 1s, silence-timeout: 2s, max-wait: 8s, "
             "engine-arguments: [--tokens-per-second, \"100\"]}\n";
     text += "limit: " + std::to_string(seconds + SettleSeconds + 30) + "s\nsteps:\n";
--- a/tests/scenario_runner/networksteps.cpp
+++ b/tests/scenario_runner/networksteps.cpp
@@ -25,11 +25,8 @@
         const bool both = item.flag("both", false);
         const bool isPassed = isCut || !item.flag("breaks", false);
         item.finish();
-        const auto change = [=](Relay &relay, const std::string &a, const std::string &b) {
-            if (isCut)
-                relay.cut({a, b});
-            else
-                relay.heal({a, b}, isPassed);
+        const auto change = [=](Relay &relay, const Relay::Direction &direction) {
+            isCut ? relay.cut(direction) : relay.heal(direction, isPassed);
         };
         return [=](Stage &stage) {
             Cluster &cluster = stage.cluster();
@@ -39,9 +36,9 @@
                 for (const std::string &receiver : cluster.chosen(to)) {
                     if (areOnOneHost(sender, receiver))
                         continue;
-                    change(cluster.relay(), sender, receiver);
+                    change(cluster.relay(), {sender, receiver});
                     if (both)
-                        change(cluster.relay(), receiver, sender);
+                        change(cluster.relay(), {receiver, sender});
                 }
             }
         };
