Membership: the host list is read in turn, the fleet at a fixed rate of bytes

Cause: every daemon read the list whole each 30 s, 4.4 KB/s each at 1,105 hosts (worked out).

Weighed: the three daemons that watch the manifest read it and tell the others (8.3 KB/s for the three, a successor needed, no reader in a part that is cut off); all read in turn at a rate that falls with the list's size (chosen: 0.25 KB/s each at 1,105 hosts, worked out; nobody is appointed).

What seldom reading broke: entry hosts that the list calls leaving were known to the reader only (they are news now), a host that is back waited for reads that were minutes apart, and old reads overruled news for minutes (both now ask for a sooner read).

Seen to fail first, by taking each out: entry hosts' marks, either sooner read, reads from before the news.

--- a/include/monsoongrade/membership/endpointmarks.h
+++ b/include/monsoongrade/membership/endpointmarks.h
@@ -6,13 +6,15 @@
 #include <monsoongrade/units/clock.h>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
 namespace monsoongrade::membership {
 
-// Endpoint hosts that are leaving or suspected: the union of this daemon's reads of the host
-// list and of what other daemons tell.
+// Hosts that are leaving, and endpoint hosts that are suspected: the union of this daemon's reads
+// of the host list and of what other daemons tell. Entry hosts have marks too, since most daemons
+// read the list too seldom to see in time which of them are leaving.
 class EndpointMarks
 {
 public:
@@ -32,6 +34,11 @@
     // it live may have seen an older list.
     bool merge(const EndpointMark &news);
 
+    // Within what time of the last read the list should be read again, where a mark waits for it:
+    // a host seen live is free only after a second read, and whoever overruled another by its own
+    // last read must see whether that still holds.
+    std::optional<units::Duration> nextReadWithin() const;
+
     const std::map<units::HostName, EndpointMark> &all() const { return marks_; }
     std::set<units::HostName> leaving() const;
     std::set<units::HostName> suspected() const;
@@ -45,6 +52,8 @@
     std::set<units::HostName> listedLeaving_;
     // Since when each read of the list has called the host live.
     std::map<units::HostName, units::TimePoint> liveSince_;
+    // News were overruled since the last read.
+    bool overruled_ = false;
 };
 
 } // namespace monsoongrade::membership
--- a/include/monsoongrade/membership/fleetwatcher.h
+++ b/include/monsoongrade/membership/fleetwatcher.h
@@ -9,10 +9,6 @@
 
 namespace monsoongrade::membership {
 
-// How long a daemon waits between two reads of the host list. The whole fleet makes about eight
-// reads a second, however large it is: whoever reads a change first tells all others.
-units::Duration listPollPeriod(std::size_t daemons);
-
 // Reads the platform's host list on a thread of its own and hands it to the membership.
 class FleetWatcher
 {
--- a/include/monsoongrade/membership/membership.h
+++ b/include/monsoongrade/membership/membership.h
@@ -22,6 +22,8 @@
     Outgoing tick();
     Outgoing receive(const PeerMessage &message);
     void applyList(const std::vector<platform::Host> &hosts);
+    // See MembershipProtocol.
+    units::Duration nextListRead() const;
     void addSeed(const MemberRecord &seed);
     // Call it first thing in a planned stop: within about a second all others leave this daemon
     // out, while it goes on serving.
--- a/include/monsoongrade/membership/membershipprotocol.h
+++ b/include/monsoongrade/membership/membershipprotocol.h
@@ -43,6 +43,8 @@
     // Takes over one answer of the platform's lagging list: members not yet known, and marks of
     // endpoint hosts. What members say of themselves goes before the list.
     void applyList(const std::vector<platform::Host> &hosts);
+    // Within what time of the last read the list should be read; depends on how many read it.
+    units::Duration nextListRead() const;
     // A member known by other means, such as the daemon beside this one.
     void addSeed(const MemberRecord &seed);
     // This daemon takes no new work any more. Tells all within about a second.
@@ -54,6 +56,7 @@
     std::optional<MemberRecord> newerConfigurationAt() const;
 
     FleetView view() const;
+    const EndpointMarks &marks() const { return marks_; }
     // Changes whenever the view may have.
     std::uint64_t revision() const { return revision_; }
     const MemberRecord &self() const { return self_; }
@@ -126,7 +129,7 @@
     bool superseded_ = false;
     std::map<MemberId, Entry> entries_;
     EndpointMarks marks_;
-    std::set<units::HostName> listedLeaving_;
+    std::size_t listedHosts_ = 0;
     bool listKnown_ = false;
 
     NewsQueue<MemberId> memberNews_;
--- a/src/membership/endpointmarks.cpp
+++ b/src/membership/endpointmarks.cpp
@@ -2,6 +2,14 @@
 
 namespace monsoongrade::membership {
 
+namespace {
+
+constexpr auto ReadAfterOverruling = std::chrono::seconds(15);
+// The second read must come after the bound, also where daemons spread their reads.
+constexpr auto BehindLagBound = std::chrono::seconds(10);
+
+} // namespace
+
 EndpointMarks::EndpointMarks(units::Duration listLagBound)
     : listLagBound_(listLagBound)
 {
@@ -13,9 +21,8 @@
     std::vector<EndpointMark> changed;
     std::map<units::HostName, units::TimePoint> liveSince;
     listedLeaving_.clear();
+    overruled_ = false;
     for (const platform::Host &host : hosts) {
-        if (host.role != platform::HostRole::Endpoint)
-            continue;
         const bool isLeaving = host.state == platform::HostState::Leaving;
         const auto since = liveSince_.find(host.name);
         if (isLeaving)
@@ -68,10 +75,22 @@
     if (news.state != EndpointState::Leaving && listedLeaving_.count(news.host) > 0) {
         ++mark.epoch;
         mark.state = EndpointState::Leaving;
+        overruled_ = true;
     }
     return true;
 }
 
+std::optional<units::Duration> EndpointMarks::nextReadWithin() const
+{
+    if (overruled_)
+        return ReadAfterOverruling;
+    for (const auto &[host, mark] : marks_) {
+        if (mark.state == EndpointState::Leaving && liveSince_.count(host) > 0)
+            return listLagBound_ + BehindLagBound;
+    }
+    return std::nullopt;
+}
+
 std::set<units::HostName> EndpointMarks::leaving() const
 {
     return withState(EndpointState::Leaving);
--- a/src/membership/fleetwatcher.cpp
+++ b/src/membership/fleetwatcher.cpp
@@ -10,20 +10,12 @@
 
 namespace {
 
-constexpr auto PeriodPerDaemon = std::chrono::milliseconds(125);
-constexpr auto ShortestPeriod = std::chrono::seconds(1);
-// Two reads must fit into the time after which a host that is back gets work again.
-constexpr auto LongestPeriod = std::chrono::seconds(30);
+// After a read that failed.
+constexpr auto LongestRetry = std::chrono::seconds(30);
 constexpr auto StopCheck = std::chrono::milliseconds(50);
 
 } // namespace
 
-units::Duration listPollPeriod(std::size_t daemons)
-{
-    const units::Duration period = PeriodPerDaemon * daemons;
-    return std::clamp<units::Duration>(period, ShortestPeriod, LongestPeriod);
-}
-
 FleetWatcher::FleetWatcher(platform::HostList &hosts, Membership &membership)
     : hosts_(hosts)
     , membership_(membership)
@@ -40,14 +32,21 @@
 void FleetWatcher::run()
 {
     std::mt19937 random(std::random_device{}());
+    // Daemons that were started together would otherwise all read at the same moment, and none
+    // of them for long after it.
+    double share = std::uniform_real_distribution<double>(0, 1)(random);
     while (!stopping_) {
         pollOnce();
-        // Daemons that were started together would otherwise all read at the same moment.
-        std::uniform_real_distribution<double> spread(0.75, 1.25);
-        const units::Duration period = std::chrono::duration_cast<units::Duration>(
-            listPollPeriod(membership_.members().size() + 1) * spread(random));
-        for (auto waited = units::Duration(); waited < period && !stopping_; waited += StopCheck)
+        // Asked again and again: news may make the next read more urgent.
+        const auto isDue = [&](units::Duration waited) {
+            units::Duration period = membership_.nextListRead();
+            if (failing_)
+                period = std::min<units::Duration>(period, LongestRetry);
+            return waited >= std::chrono::duration_cast<units::Duration>(period * share);
+        };
+        for (auto waited = units::Duration(); !isDue(waited) && !stopping_; waited += StopCheck)
             std::this_thread::sleep_for(StopCheck);
+        share = std::uniform_real_distribution<double>(0.9, 1.1)(random);
     }
 }
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -41,6 +41,12 @@
     change([&] { protocol_.applyList(hosts); });
 }
 
+units::Duration Membership::nextListRead() const
+{
+    const std::lock_guard lock(mutex_);
+    return protocol_.nextListRead();
+}
+
 void Membership::addSeed(const MemberRecord &seed)
 {
     change([&] { protocol_.addSeed(seed); });
--- a/src/membership/membershipprotocol.cpp
+++ b/src/membership/membershipprotocol.cpp
@@ -1,7 +1,10 @@
 #include <monsoongrade/membership/membershipprotocol.h>
 
+#include <monsoongrade/membership/listpollperiod.h>
 #include <monsoongrade/membership/watchset.h>
 
+#include <algorithm>
+
 namespace monsoongrade::membership {
 
 MembershipProtocol::MembershipProtocol(const units::Clock &clock, MemberRecord self,
@@ -195,13 +198,11 @@
 {
     for (auto &entry : entries_)
         entry.second.listed = false;
-    listedLeaving_.clear();
+    listedHosts_ = hosts.size();
     listKnown_ = true;
     for (const platform::Host &host : hosts) {
         if (host.role != platform::HostRole::Entry)
             continue;
-        if (host.state == platform::HostState::Leaving)
-            listedLeaving_.insert(host.name);
         for (const DaemonRole role : {DaemonRole::Router, DaemonRole::Scheduler})
             addListed(
                 {{host.name, role}, host.address, host.failureDomain, 0, 0, Health::Alive, false});
@@ -211,6 +212,17 @@
     changed();
 }
 
+units::Duration MembershipProtocol::nextListRead() const
+{
+    std::size_t readers = 1;
+    for (const auto &entry : entries_) {
+        if (entry.second.record.health == Health::Alive && entry.second.record.life != 0)
+            ++readers;
+    }
+    const units::Duration period = listPollPeriod(readers, listedHosts_);
+    return std::min(period, marks_.nextReadWithin().value_or(period));
+}
+
 void MembershipProtocol::addListed(const MemberRecord &record)
 {
     if (record.id == self_.id)
--- a/src/membership/membershipview.cpp
+++ b/src/membership/membershipview.cpp
@@ -41,14 +41,14 @@
     self.leaving = self.leaving || superseded_;
     add(self);
     FleetView view;
+    view.leavingEndpointHosts = marks_.leaving();
     for (auto &[name, member] : hosts) {
-        if (listedLeaving_.count(name) > 0) {
+        if (view.leavingEndpointHosts.erase(name) > 0) {
             member.leaving = true;
             member.schedulerLeaving = true;
         }
         view.entryHosts.push_back(std::move(member));
     }
-    view.leavingEndpointHosts = marks_.leaving();
     view.suspectedEndpointHosts = marks_.suspected();
     return view;
 }
--- a/tests/membership/leavingendpoint_statetest.cpp
+++ b/tests/membership/leavingendpoint_statetest.cpp
@@ -20,6 +20,11 @@
     // When the host was which, in order; true is leaving.
     std::vector<std::pair<units::TimePoint, bool>> truth{{fleet.clock().now(), false}};
     std::vector<units::Duration> lags;
+    // Where given: each daemon's usual time between two reads; nothing: the platform is beyond its
+    // reach. It reads sooner where a mark waits for it.
+    std::vector<std::optional<units::Duration>> periods;
+    std::vector<units::TimePoint> lastRead
+        = std::vector<units::TimePoint>(Hosts, fleet.clock().now() - 1h);
     // When a daemon first could know of the present leaving.
     std::optional<units::TimePoint> knowable;
     std::vector<units::TimePoint> upSince
@@ -52,16 +57,26 @@
             = {{Worker, "127.33.1.1", units::FailureDomain(), platform::HostRole::Endpoint,
                 seen ? platform::HostState::Leaving : platform::HostState::Live}};
         fleet.readList(i);
+        lastRead[i] = fleet.clock().now();
         // Only a read of the present leaving counts, not one of an earlier.
         if (seen && isLeaving() && fleet.clock().now() - lags[i] >= truth.back().first && !knowable)
             knowable = fleet.clock().now();
     }
+    bool isDue(std::size_t i)
+    {
+        if (periods.empty())
+            return true;
+        if (!periods[i])
+            return false;
+        const auto urgent = fleet.protocol(i).marks().nextReadWithin();
+        return fleet.clock().now() - lastRead[i] >= std::min(*periods[i], urgent.value_or(1h));
+    }
     void run(units::Duration time)
     {
         for (auto left = time; left > 0s; left -= 500ms) {
             fleet.run(500ms);
             for (std::size_t i = 0; i < Hosts; ++i) {
-                if (!fleet.platformDown && fleet.isUp(i) && left % 2s == i % 4 * 500ms)
+                if (!fleet.platformDown && fleet.isUp(i) && left % 2s == i % 4 * 500ms && isDue(i))
                     poll(i);
             }
             check();
@@ -176,6 +191,49 @@
     }));
 }
 
+TEST_CASE("LeavingEndpoint.IsKnownToAllWhereMostReadTheListSeldom")
+{
+    // The same, but the daemons read the list each minute to ten minutes, and some never reach the
+    // platform: they live by the others' news.
+    CHECK(rc::check("endpoint hosts that leave, seldom read", [] {
+        LaggingFleet sut;
+        for (std::size_t i = 0; i < Hosts; ++i) {
+            sut.lags.push_back(*rc::gen::element<units::Duration>(0s, 5s, 30s, MostLag));
+            sut.periods.push_back(
+                *rc::gen::element<std::optional<units::Duration>>(60s, 200s, 600s, std::nullopt));
+        }
+        sut.periods[0] = 60s;
+        sut.run(10s);
+        rc::state::check(
+            NoModel(), sut,
+            rc::state::gen::execOneOfWithArgs<Change, Change, Outage, FreezeFor, Restart>());
+        sut.fleet.platformDown = false;
+        if (sut.isLeaving())
+            sut.change(false);
+        // Its first read, and twice the wait behind it: others may have overruled the first end.
+        sut.run(MostLag + 60s + 3 * 80s);
+        for (std::size_t i = 0; i < Hosts; ++i)
+            RC_ASSERT(!sut.holdsLeaving(i));
+    }));
+}
+
+// The platform takes an entry host out of its list's live ones. Only one daemon has read that; the
+// others read again minutes later and would go on sending callers there.
+TEST_CASE("LeavingEndpoint.EntryHostThatOneDaemonReadsAsLeavingIsLeftOutByAll")
+{
+    FakeFleet fleet(8);
+    fleet.run(5s);
+    auto hosts = fleet.list();
+    hosts[2].state = platform::HostState::Leaving;
+    fleet.protocol(0).applyList(hosts);
+    fleet.run(3s);
+    for (std::size_t i = 0; i < 8; ++i) {
+        for (const Member &member : fleet.protocol(i).view().entryHosts)
+            CHECK(member.leaving == (member.host == hosts[2].name));
+        CHECK(fleet.protocol(i).view().leavingEndpointHosts.empty());
+    }
+}
+
 TEST_CASE("LeavingEndpoint.SuspicionNeverOverrulesLeaving")
 {
     FakeFleet fleet(4);
