Scheduling: one division of slots and one pick of two serve processes and simulation

ownShare moves to scheduling and FixedSharePolicy uses it; lessLoadedOfTwo serves TwoChoicesPolicy and LoadTable. The rest of the two two-choices policies is not one logic: the process one has a bounded wait without an order and reads liveness from the configuration.

--- a/src/scheduling/fixedsharepolicy.cpp
+++ b/src/scheduling/fixedsharepolicy.cpp
@@ -1,5 +1,7 @@
 #include <monsoongrade/scheduling/fixedsharepolicy.h>
 
+#include <monsoongrade/scheduling/ownshare.h>
+
 #include <algorithm>
 
 namespace monsoongrade::scheduling {
@@ -15,20 +17,11 @@
     count_ = std::max(1, count);
 }
 
-// The remainder of each division goes round the routers, so that the shares of all add up to
-// exactly the endpoint's slots and no router gets all the remainders.
 void FixedSharePolicy::configure(const CellPolicy &policy)
 {
     CellPolicy own = policy;
-    own.endpoints.clear();
-    for (std::size_t i = 0; i < policy.endpoints.size(); ++i) {
-        EndpointPolicy endpoint = policy.endpoints[i];
-        const int remainder = endpoint.slots % count_;
-        const int turn = (index_ + static_cast<int>(i)) % count_;
-        endpoint.slots = endpoint.slots / count_ + (turn < remainder ? 1 : 0);
-        if (endpoint.slots > 0)
-            own.endpoints.push_back(endpoint);
-    }
+    own.endpoints = ownShare(policy.endpoints, static_cast<std::size_t>(index_),
+                             static_cast<std::size_t>(count_));
     scheduler_.configure(own);
 }
 
--- a/src/slots/ownshare.cpp
+++ b/src/scheduling/ownshare.cpp
@@ -1,18 +1,17 @@
-#include <monsoongrade/slots/ownshare.h>
+#include <monsoongrade/scheduling/ownshare.h>
 
 #include <algorithm>
 
-namespace monsoongrade::slots {
+namespace monsoongrade::scheduling {
 
-std::vector<scheduling::EndpointPolicy>
-ownShare(const std::vector<scheduling::EndpointPolicy> &endpoints, std::size_t rank,
-         std::size_t routers)
+std::vector<EndpointPolicy> ownShare(const std::vector<EndpointPolicy> &endpoints, std::size_t rank,
+                                     std::size_t routers)
 {
     const std::size_t count = std::max<std::size_t>(1, routers);
-    std::vector<scheduling::EndpointPolicy> share;
+    std::vector<EndpointPolicy> share;
     // Leftovers are dealt out round: the next endpoint's go on where this one's ended.
     std::size_t dealt = 0;
-    for (scheduling::EndpointPolicy policy : endpoints) {
+    for (EndpointPolicy policy : endpoints) {
         const auto slots = static_cast<std::size_t>(std::max(0, policy.slots));
         const std::size_t left = slots % count;
         const bool getsOne = (rank + count - dealt % count) % count < left;
@@ -28,4 +27,4 @@
     return share;
 }
 
-} // namespace monsoongrade::slots
+} // namespace monsoongrade::scheduling
--- a/src/scheduling/twochoicespolicy.cpp
+++ b/src/scheduling/twochoicespolicy.cpp
@@ -1,5 +1,7 @@
 #include <monsoongrade/scheduling/twochoicespolicy.h>
 
+#include <monsoongrade/scheduling/lessloaded.h>
+
 #include <algorithm>
 
 namespace monsoongrade::scheduling {
@@ -100,10 +102,8 @@
     }
     if (live.empty())
         return std::nullopt;
-    std::uniform_int_distribution<std::size_t> any(0, live.size() - 1);
-    const auto first = live[any(random_)];
-    const auto second = live[any(random_)];
-    const auto &better = second.second->seen() < first.second->seen() ? second : first;
+    const auto &better = lessLoadedOfTwo(
+        live, [](const auto &each) { return each.second->seen(); }, random_);
     if (better.second->seen() >= better.second->slots)
         return std::nullopt;
     return *better.first;
--- a/src/slots/loadtable.cpp
+++ b/src/slots/loadtable.cpp
@@ -1,5 +1,7 @@
 #include <monsoongrade/slots/loadtable.h>
 
+#include <monsoongrade/scheduling/lessloaded.h>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -56,12 +58,8 @@
     const auto &from = notAvoided.empty() ? live : notAvoided;
     if (from.empty())
         return std::nullopt;
-    const auto pick = [&] {
-        return from[std::uniform_int_distribution<std::size_t>(0, from.size() - 1)(random_)];
-    };
-    const auto *one = pick();
-    const auto *two = pick();
-    const auto *best = loadOf(*two) < loadOf(*one) ? two : one;
+    const auto *best = scheduling::lessLoadedOfTwo(
+        from, [this](const auto *each) { return loadOf(*each); }, random_);
     if (loadOf(*best) >= FullLoad)
         return std::nullopt;
     return best->id;
--- a/src/slots/localslotsource.cpp
+++ b/src/slots/localslotsource.cpp
@@ -1,6 +1,6 @@
 #include <monsoongrade/slots/localslotsource.h>
 
-#include <monsoongrade/slots/ownshare.h>
+#include <monsoongrade/scheduling/ownshare.h>
 
 #include <slots/internal/localcell.h>
 #include <slots/internal/worker.h>
@@ -92,7 +92,7 @@
             auto &scheduler = cells_.try_emplace(name, clock_).first->second.scheduler();
             if (sharesChanged) {
                 scheduling::CellPolicy policy = configuration->cellPolicy(name);
-                policy.endpoints = ownShare(policy.endpoints, rank_, routers_);
+                policy.endpoints = scheduling::ownShare(policy.endpoints, rank_, routers_);
                 scheduler.configure(policy);
             }
             for (const auto &endpoint : pool.endpoints) {
--- a/tests/slots/ownshare_test.cpp
+++ b/tests/scheduling/ownshare_test.cpp
@@ -1,4 +1,4 @@
-#include <monsoongrade/slots/ownshare.h>
+#include <monsoongrade/scheduling/ownshare.h>
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -25,7 +25,7 @@
         int most = 0;
         for (std::size_t rank = 0; rank < routers; ++rank) {
             int own = 0;
-            for (const auto &policy : slots::ownShare(endpoints, rank, routers)) {
+            for (const auto &policy : scheduling::ownShare(endpoints, rank, routers)) {
                 given[policy.id] += policy.slots;
                 own += policy.slots;
             }
@@ -44,7 +44,7 @@
 {
     const std::vector<scheduling::EndpointPolicy> endpoints{{units::EndpointId("e"), 2}};
     for (std::size_t rank = 0; rank < 6; ++rank) {
-        const auto share = slots::ownShare(endpoints, rank, 6);
+        const auto share = scheduling::ownShare(endpoints, rank, 6);
         REQUIRE(share.size() == 1);
         CHECK(share.front().slots == 1);
     }
