--- a/bench/slot-policies/main.cpp
+++ b/bench/slot-policies/main.cpp
@@ -5,6 +5,7 @@
 
 #include <fstream>
 #include <iostream>
+#include <iterator>
 
 namespace monsoongrade::bench {
 
@@ -16,6 +17,8 @@
     int firstSeed = 1;
     std::string json;
     std::string only;
+    std::string from;
+    std::string svg;
 };
 
 // One line of the table: the same script for every seed.
@@ -77,6 +80,23 @@
     }
 }
 
+Report runAll(const Arguments &arguments)
+{
+    Report report;
+    comparePolicies(arguments, report);
+    if (arguments.only.empty())
+        compareVariants(arguments, report);
+    return report;
+}
+
+Report readReport(const std::string &path)
+{
+    std::ifstream file(path);
+    const std::string text((std::istreambuf_iterator<char>(file)),
+                           std::istreambuf_iterator<char>());
+    return Report::fromJson(text);
+}
+
 } // namespace
 
 } // namespace monsoongrade::bench
@@ -93,12 +113,14 @@
         ->check(CLI::PositiveNumber);
     app.add_option("--script", arguments.only, "only this script");
     app.add_option("--json", arguments.json, "also write every run to this file");
+    app.add_option("--from", arguments.from, "take the runs from this JSON file, run nothing")
+        ->check(CLI::ExistingFile);
+    app.add_option("--svg", arguments.svg, "also draw the attainment into this file");
     CLI11_PARSE(app, argc, argv);
-    Report report;
-    comparePolicies(arguments, report);
-    if (arguments.only.empty())
-        compareVariants(arguments, report);
+    Report report = arguments.from.empty() ? runAll(arguments) : readReport(arguments.from);
     report.print(std::cout);
+    if (!arguments.svg.empty())
+        std::ofstream(arguments.svg) << report.svg();
     if (!arguments.json.empty())
         std::ofstream(arguments.json) << report.json();
     return 0;
--- a/bench/slot-policies/script.cpp
+++ b/bench/slot-policies/script.cpp
@@ -135,8 +135,8 @@
 
 std::vector<std::string> scriptNames()
 {
-    return {"same-minute", "one-class",    "long-answer", "slow-engine", "half-speed-engine",
-            "killed",      "top-overload", "lowest-first"};
+    return {"same-minute",       "one-class", "long-answer",  "slow-engine",
+            "half-speed-engine", "killed",    "top-overload", "lowest-first"};
 }
 
 Script makeScript(const std::string &name, const Site &site, std::uint64_t seed)
