Routers: counters are for operators only

The callers' port answered /metrics to anyone: names of classes and pools, and how much each gets. It stands on the operators' port alone now, behind the token; the scenario runner reads it there.

--- a/include/monsoongrade/requests/callerfrontend.h
+++ b/include/monsoongrade/requests/callerfrontend.h
@@ -14,7 +14,7 @@
 
 namespace monsoongrade::requests {
 
-// Answers callers: health, metrics, which addresses to use, and every other path as a request
+// Answers callers: health, which addresses to use, and every other path as a request
 // to be routed.
 class CallerFrontend
 {
@@ -34,7 +34,7 @@
     bool isLeaving() const { return leaving_; }
     // It has a configuration and is not leaving.
     bool isReady() const { return !leaving_ && holder_.current() != nullptr; }
-    // All metrics in the text exposition format.
+    // All metrics in the text exposition format, for operators: callers get no counts of others.
     std::string metricsPage();
     std::size_t open() const { return open_.total(); }
 
--- a/src/requests/callerfrontend.cpp
+++ b/src/requests/callerfrontend.cpp
@@ -50,8 +50,6 @@
     } else if (request.path == "/readyz") {
         const bool ready = isReady();
         responder.answer(ready ? 200 : 503, TextHeaders, ready ? "ready\n" : "not ready\n");
-    } else if (request.path == "/metrics") {
-        responder.answer(200, TextHeaders, metricsPage());
     } else if (request.path == "/v1/entry-points") {
         responder.answer(200, JsonHeaders, entryPoints_());
     } else if (request.path == "/v1/idempotency-keys" && request.method == "POST") {
--- a/tests/scenario_runner/cluster.cpp
+++ b/tests/scenario_runner/cluster.cpp
@@ -158,7 +158,10 @@
 
 std::optional<std::map<std::string, double>> Cluster::metrics(const std::string &daemon)
 {
-    const auto page = call("GET", url(daemon) + "/metrics", {}, operatorHeaders());
+    std::string base = url(daemon);
+    if (startsWith(daemon, "router-"))
+        base.replace(base.rfind(':'), std::string::npos, ":8081");
+    const auto page = call("GET", base + "/metrics", {}, operatorHeaders());
     if (page.status != 200)
         return std::nullopt;
     return readMetrics(page.body);
