--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -1,6 +1,6 @@
 #include <monsoongrade/http/httpserver.h>
 
-#include <http/internal/connectionbreaker.h>
+#include <http/internal/responder.h>
 
 #include <asio.hpp>
 #include <restinio/all.hpp>
@@ -16,9 +16,8 @@
 
 namespace {
 
+using internal::Responder;
 using units::ResultCode;
-using Strand = asio::strand<asio::io_context::executor_type>;
-using ChunkedBuilder = restinio::response_builder_t<restinio::chunked_output_t>;
 
 // Queue, write and stream times are bounded by the router itself.
 constexpr auto HandlingTimeLimit = std::chrono::hours(24);
@@ -28,153 +27,6 @@
 // What is over a limit, up to so many times, is still read, so that the refusal can be sent.
 constexpr std::size_t ReadBeyondLimit = 2;
 
-restinio::http_status_line_t statusLine(int status)
-{
-    return {restinio::http_status_code_t(static_cast<std::uint16_t>(status)),
-            status < 400 ? "OK" : "Error"};
-}
-
-class Responder : public HttpResponder, public std::enable_shared_from_this<Responder>
-{
-public:
-    // The ticket counts the answer as open until it is destroyed.
-    Responder(Strand strand, restinio::request_handle_t request, std::uint16_t localPort,
-              std::shared_ptr<void> ticket)
-        : strand_(std::move(strand))
-        , request_(std::move(request))
-        , localPort_(localPort)
-        , ticket_(std::move(ticket))
-    {
-    }
-
-    void answer(int status, Headers headers, std::string body) override
-    {
-        asio::post(strand_,
-                   [self = shared_from_this(), status, headers = std::move(headers),
-                    body = std::move(body)]() mutable {
-                       self->sendWhole(status, headers, std::move(body));
-                   });
-    }
-
-    void begin(int status, Headers headers) override
-    {
-        asio::post(strand_, [self = shared_from_this(), status, headers = std::move(headers)] {
-            self->sendHead(status, headers);
-        });
-    }
-
-    void write(std::string bytes, std::function<void(std::size_t)> written) override
-    {
-        asio::post(strand_,
-                   [self = shared_from_this(), bytes = std::move(bytes),
-                    written = std::move(written)]() mutable {
-                       self->sendPiece(std::move(bytes), std::move(written));
-                   });
-    }
-
-    void end() override
-    {
-        asio::post(strand_, [self = shared_from_this()] { self->sendEnd(); });
-    }
-
-    void abort() override
-    {
-        asio::post(strand_, [self = shared_from_this()] { self->breakOff(); });
-    }
-
-    void onGone(std::function<void()> handler) override
-    {
-        asio::post(strand_, [self = shared_from_this(), handler = std::move(handler)]() mutable {
-            if (self->ended_)
-                return;
-            if (self->gone_)
-                handler();
-            else
-                self->goneHandler_ = std::move(handler);
-        });
-    }
-
-    void connectionClosed()
-    {
-        asio::post(strand_, [self = shared_from_this()] {
-            self->gone_ = true;
-            if (self->goneHandler_ && !self->ended_)
-                self->goneHandler_();
-            self->goneHandler_ = nullptr;
-            self->ticket_.reset();
-        });
-    }
-
-private:
-    void sendWhole(int status, const Headers &headers, std::string body)
-    {
-        if (ended_)
-            return;
-        auto builder = request_->create_response(statusLine(status));
-        for (const auto &[name, value] : headers)
-            builder.append_header(name, value);
-        builder.set_body(std::move(body));
-        builder.done([ticket = ticket_](const auto &) {});
-        finish();
-    }
-
-    void sendHead(int status, const Headers &headers)
-    {
-        builder_.emplace(request_->create_response<restinio::chunked_output_t>(statusLine(status)));
-        for (const auto &[name, value] : headers)
-            builder_->append_header(name, value);
-        builder_->flush();
-    }
-
-    void sendPiece(std::string bytes, std::function<void(std::size_t)> written)
-    {
-        if (!builder_ || ended_ || gone_)
-            return;
-        const std::size_t size = bytes.size();
-        builder_->append_chunk(std::move(bytes));
-        builder_->flush([size, written = std::move(written)](const auto &error) {
-            if (!error && written)
-                written(size);
-        });
-    }
-
-    void sendEnd()
-    {
-        if (!builder_ || ended_)
-            return;
-        if (!gone_)
-            builder_->done([ticket = ticket_](const auto &) {});
-        finish();
-    }
-
-    void breakOff()
-    {
-        if (ended_)
-            return;
-        const auto peer = request_->remote_endpoint();
-        internal::breakConnection(peer.address().to_string(), peer.port(), localPort_);
-        finish();
-    }
-
-    void finish()
-    {
-        ended_ = true;
-        builder_.reset();
-        goneHandler_ = nullptr;
-        request_.reset();
-        ticket_.reset();
-    }
-
-    Strand strand_;
-    restinio::request_handle_t request_;
-    std::uint16_t localPort_;
-    std::shared_ptr<void> ticket_;
-    std::optional<ChunkedBuilder> builder_;
-    std::function<void()> goneHandler_;
-    bool ended_ = false;
-    bool gone_ = false;
-};
-
 // Knows the open answers of each connection, to tell them when it closes.
 class ConnectionListener
 {
