--- a/include/monsoongrade/configuration/daemonsettings.h
+++ b/include/monsoongrade/configuration/daemonsettings.h
@@ -44,6 +44,8 @@
     units::Duration writeTimeout = std::chrono::seconds(60);
     // How long callers may keep an address; a planned stop serves for at least this long.
     units::Duration keepAddress = std::chrono::seconds(5);
+    // Two runs of one idempotency key begin at least so long apart; the same on all routers.
+    units::Duration keepClaims = std::chrono::hours(24);
 };
 
 // Reads the settings of a router or scheduler. The settings count only where no problem is
--- a/tests/ctl/commandfixture.h
+++ b/tests/ctl/commandfixture.h
@@ -103,11 +103,12 @@
         return outcomeOf([&] { return applyCommand(path, wait, options); });
     }
 
-    // Test cases run as processes beside each other; each has addresses of its own.
+    // Test cases run as processes beside each other; each has addresses of its own, below those
+    // that scenarios take (127.100 and above).
     static std::string address(int number)
     {
         constexpr int Numbers = 250;
-        return "127." + std::to_string(100 + getpid() / Numbers % 100) + "."
+        return "127." + std::to_string(50 + getpid() / Numbers % 25) + "."
             + std::to_string(getpid() % Numbers) + "." + std::to_string(number);
     }
 
--- a/tests/platform/cannedclient.h
+++ b/tests/platform/cannedclient.h
@@ -20,9 +20,10 @@
         for (std::thread &thread : threads_)
             thread.join();
     }
-    endpoints::CallId start(endpoints::EndpointRequest,
+    endpoints::CallId start(endpoints::EndpointRequest request,
                             std::shared_ptr<endpoints::EndpointListener> listener) override
     {
+        last = std::move(request);
         threads_.emplace_back([this, listener = std::move(listener)] {
             listener->answerHead(status, {});
             for (int i = 0; i < repeats; ++i)
@@ -35,6 +36,7 @@
     void cancel(endpoints::CallId) override { ++cancelled; }
 
     int status = 200;
+    endpoints::EndpointRequest last;
     std::string body;
     int repeats = 1;
     int cancelled = 0;
--- a/tests/platform/httpplatform_test.cpp
+++ b/tests/platform/httpplatform_test.cpp
@@ -70,4 +70,20 @@
     }
 }
 
+TEST_CASE("HttpPlatform.ConditionalRemovalNamesItsVersion")
+{
+    CannedClient client;
+    HttpPlatform platform(client, "http://127.33.0.1:1");
+    CHECK(platform.removeIfVersion("a", ObjectVersion(7)));
+    CHECK(client.last.method == "DELETE");
+    REQUIRE(client.last.headers.size() == 1);
+    CHECK(client.last.headers[0] == endpoints::Header("If-Match", "7"));
+    client.status = 412;
+    CHECK(codeOf([&]() -> units::Result<bool> {
+              BOOST_LEAF_CHECK(platform.removeIfVersion("a", ObjectVersion(7)));
+              return true;
+          })
+          == ResultCode::VersionConflict);
+}
+
 } // namespace monsoongrade::platform
