--- a/programs/monsoongrade-router/main.cpp
+++ b/programs/monsoongrade-router/main.cpp
@@ -72,6 +72,15 @@
     }
 }
 
+// What was decided about one request.
+void addExplainPage(daemon::OperatorService &operators, requests::DecisionLog &decisions)
+{
+    operators.addPage("/operator/explain", [&decisions](const std::string &query) {
+        const units::RequestId request(http::queryValue(query, "request"));
+        return daemon::explainPage(request, decisions.find(request));
+    });
+}
+
 int run(const configuration::DaemonSettings &settings)
 {
     const units::SteadyClock clock;
@@ -129,10 +138,7 @@
                                           clock.now() - configuredAt.load()};
         return daemon::statusPage(status, configuration.current().get(), *fleet.current());
     });
-    operators.addPage("/operator/explain", [&](const std::string &query) {
-        const units::RequestId request(http::queryValue(query, "request"));
-        return daemon::explainPage(request, decisions.find(request));
-    });
+    addExplainPage(operators, decisions);
     operators.addPage("/metrics", [&](const std::string &) { return frontend.metricsPage(); });
     const daemon::OperatorListener operatorListener(settings.address, settings.operatorPort,
                                                     operators);
