Scheduling: whoever says how long it stays is judged by measured answer times

AnswerTimes keeps a class's mean measured from grant to end; a class not yet seen has none, and nobody is refused on a guess.

New test WrongLengthsShutNobodyOutWhoSaysHowLongItStays: seen to fail on the code before with that code's estimate by class also wrong in the test (it has no such function now). The other patience tests and the oracle go by measured times as well: the oracle's bounds are the class's own shortest and longest answer instead of the fleet's fastest and slowest speed.

--- a/bench/decision-cost.cpp
+++ b/bench/decision-cost.cpp
@@ -67,6 +67,7 @@
         const int number = next_++;
         scheduling::SlotAsk ask;
         ask.request = units::RequestId("request-" + std::to_string(number));
+        ask.patience = std::chrono::minutes(10);
         ask.router = units::DaemonId("router-" + std::to_string(number % 8));
         ask.className = units::ClassName("class-" + std::to_string(number * 7 % 4));
         ask.workspace = units::WorkspaceName(
--- a/include/monsoongrade/scheduling/cellscheduler.h
+++ b/include/monsoongrade/scheduling/cellscheduler.h
@@ -1,6 +1,7 @@
 #ifndef MONSOONGRADE_SCHEDULING_CELLSCHEDULER_H
 #define MONSOONGRADE_SCHEDULING_CELLSCHEDULER_H
 
+#include <monsoongrade/scheduling/answertimes.h>
 #include <monsoongrade/scheduling/cellpolicy.h>
 #include <monsoongrade/scheduling/decisionsink.h>
 #include <monsoongrade/scheduling/drainrate.h>
@@ -103,6 +104,7 @@
     WaitingQueue queue_;
     EndpointBook endpoints_;
     std::unique_ptr<LengthEstimator> lengths_;
+    AnswerTimes answerTimes_;
     GuaranteedShare guaranteed_;
     DrainRate drain_;
     RetryPlanner retries_;
--- a/include/monsoongrade/scheduling/endpointbook.h
+++ b/include/monsoongrade/scheduling/endpointbook.h
@@ -46,8 +46,6 @@
     double tokensPerSecond() const;
     // Of one stream of this endpoint.
     double tokensPerSecondOf(const units::EndpointId &endpoint) const;
-    // Of one stream, as the mean over all live endpoints' streams.
-    double tokensPerSecondOfStream() const;
     // The present limit of one endpoint; 0 if it is not known.
     int limitOf(const units::EndpointId &endpoint) const;
 
--- a/include/monsoongrade/scheduling/lengthestimator.h
+++ b/include/monsoongrade/scheduling/lengthestimator.h
@@ -22,8 +22,6 @@
 
     virtual double estimate(const units::ClassName &className,
                             const units::WorkspaceName &workspace) const;
-    // The same from its class alone.
-    virtual double estimateOfClass(const units::ClassName &className) const;
     // False if the estimate is a mere guess from other classes.
     bool hasSeen(const units::ClassName &className) const { return byClass_.count(className) > 0; }
     // The mean over everything seen.
--- a/src/load/barplot.cpp
+++ b/src/load/barplot.cpp
@@ -63,9 +63,12 @@
                     internal::Colours[i % std::size(internal::Colours)]);
         legendX += 120;
     }
-    for (int i = 0; i < count; ++i)
-        drawChart(canvas, charts[static_cast<std::size_t>(i)],
-                  Left + i % columns * (widest + ColumnGap), Top + i / columns * (Height + RowGap));
+    for (int i = 0; i < count; ++i) {
+        const int row = i / columns;
+        const int column = i % columns;
+        drawChart(canvas, charts[static_cast<std::size_t>(i)], Left + column * (widest + ColumnGap),
+                  Top + row * (Height + RowGap));
+    }
     return canvas.finish();
 }
 
--- a/src/scheduling/cellscheduler.cpp
+++ b/src/scheduling/cellscheduler.cpp
@@ -93,8 +93,10 @@
     // A negative count would credit its class and workspace for work that others did.
     const double tokens = std::max<double>(0, static_cast<double>(release.tokens.value()));
     queue_.correct(held.ask.className, held.ask.workspace, tokens - held.estimate);
-    if (release.outcome == ReleaseOutcome::Completed)
+    if (release.outcome == ReleaseOutcome::Completed) {
         lengths_->learn(held.ask.className, held.ask.workspace, tokens);
+        answerTimes_.learn(held.ask.className, release.held);
+    }
     if (held.booking)
         guaranteed_.correct(*held.booking, tokens);
     const units::TimePoint now = clock_.now();
@@ -148,11 +150,10 @@
 }
 
 // What an answer of its class takes from its grant to its end, on average; asked only where the
-// caller said how long it stays. By class and not by
-// workspace: a workspace whose few answers were long would else be shut out on their account. A
-// class of which nothing began for its longest wait is reckoned to take no time, so that one of
-// its asks begins and is learned from: if its callers all stayed for less than the estimate, it
-// would starve, and a wrong estimate would never be corrected.
+// caller said how long it stays. By class and not by workspace: a workspace whose few answers were
+// long would else be shut out on their account. A class of which nothing began for its longest wait
+// is reckoned to take no time, so that one of its asks begins and is learned from: if its callers
+// all stayed for less than the mean, it would starve, and an old mean would never be corrected.
 units::Duration CellScheduler::answerTime(const SlotAsk &ask)
 {
     if (!ask.patience)
@@ -164,9 +165,7 @@
         lastBegun = now;
         return {};
     }
-    const double tokens = lengths_->estimateOfClass(ask.className);
-    const std::chrono::duration<double> time(tokens / endpoints_.tokensPerSecondOfStream());
-    return std::chrono::duration_cast<units::Duration>(time);
+    return answerTimes_.mean(ask.className);
 }
 
 // True if so many asks of its own and higher tiers stand before it that its target can't be met.
--- a/src/scheduling/endpointbook.cpp
+++ b/src/scheduling/endpointbook.cpp
@@ -185,12 +185,6 @@
     return speed > 0 ? speed : FirstGuessOfSpeed;
 }
 
-double EndpointBook::tokensPerSecondOfStream() const
-{
-    const int streams = liveSlots();
-    return streams > 0 ? tokensPerSecond() / streams : FirstGuessOfSpeed;
-}
-
 int EndpointBook::limitOf(const units::EndpointId &endpoint) const
 {
     const auto found = endpoints_.find(endpoint);
--- a/src/scheduling/lengthestimator.cpp
+++ b/src/scheduling/lengthestimator.cpp
@@ -21,11 +21,6 @@
     const auto exact = byWorkspace_.find({className, workspace});
     if (exact != byWorkspace_.end())
         return std::max(1.0, exact->second.tokens);
-    return estimateOfClass(className);
-}
-
-double LengthEstimator::estimateOfClass(const units::ClassName &className) const
-{
     const auto rough = byClass_.find(className);
     return std::max(1.0, rough == byClass_.end() ? mean_ : rough->second);
 }
