Slots: a caller may say how long it waits, and the scheduler hears it

Now the header monsoongrade-timeout (seconds) goes with the ask, unless the class lets work go on without its caller. The protocol's version is 2: a router of the version before takes a ping that is kept open for silence, so the two must not talk. Stop signals are blocked as the first thing, before the settings are read: a SIGTERM in the first moments ended a daemon with 143 instead of a planned stop. Waste on real processes was not measured.

--- a/include/monsoongrade/requests/classifiedrequest.h
+++ b/include/monsoongrade/requests/classifiedrequest.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace monsoongrade::requests {
@@ -21,6 +22,8 @@
     units::IdempotencyKey idempotencyKey;
     units::PrefixHash prefix;
     bool streamed = false;
+    // How long the caller waits for the whole answer, from its arrival, if it said so.
+    std::optional<units::Duration> timeout;
     // The answer is kept for repeats of the request, so no single slow caller holds it back.
     bool answerShared = false;
     // What is sent to the endpoint, but for its address.
--- a/schema/monsoongrade.capnp
+++ b/schema/monsoongrade.capnp
@@ -7,7 +7,7 @@
 # The protocol between monsoongrade's own processes. Every connection starts with hello, which
 # turns away other clusters and other protocol versions.
 
-const protocolVersion :UInt32 = 1;
+const protocolVersion :UInt32 = 2;
 
 interface Daemon {
   hello @0 (cluster :Text, version :UInt32, daemon :Text) -> (result :HelloResult);
@@ -28,6 +28,8 @@
   prefix @4 :UInt64;
   waitedMicros @5 :UInt64;
   avoid @6 :List(Text);
+  # How long the caller stays, from when the request came; 0 where it did not say.
+  patienceMicros @7 :UInt64;
 }
 
 struct SlotDecision {
--- a/schema/monsoongrade.capnp.h
+++ b/schema/monsoongrade.capnp.h
@@ -52,7 +52,7 @@
 namespace monsoongrade {
 namespace schema {
 
-static constexpr ::uint32_t PROTOCOL_VERSION = 1u;
+static constexpr ::uint32_t PROTOCOL_VERSION = 2u;
 struct Daemon
 {
     Daemon() = delete;
@@ -147,7 +147,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(cdf807d9c062d383, 2, 5)
+        CAPNP_DECLARE_STRUCT_HEADER(cdf807d9c062d383, 3, 5)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -977,6 +977,8 @@
     inline bool hasAvoid() const;
     inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getAvoid() const;
 
+    inline ::uint64_t getPatienceMicros() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -1055,6 +1057,9 @@
     adoptAvoid(::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value);
     inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> disownAvoid();
 
+    inline ::uint64_t getPatienceMicros();
+    inline void setPatienceMicros(::uint64_t value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -3419,6 +3424,20 @@
         _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline ::uint64_t SlotAsk::Reader::getPatienceMicros() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t SlotAsk::Builder::getPatienceMicros()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SlotAsk::Builder::setPatienceMicros(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline ::monsoongrade::schema::SlotDecision::Which SlotDecision::Reader::which() const
 {
     return _reader.getDataField<Which>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
--- a/src/daemon/commandline.cpp
+++ b/src/daemon/commandline.cpp
@@ -36,10 +36,10 @@
 int runDaemon(const std::string &program, const std::string &purpose, int argc, char **argv,
               const std::function<int(const configuration::DaemonSettings &)> &run)
 {
+    blockStopSignals();
     const CommandLine commandLine = readCommandLine(program, purpose, argc, argv);
     if (!commandLine.settings)
         return commandLine.exitCode;
-    blockStopSignals();
     observability::startLogging(logLevelFor(commandLine.settings->logLevel));
     try {
         return run(*commandLine.settings);
--- a/src/requests/classifier.cpp
+++ b/src/requests/classifier.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace monsoongrade::requests {
 
@@ -22,6 +23,8 @@
 
 constexpr std::size_t PrefixBytes = 256;
 constexpr std::size_t LongestIdempotencyKey = 200;
+const char *const TimeoutHeader = "monsoongrade-timeout";
+constexpr double LongestTimeoutSeconds = 24 * 3600;
 
 // What the rules can see of a request's body.
 struct BodyView
@@ -123,6 +126,23 @@
         && std::find(NotPassedOn.begin(), NotPassedOn.end(), name) == NotPassedOn.end();
 }
 
+units::Result<std::optional<units::Duration>> timeoutOf(const http::HttpRequest &request)
+{
+    const std::string text = request.header(TimeoutHeader);
+    if (text.empty())
+        return std::optional<units::Duration>();
+    char *end = nullptr;
+    const double seconds = std::strtod(text.c_str(), &end);
+    const bool isNumber = end == text.c_str() + text.size();
+    // Written so that "nan" fails it.
+    if (!isNumber || !(seconds > 0 && seconds <= LongestTimeoutSeconds))
+        return units::fail(ResultCode::MalformedRequest,
+                           std::string(TimeoutHeader)
+                               + " must be a number of seconds above 0 and at most 86400");
+    return std::optional(
+        std::chrono::duration_cast<units::Duration>(std::chrono::duration<double>(seconds)));
+}
+
 units::PrefixHash prefixHash(const std::string &start)
 {
     return units::PrefixHash(start.empty() ? 0 : std::hash<std::string>()(start) | 1U);
@@ -191,6 +211,7 @@
         return units::fail(ResultCode::MalformedRequest,
                            "the idempotency key is longer than "
                                + std::to_string(LongestIdempotencyKey) + " bytes");
+    BOOST_LEAF_ASSIGN(result.timeout, timeoutOf(request));
     result.prefix = prefixHash(body.promptStart);
     result.streamed = body.streamed;
     result.method = request.method;
--- a/src/requests/internal/slotask.cpp
+++ b/src/requests/internal/slotask.cpp
@@ -11,6 +11,9 @@
     ask.className = request.classConfig.policy.name;
     ask.workspace = request.workspace;
     ask.prefix = request.prefix;
+    // Where the work goes on after the caller has left, it is not done in vain.
+    if (request.classConfig.cancelOnDisconnect)
+        ask.patience = request.timeout;
     return ask;
 }
 
--- a/src/rpc/internal/messages.cpp
+++ b/src/rpc/internal/messages.cpp
@@ -31,6 +31,7 @@
     out.setWorkspace(ask.workspace.value());
     out.setPrefix(ask.prefix.value());
     out.setWaitedMicros(micros(ask.waited));
+    out.setPatienceMicros(ask.patience ? micros(*ask.patience) : 0);
     auto avoid = out.initAvoid(static_cast<unsigned>(ask.avoid.size()));
     for (unsigned i = 0; i < ask.avoid.size(); ++i)
         avoid.set(i, ask.avoid[i].value());
@@ -46,6 +47,8 @@
     ask.workspace = units::WorkspaceName(in.getWorkspace());
     ask.prefix = units::PrefixHash(in.getPrefix());
     ask.waited = duration(in.getWaitedMicros());
+    if (in.getPatienceMicros() > 0)
+        ask.patience = duration(in.getPatienceMicros());
     for (const auto endpoint : in.getAvoid())
         ask.avoid.emplace_back(endpoint);
     return ask;
--- a/tests/requests/classifier_test.cpp
+++ b/tests/requests/classifier_test.cpp
@@ -94,6 +94,19 @@
     CHECK(sent.count("resume-offset") == 0);
 }
 
+TEST_CASE("Classifier.TimeoutIsTheCallersOwnWord")
+{
+    const std::string body = R"({"model":"m"})";
+    CHECK_FALSE(outcomeOf(chat(body)).value->timeout);
+    const auto told = outcomeOf(chat(body, {{"monsoongrade-timeout", "2.5"}}));
+    REQUIRE(told.value);
+    CHECK(told.value->timeout == units::Duration(std::chrono::milliseconds(2500)));
+    for (const char *wrong : {"0", "-1", "soon", "3s", "nan", "inf", "1e9", " "}) {
+        const auto outcome = outcomeOf(chat(body, {{"monsoongrade-timeout", wrong}}));
+        CHECK(outcome.error.code == ResultCode::MalformedRequest);
+    }
+}
+
 TEST_CASE("Classifier.WrongRequestsHaveTheirCodes")
 {
     CHECK(outcomeOf(chat("[]")).error.code == ResultCode::MalformedRequest);
--- a/tests/requests/requestflow_test.cpp
+++ b/tests/requests/requestflow_test.cpp
@@ -156,6 +156,20 @@
     CHECK(caller->header("Retry-After").empty() != mayRepeat);
 }
 
+// A caller says how long it stays. The scheduler must hear it, so that it doesn't begin an answer
+// for nobody; but where the class lets the work go on without its caller, nothing is in vain.
+TEST_CASE("RequestFlow.CallersTimeoutGoesWithTheAskWhereLeavingCancels")
+{
+    FlowFixture fixture;
+    ClassifiedRequest request = fixture.request(RunRule::Idempotent);
+    request.timeout = std::chrono::seconds(3);
+    fixture.start(request);
+    CHECK(fixture.slots.asks.back().ask.patience == request.timeout);
+    request.classConfig.cancelOnDisconnect = false;
+    fixture.start(request);
+    CHECK_FALSE(fixture.slots.asks.back().ask.patience);
+}
+
 // A service answers with the router's own headers, as one that stands behind another router may.
 // Passed back, they told the caller that a request which ran had not run.
 TEST_CASE("RequestFlow.EndpointsWordOnTheRunStateIsNotPassedBack")
