Configuration: safety reads of the manifest grow rarer with its size

Cause: a daemon that does not watch reads the manifest whole each 45 to 90 s in case all news was lost to it; at 4,900 files that is 368 KB, 5.5 KB/s of the 12 that a daemon may spend (worked out from the measured size of an entry). Ruled out: leaving the reads out (a daemon to which all news is lost would stay behind for ever) and a conditional read, which the platform does not promise. Now the period grows with the number of files: 66 s up to 440 files, 735 s at 4,900, 0.5 KB/s. A daemon cut off from all others watches by itself and does not depend on it. Worked out, not measured at that size.

--- a/include/monsoongrade/configuration/configurationupdater.h
+++ b/include/monsoongrade/configuration/configurationupdater.h
@@ -25,6 +25,8 @@
     units::Result<bool> askPeer();
 
     units::Generation known() const;
+    // How many files the manifest in force names.
+    std::size_t files() const;
 
 private:
     units::Result<bool> fromStore(const Manifest &manifest);
--- a/src/configuration/configurationupdater.cpp
+++ b/src/configuration/configurationupdater.cpp
@@ -26,6 +26,11 @@
 {
 }
 
+std::size_t ConfigurationUpdater::files() const
+{
+    return contents_.current()->manifest.contentHashByFile.size();
+}
+
 units::Generation ConfigurationUpdater::known() const
 {
     return std::max(contents_.current()->manifest.generation, rejected_);
--- a/src/configuration/configurationwatcher.cpp
+++ b/src/configuration/configurationwatcher.cpp
@@ -1,5 +1,6 @@
 #include <monsoongrade/configuration/configurationwatcher.h>
 
+#include <monsoongrade/configuration/storereadperiod.h>
 #include <monsoongrade/observability/log.h>
 
 #include <utility>
@@ -12,10 +13,6 @@
 
 constexpr auto NewsCheck = std::chrono::milliseconds(50);
 constexpr auto PauseAfterError = std::chrono::milliseconds(500);
-// A daemon that doesn't watch reads the store this seldom all the same: should all news be lost
-// to it, it would otherwise stay behind for ever.
-constexpr auto ShortestStoreRead = std::chrono::seconds(45);
-constexpr auto LongestStoreRead = std::chrono::seconds(90);
 
 } // namespace
 
@@ -71,8 +68,10 @@
         pause(NewsCheck);
         return;
     }
-    std::uniform_int_distribution<std::int64_t> spread(units::Duration(ShortestStoreRead).count(),
-                                                       units::Duration(LongestStoreRead).count());
+    const units::Duration period = storeReadPeriod(updater_.files());
+    // Spread, so that a fleet that started together doesn't read together.
+    std::uniform_int_distribution<std::int64_t> spread(period.count() * 2 / 3,
+                                                       period.count() * 4 / 3);
     nextStoreRead_ = now + units::Duration(spread(random_));
     attempt("store", &ConfigurationUpdater::readStore);
 }
