Units, RPC: one jitter by request, one place that knows a router's id

A number between 0 and 1 from a request's id was worked out by the scheduler's retry times, by the refusals of one fault, and in whole milliseconds by the pause before a retry; "HOST.router." was taken apart by the key holders and by the scheduler. Each is one function now.

--- a/src/requests/internal/spreadretry.cpp
+++ b/src/requests/internal/spreadretry.cpp
@@ -1,20 +1,19 @@
 #include <requests/internal/spreadretry.h>
 
-#include <functional>
+#include <monsoongrade/units/jitter.h>
 
 namespace monsoongrade::requests::internal {
 
 namespace {
 
-constexpr std::size_t Steps = 1024;
-constexpr int LongestInShortest = 4;
+constexpr double LongestInShortest = 4;
 
 } // namespace
 
 units::Duration spreadRetry(units::Duration shortest, const units::RequestId &request)
 {
-    const auto step = static_cast<int>(std::hash<units::RequestId>()(request) % Steps);
-    return shortest + shortest * (LongestInShortest - 1) * step / static_cast<int>(Steps);
+    const double factor = 1 + (LongestInShortest - 1) * units::jitterOf(request);
+    return std::chrono::duration_cast<units::Duration>(shortest * factor);
 }
 
 } // namespace monsoongrade::requests::internal
--- a/src/requests/requestflow.cpp
+++ b/src/requests/requestflow.cpp
@@ -7,6 +7,8 @@
 #include <requests/internal/steplistener.h>
 #include <requests/internal/tokensused.h>
 
+#include <monsoongrade/units/jitter.h>
+
 namespace monsoongrade::requests {
 
 namespace {
@@ -22,7 +24,7 @@
 constexpr auto ShortestRetryAfterFault = std::chrono::seconds(2);
 // A retry waits a part of this, more for each attempt, so that requests that failed together
 // don't come back together.
-constexpr std::uint64_t MostJitterMillis = 50;
+constexpr auto MostJitter = std::chrono::milliseconds(50);
 // Grants of endpoints that this router does not know as being in service. The pauses add up to
 // 1.5 s, longer than news of a change takes to all daemons.
 constexpr int MostGrantsReturned = 5;
@@ -337,8 +339,8 @@
 
 void RequestFlow::backOff()
 {
-    const std::uint64_t spread = std::hash<units::RequestId>()(request_.id) % MostJitterMillis;
-    askLater(std::chrono::milliseconds(spread * (attempt_.attemptsMade - 1)));
+    const auto spread = MostJitter * units::jitterOf(request_.id);
+    askLater(std::chrono::duration_cast<units::Duration>(spread * (attempt_.attemptsMade - 1)));
 }
 
 void RequestFlow::askLater(units::Duration delay)
--- a/src/rpc/rpckeyholders.cpp
+++ b/src/rpc/rpckeyholders.cpp
@@ -1,5 +1,7 @@
 #include <monsoongrade/rpc/rpckeyholders.h>
 
+#include <rpc/internal/routerid.h>
+
 #include <optional>
 
 namespace monsoongrade::rpc {
@@ -8,19 +10,12 @@
 
 using membership::MemberRecord;
 
-// A router's id begins with its host's name and its role.
-bool isRouterOf(const MemberRecord &record, const units::DaemonId &router)
-{
-    const std::string start = record.id.host.value() + ".router.";
-    return record.id.role == membership::DaemonRole::Router
-        && router.value().compare(0, start.size(), start) == 0;
-}
-
 std::optional<MemberRecord> findRouter(const std::vector<MemberRecord> &members,
                                        const units::DaemonId &router)
 {
     for (const MemberRecord &record : members) {
-        if (isRouterOf(record, router))
+        if (record.id.role == membership::DaemonRole::Router
+            && internal::isRouterOf(record.id.host, router))
             return record;
     }
     return std::nullopt;
--- a/src/rpc/schedulerserver.cpp
+++ b/src/rpc/schedulerserver.cpp
@@ -1,6 +1,7 @@
 #include <monsoongrade/rpc/schedulerserver.h>
 
 #include <rpc/internal/peerservice.h>
+#include <rpc/internal/routerid.h>
 #include <rpc/internal/slotservice.h>
 
 #include <monsoongrade/observability/log.h>
@@ -24,12 +25,10 @@
 
 constexpr auto TickPeriod = 50 * kj::MILLISECONDS;
 
-// A router's id begins with its host's name and its role.
 bool isSuspected(const membership::FleetView &fleet, const units::DaemonId &router)
 {
     return std::any_of(fleet.entryHosts.begin(), fleet.entryHosts.end(), [&](const auto &member) {
-        const std::string start = member.host.value() + ".router.";
-        return member.suspected && router.value().compare(0, start.size(), start) == 0;
+        return member.suspected && internal::isRouterOf(member.host, router);
     });
 }
 
--- a/src/scheduling/retryplanner.cpp
+++ b/src/scheduling/retryplanner.cpp
@@ -1,7 +1,8 @@
 #include <monsoongrade/scheduling/retryplanner.h>
 
+#include <monsoongrade/units/jitter.h>
+
 #include <algorithm>
-#include <functional>
 
 namespace monsoongrade::scheduling {
 
@@ -15,12 +16,6 @@
     return std::chrono::duration_cast<units::Duration>(std::chrono::duration<double>(seconds));
 }
 
-// Between 0 and 1, the same for the same request.
-double jitter(const units::RequestId &request)
-{
-    return static_cast<double>(std::hash<units::RequestId>()(request) % 1024) / 1024;
-}
-
 } // namespace
 
 units::Duration RetryPlanner::retryAfter(units::Tier tier, const units::RequestId &request,
@@ -33,12 +28,12 @@
         return std::clamp<units::Duration>(drain, LeastRetryAfter, LongestRetryAfter);
     units::TimePoint &next = nextReturn_[tier];
     next = std::max(next, now + std::min<units::Duration>(drain, LongestRetryAfter)) + gap;
-    const units::Duration wait = next - now + fromSeconds(jitter(request));
+    const units::Duration wait = next - now + fromSeconds(units::jitterOf(request));
     if (wait <= LongestRetryAfter)
         return std::max<units::Duration>(wait, LeastRetryAfter);
     // Beyond the longest time there is no room to book; spread over the half before it.
     next = now + LongestRetryAfter;
-    return fromSeconds((1 + jitter(request)) / 2 * LongestRetryAfter.count());
+    return fromSeconds((1 + units::jitterOf(request)) / 2 * LongestRetryAfter.count());
 }
 
 } // namespace monsoongrade::scheduling
