--- /dev/null
+++ b/include/monsoongrade/gateway/eventrelay.h
@@ -0,0 +1,44 @@
+#ifndef MONSOONGRADE_GATEWAY_EVENTRELAY_H
+#define MONSOONGRADE_GATEWAY_EVENTRELAY_H
+
+#include <monsoongrade/httpio/wholeevents.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace monsoongrade::gateway {
+
+// The events of one client's stream, which may come from several endpoints in turn. Passes whole
+// events only: after half an event, a continuation from another endpoint could not be joined.
+class EventRelay
+{
+public:
+    // Bytes from the endpoint; returns what the client gets now. After a resume, events that the
+    // client has already are left out.
+    std::string take(std::string_view bytes);
+    // The stream ended in order: what is left of an unfinished event.
+    std::string takeRest() { return events_.takeRest(); }
+    bool hasRest() const { return events_.hasRest(); }
+    // The endpoint broke off; another one goes on after lastId().
+    void resume();
+    // Id of the last whole event that the client got; empty before the first.
+    const std::string &lastId() const { return lastId_; }
+    // An event after a resume does not follow the last one: something is missing.
+    bool hasGap() const { return hasGap_; }
+
+private:
+    std::string withoutKnown(const std::string &whole);
+
+    httpio::WholeEvents events_;
+    std::string lastId_;
+    std::int64_t lastNumber_ = 0;
+    std::int64_t step_ = 1;
+    bool checkingResume_ = false;
+    bool hasGap_ = false;
+};
+
+} // namespace monsoongrade::gateway
+
+#endif // MONSOONGRADE_GATEWAY_EVENTRELAY_H
--- /dev/null
+++ b/include/monsoongrade/gateway/exchange.h
@@ -0,0 +1,114 @@
+#ifndef MONSOONGRADE_GATEWAY_EXCHANGE_H
+#define MONSOONGRADE_GATEWAY_EXCHANGE_H
+
+#include <monsoongrade/gateway/eventrelay.h>
+#include <monsoongrade/gateway/gatewaystate.h>
+#include <monsoongrade/httpio/server.h>
+#include <monsoongrade/routing/admission.h>
+#include <monsoongrade/routing/failuredecision.h>
+
+#include <memory>
+#include <optional>
+
+namespace monsoongrade::gateway {
+
+// One client request from its receipt to its final answer: finds an endpoint, sends the request,
+// relays the response, and decides with the routing part what follows a failure. Keeps itself
+// alive until it is finished.
+class Exchange : public std::enable_shared_from_this<Exchange>, private httpio::ChannelUser
+{
+public:
+    static void start(GatewayState &state, httpio::ServerRequest request,
+                      std::shared_ptr<httpio::Reply> reply);
+
+    Exchange(GatewayState &state, httpio::ServerRequest request,
+             std::shared_ptr<httpio::Reply> reply);
+    ~Exchange() override;
+
+private:
+    // What the endpoint's response is used for.
+    enum class ResponseUse {
+        None, // no head yet
+        OfOtherRequest, // a late response to an earlier request; its bytes are dropped
+        Collected, // kept until it is whole, so that a broken one can be replaced
+        Relayed, // events that go to the client as they come
+    };
+
+    void run();
+
+    // Sending
+    void attempt();
+    void onConnection(ConnectOutcome outcome, std::shared_ptr<httpio::Channel> channel);
+    void send();
+    httpio::Headers endpointHeaders() const;
+
+    // The endpoint's response
+    void onResponseHead(const httpio::MessageHead &head) override;
+    void onResponseBody(std::string_view bytes) override;
+    void onResponseEnd() override;
+    void onChannelFailure(httpio::ChannelFailure failure) override;
+    void relay(std::string_view bytes);
+    void endRelay();
+    void judgeCollected();
+    void deliverCollected();
+    void noteFirstByte();
+
+    // Failures
+    void attemptFailed(units::ResultCode reason, bool mayHaveRun);
+    routing::AttemptFailure describeFailure(bool timedOut);
+    bool canSendAgain();
+    void giveUp(routing::NextStep step, units::ResultCode reason);
+    void refuse(int status, units::ResultCode reason, bool mayComeBack);
+    void watchSilence(units::Duration limit);
+    void onSilence();
+    void onDeadline();
+    void onClientGone();
+
+    void releaseEndpoint();
+    void dropChannel();
+    void finish(std::string_view outcome, int status, units::ResultCode reason);
+    units::Duration timeLeft() const;
+    routing::RetryAllowance &retryAllowance();
+
+    GatewayState &state_;
+    httpio::ServerRequest request_;
+    std::shared_ptr<httpio::Reply> reply_;
+    routing::RequestFacts facts_;
+    std::shared_ptr<const routing::RouteTable> table_; // keeps route_ alive
+    routing::Admission admission_;
+    const routing::Route *route_ = nullptr;
+    units::PoolName pool_;
+    const routing::TrafficPool *poolSettings_ = nullptr;
+    units::TimePoint deadline_;
+    httpio::Timers::Handle deadlineTimer_;
+    httpio::Timers::Handle silenceTimer_;
+
+    // The present attempt
+    routing::EndpointRoster::Status endpoint_;
+    std::int64_t tokensToRead_ = 0;
+    std::shared_ptr<httpio::Channel> channel_;
+    units::TimePoint sentAt_;
+    bool connecting_ = false;
+    bool firstByteSeen_ = false;
+    ResponseUse use_ = ResponseUse::None;
+    httpio::MessageHead responseHead_;
+    EndpointAnswer answer_;
+    std::string collected_;
+
+    // Over all attempts
+    std::vector<units::EndpointId> tried_;
+    int sends_ = 0; // that count against the route's attempts
+    int arrivals_ = 0; // that count against the retry budget
+    bool mayHaveRun_ = false;
+    EventRelay events_;
+    bool responseBegun_ = false;
+    bool clientGone_ = false;
+    bool finished_ = false;
+    // An error response that the client gets if no further attempt brings a better one.
+    std::optional<httpio::MessageHead> fallbackHead_;
+    std::string fallbackBody_;
+};
+
+} // namespace monsoongrade::gateway
+
+#endif // MONSOONGRADE_GATEWAY_EXCHANGE_H
--- /dev/null
+++ b/include/monsoongrade/gateway/gateway.h
@@ -0,0 +1,75 @@
+#ifndef MONSOONGRADE_GATEWAY_GATEWAY_H
+#define MONSOONGRADE_GATEWAY_GATEWAY_H
+
+#include <monsoongrade/gateway/gatewaysettings.h>
+#include <monsoongrade/gateway/gatewaystate.h>
+#include <monsoongrade/gateway/peergossip.h>
+#include <monsoongrade/httpio/server.h>
+
+#include <functional>
+#include <memory>
+
+namespace monsoongrade::gateway {
+
+// One entry host's part of the system: serves callers by the configuration and endpoints that it
+// is given, and keeps in touch with the other hosts. Knows nothing of the platform's formats.
+class Gateway
+{
+public:
+    using Page
+        = std::function<void(const Gateway &, const httpio::ServerRequest &, httpio::Reply &)>;
+    struct Pages
+    {
+        Page readiness;
+        Page directory;
+    };
+
+    Gateway(asio::io_context &io, httpio::Timers &timers, const GatewaySettings &settings,
+            const RequestDialect &dialect, Pages pages);
+
+    // Opens the listening sockets and begins to talk to the other hosts.
+    void start();
+
+    // A newer configuration; an older one than that in force is ignored.
+    void applyConfiguration(routing::TrafficConfiguration configuration);
+    void replaceEndpoints(const std::vector<routing::DiscoveredEndpoint> &endpoints,
+                          units::TimePoint keepMissingUntil);
+    void updateEndpoint(const routing::DiscoveredEndpoint &endpoint);
+    void removeEndpoint(const units::EndpointId &id, units::TimePoint keepMissingUntil);
+
+    // Takes requests: the configuration is there and fresh, and the host is not leaving.
+    bool isServing() const;
+    // IP:PORT addresses that callers should use now.
+    std::vector<std::string> callerAddresses(std::size_t maxAddresses) const;
+    // Begins a planned stop; stopped is called when the process may end.
+    void stop(std::function<void()> stopped);
+    // Settings that may change while the process runs.
+    void reload(const GatewaySettings &settings);
+
+    GatewayState &state() { return state_; }
+
+private:
+    routing::PeerState peerState() const;
+    void onGossipRound();
+    void waitForOpenRequests();
+    void serveMetrics(const httpio::ServerRequest &request, httpio::Reply &reply);
+
+    asio::io_context &io_;
+    httpio::Timers &timers_;
+    GatewaySettings settings_;
+    Pages pages_;
+    GatewayState state_;
+    httpio::ServerLimits pageLimits_;
+    std::unique_ptr<httpio::Server> callers_;
+    std::unique_ptr<httpio::Server> readiness_;
+    std::unique_ptr<httpio::Server> directory_;
+    std::unique_ptr<httpio::Server> metrics_;
+    PeerGossip gossip_;
+    bool leaving_ = false;
+    units::TimePoint stopBy_;
+    std::function<void()> stopped_;
+};
+
+} // namespace monsoongrade::gateway
+
+#endif // MONSOONGRADE_GATEWAY_GATEWAY_H
--- /dev/null
+++ b/include/monsoongrade/gateway/gatewaysettings.h
@@ -0,0 +1,46 @@
+#ifndef MONSOONGRADE_GATEWAY_GATEWAYSETTINGS_H
+#define MONSOONGRADE_GATEWAY_GATEWAYSETTINGS_H
+
+#include <monsoongrade/configuration/problem.h>
+#include <monsoongrade/configuration/sourcefile.h>
+#include <monsoongrade/routing/retryallowance.h>
+#include <monsoongrade/units/clock.h>
+#include <monsoongrade/units/ids.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace monsoongrade::gateway {
+
+// Settings of one gateway process. docs/REFERENCE.md describes each key.
+struct GatewaySettings
+{
+    units::HostName host;
+    std::string ip;
+    units::FailureDomain failureDomain;
+    // IP:PORT that this process listens on.
+    std::string callersAddress;
+    std::string readinessAddress;
+    std::string directoryAddress;
+    std::uint16_t metricsPort = 0; // 0 serves no metrics
+    std::uint16_t gossipPort = 0;
+    std::vector<std::string> seeds; // IP:PORT of hosts that may run; only the IP counts
+    std::string storeAddress;
+    std::int64_t memoryMegabytes = 256;
+    std::int64_t maxDescriptors = 1024;
+    // A revoked key stops working within this time, also on a host that is cut off; 0: no bound.
+    units::Duration revocationBound = std::chrono::seconds(5);
+    // From the stop signal until the platform kills the process.
+    units::Duration stopWithin = std::chrono::seconds(8);
+    routing::RetryBound retryBound;
+    std::string logLevel = "info";
+};
+
+// Reads the YAML settings; every mistake is noted with file, line and key.
+GatewaySettings parseGatewaySettings(const configuration::SourceFile &file,
+                                     configuration::Problems &problems);
+
+} // namespace monsoongrade::gateway
+
+#endif // MONSOONGRADE_GATEWAY_GATEWAYSETTINGS_H
--- /dev/null
+++ b/include/monsoongrade/gateway/peergossip.h
@@ -0,0 +1,61 @@
+#ifndef MONSOONGRADE_GATEWAY_PEERGOSSIP_H
+#define MONSOONGRADE_GATEWAY_PEERGOSSIP_H
+
+#include <monsoongrade/httpio/timers.h>
+#include <monsoongrade/routing/peertable.h>
+
+#include <asio/ip/udp.hpp>
+
+#include <array>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace monsoongrade::gateway {
+
+// Tells other hosts in datagrams that this one runs and what it knows of others, and hears the
+// same from them. Each round goes to a bounded number of hosts, so the traffic of one host does
+// not grow with their number.
+class PeerGossip
+{
+public:
+    struct Settings
+    {
+        std::string ownIp;
+        units::FailureDomain ownFailureDomain;
+        std::uint16_t port = 0; // the same on all hosts
+        std::vector<std::string> seedIps;
+    };
+
+    PeerGossip(asio::io_context &io, httpio::Timers &timers, Settings settings);
+
+    void start();
+    // What this host says of itself; a change is told at once.
+    void setState(routing::PeerState state);
+    // Called after each round, with the hosts that are live.
+    void onRound(std::function<void()> handler) { onRound_ = std::move(handler); }
+    const routing::PeerTable &table() const { return table_; }
+    std::vector<routing::PeerNews> live() const { return table_.live(timers_.now()); }
+
+private:
+    void receive();
+    void round();
+    void tell();
+    std::string encode() const;
+    void decode(const std::string &datagram);
+
+    asio::ip::udp::socket socket_;
+    asio::ip::udp::endpoint sender_;
+    std::array<char, 8192> buffer_{};
+    httpio::Timers &timers_;
+    Settings settings_;
+    routing::PeerTable table_;
+    routing::PeerState state_ = routing::PeerState::Waiting;
+    std::function<void()> onRound_;
+    std::minstd_rand random_;
+};
+
+} // namespace monsoongrade::gateway
+
+#endif // MONSOONGRADE_GATEWAY_PEERGOSSIP_H
--- /dev/null
+++ b/include/monsoongrade/gateway/requestdialect.h
@@ -0,0 +1,53 @@
+#ifndef MONSOONGRADE_GATEWAY_REQUESTDIALECT_H
+#define MONSOONGRADE_GATEWAY_REQUESTDIALECT_H
+
+#include <monsoongrade/httpio/messagehead.h>
+#include <monsoongrade/routing/requestfacts.h>
+#include <monsoongrade/units/clock.h>
+#include <monsoongrade/units/ids.h>
+
+#include <optional>
+
+namespace monsoongrade::gateway {
+
+// What the gateway tells an endpoint about a request.
+struct EndpointRequest
+{
+    units::EndpointId endpoint; // any other endpoint must reject the request
+    units::WorkspaceName workspace; // empty if there is none
+    units::Duration timeLeft{};
+    units::Tier tier;
+    std::string resumeAfter; // id of the last event that the client has; empty at the start
+};
+
+// What an endpoint's response says besides its status and body.
+struct EndpointAnswer
+{
+    units::RequestId request; // the request that it belongs to; empty if not given
+    bool provenNotRun = false;
+    bool wrongEndpoint = false; // another endpoint has the address
+    bool isSigned = false; // carries the proof without which a success does not count
+    std::optional<std::chrono::seconds> idleTimeout; // when the endpoint closes idle connections
+};
+
+// Header names and formats of the platform, kept out of the code that forwards requests.
+class RequestDialect
+{
+public:
+    virtual ~RequestDialect() = default;
+    virtual routing::RequestFacts decodeRequest(const httpio::Headers &headers) const = 0;
+    // The client's headers for the endpoint: without the key and without what only the gateway may
+    // set, and with that.
+    virtual httpio::Headers endpointHeaders(const httpio::Headers &client,
+                                            const EndpointRequest &request) const = 0;
+    virtual EndpointAnswer decodeAnswer(const httpio::MessageHead &head) const = 0;
+    // The endpoint's headers for the client.
+    virtual httpio::Headers clientHeaders(const httpio::Headers &endpoint) const = 0;
+    // Headers of the gateway's own response. retryAfter is given if the client should come back.
+    virtual httpio::Headers ownHeaders(const units::RequestId &request,
+                                       std::optional<units::Duration> retryAfter) const = 0;
+};
+
+} // namespace monsoongrade::gateway
+
+#endif // MONSOONGRADE_GATEWAY_REQUESTDIALECT_H
--- /dev/null
+++ b/include/monsoongrade/httpio/messagehead.h
@@ -0,0 +1,40 @@
+#ifndef MONSOONGRADE_HTTPIO_MESSAGEHEAD_H
+#define MONSOONGRADE_HTTPIO_MESSAGEHEAD_H
+
+#include <monsoongrade/http/httprequest.h>
+
+#include <string>
+#include <string_view>
+
+namespace monsoongrade::httpio {
+
+using http::Headers;
+
+// Start line and headers of one HTTP/1.1 message. Header names keep the sender's spelling.
+struct MessageHead
+{
+    std::string method; // requests only
+    std::string target; // requests only; path and query as sent
+    int status = 0; // responses only
+    Headers headers;
+    bool keepAlive = true; // the sender will accept another message on this connection
+    bool endsAtClose = false; // a response without length; its end is the orderly close
+    bool hasBody = false; // a length above 0, chunks, or a body that ends at the close
+};
+
+// True if both names are the same header name, whatever their case.
+bool sameHeaderName(std::string_view a, std::string_view b);
+
+// The value of the first header of that name, or nullptr.
+const std::string *findHeader(const Headers &headers, std::string_view name);
+
+// True if any header of that name lists the token, whatever its case ("Connection: a, close").
+bool headerListsToken(const Headers &headers, std::string_view name, std::string_view token);
+
+// The headers without those that concern one connection only: the hop-by-hop names of HTTP/1.1,
+// what the Connection header names, and the framing of the body.
+Headers endToEndHeaders(const Headers &headers);
+
+} // namespace monsoongrade::httpio
+
+#endif // MONSOONGRADE_HTTPIO_MESSAGEHEAD_H
--- a/include/monsoongrade/requests/wholeevents.h
+++ b/include/monsoongrade/httpio/wholeevents.h
@@ -1,10 +1,10 @@
-#ifndef MONSOONGRADE_REQUESTS_WHOLEEVENTS_H
-#define MONSOONGRADE_REQUESTS_WHOLEEVENTS_H
+#ifndef MONSOONGRADE_HTTPIO_WHOLEEVENTS_H
+#define MONSOONGRADE_HTTPIO_WHOLEEVENTS_H
 
 #include <string>
 #include <string_view>
 
-namespace monsoongrade::requests {
+namespace monsoongrade::httpio {
 
 // Cuts a stream of server-sent events at the ends of events. A caller is given whole events
 // only: behind a piece of one, neither the closing error event nor the continuation from another
@@ -17,6 +17,7 @@
     std::string take(std::string_view bytes);
     // What is kept of an unfinished event; kept no more.
     std::string takeRest();
+    bool hasRest() const { return !rest_.empty(); }
     // Forgets the piece of an event that an endpoint broke off in.
     void dropRest() { rest_.clear(); }
     // False while the caller has a piece of an unfinished event.
@@ -27,6 +28,6 @@
     bool insideOversized_ = false;
 };
 
-} // namespace monsoongrade::requests
+} // namespace monsoongrade::httpio
 
-#endif // MONSOONGRADE_REQUESTS_WHOLEEVENTS_H
+#endif // MONSOONGRADE_HTTPIO_WHOLEEVENTS_H
--- a/include/monsoongrade/requests/answerrelay.h
+++ b/include/monsoongrade/requests/answerrelay.h
@@ -2,9 +2,9 @@
 #define MONSOONGRADE_REQUESTS_ANSWERRELAY_H
 
 #include <monsoongrade/http/httpresponder.h>
+#include <monsoongrade/httpio/wholeevents.h>
 #include <monsoongrade/requests/refusal.h>
 #include <monsoongrade/requests/streamscanner.h>
-#include <monsoongrade/requests/wholeevents.h>
 
 #include <functional>
 #include <memory>
@@ -59,7 +59,7 @@
     http::HttpResponder &responder_;
     const bool isShared_;
     std::function<void(std::size_t)> left_;
-    WholeEvents events_;
+    httpio::WholeEvents events_;
     StreamScanner scanner_;
     bool begun_ = false;
     bool passesEvents_ = false;
--- /dev/null
+++ b/include/monsoongrade/routing/endpointroster.h
@@ -0,0 +1,57 @@
+#ifndef MONSOONGRADE_ROUTING_ENDPOINTROSTER_H
+#define MONSOONGRADE_ROUTING_ENDPOINTROSTER_H
+
+#include <monsoongrade/routing/endpointstatus.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace monsoongrade::routing {
+
+// The endpoints that requests may go to, as the platform's store lists them. Knows nothing of
+// how the list is read.
+class EndpointRoster
+{
+public:
+    using Status = std::shared_ptr<EndpointStatus>;
+    // Called when an endpoint stops taking new requests, so that idle connections can be closed.
+    using OnLeaving = std::function<void(const EndpointStatus &)>;
+
+    explicit EndpointRoster(OnLeaving onLeaving = {});
+
+    // The whole list, read just now. An endpoint that is not in it is gone. While entries may be
+    // missing only because the store was away, missing ones are kept until keepMissingUntil.
+    void replaceAll(const std::vector<DiscoveredEndpoint> &listed, units::TimePoint now,
+                    units::TimePoint keepMissingUntil);
+    // One entry was written.
+    void update(const DiscoveredEndpoint &endpoint);
+    // One entry was removed.
+    void remove(const units::EndpointId &id, units::TimePoint now,
+                units::TimePoint keepMissingUntil);
+    // Drops the kept entries whose time is over.
+    void dropMissing(units::TimePoint now);
+
+    // Endpoints of the pool that take new requests by the store's word.
+    std::vector<Status> available(const units::PoolName &pool) const;
+    std::size_t size() const { return entries_.size(); }
+
+private:
+    struct Entry
+    {
+        Status status;
+        bool missing = false;
+        units::TimePoint keepUntil;
+    };
+
+    void leave(Entry &entry);
+    void miss(Entry &entry, units::TimePoint now, units::TimePoint keepMissingUntil);
+
+    OnLeaving onLeaving_;
+    std::map<std::string, Entry> entries_; // by endpoint id
+};
+
+} // namespace monsoongrade::routing
+
+#endif // MONSOONGRADE_ROUTING_ENDPOINTROSTER_H
--- /dev/null
+++ b/include/monsoongrade/routing/trafficpool.h
@@ -0,0 +1,22 @@
+#ifndef MONSOONGRADE_ROUTING_TRAFFICPOOL_H
+#define MONSOONGRADE_ROUTING_TRAFFICPOOL_H
+
+#include <monsoongrade/units/ids.h>
+
+#include <cstdint>
+
+namespace monsoongrade::routing {
+
+// Endpoints that do the same work.
+struct TrafficPool
+{
+    units::PoolName name;
+    // Connections that one endpoint takes from all hosts together.
+    int maxConnections = 64;
+    // The endpoints run a model: prompts are read, and their parts cached.
+    bool runsModel = false;
+};
+
+} // namespace monsoongrade::routing
+
+#endif // MONSOONGRADE_ROUTING_TRAFFICPOOL_H
--- a/include/monsoongrade/units/resultcode.h
+++ b/include/monsoongrade/units/resultcode.h
@@ -51,6 +51,7 @@
     ObjectNotFound = 5003,
     ObjectAlreadyExists = 5004,
     PlatformAnswerMalformed = 5005,
+    ConfigurationTooOld = 5006,
     SchedulerUnreachable = 6001,
     ForeignCluster = 6002,
     ProtocolVersionMismatch = 6003,
--- /dev/null
+++ b/programs/monsoongrade-gateway/main.cpp
@@ -0,0 +1,167 @@
+#include <monsoongrade/daemon/loglevels.h>
+#include <monsoongrade/daemon/parsearguments.h>
+#include <monsoongrade/daemon/settingsfile.h>
+#include <monsoongrade/gateway/gateway.h>
+#include <monsoongrade/httpio/socketoptions.h>
+#include <monsoongrade/observability/log.h>
+#include <monsoongrade/units/bootclock.h>
+
+#include <platform/platformdialect.h>
+#include <platform/platformfeed.h>
+#include <platform/platformpages.h>
+
+#include <CLI/CLI.hpp>
+#include <asio/signal_set.hpp>
+
+#include <sys/stat.h>
+
+#include <csignal>
+#include <iostream>
+
+namespace {
+
+using namespace monsoongrade;
+
+constexpr int ExitOk = 0;
+constexpr int ExitFailed = 1;
+constexpr int ExitBadSettings = 2;
+// The settings file may change without a signal; one stat call a second is cheap.
+constexpr auto SettingsCheck = std::chrono::seconds(1);
+
+bool readSettings(const std::string &path, gateway::GatewaySettings &settings)
+{
+    return daemon::readSettingsFile(path, [&](const auto &file, auto &problems) {
+        settings = gateway::parseGatewaySettings(file, problems);
+    });
+}
+
+// Reads the settings again when they change or SIGHUP comes, and stops on SIGTERM and SIGINT.
+class Supervisor
+{
+public:
+    Supervisor(asio::io_context &io, httpio::Timers &timers, gateway::Gateway &gateway,
+               std::string path)
+        : io_(io)
+        , timers_(timers)
+        , gateway_(gateway)
+        , path_(std::move(path))
+        , signals_(io, SIGTERM, SIGINT, SIGHUP)
+        , changedAt_(changeTime())
+    {
+    }
+
+    void start()
+    {
+        awaitSignal();
+        checkSettings();
+    }
+
+private:
+    void awaitSignal()
+    {
+        signals_.async_wait([this](const asio::error_code &error, int signal) {
+            if (error)
+                return;
+            if (signal == SIGHUP)
+                reload();
+            else
+                gateway_.stop([this] { io_.stop(); });
+            awaitSignal();
+        });
+    }
+
+    void checkSettings()
+    {
+        const timespec now = changeTime();
+        if (now.tv_sec != changedAt_.tv_sec || now.tv_nsec != changedAt_.tv_nsec) {
+            changedAt_ = now;
+            reload();
+        }
+        timers_.after(SettingsCheck, [this] { checkSettings(); });
+    }
+
+    void reload()
+    {
+        gateway::GatewaySettings settings;
+        if (readSettings(path_, settings))
+            gateway_.reload(settings);
+        else
+            observability::log(observability::LogLevel::Error, "settings-not-reloaded",
+                               {{"path", path_}});
+    }
+
+    // Zero if the file can't be read; the settings in force stay.
+    timespec changeTime() const
+    {
+        struct stat status
+        {
+        };
+        return stat(path_.c_str(), &status) == 0 ? status.st_mtim : timespec{};
+    }
+
+    asio::io_context &io_;
+    httpio::Timers &timers_;
+    gateway::Gateway &gateway_;
+    std::string path_;
+    asio::signal_set signals_;
+    timespec changedAt_;
+};
+
+int run(const gateway::GatewaySettings &settings, const std::string &path)
+{
+    const auto store = httpio::parseAddress(settings.storeAddress);
+    if (!store) {
+        std::cerr << "store-address is not IP:PORT: \"" << settings.storeAddress << "\"\n";
+        return ExitBadSettings;
+    }
+    const units::BootClock clock;
+    const units::TimePoint startedAt = clock.now();
+    // One thread runs everything, so the loop needs no locks.
+    asio::io_context io(ASIO_CONCURRENCY_HINT_UNSAFE_IO);
+    httpio::Timers timers(io, clock);
+    const platform::PlatformDialect dialect;
+    gateway::Gateway gateway(io, timers, settings, dialect,
+                             {platform::serveReadiness, platform::serveDirectory});
+    gateway.start();
+    platform::PlatformFeed feed(io, timers, gateway, *store);
+    feed.start();
+    Supervisor supervisor(io, timers, gateway, path);
+    supervisor.start();
+    observability::log(
+        observability::LogLevel::Info, "gateway-started",
+        {{"host", settings.host.value()},
+         {"callers", settings.callersAddress},
+         {"store", settings.storeAddress},
+         {"start-ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(clock.now() - startedAt).count()}});
+    io.run();
+    return ExitOk;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app("Serves callers by the operator's routes and the platform's endpoints.",
+                 "monsoongrade-gateway");
+    std::string path;
+    bool checkOnly = false;
+    app.add_option("--config", path, "YAML file with the settings")->required();
+    app.add_flag("--check", checkOnly, "check the settings and exit");
+    app.set_version_flag("--version", std::string(MONSOONGRADE_VERSION));
+    if (const auto exitCode = daemon::parseArguments(app, argc, argv))
+        return *exitCode;
+    gateway::GatewaySettings settings;
+    if (!readSettings(path, settings))
+        return ExitBadSettings;
+    if (checkOnly)
+        return ExitOk;
+    observability::startLogging(daemon::logLevelFor(settings.logLevel));
+    std::signal(SIGPIPE, SIG_IGN);
+    try {
+        return run(settings, path);
+    } catch (const std::exception &error) {
+        std::cerr << "monsoongrade-gateway: " << error.what() << "\n";
+        return ExitFailed;
+    }
+}
--- /dev/null
+++ b/schema/gossip.capnp
@@ -0,0 +1,26 @@
+@0xd3b1f0a9c47e2586;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("monsoongrade::schema");
+
+# What entry hosts tell each other in datagrams, several times a second.
+
+struct GossipPeer {
+  ip @0 :Text;
+  failureDomain @1 :Text;
+  state @2 :State;
+  # Milliseconds since the host itself said this.
+  ageMs @3 :UInt32;
+
+  enum State {
+    serving @0;
+    waiting @1;
+    leaving @2;
+  }
+}
+
+struct GossipMessage {
+  sender @0 :GossipPeer;
+  # Other hosts that the sender has heard of.
+  known @1 :List(GossipPeer);
+}
--- /dev/null
+++ b/src/gateway/endpointconnections.cpp
@@ -0,0 +1,167 @@
+#include <monsoongrade/gateway/endpointconnections.h>
+
+#include <monsoongrade/httpio/socketoptions.h>
+
+#include <algorithm>
+
+namespace monsoongrade::gateway {
+
+namespace {
+
+// A connection takes about 3 ms, a lost first packet is sent again after 1 s. An endpoint that
+// has not answered by now is better replaced by another.
+constexpr auto ConnectTimeout = std::chrono::milliseconds(400);
+// An endpoint closes an idle connection at its timeout; a request sent at that moment would be
+// lost. Half a second covers the path and a late timer.
+constexpr auto CloseBeforeTimeout = std::chrono::milliseconds(500);
+constexpr auto DefaultIdleTimeout = std::chrono::seconds(60);
+
+} // namespace
+
+EndpointConnections::EndpointConnections(asio::io_context &io, httpio::Timers &timers)
+    : io_(io)
+    , timers_(timers)
+{
+}
+
+std::string EndpointConnections::keyOf(const routing::EndpointStatus &endpoint)
+{
+    return endpoint.described.id.value() + " "
+        + std::to_string(endpoint.described.incarnation.value()) + " " + endpoint.described.address;
+}
+
+void EndpointConnections::acquire(const routing::EndpointStatus &endpoint, int maxOpen,
+                                  bool checkIdle, Acquired acquired)
+{
+    const std::string key = keyOf(endpoint);
+    PerEndpoint &connections = endpoints_[key];
+    if (auto channel = takeIdle(connections, checkIdle)) {
+        acquired(ConnectOutcome::Connected, std::move(channel));
+        return;
+    }
+    if (connections.open >= maxOpen) {
+        acquired(ConnectOutcome::AtLimit, nullptr);
+        return;
+    }
+    const auto address = httpio::parseAddress(endpoint.described.address);
+    if (!address) {
+        forgetIfEmpty(key);
+        acquired(ConnectOutcome::Failed, nullptr);
+        return;
+    }
+    connect(key, *address, std::move(acquired));
+}
+
+std::shared_ptr<httpio::Channel> EndpointConnections::takeIdle(PerEndpoint &connections,
+                                                               bool checkIdle)
+{
+    const units::TimePoint now = timers_.now();
+    while (!connections.idle.empty()) {
+        const Idle idle = std::move(connections.idle.back());
+        connections.idle.pop_back();
+        const bool isUsable = now < idle.usableUntil && idle.channel->isOpen()
+            && (!checkIdle || idle.channel->looksIdle());
+        if (isUsable)
+            return idle.channel;
+        idle.channel->close();
+        --connections.open;
+    }
+    return nullptr;
+}
+
+void EndpointConnections::connect(const std::string &key, const asio::ip::tcp::endpoint &address,
+                                  Acquired acquired)
+{
+    ++endpoints_[key].open;
+    ++opened_;
+    auto channel = std::make_shared<httpio::Channel>(io_, address);
+    auto timeout = std::make_shared<httpio::Timers::Handle>();
+    auto finish = [this, key, channel, timeout, acquired = std::move(acquired)](bool isConnected) {
+        timers_.cancel(*timeout);
+        if (isConnected) {
+            acquired(ConnectOutcome::Connected, channel);
+            return;
+        }
+        channel->close();
+        --endpoints_[key].open;
+        forgetIfEmpty(key);
+        acquired(ConnectOutcome::Failed, nullptr);
+    };
+    *timeout = timers_.after(ConnectTimeout, [finish] { finish(false); });
+    channel->connect(finish);
+}
+
+void EndpointConnections::giveBack(const routing::EndpointStatus &endpoint,
+                                   const std::shared_ptr<httpio::Channel> &channel,
+                                   std::optional<std::chrono::seconds> idleTimeout)
+{
+    const std::string key = keyOf(endpoint);
+    PerEndpoint &connections = endpoints_[key];
+    const bool isReusable = !endpoint.leaving
+        && channel->release([this, key, raw = channel.get()] { onUnusable(key, raw); });
+    if (!isReusable) {
+        channel->close();
+        --connections.open;
+        forgetIfEmpty(key);
+        return;
+    }
+    const units::Duration usable
+        = idleTimeout.value_or(DefaultIdleTimeout) - units::Duration(CloseBeforeTimeout);
+    connections.idle.push_back({channel, timers_.now() + usable});
+}
+
+void EndpointConnections::discard(const routing::EndpointStatus &endpoint,
+                                  const std::shared_ptr<httpio::Channel> &channel)
+{
+    const std::string key = keyOf(endpoint);
+    channel->close();
+    --endpoints_[key].open;
+    forgetIfEmpty(key);
+}
+
+void EndpointConnections::closeIdle(const routing::EndpointStatus &endpoint)
+{
+    const std::string key = keyOf(endpoint);
+    const auto found = endpoints_.find(key);
+    if (found == endpoints_.end())
+        return;
+    for (const Idle &idle : found->second.idle) {
+        idle.channel->close();
+        --found->second.open;
+    }
+    found->second.idle.clear();
+    forgetIfEmpty(key);
+}
+
+std::size_t EndpointConnections::idle() const
+{
+    std::size_t count = 0;
+    for (const auto &[key, connections] : endpoints_)
+        count += connections.idle.size();
+    return count;
+}
+
+void EndpointConnections::onUnusable(const std::string &key, const httpio::Channel *channel)
+{
+    const auto found = endpoints_.find(key);
+    if (found == endpoints_.end())
+        return;
+    std::vector<Idle> &idle = found->second.idle;
+    const auto place = std::find_if(idle.begin(), idle.end(), [channel](const Idle &each) {
+        return each.channel.get() == channel;
+    });
+    if (place == idle.end())
+        return;
+    idle.erase(place);
+    --found->second.open;
+    forgetIfEmpty(key);
+}
+
+void EndpointConnections::forgetIfEmpty(const std::string &key)
+{
+    const auto found = endpoints_.find(key);
+    if (found != endpoints_.end() && found->second.open <= 0 && found->second.idle.empty())
+        endpoints_.erase(found);
+}
+
+} // namespace monsoongrade::gateway
--- /dev/null
+++ b/src/gateway/eventrelay.cpp
@@ -0,0 +1,87 @@
+#include <monsoongrade/gateway/eventrelay.h>
+
+#include <charconv>
+
+namespace monsoongrade::gateway {
+
+namespace {
+
+// The value of an event's "id:" line; empty without one.
+std::string_view idOf(std::string_view event)
+{
+    std::size_t at = 0;
+    while (at < event.size()) {
+        const std::size_t end = std::min(event.find('\n', at), event.size());
+        std::string_view line = event.substr(at, end - at);
+        if (line.substr(0, 3) == "id:") {
+            line.remove_prefix(3);
+            while (!line.empty() && line.front() == ' ')
+                line.remove_prefix(1);
+            while (!line.empty() && (line.back() == '\r' || line.back() == ' '))
+                line.remove_suffix(1);
+            return line;
+        }
+        at = end + 1;
+    }
+    return {};
+}
+
+std::optional<std::int64_t> numberOf(std::string_view text)
+{
+    std::int64_t number = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size())
+        return std::nullopt;
+    return number;
+}
+
+std::size_t endOfEvent(std::string_view events)
+{
+    const std::size_t plain = events.find("\n\n");
+    const std::size_t withReturns = events.find("\n\r\n");
+    if (plain < withReturns)
+        return plain + 2;
+    return withReturns == std::string_view::npos ? events.size() : withReturns + 3;
+}
+
+} // namespace
+
+std::string EventRelay::take(std::string_view bytes)
+{
+    return withoutKnown(events_.take(bytes));
+}
+
+void EventRelay::resume()
+{
+    events_.dropRest();
+    checkingResume_ = !lastId_.empty();
+}
+
+std::string EventRelay::withoutKnown(const std::string &whole)
+{
+    std::string passed;
+    std::string_view left = whole;
+    while (!left.empty()) {
+        const std::string_view event = left.substr(0, endOfEvent(left));
+        left.remove_prefix(event.size());
+        const std::string_view id = idOf(event);
+        const std::optional<std::int64_t> number = numberOf(id);
+        if (number && !lastId_.empty() && *number <= lastNumber_)
+            continue; // the client has it
+        if (checkingResume_ && number) {
+            hasGap_ = hasGap_ || *number != lastNumber_ + step_;
+            checkingResume_ = false;
+        }
+        if (number) {
+            if (!lastId_.empty())
+                step_ = *number - lastNumber_;
+            lastNumber_ = *number;
+        }
+        if (!id.empty())
+            lastId_ = id;
+        passed.append(event);
+    }
+    return passed;
+}
+
+} // namespace monsoongrade::gateway
--- /dev/null
+++ b/src/gateway/exchange.cpp
@@ -0,0 +1,346 @@
+#include <monsoongrade/gateway/exchange.h>
+
+#include <monsoongrade/httpio/messagewriter.h>
+#include <monsoongrade/units/jitter.h>
+
+#include <algorithm>
+
+namespace monsoongrade::gateway {
+
+namespace {
+
+// A plain response up to this size is collected before the client gets any of it, so that one
+// that breaks off can be replaced. Responses here have about 1 KB; a larger one is passed on as it
+// comes, to bound the memory.
+constexpr std::size_t MaxCollectedBytes = 256 * 1024;
+// More than this waiting for a slow client stops reading from the endpoint. A stream's events
+// are below 400 bytes, so this is minutes of a stream.
+constexpr std::size_t MaxUnsentBytes = 64 * 1024;
+// Share of an endpoint's connections that all hosts together use; the rest covers hosts that count
+// each other a little differently.
+constexpr double UsedShareOfConnections = 0.9;
+constexpr int MinConnectionsPerHost = 2;
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+bool isServerError(int status)
+{
+    return status >= 500;
+}
+
+} // namespace
+
+void Exchange::start(GatewayState &state, httpio::ServerRequest request,
+                     std::shared_ptr<httpio::Reply> reply)
+{
+    std::make_shared<Exchange>(state, std::move(request), std::move(reply))->run();
+}
+
+Exchange::Exchange(GatewayState &state, httpio::ServerRequest request,
+                   std::shared_ptr<httpio::Reply> reply)
+    : state_(state)
+    , request_(std::move(request))
+    , reply_(std::move(reply))
+{
+}
+
+Exchange::~Exchange() = default;
+
+void Exchange::run()
+{
+    state_.log.metrics.add("gateway_requests_total");
+    facts_ = state_.dialect.decodeRequest(request_.head.headers);
+    table_ = state_.table;
+    admission_ = routing::admit(table_.get(), state_.lease.isFresh(state_.timers.now()), facts_,
+                                request_.head.target);
+    deadline_ = request_.receivedAt + facts_.timeLeft.value_or(std::chrono::seconds(60));
+    if (admission_.code != units::ResultCode::Ok) {
+        const bool isUnknown = admission_.code == units::ResultCode::NoRouteForRequest;
+        const bool isKeyless = admission_.code == units::ResultCode::UnknownKey;
+        refuse(isUnknown ? 404 : isKeyless ? 401 : 503, admission_.code, !isUnknown && !isKeyless);
+        return;
+    }
+    route_ = admission_.route;
+    pool_ = routing::choosePool(*route_, units::jitterOf(facts_.id));
+    poolSettings_ = table_->pool(pool_);
+    deadline_ = std::min(deadline_, request_.receivedAt + route_->timeout);
+    const auto self = shared_from_this();
+    deadlineTimer_ = state_.timers.at(deadline_, [self] { self->onDeadline(); });
+    reply_->onClientGone([self] { self->onClientGone(); });
+    attempt();
+}
+
+void Exchange::attempt()
+{
+    const units::TimePoint now = state_.timers.now();
+    const routing::PlacementQuery query{facts_,
+                                        poolSettings_ != nullptr && poolSettings_->runsModel,
+                                        tried_, state_.ownDomain, now};
+    routing::PlacementChoice choice
+        = state_.placement.choose(state_.roster.available(pool_), query);
+    if (choice.endpoint == nullptr) {
+        giveUp(mayHaveRun_ ? routing::NextStep::AnswerUnknown : routing::NextStep::RefuseNotRun,
+               units::ResultCode::NoEndpointAvailable);
+        return;
+    }
+    endpoint_ = std::move(choice.endpoint);
+    tokensToRead_ = choice.tokensToRead;
+    tried_.push_back(endpoint_->described.id);
+    ++endpoint_->openRequests;
+    endpoint_->tokensToRead += tokensToRead_;
+    endpoint_->health.onSent(now);
+    use_ = ResponseUse::None;
+    firstByteSeen_ = false;
+    collected_.clear();
+    connecting_ = true;
+    const int connections = poolSettings_ == nullptr ? 64 : poolSettings_->maxConnections;
+    const int ownShare
+        = std::max(MinConnectionsPerHost,
+                   int(connections * UsedShareOfConnections) / std::max(state_.liveHosts, 1));
+    const auto self = shared_from_this();
+    state_.connections.acquire(
+        *endpoint_, ownShare, !route_->mayRunTwice(),
+        [self, endpoint = endpoint_](ConnectOutcome outcome,
+                                     std::shared_ptr<httpio::Channel> channel) {
+            if (self->finished_ && channel != nullptr)
+                self->state_.connections.giveBack(*endpoint, channel, std::nullopt);
+            else if (!self->finished_)
+                self->onConnection(outcome, std::move(channel));
+        });
+}
+
+void Exchange::onConnection(ConnectOutcome outcome, std::shared_ptr<httpio::Channel> channel)
+{
+    connecting_ = false;
+    if (outcome == ConnectOutcome::Connected) {
+        channel_ = std::move(channel);
+        send();
+        return;
+    }
+    if (outcome == ConnectOutcome::Failed)
+        endpoint_->health.onFailure(state_.timers.now());
+    attemptFailed(units::ResultCode::EndpointUnreachable, false);
+}
+
+void Exchange::send()
+{
+    const units::TimePoint now = state_.timers.now();
+    if (endpoint_->leaving) {
+        // It began to leave while the connection was made.
+        attemptFailed(units::ResultCode::EndpointRefused, false);
+        return;
+    }
+    routing::RetryAllowance &allowance = retryAllowance();
+    if (arrivals_ == 0) {
+        allowance.onRequest(now);
+    } else if (!allowance.trySpend(state_.retryBound, state_.liveHosts, now)) {
+        giveUp(mayHaveRun_ ? routing::NextStep::AnswerUnknown : routing::NextStep::RefuseNotRun,
+               units::ResultCode::RetryBudgetSpent);
+        return;
+    }
+    ++arrivals_;
+    ++sends_;
+    sentAt_ = now;
+    state_.placement.onSent(*endpoint_, facts_, now);
+    channel_->send(httpio::encodeRequestHead(request_.head.method, request_.head.target,
+                                             endpointHeaders(), request_.body->size()),
+                   request_.body, *this);
+    if (route_->kind == routing::RouteKind::Idempotent)
+        watchSilence(
+            std::max<units::Duration>(std::chrono::milliseconds(300), 2 * route_->targetLatency));
+    else if (route_->mayRunTwice())
+        watchSilence(
+            std::max<units::Duration>(std::chrono::seconds(1), route_->targetLatency * 5 / 2));
+}
+
+httpio::Headers Exchange::endpointHeaders() const
+{
+    EndpointRequest request;
+    request.endpoint = endpoint_->described.id;
+    request.workspace = admission_.workspace;
+    request.timeLeft = timeLeft();
+    request.tier = admission_.tier;
+    request.resumeAfter = events_.lastId().empty() ? facts_.lastEventId : events_.lastId();
+    return state_.dialect.endpointHeaders(httpio::endToEndHeaders(request_.head.headers), request);
+}
+
+void Exchange::onResponseHead(const httpio::MessageHead &head)
+{
+    const EndpointAnswer answer = state_.dialect.decodeAnswer(head);
+    const bool belongsHere
+        = answer.request == facts_.id || (answer.request.isEmpty() && !isSuccess(head.status));
+    if (!belongsHere) {
+        use_ = ResponseUse::OfOtherRequest;
+        return;
+    }
+    responseHead_ = head;
+    answer_ = answer;
+    const bool isEventStream
+        = route_->kind == routing::RouteKind::Stream && isSuccess(head.status) && answer.isSigned;
+    use_ = isEventStream ? ResponseUse::Relayed : ResponseUse::Collected;
+    if (use_ == ResponseUse::Collected)
+        noteFirstByte();
+}
+
+void Exchange::onResponseBody(std::string_view bytes)
+{
+    if (use_ == ResponseUse::Relayed) {
+        relay(bytes);
+        return;
+    }
+    if (use_ != ResponseUse::Collected)
+        return;
+    collected_.append(bytes);
+    if (collected_.size() <= MaxCollectedBytes || !isSuccess(responseHead_.status)
+        || !answer_.isSigned)
+        return;
+    if (!responseBegun_) {
+        responseBegun_ = true;
+        reply_->begin(responseHead_.status, state_.dialect.clientHeaders(responseHead_.headers));
+    }
+    reply_->write(collected_);
+    collected_.clear();
+    if (reply_->unsentBytes() > MaxUnsentBytes) {
+        channel_->pauseReading();
+        reply_->onDrained([self = shared_from_this()] {
+            if (self->channel_ != nullptr)
+                self->channel_->resumeReading();
+        });
+    }
+}
+
+void Exchange::relay(std::string_view bytes)
+{
+    const std::string whole = events_.take(bytes);
+    if (whole.empty())
+        return;
+    noteFirstByte();
+    if (events_.hasGap()) {
+        const auto self = shared_from_this();
+        dropChannel();
+        giveUp(routing::NextStep::BreakOff, units::ResultCode::EndpointBrokeInAnswer);
+        return;
+    }
+    if (!responseBegun_) {
+        responseBegun_ = true;
+        reply_->begin(responseHead_.status, state_.dialect.clientHeaders(responseHead_.headers));
+    }
+    reply_->write(whole);
+    if (route_->mayRunTwice())
+        watchSilence(
+            std::max<units::Duration>(std::chrono::milliseconds(700), route_->maxEventGap * 5 / 2));
+    if (reply_->unsentBytes() > MaxUnsentBytes) {
+        channel_->pauseReading();
+        reply_->onDrained([self = shared_from_this()] {
+            if (self->channel_ != nullptr)
+                self->channel_->resumeReading();
+        });
+    }
+}
+
+void Exchange::noteFirstByte()
+{
+    if (firstByteSeen_)
+        return;
+    firstByteSeen_ = true;
+    const units::TimePoint now = state_.timers.now();
+    const double took = std::chrono::duration<double, std::milli>(now - sentAt_).count();
+    // Engines read about 150 tokens a millisecond and need 30 to 40 ms beside; plain endpoints
+    // usually answer within a quarter of their target.
+    const bool runsModel = poolSettings_ != nullptr && poolSettings_->runsModel;
+    const double expected = runsModel
+        ? 50 + double(tokensToRead_) / 100
+        : std::chrono::duration<double, std::milli>(route_->targetLatency).count() / 4;
+    endpoint_->health.onLatency(std::max(1.0, took / std::max(expected, 1.0)), now);
+    endpoint_->tokensToRead -= tokensToRead_;
+    tokensToRead_ = 0;
+}
+
+void Exchange::onResponseEnd()
+{
+    const auto self = shared_from_this();
+    if (use_ == ResponseUse::OfOtherRequest) {
+        // The response to this request is still to come on the same connection.
+        use_ = ResponseUse::None;
+        return;
+    }
+    if (use_ == ResponseUse::Relayed)
+        endRelay();
+    else
+        judgeCollected();
+}
+
+void Exchange::endRelay()
+{
+    if (responseHead_.endsAtClose && events_.hasRest()) {
+        // Without a length, an orderly close within an event is a broken stream.
+        onChannelFailure(httpio::ChannelFailure::BrokenInResponse);
+        return;
+    }
+    if (!responseBegun_) {
+        responseBegun_ = true;
+        reply_->begin(responseHead_.status, state_.dialect.clientHeaders(responseHead_.headers));
+    }
+    reply_->write(events_.takeRest());
+    reply_->end();
+    endpoint_->health.onSuccess(state_.timers.now());
+    state_.connections.giveBack(*endpoint_, channel_, answer_.idleTimeout);
+    channel_.reset();
+    finish("completed", responseHead_.status, units::ResultCode::Ok);
+}
+
+// The whole response is here, and unless it was very long the client has none of it.
+void Exchange::judgeCollected()
+{
+    const units::TimePoint now = state_.timers.now();
+    const int status = responseHead_.status;
+    state_.connections.giveBack(*endpoint_, channel_, answer_.idleTimeout);
+    channel_.reset();
+    if (answer_.provenNotRun || answer_.wrongEndpoint) {
+        endpoint_->health.onErrorResponse(now);
+        if (answer_.wrongEndpoint) {
+            // The address belongs to another endpoint now; the one meant is gone.
+            endpoint_->leaving = true;
+            --sends_;
+        }
+        attemptFailed(units::ResultCode::EndpointRefused, false);
+        return;
+    }
+    if (isSuccess(status) && !answer_.isSigned) {
+        endpoint_->health.onFailure(now);
+        attemptFailed(units::ResultCode::EndpointBrokeInAnswer, true);
+        return;
+    }
+    if (responseBegun_ && route_->kind == routing::RouteKind::Stream) {
+        // The endpoint that was to continue the stream answered something else.
+        endpoint_->health.onErrorResponse(now);
+        attemptFailed(units::ResultCode::EndpointBrokeInAnswer, true);
+        return;
+    }
+    if (!isServerError(status)) {
+        endpoint_->health.onSuccess(now);
+        deliverCollected();
+        return;
+    }
+    endpoint_->health.onErrorResponse(now);
+    fallbackHead_ = responseHead_;
+    fallbackBody_ = std::move(collected_);
+    attemptFailed(units::ResultCode::EndpointRefused, true);
+}
+
+void Exchange::deliverCollected()
+{
+    if (responseBegun_) {
+        reply_->write(collected_);
+        reply_->end();
+    } else {
+        reply_->respond(responseHead_.status, state_.dialect.clientHeaders(responseHead_.headers),
+                        collected_);
+    }
+    finish("completed", responseHead_.status, units::ResultCode::Ok);
+}
+
+} // namespace monsoongrade::gateway
--- /dev/null
+++ b/src/gateway/exchangefailures.cpp
@@ -0,0 +1,247 @@
+#include <monsoongrade/gateway/exchange.h>
+
+#include <monsoongrade/routing/retryafter.h>
+
+#include <algorithm>
+#include <string>
+
+namespace monsoongrade::gateway {
+
+namespace {
+
+// An endpoint ends a request itself at the time it was told. Its own response arrives a few
+// milliseconds after the deadline and says more than one made here.
+constexpr auto WaitForEndpointTimeout = std::chrono::milliseconds(100);
+// How long a request that must not be cut at the endpoint may go on after its client has left.
+constexpr auto UnattendedTime = std::chrono::seconds(5);
+
+std::int64_t milliseconds(units::Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+} // namespace
+
+void Exchange::onChannelFailure(httpio::ChannelFailure failure)
+{
+    const auto self = shared_from_this();
+    dropChannel();
+    endpoint_->health.onFailure(state_.timers.now());
+    const bool isUnsent = failure == httpio::ChannelFailure::NothingSent
+        || failure == httpio::ChannelFailure::NotConnected;
+    if (isUnsent) {
+        --sends_;
+        attemptFailed(units::ResultCode::EndpointUnreachable, false);
+        return;
+    }
+    const bool inResponse = failure == httpio::ChannelFailure::BrokenInResponse;
+    attemptFailed(inResponse ? units::ResultCode::EndpointBrokeInAnswer
+                             : units::ResultCode::EndpointBrokeBeforeAnswer,
+                  true);
+}
+
+void Exchange::attemptFailed(units::ResultCode reason, bool mayHaveRun)
+{
+    mayHaveRun_ = mayHaveRun_ || mayHaveRun;
+    if (channel_ != nullptr) {
+        // Nothing was sent on it.
+        state_.connections.giveBack(*endpoint_, channel_, std::nullopt);
+        channel_.reset();
+    }
+    state_.log.metrics.add(
+        "gateway_attempt_failures_total",
+        observability::label("reason", std::string(units::resultCodeName(reason))));
+    state_.log.write(observability::LogLevel::Info, "attempt-failed",
+                     {{"request", facts_.id.value()},
+                      {"endpoint", endpoint_->described.id.value()},
+                      {"reason", units::resultCodeName(reason)},
+                      {"may-have-run", mayHaveRun_ ? "yes" : "no"},
+                      {"sends", sends_},
+                      {"left-ms", milliseconds(timeLeft())}});
+    releaseEndpoint();
+    if (clientGone_) {
+        finish("client-left", 0, units::ResultCode::CallerLeft);
+        return;
+    }
+    const routing::NextStep step = routing::decideAfterFailure(describeFailure(false));
+    if (step == routing::NextStep::SendAgain) {
+        events_.resume();
+        attempt();
+        return;
+    }
+    giveUp(step, reason);
+}
+
+routing::AttemptFailure Exchange::describeFailure(bool timedOut)
+{
+    const units::TimePoint now = state_.timers.now();
+    const routing::PlacementQuery query{facts_,
+                                        poolSettings_ != nullptr && poolSettings_->runsModel,
+                                        tried_, state_.ownDomain, now};
+    routing::AttemptFailure failure;
+    failure.mayHaveRun = mayHaveRun_;
+    // A response that began and is no stream can't be continued by another run.
+    failure.mayRunTwice
+        = route_->mayRunTwice() && (!responseBegun_ || route_->kind == routing::RouteKind::Stream);
+    failure.responseBegun = responseBegun_;
+    failure.sends = sends_;
+    failure.maxAttempts = route_->maxAttempts;
+    failure.timedOut = timedOut || now >= deadline_;
+    failure.endpointLeft
+        = state_.placement.choose(state_.roster.available(pool_), query).endpoint != nullptr;
+    failure.budgetLeft
+        = arrivals_ == 0 || retryAllowance().hasLeft(state_.retryBound, state_.liveHosts, now);
+    return failure;
+}
+
+bool Exchange::canSendAgain()
+{
+    routing::AttemptFailure failure = describeFailure(false);
+    failure.mayHaveRun = true;
+    return routing::decideAfterFailure(failure) == routing::NextStep::SendAgain;
+}
+
+void Exchange::giveUp(routing::NextStep step, units::ResultCode reason)
+{
+    const auto self = shared_from_this();
+    releaseEndpoint();
+    if (step == routing::NextStep::BreakOff || responseBegun_) {
+        reply_->abort();
+        finish("broken-off", 0, reason);
+    } else if (fallbackHead_) {
+        responseHead_ = std::move(*fallbackHead_);
+        collected_ = std::move(fallbackBody_);
+        deliverCollected();
+    } else if (step == routing::NextStep::RefuseNotRun) {
+        refuse(503, reason, true);
+    } else {
+        refuse(step == routing::NextStep::AnswerTimeout ? 504 : 502, reason, false);
+    }
+}
+
+void Exchange::refuse(int status, units::ResultCode reason, bool mayComeBack)
+{
+    std::optional<units::Duration> comeBack;
+    if (mayComeBack)
+        comeBack = routing::retryAfter(reason, facts_.id, timeLeft());
+    const std::string body
+        = std::to_string(int(reason)) + " " + std::string(units::resultCodeName(reason)) + "\n";
+    reply_->respond(status, state_.dialect.ownHeaders(facts_.id, comeBack), body);
+    finish(mayComeBack ? "refused" : "failed", status, reason);
+}
+
+void Exchange::watchSilence(units::Duration limit)
+{
+    state_.timers.cancel(silenceTimer_);
+    silenceTimer_ = state_.timers.after(limit, [self = shared_from_this()] { self->onSilence(); });
+}
+
+void Exchange::onSilence()
+{
+    // Without another endpoint to go to, a late response is better than none.
+    if (finished_ || channel_ == nullptr || !canSendAgain())
+        return;
+    endpoint_->health.onFailure(state_.timers.now());
+    dropChannel();
+    attemptFailed(units::ResultCode::EndpointSilent, true);
+}
+
+void Exchange::onDeadline()
+{
+    if (finished_)
+        return;
+    if (clientGone_) {
+        if (channel_ != nullptr)
+            dropChannel();
+        finish("client-left", 0, units::ResultCode::CallerLeft);
+        return;
+    }
+    const units::TimePoint now = state_.timers.now();
+    const bool awaitsEndpoint
+        = channel_ != nullptr && !responseBegun_ && route_->kind != routing::RouteKind::Stream;
+    if (awaitsEndpoint && now < deadline_ + WaitForEndpointTimeout) {
+        deadlineTimer_ = state_.timers.at(deadline_ + WaitForEndpointTimeout,
+                                          [self = shared_from_this()] { self->onDeadline(); });
+        return;
+    }
+    const bool wasSent = channel_ != nullptr;
+    mayHaveRun_ = mayHaveRun_ || wasSent;
+    if (wasSent)
+        dropChannel();
+    routing::AttemptFailure failure = describeFailure(true);
+    giveUp(routing::decideAfterFailure(failure),
+           wasSent ? units::ResultCode::EndpointSilent : units::ResultCode::WaitedTooLong);
+}
+
+void Exchange::onClientGone()
+{
+    if (finished_)
+        return;
+    clientGone_ = true;
+    const bool leaveRunning = channel_ != nullptr && route_->kind == routing::RouteKind::AtMostOnce;
+    if (leaveRunning) {
+        // Cutting it would leave the work half done where it can't be done again.
+        state_.timers.cancel(deadlineTimer_);
+        deadlineTimer_ = state_.timers.after(UnattendedTime,
+                                             [self = shared_from_this()] { self->onDeadline(); });
+        return;
+    }
+    if (channel_ != nullptr)
+        dropChannel();
+    finish("client-left", 0, units::ResultCode::CallerLeft);
+}
+
+void Exchange::releaseEndpoint()
+{
+    state_.timers.cancel(silenceTimer_);
+    if (endpoint_ == nullptr)
+        return;
+    --endpoint_->openRequests;
+    endpoint_->tokensToRead -= tokensToRead_;
+    tokensToRead_ = 0;
+    endpoint_.reset();
+}
+
+void Exchange::dropChannel()
+{
+    state_.connections.discard(*endpoint_, channel_);
+    channel_.reset();
+}
+
+void Exchange::finish(std::string_view outcome, int status, units::ResultCode reason)
+{
+    if (finished_)
+        return;
+    finished_ = true;
+    releaseEndpoint();
+    state_.timers.cancel(deadlineTimer_);
+    const units::Duration took = state_.timers.now() - request_.receivedAt;
+    state_.log.metrics.add(
+        "gateway_responses_total",
+        observability::label("outcome", std::string(outcome)) + ","
+            + observability::label("reason", std::string(units::resultCodeName(reason))));
+    if (reason != units::ResultCode::Ok && reason != units::ResultCode::CallerLeft)
+        state_.log.write(observability::LogLevel::Info, "request-ended",
+                         {{"request", facts_.id.value()},
+                          {"outcome", outcome},
+                          {"status", status},
+                          {"code", int(reason)},
+                          {"reason", units::resultCodeName(reason)},
+                          {"pool", pool_.value()},
+                          {"sends", sends_},
+                          {"took-ms", milliseconds(took)},
+                          {"configuration",
+                           table_ == nullptr ? std::int64_t(0) : table_->configuration().version}});
+}
+
+units::Duration Exchange::timeLeft() const
+{
+    return std::max<units::Duration>(deadline_ - state_.timers.now(), units::Duration::zero());
+}
+
+routing::RetryAllowance &Exchange::retryAllowance()
+{
+    return state_.retryAllowances[pool_.value()];
+}
+
+} // namespace monsoongrade::gateway
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,224 @@
+#include <monsoongrade/gateway/gateway.h>
+
+#include <monsoongrade/gateway/directory.h>
+#include <monsoongrade/gateway/exchange.h>
+#include <monsoongrade/httpio/socketoptions.h>
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace monsoongrade::gateway {
+
+namespace {
+
+// Part of the revocation bound that is not used: the proof of freshness can be 1 s older than it
+// looks, because a watch may stay silent that long while the store drops its history, and a
+// request takes a moment from its check to the endpoint.
+constexpr auto LeaseMargin = std::chrono::milliseconds(1300);
+// Clients keep an address for up to three times the directory's time of 1 s, and one that is
+// asking just now a little longer. Until then a leaving host accepts and serves.
+constexpr auto AcceptWhileLeaving = std::chrono::milliseconds(3800);
+// Left of the time to stop when open requests are cut, so that the process ends by itself.
+constexpr auto StopReserve = std::chrono::milliseconds(250);
+constexpr auto OpenRequestsCheck = std::chrono::milliseconds(25);
+// Bodies may take this share of the host's memory; with the base of some 20 MB and the sockets'
+// own buffers that stays far below the limit.
+constexpr std::int64_t BodyShareOfMemory = 4;
+// Each client needs one descriptor and each of its requests about one more.
+constexpr std::int64_t DescriptorsPerClient = 3;
+
+asio::ip::tcp::endpoint addressOf(const std::string &text, const char *what)
+{
+    const auto address = httpio::parseAddress(text);
+    if (!address)
+        throw std::runtime_error(std::string(what) + " is not IP:PORT: \"" + text + "\"");
+    return *address;
+}
+
+PeerGossip::Settings gossipSettings(const GatewaySettings &settings)
+{
+    PeerGossip::Settings result;
+    result.ownIp = settings.ip;
+    result.ownFailureDomain = settings.failureDomain;
+    result.port = settings.gossipPort;
+    for (const std::string &seed : settings.seeds)
+        result.seedIps.push_back(seed.substr(0, seed.find(':')));
+    return result;
+}
+
+} // namespace
+
+Gateway::Gateway(asio::io_context &io, httpio::Timers &timers, const GatewaySettings &settings,
+                 const RequestDialect &dialect, Pages pages)
+    : io_(io)
+    , timers_(timers)
+    , settings_(settings)
+    , pages_(std::move(pages))
+    , state_(io, timers, dialect, routing::FreshnessLease(settings.revocationBound, LeaseMargin))
+    , gossip_(io, timers, gossipSettings(settings))
+{
+    state_.ownDomain = settings.failureDomain;
+    state_.retryBound = settings.retryBound;
+    state_.callerLimits.maxBufferedBytes
+        = std::size_t(settings.memoryMegabytes / BodyShareOfMemory) * 1024 * 1024;
+    state_.callerLimits.maxConnections
+        = std::size_t(settings.maxDescriptors / DescriptorsPerClient);
+}
+
+void Gateway::start()
+{
+    callers_ = std::make_unique<httpio::Server>(
+        io_, timers_, addressOf(settings_.callersAddress, "callers-address"), state_.callerLimits,
+        [this](httpio::ServerRequest request, std::shared_ptr<httpio::Reply> reply) {
+            Exchange::start(state_, std::move(request), std::move(reply));
+        });
+    const auto page = [this](const Page &serve) {
+        return [this, serve](const httpio::ServerRequest &request,
+                             const std::shared_ptr<httpio::Reply> &reply) {
+            serve(*this, request, *reply);
+        };
+    };
+    readiness_ = std::make_unique<httpio::Server>(
+        io_, timers_, addressOf(settings_.readinessAddress, "readiness-address"), pageLimits_,
+        page(pages_.readiness));
+    directory_ = std::make_unique<httpio::Server>(
+        io_, timers_, addressOf(settings_.directoryAddress, "directory-address"), pageLimits_,
+        page(pages_.directory));
+    if (settings_.metricsPort != 0) {
+        const asio::ip::tcp::endpoint address(asio::ip::make_address_v4(settings_.ip),
+                                              settings_.metricsPort);
+        metrics_ = std::make_unique<httpio::Server>(
+            io_, timers_, address, pageLimits_,
+            [this](const httpio::ServerRequest &request,
+                   const std::shared_ptr<httpio::Reply> &reply) { serveMetrics(request, *reply); });
+    }
+    gossip_.onRound([this] { onGossipRound(); });
+    gossip_.start();
+}
+
+void Gateway::applyConfiguration(routing::TrafficConfiguration configuration)
+{
+    if (state_.table != nullptr && configuration.revision <= state_.table->configuration().revision)
+        return;
+    state_.callerLimits.maxHeadBytes = configuration.limits.maxHeadBytes;
+    state_.callerLimits.maxBodyBytes = configuration.limits.maxBodyBytes;
+    state_.callerLimits.headTimeout = configuration.limits.headTimeout;
+    state_.callerLimits.idleTimeout = configuration.limits.idleTimeout;
+    state_.table = std::make_shared<const routing::RouteTable>(std::move(configuration));
+    const routing::TrafficConfiguration &applied = state_.table->configuration();
+    observability::log(observability::LogLevel::Info, "configuration-applied",
+                       {{"version", applied.version},
+                        {"revision", applied.revision.value()},
+                        {"routes", std::uint64_t(applied.routes.size())},
+                        {"workspaces", std::uint64_t(applied.workspaces.size())}});
+}
+
+void Gateway::replaceEndpoints(const std::vector<routing::DiscoveredEndpoint> &endpoints,
+                               units::TimePoint keepMissingUntil)
+{
+    state_.roster.replaceAll(endpoints, timers_.now(), keepMissingUntil);
+    observability::log(observability::LogLevel::Info, "endpoints-listed",
+                       {{"listed", std::uint64_t(endpoints.size())},
+                        {"known", std::uint64_t(state_.roster.size())}});
+}
+
+void Gateway::updateEndpoint(const routing::DiscoveredEndpoint &endpoint)
+{
+    state_.roster.update(endpoint);
+    observability::log(observability::LogLevel::Info,
+                       endpoint.draining ? "endpoint-draining" : "endpoint-updated",
+                       {{"endpoint", endpoint.id.value()},
+                        {"pool", endpoint.pool.value()},
+                        {"address", endpoint.address},
+                        {"incarnation", endpoint.incarnation.value()}});
+}
+
+void Gateway::removeEndpoint(const units::EndpointId &id, units::TimePoint keepMissingUntil)
+{
+    state_.roster.remove(id, timers_.now(), keepMissingUntil);
+    observability::log(observability::LogLevel::Info, "endpoint-removed",
+                       {{"endpoint", id.value()}});
+}
+
+bool Gateway::isServing() const
+{
+    return peerState() == routing::PeerState::Serving;
+}
+
+routing::PeerState Gateway::peerState() const
+{
+    if (leaving_)
+        return routing::PeerState::Leaving;
+    const bool isUsable = state_.table != nullptr && state_.lease.isFresh(timers_.now());
+    return isUsable ? routing::PeerState::Serving : routing::PeerState::Waiting;
+}
+
+std::vector<std::string> Gateway::callerAddresses(std::size_t maxAddresses) const
+{
+    const std::string port = settings_.callersAddress.substr(settings_.callersAddress.find(':'));
+    std::vector<std::string> addresses
+        = hostsForCallers(settings_.ip, peerState(), gossip_.live(), maxAddresses);
+    for (std::string &address : addresses)
+        address += port;
+    return addresses;
+}
+
+void Gateway::onGossipRound()
+{
+    gossip_.setState(peerState());
+    state_.roster.dropMissing(timers_.now());
+    state_.liveHosts = int(gossip_.live().size()) + 1;
+}
+
+void Gateway::stop(std::function<void()> stopped)
+{
+    if (leaving_)
+        return;
+    leaving_ = true;
+    stopped_ = std::move(stopped);
+    stopBy_ = timers_.now() + settings_.stopWithin - units::Duration(StopReserve);
+    observability::log(observability::LogLevel::Info, "gateway-leaving",
+                       {{"open-requests", std::uint64_t(callers_->openRequests())}});
+    gossip_.setState(routing::PeerState::Leaving);
+    callers_->startDraining();
+    const units::Duration accepting
+        = std::min<units::Duration>(AcceptWhileLeaving, settings_.stopWithin / 2);
+    timers_.after(accepting, [this] {
+        callers_->stopAccepting();
+        waitForOpenRequests();
+    });
+}
+
+void Gateway::waitForOpenRequests()
+{
+    const std::size_t open = callers_->openRequests();
+    if (callers_->connections() > 0 && open + callers_->connections() > 0
+        && timers_.now() < stopBy_) {
+        timers_.after(OpenRequestsCheck, [this] { waitForOpenRequests(); });
+        return;
+    }
+    observability::log(observability::LogLevel::Info, "gateway-stopped",
+                       {{"open-requests", std::uint64_t(open)}});
+    stopped_();
+}
+
+void Gateway::reload(const GatewaySettings &settings)
+{
+    state_.retryBound = settings.retryBound;
+    settings_.stopWithin = settings.stopWithin;
+    observability::log(observability::LogLevel::Info, "settings-reloaded", {});
+}
+
+void Gateway::serveMetrics(const httpio::ServerRequest &request, httpio::Reply &reply)
+{
+    if (request.head.target != "/metrics") {
+        reply.respond(404, {}, "");
+        return;
+    }
+    observability::Metrics &metrics = state_.log.metrics;
+    metrics.set("gateway_open_requests", "", double(callers_->openRequests()));
+    metrics.set("gateway_endpoint_connections_opened", "", double(state_.connections.opened()));
+    reply.respond(200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.exposition());
+}
+
+} // namespace monsoongrade::gateway
--- /dev/null
+++ b/src/gateway/gatewaysettings.cpp
@@ -0,0 +1,60 @@
+#include <monsoongrade/gateway/gatewaysettings.h>
+
+#include <monsoongrade/configuration/mappingreader.h>
+
+namespace monsoongrade::gateway {
+
+namespace {
+
+constexpr std::int64_t MaxPort = 65535;
+constexpr std::int64_t MaxMegabytes = 1024 * 1024;
+constexpr std::int64_t MaxDescriptorsAllowed = 1024 * 1024;
+constexpr double DayInMilliseconds = 24 * 3600 * 1000.0;
+constexpr double DayInSeconds = 24 * 3600.0;
+
+units::Duration fromMilliseconds(double value)
+{
+    return std::chrono::duration_cast<units::Duration>(
+        std::chrono::duration<double, std::milli>(value));
+}
+
+units::Duration fromSeconds(double value)
+{
+    return std::chrono::duration_cast<units::Duration>(std::chrono::duration<double>(value));
+}
+
+} // namespace
+
+GatewaySettings parseGatewaySettings(const configuration::SourceFile &file,
+                                     configuration::Problems &problems)
+{
+    GatewaySettings settings;
+    auto whole = configuration::MappingReader::ofFile(file, problems);
+    if (!whole)
+        return settings;
+    configuration::MappingReader &reader = *whole;
+    settings.host = units::HostName(reader.requiredText("host"));
+    settings.ip = reader.requiredText("ip");
+    settings.failureDomain = units::FailureDomain(reader.requiredText("failure-domain"));
+    settings.callersAddress = reader.requiredText("callers-address");
+    settings.readinessAddress = reader.requiredText("readiness-address");
+    settings.directoryAddress = reader.requiredText("directory-address");
+    settings.metricsPort = std::uint16_t(reader.integer("metrics-port", 0, 0, MaxPort));
+    settings.gossipPort = std::uint16_t(reader.integer("gossip-port", 0, 1, MaxPort));
+    settings.seeds = reader.texts("seeds");
+    settings.storeAddress = reader.requiredText("store-address");
+    settings.memoryMegabytes = reader.integer("memory-mb", 256, 16, MaxMegabytes);
+    settings.maxDescriptors = reader.integer("max-descriptors", 1024, 64, MaxDescriptorsAllowed);
+    settings.revocationBound
+        = fromMilliseconds(reader.number("revocation-bound-ms", 5000, 0, DayInMilliseconds));
+    settings.stopWithin = fromSeconds(reader.number("stop-within-s", 8, 0.5, DayInSeconds));
+    settings.retryBound.share = reader.number("retry-share", 0.2, 0, 100);
+    settings.retryBound.fixed = reader.number("retry-fixed", 50, 0, 1e6);
+    settings.retryBound.window
+        = fromSeconds(reader.number("retry-window-s", 10, 0.1, DayInSeconds));
+    settings.logLevel = reader.text("log-level", "info");
+    reader.finish();
+    return settings;
+}
+
+} // namespace monsoongrade::gateway
--- /dev/null
+++ b/src/gateway/peergossip.cpp
@@ -0,0 +1,165 @@
+#include <monsoongrade/gateway/peergossip.h>
+
+#include <monsoongrade/observability/log.h>
+
+#include <gossip.capnp.h>
+
+#include <asio/buffer.hpp>
+
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+
+#include <algorithm>
+#include <optional>
+
+namespace monsoongrade::gateway {
+
+namespace {
+
+// A lost host is taken out of the directory's answers after 1.5 s, that is six rounds.
+constexpr auto RoundInterval = std::chrono::milliseconds(250);
+// Datagrams a round. With 80 hosts, news reaches all in about three rounds.
+constexpr std::size_t MaxAddressees = 7;
+// Hosts described in one datagram, about 25 bytes each; the packet stays below 1,400 bytes.
+constexpr std::size_t MaxDescribed = 40;
+
+void encodePeer(schema::GossipPeer::Builder peer, const std::string &ip,
+                const units::FailureDomain &domain, routing::PeerState state, units::Duration age)
+{
+    peer.setIp(ip);
+    peer.setFailureDomain(domain.value());
+    peer.setState(static_cast<schema::GossipPeer::State>(state));
+    peer.setAgeMs(
+        std::uint32_t(std::chrono::duration_cast<std::chrono::milliseconds>(age).count()));
+}
+
+std::optional<routing::PeerNews> decodePeer(schema::GossipPeer::Reader peer)
+{
+    const auto state = static_cast<std::uint16_t>(peer.getState());
+    if (state > static_cast<std::uint16_t>(routing::PeerState::Leaving))
+        return std::nullopt; // from a newer version
+    routing::PeerNews news;
+    news.ip = peer.getIp();
+    news.failureDomain = units::FailureDomain(peer.getFailureDomain());
+    news.state = static_cast<routing::PeerState>(state);
+    news.age = std::chrono::milliseconds(peer.getAgeMs());
+    return news;
+}
+
+} // namespace
+
+PeerGossip::PeerGossip(asio::io_context &io, httpio::Timers &timers, Settings settings)
+    : socket_(io)
+    , timers_(timers)
+    , settings_(std::move(settings))
+    , random_(std::random_device()())
+{
+    for (const std::string &ip : settings_.seedIps) {
+        if (ip != settings_.ownIp)
+            table_.addSeed(ip);
+    }
+    const asio::ip::udp::endpoint own(asio::ip::make_address_v4(settings_.ownIp), settings_.port);
+    socket_.open(asio::ip::udp::v4());
+    socket_.set_option(asio::socket_base::reuse_address(true));
+    socket_.bind(own);
+    socket_.non_blocking(true);
+}
+
+void PeerGossip::start()
+{
+    receive();
+    round();
+}
+
+void PeerGossip::setState(routing::PeerState state)
+{
+    if (state_ == state)
+        return;
+    state_ = state;
+    tell();
+}
+
+void PeerGossip::receive()
+{
+    socket_.async_receive_from(asio::buffer(buffer_), sender_,
+                               [this](const asio::error_code &error, std::size_t count) {
+                                   if (error == asio::error::operation_aborted)
+                                       return;
+                                   // An error here is an ICMP report about an earlier datagram:
+                                   // that host is down.
+                                   if (!error)
+                                       decode(std::string(buffer_.data(), count));
+                                   receive();
+                               });
+}
+
+void PeerGossip::round()
+{
+    tell();
+    if (onRound_)
+        onRound_();
+    timers_.after(RoundInterval, [this] { round(); });
+}
+
+void PeerGossip::tell()
+{
+    std::vector<std::string> ips = table_.addressees(timers_.now());
+    std::shuffle(ips.begin(), ips.end(), random_);
+    ips.resize(std::min(ips.size(), MaxAddressees));
+    if (ips.empty())
+        return;
+    const std::string datagram = encode();
+    for (const std::string &ip : ips) {
+        asio::error_code error;
+        const auto address = asio::ip::make_address_v4(ip, error);
+        if (!error)
+            socket_.send_to(asio::buffer(datagram), {address, settings_.port}, 0, error);
+        // A datagram that can't be sent counts as lost; the next round tries again.
+    }
+}
+
+std::string PeerGossip::encode() const
+{
+    std::vector<routing::PeerNews> known = live();
+    known.resize(std::min(known.size(), MaxDescribed));
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<schema::GossipMessage>();
+    encodePeer(root.initSender(), settings_.ownIp, settings_.ownFailureDomain, state_, {});
+    auto list = root.initKnown(unsigned(known.size()));
+    for (std::size_t i = 0; i < known.size(); ++i)
+        encodePeer(list[unsigned(i)], known[i].ip, known[i].failureDomain, known[i].state,
+                   known[i].age);
+    kj::VectorOutputStream out;
+    capnp::writePackedMessage(out, message);
+    const auto bytes = out.getArray();
+    return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
+}
+
+void PeerGossip::decode(const std::string &datagram)
+{
+    const auto fault = kj::runCatchingExceptions([&] {
+        kj::ArrayInputStream in(
+            kj::arrayPtr(reinterpret_cast<const kj::byte *>(datagram.data()), datagram.size()));
+        capnp::PackedMessageReader message(in);
+        const auto root = message.getRoot<schema::GossipMessage>();
+        std::vector<routing::PeerNews> heard;
+        if (auto sender = decodePeer(root.getSender()))
+            heard.push_back(*sender);
+        for (const auto peer : root.getKnown()) {
+            if (auto news = decodePeer(peer))
+                heard.push_back(*news);
+        }
+        for (const routing::PeerNews &news : heard) {
+            if (news.ip != settings_.ownIp)
+                table_.hear(news, timers_.now());
+        }
+    });
+    KJ_IF_MAYBE (exception, fault) {
+        observability::log(observability::LogLevel::Warning, "gossip-unreadable",
+                           {{"from", sender_.address().to_string()},
+                            {"bytes", std::uint64_t(datagram.size())},
+                            {"reason", exception->getDescription().cStr()}});
+    }
+}
+
+} // namespace monsoongrade::gateway
--- /dev/null
+++ b/src/httpio/channel.cpp
@@ -0,0 +1,212 @@
+#include <monsoongrade/httpio/channel.h>
+
+#include <monsoongrade/httpio/socketoptions.h>
+
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+
+#include <sys/socket.h>
+
+namespace monsoongrade::httpio {
+
+namespace {
+
+// Responses of endpoints carry about 300 bytes of headers; this only bounds a faulty server.
+constexpr std::size_t MaxResponseHeadBytes = 64 * 1024;
+
+} // namespace
+
+Channel::Channel(asio::io_context &io, asio::ip::tcp::endpoint address)
+    : socket_(io)
+    , address_(std::move(address))
+    , parser_(MessageKind::Response, MaxResponseHeadBytes, *this)
+{
+}
+
+Channel::~Channel() = default;
+
+void Channel::connect(std::function<void(bool)> connected)
+{
+    asio::error_code error;
+    socket_.open(asio::ip::tcp::v4(), error);
+    if (!error)
+        setSocketOptions(socket_);
+    open_ = true;
+    socket_.async_connect(address_,
+                          [self = shared_from_this(),
+                           connected = std::move(connected)](const asio::error_code &failure) {
+                              if (!self->open_)
+                                  return;
+                              if (failure)
+                                  self->close();
+                              else
+                                  self->read();
+                              connected(!failure);
+                          });
+}
+
+void Channel::send(std::string head, std::shared_ptr<const std::string> body, ChannelUser &user)
+{
+    user_ = &user;
+    onUnusable_ = nullptr;
+    head_ = std::move(head);
+    body_ = std::move(body);
+    sending_ = true;
+    sentSomething_ = false;
+    receivedSomething_ = false;
+    keepAlive_ = true;
+    responseEnded_ = false;
+    if (head_.compare(0, 5, "HEAD ") == 0)
+        parser_.expectNoBody();
+    const std::array<asio::const_buffer, 2> buffers{asio::buffer(head_), asio::buffer(*body_)};
+    asio::async_write(socket_, buffers,
+                      [self = shared_from_this()](const asio::error_code &error, std::size_t sent) {
+                          self->sending_ = false;
+                          self->sentSomething_ = self->sentSomething_ || sent > 0;
+                          // The reading side reports a break after some bytes have left: an
+                          // early response may still be there to be read.
+                          if (error && self->open_ && sent == 0)
+                              self->fail(ChannelFailure::NothingSent);
+                      });
+    // The write may be under way already; what is not known to be unsent counts as sent.
+    sentSomething_ = true;
+}
+
+bool Channel::release(std::function<void()> onUnusable)
+{
+    user_ = nullptr;
+    paused_ = false;
+    if (!open_ || sending_ || !keepAlive_ || !responseEnded_ || parser_.failed()) {
+        close();
+        return false;
+    }
+    onUnusable_ = std::move(onUnusable);
+    body_.reset();
+    read();
+    return true;
+}
+
+void Channel::close()
+{
+    user_ = nullptr;
+    onUnusable_ = nullptr;
+    if (!open_)
+        return;
+    open_ = false;
+    asio::error_code ignored; // closing a broken socket fails; it is closed all the same
+    socket_.close(ignored);
+}
+
+void Channel::pauseReading()
+{
+    paused_ = true;
+}
+
+void Channel::resumeReading()
+{
+    paused_ = false;
+    read();
+}
+
+bool Channel::looksIdle()
+{
+    char byte = 0;
+    const auto count = recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return open_ && count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void Channel::read()
+{
+    if (!open_ || reading_ || paused_)
+        return;
+    reading_ = true;
+    socket_.async_read_some(
+        asio::buffer(buffer_),
+        [self = shared_from_this()](const asio::error_code &error, std::size_t count) {
+            self->reading_ = false;
+            self->onRead(error, count);
+        });
+}
+
+void Channel::onRead(const asio::error_code &error, std::size_t count)
+{
+    if (!open_)
+        return;
+    if (error) {
+        onClosedByPeer(error == asio::error::eof);
+        return;
+    }
+    parse(std::string_view(buffer_.data(), count));
+    read();
+}
+
+void Channel::parse(std::string_view bytes)
+{
+    while (open_ && !bytes.empty()) {
+        if (user_ == nullptr) {
+            // Bytes that no request asked for: a second response to an earlier one. They must
+            // not be taken for the response to the next request.
+            const auto onUnusable = std::move(onUnusable_);
+            close();
+            if (onUnusable)
+                onUnusable();
+            return;
+        }
+        receivedSomething_ = true;
+        bytes.remove_prefix(parser_.feed(bytes));
+        if (open_ && parser_.failed()) {
+            fail(ChannelFailure::Malformed);
+            return;
+        }
+    }
+}
+
+void Channel::onClosedByPeer(bool inOrder)
+{
+    if (user_ == nullptr) {
+        const auto onUnusable = std::move(onUnusable_);
+        close();
+        if (onUnusable)
+            onUnusable();
+        return;
+    }
+    // A response without length is complete only if the connection ends in order: a reset may
+    // have cut it anywhere.
+    if (inOrder && parser_.finishAtClose() && user_ == nullptr)
+        return;
+    if (open_ && user_ != nullptr)
+        fail(receivedSomething_   ? ChannelFailure::BrokenInResponse
+                 : sentSomething_ ? ChannelFailure::BrokenBeforeResponse
+                                  : ChannelFailure::NothingSent);
+}
+
+void Channel::fail(ChannelFailure failure)
+{
+    ChannelUser *user = user_;
+    close();
+    if (user != nullptr)
+        user->onChannelFailure(failure);
+}
+
+void Channel::onHead(MessageHead head)
+{
+    responseEnded_ = false;
+    keepAlive_ = head.keepAlive;
+    if (user_ != nullptr)
+        user_->onResponseHead(head);
+}
+
+void Channel::onBody(std::string_view bytes)
+{
+    if (user_ != nullptr)
+        user_->onResponseBody(bytes);
+}
+
+void Channel::onEnd()
+{
+    responseEnded_ = true;
+    if (user_ != nullptr)
+        user_->onResponseEnd();
+}
+
+} // namespace monsoongrade::httpio
--- /dev/null
+++ b/src/httpio/internal/serverconnection.cpp
@@ -0,0 +1,380 @@
+#include <httpio/internal/serverconnection.h>
+
+#include <monsoongrade/httpio/messagewriter.h>
+#include <monsoongrade/httpio/socketoptions.h>
+
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+
+namespace monsoongrade::httpio {
+
+namespace {
+
+// Bytes of further requests that are kept while one is open. Clients here wait for each response;
+// the bound only keeps a client that does not from filling the memory.
+constexpr std::size_t MaxUnparsedBytes = 64 * 1024;
+// How long a closed connection still takes and discards bytes: a close with unread bytes becomes
+// a reset, which can destroy the response on its way to the client.
+constexpr auto LingerTime = std::chrono::seconds(1);
+
+constexpr int StatusBadRequest = 400;
+constexpr int StatusRequestTimeout = 408;
+constexpr int StatusContentTooLarge = 413;
+constexpr int StatusHeadTooLarge = 431;
+constexpr int StatusUnavailable = 503;
+
+class ConnectionReply : public Reply
+{
+public:
+    ConnectionReply(std::shared_ptr<ServerConnection> connection, std::uint64_t number)
+        : connection_(std::move(connection))
+        , number_(number)
+    {
+    }
+
+    void respond(int status, const Headers &headers, std::string_view body) override
+    {
+        if (isCurrent())
+            connection_->respond(status, headers, body);
+    }
+    void begin(int status, const Headers &headers) override
+    {
+        if (isCurrent())
+            connection_->begin(status, headers);
+    }
+    void write(std::string_view bytes) override
+    {
+        if (isCurrent())
+            connection_->write(bytes);
+    }
+    void end() override
+    {
+        if (isCurrent())
+            connection_->end();
+    }
+    void abort() override
+    {
+        if (isCurrent())
+            connection_->abort();
+    }
+    std::size_t unsentBytes() const override
+    {
+        return isCurrent() ? connection_->unsentBytes() : 0;
+    }
+    void onClientGone(std::function<void()> handler) override
+    {
+        if (isCurrent())
+            connection_->setOnClientGone(std::move(handler));
+    }
+    void onDrained(std::function<void()> handler) override
+    {
+        if (isCurrent())
+            connection_->setOnDrained(std::move(handler));
+    }
+
+private:
+    bool isCurrent() const { return connection_->isCurrent(number_); }
+
+    std::shared_ptr<ServerConnection> connection_;
+    std::uint64_t number_;
+};
+
+} // namespace
+
+ServerConnection::ServerConnection(Server &server, asio::ip::tcp::socket socket)
+    : server_(server)
+    , socket_(std::move(socket))
+    , parser_(MessageKind::Request, server.limits_.maxHeadBytes, *this)
+{
+}
+
+void ServerConnection::start()
+{
+    setSocketOptions(socket_);
+    setTimeout();
+    read();
+}
+
+void ServerConnection::closeIfIdle()
+{
+    if (!requestOpen_ && !parser_.insideMessage() && unparsed_.empty() && !writeUnderWay_)
+        close();
+}
+
+void ServerConnection::closeForShutdown()
+{
+    onClientGone_ = nullptr;
+    onDrained_ = nullptr;
+    open_ = false;
+    server_.timers_.cancel(timeout_);
+    asio::error_code ignored; // the socket may be closed already
+    socket_.close(ignored);
+}
+
+void ServerConnection::read()
+{
+    if (!open_ || reading_ || unparsed_.size() > MaxUnparsedBytes)
+        return;
+    reading_ = true;
+    socket_.async_read_some(
+        asio::buffer(buffer_),
+        [self = shared_from_this()](const asio::error_code &error, std::size_t count) {
+            self->reading_ = false;
+            self->onRead(error, count);
+        });
+}
+
+void ServerConnection::onRead(const asio::error_code &error, std::size_t count)
+{
+    if (!open_)
+        return;
+    if (error) {
+        onClientClosed();
+        return;
+    }
+    if (!lingering_) {
+        if (!requestOpen_ && !parser_.insideMessage())
+            receivedAt_ = server_.timers_.now();
+        unparsed_.append(buffer_.data(), count);
+        parse();
+    }
+    read();
+}
+
+void ServerConnection::parse()
+{
+    while (open_ && !lingering_ && !requestOpen_ && !unparsed_.empty()) {
+        parser_.setMaxHeadBytes(server_.limits_.maxHeadBytes);
+        const std::string bytes = std::move(unparsed_);
+        unparsed_.clear();
+        const std::size_t taken = parser_.feed(bytes);
+        if (taken < bytes.size())
+            unparsed_.insert(0, bytes, taken, std::string::npos);
+        if (parser_.failed() && !closeAfterWrite_)
+            refuse(parser_.headTooLarge() ? StatusHeadTooLarge : StatusBadRequest);
+        if (parser_.failed() || closeAfterWrite_)
+            return;
+        if (!requestOpen_)
+            setTimeout();
+    }
+}
+
+void ServerConnection::onHead(MessageHead head)
+{
+    clientKeepsAlive_ = head.keepAlive;
+    headRequest_ = head.method == "HEAD";
+    head_ = std::move(head);
+    body_.clear();
+    if (headerListsToken(head_.headers, "expect", "100-continue")) {
+        pending_ += "HTTP/1.1 100 Continue\r\n\r\n";
+        flush();
+    }
+}
+
+void ServerConnection::onBody(std::string_view bytes)
+{
+    if (closeAfterWrite_)
+        return;
+    if (body_.size() + bytes.size() > server_.limits_.maxBodyBytes) {
+        refuse(StatusContentTooLarge);
+        return;
+    }
+    if (server_.bufferedBytes_ + bytes.size() > server_.limits_.maxBufferedBytes) {
+        refuse(StatusUnavailable);
+        return;
+    }
+    body_.append(bytes);
+    server_.bufferedBytes_ += bytes.size();
+    countedBytes_ += bytes.size();
+}
+
+void ServerConnection::onEnd()
+{
+    if (closeAfterWrite_)
+        return;
+    server_.timers_.cancel(timeout_);
+    requestOpen_ = true;
+    responseStarted_ = false;
+    ++number_;
+    ++server_.openRequests_;
+    ServerRequest request{std::move(head_), std::make_shared<const std::string>(std::move(body_)),
+                          receivedAt_};
+    head_ = {};
+    body_ = {};
+    server_.handler_(std::move(request),
+                     std::make_shared<ConnectionReply>(shared_from_this(), number_));
+}
+
+// Answers what can't be read as a request and closes: where the next one starts is not known.
+void ServerConnection::refuse(int status)
+{
+    closeAfterWrite_ = true;
+    pending_ += encodeResponseHead(status, {}, Framing::Length, 0, false);
+    flush();
+}
+
+void ServerConnection::setTimeout()
+{
+    server_.timers_.cancel(timeout_);
+    const bool inHead = parser_.insideMessage() && !parser_.headComplete();
+    const units::TimePoint at = inHead ? receivedAt_ + server_.limits_.headTimeout
+                                       : server_.timers_.now() + server_.limits_.idleTimeout;
+    timeout_ = server_.timers_.at(at, [self = shared_from_this()] { self->onTimeout(); });
+}
+
+void ServerConnection::onTimeout()
+{
+    if (requestOpen_ || !open_)
+        return;
+    if (parser_.insideMessage() && !closeAfterWrite_)
+        refuse(StatusRequestTimeout);
+    else
+        close();
+}
+
+bool ServerConnection::keepsAlive() const
+{
+    return clientKeepsAlive_ && !server_.draining_;
+}
+
+void ServerConnection::respond(int status, const Headers &headers, std::string_view body)
+{
+    closeAfterWrite_ = !keepsAlive();
+    pending_
+        += encodeResponseHead(status, headers, Framing::Length, body.size(), !closeAfterWrite_);
+    if (!headRequest_)
+        pending_.append(body);
+    finishRequest();
+}
+
+void ServerConnection::begin(int status, const Headers &headers)
+{
+    responseStarted_ = true;
+    closeAfterWrite_ = !keepsAlive();
+    pending_ += encodeResponseHead(status, headers, Framing::Chunked, 0, !closeAfterWrite_);
+    flush();
+}
+
+void ServerConnection::write(std::string_view bytes)
+{
+    if (bytes.empty() || headRequest_)
+        return;
+    pending_ += encodeChunk(bytes);
+    flush();
+}
+
+void ServerConnection::end()
+{
+    if (!headRequest_)
+        pending_.append(LastChunk);
+    finishRequest();
+}
+
+void ServerConnection::abort()
+{
+    requestOpen_ = false;
+    --server_.openRequests_;
+    onClientGone_ = nullptr;
+    onDrained_ = nullptr;
+    close();
+}
+
+void ServerConnection::finishRequest()
+{
+    requestOpen_ = false;
+    --server_.openRequests_;
+    onClientGone_ = nullptr;
+    onDrained_ = nullptr;
+    server_.bufferedBytes_ -= countedBytes_;
+    countedBytes_ = 0;
+    flush();
+    if (!open_ || closeAfterWrite_)
+        return;
+    setTimeout();
+    if (!unparsed_.empty()) {
+        receivedAt_ = server_.timers_.now();
+        // Posted, so that a handler which answers at once does not recurse through many requests.
+        asio::post(socket_.get_executor(), [self = shared_from_this()] {
+            self->parse();
+            self->read();
+        });
+    }
+}
+
+void ServerConnection::flush()
+{
+    if (!open_ || writeUnderWay_ || pending_.empty())
+        return;
+    writeUnderWay_ = true;
+    writing_.swap(pending_);
+    pending_.clear();
+    asio::async_write(socket_, asio::buffer(writing_),
+                      [self = shared_from_this()](const asio::error_code &error, std::size_t) {
+                          self->onWritten(error);
+                      });
+}
+
+void ServerConnection::onWritten(const asio::error_code &error)
+{
+    writeUnderWay_ = false;
+    writing_.clear();
+    if (!open_)
+        return;
+    if (error) {
+        onClientClosed();
+        return;
+    }
+    if (!pending_.empty()) {
+        flush();
+        return;
+    }
+    if (!requestOpen_ && closeAfterWrite_)
+        lingerAndClose();
+    else if (requestOpen_ && onDrained_)
+        onDrained_();
+}
+
+void ServerConnection::onClientClosed()
+{
+    const auto gone = std::move(onClientGone_);
+    onClientGone_ = nullptr;
+    if (requestOpen_) {
+        requestOpen_ = false;
+        --server_.openRequests_;
+    }
+    close();
+    if (gone)
+        gone();
+}
+
+void ServerConnection::lingerAndClose()
+{
+    lingering_ = true;
+    asio::error_code error;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+    if (error) {
+        close();
+        return;
+    }
+    unparsed_.clear();
+    server_.timers_.cancel(timeout_);
+    timeout_ = server_.timers_.after(LingerTime, [self = shared_from_this()] { self->close(); });
+    read();
+}
+
+void ServerConnection::close()
+{
+    if (!open_)
+        return;
+    open_ = false;
+    server_.timers_.cancel(timeout_);
+    server_.bufferedBytes_ -= countedBytes_;
+    countedBytes_ = 0;
+    onDrained_ = nullptr;
+    asio::error_code ignored; // closing a broken socket fails; it is closed all the same
+    socket_.close(ignored);
+    server_.connections_.erase(shared_from_this());
+    server_.accept();
+}
+
+} // namespace monsoongrade::httpio
--- /dev/null
+++ b/src/httpio/internal/serverconnection.h
@@ -0,0 +1,91 @@
+#ifndef MONSOONGRADE_HTTPIO_INTERNAL_SERVERCONNECTION_H
+#define MONSOONGRADE_HTTPIO_INTERNAL_SERVERCONNECTION_H
+
+#include <monsoongrade/httpio/messageparser.h>
+#include <monsoongrade/httpio/server.h>
+
+#include <array>
+#include <optional>
+#include <string>
+
+namespace monsoongrade::httpio {
+
+// One client connection of a Server: reads requests one after the other, and writes the response
+// to each before it reads the next. It goes on reading while a request is open, to notice that
+// the client has gone.
+class ServerConnection : public std::enable_shared_from_this<ServerConnection>,
+                         private MessageListener
+{
+public:
+    ServerConnection(Server &server, asio::ip::tcp::socket socket);
+
+    void start();
+    // The server stops accepting: closes if no request is open or arriving.
+    void closeIfIdle();
+    // The server is being destroyed.
+    void closeForShutdown();
+
+    // Used by the reply of the request with this number.
+    bool isCurrent(std::uint64_t request) const
+    {
+        return open_ && requestOpen_ && request == number_;
+    }
+    void respond(int status, const Headers &headers, std::string_view body);
+    void begin(int status, const Headers &headers);
+    void write(std::string_view bytes);
+    void end();
+    void abort();
+    std::size_t unsentBytes() const { return pending_.size() + writing_.size(); }
+    void setOnClientGone(std::function<void()> handler) { onClientGone_ = std::move(handler); }
+    void setOnDrained(std::function<void()> handler) { onDrained_ = std::move(handler); }
+
+private:
+    static constexpr std::size_t ReadBufferBytes = 16 * 1024;
+
+    void onHead(MessageHead head) override;
+    void onBody(std::string_view bytes) override;
+    void onEnd() override;
+
+    void read();
+    void onRead(const asio::error_code &error, std::size_t count);
+    void parse();
+    void refuse(int status);
+    void setTimeout();
+    void onTimeout();
+    void flush();
+    void onWritten(const asio::error_code &error);
+    void finishRequest();
+    void onClientClosed();
+    void lingerAndClose();
+    void close();
+    bool keepsAlive() const;
+
+    Server &server_;
+    asio::ip::tcp::socket socket_;
+    MessageParser parser_;
+    std::array<char, ReadBufferBytes> buffer_{};
+    std::string unparsed_;
+    MessageHead head_;
+    std::string body_;
+    units::TimePoint receivedAt_;
+    Timers::Handle timeout_;
+    std::function<void()> onClientGone_;
+    std::function<void()> onDrained_;
+    std::string pending_; // waits for the write under way
+    std::string writing_;
+    std::uint64_t number_ = 0;
+    std::size_t countedBytes_ = 0;
+    bool open_ = true;
+    bool reading_ = false;
+    bool writeUnderWay_ = false;
+    bool requestOpen_ = false;
+    bool clientKeepsAlive_ = true;
+    bool headRequest_ = false;
+    bool responseStarted_ = false;
+    bool closeAfterWrite_ = false;
+    bool lingering_ = false;
+};
+
+} // namespace monsoongrade::httpio
+
+#endif // MONSOONGRADE_HTTPIO_INTERNAL_SERVERCONNECTION_H
--- /dev/null
+++ b/src/httpio/messageparser.cpp
@@ -0,0 +1,260 @@
+#include <monsoongrade/httpio/messageparser.h>
+
+#include <http_parser.h>
+
+#include <cstdint>
+#include <limits>
+
+namespace monsoongrade::httpio {
+
+namespace {
+
+constexpr int FirstFinalStatus = 200;
+constexpr int StatusNoContent = 204;
+constexpr int StatusNotModified = 304;
+// What http_parser reports as length of a message without one.
+constexpr std::uint64_t NoLength = std::numeric_limits<std::uint64_t>::max();
+
+bool isRequestFramingAmbiguous(const MessageHead &head)
+{
+    std::size_t lengths = 0;
+    std::size_t encodings = 0;
+    bool onlyChunked = true;
+    for (const auto &[name, value] : head.headers) {
+        if (sameHeaderName(name, "content-length"))
+            ++lengths;
+        if (sameHeaderName(name, "transfer-encoding")) {
+            ++encodings;
+            onlyChunked = onlyChunked && sameHeaderName(value, "chunked");
+        }
+    }
+    return lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0) || !onlyChunked;
+}
+
+} // namespace
+
+class MessageParser::Impl
+{
+public:
+    Impl(MessageKind kind, std::size_t maxHeadBytes, MessageListener &listener)
+        : kind_(kind)
+        , maxHeadBytes_(maxHeadBytes)
+        , listener_(listener)
+    {
+        http_parser_settings_init(&settings_);
+        settings_.on_message_begin = [](http_parser *p) {
+            return self(p).onBegin();
+        };
+        settings_.on_url = [](http_parser *p, const char *at, std::size_t n) {
+            self(p).head_.target.append(at, n);
+            return 0;
+        };
+        settings_.on_header_field = [](http_parser *p, const char *at, std::size_t n) {
+            return self(p).onHeaderName({at, n});
+        };
+        settings_.on_header_value = [](http_parser *p, const char *at, std::size_t n) {
+            return self(p).onHeaderValue({at, n});
+        };
+        settings_.on_headers_complete = [](http_parser *p) {
+            return self(p).onHeadersComplete();
+        };
+        settings_.on_body = [](http_parser *p, const char *at, std::size_t n) {
+            return self(p).onBody({at, n});
+        };
+        settings_.on_message_complete = [](http_parser *p) {
+            return self(p).onMessageComplete();
+        };
+        http_parser_init(&parser_, kind == MessageKind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+        parser_.data = this;
+    }
+
+    std::size_t feed(std::string_view bytes)
+    {
+        std::size_t taken = 0;
+        messageEnded_ = false;
+        while (taken < bytes.size() && !failed_ && !messageEnded_) {
+            const std::size_t step = http_parser_execute(&parser_, &settings_, bytes.data() + taken,
+                                                         bytes.size() - taken);
+            taken += step;
+            if (!headDone_)
+                headBytes_ += step;
+            if (HTTP_PARSER_ERRNO(&parser_) == HPE_PAUSED)
+                http_parser_pause(&parser_, 0);
+            else if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || parser_.upgrade)
+                failed_ = true;
+        }
+        if (!headDone_ && headBytes_ > maxHeadBytes_) {
+            failed_ = true;
+            headTooLarge_ = true;
+        }
+        return taken;
+    }
+
+    bool finishAtClose()
+    {
+        messageEnded_ = false;
+        if (failed_ || !inside_ || !endsAtClose_ || !headDone_)
+            return false;
+        http_parser_execute(&parser_, &settings_, nullptr, 0);
+        return messageEnded_;
+    }
+
+    const MessageKind kind_;
+    bool failed_ = false;
+    bool headTooLarge_ = false;
+    bool inside_ = false;
+    bool headDone_ = false;
+    bool noBody_ = false;
+    std::size_t maxHeadBytes_;
+
+    void setMax(std::size_t bytes) { maxHeadBytes_ = bytes; }
+
+private:
+    static Impl &self(http_parser *parser) { return *static_cast<Impl *>(parser->data); }
+
+    int onBegin()
+    {
+        head_ = {};
+        headBytes_ = 0;
+        inside_ = true;
+        headDone_ = false;
+        readingValue_ = false;
+        return 0;
+    }
+
+    int onHeaderName(std::string_view text)
+    {
+        if (headDone_) // trailers are not forwarded
+            return 0;
+        if (readingValue_ || head_.headers.empty())
+            head_.headers.emplace_back();
+        readingValue_ = false;
+        head_.headers.back().first.append(text);
+        return 0;
+    }
+
+    int onHeaderValue(std::string_view text)
+    {
+        if (headDone_)
+            return 0;
+        readingValue_ = true;
+        head_.headers.back().second.append(text);
+        return 0;
+    }
+
+    // http_parser skips the body if this returns 1 and stops with an error for other values.
+    int onHeadersComplete()
+    {
+        if (isInterim())
+            return 0;
+        headDone_ = true;
+        if (kind_ == MessageKind::Request && isRequestFramingAmbiguous(head_))
+            return -1;
+        head_.status = int(parser_.status_code);
+        if (kind_ == MessageKind::Request)
+            head_.method = http_method_str(static_cast<http_method>(parser_.method));
+        endsAtClose_ = lacksLength();
+        head_.endsAtClose = endsAtClose_;
+        head_.keepAlive = !head_.endsAtClose && http_should_keep_alive(&parser_) != 0;
+        const bool hasLength = parser_.content_length != NoLength && parser_.content_length > 0;
+        head_.hasBody
+            = !noBody_ && (head_.endsAtClose || hasLength || (parser_.flags & F_CHUNKED) != 0);
+        listener_.onHead(std::move(head_));
+        head_ = {};
+        const bool skipBody = noBody_;
+        noBody_ = false;
+        return skipBody ? 1 : 0;
+    }
+
+    int onBody(std::string_view bytes)
+    {
+        listener_.onBody(bytes);
+        return 0;
+    }
+
+    int onMessageComplete()
+    {
+        inside_ = false;
+        if (isInterim()) {
+            headDone_ = false;
+            return 0;
+        }
+        headDone_ = false;
+        messageEnded_ = true;
+        listener_.onEnd();
+        http_parser_pause(&parser_, 1);
+        return 0;
+    }
+
+    // A response with a body whose end is only marked by the close of the connection.
+    bool lacksLength() const
+    {
+        const bool hasNoBody = noBody_ || parser_.status_code == StatusNoContent
+            || parser_.status_code == StatusNotModified;
+        return kind_ == MessageKind::Response && !hasNoBody && (parser_.flags & F_CHUNKED) == 0
+            && parser_.content_length == NoLength;
+    }
+
+    bool isInterim() const
+    {
+        return kind_ == MessageKind::Response && parser_.status_code < FirstFinalStatus;
+    }
+
+    MessageListener &listener_;
+    http_parser parser_{};
+    http_parser_settings settings_{};
+    MessageHead head_;
+    std::size_t headBytes_ = 0;
+    bool readingValue_ = false;
+    bool messageEnded_ = false;
+    bool endsAtClose_ = false;
+};
+
+MessageParser::MessageParser(MessageKind kind, std::size_t maxHeadBytes, MessageListener &listener)
+    : impl_(std::make_unique<Impl>(kind, maxHeadBytes, listener))
+{
+}
+
+MessageParser::~MessageParser() = default;
+
+std::size_t MessageParser::feed(std::string_view bytes)
+{
+    return impl_->feed(bytes);
+}
+
+bool MessageParser::finishAtClose()
+{
+    return impl_->finishAtClose();
+}
+
+bool MessageParser::failed() const
+{
+    return impl_->failed_;
+}
+
+bool MessageParser::headTooLarge() const
+{
+    return impl_->headTooLarge_;
+}
+
+bool MessageParser::insideMessage() const
+{
+    return impl_->inside_;
+}
+
+bool MessageParser::headComplete() const
+{
+    return impl_->inside_ && impl_->headDone_;
+}
+
+void MessageParser::expectNoBody()
+{
+    impl_->noBody_ = true;
+}
+
+void MessageParser::setMaxHeadBytes(std::size_t bytes)
+{
+    impl_->setMax(bytes);
+}
+
+} // namespace monsoongrade::httpio
--- /dev/null
+++ b/src/httpio/socketoptions.cpp
@@ -0,0 +1,53 @@
+#include <monsoongrade/httpio/socketoptions.h>
+
+#include <netinet/tcp.h>
+
+#include <charconv>
+
+namespace monsoongrade::httpio {
+
+namespace {
+
+// A silent peer is noticed after idle + count x interval, 3 s, about the time that a host needs
+// to be taken for lost; probes of idle connections cost one packet a second.
+constexpr int KeepAliveIdleSeconds = 1;
+constexpr int KeepAliveIntervalSeconds = 1;
+constexpr int KeepAliveProbes = 2;
+// Sent bytes that nobody acknowledges for this long break the connection. Round trips take a few
+// milliseconds and a lost packet is sent again after about 0.2 to 1 s.
+constexpr unsigned UserTimeoutMs = 3000;
+
+void set(asio::ip::tcp::socket &socket, int level, int option, int value)
+{
+    // A system that lacks an option works on without it; the request timeouts remain.
+    setsockopt(socket.native_handle(), level, option, &value, sizeof(value));
+}
+
+} // namespace
+
+void setSocketOptions(asio::ip::tcp::socket &socket)
+{
+    set(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+    set(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(socket, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
+    set(socket, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
+    set(socket, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+    set(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, int(UserTimeoutMs));
+}
+
+std::optional<asio::ip::tcp::endpoint> parseAddress(const std::string &text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    asio::error_code error;
+    const auto address = asio::ip::make_address_v4(text.substr(0, colon), error);
+    std::uint16_t port = 0;
+    const char *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+    if (error || parsed.ec != std::errc() || parsed.ptr != end || port == 0)
+        return std::nullopt;
+    return asio::ip::tcp::endpoint(address, port);
+}
+
+} // namespace monsoongrade::httpio
--- a/src/requests/wholeevents.cpp
+++ b/src/httpio/wholeevents.cpp
@@ -1,9 +1,9 @@
-#include <monsoongrade/requests/wholeevents.h>
+#include <monsoongrade/httpio/wholeevents.h>
 
 #include <algorithm>
 #include <utility>
 
-namespace monsoongrade::requests {
+namespace monsoongrade::httpio {
 
 namespace {
 
@@ -46,4 +46,4 @@
     return std::exchange(rest_, {});
 }
 
-} // namespace monsoongrade::requests
+} // namespace monsoongrade::httpio
--- /dev/null
+++ b/src/routing/admission.cpp
@@ -0,0 +1,40 @@
+#include <monsoongrade/routing/admission.h>
+
+namespace monsoongrade::routing {
+
+namespace {
+
+Admission refused(units::ResultCode code)
+{
+    Admission admission;
+    admission.code = code;
+    return admission;
+}
+
+} // namespace
+
+Admission admit(const RouteTable *table, bool isFresh, const RequestFacts &facts,
+                std::string_view target)
+{
+    if (table == nullptr)
+        return refused(units::ResultCode::NoConfiguration);
+    const Route *route = table->find(facts.host, target);
+    const bool needsKey = table->hasKeys() && (route == nullptr || !route->isPublic);
+    if (needsKey && !isFresh)
+        return refused(units::ResultCode::ConfigurationTooOld);
+    if (route == nullptr)
+        return refused(units::ResultCode::NoRouteForRequest);
+    Admission admission;
+    admission.route = route;
+    admission.tier = route->tier;
+    if (!needsKey)
+        return admission;
+    const WorkspaceKeys *workspace = facts.key.empty() ? nullptr : table->workspaceOf(facts.key);
+    if (workspace == nullptr)
+        return refused(units::ResultCode::UnknownKey);
+    admission.workspace = workspace->name;
+    admission.tier = workspace->tier.value_or(route->tier);
+    return admission;
+}
+
+} // namespace monsoongrade::routing
--- /dev/null
+++ b/src/routing/routetable.cpp
@@ -0,0 +1,70 @@
+#include <monsoongrade/routing/routetable.h>
+
+namespace monsoongrade::routing {
+
+namespace {
+
+std::string routeKey(const std::string &host, std::string_view prefix)
+{
+    std::string key;
+    key.reserve(host.size() + 1 + prefix.size());
+    return key.append(host).append(" ").append(prefix);
+}
+
+} // namespace
+
+RouteTable::RouteTable(TrafficConfiguration configuration)
+    : configuration_(std::move(configuration))
+{
+    for (const Route &route : configuration_.routes)
+        routes_.emplace(routeKey(route.host, route.pathPrefix), &route);
+    for (const WorkspaceKeys &workspace : configuration_.workspaces) {
+        for (const std::string &key : workspace.keys)
+            workspaces_.emplace(key, &workspace);
+    }
+    for (const TrafficPool &pool : configuration_.pools)
+        pools_.emplace(pool.name.value(), &pool);
+}
+
+const Route *RouteTable::find(const std::string &host, std::string_view target) const
+{
+    std::string_view path = target.substr(0, target.find('?'));
+    while (!path.empty()) {
+        const std::size_t slash = path.rfind('/');
+        if (slash == std::string_view::npos)
+            return nullptr;
+        const auto found = routes_.find(routeKey(host, path.substr(0, slash + 1)));
+        if (found != routes_.end())
+            return found->second;
+        path = path.substr(0, slash);
+    }
+    return nullptr;
+}
+
+const WorkspaceKeys *RouteTable::workspaceOf(const std::string &key) const
+{
+    const auto found = workspaces_.find(key);
+    return found == workspaces_.end() ? nullptr : found->second;
+}
+
+const TrafficPool *RouteTable::pool(const units::PoolName &name) const
+{
+    const auto found = pools_.find(name.value());
+    return found == pools_.end() ? nullptr : found->second;
+}
+
+const units::PoolName &choosePool(const Route &route, double share)
+{
+    double total = 0;
+    for (const WeightedPool &pool : route.pools)
+        total += pool.weight;
+    double left = share * total;
+    for (const WeightedPool &pool : route.pools) {
+        left -= pool.weight;
+        if (left < 0)
+            return pool.pool;
+    }
+    return route.pools.back().pool;
+}
+
+} // namespace monsoongrade::routing
--- a/src/units/resultcode.cpp
+++ b/src/units/resultcode.cpp
@@ -89,6 +89,8 @@
         return "object-already-exists";
     case ResultCode::PlatformAnswerMalformed:
         return "platform-answer-malformed";
+    case ResultCode::ConfigurationTooOld:
+        return "configuration-too-old";
     case ResultCode::SchedulerUnreachable:
         return "scheduler-unreachable";
     case ResultCode::ForeignCluster:
