Placement: one host places the model requests of all

Cause: each host knew only its own sixth or eighth of what endpoints had to read.

Now the serving hosts agree by rendezvous hashing on one that places each model pool's requests; an unanswered ask is decided by the asking host after 25 ms. A shared part counts as cached only where it was sent, reading it again weighs six times, and long reads wait at the placing host, by tier and due time, while an endpoint has 150 ms to read.

--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -38,6 +38,7 @@
 
     // Sending
     void attempt();
+    void onPlaced(const routing::PlacementTicket &ticket, routing::PlacementChoice choice);
     void onConnection(ConnectOutcome outcome, std::shared_ptr<httpio::Channel> channel);
     void send();
     httpio::Headers endpointHeaders() const;
@@ -64,7 +65,9 @@
     void onDeadline();
     void onClientGone();
 
-    void releaseEndpoint();
+    void suspectIfSilent();
+    void releaseEndpoint(routing::PlacementNews news = routing::PlacementNews::Withdrawn);
+    void endpointFailed();
     void dropChannel();
     void finish(std::string_view outcome, int status, units::ResultCode reason);
     units::Duration timeLeft() const;
@@ -82,13 +85,16 @@
     units::TimePoint deadline_;
     httpio::Timers::Handle deadlineTimer_;
     httpio::Timers::Handle silenceTimer_;
+    httpio::Timers::Handle suspicionTimer_;
 
     // The present attempt
     routing::EndpointRoster::Status endpoint_;
+    routing::PlacementTicket ticket_;
+    std::uint64_t placingNumber_ = 0;
+    bool isPlacing_ = false;
     std::int64_t tokensToRead_ = 0;
     std::shared_ptr<httpio::Channel> channel_;
     units::TimePoint sentAt_;
-    bool connecting_ = false;
     bool firstByteSeen_ = false;
     ResponseUse use_ = ResponseUse::None;
     httpio::MessageHead responseHead_;
@@ -96,7 +102,7 @@
     std::string collected_;
 
     // Over all attempts
-    std::vector<units::EndpointId> tried_;
+    routing::PlacementQuery query_;
     int sends_ = 0; // that count against the route's attempts
     int arrivals_ = 0; // that count against the retry budget
     bool mayHaveRun_ = false;
--- a/include/monsoongrade/gateway/gatewaystate.h
+++ b/include/monsoongrade/gateway/gatewaystate.h
@@ -3,11 +3,11 @@
 
 #include <monsoongrade/gateway/endpointconnections.h>
 #include <monsoongrade/gateway/requestdialect.h>
+#include <monsoongrade/gateway/sharedplacement.h>
 #include <monsoongrade/gateway/trafficlog.h>
 #include <monsoongrade/httpio/serverlimits.h>
 #include <monsoongrade/routing/endpointroster.h>
 #include <monsoongrade/routing/freshnesslease.h>
-#include <monsoongrade/routing/placement.h>
 #include <monsoongrade/routing/retryallowance.h>
 #include <monsoongrade/routing/routetable.h>
 
@@ -19,7 +19,8 @@
 struct GatewayState
 {
     GatewayState(asio::io_context &io, httpio::Timers &timersToUse,
-                 const RequestDialect &dialectToUse, routing::FreshnessLease leaseToUse)
+                 const RequestDialect &dialectToUse, routing::FreshnessLease leaseToUse,
+                 SharedPlacement::Settings placementSettings)
         : timers(timersToUse)
         , dialect(dialectToUse)
         , lease(leaseToUse)
@@ -27,6 +28,7 @@
         , roster(
               [this](const routing::EndpointStatus &endpoint) { connections.closeIdle(endpoint); })
         , log(timersToUse)
+        , placement(io, timersToUse, std::move(placementSettings), roster, log.metrics)
     {
     }
 
@@ -36,13 +38,13 @@
     routing::FreshnessLease lease;
     EndpointConnections connections;
     routing::EndpointRoster roster;
-    routing::Placement placement;
     routing::RetryBound retryBound;
     std::unordered_map<std::string, routing::RetryAllowance> retryAllowances; // by pool
     httpio::ServerLimits callerLimits;
     units::FailureDomain ownDomain;
     int liveHosts = 1; // this one included
     TrafficLog log;
+    SharedPlacement placement;
 };
 
 } // namespace monsoongrade::gateway
--- /dev/null
+++ b/include/monsoongrade/gateway/sharedplacement.h
@@ -0,0 +1,108 @@
+#ifndef MONSOONGRADE_GATEWAY_SHAREDPLACEMENT_H
+#define MONSOONGRADE_GATEWAY_SHAREDPLACEMENT_H
+
+#include <monsoongrade/httpio/timers.h>
+#include <monsoongrade/observability/metrics.h>
+#include <monsoongrade/routing/peertable.h>
+#include <monsoongrade/routing/placementdesk.h>
+
+#include <asio/ip/udp.hpp>
+
+#include <array>
+#include <functional>
+#include <string>
+#include <unordered_map>
+
+namespace monsoongrade::gateway {
+
+// Places requests on endpoints, with the help of the other hosts for model pools: for each pool
+// the hosts agree, by rendezvous hashing over those that serve, on one that places the requests of
+// all and so knows the load of each endpoint. If that host does not answer within milliseconds,
+// this one decides alone with what it knows; nobody waits for a failed host to be noticed.
+class SharedPlacement
+{
+public:
+    using Placed = std::function<void(routing::PlacementTicket, routing::PlacementChoice)>;
+
+    struct Settings
+    {
+        std::string ownIp;
+        std::uint16_t port = 0; // the same on all hosts
+    };
+
+    // The hosts that serve at present, without this one; and whether this one serves.
+    struct Hosts
+    {
+        std::vector<std::string> others;
+        bool isOwnServing = false;
+    };
+
+    SharedPlacement(asio::io_context &io, httpio::Timers &timers, Settings settings,
+                    const routing::EndpointRoster &roster, observability::Metrics &metrics);
+
+    void start() { receive(); }
+    void setHosts(Hosts hosts) { hosts_ = std::move(hosts); }
+
+    // Chooses an endpoint; placed is called once, perhaps before this returns, unless the request
+    // is withdrawn. Returns the number of its ticket.
+    std::uint64_t place(const routing::PlacementQuery &query, Placed placed);
+    // The request that waits for its endpoint is over.
+    void withdraw(std::uint64_t number);
+    void tell(const routing::PlacementTicket &ticket, routing::PlacementNews news);
+    // True if this host chose the endpoint of the open request itself.
+    bool isPlacedHere(const routing::PlacementTicket &ticket) const
+    {
+        return deciders_.count(ticket.number) == 0;
+    }
+    // True if place() could find an endpoint here.
+    bool hasEndpoint(const routing::PlacementQuery &query) const;
+
+private:
+    struct Ask
+    {
+        routing::PlacementQuery query;
+        Placed placed;
+        std::string decider;
+        httpio::Timers::Handle timeout;
+    };
+    struct Trust
+    {
+        int missedAnswers = 0;
+        units::TimePoint avoidUntil{};
+    };
+
+    std::string deciderFor(const units::PoolName &pool) const;
+    void placeAlone(std::uint64_t number, const routing::PlacementQuery &query,
+                    const Placed &placed);
+    void onTimeout(std::uint64_t number);
+    void receive();
+    void onDatagram(std::size_t count);
+    void onAsk(const std::string &host, std::uint64_t number, const routing::PlacementQuery &query);
+    void onWaiting(const std::string &host, std::uint64_t number);
+    void askAgain(std::uint64_t number);
+    void placeWaiting();
+    void onAnswer(const std::string &host, std::uint64_t number, const std::string &endpoint,
+                  std::int64_t tokensToRead);
+    void send(const std::string &ip, const std::string &datagram);
+
+    asio::ip::udp::socket socket_;
+    asio::ip::udp::endpoint sender_;
+    std::array<char, 4096> buffer_{};
+    httpio::Timers &timers_;
+    Settings settings_;
+    const routing::EndpointRoster &roster_;
+    observability::Metrics &metrics_;
+    Hosts hosts_;
+    routing::PlacementDesk desk_;
+    std::unordered_map<std::uint64_t, Ask> asks_;
+    std::unordered_map<std::string, Trust> trust_; // by host
+    // Who placed an open request, unless this host did.
+    std::unordered_map<std::uint64_t, std::string> deciders_;
+    std::unordered_map<std::uint64_t, Placed> ownWaiting_; // placed here, by number
+    std::uint64_t lastNumber_ = 0;
+    bool placingWaiting_ = false;
+};
+
+} // namespace monsoongrade::gateway
+
+#endif // MONSOONGRADE_GATEWAY_SHAREDPLACEMENT_H
--- a/include/monsoongrade/routing/endpointhealth.h
+++ b/include/monsoongrade/routing/endpointhealth.h
@@ -17,6 +17,8 @@
     void onErrorResponse(units::TimePoint now);
     // A connection failed or broke, or the endpoint stayed silent.
     void onFailure(units::TimePoint now);
+    // Nothing came from the endpoint, for any request, for so long that it is taken for lost.
+    void onSilence(units::TimePoint now);
     // The first byte or event of a response took this many times as long as expected.
     void onLatency(double timesExpected, units::TimePoint now);
 
--- a/include/monsoongrade/routing/endpointstatus.h
+++ b/include/monsoongrade/routing/endpointstatus.h
@@ -14,9 +14,8 @@
     EndpointHealth health;
     // Takes no new request: it is leaving, gone from the store, or another process has its address.
     bool leaving = false;
-    int openRequests = 0; // of this host
-    // Prompt tokens of this host's requests that have no first event yet and are not cached there.
-    std::int64_t tokensToRead = 0;
+    // When this host last received anything from it.
+    units::TimePoint lastHeardAt{};
 };
 
 } // namespace monsoongrade::routing
--- /dev/null
+++ b/include/monsoongrade/routing/placementdesk.h
@@ -0,0 +1,130 @@
+#ifndef MONSOONGRADE_ROUTING_PLACEMENTDESK_H
+#define MONSOONGRADE_ROUTING_PLACEMENTDESK_H
+
+#include <monsoongrade/routing/endpointroster.h>
+#include <monsoongrade/routing/placementquery.h>
+#include <monsoongrade/routing/prefixmemory.h>
+
+#include <map>
+#include <unordered_map>
+
+namespace monsoongrade::routing {
+
+// Names one placed request: the host that asked, and that host's own number.
+struct PlacementTicket
+{
+    std::string host; // IP
+    std::uint64_t number = 0;
+
+    friend bool operator<(const PlacementTicket &a, const PlacementTicket &b)
+    {
+        return a.number != b.number ? a.number < b.number : a.host < b.host;
+    }
+};
+
+// What happened to a placed request.
+enum class PlacementNews : std::uint8_t {
+    FirstEvent, // its prompt has been read
+    Completed,
+    EndpointFailed, // ended by a broken connection
+    EndpointSilent, // still open, but its host gets nothing at all from the endpoint
+    Withdrawn, // ended without a result that says anything about the endpoint
+};
+
+struct PlacementChoice
+{
+    EndpointRoster::Status endpoint; // null if no endpoint accepts the request now
+    // Prompt tokens that the endpoint has to read before its first event, as far as known here.
+    std::int64_t tokensToRead = 0;
+    bool isWaiting = false; // no choice yet: a later call of placeWaiting() makes it
+};
+
+// Chooses endpoints for requests and keeps count of what it has placed on each.
+//
+// Model pools: the hosts let one of them place the requests of all, so that it knows what each
+// endpoint still has to read. A request costs an endpoint the tokens that wait to be read there
+// and those of the request itself: all of its prompt, or only its own part if the shared part is
+// cached. The cheapest endpoint gets it. Reading a breakdown of 13,300 shared and 3,720 own tokens
+// takes 108 ms in full and 24 ms with the shared part cached, and the pool cannot carry a burst of
+// full reads; a short prompt goes where nothing long waits. All hosts take the first endpoint by
+// rendezvous hashing of the shared part for one that has it cached, so that parts stay where they
+// are when another host takes over the placing, or when a host has to place alone.
+//
+// A long read waits here while every endpoint that could take it has long reads to do already: in
+// a burst of cold prompts the endpoints' queues would else grow to seconds, with the short
+// requests of higher tiers at their end. Waiting requests are placed by tier, then those first
+// whose first event can still be on time, by the time at which it is due.
+//
+// Other pools: the fewest open requests, weighed by how often and how late the endpoint has
+// answered lately; among equals the asking host's own failure domain, because bytes between
+// domains cost.
+class PlacementDesk
+{
+public:
+    // Places a request. The choice counts as open until news of its end, or until it is too old.
+    PlacementChoice place(const PlacementTicket &ticket, const PlacementQuery &query,
+                          const std::vector<EndpointRoster::Status> &available,
+                          units::TimePoint now);
+    // Places those waiting requests for which there is room now, the most urgent first.
+    std::vector<std::pair<PlacementTicket, PlacementChoice>>
+    placeWaiting(const EndpointRoster &roster, units::TimePoint now);
+    bool hasWaiting() const { return !waiting_.empty(); }
+
+    // News of a placed request. Failures that one host meets count for all requests that are
+    // placed here. Silence towards one host counts only if no other host got anything either
+    // since the request was placed: in an overload a first event takes longer than the silence
+    // that means a lost endpoint. News for an unknown ticket is ignored.
+    void hear(const PlacementTicket &ticket, PlacementNews news, units::TimePoint now);
+    // True if place() would find an endpoint.
+    bool hasEndpoint(const PlacementQuery &query,
+                     const std::vector<EndpointRoster::Status> &available,
+                     units::TimePoint now) const;
+
+    int openRequests(const EndpointStatus &endpoint) const;
+    std::int64_t tokensToRead(const EndpointStatus &endpoint) const;
+
+private:
+    struct Load
+    {
+        int openRequests = 0;
+        std::int64_t tokensToRead = 0;
+        units::TimePoint lastResultAt{}; // a first event or whole response
+    };
+    struct Placed
+    {
+        EndpointRoster::Status endpoint;
+        std::int64_t tokensToRead = 0;
+        units::TimePoint at;
+    };
+
+    struct Waiting
+    {
+        PlacementQuery query;
+        units::TimePoint targetAt;
+        units::TimePoint givenUpAt;
+    };
+
+    PlacementChoice commit(const PlacementTicket &ticket, const PlacementQuery &query,
+                           PlacementChoice choice, units::TimePoint now);
+    std::vector<PlacementTicket> waitingInOrder(units::TimePoint now) const;
+    PlacementChoice chooseForModel(const PlacementQuery &query,
+                                   const std::vector<EndpointRoster::Status> &available,
+                                   units::TimePoint now) const;
+    PlacementChoice chooseForPlain(const PlacementQuery &query,
+                                   const std::vector<EndpointRoster::Status> &available,
+                                   units::TimePoint now) const;
+    Load loadOf(const EndpointStatus &endpoint) const;
+    void unload(const Placed &placed, bool isEnd);
+    void noteSilence(const Placed &placed, units::TimePoint now);
+    void forgetOld(units::TimePoint now);
+
+    PrefixMemory memory_;
+    std::unordered_map<const EndpointStatus *, Load> loads_;
+    std::map<PlacementTicket, Placed> placed_;
+    std::map<PlacementTicket, Waiting> waiting_;
+    units::TimePoint nextCleaning_{};
+};
+
+} // namespace monsoongrade::routing
+
+#endif // MONSOONGRADE_ROUTING_PLACEMENTDESK_H
--- /dev/null
+++ b/include/monsoongrade/routing/placementquery.h
@@ -0,0 +1,39 @@
+#ifndef MONSOONGRADE_ROUTING_PLACEMENTQUERY_H
+#define MONSOONGRADE_ROUTING_PLACEMENTQUERY_H
+
+#include <monsoongrade/routing/requestfacts.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace monsoongrade::routing {
+
+// What placement needs to know of one request.
+struct PlacementQuery
+{
+    units::PoolName pool;
+    bool runsModel = false;
+    // The prompt part that other requests share with this one, or its only part; may be empty.
+    std::string sharedPart;
+    std::int64_t promptTokens = 0; // the whole prompt
+    std::int64_t ownTokens = 0; // without what may be cached
+    units::Tier tier;
+    // Endpoints that already had this request and are not to get it again.
+    std::vector<units::EndpointId> tried;
+    units::FailureDomain askersDomain;
+    // Until the first event should be there, and until the request is given up; from the asking.
+    units::Duration targetIn{};
+    units::Duration givenUpIn{};
+    // The asking host can wait for an endpoint; without, the request is placed at once.
+    bool mayWait = false;
+};
+
+// The query for a request of which nothing has been tried yet.
+PlacementQuery placementQuery(const RequestFacts &facts, const units::PoolName &pool,
+                              bool runsModel, units::Tier tier,
+                              const units::FailureDomain &askersDomain);
+
+} // namespace monsoongrade::routing
+
+#endif // MONSOONGRADE_ROUTING_PLACEMENTQUERY_H
--- /dev/null
+++ b/schema/placement.capnp
@@ -0,0 +1,51 @@
+@0xb7e6a9d2105fc834;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("monsoongrade::schema");
+
+# Datagrams between a host and the one that places requests for all. Each stands alone and may be
+# lost: an unanswered ask is decided by the asking host, and lost news is forgotten after a time.
+
+struct PlacementAsk {
+  number @0 :UInt64;
+  pool @1 :Text;
+  sharedPart @2 :Text;
+  promptTokens @3 :UInt32;
+  ownTokens @4 :UInt32;
+  tier @5 :UInt32;
+  tried @6 :List(Text);
+  failureDomain @7 :Text;
+  # Milliseconds from now.
+  targetInMs @8 :UInt32;
+  givenUpInMs @9 :UInt32;
+}
+
+struct PlacementAnswer {
+  number @0 :UInt64;
+  # Empty if no endpoint takes the request.
+  endpoint @1 :Text;
+  tokensToRead @2 :UInt32;
+  # No endpoint yet: another answer follows.
+  waiting @3 :Bool;
+}
+
+struct PlacementNews {
+  number @0 :UInt64;
+  news @1 :News;
+
+  enum News {
+    firstEvent @0;
+    completed @1;
+    endpointFailed @2;
+    endpointSilent @3;
+    withdrawn @4;
+  }
+}
+
+struct PlacementMessage {
+  union {
+    ask @0 :PlacementAsk;
+    answer @1 :PlacementAnswer;
+    news @2 :PlacementNews;
+  }
+}
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -21,6 +21,12 @@
 constexpr double UsedShareOfConnections = 0.9;
 constexpr int MinConnectionsPerHost = 2;
 
+// Endpoints that work answer some request within this time: streams get an event every 40 to
+// 200 ms, plain requests take 60 to 450 ms.
+constexpr auto SilenceToSuspect = std::chrono::milliseconds(500);
+// Engines read about 150 prompt tokens a millisecond on an idle machine.
+constexpr std::int64_t TokensReadPerMs = 100;
+
 bool isSuccess(int status)
 {
     return status >= 200 && status < 300;
@@ -66,6 +72,10 @@
     route_ = admission_.route;
     pool_ = routing::choosePool(*route_, units::jitterOf(facts_.id));
     poolSettings_ = table_->pool(pool_);
+    query_ = routing::placementQuery(facts_, pool_,
+                                     poolSettings_ != nullptr && poolSettings_->runsModel,
+                                     admission_.tier, state_.ownDomain);
+    query_.mayWait = true;
     deadline_ = std::min(deadline_, request_.receivedAt + route_->timeout);
     const auto self = shared_from_this();
     deadlineTimer_ = state_.timers.at(deadline_, [self] { self->onDeadline(); });
@@ -76,26 +86,37 @@
 void Exchange::attempt()
 {
     const units::TimePoint now = state_.timers.now();
-    const routing::PlacementQuery query{facts_,
-                                        poolSettings_ != nullptr && poolSettings_->runsModel,
-                                        tried_, state_.ownDomain, now};
-    routing::PlacementChoice choice
-        = state_.placement.choose(state_.roster.available(pool_), query);
+    query_.targetIn = request_.receivedAt + route_->targetLatency - now;
+    query_.givenUpIn = deadline_ - now;
+    isPlacing_ = true;
+    placingNumber_
+        = state_.placement.place(query_,
+                                 [self = shared_from_this()](const routing::PlacementTicket &ticket,
+                                                             routing::PlacementChoice choice) {
+                                     self->onPlaced(ticket, std::move(choice));
+                                 });
+}
+
+void Exchange::onPlaced(const routing::PlacementTicket &ticket, routing::PlacementChoice choice)
+{
+    isPlacing_ = false;
+    if (finished_) {
+        state_.placement.tell(ticket, routing::PlacementNews::Withdrawn);
+        return;
+    }
     if (choice.endpoint == nullptr) {
         giveUp(mayHaveRun_ ? routing::NextStep::AnswerUnknown : routing::NextStep::RefuseNotRun,
                units::ResultCode::NoEndpointAvailable);
         return;
     }
     endpoint_ = std::move(choice.endpoint);
+    ticket_ = ticket;
     tokensToRead_ = choice.tokensToRead;
-    tried_.push_back(endpoint_->described.id);
-    ++endpoint_->openRequests;
-    endpoint_->tokensToRead += tokensToRead_;
-    endpoint_->health.onSent(now);
+    query_.tried.push_back(endpoint_->described.id);
+    endpoint_->health.onSent(state_.timers.now());
     use_ = ResponseUse::None;
     firstByteSeen_ = false;
     collected_.clear();
-    connecting_ = true;
     const int connections = poolSettings_ == nullptr ? 64 : poolSettings_->maxConnections;
     const int ownShare
         = std::max(MinConnectionsPerHost,
@@ -114,14 +135,13 @@
 
 void Exchange::onConnection(ConnectOutcome outcome, std::shared_ptr<httpio::Channel> channel)
 {
-    connecting_ = false;
     if (outcome == ConnectOutcome::Connected) {
         channel_ = std::move(channel);
         send();
         return;
     }
     if (outcome == ConnectOutcome::Failed)
-        endpoint_->health.onFailure(state_.timers.now());
+        endpointFailed();
     attemptFailed(units::ResultCode::EndpointUnreachable, false);
 }
 
@@ -144,10 +164,12 @@
     ++arrivals_;
     ++sends_;
     sentAt_ = now;
-    state_.placement.onSent(*endpoint_, facts_, now);
     channel_->send(httpio::encodeRequestHead(request_.head.method, request_.head.target,
                                              endpointHeaders(), request_.body->size()),
                    request_.body, *this);
+    const auto readTime = std::chrono::milliseconds(2 * tokensToRead_ / TokensReadPerMs);
+    suspicionTimer_ = state_.timers.after(SilenceToSuspect + readTime,
+                                          [self = shared_from_this()] { self->suspectIfSilent(); });
     if (route_->kind == routing::RouteKind::Idempotent)
         watchSilence(
             std::max<units::Duration>(std::chrono::milliseconds(300), 2 * route_->targetLatency));
@@ -169,6 +191,7 @@
 
 void Exchange::onResponseHead(const httpio::MessageHead &head)
 {
+    endpoint_->lastHeardAt = state_.timers.now();
     const EndpointAnswer answer = state_.dialect.decodeAnswer(head);
     const bool belongsHere
         = answer.request == facts_.id || (answer.request.isEmpty() && !isSuccess(head.status));
@@ -188,6 +211,7 @@
 void Exchange::onResponseBody(std::string_view bytes)
 {
     if (use_ == ResponseUse::Relayed) {
+        endpoint_->lastHeardAt = state_.timers.now();
         relay(bytes);
         return;
     }
@@ -252,11 +276,10 @@
     // usually answer within a quarter of their target.
     const bool runsModel = poolSettings_ != nullptr && poolSettings_->runsModel;
     const double expected = runsModel
-        ? 50 + double(tokensToRead_) / 100
+        ? 50 + double(tokensToRead_) / double(TokensReadPerMs)
         : std::chrono::duration<double, std::milli>(route_->targetLatency).count() / 4;
     endpoint_->health.onLatency(std::max(1.0, took / std::max(expected, 1.0)), now);
-    endpoint_->tokensToRead -= tokensToRead_;
-    tokensToRead_ = 0;
+    state_.placement.tell(ticket_, routing::PlacementNews::FirstEvent);
 }
 
 void Exchange::onResponseEnd()
@@ -289,6 +312,7 @@
     endpoint_->health.onSuccess(state_.timers.now());
     state_.connections.giveBack(*endpoint_, channel_, answer_.idleTimeout);
     channel_.reset();
+    releaseEndpoint(routing::PlacementNews::Completed);
     finish("completed", responseHead_.status, units::ResultCode::Ok);
 }
 
@@ -310,7 +334,7 @@
         return;
     }
     if (isSuccess(status) && !answer_.isSigned) {
-        endpoint_->health.onFailure(now);
+        endpointFailed();
         attemptFailed(units::ResultCode::EndpointBrokeInAnswer, true);
         return;
     }
@@ -322,6 +346,7 @@
     }
     if (!isServerError(status)) {
         endpoint_->health.onSuccess(now);
+        releaseEndpoint(routing::PlacementNews::Completed);
         deliverCollected();
         return;
     }
--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -26,7 +26,7 @@
 {
     const auto self = shared_from_this();
     dropChannel();
-    endpoint_->health.onFailure(state_.timers.now());
+    endpointFailed();
     const bool isUnsent = failure == httpio::ChannelFailure::NothingSent
         || failure == httpio::ChannelFailure::NotConnected;
     if (isUnsent) {
@@ -53,7 +53,7 @@
         observability::label("reason", std::string(units::resultCodeName(reason))));
     state_.log.write(observability::LogLevel::Info, "attempt-failed",
                      {{"request", facts_.id.value()},
-                      {"endpoint", endpoint_->described.id.value()},
+                      {"endpoint", query_.tried.back().value()},
                       {"reason", units::resultCodeName(reason)},
                       {"may-have-run", mayHaveRun_ ? "yes" : "no"},
                       {"sends", sends_},
@@ -75,9 +75,6 @@
 routing::AttemptFailure Exchange::describeFailure(bool timedOut)
 {
     const units::TimePoint now = state_.timers.now();
-    const routing::PlacementQuery query{facts_,
-                                        poolSettings_ != nullptr && poolSettings_->runsModel,
-                                        tried_, state_.ownDomain, now};
     routing::AttemptFailure failure;
     failure.mayHaveRun = mayHaveRun_;
     // A response that began and is no stream can't be continued by another run.
@@ -87,8 +84,7 @@
     failure.sends = sends_;
     failure.maxAttempts = route_->maxAttempts;
     failure.timedOut = timedOut || now >= deadline_;
-    failure.endpointLeft
-        = state_.placement.choose(state_.roster.available(pool_), query).endpoint != nullptr;
+    failure.endpointLeft = state_.placement.hasEndpoint(query_);
     failure.budgetLeft
         = arrivals_ == 0 || retryAllowance().hasLeft(state_.retryBound, state_.liveHosts, now);
     return failure;
@@ -141,11 +137,25 @@
     // Without another endpoint to go to, a late response is better than none.
     if (finished_ || channel_ == nullptr || !canSendAgain())
         return;
-    endpoint_->health.onFailure(state_.timers.now());
     dropChannel();
+    endpointFailed();
     attemptFailed(units::ResultCode::EndpointSilent, true);
 }
 
+// An endpoint without power or path takes requests into the void until the system gives its
+// connections up, after 3 s. Silence towards all requests of this host shows it earlier.
+void Exchange::suspectIfSilent()
+{
+    if (finished_ || channel_ == nullptr || endpoint_->lastHeardAt >= sentAt_)
+        return;
+    const units::TimePoint now = state_.timers.now();
+    state_.placement.tell(ticket_, routing::PlacementNews::EndpointSilent);
+    state_.log.write(observability::LogLevel::Warning, "endpoint-suspected",
+                     {{"request", facts_.id.value()},
+                      {"endpoint", endpoint_->described.id.value()},
+                      {"silent-ms", milliseconds(now - sentAt_)}});
+}
+
 void Exchange::onDeadline()
 {
     if (finished_)
@@ -191,17 +201,24 @@
     finish("client-left", 0, units::ResultCode::CallerLeft);
 }
 
-void Exchange::releaseEndpoint()
+void Exchange::releaseEndpoint(routing::PlacementNews news)
 {
     state_.timers.cancel(silenceTimer_);
+    state_.timers.cancel(suspicionTimer_);
     if (endpoint_ == nullptr)
         return;
-    --endpoint_->openRequests;
-    endpoint_->tokensToRead -= tokensToRead_;
-    tokensToRead_ = 0;
+    state_.placement.tell(ticket_, news);
     endpoint_.reset();
 }
 
+void Exchange::endpointFailed()
+{
+    // The host that placed the request counts the failure as well, if it is another one.
+    if (!state_.placement.isPlacedHere(ticket_))
+        endpoint_->health.onFailure(state_.timers.now());
+    releaseEndpoint(routing::PlacementNews::EndpointFailed);
+}
+
 void Exchange::dropChannel()
 {
     state_.connections.discard(*endpoint_, channel_);
@@ -213,6 +230,8 @@
     if (finished_)
         return;
     finished_ = true;
+    if (isPlacing_)
+        state_.placement.withdraw(placingNumber_);
     releaseEndpoint();
     state_.timers.cancel(deadlineTimer_);
     const units::Duration took = state_.timers.now() - request_.receivedAt;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -54,7 +54,8 @@
     , timers_(timers)
     , settings_(settings)
     , pages_(std::move(pages))
-    , state_(io, timers, dialect, routing::FreshnessLease(settings.revocationBound, LeaseMargin))
+    , state_(io, timers, dialect, routing::FreshnessLease(settings.revocationBound, LeaseMargin),
+             {settings.ip, settings.placementPort})
     , gossip_(io, timers, gossipSettings(settings))
 {
     state_.ownDomain = settings.failureDomain;
@@ -94,6 +95,7 @@
     }
     gossip_.onRound([this] { onGossipRound(); });
     gossip_.start();
+    state_.placement.start();
 }
 
 void Gateway::applyConfiguration(routing::TrafficConfiguration configuration)
@@ -167,7 +169,15 @@
 {
     gossip_.setState(peerState());
     state_.roster.dropMissing(timers_.now());
-    state_.liveHosts = int(gossip_.live().size()) + 1;
+    const std::vector<routing::PeerNews> live = gossip_.live();
+    state_.liveHosts = int(live.size()) + 1;
+    SharedPlacement::Hosts hosts;
+    hosts.isOwnServing = isServing();
+    for (const routing::PeerNews &peer : live) {
+        if (peer.state == routing::PeerState::Serving)
+            hosts.others.push_back(peer.ip);
+    }
+    state_.placement.setHosts(std::move(hosts));
 }
 
 void Gateway::stop(std::function<void()> stopped)
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -41,6 +41,7 @@
     settings.directoryAddress = reader.requiredText("directory-address");
     settings.metricsPort = std::uint16_t(reader.integer("metrics-port", 0, 0, MaxPort));
     settings.gossipPort = std::uint16_t(reader.integer("gossip-port", 0, 1, MaxPort));
+    settings.placementPort = std::uint16_t(reader.integer("placement-port", 0, 1, MaxPort));
     settings.seeds = reader.texts("seeds");
     settings.storeAddress = reader.requiredText("store-address");
     settings.memoryMegabytes = reader.integer("memory-mb", 256, 16, MaxMegabytes);
--- /dev/null
+++ b/src/gateway/sharedplacement.cpp
@@ -0,0 +1,346 @@
+#include <monsoongrade/gateway/sharedplacement.h>
+
+#include <monsoongrade/observability/log.h>
+#include <monsoongrade/units/stablehash.h>
+
+#include <placement.capnp.h>
+
+#include <asio/buffer.hpp>
+
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+
+#include <algorithm>
+
+namespace monsoongrade::gateway {
+
+namespace {
+
+// An answer takes a round trip of 2 to 3 ms. A request for the tightest class has 250 ms, so a
+// lost datagram may cost a tenth of that.
+constexpr auto AnswerTimeout = std::chrono::milliseconds(25);
+// One answer may be lost with its datagram; two in a row mean that the host is gone or frozen.
+constexpr int MissedAnswersToAvoid = 2;
+constexpr auto AvoidFor = std::chrono::seconds(1);
+// How long a host waits without news for an endpoint before it asks again.
+constexpr units::Duration WaitingTimeout = std::chrono::milliseconds(200);
+
+std::string packed(capnp::MessageBuilder &message)
+{
+    kj::VectorOutputStream out;
+    capnp::writePackedMessage(out, message);
+    const auto bytes = out.getArray();
+    return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
+}
+
+std::uint32_t inMilliseconds(units::Duration duration)
+{
+    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    return std::uint32_t(std::max<std::int64_t>(count, 0));
+}
+
+std::string encodeAnswer(std::uint64_t number, const routing::PlacementChoice &choice)
+{
+    capnp::MallocMessageBuilder message;
+    auto answer = message.initRoot<schema::PlacementMessage>().initAnswer();
+    answer.setNumber(number);
+    answer.setWaiting(choice.isWaiting);
+    if (choice.endpoint != nullptr && !choice.isWaiting)
+        answer.setEndpoint(choice.endpoint->described.id.value());
+    answer.setTokensToRead(std::uint32_t(choice.tokensToRead));
+    return packed(message);
+}
+
+std::string encodeAsk(std::uint64_t number, const routing::PlacementQuery &query)
+{
+    capnp::MallocMessageBuilder message;
+    auto ask = message.initRoot<schema::PlacementMessage>().initAsk();
+    ask.setNumber(number);
+    ask.setPool(query.pool.value());
+    ask.setSharedPart(query.sharedPart);
+    ask.setPromptTokens(std::uint32_t(query.promptTokens));
+    ask.setOwnTokens(std::uint32_t(query.ownTokens));
+    ask.setTier(query.tier.value());
+    ask.setFailureDomain(query.askersDomain.value());
+    ask.setTargetInMs(inMilliseconds(query.targetIn));
+    ask.setGivenUpInMs(inMilliseconds(query.givenUpIn));
+    auto tried = ask.initTried(unsigned(query.tried.size()));
+    for (std::size_t i = 0; i < query.tried.size(); ++i)
+        tried.set(unsigned(i), query.tried[i].value());
+    return packed(message);
+}
+
+routing::PlacementQuery decodeAsk(schema::PlacementAsk::Reader ask)
+{
+    routing::PlacementQuery query;
+    query.pool = units::PoolName(ask.getPool());
+    query.runsModel = true;
+    query.sharedPart = ask.getSharedPart();
+    query.promptTokens = ask.getPromptTokens();
+    query.ownTokens = ask.getOwnTokens();
+    query.tier = units::Tier(ask.getTier());
+    query.askersDomain = units::FailureDomain(ask.getFailureDomain());
+    query.targetIn = std::chrono::milliseconds(ask.getTargetInMs());
+    query.givenUpIn = std::chrono::milliseconds(ask.getGivenUpInMs());
+    query.mayWait = true;
+    for (const auto tried : ask.getTried())
+        query.tried.emplace_back(std::string(tried));
+    return query;
+}
+
+std::uint64_t hostRank(const std::string &ip, const units::PoolName &pool)
+{
+    units::StableHash hash;
+    hash.add(pool.value());
+    hash.add(ip);
+    const std::uint64_t value = hash.value();
+    return (value ^ (value >> 33)) * 0xff51afd7ed558ccdULL;
+}
+
+} // namespace
+
+SharedPlacement::SharedPlacement(asio::io_context &io, httpio::Timers &timers, Settings settings,
+                                 const routing::EndpointRoster &roster,
+                                 observability::Metrics &metrics)
+    : socket_(io)
+    , timers_(timers)
+    , settings_(std::move(settings))
+    , roster_(roster)
+    , metrics_(metrics)
+{
+    const asio::ip::udp::endpoint own(asio::ip::make_address_v4(settings_.ownIp), settings_.port);
+    socket_.open(asio::ip::udp::v4());
+    socket_.bind(own);
+    socket_.non_blocking(true);
+}
+
+std::uint64_t SharedPlacement::place(const routing::PlacementQuery &query, Placed placed)
+{
+    const std::uint64_t number = ++lastNumber_;
+    const std::string decider = query.runsModel ? deciderFor(query.pool) : std::string();
+    if (decider.empty()) {
+        placeAlone(number, query, placed);
+        return number;
+    }
+    Ask &ask = asks_[number];
+    ask = {query, std::move(placed), decider, {}};
+    ask.timeout = timers_.after(AnswerTimeout, [this, number] { onTimeout(number); });
+    send(decider, encodeAsk(number, query));
+    return number;
+}
+
+void SharedPlacement::placeAlone(std::uint64_t number, const routing::PlacementQuery &query,
+                                 const Placed &placed)
+{
+    const routing::PlacementTicket ticket{settings_.ownIp, number};
+    const routing::PlacementChoice choice
+        = desk_.place(ticket, query, roster_.available(query.pool), timers_.now());
+    if (choice.isWaiting)
+        ownWaiting_[number] = placed;
+    else
+        placed(ticket, choice);
+}
+
+void SharedPlacement::tell(const routing::PlacementTicket &ticket, routing::PlacementNews news)
+{
+    const auto decider = deciders_.find(ticket.number);
+    if (decider == deciders_.end()) {
+        desk_.hear(ticket, news, timers_.now());
+        ownWaiting_.erase(ticket.number);
+        placeWaiting();
+        return;
+    }
+    capnp::MallocMessageBuilder message;
+    auto out = message.initRoot<schema::PlacementMessage>().initNews();
+    out.setNumber(ticket.number);
+    out.setNews(static_cast<schema::PlacementNews::News>(news));
+    send(decider->second, packed(message));
+    const bool staysOpen = news == routing::PlacementNews::FirstEvent
+        || news == routing::PlacementNews::EndpointSilent;
+    if (!staysOpen)
+        deciders_.erase(decider);
+}
+
+bool SharedPlacement::hasEndpoint(const routing::PlacementQuery &query) const
+{
+    return desk_.hasEndpoint(query, roster_.available(query.pool), timers_.now());
+}
+
+// The host that places for the pool; empty if it is this one, or there is no other.
+std::string SharedPlacement::deciderFor(const units::PoolName &pool) const
+{
+    std::string best;
+    std::uint64_t bestRank = hosts_.isOwnServing ? hostRank(settings_.ownIp, pool) : 0;
+    const units::TimePoint now = timers_.now();
+    for (const std::string &host : hosts_.others) {
+        const auto trust = trust_.find(host);
+        if (trust != trust_.end() && now < trust->second.avoidUntil)
+            continue;
+        const std::uint64_t rank = hostRank(host, pool);
+        if (rank > bestRank) {
+            bestRank = rank;
+            best = host;
+        }
+    }
+    return best;
+}
+
+void SharedPlacement::onTimeout(std::uint64_t number)
+{
+    const auto found = asks_.find(number);
+    if (found == asks_.end())
+        return;
+    const Ask ask = std::move(found->second);
+    asks_.erase(found);
+    metrics_.add("placement_unanswered_total");
+    Trust &trust = trust_[ask.decider];
+    if (++trust.missedAnswers >= MissedAnswersToAvoid) {
+        trust = {0, timers_.now() + AvoidFor};
+        observability::log(observability::LogLevel::Warning, "placing-host-lost",
+                           {{"host", ask.decider}, {"pool", ask.query.pool.value()}});
+    }
+    // Without the other hosts' requests in view, waiting here would only add delay.
+    routing::PlacementQuery query = ask.query;
+    query.mayWait = false;
+    placeAlone(number, query, ask.placed);
+}
+
+void SharedPlacement::receive()
+{
+    socket_.async_receive_from(asio::buffer(buffer_), sender_,
+                               [this](const asio::error_code &error, std::size_t count) {
+                                   if (error == asio::error::operation_aborted)
+                                       return;
+                                   // An error here is an ICMP report about an earlier datagram.
+                                   if (!error)
+                                       onDatagram(count);
+                                   receive();
+                               });
+}
+
+void SharedPlacement::onDatagram(std::size_t count)
+{
+    const std::string host = sender_.address().to_string();
+    const auto fault = kj::runCatchingExceptions([&] {
+        kj::ArrayInputStream in(
+            kj::arrayPtr(reinterpret_cast<const kj::byte *>(buffer_.data()), count));
+        capnp::PackedMessageReader reader(in);
+        const auto message = reader.getRoot<schema::PlacementMessage>();
+        if (message.isAsk()) {
+            onAsk(host, message.getAsk().getNumber(), decodeAsk(message.getAsk()));
+        } else if (message.isAnswer()) {
+            const auto answer = message.getAnswer();
+            if (answer.getWaiting())
+                onWaiting(host, answer.getNumber());
+            else
+                onAnswer(host, answer.getNumber(), answer.getEndpoint(), answer.getTokensToRead());
+        } else if (message.isNews()) {
+            const auto news = message.getNews();
+            desk_.hear({host, news.getNumber()},
+                       static_cast<routing::PlacementNews>(news.getNews()), timers_.now());
+            placeWaiting();
+        }
+    });
+    KJ_IF_MAYBE (exception, fault) {
+        observability::log(observability::LogLevel::Warning, "placement-unreadable",
+                           {{"from", host}, {"reason", exception->getDescription().cStr()}});
+    }
+}
+
+void SharedPlacement::onAsk(const std::string &host, std::uint64_t number,
+                            const routing::PlacementQuery &query)
+{
+    send(host,
+         encodeAnswer(
+             number,
+             desk_.place({host, number}, query, roster_.available(query.pool), timers_.now())));
+}
+
+// Room may have come: tells the hosts whose waiting requests now have an endpoint.
+void SharedPlacement::placeWaiting()
+{
+    if (!desk_.hasWaiting() || placingWaiting_)
+        return;
+    placingWaiting_ = true;
+    for (const auto &[ticket, choice] : desk_.placeWaiting(roster_, timers_.now())) {
+        if (ticket.host != settings_.ownIp) {
+            send(ticket.host, encodeAnswer(ticket.number, choice));
+            continue;
+        }
+        const auto own = ownWaiting_.find(ticket.number);
+        if (own == ownWaiting_.end())
+            continue;
+        const Placed placed = std::move(own->second);
+        ownWaiting_.erase(own);
+        placed(ticket, choice);
+    }
+    placingWaiting_ = false;
+}
+
+void SharedPlacement::onWaiting(const std::string &host, std::uint64_t number)
+{
+    const auto found = asks_.find(number);
+    if (found == asks_.end())
+        return;
+    trust_[host].missedAnswers = 0;
+    Ask &ask = found->second;
+    timers_.cancel(ask.timeout);
+    ask.timeout = timers_.after(WaitingTimeout, [this, number] { askAgain(number); });
+}
+
+// The answer to a waiting request may be lost, or the placing host with its queue.
+void SharedPlacement::askAgain(std::uint64_t number)
+{
+    const auto found = asks_.find(number);
+    if (found == asks_.end())
+        return;
+    Ask &ask = found->second;
+    ask.query.targetIn -= WaitingTimeout;
+    ask.query.givenUpIn -= WaitingTimeout;
+    ask.timeout = timers_.after(AnswerTimeout, [this, number] { onTimeout(number); });
+    send(ask.decider, encodeAsk(number, ask.query));
+}
+
+void SharedPlacement::withdraw(std::uint64_t number)
+{
+    const auto found = asks_.find(number);
+    if (found != asks_.end()) {
+        timers_.cancel(found->second.timeout);
+        deciders_[number] = found->second.decider;
+        asks_.erase(found);
+    }
+    tell({settings_.ownIp, number}, routing::PlacementNews::Withdrawn);
+}
+
+void SharedPlacement::onAnswer(const std::string &host, std::uint64_t number,
+                               const std::string &endpoint, std::int64_t tokensToRead)
+{
+    const auto found = asks_.find(number);
+    if (found == asks_.end())
+        return; // decided alone meanwhile
+    Ask ask = std::move(found->second);
+    asks_.erase(found);
+    timers_.cancel(ask.timeout);
+    trust_[host].missedAnswers = 0;
+    const units::TimePoint now = timers_.now();
+    for (const routing::EndpointRoster::Status &status : roster_.available(ask.query.pool)) {
+        if (status->described.id.value() == endpoint && status->health.accepts(now)) {
+            deciders_[number] = host;
+            ask.placed({settings_.ownIp, number}, {status, tokensToRead});
+            return;
+        }
+    }
+    // The other host does not know yet that the endpoint left or fails, or knows of none.
+    placeAlone(number, ask.query, ask.placed);
+}
+
+void SharedPlacement::send(const std::string &ip, const std::string &datagram)
+{
+    asio::error_code error;
+    const auto address = asio::ip::make_address_v4(ip, error);
+    if (!error)
+        socket_.send_to(asio::buffer(datagram), {address, settings_.port}, 0, error);
+    // A datagram that can't be sent counts as lost; the sender's timeout covers it.
+}
+
+} // namespace monsoongrade::gateway
--- a/src/routing/endpointhealth.cpp
+++ b/src/routing/endpointhealth.cpp
@@ -54,6 +54,12 @@
     suspendedUntil_ = now + std::min<units::Duration>(FirstPause * (1 << doublings), MaxPause);
 }
 
+void EndpointHealth::onSilence(units::TimePoint now)
+{
+    failuresInRow_ = std::max(failuresInRow_, FailuresToSuspend - 1);
+    onFailure(now);
+}
+
 void EndpointHealth::onLatency(double timesExpected, units::TimePoint now)
 {
     const double before = slowness(now);
