--- a/include/monsoongrade/gateway/peergossip.h
+++ b/include/monsoongrade/gateway/peergossip.h
@@ -37,6 +37,8 @@
     void onRound(std::function<void()> handler) { onRound_ = std::move(handler); }
     const routing::PeerTable &table() const { return table_; }
     std::vector<routing::PeerNews> live() const { return table_.live(timers_.now()); }
+    // What this host says of itself now.
+    routing::PeerNews own() const;
 
 private:
     void receive();
@@ -53,6 +55,7 @@
     routing::PeerTable table_;
     routing::PeerState state_ = routing::PeerState::Waiting;
     std::function<void()> onRound_;
+    units::TimePoint startedAt_;
     std::minstd_rand random_;
 };
 
--- a/include/monsoongrade/gateway/sharedplacement.h
+++ b/include/monsoongrade/gateway/sharedplacement.h
@@ -15,10 +15,11 @@
 
 namespace monsoongrade::gateway {
 
-// Places requests on endpoints, with the help of the other hosts for model pools: for each pool
-// the hosts agree, by rendezvous hashing over those that serve, on one that places the requests of
-// all and so knows the load of each endpoint. If that host does not answer within milliseconds,
-// this one decides alone with what it knows; nobody waits for a failed host to be noticed.
+// Places requests on endpoints, with the help of the other hosts for model pools: the hosts agree
+// on one of those that serve, which places the requests of all and so knows the load of each
+// endpoint, and tells those that would take over what is cached where. If that host does not answer
+// within milliseconds, this one decides alone with what it knows; nobody waits for a failed host to
+// be noticed.
 class SharedPlacement
 {
 public:
@@ -30,18 +31,13 @@
         std::uint16_t port = 0; // the same on all hosts
     };
 
-    // The hosts that serve at present, without this one; and whether this one serves.
-    struct Hosts
-    {
-        std::vector<std::string> others;
-        bool isOwnServing = false;
-    };
-
     SharedPlacement(asio::io_context &io, httpio::Timers &timers, Settings settings,
                     const routing::EndpointRoster &roster, observability::Metrics &metrics);
 
     void start() { receive(); }
-    void setHosts(Hosts hosts) { hosts_ = std::move(hosts); }
+    // Hosts that may place for all, best first. Called several times a second; also tells the
+    // successors what this host has placed.
+    void setOrder(std::vector<std::string> order);
 
     // Chooses an endpoint; placed is called once, perhaps before this returns, unless the request
     // is withdrawn. Returns the number of its ticket.
@@ -71,7 +67,8 @@
         units::TimePoint avoidUntil{};
     };
 
-    std::string deciderFor(const units::PoolName &pool) const;
+    std::string decider() const;
+    void tellSuccessors();
     void placeAlone(std::uint64_t number, const routing::PlacementQuery &query,
                     const Placed &placed);
     void onTimeout(std::uint64_t number);
@@ -92,7 +89,7 @@
     Settings settings_;
     const routing::EndpointRoster &roster_;
     observability::Metrics &metrics_;
-    Hosts hosts_;
+    std::vector<std::string> order_;
     routing::PlacementDesk desk_;
     std::unordered_map<std::uint64_t, Ask> asks_;
     std::unordered_map<std::string, Trust> trust_; // by host
--- a/include/monsoongrade/routing/peertable.h
+++ b/include/monsoongrade/routing/peertable.h
@@ -24,6 +24,7 @@
     units::FailureDomain failureDomain;
     PeerState state = PeerState::Waiting;
     units::Duration age{}; // since the host itself said it
+    units::Duration uptime{}; // of its process, when it said it
 };
 
 // The other hosts, learned from each other: each tells some others what it knows with its age.
--- a/include/monsoongrade/routing/placementdesk.h
+++ b/include/monsoongrade/routing/placementdesk.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <unordered_map>
+#include <utility>
 
 namespace monsoongrade::routing {
 
@@ -22,6 +23,14 @@
     }
 };
 
+// A shared prompt part that an endpoint has read.
+struct CachedPart
+{
+    std::string part;
+    units::EndpointId endpoint;
+    Incarnation incarnation;
+};
+
 // What happened to a placed request.
 enum class PlacementNews : std::uint8_t {
     FirstEvent, // its prompt has been read
@@ -80,6 +89,11 @@
                      const std::vector<EndpointRoster::Status> &available,
                      units::TimePoint now) const;
 
+    // Parts that were placed lately and not told to the successors for a while.
+    std::vector<CachedPart> takeNewParts() { return std::exchange(newParts_, {}); }
+    // Another host has placed the part.
+    void learn(const CachedPart &part, units::TimePoint now);
+
     int openRequests(const EndpointStatus &endpoint) const;
     std::int64_t tokensToRead(const EndpointStatus &endpoint) const;
 
@@ -113,12 +127,18 @@
     PlacementChoice chooseForPlain(const PlacementQuery &query,
                                    const std::vector<EndpointRoster::Status> &available,
                                    units::TimePoint now) const;
+    static const EndpointStatus *firstByHash(const PlacementQuery &query,
+                                             const std::vector<EndpointRoster::Status> &available,
+                                             units::TimePoint now);
+    bool knows(const PlacementQuery &query, const EndpointStatus &endpoint,
+               units::TimePoint now) const;
     Load loadOf(const EndpointStatus &endpoint) const;
     void unload(const Placed &placed, bool isEnd);
     void noteSilence(const Placed &placed, units::TimePoint now);
     void forgetOld(units::TimePoint now);
 
     PrefixMemory memory_;
+    std::vector<CachedPart> newParts_;
     std::unordered_map<const EndpointStatus *, Load> loads_;
     std::map<PlacementTicket, Placed> placed_;
     std::map<PlacementTicket, Waiting> waiting_;
--- a/include/monsoongrade/routing/placementquery.h
+++ b/include/monsoongrade/routing/placementquery.h
@@ -27,6 +27,8 @@
     units::Duration givenUpIn{};
     // The asking host can wait for an endpoint; without, the request is placed at once.
     bool mayWait = false;
+    // This host decides without those of the others in view.
+    bool isAlone = false;
 };
 
 // The query for a request of which nothing has been tried yet.
--- /dev/null
+++ b/include/monsoongrade/routing/placinghosts.h
@@ -0,0 +1,19 @@
+#ifndef MONSOONGRADE_ROUTING_PLACINGHOSTS_H
+#define MONSOONGRADE_ROUTING_PLACINGHOSTS_H
+
+#include <monsoongrade/routing/peertable.h>
+
+#include <string>
+#include <vector>
+
+namespace monsoongrade::routing {
+
+// IPs of the hosts that may place requests for all, best first: the serving hosts that have run
+// longest, and among those of about the same age the order of a hash. All hosts that know the same
+// hosts get the same order without asking anybody. A restarted host goes to the end, since it knows
+// nothing of what is cached where; the second and third learn it from the first, and take over.
+std::vector<std::string> placingOrder(std::vector<PeerNews> hosts);
+
+} // namespace monsoongrade::routing
+
+#endif // MONSOONGRADE_ROUTING_PLACINGHOSTS_H
--- a/include/monsoongrade/routing/prefixmemory.h
+++ b/include/monsoongrade/routing/prefixmemory.h
@@ -12,7 +12,9 @@
 class PrefixMemory
 {
 public:
-    void remember(const std::string &part, const units::EndpointId &endpoint,
+    // Returns true if the successors of this host should be told: it is new, or was told a while
+    // ago.
+    bool remember(const std::string &part, const units::EndpointId &endpoint,
                   Incarnation incarnation, units::TimePoint now);
     // True if the part was sent to this start of the endpoint not long ago.
     bool knows(const std::string &part, const units::EndpointId &endpoint, Incarnation incarnation,
@@ -21,7 +23,13 @@
 private:
     void forgetOld(units::TimePoint now);
 
-    std::unordered_map<std::string, units::TimePoint> lastSent_; // by part, endpoint, incarnation
+    struct Entry
+    {
+        units::TimePoint lastSent;
+        units::TimePoint lastTold;
+    };
+
+    std::unordered_map<std::string, Entry> entries_; // by part, endpoint, incarnation
     units::TimePoint nextCleaning_{};
 };
 
--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -11,6 +11,8 @@
   state @2 :State;
   # Milliseconds since the host itself said this.
   ageMs @3 :UInt32;
+  # Milliseconds since the host's process started, when it said this.
+  uptimeMs @4 :UInt64;
 
   enum State {
     serving @0;
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -43,7 +43,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(b1e1eed5a6d82e8d, 1, 2)
+        CAPNP_DECLARE_STRUCT_HEADER(b1e1eed5a6d82e8d, 2, 2)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -105,6 +105,8 @@
 
     inline ::uint32_t getAgeMs() const;
 
+    inline ::uint64_t getUptimeMs() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -160,6 +162,9 @@
     inline ::uint32_t getAgeMs();
     inline void setAgeMs(::uint32_t value);
 
+    inline ::uint64_t getUptimeMs();
+    inline void setUptimeMs(::uint64_t value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -419,6 +424,20 @@
     _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline ::uint64_t GossipPeer::Reader::getUptimeMs() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t GossipPeer::Builder::getUptimeMs()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void GossipPeer::Builder::setUptimeMs(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool GossipMessage::Reader::hasSender() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/schema/placement.capnp
+++ b/schema/placement.capnp
@@ -42,10 +42,22 @@
   }
 }
 
+# From the placing host to those that would take over.
+struct CachedParts {
+  parts @0 :List(Part);
+
+  struct Part {
+    part @0 :Text;
+    endpoint @1 :Text;
+    incarnation @2 :Int64;
+  }
+}
+
 struct PlacementMessage {
   union {
     ask @0 :PlacementAsk;
     answer @1 :PlacementAnswer;
     news @2 :PlacementNews;
+    cachedParts @3 :CachedParts;
   }
 }
--- a/schema/placement.capnp.h
+++ b/schema/placement.capnp.h
@@ -28,6 +28,8 @@
     WITHDRAWN,
 };
 CAPNP_DECLARE_ENUM(News, c65cf91165181e42);
+CAPNP_DECLARE_SCHEMA(aa410731b99bbd0a);
+CAPNP_DECLARE_SCHEMA(eff64deac2482f86);
 CAPNP_DECLARE_SCHEMA(ef5fe5780a12750a);
 
 } // namespace schemas
@@ -97,6 +99,47 @@
     };
 };
 
+struct CachedParts
+{
+    CachedParts() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+    struct Part;
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(aa410731b99bbd0a, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
+struct CachedParts::Part
+{
+    Part() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(eff64deac2482f86, 1, 2)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
 struct PlacementMessage
 {
     PlacementMessage() = delete;
@@ -108,6 +151,7 @@
         ASK,
         ANSWER,
         NEWS,
+        CACHED_PARTS,
     };
 
     struct _capnpPrivate
@@ -492,6 +536,222 @@
 };
 #endif // !CAPNP_LITE
 
+class CachedParts::Reader
+{
+public:
+    typedef CachedParts Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasParts() const;
+    inline ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>::Reader
+    getParts() const;
+
+private:
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class CachedParts::Builder
+{
+public:
+    typedef CachedParts Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasParts();
+    inline ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>::Builder
+    getParts();
+    inline void setParts(::capnp::List<::monsoongrade::schema::CachedParts::Part,
+                                       ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>::Builder
+    initParts(unsigned int size);
+    inline void adoptParts(::capnp::Orphan<::capnp::List<::monsoongrade::schema::CachedParts::Part,
+                                                         ::capnp::Kind::STRUCT>> &&value);
+    inline ::capnp::Orphan<
+        ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>>
+    disownParts();
+
+private:
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CachedParts::Pipeline
+{
+public:
+    typedef CachedParts Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+class CachedParts::Part::Reader
+{
+public:
+    typedef Part Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasPart() const;
+    inline ::capnp::Text::Reader getPart() const;
+
+    inline bool hasEndpoint() const;
+    inline ::capnp::Text::Reader getEndpoint() const;
+
+    inline ::int64_t getIncarnation() const;
+
+private:
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class CachedParts::Part::Builder
+{
+public:
+    typedef Part Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasPart();
+    inline ::capnp::Text::Builder getPart();
+    inline void setPart(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initPart(unsigned int size);
+    inline void adoptPart(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownPart();
+
+    inline bool hasEndpoint();
+    inline ::capnp::Text::Builder getEndpoint();
+    inline void setEndpoint(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initEndpoint(unsigned int size);
+    inline void adoptEndpoint(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownEndpoint();
+
+    inline ::int64_t getIncarnation();
+    inline void setIncarnation(::int64_t value);
+
+private:
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CachedParts::Part::Pipeline
+{
+public:
+    typedef Part Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
 class PlacementMessage::Reader
 {
 public:
@@ -525,6 +785,10 @@
     inline bool hasNews() const;
     inline ::monsoongrade::schema::PlacementNews::Reader getNews() const;
 
+    inline bool isCachedParts() const;
+    inline bool hasCachedParts() const;
+    inline ::monsoongrade::schema::CachedParts::Reader getCachedParts() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -585,6 +849,14 @@
     inline void adoptNews(::capnp::Orphan<::monsoongrade::schema::PlacementNews> &&value);
     inline ::capnp::Orphan<::monsoongrade::schema::PlacementNews> disownNews();
 
+    inline bool isCachedParts();
+    inline bool hasCachedParts();
+    inline ::monsoongrade::schema::CachedParts::Builder getCachedParts();
+    inline void setCachedParts(::monsoongrade::schema::CachedParts::Reader value);
+    inline ::monsoongrade::schema::CachedParts::Builder initCachedParts();
+    inline void adoptCachedParts(::capnp::Orphan<::monsoongrade::schema::CachedParts> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::CachedParts> disownCachedParts();
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -981,6 +1253,151 @@
         ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool CachedParts::Reader::hasParts() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CachedParts::Builder::hasParts()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>::Reader
+CachedParts::Reader::getParts() const
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>>::
+        get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>::Builder
+CachedParts::Builder::getParts()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>>::
+        get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CachedParts::Builder::setParts(
+    ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>>::
+        set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>::Builder
+CachedParts::Builder::initParts(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>>::
+        init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CachedParts::Builder::adoptParts(
+    ::capnp::Orphan<::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>>
+        &&value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>>::
+        adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<
+    ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>>
+CachedParts::Builder::disownParts()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>>::
+        disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CachedParts::Part::Reader::hasPart() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CachedParts::Part::Builder::hasPart()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader CachedParts::Part::Reader::getPart() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder CachedParts::Part::Builder::getPart()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CachedParts::Part::Builder::setPart(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder CachedParts::Part::Builder::initPart(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CachedParts::Part::Builder::adoptPart(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> CachedParts::Part::Builder::disownPart()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CachedParts::Part::Reader::hasEndpoint() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool CachedParts::Part::Builder::hasEndpoint()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader CachedParts::Part::Reader::getEndpoint() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder CachedParts::Part::Builder::getEndpoint()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CachedParts::Part::Builder::setEndpoint(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder CachedParts::Part::Builder::initEndpoint(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void CachedParts::Part::Builder::adoptEndpoint(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> CachedParts::Part::Builder::disownEndpoint()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline ::int64_t CachedParts::Part::Reader::getIncarnation() const
+{
+    return _reader.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::int64_t CachedParts::Part::Builder::getIncarnation()
+{
+    return _builder.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CachedParts::Part::Builder::setIncarnation(::int64_t value)
+{
+    _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline ::monsoongrade::schema::PlacementMessage::Which PlacementMessage::Reader::which() const
 {
     return _reader.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1185,6 +1602,72 @@
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PlacementMessage::Reader::isCachedParts() const
+{
+    return which() == PlacementMessage::CACHED_PARTS;
+}
+inline bool PlacementMessage::Builder::isCachedParts()
+{
+    return which() == PlacementMessage::CACHED_PARTS;
+}
+inline bool PlacementMessage::Reader::hasCachedParts() const
+{
+    if (which() != PlacementMessage::CACHED_PARTS)
+        return false;
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PlacementMessage::Builder::hasCachedParts()
+{
+    if (which() != PlacementMessage::CACHED_PARTS)
+        return false;
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::monsoongrade::schema::CachedParts::Reader PlacementMessage::Reader::getCachedParts() const
+{
+    KJ_IREQUIRE((which() == PlacementMessage::CACHED_PARTS),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::CachedParts>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::monsoongrade::schema::CachedParts::Builder PlacementMessage::Builder::getCachedParts()
+{
+    KJ_IREQUIRE((which() == PlacementMessage::CACHED_PARTS),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::CachedParts>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+PlacementMessage::Builder::setCachedParts(::monsoongrade::schema::CachedParts::Reader value)
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::CACHED_PARTS);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::CachedParts>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::monsoongrade::schema::CachedParts::Builder PlacementMessage::Builder::initCachedParts()
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::CACHED_PARTS);
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::CachedParts>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PlacementMessage::Builder::adoptCachedParts(
+    ::capnp::Orphan<::monsoongrade::schema::CachedParts> &&value)
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::CACHED_PARTS);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::CachedParts>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::monsoongrade::schema::CachedParts>
+PlacementMessage::Builder::disownCachedParts()
+{
+    KJ_IREQUIRE((which() == PlacementMessage::CACHED_PARTS),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::CachedParts>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 } // namespace schema
 } // namespace monsoongrade
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include <monsoongrade/gateway/directory.h>
 #include <monsoongrade/gateway/exchange.h>
 #include <monsoongrade/httpio/socketoptions.h>
+#include <monsoongrade/routing/placinghosts.h>
 
 #include <algorithm>
 #include <stdexcept>
@@ -169,15 +170,10 @@
 {
     gossip_.setState(peerState());
     state_.roster.dropMissing(timers_.now());
-    const std::vector<routing::PeerNews> live = gossip_.live();
-    state_.liveHosts = int(live.size()) + 1;
-    SharedPlacement::Hosts hosts;
-    hosts.isOwnServing = isServing();
-    for (const routing::PeerNews &peer : live) {
-        if (peer.state == routing::PeerState::Serving)
-            hosts.others.push_back(peer.ip);
-    }
-    state_.placement.setHosts(std::move(hosts));
+    std::vector<routing::PeerNews> hosts = gossip_.live();
+    hosts.push_back(gossip_.own());
+    state_.liveHosts = int(hosts.size());
+    state_.placement.setOrder(routing::placingOrder(std::move(hosts)));
 }
 
 void Gateway::stop(std::function<void()> stopped)
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -23,14 +23,18 @@
 // Hosts described in one datagram, about 25 bytes each; the packet stays below 1,400 bytes.
 constexpr std::size_t MaxDescribed = 40;
 
-void encodePeer(schema::GossipPeer::Builder peer, const std::string &ip,
-                const units::FailureDomain &domain, routing::PeerState state, units::Duration age)
+std::uint64_t inMilliseconds(units::Duration duration)
 {
-    peer.setIp(ip);
-    peer.setFailureDomain(domain.value());
-    peer.setState(static_cast<schema::GossipPeer::State>(state));
-    peer.setAgeMs(
-        std::uint32_t(std::chrono::duration_cast<std::chrono::milliseconds>(age).count()));
+    return std::uint64_t(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+void encodePeer(schema::GossipPeer::Builder peer, const routing::PeerNews &news)
+{
+    peer.setIp(news.ip);
+    peer.setFailureDomain(news.failureDomain.value());
+    peer.setState(static_cast<schema::GossipPeer::State>(news.state));
+    peer.setAgeMs(std::uint32_t(inMilliseconds(news.age)));
+    peer.setUptimeMs(inMilliseconds(news.uptime));
 }
 
 std::optional<routing::PeerNews> decodePeer(schema::GossipPeer::Reader peer)
@@ -43,6 +47,7 @@
     news.failureDomain = units::FailureDomain(peer.getFailureDomain());
     news.state = static_cast<routing::PeerState>(state);
     news.age = std::chrono::milliseconds(peer.getAgeMs());
+    news.uptime = std::chrono::milliseconds(peer.getUptimeMs());
     return news;
 }
 
@@ -52,6 +57,7 @@
     : socket_(io)
     , timers_(timers)
     , settings_(std::move(settings))
+    , startedAt_(timers.now())
     , random_(std::random_device()())
 {
     for (const std::string &ip : settings_.seedIps) {
@@ -118,17 +124,26 @@
     }
 }
 
+routing::PeerNews PeerGossip::own() const
+{
+    routing::PeerNews news;
+    news.ip = settings_.ownIp;
+    news.failureDomain = settings_.ownFailureDomain;
+    news.state = state_;
+    news.uptime = timers_.now() - startedAt_;
+    return news;
+}
+
 std::string PeerGossip::encode() const
 {
     std::vector<routing::PeerNews> known = live();
     known.resize(std::min(known.size(), MaxDescribed));
     capnp::MallocMessageBuilder message;
     auto root = message.initRoot<schema::GossipMessage>();
-    encodePeer(root.initSender(), settings_.ownIp, settings_.ownFailureDomain, state_, {});
+    encodePeer(root.initSender(), own());
     auto list = root.initKnown(unsigned(known.size()));
     for (std::size_t i = 0; i < known.size(); ++i)
-        encodePeer(list[unsigned(i)], known[i].ip, known[i].failureDomain, known[i].state,
-                   known[i].age);
+        encodePeer(list[unsigned(i)], known[i]);
     kj::VectorOutputStream out;
     capnp::writePackedMessage(out, message);
     const auto bytes = out.getArray();
--- a/src/gateway/sharedplacement.cpp
+++ b/src/gateway/sharedplacement.cpp
@@ -1,7 +1,6 @@
 #include <monsoongrade/gateway/sharedplacement.h>
 
 #include <monsoongrade/observability/log.h>
-#include <monsoongrade/units/stablehash.h>
 
 #include <placement.capnp.h>
 
@@ -22,6 +21,10 @@
 // One answer may be lost with its datagram; two in a row mean that the host is gone or frozen.
 constexpr int MissedAnswersToAvoid = 2;
 constexpr auto AvoidFor = std::chrono::seconds(1);
+// Hosts that learn what is cached where. Two may be lost at the same time.
+constexpr std::size_t Successors = 2;
+// About 40 bytes each; the datagram stays below 1,400 bytes.
+constexpr std::size_t MaxPartsInDatagram = 25;
 // How long a host waits without news for an endpoint before it asks again.
 constexpr units::Duration WaitingTimeout = std::chrono::milliseconds(200);
 
@@ -88,15 +91,6 @@
     return query;
 }
 
-std::uint64_t hostRank(const std::string &ip, const units::PoolName &pool)
-{
-    units::StableHash hash;
-    hash.add(pool.value());
-    hash.add(ip);
-    const std::uint64_t value = hash.value();
-    return (value ^ (value >> 33)) * 0xff51afd7ed558ccdULL;
-}
-
 } // namespace
 
 SharedPlacement::SharedPlacement(asio::io_context &io, httpio::Timers &timers, Settings settings,
@@ -117,15 +111,15 @@
 std::uint64_t SharedPlacement::place(const routing::PlacementQuery &query, Placed placed)
 {
     const std::uint64_t number = ++lastNumber_;
-    const std::string decider = query.runsModel ? deciderFor(query.pool) : std::string();
-    if (decider.empty()) {
+    const std::string host = query.runsModel ? decider() : std::string();
+    if (host.empty()) {
         placeAlone(number, query, placed);
         return number;
     }
     Ask &ask = asks_[number];
-    ask = {query, std::move(placed), decider, {}};
+    ask = {query, std::move(placed), host, {}};
     ask.timeout = timers_.after(AnswerTimeout, [this, number] { onTimeout(number); });
-    send(decider, encodeAsk(number, query));
+    send(host, encodeAsk(number, query));
     return number;
 }
 
@@ -166,23 +160,47 @@
     return desk_.hasEndpoint(query, roster_.available(query.pool), timers_.now());
 }
 
-// The host that places for the pool; empty if it is this one, or there is no other.
-std::string SharedPlacement::deciderFor(const units::PoolName &pool) const
+// The host that places for all; empty if it is this one, or there is no other.
+std::string SharedPlacement::decider() const
 {
-    std::string best;
-    std::uint64_t bestRank = hosts_.isOwnServing ? hostRank(settings_.ownIp, pool) : 0;
     const units::TimePoint now = timers_.now();
-    for (const std::string &host : hosts_.others) {
+    for (const std::string &host : order_) {
         const auto trust = trust_.find(host);
-        if (trust != trust_.end() && now < trust->second.avoidUntil)
-            continue;
-        const std::uint64_t rank = hostRank(host, pool);
-        if (rank > bestRank) {
-            bestRank = rank;
-            best = host;
+        if (host == settings_.ownIp)
+            return {};
+        if (trust == trust_.end() || now >= trust->second.avoidUntil)
+            return host;
+    }
+    return {};
+}
+
+void SharedPlacement::setOrder(std::vector<std::string> order)
+{
+    order_ = std::move(order);
+    tellSuccessors();
+}
+
+void SharedPlacement::tellSuccessors()
+{
+    const std::vector<routing::CachedPart> parts = desk_.takeNewParts();
+    for (std::size_t begin = 0; begin < parts.size(); begin += MaxPartsInDatagram) {
+        const std::size_t count = std::min(MaxPartsInDatagram, parts.size() - begin);
+        capnp::MallocMessageBuilder message;
+        auto list = message.initRoot<schema::PlacementMessage>().initCachedParts().initParts(
+            unsigned(count));
+        for (std::size_t i = 0; i < count; ++i) {
+            const routing::CachedPart &part = parts[begin + i];
+            list[unsigned(i)].setPart(part.part);
+            list[unsigned(i)].setEndpoint(part.endpoint.value());
+            list[unsigned(i)].setIncarnation(part.incarnation.value());
+        }
+        const std::string datagram = packed(message);
+        std::size_t told = 0;
+        for (const std::string &host : order_) {
+            if (host != settings_.ownIp && told++ < Successors)
+                send(host, datagram);
         }
     }
-    return best;
 }
 
 void SharedPlacement::onTimeout(std::uint64_t number)
@@ -202,6 +220,7 @@
     // Without the other hosts' requests in view, waiting here would only add delay.
     routing::PlacementQuery query = ask.query;
     query.mayWait = false;
+    query.isAlone = true;
     placeAlone(number, query, ask.placed);
 }
 
@@ -239,6 +258,11 @@
             desk_.hear({host, news.getNumber()},
                        static_cast<routing::PlacementNews>(news.getNews()), timers_.now());
             placeWaiting();
+        } else if (message.isCachedParts()) {
+            for (const auto part : message.getCachedParts().getParts())
+                desk_.learn({part.getPart(), units::EndpointId(part.getEndpoint()),
+                             routing::Incarnation(part.getIncarnation())},
+                            timers_.now());
         }
     });
     KJ_IF_MAYBE (exception, fault) {
--- a/src/httpio/messageparser.cpp
+++ b/src/httpio/messageparser.cpp
@@ -12,6 +12,19 @@
 constexpr int FirstFinalStatus = 200;
 constexpr int StatusNoContent = 204;
 constexpr int StatusNotModified = 304;
+// The parser lets spaces into names, and a server behind could read "Content-Length : 3"
+// as another header or as a length.
+bool hasMalformedName(const Headers &headers)
+{
+    const std::string_view allowed = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz"
+                                     "ABCDEFGHIJKLMNOPQRSTUVWXYZ";
+    for (const auto &header : headers) {
+        if (header.first.empty() || header.first.find_first_not_of(allowed) != std::string::npos)
+            return true;
+    }
+    return false;
+}
+
 // What http_parser reports as length of a message without one.
 constexpr std::uint64_t NoLength = std::numeric_limits<std::uint64_t>::max();
 
@@ -47,7 +60,7 @@
         };
         settings_.on_url = [](http_parser *p, const char *at, std::size_t n) {
             self(p).head_.target.append(at, n);
-            return 0;
+            return self(p).countHeadBytes(n);
         };
         settings_.on_header_field = [](http_parser *p, const char *at, std::size_t n) {
             return self(p).onHeaderName({at, n});
@@ -76,17 +89,11 @@
             const std::size_t step = http_parser_execute(&parser_, &settings_, bytes.data() + taken,
                                                          bytes.size() - taken);
             taken += step;
-            if (!headDone_)
-                headBytes_ += step;
             if (HTTP_PARSER_ERRNO(&parser_) == HPE_PAUSED)
                 http_parser_pause(&parser_, 0);
             else if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || parser_.upgrade)
                 failed_ = true;
         }
-        if (!headDone_ && headBytes_ > maxHeadBytes_) {
-            failed_ = true;
-            headTooLarge_ = true;
-        }
         return taken;
     }
 
@@ -122,6 +129,14 @@
         return 0;
     }
 
+    // A callback's result other than 0 stops the parser.
+    int countHeadBytes(std::size_t count)
+    {
+        headBytes_ += count;
+        headTooLarge_ = headBytes_ > maxHeadBytes_;
+        return headTooLarge_ ? -1 : 0;
+    }
+
     int onHeaderName(std::string_view text)
     {
         if (headDone_) // trailers are not forwarded
@@ -130,7 +145,7 @@
             head_.headers.emplace_back();
         readingValue_ = false;
         head_.headers.back().first.append(text);
-        return 0;
+        return countHeadBytes(text.size());
     }
 
     int onHeaderValue(std::string_view text)
@@ -139,7 +154,7 @@
             return 0;
         readingValue_ = true;
         head_.headers.back().second.append(text);
-        return 0;
+        return countHeadBytes(text.size());
     }
 
     // http_parser skips the body if this returns 1 and stops with an error for other values.
@@ -148,7 +163,8 @@
         if (isInterim())
             return 0;
         headDone_ = true;
-        if (kind_ == MessageKind::Request && isRequestFramingAmbiguous(head_))
+        if (kind_ == MessageKind::Request
+            && (isRequestFramingAmbiguous(head_) || hasMalformedName(head_.headers)))
             return -1;
         head_.status = int(parser_.status_code);
         if (kind_ == MessageKind::Request)
--- a/src/routing/placementdesk.cpp
+++ b/src/routing/placementdesk.cpp
@@ -14,6 +14,7 @@
 // about 7 tokens of reading, for some tens of steps.
 constexpr double TokensPerOpenRequest = 100;
 constexpr double ReadAgainWeight = 5;
+constexpr double DetourWeight = 3;
 // Engines read about 157 tokens a millisecond. Below 6,000 tokens, 40 ms, a read disturbs little.
 constexpr std::int64_t AssumedTokensPerMs = 150;
 constexpr std::int64_t LongReadTokens = 6000;
@@ -87,9 +88,11 @@
     Load &load = loads_[choice.endpoint.get()];
     ++load.openRequests;
     load.tokensToRead += choice.tokensToRead;
-    if (!query.sharedPart.empty())
-        memory_.remember(query.sharedPart, choice.endpoint->described.id,
-                         choice.endpoint->described.incarnation, now);
+    if (query.runsModel && !query.sharedPart.empty()) {
+        const DiscoveredEndpoint &endpoint = choice.endpoint->described;
+        if (memory_.remember(query.sharedPart, endpoint.id, endpoint.incarnation, now))
+            newParts_.push_back({query.sharedPart, endpoint.id, endpoint.incarnation});
+    }
     return choice;
 }
 
@@ -147,27 +150,26 @@
                                               const std::vector<EndpointRoster::Status> &available,
                                               units::TimePoint now) const
 {
-    const EndpointStatus *first = nullptr;
-    std::uint64_t firstHash = 0;
-    for (const EndpointRoster::Status &endpoint : available) {
-        const std::uint64_t hash = rankHash(query.sharedPart, *endpoint);
-        if (isUsable(endpoint, query, now) && (first == nullptr || hash > firstHash)) {
-            first = endpoint.get();
-            firstHash = hash;
-        }
-    }
     PlacementChoice choice;
     double best = std::numeric_limits<double>::infinity();
     const std::int64_t shared = query.promptTokens - query.ownTokens;
+    const EndpointStatus *first = firstByHash(query, available, now);
+    const bool isKnownSomewhere
+        = std::any_of(available.begin(), available.end(), [&](const auto &endpoint) {
+              return isUsable(endpoint, query, now) && knows(query, *endpoint, now);
+          });
     for (const EndpointRoster::Status &endpoint : available) {
         if (!isUsable(endpoint, query, now))
             continue;
-        const bool isKnown = memory_.knows(query.sharedPart, endpoint->described.id,
-                                           endpoint->described.incarnation, now);
-        const std::int64_t again = isKnown ? 0 : endpoint.get() == first ? shared / 2 : shared;
+        const std::int64_t again = knows(query, *endpoint, now) ? 0 : shared;
         const std::int64_t toRead = query.ownTokens + again;
         const Load load = loadOf(*endpoint);
-        const double cost = (double(load.tokensToRead + toRead) + double(again) * ReadAgainWeight
+        // What a choice other than that of all hosts may cost later: a host that decides alone, or
+        // takes over, looks for the part on the first endpoint by hash.
+        const double detour = isKnownSomewhere ? double(again) * ReadAgainWeight
+            : endpoint.get() == first          ? 0.0
+                                               : double(shared) * DetourWeight;
+        const double cost = (double(load.tokensToRead + toRead) + detour
                              + load.openRequests * TokensPerOpenRequest)
             * penalty(*endpoint, now);
         if (cost < best) {
@@ -180,6 +182,30 @@
     return choice;
 }
 
+const EndpointStatus *
+PlacementDesk::firstByHash(const PlacementQuery &query,
+                           const std::vector<EndpointRoster::Status> &available,
+                           units::TimePoint now)
+{
+    const EndpointStatus *first = nullptr;
+    std::uint64_t firstHash = 0;
+    for (const EndpointRoster::Status &endpoint : available) {
+        const std::uint64_t hash = rankHash(query.sharedPart, *endpoint);
+        if (isUsable(endpoint, query, now) && (first == nullptr || hash > firstHash)) {
+            first = endpoint.get();
+            firstHash = hash;
+        }
+    }
+    return first;
+}
+
+bool PlacementDesk::knows(const PlacementQuery &query, const EndpointStatus &endpoint,
+                          units::TimePoint now) const
+{
+    return memory_.knows(query.sharedPart, endpoint.described.id, endpoint.described.incarnation,
+                         now);
+}
+
 PlacementChoice PlacementDesk::chooseForPlain(const PlacementQuery &query,
                                               const std::vector<EndpointRoster::Status> &available,
                                               units::TimePoint now) const
@@ -243,6 +269,11 @@
                        [&](const auto &endpoint) { return isUsable(endpoint, query, now); });
 }
 
+void PlacementDesk::learn(const CachedPart &part, units::TimePoint now)
+{
+    memory_.remember(part.part, part.endpoint, part.incarnation, now);
+}
+
 int PlacementDesk::openRequests(const EndpointStatus &endpoint) const
 {
     return loadOf(endpoint).openRequests;
--- /dev/null
+++ b/src/routing/placinghosts.cpp
@@ -0,0 +1,52 @@
+#include <monsoongrade/routing/placinghosts.h>
+
+#include <monsoongrade/units/stablehash.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace monsoongrade::routing {
+
+namespace {
+
+// Hosts that start together do so within 0.3 s, and gossip tells ages to about 0.5 s.
+constexpr auto SameAge = std::chrono::seconds(3);
+
+std::uint64_t hashOf(const std::string &ip)
+{
+    units::StableHash hash;
+    hash.add(ip);
+    const std::uint64_t value = hash.value();
+    return (value ^ (value >> 33)) * 0xff51afd7ed558ccdULL;
+}
+
+} // namespace
+
+std::vector<std::string> placingOrder(std::vector<PeerNews> hosts)
+{
+    hosts.erase(
+        std::remove_if(hosts.begin(), hosts.end(),
+                       [](const PeerNews &host) { return host.state != PeerState::Serving; }),
+        hosts.end());
+    const auto ageOf = [](const PeerNews &host) {
+        return host.uptime + host.age;
+    };
+    std::vector<std::string> order;
+    while (!hosts.empty()) {
+        units::Duration oldest{};
+        for (const PeerNews &host : hosts)
+            oldest = std::max(oldest, ageOf(host));
+        const auto next = std::max_element(hosts.begin(), hosts.end(),
+                                           [&](const PeerNews &a, const PeerNews &b) {
+                                               const bool aIsOld = ageOf(a) + SameAge >= oldest;
+                                               const bool bIsOld = ageOf(b) + SameAge >= oldest;
+                                               return std::make_tuple(aIsOld, hashOf(a.ip))
+                                                   < std::make_tuple(bIsOld, hashOf(b.ip));
+                                           });
+        order.push_back(next->ip);
+        hosts.erase(next);
+    }
+    return order;
+}
+
+} // namespace monsoongrade::routing
--- /dev/null
+++ b/tests/httpio/messageparser_test.cpp
@@ -0,0 +1,151 @@
+#include <monsoongrade/httpio/messageparser.h>
+#include <monsoongrade/httpio/messagewriter.h>
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <vector>
+
+using namespace monsoongrade::httpio;
+
+namespace {
+
+struct Recorder : MessageListener
+{
+    void onHead(MessageHead head) override { heads.push_back(std::move(head)); }
+    void onBody(std::string_view bytes) override { body += bytes; }
+    void onEnd() override { ++ends; }
+
+    std::vector<MessageHead> heads;
+    std::string body;
+    int ends = 0;
+};
+
+constexpr std::size_t MaxHead = 4096;
+
+void feedAll(MessageParser &parser, std::string_view bytes)
+{
+    while (!bytes.empty() && !parser.failed())
+        bytes.remove_prefix(parser.feed(bytes));
+}
+
+bool isRejected(const std::string &request)
+{
+    Recorder recorder;
+    MessageParser parser(MessageKind::Request, MaxHead, recorder);
+    feedAll(parser, request);
+    return parser.failed() && recorder.ends == 0;
+}
+
+} // namespace
+
+TEST_CASE("MessageParser.StopsAtTheEndOfEachMessage")
+{
+    Recorder recorder;
+    MessageParser parser(MessageKind::Request, MaxHead, recorder);
+    const std::string first = "POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc";
+    const std::string second = "GET /b HTTP/1.1\r\n\r\n";
+    CHECK(parser.feed(first + second) == first.size());
+    CHECK(recorder.ends == 1);
+    CHECK(recorder.body == "abc");
+    CHECK(parser.feed(second) == second.size());
+    REQUIRE(recorder.heads.size() == 2);
+    CHECK(recorder.heads[1].target == "/b");
+    CHECK(recorder.heads[1].method == "GET");
+}
+
+TEST_CASE("MessageParser.ReadsTheSameHoweverTheBytesAreCut")
+{
+    const std::string text = "POST /a HTTP/1.1\r\nX-One: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                             "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    const bool holds = rc::check("any cut gives the same message", [&] {
+        Recorder recorder;
+        MessageParser parser(MessageKind::Request, MaxHead, recorder);
+        std::string_view left = text;
+        while (!left.empty()) {
+            const auto size = *rc::gen::inRange<std::size_t>(1, left.size() + 1);
+            feedAll(parser, left.substr(0, size));
+            left.remove_prefix(size);
+        }
+        RC_ASSERT(recorder.ends == 1);
+        RC_ASSERT(recorder.body == "abcde");
+        RC_ASSERT(*findHeader(recorder.heads.at(0).headers, "x-one") == "1");
+    });
+    CHECK(holds);
+}
+
+TEST_CASE("MessageParser.RejectsRequestsThatCouldBeFramedInTwoWays")
+{
+    const std::string begin = "POST /a HTTP/1.1\r\n";
+    CHECK(isRejected(begin + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"));
+    CHECK(isRejected(begin + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"));
+    CHECK(isRejected(begin + "Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n"));
+    CHECK(isRejected(begin + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n"));
+    CHECK(isRejected(begin + "Content-Length : 3\r\n\r\nabc"));
+    CHECK(isRejected(begin + "Content-Length: +3\r\n\r\nabc"));
+}
+
+TEST_CASE("MessageParser.HeadOverTheLimitFails")
+{
+    Recorder recorder;
+    MessageParser parser(MessageKind::Request, MaxHead, recorder);
+    feedAll(parser, "GET /a HTTP/1.1\r\nX: " + std::string(MaxHead, 'x'));
+    CHECK(parser.failed());
+    CHECK(parser.headTooLarge());
+}
+
+TEST_CASE("MessageParser.ResponseWithoutLengthEndsAtTheClose")
+{
+    Recorder recorder;
+    MessageParser parser(MessageKind::Response, MaxHead, recorder);
+    feedAll(parser, "HTTP/1.1 200 OK\r\n\r\nsome");
+    CHECK(recorder.ends == 0);
+    REQUIRE(recorder.heads.size() == 1);
+    CHECK(recorder.heads[0].endsAtClose);
+    CHECK_FALSE(recorder.heads[0].keepAlive);
+    CHECK(parser.finishAtClose());
+    CHECK(recorder.ends == 1);
+}
+
+TEST_CASE("MessageParser.CloseWithinALengthIsNoEnd")
+{
+    Recorder recorder;
+    MessageParser parser(MessageKind::Response, MaxHead, recorder);
+    feedAll(parser, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nsome");
+    CHECK_FALSE(parser.finishAtClose());
+    CHECK(recorder.ends == 0);
+}
+
+TEST_CASE("MessageParser.InterimResponsesAreSkipped")
+{
+    Recorder recorder;
+    MessageParser parser(MessageKind::Response, MaxHead, recorder);
+    feedAll(parser, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    REQUIRE(recorder.heads.size() == 1);
+    CHECK(recorder.heads[0].status == 200);
+    CHECK(recorder.body == "ok");
+    CHECK(recorder.ends == 1);
+}
+
+TEST_CASE("MessageParser.ArbitraryBytesNeverCrash")
+{
+    const bool holds = rc::check("any bytes are a message, part of one, or rejected", [] {
+        for (const MessageKind kind : {MessageKind::Request, MessageKind::Response}) {
+            Recorder recorder;
+            MessageParser parser(kind, MaxHead, recorder);
+            feedAll(parser, *rc::gen::arbitrary<std::string>());
+            parser.finishAtClose();
+        }
+    });
+    CHECK(holds);
+}
+
+TEST_CASE("MessageHead.ConnectionHeadersAreNotPassedOn")
+{
+    const Headers headers{
+        {"Connection", "close, X-Hop"}, {"X-Hop", "1"}, {"Keep-Alive", "timeout=5"},
+        {"Content-Length", "3"},        {"X-End", "2"}, {"TE", "trailers"}};
+    CHECK(endToEndHeaders(headers) == Headers{{"X-End", "2"}});
+    CHECK(headerListsToken(headers, "connection", "CLOSE"));
+    CHECK_FALSE(headerListsToken(headers, "connection", "clos"));
+}
--- /dev/null
+++ b/tests/platform_standin/standinstore.cpp
@@ -0,0 +1,232 @@
+#include "standinstore.h"
+
+#include <monsoongrade/http/query.h>
+
+#include <algorithm>
+
+namespace monsoongrade::standins {
+
+namespace {
+
+using nlohmann::json;
+
+const httpio::Headers JsonHeaders{{"Content-Type", "application/json"}};
+constexpr std::size_t PageSize = 500;
+
+json withMetadata(const std::string &name, std::uint64_t revision, const json &spec)
+{
+    return {{"metadata",
+             {{"name", name},
+              {"revision", revision},
+              {"created_at", 1},
+              {"finalizers", json::array()},
+              {"deleting", false}}},
+            {"spec", spec},
+            {"status", nullptr}};
+}
+
+// "/objects/KIND/NAME" in parts; the name may be missing.
+std::pair<std::string, std::string> kindAndName(const std::string &path)
+{
+    const std::string prefix = "/objects/";
+    if (path.compare(0, prefix.size(), prefix) != 0)
+        return {};
+    const std::string rest = path.substr(prefix.size());
+    const std::size_t slash = rest.find('/');
+    return {rest.substr(0, slash), slash == std::string::npos ? "" : rest.substr(slash + 1)};
+}
+
+} // namespace
+
+StandInStore::StandInStore(asio::io_context &io, httpio::Timers &timers, std::uint16_t port)
+    : timers_(timers)
+    , server_(io, timers, {asio::ip::address_v4::loopback(), port}, limits_,
+              [this](const httpio::ServerRequest &request,
+                     const std::shared_ptr<httpio::Reply> &reply) { handle(request, reply); })
+{
+}
+
+void StandInStore::compact()
+{
+    history_.clear();
+    historyBegins_ = ++revision_;
+    for (const auto &watch : watches_) {
+        watch->isOver = true;
+        watch->reply->respond(410, JsonHeaders, "{}");
+    }
+    watches_.clear();
+}
+
+void StandInStore::put(const std::string &kind, const std::string &name, const json &spec)
+{
+    const auto found = objects_[kind].find(name);
+    if (found != objects_[kind].end() && found->second["spec"] == spec)
+        return;
+    json object = withMetadata(name, ++revision_, spec);
+    objects_[kind][name] = object;
+    record(kind, object, false);
+}
+
+void StandInStore::remove(const std::string &kind, const std::string &name)
+{
+    const auto found = objects_[kind].find(name);
+    if (found == objects_[kind].end())
+        return;
+    json object = found->second;
+    object["metadata"]["revision"] = ++revision_;
+    objects_[kind].erase(found);
+    record(kind, object, true);
+}
+
+void StandInStore::repeatOldEvent(const std::string &kind, const std::string &name,
+                                  const json &oldSpec, std::uint64_t oldRevision)
+{
+    ++revision_;
+    record(kind, withMetadata(name, oldRevision, oldSpec), false);
+}
+
+void StandInStore::record(const std::string &kind, const json &object, bool deleted)
+{
+    history_.push_back({revision_, kind, object, deleted});
+    answerWatches();
+}
+
+void StandInStore::handle(const httpio::ServerRequest &request,
+                          const std::shared_ptr<httpio::Reply> &reply)
+{
+    ++calls_;
+    switch (mood_) {
+    case StoreMood::Silent:
+        unanswered_.push_back(reply);
+        return;
+    case StoreMood::Refusing:
+        reply->respond(503, {}, "");
+        return;
+    case StoreMood::LosingAnswers:
+        reply->abort();
+        return;
+    case StoreMood::Normal:
+        serve(request, reply);
+        return;
+    }
+}
+
+void StandInStore::serve(const httpio::ServerRequest &request,
+                         const std::shared_ptr<httpio::Reply> &reply)
+{
+    const std::string &target = request.head.target;
+    const std::size_t mark = target.find('?');
+    const std::string query = mark == std::string::npos ? "" : target.substr(mark + 1);
+    const auto [kind, name] = kindAndName(target.substr(0, mark));
+    if (kind.empty()) {
+        reply->respond(404, {}, "");
+    } else if (request.head.method != "GET") {
+        write(request.head.method, kind, name, *request.body, *reply);
+    } else if (!name.empty()) {
+        const auto found = objects_[kind].find(name);
+        if (found == objects_[kind].end())
+            reply->respond(404, JsonHeaders, "{}");
+        else
+            reply->respond(200, JsonHeaders, found->second.dump());
+    } else if (!http::queryValue(query, "watch").empty()) {
+        watch(kind, http::queryNumber(query, "watch"),
+              std::chrono::milliseconds(http::queryNumber(query, "wait_ms")), reply);
+    } else {
+        list(kind, http::queryValue(query, "after"), *reply);
+    }
+}
+
+void StandInStore::list(const std::string &kind, const std::string &after, httpio::Reply &reply)
+{
+    ++lists_;
+    json answer{{"items", json::array()}, {"more", false}, {"as_of", revision_}};
+    const auto &objects = objects_[kind];
+    for (auto it = objects.upper_bound(after); it != objects.end(); ++it) {
+        if (answer["items"].size() == PageSize) {
+            answer["more"] = true;
+            break;
+        }
+        answer["items"].push_back(it->second);
+    }
+    reply.respond(200, JsonHeaders, answer.dump());
+}
+
+void StandInStore::watch(const std::string &kind, std::uint64_t from,
+                         std::chrono::milliseconds wait,
+                         const std::shared_ptr<httpio::Reply> &reply)
+{
+    if (from < historyBegins_ && historyBegins_ > 1) {
+        reply->respond(410, JsonHeaders, "{}");
+        return;
+    }
+    auto waiting = std::make_shared<Watch>(Watch{kind, from, reply, false});
+    watches_.push_back(waiting);
+    timers_.after(wait, [this, waiting] {
+        if (waiting->isOver)
+            return;
+        waiting->isOver = true;
+        if (mood_ != StoreMood::Normal)
+            return; // says nothing any more
+        watches_.erase(std::remove(watches_.begin(), watches_.end(), waiting), watches_.end());
+        waiting->reply->respond(200, JsonHeaders,
+                                json{{"events", json::array()}, {"as_of", revision_}}.dump());
+    });
+    answerWatches();
+}
+
+std::vector<StandInStore::Event> StandInStore::eventsSince(const std::string &kind,
+                                                           std::uint64_t from) const
+{
+    std::vector<Event> events;
+    for (const Event &event : history_) {
+        if (event.kind == kind && event.revision > from)
+            events.push_back(event);
+    }
+    return events;
+}
+
+void StandInStore::answerWatches()
+{
+    const std::vector<std::shared_ptr<Watch>> all = watches_;
+    for (const auto &watch : all) {
+        const std::vector<Event> events = eventsSince(watch->kind, watch->from);
+        if (events.empty() || mood_ != StoreMood::Normal)
+            continue;
+        json answer{{"events", json::array()}, {"as_of", revision_}};
+        for (const Event &event : events)
+            answer["events"].push_back({{"object", event.object}, {"deleted", event.deleted}});
+        watch->isOver = true;
+        watches_.erase(std::remove(watches_.begin(), watches_.end(), watch), watches_.end());
+        watch->reply->respond(200, JsonHeaders, answer.dump());
+    }
+}
+
+void StandInStore::write(const std::string &method, const std::string &kind,
+                         const std::string &name, const std::string &body, httpio::Reply &reply)
+{
+    if (method == "DELETE") {
+        remove(kind, name);
+        reply.respond(200, JsonHeaders, "{}");
+        return;
+    }
+    const json object = json::parse(body, nullptr, false);
+    if (!object.is_object() || !object.contains("metadata")) {
+        reply.respond(400, JsonHeaders, "{}");
+        return;
+    }
+    const std::string target = method == "POST" ? object["metadata"].value("name", "") : name;
+    const auto found = objects_[kind].find(target);
+    const bool exists = found != objects_[kind].end();
+    const std::uint64_t expected = object["metadata"].value("revision", std::uint64_t(0));
+    const bool conflicts = (method == "POST" && exists)
+        || (method == "PUT" && exists && expected != 0
+            && expected != found->second["metadata"]["revision"].get<std::uint64_t>());
+    if (conflicts) {
+        reply.respond(409, JsonHeaders, found->second.dump());
+        return;
+    }
+    put(kind, target, object.value("spec", json()));
+    reply.respond(200, JsonHeaders, objects_[kind][target].dump());
+}
+
+} // namespace monsoongrade::standins
--- /dev/null
+++ b/tests/platform_standin/standinworker.cpp
@@ -0,0 +1,107 @@
+#include "standinworker.h"
+
+#include <cstdlib>
+
+namespace monsoongrade::standins {
+
+namespace {
+
+std::string valueOf(const httpio::Headers &headers, std::string_view name)
+{
+    const std::string *value = httpio::findHeader(headers, name);
+    return value == nullptr ? std::string() : *value;
+}
+
+} // namespace
+
+StandInWorker::StandInWorker(asio::io_context &io, httpio::Timers &timers, StandInStore &store,
+                             Settings settings)
+    : timers_(timers)
+    , store_(store)
+    , settings_(std::move(settings))
+    , server_(io, timers, {asio::ip::address_v4::loopback(), settings_.port}, limits_,
+              [this](const httpio::ServerRequest &request,
+                     const std::shared_ptr<httpio::Reply> &reply) { handle(request, reply); })
+{
+}
+
+std::string StandInWorker::address() const
+{
+    return "127.0.0.1:" + std::to_string(server_.address().port());
+}
+
+void StandInWorker::announce(const std::string &state)
+{
+    store_.put("servers", settings_.id,
+               {{"service", settings_.service},
+                {"address", address()},
+                {"zone", settings_.zone},
+                {"version", "v1"},
+                {"slots", settings_.slots},
+                {"state", state},
+                {"cold_remaining_ms", 0},
+                {"born", 1700000000000},
+                {"sequence", ++sequence_}});
+}
+
+void StandInWorker::leaveStore()
+{
+    store_.remove("servers", settings_.id);
+}
+
+void StandInWorker::handle(const httpio::ServerRequest &request,
+                           const std::shared_ptr<httpio::Reply> &reply)
+{
+    const httpio::Headers &headers = request.head.headers;
+    const std::string id = valueOf(headers, "Attempt-Id");
+    const std::string expected = valueOf(headers, "Expect-Instance");
+    httpio::Headers answer{{"Attempt-Id", id}, {"Keep-Alive", "timeout=20"}};
+    if (!expected.empty() && expected != settings_.id) {
+        answer.emplace_back("Instance-Id", settings_.id);
+        reply->respond(421, answer, "");
+        return;
+    }
+    if (isFull_ || running_ >= settings_.slots) {
+        ++rejected_;
+        answer.emplace_back("Not-Executed", "1");
+        reply->respond(503, answer, "");
+        return;
+    }
+    ++running_;
+    runs_.push_back({id, valueOf(headers, "Tenant"), request.head.target, *request.body,
+                     valueOf(headers, "Last-Event-Id"), headers});
+    answer.emplace_back("Response-Signature", settings_.id + "." + id);
+    reply->onClientGone([this] {
+        ++clientsGone_;
+        --running_;
+    });
+    const bool isStream = httpio::findHeader(headers, "Prompt-Prefix") != nullptr;
+    const int firstEvent = std::atoi(valueOf(headers, "Last-Event-Id").c_str()) + 1;
+    timers_.after(settings_.work, [this, reply, answer, isStream, firstEvent] {
+        if (isStream) {
+            stream(reply, answer, firstEvent);
+            return;
+        }
+        --running_;
+        reply->respond(200, answer, "answer of " + settings_.id);
+    });
+}
+
+void StandInWorker::stream(const std::shared_ptr<httpio::Reply> &reply,
+                           const httpio::Headers &headers, int next)
+{
+    if (!headers.empty()) {
+        httpio::Headers all = headers;
+        all.emplace_back("Content-Type", "text/event-stream");
+        reply->begin(200, all);
+    }
+    reply->write("id: " + std::to_string(next) + "\ndata: event " + std::to_string(next) + "\n\n");
+    if (next >= settings_.events) {
+        --running_;
+        reply->end();
+        return;
+    }
+    timers_.after(settings_.eventGap, [this, reply, next] { stream(reply, {}, next + 1); });
+}
+
+} // namespace monsoongrade::standins
--- /dev/null
+++ b/tests/platform_standin/standinworker.h
@@ -0,0 +1,76 @@
+#ifndef MONSOONGRADE_TESTS_PLATFORM_STANDIN_STANDINWORKER_H
+#define MONSOONGRADE_TESTS_PLATFORM_STANDIN_STANDINWORKER_H
+
+#include "standinstore.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace monsoongrade::standins {
+
+// What a worker was asked to run.
+struct WorkerRun
+{
+    std::string requestId;
+    std::string workspace;
+    std::string target;
+    std::string body;
+    std::string lastEventId;
+    httpio::Headers headers;
+};
+
+// A worker of the platform: registers itself in the store, answers plain requests after a working
+// time and streams with events, with the response headers that the platform's workers send.
+class StandInWorker
+{
+public:
+    struct Settings
+    {
+        std::string id;
+        std::string service;
+        std::string zone = "z1";
+        int slots = 8;
+        std::chrono::milliseconds work{5};
+        int events = 4; // of a stream
+        std::chrono::milliseconds eventGap{5};
+        std::uint16_t port = 0;
+    };
+
+    StandInWorker(asio::io_context &io, httpio::Timers &timers, StandInStore &store,
+                  Settings settings);
+
+    // Writes the entry in the store with this state.
+    void announce(const std::string &state);
+    void leaveStore();
+    // From now on requests are rejected as not run.
+    void setFull(bool isFull) { isFull_ = isFull; }
+
+    const std::vector<WorkerRun> &runs() const { return runs_; }
+    int rejected() const { return rejected_; }
+    // Clients that left before the end of their response.
+    int clientsGone() const { return clientsGone_; }
+    std::string address() const;
+    const Settings &settings() const { return settings_; }
+
+private:
+    void handle(const httpio::ServerRequest &request, const std::shared_ptr<httpio::Reply> &reply);
+    void stream(const std::shared_ptr<httpio::Reply> &reply, const httpio::Headers &headers,
+                int next);
+
+    httpio::Timers &timers_;
+    StandInStore &store_;
+    Settings settings_;
+    httpio::ServerLimits limits_;
+    httpio::Server server_;
+    std::vector<WorkerRun> runs_;
+    bool isFull_ = false;
+    int running_ = 0;
+    int rejected_ = 0;
+    int clientsGone_ = 0;
+    int sequence_ = 0;
+};
+
+} // namespace monsoongrade::standins
+
+#endif // MONSOONGRADE_TESTS_PLATFORM_STANDIN_STANDINWORKER_H
--- /dev/null
+++ b/tests/routing/boundsandleases_test.cpp
@@ -0,0 +1,141 @@
+#include <monsoongrade/routing/endpointhealth.h>
+#include <monsoongrade/routing/freshnesslease.h>
+#include <monsoongrade/routing/peertable.h>
+#include <monsoongrade/routing/retryafter.h>
+#include <monsoongrade/routing/retryallowance.h>
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+using namespace monsoongrade;
+using namespace monsoongrade::routing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr units::TimePoint Start = units::TimePoint(std::chrono::hours(1));
+
+PeerNews newsOf(const std::string &ip, PeerState state, units::Duration age = {})
+{
+    PeerNews news;
+    news.ip = ip;
+    news.state = state;
+    news.age = age;
+    return news;
+}
+
+} // namespace
+
+TEST_CASE("FreshnessLease.EndsBeforeTheBoundAndNeverGoesBack")
+{
+    FreshnessLease lease(seconds(5), milliseconds(1300));
+    CHECK_FALSE(lease.isFresh(Start));
+    lease.prove(Start);
+    lease.prove(Start - seconds(2)); // a slower call that was sent earlier
+    CHECK(lease.isFresh(Start + milliseconds(3600)));
+    CHECK_FALSE(lease.isFresh(Start + milliseconds(3700)));
+}
+
+TEST_CASE("RetryAllowance.HostsTogetherStayBelowTheBound")
+{
+    // Six hosts see the same failure and each repeats as much as it may. The sum must stay below
+    // the bound for all requests of the window.
+    const RetryBound bound{0.2, 52, seconds(10)};
+    int repeats = 0;
+    for (int host = 0; host < 6; ++host) {
+        RetryAllowance allowance;
+        for (int i = 0; i < 100; ++i)
+            allowance.onRequest(Start + milliseconds(i));
+        while (allowance.trySpend(bound, 6, Start + seconds(1)))
+            ++repeats;
+    }
+    CHECK(repeats <= 0.2 * 600 + 52);
+    CHECK(repeats >= 0.7 * (0.2 * 600 + 52));
+}
+
+TEST_CASE("RetryAllowance.WindowSlides")
+{
+    const RetryBound bound{0, 10, seconds(10)};
+    RetryAllowance allowance;
+    int spent = 0;
+    while (allowance.trySpend(bound, 1, Start))
+        ++spent;
+    CHECK(spent == 9);
+    CHECK_FALSE(allowance.hasLeft(bound, 1, Start + milliseconds(9999)));
+    CHECK(allowance.hasLeft(bound, 1, Start + seconds(10)));
+}
+
+TEST_CASE("RetryAfter.SpreadsClientsAndStaysWithinAThirdOfTheirTime")
+{
+    std::set<std::int64_t> times;
+    for (int i = 0; i < 200; ++i) {
+        const units::RequestId id("request-" + std::to_string(i));
+        const auto time
+            = retryAfter(units::ResultCode::NoEndpointAvailable, id, std::chrono::seconds(9));
+        CHECK(time >= milliseconds(600));
+        CHECK(time <= milliseconds(1200));
+        times.insert(time.count());
+        CHECK(retryAfter(units::ResultCode::NoEndpointAvailable, id, milliseconds(900))
+              <= milliseconds(300));
+    }
+    CHECK(times.size() > 100);
+}
+
+TEST_CASE("EndpointHealth.TwoBreaksInARowSuspendAndOneTrialDecides")
+{
+    EndpointHealth health;
+    health.onFailure(Start);
+    CHECK(health.accepts(Start));
+    health.onFailure(Start);
+    CHECK_FALSE(health.accepts(Start));
+    const units::TimePoint later = Start + milliseconds(400);
+    CHECK(health.accepts(later));
+    health.onSent(later);
+    CHECK_FALSE(health.accepts(later)); // no second request until the trial has ended
+    health.onSuccess(later);
+    CHECK(health.accepts(later));
+}
+
+TEST_CASE("EndpointHealth.WhatIsHeldAgainstAnAvoidedEndpointFades")
+{
+    EndpointHealth health;
+    for (int i = 0; i < 30; ++i) {
+        health.onErrorResponse(Start);
+        health.onLatency(8, Start);
+    }
+    CHECK(health.accepts(Start));
+    CHECK(health.failureShare(Start) > 0.9);
+    CHECK(health.slowness(Start) > 7);
+    CHECK(health.failureShare(Start + seconds(12)) < 0.1);
+    CHECK(health.slowness(Start + seconds(12)) < 1.6);
+}
+
+TEST_CASE("PeerTable.HostIsLostAfterSixMissedRoundsAndFoundAgain")
+{
+    PeerTable table;
+    table.hear(newsOf("10.0.0.2", PeerState::Serving), Start);
+    CHECK(table.live(Start + milliseconds(1499)).size() == 1);
+    CHECK(table.live(Start + milliseconds(1500)).empty());
+    CHECK(table.addressees(Start + seconds(60)).size() == 1);
+    table.hear(newsOf("10.0.0.2", PeerState::Leaving), Start + seconds(60));
+    CHECK(table.live(Start + seconds(60)).at(0).state == PeerState::Leaving);
+}
+
+TEST_CASE("PeerTable.OldNewsFromAThirdHostChangesNothing")
+{
+    // A host says that it leaves; a third one still passes on that it served a moment ago.
+    PeerTable table;
+    table.hear(newsOf("10.0.0.2", PeerState::Leaving), Start);
+    table.hear(newsOf("10.0.0.2", PeerState::Serving, milliseconds(250)), Start);
+    CHECK(table.live(Start).at(0).state == PeerState::Leaving);
+}
+
+TEST_CASE("PeerTable.SeedThatNeverSpokeIsToldButNotTakenForAHost")
+{
+    PeerTable table;
+    table.addSeed("10.0.0.9");
+    CHECK(table.live(Start).empty());
+    CHECK(table.addressees(Start) == std::vector<std::string>{"10.0.0.9"});
+}
--- /dev/null
+++ b/tests/routing/placementdesk_test.cpp
@@ -0,0 +1,256 @@
+#include <monsoongrade/routing/placementdesk.h>
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+
+using namespace monsoongrade;
+using namespace monsoongrade::routing;
+
+namespace {
+
+constexpr units::TimePoint Start = units::TimePoint(std::chrono::hours(1));
+const units::PoolName Pool("p");
+
+struct DeskWorld
+{
+    explicit DeskWorld(int endpoints, int slots = 128)
+    {
+        for (int i = 0; i < endpoints; ++i) {
+            DiscoveredEndpoint endpoint;
+            endpoint.id = units::EndpointId("e" + std::to_string(i));
+            endpoint.pool = Pool;
+            endpoint.address = "10.0.0.1:80";
+            endpoint.failureDomain = units::FailureDomain(i % 2 == 0 ? "even" : "odd");
+            endpoint.slots = slots;
+            roster.update(endpoint);
+        }
+    }
+
+    PlacementChoice place(const PlacementQuery &query)
+    {
+        return desk.place({"host", ++last}, query, roster.available(Pool), now);
+    }
+    PlacementTicket lastTicket() const { return {"host", last}; }
+
+    EndpointRoster roster;
+    PlacementDesk desk;
+    units::TimePoint now = Start;
+    std::uint64_t last = 0;
+};
+
+PlacementQuery modelQuery(const std::string &part, std::int64_t shared, std::int64_t own)
+{
+    PlacementQuery query;
+    query.pool = Pool;
+    query.runsModel = true;
+    query.sharedPart = part;
+    query.promptTokens = shared + own;
+    query.ownTokens = own;
+    query.targetIn = std::chrono::seconds(1);
+    query.givenUpIn = std::chrono::seconds(8);
+    return query;
+}
+
+PlacementQuery plainQuery()
+{
+    PlacementQuery query;
+    query.pool = Pool;
+    query.askersDomain = units::FailureDomain("odd");
+    return query;
+}
+
+} // namespace
+
+TEST_CASE("PlacementDesk.RequestsOfOneSubjectStayOnOneEndpoint")
+{
+    DeskWorld world(9);
+    std::set<std::string> used;
+    for (int i = 0; i < 10; ++i) {
+        const PlacementChoice choice = world.place(modelQuery("subject", 13300, 3720));
+        used.insert(choice.endpoint->described.id.value());
+        world.desk.hear(world.lastTicket(), PlacementNews::FirstEvent, world.now);
+        world.desk.hear(world.lastTicket(), PlacementNews::Completed, world.now);
+    }
+    CHECK(used.size() == 1);
+}
+
+TEST_CASE("PlacementDesk.ColdReadsSpreadEvenly")
+{
+    DeskWorld world(9);
+    std::map<std::string, int> reads;
+    for (int i = 0; i < 90; ++i) {
+        const auto choice = world.place(modelQuery("subject" + std::to_string(i), 13300, 3720));
+        ++reads[choice.endpoint->described.id.value()];
+    }
+    CHECK(reads.size() == 9);
+    for (const auto &[endpoint, count] : reads)
+        CHECK_MESSAGE(std::abs(count - 10) <= 5, endpoint, " got ", count, " of 90 reads");
+}
+
+TEST_CASE("PlacementDesk.ShortRequestAvoidsEndpointsWithLongReads")
+{
+    DeskWorld world(3);
+    const auto busy = world.place(modelQuery("long", 13300, 3720)).endpoint;
+    for (int i = 0; i < 10; ++i) {
+        const auto choice = world.place(modelQuery("clip" + std::to_string(i), 350, 1110));
+        CHECK(choice.endpoint != busy);
+    }
+}
+
+TEST_CASE("PlacementDesk.MuchUsedSubjectSpreadsUnderLoad")
+{
+    // One subject gets so many requests at once that its endpoint could not read them in time.
+    DeskWorld world(9);
+    std::set<std::string> used;
+    for (int i = 0; i < 60; ++i)
+        used.insert(world.place(modelQuery("hot", 13300, 3720)).endpoint->described.id.value());
+    CHECK(used.size() >= 2);
+    CHECK(used.size() <= 4);
+}
+
+TEST_CASE("PlacementDesk.LongReadsWaitByTierAndDueTimeWhileEndpointsAreBusy")
+{
+    // In a burst of cold prompts the endpoints' own queues would grow and be worked off in order
+    // of arrival. Here the long reads wait instead, and the higher tier goes first.
+    DeskWorld world(1);
+    PlacementQuery low = modelQuery("a", 13300, 3720);
+    low.mayWait = true;
+    low.tier = units::Tier(2);
+    CHECK_FALSE(world.place(low).isWaiting);
+    const PlacementTicket running = world.lastTicket();
+    low.sharedPart = "b";
+    CHECK(world.place(low).isWaiting);
+    PlacementQuery high = modelQuery("c", 6300, 2890);
+    high.mayWait = true;
+    high.tier = units::Tier(1);
+    CHECK(world.place(high).isWaiting);
+    const PlacementTicket first = world.lastTicket();
+
+    CHECK(world.desk.placeWaiting(world.roster, world.now).empty());
+    world.desk.hear(running, PlacementNews::FirstEvent, world.now);
+    const auto placed = world.desk.placeWaiting(world.roster, world.now);
+    REQUIRE_FALSE(placed.empty());
+    CHECK(placed[0].first.number == first.number);
+    CHECK(placed[0].second.endpoint != nullptr);
+}
+
+TEST_CASE("PlacementDesk.ReadingAPartAgainIsTheLastResort")
+{
+    // The endpoint that has a subject's part is as busy as another is idle. Reading the part again
+    // there would help this request and delay all others in a burst; it stays.
+    DeskWorld world(2);
+    const auto holder = world.place(modelQuery("subject", 13300, 3720)).endpoint;
+    for (int i = 0; i < 3; ++i)
+        CHECK(world.place(modelQuery("subject", 13300, 3720)).endpoint == holder);
+}
+
+TEST_CASE("PlacementDesk.SuccessorKnowsWhatItWasTold")
+{
+    // The placing host is lost. The next one was told what is cached where, so a subject's next
+    // request does not read its part again elsewhere.
+    DeskWorld world(9);
+    std::map<std::string, EndpointRoster::Status> holders;
+    for (int i = 0; i < 60; ++i) {
+        const std::string part = "subject" + std::to_string(i);
+        holders[part] = world.place(modelQuery(part, 13300, 3720)).endpoint;
+    }
+    PlacementDesk successor;
+    for (const CachedPart &part : world.desk.takeNewParts())
+        successor.learn(part, world.now);
+    for (const auto &[part, holder] : holders) {
+        const auto choice = successor.place({"host", 1}, modelQuery(part, 13300, 3720),
+                                            world.roster.available(Pool), world.now);
+        CHECK(choice.endpoint == holder);
+    }
+}
+
+TEST_CASE("PlacementDesk.HostsThatDecideAloneAgreeOnFirstReads")
+{
+    DeskWorld world(9);
+    for (int i = 0; i < 20; ++i) {
+        PlacementQuery query = modelQuery("subject" + std::to_string(i), 13300, 3720);
+        query.isAlone = true;
+        PlacementDesk one;
+        PlacementDesk other;
+        const auto available = world.roster.available(Pool);
+        CHECK(one.place({"a", 1}, query, available, world.now).endpoint
+              == other.place({"b", 1}, query, available, world.now).endpoint);
+    }
+}
+
+TEST_CASE("PlacementDesk.WaitingRequestThatIsGivenUpIsForgotten")
+{
+    DeskWorld world(1);
+    PlacementQuery query = modelQuery("a", 13300, 3720);
+    query.mayWait = true;
+    world.place(query);
+    query.sharedPart = "b";
+    REQUIRE(world.place(query).isWaiting);
+    world.desk.hear(world.lastTicket(), PlacementNews::Withdrawn, world.now);
+    CHECK_FALSE(world.desk.hasWaiting());
+    REQUIRE(world.place(query).isWaiting);
+    world.now += std::chrono::seconds(9);
+    world.desk.placeWaiting(world.roster, world.now);
+    CHECK_FALSE(world.desk.hasWaiting());
+}
+
+TEST_CASE("PlacementDesk.LostNewsDoesNotKeepAnEndpointLoadedForEver")
+{
+    // The host that asked dies; its news of the first event and of the end never come.
+    DeskWorld world(1);
+    const auto endpoint = world.place(modelQuery("a", 13300, 3720)).endpoint;
+    CHECK(world.desk.openRequests(*endpoint) == 1);
+    world.now += std::chrono::seconds(13);
+    world.place(modelQuery("b", 350, 1110));
+    CHECK(world.desk.openRequests(*endpoint) == 1);
+    CHECK(world.desk.tokensToRead(*endpoint) < 2000);
+}
+
+TEST_CASE("PlacementDesk.SilenceTowardsOneHostDoesNotSuspendABusyEndpoint")
+{
+    // In an overload a first event takes longer than the silence that means a lost endpoint. As
+    // long as other requests get results from it, it lives.
+    DeskWorld world(1);
+    const auto endpoint = world.place(modelQuery("a", 350, 1110)).endpoint;
+    const PlacementTicket silent = world.lastTicket();
+    world.now += std::chrono::milliseconds(300);
+    world.place(modelQuery("b", 350, 1110));
+    world.desk.hear(world.lastTicket(), PlacementNews::FirstEvent, world.now);
+    world.desk.hear(silent, PlacementNews::EndpointSilent, world.now);
+    CHECK(endpoint->health.accepts(world.now));
+
+    world.now += std::chrono::milliseconds(10);
+    world.place(modelQuery("c", 350, 1110));
+    world.desk.hear(world.lastTicket(), PlacementNews::EndpointSilent,
+                    world.now + std::chrono::milliseconds(600));
+    CHECK_FALSE(endpoint->health.accepts(world.now + std::chrono::milliseconds(600)));
+}
+
+TEST_CASE("PlacementDesk.PlainRequestsGoNearAndThenToTheLeastLoaded")
+{
+    DeskWorld world(2, 6);
+    CHECK(world.place(plainQuery()).endpoint->described.failureDomain.value() == "odd");
+    CHECK(world.place(plainQuery()).endpoint->described.failureDomain.value() == "even");
+}
+
+TEST_CASE("PlacementDesk.FullPlainEndpointsTakeNoMore")
+{
+    DeskWorld world(2, 2);
+    for (int i = 0; i < 4; ++i)
+        CHECK(world.place(plainQuery()).endpoint != nullptr);
+    CHECK(world.place(plainQuery()).endpoint == nullptr);
+}
+
+TEST_CASE("PlacementDesk.TriedAndSuspendedEndpointsAreLeftOut")
+{
+    DeskWorld world(3);
+    PlacementQuery query = plainQuery();
+    query.tried = {units::EndpointId("e0")};
+    const auto suspended = world.roster.available(Pool)[1];
+    suspended->health.onFailure(world.now);
+    suspended->health.onFailure(world.now);
+    for (int i = 0; i < 4; ++i)
+        CHECK(world.place(query).endpoint->described.id.value() == "e2");
+}
--- /dev/null
+++ b/tests/routing/placinghosts_test.cpp
@@ -0,0 +1,61 @@
+#include <monsoongrade/routing/placinghosts.h>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace monsoongrade;
+using namespace monsoongrade::routing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+PeerNews host(const std::string &ip, units::Duration uptime, PeerState state = PeerState::Serving)
+{
+    PeerNews news;
+    news.ip = ip;
+    news.uptime = uptime;
+    news.state = state;
+    return news;
+}
+
+} // namespace
+
+TEST_CASE("PlacingHosts.RestartedHostDoesNotTakeThePlacingBack")
+{
+    // The placing host is killed and restarts with nothing in memory. Whoever took over keeps the
+    // placing, because it knows what is cached where.
+    std::vector<PeerNews> hosts{host("10.0.0.1", seconds(60)), host("10.0.0.2", seconds(60)),
+                                host("10.0.0.3", seconds(60))};
+    const std::string first = placingOrder(hosts)[0];
+    for (PeerNews &each : hosts) {
+        if (each.ip == first)
+            each.uptime = seconds(1);
+    }
+    const std::vector<std::string> after = placingOrder(hosts);
+    CHECK(after[0] != first);
+    CHECK(after.back() == first);
+}
+
+TEST_CASE("PlacingHosts.HostsOfAboutTheSameAgeAreOrderedAlikeEverywhere")
+{
+    // All start within 0.3 s, and the ages that a host hears differ by some hundred milliseconds.
+    std::vector<PeerNews> one;
+    std::vector<PeerNews> other;
+    for (int i = 1; i <= 8; ++i) {
+        const std::string ip = "10.0.0." + std::to_string(i);
+        one.push_back(host(ip, milliseconds(20000 + i * 40)));
+        other.push_back(host(ip, milliseconds(20500 - i * 50)));
+    }
+    std::reverse(other.begin(), other.end());
+    CHECK(placingOrder(one) == placingOrder(other));
+}
+
+TEST_CASE("PlacingHosts.OnlyServingHostsPlace")
+{
+    CHECK(placingOrder({host("10.0.0.1", seconds(9), PeerState::Leaving),
+                        host("10.0.0.2", seconds(1)),
+                        host("10.0.0.3", seconds(9), PeerState::Waiting)})
+          == std::vector<std::string>{"10.0.0.2"});
+}
--- /dev/null
+++ b/tests/routing/routetable_test.cpp
@@ -0,0 +1,89 @@
+#include <monsoongrade/routing/admission.h>
+#include <monsoongrade/routing/routetable.h>
+
+#include <doctest/doctest.h>
+
+using namespace monsoongrade;
+using namespace monsoongrade::routing;
+
+namespace {
+
+Route routeFor(const std::string &name, const std::string &prefix)
+{
+    Route route;
+    route.name = RouteName(name);
+    route.host = "h";
+    route.pathPrefix = prefix;
+    route.tier = units::Tier(2);
+    route.pools = {{units::PoolName("a"), 90}, {units::PoolName("b"), 10}};
+    return route;
+}
+
+TrafficConfiguration twoRoutes()
+{
+    TrafficConfiguration configuration;
+    configuration.routes = {routeFor("short", "/a/"), routeFor("long", "/a/b/")};
+    configuration.workspaces = {{units::WorkspaceName("w1"), {"k1"}, units::Tier(0)},
+                                {units::WorkspaceName("w2"), {"k2"}, std::nullopt}};
+    return configuration;
+}
+
+std::string nameFound(const RouteTable &table, const std::string &target)
+{
+    const Route *route = table.find("h", target);
+    return route == nullptr ? "none" : route->name.value();
+}
+
+RequestFacts facts(const std::string &key)
+{
+    RequestFacts result;
+    result.host = "h";
+    result.key = key;
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("RouteTable.LongestPrefixWins")
+{
+    const RouteTable table(twoRoutes());
+    CHECK(nameFound(table, "/a/b/c") == "long");
+    CHECK(nameFound(table, "/a/b/") == "long");
+    CHECK(nameFound(table, "/a/b") == "short");
+    CHECK(nameFound(table, "/a/x/b/y?z=/a/b/") == "short");
+    CHECK(nameFound(table, "/b/a/") == "none");
+    CHECK(nameFound(table, "") == "none");
+    CHECK(table.find("other", "/a/b/c") == nullptr);
+}
+
+TEST_CASE("RouteTable.PoolsGetTrafficByTheirWeights")
+{
+    const Route route = routeFor("r", "/a/");
+    CHECK(choosePool(route, 0.0).value() == "a");
+    CHECK(choosePool(route, 0.89).value() == "a");
+    CHECK(choosePool(route, 0.91).value() == "b");
+    CHECK(choosePool(route, 0.999).value() == "b");
+}
+
+TEST_CASE("Admission.KeyGivesWorkspaceAndItsTier")
+{
+    const RouteTable table(twoRoutes());
+    const Admission own = admit(&table, true, facts("k1"), "/a/x");
+    CHECK(own.code == units::ResultCode::Ok);
+    CHECK(own.workspace.value() == "w1");
+    CHECK(own.tier == units::Tier(0));
+    CHECK(admit(&table, true, facts("k2"), "/a/x").tier == units::Tier(2));
+}
+
+TEST_CASE("Admission.UnknownIsOnlySaidByAHostWithFreshConfiguration")
+{
+    // A host without news cannot know whether a route or key was added since; a caller told 404 or
+    // 401 would not come back.
+    const RouteTable table(twoRoutes());
+    CHECK(admit(&table, true, facts("k9"), "/a/x").code == units::ResultCode::UnknownKey);
+    CHECK(admit(&table, true, facts("k1"), "/z/x").code == units::ResultCode::NoRouteForRequest);
+    for (const char *target : {"/a/x", "/z/x"})
+        CHECK(admit(&table, false, facts("k9"), target).code
+              == units::ResultCode::ConfigurationTooOld);
+    CHECK(admit(nullptr, true, facts("k1"), "/a/x").code == units::ResultCode::NoConfiguration);
+}
