--- a/include/monsoongrade/httpio/timers.h
+++ b/include/monsoongrade/httpio/timers.h
@@ -26,8 +26,8 @@
     class Handle
     {
         friend class Timers;
-        units::TimePoint at;
-        std::uint64_t id = 0;
+        units::TimePoint at_;
+        std::uint64_t id_ = 0;
     };
 
     Timers(asio::io_context &io, const units::Clock &clock);
--- a/src/httpio/messageparser.cpp
+++ b/src/httpio/messageparser.cpp
@@ -106,15 +106,12 @@
         return messageEnded_;
     }
 
-    const MessageKind kind_;
-    bool failed_ = false;
-    bool headTooLarge_ = false;
-    bool inside_ = false;
-    bool headDone_ = false;
-    bool noBody_ = false;
-    std::size_t maxHeadBytes_;
-
-    void setMax(std::size_t bytes) { maxHeadBytes_ = bytes; }
+    bool failed() const { return failed_; }
+    bool headTooLarge() const { return headTooLarge_; }
+    bool insideMessage() const { return inside_; }
+    bool headComplete() const { return inside_ && headDone_; }
+    void expectNoBody() { noBody_ = true; }
+    void setMaxHeadBytes(std::size_t bytes) { maxHeadBytes_ = bytes; }
 
 private:
     static Impl &self(http_parser *parser) { return *static_cast<Impl *>(parser->data); }
@@ -216,7 +213,14 @@
         return kind_ == MessageKind::Response && parser_.status_code < FirstFinalStatus;
     }
 
+    const MessageKind kind_;
+    std::size_t maxHeadBytes_;
     MessageListener &listener_;
+    bool failed_ = false;
+    bool headTooLarge_ = false;
+    bool inside_ = false;
+    bool headDone_ = false;
+    bool noBody_ = false;
     http_parser parser_{};
     http_parser_settings settings_{};
     MessageHead head_;
@@ -245,32 +249,32 @@
 
 bool MessageParser::failed() const
 {
-    return impl_->failed_;
+    return impl_->failed();
 }
 
 bool MessageParser::headTooLarge() const
 {
-    return impl_->headTooLarge_;
+    return impl_->headTooLarge();
 }
 
 bool MessageParser::insideMessage() const
 {
-    return impl_->inside_;
+    return impl_->insideMessage();
 }
 
 bool MessageParser::headComplete() const
 {
-    return impl_->inside_ && impl_->headDone_;
+    return impl_->headComplete();
 }
 
 void MessageParser::expectNoBody()
 {
-    impl_->noBody_ = true;
+    impl_->expectNoBody();
 }
 
 void MessageParser::setMaxHeadBytes(std::size_t bytes)
 {
-    impl_->setMax(bytes);
+    impl_->setMaxHeadBytes(bytes);
 }
 
 } // namespace monsoongrade::httpio
--- a/src/httpio/timers.cpp
+++ b/src/httpio/timers.cpp
@@ -13,9 +13,9 @@
 Timers::Handle Timers::at(units::TimePoint when, Function function)
 {
     Handle handle;
-    handle.at = when;
-    handle.id = ++lastId_;
-    scheduled_.emplace(std::make_pair(when, handle.id), std::move(function));
+    handle.at_ = when;
+    handle.id_ = ++lastId_;
+    scheduled_.emplace(std::make_pair(when, handle.id_), std::move(function));
     arm();
     return handle;
 }
@@ -27,8 +27,8 @@
 
 void Timers::cancel(Handle &handle)
 {
-    if (handle.id != 0)
-        scheduled_.erase({handle.at, handle.id});
+    if (handle.id_ != 0)
+        scheduled_.erase({handle.at_, handle.id_});
     handle = {};
 }
 
--- a/tests/adapter/gatewayworld.h
+++ b/tests/adapter/gatewayworld.h
@@ -96,14 +96,14 @@
     // Sends a request on a new connection and waits for its end.
     std::shared_ptr<RawClient> call(const std::string &request)
     {
-        const auto client = connect();
+        auto client = connect();
         client->send(request);
         runUntil([&] { return client->isWhole() || client->isClosed(); });
         return client;
     }
     std::shared_ptr<RawClient> callPage(const std::string &address, const std::string &target)
     {
-        const auto client = RawClient::connect(io, *httpio::parseAddress(address));
+        auto client = RawClient::connect(io, *httpio::parseAddress(address));
         client->send("GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n");
         runUntil([&] { return client->isWhole() || client->isClosed(); });
         return client;
--- a/tests/adapter/rawclient.h
+++ b/tests/adapter/rawclient.h
@@ -20,7 +20,7 @@
     static std::shared_ptr<RawClient> connect(asio::io_context &io,
                                               const asio::ip::tcp::endpoint &address)
     {
-        const auto client = std::make_shared<RawClient>(io);
+        auto client = std::make_shared<RawClient>(io);
         client->socket_.connect(address);
         client->read();
         return client;
--- a/tests/routing/placementdesk_test.cpp
+++ b/tests/routing/placementdesk_test.cpp
@@ -85,8 +85,9 @@
         ++reads[choice.endpoint->described.id.value()];
     }
     CHECK(reads.size() == 9);
-    for (const auto &[endpoint, count] : reads)
-        CHECK_MESSAGE(std::abs(count - 10) <= 5, endpoint, " got ", count, " of 90 reads");
+    for (const auto &read : reads)
+        CHECK_MESSAGE(std::abs(read.second - 10) <= 5, read.first, " got ", read.second,
+                      " of 90 reads");
 }
 
 TEST_CASE("PlacementDesk.ShortRequestAvoidsEndpointsWithLongReads")
