Gateway: log lines with what decided, histograms, and a log that never blocks

One line for each placing, failed attempt and end of a request, with a budget per event and second; lines for each change of the host's own state, of other hosts, of the store and of endpoints. A stopped reader of standard output costs lines and no time: LineSink asks the pipe for room before it writes.

--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -39,6 +39,7 @@
     // Sending
     void attempt();
     void onPlaced(const routing::PlacementTicket &ticket, routing::PlacementChoice choice);
+    void logPlaced(units::Duration placing) const;
     void onConnection(ConnectOutcome outcome, std::shared_ptr<httpio::Channel> channel);
     void send();
     httpio::Headers endpointHeaders() const;
@@ -69,6 +70,7 @@
     void releaseEndpoint(routing::PlacementNews news = routing::PlacementNews::Withdrawn);
     void endpointFailed();
     void dropChannel();
+    void logEnd(std::string_view outcome, int status, units::ResultCode reason) const;
     void finish(std::string_view outcome, int status, units::ResultCode reason);
     units::Duration timeLeft() const;
     routing::RetryAllowance &retryAllowance();
@@ -91,6 +93,7 @@
     routing::EndpointRoster::Status endpoint_;
     routing::PlacementTicket ticket_;
     std::uint64_t placingNumber_ = 0;
+    units::TimePoint placingSince_;
     bool isPlacing_ = false;
     std::int64_t tokensToRead_ = 0;
     std::shared_ptr<httpio::Channel> channel_;
--- a/include/monsoongrade/gateway/gateway.h
+++ b/include/monsoongrade/gateway/gateway.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 
 namespace monsoongrade::gateway {
 
@@ -51,6 +52,8 @@
 private:
     routing::PeerState peerState() const;
     void onGossipRound();
+    void noteOwnState();
+    void noteHosts(const std::vector<routing::PeerNews> &hosts);
     void waitForOpenRequests();
     void serveMetrics(const httpio::ServerRequest &request, httpio::Reply &reply);
 
@@ -66,6 +69,8 @@
     std::unique_ptr<httpio::Server> metrics_;
     PeerGossip gossip_;
     bool leaving_ = false;
+    routing::PeerState lastState_ = routing::PeerState::Waiting;
+    std::set<std::string> lastHosts_;
     units::TimePoint stopBy_;
     std::function<void()> stopped_;
 };
--- a/include/monsoongrade/gateway/gatewaystate.h
+++ b/include/monsoongrade/gateway/gatewaystate.h
@@ -43,6 +43,7 @@
     httpio::ServerLimits callerLimits;
     units::FailureDomain ownDomain;
     int liveHosts = 1; // this one included
+    int openRequests = 0; // accepted and not ended
     TrafficLog log;
     SharedPlacement placement;
 };
--- a/include/monsoongrade/gateway/sharedplacement.h
+++ b/include/monsoongrade/gateway/sharedplacement.h
@@ -45,6 +45,8 @@
     // The request that waits for its endpoint is over.
     void withdraw(std::uint64_t number);
     void tell(const routing::PlacementTicket &ticket, routing::PlacementNews news);
+    // The host that chose the endpoint of the open request; this one's own IP if it did.
+    const std::string &placedBy(const routing::PlacementTicket &ticket) const;
     // True if this host chose the endpoint of the open request itself.
     bool isPlacedHere(const routing::PlacementTicket &ticket) const
     {
--- a/include/monsoongrade/observability/log.h
+++ b/include/monsoongrade/observability/log.h
@@ -36,7 +36,8 @@
     std::string text_;
 };
 
-// Sets up logging to standard error, without a log file. Call it once, first thing in main.
+// Sets up logging to standard output, without a log file. Call it once, first thing in main. A
+// line never waits for the reader of standard output; see LineSink.
 void startLogging(LogLevel least);
 
 // Writes one line: time, level, event=<event> and the fields. Values with spaces, quotes or
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -57,7 +57,8 @@
 
 void Exchange::run()
 {
-    state_.log.metrics.add("gateway_requests_total");
+    state_.log.metrics.add("monsoongrade_gateway_requests_accepted_total");
+    ++state_.openRequests;
     facts_ = state_.dialect.decodeRequest(request_.head.headers);
     table_ = state_.table;
     admission_ = routing::admit(table_.get(), state_.lease.isFresh(state_.timers.now()), facts_,
@@ -89,6 +90,7 @@
     query_.targetIn = request_.receivedAt + route_->targetLatency - now;
     query_.givenUpIn = deadline_ - now;
     isPlacing_ = true;
+    placingSince_ = now;
     placingNumber_
         = state_.placement.place(query_,
                                  [self = shared_from_this()](const routing::PlacementTicket &ticket,
@@ -111,7 +113,11 @@
     }
     endpoint_ = std::move(choice.endpoint);
     ticket_ = ticket;
+    const units::Duration placing = state_.timers.now() - placingSince_;
+    state_.log.metrics.observe("monsoongrade_gateway_placing_seconds", "", placing);
     tokensToRead_ = choice.tokensToRead;
+    if (state_.log.mayWrite("request-placed"))
+        logPlaced(placing);
     query_.tried.push_back(endpoint_->described.id);
     endpoint_->health.onSent(state_.timers.now());
     use_ = ResponseUse::None;
@@ -274,8 +280,10 @@
     const double took = std::chrono::duration<double, std::milli>(now - sentAt_).count();
     // Engines read about 150 tokens a millisecond and need 30 to 40 ms beside; plain endpoints
     // usually answer within a quarter of their target.
-    const bool runsModel = poolSettings_ != nullptr && poolSettings_->runsModel;
-    const double expected = runsModel
+    state_.log.metrics.observe("monsoongrade_gateway_first_byte_seconds",
+                               observability::label("pool", pool_.value()),
+                               now - request_.receivedAt);
+    const double expected = query_.runsModel
         ? 50 + double(tokensToRead_) / double(TokensReadPerMs)
         : std::chrono::duration<double, std::milli>(route_->targetLatency).count() / 4;
     endpoint_->health.onLatency(std::max(1.0, took / std::max(expected, 1.0)), now);
--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -49,7 +49,7 @@
         channel_.reset();
     }
     state_.log.metrics.add(
-        "gateway_attempt_failures_total",
+        "monsoongrade_gateway_attempts_failed_total",
         observability::label("reason", std::string(units::resultCodeName(reason))));
     state_.log.write(observability::LogLevel::Info, "attempt-failed",
                      {{"request", facts_.id.value()},
@@ -214,9 +214,18 @@
 void Exchange::endpointFailed()
 {
     // The host that placed the request counts the failure as well, if it is another one.
+    const units::TimePoint now = state_.timers.now();
+    const bool wasAccepting = endpoint_->health.accepts(now);
+    const routing::EndpointRoster::Status endpoint = endpoint_;
     if (!state_.placement.isPlacedHere(ticket_))
-        endpoint_->health.onFailure(state_.timers.now());
+        endpoint_->health.onFailure(now);
     releaseEndpoint(routing::PlacementNews::EndpointFailed);
+    if (wasAccepting && !endpoint->health.accepts(now))
+        state_.log.write(observability::LogLevel::Warning, "endpoint-suspended",
+                         {{"endpoint", endpoint->described.id.value()},
+                          {"pool", pool_.value()},
+                          {"request", facts_.id.value()},
+                          {"failure-share", endpoint->health.failureShare(now)}});
 }
 
 void Exchange::dropChannel()
@@ -230,27 +239,58 @@
     if (finished_)
         return;
     finished_ = true;
+    --state_.openRequests;
     if (isPlacing_)
         state_.placement.withdraw(placingNumber_);
     releaseEndpoint();
     state_.timers.cancel(deadlineTimer_);
-    const units::Duration took = state_.timers.now() - request_.receivedAt;
+    const std::string outcomeLabel = observability::label("outcome", std::string(outcome));
     state_.log.metrics.add(
-        "gateway_responses_total",
-        observability::label("outcome", std::string(outcome)) + ","
+        "monsoongrade_gateway_requests_ended_total",
+        outcomeLabel + ","
             + observability::label("reason", std::string(units::resultCodeName(reason))));
-    if (reason != units::ResultCode::Ok && reason != units::ResultCode::CallerLeft)
-        state_.log.write(observability::LogLevel::Info, "request-ended",
-                         {{"request", facts_.id.value()},
-                          {"outcome", outcome},
-                          {"status", status},
-                          {"code", int(reason)},
-                          {"reason", units::resultCodeName(reason)},
-                          {"pool", pool_.value()},
-                          {"sends", sends_},
-                          {"took-ms", milliseconds(took)},
-                          {"configuration",
-                           table_ == nullptr ? std::int64_t(0) : table_->configuration().version}});
+    state_.log.metrics.observe("monsoongrade_gateway_request_seconds", outcomeLabel,
+                               state_.timers.now() - request_.receivedAt);
+    const bool isFailure
+        = reason != units::ResultCode::Ok && reason != units::ResultCode::CallerLeft;
+    // Failures have a budget of their own, so that successes cannot use it up.
+    if (state_.log.mayWrite(isFailure ? "request-failed" : "request-done"))
+        logEnd(outcome, status, reason);
+}
+
+void Exchange::logPlaced(units::Duration placing) const
+{
+    observability::log(observability::LogLevel::Info, "request-placed",
+                       {{"request", facts_.id.value()},
+                        {"route", route_->name.value()},
+                        {"pool", pool_.value()},
+                        {"endpoint", endpoint_->described.id.value()},
+                        {"placed-by", state_.placement.placedBy(ticket_)},
+                        {"tokens-to-read", tokensToRead_},
+                        {"tier", std::int64_t(admission_.tier.value())},
+                        {"placing-ms", milliseconds(placing)}});
+}
+
+void Exchange::logEnd(std::string_view outcome, int status, units::ResultCode reason) const
+{
+    const units::TimePoint now = state_.timers.now();
+    const bool isLeaseProven = state_.lease.age(now) != units::Duration::max();
+    observability::log(
+        observability::LogLevel::Info, "request-ended",
+        {{"request", facts_.id.value()},
+         {"outcome", outcome},
+         {"status", status},
+         {"code", int(reason)},
+         {"reason", units::resultCodeName(reason)},
+         {"pool", pool_.value()},
+         {"endpoint", query_.tried.empty() ? "none" : query_.tried.back().value()},
+         {"sends", sends_},
+         {"may-have-run", mayHaveRun_ ? "yes" : "no"},
+         {"took-ms", milliseconds(now - request_.receivedAt)},
+         {"left-ms", milliseconds(timeLeft())},
+         {"configuration", table_ == nullptr ? std::int64_t(0) : table_->configuration().version},
+         {"configuration-age-ms", isLeaseProven ? milliseconds(state_.lease.age(now)) : -1},
+         {"live-hosts", state_.liveHosts}});
 }
 
 units::Duration Exchange::timeLeft() const
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -168,14 +168,53 @@
 
 void Gateway::onGossipRound()
 {
-    gossip_.setState(peerState());
+    noteOwnState();
     state_.roster.dropMissing(timers_.now());
     std::vector<routing::PeerNews> hosts = gossip_.live();
     hosts.push_back(gossip_.own());
     state_.liveHosts = int(hosts.size());
+    noteHosts(hosts);
     state_.placement.setOrder(routing::placingOrder(std::move(hosts)));
 }
 
+// Logs each change of what this host says of itself, with the news that decided it.
+void Gateway::noteOwnState()
+{
+    const routing::PeerState state = peerState();
+    gossip_.setState(state);
+    if (state == lastState_)
+        return;
+    lastState_ = state;
+    const units::Duration age = state_.lease.age(timers_.now());
+    observability::log(
+        observability::LogLevel::Info,
+        state == routing::PeerState::Serving ? "serving-began" : "serving-ended",
+        {{"leaving", leaving_ ? "yes" : "no"},
+         {"configuration",
+          state_.table == nullptr ? std::int64_t(0) : state_.table->configuration().version},
+         {"configuration-age-ms",
+          age == units::Duration::max()
+              ? std::int64_t(-1)
+              : std::chrono::duration_cast<std::chrono::milliseconds>(age).count()}});
+}
+
+void Gateway::noteHosts(const std::vector<routing::PeerNews> &hosts)
+{
+    std::set<std::string> now;
+    for (const routing::PeerNews &host : hosts)
+        now.insert(host.ip);
+    for (const std::string &ip : now) {
+        if (lastHosts_.count(ip) == 0)
+            observability::log(observability::LogLevel::Info, "host-found", {{"host", ip}});
+    }
+    for (const std::string &ip : lastHosts_) {
+        if (now.count(ip) == 0)
+            observability::log(observability::LogLevel::Warning, "host-lost",
+                               {{"host", ip}, {"live-hosts", std::uint64_t(now.size())}});
+    }
+    lastHosts_ = std::move(now);
+}
+
 void Gateway::stop(std::function<void()> stopped)
 {
     if (leaving_)
@@ -222,8 +261,19 @@
         return;
     }
     observability::Metrics &metrics = state_.log.metrics;
-    metrics.set("gateway_open_requests", "", double(callers_->openRequests()));
-    metrics.set("gateway_endpoint_connections_opened", "", double(state_.connections.opened()));
+    metrics.set("monsoongrade_gateway_requests_in_flight", "", double(state_.openRequests));
+    metrics.set("monsoongrade_gateway_caller_connections", "", double(callers_->connections()));
+    metrics.set("monsoongrade_gateway_endpoint_connections_opened", "",
+                double(state_.connections.opened()));
+    metrics.set("monsoongrade_gateway_endpoint_connections_idle", "",
+                double(state_.connections.idle()));
+    metrics.set("monsoongrade_gateway_endpoints_known", "", double(state_.roster.size()));
+    metrics.set("monsoongrade_gateway_live_hosts", "", double(state_.liveHosts));
+    metrics.set("monsoongrade_gateway_serving", "", isServing() ? 1 : 0);
+    const units::Duration age = state_.lease.age(timers_.now());
+    if (age != units::Duration::max())
+        metrics.set("monsoongrade_gateway_configuration_age_seconds", "",
+                    std::chrono::duration<double>(age).count());
     reply.respond(200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.exposition());
 }
 
--- a/src/gateway/sharedplacement.cpp
+++ b/src/gateway/sharedplacement.cpp
@@ -155,6 +155,12 @@
         deciders_.erase(decider);
 }
 
+const std::string &SharedPlacement::placedBy(const routing::PlacementTicket &ticket) const
+{
+    const auto found = deciders_.find(ticket.number);
+    return found == deciders_.end() ? settings_.ownIp : found->second;
+}
+
 bool SharedPlacement::hasEndpoint(const routing::PlacementQuery &query) const
 {
     return desk_.hasEndpoint(query, roster_.available(query.pool), timers_.now());
@@ -210,7 +216,7 @@
         return;
     const Ask ask = std::move(found->second);
     asks_.erase(found);
-    metrics_.add("placement_unanswered_total");
+    metrics_.add("monsoongrade_gateway_placements_unanswered_total");
     Trust &trust = trust_[ask.decider];
     if (++trust.missedAnswers >= MissedAnswersToAvoid) {
         trust = {0, timers_.now() + AvoidFor};
--- a/src/observability/log.cpp
+++ b/src/observability/log.cpp
@@ -1,7 +1,11 @@
 #include <monsoongrade/observability/log.h>
 
+#include <monsoongrade/observability/linesink.h>
+
 #include <easylogging++.h>
 
+#include <unistd.h>
+
 #include <cstdio>
 
 INITIALIZE_EASYLOGGINGPP
@@ -41,6 +45,26 @@
 
 LogLevel leastLevel = LogLevel::Info;
 
+// Takes the place of the library's own output, which blocks.
+class SinkDispatch : public el::LogDispatchCallback
+{
+public:
+    SinkDispatch()
+        : sink_(STDOUT_FILENO)
+    {
+    }
+
+protected:
+    void handle(const el::LogDispatchData *data) override
+    {
+        const auto *message = data->logMessage();
+        sink_.write(message->logger()->logBuilder()->build(message, false));
+    }
+
+private:
+    LineSink sink_;
+};
+
 } // namespace
 
 LogField::LogField(std::string_view key, std::string_view value)
@@ -71,6 +95,9 @@
     configuration.setGlobally(el::ConfigurationType::Format,
                               "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%level %msg");
     el::Loggers::reconfigureAllLoggers(configuration);
+    el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
+        "DefaultLogDispatchCallback");
+    el::Helpers::installLogDispatchCallback<SinkDispatch>("SinkDispatch");
 }
 
 void log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
--- a/tests/docs/reference_test.cpp
+++ b/tests/docs/reference_test.cpp
@@ -41,7 +41,7 @@
 std::string sources()
 {
     std::string text;
-    for (const char *folder : {"/include", "/src", "/programs"}) {
+    for (const char *folder : {"/include", "/src", "/platform", "/programs"}) {
         for (const auto &entry : fs::recursive_directory_iterator(Root + folder)) {
             if (entry.path().extension() == ".cpp" || entry.path().extension() == ".h")
                 text += textOf(entry.path());
@@ -128,6 +128,11 @@
 std::set<std::string> logEvents()
 {
     auto events = matches(sources(), "[^a-zA-Z]log\\([^;{\"]*\"([a-z]+(?:-[a-z]+)*)\"");
+    // The second of two events between which a call chooses, and the sink's own line.
+    events.merge(matches(sources(), "log\\([^;{]*\\? \"[a-z-]+\"\\s*: \"([a-z]+(?:-[a-z]+)*)\""));
+    events.merge(matches(sources(), "event=([a-z]+(?:-[a-z]+)*) "));
+    // Lines with a budget.
+    events.merge(matches(sources(), "log\\.write\\([^;{\"]*\"([a-z]+(?:-[a-z]+)*)\""));
     events.merge(decisionNames());
     events.erase("unnamed");
     return events;
@@ -156,6 +161,7 @@
 TEST_CASE("Reference.KeysAreThoseOfTheCode")
 {
     checkSame(keysIn("configuration/daemonsettings.cpp"), "Settings of a daemon");
+    checkSame(keysIn("gateway/gatewaysettings.cpp"), "Settings of a gateway");
     checkSame(keysIn("standins/standinsettings.cpp"), "Settings of a stand-in");
     checkSame(keysIn("configuration/configurationparser.cpp"), "Configuration files");
     checkSame(keysIn("load/loadscript.cpp"), "Load script");
