Store: in large fleets a few hosts read it and pass it on

In fleets of more than 10, four hosts (or one in 16) read the store; the others read from one of these by the same lists and watches. Each answer carries the age of the proof that nothing newer is missing, from which the lease of keys is counted; a reader that lost the store answers 503, and the others turn to the store at once.

--- a/include/monsoongrade/gateway/gateway.h
+++ b/include/monsoongrade/gateway/gateway.h
@@ -48,6 +48,9 @@
     void reload(const GatewaySettings &settings);
 
     GatewayState &state() { return state_; }
+    const GatewaySettings &settings() const { return settings_; }
+    // The hosts that are live, this one included; renewed several times a second.
+    const std::vector<routing::PeerNews> &hosts() const { return hosts_; }
 
 private:
     routing::PeerState peerState() const;
@@ -71,6 +74,7 @@
     bool leaving_ = false;
     routing::PeerState lastState_ = routing::PeerState::Waiting;
     std::set<std::string> lastHosts_;
+    std::vector<routing::PeerNews> hosts_;
     units::TimePoint stopBy_;
     std::function<void()> stopped_;
 };
--- a/include/monsoongrade/gateway/gatewaysettings.h
+++ b/include/monsoongrade/gateway/gatewaysettings.h
@@ -26,6 +26,7 @@
     std::uint16_t metricsPort = 0; // 0 serves no metrics
     std::uint16_t gossipPort = 0;
     std::uint16_t placementPort = 0;
+    std::uint16_t relayPort = 0;
     std::vector<std::string> seeds; // IP:PORT of hosts that may run; only the IP counts
     std::string storeAddress;
     double cpuShare = 1; // of processor cores that the process may use
--- a/programs/monsoongrade-gateway/main.cpp
+++ b/programs/monsoongrade-gateway/main.cpp
@@ -123,7 +123,7 @@
     gateway::Gateway gateway(io, timers, settings, dialect,
                              {platform::serveReadiness, platform::serveDirectory});
     gateway.start();
-    platform::PlatformFeed feed(io, timers, gateway, *store);
+    platform::PlatformFeed feed(io, timers, gateway, *store, settings.relayPort);
     feed.start();
     Supervisor supervisor(io, timers, gateway, path);
     supervisor.start();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -175,6 +175,7 @@
     hosts.push_back(gossip_.own());
     state_.liveHosts = int(hosts.size());
     noteHosts(hosts);
+    hosts_ = hosts;
     state_.placement.setOrder(routing::placingOrder(std::move(hosts)));
 }
 
--- a/tests/adapter/gatewayworld.h
+++ b/tests/adapter/gatewayworld.h
@@ -62,7 +62,7 @@
         gateway = std::make_unique<gateway::Gateway>(
             io, timers, settings, dialect, gateway::Gateway::Pages{serveReadiness, serveDirectory});
         gateway->start();
-        feed = std::make_unique<PlatformFeed>(io, timers, *gateway, store.address());
+        feed = std::make_unique<PlatformFeed>(io, timers, *gateway, store.address(), RelayPort);
         feed->start();
     }
 
@@ -122,6 +122,8 @@
                    {"born", born}});
     }
 
+    static constexpr std::uint16_t RelayPort = 8007;
+
     JumpingClock clock;
     asio::io_context io;
     httpio::Timers timers;
