--- a/src/routing/storereaders.cpp
+++ b/src/routing/storereaders.cpp
@@ -57,9 +57,8 @@
     };
     const units::FailureDomain ownDomain = domainOf(ownIp);
     const auto farBegin
-        = std::stable_partition(readers.begin(), readers.end(), [&](const std::string &ip) {
-              return domainOf(ip) == ownDomain;
-          });
+        = std::stable_partition(readers.begin(), readers.end(),
+                                [&](const std::string &ip) { return domainOf(ip) == ownDomain; });
     if (farBegin != readers.begin())
         readers.erase(farBegin, readers.end());
     return readers.empty() ? std::string() : readers[hashOf(ownIp) % readers.size()];
--- a/tests/adapter/storerelay_test.cpp
+++ b/tests/adapter/storerelay_test.cpp
@@ -36,13 +36,19 @@
         , relay(io, timers, {asio::ip::make_address_v4(settings.ip), RelayPort}, lease)
         , idleRelay(io, timers, {asio::ip::make_address_v4(settings.ip), RelayPort + 1}, lease)
         , reader(client, timers, "servers", milliseconds(1500), readerSees, relay,
-                 {[this] { return StoreSource{store.address(), false}; }, [](const auto &) {}})
+                 {[this] {
+                      return StoreSource{store.address(), false};
+                  },
+                  [](const auto &) {
+                  }})
         , follower(client, timers, "servers", milliseconds(1500), followerSees, idleRelay,
                    {[this] {
                         return isRelayAvoided ? StoreSource{store.address(), false}
                                               : StoreSource{relayAddress(), true};
                     },
-                    [this](const auto &) { isRelayAvoided = true; }})
+                    [this](const auto &) {
+                        isRelayAvoided = true;
+                    }})
     {
     }
 
--- a/tests/routing/storereaders_test.cpp
+++ b/tests/routing/storereaders_test.cpp
@@ -41,8 +41,7 @@
     std::set<std::string> asked;
     for (const PeerNews &host : hosts) {
         const std::string reader = readerFor(host.ip, hosts);
-        const bool isReader
-            = std::find(readers.begin(), readers.end(), host.ip) != readers.end();
+        const bool isReader = std::find(readers.begin(), readers.end(), host.ip) != readers.end();
         CHECK(reader.empty() == isReader);
         if (!reader.empty())
             asked.insert(reader);
