Store: pass on the events of one answer together; gossip names all hosts

The reader passed on each event of an answer by itself, all at the answer's one revision; a follower that got the first asked for what came after it and missed the rest.

--- a/include/monsoongrade/gateway/gateway.h
+++ b/include/monsoongrade/gateway/gateway.h
@@ -38,6 +38,8 @@
     void updateEndpoint(const routing::DiscoveredEndpoint &endpoint);
     void removeEndpoint(const units::EndpointId &id, units::TimePoint keepMissingUntil);
 
+    // Whether the platform's store answers this host.
+    void setHasStore(bool hasStore) { gossip_.setHasStore(hasStore); }
     // Takes requests: the configuration is there and fresh, and the host is not leaving.
     bool isServing() const;
     // IP:PORT addresses that callers should use now.
--- a/include/monsoongrade/gateway/peergossip.h
+++ b/include/monsoongrade/gateway/peergossip.h
@@ -34,6 +34,8 @@
     void start();
     // What this host says of itself; a change is told at once.
     void setState(routing::PeerState state);
+    // Whether the last call to the store, or to a host that passes it on, went well.
+    void setHasStore(bool hasStore);
     // Called after each round, with the hosts that are live.
     void onRound(std::function<void()> handler) { onRound_ = std::move(handler); }
     const routing::PeerTable &table() const { return table_; }
@@ -45,7 +47,7 @@
     void receive();
     void round();
     void tell();
-    std::string encode() const;
+    std::string encode();
     void decode(const std::string &datagram);
 
     asio::ip::udp::socket socket_;
@@ -57,6 +59,8 @@
     routing::PeerState state_ = routing::PeerState::Waiting;
     std::function<void()> onRound_;
     units::TimePoint startedAt_;
+    bool hasStore_ = false;
+    units::TimePoint storeSince_{};
     std::minstd_rand random_;
 };
 
--- a/include/monsoongrade/routing/peertable.h
+++ b/include/monsoongrade/routing/peertable.h
@@ -25,6 +25,7 @@
     PeerState state = PeerState::Waiting;
     units::Duration age{}; // since the host itself said it
     units::Duration uptime{}; // of its process, when it said it
+    units::Duration storeFor{}; // how long it has had the store without a break, when it said it
     int millicores = 0; // thousandths of a processor core that it may use
 };
 
--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -15,6 +15,8 @@
   uptimeMs @4 :UInt64;
   # Thousandths of a processor core that the host may use.
   millicores @5 :UInt32;
+  # Milliseconds for which the host has had the platform's store without a break; 0 without it.
+  storeForMs @6 :UInt64;
 
   enum State {
     serving @0;
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -43,7 +43,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(b1e1eed5a6d82e8d, 3, 2)
+        CAPNP_DECLARE_STRUCT_HEADER(b1e1eed5a6d82e8d, 4, 2)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -109,6 +109,8 @@
 
     inline ::uint32_t getMillicores() const;
 
+    inline ::uint64_t getStoreForMs() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -170,6 +172,9 @@
     inline ::uint32_t getMillicores();
     inline void setMillicores(::uint32_t value);
 
+    inline ::uint64_t getStoreForMs();
+    inline void setStoreForMs(::uint64_t value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -457,6 +462,20 @@
     _builder.setDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline ::uint64_t GossipPeer::Reader::getStoreForMs() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t GossipPeer::Builder::getStoreForMs()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void GossipPeer::Builder::setStoreForMs(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool GossipMessage::Reader::hasSender() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -35,6 +35,7 @@
     peer.setState(static_cast<schema::GossipPeer::State>(news.state));
     peer.setAgeMs(std::uint32_t(inMilliseconds(news.age)));
     peer.setUptimeMs(inMilliseconds(news.uptime));
+    peer.setStoreForMs(inMilliseconds(news.storeFor));
     peer.setMillicores(std::uint32_t(news.millicores));
 }
 
@@ -50,6 +51,7 @@
     news.age = std::chrono::milliseconds(peer.getAgeMs());
     news.uptime = std::chrono::milliseconds(peer.getUptimeMs());
     news.millicores = int(peer.getMillicores());
+    news.storeFor = std::chrono::milliseconds(peer.getStoreForMs());
     return news;
 }
 
@@ -87,6 +89,13 @@
     tell();
 }
 
+void PeerGossip::setHasStore(bool hasStore)
+{
+    if (hasStore && !hasStore_)
+        storeSince_ = timers_.now();
+    hasStore_ = hasStore;
+}
+
 void PeerGossip::receive()
 {
     socket_.async_receive_from(asio::buffer(buffer_), sender_,
@@ -134,12 +143,17 @@
     news.state = state_;
     news.uptime = timers_.now() - startedAt_;
     news.millicores = settings_.ownMillicores;
+    if (hasStore_)
+        news.storeFor = timers_.now() - storeSince_;
     return news;
 }
 
-std::string PeerGossip::encode() const
+std::string PeerGossip::encode()
 {
+    // Others each time: in a fleet with more hosts than one datagram holds, news of those that are
+    // always left out would only come from themselves, seconds apart, and they would look lost.
     std::vector<routing::PeerNews> known = live();
+    std::shuffle(known.begin(), known.end(), random_);
     known.resize(std::min(known.size(), MaxDescribed));
     capnp::MallocMessageBuilder message;
     auto root = message.initRoot<schema::GossipMessage>();
--- a/src/routing/peertable.cpp
+++ b/src/routing/peertable.cpp
@@ -7,6 +7,10 @@
 // Six missed messages at four a second. Datagrams are lost at up to 3 in 100 on bad days, and a
 // host that is wrongly left out gets no new callers for a moment, which does little harm.
 constexpr auto LiveFor = std::chrono::milliseconds(1500);
+// In a large fleet most news comes through others: each host tells seven of them in a round, and
+// the news of all 80 is at most about 1.2 s old.
+constexpr auto LiveForInLargeFleet = std::chrono::milliseconds(2500);
+constexpr std::size_t LargeFleet = 12;
 // A lost host may be behind a partition of up to a minute; later it comes back through a seed.
 constexpr auto RememberedFor = std::chrono::seconds(120);
 
@@ -31,9 +35,10 @@
 
 std::vector<PeerNews> PeerTable::live(units::TimePoint now) const
 {
+    const units::Duration liveFor = entries_.size() > LargeFleet ? LiveForInLargeFleet : LiveFor;
     std::vector<PeerNews> found;
     for (const auto &[ip, entry] : entries_) {
-        if (!entry.hasSpoken || now - entry.saidAt >= LiveFor)
+        if (!entry.hasSpoken || now - entry.saidAt >= liveFor)
             continue;
         found.push_back(entry.news);
         found.back().age = now - entry.saidAt;
--- a/tests/adapter/storerelay_test.cpp
+++ b/tests/adapter/storerelay_test.cpp
@@ -39,15 +39,18 @@
                  {[this] {
                       return StoreSource{store.address(), false};
                   },
-                  [](const auto &) {
+                  [](const auto &) {}, [](bool) {},
+                  [](units::Duration) {
+                      return true;
                   }})
         , follower(client, timers, "servers", milliseconds(1500), followerSees, idleRelay,
                    {[this] {
                         return isRelayAvoided ? StoreSource{store.address(), false}
                                               : StoreSource{relayAddress(), true};
                     },
-                    [this](const auto &) {
-                        isRelayAvoided = true;
+                    [this](const auto &) { isRelayAvoided = true; }, [](bool) {},
+                    [](units::Duration) {
+                        return true;
                     }})
     {
     }
@@ -95,6 +98,24 @@
     CHECK_FALSE(world.isRelayAvoided);
 }
 
+TEST_CASE("StoreRelay.ChangesThatArriveTogetherAllReachTheFollower")
+{
+    // The reader learns of three changes in one answer, which has one revision. A follower that is
+    // told of the first at this revision asks for what came after it, and would miss the others:
+    // endpoints that leave would get requests for ever.
+    RelayWorld world;
+    world.announce("p1", "plain", "127.0.0.1:9");
+    world.begin();
+    world.store.setMood(standins::StoreMood::Silent); // keeps the events until they are together
+    world.announce("p2", "plain", "127.0.0.1:9");
+    world.announce("p3", "plain", "127.0.0.1:9");
+    world.store.remove("servers", "p1");
+    world.store.setMood(standins::StoreMood::Normal);
+    world.announce("p4", "plain", "127.0.0.1:9");
+    const std::set<std::string> expected{"p2", "p3", "p4"};
+    CHECK(world.runUntil([&] { return world.followerSees.names == expected; }, milliseconds(500)));
+}
+
 TEST_CASE("StoreRelay.FollowersProofIsNeverYoungerThanTheReaders")
 {
     // The reader's last proof is two seconds old. The follower must not take the answer for a
