Placement: look at waiting requests every 4 ms, not with each piece of news

A look at 16 waiting requests over 75 endpoints with each of some 2,000 pieces of news a second took the placing host's processor.

--- a/include/monsoongrade/gateway/sharedplacement.h
+++ b/include/monsoongrade/gateway/sharedplacement.h
@@ -79,6 +79,7 @@
     void onAsk(const std::string &host, std::uint64_t number, const routing::PlacementQuery &query);
     void onWaiting(const std::string &host, std::uint64_t number);
     void askAgain(std::uint64_t number);
+    void placeWaitingSoon();
     void placeWaiting();
     void onAnswer(const std::string &host, std::uint64_t number, const std::string &endpoint,
                   std::int64_t tokensToRead);
@@ -99,7 +100,7 @@
     std::unordered_map<std::uint64_t, std::string> deciders_;
     std::unordered_map<std::uint64_t, Placed> ownWaiting_; // placed here, by number
     std::uint64_t lastNumber_ = 0;
-    bool placingWaiting_ = false;
+    bool isPlacingPlanned_ = false;
 };
 
 } // namespace monsoongrade::gateway
--- a/src/gateway/sharedplacement.cpp
+++ b/src/gateway/sharedplacement.cpp
@@ -26,6 +26,9 @@
 // About 40 bytes each; the datagram stays below 1,400 bytes.
 constexpr std::size_t MaxPartsInDatagram = 25;
 // How long a host waits without news for an endpoint before it asks again.
+// Between two looks at the waiting requests. One look costs about 0.3 ms with 75 endpoints, and in
+// a burst of 2,000 pieces of news a second a look at each took all the processor there is.
+constexpr auto WaitingInterval = std::chrono::milliseconds(4);
 constexpr units::Duration WaitingTimeout = std::chrono::milliseconds(200);
 
 std::string packed(capnp::MessageBuilder &message)
@@ -141,7 +144,7 @@
     if (decider == deciders_.end()) {
         desk_.hear(ticket, news, timers_.now());
         ownWaiting_.erase(ticket.number);
-        placeWaiting();
+        placeWaitingSoon();
         return;
     }
     capnp::MallocMessageBuilder message;
@@ -263,7 +266,7 @@
             const auto news = message.getNews();
             desk_.hear({host, news.getNumber()},
                        static_cast<routing::PlacementNews>(news.getNews()), timers_.now());
-            placeWaiting();
+            placeWaitingSoon();
         } else if (message.isCachedParts()) {
             for (const auto part : message.getCachedParts().getParts())
                 desk_.learn({part.getPart(), units::EndpointId(part.getEndpoint()),
@@ -287,11 +290,19 @@
 }
 
 // Room may have come: tells the hosts whose waiting requests now have an endpoint.
-void SharedPlacement::placeWaiting()
+void SharedPlacement::placeWaitingSoon()
 {
-    if (!desk_.hasWaiting() || placingWaiting_)
+    if (!desk_.hasWaiting() || isPlacingPlanned_)
         return;
-    placingWaiting_ = true;
+    isPlacingPlanned_ = true;
+    timers_.after(WaitingInterval, [this] {
+        isPlacingPlanned_ = false;
+        placeWaiting();
+    });
+}
+
+void SharedPlacement::placeWaiting()
+{
     for (const auto &[ticket, choice] : desk_.placeWaiting(roster_, timers_.now())) {
         if (ticket.host != settings_.ownIp) {
             send(ticket.host, encodeAnswer(ticket.number, choice));
@@ -304,7 +315,6 @@
         ownWaiting_.erase(own);
         placed(ticket, choice);
     }
-    placingWaiting_ = false;
 }
 
 void SharedPlacement::onWaiting(const std::string &host, std::uint64_t number)
--- a/src/routing/endpointhealth.cpp
+++ b/src/routing/endpointhealth.cpp
@@ -82,12 +82,12 @@
 
 double EndpointHealth::failureShare(units::TimePoint now) const
 {
-    return failureShare_ * remembered(failureShareAt_, now);
+    return failureShare_ == 0 ? 0 : failureShare_ * remembered(failureShareAt_, now);
 }
 
 double EndpointHealth::slowness(units::TimePoint now) const
 {
-    return 1 + (slowness_ - 1) * remembered(slownessAt_, now);
+    return slowness_ == 1 ? 1 : 1 + (slowness_ - 1) * remembered(slownessAt_, now);
 }
 
 void EndpointHealth::addResult(double failed, units::TimePoint now)
