--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -53,6 +53,7 @@
     void endRelay();
     void judgeCollected();
     void deliverCollected();
+    void slowDownIfUnsent();
     void noteFirstByte();
 
     // Failures
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -20,6 +20,10 @@
 // each other a little differently.
 constexpr double UsedShareOfConnections = 0.9;
 constexpr int MinConnectionsPerHost = 2;
+// For a pool that a route names and the configuration does not describe.
+constexpr int DefaultMaxConnections = 64;
+// For a client that does not say how long it waits; the route's timeout is usually shorter.
+constexpr auto DefaultTimeLeft = std::chrono::seconds(60);
 
 // Endpoints that work answer some request within this time: streams get an event every 40 to
 // 200 ms, plain requests take 60 to 450 ms.
@@ -27,6 +31,22 @@
 // Engines read about 150 prompt tokens a millisecond on an idle machine.
 constexpr std::int64_t TokensReadPerMs = 100;
 
+constexpr int StatusUnauthorized = 401;
+constexpr int StatusNotFound = 404;
+constexpr int StatusUnavailable = 503;
+
+int statusFor(units::ResultCode refusedAdmission)
+{
+    switch (refusedAdmission) {
+    case units::ResultCode::NoRouteForRequest:
+        return StatusNotFound;
+    case units::ResultCode::UnknownKey:
+        return StatusUnauthorized;
+    default:
+        return StatusUnavailable;
+    }
+}
+
 bool isSuccess(int status)
 {
     return status >= 200 && status < 300;
@@ -63,11 +83,10 @@
     table_ = state_.table;
     admission_ = routing::admit(table_.get(), state_.lease.isFresh(state_.timers.now()), facts_,
                                 request_.head.target);
-    deadline_ = request_.receivedAt + facts_.timeLeft.value_or(std::chrono::seconds(60));
+    deadline_ = request_.receivedAt + facts_.timeLeft.value_or(DefaultTimeLeft);
     if (admission_.code != units::ResultCode::Ok) {
-        const bool isUnknown = admission_.code == units::ResultCode::NoRouteForRequest;
-        const bool isKeyless = admission_.code == units::ResultCode::UnknownKey;
-        refuse(isUnknown ? 404 : isKeyless ? 401 : 503, admission_.code, !isUnknown && !isKeyless);
+        const int status = statusFor(admission_.code);
+        refuse(status, admission_.code, status == StatusUnavailable);
         return;
     }
     route_ = admission_.route;
@@ -123,7 +142,8 @@
     use_ = ResponseUse::None;
     firstByteSeen_ = false;
     collected_.clear();
-    const int connections = poolSettings_ == nullptr ? 64 : poolSettings_->maxConnections;
+    const int connections
+        = poolSettings_ == nullptr ? DefaultMaxConnections : poolSettings_->maxConnections;
     const int ownShare
         = std::max(MinConnectionsPerHost,
                    int(connections * UsedShareOfConnections) / std::max(state_.liveHosts, 1));
@@ -233,13 +253,7 @@
     }
     reply_->write(collected_);
     collected_.clear();
-    if (reply_->unsentBytes() > MaxUnsentBytes) {
-        channel_->pauseReading();
-        reply_->onDrained([self = shared_from_this()] {
-            if (self->channel_ != nullptr)
-                self->channel_->resumeReading();
-        });
-    }
+    slowDownIfUnsent();
 }
 
 void Exchange::relay(std::string_view bytes)
@@ -262,6 +276,13 @@
     if (route_->mayRunTwice())
         watchSilence(
             std::max<units::Duration>(std::chrono::milliseconds(700), route_->maxEventGap * 5 / 2));
+    slowDownIfUnsent();
+}
+
+// A client that reads slowly slows down its own endpoint's stream, and its bytes do not pile up
+// here.
+void Exchange::slowDownIfUnsent()
+{
     if (reply_->unsentBytes() > MaxUnsentBytes) {
         channel_->pauseReading();
         reply_->onDrained([self = shared_from_this()] {
--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -15,6 +15,10 @@
 // How long a request that must not be cut at the endpoint may go on after its client has left.
 constexpr auto UnattendedTime = std::chrono::seconds(5);
 
+constexpr int StatusBadGateway = 502;
+constexpr int StatusUnavailable = 503;
+constexpr int StatusGatewayTimeout = 504;
+
 std::int64_t milliseconds(units::Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -109,9 +113,10 @@
         collected_ = std::move(fallbackBody_);
         deliverCollected();
     } else if (step == routing::NextStep::RefuseNotRun) {
-        refuse(503, reason, true);
+        refuse(StatusUnavailable, reason, true);
     } else {
-        refuse(step == routing::NextStep::AnswerTimeout ? 504 : 502, reason, false);
+        refuse(step == routing::NextStep::AnswerTimeout ? StatusGatewayTimeout : StatusBadGateway,
+               reason, false);
     }
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -238,9 +238,9 @@
 
 void Gateway::waitForOpenRequests()
 {
+    // Connections whose last response is still being read by the client count as well.
     const std::size_t open = callers_->openRequests();
-    if (callers_->connections() > 0 && open + callers_->connections() > 0
-        && timers_.now() < stopBy_) {
+    if (callers_->connections() > 0 && timers_.now() < stopBy_) {
         timers_.after(OpenRequestsCheck, [this] { waitForOpenRequests(); });
         return;
     }
--- a/src/httpio/internal/serverconnection.cpp
+++ b/src/httpio/internal/serverconnection.cpp
@@ -194,7 +194,6 @@
         return;
     server_.timers_.cancel(timeout_);
     requestOpen_ = true;
-    responseStarted_ = false;
     ++number_;
     ++server_.openRequests_;
     ServerRequest request{std::move(head_), std::make_shared<const std::string>(std::move(body_)),
@@ -249,7 +248,6 @@
 
 void ServerConnection::begin(int status, const Headers &headers)
 {
-    responseStarted_ = true;
     closeAfterWrite_ = !keepsAlive();
     pending_ += encodeResponseHead(status, headers, Framing::Chunked, 0, !closeAfterWrite_);
     flush();
--- a/src/httpio/internal/serverconnection.h
+++ b/src/httpio/internal/serverconnection.h
@@ -81,7 +81,6 @@
     bool requestOpen_ = false;
     bool clientKeepsAlive_ = true;
     bool headRequest_ = false;
-    bool responseStarted_ = false;
     bool closeAfterWrite_ = false;
     bool lingering_ = false;
 };
