--- a/include/monsoongrade/httpio/channel.h
+++ b/include/monsoongrade/httpio/channel.h
@@ -84,6 +84,8 @@
     void onRead(const asio::error_code &error, std::size_t count);
     void parse(std::string_view bytes);
     void onClosedByPeer(bool inOrder);
+    // Closes an idle channel and tells its owner.
+    void becomeUnusable();
     void fail(ChannelFailure failure);
 
     asio::ip::tcp::socket socket_;
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -1,5 +1,7 @@
 #include <monsoongrade/gateway/peergossip.h>
 
+#include <gateway/internal/packedmessage.h>
+
 #include <monsoongrade/observability/log.h>
 
 #include <gossip.capnp.h>
@@ -161,10 +163,7 @@
     auto list = root.initKnown(unsigned(known.size()));
     for (std::size_t i = 0; i < known.size(); ++i)
         encodePeer(list[unsigned(i)], known[i]);
-    kj::VectorOutputStream out;
-    capnp::writePackedMessage(out, message);
-    const auto bytes = out.getArray();
-    return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
+    return internal::packed(message);
 }
 
 void PeerGossip::decode(const std::string &datagram)
--- a/src/gateway/sharedplacement.cpp
+++ b/src/gateway/sharedplacement.cpp
@@ -1,5 +1,7 @@
 #include <monsoongrade/gateway/sharedplacement.h>
 
+#include <gateway/internal/packedmessage.h>
+
 #include <monsoongrade/observability/log.h>
 
 #include <placement.capnp.h>
@@ -15,6 +17,8 @@
 
 namespace {
 
+using internal::packed;
+
 // An answer takes a round trip of 2 to 3 ms. A request for the tightest class has 250 ms, so a
 // lost datagram may cost a tenth of that.
 constexpr auto AnswerTimeout = std::chrono::milliseconds(25);
@@ -31,14 +35,6 @@
 constexpr auto WaitingInterval = std::chrono::milliseconds(4);
 constexpr units::Duration WaitingTimeout = std::chrono::milliseconds(200);
 
-std::string packed(capnp::MessageBuilder &message)
-{
-    kj::VectorOutputStream out;
-    capnp::writePackedMessage(out, message);
-    const auto bytes = out.getArray();
-    return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
-}
-
 std::uint32_t inMilliseconds(units::Duration duration)
 {
     const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
--- a/src/httpio/channel.cpp
+++ b/src/httpio/channel.cpp
@@ -146,10 +146,7 @@
         if (user_ == nullptr) {
             // Bytes that no request asked for: a second response to an earlier one. They must
             // not be taken for the response to the next request.
-            const auto onUnusable = std::move(onUnusable_);
-            close();
-            if (onUnusable)
-                onUnusable();
+            becomeUnusable();
             return;
         }
         receivedSomething_ = true;
@@ -164,10 +161,7 @@
 void Channel::onClosedByPeer(bool inOrder)
 {
     if (user_ == nullptr) {
-        const auto onUnusable = std::move(onUnusable_);
-        close();
-        if (onUnusable)
-            onUnusable();
+        becomeUnusable();
         return;
     }
     // A response without length is complete only if the connection ends in order: a reset may
@@ -180,6 +174,14 @@
                                   : ChannelFailure::NothingSent);
 }
 
+void Channel::becomeUnusable()
+{
+    const auto onUnusable = std::move(onUnusable_);
+    close();
+    if (onUnusable)
+        onUnusable();
+}
+
 void Channel::fail(ChannelFailure failure)
 {
     ChannelUser *user = user_;
--- a/src/routing/placementdesk.cpp
+++ b/src/routing/placementdesk.cpp
@@ -1,6 +1,6 @@
 #include <monsoongrade/routing/placementdesk.h>
 
-#include <monsoongrade/units/stablehash.h>
+#include <routing/internal/spreadhash.h>
 
 #include <algorithm>
 #include <limits>
@@ -39,22 +39,12 @@
     return !wasTried && !endpoint->leaving && endpoint->health.accepts(now);
 }
 
-// Mixes the high and low bits: FNV-1a alone lets the last bytes reach the high bits only weakly,
-// and rendezvous hashing compares high bits.
-std::uint64_t mixed(std::uint64_t hash)
-{
-    hash ^= hash >> 33;
-    hash *= 0xff51afd7ed558ccdULL;
-    hash ^= hash >> 33;
-    return hash;
-}
-
 std::uint64_t rankHash(const std::string &part, const EndpointStatus &endpoint)
 {
     units::StableHash hash;
     hash.add(part);
     hash.add(endpoint.described.id.value());
-    return mixed(hash.value());
+    return internal::spread(hash);
 }
 
 double penalty(const EndpointStatus &endpoint, units::TimePoint now)
--- a/src/routing/placinghosts.cpp
+++ b/src/routing/placinghosts.cpp
@@ -1,6 +1,6 @@
 #include <monsoongrade/routing/placinghosts.h>
 
-#include <monsoongrade/units/stablehash.h>
+#include <routing/internal/spreadhash.h>
 
 #include <algorithm>
 #include <tuple>
@@ -16,8 +16,7 @@
 {
     units::StableHash hash;
     hash.add(ip);
-    const std::uint64_t value = hash.value();
-    return (value ^ (value >> 33)) * 0xff51afd7ed558ccdULL;
+    return internal::spread(hash);
 }
 
 } // namespace
