Placement: order placing hosts by processor before age and hash

Cause: the comparator of placingOrder() compared age and hash only, so among hosts of equal age a small one (0.12 of a core, 10 Mbit/s) could place for all of 81 hosts. The test that was to cover this passed because of the hash of its two addresses; the new one tries 81 and failed before the change. Ruled out: the answer timeout, the size of the datagrams. Conclusion: right, but not enough; what one host can place is looked at next.

--- a/src/routing/placinghosts.cpp
+++ b/src/routing/placinghosts.cpp
@@ -40,13 +40,14 @@
             if (host.millicores == most)
                 oldest = std::max(oldest, ageOf(host));
         }
-        const auto next = std::max_element(hosts.begin(), hosts.end(),
-                                           [&](const PeerNews &a, const PeerNews &b) {
-                                               const bool aIsOld = ageOf(a) + SameAge >= oldest;
-                                               const bool bIsOld = ageOf(b) + SameAge >= oldest;
-                                               return std::make_tuple(aIsOld, hashOf(a.ip))
-                                                   < std::make_tuple(bIsOld, hashOf(b.ip));
-                                           });
+        // Processor, then age, then the hash.
+        const auto rank = [&](const PeerNews &host) {
+            return std::make_tuple(host.millicores, ageOf(host) + SameAge >= oldest,
+                                   hashOf(host.ip));
+        };
+        const auto next = std::max_element(
+            hosts.begin(), hosts.end(),
+            [&](const PeerNews &a, const PeerNews &b) { return rank(a) < rank(b); });
         order.push_back(next->ip);
         hosts.erase(next);
     }
--- a/tests/routing/placinghosts_test.cpp
+++ b/tests/routing/placinghosts_test.cpp
@@ -69,3 +69,22 @@
     hosts[1].millicores = 500;
     CHECK(placingOrder(hosts)[0] == "10.0.0.2");
 }
+
+TEST_CASE("PlacingHosts.EachLargeHostComesBeforeEverySmallOne")
+{
+    // Hosts of two sizes start together. A small host that placed for all answered late, most
+    // hosts then placed alone, and shared parts were read again all over the pool. The order
+    // within a size is by hash, so many addresses are tried: one pair alone may pass by chance.
+    std::vector<PeerNews> hosts;
+    for (int i = 1; i <= 81; ++i) {
+        hosts.push_back(host("10.0.0." + std::to_string(i), seconds(60)));
+        hosts.back().millicores = i % 13 == 0 ? 500 : 120;
+    }
+    const std::vector<std::string> order = placingOrder(hosts);
+    for (int i = 13; i <= 81; i += 13) {
+        const std::string ip = "10.0.0." + std::to_string(i);
+        const auto place = std::find(order.begin(), order.end(), ip) - order.begin();
+        CHECK_MESSAGE(place < 6, ip << " has 500 millicores; expected among the first 6, is at "
+                                    << place);
+    }
+}
