--- a/include/monsoongrade/routing/routetable.h
+++ b/include/monsoongrade/routing/routetable.h
@@ -21,6 +21,11 @@
     // The workspace that holds the key, or nullptr.
     const WorkspaceKeys *workspaceOf(const std::string &key) const;
     const TrafficPool *pool(const units::PoolName &name) const;
+    // The tier of a request: that of its route, and within it that of its workspace, as far as ten
+    // tiers suffice for both. Classes of requests are routes; a workspace's tier may move its
+    // requests before those of another workspace of the same class, but never a breakdown before a
+    // summary. workspace may be null.
+    units::Tier tierOf(const Route &route, const WorkspaceKeys *workspace) const;
     // Callers must show a key on routes that are not public.
     bool hasKeys() const { return !configuration_.workspaces.empty(); }
     const TrafficConfiguration &configuration() const { return configuration_; }
@@ -30,6 +35,7 @@
     std::unordered_map<std::string, const Route *> routes_; // by host, a space, and prefix
     std::unordered_map<std::string, const WorkspaceKeys *> workspaces_;
     std::unordered_map<std::string, const TrafficPool *> pools_;
+    std::uint32_t tiersPerRoute_ = 1;
 };
 
 // The pool for a request: the same for the same request id, and in proportion to the weights over
--- a/include/monsoongrade/routing/trafficconfiguration.h
+++ b/include/monsoongrade/routing/trafficconfiguration.h
@@ -16,7 +16,8 @@
 // Number that the platform's store gives to each change; a larger one is newer.
 using Revision = units::StrongNumber<struct RevisionTag, std::uint64_t>;
 
-// One workspace with the keys that its callers show. Its tier, if given, replaces the route's.
+// One workspace with the keys that its callers show. Its tier, if given, decides among requests
+// of the same route's tier; see RouteTable::tierOf().
 struct WorkspaceKeys
 {
     units::WorkspaceName name;
--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -26,14 +26,14 @@
         return refused(units::ResultCode::NoRouteForRequest);
     Admission admission;
     admission.route = route;
-    admission.tier = route->tier;
+    admission.tier = table->tierOf(*route, nullptr);
     if (!needsKey)
         return admission;
     const WorkspaceKeys *workspace = facts.key.empty() ? nullptr : table->workspaceOf(facts.key);
     if (workspace == nullptr)
         return refused(units::ResultCode::UnknownKey);
     admission.workspace = workspace->name;
-    admission.tier = workspace->tier.value_or(route->tier);
+    admission.tier = table->tierOf(*route, workspace);
     return admission;
 }
 
--- a/src/routing/routetable.cpp
+++ b/src/routing/routetable.cpp
@@ -1,9 +1,14 @@
 #include <monsoongrade/routing/routetable.h>
 
+#include <algorithm>
+
 namespace monsoongrade::routing {
 
 namespace {
 
+// Engines tell ten tiers apart.
+constexpr std::uint32_t DistinctTiers = 10;
+
 std::string routeKey(const std::string &host, std::string_view prefix)
 {
     std::string key;
@@ -24,6 +29,14 @@
     }
     for (const TrafficPool &pool : configuration_.pools)
         pools_.emplace(pool.name.value(), &pool);
+    std::uint32_t routeTiers = 1;
+    for (const Route &route : configuration_.routes)
+        routeTiers = std::max(routeTiers, route.tier.value() + 1);
+    std::uint32_t workspaceTiers = 1;
+    for (const WorkspaceKeys &workspace : configuration_.workspaces)
+        workspaceTiers
+            = std::max(workspaceTiers, workspace.tier.value_or(units::Tier(0)).value() + 1);
+    tiersPerRoute_ = std::clamp(DistinctTiers / routeTiers, 1U, workspaceTiers);
 }
 
 const Route *RouteTable::find(const std::string &host, std::string_view target) const
@@ -47,6 +60,13 @@
     return found == workspaces_.end() ? nullptr : found->second;
 }
 
+units::Tier RouteTable::tierOf(const Route &route, const WorkspaceKeys *workspace) const
+{
+    const std::uint32_t within
+        = workspace == nullptr ? 0 : workspace->tier.value_or(units::Tier(0)).value();
+    return units::Tier(route.tier.value() * tiersPerRoute_ + std::min(within, tiersPerRoute_ - 1));
+}
+
 const TrafficPool *RouteTable::pool(const units::PoolName &name) const
 {
     const auto found = pools_.find(name.value());
