--- a/include/monsoongrade/gateway/eventrelay.h
+++ b/include/monsoongrade/gateway/eventrelay.h
@@ -2,6 +2,7 @@
 #define MONSOONGRADE_GATEWAY_EVENTRELAY_H
 
 #include <monsoongrade/httpio/wholeevents.h>
+#include <monsoongrade/units/clock.h>
 
 #include <cstdint>
 #include <optional>
@@ -17,7 +18,7 @@
 public:
     // Bytes from the endpoint; returns what the client gets now. After a resume, events that the
     // client has already are left out.
-    std::string take(std::string_view bytes);
+    std::string take(std::string_view bytes, units::TimePoint now);
     // The stream ended in order: what is left of an unfinished event.
     std::string takeRest() { return events_.takeRest(); }
     bool hasRest() const { return events_.hasRest(); }
@@ -27,6 +28,11 @@
     const std::string &lastId() const { return lastId_; }
     // An event after a resume does not follow the last one: something is missing.
     bool hasGap() const { return hasGap_; }
+    // When the client's first event was ready; nothing before it.
+    std::optional<units::TimePoint> firstEventAt() const { return firstEventAt_; }
+    // The longest pause between two events so far, in which the endpoint made nothing or nothing
+    // arrived here; zero with fewer than two.
+    units::Duration longestPause() const { return longestPause_; }
 
 private:
     std::string withoutKnown(const std::string &whole);
@@ -37,6 +43,9 @@
     std::int64_t step_ = 1;
     bool checkingResume_ = false;
     bool hasGap_ = false;
+    std::optional<units::TimePoint> firstEventAt_;
+    units::TimePoint lastEventAt_{};
+    units::Duration longestPause_{};
 };
 
 } // namespace monsoongrade::gateway
--- a/src/gateway/eventrelay.cpp
+++ b/src/gateway/eventrelay.cpp
@@ -1,5 +1,6 @@
 #include <monsoongrade/gateway/eventrelay.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace monsoongrade::gateway {
@@ -46,9 +47,17 @@
 
 } // namespace
 
-std::string EventRelay::take(std::string_view bytes)
+std::string EventRelay::take(std::string_view bytes, units::TimePoint now)
 {
-    return withoutKnown(events_.take(bytes));
+    std::string passed = withoutKnown(events_.take(bytes));
+    if (passed.empty())
+        return passed;
+    if (firstEventAt_)
+        longestPause_ = std::max(longestPause_, now - lastEventAt_);
+    else
+        firstEventAt_ = now;
+    lastEventAt_ = now;
+    return passed;
 }
 
 void EventRelay::resume()
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -258,7 +258,7 @@
 
 void Exchange::relay(std::string_view bytes)
 {
-    const std::string whole = events_.take(bytes);
+    const std::string whole = events_.take(bytes, state_.timers.now());
     if (whole.empty())
         return;
     noteFirstByte();
--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -292,6 +292,10 @@
          {"sends", sends_},
          {"may-have-run", mayHaveRun_ ? "yes" : "no"},
          {"took-ms", milliseconds(now - request_.receivedAt)},
+         {"first-event-ms",
+          events_.firstEventAt() ? milliseconds(*events_.firstEventAt() - request_.receivedAt)
+                                 : std::int64_t(-1)},
+         {"longest-pause-ms", milliseconds(events_.longestPause())},
          {"left-ms", milliseconds(timeLeft())},
          {"configuration", table_ == nullptr ? std::int64_t(0) : table_->configuration().version},
          {"configuration-age-ms", isLeaseProven ? milliseconds(state_.lease.age(now)) : -1},
