Placement: keep endpoints free of long reads for streams with short pauses

Cause: an engine reads a prompt in chunks between two steps; with a chunk a step takes 41 ms instead of 7, so an event of 5 or 6 tokens takes over 200 ms, the longest pause that a summary may have.

--- a/include/monsoongrade/routing/placementdesk.h
+++ b/include/monsoongrade/routing/placementdesk.h
@@ -5,6 +5,7 @@
 #include <monsoongrade/routing/placementquery.h>
 #include <monsoongrade/routing/prefixmemory.h>
 #include <monsoongrade/routing/readqueue.h>
+#include <monsoongrade/routing/shortpausereserve.h>
 
 #include <map>
 #include <unordered_map>
@@ -53,6 +54,9 @@
 // requests of higher tiers at their end. Waiting requests are placed by tier, then those first
 // whose first event can still be on time, by the time at which it is due.
 //
+// Streams with short pauses have endpoints of their own, see ShortPauseReserve; they overflow to
+// the others when those are full, and long reads use them only if there is nothing else.
+//
 // Other pools: the fewest open requests, weighed by how often and how late the endpoint has
 // answered lately; among equals the asking host's own failure domain, because bytes between
 // domains cost.
@@ -98,19 +102,23 @@
         EndpointRoster::Status endpoint;
         std::int64_t tokensToRead = 0;
         units::TimePoint at;
+        bool needsShortPauses = false;
     };
+    using Candidates = std::vector<const EndpointRoster::Status *>;
 
     PlacementChoice commit(const PlacementTicket &ticket, const PlacementQuery &query,
                            PlacementChoice choice, units::TimePoint now);
     PlacementChoice chooseForModel(const PlacementQuery &query,
                                    const std::vector<EndpointRoster::Status> &available,
-                                   units::TimePoint now) const;
+                                   units::TimePoint now);
+    Candidates candidatesFor(const PlacementQuery &query,
+                             const std::vector<EndpointRoster::Status> &available,
+                             units::TimePoint now);
     PlacementChoice chooseForPlain(const PlacementQuery &query,
                                    const std::vector<EndpointRoster::Status> &available,
                                    units::TimePoint now) const;
     static const EndpointStatus *firstByHash(const PlacementQuery &query,
-                                             const std::vector<EndpointRoster::Status> &available,
-                                             units::TimePoint now);
+                                             const Candidates &candidates);
     Load loadOf(const EndpointStatus &endpoint) const;
     void unload(const Placed &placed, bool isEnd);
     void noteSilence(const Placed &placed, units::TimePoint now);
@@ -121,6 +129,7 @@
     std::unordered_map<const EndpointStatus *, Load> loads_;
     std::map<PlacementTicket, Placed> placed_;
     ReadQueue waiting_;
+    ShortPauseReserve reserve_;
     units::TimePoint nextCleaning_{};
 };
 
--- a/include/monsoongrade/routing/placementquery.h
+++ b/include/monsoongrade/routing/placementquery.h
@@ -2,6 +2,8 @@
 #define MONSOONGRADE_ROUTING_PLACEMENTQUERY_H
 
 #include <monsoongrade/routing/requestfacts.h>
+#include <monsoongrade/routing/route.h>
+#include <monsoongrade/routing/trafficpool.h>
 
 #include <cstdint>
 #include <string>
@@ -19,6 +21,8 @@
     std::int64_t promptTokens = 0; // the whole prompt
     std::int64_t ownTokens = 0; // without what may be cached
     units::Tier tier;
+    // Its events may be only so far apart that its endpoint must not read long prompts meanwhile.
+    bool needsShortPauses = false;
     // Endpoints that already had this request and are not to get it again.
     std::vector<units::EndpointId> tried;
     units::FailureDomain askersDomain;
@@ -31,10 +35,11 @@
     bool isAlone = false;
 };
 
-// The query for a request of which nothing has been tried yet.
-PlacementQuery placementQuery(const RequestFacts &facts, const units::PoolName &pool,
-                              bool runsModel, units::Tier tier,
-                              const units::FailureDomain &askersDomain);
+// The query for a request of which nothing has been tried yet. pool: null if the configuration does
+// not describe it.
+PlacementQuery placementQuery(const RequestFacts &facts, const Route &route,
+                              const units::PoolName &poolName, const TrafficPool *pool,
+                              units::Tier tier, const units::FailureDomain &askersDomain);
 
 } // namespace monsoongrade::routing
 
--- a/include/monsoongrade/routing/trafficpool.h
+++ b/include/monsoongrade/routing/trafficpool.h
@@ -15,6 +15,8 @@
     int maxConnections = 64;
     // The endpoints run a model: prompts are read, and their parts cached.
     bool runsModel = false;
+    // Tokens in one event of a stream. The engines known make 5 or 6.
+    int tokensPerEvent = 5;
 };
 
 } // namespace monsoongrade::routing
--- a/schema/placement.capnp
+++ b/schema/placement.capnp
@@ -18,6 +18,7 @@
   # Milliseconds from now.
   targetInMs @8 :UInt32;
   givenUpInMs @9 :UInt32;
+  needsShortPauses @10 :Bool;
 }
 
 struct PlacementAnswer {
--- a/schema/placement.capnp.h
+++ b/schema/placement.capnp.h
@@ -212,6 +212,8 @@
 
     inline ::uint32_t getGivenUpInMs() const;
 
+    inline bool getNeedsShortPauses() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -295,6 +297,9 @@
     inline ::uint32_t getGivenUpInMs();
     inline void setGivenUpInMs(::uint32_t value);
 
+    inline bool getNeedsShortPauses();
+    inline void setNeedsShortPauses(bool value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -1141,6 +1146,20 @@
     _builder.setDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PlacementAsk::Reader::getNeedsShortPauses() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<224>() * ::capnp::ELEMENTS);
+}
+
+inline bool PlacementAsk::Builder::getNeedsShortPauses()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<224>() * ::capnp::ELEMENTS);
+}
+inline void PlacementAsk::Builder::setNeedsShortPauses(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<224>() * ::capnp::ELEMENTS, value);
+}
+
 inline ::uint64_t PlacementAnswer::Reader::getNumber() const
 {
     return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -92,9 +92,8 @@
     route_ = admission_.route;
     pool_ = routing::choosePool(*route_, units::jitterOf(facts_.id));
     poolSettings_ = table_->pool(pool_);
-    query_ = routing::placementQuery(facts_, pool_,
-                                     poolSettings_ != nullptr && poolSettings_->runsModel,
-                                     admission_.tier, state_.ownDomain);
+    query_ = routing::placementQuery(facts_, *route_, pool_, poolSettings_, admission_.tier,
+                                     state_.ownDomain);
     query_.mayWait = true;
     deadline_ = std::min(deadline_, request_.receivedAt + route_->timeout);
     const auto self = shared_from_this();
--- a/src/gateway/sharedplacement.cpp
+++ b/src/gateway/sharedplacement.cpp
@@ -63,6 +63,7 @@
     ask.setPromptTokens(std::uint32_t(query.promptTokens));
     ask.setOwnTokens(std::uint32_t(query.ownTokens));
     ask.setTier(query.tier.value());
+    ask.setNeedsShortPauses(query.needsShortPauses);
     ask.setFailureDomain(query.askersDomain.value());
     ask.setTargetInMs(inMilliseconds(query.targetIn));
     ask.setGivenUpInMs(inMilliseconds(query.givenUpIn));
@@ -81,6 +82,7 @@
     query.promptTokens = ask.getPromptTokens();
     query.ownTokens = ask.getOwnTokens();
     query.tier = units::Tier(ask.getTier());
+    query.needsShortPauses = ask.getNeedsShortPauses();
     query.askersDomain = units::FailureDomain(ask.getFailureDomain());
     query.targetIn = std::chrono::milliseconds(ask.getTargetInMs());
     query.givenUpIn = std::chrono::milliseconds(ask.getGivenUpInMs());
--- a/src/routing/placementdesk.cpp
+++ b/src/routing/placementdesk.cpp
@@ -20,6 +20,10 @@
 // request with a target of 250 ms still finds its way, and the endpoint does not run dry in the
 // 5 ms that the next placement takes.
 constexpr std::int64_t MaxTokensWithLongRead = 24000;
+// Streams with short pauses leave a kept endpoint's last slots free: its count here lags behind by
+// the requests that other hosts place alone, and beyond its slots a request waits for a whole
+// stream of about a second.
+constexpr double MaxShareOfReserved = 0.9;
 // Waiting requests that are tried when room has come. Each waits for the endpoint that is best for
 // its part and must not hold up the others; more would cost the placing host too much time.
 constexpr std::size_t MaxTriedAtOnce = 16;
@@ -75,7 +79,9 @@
     hear(ticket, PlacementNews::Withdrawn, now); // a repeated ask replaces the earlier one
     if (choice.endpoint == nullptr)
         return choice;
-    placed_[ticket] = {choice.endpoint, choice.tokensToRead, now};
+    placed_[ticket] = {choice.endpoint, choice.tokensToRead, now, query.needsShortPauses};
+    if (query.needsShortPauses)
+        reserve_.opened(choice.endpoint->described.pool);
     Load &load = loads_[choice.endpoint.get()];
     ++load.openRequests;
     load.tokensToRead += choice.tokensToRead;
@@ -114,23 +120,45 @@
     return placed;
 }
 
+// Endpoints by the reserve; if it leaves none, all that can be used.
+PlacementDesk::Candidates
+PlacementDesk::candidatesFor(const PlacementQuery &query,
+                             const std::vector<EndpointRoster::Status> &available,
+                             units::TimePoint now)
+{
+    const ShortPauseReserve::Endpoints &reserved
+        = reserve_.endpoints(query.pool, available, now, query.needsShortPauses ? 1 : 0);
+    Candidates usable;
+    Candidates byReserve;
+    for (const EndpointRoster::Status &endpoint : available) {
+        if (!isUsable(endpoint, query, now))
+            continue;
+        usable.push_back(&endpoint);
+        const bool isFull = query.needsShortPauses
+            && loadOf(*endpoint).openRequests >= endpoint->described.slots * MaxShareOfReserved;
+        const bool isReserved = reserved.count(endpoint.get()) != 0;
+        if (isReserved == query.needsShortPauses && !isFull)
+            byReserve.push_back(&endpoint);
+    }
+    return byReserve.empty() ? usable : byReserve;
+}
+
 PlacementChoice PlacementDesk::chooseForModel(const PlacementQuery &query,
                                               const std::vector<EndpointRoster::Status> &available,
-                                              units::TimePoint now) const
+                                              units::TimePoint now)
 {
+    const Candidates candidates = candidatesFor(query, available, now);
     PlacementChoice choice;
     double best = std::numeric_limits<double>::infinity();
     const std::int64_t shared = query.promptTokens - query.ownTokens;
-    const EndpointStatus *first = firstByHash(query, available, now);
+    const EndpointStatus *first = firstByHash(query, candidates);
     const std::vector<PrefixMemory::Holder> *holders = memory_.holders(query.sharedPart);
     const bool isKnownSomewhere
-        = std::any_of(available.begin(), available.end(), [&](const auto &endpoint) {
-              return isUsable(endpoint, query, now)
-                  && PrefixMemory::holds(holders, endpoint->described, now);
+        = std::any_of(candidates.begin(), candidates.end(), [&](const auto *endpoint) {
+              return PrefixMemory::holds(holders, (*endpoint)->described, now);
           });
-    for (const EndpointRoster::Status &endpoint : available) {
-        if (!isUsable(endpoint, query, now))
-            continue;
+    for (const EndpointRoster::Status *candidate : candidates) {
+        const EndpointRoster::Status &endpoint = *candidate;
         const std::int64_t again
             = PrefixMemory::holds(holders, endpoint->described, now) ? 0 : shared;
         const std::int64_t toRead = query.ownTokens + again;
@@ -154,17 +182,15 @@
     return choice;
 }
 
-const EndpointStatus *
-PlacementDesk::firstByHash(const PlacementQuery &query,
-                           const std::vector<EndpointRoster::Status> &available,
-                           units::TimePoint now)
+const EndpointStatus *PlacementDesk::firstByHash(const PlacementQuery &query,
+                                                 const Candidates &candidates)
 {
     const EndpointStatus *first = nullptr;
     std::uint64_t firstHash = 0;
-    for (const EndpointRoster::Status &endpoint : available) {
-        const std::uint64_t hash = rankHash(query.sharedPart, *endpoint);
-        if (isUsable(endpoint, query, now) && (first == nullptr || hash > firstHash)) {
-            first = endpoint.get();
+    for (const EndpointRoster::Status *endpoint : candidates) {
+        const std::uint64_t hash = rankHash(query.sharedPart, **endpoint);
+        if (first == nullptr || hash > firstHash) {
+            first = endpoint->get();
             firstHash = hash;
         }
     }
@@ -260,6 +286,8 @@
 
 void PlacementDesk::unload(const Placed &placed, bool isEnd)
 {
+    if (isEnd && placed.needsShortPauses)
+        reserve_.ended(placed.endpoint->described.pool);
     const auto found = loads_.find(placed.endpoint.get());
     if (found == loads_.end())
         return;
--- a/src/routing/placementquery.cpp
+++ b/src/routing/placementquery.cpp
@@ -1,14 +1,18 @@
 #include <monsoongrade/routing/placementquery.h>
 
+#include <monsoongrade/routing/shortpausereserve.h>
+
 namespace monsoongrade::routing {
 
-PlacementQuery placementQuery(const RequestFacts &facts, const units::PoolName &pool,
-                              bool runsModel, units::Tier tier,
-                              const units::FailureDomain &askersDomain)
+PlacementQuery placementQuery(const RequestFacts &facts, const Route &route,
+                              const units::PoolName &poolName, const TrafficPool *pool,
+                              units::Tier tier, const units::FailureDomain &askersDomain)
 {
     PlacementQuery query;
-    query.pool = pool;
-    query.runsModel = runsModel;
+    query.pool = poolName;
+    query.runsModel = pool != nullptr && pool->runsModel;
+    query.needsShortPauses = query.runsModel && route.kind == RouteKind::Stream
+        && needsShortPauses(route.maxEventGap, pool->tokensPerEvent);
     query.promptTokens = facts.promptTokens.value();
     query.ownTokens = query.promptTokens;
     query.tier = tier;
--- a/tests/routing/placementdesk_test.cpp
+++ b/tests/routing/placementdesk_test.cpp
@@ -111,6 +111,38 @@
     CHECK(used.size() <= 4);
 }
 
+TEST_CASE("PlacementDesk.StreamsWithShortPausesAndLongReadsUseDifferentEndpoints")
+{
+    // A burst of long prompts beside summaries whose events may be 200 ms apart. On a shared
+    // endpoint a summary's first event is in time, then the endpoint reads one prompt after
+    // another between its events, and the stream is late.
+    DeskWorld world(9);
+    PlacementQuery summary = modelQuery("s", 350, 1110);
+    summary.needsShortPauses = true;
+    std::set<std::string> ofSummaries;
+    std::set<std::string> ofLongReads;
+    for (int i = 0; i < 60; ++i) {
+        ofSummaries.insert(world.place(summary).endpoint->described.id.value());
+        const PlacementQuery read = modelQuery("long" + std::to_string(i), 13300, 3720);
+        ofLongReads.insert(world.place(read).endpoint->described.id.value());
+    }
+    CHECK(ofSummaries.size() == 1);
+    CHECK(ofLongReads.size() == 8);
+    for (const std::string &endpoint : ofSummaries)
+        CHECK_MESSAGE(ofLongReads.count(endpoint) == 0, endpoint, " got both");
+}
+
+TEST_CASE("PlacementDesk.StreamsWithShortPausesOverflowWhenTheirEndpointsAreFull")
+{
+    DeskWorld world(2, 10);
+    PlacementQuery summary = modelQuery("s", 350, 1110);
+    summary.needsShortPauses = true;
+    std::set<std::string> used;
+    for (int i = 0; i < 15; ++i)
+        used.insert(world.place(summary).endpoint->described.id.value());
+    CHECK(used.size() == 2);
+}
+
 TEST_CASE("PlacementDesk.LongReadsWaitByTierAndDueTimeWhileEndpointsAreBusy")
 {
     // In a burst of cold prompts the endpoints' own queues would grow and be worked off in order
--- /dev/null
+++ b/tests/routing/shortpausereserve_test.cpp
@@ -0,0 +1,94 @@
+#include <monsoongrade/routing/shortpausereserve.h>
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace monsoongrade;
+using namespace monsoongrade::routing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr units::TimePoint Start = units::TimePoint(std::chrono::hours(1));
+const units::PoolName Pool("p");
+
+std::vector<EndpointRoster::Status> endpoints(int count)
+{
+    std::vector<EndpointRoster::Status> result;
+    for (int i = 0; i < count; ++i) {
+        result.push_back(std::make_shared<EndpointStatus>());
+        result.back()->described.slots = 64;
+        result.back()->described.id = units::EndpointId("e" + std::to_string(i));
+    }
+    return result;
+}
+
+void open(ShortPauseReserve &reserve, int streams)
+{
+    for (int i = 0; i < streams; ++i)
+        reserve.opened(Pool);
+}
+
+} // namespace
+
+TEST_CASE("ShortPauseReserve.PausesNearAStepWithReadingAreShort")
+{
+    CHECK(needsShortPauses(milliseconds(200), 5));
+    CHECK(needsShortPauses(milliseconds(200), 6));
+    CHECK_FALSE(needsShortPauses(milliseconds(300), 6));
+    CHECK_FALSE(needsShortPauses(milliseconds(800), 6));
+}
+
+TEST_CASE("ShortPauseReserve.SizeFollowsTheOpenStreams")
+{
+    ShortPauseReserve reserve;
+    const auto all = endpoints(60);
+    CHECK(reserve.endpoints(Pool, all, Start).empty());
+    open(reserve, 1);
+    CHECK(reserve.endpoints(Pool, all, Start).size() == 1);
+    open(reserve, 200); // 201 streams, 38.4 on each endpoint
+    CHECK(reserve.endpoints(Pool, all, Start).size() == 6);
+}
+
+TEST_CASE("ShortPauseReserve.ShrinksOnlyAfterTheLoadStayedLow")
+{
+    // Traffic comes in waves. If the reserve followed each, endpoints would change sides every
+    // second and the prompt parts on them would be read again elsewhere.
+    ShortPauseReserve reserve;
+    const auto all = endpoints(60);
+    open(reserve, 200);
+    const auto before = reserve.endpoints(Pool, all, Start);
+    for (int i = 0; i < 199; ++i)
+        reserve.ended(Pool);
+    CHECK(reserve.endpoints(Pool, all, Start + seconds(4)) == before);
+    CHECK(reserve.endpoints(Pool, all, Start + seconds(6)).size() == 1);
+}
+
+TEST_CASE("ShortPauseReserve.GrowingKeepsTheEndpointsThatItHas")
+{
+    ShortPauseReserve reserve;
+    const auto all = endpoints(60);
+    open(reserve, 100);
+    const auto before = reserve.endpoints(Pool, all, Start);
+    open(reserve, 200);
+    const auto after = reserve.endpoints(Pool, all, Start);
+    for (const EndpointStatus *endpoint : before)
+        CHECK(after.count(endpoint) == 1);
+}
+
+TEST_CASE("ShortPauseReserve.TakesAtMostHalfAndNoneThatIsLeaving")
+{
+    ShortPauseReserve reserve;
+    const auto all = endpoints(9);
+    open(reserve, 10000);
+    CHECK(reserve.endpoints(Pool, all, Start).size() == 4);
+    const auto kept = reserve.endpoints(Pool, all, Start);
+    for (const auto &endpoint : all)
+        endpoint->leaving = kept.count(endpoint.get()) != 0;
+    const auto &after = reserve.endpoints(Pool, all, Start + seconds(1));
+    CHECK(after.size() == 2);
+    for (const EndpointStatus *endpoint : after)
+        CHECK_FALSE(endpoint->leaving);
+}
