Placement: one check for all waiting requests of a host

Cause: each request that waited at the placing host asked again every 200 ms. Now a host sends one datagram with the numbers of its waiting requests every 250 ms, and learns which of them have no place in the queue any more; an answer that was lost is sent again.

--- a/include/monsoongrade/gateway/sharedplacement.h
+++ b/include/monsoongrade/gateway/sharedplacement.h
@@ -15,6 +15,15 @@
 
 namespace monsoongrade::gateway {
 
+namespace internal {
+struct AskMessage;
+struct AnswerMessage;
+struct NewsMessage;
+struct CachedPartsMessage;
+struct StillWaitingMessage;
+struct NotWaitingMessage;
+} // namespace internal
+
 // Places requests on endpoints, with the help of the other hosts for model pools: the hosts agree
 // on one of those that serve, which places the requests of all and so knows the load of each
 // endpoint, and tells those that would take over what is cached where. If that host does not answer
@@ -61,28 +70,37 @@
         routing::PlacementQuery query;
         Placed placed;
         std::string decider;
+        units::TimePoint askedAt;
+        bool isWaiting = false; // in the decider's queue
         httpio::Timers::Handle timeout;
     };
     struct Trust
     {
         int missedAnswers = 0;
         units::TimePoint avoidUntil{};
+        httpio::Timers::Handle checkTimeout; // a check of waiting requests is open
     };
 
     std::string decider() const;
     void tellSuccessors();
+    void ask(std::uint64_t number, Ask ask);
     void placeAlone(std::uint64_t number, const routing::PlacementQuery &query,
                     const Placed &placed);
     void onTimeout(std::uint64_t number);
+    bool isLostAfterMiss(const std::string &host);
+    void planWaitingCheck();
+    void checkWaiting();
+    void onCheckUnanswered(const std::string &host);
     void receive();
-    void onDatagram(std::size_t count);
-    void onAsk(const std::string &host, std::uint64_t number, const routing::PlacementQuery &query);
-    void onWaiting(const std::string &host, std::uint64_t number);
-    void askAgain(std::uint64_t number);
+    void onDatagram(std::string_view datagram);
+    void onMessage(const std::string &host, const internal::AskMessage &message);
+    void onMessage(const std::string &host, const internal::AnswerMessage &message);
+    void onMessage(const std::string &host, const internal::NewsMessage &message);
+    void onMessage(const std::string &host, const internal::CachedPartsMessage &message);
+    void onMessage(const std::string &host, const internal::StillWaitingMessage &message);
+    void onMessage(const std::string &host, const internal::NotWaitingMessage &message);
     void placeWaitingSoon();
     void placeWaiting();
-    void onAnswer(const std::string &host, std::uint64_t number, const std::string &endpoint,
-                  std::int64_t tokensToRead);
     void send(const std::string &ip, const std::string &datagram);
 
     asio::ip::udp::socket socket_;
@@ -101,6 +119,7 @@
     std::unordered_map<std::uint64_t, Placed> ownWaiting_; // placed here, by number
     std::uint64_t lastNumber_ = 0;
     bool isPlacingPlanned_ = false;
+    bool isCheckPlanned_ = false;
 };
 
 } // namespace monsoongrade::gateway
--- a/include/monsoongrade/routing/placementdesk.h
+++ b/include/monsoongrade/routing/placementdesk.h
@@ -8,6 +8,7 @@
 #include <monsoongrade/routing/shortpausereserve.h>
 
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -71,6 +72,9 @@
     std::vector<std::pair<PlacementTicket, PlacementChoice>>
     placeWaiting(const EndpointRoster &roster, units::TimePoint now);
     bool hasWaiting() const { return !waiting_.isEmpty(); }
+    bool isWaiting(const PlacementTicket &ticket) const { return waiting_.find(ticket) != nullptr; }
+    // The choice for an open request that was placed, in case the word of it was lost.
+    std::optional<PlacementChoice> choiceOf(const PlacementTicket &ticket) const;
 
     // News of a placed request. Failures that one host meets count for all requests that are
     // placed here. Silence towards one host counts only if no other host got anything either
--- a/schema/placement.capnp
+++ b/schema/placement.capnp
@@ -30,6 +30,16 @@
   waiting @3 :Bool;
 }
 
+# From a host with waiting requests: are they still in the queue?
+struct StillWaiting {
+  numbers @0 :List(UInt64);
+}
+
+# The reply to each StillWaiting, also if the list is empty: requests that are in no queue here.
+struct NotWaiting {
+  numbers @0 :List(UInt64);
+}
+
 struct PlacementNews {
   number @0 :UInt64;
   news @1 :News;
@@ -60,5 +70,7 @@
     answer @1 :PlacementAnswer;
     news @2 :PlacementNews;
     cachedParts @3 :CachedParts;
+    stillWaiting @4 :StillWaiting;
+    notWaiting @5 :NotWaiting;
   }
 }
--- a/schema/placement.capnp.h
+++ b/schema/placement.capnp.h
@@ -18,6 +18,8 @@
 
 CAPNP_DECLARE_SCHEMA(ceb6b6014d2b2208);
 CAPNP_DECLARE_SCHEMA(a1ef986c4a4b2b9f);
+CAPNP_DECLARE_SCHEMA(838c12bf98faf040);
+CAPNP_DECLARE_SCHEMA(a1f32f4ef5a4ff83);
 CAPNP_DECLARE_SCHEMA(e36e8bb5010bb043);
 CAPNP_DECLARE_SCHEMA(c65cf91165181e42);
 enum class News_c65cf91165181e42 : uint16_t {
@@ -78,6 +80,46 @@
     };
 };
 
+struct StillWaiting
+{
+    StillWaiting() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(838c12bf98faf040, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
+struct NotWaiting
+{
+    NotWaiting() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(a1f32f4ef5a4ff83, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
 struct PlacementNews
 {
     PlacementNews() = delete;
@@ -152,6 +194,8 @@
         ANSWER,
         NEWS,
         CACHED_PARTS,
+        STILL_WAITING,
+        NOT_WAITING,
     };
 
     struct _capnpPrivate
@@ -444,6 +488,206 @@
 };
 #endif // !CAPNP_LITE
 
+class StillWaiting::Reader
+{
+public:
+    typedef StillWaiting Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasNumbers() const;
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader getNumbers() const;
+
+private:
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class StillWaiting::Builder
+{
+public:
+    typedef StillWaiting Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasNumbers();
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder getNumbers();
+    inline void setNumbers(::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+    inline void setNumbers(::kj::ArrayPtr<const ::uint64_t> value);
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+    initNumbers(unsigned int size);
+    inline void
+    adoptNumbers(::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> disownNumbers();
+
+private:
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StillWaiting::Pipeline
+{
+public:
+    typedef StillWaiting Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+class NotWaiting::Reader
+{
+public:
+    typedef NotWaiting Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasNumbers() const;
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader getNumbers() const;
+
+private:
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class NotWaiting::Builder
+{
+public:
+    typedef NotWaiting Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasNumbers();
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder getNumbers();
+    inline void setNumbers(::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+    inline void setNumbers(::kj::ArrayPtr<const ::uint64_t> value);
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+    initNumbers(unsigned int size);
+    inline void
+    adoptNumbers(::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> disownNumbers();
+
+private:
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class NotWaiting::Pipeline
+{
+public:
+    typedef NotWaiting Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
 class PlacementNews::Reader
 {
 public:
@@ -794,6 +1038,14 @@
     inline bool hasCachedParts() const;
     inline ::monsoongrade::schema::CachedParts::Reader getCachedParts() const;
 
+    inline bool isStillWaiting() const;
+    inline bool hasStillWaiting() const;
+    inline ::monsoongrade::schema::StillWaiting::Reader getStillWaiting() const;
+
+    inline bool isNotWaiting() const;
+    inline bool hasNotWaiting() const;
+    inline ::monsoongrade::schema::NotWaiting::Reader getNotWaiting() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -862,6 +1114,22 @@
     inline void adoptCachedParts(::capnp::Orphan<::monsoongrade::schema::CachedParts> &&value);
     inline ::capnp::Orphan<::monsoongrade::schema::CachedParts> disownCachedParts();
 
+    inline bool isStillWaiting();
+    inline bool hasStillWaiting();
+    inline ::monsoongrade::schema::StillWaiting::Builder getStillWaiting();
+    inline void setStillWaiting(::monsoongrade::schema::StillWaiting::Reader value);
+    inline ::monsoongrade::schema::StillWaiting::Builder initStillWaiting();
+    inline void adoptStillWaiting(::capnp::Orphan<::monsoongrade::schema::StillWaiting> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::StillWaiting> disownStillWaiting();
+
+    inline bool isNotWaiting();
+    inline bool hasNotWaiting();
+    inline ::monsoongrade::schema::NotWaiting::Builder getNotWaiting();
+    inline void setNotWaiting(::monsoongrade::schema::NotWaiting::Reader value);
+    inline ::monsoongrade::schema::NotWaiting::Builder initNotWaiting();
+    inline void adoptNotWaiting(::capnp::Orphan<::monsoongrade::schema::NotWaiting> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::NotWaiting> disownNotWaiting();
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -1241,6 +1509,106 @@
     _builder.setDataField<bool>(::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool StillWaiting::Reader::hasNumbers() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StillWaiting::Builder::hasNumbers()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
+StillWaiting::Reader::getNumbers() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+StillWaiting::Builder::getNumbers()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+StillWaiting::Builder::setNumbers(::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void StillWaiting::Builder::setNumbers(::kj::ArrayPtr<const ::uint64_t> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+StillWaiting::Builder::initNumbers(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StillWaiting::Builder::adoptNumbers(
+    ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+StillWaiting::Builder::disownNumbers()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool NotWaiting::Reader::hasNumbers() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NotWaiting::Builder::hasNumbers()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
+NotWaiting::Reader::getNumbers() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+NotWaiting::Builder::getNumbers()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+NotWaiting::Builder::setNumbers(::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void NotWaiting::Builder::setNumbers(::kj::ArrayPtr<const ::uint64_t> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+NotWaiting::Builder::initNumbers(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NotWaiting::Builder::adoptNumbers(
+    ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+NotWaiting::Builder::disownNumbers()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline ::uint64_t PlacementNews::Reader::getNumber() const
 {
     return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1687,6 +2055,139 @@
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PlacementMessage::Reader::isStillWaiting() const
+{
+    return which() == PlacementMessage::STILL_WAITING;
+}
+inline bool PlacementMessage::Builder::isStillWaiting()
+{
+    return which() == PlacementMessage::STILL_WAITING;
+}
+inline bool PlacementMessage::Reader::hasStillWaiting() const
+{
+    if (which() != PlacementMessage::STILL_WAITING)
+        return false;
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PlacementMessage::Builder::hasStillWaiting()
+{
+    if (which() != PlacementMessage::STILL_WAITING)
+        return false;
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::monsoongrade::schema::StillWaiting::Reader
+PlacementMessage::Reader::getStillWaiting() const
+{
+    KJ_IREQUIRE((which() == PlacementMessage::STILL_WAITING),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::StillWaiting>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::monsoongrade::schema::StillWaiting::Builder PlacementMessage::Builder::getStillWaiting()
+{
+    KJ_IREQUIRE((which() == PlacementMessage::STILL_WAITING),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::StillWaiting>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+PlacementMessage::Builder::setStillWaiting(::monsoongrade::schema::StillWaiting::Reader value)
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::STILL_WAITING);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::StillWaiting>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::monsoongrade::schema::StillWaiting::Builder PlacementMessage::Builder::initStillWaiting()
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::STILL_WAITING);
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::StillWaiting>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PlacementMessage::Builder::adoptStillWaiting(
+    ::capnp::Orphan<::monsoongrade::schema::StillWaiting> &&value)
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::STILL_WAITING);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::StillWaiting>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::monsoongrade::schema::StillWaiting>
+PlacementMessage::Builder::disownStillWaiting()
+{
+    KJ_IREQUIRE((which() == PlacementMessage::STILL_WAITING),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::StillWaiting>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PlacementMessage::Reader::isNotWaiting() const
+{
+    return which() == PlacementMessage::NOT_WAITING;
+}
+inline bool PlacementMessage::Builder::isNotWaiting()
+{
+    return which() == PlacementMessage::NOT_WAITING;
+}
+inline bool PlacementMessage::Reader::hasNotWaiting() const
+{
+    if (which() != PlacementMessage::NOT_WAITING)
+        return false;
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PlacementMessage::Builder::hasNotWaiting()
+{
+    if (which() != PlacementMessage::NOT_WAITING)
+        return false;
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::monsoongrade::schema::NotWaiting::Reader PlacementMessage::Reader::getNotWaiting() const
+{
+    KJ_IREQUIRE((which() == PlacementMessage::NOT_WAITING),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::NotWaiting>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::monsoongrade::schema::NotWaiting::Builder PlacementMessage::Builder::getNotWaiting()
+{
+    KJ_IREQUIRE((which() == PlacementMessage::NOT_WAITING),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::NotWaiting>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+PlacementMessage::Builder::setNotWaiting(::monsoongrade::schema::NotWaiting::Reader value)
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::NOT_WAITING);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::NotWaiting>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::monsoongrade::schema::NotWaiting::Builder PlacementMessage::Builder::initNotWaiting()
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::NOT_WAITING);
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::NotWaiting>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PlacementMessage::Builder::adoptNotWaiting(
+    ::capnp::Orphan<::monsoongrade::schema::NotWaiting> &&value)
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::NOT_WAITING);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::NotWaiting>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::monsoongrade::schema::NotWaiting>
+PlacementMessage::Builder::disownNotWaiting()
+{
+    KJ_IREQUIRE((which() == PlacementMessage::NOT_WAITING),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::NotWaiting>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 } // namespace schema
 } // namespace monsoongrade
 
--- /dev/null
+++ b/src/gateway/placementmessages.cpp
@@ -0,0 +1,167 @@
+#include <gateway/internal/packedmessage.h>
+#include <gateway/internal/placementmessages.h>
+
+#include <placement.capnp.h>
+
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+
+#include <algorithm>
+
+namespace monsoongrade::gateway::internal {
+
+namespace {
+
+std::uint32_t inMilliseconds(units::Duration duration)
+{
+    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    return std::uint32_t(std::max<std::int64_t>(count, 0));
+}
+
+void write(const AskMessage &from, schema::PlacementMessage::Builder root)
+{
+    const routing::PlacementQuery &query = from.query;
+    auto ask = root.initAsk();
+    ask.setNumber(from.number);
+    ask.setPool(query.pool.value());
+    ask.setSharedPart(query.sharedPart);
+    ask.setPromptTokens(std::uint32_t(query.promptTokens));
+    ask.setOwnTokens(std::uint32_t(query.ownTokens));
+    ask.setTier(query.tier.value());
+    ask.setNeedsShortPauses(query.needsShortPauses);
+    ask.setFailureDomain(query.askersDomain.value());
+    ask.setTargetInMs(inMilliseconds(query.targetIn));
+    ask.setGivenUpInMs(inMilliseconds(query.givenUpIn));
+    auto tried = ask.initTried(unsigned(query.tried.size()));
+    for (std::size_t i = 0; i < query.tried.size(); ++i)
+        tried.set(unsigned(i), query.tried[i].value());
+}
+
+AskMessage read(schema::PlacementAsk::Reader ask)
+{
+    AskMessage message;
+    message.number = ask.getNumber();
+    routing::PlacementQuery &query = message.query;
+    query.pool = units::PoolName(ask.getPool());
+    query.runsModel = true;
+    query.sharedPart = ask.getSharedPart();
+    query.promptTokens = ask.getPromptTokens();
+    query.ownTokens = ask.getOwnTokens();
+    query.tier = units::Tier(ask.getTier());
+    query.needsShortPauses = ask.getNeedsShortPauses();
+    query.askersDomain = units::FailureDomain(ask.getFailureDomain());
+    query.targetIn = std::chrono::milliseconds(ask.getTargetInMs());
+    query.givenUpIn = std::chrono::milliseconds(ask.getGivenUpInMs());
+    query.mayWait = true;
+    for (const auto tried : ask.getTried())
+        query.tried.emplace_back(std::string(tried));
+    return message;
+}
+
+void write(const AnswerMessage &from, schema::PlacementMessage::Builder root)
+{
+    auto answer = root.initAnswer();
+    answer.setNumber(from.number);
+    answer.setEndpoint(from.endpoint.value());
+    answer.setTokensToRead(std::uint32_t(from.tokensToRead));
+    answer.setWaiting(from.isWaiting);
+}
+
+AnswerMessage read(schema::PlacementAnswer::Reader answer)
+{
+    return {answer.getNumber(), units::EndpointId(answer.getEndpoint()), answer.getTokensToRead(),
+            answer.getWaiting()};
+}
+
+void write(const NewsMessage &from, schema::PlacementMessage::Builder root)
+{
+    auto news = root.initNews();
+    news.setNumber(from.number);
+    news.setNews(static_cast<schema::PlacementNews::News>(from.news));
+}
+
+NewsMessage read(schema::PlacementNews::Reader news)
+{
+    return {news.getNumber(), static_cast<routing::PlacementNews>(news.getNews())};
+}
+
+void write(const CachedPartsMessage &from, schema::PlacementMessage::Builder root)
+{
+    auto list = root.initCachedParts().initParts(unsigned(from.parts.size()));
+    for (std::size_t i = 0; i < from.parts.size(); ++i) {
+        list[unsigned(i)].setPart(from.parts[i].part);
+        list[unsigned(i)].setEndpoint(from.parts[i].endpoint.value());
+        list[unsigned(i)].setIncarnation(from.parts[i].incarnation.value());
+    }
+}
+
+CachedPartsMessage read(schema::CachedParts::Reader parts)
+{
+    CachedPartsMessage message;
+    for (const auto part : parts.getParts())
+        message.parts.push_back({part.getPart(), units::EndpointId(part.getEndpoint()),
+                                 routing::Incarnation(part.getIncarnation())});
+    return message;
+}
+
+template <typename List>
+std::vector<std::uint64_t> numbersOf(List list)
+{
+    std::vector<std::uint64_t> numbers;
+    numbers.reserve(list.size());
+    for (const std::uint64_t number : list)
+        numbers.push_back(number);
+    return numbers;
+}
+
+template <typename ListBuilder>
+void fill(ListBuilder list, const std::vector<std::uint64_t> &numbers)
+{
+    for (std::size_t i = 0; i < numbers.size(); ++i)
+        list.set(unsigned(i), numbers[i]);
+}
+
+void write(const StillWaitingMessage &from, schema::PlacementMessage::Builder root)
+{
+    fill(root.initStillWaiting().initNumbers(unsigned(from.numbers.size())), from.numbers);
+}
+
+void write(const NotWaitingMessage &from, schema::PlacementMessage::Builder root)
+{
+    fill(root.initNotWaiting().initNumbers(unsigned(from.numbers.size())), from.numbers);
+}
+
+} // namespace
+
+std::string encode(const PlacementMessage &message)
+{
+    capnp::MallocMessageBuilder builder;
+    const auto root = builder.initRoot<schema::PlacementMessage>();
+    std::visit([&](const auto &each) { write(each, root); }, message);
+    return packed(builder);
+}
+
+PlacementMessage decodePlacementMessage(std::string_view datagram)
+{
+    kj::ArrayInputStream in(
+        kj::arrayPtr(reinterpret_cast<const kj::byte *>(datagram.data()), datagram.size()));
+    capnp::PackedMessageReader reader(in);
+    const auto root = reader.getRoot<schema::PlacementMessage>();
+    switch (root.which()) {
+    case schema::PlacementMessage::ASK:
+        return read(root.getAsk());
+    case schema::PlacementMessage::ANSWER:
+        return read(root.getAnswer());
+    case schema::PlacementMessage::NEWS:
+        return read(root.getNews());
+    case schema::PlacementMessage::CACHED_PARTS:
+        return read(root.getCachedParts());
+    case schema::PlacementMessage::STILL_WAITING:
+        return StillWaitingMessage{numbersOf(root.getStillWaiting().getNumbers())};
+    case schema::PlacementMessage::NOT_WAITING:
+        return NotWaitingMessage{numbersOf(root.getNotWaiting().getNumbers())};
+    }
+    KJ_FAIL_REQUIRE("a placement message of a newer version");
+}
+
+} // namespace monsoongrade::gateway::internal
--- a/src/gateway/sharedplacement.cpp
+++ b/src/gateway/sharedplacement.cpp
@@ -1,23 +1,21 @@
 #include <monsoongrade/gateway/sharedplacement.h>
 
-#include <gateway/internal/packedmessage.h>
+#include <gateway/internal/placementmessages.h>
 
 #include <monsoongrade/observability/log.h>
 
-#include <placement.capnp.h>
-
 #include <asio/buffer.hpp>
 
-#include <capnp/serialize-packed.h>
 #include <kj/exception.h>
 
 #include <algorithm>
+#include <map>
 
 namespace monsoongrade::gateway {
 
 namespace {
 
-using internal::packed;
+using namespace internal;
 
 // An answer takes a round trip of 2 to 3 ms. A request for the tightest class has 250 ms, so a
 // lost datagram may cost a tenth of that.
@@ -29,67 +27,25 @@
 constexpr std::size_t Successors = 2;
 // About 40 bytes each; the datagram stays below 1,400 bytes.
 constexpr std::size_t MaxPartsInDatagram = 25;
-// How long a host waits without news for an endpoint before it asks again.
 // Between two looks at the waiting requests. One look costs about 0.3 ms with 75 endpoints, and in
 // a burst of 2,000 pieces of news a second a look at each took all the processor there is.
 constexpr auto WaitingInterval = std::chrono::milliseconds(4);
-constexpr units::Duration WaitingTimeout = std::chrono::milliseconds(200);
-
-std::uint32_t inMilliseconds(units::Duration duration)
-{
-    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-    return std::uint32_t(std::max<std::int64_t>(count, 0));
-}
-
-std::string encodeAnswer(std::uint64_t number, const routing::PlacementChoice &choice)
+// Between two checks that the placing host still has this one's waiting requests. All go in one
+// datagram: when each request asked by itself every 200 ms, 4,000 waiting ones made 10,000 asks a
+// second, and the placing host answered nobody in time. A lost host is noticed in 300 ms.
+constexpr auto WaitingCheckInterval = std::chrono::milliseconds(250);
+// About 3 bytes each, packed.
+constexpr std::size_t MaxNumbersInDatagram = 300;
+
+AnswerMessage answerOf(std::uint64_t number, const routing::PlacementChoice &choice)
 {
-    capnp::MallocMessageBuilder message;
-    auto answer = message.initRoot<schema::PlacementMessage>().initAnswer();
-    answer.setNumber(number);
-    answer.setWaiting(choice.isWaiting);
+    AnswerMessage answer;
+    answer.number = number;
+    answer.isWaiting = choice.isWaiting;
     if (choice.endpoint != nullptr && !choice.isWaiting)
-        answer.setEndpoint(choice.endpoint->described.id.value());
-    answer.setTokensToRead(std::uint32_t(choice.tokensToRead));
-    return packed(message);
-}
-
-std::string encodeAsk(std::uint64_t number, const routing::PlacementQuery &query)
-{
-    capnp::MallocMessageBuilder message;
-    auto ask = message.initRoot<schema::PlacementMessage>().initAsk();
-    ask.setNumber(number);
-    ask.setPool(query.pool.value());
-    ask.setSharedPart(query.sharedPart);
-    ask.setPromptTokens(std::uint32_t(query.promptTokens));
-    ask.setOwnTokens(std::uint32_t(query.ownTokens));
-    ask.setTier(query.tier.value());
-    ask.setNeedsShortPauses(query.needsShortPauses);
-    ask.setFailureDomain(query.askersDomain.value());
-    ask.setTargetInMs(inMilliseconds(query.targetIn));
-    ask.setGivenUpInMs(inMilliseconds(query.givenUpIn));
-    auto tried = ask.initTried(unsigned(query.tried.size()));
-    for (std::size_t i = 0; i < query.tried.size(); ++i)
-        tried.set(unsigned(i), query.tried[i].value());
-    return packed(message);
-}
-
-routing::PlacementQuery decodeAsk(schema::PlacementAsk::Reader ask)
-{
-    routing::PlacementQuery query;
-    query.pool = units::PoolName(ask.getPool());
-    query.runsModel = true;
-    query.sharedPart = ask.getSharedPart();
-    query.promptTokens = ask.getPromptTokens();
-    query.ownTokens = ask.getOwnTokens();
-    query.tier = units::Tier(ask.getTier());
-    query.needsShortPauses = ask.getNeedsShortPauses();
-    query.askersDomain = units::FailureDomain(ask.getFailureDomain());
-    query.targetIn = std::chrono::milliseconds(ask.getTargetInMs());
-    query.givenUpIn = std::chrono::milliseconds(ask.getGivenUpInMs());
-    query.mayWait = true;
-    for (const auto tried : ask.getTried())
-        query.tried.emplace_back(std::string(tried));
-    return query;
+        answer.endpoint = choice.endpoint->described.id;
+    answer.tokensToRead = choice.tokensToRead;
+    return answer;
 }
 
 } // namespace
@@ -112,16 +68,30 @@
 std::uint64_t SharedPlacement::place(const routing::PlacementQuery &query, Placed placed)
 {
     const std::uint64_t number = ++lastNumber_;
-    const std::string host = query.runsModel ? decider() : std::string();
-    if (host.empty()) {
-        placeAlone(number, query, placed);
-        return number;
+    Ask request;
+    request.query = query;
+    request.placed = std::move(placed);
+    request.askedAt = timers_.now();
+    ask(number, std::move(request));
+    return number;
+}
+
+// Asks the host that places for all; decides here if it is this one.
+void SharedPlacement::ask(std::uint64_t number, Ask ask)
+{
+    const units::TimePoint now = timers_.now();
+    ask.query.targetIn -= now - ask.askedAt;
+    ask.query.givenUpIn -= now - ask.askedAt;
+    ask.askedAt = now;
+    ask.isWaiting = false;
+    ask.decider = ask.query.runsModel ? decider() : std::string();
+    if (ask.decider.empty()) {
+        placeAlone(number, ask.query, ask.placed);
+        return;
     }
-    Ask &ask = asks_[number];
-    ask = {query, std::move(placed), host, {}};
     ask.timeout = timers_.after(AnswerTimeout, [this, number] { onTimeout(number); });
-    send(host, encodeAsk(number, query));
-    return number;
+    send(ask.decider, encode(AskMessage{number, ask.query}));
+    asks_[number] = std::move(ask);
 }
 
 void SharedPlacement::placeAlone(std::uint64_t number, const routing::PlacementQuery &query,
@@ -145,11 +115,7 @@
         placeWaitingSoon();
         return;
     }
-    capnp::MallocMessageBuilder message;
-    auto out = message.initRoot<schema::PlacementMessage>().initNews();
-    out.setNumber(ticket.number);
-    out.setNews(static_cast<schema::PlacementNews::News>(news));
-    send(decider->second, packed(message));
+    send(decider->second, encode(NewsMessage{ticket.number, news}));
     const bool staysOpen = news == routing::PlacementNews::FirstEvent
         || news == routing::PlacementNews::EndpointSilent;
     if (!staysOpen)
@@ -192,16 +158,9 @@
     const std::vector<routing::CachedPart> parts = desk_.takeNewParts();
     for (std::size_t begin = 0; begin < parts.size(); begin += MaxPartsInDatagram) {
         const std::size_t count = std::min(MaxPartsInDatagram, parts.size() - begin);
-        capnp::MallocMessageBuilder message;
-        auto list = message.initRoot<schema::PlacementMessage>().initCachedParts().initParts(
-            unsigned(count));
-        for (std::size_t i = 0; i < count; ++i) {
-            const routing::CachedPart &part = parts[begin + i];
-            list[unsigned(i)].setPart(part.part);
-            list[unsigned(i)].setEndpoint(part.endpoint.value());
-            list[unsigned(i)].setIncarnation(part.incarnation.value());
-        }
-        const std::string datagram = packed(message);
+        const auto first = parts.begin() + std::ptrdiff_t(begin);
+        const std::string datagram
+            = encode(CachedPartsMessage{{first, first + std::ptrdiff_t(count)}});
         std::size_t told = 0;
         for (const std::string &host : order_) {
             if (host != settings_.ownIp && told++ < Successors)
@@ -218,12 +177,7 @@
     const Ask ask = std::move(found->second);
     asks_.erase(found);
     metrics_.add("monsoongrade_gateway_placements_unanswered_total");
-    Trust &trust = trust_[ask.decider];
-    if (++trust.missedAnswers >= MissedAnswersToAvoid) {
-        trust = {0, timers_.now() + AvoidFor};
-        observability::log(observability::LogLevel::Warning, "placing-host-lost",
-                           {{"host", ask.decider}, {"pool", ask.query.pool.value()}});
-    }
+    isLostAfterMiss(ask.decider);
     // Without the other hosts' requests in view, waiting here would only add delay.
     routing::PlacementQuery query = ask.query;
     query.mayWait = false;
@@ -231,6 +185,67 @@
     placeAlone(number, query, ask.placed);
 }
 
+// Counts a missing answer of the host. True if it is taken for lost from now on.
+bool SharedPlacement::isLostAfterMiss(const std::string &host)
+{
+    Trust &trust = trust_[host];
+    if (++trust.missedAnswers < MissedAnswersToAvoid)
+        return false;
+    trust.missedAnswers = 0;
+    trust.avoidUntil = timers_.now() + AvoidFor;
+    observability::log(observability::LogLevel::Warning, "placing-host-lost", {{"host", host}});
+    return true;
+}
+
+void SharedPlacement::planWaitingCheck()
+{
+    if (isCheckPlanned_)
+        return;
+    isCheckPlanned_ = true;
+    timers_.after(WaitingCheckInterval, [this] {
+        isCheckPlanned_ = false;
+        checkWaiting();
+    });
+}
+
+// The answer to a waiting request may be lost, or the placing host with its queue.
+void SharedPlacement::checkWaiting()
+{
+    std::map<std::string, std::vector<std::uint64_t>> numbers;
+    for (const auto &[number, ask] : asks_) {
+        if (ask.isWaiting)
+            numbers[ask.decider].push_back(number);
+    }
+    for (const auto &[host, ofHost] : numbers) {
+        for (std::size_t begin = 0; begin < ofHost.size(); begin += MaxNumbersInDatagram) {
+            const std::size_t end = std::min(begin + MaxNumbersInDatagram, ofHost.size());
+            send(host,
+                 encode(StillWaitingMessage{{ofHost.begin() + std::ptrdiff_t(begin),
+                                             ofHost.begin() + std::ptrdiff_t(end)}}));
+        }
+        httpio::Timers::Handle &timeout = trust_[host].checkTimeout;
+        timers_.cancel(timeout);
+        timeout = timers_.after(AnswerTimeout, [this, host = host] { onCheckUnanswered(host); });
+    }
+    if (!numbers.empty())
+        planWaitingCheck();
+}
+
+void SharedPlacement::onCheckUnanswered(const std::string &host)
+{
+    trust_[host].checkTimeout = {};
+    if (!isLostAfterMiss(host)) {
+        checkWaiting();
+        return;
+    }
+    std::vector<std::uint64_t> numbers;
+    for (const auto &[number, ask] : asks_) {
+        if (ask.isWaiting && ask.decider == host)
+            numbers.push_back(number);
+    }
+    onMessage(host, NotWaitingMessage{std::move(numbers)});
+}
+
 void SharedPlacement::receive()
 {
     socket_.async_receive_from(asio::buffer(buffer_), sender_,
@@ -239,38 +254,17 @@
                                        return;
                                    // An error here is an ICMP report about an earlier datagram.
                                    if (!error)
-                                       onDatagram(count);
+                                       onDatagram({buffer_.data(), count});
                                    receive();
                                });
 }
 
-void SharedPlacement::onDatagram(std::size_t count)
+void SharedPlacement::onDatagram(std::string_view datagram)
 {
     const std::string host = sender_.address().to_string();
     const auto fault = kj::runCatchingExceptions([&] {
-        kj::ArrayInputStream in(
-            kj::arrayPtr(reinterpret_cast<const kj::byte *>(buffer_.data()), count));
-        capnp::PackedMessageReader reader(in);
-        const auto message = reader.getRoot<schema::PlacementMessage>();
-        if (message.isAsk()) {
-            onAsk(host, message.getAsk().getNumber(), decodeAsk(message.getAsk()));
-        } else if (message.isAnswer()) {
-            const auto answer = message.getAnswer();
-            if (answer.getWaiting())
-                onWaiting(host, answer.getNumber());
-            else
-                onAnswer(host, answer.getNumber(), answer.getEndpoint(), answer.getTokensToRead());
-        } else if (message.isNews()) {
-            const auto news = message.getNews();
-            desk_.hear({host, news.getNumber()},
-                       static_cast<routing::PlacementNews>(news.getNews()), timers_.now());
-            placeWaitingSoon();
-        } else if (message.isCachedParts()) {
-            for (const auto part : message.getCachedParts().getParts())
-                desk_.learn({part.getPart(), units::EndpointId(part.getEndpoint()),
-                             routing::Incarnation(part.getIncarnation())},
-                            timers_.now());
-        }
+        std::visit([&](const auto &message) { onMessage(host, message); },
+                   decodePlacementMessage(datagram));
     });
     KJ_IF_MAYBE (exception, fault) {
         observability::log(observability::LogLevel::Warning, "placement-unreadable",
@@ -278,13 +272,55 @@
     }
 }
 
-void SharedPlacement::onAsk(const std::string &host, std::uint64_t number,
-                            const routing::PlacementQuery &query)
+void SharedPlacement::onMessage(const std::string &host, const AskMessage &message)
+{
+    metrics_.add("monsoongrade_gateway_placement_asks_total");
+    const routing::PlacementChoice choice
+        = desk_.place({host, message.number}, message.query, roster_.available(message.query.pool),
+                      timers_.now());
+    send(host, encode(answerOf(message.number, choice)));
+}
+
+void SharedPlacement::onMessage(const std::string &host, const NewsMessage &message)
+{
+    desk_.hear({host, message.number}, message.news, timers_.now());
+    placeWaitingSoon();
+}
+
+void SharedPlacement::onMessage(const std::string &, const CachedPartsMessage &message)
+{
+    for (const routing::CachedPart &part : message.parts)
+        desk_.learn(part, timers_.now());
+}
+
+void SharedPlacement::onMessage(const std::string &host, const StillWaitingMessage &message)
+{
+    NotWaitingMessage reply;
+    for (const std::uint64_t number : message.numbers) {
+        const routing::PlacementTicket ticket{host, number};
+        if (desk_.isWaiting(ticket))
+            continue;
+        if (const auto choice = desk_.choiceOf(ticket))
+            send(host, encode(answerOf(number, *choice)));
+        else
+            reply.numbers.push_back(number);
+    }
+    send(host, encode(reply));
+}
+
+void SharedPlacement::onMessage(const std::string &host, const NotWaitingMessage &message)
 {
-    send(host,
-         encodeAnswer(
-             number,
-             desk_.place({host, number}, query, roster_.available(query.pool), timers_.now())));
+    Trust &trust = trust_[host];
+    timers_.cancel(trust.checkTimeout);
+    trust.missedAnswers = 0;
+    for (const std::uint64_t number : message.numbers) {
+        const auto found = asks_.find(number);
+        if (found == asks_.end() || !found->second.isWaiting || found->second.decider != host)
+            continue; // answered meanwhile
+        Ask again = std::move(found->second);
+        asks_.erase(found);
+        ask(number, std::move(again));
+    }
 }
 
 // Room may have come: tells the hosts whose waiting requests now have an endpoint.
@@ -303,7 +339,7 @@
 {
     for (const auto &[ticket, choice] : desk_.placeWaiting(roster_, timers_.now())) {
         if (ticket.host != settings_.ownIp) {
-            send(ticket.host, encodeAnswer(ticket.number, choice));
+            send(ticket.host, encode(answerOf(ticket.number, choice)));
             continue;
         }
         const auto own = ownWaiting_.find(ticket.number);
@@ -315,30 +351,6 @@
     }
 }
 
-void SharedPlacement::onWaiting(const std::string &host, std::uint64_t number)
-{
-    const auto found = asks_.find(number);
-    if (found == asks_.end())
-        return;
-    trust_[host].missedAnswers = 0;
-    Ask &ask = found->second;
-    timers_.cancel(ask.timeout);
-    ask.timeout = timers_.after(WaitingTimeout, [this, number] { askAgain(number); });
-}
-
-// The answer to a waiting request may be lost, or the placing host with its queue.
-void SharedPlacement::askAgain(std::uint64_t number)
-{
-    const auto found = asks_.find(number);
-    if (found == asks_.end())
-        return;
-    Ask &ask = found->second;
-    ask.query.targetIn -= WaitingTimeout;
-    ask.query.givenUpIn -= WaitingTimeout;
-    ask.timeout = timers_.after(AnswerTimeout, [this, number] { onTimeout(number); });
-    send(ask.decider, encodeAsk(number, ask.query));
-}
-
 void SharedPlacement::withdraw(std::uint64_t number)
 {
     const auto found = asks_.find(number);
@@ -350,26 +362,30 @@
     tell({settings_.ownIp, number}, routing::PlacementNews::Withdrawn);
 }
 
-void SharedPlacement::onAnswer(const std::string &host, std::uint64_t number,
-                               const std::string &endpoint, std::int64_t tokensToRead)
+void SharedPlacement::onMessage(const std::string &host, const AnswerMessage &message)
 {
-    const auto found = asks_.find(number);
-    if (found == asks_.end())
-        return; // decided alone meanwhile
-    Ask ask = std::move(found->second);
-    asks_.erase(found);
-    timers_.cancel(ask.timeout);
+    const auto found = asks_.find(message.number);
+    if (found == asks_.end() || found->second.decider != host)
+        return; // decided otherwise meanwhile
     trust_[host].missedAnswers = 0;
+    timers_.cancel(found->second.timeout);
+    if (message.isWaiting) {
+        found->second.isWaiting = true;
+        planWaitingCheck();
+        return;
+    }
+    const Ask ask = std::move(found->second);
+    asks_.erase(found);
     const units::TimePoint now = timers_.now();
     for (const routing::EndpointRoster::Status &status : roster_.available(ask.query.pool)) {
-        if (status->described.id.value() == endpoint && status->health.accepts(now)) {
-            deciders_[number] = host;
-            ask.placed({settings_.ownIp, number}, {status, tokensToRead});
+        if (status->described.id == message.endpoint && status->health.accepts(now)) {
+            deciders_[message.number] = host;
+            ask.placed({settings_.ownIp, message.number}, {status, message.tokensToRead});
             return;
         }
     }
     // The other host does not know yet that the endpoint left or fails, or knows of none.
-    placeAlone(number, ask.query, ask.placed);
+    placeAlone(message.number, ask.query, ask.placed);
 }
 
 void SharedPlacement::send(const std::string &ip, const std::string &datagram)
--- a/src/routing/placementdesk.cpp
+++ b/src/routing/placementdesk.cpp
@@ -260,6 +260,14 @@
                        [&](const auto &endpoint) { return isUsable(endpoint, query, now); });
 }
 
+std::optional<PlacementChoice> PlacementDesk::choiceOf(const PlacementTicket &ticket) const
+{
+    const auto found = placed_.find(ticket);
+    if (found == placed_.end())
+        return std::nullopt;
+    return PlacementChoice{found->second.endpoint, found->second.tokensToRead};
+}
+
 void PlacementDesk::learn(const CachedPart &part, units::TimePoint now)
 {
     DiscoveredEndpoint endpoint;
