Placement: refuse a long read at once when its wait would be too long

The queue now predicts the wait from the tokens ahead and the rate at which it drains. A request that can be on time waits; one that can't waits at most about 2 s; any other is refused with 503 and the time in which the queue drains, spread by its id. Requests that have waited until the last second before their client leaves are refused then. Ruled out: the engines' capacity as the only cause; after the cold seconds the pool reads 1,554 breakdowns a second and 1,030 arrive, so those who come back are served.

--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -110,6 +110,7 @@
     int sends_ = 0; // that count against the route's attempts
     int arrivals_ = 0; // that count against the retry budget
     bool mayHaveRun_ = false;
+    std::optional<units::Duration> comeBackIn_; // the placing host's word with its refusal
     EventRelay events_;
     bool responseBegun_ = false;
     bool clientGone_ = false;
--- a/include/monsoongrade/routing/placementdesk.h
+++ b/include/monsoongrade/routing/placementdesk.h
@@ -37,6 +37,8 @@
     // Prompt tokens that the endpoint has to read before its first event, as far as known here.
     std::int64_t tokensToRead = 0;
     bool isWaiting = false; // no choice yet: a later call of placeWaiting() makes it
+    // Refused because of a long queue: when its client should come back.
+    std::optional<units::Duration> comeBackIn;
 };
 
 // Chooses endpoints for requests and keeps count of what it has placed on each.
@@ -53,7 +55,8 @@
 // A long read waits here while every endpoint that could take it has long reads to do already: in
 // a burst of cold prompts the endpoints' queues would else grow to seconds, with the short
 // requests of higher tiers at their end. Waiting requests are placed by tier, then those first
-// whose first event can still be on time, by the time at which it is due.
+// whose first event can still be on time, by the time at which it is due. A request whose wait
+// would be too long is refused at once, see WaitForecaster.
 //
 // Streams with short pauses have endpoints of their own, see ShortPauseReserve; they overflow to
 // the others when those are full, and long reads use them only if there is nothing else.
@@ -68,7 +71,8 @@
     PlacementChoice place(const PlacementTicket &ticket, const PlacementQuery &query,
                           const std::vector<EndpointRoster::Status> &available,
                           units::TimePoint now);
-    // Places those waiting requests for which there is room now, the most urgent first.
+    // Places those waiting requests for which there is room now, the most urgent first, and refuses
+    // those that have become too late.
     std::vector<std::pair<PlacementTicket, PlacementChoice>>
     placeWaiting(const EndpointRoster &roster, units::TimePoint now);
     bool hasWaiting() const { return !waiting_.isEmpty(); }
@@ -91,6 +95,7 @@
     // Another host has placed the part.
     void learn(const CachedPart &part, units::TimePoint now);
 
+    std::size_t openRequests() const { return placed_.size(); }
     int openRequests(const EndpointStatus &endpoint) const;
     std::int64_t tokensToRead(const EndpointStatus &endpoint) const;
 
@@ -110,6 +115,9 @@
     };
     using Candidates = std::vector<const EndpointRoster::Status *>;
 
+    PlacementChoice queueOrRefuse(const PlacementTicket &ticket, const PlacementQuery &query,
+                                  PlacementChoice choice, std::size_t endpoints,
+                                  units::TimePoint now);
     PlacementChoice commit(const PlacementTicket &ticket, const PlacementQuery &query,
                            PlacementChoice choice, units::TimePoint now);
     PlacementChoice chooseForModel(const PlacementQuery &query,
@@ -133,6 +141,7 @@
     std::unordered_map<const EndpointStatus *, Load> loads_;
     std::map<PlacementTicket, Placed> placed_;
     ReadQueue waiting_;
+    WaitForecaster forecaster_;
     ShortPauseReserve reserve_;
     units::TimePoint nextCleaning_{};
 };
--- a/include/monsoongrade/routing/readqueue.h
+++ b/include/monsoongrade/routing/readqueue.h
@@ -3,6 +3,7 @@
 
 #include <monsoongrade/routing/placementquery.h>
 #include <monsoongrade/routing/placementticket.h>
+#include <monsoongrade/routing/waitforecast.h>
 
 #include <map>
 #include <optional>
@@ -25,12 +26,20 @@
         PlacementQuery query;
         units::TimePoint targetAt;
         units::TimePoint givenUpAt;
+        std::int64_t tokensToRead = 0;
     };
 
-    void add(const PlacementTicket &ticket, const PlacementQuery &query, units::TimePoint now);
+    // tokensToRead: what an endpoint has to read for it. If another request waits for the same
+    // part, only its own tokens count.
+    void add(const PlacementTicket &ticket, const PlacementQuery &query, std::int64_t tokensToRead,
+             units::TimePoint now);
     void remove(const PlacementTicket &ticket);
-    // The requests to place next, at most so many. Drops those that are given up by now.
+    // The requests to place next, at most so many.
     std::vector<PlacementTicket> next(std::size_t most, units::TimePoint now);
+    // Removes and returns those that are too late to be of use to their clients. At most so many.
+    std::vector<PlacementTicket> takeGivenUp(std::size_t most, units::TimePoint now);
+    // Tokens of the requests that go before a new one of the tier.
+    TokensAhead tokensAhead(units::Tier tier) const;
     // The requests that wait for the same shared part.
     std::vector<PlacementTicket> withPart(const std::string &part) const;
     const Waiting *find(const PlacementTicket &ticket) const;
@@ -46,9 +55,13 @@
         Place place;
     };
 
+    std::int64_t &tokensOf(const Entry &entry);
+
     std::map<PlacementTicket, Entry> waiting_;
     std::set<Place> order_;
     std::multimap<std::string, PlacementTicket> byPart_;
+    std::set<std::pair<units::TimePoint, PlacementTicket>> byGivenUp_;
+    std::map<units::Tier, TokensAhead> tokens_;
 };
 
 } // namespace monsoongrade::routing
--- a/include/monsoongrade/routing/retryafter.h
+++ b/include/monsoongrade/routing/retryafter.h
@@ -13,6 +13,9 @@
 // long.
 units::Duration retryAfter(units::ResultCode reason, const units::RequestId &request,
                            units::Duration timeLeft);
+// The same for a request refused because of a long queue, with the time in which it drains.
+units::Duration retryAfter(units::Duration queueDrainsIn, const units::RequestId &request,
+                           units::Duration timeLeft);
 
 } // namespace monsoongrade::routing
 
--- a/schema/placement.capnp
+++ b/schema/placement.capnp
@@ -28,6 +28,9 @@
   tokensToRead @2 :UInt32;
   # No endpoint yet: another answer follows.
   waiting @3 :Bool;
+  # Refused because of a long queue, with the time after which the client may come back.
+  refused @4 :Bool;
+  comeBackInMs @5 :UInt32;
 }
 
 # From a host with waiting requests: are they still in the queue?
--- a/schema/placement.capnp.h
+++ b/schema/placement.capnp.h
@@ -70,7 +70,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(a1ef986c4a4b2b9f, 2, 1)
+        CAPNP_DECLARE_STRUCT_HEADER(a1ef986c4a4b2b9f, 3, 1)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -405,6 +405,10 @@
 
     inline bool getWaiting() const;
 
+    inline bool getRefused() const;
+
+    inline ::uint32_t getComeBackInMs() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -456,6 +460,12 @@
     inline bool getWaiting();
     inline void setWaiting(bool value);
 
+    inline bool getRefused();
+    inline void setRefused(bool value);
+
+    inline ::uint32_t getComeBackInMs();
+    inline void setComeBackInMs(::uint32_t value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -1509,6 +1519,34 @@
     _builder.setDataField<bool>(::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PlacementAnswer::Reader::getRefused() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<97>() * ::capnp::ELEMENTS);
+}
+
+inline bool PlacementAnswer::Builder::getRefused()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<97>() * ::capnp::ELEMENTS);
+}
+inline void PlacementAnswer::Builder::setRefused(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<97>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint32_t PlacementAnswer::Reader::getComeBackInMs() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t PlacementAnswer::Builder::getComeBackInMs()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PlacementAnswer::Builder::setComeBackInMs(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool StillWaiting::Reader::hasNumbers() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -106,7 +106,7 @@
 {
     const units::TimePoint now = state_.timers.now();
     query_.targetIn = request_.receivedAt + route_->targetLatency - now;
-    query_.givenUpIn = deadline_ - now;
+    query_.givenUpIn = std::min(deadline_, request_.receivedAt + route_->clientPatience) - now;
     isPlacing_ = true;
     placingSince_ = now;
     placingNumber_
@@ -125,8 +125,9 @@
         return;
     }
     if (choice.endpoint == nullptr) {
+        comeBackIn_ = choice.comeBackIn;
         giveUp(mayHaveRun_ ? routing::NextStep::AnswerUnknown : routing::NextStep::RefuseNotRun,
-               units::ResultCode::NoEndpointAvailable);
+               comeBackIn_ ? units::ResultCode::QueueFull : units::ResultCode::NoEndpointAvailable);
         return;
     }
     endpoint_ = std::move(choice.endpoint);
--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -124,7 +124,8 @@
 {
     std::optional<units::Duration> comeBack;
     if (mayComeBack)
-        comeBack = routing::retryAfter(reason, facts_.id, timeLeft());
+        comeBack = comeBackIn_ ? routing::retryAfter(*comeBackIn_, facts_.id, timeLeft())
+                               : routing::retryAfter(reason, facts_.id, timeLeft());
     const std::string body
         = std::to_string(int(reason)) + " " + std::string(units::resultCodeName(reason)) + "\n";
     reply_->respond(status, state_.dialect.ownHeaders(facts_.id, comeBack), body);
--- a/src/gateway/internal/placementmessages.h
+++ b/src/gateway/internal/placementmessages.h
@@ -4,6 +4,7 @@
 #include <monsoongrade/routing/placementdesk.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -26,6 +27,7 @@
     units::EndpointId endpoint; // empty if no endpoint takes the request
     std::int64_t tokensToRead = 0;
     bool isWaiting = false; // no endpoint yet: another answer follows
+    std::optional<units::Duration> comeBackIn; // refused because of a long queue
 };
 
 struct NewsMessage
--- a/src/gateway/placementmessages.cpp
+++ b/src/gateway/placementmessages.cpp
@@ -65,12 +65,20 @@
     answer.setEndpoint(from.endpoint.value());
     answer.setTokensToRead(std::uint32_t(from.tokensToRead));
     answer.setWaiting(from.isWaiting);
+    answer.setRefused(from.comeBackIn.has_value());
+    answer.setComeBackInMs(inMilliseconds(from.comeBackIn.value_or(units::Duration::zero())));
 }
 
 AnswerMessage read(schema::PlacementAnswer::Reader answer)
 {
-    return {answer.getNumber(), units::EndpointId(answer.getEndpoint()), answer.getTokensToRead(),
-            answer.getWaiting()};
+    AnswerMessage message;
+    message.number = answer.getNumber();
+    message.endpoint = units::EndpointId(answer.getEndpoint());
+    message.tokensToRead = answer.getTokensToRead();
+    message.isWaiting = answer.getWaiting();
+    if (answer.getRefused())
+        message.comeBackIn = std::chrono::milliseconds(answer.getComeBackInMs());
+    return message;
 }
 
 void write(const NewsMessage &from, schema::PlacementMessage::Builder root)
--- a/src/gateway/sharedplacement.cpp
+++ b/src/gateway/sharedplacement.cpp
@@ -42,6 +42,7 @@
     AnswerMessage answer;
     answer.number = number;
     answer.isWaiting = choice.isWaiting;
+    answer.comeBackIn = choice.comeBackIn;
     if (choice.endpoint != nullptr && !choice.isWaiting)
         answer.endpoint = choice.endpoint->described.id;
     answer.tokensToRead = choice.tokensToRead;
@@ -376,6 +377,12 @@
     }
     const Ask ask = std::move(found->second);
     asks_.erase(found);
+    if (message.comeBackIn) {
+        routing::PlacementChoice refused;
+        refused.comeBackIn = message.comeBackIn;
+        ask.placed({settings_.ownIp, message.number}, std::move(refused));
+        return;
+    }
     const units::TimePoint now = timers_.now();
     for (const routing::EndpointRoster::Status &status : roster_.available(ask.query.pool)) {
         if (status->described.id == message.endpoint && status->health.accepts(now)) {
--- a/src/routing/placementdesk.cpp
+++ b/src/routing/placementdesk.cpp
@@ -65,11 +65,25 @@
     forgetOld(now);
     PlacementChoice choice = query.runsModel ? chooseForModel(query, available, now)
                                              : chooseForPlain(query, available, now);
-    if (choice.isWaiting && query.mayWait) {
-        waiting_.add(ticket, query, now);
+    if (choice.isWaiting && query.mayWait)
+        return queueOrRefuse(ticket, query, std::move(choice), available.size(), now);
+    return commit(ticket, query, std::move(choice), now);
+}
+
+PlacementChoice PlacementDesk::queueOrRefuse(const PlacementTicket &ticket,
+                                             const PlacementQuery &query, PlacementChoice choice,
+                                             std::size_t endpoints, units::TimePoint now)
+{
+    const WaitForecast forecast
+        = forecaster_.forecast(waiting_.tokensAhead(query.tier), choice.tokensToRead,
+                               query.targetIn, query.givenUpIn, endpoints, now);
+    if (forecast.decision == WaitDecision::Wait) {
+        waiting_.add(ticket, query, choice.tokensToRead, now);
         return choice;
     }
-    return commit(ticket, query, std::move(choice), now);
+    choice = {};
+    choice.comeBackIn = forecast.comeBackIn;
+    return choice;
 }
 
 PlacementChoice PlacementDesk::commit(const PlacementTicket &ticket, const PlacementQuery &query,
@@ -97,6 +111,7 @@
 PlacementDesk::placeWaiting(const EndpointRoster &roster, units::TimePoint now)
 {
     std::vector<std::pair<PlacementTicket, PlacementChoice>> placed;
+    std::int64_t drained = 0;
     const auto tryPlace = [&](const PlacementTicket &ticket) {
         const ReadQueue::Waiting *waiting = waiting_.find(ticket);
         if (waiting == nullptr)
@@ -105,9 +120,14 @@
         PlacementChoice choice = chooseForModel(query, roster.available(query.pool), now);
         if (choice.isWaiting)
             return false;
+        drained += choice.tokensToRead;
         placed.emplace_back(ticket, commit(ticket, query, std::move(choice), now));
         return true;
     };
+    for (const PlacementTicket &ticket : waiting_.takeGivenUp(MaxTriedAtOnce, now)) {
+        placed.emplace_back(ticket, PlacementChoice{});
+        placed.back().second.comeBackIn = units::Duration::zero();
+    }
     for (const PlacementTicket &ticket : waiting_.next(MaxTriedAtOnce, now)) {
         const ReadQueue::Waiting *waiting = waiting_.find(ticket);
         const std::string part = waiting == nullptr ? std::string() : waiting->query.sharedPart;
@@ -117,6 +137,10 @@
         for (const PlacementTicket &same : waiting_.withPart(part))
             tryPlace(same);
     }
+    if (waiting_.isEmpty())
+        forecaster_.idle();
+    else
+        forecaster_.drained(drained, now);
     return placed;
 }
 
--- a/src/routing/readqueue.cpp
+++ b/src/routing/readqueue.cpp
@@ -6,6 +6,9 @@
 
 // Engines read about 157 tokens a millisecond.
 constexpr std::int64_t TokensReadPerMs = 150;
+// Below this, a request that starts now would not end before its client leaves: reading takes 0.1 s
+// and the mean stream 0.3 to 1.5 s.
+constexpr auto MinUsefulTime = std::chrono::seconds(1);
 
 units::Duration readTime(const PlacementQuery &query)
 {
@@ -15,23 +18,35 @@
 } // namespace
 
 void ReadQueue::add(const PlacementTicket &ticket, const PlacementQuery &query,
-                    units::TimePoint now)
+                    std::int64_t tokensToRead, units::TimePoint now)
 {
     remove(ticket);
+    const bool isPartAwaited = byPart_.count(query.sharedPart) != 0;
     Entry entry;
-    entry.waiting = {ticket, query, now + query.targetIn, now + query.givenUpIn};
+    entry.waiting = {ticket, query, now + query.targetIn, now + query.givenUpIn,
+                     isPartAwaited ? query.ownTokens : tokensToRead};
     entry.place = {query.tier, false, entry.waiting.targetAt, ticket};
     order_.insert(entry.place);
     byPart_.emplace(query.sharedPart, ticket);
+    byGivenUp_.emplace(entry.waiting.givenUpAt, ticket);
+    tokensOf(entry) += entry.waiting.tokensToRead;
     waiting_.emplace(ticket, std::move(entry));
 }
 
+std::int64_t &ReadQueue::tokensOf(const Entry &entry)
+{
+    TokensAhead &tokens = tokens_[entry.waiting.query.tier];
+    return std::get<bool>(entry.place) ? tokens.late : tokens.onTime;
+}
+
 void ReadQueue::remove(const PlacementTicket &ticket)
 {
     const auto found = waiting_.find(ticket);
     if (found == waiting_.end())
         return;
     order_.erase(found->second.place);
+    byGivenUp_.erase({found->second.waiting.givenUpAt, ticket});
+    tokensOf(found->second) -= found->second.waiting.tokensToRead;
     auto [begin, end] = byPart_.equal_range(found->second.waiting.query.sharedPart);
     for (; begin != end; ++begin) {
         if (!(begin->second < ticket) && !(ticket < begin->second)) {
@@ -50,17 +65,15 @@
         const Place place = *each++;
         const PlacementTicket &ticket = std::get<PlacementTicket>(place);
         Entry &entry = waiting_.at(ticket);
-        if (now >= entry.waiting.givenUpAt) {
-            remove(ticket);
-            continue;
-        }
         const bool isLate = now + readTime(entry.waiting.query) > entry.waiting.targetAt;
         if (!isLate || std::get<bool>(place)) {
             tickets.push_back(ticket);
             continue;
         }
         order_.erase(place);
+        tokensOf(entry) -= entry.waiting.tokensToRead;
         std::get<bool>(entry.place) = true;
+        tokensOf(entry) += entry.waiting.tokensToRead;
         order_.insert(entry.place);
         // The next in order may stand before the new place of this one.
         each = order_.upper_bound(place);
@@ -68,6 +81,29 @@
     return tickets;
 }
 
+std::vector<PlacementTicket> ReadQueue::takeGivenUp(std::size_t most, units::TimePoint now)
+{
+    std::vector<PlacementTicket> tickets;
+    while (!byGivenUp_.empty() && tickets.size() < most
+           && byGivenUp_.begin()->first <= now + MinUsefulTime) {
+        tickets.push_back(byGivenUp_.begin()->second);
+        remove(tickets.back());
+    }
+    return tickets;
+}
+
+TokensAhead ReadQueue::tokensAhead(units::Tier tier) const
+{
+    TokensAhead ahead;
+    for (const auto &[each, tokens] : tokens_) {
+        if (tier < each)
+            break;
+        ahead.onTime += tokens.onTime;
+        ahead.late += tokens.late;
+    }
+    return ahead;
+}
+
 std::vector<PlacementTicket> ReadQueue::withPart(const std::string &part) const
 {
     std::vector<PlacementTicket> tickets;
--- a/src/routing/retryafter.cpp
+++ b/src/routing/retryafter.cpp
@@ -29,16 +29,26 @@
     }
 }
 
+units::Duration spread(units::Duration from, const units::RequestId &request,
+                       units::Duration timeLeft)
+{
+    const auto extra = std::chrono::duration_cast<units::Duration>(from * units::jitterOf(request));
+    return std::clamp<units::Duration>(from + extra, Min,
+                                       std::max<units::Duration>(Min, timeLeft / 3));
+}
+
 } // namespace
 
 units::Duration retryAfter(units::ResultCode reason, const units::RequestId &request,
                            units::Duration timeLeft)
 {
-    const units::Duration from = shortest(reason);
-    const auto spread
-        = std::chrono::duration_cast<units::Duration>(from * units::jitterOf(request));
-    return std::clamp<units::Duration>(from + spread, Min,
-                                       std::max<units::Duration>(Min, timeLeft / 3));
+    return spread(shortest(reason), request, timeLeft);
+}
+
+units::Duration retryAfter(units::Duration queueDrainsIn, const units::RequestId &request,
+                           units::Duration timeLeft)
+{
+    return spread(std::max<units::Duration>(queueDrainsIn, WhenEndpointFull), request, timeLeft);
 }
 
 } // namespace monsoongrade::routing
--- a/tests/routing/placementdesk_test.cpp
+++ b/tests/routing/placementdesk_test.cpp
@@ -169,6 +169,35 @@
     CHECK(placed[0].second.endpoint != nullptr);
 }
 
+TEST_CASE("PlacementDesk.OverloadIsRefusedAtOnceWithATimeAndHigherTiersStillWait")
+{
+    // All prompts are cold and arrive at many times the rate at which nine endpoints can read them.
+    // Requests that waited until their clients left would have been told nothing for 6 s.
+    DeskWorld world(9);
+    int waiting = 0;
+    int refused = 0;
+    for (int i = 0; i < 600; ++i) {
+        PlacementQuery query = modelQuery("cold" + std::to_string(i), 13300, 3720);
+        query.mayWait = true;
+        query.tier = units::Tier(4);
+        const PlacementChoice choice = world.place(query);
+        waiting += choice.isWaiting ? 1 : 0;
+        if (choice.comeBackIn) {
+            ++refused;
+            CHECK(choice.endpoint == nullptr);
+            CHECK(*choice.comeBackIn > std::chrono::milliseconds(500));
+        }
+    }
+    CHECK(waiting > 20);
+    CHECK_MESSAGE(refused > 400, "expected most of 600 to be refused, got ", refused);
+    PlacementQuery higher = modelQuery("other", 6300, 2890);
+    higher.mayWait = true;
+    higher.tier = units::Tier(2);
+    const PlacementChoice choice = world.place(higher);
+    CHECK(choice.isWaiting);
+    CHECK_FALSE(choice.comeBackIn);
+}
+
 TEST_CASE("PlacementDesk.ReadingAPartAgainIsTheLastResort")
 {
     // The endpoint that has a subject's part is as busy as another is idle. Reading the part again
--- /dev/null
+++ b/tests/routing/waitforecast_test.cpp
@@ -0,0 +1,63 @@
+#include <monsoongrade/routing/waitforecast.h>
+
+#include <doctest/doctest.h>
+
+using namespace monsoongrade;
+using namespace monsoongrade::routing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr units::TimePoint Start = units::TimePoint(std::chrono::hours(1));
+constexpr std::int64_t Breakdown = 17020; // prompt tokens
+
+WaitForecast breakdownAfter(const WaitForecaster &forecaster, TokensAhead ahead,
+                            units::Duration givenUpIn = milliseconds(6400))
+{
+    return forecaster.forecast(ahead, Breakdown, milliseconds(1200), givenUpIn, 60, Start);
+}
+
+} // namespace
+
+TEST_CASE("WaitForecast.RequestThatCanBeOnTimeWaits")
+{
+    const WaitForecaster forecaster; // 60 endpoints read 6,000 tokens a millisecond
+    CHECK(breakdownAfter(forecaster, {4'000'000, 0}).decision == WaitDecision::Wait);
+}
+
+TEST_CASE("WaitForecast.LateRequestWaitsOnlyAShortTime")
+{
+    const WaitForecaster forecaster;
+    CHECK(breakdownAfter(forecaster, {5'500'000, 0}).decision == WaitDecision::Wait);
+    const WaitForecast refused = breakdownAfter(forecaster, {5'500'000, 3'000'000});
+    CHECK(refused.decision == WaitDecision::Refuse);
+    CHECK(refused.comeBackIn > milliseconds(1300));
+    CHECK(refused.comeBackIn < milliseconds(1500));
+}
+
+TEST_CASE("WaitForecast.RequestWhoseClientLeavesSoonerIsRefused")
+{
+    const WaitForecaster forecaster;
+    CHECK(breakdownAfter(forecaster, {5'500'000, 0}, milliseconds(2400)).decision
+          == WaitDecision::Refuse);
+}
+
+TEST_CASE("WaitForecast.FollowsTheMeasuredRate")
+{
+    // A quarter of the endpoints dies, and the others read parts again: the queue drains at half
+    // the usual rate, and requests that would have been on time can't be any more.
+    WaitForecaster forecaster;
+    for (int i = 0; i <= 40; ++i)
+        forecaster.drained(150'000, Start + milliseconds(50) * i);
+    CHECK(breakdownAfter(forecaster, {4'000'000, 0}).decision == WaitDecision::Refuse);
+    CHECK(breakdownAfter(forecaster, {1'000'000, 0}).decision == WaitDecision::Wait);
+}
+
+TEST_CASE("WaitForecast.HangingEndpointsDoNotStopAllAdmission")
+{
+    WaitForecaster forecaster;
+    for (int i = 0; i <= 40; ++i)
+        forecaster.drained(0, Start + milliseconds(50) * i);
+    CHECK(breakdownAfter(forecaster, {500'000, 0}).decision == WaitDecision::Wait);
+}
