Placement: repeat an unanswered ask once, and withdraw it when deciding alone

Cause: a host with 0.12 of a core is often stopped for 25 ms and then finds its timer due before it has read the answer. It placed alone, and the placing host kept its own choice for the same request as load for up to 12 s. Two overdue answers at one moment also counted as a lost host. Now the ask is repeated once, a repeated ask gets the same answer, the placing host is told when a request was placed without it, and a host is lost after 45 ms of silence.

--- a/include/monsoongrade/gateway/sharedplacement.h
+++ b/include/monsoongrade/gateway/sharedplacement.h
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <functional>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -27,8 +28,8 @@
 // Places requests on endpoints, with the help of the other hosts for model pools: the hosts agree
 // on one of those that serve, which places the requests of all and so knows the load of each
 // endpoint, and tells those that would take over what is cached where. If that host does not answer
-// within milliseconds, this one decides alone with what it knows; nobody waits for a failed host to
-// be noticed.
+// two asks within milliseconds, this one decides alone with what it knows; nobody waits for a
+// failed host to be noticed.
 class SharedPlacement
 {
 public:
@@ -61,6 +62,8 @@
     {
         return deciders_.count(ticket.number) == 0;
     }
+    // Requests of all hosts that this one has placed and not heard the end of.
+    std::size_t openRequests() const { return desk_.openRequests(); }
     // True if place() could find an endpoint here.
     bool hasEndpoint(const routing::PlacementQuery &query) const;
 
@@ -72,11 +75,12 @@
         std::string decider;
         units::TimePoint askedAt;
         bool isWaiting = false; // in the decider's queue
+        bool wasRepeated = false;
         httpio::Timers::Handle timeout;
     };
     struct Trust
     {
-        int missedAnswers = 0;
+        std::optional<units::TimePoint> silentSince; // the first ask without an answer
         units::TimePoint avoidUntil{};
         httpio::Timers::Handle checkTimeout; // a check of waiting requests is open
     };
--- a/src/gateway/sharedplacement.cpp
+++ b/src/gateway/sharedplacement.cpp
@@ -20,8 +20,9 @@
 // An answer takes a round trip of 2 to 3 ms. A request for the tightest class has 250 ms, so a
 // lost datagram may cost a tenth of that.
 constexpr auto AnswerTimeout = std::chrono::milliseconds(25);
-// One answer may be lost with its datagram; two in a row mean that the host is gone or frozen.
-constexpr int MissedAnswersToAvoid = 2;
+// A host that answers nothing for this long is gone or frozen. A single datagram may be lost, and
+// a host with 0.12 of a core may itself be stopped for 25 ms and find several answers overdue.
+constexpr auto SilenceOfLostHost = std::chrono::milliseconds(45);
 constexpr auto AvoidFor = std::chrono::seconds(1);
 // Hosts that learn what is cached where. Two may be lost at the same time.
 constexpr std::size_t Successors = 2;
@@ -175,10 +176,19 @@
     const auto found = asks_.find(number);
     if (found == asks_.end())
         return;
+    const bool isLost = isLostAfterMiss(found->second.decider);
+    if (!found->second.wasRepeated && !isLost) {
+        Ask &again = found->second;
+        again.wasRepeated = true;
+        again.timeout = timers_.after(AnswerTimeout, [this, number] { onTimeout(number); });
+        send(again.decider, encode(AskMessage{number, again.query}));
+        return;
+    }
     const Ask ask = std::move(found->second);
     asks_.erase(found);
     metrics_.add("monsoongrade_gateway_placements_unanswered_total");
-    isLostAfterMiss(ask.decider);
+    // Its late choice must not count as load there.
+    send(ask.decider, encode(NewsMessage{number, routing::PlacementNews::Withdrawn}));
     // Without the other hosts' requests in view, waiting here would only add delay.
     routing::PlacementQuery query = ask.query;
     query.mayWait = false;
@@ -190,9 +200,12 @@
 bool SharedPlacement::isLostAfterMiss(const std::string &host)
 {
     Trust &trust = trust_[host];
-    if (++trust.missedAnswers < MissedAnswersToAvoid)
+    const units::TimePoint asked = timers_.now() - units::Duration(AnswerTimeout);
+    if (!trust.silentSince)
+        trust.silentSince = asked;
+    if (timers_.now() - *trust.silentSince < SilenceOfLostHost)
         return false;
-    trust.missedAnswers = 0;
+    trust.silentSince.reset();
     trust.avoidUntil = timers_.now() + AvoidFor;
     observability::log(observability::LogLevel::Warning, "placing-host-lost", {{"host", host}});
     return true;
@@ -313,7 +326,7 @@
 {
     Trust &trust = trust_[host];
     timers_.cancel(trust.checkTimeout);
-    trust.missedAnswers = 0;
+    trust.silentSince.reset();
     for (const std::uint64_t number : message.numbers) {
         const auto found = asks_.find(number);
         if (found == asks_.end() || !found->second.isWaiting || found->second.decider != host)
@@ -368,7 +381,7 @@
     const auto found = asks_.find(message.number);
     if (found == asks_.end() || found->second.decider != host)
         return; // decided otherwise meanwhile
-    trust_[host].missedAnswers = 0;
+    trust_[host].silentSince.reset();
     timers_.cancel(found->second.timeout);
     if (message.isWaiting) {
         found->second.isWaiting = true;
--- a/tests/gateway/sharedplacement_test.cpp
+++ b/tests/gateway/sharedplacement_test.cpp
@@ -111,3 +111,23 @@
                   "expected the asking host to place waiting requests itself; before the freeze ",
                   before, " were placed, after it ", placed);
 }
+
+TEST_CASE("SharedPlacement.RepeatedAskGetsTheSameAnswerAndALateOneLeavesNoLoad")
+{
+    // The placing host is stopped for a moment, so that the ask is repeated and then decided by the
+    // asking host. When the placing host goes on it sees both asks and the withdrawal; a choice
+    // that stayed there would count as load on the endpoint for seconds.
+    const std::vector<std::string> order{addressOf(0), addressOf(1)};
+    Host placing(0, order);
+    Host asking(1, order);
+    int placed = 0;
+    routing::PlacementQuery query = longRead(1);
+    query.mayWait = false;
+    asking.placement.place(query, [&](const auto &, const auto &) { ++placed; });
+    runFor(milliseconds(150), {&asking});
+    CHECK(placed == 1);
+    runFor(milliseconds(50), {&placing, &asking});
+    CHECK(placing.metrics.counter("monsoongrade_gateway_placement_asks_total") == 2);
+    CHECK(placed == 1);
+    CHECK(placing.placement.openRequests() == 0);
+}
