Placement: kept endpoints overflow by tokens to read, and one is always kept

A kept endpoint now takes summaries up to 8,000 tokens to read; the others overflow. One endpoint stays kept while no such stream is open, so that a placing host that starts anew finds prompt parts where the one before it put them.

--- a/include/monsoongrade/routing/placementdesk.h
+++ b/include/monsoongrade/routing/placementdesk.h
@@ -123,6 +123,7 @@
     PlacementChoice chooseForModel(const PlacementQuery &query,
                                    const std::vector<EndpointRoster::Status> &available,
                                    units::TimePoint now);
+    static bool hasRoomInReserve(const Load &load, const EndpointRoster::Status &endpoint);
     Candidates candidatesFor(const PlacementQuery &query,
                              const std::vector<EndpointRoster::Status> &available,
                              units::TimePoint now);
--- a/include/monsoongrade/routing/placementquery.h
+++ b/include/monsoongrade/routing/placementquery.h
@@ -23,6 +23,10 @@
     units::Tier tier;
     // Its events may be only so far apart that its endpoint must not read long prompts meanwhile.
     bool needsShortPauses = false;
+    // Other requests of the pool need that. One endpoint is then kept for them even while none is
+    // open: else a placing host that has just started would look for prompt parts elsewhere than
+    // the one before it.
+    bool poolServesShortPauses = false;
     // Endpoints that already had this request and are not to get it again.
     std::vector<units::EndpointId> tried;
     units::FailureDomain askersDomain;
--- a/include/monsoongrade/routing/shortpausereserve.h
+++ b/include/monsoongrade/routing/shortpausereserve.h
@@ -2,6 +2,7 @@
 #define MONSOONGRADE_ROUTING_SHORTPAUSERESERVE_H
 
 #include <monsoongrade/routing/endpointroster.h>
+#include <monsoongrade/routing/route.h>
 
 #include <unordered_map>
 #include <unordered_set>
@@ -9,10 +10,10 @@
 
 namespace monsoongrade::routing {
 
-// True if a stream whose events may be at most maxPause apart needs an endpoint without long reads.
+// True if the route's streams need an endpoint without long reads, because of its longest pause.
 // Engines read a prompt in chunks between two steps of all streams. With a chunk, a step takes
 // about 41 ms instead of 7, so an event of 5 tokens comes after 205 ms.
-bool needsShortPauses(units::Duration maxPause, int tokensPerEvent);
+bool needsShortPauses(const Route &route, int tokensPerEvent);
 
 // Keeps some endpoints of a model pool free of long reads, for streams whose events may be only a
 // short time apart.
@@ -31,11 +32,11 @@
     // A stream that needs short pauses was placed in the pool, or is no longer open.
     void opened(const units::PoolName &pool);
     void ended(const units::PoolName &pool);
-    // The endpoints that are kept now; at most half of those that can be used. Empty while no such
-    // stream is open. arriving: streams that are about to be placed.
+    // The endpoints that are kept now: minSize or as many as the open streams need, at most half of
+    // those that can be used. arriving: streams that are about to be placed.
     const Endpoints &endpoints(const units::PoolName &pool,
                                const std::vector<EndpointRoster::Status> &available,
-                               units::TimePoint now, int arriving = 0);
+                               units::TimePoint now, std::size_t minSize, int arriving = 0);
 
 private:
     struct Pool
--- a/include/monsoongrade/routing/trafficpool.h
+++ b/include/monsoongrade/routing/trafficpool.h
@@ -17,6 +17,8 @@
     bool runsModel = false;
     // Tokens in one event of a stream. The engines known make 5 or 6.
     int tokensPerEvent = 5;
+    // Some route of the pool serves streams with short pauses. Set by RouteTable.
+    bool servesShortPauses = false;
 };
 
 } // namespace monsoongrade::routing
--- a/schema/placement.capnp
+++ b/schema/placement.capnp
@@ -19,6 +19,7 @@
   targetInMs @8 :UInt32;
   givenUpInMs @9 :UInt32;
   needsShortPauses @10 :Bool;
+  poolServesShortPauses @11 :Bool;
 }
 
 struct PlacementAnswer {
--- a/schema/placement.capnp.h
+++ b/schema/placement.capnp.h
@@ -258,6 +258,8 @@
 
     inline bool getNeedsShortPauses() const;
 
+    inline bool getPoolServesShortPauses() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -344,6 +346,9 @@
     inline bool getNeedsShortPauses();
     inline void setNeedsShortPauses(bool value);
 
+    inline bool getPoolServesShortPauses();
+    inline void setPoolServesShortPauses(bool value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -1438,6 +1443,20 @@
     _builder.setDataField<bool>(::capnp::bounded<224>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PlacementAsk::Reader::getPoolServesShortPauses() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<225>() * ::capnp::ELEMENTS);
+}
+
+inline bool PlacementAsk::Builder::getPoolServesShortPauses()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<225>() * ::capnp::ELEMENTS);
+}
+inline void PlacementAsk::Builder::setPoolServesShortPauses(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<225>() * ::capnp::ELEMENTS, value);
+}
+
 inline ::uint64_t PlacementAnswer::Reader::getNumber() const
 {
     return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway/placementmessages.cpp
+++ b/src/gateway/placementmessages.cpp
@@ -29,6 +29,7 @@
     ask.setOwnTokens(std::uint32_t(query.ownTokens));
     ask.setTier(query.tier.value());
     ask.setNeedsShortPauses(query.needsShortPauses);
+    ask.setPoolServesShortPauses(query.poolServesShortPauses);
     ask.setFailureDomain(query.askersDomain.value());
     ask.setTargetInMs(inMilliseconds(query.targetIn));
     ask.setGivenUpInMs(inMilliseconds(query.givenUpIn));
@@ -49,6 +50,7 @@
     query.ownTokens = ask.getOwnTokens();
     query.tier = units::Tier(ask.getTier());
     query.needsShortPauses = ask.getNeedsShortPauses();
+    query.poolServesShortPauses = ask.getPoolServesShortPauses();
     query.askersDomain = units::FailureDomain(ask.getFailureDomain());
     query.targetIn = std::chrono::milliseconds(ask.getTargetInMs());
     query.givenUpIn = std::chrono::milliseconds(ask.getGivenUpInMs());
--- a/src/routing/placementdesk.cpp
+++ b/src/routing/placementdesk.cpp
@@ -24,6 +24,9 @@
 // the requests that other hosts place alone, and beyond its slots a request waits for a whole
 // stream of about a second.
 constexpr double MaxShareOfReserved = 0.9;
+// And at most this much to read, 50 ms: when clients return all at once after an outage, 60 short
+// prompts in half a second waited for 300 to 430 ms on a single kept endpoint.
+constexpr std::int64_t MaxTokensInReserve = 8000;
 // Waiting requests that are tried when room has come. Each waits for the endpoint that is best for
 // its part and must not hold up the others; more would cost the placing host too much time.
 constexpr std::size_t MaxTriedAtOnce = 16;
@@ -144,6 +147,12 @@
     return placed;
 }
 
+bool PlacementDesk::hasRoomInReserve(const Load &load, const EndpointRoster::Status &endpoint)
+{
+    return load.openRequests < endpoint->described.slots * MaxShareOfReserved
+        && load.tokensToRead < MaxTokensInReserve;
+}
+
 // Endpoints by the reserve; if it leaves none, all that can be used.
 PlacementDesk::Candidates
 PlacementDesk::candidatesFor(const PlacementQuery &query,
@@ -151,15 +160,16 @@
                              units::TimePoint now)
 {
     const ShortPauseReserve::Endpoints &reserved
-        = reserve_.endpoints(query.pool, available, now, query.needsShortPauses ? 1 : 0);
+        = reserve_.endpoints(query.pool, available, now, query.poolServesShortPauses ? 1 : 0,
+                             query.needsShortPauses ? 1 : 0);
     Candidates usable;
     Candidates byReserve;
     for (const EndpointRoster::Status &endpoint : available) {
         if (!isUsable(endpoint, query, now))
             continue;
         usable.push_back(&endpoint);
-        const bool isFull = query.needsShortPauses
-            && loadOf(*endpoint).openRequests >= endpoint->described.slots * MaxShareOfReserved;
+        const bool isFull
+            = query.needsShortPauses && !hasRoomInReserve(loadOf(*endpoint), endpoint);
         const bool isReserved = reserved.count(endpoint.get()) != 0;
         if (isReserved == query.needsShortPauses && !isFull)
             byReserve.push_back(&endpoint);
--- a/src/routing/placementquery.cpp
+++ b/src/routing/placementquery.cpp
@@ -11,8 +11,8 @@
     PlacementQuery query;
     query.pool = poolName;
     query.runsModel = pool != nullptr && pool->runsModel;
-    query.needsShortPauses = query.runsModel && route.kind == RouteKind::Stream
-        && needsShortPauses(route.maxEventGap, pool->tokensPerEvent);
+    query.needsShortPauses = query.runsModel && needsShortPauses(route, pool->tokensPerEvent);
+    query.poolServesShortPauses = query.runsModel && pool->servesShortPauses;
     query.promptTokens = facts.promptTokens.value();
     query.ownTokens = query.promptTokens;
     query.tier = tier;
--- a/src/routing/routetable.cpp
+++ b/src/routing/routetable.cpp
@@ -1,5 +1,7 @@
 #include <monsoongrade/routing/routetable.h>
 
+#include <monsoongrade/routing/shortpausereserve.h>
+
 #include <algorithm>
 
 namespace monsoongrade::routing {
@@ -16,6 +18,12 @@
     return key.append(host).append(" ").append(prefix);
 }
 
+bool sendsTo(const Route &route, const units::PoolName &pool)
+{
+    return std::any_of(route.pools.begin(), route.pools.end(),
+                       [&](const WeightedPool &each) { return each.pool == pool; });
+}
+
 } // namespace
 
 RouteTable::RouteTable(TrafficConfiguration configuration)
@@ -27,8 +35,15 @@
         for (const std::string &key : workspace.keys)
             workspaces_.emplace(key, &workspace);
     }
-    for (const TrafficPool &pool : configuration_.pools)
+    for (TrafficPool &pool : configuration_.pools) {
+        pool.servesShortPauses = pool.runsModel
+            && std::any_of(configuration_.routes.begin(), configuration_.routes.end(),
+                           [&](const Route &route) {
+                               return sendsTo(route, pool.name)
+                                   && needsShortPauses(route, pool.tokensPerEvent);
+                           });
         pools_.emplace(pool.name.value(), &pool);
+    }
     std::uint32_t routeTiers = 1;
     for (const Route &route : configuration_.routes)
         routeTiers = std::max(routeTiers, route.tier.value() + 1);
--- a/src/routing/shortpausereserve.cpp
+++ b/src/routing/shortpausereserve.cpp
@@ -34,9 +34,10 @@
 
 } // namespace
 
-bool needsShortPauses(units::Duration maxPause, int tokensPerEvent)
+bool needsShortPauses(const Route &route, int tokensPerEvent)
 {
-    return maxPause < tokensPerEvent * units::Duration(StepWithChunk);
+    return route.kind == RouteKind::Stream
+        && route.maxEventGap < tokensPerEvent * units::Duration(StepWithChunk);
 }
 
 void ShortPauseReserve::opened(const units::PoolName &pool)
@@ -53,12 +54,12 @@
 const ShortPauseReserve::Endpoints &
 ShortPauseReserve::endpoints(const units::PoolName &pool,
                              const std::vector<EndpointRoster::Status> &available,
-                             units::TimePoint now, int arriving)
+                             units::TimePoint now, std::size_t minSize, int arriving)
 {
     Pool &state = pools_[pool.value()];
     const int slots = available.empty() ? 1 : std::max(available.front()->described.slots, 1);
-    const auto wanted
-        = std::size_t(std::ceil((state.open + arriving) / (slots * WantedShareOfSlots)));
+    const auto wanted = std::max(
+        minSize, std::size_t(std::ceil((state.open + arriving) / (slots * WantedShareOfSlots))));
     const bool isDue = now >= state.chosenAt + ChooseInterval;
     if (wanted >= state.size)
         state.keepSizeUntil = now + KeepSizeFor;
--- a/tests/routing/placementdesk_test.cpp
+++ b/tests/routing/placementdesk_test.cpp
@@ -123,6 +123,7 @@
     std::set<std::string> ofLongReads;
     for (int i = 0; i < 60; ++i) {
         ofSummaries.insert(world.place(summary).endpoint->described.id.value());
+        world.desk.hear(world.lastTicket(), PlacementNews::FirstEvent, world.now);
         const PlacementQuery read = modelQuery("long" + std::to_string(i), 13300, 3720);
         ofLongReads.insert(world.place(read).endpoint->described.id.value());
     }
@@ -143,6 +144,25 @@
     CHECK(used.size() == 2);
 }
 
+TEST_CASE("PlacementDesk.SummariesThatReturnAllAtOnceSpread")
+{
+    // After an outage all clients return in half a second. Sixty short prompts on the one kept
+    // endpoint take 0.5 s to read, twice the target of a summary; the other endpoints are idle.
+    DeskWorld world(9);
+    PlacementQuery summary = modelQuery("s", 350, 1110);
+    summary.needsShortPauses = true;
+    std::map<std::string, std::int64_t> tokens;
+    for (int i = 0; i < 60; ++i) {
+        summary.sharedPart = "s" + std::to_string(i);
+        const PlacementChoice choice = world.place(summary);
+        tokens[choice.endpoint->described.id.value()] += choice.tokensToRead;
+    }
+    for (const auto &[endpoint, toRead] : tokens)
+        CHECK_MESSAGE(toRead <= 15000, endpoint, " has ", toRead,
+                      " tokens to read, expected less "
+                      "than 100 ms");
+}
+
 TEST_CASE("PlacementDesk.LongReadsWaitByTierAndDueTimeWhileEndpointsAreBusy")
 {
     // In a burst of cold prompts the endpoints' own queues would grow and be worked off in order
--- a/tests/routing/routetable_test.cpp
+++ b/tests/routing/routetable_test.cpp
@@ -124,3 +124,16 @@
               == units::ResultCode::ConfigurationTooOld);
     CHECK(admit(nullptr, true, facts("k1"), "/a/x").code == units::ResultCode::NoConfiguration);
 }
+
+TEST_CASE("RouteTable.TellsPoolsWithStreamsOfShortPauses")
+{
+    TrafficConfiguration configuration = twoRoutes();
+    configuration.routes[1].kind = RouteKind::Stream;
+    configuration.routes[1].maxEventGap = std::chrono::milliseconds(200);
+    configuration.routes[1].pools = {{units::PoolName("b"), 1}};
+    configuration.pools
+        = {{units::PoolName("a"), 64, true, 6}, {units::PoolName("b"), 64, true, 6}};
+    const RouteTable table(configuration);
+    CHECK_FALSE(table.pool(units::PoolName("a"))->servesShortPauses);
+    CHECK(table.pool(units::PoolName("b"))->servesShortPauses);
+}
--- a/tests/routing/shortpausereserve_test.cpp
+++ b/tests/routing/shortpausereserve_test.cpp
@@ -35,21 +35,40 @@
 
 TEST_CASE("ShortPauseReserve.PausesNearAStepWithReadingAreShort")
 {
-    CHECK(needsShortPauses(milliseconds(200), 5));
-    CHECK(needsShortPauses(milliseconds(200), 6));
-    CHECK_FALSE(needsShortPauses(milliseconds(300), 6));
-    CHECK_FALSE(needsShortPauses(milliseconds(800), 6));
+    const auto isShort = [](int pause, int tokens) {
+        Route route;
+        route.kind = RouteKind::Stream;
+        route.maxEventGap = milliseconds(pause);
+        return needsShortPauses(route, tokens);
+    };
+    CHECK(isShort(200, 5));
+    CHECK(isShort(200, 6));
+    CHECK_FALSE(isShort(300, 6));
+    CHECK_FALSE(isShort(800, 6));
+}
+
+TEST_CASE("ShortPauseReserve.KeepsTheSameEndpointsAfterARestart")
+{
+    // All hosts lose power and come back with nothing in memory. Prompt parts are where the placing
+    // host before put them, outside of the kept endpoints. With none kept at first, the new one
+    // would look for some parts on an endpoint that never had them, and have them read again.
+    const auto all = endpoints(9);
+    ShortPauseReserve before;
+    open(before, 20);
+    const auto kept = before.endpoints(Pool, all, Start, 1);
+    ShortPauseReserve after;
+    CHECK(after.endpoints(Pool, all, Start, 1) == kept);
 }
 
 TEST_CASE("ShortPauseReserve.SizeFollowsTheOpenStreams")
 {
     ShortPauseReserve reserve;
     const auto all = endpoints(60);
-    CHECK(reserve.endpoints(Pool, all, Start).empty());
+    CHECK(reserve.endpoints(Pool, all, Start, 0).empty());
     open(reserve, 1);
-    CHECK(reserve.endpoints(Pool, all, Start).size() == 1);
+    CHECK(reserve.endpoints(Pool, all, Start, 0).size() == 1);
     open(reserve, 200); // 201 streams, 38.4 on each endpoint
-    CHECK(reserve.endpoints(Pool, all, Start).size() == 6);
+    CHECK(reserve.endpoints(Pool, all, Start, 0).size() == 6);
 }
 
 TEST_CASE("ShortPauseReserve.ShrinksOnlyAfterTheLoadStayedLow")
@@ -59,11 +78,11 @@
     ShortPauseReserve reserve;
     const auto all = endpoints(60);
     open(reserve, 200);
-    const auto before = reserve.endpoints(Pool, all, Start);
+    const auto before = reserve.endpoints(Pool, all, Start, 0);
     for (int i = 0; i < 199; ++i)
         reserve.ended(Pool);
-    CHECK(reserve.endpoints(Pool, all, Start + seconds(4)) == before);
-    CHECK(reserve.endpoints(Pool, all, Start + seconds(6)).size() == 1);
+    CHECK(reserve.endpoints(Pool, all, Start + seconds(4), 0) == before);
+    CHECK(reserve.endpoints(Pool, all, Start + seconds(6), 0).size() == 1);
 }
 
 TEST_CASE("ShortPauseReserve.GrowingKeepsTheEndpointsThatItHas")
@@ -71,9 +90,9 @@
     ShortPauseReserve reserve;
     const auto all = endpoints(60);
     open(reserve, 100);
-    const auto before = reserve.endpoints(Pool, all, Start);
+    const auto before = reserve.endpoints(Pool, all, Start, 0);
     open(reserve, 200);
-    const auto after = reserve.endpoints(Pool, all, Start);
+    const auto after = reserve.endpoints(Pool, all, Start, 0);
     for (const EndpointStatus *endpoint : before)
         CHECK(after.count(endpoint) == 1);
 }
@@ -83,11 +102,11 @@
     ShortPauseReserve reserve;
     const auto all = endpoints(9);
     open(reserve, 10000);
-    CHECK(reserve.endpoints(Pool, all, Start).size() == 4);
-    const auto kept = reserve.endpoints(Pool, all, Start);
+    CHECK(reserve.endpoints(Pool, all, Start, 0).size() == 4);
+    const auto kept = reserve.endpoints(Pool, all, Start, 0);
     for (const auto &endpoint : all)
         endpoint->leaving = kept.count(endpoint.get()) != 0;
-    const auto &after = reserve.endpoints(Pool, all, Start + seconds(1));
+    const auto &after = reserve.endpoints(Pool, all, Start + seconds(1), 0);
     CHECK(after.size() == 2);
     for (const EndpointStatus *endpoint : after)
         CHECK_FALSE(endpoint->leaving);
