--- a/include/monsoongrade/gateway/sharedplacement.h
+++ b/include/monsoongrade/gateway/sharedplacement.h
@@ -5,6 +5,7 @@
 #include <monsoongrade/observability/metrics.h>
 #include <monsoongrade/routing/peertable.h>
 #include <monsoongrade/routing/placementdesk.h>
+#include <monsoongrade/routing/placingtrust.h>
 
 #include <asio/ip/udp.hpp>
 
@@ -73,28 +74,21 @@
         routing::PlacementQuery query;
         Placed placed;
         std::string decider;
-        units::TimePoint askedAt;
+        units::TimePoint askedAt; // when query was last brought up to date
+        units::TimePoint sentAt;
         bool isWaiting = false; // in the decider's queue
         bool wasRepeated = false;
         httpio::Timers::Handle timeout;
     };
-    struct Trust
-    {
-        std::optional<units::TimePoint> silentSince; // the first ask without an answer
-        units::TimePoint avoidUntil{};
-        httpio::Timers::Handle checkTimeout; // a check of waiting requests is open
-    };
-
-    std::string decider() const;
     void tellSuccessors();
     void ask(std::uint64_t number, Ask ask);
     void placeAlone(std::uint64_t number, const routing::PlacementQuery &query,
                     const Placed &placed);
     void onTimeout(std::uint64_t number);
-    bool isLostAfterMiss(const std::string &host);
+    bool isLostAfterMiss(const std::string &host, units::TimePoint asked);
     void planWaitingCheck();
     void checkWaiting();
-    void onCheckUnanswered(const std::string &host);
+    void onCheckUnanswered(const std::string &host, units::TimePoint asked);
     void receive();
     void onDatagram(std::string_view datagram);
     void onMessage(const std::string &host, const internal::AskMessage &message);
@@ -117,7 +111,9 @@
     std::vector<std::string> order_;
     routing::PlacementDesk desk_;
     std::unordered_map<std::uint64_t, Ask> asks_;
-    std::unordered_map<std::string, Trust> trust_; // by host
+    routing::PlacingTrust trust_;
+    // Checks of waiting requests that are not answered yet, by host.
+    std::unordered_map<std::string, httpio::Timers::Handle> openChecks_;
     // Who placed an open request, unless this host did.
     std::unordered_map<std::uint64_t, std::string> deciders_;
     std::unordered_map<std::uint64_t, Placed> ownWaiting_; // placed here, by number
--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -298,6 +298,7 @@
                                  : std::int64_t(-1)},
          {"longest-pause-ms", milliseconds(events_.longestPause())},
          {"left-ms", milliseconds(timeLeft())},
+         {"queue-drains-ms", comeBackIn_ ? milliseconds(*comeBackIn_) : std::int64_t(-1)},
          {"configuration", table_ == nullptr ? std::int64_t(0) : table_->configuration().version},
          {"configuration-age-ms", isLeaseProven ? milliseconds(state_.lease.age(now)) : -1},
          {"live-hosts", state_.liveHosts}});
--- a/src/gateway/sharedplacement.cpp
+++ b/src/gateway/sharedplacement.cpp
@@ -20,10 +20,6 @@
 // An answer takes a round trip of 2 to 3 ms. A request for the tightest class has 250 ms, so a
 // lost datagram may cost a tenth of that.
 constexpr auto AnswerTimeout = std::chrono::milliseconds(25);
-// A host that answers nothing for this long is gone or frozen. A single datagram may be lost, and
-// a host with 0.12 of a core may itself be stopped for 25 ms and find several answers overdue.
-constexpr auto SilenceOfLostHost = std::chrono::milliseconds(45);
-constexpr auto AvoidFor = std::chrono::seconds(1);
 // Hosts that learn what is cached where. Two may be lost at the same time.
 constexpr std::size_t Successors = 2;
 // About 40 bytes each; the datagram stays below 1,400 bytes.
@@ -85,8 +81,11 @@
     ask.query.targetIn -= now - ask.askedAt;
     ask.query.givenUpIn -= now - ask.askedAt;
     ask.askedAt = now;
+    ask.sentAt = now;
     ask.isWaiting = false;
-    ask.decider = ask.query.runsModel ? decider() : std::string();
+    ask.wasRepeated = false;
+    ask.decider
+        = ask.query.runsModel ? trust_.hostToAsk(order_, settings_.ownIp, now) : std::string();
     if (ask.decider.empty()) {
         placeAlone(number, ask.query, ask.placed);
         return;
@@ -135,20 +134,6 @@
     return desk_.hasEndpoint(query, roster_.available(query.pool), timers_.now());
 }
 
-// The host that places for all; empty if it is this one, or there is no other.
-std::string SharedPlacement::decider() const
-{
-    const units::TimePoint now = timers_.now();
-    for (const std::string &host : order_) {
-        const auto trust = trust_.find(host);
-        if (host == settings_.ownIp)
-            return {};
-        if (trust == trust_.end() || now >= trust->second.avoidUntil)
-            return host;
-    }
-    return {};
-}
-
 void SharedPlacement::setOrder(std::vector<std::string> order)
 {
     order_ = std::move(order);
@@ -176,10 +161,11 @@
     const auto found = asks_.find(number);
     if (found == asks_.end())
         return;
-    const bool isLost = isLostAfterMiss(found->second.decider);
+    const bool isLost = isLostAfterMiss(found->second.decider, found->second.sentAt);
     if (!found->second.wasRepeated && !isLost) {
         Ask &again = found->second;
         again.wasRepeated = true;
+        again.sentAt = timers_.now();
         again.timeout = timers_.after(AnswerTimeout, [this, number] { onTimeout(number); });
         send(again.decider, encode(AskMessage{number, again.query}));
         return;
@@ -196,17 +182,10 @@
     placeAlone(number, query, ask.placed);
 }
 
-// Counts a missing answer of the host. True if it is taken for lost from now on.
-bool SharedPlacement::isLostAfterMiss(const std::string &host)
+bool SharedPlacement::isLostAfterMiss(const std::string &host, units::TimePoint asked)
 {
-    Trust &trust = trust_[host];
-    const units::TimePoint asked = timers_.now() - units::Duration(AnswerTimeout);
-    if (!trust.silentSince)
-        trust.silentSince = asked;
-    if (timers_.now() - *trust.silentSince < SilenceOfLostHost)
+    if (!trust_.onMissed(host, asked, timers_.now()))
         return false;
-    trust.silentSince.reset();
-    trust.avoidUntil = timers_.now() + AvoidFor;
     observability::log(observability::LogLevel::Warning, "placing-host-lost", {{"host", host}});
     return true;
 }
@@ -237,18 +216,20 @@
                  encode(StillWaitingMessage{{ofHost.begin() + std::ptrdiff_t(begin),
                                              ofHost.begin() + std::ptrdiff_t(end)}}));
         }
-        httpio::Timers::Handle &timeout = trust_[host].checkTimeout;
+        httpio::Timers::Handle &timeout = openChecks_[host];
         timers_.cancel(timeout);
-        timeout = timers_.after(AnswerTimeout, [this, host = host] { onCheckUnanswered(host); });
+        const units::TimePoint asked = timers_.now();
+        timeout = timers_.after(AnswerTimeout,
+                                [this, host = host, asked] { onCheckUnanswered(host, asked); });
     }
     if (!numbers.empty())
         planWaitingCheck();
 }
 
-void SharedPlacement::onCheckUnanswered(const std::string &host)
+void SharedPlacement::onCheckUnanswered(const std::string &host, units::TimePoint asked)
 {
-    trust_[host].checkTimeout = {};
-    if (!isLostAfterMiss(host)) {
+    openChecks_.erase(host);
+    if (!isLostAfterMiss(host, asked)) {
         checkWaiting();
         return;
     }
@@ -324,9 +305,8 @@
 
 void SharedPlacement::onMessage(const std::string &host, const NotWaitingMessage &message)
 {
-    Trust &trust = trust_[host];
-    timers_.cancel(trust.checkTimeout);
-    trust.silentSince.reset();
+    trust_.onAnswer(host);
+    timers_.cancel(openChecks_[host]);
     for (const std::uint64_t number : message.numbers) {
         const auto found = asks_.find(number);
         if (found == asks_.end() || !found->second.isWaiting || found->second.decider != host)
@@ -381,7 +361,7 @@
     const auto found = asks_.find(message.number);
     if (found == asks_.end() || found->second.decider != host)
         return; // decided otherwise meanwhile
-    trust_[host].silentSince.reset();
+    trust_.onAnswer(host);
     timers_.cancel(found->second.timeout);
     if (message.isWaiting) {
         found->second.isWaiting = true;
