Directory: callers get the hosts of their own failure domain, and each host gets callers

Cause: an answer names at most 64 hosts, and the first 64 by address were taken; in a fleet of 81 the other 17 got no callers. A domain with eight hosts or more now serves its own callers; of too many, a hash by domain chooses, the same at all hosts. The hash with spread bits moves to units::StableHash, since a second part uses it.

--- a/include/monsoongrade/gateway/gateway.h
+++ b/include/monsoongrade/gateway/gateway.h
@@ -43,7 +43,8 @@
     // Takes requests: the configuration is there and fresh, and the host is not leaving.
     bool isServing() const;
     // IP:PORT addresses that callers should use now.
-    std::vector<std::string> callerAddresses(std::size_t maxAddresses) const;
+    std::vector<std::string> callerAddresses(const units::FailureDomain &callersDomain,
+                                             std::size_t maxAddresses) const;
     // Begins a planned stop; stopped is called when the process may end.
     void stop(std::function<void()> stopped);
     // Settings that may change while the process runs.
--- a/include/monsoongrade/units/stablehash.h
+++ b/include/monsoongrade/units/stablehash.h
@@ -26,6 +26,8 @@
             add(std::uint64_t(static_cast<unsigned char>(c)));
     }
     std::uint64_t value() const { return hash_; }
+    // The value with its bits spread, for rendezvous hashing, which compares high bits.
+    std::uint64_t spread() const { return (hash_ ^ (hash_ >> 33)) * 0xff51afd7ed558ccdULL; }
 
 private:
     static constexpr std::uint64_t Prime = 1099511628211ULL;
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -1,29 +1,64 @@
 #include <monsoongrade/gateway/directory.h>
 
+#include <monsoongrade/units/stablehash.h>
+
 #include <algorithm>
 
 namespace monsoongrade::gateway {
 
-std::vector<std::string> hostsForCallers(const std::string &ownIp, routing::PeerState ownState,
+namespace {
+
+// A quarter of them can be stopped at once, and a caller still has several to try.
+constexpr std::size_t MinHostsInDomain = 8;
+
+std::uint64_t rankOf(const std::string &ip, const units::FailureDomain &callersDomain)
+{
+    units::StableHash hash;
+    hash.add(callersDomain.value());
+    hash.add(ip);
+    return hash.spread();
+}
+
+std::vector<std::string> chooseAmong(const std::vector<routing::PeerNews> &hosts,
+                                     const units::FailureDomain &callersDomain,
+                                     std::size_t maxHosts)
+{
+    std::vector<std::string> all;
+    std::vector<std::string> near;
+    for (const routing::PeerNews &host : hosts) {
+        all.push_back(host.ip);
+        if (host.failureDomain == callersDomain)
+            near.push_back(host.ip);
+    }
+    std::vector<std::string> &chosen = near.size() >= MinHostsInDomain ? near : all;
+    if (chosen.size() > maxHosts) {
+        std::sort(chosen.begin(), chosen.end(), [&](const auto &a, const auto &b) {
+            return rankOf(a, callersDomain) < rankOf(b, callersDomain);
+        });
+        chosen.resize(maxHosts);
+    }
+    return chosen;
+}
+
+} // namespace
+
+std::vector<std::string> hostsForCallers(const routing::PeerNews &own,
                                          const std::vector<routing::PeerNews> &live,
+                                         const units::FailureDomain &callersDomain,
                                          std::size_t maxHosts)
 {
     for (const routing::PeerState wanted :
          {routing::PeerState::Serving, routing::PeerState::Waiting}) {
-        std::vector<std::string> found;
-        if (ownState == wanted)
-            found.push_back(ownIp);
-        for (const routing::PeerNews &peer : live) {
-            if (peer.state == wanted)
-                found.push_back(peer.ip);
-        }
-        if (!found.empty()) {
-            found.resize(std::min(found.size(), maxHosts));
-            return found;
-        }
+        std::vector<routing::PeerNews> found;
+        if (own.state == wanted)
+            found.push_back(own);
+        std::copy_if(live.begin(), live.end(), std::back_inserter(found),
+                     [wanted](const routing::PeerNews &peer) { return peer.state == wanted; });
+        if (!found.empty())
+            return chooseAmong(found, callersDomain, maxHosts);
     }
     // All are leaving; this one still takes requests for a moment.
-    return {ownIp};
+    return {own.ip};
 }
 
 } // namespace monsoongrade::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -157,11 +157,14 @@
     return isUsable ? routing::PeerState::Serving : routing::PeerState::Waiting;
 }
 
-std::vector<std::string> Gateway::callerAddresses(std::size_t maxAddresses) const
+std::vector<std::string> Gateway::callerAddresses(const units::FailureDomain &callersDomain,
+                                                  std::size_t maxAddresses) const
 {
     const std::string port = settings_.callersAddress.substr(settings_.callersAddress.find(':'));
+    routing::PeerNews own = gossip_.own();
+    own.state = peerState();
     std::vector<std::string> addresses
-        = hostsForCallers(settings_.ip, peerState(), gossip_.live(), maxAddresses);
+        = hostsForCallers(own, gossip_.live(), callersDomain, maxAddresses);
     for (std::string &address : addresses)
         address += port;
     return addresses;
--- a/src/routing/placementdesk.cpp
+++ b/src/routing/placementdesk.cpp
@@ -1,6 +1,6 @@
 #include <monsoongrade/routing/placementdesk.h>
 
-#include <routing/internal/spreadhash.h>
+#include <monsoongrade/units/stablehash.h>
 
 #include <algorithm>
 #include <limits>
@@ -51,7 +51,7 @@
     units::StableHash hash;
     hash.add(part);
     hash.add(endpoint.described.id.value());
-    return internal::spread(hash);
+    return hash.spread();
 }
 
 double penalty(const EndpointStatus &endpoint, units::TimePoint now)
--- a/src/routing/placinghosts.cpp
+++ b/src/routing/placinghosts.cpp
@@ -1,6 +1,6 @@
 #include <monsoongrade/routing/placinghosts.h>
 
-#include <routing/internal/spreadhash.h>
+#include <monsoongrade/units/stablehash.h>
 
 #include <algorithm>
 #include <tuple>
@@ -16,7 +16,7 @@
 {
     units::StableHash hash;
     hash.add(ip);
-    return internal::spread(hash);
+    return hash.spread();
 }
 
 } // namespace
--- a/src/routing/shortpausereserve.cpp
+++ b/src/routing/shortpausereserve.cpp
@@ -1,6 +1,6 @@
 #include <monsoongrade/routing/shortpausereserve.h>
 
-#include <routing/internal/spreadhash.h>
+#include <monsoongrade/units/stablehash.h>
 
 #include <algorithm>
 #include <cmath>
@@ -29,7 +29,7 @@
 {
     units::StableHash hash;
     hash.add(endpoint.described.id.value());
-    return internal::spread(hash);
+    return hash.spread();
 }
 
 } // namespace
