Tests: safeguards taken out one by one; two tests sharpened, one added

Two tests passed without theirs and are stricter now: the request to a reused address must name the endpoint it is meant for, and a host that is leaving must accept a caller when nothing is open any more. A late event about a leaving endpoint had no test.

--- a/tests/adapter/gatewayflow_test.cpp
+++ b/tests/adapter/gatewayflow_test.cpp
@@ -213,6 +213,10 @@
     const auto late = world.call(request("GET", "/safe/a", "id2"));
     CHECK(late->status() == 200);
     CHECK(standins::headerIn(late->received(), "Connection") == "close");
+    // A caller with a kept address, when nothing is open any more: half of the time to stop.
+    world.runFor(std::chrono::milliseconds(600));
+    CHECK_FALSE(isStopped);
+    CHECK(world.call(request("GET", "/safe/a", "id3"))->status() == 200);
     REQUIRE(world.runUntil([&] { return isStopped; }));
     CHECK(stream->isWhole());
 }
--- a/tests/adapter/platformfeed_test.cpp
+++ b/tests/adapter/platformfeed_test.cpp
@@ -49,6 +49,31 @@
     CHECK(versionInForce(world) == 2);
 }
 
+TEST_CASE("PlatformFeed.LateEventAboutALeavingEndpointDoesNotBringItBack")
+{
+    // The endpoint is leaving. An event of before that arrives late and says that it is ready; new
+    // work sent there would be cut off.
+    GatewayWorld world;
+    world.store.put("config", "main", operatorsConfiguration());
+    world.announce("p1", "plain", "127.0.0.1:9");
+    const std::uint64_t readyRevision = world.store.revision();
+    world.start();
+    REQUIRE(world.awaitServing(1));
+    REQUIRE(isAvailable(world, "p1"));
+    world.announce("p1", "plain", "127.0.0.1:9", 1, "draining");
+    REQUIRE(world.runUntil([&] { return !isAvailable(world, "p1"); }));
+    world.store.repeatOldEvent("servers", "p1",
+                               {{"service", "plain"},
+                                {"address", "127.0.0.1:9"},
+                                {"zone", "z1"},
+                                {"slots", 8},
+                                {"state", "ready"},
+                                {"born", 1}},
+                               readyRevision);
+    world.runFor(std::chrono::milliseconds(100));
+    CHECK_FALSE(isAvailable(world, "p1"));
+}
+
 TEST_CASE("PlatformFeed.RemovalInAHistoryGapIsSeenByTheList")
 {
     // An endpoint is removed and the store drops its history before the watch could tell. Only a
--- a/tests/adapter/workerfaults_test.cpp
+++ b/tests/adapter/workerfaults_test.cpp
@@ -187,7 +187,9 @@
     // A worker is gone and another one has its address; it answers 421 to requests that expect the
     // old one. The request goes to a worker that is there, even if only one attempt is allowed.
     FaultWorld world;
-    RawPeer other(world.io, [](RawConnection &connection, const std::string &text, int) {
+    int unnamed = 0; // requests that the other worker would run
+    RawPeer other(world.io, [&](RawConnection &connection, const std::string &text, int) {
+        unnamed += text.find("Expect-Instance: p1\r\n") == std::string::npos ? 1 : 0;
         connection.write("HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: " + idIn(text)
                          + "\r\nInstance-Id: x9\r\nContent-Length: 0\r\n\r\n");
     });
@@ -200,6 +202,7 @@
         CHECK(client->status() == 200);
     }
     CHECK(other.requests() == 1);
+    CHECK(unnamed == 0);
 }
 
 TEST_CASE("WorkerFaults.EarlyResponseDoesNotSpoilTheRestOfTheBody")
