Placement: a repeated ask gets the same answer, and tickets of a last run are not taken for new ones

Found when reading the diff: a repeated ask was placed anew. It counted itself in the queue before it and could be refused while it still waited; the queue then placed it, and the endpoint had a request as load for 12 s that nobody sent. A ticket that is open or waits now gets the same answer, a choice that the asking host cannot use is withdrawn, and numbers of tickets begin at a random place, since a restarted host would else get the answers to requests of its last run. The test of the repeated ask failed before the change.

--- a/include/monsoongrade/gateway/sharedplacement.h
+++ b/include/monsoongrade/gateway/sharedplacement.h
@@ -117,7 +117,7 @@
     // Who placed an open request, unless this host did.
     std::unordered_map<std::uint64_t, std::string> deciders_;
     std::unordered_map<std::uint64_t, Placed> ownWaiting_; // placed here, by number
-    std::uint64_t lastNumber_ = 0;
+    std::uint64_t lastNumber_;
     bool isPlacingPlanned_ = false;
     bool isCheckPlanned_ = false;
 };
--- a/include/monsoongrade/routing/placementdesk.h
+++ b/include/monsoongrade/routing/placementdesk.h
@@ -67,7 +67,8 @@
 class PlacementDesk
 {
 public:
-    // Places a request. The choice counts as open until news of its end, or until it is too old.
+    // Places a request. The choice counts as open until news of its end, or until it is too old. A
+    // ticket that is open or waits gets the same answer again.
     PlacementChoice place(const PlacementTicket &ticket, const PlacementQuery &query,
                           const std::vector<EndpointRoster::Status> &available,
                           units::TimePoint now);
--- a/src/gateway/internal/placementmessages.h
+++ b/src/gateway/internal/placementmessages.h
@@ -54,6 +54,8 @@
 using PlacementMessage = std::variant<AskMessage, AnswerMessage, NewsMessage, CachedPartsMessage,
                                       StillWaitingMessage, NotWaitingMessage>;
 
+// The answer that tells of the choice.
+AnswerMessage answerOf(std::uint64_t number, const routing::PlacementChoice &choice);
 std::string encode(const PlacementMessage &message);
 // Throws kj::Exception if the bytes are not such a message.
 PlacementMessage decodePlacementMessage(std::string_view datagram);
--- a/src/gateway/placementmessages.cpp
+++ b/src/gateway/placementmessages.cpp
@@ -143,6 +143,18 @@
 
 } // namespace
 
+AnswerMessage answerOf(std::uint64_t number, const routing::PlacementChoice &choice)
+{
+    AnswerMessage answer;
+    answer.number = number;
+    answer.isWaiting = choice.isWaiting;
+    answer.comeBackIn = choice.comeBackIn;
+    if (choice.endpoint != nullptr && !choice.isWaiting)
+        answer.endpoint = choice.endpoint->described.id;
+    answer.tokensToRead = choice.tokensToRead;
+    return answer;
+}
+
 std::string encode(const PlacementMessage &message)
 {
     capnp::MallocMessageBuilder builder;
--- a/src/gateway/sharedplacement.cpp
+++ b/src/gateway/sharedplacement.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <map>
+#include <random>
 
 namespace monsoongrade::gateway {
 
@@ -31,19 +32,15 @@
 // datagram: when each request asked by itself every 200 ms, 4,000 waiting ones made 10,000 asks a
 // second, and the placing host answered nobody in time. A lost host is noticed in 300 ms.
 constexpr auto WaitingCheckInterval = std::chrono::milliseconds(250);
-// About 3 bytes each, packed.
-constexpr std::size_t MaxNumbersInDatagram = 300;
+// About 7 bytes each, packed.
+constexpr std::size_t MaxNumbersInDatagram = 150;
+// Numbers of tickets begin anywhere below this many times 2^24: a restarted host that began at 1
+// would get the answers to the requests of its last run, which the placing host keeps for 12 s.
+constexpr std::uint64_t NumberRanges = std::uint64_t(1) << 24;
 
-AnswerMessage answerOf(std::uint64_t number, const routing::PlacementChoice &choice)
+std::uint64_t firstNumber()
 {
-    AnswerMessage answer;
-    answer.number = number;
-    answer.isWaiting = choice.isWaiting;
-    answer.comeBackIn = choice.comeBackIn;
-    if (choice.endpoint != nullptr && !choice.isWaiting)
-        answer.endpoint = choice.endpoint->described.id;
-    answer.tokensToRead = choice.tokensToRead;
-    return answer;
+    return (std::random_device()() % NumberRanges) << 24;
 }
 
 } // namespace
@@ -56,6 +53,7 @@
     , settings_(std::move(settings))
     , roster_(roster)
     , metrics_(metrics)
+    , lastNumber_(firstNumber())
 {
     const asio::ip::udp::endpoint own(asio::ip::make_address_v4(settings_.ownIp), settings_.port);
     socket_.open(asio::ip::udp::v4());
@@ -66,11 +64,7 @@
 std::uint64_t SharedPlacement::place(const routing::PlacementQuery &query, Placed placed)
 {
     const std::uint64_t number = ++lastNumber_;
-    Ask request;
-    request.query = query;
-    request.placed = std::move(placed);
-    request.askedAt = timers_.now();
-    ask(number, std::move(request));
+    ask(number, {query, std::move(placed), {}, timers_.now()});
     return number;
 }
 
@@ -270,9 +264,8 @@
 void SharedPlacement::onMessage(const std::string &host, const AskMessage &message)
 {
     metrics_.add("monsoongrade_gateway_placement_asks_total");
-    const routing::PlacementChoice choice
-        = desk_.place({host, message.number}, message.query, roster_.available(message.query.pool),
-                      timers_.now());
+    const auto choice = desk_.place({host, message.number}, message.query,
+                                    roster_.available(message.query.pool), timers_.now());
     send(host, encode(answerOf(message.number, choice)));
 }
 
@@ -385,6 +378,7 @@
         }
     }
     // The other host does not know yet that the endpoint left or fails, or knows of none.
+    send(host, encode(NewsMessage{message.number, routing::PlacementNews::Withdrawn}));
     placeAlone(message.number, ask.query, ask.placed);
 }
 
--- a/src/routing/placementdesk.cpp
+++ b/src/routing/placementdesk.cpp
@@ -66,6 +66,15 @@
                                      units::TimePoint now)
 {
     forgetOld(now);
+    // The answer to an ask that is repeated is the one that was lost. Placing anew would count the
+    // request itself as part of the queue before it, and could refuse it while it still waits.
+    if (const auto earlier = choiceOf(ticket))
+        return *earlier;
+    if (isWaiting(ticket)) {
+        PlacementChoice waiting;
+        waiting.isWaiting = true;
+        return waiting;
+    }
     PlacementChoice choice = query.runsModel ? chooseForModel(query, available, now)
                                              : chooseForPlain(query, available, now);
     if (choice.isWaiting && query.mayWait)
@@ -93,7 +102,7 @@
                                       PlacementChoice choice, units::TimePoint now)
 {
     choice.isWaiting = false;
-    hear(ticket, PlacementNews::Withdrawn, now); // a repeated ask replaces the earlier one
+    waiting_.remove(ticket);
     if (choice.endpoint == nullptr)
         return choice;
     placed_[ticket] = {choice.endpoint, choice.tokensToRead, now, query.needsShortPauses};
--- a/tests/gateway/sharedplacement_test.cpp
+++ b/tests/gateway/sharedplacement_test.cpp
@@ -6,6 +6,7 @@
 
 #include <unistd.h>
 
+#include <set>
 #include <thread>
 
 using namespace monsoongrade;
@@ -131,3 +132,19 @@
     CHECK(placed == 1);
     CHECK(placing.placement.openRequests() == 0);
 }
+
+TEST_CASE("SharedPlacement.RestartedHostDoesNotGetAnswersOfItsLastRun")
+{
+    // A host is killed with requests open and starts again under its address. The placing host
+    // still has the tickets of the last run; with the same numbers, new requests would get old
+    // answers.
+    const std::vector<std::string> order{addressOf(0), addressOf(1)};
+    Host placing(0, order);
+    std::set<std::uint64_t> numbers;
+    for (int run = 0; run < 2; ++run) {
+        Host asking(1, order);
+        for (int i = 0; i < 3; ++i)
+            numbers.insert(asking.placement.place(longRead(i), [](const auto &, const auto &) {}));
+    }
+    CHECK(numbers.size() == 6);
+}
--- a/tests/routing/placementdesk_test.cpp
+++ b/tests/routing/placementdesk_test.cpp
@@ -217,6 +217,32 @@
     CHECK_FALSE(choice.comeBackIn);
 }
 
+TEST_CASE("PlacementDesk.RepeatedAskGetsTheSameAnswer")
+{
+    // An answer is lost and the ask is repeated. The request must not be placed twice, nor be
+    // refused because it is itself in the queue: the queue would place it later all the same, and
+    // an endpoint would count a request that nobody sends.
+    DeskWorld world(1);
+    PlacementQuery query = modelQuery("a", 13300, 3720);
+    query.mayWait = true;
+    const auto first = world.place(query).endpoint;
+    const PlacementTicket placed = world.lastTicket();
+    const auto again = world.desk.place(placed, query, world.roster.available(Pool), world.now);
+    CHECK(again.endpoint == first);
+    CHECK(world.desk.openRequests(*first) == 1);
+    CHECK(world.desk.tokensToRead(*first) == 17020);
+
+    PlacementTicket lastWaiting;
+    for (int i = 0; i < 40; ++i) {
+        query.sharedPart = "b" + std::to_string(i);
+        if (world.place(query).isWaiting)
+            lastWaiting = world.lastTicket();
+    }
+    REQUIRE(world.desk.isWaiting(lastWaiting));
+    CHECK(world.desk.place(lastWaiting, query, world.roster.available(Pool), world.now).isWaiting);
+    CHECK(world.desk.isWaiting(lastWaiting));
+}
+
 TEST_CASE("PlacementDesk.ReadingAPartAgainIsTheLastResort")
 {
     // The endpoint that has a subject's part is as busy as another is idle. Reading the part again
@@ -244,6 +270,7 @@
         const auto choice = successor.place({"host", 1}, modelQuery(part, 13300, 3720),
                                             world.roster.available(Pool), world.now);
         CHECK(choice.endpoint == holder);
+        successor.hear({"host", 1}, PlacementNews::Withdrawn, world.now);
     }
 }
 
