--- a/include/monsoongrade/configuration/manifest.h
+++ b/include/monsoongrade/configuration/manifest.h
@@ -35,7 +35,7 @@
 };
 
 // How many changes a manifest remembers.
-constexpr std::size_t MostRecentChanges = 64;
+constexpr std::size_t MaxRecentChanges = 64;
 
 std::string encodeManifest(const Manifest &manifest);
 // Error: PlatformAnswerMalformed.
--- a/include/monsoongrade/scheduling/lengthestimator.h
+++ b/include/monsoongrade/scheduling/lengthestimator.h
@@ -16,7 +16,7 @@
 class LengthEstimator
 {
 public:
-    static constexpr std::size_t MostWorkspaces = 8192;
+    static constexpr std::size_t MaxWorkspaces = 8192;
 
     virtual ~LengthEstimator() = default;
 
--- a/programs/monsoongrade-fake-engine/main.cpp
+++ b/programs/monsoongrade-fake-engine/main.cpp
@@ -13,8 +13,8 @@
 using namespace monsoongrade;
 
 constexpr int ExitAfterCrash = 70;
-constexpr int MostSlots = 100000;
-constexpr double MostSpeed = 1e6;
+constexpr int MaxSlots = 100000;
+constexpr double MaxSpeed = 1e6;
 
 void addOptions(CLI::App &app, standins::FakeEngineProgram &settings)
 {
@@ -23,15 +23,15 @@
     app.add_option("--port", settings.listener.port, "TCP port to listen on")
         ->check(CLI::Range(1, 65535));
     app.add_option("--slots", engine.slots, "streams that run at once")
-        ->check(CLI::Range(1, MostSlots));
+        ->check(CLI::Range(1, MaxSlots));
     app.add_option("--tokens-per-second", engine.tokensPerSecond,
                    "speed of one stream that runs alone")
-        ->check(CLI::Range(0.001, MostSpeed));
+        ->check(CLI::Range(0.001, MaxSpeed));
     app.add_option("--batch-cost", engine.batchCost, "slowing of each stream by every further one")
         ->check(CLI::Range(0.0, 100.0));
     app.add_option("--prefill-micros", engine.prefillMicrosPerByte,
                    "microseconds to read one byte of prompt")
-        ->check(CLI::Range(0.0, MostSpeed));
+        ->check(CLI::Range(0.0, MaxSpeed));
     app.add_flag("--can-resume", engine.canResume,
                  "continue an answer at the header resume-offset");
     app.add_option("--journal", engine.journalPath, "append each run's begin and end to this file");
--- a/src/configuration/configurationparser.cpp
+++ b/src/configuration/configurationparser.cpp
@@ -13,7 +13,7 @@
 
 constexpr int MostTiers = 16;
 constexpr double MostWeight = 1e6;
-constexpr int MostSlots = 100000;
+constexpr int MaxSlots = 100000;
 
 // Gathers one file after the other into the configuration, and remembers where each name was
 // given, so that a second one and a dangling reference can be shown with their places.
@@ -158,7 +158,7 @@
         config.host = units::HostName(item.text("host", config.id.value()));
         config.address = item.requiredAddress("address");
         config.port = static_cast<std::uint16_t>(item.integer("port", 8000, 1, 65535));
-        config.slots = static_cast<int>(item.integer("slots", 1, 1, MostSlots));
+        config.slots = static_cast<int>(item.integer("slots", 1, 1, MaxSlots));
         item.finish();
         if (declare(item, "endpoint", config.id.value()))
             pool.endpoints.push_back(config);
--- a/src/configuration/configurationstore.cpp
+++ b/src/configuration/configurationstore.cpp
@@ -154,7 +154,7 @@
             return Applied{*accepted, {}};
         if (!first)
             first = next;
-        if (written && next.generation.value() >= first->generation.value() + MostRecentChanges)
+        if (written && next.generation.value() >= first->generation.value() + MaxRecentChanges)
             return failUnknown("too many changes have followed to tell");
         for (const auto &[name, hash] : change) {
             const std::string now = hashInForce(next, name);
--- a/src/configuration/manifest.cpp
+++ b/src/configuration/manifest.cpp
@@ -24,7 +24,7 @@
 {
     generation += units::Generation(1);
     recentChanges.push_back({changeId, generation});
-    if (recentChanges.size() > MostRecentChanges)
+    if (recentChanges.size() > MaxRecentChanges)
         recentChanges.pop_front();
 }
 
--- a/src/scheduling/lengthestimator.cpp
+++ b/src/scheduling/lengthestimator.cpp
@@ -39,7 +39,7 @@
     }
     newestFirst_.push_front(key);
     byWorkspace_.emplace(key, Entry{tokens, newestFirst_.begin()});
-    if (byWorkspace_.size() > MostWorkspaces) {
+    if (byWorkspace_.size() > MaxWorkspaces) {
         byWorkspace_.erase(newestFirst_.back());
         newestFirst_.pop_back();
     }
--- a/src/standins/standinsettings.cpp
+++ b/src/standins/standinsettings.cpp
@@ -10,7 +10,7 @@
 
 constexpr std::int64_t MostPort = 65535;
 constexpr std::int64_t MostThreads = 64;
-constexpr std::int64_t MostSlots = 100000;
+constexpr std::int64_t MaxSlots = 100000;
 constexpr double MostTokensPerSecond = 1e6;
 constexpr double MostBatchCost = 100;
 constexpr double MostPrefillMicros = 1e6;
@@ -25,7 +25,7 @@
 
 void readEngine(MappingReader &reader, FakeEngineSettings &engine)
 {
-    engine.slots = static_cast<int>(reader.integer("slots", engine.slots, 1, MostSlots));
+    engine.slots = static_cast<int>(reader.integer("slots", engine.slots, 1, MaxSlots));
     engine.tokensPerSecond
         = reader.number("tokens-per-second", engine.tokensPerSecond, 0.001, MostTokensPerSecond);
     engine.batchCost = reader.number("batch-cost", engine.batchCost, 0, MostBatchCost);
--- a/tests/scheduling/endpointhealth_test.cpp
+++ b/tests/scheduling/endpointhealth_test.cpp
@@ -150,9 +150,9 @@
 {
     LengthEstimator lengths;
     const units::ClassName pricing("pricing");
-    for (std::size_t i = 0; i < LengthEstimator::MostWorkspaces + 100; ++i)
+    for (std::size_t i = 0; i < LengthEstimator::MaxWorkspaces + 100; ++i)
         lengths.learn(pricing, units::WorkspaceName(std::to_string(i)), i == 0 ? 5000 : 50);
-    CHECK(lengths.workspaces() == LengthEstimator::MostWorkspaces);
+    CHECK(lengths.workspaces() == LengthEstimator::MaxWorkspaces);
     CHECK(lengths.estimate(pricing, units::WorkspaceName("1000")) == doctest::Approx(50));
     CHECK(lengths.estimate(pricing, units::WorkspaceName("0")) < 100);
 }
