Scenarios: a restarted process starts after the one before it is gone

The runner spawned it first and waited for the killed one afterwards, when its pointer was replaced. Ruled out: another test on the address (each runner locks its subnet). Now the old process is waited for before the new one is spawned.

--- a/tests/scenario_runner/cluster.cpp
+++ b/tests/scenario_runner/cluster.cpp
@@ -64,8 +64,11 @@
 
 void Cluster::startProcess(const std::string &name)
 {
-    processes_[name]
-        = std::make_unique<Process>(commandOf(name), (folder_ / (name + ".log")).string());
+    std::unique_ptr<Process> &process = processes_[name];
+    // A restarted process takes the address of the one before it, which must be gone by then: on a
+    // busy machine a killed process keeps its listening socket for some milliseconds.
+    process.reset();
+    process = std::make_unique<Process>(commandOf(name), (folder_ / (name + ".log")).string());
     setDown(name, false);
 }
 
