--- a/include/monsoongrade/routing/waitforecast.h
+++ b/include/monsoongrade/routing/waitforecast.h
@@ -42,8 +42,7 @@
     // toRead: the request's own tokens. targetIn, givenUpIn: until its first event is due and until
     // its client leaves. endpoints: those that read for the queue.
     WaitForecast forecast(const TokensAhead &ahead, std::int64_t toRead, units::Duration targetIn,
-                          units::Duration givenUpIn, std::size_t endpoints,
-                          units::TimePoint now) const;
+                          units::Duration givenUpIn, std::size_t endpoints) const;
 
 private:
     double tokensPerMs(std::size_t endpoints) const;
--- a/src/routing/placementdesk.cpp
+++ b/src/routing/placementdesk.cpp
@@ -88,7 +88,7 @@
 {
     const WaitForecast forecast
         = forecaster_.forecast(waiting_.tokensAhead(query.tier), choice.tokensToRead,
-                               query.targetIn, query.givenUpIn, endpoints, now);
+                               query.targetIn, query.givenUpIn, endpoints);
     if (forecast.decision == WaitDecision::Wait) {
         waiting_.add(ticket, query, choice.tokensToRead, now);
         return choice;
--- a/src/routing/waitforecast.cpp
+++ b/src/routing/waitforecast.cpp
@@ -57,7 +57,7 @@
 
 WaitForecast WaitForecaster::forecast(const TokensAhead &ahead, std::int64_t toRead,
                                       units::Duration targetIn, units::Duration givenUpIn,
-                                      std::size_t endpoints, units::TimePoint) const
+                                      std::size_t endpoints) const
 {
     const double rate = tokensPerMs(endpoints);
     const units::Duration atEndpoint
--- a/tests/routing/waitforecast_test.cpp
+++ b/tests/routing/waitforecast_test.cpp
@@ -15,7 +15,7 @@
 WaitForecast breakdownAfter(const WaitForecaster &forecaster, TokensAhead ahead,
                             units::Duration givenUpIn = milliseconds(6400))
 {
-    return forecaster.forecast(ahead, Breakdown, milliseconds(1200), givenUpIn, 60, Start);
+    return forecaster.forecast(ahead, Breakdown, milliseconds(1200), givenUpIn, 60);
 }
 
 } // namespace
