--- a/include/monsoongrade/routing/placementdesk.h
+++ b/include/monsoongrade/routing/placementdesk.h
@@ -46,11 +46,12 @@
 // Model pools: the hosts let one of them place the requests of all, so that it knows what each
 // endpoint still has to read. A request costs an endpoint the tokens that wait to be read there
 // and those of the request itself: all of its prompt, or only its own part if the shared part is
-// cached. The cheapest endpoint gets it. Reading a breakdown of 13,300 shared and 3,720 own tokens
-// takes 108 ms in full and 24 ms with the shared part cached, and the pool cannot carry a burst of
-// full reads; a short prompt goes where nothing long waits. All hosts take the first endpoint by
-// rendezvous hashing of the shared part for one that has it cached, so that parts stay where they
-// are when another host takes over the placing, or when a host has to place alone.
+// cached. Its read also holds up the streams that run there, so it costs more where many run. The
+// cheapest endpoint gets it. Reading a breakdown of 13,300 shared and 3,720 own tokens takes 108 ms
+// in full and 24 ms with the shared part cached, and the pool cannot carry a burst of full reads; a
+// short prompt goes where nothing long waits. All hosts take the first endpoint by rendezvous
+// hashing of the shared part for one that has it cached, so that parts stay where they are when
+// another host takes over the placing, or when a host has to place alone.
 //
 // A long read waits here while every endpoint that could take it has long reads to do already: in
 // a burst of cold prompts the endpoints' queues would else grow to seconds, with the short
@@ -104,6 +105,7 @@
     struct Load
     {
         int openRequests = 0;
+        int streams = 0; // of the open requests, those that have had their first event
         std::int64_t tokensToRead = 0;
         units::TimePoint lastResultAt{}; // a first event or whole response
     };
@@ -113,6 +115,7 @@
         std::int64_t tokensToRead = 0;
         units::TimePoint at;
         bool needsShortPauses = false;
+        bool isStreaming = false; // had its first event
     };
     using Candidates = std::vector<const EndpointRoster::Status *>;
 
@@ -134,6 +137,7 @@
     static const EndpointStatus *firstByHash(const PlacementQuery &query,
                                              const Candidates &candidates);
     Load loadOf(const EndpointStatus &endpoint) const;
+    void noteFirstEvent(Placed &placed, units::TimePoint now);
     void unload(const Placed &placed, bool isEnd);
     void noteSilence(const Placed &placed, units::TimePoint now);
     void forgetOld(units::TimePoint now);
--- a/src/routing/placementdesk.cpp
+++ b/src/routing/placementdesk.cpp
@@ -9,9 +9,11 @@
 
 namespace {
 
-// What an open request costs those beside it, in prompt tokens: it lengthens each step by 0.046 ms,
-// about 7 tokens of reading, for some tens of steps.
-constexpr double TokensPerOpenRequest = 100;
+// While an endpoint reads a chunk of a prompt, all streams that it runs wait. A read therefore
+// costs its own tokens, and this share of them once more for each stream. In overloads with lost
+// workers, fewer streams were then running long enough to be cut or to miss their deadlines. 1 was
+// measured to be worse than 0.3: parts are then read again to spare streams.
+constexpr double ReadWeightPerStream = 0.3;
 constexpr double ReadAgainWeight = 5;
 constexpr double DetourWeight = 3;
 // Engines read about 157 tokens a millisecond. Below 6,000 tokens, 40 ms, a read disturbs little.
@@ -211,8 +213,8 @@
         const double detour = isKnownSomewhere ? double(again) * ReadAgainWeight
             : endpoint.get() == first          ? 0.0
                                                : double(shared) * DetourWeight;
-        const double cost = (double(load.tokensToRead + toRead) + detour
-                             + load.openRequests * TokensPerOpenRequest)
+        const double delayOfStreams = double(toRead) * load.streams * ReadWeightPerStream;
+        const double cost = (double(load.tokensToRead + toRead) + delayOfStreams + detour)
             * penalty(*endpoint, now);
         const bool hasRoom = toRead <= LongReadTokens || load.tokensToRead == 0
             || load.tokensToRead + toRead <= MaxTokensWithLongRead;
@@ -269,9 +271,7 @@
     Placed &placed = found->second;
     switch (news) {
     case PlacementNews::FirstEvent:
-        loads_[placed.endpoint.get()].lastResultAt = now;
-        unload(placed, false);
-        placed.tokensToRead = 0;
+        noteFirstEvent(placed, now);
         return;
     case PlacementNews::EndpointSilent:
         noteSilence(placed, now);
@@ -289,6 +289,17 @@
     placed_.erase(found);
 }
 
+void PlacementDesk::noteFirstEvent(Placed &placed, units::TimePoint now)
+{
+    Load &load = loads_[placed.endpoint.get()];
+    load.lastResultAt = now;
+    unload(placed, false);
+    placed.tokensToRead = 0;
+    if (!placed.isStreaming)
+        ++load.streams;
+    placed.isStreaming = true;
+}
+
 void PlacementDesk::noteSilence(const Placed &placed, units::TimePoint now)
 {
     if (loadOf(*placed.endpoint).lastResultAt < placed.at)
@@ -345,6 +356,8 @@
     found->second.tokensToRead -= placed.tokensToRead;
     if (!isEnd)
         return;
+    if (placed.isStreaming)
+        --found->second.streams;
     if (--found->second.openRequests <= 0)
         loads_.erase(found);
 }
--- a/tests/routing/placementdesk_test.cpp
+++ b/tests/routing/placementdesk_test.cpp
@@ -100,6 +100,31 @@
     }
 }
 
+TEST_CASE("PlacementDesk.LongReadGoesWhereItDelaysFewStreams")
+{
+    // One endpoint runs 40 streams and the other five. A chunk of a long prompt holds up all
+    // streams of its endpoint, so the callers of 40 streams would wait for it in place of five,
+    // whichever endpoint is the first by hash.
+    DeskWorld world(2);
+    const auto run = [&](int streams, const std::string &endpoint, const std::string &other) {
+        PlacementQuery query = modelQuery("short", 350, 100);
+        query.tried = {units::EndpointId(other)};
+        for (int i = 0; i < streams; ++i) {
+            REQUIRE(world.place(query).endpoint->described.id.value() == endpoint);
+            world.desk.hear(world.lastTicket(), PlacementNews::FirstEvent, world.now);
+        }
+    };
+    run(40, "e0", "e1");
+    run(5, "e1", "e0");
+    for (int subject = 0; subject < 8; ++subject) {
+        const auto choice = world.place(modelQuery("cold" + std::to_string(subject), 13300, 3720));
+        CHECK_MESSAGE(choice.endpoint->described.id.value() == "e1", "subject ", subject,
+                      ": expected the endpoint with five streams, got the one with 40");
+        world.desk.hear(world.lastTicket(), PlacementNews::FirstEvent, world.now);
+        world.desk.hear(world.lastTicket(), PlacementNews::Completed, world.now);
+    }
+}
+
 TEST_CASE("PlacementDesk.MuchUsedSubjectSpreadsUnderLoad")
 {
     // One subject gets so many requests at once that its endpoint could not read them in time.
