--- a/include/monsoongrade/routing/placementdesk.h
+++ b/include/monsoongrade/routing/placementdesk.h
@@ -1,6 +1,7 @@
 #ifndef MONSOONGRADE_ROUTING_PLACEMENTDESK_H
 #define MONSOONGRADE_ROUTING_PLACEMENTDESK_H
 
+#include <monsoongrade/routing/endpointloads.h>
 #include <monsoongrade/routing/endpointroster.h>
 #include <monsoongrade/routing/placementquery.h>
 #include <monsoongrade/routing/prefixmemory.h>
@@ -103,13 +104,6 @@
     std::int64_t tokensToRead(const EndpointStatus &endpoint) const;
 
 private:
-    struct Load
-    {
-        int openRequests = 0;
-        int streams = 0; // of the open requests, those that have had their first event
-        std::int64_t tokensToRead = 0;
-        units::TimePoint lastResultAt{}; // a first event or whole response
-    };
     struct Placed
     {
         EndpointRoster::Status endpoint;
@@ -129,9 +123,7 @@
     PlacementChoice chooseForModel(const PlacementQuery &query,
                                    const std::vector<EndpointRoster::Status> &available,
                                    units::TimePoint now);
-    bool hasRoomInReserve(const EndpointRoster::Status &endpoint, units::TimePoint now) const;
-    // What the pool's engines have been learned to read, or the start value.
-    const ReadSpeed &readSpeed(const units::PoolName &pool) const;
+    bool hasRoomInReserve(const EndpointStatus &endpoint, units::TimePoint now) const;
     Candidates candidatesFor(const PlacementQuery &query,
                              const std::vector<EndpointRoster::Status> &available,
                              units::TimePoint now);
@@ -140,17 +132,16 @@
                                    units::TimePoint now) const;
     static const EndpointStatus *firstByHash(const PlacementQuery &query,
                                              const Candidates &candidates);
-    Load loadOf(const EndpointStatus &endpoint) const;
     void noteFirstEvent(Placed &placed, units::TimePoint now);
-    void unload(const Placed &placed, bool isEnd);
+    void end(const Placed &placed);
     void noteSilence(const Placed &placed, units::TimePoint now);
     void forgetOld(units::TimePoint now);
 
     PrefixMemory memory_;
     std::vector<CachedPart> newParts_;
-    std::unordered_map<const EndpointStatus *, Load> loads_;
+    EndpointLoads loads_;
     std::map<PlacementTicket, Placed> placed_;
-    std::unordered_map<std::string, ReadSpeed> readSpeeds_; // by pool
+    ReadSpeeds readSpeeds_;
     ReadQueue waiting_;
     WaitForecaster forecaster_;
     ShortPauseReserve reserve_;
--- a/include/monsoongrade/routing/readspeed.h
+++ b/include/monsoongrade/routing/readspeed.h
@@ -2,8 +2,11 @@
 #define MONSOONGRADE_ROUTING_READSPEED_H
 
 #include <monsoongrade/units/clock.h>
+#include <monsoongrade/units/ids.h>
 
 #include <cstdint>
+#include <string>
+#include <unordered_map>
 
 namespace monsoongrade::routing {
 
@@ -47,6 +50,20 @@
     units::TimePoint lastAt_{};
 };
 
+// The read speeds of all pools.
+class ReadSpeeds
+{
+public:
+    // The start value for a pool of which nothing is known.
+    const ReadSpeed &of(const units::PoolName &pool) const;
+    void onRead(const units::PoolName &pool, std::int64_t tokens, units::Duration took,
+                units::TimePoint now);
+
+private:
+    ReadSpeed unknown_;
+    std::unordered_map<std::string, ReadSpeed> pools_;
+};
+
 } // namespace monsoongrade::routing
 
 #endif // MONSOONGRADE_ROUTING_READSPEED_H
--- a/src/routing/placementdesk.cpp
+++ b/src/routing/placementdesk.cpp
@@ -96,7 +96,7 @@
 {
     const WaitForecast forecast
         = forecaster_.forecast(waiting_.tokensAhead(query.tier), query.targetIn, query.givenUpIn,
-                               endpoints, readSpeed(query.pool).tokensPerMs(now));
+                               endpoints, readSpeeds_.of(query.pool).tokensPerMs(now));
     if (forecast.decision == WaitDecision::Wait) {
         waiting_.add(ticket, query, choice.tokensToRead, now);
         return choice;
@@ -113,18 +113,17 @@
     waiting_.remove(ticket);
     if (choice.endpoint == nullptr)
         return choice;
-    Load &load = loads_[choice.endpoint.get()];
+    const EndpointStatus &endpoint = *choice.endpoint;
     Placed &placed = placed_[ticket];
     placed = {choice.endpoint, choice.tokensToRead, now, query.needsShortPauses};
-    placed.isOnlyRead = query.runsModel && load.tokensToRead == 0;
+    placed.isOnlyRead = query.runsModel && loads_.of(endpoint).tokensToRead == 0;
+    loads_.add(endpoint, choice.tokensToRead);
     if (query.needsShortPauses)
-        reserve_.opened(choice.endpoint->described.pool);
-    ++load.openRequests;
-    load.tokensToRead += choice.tokensToRead;
+        reserve_.opened(endpoint.described.pool);
     if (query.runsModel && !query.sharedPart.empty()) {
-        const DiscoveredEndpoint &endpoint = choice.endpoint->described;
-        if (memory_.remember(query.sharedPart, endpoint, now))
-            newParts_.push_back({query.sharedPart, endpoint.id, endpoint.incarnation});
+        const DiscoveredEndpoint &described = endpoint.described;
+        if (memory_.remember(query.sharedPart, described, now))
+            newParts_.push_back({query.sharedPart, described.id, described.incarnation});
     }
     return choice;
 }
@@ -166,19 +165,12 @@
     return placed;
 }
 
-bool PlacementDesk::hasRoomInReserve(const EndpointRoster::Status &endpoint,
-                                     units::TimePoint now) const
+bool PlacementDesk::hasRoomInReserve(const EndpointStatus &endpoint, units::TimePoint now) const
 {
-    const Load load = loadOf(*endpoint);
-    return load.openRequests < endpoint->described.slots * MaxShareOfReserved
-        && load.tokensToRead < readSpeed(endpoint->described.pool).tokensIn(MaxReadsInReserve, now);
-}
-
-const ReadSpeed &PlacementDesk::readSpeed(const units::PoolName &pool) const
-{
-    static const ReadSpeed Unknown;
-    const auto found = readSpeeds_.find(pool.value());
-    return found == readSpeeds_.end() ? Unknown : found->second;
+    const EndpointLoad load = loads_.of(endpoint);
+    return load.openRequests < endpoint.described.slots * MaxShareOfReserved
+        && load.tokensToRead
+        < readSpeeds_.of(endpoint.described.pool).tokensIn(MaxReadsInReserve, now);
 }
 
 // Endpoints by the reserve; if it leaves none, all that can be used.
@@ -196,7 +188,7 @@
         if (!isUsable(endpoint, query, now))
             continue;
         usable.push_back(&endpoint);
-        const bool isFull = query.needsShortPauses && !hasRoomInReserve(endpoint, now);
+        const bool isFull = query.needsShortPauses && !hasRoomInReserve(*endpoint, now);
         const bool isReserved = reserved.count(endpoint.get()) != 0;
         if (isReserved == query.needsShortPauses && !isFull)
             byReserve.push_back(&endpoint);
@@ -212,7 +204,7 @@
     PlacementChoice choice;
     double best = std::numeric_limits<double>::infinity();
     const std::int64_t shared = query.promptTokens - query.ownTokens;
-    const ReadSpeed &speed = readSpeed(query.pool);
+    const ReadSpeed &speed = readSpeeds_.of(query.pool);
     const std::int64_t longRead = speed.tokensIn(LongRead, now);
     const std::int64_t maxBefore = speed.tokensIn(MaxReadsBefore, now);
     const EndpointStatus *first = firstByHash(query, candidates);
@@ -226,7 +218,7 @@
         const std::int64_t again
             = PrefixMemory::holds(holders, endpoint->described, now) ? 0 : shared;
         const std::int64_t toRead = query.ownTokens + again;
-        const Load load = loadOf(*endpoint);
+        const EndpointLoad load = loads_.of(*endpoint);
         // What a choice other than that of all hosts may cost later: a host that decides alone, or
         // takes over, looks for the part on the first endpoint by hash.
         const double detour = isKnownSomewhere ? double(again) * ReadAgainWeight
@@ -267,7 +259,7 @@
     PlacementChoice choice;
     double best = std::numeric_limits<double>::infinity();
     for (const EndpointRoster::Status &endpoint : available) {
-        const Load load = loadOf(*endpoint);
+        const EndpointLoad load = loads_.of(*endpoint);
         if (!isUsable(endpoint, query, now) || load.openRequests >= endpoint->described.slots)
             continue;
         const bool isNear = endpoint->described.failureDomain == query.askersDomain;
@@ -295,7 +287,7 @@
         noteSilence(placed, now);
         return;
     case PlacementNews::Completed:
-        loads_[placed.endpoint.get()].lastResultAt = now;
+        loads_.addResult(*placed.endpoint, now);
         break;
     case PlacementNews::EndpointFailed:
         placed.endpoint->health.onFailure(now);
@@ -303,28 +295,27 @@
     case PlacementNews::Withdrawn:
         break;
     }
-    unload(placed, true);
+    end(placed);
     placed_.erase(found);
 }
 
 void PlacementDesk::noteFirstEvent(Placed &placed, units::TimePoint now)
 {
-    Load &load = loads_[placed.endpoint.get()];
-    load.lastResultAt = now;
-    if (placed.isOnlyRead && placed.endpoint->health.slowness(now) < MaxSlownessToLearnFrom)
-        readSpeeds_[placed.endpoint->described.pool.value()].onRead(placed.tokensToRead,
-                                                                    now - placed.at, now);
+    const EndpointStatus &endpoint = *placed.endpoint;
+    loads_.addResult(endpoint, now);
+    if (placed.isOnlyRead && endpoint.health.slowness(now) < MaxSlownessToLearnFrom)
+        readSpeeds_.onRead(endpoint.described.pool, placed.tokensToRead, now - placed.at, now);
     placed.isOnlyRead = false;
-    unload(placed, false);
+    loads_.removeTokens(endpoint, placed.tokensToRead);
     placed.tokensToRead = 0;
     if (!placed.isStreaming)
-        ++load.streams;
+        loads_.addStream(endpoint);
     placed.isStreaming = true;
 }
 
 void PlacementDesk::noteSilence(const Placed &placed, units::TimePoint now)
 {
-    if (loadOf(*placed.endpoint).lastResultAt < placed.at)
+    if (loads_.of(*placed.endpoint).lastResultAt < placed.at)
         placed.endpoint->health.onSilence(now);
 }
 
@@ -354,34 +345,19 @@
 
 int PlacementDesk::openRequests(const EndpointStatus &endpoint) const
 {
-    return loadOf(endpoint).openRequests;
+    return loads_.of(endpoint).openRequests;
 }
 
 std::int64_t PlacementDesk::tokensToRead(const EndpointStatus &endpoint) const
 {
-    return loadOf(endpoint).tokensToRead;
-}
-
-PlacementDesk::Load PlacementDesk::loadOf(const EndpointStatus &endpoint) const
-{
-    const auto found = loads_.find(&endpoint);
-    return found == loads_.end() ? Load{} : found->second;
+    return loads_.of(endpoint).tokensToRead;
 }
 
-void PlacementDesk::unload(const Placed &placed, bool isEnd)
+void PlacementDesk::end(const Placed &placed)
 {
-    if (isEnd && placed.needsShortPauses)
+    if (placed.needsShortPauses)
         reserve_.ended(placed.endpoint->described.pool);
-    const auto found = loads_.find(placed.endpoint.get());
-    if (found == loads_.end())
-        return;
-    found->second.tokensToRead -= placed.tokensToRead;
-    if (!isEnd)
-        return;
-    if (placed.isStreaming)
-        --found->second.streams;
-    if (--found->second.openRequests <= 0)
-        loads_.erase(found);
+    loads_.end(*placed.endpoint, placed.tokensToRead, placed.isStreaming);
 }
 
 void PlacementDesk::forgetOld(units::TimePoint now)
@@ -392,12 +368,12 @@
     for (auto entry = placed_.begin(); entry != placed_.end();) {
         Placed &placed = entry->second;
         if (now - placed.at >= MaxOpenTime) {
-            unload(placed, true);
+            end(placed);
             entry = placed_.erase(entry);
             continue;
         }
         if (placed.tokensToRead > 0 && now - placed.at >= MaxReadTime) {
-            unload(placed, false);
+            loads_.removeTokens(*placed.endpoint, placed.tokensToRead);
             placed.tokensToRead = 0;
         }
         ++entry;
--- a/src/routing/readspeed.cpp
+++ b/src/routing/readspeed.cpp
@@ -71,4 +71,16 @@
     return std::int64_t(std::chrono::duration<double, std::milli>(time).count() * tokensPerMs(now));
 }
 
+const ReadSpeed &ReadSpeeds::of(const units::PoolName &pool) const
+{
+    const auto found = pools_.find(pool.value());
+    return found == pools_.end() ? unknown_ : found->second;
+}
+
+void ReadSpeeds::onRead(const units::PoolName &pool, std::int64_t tokens, units::Duration took,
+                        units::TimePoint now)
+{
+    pools_[pool.value()].onRead(tokens, took, now);
+}
+
 } // namespace monsoongrade::routing
