--- a/tests/routing/placementdesk_test.cpp
+++ b/tests/routing/placementdesk_test.cpp
@@ -10,12 +10,10 @@
 
 namespace {
 
-const units::PoolName &Pool = DeskPool;
-
 PlacementQuery plainQuery()
 {
     PlacementQuery query;
-    query.pool = Pool;
+    query.pool = DeskPool;
     query.askersDomain = units::FailureDomain("odd");
     return query;
 }
@@ -186,7 +184,7 @@
     query.mayWait = true;
     const auto first = world.place(query).endpoint;
     const PlacementTicket placed = world.lastTicket();
-    const auto again = world.desk.place(placed, query, world.roster.available(Pool), world.now);
+    const auto again = world.desk.place(placed, query, world.roster.available(DeskPool), world.now);
     CHECK(again.endpoint == first);
     CHECK(world.desk.openRequests(*first) == 1);
     CHECK(world.desk.tokensToRead(*first) == 17020);
@@ -198,7 +196,8 @@
             lastWaiting = world.lastTicket();
     }
     REQUIRE(world.desk.isWaiting(lastWaiting));
-    CHECK(world.desk.place(lastWaiting, query, world.roster.available(Pool), world.now).isWaiting);
+    CHECK(world.desk.place(lastWaiting, query, world.roster.available(DeskPool), world.now)
+              .isWaiting);
     CHECK(world.desk.isWaiting(lastWaiting));
 }
 
@@ -227,7 +226,7 @@
         successor.learn(part, world.now);
     for (const auto &[part, holder] : holders) {
         const auto choice = successor.place({"host", 1}, modelQuery(part, 13300, 3720),
-                                            world.roster.available(Pool), world.now);
+                                            world.roster.available(DeskPool), world.now);
         CHECK(choice.endpoint == holder);
         successor.hear({"host", 1}, PlacementNews::Withdrawn, world.now);
     }
@@ -241,7 +240,7 @@
         query.isAlone = true;
         PlacementDesk one;
         PlacementDesk other;
-        const auto available = world.roster.available(Pool);
+        const auto available = world.roster.available(DeskPool);
         CHECK(one.place({"a", 1}, query, available, world.now).endpoint
               == other.place({"b", 1}, query, available, world.now).endpoint);
     }
@@ -315,7 +314,7 @@
     DeskWorld world(3);
     PlacementQuery query = plainQuery();
     query.tried = {units::EndpointId("e0")};
-    const auto suspended = world.roster.available(Pool)[1];
+    const auto suspended = world.roster.available(DeskPool)[1];
     suspended->health.onFailure(world.now);
     suspended->health.onFailure(world.now);
     for (int i = 0; i < 4; ++i)
