KeyHolders tests: addresses of their own

Peer tests listen on the same two addresses and port, and on 127.33.203.1 and .2 as another KeyHolders test, and ctest runs the cases at once as processes of their own. Ruled out: the change of placing; rpc does not link it. The checks stay as they are.

--- a/tests/rpc/keyholders_test.cpp
+++ b/tests/rpc/keyholders_test.cpp
@@ -38,8 +38,8 @@
 // answer comes later, from another thread, and must reach the second caller whole.
 TEST_CASE("KeyHolders.AnswerOfARunThatEndsLaterReachesTheAsker")
 {
-    Daemon holder("127.33.202.1", "cluster");
-    Daemon asking("127.33.202.2", "cluster");
+    Daemon holder("127.33.212.1", "cluster");
+    Daemon asking("127.33.212.2", "cluster");
     std::thread run;
     holder.server.answerKeysWith([&run](const HolderQuestion &question, const auto &reply) {
         CHECK(question.workspace == units::WorkspaceName("shop"));
@@ -54,7 +54,7 @@
             reply(known);
         });
     });
-    const HolderReply known = askOnce(asking, "127.33.202.1", questionTo("127.33.202.1"));
+    const HolderReply known = askOnce(asking, "127.33.212.1", questionTo("127.33.212.1"));
     run.join();
     CHECK(known.kind == HolderReply::Kind::Answered);
     CHECK(known.status == 201);
@@ -66,23 +66,23 @@
 // the key would run a second time.
 TEST_CASE("KeyHolders.AnotherLifeOfTheHolderDoesNotAnswerForIt")
 {
-    Daemon holder("127.33.203.1", "cluster");
-    Daemon asking("127.33.203.2", "cluster");
+    Daemon holder("127.33.213.1", "cluster");
+    Daemon asking("127.33.213.2", "cluster");
     holder.server.answerKeysWith([](const HolderQuestion &, const auto &reply) {
         HolderReply known;
         known.kind = HolderReply::Kind::NotUsed;
         reply(known);
     });
-    CHECK(askOnce(asking, "127.33.203.1", questionTo("an earlier life")).kind
+    CHECK(askOnce(asking, "127.33.213.1", questionTo("an earlier life")).kind
           == HolderReply::Kind::Unreachable);
-    CHECK(askOnce(asking, "127.33.203.1", questionTo("127.33.203.1")).kind
+    CHECK(askOnce(asking, "127.33.213.1", questionTo("127.33.213.1")).kind
           == HolderReply::Kind::NotUsed);
 }
 
 TEST_CASE("KeyHolders.HolderThatIsGoneOrNotKnownIsUnreachable")
 {
-    Daemon asking("127.33.204.2", "cluster");
-    CHECK(askOnce(asking, "127.33.204.1", questionTo("x")).kind == HolderReply::Kind::Unreachable);
+    Daemon asking("127.33.214.2", "cluster");
+    CHECK(askOnce(asking, "127.33.214.1", questionTo("x")).kind == HolderReply::Kind::Unreachable);
     RpcKeyHolders holders(asking.loop, asking.client, asking.membership);
     std::promise<HolderReply> reply;
     holders.ask(questionTo("nowhere.router.1"),
