--- a/include/monsoongrade/routing/placementdesk.h
+++ b/include/monsoongrade/routing/placementdesk.h
@@ -123,7 +123,7 @@
     PlacementChoice chooseForModel(const PlacementQuery &query,
                                    const std::vector<EndpointRoster::Status> &available,
                                    units::TimePoint now);
-    bool hasRoomInReserve(const EndpointStatus &endpoint, units::TimePoint now) const;
+    bool hasRoomInReserve(const EndpointStatus &endpoint, std::int64_t maxToRead) const;
     Candidates candidatesFor(const PlacementQuery &query,
                              const std::vector<EndpointRoster::Status> &available,
                              units::TimePoint now);
--- a/src/routing/placementdesk.cpp
+++ b/src/routing/placementdesk.cpp
@@ -17,10 +17,10 @@
 constexpr double ReadWeightPerStream = 0.3;
 constexpr double ReadAgainWeight = 5;
 constexpr double DetourWeight = 3;
-// A read of up to this time needs no room: it disturbs little, and with 60 ms driver queries waited
-// here. On pools that read four times as fast this exempts most long prompts too, and the longest
-// bear most of an overload. To exempt only requests with a target below 1 s, whatever their size,
-// left 7 to 9 of 100 fewer plans on time and did not help there.
+// A read of up to this time needs no room: it disturbs little. On pools that read four times as
+// fast this exempts most long prompts too, and the longest bear most of an overload. To exempt only
+// requests with a target below 1 s, whatever their size, left 7 to 9 of 100 fewer plans on time and
+// did not help there.
 constexpr auto LongRead = std::chrono::milliseconds(90);
 // An endpoint has room while no more than this waits there: a short request with a target of 250 ms
 // still finds its way, and the endpoint does not run dry in the 5 ms that the next placement takes.
@@ -166,12 +166,11 @@
     return placed;
 }
 
-bool PlacementDesk::hasRoomInReserve(const EndpointStatus &endpoint, units::TimePoint now) const
+bool PlacementDesk::hasRoomInReserve(const EndpointStatus &endpoint, std::int64_t maxToRead) const
 {
     const EndpointLoad load = loads_.of(endpoint);
     return load.openRequests < endpoint.described.slots * MaxShareOfReserved
-        && load.tokensToRead
-        < readSpeeds_.of(endpoint.described.pool).tokensIn(MaxReadsInReserve, now);
+        && load.tokensToRead < maxToRead;
 }
 
 // Endpoints by the reserve; if it leaves none, all that can be used.
@@ -183,13 +182,14 @@
     const ShortPauseReserve::Endpoints &reserved
         = reserve_.endpoints(query.pool, available, now, query.poolServesShortPauses ? 1 : 0,
                              query.needsShortPauses ? 1 : 0);
+    const std::int64_t maxToRead = readSpeeds_.of(query.pool).tokensIn(MaxReadsInReserve, now);
     Candidates usable;
     Candidates byReserve;
     for (const EndpointRoster::Status &endpoint : available) {
         if (!isUsable(endpoint, query, now))
             continue;
         usable.push_back(&endpoint);
-        const bool isFull = query.needsShortPauses && !hasRoomInReserve(*endpoint, now);
+        const bool isFull = query.needsShortPauses && !hasRoomInReserve(*endpoint, maxToRead);
         const bool isReserved = reserved.count(endpoint.get()) != 0;
         if (isReserved == query.needsShortPauses && !isFull)
             byReserve.push_back(&endpoint);
--- a/tests/routing/simulatedpool.cpp
+++ b/tests/routing/simulatedpool.cpp
@@ -17,6 +17,12 @@
         std::chrono::duration<double, std::milli>(count));
 }
 
+// The mean of the logarithm of a class's own tokens.
+double logMeanOf(const SimulatedClass &kind)
+{
+    return std::log(double(kind.ownTokens)) - kind.sizeSpread * kind.sizeSpread / 2;
+}
+
 PlacementTicket ticketOf(std::uint64_t number)
 {
     return {"host", number};
@@ -85,17 +91,15 @@
 {
     if (kind.sizeSpread == 0)
         return kind.ownTokens;
-    const double logMean = std::log(double(kind.ownTokens)) - kind.sizeSpread * kind.sizeSpread / 2;
-    std::lognormal_distribution<double> sizes(logMean, kind.sizeSpread);
+    std::lognormal_distribution<double> sizes(logMeanOf(kind), kind.sizeSpread);
     return std::clamp(std::int64_t(sizes(random_)), std::int64_t(1), kind.maxOwnTokens);
 }
 
 bool SimulatedPool::isAmongLargest(const Request &request)
 {
     const SimulatedClass &kind = *request.kind;
-    const double logMean = std::log(double(kind.ownTokens)) - kind.sizeSpread * kind.sizeSpread / 2;
     return kind.sizeSpread > 0
-        && std::log(double(request.own)) > logMean + UpperTenthSigmas * kind.sizeSpread;
+        && std::log(double(request.own)) > logMeanOf(kind) + UpperTenthSigmas * kind.sizeSpread;
 }
 
 PlacementQuery SimulatedPool::queryFor(const Request &request) const
--- a/tests/routing/waitforecast_test.cpp
+++ b/tests/routing/waitforecast_test.cpp
@@ -21,8 +21,8 @@
 
 TEST_CASE("WaitForecast.RequestThatCanBeOnTimeWaits")
 {
-    const WaitForecaster
-        forecaster; // 60 endpoints read 6,000 tokens a millisecond beside their streams
+    // 60 endpoints read 6,000 tokens a millisecond beside their streams.
+    const WaitForecaster forecaster;
     CHECK(breakdownAfter(forecaster, {4'000'000, 0}).decision == WaitDecision::Wait);
 }
 
