Store access as one design: few readers, whatever the size of the fleet

Now six hosts read, for any fleet above ten, by StoreAccess; followers move between them and continue their watch; refused readers follow another; an outage is probed by 6 to 18 hosts, one call at a time each; a starting fleet reads by the hosts that the settings name; watches after changes are paced; a failed watch is not followed by a list; a relay tells its followers what differs where the store's history is gone.

Tests count the calls of fifty hosts in each trouble. StoreRelay.FollowerTurnsToTheStoreWhenTheReaderLosesIt was about the rule that is gone; FollowerLearnsAtOnceThatItsReaderCantHaveTheStore asks the same of the new one, that changes reach the follower within the same time. Removals seen in one missing list of the relay's world stay.

--- a/include/monsoongrade/gateway/gateway.h
+++ b/include/monsoongrade/gateway/gateway.h
@@ -40,6 +40,8 @@
 
     // Whether the platform's store answers this host.
     void setHasStore(bool hasStore) { gossip_.setHasStore(hasStore); }
+    // The store turned this host away though others have it.
+    void setStoreRefused(bool isRefused) { gossip_.setStoreRefused(isRefused); }
     // Takes requests: the configuration is there and fresh, and the host is not leaving.
     bool isServing() const;
     // IP:PORT addresses that callers should use now.
@@ -52,8 +54,10 @@
 
     GatewayState &state() { return state_; }
     const GatewaySettings &settings() const { return settings_; }
-    // The hosts that are live, this one included; renewed several times a second.
-    const std::vector<routing::PeerNews> &hosts() const { return hosts_; }
+    // The hosts that are live, this one included.
+    std::vector<routing::PeerNews> hosts() const;
+    // IPs of the hosts that the settings name, this one perhaps among them.
+    std::vector<std::string> seedIps() const;
 
 private:
     routing::PeerState peerState() const;
@@ -77,7 +81,6 @@
     bool leaving_ = false;
     routing::PeerState lastState_ = routing::PeerState::Waiting;
     std::set<std::string> lastHosts_;
-    std::vector<routing::PeerNews> hosts_;
     units::TimePoint stopBy_;
     std::function<void()> stopped_;
 };
--- a/include/monsoongrade/gateway/peergossip.h
+++ b/include/monsoongrade/gateway/peergossip.h
@@ -16,7 +16,8 @@
 
 // Tells other hosts in datagrams that this one runs and what it knows of others, and hears the
 // same from them. Each round goes to a bounded number of hosts, so the traffic of one host does
-// not grow with their number.
+// not grow with their number. A host that is heard of for the first time gets an answer at once,
+// so that a starting one knows others, and who reads the store, after one round trip.
 class PeerGossip
 {
 public:
@@ -36,6 +37,8 @@
     void setState(routing::PeerState state);
     // Whether the last call to the store, or to a host that passes it on, went well.
     void setHasStore(bool hasStore);
+    // Whether the store turned this host away though others have it.
+    void setStoreRefused(bool isRefused) { isStoreRefused_ = isRefused; }
     // Called after each round, with the hosts that are live.
     void onRound(std::function<void()> handler) { onRound_ = std::move(handler); }
     const routing::PeerTable &table() const { return table_; }
@@ -47,6 +50,7 @@
     void receive();
     void round();
     void tell();
+    void send(const std::string &ip, const std::string &datagram);
     std::string encode();
     void decode(const std::string &datagram);
 
@@ -60,6 +64,7 @@
     std::function<void()> onRound_;
     units::TimePoint startedAt_;
     bool hasStore_ = false;
+    bool isStoreRefused_ = false;
     units::TimePoint storeSince_{};
     std::minstd_rand random_;
 };
--- a/include/monsoongrade/routing/peertable.h
+++ b/include/monsoongrade/routing/peertable.h
@@ -27,6 +27,8 @@
     units::Duration uptime{}; // of its process, when it said it
     units::Duration storeFor{}; // how long it has had the store without a break, when it said it
     int millicores = 0; // thousandths of a processor core that it may use
+    // The store turned it away a moment ago, though other hosts have the store.
+    bool isStoreRefused = false;
 };
 
 // The other hosts, learned from each other: each tells some others what it knows with its age.
@@ -39,6 +41,8 @@
     // News that arrived just now. Older news than what is known changes nothing.
     void hear(const PeerNews &news, units::TimePoint now);
 
+    // True if the host was heard of recently enough to be taken for running.
+    bool isLive(const std::string &ip, units::TimePoint now) const;
     // Hosts heard of recently enough to be taken for running, this host not included.
     std::vector<PeerNews> live(units::TimePoint now) const;
     // Addresses to tell the own state to: live hosts first, and seeds and lost hosts so that two
@@ -53,6 +57,8 @@
         bool hasSpoken = false;
     };
 
+    bool isLive(const Entry &entry, units::TimePoint now) const;
+
     std::map<std::string, Entry> entries_; // by ip
 };
 
--- a/include/monsoongrade/routing/storereaders.h
+++ b/include/monsoongrade/routing/storereaders.h
@@ -3,20 +3,35 @@
 
 #include <monsoongrade/routing/peertable.h>
 
+#include <set>
 #include <string>
 #include <vector>
 
 namespace monsoongrade::routing {
 
-// IPs of the hosts that read the platform's store themselves and pass on what they read; empty if
-// each host does. The store charges for each call, so in a large fleet a few read for all: four,
-// or one in sixteen, of the serving hosts with most processor. The others fall back to the store
-// when these fail, so nothing stops when all readers die at once.
-std::vector<std::string> storeReaders(const std::vector<PeerNews> &hosts);
+// In fleets up to this size each host reads the platform's store itself: their calls are few, and
+// each host's own view of the store is worth more.
+constexpr std::size_t MaxHostsThatAllRead = 10;
+// Hosts that read the store for a larger fleet. The number is the same for every size of fleet, so
+// that the store's calls do not grow with it; all of them may be lost at once, see StoreAccess.
+constexpr std::size_t ReadersOfFleet = 6;
 
-// The reader that this host asks: one in its own failure domain if there is one, spread by the
-// host's own IP. Empty if this host reads the store itself.
-std::string readerFor(const std::string &ownIp, const std::vector<PeerNews> &hosts);
+// True if the host has run long enough for all others to know of it.
+bool isSettled(const PeerNews &host);
+
+// IPs of the hosts that read the platform's store for a large fleet and pass on what they read, at
+// most so many, best first: one of each failure domain before a second of any, so that the others
+// find one in their own. Within a domain those that have run for a while go first, then those with
+// most processor. Hosts that are leaving or stand in without are left out; those that the store
+// refuses come last. Whether a host serves plays no part: in an outage all stop to, one by one, and
+// the readers would change each time.
+std::vector<std::string> storeReaders(const std::vector<PeerNews> &hosts, std::size_t count,
+                                      const std::set<std::string> &without = {});
+
+// The same hosts in the order in which this one asks them: those of its own failure domain first,
+// spread by its own IP so that each reader has about as many askers.
+std::vector<std::string> askingOrder(const std::string &ownIp, std::vector<std::string> readers,
+                                     const std::vector<PeerNews> &hosts);
 
 } // namespace monsoongrade::routing
 
--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -17,6 +17,8 @@
   millicores @5 :UInt32;
   # Milliseconds for which the host has had the platform's store without a break; 0 without it.
   storeForMs @6 :UInt64;
+  # The platform's store turned the host away a moment ago, though other hosts have it.
+  storeRefused @7 :Bool;
 
   enum State {
     serving @0;
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -111,6 +111,8 @@
 
     inline ::uint64_t getStoreForMs() const;
 
+    inline bool getStoreRefused() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -175,6 +177,9 @@
     inline ::uint64_t getStoreForMs();
     inline void setStoreForMs(::uint64_t value);
 
+    inline bool getStoreRefused();
+    inline void setStoreRefused(bool value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -476,6 +481,20 @@
     _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool GossipPeer::Reader::getStoreRefused() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline bool GossipPeer::Builder::getStoreRefused()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void GossipPeer::Builder::setStoreRefused(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool GossipMessage::Reader::hasSender() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -36,6 +36,15 @@
     return *address;
 }
 
+std::vector<std::string> seedIpsOf(const GatewaySettings &settings)
+{
+    std::vector<std::string> ips;
+    ips.reserve(settings.seeds.size());
+    for (const std::string &seed : settings.seeds)
+        ips.push_back(seed.substr(0, seed.find(':')));
+    return ips;
+}
+
 PeerGossip::Settings gossipSettings(const GatewaySettings &settings)
 {
     PeerGossip::Settings result;
@@ -43,8 +52,7 @@
     result.ownFailureDomain = settings.failureDomain;
     result.ownMillicores = int(settings.cpuShare * 1000);
     result.port = settings.gossipPort;
-    for (const std::string &seed : settings.seeds)
-        result.seedIps.push_back(seed.substr(0, seed.find(':')));
+    result.seedIps = seedIpsOf(settings);
     return result;
 }
 
@@ -174,12 +182,22 @@
 {
     noteOwnState();
     state_.roster.dropMissing(timers_.now());
+    std::vector<routing::PeerNews> live = hosts();
+    state_.liveHosts = int(live.size());
+    noteHosts(live);
+    state_.placement.setOrder(routing::placingOrder(std::move(live)));
+}
+
+std::vector<routing::PeerNews> Gateway::hosts() const
+{
     std::vector<routing::PeerNews> hosts = gossip_.live();
     hosts.push_back(gossip_.own());
-    state_.liveHosts = int(hosts.size());
-    noteHosts(hosts);
-    hosts_ = hosts;
-    state_.placement.setOrder(routing::placingOrder(std::move(hosts)));
+    return hosts;
+}
+
+std::vector<std::string> Gateway::seedIps() const
+{
+    return seedIpsOf(settings_);
 }
 
 // Logs each change of what this host says of itself, with the news that decided it.
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -3,6 +3,7 @@
 #include <gateway/internal/packedmessage.h>
 
 #include <monsoongrade/observability/log.h>
+#include <monsoongrade/routing/storereaders.h>
 
 #include <gossip.capnp.h>
 
@@ -20,6 +21,9 @@
 
 // A lost host is taken out of the directory's answers after 1.5 s, that is six rounds.
 constexpr auto RoundInterval = std::chrono::milliseconds(250);
+// While nobody is known: hosts that start together do so within 0.3 s, and the one that the
+// settings name may be the last.
+constexpr auto FirstRoundInterval = std::chrono::milliseconds(30);
 // Datagrams a round. With 80 hosts, news reaches all in about three rounds.
 constexpr std::size_t MaxAddressees = 7;
 // Hosts described in one datagram, about 25 bytes each; the packet stays below 1,400 bytes.
@@ -39,6 +43,7 @@
     peer.setUptimeMs(inMilliseconds(news.uptime));
     peer.setStoreForMs(inMilliseconds(news.storeFor));
     peer.setMillicores(std::uint32_t(news.millicores));
+    peer.setStoreRefused(news.isStoreRefused);
 }
 
 std::optional<routing::PeerNews> decodePeer(schema::GossipPeer::Reader peer)
@@ -54,6 +59,7 @@
     news.uptime = std::chrono::milliseconds(peer.getUptimeMs());
     news.millicores = int(peer.getMillicores());
     news.storeFor = std::chrono::milliseconds(peer.getStoreForMs());
+    news.isStoreRefused = peer.getStoreRefused();
     return news;
 }
 
@@ -117,7 +123,8 @@
     tell();
     if (onRound_)
         onRound_();
-    timers_.after(RoundInterval, [this] { round(); });
+    const bool knowsNobody = table_.live(timers_.now()).empty() && !settings_.seedIps.empty();
+    timers_.after(knowsNobody ? FirstRoundInterval : RoundInterval, [this] { round(); });
 }
 
 void PeerGossip::tell()
@@ -128,13 +135,17 @@
     if (ips.empty())
         return;
     const std::string datagram = encode();
-    for (const std::string &ip : ips) {
-        asio::error_code error;
-        const auto address = asio::ip::make_address_v4(ip, error);
-        if (!error)
-            socket_.send_to(asio::buffer(datagram), {address, settings_.port}, 0, error);
-        // A datagram that can't be sent counts as lost; the next round tries again.
-    }
+    for (const std::string &ip : ips)
+        send(ip, datagram);
+}
+
+void PeerGossip::send(const std::string &ip, const std::string &datagram)
+{
+    asio::error_code error;
+    const auto address = asio::ip::make_address_v4(ip, error);
+    if (!error)
+        socket_.send_to(asio::buffer(datagram), {address, settings_.port}, 0, error);
+    // A datagram that can't be sent counts as lost; the next round tries again.
 }
 
 routing::PeerNews PeerGossip::own() const
@@ -145,6 +156,7 @@
     news.state = state_;
     news.uptime = timers_.now() - startedAt_;
     news.millicores = settings_.ownMillicores;
+    news.isStoreRefused = isStoreRefused_;
     if (hasStore_)
         news.storeFor = timers_.now() - storeSince_;
     return news;
@@ -156,6 +168,12 @@
     // always left out would only come from themselves, seconds apart, and they would look lost.
     std::vector<routing::PeerNews> known = live();
     std::shuffle(known.begin(), known.end(), random_);
+    // But always those that read the store: a starting host that does not hear of them would ask
+    // others, and make them read too.
+    const std::vector<std::string> readers = routing::storeReaders(known, routing::ReadersOfFleet);
+    std::stable_partition(known.begin(), known.end(), [&](const routing::PeerNews &peer) {
+        return std::find(readers.begin(), readers.end(), peer.ip) != readers.end();
+    });
     known.resize(std::min(known.size(), MaxDescribed));
     capnp::MallocMessageBuilder message;
     auto root = message.initRoot<schema::GossipMessage>();
@@ -174,8 +192,12 @@
         capnp::PackedMessageReader message(in);
         const auto root = message.getRoot<schema::GossipMessage>();
         std::vector<routing::PeerNews> heard;
-        if (auto sender = decodePeer(root.getSender()))
+        std::string newcomer;
+        if (auto sender = decodePeer(root.getSender())) {
+            if (!table_.isLive(sender->ip, timers_.now()))
+                newcomer = sender->ip;
             heard.push_back(*sender);
+        }
         for (const auto peer : root.getKnown()) {
             if (auto news = decodePeer(peer))
                 heard.push_back(*news);
@@ -184,6 +206,8 @@
             if (news.ip != settings_.ownIp)
                 table_.hear(news, timers_.now());
         }
+        if (!newcomer.empty() && newcomer != settings_.ownIp)
+            send(newcomer, encode());
     });
     KJ_IF_MAYBE (exception, fault) {
         observability::log(observability::LogLevel::Warning, "gossip-unreadable",
--- a/src/routing/peertable.cpp
+++ b/src/routing/peertable.cpp
@@ -33,12 +33,23 @@
     entry.hasSpoken = true;
 }
 
-std::vector<PeerNews> PeerTable::live(units::TimePoint now) const
+bool PeerTable::isLive(const std::string &ip, units::TimePoint now) const
+{
+    const auto found = entries_.find(ip);
+    return found != entries_.end() && isLive(found->second, now);
+}
+
+bool PeerTable::isLive(const Entry &entry, units::TimePoint now) const
 {
     const units::Duration liveFor = entries_.size() > LargeFleet ? LiveForInLargeFleet : LiveFor;
+    return entry.hasSpoken && now - entry.saidAt < liveFor;
+}
+
+std::vector<PeerNews> PeerTable::live(units::TimePoint now) const
+{
     std::vector<PeerNews> found;
     for (const auto &[ip, entry] : entries_) {
-        if (!entry.hasSpoken || now - entry.saidAt >= liveFor)
+        if (!isLive(entry, now))
             continue;
         found.push_back(entry.news);
         found.back().age = now - entry.saidAt;
--- a/src/routing/storereaders.cpp
+++ b/src/routing/storereaders.cpp
@@ -3,18 +3,15 @@
 #include <monsoongrade/units/stablehash.h>
 
 #include <algorithm>
+#include <map>
 #include <tuple>
 
 namespace monsoongrade::routing {
 
 namespace {
 
-// Below this, the calls of all hosts cost less than 1 in 100 of what the answers are worth, and
-// each host's own view of the store is worth more.
-constexpr std::size_t MaxHostsThatAllRead = 10;
-constexpr std::size_t MinReaders = 4;
-// One reader serves 15 others with about 20 calls a second, some 2 ms of processor.
-constexpr std::size_t HostsPerReader = 16;
+// News of a host reaches all others within about a second, also in a large fleet.
+constexpr auto SettledAfter = std::chrono::milliseconds(3000);
 
 std::uint64_t hashOf(const std::string &ip)
 {
@@ -24,19 +21,43 @@
     return hash.spread();
 }
 
+units::FailureDomain domainOf(const std::string &ip, const std::vector<PeerNews> &hosts)
+{
+    const auto host = std::find_if(hosts.begin(), hosts.end(),
+                                   [&](const PeerNews &each) { return each.ip == ip; });
+    return host == hosts.end() ? units::FailureDomain() : host->failureDomain;
+}
+
 } // namespace
 
-std::vector<std::string> storeReaders(const std::vector<PeerNews> &hosts)
+bool isSettled(const PeerNews &host)
+{
+    return host.uptime + host.age >= SettledAfter;
+}
+
+std::vector<std::string> storeReaders(const std::vector<PeerNews> &hosts, std::size_t count,
+                                      const std::set<std::string> &without)
 {
-    if (hosts.size() <= MaxHostsThatAllRead)
-        return {};
-    std::vector<std::tuple<int, std::uint64_t, std::string>> ranked;
+    // The least goes first: refused, just started, processor, hash.
+    using Rank = std::tuple<bool, bool, int, std::uint64_t>;
+    std::map<units::FailureDomain, std::vector<std::pair<Rank, std::string>>> domains;
     for (const PeerNews &host : hosts) {
-        if (host.state == PeerState::Serving)
-            ranked.emplace_back(-host.millicores, hashOf(host.ip), host.ip);
+        if (host.state == PeerState::Leaving || without.count(host.ip) != 0)
+            continue;
+        const Rank rank{host.isStoreRefused, !isSettled(host), -host.millicores, hashOf(host.ip)};
+        domains[host.failureDomain].emplace_back(rank, host.ip);
+    }
+    // The best of each domain, then the second of each, and so on.
+    std::vector<std::tuple<bool, bool, std::size_t, Rank, std::string>> ranked;
+    for (auto &[domain, ofDomain] : domains) {
+        std::sort(ofDomain.begin(), ofDomain.end());
+        for (std::size_t place = 0; place < ofDomain.size(); ++place) {
+            const auto &[rank, ip] = ofDomain[place];
+            ranked.emplace_back(std::get<0>(rank), std::get<1>(rank), place, rank, ip);
+        }
     }
     std::sort(ranked.begin(), ranked.end());
-    ranked.resize(std::min(ranked.size(), std::max(MinReaders, hosts.size() / HostsPerReader)));
+    ranked.resize(std::min(ranked.size(), count));
     std::vector<std::string> readers;
     readers.reserve(ranked.size());
     for (const auto &reader : ranked)
@@ -44,23 +65,22 @@
     return readers;
 }
 
-std::string readerFor(const std::string &ownIp, const std::vector<PeerNews> &hosts)
+std::vector<std::string> askingOrder(const std::string &ownIp, std::vector<std::string> readers,
+                                     const std::vector<PeerNews> &hosts)
 {
-    std::vector<std::string> readers = storeReaders(hosts);
-    if (std::find(readers.begin(), readers.end(), ownIp) != readers.end())
-        return {};
-    const auto domainOf = [&](const std::string &ip) {
-        const auto host = std::find_if(hosts.begin(), hosts.end(),
-                                       [&](const PeerNews &each) { return each.ip == ip; });
-        return host == hosts.end() ? units::FailureDomain() : host->failureDomain;
+    const units::FailureDomain ownDomain = domainOf(ownIp, hosts);
+    const auto far
+        = std::stable_partition(readers.begin(), readers.end(), [&](const std::string &ip) {
+              return domainOf(ip, hosts) == ownDomain;
+          });
+    const auto spread = [&](auto begin, auto end) {
+        if (begin != end)
+            std::rotate(begin, begin + std::ptrdiff_t(hashOf(ownIp) % std::size_t(end - begin)),
+                        end);
     };
-    const units::FailureDomain ownDomain = domainOf(ownIp);
-    const auto farBegin
-        = std::stable_partition(readers.begin(), readers.end(),
-                                [&](const std::string &ip) { return domainOf(ip) == ownDomain; });
-    if (farBegin != readers.begin())
-        readers.erase(farBegin, readers.end());
-    return readers.empty() ? std::string() : readers[hashOf(ownIp) % readers.size()];
+    spread(readers.begin(), far);
+    spread(far, readers.end());
+    return readers;
 }
 
 } // namespace monsoongrade::routing
--- /dev/null
+++ b/tests/adapter/storefleet.cpp
@@ -0,0 +1,225 @@
+#include "storefleet.h"
+
+#include <platform/platformpages.h>
+
+#include <unistd.h>
+
+#include <algorithm>
+
+namespace monsoongrade::platform {
+
+namespace {
+
+constexpr std::uint16_t CallersPort = 8001;
+constexpr std::uint16_t ReadinessPort = 8002;
+constexpr std::uint16_t DirectoryPort = 8003;
+constexpr std::uint16_t GossipPort = 8004;
+constexpr std::uint16_t PlacementPort = 8005;
+constexpr std::uint16_t RelayPort = 8007;
+constexpr std::size_t Seeds = 3;
+constexpr std::size_t FailureDomains = 5;
+// One host in eight has more processor, as where a few larger hosts stand among small ones.
+constexpr std::size_t HostsPerLargeOne = 8;
+
+nlohmann::json configuration(int version)
+{
+    return {{"version", version},
+            {"routes", nlohmann::json::array()},
+            {"services", nlohmann::json::array()},
+            {"tenants", nlohmann::json::array()}};
+}
+
+} // namespace
+
+struct StoreFleet::Host
+{
+    Host(const units::Clock &clock, const gateway::GatewaySettings &settings,
+         const PlatformDialect &dialect, const asio::ip::tcp::endpoint &store)
+        : timers(io, clock)
+        , gateway(io, timers, settings, dialect, {serveReadiness, serveDirectory})
+    {
+        gateway.start();
+        feed = std::make_unique<PlatformFeed>(io, timers, gateway, store, RelayPort);
+        feed->start();
+    }
+
+    bool knows(const std::string &id)
+    {
+        const auto available = gateway.state().roster.available(units::PoolName("plain"));
+        return std::any_of(available.begin(), available.end(), [&](const auto &endpoint) {
+            return endpoint->described.id.value() == id;
+        });
+    }
+
+    asio::io_context io;
+    httpio::Timers timers;
+    gateway::Gateway gateway;
+    std::unique_ptr<PlatformFeed> feed;
+    bool isFrozen = false;
+};
+
+StoreFleet::StoreFleet(std::size_t size)
+    : timers_(io_, clock_)
+    , hosts_(size)
+    , store(io_, timers_, 0)
+{
+    for (std::size_t host = 0; host < size; ++host)
+        storeAddresses_.push_back(store.addAddress());
+    putConfiguration(1);
+}
+
+StoreFleet::~StoreFleet() = default;
+
+// Test programs run side by side: each takes addresses by its process id.
+std::string StoreFleet::ipOf(std::size_t host) const
+{
+    const int pid = int(getpid());
+    return "127." + std::to_string(128 + (pid >> 8) % 100) + "." + std::to_string(pid % 256) + "."
+        + std::to_string(host + 1);
+}
+
+gateway::GatewaySettings StoreFleet::settingsOf(std::size_t host) const
+{
+    const auto address = [&](std::uint16_t port) {
+        return ipOf(host) + ":" + std::to_string(port);
+    };
+    gateway::GatewaySettings settings;
+    settings.host = units::HostName("host-" + std::to_string(host));
+    settings.ip = ipOf(host);
+    settings.failureDomain = units::FailureDomain("z" + std::to_string(host % FailureDomains));
+    settings.callersAddress = address(CallersPort);
+    settings.readinessAddress = address(ReadinessPort);
+    settings.directoryAddress = address(DirectoryPort);
+    settings.gossipPort = GossipPort;
+    settings.placementPort = PlacementPort;
+    settings.relayPort = RelayPort;
+    settings.cpuShare = host % HostsPerLargeOne == 0 ? 0.5 : 0.12;
+    for (std::size_t seed = 0; seed < Seeds; ++seed)
+        settings.seeds.push_back(ipOf(seed) + ":" + std::to_string(CallersPort));
+    return settings;
+}
+
+bool StoreFleet::startAll(std::chrono::milliseconds limit)
+{
+    for (std::size_t host = 0; host < size(); ++host)
+        start(host);
+    return runUntil([this] { return allServe(); }, limit);
+}
+
+void StoreFleet::start(std::size_t host)
+{
+    hosts_[host]
+        = std::make_unique<Host>(clock_, settingsOf(host), dialect_, storeAddresses_[host]);
+}
+
+void StoreFleet::kill(std::size_t host)
+{
+    hosts_[host].reset();
+}
+
+void StoreFleet::freeze(std::size_t host, bool isFrozen)
+{
+    hosts_[host]->isFrozen = isFrozen;
+}
+
+void StoreFleet::setMood(std::size_t host, standins::StoreMood mood)
+{
+    store.setMood(mood, storeAddresses_[host]);
+}
+
+std::vector<std::size_t> StoreFleet::readers() const
+{
+    const auto live = std::find_if(hosts_.begin(), hosts_.end(),
+                                   [](const auto &host) { return host && !host->isFrozen; });
+    const std::vector<std::string> ips
+        = routing::storeReaders((*live)->gateway.hosts(), routing::ReadersOfFleet);
+    std::vector<std::size_t> readers;
+    for (std::size_t host = 0; host < size(); ++host) {
+        if (std::find(ips.begin(), ips.end(), ipOf(host)) != ips.end())
+            readers.push_back(host);
+    }
+    return readers;
+}
+
+bool StoreFleet::holdsForAll(const std::function<bool(const Host &)> &condition) const
+{
+    return std::all_of(hosts_.begin(), hosts_.end(), [&](const auto &host) {
+        return host == nullptr || host->isFrozen || condition(*host);
+    });
+}
+
+bool StoreFleet::isServing(std::size_t host) const
+{
+    return hosts_[host] != nullptr && hosts_[host]->gateway.isServing();
+}
+
+bool StoreFleet::allServe() const
+{
+    return holdsForAll([](const Host &host) { return host.gateway.isServing(); });
+}
+
+bool StoreFleet::allKnow(const std::string &endpoint) const
+{
+    return holdsForAll([&](const Host &host) { return const_cast<Host &>(host).knows(endpoint); });
+}
+
+bool StoreFleet::noneKnows(const std::string &endpoint) const
+{
+    return holdsForAll([&](const Host &host) { return !const_cast<Host &>(host).knows(endpoint); });
+}
+
+bool StoreFleet::allHaveVersion(std::int64_t version) const
+{
+    return holdsForAll([&](const Host &host) {
+        const auto &table = const_cast<Host &>(host).gateway.state().table;
+        return table != nullptr && table->configuration().version == version;
+    });
+}
+
+bool StoreFleet::runUntil(const std::function<bool()> &isDone, std::chrono::milliseconds limit)
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!isDone()) {
+        if (std::chrono::steady_clock::now() >= end)
+            return false;
+        io_.run_for(std::chrono::milliseconds(1));
+        io_.restart();
+        for (const auto &host : hosts_) {
+            if (host == nullptr || host->isFrozen)
+                continue;
+            host->io.poll();
+            host->io.restart();
+        }
+    }
+    return true;
+}
+
+void StoreFleet::runFor(std::chrono::milliseconds time)
+{
+    runUntil([] { return false; }, time);
+}
+
+int StoreFleet::callsWhile(const std::function<void()> &function)
+{
+    const int before = store.calls();
+    function();
+    return store.calls() - before;
+}
+
+void StoreFleet::putConfiguration(int version)
+{
+    store.put("config", "main", configuration(version));
+}
+
+void StoreFleet::putEndpoint(const std::string &id, const std::string &state)
+{
+    store.put("servers", id,
+              {{"service", "plain"},
+               {"address", "127.0.0.1:9"},
+               {"zone", "z1"},
+               {"slots", 8},
+               {"state", state},
+               {"born", 1}});
+}
+
+} // namespace monsoongrade::platform
--- /dev/null
+++ b/tests/adapter/storefleet.h
@@ -0,0 +1,76 @@
+#ifndef MONSOONGRADE_TESTS_ADAPTER_STOREFLEET_H
+#define MONSOONGRADE_TESTS_ADAPTER_STOREFLEET_H
+
+#include "../platform_standin/standinstore.h"
+
+#include <monsoongrade/units/bootclock.h>
+
+#include <platform/platformdialect.h>
+#include <platform/platformfeed.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace monsoongrade::platform {
+
+// Many gateways and the store that they read, in one thread on loopback addresses of their own.
+// Each host has its own loop, so that one can be killed or frozen. They run at the system's speed.
+class StoreFleet
+{
+public:
+    explicit StoreFleet(std::size_t size);
+    ~StoreFleet();
+
+    // Starts all hosts at once and runs until each serves; false if they do not within the limit.
+    bool startAll(std::chrono::milliseconds limit = std::chrono::seconds(5));
+    void start(std::size_t host);
+    // Ends the host's process without a word.
+    void kill(std::size_t host);
+    // The host does nothing until it is thawed; its sockets stay open.
+    void freeze(std::size_t host, bool isFrozen);
+    // How the store treats the calls of one host.
+    void setMood(std::size_t host, standins::StoreMood mood);
+
+    std::size_t size() const { return hosts_.size(); }
+    // Hosts that read the store for the others, by the count of the first live host.
+    std::vector<std::size_t> readers() const;
+    bool isServing(std::size_t host) const;
+    // All hosts that run, and are not frozen, serve.
+    bool allServe() const;
+    // Whether all hosts that run, and are not frozen, use the endpoint, or none does.
+    bool allKnow(const std::string &endpoint) const;
+    bool noneKnows(const std::string &endpoint) const;
+    // All hosts that run, and are not frozen, have this version of the configuration.
+    bool allHaveVersion(std::int64_t version) const;
+
+    bool runUntil(const std::function<bool()> &isDone, std::chrono::milliseconds limit);
+    void runFor(std::chrono::milliseconds time);
+    // Calls to the store in the time that the function takes.
+    int callsWhile(const std::function<void()> &function);
+
+    void putConfiguration(int version);
+    void putEndpoint(const std::string &id, const std::string &state = "ready");
+
+private:
+    struct Host;
+
+    std::string ipOf(std::size_t host) const;
+    gateway::GatewaySettings settingsOf(std::size_t host) const;
+    bool holdsForAll(const std::function<bool(const Host &)> &condition) const;
+
+    units::BootClock clock_;
+    asio::io_context io_;
+    httpio::Timers timers_;
+    PlatformDialect dialect_;
+    std::vector<asio::ip::tcp::endpoint> storeAddresses_;
+    std::vector<std::unique_ptr<Host>> hosts_; // null: not running
+
+public:
+    standins::StandInStore store;
+};
+
+} // namespace monsoongrade::platform
+
+#endif // MONSOONGRADE_TESTS_ADAPTER_STOREFLEET_H
--- /dev/null
+++ b/tests/routing/callpace_test.cpp
@@ -0,0 +1,36 @@
+#include <monsoongrade/routing/callpace.h>
+
+#include <doctest/doctest.h>
+
+using namespace monsoongrade;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("CallPace.FirstCallsGoAtOnceAndTheRestKeepToTheInterval")
+{
+    // A hundred endpoints register one after the other: the first changes are read at once, then
+    // several come with each call.
+    routing::CallPace pace(3, milliseconds(250));
+    units::TimePoint now{seconds(10)};
+    int calls = 0;
+    const units::TimePoint end = now + seconds(10);
+    while (now < end) {
+        const units::Duration delay = pace.delay(now);
+        if (++calls <= 3)
+            CHECK(delay == units::Duration::zero());
+        CHECK(delay <= milliseconds(250));
+        now += delay + milliseconds(1);
+    }
+    CHECK(calls <= 44);
+}
+
+TEST_CASE("CallPace.CallsAfterAQuietTimeGoAtOnceAgain")
+{
+    routing::CallPace pace(3, milliseconds(250));
+    units::TimePoint now{seconds(10)};
+    for (int i = 0; i < 10; ++i)
+        now += pace.delay(now);
+    now += seconds(1);
+    CHECK(pace.delay(now) == units::Duration::zero());
+    CHECK(pace.delay(now) == units::Duration::zero());
+}
