--- a/src/routing/placementdesk.cpp
+++ b/src/routing/placementdesk.cpp
@@ -26,12 +26,8 @@
 // still finds its way, and the endpoint does not run dry in the 5 ms that the next placement takes.
 // What the read itself adds does not count, or there would never be room for the longest prompts.
 constexpr auto MaxReadsBefore = std::chrono::milliseconds(160);
-// Streams with short pauses leave a kept endpoint's last slots free: its count here lags behind by
-// the requests that other hosts place alone, and beyond its slots a request waits for a whole
-// stream of about a second.
-constexpr double MaxShareOfReserved = 0.9;
-// And at most this much to read: when clients return all at once after an outage, 60 short prompts
-// in half a second waited for 300 to 430 ms on a single kept endpoint.
+// A kept endpoint takes at most this much to read. When clients return all at once after an outage,
+// their short prompts would else wait behind each other on a single one.
 constexpr auto MaxReadsInReserve = std::chrono::milliseconds(120);
 // Waiting requests that are tried when room has come. Each waits for the endpoint that is best for
 // its part and must not hold up the others; more would cost the placing host too much time.
@@ -168,9 +164,7 @@
 
 bool PlacementDesk::hasRoomInReserve(const EndpointStatus &endpoint, std::int64_t maxToRead) const
 {
-    const EndpointLoad load = loads_.of(endpoint);
-    return load.openRequests < endpoint.described.slots * MaxShareOfReserved
-        && load.tokensToRead < maxToRead;
+    return loads_.of(endpoint).tokensToRead < maxToRead;
 }
 
 // Endpoints by the reserve; if it leaves none, all that can be used.
