--- a/include/monsoongrade/gateway/gatewaystate.h
+++ b/include/monsoongrade/gateway/gatewaystate.h
@@ -12,10 +12,25 @@
 #include <monsoongrade/routing/retryallowance.h>
 #include <monsoongrade/routing/routetable.h>
 
+#include <optional>
 #include <unordered_map>
 
 namespace monsoongrade::gateway {
 
+// When a leaving host stops, and from when on it takes no request that may still run then. Until
+// takesAllUntil callers may not know yet that the host leaves. A request that is taken later and
+// cut at the stop would be lost for nothing: other hosts have long been named to its caller.
+struct PlannedStop
+{
+    units::TimePoint takesAllUntil;
+    units::TimePoint stopsAt;
+
+    bool mayCut(units::TimePoint deadline, units::TimePoint now) const
+    {
+        return now >= takesAllUntil && deadline >= stopsAt;
+    }
+};
+
 // What all requests of this host share. One thread uses it; it has no lock.
 struct GatewayState
 {
@@ -46,6 +61,8 @@
     units::FailureDomain ownDomain;
     int liveHosts = 1; // this one included
     int openRequests = 0; // accepted and not ended
+    // Of a planned stop; none while the host is not leaving.
+    std::optional<PlannedStop> plannedStop;
     TrafficLog log;
     FirstRead firstRead;
     SharedPlacement placement;
--- /dev/null
+++ b/soak/soakplan.cpp
@@ -0,0 +1,82 @@
+#include "soakplan.h"
+
+#include <algorithm>
+#include <random>
+
+namespace monsoongrade::soak {
+
+namespace {
+
+constexpr int FaultKinds = 11;
+constexpr int FaultsPerSecond = 1;
+constexpr int MinFaultMs = 300;
+constexpr int MaxFaultMs = 4000;
+// A host that is started again at the end of its fault serves within this time, and so do all after
+// an outage of the store.
+constexpr auto RecoveryTime = std::chrono::milliseconds(4500);
+
+} // namespace
+
+std::string faultName(FaultKind kind)
+{
+    switch (kind) {
+    case FaultKind::Kill:
+        return "kill";
+    case FaultKind::Freeze:
+        return "freeze";
+    case FaultKind::Stop:
+        return "stop";
+    case FaultKind::StoreRefuses:
+        return "store-refuses";
+    case FaultKind::StoreLosesAnswers:
+        return "store-loses-answers";
+    case FaultKind::StoreAway:
+        return "store-away";
+    case FaultKind::HistoryGone:
+        return "history-gone";
+    case FaultKind::CutToEndpoint:
+        return "cut-to-endpoint";
+    case FaultKind::CutFromEndpoint:
+        return "cut-from-endpoint";
+    case FaultKind::EndpointLeaves:
+        return "endpoint-leaves";
+    case FaultKind::KeyRevoked:
+        return "key-revoked";
+    }
+    return "unknown";
+}
+
+std::vector<Fault> planFaults(std::uint32_t seed, std::chrono::seconds length, std::size_t hosts,
+                              std::size_t endpoints)
+{
+    // The engine's numbers are the same everywhere; the library's distributions are not.
+    std::mt19937 random(seed);
+    const auto below = [&](std::uint32_t bound) {
+        return random() % std::max(bound, 1U);
+    };
+    const std::chrono::milliseconds faultTime = length - RecoveryTime;
+    const auto lastBegin = std::uint32_t(faultTime.count() - MinFaultMs);
+    const auto count = std::size_t(faultTime / std::chrono::seconds(1)) * FaultsPerSecond;
+    std::vector<Fault> faults;
+    bool hasRevoked = false;
+    for (std::size_t i = 0; i < count; ++i) {
+        Fault fault;
+        fault.kind = FaultKind(below(FaultKinds));
+        if (fault.kind == FaultKind::KeyRevoked && hasRevoked)
+            fault.kind = FaultKind::Kill;
+        hasRevoked = hasRevoked || fault.kind == FaultKind::KeyRevoked;
+        fault.beginsAt = std::chrono::milliseconds(below(lastBegin));
+        const std::uint32_t lasts = MinFaultMs + below(MaxFaultMs - MinFaultMs);
+        fault.endsAt = std::min<std::chrono::milliseconds>(
+            fault.beginsAt + std::chrono::milliseconds(lasts), length - RecoveryTime);
+        const bool isOfEndpoint = fault.kind == FaultKind::CutToEndpoint
+            || fault.kind == FaultKind::CutFromEndpoint || fault.kind == FaultKind::EndpointLeaves;
+        fault.target = below(std::uint32_t(isOfEndpoint ? endpoints : hosts));
+        faults.push_back(fault);
+    }
+    std::sort(faults.begin(), faults.end(),
+              [](const Fault &a, const Fault &b) { return a.beginsAt < b.beginsAt; });
+    return faults;
+}
+
+} // namespace monsoongrade::soak
--- /dev/null
+++ b/soak/soakplan.h
@@ -0,0 +1,45 @@
+#ifndef MONSOONGRADE_SOAK_SOAKPLAN_H
+#define MONSOONGRADE_SOAK_SOAKPLAN_H
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace monsoongrade::soak {
+
+enum class FaultKind : std::uint8_t {
+    Kill, // SIGKILL, started again at the end
+    Freeze, // SIGSTOP, SIGCONT at the end
+    Stop, // SIGTERM, started again once it has ended
+    StoreRefuses, // the store answers 503 to one host
+    StoreLosesAnswers, // the store closes connections of one host without an answer
+    StoreAway, // the store refuses all
+    HistoryGone, // the store drops its history
+    CutToEndpoint, // nothing gets through to one endpoint
+    CutFromEndpoint, // nothing gets back from it
+    EndpointLeaves, // it says so in the store, and returns at the end
+    KeyRevoked, // a new configuration takes a key away
+};
+
+// Short name for the log.
+std::string faultName(FaultKind kind);
+
+// One fault of a run: begins and ends at these times after the start of the load. target: the host
+// or endpoint, where the kind has one.
+struct Fault
+{
+    FaultKind kind = FaultKind::Kill;
+    std::chrono::milliseconds beginsAt{};
+    std::chrono::milliseconds endsAt{};
+    std::size_t target = 0;
+};
+
+// Faults that follow from the seed alone, in order of their begin. They come in series and overlap.
+// All end 4.5 s before the run does, so that recovery shows.
+std::vector<Fault> planFaults(std::uint32_t seed, std::chrono::seconds length, std::size_t hosts,
+                              std::size_t endpoints);
+
+} // namespace monsoongrade::soak
+
+#endif // MONSOONGRADE_SOAK_SOAKPLAN_H
--- a/src/gateway/exchangeadmission.cpp
+++ b/src/gateway/exchangeadmission.cpp
@@ -78,6 +78,10 @@
                                      state_.ownDomain);
     query_.mayWait = true;
     deadline_ = std::min(deadline_, request_.receivedAt + route_->timeout);
+    if (state_.plannedStop && state_.plannedStop->mayCut(deadline_, state_.timers.now())) {
+        refuse(StatusUnavailable, units::ResultCode::RouterStopping, true);
+        return;
+    }
     const auto self = shared_from_this();
     deadlineTimer_ = state_.timers.at(deadline_, [self] { self->onDeadline(); });
     attempt();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -19,6 +19,9 @@
 // Clients keep an address for up to three times the directory's time of 1 s, and one that is
 // asking just now a little longer. Until then a leaving host accepts and serves.
 constexpr auto AcceptWhileLeaving = std::chrono::milliseconds(3800);
+// Part of that time in which all requests are taken, also those that may outlast the host: 2.8 of
+// 3.8 s. The others then still find this host's answer that sends them elsewhere.
+constexpr int TakesAllQuarters = 3;
 // Left of the time to stop when open requests are cut, so that the process ends by itself.
 constexpr auto StopReserve = std::chrono::milliseconds(250);
 constexpr auto OpenRequestsCheck = std::chrono::milliseconds(25);
@@ -259,6 +262,7 @@
     callers_->startDraining();
     const units::Duration accepting
         = std::min<units::Duration>(AcceptWhileLeaving, settings_.stopWithin / 2);
+    state_.plannedStop = PlannedStop{timers_.now() + accepting * TakesAllQuarters / 4, stopBy_};
     timers_.after(accepting, [this] {
         callers_->stopAccepting();
         waitForOpenRequests();
--- a/src/routing/retryafter.cpp
+++ b/src/routing/retryafter.cpp
@@ -14,6 +14,8 @@
 constexpr auto WhenNoEndpoint = std::chrono::milliseconds(600);
 // The store's news arrives again within a second of its return; another host may have it now.
 constexpr auto WhenConfigurationMissing = std::chrono::milliseconds(300);
+// Other hosts take requests now.
+constexpr auto WhenStopping = std::chrono::milliseconds(50);
 constexpr auto Min = std::chrono::milliseconds(50);
 
 units::Duration shortest(units::ResultCode reason)
@@ -24,6 +26,8 @@
     case units::ResultCode::NoConfiguration:
     case units::ResultCode::ConfigurationTooOld:
         return WhenConfigurationMissing;
+    case units::ResultCode::RouterStopping:
+        return WhenStopping;
     default:
         return WhenNoEndpoint;
     }
--- a/tests/adapter/gatewayflow_test.cpp
+++ b/tests/adapter/gatewayflow_test.cpp
@@ -252,3 +252,30 @@
     CHECK(world.call(request("GET", "/safe/a", "id2"))->status() == 503);
     CHECK(world.clock.now() - sentAt < std::chrono::milliseconds(100));
 }
+
+TEST_CASE("GatewayFlow.LeavingHostTakesNothingLateThatItMayHaveToCut")
+{
+    // The host got SIGTERM a while ago. A caller with an old address sends a request that may run
+    // beyond the stop: taken, it would be cut in the middle; refused at once, it goes elsewhere.
+    // One that must end before the stop is still served.
+    GatewayWorld world;
+    standins::StandInWorker model(world.io, world.timers, world.store, {"m1", "model"});
+    world.store.put("config", "main", operatorsConfiguration());
+    model.announce("ready");
+    world.settings.stopWithin = std::chrono::seconds(3);
+    world.start();
+    REQUIRE(world.awaitServing(1));
+    bool hasStopped = false;
+    world.gateway->stop([&] { hasStopped = true; });
+    const auto early = world.call(request("POST", "/stream/a", "id1", "b", StreamHeaders));
+    CHECK(early->status() == 200);
+    world.runFor(std::chrono::milliseconds(1200));
+    const auto late = world.call(request("POST", "/stream/a", "id2", "b", StreamHeaders));
+    CHECK(late->status() == 503);
+    CHECK(late->received().find("Retry-After") != std::string::npos);
+    std::string shortRequest = request("POST", "/stream/a", "id3", "b", StreamHeaders);
+    shortRequest.replace(shortRequest.find("Deadline-Ms: 2500"), 17, "Deadline-Ms: 900");
+    CHECK(world.call(shortRequest)->status() == 200);
+    CHECK(model.runs().size() == 2);
+    CHECK(world.runUntil([&] { return hasStopped; }, std::chrono::seconds(3)));
+}
--- a/tests/platform_standin/standinworker.cpp
+++ b/tests/platform_standin/standinworker.cpp
@@ -32,16 +32,17 @@
 
 void StandInWorker::announce(const std::string &state)
 {
-    store_.put("servers", settings_.id,
-               {{"service", settings_.service},
-                {"address", address()},
-                {"zone", settings_.zone},
-                {"version", "v1"},
-                {"slots", settings_.slots},
-                {"state", state},
-                {"cold_remaining_ms", 0},
-                {"born", 1700000000000},
-                {"sequence", ++sequence_}});
+    store_.put(
+        "servers", settings_.id,
+        {{"service", settings_.service},
+         {"address", settings_.announcedAddress.empty() ? address() : settings_.announcedAddress},
+         {"zone", settings_.zone},
+         {"version", "v1"},
+         {"slots", settings_.slots},
+         {"state", state},
+         {"cold_remaining_ms", 0},
+         {"born", 1700000000000},
+         {"sequence", ++sequence_}});
 }
 
 void StandInWorker::leaveStore()
--- a/tests/platform_standin/standinworker.h
+++ b/tests/platform_standin/standinworker.h
@@ -35,6 +35,8 @@
         int events = 4; // of a stream
         std::chrono::milliseconds eventGap{5};
         std::uint16_t port = 0;
+        // IP:PORT to announce in place of its own, of something that passes on to it.
+        std::string announcedAddress = {};
     };
 
     StandInWorker(asio::io_context &io, httpio::Timers &timers, StandInStore &store,
