--- a/tests/adapter/storecalls_test.cpp
+++ b/tests/adapter/storecalls_test.cpp
@@ -21,6 +21,19 @@
 // Each change reaches each reader by a call of its own, and at most four a second and kind.
 constexpr int CallsPerChange = 12;
 
+// True if no host stops serving in that time.
+bool servesThroughout(StoreFleet &fleet, milliseconds time)
+{
+    bool hasServed = true;
+    fleet.runUntil(
+        [&] {
+            hasServed = hasServed && fleet.allServe();
+            return false;
+        },
+        time);
+    return hasServed;
+}
+
 int callsIn(StoreFleet &fleet, milliseconds time)
 {
     return fleet.callsWhile([&] { fleet.runFor(time); });
@@ -116,14 +129,7 @@
     for (std::size_t host = 0; host < Hosts; host += 3)
         fleet.setMood(host, StoreMood::Refusing);
     const int calls = fleet.callsWhile([&] {
-        bool hasServed = true;
-        fleet.runUntil(
-            [&] {
-                hasServed = hasServed && fleet.allServe();
-                return false;
-            },
-            seconds(3));
-        CHECK(hasServed);
+        CHECK(servesThroughout(fleet, seconds(3)));
         fleet.putConfiguration(2);
         CHECK(fleet.runUntil([&] { return fleet.allHaveVersion(2); }, milliseconds(1000)));
     });
@@ -139,16 +145,7 @@
     fleet.runFor(seconds(5));
     for (const std::size_t reader : fleet.readers())
         fleet.setMood(reader, StoreMood::Refusing);
-    const int calls = fleet.callsWhile([&] {
-        bool hasServed = true;
-        fleet.runUntil(
-            [&] {
-                hasServed = hasServed && fleet.allServe();
-                return false;
-            },
-            seconds(5));
-        CHECK(hasServed);
-    });
+    const int calls = fleet.callsWhile([&] { CHECK(servesThroughout(fleet, seconds(5))); });
     CHECK(calls <= 5 * OutageCallsPerSecond);
 }
 
@@ -193,16 +190,7 @@
     const std::vector<std::size_t> readers = fleet.readers();
     for (std::size_t i = 0; i < 2; ++i)
         fleet.freeze(readers[i], true);
-    bool hasServed = true;
-    const int calls = fleet.callsWhile([&] {
-        fleet.runUntil(
-            [&] {
-                hasServed = hasServed && fleet.allServe();
-                return false;
-            },
-            seconds(5));
-    });
-    CHECK(hasServed);
+    const int calls = fleet.callsWhile([&] { CHECK(servesThroughout(fleet, seconds(5))); });
     CHECK(calls <= 5 * OutageCallsPerSecond);
 }
 
