--- a/include/monsoongrade/routing/waitforecast.h
+++ b/include/monsoongrade/routing/waitforecast.h
@@ -28,9 +28,9 @@
 // Predicts how long a request with a long read waits for an endpoint, from the tokens that go
 // before it and the rate at which the queue drains, and decides whether it may.
 //
-// The load it answers: a burst in which all prompts are cold, so that requests arrive at twice the
-// rate at which they can be read. Without this, 4,625 of 21,272 breakdowns waited for 6.4 s until
-// their clients left, without a word; told at once, a client can come back when prompts are cached.
+// The load it answers: a burst in which all prompts are cold, so that requests arrive faster than
+// they can be read. Without it, callers wait until they give up, without a word; told at once, one
+// can come back when prompts are cached.
 class WaitForecaster
 {
 public:
@@ -41,8 +41,7 @@
 
     // targetIn, givenUpIn: until the first event of the request is due and until its client leaves.
     // endpoints: those that read for the queue. tokensPerMs: what one of them reads. The request's
-    // own size is no input: in an overload 80 of 100 of the longest plans were refused and 18 of
-    // 100 of the short ones while their own reading time counted against them.
+    // own size is no input, or an overload would refuse the longest prompts and serve the short.
     WaitForecast forecast(const TokensAhead &ahead, units::Duration targetIn,
                           units::Duration givenUpIn, std::size_t endpoints,
                           double tokensPerMs) const;
--- a/programs/monsoongrade-router/claimservices.h
+++ b/programs/monsoongrade-router/claimservices.h
@@ -34,13 +34,13 @@
     {
         sweeping_.emplace(sweeper_, [this, &fleet] {
             const auto rank
-                = membership::hostRank("claim-sweep", host_, *fleet.current(), MostSweepers);
+                = membership::hostRank("claim-sweep", host_, *fleet.current(), MaxSweepers);
             return rank ? requests::SweepShare{rank->rank, rank->count} : requests::SweepShare{};
         });
     }
 
 private:
-    static constexpr std::size_t MostSweepers = 8;
+    static constexpr std::size_t MaxSweepers = 8;
 
     const units::HostName host_;
     const requests::ClaimClock clock_;
--- a/programs/monsoongrade-router/main.cpp
+++ b/programs/monsoongrade-router/main.cpp
@@ -32,7 +32,7 @@
 // Longest time until the other routers leave this one out of their entry points.
 constexpr auto LeavingSpread = std::chrono::seconds(3);
 constexpr std::size_t ClaimThreads = 4;
-constexpr std::size_t MostClaimsWaiting = 256;
+constexpr std::size_t MaxClaimsWaiting = 256;
 
 std::chrono::milliseconds milliseconds(units::Duration duration)
 {
@@ -107,7 +107,7 @@
                                      fleet, configuration, metrics);
     ClaimServices claims(platform, metrics, settings, self);
     rpc::RpcKeyHolders holders(rpcLoop, fleetServices.client(), fleetServices.membership());
-    requests::WorkerPool claimWorker(ClaimThreads, MostClaimsWaiting);
+    requests::WorkerPool claimWorker(ClaimThreads, MaxClaimsWaiting);
     requests::KeyedRequests keyed(services, claims.claims(), holders, claimWorker, {});
     fleetServices.peers().answerKeysWith(
         [&keyed](const auto &question, const auto &reply) { keyed.answerPeer(question, reply); });
--- a/programs/monsoongrade-scheduler/main.cpp
+++ b/programs/monsoongrade-scheduler/main.cpp
@@ -19,7 +19,7 @@
 
 constexpr auto StopCheck = std::chrono::milliseconds(50);
 // Routers move within a heartbeat; one that does not is cut off or frozen.
-constexpr auto LongestStop = std::chrono::seconds(15);
+constexpr auto MaxStopTime = std::chrono::seconds(15);
 // Answers that are decided reach their routers in this time.
 constexpr auto LastAnswers = std::chrono::milliseconds(100);
 
@@ -29,7 +29,7 @@
 {
     server.startLeaving();
     observability::log(observability::LogLevel::Info, "leaving", {});
-    const auto end = std::chrono::steady_clock::now() + LongestStop;
+    const auto end = std::chrono::steady_clock::now() + MaxStopTime;
     while (server.routersUsing() > 0 && std::chrono::steady_clock::now() < end)
         std::this_thread::sleep_for(StopCheck);
     std::this_thread::sleep_for(LastAnswers);
--- /dev/null
+++ b/soak/soakchecks.cpp
@@ -0,0 +1,210 @@
+#include "soakrun.h"
+
+#include "soakparties.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace monsoongrade::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Promises of the product: a revoked key stops working, a leaving endpoint gets no new requests.
+constexpr auto RevokedWithin = milliseconds(5000);
+constexpr auto LeavesWithin = milliseconds(2000);
+// A disturbance of a host, or of its path, may show this long after its end.
+constexpr auto Afterwards = milliseconds(3500);
+// No class or workspace gets less than a quarter of the share that all get.
+constexpr double MinShareOfMean = 0.25;
+// In the last eighth, with all faults over, nearly all are answered.
+constexpr double MinRecovered = 0.9;
+constexpr int RunLengthParts = 8;
+
+bool isWholeStream(const std::string &body)
+{
+    std::string expected;
+    for (int i = 1; i <= EventsOfStream; ++i)
+        expected += "id: " + std::to_string(i) + "\ndata: event " + std::to_string(i) + "\n\n";
+    return body == expected;
+}
+
+bool isStream(RequestKind kind)
+{
+    return kind == RequestKind::Stream || kind == RequestKind::ResumableStream;
+}
+
+bool mayRunOnceOnly(RequestKind kind)
+{
+    return kind == RequestKind::Unsafe || kind == RequestKind::Stream;
+}
+
+const char *kindName(RequestKind kind)
+{
+    const char *const names[] = {"safe", "unsafe", "stream", "resumable"};
+    return names[std::size_t(kind)];
+}
+
+} // namespace
+
+int SoakRun::runsOf(const std::string &id) const
+{
+    const auto found = runs_.find(id);
+    return found == runs_.end() ? 0 : found->second;
+}
+
+std::vector<std::string> SoakRun::violations() const
+{
+    std::vector<std::string> found;
+    for (const auto &record : caller_.records()) {
+        checkAnswer(*record, found);
+        checkRuns(*record, found);
+        checkPlannedStop(*record, found);
+    }
+    checkShares(found);
+    return found;
+}
+
+// Each caller gets its own whole answer, or none that looks like one.
+void SoakRun::checkAnswer(const CallRecord &record, std::vector<std::string> &found) const
+{
+    if (record.status == 401 && !(record.key == SecondKey && revokedAt_))
+        found.push_back(record.id + ": a valid key was refused as unknown");
+    if (record.status != 200)
+        return;
+    const std::size_t dot = record.signature.find('.');
+    const std::string endpoint = record.signature.substr(0, dot);
+    if (dot == std::string::npos || record.signature.substr(dot + 1) != record.id)
+        found.push_back(record.id + ": answer of another request, signed " + record.signature);
+    const bool isWhole = isStream(record.kind) ? isWholeStream(record.body)
+                                               : record.body == "answer of " + endpoint;
+    if (!isWhole)
+        found.push_back(record.id + ": an answer that is not whole looks complete");
+}
+
+// What endpoints ran: at most once, nothing that was refused, nothing with a revoked key, nothing
+// at an endpoint that has left.
+void SoakRun::checkRuns(const CallRecord &record, std::vector<std::string> &found) const
+{
+    const int runs = runsOf(record.id);
+    if (mayRunOnceOnly(record.kind) && runs > 1)
+        found.push_back(record.id + ": ran " + std::to_string(runs) + " times");
+    if (mayRunOnceOnly(record.kind) && record.status == 503 && runs > 0)
+        found.push_back(record.id + ": refused as not run, and ran");
+    const bool isRevoked = record.key == SecondKey && revokedAt_
+        && record.sentAt > *revokedAt_ + units::Duration(RevokedWithin);
+    if (isRevoked && runs > 0)
+        found.push_back(record.id + ": ran with a key that was revoked before");
+    const std::size_t left = leftEndpointThatRan(record);
+    if (left != Endpoints)
+        found.push_back(record.id + ": ran at " + endpointParty(left) + ", which had left");
+}
+
+// The endpoint that ran the request though it had left when the request was sent; Endpoints if
+// none. While the store does not tell a host, it can't know, and a frozen host is late with
+// everything.
+std::size_t SoakRun::leftEndpointThatRan(const CallRecord &record) const
+{
+    const bool isExcused = std::any_of(faults_.begin(), faults_.end(), [&](const Fault &fault) {
+        const bool isOfStore = fault.kind == FaultKind::StoreAway
+            || ((fault.kind == FaultKind::StoreRefuses || fault.kind == FaultKind::StoreLosesAnswers
+                 || fault.kind == FaultKind::Freeze)
+                && fault.target == record.host);
+        return isOfStore && overlaps(fault, record);
+    });
+    if (isExcused)
+        return Endpoints;
+    for (const Fault &fault : faults_) {
+        if (fault.kind != FaultKind::EndpointLeaves
+            || record.sentAt <= startedAt_ + fault.beginsAt + LeavesWithin
+            || record.endedAt >= startedAt_ + fault.endsAt)
+            continue;
+        // Another fault of the same kind may have announced it as ready meanwhile.
+        const bool isAlone = std::none_of(faults_.begin(), faults_.end(), [&](const Fault &other) {
+            return &other != &fault && other.kind == fault.kind && other.target == fault.target;
+        });
+        const auto &runs = endpoints_[fault.target]->runs();
+        const bool ran = std::any_of(runs.begin(), runs.end(),
+                                     [&](const auto &run) { return run.requestId == record.id; });
+        if (isAlone && ran)
+            return fault.target;
+    }
+    return Endpoints;
+}
+
+bool SoakRun::overlaps(const Fault &fault, const CallRecord &record) const
+{
+    return startedAt_ + fault.beginsAt <= record.endedAt
+        && record.sentAt <= startedAt_ + fault.endsAt + Afterwards;
+}
+
+// A planned stop cuts nothing off: a request that reached an endpoint gets its answer, unless its
+// host, or an endpoint, was harmed as well.
+void SoakRun::checkPlannedStop(const CallRecord &record, std::vector<std::string> &found) const
+{
+    if (record.status != 0 || !record.isEnded || runsOf(record.id) == 0)
+        return;
+    const bool isStopped = std::any_of(faults_.begin(), faults_.end(), [&](const Fault &fault) {
+        return fault.kind == FaultKind::Stop && fault.target == record.host
+            && overlaps(fault, record);
+    });
+    const bool isHarmed = std::any_of(faults_.begin(), faults_.end(), [&](const Fault &fault) {
+        const bool isOfHost = (fault.kind == FaultKind::Kill || fault.kind == FaultKind::Freeze)
+            && fault.target == record.host;
+        const bool isOfPath
+            = fault.kind == FaultKind::CutToEndpoint || fault.kind == FaultKind::CutFromEndpoint;
+        return (isOfHost || isOfPath) && overlaps(fault, record);
+    });
+    if (isStopped && !isHarmed)
+        found.push_back(record.id + ": cut off by a planned stop of " + hostParty(record.host));
+}
+
+// No kind of request or workspace starves, and all are served again when the faults are over.
+void SoakRun::checkShares(std::vector<std::string> &found) const
+{
+    std::map<std::string, std::pair<int, int>> groups; // served, all
+    std::pair<int, int> all;
+    std::pair<int, int> last;
+    const auto lastBegins = startedAt_ + settings_.length - settings_.length / RunLengthParts;
+    for (const auto &record : caller_.records()) {
+        if (record->key == SecondKey && revokedAt_ && record->sentAt >= *revokedAt_)
+            continue;
+        const int served = record->status == 200 ? 1 : 0;
+        for (auto *group : {&groups[kindName(record->kind)], &groups[record->key], &all}) {
+            group->first += served;
+            ++group->second;
+        }
+        if (record->sentAt >= lastBegins) {
+            last.first += served;
+            ++last.second;
+        }
+    }
+    for (const auto &[name, group] : groups) {
+        if (double(group.first) / group.second < MinShareOfMean * all.first / all.second)
+            found.push_back(name + ": starved");
+    }
+    if (last.second > 0 && double(last.first) / last.second < MinRecovered)
+        found.push_back("not recovered: " + std::to_string(last.first) + " of "
+                        + std::to_string(last.second) + " served at the end");
+}
+
+std::string SoakRun::table() const
+{
+    std::map<std::string, std::map<int, int>> counts;
+    for (const auto &record : caller_.records())
+        ++counts[kindName(record->kind)][record->isEnded ? record->status : -1];
+    std::ostringstream out;
+    for (const Fault &fault : faults_)
+        out << fault.beginsAt.count() << "-" << fault.endsAt.count() << " ms "
+            << faultName(fault.kind) << " " << fault.target << "\n";
+    for (const auto &[kind, statuses] : counts) {
+        out << kind << ":";
+        for (const auto &[status, count] : statuses)
+            out << " " << (status == 0 ? "none" : std::to_string(status)) << " " << count;
+        out << "\n";
+    }
+    return out.str();
+}
+
+} // namespace monsoongrade::soak
--- /dev/null
+++ b/soak/soakparties.h
@@ -0,0 +1,29 @@
+#ifndef MONSOONGRADE_SOAK_SOAKPARTIES_H
+#define MONSOONGRADE_SOAK_SOAKPARTIES_H
+
+#include <cstddef>
+#include <string>
+
+namespace monsoongrade::soak {
+
+// The parties of a run, as its faults and its checks name them.
+
+constexpr std::size_t Endpoints = 8;
+constexpr int EventsOfStream = 12;
+inline const std::string FirstKey = "key-one";
+// The key that a run may revoke.
+inline const std::string SecondKey = "key-two";
+
+inline std::string hostParty(std::size_t host)
+{
+    return "host-" + std::to_string(host);
+}
+
+inline std::string endpointParty(std::size_t endpoint)
+{
+    return "endpoint-" + std::to_string(endpoint);
+}
+
+} // namespace monsoongrade::soak
+
+#endif // MONSOONGRADE_SOAK_SOAKPARTIES_H
--- a/src/configuration/configurationparser.cpp
+++ b/src/configuration/configurationparser.cpp
@@ -11,7 +11,7 @@
 
 using units::ResultCode;
 
-constexpr int MostTiers = 16;
+constexpr int MaxTiers = 16;
 constexpr double MostWeight = 1e6;
 constexpr int MaxSlots = 100000;
 
@@ -90,7 +90,7 @@
         ClassConfig config;
         config.policy.name = units::ClassName(item.requiredText("name"));
         config.policy.tier
-            = units::Tier(static_cast<std::uint32_t>(item.integer("tier", 0, 0, MostTiers - 1)));
+            = units::Tier(static_cast<std::uint32_t>(item.integer("tier", 0, 0, MaxTiers - 1)));
         config.policy.weight = item.number("weight", 1, 1e-3, MostWeight);
         MappingReader target = item.mapping("target");
         config.policy.firstTokenTarget
--- a/src/gateway/sharedplacement.cpp
+++ b/src/gateway/sharedplacement.cpp
@@ -25,12 +25,11 @@
 constexpr std::size_t Successors = 2;
 // About 40 bytes each; the datagram stays below 1,400 bytes.
 constexpr std::size_t MaxPartsInDatagram = 25;
-// Between two looks at the waiting requests. One look costs about 0.3 ms with 75 endpoints, and in
-// a burst of 2,000 pieces of news a second a look at each took all the processor there is.
+// Between two looks at the waiting requests. A look at each piece of news would take all the
+// processor there is in a burst.
 constexpr auto WaitingInterval = std::chrono::milliseconds(4);
 // Between two checks that the placing host still has this one's waiting requests. All go in one
-// datagram: when each request asked by itself every 200 ms, 4,000 waiting ones made 10,000 asks a
-// second, and the placing host answered nobody in time. A lost host is noticed in 300 ms.
+// datagram: an ask for each would keep the placing host from answering anybody in time.
 constexpr auto WaitingCheckInterval = std::chrono::milliseconds(250);
 // About 7 bytes each, packed.
 constexpr std::size_t MaxNumbersInDatagram = 150;
--- a/src/routing/placementdesk.cpp
+++ b/src/routing/placementdesk.cpp
@@ -10,17 +10,14 @@
 namespace {
 
 // While an endpoint reads a chunk of a prompt, all streams that it runs wait. A read therefore
-// costs its own tokens, and this share of them once more for each stream. In overloads with lost
-// workers, fewer streams then run long enough to be cut or to miss their deadlines: 4.4 in place of
-// 5.4 of 100 requests unserved (five simulated days of 4,000 requests). With 1 in place of 0.3,
-// shared parts are read again to spare streams, and more requests are late.
+// costs its own tokens, and this share of them once more for each stream, so that streams do not
+// run long enough to be cut with a lost endpoint. A much larger share would spare streams by
+// reading shared parts again elsewhere.
 constexpr double ReadWeightPerStream = 0.3;
 constexpr double ReadAgainWeight = 5;
 constexpr double DetourWeight = 3;
-// A read of up to this time needs no room: it disturbs little. On pools that read four times as
-// fast this exempts most long prompts too, and the longest bear most of an overload. To exempt only
-// requests with a target below 1 s, whatever their size, left 7 to 9 of 100 fewer plans on time and
-// did not help there.
+// A read of up to this time needs no room: it disturbs little. On fast engines this exempts most
+// long prompts too, and the longest bear most of an overload.
 constexpr auto LongRead = std::chrono::milliseconds(90);
 // An endpoint has room while no more than this waits there: a short request with a target of 250 ms
 // still finds its way, and the endpoint does not run dry in the 5 ms that the next placement takes.
