--- a/tests/adapter/storefleet.cpp
+++ b/tests/adapter/storefleet.cpp
@@ -141,7 +141,7 @@
     return readers;
 }
 
-bool StoreFleet::holdsForAll(const std::function<bool(const Host &)> &condition) const
+bool StoreFleet::holdsForAll(const std::function<bool(Host &)> &condition) const
 {
     return std::all_of(hosts_.begin(), hosts_.end(), [&](const auto &host) {
         return host == nullptr || host->isFrozen || condition(*host);
@@ -155,23 +155,23 @@
 
 bool StoreFleet::allServe() const
 {
-    return holdsForAll([](const Host &host) { return host.gateway.isServing(); });
+    return holdsForAll([](Host &host) { return host.gateway.isServing(); });
 }
 
 bool StoreFleet::allKnow(const std::string &endpoint) const
 {
-    return holdsForAll([&](const Host &host) { return const_cast<Host &>(host).knows(endpoint); });
+    return holdsForAll([&](Host &host) { return host.knows(endpoint); });
 }
 
 bool StoreFleet::noneKnows(const std::string &endpoint) const
 {
-    return holdsForAll([&](const Host &host) { return !const_cast<Host &>(host).knows(endpoint); });
+    return holdsForAll([&](Host &host) { return !host.knows(endpoint); });
 }
 
 bool StoreFleet::allHaveVersion(std::int64_t version) const
 {
-    return holdsForAll([&](const Host &host) {
-        const auto &table = const_cast<Host &>(host).gateway.state().table;
+    return holdsForAll([&](Host &host) {
+        const auto &table = host.gateway.state().table;
         return table != nullptr && table->configuration().version == version;
     });
 }
--- a/tests/adapter/storefleet.h
+++ b/tests/adapter/storefleet.h
@@ -58,7 +58,7 @@
 
     std::string ipOf(std::size_t host) const;
     gateway::GatewaySettings settingsOf(std::size_t host) const;
-    bool holdsForAll(const std::function<bool(const Host &)> &condition) const;
+    bool holdsForAll(const std::function<bool(Host &)> &condition) const;
 
     units::BootClock clock_;
     asio::io_context io_;
