--- a/src/configuration/configurationparser.cpp
+++ b/src/configuration/configurationparser.cpp
@@ -12,7 +12,7 @@
 using units::ResultCode;
 
 constexpr int MaxTiers = 16;
-constexpr double MostWeight = 1e6;
+constexpr double MaxWeight = 1e6;
 constexpr int MaxSlots = 100000;
 
 // Gathers one file after the other into the configuration, and remembers where each name was
@@ -91,7 +91,7 @@
         config.policy.name = units::ClassName(item.requiredText("name"));
         config.policy.tier
             = units::Tier(static_cast<std::uint32_t>(item.integer("tier", 0, 0, MaxTiers - 1)));
-        config.policy.weight = item.number("weight", 1, 1e-3, MostWeight);
+        config.policy.weight = item.number("weight", 1, 1e-3, MaxWeight);
         MappingReader target = item.mapping("target");
         config.policy.firstTokenTarget
             = target.positiveDuration("first-token", config.policy.firstTokenTarget);
@@ -112,7 +112,7 @@
     {
         WorkspaceConfig config;
         config.name = units::WorkspaceName(item.requiredText("name"));
-        config.weight = item.number("weight", 1, 1e-3, MostWeight);
+        config.weight = item.number("weight", 1, 1e-3, MaxWeight);
         config.keys = item.texts("keys");
         config.defaultClass = units::ClassName(item.givenText("default-class"));
         config.openLimit = static_cast<std::size_t>(item.integer("open-limit", 0, 0, 1000000));
--- a/src/configuration/configurationstore.cpp
+++ b/src/configuration/configurationstore.cpp
@@ -11,8 +11,8 @@
 using units::ResultCode;
 
 const char *const ManifestName = "config/manifest";
-constexpr int MostAttempts = 20;
-constexpr int MostContentAttempts = 4;
+constexpr int MaxAttempts = 20;
+constexpr int MaxContentAttempts = 4;
 constexpr auto PauseStep = std::chrono::milliseconds(25);
 
 std::string contentName(const std::string &hash)
@@ -140,7 +140,7 @@
     // Set once a write went out whose effect isn't known.
     bool written = false;
     std::string cause = "others kept changing the configuration";
-    for (int attempt = 0; attempt < MostAttempts; ++attempt) {
+    for (int attempt = 0; attempt < MaxAttempts; ++attempt) {
         const auto read = units::capture([&] { return manifest(); });
         if (!read.value) {
             if (!written)
@@ -220,7 +220,7 @@
                 = units::capture([&] { return store_.createIfAbsent(name, file.text); });
             if (write.value || write.error.code == ResultCode::ObjectAlreadyExists)
                 break;
-            if (attempt == MostContentAttempts)
+            if (attempt == MaxContentAttempts)
                 return units::fail(write.error.code, write.error.message + "; nothing was changed");
             pause_(PauseStep * attempt);
         }
--- a/src/configuration/daemonsettings.cpp
+++ b/src/configuration/daemonsettings.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr auto ShortestKeepClaims = std::chrono::hours(1);
+constexpr auto MinKeepClaims = std::chrono::hours(1);
 
 std::uint16_t port(MappingReader &reader, const std::string &key, std::uint16_t fallback)
 {
@@ -85,7 +85,7 @@
     settings.keepAddress = reader.duration("keep-address", settings.keepAddress);
     settings.keepClaims = reader.duration("keep-claims", settings.keepClaims);
     // Below this an epoch would be shorter than some requests wait for a slot.
-    if (settings.keepClaims < ShortestKeepClaims)
+    if (settings.keepClaims < MinKeepClaims)
         reader.problem(units::ResultCode::OutOfRange, "keep-claims", "must be at least 1h");
     reader.finish();
     return settings;
--- a/src/configuration/storereadperiod.cpp
+++ b/src/configuration/storereadperiod.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr auto ShortestPeriod = std::chrono::seconds(66);
+constexpr auto MinPeriod = std::chrono::seconds(66);
 // About half a KB a second, at 75 bytes a file.
 constexpr auto PeriodPerFile = std::chrono::milliseconds(150);
 
@@ -15,7 +15,7 @@
 units::Duration storeReadPeriod(std::size_t files)
 {
     const units::Duration bounded = PeriodPerFile * files;
-    return std::max<units::Duration>(ShortestPeriod, bounded);
+    return std::max<units::Duration>(MinPeriod, bounded);
 }
 
 } // namespace monsoongrade::configuration
--- a/src/ctl/linediff.cpp
+++ b/src/ctl/linediff.cpp
@@ -10,7 +10,7 @@
 using Lines = std::vector<std::string>;
 
 // Above this many pairs of lines the table would grow too large; all lines then count as changed.
-constexpr std::size_t MostPairs = 4000000;
+constexpr std::size_t MaxPairs = 4000000;
 
 Lines split(const std::string &text)
 {
@@ -25,7 +25,7 @@
 std::vector<std::vector<int>> commonTails(const Lines &a, const Lines &b)
 {
     std::vector<std::vector<int>> common(a.size() + 1, std::vector<int>(b.size() + 1, 0));
-    if (a.size() * b.size() > MostPairs)
+    if (a.size() * b.size() > MaxPairs)
         return common;
     for (std::size_t i = a.size(); i-- > 0;) {
         for (std::size_t j = b.size(); j-- > 0;)
--- a/src/http/internal/connectionbreaker.cpp
+++ b/src/http/internal/connectionbreaker.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr rlim_t MostDescriptors = 65536;
+constexpr rlim_t MaxDescriptors = 65536;
 
 bool isConnection(int descriptor, const sockaddr_in &peer, std::uint16_t localPort)
 {
@@ -39,7 +39,7 @@
         return;
     rlimit limit{};
     getrlimit(RLIMIT_NOFILE, &limit);
-    const int end = static_cast<int>(std::min(limit.rlim_cur, MostDescriptors));
+    const int end = static_cast<int>(std::min(limit.rlim_cur, MaxDescriptors));
     for (int descriptor = 0; descriptor < end; ++descriptor) {
         if (!isConnection(descriptor, peer, localPort))
             continue;
--- a/src/httpio/wholeevents.cpp
+++ b/src/httpio/wholeevents.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::size_t LongestEventKept = 256 * 1024;
+constexpr std::size_t MaxEventKept = 256 * 1024;
 
 // Length up to and with the last blank line; 0 where there is none.
 std::size_t lengthOfWholeEvents(const std::string &bytes)
@@ -27,7 +27,7 @@
 {
     rest_.append(bytes);
     const std::size_t length = lengthOfWholeEvents(rest_);
-    if (length == 0 && rest_.size() > LongestEventKept) {
+    if (length == 0 && rest_.size() > MaxEventKept) {
         insideOversized_ = true;
         // The last bytes may be the first half of the blank line.
         const std::string kept = rest_.substr(rest_.size() - 2);
--- a/src/load/loadrunner.cpp
+++ b/src/load/loadrunner.cpp
@@ -19,7 +19,7 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr auto ProgressPeriod = std::chrono::seconds(1);
-constexpr auto LongestWait = std::chrono::milliseconds(20);
+constexpr auto MaxWait = std::chrono::milliseconds(20);
 
 // All calls of one script. Handlers of the client's thread only note what is to be done; the
 // thread of run() does it, so that a call's id is known before anything is done with it.
@@ -73,7 +73,7 @@
                 due_.erase(due_.begin());
             }
             if (ready.empty()) {
-                TimePoint until = now + LongestWait;
+                TimePoint until = now + MaxWait;
                 if (!due_.empty())
                     until = std::min(until, due_.begin()->first);
                 changed_.wait_until(lock, until);
--- a/src/membership/fleetwatcher.cpp
+++ b/src/membership/fleetwatcher.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 // After a read that failed.
-constexpr auto LongestRetry = std::chrono::seconds(30);
+constexpr auto MaxRetry = std::chrono::seconds(30);
 constexpr auto StopCheck = std::chrono::milliseconds(50);
 
 } // namespace
@@ -41,7 +41,7 @@
         const auto isDue = [&](units::Duration waited) {
             units::Duration period = membership_.nextListRead();
             if (failing_)
-                period = std::min<units::Duration>(period, LongestRetry);
+                period = std::min<units::Duration>(period, MaxRetry);
             return waited >= std::chrono::duration_cast<units::Duration>(period * share);
         };
         for (auto waited = units::Duration(); !isDue(waited) && !stopping_; waited += StopCheck)
--- a/src/observability/latencyhistogram.cpp
+++ b/src/observability/latencyhistogram.cpp
@@ -12,12 +12,12 @@
 using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
 
 constexpr unsigned Buckets = 70;
-constexpr double LeastSeconds = 1e-4;
-constexpr double MostSeconds = 1e3;
+constexpr double MinSeconds = 1e-4;
+constexpr double MaxSeconds = 1e3;
 
 auto makeHistogram()
 {
-    return boost::histogram::make_histogram(Axis(Buckets, LeastSeconds, MostSeconds));
+    return boost::histogram::make_histogram(Axis(Buckets, MinSeconds, MaxSeconds));
 }
 
 } // namespace
@@ -61,9 +61,9 @@
     for (int i = -1; i <= static_cast<int>(Buckets); ++i) {
         seen += impl_->histogram.at(i);
         if (seen >= wanted)
-            return i < 0 ? LeastSeconds : impl_->histogram.axis().bin(i).upper();
+            return i < 0 ? MinSeconds : impl_->histogram.axis().bin(i).upper();
     }
-    return MostSeconds;
+    return MaxSeconds;
 }
 
 std::string LatencyHistogram::exposition(const std::string &name, const std::string &labels) const
--- a/src/platform/httpplatform.cpp
+++ b/src/platform/httpplatform.cpp
@@ -13,7 +13,7 @@
 
 constexpr auto CallLimit = std::chrono::seconds(2);
 // A list of all hosts, or of many small objects; a single value has a megabyte at most.
-constexpr std::size_t MostAnswerBytes = 16 * 1024 * 1024;
+constexpr std::size_t MaxAnswerBytes = 16 * 1024 * 1024;
 
 ResultCode codeFor(int status)
 {
@@ -175,7 +175,7 @@
     request.headers = headers;
     request.body = body;
     request.silenceTimeout = limit;
-    const endpoints::WholeAnswer answer = endpoints::callAndWait(client_, request, MostAnswerBytes);
+    const endpoints::WholeAnswer answer = endpoints::callAndWait(client_, request, MaxAnswerBytes);
     if (answer.end.code == ResultCode::BodyTooLarge)
         return units::fail(ResultCode::PlatformAnswerMalformed,
                            method + " " + pathAndQuery + ": " + answer.end.message);
--- a/src/requests/answerrelay.cpp
+++ b/src/requests/answerrelay.cpp
@@ -8,7 +8,7 @@
 
 // A slow reader's answer waits in this much memory; above it the endpoint is not read, and the
 // reading goes on when half has left.
-constexpr std::size_t MostBytesWaiting = 256 * 1024;
+constexpr std::size_t MaxBytesWaiting = 256 * 1024;
 
 } // namespace
 
@@ -49,13 +49,13 @@
 
 bool AnswerRelay::isFull() const
 {
-    return bytesWaiting_ > MostBytesWaiting;
+    return bytesWaiting_ > MaxBytesWaiting;
 }
 
 bool AnswerRelay::makeRoom(std::size_t bytes)
 {
     bytesWaiting_ -= std::min(bytes, bytesWaiting_);
-    return bytesWaiting_ <= MostBytesWaiting / 2;
+    return bytesWaiting_ <= MaxBytesWaiting / 2;
 }
 
 void AnswerRelay::breakOff(const Refusal &refusal)
--- a/src/requests/callerfrontend.cpp
+++ b/src/requests/callerfrontend.cpp
@@ -14,7 +14,7 @@
 using units::Error;
 using units::ResultCode;
 
-constexpr auto ShortestRetryAfter = std::chrono::seconds(2);
+constexpr auto MinRetryAfter = std::chrono::seconds(2);
 const http::Headers JsonHeaders{{"Content-Type", "application/json"}};
 const http::Headers TextHeaders{{"Content-Type", "text/plain; version=0.0.4"}};
 
@@ -68,7 +68,7 @@
     if (!configuration) {
         refuseUnclassified(*responder, id,
                            {ResultCode::NoConfiguration, "this router has no configuration yet"},
-                           ShortestRetryAfter);
+                           MinRetryAfter);
         return;
     }
     // Looked at before the body is read, which costs most of what can be spared here.
@@ -76,7 +76,7 @@
         refuseUnclassified(*responder, id,
                            {ResultCode::TooManyRequestsOpen,
                             "this router has as many requests open as it may; use another"},
-                           ShortestRetryAfter);
+                           MinRetryAfter);
         return;
     }
     auto classified
@@ -96,7 +96,7 @@
     if (!ticket.value) {
         sendRefusal(*responder,
                     {classified.id, ticket.error, RunState::NotRun,
-                     internal::spreadRetry(ShortestRetryAfter, classified.id)});
+                     internal::spreadRetry(MinRetryAfter, classified.id)});
         account.refuse(ticket.error.code, ticket.error.message);
         return;
     }
@@ -117,7 +117,7 @@
     if (!configuration) {
         refuseUnclassified(responder, nextRequestId(),
                            {ResultCode::NoConfiguration, "this router has no configuration yet"},
-                           ShortestRetryAfter);
+                           MinRetryAfter);
         return;
     }
     const auto workspace = units::capture([&] { return workspaceOf(request, *configuration); });
--- a/src/requests/claimstore.cpp
+++ b/src/requests/claimstore.cpp
@@ -7,7 +7,7 @@
 using units::ResultCode;
 
 constexpr auto DownFor = std::chrono::seconds(1);
-constexpr int MostRounds = 2;
+constexpr int MaxRounds = 2;
 const char *const CallsCounter = "monsoongrade_claim_store_calls_total";
 
 } // namespace
@@ -33,7 +33,7 @@
     const UnderWay underWay(underWay_);
     const units::TimePoint begun = clock_.now();
     const std::string value = toText(marked(mine));
-    for (int round = 0; round < MostRounds; ++round) {
+    for (int round = 0; round < MaxRounds; ++round) {
         if (write([&] { return store_.createIfAbsent(name, value); }) == WriteResult::Done)
             return taken(begun);
         if (const auto found = readBack(name, mine, begun))
--- a/src/requests/classifier.cpp
+++ b/src/requests/classifier.cpp
@@ -22,9 +22,9 @@
 using units::ResultCode;
 
 constexpr std::size_t PrefixBytes = 256;
-constexpr std::size_t LongestIdempotencyKey = 200;
+constexpr std::size_t MaxIdempotencyKey = 200;
 const char *const TimeoutHeader = "monsoongrade-timeout";
-constexpr double LongestTimeoutSeconds = 24 * 3600;
+constexpr double MaxTimeoutSeconds = 24 * 3600;
 
 // What the rules can see of a request's body.
 struct BodyView
@@ -135,7 +135,7 @@
     const double seconds = std::strtod(text.c_str(), &end);
     const bool isNumber = end == text.c_str() + text.size();
     // Written so that "nan" fails it.
-    if (!isNumber || !(seconds > 0 && seconds <= LongestTimeoutSeconds))
+    if (!isNumber || !(seconds > 0 && seconds <= MaxTimeoutSeconds))
         return units::fail(ResultCode::MalformedRequest,
                            std::string(TimeoutHeader)
                                + " must be a number of seconds above 0 and at most 86400");
@@ -207,10 +207,10 @@
     result.configuration = std::move(configuration);
     BOOST_LEAF_CHECK(applyRules(result, request, body, workspace));
     result.idempotencyKey = units::IdempotencyKey(request.header("idempotency-key"));
-    if (result.idempotencyKey.value().size() > LongestIdempotencyKey)
+    if (result.idempotencyKey.value().size() > MaxIdempotencyKey)
         return units::fail(ResultCode::MalformedRequest,
-                           "the idempotency key is longer than "
-                               + std::to_string(LongestIdempotencyKey) + " bytes");
+                           "the idempotency key is longer than " + std::to_string(MaxIdempotencyKey)
+                               + " bytes");
     BOOST_LEAF_ASSIGN(result.timeout, timeoutOf(request));
     result.prefix = prefixHash(body.promptStart);
     result.streamed = body.streamed;
--- a/src/requests/internal/spreadretry.cpp
+++ b/src/requests/internal/spreadretry.cpp
@@ -6,13 +6,13 @@
 
 namespace {
 
-constexpr double LongestInShortest = 4;
+constexpr double MaxStretch = 4;
 
 } // namespace
 
 units::Duration spreadRetry(units::Duration shortest, const units::RequestId &request)
 {
-    const double factor = 1 + (LongestInShortest - 1) * units::jitterOf(request);
+    const double factor = 1 + (MaxStretch - 1) * units::jitterOf(request);
     return std::chrono::duration_cast<units::Duration>(shortest * factor);
 }
 
--- a/src/requests/keyedrequests.cpp
+++ b/src/requests/keyedrequests.cpp
@@ -13,8 +13,8 @@
 using units::ResultCode;
 
 // A larger answer is given to those who wait for it and not kept for later repeats.
-constexpr std::size_t MostKeptOfAnswer = 1024 * 1024;
-constexpr auto ShortestRetryAfterOutage = std::chrono::seconds(2);
+constexpr std::size_t MaxKeptOfAnswer = 1024 * 1024;
+constexpr auto MinRetryAfterOutage = std::chrono::seconds(2);
 const char *const EarlierMayHaveRun
     = "An earlier request with this key may have run; keep the key when you send it again";
 
@@ -81,7 +81,7 @@
     }
     entry.fingerprint = pending.fingerprint;
     entry.state = KeyState::Working;
-    entry.answer = std::make_shared<SharedAnswer>(pending.request.id, MostKeptOfAnswer);
+    entry.answer = std::make_shared<SharedAnswer>(pending.request.id, MaxKeptOfAnswer);
     entry.attempts.push_back(pending.request.id);
     pending.answer = entry.answer;
     pending.claimTaken = entry.claimTaken && !entry.givenUp && claims_.maySend(entry.sendBefore);
@@ -269,7 +269,7 @@
 {
     Refusal refusal{pending->request.id, {code, message}, RunState::NotRun, {}};
     if (code != ResultCode::KeyReusedForOtherRequest && code != ResultCode::NoRouteForRequest)
-        refusal.retryAfter = internal::spreadRetry(ShortestRetryAfterOutage, pending->request.id);
+        refusal.retryAfter = internal::spreadRetry(MinRetryAfterOutage, pending->request.id);
     giveUp(pending, refusal);
 }
 
--- a/src/requests/requestflow.cpp
+++ b/src/requests/requestflow.cpp
@@ -20,14 +20,14 @@
 
 // Answers that are not streamed are held until they are whole, up to this size; a larger one
 // is relayed as it comes.
-constexpr std::size_t MostBytesHeld = 8 * 1024 * 1024;
-constexpr auto ShortestRetryAfterFault = std::chrono::seconds(2);
+constexpr std::size_t MaxBytesHeld = 8 * 1024 * 1024;
+constexpr auto MinRetryAfterFault = std::chrono::seconds(2);
 // A retry waits a part of this, more for each attempt, so that requests that failed together
 // don't come back together.
-constexpr auto MostJitter = std::chrono::milliseconds(50);
+constexpr auto MaxJitter = std::chrono::milliseconds(50);
 // Grants of endpoints that this router does not know as being in service. The pauses add up to
 // 1.5 s, longer than news of a change takes to all daemons.
-constexpr int MostGrantsReturned = 5;
+constexpr int MaxGrantsReturned = 5;
 constexpr auto PauseAfterReturn = std::chrono::milliseconds(100);
 
 } // namespace
@@ -41,7 +41,7 @@
     , onEnd_(std::move(onEnd))
     , account_(std::move(account))
     , relay_(*responder_, request_.answerShared)
-    , retryAfterFault_(internal::spreadRetry(ShortestRetryAfterFault, request_.id))
+    , retryAfterFault_(internal::spreadRetry(MinRetryAfterFault, request_.id))
 {
 }
 
@@ -113,7 +113,7 @@
 {
     releaseSlot(ReleaseOutcome::NotRun);
     services_.metrics.add("monsoongrade_grants_returned_total");
-    if (++grantsReturned_ > MostGrantsReturned) {
+    if (++grantsReturned_ > MaxGrantsReturned) {
         giveUp(ResultCode::NoEndpointAvailable,
                "the endpoints that were granted are not in service here, the last one "
                    + grant_.endpoint.value(),
@@ -151,7 +151,7 @@
         return FlowControl::Continue;
     if (!refusedBeforeRunning(attempt_, request_.pool.kind))
         account_.firstToken();
-    if (!relay_.hasBegun() && wholeBody_.size() + bytes.size() > MostBytesHeld)
+    if (!relay_.hasBegun() && wholeBody_.size() + bytes.size() > MaxBytesHeld)
         beginRelay();
     if (!relay_.hasBegun()) {
         wholeBody_.append(bytes);
@@ -339,7 +339,7 @@
 
 void RequestFlow::backOff()
 {
-    const auto spread = MostJitter * units::jitterOf(request_.id);
+    const auto spread = MaxJitter * units::jitterOf(request_.id);
     askLater(std::chrono::duration_cast<units::Duration>(spread * (attempt_.attemptsMade - 1)));
 }
 
--- a/src/requests/retrypolicy.cpp
+++ b/src/requests/retrypolicy.cpp
@@ -8,7 +8,7 @@
 using configuration::RunRule;
 using units::ResultCode;
 
-constexpr int MostAttempts = 3;
+constexpr int MaxAttempts = 3;
 constexpr int TooManyRequests = 429;
 constexpr int ServiceUnavailable = 503;
 
@@ -30,11 +30,11 @@
         return NextStep::Complete;
     if (attempt.answerStarted) {
         const bool mayResume = attempt.resumable && run == RunRule::Idempotent;
-        return mayResume && attempt.attemptsMade < MostAttempts ? NextStep::Resume
-                                                                : NextStep::FailPartial;
+        return mayResume && attempt.attemptsMade < MaxAttempts ? NextStep::Resume
+                                                               : NextStep::FailPartial;
     }
     const bool mayRepeat = provedNotRun || run == RunRule::Idempotent;
-    if (mayRepeat && attempt.attemptsMade < MostAttempts)
+    if (mayRepeat && attempt.attemptsMade < MaxAttempts)
         return NextStep::TryElsewhere;
     return provedNotRun ? NextStep::RefuseNotRun : NextStep::FailUnknown;
 }
--- a/src/requests/sharedanswer.cpp
+++ b/src/requests/sharedanswer.cpp
@@ -11,7 +11,7 @@
 using units::ResultCode;
 
 // What may wait for one caller that reads slowly.
-constexpr std::size_t MostWaiting = 2 * 1024 * 1024;
+constexpr std::size_t MaxWaiting = 2 * 1024 * 1024;
 
 } // namespace
 
@@ -112,7 +112,7 @@
 {
     if (reader->gone || bytes.empty())
         return;
-    if (reader->waiting + bytes.size() > MostWaiting) {
+    if (reader->waiting + bytes.size() > MaxWaiting) {
         reader->gone = true;
         reader->responder->abort();
         return;
--- a/src/rpc/internal/messages.cpp
+++ b/src/rpc/internal/messages.cpp
@@ -8,7 +8,7 @@
 
 using std::chrono::microseconds;
 
-constexpr std::uint64_t MostMicros = 24ULL * 3600 * 1000000;
+constexpr std::uint64_t MaxMicros = 24ULL * 3600 * 1000000;
 
 std::uint64_t micros(units::Duration duration)
 {
@@ -18,7 +18,7 @@
 
 units::Duration duration(std::uint64_t count)
 {
-    return microseconds(std::min(count, MostMicros));
+    return microseconds(std::min(count, MaxMicros));
 }
 
 } // namespace
--- a/src/rpc/internal/peermessages.cpp
+++ b/src/rpc/internal/peermessages.cpp
@@ -11,8 +11,8 @@
 using membership::PeerMessage;
 using membership::PeerMessageKind;
 
-constexpr unsigned MostItems = 8192;
-constexpr unsigned MostTextBytes = 256;
+constexpr unsigned MaxItems = 8192;
+constexpr unsigned MaxTextBytes = 256;
 
 void writeMember(schema::PeerMember::Builder out, const MemberRecord &record)
 {
@@ -30,8 +30,8 @@
 {
     return in.getRole() <= static_cast<int>(DaemonRole::Scheduler)
         && in.getHealth() <= static_cast<int>(Health::Dead) && in.getHost().size() > 0
-        && in.getHost().size() <= MostTextBytes && in.getAddress().size() <= MostTextBytes
-        && in.getFailureDomain().size() <= MostTextBytes;
+        && in.getHost().size() <= MaxTextBytes && in.getAddress().size() <= MaxTextBytes
+        && in.getFailureDomain().size() <= MaxTextBytes;
 }
 
 MemberRecord readMember(schema::PeerMember::Reader in)
@@ -50,14 +50,14 @@
 bool isValid(schema::PeerEndpointMark::Reader in)
 {
     return in.getState() <= static_cast<int>(EndpointState::Leaving) && in.getHost().size() > 0
-        && in.getHost().size() <= MostTextBytes;
+        && in.getHost().size() <= MaxTextBytes;
 }
 
 bool isValid(schema::PeerNews::Reader in)
 {
     if (in.getKind() > static_cast<int>(PeerMessageKind::SyncAnswer) || !isValid(in.getFrom())
-        || in.getMembers().size() > MostItems || in.getEndpoints().size() > MostItems
-        || in.getBucketDigests().size() > MostItems)
+        || in.getMembers().size() > MaxItems || in.getEndpoints().size() > MaxItems
+        || in.getBucketDigests().size() > MaxItems)
         return false;
     for (const auto member : in.getMembers()) {
         if (!isValid(member))
--- a/src/rpc/internal/schedulerlinks.cpp
+++ b/src/rpc/internal/schedulerlinks.cpp
@@ -12,7 +12,7 @@
 using std::chrono::steady_clock;
 
 constexpr units::Duration FirstAvoid = std::chrono::seconds(1);
-constexpr int MostAvoidDoublings = 5;
+constexpr int MaxAvoidDoublings = 5;
 // Until membership says that it leaves. Passed over for longer, a scheduler that was restarted in
 // its place got its routers back at different moments, up to ten seconds apart: meanwhile two
 // schedulers granted the same slots, and with all of them passed over the routers took their own
@@ -229,7 +229,7 @@
 void SchedulerLinks::avoid(const units::HostName &host)
 {
     Avoided &avoided = avoided_[host];
-    const int doublings = std::min(avoided.failures++, MostAvoidDoublings);
+    const int doublings = std::min(avoided.failures++, MaxAvoidDoublings);
     avoided.until = steady_clock::now() + FirstAvoid * (1 << doublings);
 }
 
--- a/src/rpc/internal/slotclient.cpp
+++ b/src/rpc/internal/slotclient.cpp
@@ -18,8 +18,8 @@
 constexpr auto RetryAfterUnreachable = std::chrono::seconds(2);
 // How long an ask waits for the first view of the fleet.
 constexpr auto WaitForFleet = std::chrono::seconds(2);
-constexpr int MostUnanswered = 3;
-constexpr int MostAttempts = 32;
+constexpr int MaxUnanswered = 3;
+constexpr int MaxAttempts = 32;
 constexpr auto TickPeriod = 100 * kj::MILLISECONDS;
 
 } // namespace
@@ -96,7 +96,7 @@
             refuse(name, request, ResultCode::SchedulerUnreachable, RetryAfterUnreachable);
         return;
     }
-    if (waiting->unanswered >= MostUnanswered || waiting->attempts >= MostAttempts) {
+    if (waiting->unanswered >= MaxUnanswered || waiting->attempts >= MaxAttempts) {
         refuse(name, request, ResultCode::SchedulerUnreachable, RetryAfterUnreachable);
         return;
     }
--- a/src/rpc/peerclient.cpp
+++ b/src/rpc/peerclient.cpp
@@ -25,7 +25,7 @@
 // A run that another router is asked about may itself take a while.
 constexpr auto KeyAnswerTimeout = 60 * kj::SECONDS;
 // Neighbours, whoever was asked to help, and some to spare.
-constexpr std::size_t MostConnections = 48;
+constexpr std::size_t MaxConnections = 48;
 
 units::Result<ManifestContents> readContents(schema::Peer::FetchConfigurationResults::Reader in)
 {
@@ -130,7 +130,7 @@
         }
         entry.lastUse = ++uses_;
         auto peer = entry.connection->peer();
-        if (connections_.size() > MostConnections)
+        if (connections_.size() > MaxConnections)
             dropOldest();
         return peer;
     }
--- a/src/rpc/rpcconfigurationpeers.cpp
+++ b/src/rpc/rpcconfigurationpeers.cpp
@@ -10,7 +10,7 @@
 // Enough that one is always there while the news of another's death spread; each costs the
 // store one call a second, however many daemons there are.
 constexpr std::size_t Watchers = 3;
-constexpr std::size_t MostAsked = 3;
+constexpr std::size_t MaxAsked = 3;
 
 } // namespace
 
@@ -51,7 +51,7 @@
             alive.push_back(record);
     }
     std::shuffle(alive.begin(), alive.end(), random_);
-    for (std::size_t i = 0; i < alive.size() && i < MostAsked; ++i) {
+    for (std::size_t i = 0; i < alive.size() && i < MaxAsked; ++i) {
         const auto answer
             = units::capture([&] { return client_.fetchConfiguration(alive[i], above, known); });
         if (answer.value && answer.value->manifest.generation > above)
--- a/src/scheduling/cellscheduler.cpp
+++ b/src/scheduling/cellscheduler.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr double LeastDrainRate = 0.5;
+constexpr double MinDrainRate = 0.5;
 // A deadline is given up on a prediction only if that misses it by this factor; the prediction
 // is an estimate, and an ask refused too early can't be taken back.
 constexpr double HopelessFactor = 2;
@@ -17,7 +17,7 @@
 constexpr int LongAnswerFactor = 2;
 // Asks stepped over in one round because they avoid all free endpoints. Bounds the round's
 // cost; retries are few, since their budget is a share of live traffic.
-constexpr std::size_t MostSetAside = 8;
+constexpr std::size_t MaxSetAside = 8;
 // Share of the slots that must be free, or expected to be within the highest tier's target.
 constexpr double FreeSoonShare = 0.12;
 
@@ -187,7 +187,7 @@
         return;
     std::vector<WaitingAsk> setAside;
     while (queue_.size() > 0 && endpoints_.hasFreeSlot(clock_.now()) && !mustKeepSlots()) {
-        if (!grantNext(setAside) && setAside.size() >= MostSetAside)
+        if (!grantNext(setAside) && setAside.size() >= MaxSetAside)
             break;
     }
     for (WaitingAsk &ask : setAside)
@@ -320,7 +320,7 @@
 double CellScheduler::drainPerSecond() const
 {
     const double guess = endpoints_.tokensPerSecond() / lengths_->mean() / 2;
-    return std::max({LeastDrainRate, drain_.perSecond(clock_.now()), guess});
+    return std::max({MinDrainRate, drain_.perSecond(clock_.now()), guess});
 }
 
 void CellScheduler::forget(Grants::iterator grant)
--- a/src/scheduling/endpointbook.cpp
+++ b/src/scheduling/endpointbook.cpp
@@ -13,7 +13,7 @@
 // On a loaded endpoint that is worth about two requests more in flight than elsewhere, so a
 // popular prefix spreads over endpoints instead of making one of them a hot spot.
 constexpr double CachedPrefixDiscount = 0.4;
-constexpr auto LeastPatience = std::chrono::seconds(5);
+constexpr auto MinPatience = std::chrono::seconds(5);
 constexpr double PatienceInAnswers = 4;
 
 } // namespace
@@ -120,7 +120,7 @@
         const double speed = state.tokensPerSecond > 0 ? state.tokensPerSecond : FirstGuessOfSpeed;
         const double answer = state.tokensInFlight / state.inFlight / speed;
         const std::chrono::duration<double> patience
-            = LeastPatience + std::chrono::duration<double>(PatienceInAnswers * answer);
+            = MinPatience + std::chrono::duration<double>(PatienceInAnswers * answer);
         if (now - state.lastProgress > patience)
             state.limit.silent(now);
     }
--- a/src/scheduling/guaranteedshare.cpp
+++ b/src/scheduling/guaranteedshare.cpp
@@ -9,7 +9,7 @@
 
 // A tier keeps what it earned while it had to wait for another one's turn, but no more: it must
 // not save up for a burst of its own. The slack absorbs rounding of the sums.
-constexpr double MostAsksKept = 2;
+constexpr double MaxAsksKept = 2;
 constexpr double Whole = 1 - 1e-9;
 
 } // namespace
@@ -51,7 +51,7 @@
     for (std::size_t i = 1; i < backlogged.size(); ++i) {
         booking.earned.push_back(backlogged[i].tier);
         double &credit = credit_[backlogged[i].tier];
-        credit = std::min(MostAsksKept * backlogged[i].tokens, credit + tokens * booking.share);
+        credit = std::min(MaxAsksKept * backlogged[i].tokens, credit + tokens * booking.share);
     }
     return booking;
 }
--- a/src/scheduling/retryplanner.cpp
+++ b/src/scheduling/retryplanner.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-constexpr auto LeastRetryAfter = std::chrono::seconds(1);
-constexpr auto LongestRetryAfter = std::chrono::seconds(120);
+constexpr auto MinRetryAfter = std::chrono::seconds(1);
+constexpr auto MaxRetryAfter = std::chrono::seconds(120);
 
 units::Duration fromSeconds(double seconds)
 {
@@ -25,15 +25,15 @@
     const units::Duration gap = fromSeconds(1 / drainPerSecond);
     const units::Duration drain = fromSeconds(static_cast<double>(ahead + 1) / drainPerSecond);
     if (!spreading_)
-        return std::clamp<units::Duration>(drain, LeastRetryAfter, LongestRetryAfter);
+        return std::clamp<units::Duration>(drain, MinRetryAfter, MaxRetryAfter);
     units::TimePoint &next = nextReturn_[tier];
-    next = std::max(next, now + std::min<units::Duration>(drain, LongestRetryAfter)) + gap;
+    next = std::max(next, now + std::min<units::Duration>(drain, MaxRetryAfter)) + gap;
     const units::Duration wait = next - now + fromSeconds(units::jitterOf(request));
-    if (wait <= LongestRetryAfter)
-        return std::max<units::Duration>(wait, LeastRetryAfter);
+    if (wait <= MaxRetryAfter)
+        return std::max<units::Duration>(wait, MinRetryAfter);
     // Beyond the longest time there is no room to book; spread over the half before it.
-    next = now + LongestRetryAfter;
-    return fromSeconds((1 + units::jitterOf(request)) / 2 * LongestRetryAfter.count());
+    next = now + MaxRetryAfter;
+    return fromSeconds((1 + units::jitterOf(request)) / 2 * MaxRetryAfter.count());
 }
 
 } // namespace monsoongrade::scheduling
--- a/src/scheduling/slotlimit.cpp
+++ b/src/scheduling/slotlimit.cpp
@@ -12,7 +12,7 @@
 constexpr auto BetweenDecreases = std::chrono::seconds(1);
 constexpr int FailuresBeforeProbing = 3;
 constexpr auto FirstPause = std::chrono::milliseconds(500);
-constexpr auto LongestPause = std::chrono::seconds(8);
+constexpr auto MaxPause = std::chrono::seconds(8);
 
 } // namespace
 
@@ -78,7 +78,7 @@
         fastGrowthUpTo_ = limit_ / 2;
     probing_ = true;
     limit_ = 1;
-    pause_ = std::clamp<units::Duration>(pause_ * 2, FirstPause, LongestPause);
+    pause_ = std::clamp<units::Duration>(pause_ * 2, FirstPause, MaxPause);
     nextProbe_ = now + pause_;
 }
 
--- a/src/scheduling/twochoicespolicy.cpp
+++ b/src/scheduling/twochoicespolicy.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr double LeastDrainRate = 0.5;
+constexpr double MinDrainRate = 0.5;
 
 } // namespace
 
@@ -127,7 +127,7 @@
 
 void TwoChoicesPolicy::refuse(const WaitingAsk &ask, units::ResultCode code)
 {
-    const double rate = std::max(LeastDrainRate, drain_.perSecond(clock_.now()));
+    const double rate = std::max(MinDrainRate, drain_.perSecond(clock_.now()));
     const units::Duration retryAfter = retries_.retryAfter(
         ask.tier, ask.ask.request, queue_.sizeUpTo(ask.tier), rate, clock_.now());
     sink_.refused({ask.ask.request, code, retryAfter});
--- a/src/slots/twochoicesslotsource.cpp
+++ b/src/slots/twochoicesslotsource.cpp
@@ -124,8 +124,8 @@
     }
     endpoints::FlowControl answerBody(std::string_view bytes) override
     {
-        constexpr std::size_t MostBytes = 64 * 1024;
-        body_.append(bytes.substr(0, MostBytes - std::min(MostBytes, body_.size())));
+        constexpr std::size_t MaxBytes = 64 * 1024;
+        body_.append(bytes.substr(0, MaxBytes - std::min(MaxBytes, body_.size())));
         return endpoints::FlowControl::Continue;
     }
     void answerEnd(const endpoints::EndpointEnd &end) override
--- a/src/standins/fakeplatform.cpp
+++ b/src/standins/fakeplatform.cpp
@@ -22,7 +22,7 @@
 const http::Headers JsonHeaders{{"Content-Type", "application/json"}};
 const std::string ObjectsPath = "/v1/objects/";
 const std::string WatchPath = "/v1/watch/";
-constexpr std::size_t MostValueBytes = 1024 * 1024;
+constexpr std::size_t MaxValueBytes = 1024 * 1024;
 
 struct Object
 {
@@ -173,7 +173,7 @@
 
     Answer put(const std::string &name, const http::HttpRequest &request)
     {
-        if (request.body.size() > MostValueBytes)
+        if (request.body.size() > MaxValueBytes)
             return error(413, "a value holds up to a megabyte");
         const auto found = objects_.find(name);
         const bool exists = found != objects_.end();
--- a/src/standins/internal/enginestream.cpp
+++ b/src/standins/internal/enginestream.cpp
@@ -14,7 +14,7 @@
 using nlohmann::json;
 
 constexpr std::int64_t DefaultTokens = 16;
-constexpr std::int64_t MostTokens = 100000;
+constexpr std::int64_t MaxTokens = 100000;
 
 std::string promptOf(const json &body)
 {
@@ -73,7 +73,7 @@
         stream.length = DefaultTokens;
         if (body.contains("metadata"))
             stream.length = std::clamp<std::int64_t>(
-                body["metadata"].value("answer_tokens", DefaultTokens), 1, MostTokens);
+                body["metadata"].value("answer_tokens", DefaultTokens), 1, MaxTokens);
     } catch (const json::exception &) {
         return std::nullopt;
     }
--- a/src/standins/standinsettings.cpp
+++ b/src/standins/standinsettings.cpp
@@ -8,29 +8,29 @@
 
 using configuration::MappingReader;
 
-constexpr std::int64_t MostPort = 65535;
-constexpr std::int64_t MostThreads = 64;
+constexpr std::int64_t MaxPort = 65535;
+constexpr std::int64_t MaxThreads = 64;
 constexpr std::int64_t MaxSlots = 100000;
-constexpr double MostTokensPerSecond = 1e6;
-constexpr double MostBatchCost = 100;
-constexpr double MostPrefillMicros = 1e6;
+constexpr double MaxTokensPerSecond = 1e6;
+constexpr double MaxBatchCost = 100;
+constexpr double MaxPrefillMicros = 1e6;
 
 void readListener(MappingReader &reader, http::HttpServerSettings &listener)
 {
     listener.address = reader.text("address", listener.address);
-    listener.port = static_cast<std::uint16_t>(reader.integer("port", listener.port, 1, MostPort));
+    listener.port = static_cast<std::uint16_t>(reader.integer("port", listener.port, 1, MaxPort));
     listener.threads = static_cast<std::size_t>(
-        reader.integer("threads", static_cast<std::int64_t>(listener.threads), 1, MostThreads));
+        reader.integer("threads", static_cast<std::int64_t>(listener.threads), 1, MaxThreads));
 }
 
 void readEngine(MappingReader &reader, FakeEngineSettings &engine)
 {
     engine.slots = static_cast<int>(reader.integer("slots", engine.slots, 1, MaxSlots));
     engine.tokensPerSecond
-        = reader.number("tokens-per-second", engine.tokensPerSecond, 0.001, MostTokensPerSecond);
-    engine.batchCost = reader.number("batch-cost", engine.batchCost, 0, MostBatchCost);
+        = reader.number("tokens-per-second", engine.tokensPerSecond, 0.001, MaxTokensPerSecond);
+    engine.batchCost = reader.number("batch-cost", engine.batchCost, 0, MaxBatchCost);
     engine.prefillMicrosPerByte
-        = reader.number("prefill-micros", engine.prefillMicrosPerByte, 0, MostPrefillMicros);
+        = reader.number("prefill-micros", engine.prefillMicrosPerByte, 0, MaxPrefillMicros);
     engine.canResume = reader.flag("can-resume", engine.canResume);
     engine.journalPath = reader.text("journal", engine.journalPath);
 }
