Duties: one host at a time reports usage for all

A lease in the platform's store (duties/Lease) says who acts; a report is fixed as an object of the store before it is sent, and sent again as it was. Counts that only grow are told to the holder and two successors in datagrams. Windows are of the time of day on which most hosts agree.

Ruled out: a lease of its own for each duty (twice the renewals for nothing: both duties want the same host); the placing host as keeper of the counts (it changes without a lease, and dies alone).

--- a/cmake/MonsoongradePart.cmake
+++ b/cmake/MonsoongradePart.cmake
@@ -8,7 +8,8 @@
     endif()
     if(name STREQUAL "gateway")
         list(APPEND sources ${CMAKE_SOURCE_DIR}/schema/gossip.capnp.c++
-            ${CMAKE_SOURCE_DIR}/schema/placement.capnp.c++)
+            ${CMAKE_SOURCE_DIR}/schema/placement.capnp.c++
+            ${CMAKE_SOURCE_DIR}/schema/usage.capnp.c++)
     endif()
     if(name STREQUAL "observability")
         list(APPEND sources /usr/include/easylogging++.cc)
--- /dev/null
+++ b/include/monsoongrade/gateway/dutyservice.h
@@ -0,0 +1,36 @@
+#ifndef MONSOONGRADE_GATEWAY_DUTYSERVICE_H
+#define MONSOONGRADE_GATEWAY_DUTYSERVICE_H
+
+#include <monsoongrade/duties/dutyholder.h>
+#include <monsoongrade/duties/usagereporting.h>
+#include <monsoongrade/gateway/gateway.h>
+
+namespace monsoongrade::gateway {
+
+// This host's part in the duties that one host at a time has for all: keeps the lease if it can,
+// and does what is due while it holds it.
+class DutyService
+{
+public:
+    // The gateway counts usage.
+    DutyService(httpio::Timers &timers, Gateway &gateway, duties::LeaseStore &lease,
+                duties::UsageReportStore &reports, duties::DutyPlatform &platform,
+                const units::Clock &clock);
+
+    void start() { round(); }
+    // Gives the lease to another host, at a planned stop.
+    void stop();
+
+private:
+    void round();
+
+    httpio::Timers &timers_;
+    Gateway &gateway_;
+    duties::DutyHolder holder_;
+    duties::UsageReporting usage_;
+    bool isStopping_ = false;
+};
+
+} // namespace monsoongrade::gateway
+
+#endif // MONSOONGRADE_GATEWAY_DUTYSERVICE_H
--- a/include/monsoongrade/gateway/gateway.h
+++ b/include/monsoongrade/gateway/gateway.h
@@ -44,6 +44,8 @@
     void setHasStore(bool hasStore) { gossip_.setHasStore(hasStore); }
     // The store turned this host away though others have it.
     void setStoreRefused(bool isRefused) { gossip_.setStoreRefused(isRefused); }
+    // Fencing token of the duties' lease that this host holds; 0 if it does not.
+    void setDutyToken(std::uint64_t token) { gossip_.setDutyToken(token); }
     // Takes requests: the configuration is there and fresh, and the host is not leaving.
     bool isServing() const;
     // IP:PORT addresses that callers should use now.
--- a/include/monsoongrade/gateway/gatewaysettings.h
+++ b/include/monsoongrade/gateway/gatewaysettings.h
@@ -38,6 +38,20 @@
     units::Duration stopWithin = std::chrono::seconds(8);
     routing::RetryBound retryBound;
     std::string logLevel = "info";
+    // IP:PORT of the platform's calls that one host at a time makes for all; empty: there are none.
+    std::string dutiesAddress;
+    std::vector<std::string> duties; // the platform's names of those that it asks for
+    std::uint16_t countsPort = 0; // where hosts tell each other what they count
+    // How long a host holds the duties' lease after a renewal, and leaves it to others after a
+    // loss.
+    units::Duration leaseDuration = std::chrono::seconds(3);
+    units::Duration usageWindow{};
+    units::Duration usageDueWithin = std::chrono::seconds(10); // after the end of a window
+
+    bool reportsUsage() const
+    {
+        return !dutiesAddress.empty() && usageWindow > units::Duration::zero();
+    }
 };
 
 // Reads the YAML settings; every mistake is noted with file, line and key.
--- a/include/monsoongrade/gateway/gatewaystate.h
+++ b/include/monsoongrade/gateway/gatewaystate.h
@@ -6,12 +6,14 @@
 #include <monsoongrade/gateway/requestdialect.h>
 #include <monsoongrade/gateway/sharedplacement.h>
 #include <monsoongrade/gateway/trafficlog.h>
+#include <monsoongrade/gateway/usagemeter.h>
 #include <monsoongrade/httpio/serverlimits.h>
 #include <monsoongrade/routing/endpointroster.h>
 #include <monsoongrade/routing/freshnesslease.h>
 #include <monsoongrade/routing/retryallowance.h>
 #include <monsoongrade/routing/routetable.h>
 
+#include <memory>
 #include <optional>
 #include <unordered_map>
 
@@ -66,6 +68,7 @@
     TrafficLog log;
     FirstRead firstRead;
     SharedPlacement placement;
+    std::unique_ptr<UsageMeter> usage; // null if the platform asks for no usage reports
 };
 
 } // namespace monsoongrade::gateway
--- a/include/monsoongrade/gateway/peergossip.h
+++ b/include/monsoongrade/gateway/peergossip.h
@@ -39,6 +39,13 @@
     void setHasStore(bool hasStore);
     // Whether the store turned this host away though others have it.
     void setStoreRefused(bool isRefused) { isStoreRefused_ = isRefused; }
+    // Fencing token of the duties' lease that this host holds; 0 if it does not.
+    void setDutyToken(std::uint64_t token) { dutyToken_ = token; }
+    // Called with the time of day that another host's clock showed, since 1970.
+    void onWallTime(std::function<void(const std::string &, units::Duration)> handler)
+    {
+        onWallTime_ = std::move(handler);
+    }
     // Called after each round, with the hosts that are live.
     void onRound(std::function<void()> handler) { onRound_ = std::move(handler); }
     const routing::PeerTable &table() const { return table_; }
@@ -53,6 +60,7 @@
     void send(const std::string &ip, const std::string &datagram);
     std::string encode();
     void decode(const std::string &datagram);
+    void noteWallTime(const std::string &host, units::Duration sinceEpoch);
 
     asio::ip::udp::socket socket_;
     asio::ip::udp::endpoint sender_;
@@ -62,9 +70,11 @@
     routing::PeerTable table_;
     routing::PeerState state_ = routing::PeerState::Waiting;
     std::function<void()> onRound_;
+    std::function<void(const std::string &, units::Duration)> onWallTime_;
     units::TimePoint startedAt_;
     bool hasStore_ = false;
     bool isStoreRefused_ = false;
+    std::uint64_t dutyToken_ = 0;
     units::TimePoint storeSince_{};
     std::minstd_rand random_;
 };
--- /dev/null
+++ b/include/monsoongrade/gateway/usagemeter.h
@@ -0,0 +1,68 @@
+#ifndef MONSOONGRADE_GATEWAY_USAGEMETER_H
+#define MONSOONGRADE_GATEWAY_USAGEMETER_H
+
+#include <monsoongrade/duties/usageledger.h>
+#include <monsoongrade/duties/walltimeestimate.h>
+#include <monsoongrade/httpio/timers.h>
+#include <monsoongrade/routing/peertable.h>
+
+#include <asio/ip/udp.hpp>
+
+#include <array>
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace monsoongrade::gateway {
+
+// Counts the requests of each workspace that begin to run, and tells the counts in datagrams to the
+// hosts that keep them, the lease's holder among these.
+class UsageMeter
+{
+public:
+    struct Settings
+    {
+        std::string ownIp;
+        std::uint16_t port = 0; // the same on all hosts
+        duties::UsageWindows windows;
+    };
+
+    // hosts: all that are live, this one included.
+    UsageMeter(asio::io_context &io, httpio::Timers &timers, Settings settings,
+               std::function<std::vector<routing::PeerNews>()> hosts);
+
+    void start();
+    // A request of the workspace began to run just now.
+    void onBegan(const units::WorkspaceName &workspace);
+    // What another host's clock showed just now.
+    void onWallTime(const std::string &host, units::Duration sinceEpoch);
+    // Tells the keepers what they have not been told; at a planned stop nothing is to be lost.
+    void tell();
+
+    const duties::UsageLedger &ledger() const { return ledger_; }
+    const duties::WallTimeEstimate &wallTime() const { return wallTime_; }
+    const duties::UsageWindows &windows() const { return settings_.windows; }
+
+private:
+    duties::WallTime now();
+    void round();
+    void send(const std::string &ip, const std::vector<duties::UsageEntry> &entries);
+    void receive();
+    void decode(const std::string &datagram);
+
+    asio::ip::udp::socket socket_;
+    asio::ip::udp::endpoint sender_;
+    std::array<char, 4096> buffer_{};
+    httpio::Timers &timers_;
+    Settings settings_;
+    std::function<std::vector<routing::PeerNews>()> hosts_;
+    duties::UsageLedger ledger_;
+    duties::WallTimeEstimate wallTime_;
+    std::set<std::string> told_; // keepers that know all own counts but for recent changes
+    units::TimePoint allToldAt_{};
+};
+
+} // namespace monsoongrade::gateway
+
+#endif // MONSOONGRADE_GATEWAY_USAGEMETER_H
--- a/include/monsoongrade/httpio/channel.h
+++ b/include/monsoongrade/httpio/channel.h
@@ -60,6 +60,8 @@
 
     // Closes at once. Neither the user nor onUnusable is called.
     void close();
+    // Closes at once by a reset: bytes of the request that have not left yet never do.
+    void reset();
 
     // Stops and resumes reading, to slow the server down to the speed of a slow reader.
     void pauseReading();
--- a/include/monsoongrade/routing/peertable.h
+++ b/include/monsoongrade/routing/peertable.h
@@ -29,6 +29,8 @@
     int millicores = 0; // thousandths of a processor core that it may use
     // The store turned it away a moment ago, though other hosts have the store.
     bool isStoreRefused = false;
+    // Fencing token of the duties' lease while the host holds it; 0 otherwise.
+    std::uint64_t dutyToken = 0;
 };
 
 // The other hosts, learned from each other: each tells some others what it knows with its age.
--- a/include/monsoongrade/routing/trafficconfiguration.h
+++ b/include/monsoongrade/routing/trafficconfiguration.h
@@ -1,6 +1,7 @@
 #ifndef MONSOONGRADE_ROUTING_TRAFFICCONFIGURATION_H
 #define MONSOONGRADE_ROUTING_TRAFFICCONFIGURATION_H
 
+#include <monsoongrade/routing/revision.h>
 #include <monsoongrade/routing/route.h>
 #include <monsoongrade/routing/trafficpool.h>
 
@@ -13,9 +14,6 @@
 
 namespace monsoongrade::routing {
 
-// Number that the platform's store gives to each change; a larger one is newer.
-using Revision = units::StrongNumber<struct RevisionTag, std::uint64_t>;
-
 // One workspace with the keys that its callers show. Its tier, if given, decides among requests
 // of the same route's tier; see RouteTable::tierOf().
 struct WorkspaceKeys
--- a/programs/monsoongrade-gateway/main.cpp
+++ b/programs/monsoongrade-gateway/main.cpp
@@ -1,11 +1,13 @@
 #include <monsoongrade/daemon/loglevels.h>
 #include <monsoongrade/daemon/parsearguments.h>
 #include <monsoongrade/daemon/settingsfile.h>
-#include <monsoongrade/gateway/gateway.h>
+#include <monsoongrade/gateway/dutyservice.h>
 #include <monsoongrade/httpio/socketoptions.h>
 #include <monsoongrade/observability/log.h>
 #include <monsoongrade/units/bootclock.h>
 
+#include <platform/dutycalls.h>
+#include <platform/dutyobjects.h>
 #include <platform/platformdialect.h>
 #include <platform/platformfeed.h>
 #include <platform/platformpages.h>
@@ -17,6 +19,7 @@
 
 #include <csignal>
 #include <iostream>
+#include <optional>
 
 namespace {
 
@@ -35,15 +38,40 @@
     });
 }
 
+// The duties of one host at a time, with the calls to the platform that they make.
+class Duties
+{
+public:
+    Duties(asio::io_context &io, httpio::Timers &timers, gateway::Gateway &gateway,
+           const asio::ip::tcp::endpoint &store, const asio::ip::tcp::endpoint &platform,
+           const units::Clock &clock)
+        : client_(io, timers, gateway.state().log.metrics)
+        , objects_(client_, store)
+        , calls_(client_, platform, gateway.settings().host.value())
+        , service_(timers, gateway, objects_, objects_, calls_, clock)
+    {
+        service_.start();
+    }
+
+    void stop() { service_.stop(); }
+
+private:
+    platform::StoreClient client_;
+    platform::DutyObjects objects_;
+    platform::DutyCalls calls_;
+    gateway::DutyService service_;
+};
+
 // Reads the settings again when they change or SIGHUP comes, and stops on SIGTERM and SIGINT.
 class Supervisor
 {
 public:
     Supervisor(asio::io_context &io, httpio::Timers &timers, gateway::Gateway &gateway,
-               std::string path)
+               std::optional<Duties> &duties, std::string path)
         : io_(io)
         , timers_(timers)
         , gateway_(gateway)
+        , duties_(duties)
         , path_(std::move(path))
         , signals_(io, SIGTERM, SIGINT, SIGHUP)
         , changedAt_(changeTime())
@@ -65,11 +93,18 @@
             if (signal == SIGHUP)
                 reload();
             else
-                gateway_.stop([this] { io_.stop(); });
+                stop();
             awaitSignal();
         });
     }
 
+    void stop()
+    {
+        if (duties_)
+            duties_->stop();
+        gateway_.stop([this] { io_.stop(); });
+    }
+
     void checkSettings()
     {
         const timespec now = changeTime();
@@ -102,6 +137,7 @@
     asio::io_context &io_;
     httpio::Timers &timers_;
     gateway::Gateway &gateway_;
+    std::optional<Duties> &duties_;
     std::string path_;
     asio::signal_set signals_;
     timespec changedAt_;
@@ -116,6 +152,11 @@
     }
     const units::BootClock clock;
     const units::TimePoint startedAt = clock.now();
+    const auto dutiesAddress = httpio::parseAddress(settings.dutiesAddress);
+    if (settings.reportsUsage() && !dutiesAddress) {
+        std::cerr << "duties-address is not IP:PORT: \"" << settings.dutiesAddress << "\"\n";
+        return ExitBadSettings;
+    }
     // One thread runs everything, so the loop needs no locks.
     asio::io_context io(ASIO_CONCURRENCY_HINT_UNSAFE_IO);
     httpio::Timers timers(io, clock);
@@ -125,7 +166,10 @@
     gateway.start();
     platform::PlatformFeed feed(io, timers, gateway, *store, settings.relayPort);
     feed.start();
-    Supervisor supervisor(io, timers, gateway, path);
+    std::optional<Duties> duties;
+    if (settings.reportsUsage())
+        duties.emplace(io, timers, gateway, *store, *dutiesAddress, clock);
+    Supervisor supervisor(io, timers, gateway, duties, path);
     supervisor.start();
     observability::log(
         observability::LogLevel::Info, "gateway-started",
--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -19,6 +19,8 @@
   storeForMs @6 :UInt64;
   # The platform's store turned the host away a moment ago, though other hosts have it.
   storeRefused @7 :Bool;
+  # Fencing token of the duties' lease while the host holds it; 0 otherwise.
+  dutyToken @8 :UInt64;
 
   enum State {
     serving @0;
@@ -31,4 +33,6 @@
   sender @0 :GossipPeer;
   # Other hosts that the sender has heard of.
   known @1 :List(GossipPeer);
+  # The sender's time of day, in milliseconds since 1970.
+  wallMs @2 :Int64;
 }
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -43,7 +43,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(b1e1eed5a6d82e8d, 4, 2)
+        CAPNP_DECLARE_STRUCT_HEADER(b1e1eed5a6d82e8d, 5, 2)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -63,7 +63,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(c14fbc6b85aa253c, 0, 2)
+        CAPNP_DECLARE_STRUCT_HEADER(c14fbc6b85aa253c, 1, 2)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -113,6 +113,8 @@
 
     inline bool getStoreRefused() const;
 
+    inline ::uint64_t getDutyToken() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -180,6 +182,9 @@
     inline bool getStoreRefused();
     inline void setStoreRefused(bool value);
 
+    inline ::uint64_t getDutyToken();
+    inline void setDutyToken(::uint64_t value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -239,6 +244,8 @@
     inline ::capnp::List<::monsoongrade::schema::GossipPeer, ::capnp::Kind::STRUCT>::Reader
     getKnown() const;
 
+    inline ::int64_t getWallMs() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -294,6 +301,9 @@
     inline ::capnp::Orphan<::capnp::List<::monsoongrade::schema::GossipPeer, ::capnp::Kind::STRUCT>>
     disownKnown();
 
+    inline ::int64_t getWallMs();
+    inline void setWallMs(::int64_t value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -495,6 +505,20 @@
     _builder.setDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
+inline ::uint64_t GossipPeer::Reader::getDutyToken() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t GossipPeer::Builder::getDutyToken()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void GossipPeer::Builder::setDutyToken(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool GossipMessage::Reader::hasSender() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -593,6 +617,20 @@
         disown(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline ::int64_t GossipMessage::Reader::getWallMs() const
+{
+    return _reader.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::int64_t GossipMessage::Builder::getWallMs()
+{
+    return _builder.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GossipMessage::Builder::setWallMs(::int64_t value)
+{
+    _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 } // namespace schema
 } // namespace monsoongrade
 
--- /dev/null
+++ b/src/duties/dutyholder.cpp
@@ -0,0 +1,86 @@
+#include <monsoongrade/duties/dutyholder.h>
+
+#include <monsoongrade/observability/log.h>
+
+namespace monsoongrade::duties {
+
+DutyHolder::DutyHolder(Lease::Settings settings, LeaseStore &store, const units::Clock &clock)
+    : store_(store)
+    , clock_(clock)
+    , lease_(std::move(settings), clock.now())
+{
+}
+
+void DutyHolder::run(bool isCandidate)
+{
+    noteChange();
+    if (!isCalling_) {
+        const Lease::Step step = lease_.next(isCandidate, clock_.now());
+        if (step.call != Lease::Call::None)
+            callStore(step);
+    }
+    for (Duty *duty : duties_) {
+        // Asked again for each: a duty may take a while.
+        if (lease_.mayAct(clock_.now(), MaxCallTime))
+            duty->act(lease_.token());
+    }
+}
+
+void DutyHolder::stop()
+{
+    lease_.release();
+    run(false);
+}
+
+FencingToken DutyHolder::tokenInForce() const
+{
+    return lease_.mayAct(clock_.now(), units::Duration::zero()) ? lease_.token() : FencingToken();
+}
+
+void DutyHolder::callStore(const Lease::Step &step)
+{
+    isCalling_ = true;
+    const auto done = [this, alive = std::weak_ptr<bool>(alive_)](const LeaseAnswer &answer) {
+        if (alive.expired())
+            return;
+        isCalling_ = false;
+        lease_.onAnswer(answer, clock_.now());
+        noteChange();
+    };
+    switch (step.call) {
+    case Lease::Call::None:
+        break;
+    case Lease::Call::Read:
+        store_.read(done);
+        break;
+    case Lease::Call::Create:
+        store_.create(step.record, done);
+        break;
+    case Lease::Call::Replace:
+        store_.replace(step.record, step.expected, done);
+        break;
+    }
+}
+
+void DutyHolder::noteChange()
+{
+    const FencingToken token = tokenInForce();
+    if (token == lastToken_)
+        return;
+    if (lastToken_ != FencingToken()) {
+        const bool isSucceeded = lease_.token() != lastToken_;
+        observability::log(observability::LogLevel::Info, "duty-lease-lost",
+                           {{"token", lastToken_.value()},
+                            {"reason",
+                             isSucceeded                ? "taken-over"
+                                 : lease_.isReleasing() ? "released"
+                                                        : "not-renewed"},
+                            {"holder", lease_.holder()}});
+    }
+    if (token != FencingToken())
+        observability::log(observability::LogLevel::Info, "duty-lease-gained",
+                           {{"token", token.value()}});
+    lastToken_ = token;
+}
+
+} // namespace monsoongrade::duties
--- /dev/null
+++ b/src/duties/dutyhosts.cpp
@@ -0,0 +1,39 @@
+#include <monsoongrade/duties/dutyhosts.h>
+
+#include <monsoongrade/routing/storereaders.h>
+
+#include <algorithm>
+
+namespace monsoongrade::duties {
+
+namespace {
+
+constexpr std::size_t MaxCandidates = 4;
+constexpr std::size_t MaxKeepers = 3;
+
+} // namespace
+
+std::vector<std::string> dutyCandidates(const std::vector<routing::PeerNews> &hosts)
+{
+    return routing::storeReaders(hosts, MaxCandidates);
+}
+
+std::vector<std::string> countKeepers(const std::vector<routing::PeerNews> &hosts)
+{
+    std::vector<std::string> keepers;
+    std::uint64_t newest = 0;
+    for (const routing::PeerNews &host : hosts) {
+        if (host.dutyToken > newest) {
+            newest = host.dutyToken;
+            keepers = {host.ip};
+        }
+    }
+    for (const std::string &ip : dutyCandidates(hosts)) {
+        if (keepers.size() < MaxKeepers
+            && std::find(keepers.begin(), keepers.end(), ip) == keepers.end())
+            keepers.push_back(ip);
+    }
+    return keepers;
+}
+
+} // namespace monsoongrade::duties
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -234,6 +234,8 @@
     if (firstByteSeen_)
         return;
     firstByteSeen_ = true;
+    if (state_.usage != nullptr && !answer_.provenNotRun)
+        state_.usage->onBegan(admission_.workspace);
     const units::TimePoint now = state_.timers.now();
     const double took = std::chrono::duration<double, std::milli>(now - sentAt_).count();
     // Engines read about 150 tokens a millisecond and need 30 to 40 ms beside; plain endpoints
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -77,6 +77,16 @@
         = std::size_t(settings.memoryMegabytes / BodyShareOfMemory) * 1024 * 1024;
     state_.callerLimits.maxConnections
         = std::size_t(settings.maxDescriptors / DescriptorsPerClient);
+    if (settings.reportsUsage()) {
+        state_.usage = std::make_unique<UsageMeter>(
+            io, timers,
+            UsageMeter::Settings{
+                settings.ip, settings.countsPort, {settings.usageWindow, settings.usageDueWithin}},
+            [this] { return hosts(); });
+        gossip_.onWallTime([this](const std::string &host, units::Duration sinceEpoch) {
+            state_.usage->onWallTime(host, sinceEpoch);
+        });
+    }
 }
 
 void Gateway::start()
@@ -109,6 +119,8 @@
     gossip_.onRound([this] { onGossipRound(); });
     gossip_.start();
     state_.placement.start();
+    if (state_.usage != nullptr)
+        state_.usage->start();
 }
 
 void Gateway::applyConfiguration(routing::TrafficConfiguration configuration)
@@ -279,6 +291,8 @@
     }
     observability::log(observability::LogLevel::Info, "gateway-stopped",
                        {{"open-requests", std::uint64_t(open)}});
+    if (state_.usage != nullptr)
+        state_.usage->tell();
     stopped_();
 }
 
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -55,6 +55,15 @@
     settings.retryBound.fixed = reader.number("retry-fixed", 50, 0, 1e6);
     settings.retryBound.window
         = fromSeconds(reader.number("retry-window-s", 10, 0.1, DayInSeconds));
+    settings.dutiesAddress = reader.text("duties-address", "");
+    settings.duties = reader.texts("duties");
+    // Beside the gossip unless told otherwise.
+    settings.countsPort = std::uint16_t(
+        reader.integer("counts-port", std::int64_t(settings.gossipPort) + 1, 1, MaxPort));
+    settings.leaseDuration
+        = fromMilliseconds(reader.number("duty-lease-ms", 3000, 100, DayInMilliseconds));
+    settings.usageWindow = fromSeconds(reader.number("usage-window-s", 0, 0, DayInSeconds));
+    settings.usageDueWithin = fromSeconds(reader.number("usage-due-s", 10, 0, DayInSeconds));
     settings.logLevel = reader.text("log-level", "info");
     reader.finish();
     return settings;
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -44,6 +44,7 @@
     peer.setStoreForMs(inMilliseconds(news.storeFor));
     peer.setMillicores(std::uint32_t(news.millicores));
     peer.setStoreRefused(news.isStoreRefused);
+    peer.setDutyToken(news.dutyToken);
 }
 
 std::optional<routing::PeerNews> decodePeer(schema::GossipPeer::Reader peer)
@@ -60,6 +61,7 @@
     news.millicores = int(peer.getMillicores());
     news.storeFor = std::chrono::milliseconds(peer.getStoreForMs());
     news.isStoreRefused = peer.getStoreRefused();
+    news.dutyToken = peer.getDutyToken();
     return news;
 }
 
@@ -157,11 +159,18 @@
     news.uptime = timers_.now() - startedAt_;
     news.millicores = settings_.ownMillicores;
     news.isStoreRefused = isStoreRefused_;
+    news.dutyToken = dutyToken_;
     if (hasStore_)
         news.storeFor = timers_.now() - storeSince_;
     return news;
 }
 
+void PeerGossip::noteWallTime(const std::string &host, units::Duration sinceEpoch)
+{
+    if (sinceEpoch > units::Duration::zero() && onWallTime_)
+        onWallTime_(host, sinceEpoch);
+}
+
 std::string PeerGossip::encode()
 {
     // Others each time: in a fleet with more hosts than one datagram holds, news of those that are
@@ -178,6 +187,9 @@
     capnp::MallocMessageBuilder message;
     auto root = message.initRoot<schema::GossipMessage>();
     encodePeer(root.initSender(), own());
+    root.setWallMs(std::chrono::duration_cast<std::chrono::milliseconds>(
+                       std::chrono::system_clock::now().time_since_epoch())
+                       .count());
     auto list = root.initKnown(unsigned(known.size()));
     for (std::size_t i = 0; i < known.size(); ++i)
         encodePeer(list[unsigned(i)], known[i]);
@@ -197,6 +209,7 @@
             if (!table_.isLive(sender->ip, timers_.now()))
                 newcomer = sender->ip;
             heard.push_back(*sender);
+            noteWallTime(sender->ip, std::chrono::milliseconds(root.getWallMs()));
         }
         for (const auto peer : root.getKnown()) {
             if (auto news = decodePeer(peer))
--- /dev/null
+++ b/src/gateway/usagemeter.cpp
@@ -0,0 +1,177 @@
+#include <monsoongrade/gateway/usagemeter.h>
+
+#include <gateway/internal/packedmessage.h>
+
+#include <monsoongrade/duties/dutyhosts.h>
+#include <monsoongrade/observability/log.h>
+
+#include <usage.capnp.h>
+
+#include <asio/buffer.hpp>
+
+#include <kj/exception.h>
+
+#include <algorithm>
+#include <random>
+
+namespace monsoongrade::gateway {
+
+namespace {
+
+// Counts that a host has not told are lost with it. Keepers of a large fleet get less from each.
+constexpr auto MinTellInterval = std::chrono::milliseconds(250);
+constexpr auto TellIntervalPerHost = std::chrono::milliseconds(2);
+// All counts are told again after this time, so that a lost datagram does not matter.
+constexpr auto TellAllInterval = std::chrono::seconds(1);
+// Keeps a datagram below the size of a packet.
+constexpr std::size_t MaxEntries = 50;
+
+std::string lifeOf(const std::string &ip)
+{
+    std::random_device random;
+    return ip + "/" + std::to_string(random());
+}
+
+std::string encode(const std::string &reporter, const duties::UsageEntry *first,
+                   const duties::UsageEntry *last)
+{
+    std::map<duties::WindowNumber, std::vector<const duties::UsageEntry *>> byWindow;
+    for (const duties::UsageEntry *entry = first; entry != last; ++entry)
+        byWindow[entry->window].push_back(entry);
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<schema::UsageNews>();
+    root.setReporter(reporter);
+    auto windows = root.initWindows(unsigned(byWindow.size()));
+    unsigned w = 0;
+    for (const auto &[number, entries] : byWindow) {
+        auto window = windows[w++];
+        window.setNumber(number.value());
+        auto counts = window.initCounts(unsigned(entries.size()));
+        for (std::size_t i = 0; i < entries.size(); ++i) {
+            counts[unsigned(i)].setWorkspace(entries[i]->workspace.value());
+            counts[unsigned(i)].setTotal(std::uint32_t(entries[i]->total));
+        }
+    }
+    return internal::packed(message);
+}
+
+} // namespace
+
+UsageMeter::UsageMeter(asio::io_context &io, httpio::Timers &timers, Settings settings,
+                       std::function<std::vector<routing::PeerNews>()> hosts)
+    : socket_(io)
+    , timers_(timers)
+    , settings_(std::move(settings))
+    , hosts_(std::move(hosts))
+    , ledger_(lifeOf(settings_.ownIp))
+{
+    socket_.open(asio::ip::udp::v4());
+    socket_.set_option(asio::socket_base::reuse_address(true));
+    socket_.bind({asio::ip::make_address_v4(settings_.ownIp), settings_.port});
+    socket_.non_blocking(true);
+}
+
+void UsageMeter::start()
+{
+    now();
+    receive();
+    round();
+}
+
+duties::WallTime UsageMeter::now()
+{
+    const units::TimePoint now = timers_.now();
+    wallTime_.onSample(settings_.ownIp, std::chrono::system_clock::now(), now);
+    return wallTime_.at(now);
+}
+
+void UsageMeter::onBegan(const units::WorkspaceName &workspace)
+{
+    if (!workspace.isEmpty())
+        ledger_.count(settings_.windows.at(now()), workspace);
+}
+
+void UsageMeter::onWallTime(const std::string &host, units::Duration sinceEpoch)
+{
+    wallTime_.onSample(host, duties::WallTime(sinceEpoch), timers_.now());
+}
+
+void UsageMeter::round()
+{
+    const duties::WindowNumber oldest = settings_.windows.at(now() - settings_.windows.dueWithin);
+    ledger_.forgetBefore(duties::WindowNumber(oldest.value() - 1));
+    tell();
+    const auto interval = std::max<units::Duration>(
+        MinTellInterval, TellIntervalPerHost * std::int64_t(hosts_().size()));
+    timers_.after(interval, [this] { round(); });
+}
+
+void UsageMeter::tell()
+{
+    const std::vector<std::string> keepers = duties::countKeepers(hosts_());
+    const bool isAllDue = timers_.now() >= allToldAt_ + TellAllInterval;
+    if (isAllDue) {
+        allToldAt_ = timers_.now();
+        told_.clear();
+    }
+    const std::vector<duties::UsageEntry> changed = ledger_.takeChanged();
+    std::set<std::string> told;
+    for (const std::string &ip : keepers) {
+        told.insert(ip);
+        if (ip != settings_.ownIp)
+            send(ip, told_.count(ip) != 0 ? changed : ledger_.own());
+    }
+    told_ = std::move(told);
+}
+
+void UsageMeter::send(const std::string &ip, const std::vector<duties::UsageEntry> &entries)
+{
+    asio::error_code error;
+    const auto address = asio::ip::make_address_v4(ip, error);
+    if (error)
+        return; // gossip carries only addresses that were bound
+    for (std::size_t begin = 0; begin < entries.size(); begin += MaxEntries) {
+        const std::size_t end = std::min(begin + MaxEntries, entries.size());
+        const std::string datagram
+            = encode(ledger_.self(), entries.data() + begin, entries.data() + end);
+        socket_.send_to(asio::buffer(datagram), {address, settings_.port}, 0, error);
+        // A datagram that can't be sent counts as lost; all is told again soon.
+    }
+}
+
+void UsageMeter::receive()
+{
+    socket_.async_receive_from(asio::buffer(buffer_), sender_,
+                               [this](const asio::error_code &error, std::size_t count) {
+                                   if (error == asio::error::operation_aborted)
+                                       return;
+                                   // An error here is an ICMP report about an earlier datagram.
+                                   if (!error)
+                                       decode(std::string(buffer_.data(), count));
+                                   receive();
+                               });
+}
+
+void UsageMeter::decode(const std::string &datagram)
+{
+    const auto fault = kj::runCatchingExceptions([&] {
+        kj::ArrayInputStream in(
+            kj::arrayPtr(reinterpret_cast<const kj::byte *>(datagram.data()), datagram.size()));
+        capnp::PackedMessageReader message(in);
+        const auto root = message.getRoot<schema::UsageNews>();
+        const std::string reporter = root.getReporter();
+        for (const auto window : root.getWindows()) {
+            for (const auto count : window.getCounts())
+                ledger_.merge(reporter,
+                              {duties::WindowNumber(window.getNumber()),
+                               units::WorkspaceName(count.getWorkspace()), count.getTotal()});
+        }
+    });
+    KJ_IF_MAYBE (exception, fault) {
+        observability::log(observability::LogLevel::Warning, "usage-news-unreadable",
+                           {{"from", sender_.address().to_string()},
+                            {"reason", exception->getDescription().cStr()}});
+    }
+}
+
+} // namespace monsoongrade::gateway
--- a/src/httpio/channel.cpp
+++ b/src/httpio/channel.cpp
@@ -86,6 +86,13 @@
     return true;
 }
 
+void Channel::reset()
+{
+    asio::error_code ignored; // a broken socket has nothing left to send
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
 void Channel::close()
 {
     user_ = nullptr;
--- /dev/null
+++ b/tests/duties/dutyworld.cpp
@@ -0,0 +1,358 @@
+#include "dutyworld.h"
+
+namespace monsoongrade::duties {
+
+namespace {
+
+constexpr auto TickInterval = std::chrono::milliseconds(100);
+// Clocks of hosts differ in speed by at most this share.
+constexpr double MaxDrift = 0.005;
+
+} // namespace
+
+// One life of one machine: a restart makes a new one in the same place.
+class DutyWorld::Host : public units::Clock,
+                        public LeaseStore,
+                        public UsageReportStore,
+                        public DutyPlatform,
+                        public Duty
+{
+public:
+    Host(DutyWorld &world, int machineToBe, int life)
+        : machine(machineToBe)
+        , world_(world)
+        , speed_(1 + MaxDrift * (world.between(0, 2000).count() / 1e9 - 1))
+        , ledger("host-" + std::to_string(machineToBe) + "/" + std::to_string(life))
+    {
+        Lease::Settings lease{ledger.self(), LeaseDuration,
+                              world.settings_.pausesAfterLoss ? LeaseDuration : units::Duration()};
+        holder = std::make_unique<DutyHolder>(lease, *this, *this);
+        reporting = std::make_unique<UsageReporting>(world.windows_, ledger, wallTime, *this, *this,
+                                                     *this);
+        holder->add(*reporting);
+        holder->add(*this);
+    }
+
+    units::TimePoint now() const override
+    {
+        return units::TimePoint(
+            units::Duration(std::int64_t(double(world_.now_.time_since_epoch().count()) * speed_)));
+    }
+
+    void read(LeaseStore::Done done) override
+    {
+        ++world_.staleReads_;
+        auto answer = std::make_shared<LeaseAnswer>();
+        world_.storeCall(
+            *this, [this, answer] { show(*answer); },
+            [answer, done](bool isAnswered) { done(isAnswered ? *answer : LeaseAnswer{}); });
+    }
+    void create(const LeaseRecord &record, LeaseStore::Done done) override
+    {
+        write(record, std::nullopt, std::move(done));
+    }
+    void replace(const LeaseRecord &record, routing::Revision expected,
+                 LeaseStore::Done done) override
+    {
+        write(record, expected, std::move(done));
+    }
+
+    void fix(WindowNumber window, const UsageCounts &counts, UsageReportStore::Done done) override
+    {
+        ++world_.storeCalls_;
+        auto fixed = std::make_shared<UsageCounts>(counts);
+        world_.storeCall(
+            *this,
+            [this, window, fixed] {
+                if (world_.settings_.fixesReports)
+                    *fixed = world_.fixed_.emplace(window, *fixed).first->second;
+            },
+            [fixed, done](bool isAnswered) {
+                done(isAnswered ? std::optional<UsageCounts>(*fixed) : std::nullopt);
+            });
+    }
+    void remove(WindowNumber window) override { world_.fixed_.erase(window); }
+
+    void reportUsage(FencingToken token, WindowNumber window, const UsageCounts &counts,
+                     DutyPlatform::Done done) override
+    {
+        world_.platformCall(
+            *this,
+            [this, token, window, counts] { world_.onUsageCall(machine, token, window, counts); },
+            [done](bool isAnswered) {
+                done(isAnswered ? CallOutcome::Accepted : CallOutcome::NoAnswer);
+            });
+    }
+
+    // A second duty that acts each time it may, so that a host that may not act is noticed.
+    void act(FencingToken token) override
+    {
+        world_.platformCall(
+            *this, [this, token] { world_.noteAct(machine, token); }, [](bool) {});
+    }
+
+    const int machine;
+    bool isAlive = true;
+    bool isStopping = false;
+    units::TimePoint frozenUntil{};
+
+private:
+    void show(LeaseAnswer &answer)
+    {
+        answer.outcome
+            = world_.lease_ ? LeaseAnswer::Outcome::Stored : LeaseAnswer::Outcome::Missing;
+        if (world_.lease_)
+            answer.stored = *world_.lease_;
+    }
+
+    void write(LeaseRecord record, std::optional<routing::Revision> expected, LeaseStore::Done done)
+    {
+        ++world_.storeCalls_;
+        if (!world_.settings_.countsTokens)
+            record.token = FencingToken(1);
+        auto answer = std::make_shared<LeaseAnswer>();
+        world_.storeCall(
+            *this,
+            [this, record, expected, answer] {
+                const bool applies = expected
+                    ? world_.lease_ && world_.lease_->revision == *expected
+                    : !world_.lease_;
+                if (applies)
+                    world_.lease_ = StoredLease{record, routing::Revision(++world_.revision_)};
+                show(*answer);
+            },
+            [answer, done](bool isAnswered) { done(isAnswered ? *answer : LeaseAnswer{}); });
+    }
+
+    DutyWorld &world_;
+    double speed_;
+
+public:
+    UsageLedger ledger;
+    WallTimeEstimate wallTime;
+    std::unique_ptr<DutyHolder> holder;
+    std::unique_ptr<UsageReporting> reporting;
+};
+
+DutyWorld::DutyWorld(DutyWorldSettings settings)
+    : settings_(settings)
+    , random_(settings.seed)
+    , storeAwayUntil_(std::size_t(settings.hosts))
+{
+    for (int i = 0; i < settings.hosts; ++i) {
+        hosts_.push_back(std::make_unique<Host>(*this, i, 0));
+        at(now_ + between(0, 300), [this, i] { tick(i); });
+    }
+    if (settings_.hasFaults)
+        at(now_ + between(0, 3000), [this] { injectFault(); });
+}
+
+DutyWorld::~DutyWorld() = default;
+
+void DutyWorld::at(units::TimePoint when, std::function<void()> function)
+{
+    events_.emplace(when, std::move(function));
+}
+
+units::Duration DutyWorld::between(int fromMs, int toMs)
+{
+    return std::chrono::milliseconds(std::uniform_int_distribution<int>(fromMs, toMs)(random_));
+}
+
+bool DutyWorld::happens(double share)
+{
+    return std::bernoulli_distribution(share)(random_);
+}
+
+void DutyWorld::run(units::Duration duration)
+{
+    const units::TimePoint end = now_ + duration;
+    while (!events_.empty() && events_.begin()->first <= end) {
+        const auto next = events_.begin();
+        now_ = next->first;
+        const auto function = std::move(next->second);
+        events_.erase(next);
+        function();
+    }
+    now_ = end;
+}
+
+void DutyWorld::tick(int machine)
+{
+    at(now_ + TickInterval, [this, machine] { tick(machine); });
+    Host &host = *hosts_[std::size_t(machine)];
+    if (!host.isAlive || now_ < host.frozenUntil)
+        return;
+    host.wallTime.onSample("", WallTime(now_.time_since_epoch()), host.now());
+    host.ledger.count(windows_.at(host.wallTime.at(host.now())), units::WorkspaceName("w"));
+    host.holder->run(!host.isStopping);
+}
+
+int DutyWorld::holder() const
+{
+    for (const auto &host : hosts_) {
+        if (host->isAlive && host->holder->tokenInForce() != FencingToken())
+            return host->machine;
+    }
+    return -1;
+}
+
+void DutyWorld::crash(int machine, units::Duration downFor)
+{
+    if (!hosts_[std::size_t(machine)]->isAlive)
+        return;
+    hosts_[std::size_t(machine)]->isAlive = false;
+    at(now_ + downFor, [this, machine] {
+        const int life = int(now_.time_since_epoch().count() % 1000000007);
+        // Calls of the earlier life still refer to it.
+        auto earlier = std::shared_ptr<Host>(std::move(hosts_[std::size_t(machine)]));
+        hosts_[std::size_t(machine)] = std::make_unique<Host>(*this, machine, life);
+        at(now_ + std::chrono::minutes(1), [earlier] {});
+    });
+}
+
+void DutyWorld::stop(int machine, units::Duration downFor)
+{
+    Host *host = hosts_[std::size_t(machine)].get();
+    if (!host->isAlive || host->isStopping || now_ < host->frozenUntil)
+        return;
+    host->isStopping = true;
+    host->holder->stop();
+    at(now_ + std::chrono::milliseconds(300), [this, machine, host, downFor] {
+        if (hosts_[std::size_t(machine)].get() == host)
+            crash(machine, downFor);
+    });
+}
+
+void DutyWorld::freeze(int machine, units::Duration duration)
+{
+    hosts_[std::size_t(machine)]->frozenUntil = now_ + duration;
+}
+
+void DutyWorld::cutStore(int machine, units::Duration duration)
+{
+    storeAwayUntil_[std::size_t(machine)] = now_ + duration;
+}
+
+void DutyWorld::cutStoreForAll(units::Duration duration)
+{
+    for (units::TimePoint &until : storeAwayUntil_)
+        until = now_ + duration;
+}
+
+void DutyWorld::cutPlatform(units::Duration duration)
+{
+    platformAwayUntil_ = now_ + duration;
+}
+
+void DutyWorld::injectFault()
+{
+    at(now_ + between(100, settings_.maxCalmMs), [this] { injectFault(); });
+    const int holding = holder();
+    const int machine = holding >= 0 && happens(0.7)
+        ? holding
+        : std::uniform_int_distribution<int>(0, settings_.hosts - 1)(random_);
+    switch (std::uniform_int_distribution<int>(0, 5)(random_)) {
+    case 0:
+        crash(machine, between(50, 4000));
+        break;
+    case 1:
+        stop(machine, between(50, 1500));
+        break;
+    case 2:
+        freeze(machine, between(200, 6000));
+        break;
+    case 3:
+        cutStore(machine, between(500, 6000));
+        break;
+    case 4:
+        cutStoreForAll(between(200, 5000));
+        break;
+    default:
+        cutPlatform(between(200, 5000));
+        break;
+    }
+}
+
+bool DutyWorld::isStoreAway(int machine) const
+{
+    return now_ < storeAwayUntil_[std::size_t(machine)];
+}
+
+// Runs the function at the host, unless it has crashed; a frozen host runs it when it wakes up.
+void DutyWorld::answerAt(Host &host, units::Duration delay, const std::function<void()> &function)
+{
+    at(now_ + delay, [this, &host, function] {
+        if (!host.isAlive)
+            return;
+        if (now_ < host.frozenUntil)
+            answerAt(host, host.frozenUntil - now_ + between(0, 20), function);
+        else
+            function();
+    });
+}
+
+void DutyWorld::storeCall(Host &host, const std::function<void()> &execute,
+                          const std::function<void(bool)> &answer)
+{
+    const bool isLost = isStoreAway(host.machine) || (settings_.hasFaults && happens(0.05));
+    if (isLost) {
+        // Executed late, or never.
+        if (happens(0.5))
+            at(now_ + between(0, 6000), execute);
+        answerAt(host, MaxCallTime, [answer] { answer(false); });
+        return;
+    }
+    const units::Duration way = between(1, settings_.hasFaults && happens(0.1) ? 400 : 10);
+    at(now_ + way, execute);
+    answerAt(host, way + way + std::chrono::microseconds(1), [answer] { answer(true); });
+}
+
+void DutyWorld::platformCall(Host &host, const std::function<void()> &execute,
+                             const std::function<void(bool)> &answer)
+{
+    const bool isLost = now_ < platformAwayUntil_ || (settings_.hasFaults && happens(0.1));
+    if (isLost) {
+        // The connection is reset after this time: nothing arrives any more.
+        if (happens(0.5))
+            at(now_ + between(0, 900), execute);
+        answerAt(host, MaxCallTime, [answer] { answer(false); });
+        return;
+    }
+    const units::Duration way = between(1, 20);
+    at(now_ + way, execute);
+    answerAt(host, way + way, [answer] { answer(true); });
+}
+
+void DutyWorld::noteAct(int machine, FencingToken token)
+{
+    if (token < newestToken_)
+        faults_.emplace_back("a lower token after a higher one");
+    newestToken_ = std::max(newestToken_, token);
+    const auto known = machineOfToken_.emplace(token, machine).first;
+    if (known->second != machine)
+        faults_.emplace_back("two holders under one token");
+    // A, B, A within the lease's duration.
+    bool sawOther = false;
+    for (auto act = acts_.rbegin(); act != acts_.rend(); ++act) {
+        if (now_ - act->first >= LeaseDuration)
+            break;
+        sawOther = sawOther || act->second != machine;
+        if (sawOther && act->second == machine) {
+            faults_.emplace_back("a holder acts again after another one within the lease");
+            break;
+        }
+    }
+    acts_.emplace_back(now_, machine);
+}
+
+void DutyWorld::onUsageCall(int machine, FencingToken token, WindowNumber window,
+                            const UsageCounts &counts)
+{
+    noteAct(machine, token);
+    const auto known = reports_.emplace(window, counts).first;
+    if (known->second != counts)
+        faults_.emplace_back("two reports of one window differ");
+}
+
+} // namespace monsoongrade::duties
