--- a/include/monsoongrade/duties/dutyplatform.h
+++ b/include/monsoongrade/duties/dutyplatform.h
@@ -3,6 +3,7 @@
 
 #include <monsoongrade/duties/leaserecord.h>
 #include <monsoongrade/duties/usagewindow.h>
+#include <monsoongrade/duties/workerorder.h>
 
 #include <functional>
 
@@ -29,6 +30,7 @@
     virtual void reportUsage(FencingToken token, WindowNumber window, const UsageCounts &counts,
                              Done done)
         = 0;
+    virtual void orderWorkers(FencingToken token, const WorkerOrder &order, Done done) = 0;
 };
 
 } // namespace monsoongrade::duties
--- /dev/null
+++ b/include/monsoongrade/duties/workerorder.h
@@ -0,0 +1,19 @@
+#ifndef MONSOONGRADE_DUTIES_WORKERORDER_H
+#define MONSOONGRADE_DUTIES_WORKERORDER_H
+
+#include <monsoongrade/units/ids.h>
+
+namespace monsoongrade::duties {
+
+// The number of endpoints of one kind that a pool shall have in a failure domain.
+struct WorkerOrder
+{
+    units::PoolName pool;
+    units::FailureDomain domain;
+    bool preemptible = false;
+    int desired = 0;
+};
+
+} // namespace monsoongrade::duties
+
+#endif // MONSOONGRADE_DUTIES_WORKERORDER_H
--- a/include/monsoongrade/gateway/dutyservice.h
+++ b/include/monsoongrade/gateway/dutyservice.h
@@ -4,30 +4,42 @@
 #include <monsoongrade/duties/dutyholder.h>
 #include <monsoongrade/duties/usagereporting.h>
 #include <monsoongrade/gateway/gateway.h>
+#include <monsoongrade/scaling/preemptiblespread.h>
+#include <monsoongrade/scaling/workerordering.h>
 
 namespace monsoongrade::gateway {
 
 // This host's part in the duties that one host at a time has for all: keeps the lease if it can,
 // and does what is due while it holds it.
-class DutyService
+class DutyService : private scaling::ScaledPools
 {
 public:
+    struct Stores
+    {
+        duties::LeaseStore &lease;
+        duties::UsageReportStore &reports;
+        scaling::BaselineStore &baselines;
+    };
+
     // The gateway counts usage.
-    DutyService(httpio::Timers &timers, Gateway &gateway, duties::LeaseStore &lease,
-                duties::UsageReportStore &reports, duties::DutyPlatform &platform,
-                const units::Clock &clock);
+    DutyService(httpio::Timers &timers, Gateway &gateway, Stores stores,
+                duties::DutyPlatform &platform, const units::Clock &clock);
 
     void start() { round(); }
     // Gives the lease to another host, at a planned stop.
     void stop();
 
 private:
+    std::vector<scaling::ScaledPool> pools() const override;
+    bool isCurrent() const override;
     void round();
 
     httpio::Timers &timers_;
     Gateway &gateway_;
     duties::DutyHolder holder_;
     duties::UsageReporting usage_;
+    scaling::PreemptibleSpread sizing_;
+    scaling::WorkerOrdering workers_;
     bool isStopping_ = false;
 };
 
--- a/include/monsoongrade/routing/discoveredendpoint.h
+++ b/include/monsoongrade/routing/discoveredendpoint.h
@@ -23,6 +23,8 @@
     units::FailureDomain failureDomain;
     int slots = 1; // requests that it works on at once
     bool draining = false;
+    // Cheaper, and the platform may take it away at short notice.
+    bool preemptible = false;
 };
 
 } // namespace monsoongrade::routing
--- a/include/monsoongrade/routing/endpointroster.h
+++ b/include/monsoongrade/routing/endpointroster.h
@@ -35,6 +35,8 @@
 
     // Endpoints of the pool that take new requests by the store's word.
     std::vector<Status> available(const units::PoolName &pool) const;
+    // All of the pool's endpoints that are listed, leaving ones too.
+    std::vector<DiscoveredEndpoint> listed(const units::PoolName &pool) const;
     std::size_t size() const { return entries_.size(); }
 
 private:
--- a/include/monsoongrade/routing/trafficpool.h
+++ b/include/monsoongrade/routing/trafficpool.h
@@ -1,9 +1,11 @@
 #ifndef MONSOONGRADE_ROUTING_TRAFFICPOOL_H
 #define MONSOONGRADE_ROUTING_TRAFFICPOOL_H
 
+#include <monsoongrade/routing/poolscaling.h>
 #include <monsoongrade/units/ids.h>
 
 #include <cstdint>
+#include <optional>
 
 namespace monsoongrade::routing {
 
@@ -19,6 +21,8 @@
     int tokensPerEvent = 5;
     // Some route of the pool serves streams with short pauses. Set by RouteTable.
     bool servesShortPauses = false;
+    // None if the number of its endpoints is not ours to change.
+    std::optional<PoolScaling> scaling;
 };
 
 } // namespace monsoongrade::routing
--- a/programs/monsoongrade-gateway/main.cpp
+++ b/programs/monsoongrade-gateway/main.cpp
@@ -48,7 +48,7 @@
         : client_(io, timers, gateway.state().log.metrics)
         , objects_(client_, store)
         , calls_(client_, platform, gateway.settings().host.value())
-        , service_(timers, gateway, objects_, objects_, calls_, clock)
+        , service_(timers, gateway, {objects_, objects_, objects_}, calls_, clock)
     {
         service_.start();
     }
--- a/src/gateway/dutyservice.cpp
+++ b/src/gateway/dutyservice.cpp
@@ -9,21 +9,25 @@
 namespace {
 
 constexpr auto RoundInterval = std::chrono::milliseconds(100);
+// Endpoints are ordered by what the store showed within this time.
+constexpr auto MaxListAge = std::chrono::milliseconds(2500);
 
 } // namespace
 
-DutyService::DutyService(httpio::Timers &timers, Gateway &gateway, duties::LeaseStore &lease,
-                         duties::UsageReportStore &reports, duties::DutyPlatform &platform,
-                         const units::Clock &clock)
+DutyService::DutyService(httpio::Timers &timers, Gateway &gateway, Stores stores,
+                         duties::DutyPlatform &platform, const units::Clock &clock)
     : timers_(timers)
     , gateway_(gateway)
     , holder_({gateway.state().usage->ledger().self(), gateway.settings().leaseDuration,
                gateway.settings().leaseDuration},
-              lease, clock)
+              stores.lease, clock)
     , usage_(gateway.state().usage->windows(), gateway.state().usage->ledger(),
-             gateway.state().usage->wallTime(), reports, platform, clock)
+             gateway.state().usage->wallTime(), stores.reports, platform, clock)
+    , sizing_({})
+    , workers_(*this, sizing_, stores.baselines, platform, gateway.state().log.metrics, clock)
 {
     holder_.add(usage_);
+    holder_.add(workers_);
 }
 
 void DutyService::stop()
@@ -33,6 +37,25 @@
     gateway_.setDutyToken(holder_.tokenInForce().value());
 }
 
+std::vector<scaling::ScaledPool> DutyService::pools() const
+{
+    std::vector<scaling::ScaledPool> pools;
+    const GatewayState &state = gateway_.state();
+    if (state.table == nullptr)
+        return pools;
+    for (const routing::TrafficPool &pool : state.table->configuration().pools) {
+        if (pool.scaling)
+            pools.push_back(
+                {pool.name, *pool.scaling, scaling::takeCensus(state.roster.listed(pool.name))});
+    }
+    return pools;
+}
+
+bool DutyService::isCurrent() const
+{
+    return gateway_.state().lease.age(timers_.now()) < units::Duration(MaxListAge);
+}
+
 void DutyService::round()
 {
     const std::vector<std::string> candidates = duties::dutyCandidates(gateway_.hosts());
--- a/src/routing/endpointroster.cpp
+++ b/src/routing/endpointroster.cpp
@@ -78,6 +78,16 @@
     return found;
 }
 
+std::vector<DiscoveredEndpoint> EndpointRoster::listed(const units::PoolName &pool) const
+{
+    std::vector<DiscoveredEndpoint> found;
+    for (const auto &[id, entry] : entries_) {
+        if (entry.status->described.pool == pool)
+            found.push_back(entry.status->described);
+    }
+    return found;
+}
+
 void EndpointRoster::leave(Entry &entry)
 {
     if (entry.status->leaving)
--- /dev/null
+++ b/src/scaling/workerordering.cpp
@@ -0,0 +1,238 @@
+#include <monsoongrade/scaling/workerordering.h>
+
+#include <monsoongrade/observability/log.h>
+
+#include <algorithm>
+
+namespace monsoongrade::scaling {
+
+namespace {
+
+// Fewer endpoints are ordered only when fewer have been wanted for this long: an entry of the list
+// may be missing for a moment.
+constexpr auto ShrinkDelay = std::chrono::seconds(1);
+// Added to the time that an endpoint takes to start, before an order counts as not served.
+constexpr auto BootSlack = std::chrono::seconds(2);
+constexpr auto RetryPause = std::chrono::milliseconds(500);
+// Until preemptible endpoints are asked for again where none were to be had.
+constexpr auto UnavailablePause = std::chrono::seconds(3);
+// Endpoints that start together, or whose entries lapsed while the store was away, are all listed
+// after this time.
+constexpr auto ListSettleTime = std::chrono::seconds(3);
+
+std::string labelsOf(const ScaledPool &scaled, const units::FailureDomain &domain,
+                     const std::string &kind)
+{
+    return observability::label("pool", scaled.name.value()) + ","
+        + observability::label("domain", domain.value()) + "," + observability::label("kind", kind);
+}
+
+} // namespace
+
+WorkerOrdering::WorkerOrdering(const ScaledPools &pools, const SizingPolicy &policy,
+                               BaselineStore &baselines, duties::DutyPlatform &platform,
+                               observability::Metrics &metrics, const units::Clock &clock)
+    : pools_(pools)
+    , policy_(policy)
+    , baselines_(baselines)
+    , platform_(platform)
+    , metrics_(metrics)
+    , clock_(clock)
+{
+}
+
+void WorkerOrdering::act(duties::FencingToken token)
+{
+    const units::TimePoint now = clock_.now();
+    if (heldToken_ != token) {
+        // Orders of others may have followed those of an earlier time as the holder.
+        heldToken_ = token;
+        known_.clear();
+    }
+    if (!pools_.isCurrent()) {
+        mayDecideFrom_ = now + ListSettleTime;
+        return;
+    }
+    if (isOrdering_ || now < mayDecideFrom_)
+        return;
+    for (const ScaledPool &scaled : pools_.pools()) {
+        Pool &pool = known_[scaled.name];
+        if (!pool.baseline)
+            askBaseline(scaled, pool);
+        if (orderOne(scaled, pool, token))
+            return;
+    }
+}
+
+// Until the size that the operator gave the pool is known, all that were seen.
+int WorkerOrdering::neededOf(const Pool &pool)
+{
+    return pool.baseline.value_or(pool.mostSeen);
+}
+
+void WorkerOrdering::askBaseline(const ScaledPool &scaled, Pool &pool)
+{
+    const units::TimePoint now = clock_.now();
+    int ordinary = 0;
+    int preemptible = 0;
+    for (const auto &[domain, census] : scaled.census.domains) {
+        ordinary += census.ordinary.ready;
+        preemptible += census.preemptible.ready;
+    }
+    if (!pool.preemptibleAtFirst)
+        pool.preemptibleAtFirst = preemptible;
+    const int seen = ordinary + std::min(preemptible, *pool.preemptibleAtFirst);
+    if (seen > pool.mostSeen) {
+        pool.mostSeen = seen;
+        pool.mostSeenAt = now;
+    }
+    const bool isSettled = pool.mostSeen > 0 && now >= pool.mostSeenAt + ListSettleTime;
+    if (!isSettled || isAskingBaseline_ || now < askBaselineAgainAt_)
+        return;
+    isAskingBaseline_ = true;
+    baselines_.fix(scaled.name, pool.mostSeen,
+                   [this, name = scaled.name,
+                    alive = std::weak_ptr<bool>(alive_)](std::optional<int> baseline) {
+                       if (alive.expired())
+                           return;
+                       isAskingBaseline_ = false;
+                       if (baseline)
+                           known_[name].baseline = baseline;
+                       else
+                           askBaselineAgainAt_ = clock_.now() + RetryPause;
+                   });
+}
+
+// A domain whose preemptible endpoints are all leaving was preempted as a whole.
+void WorkerOrdering::notePreemption(const ScaledPool &scaled, Pool &pool)
+{
+    for (const auto &[domain, census] : scaled.census.domains) {
+        if (census.preemptible.ready > 0)
+            pool.withoutPreemptibleUntil.erase(domain);
+        else if (census.preemptible.draining > 0)
+            pool.withoutPreemptibleUntil[domain] = clock_.now() + UnavailablePause;
+    }
+}
+
+bool WorkerOrdering::orderOne(const ScaledPool &scaled, Pool &pool, duties::FencingToken token)
+{
+    const units::TimePoint now = clock_.now();
+    notePreemption(scaled, pool);
+    SizingInput input{scaled.scaling, scaled.census, neededOf(pool), {}};
+    for (const auto &[domain, until] : pool.withoutPreemptibleUntil) {
+        if (now < until)
+            input.withoutPreemptible.insert(domain);
+    }
+    const PoolSize size = policy_.decide(input);
+    noteGauges(scaled, size);
+    for (const auto &[domain, wanted] : size) {
+        const auto found = scaled.census.domains.find(domain);
+        const DomainCensus census
+            = found == scaled.census.domains.end() ? DomainCensus() : found->second;
+        // Where none are to be had there is nothing to cancel either.
+        if (input.withoutPreemptible.count(domain) == 0
+            && isDue(scaled, pool.subjects[{domain, true}], wanted.preemptible,
+                     census.preemptible.ready)) {
+            send(scaled, {domain, true}, wanted.preemptible, census.preemptible.ready, token);
+            return true;
+        }
+        if (isDue(scaled, pool.subjects[{domain, false}], wanted.ordinary, census.ordinary.ready)) {
+            send(scaled, {domain, false}, wanted.ordinary, census.ordinary.ready, token);
+            return true;
+        }
+    }
+    return false;
+}
+
+bool WorkerOrdering::isDue(const ScaledPool &scaled, Subject &subject, int wanted, int ready)
+{
+    const units::TimePoint now = clock_.now();
+    const bool mayShrink = known_[scaled.name].baseline.has_value();
+    const int inForce = subject.ordered.value_or(ready);
+    if (wanted >= inForce)
+        subject.fewerWantedSince.reset();
+    if (now < subject.callAgainAt)
+        return false;
+    if (wanted > inForce)
+        return true;
+    const units::Duration startTime = scaled.scaling.bootTime + units::Duration(BootSlack);
+    if (wanted == inForce)
+        return subject.ordered && ready < wanted && now >= subject.orderedAt + startTime;
+    if (!mayShrink)
+        return false;
+    if (!subject.fewerWantedSince)
+        subject.fewerWantedSince = now;
+    // What was ordered here has to start first.
+    const units::Duration delay = subject.ordered ? startTime : units::Duration(ShrinkDelay);
+    return now >= *subject.fewerWantedSince + delay;
+}
+
+void WorkerOrdering::send(const ScaledPool &scaled, const SubjectKey &key, int wanted, int ready,
+                          duties::FencingToken token)
+{
+    const duties::WorkerOrder order{scaled.name, key.first, key.second, wanted};
+    isOrdering_ = true;
+    platform_.orderWorkers(
+        token, order,
+        [this, order, ready, token, needed = neededOf(known_[scaled.name]),
+         alive = std::weak_ptr<bool>(alive_)](duties::CallOutcome outcome) {
+            if (alive.expired())
+                return;
+            isOrdering_ = false;
+            observability::log(observability::LogLevel::Info, "workers-ordered",
+                               {{"pool", order.pool.value()},
+                                {"domain", order.domain.value()},
+                                {"kind", order.preemptible ? "preemptible" : "ordinary"},
+                                {"desired", order.desired},
+                                {"ready", ready},
+                                {"needed", needed},
+                                {"token", token.value()},
+                                {"outcome", duties::callOutcomeName(outcome)}});
+            metrics_.add("monsoongrade_gateway_worker_orders_total",
+                         observability::label("outcome", duties::callOutcomeName(outcome)));
+            onOutcome(order, outcome);
+        });
+}
+
+void WorkerOrdering::onOutcome(const duties::WorkerOrder &order, duties::CallOutcome outcome)
+{
+    const units::TimePoint now = clock_.now();
+    Pool &pool = known_[order.pool];
+    Subject &subject = pool.subjects[{order.domain, order.preemptible}];
+    switch (outcome) {
+    case duties::CallOutcome::Accepted:
+        subject.ordered = order.desired;
+        subject.orderedAt = now;
+        subject.fewerWantedSince.reset();
+        break;
+    case duties::CallOutcome::Unavailable:
+        subject.callAgainAt = now + UnavailablePause;
+        if (order.preemptible)
+            pool.withoutPreemptibleUntil[order.domain] = subject.callAgainAt;
+        break;
+    case duties::CallOutcome::Rejected:
+    case duties::CallOutcome::NoAnswer:
+        subject.callAgainAt = now + RetryPause;
+        break;
+    }
+}
+
+void WorkerOrdering::noteGauges(const ScaledPool &scaled, const PoolSize &size)
+{
+    const auto note = [&](const units::FailureDomain &domain, const std::string &kind,
+                          const KindCensus &census, int desired) {
+        const std::string labels = labelsOf(scaled, domain, kind);
+        metrics_.set("monsoongrade_gateway_workers_desired", labels, desired);
+        metrics_.set("monsoongrade_gateway_workers_ready", labels, census.ready);
+        metrics_.set("monsoongrade_gateway_workers_draining", labels, census.draining);
+    };
+    for (const auto &[domain, wanted] : size) {
+        const auto found = scaled.census.domains.find(domain);
+        const DomainCensus census
+            = found == scaled.census.domains.end() ? DomainCensus() : found->second;
+        note(domain, "ordinary", census.ordinary, wanted.ordinary);
+        note(domain, "preemptible", census.preemptible, wanted.preemptible);
+    }
+}
+
+} // namespace monsoongrade::scaling
--- a/tests/duties/dutyworld.cpp
+++ b/tests/duties/dutyworld.cpp
@@ -97,6 +97,8 @@
             });
     }
 
+    void orderWorkers(FencingToken, const WorkerOrder &, DutyPlatform::Done) override { }
+
     // A second duty that acts each time it may, so that a host that may not act is noticed.
     void act(FencingToken token) override
     {
