--- a/include/monsoongrade/scaling/baselinestore.h
+++ b/include/monsoongrade/scaling/baselinestore.h
@@ -4,7 +4,6 @@
 #include <monsoongrade/units/ids.h>
 
 #include <functional>
-#include <optional>
 
 namespace monsoongrade::scaling {
 
@@ -13,12 +12,20 @@
 class BaselineStore
 {
 public:
-    // The size as the store holds it; nothing if that is not known.
-    using Done = std::function<void(std::optional<int>)>;
+    enum class Outcome {
+        Stored,
+        Missing,
+        Unknown, // no answer, or none that shows it
+    };
+    // The size as the store holds it, with Stored.
+    using Done = std::function<void(Outcome, int)>;
 
     virtual ~BaselineStore() = default;
+    virtual void read(const units::PoolName &pool, Done done) = 0;
     // Writes the pool's size, or reads the one that is there.
-    virtual void fix(const units::PoolName &pool, int endpoints, Done done) = 0;
+    virtual void createOrRead(const units::PoolName &pool, int endpoints, Done done) = 0;
+    // Replaces the pool's size.
+    virtual void replace(const units::PoolName &pool, int endpoints, Done done) = 0;
 };
 
 } // namespace monsoongrade::scaling
--- a/include/monsoongrade/scaling/preemptiblespread.h
+++ b/include/monsoongrade/scaling/preemptiblespread.h
@@ -18,7 +18,7 @@
     {
         // Of the endpoints needed, the share that is left after the loss of any one domain's
         // preemptible ones, while all domains have some.
-        double leftAfterLoss = 1;
+        double leftAfterLoss = 4.0 / 3;
         // The same in a time in which some domain has none.
         double leftAfterSecondLoss = 0.5;
     };
--- a/include/monsoongrade/scaling/workerordering.h
+++ b/include/monsoongrade/scaling/workerordering.h
@@ -41,15 +41,22 @@
     struct Pool
     {
         std::optional<int> baseline;
+        bool isBaselineMissing = false; // the store was asked and holds none
         // The most endpoints seen, for as long as the baseline is not known.
         int mostSeen = 0;
         std::optional<int> preemptibleAtFirst; // before this host ordered any
+        units::TimePoint firstSeenAt{};
         units::TimePoint mostSeenAt{};
         std::map<SubjectKey, Subject> subjects;
         std::map<units::FailureDomain, units::TimePoint> withoutPreemptibleUntil;
     };
 
     void askBaseline(const ScaledPool &scaled, Pool &pool);
+    static void countSeen(const ScaledPool &scaled, Pool &pool, units::TimePoint now);
+    // Endpoints that the operator added later count as well.
+    void raiseBaseline(const ScaledPool &scaled, Pool &pool);
+    BaselineStore::Done baselineDone(const units::PoolName &name);
+    void onBaseline(const units::PoolName &name, BaselineStore::Outcome outcome, int endpoints);
     // True if an order was sent.
     bool orderOne(const ScaledPool &scaled, Pool &pool, duties::FencingToken token);
     void notePreemption(const ScaledPool &scaled, Pool &pool);
--- a/src/scaling/workerordering.cpp
+++ b/src/scaling/workerordering.cpp
@@ -57,9 +57,12 @@
         return;
     for (const ScaledPool &scaled : pools_.pools()) {
         Pool &pool = known_[scaled.name];
-        if (!pool.baseline)
+        if (pool.baseline)
+            raiseBaseline(scaled, pool);
+        else
             askBaseline(scaled, pool);
-        if (orderOne(scaled, pool, token))
+        const bool isSizeKnown = pool.baseline || pool.mostSeen > 0;
+        if (isSizeKnown && orderOne(scaled, pool, token))
             return;
     }
 }
@@ -67,12 +70,55 @@
 // Until the size that the operator gave the pool is known, all that were seen.
 int WorkerOrdering::neededOf(const Pool &pool)
 {
-    return pool.baseline.value_or(pool.mostSeen);
+    return std::max(pool.baseline.value_or(0), pool.mostSeen);
 }
 
 void WorkerOrdering::askBaseline(const ScaledPool &scaled, Pool &pool)
 {
     const units::TimePoint now = clock_.now();
+    if (isAskingBaseline_ || now < askBaselineAgainAt_)
+        return;
+    if (!pool.isBaselineMissing) {
+        isAskingBaseline_ = true;
+        baselines_.read(scaled.name, baselineDone(scaled.name));
+        return;
+    }
+    countSeen(scaled, pool, now);
+    const bool isSettled = pool.mostSeen > 0 && now >= pool.mostSeenAt + ListSettleTime
+        && now >= pool.firstSeenAt + scaled.scaling.bootTime + units::Duration(BootSlack);
+    if (isSettled) {
+        isAskingBaseline_ = true;
+        baselines_.createOrRead(scaled.name, pool.mostSeen, baselineDone(scaled.name));
+    }
+}
+
+BaselineStore::Done WorkerOrdering::baselineDone(const units::PoolName &name)
+{
+    return [this, name, alive = std::weak_ptr<bool>(alive_)](BaselineStore::Outcome outcome,
+                                                             int endpoints) {
+        if (alive.expired())
+            return;
+        isAskingBaseline_ = false;
+        onBaseline(name, outcome, endpoints);
+    };
+}
+
+// No more ordinary endpoints than the baseline are ever ordered, so those beyond it are the
+// operator's. Counts at once: a pool must not shrink to a size that was read too early.
+void WorkerOrdering::raiseBaseline(const ScaledPool &scaled, Pool &pool)
+{
+    int ordinary = 0;
+    for (const auto &[domain, census] : scaled.census.domains)
+        ordinary += census.ordinary.ready;
+    pool.mostSeen = std::max(pool.mostSeen, ordinary);
+    if (pool.mostSeen <= *pool.baseline || isAskingBaseline_ || clock_.now() < askBaselineAgainAt_)
+        return;
+    isAskingBaseline_ = true;
+    baselines_.replace(scaled.name, pool.mostSeen, baselineDone(scaled.name));
+}
+
+void WorkerOrdering::countSeen(const ScaledPool &scaled, Pool &pool, units::TimePoint now)
+{
     int ordinary = 0;
     int preemptible = 0;
     for (const auto &[domain, census] : scaled.census.domains) {
@@ -82,25 +128,31 @@
     if (!pool.preemptibleAtFirst)
         pool.preemptibleAtFirst = preemptible;
     const int seen = ordinary + std::min(preemptible, *pool.preemptibleAtFirst);
+    if (pool.mostSeen == 0)
+        pool.firstSeenAt = now;
     if (seen > pool.mostSeen) {
         pool.mostSeen = seen;
         pool.mostSeenAt = now;
     }
-    const bool isSettled = pool.mostSeen > 0 && now >= pool.mostSeenAt + ListSettleTime;
-    if (!isSettled || isAskingBaseline_ || now < askBaselineAgainAt_)
-        return;
-    isAskingBaseline_ = true;
-    baselines_.fix(scaled.name, pool.mostSeen,
-                   [this, name = scaled.name,
-                    alive = std::weak_ptr<bool>(alive_)](std::optional<int> baseline) {
-                       if (alive.expired())
-                           return;
-                       isAskingBaseline_ = false;
-                       if (baseline)
-                           known_[name].baseline = baseline;
-                       else
-                           askBaselineAgainAt_ = clock_.now() + RetryPause;
-                   });
+}
+
+void WorkerOrdering::onBaseline(const units::PoolName &name, BaselineStore::Outcome outcome,
+                                int endpoints)
+{
+    Pool &pool = known_[name];
+    switch (outcome) {
+    case BaselineStore::Outcome::Stored:
+        pool.baseline = endpoints;
+        observability::log(observability::LogLevel::Info, "pool-baseline",
+                           {{"pool", name.value()}, {"endpoints", endpoints}});
+        break;
+    case BaselineStore::Outcome::Missing:
+        pool.isBaselineMissing = true;
+        break;
+    case BaselineStore::Outcome::Unknown:
+        askBaselineAgainAt_ = clock_.now() + RetryPause;
+        break;
+    }
 }
 
 // A domain whose preemptible endpoints are all leaving was preempted as a whole.
--- a/tests/platform_standin/demo/main.cpp
+++ b/tests/platform_standin/demo/main.cpp
@@ -1,3 +1,4 @@
+#include "../standinduties.h"
 #include "../standinstore.h"
 #include "../standinworker.h"
 
@@ -13,7 +14,8 @@
 #include <map>
 
 // Plays the users' platform for a demonstration: its store, six workers, and callers that ask the
-// directory, send a burst and check every answer. Ends with 1 if an answer was not whole.
+// directory, send a burst and check every answer, and the calls for usage reports. Ends with 1 if
+// an answer was not whole, or no report accounts for the requests.
 
 namespace {
 
@@ -21,6 +23,20 @@
 using nlohmann::json;
 
 constexpr auto CallTimeout = std::chrono::seconds(10);
+// Of the usage reports; the gateways are started with the same.
+constexpr auto UsageWindow = std::chrono::seconds(1);
+constexpr int WindowsToWait = 6;
+
+// Requests of all workspaces in the accepted reports.
+std::int64_t reportedRequests(const standins::StandInDuties &duties)
+{
+    std::int64_t sum = 0;
+    for (const auto &[window, counts] : duties.reports()) {
+        for (const auto &[workspace, count] : counts.items())
+            sum += count.get<std::int64_t>();
+    }
+    return sum;
+}
 
 json route(const std::string &prefix, const std::string &kind, const std::string &service, int tier,
            bool resumable)
@@ -131,6 +147,15 @@
         });
     }
 
+    void onDone(std::function<void()> handler) { onDone_ = std::move(handler); }
+    int whole() const
+    {
+        int sum = 0;
+        for (const auto &[name, tally] : tallies_)
+            sum += tally.whole;
+        return sum;
+    }
+
     int report() const
     {
         int notWhole = 0;
@@ -196,8 +221,8 @@
                     ++tally.failed;
                 tally.milliseconds.push_back(
                     std::chrono::duration<double, std::milli>(timers_.now() - begin).count());
-                if (++ended_ == requests_)
-                    io_.stop();
+                if (++ended_ == requests_ && onDone_)
+                    onDone_();
             })
             ->start();
     }
@@ -207,6 +232,7 @@
     std::string directory_;
     int requests_;
     int ended_ = 0;
+    std::function<void()> onDone_;
     std::map<std::string, Tally> tallies_;
 };
 
@@ -217,9 +243,11 @@
     CLI::App app("Plays the users' platform and sends a burst through the gateways.",
                  "platform-demo");
     std::uint16_t storePort = 0;
+    std::uint16_t dutiesPort = 0;
     std::string directory;
     int requests = 400;
     app.add_option("--store-port", storePort, "port of the store")->required();
+    app.add_option("--duties-port", dutiesPort, "port of the calls of duties")->required();
     app.add_option("--directory", directory, "IP:PORT of a gateway's directory")->required();
     app.add_option("--requests", requests, "requests of the burst");
     CLI11_PARSE(app, argc, argv);
@@ -228,6 +256,7 @@
     asio::io_context io;
     httpio::Timers timers(io, clock);
     standins::StandInStore store(io, timers, storePort);
+    standins::StandInDuties duties(io, timers, dutiesPort);
     store.put("config", "main", configuration());
     std::vector<std::unique_ptr<standins::StandInWorker>> workers;
     for (int i = 0; i < 6; ++i) {
@@ -242,7 +271,14 @@
         workers.back()->announce("ready");
     }
     Callers callers(io, timers, directory, requests);
+    // The last windows are reported a moment after the last request.
+    callers.onDone([&] { timers.after(UsageWindow * WindowsToWait, [&] { io.stop(); }); });
     callers.start();
     io.run();
-    return callers.report();
+    const int status = callers.report();
+    std::printf("%zu usage reports accepted, %lld requests in them, %zu faults\n",
+                duties.reports().size(), static_cast<long long>(reportedRequests(duties)),
+                duties.faults().size());
+    const bool isAccounted = duties.faults().empty() && reportedRequests(duties) >= callers.whole();
+    return isAccounted ? status : 1;
 }
