--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -57,6 +57,7 @@
     void deliverCollected();
     void slowDownIfUnsent();
     void noteFirstByte();
+    void noteBegan();
 
     // Failures
     void attemptFailed(units::ResultCode reason, bool mayHaveRun);
@@ -112,6 +113,7 @@
     int sends_ = 0; // that count against the route's attempts
     int arrivals_ = 0; // that count against the retry budget
     bool mayHaveRun_ = false;
+    bool hasBegun_ = false; // some endpoint began to run it
     std::optional<units::Duration> comeBackIn_; // the placing host's word with its refusal
     EventRelay events_;
     bool responseBegun_ = false;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -229,13 +229,21 @@
     }
 }
 
+// Usage counts a request once, however many endpoints began to run it.
+void Exchange::noteBegan()
+{
+    if (hasBegun_ || answer_.provenNotRun || state_.usage == nullptr)
+        return;
+    hasBegun_ = true;
+    state_.usage->onBegan(admission_.workspace);
+}
+
 void Exchange::noteFirstByte()
 {
     if (firstByteSeen_)
         return;
     firstByteSeen_ = true;
-    if (state_.usage != nullptr && !answer_.provenNotRun)
-        state_.usage->onBegan(admission_.workspace);
+    noteBegan();
     const units::TimePoint now = state_.timers.now();
     const double took = std::chrono::duration<double, std::milli>(now - sentAt_).count();
     // Engines read about 150 tokens a millisecond and need 30 to 40 ms beside; plain endpoints
@@ -291,7 +299,7 @@
     const int status = responseHead_.status;
     state_.connections.giveBack(*endpoint_, channel_, answer_.idleTimeout);
     channel_.reset();
-    if (answer_.provenNotRun || answer_.wrongEndpoint) {
+    if (hasBegun_ || answer_.provenNotRun || answer_.wrongEndpoint) {
         endpoint_->health.onErrorResponse(now);
         if (answer_.wrongEndpoint) {
             // The address belongs to another endpoint now; the one meant is gone.
--- a/tests/adapter/duties_test.cpp
+++ b/tests/adapter/duties_test.cpp
@@ -83,6 +83,27 @@
     CHECK(world.duties.faults().empty());
 }
 
+// Guards against a request that is counted once for each endpoint that failed it.
+TEST_CASE("Duties.ARequestSentTwiceCountsOnce")
+{
+    DutiesWorld world;
+    const auto fails = [](standins::RawConnection &connection, const std::string &text, int) {
+        connection.write("HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: "
+                         + standins::headerIn(text, "Attempt-Id")
+                         + "\r\nResponse-Signature: s\r\nContent-Length: 0\r\n\r\n");
+    };
+    standins::RawPeer first(world.io, fails);
+    standins::RawPeer second(world.io, fails);
+    world.store.put("config", "main", operatorsConfiguration());
+    world.announce("p1", "plain", first.address());
+    world.announce("p2", "plain", second.address());
+    world.startWithDuties();
+    REQUIRE(world.awaitServing(2));
+    CHECK(world.call(request("GET", "/safe/a", "id1"))->status() == 500);
+    REQUIRE(world.runUntil([&] { return world.reported("w1") > 0; }, Patience));
+    CHECK(world.reported("w1") == 1);
+}
+
 // Guards against a report that changes between two tries.
 TEST_CASE("Duties.AReportThatWasTurnedAwayIsSentAgainAsItWas")
 {
