Soak: duties, checked from outside; a plain response that ran is not taken for a refusal

The soak plays the platform's calls: one token a holder, no lower one, one report a window, and no more requests reported than endpoints began.

--- a/soak/soakchecks.cpp
+++ b/soak/soakchecks.cpp
@@ -63,9 +63,27 @@
         checkPlannedStop(*record, found);
     }
     checkShares(found);
+    checkDuties(found);
     return found;
 }
 
+// One host at a time reports, each window once, and no more than endpoints began to run.
+void SoakRun::checkDuties(std::vector<std::string> &found) const
+{
+    for (const std::string &fault : duties_.faults())
+        found.push_back("duties: " + fault);
+    std::int64_t reported = 0;
+    for (const auto &[window, counts] : duties_.reports()) {
+        for (const auto &[workspace, count] : counts.items())
+            reported += count.get<std::int64_t>();
+    }
+    if (reported == 0)
+        found.emplace_back("duties: no usage was reported");
+    if (reported > std::int64_t(runs_.size()))
+        found.push_back("duties: " + std::to_string(reported) + " requests reported, "
+                        + std::to_string(runs_.size()) + " began");
+}
+
 // Each caller gets its own whole answer, or none that looks like one.
 void SoakRun::checkAnswer(const CallRecord &record, std::vector<std::string> &found) const
 {
--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -53,6 +53,7 @@
     , faults_(planFaults(settings.seed, settings.length, settings.hosts, Endpoints))
     , timers_(io_, clock_)
     , store_(io_, timers_, 0)
+    , duties_(io_, timers_, 0)
     , caller_(io_, timers_)
     , random_(settings.seed)
 {
@@ -98,7 +99,9 @@
         out << listeners[i] << "-address: \"" << host.ip << ":" << CallersPort + i << "\"\n";
     out << "gossip-port: 8004\nplacement-port: 8005\nrelay-port: 8006\nseeds: [\"" << net
         << ".1:8004\", \"" << net << ".2:8004\"]\nstore-address: \"127.0.0.1:" << host.store.port()
-        << "\"\nstop-within-s: " << StopWithin.count() << "\n";
+        << "\"\nstop-within-s: " << StopWithin.count()
+        << "\nduties-address: \"127.0.0.1:" << duties_.address().port()
+        << "\"\ncounts-port: 8007\nusage-window-s: 1\n";
     hosts_.push_back(std::move(host));
 }
 
--- a/soak/soakrun.h
+++ b/soak/soakrun.h
@@ -4,6 +4,7 @@
 #include "caller.h"
 #include "soakplan.h"
 
+#include <platform_standin/standinduties.h>
 #include <platform_standin/standinstore.h>
 #include <platform_standin/standinworker.h>
 #include <scenario_runner/process.h>
@@ -67,6 +68,7 @@
     void checkAnswer(const CallRecord &record, std::vector<std::string> &found) const;
     void checkRuns(const CallRecord &record, std::vector<std::string> &found) const;
     void checkPlannedStop(const CallRecord &record, std::vector<std::string> &found) const;
+    void checkDuties(std::vector<std::string> &found) const;
     void checkShares(std::vector<std::string> &found) const;
     bool overlaps(const Fault &fault, const CallRecord &record) const;
     std::size_t leftEndpointThatRan(const CallRecord &record) const;
@@ -77,6 +79,7 @@
     asio::io_context io_;
     httpio::Timers timers_;
     standins::StandInStore store_;
+    standins::StandInDuties duties_;
     scenarios::Relay relay_;
     std::vector<std::unique_ptr<standins::StandInWorker>> endpoints_;
     std::vector<Host> hosts_;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -299,7 +299,7 @@
     const int status = responseHead_.status;
     state_.connections.giveBack(*endpoint_, channel_, answer_.idleTimeout);
     channel_.reset();
-    if (hasBegun_ || answer_.provenNotRun || answer_.wrongEndpoint) {
+    if (answer_.provenNotRun || answer_.wrongEndpoint) {
         endpoint_->health.onErrorResponse(now);
         if (answer_.wrongEndpoint) {
             // The address belongs to another endpoint now; the one meant is gone.
