--- a/include/monsoongrade/duties/leaserecord.h
+++ b/include/monsoongrade/duties/leaserecord.h
@@ -10,7 +10,7 @@
 namespace monsoongrade::duties {
 
 // Grows by one with each change of holder. Sent with each call of a duty, so that the platform can
-// tell the calls of the present holder from those of earlier ones. 0: nobody has held the lease.
+// tell the calls of the present holder from those of earlier ones. 0: not held yet.
 using FencingToken = units::StrongNumber<struct FencingTokenTag, std::uint64_t>;
 
 // What the platform's store holds of a lease.
--- a/include/monsoongrade/gateway/gatewaysettings.h
+++ b/include/monsoongrade/gateway/gatewaysettings.h
@@ -40,7 +40,6 @@
     std::string logLevel = "info";
     // IP:PORT of the platform's calls that one host at a time makes for all; empty: there are none.
     std::string dutiesAddress;
-    std::vector<std::string> duties; // the platform's names of those that it asks for
     std::uint16_t countsPort = 0; // where hosts tell each other what they count
     // How long a host holds the duties' lease after a renewal, and leaves it to others after a
     // loss.
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -56,7 +56,6 @@
     settings.retryBound.window
         = fromSeconds(reader.number("retry-window-s", 10, 0.1, DayInSeconds));
     settings.dutiesAddress = reader.text("duties-address", "");
-    settings.duties = reader.texts("duties");
     // Beside the gossip unless told otherwise.
     settings.countsPort = std::uint16_t(
         reader.integer("counts-port", std::int64_t(settings.gossipPort) + 1, 1, MaxPort));
