--- a/tests/duties/singleholder_test.cpp
+++ b/tests/duties/singleholder_test.cpp
@@ -48,6 +48,22 @@
     return faults;
 }
 
+// Plays calm worlds until one host has held the lease for a while, then the scene.
+template <typename Scene>
+void playWithHolder(Scene &&scene)
+{
+    DutyWorldSettings settings;
+    settings.hasFaults = false;
+    for (int seed = 1; seed <= 20; ++seed) {
+        settings.seed = std::uint32_t(seed);
+        DutyWorld world(settings);
+        world.run(std::chrono::seconds(10));
+        const int first = world.holder();
+        REQUIRE(first >= 0);
+        scene(world, first);
+    }
+}
+
 } // namespace
 
 TEST_SUITE_BEGIN("SingleHolder");
@@ -110,19 +126,12 @@
 // Guards against a day without reports after the holder is gone.
 TEST_CASE("SingleHolder.AnotherHostHoldsTheLeaseSoonAfterTheHolderIsKilled")
 {
-    DutyWorldSettings settings;
-    settings.hasFaults = false;
-    for (int seed = 1; seed <= 20; ++seed) {
-        settings.seed = std::uint32_t(seed);
-        DutyWorld world(settings);
-        world.run(std::chrono::seconds(10));
-        const int first = world.holder();
-        REQUIRE(first >= 0);
+    playWithHolder([](DutyWorld &world, int first) {
         world.crash(first, std::chrono::minutes(1));
         world.run(std::chrono::milliseconds(4500));
         CHECK(world.holder() >= 0);
         CHECK(world.holder() != first);
-    }
+    });
 }
 
 // Guards against a holder that is stopped and back before its successor's lease is over.
@@ -134,39 +143,25 @@
 // Guards against a pause of the duties at each planned stop.
 TEST_CASE("SingleHolder.APlannedStopHandsTheLeaseOverWithinSeconds")
 {
-    DutyWorldSettings settings;
-    settings.hasFaults = false;
-    for (int seed = 1; seed <= 20; ++seed) {
-        settings.seed = std::uint32_t(seed);
-        DutyWorld world(settings);
-        world.run(std::chrono::seconds(10));
-        const int first = world.holder();
-        REQUIRE(first >= 0);
+    playWithHolder([](DutyWorld &world, int first) {
         world.stop(first, std::chrono::minutes(1));
         world.run(std::chrono::milliseconds(1500));
         CHECK(world.holder() >= 0);
         CHECK(world.holder() != first);
         CHECK(world.faults().empty());
-    }
+    });
 }
 
 // Guards against a frozen holder that goes on acting when it wakes up.
 TEST_CASE("SingleHolder.AFrozenHolderDoesNotActAfterItsLeasePassedOn")
 {
-    DutyWorldSettings settings;
-    settings.hasFaults = false;
-    for (int seed = 1; seed <= 20; ++seed) {
-        settings.seed = std::uint32_t(seed);
-        DutyWorld world(settings);
-        world.run(std::chrono::seconds(10));
-        const int first = world.holder();
-        REQUIRE(first >= 0);
+    playWithHolder([](DutyWorld &world, int first) {
         world.freeze(first, std::chrono::seconds(7));
         world.run(std::chrono::seconds(30));
         CHECK(world.holder() != first);
         CHECK(world.faults().empty());
         CHECK(world.reports().size() >= 6);
-    }
+    });
 }
 
 TEST_SUITE_END();
