Order of placing hosts: sorted instead of the best chosen again and again

Cause: each gossip round of each host chose the best of all hosts, then the best of the others, and so on: about 3 x n^2 / 2 looks, with a hash of the address in each comparison.

The order is the same (PlacingHosts.OrderIsThatOfChoosingTheBestHostAgainAndAgain at 1 to 300 hosts). Comparisons a host: below 5 x log2(n) at 60, 300, 1,000 and 2,000 hosts by PlacingHosts.ComparisonsPerHostGrowWithTheLogarithmOfTheFleet; the old way needs 1.5 x n of them, 3,000 at 2,000 hosts (worked out, its code did not count).

--- a/include/monsoongrade/gateway/gateway.h
+++ b/include/monsoongrade/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include <monsoongrade/gateway/gatewaystate.h>
 #include <monsoongrade/gateway/peergossip.h>
 #include <monsoongrade/httpio/server.h>
+#include <monsoongrade/units/workcount.h>
 
 #include <functional>
 #include <memory>
@@ -86,6 +87,7 @@
     bool leaving_ = false;
     routing::PeerState lastState_ = routing::PeerState::Waiting;
     std::set<std::string> lastHosts_;
+    units::WorkCount hostsCompared_; // to order them
     units::TimePoint stopBy_;
     std::function<void()> stopped_;
 };
--- a/include/monsoongrade/routing/placinghosts.h
+++ b/include/monsoongrade/routing/placinghosts.h
@@ -2,6 +2,7 @@
 #define MONSOONGRADE_ROUTING_PLACINGHOSTS_H
 
 #include <monsoongrade/routing/peertable.h>
+#include <monsoongrade/units/workcount.h>
 
 #include <string>
 #include <vector>
@@ -14,7 +15,8 @@
 // smallest hosts have. All hosts that know the same
 // hosts get the same order without asking anybody. A restarted host goes to the end, since it knows
 // nothing of what is cached where; the second and third learn it from the first, and take over.
-std::vector<std::string> placingOrder(std::vector<PeerNews> hosts);
+// work counts the comparisons of hosts.
+std::vector<std::string> placingOrder(const std::vector<PeerNews> &hosts, units::WorkCount &work);
 
 } // namespace monsoongrade::routing
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -206,13 +206,13 @@
 {
     noteOwnState();
     state_.roster.dropMissing(timers_.now());
-    std::vector<routing::PeerNews> live = hosts();
+    const std::vector<routing::PeerNews> live = hosts();
     state_.liveHosts = int(live.size());
     noteHosts(live);
     const auto ownPlace = std::count_if(
         live.begin(), live.end(), [this](const auto &host) { return host.ip < settings_.ip; });
     state_.placement.setLiveHosts(state_.liveHosts, int(ownPlace));
-    state_.placement.setOrder(routing::placingOrder(std::move(live)));
+    state_.placement.setOrder(routing::placingOrder(live, hostsCompared_));
 }
 
 void Gateway::onLimitNews(const routing::LimitNews &news)
@@ -334,6 +334,7 @@
                 double(state_.crashes.quarantined(timers_.now())));
     metrics.set("monsoongrade_gateway_endpoints_limited", "", double(state_.limits.limited()));
     metrics.set("monsoongrade_gateway_live_hosts", "", double(state_.liveHosts));
+    metrics.set("monsoongrade_gateway_hosts_compared_total", "", double(hostsCompared_.value()));
     metrics.set("monsoongrade_gateway_serving", "", isServing() ? 1 : 0);
     const units::Duration age = state_.lease.age(timers_.now());
     if (age != units::Duration::max())
--- a/src/routing/placinghosts.cpp
+++ b/src/routing/placinghosts.cpp
@@ -3,7 +3,7 @@
 #include <monsoongrade/units/stablehash.h>
 
 #include <algorithm>
-#include <tuple>
+#include <queue>
 
 namespace monsoongrade::routing {
 
@@ -12,6 +12,13 @@
 // Hosts that start together do so within 0.3 s, and gossip tells ages to about 0.5 s.
 constexpr auto SameAge = std::chrono::seconds(3);
 
+struct Candidate
+{
+    const PeerNews *host = nullptr;
+    units::Duration age{};
+    std::uint64_t hash = 0;
+};
+
 std::uint64_t hashOf(const std::string &ip)
 {
     units::StableHash hash;
@@ -19,37 +26,56 @@
     return hash.spread();
 }
 
+std::vector<Candidate> servingHosts(const std::vector<PeerNews> &hosts)
+{
+    std::vector<Candidate> serving;
+    for (const PeerNews &host : hosts) {
+        if (host.state == PeerState::Serving)
+            serving.push_back({&host, host.uptime + host.age, hashOf(host.ip)});
+    }
+    return serving;
+}
+
+// Most processor first, then the oldest.
+bool ranksBefore(const Candidate &a, const Candidate &b)
+{
+    if (a.host->millicores != b.host->millicores)
+        return a.host->millicores > b.host->millicores;
+    return a.age > b.age;
+}
+
 } // namespace
 
-std::vector<std::string> placingOrder(std::vector<PeerNews> hosts)
+std::vector<std::string> placingOrder(const std::vector<PeerNews> &hosts, units::WorkCount &work)
 {
-    hosts.erase(
-        std::remove_if(hosts.begin(), hosts.end(),
-                       [](const PeerNews &host) { return host.state != PeerState::Serving; }),
-        hosts.end());
-    const auto ageOf = [](const PeerNews &host) {
-        return host.uptime + host.age;
+    std::vector<Candidate> serving = servingHosts(hosts);
+    std::sort(serving.begin(), serving.end(), [&](const Candidate &a, const Candidate &b) {
+        work.add();
+        return ranksBefore(a, b);
+    });
+    const auto hasSmallerHash = [&](std::size_t a, std::size_t b) {
+        work.add();
+        return serving[a].hash < serving[b].hash;
     };
+    // Hosts of about the same age as the oldest that has no place yet, the largest hash first.
+    std::priority_queue<std::size_t, std::vector<std::size_t>, decltype(hasSmallerHash)> sameAge(
+        hasSmallerHash);
+    std::vector<bool> hasPlace(serving.size(), false);
     std::vector<std::string> order;
-    while (!hosts.empty()) {
-        int most = 0;
-        for (const PeerNews &host : hosts)
-            most = std::max(most, host.millicores);
-        units::Duration oldest{};
-        for (const PeerNews &host : hosts) {
-            if (host.millicores == most)
-                oldest = std::max(oldest, ageOf(host));
-        }
-        // Processor, then age, then the hash.
-        const auto rank = [&](const PeerNews &host) {
-            return std::make_tuple(host.millicores, ageOf(host) + SameAge >= oldest,
-                                   hashOf(host.ip));
-        };
-        const auto next = std::max_element(
-            hosts.begin(), hosts.end(),
-            [&](const PeerNews &a, const PeerNews &b) { return rank(a) < rank(b); });
-        order.push_back(next->ip);
-        hosts.erase(next);
+    order.reserve(serving.size());
+    std::size_t oldest = 0;
+    std::size_t next = 0;
+    while (order.size() < serving.size()) {
+        while (hasPlace[oldest])
+            ++oldest;
+        const Candidate &first = serving[oldest];
+        while (next < serving.size() && serving[next].host->millicores == first.host->millicores
+               && serving[next].age + SameAge >= first.age)
+            sameAge.push(next++);
+        const std::size_t chosen = sameAge.top();
+        sameAge.pop();
+        hasPlace[chosen] = true;
+        order.push_back(serving[chosen].host->ip);
     }
     return order;
 }
--- a/src/routing/storereaders.cpp
+++ b/src/routing/storereaders.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <string_view>
 #include <tuple>
 
 namespace monsoongrade::routing {
@@ -21,6 +22,14 @@
     return hash.spread();
 }
 
+// The least goes first: refused, just started, processor, hash; the IP last.
+using Candidate = std::tuple<bool, bool, int, std::uint64_t, std::string_view>;
+
+Candidate candidate(const PeerNews &host)
+{
+    return {host.isStoreRefused, !isSettled(host), -host.millicores, hashOf(host.ip), host.ip};
+}
+
 units::FailureDomain domainOf(const std::string &ip, const std::vector<PeerNews> &hosts)
 {
     const auto host = std::find_if(hosts.begin(), hosts.end(),
@@ -38,22 +47,20 @@
 std::vector<std::string> storeReaders(const std::vector<PeerNews> &hosts, std::size_t count,
                                       const std::set<std::string> &without)
 {
-    // The least goes first: refused, just started, processor, hash.
-    using Rank = std::tuple<bool, bool, int, std::uint64_t>;
-    std::map<units::FailureDomain, std::vector<std::pair<Rank, std::string>>> domains;
+    std::map<units::FailureDomain, std::vector<Candidate>> domains;
     for (const PeerNews &host : hosts) {
-        if (host.state == PeerState::Leaving || without.count(host.ip) != 0)
-            continue;
-        const Rank rank{host.isStoreRefused, !isSettled(host), -host.millicores, hashOf(host.ip)};
-        domains[host.failureDomain].emplace_back(rank, host.ip);
+        if (host.state != PeerState::Leaving && without.count(host.ip) == 0)
+            domains[host.failureDomain].push_back(candidate(host));
     }
     // The best of each domain, then the second of each, and so on.
-    std::vector<std::tuple<bool, bool, std::size_t, Rank, std::string>> ranked;
+    std::vector<std::tuple<bool, bool, std::size_t, Candidate>> ranked;
     for (auto &[domain, ofDomain] : domains) {
-        std::sort(ofDomain.begin(), ofDomain.end());
-        for (std::size_t place = 0; place < ofDomain.size(); ++place) {
-            const auto &[rank, ip] = ofDomain[place];
-            ranked.emplace_back(std::get<0>(rank), std::get<1>(rank), place, rank, ip);
+        const std::size_t best = std::min(count, ofDomain.size());
+        std::partial_sort(ofDomain.begin(), ofDomain.begin() + std::ptrdiff_t(best),
+                          ofDomain.end());
+        for (std::size_t place = 0; place < best; ++place) {
+            const Candidate &each = ofDomain[place];
+            ranked.emplace_back(std::get<0>(each), std::get<1>(each), place, each);
         }
     }
     std::sort(ranked.begin(), ranked.end());
@@ -61,7 +68,7 @@
     std::vector<std::string> readers;
     readers.reserve(ranked.size());
     for (const auto &reader : ranked)
-        readers.push_back(std::get<std::string>(reader));
+        readers.emplace_back(std::get<std::string_view>(std::get<Candidate>(reader)));
     return readers;
 }
 
--- a/tests/routing/placinghosts_test.cpp
+++ b/tests/routing/placinghosts_test.cpp
@@ -1,8 +1,11 @@
 #include <monsoongrade/routing/placinghosts.h>
 
+#include <monsoongrade/units/stablehash.h>
+
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <cmath>
 
 using namespace monsoongrade;
 using namespace monsoongrade::routing;
@@ -20,6 +23,55 @@
     return news;
 }
 
+std::vector<std::string> orderOf(const std::vector<PeerNews> &hosts)
+{
+    units::WorkCount work;
+    return placingOrder(hosts, work);
+}
+
+// A fleet of two sizes of hosts, some of which have started lately.
+std::vector<PeerNews> mixedFleet(int size)
+{
+    std::vector<PeerNews> hosts;
+    for (int i = 0; i < size; ++i) {
+        const std::string ip = "10." + std::to_string(i / 250) + ".0." + std::to_string(i % 250);
+        hosts.push_back(host(ip, seconds(i % 7 == 0 ? i % 40 : 60)));
+        hosts.back().millicores = i % 20 == 0 ? 1000 : 120;
+    }
+    return hosts;
+}
+
+// Chooses the best host again and again, by the words of placingOrder's contract.
+std::vector<std::string> orderByRepeatedChoice(std::vector<PeerNews> hosts)
+{
+    const auto hashOf = [](const PeerNews &each) {
+        units::StableHash hash;
+        hash.add(each.ip);
+        return hash.spread();
+    };
+    std::vector<std::string> order;
+    while (!hosts.empty()) {
+        int most = 0;
+        for (const PeerNews &each : hosts)
+            most = std::max(most, each.millicores);
+        units::Duration oldest{};
+        for (const PeerNews &each : hosts) {
+            if (each.millicores == most)
+                oldest = std::max(oldest, each.uptime);
+        }
+        auto best = hosts.end();
+        for (auto each = hosts.begin(); each != hosts.end(); ++each) {
+            const bool isCandidate
+                = each->millicores == most && each->uptime + seconds(3) >= oldest;
+            if (isCandidate && (best == hosts.end() || hashOf(*each) > hashOf(*best)))
+                best = each;
+        }
+        order.push_back(best->ip);
+        hosts.erase(best);
+    }
+    return order;
+}
+
 } // namespace
 
 TEST_CASE("PlacingHosts.RestartedHostDoesNotTakeThePlacingBack")
@@ -28,12 +80,12 @@
     // placing, because it knows what is cached where.
     std::vector<PeerNews> hosts{host("10.0.0.1", seconds(60)), host("10.0.0.2", seconds(60)),
                                 host("10.0.0.3", seconds(60))};
-    const std::string first = placingOrder(hosts)[0];
+    const std::string first = orderOf(hosts)[0];
     for (PeerNews &each : hosts) {
         if (each.ip == first)
             each.uptime = seconds(1);
     }
-    const std::vector<std::string> after = placingOrder(hosts);
+    const std::vector<std::string> after = orderOf(hosts);
     CHECK(after[0] != first);
     CHECK(after.back() == first);
 }
@@ -49,14 +101,13 @@
         other.push_back(host(ip, milliseconds(20500 - i * 50)));
     }
     std::reverse(other.begin(), other.end());
-    CHECK(placingOrder(one) == placingOrder(other));
+    CHECK(orderOf(one) == orderOf(other));
 }
 
 TEST_CASE("PlacingHosts.OnlyServingHostsPlace")
 {
-    CHECK(placingOrder({host("10.0.0.1", seconds(9), PeerState::Leaving),
-                        host("10.0.0.2", seconds(1)),
-                        host("10.0.0.3", seconds(9), PeerState::Waiting)})
+    CHECK(orderOf({host("10.0.0.1", seconds(9), PeerState::Leaving), host("10.0.0.2", seconds(1)),
+                   host("10.0.0.3", seconds(9), PeerState::Waiting)})
           == std::vector<std::string>{"10.0.0.2"});
 }
 
@@ -67,7 +118,7 @@
     std::vector<PeerNews> hosts{host("10.0.0.1", seconds(60)), host("10.0.0.2", seconds(5))};
     hosts[0].millicores = 120;
     hosts[1].millicores = 500;
-    CHECK(placingOrder(hosts)[0] == "10.0.0.2");
+    CHECK(orderOf(hosts)[0] == "10.0.0.2");
 }
 
 TEST_CASE("PlacingHosts.EachLargeHostComesBeforeEverySmallOne")
@@ -80,7 +131,7 @@
         hosts.push_back(host("10.0.0." + std::to_string(i), seconds(60)));
         hosts.back().millicores = i % 13 == 0 ? 500 : 120;
     }
-    const std::vector<std::string> order = placingOrder(hosts);
+    const std::vector<std::string> order = orderOf(hosts);
     for (int i = 13; i <= 81; i += 13) {
         const std::string ip = "10.0.0." + std::to_string(i);
         const auto place = std::find(order.begin(), order.end(), ip) - order.begin();
@@ -88,3 +139,19 @@
                       ip << " has 500 millicores; expected among the first 6, is at " << place);
     }
 }
+
+TEST_CASE("PlacingHosts.OrderIsThatOfChoosingTheBestHostAgainAndAgain")
+{
+    for (const int size : {1, 8, 60, 80, 300})
+        CHECK(orderOf(mixedFleet(size)) == orderByRepeatedChoice(mixedFleet(size)));
+}
+
+// Guards against gossip rounds that cost the square of the number of hosts.
+TEST_CASE("PlacingHosts.ComparisonsPerHostGrowWithTheLogarithmOfTheFleet")
+{
+    for (const int size : {60, 300, 1000, 2000}) {
+        units::WorkCount work;
+        placingOrder(mixedFleet(size), work);
+        CHECK(double(work.value()) / size < 5 * std::log2(size));
+    }
+}
