Log: at most eight hosts of a round are named as found or lost

Cause: a line on each host for each host, so that the start of 985 hosts writes 970,000 lines, which costs processor time on hosts of 0.12 of a core. The others are counted in one line, more-hosts.

--- a/include/monsoongrade/gateway/gateway.h
+++ b/include/monsoongrade/gateway/gateway.h
@@ -9,7 +9,8 @@
 
 #include <functional>
 #include <memory>
-#include <set>
+#include <string>
+#include <vector>
 
 namespace monsoongrade::gateway {
 
@@ -70,6 +71,8 @@
     void onLimitNews(const routing::LimitNews &news);
     void noteOwnState();
     void noteHosts(const std::vector<routing::PeerNews> &hosts);
+    void logHosts(observability::LogLevel level, const char *event,
+                  const std::vector<std::string> &hosts) const;
     void waitForOpenRequests();
     void serveMetrics(const httpio::ServerRequest &request, httpio::Reply &reply);
 
@@ -86,7 +89,7 @@
     PeerGossip gossip_;
     bool leaving_ = false;
     routing::PeerState lastState_ = routing::PeerState::Waiting;
-    std::set<std::string> lastHosts_;
+    std::vector<std::string> lastHosts_; // sorted
     units::WorkCount hostsCompared_; // to order them
     units::TimePoint stopBy_;
     std::function<void()> stopped_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include <monsoongrade/routing/placinghosts.h>
 
 #include <algorithm>
+#include <iterator>
 #include <stdexcept>
 
 namespace monsoongrade::gateway {
@@ -30,6 +31,8 @@
 constexpr std::int64_t BodyShareOfMemory = 4;
 // Each client needs one descriptor and each of its requests about one more.
 constexpr std::int64_t DescriptorsPerClient = 3;
+// Hosts found or lost in one round.
+constexpr std::size_t MaxHostsLoggedOneByOne = 8;
 
 asio::ip::tcp::endpoint addressOf(const std::string &text, const char *what)
 {
@@ -259,19 +262,34 @@
 
 void Gateway::noteHosts(const std::vector<routing::PeerNews> &hosts)
 {
-    std::set<std::string> now;
+    std::vector<std::string> now;
+    now.reserve(hosts.size());
     for (const routing::PeerNews &host : hosts)
-        now.insert(host.ip);
-    for (const std::string &ip : now) {
-        if (lastHosts_.count(ip) == 0)
-            observability::log(observability::LogLevel::Info, "host-found", {{"host", ip}});
-    }
-    for (const std::string &ip : lastHosts_) {
-        if (now.count(ip) == 0)
-            observability::log(observability::LogLevel::Warning, "host-lost",
-                               {{"host", ip}, {"live-hosts", std::uint64_t(now.size())}});
-    }
+        now.push_back(host.ip);
+    std::sort(now.begin(), now.end());
+    std::vector<std::string> found;
+    std::set_difference(now.begin(), now.end(), lastHosts_.begin(), lastHosts_.end(),
+                        std::back_inserter(found));
+    std::vector<std::string> lost;
+    std::set_difference(lastHosts_.begin(), lastHosts_.end(), now.begin(), now.end(),
+                        std::back_inserter(lost));
     lastHosts_ = std::move(now);
+    logHosts(observability::LogLevel::Info, "host-found", found);
+    logHosts(observability::LogLevel::Warning, "host-lost", lost);
+}
+
+// When a large fleet starts or is lost, a line for each host would cost more than all else.
+void Gateway::logHosts(observability::LogLevel level, const char *event,
+                       const std::vector<std::string> &hosts) const
+{
+    const std::size_t named = std::min(hosts.size(), MaxHostsLoggedOneByOne);
+    for (std::size_t i = 0; i < named; ++i)
+        observability::log(level, event,
+                           {{"host", hosts[i]}, {"live-hosts", std::uint64_t(lastHosts_.size())}});
+    if (hosts.size() > named)
+        observability::log(level, event,
+                           {{"more-hosts", std::uint64_t(hosts.size() - named)},
+                            {"live-hosts", std::uint64_t(lastHosts_.size())}});
 }
 
 void Gateway::stop(std::function<void()> stopped)
