Roster: available endpoints by pool, endpoints by id, missing ones apart

Now kept by pool in the order of ids, found by id, and only missing entries are walked. EndpointRoster.OneChangeLooksAtTheLogarithmOfAllEndpoints at 600 to 20,000 endpoints; before, each change looked at all (work was not counted).

--- a/include/monsoongrade/routing/endpointroster.h
+++ b/include/monsoongrade/routing/endpointroster.h
@@ -3,10 +3,13 @@
 
 #include <monsoongrade/routing/endpointstart.h>
 #include <monsoongrade/routing/endpointstatus.h>
+#include <monsoongrade/units/workcount.h>
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace monsoongrade::routing {
@@ -34,27 +37,39 @@
     // Drops the kept entries whose time is over.
     void dropMissing(units::TimePoint now);
 
-    // Endpoints of the pool that take new requests by the store's word.
-    std::vector<Status> available(const units::PoolName &pool) const;
+    // Endpoints of the pool that take new requests by the store's word, in the order of their ids.
+    // Valid until the next change of the roster.
+    const std::vector<Status> &available(const units::PoolName &pool) const;
+    // Null if no such endpoint is available.
+    Status findAvailable(const units::EndpointId &id) const;
     // All of the pool's endpoints that are listed, leaving ones too.
     std::vector<DiscoveredEndpoint> listed(const units::PoolName &pool) const;
     // Null if this process of the endpoint is not listed.
     Status find(const EndpointStart &endpoint) const;
     std::size_t size() const { return entries_.size(); }
+    // Counts the endpoints that changes of single ones have looked at.
+    const units::WorkCount &work() const { return work_; }
 
 private:
     struct Entry
     {
         Status status;
-        bool missing = false;
-        units::TimePoint keepUntil;
+        units::TimePoint keepUntil; // of a missing one
     };
 
     void leave(Entry &entry);
-    void miss(Entry &entry, units::TimePoint now, units::TimePoint keepMissingUntil);
+    void miss(const std::string &id, Entry &entry, units::TimePoint now,
+              units::TimePoint keepMissingUntil);
+    std::vector<Status>::iterator placeIn(std::vector<Status> &available,
+                                          const units::EndpointId &id);
+    void addAvailable(const Status &status);
+    void removeAvailable(const Status &status);
 
     OnLeaving onLeaving_;
     std::map<std::string, Entry> entries_; // by endpoint id
+    std::set<std::string> missing_; // ids of entries that are kept for a while
+    std::map<std::string, std::vector<Status>> available_; // by pool
+    units::WorkCount work_;
 };
 
 } // namespace monsoongrade::routing
--- a/src/gateway/sharedplacement.cpp
+++ b/src/gateway/sharedplacement.cpp
@@ -369,12 +369,11 @@
         return;
     }
     const units::TimePoint now = timers_.now();
-    for (const routing::EndpointRoster::Status &status : roster_.available(ask.query.pool)) {
-        if (status->described.id == message.endpoint && status->health.accepts(now)) {
-            deciders_[message.number] = host;
-            ask.placed({settings_.ownIp, message.number}, {status, message.tokensToRead});
-            return;
-        }
+    const auto status = roster_.findAvailable(message.endpoint);
+    if (status != nullptr && status->health.accepts(now)) {
+        deciders_[message.number] = host;
+        ask.placed({settings_.ownIp, message.number}, {status, message.tokensToRead});
+        return;
     }
     // The other host does not know yet that the endpoint left or fails, or knows of none.
     send(host, encode(NewsMessage{message.number, routing::PlacementNews::Withdrawn}));
--- a/src/routing/endpointroster.cpp
+++ b/src/routing/endpointroster.cpp
@@ -1,6 +1,6 @@
 #include <monsoongrade/routing/endpointroster.h>
 
-#include <set>
+#include <algorithm>
 
 namespace monsoongrade::routing {
 
@@ -19,7 +19,7 @@
     }
     for (auto &[id, entry] : entries_) {
         if (present.count(id) == 0)
-            miss(entry, now, keepMissingUntil);
+            miss(id, entry, now, keepMissingUntil);
     }
     dropMissing(now);
 }
@@ -34,16 +34,19 @@
     if (!isSame) {
         // A restarted endpoint knows nothing of the requests and cache of the one before it, so
         // its load and health start anew. Requests of the old one keep the old status.
-        if (entry.status != nullptr)
+        if (entry.status != nullptr) {
             leave(entry);
+        }
         entry.status = std::make_shared<EndpointStatus>();
     }
-    entry.missing = false;
+    missing_.erase(endpoint.id.value());
     entry.status->described = endpoint;
-    if (endpoint.draining)
+    if (endpoint.draining) {
         leave(entry);
-    else
-        entry.status->leaving = false;
+        return;
+    }
+    entry.status->leaving = false;
+    addAvailable(entry.status);
 }
 
 void EndpointRoster::remove(const units::EndpointId &id, units::TimePoint now,
@@ -52,30 +55,38 @@
     const auto found = entries_.find(id.value());
     if (found == entries_.end())
         return;
-    miss(found->second, now, keepMissingUntil);
+    miss(found->first, found->second, now, keepMissingUntil);
     dropMissing(now);
 }
 
 void EndpointRoster::dropMissing(units::TimePoint now)
 {
-    for (auto entry = entries_.begin(); entry != entries_.end();) {
-        if (entry->second.missing && now >= entry->second.keepUntil) {
-            leave(entry->second);
-            entry = entries_.erase(entry);
-        } else {
-            ++entry;
+    for (auto missing = missing_.begin(); missing != missing_.end();) {
+        const auto entry = entries_.find(*missing);
+        work_.add();
+        if (now < entry->second.keepUntil) {
+            ++missing;
+            continue;
         }
+        leave(entry->second);
+        entries_.erase(entry);
+        missing = missing_.erase(missing);
     }
 }
 
-std::vector<EndpointRoster::Status> EndpointRoster::available(const units::PoolName &pool) const
+const std::vector<EndpointRoster::Status> &
+EndpointRoster::available(const units::PoolName &pool) const
 {
-    std::vector<Status> found;
-    for (const auto &[id, entry] : entries_) {
-        if (entry.status->described.pool == pool && !entry.status->leaving)
-            found.push_back(entry.status);
-    }
-    return found;
+    static const std::vector<Status> None;
+    const auto found = available_.find(pool.value());
+    return found == available_.end() ? None : found->second;
+}
+
+EndpointRoster::Status EndpointRoster::findAvailable(const units::EndpointId &id) const
+{
+    const auto found = entries_.find(id.value());
+    const bool isAvailable = found != entries_.end() && !found->second.status->leaving;
+    return isAvailable ? found->second.status : nullptr;
 }
 
 std::vector<DiscoveredEndpoint> EndpointRoster::listed(const units::PoolName &pool) const
@@ -98,6 +109,7 @@
 
 void EndpointRoster::leave(Entry &entry)
 {
+    removeAvailable(entry.status);
     if (entry.status->leaving)
         return;
     entry.status->leaving = true;
@@ -105,12 +117,38 @@
         onLeaving_(*entry.status);
 }
 
-void EndpointRoster::miss(Entry &entry, units::TimePoint now, units::TimePoint keepMissingUntil)
+void EndpointRoster::miss(const std::string &id, Entry &entry, units::TimePoint now,
+                          units::TimePoint keepMissingUntil)
 {
-    if (entry.missing)
-        return;
-    entry.missing = true;
-    entry.keepUntil = std::max(now, keepMissingUntil);
+    if (missing_.insert(id).second)
+        entry.keepUntil = std::max(now, keepMissingUntil);
+}
+
+// Where the endpoint is or belongs in the list, which is in the order of ids.
+std::vector<EndpointRoster::Status>::iterator
+EndpointRoster::placeIn(std::vector<Status> &available, const units::EndpointId &id)
+{
+    return std::lower_bound(available.begin(), available.end(), id,
+                            [this](const Status &each, const units::EndpointId &wanted) {
+                                work_.add();
+                                return each->described.id < wanted;
+                            });
+}
+
+void EndpointRoster::addAvailable(const Status &status)
+{
+    std::vector<Status> &available = available_[status->described.pool.value()];
+    const auto place = placeIn(available, status->described.id);
+    if (place == available.end() || *place != status)
+        available.insert(place, status);
+}
+
+void EndpointRoster::removeAvailable(const Status &status)
+{
+    std::vector<Status> &available = available_[status->described.pool.value()];
+    const auto place = placeIn(available, status->described.id);
+    if (place != available.end() && *place == status)
+        available.erase(place);
 }
 
 } // namespace monsoongrade::routing
--- a/tests/routing/endpointroster_test.cpp
+++ b/tests/routing/endpointroster_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <cmath>
+
 using namespace monsoongrade;
 using namespace monsoongrade::routing;
 
@@ -76,3 +78,31 @@
     CHECK_FALSE(before->health.accepts(Start));
     CHECK(after->health.accepts(Start));
 }
+
+// Guards against a release that costs each host the square of the number of endpoints.
+TEST_CASE("EndpointRoster.OneChangeLooksAtTheLogarithmOfAllEndpoints")
+{
+    for (const int size : {600, 3000, 10000, 20000}) {
+        EndpointRoster roster;
+        for (int i = 0; i < size; ++i)
+            roster.update(endpoint("e" + std::to_string(i)));
+        const std::uint64_t before = roster.work().value();
+        roster.remove(units::EndpointId("e17"), Start, Start + std::chrono::seconds(1));
+        roster.dropMissing(Start + std::chrono::seconds(2));
+        roster.update(endpoint("e17", 2));
+        CHECK(available(roster) == std::size_t(size));
+        CHECK(double(roster.work().value() - before) < 4 * std::log2(size));
+    }
+}
+
+TEST_CASE("EndpointRoster.EndpointThatMovesToAnotherPoolLeavesTheFirst")
+{
+    EndpointRoster roster;
+    roster.update(endpoint("a"));
+    DiscoveredEndpoint moved = endpoint("a");
+    moved.pool = units::PoolName("q");
+    roster.update(moved);
+    CHECK(available(roster) == 0);
+    CHECK(roster.available(units::PoolName("q")).size() == 1);
+    CHECK(roster.findAvailable(units::EndpointId("a"))->described.pool == units::PoolName("q"));
+}
