Cells: hosts hold and place over a part of a large pool

Cause: each host listed, held and decoded all endpoints (3 MB x 985 hosts at each start over the store's 1,000 Mbit/s), and one host placed all requests over all endpoints (720 requests/s x 9,747 candidates on one core). Both grow with hosts x endpoints or requests x endpoints.

A pool of more than 640 endpoints is now divided by hash into 2, 4, 8 ... cells of 160 to 640 endpoints, hosts likewise. Readers of the store know all, work the division out and pass on each follower's part; a follower that reads by another division is answered as if its history were gone. Each cell has its own placing host. A watch looks at what changed instead of at all objects for each follower. A starting host gives a list of the store up after 600 objects and asks a large host instead.

Fleets without such a pool are one cell: same requests on the wire but for two parameters, same decisions.

Tests, none of which could pass before: FleetDivision.*, StoreRelay.FollowerHolds..., ...ListsAgain..., ...BecomesAReader..., ...OneChangeLooksAtNoOtherObject, StoreAccess.*LargeStartingFleet*.

--- a/include/monsoongrade/gateway/gateway.h
+++ b/include/monsoongrade/gateway/gateway.h
@@ -41,6 +41,11 @@
                           units::TimePoint keepMissingUntil);
     void updateEndpoint(const routing::DiscoveredEndpoint &endpoint);
     void removeEndpoint(const units::EndpointId &id, units::TimePoint keepMissingUntil);
+    // The cells of the fleet, as told by a host that has the list of all endpoints.
+    void divide(const routing::FleetDivision &division);
+    // The same by the endpoints listed here, which are all.
+    void divideByOwnList();
+    const routing::FleetDivision &division() const { return state_.roster.division(); }
 
     // Whether the platform's store answers this host.
     void setHasStore(bool hasStore) { gossip_.setHasStore(hasStore); }
@@ -68,6 +73,7 @@
 private:
     routing::PeerState peerState() const;
     void onGossipRound();
+    void setPlacingOrders(const std::vector<routing::PeerNews> &live);
     void onLimitNews(const routing::LimitNews &news);
     void noteOwnState();
     void noteHosts(const std::vector<routing::PeerNews> &hosts);
--- a/include/monsoongrade/gateway/sharedplacement.h
+++ b/include/monsoongrade/gateway/sharedplacement.h
@@ -46,9 +46,10 @@
                     const routing::EndpointRoster &roster, observability::Metrics &metrics);
 
     void start() { receive(); }
-    // Hosts that may place for all, best first. Called several times a second; also tells the
-    // successors what this host has placed.
-    void setOrder(std::vector<std::string> order);
+    // Hosts that may place for others, best first: of the whole fleet, and of this host's cell for
+    // pools that are divided. Called several times a second; also tells the successors what this
+    // host has placed.
+    void setOrders(std::vector<std::string> ofFleet, std::vector<std::string> ofCell);
 
     // Hosts that share the limit of an endpoint where each places for itself, and this one's place
     // among them, from 0.
@@ -87,6 +88,8 @@
         bool wasRepeated = false;
         httpio::Timers::Handle timeout;
     };
+    const std::vector<std::string> &orderFor(const units::PoolName &pool) const;
+    std::vector<std::string> successors() const;
     void tellSuccessors();
     void ask(std::uint64_t number, Ask ask);
     void placeAlone(std::uint64_t number, const routing::PlacementQuery &query,
@@ -115,7 +118,8 @@
     Settings settings_;
     const routing::EndpointRoster &roster_;
     observability::Metrics &metrics_;
-    std::vector<std::string> order_;
+    std::vector<std::string> orderOfFleet_;
+    std::vector<std::string> orderOfCell_;
     routing::PlacementDesk desk_;
     std::unordered_map<std::uint64_t, Ask> asks_;
     routing::PlacingTrust trust_;
--- a/include/monsoongrade/routing/endpointroster.h
+++ b/include/monsoongrade/routing/endpointroster.h
@@ -3,6 +3,7 @@
 
 #include <monsoongrade/routing/endpointstart.h>
 #include <monsoongrade/routing/endpointstatus.h>
+#include <monsoongrade/routing/fleetdivision.h>
 #include <monsoongrade/units/workcount.h>
 
 #include <functional>
@@ -37,8 +38,12 @@
     // Drops the kept entries whose time is over.
     void dropMissing(units::TimePoint now);
 
-    // Endpoints of the pool that take new requests by the store's word, in the order of their ids.
-    // Valid until the next change of the roster.
+    // From now on only the endpoints of this cell are available.
+    void divide(FleetDivision division, std::uint32_t ownCell);
+    const FleetDivision &division() const { return division_; }
+
+    // Endpoints of the pool that take new requests by the store's word and belong to this host's
+    // cell, in the order of their ids. Valid until the next change of the roster.
     const std::vector<Status> &available(const units::PoolName &pool) const;
     // Null if no such endpoint is available.
     Status findAvailable(const units::EndpointId &id) const;
@@ -47,6 +52,8 @@
     // Null if this process of the endpoint is not listed.
     Status find(const EndpointStart &endpoint) const;
     std::size_t size() const { return entries_.size(); }
+    // Listed endpoints of each pool that has any.
+    const std::map<std::string, std::size_t> &sizes() const { return sizes_; }
     // Counts the endpoints that changes of single ones have looked at.
     const units::WorkCount &work() const { return work_; }
 
@@ -62,6 +69,9 @@
               units::TimePoint keepMissingUntil);
     std::vector<Status>::iterator placeIn(std::vector<Status> &available,
                                           const units::EndpointId &id);
+    bool isInOwnCell(const EndpointStatus &status) const;
+    void countIn(const units::PoolName &pool);
+    void countOut(const units::PoolName &pool);
     void addAvailable(const Status &status);
     void removeAvailable(const Status &status);
 
@@ -69,6 +79,9 @@
     std::map<std::string, Entry> entries_; // by endpoint id
     std::set<std::string> missing_; // ids of entries that are kept for a while
     std::map<std::string, std::vector<Status>> available_; // by pool
+    std::map<std::string, std::size_t> sizes_; // by pool
+    FleetDivision division_;
+    std::uint32_t ownCell_ = 0;
     units::WorkCount work_;
 };
 
--- a/include/monsoongrade/routing/storeaccess.h
+++ b/include/monsoongrade/routing/storeaccess.h
@@ -64,6 +64,8 @@
     void onStoreAnswered();
     void onStoreFailed(units::TimePoint now);
     void onStaleListFailed() { isStaleListUseless_ = true; }
+    // The endpoints are too many for each host to list them at the store.
+    void noteLargeFleet() { isFleetLarge_ = true; }
     // Another host asked this one for what it reads. False if this host can't have the store soon:
     // it has failed here for a while.
     bool onAsked(units::TimePoint now);
@@ -76,6 +78,8 @@
 private:
     StoreSource whileStarting(const std::vector<PeerNews> &hosts, bool hasContent,
                               units::TimePoint now);
+    StoreSource whileLargeFleetStarts(const std::vector<PeerNews> &hosts, bool hasContent,
+                                      units::TimePoint now);
     StoreSource fromStore(const std::vector<PeerNews> &hosts, units::TimePoint now);
     StoreSource fromHosts(std::vector<std::string> readers, const std::vector<PeerNews> &hosts);
     bool shouldRead(const std::vector<std::string> &readers, units::TimePoint now) const;
@@ -99,6 +103,7 @@
     units::TimePoint probeEndsBy_{};
     bool isReader_ = false;
     bool isStaleListUseless_ = false;
+    bool isFleetLarge_ = false;
 };
 
 } // namespace monsoongrade::routing
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -215,7 +215,40 @@
     const auto ownPlace = std::count_if(
         live.begin(), live.end(), [this](const auto &host) { return host.ip < settings_.ip; });
     state_.placement.setLiveHosts(state_.liveHosts, int(ownPlace));
-    state_.placement.setOrder(routing::placingOrder(live, hostsCompared_));
+    setPlacingOrders(live);
+}
+
+void Gateway::setPlacingOrders(const std::vector<routing::PeerNews> &live)
+{
+    const routing::FleetDivision &division = state_.roster.division();
+    std::vector<std::string> ofFleet = routing::placingOrder(live, hostsCompared_);
+    if (division.cells() == 1) {
+        std::vector<std::string> ofCell = ofFleet;
+        state_.placement.setOrders(std::move(ofFleet), std::move(ofCell));
+        return;
+    }
+    const std::uint32_t ownCell = division.cellOf(settings_.ip);
+    std::vector<std::string> ofCell;
+    std::copy_if(ofFleet.begin(), ofFleet.end(), std::back_inserter(ofCell),
+                 [&](const std::string &ip) { return division.cellOf(ip) == ownCell; });
+    state_.placement.setOrders(std::move(ofFleet), std::move(ofCell));
+}
+
+void Gateway::divide(const routing::FleetDivision &division)
+{
+    if (division == state_.roster.division())
+        return;
+    const std::uint32_t ownCell = division.cellOf(settings_.ip);
+    state_.roster.divide(division, ownCell);
+    observability::log(observability::LogLevel::Info, "fleet-divided",
+                       {{"cells", std::uint64_t(division.cells())},
+                        {"own-cell", std::uint64_t(ownCell)},
+                        {"divided-pools", std::uint64_t(division.pools().size())}});
+}
+
+void Gateway::divideByOwnList()
+{
+    divide(routing::divideFleet(state_.roster.sizes(), state_.roster.division()));
 }
 
 void Gateway::onLimitNews(const routing::LimitNews &news)
@@ -353,6 +386,8 @@
     metrics.set("monsoongrade_gateway_endpoints_limited", "", double(state_.limits.limited()));
     metrics.set("monsoongrade_gateway_live_hosts", "", double(state_.liveHosts));
     metrics.set("monsoongrade_gateway_hosts_compared_total", "", double(hostsCompared_.value()));
+    metrics.set("monsoongrade_gateway_fleet_cells", "", double(division().cells()));
+    metrics.set("monsoongrade_gateway_own_cell", "", double(division().cellOf(settings_.ip)));
     metrics.set("monsoongrade_gateway_serving", "", isServing() ? 1 : 0);
     const units::Duration age = state_.lease.age(timers_.now());
     if (age != units::Duration::max())
--- a/src/gateway/sharedplacement.cpp
+++ b/src/gateway/sharedplacement.cpp
@@ -77,8 +77,9 @@
     ask.sentAt = now;
     ask.isWaiting = false;
     ask.wasRepeated = false;
-    ask.decider
-        = ask.query.runsModel ? trust_.hostToAsk(order_, settings_.ownIp, now) : std::string();
+    ask.decider = ask.query.runsModel
+        ? trust_.hostToAsk(orderFor(ask.query.pool), settings_.ownIp, now)
+        : std::string();
     if (ask.decider.empty()) {
         placeAlone(number, ask.query, ask.placed);
         return;
@@ -127,12 +128,40 @@
     return desk_.hasEndpoint(query, roster_.available(query.pool), timers_.now());
 }
 
-void SharedPlacement::setOrder(std::vector<std::string> order)
+void SharedPlacement::setOrders(std::vector<std::string> ofFleet, std::vector<std::string> ofCell)
 {
-    order_ = std::move(order);
+    orderOfFleet_ = std::move(ofFleet);
+    orderOfCell_ = std::move(ofCell);
     tellSuccessors();
 }
 
+const std::vector<std::string> &SharedPlacement::orderFor(const units::PoolName &pool) const
+{
+    return roster_.division().isDivided(pool) ? orderOfCell_ : orderOfFleet_;
+}
+
+// Hosts that take over where this one places for others.
+std::vector<std::string> SharedPlacement::successors() const
+{
+    std::vector<std::string> found;
+    const auto addFirstOf = [&](const std::vector<std::string> &order) {
+        std::size_t added = 0;
+        for (const std::string &host : order) {
+            if (added == Successors)
+                return;
+            if (host == settings_.ownIp)
+                continue;
+            ++added;
+            if (std::find(found.begin(), found.end(), host) == found.end())
+                found.push_back(host);
+        }
+    };
+    addFirstOf(orderOfCell_);
+    if (!orderOfFleet_.empty() && orderOfFleet_.front() == settings_.ownIp)
+        addFirstOf(orderOfFleet_);
+    return found;
+}
+
 void SharedPlacement::tellSuccessors()
 {
     const std::vector<routing::CachedPart> parts = desk_.takeNewParts();
@@ -141,11 +170,8 @@
         const auto first = parts.begin() + std::ptrdiff_t(begin);
         const std::string datagram
             = encode(CachedPartsMessage{{first, first + std::ptrdiff_t(count)}});
-        std::size_t told = 0;
-        for (const std::string &host : order_) {
-            if (host != settings_.ownIp && told++ < Successors)
-                send(host, datagram);
-        }
+        for (const std::string &host : successors())
+            send(host, datagram);
     }
 }
 
--- a/src/routing/endpointroster.cpp
+++ b/src/routing/endpointroster.cpp
@@ -36,8 +36,10 @@
         // its load and health start anew. Requests of the old one keep the old status.
         if (entry.status != nullptr) {
             leave(entry);
+            countOut(entry.status->described.pool);
         }
         entry.status = std::make_shared<EndpointStatus>();
+        countIn(endpoint.pool);
     }
     missing_.erase(endpoint.id.value());
     entry.status->described = endpoint;
@@ -69,11 +71,25 @@
             continue;
         }
         leave(entry->second);
+        countOut(entry->second.status->described.pool);
         entries_.erase(entry);
         missing = missing_.erase(missing);
     }
 }
 
+void EndpointRoster::divide(FleetDivision division, std::uint32_t ownCell)
+{
+    if (division == division_ && ownCell == ownCell_)
+        return;
+    division_ = std::move(division);
+    ownCell_ = ownCell;
+    available_.clear();
+    for (const auto &[id, entry] : entries_) {
+        if (!entry.status->leaving)
+            addAvailable(entry.status);
+    }
+}
+
 const std::vector<EndpointRoster::Status> &
 EndpointRoster::available(const units::PoolName &pool) const
 {
@@ -85,7 +101,8 @@
 EndpointRoster::Status EndpointRoster::findAvailable(const units::EndpointId &id) const
 {
     const auto found = entries_.find(id.value());
-    const bool isAvailable = found != entries_.end() && !found->second.status->leaving;
+    const bool isAvailable = found != entries_.end() && !found->second.status->leaving
+        && isInOwnCell(*found->second.status);
     return isAvailable ? found->second.status : nullptr;
 }
 
@@ -135,8 +152,27 @@
                             });
 }
 
+bool EndpointRoster::isInOwnCell(const EndpointStatus &status) const
+{
+    return division_.isUsedIn(ownCell_, status.described.pool, status.described.id);
+}
+
+void EndpointRoster::countIn(const units::PoolName &pool)
+{
+    ++sizes_[pool.value()];
+}
+
+void EndpointRoster::countOut(const units::PoolName &pool)
+{
+    const auto size = sizes_.find(pool.value());
+    if (size != sizes_.end() && --size->second == 0)
+        sizes_.erase(size);
+}
+
 void EndpointRoster::addAvailable(const Status &status)
 {
+    if (!isInOwnCell(*status))
+        return;
     std::vector<Status> &available = available_[status->described.pool.value()];
     const auto place = placeIn(available, status->described.id);
     if (place == available.end() || *place != status)
--- a/src/routing/storeaccess.cpp
+++ b/src/routing/storeaccess.cpp
@@ -39,6 +39,10 @@
 // Beyond this, a fleet that is known to be small is one.
 constexpr auto SmallFleetShows = std::chrono::milliseconds(1000);
 constexpr auto StartPoll = std::chrono::milliseconds(5);
+// In a large fleet the hosts that the settings name may have small links. By this time the gossip
+// has told of enough large hosts to read instead.
+constexpr auto LargeHostsShow = std::chrono::milliseconds(700);
+constexpr auto LargeStartPoll = std::chrono::milliseconds(50);
 
 StoreSource waitFor(units::Duration time)
 {
@@ -112,6 +116,8 @@
 StoreSource StoreAccess::whileStarting(const std::vector<PeerNews> &hosts, bool hasContent,
                                        units::TimePoint now)
 {
+    if (isFleetLarge_)
+        return whileLargeFleetStarts(hosts, hasContent, now);
     const bool isAlone = hosts.size() <= 1;
     const bool isWaitOver = now >= startedAt_ + WaitForFirstNews;
     const bool isSmall = hosts.size() <= MaxHostsThatAllRead && now >= startedAt_ + SmallFleetShows;
@@ -137,6 +143,22 @@
     return fromStore(hosts, now);
 }
 
+StoreSource StoreAccess::whileLargeFleetStarts(const std::vector<PeerNews> &hosts, bool hasContent,
+                                               units::TimePoint now)
+{
+    if (now < startedAt_ + LargeHostsShow)
+        return waitFor(LargeStartPoll);
+    const std::vector<std::string> readers
+        = storeReaders(hosts, readersNow(now), keysOf(silentUntil_));
+    isReader_ = shouldRead(readers, now);
+    if (!isReader_)
+        return fromHosts(readers, hosts);
+    StoreSource store = fromStore(hosts, now);
+    store.mayBeStale
+        = store.kind == StoreSource::Kind::Store && !hasContent && !isStaleListUseless_;
+    return store;
+}
+
 StoreSource StoreAccess::fromStore(const std::vector<PeerNews> &hosts, units::TimePoint now)
 {
     StoreSource store;
--- a/tests/adapter/storerelay_test.cpp
+++ b/tests/adapter/storerelay_test.cpp
@@ -23,12 +23,20 @@
     void onChanged(const MirroredObject &object) override { names.insert(object.name); }
     void onRemoved(const std::string &name, units::TimePoint) override { names.erase(name); }
     void onProven(units::TimePoint at) override { provenAt = at; }
+    void onDivision(const std::optional<routing::FleetDivision> &told) override
+    {
+        division = told.value_or(routing::FleetDivision());
+    }
+    bool isDivided() const override { return division.cells() > 1; }
 
     int lists = 0;
     std::set<std::string> names;
+    routing::FleetDivision division;
     units::TimePoint provenAt{};
 };
 
+const std::string FollowerIp = "10.0.0.2";
+
 // Sends a mirror to the source that a test wants.
 struct ChosenSource : MirrorSources
 {
@@ -46,6 +54,7 @@
         if (failed.kind == routing::StoreSource::Kind::Host)
             readFromStore();
     }
+    void onLongList() override { ++longLists; }
     bool wasAwayForAll(units::Duration) const override { return true; }
     void readFromStore() { source = {}; }
     void readFromHost()
@@ -60,6 +69,7 @@
     asio::ip::tcp::endpoint host;
     int answered = 0;
     int failures = 0;
+    int longLists = 0;
 };
 
 // The store, a host that reads it and passes it on, and a host that reads from that one.
@@ -68,19 +78,23 @@
     RelayWorld()
         : lease(seconds(5), milliseconds(1300))
         , client(io, timers, metrics)
-        , relay(io, timers, {asio::ip::make_address_v4(settings.ip), RelayPort}, lease,
-                [this] {
-                    ++asked;
-                    return mayHaveStore;
-                })
-        , idleRelay(io, timers, {asio::ip::make_address_v4(settings.ip), RelayPort + 1}, lease,
-                    [] { return false; })
+        , relay(
+              io, timers, {asio::ip::make_address_v4(settings.ip), RelayPort}, lease,
+              [this] {
+                  ++asked;
+                  return mayHaveStore;
+              },
+              [this] { return division; })
+        , idleRelay(
+              io, timers, {asio::ip::make_address_v4(settings.ip), RelayPort + 1}, lease,
+              [] { return false; }, [] { return routing::FleetDivision(); })
         , reader(client, timers,
-                 {"servers", milliseconds(1500), milliseconds(1500), milliseconds(700)}, readerSees,
-                 relay, readerSource)
-        , follower(client, timers,
-                   {"servers", milliseconds(1500), milliseconds(1500), milliseconds(700)},
-                   followerSees, idleRelay, followerSource)
+                 {"servers", milliseconds(1500), milliseconds(1500), milliseconds(700), "10.0.0.1"},
+                 readerSees, relay, readerSource)
+        , follower(
+              client, timers,
+              {"servers", milliseconds(1500), milliseconds(1500), milliseconds(700), FollowerIp},
+              followerSees, idleRelay, followerSource)
     {
         readerSource.store = store.address();
         followerSource.store = store.address();
@@ -101,6 +115,7 @@
     StoreClient client;
     int asked = 0;
     bool mayHaveStore = true;
+    routing::FleetDivision division;
     StoreRelay relay;
     StoreRelay idleRelay;
     Recorder readerSees;
@@ -352,3 +367,101 @@
     CHECK(client->status() == 200);
     CHECK(client->body().size() < 2 * large.size());
 }
+
+namespace {
+
+// A fleet of four cells in which the pool "plain" is divided.
+struct DividedWorld : RelayWorld
+{
+    DividedWorld()
+    {
+        division = routing::FleetDivision(4, {"plain"});
+        for (int i = 0; i < 40; ++i)
+            announce("p" + std::to_string(i), "plain", "127.0.0.1:9");
+        announce("m1", "model", "127.0.0.1:9");
+    }
+    bool isInFollowersCell(const std::string &name) const
+    {
+        return division.isUsedIn(division.cellOf(FollowerIp), units::PoolName("plain"),
+                                 units::EndpointId(name));
+    }
+    std::set<std::string> ofFollowersCell() const
+    {
+        std::set<std::string> names{"m1"};
+        for (const std::string &name : readerSees.names) {
+            if (name != "m1" && isInFollowersCell(name))
+                names.insert(name);
+        }
+        return names;
+    }
+    void beginDivided()
+    {
+        lease.prove(clock.now());
+        reader.start();
+        REQUIRE(runUntil([&] { return readerSees.names.size() == 41; }));
+        follower.start();
+        REQUIRE(runUntil([&] { return followerSees.lists == 1; }));
+    }
+    std::string nameInCell(bool followers) const
+    {
+        int number = 100;
+        while (isInFollowersCell("p" + std::to_string(number)) != followers)
+            ++number;
+        return "p" + std::to_string(number);
+    }
+};
+
+} // namespace
+
+// Guards against hosts that each hold, list and decode the endpoints of the whole fleet.
+TEST_CASE("StoreRelay.FollowerHoldsTheEndpointsOfItsCellAndOfPoolsThatAreNotDivided")
+{
+    DividedWorld world;
+    world.beginDivided();
+    CHECK(world.followerSees.division == world.division);
+    CHECK(world.followerSees.names == world.ofFollowersCell());
+    CHECK(world.followerSees.names.size() < 25);
+    const std::string other = world.nameInCell(false);
+    const std::string own = world.nameInCell(true);
+    world.announce(other, "plain", "127.0.0.1:9");
+    world.announce(own, "plain", "127.0.0.1:9");
+    REQUIRE(world.runUntil([&] { return world.followerSees.names.count(own) == 1; }));
+    CHECK(world.followerSees.names.count(other) == 0);
+    world.store.remove("servers", own);
+    CHECK(world.runUntil([&] { return world.followerSees.names.count(own) == 0; }));
+    CHECK(world.followerSees.lists == 1);
+}
+
+// Guards against a follower that misses endpoints of its new cell after the fleet has grown.
+TEST_CASE("StoreRelay.FollowerListsAgainWhenTheFleetIsDividedAnew")
+{
+    DividedWorld world;
+    world.beginDivided();
+    world.division = routing::FleetDivision(2, {"plain"});
+    world.announce("p41", "plain", "127.0.0.1:9");
+    CHECK(world.runUntil([&] {
+        return world.followerSees.lists == 2 && world.followerSees.names == world.ofFollowersCell();
+    }));
+}
+
+// Guards against a host that goes on with the endpoints of its cell when it reads for others.
+TEST_CASE("StoreRelay.FollowerThatBecomesAReaderListsAllEndpoints")
+{
+    DividedWorld world;
+    world.beginDivided();
+    world.followerSource.readFromStore();
+    CHECK(world.runUntil([&] { return world.followerSees.names == world.readerSees.names; }));
+    CHECK(world.followerSees.division.cells() == 1);
+}
+
+// Guards against a change of one endpoint that costs a reader a walk over all of them.
+TEST_CASE("StoreRelay.OneChangeLooksAtNoOtherObject")
+{
+    DividedWorld world;
+    world.beginDivided();
+    const std::uint64_t before = world.relay.work().value();
+    const std::string own = world.nameInCell(true);
+    world.announce(own, "plain", "127.0.0.1:9");
+    REQUIRE(world.runUntil([&] { return world.followerSees.names.count(own) == 1; }));
+    CHECK(world.relay.work().value() - before <= 2);
+}
--- a/tests/gateway/sharedplacement_test.cpp
+++ b/tests/gateway/sharedplacement_test.cpp
@@ -38,7 +38,7 @@
         endpoint.address = "127.0.0.1:1";
         endpoint.slots = 64;
         roster.update(endpoint);
-        placement.setOrder(order);
+        placement.setOrders(order, order);
         placement.start();
     }
 
--- a/tests/routing/storeaccess_test.cpp
+++ b/tests/routing/storeaccess_test.cpp
@@ -246,3 +246,36 @@
     CHECK(access.next(storeFleet(100), false, units::TimePoint{milliseconds(3)}).kind
           == Kind::Host);
 }
+
+// Guards against a start at which each host of a large fleet reads all endpoints at the store.
+TEST_CASE("StoreAccess.HostOfALargeStartingFleetAsksALargeHost")
+{
+    std::vector<PeerNews> hosts = storeFleet(100);
+    for (PeerNews &host : hosts)
+        host.uptime = milliseconds(100);
+    StoreAccess access(Follower, {"10.0.0.1"}, units::TimePoint{});
+    units::TimePoint now{milliseconds(100)};
+    CHECK(access.next(hosts, false, now).mayBeStale);
+    access.noteLargeFleet();
+    CHECK(access.next(hosts, false, now).kind == Kind::Wait);
+    now += milliseconds(700);
+    const StoreSource source = access.next(hosts, false, now);
+    REQUIRE(source.kind == Kind::Host);
+    const std::vector<std::string> readers = storeReaders(hosts, ReadersOfFleet);
+    CHECK(std::find(readers.begin(), readers.end(), source.host) != readers.end());
+}
+
+TEST_CASE("StoreAccess.ReaderOfALargeStartingFleetBeginsWithAListThatCostsLittle")
+{
+    std::vector<PeerNews> hosts = storeFleet(100);
+    for (PeerNews &host : hosts)
+        host.uptime = milliseconds(800);
+    StoreAccess access(firstReader(), {"10.0.0.1"}, units::TimePoint{});
+    access.noteLargeFleet();
+    const units::TimePoint now{milliseconds(800)};
+    const StoreSource list = access.next(hosts, false, now);
+    CHECK(list.kind == Kind::Store);
+    CHECK(list.mayBeStale);
+    CHECK(list.isForOthers);
+    CHECK_FALSE(access.next(hosts, true, now).mayBeStale);
+}
