Gossip: in a large fleet hosts watch each other, and changes are told first

Cause: each datagram told of 40 hosts chosen at random, so at 985 hosts the news of a host was refreshed about once a second through others and mostly more than 2.5 s old, after which a host counted as lost: most hosts took most others for lost, each direct word of such a host was answered with a welcome, and placing and reading orders differed from host to host. Bytes needed for fresh news of all grow with the fleet.

With more than 100 hosts known, the age of news says nothing any more. Four hosts watch each one, ask it when it is silent for 0.5 s and tell the others after 1.1 s. Whoever has later word of it, by the uptime that it tells, ignores that. A datagram tells of changes first, each in four rounds, and of ten hosts at least.

--- a/include/monsoongrade/gateway/peergossip.h
+++ b/include/monsoongrade/gateway/peergossip.h
@@ -3,14 +3,13 @@
 
 #include <monsoongrade/httpio/timers.h>
 #include <monsoongrade/routing/crashledger.h>
+#include <monsoongrade/routing/gossiprounds.h>
 #include <monsoongrade/routing/limitboard.h>
-#include <monsoongrade/routing/peertable.h>
 
 #include <asio/ip/udp.hpp>
 
 #include <array>
 #include <functional>
-#include <random>
 #include <string>
 #include <vector>
 
@@ -20,6 +19,9 @@
 // same from them. Each round goes to a bounded number of hosts, so the traffic of one host does
 // not grow with their number. A host that is heard of for the first time gets an answer at once,
 // so that a starting one knows others, and who reads the store, after one round trip.
+//
+// In a large fleet the hosts watch each other, see PeerWatch, and a datagram tells of changes
+// first.
 class PeerGossip
 {
 public:
@@ -68,7 +70,8 @@
     void round();
     void tell();
     void send(const std::string &ip, const std::string &datagram);
-    std::string encode();
+    std::string encode(const std::vector<routing::PeerNews> &others) const;
+    std::string encodeAskForWord() const;
     std::string encodeNews(const std::vector<routing::CrashNews> &crashes,
                            const std::vector<routing::LimitNews> &limits) const;
     void decode(const std::string &datagram);
@@ -92,7 +95,7 @@
     bool isStoreRefused_ = false;
     std::uint64_t dutyToken_ = 0;
     units::TimePoint storeSince_{};
-    std::minstd_rand random_;
+    routing::GossipRounds rounds_;
 };
 
 } // namespace monsoongrade::gateway
--- /dev/null
+++ b/include/monsoongrade/routing/gossiprounds.h
@@ -0,0 +1,51 @@
+#ifndef MONSOONGRADE_ROUTING_GOSSIPROUNDS_H
+#define MONSOONGRADE_ROUTING_GOSSIPROUNDS_H
+
+#include <monsoongrade/routing/peertable.h>
+#include <monsoongrade/routing/peerwatch.h>
+
+#include <random>
+#include <string>
+#include <vector>
+
+namespace monsoongrade::routing {
+
+// Decides whom this host tells what in each round of gossip. Messages per round and hosts described
+// in one do not grow with the fleet.
+//
+// In a small fleet a message tells of as many hosts as it holds, and a host whose news grow old
+// counts as lost. In a large one the hosts watch each other, see PeerWatch, and a message tells of
+// changes first.
+class GossipRounds
+{
+public:
+    GossipRounds(std::string ownIp, std::uint32_t seed);
+
+    struct Round
+    {
+        std::vector<std::string> addressees;
+        std::vector<PeerNews> news;
+        std::vector<std::string> silent; // hosts that shall be asked for a word
+    };
+    // What to send now; hosts that gave no word are noted as lost in the table.
+    Round next(PeerTable &table, units::TimePoint now);
+    // The host itself said something just now.
+    void onWord(const std::string &ip, units::TimePoint now) { watch_.onWord(ip, now); }
+    // What a host is told that has just started: who reads the store for others, and some hosts.
+    std::vector<PeerNews> newsForNewcomer(const PeerTable &table, units::TimePoint now);
+
+private:
+    std::vector<std::string> addressees(const PeerTable &table, units::TimePoint now);
+    std::vector<PeerNews> news(PeerTable &table, units::TimePoint now);
+    std::vector<std::string> watch(PeerTable &table, units::TimePoint now);
+
+    std::string ownIp_;
+    PeerWatch watch_;
+    std::vector<std::string> watchers_; // of this host
+    std::size_t silent_ = 0; // hosts that this one watches and that are silent
+    std::minstd_rand random_;
+};
+
+} // namespace monsoongrade::routing
+
+#endif // MONSOONGRADE_ROUTING_GOSSIPROUNDS_H
--- a/include/monsoongrade/routing/peertable.h
+++ b/include/monsoongrade/routing/peertable.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,7 @@
     Serving, // takes requests
     Waiting, // runs, but has no usable configuration
     Leaving, // stops soon
+    Lost, // a host that watches it got no word from it; never said by a host of itself
 };
 
 // What one host says of itself, with the age that the news has here.
@@ -34,7 +36,8 @@
 };
 
 // The other hosts, learned from each other: each tells some others what it knows with its age.
-// Decides nothing by wall clocks, only by ages on this host's clock.
+// Decides nothing by wall clocks, only by ages on this host's clock, and in a large fleet by the
+// uptimes that hosts tell of themselves, which are passed on unchanged.
 class PeerTable
 {
 public:
@@ -42,11 +45,25 @@
     void addSeed(const std::string &ip);
     // News that arrived just now. Older news than what is known changes nothing.
     void hear(const PeerNews &news, units::TimePoint now);
+    // This host has watched the other one, which gave no word up to now.
+    void noteLost(const std::string &ip, units::TimePoint now);
+
+    // So many hosts have been heard of that the age of news does not tell whether a host runs:
+    // hosts then watch each other, and one runs until another one takes it for lost.
+    bool isLarge() const;
+    // Changes that this host shall pass on, at most so many, those first that were told least
+    // often.
+    std::vector<PeerNews> takeChanges(std::size_t most, units::TimePoint now,
+                                      std::minstd_rand &random);
+    // News of some live hosts, other ones each time.
+    std::vector<PeerNews> sample(std::size_t most, units::TimePoint now,
+                                 std::minstd_rand &random) const;
 
     // True if the host was heard of recently enough to be taken for running.
     bool isLive(const std::string &ip, units::TimePoint now) const;
     // Hosts heard of recently enough to be taken for running, this host not included.
     std::vector<PeerNews> live(units::TimePoint now) const;
+    std::vector<std::string> liveIps(units::TimePoint now) const;
     // Addresses to tell the own state to: live hosts first, and seeds and lost hosts so that two
     // groups that lost each other meet again.
     std::vector<std::string> addressees(units::TimePoint now) const;
@@ -57,11 +74,15 @@
         PeerNews news;
         units::TimePoint saidAt;
         bool hasSpoken = false;
+        int tellsLeft = 0; // rounds in which its change is to be told
     };
 
     bool isLive(const Entry &entry, units::TimePoint now) const;
+    bool isNewer(const PeerNews &news, const Entry &known, units::TimePoint now) const;
+    PeerNews newsOf(const Entry &entry, units::TimePoint now) const;
 
     std::map<std::string, Entry> entries_; // by ip
+    std::size_t spoken_ = 0; // entries that have spoken
 };
 
 } // namespace monsoongrade::routing
--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -26,6 +26,8 @@
     serving @0;
     waiting @1;
     leaving @2;
+    # A host that watches it got no word from it.
+    lost @3;
   }
 }
 
@@ -68,4 +70,6 @@
   wallMs @2 :Int64;
   crashes @3 :List(CrashNews);
   limits @4 :List(LimitNews);
+  # The receiver shall say something: the sender watches it and has not heard of it.
+  asksForWord @5 :Bool;
 }
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -22,6 +22,7 @@
     SERVING,
     WAITING,
     LEAVING,
+    LOST,
 };
 CAPNP_DECLARE_ENUM(State, fa07614e2f5d8752);
 CAPNP_DECLARE_SCHEMA(cc2338b0f1eec7cc);
@@ -113,7 +114,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(c14fbc6b85aa253c, 1, 4)
+        CAPNP_DECLARE_STRUCT_HEADER(c14fbc6b85aa253c, 2, 4)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -548,6 +549,8 @@
     inline ::capnp::List<::monsoongrade::schema::LimitNews, ::capnp::Kind::STRUCT>::Reader
     getLimits() const;
 
+    inline bool getAsksForWord() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -632,6 +635,9 @@
     inline ::capnp::Orphan<::capnp::List<::monsoongrade::schema::LimitNews, ::capnp::Kind::STRUCT>>
     disownLimits();
 
+    inline bool getAsksForWord();
+    inline void setAsksForWord(bool value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -1295,6 +1301,20 @@
         disown(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool GossipMessage::Reader::getAsksForWord() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool GossipMessage::Builder::getAsksForWord()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void GossipMessage::Builder::setAsksForWord(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 } // namespace schema
 } // namespace monsoongrade
 
--- a/src/gateway/internal/gossipmessages.cpp
+++ b/src/gateway/internal/gossipmessages.cpp
@@ -29,7 +29,7 @@
 std::optional<routing::PeerNews> decodePeer(schema::GossipPeer::Reader peer)
 {
     const auto state = static_cast<std::uint16_t>(peer.getState());
-    if (state > static_cast<std::uint16_t>(routing::PeerState::Leaving))
+    if (state > static_cast<std::uint16_t>(routing::PeerState::Lost))
         return std::nullopt; // from a newer version
     routing::PeerNews news;
     news.ip = peer.getIp();
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -4,14 +4,13 @@
 #include <gateway/internal/packedmessage.h>
 
 #include <monsoongrade/observability/log.h>
-#include <monsoongrade/routing/storereaders.h>
 
 #include <asio/buffer.hpp>
 
 #include <capnp/serialize-packed.h>
 #include <kj/exception.h>
 
-#include <algorithm>
+#include <random>
 
 namespace monsoongrade::gateway {
 
@@ -22,10 +21,6 @@
 // While nobody is known: hosts that start together do so within 0.3 s, and the one that the
 // settings name may be the last.
 constexpr auto FirstRoundInterval = std::chrono::milliseconds(20);
-// Datagrams a round. With 80 hosts, news reaches all in about three rounds.
-constexpr std::size_t MaxAddressees = 7;
-// Hosts described in one datagram, about 25 bytes each; the packet stays below 1,400 bytes.
-constexpr std::size_t MaxDescribed = 40;
 // About 45 and 30 bytes each; the packet stays below 1,400 bytes.
 constexpr std::size_t MaxCrashes = 20;
 constexpr std::size_t MaxLimits = 10;
@@ -40,7 +35,7 @@
     , crashes_(crashes)
     , limits_(limits)
     , startedAt_(timers.now())
-    , random_(std::random_device()())
+    , rounds_(settings_.ownIp, std::random_device()())
 {
     for (const std::string &ip : settings_.seedIps) {
         if (ip != settings_.ownIp)
@@ -99,17 +94,17 @@
 
 void PeerGossip::tell()
 {
-    std::vector<std::string> ips = table_.addressees(timers_.now());
-    std::shuffle(ips.begin(), ips.end(), random_);
-    ips.resize(std::min(ips.size(), MaxAddressees));
-    if (ips.empty())
+    const routing::GossipRounds::Round round = rounds_.next(table_, timers_.now());
+    for (const std::string &ip : round.silent)
+        send(ip, encodeAskForWord());
+    if (round.addressees.empty())
         return;
-    const std::string datagram = encode();
+    const std::string datagram = encode(round.news);
     const std::vector<routing::CrashNews> crashes = crashes_.takeNews(MaxCrashes, timers_.now());
     const std::vector<routing::LimitNews> limits = limits_.takeNews(MaxLimits, timers_.now());
     const bool hasNews = !crashes.empty() || !limits.empty();
     const std::string news = hasNews ? encodeNews(crashes, limits) : std::string();
-    for (const std::string &ip : ips) {
+    for (const std::string &ip : round.addressees) {
         send(ip, datagram);
         if (hasNews)
             send(ip, news);
@@ -119,7 +114,7 @@
 // A host that has just started can't know what is in quarantine.
 void PeerGossip::welcome(const std::string &newcomer)
 {
-    send(newcomer, encode());
+    send(newcomer, encode(rounds_.newsForNewcomer(table_, timers_.now())));
     const std::vector<routing::CrashNews> crashes
         = crashes_.quarantineNews(MaxCrashes, timers_.now());
     if (!crashes.empty())
@@ -156,28 +151,26 @@
         onWallTime_(host, sinceEpoch);
 }
 
-std::string PeerGossip::encode()
+std::string PeerGossip::encodeAskForWord() const
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<schema::GossipMessage>();
+    internal::encodePeer(root.initSender(), own());
+    root.setAsksForWord(true);
+    return internal::packed(message);
+}
+
+std::string PeerGossip::encode(const std::vector<routing::PeerNews> &others) const
 {
-    // Others each time: in a fleet with more hosts than one datagram holds, news of those that are
-    // always left out would only come from themselves, seconds apart, and they would look lost.
-    std::vector<routing::PeerNews> known = live();
-    std::shuffle(known.begin(), known.end(), random_);
-    // But always those that read the store: a starting host that does not hear of them would ask
-    // others, and make them read too.
-    const std::vector<std::string> readers = routing::storeReaders(known, routing::ReadersOfFleet);
-    std::stable_partition(known.begin(), known.end(), [&](const routing::PeerNews &peer) {
-        return std::find(readers.begin(), readers.end(), peer.ip) != readers.end();
-    });
-    known.resize(std::min(known.size(), MaxDescribed));
     capnp::MallocMessageBuilder message;
     auto root = message.initRoot<schema::GossipMessage>();
     internal::encodePeer(root.initSender(), own());
     root.setWallMs(std::chrono::duration_cast<std::chrono::milliseconds>(
                        std::chrono::system_clock::now().time_since_epoch())
                        .count());
-    auto list = root.initKnown(unsigned(known.size()));
-    for (std::size_t i = 0; i < known.size(); ++i)
-        internal::encodePeer(list[unsigned(i)], known[i]);
+    auto list = root.initKnown(unsigned(others.size()));
+    for (std::size_t i = 0; i < others.size(); ++i)
+        internal::encodePeer(list[unsigned(i)], others[i]);
     return internal::packed(message);
 }
 
@@ -209,6 +202,7 @@
             if (!table_.isLive(sender->ip, timers_.now()))
                 newcomer = sender->ip;
             heard.push_back(*sender);
+            rounds_.onWord(sender->ip, timers_.now());
             noteWallTime(sender->ip, std::chrono::milliseconds(root.getWallMs()));
         }
         for (const auto peer : root.getKnown()) {
@@ -230,6 +224,8 @@
         }
         if (!newcomer.empty() && newcomer != settings_.ownIp)
             welcome(newcomer);
+        else if (root.getAsksForWord())
+            send(sender_.address().to_string(), encode({}));
     });
     KJ_IF_MAYBE (exception, fault) {
         observability::log(observability::LogLevel::Warning, "gossip-unreadable",
--- a/src/routing/peertable.cpp
+++ b/src/routing/peertable.cpp
@@ -1,5 +1,8 @@
 #include <monsoongrade/routing/peertable.h>
 
+#include <algorithm>
+#include <iterator>
+
 namespace monsoongrade::routing {
 
 namespace {
@@ -13,6 +16,28 @@
 constexpr std::size_t LargeFleet = 12;
 // A lost host may be behind a partition of up to a minute; later it comes back through a seed.
 constexpr auto RememberedFor = std::chrono::seconds(120);
+// Up to this size each host's news reaches all others by way of gossip within LiveForInLargeFleet.
+constexpr std::size_t MaxHostsHeardByAge = 100;
+// Each round goes to seven hosts, so that a change reaches all of 10,000 in five rounds.
+constexpr int TellsOfChange = 4;
+// Fewer for a host that is new here: when a whole fleet starts, all are.
+constexpr int TellsOfNewHost = 3;
+// Starts of one process as two hosts work them out differ by the time that news was under way.
+constexpr auto SameStart = std::chrono::milliseconds(1000);
+// A host that is lost may have spoken to others a moment after its last word here.
+constexpr auto SpokeElsewhere = std::chrono::milliseconds(300);
+
+units::TimePoint startOf(const PeerNews &news, units::TimePoint saidAt)
+{
+    return saidAt - news.uptime;
+}
+
+bool isChange(const PeerNews &news, const PeerNews &known)
+{
+    return news.state != known.state || news.isStoreRefused != known.isStoreRefused
+        || news.dutyToken != known.dutyToken || news.uptime < known.uptime
+        || (news.storeFor > units::Duration::zero()) != (known.storeFor > units::Duration::zero());
+}
 
 } // namespace
 
@@ -26,13 +51,89 @@
 {
     Entry &entry = entries_[news.ip];
     const units::TimePoint saidAt = now - news.age;
-    if (entry.hasSpoken && saidAt <= entry.saidAt)
+    if (entry.hasSpoken && !isNewer(news, entry, now))
         return;
+    if (!entry.hasSpoken)
+        entry.tellsLeft = TellsOfNewHost;
+    else if (isChange(news, entry.news))
+        entry.tellsLeft = TellsOfChange;
+    spoken_ += entry.hasSpoken ? 0 : 1;
     entry.news = news;
     entry.saidAt = saidAt;
     entry.hasSpoken = true;
 }
 
+bool PeerTable::isNewer(const PeerNews &news, const Entry &known, units::TimePoint now) const
+{
+    const units::TimePoint saidAt = now - news.age;
+    if (!isLarge())
+        return saidAt > known.saidAt;
+    const units::Duration between = startOf(news, saidAt) - startOf(known.news, known.saidAt);
+    if (between >= SameStart || between <= -units::Duration(SameStart))
+        return between > units::Duration::zero();
+    return news.uptime > known.news.uptime;
+}
+
+void PeerTable::noteLost(const std::string &ip, units::TimePoint now)
+{
+    const auto found = entries_.find(ip);
+    if (found == entries_.end())
+        return;
+    Entry &entry = found->second;
+    entry.news.uptime += now - entry.saidAt - units::Duration(SpokeElsewhere);
+    entry.news.state = PeerState::Lost;
+    entry.saidAt = now - SpokeElsewhere;
+    entry.tellsLeft = TellsOfChange;
+}
+
+bool PeerTable::isLarge() const
+{
+    return spoken_ > MaxHostsHeardByAge;
+}
+
+std::vector<PeerNews> PeerTable::takeChanges(std::size_t most, units::TimePoint now,
+                                             std::minstd_rand &random)
+{
+    std::vector<Entry *> changed;
+    for (auto &[ip, entry] : entries_) {
+        if (entry.tellsLeft > 0)
+            changed.push_back(&entry);
+    }
+    std::shuffle(changed.begin(), changed.end(), random);
+    most = std::min(most, changed.size());
+    std::partial_sort(changed.begin(), changed.begin() + std::ptrdiff_t(most), changed.end(),
+                      [](const Entry *a, const Entry *b) { return a->tellsLeft > b->tellsLeft; });
+    std::vector<PeerNews> news;
+    for (std::size_t i = 0; i < most; ++i) {
+        --changed[i]->tellsLeft;
+        news.push_back(newsOf(*changed[i], now));
+    }
+    return news;
+}
+
+std::vector<PeerNews> PeerTable::sample(std::size_t most, units::TimePoint now,
+                                        std::minstd_rand &random) const
+{
+    std::vector<const Entry *> live;
+    for (const auto &[ip, entry] : entries_) {
+        if (isLive(entry, now))
+            live.push_back(&entry);
+    }
+    std::vector<const Entry *> chosen;
+    std::sample(live.begin(), live.end(), std::back_inserter(chosen), most, random);
+    std::vector<PeerNews> news;
+    for (const Entry *entry : chosen)
+        news.push_back(newsOf(*entry, now));
+    return news;
+}
+
+PeerNews PeerTable::newsOf(const Entry &entry, units::TimePoint now) const
+{
+    PeerNews news = entry.news;
+    news.age = now - entry.saidAt;
+    return news;
+}
+
 bool PeerTable::isLive(const std::string &ip, units::TimePoint now) const
 {
     const auto found = entries_.find(ip);
@@ -41,18 +142,28 @@
 
 bool PeerTable::isLive(const Entry &entry, units::TimePoint now) const
 {
+    if (!entry.hasSpoken || entry.news.state == PeerState::Lost)
+        return false;
     const units::Duration liveFor = entries_.size() > LargeFleet ? LiveForInLargeFleet : LiveFor;
-    return entry.hasSpoken && now - entry.saidAt < liveFor;
+    return isLarge() || now - entry.saidAt < liveFor;
 }
 
 std::vector<PeerNews> PeerTable::live(units::TimePoint now) const
 {
     std::vector<PeerNews> found;
     for (const auto &[ip, entry] : entries_) {
-        if (!isLive(entry, now))
-            continue;
-        found.push_back(entry.news);
-        found.back().age = now - entry.saidAt;
+        if (isLive(entry, now))
+            found.push_back(newsOf(entry, now));
+    }
+    return found;
+}
+
+std::vector<std::string> PeerTable::liveIps(units::TimePoint now) const
+{
+    std::vector<std::string> found;
+    for (const auto &[ip, entry] : entries_) {
+        if (isLive(entry, now))
+            found.push_back(ip);
     }
     return found;
 }
