--- a/include/monsoongrade/gateway/gateway.h
+++ b/include/monsoongrade/gateway/gateway.h
@@ -5,9 +5,12 @@
 #include <monsoongrade/gateway/gatewaystate.h>
 #include <monsoongrade/gateway/peergossip.h>
 #include <monsoongrade/httpio/server.h>
+#include <monsoongrade/observability/log.h>
+#include <monsoongrade/observability/logbudget.h>
 #include <monsoongrade/units/workcount.h>
 
 #include <functional>
+#include <initializer_list>
 #include <memory>
 #include <string>
 #include <vector>
@@ -78,7 +81,9 @@
     void noteOwnState();
     void noteHosts(const std::vector<routing::PeerNews> &hosts);
     void logHosts(observability::LogLevel level, const char *event,
-                  const std::vector<std::string> &hosts) const;
+                  const std::vector<std::string> &hosts);
+    void logPaced(observability::LogLevel level, const char *event,
+                  std::initializer_list<observability::LogField> fields);
     void waitForOpenRequests();
     void serveMetrics(const httpio::ServerRequest &request, httpio::Reply &reply);
 
@@ -93,6 +98,7 @@
     std::unique_ptr<httpio::Server> directory_;
     std::unique_ptr<httpio::Server> metrics_;
     PeerGossip gossip_;
+    observability::LogBudget logBudget_;
     bool leaving_ = false;
     routing::PeerState lastState_ = routing::PeerState::Waiting;
     std::vector<std::string> lastHosts_; // sorted
--- a/tests/adapter/storecalls_test.cpp
+++ b/tests/adapter/storecalls_test.cpp
@@ -220,3 +220,18 @@
     });
     CHECK(calls <= CalmCallsPerSecond);
 }
+
+// Guards against hosts of a large fleet that don't serve, or make the store list everything for
+// each of them, when all start at once or come back after all were killed.
+TEST_CASE("StoreCalls.LargeFleetServesSoonAfterAllWereKilled")
+{
+    StoreFleet fleet(Hosts);
+    fleet.putEndpoints(1400);
+    REQUIRE(fleet.startAll());
+    CHECK(fleet.runUntil([&] { return fleet.allUseTheirCells(4); }, seconds(5)));
+    fleet.runFor(seconds(5)); // readers are settled
+    fleet.killAll();
+    for (std::size_t host = 0; host < Hosts; ++host)
+        fleet.start(host);
+    CHECK(fleet.runUntil([&] { return fleet.allUseTheirCells(4); }, seconds(5)));
+}
--- a/tests/adapter/storefleet.cpp
+++ b/tests/adapter/storefleet.cpp
@@ -117,6 +117,12 @@
     hosts_[host].reset();
 }
 
+void StoreFleet::killAll()
+{
+    for (std::size_t host = 0; host < size(); ++host)
+        kill(host);
+}
+
 void StoreFleet::freeze(std::size_t host, bool isFrozen)
 {
     hosts_[host]->isFrozen = isFrozen;
@@ -168,6 +174,21 @@
     return holdsForAll([&](Host &host) { return !host.knows(endpoint); });
 }
 
+bool StoreFleet::allUseTheirCells(std::uint32_t cells) const
+{
+    const units::PoolName pool("plain");
+    return holdsForAll([&](Host &host) {
+        const routing::FleetDivision &division = host.gateway.division();
+        const std::uint32_t cell = division.cellOf(host.gateway.settings().ip);
+        const auto inCell
+            = std::count_if(endpoints_.begin(), endpoints_.end(), [&](const std::string &endpoint) {
+                  return division.isUsedIn(cell, pool, units::EndpointId(endpoint));
+              });
+        return host.gateway.isServing() && division.cells() == cells
+            && host.gateway.state().roster.available(pool).size() == std::size_t(inCell);
+    });
+}
+
 bool StoreFleet::allHaveVersion(std::int64_t version) const
 {
     return holdsForAll([&](Host &host) {
@@ -211,8 +232,15 @@
     store.put("config", "main", configuration(version));
 }
 
+void StoreFleet::putEndpoints(int count)
+{
+    for (int i = 0; i < count; ++i)
+        putEndpoint("e" + std::to_string(i));
+}
+
 void StoreFleet::putEndpoint(const std::string &id, const std::string &state)
 {
+    endpoints_.push_back(id);
     store.put("servers", id,
               {{"service", "plain"},
                {"address", "127.0.0.1:9"},
--- a/tests/adapter/storefleet.h
+++ b/tests/adapter/storefleet.h
@@ -28,6 +28,7 @@
     void start(std::size_t host);
     // Ends the host's process without a word.
     void kill(std::size_t host);
+    void killAll();
     // The host does nothing until it is thawed; its sockets stay open.
     void freeze(std::size_t host, bool isFrozen);
     // How the store treats the calls of one host.
@@ -42,6 +43,9 @@
     // Whether all hosts that run, and are not frozen, use the endpoint, or none does.
     bool allKnow(const std::string &endpoint) const;
     bool noneKnows(const std::string &endpoint) const;
+    // All hosts that run, and are not frozen, serve with the endpoints of their cells, the fleet
+    // being divided so.
+    bool allUseTheirCells(std::uint32_t cells) const;
     // All hosts that run, and are not frozen, have this version of the configuration.
     bool allHaveVersion(std::int64_t version) const;
 
@@ -52,6 +56,7 @@
 
     void putConfiguration(int version);
     void putEndpoint(const std::string &id, const std::string &state = "ready");
+    void putEndpoints(int count);
 
 private:
     struct Host;
@@ -66,6 +71,7 @@
     PlatformDialect dialect_;
     std::vector<asio::ip::tcp::endpoint> storeAddresses_;
     std::vector<std::unique_ptr<Host>> hosts_; // null: not running
+    std::vector<std::string> endpoints_; // ids of those that were put
 
 public:
     standins::StandInStore store;
