Hosts that stand by hold all endpoints, to take over from a reader without a list

Now the first eighteen hosts in the order of readers hold all endpoints, as hosts of small fleets do, and pass from reading a host to reading the store without a list. In a large fleet it takes four silent hosts, not two, until a host reads alone. Tests: StoreRelay.FollowerThatStandsBy..., StoreAccess.HostsOfALargeFleet...

--- a/include/monsoongrade/gateway/gateway.h
+++ b/include/monsoongrade/gateway/gateway.h
@@ -6,11 +6,9 @@
 #include <monsoongrade/gateway/peergossip.h>
 #include <monsoongrade/httpio/server.h>
 #include <monsoongrade/observability/log.h>
-#include <monsoongrade/observability/logbudget.h>
 #include <monsoongrade/units/workcount.h>
 
 #include <functional>
-#include <initializer_list>
 #include <memory>
 #include <string>
 #include <vector>
@@ -82,8 +80,6 @@
     void noteHosts(const std::vector<routing::PeerNews> &hosts);
     void logHosts(observability::LogLevel level, const char *event,
                   const std::vector<std::string> &hosts);
-    void logPaced(observability::LogLevel level, const char *event,
-                  std::initializer_list<observability::LogField> fields);
     void waitForOpenRequests();
     void serveMetrics(const httpio::ServerRequest &request, httpio::Reply &reply);
 
@@ -98,7 +94,6 @@
     std::unique_ptr<httpio::Server> directory_;
     std::unique_ptr<httpio::Server> metrics_;
     PeerGossip gossip_;
-    observability::LogBudget logBudget_;
     bool leaving_ = false;
     routing::PeerState lastState_ = routing::PeerState::Waiting;
     std::vector<std::string> lastHosts_; // sorted
--- a/include/monsoongrade/routing/storeaccess.h
+++ b/include/monsoongrade/routing/storeaccess.h
@@ -29,6 +29,9 @@
     bool mayBeStale = false;
     // Other hosts depend on what this one reads at the store.
     bool isForOthers = false;
+    // Of a host: all objects and not only those of this host's cell, since this one may have to
+    // read for the others next.
+    bool wantsAll = false;
     units::Duration wait{};
 };
 
@@ -82,6 +85,7 @@
                                       units::TimePoint now);
     StoreSource fromStore(const std::vector<PeerNews> &hosts, units::TimePoint now);
     StoreSource fromHosts(std::vector<std::string> readers, const std::vector<PeerNews> &hosts);
+    bool standsBy(const std::vector<PeerNews> &hosts);
     bool shouldRead(const std::vector<std::string> &readers, units::TimePoint now) const;
     std::size_t readersNow(units::TimePoint now) const;
     void forgetOld(units::TimePoint now);
@@ -104,6 +108,7 @@
     bool isReader_ = false;
     bool isStaleListUseless_ = false;
     bool isFleetLarge_ = false;
+    bool standsBy_ = false; // holds all objects, to read for the others when a reader is lost
 };
 
 } // namespace monsoongrade::routing
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -31,8 +31,6 @@
 constexpr std::int64_t BodyShareOfMemory = 4;
 // Each client needs one descriptor and each of its requests about one more.
 constexpr std::int64_t DescriptorsPerClient = 3;
-// Of hosts and endpoints that come and go.
-constexpr int LogLinesPerSecond = 20;
 
 asio::ip::tcp::endpoint addressOf(const std::string &text, const char *what)
 {
@@ -73,7 +71,6 @@
     , state_(io, timers, dialect, routing::FreshnessLease(settings.revocationBound, LeaseMargin),
              {settings.ip, settings.placementPort})
     , gossip_(io, timers, gossipSettings(settings), state_.crashes, state_.limits)
-    , logBudget_(LogLinesPerSecond)
 {
     state_.ownDomain = settings.failureDomain;
     state_.retryBound = settings.retryBound;
@@ -165,18 +162,18 @@
 void Gateway::updateEndpoint(const routing::DiscoveredEndpoint &endpoint)
 {
     state_.roster.update(endpoint);
-    logPaced(observability::LogLevel::Info,
-             endpoint.draining ? "endpoint-draining" : "endpoint-updated",
-             {{"endpoint", endpoint.id.value()},
-              {"pool", endpoint.pool.value()},
-              {"address", endpoint.address},
-              {"incarnation", endpoint.incarnation.value()}});
+    state_.log.write(observability::LogLevel::Info,
+                     endpoint.draining ? "endpoint-draining" : "endpoint-updated",
+                     {{"endpoint", endpoint.id.value()},
+                      {"pool", endpoint.pool.value()},
+                      {"address", endpoint.address},
+                      {"incarnation", endpoint.incarnation.value()}});
 }
 
 void Gateway::removeEndpoint(const units::EndpointId &id, units::TimePoint keepMissingUntil)
 {
     state_.roster.remove(id, timers_.now(), keepMissingUntil);
-    logPaced(observability::LogLevel::Info, "endpoint-removed", {{"endpoint", id.value()}});
+    state_.log.write(observability::LogLevel::Info, "endpoint-removed", {{"endpoint", id.value()}});
 }
 
 bool Gateway::isServing() const
@@ -315,17 +312,8 @@
                        const std::vector<std::string> &hosts)
 {
     for (const std::string &host : hosts)
-        logPaced(level, event, {{"host", host}, {"live-hosts", std::uint64_t(lastHosts_.size())}});
-}
-
-void Gateway::logPaced(observability::LogLevel level, const char *event,
-                       std::initializer_list<observability::LogField> fields)
-{
-    if (!logBudget_.allows(timers_.now()))
-        return;
-    if (const std::uint64_t lines = logBudget_.takeLeftOut())
-        observability::log(observability::LogLevel::Info, "log-lines-left-out", {{"lines", lines}});
-    observability::log(level, event, fields);
+        state_.log.write(level, event,
+                         {{"host", host}, {"live-hosts", std::uint64_t(lastHosts_.size())}});
 }
 
 void Gateway::stop(std::function<void()> stopped)
--- a/src/routing/storeaccess.cpp
+++ b/src/routing/storeaccess.cpp
@@ -26,6 +26,11 @@
 // Two lost hosts in a row can be bad luck with the path to them; waiting for a third would take
 // longer than the configuration may go without a proof.
 constexpr int MaxSilentInRow = 2;
+// In a large fleet the lists that the hosts would read instead are long, and a reader that takes
+// over has many askers at once.
+constexpr int MaxSilentInRowOfLargeFleet = 4;
+// Hosts that hold all objects, so that one can take over from a reader without reading a list.
+constexpr std::size_t HostsStandingBy = 18;
 constexpr auto AloneFor = std::chrono::seconds(3);
 // A refused connection shows at once that a process is gone, and says nothing about the path.
 constexpr auto SilenceOfPath = std::chrono::milliseconds(300);
@@ -99,7 +104,18 @@
     const std::vector<std::string> readers
         = storeReaders(hosts, readersNow(now), keysOf(silentUntil_));
     isReader_ = hosts.size() <= MaxHostsThatAllRead || shouldRead(readers, now);
-    return isReader_ ? fromStore(hosts, now) : fromHosts(readers, hosts);
+    if (isReader_)
+        return fromStore(hosts, now);
+    StoreSource source = fromHosts(readers, hosts);
+    source.wantsAll = isFleetLarge_ && standsBy(hosts);
+    return source;
+}
+
+// Stays so: a host that left and came back would list all objects each time.
+bool StoreAccess::standsBy(const std::vector<PeerNews> &hosts)
+{
+    standsBy_ = standsBy_ || contains(storeReaders(hosts, HostsStandingBy), ownIp_);
+    return standsBy_;
 }
 
 bool StoreAccess::shouldRead(const std::vector<std::string> &readers, units::TimePoint now) const
@@ -226,7 +242,8 @@
                                units::TimePoint now)
 {
     silentUntil_[host] = now + AvoidSilentFor;
-    if (now - calledAt < SilenceOfPath || ++silentInRow_ < MaxSilentInRow)
+    const int maxSilent = isFleetLarge_ ? MaxSilentInRowOfLargeFleet : MaxSilentInRow;
+    if (now - calledAt < SilenceOfPath || ++silentInRow_ < maxSilent)
         return;
     silentInRow_ = 0;
     aloneUntil_ = now + AloneFor;
--- a/tests/adapter/storerelay_test.cpp
+++ b/tests/adapter/storerelay_test.cpp
@@ -454,6 +454,22 @@
     CHECK(world.followerSees.division.cells() == 1);
 }
 
+// Guards against followers that wait until the next reader has listed the endpoints of all cells.
+TEST_CASE("StoreRelay.FollowerThatStandsByHoldsAllEndpointsAndBecomesAReaderWithoutAList")
+{
+    DividedWorld world;
+    world.followerSource.source.wantsAll = true;
+    world.beginDivided();
+    CHECK(world.followerSees.names == world.readerSees.names);
+    const std::string other = world.nameInCell(false);
+    world.announce(other, "plain", "127.0.0.1:9");
+    REQUIRE(world.runUntil([&] { return world.followerSees.names.count(other) == 1; }));
+    world.followerSource.readFromStore();
+    world.announce(other + "1", "plain", "127.0.0.1:9");
+    REQUIRE(world.runUntil([&] { return world.followerSees.names.count(other + "1") == 1; }));
+    CHECK(world.followerSees.lists == 1);
+}
+
 // Guards against a change of one endpoint that costs a reader a walk over all of them.
 TEST_CASE("StoreRelay.OneChangeLooksAtNoOtherObject")
 {
--- a/tests/routing/storeaccess_test.cpp
+++ b/tests/routing/storeaccess_test.cpp
@@ -279,3 +279,18 @@
     CHECK(list.isForOthers);
     CHECK_FALSE(access.next(hosts, true, now).mayBeStale);
 }
+
+// Guards against hosts of a large fleet that each list all endpoints when the readers are lost.
+TEST_CASE("StoreAccess.HostsOfALargeFleetStandByForTheReaders")
+{
+    int standingBy = 0;
+    for (const PeerNews &host : storeFleet(100)) {
+        AccessWorld world(host.ip);
+        CHECK_FALSE(world.next().wantsAll);
+        world.access.noteLargeFleet();
+        const StoreSource source = world.next();
+        standingBy += source.kind == Kind::Host && source.wantsAll ? 1 : 0;
+        CHECK(source.wantsAll <= (host.millicores == 500));
+    }
+    CHECK(standingBy == 12);
+}
