--- a/include/monsoongrade/gateway/peergossip.h
+++ b/include/monsoongrade/gateway/peergossip.h
@@ -71,7 +71,7 @@
     void tell();
     void send(const std::string &ip, const std::string &datagram);
     std::string encode(const std::vector<routing::PeerNews> &others) const;
-    std::string encodeAskForWord() const;
+    std::string encodeProbe() const;
     std::string encodeNews(const std::vector<routing::CrashNews> &crashes,
                            const std::vector<routing::LimitNews> &limits) const;
     void decode(const std::string &datagram);
--- a/include/monsoongrade/routing/gossiprounds.h
+++ b/include/monsoongrade/routing/gossiprounds.h
@@ -25,12 +25,12 @@
     {
         std::vector<std::string> addressees;
         std::vector<PeerNews> news;
-        std::vector<std::string> silent; // hosts that shall be asked for a word
+        std::vector<std::string> toProbe;
     };
-    // What to send now; hosts that gave no word are noted as lost in the table.
+    // What to send now. Hosts that have answered no probe are noted as lost in the table.
     Round next(PeerTable &table, units::TimePoint now);
-    // The host itself said something just now.
-    void onWord(const std::string &ip, units::TimePoint now) { watch_.onWord(ip, now); }
+    // A message of the host itself arrived just now.
+    void onHeartbeat(const std::string &ip, units::TimePoint now) { watch_.onHeartbeat(ip, now); }
     // What a host is told that has just started: who reads the store for others, and some hosts.
     std::vector<PeerNews> newsForNewcomer(const PeerTable &table, units::TimePoint now);
 
@@ -42,7 +42,7 @@
     std::string ownIp_;
     PeerWatch watch_;
     std::vector<std::string> watchers_; // of this host
-    std::size_t silent_ = 0; // hosts that this one watches and that are silent
+    std::size_t silent_ = 0; // watched hosts whose heartbeats are missed
     std::minstd_rand random_;
 };
 
--- a/include/monsoongrade/routing/peertable.h
+++ b/include/monsoongrade/routing/peertable.h
@@ -16,7 +16,7 @@
     Serving, // takes requests
     Waiting, // runs, but has no usable configuration
     Leaving, // stops soon
-    Lost, // a host that watches it got no word from it; never said by a host of itself
+    Lost, // declared by a host that watches it; never said by a host of itself
 };
 
 // What one host says of itself, with the age that the news has here.
@@ -45,7 +45,7 @@
     void addSeed(const std::string &ip);
     // News that arrived just now. Older news than what is known changes nothing.
     void hear(const PeerNews &news, units::TimePoint now);
-    // This host has watched the other one, which gave no word up to now.
+    // The other host, which this one watches, has sent no heartbeat and answered no probe.
     void noteLost(const std::string &ip, units::TimePoint now);
 
     // So many hosts have been heard of that the age of news does not tell whether a host runs:
@@ -74,7 +74,7 @@
         PeerNews news;
         units::TimePoint saidAt;
         bool hasSpoken = false;
-        int tellsLeft = 0; // rounds in which its change is to be told
+        int transmitsLeft = 0; // rounds in which its change is still to be told
     };
 
     bool isLive(const Entry &entry, units::TimePoint now) const;
--- a/include/monsoongrade/routing/peerwatch.h
+++ b/include/monsoongrade/routing/peerwatch.h
@@ -22,24 +22,24 @@
 
 // Tells which of the hosts that this one watches are lost. In a large fleet news of most hosts
 // comes through others and is seconds old, so that its age says nothing about a host; here a few
-// hosts expect each host's own word, and say so when it does not come.
+// hosts expect each host's heartbeats, and declare it lost when they stop.
 class PeerWatch
 {
 public:
     struct Judgement
     {
-        std::vector<std::string> silent; // to be asked for a word
-        std::vector<std::string> lost; // gave none though they were asked
+        std::vector<std::string> toProbe; // have missed heartbeats
+        std::vector<std::string> lost; // have not answered probes either
     };
 
-    // The host itself said something just now.
-    void onWord(const std::string &ip, units::TimePoint now);
-    // Called each round. A host that is watched anew has the whole time to say something, and all
-    // have it anew if this process has been suspended.
+    // A message of the host itself arrived just now.
+    void onHeartbeat(const std::string &ip, units::TimePoint now);
+    // Called each round. The time of a host begins when it is first watched, and that of all begins
+    // anew if this process has been suspended.
     Judgement judge(const std::vector<std::string> &watched, units::TimePoint now);
 
 private:
-    std::map<std::string, units::TimePoint> lastWordAt_; // of the watched hosts, or when it began
+    std::map<std::string, units::TimePoint> lastHeartbeatAt_; // of watched hosts, or when it began
     units::TimePoint lastJudgedAt_{};
 };
 
--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -26,7 +26,7 @@
     serving @0;
     waiting @1;
     leaving @2;
-    # A host that watches it got no word from it.
+    # Declared by a host that watches it.
     lost @3;
   }
 }
@@ -70,6 +70,6 @@
   wallMs @2 :Int64;
   crashes @3 :List(CrashNews);
   limits @4 :List(LimitNews);
-  # The receiver shall say something: the sender watches it and has not heard of it.
-  asksForWord @5 :Bool;
+  # The receiver shall answer: the sender watches it and has missed its heartbeats.
+  isProbe @5 :Bool;
 }
--- a/schema/gossip.capnp.c++
+++ b/schema/gossip.capnp.c++
@@ -504,7 +504,7 @@
   0, 5, i_d5cf9a91c8ba42cc, nullptr, nullptr, { &s_d5cf9a91c8ba42cc, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<121> b_c14fbc6b85aa253c = {
+static const ::capnp::_::AlignedData<120> b_c14fbc6b85aa253c = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      60,  37, 170, 133, 107, 188,  79, 193,
      13,   0,   0,   0,   1,   0,   2,   0,
@@ -561,10 +561,10 @@
       5,   0,   0,   0,  64,   0,   0,   0,
       0,   0,   1,   0,   5,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    221,   0,   0,   0,  98,   0,   0,   0,
+    221,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    220,   0,   0,   0,   3,   0,   1,   0,
-    232,   0,   0,   0,   2,   0,   1,   0,
+    216,   0,   0,   0,   3,   0,   1,   0,
+    228,   0,   0,   0,   2,   0,   1,   0,
     115, 101, 110, 100, 101, 114,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
     141,  46, 216, 166, 213, 238, 225, 177,
@@ -617,8 +617,7 @@
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     97, 115, 107, 115,  70, 111, 114,  87,
-    111, 114, 100,   0,   0,   0,   0,   0,
+    105, 115,  80, 114, 111,  98, 101,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -634,10 +633,10 @@
   &s_cc2338b0f1eec7cc,
   &s_d5cf9a91c8ba42cc,
 };
-static const uint16_t m_c14fbc6b85aa253c[] = {5, 3, 1, 4, 0, 2};
+static const uint16_t m_c14fbc6b85aa253c[] = {3, 5, 1, 4, 0, 2};
 static const uint16_t i_c14fbc6b85aa253c[] = {0, 1, 2, 3, 4, 5};
 const ::capnp::_::RawSchema s_c14fbc6b85aa253c = {
-  0xc14fbc6b85aa253c, b_c14fbc6b85aa253c.words, 121, d_c14fbc6b85aa253c, m_c14fbc6b85aa253c,
+  0xc14fbc6b85aa253c, b_c14fbc6b85aa253c.words, 120, d_c14fbc6b85aa253c, m_c14fbc6b85aa253c,
   3, 6, i_c14fbc6b85aa253c, nullptr, nullptr, { &s_c14fbc6b85aa253c, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -549,7 +549,7 @@
     inline ::capnp::List<::monsoongrade::schema::LimitNews, ::capnp::Kind::STRUCT>::Reader
     getLimits() const;
 
-    inline bool getAsksForWord() const;
+    inline bool getIsProbe() const;
 
 private:
     ::capnp::_::StructReader _reader;
@@ -635,8 +635,8 @@
     inline ::capnp::Orphan<::capnp::List<::monsoongrade::schema::LimitNews, ::capnp::Kind::STRUCT>>
     disownLimits();
 
-    inline bool getAsksForWord();
-    inline void setAsksForWord(bool value);
+    inline bool getIsProbe();
+    inline void setIsProbe(bool value);
 
 private:
     ::capnp::_::StructBuilder _builder;
@@ -1301,16 +1301,16 @@
         disown(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool GossipMessage::Reader::getAsksForWord() const
+inline bool GossipMessage::Reader::getIsProbe() const
 {
     return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline bool GossipMessage::Builder::getAsksForWord()
+inline bool GossipMessage::Builder::getIsProbe()
 {
     return _builder.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void GossipMessage::Builder::setAsksForWord(bool value)
+inline void GossipMessage::Builder::setIsProbe(bool value)
 {
     _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -95,8 +95,8 @@
 void PeerGossip::tell()
 {
     const routing::GossipRounds::Round round = rounds_.next(table_, timers_.now());
-    for (const std::string &ip : round.silent)
-        send(ip, encodeAskForWord());
+    for (const std::string &ip : round.toProbe)
+        send(ip, encodeProbe());
     if (round.addressees.empty())
         return;
     const std::string datagram = encode(round.news);
@@ -151,12 +151,12 @@
         onWallTime_(host, sinceEpoch);
 }
 
-std::string PeerGossip::encodeAskForWord() const
+std::string PeerGossip::encodeProbe() const
 {
     capnp::MallocMessageBuilder message;
     auto root = message.initRoot<schema::GossipMessage>();
     internal::encodePeer(root.initSender(), own());
-    root.setAsksForWord(true);
+    root.setIsProbe(true);
     return internal::packed(message);
 }
 
@@ -202,7 +202,7 @@
             if (!table_.isLive(sender->ip, timers_.now()))
                 newcomer = sender->ip;
             heard.push_back(*sender);
-            rounds_.onWord(sender->ip, timers_.now());
+            rounds_.onHeartbeat(sender->ip, timers_.now());
             noteWallTime(sender->ip, std::chrono::milliseconds(root.getWallMs()));
         }
         for (const auto peer : root.getKnown()) {
@@ -224,7 +224,7 @@
         }
         if (!newcomer.empty() && newcomer != settings_.ownIp)
             welcome(newcomer);
-        else if (root.getAsksForWord())
+        else if (root.getIsProbe())
             send(sender_.address().to_string(), encode({}));
     });
     KJ_IF_MAYBE (exception, fault) {
--- a/src/routing/gossiprounds.cpp
+++ b/src/routing/gossiprounds.cpp
@@ -12,11 +12,11 @@
 constexpr std::size_t MaxAddressees = 7;
 // Hosts described in one datagram, about 25 bytes each; the packet stays below 1,400 bytes.
 constexpr std::size_t MaxDescribed = 40;
-// In a large fleet: hosts that expect each host's word, and live hosts that a datagram tells of
+// In a large fleet: hosts that watch each one, and live hosts that a datagram tells of
 // even without a change, so that lost news are made up for.
 constexpr std::size_t MaxWatchers = 4;
 constexpr std::size_t MinDescribed = 10;
-// Asks of a host that has lost contact with all others, each round.
+// Bounds the probes of a host that has lost contact with all others.
 constexpr std::size_t MaxWatched = 32;
 
 } // namespace
@@ -31,7 +31,7 @@
 {
     Round round;
     if (table.isLarge())
-        round.silent = watch(table, now);
+        round.toProbe = watch(table, now);
     round.addressees = addressees(table, now);
     if (!round.addressees.empty())
         round.news = news(table, now);
@@ -45,10 +45,10 @@
     RingNeighbours neighbours = ringNeighbours(ownIp_, table.liveIps(now), MaxWatchers, maxWatched);
     watchers_ = std::move(neighbours.watchers);
     PeerWatch::Judgement judgement = watch_.judge(neighbours.watched, now);
-    silent_ = judgement.silent.size() + judgement.lost.size();
+    silent_ = judgement.toProbe.size() + judgement.lost.size();
     for (const std::string &ip : judgement.lost)
         table.noteLost(ip, now);
-    return std::move(judgement.silent);
+    return std::move(judgement.toProbe);
 }
 
 std::vector<std::string> GossipRounds::addressees(const PeerTable &table, units::TimePoint now)
--- a/src/routing/peertable.cpp
+++ b/src/routing/peertable.cpp
@@ -19,9 +19,9 @@
 // Up to this size each host's news reaches all others by way of gossip within LiveForInLargeFleet.
 constexpr std::size_t MaxHostsHeardByAge = 100;
 // Each round goes to seven hosts, so that a change reaches all of 10,000 in five rounds.
-constexpr int TellsOfChange = 4;
+constexpr int TransmitsOfChange = 4;
 // Fewer for a host that is new here: when a whole fleet starts, all are.
-constexpr int TellsOfNewHost = 3;
+constexpr int TransmitsOfNewHost = 3;
 // Starts of one process as two hosts work them out differ by the time that news was under way.
 constexpr auto SameStart = std::chrono::milliseconds(1000);
 // A host that is lost may have spoken to others a moment after its last word here.
@@ -54,9 +54,9 @@
     if (entry.hasSpoken && !isNewer(news, entry, now))
         return;
     if (!entry.hasSpoken)
-        entry.tellsLeft = TellsOfNewHost;
+        entry.transmitsLeft = TransmitsOfNewHost;
     else if (isChange(news, entry.news))
-        entry.tellsLeft = TellsOfChange;
+        entry.transmitsLeft = TransmitsOfChange;
     spoken_ += entry.hasSpoken ? 0 : 1;
     entry.news = news;
     entry.saidAt = saidAt;
@@ -83,7 +83,7 @@
     entry.news.uptime += now - entry.saidAt - units::Duration(SpokeElsewhere);
     entry.news.state = PeerState::Lost;
     entry.saidAt = now - SpokeElsewhere;
-    entry.tellsLeft = TellsOfChange;
+    entry.transmitsLeft = TransmitsOfChange;
 }
 
 bool PeerTable::isLarge() const
@@ -96,16 +96,17 @@
 {
     std::vector<Entry *> changed;
     for (auto &[ip, entry] : entries_) {
-        if (entry.tellsLeft > 0)
+        if (entry.transmitsLeft > 0)
             changed.push_back(&entry);
     }
     std::shuffle(changed.begin(), changed.end(), random);
     most = std::min(most, changed.size());
-    std::partial_sort(changed.begin(), changed.begin() + std::ptrdiff_t(most), changed.end(),
-                      [](const Entry *a, const Entry *b) { return a->tellsLeft > b->tellsLeft; });
+    std::partial_sort(
+        changed.begin(), changed.begin() + std::ptrdiff_t(most), changed.end(),
+        [](const Entry *a, const Entry *b) { return a->transmitsLeft > b->transmitsLeft; });
     std::vector<PeerNews> news;
     for (std::size_t i = 0; i < most; ++i) {
-        --changed[i]->tellsLeft;
+        --changed[i]->transmitsLeft;
         news.push_back(newsOf(*changed[i], now));
     }
     return news;
--- a/src/routing/peerwatch.cpp
+++ b/src/routing/peerwatch.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-// Hosts say something to their watchers four times a second.
-constexpr auto SilentAfter = std::chrono::milliseconds(500);
-// Leaves time for three asks and their answers. Together with the spreading of the news a lost
+// Heartbeats are 250 ms apart.
+constexpr auto ProbeAfter = std::chrono::milliseconds(500);
+// Leaves time for three probes and their answers. Together with the spreading of the news a lost
 // host is known to all within two seconds.
 constexpr auto LostAfter = std::chrono::milliseconds(1100);
 // Rounds are 250 ms apart.
@@ -56,10 +56,10 @@
     return {nearest(std::move(after), maxWatchers), nearest(std::move(before), maxWatched)};
 }
 
-void PeerWatch::onWord(const std::string &ip, units::TimePoint now)
+void PeerWatch::onHeartbeat(const std::string &ip, units::TimePoint now)
 {
-    const auto watched = lastWordAt_.find(ip);
-    if (watched != lastWordAt_.end())
+    const auto watched = lastHeartbeatAt_.find(ip);
+    if (watched != lastHeartbeatAt_.end())
         watched->second = now;
 }
 
@@ -67,19 +67,19 @@
 {
     const bool wasSuspended = now - lastJudgedAt_ >= SuspendedAfter;
     lastJudgedAt_ = now;
-    std::map<std::string, units::TimePoint> lastWordAt;
+    std::map<std::string, units::TimePoint> lastHeartbeatAt;
     Judgement judgement;
     for (const std::string &ip : watched) {
-        const auto before = lastWordAt_.find(ip);
-        const bool startsAnew = wasSuspended || before == lastWordAt_.end();
+        const auto before = lastHeartbeatAt_.find(ip);
+        const bool startsAnew = wasSuspended || before == lastHeartbeatAt_.end();
         const units::TimePoint at = startsAnew ? now : before->second;
-        lastWordAt[ip] = at;
+        lastHeartbeatAt[ip] = at;
         if (now - at >= LostAfter)
             judgement.lost.push_back(ip);
-        else if (now - at >= SilentAfter)
-            judgement.silent.push_back(ip);
+        else if (now - at >= ProbeAfter)
+            judgement.toProbe.push_back(ip);
     }
-    lastWordAt_ = std::move(lastWordAt);
+    lastHeartbeatAt_ = std::move(lastHeartbeatAt);
     return judgement;
 }
 
--- a/tests/routing/gossiprounds_test.cpp
+++ b/tests/routing/gossiprounds_test.cpp
@@ -78,7 +78,7 @@
     void round(GossipingHost &host)
     {
         const GossipRounds::Round round = host.rounds.next(host.table, now);
-        for (const std::string &ip : round.silent) {
+        for (const std::string &ip : round.toProbe) {
             if (tell(host, ip, {}))
                 tell(*byIp.at(ip), host.ip, {});
         }
@@ -98,7 +98,7 @@
         if (!host.table.isLive(from.ip, now))
             welcomes.emplace_back(&host, &from);
         host.table.hear(from.own(now), now);
-        host.rounds.onWord(from.ip, now);
+        host.rounds.onHeartbeat(from.ip, now);
         for (const PeerNews &each : news) {
             if (each.ip != host.ip)
                 host.table.hear(each, now);
