--- a/src/routing/peertable.cpp
+++ b/src/routing/peertable.cpp
@@ -105,6 +105,7 @@
         changed.begin(), changed.begin() + std::ptrdiff_t(most), changed.end(),
         [](const Entry *a, const Entry *b) { return a->transmitsLeft > b->transmitsLeft; });
     std::vector<PeerNews> news;
+    news.reserve(most);
     for (std::size_t i = 0; i < most; ++i) {
         --changed[i]->transmitsLeft;
         news.push_back(newsOf(*changed[i], now));
@@ -123,6 +124,7 @@
     std::vector<const Entry *> chosen;
     std::sample(live.begin(), live.end(), std::back_inserter(chosen), most, random);
     std::vector<PeerNews> news;
+    news.reserve(chosen.size());
     for (const Entry *entry : chosen)
         news.push_back(newsOf(*entry, now));
     return news;
--- a/src/routing/peerwatch.cpp
+++ b/src/routing/peerwatch.cpp
@@ -33,6 +33,7 @@
     std::partial_sort(distances.begin(), distances.begin() + std::ptrdiff_t(count),
                       distances.end());
     std::vector<std::string> found;
+    found.reserve(count);
     for (std::size_t i = 0; i < count; ++i)
         found.push_back(*distances[i].second);
     return found;
