--- a/include/monsoongrade/gateway/gateway.h
+++ b/include/monsoongrade/gateway/gateway.h
@@ -78,8 +78,6 @@
     void onLimitNews(const routing::LimitNews &news);
     void noteOwnState();
     void noteHosts(const std::vector<routing::PeerNews> &hosts);
-    void logHosts(observability::LogLevel level, const char *event,
-                  const std::vector<std::string> &hosts);
     void waitForOpenRequests();
     void serveMetrics(const httpio::ServerRequest &request, httpio::Reply &reply);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -162,12 +162,15 @@
 void Gateway::updateEndpoint(const routing::DiscoveredEndpoint &endpoint)
 {
     state_.roster.update(endpoint);
-    state_.log.write(observability::LogLevel::Info,
-                     endpoint.draining ? "endpoint-draining" : "endpoint-updated",
-                     {{"endpoint", endpoint.id.value()},
-                      {"pool", endpoint.pool.value()},
-                      {"address", endpoint.address},
-                      {"incarnation", endpoint.incarnation.value()}});
+    if (endpoint.draining)
+        state_.log.write(observability::LogLevel::Info, "endpoint-draining",
+                         {{"endpoint", endpoint.id.value()}, {"pool", endpoint.pool.value()}});
+    else
+        state_.log.write(observability::LogLevel::Info, "endpoint-updated",
+                         {{"endpoint", endpoint.id.value()},
+                          {"pool", endpoint.pool.value()},
+                          {"address", endpoint.address},
+                          {"incarnation", endpoint.incarnation.value()}});
 }
 
 void Gateway::removeEndpoint(const units::EndpointId &id, units::TimePoint keepMissingUntil)
@@ -304,15 +307,10 @@
     std::set_difference(lastHosts_.begin(), lastHosts_.end(), now.begin(), now.end(),
                         std::back_inserter(lost));
     lastHosts_ = std::move(now);
-    logHosts(observability::LogLevel::Info, "host-found", found);
-    logHosts(observability::LogLevel::Warning, "host-lost", lost);
-}
-
-void Gateway::logHosts(observability::LogLevel level, const char *event,
-                       const std::vector<std::string> &hosts)
-{
-    for (const std::string &host : hosts)
-        state_.log.write(level, event,
+    for (const std::string &host : found)
+        state_.log.write(observability::LogLevel::Info, "host-found", {{"host", host}});
+    for (const std::string &host : lost)
+        state_.log.write(observability::LogLevel::Warning, "host-lost",
                          {{"host", host}, {"live-hosts", std::uint64_t(lastHosts_.size())}});
 }
 
