One function hashes texts for orders that all hosts agree on

The same bytes are hashed in the same order, so all orders stay; routing and gateway tests passed as before.

--- a/include/monsoongrade/units/stablehash.h
+++ b/include/monsoongrade/units/stablehash.h
@@ -2,6 +2,7 @@
 #define MONSOONGRADE_UNITS_STABLEHASH_H
 
 #include <cstdint>
+#include <initializer_list>
 #include <string_view>
 
 namespace monsoongrade::units {
@@ -35,6 +36,15 @@
     std::uint64_t hash_ = 14695981039346656037ULL;
 };
 
+// For rendezvous hashing and other orders that all hosts agree on.
+inline std::uint64_t spreadHash(std::initializer_list<std::string_view> texts)
+{
+    StableHash hash;
+    for (const std::string_view text : texts)
+        hash.add(text);
+    return hash.spread();
+}
+
 } // namespace monsoongrade::units
 
 #endif // MONSOONGRADE_UNITS_STABLEHASH_H
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -13,10 +13,7 @@
 
 std::uint64_t rankOf(const std::string &ip, const units::FailureDomain &callersDomain)
 {
-    units::StableHash hash;
-    hash.add(callersDomain.value());
-    hash.add(ip);
-    return hash.spread();
+    return units::spreadHash({callersDomain.value(), ip});
 }
 
 std::vector<std::string> chooseAmong(const std::vector<routing::PeerNews> &hosts,
--- a/src/gateway/placementlimits.cpp
+++ b/src/gateway/placementlimits.cpp
@@ -20,9 +20,8 @@
                                std::optional<routing::RequestsPerSecond> limit)
 {
     // Another host is the first one at each endpoint.
-    units::StableHash hash;
-    hash.add(endpoint.described.id.value());
-    const double first = double(hash.spread()) / double(std::numeric_limits<std::uint64_t>::max());
+    const double first = double(units::spreadHash({endpoint.described.id.value()}))
+        / double(std::numeric_limits<std::uint64_t>::max());
     return endpoint.pace.setLimit(limit, std::fmod(phase_ + first, 1.0), timers_.now());
 }
 
--- a/src/routing/fleetdivision.cpp
+++ b/src/routing/fleetdivision.cpp
@@ -15,10 +15,7 @@
 
 std::uint32_t partOf(std::string_view name, std::uint32_t parts)
 {
-    units::StableHash hash;
-    hash.add("cell");
-    hash.add(name);
-    return std::uint32_t((hash.spread() >> 32) % parts);
+    return std::uint32_t((units::spreadHash({"cell", name}) >> 32) % parts);
 }
 
 std::uint32_t cellsFor(std::size_t endpoints)
--- a/src/routing/peerwatch.cpp
+++ b/src/routing/peerwatch.cpp
@@ -19,10 +19,7 @@
 
 std::uint64_t placeOf(const std::string &ip)
 {
-    units::StableHash hash;
-    hash.add("ring");
-    hash.add(ip);
-    return hash.spread();
+    return units::spreadHash({"ring", ip});
 }
 
 using Distances = std::vector<std::pair<std::uint64_t, const std::string *>>;
--- a/src/routing/placementdesk.cpp
+++ b/src/routing/placementdesk.cpp
@@ -42,10 +42,7 @@
 
 std::uint64_t rankHash(const std::string &part, const EndpointStatus &endpoint)
 {
-    units::StableHash hash;
-    hash.add(part);
-    hash.add(endpoint.described.id.value());
-    return hash.spread();
+    return units::spreadHash({part, endpoint.described.id.value()});
 }
 
 double penalty(const EndpointStatus &endpoint, units::TimePoint now)
--- a/src/routing/placinghosts.cpp
+++ b/src/routing/placinghosts.cpp
@@ -19,19 +19,12 @@
     std::uint64_t hash = 0;
 };
 
-std::uint64_t hashOf(const std::string &ip)
-{
-    units::StableHash hash;
-    hash.add(ip);
-    return hash.spread();
-}
-
 std::vector<Candidate> servingHosts(const std::vector<PeerNews> &hosts)
 {
     std::vector<Candidate> serving;
     for (const PeerNews &host : hosts) {
         if (host.state == PeerState::Serving)
-            serving.push_back({&host, host.uptime + host.age, hashOf(host.ip)});
+            serving.push_back({&host, host.uptime + host.age, units::spreadHash({host.ip})});
     }
     return serving;
 }
--- a/src/routing/shortpausereserve.cpp
+++ b/src/routing/shortpausereserve.cpp
@@ -27,9 +27,7 @@
 
 std::uint64_t hashOf(const EndpointStatus &endpoint)
 {
-    units::StableHash hash;
-    hash.add(endpoint.described.id.value());
-    return hash.spread();
+    return units::spreadHash({endpoint.described.id.value()});
 }
 
 } // namespace
--- a/src/routing/storereaders.cpp
+++ b/src/routing/storereaders.cpp
@@ -16,10 +16,7 @@
 
 std::uint64_t hashOf(const std::string &ip)
 {
-    units::StableHash hash;
-    hash.add("store-reader");
-    hash.add(ip);
-    return hash.spread();
+    return units::spreadHash({"store-reader", ip});
 }
 
 // The least goes first: refused, just started, processor, hash; the IP last.
--- a/tests/routing/placinghosts_test.cpp
+++ b/tests/routing/placinghosts_test.cpp
@@ -45,9 +45,7 @@
 std::vector<std::string> orderByRepeatedChoice(std::vector<PeerNews> hosts)
 {
     const auto hashOf = [](const PeerNews &each) {
-        units::StableHash hash;
-        hash.add(each.ip);
-        return hash.spread();
+        return units::spreadHash({each.ip});
     };
     std::vector<std::string> order;
     while (!hosts.empty()) {
