The gateway divides the fleet; the adapter only tells it what it was told

Whether this host lists all endpoints, and so works the cells out itself, was kept and decided in the adapter, with a call after each change of the roster. Gateway now holds it and divides where the roster changes. The order of a fleet of one cell is no case of its own (all hosts are in cell 0), and the successors that hear of cached parts are worked out once a round, not for each datagram.

--- a/include/monsoongrade/gateway/gateway.h
+++ b/include/monsoongrade/gateway/gateway.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,10 +43,9 @@
                           units::TimePoint keepMissingUntil);
     void updateEndpoint(const routing::DiscoveredEndpoint &endpoint);
     void removeEndpoint(const units::EndpointId &id, units::TimePoint keepMissingUntil);
-    // The cells of the fleet, as told by a host that has the list of all endpoints.
-    void divide(const routing::FleetDivision &division);
-    // The same by the endpoints listed here, which are all.
-    void divideByOwnList();
+    // The cells of the fleet, as told by a host that has the list of all endpoints. None: the list
+    // here is of all endpoints, and the cells follow from it.
+    void setDivision(const std::optional<routing::FleetDivision> &told);
     const routing::FleetDivision &division() const { return state_.roster.division(); }
 
     // Whether the platform's store answers this host.
@@ -74,6 +74,8 @@
 private:
     routing::PeerState peerState() const;
     void onGossipRound();
+    void divide(const routing::FleetDivision &division);
+    void divideByOwnList();
     void setPlacingOrders(const std::vector<routing::PeerNews> &live);
     void onLimitNews(const routing::LimitNews &news);
     void noteOwnState();
@@ -92,6 +94,7 @@
     std::unique_ptr<httpio::Server> directory_;
     std::unique_ptr<httpio::Server> metrics_;
     PeerGossip gossip_;
+    bool listsAllEndpoints_ = true;
     bool leaving_ = false;
     routing::PeerState lastState_ = routing::PeerState::Waiting;
     std::vector<std::string> lastHosts_; // sorted
--- a/include/monsoongrade/gateway/peergossip.h
+++ b/include/monsoongrade/gateway/peergossip.h
@@ -19,9 +19,7 @@
 // same from them. Each round goes to a bounded number of hosts, so the traffic of one host does
 // not grow with their number. A host that is heard of for the first time gets an answer at once,
 // so that a starting one knows others, and who reads the store, after one round trip.
-//
-// In a large fleet the hosts watch each other, see PeerWatch, and a datagram tells of changes
-// first.
+// GossipRounds decides whom a round goes to and what it tells.
 class PeerGossip
 {
 public:
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -153,6 +153,7 @@
                                units::TimePoint keepMissingUntil)
 {
     state_.roster.replaceAll(endpoints, timers_.now(), keepMissingUntil);
+    divideByOwnList();
     state_.firstRead.onEndpoints();
     observability::log(observability::LogLevel::Info, "endpoints-listed",
                        {{"listed", std::uint64_t(endpoints.size())},
@@ -162,6 +163,7 @@
 void Gateway::updateEndpoint(const routing::DiscoveredEndpoint &endpoint)
 {
     state_.roster.update(endpoint);
+    divideByOwnList();
     if (endpoint.draining)
         state_.log.write(observability::LogLevel::Info, "endpoint-draining",
                          {{"endpoint", endpoint.id.value()}, {"pool", endpoint.pool.value()}});
@@ -176,6 +178,7 @@
 void Gateway::removeEndpoint(const units::EndpointId &id, units::TimePoint keepMissingUntil)
 {
     state_.roster.remove(id, timers_.now(), keepMissingUntil);
+    divideByOwnList();
     state_.log.write(observability::LogLevel::Info, "endpoint-removed", {{"endpoint", id.value()}});
 }
 
@@ -222,11 +225,6 @@
 {
     const routing::FleetDivision &division = state_.roster.division();
     std::vector<std::string> ofFleet = routing::placingOrder(live, hostsCompared_);
-    if (division.cells() == 1) {
-        std::vector<std::string> ofCell = ofFleet;
-        state_.placement.setOrders(std::move(ofFleet), std::move(ofCell));
-        return;
-    }
     const std::uint32_t ownCell = division.cellOf(settings_.ip);
     std::vector<std::string> ofCell;
     std::copy_if(ofFleet.begin(), ofFleet.end(), std::back_inserter(ofCell),
@@ -246,8 +244,17 @@
                         {"divided-pools", std::uint64_t(division.pools().size())}});
 }
 
+void Gateway::setDivision(const std::optional<routing::FleetDivision> &told)
+{
+    listsAllEndpoints_ = !told;
+    if (told)
+        divide(*told);
+}
+
 void Gateway::divideByOwnList()
 {
+    if (!listsAllEndpoints_)
+        return;
     divide(routing::divideFleet(state_.roster.sizes(), state_.roster.division()));
 }
 
--- a/src/gateway/sharedplacement.cpp
+++ b/src/gateway/sharedplacement.cpp
@@ -165,12 +165,15 @@
 void SharedPlacement::tellSuccessors()
 {
     const std::vector<routing::CachedPart> parts = desk_.takeNewParts();
+    if (parts.empty())
+        return;
+    const std::vector<std::string> hosts = successors();
     for (std::size_t begin = 0; begin < parts.size(); begin += MaxPartsInDatagram) {
         const std::size_t count = std::min(MaxPartsInDatagram, parts.size() - begin);
         const auto first = parts.begin() + std::ptrdiff_t(begin);
         const std::string datagram
             = encode(CachedPartsMessage{{first, first + std::ptrdiff_t(count)}});
-        for (const std::string &host : successors())
+        for (const std::string &host : hosts)
             send(host, datagram);
     }
 }
