EndpointLimits: the id and body of a call are made from one number

The fixture incremented its counter in an expression that also read it, in no defined order, so a body could carry the number of the call before. Found by the compiler (-Wsequence-point). The four tests pass as before; they check the same.

--- a/tests/adapter/endpointlimits_test.cpp
+++ b/tests/adapter/endpointlimits_test.cpp
@@ -47,8 +47,8 @@
         std::vector<int> statuses;
         const auto end = std::chrono::steady_clock::now() + time;
         while (std::chrono::steady_clock::now() < end) {
-            statuses.push_back(call(request("POST", path, "id" + std::to_string(++calls_),
-                                            "body " + std::to_string(calls_),
+            const std::string number = std::to_string(++calls_);
+            statuses.push_back(call(request("POST", path, "id" + number, "body " + number,
                                             path == "/stream/a" ? StreamHeaders : ""))
                                    ->status());
             runFor(milliseconds(20));
