--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -58,6 +58,7 @@
     void throttleIfBacklogged();
     void onFirstByte();
     void countUsage();
+    void readAnnouncements(const EndpointResponseInfo &answer);
     void updateLimit();
 
     // Failures
--- a/include/monsoongrade/gateway/headercodec.h
+++ b/include/monsoongrade/gateway/headercodec.h
@@ -28,6 +28,7 @@
     bool provenNotRun = false;
     bool wrongEndpoint = false; // another endpoint has the address now
     bool isSigned = false; // has the signature without which a success is not accepted
+    bool isLeaving = false; // the endpoint accepts no new requests and stops soon
     // Rate that an overloaded endpoint accepts from all hosts together; nullopt: no limit.
     std::optional<routing::RequestsPerSecond> requestLimit;
     bool isLimitUnreadable = false; // the limit given is not a number >= 0
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -168,6 +168,7 @@
     const EndpointResponseInfo answer = state_.headerCodec.decodeResponse(head);
     const bool belongsHere
         = answer.request == metadata_.id || (answer.request.isEmpty() && !isSuccess(head.status));
+    readAnnouncements(answer);
     if (!belongsHere) {
         use_ = ResponseUse::OfOtherRequest;
         return;
@@ -184,26 +185,6 @@
         onFirstByte();
 }
 
-// A rejection without a limit is ignored: the part of the endpoint that sent it may not know the
-// limit.
-void Exchange::updateLimit()
-{
-    if (answer_.isLimitUnreadable)
-        state_.log.write(
-            observability::LogLevel::Warning, "endpoint-limit-unreadable",
-            {{"endpoint", endpoint_->registration.id.value()}, {"request", metadata_.id.value()}});
-    if (answer_.provenNotRun && !answer_.requestLimit)
-        return;
-    state_.limits.update(routing::instanceOf(endpoint_->registration), answer_.requestLimit,
-                         state_.timers.now());
-    if (!state_.placement.setLimit(*endpoint_, answer_.requestLimit))
-        return;
-    state_.log.write(observability::LogLevel::Info, "endpoint-limit-changed",
-                     {{"endpoint", endpoint_->registration.id.value()},
-                      {"request", metadata_.id.value()},
-                      {"requests-per-second", answer_.requestLimit.value_or(-1)}});
-}
-
 void Exchange::onResponseBody(std::string_view bytes)
 {
     if (use_ == ResponseUse::Relayed) {
--- /dev/null
+++ b/src/gateway/exchangeannouncements.cpp
@@ -0,0 +1,36 @@
+#include <monsoongrade/gateway/exchange.h>
+
+namespace monsoongrade::gateway {
+
+// A late response to an earlier request speaks of the same endpoint as one to this request. A
+// response of another endpoint, which has the address now, does not.
+void Exchange::readAnnouncements(const EndpointResponseInfo &answer)
+{
+    if (answer.isLeaving && !answer.wrongEndpoint)
+        state_.log.write(observability::LogLevel::Info, "endpoint-announced-leaving",
+                         {{"endpoint", endpoint_->registration.id.value()},
+                          {"request", metadata_.id.value()},
+                          {"known", endpoint_->leaving ? "yes" : "no"}});
+}
+
+// A rejection without a limit is ignored: the part of the endpoint that sent it may not know the
+// limit.
+void Exchange::updateLimit()
+{
+    if (answer_.isLimitUnreadable)
+        state_.log.write(
+            observability::LogLevel::Warning, "endpoint-limit-unreadable",
+            {{"endpoint", endpoint_->registration.id.value()}, {"request", metadata_.id.value()}});
+    if (answer_.provenNotRun && !answer_.requestLimit)
+        return;
+    state_.limits.update(routing::instanceOf(endpoint_->registration), answer_.requestLimit,
+                         state_.timers.now());
+    if (!state_.placement.setLimit(*endpoint_, answer_.requestLimit))
+        return;
+    state_.log.write(observability::LogLevel::Info, "endpoint-limit-changed",
+                     {{"endpoint", endpoint_->registration.id.value()},
+                      {"request", metadata_.id.value()},
+                      {"requests-per-second", answer_.requestLimit.value_or(-1)}});
+}
+
+} // namespace monsoongrade::gateway
