Log when a rejection asks for a pause

The adapter decodes Retry-After of 503 and 429 (decimal seconds), and the gateway writes endpoint-asked-for-pause with the time, or endpoint-pause-unreadable for a value that is no number of 0 or more. No decision uses it yet.

--- a/src/gateway/exchangeannouncements.cpp
+++ b/src/gateway/exchangeannouncements.cpp
@@ -11,6 +11,15 @@
                          {{"endpoint", endpoint_->registration.id.value()},
                           {"request", metadata_.id.value()},
                           {"known", endpoint_->leaving ? "yes" : "no"}});
+    if (answer.pause)
+        state_.log.write(observability::LogLevel::Info, "endpoint-asked-for-pause",
+                         {{"endpoint", endpoint_->registration.id.value()},
+                          {"request", metadata_.id.value()},
+                          {"for-seconds", answer.pause->count()}});
+    if (answer.isPauseUnreadable)
+        state_.log.write(
+            observability::LogLevel::Warning, "endpoint-pause-unreadable",
+            {{"endpoint", endpoint_->registration.id.value()}, {"request", metadata_.id.value()}});
 }
 
 // A rejection without a limit is ignored: the part of the endpoint that sent it may not know the
--- a/tests/adapter/platformheadercodec_test.cpp
+++ b/tests/adapter/platformheadercodec_test.cpp
@@ -25,3 +25,19 @@
     CHECK_FALSE(decoded(200, {{"Server-Leaving", "0"}}).isLeaving);
     CHECK_FALSE(decoded(200, {{"Server-Leaving", ""}}).isLeaving);
 }
+
+TEST_CASE("PlatformHeaderCodec.RejectionMayAskForAPause")
+{
+    CHECK(decoded(503, {{"Retry-After", "3"}}).pause->count() == 3);
+    CHECK(decoded(503, {{"Retry-After", "0.25"}}).pause->count() == 0.25);
+    CHECK(decoded(429, {{"Retry-After", "0"}}).pause->count() == 0);
+    CHECK(decoded(503, {{"Retry-After", "1e300"}}).pause->count() == 1e300);
+    CHECK_FALSE(decoded(503, {}).pause.has_value());
+    CHECK_FALSE(decoded(200, {{"Retry-After", "3"}}).pause.has_value());
+    for (const char *text :
+         {"", "-1", "nan", "inf", "soon", "3 s", "Thu, 03 Dec 2026 16:00:00 GMT"}) {
+        const gateway::EndpointResponseInfo response = decoded(503, {{"Retry-After", text}});
+        CHECK_MESSAGE(!response.pause.has_value(), text);
+        CHECK_MESSAGE(response.isPauseUnreadable, text);
+    }
+}
