One table for what endpoints announce about themselves

RateLimitTable becomes EndpointAnnouncements, and its calls name the limit. No behaviour changes. LIMIT, DRAIN and BUDGET are one class of fault: a statement of an endpoint about itself that no host reads, keeps or passes on. What an instance has announced is to be kept in one place.

--- a/include/monsoongrade/gateway/gatewaystate.h
+++ b/include/monsoongrade/gateway/gatewaystate.h
@@ -9,9 +9,9 @@
 #include <monsoongrade/gateway/usagemeter.h>
 #include <monsoongrade/httpio/serverlimits.h>
 #include <monsoongrade/routing/crashtracker.h>
+#include <monsoongrade/routing/endpointannouncements.h>
 #include <monsoongrade/routing/endpointregistry.h>
 #include <monsoongrade/routing/freshnesslease.h>
-#include <monsoongrade/routing/ratelimittable.h>
 #include <monsoongrade/routing/retryallowance.h>
 #include <monsoongrade/routing/routetable.h>
 
@@ -60,7 +60,7 @@
     EndpointConnections connections;
     routing::EndpointRegistry registry;
     routing::CrashTracker crashes;
-    routing::RateLimitTable limits;
+    routing::EndpointAnnouncements announcements;
     routing::RetryLimit retryLimit;
     std::unordered_map<std::string, routing::RetryAllowance> retryAllowances; // by pool
     httpio::ServerLimits callerLimits;
--- a/include/monsoongrade/gateway/peergossip.h
+++ b/include/monsoongrade/gateway/peergossip.h
@@ -3,8 +3,8 @@
 
 #include <monsoongrade/httpio/timers.h>
 #include <monsoongrade/routing/crashtracker.h>
+#include <monsoongrade/routing/endpointannouncements.h>
 #include <monsoongrade/routing/gossipplanner.h>
-#include <monsoongrade/routing/ratelimittable.h>
 
 #include <asio/ip/udp.hpp>
 
@@ -32,10 +32,10 @@
         std::vector<std::string> seedIps;
     };
 
-    // crashes and limits are sent to the other hosts; crashes received from them are merged into
-    // crashes.
+    // crashes and announcements are sent to the other hosts; crashes received from them are merged
+    // into crashes.
     PeerGossip(asio::io_context &io, httpio::Timers &timers, Settings settings,
-               routing::CrashTracker &crashes, routing::RateLimitTable &limits);
+               routing::CrashTracker &crashes, routing::EndpointAnnouncements &announcements);
 
     void start();
     // Sets this host's own state and sends a change immediately.
@@ -83,7 +83,7 @@
     Settings settings_;
     routing::PeerTable table_;
     routing::CrashTracker &crashes_;
-    routing::RateLimitTable &limits_;
+    routing::EndpointAnnouncements &announcements_;
     routing::PeerState state_ = routing::PeerState::NotReady;
     std::function<void()> onRound_;
     std::function<void(const routing::RateLimitUpdate &)> onLimit_;
--- a/src/gateway/exchangeannouncements.cpp
+++ b/src/gateway/exchangeannouncements.cpp
@@ -32,8 +32,8 @@
             {{"endpoint", endpoint_->registration.id.value()}, {"request", metadata_.id.value()}});
     if (answer_.provenNotRun && !answer_.requestLimit)
         return;
-    state_.limits.update(routing::instanceOf(endpoint_->registration), answer_.requestLimit,
-                         state_.timers.now());
+    state_.announcements.setLimit(routing::instanceOf(endpoint_->registration),
+                                  answer_.requestLimit, state_.timers.now());
     if (!state_.placement.setLimit(*endpoint_, answer_.requestLimit))
         return;
     state_.log.write(observability::LogLevel::Info, "endpoint-limit-changed",
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -71,7 +71,7 @@
     , state_(io, timers, headerCodec,
              routing::FreshnessLease(settings.revocationBound, LeaseMargin),
              {settings.ip, settings.placementPort})
-    , gossip_(io, timers, gossipSettings(settings), state_.crashes, state_.limits)
+    , gossip_(io, timers, gossipSettings(settings), state_.crashes, state_.announcements)
 {
     state_.ownDomain = settings.failureDomain;
     state_.retryLimit = settings.retryLimit;
@@ -263,7 +263,7 @@
 
 void Gateway::onRateLimitUpdate(const routing::RateLimitUpdate &update)
 {
-    if (!state_.limits.update(update.endpoint, update.limit, timers_.now() - update.age))
+    if (!state_.announcements.setLimit(update.endpoint, update.limit, timers_.now() - update.age))
         return;
     const auto endpoint = state_.registry.find(update.endpoint);
     if (endpoint != nullptr)
@@ -382,7 +382,8 @@
     metrics.set("monsoongrade_gateway_endpoints_known", "", double(state_.registry.size()));
     metrics.set("monsoongrade_gateway_requests_quarantined", "",
                 double(state_.crashes.quarantinedCount(timers_.now())));
-    metrics.set("monsoongrade_gateway_endpoints_limited", "", double(state_.limits.limited()));
+    metrics.set("monsoongrade_gateway_endpoints_limited", "",
+                double(state_.announcements.limited()));
     metrics.set("monsoongrade_gateway_live_hosts", "", double(state_.liveHosts));
     metrics.set("monsoongrade_gateway_hosts_compared_total", "", double(hostsCompared_.value()));
     metrics.set("monsoongrade_gateway_fleet_cells", "", double(division().cells()));
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -28,12 +28,13 @@
 } // namespace
 
 PeerGossip::PeerGossip(asio::io_context &io, httpio::Timers &timers, Settings settings,
-                       routing::CrashTracker &crashes, routing::RateLimitTable &limits)
+                       routing::CrashTracker &crashes,
+                       routing::EndpointAnnouncements &announcements)
     : socket_(io)
     , timers_(timers)
     , settings_(std::move(settings))
     , crashes_(crashes)
-    , limits_(limits)
+    , announcements_(announcements)
     , startedAt_(timers.now())
     , planner_(settings_.ownIp, std::random_device()())
 {
@@ -103,7 +104,7 @@
     const std::vector<routing::CrashUpdate> crashes
         = crashes_.takeUpdates(MaxCrashes, timers_.now());
     const std::vector<routing::RateLimitUpdate> limits
-        = limits_.takeUpdates(MaxLimits, timers_.now());
+        = announcements_.takeLimitUpdates(MaxLimits, timers_.now());
     const bool hasUpdates = !crashes.empty() || !limits.empty();
     const std::string updates = hasUpdates ? encodeUpdates(crashes, limits) : std::string();
     for (const std::string &ip : round.recipients) {
--- a/src/routing/ratelimittable.cpp
+++ b/src/routing/endpointannouncements.cpp
@@ -1,4 +1,4 @@
-#include <monsoongrade/routing/ratelimittable.h>
+#include <monsoongrade/routing/endpointannouncements.h>
 
 #include <algorithm>
 
@@ -16,8 +16,8 @@
 
 } // namespace
 
-bool RateLimitTable::update(const EndpointInstance &endpoint,
-                            std::optional<RequestsPerSecond> limit, units::TimePoint at)
+bool EndpointAnnouncements::setLimit(const EndpointInstance &endpoint,
+                                     std::optional<RequestsPerSecond> limit, units::TimePoint at)
 {
     const auto found = entries_.find(endpoint);
     if (found == entries_.end()) {
@@ -37,14 +37,15 @@
     return true;
 }
 
-std::size_t RateLimitTable::limited() const
+std::size_t EndpointAnnouncements::limited() const
 {
     return std::size_t(std::count_if(entries_.begin(), entries_.end(), [](const auto &entry) {
         return entry.second.limit.has_value();
     }));
 }
 
-std::vector<RateLimitUpdate> RateLimitTable::takeUpdates(std::size_t maxItems, units::TimePoint now)
+std::vector<RateLimitUpdate> EndpointAnnouncements::takeLimitUpdates(std::size_t maxItems,
+                                                                     units::TimePoint now)
 {
     std::vector<RateLimitUpdate> updates;
     for (auto entry = entries_.begin(); entry != entries_.end();) {
--- a/tests/gateway/peergossip_test.cpp
+++ b/tests/gateway/peergossip_test.cpp
@@ -32,7 +32,7 @@
 {
     explicit Host(std::size_t number)
         : timers(io, clock)
-        , gossip(io, timers, settingsOf(number), crashes, limits)
+        , gossip(io, timers, settingsOf(number), crashes, announcements)
     {
         gossip.start();
     }
@@ -50,7 +50,7 @@
     asio::io_context io;
     httpio::Timers timers;
     routing::CrashTracker crashes;
-    routing::RateLimitTable limits;
+    routing::EndpointAnnouncements announcements;
     PeerGossip gossip;
 };
 
@@ -133,11 +133,11 @@
     fleet.hosts[2]->gossip.onLimit(
         [&](const routing::RateLimitUpdate &update) { received = update; });
     const routing::EndpointInstance endpoint{units::EndpointId("e1"), routing::Incarnation(7)};
-    fleet.hosts[1]->limits.update(endpoint, 1.6, fleet.hosts[1]->timers.now());
+    fleet.hosts[1]->announcements.setLimit(endpoint, 1.6, fleet.hosts[1]->timers.now());
     REQUIRE(fleet.runUntil([&] { return received.has_value(); }));
     CHECK(received->endpoint == endpoint);
     CHECK(received->limit == 1.6);
     received.reset();
-    fleet.hosts[1]->limits.update(endpoint, std::nullopt, fleet.hosts[1]->timers.now());
+    fleet.hosts[1]->announcements.setLimit(endpoint, std::nullopt, fleet.hosts[1]->timers.now());
     REQUIRE(fleet.runUntil([&] { return received && !received->limit; }));
 }
--- a/tests/routing/endpointlimits_test.cpp
+++ b/tests/routing/endpointlimits_test.cpp
@@ -1,5 +1,5 @@
+#include <monsoongrade/routing/endpointannouncements.h>
 #include <monsoongrade/routing/endpointratelimiter.h>
-#include <monsoongrade/routing/ratelimittable.h>
 
 #include <doctest/doctest.h>
 
@@ -138,32 +138,32 @@
     CHECK(hosts[0].allows(1, Start + minutes(1)));
 }
 
-TEST_CASE("RateLimitTable.LatestResponseWinsInAnyOrderOfUpdates")
+TEST_CASE("EndpointAnnouncements.LatestResponseWinsInAnyOrderOfUpdates")
 {
-    RateLimitTable table;
-    CHECK_FALSE(table.update(Endpoint, std::nullopt, Start));
-    CHECK(table.update(Endpoint, 2.0, Start));
-    CHECK(table.update(Endpoint, std::nullopt, Start + seconds(1)));
-    CHECK_FALSE(table.update(Endpoint, 2.0, Start));
-    const auto updates = table.takeUpdates(DatagramItems, Start + seconds(1));
+    EndpointAnnouncements table;
+    CHECK_FALSE(table.setLimit(Endpoint, std::nullopt, Start));
+    CHECK(table.setLimit(Endpoint, 2.0, Start));
+    CHECK(table.setLimit(Endpoint, std::nullopt, Start + seconds(1)));
+    CHECK_FALSE(table.setLimit(Endpoint, 2.0, Start));
+    const auto updates = table.takeLimitUpdates(DatagramItems, Start + seconds(1));
     REQUIRE(updates.size() == 1);
     CHECK_FALSE(updates[0].limit.has_value());
 }
 
 // Guards against a host that was disconnected and never learns of a limit in force.
-TEST_CASE("RateLimitTable.LimitInForceIsResentAndALiftedOneRemoved")
+TEST_CASE("EndpointAnnouncements.LimitInForceIsResentAndALiftedOneRemoved")
 {
-    RateLimitTable table;
-    table.update(Endpoint, 2.0, Start);
+    EndpointAnnouncements table;
+    table.setLimit(Endpoint, 2.0, Start);
     units::TimePoint now = Start;
     for (; now < Start + seconds(20); now += milliseconds(250))
-        table.takeUpdates(DatagramItems, now);
+        table.takeLimitUpdates(DatagramItems, now);
     std::size_t sent = 0;
     for (; now < Start + seconds(23); now += milliseconds(250))
-        sent += table.takeUpdates(DatagramItems, now).size();
+        sent += table.takeLimitUpdates(DatagramItems, now).size();
     CHECK(sent >= 1);
-    table.update(Endpoint, std::nullopt, now);
+    table.setLimit(Endpoint, std::nullopt, now);
     for (; now < Start + seconds(60); now += milliseconds(250))
-        table.takeUpdates(DatagramItems, now);
+        table.takeLimitUpdates(DatagramItems, now);
     CHECK(table.size() == 0);
 }
