Endpoints that announce their leaving in a response get no new requests

What callers saw: requests were sent to an endpoint up to 5.5 s after a response of it had said that it leaves; some ended with 504 at a process about to stop.

Cause: hosts knew of leaving from the store alone.

The registry asks it whenever an entry is read, so neither a stale list nor an entry that lapses and returns brings the endpoint back, only another incarnation. It is checked again where the request is sent. Hosts tell each other in gossip and tell a host that joins, as the one that places sees only its own callers' responses.

--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -59,6 +59,7 @@
     void onFirstByte();
     void countUsage();
     void readAnnouncements(const EndpointResponseInfo &answer);
+    void onLeavingAnnounced();
     void updateLimit();
 
     // Failures
--- a/include/monsoongrade/gateway/gateway.h
+++ b/include/monsoongrade/gateway/gateway.h
@@ -78,6 +78,7 @@
     void computeDivision();
     void updateCoordinatorRankings(const std::vector<routing::PeerUpdate> &live);
     void onRateLimitUpdate(const routing::RateLimitUpdate &update);
+    void onLeavingUpdate(const routing::LeavingUpdate &update);
     void publishOwnState();
     void logHostChanges(const std::vector<routing::PeerUpdate> &hosts);
     void waitForOpenRequests();
--- a/include/monsoongrade/gateway/gatewaystate.h
+++ b/include/monsoongrade/gateway/gatewaystate.h
@@ -46,7 +46,10 @@
         , lease(leaseToUse)
         , connections(io, timersToUse)
         , registry(
-              [this](const routing::EndpointStatus &endpoint) { connections.closeIdle(endpoint); })
+              [this](const routing::EndpointStatus &endpoint) { connections.closeIdle(endpoint); },
+              [this](const routing::EndpointInstance &endpoint) {
+                  return announcements.isLeaving(endpoint);
+              })
         , log(timersToUse)
         , startupGate(timersToUse)
         , placement(io, timersToUse, std::move(placementSettings), registry, log.metrics)
@@ -58,9 +61,9 @@
     std::shared_ptr<const routing::RouteTable> table; // null until the first configuration
     routing::FreshnessLease lease;
     EndpointConnections connections;
+    routing::EndpointAnnouncements announcements;
     routing::EndpointRegistry registry;
     routing::CrashTracker crashes;
-    routing::EndpointAnnouncements announcements;
     routing::RetryLimit retryLimit;
     std::unordered_map<std::string, routing::RetryAllowance> retryAllowances; // by pool
     httpio::ServerLimits callerLimits;
--- a/include/monsoongrade/gateway/peergossip.h
+++ b/include/monsoongrade/gateway/peergossip.h
@@ -56,6 +56,11 @@
     {
         onLimit_ = std::move(handler);
     }
+    // The handler is called with each endpoint that has announced its leaving to another host.
+    void onLeaving(std::function<void(const routing::LeavingUpdate &)> handler)
+    {
+        onLeaving_ = std::move(handler);
+    }
     // The handler is called after each round.
     void onRound(std::function<void()> handler) { onRound_ = std::move(handler); }
     const routing::PeerTable &table() const { return table_; }
@@ -64,14 +69,22 @@
     routing::PeerUpdate own() const;
 
 private:
+    // What hosts have learned about requests and endpoints.
+    struct Updates
+    {
+        std::vector<routing::CrashUpdate> crashes;
+        std::vector<routing::RateLimitUpdate> limits;
+        std::vector<routing::LeavingUpdate> leaving;
+    };
+
     void receive();
     void round();
     void sendRound();
     void send(const std::string &ip, const std::string &datagram);
     std::string encode(const std::vector<routing::PeerUpdate> &others) const;
     std::string encodeProbe() const;
-    std::string encodeUpdates(const std::vector<routing::CrashUpdate> &crashes,
-                              const std::vector<routing::RateLimitUpdate> &limits) const;
+    void send(const std::string &ip, const Updates &updates);
+    std::string encode(const Updates &updates) const;
     void decode(const std::string &datagram);
     void sendInitialState(const std::string &joiningHost);
     void reportWallTime(const std::string &host, units::Duration sinceEpoch);
@@ -87,6 +100,7 @@
     routing::PeerState state_ = routing::PeerState::NotReady;
     std::function<void()> onRound_;
     std::function<void(const routing::RateLimitUpdate &)> onLimit_;
+    std::function<void(const routing::LeavingUpdate &)> onLeaving_;
     std::function<void(const std::string &, units::Duration)> onWallTime_;
     units::TimePoint startedAt_;
     bool isStoreReachable_ = false;
--- a/include/monsoongrade/routing/endpointannouncements.h
+++ b/include/monsoongrade/routing/endpointannouncements.h
@@ -1,6 +1,7 @@
 #ifndef MONSOONGRADE_ROUTING_ENDPOINTANNOUNCEMENTS_H
 #define MONSOONGRADE_ROUTING_ENDPOINTANNOUNCEMENTS_H
 
+#include <monsoongrade/routing/leavingupdate.h>
 #include <monsoongrade/routing/ratelimitupdate.h>
 
 #include <cstddef>
@@ -12,6 +13,9 @@
 // What endpoints have announced about themselves in responses to any host, and the updates about it
 // to send to other hosts. A host that places requests sees only the responses to its own callers,
 // so it may never get a response from the endpoint itself.
+//
+// Announcements belong to an instance. They hold whatever the store lists, since its entry may be
+// older than the response or unreachable, and end only with a restart of the endpoint.
 class EndpointAnnouncements
 {
 public:
@@ -23,20 +27,37 @@
     // limits in force, for hosts that were disconnected.
     std::vector<RateLimitUpdate> takeLimitUpdates(std::size_t maxItems, units::TimePoint now);
 
+    // A response to this or another host announced that the endpoint is leaving; at: when. Returns
+    // false if that was known.
+    bool setLeaving(const EndpointInstance &endpoint, units::TimePoint at);
+    bool isLeaving(const EndpointInstance &endpoint) const { return leaving_.count(endpoint) != 0; }
+    // Updates for this gossip round about endpoints that began to leave, repeated for several
+    // rounds.
+    std::vector<LeavingUpdate> takeLeavingUpdates(std::size_t maxItems, units::TimePoint now);
+    // The latest of all, for a host that has just started or was disconnected.
+    std::vector<LeavingUpdate> latestLeaving(std::size_t maxItems, units::TimePoint now) const;
+
     // Number of endpoints that currently have a limit.
     std::size_t limited() const;
-    std::size_t size() const { return entries_.size(); }
+    std::size_t leaving() const { return leaving_.size(); }
+    std::size_t size() const { return limits_.size() + leaving_.size(); }
 
 private:
-    struct Entry
+    struct Limit
     {
         std::optional<RequestsPerSecond> limit;
         units::TimePoint announcedAt;
         int roundsLeft = 0;
         units::TimePoint lastSentAt;
     };
+    struct Leaving
+    {
+        units::TimePoint announcedAt;
+        int roundsLeft = 0;
+    };
 
-    std::map<EndpointInstance, Entry> entries_;
+    std::map<EndpointInstance, Limit> limits_;
+    std::map<EndpointInstance, Leaving> leaving_;
 };
 
 } // namespace monsoongrade::routing
--- a/include/monsoongrade/routing/endpointregistry.h
+++ b/include/monsoongrade/routing/endpointregistry.h
@@ -24,7 +24,12 @@
     // Called when an endpoint stops accepting new requests, so that idle connections can be closed.
     using OnLeaving = std::function<void(const EndpointStatus &)>;
 
-    explicit EndpointRegistry(OnLeaving onLeaving = {});
+    // Whether the instance has announced by itself that it is leaving. The store may list it as
+    // ready until long after.
+    using HasAnnouncedLeaving = std::function<bool(const EndpointInstance &)>;
+
+    explicit EndpointRegistry(OnLeaving onLeaving = {},
+                              HasAnnouncedLeaving hasAnnouncedLeaving = {});
 
     // Replaces all entries by a complete list that was just read. Endpoints that are not in it are
     // removed. If entries may be missing only because of a store outage, missing ones are kept
@@ -36,6 +41,8 @@
     // One entry was removed from the store.
     void remove(const units::EndpointId &id, units::TimePoint now,
                 units::TimePoint keepMissingUntil);
+    // The instance has announced by itself that it is leaving.
+    void onLeavingAnnounced(const EndpointInstance &endpoint);
     // Removes the missing entries whose retention time has expired.
     void removeExpired(units::TimePoint now);
 
@@ -65,6 +72,7 @@
         units::TimePoint keepUntil; // set for missing entries
     };
 
+    bool isLeaving(const DiscoveredEndpoint &endpoint) const;
     void markLeaving(Entry &entry);
     void markMissing(const std::string &id, Entry &entry, units::TimePoint now,
                      units::TimePoint keepMissingUntil);
@@ -77,6 +85,7 @@
     void removeAvailable(const Status &status);
 
     OnLeaving onLeaving_;
+    HasAnnouncedLeaving hasAnnouncedLeaving_;
     std::map<std::string, Entry> entries_; // by endpoint id
     std::set<std::string> missing_; // ids of missing entries that are still kept
     std::map<std::string, std::vector<Status>> available_; // by pool
--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -62,6 +62,14 @@
   ageMs @4 :UInt64;
 }
 
+# An endpoint said in an answer that it is leaving.
+struct LeavingNews {
+  endpoint @0 :Text;
+  incarnation @1 :Int64;
+  # Milliseconds since the answer.
+  ageMs @2 :UInt64;
+}
+
 struct GossipMessage {
   sender @0 :GossipPeer;
   # Other hosts that the sender has heard of.
@@ -72,4 +80,5 @@
   limits @4 :List(LimitNews);
   # The receiver shall answer: the sender watches it and has missed its heartbeats.
   isProbe @5 :Bool;
+  leaving @6 :List(LeavingNews);
 }
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -34,6 +34,7 @@
 };
 CAPNP_DECLARE_ENUM(Kind, a53246b1ca29c58c);
 CAPNP_DECLARE_SCHEMA(d5cf9a91c8ba42cc);
+CAPNP_DECLARE_SCHEMA(de5b338a0e49ed62);
 CAPNP_DECLARE_SCHEMA(c14fbc6b85aa253c);
 
 } // namespace schemas
@@ -104,6 +105,26 @@
     };
 };
 
+struct LeavingNews
+{
+    LeavingNews() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(de5b338a0e49ed62, 2, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
 struct GossipMessage
 {
     GossipMessage() = delete;
@@ -114,7 +135,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(c14fbc6b85aa253c, 2, 4)
+        CAPNP_DECLARE_STRUCT_HEADER(c14fbc6b85aa253c, 2, 5)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -512,6 +533,113 @@
 };
 #endif // !CAPNP_LITE
 
+class LeavingNews::Reader
+{
+public:
+    typedef LeavingNews Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasEndpoint() const;
+    inline ::capnp::Text::Reader getEndpoint() const;
+
+    inline ::int64_t getIncarnation() const;
+
+    inline ::uint64_t getAgeMs() const;
+
+private:
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class LeavingNews::Builder
+{
+public:
+    typedef LeavingNews Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasEndpoint();
+    inline ::capnp::Text::Builder getEndpoint();
+    inline void setEndpoint(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initEndpoint(unsigned int size);
+    inline void adoptEndpoint(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownEndpoint();
+
+    inline ::int64_t getIncarnation();
+    inline void setIncarnation(::int64_t value);
+
+    inline ::uint64_t getAgeMs();
+    inline void setAgeMs(::uint64_t value);
+
+private:
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LeavingNews::Pipeline
+{
+public:
+    typedef LeavingNews Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
 class GossipMessage::Reader
 {
 public:
@@ -551,6 +679,10 @@
 
     inline bool getIsProbe() const;
 
+    inline bool hasLeaving() const;
+    inline ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>::Reader
+    getLeaving() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -638,6 +770,20 @@
     inline bool getIsProbe();
     inline void setIsProbe(bool value);
 
+    inline bool hasLeaving();
+    inline ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>::Builder
+    getLeaving();
+    inline void setLeaving(
+        ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>::Builder
+    initLeaving(unsigned int size);
+    inline void adoptLeaving(
+        ::capnp::Orphan<::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>>
+            &&value);
+    inline ::capnp::Orphan<
+        ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>>
+    disownLeaving();
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -1085,6 +1231,73 @@
     _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LeavingNews::Reader::hasEndpoint() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LeavingNews::Builder::hasEndpoint()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader LeavingNews::Reader::getEndpoint() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder LeavingNews::Builder::getEndpoint()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LeavingNews::Builder::setEndpoint(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder LeavingNews::Builder::initEndpoint(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LeavingNews::Builder::adoptEndpoint(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> LeavingNews::Builder::disownEndpoint()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::int64_t LeavingNews::Reader::getIncarnation() const
+{
+    return _reader.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::int64_t LeavingNews::Builder::getIncarnation()
+{
+    return _builder.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LeavingNews::Builder::setIncarnation(::int64_t value)
+{
+    _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint64_t LeavingNews::Reader::getAgeMs() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t LeavingNews::Builder::getAgeMs()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LeavingNews::Builder::setAgeMs(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool GossipMessage::Reader::hasSender() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1315,6 +1528,58 @@
     _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool GossipMessage::Reader::hasLeaving() const
+{
+    return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipMessage::Builder::hasLeaving()
+{
+    return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>::Reader
+GossipMessage::Reader::getLeaving() const
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>>::
+        get(_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>::Builder
+GossipMessage::Builder::getLeaving()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>>::
+        get(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void GossipMessage::Builder::setLeaving(
+    ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>>::
+        set(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>::Builder
+GossipMessage::Builder::initLeaving(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>>::
+        init(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void GossipMessage::Builder::adoptLeaving(
+    ::capnp::Orphan<::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>>
+        &&value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>>::
+        adopt(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>>
+GossipMessage::Builder::disownLeaving()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>>::
+        disown(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 } // namespace schema
 } // namespace monsoongrade
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -112,7 +112,9 @@
 void Exchange::send()
 {
     const units::TimePoint now = state_.timers.now();
-    if (endpoint_->leaving) {
+    const bool isLeaving = endpoint_->leaving
+        || state_.announcements.isLeaving(routing::instanceOf(endpoint_->registration));
+    if (isLeaving) {
         // The endpoint began to leave during connection setup.
         onAttemptFailed(units::ResultCode::EndpointRefused, false);
         return;
--- a/src/gateway/exchangeannouncements.cpp
+++ b/src/gateway/exchangeannouncements.cpp
@@ -7,10 +7,7 @@
 void Exchange::readAnnouncements(const EndpointResponseInfo &answer)
 {
     if (answer.isLeaving && !answer.wrongEndpoint)
-        state_.log.write(observability::LogLevel::Info, "endpoint-announced-leaving",
-                         {{"endpoint", endpoint_->registration.id.value()},
-                          {"request", metadata_.id.value()},
-                          {"known", endpoint_->leaving ? "yes" : "no"}});
+        onLeavingAnnounced();
     if (answer.pause)
         state_.log.write(observability::LogLevel::Info, "endpoint-asked-for-pause",
                          {{"endpoint", endpoint_->registration.id.value()},
@@ -22,6 +19,19 @@
             {{"endpoint", endpoint_->registration.id.value()}, {"request", metadata_.id.value()}});
 }
 
+// An endpoint says so in all responses from then on; the first one is logged.
+void Exchange::onLeavingAnnounced()
+{
+    const routing::EndpointInstance instance = routing::instanceOf(endpoint_->registration);
+    if (!state_.announcements.setLeaving(instance, state_.timers.now()))
+        return;
+    state_.log.write(observability::LogLevel::Info, "endpoint-announced-leaving",
+                     {{"endpoint", instance.id.value()},
+                      {"request", metadata_.id.value()},
+                      {"known", endpoint_->leaving ? "yes" : "no"}});
+    state_.registry.onLeavingAnnounced(instance);
+}
+
 // A rejection without a limit is ignored: the part of the endpoint that sent it may not know the
 // limit.
 void Exchange::updateLimit()
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -122,6 +122,7 @@
     }
     gossip_.onRound([this] { onGossipRound(); });
     gossip_.onLimit([this](const routing::RateLimitUpdate &update) { onRateLimitUpdate(update); });
+    gossip_.onLeaving([this](const routing::LeavingUpdate &update) { onLeavingUpdate(update); });
     gossip_.start();
     state_.placement.start();
     if (state_.usage != nullptr)
@@ -270,6 +271,15 @@
         state_.placement.setLimit(*endpoint, update.limit);
 }
 
+void Gateway::onLeavingUpdate(const routing::LeavingUpdate &update)
+{
+    if (!state_.announcements.setLeaving(update.endpoint, timers_.now() - update.age))
+        return;
+    state_.log.write(observability::LogLevel::Info, "endpoint-leaving-learned",
+                     {{"endpoint", update.endpoint.id.value()}});
+    state_.registry.onLeavingAnnounced(update.endpoint);
+}
+
 std::vector<routing::PeerUpdate> Gateway::hosts() const
 {
     std::vector<routing::PeerUpdate> hosts = gossip_.live();
@@ -366,34 +376,4 @@
     observability::log(observability::LogLevel::Info, "settings-reloaded", {});
 }
 
-void Gateway::serveMetrics(const httpio::ServerRequest &request, httpio::ResponseWriter &reply)
-{
-    if (request.head.target != "/metrics") {
-        reply.respond(404, {}, "");
-        return;
-    }
-    observability::Metrics &metrics = state_.log.metrics;
-    metrics.set("monsoongrade_gateway_requests_in_flight", "", double(state_.openRequests));
-    metrics.set("monsoongrade_gateway_caller_connections", "", double(callers_->connections()));
-    metrics.set("monsoongrade_gateway_endpoint_connections_opened", "",
-                double(state_.connections.opened()));
-    metrics.set("monsoongrade_gateway_endpoint_connections_idle", "",
-                double(state_.connections.idle()));
-    metrics.set("monsoongrade_gateway_endpoints_known", "", double(state_.registry.size()));
-    metrics.set("monsoongrade_gateway_requests_quarantined", "",
-                double(state_.crashes.quarantinedCount(timers_.now())));
-    metrics.set("monsoongrade_gateway_endpoints_limited", "",
-                double(state_.announcements.limited()));
-    metrics.set("monsoongrade_gateway_live_hosts", "", double(state_.liveHosts));
-    metrics.set("monsoongrade_gateway_hosts_compared_total", "", double(hostsCompared_.value()));
-    metrics.set("monsoongrade_gateway_fleet_cells", "", double(division().cells()));
-    metrics.set("monsoongrade_gateway_own_cell", "", double(division().cellOf(settings_.ip)));
-    metrics.set("monsoongrade_gateway_serving", "", isServing() ? 1 : 0);
-    const units::Duration age = state_.lease.age(timers_.now());
-    if (age != units::Duration::max())
-        metrics.set("monsoongrade_gateway_configuration_age_seconds", "",
-                    std::chrono::duration<double>(age).count());
-    reply.respond(200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.exposition());
-}
-
 } // namespace monsoongrade::gateway
--- a/src/gateway/internal/gossipmessages.cpp
+++ b/src/gateway/internal/gossipmessages.cpp
@@ -91,4 +91,20 @@
     return update;
 }
 
+void encodeLeaving(schema::LeavingNews::Builder leaving, const routing::LeavingUpdate &update)
+{
+    leaving.setEndpoint(update.endpoint.id.value());
+    leaving.setIncarnation(update.endpoint.incarnation.value());
+    leaving.setAgeMs(inMilliseconds(update.age));
+}
+
+routing::LeavingUpdate decodeLeaving(schema::LeavingNews::Reader leaving)
+{
+    routing::LeavingUpdate update;
+    update.endpoint = {units::EndpointId(leaving.getEndpoint()),
+                       routing::Incarnation(leaving.getIncarnation())};
+    update.age = std::chrono::milliseconds(leaving.getAgeMs());
+    return update;
+}
+
 } // namespace monsoongrade::gateway::internal
--- a/src/gateway/internal/gossipmessages.h
+++ b/src/gateway/internal/gossipmessages.h
@@ -2,6 +2,7 @@
 #define MONSOONGRADE_SRC_GATEWAY_INTERNAL_GOSSIPMESSAGES_H
 
 #include <monsoongrade/routing/crashupdate.h>
+#include <monsoongrade/routing/leavingupdate.h>
 #include <monsoongrade/routing/peertable.h>
 #include <monsoongrade/routing/ratelimitupdate.h>
 
@@ -23,6 +24,9 @@
 void encodeLimit(schema::LimitNews::Builder limit, const routing::RateLimitUpdate &update);
 std::optional<routing::RateLimitUpdate> decodeLimit(schema::LimitNews::Reader limit);
 
+void encodeLeaving(schema::LeavingNews::Builder leaving, const routing::LeavingUpdate &update);
+routing::LeavingUpdate decodeLeaving(schema::LeavingNews::Reader leaving);
+
 } // namespace monsoongrade::gateway::internal
 
 #endif // MONSOONGRADE_SRC_GATEWAY_INTERNAL_GOSSIPMESSAGES_H
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -21,9 +21,10 @@
 // Used while no other host is known. Hosts that start together do so within 0.3 s, and the seed
 // host may be the last of them.
 constexpr auto FirstRoundInterval = std::chrono::milliseconds(20);
-// Entries have about 45 and 30 bytes, so that the packet stays below 1,400 bytes.
+// Entries have about 45, 30 and 25 bytes, so that the packet stays below 1,400 bytes.
 constexpr std::size_t MaxCrashes = 20;
-constexpr std::size_t MaxLimits = 10;
+constexpr std::size_t MaxLimits = 5;
+constexpr std::size_t MaxLeaving = 10;
 
 } // namespace
 
@@ -101,27 +102,30 @@
     if (round.recipients.empty())
         return;
     const std::string datagram = encode(round.updates);
-    const std::vector<routing::CrashUpdate> crashes
-        = crashes_.takeUpdates(MaxCrashes, timers_.now());
-    const std::vector<routing::RateLimitUpdate> limits
-        = announcements_.takeLimitUpdates(MaxLimits, timers_.now());
-    const bool hasUpdates = !crashes.empty() || !limits.empty();
-    const std::string updates = hasUpdates ? encodeUpdates(crashes, limits) : std::string();
+    const Updates updates{crashes_.takeUpdates(MaxCrashes, timers_.now()),
+                          announcements_.takeLimitUpdates(MaxLimits, timers_.now()),
+                          announcements_.takeLeavingUpdates(MaxLeaving, timers_.now())};
     for (const std::string &ip : round.recipients) {
         send(ip, datagram);
-        if (hasUpdates)
-            send(ip, updates);
+        send(ip, updates);
     }
 }
 
-// Also sends the quarantined requests, which a host that has just started does not know.
+// Also sends the quarantined requests and leaving endpoints, which a host that has just started
+// does not know.
 void PeerGossip::sendInitialState(const std::string &joiningHost)
 {
     send(joiningHost, encode(planner_.updatesForJoiningHost(table_, timers_.now())));
-    const std::vector<routing::CrashUpdate> crashes
-        = crashes_.quarantineUpdates(MaxCrashes, timers_.now());
-    if (!crashes.empty())
-        send(joiningHost, encodeUpdates(crashes, {}));
+    send(joiningHost,
+         Updates{crashes_.quarantineUpdates(MaxCrashes, timers_.now()),
+                 {},
+                 announcements_.latestLeaving(MaxLeaving, timers_.now())});
+}
+
+void PeerGossip::send(const std::string &ip, const Updates &updates)
+{
+    if (!updates.crashes.empty() || !updates.limits.empty() || !updates.leaving.empty())
+        send(ip, encode(updates));
 }
 
 void PeerGossip::send(const std::string &ip, const std::string &datagram)
@@ -177,18 +181,20 @@
     return internal::serializePacked(message);
 }
 
-std::string PeerGossip::encodeUpdates(const std::vector<routing::CrashUpdate> &crashes,
-                                      const std::vector<routing::RateLimitUpdate> &limits) const
+std::string PeerGossip::encode(const Updates &updates) const
 {
     capnp::MallocMessageBuilder message;
     auto root = message.initRoot<schema::GossipMessage>();
     internal::encodePeer(root.initSender(), own());
-    auto crashList = root.initCrashes(unsigned(crashes.size()));
-    for (std::size_t i = 0; i < crashes.size(); ++i)
-        internal::encodeCrash(crashList[unsigned(i)], crashes[i]);
-    auto limitList = root.initLimits(unsigned(limits.size()));
-    for (std::size_t i = 0; i < limits.size(); ++i)
-        internal::encodeLimit(limitList[unsigned(i)], limits[i]);
+    auto crashes = root.initCrashes(unsigned(updates.crashes.size()));
+    for (std::size_t i = 0; i < updates.crashes.size(); ++i)
+        internal::encodeCrash(crashes[unsigned(i)], updates.crashes[i]);
+    auto limits = root.initLimits(unsigned(updates.limits.size()));
+    for (std::size_t i = 0; i < updates.limits.size(); ++i)
+        internal::encodeLimit(limits[unsigned(i)], updates.limits[i]);
+    auto leaving = root.initLeaving(unsigned(updates.leaving.size()));
+    for (std::size_t i = 0; i < updates.leaving.size(); ++i)
+        internal::encodeLeaving(leaving[unsigned(i)], updates.leaving[i]);
     return internal::serializePacked(message);
 }
 
@@ -221,6 +227,10 @@
             if (update && onLimit_)
                 onLimit_(*update);
         }
+        for (const auto leaving : root.getLeaving()) {
+            if (onLeaving_)
+                onLeaving_(internal::decodeLeaving(leaving));
+        }
         for (const routing::PeerUpdate &update : received) {
             if (update.ip != settings_.ownIp)
                 table_.receive(update, timers_.now());
@@ -228,7 +238,7 @@
         if (!joiningHost.empty() && joiningHost != settings_.ownIp)
             sendInitialState(joiningHost);
         else if (root.getIsProbe())
-            send(sender_.address().to_string(), encode({}));
+            send(sender_.address().to_string(), encode(std::vector<routing::PeerUpdate>{}));
     });
     KJ_IF_MAYBE (exception, fault) {
         observability::log(observability::LogLevel::Warning, "gossip-unreadable",
--- a/src/routing/endpointregistry.cpp
+++ b/src/routing/endpointregistry.cpp
@@ -4,8 +4,9 @@
 
 namespace monsoongrade::routing {
 
-EndpointRegistry::EndpointRegistry(OnLeaving onLeaving)
+EndpointRegistry::EndpointRegistry(OnLeaving onLeaving, HasAnnouncedLeaving hasAnnouncedLeaving)
     : onLeaving_(std::move(onLeaving))
+    , hasAnnouncedLeaving_(std::move(hasAnnouncedLeaving))
 {
 }
 
@@ -43,7 +44,7 @@
     }
     missing_.erase(endpoint.id.value());
     entry.status->registration = endpoint;
-    if (endpoint.draining) {
+    if (isLeaving(endpoint)) {
         markLeaving(entry);
         return;
     }
@@ -61,6 +62,13 @@
     removeExpired(now);
 }
 
+void EndpointRegistry::onLeavingAnnounced(const EndpointInstance &endpoint)
+{
+    const auto found = entries_.find(endpoint.id.value());
+    if (found != entries_.end() && instanceOf(found->second.status->registration) == endpoint)
+        markLeaving(found->second);
+}
+
 void EndpointRegistry::removeExpired(units::TimePoint now)
 {
     for (auto missing = missing_.begin(); missing != missing_.end();) {
@@ -124,6 +132,12 @@
     return isSame ? found->second.status : nullptr;
 }
 
+bool EndpointRegistry::isLeaving(const DiscoveredEndpoint &endpoint) const
+{
+    return endpoint.draining
+        || (hasAnnouncedLeaving_ && hasAnnouncedLeaving_(instanceOf(endpoint)));
+}
+
 void EndpointRegistry::markLeaving(Entry &entry)
 {
     removeAvailable(entry.status);
--- a/tests/gateway/peergossip_test.cpp
+++ b/tests/gateway/peergossip_test.cpp
@@ -141,3 +141,28 @@
     fleet.hosts[1]->announcements.setLimit(endpoint, std::nullopt, fleet.hosts[1]->timers.now());
     REQUIRE(fleet.runUntil([&] { return received && !received->limit; }));
 }
+
+// Guards against a host that goes on choosing an endpoint which told only another one that it
+// leaves, also one that starts later.
+TEST_CASE("PeerGossip.LeavingOfAnEndpointReachesOtherHosts")
+{
+    Fleet fleet(3);
+    const routing::EndpointInstance endpoint{units::EndpointId("e1"), routing::Incarnation(7)};
+    std::optional<routing::LeavingUpdate> received;
+    const auto receive = [&](const routing::LeavingUpdate &update) {
+        received = update;
+    };
+    fleet.hosts[2]->gossip.onLeaving(receive);
+    fleet.hosts[1]->announcements.setLeaving(endpoint, fleet.hosts[1]->timers.now());
+    REQUIRE(fleet.runUntil([&] { return received.has_value(); }));
+    CHECK(received->endpoint == endpoint);
+    fleet.runUntil([&] {
+        return fleet.hosts[1]
+            ->announcements.takeLeavingUpdates(1, fleet.hosts[1]->timers.now())
+            .empty();
+    });
+    received.reset();
+    fleet.start(3);
+    fleet.hosts[3]->gossip.onLeaving(receive);
+    CHECK(fleet.runUntil([&] { return received.has_value(); }));
+}
