Endpoints that ask a host for a pause get none of its requests until it ends

What callers saw: overloaded engines rejected everything for nine seconds and got as many requests as before; a third of donation-appraisal was refused while eight of twelve engines had room. An endpoint that had asked a host for 3 s got six more requests of it in 1.9 s.

Cause: Retry-After in a rejection was not read. A rejection lowered the endpoint's rank a little; as it answers in milliseconds it had the least outstanding work, so it was chosen first.

Ruled out: retries of the gateway (no request reached an endpoint twice), the placing host's ignorance as the only cause (it broke the rule for its own callers).

EndpointAnnouncements keeps the end of the pause by instance, for this host only. A query names the endpoints that the requesting host must spare, and the host checks again before it sends. If all of a pool are paused, callers are told to return after the first pause ends.

--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -60,6 +60,9 @@
     void countUsage();
     void readAnnouncements(const EndpointResponseInfo &answer);
     void onLeavingAnnounced();
+    void onPauseAnnounced(std::chrono::duration<double> pause);
+    std::vector<units::EndpointId> pausedEndpoints() const;
+    std::optional<units::Duration> pauseOfPool() const;
     void updateLimit();
 
     // Failures
@@ -68,6 +71,7 @@
     bool canRetry();
     void giveUp(routing::NextStep step, units::ResultCode reason);
     void refuse(int status, units::ResultCode reason, bool mayRetry);
+    std::optional<units::Duration> retryAfter(units::ResultCode reason);
     void startSilenceTimer(units::Duration limit);
     void onSilenceTimeout();
     void onDeadline();
@@ -122,7 +126,8 @@
     int totalSends_ = 0; // counted against the retry budget
     bool mayHaveRun_ = false;
     bool isUsageCounted_ = false; // an endpoint began to run the request
-    std::optional<units::Duration> retryDelay_; // given with a refused placement
+    // When the client should retry: given with a refused placement, or the end of a pause.
+    std::optional<units::Duration> retryDelay_;
     EventRelay events_;
     bool responseBegun_ = false;
     bool clientDisconnected_ = false;
--- a/include/monsoongrade/routing/endpointannouncements.h
+++ b/include/monsoongrade/routing/endpointannouncements.h
@@ -37,10 +37,25 @@
     // The latest of all, for a host that has just started or was disconnected.
     std::vector<LeavingUpdate> latestLeaving(std::size_t maxItems, units::TimePoint now) const;
 
+    // The endpoint rejected a request of this host and wants no other from it for this time. Each
+    // rejection counts by itself: a shorter pause does not end an earlier one.
+    void addPause(const EndpointInstance &endpoint, std::chrono::duration<double> pause,
+                  units::TimePoint now);
+    // Time until this host may send to the endpoint again; zero if it may now.
+    units::Duration pauseRemaining(const EndpointInstance &endpoint, units::TimePoint now) const;
+    // Instances that have asked this host for a pause which has not ended.
+    std::vector<EndpointInstance> paused(units::TimePoint now) const;
+
+    // Whether this host may send requests to the endpoint.
+    bool allowsRequests(const EndpointInstance &endpoint, units::TimePoint now) const
+    {
+        return !isLeaving(endpoint) && pauseRemaining(endpoint, now) == units::Duration::zero();
+    }
+
     // Number of endpoints that currently have a limit.
     std::size_t limited() const;
     std::size_t leaving() const { return leaving_.size(); }
-    std::size_t size() const { return limits_.size() + leaving_.size(); }
+    std::size_t size() const { return limits_.size() + leaving_.size() + pausedUntil_.size(); }
 
 private:
     struct Limit
@@ -58,6 +73,7 @@
 
     std::map<EndpointInstance, Limit> limits_;
     std::map<EndpointInstance, Leaving> leaving_;
+    std::map<EndpointInstance, units::TimePoint> pausedUntil_;
 };
 
 } // namespace monsoongrade::routing
--- a/include/monsoongrade/routing/placementquery.h
+++ b/include/monsoongrade/routing/placementquery.h
@@ -29,6 +29,9 @@
     bool poolServesShortPauses = false;
     // Endpoints that have already been tried; they are excluded.
     std::vector<units::EndpointId> tried;
+    // Endpoints that have asked the requesting host for a pause; excluded. Other hosts may send to
+    // them.
+    std::vector<units::EndpointId> paused;
     units::FailureDomain requesterDomain;
     // Time from the query until the first event is due, and until the client gives up.
     units::Duration targetIn{};
--- a/include/monsoongrade/routing/requestplacer.h
+++ b/include/monsoongrade/routing/requestplacer.h
@@ -31,6 +31,7 @@
     EndpointFailed, // its connection to the endpoint broke
     EndpointSilent, // still open, but its host receives nothing from the endpoint
     Withdrawn, // ended without a result that indicates the endpoint's health
+    EndpointPaused, // rejected: the endpoint asked the requesting host for a pause
 };
 
 struct PlacementChoice
@@ -89,7 +90,8 @@
     // Handles an event of a placed request. A failure that one host sees counts for all requests
     // placed here. EndpointSilent counts only if no host has had a result from the endpoint since
     // the request was placed: in an overload a first event takes longer than the silence timeout.
-    // Events of unknown tickets are ignored.
+    // EndpointPaused lowers the rank of the endpoint for all hosts, because it is likely to reject
+    // their requests too. Events of unknown tickets are ignored.
     void onEvent(const PlacementTicket &ticket, PlacementEvent event, units::TimePoint now);
     // True if place() would find an endpoint.
     bool hasEndpoint(const PlacementQuery &query,
--- a/schema/placement.capnp
+++ b/schema/placement.capnp
@@ -20,6 +20,8 @@
   givenUpInMs @9 :UInt32;
   needsShortPauses @10 :Bool;
   poolServesShortPauses @11 :Bool;
+  # Endpoints that have asked the asking host for a pause.
+  paused @12 :List(Text);
 }
 
 struct PlacementAnswer {
@@ -54,6 +56,7 @@
     endpointFailed @2;
     endpointSilent @3;
     withdrawn @4;
+    endpointPaused @5;
   }
 }
 
--- a/schema/placement.capnp.h
+++ b/schema/placement.capnp.h
@@ -28,6 +28,7 @@
     ENDPOINT_FAILED,
     ENDPOINT_SILENT,
     WITHDRAWN,
+    ENDPOINT_PAUSED,
 };
 CAPNP_DECLARE_ENUM(News, c65cf91165181e42);
 CAPNP_DECLARE_SCHEMA(aa410731b99bbd0a);
@@ -50,7 +51,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(ceb6b6014d2b2208, 4, 4)
+        CAPNP_DECLARE_STRUCT_HEADER(ceb6b6014d2b2208, 4, 5)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -260,6 +261,9 @@
 
     inline bool getPoolServesShortPauses() const;
 
+    inline bool hasPaused() const;
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getPaused() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -349,6 +353,15 @@
     inline bool getPoolServesShortPauses();
     inline void setPoolServesShortPauses(bool value);
 
+    inline bool hasPaused();
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getPaused();
+    inline void setPaused(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
+    inline void setPaused(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initPaused(unsigned int size);
+    inline void
+    adoptPaused(::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> disownPaused();
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -1457,6 +1470,55 @@
     _builder.setDataField<bool>(::capnp::bounded<225>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PlacementAsk::Reader::hasPaused() const
+{
+    return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool PlacementAsk::Builder::hasPaused()
+{
+    return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
+PlacementAsk::Reader::getPaused() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+        _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder PlacementAsk::Builder::getPaused()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void
+PlacementAsk::Builder::setPaused(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void PlacementAsk::Builder::setPaused(::kj::ArrayPtr<const ::capnp::Text::Reader> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+PlacementAsk::Builder::initPaused(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void PlacementAsk::Builder::adoptPaused(
+    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+PlacementAsk::Builder::disownPaused()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline ::uint64_t PlacementAnswer::Reader::getNumber() const
 {
     return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -44,6 +44,7 @@
     const units::TimePoint now = state_.timers.now();
     query_.targetIn = request_.receivedAt + route_->targetLatency - now;
     query_.expiresIn = std::min(deadline_, request_.receivedAt + route_->maxClientWait) - now;
+    query_.paused = pausedEndpoints();
     isPlacing_ = true;
     placementStartedAt_ = now;
     placementNumber_
@@ -112,10 +113,10 @@
 void Exchange::send()
 {
     const units::TimePoint now = state_.timers.now();
-    const bool isLeaving = endpoint_->leaving
-        || state_.announcements.isLeaving(routing::instanceOf(endpoint_->registration));
-    if (isLeaving) {
-        // The endpoint began to leave during connection setup.
+    const bool isAllowed = !endpoint_->leaving
+        && state_.announcements.allowsRequests(routing::instanceOf(endpoint_->registration), now);
+    if (!isAllowed) {
+        // The endpoint began to leave, or asked for a pause, after it was chosen.
         onAttemptFailed(units::ResultCode::EndpointRefused, false);
         return;
     }
@@ -325,6 +326,8 @@
             endpoint_->leaving = true;
             --sends_;
         }
+        if (answer_.pause)
+            releaseEndpoint(routing::PlacementEvent::EndpointPaused);
         onAttemptFailed(units::ResultCode::EndpointRefused, false);
         return;
     }
--- a/src/gateway/exchangeannouncements.cpp
+++ b/src/gateway/exchangeannouncements.cpp
@@ -1,5 +1,7 @@
 #include <monsoongrade/gateway/exchange.h>
 
+#include <algorithm>
+
 namespace monsoongrade::gateway {
 
 // A late response to an earlier request speaks of the same endpoint as one to this request. A
@@ -9,10 +11,7 @@
     if (answer.isLeaving && !answer.wrongEndpoint)
         onLeavingAnnounced();
     if (answer.pause)
-        state_.log.write(observability::LogLevel::Info, "endpoint-asked-for-pause",
-                         {{"endpoint", endpoint_->registration.id.value()},
-                          {"request", metadata_.id.value()},
-                          {"for-seconds", answer.pause->count()}});
+        onPauseAnnounced(*answer.pause);
     if (answer.isPauseUnreadable)
         state_.log.write(
             observability::LogLevel::Warning, "endpoint-pause-unreadable",
@@ -32,6 +31,43 @@
     state_.registry.onLeavingAnnounced(instance);
 }
 
+void Exchange::onPauseAnnounced(std::chrono::duration<double> pause)
+{
+    state_.announcements.addPause(routing::instanceOf(endpoint_->registration), pause,
+                                  state_.timers.now());
+    state_.log.write(observability::LogLevel::Info, "endpoint-asked-for-pause",
+                     {{"endpoint", endpoint_->registration.id.value()},
+                      {"request", metadata_.id.value()},
+                      {"for-seconds", pause.count()}});
+}
+
+std::vector<units::EndpointId> Exchange::pausedEndpoints() const
+{
+    std::vector<units::EndpointId> ids;
+    for (const routing::EndpointInstance &endpoint :
+         state_.announcements.paused(state_.timers.now())) {
+        const auto status = state_.registry.find(endpoint);
+        if (status != nullptr && status->registration.pool == pool_)
+            ids.push_back(endpoint.id);
+    }
+    return ids;
+}
+
+// Time until the first endpoint of the pool accepts requests of this host again; empty if one does
+// now, or if there is none.
+std::optional<units::Duration> Exchange::pauseOfPool() const
+{
+    std::optional<units::Duration> shortest;
+    for (const auto &endpoint : state_.registry.available(pool_)) {
+        const units::Duration remaining = state_.announcements.pauseRemaining(
+            routing::instanceOf(endpoint->registration), state_.timers.now());
+        if (remaining == units::Duration::zero())
+            return std::nullopt;
+        shortest = std::min(shortest.value_or(remaining), remaining);
+    }
+    return shortest;
+}
+
 // A rejection without a limit is ignored: the part of the endpoint that sent it may not know the
 // limit.
 void Exchange::updateLimit()
--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -126,17 +126,26 @@
 void Exchange::refuse(int status, units::ResultCode reason, bool mayRetry)
 {
     std::optional<units::Duration> delay;
-    if (reason == units::ResultCode::RequestQuarantined)
-        delay = quarantineRemaining();
-    else if (mayRetry)
-        delay = retryDelay_ ? routing::retryAfter(*retryDelay_, metadata_.id, timeLeft())
-                            : routing::retryAfter(reason, metadata_.id, timeLeft());
+    if (mayRetry || reason == units::ResultCode::RequestQuarantined)
+        delay = retryAfter(reason);
     const std::string body
         = std::to_string(int(reason)) + " " + std::string(units::resultCodeName(reason)) + "\n";
     reply_->respond(status, state_.headerCodec.gatewayHeaders(metadata_.id, delay), body);
     finish(mayRetry ? "refused" : "failed", status, reason);
 }
 
+std::optional<units::Duration> Exchange::retryAfter(units::ResultCode reason)
+{
+    if (reason == units::ResultCode::RequestQuarantined)
+        return quarantineRemaining();
+    const bool isForWantOfEndpoint = reason == units::ResultCode::EndpointRefused
+        || reason == units::ResultCode::NoEndpointAvailable;
+    if (!retryDelay_ && isForWantOfEndpoint)
+        retryDelay_ = pauseOfPool();
+    return retryDelay_ ? routing::retryAfter(*retryDelay_, metadata_.id, timeLeft())
+                       : routing::retryAfter(reason, metadata_.id, timeLeft());
+}
+
 void Exchange::startSilenceTimer(units::Duration limit)
 {
     state_.timers.cancel(silenceTimer_);
--- a/src/gateway/placementmessages.cpp
+++ b/src/gateway/placementmessages.cpp
@@ -12,12 +12,32 @@
 
 namespace {
 
+// Entries have about 14 bytes, so that the datagram stays below 1,400 bytes. An endpoint that is
+// left out may be chosen, and the requesting host then asks again without it.
+constexpr std::size_t MaxPausedInDatagram = 60;
+
 std::uint32_t inMilliseconds(units::Duration duration)
 {
     const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
     return std::uint32_t(std::max<std::int64_t>(count, 0));
 }
 
+// Sets as many ids as the list has elements.
+void setIds(capnp::List<capnp::Text>::Builder list, const std::vector<units::EndpointId> &ids)
+{
+    for (unsigned i = 0; i < list.size(); ++i)
+        list.set(i, ids[i].value());
+}
+
+std::vector<units::EndpointId> idsOf(capnp::List<capnp::Text>::Reader list)
+{
+    std::vector<units::EndpointId> ids;
+    ids.reserve(list.size());
+    for (const auto id : list)
+        ids.emplace_back(std::string(id));
+    return ids;
+}
+
 void write(const QueryMessage &from, schema::PlacementMessage::Builder root)
 {
     const routing::PlacementQuery &query = from.query;
@@ -33,9 +53,9 @@
     ask.setFailureDomain(query.requesterDomain.value());
     ask.setTargetInMs(inMilliseconds(query.targetIn));
     ask.setGivenUpInMs(inMilliseconds(query.expiresIn));
-    auto tried = ask.initTried(unsigned(query.tried.size()));
-    for (std::size_t i = 0; i < query.tried.size(); ++i)
-        tried.set(unsigned(i), query.tried[i].value());
+    setIds(ask.initTried(unsigned(query.tried.size())), query.tried);
+    const std::size_t paused = std::min(query.paused.size(), MaxPausedInDatagram);
+    setIds(ask.initPaused(unsigned(paused)), query.paused);
 }
 
 QueryMessage read(schema::PlacementAsk::Reader ask)
@@ -55,8 +75,8 @@
     query.targetIn = std::chrono::milliseconds(ask.getTargetInMs());
     query.expiresIn = std::chrono::milliseconds(ask.getGivenUpInMs());
     query.mayWait = true;
-    for (const auto tried : ask.getTried())
-        query.tried.emplace_back(std::string(tried));
+    query.tried = idsOf(ask.getTried());
+    query.paused = idsOf(ask.getPaused());
     return message;
 }
 
--- a/src/routing/endpointannouncements.cpp
+++ b/src/routing/endpointannouncements.cpp
@@ -16,6 +16,8 @@
 // Longer than an endpoint takes to stop, also during an outage of the store, which it waits for.
 constexpr auto LeavingRetention = std::chrono::hours(1);
 constexpr std::size_t MaxLeaving = 4096;
+// A longer pause is taken for a fault of the endpoint, which must not be lost for good.
+constexpr auto MaxPause = std::chrono::hours(1);
 
 } // namespace
 
@@ -120,4 +122,34 @@
     return updates;
 }
 
+void EndpointAnnouncements::addPause(const EndpointInstance &endpoint,
+                                     std::chrono::duration<double> pause, units::TimePoint now)
+{
+    for (auto entry = pausedUntil_.begin(); entry != pausedUntil_.end();)
+        entry = now >= entry->second ? pausedUntil_.erase(entry) : std::next(entry);
+    const auto bounded = std::min<std::chrono::duration<double>>(pause, MaxPause);
+    const units::TimePoint until = now + std::chrono::duration_cast<units::Duration>(bounded);
+    units::TimePoint &known = pausedUntil_[endpoint];
+    known = std::max(known, until);
+}
+
+units::Duration EndpointAnnouncements::pauseRemaining(const EndpointInstance &endpoint,
+                                                      units::TimePoint now) const
+{
+    const auto found = pausedUntil_.find(endpoint);
+    return found == pausedUntil_.end()
+        ? units::Duration::zero()
+        : std::max<units::Duration>(found->second - now, units::Duration::zero());
+}
+
+std::vector<EndpointInstance> EndpointAnnouncements::paused(units::TimePoint now) const
+{
+    std::vector<EndpointInstance> found;
+    for (const auto &[endpoint, until] : pausedUntil_) {
+        if (now < until)
+            found.push_back(endpoint);
+    }
+    return found;
+}
+
 } // namespace monsoongrade::routing
--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -46,6 +46,11 @@
     return units::spreadHash({part, endpoint.registration.id.value()});
 }
 
+bool contains(const std::vector<units::EndpointId> &ids, const units::EndpointId &id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
 double penalty(const EndpointStatus &endpoint, units::TimePoint now)
 {
     return endpoint.health.slowness(now) * (1 + FailurePenalty * endpoint.health.failureRate(now));
@@ -62,11 +67,9 @@
 bool RequestPlacer::isUsable(const EndpointStatus &endpoint, const PlacementQuery &query,
                              units::TimePoint now) const
 {
-    const bool wasTried
-        = std::find(query.tried.begin(), query.tried.end(), endpoint.registration.id)
-        != query.tried.end();
-    return !wasTried && !endpoint.leaving && endpoint.health.accepts(now)
-        && endpoint.rateLimiter.allows(shareFor(query), now);
+    const units::EndpointId &id = endpoint.registration.id;
+    return !contains(query.tried, id) && !contains(query.paused, id) && !endpoint.leaving
+        && endpoint.health.accepts(now) && endpoint.rateLimiter.allows(shareFor(query), now);
 }
 
 PlacementChoice RequestPlacer::place(const PlacementTicket &ticket, const PlacementQuery &query,
@@ -298,6 +301,9 @@
     case PlacementEvent::EndpointFailed:
         placed.endpoint->health.onFailure(now);
         break;
+    case PlacementEvent::EndpointPaused:
+        placed.endpoint->health.onErrorResponse(now);
+        break;
     case PlacementEvent::Withdrawn:
         break;
     }
--- a/tests/gateway/placementservice_test.cpp
+++ b/tests/gateway/placementservice_test.cpp
@@ -6,6 +6,7 @@
 
 #include <unistd.h>
 
+#include <optional>
 #include <set>
 #include <thread>
 
@@ -150,3 +151,27 @@
     }
     CHECK(numbers.size() == 6);
 }
+
+// Guards against a coordinator that chooses an endpoint which the requesting host must spare, and
+// against one that withholds it from the other hosts.
+TEST_CASE("PlacementService.PauseOfAnEndpointConcernsOnlyTheHostThatWasAsked")
+{
+    const std::vector<std::string> order{addressOf(0), addressOf(1)};
+    Host coordinator(0, order);
+    Host paused(1, order);
+    Host other(2, order);
+    routing::PlacementQuery query = longPrompt(1);
+    query.paused = {units::EndpointId("e")};
+    std::optional<bool> isPlacedForPaused;
+    std::optional<bool> isPlacedForOther;
+    paused.placement.place(query, [&](const auto &, const auto &choice) {
+        isPlacedForPaused = choice.endpoint != nullptr;
+    });
+    other.placement.place(longPrompt(2), [&](const auto &, const auto &choice) {
+        isPlacedForOther = choice.endpoint != nullptr;
+    });
+    runFor(milliseconds(100), {&coordinator, &paused, &other});
+    CHECK(isPlacedForPaused == false);
+    CHECK(isPlacedForOther == true);
+    CHECK(coordinator.metrics.counter("monsoongrade_gateway_placement_asks_total") == 2);
+}
--- a/tests/routing/endpointannouncements_test.cpp
+++ b/tests/routing/endpointannouncements_test.cpp
@@ -124,3 +124,35 @@
     announcements.takeLeavingUpdates(DatagramItems, Start + hours(2));
     CHECK(announcements.leaving() == 0);
 }
+
+// Guards against a rejection that ends the pause of an earlier one, and against a pause that keeps
+// a restarted endpoint out of use.
+TEST_CASE("EndpointAnnouncements.EachPauseLastsItsOwnTime")
+{
+    EndpointAnnouncements announcements;
+    announcements.addPause(instance("a"), seconds(3), Start);
+    announcements.addPause(instance("a"), milliseconds(500), Start + seconds(1));
+    CHECK_FALSE(announcements.allowsRequests(instance("a"), Start + milliseconds(2999)));
+    CHECK(announcements.allowsRequests(instance("a"), Start + seconds(3)));
+    CHECK(announcements.allowsRequests(instance("a", 2), Start + seconds(1)));
+    announcements.addPause(instance("a"), seconds(0), Start + seconds(4));
+    CHECK(announcements.allowsRequests(instance("a"), Start + seconds(4)));
+}
+
+// Guards against an endpoint that a wrong number takes out of use for good.
+TEST_CASE("EndpointAnnouncements.AbsurdPauseEnds")
+{
+    EndpointAnnouncements announcements;
+    announcements.addPause(instance("a"), std::chrono::duration<double>(1e300), Start);
+    CHECK_FALSE(announcements.allowsRequests(instance("a"), Start + minutes(30)));
+    CHECK(announcements.allowsRequests(instance("a"), Start + hours(2)));
+}
+
+TEST_CASE("EndpointAnnouncements.PausesThatEndedTakeNoMemory")
+{
+    EndpointAnnouncements announcements;
+    for (int i = 0; i < 1000; ++i)
+        announcements.addPause(instance(std::to_string(i)), seconds(1), Start + seconds(i));
+    CHECK(announcements.size() <= 2);
+    CHECK(announcements.paused(Start + seconds(999)).size() == 1);
+}
