--- a/tests/routing/placementburst_test.cpp
+++ b/tests/routing/placementburst_test.cpp
@@ -27,8 +27,11 @@
     const double all = double(plans.served()) / plans.asked;
     const double largest = double(plans.largestServed) / plans.largest;
     CHECK_MESSAGE(largest > all / 2, "served of the largest tenth ", largest, ", of all ", all,
-                  "; asked ", plans.asked, ", on time ", plans.onTime, ", late ", plans.firstLate,
-                  ", refused ", plans.refused, ", left ", plans.left, ", cut ", plans.cut);
+                  "; largest ", plans.largest, ", of them queued ", plans.largestQueued,
+                  ", refused after a wait ", plans.largestRefusedAfterWait, "; asked ", plans.asked,
+                  ", queued ", plans.queued, ", refused after a wait ", plans.refusedAfterWait,
+                  ", on time ", plans.onTime, ", late ", plans.firstLate, ", refused ",
+                  plans.refused, ", left ", plans.left, ", cut ", plans.cut);
     CHECK_MESSAGE(all < 0.95, "expected an overload, but served ", all);
 }
 
--- a/tests/routing/simulatedpool.cpp
+++ b/tests/routing/simulatedpool.cpp
@@ -132,13 +132,19 @@
     if (found == open_.end())
         return;
     Request &request = found->second;
+    SimulatedOutcome &outcome = outcomes_[request.kind->name];
+    const bool isLargest = isAmongLargest(request);
     if (choice.isWaiting) {
         queued_.insert(number);
+        ++outcome.queued;
+        outcome.largestQueued += isLargest ? 1 : 0;
         return;
     }
-    queued_.erase(number);
+    const bool hasWaited = queued_.erase(number) != 0;
     if (choice.endpoint == nullptr) {
-        ++outcomes_[request.kind->name].refused;
+        ++outcome.refused;
+        outcome.refusedAfterWait += hasWaited ? 1 : 0;
+        outcome.largestRefusedAfterWait += hasWaited && isLargest ? 1 : 0;
         open_.erase(found);
         return;
     }
--- a/tests/routing/simulatedpool.h
+++ b/tests/routing/simulatedpool.h
@@ -52,10 +52,14 @@
     int firstLate = 0; // completed, with a first event after its target
     int paused = 0; // completed with its first event in time, but with too long an event gap
     int refused = 0;
+    int refusedAfterWait = 0; // of the refused: those that had been queued
     int left = 0; // the caller left without an event
     int cut = 0; // the deadline passed during the stream
     int largest = 0; // the tenth of all requests with the largest own prompts
     int largestServed = 0;
+    int largestQueued = 0;
+    int largestRefusedAfterWait = 0;
+    int queued = 0;
 
     int served() const { return onTime + firstLate + paused; }
 };
