--- /dev/null
+++ b/src/routing/endpointchoice.cpp
@@ -0,0 +1,174 @@
+#include <monsoongrade/routing/requestplacer.h>
+
+#include <monsoongrade/units/stablehash.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace monsoongrade::routing {
+
+namespace {
+
+// While an endpoint prefills a chunk of a prompt, all its streams wait. A prefill therefore costs
+// its own tokens, plus this share of them for each stream: longer streams are more likely to be cut
+// when their endpoint is lost. A much larger share would protect streams at the price of prefilling
+// shared parts again elsewhere.
+constexpr double PrefillWeightPerStream = 0.3;
+constexpr double RepeatedPrefillWeight = 5;
+constexpr double DetourPenaltyWeight = 3;
+// Prefills up to this duration are never queued, as they delay others little. On fast engines this
+// exempts most long prompts too, so the longest ones bear most of an overload.
+constexpr auto LongPrefill = std::chrono::milliseconds(90);
+// An endpoint has room for a long prefill while its outstanding prefill is at most this: a short
+// request with a target of 250 ms can still be on time, and the endpoint does not become idle in
+// the 5 ms until the next placement. The request's own prefill is not counted, otherwise there
+// would never be room for the longest prompts.
+constexpr auto MaxBacklog = std::chrono::milliseconds(160);
+// Limit on the outstanding prefill of a reserved endpoint. When all clients return at once after
+// an outage, their short prompts would otherwise queue up on a single endpoint.
+constexpr auto MaxBacklogInReserve = std::chrono::milliseconds(120);
+// Factor added to the load of an endpoint that fails every request.
+constexpr double FailurePenalty = 20;
+
+std::uint64_t rankHash(const std::string &part, const EndpointStatus &endpoint)
+{
+    return units::spreadHash({part, endpoint.registration.id.value()});
+}
+
+bool contains(const std::vector<units::EndpointId> &ids, const units::EndpointId &id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+double penalty(const EndpointStatus &endpoint, units::TimePoint now)
+{
+    return endpoint.health.slowness(now) * (1 + FailurePenalty * endpoint.health.failureRate(now));
+}
+
+} // namespace
+
+// The coordinator places for all hosts and so may use the whole limit of a model pool's endpoint.
+double RequestPlacer::shareFor(const PlacementQuery &query) const
+{
+    return query.runsModel && !query.isLocalFallback ? 1 : ownShare_;
+}
+
+bool RequestPlacer::isUsable(const EndpointStatus &endpoint, const PlacementQuery &query,
+                             units::TimePoint now) const
+{
+    const units::EndpointId &id = endpoint.registration.id;
+    return !contains(query.tried, id) && !contains(query.paused, id) && !endpoint.leaving
+        && endpoint.health.accepts(now) && endpoint.rateLimiter.allows(shareFor(query), now);
+}
+
+bool RequestPlacer::hasRoomInReserve(const EndpointStatus &endpoint, std::int64_t maxBacklog) const
+{
+    return loads_.of(endpoint).tokensToRead < maxBacklog;
+}
+
+// The usable endpoints on the request's side of the reserve; if there are none, all usable ones.
+RequestPlacer::Candidates
+RequestPlacer::candidatesFor(const PlacementQuery &query,
+                             const std::vector<EndpointRegistry::Status> &available,
+                             units::TimePoint now)
+{
+    const ShortPauseReserve::Endpoints &reserved
+        = reserve_.endpoints(query.pool, available, now, query.poolServesShortPauses ? 1 : 0,
+                             query.needsShortPauses ? 1 : 0);
+    const std::int64_t maxBacklog = prefillRates_.of(query.pool).tokensIn(MaxBacklogInReserve, now);
+    Candidates usable;
+    Candidates byReserve;
+    for (const EndpointRegistry::Status &endpoint : available) {
+        if (!isUsable(*endpoint, query, now))
+            continue;
+        usable.push_back(&endpoint);
+        const bool isFull = query.needsShortPauses && !hasRoomInReserve(*endpoint, maxBacklog);
+        const bool isReserved = reserved.count(endpoint.get()) != 0;
+        if (isReserved == query.needsShortPauses && !isFull)
+            byReserve.push_back(&endpoint);
+    }
+    return byReserve.empty() ? usable : byReserve;
+}
+
+PlacementChoice
+RequestPlacer::chooseForModel(const PlacementQuery &query,
+                              const std::vector<EndpointRegistry::Status> &available,
+                              units::TimePoint now)
+{
+    const Candidates candidates = candidatesFor(query, available, now);
+    PlacementChoice choice;
+    double best = std::numeric_limits<double>::infinity();
+    const std::int64_t shared = query.promptTokens - query.ownTokens;
+    const PrefillRate &rate = prefillRates_.of(query.pool);
+    const std::int64_t longPrefill = rate.tokensIn(LongPrefill, now);
+    const std::int64_t maxBacklogTokens = rate.tokensIn(MaxBacklog, now);
+    const EndpointStatus *first = firstByHash(query, candidates);
+    const std::vector<PrefixCacheIndex::Holder> *holders = prefixCache_.holders(query.sharedPart);
+    const bool isCachedSomewhere
+        = std::any_of(candidates.begin(), candidates.end(), [&](const auto *endpoint) {
+              return PrefixCacheIndex::holds(holders, (*endpoint)->registration, now);
+          });
+    for (const EndpointRegistry::Status *candidate : candidates) {
+        const EndpointRegistry::Status &endpoint = *candidate;
+        const std::int64_t sharedToPrefill
+            = PrefixCacheIndex::holds(holders, endpoint->registration, now) ? 0 : shared;
+        const std::int64_t tokensToPrefill = query.ownTokens + sharedToPrefill;
+        const EndpointLoad load = loads_.of(*endpoint);
+        // Penalty for deviating from the default choice: a host that places locally, or a new
+        // coordinator, looks for the part on the first endpoint by hash.
+        const double detourPenalty = isCachedSomewhere
+            ? double(sharedToPrefill) * RepeatedPrefillWeight
+            : endpoint.get() == first ? 0.0
+                                      : double(shared) * DetourPenaltyWeight;
+        const double streamDelay = double(tokensToPrefill) * load.streams * PrefillWeightPerStream;
+        const double cost
+            = (double(load.tokensToRead + tokensToPrefill) + streamDelay + detourPenalty)
+            * penalty(*endpoint, now);
+        const bool hasRoom
+            = tokensToPrefill <= longPrefill || load.tokensToRead <= maxBacklogTokens;
+        if (cost < best) {
+            best = cost;
+            choice = {endpoint, tokensToPrefill};
+            choice.isWaiting = !hasRoom;
+        }
+    }
+    return choice;
+}
+
+const EndpointStatus *RequestPlacer::firstByHash(const PlacementQuery &query,
+                                                 const Candidates &candidates)
+{
+    const EndpointStatus *first = nullptr;
+    std::uint64_t firstHash = 0;
+    for (const EndpointRegistry::Status *endpoint : candidates) {
+        const std::uint64_t hash = rankHash(query.sharedPart, **endpoint);
+        if (first == nullptr || hash > firstHash) {
+            first = endpoint->get();
+            firstHash = hash;
+        }
+    }
+    return first;
+}
+
+PlacementChoice
+RequestPlacer::chooseLeastLoaded(const PlacementQuery &query,
+                                 const std::vector<EndpointRegistry::Status> &available,
+                                 units::TimePoint now) const
+{
+    PlacementChoice choice;
+    double best = std::numeric_limits<double>::infinity();
+    for (const EndpointRegistry::Status &endpoint : available) {
+        const EndpointLoad load = loads_.of(*endpoint);
+        if (!isUsable(*endpoint, query, now) || load.openRequests >= endpoint->registration.slots)
+            continue;
+        const bool isNear = endpoint->registration.failureDomain == query.requesterDomain;
+        const double cost = (1 + load.openRequests) * penalty(*endpoint, now) + (isNear ? 0 : 0.5);
+        if (cost < best) {
+            best = cost;
+            choice.endpoint = endpoint;
+        }
+    }
+    return choice;
+}
+
+} // namespace monsoongrade::routing
