Short prefills lose their precedence while the largest prompts are refused

Cause, two of them. Prefills up to 90 ms never waited, on any engine; at 264 tokens a millisecond that is 95 of 100 prompts, so the rest bore nearly all refusals. And the cost of streams that wait for a prefill grew with the request's own size, so each long prompt waited for the one endpoint with the fewest streams while others had room. Class of fault: a figure of one engine in decision code.

Evidence: 422 of 552 largest were refused on arrival, 47 after a wait, so room in the endpoints was not it.

SizeFairness measures, by pool and tier, how often the largest tenth of recent prompts is placed against all, and takes the precedence of short ones down while that is below 0.6 and up above 0.7 (start 1, bounds 0 and 1, half life 2 s, expires after 60 s). It scales both causes. A prefill is also long if it is over 0.75 of the size that a token belongs to, learned from the pool: at 1,000 tokens a millisecond nothing was ever queued before.

The price is plain: at 157 and above fewer requests are served in all, as one of the largest takes the engine time of many small ones.

--- a/include/monsoongrade/routing/prefillqueue.h
+++ b/include/monsoongrade/routing/prefillqueue.h
@@ -37,7 +37,7 @@
     // The next requests to place, in order.
     std::vector<PlacementTicket> next(std::size_t maxCount, units::TimePoint now);
     // Removes and returns requests that can't complete before their clients give up.
-    std::vector<PlacementTicket> takeExpired(std::size_t maxCount, units::TimePoint now);
+    std::vector<Waiting> takeExpired(std::size_t maxCount, units::TimePoint now);
     // Tokens of the requests ahead of a new one of the tier.
     TokensAhead tokensAhead(units::Tier tier) const;
     // The requests that wait for the same shared part.
--- a/include/monsoongrade/routing/requestplacer.h
+++ b/include/monsoongrade/routing/requestplacer.h
@@ -6,8 +6,10 @@
 #include <monsoongrade/routing/placementquery.h>
 #include <monsoongrade/routing/prefillqueue.h>
 #include <monsoongrade/routing/prefillrate.h>
+#include <monsoongrade/routing/prefillsizes.h>
 #include <monsoongrade/routing/prefixcacheindex.h>
 #include <monsoongrade/routing/shortpausereserve.h>
+#include <monsoongrade/routing/sizefairness.h>
 
 #include <map>
 #include <optional>
@@ -154,6 +156,8 @@
     PrefillQueue queue_;
     WaitForecaster forecaster_;
     ShortPauseReserve reserve_;
+    std::unordered_map<std::string, PrefillSizes> prefillSizes_; // by pool
+    SizeFairnessByTier sizeFairness_;
     units::TimePoint nextCleanupAt_{};
 };
 
--- a/src/routing/endpointchoice.cpp
+++ b/src/routing/endpointchoice.cpp
@@ -16,9 +16,11 @@
 constexpr double PrefillWeightPerStream = 0.3;
 constexpr double RepeatedPrefillWeight = 5;
 constexpr double DetourPenaltyWeight = 3;
-// Prefills up to this duration are never queued, as they delay others little. On fast engines this
-// exempts most long prompts too, so the longest ones bear most of an overload.
+// Prefills are never queued if they are at most this long, as they delay others little, and at most
+// this share of the size that a token belongs to on average. On engines so fast that nearly all
+// prefills are short by time alone, the largest ones would bear all of an overload.
 constexpr auto LongPrefill = std::chrono::milliseconds(90);
+constexpr double LongShareOfMean = 0.75;
 // An endpoint has room for a long prefill while its outstanding prefill is at most this: a short
 // request with a target of 250 ms can still be on time, and the endpoint does not become idle in
 // the 5 ms until the next placement. The request's own prefill is not counted, otherwise there
@@ -100,7 +102,11 @@
     double best = std::numeric_limits<double>::infinity();
     const std::int64_t shared = query.promptTokens - query.ownTokens;
     const PrefillRate &rate = prefillRates_.of(query.pool);
-    const std::int64_t longPrefill = rate.tokensIn(LongPrefill, now);
+    const double precedence = sizeFairness_.of(query.pool, query.tier).shortPrecedence(now);
+    const PrefillSizes &sizes = prefillSizes_[query.pool.value()];
+    const auto longByTime = double(rate.tokensIn(LongPrefill, now));
+    const double longBySize = sizes.meanByTokens(now).value_or(longByTime) * LongShareOfMean;
+    const double longPrefill = precedence * std::min(longByTime, longBySize);
     const std::int64_t maxBacklogTokens = rate.tokensIn(MaxBacklog, now);
     const EndpointStatus *first = firstByHash(query, candidates);
     const std::vector<PrefixCacheIndex::Holder> *holders = prefixCache_.holders(query.sharedPart);
@@ -120,12 +126,16 @@
             ? double(sharedToPrefill) * RepeatedPrefillWeight
             : endpoint.get() == first ? 0.0
                                       : double(shared) * DetourPenaltyWeight;
-        const double streamDelay = double(tokensToPrefill) * load.streams * PrefillWeightPerStream;
+        // With its own size alone, each long prompt would wait for the endpoint with the fewest
+        // streams while others have room.
+        const double delayingTokens = precedence * double(tokensToPrefill)
+            + (1 - precedence) * sizes.mean(now).value_or(double(tokensToPrefill));
+        const double streamDelay = delayingTokens * load.streams * PrefillWeightPerStream;
         const double cost
             = (double(load.tokensToRead + tokensToPrefill) + streamDelay + detourPenalty)
             * penalty(*endpoint, now);
         const bool hasRoom
-            = tokensToPrefill <= longPrefill || load.tokensToRead <= maxBacklogTokens;
+            = double(tokensToPrefill) <= longPrefill || load.tokensToRead <= maxBacklogTokens;
         if (cost < best) {
             best = cost;
             choice = {endpoint, tokensToPrefill};
--- a/src/routing/prefillqueue.cpp
+++ b/src/routing/prefillqueue.cpp
@@ -77,15 +77,16 @@
     return tickets;
 }
 
-std::vector<PlacementTicket> PrefillQueue::takeExpired(std::size_t maxCount, units::TimePoint now)
+std::vector<PrefillQueue::Waiting> PrefillQueue::takeExpired(std::size_t maxCount,
+                                                             units::TimePoint now)
 {
-    std::vector<PlacementTicket> tickets;
-    while (!byExpiry_.empty() && tickets.size() < maxCount
+    std::vector<Waiting> expired;
+    while (!byExpiry_.empty() && expired.size() < maxCount
            && byExpiry_.begin()->first <= now + MinUsefulTime) {
-        tickets.push_back(byExpiry_.begin()->second);
-        remove(tickets.back());
+        expired.push_back(waiting_.at(byExpiry_.begin()->second).waiting);
+        remove(expired.back().ticket);
     }
-    return tickets;
+    return expired;
 }
 
 TokensAhead PrefillQueue::tokensAhead(units::Tier tier) const
--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -52,6 +52,7 @@
         queue_.add(ticket, query, choice.tokensToRead, now);
         return choice;
     }
+    sizeFairness_.of(query.pool, query.tier).onRefused(query.promptTokens, now);
     choice = {};
     choice.retryDelay = forecast.retryDelay;
     return choice;
@@ -72,6 +73,10 @@
     loads_.add(endpoint, choice.tokensToRead);
     if (query.needsShortPauses)
         reserve_.onStreamOpened(endpoint.registration.pool);
+    if (query.runsModel) {
+        prefillSizes_[query.pool.value()].add(choice.tokensToRead, now);
+        sizeFairness_.of(query.pool, query.tier).onPlaced(query.promptTokens, now);
+    }
     if (query.runsModel && !query.sharedPart.empty()) {
         const DiscoveredEndpoint &registration = endpoint.registration;
         if (prefixCache_.recordSent(query.sharedPart, registration, now))
@@ -98,8 +103,10 @@
         placed.emplace_back(ticket, commit(ticket, query, std::move(choice), now));
         return true;
     };
-    for (const PlacementTicket &ticket : queue_.takeExpired(MaxTriedPerCall, now)) {
-        placed.emplace_back(ticket, PlacementChoice{});
+    for (const PrefillQueue::Waiting &expired : queue_.takeExpired(MaxTriedPerCall, now)) {
+        const PlacementQuery &query = expired.query;
+        sizeFairness_.of(query.pool, query.tier).onRefused(query.promptTokens, now);
+        placed.emplace_back(expired.ticket, PlacementChoice{});
         placed.back().second.retryDelay = units::Duration::zero();
     }
     for (const PlacementTicket &ticket : queue_.next(MaxTriedPerCall, now)) {
--- a/tests/routing/placementburst_test.cpp
+++ b/tests/routing/placementburst_test.cpp
@@ -73,3 +73,13 @@
 {
     checkThatLongPromptsAreServed(264);
 }
+
+TEST_CASE("PlacementBurst.LongPromptsAreServedOnEnginesOf157TokensAMillisecond")
+{
+    checkThatLongPromptsAreServed(157);
+}
+
+TEST_CASE("PlacementBurst.LongPromptsAreServedOnEnginesOf1000TokensAMillisecond")
+{
+    checkThatLongPromptsAreServed(1000);
+}
--- a/tests/routing/prefillqueue_test.cpp
+++ b/tests/routing/prefillqueue_test.cpp
@@ -81,7 +81,7 @@
     CHECK(queue.takeExpired(9, Start + milliseconds(6900)).empty());
     const auto expired = queue.takeExpired(9, Start + seconds(7));
     REQUIRE(expired.size() == 1);
-    CHECK(expired[0].number == 2);
+    CHECK(expired[0].ticket.number == 2);
     CHECK(numbers(queue, Start + seconds(7)).empty());
     CHECK(queue.isEmpty());
     CHECK(queue.withSharedPart("p").empty());
