Soak: endpoints that announce leaving in responses only, and that ask for pauses

Two more kinds of fault and the two rules, checked from outside: nothing of a host reaches an endpoint 2 s after a response to it announced leaving, and at most two requests of a host within a pause. The stand-in of a worker does both on command.

--- a/soak/soakchecks.cpp
+++ b/soak/soakchecks.cpp
@@ -62,6 +62,7 @@
         checkRuns(*record, found);
         checkPlannedStop(*record, found);
     }
+    checkAnnouncements(found);
     checkShares(found);
     checkDuties(found);
     return found;
--- a/soak/soakplan.cpp
+++ b/soak/soakplan.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr int FaultKinds = 11;
+constexpr int FaultKinds = 13;
 constexpr int FaultsPerSecond = 1;
 constexpr int MinFaultMs = 300;
 constexpr int MaxFaultMs = 4000;
@@ -17,6 +17,20 @@
 
 } // namespace
 
+bool isOfEndpoint(FaultKind kind)
+{
+    switch (kind) {
+    case FaultKind::CutToEndpoint:
+    case FaultKind::CutFromEndpoint:
+    case FaultKind::EndpointLeaves:
+    case FaultKind::EndpointAnnouncesLeaving:
+    case FaultKind::EndpointAsksForPauses:
+        return true;
+    default:
+        return false;
+    }
+}
+
 std::string faultName(FaultKind kind)
 {
     switch (kind) {
@@ -42,6 +56,10 @@
         return "endpoint-leaves";
     case FaultKind::KeyRevoked:
         return "key-revoked";
+    case FaultKind::EndpointAnnouncesLeaving:
+        return "endpoint-announces-leaving";
+    case FaultKind::EndpointAsksForPauses:
+        return "endpoint-asks-for-pauses";
     }
     return "unknown";
 }
@@ -69,9 +87,7 @@
         const std::uint32_t lasts = MinFaultMs + below(MaxFaultMs - MinFaultMs);
         fault.endsAt = std::min<std::chrono::milliseconds>(
             fault.beginsAt + std::chrono::milliseconds(lasts), length - RecoveryTime);
-        const bool isOfEndpoint = fault.kind == FaultKind::CutToEndpoint
-            || fault.kind == FaultKind::CutFromEndpoint || fault.kind == FaultKind::EndpointLeaves;
-        fault.target = below(std::uint32_t(isOfEndpoint ? endpoints : hosts));
+        fault.target = below(std::uint32_t(isOfEndpoint(fault.kind) ? endpoints : hosts));
         faults.push_back(fault);
     }
     std::sort(faults.begin(), faults.end(),
--- a/soak/soakplan.h
+++ b/soak/soakplan.h
@@ -20,8 +20,12 @@
     CutFromEndpoint, // nothing gets back from it
     EndpointLeaves, // it says so in the store, and returns at the end
     KeyRevoked, // a new configuration takes a key away
+    EndpointAnnouncesLeaving, // it says so in its responses only, and restarts at the end
+    EndpointAsksForPauses, // it rejects all requests and asks for pauses
 };
 
+// Whether the fault's target is an endpoint; otherwise it is a host.
+bool isOfEndpoint(FaultKind kind);
 // Short name for the log.
 std::string faultName(FaultKind kind);
 
--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -17,6 +17,7 @@
 using standins::StoreBehavior;
 using std::chrono::milliseconds;
 
+constexpr auto AskedPause = milliseconds(3000);
 constexpr std::uint16_t CallersPort = 8001;
 constexpr std::size_t ModelEndpoints = 5;
 constexpr std::size_t Domains = 3;
@@ -249,6 +250,12 @@
         revokedAt_ = timers_.now();
         putConfiguration(2, false);
         break;
+    case FaultKind::EndpointAnnouncesLeaving:
+        endpoints_[fault.target]->announceLeavingInResponses();
+        break;
+    case FaultKind::EndpointAsksForPauses:
+        endpoints_[fault.target]->askForPauses(AskedPause);
+        break;
     }
 }
 
@@ -283,6 +290,12 @@
     case FaultKind::EndpointLeaves:
         endpoints_[fault.target]->announce("ready");
         break;
+    case FaultKind::EndpointAnnouncesLeaving:
+        endpoints_[fault.target]->restart();
+        break;
+    case FaultKind::EndpointAsksForPauses:
+        endpoints_[fault.target]->askForPauses(milliseconds(0));
+        break;
     }
 }
 
--- a/soak/soakrun.h
+++ b/soak/soakrun.h
@@ -67,6 +67,12 @@
     int runsOf(const std::string &id) const;
     void checkAnswer(const CallRecord &record, std::vector<std::string> &found) const;
     void checkRuns(const CallRecord &record, std::vector<std::string> &found) const;
+    const CallRecord &recordOf(const std::string &requestId) const;
+    void checkAnnouncements(std::vector<std::string> &found) const;
+    void checkArrivalsAfter(const standins::WorkerArrival &announcement, std::size_t endpoint,
+                            std::vector<std::string> &found) const;
+    bool isDisturbed(std::size_t host, std::size_t endpoint, units::TimePoint from,
+                     units::TimePoint until) const;
     void checkPlannedStop(const CallRecord &record, std::vector<std::string> &found) const;
     void checkDuties(std::vector<std::string> &found) const;
     void checkShares(std::vector<std::string> &found) const;
--- a/tests/platform_standin/standinworker.cpp
+++ b/tests/platform_standin/standinworker.cpp
@@ -42,10 +42,17 @@
          {"slots", settings_.slots},
          {"state", state},
          {"cold_remaining_ms", 0},
-         {"born", 1700000000000},
+         {"born", born_},
          {"sequence", ++sequence_}});
 }
 
+void StandInWorker::restart()
+{
+    ++born_;
+    isLeaving_ = false;
+    announce("ready");
+}
+
 void StandInWorker::removeEntry()
 {
     store_.remove("servers", settings_.id);
@@ -63,9 +70,14 @@
         reply->respond(421, response, "");
         return;
     }
-    if (isFull_ || running_ >= settings_.slots) {
+    arrivals_.push_back({id, born_, timers_.now(), isLeaving_, pause_});
+    if (isLeaving_)
+        response.emplace_back("Server-Leaving", "1");
+    if (isFull_ || running_ >= settings_.slots || pause_.count() > 0) {
         ++rejected_;
         response.emplace_back("Not-Executed", "1");
+        if (pause_.count() > 0)
+            response.emplace_back("Retry-After", std::to_string(double(pause_.count()) / 1000));
         reply->respond(503, response, "");
         return;
     }
--- a/tests/platform_standin/standinworker.h
+++ b/tests/platform_standin/standinworker.h
@@ -20,6 +20,16 @@
     httpio::Headers headers;
 };
 
+// A request that reached a worker, run or not, and what the response announced about the worker.
+struct WorkerArrival
+{
+    std::string requestId;
+    std::int64_t born = 0; // of the worker's incarnation
+    units::TimePoint at;
+    bool announcedLeaving = false;
+    std::chrono::milliseconds pause{}; // 0: none was asked for
+};
+
 // A worker of the platform: registers itself in the store, responds to plain requests after a
 // processing time and to stream requests with events, with the headers of the platform's workers.
 class StandInWorker
@@ -48,7 +58,15 @@
     // While full, requests are rejected as not run.
     void setFull(bool isFull) { isFull_ = isFull; }
 
+    // From now on all responses announce that the worker is leaving; the store is not told.
+    void announceLeavingInResponses() { isLeaving_ = true; }
+    // Starts again under the same id, as a new incarnation that has announced nothing.
+    void restart();
+    // Rejects all requests and asks each client for a pause; 0 ends that.
+    void askForPauses(std::chrono::milliseconds pause) { pause_ = pause; }
+
     const std::vector<WorkerRun> &runs() const { return runs_; }
+    const std::vector<WorkerArrival> &arrivals() const { return arrivals_; }
     int rejected() const { return rejected_; }
     // Clients that disconnected before the end of their response.
     int clientsDisconnected() const { return clientsDisconnected_; }
@@ -67,7 +85,11 @@
     httpio::ServerLimits limits_;
     httpio::Server server_;
     std::vector<WorkerRun> runs_;
+    std::vector<WorkerArrival> arrivals_;
     bool isFull_ = false;
+    bool isLeaving_ = false;
+    std::chrono::milliseconds pause_{};
+    std::int64_t born_ = 1700000000000;
     int running_ = 0;
     int rejected_ = 0;
     int clientsDisconnected_ = 0;
