Soak: given faults can be played, and endpoints restart under their ids

Endpoints restart under their id as a fault of its own; the stand-in of a worker now shows the time of its start in "born", as the platform's do. Before, a restart came only with the end of an announcement of leaving. The check of leaving says how long after which response a request was sent, and reports a request once, where it did so for each earlier announcement.

--- a/soak/announcementchecks.cpp
+++ b/soak/announcementchecks.cpp
@@ -31,38 +31,56 @@
 {
     for (std::size_t endpoint = 0; endpoint < endpoints_.size(); ++endpoint) {
         for (const standins::WorkerArrival &arrival : endpoints_[endpoint]->arrivals()) {
-            if (arrival.announcedLeaving || arrival.pause.count() > 0)
-                checkArrivalsAfter(arrival, endpoint, found);
+            checkLeaving(arrival, endpoint, found);
+            if (arrival.pause.count() > 0)
+                checkPause(arrival, endpoint, found);
         }
     }
 }
 
-void SoakRun::checkArrivalsAfter(const standins::WorkerArrival &announcement, std::size_t endpoint,
-                                 std::vector<std::string> &found) const
+// Reports the arrival if the same process had announced to the same host long before that it is
+// leaving.
+void SoakRun::checkLeaving(const standins::WorkerArrival &arrival, std::size_t endpoint,
+                           std::vector<std::string> &found) const
 {
-    const CallRecord &told = recordOf(announcement.requestId);
-    const bool wasPassedOn
-        = told.isEnded && told.signature.rfind(endpointParty(endpoint) + ".", 0) == 0;
-    int arrivalsInPause = 0;
-    for (const standins::WorkerArrival &later : endpoints_[endpoint]->arrivals()) {
-        const CallRecord &record = recordOf(later.requestId);
-        if (later.born != announcement.born || record.host != told.host
-            || isDisturbed(told.host, endpoint, announcement.at, later.at))
+    const CallRecord &record = recordOf(arrival.requestId);
+    for (const standins::WorkerArrival &earlier : endpoints_[endpoint]->arrivals()) {
+        const CallRecord &told = recordOf(earlier.requestId);
+        if (!earlier.announcedLeaving || earlier.born != arrival.born || told.host != record.host
+            || !wasPassedOn(earlier, endpoint) || record.sentAt <= told.endedAt + LeavesWithin
+            || isDisturbed(told.host, endpoint, earlier.at, arrival.at))
             continue;
-        if (announcement.announcedLeaving && wasPassedOn
-            && record.sentAt > told.endedAt + LeavesWithin)
-            found.push_back(record.id + ": reached " + endpointParty(endpoint)
-                            + ", which had said to its host that it leaves");
-        if (later.at > announcement.at + InFlightTime
-            && later.at < announcement.at + announcement.pause)
-            ++arrivalsInPause;
+        const auto since
+            = std::chrono::duration_cast<milliseconds>(record.sentAt - told.endedAt).count();
+        found.push_back(record.id + ": reached " + endpointParty(endpoint) + " from "
+                        + hostParty(record.host) + ", sent " + std::to_string(since)
+                        + " ms after a response of it that announced leaving (" + told.id + ")");
+        return;
     }
-    if (arrivalsInPause > MaxArrivalsInPause)
+}
+
+void SoakRun::checkPause(const standins::WorkerArrival &rejection, std::size_t endpoint,
+                         std::vector<std::string> &found) const
+{
+    const CallRecord &told = recordOf(rejection.requestId);
+    const auto &arrivals = endpoints_[endpoint]->arrivals();
+    const auto count = std::count_if(arrivals.begin(), arrivals.end(), [&](const auto &later) {
+        return later.born == rejection.born && recordOf(later.requestId).host == told.host
+            && later.at > rejection.at + InFlightTime && later.at < rejection.at + rejection.pause
+            && !isDisturbed(told.host, endpoint, rejection.at, later.at);
+    });
+    if (count > MaxArrivalsInPause)
         found.push_back(told.id + ": " + endpointParty(endpoint)
-                        + " asked its host for a pause and got " + std::to_string(arrivalsInPause)
+                        + " asked its host for a pause and got " + std::to_string(count)
                         + " requests");
 }
 
+bool SoakRun::wasPassedOn(const standins::WorkerArrival &arrival, std::size_t endpoint) const
+{
+    const CallRecord &record = recordOf(arrival.requestId);
+    return record.isEnded && record.signature.rfind(endpointParty(endpoint) + ".", 0) == 0;
+}
+
 // A host that is killed or frozen forgets what it was told, or acts late; a response may not get
 // through a cut.
 bool SoakRun::isDisturbed(std::size_t host, std::size_t endpoint, units::TimePoint from,
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,3 +1,4 @@
+#include "soakparties.h"
 #include "soakrun.h"
 
 #include <CLI/CLI.hpp>
@@ -6,6 +7,12 @@
 #include <filesystem>
 #include <iostream>
 
+namespace {
+
+constexpr int ExitBadCommandLine = 2;
+
+} // namespace
+
 // Plays seeded runs of faults against real gateways; see soak/README.md.
 int main(int argc, char **argv)
 {
@@ -25,7 +32,22 @@
     app.add_option("--hosts", settings.hosts, "gateways")
         ->check(CLI::Range(2, 100))
         ->capture_default_str();
+    std::vector<std::string> faults;
+    app.add_option("--fault", faults,
+                   "fault to play in place of those of the seed, BEGIN-END:KIND:TARGET in ms");
     CLI11_PARSE(app, argc, argv);
+    for (const std::string &text : faults) {
+        const auto fault = parseFault(text);
+        const bool isPlayable
+            = fault && fault->target < (isOfEndpoint(fault->kind) ? Endpoints : settings.hosts);
+        if (!isPlayable) {
+            std::cerr << "monsoongrade-soak: --fault is not BEGIN-END:KIND:TARGET, or has no such "
+                         "target: "
+                      << text << "\n";
+            return ExitBadCommandLine;
+        }
+        settings.faults.push_back(*fault);
+    }
     std::signal(SIGPIPE, SIG_IGN);
     settings.length = std::chrono::seconds(seconds);
     const std::string folder = settings.folder;
--- a/soak/soakchecks.cpp
+++ b/soak/soakchecks.cpp
@@ -215,8 +215,7 @@
         ++counts[kindName(record->kind)][record->isEnded ? record->status : -1];
     std::ostringstream out;
     for (const Fault &fault : faults_)
-        out << fault.beginsAt.count() << "-" << fault.endsAt.count() << " ms "
-            << faultName(fault.kind) << " " << fault.target << "\n";
+        out << formatFault(fault) << "\n";
     for (const auto &[kind, statuses] : counts) {
         out << kind << ":";
         for (const auto &[status, count] : statuses)
--- a/soak/soakplan.cpp
+++ b/soak/soakplan.cpp
@@ -2,12 +2,13 @@
 
 #include <algorithm>
 #include <random>
+#include <sstream>
 
 namespace monsoongrade::soak {
 
 namespace {
 
-constexpr int FaultKinds = 13;
+constexpr int FaultKinds = 14;
 constexpr int FaultsPerSecond = 1;
 constexpr int MinFaultMs = 300;
 constexpr int MaxFaultMs = 4000;
@@ -25,6 +26,7 @@
     case FaultKind::EndpointLeaves:
     case FaultKind::EndpointAnnouncesLeaving:
     case FaultKind::EndpointAsksForPauses:
+    case FaultKind::EndpointRestarts:
         return true;
     default:
         return false;
@@ -60,10 +62,40 @@
         return "endpoint-announces-leaving";
     case FaultKind::EndpointAsksForPauses:
         return "endpoint-asks-for-pauses";
+    case FaultKind::EndpointRestarts:
+        return "endpoint-restarts";
     }
     return "unknown";
 }
 
+std::string formatFault(const Fault &fault)
+{
+    return std::to_string(fault.beginsAt.count()) + "-" + std::to_string(fault.endsAt.count()) + ":"
+        + faultName(fault.kind) + ":" + std::to_string(fault.target);
+}
+
+std::optional<Fault> parseFault(const std::string &text)
+{
+    std::istringstream in(text);
+    std::int64_t begin = 0;
+    std::int64_t end = 0;
+    Fault fault;
+    char dash = 0;
+    char colon = 0;
+    std::string name;
+    in >> begin >> dash >> end >> colon;
+    std::getline(in, name, ':');
+    in >> fault.target;
+    fault.beginsAt = std::chrono::milliseconds(begin);
+    fault.endsAt = std::chrono::milliseconds(end);
+    for (int kind = 0; kind < FaultKinds; ++kind) {
+        fault.kind = FaultKind(kind);
+        if (faultName(fault.kind) == name && formatFault(fault) == text)
+            return fault;
+    }
+    return std::nullopt;
+}
+
 std::vector<Fault> planFaults(std::uint32_t seed, std::chrono::seconds length, std::size_t hosts,
                               std::size_t endpoints)
 {
--- a/soak/soakplan.h
+++ b/soak/soakplan.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,7 @@
     KeyRevoked, // a new configuration takes a key away
     EndpointAnnouncesLeaving, // it says so in its responses only, and restarts at the end
     EndpointAsksForPauses, // it rejects all requests and asks for pauses
+    EndpointRestarts, // it starts again under its id at the beginning
 };
 
 // Whether the fault's target is an endpoint; otherwise it is a host.
@@ -39,6 +41,12 @@
     std::size_t target = 0;
 };
 
+// Text form "BEGIN-END:KIND:TARGET" with times in milliseconds, such as
+// "2000-9000:endpoint-announces-leaving:6".
+std::string formatFault(const Fault &fault);
+// Returns nothing if the text does not have this form.
+std::optional<Fault> parseFault(const std::string &text);
+
 // Faults that follow from the seed alone, in order of their begin. They come in series and overlap.
 // All end 4.5 s before the run does, so that recovery shows.
 std::vector<Fault> planFaults(std::uint32_t seed, std::chrono::seconds length, std::size_t hosts,
--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -51,7 +51,9 @@
 
 SoakRun::SoakRun(const SoakSettings &settings)
     : settings_(settings)
-    , faults_(planFaults(settings.seed, settings.length, settings.hosts, Endpoints))
+    , faults_(settings.faults.empty()
+                  ? planFaults(settings.seed, settings.length, settings.hosts, Endpoints)
+                  : settings.faults)
     , timers_(io_, clock_)
     , store_(io_, timers_, 0)
     , duties_(io_, timers_, 0)
@@ -256,6 +258,9 @@
     case FaultKind::EndpointAsksForPauses:
         endpoints_[fault.target]->askForPauses(AskedPause);
         break;
+    case FaultKind::EndpointRestarts:
+        endpoints_[fault.target]->restart();
+        break;
     }
 }
 
@@ -280,6 +285,7 @@
         break;
     case FaultKind::HistoryGone:
     case FaultKind::KeyRevoked:
+    case FaultKind::EndpointRestarts:
         break;
     case FaultKind::CutToEndpoint:
         relay_.heal({"hosts", endpointParty(fault.target)}, false);
--- a/soak/soakrun.h
+++ b/soak/soakrun.h
@@ -27,6 +27,7 @@
     std::size_t hosts = 6;
     std::string gateway; // path of the program
     std::string folder; // for settings and logs
+    std::vector<Fault> faults; // played in place of those that follow from the seed, if any
 };
 
 // One seeded run: real gateways as processes, the stand-in of the platform's store, stand-in
@@ -69,8 +70,11 @@
     void checkRuns(const CallRecord &record, std::vector<std::string> &found) const;
     const CallRecord &recordOf(const std::string &requestId) const;
     void checkAnnouncements(std::vector<std::string> &found) const;
-    void checkArrivalsAfter(const standins::WorkerArrival &announcement, std::size_t endpoint,
-                            std::vector<std::string> &found) const;
+    void checkLeaving(const standins::WorkerArrival &arrival, std::size_t endpoint,
+                      std::vector<std::string> &found) const;
+    void checkPause(const standins::WorkerArrival &rejection, std::size_t endpoint,
+                    std::vector<std::string> &found) const;
+    bool wasPassedOn(const standins::WorkerArrival &arrival, std::size_t endpoint) const;
     bool isDisturbed(std::size_t host, std::size_t endpoint, units::TimePoint from,
                      units::TimePoint until) const;
     void checkPlannedStop(const CallRecord &record, std::vector<std::string> &found) const;
--- a/tests/platform_standin/standinworker.cpp
+++ b/tests/platform_standin/standinworker.cpp
@@ -1,5 +1,7 @@
 #include "standinworker.h"
 
+#include <algorithm>
+#include <chrono>
 #include <cstdlib>
 
 namespace monsoongrade::standins {
@@ -12,6 +14,12 @@
     return value == nullptr ? std::string() : *value;
 }
 
+std::int64_t unixMilliseconds()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+}
+
 } // namespace
 
 StandInWorker::StandInWorker(asio::io_context &io, httpio::Timers &timers, StandInStore &store,
@@ -23,6 +31,7 @@
           io, timers, {asio::ip::address_v4::loopback(), settings_.port}, limits_,
           [this](const httpio::ServerRequest &request,
                  const std::shared_ptr<httpio::ResponseWriter> &reply) { handle(request, reply); })
+    , born_(unixMilliseconds())
 {
 }
 
@@ -48,7 +57,7 @@
 
 void StandInWorker::restart()
 {
-    ++born_;
+    born_ = std::max(born_ + 1, unixMilliseconds());
     isLeaving_ = false;
     announce("ready");
 }
--- a/tests/platform_standin/standinworker.h
+++ b/tests/platform_standin/standinworker.h
@@ -89,7 +89,7 @@
     bool isFull_ = false;
     bool isLeaving_ = false;
     std::chrono::milliseconds pause_{};
-    std::int64_t born_ = 1700000000000;
+    std::int64_t born_ = 0; // Unix time of the start, in milliseconds
     int running_ = 0;
     int rejected_ = 0;
     int clientsDisconnected_ = 0;
