Log for which start of an endpoint an announcement is kept

Of three hypotheses on requests that reach endpoints which have announced their leaving, the log could not tell two from each other: an announcement that is kept for another process than the one that made it, and one that a host has lost. endpoint-announced-leaving and endpoint-leaving-learned now name the start that the host knew, and request-placed the start that the host believes it sends to.

--- a/src/gateway/exchangeannouncements.cpp
+++ b/src/gateway/exchangeannouncements.cpp
@@ -26,6 +26,7 @@
         return;
     state_.log.write(observability::LogLevel::Info, "endpoint-announced-leaving",
                      {{"endpoint", instance.id.value()},
+                      {"incarnation", instance.incarnation.value()},
                       {"request", metadata_.id.value()},
                       {"known", endpoint_->leaving ? "yes" : "no"}});
     state_.registry.onLeavingAnnounced(instance);
--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -323,6 +323,7 @@
                         {"route", route_->name.value()},
                         {"pool", pool_.value()},
                         {"endpoint", endpoint_->registration.id.value()},
+                        {"incarnation", endpoint_->registration.incarnation.value()},
                         {"placed-by", state_.placement.placedBy(ticket_)},
                         {"tokens-to-read", tokensToRead_},
                         {"tier", std::int64_t(admission_.tier.value())},
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -276,7 +276,8 @@
     if (!state_.announcements.setLeaving(update.endpoint, timers_.now() - update.age))
         return;
     state_.log.write(observability::LogLevel::Info, "endpoint-leaving-learned",
-                     {{"endpoint", update.endpoint.id.value()}});
+                     {{"endpoint", update.endpoint.id.value()},
+                      {"incarnation", update.endpoint.incarnation.value()}});
     state_.registry.onLeavingAnnounced(update.endpoint);
 }
 
