--- a/tests/adapter/announcingworkers.h
+++ b/tests/adapter/announcingworkers.h
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
@@ -41,13 +42,34 @@
     // Rewrites the announcer's entry in the store as ready.
     void listAnnouncer(std::int64_t born, int slots)
     {
-        store.put("servers", idOf(announcing_),
-                  {{"service", service_},
-                   {"address", peers_[std::size_t(announcing_)]->address()},
-                   {"zone", "z1"},
-                   {"slots", slots},
-                   {"state", "ready"},
-                   {"born", born}});
+        nlohmann::json entry = announcersEntry();
+        entry["slots"] = slots;
+        entry["born"] = born;
+        putAnnouncersEntry(entry);
+    }
+    // The entry of the announcer as it was first, which has no time of its start.
+    nlohmann::json announcersEntry() const
+    {
+        return {{"service", service_},
+                {"address", peers_[std::size_t(announcing_)]->address()},
+                {"zone", "z1"},
+                {"slots", 8},
+                {"state", "ready"}};
+    }
+    void putAnnouncersEntry(const nlohmann::json &entry)
+    {
+        store.put("servers", idOf(announcing_), entry);
+    }
+    // Waits until the gateway has read that the announcer started at this time.
+    bool awaitListed(std::int64_t born)
+    {
+        return runUntil(
+            [&] {
+                return gateway->state().registry.find(
+                           {units::EndpointId(idOf(announcing_)), routing::Incarnation(born)})
+                    != nullptr;
+            },
+            std::chrono::seconds(10));
     }
     void unlistAnnouncer() { store.remove("servers", idOf(announcing_)); }
     void unlistOther() { store.remove("servers", idOf(1 - announcing_)); }
@@ -88,6 +110,13 @@
     int calls_ = 0;
 };
 
+// The time as the entries of workers show it, in milliseconds.
+inline std::int64_t unixMilliseconds()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+}
+
 inline bool allServed(const std::vector<int> &statuses)
 {
     return std::count(statuses.begin(), statuses.end(), 200) == std::ptrdiff_t(statuses.size());
--- a/tests/adapter/endpointleaving_test.cpp
+++ b/tests/adapter/endpointleaving_test.cpp
@@ -89,3 +89,70 @@
     CHECK_FALSE(standins::headerIn(client->received(), "Retry-After").empty());
     CHECK(std::chrono::steady_clock::now() - sentAt < milliseconds(250));
 }
+
+// Guards against an announcement that is kept for the process that the store lists, when another
+// one made it: the endpoint has started again, and this host could not read that yet.
+TEST_CASE("EndpointLeaving.AnnouncementHoldsForAStartThatIsReadLater")
+{
+    AnnouncingWorkersFixture fixture("plain");
+    fixture.callFor(milliseconds(200), "/unsafe/a");
+    fixture.store.setBehavior(standins::StoreBehavior::Refusing);
+    fixture.announceFromBusiest();
+    const std::int64_t born = unixMilliseconds();
+    fixture.runFor(milliseconds(1000));
+    fixture.announcement = Leaving;
+    fixture.callFor(milliseconds(300), "/unsafe/a");
+    const int before = fixture.announcersRequests();
+    fixture.listAnnouncer(born, 8);
+    fixture.store.setBehavior(standins::StoreBehavior::Normal);
+    REQUIRE(fixture.awaitListed(born));
+    CHECK(allServed(fixture.callFor(milliseconds(500), "/unsafe/a")));
+    CHECK(fixture.announcersRequests() == before);
+}
+
+// Guards against an entry that was not written by the endpoint and shows no later start.
+TEST_CASE("EndpointLeaving.EntryWithoutALaterStartDoesNotBringTheEndpointBack")
+{
+    AnnouncingWorkersFixture fixture("plain");
+    const std::int64_t born = unixMilliseconds();
+    fixture.listAnnouncer(born, 8);
+    REQUIRE(fixture.awaitListed(born));
+    fixture.callFor(milliseconds(200), "/unsafe/a");
+    fixture.announceFromBusiest();
+    fixture.listAnnouncer(born, 9);
+    fixture.runFor(milliseconds(1000));
+    fixture.announcement = Leaving;
+    fixture.callFor(milliseconds(300), "/unsafe/a");
+    const int before = fixture.announcersRequests();
+    REQUIRE(before >= 1);
+    const nlohmann::json starts[]
+        = {nullptr, 0, -1, born - 5000, std::to_string(born + 90000), 1.5};
+    for (const nlohmann::json &start : starts) {
+        nlohmann::json entry = fixture.announcersEntry();
+        if (!start.is_null())
+            entry["born"] = start;
+        fixture.putAnnouncersEntry(entry);
+        fixture.callFor(milliseconds(300), "/unsafe/a");
+        CHECK_MESSAGE(fixture.announcersRequests() == before, start.dump());
+    }
+    fixture.listAnnouncer(born, 8);
+    fixture.callFor(milliseconds(300), "/unsafe/a");
+    CHECK_MESSAGE(fixture.announcersRequests() == before, "after the endpoint's own entry");
+}
+
+// Guards against a header that is not understood because of its case or the space around its value.
+TEST_CASE("EndpointLeaving.HeaderIsReadInAnyCaseAndSpacing")
+{
+    for (const char *line :
+         {"server-leaving: 1\r\n", "SERVER-LEAVING:1\r\n", "Server-Leaving:\t 1 \t\r\n"}) {
+        AnnouncingWorkersFixture fixture("plain");
+        fixture.callFor(milliseconds(200), "/unsafe/a");
+        fixture.announceFromBusiest();
+        fixture.announcement = line;
+        fixture.callFor(milliseconds(200), "/unsafe/a");
+        const int before = fixture.announcersRequests();
+        REQUIRE(before >= 1);
+        fixture.callFor(milliseconds(200), "/unsafe/a");
+        CHECK_MESSAGE(fixture.announcersRequests() == before, std::string(line));
+    }
+}
--- a/tests/adapter/endpointpauses_test.cpp
+++ b/tests/adapter/endpointpauses_test.cpp
@@ -91,3 +91,22 @@
                       std::string(text));
     }
 }
+
+// Guards against a pause that is kept for the process that the store lists, when another one asked
+// for it: the endpoint has started again, and this host could not read that yet.
+TEST_CASE("EndpointPauses.PauseHoldsForAStartThatIsReadLater")
+{
+    AnnouncingWorkersFixture fixture("plain");
+    fixture.callFor(milliseconds(200), "/unsafe/a");
+    fixture.store.setBehavior(standins::StoreBehavior::Refusing);
+    startRejecting(fixture, "8");
+    const std::int64_t born = unixMilliseconds();
+    fixture.runFor(milliseconds(1000));
+    CHECK(requestsAfterTheFirstRejection(fixture, milliseconds(100), "/unsafe/a") == 0);
+    const int before = fixture.announcersRequests();
+    fixture.listAnnouncer(born, 8);
+    fixture.store.setBehavior(standins::StoreBehavior::Normal);
+    REQUIRE(fixture.awaitListed(born));
+    CHECK(allServed(fixture.callFor(milliseconds(500), "/unsafe/a")));
+    CHECK(fixture.announcersRequests() == before);
+}
