Header values have no space around them

Cause: http_parser strips the space before a value and leaves what follows it, and the value was compared with "1" as it stood. RFC 9110 section 5.5 excludes both from the value. The same cause made a pause ("3 ") or a limit unreadable, an Attempt-Id that of another request, and a client's key unknown.

The parser trims all values, once, after it has checked the framing on the raw ones: a length or an encoding with space after it is still rejected, as another server might read it differently.

A value of the header that is not understood is logged, as those of limits and pauses are.

--- a/include/monsoongrade/gateway/headercodec.h
+++ b/include/monsoongrade/gateway/headercodec.h
@@ -29,6 +29,7 @@
     bool wrongEndpoint = false; // another endpoint has the address now
     bool isSigned = false; // has the signature without which a success is not accepted
     bool isLeaving = false; // the endpoint accepts no new requests and stops soon
+    bool isLeavingUnreadable = false; // the value is neither "0", "1" nor empty
     // With a rejection: the time for which the endpoint wants no requests from this host.
     std::optional<std::chrono::duration<double>> pause;
     bool isPauseUnreadable = false; // the time given is not a number >= 0
--- a/include/monsoongrade/httpio/messagehead.h
+++ b/include/monsoongrade/httpio/messagehead.h
@@ -22,6 +22,10 @@
     bool hasBody = false; // a length above 0, chunked, or delimited by the close
 };
 
+// Returns the text without spaces and tabs at both ends, which are not part of a header's value
+// (RFC 9110 section 5.5).
+std::string_view trimmed(std::string_view text);
+
 // Compares case-insensitively.
 bool sameHeaderName(std::string_view a, std::string_view b);
 
--- a/src/gateway/exchangeannouncements.cpp
+++ b/src/gateway/exchangeannouncements.cpp
@@ -12,10 +12,19 @@
         onLeavingAnnounced();
     if (answer.pause)
         onPauseAnnounced(*answer.pause);
+    if (answer.isLeavingUnreadable)
+        logUnreadable("endpoint-leaving-unreadable");
     if (answer.isPauseUnreadable)
-        state_.log.write(
-            observability::LogLevel::Warning, "endpoint-pause-unreadable",
-            {{"endpoint", endpoint_->registration.id.value()}, {"request", metadata_.id.value()}});
+        logUnreadable("endpoint-pause-unreadable");
+    if (answer.isLimitUnreadable)
+        logUnreadable("endpoint-limit-unreadable");
+}
+
+void Exchange::logUnreadable(std::string_view event) const
+{
+    state_.log.write(
+        observability::LogLevel::Warning, event,
+        {{"endpoint", endpoint_->registration.id.value()}, {"request", metadata_.id.value()}});
 }
 
 // An endpoint says so in all responses from then on; the first one is logged.
@@ -73,10 +82,6 @@
 // limit.
 void Exchange::updateLimit()
 {
-    if (answer_.isLimitUnreadable)
-        state_.log.write(
-            observability::LogLevel::Warning, "endpoint-limit-unreadable",
-            {{"endpoint", endpoint_->registration.id.value()}, {"request", metadata_.id.value()}});
     if (answer_.provenNotRun && !answer_.requestLimit)
         return;
     state_.announcements.setLimit(routing::instanceOf(endpoint_->registration),
--- a/src/httpio/messagehead.cpp
+++ b/src/httpio/messagehead.cpp
@@ -19,15 +19,6 @@
     return c >= 'A' && c <= 'Z' ? char(c - 'A' + 'a') : c;
 }
 
-std::string_view trimmed(std::string_view text)
-{
-    while (!text.empty() && (text.front() == ' ' || text.front() == '\t'))
-        text.remove_prefix(1);
-    while (!text.empty() && (text.back() == ' ' || text.back() == '\t'))
-        text.remove_suffix(1);
-    return text;
-}
-
 // Calls the function with each element of a comma-separated header value.
 template <typename Function>
 void forEachToken(std::string_view value, Function &&function)
@@ -53,6 +44,15 @@
 
 } // namespace
 
+std::string_view trimmed(std::string_view text)
+{
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t'))
+        text.remove_prefix(1);
+    while (!text.empty() && (text.back() == ' ' || text.back() == '\t'))
+        text.remove_suffix(1);
+    return text;
+}
+
 bool sameHeaderName(std::string_view a, std::string_view b)
 {
     return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
--- a/src/httpio/messageparser.cpp
+++ b/src/httpio/messageparser.cpp
@@ -163,6 +163,10 @@
         if (kind_ == MessageKind::Request
             && (isRequestFramingAmbiguous(head_) || hasMalformedName(head_.headers)))
             return -1;
+        // http_parser leaves trailing space in the values. Framing is checked on the raw values, as
+        // another server might not accept a length or an encoding with space after it.
+        for (auto &header : head_.headers)
+            header.second = std::string(trimmed(header.second));
         head_.status = int(parser_.status_code);
         if (kind_ == MessageKind::Request)
             head_.method = http_method_str(static_cast<http_method>(parser_.method));
--- a/tests/adapter/platformheadercodec_test.cpp
+++ b/tests/adapter/platformheadercodec_test.cpp
@@ -24,6 +24,11 @@
     CHECK_FALSE(decoded(200, {}).isLeaving);
     CHECK_FALSE(decoded(200, {{"Server-Leaving", "0"}}).isLeaving);
     CHECK_FALSE(decoded(200, {{"Server-Leaving", ""}}).isLeaving);
+    CHECK_FALSE(decoded(200, {{"Server-Leaving", "0"}}).isLeavingUnreadable);
+    for (const char *text : {"soon", "2", "1, 1"}) {
+        CHECK_MESSAGE(!decoded(200, {{"Server-Leaving", text}}).isLeaving, text);
+        CHECK_MESSAGE(decoded(200, {{"Server-Leaving", text}}).isLeavingUnreadable, text);
+    }
 }
 
 TEST_CASE("PlatformHeaderCodec.RejectionMayAskForAPause")
--- a/tests/httpio/messageparser_test.cpp
+++ b/tests/httpio/messageparser_test.cpp
@@ -127,6 +127,20 @@
     CHECK(recorder.ends == 1);
 }
 
+// Guards against headers that are not understood because of the space around their values.
+TEST_CASE("MessageParser.ValuesHaveNoSpaceAroundThem")
+{
+    Recorder recorder;
+    MessageParser parser(MessageKind::Response, MaxHead, recorder);
+    feedAll(
+        parser,
+        "HTTP/1.1 200 OK\r\nX-One:\t a b \t\r\nX-Two: \r\nX-Three:c\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(recorder.heads.size() == 1);
+    CHECK(*findHeader(recorder.heads[0].headers, "X-One") == "a b");
+    CHECK(findHeader(recorder.heads[0].headers, "X-Two")->empty());
+    CHECK(*findHeader(recorder.heads[0].headers, "X-Three") == "c");
+}
+
 TEST_CASE("MessageParser.ArbitraryBytesNeverCrash")
 {
     const bool holds = rc::check("any bytes are a message, part of one, or rejected", [] {
