Announcements hold for every start of an endpoint that is not later

What callers and endpoints saw: an endpoint that had announced its leaving in a response got requests again from the host that had passed the response on, as soon as the store listed a start of it that the host had not known.

Cause: an announcement was kept for the start that the store listed when the response came, and any other number in the entry counted as a restart. But the store may not have been readable since the endpoint restarted, and another writer may put an earlier start, or none, into the entry.

Now an announcement concerns each start that is not later than it, on the time of day on which most hosts agree. It counts from the sending of the request, since the process that responds cannot have started later; a late response of an old process so does not take a new one out of use. The allowance for clocks is 500 ms, less than a leaving endpoint goes on. While a start looks not later, but is another one, the endpoint is left alone for a minute at most: by then one that is leaving has said so in the store or is gone, and one that has restarted with a slow clock would be lost otherwise. Pauses follow the same rule, and are bounded by their own end.

Ways weighed: to compare for equality (as it was); to spare each newly listed start for some seconds (needs no clock, costs each restart these seconds, and breaks the rule if the endpoint's report takes longer to reach the store); this one.

The estimate of the time of day moves from the usage meter to the host's state.

--- a/include/monsoongrade/duties/usagereporter.h
+++ b/include/monsoongrade/duties/usagereporter.h
@@ -18,8 +18,9 @@
 class UsageReporter : public Duty
 {
 public:
-    UsageReporter(UsageWindows windows, const UsageLedger &ledger, const WallTimeEstimate &wallTime,
-                  UsageReportStore &store, DutyPlatform &platform, const units::Clock &clock);
+    UsageReporter(UsageWindows windows, const UsageLedger &ledger,
+                  const units::WallClock &wallClock, UsageReportStore &store,
+                  DutyPlatform &platform, const units::Clock &clock);
 
     void act(FencingToken token) override;
     bool hasOpenCall() const override { return isCalling_; }
@@ -39,7 +40,7 @@
 
     UsageWindows windows_;
     const UsageLedger &ledger_;
-    const WallTimeEstimate &wallTime_;
+    const units::WallClock &wallClock_;
     UsageReportStore &store_;
     DutyPlatform &platform_;
     const units::Clock &clock_;
--- a/include/monsoongrade/duties/walltimeestimate.h
+++ b/include/monsoongrade/duties/walltimeestimate.h
@@ -1,7 +1,7 @@
 #ifndef MONSOONGRADE_DUTIES_WALLTIMEESTIMATE_H
 #define MONSOONGRADE_DUTIES_WALLTIMEESTIMATE_H
 
-#include <monsoongrade/units/clock.h>
+#include <monsoongrade/units/wallclock.h>
 
 #include <chrono>
 #include <map>
@@ -9,19 +9,20 @@
 
 namespace monsoongrade::duties {
 
-using WallTime = std::chrono::time_point<std::chrono::system_clock, units::Duration>;
+using units::WallTime;
 
 // Estimates the wall-clock time on which most hosts agree. A host's own wall clock may step by
-// seconds, which would count usage in the wrong window. Keeps the offset of the wall clock of each
+// seconds, which would count usage in the wrong window, or mistake an endpoint's start for a later
+// one. Keeps the offset of the wall clock of each
 // host heard from recently, relative to this host's boot clock, and uses the median.
-class WallTimeEstimate
+class WallTimeEstimate : public units::WallClock
 {
 public:
     // Adds a reading of a host's wall clock. Network delay makes a clock look slow, so the largest
     // offset of a host is kept for a while.
     void onSample(const std::string &host, WallTime shown, units::TimePoint now);
     // The estimated time; requires at least one sample.
-    WallTime at(units::TimePoint now) const;
+    WallTime at(units::TimePoint time) const override;
 
 private:
     struct Sample
--- a/include/monsoongrade/gateway/gateway.h
+++ b/include/monsoongrade/gateway/gateway.h
@@ -73,6 +73,7 @@
 
 private:
     routing::PeerState peerState() const;
+    void sampleOwnWallTime();
     void onGossipRound();
     void applyDivision(const routing::FleetDivision &division);
     void computeDivision();
--- a/include/monsoongrade/gateway/gatewaystate.h
+++ b/include/monsoongrade/gateway/gatewaystate.h
@@ -1,6 +1,7 @@
 #ifndef MONSOONGRADE_GATEWAY_GATEWAYSTATE_H
 #define MONSOONGRADE_GATEWAY_GATEWAYSTATE_H
 
+#include <monsoongrade/duties/walltimeestimate.h>
 #include <monsoongrade/gateway/endpointconnections.h>
 #include <monsoongrade/gateway/headercodec.h>
 #include <monsoongrade/gateway/placementservice.h>
@@ -45,10 +46,11 @@
         , headerCodec(headerCodecToUse)
         , lease(leaseToUse)
         , connections(io, timersToUse)
+        , announcements(wallTime)
         , registry(
               [this](const routing::EndpointStatus &endpoint) { connections.closeIdle(endpoint); },
-              [this](const routing::EndpointInstance &endpoint) {
-                  return announcements.isLeaving(endpoint);
+              [this](const routing::EndpointInstance &listed) {
+                  return hasAnnouncedLeaving(listed);
               })
         , log(timersToUse)
         , startupGate(timersToUse)
@@ -56,11 +58,19 @@
     {
     }
 
+    // A response to this or another host, to a request sent at this time, announced that the
+    // endpoint is leaving. It gets no new requests. Returns false if that was known.
+    bool setLeaving(const routing::EndpointInstance &endpoint, units::TimePoint at);
+    // Whether an announcement of leaving concerns the process that the store lists. Logs when one
+    // no longer does, or may not.
+    bool hasAnnouncedLeaving(const routing::EndpointInstance &listed);
+
     httpio::Timers &timers;
     const HeaderCodec &headerCodec;
     std::shared_ptr<const routing::RouteTable> table; // null until the first configuration
     routing::FreshnessLease lease;
     EndpointConnections connections;
+    duties::WallTimeEstimate wallTime; // has a sample of this host's clock from the start on
     routing::EndpointAnnouncements announcements;
     routing::EndpointRegistry registry;
     routing::CrashTracker crashes;
--- a/include/monsoongrade/gateway/usagemeter.h
+++ b/include/monsoongrade/gateway/usagemeter.h
@@ -3,9 +3,9 @@
 
 #include <monsoongrade/duties/usageledger.h>
 #include <monsoongrade/duties/usagepublisher.h>
-#include <monsoongrade/duties/walltimeestimate.h>
 #include <monsoongrade/httpio/timers.h>
 #include <monsoongrade/routing/peertable.h>
+#include <monsoongrade/units/wallclock.h>
 
 #include <asio/ip/udp.hpp>
 
@@ -30,23 +30,21 @@
 
     // hosts returns all live hosts, including this one.
     UsageMeter(asio::io_context &io, httpio::Timers &timers, Settings settings,
+               const units::WallClock &wallClock,
                std::function<std::vector<routing::PeerUpdate>()> hosts);
 
     void start();
     // Counts a request of the workspace that has just begun to run.
     void onRequestStarted(const units::WorkspaceName &workspace);
-    // Records the current time on another host's clock.
-    void onWallTime(const std::string &host, units::Duration sinceEpoch);
     // Sends the counts that are due to the collecting hosts; also called at a planned stop, so that
     // no counts are lost.
     void sendCounts();
 
     const duties::UsageLedger &ledger() const { return ledger_; }
-    const duties::WallTimeEstimate &wallTime() const { return wallTime_; }
     const duties::UsageWindows &windows() const { return settings_.windows; }
 
 private:
-    duties::WallTime now();
+    units::WallTime now() const;
     void round();
     void send(const std::string &ip, const std::vector<duties::UsageEntry> &entries);
     void receive();
@@ -57,9 +55,9 @@
     std::array<char, 4096> buffer_{};
     httpio::Timers &timers_;
     Settings settings_;
+    const units::WallClock &wallClock_;
     std::function<std::vector<routing::PeerUpdate>()> hosts_;
     duties::UsageLedger ledger_;
-    duties::WallTimeEstimate wallTime_;
     duties::UsagePublisher publisher_;
 };
 
--- a/include/monsoongrade/routing/endpointannouncements.h
+++ b/include/monsoongrade/routing/endpointannouncements.h
@@ -3,6 +3,7 @@
 
 #include <monsoongrade/routing/leavingupdate.h>
 #include <monsoongrade/routing/ratelimitupdate.h>
+#include <monsoongrade/units/wallclock.h>
 
 #include <cstddef>
 #include <map>
@@ -14,11 +15,25 @@
 // to send to other hosts. A host that places requests sees only the responses to its own callers,
 // so it may never get a response from the endpoint itself.
 //
-// Announcements belong to an instance. They hold whatever the store lists, since its entry may be
-// older than the response or unreachable, and end only with a restart of the endpoint.
+// Announcements end only with a restart of the endpoint, since the store's entry may be older than
+// the response or unreachable. A response does not tell which start of the endpoint sent it. It is
+// recorded for the start that the host knows, but concerns every start listed later that is not
+// after the announcement: the endpoint may have restarted without the host being able to read it,
+// and other writers may put a wrong start, or none, into its entry.
 class EndpointAnnouncements
 {
 public:
+    // A start that the store lists for an endpoint which announced its leaving under another one.
+    struct OtherStart
+    {
+        Incarnation announcedFor;
+        bool isLater = false; // than the announcement, so that the endpoint may be used
+        units::Duration age{}; // of the announcement
+    };
+
+    // wallClock: the time of day on which most hosts agree.
+    explicit EndpointAnnouncements(const units::WallClock &wallClock);
+
     // A response to this or another host announced this rate limit or none. Returns false if a
     // later response is known, or if the endpoint had no limit before and has none now.
     bool setLimit(const EndpointInstance &endpoint, std::optional<RequestsPerSecond> limit,
@@ -27,10 +42,17 @@
     // limits in force, for hosts that were disconnected.
     std::vector<RateLimitUpdate> takeLimitUpdates(std::size_t maxItems, units::TimePoint now);
 
-    // A response to this or another host announced that the endpoint is leaving; at: when. Returns
-    // false if that was known.
+    // A response to this or another host announced that the endpoint is leaving. at: when its
+    // request was sent, since the process that responded cannot have started later. Returns false
+    // if that was known.
     bool setLeaving(const EndpointInstance &endpoint, units::TimePoint at);
-    bool isLeaving(const EndpointInstance &endpoint) const { return leaving_.count(endpoint) != 0; }
+    // The store lists this start of the endpoint. Returns what that means for its announcement of
+    // leaving, if there is one for another start, once for each start listed.
+    std::optional<OtherStart> onListed(const EndpointInstance &listed, units::TimePoint now);
+    // Whether the process that the store lists has announced that it is leaving. If the store lists
+    // another start that is not later, this holds for a limited time only, as clocks differ and the
+    // endpoint would be lost if it had restarted.
+    bool isLeaving(const EndpointInstance &listed, units::TimePoint now) const;
     // Updates for this gossip round about endpoints that began to leave, repeated for several
     // rounds.
     std::vector<LeavingUpdate> takeLeavingUpdates(std::size_t maxItems, units::TimePoint now);
@@ -42,20 +64,20 @@
     void addPause(const EndpointInstance &endpoint, std::chrono::duration<double> pause,
                   units::TimePoint now);
     // Time until this host may send to the endpoint again; zero if it may now.
-    units::Duration pauseRemaining(const EndpointInstance &endpoint, units::TimePoint now) const;
+    units::Duration pauseRemaining(const EndpointInstance &listed, units::TimePoint now) const;
     // Instances that have asked this host for a pause which has not ended.
     std::vector<EndpointInstance> paused(units::TimePoint now) const;
 
     // Whether this host may send requests to the endpoint.
-    bool allowsRequests(const EndpointInstance &endpoint, units::TimePoint now) const
+    bool allowsRequests(const EndpointInstance &listed, units::TimePoint now) const
     {
-        return !isLeaving(endpoint) && pauseRemaining(endpoint, now) == units::Duration::zero();
+        return !isLeaving(listed, now) && pauseRemaining(listed, now) == units::Duration::zero();
     }
 
     // Number of endpoints that currently have a limit.
     std::size_t limited() const;
     std::size_t leaving() const { return leaving_.size(); }
-    std::size_t size() const { return limits_.size() + leaving_.size() + pausedUntil_.size(); }
+    std::size_t size() const { return limits_.size() + leaving_.size() + pauses_.size(); }
 
 private:
     struct Limit
@@ -67,13 +89,24 @@
     };
     struct Leaving
     {
-        units::TimePoint announcedAt;
+        units::TimePoint firstAnnouncedAt;
+        units::TimePoint lastAnnouncedAt;
         int roundsLeft = 0;
+        std::optional<Incarnation> lastOtherStart; // the last one that was reported as listed
+        std::optional<units::TimePoint> inDoubtSince; // a start that is not later was first listed
+    };
+    struct Pause
+    {
+        units::TimePoint askedAt; // the latest time
+        units::TimePoint until;
     };
 
+    bool isLaterStart(Incarnation start, units::TimePoint announcedAt) const;
+
+    const units::WallClock &wallClock_;
     std::map<EndpointInstance, Limit> limits_;
     std::map<EndpointInstance, Leaving> leaving_;
-    std::map<EndpointInstance, units::TimePoint> pausedUntil_;
+    std::map<EndpointInstance, Pause> pauses_;
 };
 
 } // namespace monsoongrade::routing
--- a/include/monsoongrade/routing/endpointregistry.h
+++ b/include/monsoongrade/routing/endpointregistry.h
@@ -25,7 +25,7 @@
     using OnLeaving = std::function<void(const EndpointStatus &)>;
 
     // Whether the instance has announced by itself that it is leaving. The store may list it as
-    // ready until long after.
+    // ready until long after. Called for each entry that is read.
     using HasAnnouncedLeaving = std::function<bool(const EndpointInstance &)>;
 
     explicit EndpointRegistry(OnLeaving onLeaving = {},
@@ -41,8 +41,10 @@
     // One entry was removed from the store.
     void remove(const units::EndpointId &id, units::TimePoint now,
                 units::TimePoint keepMissingUntil);
-    // The instance has announced by itself that it is leaving.
-    void onLeavingAnnounced(const EndpointInstance &endpoint);
+    // An instance of the endpoint has announced by itself that it is leaving.
+    void onLeavingAnnounced(const units::EndpointId &id);
+    // Makes endpoints available again whose announcement of leaving no longer holds.
+    void restoreUnannounced();
     // Removes the missing entries whose retention time has expired.
     void removeExpired(units::TimePoint now);
 
@@ -72,7 +74,7 @@
         units::TimePoint keepUntil; // set for missing entries
     };
 
-    bool isLeaving(const DiscoveredEndpoint &endpoint) const;
+    bool hasAnnouncedLeaving(const DiscoveredEndpoint &endpoint) const;
     void markLeaving(Entry &entry);
     void markMissing(const std::string &id, Entry &entry, units::TimePoint now,
                      units::TimePoint keepMissingUntil);
@@ -88,6 +90,7 @@
     HasAnnouncedLeaving hasAnnouncedLeaving_;
     std::map<std::string, Entry> entries_; // by endpoint id
     std::set<std::string> missing_; // ids of missing entries that are still kept
+    std::set<std::string> announced_; // ids of those that are leaving by their announcement alone
     std::map<std::string, std::vector<Status>> available_; // by pool
     std::map<std::string, std::size_t> sizes_; // by pool
     FleetDivision division_;
--- a/include/monsoongrade/routing/leavingupdate.h
+++ b/include/monsoongrade/routing/leavingupdate.h
@@ -10,7 +10,7 @@
 struct LeavingUpdate
 {
     EndpointInstance endpoint;
-    units::Duration age{}; // since the response
+    units::Duration age{}; // since the request of the first such response was sent
 };
 
 } // namespace monsoongrade::routing
--- a/src/duties/usagereporter.cpp
+++ b/src/duties/usagereporter.cpp
@@ -17,11 +17,11 @@
 } // namespace
 
 UsageReporter::UsageReporter(UsageWindows windows, const UsageLedger &ledger,
-                             const WallTimeEstimate &wallTime, UsageReportStore &store,
+                             const units::WallClock &wallClock, UsageReportStore &store,
                              DutyPlatform &platform, const units::Clock &clock)
     : windows_(windows)
     , ledger_(ledger)
-    , wallTime_(wallTime)
+    , wallClock_(wallClock)
     , store_(store)
     , platform_(platform)
     , clock_(clock)
@@ -37,7 +37,7 @@
     }
     if (isCalling_ || now < nextCallAt_ || now < *holderSince_ + SettleTime)
         return;
-    const auto window = nextWindow(wallTime_.at(now));
+    const auto window = nextWindow(wallClock_.at(now));
     if (!window)
         return;
     isCalling_ = true;
--- a/src/duties/walltimeestimate.cpp
+++ b/src/duties/walltimeestimate.cpp
@@ -25,7 +25,7 @@
         it = now - it->second.takenAt > MaxSampleAge ? samples_.erase(it) : std::next(it);
 }
 
-WallTime WallTimeEstimate::at(units::TimePoint now) const
+WallTime WallTimeEstimate::at(units::TimePoint time) const
 {
     std::vector<units::Duration> offsets;
     offsets.reserve(samples_.size());
@@ -33,7 +33,7 @@
         offsets.push_back(sample.offset);
     const auto middle = offsets.begin() + std::ptrdiff_t(offsets.size() / 2);
     std::nth_element(offsets.begin(), middle, offsets.end());
-    return WallTime(now.time_since_epoch() + *middle);
+    return WallTime(time.time_since_epoch() + *middle);
 }
 
 } // namespace monsoongrade::duties
--- a/src/gateway/dutyservice.cpp
+++ b/src/gateway/dutyservice.cpp
@@ -22,7 +22,7 @@
                gateway.settings().leaseDuration},
               stores.lease, clock)
     , usageReporter_(gateway.state().usage->windows(), gateway.state().usage->ledger(),
-                     gateway.state().usage->wallTime(), stores.reports, platform, clock)
+                     gateway.state().wallTime, stores.reports, platform, clock)
     , preemptibleSpread_({})
     , autoscaler_(*this, preemptibleSpread_, stores.baselines, platform,
                   gateway.state().log.metrics, clock)
--- a/src/gateway/exchangeannouncements.cpp
+++ b/src/gateway/exchangeannouncements.cpp
@@ -31,14 +31,14 @@
 void Exchange::onLeavingAnnounced()
 {
     const routing::EndpointInstance instance = routing::instanceOf(endpoint_->registration);
-    if (!state_.announcements.setLeaving(instance, state_.timers.now()))
+    const bool wasKnown = endpoint_->leaving;
+    if (!state_.setLeaving(instance, sentAt_))
         return;
     state_.log.write(observability::LogLevel::Info, "endpoint-announced-leaving",
                      {{"endpoint", instance.id.value()},
                       {"incarnation", instance.incarnation.value()},
                       {"request", metadata_.id.value()},
-                      {"known", endpoint_->leaving ? "yes" : "no"}});
-    state_.registry.onLeavingAnnounced(instance);
+                      {"known", wasKnown ? "yes" : "no"}});
 }
 
 void Exchange::onPauseAnnounced(std::chrono::duration<double> pause)
@@ -54,11 +54,12 @@
 std::vector<units::EndpointId> Exchange::pausedEndpoints() const
 {
     std::vector<units::EndpointId> ids;
-    for (const routing::EndpointInstance &endpoint :
-         state_.announcements.paused(state_.timers.now())) {
-        const auto status = state_.registry.find(endpoint);
-        if (status != nullptr && status->registration.pool == pool_)
-            ids.push_back(endpoint.id);
+    const units::TimePoint now = state_.timers.now();
+    for (const routing::EndpointInstance &paused : state_.announcements.paused(now)) {
+        const auto status = state_.registry.findAvailable(paused.id);
+        if (status != nullptr && status->registration.pool == pool_
+            && !state_.announcements.allowsRequests(routing::instanceOf(status->registration), now))
+            ids.push_back(paused.id);
     }
     return ids;
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -84,11 +84,12 @@
             io, timers,
             UsageMeter::Settings{
                 settings.ip, settings.countsPort, {settings.usageWindow, settings.usageDueWithin}},
-            [this] { return hosts(); });
-        gossip_.onWallTime([this](const std::string &host, units::Duration sinceEpoch) {
-            state_.usage->onWallTime(host, sinceEpoch);
-        });
+            state_.wallTime, [this] { return hosts(); });
     }
+    sampleOwnWallTime();
+    gossip_.onWallTime([this](const std::string &host, units::Duration sinceEpoch) {
+        state_.wallTime.onSample(host, units::WallTime(sinceEpoch), timers_.now());
+    });
 }
 
 void Gateway::start()
@@ -212,10 +213,17 @@
     return addresses;
 }
 
+void Gateway::sampleOwnWallTime()
+{
+    state_.wallTime.onSample(settings_.ip, std::chrono::system_clock::now(), timers_.now());
+}
+
 void Gateway::onGossipRound()
 {
     publishOwnState();
+    sampleOwnWallTime();
     state_.registry.removeExpired(timers_.now());
+    state_.registry.restoreUnannounced();
     const std::vector<routing::PeerUpdate> live = hosts();
     state_.liveHosts = int(live.size());
     logHostChanges(live);
@@ -273,12 +281,11 @@
 
 void Gateway::onLeavingUpdate(const routing::LeavingUpdate &update)
 {
-    if (!state_.announcements.setLeaving(update.endpoint, timers_.now() - update.age))
+    if (!state_.setLeaving(update.endpoint, timers_.now() - update.age))
         return;
     state_.log.write(observability::LogLevel::Info, "endpoint-leaving-learned",
                      {{"endpoint", update.endpoint.id.value()},
                       {"incarnation", update.endpoint.incarnation.value()}});
-    state_.registry.onLeavingAnnounced(update.endpoint);
 }
 
 std::vector<routing::PeerUpdate> Gateway::hosts() const
--- a/src/gateway/usagemeter.cpp
+++ b/src/gateway/usagemeter.cpp
@@ -54,10 +54,12 @@
 } // namespace
 
 UsageMeter::UsageMeter(asio::io_context &io, httpio::Timers &timers, Settings settings,
+                       const units::WallClock &wallClock,
                        std::function<std::vector<routing::PeerUpdate>()> hosts)
     : socket_(io)
     , timers_(timers)
     , settings_(std::move(settings))
+    , wallClock_(wallClock)
     , hosts_(std::move(hosts))
     , ledger_(newSourceId(settings_.ownIp))
     , publisher_(settings_.ownIp)
@@ -70,16 +72,13 @@
 
 void UsageMeter::start()
 {
-    now();
     receive();
     round();
 }
 
-duties::WallTime UsageMeter::now()
+units::WallTime UsageMeter::now() const
 {
-    const units::TimePoint now = timers_.now();
-    wallTime_.onSample(settings_.ownIp, std::chrono::system_clock::now(), now);
-    return wallTime_.at(now);
+    return wallClock_.at(timers_.now());
 }
 
 void UsageMeter::onRequestStarted(const units::WorkspaceName &workspace)
@@ -88,11 +87,6 @@
         ledger_.increment(settings_.windows.windowAt(now()), workspace);
 }
 
-void UsageMeter::onWallTime(const std::string &host, units::Duration sinceEpoch)
-{
-    wallTime_.onSample(host, duties::WallTime(sinceEpoch), timers_.now());
-}
-
 void UsageMeter::round()
 {
     const duties::WindowNumber oldest
--- a/src/routing/endpointannouncements.cpp
+++ b/src/routing/endpointannouncements.cpp
@@ -1,6 +1,8 @@
 #include <monsoongrade/routing/endpointannouncements.h>
 
 #include <algorithm>
+#include <cstdint>
+#include <limits>
 
 namespace monsoongrade::routing {
 
@@ -16,11 +18,40 @@
 // Longer than an endpoint takes to stop, also during an outage of the store, which it waits for.
 constexpr auto LeavingRetention = std::chrono::hours(1);
 constexpr std::size_t MaxLeaving = 4096;
+// By how much the clocks of endpoints may differ from the hosts'. A leaving endpoint goes on for
+// seconds after its first announcement, so its next start is later by more than that.
+constexpr auto ClockTolerance = std::chrono::milliseconds(500);
+// How long an endpoint is not used whose listed start does not look later than its announcement.
+// One that is really leaving has said so in the store, or is gone from it, by then.
+constexpr auto MaxDoubt = std::chrono::minutes(1);
 // A longer pause is taken for a fault of the endpoint, which must not be lost for good.
 constexpr auto MaxPause = std::chrono::hours(1);
 
+// The records of all starts of an endpoint.
+template <typename Map>
+auto recordsOf(Map &records, const units::EndpointId &id)
+{
+    auto begin = records.lower_bound({id, Incarnation(std::numeric_limits<std::int64_t>::min())});
+    auto end = begin;
+    while (end != records.end() && end->first.id == id)
+        ++end;
+    return std::make_pair(begin, end);
+}
+
 } // namespace
 
+EndpointAnnouncements::EndpointAnnouncements(const units::WallClock &wallClock)
+    : wallClock_(wallClock)
+{
+}
+
+bool EndpointAnnouncements::isLaterStart(Incarnation start, units::TimePoint announcedAt) const
+{
+    const auto latestOfAnnouncer = std::chrono::duration_cast<std::chrono::milliseconds>(
+        wallClock_.at(announcedAt + ClockTolerance).time_since_epoch());
+    return start.value() > latestOfAnnouncer.count();
+}
+
 bool EndpointAnnouncements::setLimit(const EndpointInstance &endpoint,
                                      std::optional<RequestsPerSecond> limit, units::TimePoint at)
 {
@@ -76,32 +107,64 @@
 bool EndpointAnnouncements::setLeaving(const EndpointInstance &endpoint, units::TimePoint at)
 {
     const auto isEarlier = [](const auto &a, const auto &b) {
-        return a.second.announcedAt < b.second.announcedAt;
+        return a.second.lastAnnouncedAt < b.second.lastAnnouncedAt;
     };
     const auto [entry, isNew] = leaving_.try_emplace(endpoint);
-    entry->second.announcedAt = std::max(entry->second.announcedAt, at);
+    Leaving &known = entry->second;
+    known.firstAnnouncedAt = isNew ? at : std::min(known.firstAnnouncedAt, at);
+    known.lastAnnouncedAt = isNew ? at : std::max(known.lastAnnouncedAt, at);
     if (!isNew)
         return false;
-    entry->second.roundsLeft = RoundsPerUpdate;
+    known.roundsLeft = RoundsPerUpdate;
     if (leaving_.size() > MaxLeaving)
         leaving_.erase(std::min_element(leaving_.begin(), leaving_.end(), isEarlier));
     return true;
 }
 
+std::optional<EndpointAnnouncements::OtherStart>
+EndpointAnnouncements::onListed(const EndpointInstance &listed, units::TimePoint now)
+{
+    std::optional<OtherStart> reported;
+    const auto [begin, end] = recordsOf(leaving_, listed.id);
+    for (auto entry = begin; entry != end; ++entry) {
+        Leaving &known = entry->second;
+        if (entry->first == listed)
+            continue;
+        const bool isLater = isLaterStart(listed.incarnation, known.firstAnnouncedAt);
+        if (!isLater && !known.inDoubtSince)
+            known.inDoubtSince = now;
+        if (known.lastOtherStart == listed.incarnation)
+            continue;
+        known.lastOtherStart = listed.incarnation;
+        reported = {entry->first.incarnation, isLater, now - known.firstAnnouncedAt};
+    }
+    return reported;
+}
+
+bool EndpointAnnouncements::isLeaving(const EndpointInstance &listed, units::TimePoint now) const
+{
+    const auto [begin, end] = recordsOf(leaving_, listed.id);
+    return std::any_of(begin, end, [&](const auto &entry) {
+        const Leaving &known = entry.second;
+        const bool isInDoubt = !known.inDoubtSince || now - *known.inDoubtSince < MaxDoubt;
+        return entry.first == listed
+            || (isInDoubt && !isLaterStart(listed.incarnation, known.firstAnnouncedAt));
+    });
+}
+
 std::vector<LeavingUpdate> EndpointAnnouncements::takeLeavingUpdates(std::size_t maxItems,
                                                                      units::TimePoint now)
 {
     std::vector<LeavingUpdate> updates;
     for (auto entry = leaving_.begin(); entry != leaving_.end();) {
         Leaving &known = entry->second;
-        const units::Duration age = now - known.announcedAt;
-        if (age >= LeavingRetention) {
+        if (now - known.lastAnnouncedAt >= LeavingRetention) {
             entry = leaving_.erase(entry);
             continue;
         }
         if (known.roundsLeft > 0 && updates.size() < maxItems) {
             --known.roundsLeft;
-            updates.push_back({entry->first, age});
+            updates.push_back({entry->first, now - known.firstAnnouncedAt});
         }
         ++entry;
     }
@@ -114,7 +177,7 @@
     std::vector<LeavingUpdate> updates;
     updates.reserve(leaving_.size());
     for (const auto &[endpoint, known] : leaving_)
-        updates.push_back({endpoint, now - known.announcedAt});
+        updates.push_back({endpoint, now - known.firstAnnouncedAt});
     const std::size_t count = std::min(maxItems, updates.size());
     std::partial_sort(updates.begin(), updates.begin() + std::ptrdiff_t(count), updates.end(),
                       [](const auto &a, const auto &b) { return a.age < b.age; });
@@ -125,28 +188,33 @@
 void EndpointAnnouncements::addPause(const EndpointInstance &endpoint,
                                      std::chrono::duration<double> pause, units::TimePoint now)
 {
-    for (auto entry = pausedUntil_.begin(); entry != pausedUntil_.end();)
-        entry = now >= entry->second ? pausedUntil_.erase(entry) : std::next(entry);
+    for (auto entry = pauses_.begin(); entry != pauses_.end();)
+        entry = now >= entry->second.until ? pauses_.erase(entry) : std::next(entry);
     const auto bounded = std::min<std::chrono::duration<double>>(pause, MaxPause);
     const units::TimePoint until = now + std::chrono::duration_cast<units::Duration>(bounded);
-    units::TimePoint &known = pausedUntil_[endpoint];
-    known = std::max(known, until);
+    Pause &known = pauses_[endpoint];
+    known.askedAt = now;
+    known.until = std::max(known.until, until);
 }
 
-units::Duration EndpointAnnouncements::pauseRemaining(const EndpointInstance &endpoint,
+units::Duration EndpointAnnouncements::pauseRemaining(const EndpointInstance &listed,
                                                       units::TimePoint now) const
 {
-    const auto found = pausedUntil_.find(endpoint);
-    return found == pausedUntil_.end()
-        ? units::Duration::zero()
-        : std::max<units::Duration>(found->second - now, units::Duration::zero());
+    units::Duration remaining = units::Duration::zero();
+    const auto [begin, end] = recordsOf(pauses_, listed.id);
+    for (auto entry = begin; entry != end; ++entry) {
+        const Pause &pause = entry->second;
+        if (entry->first == listed || !isLaterStart(listed.incarnation, pause.askedAt))
+            remaining = std::max<units::Duration>(remaining, pause.until - now);
+    }
+    return remaining;
 }
 
 std::vector<EndpointInstance> EndpointAnnouncements::paused(units::TimePoint now) const
 {
     std::vector<EndpointInstance> found;
-    for (const auto &[endpoint, until] : pausedUntil_) {
-        if (now < until)
+    for (const auto &[endpoint, pause] : pauses_) {
+        if (now < pause.until)
             found.push_back(endpoint);
     }
     return found;
--- a/src/routing/endpointregistry.cpp
+++ b/src/routing/endpointregistry.cpp
@@ -44,7 +44,11 @@
     }
     missing_.erase(endpoint.id.value());
     entry.status->registration = endpoint;
-    if (isLeaving(endpoint)) {
+    announced_.erase(endpoint.id.value());
+    const bool hasAnnounced = hasAnnouncedLeaving(endpoint);
+    if (hasAnnounced && !endpoint.draining)
+        announced_.insert(endpoint.id.value());
+    if (hasAnnounced || endpoint.draining) {
         markLeaving(entry);
         return;
     }
@@ -62,11 +66,28 @@
     removeExpired(now);
 }
 
-void EndpointRegistry::onLeavingAnnounced(const EndpointInstance &endpoint)
+void EndpointRegistry::onLeavingAnnounced(const units::EndpointId &id)
 {
-    const auto found = entries_.find(endpoint.id.value());
-    if (found != entries_.end() && instanceOf(found->second.status->registration) == endpoint)
-        markLeaving(found->second);
+    const auto found = entries_.find(id.value());
+    if (found == entries_.end() || !hasAnnouncedLeaving(found->second.status->registration))
+        return;
+    if (!found->second.status->registration.draining)
+        announced_.insert(id.value());
+    markLeaving(found->second);
+}
+
+void EndpointRegistry::restoreUnannounced()
+{
+    for (auto id = announced_.begin(); id != announced_.end();) {
+        const Status &status = entries_.at(*id).status;
+        if (hasAnnouncedLeaving(status->registration)) {
+            ++id;
+            continue;
+        }
+        status->leaving = false;
+        addAvailable(status);
+        id = announced_.erase(id);
+    }
 }
 
 void EndpointRegistry::removeExpired(units::TimePoint now)
@@ -80,6 +101,7 @@
         }
         markLeaving(entry->second);
         decrementSize(entry->second.status->registration.pool);
+        announced_.erase(*missing);
         entries_.erase(entry);
         missing = missing_.erase(missing);
     }
@@ -132,10 +154,9 @@
     return isSame ? found->second.status : nullptr;
 }
 
-bool EndpointRegistry::isLeaving(const DiscoveredEndpoint &endpoint) const
+bool EndpointRegistry::hasAnnouncedLeaving(const DiscoveredEndpoint &endpoint) const
 {
-    return endpoint.draining
-        || (hasAnnouncedLeaving_ && hasAnnouncedLeaving_(instanceOf(endpoint)));
+    return hasAnnouncedLeaving_ && hasAnnouncedLeaving_(instanceOf(endpoint));
 }
 
 void EndpointRegistry::markLeaving(Entry &entry)
