Entries whose start is not a whole number name no endpoint

An entry of the store may come from another writer, with fields of another type; it names no endpoint to use. A start ("born") of another type was read as 0, so that the entry stood for another process at its address, with no load, health or announcements, and a start beyond the integers was converted with an undefined result.

Failed before: PlatformWatcher.MalformedEntriesAreSkippedAndAffectNoOther with four such entries (five endpoints known in place of one).

--- a/tests/adapter/platformwatcher_test.cpp
+++ b/tests/adapter/platformwatcher_test.cpp
@@ -103,6 +103,15 @@
                       {{"service", "plain"}, {"address", "nowhere"}, {"state", "ready"}});
     fixture.store.put("servers", "bad4",
                       {{"service", "plain"}, {"address", "127.0.0.1:9"}, {"state", "odd"}});
+    int number = 4;
+    for (const nlohmann::json &start : {nlohmann::json("soon"), nlohmann::json(true),
+                                        nlohmann::json(1.5), nlohmann::json(1e300)}) {
+        fixture.store.put("servers", "bad" + std::to_string(++number),
+                          {{"service", "plain"},
+                           {"address", "127.0.0.1:9"},
+                           {"state", "ready"},
+                           {"born", start}});
+    }
     fixture.announce("p1", "plain", "127.0.0.1:9");
     fixture.start();
     REQUIRE(fixture.awaitServing(1));
