Limits hold for every start of an endpoint that is not later

An endpoint that accepts few requests got a fresh one with each start that the store listed for it and that the host had not known: six requests in place of one at a limit of 0, for six changes of its entry. It is the fault of announcements of leaving once more: the limit was kept for the start that was listed when the response came.

The rate limiter stays with the endpoint when its listed start changes, and the limit ends only with a start that is later than its announcement, or with a response that names none. The latest response decides, whatever start it is recorded for, so that a lifted limit does not come back.

Also looked at: crashes are counted by start, and a response clears one only if its request was sent within a second after it, for this very reason; the memory of cached prompts forgets an endpoint with each other start, which costs reads and breaks no rule; the router's marks of endpoints belong to their hosts and are not kept by start.

Failed before: EndpointLimits.LimitHoldsForStartsThatAreReadLater.

--- a/include/monsoongrade/routing/endpointannouncements.h
+++ b/include/monsoongrade/routing/endpointannouncements.h
@@ -38,6 +38,8 @@
     // later response is known, or if the endpoint had no limit before and has none now.
     bool setLimit(const EndpointInstance &endpoint, std::optional<RequestsPerSecond> limit,
                   units::TimePoint at);
+    // The limit that the process which the store lists has announced last; empty if it has none.
+    std::optional<RequestsPerSecond> limitOf(const EndpointInstance &listed) const;
     // Updates for this gossip round: changes, repeated for several rounds, and at intervals the
     // limits in force, for hosts that were disconnected.
     std::vector<RateLimitUpdate> takeLimitUpdates(std::size_t maxItems, units::TimePoint now);
@@ -101,6 +103,7 @@
         units::TimePoint until;
     };
 
+    bool eraseOtherLimits(const EndpointInstance &endpoint, units::TimePoint at);
     bool isLaterStart(Incarnation start, units::TimePoint announcedAt) const;
 
     const units::WallClock &wallClock_;
--- a/include/monsoongrade/routing/endpointregistry.h
+++ b/include/monsoongrade/routing/endpointregistry.h
@@ -36,7 +36,8 @@
     // until keepMissingUntil.
     void replaceAll(const std::vector<DiscoveredEndpoint> &listed, units::TimePoint now,
                     units::TimePoint keepMissingUntil);
-    // One entry was created or changed in the store.
+    // One entry was created or changed in the store. An endpoint that is listed with another start
+    // keeps its rate limiter, since it may still be the same process.
     void update(const DiscoveredEndpoint &endpoint);
     // One entry was removed from the store.
     void remove(const units::EndpointId &id, units::TimePoint now,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -158,6 +158,8 @@
                                units::TimePoint keepMissingUntil)
 {
     state_.registry.replaceAll(endpoints, timers_.now(), keepMissingUntil);
+    for (const routing::DiscoveredEndpoint &endpoint : endpoints)
+        applyKnownLimit(endpoint);
     computeDivision();
     state_.startupGate.onEndpoints();
     observability::log(observability::LogLevel::Info, "endpoints-listed",
@@ -168,6 +170,7 @@
 void Gateway::updateEndpoint(const routing::DiscoveredEndpoint &endpoint)
 {
     state_.registry.update(endpoint);
+    applyKnownLimit(endpoint);
     computeDivision();
     if (endpoint.draining)
         state_.log.write(observability::LogLevel::Info, "endpoint-draining",
@@ -270,13 +273,22 @@
     applyDivision(routing::divideFleet(state_.registry.sizes(), state_.registry.division()));
 }
 
+// The entry may be of another process than the one that announced the limit, which then ends.
+void Gateway::applyKnownLimit(const routing::DiscoveredEndpoint &listed)
+{
+    const routing::EndpointInstance instance = routing::instanceOf(listed);
+    const auto endpoint = state_.registry.find(instance);
+    if (endpoint != nullptr)
+        state_.placement.setLimit(*endpoint, state_.announcements.limitOf(instance));
+}
+
 void Gateway::onRateLimitUpdate(const routing::RateLimitUpdate &update)
 {
     if (!state_.announcements.setLimit(update.endpoint, update.limit, timers_.now() - update.age))
         return;
-    const auto endpoint = state_.registry.find(update.endpoint);
+    const auto endpoint = state_.registry.findAvailable(update.endpoint.id);
     if (endpoint != nullptr)
-        state_.placement.setLimit(*endpoint, update.limit);
+        applyKnownLimit(endpoint->registration);
 }
 
 void Gateway::onLeavingUpdate(const routing::LeavingUpdate &update)
--- a/src/routing/endpointannouncements.cpp
+++ b/src/routing/endpointannouncements.cpp
@@ -55,9 +55,10 @@
 bool EndpointAnnouncements::setLimit(const EndpointInstance &endpoint,
                                      std::optional<RequestsPerSecond> limit, units::TimePoint at)
 {
+    const bool replacesOther = eraseOtherLimits(endpoint, at);
     const auto found = limits_.find(endpoint);
     if (found == limits_.end()) {
-        if (!limit || limits_.size() >= MaxLimits)
+        if ((!limit && !replacesOther) || limits_.size() >= MaxLimits)
             return false;
         limits_[endpoint] = {limit, at, RoundsPerUpdate, {}};
         return true;
@@ -73,6 +74,38 @@
     return true;
 }
 
+// Erases what earlier responses announced for other starts of the endpoint: the latest response
+// speaks for the process that runs now. Returns whether there was any.
+bool EndpointAnnouncements::eraseOtherLimits(const EndpointInstance &endpoint, units::TimePoint at)
+{
+    bool hasErased = false;
+    const auto [begin, end] = recordsOf(limits_, endpoint.id);
+    for (auto entry = begin; entry != end;) {
+        const bool isReplaced = !(entry->first == endpoint) && entry->second.announcedAt < at;
+        hasErased = hasErased || isReplaced;
+        entry = isReplaced ? limits_.erase(entry) : std::next(entry);
+    }
+    return hasErased;
+}
+
+std::optional<RequestsPerSecond>
+EndpointAnnouncements::limitOf(const EndpointInstance &listed) const
+{
+    std::optional<RequestsPerSecond> limit;
+    std::optional<units::TimePoint> announcedAt;
+    const auto [begin, end] = recordsOf(limits_, listed.id);
+    for (auto entry = begin; entry != end; ++entry) {
+        const Limit &known = entry->second;
+        const bool concerns
+            = entry->first == listed || !isLaterStart(listed.incarnation, known.announcedAt);
+        if (concerns && (!announcedAt || known.announcedAt > *announcedAt)) {
+            limit = known.limit;
+            announcedAt = known.announcedAt;
+        }
+    }
+    return limit;
+}
+
 std::size_t EndpointAnnouncements::limited() const
 {
     return std::size_t(std::count_if(limits_.begin(), limits_.end(), [](const auto &entry) {
--- a/src/routing/endpointregistry.cpp
+++ b/src/routing/endpointregistry.cpp
@@ -35,11 +35,13 @@
     if (!isSame) {
         // A restarted endpoint has none of the requests and cache of the previous instance, so
         // its load and health start from zero. Requests of the previous instance keep its status.
+        const auto status = std::make_shared<EndpointStatus>();
         if (entry.status != nullptr) {
             markLeaving(entry);
             decrementSize(entry.status->registration.pool);
+            status->rateLimiter = entry.status->rateLimiter;
         }
-        entry.status = std::make_shared<EndpointStatus>();
+        entry.status = status;
         incrementSize(endpoint.pool);
     }
     missing_.erase(endpoint.id.value());
--- a/tests/adapter/endpointlimits_test.cpp
+++ b/tests/adapter/endpointlimits_test.cpp
@@ -64,3 +64,27 @@
         CHECK_MESSAGE(fixture.announcersRequests() > int(statuses.size()) / 4, text);
     }
 }
+
+// Guards against a limit that is lost, and fresh requests at once, when the store lists a start of
+// the endpoint that this host did not know.
+TEST_CASE("EndpointLimits.LimitHoldsForStartsThatAreReadLater")
+{
+    AnnouncingWorkersFixture fixture("plain");
+    fixture.callFor(milliseconds(200), "/unsafe/a");
+    fixture.announceFromBusiest();
+    fixture.announcement = "Server-Limit: 0\r\n";
+    fixture.callFor(milliseconds(300), "/unsafe/a");
+    const int before = fixture.announcersRequests();
+    const std::int64_t born = unixMilliseconds() - 10000;
+    for (int i = 0; i < 6; ++i) {
+        fixture.listAnnouncer(born + i, 8);
+        REQUIRE(fixture.awaitListed(born + i));
+        fixture.callFor(milliseconds(200), "/unsafe/a");
+    }
+    CHECK(fixture.announcersRequests() - before <= 1);
+    fixture.announcement.clear();
+    fixture.runFor(milliseconds(600));
+    fixture.listAnnouncer(unixMilliseconds(), 8);
+    fixture.callFor(milliseconds(500), "/unsafe/a");
+    CHECK_MESSAGE(fixture.announcersRequests() - before > 1, "no requests after a restart");
+}
--- a/tests/routing/endpointannouncements_test.cpp
+++ b/tests/routing/endpointannouncements_test.cpp
@@ -260,3 +260,19 @@
     CHECK(reported->age == seconds(6));
     CHECK_FALSE(announcements.onListed(later, Start + seconds(7)));
 }
+
+// Guards against a limit that comes back after the endpoint has lifted it under another start.
+TEST_CASE("EndpointAnnouncements.LatestResponseDecidesOnTheLimit")
+{
+    const ShiftedWallClock wallClock;
+    EndpointAnnouncements announcements(wallClock);
+    const EndpointInstance known{units::EndpointId("a"), startAt(Start - minutes(10))};
+    const EndpointInstance readLater{units::EndpointId("a"), startAt(Start - seconds(2))};
+    announcements.setLimit(known, 1.5, Start);
+    CHECK(announcements.limitOf(readLater) == 1.5);
+    CHECK_FALSE(announcements.limitOf({known.id, startAt(Start + seconds(2))}));
+    CHECK(announcements.setLimit(readLater, std::nullopt, Start + seconds(1)));
+    CHECK_FALSE(announcements.limitOf(readLater));
+    announcements.takeLimitUpdates(DatagramItems, Start + minutes(1));
+    CHECK_FALSE(announcements.limitOf(readLater));
+}
