--- a/soak/announcementchecks.cpp
+++ b/soak/announcementchecks.cpp
@@ -48,7 +48,7 @@
         const CallRecord &told = recordOf(earlier.requestId);
         if (!earlier.announcedLeaving || earlier.born != arrival.born || told.host != record.host
             || !wasPassedOn(earlier, endpoint) || record.sentAt <= told.endedAt + LeavesWithin
-            || isDisturbed(told.host, endpoint, earlier.at, arrival.at))
+            || isHostDisturbed(told.host, earlier.at, arrival.at))
             continue;
         const auto since
             = std::chrono::duration_cast<milliseconds>(record.sentAt - told.endedAt).count();
@@ -67,7 +67,8 @@
     const auto count = std::count_if(arrivals.begin(), arrivals.end(), [&](const auto &later) {
         return later.born == rejection.born && recordOf(later.requestId).host == told.host
             && later.at > rejection.at + InFlightTime && later.at < rejection.at + rejection.pause
-            && !isDisturbed(told.host, endpoint, rejection.at, later.at);
+            && !isHostDisturbed(told.host, rejection.at, later.at)
+            && !isPathDisturbed(endpoint, rejection.at, later.at);
     });
     if (count > MaxArrivalsInPause)
         found.push_back(told.id + ": " + endpointParty(endpoint)
@@ -78,24 +79,34 @@
 bool SoakRun::wasPassedOn(const standins::WorkerArrival &arrival, std::size_t endpoint) const
 {
     const CallRecord &record = recordOf(arrival.requestId);
-    return record.isEnded && record.signature.rfind(endpointParty(endpoint) + ".", 0) == 0;
+    return record.isEnded && record.status == 200
+        && record.signature.rfind(endpointParty(endpoint) + ".", 0) == 0;
 }
 
-// A host that is killed or frozen forgets what it was told, or acts late; a response may not get
-// through a cut.
-bool SoakRun::isDisturbed(std::size_t host, std::size_t endpoint, units::TimePoint from,
-                          units::TimePoint until) const
+// A host that is killed or frozen forgets what it was told, or acts late.
+bool SoakRun::isHostDisturbed(std::size_t host, units::TimePoint from, units::TimePoint until) const
+{
+    return std::any_of(faults_.begin(), faults_.end(), [&](const Fault &fault) {
+        const bool isOfHost = fault.kind == FaultKind::Kill || fault.kind == FaultKind::Stop
+            || fault.kind == FaultKind::Freeze;
+        return isOfHost && fault.target == host && isInForce(fault, from, until);
+    });
+}
+
+// A rejection may not get through a cut.
+bool SoakRun::isPathDisturbed(std::size_t endpoint, units::TimePoint from,
+                              units::TimePoint until) const
 {
     return std::any_of(faults_.begin(), faults_.end(), [&](const Fault &fault) {
-        const bool isOfHost = (fault.kind == FaultKind::Kill || fault.kind == FaultKind::Stop
-                               || fault.kind == FaultKind::Freeze)
-            && fault.target == host;
         const bool isOfPath
-            = (fault.kind == FaultKind::CutToEndpoint || fault.kind == FaultKind::CutFromEndpoint)
-            && fault.target == endpoint;
-        return (isOfHost || isOfPath) && startedAt_ + fault.beginsAt <= until
-            && from <= startedAt_ + fault.endsAt;
+            = fault.kind == FaultKind::CutToEndpoint || fault.kind == FaultKind::CutFromEndpoint;
+        return isOfPath && fault.target == endpoint && isInForce(fault, from, until);
     });
 }
 
+bool SoakRun::isInForce(const Fault &fault, units::TimePoint from, units::TimePoint until) const
+{
+    return startedAt_ + fault.beginsAt <= until && from <= startedAt_ + fault.endsAt;
+}
+
 } // namespace monsoongrade::soak
--- a/soak/soakchecks.cpp
+++ b/soak/soakchecks.cpp
@@ -139,19 +139,27 @@
             || record.sentAt <= startedAt_ + fault.beginsAt + LeavesWithin
             || record.endedAt >= startedAt_ + fault.endsAt)
             continue;
-        // Another fault of the same kind may have announced it as ready meanwhile.
-        const bool isAlone = std::none_of(faults_.begin(), faults_.end(), [&](const Fault &other) {
-            return &other != &fault && other.kind == fault.kind && other.target == fault.target;
-        });
         const auto &runs = endpoints_[fault.target]->runs();
         const bool ran = std::any_of(runs.begin(), runs.end(),
                                      [&](const auto &run) { return run.requestId == record.id; });
-        if (isAlone && ran)
+        if (ran && isAloneOnEntry(fault))
             return fault.target;
     }
     return Endpoints;
 }
 
+// Whether no other fault writes the entry of the endpoint, perhaps as ready.
+bool SoakRun::isAloneOnEntry(const Fault &fault) const
+{
+    return std::none_of(faults_.begin(), faults_.end(), [&](const Fault &other) {
+        const bool writesEntry = other.kind == FaultKind::EndpointLeaves
+            || other.kind == FaultKind::EndpointAnnouncesLeaving
+            || other.kind == FaultKind::EndpointRestarts || other.kind == FaultKind::EntryLapses
+            || other.kind == FaultKind::EntryOfAnotherWriter;
+        return &other != &fault && writesEntry && other.target == fault.target;
+    });
+}
+
 bool SoakRun::overlaps(const Fault &fault, const CallRecord &record) const
 {
     return startedAt_ + fault.beginsAt <= record.endedAt
--- a/soak/soakplan.cpp
+++ b/soak/soakplan.cpp
@@ -8,10 +8,13 @@
 
 namespace {
 
-constexpr int FaultKinds = 14;
+constexpr int FaultKinds = 16;
 constexpr int FaultsPerSecond = 1;
 constexpr int MinFaultMs = 300;
 constexpr int MaxFaultMs = 4000;
+// An endpoint goes on for many seconds after it has announced its leaving. The announcement binds a
+// host from 2 s on, so shorter times test little.
+constexpr int MaxLeavingMs = 9000;
 // A host that is started again at the end of its fault serves within this time, and so do all after
 // an outage of the store.
 constexpr auto RecoveryTime = std::chrono::milliseconds(4500);
@@ -27,6 +30,8 @@
     case FaultKind::EndpointAnnouncesLeaving:
     case FaultKind::EndpointAsksForPauses:
     case FaultKind::EndpointRestarts:
+    case FaultKind::EntryLapses:
+    case FaultKind::EntryOfAnotherWriter:
         return true;
     default:
         return false;
@@ -64,6 +69,10 @@
         return "endpoint-asks-for-pauses";
     case FaultKind::EndpointRestarts:
         return "endpoint-restarts";
+    case FaultKind::EntryLapses:
+        return "entry-lapses";
+    case FaultKind::EntryOfAnotherWriter:
+        return "entry-of-another-writer";
     }
     return "unknown";
 }
@@ -116,7 +125,9 @@
             fault.kind = FaultKind::Kill;
         hasRevoked = hasRevoked || fault.kind == FaultKind::KeyRevoked;
         fault.beginsAt = std::chrono::milliseconds(below(lastBegin));
-        const std::uint32_t lasts = MinFaultMs + below(MaxFaultMs - MinFaultMs);
+        const int maxMs
+            = fault.kind == FaultKind::EndpointAnnouncesLeaving ? MaxLeavingMs : MaxFaultMs;
+        const std::uint32_t lasts = MinFaultMs + below(std::uint32_t(maxMs - MinFaultMs));
         fault.endsAt = std::min<std::chrono::milliseconds>(
             fault.beginsAt + std::chrono::milliseconds(lasts), length - RecoveryTime);
         fault.target = below(std::uint32_t(isOfEndpoint(fault.kind) ? endpoints : hosts));
--- a/soak/soakplan.h
+++ b/soak/soakplan.h
@@ -19,11 +19,13 @@
     HistoryGone, // the store drops its history
     CutToEndpoint, // nothing gets through to one endpoint
     CutFromEndpoint, // nothing gets back from it
-    EndpointLeaves, // it says so in the store, and returns at the end
+    EndpointLeaves, // it says so in the store, and restarts at the end
     KeyRevoked, // a new configuration takes a key away
     EndpointAnnouncesLeaving, // it says so in its responses only, and restarts at the end
     EndpointAsksForPauses, // it rejects all requests and asks for pauses
-    EndpointRestarts, // it starts again under its id at the beginning
+    EndpointRestarts, // it starts again under its id, and tells the store at the end
+    EntryLapses, // its entry in the store is gone until the end
+    EntryOfAnotherWriter, // its entry is overwritten by one that can't be its own, until the end
 };
 
 // Whether the fault's target is an endpoint; otherwise it is a host.
--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -261,9 +261,31 @@
     case FaultKind::EndpointRestarts:
         endpoints_[fault.target]->restart();
         break;
+    case FaultKind::EntryLapses:
+        endpoints_[fault.target]->removeEntry();
+        break;
+    case FaultKind::EntryOfAnotherWriter:
+        overwriteEntry(fault);
+        break;
     }
 }
 
+// Writes an entry that names no endpoint to use, or shows no later start than the endpoint's own.
+void SoakRun::overwriteEntry(const Fault &fault)
+{
+    const standins::StandInWorker &endpoint = *endpoints_[fault.target];
+    const json starts[] = {0, 1700000000000, "soon", nullptr, 1.5};
+    json entry{{"service", endpoint.settings().service},
+               {"address", endpoint.settings().announcedAddress},
+               {"zone", endpoint.settings().zone},
+               {"slots", 1},
+               {"state", "ready"},
+               {"born", starts[std::size_t(fault.beginsAt.count()) % std::size(starts)]}};
+    if (entry["born"].is_null())
+        entry.erase("born");
+    store_.put("servers", endpoint.settings().id, entry);
+}
+
 void SoakRun::end(const Fault &fault)
 {
     Host *const host = fault.target < hosts_.size() ? &hosts_[fault.target] : nullptr;
@@ -285,7 +307,6 @@
         break;
     case FaultKind::HistoryGone:
     case FaultKind::KeyRevoked:
-    case FaultKind::EndpointRestarts:
         break;
     case FaultKind::CutToEndpoint:
         relay_.heal({"hosts", endpointParty(fault.target)}, false);
@@ -294,10 +315,14 @@
         relay_.heal({endpointParty(fault.target), "hosts"}, false);
         break;
     case FaultKind::EndpointLeaves:
-        endpoints_[fault.target]->announce("ready");
-        break;
     case FaultKind::EndpointAnnouncesLeaving:
         endpoints_[fault.target]->restart();
+        endpoints_[fault.target]->announce();
+        break;
+    case FaultKind::EndpointRestarts:
+    case FaultKind::EntryLapses:
+    case FaultKind::EntryOfAnotherWriter:
+        endpoints_[fault.target]->announce();
         break;
     case FaultKind::EndpointAsksForPauses:
         endpoints_[fault.target]->askForPauses(milliseconds(0));
--- a/soak/soakrun.h
+++ b/soak/soakrun.h
@@ -64,6 +64,7 @@
     void begin(const Fault &fault);
     void end(const Fault &fault);
     void restartEnded();
+    void overwriteEntry(const Fault &fault);
     void putConfiguration(int version, bool hasSecondKey);
     int runsOf(const std::string &id) const;
     void checkAnswer(const CallRecord &record, std::vector<std::string> &found) const;
@@ -75,8 +76,10 @@
     void checkPause(const standins::WorkerArrival &rejection, std::size_t endpoint,
                     std::vector<std::string> &found) const;
     bool wasPassedOn(const standins::WorkerArrival &arrival, std::size_t endpoint) const;
-    bool isDisturbed(std::size_t host, std::size_t endpoint, units::TimePoint from,
-                     units::TimePoint until) const;
+    bool isHostDisturbed(std::size_t host, units::TimePoint from, units::TimePoint until) const;
+    bool isPathDisturbed(std::size_t endpoint, units::TimePoint from, units::TimePoint until) const;
+    bool isInForce(const Fault &fault, units::TimePoint from, units::TimePoint until) const;
+    bool isAloneOnEntry(const Fault &fault) const;
     void checkPlannedStop(const CallRecord &record, std::vector<std::string> &found) const;
     void checkDuties(std::vector<std::string> &found) const;
     void checkShares(std::vector<std::string> &found) const;
--- a/tests/platform_standin/standinworker.cpp
+++ b/tests/platform_standin/standinworker.cpp
@@ -42,6 +42,7 @@
 
 void StandInWorker::announce(const std::string &state)
 {
+    state_ = state;
     store_.put(
         "servers", settings_.id,
         {{"service", settings_.service},
@@ -49,7 +50,7 @@
          {"zone", settings_.zone},
          {"version", "v1"},
          {"slots", settings_.slots},
-         {"state", state},
+         {"state", state_},
          {"cold_remaining_ms", 0},
          {"born", born_},
          {"sequence", ++sequence_}});
@@ -59,7 +60,7 @@
 {
     born_ = std::max(born_ + 1, unixMilliseconds());
     isLeaving_ = false;
-    announce("ready");
+    state_ = "ready";
 }
 
 void StandInWorker::removeEntry()
--- a/tests/platform_standin/standinworker.h
+++ b/tests/platform_standin/standinworker.h
@@ -52,15 +52,17 @@
     StandInWorker(asio::io_context &io, httpio::Timers &timers, StandInStore &store,
                   Settings settings);
 
-    // Writes the entry in the store with this state.
+    // Writes the entry in the store with this state, or with its last one.
     void announce(const std::string &state);
+    void announce() { announce(state_); }
     void removeEntry();
     // While full, requests are rejected as not run.
     void setFull(bool isFull) { isFull_ = isFull; }
 
     // From now on all responses announce that the worker is leaving; the store is not told.
     void announceLeavingInResponses() { isLeaving_ = true; }
-    // Starts again under the same id, as a new incarnation that has announced nothing.
+    // Starts again under the same id, as a new incarnation that has announced nothing. The store is
+    // told with the next announce().
     void restart();
     // Rejects all requests and asks each client for a pause; 0 ends that.
     void askForPauses(std::chrono::milliseconds pause) { pause_ = pause; }
@@ -94,6 +96,7 @@
     int rejected_ = 0;
     int clientsDisconnected_ = 0;
     int sequence_ = 0;
+    std::string state_ = "ready";
 };
 
 } // namespace monsoongrade::standins
