Readers that notice the store's return last do not take themselves for refused

After an outage of the store some hosts served again only after 0.9 s or more; StoreCalls.OutageCostsAsManyCallsForAnyFleetAndIsOverWithinASecond allows 1.2 s and failed at times.

Cause: the reader that notices the return first passes the store on to the other readers, which wait at it. An answer that is newer than their own failure counted as the proof that the store refuses them. They stopped being readers for 6 s, and the hosts that waited at them were answered only when their wait of 500 ms was over. Now such an answer makes a reader call the store at once, and only a call that fails after it shows a refusal: one more call for a host that is refused.

Failed before: StoreSourceSelector.ReaderThatNoticesTheStoresReturnLastStaysAReader. RefusedReaderFollowsAnother expected the refusal with the first answer of another reader, which an end of the outage gives as well; it now plays the failed call after it and expects the refusal then.

--- a/include/monsoongrade/routing/storesourceselector.h
+++ b/include/monsoongrade/routing/storesourceselector.h
@@ -87,6 +87,7 @@
     StoreSource fromStore(const std::vector<PeerUpdate> &hosts, units::TimePoint now);
     StoreSource fromHosts(std::vector<std::string> readers, const std::vector<PeerUpdate> &hosts);
     bool isStandby(const std::vector<PeerUpdate> &hosts);
+    void onStoreServesOthers(units::TimePoint now);
     bool shouldBeReader(const std::vector<std::string> &readers, units::TimePoint now) const;
     std::size_t readerCount(units::TimePoint now) const;
     void removeExpired(units::TimePoint now);
@@ -103,6 +104,9 @@
     std::optional<units::TimePoint> unreachableSince_; // neither store nor host reachable
     int storeFailures_ = 0; // consecutive
     units::TimePoint storeFailingSince_{};
+    units::TimePoint storeFailedAt_{}; // the last time
+    // Another host reached the store while calls of this host failed.
+    std::optional<units::TimePoint> servesOthersSince_;
     units::TimePoint nextProbeAt_{};
     bool isProbing_ = false;
     units::TimePoint probeTimeoutAt_{};
--- a/src/routing/storesourceselector.cpp
+++ b/src/routing/storesourceselector.cpp
@@ -224,17 +224,31 @@
 void StoreSourceSelector::onHostAnswered(const std::string &host, units::TimePoint currentAsOf,
                                          units::TimePoint now)
 {
-    if (storeFailures_ > 0 && currentAsOf > storeFailingSince_) {
-        refusedUntil_ = now + RefusalPeriod;
-        storeFailures_ = 0;
-        isProbing_ = false;
-        isReader_ = false;
-    }
+    if (storeFailures_ > 0 && currentAsOf > storeFailingSince_)
+        onStoreServesOthers(now);
     consecutiveTimeouts_ = 0;
     unreachableSince_.reset();
     withoutStoreUntil_.erase(host);
 }
 
+// After an outage, one reader reaches the store before the others. Only a call that fails after
+// that shows that the store refuses this host.
+void StoreSourceSelector::onStoreServesOthers(units::TimePoint now)
+{
+    if (!servesOthersSince_) {
+        servesOthersSince_ = now;
+        nextProbeAt_ = now;
+        return;
+    }
+    if (storeFailedAt_ <= *servesOthersSince_)
+        return;
+    refusedUntil_ = now + RefusalPeriod;
+    servesOthersSince_.reset();
+    storeFailures_ = 0;
+    isProbing_ = false;
+    isReader_ = false;
+}
+
 void StoreSourceSelector::onHostWithoutStore(const std::string &host, units::TimePoint now)
 {
     consecutiveTimeouts_ = 0;
@@ -259,6 +273,7 @@
 {
     storeFailures_ = 0;
     isProbing_ = false;
+    servesOthersSince_.reset();
     unreachableSince_.reset();
 }
 
@@ -272,6 +287,7 @@
     const units::Duration backoff = std::min<units::Duration>(
         InitialBackoff * (1 << std::min(storeFailures_, MaxDoublings)), MaxBackoff);
     ++storeFailures_;
+    storeFailedAt_ = now;
     nextProbeAt_ = now + backoff;
 }
 
--- a/tests/routing/storesourceselector_test.cpp
+++ b/tests/routing/storesourceselector_test.cpp
@@ -147,12 +147,37 @@
     REQUIRE(source.kind == Kind::Host);
     CHECK(calls <= 4);
     fixture.selector.onHostAnswered(source.host, fixture.now, fixture.now);
+    REQUIRE(fixture.next().kind == Kind::Store);
+    fixture.now += milliseconds(5);
+    fixture.selector.onStoreFailed(fixture.now);
+    source = fixture.next();
+    REQUIRE(source.kind == Kind::Host);
+    fixture.selector.onHostAnswered(source.host, fixture.now, fixture.now);
     CHECK(fixture.selector.isRefused(fixture.now));
     CHECK(fixture.next().kind == Kind::Host);
     fixture.now += seconds(7);
     CHECK(fixture.next().kind == Kind::Store);
 }
 
+// Guards against a reader that takes itself for refused because another one noticed the end of an
+// outage first: whoever waits at it would learn of the end only when that wait is over.
+TEST_CASE("StoreSourceSelector.ReaderThatNoticesTheStoresReturnLastStaysAReader")
+{
+    SelectorFixture fixture(firstReader());
+    REQUIRE(fixture.next().kind == Kind::Store);
+    fixture.selector.onStoreFailed(fixture.now);
+    fixture.now += milliseconds(300);
+    fixture.selector.onStoreFailed(fixture.now);
+    fixture.now += milliseconds(50);
+    fixture.selector.onHostAnswered("10.0.0.8", fixture.now, fixture.now);
+    CHECK_FALSE(fixture.selector.isRefused(fixture.now));
+    CHECK(fixture.next().kind == Kind::Store);
+    fixture.selector.onStoreAnswered();
+    fixture.now += milliseconds(500);
+    CHECK(fixture.next().kind == Kind::Store);
+    CHECK(fixture.selector.isReader());
+}
+
 TEST_CASE("StoreSourceSelector.ContentFromBeforeOutageDoesNotIndicateRefusal")
 {
     // The store is unavailable to all. Another reader has not noticed yet and still responds.
