Soak: endpoints that announce their leaving meet a fault of their entry

Each announcing endpoint now also restarts, lapses or is overwritten for 2.5 s and more, and leaves for 3 s at least.

One function shows the time as workers' entries do; tests that wait for the store's return share their steps.

--- a/soak/soakplan.cpp
+++ b/soak/soakplan.cpp
@@ -14,11 +14,36 @@
 constexpr int MaxFaultMs = 4000;
 // An endpoint goes on for many seconds after it has announced its leaving. The announcement binds a
 // host from 2 s on, so shorter times test little.
+constexpr int MinLeavingMs = 3000;
 constexpr int MaxLeavingMs = 9000;
 // A host that is started again at the end of its fault serves within this time, and so do all after
 // an outage of the store.
 constexpr auto RecoveryTime = std::chrono::milliseconds(4500);
 
+// A fault of the entry of an endpoint that announces its leaving. Faults drawn by themselves would
+// rarely meet on one endpoint.
+Fault entryFaultDuring(const Fault &leaving, std::mt19937 &random)
+{
+    constexpr int BeforeLeavingMs = 200;
+    constexpr int MaxStartMs = 3000;
+    // An announcement binds a host from 2 s on, so the entry changes back later than that.
+    constexpr int MinDurationMs = 2500;
+    constexpr FaultKind Kinds[]
+        = {FaultKind::EndpointRestarts, FaultKind::EntryLapses, FaultKind::EntryOfAnotherWriter};
+    Fault fault;
+    fault.kind = Kinds[random() % std::size(Kinds)];
+    fault.target = leaving.target;
+    fault.beginsAt = leaving.beginsAt + std::chrono::milliseconds(random() % MaxStartMs);
+    // After a restart an endpoint has announced nothing, so that comes first.
+    if (fault.kind == FaultKind::EndpointRestarts)
+        fault.beginsAt = std::max(leaving.beginsAt - std::chrono::milliseconds(BeforeLeavingMs),
+                                  std::chrono::milliseconds(0));
+    fault.beginsAt = std::min(fault.beginsAt, leaving.endsAt);
+    const auto lasts = std::chrono::milliseconds(MinDurationMs + random() % MaxStartMs);
+    fault.endsAt = std::min(fault.beginsAt + lasts, leaving.endsAt);
+    return fault;
+}
+
 } // namespace
 
 bool isOfEndpoint(FaultKind kind)
@@ -125,13 +150,16 @@
             fault.kind = FaultKind::Kill;
         hasRevoked = hasRevoked || fault.kind == FaultKind::KeyRevoked;
         fault.beginsAt = std::chrono::milliseconds(below(lastBegin));
-        const int maxMs
-            = fault.kind == FaultKind::EndpointAnnouncesLeaving ? MaxLeavingMs : MaxFaultMs;
-        const std::uint32_t lasts = MinFaultMs + below(std::uint32_t(maxMs - MinFaultMs));
+        const bool isLeaving = fault.kind == FaultKind::EndpointAnnouncesLeaving;
+        const int minMs = isLeaving ? MinLeavingMs : MinFaultMs;
+        const int maxMs = isLeaving ? MaxLeavingMs : MaxFaultMs;
+        const std::uint32_t lasts = std::uint32_t(minMs) + below(std::uint32_t(maxMs - minMs));
         fault.endsAt = std::min<std::chrono::milliseconds>(
             fault.beginsAt + std::chrono::milliseconds(lasts), length - RecoveryTime);
         fault.target = below(std::uint32_t(isOfEndpoint(fault.kind) ? endpoints : hosts));
         faults.push_back(fault);
+        if (fault.kind == FaultKind::EndpointAnnouncesLeaving)
+            faults.push_back(entryFaultDuring(fault, random));
     }
     std::sort(faults.begin(), faults.end(),
               [](const Fault &a, const Fault &b) { return a.beginsAt < b.beginsAt; });
--- a/tests/adapter/announcingworkers.h
+++ b/tests/adapter/announcingworkers.h
@@ -71,6 +71,13 @@
             },
             std::chrono::seconds(10));
     }
+    // The store is back, and lists the announcer with this start. Waits until the gateway knows.
+    bool awaitStoreBack(std::int64_t born)
+    {
+        listAnnouncer(born, 8);
+        store.setBehavior(standins::StoreBehavior::Normal);
+        return awaitListed(born);
+    }
     void unlistAnnouncer() { store.remove("servers", idOf(announcing_)); }
     void unlistOther() { store.remove("servers", idOf(1 - announcing_)); }
 
@@ -110,13 +117,6 @@
     int calls_ = 0;
 };
 
-// The time as the entries of workers show it, in milliseconds.
-inline std::int64_t unixMilliseconds()
-{
-    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
-}
-
 inline bool allServed(const std::vector<int> &statuses)
 {
     return std::count(statuses.begin(), statuses.end(), 200) == std::ptrdiff_t(statuses.size());
--- a/tests/adapter/endpointleaving_test.cpp
+++ b/tests/adapter/endpointleaving_test.cpp
@@ -55,7 +55,7 @@
     fixture.callFor(milliseconds(300), "/unsafe/a");
     CHECK_MESSAGE(fixture.announcersRequests() == before, "requests after the entry's return");
     fixture.announcement.clear();
-    fixture.listAnnouncer(unixMilliseconds(), 8);
+    fixture.listAnnouncer(standins::unixMilliseconds(), 8);
     fixture.callFor(milliseconds(500), "/unsafe/a");
     CHECK_MESSAGE(fixture.announcersRequests() > before, "no requests after a restart");
 }
@@ -98,14 +98,12 @@
     fixture.callFor(milliseconds(200), "/unsafe/a");
     fixture.store.setBehavior(standins::StoreBehavior::Refusing);
     fixture.announceFromBusiest();
-    const std::int64_t born = unixMilliseconds();
+    const std::int64_t born = standins::unixMilliseconds();
     fixture.runFor(milliseconds(1000));
     fixture.announcement = Leaving;
     fixture.callFor(milliseconds(300), "/unsafe/a");
     const int before = fixture.announcersRequests();
-    fixture.listAnnouncer(born, 8);
-    fixture.store.setBehavior(standins::StoreBehavior::Normal);
-    REQUIRE(fixture.awaitListed(born));
+    REQUIRE(fixture.awaitStoreBack(born));
     CHECK(allServed(fixture.callFor(milliseconds(500), "/unsafe/a")));
     CHECK(fixture.announcersRequests() == before);
 }
@@ -114,7 +112,7 @@
 TEST_CASE("EndpointLeaving.EntryWithoutALaterStartDoesNotBringTheEndpointBack")
 {
     AnnouncingWorkersFixture fixture("plain");
-    const std::int64_t born = unixMilliseconds();
+    const std::int64_t born = standins::unixMilliseconds();
     fixture.listAnnouncer(born, 8);
     REQUIRE(fixture.awaitListed(born));
     fixture.callFor(milliseconds(200), "/unsafe/a");
--- a/tests/adapter/endpointlimits_test.cpp
+++ b/tests/adapter/endpointlimits_test.cpp
@@ -75,7 +75,7 @@
     fixture.announcement = "Server-Limit: 0\r\n";
     fixture.callFor(milliseconds(300), "/unsafe/a");
     const int before = fixture.announcersRequests();
-    const std::int64_t born = unixMilliseconds() - 10000;
+    const std::int64_t born = standins::unixMilliseconds() - 10000;
     for (int i = 0; i < 6; ++i) {
         fixture.listAnnouncer(born + i, 8);
         REQUIRE(fixture.awaitListed(born + i));
@@ -84,7 +84,7 @@
     CHECK(fixture.announcersRequests() - before <= 1);
     fixture.announcement.clear();
     fixture.runFor(milliseconds(600));
-    fixture.listAnnouncer(unixMilliseconds(), 8);
+    fixture.listAnnouncer(standins::unixMilliseconds(), 8);
     fixture.callFor(milliseconds(500), "/unsafe/a");
     CHECK_MESSAGE(fixture.announcersRequests() - before > 1, "no requests after a restart");
 }
--- a/tests/adapter/endpointpauses_test.cpp
+++ b/tests/adapter/endpointpauses_test.cpp
@@ -100,13 +100,11 @@
     fixture.callFor(milliseconds(200), "/unsafe/a");
     fixture.store.setBehavior(standins::StoreBehavior::Refusing);
     startRejecting(fixture, "8");
-    const std::int64_t born = unixMilliseconds();
+    const std::int64_t born = standins::unixMilliseconds();
     fixture.runFor(milliseconds(1000));
     CHECK(requestsAfterTheFirstRejection(fixture, milliseconds(100), "/unsafe/a") == 0);
     const int before = fixture.announcersRequests();
-    fixture.listAnnouncer(born, 8);
-    fixture.store.setBehavior(standins::StoreBehavior::Normal);
-    REQUIRE(fixture.awaitListed(born));
+    REQUIRE(fixture.awaitStoreBack(born));
     CHECK(allServed(fixture.callFor(milliseconds(500), "/unsafe/a")));
     CHECK(fixture.announcersRequests() == before);
 }
--- a/tests/platform_standin/standinworker.cpp
+++ b/tests/platform_standin/standinworker.cpp
@@ -14,14 +14,14 @@
     return value == nullptr ? std::string() : *value;
 }
 
+} // namespace
+
 std::int64_t unixMilliseconds()
 {
     const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
     return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
 }
 
-} // namespace
-
 StandInWorker::StandInWorker(asio::io_context &io, httpio::Timers &timers, StandInStore &store,
                              Settings settings)
     : timers_(timers)
--- a/tests/platform_standin/standinworker.h
+++ b/tests/platform_standin/standinworker.h
@@ -9,6 +9,9 @@
 
 namespace monsoongrade::standins {
 
+// The time as the entries of workers show it, in milliseconds since 1970.
+std::int64_t unixMilliseconds();
+
 // A request that a worker has run.
 struct WorkerRun
 {
