--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -59,7 +59,6 @@
     void onFirstByte();
     void countUsage();
     void readAnnouncements(const EndpointResponseInfo &answer);
-    void logUnreadable(std::string_view event) const;
     void onLeavingAnnounced();
     void onPauseAnnounced(std::chrono::duration<double> pause);
     std::vector<units::EndpointId> pausedEndpoints() const;
--- a/src/gateway/exchangeannouncements.cpp
+++ b/src/gateway/exchangeannouncements.cpp
@@ -12,19 +12,18 @@
         onLeavingAnnounced();
     if (answer.pause)
         onPauseAnnounced(*answer.pause);
+    const std::string &endpoint = endpoint_->registration.id.value();
+    const std::string &request = metadata_.id.value();
+    const auto level = observability::LogLevel::Warning;
     if (answer.isLeavingUnreadable)
-        logUnreadable("endpoint-leaving-unreadable");
+        state_.log.write(level, "endpoint-leaving-unreadable",
+                         {{"endpoint", endpoint}, {"request", request}});
     if (answer.isPauseUnreadable)
-        logUnreadable("endpoint-pause-unreadable");
+        state_.log.write(level, "endpoint-pause-unreadable",
+                         {{"endpoint", endpoint}, {"request", request}});
     if (answer.isLimitUnreadable)
-        logUnreadable("endpoint-limit-unreadable");
-}
-
-void Exchange::logUnreadable(std::string_view event) const
-{
-    state_.log.write(
-        observability::LogLevel::Warning, event,
-        {{"endpoint", endpoint_->registration.id.value()}, {"request", metadata_.id.value()}});
+        state_.log.write(level, "endpoint-limit-unreadable",
+                         {{"endpoint", endpoint}, {"request", request}});
 }
 
 // An endpoint says so in all responses from then on; the first one is logged.
