Hosts log when they can open no connection to a pool

Logs could not tell whether a host refused for want of an endpoint because its own path was gone, or because the host that places was told so. A host now concludes it from connections: three endpoints of the pool, or all of a smaller one, failed and none was made meanwhile. After a failure it opens as many of its own as are needed to know; while the pool is lost, one every 500 to 750 ms. Decisions do not use it yet.

--- a/include/monsoongrade/gateway/endpointconnections.h
+++ b/include/monsoongrade/gateway/endpointconnections.h
@@ -27,14 +27,21 @@
 {
 public:
     using AcquireHandler = std::function<void(ConnectOutcome, std::shared_ptr<httpio::Channel>)>;
+    // Receives the result of each attempt to open a connection, and when it began.
+    using ConnectObserver = std::function<void(const routing::DiscoveredEndpoint &endpoint,
+                                               bool isConnected, units::TimePoint begunAt)>;
 
     EndpointConnections(asio::io_context &io, httpio::Timers &timers);
 
+    void setConnectObserver(ConnectObserver observer) { connectObserver_ = std::move(observer); }
+
     // Reuses an idle connection or opens a new one, with at most maxOpen open per endpoint. With
     // checkIdle, asks the operating system whether an idle connection is still open, since a
     // request that must not run twice can't be repeated if the endpoint has just closed it.
     void acquire(const routing::EndpointStatus &endpoint, int maxOpen, bool checkIdle,
                  AcquireHandler onAcquired);
+    // Opens a connection that is kept idle, to find out whether the endpoint can be reached.
+    void openIdle(const routing::EndpointStatus &endpoint);
     // Returns a channel whose response is complete. idleTimeout is the time after which the
     // endpoint closes an idle connection.
     void release(const routing::EndpointStatus &endpoint,
@@ -60,15 +67,16 @@
         int open = 0; // idle, in use and connecting
     };
 
+    static std::string keyOf(const routing::DiscoveredEndpoint &endpoint);
     static std::string keyOf(const routing::EndpointStatus &endpoint);
     std::shared_ptr<httpio::Channel> takeIdle(PerEndpoint &connections, bool checkIdle);
-    void connect(const std::string &key, const asio::ip::tcp::endpoint &address,
-                 AcquireHandler onAcquired);
+    void connect(const routing::DiscoveredEndpoint &endpoint, AcquireHandler onAcquired);
     void onClosed(const std::string &key, const httpio::Channel *channel);
     void eraseIfUnused(const std::string &key);
 
     asio::io_context &io_;
     httpio::Timers &timers_;
+    ConnectObserver connectObserver_;
     std::map<std::string, PerEndpoint> endpoints_;
     std::size_t opened_ = 0;
 };
--- a/include/monsoongrade/gateway/gatewaystate.h
+++ b/include/monsoongrade/gateway/gatewaystate.h
@@ -6,6 +6,7 @@
 #include <monsoongrade/gateway/headercodec.h>
 #include <monsoongrade/gateway/placementservice.h>
 #include <monsoongrade/gateway/ratelimitedlog.h>
+#include <monsoongrade/gateway/reachmonitor.h>
 #include <monsoongrade/gateway/startupgate.h>
 #include <monsoongrade/gateway/usagemeter.h>
 #include <monsoongrade/httpio/serverlimits.h>
@@ -52,6 +53,7 @@
               [this](const routing::EndpointInstance &listed) {
                   return hasAnnouncedLeaving(listed);
               })
+        , reach(timersToUse, connections, registry)
         , log(timersToUse)
         , startupGate(timersToUse)
         , placement(io, timersToUse, std::move(placementSettings), registry, log.metrics)
@@ -73,6 +75,7 @@
     duties::WallTimeEstimate wallTime; // has a sample of this host's clock from the start on
     routing::EndpointAnnouncements announcements;
     routing::EndpointRegistry registry;
+    ReachMonitor reach;
     routing::CrashTracker crashes;
     routing::RetryLimit retryLimit;
     std::unordered_map<std::string, routing::RetryAllowance> retryAllowances; // by pool
--- /dev/null
+++ b/include/monsoongrade/gateway/reachmonitor.h
@@ -0,0 +1,50 @@
+#ifndef MONSOONGRADE_GATEWAY_REACHMONITOR_H
+#define MONSOONGRADE_GATEWAY_REACHMONITOR_H
+
+#include <monsoongrade/gateway/endpointconnections.h>
+#include <monsoongrade/httpio/timers.h>
+#include <monsoongrade/routing/endpointreach.h>
+#include <monsoongrade/routing/endpointregistry.h>
+
+#include <map>
+#include <random>
+#include <string>
+
+namespace monsoongrade::gateway {
+
+// Finds out which pools this host can't reach. Connections made for requests are few, since most
+// requests use open ones; so after a failure the monitor opens some of its own, and one at
+// intervals while a pool is lost.
+class ReachMonitor
+{
+public:
+    ReachMonitor(httpio::Timers &timers, EndpointConnections &connections,
+                 const routing::EndpointRegistry &registry);
+
+    // A request sent to the endpoint at this time broke off or has got nothing yet.
+    void onSuspected(const routing::EndpointStatus &endpoint, units::TimePoint sentAt);
+
+    bool isLost(const units::PoolName &pool) const { return reach_.isLost(pool); }
+    std::vector<units::PoolName> lostPools() const { return reach_.lostPools(); }
+
+private:
+    void onConnectEnded(const routing::DiscoveredEndpoint &endpoint, bool isConnected,
+                        units::TimePoint begunAt);
+    // Opens connections to as many other endpoints as have to fail for the pool to be lost.
+    void probeOthers(const units::PoolName &pool);
+    void probeWhileLost(const units::PoolName &pool);
+    // Limits the probes that suspicions and failures cause.
+    bool mayProbe(const units::PoolName &pool);
+
+    httpio::Timers &timers_;
+    EndpointConnections &connections_;
+    const routing::EndpointRegistry &registry_;
+    routing::EndpointReach reach_;
+    std::map<std::string, units::TimePoint> probedAt_; // by pool
+    std::map<std::string, units::TimePoint> lostAt_; // by pool
+    std::minstd_rand random_;
+};
+
+} // namespace monsoongrade::gateway
+
+#endif // MONSOONGRADE_GATEWAY_REACHMONITOR_H
--- a/src/gateway/endpointconnections.cpp
+++ b/src/gateway/endpointconnections.cpp
@@ -24,11 +24,15 @@
 {
 }
 
+std::string EndpointConnections::keyOf(const routing::DiscoveredEndpoint &endpoint)
+{
+    return endpoint.id.value() + " " + std::to_string(endpoint.incarnation.value()) + " "
+        + endpoint.address;
+}
+
 std::string EndpointConnections::keyOf(const routing::EndpointStatus &endpoint)
 {
-    return endpoint.registration.id.value() + " "
-        + std::to_string(endpoint.registration.incarnation.value()) + " "
-        + endpoint.registration.address;
+    return keyOf(endpoint.registration);
 }
 
 void EndpointConnections::acquire(const routing::EndpointStatus &endpoint, int maxOpen,
@@ -44,13 +48,17 @@
         onAcquired(ConnectOutcome::AtLimit, nullptr);
         return;
     }
-    const auto address = httpio::parseAddress(endpoint.registration.address);
-    if (!address) {
-        eraseIfUnused(key);
-        onAcquired(ConnectOutcome::Failed, nullptr);
-        return;
-    }
-    connect(key, *address, std::move(onAcquired));
+    connect(endpoint.registration, std::move(onAcquired));
+}
+
+void EndpointConnections::openIdle(const routing::EndpointStatus &endpoint)
+{
+    connect(
+        endpoint.registration,
+        [this, endpoint](ConnectOutcome outcome, const std::shared_ptr<httpio::Channel> &channel) {
+            if (outcome == ConnectOutcome::Connected)
+                release(endpoint, channel, std::nullopt);
+        });
 }
 
 std::shared_ptr<httpio::Channel> EndpointConnections::takeIdle(PerEndpoint &connections,
@@ -70,25 +78,34 @@
     return nullptr;
 }
 
-void EndpointConnections::connect(const std::string &key, const asio::ip::tcp::endpoint &address,
+void EndpointConnections::connect(const routing::DiscoveredEndpoint &endpoint,
                                   AcquireHandler onAcquired)
 {
+    const std::string key = keyOf(endpoint);
+    const auto address = httpio::parseAddress(endpoint.address);
+    if (!address) {
+        eraseIfUnused(key);
+        onAcquired(ConnectOutcome::Failed, nullptr);
+        return;
+    }
     ++endpoints_[key].open;
     ++opened_;
-    auto channel = std::make_shared<httpio::Channel>(io_, address);
+    auto channel = std::make_shared<httpio::Channel>(io_, *address);
     auto timeout = std::make_shared<httpio::Timers::Handle>();
-    auto finish
-        = [this, key, channel, timeout, onAcquired = std::move(onAcquired)](bool isConnected) {
-              timers_.cancel(*timeout);
-              if (isConnected) {
-                  onAcquired(ConnectOutcome::Connected, channel);
-                  return;
-              }
-              channel->close();
-              --endpoints_[key].open;
-              eraseIfUnused(key);
-              onAcquired(ConnectOutcome::Failed, nullptr);
-          };
+    auto finish = [this, key, endpoint, channel, timeout, begunAt = timers_.now(),
+                   onAcquired = std::move(onAcquired)](bool isConnected) {
+        timers_.cancel(*timeout);
+        if (connectObserver_)
+            connectObserver_(endpoint, isConnected, begunAt);
+        if (isConnected) {
+            onAcquired(ConnectOutcome::Connected, channel);
+            return;
+        }
+        channel->close();
+        --endpoints_[key].open;
+        eraseIfUnused(key);
+        onAcquired(ConnectOutcome::Failed, nullptr);
+    };
     *timeout = timers_.after(ConnectTimeout, [finish] { finish(false); });
     channel->connect(finish);
 }
--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -32,6 +32,8 @@
     const bool isUnsent = failure == httpio::ChannelFailure::NothingSent
         || failure == httpio::ChannelFailure::NotConnected;
     dropChannel();
+    if (failure == httpio::ChannelFailure::BrokenBeforeResponse)
+        state_.reach.onSuspected(*endpoint_, sentAt_);
     if (!isUnsent)
         recordCrash();
     onEndpointFailure();
@@ -159,6 +161,7 @@
     if (finished_ || channel_ == nullptr || !canRetry())
         return;
     dropChannel();
+    state_.reach.onSuspected(*endpoint_, sentAt_);
     // An endpoint that crashed together with its machine does not close its connections.
     if (endpoint_->lastReceivedAt < sentAt_)
         recordCrash();
@@ -173,6 +176,7 @@
     if (finished_ || channel_ == nullptr || endpoint_->lastReceivedAt >= sentAt_)
         return;
     const units::TimePoint now = state_.timers.now();
+    state_.reach.onSuspected(*endpoint_, sentAt_);
     state_.placement.report(ticket_, routing::PlacementEvent::EndpointSilent);
     state_.log.write(observability::LogLevel::Warning, "endpoint-suspected",
                      {{"request", metadata_.id.value()},
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -24,6 +24,8 @@
                 double(state_.announcements.leaving()));
     metrics.set("monsoongrade_gateway_endpoints_paused", "",
                 double(state_.announcements.paused(timers_.now()).size()));
+    metrics.set("monsoongrade_gateway_pools_unreachable", "",
+                double(state_.reach.lostPools().size()));
     metrics.set("monsoongrade_gateway_live_hosts", "", double(state_.liveHosts));
     metrics.set("monsoongrade_gateway_hosts_compared_total", "", double(hostsCompared_.value()));
     metrics.set("monsoongrade_gateway_fleet_cells", "", double(division().cells()));
