Requests of a host that lost a pool go through another host

Cause: each failure was counted against its endpoint, and no decision asked whether the host itself had lost its path. With all endpoints suspended it refused, though it reached hosts that reached the endpoints. Class of fault: a host's own fault, blamed on everything that it sees through it.

A host that can open no connection to a pool now passes the whole request to another host, which admits, places and sends it like one of its own callers'. Hosts report pools that they lost in gossip. One hop at most: requests that come from a host are not passed on. Nothing is passed on that an endpoint may have got, so attempts and the retry budget are counted where they are spent. A refusal of the other host is true for the caller as well; a connection to it that breaks leaves the outcome unknown. The host's deadline and the caller's leaving close the connection.

Ruled out: relaying bytes of each endpoint's connection through a host. It needs new connections at the endpoints for each pair of hosts, and pauses and limits that an endpoint asks of the relaying host would be read by another one.

--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -2,6 +2,7 @@
 #define MONSOONGRADE_GATEWAY_EXCHANGE_H
 
 #include <monsoongrade/gateway/eventrelay.h>
+#include <monsoongrade/gateway/forwardedrequest.h>
 #include <monsoongrade/gateway/gatewaystate.h>
 #include <monsoongrade/httpio/server.h>
 #include <monsoongrade/routing/admission.h>
@@ -13,6 +14,12 @@
 
 namespace monsoongrade::gateway {
 
+// Who sent a request to this host.
+enum class RequestOrigin {
+    Client,
+    OtherHost, // for its client, as it can't reach the endpoints; not forwarded again
+};
+
 // Handles one client request from receipt to the final response: selects an endpoint, sends the
 // request, relays the response, and retries or gives up after a failure as the routing library
 // decides. Keeps itself alive until it is finished.
@@ -20,10 +27,10 @@
 {
 public:
     static void start(GatewayState &state, httpio::ServerRequest request,
-                      std::shared_ptr<httpio::ResponseWriter> reply);
+                      std::shared_ptr<httpio::ResponseWriter> reply, RequestOrigin origin);
 
     Exchange(GatewayState &state, httpio::ServerRequest request,
-             std::shared_ptr<httpio::ResponseWriter> reply);
+             std::shared_ptr<httpio::ResponseWriter> reply, RequestOrigin origin);
     ~Exchange() override;
 
 private:
@@ -46,6 +53,13 @@
     void send();
     httpio::Headers endpointHeaders() const;
 
+    // Sending through another host
+    bool canForward() const;
+    std::string forwardingHost() const;
+    void forward();
+    void onForwardingEnded(ForwardingResult result);
+    void onForwardedResponse(const ForwardedRequest &forwarded);
+
     // The endpoint's response
     void onResponseHead(const httpio::MessageHead &head) override;
     void onResponseBody(std::string_view bytes) override;
@@ -84,6 +98,8 @@
     void recordCompletion();
     std::optional<units::Duration> quarantineRemaining();
     void dropChannel();
+    // The endpoint or host of the latest attempt.
+    std::string latestTarget() const;
     void logEnd(std::string_view outcome, int status, units::ResultCode reason) const;
     void finish(std::string_view outcome, int status, units::ResultCode reason);
     units::Duration timeLeft() const;
@@ -93,6 +109,7 @@
     GatewayState &state_;
     httpio::ServerRequest request_;
     std::shared_ptr<httpio::ResponseWriter> reply_;
+    RequestOrigin origin_;
     routing::RequestMetadata metadata_;
     std::optional<routing::RequestIdentity> identity_; // hashed when first needed
     std::shared_ptr<const routing::RouteTable> table_; // keeps route_ alive
@@ -120,7 +137,11 @@
     EndpointResponseInfo answer_;
     std::string collected_;
 
+    std::shared_ptr<ForwardedRequest> forwarded_; // while another host handles the request
+
     // Over all attempts
+    int unreachableEndpoints_ = 0; // no connection could be made
+    std::vector<std::string> triedHosts_; // to which the request was forwarded
     routing::PlacementQuery query_;
     int sends_ = 0; // counted against the route's maximum number of attempts
     int totalSends_ = 0; // counted against the retry budget
--- a/include/monsoongrade/gateway/gateway.h
+++ b/include/monsoongrade/gateway/gateway.h
@@ -93,6 +93,7 @@
     GatewayState state_;
     httpio::ServerLimits pageLimits_;
     std::unique_ptr<httpio::Server> callers_;
+    std::unique_ptr<httpio::Server> forwarded_; // null: other hosts can't pass on requests
     std::unique_ptr<httpio::Server> readiness_;
     std::unique_ptr<httpio::Server> directory_;
     std::unique_ptr<httpio::Server> metrics_;
--- a/include/monsoongrade/gateway/gatewaystate.h
+++ b/include/monsoongrade/gateway/gatewaystate.h
@@ -13,6 +13,7 @@
 #include <monsoongrade/routing/crashtracker.h>
 #include <monsoongrade/routing/endpointannouncements.h>
 #include <monsoongrade/routing/endpointregistry.h>
+#include <monsoongrade/routing/forwardinghosts.h>
 #include <monsoongrade/routing/freshnesslease.h>
 #include <monsoongrade/routing/retryallowance.h>
 #include <monsoongrade/routing/routetable.h>
@@ -54,6 +55,7 @@
                   return hasAnnouncedLeaving(listed);
               })
         , reach(timersToUse, connections, registry)
+        , hostConnections(io, timersToUse)
         , log(timersToUse)
         , startupGate(timersToUse)
         , placement(io, timersToUse, std::move(placementSettings), registry, log.metrics)
@@ -76,6 +78,10 @@
     routing::EndpointAnnouncements announcements;
     routing::EndpointRegistry registry;
     ReachMonitor reach;
+    EndpointConnections hostConnections; // for requests that other hosts send for this one
+    routing::ForwardingHosts forwardingHosts;
+    std::uint16_t forwardingPort = 0; // 0: none
+    std::vector<routing::PeerUpdate> otherHosts; // live ones, as of the last gossip round
     routing::CrashTracker crashes;
     routing::RetryLimit retryLimit;
     std::unordered_map<std::string, routing::RetryAllowance> retryAllowances; // by pool
--- a/include/monsoongrade/gateway/headercodec.h
+++ b/include/monsoongrade/gateway/headercodec.h
@@ -50,6 +50,10 @@
     // headers reserved for the gateway, and the reserved ones as set by the gateway.
     virtual httpio::Headers endpointHeaders(const httpio::Headers &client,
                                             const EndpointRequest &request) const = 0;
+    // Returns the headers for another host that handles the request like one of its own clients':
+    // those of the client, with the time that is left now.
+    virtual httpio::Headers forwardedHeaders(const httpio::Headers &client,
+                                             units::Duration timeLeft) const = 0;
     virtual EndpointResponseInfo decodeResponse(const httpio::MessageHead &head) const = 0;
     // Returns those of the endpoint's headers that are passed on to the client.
     virtual httpio::Headers clientHeaders(const httpio::Headers &endpoint) const = 0;
--- a/include/monsoongrade/gateway/peergossip.h
+++ b/include/monsoongrade/gateway/peergossip.h
@@ -45,6 +45,10 @@
     // Whether the store rejects this host while other hosts can access it.
     void setStoreRefused(bool isRefused) { isStoreRefused_ = isRefused; }
     // Fencing token of the duty lease if this host holds it, otherwise 0.
+    void setUnreachablePools(std::vector<units::PoolName> pools)
+    {
+        unreachablePools_ = std::move(pools);
+    }
     void setDutyToken(std::uint64_t token) { dutyToken_ = token; }
     // The handler is called with the IP of another host and the time since 1970 on its clock.
     void onWallTime(std::function<void(const std::string &, units::Duration)> handler)
@@ -106,6 +110,7 @@
     bool isStoreReachable_ = false;
     bool isStoreRefused_ = false;
     std::uint64_t dutyToken_ = 0;
+    std::vector<units::PoolName> unreachablePools_;
     units::TimePoint storeReachableSince_{};
     routing::GossipPlanner planner_;
 };
--- a/include/monsoongrade/routing/peertable.h
+++ b/include/monsoongrade/routing/peertable.h
@@ -33,6 +33,8 @@
     bool isStoreRefused = false;
     // Fencing token of the duties' lease while the host holds it; 0 otherwise.
     std::uint64_t dutyToken = 0;
+    // Pools to whose endpoints it can open no connection.
+    std::vector<units::PoolName> unreachablePools;
 };
 
 // The other hosts, as learned by gossip: each host sends what it knows, with its age, to some
--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -21,6 +21,8 @@
   storeRefused @7 :Bool;
   # Fencing token of the duties' lease while the host holds it; 0 otherwise.
   dutyToken @8 :UInt64;
+  # Pools to whose endpoints the host can open no connection.
+  unreachablePools @9 :List(Text);
 
   enum State {
     serving @0;
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -54,7 +54,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(b1e1eed5a6d82e8d, 5, 2)
+        CAPNP_DECLARE_STRUCT_HEADER(b1e1eed5a6d82e8d, 5, 3)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -187,6 +187,9 @@
 
     inline ::uint64_t getDutyToken() const;
 
+    inline bool hasUnreachablePools() const;
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getUnreachablePools() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -257,6 +260,18 @@
     inline ::uint64_t getDutyToken();
     inline void setDutyToken(::uint64_t value);
 
+    inline bool hasUnreachablePools();
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getUnreachablePools();
+    inline void
+    setUnreachablePools(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
+    inline void setUnreachablePools(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+    initUnreachablePools(unsigned int size);
+    inline void adoptUnreachablePools(
+        ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+    disownUnreachablePools();
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -999,6 +1014,57 @@
     _builder.setDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool GossipPeer::Reader::hasUnreachablePools() const
+{
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipPeer::Builder::hasUnreachablePools()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
+GossipPeer::Reader::getUnreachablePools() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+GossipPeer::Builder::getUnreachablePools()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void GossipPeer::Builder::setUnreachablePools(
+    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void
+GossipPeer::Builder::setUnreachablePools(::kj::ArrayPtr<const ::capnp::Text::Reader> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+GossipPeer::Builder::initUnreachablePools(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void GossipPeer::Builder::adoptUnreachablePools(
+    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+GossipPeer::Builder::disownUnreachablePools()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline ::monsoongrade::schema::CrashNews::Kind CrashNews::Reader::getKind() const
 {
     return _reader.getDataField<::monsoongrade::schema::CrashNews::Kind>(::capnp::bounded<0>()
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -41,6 +41,10 @@
 
 void Exchange::startAttempt()
 {
+    if (canForward()) {
+        forward();
+        return;
+    }
     const units::TimePoint now = state_.timers.now();
     query_.targetIn = request_.receivedAt + route_->targetLatency - now;
     query_.expiresIn = std::min(deadline_, request_.receivedAt + route_->maxClientWait) - now;
@@ -105,8 +109,10 @@
         send();
         return;
     }
-    if (outcome == ConnectOutcome::Failed)
+    if (outcome == ConnectOutcome::Failed) {
+        ++unreachableEndpoints_;
         onEndpointFailure();
+    }
     onAttemptFailed(units::ResultCode::EndpointUnreachable, false);
 }
 
--- a/src/gateway/exchangeadmission.cpp
+++ b/src/gateway/exchangeadmission.cpp
@@ -30,16 +30,17 @@
 } // namespace
 
 void Exchange::start(GatewayState &state, httpio::ServerRequest request,
-                     std::shared_ptr<httpio::ResponseWriter> reply)
+                     std::shared_ptr<httpio::ResponseWriter> reply, RequestOrigin origin)
 {
-    std::make_shared<Exchange>(state, std::move(request), std::move(reply))->run();
+    std::make_shared<Exchange>(state, std::move(request), std::move(reply), origin)->run();
 }
 
 Exchange::Exchange(GatewayState &state, httpio::ServerRequest request,
-                   std::shared_ptr<httpio::ResponseWriter> reply)
+                   std::shared_ptr<httpio::ResponseWriter> reply, RequestOrigin origin)
     : state_(state)
     , request_(std::move(request))
     , reply_(std::move(reply))
+    , origin_(origin)
 {
 }
 
--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -61,7 +61,7 @@
         observability::label("reason", std::string(units::resultCodeName(reason))));
     state_.log.write(observability::LogLevel::Info, "attempt-failed",
                      {{"request", metadata_.id.value()},
-                      {"endpoint", query_.tried.back().value()},
+                      {"endpoint", latestTarget()},
                       {"reason", units::resultCodeName(reason)},
                       {"may-have-run", mayHaveRun_ ? "yes" : "no"},
                       {"sends", sends_},
@@ -93,7 +93,7 @@
     failure.maxAttempts = route_->maxAttempts;
     failure.timedOut = timedOut || now >= deadline_;
     failure.isQuarantined = quarantineRemaining().has_value();
-    failure.hasAlternativeEndpoint = state_.placement.hasEndpoint(query_);
+    failure.hasAlternativeEndpoint = canForward() || state_.placement.hasEndpoint(query_);
     failure.hasRetryBudget
         = totalSends_ == 0 || retryAllowance().hasLeft(state_.retryLimit, state_.liveHosts, now);
     return failure;
@@ -195,16 +195,18 @@
         return;
     }
     const units::TimePoint now = state_.timers.now();
-    const bool awaitsEndpoint
-        = channel_ != nullptr && !responseBegun_ && route_->kind != routing::RouteKind::Stream;
+    // Another host answers at the deadline as well, a round trip later.
+    const bool awaitsEndpoint = !responseBegun_
+        && (forwarded_ != nullptr
+            || (channel_ != nullptr && route_->kind != routing::RouteKind::Stream));
     if (awaitsEndpoint && now < deadline_ + WaitForEndpointTimeout) {
         deadlineTimer_ = state_.timers.at(deadline_ + WaitForEndpointTimeout,
                                           [self = shared_from_this()] { self->onDeadline(); });
         return;
     }
-    const bool wasSent = channel_ != nullptr;
+    const bool wasSent = channel_ != nullptr || (forwarded_ != nullptr && forwarded_->wasSent());
     mayHaveRun_ = mayHaveRun_ || wasSent;
-    if (wasSent)
+    if (channel_ != nullptr)
         dropChannel();
     routing::AttemptFailure failure = describeFailure(true);
     giveUp(routing::decideAfterFailure(failure),
@@ -304,6 +306,11 @@
     --state_.openRequests;
     if (isPlacing_)
         state_.placement.withdraw(placementNumber_);
+    if (forwarded_ != nullptr) {
+        forwarded_->cancel();
+        forwarded_.reset();
+        state_.forwardingHosts.onEnded(triedHosts_.back());
+    }
     releaseEndpoint();
     state_.timers.cancel(deadlineTimer_);
     const std::string outcomeLabel = observability::label("outcome", std::string(outcome));
@@ -347,6 +354,7 @@
          {"reason", units::resultCodeName(reason)},
          {"pool", pool_.value()},
          {"endpoint", query_.tried.empty() ? "none" : query_.tried.back().value()},
+         {"forwarded-to", triedHosts_.empty() ? "none" : triedHosts_.back()},
          {"sends", sends_},
          {"may-have-run", mayHaveRun_ ? "yes" : "no"},
          {"took-ms", milliseconds(now - request_.receivedAt)},
@@ -361,6 +369,13 @@
          {"live-hosts", state_.liveHosts}});
 }
 
+std::string Exchange::latestTarget() const
+{
+    if (!triedHosts_.empty())
+        return triedHosts_.back();
+    return query_.tried.empty() ? "none" : query_.tried.back().value();
+}
+
 units::Duration Exchange::timeLeft() const
 {
     return std::max<units::Duration>(deadline_ - state_.timers.now(), units::Duration::zero());
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -74,6 +74,7 @@
     , gossip_(io, timers, gossipSettings(settings), state_.crashes, state_.announcements)
 {
     state_.ownDomain = settings.failureDomain;
+    state_.forwardingPort = settings.forwardingPort;
     state_.retryLimit = settings.retryLimit;
     state_.callerLimits.maxBufferedBytes
         = std::size_t(settings.memoryMegabytes / BodyMemoryDivisor) * 1024 * 1024;
@@ -97,8 +98,18 @@
     callers_ = std::make_unique<httpio::Server>(
         io_, timers_, addressOf(settings_.callersAddress, "callers-address"), state_.callerLimits,
         [this](httpio::ServerRequest request, std::shared_ptr<httpio::ResponseWriter> reply) {
-            Exchange::start(state_, std::move(request), std::move(reply));
+            Exchange::start(state_, std::move(request), std::move(reply), RequestOrigin::Client);
         });
+    if (settings_.forwardingPort != 0) {
+        const asio::ip::tcp::endpoint address(asio::ip::make_address_v4(settings_.ip),
+                                              settings_.forwardingPort);
+        forwarded_ = std::make_unique<httpio::Server>(
+            io_, timers_, address, state_.callerLimits,
+            [this](httpio::ServerRequest request, std::shared_ptr<httpio::ResponseWriter> reply) {
+                Exchange::start(state_, std::move(request), std::move(reply),
+                                RequestOrigin::OtherHost);
+            });
+    }
     const auto page = [this](const PageHandler &serve) {
         return [this, serve](const httpio::ServerRequest &request,
                              const std::shared_ptr<httpio::ResponseWriter> &reply) {
@@ -223,10 +234,12 @@
 
 void Gateway::onGossipRound()
 {
+    gossip_.setUnreachablePools(state_.reach.lostPools());
     publishOwnState();
     sampleOwnWallTime();
     state_.registry.removeExpired(timers_.now());
     state_.registry.restoreUnannounced();
+    state_.otherHosts = gossip_.live();
     const std::vector<routing::PeerUpdate> live = hosts();
     state_.liveHosts = int(live.size());
     logHostChanges(live);
@@ -365,11 +378,15 @@
                        {{"open-requests", std::uint64_t(callers_->openRequests())}});
     gossip_.setState(routing::PeerState::Leaving);
     callers_->startDraining();
+    if (forwarded_ != nullptr)
+        forwarded_->startDraining();
     const units::Duration accepting
         = std::min<units::Duration>(AcceptWhileLeaving, settings_.stopWithin / 2);
     state_.plannedStop = PlannedStop{timers_.now() + accepting * AcceptAllQuarters / 4, stopBy_};
     timers_.after(accepting, [this] {
         callers_->stopAccepting();
+        if (forwarded_ != nullptr)
+            forwarded_->stopAccepting();
         waitForOpenRequests();
     });
 }
@@ -377,8 +394,13 @@
 void Gateway::waitForOpenRequests()
 {
     // Also waits for connections whose clients are still reading the last response.
-    const std::size_t open = callers_->openRequests();
-    if (callers_->connections() > 0 && timers_.now() < stopBy_) {
+    std::size_t open = callers_->openRequests();
+    std::size_t connections = callers_->connections();
+    if (forwarded_ != nullptr) {
+        open += forwarded_->openRequests();
+        connections += forwarded_->connections();
+    }
+    if (connections > 0 && timers_.now() < stopBy_) {
         timers_.after(OpenRequestsCheckInterval, [this] { waitForOpenRequests(); });
         return;
     }
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -43,6 +43,8 @@
     settings.gossipPort = std::uint16_t(reader.integer("gossip-port", 0, 1, MaxPort));
     settings.placementPort = std::uint16_t(reader.integer("placement-port", 0, 1, MaxPort));
     settings.relayPort = std::uint16_t(reader.integer("relay-port", 0, 1, MaxPort));
+    settings.forwardingPort
+        = std::uint16_t(reader.integer("forwarding-port", settings.placementPort, 0, MaxPort));
     settings.seeds = reader.texts("seeds");
     settings.storeAddress = reader.requiredText("store-address");
     settings.cpuShare = reader.number("cpu-share", 1, 0.001, 1024);
--- a/src/gateway/internal/gossipmessages.cpp
+++ b/src/gateway/internal/gossipmessages.cpp
@@ -1,11 +1,16 @@
 #include <gateway/internal/gossipmessages.h>
 
+#include <algorithm>
 #include <cmath>
 
 namespace monsoongrade::gateway::internal {
 
 namespace {
 
+// Keeps a datagram that describes many hosts small. A host that reports so many has usually lost
+// all pools, and is not chosen for the others before it has failed once.
+constexpr std::size_t MaxUnreachablePools = 8;
+
 std::uint64_t inMilliseconds(units::Duration duration)
 {
     return std::uint64_t(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -24,6 +29,10 @@
     peer.setMillicores(std::uint32_t(update.millicores));
     peer.setStoreRefused(update.isStoreRefused);
     peer.setDutyToken(update.dutyToken);
+    const std::size_t pools = std::min(update.unreachablePools.size(), MaxUnreachablePools);
+    auto unreachable = peer.initUnreachablePools(unsigned(pools));
+    for (std::size_t i = 0; i < pools; ++i)
+        unreachable.set(unsigned(i), update.unreachablePools[i].value());
 }
 
 std::optional<routing::PeerUpdate> decodePeer(schema::GossipPeer::Reader peer)
@@ -41,6 +50,8 @@
     update.storeReachableFor = std::chrono::milliseconds(peer.getStoreForMs());
     update.isStoreRefused = peer.getStoreRefused();
     update.dutyToken = peer.getDutyToken();
+    for (const auto pool : peer.getUnreachablePools())
+        update.unreachablePools.emplace_back(pool.cStr());
     return update;
 }
 
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -147,6 +147,7 @@
     update.millicores = settings_.ownMillicores;
     update.isStoreRefused = isStoreRefused_;
     update.dutyToken = dutyToken_;
+    update.unreachablePools = unreachablePools_;
     if (isStoreReachable_)
         update.storeReachableFor = timers_.now() - storeReachableSince_;
     return update;
--- a/src/routing/peertable.cpp
+++ b/src/routing/peertable.cpp
@@ -36,7 +36,8 @@
 bool isChange(const PeerUpdate &update, const PeerUpdate &known)
 {
     return update.state != known.state || update.isStoreRefused != known.isStoreRefused
-        || update.dutyToken != known.dutyToken || update.uptime < known.uptime
+        || update.dutyToken != known.dutyToken || update.unreachablePools != known.unreachablePools
+        || update.uptime < known.uptime
         || (update.storeReachableFor > units::Duration::zero())
         != (known.storeReachableFor > units::Duration::zero());
 }
--- a/tests/adapter/cuthosts.h
+++ b/tests/adapter/cuthosts.h
@@ -8,6 +8,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -84,10 +85,12 @@
     }
     std::shared_ptr<RawClient> send(const Host &host, const std::string &path)
     {
-        auto client = RawClient::connect(io_, *httpio::parseAddress(host.settings.callersAddress));
-        client->send(request("POST", path, "id" + std::to_string(++calls_), "body",
-                             path == "/stream/a" ? StreamHeaders : ""));
-        return client;
+        return sendTo(host.settings.callersAddress, path);
+    }
+    // Sends a request as another host does that passes it on.
+    std::shared_ptr<RawClient> sendAsHost(const Host &host, const std::string &path)
+    {
+        return sendTo(host.settings.ip + ":" + std::to_string(host.settings.forwardingPort), path);
     }
 
     template <typename Predicate>
@@ -118,9 +121,29 @@
         }
         return most;
     }
-    standins::StandInWorker &worker(std::size_t number) { return *workers_[number]; }
+    // From now on the workers' streams have no end.
+    void setEndless()
+    {
+        for (const auto &worker : workers_)
+            worker->setEvents(std::numeric_limits<int>::max());
+    }
+    // Connections that were closed at a worker before the end of the response.
+    int clientsDisconnected() const
+    {
+        int count = 0;
+        for (const auto &worker : workers_)
+            count += worker->clientsDisconnected();
+        return count;
+    }
 
 private:
+    std::shared_ptr<RawClient> sendTo(const std::string &address, const std::string &path)
+    {
+        auto client = RawClient::connect(io_, *httpio::parseAddress(address));
+        client->send(request("POST", path, "id" + std::to_string(++calls_), "body",
+                             path == "/stream/a" ? StreamHeaders : ""));
+        return client;
+    }
     std::unique_ptr<Host> makeHost(int number)
     {
         auto host = std::make_unique<Host>(io_, timers_);
@@ -134,6 +157,7 @@
         settings.gossipPort = 8004;
         settings.placementPort = 8005;
         settings.relayPort = 8007;
+        settings.forwardingPort = 8006;
         settings.seeds = {ipOf(1) + ":1", ipOf(2) + ":1"};
         settings.stopWithin = std::chrono::seconds(2);
         host->store.put("config", "main", operatorConfiguration());
--- a/tests/adapter/cuthosts_test.cpp
+++ b/tests/adapter/cuthosts_test.cpp
@@ -60,3 +60,60 @@
 {
     checkServedAfterCut("model", "/stream/a", LinkFault::Reset);
 }
+
+// Guards against a request that hosts without a path pass to each other.
+TEST_CASE("CutHosts.ForwardedRequestIsNotForwardedAgain")
+{
+    CutHostsFixture fixture;
+    fixture.cut("plain", LinkFault::Silent);
+    fixture.callFor(*fixture.cutHost, "/unsafe/a", milliseconds(1500), Interval);
+    const auto reach = [&] {
+        return fixture.cutHost->gateway->state().reach.lostPools().size();
+    };
+    REQUIRE(reach() == 1);
+    const auto client = fixture.sendAsHost(*fixture.cutHost, "/unsafe/a");
+    fixture.runUntil([&] { return client->isComplete(); });
+    CHECK(client->status() == 503);
+    CHECK_FALSE(standins::headerIn(client->received(), "Retry-After").empty());
+}
+
+// Guards against a host that keeps using others after its path has come back.
+TEST_CASE("CutHosts.RequestsGoToTheEndpointsAgainAfterTheCut")
+{
+    CutHostsFixture fixture;
+    fixture.cut("plain", LinkFault::Silent);
+    fixture.callFor(*fixture.cutHost, "/unsafe/a", milliseconds(1500), Interval);
+    const auto &reach = fixture.cutHost->gateway->state().reach;
+    REQUIRE(reach.lostPools().size() == 1);
+    fixture.heal("plain");
+    CHECK(fixture.runUntil([&] { return reach.lostPools().empty(); }, milliseconds(1500)));
+    CHECK(mostServed(fixture.callFor(*fixture.cutHost, "/unsafe/a", milliseconds(300), Interval)));
+}
+
+// Guards against a caller that waits for its deadline when no host can reach the endpoints.
+TEST_CASE("CutHosts.RequestIsRefusedWhenTheOtherHostIsLeaving")
+{
+    CutHostsFixture fixture;
+    fixture.otherHost->gateway->stop([] { });
+    fixture.cut("plain", LinkFault::Reset);
+    fixture.callFor(*fixture.cutHost, "/unsafe/a", milliseconds(2500), Interval);
+    const auto client = fixture.send(*fixture.cutHost, "/unsafe/a");
+    CHECK(fixture.runUntil([&] { return client->isComplete(); }, milliseconds(1300)));
+    CHECK(client->status() == 503);
+    CHECK_FALSE(standins::headerIn(client->received(), "Retry-After").empty());
+}
+
+// Guards against work for callers that left, when another host does it.
+TEST_CASE("CutHosts.CallerThatLeavesEndsItsStreamAtTheOtherHost")
+{
+    CutHostsFixture fixture;
+    fixture.cut("model", LinkFault::Reset);
+    fixture.callFor(*fixture.cutHost, "/stream/a", milliseconds(1500), Interval);
+    fixture.setEndless();
+    const int before = fixture.clientsDisconnected();
+    const auto client = fixture.send(*fixture.cutHost, "/stream/a");
+    REQUIRE(fixture.runUntil([&] { return client->status() == 200; }));
+    client->close();
+    CHECK(fixture.runUntil([&] { return fixture.clientsDisconnected() > before; },
+                           milliseconds(500)));
+}
--- a/tests/platform_standin/standinworker.h
+++ b/tests/platform_standin/standinworker.h
@@ -61,6 +61,8 @@
     void removeEntry();
     // While full, requests are rejected as not run.
     void setFull(bool isFull) { isFull_ = isFull; }
+    // Number of events of the streams that run from now on.
+    void setEvents(int events) { settings_.events = events; }
 
     // From now on all responses announce that the worker is leaving; the store is not told.
     void announceLeavingInResponses() { isLeaving_ = true; }
