A host without a path does not suspend endpoints for others

Cause: failures were reported at once to the host that places, and counted against the endpoints, before the failing host knew that its own path was gone.

If the pool is lost the request is withdrawn and nothing is counted, neither a crash under the request. A host that lost a pool and has no other host to pass requests to tries one endpoint and then refuses, with a time to come back.

--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -94,6 +94,7 @@
     void reportIfSilent();
     void releaseEndpoint(routing::PlacementEvent event = routing::PlacementEvent::Withdrawn);
     void onEndpointFailure();
+    void countFailure(routing::EndpointStatus &endpoint, const routing::PlacementTicket &ticket);
     void recordCrash();
     void recordCompletion();
     std::optional<units::Duration> quarantineRemaining();
--- a/include/monsoongrade/gateway/reachmonitor.h
+++ b/include/monsoongrade/gateway/reachmonitor.h
@@ -6,9 +6,11 @@
 #include <monsoongrade/routing/endpointreach.h>
 #include <monsoongrade/routing/endpointregistry.h>
 
+#include <functional>
 #include <map>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace monsoongrade::gateway {
 
@@ -18,12 +20,19 @@
 class ReachMonitor
 {
 public:
+    using FaultHandler = std::function<void(bool isEndpointsFault)>;
+
     ReachMonitor(httpio::Timers &timers, EndpointConnections &connections,
                  const routing::EndpointRegistry &registry);
 
-    // A request sent to the endpoint at this time broke off or has got nothing yet.
+    // A request sent to the endpoint at this time has got nothing yet.
     void onSuspected(const routing::EndpointStatus &endpoint, units::TimePoint sentAt);
 
+    // Calls the handler when it is known whose fault a failure at an endpoint of the pool is: with
+    // true if it is the endpoint's, with false if this host has lost the pool. Calls it at once
+    // unless connections that tell are being made.
+    void whenFaultIsKnown(const units::PoolName &pool, FaultHandler handler);
+
     bool isLost(const units::PoolName &pool) const { return reach_.isLost(pool); }
     std::vector<units::PoolName> lostPools() const { return reach_.lostPools(); }
 
@@ -35,6 +44,8 @@
     void probeWhileLost(const units::PoolName &pool);
     // Limits the probes that suspicions and failures cause.
     bool mayProbe(const units::PoolName &pool);
+    void probe(const routing::EndpointStatus &endpoint);
+    void resolve(const units::PoolName &pool, bool isEndpointsFault);
 
     httpio::Timers &timers_;
     EndpointConnections &connections_;
@@ -42,6 +53,9 @@
     routing::EndpointReach reach_;
     std::map<std::string, units::TimePoint> probedAt_; // by pool
     std::map<std::string, units::TimePoint> lostAt_; // by pool
+    // By pool: until when probes may still tell whose fault its failures are, and who waits for it.
+    std::map<std::string, units::TimePoint> inDoubtUntil_;
+    std::map<std::string, std::vector<FaultHandler>> waiting_;
     std::minstd_rand random_;
 };
 
--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -32,8 +32,6 @@
     const bool isUnsent = failure == httpio::ChannelFailure::NothingSent
         || failure == httpio::ChannelFailure::NotConnected;
     dropChannel();
-    if (failure == httpio::ChannelFailure::BrokenBeforeResponse)
-        state_.reach.onSuspected(*endpoint_, sentAt_);
     if (!isUnsent)
         recordCrash();
     onEndpointFailure();
@@ -93,7 +91,10 @@
     failure.maxAttempts = route_->maxAttempts;
     failure.timedOut = timedOut || now >= deadline_;
     failure.isQuarantined = quarantineRemaining().has_value();
-    failure.hasAlternativeEndpoint = canForward() || state_.placement.hasEndpoint(query_);
+    // Without a path, each further endpoint would cost the client a connection timeout.
+    const bool isWithoutPath = state_.reach.isLost(pool_) && unreachableEndpoints_ > 0;
+    failure.hasAlternativeEndpoint
+        = canForward() || (!isWithoutPath && state_.placement.hasEndpoint(query_));
     failure.hasRetryBudget
         = totalSends_ == 0 || retryAllowance().hasLeft(state_.retryLimit, state_.liveHosts, now);
     return failure;
@@ -177,7 +178,13 @@
         return;
     const units::TimePoint now = state_.timers.now();
     state_.reach.onSuspected(*endpoint_, sentAt_);
-    state_.placement.report(ticket_, routing::PlacementEvent::EndpointSilent);
+    state_.reach.whenFaultIsKnown(
+        pool_, [self = shared_from_this(), ticket = ticket_](bool isEndpointsFault) {
+            const bool isStillOpen
+                = self->endpoint_ != nullptr && self->ticket_.number == ticket.number;
+            if (isEndpointsFault && isStillOpen)
+                self->state_.placement.report(ticket, routing::PlacementEvent::EndpointSilent);
+        });
     state_.log.write(observability::LogLevel::Warning, "endpoint-suspected",
                      {{"request", metadata_.id.value()},
                       {"endpoint", endpoint_->registration.id.value()},
@@ -243,26 +250,45 @@
 
 void Exchange::onEndpointFailure()
 {
-    // The host that placed the request counts the reported failure. If that is another host, this
-    // one counts it too.
+    // A host that has lost its path would suspend sound endpoints for all hosts for which it
+    // places, or which place for it.
+    state_.reach.whenFaultIsKnown(
+        pool_,
+        [self = shared_from_this(), endpoint = endpoint_, ticket = ticket_](bool isEndpointsFault) {
+            if (isEndpointsFault)
+                self->countFailure(*endpoint, ticket);
+            else
+                self->state_.placement.report(ticket, routing::PlacementEvent::Withdrawn);
+        });
+    state_.timers.cancel(silenceTimer_);
+    state_.timers.cancel(suspicionTimer_);
+    endpoint_.reset();
+}
+
+// The host that placed the request counts the reported failure. If that is another host, this one
+// counts it too.
+void Exchange::countFailure(routing::EndpointStatus &endpoint,
+                            const routing::PlacementTicket &ticket)
+{
     const units::TimePoint now = state_.timers.now();
-    const bool wasAccepting = endpoint_->health.accepts(now);
-    const routing::EndpointRegistry::Status endpoint = endpoint_;
-    if (!state_.placement.isPlacedHere(ticket_))
-        endpoint_->health.onFailure(now);
-    releaseEndpoint(routing::PlacementEvent::EndpointFailed);
-    if (wasAccepting && !endpoint->health.accepts(now))
+    const bool wasAccepting = endpoint.health.accepts(now);
+    if (!state_.placement.isPlacedHere(ticket))
+        endpoint.health.onFailure(now);
+    state_.placement.report(ticket, routing::PlacementEvent::EndpointFailed);
+    if (wasAccepting && !endpoint.health.accepts(now))
         state_.log.write(observability::LogLevel::Warning, "endpoint-suspended",
-                         {{"endpoint", endpoint->registration.id.value()},
+                         {{"endpoint", endpoint.registration.id.value()},
                           {"pool", pool_.value()},
                           {"request", metadata_.id.value()},
-                          {"failure-share", endpoint->health.failureRate(now)}});
+                          {"failure-share", endpoint.health.failureRate(now)}});
 }
 
 // A connection also breaks if only the network fails or if the endpoint has too many connections.
 // Such a break counts as a crash until the endpoint responds again.
 void Exchange::recordCrash()
 {
+    if (state_.reach.isLost(pool_))
+        return;
     const units::TimePoint now = state_.timers.now();
     const bool wasQuarantined = quarantineRemaining().has_value();
     state_.crashes.onCrash(identity(), routing::instanceOf(endpoint_->registration), now);
--- a/src/gateway/reachmonitor.cpp
+++ b/src/gateway/reachmonitor.cpp
@@ -15,6 +15,8 @@
 constexpr auto LostProbeInterval = std::chrono::milliseconds(500);
 // Hosts that lost a pool together would otherwise all connect at the moment of its return.
 constexpr int MaxProbeJitterMs = 250;
+// Longest time that a probe takes, with some allowance for a late timer.
+constexpr auto MaxDoubt = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -38,7 +40,35 @@
         return each->lastReceivedAt >= sentAt;
     });
     if (!hasReceived && !isLost(pool) && mayProbe(pool))
-        connections_.openIdle(endpoint);
+        probe(endpoint);
+}
+
+void ReachMonitor::whenFaultIsKnown(const units::PoolName &pool, FaultHandler handler)
+{
+    const units::TimePoint until = inDoubtUntil_[pool.value()];
+    if (isLost(pool) || timers_.now() >= until) {
+        handler(!isLost(pool));
+        return;
+    }
+    std::vector<FaultHandler> &waiting = waiting_[pool.value()];
+    waiting.push_back(std::move(handler));
+    if (waiting.size() == 1)
+        timers_.at(until, [this, pool] { resolve(pool, !isLost(pool)); });
+}
+
+void ReachMonitor::resolve(const units::PoolName &pool, bool isEndpointsFault)
+{
+    inDoubtUntil_.erase(pool.value());
+    const std::vector<FaultHandler> waiting = std::move(waiting_[pool.value()]);
+    waiting_.erase(pool.value());
+    for (const FaultHandler &handler : waiting)
+        handler(isEndpointsFault);
+}
+
+void ReachMonitor::probe(const routing::EndpointStatus &endpoint)
+{
+    inDoubtUntil_[endpoint.registration.pool.value()] = timers_.now() + MaxDoubt;
+    connections_.openIdle(endpoint);
 }
 
 void ReachMonitor::onConnectEnded(const routing::DiscoveredEndpoint &endpoint, bool isConnected,
@@ -47,6 +77,7 @@
     const units::TimePoint now = timers_.now();
     const units::PoolName &pool = endpoint.pool;
     if (isConnected) {
+        resolve(pool, true);
         if (reach_.onConnected(pool, now) == routing::EndpointReach::Change::Regained)
             observability::log(
                 observability::LogLevel::Info, "pool-reachable",
@@ -61,6 +92,7 @@
     const auto change = reach_.onConnectFailed(pool, endpoint.id, begunAt, poolSize, now);
     if (change == routing::EndpointReach::Change::Lost) {
         lostAt_[pool.value()] = now;
+        resolve(pool, false);
         observability::log(observability::LogLevel::Warning, "pool-unreachable",
                            {{"pool", pool.value()},
                             {"endpoints", std::uint64_t(poolSize)},
@@ -83,7 +115,7 @@
     std::shuffle(candidates.begin(), candidates.end(), random_);
     candidates.resize(std::min(candidates.size(), needed));
     for (const auto &endpoint : candidates)
-        connections_.openIdle(*endpoint);
+        probe(*endpoint);
 }
 
 void ReachMonitor::probeWhileLost(const units::PoolName &pool)
--- a/tests/adapter/cuthosts_test.cpp
+++ b/tests/adapter/cuthosts_test.cpp
@@ -61,6 +61,27 @@
     checkServedAfterCut("model", "/stream/a", LinkFault::Reset);
 }
 
+// Guards against a host that suspends sound endpoints for others because its own path is gone.
+TEST_CASE("CutHosts.OtherHostServesAllStreamsThroughoutTheCut")
+{
+    CutHostsFixture fixture;
+    fixture.callFor(*fixture.cutHost, "/stream/a", milliseconds(300), Interval);
+    fixture.cut("model", LinkFault::Silent);
+    std::vector<std::shared_ptr<RawClient>> clients;
+    for (int i = 0; i < 16; ++i)
+        fixture.send(*fixture.cutHost, "/stream/a");
+    for (int i = 0; i < 60; ++i) {
+        fixture.send(*fixture.cutHost, "/stream/a");
+        clients.push_back(fixture.send(*fixture.otherHost, "/stream/a"));
+        fixture.runFor(Interval);
+    }
+    fixture.runFor(milliseconds(500));
+    const auto served = std::count_if(clients.begin(), clients.end(), [](const auto &client) {
+        return client->isComplete() && client->status() == 200;
+    });
+    CHECK(served == std::ptrdiff_t(clients.size()));
+}
+
 // Guards against a request that hosts without a path pass to each other.
 TEST_CASE("CutHosts.ForwardedRequestIsNotForwardedAgain")
 {
@@ -94,7 +115,7 @@
 TEST_CASE("CutHosts.RequestIsRefusedWhenTheOtherHostIsLeaving")
 {
     CutHostsFixture fixture;
-    fixture.otherHost->gateway->stop([] { });
+    fixture.otherHost->gateway->stop([] {});
     fixture.cut("plain", LinkFault::Reset);
     fixture.callFor(*fixture.cutHost, "/unsafe/a", milliseconds(2500), Interval);
     const auto client = fixture.send(*fixture.cutHost, "/unsafe/a");
