--- a/src/httpio/socketoptions.cpp
+++ b/src/httpio/socketoptions.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 // A silent peer is detected after idle + count x interval = 3 s, about the time after which a host
-// is considered lost. Probing an idle connection costs one packet a second.
+// is considered lost. Probing an idle connection costs one packet a second. With a user timeout,
+// that alone decides when the probes of an idle connection give up, so both are the same.
 constexpr int KeepAliveIdleSeconds = 1;
 constexpr int KeepAliveIntervalSeconds = 1;
 constexpr int KeepAliveProbes = 2;
