An endpoint that is silent for a second is not suspended if it is the only one

Cause: 500 ms of silence suspended the endpoint whether or not another one could take its requests. Now it does only if there is one. An endpoint that is down still shows: connections to it fail.

--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -182,7 +182,10 @@
         pool_, [self = shared_from_this(), ticket = ticket_](bool isEndpointsFault) {
             const bool isStillOpen
                 = self->endpoint_ != nullptr && self->ticket_.number == ticket.number;
-            if (isEndpointsFault && isStillOpen)
+            // A sound endpoint may be silent for a second. If there is no other, waiting for it is
+            // better than refusing; one that is down shows in connections that fail.
+            const bool hasAlternative = self->state_.placement.hasEndpoint(self->query_);
+            if (isEndpointsFault && isStillOpen && hasAlternative)
                 self->state_.placement.report(ticket, routing::PlacementEvent::EndpointSilent);
         });
     state_.log.write(observability::LogLevel::Warning, "endpoint-suspected",
--- a/tests/platform_standin/standinworker.cpp
+++ b/tests/platform_standin/standinworker.cpp
@@ -68,9 +68,24 @@
     store_.remove("servers", settings_.id);
 }
 
+void StandInWorker::setSilent(bool isSilent)
+{
+    isSilent_ = isSilent;
+    if (isSilent)
+        return;
+    const auto held = std::move(heldRequests_);
+    heldRequests_.clear();
+    for (const auto &handleRequest : held)
+        handleRequest();
+}
+
 void StandInWorker::handle(const httpio::ServerRequest &request,
                            const std::shared_ptr<httpio::ResponseWriter> &reply)
 {
+    if (isSilent_) {
+        heldRequests_.emplace_back([this, request, reply] { handle(request, reply); });
+        return;
+    }
     const httpio::Headers &headers = request.head.headers;
     const std::string id = valueOf(headers, "Attempt-Id");
     const std::string expected = valueOf(headers, "Expect-Instance");
--- a/tests/platform_standin/standinworker.h
+++ b/tests/platform_standin/standinworker.h
@@ -64,6 +64,9 @@
     // Number of events of the streams that run from now on.
     void setEvents(int events) { settings_.events = events; }
 
+    // While silent, the worker takes requests and sends nothing; it handles them afterwards.
+    void setSilent(bool isSilent);
+
     // From now on all responses announce that the worker is leaving; the store is not told.
     void announceLeavingInResponses() { isLeaving_ = true; }
     // Starts again under the same id, as a new incarnation that has announced nothing. The store is
@@ -95,6 +98,8 @@
     std::vector<WorkerArrival> arrivals_;
     bool isFull_ = false;
     bool isLeaving_ = false;
+    bool isSilent_ = false;
+    std::vector<std::function<void()>> heldRequests_; // that came while it was silent
     std::chrono::milliseconds pause_{};
     std::int64_t born_ = 0; // Unix time of the start, in milliseconds
     int running_ = 0;
