Endpoints that survive few rejections are not overrun

What callers saw: an endpoint that says in all responses that it survives two rejections a second got 136 (plain) and 139 (model) in 3 s, one that survives none got 141. It falls over, and its service with it.

Nothing read the header. Now each host keeps to its equal part of the rejections: after one it sends nothing to the endpoint until the next is due, 1.2 times the even interval, 5 s at most; such a rejection says nothing against the endpoint's health. And an endpoint that says so gets no more requests than it has slots, in all from the host that places, in equal parts from hosts that place for themselves, because how many it lets wait may shrink. What it said is kept over a restart under its id, when all hosts return at once.

Hosts learn it from their own responses only.

--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -74,6 +74,7 @@
     void countUsage();
     void readAnnouncements(const EndpointResponseInfo &answer);
     void onLeavingAnnounced();
+    void readMaxRejections(const EndpointResponseInfo &answer);
     void onPauseAnnounced(std::chrono::duration<double> pause);
     std::vector<units::EndpointId> pausedEndpoints() const;
     std::optional<units::Duration> pauseOfPool() const;
--- a/include/monsoongrade/gateway/headercodec.h
+++ b/include/monsoongrade/gateway/headercodec.h
@@ -36,6 +36,9 @@
     // Rate that an overloaded endpoint accepts from all hosts together; nullopt: no limit.
     std::optional<routing::RequestsPerSecond> requestLimit;
     bool isLimitUnreadable = false; // the limit given is not a number >= 0
+    // Rejections for want of room that it survives, from all hosts together; nullopt: any number.
+    std::optional<routing::RequestsPerSecond> maxRejections;
+    bool isMaxRejectionsUnreadable = false; // the value given is not a number >= 0
     std::optional<std::chrono::seconds> idleTimeout; // after which it closes idle connections
 };
 
--- a/include/monsoongrade/routing/endpointstatus.h
+++ b/include/monsoongrade/routing/endpointstatus.h
@@ -5,6 +5,8 @@
 #include <monsoongrade/routing/endpointhealth.h>
 #include <monsoongrade/routing/endpointratelimiter.h>
 
+#include <optional>
+
 namespace monsoongrade::routing {
 
 // State that this host keeps for one endpoint. Shared by the requests that use it; it outlives its
@@ -17,6 +19,9 @@
     // Accepts no new requests: it is draining, was removed from the store, or another process has
     // its address.
     bool leaving = false;
+    // Rejections for want of room that it survives, a second and from all hosts; empty if any
+    // number. As of its latest response to this host.
+    std::optional<RequestsPerSecond> maxRejections;
     // When this host last received data from it.
     units::TimePoint lastReceivedAt{};
 };
--- a/include/monsoongrade/routing/requestplacer.h
+++ b/include/monsoongrade/routing/requestplacer.h
@@ -129,6 +129,7 @@
     PlacementChoice chooseForModel(const PlacementQuery &query,
                                    const std::vector<EndpointRegistry::Status> &available,
                                    units::TimePoint now);
+    bool hasSlot(const EndpointStatus &endpoint, const PlacementQuery &query) const;
     bool hasRoomInReserve(const EndpointStatus &endpoint, std::int64_t maxBacklog) const;
     Candidates candidatesFor(const PlacementQuery &query,
                              const std::vector<EndpointRegistry::Status> &available,
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -332,7 +332,7 @@
             endpoint_->leaving = true;
             --sends_;
         }
-        if (answer_.pause)
+        if (answer_.pause || answer_.maxRejections)
             releaseEndpoint(routing::PlacementEvent::EndpointPaused);
         onAttemptFailed(units::ResultCode::EndpointRefused, false);
         return;
--- a/src/gateway/exchangeannouncements.cpp
+++ b/src/gateway/exchangeannouncements.cpp
@@ -1,15 +1,29 @@
 #include <monsoongrade/gateway/exchange.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace monsoongrade::gateway {
 
+namespace {
+
+// Rejections are spaced out by more than their number a second allows, as requests that are under
+// way arrive at uneven intervals.
+constexpr double RejectionSpacing = 1.2;
+// An endpoint that survives no rejection is tried again after this time, in which it has run all
+// that was waiting.
+constexpr auto MaxPauseAfterRejection = std::chrono::seconds(5);
+
+} // namespace
+
 // A late response to an earlier request speaks of the same endpoint as one to this request. A
 // response of another endpoint, which has the address now, does not.
 void Exchange::readAnnouncements(const EndpointResponseInfo &answer)
 {
     if (answer.isLeaving && !answer.wrongEndpoint)
         onLeavingAnnounced();
+    if (!answer.wrongEndpoint)
+        readMaxRejections(answer);
     if (answer.pause)
         onPauseAnnounced(*answer.pause);
     const std::string &endpoint = endpoint_->registration.id.value();
@@ -21,6 +35,9 @@
     if (answer.isPauseUnreadable)
         state_.log.write(level, "endpoint-pause-unreadable",
                          {{"endpoint", endpoint}, {"request", request}});
+    if (answer.isMaxRejectionsUnreadable)
+        state_.log.write(level, "endpoint-rejections-unreadable",
+                         {{"endpoint", endpoint}, {"request", request}});
     if (answer.isLimitUnreadable)
         state_.log.write(level, "endpoint-limit-unreadable",
                          {{"endpoint", endpoint}, {"request", request}});
@@ -40,6 +57,27 @@
                       {"known", wasKnown ? "yes" : "no"}});
 }
 
+// Each host takes its equal part of the rejections that the endpoint survives, and keeps away from
+// it after each one until the next is due.
+void Exchange::readMaxRejections(const EndpointResponseInfo &answer)
+{
+    if (endpoint_->maxRejections != answer.maxRejections)
+        state_.log.write(observability::LogLevel::Info, "endpoint-rejections-limited",
+                         {{"endpoint", endpoint_->registration.id.value()},
+                          {"request", metadata_.id.value()},
+                          {"rejections-per-second", answer.maxRejections.value_or(-1)}});
+    endpoint_->maxRejections = answer.maxRejections;
+    if (!answer.maxRejections || !answer.provenNotRun)
+        return;
+    const double ownShare = *answer.maxRejections / std::max(state_.liveHosts, 1);
+    const std::chrono::duration<double> pause(
+        ownShare > 0 ? RejectionSpacing / ownShare : std::numeric_limits<double>::infinity());
+    state_.announcements.addPause(
+        routing::instanceOf(endpoint_->registration),
+        std::min<std::chrono::duration<double>>(pause, MaxPauseAfterRejection),
+        state_.timers.now());
+}
+
 void Exchange::onPauseAnnounced(std::chrono::duration<double> pause)
 {
     state_.announcements.addPause(routing::instanceOf(endpoint_->registration), pause,
--- a/src/routing/endpointchoice.cpp
+++ b/src/routing/endpointchoice.cpp
@@ -60,7 +60,18 @@
 {
     const units::EndpointId &id = endpoint.registration.id;
     return !contains(query.tried, id) && !contains(query.paused, id) && !endpoint.leaving
-        && endpoint.health.accepts(now) && endpoint.rateLimiter.allows(shareFor(query), now);
+        && endpoint.health.accepts(now) && endpoint.rateLimiter.allows(shareFor(query), now)
+        && hasSlot(endpoint, query);
+}
+
+// An endpoint that survives few rejections gets no more requests than it can run: how many it lets
+// wait may shrink at any moment.
+bool RequestPlacer::hasSlot(const EndpointStatus &endpoint, const PlacementQuery &query) const
+{
+    if (!endpoint.maxRejections)
+        return true;
+    const double ownSlots = endpoint.registration.slots * shareFor(query);
+    return loads_.of(endpoint).openRequests < std::max(1, int(ownSlots));
 }
 
 bool RequestPlacer::hasRoomInReserve(const EndpointStatus &endpoint, std::int64_t maxBacklog) const
--- a/src/routing/endpointregistry.cpp
+++ b/src/routing/endpointregistry.cpp
@@ -40,6 +40,8 @@
             markLeaving(entry);
             decrementSize(entry.status->registration.pool);
             status->rateLimiter = entry.status->rateLimiter;
+            // An endpoint that fell over is met by all hosts when it returns.
+            status->maxRejections = entry.status->maxRejections;
         }
         entry.status = status;
         incrementSize(endpoint.pool);
