Tests of what hosts report and pass on; a rejection without a number is ignored

A part of the endpoint that rejects may not know how many rejections the endpoint survives, as with rate limits.

--- a/include/monsoongrade/gateway/peergossip.h
+++ b/include/monsoongrade/gateway/peergossip.h
@@ -44,11 +44,12 @@
     void setStoreReachable(bool isReachable);
     // Whether the store rejects this host while other hosts can access it.
     void setStoreRefused(bool isRefused) { isStoreRefused_ = isRefused; }
-    // Fencing token of the duty lease if this host holds it, otherwise 0.
+    // Pools to whose endpoints this host can open no connection.
     void setUnreachablePools(std::vector<units::PoolName> pools)
     {
         unreachablePools_ = std::move(pools);
     }
+    // Fencing token of the duty lease if this host holds it, otherwise 0.
     void setDutyToken(std::uint64_t token) { dutyToken_ = token; }
     // The handler is called with the IP of another host and the time since 1970 on its clock.
     void onWallTime(std::function<void(const std::string &, units::Duration)> handler)
--- a/src/gateway/exchangeannouncements.cpp
+++ b/src/gateway/exchangeannouncements.cpp
@@ -58,16 +58,19 @@
 }
 
 // Each host takes its equal part of the rejections that the endpoint survives, and keeps away from
-// it after each one until the next is due.
+// it after each one until the next is due. A rejection without a number is ignored: the part of the
+// endpoint that sent it may not know the number.
 void Exchange::readMaxRejections(const EndpointResponseInfo &answer)
 {
+    if (answer.provenNotRun && !answer.maxRejections)
+        return;
     if (endpoint_->maxRejections != answer.maxRejections)
         state_.log.write(observability::LogLevel::Info, "endpoint-rejections-limited",
                          {{"endpoint", endpoint_->registration.id.value()},
                           {"request", metadata_.id.value()},
                           {"rejections-per-second", answer.maxRejections.value_or(-1)}});
     endpoint_->maxRejections = answer.maxRejections;
-    if (!answer.maxRejections || !answer.provenNotRun)
+    if (!answer.provenNotRun)
         return;
     const double ownShare = *answer.maxRejections / std::max(state_.liveHosts, 1);
     const std::chrono::duration<double> pause(
--- a/tests/adapter/platformheadercodec_test.cpp
+++ b/tests/adapter/platformheadercodec_test.cpp
@@ -46,3 +46,27 @@
         CHECK_MESSAGE(response.isPauseUnreadable, text);
     }
 }
+
+TEST_CASE("PlatformHeaderCodec.EndpointMayNameTheRejectionsThatItSurvives")
+{
+    CHECK(decoded(200, {{"server-brittle", "2"}}).maxRejections == 2);
+    CHECK(decoded(503, {{"Server-Brittle", "0"}}).maxRejections == 0);
+    CHECK_FALSE(decoded(200, {}).maxRejections.has_value());
+    for (const char *text : {"", "-1", "nan", "few"}) {
+        const gateway::EndpointResponseInfo response = decoded(200, {{"Server-Brittle", text}});
+        CHECK_MESSAGE(!response.maxRejections.has_value(), text);
+        CHECK_MESSAGE(response.isMaxRejectionsUnreadable, text);
+    }
+}
+
+// Guards against another host that gives a request more time than its client waits.
+TEST_CASE("PlatformHeaderCodec.ForwardedRequestHasTheTimeThatIsLeft")
+{
+    const httpio::Headers forwarded = PlatformHeaderCodec().forwardedHeaders(
+        {{"Authorization", "Bearer k"}, {"deadline-ms", "8000"}, {"Attempt-Id", "id"}},
+        std::chrono::milliseconds(1234));
+    CHECK(*httpio::findHeader(forwarded, "Authorization") == "Bearer k");
+    CHECK(*httpio::findHeader(forwarded, "Attempt-Id") == "id");
+    CHECK(*httpio::findHeader(forwarded, "Deadline-Ms") == "1234");
+    CHECK(forwarded.size() == 3);
+}
--- a/tests/gateway/peergossip_test.cpp
+++ b/tests/gateway/peergossip_test.cpp
@@ -127,6 +127,24 @@
     CHECK(fleet.awaitQuarantine(1));
 }
 
+// Guards against requests that are passed to a host which can't reach the endpoints either.
+TEST_CASE("PeerGossip.UnreachablePoolsOfAHostReachOtherHosts")
+{
+    Fleet fleet(3);
+    const std::vector<units::PoolName> lost{units::PoolName("a"), units::PoolName("b")};
+    const auto lostOfFirst = [&] {
+        for (const routing::PeerUpdate &host : fleet.hosts[2]->gossip.live()) {
+            if (host.ip == addressOf(0))
+                return host.unreachablePools;
+        }
+        return std::vector<units::PoolName>();
+    };
+    fleet.hosts[0]->gossip.setUnreachablePools(lost);
+    CHECK(fleet.runUntil([&] { return lostOfFirst() == lost; }));
+    fleet.hosts[0]->gossip.setUnreachablePools({});
+    CHECK(fleet.runUntil([&] { return lostOfFirst().empty(); }));
+}
+
 // Guards against a coordinator that overloads an endpoint whose limit only other hosts received.
 TEST_CASE("PeerGossip.LimitOfAnEndpointReachesOtherHosts")
 {
