--- a/tests/adapter/cuthosts.h
+++ b/tests/adapter/cuthosts.h
@@ -81,6 +81,7 @@
             });
         });
         std::vector<int> statuses;
+        statuses.reserve(clients.size());
         for (const auto &client : clients)
             statuses.push_back(client->isComplete() ? client->status() : 0);
         return statuses;
@@ -202,7 +203,7 @@
     static bool isReady(const Host &host)
     {
         return host.gateway->isServing() && host.gateway->hosts().size() == 2
-            && host.gateway->state().registry.size() == std::size_t(2 * WorkersOfService);
+            && host.gateway->state().registry.size() == std::size_t(2) * WorkersOfService;
     }
 
     units::BootClock clock_;
