Tests of one and two gateways share their event loop and hosts

The tests of cut hosts had written the loop, the settings and addresses of a gateway and the count of runs again. EventLoop and GatewayHost serve GatewayFixture and CutHostsFixture, and the workers' stand-in counts runs for both tests that need it. No assertion changed.

--- a/tests/adapter/cuthosts_test.cpp
+++ b/tests/adapter/cuthosts_test.cpp
@@ -21,11 +21,11 @@
 void checkServedAfterCut(const std::string &service, const std::string &path, LinkFault fault)
 {
     CutHostsFixture fixture;
-    CHECK(mostServed(fixture.callFor(*fixture.cutHost, path, milliseconds(300), Interval)));
+    CHECK(mostServed(fixture.callFor(fixture.cutHost, path, milliseconds(300), Interval)));
     fixture.cut(service, fault);
-    fixture.callFor(*fixture.cutHost, path, TimeToNotice, Interval);
-    CHECK(mostServed(fixture.callFor(*fixture.cutHost, path, milliseconds(1000), Interval)));
-    CHECK(mostServed(fixture.callFor(*fixture.otherHost, path, milliseconds(500), Interval)));
+    fixture.callFor(fixture.cutHost, path, TimeToNotice, Interval);
+    CHECK(mostServed(fixture.callFor(fixture.cutHost, path, milliseconds(1000), Interval)));
+    CHECK(mostServed(fixture.callFor(fixture.otherHost, path, milliseconds(500), Interval)));
     CHECK(fixture.mostRunsOfARequest() == 1);
 }
 
@@ -65,14 +65,14 @@
 TEST_CASE("CutHosts.OtherHostServesAllStreamsThroughoutTheCut")
 {
     CutHostsFixture fixture;
-    fixture.callFor(*fixture.cutHost, "/stream/a", milliseconds(300), Interval);
+    fixture.callFor(fixture.cutHost, "/stream/a", milliseconds(300), Interval);
     fixture.cut("model", LinkFault::Silent);
     std::vector<std::shared_ptr<RawClient>> clients;
     for (int i = 0; i < 16; ++i)
-        fixture.send(*fixture.cutHost, "/stream/a");
+        fixture.send(fixture.cutHost, "/stream/a");
     for (int i = 0; i < 60; ++i) {
-        fixture.send(*fixture.cutHost, "/stream/a");
-        clients.push_back(fixture.send(*fixture.otherHost, "/stream/a"));
+        fixture.send(fixture.cutHost, "/stream/a");
+        clients.push_back(fixture.send(fixture.otherHost, "/stream/a"));
         fixture.runFor(Interval);
     }
     fixture.runFor(milliseconds(500));
@@ -87,12 +87,12 @@
 {
     CutHostsFixture fixture;
     fixture.cut("plain", LinkFault::Silent);
-    fixture.callFor(*fixture.cutHost, "/unsafe/a", milliseconds(1500), Interval);
+    fixture.callFor(fixture.cutHost, "/unsafe/a", milliseconds(1500), Interval);
     const auto reach = [&] {
-        return fixture.cutHost->gateway->state().reach.lostPools().size();
+        return fixture.cutHost.gateway->state().reach.lostPools().size();
     };
     REQUIRE(reach() == 1);
-    const auto client = fixture.sendAsHost(*fixture.cutHost, "/unsafe/a");
+    const auto client = fixture.sendAsHost(fixture.cutHost, "/unsafe/a");
     fixture.runUntil([&] { return client->isComplete(); });
     CHECK(client->status() == 503);
     CHECK_FALSE(standins::headerIn(client->received(), "Retry-After").empty());
@@ -103,22 +103,22 @@
 {
     CutHostsFixture fixture;
     fixture.cut("plain", LinkFault::Silent);
-    fixture.callFor(*fixture.cutHost, "/unsafe/a", milliseconds(1500), Interval);
-    const auto &reach = fixture.cutHost->gateway->state().reach;
+    fixture.callFor(fixture.cutHost, "/unsafe/a", milliseconds(1500), Interval);
+    const auto &reach = fixture.cutHost.gateway->state().reach;
     REQUIRE(reach.lostPools().size() == 1);
     fixture.heal("plain");
     CHECK(fixture.runUntil([&] { return reach.lostPools().empty(); }, milliseconds(1500)));
-    CHECK(mostServed(fixture.callFor(*fixture.cutHost, "/unsafe/a", milliseconds(300), Interval)));
+    CHECK(mostServed(fixture.callFor(fixture.cutHost, "/unsafe/a", milliseconds(300), Interval)));
 }
 
 // Guards against a caller that waits for its deadline when no host can reach the endpoints.
 TEST_CASE("CutHosts.RequestIsRefusedWhenTheOtherHostIsLeaving")
 {
     CutHostsFixture fixture;
-    fixture.otherHost->gateway->stop([] {});
+    fixture.otherHost.gateway->stop([] {});
     fixture.cut("plain", LinkFault::Reset);
-    fixture.callFor(*fixture.cutHost, "/unsafe/a", milliseconds(2500), Interval);
-    const auto client = fixture.send(*fixture.cutHost, "/unsafe/a");
+    fixture.callFor(fixture.cutHost, "/unsafe/a", milliseconds(2500), Interval);
+    const auto client = fixture.send(fixture.cutHost, "/unsafe/a");
     CHECK(fixture.runUntil([&] { return client->isComplete(); }, milliseconds(1300)));
     CHECK(client->status() == 503);
     CHECK_FALSE(standins::headerIn(client->received(), "Retry-After").empty());
@@ -129,10 +129,10 @@
 {
     CutHostsFixture fixture;
     fixture.cut("model", LinkFault::Reset);
-    fixture.callFor(*fixture.cutHost, "/stream/a", milliseconds(1500), Interval);
+    fixture.callFor(fixture.cutHost, "/stream/a", milliseconds(1500), Interval);
     fixture.setEndless();
     const int before = fixture.clientsDisconnected();
-    const auto client = fixture.send(*fixture.cutHost, "/stream/a");
+    const auto client = fixture.send(fixture.cutHost, "/stream/a");
     REQUIRE(fixture.runUntil([&] { return client->status() == 200; }));
     client->close();
     CHECK(fixture.runUntil([&] { return fixture.clientsDisconnected() > before; },
--- a/tests/adapter/endpointsilence_test.cpp
+++ b/tests/adapter/endpointsilence_test.cpp
@@ -3,7 +3,6 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <map>
 #include <vector>
 
 using namespace monsoongrade;
@@ -66,16 +65,7 @@
         const auto first = gateway->state().registry.findAvailable(units::EndpointId("e0"));
         return first != nullptr && first->health.accepts(timers.now());
     }
-    int mostRunsOfARequest() const
-    {
-        std::map<std::string, int> runs;
-        int most = 0;
-        for (const auto &worker : workers_) {
-            for (const standins::WorkerRun &run : worker->runs())
-                most = std::max(most, ++runs[run.requestId]);
-        }
-        return most;
-    }
+    int mostRunsOfARequest() const { return standins::mostRunsOfARequest(workers_); }
 
 private:
     std::vector<std::unique_ptr<standins::StandInWorker>> workers_;
--- a/tests/adapter/gatewayfixture.h
+++ b/tests/adapter/gatewayfixture.h
@@ -1,89 +1,29 @@
 #ifndef MONSOONGRADE_TESTS_ADAPTER_GATEWAYFIXTURE_H
 #define MONSOONGRADE_TESTS_ADAPTER_GATEWAYFIXTURE_H
 
+#include "gatewayhost.h"
 #include "rawclient.h"
 
 #include "../platform_standin/rawpeer.h"
-#include "../platform_standin/standinstore.h"
 #include "../platform_standin/standinworker.h"
 
 #include <monsoongrade/httpio/messagewriter.h>
 #include <monsoongrade/httpio/socketoptions.h>
-#include <monsoongrade/units/bootclock.h>
-
-#include <platform/platformheadercodec.h>
-#include <platform/platformpages.h>
-#include <platform/platformwatcher.h>
-
-#include <unistd.h>
 
 #include <memory>
 #include <string>
 
 namespace monsoongrade::platform {
 
-// A clock that can jump ahead, as the boot clock does when the host was suspended.
-class JumpingClock : public units::Clock
-{
-public:
-    units::TimePoint now() const override { return clock_.now() + ahead_; }
-    void jump(units::Duration duration) { ahead_ += duration; }
-
-private:
-    units::BootClock clock_;
-    units::Duration ahead_{};
-};
-
-// One gateway and the store it reads, in one thread, on loopback addresses of their own.
-class GatewayFixture
+// One gateway and the store it reads, in one thread.
+class GatewayFixture : public EventLoop, public GatewayHost
 {
 public:
     GatewayFixture()
-        : timers(io, clock)
-        , store(io, timers, 0)
-    {
-        settings.host = units::HostName("host-1");
-        // Test programs run in parallel: each derives its addresses from its process id.
-        const int pid = int(getpid());
-        settings.ip = "127." + std::to_string(64 + (pid >> 14) % 64) + "."
-            + std::to_string((pid >> 6) % 256) + "." + std::to_string(1 + (pid % 64) * 3);
-        settings.failureDomain = units::FailureDomain("z1");
-        settings.callersAddress = settings.ip + ":8001";
-        settings.readinessAddress = settings.ip + ":8002";
-        settings.directoryAddress = settings.ip + ":8003";
-        settings.gossipPort = 8004;
-        settings.placementPort = 8005;
-        settings.stopWithin = std::chrono::seconds(2);
-    }
-
-    // Starts the gateway, which reads the store at once.
-    void start()
+        : GatewayHost(static_cast<EventLoop &>(*this))
     {
-        gateway = std::make_unique<gateway::Gateway>(
-            io, timers, settings, codec,
-            gateway::Gateway::PageHandlers{serveReadiness, serveDirectory});
-        gateway->start();
-        watcher
-            = std::make_unique<PlatformWatcher>(io, timers, *gateway, store.address(), RelayPort);
-        watcher->start();
     }
 
-    template <typename Predicate>
-    bool runUntil(Predicate &&isDone, std::chrono::milliseconds limit = std::chrono::seconds(4))
-    {
-        const auto end = std::chrono::steady_clock::now() + limit;
-        while (!isDone()) {
-            if (std::chrono::steady_clock::now() >= end)
-                return false;
-            io.run_one_for(std::chrono::milliseconds(5));
-            io.restart();
-        }
-        return true;
-    }
-    void runFor(std::chrono::milliseconds time)
-    {
-        runUntil([] { return false; }, time);
-    }
     // Runs until the gateway has the configuration and this many endpoints; false on a timeout.
     bool awaitServing(std::size_t endpoints)
     {
@@ -123,17 +63,6 @@
                    {"state", state},
                    {"born", born}});
     }
-
-    static constexpr std::uint16_t RelayPort = 8007;
-
-    JumpingClock clock;
-    asio::io_context io;
-    httpio::Timers timers;
-    standins::StandInStore store;
-    gateway::GatewaySettings settings;
-    PlatformHeaderCodec codec;
-    std::unique_ptr<gateway::Gateway> gateway;
-    std::unique_ptr<PlatformWatcher> watcher;
 };
 
 // A route of the operator's configuration.
--- a/tests/platform_standin/standinworker.cpp
+++ b/tests/platform_standin/standinworker.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdlib>
+#include <map>
 
 namespace monsoongrade::standins {
 
@@ -143,4 +144,15 @@
     timers_.after(settings_.eventGap, [this, reply, next] { stream(reply, {}, next + 1); });
 }
 
+int mostRunsOfARequest(const std::vector<std::unique_ptr<StandInWorker>> &workers)
+{
+    std::map<std::string, int> runs;
+    int most = 0;
+    for (const auto &worker : workers) {
+        for (const WorkerRun &run : worker->runs())
+            most = std::max(most, ++runs[run.requestId]);
+    }
+    return most;
+}
+
 } // namespace monsoongrade::standins
--- a/tests/platform_standin/standinworker.h
+++ b/tests/platform_standin/standinworker.h
@@ -4,6 +4,7 @@
 #include "standinstore.h"
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -109,6 +110,9 @@
     std::string state_ = "ready";
 };
 
+// The largest number of times that the workers together ran the same request.
+int mostRunsOfARequest(const std::vector<std::unique_ptr<StandInWorker>> &workers);
+
 } // namespace monsoongrade::standins
 
 #endif // MONSOONGRADE_TESTS_PLATFORM_STANDIN_STANDINWORKER_H
