Gateway: one copy of what forwarding had written again

- Buffer limit and backpressure of responses: internal/responsebuffers serves Exchange and ForwardedRequest.
- Status codes and milliseconds for logs: one header each in place of copies.
- forwardingHost() decides and selects at once; the selection ran twice for each request that was passed on.
- The gossip round walked the table of hosts twice; it now walks it once.
- Planned stop treats both request servers alike, without checks for null at each step.
- ReachMonitor keeps one record a pool in place of four maps.

Behaviour is meant to be unchanged.

--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -54,9 +54,8 @@
     httpio::Headers endpointHeaders() const;
 
     // Sending through another host
-    bool canForward() const;
     std::string forwardingHost() const;
-    void forward();
+    void forward(const std::string &host);
     void onForwardingEnded(ForwardingResult result);
     void onForwardedResponse(const ForwardedRequest &forwarded);
 
@@ -69,7 +68,6 @@
     void finishRelay();
     void onCollectedEnd();
     void deliverCollected();
-    void throttleIfBacklogged();
     void onFirstByte();
     void countUsage();
     void readAnnouncements(const EndpointResponseInfo &answer);
@@ -94,6 +92,7 @@
 
     void reportIfSilent();
     void releaseEndpoint(routing::PlacementEvent event = routing::PlacementEvent::Withdrawn);
+    void forgetEndpoint();
     void onEndpointFailure();
     void countFailure(routing::EndpointStatus &endpoint, const routing::PlacementTicket &ticket);
     void recordCrash();
--- a/include/monsoongrade/gateway/forwardedrequest.h
+++ b/include/monsoongrade/gateway/forwardedrequest.h
@@ -53,7 +53,6 @@
     void onConnection(std::shared_ptr<httpio::Channel> channel, std::string head,
                       std::shared_ptr<const std::string> body);
     void beginRelay();
-    void throttleIfBacklogged();
     void end(ForwardingResult result);
 
     EndpointConnections &connections_;
--- a/include/monsoongrade/gateway/gateway.h
+++ b/include/monsoongrade/gateway/gateway.h
@@ -84,6 +84,8 @@
     void publishOwnState();
     void logHostChanges(const std::vector<routing::PeerUpdate> &hosts);
     void waitForOpenRequests();
+    // The servers that take requests of clients, directly or from other hosts.
+    std::vector<httpio::Server *> requestServers() const;
     void serveMetrics(const httpio::ServerRequest &request, httpio::ResponseWriter &reply);
 
     asio::io_context &io_;
--- a/include/monsoongrade/gateway/reachmonitor.h
+++ b/include/monsoongrade/gateway/reachmonitor.h
@@ -37,6 +37,15 @@
     std::vector<units::PoolName> lostPools() const { return reach_.lostPools(); }
 
 private:
+    struct PoolState
+    {
+        units::TimePoint probedAt{};
+        units::TimePoint lostAt{};
+        // Until when probes may still tell whose fault failures are, and who waits for it.
+        units::TimePoint inDoubtUntil{};
+        std::vector<FaultHandler> waiting;
+    };
+
     void onConnectEnded(const routing::DiscoveredEndpoint &endpoint, bool isConnected,
                         units::TimePoint begunAt);
     // Opens connections to as many other endpoints as have to fail for the pool to be lost.
@@ -51,11 +60,7 @@
     EndpointConnections &connections_;
     const routing::EndpointRegistry &registry_;
     routing::EndpointReach reach_;
-    std::map<std::string, units::TimePoint> probedAt_; // by pool
-    std::map<std::string, units::TimePoint> lostAt_; // by pool
-    // By pool: until when probes may still tell whose fault its failures are, and who waits for it.
-    std::map<std::string, units::TimePoint> inDoubtUntil_;
-    std::map<std::string, std::vector<FaultHandler>> waiting_;
+    std::map<std::string, PoolState> pools_; // by name
     std::minstd_rand random_;
 };
 
--- a/include/monsoongrade/routing/endpointreach.h
+++ b/include/monsoongrade/routing/endpointreach.h
@@ -6,7 +6,6 @@
 
 #include <cstddef>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -1,5 +1,7 @@
 #include <monsoongrade/gateway/exchange.h>
 
+#include <gateway/internal/responsebuffers.h>
+
 #include <monsoongrade/httpio/messagewriter.h>
 
 #include <algorithm>
@@ -8,13 +10,6 @@
 
 namespace {
 
-// A plain response up to this size is buffered until it is complete, so that a truncated one can be
-// replaced by a retry. Responses have about 1 KB; larger ones are passed on as they arrive, to
-// limit memory use.
-constexpr std::size_t MaxCollectedBytes = 256 * 1024;
-// Stops reading from the endpoint while more than this waits to be sent to a slow client. An event
-// has less than 400 bytes, so this is minutes of a stream.
-constexpr std::size_t MaxUnsentBytes = 64 * 1024;
 // Share of an endpoint's connections that all hosts together use. The rest allows for hosts that
 // see different numbers of live hosts.
 constexpr double UsedShareOfConnections = 0.9;
@@ -41,8 +36,8 @@
 
 void Exchange::startAttempt()
 {
-    if (canForward()) {
-        forward();
+    if (const std::string host = forwardingHost(); !host.empty()) {
+        forward(host);
         return;
     }
     const units::TimePoint now = state_.timers.now();
@@ -204,7 +199,7 @@
     if (use_ != ResponseUse::Collected)
         return;
     collected_.append(bytes);
-    if (collected_.size() <= MaxCollectedBytes || !isSuccess(responseHead_.status)
+    if (collected_.size() <= internal::MaxCollectedBytes || !isSuccess(responseHead_.status)
         || !answer_.isSigned)
         return;
     if (!responseBegun_) {
@@ -214,7 +209,7 @@
     }
     reply_->write(collected_);
     collected_.clear();
-    throttleIfBacklogged();
+    internal::throttleIfBacklogged(*reply_, channel_);
 }
 
 void Exchange::relay(std::string_view bytes)
@@ -238,19 +233,7 @@
     if (route_->mayRunTwice())
         startSilenceTimer(
             std::max<units::Duration>(std::chrono::milliseconds(700), route_->maxEventGap * 5 / 2));
-    throttleIfBacklogged();
-}
-
-// Limits the memory used for a slow client by applying backpressure to its endpoint's stream.
-void Exchange::throttleIfBacklogged()
-{
-    if (reply_->unsentBytes() > MaxUnsentBytes) {
-        channel_->pauseReading();
-        reply_->onDrained([self = shared_from_this()] {
-            if (self->channel_ != nullptr)
-                self->channel_->resumeReading();
-        });
-    }
+    internal::throttleIfBacklogged(*reply_, channel_);
 }
 
 // Counts a request once, even if several endpoints began to run it.
--- a/src/gateway/exchangeadmission.cpp
+++ b/src/gateway/exchangeadmission.cpp
@@ -1,5 +1,7 @@
 #include <monsoongrade/gateway/exchange.h>
 
+#include <gateway/internal/httpstatus.h>
+
 #include <monsoongrade/units/jitter.h>
 
 #include <algorithm>
@@ -8,13 +10,11 @@
 
 namespace {
 
+using namespace internal;
+
 // For requests without a deadline; the route's timeout is usually shorter.
 constexpr auto DefaultTimeLeft = std::chrono::seconds(60);
 
-constexpr int StatusUnauthorized = 401;
-constexpr int StatusNotFound = 404;
-constexpr int StatusUnavailable = 503;
-
 int statusFor(units::ResultCode refusedAdmission)
 {
     switch (refusedAdmission) {
--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -1,5 +1,8 @@
 #include <monsoongrade/gateway/exchange.h>
 
+#include <gateway/internal/httpstatus.h>
+#include <gateway/internal/milliseconds.h>
+
 #include <monsoongrade/routing/retryafter.h>
 
 #include <algorithm>
@@ -9,21 +12,14 @@
 
 namespace {
 
+using namespace internal;
+
 // Endpoints enforce the deadline that they are given. Their response arrives a few milliseconds
 // after it and is more informative than one made by the gateway.
 constexpr auto WaitForEndpointTimeout = std::chrono::milliseconds(100);
 // How long a request that must not be aborted may continue after its client has disconnected.
 constexpr auto MaxTimeAfterDisconnect = std::chrono::seconds(5);
 
-constexpr int StatusBadGateway = 502;
-constexpr int StatusUnavailable = 503;
-constexpr int StatusGatewayTimeout = 504;
-
-std::int64_t milliseconds(units::Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 } // namespace
 
 void Exchange::onChannelFailure(httpio::ChannelFailure failure)
@@ -63,7 +59,7 @@
                       {"reason", units::resultCodeName(reason)},
                       {"may-have-run", mayHaveRun_ ? "yes" : "no"},
                       {"sends", sends_},
-                      {"left-ms", milliseconds(timeLeft())}});
+                      {"left-ms", inMilliseconds(timeLeft())}});
     releaseEndpoint();
     if (clientDisconnected_) {
         finish("client-left", 0, units::ResultCode::CallerLeft);
@@ -94,7 +90,7 @@
     // Without a path, each further endpoint would cost the client a connection timeout.
     const bool isWithoutPath = state_.reach.isLost(pool_) && unreachableEndpoints_ > 0;
     failure.hasAlternativeEndpoint
-        = canForward() || (!isWithoutPath && state_.placement.hasEndpoint(query_));
+        = !forwardingHost().empty() || (!isWithoutPath && state_.placement.hasEndpoint(query_));
     failure.hasRetryBudget
         = totalSends_ == 0 || retryAllowance().hasLeft(state_.retryLimit, state_.liveHosts, now);
     return failure;
@@ -191,7 +187,7 @@
     state_.log.write(observability::LogLevel::Warning, "endpoint-suspected",
                      {{"request", metadata_.id.value()},
                       {"endpoint", endpoint_->registration.id.value()},
-                      {"silent-ms", milliseconds(now - sentAt_)}});
+                      {"silent-ms", inMilliseconds(now - sentAt_)}});
 }
 
 void Exchange::onDeadline()
@@ -242,12 +238,16 @@
 }
 
 void Exchange::releaseEndpoint(routing::PlacementEvent event)
+{
+    if (endpoint_ != nullptr)
+        state_.placement.report(ticket_, event);
+    forgetEndpoint();
+}
+
+void Exchange::forgetEndpoint()
 {
     state_.timers.cancel(silenceTimer_);
     state_.timers.cancel(suspicionTimer_);
-    if (endpoint_ == nullptr)
-        return;
-    state_.placement.report(ticket_, event);
     endpoint_.reset();
 }
 
@@ -263,9 +263,7 @@
             else
                 self->state_.placement.report(ticket, routing::PlacementEvent::Withdrawn);
         });
-    state_.timers.cancel(silenceTimer_);
-    state_.timers.cancel(suspicionTimer_);
-    endpoint_.reset();
+    forgetEndpoint();
 }
 
 // The host that placed the request counts the reported failure. If that is another host, this one
@@ -306,7 +304,7 @@
                            {{"request", metadata_.id.value()},
                             {"digest", routing::digestText(identity().digest)},
                             {"workspace", admission_.workspace.value()},
-                            {"for-ms", milliseconds(*left)}});
+                            {"for-ms", inMilliseconds(*left)}});
 }
 
 void Exchange::recordCompletion()
@@ -356,55 +354,6 @@
         logEnd(outcome, status, reason);
 }
 
-void Exchange::logPlaced(units::Duration placementTime) const
-{
-    observability::log(observability::LogLevel::Info, "request-placed",
-                       {{"request", metadata_.id.value()},
-                        {"route", route_->name.value()},
-                        {"pool", pool_.value()},
-                        {"endpoint", endpoint_->registration.id.value()},
-                        {"incarnation", endpoint_->registration.incarnation.value()},
-                        {"placed-by", state_.placement.placedBy(ticket_)},
-                        {"tokens-to-read", tokensToRead_},
-                        {"tier", std::int64_t(admission_.tier.value())},
-                        {"placing-ms", milliseconds(placementTime)}});
-}
-
-void Exchange::logEnd(std::string_view outcome, int status, units::ResultCode reason) const
-{
-    const units::TimePoint now = state_.timers.now();
-    const bool isLeaseProven = state_.lease.age(now) != units::Duration::max();
-    observability::log(
-        observability::LogLevel::Info, "request-ended",
-        {{"request", metadata_.id.value()},
-         {"outcome", outcome},
-         {"status", status},
-         {"code", int(reason)},
-         {"reason", units::resultCodeName(reason)},
-         {"pool", pool_.value()},
-         {"endpoint", query_.tried.empty() ? "none" : query_.tried.back().value()},
-         {"forwarded-to", triedHosts_.empty() ? "none" : triedHosts_.back()},
-         {"sends", sends_},
-         {"may-have-run", mayHaveRun_ ? "yes" : "no"},
-         {"took-ms", milliseconds(now - request_.receivedAt)},
-         {"first-event-ms",
-          events_.firstEventAt() ? milliseconds(*events_.firstEventAt() - request_.receivedAt)
-                                 : std::int64_t(-1)},
-         {"longest-pause-ms", milliseconds(events_.longestPause())},
-         {"left-ms", milliseconds(timeLeft())},
-         {"queue-drains-ms", retryDelay_ ? milliseconds(*retryDelay_) : std::int64_t(-1)},
-         {"configuration", table_ == nullptr ? std::int64_t(0) : table_->configuration().version},
-         {"configuration-age-ms", isLeaseProven ? milliseconds(state_.lease.age(now)) : -1},
-         {"live-hosts", state_.liveHosts}});
-}
-
-std::string Exchange::latestTarget() const
-{
-    if (!triedHosts_.empty())
-        return triedHosts_.back();
-    return query_.tried.empty() ? "none" : query_.tried.back().value();
-}
-
 units::Duration Exchange::timeLeft() const
 {
     return std::max<units::Duration>(deadline_ - state_.timers.now(), units::Duration::zero());
--- a/src/gateway/exchangeforwarding.cpp
+++ b/src/gateway/exchangeforwarding.cpp
@@ -1,5 +1,7 @@
 #include <monsoongrade/gateway/exchange.h>
 
+#include <gateway/internal/httpstatus.h>
+
 #include <monsoongrade/httpio/messagewriter.h>
 
 #include <charconv>
@@ -14,8 +16,6 @@
 // not found out yet whether it can reach the pool.
 constexpr int UnreachableToForward = 2;
 
-constexpr int StatusUnavailable = 503;
-
 // The numbered code with which another host refused the request.
 units::ResultCode refusalCode(const std::string &body)
 {
@@ -32,26 +32,23 @@
 
 } // namespace
 
-// Whether another host may be able to serve the request that this one can't get to an endpoint. A
-// request that an endpoint may have got already stays here, where its sends are counted.
-bool Exchange::canForward() const
+// Returns the host that may be able to serve the request, if this one can't get it to an endpoint;
+// empty if there is none, or if an endpoint may have got it already: it then stays here, where its
+// sends are counted.
+std::string Exchange::forwardingHost() const
 {
     const bool isUnreachable
         = state_.reach.isLost(pool_) || unreachableEndpoints_ >= UnreachableToForward;
-    return isUnreachable && origin_ == RequestOrigin::Client && state_.forwardingPort != 0
-        && sends_ == 0 && !mayHaveRun_ && !responseBegun_ && triedHosts_.size() < MaxForwards
-        && !forwardingHost().empty();
-}
-
-std::string Exchange::forwardingHost() const
-{
+    const bool isAllowed = origin_ == RequestOrigin::Client && state_.forwardingPort != 0
+        && sends_ == 0 && !mayHaveRun_ && !responseBegun_ && triedHosts_.size() < MaxForwards;
+    if (!isUnreachable || !isAllowed)
+        return {};
     return state_.forwardingHosts.select(state_.otherHosts, pool_, state_.ownDomain, triedHosts_,
                                          state_.timers.now());
 }
 
-void Exchange::forward()
+void Exchange::forward(const std::string &host)
 {
-    const std::string host = forwardingHost();
     triedHosts_.push_back(host);
     state_.forwardingHosts.onForwarded(host);
     state_.log.metrics.add("monsoongrade_gateway_requests_forwarded_total");
@@ -109,11 +106,12 @@
     const bool isOfEndpoint = state_.headerCodec.decodeResponse(head).isSigned;
     const units::ResultCode code
         = isOfEndpoint ? units::ResultCode::Ok : refusalCode(forwarded.body());
-    const bool isNotRun = !isOfEndpoint && forwarded.status() == StatusUnavailable;
+    const bool isNotRun = !isOfEndpoint && forwarded.status() == internal::StatusUnavailable;
     if (isNotRun && isForWantOfEndpoint(code)) {
         state_.forwardingHosts.onFailed(triedHosts_.back(), pool_, state_.timers.now());
-        if (canForward() && state_.timers.now() < deadline_) {
-            forward();
+        const std::string next = forwardingHost();
+        if (!next.empty() && state_.timers.now() < deadline_) {
+            forward(next);
             return;
         }
     }
--- /dev/null
+++ b/src/gateway/exchangelog.cpp
@@ -0,0 +1,60 @@
+#include <monsoongrade/gateway/exchange.h>
+
+#include <gateway/internal/milliseconds.h>
+
+#include <string>
+
+namespace monsoongrade::gateway {
+
+using internal::inMilliseconds;
+
+void Exchange::logPlaced(units::Duration placementTime) const
+{
+    observability::log(observability::LogLevel::Info, "request-placed",
+                       {{"request", metadata_.id.value()},
+                        {"route", route_->name.value()},
+                        {"pool", pool_.value()},
+                        {"endpoint", endpoint_->registration.id.value()},
+                        {"incarnation", endpoint_->registration.incarnation.value()},
+                        {"placed-by", state_.placement.placedBy(ticket_)},
+                        {"tokens-to-read", tokensToRead_},
+                        {"tier", std::int64_t(admission_.tier.value())},
+                        {"placing-ms", inMilliseconds(placementTime)}});
+}
+
+void Exchange::logEnd(std::string_view outcome, int status, units::ResultCode reason) const
+{
+    const units::TimePoint now = state_.timers.now();
+    const bool isLeaseProven = state_.lease.age(now) != units::Duration::max();
+    observability::log(
+        observability::LogLevel::Info, "request-ended",
+        {{"request", metadata_.id.value()},
+         {"outcome", outcome},
+         {"status", status},
+         {"code", int(reason)},
+         {"reason", units::resultCodeName(reason)},
+         {"pool", pool_.value()},
+         {"endpoint", query_.tried.empty() ? "none" : query_.tried.back().value()},
+         {"forwarded-to", triedHosts_.empty() ? "none" : triedHosts_.back()},
+         {"sends", sends_},
+         {"may-have-run", mayHaveRun_ ? "yes" : "no"},
+         {"took-ms", inMilliseconds(now - request_.receivedAt)},
+         {"first-event-ms",
+          events_.firstEventAt() ? inMilliseconds(*events_.firstEventAt() - request_.receivedAt)
+                                 : std::int64_t(-1)},
+         {"longest-pause-ms", inMilliseconds(events_.longestPause())},
+         {"left-ms", inMilliseconds(timeLeft())},
+         {"queue-drains-ms", retryDelay_ ? inMilliseconds(*retryDelay_) : std::int64_t(-1)},
+         {"configuration", table_ == nullptr ? std::int64_t(0) : table_->configuration().version},
+         {"configuration-age-ms", isLeaseProven ? inMilliseconds(state_.lease.age(now)) : -1},
+         {"live-hosts", state_.liveHosts}});
+}
+
+std::string Exchange::latestTarget() const
+{
+    if (!triedHosts_.empty())
+        return triedHosts_.back();
+    return query_.tried.empty() ? "none" : query_.tried.back().value();
+}
+
+} // namespace monsoongrade::gateway
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -1,5 +1,7 @@
 #include <monsoongrade/gateway/forwardedrequest.h>
 
+#include <gateway/internal/responsebuffers.h>
+
 #include <monsoongrade/httpio/messagehead.h>
 
 namespace monsoongrade::gateway {
@@ -9,10 +11,6 @@
 // Hosts that can reach a pool are few while many can't; each has a third of its descriptors for
 // callers.
 constexpr int MaxConnectionsPerHost = 256;
-// Responses have about 1 KB; larger ones are relayed, to limit memory use.
-constexpr std::size_t MaxCollectedBytes = 256 * 1024;
-// Stops reading from the other host while more than this waits to be sent to a slow client.
-constexpr std::size_t MaxUnsentBytes = 64 * 1024;
 
 } // namespace
 
@@ -75,7 +73,7 @@
 {
     if (!isRelayed_) {
         body_.append(bytes);
-        if (body_.size() <= MaxCollectedBytes)
+        if (body_.size() <= internal::MaxCollectedBytes)
             return;
         beginRelay();
         reply_->write(body_);
@@ -83,7 +81,7 @@
     } else {
         reply_->write(bytes);
     }
-    throttleIfBacklogged();
+    internal::throttleIfBacklogged(*reply_, channel_);
 }
 
 void ForwardedRequest::beginRelay()
@@ -93,17 +91,6 @@
     handlers_.onRelayBegun();
 }
 
-void ForwardedRequest::throttleIfBacklogged()
-{
-    if (reply_->unsentBytes() <= MaxUnsentBytes || channel_ == nullptr)
-        return;
-    channel_->pauseReading();
-    reply_->onDrained([self = shared_from_this()] {
-        if (self->channel_ != nullptr)
-            self->channel_->resumeReading();
-    });
-}
-
 void ForwardedRequest::onResponseEnd()
 {
     const auto self = shared_from_this();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,5 +1,7 @@
 #include <monsoongrade/gateway/gateway.h>
 
+#include <gateway/internal/milliseconds.h>
+
 #include <monsoongrade/gateway/directory.h>
 #include <monsoongrade/gateway/exchange.h>
 #include <monsoongrade/httpio/socketoptions.h>
@@ -17,15 +19,6 @@
 // because a watch may stay silent that long while the store drops its history, and a request needs
 // some time from its check to the endpoint.
 constexpr auto LeaseMargin = std::chrono::milliseconds(1300);
-// Clients use an address for up to three times the directory's interval of 1 s, and slightly longer
-// if they are just refreshing it. A leaving host accepts requests for this time.
-constexpr auto AcceptWhileLeaving = std::chrono::milliseconds(3800);
-// Quarters of that time in which all requests are accepted, including those that may outlast the
-// host: 2.8 of 3.8 s. In the rest of it, such requests are refused and go to other hosts.
-constexpr int AcceptAllQuarters = 3;
-// Time left when open requests are aborted, so that the process exits before it is killed.
-constexpr auto StopReserve = std::chrono::milliseconds(250);
-constexpr auto OpenRequestsCheckInterval = std::chrono::milliseconds(25);
 // Request bodies may use one part in this many of the host's memory. With some 20 MB of base usage
 // and the socket buffers, that stays far below the limit.
 constexpr std::int64_t BodyMemoryDivisor = 4;
@@ -239,8 +232,8 @@
     sampleOwnWallTime();
     state_.registry.removeExpired(timers_.now());
     state_.registry.restoreUnannounced();
-    state_.otherHosts = gossip_.live();
     const std::vector<routing::PeerUpdate> live = hosts();
+    state_.otherHosts.assign(live.begin(), std::prev(live.end())); // this host comes last
     state_.liveHosts = int(live.size());
     logHostChanges(live);
     const auto ownPlace = std::count_if(
@@ -341,9 +334,7 @@
          {"configuration",
           state_.table == nullptr ? std::int64_t(0) : state_.table->configuration().version},
          {"configuration-age-ms",
-          age == units::Duration::max()
-              ? std::int64_t(-1)
-              : std::chrono::duration_cast<std::chrono::milliseconds>(age).count()}});
+          age == units::Duration::max() ? std::int64_t(-1) : internal::inMilliseconds(age)}});
 }
 
 void Gateway::logHostChanges(const std::vector<routing::PeerUpdate> &hosts)
@@ -367,50 +358,6 @@
                          {{"host", host}, {"live-hosts", std::uint64_t(lastHosts_.size())}});
 }
 
-void Gateway::stop(std::function<void()> stopped)
-{
-    if (leaving_)
-        return;
-    leaving_ = true;
-    stopped_ = std::move(stopped);
-    stopBy_ = timers_.now() + settings_.stopWithin - units::Duration(StopReserve);
-    observability::log(observability::LogLevel::Info, "gateway-leaving",
-                       {{"open-requests", std::uint64_t(callers_->openRequests())}});
-    gossip_.setState(routing::PeerState::Leaving);
-    callers_->startDraining();
-    if (forwarded_ != nullptr)
-        forwarded_->startDraining();
-    const units::Duration accepting
-        = std::min<units::Duration>(AcceptWhileLeaving, settings_.stopWithin / 2);
-    state_.plannedStop = PlannedStop{timers_.now() + accepting * AcceptAllQuarters / 4, stopBy_};
-    timers_.after(accepting, [this] {
-        callers_->stopAccepting();
-        if (forwarded_ != nullptr)
-            forwarded_->stopAccepting();
-        waitForOpenRequests();
-    });
-}
-
-void Gateway::waitForOpenRequests()
-{
-    // Also waits for connections whose clients are still reading the last response.
-    std::size_t open = callers_->openRequests();
-    std::size_t connections = callers_->connections();
-    if (forwarded_ != nullptr) {
-        open += forwarded_->openRequests();
-        connections += forwarded_->connections();
-    }
-    if (connections > 0 && timers_.now() < stopBy_) {
-        timers_.after(OpenRequestsCheckInterval, [this] { waitForOpenRequests(); });
-        return;
-    }
-    observability::log(observability::LogLevel::Info, "gateway-stopped",
-                       {{"open-requests", std::uint64_t(open)}});
-    if (state_.usage != nullptr)
-        state_.usage->sendCounts();
-    stopped_();
-}
-
 void Gateway::reload(const GatewaySettings &settings)
 {
     state_.retryLimit = settings.retryLimit;
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -1,5 +1,7 @@
 #include <monsoongrade/gateway/gatewaystate.h>
 
+#include <gateway/internal/milliseconds.h>
+
 namespace monsoongrade::gateway {
 
 bool GatewayState::setLeaving(const routing::EndpointInstance &endpoint, units::TimePoint at)
@@ -18,8 +20,7 @@
                   {{"endpoint", listed.id.value()},
                    {"announced-for", start->announcedFor.value()},
                    {"incarnation", listed.incarnation.value()},
-                   {"announced-ago-ms",
-                    std::chrono::duration_cast<std::chrono::milliseconds>(start->age).count()},
+                   {"announced-ago-ms", internal::inMilliseconds(start->age)},
                    {"used", start->isLater ? "yes" : "no"}});
     }
     return announcements.isLeaving(listed, now);
--- /dev/null
+++ b/src/gateway/internal/httpstatus.h
@@ -0,0 +1,15 @@
+#ifndef MONSOONGRADE_GATEWAY_INTERNAL_HTTPSTATUS_H
+#define MONSOONGRADE_GATEWAY_INTERNAL_HTTPSTATUS_H
+
+namespace monsoongrade::gateway::internal {
+
+// Status codes of the gateway's own responses.
+constexpr int StatusUnauthorized = 401;
+constexpr int StatusNotFound = 404;
+constexpr int StatusBadGateway = 502;
+constexpr int StatusUnavailable = 503; // the request has not run
+constexpr int StatusGatewayTimeout = 504;
+
+} // namespace monsoongrade::gateway::internal
+
+#endif // MONSOONGRADE_GATEWAY_INTERNAL_HTTPSTATUS_H
--- a/src/gateway/reachmonitor.cpp
+++ b/src/gateway/reachmonitor.cpp
@@ -1,8 +1,11 @@
 #include <monsoongrade/gateway/reachmonitor.h>
 
+#include <gateway/internal/milliseconds.h>
+
 #include <monsoongrade/observability/log.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace monsoongrade::gateway {
 
@@ -45,29 +48,28 @@
 
 void ReachMonitor::whenFaultIsKnown(const units::PoolName &pool, FaultHandler handler)
 {
-    const units::TimePoint until = inDoubtUntil_[pool.value()];
-    if (isLost(pool) || timers_.now() >= until) {
+    PoolState &state = pools_[pool.value()];
+    if (isLost(pool) || timers_.now() >= state.inDoubtUntil) {
         handler(!isLost(pool));
         return;
     }
-    std::vector<FaultHandler> &waiting = waiting_[pool.value()];
-    waiting.push_back(std::move(handler));
-    if (waiting.size() == 1)
-        timers_.at(until, [this, pool] { resolve(pool, !isLost(pool)); });
+    state.waiting.push_back(std::move(handler));
+    if (state.waiting.size() == 1)
+        timers_.at(state.inDoubtUntil, [this, pool] { resolve(pool, !isLost(pool)); });
 }
 
 void ReachMonitor::resolve(const units::PoolName &pool, bool isEndpointsFault)
 {
-    inDoubtUntil_.erase(pool.value());
-    const std::vector<FaultHandler> waiting = std::move(waiting_[pool.value()]);
-    waiting_.erase(pool.value());
+    PoolState &state = pools_[pool.value()];
+    state.inDoubtUntil = {};
+    const std::vector<FaultHandler> waiting = std::exchange(state.waiting, {});
     for (const FaultHandler &handler : waiting)
         handler(isEndpointsFault);
 }
 
 void ReachMonitor::probe(const routing::EndpointStatus &endpoint)
 {
-    inDoubtUntil_[endpoint.registration.pool.value()] = timers_.now() + MaxDoubt;
+    pools_[endpoint.registration.pool.value()].inDoubtUntil = timers_.now() + MaxDoubt;
     connections_.openIdle(endpoint);
 }
 
@@ -83,15 +85,13 @@
                 observability::LogLevel::Info, "pool-reachable",
                 {{"pool", pool.value()},
                  {"endpoint", endpoint.id.value()},
-                 {"unreachable-ms",
-                  std::chrono::duration_cast<std::chrono::milliseconds>(now - lostAt_[pool.value()])
-                      .count()}});
+                 {"unreachable-ms", internal::inMilliseconds(now - pools_[pool.value()].lostAt)}});
         return;
     }
     const std::size_t poolSize = registry_.available(pool).size();
     const auto change = reach_.onConnectFailed(pool, endpoint.id, begunAt, poolSize, now);
     if (change == routing::EndpointReach::Change::Lost) {
-        lostAt_[pool.value()] = now;
+        pools_[pool.value()].lostAt = now;
         resolve(pool, false);
         observability::log(observability::LogLevel::Warning, "pool-unreachable",
                            {{"pool", pool.value()},
@@ -140,7 +140,7 @@
 bool ReachMonitor::mayProbe(const units::PoolName &pool)
 {
     const units::TimePoint now = timers_.now();
-    units::TimePoint &last = probedAt_[pool.value()];
+    units::TimePoint &last = pools_[pool.value()].probedAt;
     if (now - last < MinProbeInterval)
         return false;
     last = now;
