Hosts log the software version of endpoints, and which stream a request resumes

Logs could not tell streams that the gateway itself continued elsewhere from streams that callers resumed, and no line had a version. Nothing acts on them yet.

--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -101,6 +101,7 @@
     void dropChannel();
     // The endpoint or host of the latest attempt.
     std::string latestTarget() const;
+    std::string resumedRequest() const;
     void logEnd(std::string_view outcome, int status, units::ResultCode reason) const;
     void finish(std::string_view outcome, int status, units::ResultCode reason);
     units::Duration timeLeft() const;
--- a/include/monsoongrade/routing/discoveredendpoint.h
+++ b/include/monsoongrade/routing/discoveredendpoint.h
@@ -19,6 +19,7 @@
     units::EndpointId id;
     Incarnation incarnation;
     units::PoolName pool;
+    units::SoftwareVersion softwareVersion; // empty if the entry has none
     std::string address; // IP:PORT; may be reused by another endpoint seconds after this one ends
     units::FailureDomain failureDomain;
     int slots = 1; // maximum number of concurrent requests
--- a/include/monsoongrade/routing/requestmetadata.h
+++ b/include/monsoongrade/routing/requestmetadata.h
@@ -29,6 +29,8 @@
     units::TokenCount promptTokens;
     units::TokenCount maxOutputTokens;
     std::string lastEventId; // the client resumes its stream after this event
+    // The client attempt that brought the first event of the stream that it resumes.
+    units::RequestId resumes;
 };
 
 } // namespace monsoongrade::routing
--- a/include/monsoongrade/units/ids.h
+++ b/include/monsoongrade/units/ids.h
@@ -13,6 +13,8 @@
 using PoolName = StrongString<struct PoolNameTag>;
 using ModelName = StrongString<struct ModelNameTag>;
 using EndpointId = StrongString<struct EndpointIdTag>;
+// Version of an endpoint's software, not of the weights that it has loaded.
+using SoftwareVersion = StrongString<struct SoftwareVersionTag>;
 using HostName = StrongString<struct HostNameTag>;
 using FailureDomain = StrongString<struct FailureDomainTag>;
 using ClusterName = StrongString<struct ClusterNameTag>;
--- a/src/gateway/exchangelog.cpp
+++ b/src/gateway/exchangelog.cpp
@@ -16,6 +16,8 @@
                         {"pool", pool_.value()},
                         {"endpoint", endpoint_->registration.id.value()},
                         {"incarnation", endpoint_->registration.incarnation.value()},
+                        {"software", endpoint_->registration.softwareVersion.value()},
+                        {"resumes", resumedRequest()},
                         {"placed-by", state_.placement.placedBy(ticket_)},
                         {"tokens-to-read", tokensToRead_},
                         {"tier", std::int64_t(admission_.tier.value())},
@@ -50,6 +52,15 @@
          {"live-hosts", state_.liveHosts}});
 }
 
+// The request that began the stream of which this attempt is to bring the rest; "none" for a new
+// one.
+std::string Exchange::resumedRequest() const
+{
+    if (!metadata_.resumes.isEmpty())
+        return metadata_.resumes.value();
+    return events_.lastId().empty() ? "none" : metadata_.id.value();
+}
+
 std::string Exchange::latestTarget() const
 {
     if (!triedHosts_.empty())
