--- /dev/null
+++ b/tests/adapter/streamversions_test.cpp
@@ -0,0 +1,142 @@
+#include "versionedengines.h"
+
+using namespace monsoongrade;
+using namespace monsoongrade::platform;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr int Streams = 6;
+// In which a host learns that a pool has had one version for as long as streams are resumed.
+constexpr auto TimeToKnowPool = std::chrono::seconds(25);
+
+bool holds(const RawClient &client, const std::string &version)
+{
+    return client.received().find("data: " + version + "\n") != std::string::npos;
+}
+
+// Whether the client got the rest of its stream, of this version.
+bool goesOn(const RawClient &client, const std::string &version)
+{
+    return client.status() == 200 && client.isComplete() && holds(client, version);
+}
+
+bool isRefused(const RawClient &client)
+{
+    return client.status() == 503 && !standins::headerIn(client.received(), "Retry-After").empty();
+}
+
+} // namespace
+
+// Guards against a stream that goes on at an engine of another software version after a crash.
+TEST_CASE("StreamVersions.ResponseNeverHoldsEventsOfTwoVersions")
+{
+    VersionedEnginesFixture fixture({"v1", "v1", "v2", "v2", "v2"});
+    int mixed = 0;
+    for (int i = 0; i < 4 * Streams; ++i) {
+        fixture.crashNext();
+        const auto client = fixture.call(fixture.firstHost, "/resume/a", "m" + std::to_string(i));
+        mixed += holds(*client, "v1") && holds(*client, "v2") ? 1 : 0;
+    }
+    CHECK(mixed == 0);
+}
+
+// Guards against breaking off a stream that another engine of its version could continue.
+TEST_CASE("StreamVersions.ResponseGoesOnAtAnotherEngineOfItsVersion")
+{
+    VersionedEnginesFixture fixture({"v1", "v1", "v2", "v2"});
+    for (int i = 0; i < Streams; ++i) {
+        fixture.crashNext();
+        const auto client = fixture.call(fixture.firstHost, "/resume/a", "m" + std::to_string(i));
+        CHECK(client->isComplete());
+    }
+}
+
+// Guards against a response that is continued at another version as there is no engine of its own.
+TEST_CASE("StreamVersions.ResponseBreaksOffWhenNoOtherEngineOfItsVersionServes")
+{
+    VersionedEnginesFixture fixture({"v1", "v2"});
+    fixture.crashNext();
+    CHECK_FALSE(fixture.call(fixture.firstHost, "/resume/a", "m")->isComplete());
+}
+
+// Guards against a client that is sent on to another software version when it resumes its stream.
+TEST_CASE("StreamVersions.ClientResumesAtTheVersionThatBegan")
+{
+    VersionedEnginesFixture fixture({"v1", "v2", "v2", "v2", "v2"});
+    for (int i = 0; i < Streams; ++i) {
+        const std::string began = fixture.beginAndBreak(fixture.firstHost, "v1");
+        CHECK(goesOn(*fixture.resume(fixture.firstHost, began), "v1"));
+    }
+}
+
+// Guards against a host that does not know at which version a stream began at another host.
+TEST_CASE("StreamVersions.ClientResumesAtAnotherHost")
+{
+    VersionedEnginesFixture fixture({"v1", "v2", "v2", "v2", "v2"});
+    for (int i = 0; i < Streams; ++i) {
+        const std::string began = fixture.beginAndBreak(fixture.firstHost, "v1");
+        CHECK(goesOn(*fixture.resume(fixture.secondHost, began), "v1"));
+    }
+}
+
+// Guards against losing the version of a stream together with the host that began it.
+TEST_CASE("StreamVersions.ClientResumesAfterTheLossOfTheHost")
+{
+    VersionedEnginesFixture fixture({"v1", "v2", "v2", "v2", "v2"});
+    std::vector<std::string> began;
+    for (int i = 0; i < Streams; ++i)
+        began.push_back(fixture.beginAndBreak(fixture.firstHost, "v1"));
+    fixture.firstHost.watcher.reset();
+    fixture.firstHost.gateway.reset();
+    for (const std::string &id : began)
+        CHECK(goesOn(*fixture.resume(fixture.secondHost, id), "v1"));
+}
+
+// Guards against a stream that changes its version when its client resumes it once more.
+TEST_CASE("StreamVersions.SecondResumptionStaysAtTheVersion")
+{
+    VersionedEnginesFixture fixture({"v1", "v2", "v2", "v2", "v2"});
+    for (int i = 0; i < Streams; ++i) {
+        const std::string began = fixture.beginAndBreak(fixture.firstHost, "v1");
+        CHECK(goesOn(*fixture.resume(fixture.secondHost, began), "v1"));
+        CHECK(goesOn(*fixture.resume(fixture.firstHost, began), "v1"));
+    }
+}
+
+// Guards against sending a stream to any version because that of its beginning is not known.
+TEST_CASE("StreamVersions.UnknownStreamIsRefusedWhileTwoVersionsServe")
+{
+    VersionedEnginesFixture fixture({"v1", "v1", "v2", "v2"});
+    CHECK(isRefused(*fixture.resume(fixture.firstHost, "unknown")));
+    CHECK(fixture.requests("v1") + fixture.requests("v2") == 0);
+}
+
+// Guards against refusing streams whose beginning no host remembers while all engines are alike.
+TEST_CASE("StreamVersions.UnknownStreamGoesOnWhileOneVersionServes")
+{
+    VersionedEnginesFixture fixture({"v1", "v1"});
+    fixture.pass(TimeToKnowPool);
+    CHECK(goesOn(*fixture.resume(fixture.firstHost, "unknown"), "v1"));
+}
+
+// Guards against a stream of a version that has just left, which the remaining ones would continue.
+TEST_CASE("StreamVersions.UnknownStreamIsRefusedShortlyAfterAVersionLeft")
+{
+    VersionedEnginesFixture fixture({"v1", "v2"});
+    fixture.pass(TimeToKnowPool);
+    fixture.unlist("v2");
+    CHECK(isRefused(*fixture.resume(fixture.firstHost, "unknown")));
+    CHECK(fixture.requests("v1") == 0);
+}
+
+// Guards against a stream that goes on elsewhere because no engine of its version is left.
+TEST_CASE("StreamVersions.ResumptionIsRefusedWhenItsVersionIsGone")
+{
+    VersionedEnginesFixture fixture({"v1", "v2", "v2"});
+    const std::string began = fixture.beginAndBreak(fixture.firstHost, "v1");
+    fixture.unlist("v1");
+    const int before = fixture.requests("v2");
+    CHECK(isRefused(*fixture.resume(fixture.firstHost, began)));
+    CHECK(fixture.requests("v2") == before);
+}
