Streams go on only at the software version that began them

Cause: the software version of endpoints was not read, so no choice could depend on it; and what a stream had begun at was kept nowhere once its request ended. Class of fault: state that lives at a version, and a route to it that does not.

Change: the first event binds a request to its endpoint's version, at the placing host and where it is sent. The host tells three others, chosen by rendezvous hashing of the attempt's id; a host that gets the rest to serve asks. If none knows, the request is refused as not run (2010), unless the pool has had one version for 20 s by a list that is current.

--- a/cmake/MonsoongradePart.cmake
+++ b/cmake/MonsoongradePart.cmake
@@ -9,6 +9,7 @@
     if(name STREQUAL "gateway")
         list(APPEND sources ${CMAKE_SOURCE_DIR}/schema/gossip.capnp.c++
             ${CMAKE_SOURCE_DIR}/schema/placement.capnp.c++
+            ${CMAKE_SOURCE_DIR}/schema/streamversions.capnp.c++
             ${CMAKE_SOURCE_DIR}/schema/usage.capnp.c++)
     endif()
     if(name STREQUAL "observability")
--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -45,6 +45,13 @@
     // Decides whether the request is served. Waits while the host reads its first configuration.
     void admit();
 
+    // Streams that a client resumes
+    bool isResumption() const;
+    void findStreamVersion();
+    void onStreamVersionFound(std::optional<units::SoftwareVersion> version);
+    void bindTo(units::SoftwareVersion version);
+    void onFirstEvent();
+
     // Sending
     void startAttempt();
     void onPlaced(const routing::PlacementTicket &ticket, routing::PlacementChoice choice);
@@ -133,6 +140,7 @@
     std::int64_t tokensToRead_ = 0;
     std::shared_ptr<httpio::Channel> channel_;
     units::TimePoint sentAt_;
+    units::SoftwareVersion sentToVersion_;
     bool firstByteSeen_ = false;
     ResponseUse use_ = ResponseUse::None;
     httpio::MessageHead responseHead_;
--- a/include/monsoongrade/gateway/gateway.h
+++ b/include/monsoongrade/gateway/gateway.h
@@ -78,6 +78,7 @@
     void applyDivision(const routing::FleetDivision &division);
     void computeDivision();
     void updateCoordinatorRankings(const std::vector<routing::PeerUpdate> &live);
+    void recordPoolVersions();
     void applyKnownLimit(const routing::DiscoveredEndpoint &listed);
     void onRateLimitUpdate(const routing::RateLimitUpdate &update);
     void onLeavingUpdate(const routing::LeavingUpdate &update);
--- a/include/monsoongrade/gateway/gatewaysettings.h
+++ b/include/monsoongrade/gateway/gatewaysettings.h
@@ -27,6 +27,8 @@
     std::uint16_t gossipPort = 0;
     std::uint16_t placementPort = 0;
     std::uint16_t relayPort = 0;
+    // On which hosts tell each other at which software version streams began; 0: they don't.
+    std::uint16_t streamVersionsPort = 0;
     std::uint16_t forwardingPort = 0; // 0: hosts pass no requests to each other
     std::vector<std::string> seeds; // IP:PORT of hosts that may be running; the port is ignored
     std::string storeAddress;
--- a/include/monsoongrade/gateway/gatewaystate.h
+++ b/include/monsoongrade/gateway/gatewaystate.h
@@ -8,6 +8,7 @@
 #include <monsoongrade/gateway/ratelimitedlog.h>
 #include <monsoongrade/gateway/reachmonitor.h>
 #include <monsoongrade/gateway/startupgate.h>
+#include <monsoongrade/gateway/streamversionservice.h>
 #include <monsoongrade/gateway/usagemeter.h>
 #include <monsoongrade/httpio/serverlimits.h>
 #include <monsoongrade/routing/crashtracker.h>
@@ -15,6 +16,7 @@
 #include <monsoongrade/routing/endpointregistry.h>
 #include <monsoongrade/routing/forwardinghosts.h>
 #include <monsoongrade/routing/freshnesslease.h>
+#include <monsoongrade/routing/poolversions.h>
 #include <monsoongrade/routing/retryallowance.h>
 #include <monsoongrade/routing/routetable.h>
 
@@ -43,7 +45,8 @@
 {
     GatewayState(asio::io_context &io, httpio::Timers &timersToUse,
                  const HeaderCodec &headerCodecToUse, routing::FreshnessLease leaseToUse,
-                 PlacementService::Settings placementSettings)
+                 PlacementService::Settings placementSettings,
+                 StreamVersionService::Settings streamVersionSettings)
         : timers(timersToUse)
         , headerCodec(headerCodecToUse)
         , lease(leaseToUse)
@@ -59,6 +62,8 @@
         , log(timersToUse)
         , startupGate(timersToUse)
         , placement(io, timersToUse, std::move(placementSettings), registry, log.metrics)
+        , streamVersions(io, timersToUse, std::move(streamVersionSettings), otherHosts,
+                         poolVersions, log.metrics)
     {
     }
 
@@ -93,6 +98,8 @@
     RateLimitedLog log;
     StartupGate startupGate;
     PlacementService placement;
+    routing::PoolVersions poolVersions;
+    StreamVersionService streamVersions;
     std::unique_ptr<UsageMeter> usage; // null if usage reports are disabled
 };
 
--- a/include/monsoongrade/routing/endpointregistry.h
+++ b/include/monsoongrade/routing/endpointregistry.h
@@ -63,6 +63,8 @@
     // Null if this instance of the endpoint is not listed.
     Status find(const EndpointInstance &endpoint) const;
     std::size_t size() const { return entries_.size(); }
+    // The software versions of the listed endpoints, by pool.
+    std::map<units::PoolName, std::set<units::SoftwareVersion>> softwareVersions() const;
     // Number of listed endpoints of each pool that has any.
     const std::map<std::string, std::size_t> &sizes() const { return sizes_; }
     // Counts the endpoints examined by changes of single entries.
--- a/include/monsoongrade/routing/placementquery.h
+++ b/include/monsoongrade/routing/placementquery.h
@@ -1,11 +1,13 @@
 #ifndef MONSOONGRADE_ROUTING_PLACEMENTQUERY_H
 #define MONSOONGRADE_ROUTING_PLACEMENTQUERY_H
 
+#include <monsoongrade/routing/discoveredendpoint.h>
 #include <monsoongrade/routing/requestmetadata.h>
 #include <monsoongrade/routing/route.h>
 #include <monsoongrade/routing/trafficpool.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +34,8 @@
     // Endpoints that have asked the requesting host for a pause; excluded. Other hosts may send to
     // them.
     std::vector<units::EndpointId> paused;
+    // Set once the stream has begun at this version: other endpoints are excluded.
+    std::optional<units::SoftwareVersion> softwareVersion;
     units::FailureDomain requesterDomain;
     // Time from the query until the first event is due, and until the client gives up.
     units::Duration targetIn{};
@@ -42,6 +46,9 @@
     bool isLocalFallback = false;
 };
 
+// Whether the software version of the endpoint permits it to run the request.
+bool hasPermittedVersion(const DiscoveredEndpoint &endpoint, const PlacementQuery &query);
+
 // The query for the first attempt of a request. pool: null if the configuration lacks it.
 PlacementQuery placementQuery(const RequestMetadata &metadata, const Route &route,
                               const units::PoolName &poolName, const TrafficPool *pool,
--- a/include/monsoongrade/units/resultcode.h
+++ b/include/monsoongrade/units/resultcode.h
@@ -31,6 +31,7 @@
     CallerLeft = 2007,
     RetryBudgetSpent = 2008,
     TooManyRequestsOpen = 2009,
+    StreamVersionUnknown = 2010,
     EndpointUnreachable = 3001,
     EndpointRefused = 3002,
     EndpointBrokeBeforeAnswer = 3003,
--- a/schema/placement.capnp
+++ b/schema/placement.capnp
@@ -22,6 +22,9 @@
   poolServesShortPauses @11 :Bool;
   # Endpoints that have asked the asking host for a pause.
   paused @12 :List(Text);
+  # The stream began at this software version and may go on at it only.
+  isVersionBound @13 :Bool;
+  softwareVersion @14 :Text;
 }
 
 struct PlacementAnswer {
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -115,9 +115,11 @@
 {
     const units::TimePoint now = state_.timers.now();
     const bool isAllowed = !endpoint_->leaving
+        && routing::hasPermittedVersion(endpoint_->registration, query_)
         && state_.announcements.allowsRequests(routing::instanceOf(endpoint_->registration), now);
     if (!isAllowed) {
-        // The endpoint began to leave, or asked for a pause, after it was chosen.
+        // The endpoint began to leave, asked for a pause, or is known to have another software
+        // version, since it was chosen.
         onAttemptFailed(units::ResultCode::EndpointRefused, false);
         return;
     }
@@ -140,6 +142,7 @@
     ++totalSends_;
     ++sends_;
     sentAt_ = now;
+    sentToVersion_ = endpoint_->registration.softwareVersion;
     channel_->send(httpio::encodeRequestHead(request_.head.method, request_.head.target,
                                              endpointHeaders(), request_.body->size()),
                    request_.body, *this);
@@ -229,6 +232,7 @@
         reply_->begin(responseHead_.status,
                       state_.headerCodec.clientHeaders(responseHead_.headers));
     }
+    onFirstEvent();
     reply_->write(whole);
     if (route_->mayRunTwice())
         startSilenceTimer(
--- a/src/gateway/exchangeadmission.cpp
+++ b/src/gateway/exchangeadmission.cpp
@@ -89,7 +89,10 @@
     }
     const auto self = shared_from_this();
     deadlineTimer_ = state_.timers.at(deadline_, [self] { self->onDeadline(); });
-    startAttempt();
+    if (isResumption())
+        findStreamVersion();
+    else
+        startAttempt();
 }
 
 } // namespace monsoongrade::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -19,6 +19,8 @@
 // because a watch may stay silent that long while the store drops its history, and a request needs
 // some time from its check to the endpoint.
 constexpr auto LeaseMargin = std::chrono::milliseconds(1300);
+// While a host can read the store, its configuration is confirmed every 1 to 1.6 s.
+constexpr auto MaxListAge = std::chrono::milliseconds(2500);
 // Request bodies may use one part in this many of the host's memory. With some 20 MB of base usage
 // and the socket buffers, that stays far below the limit.
 constexpr std::int64_t BodyMemoryDivisor = 4;
@@ -63,7 +65,7 @@
     , pages_(std::move(pages))
     , state_(io, timers, headerCodec,
              routing::FreshnessLease(settings.revocationBound, LeaseMargin),
-             {settings.ip, settings.placementPort})
+             {settings.ip, settings.placementPort}, {settings.ip, settings.streamVersionsPort})
     , gossip_(io, timers, gossipSettings(settings), state_.crashes, state_.announcements)
 {
     state_.ownDomain = settings.failureDomain;
@@ -130,6 +132,7 @@
     gossip_.onLeaving([this](const routing::LeavingUpdate &update) { onLeavingUpdate(update); });
     gossip_.start();
     state_.placement.start();
+    state_.streamVersions.start();
     if (state_.usage != nullptr)
         state_.usage->start();
 }
@@ -164,6 +167,7 @@
     state_.registry.replaceAll(endpoints, timers_.now(), keepMissingUntil);
     for (const routing::DiscoveredEndpoint &endpoint : endpoints)
         applyKnownLimit(endpoint);
+    recordPoolVersions();
     computeDivision();
     state_.startupGate.onEndpoints();
     observability::log(observability::LogLevel::Info, "endpoints-listed",
@@ -175,6 +179,7 @@
 {
     state_.registry.update(endpoint);
     applyKnownLimit(endpoint);
+    recordPoolVersions();
     computeDivision();
     if (endpoint.draining)
         state_.log.write(observability::LogLevel::Info, "endpoint-draining",
@@ -232,6 +237,7 @@
     sampleOwnWallTime();
     state_.registry.removeExpired(timers_.now());
     state_.registry.restoreUnannounced();
+    recordPoolVersions();
     const std::vector<routing::PeerUpdate> live = hosts();
     state_.otherHosts.assign(live.begin(), std::prev(live.end())); // this host comes last
     state_.liveHosts = int(live.size());
@@ -279,6 +285,17 @@
     applyDivision(routing::divideFleet(state_.registry.sizes(), state_.registry.division()));
 }
 
+// A list that may lack changes does not show which versions serve. It comes from the same source as
+// the configuration, whose age is known.
+void Gateway::recordPoolVersions()
+{
+    const units::TimePoint now = timers_.now();
+    if (state_.lease.age(now) > MaxListAge)
+        return;
+    for (const auto &[pool, versions] : state_.registry.softwareVersions())
+        state_.poolVersions.onListed(pool, versions, now);
+}
+
 // The entry may be of another process than the one that announced the limit, which then ends.
 void Gateway::applyKnownLimit(const routing::DiscoveredEndpoint &listed)
 {
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -61,6 +61,9 @@
     // Defaults to the port after the gossip port.
     settings.countsPort = std::uint16_t(
         reader.integer("counts-port", std::int64_t(settings.gossipPort) + 1, 1, MaxPort));
+    constexpr std::int64_t PortsAfterGossip = 2; // the next one is for usage counts
+    settings.streamVersionsPort = std::uint16_t(reader.integer(
+        "stream-versions-port", std::int64_t(settings.gossipPort) + PortsAfterGossip, 0, MaxPort));
     settings.leaseDuration
         = fromMilliseconds(reader.number("duty-lease-ms", 3000, 100, DayInMilliseconds));
     settings.usageWindow = fromSeconds(reader.number("usage-window-s", 0, 0, DayInSeconds));
--- a/src/gateway/placementmessages.cpp
+++ b/src/gateway/placementmessages.cpp
@@ -56,6 +56,9 @@
     setIds(ask.initTried(unsigned(query.tried.size())), query.tried);
     const std::size_t paused = std::min(query.paused.size(), MaxPausedInDatagram);
     setIds(ask.initPaused(unsigned(paused)), query.paused);
+    ask.setIsVersionBound(query.softwareVersion.has_value());
+    if (query.softwareVersion)
+        ask.setSoftwareVersion(query.softwareVersion->value());
 }
 
 QueryMessage read(schema::PlacementAsk::Reader ask)
@@ -77,6 +80,8 @@
     query.mayWait = true;
     query.tried = idsOf(ask.getTried());
     query.paused = idsOf(ask.getPaused());
+    if (ask.getIsVersionBound())
+        query.softwareVersion = units::SoftwareVersion(ask.getSoftwareVersion());
     return message;
 }
 
--- a/src/gateway/placementservice.cpp
+++ b/src/gateway/placementservice.cpp
@@ -401,12 +401,15 @@
     }
     const units::TimePoint now = timers_.now();
     const auto status = registry_.findAvailable(message.endpoint);
-    if (status != nullptr && status->health.accepts(now)) {
+    const bool isUsable = status != nullptr && status->health.accepts(now)
+        && routing::hasPermittedVersion(status->registration, pending.query);
+    if (isUsable) {
         coordinators_[message.number] = host;
         pending.placed({settings_.ownIp, message.number}, {status, message.tokensToRead});
         return;
     }
-    // The coordinator knows no endpoint, or does not know yet that this one left or fails.
+    // The coordinator knows no endpoint, does not know yet that this one left or fails, or runs a
+    // build that ignores software versions.
     send(host, encode(EventMessage{message.number, routing::PlacementEvent::Withdrawn}));
     routing::PlacementQuery query = pending.query;
     query.isLocalFallback = true;
--- a/src/routing/endpointchoice.cpp
+++ b/src/routing/endpointchoice.cpp
@@ -60,8 +60,8 @@
 {
     const units::EndpointId &id = endpoint.registration.id;
     return !contains(query.tried, id) && !contains(query.paused, id) && !endpoint.leaving
-        && endpoint.health.accepts(now) && endpoint.rateLimiter.allows(shareFor(query), now)
-        && hasSlot(endpoint, query);
+        && hasPermittedVersion(endpoint.registration, query) && endpoint.health.accepts(now)
+        && endpoint.rateLimiter.allows(shareFor(query), now) && hasSlot(endpoint, query);
 }
 
 // An endpoint that survives few rejections gets no more requests than it can run: how many it lets
--- a/src/routing/endpointregistry.cpp
+++ b/src/routing/endpointregistry.cpp
@@ -150,6 +150,17 @@
     return found;
 }
 
+std::map<units::PoolName, std::set<units::SoftwareVersion>>
+EndpointRegistry::softwareVersions() const
+{
+    std::map<units::PoolName, std::set<units::SoftwareVersion>> versions;
+    for (const auto &[id, entry] : entries_) {
+        const DiscoveredEndpoint &endpoint = entry.status->registration;
+        versions[endpoint.pool].insert(endpoint.softwareVersion);
+    }
+    return versions;
+}
+
 EndpointRegistry::Status EndpointRegistry::find(const EndpointInstance &endpoint) const
 {
     const auto found = entries_.find(endpoint.id.value());
--- a/src/routing/placementquery.cpp
+++ b/src/routing/placementquery.cpp
@@ -4,6 +4,11 @@
 
 namespace monsoongrade::routing {
 
+bool hasPermittedVersion(const DiscoveredEndpoint &endpoint, const PlacementQuery &query)
+{
+    return !query.softwareVersion || *query.softwareVersion == endpoint.softwareVersion;
+}
+
 PlacementQuery placementQuery(const RequestMetadata &metadata, const Route &route,
                               const units::PoolName &poolName, const TrafficPool *pool,
                               units::Tier tier, const units::FailureDomain &requesterDomain)
--- a/src/units/resultcode.cpp
+++ b/src/units/resultcode.cpp
@@ -49,6 +49,8 @@
         return "retry-budget-spent";
     case ResultCode::TooManyRequestsOpen:
         return "too-many-requests-open";
+    case ResultCode::StreamVersionUnknown:
+        return "stream-version-unknown";
     case ResultCode::EndpointUnreachable:
         return "endpoint-unreachable";
     case ResultCode::EndpointRefused:
