Hosts log the prompt parts of requests whose endpoint broke

The logs could not tell requests that share a part from others: the line had only the digest of the whole request. It now has the ids of the parts that other requests may share, and how long ago the first event came. Nothing acts on them yet.

--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -105,6 +105,7 @@
     void recordCrash();
     void recordCompletion();
     std::optional<units::Duration> quarantineRemaining();
+    std::string sharedPartIds() const;
     void dropChannel();
     // The endpoint or host of the latest attempt.
     std::string latestTarget() const;
--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -298,7 +298,11 @@
                      {{"request", metadata_.id.value()},
                       {"digest", routing::digestText(identity().digest)},
                       {"workspace", admission_.workspace.value()},
-                      {"endpoint", endpoint_->registration.id.value()}});
+                      {"endpoint", endpoint_->registration.id.value()},
+                      {"parts", sharedPartIds()},
+                      {"first-event-ago-ms",
+                       events_.firstEventAt() ? inMilliseconds(now - *events_.firstEventAt())
+                                              : std::int64_t(-1)}});
     if (left && !wasQuarantined)
         observability::log(observability::LogLevel::Warning, "request-quarantined",
                            {{"request", metadata_.id.value()},
--- a/src/gateway/exchangelog.cpp
+++ b/src/gateway/exchangelog.cpp
@@ -61,6 +61,16 @@
     return events_.lastId().empty() ? "none" : metadata_.id.value();
 }
 
+// The ids of the prompt parts that other requests may share; the last one is the request's own.
+std::string Exchange::sharedPartIds() const
+{
+    constexpr std::size_t MaxLoggedParts = 16;
+    std::string ids;
+    for (std::size_t i = 0; i + 1 < metadata_.promptParts.size() && i < MaxLoggedParts; ++i)
+        ids += (i == 0 ? "" : ",") + metadata_.promptParts[i].id;
+    return ids.empty() ? "none" : ids;
+}
+
 std::string Exchange::latestTarget() const
 {
     if (!triedHosts_.empty())
