--- a/tests/adapter/crashingrequests_test.cpp
+++ b/tests/adapter/crashingrequests_test.cpp
@@ -1,4 +1,4 @@
-#include "gatewayfixture.h"
+#include "crashingworkers.h"
 
 #include <monsoongrade/gateway/quarantinepersister.h>
 
@@ -9,74 +9,9 @@
 using namespace monsoongrade;
 using namespace monsoongrade::platform;
 using standins::headerIn;
-using standins::RawConnection;
-using standins::RawPeer;
 
 namespace {
 
-const std::string FatalBody = "fatal";
-
-// A gateway and workers, each of which crashes when it starts to run a certain request, and
-// restarts at once as a new process.
-class CrashFixture : public GatewayFixture
-{
-public:
-    CrashFixture()
-    {
-        store.put("config", "main", operatorConfiguration());
-        for (std::size_t i = 0; i < Workers; ++i) {
-            peers_.push_back(std::make_unique<RawPeer>(
-                io, [this, i](RawConnection &connection, const std::string &text, int) {
-                    respond(i, connection, text);
-                }));
-            announceWorker(i);
-        }
-        start();
-        REQUIRE(awaitServing(2 * Workers));
-    }
-
-    // False: workers only break the connection of the fatal request, and keep running.
-    bool isCrashing = true;
-    int crashes() const { return crashes_; }
-    std::shared_ptr<RawClient> callFatal(const std::string &path, const std::string &key = "k1")
-    {
-        auto client = call(request("POST", path, "f" + std::to_string(++attempts_), FatalBody,
-                                   path.find("/safe/") == 0 ? "" : StreamHeaders, key));
-        // Until the gateway has the entries of the workers' new processes.
-        runFor(std::chrono::milliseconds(30));
-        return client;
-    }
-
-private:
-    static constexpr std::size_t Workers = 8;
-
-    void announceWorker(std::size_t index)
-    {
-        for (const char *service : {"plain", "model"})
-            announce(service + std::to_string(index), service, peers_[index]->address(), ++born_);
-    }
-    void respond(std::size_t index, RawConnection &connection, const std::string &text)
-    {
-        const std::string id = headerIn(text, "Attempt-Id");
-        const bool isFatal = text.find("\r\n\r\n" + FatalBody) != std::string::npos;
-        if (!isFatal) {
-            connection.write(workerResponse(id, "fine"));
-            return;
-        }
-        ++crashes_;
-        connection.write("HTTP/1.1 200 OK\r\nAttempt-Id: " + id
-                         + "\r\nResponse-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n");
-        connection.reset();
-        if (isCrashing)
-            announceWorker(index);
-    }
-
-    std::vector<std::unique_ptr<RawPeer>> peers_;
-    int crashes_ = 0;
-    int attempts_ = 0;
-    std::int64_t born_ = 0;
-};
-
 constexpr int MaxCrashes = 3;
 
 } // namespace
