--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -103,8 +103,11 @@
     void onEndpointFailure();
     void countFailure(routing::EndpointStatus &endpoint, const routing::PlacementTicket &ticket);
     void recordCrash();
+    void recordCrashOfParts();
     void recordCompletion();
     std::optional<units::Duration> quarantineRemaining();
+    std::string quarantinedPart();
+    void logQuarantined();
     std::string sharedPartIds() const;
     void dropChannel();
     // The endpoint or host of the latest attempt.
@@ -115,6 +118,7 @@
     units::Duration timeLeft() const;
     routing::RetryAllowance &retryAllowance();
     const routing::RequestIdentity &identity();
+    const std::vector<routing::RequestIdentity> &sharedParts();
 
     GatewayState &state_;
     httpio::ServerRequest request_;
@@ -122,6 +126,7 @@
     RequestOrigin origin_;
     routing::RequestMetadata metadata_;
     std::optional<routing::RequestIdentity> identity_; // hashed when first needed
+    std::optional<std::vector<routing::RequestIdentity>> sharedParts_; // likewise
     std::shared_ptr<const routing::RouteTable> table_; // keeps route_ alive
     routing::Admission admission_;
     const routing::Route *route_ = nullptr;
--- a/include/monsoongrade/routing/crashtracker.h
+++ b/include/monsoongrade/routing/crashtracker.h
@@ -22,15 +22,21 @@
 // callers may send the same request, and the simultaneous loss of several endpoints must not
 // quarantine it, since no attempt could clear it then. A connection that broke for another reason
 // counts until its endpoint responds to something.
+//
+// Parts that prompts share are tracked like requests: a part may crash endpoints in requests of
+// which no two are alike. It comes with other parts, which sound requests share. Those are cleared
+// when such a request is completed; until then, a crash counts against the quarantined part that is
+// furthest back in the prompt.
 class CrashTracker
 {
 public:
-    // Number of different crashed endpoints after which a request is quarantined.
+    // Number of different crashed endpoints after which a request or part is quarantined.
     static constexpr std::size_t CrashesToQuarantine = 3;
 
-    // The endpoint crashed while running the request for this host.
+    // The endpoint crashed while running the request for this host. partPosition: 0, or the
+    // position of the prompt part that is to be tracked, counted from 1.
     void onCrash(const RequestIdentity &request, const EndpointInstance &endpoint,
-                 units::TimePoint now);
+                 units::TimePoint now, int partPosition = 0);
     // The request received a complete response on this host.
     void onCompleted(const RequestIdentity &request, units::TimePoint now);
     // The endpoint responded to something that this host sent at sentAt.
@@ -74,6 +80,7 @@
         std::optional<units::TimePoint> completedAt;
         units::TimePoint changedAt;
         bool isLocallyObserved = false;
+        int partPosition = 0;
     };
     using Records = std::map<RequestIdentity, Record>;
     struct PendingUpdate
@@ -84,7 +91,9 @@
     };
 
     static std::optional<units::TimePoint> quarantineEnd(const Record &record);
-    static bool isQuarantined(const Record &record, units::TimePoint now);
+    bool isQuarantined(const Record &record, units::TimePoint now) const;
+    bool isExplained(const Record &part) const;
+    bool isExplainedElsewhere(const Crash &crash, const Record &part) const;
     static void appendCrashes(const Records::value_type &record, std::vector<CrashUpdate> &updates,
                               units::TimePoint now);
     bool clearIfCompleted(const CrashUpdate &crash, units::TimePoint at, units::TimePoint now);
--- a/include/monsoongrade/routing/crashupdate.h
+++ b/include/monsoongrade/routing/crashupdate.h
@@ -9,7 +9,7 @@
 
 namespace monsoongrade::routing {
 
-// Gossip item about a request that was running when an endpoint crashed.
+// Gossip item about a request, or a part of its prompt, that was running when an endpoint crashed.
 struct CrashUpdate
 {
     enum class Kind : std::uint8_t {
@@ -20,6 +20,7 @@
 
     Kind kind = Kind::Crashed;
     RequestIdentity request; // unset for EndpointAnswered
+    int partPosition = 0; // of a prompt part, counted from 1; 0 for a whole request
     EndpointInstance endpoint; // unset for Completed
     units::Duration age{}; // since the event; for EndpointAnswered, since the request was sent
 };
--- a/include/monsoongrade/routing/requestmetadata.h
+++ b/include/monsoongrade/routing/requestmetadata.h
@@ -25,6 +25,7 @@
     std::string host; // lower case, without port
     std::string key; // API key, empty if none was sent
     std::optional<units::Duration> timeLeft; // how long the client still waits, at receipt
+    units::ModelName model; // empty if the client named none
     std::vector<PromptPart> promptParts; // in order; the last belongs to this request or session
     units::TokenCount promptTokens;
     units::TokenCount maxOutputTokens;
--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -45,6 +45,9 @@
   # Milliseconds since it happened; of endpointAnswered, since the request was sent.
   ageMs @5 :UInt64;
 
+  # Of a prompt part that requests share, its position, from 1; 0 for a whole request.
+  partPosition @6 :UInt16;
+
   enum Kind {
     crashed @0;
     completed @1;
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -338,6 +338,8 @@
 
     inline ::uint64_t getAgeMs() const;
 
+    inline ::uint16_t getPartPosition() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -399,6 +401,9 @@
     inline ::uint64_t getAgeMs();
     inline void setAgeMs(::uint64_t value);
 
+    inline ::uint16_t getPartPosition();
+    inline void setPartPosition(::uint16_t value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -1202,6 +1207,20 @@
     _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline ::uint16_t CrashNews::Reader::getPartPosition() const
+{
+    return _reader.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint16_t CrashNews::Builder::getPartPosition()
+{
+    return _builder.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CrashNews::Builder::setPartPosition(::uint16_t value)
+{
+    _builder.setDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool LimitNews::Reader::hasEndpoint() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/schema/placement.capnp.h
+++ b/schema/placement.capnp.h
@@ -7,10 +7,10 @@
 #include <kj/windows-sanity.h>
 
 #if CAPNP_VERSION != 9002
-#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error                                                                                             \
+    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
-
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -22,2008 +22,2360 @@
 CAPNP_DECLARE_SCHEMA(a1f32f4ef5a4ff83);
 CAPNP_DECLARE_SCHEMA(e36e8bb5010bb043);
 CAPNP_DECLARE_SCHEMA(c65cf91165181e42);
-enum class News_c65cf91165181e42: uint16_t {
-  FIRST_EVENT,
-  COMPLETED,
-  ENDPOINT_FAILED,
-  ENDPOINT_SILENT,
-  WITHDRAWN,
-  ENDPOINT_PAUSED,
+enum class News_c65cf91165181e42 : uint16_t {
+    FIRST_EVENT,
+    COMPLETED,
+    ENDPOINT_FAILED,
+    ENDPOINT_SILENT,
+    WITHDRAWN,
+    ENDPOINT_PAUSED,
 };
 CAPNP_DECLARE_ENUM(News, c65cf91165181e42);
 CAPNP_DECLARE_SCHEMA(aa410731b99bbd0a);
 CAPNP_DECLARE_SCHEMA(eff64deac2482f86);
 CAPNP_DECLARE_SCHEMA(ef5fe5780a12750a);
 
-}  // namespace schemas
-}  // namespace capnp
+} // namespace schemas
+} // namespace capnp
 
 namespace monsoongrade {
 namespace schema {
 
-struct PlacementAsk {
-  PlacementAsk() = delete;
+struct PlacementAsk
+{
+    PlacementAsk() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ceb6b6014d2b2208, 4, 6)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(ceb6b6014d2b2208, 4, 6)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct PlacementAnswer {
-  PlacementAnswer() = delete;
+struct PlacementAnswer
+{
+    PlacementAnswer() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a1ef986c4a4b2b9f, 3, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(a1ef986c4a4b2b9f, 3, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct StillWaiting {
-  StillWaiting() = delete;
+struct StillWaiting
+{
+    StillWaiting() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(838c12bf98faf040, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(838c12bf98faf040, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct NotWaiting {
-  NotWaiting() = delete;
+struct NotWaiting
+{
+    NotWaiting() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a1f32f4ef5a4ff83, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(a1f32f4ef5a4ff83, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct PlacementNews {
-  PlacementNews() = delete;
+struct PlacementNews
+{
+    PlacementNews() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
-  typedef ::capnp::schemas::News_c65cf91165181e42 News;
+    class Reader;
+    class Builder;
+    class Pipeline;
+    typedef ::capnp::schemas::News_c65cf91165181e42 News;
 
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e36e8bb5010bb043, 2, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(e36e8bb5010bb043, 2, 0)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct CachedParts {
-  CachedParts() = delete;
+struct CachedParts
+{
+    CachedParts() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
-  struct Part;
+    class Reader;
+    class Builder;
+    class Pipeline;
+    struct Part;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aa410731b99bbd0a, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(aa410731b99bbd0a, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct CachedParts::Part {
-  Part() = delete;
+struct CachedParts::Part
+{
+    Part() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eff64deac2482f86, 1, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(eff64deac2482f86, 1, 2)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct PlacementMessage {
-  PlacementMessage() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-  enum Which: uint16_t {
-    ASK,
-    ANSWER,
-    NEWS,
-    CACHED_PARTS,
-    STILL_WAITING,
-    NOT_WAITING,
-  };
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ef5fe5780a12750a, 1, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+struct PlacementMessage
+{
+    PlacementMessage() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+    enum Which : uint16_t {
+        ASK,
+        ANSWER,
+        NEWS,
+        CACHED_PARTS,
+        STILL_WAITING,
+        NOT_WAITING,
+    };
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(ef5fe5780a12750a, 1, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 // =======================================================================================
 
-class PlacementAsk::Reader {
+class PlacementAsk::Reader
+{
 public:
-  typedef PlacementAsk Reads;
+    typedef PlacementAsk Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getNumber() const;
+    inline ::uint64_t getNumber() const;
 
-  inline bool hasPool() const;
-  inline  ::capnp::Text::Reader getPool() const;
+    inline bool hasPool() const;
+    inline ::capnp::Text::Reader getPool() const;
 
-  inline bool hasSharedPart() const;
-  inline  ::capnp::Text::Reader getSharedPart() const;
+    inline bool hasSharedPart() const;
+    inline ::capnp::Text::Reader getSharedPart() const;
 
-  inline  ::uint32_t getPromptTokens() const;
+    inline ::uint32_t getPromptTokens() const;
 
-  inline  ::uint32_t getOwnTokens() const;
+    inline ::uint32_t getOwnTokens() const;
 
-  inline  ::uint32_t getTier() const;
+    inline ::uint32_t getTier() const;
 
-  inline bool hasTried() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getTried() const;
+    inline bool hasTried() const;
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getTried() const;
 
-  inline bool hasFailureDomain() const;
-  inline  ::capnp::Text::Reader getFailureDomain() const;
+    inline bool hasFailureDomain() const;
+    inline ::capnp::Text::Reader getFailureDomain() const;
 
-  inline  ::uint32_t getTargetInMs() const;
+    inline ::uint32_t getTargetInMs() const;
 
-  inline  ::uint32_t getGivenUpInMs() const;
+    inline ::uint32_t getGivenUpInMs() const;
 
-  inline bool getNeedsShortPauses() const;
+    inline bool getNeedsShortPauses() const;
 
-  inline bool getPoolServesShortPauses() const;
+    inline bool getPoolServesShortPauses() const;
 
-  inline bool hasPaused() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getPaused() const;
+    inline bool hasPaused() const;
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getPaused() const;
 
-  inline bool getIsVersionBound() const;
+    inline bool getIsVersionBound() const;
 
-  inline bool hasSoftwareVersion() const;
-  inline  ::capnp::Text::Reader getSoftwareVersion() const;
+    inline bool hasSoftwareVersion() const;
+    inline ::capnp::Text::Reader getSoftwareVersion() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class PlacementAsk::Builder {
+class PlacementAsk::Builder
+{
 public:
-  typedef PlacementAsk Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef PlacementAsk Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getNumber();
-  inline void setNumber( ::uint64_t value);
-
-  inline bool hasPool();
-  inline  ::capnp::Text::Builder getPool();
-  inline void setPool( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPool(unsigned int size);
-  inline void adoptPool(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPool();
-
-  inline bool hasSharedPart();
-  inline  ::capnp::Text::Builder getSharedPart();
-  inline void setSharedPart( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initSharedPart(unsigned int size);
-  inline void adoptSharedPart(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownSharedPart();
-
-  inline  ::uint32_t getPromptTokens();
-  inline void setPromptTokens( ::uint32_t value);
-
-  inline  ::uint32_t getOwnTokens();
-  inline void setOwnTokens( ::uint32_t value);
-
-  inline  ::uint32_t getTier();
-  inline void setTier( ::uint32_t value);
-
-  inline bool hasTried();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getTried();
-  inline void setTried( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setTried(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initTried(unsigned int size);
-  inline void adoptTried(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownTried();
-
-  inline bool hasFailureDomain();
-  inline  ::capnp::Text::Builder getFailureDomain();
-  inline void setFailureDomain( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
-  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
-
-  inline  ::uint32_t getTargetInMs();
-  inline void setTargetInMs( ::uint32_t value);
-
-  inline  ::uint32_t getGivenUpInMs();
-  inline void setGivenUpInMs( ::uint32_t value);
-
-  inline bool getNeedsShortPauses();
-  inline void setNeedsShortPauses(bool value);
-
-  inline bool getPoolServesShortPauses();
-  inline void setPoolServesShortPauses(bool value);
-
-  inline bool hasPaused();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getPaused();
-  inline void setPaused( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setPaused(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initPaused(unsigned int size);
-  inline void adoptPaused(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownPaused();
-
-  inline bool getIsVersionBound();
-  inline void setIsVersionBound(bool value);
-
-  inline bool hasSoftwareVersion();
-  inline  ::capnp::Text::Builder getSoftwareVersion();
-  inline void setSoftwareVersion( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initSoftwareVersion(unsigned int size);
-  inline void adoptSoftwareVersion(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownSoftwareVersion();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline ::uint64_t getNumber();
+    inline void setNumber(::uint64_t value);
+
+    inline bool hasPool();
+    inline ::capnp::Text::Builder getPool();
+    inline void setPool(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initPool(unsigned int size);
+    inline void adoptPool(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownPool();
+
+    inline bool hasSharedPart();
+    inline ::capnp::Text::Builder getSharedPart();
+    inline void setSharedPart(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initSharedPart(unsigned int size);
+    inline void adoptSharedPart(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownSharedPart();
+
+    inline ::uint32_t getPromptTokens();
+    inline void setPromptTokens(::uint32_t value);
+
+    inline ::uint32_t getOwnTokens();
+    inline void setOwnTokens(::uint32_t value);
+
+    inline ::uint32_t getTier();
+    inline void setTier(::uint32_t value);
+
+    inline bool hasTried();
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getTried();
+    inline void setTried(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
+    inline void setTried(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initTried(unsigned int size);
+    inline void
+    adoptTried(::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> disownTried();
+
+    inline bool hasFailureDomain();
+    inline ::capnp::Text::Builder getFailureDomain();
+    inline void setFailureDomain(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initFailureDomain(unsigned int size);
+    inline void adoptFailureDomain(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownFailureDomain();
+
+    inline ::uint32_t getTargetInMs();
+    inline void setTargetInMs(::uint32_t value);
+
+    inline ::uint32_t getGivenUpInMs();
+    inline void setGivenUpInMs(::uint32_t value);
+
+    inline bool getNeedsShortPauses();
+    inline void setNeedsShortPauses(bool value);
+
+    inline bool getPoolServesShortPauses();
+    inline void setPoolServesShortPauses(bool value);
+
+    inline bool hasPaused();
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getPaused();
+    inline void setPaused(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
+    inline void setPaused(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initPaused(unsigned int size);
+    inline void
+    adoptPaused(::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> disownPaused();
+
+    inline bool getIsVersionBound();
+    inline void setIsVersionBound(bool value);
+
+    inline bool hasSoftwareVersion();
+    inline ::capnp::Text::Builder getSoftwareVersion();
+    inline void setSoftwareVersion(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initSoftwareVersion(unsigned int size);
+    inline void adoptSoftwareVersion(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownSoftwareVersion();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class PlacementAsk::Pipeline {
+class PlacementAsk::Pipeline
+{
 public:
-  typedef PlacementAsk Pipelines;
+    typedef PlacementAsk Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class PlacementAnswer::Reader {
+class PlacementAnswer::Reader
+{
 public:
-  typedef PlacementAnswer Reads;
+    typedef PlacementAnswer Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getNumber() const;
+    inline ::uint64_t getNumber() const;
 
-  inline bool hasEndpoint() const;
-  inline  ::capnp::Text::Reader getEndpoint() const;
+    inline bool hasEndpoint() const;
+    inline ::capnp::Text::Reader getEndpoint() const;
 
-  inline  ::uint32_t getTokensToRead() const;
+    inline ::uint32_t getTokensToRead() const;
 
-  inline bool getWaiting() const;
+    inline bool getWaiting() const;
 
-  inline bool getRefused() const;
+    inline bool getRefused() const;
 
-  inline  ::uint32_t getComeBackInMs() const;
+    inline ::uint32_t getComeBackInMs() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class PlacementAnswer::Builder {
+class PlacementAnswer::Builder
+{
 public:
-  typedef PlacementAnswer Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef PlacementAnswer Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getNumber();
-  inline void setNumber( ::uint64_t value);
+    inline ::uint64_t getNumber();
+    inline void setNumber(::uint64_t value);
 
-  inline bool hasEndpoint();
-  inline  ::capnp::Text::Builder getEndpoint();
-  inline void setEndpoint( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
-  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+    inline bool hasEndpoint();
+    inline ::capnp::Text::Builder getEndpoint();
+    inline void setEndpoint(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initEndpoint(unsigned int size);
+    inline void adoptEndpoint(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownEndpoint();
 
-  inline  ::uint32_t getTokensToRead();
-  inline void setTokensToRead( ::uint32_t value);
+    inline ::uint32_t getTokensToRead();
+    inline void setTokensToRead(::uint32_t value);
 
-  inline bool getWaiting();
-  inline void setWaiting(bool value);
+    inline bool getWaiting();
+    inline void setWaiting(bool value);
 
-  inline bool getRefused();
-  inline void setRefused(bool value);
+    inline bool getRefused();
+    inline void setRefused(bool value);
 
-  inline  ::uint32_t getComeBackInMs();
-  inline void setComeBackInMs( ::uint32_t value);
+    inline ::uint32_t getComeBackInMs();
+    inline void setComeBackInMs(::uint32_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class PlacementAnswer::Pipeline {
+class PlacementAnswer::Pipeline
+{
 public:
-  typedef PlacementAnswer Pipelines;
+    typedef PlacementAnswer Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class StillWaiting::Reader {
+class StillWaiting::Reader
+{
 public:
-  typedef StillWaiting Reads;
+    typedef StillWaiting Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasNumbers() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getNumbers() const;
+    inline bool hasNumbers() const;
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader getNumbers() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class StillWaiting::Builder {
+class StillWaiting::Builder
+{
 public:
-  typedef StillWaiting Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef StillWaiting Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasNumbers();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getNumbers();
-  inline void setNumbers( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setNumbers(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initNumbers(unsigned int size);
-  inline void adoptNumbers(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownNumbers();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasNumbers();
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder getNumbers();
+    inline void setNumbers(::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+    inline void setNumbers(::kj::ArrayPtr<const ::uint64_t> value);
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+    initNumbers(unsigned int size);
+    inline void
+    adoptNumbers(::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> disownNumbers();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class StillWaiting::Pipeline {
+class StillWaiting::Pipeline
+{
 public:
-  typedef StillWaiting Pipelines;
+    typedef StillWaiting Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class NotWaiting::Reader {
+class NotWaiting::Reader
+{
 public:
-  typedef NotWaiting Reads;
+    typedef NotWaiting Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasNumbers() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getNumbers() const;
+    inline bool hasNumbers() const;
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader getNumbers() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class NotWaiting::Builder {
+class NotWaiting::Builder
+{
 public:
-  typedef NotWaiting Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef NotWaiting Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasNumbers();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getNumbers();
-  inline void setNumbers( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setNumbers(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initNumbers(unsigned int size);
-  inline void adoptNumbers(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownNumbers();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasNumbers();
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder getNumbers();
+    inline void setNumbers(::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+    inline void setNumbers(::kj::ArrayPtr<const ::uint64_t> value);
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+    initNumbers(unsigned int size);
+    inline void
+    adoptNumbers(::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> disownNumbers();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class NotWaiting::Pipeline {
+class NotWaiting::Pipeline
+{
 public:
-  typedef NotWaiting Pipelines;
+    typedef NotWaiting Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class PlacementNews::Reader {
+class PlacementNews::Reader
+{
 public:
-  typedef PlacementNews Reads;
+    typedef PlacementNews Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getNumber() const;
+    inline ::uint64_t getNumber() const;
 
-  inline  ::monsoongrade::schema::PlacementNews::News getNews() const;
+    inline ::monsoongrade::schema::PlacementNews::News getNews() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class PlacementNews::Builder {
+class PlacementNews::Builder
+{
 public:
-  typedef PlacementNews Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef PlacementNews Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getNumber();
-  inline void setNumber( ::uint64_t value);
+    inline ::uint64_t getNumber();
+    inline void setNumber(::uint64_t value);
 
-  inline  ::monsoongrade::schema::PlacementNews::News getNews();
-  inline void setNews( ::monsoongrade::schema::PlacementNews::News value);
+    inline ::monsoongrade::schema::PlacementNews::News getNews();
+    inline void setNews(::monsoongrade::schema::PlacementNews::News value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class PlacementNews::Pipeline {
+class PlacementNews::Pipeline
+{
 public:
-  typedef PlacementNews Pipelines;
+    typedef PlacementNews Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class CachedParts::Reader {
+class CachedParts::Reader
+{
 public:
-  typedef CachedParts Reads;
+    typedef CachedParts Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasParts() const;
-  inline  ::capnp::List< ::monsoongrade::schema::CachedParts::Part,  ::capnp::Kind::STRUCT>::Reader getParts() const;
+    inline bool hasParts() const;
+    inline ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>::Reader
+    getParts() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class CachedParts::Builder {
+class CachedParts::Builder
+{
 public:
-  typedef CachedParts Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef CachedParts Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasParts();
-  inline  ::capnp::List< ::monsoongrade::schema::CachedParts::Part,  ::capnp::Kind::STRUCT>::Builder getParts();
-  inline void setParts( ::capnp::List< ::monsoongrade::schema::CachedParts::Part,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::monsoongrade::schema::CachedParts::Part,  ::capnp::Kind::STRUCT>::Builder initParts(unsigned int size);
-  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::CachedParts::Part,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::CachedParts::Part,  ::capnp::Kind::STRUCT>> disownParts();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasParts();
+    inline ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>::Builder
+    getParts();
+    inline void setParts(::capnp::List<::monsoongrade::schema::CachedParts::Part,
+                                       ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>::Builder
+    initParts(unsigned int size);
+    inline void adoptParts(::capnp::Orphan<::capnp::List<::monsoongrade::schema::CachedParts::Part,
+                                                         ::capnp::Kind::STRUCT>> &&value);
+    inline ::capnp::Orphan<
+        ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>>
+    disownParts();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class CachedParts::Pipeline {
+class CachedParts::Pipeline
+{
 public:
-  typedef CachedParts Pipelines;
+    typedef CachedParts Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class CachedParts::Part::Reader {
+class CachedParts::Part::Reader
+{
 public:
-  typedef Part Reads;
+    typedef Part Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasPart() const;
-  inline  ::capnp::Text::Reader getPart() const;
+    inline bool hasPart() const;
+    inline ::capnp::Text::Reader getPart() const;
 
-  inline bool hasEndpoint() const;
-  inline  ::capnp::Text::Reader getEndpoint() const;
+    inline bool hasEndpoint() const;
+    inline ::capnp::Text::Reader getEndpoint() const;
 
-  inline  ::int64_t getIncarnation() const;
+    inline ::int64_t getIncarnation() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class CachedParts::Part::Builder {
+class CachedParts::Part::Builder
+{
 public:
-  typedef Part Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef Part Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasPart();
-  inline  ::capnp::Text::Builder getPart();
-  inline void setPart( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPart(unsigned int size);
-  inline void adoptPart(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPart();
-
-  inline bool hasEndpoint();
-  inline  ::capnp::Text::Builder getEndpoint();
-  inline void setEndpoint( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
-  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
-
-  inline  ::int64_t getIncarnation();
-  inline void setIncarnation( ::int64_t value);
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasPart();
+    inline ::capnp::Text::Builder getPart();
+    inline void setPart(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initPart(unsigned int size);
+    inline void adoptPart(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownPart();
+
+    inline bool hasEndpoint();
+    inline ::capnp::Text::Builder getEndpoint();
+    inline void setEndpoint(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initEndpoint(unsigned int size);
+    inline void adoptEndpoint(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownEndpoint();
+
+    inline ::int64_t getIncarnation();
+    inline void setIncarnation(::int64_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class CachedParts::Part::Pipeline {
+class CachedParts::Part::Pipeline
+{
 public:
-  typedef Part Pipelines;
+    typedef Part Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class PlacementMessage::Reader {
+class PlacementMessage::Reader
+{
 public:
-  typedef PlacementMessage Reads;
+    typedef PlacementMessage Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isAsk() const;
-  inline bool hasAsk() const;
-  inline  ::monsoongrade::schema::PlacementAsk::Reader getAsk() const;
+    inline Which which() const;
+    inline bool isAsk() const;
+    inline bool hasAsk() const;
+    inline ::monsoongrade::schema::PlacementAsk::Reader getAsk() const;
 
-  inline bool isAnswer() const;
-  inline bool hasAnswer() const;
-  inline  ::monsoongrade::schema::PlacementAnswer::Reader getAnswer() const;
+    inline bool isAnswer() const;
+    inline bool hasAnswer() const;
+    inline ::monsoongrade::schema::PlacementAnswer::Reader getAnswer() const;
 
-  inline bool isNews() const;
-  inline bool hasNews() const;
-  inline  ::monsoongrade::schema::PlacementNews::Reader getNews() const;
+    inline bool isNews() const;
+    inline bool hasNews() const;
+    inline ::monsoongrade::schema::PlacementNews::Reader getNews() const;
 
-  inline bool isCachedParts() const;
-  inline bool hasCachedParts() const;
-  inline  ::monsoongrade::schema::CachedParts::Reader getCachedParts() const;
+    inline bool isCachedParts() const;
+    inline bool hasCachedParts() const;
+    inline ::monsoongrade::schema::CachedParts::Reader getCachedParts() const;
 
-  inline bool isStillWaiting() const;
-  inline bool hasStillWaiting() const;
-  inline  ::monsoongrade::schema::StillWaiting::Reader getStillWaiting() const;
+    inline bool isStillWaiting() const;
+    inline bool hasStillWaiting() const;
+    inline ::monsoongrade::schema::StillWaiting::Reader getStillWaiting() const;
 
-  inline bool isNotWaiting() const;
-  inline bool hasNotWaiting() const;
-  inline  ::monsoongrade::schema::NotWaiting::Reader getNotWaiting() const;
+    inline bool isNotWaiting() const;
+    inline bool hasNotWaiting() const;
+    inline ::monsoongrade::schema::NotWaiting::Reader getNotWaiting() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class PlacementMessage::Builder {
+class PlacementMessage::Builder
+{
 public:
-  typedef PlacementMessage Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef PlacementMessage Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline Which which();
-  inline bool isAsk();
-  inline bool hasAsk();
-  inline  ::monsoongrade::schema::PlacementAsk::Builder getAsk();
-  inline void setAsk( ::monsoongrade::schema::PlacementAsk::Reader value);
-  inline  ::monsoongrade::schema::PlacementAsk::Builder initAsk();
-  inline void adoptAsk(::capnp::Orphan< ::monsoongrade::schema::PlacementAsk>&& value);
-  inline ::capnp::Orphan< ::monsoongrade::schema::PlacementAsk> disownAsk();
-
-  inline bool isAnswer();
-  inline bool hasAnswer();
-  inline  ::monsoongrade::schema::PlacementAnswer::Builder getAnswer();
-  inline void setAnswer( ::monsoongrade::schema::PlacementAnswer::Reader value);
-  inline  ::monsoongrade::schema::PlacementAnswer::Builder initAnswer();
-  inline void adoptAnswer(::capnp::Orphan< ::monsoongrade::schema::PlacementAnswer>&& value);
-  inline ::capnp::Orphan< ::monsoongrade::schema::PlacementAnswer> disownAnswer();
-
-  inline bool isNews();
-  inline bool hasNews();
-  inline  ::monsoongrade::schema::PlacementNews::Builder getNews();
-  inline void setNews( ::monsoongrade::schema::PlacementNews::Reader value);
-  inline  ::monsoongrade::schema::PlacementNews::Builder initNews();
-  inline void adoptNews(::capnp::Orphan< ::monsoongrade::schema::PlacementNews>&& value);
-  inline ::capnp::Orphan< ::monsoongrade::schema::PlacementNews> disownNews();
-
-  inline bool isCachedParts();
-  inline bool hasCachedParts();
-  inline  ::monsoongrade::schema::CachedParts::Builder getCachedParts();
-  inline void setCachedParts( ::monsoongrade::schema::CachedParts::Reader value);
-  inline  ::monsoongrade::schema::CachedParts::Builder initCachedParts();
-  inline void adoptCachedParts(::capnp::Orphan< ::monsoongrade::schema::CachedParts>&& value);
-  inline ::capnp::Orphan< ::monsoongrade::schema::CachedParts> disownCachedParts();
-
-  inline bool isStillWaiting();
-  inline bool hasStillWaiting();
-  inline  ::monsoongrade::schema::StillWaiting::Builder getStillWaiting();
-  inline void setStillWaiting( ::monsoongrade::schema::StillWaiting::Reader value);
-  inline  ::monsoongrade::schema::StillWaiting::Builder initStillWaiting();
-  inline void adoptStillWaiting(::capnp::Orphan< ::monsoongrade::schema::StillWaiting>&& value);
-  inline ::capnp::Orphan< ::monsoongrade::schema::StillWaiting> disownStillWaiting();
-
-  inline bool isNotWaiting();
-  inline bool hasNotWaiting();
-  inline  ::monsoongrade::schema::NotWaiting::Builder getNotWaiting();
-  inline void setNotWaiting( ::monsoongrade::schema::NotWaiting::Reader value);
-  inline  ::monsoongrade::schema::NotWaiting::Builder initNotWaiting();
-  inline void adoptNotWaiting(::capnp::Orphan< ::monsoongrade::schema::NotWaiting>&& value);
-  inline ::capnp::Orphan< ::monsoongrade::schema::NotWaiting> disownNotWaiting();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline Which which();
+    inline bool isAsk();
+    inline bool hasAsk();
+    inline ::monsoongrade::schema::PlacementAsk::Builder getAsk();
+    inline void setAsk(::monsoongrade::schema::PlacementAsk::Reader value);
+    inline ::monsoongrade::schema::PlacementAsk::Builder initAsk();
+    inline void adoptAsk(::capnp::Orphan<::monsoongrade::schema::PlacementAsk> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::PlacementAsk> disownAsk();
+
+    inline bool isAnswer();
+    inline bool hasAnswer();
+    inline ::monsoongrade::schema::PlacementAnswer::Builder getAnswer();
+    inline void setAnswer(::monsoongrade::schema::PlacementAnswer::Reader value);
+    inline ::monsoongrade::schema::PlacementAnswer::Builder initAnswer();
+    inline void adoptAnswer(::capnp::Orphan<::monsoongrade::schema::PlacementAnswer> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::PlacementAnswer> disownAnswer();
+
+    inline bool isNews();
+    inline bool hasNews();
+    inline ::monsoongrade::schema::PlacementNews::Builder getNews();
+    inline void setNews(::monsoongrade::schema::PlacementNews::Reader value);
+    inline ::monsoongrade::schema::PlacementNews::Builder initNews();
+    inline void adoptNews(::capnp::Orphan<::monsoongrade::schema::PlacementNews> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::PlacementNews> disownNews();
+
+    inline bool isCachedParts();
+    inline bool hasCachedParts();
+    inline ::monsoongrade::schema::CachedParts::Builder getCachedParts();
+    inline void setCachedParts(::monsoongrade::schema::CachedParts::Reader value);
+    inline ::monsoongrade::schema::CachedParts::Builder initCachedParts();
+    inline void adoptCachedParts(::capnp::Orphan<::monsoongrade::schema::CachedParts> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::CachedParts> disownCachedParts();
+
+    inline bool isStillWaiting();
+    inline bool hasStillWaiting();
+    inline ::monsoongrade::schema::StillWaiting::Builder getStillWaiting();
+    inline void setStillWaiting(::monsoongrade::schema::StillWaiting::Reader value);
+    inline ::monsoongrade::schema::StillWaiting::Builder initStillWaiting();
+    inline void adoptStillWaiting(::capnp::Orphan<::monsoongrade::schema::StillWaiting> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::StillWaiting> disownStillWaiting();
+
+    inline bool isNotWaiting();
+    inline bool hasNotWaiting();
+    inline ::monsoongrade::schema::NotWaiting::Builder getNotWaiting();
+    inline void setNotWaiting(::monsoongrade::schema::NotWaiting::Reader value);
+    inline ::monsoongrade::schema::NotWaiting::Builder initNotWaiting();
+    inline void adoptNotWaiting(::capnp::Orphan<::monsoongrade::schema::NotWaiting> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::NotWaiting> disownNotWaiting();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class PlacementMessage::Pipeline {
+class PlacementMessage::Pipeline
+{
 public:
-  typedef PlacementMessage Pipelines;
+    typedef PlacementMessage Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 // =======================================================================================
 
-inline  ::uint64_t PlacementAsk::Reader::getNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t PlacementAsk::Reader::getNumber() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PlacementAsk::Builder::getNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t PlacementAsk::Builder::getNumber()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PlacementAsk::Builder::setNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void PlacementAsk::Builder::setNumber(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PlacementAsk::Reader::hasPool() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool PlacementAsk::Reader::hasPool() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PlacementAsk::Builder::hasPool() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool PlacementAsk::Builder::hasPool()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader PlacementAsk::Reader::getPool() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader PlacementAsk::Reader::getPool() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder PlacementAsk::Builder::getPool() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder PlacementAsk::Builder::getPool()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PlacementAsk::Builder::setPool( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void PlacementAsk::Builder::setPool(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder PlacementAsk::Builder::initPool(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder PlacementAsk::Builder::initPool(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void PlacementAsk::Builder::adoptPool(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void PlacementAsk::Builder::adoptPool(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> PlacementAsk::Builder::disownPool() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> PlacementAsk::Builder::disownPool()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool PlacementAsk::Reader::hasSharedPart() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool PlacementAsk::Reader::hasSharedPart() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool PlacementAsk::Builder::hasSharedPart() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool PlacementAsk::Builder::hasSharedPart()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader PlacementAsk::Reader::getSharedPart() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader PlacementAsk::Reader::getSharedPart() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder PlacementAsk::Builder::getSharedPart() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder PlacementAsk::Builder::getSharedPart()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void PlacementAsk::Builder::setSharedPart( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void PlacementAsk::Builder::setSharedPart(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder PlacementAsk::Builder::initSharedPart(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder PlacementAsk::Builder::initSharedPart(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void PlacementAsk::Builder::adoptSharedPart(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void PlacementAsk::Builder::adoptSharedPart(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> PlacementAsk::Builder::disownSharedPart() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> PlacementAsk::Builder::disownSharedPart()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t PlacementAsk::Reader::getPromptTokens() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t PlacementAsk::Reader::getPromptTokens() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PlacementAsk::Builder::getPromptTokens() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t PlacementAsk::Builder::getPromptTokens()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void PlacementAsk::Builder::setPromptTokens( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void PlacementAsk::Builder::setPromptTokens(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t PlacementAsk::Reader::getOwnTokens() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint32_t PlacementAsk::Reader::getOwnTokens() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PlacementAsk::Builder::getOwnTokens() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint32_t PlacementAsk::Builder::getOwnTokens()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void PlacementAsk::Builder::setOwnTokens( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void PlacementAsk::Builder::setOwnTokens(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t PlacementAsk::Reader::getTier() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint32_t PlacementAsk::Reader::getTier() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PlacementAsk::Builder::getTier() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint32_t PlacementAsk::Builder::getTier()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void PlacementAsk::Builder::setTier( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void PlacementAsk::Builder::setTier(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PlacementAsk::Reader::hasTried() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool PlacementAsk::Reader::hasTried() const
+{
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool PlacementAsk::Builder::hasTried() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool PlacementAsk::Builder::hasTried()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader PlacementAsk::Reader::getTried() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
+PlacementAsk::Reader::getTried() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder PlacementAsk::Builder::getTried() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder PlacementAsk::Builder::getTried()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void PlacementAsk::Builder::setTried( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void
+PlacementAsk::Builder::setTried(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline void PlacementAsk::Builder::setTried(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void PlacementAsk::Builder::setTried(::kj::ArrayPtr<const ::capnp::Text::Reader> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder PlacementAsk::Builder::initTried(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+PlacementAsk::Builder::initTried(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void PlacementAsk::Builder::adoptTried(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> PlacementAsk::Builder::disownTried() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+PlacementAsk::Builder::disownTried()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool PlacementAsk::Reader::hasFailureDomain() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline bool PlacementAsk::Reader::hasFailureDomain() const
+{
+    return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool PlacementAsk::Builder::hasFailureDomain() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline bool PlacementAsk::Builder::hasFailureDomain()
+{
+    return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader PlacementAsk::Reader::getFailureDomain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader PlacementAsk::Reader::getFailureDomain() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder PlacementAsk::Builder::getFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder PlacementAsk::Builder::getFailureDomain()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void PlacementAsk::Builder::setFailureDomain( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void PlacementAsk::Builder::setFailureDomain(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder PlacementAsk::Builder::initFailureDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder PlacementAsk::Builder::initFailureDomain(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void PlacementAsk::Builder::adoptFailureDomain(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void PlacementAsk::Builder::adoptFailureDomain(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> PlacementAsk::Builder::disownFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> PlacementAsk::Builder::disownFailureDomain()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t PlacementAsk::Reader::getTargetInMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline ::uint32_t PlacementAsk::Reader::getTargetInMs() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PlacementAsk::Builder::getTargetInMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline ::uint32_t PlacementAsk::Builder::getTargetInMs()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void PlacementAsk::Builder::setTargetInMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void PlacementAsk::Builder::setTargetInMs(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t PlacementAsk::Reader::getGivenUpInMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline ::uint32_t PlacementAsk::Reader::getGivenUpInMs() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PlacementAsk::Builder::getGivenUpInMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline ::uint32_t PlacementAsk::Builder::getGivenUpInMs()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void PlacementAsk::Builder::setGivenUpInMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline void PlacementAsk::Builder::setGivenUpInMs(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PlacementAsk::Reader::getNeedsShortPauses() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
+inline bool PlacementAsk::Reader::getNeedsShortPauses() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<224>() * ::capnp::ELEMENTS);
 }
 
-inline bool PlacementAsk::Builder::getNeedsShortPauses() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
+inline bool PlacementAsk::Builder::getNeedsShortPauses()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<224>() * ::capnp::ELEMENTS);
 }
-inline void PlacementAsk::Builder::setNeedsShortPauses(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<224>() * ::capnp::ELEMENTS, value);
+inline void PlacementAsk::Builder::setNeedsShortPauses(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<224>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PlacementAsk::Reader::getPoolServesShortPauses() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<225>() * ::capnp::ELEMENTS);
+inline bool PlacementAsk::Reader::getPoolServesShortPauses() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<225>() * ::capnp::ELEMENTS);
 }
 
-inline bool PlacementAsk::Builder::getPoolServesShortPauses() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<225>() * ::capnp::ELEMENTS);
+inline bool PlacementAsk::Builder::getPoolServesShortPauses()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<225>() * ::capnp::ELEMENTS);
 }
-inline void PlacementAsk::Builder::setPoolServesShortPauses(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<225>() * ::capnp::ELEMENTS, value);
+inline void PlacementAsk::Builder::setPoolServesShortPauses(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<225>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PlacementAsk::Reader::hasPaused() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+inline bool PlacementAsk::Reader::hasPaused() const
+{
+    return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool PlacementAsk::Builder::hasPaused() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+inline bool PlacementAsk::Builder::hasPaused()
+{
+    return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader PlacementAsk::Reader::getPaused() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
+PlacementAsk::Reader::getPaused() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+        _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder PlacementAsk::Builder::getPaused() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder PlacementAsk::Builder::getPaused()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void PlacementAsk::Builder::setPaused( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void
+PlacementAsk::Builder::setPaused(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline void PlacementAsk::Builder::setPaused(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void PlacementAsk::Builder::setPaused(::kj::ArrayPtr<const ::capnp::Text::Reader> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder PlacementAsk::Builder::initPaused(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+PlacementAsk::Builder::initPaused(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
 inline void PlacementAsk::Builder::adoptPaused(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> PlacementAsk::Builder::disownPaused() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+PlacementAsk::Builder::disownPaused()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool PlacementAsk::Reader::getIsVersionBound() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<226>() * ::capnp::ELEMENTS);
+inline bool PlacementAsk::Reader::getIsVersionBound() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<226>() * ::capnp::ELEMENTS);
 }
 
-inline bool PlacementAsk::Builder::getIsVersionBound() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<226>() * ::capnp::ELEMENTS);
+inline bool PlacementAsk::Builder::getIsVersionBound()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<226>() * ::capnp::ELEMENTS);
 }
-inline void PlacementAsk::Builder::setIsVersionBound(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<226>() * ::capnp::ELEMENTS, value);
+inline void PlacementAsk::Builder::setIsVersionBound(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<226>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PlacementAsk::Reader::hasSoftwareVersion() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+inline bool PlacementAsk::Reader::hasSoftwareVersion() const
+{
+    return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool PlacementAsk::Builder::hasSoftwareVersion() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+inline bool PlacementAsk::Builder::hasSoftwareVersion()
+{
+    return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader PlacementAsk::Reader::getSoftwareVersion() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader PlacementAsk::Reader::getSoftwareVersion() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder PlacementAsk::Builder::getSoftwareVersion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder PlacementAsk::Builder::getSoftwareVersion()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void PlacementAsk::Builder::setSoftwareVersion( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline void PlacementAsk::Builder::setSoftwareVersion(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder PlacementAsk::Builder::initSoftwareVersion(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder PlacementAsk::Builder::initSoftwareVersion(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline void PlacementAsk::Builder::adoptSoftwareVersion(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+inline void PlacementAsk::Builder::adoptSoftwareVersion(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> PlacementAsk::Builder::disownSoftwareVersion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> PlacementAsk::Builder::disownSoftwareVersion()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t PlacementAnswer::Reader::getNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t PlacementAnswer::Reader::getNumber() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PlacementAnswer::Builder::getNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t PlacementAnswer::Builder::getNumber()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PlacementAnswer::Builder::setNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void PlacementAnswer::Builder::setNumber(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PlacementAnswer::Reader::hasEndpoint() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool PlacementAnswer::Reader::hasEndpoint() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PlacementAnswer::Builder::hasEndpoint() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool PlacementAnswer::Builder::hasEndpoint()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader PlacementAnswer::Reader::getEndpoint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader PlacementAnswer::Reader::getEndpoint() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder PlacementAnswer::Builder::getEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder PlacementAnswer::Builder::getEndpoint()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PlacementAnswer::Builder::setEndpoint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void PlacementAnswer::Builder::setEndpoint(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder PlacementAnswer::Builder::initEndpoint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder PlacementAnswer::Builder::initEndpoint(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void PlacementAnswer::Builder::adoptEndpoint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void PlacementAnswer::Builder::adoptEndpoint(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> PlacementAnswer::Builder::disownEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> PlacementAnswer::Builder::disownEndpoint()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t PlacementAnswer::Reader::getTokensToRead() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t PlacementAnswer::Reader::getTokensToRead() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PlacementAnswer::Builder::getTokensToRead() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t PlacementAnswer::Builder::getTokensToRead()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void PlacementAnswer::Builder::setTokensToRead( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void PlacementAnswer::Builder::setTokensToRead(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PlacementAnswer::Reader::getWaiting() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+inline bool PlacementAnswer::Reader::getWaiting() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<96>() * ::capnp::ELEMENTS);
 }
 
-inline bool PlacementAnswer::Builder::getWaiting() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+inline bool PlacementAnswer::Builder::getWaiting()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<96>() * ::capnp::ELEMENTS);
 }
-inline void PlacementAnswer::Builder::setWaiting(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+inline void PlacementAnswer::Builder::setWaiting(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PlacementAnswer::Reader::getRefused() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+inline bool PlacementAnswer::Reader::getRefused() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<97>() * ::capnp::ELEMENTS);
 }
 
-inline bool PlacementAnswer::Builder::getRefused() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+inline bool PlacementAnswer::Builder::getRefused()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<97>() * ::capnp::ELEMENTS);
 }
-inline void PlacementAnswer::Builder::setRefused(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<97>() * ::capnp::ELEMENTS, value);
+inline void PlacementAnswer::Builder::setRefused(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<97>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t PlacementAnswer::Reader::getComeBackInMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint32_t PlacementAnswer::Reader::getComeBackInMs() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PlacementAnswer::Builder::getComeBackInMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint32_t PlacementAnswer::Builder::getComeBackInMs()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void PlacementAnswer::Builder::setComeBackInMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void PlacementAnswer::Builder::setComeBackInMs(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool StillWaiting::Reader::hasNumbers() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool StillWaiting::Reader::hasNumbers() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StillWaiting::Builder::hasNumbers() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool StillWaiting::Builder::hasNumbers()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader StillWaiting::Reader::getNumbers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
+StillWaiting::Reader::getNumbers() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder StillWaiting::Builder::getNumbers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+StillWaiting::Builder::getNumbers()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StillWaiting::Builder::setNumbers( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void
+StillWaiting::Builder::setNumbers(::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void StillWaiting::Builder::setNumbers(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void StillWaiting::Builder::setNumbers(::kj::ArrayPtr<const ::uint64_t> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder StillWaiting::Builder::initNumbers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+StillWaiting::Builder::initNumbers(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void StillWaiting::Builder::adoptNumbers(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> StillWaiting::Builder::disownNumbers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool NotWaiting::Reader::hasNumbers() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool NotWaiting::Builder::hasNumbers() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader NotWaiting::Reader::getNumbers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder NotWaiting::Builder::getNumbers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void NotWaiting::Builder::setNumbers( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline void NotWaiting::Builder::setNumbers(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder NotWaiting::Builder::initNumbers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+    ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+StillWaiting::Builder::disownNumbers()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool NotWaiting::Reader::hasNumbers() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NotWaiting::Builder::hasNumbers()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
+NotWaiting::Reader::getNumbers() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+NotWaiting::Builder::getNumbers()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+NotWaiting::Builder::setNumbers(::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void NotWaiting::Builder::setNumbers(::kj::ArrayPtr<const ::uint64_t> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+NotWaiting::Builder::initNumbers(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void NotWaiting::Builder::adoptNumbers(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> NotWaiting::Builder::disownNumbers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+NotWaiting::Builder::disownNumbers()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t PlacementNews::Reader::getNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t PlacementNews::Reader::getNumber() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PlacementNews::Builder::getNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t PlacementNews::Builder::getNumber()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PlacementNews::Builder::setNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void PlacementNews::Builder::setNumber(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::monsoongrade::schema::PlacementNews::News PlacementNews::Reader::getNews() const {
-  return _reader.getDataField< ::monsoongrade::schema::PlacementNews::News>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::monsoongrade::schema::PlacementNews::News PlacementNews::Reader::getNews() const
+{
+    return _reader.getDataField<::monsoongrade::schema::PlacementNews::News>(::capnp::bounded<4>()
+                                                                             * ::capnp::ELEMENTS);
 }
 
-inline  ::monsoongrade::schema::PlacementNews::News PlacementNews::Builder::getNews() {
-  return _builder.getDataField< ::monsoongrade::schema::PlacementNews::News>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::monsoongrade::schema::PlacementNews::News PlacementNews::Builder::getNews()
+{
+    return _builder.getDataField<::monsoongrade::schema::PlacementNews::News>(::capnp::bounded<4>()
+                                                                              * ::capnp::ELEMENTS);
 }
-inline void PlacementNews::Builder::setNews( ::monsoongrade::schema::PlacementNews::News value) {
-  _builder.setDataField< ::monsoongrade::schema::PlacementNews::News>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void PlacementNews::Builder::setNews(::monsoongrade::schema::PlacementNews::News value)
+{
+    _builder.setDataField<::monsoongrade::schema::PlacementNews::News>(
+        ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CachedParts::Reader::hasParts() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool CachedParts::Reader::hasParts() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool CachedParts::Builder::hasParts() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool CachedParts::Builder::hasParts()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::monsoongrade::schema::CachedParts::Part,  ::capnp::Kind::STRUCT>::Reader CachedParts::Reader::getParts() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::CachedParts::Part,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>::Reader
+CachedParts::Reader::getParts() const
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>>::
+        get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::monsoongrade::schema::CachedParts::Part,  ::capnp::Kind::STRUCT>::Builder CachedParts::Builder::getParts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::CachedParts::Part,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>::Builder
+CachedParts::Builder::getParts()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>>::
+        get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CachedParts::Builder::setParts( ::capnp::List< ::monsoongrade::schema::CachedParts::Part,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::CachedParts::Part,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void CachedParts::Builder::setParts(
+    ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>>::
+        set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::monsoongrade::schema::CachedParts::Part,  ::capnp::Kind::STRUCT>::Builder CachedParts::Builder::initParts(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::CachedParts::Part,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>::Builder
+CachedParts::Builder::initParts(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>>::
+        init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void CachedParts::Builder::adoptParts(
-    ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::CachedParts::Part,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::CachedParts::Part,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::CachedParts::Part,  ::capnp::Kind::STRUCT>> CachedParts::Builder::disownParts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::CachedParts::Part,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool CachedParts::Part::Reader::hasPart() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool CachedParts::Part::Builder::hasPart() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader CachedParts::Part::Reader::getPart() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder CachedParts::Part::Builder::getPart() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void CachedParts::Part::Builder::setPart( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder CachedParts::Part::Builder::initPart(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void CachedParts::Part::Builder::adoptPart(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> CachedParts::Part::Builder::disownPart() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool CachedParts::Part::Reader::hasEndpoint() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool CachedParts::Part::Builder::hasEndpoint() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader CachedParts::Part::Reader::getEndpoint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder CachedParts::Part::Builder::getEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void CachedParts::Part::Builder::setEndpoint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder CachedParts::Part::Builder::initEndpoint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void CachedParts::Part::Builder::adoptEndpoint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> CachedParts::Part::Builder::disownEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline  ::int64_t CachedParts::Part::Reader::getIncarnation() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t CachedParts::Part::Builder::getIncarnation() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void CachedParts::Part::Builder::setIncarnation( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::monsoongrade::schema::PlacementMessage::Which PlacementMessage::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline  ::monsoongrade::schema::PlacementMessage::Which PlacementMessage::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline bool PlacementMessage::Reader::isAsk() const {
-  return which() == PlacementMessage::ASK;
-}
-inline bool PlacementMessage::Builder::isAsk() {
-  return which() == PlacementMessage::ASK;
-}
-inline bool PlacementMessage::Reader::hasAsk() const {
-  if (which() != PlacementMessage::ASK) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PlacementMessage::Builder::hasAsk() {
-  if (which() != PlacementMessage::ASK) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::monsoongrade::schema::PlacementAsk::Reader PlacementMessage::Reader::getAsk() const {
-  KJ_IREQUIRE((which() == PlacementMessage::ASK),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::PlacementAsk>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::monsoongrade::schema::PlacementAsk::Builder PlacementMessage::Builder::getAsk() {
-  KJ_IREQUIRE((which() == PlacementMessage::ASK),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::PlacementAsk>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PlacementMessage::Builder::setAsk( ::monsoongrade::schema::PlacementAsk::Reader value) {
-  _builder.setDataField<PlacementMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PlacementMessage::ASK);
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::PlacementAsk>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::monsoongrade::schema::PlacementAsk::Builder PlacementMessage::Builder::initAsk() {
-  _builder.setDataField<PlacementMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PlacementMessage::ASK);
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::PlacementAsk>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PlacementMessage::Builder::adoptAsk(
-    ::capnp::Orphan< ::monsoongrade::schema::PlacementAsk>&& value) {
-  _builder.setDataField<PlacementMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PlacementMessage::ASK);
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::PlacementAsk>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::monsoongrade::schema::PlacementAsk> PlacementMessage::Builder::disownAsk() {
-  KJ_IREQUIRE((which() == PlacementMessage::ASK),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::PlacementAsk>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool PlacementMessage::Reader::isAnswer() const {
-  return which() == PlacementMessage::ANSWER;
-}
-inline bool PlacementMessage::Builder::isAnswer() {
-  return which() == PlacementMessage::ANSWER;
-}
-inline bool PlacementMessage::Reader::hasAnswer() const {
-  if (which() != PlacementMessage::ANSWER) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PlacementMessage::Builder::hasAnswer() {
-  if (which() != PlacementMessage::ANSWER) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::monsoongrade::schema::PlacementAnswer::Reader PlacementMessage::Reader::getAnswer() const {
-  KJ_IREQUIRE((which() == PlacementMessage::ANSWER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::PlacementAnswer>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::monsoongrade::schema::PlacementAnswer::Builder PlacementMessage::Builder::getAnswer() {
-  KJ_IREQUIRE((which() == PlacementMessage::ANSWER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::PlacementAnswer>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PlacementMessage::Builder::setAnswer( ::monsoongrade::schema::PlacementAnswer::Reader value) {
-  _builder.setDataField<PlacementMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PlacementMessage::ANSWER);
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::PlacementAnswer>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::monsoongrade::schema::PlacementAnswer::Builder PlacementMessage::Builder::initAnswer() {
-  _builder.setDataField<PlacementMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PlacementMessage::ANSWER);
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::PlacementAnswer>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan<::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>>
+        &&value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>>::
+        adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<
+    ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>>
+CachedParts::Builder::disownParts()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::CachedParts::Part, ::capnp::Kind::STRUCT>>::
+        disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CachedParts::Part::Reader::hasPart() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CachedParts::Part::Builder::hasPart()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader CachedParts::Part::Reader::getPart() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder CachedParts::Part::Builder::getPart()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CachedParts::Part::Builder::setPart(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder CachedParts::Part::Builder::initPart(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CachedParts::Part::Builder::adoptPart(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> CachedParts::Part::Builder::disownPart()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CachedParts::Part::Reader::hasEndpoint() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool CachedParts::Part::Builder::hasEndpoint()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader CachedParts::Part::Reader::getEndpoint() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder CachedParts::Part::Builder::getEndpoint()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CachedParts::Part::Builder::setEndpoint(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder CachedParts::Part::Builder::initEndpoint(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void CachedParts::Part::Builder::adoptEndpoint(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> CachedParts::Part::Builder::disownEndpoint()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline ::int64_t CachedParts::Part::Reader::getIncarnation() const
+{
+    return _reader.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::int64_t CachedParts::Part::Builder::getIncarnation()
+{
+    return _builder.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CachedParts::Part::Builder::setIncarnation(::int64_t value)
+{
+    _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::monsoongrade::schema::PlacementMessage::Which PlacementMessage::Reader::which() const
+{
+    return _reader.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline ::monsoongrade::schema::PlacementMessage::Which PlacementMessage::Builder::which()
+{
+    return _builder.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool PlacementMessage::Reader::isAsk() const
+{
+    return which() == PlacementMessage::ASK;
+}
+inline bool PlacementMessage::Builder::isAsk()
+{
+    return which() == PlacementMessage::ASK;
+}
+inline bool PlacementMessage::Reader::hasAsk() const
+{
+    if (which() != PlacementMessage::ASK)
+        return false;
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PlacementMessage::Builder::hasAsk()
+{
+    if (which() != PlacementMessage::ASK)
+        return false;
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::monsoongrade::schema::PlacementAsk::Reader PlacementMessage::Reader::getAsk() const
+{
+    KJ_IREQUIRE((which() == PlacementMessage::ASK),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PlacementAsk>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::monsoongrade::schema::PlacementAsk::Builder PlacementMessage::Builder::getAsk()
+{
+    KJ_IREQUIRE((which() == PlacementMessage::ASK),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PlacementAsk>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PlacementMessage::Builder::setAsk(::monsoongrade::schema::PlacementAsk::Reader value)
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::ASK);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::PlacementAsk>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::monsoongrade::schema::PlacementAsk::Builder PlacementMessage::Builder::initAsk()
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::ASK);
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PlacementAsk>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+PlacementMessage::Builder::adoptAsk(::capnp::Orphan<::monsoongrade::schema::PlacementAsk> &&value)
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::ASK);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::PlacementAsk>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::monsoongrade::schema::PlacementAsk> PlacementMessage::Builder::disownAsk()
+{
+    KJ_IREQUIRE((which() == PlacementMessage::ASK),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PlacementAsk>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PlacementMessage::Reader::isAnswer() const
+{
+    return which() == PlacementMessage::ANSWER;
+}
+inline bool PlacementMessage::Builder::isAnswer()
+{
+    return which() == PlacementMessage::ANSWER;
+}
+inline bool PlacementMessage::Reader::hasAnswer() const
+{
+    if (which() != PlacementMessage::ANSWER)
+        return false;
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PlacementMessage::Builder::hasAnswer()
+{
+    if (which() != PlacementMessage::ANSWER)
+        return false;
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::monsoongrade::schema::PlacementAnswer::Reader PlacementMessage::Reader::getAnswer() const
+{
+    KJ_IREQUIRE((which() == PlacementMessage::ANSWER),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PlacementAnswer>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::monsoongrade::schema::PlacementAnswer::Builder PlacementMessage::Builder::getAnswer()
+{
+    KJ_IREQUIRE((which() == PlacementMessage::ANSWER),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PlacementAnswer>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+PlacementMessage::Builder::setAnswer(::monsoongrade::schema::PlacementAnswer::Reader value)
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::ANSWER);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::PlacementAnswer>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::monsoongrade::schema::PlacementAnswer::Builder PlacementMessage::Builder::initAnswer()
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::ANSWER);
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PlacementAnswer>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PlacementMessage::Builder::adoptAnswer(
-    ::capnp::Orphan< ::monsoongrade::schema::PlacementAnswer>&& value) {
-  _builder.setDataField<PlacementMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PlacementMessage::ANSWER);
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::PlacementAnswer>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::monsoongrade::schema::PlacementAnswer> PlacementMessage::Builder::disownAnswer() {
-  KJ_IREQUIRE((which() == PlacementMessage::ANSWER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::PlacementAnswer>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool PlacementMessage::Reader::isNews() const {
-  return which() == PlacementMessage::NEWS;
-}
-inline bool PlacementMessage::Builder::isNews() {
-  return which() == PlacementMessage::NEWS;
-}
-inline bool PlacementMessage::Reader::hasNews() const {
-  if (which() != PlacementMessage::NEWS) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PlacementMessage::Builder::hasNews() {
-  if (which() != PlacementMessage::NEWS) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::monsoongrade::schema::PlacementNews::Reader PlacementMessage::Reader::getNews() const {
-  KJ_IREQUIRE((which() == PlacementMessage::NEWS),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::PlacementNews>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::monsoongrade::schema::PlacementNews::Builder PlacementMessage::Builder::getNews() {
-  KJ_IREQUIRE((which() == PlacementMessage::NEWS),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::PlacementNews>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PlacementMessage::Builder::setNews( ::monsoongrade::schema::PlacementNews::Reader value) {
-  _builder.setDataField<PlacementMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PlacementMessage::NEWS);
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::PlacementNews>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::monsoongrade::schema::PlacementNews::Builder PlacementMessage::Builder::initNews() {
-  _builder.setDataField<PlacementMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PlacementMessage::NEWS);
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::PlacementNews>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PlacementMessage::Builder::adoptNews(
-    ::capnp::Orphan< ::monsoongrade::schema::PlacementNews>&& value) {
-  _builder.setDataField<PlacementMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PlacementMessage::NEWS);
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::PlacementNews>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::monsoongrade::schema::PlacementNews> PlacementMessage::Builder::disownNews() {
-  KJ_IREQUIRE((which() == PlacementMessage::NEWS),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::PlacementNews>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool PlacementMessage::Reader::isCachedParts() const {
-  return which() == PlacementMessage::CACHED_PARTS;
-}
-inline bool PlacementMessage::Builder::isCachedParts() {
-  return which() == PlacementMessage::CACHED_PARTS;
-}
-inline bool PlacementMessage::Reader::hasCachedParts() const {
-  if (which() != PlacementMessage::CACHED_PARTS) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PlacementMessage::Builder::hasCachedParts() {
-  if (which() != PlacementMessage::CACHED_PARTS) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::monsoongrade::schema::CachedParts::Reader PlacementMessage::Reader::getCachedParts() const {
-  KJ_IREQUIRE((which() == PlacementMessage::CACHED_PARTS),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::CachedParts>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::monsoongrade::schema::CachedParts::Builder PlacementMessage::Builder::getCachedParts() {
-  KJ_IREQUIRE((which() == PlacementMessage::CACHED_PARTS),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::CachedParts>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PlacementMessage::Builder::setCachedParts( ::monsoongrade::schema::CachedParts::Reader value) {
-  _builder.setDataField<PlacementMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PlacementMessage::CACHED_PARTS);
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::CachedParts>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::monsoongrade::schema::CachedParts::Builder PlacementMessage::Builder::initCachedParts() {
-  _builder.setDataField<PlacementMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PlacementMessage::CACHED_PARTS);
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::CachedParts>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan<::monsoongrade::schema::PlacementAnswer> &&value)
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::ANSWER);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::PlacementAnswer>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::monsoongrade::schema::PlacementAnswer>
+PlacementMessage::Builder::disownAnswer()
+{
+    KJ_IREQUIRE((which() == PlacementMessage::ANSWER),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PlacementAnswer>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PlacementMessage::Reader::isNews() const
+{
+    return which() == PlacementMessage::NEWS;
+}
+inline bool PlacementMessage::Builder::isNews()
+{
+    return which() == PlacementMessage::NEWS;
+}
+inline bool PlacementMessage::Reader::hasNews() const
+{
+    if (which() != PlacementMessage::NEWS)
+        return false;
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PlacementMessage::Builder::hasNews()
+{
+    if (which() != PlacementMessage::NEWS)
+        return false;
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::monsoongrade::schema::PlacementNews::Reader PlacementMessage::Reader::getNews() const
+{
+    KJ_IREQUIRE((which() == PlacementMessage::NEWS),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PlacementNews>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::monsoongrade::schema::PlacementNews::Builder PlacementMessage::Builder::getNews()
+{
+    KJ_IREQUIRE((which() == PlacementMessage::NEWS),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PlacementNews>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PlacementMessage::Builder::setNews(::monsoongrade::schema::PlacementNews::Reader value)
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::NEWS);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::PlacementNews>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::monsoongrade::schema::PlacementNews::Builder PlacementMessage::Builder::initNews()
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::NEWS);
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PlacementNews>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+PlacementMessage::Builder::adoptNews(::capnp::Orphan<::monsoongrade::schema::PlacementNews> &&value)
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::NEWS);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::PlacementNews>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::monsoongrade::schema::PlacementNews>
+PlacementMessage::Builder::disownNews()
+{
+    KJ_IREQUIRE((which() == PlacementMessage::NEWS),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::PlacementNews>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PlacementMessage::Reader::isCachedParts() const
+{
+    return which() == PlacementMessage::CACHED_PARTS;
+}
+inline bool PlacementMessage::Builder::isCachedParts()
+{
+    return which() == PlacementMessage::CACHED_PARTS;
+}
+inline bool PlacementMessage::Reader::hasCachedParts() const
+{
+    if (which() != PlacementMessage::CACHED_PARTS)
+        return false;
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PlacementMessage::Builder::hasCachedParts()
+{
+    if (which() != PlacementMessage::CACHED_PARTS)
+        return false;
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::monsoongrade::schema::CachedParts::Reader PlacementMessage::Reader::getCachedParts() const
+{
+    KJ_IREQUIRE((which() == PlacementMessage::CACHED_PARTS),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::CachedParts>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::monsoongrade::schema::CachedParts::Builder PlacementMessage::Builder::getCachedParts()
+{
+    KJ_IREQUIRE((which() == PlacementMessage::CACHED_PARTS),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::CachedParts>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+PlacementMessage::Builder::setCachedParts(::monsoongrade::schema::CachedParts::Reader value)
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::CACHED_PARTS);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::CachedParts>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::monsoongrade::schema::CachedParts::Builder PlacementMessage::Builder::initCachedParts()
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::CACHED_PARTS);
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::CachedParts>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PlacementMessage::Builder::adoptCachedParts(
-    ::capnp::Orphan< ::monsoongrade::schema::CachedParts>&& value) {
-  _builder.setDataField<PlacementMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PlacementMessage::CACHED_PARTS);
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::CachedParts>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::monsoongrade::schema::CachedParts> PlacementMessage::Builder::disownCachedParts() {
-  KJ_IREQUIRE((which() == PlacementMessage::CACHED_PARTS),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::CachedParts>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool PlacementMessage::Reader::isStillWaiting() const {
-  return which() == PlacementMessage::STILL_WAITING;
-}
-inline bool PlacementMessage::Builder::isStillWaiting() {
-  return which() == PlacementMessage::STILL_WAITING;
-}
-inline bool PlacementMessage::Reader::hasStillWaiting() const {
-  if (which() != PlacementMessage::STILL_WAITING) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PlacementMessage::Builder::hasStillWaiting() {
-  if (which() != PlacementMessage::STILL_WAITING) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::monsoongrade::schema::StillWaiting::Reader PlacementMessage::Reader::getStillWaiting() const {
-  KJ_IREQUIRE((which() == PlacementMessage::STILL_WAITING),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::StillWaiting>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::monsoongrade::schema::StillWaiting::Builder PlacementMessage::Builder::getStillWaiting() {
-  KJ_IREQUIRE((which() == PlacementMessage::STILL_WAITING),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::StillWaiting>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PlacementMessage::Builder::setStillWaiting( ::monsoongrade::schema::StillWaiting::Reader value) {
-  _builder.setDataField<PlacementMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PlacementMessage::STILL_WAITING);
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::StillWaiting>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::monsoongrade::schema::StillWaiting::Builder PlacementMessage::Builder::initStillWaiting() {
-  _builder.setDataField<PlacementMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PlacementMessage::STILL_WAITING);
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::StillWaiting>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan<::monsoongrade::schema::CachedParts> &&value)
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::CACHED_PARTS);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::CachedParts>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::monsoongrade::schema::CachedParts>
+PlacementMessage::Builder::disownCachedParts()
+{
+    KJ_IREQUIRE((which() == PlacementMessage::CACHED_PARTS),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::CachedParts>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PlacementMessage::Reader::isStillWaiting() const
+{
+    return which() == PlacementMessage::STILL_WAITING;
+}
+inline bool PlacementMessage::Builder::isStillWaiting()
+{
+    return which() == PlacementMessage::STILL_WAITING;
+}
+inline bool PlacementMessage::Reader::hasStillWaiting() const
+{
+    if (which() != PlacementMessage::STILL_WAITING)
+        return false;
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PlacementMessage::Builder::hasStillWaiting()
+{
+    if (which() != PlacementMessage::STILL_WAITING)
+        return false;
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::monsoongrade::schema::StillWaiting::Reader
+PlacementMessage::Reader::getStillWaiting() const
+{
+    KJ_IREQUIRE((which() == PlacementMessage::STILL_WAITING),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::StillWaiting>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::monsoongrade::schema::StillWaiting::Builder PlacementMessage::Builder::getStillWaiting()
+{
+    KJ_IREQUIRE((which() == PlacementMessage::STILL_WAITING),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::StillWaiting>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+PlacementMessage::Builder::setStillWaiting(::monsoongrade::schema::StillWaiting::Reader value)
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::STILL_WAITING);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::StillWaiting>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::monsoongrade::schema::StillWaiting::Builder PlacementMessage::Builder::initStillWaiting()
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::STILL_WAITING);
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::StillWaiting>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PlacementMessage::Builder::adoptStillWaiting(
-    ::capnp::Orphan< ::monsoongrade::schema::StillWaiting>&& value) {
-  _builder.setDataField<PlacementMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PlacementMessage::STILL_WAITING);
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::StillWaiting>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::monsoongrade::schema::StillWaiting> PlacementMessage::Builder::disownStillWaiting() {
-  KJ_IREQUIRE((which() == PlacementMessage::STILL_WAITING),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::StillWaiting>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool PlacementMessage::Reader::isNotWaiting() const {
-  return which() == PlacementMessage::NOT_WAITING;
-}
-inline bool PlacementMessage::Builder::isNotWaiting() {
-  return which() == PlacementMessage::NOT_WAITING;
-}
-inline bool PlacementMessage::Reader::hasNotWaiting() const {
-  if (which() != PlacementMessage::NOT_WAITING) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PlacementMessage::Builder::hasNotWaiting() {
-  if (which() != PlacementMessage::NOT_WAITING) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::monsoongrade::schema::NotWaiting::Reader PlacementMessage::Reader::getNotWaiting() const {
-  KJ_IREQUIRE((which() == PlacementMessage::NOT_WAITING),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::NotWaiting>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::monsoongrade::schema::NotWaiting::Builder PlacementMessage::Builder::getNotWaiting() {
-  KJ_IREQUIRE((which() == PlacementMessage::NOT_WAITING),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::NotWaiting>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PlacementMessage::Builder::setNotWaiting( ::monsoongrade::schema::NotWaiting::Reader value) {
-  _builder.setDataField<PlacementMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PlacementMessage::NOT_WAITING);
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::NotWaiting>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::monsoongrade::schema::NotWaiting::Builder PlacementMessage::Builder::initNotWaiting() {
-  _builder.setDataField<PlacementMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PlacementMessage::NOT_WAITING);
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::NotWaiting>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan<::monsoongrade::schema::StillWaiting> &&value)
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::STILL_WAITING);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::StillWaiting>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::monsoongrade::schema::StillWaiting>
+PlacementMessage::Builder::disownStillWaiting()
+{
+    KJ_IREQUIRE((which() == PlacementMessage::STILL_WAITING),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::StillWaiting>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PlacementMessage::Reader::isNotWaiting() const
+{
+    return which() == PlacementMessage::NOT_WAITING;
+}
+inline bool PlacementMessage::Builder::isNotWaiting()
+{
+    return which() == PlacementMessage::NOT_WAITING;
+}
+inline bool PlacementMessage::Reader::hasNotWaiting() const
+{
+    if (which() != PlacementMessage::NOT_WAITING)
+        return false;
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PlacementMessage::Builder::hasNotWaiting()
+{
+    if (which() != PlacementMessage::NOT_WAITING)
+        return false;
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::monsoongrade::schema::NotWaiting::Reader PlacementMessage::Reader::getNotWaiting() const
+{
+    KJ_IREQUIRE((which() == PlacementMessage::NOT_WAITING),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::NotWaiting>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::monsoongrade::schema::NotWaiting::Builder PlacementMessage::Builder::getNotWaiting()
+{
+    KJ_IREQUIRE((which() == PlacementMessage::NOT_WAITING),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::NotWaiting>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+PlacementMessage::Builder::setNotWaiting(::monsoongrade::schema::NotWaiting::Reader value)
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::NOT_WAITING);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::NotWaiting>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::monsoongrade::schema::NotWaiting::Builder PlacementMessage::Builder::initNotWaiting()
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::NOT_WAITING);
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::NotWaiting>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PlacementMessage::Builder::adoptNotWaiting(
-    ::capnp::Orphan< ::monsoongrade::schema::NotWaiting>&& value) {
-  _builder.setDataField<PlacementMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PlacementMessage::NOT_WAITING);
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::NotWaiting>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::monsoongrade::schema::NotWaiting> &&value)
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::NOT_WAITING);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::NotWaiting>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::monsoongrade::schema::NotWaiting> PlacementMessage::Builder::disownNotWaiting() {
-  KJ_IREQUIRE((which() == PlacementMessage::NOT_WAITING),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::NotWaiting>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::monsoongrade::schema::NotWaiting>
+PlacementMessage::Builder::disownNotWaiting()
+{
+    KJ_IREQUIRE((which() == PlacementMessage::NOT_WAITING),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::NotWaiting>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-}  // namespace
-}  // namespace
+} // namespace schema
+} // namespace monsoongrade
 
 CAPNP_END_HEADER
-
