--- a/schema/streamversions.capnp.h
+++ b/schema/streamversions.capnp.h
@@ -7,10 +7,10 @@
 #include <kj/windows-sanity.h>
 
 #if CAPNP_VERSION != 9002
-#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error                                                                                             \
+    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
-
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -20,1014 +20,1185 @@
 CAPNP_DECLARE_SCHEMA(bfdfad1672a83b0b);
 CAPNP_DECLARE_SCHEMA(84a247098520a61c);
 CAPNP_DECLARE_SCHEMA(e2efcb4900a4f36e);
-enum class PoolHistory_e2efcb4900a4f36e: uint16_t {
-  UNKNOWN,
-  ONE_VERSION,
-  SEVERAL_VERSIONS,
+enum class PoolHistory_e2efcb4900a4f36e : uint16_t {
+    UNKNOWN,
+    ONE_VERSION,
+    SEVERAL_VERSIONS,
 };
 CAPNP_DECLARE_ENUM(PoolHistory, e2efcb4900a4f36e);
 CAPNP_DECLARE_SCHEMA(af9a5a6fd2980daa);
 
-}  // namespace schemas
-}  // namespace capnp
+} // namespace schemas
+} // namespace capnp
 
 namespace monsoongrade {
 namespace schema {
 
-struct StreamBegun {
-  StreamBegun() = delete;
+struct StreamBegun
+{
+    StreamBegun() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b471f72dc0bd6def, 0, 3)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(b471f72dc0bd6def, 0, 3)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct StreamVersionQuery {
-  StreamVersionQuery() = delete;
+struct StreamVersionQuery
+{
+    StreamVersionQuery() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bfdfad1672a83b0b, 1, 3)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(bfdfad1672a83b0b, 1, 3)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct StreamVersionResponse {
-  StreamVersionResponse() = delete;
+struct StreamVersionResponse
+{
+    StreamVersionResponse() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
-  typedef ::capnp::schemas::PoolHistory_e2efcb4900a4f36e PoolHistory;
+    class Reader;
+    class Builder;
+    class Pipeline;
+    typedef ::capnp::schemas::PoolHistory_e2efcb4900a4f36e PoolHistory;
 
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(84a247098520a61c, 2, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(84a247098520a61c, 2, 2)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct StreamVersionMessage {
-  StreamVersionMessage() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-  enum Which: uint16_t {
-    BEGUN,
-    QUERY,
-    RESPONSE,
-  };
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(af9a5a6fd2980daa, 1, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+struct StreamVersionMessage
+{
+    StreamVersionMessage() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+    enum Which : uint16_t {
+        BEGUN,
+        QUERY,
+        RESPONSE,
+    };
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(af9a5a6fd2980daa, 1, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 // =======================================================================================
 
-class StreamBegun::Reader {
+class StreamBegun::Reader
+{
 public:
-  typedef StreamBegun Reads;
+    typedef StreamBegun Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasWorkspace() const;
-  inline  ::capnp::Text::Reader getWorkspace() const;
+    inline bool hasWorkspace() const;
+    inline ::capnp::Text::Reader getWorkspace() const;
 
-  inline bool hasRequest() const;
-  inline  ::capnp::Text::Reader getRequest() const;
+    inline bool hasRequest() const;
+    inline ::capnp::Text::Reader getRequest() const;
 
-  inline bool hasVersion() const;
-  inline  ::capnp::Text::Reader getVersion() const;
+    inline bool hasVersion() const;
+    inline ::capnp::Text::Reader getVersion() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class StreamBegun::Builder {
+class StreamBegun::Builder
+{
 public:
-  typedef StreamBegun Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef StreamBegun Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasWorkspace();
-  inline  ::capnp::Text::Builder getWorkspace();
-  inline void setWorkspace( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
-  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
-
-  inline bool hasRequest();
-  inline  ::capnp::Text::Builder getRequest();
-  inline void setRequest( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequest(unsigned int size);
-  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
-
-  inline bool hasVersion();
-  inline  ::capnp::Text::Builder getVersion();
-  inline void setVersion( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initVersion(unsigned int size);
-  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasWorkspace();
+    inline ::capnp::Text::Builder getWorkspace();
+    inline void setWorkspace(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initWorkspace(unsigned int size);
+    inline void adoptWorkspace(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownWorkspace();
+
+    inline bool hasRequest();
+    inline ::capnp::Text::Builder getRequest();
+    inline void setRequest(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initRequest(unsigned int size);
+    inline void adoptRequest(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownRequest();
+
+    inline bool hasVersion();
+    inline ::capnp::Text::Builder getVersion();
+    inline void setVersion(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initVersion(unsigned int size);
+    inline void adoptVersion(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownVersion();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class StreamBegun::Pipeline {
+class StreamBegun::Pipeline
+{
 public:
-  typedef StreamBegun Pipelines;
+    typedef StreamBegun Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class StreamVersionQuery::Reader {
+class StreamVersionQuery::Reader
+{
 public:
-  typedef StreamVersionQuery Reads;
+    typedef StreamVersionQuery Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getNumber() const;
+    inline ::uint64_t getNumber() const;
 
-  inline bool hasWorkspace() const;
-  inline  ::capnp::Text::Reader getWorkspace() const;
+    inline bool hasWorkspace() const;
+    inline ::capnp::Text::Reader getWorkspace() const;
 
-  inline bool hasRequest() const;
-  inline  ::capnp::Text::Reader getRequest() const;
+    inline bool hasRequest() const;
+    inline ::capnp::Text::Reader getRequest() const;
 
-  inline bool hasPool() const;
-  inline  ::capnp::Text::Reader getPool() const;
+    inline bool hasPool() const;
+    inline ::capnp::Text::Reader getPool() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class StreamVersionQuery::Builder {
+class StreamVersionQuery::Builder
+{
 public:
-  typedef StreamVersionQuery Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef StreamVersionQuery Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getNumber();
-  inline void setNumber( ::uint64_t value);
-
-  inline bool hasWorkspace();
-  inline  ::capnp::Text::Builder getWorkspace();
-  inline void setWorkspace( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
-  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
-
-  inline bool hasRequest();
-  inline  ::capnp::Text::Builder getRequest();
-  inline void setRequest( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequest(unsigned int size);
-  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
-
-  inline bool hasPool();
-  inline  ::capnp::Text::Builder getPool();
-  inline void setPool( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPool(unsigned int size);
-  inline void adoptPool(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPool();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline ::uint64_t getNumber();
+    inline void setNumber(::uint64_t value);
+
+    inline bool hasWorkspace();
+    inline ::capnp::Text::Builder getWorkspace();
+    inline void setWorkspace(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initWorkspace(unsigned int size);
+    inline void adoptWorkspace(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownWorkspace();
+
+    inline bool hasRequest();
+    inline ::capnp::Text::Builder getRequest();
+    inline void setRequest(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initRequest(unsigned int size);
+    inline void adoptRequest(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownRequest();
+
+    inline bool hasPool();
+    inline ::capnp::Text::Builder getPool();
+    inline void setPool(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initPool(unsigned int size);
+    inline void adoptPool(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownPool();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class StreamVersionQuery::Pipeline {
+class StreamVersionQuery::Pipeline
+{
 public:
-  typedef StreamVersionQuery Pipelines;
+    typedef StreamVersionQuery Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class StreamVersionResponse::Reader {
+class StreamVersionResponse::Reader
+{
 public:
-  typedef StreamVersionResponse Reads;
+    typedef StreamVersionResponse Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getNumber() const;
+    inline ::uint64_t getNumber() const;
 
-  inline bool getIsKnown() const;
+    inline bool getIsKnown() const;
 
-  inline bool hasVersion() const;
-  inline  ::capnp::Text::Reader getVersion() const;
+    inline bool hasVersion() const;
+    inline ::capnp::Text::Reader getVersion() const;
 
-  inline  ::monsoongrade::schema::StreamVersionResponse::PoolHistory getHistory() const;
+    inline ::monsoongrade::schema::StreamVersionResponse::PoolHistory getHistory() const;
 
-  inline bool hasPoolVersion() const;
-  inline  ::capnp::Text::Reader getPoolVersion() const;
+    inline bool hasPoolVersion() const;
+    inline ::capnp::Text::Reader getPoolVersion() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class StreamVersionResponse::Builder {
+class StreamVersionResponse::Builder
+{
 public:
-  typedef StreamVersionResponse Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef StreamVersionResponse Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getNumber();
-  inline void setNumber( ::uint64_t value);
-
-  inline bool getIsKnown();
-  inline void setIsKnown(bool value);
-
-  inline bool hasVersion();
-  inline  ::capnp::Text::Builder getVersion();
-  inline void setVersion( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initVersion(unsigned int size);
-  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
-
-  inline  ::monsoongrade::schema::StreamVersionResponse::PoolHistory getHistory();
-  inline void setHistory( ::monsoongrade::schema::StreamVersionResponse::PoolHistory value);
-
-  inline bool hasPoolVersion();
-  inline  ::capnp::Text::Builder getPoolVersion();
-  inline void setPoolVersion( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPoolVersion(unsigned int size);
-  inline void adoptPoolVersion(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPoolVersion();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline ::uint64_t getNumber();
+    inline void setNumber(::uint64_t value);
+
+    inline bool getIsKnown();
+    inline void setIsKnown(bool value);
+
+    inline bool hasVersion();
+    inline ::capnp::Text::Builder getVersion();
+    inline void setVersion(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initVersion(unsigned int size);
+    inline void adoptVersion(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownVersion();
+
+    inline ::monsoongrade::schema::StreamVersionResponse::PoolHistory getHistory();
+    inline void setHistory(::monsoongrade::schema::StreamVersionResponse::PoolHistory value);
+
+    inline bool hasPoolVersion();
+    inline ::capnp::Text::Builder getPoolVersion();
+    inline void setPoolVersion(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initPoolVersion(unsigned int size);
+    inline void adoptPoolVersion(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownPoolVersion();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class StreamVersionResponse::Pipeline {
+class StreamVersionResponse::Pipeline
+{
 public:
-  typedef StreamVersionResponse Pipelines;
+    typedef StreamVersionResponse Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class StreamVersionMessage::Reader {
+class StreamVersionMessage::Reader
+{
 public:
-  typedef StreamVersionMessage Reads;
+    typedef StreamVersionMessage Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isBegun() const;
-  inline bool hasBegun() const;
-  inline  ::monsoongrade::schema::StreamBegun::Reader getBegun() const;
+    inline Which which() const;
+    inline bool isBegun() const;
+    inline bool hasBegun() const;
+    inline ::monsoongrade::schema::StreamBegun::Reader getBegun() const;
 
-  inline bool isQuery() const;
-  inline bool hasQuery() const;
-  inline  ::monsoongrade::schema::StreamVersionQuery::Reader getQuery() const;
+    inline bool isQuery() const;
+    inline bool hasQuery() const;
+    inline ::monsoongrade::schema::StreamVersionQuery::Reader getQuery() const;
 
-  inline bool isResponse() const;
-  inline bool hasResponse() const;
-  inline  ::monsoongrade::schema::StreamVersionResponse::Reader getResponse() const;
+    inline bool isResponse() const;
+    inline bool hasResponse() const;
+    inline ::monsoongrade::schema::StreamVersionResponse::Reader getResponse() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class StreamVersionMessage::Builder {
+class StreamVersionMessage::Builder
+{
 public:
-  typedef StreamVersionMessage Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef StreamVersionMessage Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline Which which();
-  inline bool isBegun();
-  inline bool hasBegun();
-  inline  ::monsoongrade::schema::StreamBegun::Builder getBegun();
-  inline void setBegun( ::monsoongrade::schema::StreamBegun::Reader value);
-  inline  ::monsoongrade::schema::StreamBegun::Builder initBegun();
-  inline void adoptBegun(::capnp::Orphan< ::monsoongrade::schema::StreamBegun>&& value);
-  inline ::capnp::Orphan< ::monsoongrade::schema::StreamBegun> disownBegun();
-
-  inline bool isQuery();
-  inline bool hasQuery();
-  inline  ::monsoongrade::schema::StreamVersionQuery::Builder getQuery();
-  inline void setQuery( ::monsoongrade::schema::StreamVersionQuery::Reader value);
-  inline  ::monsoongrade::schema::StreamVersionQuery::Builder initQuery();
-  inline void adoptQuery(::capnp::Orphan< ::monsoongrade::schema::StreamVersionQuery>&& value);
-  inline ::capnp::Orphan< ::monsoongrade::schema::StreamVersionQuery> disownQuery();
-
-  inline bool isResponse();
-  inline bool hasResponse();
-  inline  ::monsoongrade::schema::StreamVersionResponse::Builder getResponse();
-  inline void setResponse( ::monsoongrade::schema::StreamVersionResponse::Reader value);
-  inline  ::monsoongrade::schema::StreamVersionResponse::Builder initResponse();
-  inline void adoptResponse(::capnp::Orphan< ::monsoongrade::schema::StreamVersionResponse>&& value);
-  inline ::capnp::Orphan< ::monsoongrade::schema::StreamVersionResponse> disownResponse();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline Which which();
+    inline bool isBegun();
+    inline bool hasBegun();
+    inline ::monsoongrade::schema::StreamBegun::Builder getBegun();
+    inline void setBegun(::monsoongrade::schema::StreamBegun::Reader value);
+    inline ::monsoongrade::schema::StreamBegun::Builder initBegun();
+    inline void adoptBegun(::capnp::Orphan<::monsoongrade::schema::StreamBegun> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::StreamBegun> disownBegun();
+
+    inline bool isQuery();
+    inline bool hasQuery();
+    inline ::monsoongrade::schema::StreamVersionQuery::Builder getQuery();
+    inline void setQuery(::monsoongrade::schema::StreamVersionQuery::Reader value);
+    inline ::monsoongrade::schema::StreamVersionQuery::Builder initQuery();
+    inline void adoptQuery(::capnp::Orphan<::monsoongrade::schema::StreamVersionQuery> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::StreamVersionQuery> disownQuery();
+
+    inline bool isResponse();
+    inline bool hasResponse();
+    inline ::monsoongrade::schema::StreamVersionResponse::Builder getResponse();
+    inline void setResponse(::monsoongrade::schema::StreamVersionResponse::Reader value);
+    inline ::monsoongrade::schema::StreamVersionResponse::Builder initResponse();
+    inline void
+    adoptResponse(::capnp::Orphan<::monsoongrade::schema::StreamVersionResponse> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::StreamVersionResponse> disownResponse();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class StreamVersionMessage::Pipeline {
+class StreamVersionMessage::Pipeline
+{
 public:
-  typedef StreamVersionMessage Pipelines;
+    typedef StreamVersionMessage Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 // =======================================================================================
 
-inline bool StreamBegun::Reader::hasWorkspace() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool StreamBegun::Builder::hasWorkspace() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader StreamBegun::Reader::getWorkspace() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder StreamBegun::Builder::getWorkspace() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void StreamBegun::Builder::setWorkspace( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder StreamBegun::Builder::initWorkspace(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void StreamBegun::Builder::adoptWorkspace(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> StreamBegun::Builder::disownWorkspace() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool StreamBegun::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool StreamBegun::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader StreamBegun::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder StreamBegun::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void StreamBegun::Builder::setRequest( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder StreamBegun::Builder::initRequest(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void StreamBegun::Builder::adoptRequest(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> StreamBegun::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool StreamBegun::Reader::hasVersion() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool StreamBegun::Builder::hasVersion() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader StreamBegun::Reader::getVersion() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder StreamBegun::Builder::getVersion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void StreamBegun::Builder::setVersion( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder StreamBegun::Builder::initVersion(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void StreamBegun::Builder::adoptVersion(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> StreamBegun::Builder::disownVersion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t StreamVersionQuery::Reader::getNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool StreamBegun::Reader::hasWorkspace() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamBegun::Builder::hasWorkspace()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader StreamBegun::Reader::getWorkspace() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder StreamBegun::Builder::getWorkspace()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamBegun::Builder::setWorkspace(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder StreamBegun::Builder::initWorkspace(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StreamBegun::Builder::adoptWorkspace(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline  ::uint64_t StreamVersionQuery::Builder::getNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void StreamVersionQuery::Builder::setNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan<::capnp::Text> StreamBegun::Builder::disownWorkspace()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool StreamVersionQuery::Reader::hasWorkspace() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool StreamVersionQuery::Builder::hasWorkspace() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader StreamVersionQuery::Reader::getWorkspace() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder StreamVersionQuery::Builder::getWorkspace() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void StreamVersionQuery::Builder::setWorkspace( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder StreamVersionQuery::Builder::initWorkspace(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void StreamVersionQuery::Builder::adoptWorkspace(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> StreamVersionQuery::Builder::disownWorkspace() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+inline bool StreamBegun::Reader::hasRequest() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamBegun::Builder::hasRequest()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader StreamBegun::Reader::getRequest() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder StreamBegun::Builder::getRequest()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StreamBegun::Builder::setRequest(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder StreamBegun::Builder::initRequest(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StreamBegun::Builder::adoptRequest(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> StreamBegun::Builder::disownRequest()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
 
-inline bool StreamVersionQuery::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool StreamVersionQuery::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader StreamVersionQuery::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder StreamVersionQuery::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void StreamVersionQuery::Builder::setRequest( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder StreamVersionQuery::Builder::initRequest(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void StreamVersionQuery::Builder::adoptRequest(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline bool StreamBegun::Reader::hasVersion() const
+{
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamBegun::Builder::hasVersion()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader StreamBegun::Reader::getVersion() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder StreamBegun::Builder::getVersion()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void StreamBegun::Builder::setVersion(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder StreamBegun::Builder::initVersion(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void StreamBegun::Builder::adoptVersion(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> StreamBegun::Builder::disownVersion()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline ::uint64_t StreamVersionQuery::Reader::getNumber() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t StreamVersionQuery::Builder::getNumber()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamVersionQuery::Builder::setNumber(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamVersionQuery::Reader::hasWorkspace() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamVersionQuery::Builder::hasWorkspace()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader StreamVersionQuery::Reader::getWorkspace() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder StreamVersionQuery::Builder::getWorkspace()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamVersionQuery::Builder::setWorkspace(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder StreamVersionQuery::Builder::initWorkspace(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StreamVersionQuery::Builder::adoptWorkspace(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> StreamVersionQuery::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> StreamVersionQuery::Builder::disownWorkspace()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool StreamVersionQuery::Reader::hasPool() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool StreamVersionQuery::Reader::hasRequest() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool StreamVersionQuery::Builder::hasPool() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool StreamVersionQuery::Builder::hasRequest()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader StreamVersionQuery::Reader::getPool() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader StreamVersionQuery::Reader::getRequest() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StreamVersionQuery::Builder::getPool() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder StreamVersionQuery::Builder::getRequest()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void StreamVersionQuery::Builder::setPool( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void StreamVersionQuery::Builder::setRequest(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder StreamVersionQuery::Builder::initPool(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder StreamVersionQuery::Builder::initRequest(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void StreamVersionQuery::Builder::adoptPool(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void StreamVersionQuery::Builder::adoptRequest(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> StreamVersionQuery::Builder::disownPool() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> StreamVersionQuery::Builder::disownRequest()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t StreamVersionResponse::Reader::getNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool StreamVersionQuery::Reader::hasPool() const
+{
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t StreamVersionResponse::Builder::getNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void StreamVersionResponse::Builder::setNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool StreamVersionResponse::Reader::getIsKnown() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-
-inline bool StreamVersionResponse::Builder::getIsKnown() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-inline void StreamVersionResponse::Builder::setIsKnown(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool StreamVersionResponse::Reader::hasVersion() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool StreamVersionResponse::Builder::hasVersion() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool StreamVersionQuery::Builder::hasPool()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader StreamVersionResponse::Reader::getVersion() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader StreamVersionQuery::Reader::getPool() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StreamVersionResponse::Builder::getVersion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder StreamVersionQuery::Builder::getPool()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void StreamVersionResponse::Builder::setVersion( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void StreamVersionQuery::Builder::setPool(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder StreamVersionQuery::Builder::initPool(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline  ::capnp::Text::Builder StreamVersionResponse::Builder::initVersion(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline void StreamVersionQuery::Builder::adoptPool(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void StreamVersionResponse::Builder::adoptVersion(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> StreamVersionResponse::Builder::disownVersion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> StreamVersionQuery::Builder::disownPool()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::monsoongrade::schema::StreamVersionResponse::PoolHistory StreamVersionResponse::Reader::getHistory() const {
-  return _reader.getDataField< ::monsoongrade::schema::StreamVersionResponse::PoolHistory>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline ::uint64_t StreamVersionResponse::Reader::getNumber() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::monsoongrade::schema::StreamVersionResponse::PoolHistory StreamVersionResponse::Builder::getHistory() {
-  return _builder.getDataField< ::monsoongrade::schema::StreamVersionResponse::PoolHistory>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline ::uint64_t StreamVersionResponse::Builder::getNumber()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void StreamVersionResponse::Builder::setHistory( ::monsoongrade::schema::StreamVersionResponse::PoolHistory value) {
-  _builder.setDataField< ::monsoongrade::schema::StreamVersionResponse::PoolHistory>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void StreamVersionResponse::Builder::setNumber(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool StreamVersionResponse::Reader::hasPoolVersion() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool StreamVersionResponse::Builder::hasPoolVersion() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader StreamVersionResponse::Reader::getPoolVersion() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder StreamVersionResponse::Builder::getPoolVersion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void StreamVersionResponse::Builder::setPoolVersion( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder StreamVersionResponse::Builder::initPoolVersion(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void StreamVersionResponse::Builder::adoptPoolVersion(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> StreamVersionResponse::Builder::disownPoolVersion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline bool StreamVersionResponse::Reader::getIsKnown() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline  ::monsoongrade::schema::StreamVersionMessage::Which StreamVersionMessage::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline  ::monsoongrade::schema::StreamVersionMessage::Which StreamVersionMessage::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool StreamVersionResponse::Builder::getIsKnown()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void StreamVersionResponse::Builder::setIsKnown(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool StreamVersionMessage::Reader::isBegun() const {
-  return which() == StreamVersionMessage::BEGUN;
+inline bool StreamVersionResponse::Reader::hasVersion() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StreamVersionMessage::Builder::isBegun() {
-  return which() == StreamVersionMessage::BEGUN;
+inline bool StreamVersionResponse::Builder::hasVersion()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StreamVersionMessage::Reader::hasBegun() const {
-  if (which() != StreamVersionMessage::BEGUN) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline ::capnp::Text::Reader StreamVersionResponse::Reader::getVersion() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline bool StreamVersionMessage::Builder::hasBegun() {
-  if (which() != StreamVersionMessage::BEGUN) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline ::capnp::Text::Builder StreamVersionResponse::Builder::getVersion()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::monsoongrade::schema::StreamBegun::Reader StreamVersionMessage::Reader::getBegun() const {
-  KJ_IREQUIRE((which() == StreamVersionMessage::BEGUN),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::StreamBegun>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void StreamVersionResponse::Builder::setVersion(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::monsoongrade::schema::StreamBegun::Builder StreamVersionMessage::Builder::getBegun() {
-  KJ_IREQUIRE((which() == StreamVersionMessage::BEGUN),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::StreamBegun>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder StreamVersionResponse::Builder::initVersion(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void StreamVersionMessage::Builder::setBegun( ::monsoongrade::schema::StreamBegun::Reader value) {
-  _builder.setDataField<StreamVersionMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, StreamVersionMessage::BEGUN);
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::StreamBegun>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void StreamVersionResponse::Builder::adoptVersion(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline  ::monsoongrade::schema::StreamBegun::Builder StreamVersionMessage::Builder::initBegun() {
-  _builder.setDataField<StreamVersionMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, StreamVersionMessage::BEGUN);
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::StreamBegun>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> StreamVersionResponse::Builder::disownVersion()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::monsoongrade::schema::StreamVersionResponse::PoolHistory
+StreamVersionResponse::Reader::getHistory() const
+{
+    return _reader.getDataField<::monsoongrade::schema::StreamVersionResponse::PoolHistory>(
+        ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline ::monsoongrade::schema::StreamVersionResponse::PoolHistory
+StreamVersionResponse::Builder::getHistory()
+{
+    return _builder.getDataField<::monsoongrade::schema::StreamVersionResponse::PoolHistory>(
+        ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void StreamVersionResponse::Builder::setHistory(
+    ::monsoongrade::schema::StreamVersionResponse::PoolHistory value)
+{
+    _builder.setDataField<::monsoongrade::schema::StreamVersionResponse::PoolHistory>(
+        ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamVersionResponse::Reader::hasPoolVersion() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamVersionResponse::Builder::hasPoolVersion()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader StreamVersionResponse::Reader::getPoolVersion() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder StreamVersionResponse::Builder::getPoolVersion()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StreamVersionResponse::Builder::setPoolVersion(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder StreamVersionResponse::Builder::initPoolVersion(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StreamVersionResponse::Builder::adoptPoolVersion(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> StreamVersionResponse::Builder::disownPoolVersion()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline ::monsoongrade::schema::StreamVersionMessage::Which
+StreamVersionMessage::Reader::which() const
+{
+    return _reader.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline ::monsoongrade::schema::StreamVersionMessage::Which StreamVersionMessage::Builder::which()
+{
+    return _builder.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool StreamVersionMessage::Reader::isBegun() const
+{
+    return which() == StreamVersionMessage::BEGUN;
+}
+inline bool StreamVersionMessage::Builder::isBegun()
+{
+    return which() == StreamVersionMessage::BEGUN;
+}
+inline bool StreamVersionMessage::Reader::hasBegun() const
+{
+    if (which() != StreamVersionMessage::BEGUN)
+        return false;
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamVersionMessage::Builder::hasBegun()
+{
+    if (which() != StreamVersionMessage::BEGUN)
+        return false;
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::monsoongrade::schema::StreamBegun::Reader StreamVersionMessage::Reader::getBegun() const
+{
+    KJ_IREQUIRE((which() == StreamVersionMessage::BEGUN),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::StreamBegun>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::monsoongrade::schema::StreamBegun::Builder StreamVersionMessage::Builder::getBegun()
+{
+    KJ_IREQUIRE((which() == StreamVersionMessage::BEGUN),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::StreamBegun>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+StreamVersionMessage::Builder::setBegun(::monsoongrade::schema::StreamBegun::Reader value)
+{
+    _builder.setDataField<StreamVersionMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                       StreamVersionMessage::BEGUN);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::StreamBegun>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::monsoongrade::schema::StreamBegun::Builder StreamVersionMessage::Builder::initBegun()
+{
+    _builder.setDataField<StreamVersionMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                       StreamVersionMessage::BEGUN);
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::StreamBegun>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void StreamVersionMessage::Builder::adoptBegun(
-    ::capnp::Orphan< ::monsoongrade::schema::StreamBegun>&& value) {
-  _builder.setDataField<StreamVersionMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, StreamVersionMessage::BEGUN);
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::StreamBegun>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::monsoongrade::schema::StreamBegun> StreamVersionMessage::Builder::disownBegun() {
-  KJ_IREQUIRE((which() == StreamVersionMessage::BEGUN),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::StreamBegun>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool StreamVersionMessage::Reader::isQuery() const {
-  return which() == StreamVersionMessage::QUERY;
-}
-inline bool StreamVersionMessage::Builder::isQuery() {
-  return which() == StreamVersionMessage::QUERY;
-}
-inline bool StreamVersionMessage::Reader::hasQuery() const {
-  if (which() != StreamVersionMessage::QUERY) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool StreamVersionMessage::Builder::hasQuery() {
-  if (which() != StreamVersionMessage::QUERY) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::monsoongrade::schema::StreamVersionQuery::Reader StreamVersionMessage::Reader::getQuery() const {
-  KJ_IREQUIRE((which() == StreamVersionMessage::QUERY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::StreamVersionQuery>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::monsoongrade::schema::StreamVersionQuery::Builder StreamVersionMessage::Builder::getQuery() {
-  KJ_IREQUIRE((which() == StreamVersionMessage::QUERY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::StreamVersionQuery>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void StreamVersionMessage::Builder::setQuery( ::monsoongrade::schema::StreamVersionQuery::Reader value) {
-  _builder.setDataField<StreamVersionMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, StreamVersionMessage::QUERY);
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::StreamVersionQuery>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::monsoongrade::schema::StreamVersionQuery::Builder StreamVersionMessage::Builder::initQuery() {
-  _builder.setDataField<StreamVersionMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, StreamVersionMessage::QUERY);
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::StreamVersionQuery>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan<::monsoongrade::schema::StreamBegun> &&value)
+{
+    _builder.setDataField<StreamVersionMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                       StreamVersionMessage::BEGUN);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::StreamBegun>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::monsoongrade::schema::StreamBegun>
+StreamVersionMessage::Builder::disownBegun()
+{
+    KJ_IREQUIRE((which() == StreamVersionMessage::BEGUN),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::StreamBegun>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool StreamVersionMessage::Reader::isQuery() const
+{
+    return which() == StreamVersionMessage::QUERY;
+}
+inline bool StreamVersionMessage::Builder::isQuery()
+{
+    return which() == StreamVersionMessage::QUERY;
+}
+inline bool StreamVersionMessage::Reader::hasQuery() const
+{
+    if (which() != StreamVersionMessage::QUERY)
+        return false;
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamVersionMessage::Builder::hasQuery()
+{
+    if (which() != StreamVersionMessage::QUERY)
+        return false;
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::monsoongrade::schema::StreamVersionQuery::Reader
+StreamVersionMessage::Reader::getQuery() const
+{
+    KJ_IREQUIRE((which() == StreamVersionMessage::QUERY),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::StreamVersionQuery>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::monsoongrade::schema::StreamVersionQuery::Builder StreamVersionMessage::Builder::getQuery()
+{
+    KJ_IREQUIRE((which() == StreamVersionMessage::QUERY),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::StreamVersionQuery>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+StreamVersionMessage::Builder::setQuery(::monsoongrade::schema::StreamVersionQuery::Reader value)
+{
+    _builder.setDataField<StreamVersionMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                       StreamVersionMessage::QUERY);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::StreamVersionQuery>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::monsoongrade::schema::StreamVersionQuery::Builder
+StreamVersionMessage::Builder::initQuery()
+{
+    _builder.setDataField<StreamVersionMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                       StreamVersionMessage::QUERY);
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::StreamVersionQuery>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void StreamVersionMessage::Builder::adoptQuery(
-    ::capnp::Orphan< ::monsoongrade::schema::StreamVersionQuery>&& value) {
-  _builder.setDataField<StreamVersionMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, StreamVersionMessage::QUERY);
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::StreamVersionQuery>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::monsoongrade::schema::StreamVersionQuery> StreamVersionMessage::Builder::disownQuery() {
-  KJ_IREQUIRE((which() == StreamVersionMessage::QUERY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::StreamVersionQuery>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool StreamVersionMessage::Reader::isResponse() const {
-  return which() == StreamVersionMessage::RESPONSE;
-}
-inline bool StreamVersionMessage::Builder::isResponse() {
-  return which() == StreamVersionMessage::RESPONSE;
-}
-inline bool StreamVersionMessage::Reader::hasResponse() const {
-  if (which() != StreamVersionMessage::RESPONSE) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool StreamVersionMessage::Builder::hasResponse() {
-  if (which() != StreamVersionMessage::RESPONSE) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::monsoongrade::schema::StreamVersionResponse::Reader StreamVersionMessage::Reader::getResponse() const {
-  KJ_IREQUIRE((which() == StreamVersionMessage::RESPONSE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::StreamVersionResponse>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::monsoongrade::schema::StreamVersionResponse::Builder StreamVersionMessage::Builder::getResponse() {
-  KJ_IREQUIRE((which() == StreamVersionMessage::RESPONSE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::StreamVersionResponse>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void StreamVersionMessage::Builder::setResponse( ::monsoongrade::schema::StreamVersionResponse::Reader value) {
-  _builder.setDataField<StreamVersionMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, StreamVersionMessage::RESPONSE);
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::StreamVersionResponse>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::monsoongrade::schema::StreamVersionResponse::Builder StreamVersionMessage::Builder::initResponse() {
-  _builder.setDataField<StreamVersionMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, StreamVersionMessage::RESPONSE);
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::StreamVersionResponse>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan<::monsoongrade::schema::StreamVersionQuery> &&value)
+{
+    _builder.setDataField<StreamVersionMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                       StreamVersionMessage::QUERY);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::StreamVersionQuery>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::monsoongrade::schema::StreamVersionQuery>
+StreamVersionMessage::Builder::disownQuery()
+{
+    KJ_IREQUIRE((which() == StreamVersionMessage::QUERY),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::StreamVersionQuery>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool StreamVersionMessage::Reader::isResponse() const
+{
+    return which() == StreamVersionMessage::RESPONSE;
+}
+inline bool StreamVersionMessage::Builder::isResponse()
+{
+    return which() == StreamVersionMessage::RESPONSE;
+}
+inline bool StreamVersionMessage::Reader::hasResponse() const
+{
+    if (which() != StreamVersionMessage::RESPONSE)
+        return false;
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamVersionMessage::Builder::hasResponse()
+{
+    if (which() != StreamVersionMessage::RESPONSE)
+        return false;
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::monsoongrade::schema::StreamVersionResponse::Reader
+StreamVersionMessage::Reader::getResponse() const
+{
+    KJ_IREQUIRE((which() == StreamVersionMessage::RESPONSE),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::StreamVersionResponse>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::monsoongrade::schema::StreamVersionResponse::Builder
+StreamVersionMessage::Builder::getResponse()
+{
+    KJ_IREQUIRE((which() == StreamVersionMessage::RESPONSE),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::StreamVersionResponse>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamVersionMessage::Builder::setResponse(
+    ::monsoongrade::schema::StreamVersionResponse::Reader value)
+{
+    _builder.setDataField<StreamVersionMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                       StreamVersionMessage::RESPONSE);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::StreamVersionResponse>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::monsoongrade::schema::StreamVersionResponse::Builder
+StreamVersionMessage::Builder::initResponse()
+{
+    _builder.setDataField<StreamVersionMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                       StreamVersionMessage::RESPONSE);
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::StreamVersionResponse>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void StreamVersionMessage::Builder::adoptResponse(
-    ::capnp::Orphan< ::monsoongrade::schema::StreamVersionResponse>&& value) {
-  _builder.setDataField<StreamVersionMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, StreamVersionMessage::RESPONSE);
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::StreamVersionResponse>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::monsoongrade::schema::StreamVersionResponse> &&value)
+{
+    _builder.setDataField<StreamVersionMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                       StreamVersionMessage::RESPONSE);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::StreamVersionResponse>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::monsoongrade::schema::StreamVersionResponse> StreamVersionMessage::Builder::disownResponse() {
-  KJ_IREQUIRE((which() == StreamVersionMessage::RESPONSE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::StreamVersionResponse>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::monsoongrade::schema::StreamVersionResponse>
+StreamVersionMessage::Builder::disownResponse()
+{
+    KJ_IREQUIRE((which() == StreamVersionMessage::RESPONSE),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::StreamVersionResponse>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-}  // namespace
-}  // namespace
+} // namespace schema
+} // namespace monsoongrade
 
 CAPNP_END_HEADER
-
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -1,5 +1,6 @@
 #include <monsoongrade/gateway/exchange.h>
 
+#include <gateway/internal/httpstatus.h>
 #include <gateway/internal/responsebuffers.h>
 
 #include <monsoongrade/httpio/messagewriter.h>
@@ -10,6 +11,8 @@
 
 namespace {
 
+using internal::isSuccess;
+
 // Share of an endpoint's connections that all hosts together use. The rest allows for hosts that
 // see different numbers of live hosts.
 constexpr double UsedShareOfConnections = 0.9;
@@ -22,11 +25,6 @@
 // Engines prefill about 150 prompt tokens per millisecond on an idle machine.
 constexpr std::int64_t PrefillTokensPerMs = 100;
 
-bool isSuccess(int status)
-{
-    return status >= 200 && status < 300;
-}
-
 bool isServerError(int status)
 {
     return status >= 500;
--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -124,6 +124,8 @@
 
 void Exchange::refuse(int status, units::ResultCode reason, bool mayRetry)
 {
+    if (reason == units::ResultCode::RequestQuarantined)
+        logQuarantined();
     std::optional<units::Duration> delay;
     if (mayRetry || reason == units::ResultCode::RequestQuarantined)
         delay = retryAfter(reason);
@@ -284,45 +286,6 @@
                           {"failure-share", endpoint.health.failureRate(now)}});
 }
 
-// A connection also breaks if only the network fails or if the endpoint has too many connections.
-// Such a break counts as a crash until the endpoint responds again.
-void Exchange::recordCrash()
-{
-    if (state_.reach.isLost(pool_))
-        return;
-    const units::TimePoint now = state_.timers.now();
-    const bool wasQuarantined = quarantineRemaining().has_value();
-    state_.crashes.onCrash(identity(), routing::instanceOf(endpoint_->registration), now);
-    const auto left = quarantineRemaining();
-    state_.log.write(observability::LogLevel::Warning, "endpoint-broke-under-request",
-                     {{"request", metadata_.id.value()},
-                      {"digest", routing::digestText(identity().digest)},
-                      {"workspace", admission_.workspace.value()},
-                      {"endpoint", endpoint_->registration.id.value()},
-                      {"parts", sharedPartIds()},
-                      {"first-event-ago-ms",
-                       events_.firstEventAt() ? inMilliseconds(now - *events_.firstEventAt())
-                                              : std::int64_t(-1)}});
-    if (left && !wasQuarantined)
-        observability::log(observability::LogLevel::Warning, "request-quarantined",
-                           {{"request", metadata_.id.value()},
-                            {"digest", routing::digestText(identity().digest)},
-                            {"workspace", admission_.workspace.value()},
-                            {"for-ms", inMilliseconds(*left)}});
-}
-
-void Exchange::recordCompletion()
-{
-    state_.crashes.onCompleted(identity(), state_.timers.now());
-}
-
-std::optional<units::Duration> Exchange::quarantineRemaining()
-{
-    if (state_.crashes.size() == 0)
-        return std::nullopt;
-    return state_.crashes.quarantineRemaining(identity(), state_.timers.now());
-}
-
 void Exchange::dropChannel()
 {
     state_.connections.discard(*endpoint_, channel_);
@@ -368,13 +331,4 @@
     return state_.retryAllowances[pool_.value()];
 }
 
-const routing::RequestIdentity &Exchange::identity()
-{
-    if (!identity_)
-        identity_ = {admission_.workspace,
-                     routing::digestOf(request_.head.method, metadata_.host, request_.head.target,
-                                       *request_.body)};
-    return *identity_;
-}
-
 } // namespace monsoongrade::gateway
--- a/src/gateway/internal/gossipmessages.cpp
+++ b/src/gateway/internal/gossipmessages.cpp
@@ -60,6 +60,7 @@
     crash.setKind(static_cast<schema::CrashNews::Kind>(update.kind));
     crash.setWorkspace(update.request.workspace.value());
     crash.setDigest(update.request.digest.value());
+    crash.setPartPosition(std::uint16_t(update.partPosition));
     crash.setEndpoint(update.endpoint.id.value());
     crash.setIncarnation(update.endpoint.incarnation.value());
     crash.setAgeMs(inMilliseconds(update.age));
@@ -74,6 +75,7 @@
     update.kind = static_cast<routing::CrashUpdate::Kind>(kind);
     update.request.workspace = units::WorkspaceName(crash.getWorkspace());
     update.request.digest = routing::RequestDigest(crash.getDigest());
+    update.partPosition = crash.getPartPosition();
     update.endpoint
         = {units::EndpointId(crash.getEndpoint()), routing::Incarnation(crash.getIncarnation())};
     update.age = std::chrono::milliseconds(crash.getAgeMs());
--- a/src/gateway/internal/httpstatus.h
+++ b/src/gateway/internal/httpstatus.h
@@ -10,6 +10,11 @@
 constexpr int StatusUnavailable = 503; // the request has not run
 constexpr int StatusGatewayTimeout = 504;
 
+inline bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
 } // namespace monsoongrade::gateway::internal
 
 #endif // MONSOONGRADE_GATEWAY_INTERNAL_HTTPSTATUS_H
--- a/src/routing/crashtracker.cpp
+++ b/src/routing/crashtracker.cpp
@@ -21,9 +21,9 @@
 } // namespace
 
 void CrashTracker::onCrash(const RequestIdentity &request, const EndpointInstance &endpoint,
-                           units::TimePoint now)
+                           units::TimePoint now, int partPosition)
 {
-    const CrashUpdate update{CrashUpdate::Kind::Crashed, request, endpoint, {}};
+    const CrashUpdate update{CrashUpdate::Kind::Crashed, request, partPosition, endpoint, {}};
     if (clearIfCompleted(update, now, now) || !addCrash(update, now, now))
         return;
     records_[request].isLocallyObserved = true;
@@ -34,13 +34,13 @@
 {
     completions_.add(request, now);
     if (clearRequest(request, now))
-        enqueue({CrashUpdate::Kind::Completed, request, {}, {}}, now);
+        enqueue({CrashUpdate::Kind::Completed, request, 0, {}, {}}, now);
 }
 
 void CrashTracker::onAnswered(const EndpointInstance &endpoint, units::TimePoint sentAt)
 {
     if (clearEndpoint(endpoint, sentAt))
-        enqueue({CrashUpdate::Kind::EndpointAnswered, {}, endpoint, {}}, sentAt);
+        enqueue({CrashUpdate::Kind::EndpointAnswered, {}, 0, endpoint, {}}, sentAt);
 }
 
 void CrashTracker::receive(const CrashUpdate &update, units::TimePoint now)
@@ -66,7 +66,7 @@
         record.completedAt = at;
         record.changedAt = std::max(record.changedAt, at);
         record.crashes.clear();
-        enqueue({CrashUpdate::Kind::Completed, crash.request, {}, {}}, at);
+        enqueue({CrashUpdate::Kind::Completed, crash.request, 0, {}, {}}, at);
     }
     return true;
 }
@@ -93,6 +93,7 @@
     if (records_.count(update.request) == 0)
         evictIfFull(now);
     Record &record = records_[update.request];
+    record.partPosition = std::max(record.partPosition, update.partPosition);
     if (record.completedAt && at <= *record.completedAt)
         return false;
     const bool isKnown
@@ -162,10 +163,33 @@
     return record.crashes.back().at + units::Duration(InitialQuarantine) * (1 << doublings);
 }
 
-bool CrashTracker::isQuarantined(const Record &record, units::TimePoint now)
+bool CrashTracker::isQuarantined(const Record &record, units::TimePoint now) const
 {
     const auto end = quarantineEnd(record);
-    return end && now < *end;
+    return end && now < *end && !isExplained(record);
+}
+
+// Whether parts further back in the prompts are to blame for the crashes. Parts that come together
+// in all crashes cannot be told apart by them, and the first parts are those that most requests
+// share.
+bool CrashTracker::isExplained(const Record &part) const
+{
+    if (part.partPosition == 0)
+        return false;
+    const auto explained
+        = std::count_if(part.crashes.begin(), part.crashes.end(),
+                        [&](const Crash &crash) { return isExplainedElsewhere(crash, part); });
+    return part.crashes.size() - std::size_t(explained) < CrashesToQuarantine;
+}
+
+bool CrashTracker::isExplainedElsewhere(const Crash &crash, const Record &part) const
+{
+    return std::any_of(records_.begin(), records_.end(), [&](const auto &each) {
+        const Record &other = each.second;
+        return other.partPosition > part.partPosition && other.crashes.size() >= CrashesToQuarantine
+            && std::any_of(other.crashes.begin(), other.crashes.end(),
+                           [&](const Crash &its) { return its.endpoint == crash.endpoint; });
+    });
 }
 
 std::optional<units::Duration> CrashTracker::quarantineRemaining(const RequestIdentity &request,
@@ -179,9 +203,10 @@
 
 std::size_t CrashTracker::quarantinedCount(units::TimePoint now) const
 {
-    return std::size_t(std::count_if(records_.begin(), records_.end(), [now](const auto &record) {
-        return isQuarantined(record.second, now);
-    }));
+    return std::size_t(
+        std::count_if(records_.begin(), records_.end(), [this, now](const auto &record) {
+            return isQuarantined(record.second, now);
+        }));
 }
 
 std::vector<RequestIdentity> CrashTracker::locallyQuarantined(units::TimePoint now) const
@@ -204,11 +229,13 @@
     return updates;
 }
 
+// New updates are sent before those that have been sent already: after a crash there are more than
+// fit in one datagram.
 void CrashTracker::enqueue(const CrashUpdate &update, units::TimePoint at)
 {
     if (pending_.size() >= MaxPending)
-        pending_.pop_front();
-    pending_.push_back({update, at, RoundsPerUpdate});
+        pending_.pop_back();
+    pending_.push_front({update, at, RoundsPerUpdate});
 }
 
 std::vector<CrashUpdate> CrashTracker::takeUpdates(std::size_t maxItems, units::TimePoint now)
@@ -224,8 +251,8 @@
             pending_.push_back(std::move(next));
     }
     const auto findQuarantined = [&](Records::const_iterator first, Records::const_iterator last) {
-        return std::find_if(first, last,
-                            [now](const auto &each) { return isQuarantined(each.second, now); });
+        return std::find_if(
+            first, last, [this, now](const auto &each) { return isQuarantined(each.second, now); });
     };
     auto resent = findQuarantined(records_.upper_bound(lastResent_), records_.end());
     if (resent == records_.end())
@@ -252,8 +279,8 @@
                                  std::vector<CrashUpdate> &updates, units::TimePoint now)
 {
     for (const Crash &crash : record.second.crashes)
-        updates.push_back(
-            {CrashUpdate::Kind::Crashed, record.first, crash.endpoint, now - crash.at});
+        updates.push_back({CrashUpdate::Kind::Crashed, record.first, record.second.partPosition,
+                           crash.endpoint, now - crash.at});
 }
 
 // Evicts the record that has been unchanged for the longest time, quarantined ones last.
@@ -261,7 +288,7 @@
 {
     if (records_.size() < MaxRecords)
         return;
-    const auto isEvictedBefore = [now](const auto &a, const auto &b) {
+    const auto isEvictedBefore = [this, now](const auto &a, const auto &b) {
         const bool isQuarantinedA = isQuarantined(a.second, now);
         const bool isQuarantinedB = isQuarantined(b.second, now);
         return isQuarantinedA != isQuarantinedB ? isQuarantinedB
--- a/src/routing/requestidentity.cpp
+++ b/src/routing/requestidentity.cpp
@@ -19,6 +19,11 @@
     return RequestDigest(hash.spread());
 }
 
+RequestIdentity identityOfPart(const units::ModelName &model, std::string_view partId)
+{
+    return {{}, digestOf("prompt-part", model.value(), partId, {})};
+}
+
 std::string digestText(RequestDigest digest)
 {
     char text[17];
--- a/tests/adapter/crashingworkers.h
+++ b/tests/adapter/crashingworkers.h
@@ -56,7 +56,7 @@
                                    "Model: m\r\nToken-Counts: 100,20\r\nPrompt-Prefix: " + parts
                                        + ",own" + number + ":40\r\n",
                                    key));
-        runFor(std::chrono::milliseconds(30));
+        REQUIRE(runUntil([this] { return knowsNewestProcess(); }));
         return client;
     }
 
@@ -65,9 +65,14 @@
 
     void announceWorker(std::size_t index)
     {
-        for (const char *service : {"plain", "model"})
-            announce(service + std::to_string(index), service, peers_[index]->address(), ++born_);
+        for (const char *service : {"plain", "model"}) {
+            newest_ = {units::EndpointId(service + std::to_string(index)),
+                       routing::Incarnation(++born_)};
+            announce(newest_.id.value(), service, peers_[index]->address(), born_);
+        }
     }
+    // Otherwise a response of the new process would count as one of the process that crashed.
+    bool knowsNewestProcess() const { return gateway->state().registry.find(newest_) != nullptr; }
     void respond(std::size_t index, standins::RawConnection &connection, const std::string &text)
     {
         const std::string id = standins::headerIn(text, "Attempt-Id");
@@ -89,6 +94,7 @@
     int crashes_ = 0;
     int attempts_ = 0;
     std::int64_t born_ = 0;
+    routing::EndpointInstance newest_; // the worker process that started last
 };
 
 } // namespace monsoongrade::platform
