Test: a stream that ends with its connection is whole between events only

Without length or chunks, an orderly close after an event ends the stream; one inside an event, or a reset, breaks it off. The code kept this before; the test passes on it.

--- a/tests/adapter/workerfaults_test.cpp
+++ b/tests/adapter/workerfaults_test.cpp
@@ -170,6 +170,42 @@
     CHECK(fixture.call(request("POST", "/unsafe/a", "id2", "b"))->status() == 502);
 }
 
+// Guards against a stream without length or chunks that looks whole though it ended inside an
+// event.
+TEST_CASE("WorkerFaults.StreamThatEndsWithItsConnectionIsWholeBetweenEventsOnly")
+{
+    FaultFixture fixture;
+    std::string events;
+    bool isReset = false;
+    RawPeer peer(fixture.io, [&](RawConnection &connection, const std::string &text, int) {
+        connection.write("HTTP/1.1 200 OK\r\nAttempt-Id: " + idIn(text)
+                         + "\r\nResponse-Signature: s\r\nConnection: close\r\n\r\n" + events);
+        if (isReset)
+            fixture.timers.after(std::chrono::milliseconds(20),
+                                 [open = connection.shared_from_this()] { open->reset(); });
+        else
+            connection.closeGracefully();
+    });
+    fixture.announce("m1", "model", peer.address());
+    fixture.serve(1);
+    const auto callStream = [&](const std::string &id) {
+        return fixture.call(request("POST", "/stream/a", id, id, StreamHeaders));
+    };
+    events = event(1) + event(2);
+    const auto whole = callStream("id1");
+    CHECK(whole->isComplete());
+    CHECK(whole->received().find("event 2") != std::string::npos);
+    events = event(1) + "id: 2\ndata: ev";
+    const auto inEvent = callStream("id2");
+    CHECK_FALSE(inEvent->isComplete());
+    CHECK(inEvent->isClosed());
+    events = event(1) + event(2);
+    isReset = true;
+    const auto broken = callStream("id3");
+    CHECK_FALSE(broken->isComplete());
+    CHECK(broken->isClosed());
+}
+
 TEST_CASE("WorkerFaults.SuccessWithoutSignatureIsNotForwarded")
 {
     FaultFixture fixture;
