--- a/tests/adapter/streamversions_test.cpp
+++ b/tests/adapter/streamversions_test.cpp
@@ -31,6 +31,7 @@
 std::vector<std::string> beginStreams(VersionedEnginesFixture &fixture)
 {
     std::vector<std::string> began;
+    began.reserve(Streams);
     for (int i = 0; i < Streams; ++i)
         began.push_back(fixture.beginAndBreak(fixture.firstHost, "v1"));
     fixture.occupy("v1");
--- a/tests/adapter/versionedengines.h
+++ b/tests/adapter/versionedengines.h
@@ -97,7 +97,7 @@
     {
         setOnlyReady(version);
         setCrashing({version});
-        const std::string id = "began" + std::to_string(calls_);
+        std::string id = "began" + std::to_string(calls_);
         const auto client = call(host, "/once/a", id);
         REQUIRE(client->isClosed());
         REQUIRE_FALSE(client->isComplete());
