Resumed streams are placed at once at other hosts too

A resumed stream was to be placed without waiting, but the query to the placing host does not say so: there it waited behind long prompts, or was refused by a forecast that counts endpoints of all versions.

--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -49,7 +49,6 @@
     bool isResumption() const;
     void findStreamVersion();
     void onStreamVersionFound(std::optional<units::SoftwareVersion> version);
-    void bindTo(units::SoftwareVersion version);
     void onFirstEvent();
 
     // Sending
--- a/src/gateway/exchangeresumption.cpp
+++ b/src/gateway/exchangeresumption.cpp
@@ -26,22 +26,15 @@
         return;
     state_.log.write(observability::LogLevel::Info, "stream-resumed",
                      {{"request", metadata_.id.value()},
-                      {"began-as", metadata_.resumes.value()},
+                      {"began-as", resumedRequest()},
                       {"pool", pool_.value()},
                       {"software", version ? version->value() : "unknown"}});
     if (!version) {
         refuse(internal::StatusUnavailable, units::ResultCode::StreamVersionUnknown, true);
         return;
     }
-    bindTo(std::move(*version));
-    startAttempt();
-}
-
-void Exchange::bindTo(units::SoftwareVersion version)
-{
     query_.softwareVersion = std::move(version);
-    // The client has waited already, and the forecast of the queue counts endpoints of any version.
-    query_.mayWait = false;
+    startAttempt();
 }
 
 // From now on the stream may go on at this version only, here and at other hosts.
@@ -49,7 +42,7 @@
 {
     if (query_.softwareVersion)
         return;
-    bindTo(sentToVersion_);
+    query_.softwareVersion = sentToVersion_;
     if (route_->resumable)
         state_.streamVersions.onBegan({admission_.workspace, metadata_.id}, sentToVersion_);
 }
--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -36,7 +36,10 @@
     }
     PlacementChoice choice = query.runsModel ? chooseForModel(query, available, now)
                                              : chooseLeastLoaded(query, available, now);
-    if (choice.isWaiting && query.mayWait)
+    // The client of a stream that has begun has waited already, and the forecast of the queue
+    // counts endpoints of all versions.
+    const bool mayWait = query.mayWait && !query.softwareVersion;
+    if (choice.isWaiting && mayWait)
         return queueOrRefuse(ticket, query, std::move(choice), available.size(), now);
     return commit(ticket, query, std::move(choice), now);
 }
