--- a/tests/adapter/gatewayhost.h
+++ b/tests/adapter/gatewayhost.h
@@ -33,7 +33,7 @@
         settings.directoryAddress = settings.ip + ":8003";
         settings.gossipPort = 8004;
         settings.placementPort = 8005;
-        settings.streamVersionsPort = 8008;
+        settings.streamVersionsPort = 8009;
         settings.stopWithin = std::chrono::seconds(2);
     }
 
--- a/tests/adapter/storefleet.cpp
+++ b/tests/adapter/storefleet.cpp
@@ -16,7 +16,7 @@
 constexpr std::uint16_t GossipPort = 8004;
 constexpr std::uint16_t PlacementPort = 8005;
 constexpr std::uint16_t RelayPort = 8007;
-constexpr std::uint16_t StreamVersionsPort = 8008;
+constexpr std::uint16_t StreamVersionsPort = 8009;
 constexpr std::size_t Seeds = 3;
 constexpr std::size_t FailureDomains = 5;
 // One host in eight has a larger CPU share, as in a fleet with a few larger hosts.
--- a/tests/adapter/versionedengines.h
+++ b/tests/adapter/versionedengines.h
@@ -86,7 +86,7 @@
                                     const std::string &id, const std::string &extraHeaders = {})
     {
         const std::string prompt = "Model: m\r\nToken-Counts: 100,20\r\nPrompt-Prefix: "
-            + std::to_string(++calls_ * 7919) + ":60,bb:40\r\n";
+            + std::to_string(++calls_ * PromptStep) + ":60,bb:40\r\n";
         auto client = RawClient::connect(io, *httpio::parseAddress(host.settings.callersAddress));
         client->send(request("POST", path, id, id, prompt + extraHeaders));
         runUntil([&] { return client->isComplete() || client->isClosed(); });
@@ -149,6 +149,9 @@
         timers.after(std::chrono::milliseconds(1), [this] { runFirstHost(); });
     }
 
+    // Distance of prompt ids, so that they differ in several digits.
+    static constexpr int PromptStep = 7919;
+
     struct Engine
     {
         std::string version;
