Gateway: one datagram socket serves gossip, placement, usage and stream versions

The service for stream versions had written a fourth time how a UDP socket is opened, read in a loop and sent from, and how a packed message is read and its fault logged. DatagramSocket, PackedMessage and readFault now serve all four; address reuse stays as each had it. Log lines, ports and buffer sizes are unchanged. The service no longer asks for its port at each step: without one it has no socket.

--- a/include/monsoongrade/gateway/gatewaystate.h
+++ b/include/monsoongrade/gateway/gatewaystate.h
@@ -46,7 +46,7 @@
     GatewayState(asio::io_context &io, httpio::Timers &timersToUse,
                  const HeaderCodec &headerCodecToUse, routing::FreshnessLease leaseToUse,
                  PlacementService::Settings placementSettings,
-                 StreamVersionService::Settings streamVersionSettings)
+                 const StreamVersionService::Settings &streamVersionSettings)
         : timers(timersToUse)
         , headerCodec(headerCodecToUse)
         , lease(leaseToUse)
@@ -62,8 +62,8 @@
         , log(timersToUse)
         , startupGate(timersToUse)
         , placement(io, timersToUse, std::move(placementSettings), registry, log.metrics)
-        , streamVersions(io, timersToUse, std::move(streamVersionSettings), otherHosts,
-                         poolVersions, log.metrics)
+        , streamVersions(io, timersToUse, streamVersionSettings, otherHosts, poolVersions,
+                         log.metrics)
     {
     }
 
--- a/include/monsoongrade/gateway/peergossip.h
+++ b/include/monsoongrade/gateway/peergossip.h
@@ -1,16 +1,15 @@
 #ifndef MONSOONGRADE_GATEWAY_PEERGOSSIP_H
 #define MONSOONGRADE_GATEWAY_PEERGOSSIP_H
 
+#include <monsoongrade/gateway/datagramsocket.h>
 #include <monsoongrade/httpio/timers.h>
 #include <monsoongrade/routing/crashtracker.h>
 #include <monsoongrade/routing/endpointannouncements.h>
 #include <monsoongrade/routing/gossipplanner.h>
 
-#include <asio/ip/udp.hpp>
-
-#include <array>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace monsoongrade::gateway {
@@ -82,21 +81,17 @@
         std::vector<routing::LeavingUpdate> leaving;
     };
 
-    void receive();
     void round();
     void sendRound();
-    void send(const std::string &ip, const std::string &datagram);
     std::string encode(const std::vector<routing::PeerUpdate> &others) const;
     std::string encodeProbe() const;
     void send(const std::string &ip, const Updates &updates);
     std::string encode(const Updates &updates) const;
-    void decode(const std::string &datagram);
+    void onDatagram(std::string_view datagram, const asio::ip::udp::endpoint &sender);
     void sendInitialState(const std::string &joiningHost);
     void reportWallTime(const std::string &host, units::Duration sinceEpoch);
 
-    asio::ip::udp::socket socket_;
-    asio::ip::udp::endpoint sender_;
-    std::array<char, 8192> buffer_{};
+    DatagramSocket socket_;
     httpio::Timers &timers_;
     Settings settings_;
     routing::PeerTable table_;
--- a/include/monsoongrade/gateway/placementservice.h
+++ b/include/monsoongrade/gateway/placementservice.h
@@ -1,15 +1,13 @@
 #ifndef MONSOONGRADE_GATEWAY_PLACEMENTSERVICE_H
 #define MONSOONGRADE_GATEWAY_PLACEMENTSERVICE_H
 
+#include <monsoongrade/gateway/datagramsocket.h>
 #include <monsoongrade/httpio/timers.h>
 #include <monsoongrade/observability/metrics.h>
 #include <monsoongrade/routing/coordinatorselector.h>
 #include <monsoongrade/routing/peertable.h>
 #include <monsoongrade/routing/requestplacer.h>
 
-#include <asio/ip/udp.hpp>
-
-#include <array>
 #include <functional>
 #include <optional>
 #include <string>
@@ -45,7 +43,7 @@
     PlacementService(asio::io_context &io, httpio::Timers &timers, Settings settings,
                      const routing::EndpointRegistry &registry, observability::Metrics &metrics);
 
-    void start() { receive(); }
+    void start();
     // Sets the hosts that may be coordinator, in order of preference: in the whole fleet, and in
     // this host's cell for divided pools. Called several times a second; also sends the successors
     // which prompt parts this host has placed since the last call.
@@ -101,8 +99,7 @@
     void scheduleWaitingCheck();
     void checkWaiting();
     void onCheckTimeout(const std::string &host, units::TimePoint sentAt);
-    void receive();
-    void onDatagram(std::string_view datagram);
+    void onDatagram(std::string_view datagram, const asio::ip::udp::endpoint &sender);
     void onMessage(const std::string &host, const internal::QueryMessage &message);
     void onMessage(const std::string &host, const internal::AnswerMessage &message);
     void onMessage(const std::string &host, const internal::EventMessage &message);
@@ -111,11 +108,8 @@
     void onMessage(const std::string &host, const internal::NotWaitingMessage &message);
     void schedulePlaceWaiting();
     void placeWaiting();
-    void send(const std::string &ip, const std::string &datagram);
 
-    asio::ip::udp::socket socket_;
-    asio::ip::udp::endpoint sender_;
-    std::array<char, 4096> buffer_{};
+    DatagramSocket socket_;
     httpio::Timers &timers_;
     Settings settings_;
     const routing::EndpointRegistry &registry_;
--- a/include/monsoongrade/gateway/streamversionservice.h
+++ b/include/monsoongrade/gateway/streamversionservice.h
@@ -1,6 +1,7 @@
 #ifndef MONSOONGRADE_GATEWAY_STREAMVERSIONSERVICE_H
 #define MONSOONGRADE_GATEWAY_STREAMVERSIONSERVICE_H
 
+#include <monsoongrade/gateway/datagramsocket.h>
 #include <monsoongrade/httpio/timers.h>
 #include <monsoongrade/observability/metrics.h>
 #include <monsoongrade/routing/peertable.h>
@@ -9,9 +10,6 @@
 #include <monsoongrade/routing/streamversionreport.h>
 #include <monsoongrade/routing/streamversions.h>
 
-#include <asio/ip/udp.hpp>
-
-#include <array>
 #include <functional>
 #include <optional>
 #include <string>
@@ -43,7 +41,7 @@
     };
 
     // otherHosts: the live ones, which change while the service runs.
-    StreamVersionService(asio::io_context &io, httpio::Timers &timers, Settings settings,
+    StreamVersionService(asio::io_context &io, httpio::Timers &timers, const Settings &settings,
                          const std::vector<routing::PeerUpdate> &otherHosts,
                          const routing::PoolVersions &poolVersions,
                          observability::Metrics &metrics);
@@ -75,18 +73,13 @@
     void ask(std::uint64_t number);
     void onTimeout(std::uint64_t number);
     void conclude(std::uint64_t number);
-    void receive();
-    void onDatagram(std::string_view datagram);
+    void onDatagram(std::string_view datagram, const asio::ip::udp::endpoint &sender);
     void onMessage(const std::string &host, const internal::StreamBegunMessage &message);
     void onMessage(const std::string &host, const internal::StreamVersionQueryMessage &message);
     void onMessage(const std::string &host, const internal::StreamVersionResponseMessage &message);
-    void send(const std::string &ip, const std::string &datagram);
 
-    asio::ip::udp::socket socket_;
-    asio::ip::udp::endpoint sender_;
-    std::array<char, 2048> buffer_{};
+    std::optional<DatagramSocket> socket_; // empty: this host tells and asks nobody
     httpio::Timers &timers_;
-    Settings settings_;
     const std::vector<routing::PeerUpdate> &otherHosts_;
     const routing::PoolVersions &poolVersions_;
     observability::Metrics &metrics_;
--- a/include/monsoongrade/gateway/usagemeter.h
+++ b/include/monsoongrade/gateway/usagemeter.h
@@ -3,15 +3,14 @@
 
 #include <monsoongrade/duties/usageledger.h>
 #include <monsoongrade/duties/usagepublisher.h>
+#include <monsoongrade/gateway/datagramsocket.h>
 #include <monsoongrade/httpio/timers.h>
 #include <monsoongrade/routing/peertable.h>
 #include <monsoongrade/units/wallclock.h>
 
-#include <asio/ip/udp.hpp>
-
-#include <array>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace monsoongrade::gateway {
@@ -47,12 +46,9 @@
     units::WallTime now() const;
     void round();
     void send(const std::string &ip, const std::vector<duties::UsageEntry> &entries);
-    void receive();
-    void decode(const std::string &datagram);
+    void onDatagram(std::string_view datagram, const asio::ip::udp::endpoint &sender);
 
-    asio::ip::udp::socket socket_;
-    asio::ip::udp::endpoint sender_;
-    std::array<char, 4096> buffer_{};
+    DatagramSocket socket_;
     httpio::Timers &timers_;
     Settings settings_;
     const units::WallClock &wallClock_;
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -5,11 +5,6 @@
 
 #include <monsoongrade/observability/log.h>
 
-#include <asio/buffer.hpp>
-
-#include <capnp/serialize-packed.h>
-#include <kj/exception.h>
-
 #include <random>
 
 namespace monsoongrade::gateway {
@@ -25,13 +20,15 @@
 constexpr std::size_t MaxCrashes = 20;
 constexpr std::size_t MaxLimits = 5;
 constexpr std::size_t MaxLeaving = 10;
+constexpr std::size_t MaxDatagramBytes = 8192;
 
 } // namespace
 
 PeerGossip::PeerGossip(asio::io_context &io, httpio::Timers &timers, Settings settings,
                        routing::CrashTracker &crashes,
                        routing::EndpointAnnouncements &announcements)
-    : socket_(io)
+    : socket_(io, settings.ownIp, settings.port, MaxDatagramBytes,
+              DatagramSocket::AddressReuse::Allowed)
     , timers_(timers)
     , settings_(std::move(settings))
     , crashes_(crashes)
@@ -43,16 +40,13 @@
         if (ip != settings_.ownIp)
             table_.addSeed(ip);
     }
-    const asio::ip::udp::endpoint own(asio::ip::make_address_v4(settings_.ownIp), settings_.port);
-    socket_.open(asio::ip::udp::v4());
-    socket_.set_option(asio::socket_base::reuse_address(true));
-    socket_.bind(own);
-    socket_.non_blocking(true);
 }
 
 void PeerGossip::start()
 {
-    receive();
+    socket_.receive([this](std::string_view datagram, const asio::ip::udp::endpoint &sender) {
+        onDatagram(datagram, sender);
+    });
     round();
 }
 
@@ -71,20 +65,6 @@
     isStoreReachable_ = isReachable;
 }
 
-void PeerGossip::receive()
-{
-    socket_.async_receive_from(asio::buffer(buffer_), sender_,
-                               [this](const asio::error_code &error, std::size_t count) {
-                                   if (error == asio::error::operation_aborted)
-                                       return;
-                                   // An error is an ICMP report that the recipient of an earlier
-                                   // datagram is down.
-                                   if (!error)
-                                       decode(std::string(buffer_.data(), count));
-                                   receive();
-                               });
-}
-
 void PeerGossip::round()
 {
     sendRound();
@@ -98,7 +78,7 @@
 {
     const routing::GossipPlanner::Round round = planner_.next(table_, timers_.now());
     for (const std::string &ip : round.probeTargets)
-        send(ip, encodeProbe());
+        socket_.send(ip, encodeProbe());
     if (round.recipients.empty())
         return;
     const std::string datagram = encode(round.updates);
@@ -106,7 +86,7 @@
                           announcements_.takeLimitUpdates(MaxLimits, timers_.now()),
                           announcements_.takeLeavingUpdates(MaxLeaving, timers_.now())};
     for (const std::string &ip : round.recipients) {
-        send(ip, datagram);
+        socket_.send(ip, datagram);
         send(ip, updates);
     }
 }
@@ -115,7 +95,7 @@
 // does not know.
 void PeerGossip::sendInitialState(const std::string &joiningHost)
 {
-    send(joiningHost, encode(planner_.updatesForJoiningHost(table_, timers_.now())));
+    socket_.send(joiningHost, encode(planner_.updatesForJoiningHost(table_, timers_.now())));
     send(joiningHost,
          Updates{crashes_.quarantineUpdates(MaxCrashes, timers_.now()),
                  {},
@@ -125,16 +105,7 @@
 void PeerGossip::send(const std::string &ip, const Updates &updates)
 {
     if (!updates.crashes.empty() || !updates.limits.empty() || !updates.leaving.empty())
-        send(ip, encode(updates));
-}
-
-void PeerGossip::send(const std::string &ip, const std::string &datagram)
-{
-    asio::error_code error;
-    const auto address = asio::ip::make_address_v4(ip, error);
-    if (!error)
-        socket_.send_to(asio::buffer(datagram), {address, settings_.port}, 0, error);
-    // A datagram that can't be sent counts as lost; the next round sends again.
+        socket_.send(ip, encode(updates));
 }
 
 routing::PeerUpdate PeerGossip::own() const
@@ -199,13 +170,11 @@
     return internal::serializePacked(message);
 }
 
-void PeerGossip::decode(const std::string &datagram)
+void PeerGossip::onDatagram(std::string_view datagram, const asio::ip::udp::endpoint &from)
 {
-    const auto fault = kj::runCatchingExceptions([&] {
-        kj::ArrayInputStream in(
-            kj::arrayPtr(reinterpret_cast<const kj::byte *>(datagram.data()), datagram.size()));
-        capnp::PackedMessageReader message(in);
-        const auto root = message.getRoot<schema::GossipMessage>();
+    const auto fault = internal::readFault([&] {
+        internal::PackedMessage message(datagram);
+        const auto root = message.root<schema::GossipMessage>();
         std::vector<routing::PeerUpdate> received;
         std::string joiningHost;
         if (auto sender = internal::decodePeer(root.getSender())) {
@@ -239,14 +208,13 @@
         if (!joiningHost.empty() && joiningHost != settings_.ownIp)
             sendInitialState(joiningHost);
         else if (root.getIsProbe())
-            send(sender_.address().to_string(), encode(std::vector<routing::PeerUpdate>{}));
+            socket_.send(from.address().to_string(), encode(std::vector<routing::PeerUpdate>{}));
     });
-    KJ_IF_MAYBE (exception, fault) {
+    if (fault)
         observability::log(observability::LogLevel::Warning, "gossip-unreadable",
-                           {{"from", sender_.address().to_string()},
+                           {{"from", from.address().to_string()},
                             {"bytes", std::uint64_t(datagram.size())},
-                            {"reason", exception->getDescription().cStr()}});
-    }
+                            {"reason", *fault}});
 }
 
 } // namespace monsoongrade::gateway
--- a/src/gateway/placementmessages.cpp
+++ b/src/gateway/placementmessages.cpp
@@ -3,9 +3,6 @@
 
 #include <placement.capnp.h>
 
-#include <capnp/serialize-packed.h>
-#include <kj/exception.h>
-
 #include <algorithm>
 
 namespace monsoongrade::gateway::internal {
@@ -190,10 +187,8 @@
 
 PlacementMessage decodePlacementMessage(std::string_view datagram)
 {
-    kj::ArrayInputStream in(
-        kj::arrayPtr(reinterpret_cast<const kj::byte *>(datagram.data()), datagram.size()));
-    capnp::PackedMessageReader reader(in);
-    const auto root = reader.getRoot<schema::PlacementMessage>();
+    PackedMessage message(datagram);
+    const auto root = message.root<schema::PlacementMessage>();
     switch (root.which()) {
     case schema::PlacementMessage::ASK:
         return read(root.getAsk());
--- a/src/gateway/placementservice.cpp
+++ b/src/gateway/placementservice.cpp
@@ -1,13 +1,10 @@
 #include <monsoongrade/gateway/placementservice.h>
 
+#include <gateway/internal/packedmessage.h>
 #include <gateway/internal/placementmessages.h>
 
 #include <monsoongrade/observability/log.h>
 
-#include <asio/buffer.hpp>
-
-#include <kj/exception.h>
-
 #include <algorithm>
 #include <map>
 #include <random>
@@ -21,6 +18,7 @@
 // An answer takes a round trip of 2 to 3 ms. Requests of the most urgent class have 250 ms, of
 // which a lost datagram may cost a tenth.
 constexpr auto AnswerTimeout = std::chrono::milliseconds(25);
+constexpr std::size_t MaxDatagramBytes = 4096;
 // Hosts that are told which prompt parts are cached where. Two hosts may be lost at the same time.
 constexpr std::size_t Successors = 2;
 // Entries have about 40 bytes, so that the datagram stays below 1,400 bytes.
@@ -47,17 +45,21 @@
 PlacementService::PlacementService(asio::io_context &io, httpio::Timers &timers, Settings settings,
                                    const routing::EndpointRegistry &registry,
                                    observability::Metrics &metrics)
-    : socket_(io)
+    : socket_(io, settings.ownIp, settings.port, MaxDatagramBytes,
+              DatagramSocket::AddressReuse::Forbidden)
     , timers_(timers)
     , settings_(std::move(settings))
     , registry_(registry)
     , metrics_(metrics)
     , lastNumber_(firstNumber())
 {
-    const asio::ip::udp::endpoint own(asio::ip::make_address_v4(settings_.ownIp), settings_.port);
-    socket_.open(asio::ip::udp::v4());
-    socket_.bind(own);
-    socket_.non_blocking(true);
+}
+
+void PlacementService::start()
+{
+    socket_.receive([this](std::string_view datagram, const asio::ip::udp::endpoint &sender) {
+        onDatagram(datagram, sender);
+    });
 }
 
 std::uint64_t PlacementService::place(const routing::PlacementQuery &query, PlacedHandler placed)
@@ -85,7 +87,7 @@
         return;
     }
     pending.timeout = timers_.after(AnswerTimeout, [this, number] { onTimeout(number); });
-    send(pending.coordinator, encode(QueryMessage{number, pending.query}));
+    socket_.send(pending.coordinator, encode(QueryMessage{number, pending.query}));
     pending_[number] = std::move(pending);
 }
 
@@ -110,7 +112,7 @@
         schedulePlaceWaiting();
         return;
     }
-    send(coordinator->second, encode(EventMessage{ticket.number, event}));
+    socket_.send(coordinator->second, encode(EventMessage{ticket.number, event}));
     const bool staysOpen = event == routing::PlacementEvent::FirstEvent
         || event == routing::PlacementEvent::EndpointSilent;
     if (!staysOpen)
@@ -175,7 +177,7 @@
         const std::string datagram
             = encode(CachedPartsMessage{{first, first + std::ptrdiff_t(count)}});
         for (const std::string &host : hosts)
-            send(host, datagram);
+            socket_.send(host, datagram);
     }
 }
 
@@ -190,14 +192,15 @@
         again.wasRepeated = true;
         again.sentAt = timers_.now();
         again.timeout = timers_.after(AnswerTimeout, [this, number] { onTimeout(number); });
-        send(again.coordinator, encode(QueryMessage{number, again.query}));
+        socket_.send(again.coordinator, encode(QueryMessage{number, again.query}));
         return;
     }
     const PendingQuery pending = std::move(found->second);
     pending_.erase(found);
     metrics_.add("monsoongrade_gateway_placements_unanswered_total");
     // A late choice of the coordinator must not count as load there.
-    send(pending.coordinator, encode(EventMessage{number, routing::PlacementEvent::Withdrawn}));
+    socket_.send(pending.coordinator,
+                 encode(EventMessage{number, routing::PlacementEvent::Withdrawn}));
     // Since this host does not know the other hosts' requests, queueing would only add delay.
     routing::PlacementQuery query = pending.query;
     query.mayWait = false;
@@ -235,9 +238,9 @@
     for (const auto &[host, ofHost] : numbers) {
         for (std::size_t begin = 0; begin < ofHost.size(); begin += MaxNumbersInDatagram) {
             const std::size_t end = std::min(begin + MaxNumbersInDatagram, ofHost.size());
-            send(host,
-                 encode(StillWaitingMessage{{ofHost.begin() + std::ptrdiff_t(begin),
-                                             ofHost.begin() + std::ptrdiff_t(end)}}));
+            socket_.send(host,
+                         encode(StillWaitingMessage{{ofHost.begin() + std::ptrdiff_t(begin),
+                                                     ofHost.begin() + std::ptrdiff_t(end)}}));
         }
         httpio::Timers::Handle &timeout = openChecks_[host];
         timers_.cancel(timeout);
@@ -264,30 +267,15 @@
     onMessage(host, NotWaitingMessage{std::move(numbers)});
 }
 
-void PlacementService::receive()
+void PlacementService::onDatagram(std::string_view datagram, const asio::ip::udp::endpoint &sender)
 {
-    socket_.async_receive_from(asio::buffer(buffer_), sender_,
-                               [this](const asio::error_code &error, std::size_t count) {
-                                   if (error == asio::error::operation_aborted)
-                                       return;
-                                   // An error is an ICMP report about an earlier datagram.
-                                   if (!error)
-                                       onDatagram({buffer_.data(), count});
-                                   receive();
-                               });
-}
-
-void PlacementService::onDatagram(std::string_view datagram)
-{
-    const std::string host = sender_.address().to_string();
-    const auto fault = kj::runCatchingExceptions([&] {
-        std::visit([&](const auto &message) { onMessage(host, message); },
+    const auto fault = readFault([&] {
+        std::visit([&](const auto &message) { onMessage(sender.address().to_string(), message); },
                    decodePlacementMessage(datagram));
     });
-    KJ_IF_MAYBE (exception, fault) {
+    if (fault)
         observability::log(observability::LogLevel::Warning, "placement-unreadable",
-                           {{"from", host}, {"reason", exception->getDescription().cStr()}});
-    }
+                           {{"from", sender.address().to_string()}, {"reason", *fault}});
 }
 
 void PlacementService::onMessage(const std::string &host, const QueryMessage &message)
@@ -295,7 +283,7 @@
     metrics_.add("monsoongrade_gateway_placement_asks_total");
     const auto choice = placer_.place({host, message.number}, message.query,
                                       registry_.available(message.query.pool), timers_.now());
-    send(host, encode(answerFor(message.number, choice)));
+    socket_.send(host, encode(answerFor(message.number, choice)));
 }
 
 void PlacementService::onMessage(const std::string &host, const EventMessage &message)
@@ -318,11 +306,11 @@
         if (placer_.isWaiting(ticket))
             continue;
         if (const auto choice = placer_.choiceOf(ticket))
-            send(host, encode(answerFor(number, *choice)));
+            socket_.send(host, encode(answerFor(number, *choice)));
         else
             reply.numbers.push_back(number);
     }
-    send(host, encode(reply));
+    socket_.send(host, encode(reply));
 }
 
 void PlacementService::onMessage(const std::string &host, const NotWaitingMessage &message)
@@ -356,7 +344,7 @@
 {
     for (const auto &[ticket, choice] : placer_.placeWaiting(registry_, timers_.now())) {
         if (ticket.host != settings_.ownIp) {
-            send(ticket.host, encode(answerFor(ticket.number, choice)));
+            socket_.send(ticket.host, encode(answerFor(ticket.number, choice)));
             continue;
         }
         const auto own = localWaiting_.find(ticket.number);
@@ -410,19 +398,10 @@
     }
     // The coordinator knows no endpoint, does not know yet that this one left or fails, or runs a
     // build that ignores software versions.
-    send(host, encode(EventMessage{message.number, routing::PlacementEvent::Withdrawn}));
+    socket_.send(host, encode(EventMessage{message.number, routing::PlacementEvent::Withdrawn}));
     routing::PlacementQuery query = pending.query;
     query.isLocalFallback = true;
     placeLocally(message.number, query, pending.placed);
 }
 
-void PlacementService::send(const std::string &ip, const std::string &datagram)
-{
-    asio::error_code error;
-    const auto address = asio::ip::make_address_v4(ip, error);
-    if (!error)
-        socket_.send_to(asio::buffer(datagram), {address, settings_.port}, 0, error);
-    // A datagram that can't be sent counts as lost; timeouts handle it.
-}
-
 } // namespace monsoongrade::gateway
--- a/src/gateway/streamversionmessages.cpp
+++ b/src/gateway/streamversionmessages.cpp
@@ -3,9 +3,6 @@
 
 #include <streamversions.capnp.h>
 
-#include <capnp/serialize-packed.h>
-#include <kj/exception.h>
-
 namespace monsoongrade::gateway::internal {
 
 namespace {
@@ -74,10 +71,8 @@
 
 StreamVersionMessage decodeStreamVersionMessage(std::string_view datagram)
 {
-    kj::ArrayInputStream in(
-        kj::arrayPtr(reinterpret_cast<const kj::byte *>(datagram.data()), datagram.size()));
-    capnp::PackedMessageReader reader(in);
-    const auto root = reader.getRoot<schema::StreamVersionMessage>();
+    PackedMessage message(datagram);
+    const auto root = message.root<schema::StreamVersionMessage>();
     switch (root.which()) {
     case schema::StreamVersionMessage::BEGUN:
         return StreamBegunMessage{streamOf(root.getBegun()),
--- a/src/gateway/streamversionservice.cpp
+++ b/src/gateway/streamversionservice.cpp
@@ -1,14 +1,11 @@
 #include <monsoongrade/gateway/streamversionservice.h>
 
+#include <gateway/internal/packedmessage.h>
 #include <gateway/internal/streamversionmessages.h>
 
 #include <monsoongrade/observability/log.h>
 #include <monsoongrade/routing/streamhomes.h>
 
-#include <asio/buffer.hpp>
-
-#include <kj/exception.h>
-
 #include <algorithm>
 #include <random>
 
@@ -21,6 +18,7 @@
 // A response takes a round trip of 2 to 3 ms. A resumed stream has waited for at least as long
 // already, so a lost datagram may cost it a little more.
 constexpr auto ResponseTimeout = std::chrono::milliseconds(25);
+constexpr std::size_t MaxDatagramBytes = 2048;
 
 // A restarted host must not take responses to queries of its last run for its own.
 std::uint64_t firstNumber()
@@ -32,30 +30,28 @@
 } // namespace
 
 StreamVersionService::StreamVersionService(asio::io_context &io, httpio::Timers &timers,
-                                           Settings settings,
+                                           const Settings &settings,
                                            const std::vector<routing::PeerUpdate> &otherHosts,
                                            const routing::PoolVersions &poolVersions,
                                            observability::Metrics &metrics)
-    : socket_(io)
-    , timers_(timers)
-    , settings_(std::move(settings))
+    : timers_(timers)
     , otherHosts_(otherHosts)
     , poolVersions_(poolVersions)
     , metrics_(metrics)
     , lastNumber_(firstNumber())
 {
-    if (settings_.port == 0)
-        return;
-    const asio::ip::udp::endpoint own(asio::ip::make_address_v4(settings_.ownIp), settings_.port);
-    socket_.open(asio::ip::udp::v4());
-    socket_.bind(own);
-    socket_.non_blocking(true);
+    if (settings.port != 0)
+        socket_.emplace(io, settings.ownIp, settings.port, MaxDatagramBytes,
+                        DatagramSocket::AddressReuse::Forbidden);
 }
 
 void StreamVersionService::start()
 {
-    if (settings_.port != 0)
-        receive();
+    if (!socket_)
+        return;
+    socket_->receive([this](std::string_view datagram, const asio::ip::udp::endpoint &sender) {
+        onDatagram(datagram, sender);
+    });
 }
 
 void StreamVersionService::onBegan(const routing::StreamIdentity &stream,
@@ -65,11 +61,11 @@
         || stream.request.value().size() > routing::StreamVersions::MaxIdLength)
         return; // its client can't name it
     versions_.add(stream, version, timers_.now());
-    if (settings_.port == 0)
+    if (!socket_)
         return;
     const std::string datagram = encode(StreamBegunMessage{stream, version});
     for (const std::string &host : routing::streamHomes(stream, otherHosts_, routing::StreamHomes))
-        send(host, datagram);
+        socket_->send(host, datagram);
 }
 
 void StreamVersionService::find(const routing::StreamIdentity &stream, const units::PoolName &pool,
@@ -79,7 +75,7 @@
     const routing::StreamVersionReport own = ownReport(stream, pool);
     const bool isTooLong = stream.request.value().size() > routing::StreamVersions::MaxIdLength;
     std::vector<std::string> hosts;
-    if (settings_.port != 0 && !own.version && !isTooLong)
+    if (socket_ && !own.version && !isTooLong)
         hosts = routing::streamHomes(stream, otherHosts_, routing::AskedStreamHomes);
     const std::uint64_t number = ++lastNumber_;
     pending_[number] = {stream, pool, std::move(found), std::move(hosts), {own}, false, {}};
@@ -95,7 +91,7 @@
     const std::string datagram
         = encode(StreamVersionQueryMessage{number, query.stream, query.pool});
     for (const std::string &host : query.unanswered)
-        send(host, datagram);
+        socket_->send(host, datagram);
     query.timeout = timers_.after(ResponseTimeout, [this, number] { onTimeout(number); });
 }
 
@@ -131,30 +127,16 @@
     return {versions_.find(stream, now), poolVersions_.history(pool, now)};
 }
 
-void StreamVersionService::receive()
-{
-    socket_.async_receive_from(asio::buffer(buffer_), sender_,
-                               [this](const asio::error_code &error, std::size_t count) {
-                                   if (error == asio::error::operation_aborted)
-                                       return;
-                                   // An error is an ICMP report about an earlier datagram.
-                                   if (!error)
-                                       onDatagram({buffer_.data(), count});
-                                   receive();
-                               });
-}
-
-void StreamVersionService::onDatagram(std::string_view datagram)
+void StreamVersionService::onDatagram(std::string_view datagram,
+                                      const asio::ip::udp::endpoint &sender)
 {
-    const std::string host = sender_.address().to_string();
-    const auto fault = kj::runCatchingExceptions([&] {
-        std::visit([&](const auto &message) { onMessage(host, message); },
+    const auto fault = readFault([&] {
+        std::visit([&](const auto &message) { onMessage(sender.address().to_string(), message); },
                    decodeStreamVersionMessage(datagram));
     });
-    KJ_IF_MAYBE (exception, fault) {
+    if (fault)
         observability::log(observability::LogLevel::Warning, "stream-version-unreadable",
-                           {{"from", host}, {"reason", exception->getDescription().cStr()}});
-    }
+                           {{"from", sender.address().to_string()}, {"reason", *fault}});
 }
 
 void StreamVersionService::onMessage(const std::string &, const StreamBegunMessage &message)
@@ -165,9 +147,9 @@
 void StreamVersionService::onMessage(const std::string &host,
                                      const StreamVersionQueryMessage &message)
 {
-    send(host,
-         encode(StreamVersionResponseMessage{message.number,
-                                             ownReport(message.stream, message.pool)}));
+    socket_->send(host,
+                  encode(StreamVersionResponseMessage{message.number,
+                                                      ownReport(message.stream, message.pool)}));
 }
 
 void StreamVersionService::onMessage(const std::string &host,
@@ -186,13 +168,4 @@
         conclude(message.number);
 }
 
-void StreamVersionService::send(const std::string &ip, const std::string &datagram)
-{
-    asio::error_code error;
-    const auto address = asio::ip::make_address_v4(ip, error);
-    if (!error)
-        socket_.send_to(asio::buffer(datagram), {address, settings_.port}, 0, error);
-    // A datagram that can't be sent counts as lost; timeouts handle it.
-}
-
 } // namespace monsoongrade::gateway
--- a/src/gateway/usagemeter.cpp
+++ b/src/gateway/usagemeter.cpp
@@ -7,10 +7,6 @@
 
 #include <usage.capnp.h>
 
-#include <asio/buffer.hpp>
-
-#include <kj/exception.h>
-
 #include <algorithm>
 #include <random>
 
@@ -20,6 +16,7 @@
 
 // Keeps a datagram within one packet.
 constexpr std::size_t MaxEntries = 50;
+constexpr std::size_t MaxDatagramBytes = 4096;
 
 // Returns a new id for each run of the process, whose counts start at zero.
 std::string newSourceId(const std::string &ip)
@@ -56,7 +53,8 @@
 UsageMeter::UsageMeter(asio::io_context &io, httpio::Timers &timers, Settings settings,
                        const units::WallClock &wallClock,
                        std::function<std::vector<routing::PeerUpdate>()> hosts)
-    : socket_(io)
+    : socket_(io, settings.ownIp, settings.port, MaxDatagramBytes,
+              DatagramSocket::AddressReuse::Allowed)
     , timers_(timers)
     , settings_(std::move(settings))
     , wallClock_(wallClock)
@@ -64,15 +62,13 @@
     , ledger_(newSourceId(settings_.ownIp))
     , publisher_(settings_.ownIp)
 {
-    socket_.open(asio::ip::udp::v4());
-    socket_.set_option(asio::socket_base::reuse_address(true));
-    socket_.bind({asio::ip::make_address_v4(settings_.ownIp), settings_.port});
-    socket_.non_blocking(true);
 }
 
 void UsageMeter::start()
 {
-    receive();
+    socket_.receive([this](std::string_view datagram, const asio::ip::udp::endpoint &sender) {
+        onDatagram(datagram, sender);
+    });
     round();
 }
 
@@ -106,39 +102,18 @@
 
 void UsageMeter::send(const std::string &ip, const std::vector<duties::UsageEntry> &entries)
 {
-    asio::error_code error;
-    const auto address = asio::ip::make_address_v4(ip, error);
-    if (error)
-        return; // not expected: hosts gossip the addresses that they have bound
     for (std::size_t begin = 0; begin < entries.size(); begin += MaxEntries) {
         const std::size_t end = std::min(begin + MaxEntries, entries.size());
-        const std::string datagram
-            = encode(ledger_.sourceId(), entries.data() + begin, entries.data() + end);
-        socket_.send_to(asio::buffer(datagram), {address, settings_.port}, 0, error);
-        // A datagram that can't be sent counts as lost; all counts are sent again later.
+        // All counts are sent again later, in case a datagram is lost.
+        socket_.send(ip, encode(ledger_.sourceId(), entries.data() + begin, entries.data() + end));
     }
 }
 
-void UsageMeter::receive()
+void UsageMeter::onDatagram(std::string_view datagram, const asio::ip::udp::endpoint &sender)
 {
-    socket_.async_receive_from(asio::buffer(buffer_), sender_,
-                               [this](const asio::error_code &error, std::size_t count) {
-                                   if (error == asio::error::operation_aborted)
-                                       return;
-                                   // An error is an ICMP report about an earlier datagram.
-                                   if (!error)
-                                       decode(std::string(buffer_.data(), count));
-                                   receive();
-                               });
-}
-
-void UsageMeter::decode(const std::string &datagram)
-{
-    const auto fault = kj::runCatchingExceptions([&] {
-        kj::ArrayInputStream in(
-            kj::arrayPtr(reinterpret_cast<const kj::byte *>(datagram.data()), datagram.size()));
-        capnp::PackedMessageReader message(in);
-        const auto root = message.getRoot<schema::UsageNews>();
+    const auto fault = internal::readFault([&] {
+        internal::PackedMessage message(datagram);
+        const auto root = message.root<schema::UsageNews>();
         const std::string reporter = root.getReporter();
         for (const auto window : root.getWindows()) {
             for (const auto count : window.getCounts())
@@ -147,11 +122,9 @@
                                units::WorkspaceName(count.getWorkspace()), count.getTotal()});
         }
     });
-    KJ_IF_MAYBE (exception, fault) {
+    if (fault)
         observability::log(observability::LogLevel::Warning, "usage-news-unreadable",
-                           {{"from", sender_.address().to_string()},
-                            {"reason", exception->getDescription().cStr()}});
-    }
+                           {{"from", sender.address().to_string()}, {"reason", *fault}});
 }
 
 } // namespace monsoongrade::gateway
