Routing: one rotation serves recent completions and versions of streams

StreamVersions had copied the two generations of RecentCompletions. Both use Generations now, with their intervals and bounds as they were. Whether an id can be recorded is checked by one function in place of the same two conditions in the service and the table.

--- a/include/monsoongrade/routing/recentcompletions.h
+++ b/include/monsoongrade/routing/recentcompletions.h
@@ -1,6 +1,7 @@
 #ifndef MONSOONGRADE_ROUTING_RECENTCOMPLETIONS_H
 #define MONSOONGRADE_ROUTING_RECENTCOMPLETIONS_H
 
+#include <monsoongrade/routing/generations.h>
 #include <monsoongrade/routing/requestidentity.h>
 #include <monsoongrade/units/clock.h>
 
@@ -13,15 +14,13 @@
 class RecentCompletions
 {
 public:
+    RecentCompletions();
+
     void add(const RequestIdentity &request, units::TimePoint now);
     bool contains(const RequestIdentity &request, units::TimePoint now);
 
 private:
-    void rotate(units::TimePoint now);
-
-    std::set<RequestIdentity> current_;
-    std::set<RequestIdentity> previous_;
-    units::TimePoint rotatedAt_{};
+    Generations<std::set<RequestIdentity>> completed_;
 };
 
 } // namespace monsoongrade::routing
--- a/src/gateway/streamversionservice.cpp
+++ b/src/gateway/streamversionservice.cpp
@@ -57,9 +57,8 @@
 void StreamVersionService::onBegan(const routing::StreamIdentity &stream,
                                    const units::SoftwareVersion &version)
 {
-    if (stream.request.isEmpty()
-        || stream.request.value().size() > routing::StreamVersions::MaxIdLength)
-        return; // its client can't name it
+    if (!routing::StreamVersions::isRecordable(stream))
+        return;
     versions_.add(stream, version, timers_.now());
     if (!socket_)
         return;
--- a/src/routing/recentcompletions.cpp
+++ b/src/routing/recentcompletions.cpp
@@ -1,7 +1,5 @@
 #include <monsoongrade/routing/recentcompletions.h>
 
-#include <utility>
-
 namespace monsoongrade::routing {
 
 namespace {
@@ -11,27 +9,21 @@
 
 } // namespace
 
-void RecentCompletions::add(const RequestIdentity &request, units::TimePoint now)
+RecentCompletions::RecentCompletions()
+    : completed_(RotationInterval, MaxRequests)
 {
-    rotate(now);
-    current_.insert(request);
 }
 
-bool RecentCompletions::contains(const RequestIdentity &request, units::TimePoint now)
+void RecentCompletions::add(const RequestIdentity &request, units::TimePoint now)
 {
-    rotate(now);
-    return current_.count(request) != 0 || previous_.count(request) != 0;
+    completed_.rotate(now);
+    completed_.current().insert(request);
 }
 
-void RecentCompletions::rotate(units::TimePoint now)
+bool RecentCompletions::contains(const RequestIdentity &request, units::TimePoint now)
 {
-    const units::Duration age = now - rotatedAt_;
-    if (age < RotationInterval && current_.size() < MaxRequests)
-        return;
-    previous_ = std::exchange(current_, {});
-    if (age >= 2 * RotationInterval)
-        previous_.clear();
-    rotatedAt_ = now;
+    completed_.rotate(now);
+    return completed_.current().count(request) != 0 || completed_.previous().count(request) != 0;
 }
 
 } // namespace monsoongrade::routing
--- a/src/routing/streamversions.cpp
+++ b/src/routing/streamversions.cpp
@@ -1,7 +1,5 @@
 #include <monsoongrade/routing/streamversions.h>
 
-#include <utility>
-
 namespace monsoongrade::routing {
 
 namespace {
@@ -13,16 +11,27 @@
 
 } // namespace
 
+StreamVersions::StreamVersions()
+    : streams_(RotationInterval, MaxStreams)
+{
+}
+
+bool StreamVersions::isRecordable(const StreamIdentity &stream)
+{
+    return !stream.request.isEmpty() && stream.request.value().size() <= MaxIdLength;
+}
+
 void StreamVersions::add(const StreamIdentity &stream, const units::SoftwareVersion &version,
                          units::TimePoint now)
 {
-    if (stream.request.isEmpty() || stream.request.value().size() > MaxIdLength)
+    if (!isRecordable(stream))
         return;
-    rotate(now);
-    const auto earlier = previous_.find(stream);
-    const auto [entry, isNew] = current_.emplace(stream, version);
+    streams_.rotate(now);
+    const auto earlier = streams_.previous().find(stream);
+    const auto [entry, isNew] = streams_.current().emplace(stream, version);
     const bool contradictsCurrent = !isNew && entry->second != version;
-    const bool contradictsPrevious = earlier != previous_.end() && earlier->second != version;
+    const bool contradictsPrevious
+        = earlier != streams_.previous().end() && earlier->second != version;
     if (contradictsCurrent || contradictsPrevious)
         entry->second.reset();
 }
@@ -30,9 +39,9 @@
 std::optional<units::SoftwareVersion> StreamVersions::find(const StreamIdentity &stream,
                                                            units::TimePoint now) const
 {
-    if (now - rotatedAt_ >= 2 * RotationInterval)
+    if (streams_.isOutdated(now))
         return std::nullopt;
-    for (const Versions *versions : {&current_, &previous_}) {
+    for (const Versions *versions : {&streams_.current(), &streams_.previous()}) {
         const auto found = versions->find(stream);
         if (found != versions->end())
             return found->second;
@@ -40,15 +49,4 @@
     return std::nullopt;
 }
 
-void StreamVersions::rotate(units::TimePoint now)
-{
-    const units::Duration age = now - rotatedAt_;
-    if (age < RotationInterval && current_.size() < MaxStreams)
-        return;
-    previous_ = std::exchange(current_, {});
-    if (age >= 2 * RotationInterval)
-        previous_.clear();
-    rotatedAt_ = now;
-}
-
 } // namespace monsoongrade::routing
