--- a/src/gateway/exchangecrashes.cpp
+++ b/src/gateway/exchangecrashes.cpp
@@ -119,10 +119,10 @@
 std::string Exchange::quarantinedPart()
 {
     const units::TimePoint now = state_.timers.now();
-    for (std::size_t i = 0; i + 1 < metadata_.promptParts.size(); ++i) {
-        const std::string &id = metadata_.promptParts[i].id;
-        if (state_.crashes.quarantineRemaining(routing::identityOfPart(metadata_.model, id), now))
-            return id;
+    const std::vector<routing::RequestIdentity> &shared = sharedParts();
+    for (std::size_t i = 0; i < shared.size(); ++i) {
+        if (state_.crashes.quarantineRemaining(shared[i], now))
+            return metadata_.promptParts[metadata_.promptParts.size() - 1 - shared.size() + i].id;
     }
     return "none";
 }
