Gateway: a changed endpoint records its own software version only

Each change of one endpoint walked all listed ones to record the versions of their pools, and the gossip round does that four times a second anyway. In a release of a large pool that was the square of its size.

--- a/include/monsoongrade/gateway/gateway.h
+++ b/include/monsoongrade/gateway/gateway.h
@@ -78,7 +78,7 @@
     void applyDivision(const routing::FleetDivision &division);
     void computeDivision();
     void updateCoordinatorRankings(const std::vector<routing::PeerUpdate> &live);
-    void recordPoolVersions();
+    void recordPoolVersions(const routing::EndpointRegistry::SoftwareVersions &listed);
     void applyKnownLimit(const routing::DiscoveredEndpoint &listed);
     void onRateLimitUpdate(const routing::RateLimitUpdate &update);
     void onLeavingUpdate(const routing::LeavingUpdate &update);
--- a/include/monsoongrade/routing/endpointregistry.h
+++ b/include/monsoongrade/routing/endpointregistry.h
@@ -21,6 +21,7 @@
 {
 public:
     using Status = std::shared_ptr<EndpointStatus>;
+    using SoftwareVersions = std::map<units::PoolName, std::set<units::SoftwareVersion>>;
     // Called when an endpoint stops accepting new requests, so that idle connections can be closed.
     using OnLeaving = std::function<void(const EndpointStatus &)>;
 
@@ -64,7 +65,7 @@
     Status find(const EndpointInstance &endpoint) const;
     std::size_t size() const { return entries_.size(); }
     // The software versions of the listed endpoints, by pool.
-    std::map<units::PoolName, std::set<units::SoftwareVersion>> softwareVersions() const;
+    SoftwareVersions softwareVersions() const;
     // Number of listed endpoints of each pool that has any.
     const std::map<std::string, std::size_t> &sizes() const { return sizes_; }
     // Counts the endpoints examined by changes of single entries.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -167,7 +167,7 @@
     state_.registry.replaceAll(endpoints, timers_.now(), keepMissingUntil);
     for (const routing::DiscoveredEndpoint &endpoint : endpoints)
         applyKnownLimit(endpoint);
-    recordPoolVersions();
+    recordPoolVersions(state_.registry.softwareVersions());
     computeDivision();
     state_.startupGate.onEndpoints();
     observability::log(observability::LogLevel::Info, "endpoints-listed",
@@ -179,7 +179,7 @@
 {
     state_.registry.update(endpoint);
     applyKnownLimit(endpoint);
-    recordPoolVersions();
+    recordPoolVersions({{endpoint.pool, {endpoint.softwareVersion}}});
     computeDivision();
     if (endpoint.draining)
         state_.log.write(observability::LogLevel::Info, "endpoint-draining",
@@ -237,7 +237,7 @@
     sampleOwnWallTime();
     state_.registry.removeExpired(timers_.now());
     state_.registry.restoreUnannounced();
-    recordPoolVersions();
+    recordPoolVersions(state_.registry.softwareVersions());
     const std::vector<routing::PeerUpdate> live = hosts();
     state_.otherHosts.assign(live.begin(), std::prev(live.end())); // this host comes last
     state_.liveHosts = int(live.size());
@@ -287,12 +287,12 @@
 
 // A list that may lack changes does not show which versions serve. It comes from the same source as
 // the configuration, whose age is known.
-void Gateway::recordPoolVersions()
+void Gateway::recordPoolVersions(const routing::EndpointRegistry::SoftwareVersions &listed)
 {
     const units::TimePoint now = timers_.now();
     if (state_.lease.age(now) > MaxListAge)
         return;
-    for (const auto &[pool, versions] : state_.registry.softwareVersions())
+    for (const auto &[pool, versions] : listed)
         state_.poolVersions.onListed(pool, versions, now);
 }
 
--- a/src/routing/endpointregistry.cpp
+++ b/src/routing/endpointregistry.cpp
@@ -150,10 +150,9 @@
     return found;
 }
 
-std::map<units::PoolName, std::set<units::SoftwareVersion>>
-EndpointRegistry::softwareVersions() const
+EndpointRegistry::SoftwareVersions EndpointRegistry::softwareVersions() const
 {
-    std::map<units::PoolName, std::set<units::SoftwareVersion>> versions;
+    SoftwareVersions versions;
     for (const auto &[id, entry] : entries_) {
         const DiscoveredEndpoint &endpoint = entry.status->registration;
         versions[endpoint.pool].insert(endpoint.softwareVersion);
