--- a/tests/routing/crashingpartsimulation_test.cpp
+++ b/tests/routing/crashingpartsimulation_test.cpp
@@ -1,10 +1,9 @@
-#include <monsoongrade/routing/crashtracker.h>
+#include "crashingfleet.h"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
 #include <optional>
-#include <random>
 #include <string>
 #include <vector>
 
@@ -18,11 +17,6 @@
 
 namespace {
 
-constexpr std::size_t Hosts = 8;
-constexpr std::size_t Endpoints = 12;
-constexpr auto Step = milliseconds(10);
-constexpr auto GossipInterval = milliseconds(250);
-constexpr std::size_t DatagramItems = 20;
 constexpr auto StreamTime = milliseconds(1500);
 constexpr auto TimeToFirstEvent = milliseconds(100);
 constexpr auto TimeToRestart = seconds(3);
@@ -51,15 +45,12 @@
     int fatalLater = 0; // sent later than the contact time after the fifth crash
 };
 
-class PartSimulation
+class PartSimulation : public CrashingFleet
 {
 public:
     PartSimulation(unsigned seed, Suspects suspects)
-        : random_(seed)
+        : CrashingFleet(seed, TimeToRestart)
         , suspects_(suspects)
-        , trackers_(Hosts)
-        , availableFrom_(Endpoints)
-        , incarnations_(Endpoints, 1)
     {
     }
 
@@ -82,7 +73,6 @@
         ++counts_.crashes;
         if (counts_.crashes == int(CrashesBeforeBudget))
             fifthCrashAt_ = now_;
-        availableFrom_[endpoint] = now_ + TimeToRestart;
         const auto isThere = [endpoint](const Run &run) {
             return run.endpoint == endpoint;
         };
@@ -91,7 +81,7 @@
                 report(run);
         }
         runs_.erase(std::remove_if(runs_.begin(), runs_.end(), isThere), runs_.end());
-        ++incarnations_[endpoint];
+        restart(endpoint);
     }
 
 private:
@@ -105,10 +95,6 @@
         units::TimePoint sentAt;
     };
 
-    bool isEvery(milliseconds interval) const
-    {
-        return now_.time_since_epoch() % interval == units::Duration::zero();
-    }
     static RequestIdentity part(const std::string &id) { return identityOfPart(Model, id); }
     Run newRun(unsigned requestClass)
     {
@@ -149,13 +135,9 @@
         } else if (!isRefusedHere) {
             counts_.fatalLater += fifthCrashAt_ && now_ > *fifthCrashAt_ + ContactTime ? 1 : 0;
         }
-        const bool isAnyUp = std::any_of(availableFrom_.begin(), availableFrom_.end(),
-                                         [&](units::TimePoint at) { return at <= now_; });
-        if (isRefusedHere || !isAnyUp)
+        if (isRefusedHere || !isAnyAvailable())
             return;
-        do
-            run.endpoint = random_() % Endpoints;
-        while (availableFrom_[run.endpoint] > now_);
+        run.endpoint = randomAvailableEndpoint();
         run.sentAt = now_;
         runs_.push_back(std::move(run));
     }
@@ -177,14 +159,13 @@
         }
         runs_ = std::move(running);
         for (const std::size_t endpoint : crashed) {
-            if (availableFrom_[endpoint] <= now_)
+            if (isAvailable(endpoint))
                 crash(endpoint);
         }
     }
     void report(const Run &run)
     {
-        const EndpointInstance instance{units::EndpointId(std::to_string(run.endpoint)),
-                                        Incarnation(incarnations_[run.endpoint])};
+        const EndpointInstance instance = instanceOf(run.endpoint);
         CrashTracker &tracker = trackers_[run.host];
         tracker.onCrash(run.request, instance, now_);
         if (suspects_ == Suspects::JustBegun
@@ -193,24 +174,16 @@
         for (std::size_t i = 0; i < run.parts.size(); ++i)
             tracker.onCrash(run.parts[i], instance, now_, int(i) + 1);
     }
-    void gossip()
+    bool isAnyAvailable() const
     {
-        for (CrashTracker &from : trackers_) {
-            for (const CrashUpdate &update : from.takeUpdates(DatagramItems, now_)) {
-                for (CrashTracker &to : trackers_) {
-                    if (&to != &from)
-                        to.receive(update, now_);
-                }
-            }
+        for (std::size_t endpoint = 0; endpoint < Endpoints; ++endpoint) {
+            if (isAvailable(endpoint))
+                return true;
         }
+        return false;
     }
 
-    std::mt19937 random_;
     Suspects suspects_;
-    units::TimePoint now_{std::chrono::hours(1)};
-    std::vector<CrashTracker> trackers_;
-    std::vector<units::TimePoint> availableFrom_;
-    std::vector<std::int64_t> incarnations_;
     std::vector<Run> runs_;
     std::optional<units::TimePoint> fifthCrashAt_;
     std::uint64_t lastDigest_ = 0;
@@ -281,8 +254,8 @@
         PartSimulation simulation(seed, Suspects::JustBegun);
         for (std::size_t loss = 0; loss < 3; ++loss) {
             simulation.runFor(seconds(2), std::nullopt);
-            for (std::size_t endpoint = 0; endpoint < Endpoints / 3; ++endpoint)
-                simulation.crash((endpoint + loss) % Endpoints);
+            for (std::size_t endpoint = 0; endpoint < PartSimulation::Endpoints / 3; ++endpoint)
+                simulation.crash((endpoint + loss) % PartSimulation::Endpoints);
         }
         simulation.runFor(seconds(10), std::nullopt);
         all.served += simulation.counts().served;
--- a/tests/routing/crashsimulation_test.cpp
+++ b/tests/routing/crashsimulation_test.cpp
@@ -1,9 +1,8 @@
-#include <monsoongrade/routing/crashtracker.h>
+#include "crashingfleet.h"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <random>
 #include <vector>
 
 using namespace monsoongrade;
@@ -16,10 +15,6 @@
 
 namespace {
 
-constexpr std::size_t Hosts = 8;
-constexpr std::size_t Endpoints = 12;
-constexpr auto Step = milliseconds(10);
-constexpr auto GossipInterval = milliseconds(250);
 constexpr int ArrivalsPerStep = 1;
 constexpr auto RunTime = milliseconds(1000);
 constexpr auto TimeToFirstEvent = milliseconds(100);
@@ -28,7 +23,6 @@
 constexpr auto TimeToRestart = seconds(4);
 constexpr auto FatalInterval = milliseconds(400);
 constexpr int MaxSends = 4; // two client attempts with one retry each
-constexpr std::size_t DatagramItems = 20;
 
 struct Run
 {
@@ -48,14 +42,11 @@
     int crashes = 0;
 };
 
-class CrashSimulation
+class CrashSimulation : public CrashingFleet
 {
 public:
     explicit CrashSimulation(unsigned seed)
-        : random_(seed)
-        , trackers_(Hosts)
-        , availableFrom_(Endpoints)
-        , incarnations_(Endpoints, 1)
+        : CrashingFleet(seed, TimeToRestart)
     {
     }
 
@@ -78,9 +69,8 @@
     void crash(std::size_t endpoint)
     {
         ++counts_.crashes;
-        availableFrom_[endpoint] = now_ + TimeToRestart;
         const std::vector<Run> interrupted = interruptRuns(endpoint);
-        ++incarnations_[endpoint];
+        restart(endpoint);
         resend(interrupted);
     }
     // All connections break; the endpoints keep running.
@@ -96,15 +86,6 @@
 
 private:
     static bool isFatal(const RequestIdentity &request) { return request.digest.value() == 1; }
-    bool isEvery(milliseconds interval) const
-    {
-        return now_.time_since_epoch() % interval == units::Duration::zero();
-    }
-    EndpointInstance instanceOf(std::size_t endpoint) const
-    {
-        return {units::EndpointId(std::to_string(endpoint)), Incarnation(incarnations_[endpoint])};
-    }
-
     void send(Run run)
     {
         run.host = random_() % Hosts;
@@ -112,9 +93,7 @@
             counts_.refused += isFatal(run.request) ? 0 : 1;
             return;
         }
-        do
-            run.endpoint = random_() % Endpoints;
-        while (availableFrom_[run.endpoint] > now_);
+        run.endpoint = randomAvailableEndpoint();
         ++run.sends;
         run.sentAt = now_;
         run.endsAt = now_ + (isFatal(run.request) ? TimeToCrash : RunTime);
@@ -171,23 +150,6 @@
                 send(run);
         }
     }
-    void gossip()
-    {
-        for (CrashTracker &from : trackers_) {
-            for (const CrashUpdate &update : from.takeUpdates(DatagramItems, now_)) {
-                for (CrashTracker &to : trackers_) {
-                    if (&to != &from)
-                        to.receive(update, now_);
-                }
-            }
-        }
-    }
-
-    std::mt19937 random_;
-    units::TimePoint now_{std::chrono::hours(1)};
-    std::vector<CrashTracker> trackers_;
-    std::vector<units::TimePoint> availableFrom_;
-    std::vector<std::int64_t> incarnations_;
     std::vector<Run> runs_;
     std::uint64_t lastDigest_ = 1;
     Counts counts_;
@@ -224,8 +186,8 @@
         CrashSimulation simulation(seed);
         for (int loss = 0; loss < 3; ++loss) {
             simulation.runFor(seconds(2), false);
-            for (std::size_t endpoint = 0; endpoint < Endpoints / 3; ++endpoint)
-                simulation.crash((endpoint + std::size_t(loss)) % Endpoints);
+            for (std::size_t endpoint = 0; endpoint < CrashSimulation::Endpoints / 3; ++endpoint)
+                simulation.crash((endpoint + std::size_t(loss)) % CrashSimulation::Endpoints);
         }
         simulation.runFor(seconds(10), false);
         all.served += simulation.counts().served;
