Tests: workers' entries, chunked heads and chunks are written in one place

The engines of several versions had a chunk encoder of their own beside httpio::encodeChunk, a head that workerfaults_test.cpp had already, and the fourth copy of a worker's entry. No assertion changed.

--- a/tests/adapter/crashingworkers.h
+++ b/tests/adapter/crashingworkers.h
@@ -83,8 +83,7 @@
             return;
         }
         ++crashes_;
-        connection.write("HTTP/1.1 200 OK\r\nAttempt-Id: " + id
-                         + "\r\nResponse-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n");
+        connection.write(streamHead(id));
         connection.reset();
         if (isCrashing)
             announceWorker(index);
--- a/tests/adapter/cuthosts.h
+++ b/tests/adapter/cuthosts.h
@@ -113,13 +113,9 @@
             standins::StandInWorker::Settings{id, service, "z1", SlotsOfWorker}));
         workers_.back()->announce("ready");
         links_[service].push_back(std::make_unique<standins::Link>(io, workers_.back()->address()));
-        cutHost.store.put("servers", id,
-                          {{"service", service},
-                           {"address", links_[service].back()->address()},
-                           {"zone", "z1"},
-                           {"slots", SlotsOfWorker},
-                           {"state", "ready"},
-                           {"born", 1}});
+        nlohmann::json entry = standins::workerEntry(service, links_[service].back()->address());
+        entry["slots"] = SlotsOfWorker;
+        cutHost.store.put("servers", id, entry);
     }
     void start(GatewayHost &host)
     {
--- a/tests/adapter/gatewayfixture.h
+++ b/tests/adapter/gatewayfixture.h
@@ -55,13 +55,10 @@
     void announce(const std::string &id, const std::string &service, const std::string &address,
                   std::int64_t born = 1, const std::string &state = "ready")
     {
-        store.put("servers", id,
-                  {{"service", service},
-                   {"address", address},
-                   {"zone", "z1"},
-                   {"slots", 8},
-                   {"state", state},
-                   {"born", born}});
+        nlohmann::json entry = standins::workerEntry(service, address);
+        entry["state"] = state;
+        entry["born"] = born;
+        store.put("servers", id, entry);
     }
 };
 
@@ -112,6 +109,13 @@
 inline const std::string StreamHeaders = "Model: m\r\nToken-Counts: 100,20\r\n"
                                          "Prompt-Prefix: aa:60,bb:40\r\n";
 
+// The head of a worker's chunked response to the request with this id.
+inline std::string streamHead(const std::string &id)
+{
+    return "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nResponse-Signature: s." + id
+        + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
 // A plain response of a worker to the request with this id.
 inline std::string workerResponse(const std::string &id, const std::string &body,
                                   const std::string &extraHeaders = {})
--- a/tests/adapter/storefleet.cpp
+++ b/tests/adapter/storefleet.cpp
@@ -242,13 +242,9 @@
 void StoreFleet::putEndpoint(const std::string &id, const std::string &state)
 {
     endpoints_.push_back(id);
-    store.put("servers", id,
-              {{"service", "plain"},
-               {"address", "127.0.0.1:9"},
-               {"zone", "z1"},
-               {"slots", 8},
-               {"state", state},
-               {"born", 1}});
+    nlohmann::json entry = standins::workerEntry("plain", "127.0.0.1:9");
+    entry["state"] = state;
+    store.put("servers", id, entry);
 }
 
 } // namespace monsoongrade::platform
--- a/tests/adapter/versionedengines.h
+++ b/tests/adapter/versionedengines.h
@@ -184,15 +184,12 @@
     }
     void list(std::size_t engine, const std::string &state)
     {
+        nlohmann::json entry = standins::workerEntry("model", engines_[engine].peer->address());
+        entry["version"] = engines_[engine].version;
+        entry["slots"] = 64;
+        entry["state"] = state;
         for (GatewayHost *host : {&firstHost, &secondHost})
-            host->store.put("servers", idOf(engine),
-                            {{"service", "model"},
-                             {"address", engines_[engine].peer->address()},
-                             {"zone", "z1"},
-                             {"version", engines_[engine].version},
-                             {"slots", 64},
-                             {"state", state},
-                             {"born", 1}});
+            host->store.put("servers", idOf(engine), entry);
     }
     // Lists the engines of the other versions as draining; with an empty version, all as ready.
     void setOnlyReady(const std::string &version)
@@ -214,14 +211,12 @@
         const std::string &version = engines_[index].version;
         const bool isCrashing = crashing_.count(version) != 0 || crashesNext_;
         crashesNext_ = false;
-        std::string response
-            = "HTTP/1.1 200 OK\r\nAttempt-Id: " + standins::headerIn(text, "Attempt-Id")
-            + "\r\nResponse-Signature: s\r\nContent-Type: text/event-stream\r\n"
-              "Transfer-Encoding: chunked\r\n\r\n";
+        std::string response = streamHead(standins::headerIn(text, "Attempt-Id"));
         const int first = std::atoi(standins::headerIn(text, "Last-Event-Id").c_str()) + 1;
         const int last = isCrashing ? EventsBeforeCrash : Events;
         for (int number = first; number <= last; ++number)
-            response += chunk("id: " + std::to_string(number) + "\ndata: " + version + "\n\n");
+            response += httpio::encodeChunk("id: " + std::to_string(number) + "\ndata: " + version
+                                            + "\n\n");
         if (isHolding_) {
             connection.write(response);
             return;
@@ -235,12 +230,6 @@
         timers.after(std::chrono::milliseconds(20),
                      [open = connection.shared_from_this()] { open->reset(); });
     }
-    static std::string chunk(const std::string &event)
-    {
-        char size[16];
-        std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
-        return size + event + "\r\n";
-    }
 
     EventLoop firstLoop_;
     bool isFirstHostLost_ = false;
--- a/tests/adapter/workerfaults_test.cpp
+++ b/tests/adapter/workerfaults_test.cpp
@@ -37,12 +37,6 @@
     return httpio::encodeChunk(text);
 }
 
-std::string streamHead(const std::string &id)
-{
-    return "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nResponse-Signature: s." + id
-        + "\r\nTransfer-Encoding: chunked\r\n\r\n";
-}
-
 } // namespace
 
 TEST_CASE("WorkerFaults.RequestThatMayHaveRunIsNotRetried")
--- a/tests/platform_standin/standinstore.h
+++ b/tests/platform_standin/standinstore.h
@@ -111,6 +111,13 @@
     int staleLists_ = 0;
 };
 
+// The entry that a worker of the service writes when it has started; tests change single fields.
+inline nlohmann::json workerEntry(const std::string &service, const std::string &address)
+{
+    return {{"service", service}, {"address", address}, {"zone", "z1"},
+            {"slots", 8},         {"state", "ready"},   {"born", 1}};
+}
+
 } // namespace monsoongrade::standins
 
 #endif // MONSOONGRADE_TESTS_PLATFORM_STANDIN_STANDINSTORE_H
