Failing tests of LIMIT: limits on many engines, and with several placing hosts

Callers' hosts that an endpoint had told its limit sent it up to ten times as much as it allows. Gossip of 60 limits had delivered 10 after 3 s.

--- a/tests/gateway/peergossip_test.cpp
+++ b/tests/gateway/peergossip_test.cpp
@@ -10,6 +10,8 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -79,10 +81,10 @@
             ->crashes.quarantineRemaining(Fatal, hosts[host]->timers.now())
             .has_value();
     }
-    // Runs the hosts until the condition holds, for at most 3 s. Returns whether it holds.
-    bool runUntil(const std::function<bool()> &isDone)
+    // Runs the hosts until the condition holds, at most for this time. Returns whether it holds.
+    bool runUntil(const std::function<bool()> &isDone, milliseconds limit = std::chrono::seconds(3))
     {
-        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(3);
+        const auto end = std::chrono::steady_clock::now() + limit;
         while (!isDone() && std::chrono::steady_clock::now() < end) {
             for (const auto &each : hosts)
                 each->io.poll();
@@ -98,6 +100,15 @@
     std::vector<std::unique_ptr<Host>> hosts;
 };
 
+// Endpoints announce their limits to this host.
+void announceLimits(Host &host, std::size_t endpoints)
+{
+    for (std::size_t i = 0; i < endpoints; ++i)
+        host.announcements.setLimit(
+            {units::EndpointId("e" + std::to_string(i)), routing::Incarnation(7)}, 1.6,
+            host.timers.now());
+}
+
 } // namespace
 
 // Guards against forwarding a request under which endpoints crashed that other hosts used.
@@ -162,6 +173,40 @@
     REQUIRE(fleet.runUntil([&] { return received && !received->limit; }));
 }
 
+// Guards against limits of some endpoints that wait until those of all others have been sent.
+TEST_CASE("PeerGossip.LimitsOfManyEndpointsReachOtherHostsInSeconds")
+{
+    constexpr std::size_t Endpoints = 60;
+    Fleet fleet(3);
+    std::set<std::string> received;
+    fleet.hosts[2]->gossip.onLimit([&](const routing::RateLimitUpdate &update) {
+        received.insert(update.endpoint.id.value());
+    });
+    announceLimits(*fleet.hosts[1], Endpoints);
+    fleet.runUntil([&] { return received.size() == Endpoints; });
+    CHECK(received.size() == Endpoints);
+}
+
+// Guards against a host that becomes coordinator when it starts and does not know the limits.
+TEST_CASE("PeerGossip.StartingHostReceivesTheLimitsInForce")
+{
+    constexpr std::size_t Endpoints = 12;
+    Fleet fleet(2);
+    announceLimits(*fleet.hosts[1], Endpoints);
+    fleet.runUntil([&] {
+        return fleet.hosts[1]
+            ->announcements.takeLimitUpdates(1, fleet.hosts[1]->timers.now())
+            .empty();
+    });
+    std::set<std::string> received;
+    fleet.start(2);
+    fleet.hosts[2]->gossip.onLimit([&](const routing::RateLimitUpdate &update) {
+        received.insert(update.endpoint.id.value());
+    });
+    fleet.runUntil([&] { return received.size() == Endpoints; }, milliseconds(500));
+    CHECK(received.size() == Endpoints);
+}
+
 // Guards against a host that goes on choosing an endpoint which told only another one that it
 // leaves, also one that starts later.
 TEST_CASE("PeerGossip.LeavingOfAnEndpointReachesOtherHosts")
--- a/tests/gateway/placementservice_test.cpp
+++ b/tests/gateway/placementservice_test.cpp
@@ -43,6 +43,12 @@
         placement.start();
     }
 
+    // The endpoint has announced this limit to the host.
+    void announceLimit(double limit)
+    {
+        placement.setLimit(*registry.findAvailable(units::EndpointId("e")), limit);
+    }
+
     units::BootClock clock;
     asio::io_context io;
     httpio::Timers timers;
@@ -76,6 +82,14 @@
     return query;
 }
 
+routing::PlacementQuery shortPrompt(int number)
+{
+    routing::PlacementQuery query = longPrompt(number);
+    query.promptTokens = 100;
+    query.ownTokens = 50;
+    return query;
+}
+
 } // namespace
 
 TEST_CASE("PlacementService.WaitingRequestsDoNotLoadTheCoordinator")
@@ -175,3 +189,53 @@
     CHECK(isPlacedForOther == true);
     CHECK(coordinator.metrics.counter("monsoongrade_gateway_placement_asks_total") == 2);
 }
+
+// Guards against a host that sends to an endpoint which has told it a limit, because the
+// coordinator has not heard of the limit.
+TEST_CASE("PlacementService.LimitKnownToTheRequestingHostAloneIsKept")
+{
+    const std::vector<std::string> order{addressOf(0), addressOf(1)};
+    Host coordinator(0, order);
+    Host requester(1, order);
+    requester.announceLimit(1);
+    int placed = 0;
+    for (int i = 0; i < 40; ++i) {
+        const auto number
+            = requester.placement.place(shortPrompt(i), [&](const auto &, const auto &choice) {
+                  placed += choice.endpoint == nullptr ? 0 : 1;
+              });
+        runFor(milliseconds(50), {&coordinator, &requester});
+        requester.placement.withdraw(number);
+    }
+    // 2 s at one a second, and the first one.
+    CHECK_MESSAGE(placed <= 3, "placed ", placed);
+    CHECK(placed >= 1);
+}
+
+// Guards against several hosts that each use the whole limit: the coordinator, and the next one
+// in order, which hosts ask that get no answers from the first.
+TEST_CASE("PlacementService.HostsAskedAtTheSameTimeShareALimit")
+{
+    const double limit = 8;
+    const std::vector<std::string> order{addressOf(0), addressOf(1), addressOf(2)};
+    const std::vector<std::string> withoutFirst{addressOf(1), addressOf(0)};
+    Host coordinator(0, order);
+    Host standby(1, withoutFirst);
+    Host requester(2, order);
+    int placed = 0;
+    for (Host *host : {&coordinator, &standby, &requester}) {
+        host->placement.setLiveHosts(3, host == &coordinator ? 0 : host == &standby ? 1 : 2);
+        host->announceLimit(limit);
+    }
+    const auto begin = std::chrono::steady_clock::now();
+    for (int i = 0; std::chrono::steady_clock::now() < begin + milliseconds(4000); ++i) {
+        for (Host *host : {&coordinator, &standby, &requester}) {
+            host->placement.place(shortPrompt(i), [&](const auto &, const auto &choice) {
+                placed += choice.endpoint == nullptr ? 0 : 1;
+            });
+        }
+        runFor(milliseconds(20), {&coordinator, &standby, &requester});
+    }
+    CHECK_MESSAGE(placed <= int(1.5 * limit * 4 + 5), "placed ", placed);
+    CHECK_MESSAGE(placed >= int(0.75 * limit * 4), "placed ", placed);
+}
