Gossip sends the limits that were sent least recently first

A host that was told a limit went on sending, because the host that places had not heard of it: 178 requests in 4 s where 17 were allowed. A round held five limits, in the order of the endpoints' names, each for six rounds, so the last of 60 waited for 18 s, and again whenever an earlier one changed. A starting host got no limits at all until they were resent.

A round now holds 25 limits in a datagram of their own, those sent least recently first. So do announcements of leaving, whose order was the same. A starting host gets a random 25 of the limits in force from each host that hears it.

Crashes were sent in rotation already.

--- a/include/monsoongrade/gateway/peergossip.h
+++ b/include/monsoongrade/gateway/peergossip.h
@@ -8,6 +8,7 @@
 #include <monsoongrade/routing/gossipplanner.h>
 
 #include <functional>
+#include <random>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -77,7 +78,6 @@
     struct Updates
     {
         std::vector<routing::CrashUpdate> crashes;
-        std::vector<routing::RateLimitUpdate> limits;
         std::vector<routing::LeavingUpdate> leaving;
     };
 
@@ -85,8 +85,12 @@
     void sendRound();
     std::string encode(const std::vector<routing::PeerUpdate> &others) const;
     std::string encodeProbe() const;
-    void send(const std::string &ip, const Updates &updates);
     std::string encode(const Updates &updates) const;
+    std::string encode(const std::vector<routing::RateLimitUpdate> &limits) const;
+    // Appends a datagram with these updates, if there are any.
+    void append(std::vector<std::string> &datagrams, const Updates &updates) const;
+    void append(std::vector<std::string> &datagrams,
+                const std::vector<routing::RateLimitUpdate> &limits) const;
     void onDatagram(std::string_view datagram, const asio::ip::udp::endpoint &sender);
     void sendInitialState(const std::string &joiningHost);
     void reportWallTime(const std::string &host, units::Duration sinceEpoch);
@@ -109,6 +113,7 @@
     std::vector<units::PoolName> unreachablePools_;
     units::TimePoint storeReachableSince_{};
     routing::GossipPlanner planner_;
+    std::minstd_rand random_;
 };
 
 } // namespace monsoongrade::gateway
--- a/include/monsoongrade/routing/endpointannouncements.h
+++ b/include/monsoongrade/routing/endpointannouncements.h
@@ -41,8 +41,10 @@
     // The limit that the process which the store lists has announced last; empty if it has none.
     std::optional<RequestsPerSecond> limitOf(const EndpointInstance &listed) const;
     // Updates for this gossip round: changes, repeated for several rounds, and at intervals the
-    // limits in force, for hosts that were disconnected.
+    // limits in force, for hosts that were disconnected. Those sent least recently come first.
     std::vector<RateLimitUpdate> takeLimitUpdates(std::size_t maxItems, units::TimePoint now);
+    // All limits in force, for a host that has just started or was disconnected.
+    std::vector<RateLimitUpdate> limitsInForce(units::TimePoint now) const;
 
     // A response to this or another host announced that the endpoint is leaving. at: when its
     // request was sent, since the process that responded cannot have started later. Returns false
@@ -56,7 +58,7 @@
     // endpoint would be lost if it had restarted.
     bool isLeaving(const EndpointInstance &listed, units::TimePoint now) const;
     // Updates for this gossip round about endpoints that began to leave, repeated for several
-    // rounds.
+    // rounds. Those sent least recently come first.
     std::vector<LeavingUpdate> takeLeavingUpdates(std::size_t maxItems, units::TimePoint now);
     // The latest of all, for a host that has just started or was disconnected.
     std::vector<LeavingUpdate> latestLeaving(std::size_t maxItems, units::TimePoint now) const;
@@ -94,6 +96,7 @@
         units::TimePoint firstAnnouncedAt;
         units::TimePoint lastAnnouncedAt;
         int roundsLeft = 0;
+        units::TimePoint lastSentAt;
         std::optional<Incarnation> lastOtherStart; // the last one that was reported as listed
         std::optional<units::TimePoint> inDoubtSince; // a start that is not later was first listed
     };
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -5,6 +5,7 @@
 
 #include <monsoongrade/observability/log.h>
 
+#include <algorithm>
 #include <random>
 
 namespace monsoongrade::gateway {
@@ -16,10 +17,11 @@
 // Used while no other host is known. Hosts that start together do so within 0.3 s, and the seed
 // host may be the last of them.
 constexpr auto FirstRoundInterval = std::chrono::milliseconds(20);
-// Entries have about 45, 30 and 25 bytes, so that the packet stays below 1,400 bytes.
+// Entries have about 45, 25 and 30 bytes. Limits have a datagram of their own, so that each stays
+// below 1,400 bytes.
 constexpr std::size_t MaxCrashes = 20;
-constexpr std::size_t MaxLimits = 5;
 constexpr std::size_t MaxLeaving = 10;
+constexpr std::size_t MaxLimits = 25;
 constexpr std::size_t MaxDatagramBytes = 8192;
 
 } // namespace
@@ -35,6 +37,7 @@
     , announcements_(announcements)
     , startedAt_(timers.now())
     , planner_(settings_.ownIp, std::random_device()())
+    , random_(std::random_device()())
 {
     for (const std::string &ip : settings_.seedIps) {
         if (ip != settings_.ownIp)
@@ -81,31 +84,46 @@
         socket_.send(ip, encodeProbe());
     if (round.recipients.empty())
         return;
-    const std::string datagram = encode(round.updates);
-    const Updates updates{crashes_.takeUpdates(MaxCrashes, timers_.now()),
-                          announcements_.takeLimitUpdates(MaxLimits, timers_.now()),
-                          announcements_.takeLeavingUpdates(MaxLeaving, timers_.now())};
+    std::vector<std::string> datagrams{encode(round.updates)};
+    append(datagrams,
+           Updates{crashes_.takeUpdates(MaxCrashes, timers_.now()),
+                   announcements_.takeLeavingUpdates(MaxLeaving, timers_.now())});
+    append(datagrams, announcements_.takeLimitUpdates(MaxLimits, timers_.now()));
     for (const std::string &ip : round.recipients) {
-        socket_.send(ip, datagram);
-        send(ip, updates);
+        for (const std::string &datagram : datagrams)
+            socket_.send(ip, datagram);
     }
 }
 
-// Also sends the quarantined requests and leaving endpoints, which a host that has just started
-// does not know.
+// Also sends the quarantined requests, leaving endpoints and limits, which a host that has just
+// started does not know.
 void PeerGossip::sendInitialState(const std::string &joiningHost)
 {
-    socket_.send(joiningHost, encode(planner_.updatesForJoiningHost(table_, timers_.now())));
-    send(joiningHost,
-         Updates{crashes_.quarantineUpdates(MaxCrashes, timers_.now()),
-                 {},
-                 announcements_.latestLeaving(MaxLeaving, timers_.now())});
+    std::vector<std::string> datagrams{
+        encode(planner_.updatesForJoiningHost(table_, timers_.now()))};
+    append(datagrams,
+           Updates{crashes_.quarantineUpdates(MaxCrashes, timers_.now()),
+                   announcements_.latestLeaving(MaxLeaving, timers_.now())});
+    // A random selection, so that the hosts together send all limits.
+    std::vector<routing::RateLimitUpdate> limits = announcements_.limitsInForce(timers_.now());
+    std::shuffle(limits.begin(), limits.end(), random_);
+    limits.resize(std::min(limits.size(), MaxLimits));
+    append(datagrams, limits);
+    for (const std::string &datagram : datagrams)
+        socket_.send(joiningHost, datagram);
 }
 
-void PeerGossip::send(const std::string &ip, const Updates &updates)
+void PeerGossip::append(std::vector<std::string> &datagrams, const Updates &updates) const
 {
-    if (!updates.crashes.empty() || !updates.limits.empty() || !updates.leaving.empty())
-        socket_.send(ip, encode(updates));
+    if (!updates.crashes.empty() || !updates.leaving.empty())
+        datagrams.push_back(encode(updates));
+}
+
+void PeerGossip::append(std::vector<std::string> &datagrams,
+                        const std::vector<routing::RateLimitUpdate> &limits) const
+{
+    if (!limits.empty())
+        datagrams.push_back(encode(limits));
 }
 
 routing::PeerUpdate PeerGossip::own() const
@@ -161,15 +179,23 @@
     auto crashes = root.initCrashes(unsigned(updates.crashes.size()));
     for (std::size_t i = 0; i < updates.crashes.size(); ++i)
         internal::encodeCrash(crashes[unsigned(i)], updates.crashes[i]);
-    auto limits = root.initLimits(unsigned(updates.limits.size()));
-    for (std::size_t i = 0; i < updates.limits.size(); ++i)
-        internal::encodeLimit(limits[unsigned(i)], updates.limits[i]);
     auto leaving = root.initLeaving(unsigned(updates.leaving.size()));
     for (std::size_t i = 0; i < updates.leaving.size(); ++i)
         internal::encodeLeaving(leaving[unsigned(i)], updates.leaving[i]);
     return internal::serializePacked(message);
 }
 
+std::string PeerGossip::encode(const std::vector<routing::RateLimitUpdate> &limits) const
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<schema::GossipMessage>();
+    internal::encodePeer(root.initSender(), own());
+    auto list = root.initLimits(unsigned(limits.size()));
+    for (std::size_t i = 0; i < limits.size(); ++i)
+        internal::encodeLimit(list[unsigned(i)], limits[i]);
+    return internal::serializePacked(message);
+}
+
 void PeerGossip::onDatagram(std::string_view datagram, const asio::ip::udp::endpoint &from)
 {
     const auto fault = internal::readFault([&] {
--- a/src/routing/endpointannouncements.cpp
+++ b/src/routing/endpointannouncements.cpp
@@ -38,6 +38,26 @@
     return std::make_pair(begin, end);
 }
 
+// The records that are due to be sent, those sent least recently first. In the order of their ids,
+// the last of many would wait until all others have been sent often enough.
+template <typename Map, typename IsDue>
+std::vector<typename Map::iterator> recordsToSend(Map &records, std::size_t maxItems,
+                                                  const IsDue &isDue)
+{
+    std::vector<typename Map::iterator> due;
+    for (auto entry = records.begin(); entry != records.end(); ++entry) {
+        if (isDue(entry->second))
+            due.push_back(entry);
+    }
+    const std::size_t count = std::min(maxItems, due.size());
+    std::partial_sort(due.begin(), due.begin() + std::ptrdiff_t(count), due.end(),
+                      [](const auto &a, const auto &b) {
+                          return a->second.lastSentAt < b->second.lastSentAt;
+                      });
+    due.resize(count);
+    return due;
+}
+
 } // namespace
 
 EndpointAnnouncements::EndpointAnnouncements(const units::WallClock &wallClock)
@@ -116,23 +136,32 @@
 std::vector<RateLimitUpdate> EndpointAnnouncements::takeLimitUpdates(std::size_t maxItems,
                                                                      units::TimePoint now)
 {
-    std::vector<RateLimitUpdate> updates;
     for (auto entry = limits_.begin(); entry != limits_.end();) {
-        Limit &known = entry->second;
+        const Limit &known = entry->second;
         const units::Duration age = now - known.announcedAt;
         const bool isLiftExpired
             = known.roundsLeft == 0 && !known.limit && age >= LiftedLimitRetention;
-        if (isLiftExpired || age >= MaxAge) {
-            entry = limits_.erase(entry);
-            continue;
-        }
-        const bool isResendDue = known.limit && now - known.lastSentAt >= ResendInterval;
-        if ((known.roundsLeft > 0 || isResendDue) && updates.size() < maxItems) {
-            known.roundsLeft -= known.roundsLeft > 0 ? 1 : 0;
-            known.lastSentAt = now;
-            updates.push_back({entry->first, known.limit, age});
-        }
-        ++entry;
+        entry = isLiftExpired || age >= MaxAge ? limits_.erase(entry) : std::next(entry);
+    }
+    const auto isDue = [now](const Limit &known) {
+        return known.roundsLeft > 0 || (known.limit && now - known.lastSentAt >= ResendInterval);
+    };
+    std::vector<RateLimitUpdate> updates;
+    for (const auto &entry : recordsToSend(limits_, maxItems, isDue)) {
+        Limit &known = entry->second;
+        known.roundsLeft -= known.roundsLeft > 0 ? 1 : 0;
+        known.lastSentAt = now;
+        updates.push_back({entry->first, known.limit, now - known.announcedAt});
+    }
+    return updates;
+}
+
+std::vector<RateLimitUpdate> EndpointAnnouncements::limitsInForce(units::TimePoint now) const
+{
+    std::vector<RateLimitUpdate> updates;
+    for (const auto &[endpoint, known] : limits_) {
+        if (known.limit)
+            updates.push_back({endpoint, known.limit, now - known.announcedAt});
     }
     return updates;
 }
@@ -188,18 +217,18 @@
 std::vector<LeavingUpdate> EndpointAnnouncements::takeLeavingUpdates(std::size_t maxItems,
                                                                      units::TimePoint now)
 {
-    std::vector<LeavingUpdate> updates;
     for (auto entry = leaving_.begin(); entry != leaving_.end();) {
+        const bool isExpired = now - entry->second.lastAnnouncedAt >= LeavingRetention;
+        entry = isExpired ? leaving_.erase(entry) : std::next(entry);
+    }
+    std::vector<LeavingUpdate> updates;
+    for (const auto &entry : recordsToSend(leaving_, maxItems, [](const Leaving &known) {
+             return known.roundsLeft > 0;
+         })) {
         Leaving &known = entry->second;
-        if (now - known.lastAnnouncedAt >= LeavingRetention) {
-            entry = leaving_.erase(entry);
-            continue;
-        }
-        if (known.roundsLeft > 0 && updates.size() < maxItems) {
-            --known.roundsLeft;
-            updates.push_back({entry->first, now - known.firstAnnouncedAt});
-        }
-        ++entry;
+        --known.roundsLeft;
+        known.lastSentAt = now;
+        updates.push_back({entry->first, now - known.firstAnnouncedAt});
     }
     return updates;
 }
