A host that knows a limit tells it to the host that places its request

A host that an endpoint had told its limit sent there all the same, when the host that places did not know the limit: 178 requests in 4 s (17 allowed) when 24 engines named limits of 2 at once, 41 (11) after a larger host joined and became the placing host. Gossip alone cannot keep the rule: the host that sends is bound half a second after it was told, and gossip may lose a datagram.

An answer now says whether the choice was counted against a limit. If it was not and the asking host knows a limit, it withdraws and asks once more with the limit, which the placing host keeps. A host whose placing host is of an older build places alone then. One bit an answer, and one more round trip for each limit that a placing host did not know.

--- a/include/monsoongrade/gateway/gateway.h
+++ b/include/monsoongrade/gateway/gateway.h
@@ -79,8 +79,6 @@
     void computeDivision();
     void updateCoordinatorRankings(const std::vector<routing::PeerUpdate> &live);
     void recordPoolVersions(const routing::EndpointRegistry::SoftwareVersions &listed);
-    void applyKnownLimit(const routing::DiscoveredEndpoint &listed);
-    void onRateLimitUpdate(const routing::RateLimitUpdate &update);
     void onLeavingUpdate(const routing::LeavingUpdate &update);
     void publishOwnState();
     void logHostChanges(const std::vector<routing::PeerUpdate> &hosts);
--- a/include/monsoongrade/gateway/gatewaystate.h
+++ b/include/monsoongrade/gateway/gatewaystate.h
@@ -61,7 +61,8 @@
         , hostConnections(io, timersToUse)
         , log(timersToUse)
         , startupGate(timersToUse)
-        , placement(io, timersToUse, std::move(placementSettings), registry, log.metrics)
+        , placement(io, timersToUse, std::move(placementSettings), registry, announcements,
+                    log.metrics)
         , streamVersions(io, timersToUse, streamVersionSettings, otherHosts, poolVersions,
                          log.metrics)
     {
--- a/include/monsoongrade/gateway/placementservice.h
+++ b/include/monsoongrade/gateway/placementservice.h
@@ -5,12 +5,14 @@
 #include <monsoongrade/httpio/timers.h>
 #include <monsoongrade/observability/metrics.h>
 #include <monsoongrade/routing/coordinatorselector.h>
+#include <monsoongrade/routing/endpointannouncements.h>
 #include <monsoongrade/routing/peertable.h>
 #include <monsoongrade/routing/requestplacer.h>
 
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 namespace monsoongrade::gateway {
@@ -41,7 +43,9 @@
     };
 
     PlacementService(asio::io_context &io, httpio::Timers &timers, Settings settings,
-                     const routing::EndpointRegistry &registry, observability::Metrics &metrics);
+                     const routing::EndpointRegistry &registry,
+                     routing::EndpointAnnouncements &announcements,
+                     observability::Metrics &metrics);
 
     void start();
     // Sets the hosts that may be coordinator, in order of preference: in the whole fleet, and in
@@ -55,6 +59,10 @@
     // Sets the latest limit received from the endpoint. Returns whether it changed.
     bool setLimit(routing::EndpointStatus &endpoint,
                   std::optional<routing::RequestsPerSecond> limit);
+    // Sets the limit that was announced for the process that the store lists.
+    void applyKnownLimit(const routing::DiscoveredEndpoint &listed);
+    // Another host received a limit. source: where this host learned it from, for the log.
+    void receiveLimit(const routing::RateLimitUpdate &update, std::string_view source);
 
     // Chooses an endpoint. Unless the request is withdrawn, calls placed once, possibly before this
     // function returns. Returns the number of the request's ticket.
@@ -86,12 +94,15 @@
         units::TimePoint sentAt;
         bool isWaiting = false; // in the coordinator's queue
         bool wasRepeated = false;
+        // A limit that the coordinator did not know when it chose an endpoint.
+        std::optional<routing::RateLimitUpdate> limit;
         httpio::Timers::Handle timeout;
     };
     const std::vector<std::string> &rankingFor(const units::PoolName &pool) const;
     std::vector<std::string> successors() const;
     void updateSuccessors();
     void sendOrPlace(std::uint64_t number, PendingQuery pending);
+    void sendQuery(std::uint64_t number, const PendingQuery &pending);
     void placeLocally(std::uint64_t number, const routing::PlacementQuery &query,
                       const PlacedHandler &placed);
     void onTimeout(std::uint64_t number);
@@ -113,6 +124,7 @@
     httpio::Timers &timers_;
     Settings settings_;
     const routing::EndpointRegistry &registry_;
+    routing::EndpointAnnouncements &announcements_;
     observability::Metrics &metrics_;
     std::vector<std::string> fleetRanking_;
     std::vector<std::string> cellRanking_;
--- a/include/monsoongrade/routing/endpointannouncements.h
+++ b/include/monsoongrade/routing/endpointannouncements.h
@@ -7,6 +7,8 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
+#include <utility>
 #include <vector>
 
 namespace monsoongrade::routing {
@@ -40,6 +42,9 @@
                   units::TimePoint at);
     // The limit that the process which the store lists has announced last; empty if it has none.
     std::optional<RequestsPerSecond> limitOf(const EndpointInstance &listed) const;
+    // The same as an update for another host; empty if the process has announced nothing.
+    std::optional<RateLimitUpdate> limitUpdateOf(const EndpointInstance &listed,
+                                                 units::TimePoint now) const;
     // Updates for this gossip round: changes, repeated for several rounds, and at intervals the
     // limits in force, for hosts that were disconnected. Those sent least recently come first.
     std::vector<RateLimitUpdate> takeLimitUpdates(std::size_t maxItems, units::TimePoint now);
@@ -106,6 +111,8 @@
         units::TimePoint until;
     };
 
+    const std::pair<const EndpointInstance, Limit> *
+    latestLimitFor(const EndpointInstance &listed) const;
     bool eraseOtherLimits(const EndpointInstance &endpoint, units::TimePoint at);
     bool isLaterStart(Incarnation start, units::TimePoint announcedAt) const;
 
--- a/include/monsoongrade/routing/requestplacer.h
+++ b/include/monsoongrade/routing/requestplacer.h
@@ -44,6 +44,7 @@
     bool isWaiting = false; // queued; a later call of placeWaiting() places it
     // Set if the request is refused because of a long queue: when its client should retry.
     std::optional<units::Duration> retryDelay;
+    bool isLimited = false; // counted against the endpoint's rate limit
 };
 
 // Chooses endpoints for requests and tracks the load that it has placed on each.
@@ -118,6 +119,7 @@
         bool needsShortPauses = false;
         bool isSolePrefill = false; // its endpoint had no other prefill when it was placed
         bool isStreaming = false; // has had its first event
+        bool isLimited = false;
     };
     using Candidates = std::vector<const EndpointRegistry::Status *>;
 
--- a/schema/placement.capnp
+++ b/schema/placement.capnp
@@ -1,6 +1,7 @@
 @0xb7e6a9d2105fc834;
 
 using Cxx = import "/capnp/c++.capnp";
+using Gossip = import "gossip.capnp";
 $Cxx.namespace("monsoongrade::schema");
 
 # Datagrams between a host and the one that places requests for all. Each stands alone and may be
@@ -25,6 +26,8 @@
   # The stream began at this software version and may go on at it only.
   isVersionBound @13 :Bool;
   softwareVersion @14 :Text;
+  # A limit that the last choice for this request was not counted against.
+  limit @15 :Gossip.LimitNews;
 }
 
 struct PlacementAnswer {
@@ -37,6 +40,8 @@
   # Refused because of a long queue, with the time after which the client may come back.
   refused @4 :Bool;
   comeBackInMs @5 :UInt32;
+  # The placing host knows a limit of the endpoint and has counted this request against it.
+  isLimited @6 :Bool;
 }
 
 # From a host with waiting requests: are they still in the queue?
--- a/schema/placement.capnp.h
+++ b/schema/placement.capnp.h
@@ -11,6 +11,8 @@
     "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
+#include "gossip.capnp.h"
+
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -51,7 +53,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(ceb6b6014d2b2208, 4, 6)
+        CAPNP_DECLARE_STRUCT_HEADER(ceb6b6014d2b2208, 4, 7)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -269,6 +271,9 @@
     inline bool hasSoftwareVersion() const;
     inline ::capnp::Text::Reader getSoftwareVersion() const;
 
+    inline bool hasLimit() const;
+    inline ::monsoongrade::schema::LimitNews::Reader getLimit() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -377,6 +382,13 @@
     inline void adoptSoftwareVersion(::capnp::Orphan<::capnp::Text> &&value);
     inline ::capnp::Orphan<::capnp::Text> disownSoftwareVersion();
 
+    inline bool hasLimit();
+    inline ::monsoongrade::schema::LimitNews::Builder getLimit();
+    inline void setLimit(::monsoongrade::schema::LimitNews::Reader value);
+    inline ::monsoongrade::schema::LimitNews::Builder initLimit();
+    inline void adoptLimit(::capnp::Orphan<::monsoongrade::schema::LimitNews> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::LimitNews> disownLimit();
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -401,6 +413,8 @@
     {
     }
 
+    inline ::monsoongrade::schema::LimitNews::Pipeline getLimit();
+
 private:
     ::capnp::AnyPointer::Pipeline _typeless;
     friend class ::capnp::PipelineHook;
@@ -442,6 +456,8 @@
 
     inline ::uint32_t getComeBackInMs() const;
 
+    inline bool getIsLimited() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -499,6 +515,9 @@
     inline ::uint32_t getComeBackInMs();
     inline void setComeBackInMs(::uint32_t value);
 
+    inline bool getIsLimited();
+    inline void setIsLimited(bool value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -1587,6 +1606,52 @@
         _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool PlacementAsk::Reader::hasLimit() const
+{
+    return !_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool PlacementAsk::Builder::hasLimit()
+{
+    return !_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline ::monsoongrade::schema::LimitNews::Reader PlacementAsk::Reader::getLimit() const
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::LimitNews>::get(
+        _reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline ::monsoongrade::schema::LimitNews::Builder PlacementAsk::Builder::getLimit()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::LimitNews>::get(
+        _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline ::monsoongrade::schema::LimitNews::Pipeline PlacementAsk::Pipeline::getLimit()
+{
+    return ::monsoongrade::schema::LimitNews::Pipeline(_typeless.getPointerField(6));
+}
+#endif // !CAPNP_LITE
+inline void PlacementAsk::Builder::setLimit(::monsoongrade::schema::LimitNews::Reader value)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::LimitNews>::set(
+        _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline ::monsoongrade::schema::LimitNews::Builder PlacementAsk::Builder::initLimit()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::LimitNews>::init(
+        _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void
+PlacementAsk::Builder::adoptLimit(::capnp::Orphan<::monsoongrade::schema::LimitNews> &&value)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::LimitNews>::adopt(
+        _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::monsoongrade::schema::LimitNews> PlacementAsk::Builder::disownLimit()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::LimitNews>::disown(
+        _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline ::uint64_t PlacementAnswer::Reader::getNumber() const
 {
     return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1696,6 +1761,20 @@
     _builder.setDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PlacementAnswer::Reader::getIsLimited() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<98>() * ::capnp::ELEMENTS);
+}
+
+inline bool PlacementAnswer::Builder::getIsLimited()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<98>() * ::capnp::ELEMENTS);
+}
+inline void PlacementAnswer::Builder::setIsLimited(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<98>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool StillWaiting::Reader::hasNumbers() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -128,7 +128,9 @@
             });
     }
     gossip_.onRound([this] { onGossipRound(); });
-    gossip_.onLimit([this](const routing::RateLimitUpdate &update) { onRateLimitUpdate(update); });
+    gossip_.onLimit([this](const routing::RateLimitUpdate &update) {
+        state_.placement.receiveLimit(update, "gossip");
+    });
     gossip_.onLeaving([this](const routing::LeavingUpdate &update) { onLeavingUpdate(update); });
     gossip_.start();
     state_.placement.start();
@@ -166,7 +168,7 @@
 {
     state_.registry.replaceAll(endpoints, timers_.now(), keepMissingUntil);
     for (const routing::DiscoveredEndpoint &endpoint : endpoints)
-        applyKnownLimit(endpoint);
+        state_.placement.applyKnownLimit(endpoint);
     recordPoolVersions(state_.registry.softwareVersions());
     computeDivision();
     state_.startupGate.onEndpoints();
@@ -178,7 +180,7 @@
 void Gateway::updateEndpoint(const routing::DiscoveredEndpoint &endpoint)
 {
     state_.registry.update(endpoint);
-    applyKnownLimit(endpoint);
+    state_.placement.applyKnownLimit(endpoint);
     recordPoolVersions({{endpoint.pool, {endpoint.softwareVersion}}});
     computeDivision();
     if (endpoint.draining)
@@ -296,24 +298,6 @@
         state_.poolVersions.onListed(pool, versions, now);
 }
 
-// The entry may be of another process than the one that announced the limit, which then ends.
-void Gateway::applyKnownLimit(const routing::DiscoveredEndpoint &listed)
-{
-    const routing::EndpointInstance instance = routing::instanceOf(listed);
-    const auto endpoint = state_.registry.find(instance);
-    if (endpoint != nullptr)
-        state_.placement.setLimit(*endpoint, state_.announcements.limitOf(instance));
-}
-
-void Gateway::onRateLimitUpdate(const routing::RateLimitUpdate &update)
-{
-    if (!state_.announcements.setLimit(update.endpoint, update.limit, timers_.now() - update.age))
-        return;
-    const auto endpoint = state_.registry.findAvailable(update.endpoint.id);
-    if (endpoint != nullptr)
-        applyKnownLimit(endpoint->registration);
-}
-
 void Gateway::onLeavingUpdate(const routing::LeavingUpdate &update)
 {
     if (!state_.setLeaving(update.endpoint, timers_.now() - update.age))
--- a/src/gateway/internal/placementmessages.h
+++ b/src/gateway/internal/placementmessages.h
@@ -19,6 +19,8 @@
 {
     std::uint64_t number = 0;
     routing::PlacementQuery query;
+    // A limit that the last choice for this request was not counted against.
+    std::optional<routing::RateLimitUpdate> limit;
 };
 
 struct AnswerMessage
@@ -28,6 +30,7 @@
     std::int64_t tokensToRead = 0;
     bool isWaiting = false; // queued; another answer follows
     std::optional<units::Duration> retryDelay; // set if refused because of a long queue
+    bool isLimited = false; // counted against the endpoint's limit
 };
 
 struct EventMessage
--- a/src/gateway/placementmessages.cpp
+++ b/src/gateway/placementmessages.cpp
@@ -1,3 +1,4 @@
+#include <gateway/internal/gossipmessages.h>
 #include <gateway/internal/packedmessage.h>
 #include <gateway/internal/placementmessages.h>
 
@@ -56,6 +57,8 @@
     ask.setIsVersionBound(query.softwareVersion.has_value());
     if (query.softwareVersion)
         ask.setSoftwareVersion(query.softwareVersion->value());
+    if (from.limit)
+        encodeLimit(ask.initLimit(), *from.limit);
 }
 
 QueryMessage read(schema::PlacementAsk::Reader ask)
@@ -79,6 +82,8 @@
     query.paused = idsOf(ask.getPaused());
     if (ask.getIsVersionBound())
         query.softwareVersion = units::SoftwareVersion(ask.getSoftwareVersion());
+    if (ask.hasLimit())
+        message.limit = decodeLimit(ask.getLimit());
     return message;
 }
 
@@ -91,6 +96,7 @@
     answer.setWaiting(from.isWaiting);
     answer.setRefused(from.retryDelay.has_value());
     answer.setComeBackInMs(inMilliseconds(from.retryDelay.value_or(units::Duration::zero())));
+    answer.setIsLimited(from.isLimited);
 }
 
 AnswerMessage read(schema::PlacementAnswer::Reader answer)
@@ -102,6 +108,7 @@
     message.isWaiting = answer.getWaiting();
     if (answer.getRefused())
         message.retryDelay = std::chrono::milliseconds(answer.getComeBackInMs());
+    message.isLimited = answer.getIsLimited();
     return message;
 }
 
@@ -174,6 +181,7 @@
     if (choice.endpoint != nullptr && !choice.isWaiting)
         answer.endpoint = choice.endpoint->registration.id;
     answer.tokensToRead = choice.tokensToRead;
+    answer.isLimited = choice.isLimited;
     return answer;
 }
 
--- a/src/gateway/placementservice.cpp
+++ b/src/gateway/placementservice.cpp
@@ -44,12 +44,14 @@
 
 PlacementService::PlacementService(asio::io_context &io, httpio::Timers &timers, Settings settings,
                                    const routing::EndpointRegistry &registry,
+                                   routing::EndpointAnnouncements &announcements,
                                    observability::Metrics &metrics)
     : socket_(io, settings.ownIp, settings.port, MaxDatagramBytes,
               DatagramSocket::AddressReuse::Forbidden)
     , timers_(timers)
     , settings_(std::move(settings))
     , registry_(registry)
+    , announcements_(announcements)
     , metrics_(metrics)
     , lastNumber_(firstNumber())
 {
@@ -87,10 +89,15 @@
         return;
     }
     pending.timeout = timers_.after(AnswerTimeout, [this, number] { onTimeout(number); });
-    socket_.send(pending.coordinator, encode(QueryMessage{number, pending.query}));
+    sendQuery(number, pending);
     pending_[number] = std::move(pending);
 }
 
+void PlacementService::sendQuery(std::uint64_t number, const PendingQuery &pending)
+{
+    socket_.send(pending.coordinator, encode(QueryMessage{number, pending.query, pending.limit}));
+}
+
 void PlacementService::placeLocally(std::uint64_t number, const routing::PlacementQuery &query,
                                     const PlacedHandler &placed)
 {
@@ -192,7 +199,7 @@
         again.wasRepeated = true;
         again.sentAt = timers_.now();
         again.timeout = timers_.after(AnswerTimeout, [this, number] { onTimeout(number); });
-        socket_.send(again.coordinator, encode(QueryMessage{number, again.query}));
+        sendQuery(number, again);
         return;
     }
     const PendingQuery pending = std::move(found->second);
@@ -281,6 +288,8 @@
 void PlacementService::onMessage(const std::string &host, const QueryMessage &message)
 {
     metrics_.add("monsoongrade_gateway_placement_asks_total");
+    if (message.limit)
+        receiveLimit(*message.limit, "query");
     const auto choice = placer_.place({host, message.number}, message.query,
                                       registry_.available(message.query.pool), timers_.now());
     socket_.send(host, encode(answerFor(message.number, choice)));
@@ -379,7 +388,7 @@
         scheduleWaitingCheck();
         return;
     }
-    const PendingQuery pending = std::move(found->second);
+    PendingQuery pending = std::move(found->second);
     pending_.erase(found);
     if (message.retryDelay) {
         routing::PlacementChoice refused;
@@ -391,15 +400,25 @@
     const auto status = registry_.findAvailable(message.endpoint);
     const bool isUsable = status != nullptr && status->health.accepts(now)
         && routing::hasPermittedVersion(status->registration, pending.query);
-    if (isUsable) {
+    const bool isLimitUnknown = isUsable && status->rateLimiter.limit() && !message.isLimited;
+    if (isUsable && !isLimitUnknown) {
         coordinators_[message.number] = host;
-        pending.placed({settings_.ownIp, message.number}, {status, message.tokensToRead});
+        routing::PlacementChoice choice;
+        choice.endpoint = status;
+        choice.tokensToRead = message.tokensToRead;
+        pending.placed({settings_.ownIp, message.number}, std::move(choice));
         return;
     }
-    // The coordinator knows no endpoint, does not know yet that this one left or fails, or runs a
-    // build that ignores software versions.
+    // The coordinator knows no endpoint, does not know yet that this one left, fails or is limited,
+    // or runs a build that ignores software versions.
     socket_.send(host, encode(EventMessage{message.number, routing::PlacementEvent::Withdrawn}));
-    routing::PlacementQuery query = pending.query;
+    if (isLimitUnknown && !pending.limit) {
+        pending.limit = announcements_.limitUpdateOf(routing::instanceOf(status->registration),
+                                                     timers_.now());
+        sendOrPlace(message.number, std::move(pending));
+        return;
+    }
+    routing::PlacementQuery query = std::move(pending.query);
     query.isLocalFallback = true;
     placeLocally(message.number, query, pending.placed);
 }
--- a/src/routing/endpointannouncements.cpp
+++ b/src/routing/endpointannouncements.cpp
@@ -50,10 +50,9 @@
             due.push_back(entry);
     }
     const std::size_t count = std::min(maxItems, due.size());
-    std::partial_sort(due.begin(), due.begin() + std::ptrdiff_t(count), due.end(),
-                      [](const auto &a, const auto &b) {
-                          return a->second.lastSentAt < b->second.lastSentAt;
-                      });
+    std::partial_sort(
+        due.begin(), due.begin() + std::ptrdiff_t(count), due.end(),
+        [](const auto &a, const auto &b) { return a->second.lastSentAt < b->second.lastSentAt; });
     due.resize(count);
     return due;
 }
@@ -108,22 +107,36 @@
     return hasErased;
 }
 
-std::optional<RequestsPerSecond>
-EndpointAnnouncements::limitOf(const EndpointInstance &listed) const
+// The latest record that concerns the process which the store lists; null if there is none.
+const std::pair<const EndpointInstance, EndpointAnnouncements::Limit> *
+EndpointAnnouncements::latestLimitFor(const EndpointInstance &listed) const
 {
-    std::optional<RequestsPerSecond> limit;
-    std::optional<units::TimePoint> announcedAt;
+    const std::pair<const EndpointInstance, Limit> *latest = nullptr;
     const auto [begin, end] = recordsOf(limits_, listed.id);
     for (auto entry = begin; entry != end; ++entry) {
         const Limit &known = entry->second;
         const bool concerns
             = entry->first == listed || !isLaterStart(listed.incarnation, known.announcedAt);
-        if (concerns && (!announcedAt || known.announcedAt > *announcedAt)) {
-            limit = known.limit;
-            announcedAt = known.announcedAt;
-        }
+        if (concerns && (latest == nullptr || known.announcedAt > latest->second.announcedAt))
+            latest = &*entry;
     }
-    return limit;
+    return latest;
+}
+
+std::optional<RequestsPerSecond>
+EndpointAnnouncements::limitOf(const EndpointInstance &listed) const
+{
+    const auto *latest = latestLimitFor(listed);
+    return latest == nullptr ? std::nullopt : latest->second.limit;
+}
+
+std::optional<RateLimitUpdate> EndpointAnnouncements::limitUpdateOf(const EndpointInstance &listed,
+                                                                    units::TimePoint now) const
+{
+    const auto *latest = latestLimitFor(listed);
+    if (latest == nullptr)
+        return std::nullopt;
+    return RateLimitUpdate{latest->first, latest->second.limit, now - latest->second.announcedAt};
 }
 
 std::size_t EndpointAnnouncements::limited() const
@@ -222,9 +235,8 @@
         entry = isExpired ? leaving_.erase(entry) : std::next(entry);
     }
     std::vector<LeavingUpdate> updates;
-    for (const auto &entry : recordsToSend(leaving_, maxItems, [](const Leaving &known) {
-             return known.roundsLeft > 0;
-         })) {
+    for (const auto &entry : recordsToSend(
+             leaving_, maxItems, [](const Leaving &known) { return known.roundsLeft > 0; })) {
         Leaving &known = entry->second;
         --known.roundsLeft;
         known.lastSentAt = now;
--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -70,8 +70,10 @@
         return choice;
     const EndpointStatus &endpoint = *choice.endpoint;
     choice.endpoint->rateLimiter.onPlaced(shareFor(query), now);
+    choice.isLimited = endpoint.rateLimiter.limit().has_value();
     Placed &placed = placed_[ticket];
     placed = {choice.endpoint, choice.tokensToRead, now, query.needsShortPauses};
+    placed.isLimited = choice.isLimited;
     placed.isSolePrefill = query.runsModel && loads_.of(endpoint).tokensToRead == 0;
     loads_.add(endpoint, choice.tokensToRead);
     if (query.needsShortPauses)
@@ -193,7 +195,11 @@
     const auto found = placed_.find(ticket);
     if (found == placed_.end())
         return std::nullopt;
-    return PlacementChoice{found->second.endpoint, found->second.tokensToRead};
+    PlacementChoice choice;
+    choice.endpoint = found->second.endpoint;
+    choice.tokensToRead = found->second.tokensToRead;
+    choice.isLimited = found->second.isLimited;
+    return choice;
 }
 
 void RequestPlacer::addCachedPart(const CachedPart &part, units::TimePoint now)
--- a/tests/gateway/placementservice_test.cpp
+++ b/tests/gateway/placementservice_test.cpp
@@ -1,5 +1,6 @@
 #include <monsoongrade/gateway/placementservice.h>
 
+#include <monsoongrade/duties/walltimeestimate.h>
 #include <monsoongrade/units/bootclock.h>
 
 #include <doctest/doctest.h>
@@ -31,7 +32,7 @@
 {
     Host(int number, const std::vector<std::string> &order)
         : timers(io, clock)
-        , placement(io, timers, {addressOf(number), 17342}, registry, metrics)
+        , placement(io, timers, {addressOf(number), 17342}, registry, announcements, metrics)
     {
         routing::DiscoveredEndpoint endpoint;
         endpoint.id = units::EndpointId("e");
@@ -46,13 +47,17 @@
     // The endpoint has announced this limit to the host.
     void announceLimit(double limit)
     {
-        placement.setLimit(*registry.findAvailable(units::EndpointId("e")), limit);
+        const auto endpoint = registry.findAvailable(units::EndpointId("e"));
+        announcements.setLimit(routing::instanceOf(endpoint->registration), limit, timers.now());
+        placement.setLimit(*endpoint, limit);
     }
 
     units::BootClock clock;
     asio::io_context io;
     httpio::Timers timers;
     routing::EndpointRegistry registry;
+    duties::WallTimeEstimate wallTime;
+    routing::EndpointAnnouncements announcements{wallTime};
     observability::Metrics metrics;
     PlacementService placement;
 };
@@ -224,7 +229,8 @@
     Host requester(2, order);
     int placed = 0;
     for (Host *host : {&coordinator, &standby, &requester}) {
-        host->placement.setLiveHosts(3, host == &coordinator ? 0 : host == &standby ? 1 : 2);
+        const int index = host == &coordinator ? 0 : host == &standby ? 1 : 2;
+        host->placement.setLiveHosts(3, index);
         host->announceLimit(limit);
     }
     const auto begin = std::chrono::steady_clock::now();
