Hosts lend their shares of limits to the host that places their requests

A host that was asked for a place used a whole limit, whoever else was asked, and a host without an answer used an equal part beside it. Each host decides alone whom it asks, by 45 ms of silence, so several are asked at once whenever one is slow.

Class of fault: a quota that hosts take by a role which nobody grants them.

Now each host owns an equal part of every limit and lends it with its queries, to one host at a time, for 500 ms. A placing host uses what it was lent, so that the parts in use add up to one limit whatever hosts believe. What a part allows is integrated over time, as it changes with every loan. A host without callers lends too while limits are in force. Divided pools count the hosts of their cell.

Weighed only: a lease granted by one host (needs one who grants), tokens of the engine (nothing offers them).

The tests of the rate limiter pass it the share's accrued time, with the same bounds.

--- a/include/monsoongrade/gateway/gateway.h
+++ b/include/monsoongrade/gateway/gateway.h
@@ -77,6 +77,7 @@
     void onGossipRound();
     void applyDivision(const routing::FleetDivision &division);
     void computeDivision();
+    void setPositionAmong(const std::vector<routing::PeerUpdate> &live);
     void updateCoordinatorRankings(const std::vector<routing::PeerUpdate> &live);
     void recordPoolVersions(const routing::EndpointRegistry::SoftwareVersions &listed);
     void onLeavingUpdate(const routing::LeavingUpdate &update);
--- a/include/monsoongrade/gateway/placementservice.h
+++ b/include/monsoongrade/gateway/placementservice.h
@@ -24,6 +24,7 @@
 struct CachedPartsMessage;
 struct StillWaitingMessage;
 struct NotWaitingMessage;
+struct LoanMessage;
 } // namespace internal
 
 // Places requests on endpoints. For model pools, the hosts agree on one serving host as the
@@ -53,12 +54,20 @@
     // which prompt parts this host has placed since the last call.
     void setCoordinatorRankings(std::vector<std::string> ofFleet, std::vector<std::string> ofCell);
 
-    // Sets the number of hosts that share an endpoint's limit in pools where each host places its
-    // own requests, and this host's index among them, from 0.
-    void setLiveHosts(int hosts, int ownIndex);
+    // The number of hosts that use the same endpoints, and this host's index among them, from 0.
+    struct HostPosition
+    {
+        int hosts = 1;
+        int ownIndex = 0;
+    };
+    // Sets the hosts that share the endpoints' limits: all, and those of this host's cell for
+    // divided pools.
+    void setLiveHosts(HostPosition inFleet, HostPosition inCell);
     // Sets the latest limit received from the endpoint. Returns whether it changed.
     bool setLimit(routing::EndpointStatus &endpoint,
                   std::optional<routing::RequestsPerSecond> limit);
+    // The part of each endpoint's limit that this host may use now for pools with a coordinator.
+    double limitShare() const;
     // Sets the limit that was announced for the process that the store lists.
     void applyKnownLimit(const routing::DiscoveredEndpoint &listed);
     // Another host received a limit. source: where this host learned it from, for the log.
@@ -103,6 +112,8 @@
     void updateSuccessors();
     void sendOrPlace(std::uint64_t number, PendingQuery pending);
     void sendQuery(std::uint64_t number, const PendingQuery &pending);
+    routing::ShareDelegation &sharesOf(const units::PoolName &pool);
+    void lendIdleShares();
     void placeLocally(std::uint64_t number, const routing::PlacementQuery &query,
                       const PlacedHandler &placed);
     void onTimeout(std::uint64_t number);
@@ -117,6 +128,7 @@
     void onMessage(const std::string &host, const internal::CachedPartsMessage &message);
     void onMessage(const std::string &host, const internal::StillWaitingMessage &message);
     void onMessage(const std::string &host, const internal::NotWaitingMessage &message);
+    void onMessage(const std::string &host, const internal::LoanMessage &message);
     void schedulePlaceWaiting();
     void placeWaiting();
 
@@ -137,7 +149,9 @@
     std::unordered_map<std::uint64_t, std::string> coordinators_;
     std::unordered_map<std::uint64_t, PlacedHandler> localWaiting_; // in this host's queue
     std::uint64_t lastNumber_;
-    double phase_ = 0; // this host's index divided by the number of live hosts
+    // This host's index divided by the number of hosts.
+    double fleetPhase_ = 0;
+    double cellPhase_ = 0;
     bool isPlacingScheduled_ = false;
     bool isCheckScheduled_ = false;
 };
--- a/include/monsoongrade/routing/endpointratelimiter.h
+++ b/include/monsoongrade/routing/endpointratelimiter.h
@@ -2,15 +2,15 @@
 #define MONSOONGRADE_ROUTING_ENDPOINTRATELIMITER_H
 
 #include <monsoongrade/routing/ratelimitupdate.h>
+#include <monsoongrade/routing/rateshare.h>
 
 #include <optional>
 
 namespace monsoongrade::routing {
 
 // Limits the rate at which one host places requests on an endpoint that has announced a rate limit.
-// The host uses a share of the limit: all of it if it places requests for all hosts, an equal part
-// if each host places its own. In the second case the hosts take turns, and an unused turn expires:
-// saved-up turns of all hosts would be used at the same moment, as when the coordinator is lost.
+// The host uses a share of the limit. If each host uses its own equal part, the hosts take turns,
+// and an unused turn expires: saved-up turns of all hosts would be used at the same moment.
 class EndpointRateLimiter
 {
 public:
@@ -21,17 +21,18 @@
     const std::optional<RequestsPerSecond> &limit() const { return limit_; }
 
     // Whether the host may place another request, given its share of the limit.
-    bool allows(double share, units::TimePoint now) const;
-    void onPlaced(double share, units::TimePoint now);
+    bool allows(const RateShare &share, units::TimePoint now) const;
+    void onPlaced(const RateShare &share);
 
 private:
-    bool isOwnTurn(double share, units::TimePoint now) const;
-    double levelAt(double share, units::TimePoint now) const;
+    bool isOwnTurn(double fraction, units::TimePoint now) const;
+    double levelAt(const RateShare &share) const;
 
     std::optional<RequestsPerSecond> limit_;
-    // Leaky bucket: requests placed and not yet drained at the rate of the limit.
+    // Leaky bucket: requests placed and not yet drained at the rate of the limit. Kept when a limit
+    // is lifted, in case it returns.
     double level_ = 0;
-    units::TimePoint levelUpdatedAt_{};
+    double accruedAtLevel_ = 0; // of the share, in seconds
     units::TimePoint limitedSince_{};
     double phase_ = 0;
 };
--- a/include/monsoongrade/routing/placementquery.h
+++ b/include/monsoongrade/routing/placementquery.h
@@ -42,8 +42,8 @@
     units::Duration expiresIn{};
     // The request may be queued; otherwise it is placed at once.
     bool mayWait = false;
-    // The host places the request itself, without knowledge of the other hosts' requests.
-    bool isLocalFallback = false;
+    // Each endpoint of the pool is used by the hosts of one cell only.
+    bool isPoolDivided = false;
 };
 
 // Whether the software version of the endpoint permits it to run the request.
--- a/include/monsoongrade/routing/requestplacer.h
+++ b/include/monsoongrade/routing/requestplacer.h
@@ -8,6 +8,7 @@
 #include <monsoongrade/routing/prefillrate.h>
 #include <monsoongrade/routing/prefillsizes.h>
 #include <monsoongrade/routing/prefixcacheindex.h>
+#include <monsoongrade/routing/sharedelegation.h>
 #include <monsoongrade/routing/shortpausereserve.h>
 #include <monsoongrade/routing/sizefairness.h>
 
@@ -74,8 +75,15 @@
 class RequestPlacer
 {
 public:
-    // This host's share, 0 to 1, of an endpoint's limit in pools where each host places locally.
-    void setOwnShare(double share) { ownShare_ = share; }
+    // This host's share of endpoints' rate limits in divided pools, or in the others.
+    ShareDelegation &shares(bool isPoolDivided)
+    {
+        return isPoolDivided ? cellShares_ : fleetShares_;
+    }
+    const ShareDelegation &shares(bool isPoolDivided) const
+    {
+        return isPoolDivided ? cellShares_ : fleetShares_;
+    }
     // Places a request. It counts as open until an event ends it or it times out. Idempotent: an
     // open or queued ticket gets the same result again.
     PlacementChoice place(const PlacementTicket &ticket, const PlacementQuery &query,
@@ -131,7 +139,7 @@
     PlacementChoice chooseForModel(const PlacementQuery &query,
                                    const std::vector<EndpointRegistry::Status> &available,
                                    units::TimePoint now);
-    bool hasSlot(const EndpointStatus &endpoint, const PlacementQuery &query) const;
+    bool hasSlot(const EndpointStatus &endpoint, const RateShare &share) const;
     bool hasRoomInReserve(const EndpointStatus &endpoint, std::int64_t maxBacklog) const;
     Candidates candidatesFor(const PlacementQuery &query,
                              const std::vector<EndpointRegistry::Status> &available,
@@ -147,10 +155,11 @@
     void removeExpired(units::TimePoint now);
 
     bool isUsable(const EndpointStatus &endpoint, const PlacementQuery &query,
-                  units::TimePoint now) const;
-    double shareFor(const PlacementQuery &query) const;
+                  const RateShare &share, units::TimePoint now) const;
+    RateShare shareFor(const PlacementQuery &query, units::TimePoint now) const;
 
-    double ownShare_ = 1;
+    ShareDelegation fleetShares_;
+    ShareDelegation cellShares_;
     PrefixCacheIndex prefixCache_;
     std::vector<CachedPart> unannouncedParts_;
     EndpointLoads loads_;
--- a/schema/placement.capnp
+++ b/schema/placement.capnp
@@ -28,6 +28,8 @@
   softwareVersion @14 :Text;
   # A limit that the last choice for this request was not counted against.
   limit @15 :Gossip.LimitNews;
+  # The part of each endpoint's limit that the asking host lends, 0 to 1.
+  lentShare @16 :Float32;
 }
 
 struct PlacementAnswer {
@@ -68,6 +70,14 @@
   }
 }
 
+# From a host that has asked nothing lately.
+struct ShareLoan {
+  # As in PlacementAsk.
+  lentShare @0 :Float32;
+  # Of limits in pools that are divided among cells, not in the others.
+  isOfCell @1 :Bool;
+}
+
 # From the placing host to those that would take over.
 struct CachedParts {
   parts @0 :List(Part);
@@ -87,5 +97,6 @@
     cachedParts @3 :CachedParts;
     stillWaiting @4 :StillWaiting;
     notWaiting @5 :NotWaiting;
+    loan @6 :ShareLoan;
   }
 }
--- a/schema/placement.capnp.h
+++ b/schema/placement.capnp.h
@@ -33,6 +33,7 @@
     ENDPOINT_PAUSED,
 };
 CAPNP_DECLARE_ENUM(News, c65cf91165181e42);
+CAPNP_DECLARE_SCHEMA(a79291027e755f69);
 CAPNP_DECLARE_SCHEMA(aa410731b99bbd0a);
 CAPNP_DECLARE_SCHEMA(eff64deac2482f86);
 CAPNP_DECLARE_SCHEMA(ef5fe5780a12750a);
@@ -53,7 +54,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(ceb6b6014d2b2208, 4, 7)
+        CAPNP_DECLARE_STRUCT_HEADER(ceb6b6014d2b2208, 5, 7)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -144,6 +145,26 @@
     };
 };
 
+struct ShareLoan
+{
+    ShareLoan() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(a79291027e755f69, 1, 0)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
 struct CachedParts
 {
     CachedParts() = delete;
@@ -199,6 +220,7 @@
         CACHED_PARTS,
         STILL_WAITING,
         NOT_WAITING,
+        LOAN,
     };
 
     struct _capnpPrivate
@@ -274,6 +296,8 @@
     inline bool hasLimit() const;
     inline ::monsoongrade::schema::LimitNews::Reader getLimit() const;
 
+    inline float getLentShare() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -389,6 +413,9 @@
     inline void adoptLimit(::capnp::Orphan<::monsoongrade::schema::LimitNews> &&value);
     inline ::capnp::Orphan<::monsoongrade::schema::LimitNews> disownLimit();
 
+    inline float getLentShare();
+    inline void setLentShare(float value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -847,6 +874,103 @@
 };
 #endif // !CAPNP_LITE
 
+class ShareLoan::Reader
+{
+public:
+    typedef ShareLoan Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+    inline float getLentShare() const;
+
+    inline bool getIsOfCell() const;
+
+private:
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class ShareLoan::Builder
+{
+public:
+    typedef ShareLoan Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline float getLentShare();
+    inline void setLentShare(float value);
+
+    inline bool getIsOfCell();
+    inline void setIsOfCell(bool value);
+
+private:
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ShareLoan::Pipeline
+{
+public:
+    typedef ShareLoan Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
 class CachedParts::Reader
 {
 public:
@@ -1108,6 +1232,10 @@
     inline bool hasNotWaiting() const;
     inline ::monsoongrade::schema::NotWaiting::Reader getNotWaiting() const;
 
+    inline bool isLoan() const;
+    inline bool hasLoan() const;
+    inline ::monsoongrade::schema::ShareLoan::Reader getLoan() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -1192,6 +1320,14 @@
     inline void adoptNotWaiting(::capnp::Orphan<::monsoongrade::schema::NotWaiting> &&value);
     inline ::capnp::Orphan<::monsoongrade::schema::NotWaiting> disownNotWaiting();
 
+    inline bool isLoan();
+    inline bool hasLoan();
+    inline ::monsoongrade::schema::ShareLoan::Builder getLoan();
+    inline void setLoan(::monsoongrade::schema::ShareLoan::Reader value);
+    inline ::monsoongrade::schema::ShareLoan::Builder initLoan();
+    inline void adoptLoan(::capnp::Orphan<::monsoongrade::schema::ShareLoan> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::ShareLoan> disownLoan();
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -1652,6 +1788,20 @@
         _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline float PlacementAsk::Reader::getLentShare() const
+{
+    return _reader.getDataField<float>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline float PlacementAsk::Builder::getLentShare()
+{
+    return _builder.getDataField<float>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void PlacementAsk::Builder::setLentShare(float value)
+{
+    _builder.setDataField<float>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline ::uint64_t PlacementAnswer::Reader::getNumber() const
 {
     return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1906,6 +2056,34 @@
         ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline float ShareLoan::Reader::getLentShare() const
+{
+    return _reader.getDataField<float>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline float ShareLoan::Builder::getLentShare()
+{
+    return _builder.getDataField<float>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ShareLoan::Builder::setLentShare(float value)
+{
+    _builder.setDataField<float>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ShareLoan::Reader::getIsOfCell() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool ShareLoan::Builder::getIsOfCell()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void ShareLoan::Builder::setIsOfCell(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CachedParts::Reader::hasParts() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2454,6 +2632,70 @@
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PlacementMessage::Reader::isLoan() const
+{
+    return which() == PlacementMessage::LOAN;
+}
+inline bool PlacementMessage::Builder::isLoan()
+{
+    return which() == PlacementMessage::LOAN;
+}
+inline bool PlacementMessage::Reader::hasLoan() const
+{
+    if (which() != PlacementMessage::LOAN)
+        return false;
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PlacementMessage::Builder::hasLoan()
+{
+    if (which() != PlacementMessage::LOAN)
+        return false;
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::monsoongrade::schema::ShareLoan::Reader PlacementMessage::Reader::getLoan() const
+{
+    KJ_IREQUIRE((which() == PlacementMessage::LOAN),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::ShareLoan>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::monsoongrade::schema::ShareLoan::Builder PlacementMessage::Builder::getLoan()
+{
+    KJ_IREQUIRE((which() == PlacementMessage::LOAN),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::ShareLoan>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PlacementMessage::Builder::setLoan(::monsoongrade::schema::ShareLoan::Reader value)
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::LOAN);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::ShareLoan>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::monsoongrade::schema::ShareLoan::Builder PlacementMessage::Builder::initLoan()
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::LOAN);
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::ShareLoan>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+PlacementMessage::Builder::adoptLoan(::capnp::Orphan<::monsoongrade::schema::ShareLoan> &&value)
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::LOAN);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::ShareLoan>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::monsoongrade::schema::ShareLoan> PlacementMessage::Builder::disownLoan()
+{
+    KJ_IREQUIRE((which() == PlacementMessage::LOAN),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::ShareLoan>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 } // namespace schema
 } // namespace monsoongrade
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -244,12 +244,28 @@
     state_.otherHosts.assign(live.begin(), std::prev(live.end())); // this host comes last
     state_.liveHosts = int(live.size());
     logHostChanges(live);
-    const auto ownPlace = std::count_if(
-        live.begin(), live.end(), [this](const auto &host) { return host.ip < settings_.ip; });
-    state_.placement.setLiveHosts(state_.liveHosts, int(ownPlace));
+    setPositionAmong(live);
     updateCoordinatorRankings(live);
 }
 
+void Gateway::setPositionAmong(const std::vector<routing::PeerUpdate> &live)
+{
+    const routing::FleetDivision &division = state_.registry.division();
+    const std::uint32_t ownCell = division.cellOf(settings_.ip);
+    PlacementService::HostPosition inFleet{0, 0};
+    PlacementService::HostPosition inCell{0, 0};
+    for (const routing::PeerUpdate &host : live) {
+        const int before = host.ip < settings_.ip ? 1 : 0;
+        ++inFleet.hosts;
+        inFleet.ownIndex += before;
+        if (division.cellOf(host.ip) != ownCell)
+            continue;
+        ++inCell.hosts;
+        inCell.ownIndex += before;
+    }
+    state_.placement.setLiveHosts(inFleet, inCell);
+}
+
 void Gateway::updateCoordinatorRankings(const std::vector<routing::PeerUpdate> &live)
 {
     const routing::FleetDivision &division = state_.registry.division();
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -18,6 +18,7 @@
     metrics.set("monsoongrade_gateway_endpoints_known", "", double(state_.registry.size()));
     metrics.set("monsoongrade_gateway_requests_quarantined", "",
                 double(state_.crashes.quarantinedCount(timers_.now())));
+    metrics.set("monsoongrade_gateway_limit_share", "", state_.placement.limitShare());
     metrics.set("monsoongrade_gateway_endpoints_limited", "",
                 double(state_.announcements.limited()));
     metrics.set("monsoongrade_gateway_endpoints_leaving", "",
--- a/src/gateway/internal/placementmessages.h
+++ b/src/gateway/internal/placementmessages.h
@@ -19,6 +19,7 @@
 {
     std::uint64_t number = 0;
     routing::PlacementQuery query;
+    double lentShare = 0; // of each endpoint's limit, 0 to 1
     // A limit that the last choice for this request was not counted against.
     std::optional<routing::RateLimitUpdate> limit;
 };
@@ -54,8 +55,14 @@
     std::vector<std::uint64_t> numbers;
 };
 
+struct LoanMessage
+{
+    double lentShare = 0; // of each endpoint's limit, 0 to 1
+    bool isOfCell = false; // in divided pools, not in the others
+};
+
 using PlacementMessage = std::variant<QueryMessage, AnswerMessage, EventMessage, CachedPartsMessage,
-                                      StillWaitingMessage, NotWaitingMessage>;
+                                      StillWaitingMessage, NotWaitingMessage, LoanMessage>;
 
 // Returns the answer that describes the choice.
 AnswerMessage answerFor(std::uint64_t number, const routing::PlacementChoice &choice);
--- a/src/gateway/placementlimits.cpp
+++ b/src/gateway/placementlimits.cpp
@@ -1,5 +1,7 @@
 #include <monsoongrade/gateway/placementservice.h>
 
+#include <gateway/internal/placementmessages.h>
+
 #include <monsoongrade/observability/log.h>
 #include <monsoongrade/units/stablehash.h>
 
@@ -10,11 +12,53 @@
 
 namespace monsoongrade::gateway {
 
-void PlacementService::setLiveHosts(int hosts, int ownIndex)
+using namespace internal;
+
+void PlacementService::setLiveHosts(HostPosition inFleet, HostPosition inCell)
+{
+    const auto set = [this](HostPosition position, bool isOfCell, double &phase) {
+        const double share = 1.0 / std::max(position.hosts, 1);
+        placer_.shares(isOfCell).setOwnShare(share, timers_.now());
+        phase = position.ownIndex * share;
+    };
+    set(inFleet, false, fleetPhase_);
+    set(inCell, true, cellPhase_);
+}
+
+routing::ShareDelegation &PlacementService::sharesOf(const units::PoolName &pool)
+{
+    return placer_.shares(registry_.division().isDivided(pool));
+}
+
+double PlacementService::limitShare() const
+{
+    return placer_.shares(!registry_.division().pools().empty())
+        .availableShare(timers_.now())
+        .fraction;
+}
+
+// A host without callers lends its share as well: an unused one would be lost to the endpoints.
+void PlacementService::lendIdleShares()
+{
+    if (announcements_.limited() == 0)
+        return;
+    const units::TimePoint now = timers_.now();
+    const auto lend = [&](const std::vector<std::string> &ranking, bool isOfCell) {
+        routing::ShareDelegation &shares = placer_.shares(isOfCell);
+        const std::string coordinator = selector_.selectHost(ranking, settings_.ownIp, now);
+        if (coordinator.empty() || !shares.isRenewalDue(now))
+            return;
+        if (const double share = shares.lendTo(coordinator, now); share > 0)
+            socket_.send(coordinator, encode(LoanMessage{share, isOfCell}));
+    };
+    lend(fleetRanking_, false);
+    if (!registry_.division().pools().empty())
+        lend(cellRanking_, true);
+}
+
+void PlacementService::onMessage(const std::string &host, const LoanMessage &message)
 {
-    const double share = 1.0 / std::max(hosts, 1);
-    placer_.setOwnShare(share);
-    phase_ = ownIndex * share;
+    placer_.shares(message.isOfCell).borrow(host, message.lentShare, timers_.now());
 }
 
 bool PlacementService::setLimit(routing::EndpointStatus &endpoint,
@@ -23,7 +67,9 @@
     // The hosts take turns; which of them is first differs between endpoints.
     const double first = double(units::spreadHash({endpoint.registration.id.value()}))
         / double(std::numeric_limits<std::uint64_t>::max());
-    return endpoint.rateLimiter.setLimit(limit, std::fmod(phase_ + first, 1.0), timers_.now());
+    const bool isDivided = registry_.division().isDivided(endpoint.registration.pool);
+    const double phase = isDivided ? cellPhase_ : fleetPhase_;
+    return endpoint.rateLimiter.setLimit(limit, std::fmod(phase + first, 1.0), timers_.now());
 }
 
 // The entry may be of another process than the one that announced the limit, which then ends.
--- a/src/gateway/placementmessages.cpp
+++ b/src/gateway/placementmessages.cpp
@@ -36,6 +36,12 @@
     return ids;
 }
 
+// A share that is no number, or out of range, lends nothing.
+double readShare(float share)
+{
+    return share > 0 && share <= 1 ? double(share) : 0;
+}
+
 void write(const QueryMessage &from, schema::PlacementMessage::Builder root)
 {
     const routing::PlacementQuery &query = from.query;
@@ -57,6 +63,7 @@
     ask.setIsVersionBound(query.softwareVersion.has_value());
     if (query.softwareVersion)
         ask.setSoftwareVersion(query.softwareVersion->value());
+    ask.setLentShare(float(from.lentShare));
     if (from.limit)
         encodeLimit(ask.initLimit(), *from.limit);
 }
@@ -82,6 +89,7 @@
     query.paused = idsOf(ask.getPaused());
     if (ask.getIsVersionBound())
         query.softwareVersion = units::SoftwareVersion(ask.getSoftwareVersion());
+    message.lentShare = readShare(ask.getLentShare());
     if (ask.hasLimit())
         message.limit = decodeLimit(ask.getLimit());
     return message;
@@ -170,6 +178,13 @@
     setNumbers(root.initNotWaiting().initNumbers(unsigned(from.numbers.size())), from.numbers);
 }
 
+void write(const LoanMessage &from, schema::PlacementMessage::Builder root)
+{
+    auto loan = root.initLoan();
+    loan.setLentShare(float(from.lentShare));
+    loan.setIsOfCell(from.isOfCell);
+}
+
 } // namespace
 
 AnswerMessage answerFor(std::uint64_t number, const routing::PlacementChoice &choice)
@@ -210,6 +225,8 @@
         return StillWaitingMessage{numbersOf(root.getStillWaiting().getNumbers())};
     case schema::PlacementMessage::NOT_WAITING:
         return NotWaitingMessage{numbersOf(root.getNotWaiting().getNumbers())};
+    case schema::PlacementMessage::LOAN:
+        return LoanMessage{readShare(root.getLoan().getLentShare()), root.getLoan().getIsOfCell()};
     }
     KJ_FAIL_REQUIRE("unknown type of placement message, sent by a newer version");
 }
--- a/src/gateway/placementservice.cpp
+++ b/src/gateway/placementservice.cpp
@@ -81,6 +81,7 @@
     pending.sentAt = now;
     pending.isWaiting = false;
     pending.wasRepeated = false;
+    pending.query.isPoolDivided = registry_.division().isDivided(pending.query.pool);
     pending.coordinator = pending.query.runsModel
         ? selector_.selectHost(rankingFor(pending.query.pool), settings_.ownIp, now)
         : std::string();
@@ -95,13 +96,18 @@
 
 void PlacementService::sendQuery(std::uint64_t number, const PendingQuery &pending)
 {
-    socket_.send(pending.coordinator, encode(QueryMessage{number, pending.query, pending.limit}));
+    const double lentShare
+        = sharesOf(pending.query.pool).lendTo(pending.coordinator, timers_.now());
+    socket_.send(pending.coordinator,
+                 encode(QueryMessage{number, pending.query, lentShare, pending.limit}));
 }
 
 void PlacementService::placeLocally(std::uint64_t number, const routing::PlacementQuery &query,
                                     const PlacedHandler &placed)
 {
     const routing::PlacementTicket ticket{settings_.ownIp, number};
+    if (query.runsModel)
+        sharesOf(query.pool).keep(timers_.now());
     const routing::PlacementChoice choice
         = placer_.place(ticket, query, registry_.available(query.pool), timers_.now());
     if (choice.isWaiting)
@@ -143,6 +149,7 @@
     fleetRanking_ = std::move(ofFleet);
     cellRanking_ = std::move(ofCell);
     updateSuccessors();
+    lendIdleShares();
 }
 
 const std::vector<std::string> &PlacementService::rankingFor(const units::PoolName &pool) const
@@ -211,7 +218,6 @@
     // Since this host does not know the other hosts' requests, queueing would only add delay.
     routing::PlacementQuery query = pending.query;
     query.mayWait = false;
-    query.isLocalFallback = true;
     placeLocally(number, query, pending.placed);
 }
 
@@ -288,10 +294,13 @@
 void PlacementService::onMessage(const std::string &host, const QueryMessage &message)
 {
     metrics_.add("monsoongrade_gateway_placement_asks_total");
+    routing::PlacementQuery query = message.query;
+    query.isPoolDivided = registry_.division().isDivided(query.pool);
+    sharesOf(query.pool).borrow(host, message.lentShare, timers_.now());
     if (message.limit)
         receiveLimit(*message.limit, "query");
-    const auto choice = placer_.place({host, message.number}, message.query,
-                                      registry_.available(message.query.pool), timers_.now());
+    const auto choice = placer_.place({host, message.number}, query,
+                                      registry_.available(query.pool), timers_.now());
     socket_.send(host, encode(answerFor(message.number, choice)));
 }
 
@@ -418,9 +427,7 @@
         sendOrPlace(message.number, std::move(pending));
         return;
     }
-    routing::PlacementQuery query = std::move(pending.query);
-    query.isLocalFallback = true;
-    placeLocally(message.number, query, pending.placed);
+    placeLocally(message.number, pending.query, pending.placed);
 }
 
 } // namespace monsoongrade::gateway
--- a/src/routing/endpointchoice.cpp
+++ b/src/routing/endpointchoice.cpp
@@ -49,28 +49,28 @@
 
 } // namespace
 
-// The coordinator places for all hosts and so may use the whole limit of a model pool's endpoint.
-double RequestPlacer::shareFor(const PlacementQuery &query) const
+RateShare RequestPlacer::shareFor(const PlacementQuery &query, units::TimePoint now) const
 {
-    return query.runsModel && !query.isLocalFallback ? 1 : ownShare_;
+    const ShareDelegation &shareOfPool = shares(query.isPoolDivided);
+    return query.runsModel ? shareOfPool.availableShare(now) : shareOfPool.ownShare(now);
 }
 
 bool RequestPlacer::isUsable(const EndpointStatus &endpoint, const PlacementQuery &query,
-                             units::TimePoint now) const
+                             const RateShare &share, units::TimePoint now) const
 {
     const units::EndpointId &id = endpoint.registration.id;
     return !contains(query.tried, id) && !contains(query.paused, id) && !endpoint.leaving
         && hasPermittedVersion(endpoint.registration, query) && endpoint.health.accepts(now)
-        && endpoint.rateLimiter.allows(shareFor(query), now) && hasSlot(endpoint, query);
+        && endpoint.rateLimiter.allows(share, now) && hasSlot(endpoint, share);
 }
 
 // An endpoint that survives few rejections gets no more requests than it can run: how many it lets
 // wait may shrink at any moment.
-bool RequestPlacer::hasSlot(const EndpointStatus &endpoint, const PlacementQuery &query) const
+bool RequestPlacer::hasSlot(const EndpointStatus &endpoint, const RateShare &share) const
 {
     if (!endpoint.maxRejections)
         return true;
-    const double ownSlots = endpoint.registration.slots * shareFor(query);
+    const double ownSlots = endpoint.registration.slots * share.fraction;
     return loads_.of(endpoint).openRequests < std::max(1, int(ownSlots));
 }
 
@@ -89,10 +89,11 @@
         = reserve_.endpoints(query.pool, available, now, query.poolServesShortPauses ? 1 : 0,
                              query.needsShortPauses ? 1 : 0);
     const std::int64_t maxBacklog = prefillRates_.of(query.pool).tokensIn(MaxBacklogInReserve, now);
+    const RateShare share = shareFor(query, now);
     Candidates usable;
     Candidates byReserve;
     for (const EndpointRegistry::Status &endpoint : available) {
-        if (!isUsable(*endpoint, query, now))
+        if (!isUsable(*endpoint, query, share, now))
             continue;
         usable.push_back(&endpoint);
         const bool isFull = query.needsShortPauses && !hasRoomInReserve(*endpoint, maxBacklog);
@@ -176,11 +177,13 @@
                                  const std::vector<EndpointRegistry::Status> &available,
                                  units::TimePoint now) const
 {
+    const RateShare share = shareFor(query, now);
     PlacementChoice choice;
     double best = std::numeric_limits<double>::infinity();
     for (const EndpointRegistry::Status &endpoint : available) {
         const EndpointLoad load = loads_.of(*endpoint);
-        if (!isUsable(*endpoint, query, now) || load.openRequests >= endpoint->registration.slots)
+        if (!isUsable(*endpoint, query, share, now)
+            || load.openRequests >= endpoint->registration.slots)
             continue;
         const bool isNear = endpoint->registration.failureDomain == query.requesterDomain;
         const double cost = (1 + load.openRequests) * penalty(*endpoint, now) + (isNear ? 0 : 0.5);
--- a/src/routing/endpointratelimiter.cpp
+++ b/src/routing/endpointratelimiter.cpp
@@ -23,8 +23,6 @@
     if (limit == limit_)
         return false;
     if (!limit_) {
-        level_ = MaxLevel + phase;
-        levelUpdatedAt_ = now;
         limitedSince_ = now;
         phase_ = phase;
     }
@@ -32,32 +30,35 @@
     return true;
 }
 
-bool EndpointRateLimiter::allows(double share, units::TimePoint now) const
+bool EndpointRateLimiter::allows(const RateShare &share, units::TimePoint now) const
 {
-    return !limit_ || (levelAt(share, now) <= MaxLevel && (share >= 1 || isOwnTurn(share, now)));
+    if (!limit_)
+        return true;
+    return share.fraction > 0 && levelAt(share) <= MaxLevel
+        && (!share.takesTurns || isOwnTurn(share.fraction, now));
 }
 
-bool EndpointRateLimiter::isOwnTurn(double share, units::TimePoint now) const
+bool EndpointRateLimiter::isOwnTurn(double fraction, units::TimePoint now) const
 {
     const double seconds = std::chrono::duration<double>(now - limitedSince_).count();
-    const double turns = seconds * std::max(*limit_, MinPerSecond) * share - phase_;
+    const double turns = seconds * std::max(*limit_, MinPerSecond) * fraction - phase_;
     const double sinceTurn
-        = (turns - std::floor(turns)) / (std::max(*limit_, MinPerSecond) * share);
+        = (turns - std::floor(turns)) / (std::max(*limit_, MinPerSecond) * fraction);
     return turns >= 0 && sinceTurn <= TurnSeconds;
 }
 
-void EndpointRateLimiter::onPlaced(double share, units::TimePoint now)
+void EndpointRateLimiter::onPlaced(const RateShare &share)
 {
     if (!limit_)
         return;
-    level_ = levelAt(share, now) + 1;
-    levelUpdatedAt_ = now;
+    level_ = levelAt(share) + 1;
+    accruedAtLevel_ = share.accruedSeconds;
 }
 
-double EndpointRateLimiter::levelAt(double share, units::TimePoint now) const
+double EndpointRateLimiter::levelAt(const RateShare &share) const
 {
-    const double seconds = std::chrono::duration<double>(now - levelUpdatedAt_).count();
-    return std::max(0.0, level_ - seconds * std::max(*limit_, MinPerSecond) * share);
+    const double accrued = std::max(0.0, share.accruedSeconds - accruedAtLevel_);
+    return std::max(0.0, level_ - accrued * std::max(*limit_, MinPerSecond));
 }
 
 } // namespace monsoongrade::routing
--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -25,6 +25,7 @@
                                      units::TimePoint now)
 {
     removeExpired(now);
+    shares(query.isPoolDivided).update(now);
     // A repeated query gets the result that was lost. Placing the request again would count it as
     // part of the queue ahead of itself, and could refuse it while it is queued.
     if (const auto earlier = choiceOf(ticket))
@@ -69,7 +70,7 @@
     if (choice.endpoint == nullptr)
         return choice;
     const EndpointStatus &endpoint = *choice.endpoint;
-    choice.endpoint->rateLimiter.onPlaced(shareFor(query), now);
+    choice.endpoint->rateLimiter.onPlaced(shareFor(query, now));
     choice.isLimited = endpoint.rateLimiter.limit().has_value();
     Placed &placed = placed_[ticket];
     placed = {choice.endpoint, choice.tokensToRead, now, query.needsShortPauses};
@@ -94,6 +95,8 @@
 std::vector<std::pair<PlacementTicket, PlacementChoice>>
 RequestPlacer::placeWaiting(const EndpointRegistry &registry, units::TimePoint now)
 {
+    fleetShares_.update(now);
+    cellShares_.update(now);
     std::vector<std::pair<PlacementTicket, PlacementChoice>> placed;
     std::int64_t drained = 0;
     const auto tryPlace = [&](const PlacementTicket &ticket) {
@@ -186,8 +189,10 @@
                                 const std::vector<EndpointRegistry::Status> &available,
                                 units::TimePoint now) const
 {
-    return std::any_of(available.begin(), available.end(),
-                       [&](const auto &endpoint) { return isUsable(*endpoint, query, now); });
+    const RateShare share = shareFor(query, now);
+    return std::any_of(available.begin(), available.end(), [&](const auto &endpoint) {
+        return isUsable(*endpoint, query, share, now);
+    });
 }
 
 std::optional<PlacementChoice> RequestPlacer::choiceOf(const PlacementTicket &ticket) const
--- a/tests/gateway/placementservice_test.cpp
+++ b/tests/gateway/placementservice_test.cpp
@@ -230,7 +230,7 @@
     int placed = 0;
     for (Host *host : {&coordinator, &standby, &requester}) {
         const int index = host == &coordinator ? 0 : host == &standby ? 1 : 2;
-        host->placement.setLiveHosts(3, index);
+        host->placement.setLiveHosts({3, index}, {3, index});
         host->announceLimit(limit);
     }
     const auto begin = std::chrono::steady_clock::now();
--- a/tests/routing/endpointlimits_test.cpp
+++ b/tests/routing/endpointlimits_test.cpp
@@ -28,17 +28,25 @@
     return int(1.5 * limit * double(Span.count()) + 5);
 }
 
+// The share of a host that has had this fraction all the time.
+RateShare constantShare(double fraction, units::TimePoint now)
+{
+    const double seconds = std::chrono::duration<double>(now.time_since_epoch()).count();
+    return {fraction, fraction * seconds, fraction < 1};
+}
+
 // Places as many requests as the hosts' rate limiters allow, checking each millisecond, and returns
 // the largest number of placements in any span.
-int mostInSpan(std::vector<EndpointRateLimiter> &hosts, double share, seconds time)
+int mostInSpan(std::vector<EndpointRateLimiter> &hosts, double fraction, seconds time)
 {
     std::vector<units::TimePoint> placed;
     int most = 0;
     for (units::TimePoint now = Start; now < Start + time; now += milliseconds(1)) {
+        const RateShare share = constantShare(fraction, now);
         for (EndpointRateLimiter &host : hosts) {
             if (!host.allows(share, now))
                 continue;
-            host.onPlaced(share, now);
+            host.onPlaced(share);
             placed.push_back(now);
             most = std::max(most, int(std::count_if(placed.begin(), placed.end(), [now](auto at) {
                                 return at > now - Span;
@@ -54,8 +62,8 @@
 {
     EndpointRateLimiter limiter;
     for (int i = 0; i < 1000; ++i) {
-        CHECK(limiter.allows(1, Start));
-        limiter.onPlaced(1, Start);
+        CHECK(limiter.allows({}, Start));
+        limiter.onPlaced({});
     }
 }
 
@@ -108,10 +116,11 @@
     for (std::size_t host = 0; host < Count; ++host)
         hosts[host].setLimit(limit, double(host) / Count, Start - minutes(1));
     std::vector<units::TimePoint> placed;
-    const auto tryPlace = [&](EndpointRateLimiter &host, double share, units::TimePoint now) {
+    const auto tryPlace = [&](EndpointRateLimiter &host, double fraction, units::TimePoint now) {
+        const RateShare share = constantShare(fraction, now);
         if (!host.allows(share, now))
             return;
-        host.onPlaced(share, now);
+        host.onPlaced(share);
         placed.push_back(now);
     };
     const units::TimePoint lost = Start + seconds(4);
@@ -137,7 +146,7 @@
     std::vector<EndpointRateLimiter> hosts(1);
     hosts[0].setLimit(0, 0.5, Start);
     CHECK(mostInSpan(hosts, 1, seconds(30)) == 1);
-    CHECK(hosts[0].allows(1, Start + minutes(1)));
+    CHECK(hosts[0].allows(constantShare(1, Start + minutes(1)), Start + minutes(1)));
 }
 
 TEST_CASE("EndpointAnnouncements.LatestResponseWinsInAnyOrderOfUpdates")
--- a/tests/routing/pausesimulation_test.cpp
+++ b/tests/routing/pausesimulation_test.cpp
@@ -135,9 +135,8 @@
         query.paused.clear();
         for (const EndpointInstance &endpoint : hosts_[host].announcements->paused(now_))
             query.paused.push_back(endpoint.id);
-        query.isLocalFallback = isCutOff(host);
-        query.mayWait = !query.isLocalFallback;
-        RequestPlacer &placer = query.isLocalFallback ? hosts_[host].placer : placer_;
+        query.mayWait = !isCutOff(host);
+        RequestPlacer &placer = isCutOff(host) ? hosts_[host].placer : placer_;
         const PlacementTicket ticket{std::to_string(host), ++lastNumber_};
         queries_[ticket.number] = query;
         const PlacementChoice choice = placer.place(ticket, query, registry_.available(Pool), now_);
--- a/tests/routing/requestplacer_test.cpp
+++ b/tests/routing/requestplacer_test.cpp
@@ -238,8 +238,7 @@
 {
     PlacerFixture fixture(9);
     for (int i = 0; i < 20; ++i) {
-        PlacementQuery query = modelQuery("subject" + std::to_string(i), 13300, 3720);
-        query.isLocalFallback = true;
+        const PlacementQuery query = modelQuery("subject" + std::to_string(i), 13300, 3720);
         RequestPlacer one;
         RequestPlacer other;
         const auto available = fixture.registry.available(TestPool);
