A response to an earlier request does not end a limit

A response without a limit ended the limit on all hosts, dated at the moment when it was read. In gossip it outlived the limits that were announced meanwhile.

A response without a limit is now dated at the time when its request was sent, as announcements of leaving are, so that the latest word stands. Ruled out: errors without the header; with a limit of 1 they did not get the endpoint more than allowed, as its rank falls with them.

--- a/src/gateway/exchangeannouncements.cpp
+++ b/src/gateway/exchangeannouncements.cpp
@@ -125,12 +125,14 @@
 {
     if (answer_.provenNotRun && !answer_.requestLimit)
         return;
-    state_.announcements.setLimit(routing::instanceOf(endpoint_->registration),
-                                  answer_.requestLimit, state_.timers.now());
-    if (!state_.placement.setLimit(*endpoint_, answer_.requestLimit))
+    // A response to a request that was sent before a limit was announced does not end the limit.
+    const units::TimePoint at = answer_.requestLimit ? state_.timers.now() : sentAt_;
+    const routing::EndpointInstance instance = routing::instanceOf(endpoint_->registration);
+    if (!state_.announcements.setLimit(instance, answer_.requestLimit, at)
+        || !state_.placement.setLimit(*endpoint_, answer_.requestLimit))
         return;
     state_.log.write(observability::LogLevel::Info, "endpoint-limit-changed",
-                     {{"endpoint", endpoint_->registration.id.value()},
+                     {{"endpoint", instance.id.value()},
                       {"request", metadata_.id.value()},
                       {"requests-per-second", answer_.requestLimit.value_or(-1)}});
 }
--- a/tests/adapter/endpointlimits_test.cpp
+++ b/tests/adapter/endpointlimits_test.cpp
@@ -1,5 +1,7 @@
 #include "announcingworkers.h"
 
+#include <utility>
+
 using namespace monsoongrade;
 using namespace monsoongrade::platform;
 using std::chrono::milliseconds;
@@ -88,3 +90,63 @@
     fixture.callFor(milliseconds(500), "/unsafe/a");
     CHECK_MESSAGE(fixture.announcersRequests() - before > 1, "no requests after a restart");
 }
+
+namespace {
+
+constexpr int LateResponses = 4;
+
+// Two plain workers. One names a limit of 0 to every request but the first ones, whose responses
+// lack the header, and come after the limit.
+int arrivalsAfterALateResponse()
+{
+    GatewayFixture fixture;
+    fixture.store.put("config", "main", operatorConfiguration());
+    std::vector<std::pair<std::shared_ptr<standins::RawConnection>, std::string>> waiting;
+    bool isLimited = false;
+    standins::RawPeer limited(
+        fixture.io, [&](standins::RawConnection &connection, const std::string &text, int number) {
+            const std::string id = standins::headerIn(text, "Attempt-Id");
+            if (number <= LateResponses) {
+                waiting.emplace_back(connection.shared_from_this(), id);
+                return;
+            }
+            isLimited = true;
+            connection.write(workerResponse(id, "fine", "Server-Limit: 0\r\n"));
+        });
+    // Slow, so that the limited worker has the least load.
+    standins::RawPeer other(
+        fixture.io, [&](standins::RawConnection &connection, const std::string &text, int) {
+            fixture.timers.after(milliseconds(100), [open = connection.shared_from_this(), text] {
+                open->write(workerResponse(standins::headerIn(text, "Attempt-Id"), "fine"));
+            });
+        });
+    fixture.announce("e0", "plain", limited.address());
+    fixture.announce("e1", "plain", other.address());
+    fixture.start();
+    REQUIRE(fixture.awaitServing(2));
+    std::vector<std::shared_ptr<RawClient>> clients;
+    const auto send = [&] {
+        clients.push_back(fixture.connect());
+        clients.back()->send(
+            request("POST", "/unsafe/a", "id" + std::to_string(clients.size()), "body"));
+        fixture.runFor(milliseconds(20));
+    };
+    while (!isLimited && clients.size() < 100)
+        send();
+    REQUIRE(isLimited);
+    const int before = limited.requests();
+    for (const auto &[connection, id] : waiting) {
+        connection->write(workerResponse(id, "fine"));
+        for (int i = 0; i < 10; ++i)
+            send();
+    }
+    return limited.requests() - before;
+}
+
+} // namespace
+
+// Guards against a limit that is ended by a response to a request sent before it was announced.
+TEST_CASE("EndpointLimits.LateResponseWithoutTheHeaderDoesNotEndALimit")
+{
+    CHECK(arrivalsAfterALateResponse() <= 1);
+}
