--- a/soak/soakplan.cpp
+++ b/soak/soakplan.cpp
@@ -8,14 +8,13 @@
 
 namespace {
 
-constexpr int FaultKinds = 16;
+constexpr int FaultKinds = 17;
 constexpr int FaultsPerSecond = 1;
 constexpr int MinFaultMs = 300;
 constexpr int MaxFaultMs = 4000;
-// An endpoint goes on for many seconds after it has announced its leaving. The announcement binds a
-// host from 2 s on, so shorter times test little.
-constexpr int MinLeavingMs = 3000;
-constexpr int MaxLeavingMs = 9000;
+// What an endpoint announces binds hosts from 2 or 3 s on, so shorter times test little.
+constexpr int MinAnnouncedMs = 3000;
+constexpr int MaxAnnouncedMs = 9000;
 // A host that is started again at the end of its fault serves within this time, and so do all after
 // an outage of the store.
 constexpr auto RecoveryTime = std::chrono::milliseconds(4500);
@@ -57,6 +56,7 @@
     case FaultKind::EndpointRestarts:
     case FaultKind::EntryLapses:
     case FaultKind::EntryOfAnotherWriter:
+    case FaultKind::EndpointNamesLimit:
         return true;
     default:
         return false;
@@ -98,6 +98,8 @@
         return "entry-lapses";
     case FaultKind::EntryOfAnotherWriter:
         return "entry-of-another-writer";
+    case FaultKind::EndpointNamesLimit:
+        return "endpoint-names-limit";
     }
     return "unknown";
 }
@@ -150,9 +152,10 @@
             fault.kind = FaultKind::Kill;
         hasRevoked = hasRevoked || fault.kind == FaultKind::KeyRevoked;
         fault.beginsAt = std::chrono::milliseconds(below(lastBegin));
-        const bool isLeaving = fault.kind == FaultKind::EndpointAnnouncesLeaving;
-        const int minMs = isLeaving ? MinLeavingMs : MinFaultMs;
-        const int maxMs = isLeaving ? MaxLeavingMs : MaxFaultMs;
+        const bool isAnnounced = fault.kind == FaultKind::EndpointAnnouncesLeaving
+            || fault.kind == FaultKind::EndpointNamesLimit;
+        const int minMs = isAnnounced ? MinAnnouncedMs : MinFaultMs;
+        const int maxMs = isAnnounced ? MaxAnnouncedMs : MaxFaultMs;
         const std::uint32_t lasts = std::uint32_t(minMs) + below(std::uint32_t(maxMs - minMs));
         fault.endsAt = std::min<std::chrono::milliseconds>(
             fault.beginsAt + std::chrono::milliseconds(lasts), length - RecoveryTime);
--- a/soak/soakplan.h
+++ b/soak/soakplan.h
@@ -26,6 +26,7 @@
     EndpointRestarts, // it starts again under its id, and tells the store at the end
     EntryLapses, // its entry in the store is gone until the end
     EntryOfAnotherWriter, // its entry is overwritten by one that can't be its own, until the end
+    EndpointNamesLimit, // it takes few requests a second, and says so in its responses
 };
 
 // Whether the fault's target is an endpoint; otherwise it is a host.
--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -18,6 +18,10 @@
 using std::chrono::milliseconds;
 
 constexpr auto AskedPause = milliseconds(3000);
+constexpr double NamedLimit = 2; // requests a second
+// The first host places the requests of all whenever it runs.
+constexpr double LargeCpuShare = 1;
+constexpr double SmallCpuShare = 0.5;
 constexpr std::uint16_t CallersPort = 8001;
 constexpr std::size_t ModelEndpoints = 5;
 constexpr std::size_t Domains = 3;
@@ -96,7 +100,8 @@
     host.store = store_.addAddress();
     std::ofstream out(host.settingsPath);
     out << "host: " << hostParty(number) << "\nip: \"" << host.ip << "\"\nfailure-domain: z"
-        << number % Domains << "\n";
+        << number % Domains << "\ncpu-share: " << (number == 0 ? LargeCpuShare : SmallCpuShare)
+        << "\n";
     const char *const listeners[] = {"callers", "readiness", "directory"};
     for (std::size_t i = 0; i < std::size(listeners); ++i)
         out << listeners[i] << "-address: \"" << host.ip << ":" << CallersPort + i << "\"\n";
@@ -258,6 +263,9 @@
     case FaultKind::EndpointAsksForPauses:
         endpoints_[fault.target]->askForPauses(AskedPause);
         break;
+    case FaultKind::EndpointNamesLimit:
+        endpoints_[fault.target]->announceLimit(NamedLimit);
+        break;
     case FaultKind::EndpointRestarts:
         endpoints_[fault.target]->restart();
         break;
@@ -327,6 +335,9 @@
     case FaultKind::EndpointAsksForPauses:
         endpoints_[fault.target]->askForPauses(milliseconds(0));
         break;
+    case FaultKind::EndpointNamesLimit:
+        endpoints_[fault.target]->announceLimit(std::nullopt);
+        break;
     }
 }
 
--- a/soak/soakrun.h
+++ b/soak/soakrun.h
@@ -75,6 +75,7 @@
                       std::vector<std::string> &found) const;
     void checkPause(const standins::WorkerArrival &rejection, std::size_t endpoint,
                     std::vector<std::string> &found) const;
+    void checkLimit(std::size_t endpoint, std::vector<std::string> &found) const;
     bool wasPassedOn(const standins::WorkerArrival &arrival, std::size_t endpoint) const;
     bool isHostDisturbed(std::size_t host, units::TimePoint from, units::TimePoint until) const;
     bool isPathDisturbed(std::size_t endpoint, units::TimePoint from, units::TimePoint until) const;
--- a/tests/platform_standin/standinworker.h
+++ b/tests/platform_standin/standinworker.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,7 @@
     units::TimePoint at;
     bool announcedLeaving = false;
     std::chrono::milliseconds pause{}; // 0: none was asked for
+    std::optional<double> limit; // requests a second
 };
 
 // A worker of the platform: registers itself in the store, responds to plain requests after a
@@ -75,6 +77,8 @@
     void restart();
     // Rejects all requests and asks each client for a pause; 0 ends that.
     void askForPauses(std::chrono::milliseconds pause) { pause_ = pause; }
+    // All responses announce this limit of requests a second, or none.
+    void announceLimit(std::optional<double> perSecond) { limit_ = perSecond; }
 
     const std::vector<WorkerRun> &runs() const { return runs_; }
     const std::vector<WorkerArrival> &arrivals() const { return arrivals_; }
@@ -102,6 +106,7 @@
     bool isSilent_ = false;
     std::vector<std::function<void()>> heldRequests_; // that came while it was silent
     std::chrono::milliseconds pause_{};
+    std::optional<double> limit_;
     std::int64_t born_ = 0; // Unix time of the start, in milliseconds
     int running_ = 0;
     int rejected_ = 0;
