--- a/tests/routing/limitedfleet.cpp
+++ b/tests/routing/limitedfleet.cpp
@@ -98,10 +98,10 @@
 void LimitedFleet::joinCoordinator()
 {
     addHost();
-    for (std::size_t host = 0; host < hosts_.size(); ++host)
-        schedule(milliseconds(random_() % 1000), [this, host] {
-            hosts_[host]->order = {ipOf(hosts_.size() - 1), ipOf(0)};
-        });
+    const std::vector<std::string> order{ipOf(hosts_.size() - 1), ipOf(0)};
+    for (const auto &host : hosts_)
+        schedule(milliseconds(random_() % 1000),
+                 [asking = host.get(), order] { asking->order = order; });
 }
 
 void LimitedFleet::setLimit(Host &host, const EndpointInstance &endpoint)
