A limited endpoint counts as found while the share of its limit is lent

Whether a failed attempt is worth another one, and whether a silent endpoint may be suspended, asks if this host could place the request again. Since hosts lend their shares of limits, one that had lent its own found no endpoint where all had limits, and gave up, though the host that it asks may use them. The test failed before.

--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -1,6 +1,7 @@
 #include <monsoongrade/routing/requestplacer.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace monsoongrade::routing {
 
@@ -189,7 +190,10 @@
                                 const std::vector<EndpointRegistry::Status> &available,
                                 units::TimePoint now) const
 {
-    const RateShare share = shareFor(query, now);
+    RateShare share = shareFor(query, now);
+    // A share that is lent to the host which this one asks can be used there.
+    if (share.fraction == 0)
+        share = {1, std::numeric_limits<double>::infinity(), false};
     return std::any_of(available.begin(), available.end(), [&](const auto &endpoint) {
         return isUsable(*endpoint, query, share, now);
     });
--- a/tests/routing/requestplacer_test.cpp
+++ b/tests/routing/requestplacer_test.cpp
@@ -322,6 +322,19 @@
         CHECK(fixture.place(query).endpoint->registration.id.value() == "e2");
 }
 
+// Guards against giving up a request because this host may not place it on a limited endpoint,
+// though the host that it asks may.
+TEST_CASE("RequestPlacer.LimitedEndpointIsFoundWhileTheShareOfItsLimitIsLent")
+{
+    PlacerFixture fixture(1);
+    fixture.registry.available(TestPool)[0]->rateLimiter.setLimit(1.0, 0.5, fixture.now);
+    fixture.placer.shares(false).setOwnShare(0.5, fixture.now);
+    fixture.placer.shares(false).lendTo("coordinator", fixture.now);
+    const PlacementQuery query = modelQuery("s", 100, 100);
+    CHECK(fixture.placer.hasEndpoint(query, fixture.registry.available(TestPool), fixture.now));
+    CHECK(fixture.place(query).endpoint == nullptr);
+}
+
 // Guards against exceeding an endpoint's rate limit, and against leaving the others idle.
 TEST_CASE("RequestPlacer.RateLimitIsRespectedAndOtherEndpointsGetTheRest")
 {
