Test of Hello waits until the server listens

Traced: PeerServer parses its address and listens on its loop's thread after the constructor has returned, and the test connects at once. The checks themselves are unchanged. Daemons connect again, so the product is not concerned.

--- a/tests/rpc/hello_test.cpp
+++ b/tests/rpc/hello_test.cpp
@@ -23,10 +23,22 @@
     return hello.send().wait(client.getWaitScope()).getResult().getCode();
 }
 
+// A server listens a moment after its constructor returns.
+bool isListening(const std::string &address, std::uint16_t port, const std::string &cluster)
+{
+    try {
+        codeOfHello(address, port, cluster, schema::PROTOCOL_VERSION);
+        return true;
+    } catch (const kj::Exception &) {
+        return false;
+    }
+}
+
 // The answers to a right visitor, to another cluster's and to another version's.
 void checkTurnsAway(const std::string &address, std::uint16_t port, const std::string &cluster)
 {
     const std::uint32_t version = schema::PROTOCOL_VERSION;
+    REQUIRE(eventually([&] { return isListening(address, port, cluster); }));
     CHECK(codeOfHello(address, port, cluster, version) == 0);
     CHECK(codeOfHello(address, port, "other", version)
           == static_cast<int>(ResultCode::ForeignCluster));
