Gossip: one encoder for all updates about requests and endpoints

One set of updates, with only the limits or without them, serves both. Datagrams hold the same as before.

--- a/include/monsoongrade/gateway/peergossip.h
+++ b/include/monsoongrade/gateway/peergossip.h
@@ -79,6 +79,7 @@
     {
         std::vector<routing::CrashUpdate> crashes;
         std::vector<routing::LeavingUpdate> leaving;
+        std::vector<routing::RateLimitUpdate> limits;
     };
 
     void round();
@@ -86,11 +87,8 @@
     std::string encode(const std::vector<routing::PeerUpdate> &others) const;
     std::string encodeProbe() const;
     std::string encode(const Updates &updates) const;
-    std::string encode(const std::vector<routing::RateLimitUpdate> &limits) const;
     // Appends a datagram with these updates, if there are any.
     void append(std::vector<std::string> &datagrams, const Updates &updates) const;
-    void append(std::vector<std::string> &datagrams,
-                const std::vector<routing::RateLimitUpdate> &limits) const;
     void onDatagram(std::string_view datagram, const asio::ip::udp::endpoint &sender);
     void sendInitialState(const std::string &joiningHost);
     void reportWallTime(const std::string &host, units::Duration sinceEpoch);
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -87,8 +87,9 @@
     std::vector<std::string> datagrams{encode(round.updates)};
     append(datagrams,
            Updates{crashes_.takeUpdates(MaxCrashes, timers_.now()),
-                   announcements_.takeLeavingUpdates(MaxLeaving, timers_.now())});
-    append(datagrams, announcements_.takeLimitUpdates(MaxLimits, timers_.now()));
+                   announcements_.takeLeavingUpdates(MaxLeaving, timers_.now()),
+                   {}});
+    append(datagrams, Updates{{}, {}, announcements_.takeLimitUpdates(MaxLimits, timers_.now())});
     for (const std::string &ip : round.recipients) {
         for (const std::string &datagram : datagrams)
             socket_.send(ip, datagram);
@@ -103,29 +104,23 @@
         encode(planner_.updatesForJoiningHost(table_, timers_.now()))};
     append(datagrams,
            Updates{crashes_.quarantineUpdates(MaxCrashes, timers_.now()),
-                   announcements_.latestLeaving(MaxLeaving, timers_.now())});
+                   announcements_.latestLeaving(MaxLeaving, timers_.now()),
+                   {}});
     // A random selection, so that the hosts together send all limits.
     std::vector<routing::RateLimitUpdate> limits = announcements_.limitsInForce(timers_.now());
     std::shuffle(limits.begin(), limits.end(), random_);
     limits.resize(std::min(limits.size(), MaxLimits));
-    append(datagrams, limits);
+    append(datagrams, Updates{{}, {}, std::move(limits)});
     for (const std::string &datagram : datagrams)
         socket_.send(joiningHost, datagram);
 }
 
 void PeerGossip::append(std::vector<std::string> &datagrams, const Updates &updates) const
 {
-    if (!updates.crashes.empty() || !updates.leaving.empty())
+    if (!updates.crashes.empty() || !updates.leaving.empty() || !updates.limits.empty())
         datagrams.push_back(encode(updates));
 }
 
-void PeerGossip::append(std::vector<std::string> &datagrams,
-                        const std::vector<routing::RateLimitUpdate> &limits) const
-{
-    if (!limits.empty())
-        datagrams.push_back(encode(limits));
-}
-
 routing::PeerUpdate PeerGossip::own() const
 {
     routing::PeerUpdate update;
@@ -182,17 +177,9 @@
     auto leaving = root.initLeaving(unsigned(updates.leaving.size()));
     for (std::size_t i = 0; i < updates.leaving.size(); ++i)
         internal::encodeLeaving(leaving[unsigned(i)], updates.leaving[i]);
-    return internal::serializePacked(message);
-}
-
-std::string PeerGossip::encode(const std::vector<routing::RateLimitUpdate> &limits) const
-{
-    capnp::MallocMessageBuilder message;
-    auto root = message.initRoot<schema::GossipMessage>();
-    internal::encodePeer(root.initSender(), own());
-    auto list = root.initLimits(unsigned(limits.size()));
-    for (std::size_t i = 0; i < limits.size(); ++i)
-        internal::encodeLimit(list[unsigned(i)], limits[i]);
+    auto limits = root.initLimits(unsigned(updates.limits.size()));
+    for (std::size_t i = 0; i < updates.limits.size(); ++i)
+        internal::encodeLimit(limits[unsigned(i)], updates.limits[i]);
     return internal::serializePacked(message);
 }
 
