Placement: a received query is moved, not copied

To note whether its pool is divided, the placing host copied the whole query with its strings and lists, for each request of all hosts. It takes the decoded message over instead.

--- a/include/monsoongrade/gateway/placementservice.h
+++ b/include/monsoongrade/gateway/placementservice.h
@@ -122,7 +122,7 @@
     void checkWaiting();
     void onCheckTimeout(const std::string &host, units::TimePoint sentAt);
     void onDatagram(std::string_view datagram, const asio::ip::udp::endpoint &sender);
-    void onMessage(const std::string &host, const internal::QueryMessage &message);
+    void onMessage(const std::string &host, internal::QueryMessage message);
     void onMessage(const std::string &host, const internal::AnswerMessage &message);
     void onMessage(const std::string &host, const internal::EventMessage &message);
     void onMessage(const std::string &host, const internal::CachedPartsMessage &message);
--- a/src/gateway/placementservice.cpp
+++ b/src/gateway/placementservice.cpp
@@ -283,18 +283,21 @@
 void PlacementService::onDatagram(std::string_view datagram, const asio::ip::udp::endpoint &sender)
 {
     const auto fault = readFault([&] {
-        std::visit([&](const auto &message) { onMessage(sender.address().to_string(), message); },
-                   decodePlacementMessage(datagram));
+        std::visit(
+            [&](auto &&message) {
+                onMessage(sender.address().to_string(), std::forward<decltype(message)>(message));
+            },
+            decodePlacementMessage(datagram));
     });
     if (fault)
         observability::log(observability::LogLevel::Warning, "placement-unreadable",
                            {{"from", sender.address().to_string()}, {"reason", *fault}});
 }
 
-void PlacementService::onMessage(const std::string &host, const QueryMessage &message)
+void PlacementService::onMessage(const std::string &host, QueryMessage message)
 {
     metrics_.add("monsoongrade_gateway_placement_asks_total");
-    routing::PlacementQuery query = message.query;
+    routing::PlacementQuery &query = message.query;
     query.isPoolDivided = registry_.division().isDivided(query.pool);
     sharesOf(query.pool).borrow(host, message.lentShare, timers_.now());
     if (message.limit)
