Tests: the rule on limits is counted in one place; simulations share their events

What a limited engine gets from the hosts that it has told was counted alike in the test of processes in one program, in virtual time and in the soak, each with its own times of the rule, and two more tests had its bound. LimitedArrivals serves all five; bounds, times and excuses are the same. The queue of events in virtual time stood twice, word for word.

--- a/soak/announcementchecks.cpp
+++ b/soak/announcementchecks.cpp
@@ -2,9 +2,9 @@
 
 #include "soakparties.h"
 
+#include <limitedarrivals.h>
+
 #include <algorithm>
-#include <deque>
-#include <map>
 
 namespace monsoongrade::soak {
 
@@ -17,13 +17,6 @@
 // Requests under way when an endpoint asks for a pause may arrive for this time, and a few later.
 constexpr auto InFlightTime = milliseconds(500);
 constexpr int MaxArrivalsInPause = 2;
-// An endpoint that named a limit gets at most one and a half times as much in a span, and some
-// more, counted from some time after it first named it, from hosts that knew it for a while.
-constexpr auto LimitSpan = milliseconds(4000);
-constexpr double MaxOverLimit = 1.5;
-constexpr int MaxArrivalsBeyondLimit = 5;
-constexpr auto LimitedAfterNamed = milliseconds(3000);
-constexpr auto LimitedAfterTold = milliseconds(500);
 
 } // namespace
 
@@ -51,36 +44,29 @@
 void SoakRun::checkLimit(std::size_t endpoint, std::vector<std::string> &found) const
 {
     const standins::WorkerArrival *first = nullptr; // that was told the limit in force
-    std::map<std::size_t, units::TimePoint> toldAt; // by host
-    std::deque<units::TimePoint> counted;
+    tests::LimitedArrivals counted;
     for (const standins::WorkerArrival &arrival : endpoints_[endpoint]->arrivals()) {
         const bool isNewLimit = first == nullptr || first->born != arrival.born;
         if (!arrival.limit || isNewLimit) {
             first = arrival.limit ? &arrival : nullptr;
-            toldAt.clear();
-            counted.clear();
+            counted = {};
         }
         if (first == nullptr)
             continue;
         const CallRecord &record = recordOf(arrival.requestId);
-        const auto told = toldAt.find(record.host);
-        const bool isBound = told != toldAt.end() && arrival.at >= told->second + LimitedAfterTold
-            && arrival.at >= first->at + LimitedAfterNamed
-            && !isHostDisturbed(record.host, told->second, arrival.at)
-            && !isPathDisturbed(endpoint, told->second, arrival.at);
-        if (wasPassedOn(arrival, endpoint) && told == toldAt.end())
-            toldAt.emplace(record.host, record.endedAt);
-        if (!isBound)
-            continue;
-        counted.push_back(arrival.at);
-        while (counted.front() <= arrival.at - LimitSpan)
-            counted.pop_front();
-        const double allowed = MaxOverLimit * *first->limit * double(LimitSpan.count()) / 1000
-            + MaxArrivalsBeyondLimit;
-        if (double(counted.size()) > allowed) {
+        const std::string host = hostParty(record.host);
+        const auto told = counted.toldAt(host);
+        const bool isExcused = told
+            && (isHostDisturbed(record.host, *told, arrival.at)
+                || isPathDisturbed(endpoint, *told, arrival.at));
+        counted.onAnnounced(arrival.at);
+        const int inSpan = isExcused ? 0 : counted.onArrival(host, arrival.at);
+        if (wasPassedOn(arrival, endpoint))
+            counted.onTold(host, record.endedAt);
+        if (inSpan > tests::LimitedArrivals::allowed(*first->limit)) {
             found.push_back(record.id + ": " + endpointParty(endpoint) + " named a limit of "
                             + std::to_string(*first->limit) + " a second and got "
-                            + std::to_string(counted.size()) + " requests in 4 s");
+                            + std::to_string(inSpan) + " requests in 4 s");
             return;
         }
     }
--- a/tests/adapter/endpointlimits_test.cpp
+++ b/tests/adapter/endpointlimits_test.cpp
@@ -1,22 +1,13 @@
 #include "announcingworkers.h"
 
+#include <limitedarrivals.h>
+
 #include <utility>
 
 using namespace monsoongrade;
 using namespace monsoongrade::platform;
 using std::chrono::milliseconds;
 
-namespace {
-
-// Requests that a limited worker may get within 4 s: one and a half times the limit, plus 5.
-constexpr double SpanSeconds = 4;
-int maxArrivals(double perSecond)
-{
-    return int(1.5 * perSecond * SpanSeconds + 5);
-}
-
-} // namespace
-
 // Guards against overloading an endpoint that has sent a limit.
 TEST_CASE("EndpointLimits.PlainEndpointGetsNoMoreThanItsLimit")
 {
@@ -27,7 +18,7 @@
     const int before = fixture.announcersRequests();
     CHECK(allServed(fixture.callFor(milliseconds(4000), "/unsafe/a")));
     CHECK(fixture.announcersRequests() - before >= 2);
-    CHECK(fixture.announcersRequests() - before <= maxArrivals(1));
+    CHECK(fixture.announcersRequests() - before <= tests::LimitedArrivals::allowed(1));
 }
 
 // Guards against overloading a model engine that has sent a limit.
@@ -40,7 +31,7 @@
     const int before = fixture.announcersRequests();
     CHECK(allServed(fixture.callFor(milliseconds(4000), "/stream/a")));
     CHECK(fixture.announcersRequests() - before >= 2);
-    CHECK(fixture.announcersRequests() - before <= maxArrivals(1.6));
+    CHECK(fixture.announcersRequests() - before <= tests::LimitedArrivals::allowed(1.6));
 }
 
 // Guards against an endpoint that stays limited after it has withdrawn its limit.
--- a/tests/adapter/limitedengines.h
+++ b/tests/adapter/limitedengines.h
@@ -3,12 +3,12 @@
 
 #include "gatewayfixture.h"
 
+#include <limitedarrivals.h>
+
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -80,61 +80,43 @@
     }
 
     // Requests that an engine with this limit may get in a span of 4 s from hosts that it has told.
-    int maxArrivals() const { return int(1.5 * limit_ * Span.count() + 5); }
+    int maxArrivals() const { return tests::LimitedArrivals::allowed(limit_); }
     // The largest number that any engine got.
     int mostArrivals() const
     {
         int most = 0;
-        for (const Engine &engine : engines_) {
-            for (auto first = engine.arrivals.begin(); first != engine.arrivals.end(); ++first) {
-                const auto last = std::lower_bound(first, engine.arrivals.end(), *first + Span);
-                most = std::max(most, int(last - first));
-            }
-        }
+        for (const Engine &engine : engines_)
+            most = std::max(most, engine.arrivals.most());
         return most;
     }
 
 private:
-    using Time = std::chrono::steady_clock::time_point;
-    // Times of the rule: a host counts from half a second after it was told, an endpoint from 3 s
-    // after it first announced its limit.
-    static constexpr auto Span = std::chrono::seconds(4);
-    static constexpr auto CountedAfterTold = std::chrono::milliseconds(500);
-    static constexpr auto CountedAfterAnnounced = std::chrono::seconds(3);
-
     struct Engine
     {
-        explicit Engine(std::unique_ptr<standins::RawPeer> peerToUse)
-            : peer(std::move(peerToUse))
-        {
-        }
-
         std::unique_ptr<standins::RawPeer> peer;
-        std::optional<Time> announcedAt;
-        std::map<std::string, Time> toldAt; // by host
-        std::vector<Time> arrivals; // that count
+        tests::LimitedArrivals arrivals;
     };
 
     void addEngine()
     {
         const std::size_t number = engines_.size();
-        engines_.emplace_back(std::make_unique<standins::RawPeer>(
-            io, [this, number](standins::RawConnection &connection, const std::string &text, int) {
-                respond(engines_[number], connection, text);
-            }));
+        engines_.push_back(
+            {std::make_unique<standins::RawPeer>(
+                 io,
+                 [this, number](standins::RawConnection &connection, const std::string &text, int) {
+                     respond(engines_[number], connection, text);
+                 }),
+             {}});
     }
     void respond(Engine &engine, standins::RawConnection &connection, const std::string &text)
     {
-        const Time now = std::chrono::steady_clock::now();
+        const units::TimePoint now = timers.now();
         const std::string host = standins::headerIn(text, "Sent-To");
-        const auto told = engine.toldAt.find(host);
-        if (told != engine.toldAt.end() && now - told->second >= CountedAfterTold
-            && now - *engine.announcedAt >= CountedAfterAnnounced)
-            engine.arrivals.push_back(now);
+        engine.arrivals.onArrival(host, now);
         std::string head = streamHead(standins::headerIn(text, "Attempt-Id"));
         if (isAnnouncing_) {
-            engine.announcedAt = engine.announcedAt.value_or(now);
-            engine.toldAt.try_emplace(host, now);
+            engine.arrivals.onAnnounced(now);
+            engine.arrivals.onTold(host, now);
             head.insert(head.size() - 2, "Server-Limit: " + std::to_string(limit_) + "\r\n");
         }
         connection.write(head + httpio::encodeChunk("id: 1\ndata: x\n\n") + "0\r\n\r\n");
--- a/tests/routing/endpointlimits_test.cpp
+++ b/tests/routing/endpointlimits_test.cpp
@@ -1,5 +1,7 @@
 #include "testwallclocks.h"
 
+#include <limitedarrivals.h>
+
 #include <monsoongrade/routing/endpointannouncements.h>
 #include <monsoongrade/routing/endpointratelimiter.h>
 
@@ -17,17 +19,11 @@
 
 namespace {
 
-constexpr auto Span = seconds(4);
+constexpr auto Span = tests::LimitedArrivals::Span;
 constexpr std::size_t DatagramItems = 10;
 const EndpointInstance Endpoint{units::EndpointId("e1"), Incarnation(7)};
 const units::TimePoint Start{hours(1)};
 
-// Number of requests that an endpoint with this limit may receive in a span.
-int maxArrivals(double limit)
-{
-    return int(1.5 * limit * double(Span.count()) + 5);
-}
-
 // The share of a host that has had this fraction all the time.
 RateShare constantShare(double fraction, units::TimePoint now)
 {
@@ -73,7 +69,7 @@
         std::vector<EndpointRateLimiter> hosts(1);
         hosts[0].setLimit(limit, 0.5, Start);
         const int most = mostInSpan(hosts, 1, seconds(30));
-        CHECK(most <= maxArrivals(limit));
+        CHECK(most <= tests::LimitedArrivals::allowed(limit));
         CHECK(most >= int(limit * double(Span.count())));
     }
 }
@@ -87,7 +83,8 @@
             for (std::size_t host = 0; host < count; ++host)
                 hosts[host].setLimit(limit, double(host) / double(count), Start);
             const int most = mostInSpan(hosts, 1.0 / double(count), seconds(20));
-            CHECK_MESSAGE(most <= maxArrivals(limit), count, " hosts, limit ", limit);
+            CHECK_MESSAGE(most <= tests::LimitedArrivals::allowed(limit), count, " hosts, limit ",
+                          limit);
             CHECK_MESSAGE(most >= int(limit * double(Span.count())), count, " hosts, ", limit);
         }
     }
@@ -102,7 +99,8 @@
             for (std::size_t host = 0; host < count; ++host)
                 hosts[host].setLimit(limit, double(host) / double(count), Start - minutes(1));
             const int most = mostInSpan(hosts, 1.0 / double(count), seconds(10));
-            CHECK_MESSAGE(most <= maxArrivals(limit), count, " hosts, limit ", limit);
+            CHECK_MESSAGE(most <= tests::LimitedArrivals::allowed(limit), count, " hosts, limit ",
+                          limit);
         }
     }
 }
@@ -136,7 +134,7 @@
     for (const units::TimePoint end : placed) {
         const auto inSpan = std::count_if(placed.begin(), placed.end(),
                                           [end](auto at) { return at > end - Span && at <= end; });
-        CHECK(inSpan <= maxArrivals(limit));
+        CHECK(inSpan <= tests::LimitedArrivals::allowed(limit));
     }
 }
 
--- a/tests/routing/limitedfleet.cpp
+++ b/tests/routing/limitedfleet.cpp
@@ -13,11 +13,6 @@
 constexpr units::TimePoint Start{std::chrono::hours(1)};
 constexpr auto LimitsAnnouncedAt = seconds(3);
 constexpr auto Length = seconds(16);
-// Times of the rule: a host counts from half a second after it was told, an endpoint from 3 s
-// after it first announced its limit.
-constexpr auto Span = seconds(4);
-constexpr auto CountedAfterTold = milliseconds(500);
-constexpr auto CountedAfterAnnounced = seconds(3);
 constexpr auto UseMeasuredFor = seconds(4);
 
 constexpr auto NetworkDelay = milliseconds(1);
@@ -67,7 +62,7 @@
 
 void LimitedFleet::schedule(units::Duration delay, std::function<void()> run)
 {
-    events_.push({now_ + delay, ++scheduled_, std::move(run)});
+    events_.schedule(now_ + delay, std::move(run));
 }
 
 LimitedFleet::Result LimitedFleet::play()
@@ -77,9 +72,8 @@
         schedule(*settings_.coordinatorLostAt, [this] { loseCoordinator(); });
     if (settings_.coordinatorJoinsAt)
         schedule(*settings_.coordinatorJoinsAt, [this] { joinCoordinator(); });
-    while (events_.top().at < Start + Length) {
-        const Event next = events_.top();
-        events_.pop();
+    while (events_.nextAt() < Start + Length) {
+        const EventQueue::Event next = events_.take();
         now_ = next.at;
         next.run();
     }
@@ -247,19 +241,16 @@
     const EndpointInstance endpoint = instanceOf(choice.endpoint->registration);
     Engine &engine = engines_[std::stoul(endpoint.id.value())];
     engine.lastArrivals += now_ >= Start + Length - UseMeasuredFor ? 1 : 0;
-    const auto told = engine.toldAt.find(request.host);
-    if (told != engine.toldAt.end() && now_ - told->second >= CountedAfterTold
-        && now_ - *engine.announcedAt >= CountedAfterAnnounced)
-        engine.arrivals.push_back(now_);
+    engine.arrivals.onArrival(ipOf(request.host), now_);
     const bool announces = engine.isLimited && now_ >= Start + LimitsAnnouncedAt;
     const PlacementTicket ticket = request.ticket;
     schedule(TimeToFirstEvent, [this, host = request.host, placing, ticket, endpoint, announces] {
         hosts_[placing]->placer.onEvent(ticket, PlacementEvent::FirstEvent, now_);
         if (!announces)
             return;
-        Engine &announcer = engines_[std::stoul(endpoint.id.value())];
-        announcer.announcedAt = announcer.announcedAt.value_or(now_);
-        announcer.toldAt.try_emplace(host, now_);
+        tests::LimitedArrivals &arrivals = engines_[std::stoul(endpoint.id.value())].arrivals;
+        arrivals.onAnnounced(now_);
+        arrivals.onTold(ipOf(host), now_);
         receive(host, {endpoint, settings_.limit, units::Duration::zero()});
     });
     schedule(TimeToEnd, [this, placing, ticket] {
@@ -270,13 +261,10 @@
 LimitedFleet::Result LimitedFleet::result() const
 {
     Result result;
-    result.allowed = int(1.5 * settings_.limit * double(Span.count()) + 5);
+    result.allowed = tests::LimitedArrivals::allowed(settings_.limit);
     int usedRequests = 0;
     for (const Engine &engine : engines_) {
-        for (auto first = engine.arrivals.begin(); first != engine.arrivals.end(); ++first) {
-            const auto last = std::lower_bound(first, engine.arrivals.end(), *first + Span);
-            result.most = std::max(result.most, int(last - first));
-        }
+        result.most = std::max(result.most, engine.arrivals.most());
         usedRequests += engine.isLimited ? engine.lastArrivals : 0;
     }
     result.used = double(usedRequests)
--- a/tests/routing/limitedfleet.h
+++ b/tests/routing/limitedfleet.h
@@ -1,8 +1,11 @@
 #ifndef MONSOONGRADE_TESTS_ROUTING_LIMITEDFLEET_H
 #define MONSOONGRADE_TESTS_ROUTING_LIMITEDFLEET_H
 
+#include "eventqueue.h"
 #include "testwallclocks.h"
 
+#include <limitedarrivals.h>
+
 #include <monsoongrade/routing/coordinatorselector.h>
 #include <monsoongrade/routing/endpointannouncements.h>
 #include <monsoongrade/routing/requestplacer.h>
@@ -10,10 +13,8 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <random>
 #include <string>
 #include <vector>
@@ -73,9 +74,7 @@
     struct Engine
     {
         bool isLimited = false;
-        std::optional<units::TimePoint> announcedAt;
-        std::map<std::size_t, units::TimePoint> toldAt; // by host
-        std::vector<units::TimePoint> arrivals; // that count
+        tests::LimitedArrivals arrivals;
         int lastArrivals = 0; // all of the last seconds
     };
     struct Request
@@ -85,18 +84,6 @@
         PlacementQuery query;
         std::optional<RateLimitUpdate> limit; // that the coordinator did not know
     };
-    struct Event
-    {
-        units::TimePoint at;
-        std::uint64_t order;
-        std::function<void()> run;
-
-        friend bool operator<(const Event &a, const Event &b)
-        {
-            return a.at != b.at ? a.at > b.at : a.order > b.order;
-        }
-    };
-
     void schedule(units::Duration delay, std::function<void()> run);
     static std::string ipOf(std::size_t host) { return std::to_string(host); }
     void addHost();
@@ -119,8 +106,7 @@
     LongAgoWallClock wallClock_;
     std::vector<std::unique_ptr<Host>> hosts_;
     std::vector<Engine> engines_;
-    std::priority_queue<Event> events_;
-    std::uint64_t scheduled_ = 0;
+    EventQueue events_;
     std::uint64_t lastNumber_ = 0;
     units::TimePoint now_;
 };
--- a/tests/routing/pausesimulation_test.cpp
+++ b/tests/routing/pausesimulation_test.cpp
@@ -1,3 +1,4 @@
+#include "eventqueue.h"
 #include "testwallclocks.h"
 
 #include <monsoongrade/routing/endpointannouncements.h>
@@ -9,7 +10,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <string>
 #include <vector>
@@ -74,9 +74,8 @@
             schedule(Start + milliseconds(std::int64_t(at)), [this] { ask(); });
         }
         schedule(Start + RejectsFrom + seconds(4), [this] { restart(1); });
-        while (!events_.empty()) {
-            const Event next = events_.top();
-            events_.pop();
+        while (!events_.isEmpty()) {
+            const EventQueue::Event next = events_.take();
             now_ = next.at;
             next.run();
             for (const auto &[ticket, choice] : placer_.placeWaiting(registry_, now_))
@@ -93,21 +92,9 @@
         std::map<std::string, std::vector<units::TimePoint>> rejections; // by endpoint
         std::map<std::string, std::vector<int>> arrivals; // after each of them
     };
-    struct Event
-    {
-        units::TimePoint at;
-        std::uint64_t order;
-        std::function<void()> run;
-
-        friend bool operator<(const Event &a, const Event &b)
-        {
-            return a.at != b.at ? a.at > b.at : a.order > b.order;
-        }
-    };
-
     void schedule(units::TimePoint at, std::function<void()> run)
     {
-        events_.push({at, ++order_, std::move(run)});
+        events_.schedule(at, std::move(run));
     }
     std::size_t hostOf(const PlacementTicket &ticket) const { return std::stoul(ticket.host); }
     bool isCutOff(std::size_t host) const
@@ -217,8 +204,7 @@
     EndpointRegistry registry_;
     RequestPlacer placer_; // of the coordinator
     std::map<std::uint64_t, PlacementQuery> queries_;
-    std::priority_queue<Event> events_;
-    std::uint64_t order_ = 0;
+    EventQueue events_;
     std::uint64_t lastNumber_ = 0;
     units::TimePoint now_ = Start;
     Outcome outcome_;
