--- a/include/monsoongrade/gateway/placementservice.h
+++ b/include/monsoongrade/gateway/placementservice.h
@@ -93,6 +93,10 @@
     bool hasEndpoint(const routing::PlacementQuery &query) const;
 
 private:
+    // An answer takes a round trip of 2 to 3 ms. Requests of the most urgent class have 250 ms, of
+    // which a lost datagram may cost a tenth.
+    static constexpr auto AnswerTimeout = std::chrono::milliseconds(25);
+
     // A request that another host was asked to place.
     struct PendingQuery
     {
--- a/src/gateway/placementservice.cpp
+++ b/src/gateway/placementservice.cpp
@@ -6,7 +6,6 @@
 #include <monsoongrade/observability/log.h>
 
 #include <algorithm>
-#include <map>
 #include <random>
 
 namespace monsoongrade::gateway {
@@ -15,22 +14,11 @@
 
 using namespace internal;
 
-// An answer takes a round trip of 2 to 3 ms. Requests of the most urgent class have 250 ms, of
-// which a lost datagram may cost a tenth.
-constexpr auto AnswerTimeout = std::chrono::milliseconds(25);
 constexpr std::size_t MaxDatagramBytes = 4096;
 // Hosts that are told which prompt parts are cached where. Two hosts may be lost at the same time.
 constexpr std::size_t Successors = 2;
 // Entries have about 40 bytes, so that the datagram stays below 1,400 bytes.
 constexpr std::size_t MaxPartsInDatagram = 25;
-// Interval for placing queued requests. Trying to place them at every event would use all CPU time
-// in a burst.
-constexpr auto WaitingInterval = std::chrono::milliseconds(4);
-// Interval for checking that the coordinator still has this host's queued requests. They share
-// datagrams, because with one query for each the coordinator could not answer other hosts in time.
-constexpr auto WaitingCheckInterval = std::chrono::milliseconds(250);
-// Entries have about 7 bytes in packed encoding.
-constexpr std::size_t MaxNumbersInDatagram = 150;
 // Ticket numbers start at a random multiple, below this one, of 2^24. A restarted host that started
 // at 1 would get answers to requests of its last run, which the coordinator keeps for 12 s.
 constexpr std::uint64_t NumberRanges = std::uint64_t(1) << 24;
@@ -229,57 +217,6 @@
     return true;
 }
 
-void PlacementService::scheduleWaitingCheck()
-{
-    if (isCheckScheduled_)
-        return;
-    isCheckScheduled_ = true;
-    timers_.after(WaitingCheckInterval, [this] {
-        isCheckScheduled_ = false;
-        checkWaiting();
-    });
-}
-
-// Guards against the loss of an answer to a queued request, or of the coordinator and its queue.
-void PlacementService::checkWaiting()
-{
-    std::map<std::string, std::vector<std::uint64_t>> numbers;
-    for (const auto &[number, pending] : pending_) {
-        if (pending.isWaiting)
-            numbers[pending.coordinator].push_back(number);
-    }
-    for (const auto &[host, ofHost] : numbers) {
-        for (std::size_t begin = 0; begin < ofHost.size(); begin += MaxNumbersInDatagram) {
-            const std::size_t end = std::min(begin + MaxNumbersInDatagram, ofHost.size());
-            socket_.send(host,
-                         encode(StillWaitingMessage{{ofHost.begin() + std::ptrdiff_t(begin),
-                                                     ofHost.begin() + std::ptrdiff_t(end)}}));
-        }
-        httpio::Timers::Handle &timeout = openChecks_[host];
-        timers_.cancel(timeout);
-        const units::TimePoint sentAt = timers_.now();
-        timeout = timers_.after(AnswerTimeout,
-                                [this, host = host, sentAt] { onCheckTimeout(host, sentAt); });
-    }
-    if (!numbers.empty())
-        scheduleWaitingCheck();
-}
-
-void PlacementService::onCheckTimeout(const std::string &host, units::TimePoint sentAt)
-{
-    openChecks_.erase(host);
-    if (!isLostAfterTimeout(host, sentAt)) {
-        checkWaiting();
-        return;
-    }
-    std::vector<std::uint64_t> numbers;
-    for (const auto &[number, pending] : pending_) {
-        if (pending.isWaiting && pending.coordinator == host)
-            numbers.push_back(number);
-    }
-    onMessage(host, NotWaitingMessage{std::move(numbers)});
-}
-
 void PlacementService::onDatagram(std::string_view datagram, const asio::ip::udp::endpoint &sender)
 {
     const auto fault = readFault([&] {
@@ -319,64 +256,6 @@
         placer_.addCachedPart(part, timers_.now());
 }
 
-void PlacementService::onMessage(const std::string &host, const StillWaitingMessage &message)
-{
-    NotWaitingMessage reply;
-    for (const std::uint64_t number : message.numbers) {
-        const routing::PlacementTicket ticket{host, number};
-        if (placer_.isWaiting(ticket))
-            continue;
-        if (const auto choice = placer_.choiceOf(ticket))
-            socket_.send(host, encode(answerFor(number, *choice)));
-        else
-            reply.numbers.push_back(number);
-    }
-    socket_.send(host, encode(reply));
-}
-
-void PlacementService::onMessage(const std::string &host, const NotWaitingMessage &message)
-{
-    selector_.onAnswer(host);
-    timers_.cancel(openChecks_[host]);
-    for (const std::uint64_t number : message.numbers) {
-        const auto found = pending_.find(number);
-        if (found == pending_.end() || !found->second.isWaiting
-            || found->second.coordinator != host)
-            continue; // answered meanwhile
-        PendingQuery again = std::move(found->second);
-        pending_.erase(found);
-        sendOrPlace(number, std::move(again));
-    }
-}
-
-// Called when an endpoint may have become free for queued requests.
-void PlacementService::schedulePlaceWaiting()
-{
-    if (!placer_.hasWaiting() || isPlacingScheduled_)
-        return;
-    isPlacingScheduled_ = true;
-    timers_.after(WaitingInterval, [this] {
-        isPlacingScheduled_ = false;
-        placeWaiting();
-    });
-}
-
-void PlacementService::placeWaiting()
-{
-    for (const auto &[ticket, choice] : placer_.placeWaiting(registry_, timers_.now())) {
-        if (ticket.host != settings_.ownIp) {
-            socket_.send(ticket.host, encode(answerFor(ticket.number, choice)));
-            continue;
-        }
-        const auto own = localWaiting_.find(ticket.number);
-        if (own == localWaiting_.end())
-            continue;
-        const PlacedHandler placed = std::move(own->second);
-        localWaiting_.erase(own);
-        placed(ticket, choice);
-    }
-}
-
 void PlacementService::withdraw(std::uint64_t number)
 {
     const auto found = pending_.find(number);
