Routing: queueing, performance and prefix cache have folders of their own

Cause: src/routing was one flat folder of 41 files, so a reader who looked for why a request was refused had to know which of them belong together. Change: files and namespaces move; nothing else changes.

--- a/include/monsoongrade/routing/prefillrate.h
+++ b/include/monsoongrade/routing/performance/prefillrate.h
@@ -1,5 +1,5 @@
-#ifndef MONSOONGRADE_ROUTING_PREFILLRATE_H
-#define MONSOONGRADE_ROUTING_PREFILLRATE_H
+#ifndef MONSOONGRADE_ROUTING_PERFORMANCE_PREFILLRATE_H
+#define MONSOONGRADE_ROUTING_PERFORMANCE_PREFILLRATE_H
 
 #include <monsoongrade/units/clock.h>
 #include <monsoongrade/units/ids.h>
@@ -8,7 +8,7 @@
 #include <string>
 #include <unordered_map>
 
-namespace monsoongrade::routing {
+namespace monsoongrade::routing::performance {
 
 // Estimates how many prompt tokens the engines of a pool prefill in a millisecond, from the
 // durations of single prefills. Known pools reach 66 and 157; a limit in tokens that suits one is
@@ -63,6 +63,6 @@
     std::unordered_map<std::string, PrefillRate> pools_;
 };
 
-} // namespace monsoongrade::routing
+} // namespace monsoongrade::routing::performance
 
-#endif // MONSOONGRADE_ROUTING_PREFILLRATE_H
+#endif // MONSOONGRADE_ROUTING_PERFORMANCE_PREFILLRATE_H
--- a/include/monsoongrade/routing/prefillsizes.h
+++ b/include/monsoongrade/routing/performance/prefillsizes.h
@@ -1,12 +1,12 @@
-#ifndef MONSOONGRADE_ROUTING_PREFILLSIZES_H
-#define MONSOONGRADE_ROUTING_PREFILLSIZES_H
+#ifndef MONSOONGRADE_ROUTING_PERFORMANCE_PREFILLSIZES_H
+#define MONSOONGRADE_ROUTING_PERFORMANCE_PREFILLSIZES_H
 
 #include <monsoongrade/units/clock.h>
 
 #include <cstdint>
 #include <optional>
 
-namespace monsoongrade::routing {
+namespace monsoongrade::routing::performance {
 
 // Mean sizes of the prefills that a pool was given recently, in tokens. Unknown until the first
 // prefill, and again after some time without any.
@@ -29,6 +29,6 @@
     units::TimePoint lastAddedAt_{};
 };
 
-} // namespace monsoongrade::routing
+} // namespace monsoongrade::routing::performance
 
-#endif // MONSOONGRADE_ROUTING_PREFILLSIZES_H
+#endif // MONSOONGRADE_ROUTING_PERFORMANCE_PREFILLSIZES_H
--- a/include/monsoongrade/routing/prefixcacheindex.h
+++ b/include/monsoongrade/routing/prefixcache/prefixcacheindex.h
@@ -1,5 +1,5 @@
-#ifndef MONSOONGRADE_ROUTING_PREFIXCACHEINDEX_H
-#define MONSOONGRADE_ROUTING_PREFIXCACHEINDEX_H
+#ifndef MONSOONGRADE_ROUTING_PREFIXCACHE_PREFIXCACHEINDEX_H
+#define MONSOONGRADE_ROUTING_PREFIXCACHE_PREFIXCACHEINDEX_H
 
 #include <monsoongrade/routing/discoveredendpoint.h>
 
@@ -7,7 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace monsoongrade::routing {
+namespace monsoongrade::routing::prefixcache {
 
 // Tracks which endpoints have recently been sent a shared prompt part and so have it cached.
 class PrefixCacheIndex
@@ -39,6 +39,6 @@
     units::TimePoint nextCleanupAt_{};
 };
 
-} // namespace monsoongrade::routing
+} // namespace monsoongrade::routing::prefixcache
 
-#endif // MONSOONGRADE_ROUTING_PREFIXCACHEINDEX_H
+#endif // MONSOONGRADE_ROUTING_PREFIXCACHE_PREFIXCACHEINDEX_H
--- a/include/monsoongrade/routing/prefillqueue.h
+++ b/include/monsoongrade/routing/queueing/prefillqueue.h
@@ -1,9 +1,9 @@
-#ifndef MONSOONGRADE_ROUTING_PREFILLQUEUE_H
-#define MONSOONGRADE_ROUTING_PREFILLQUEUE_H
+#ifndef MONSOONGRADE_ROUTING_QUEUEING_PREFILLQUEUE_H
+#define MONSOONGRADE_ROUTING_QUEUEING_PREFILLQUEUE_H
 
 #include <monsoongrade/routing/placementquery.h>
 #include <monsoongrade/routing/placementticket.h>
-#include <monsoongrade/routing/waitforecast.h>
+#include <monsoongrade/routing/queueing/waitforecast.h>
 
 #include <map>
 #include <optional>
@@ -12,7 +12,7 @@
 #include <tuple>
 #include <vector>
 
-namespace monsoongrade::routing {
+namespace monsoongrade::routing::queueing {
 
 // Queue of requests with long prefills that wait for an endpoint. Ordered by tier; within a tier
 // the requests that can still meet their target go first, by due time. A request that is already
@@ -64,6 +64,6 @@
     std::map<units::Tier, TokensAhead> tokens_;
 };
 
-} // namespace monsoongrade::routing
+} // namespace monsoongrade::routing::queueing
 
-#endif // MONSOONGRADE_ROUTING_PREFILLQUEUE_H
+#endif // MONSOONGRADE_ROUTING_QUEUEING_PREFILLQUEUE_H
--- a/include/monsoongrade/routing/retryafter.h
+++ b/include/monsoongrade/routing/queueing/retryafter.h
@@ -1,11 +1,11 @@
-#ifndef MONSOONGRADE_ROUTING_RETRYAFTER_H
-#define MONSOONGRADE_ROUTING_RETRYAFTER_H
+#ifndef MONSOONGRADE_ROUTING_QUEUEING_RETRYAFTER_H
+#define MONSOONGRADE_ROUTING_QUEUEING_RETRYAFTER_H
 
 #include <monsoongrade/units/clock.h>
 #include <monsoongrade/units/ids.h>
 #include <monsoongrade/units/resultcode.h>
 
-namespace monsoongrade::routing {
+namespace monsoongrade::routing::queueing {
 
 // When a refused client should retry: after the time in which the reason usually passes, with
 // jitter by the request id so that clients refused by one fault do not return as one burst, and at
@@ -16,6 +16,6 @@
 units::Duration retryAfter(units::Duration queueDrainsIn, const units::RequestId &request,
                            units::Duration timeLeft);
 
-} // namespace monsoongrade::routing
+} // namespace monsoongrade::routing::queueing
 
-#endif // MONSOONGRADE_ROUTING_RETRYAFTER_H
+#endif // MONSOONGRADE_ROUTING_QUEUEING_RETRYAFTER_H
--- a/include/monsoongrade/routing/sizefairness.h
+++ b/include/monsoongrade/routing/queueing/sizefairness.h
@@ -1,5 +1,5 @@
-#ifndef MONSOONGRADE_ROUTING_SIZEFAIRNESS_H
-#define MONSOONGRADE_ROUTING_SIZEFAIRNESS_H
+#ifndef MONSOONGRADE_ROUTING_QUEUEING_SIZEFAIRNESS_H
+#define MONSOONGRADE_ROUTING_QUEUEING_SIZEFAIRNESS_H
 
 #include <monsoongrade/units/clock.h>
 #include <monsoongrade/units/ids.h>
@@ -10,7 +10,7 @@
 #include <string>
 #include <utility>
 
-namespace monsoongrade::routing {
+namespace monsoongrade::routing::queueing {
 
 // Measures whether the largest prompts are placed as often as others, and how much precedence short
 // prefills may have for that.
@@ -60,6 +60,6 @@
     std::map<std::pair<std::string, units::Tier>, SizeFairness> fairness_;
 };
 
-} // namespace monsoongrade::routing
+} // namespace monsoongrade::routing::queueing
 
-#endif // MONSOONGRADE_ROUTING_SIZEFAIRNESS_H
+#endif // MONSOONGRADE_ROUTING_QUEUEING_SIZEFAIRNESS_H
--- a/include/monsoongrade/routing/waitforecast.h
+++ b/include/monsoongrade/routing/queueing/waitforecast.h
@@ -1,11 +1,11 @@
-#ifndef MONSOONGRADE_ROUTING_WAITFORECAST_H
-#define MONSOONGRADE_ROUTING_WAITFORECAST_H
+#ifndef MONSOONGRADE_ROUTING_QUEUEING_WAITFORECAST_H
+#define MONSOONGRADE_ROUTING_QUEUEING_WAITFORECAST_H
 
 #include <monsoongrade/units/clock.h>
 
 #include <cstdint>
 
-namespace monsoongrade::routing {
+namespace monsoongrade::routing::queueing {
 
 // Queued prefill tokens ahead of a request.
 struct TokensAhead
@@ -54,6 +54,6 @@
     double measuredRate_ = 0; // tokens per millisecond; 0: not measured yet
 };
 
-} // namespace monsoongrade::routing
+} // namespace monsoongrade::routing::queueing
 
-#endif // MONSOONGRADE_ROUTING_WAITFORECAST_H
+#endif // MONSOONGRADE_ROUTING_QUEUEING_WAITFORECAST_H
--- a/include/monsoongrade/routing/requestplacer.h
+++ b/include/monsoongrade/routing/requestplacer.h
@@ -3,14 +3,14 @@
 
 #include <monsoongrade/routing/endpointloads.h>
 #include <monsoongrade/routing/endpointregistry.h>
+#include <monsoongrade/routing/performance/prefillrate.h>
+#include <monsoongrade/routing/performance/prefillsizes.h>
 #include <monsoongrade/routing/placementquery.h>
-#include <monsoongrade/routing/prefillqueue.h>
-#include <monsoongrade/routing/prefillrate.h>
-#include <monsoongrade/routing/prefillsizes.h>
-#include <monsoongrade/routing/prefixcacheindex.h>
+#include <monsoongrade/routing/prefixcache/prefixcacheindex.h>
+#include <monsoongrade/routing/queueing/prefillqueue.h>
+#include <monsoongrade/routing/queueing/sizefairness.h>
 #include <monsoongrade/routing/sharedelegation.h>
 #include <monsoongrade/routing/shortpausereserve.h>
-#include <monsoongrade/routing/sizefairness.h>
 
 #include <map>
 #include <optional>
@@ -160,16 +160,16 @@
 
     ShareDelegation fleetShares_;
     ShareDelegation cellShares_;
-    PrefixCacheIndex prefixCache_;
+    prefixcache::PrefixCacheIndex prefixCache_;
     std::vector<CachedPart> unannouncedParts_;
     EndpointLoads loads_;
     std::map<PlacementTicket, Placed> placed_;
-    PrefillRates prefillRates_;
-    PrefillQueue queue_;
-    WaitForecaster forecaster_;
+    performance::PrefillRates prefillRates_;
+    queueing::PrefillQueue queue_;
+    queueing::WaitForecaster forecaster_;
     ShortPauseReserve reserve_;
-    std::unordered_map<std::string, PrefillSizes> prefillSizes_; // by pool
-    SizeFairnessByTier sizeFairness_;
+    std::unordered_map<std::string, performance::PrefillSizes> prefillSizes_; // by pool
+    queueing::SizeFairnessByTier sizeFairness_;
     units::TimePoint nextCleanupAt_{};
 };
 
--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -3,7 +3,7 @@
 #include <gateway/internal/httpstatus.h>
 #include <gateway/internal/milliseconds.h>
 
-#include <monsoongrade/routing/retryafter.h>
+#include <monsoongrade/routing/queueing/retryafter.h>
 
 #include <algorithm>
 #include <string>
@@ -143,8 +143,8 @@
         || reason == units::ResultCode::NoEndpointAvailable;
     if (!retryDelay_ && isForWantOfEndpoint)
         retryDelay_ = pauseOfPool();
-    return retryDelay_ ? routing::retryAfter(*retryDelay_, metadata_.id, timeLeft())
-                       : routing::retryAfter(reason, metadata_.id, timeLeft());
+    return retryDelay_ ? routing::queueing::retryAfter(*retryDelay_, metadata_.id, timeLeft())
+                       : routing::queueing::retryAfter(reason, metadata_.id, timeLeft());
 }
 
 void Exchange::startSilenceTimer(units::Duration limit)
--- a/src/routing/endpointchoice.cpp
+++ b/src/routing/endpointchoice.cpp
@@ -113,23 +113,25 @@
     PlacementChoice choice;
     double best = std::numeric_limits<double>::infinity();
     const std::int64_t shared = query.promptTokens - query.ownTokens;
-    const PrefillRate &rate = prefillRates_.of(query.pool);
+    const performance::PrefillRate &rate = prefillRates_.of(query.pool);
     const double precedence = sizeFairness_.of(query.pool, query.tier).shortPrecedence(now);
-    const PrefillSizes &sizes = prefillSizes_[query.pool.value()];
+    const performance::PrefillSizes &sizes = prefillSizes_[query.pool.value()];
     const auto longByTime = double(rate.tokensIn(LongPrefill, now));
     const double longBySize = sizes.meanByTokens(now).value_or(longByTime) * LongShareOfMean;
     const double longPrefill = precedence * std::min(longByTime, longBySize);
     const std::int64_t maxBacklogTokens = rate.tokensIn(MaxBacklog, now);
     const EndpointStatus *first = firstByHash(query, candidates);
-    const std::vector<PrefixCacheIndex::Holder> *holders = prefixCache_.holders(query.sharedPart);
+    const std::vector<prefixcache::PrefixCacheIndex::Holder> *holders
+        = prefixCache_.holders(query.sharedPart);
     const bool isCachedSomewhere
         = std::any_of(candidates.begin(), candidates.end(), [&](const auto *endpoint) {
-              return PrefixCacheIndex::holds(holders, (*endpoint)->registration, now);
+              return prefixcache::PrefixCacheIndex::holds(holders, (*endpoint)->registration, now);
           });
     for (const EndpointRegistry::Status *candidate : candidates) {
         const EndpointRegistry::Status &endpoint = *candidate;
         const std::int64_t sharedToPrefill
-            = PrefixCacheIndex::holds(holders, endpoint->registration, now) ? 0 : shared;
+            = prefixcache::PrefixCacheIndex::holds(holders, endpoint->registration, now) ? 0
+                                                                                         : shared;
         const std::int64_t tokensToPrefill = query.ownTokens + sharedToPrefill;
         const EndpointLoad load = loads_.of(*endpoint);
         // Penalty for deviating from the default choice: a host that places locally, or a new
--- a/src/routing/prefillrate.cpp
+++ b/src/routing/performance/prefillrate.cpp
@@ -1,8 +1,8 @@
-#include <monsoongrade/routing/prefillrate.h>
+#include <monsoongrade/routing/performance/prefillrate.h>
 
 #include <algorithm>
 
-namespace monsoongrade::routing {
+namespace monsoongrade::routing::performance {
 
 namespace {
 
@@ -83,4 +83,4 @@
     pools_[pool.value()].addSample(tokens, took, now);
 }
 
-} // namespace monsoongrade::routing
+} // namespace monsoongrade::routing::performance
--- a/src/routing/prefillsizes.cpp
+++ b/src/routing/performance/prefillsizes.cpp
@@ -1,6 +1,6 @@
-#include <monsoongrade/routing/prefillsizes.h>
+#include <monsoongrade/routing/performance/prefillsizes.h>
 
-namespace monsoongrade::routing {
+namespace monsoongrade::routing::performance {
 
 namespace {
 
@@ -38,4 +38,4 @@
     return count_ > 0 && now - lastAddedAt_ < Lifetime;
 }
 
-} // namespace monsoongrade::routing
+} // namespace monsoongrade::routing::performance
--- a/src/routing/prefixcacheindex.cpp
+++ b/src/routing/prefixcache/prefixcacheindex.cpp
@@ -1,8 +1,8 @@
-#include <monsoongrade/routing/prefixcacheindex.h>
+#include <monsoongrade/routing/prefixcache/prefixcacheindex.h>
 
 #include <algorithm>
 
-namespace monsoongrade::routing {
+namespace monsoongrade::routing::prefixcache {
 
 namespace {
 
@@ -70,4 +70,4 @@
     }
 }
 
-} // namespace monsoongrade::routing
+} // namespace monsoongrade::routing::prefixcache
--- a/src/routing/prefillqueue.cpp
+++ b/src/routing/queueing/prefillqueue.cpp
@@ -1,6 +1,6 @@
-#include <monsoongrade/routing/prefillqueue.h>
+#include <monsoongrade/routing/queueing/prefillqueue.h>
 
-namespace monsoongrade::routing {
+namespace monsoongrade::routing::queueing {
 
 namespace {
 
@@ -116,4 +116,4 @@
     return found == waiting_.end() ? nullptr : &found->second.waiting;
 }
 
-} // namespace monsoongrade::routing
+} // namespace monsoongrade::routing::queueing
--- a/src/routing/retryafter.cpp
+++ b/src/routing/queueing/retryafter.cpp
@@ -1,10 +1,10 @@
-#include <monsoongrade/routing/retryafter.h>
+#include <monsoongrade/routing/queueing/retryafter.h>
 
 #include <monsoongrade/units/jitter.h>
 
 #include <algorithm>
 
-namespace monsoongrade::routing {
+namespace monsoongrade::routing::queueing {
 
 namespace {
 
@@ -57,4 +57,4 @@
                       timeLeft);
 }
 
-} // namespace monsoongrade::routing
+} // namespace monsoongrade::routing::queueing
--- a/src/routing/sizefairness.cpp
+++ b/src/routing/queueing/sizefairness.cpp
@@ -1,9 +1,9 @@
-#include <monsoongrade/routing/sizefairness.h>
+#include <monsoongrade/routing/queueing/sizefairness.h>
 
 #include <algorithm>
 #include <cmath>
 
-namespace monsoongrade::routing {
+namespace monsoongrade::routing::queueing {
 
 namespace {
 
@@ -97,4 +97,4 @@
     return fairness_[{pool.value(), tier}];
 }
 
-} // namespace monsoongrade::routing
+} // namespace monsoongrade::routing::queueing
--- a/src/routing/waitforecast.cpp
+++ b/src/routing/queueing/waitforecast.cpp
@@ -1,8 +1,8 @@
-#include <monsoongrade/routing/waitforecast.h>
+#include <monsoongrade/routing/queueing/waitforecast.h>
 
 #include <algorithm>
 
-namespace monsoongrade::routing {
+namespace monsoongrade::routing::queueing {
 
 namespace {
 
@@ -74,4 +74,4 @@
     return {WaitDecision::Refuse, backlog};
 }
 
-} // namespace monsoongrade::routing
+} // namespace monsoongrade::routing::queueing
--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -50,10 +50,10 @@
                                              const PlacementQuery &query, PlacementChoice choice,
                                              std::size_t endpoints, units::TimePoint now)
 {
-    const WaitForecast forecast
+    const queueing::WaitForecast forecast
         = forecaster_.forecast(queue_.tokensAhead(query.tier), query.targetIn, query.expiresIn,
                                endpoints, prefillRates_.of(query.pool).tokensPerMs(now));
-    if (forecast.decision == WaitDecision::Wait) {
+    if (forecast.decision == queueing::WaitDecision::Wait) {
         queue_.add(ticket, query, choice.tokensToRead, now);
         return choice;
     }
@@ -101,7 +101,7 @@
     std::vector<std::pair<PlacementTicket, PlacementChoice>> placed;
     std::int64_t drained = 0;
     const auto tryPlace = [&](const PlacementTicket &ticket) {
-        const PrefillQueue::Waiting *waiting = queue_.find(ticket);
+        const queueing::PrefillQueue::Waiting *waiting = queue_.find(ticket);
         if (waiting == nullptr)
             return false;
         const PlacementQuery query = waiting->query;
@@ -112,14 +112,15 @@
         placed.emplace_back(ticket, commit(ticket, query, std::move(choice), now));
         return true;
     };
-    for (const PrefillQueue::Waiting &expired : queue_.takeExpired(MaxTriedPerCall, now)) {
+    for (const queueing::PrefillQueue::Waiting &expired :
+         queue_.takeExpired(MaxTriedPerCall, now)) {
         const PlacementQuery &query = expired.query;
         sizeFairness_.of(query.pool, query.tier).onRefused(query.promptTokens, now);
         placed.emplace_back(expired.ticket, PlacementChoice{});
         placed.back().second.retryDelay = units::Duration::zero();
     }
     for (const PlacementTicket &ticket : queue_.next(MaxTriedPerCall, now)) {
-        const PrefillQueue::Waiting *waiting = queue_.find(ticket);
+        const queueing::PrefillQueue::Waiting *waiting = queue_.find(ticket);
         const std::string part = waiting == nullptr ? std::string() : waiting->query.sharedPart;
         if (!tryPlace(ticket))
             continue;
--- a/tests/routing/boundsandleases_test.cpp
+++ b/tests/routing/boundsandleases_test.cpp
@@ -1,7 +1,7 @@
 #include <monsoongrade/routing/endpointhealth.h>
 #include <monsoongrade/routing/freshnesslease.h>
 #include <monsoongrade/routing/peertable.h>
-#include <monsoongrade/routing/retryafter.h>
+#include <monsoongrade/routing/queueing/retryafter.h>
 #include <monsoongrade/routing/retryallowance.h>
 
 #include <doctest/doctest.h>
@@ -72,12 +72,12 @@
     std::set<std::int64_t> times;
     for (int i = 0; i < 200; ++i) {
         const units::RequestId id("request-" + std::to_string(i));
-        const auto time
-            = retryAfter(units::ResultCode::NoEndpointAvailable, id, std::chrono::seconds(9));
+        const auto time = queueing::retryAfter(units::ResultCode::NoEndpointAvailable, id,
+                                               std::chrono::seconds(9));
         CHECK(time >= milliseconds(600));
         CHECK(time <= milliseconds(1200));
         times.insert(time.count());
-        CHECK(retryAfter(units::ResultCode::NoEndpointAvailable, id, milliseconds(900))
+        CHECK(queueing::retryAfter(units::ResultCode::NoEndpointAvailable, id, milliseconds(900))
               <= milliseconds(300));
     }
     CHECK(times.size() > 100);
@@ -86,11 +86,12 @@
 TEST_CASE("RetryAfter.CoversTheDrainTimeOfALongQueue")
 {
     const units::RequestId id("request-1");
-    const auto time = retryAfter(milliseconds(1500), id, std::chrono::seconds(9));
+    const auto time = queueing::retryAfter(milliseconds(1500), id, std::chrono::seconds(9));
     CHECK(time >= milliseconds(1500));
     CHECK(time <= milliseconds(3000));
-    CHECK(retryAfter(units::Duration::zero(), id, std::chrono::seconds(9)) >= milliseconds(250));
-    CHECK(retryAfter(milliseconds(1500), id, milliseconds(900)) <= milliseconds(300));
+    CHECK(queueing::retryAfter(units::Duration::zero(), id, std::chrono::seconds(9))
+          >= milliseconds(250));
+    CHECK(queueing::retryAfter(milliseconds(1500), id, milliseconds(900)) <= milliseconds(300));
 }
 
 TEST_CASE("EndpointHealth.TwoConsecutiveFailuresSuspendUntilATrialSucceeds")
--- a/tests/routing/prefillrate_test.cpp
+++ b/tests/routing/performance/prefillrate_test.cpp
@@ -1,4 +1,4 @@
-#include <monsoongrade/routing/prefillrate.h>
+#include <monsoongrade/routing/performance/prefillrate.h>
 
 #include <doctest/doctest.h>
 
@@ -6,6 +6,7 @@
 
 using namespace monsoongrade;
 using namespace monsoongrade::routing;
+using namespace monsoongrade::routing::performance;
 
 namespace {
 
--- a/tests/routing/prefillqueue_test.cpp
+++ b/tests/routing/queueing/prefillqueue_test.cpp
@@ -1,9 +1,10 @@
-#include <monsoongrade/routing/prefillqueue.h>
+#include <monsoongrade/routing/queueing/prefillqueue.h>
 
 #include <doctest/doctest.h>
 
 using namespace monsoongrade;
 using namespace monsoongrade::routing;
+using namespace monsoongrade::routing::queueing;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
--- a/tests/routing/sizefairness_test.cpp
+++ b/tests/routing/queueing/sizefairness_test.cpp
@@ -1,10 +1,11 @@
-#include <monsoongrade/routing/prefillsizes.h>
-#include <monsoongrade/routing/sizefairness.h>
+#include <monsoongrade/routing/performance/prefillsizes.h>
+#include <monsoongrade/routing/queueing/sizefairness.h>
 
 #include <doctest/doctest.h>
 
 using namespace monsoongrade;
 using namespace monsoongrade::routing;
+using namespace monsoongrade::routing::queueing;
 using std::chrono::hours;
 using std::chrono::milliseconds;
 using std::chrono::minutes;
@@ -82,9 +83,9 @@
     CHECK(fairness.shortPrecedence(Start + seconds(20)) == 1);
 }
 
-TEST_CASE("PrefillSizes.TheLargestDetermineTheMeanByTokens")
+TEST_CASE("performance::PrefillSizes.TheLargestDetermineTheMeanByTokens")
 {
-    PrefillSizes sizes;
+    performance::PrefillSizes sizes;
     CHECK_FALSE(sizes.mean(Start).has_value());
     for (int i = 0; i < 1000; ++i)
         sizes.add(i % 10 == 0 ? 10000 : 100, Start + milliseconds(i));
