--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -143,6 +143,8 @@
     units::TimePoint placementStartedAt_;
     bool isPlacing_ = false;
     std::int64_t tokensToRead_ = 0;
+    units::Duration expectedFirstEvent_{}; // 0: unknown
+    units::EndpointId cacheSource_; // endpoint to copy cached prompt parts from; empty: none
     std::shared_ptr<httpio::Channel> channel_;
     units::TimePoint sentAt_;
     units::SoftwareVersion sentToVersion_;
@@ -164,6 +166,7 @@
     bool isUsageCounted_ = false; // an endpoint began to run the request
     // When the client should retry: given with a refused placement, or the end of a pause.
     std::optional<units::Duration> retryDelay_;
+    bool isReturnScheduled_ = false; // room is booked for the request after retryDelay_
     EventRelay events_;
     bool responseBegun_ = false;
     bool clientDisconnected_ = false;
--- a/include/monsoongrade/gateway/headercodec.h
+++ b/include/monsoongrade/gateway/headercodec.h
@@ -18,6 +18,8 @@
     units::WorkspaceName workspace; // empty if there is none
     units::Duration timeLeft{};
     units::Tier tier;
+    // IP:PORT of an endpoint from which the receiver copies cached prompt parts; empty: none.
+    std::string cacheSource;
     std::string resumeAfter; // id of the last event the client has; empty for a new stream
 };
 
--- a/include/monsoongrade/routing/placementquery.h
+++ b/include/monsoongrade/routing/placementquery.h
@@ -9,10 +9,15 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace monsoongrade::routing {
 
+// Identifies a request across client attempts: each attempt has a request id of its own. 0:
+// unknown.
+using ReturnKey = units::StrongNumber<struct ReturnKeyTag, std::uint64_t>;
+
 // Attributes of a request that placement depends on.
 struct PlacementQuery
 {
@@ -23,6 +28,12 @@
     std::int64_t promptTokens = 0; // the whole prompt
     std::int64_t ownTokens = 0; // without the part that may be cached
     units::Tier tier;
+    units::WorkspaceName workspace; // empty if there is none
+    ReturnKey returnKey;
+    // The longest time between two events of a stream that is still on time; 0: not a stream.
+    units::Duration maxEventGap{};
+    // The client's estimate of the output, else the maximum that it asked for; 0: unknown.
+    std::int64_t outputTokens = 0;
     // Its maximum event gap is too short for an endpoint that prefills long prompts meanwhile.
     bool needsShortPauses = false;
     // Some requests of the pool need that. One endpoint is then reserved even while none is open:
@@ -54,6 +65,10 @@
                               const units::PoolName &poolName, const TrafficPool *pool,
                               units::Tier tier, const units::FailureDomain &requesterDomain);
 
+// The key of a request with a prompt: its last prompt part belongs to the request or its session,
+// so client attempts with the same key, target and parts are attempts of one request.
+ReturnKey returnKeyOf(const RequestMetadata &metadata, std::string_view target);
+
 } // namespace monsoongrade::routing
 
 #endif // MONSOONGRADE_ROUTING_PLACEMENTQUERY_H
--- a/include/monsoongrade/routing/requestplacer.h
+++ b/include/monsoongrade/routing/requestplacer.h
@@ -11,6 +11,7 @@
 #include <monsoongrade/routing/queueing/sizefairness.h>
 #include <monsoongrade/routing/sharedelegation.h>
 #include <monsoongrade/routing/shortpausereserve.h>
+#include <monsoongrade/routing/trafficpool.h>
 
 #include <map>
 #include <optional>
@@ -46,6 +47,19 @@
     // Set if the request is refused because of a long queue: when its client should retry.
     std::optional<units::Duration> retryDelay;
     bool isLimited = false; // counted against the endpoint's rate limit
+    // Expected time from sending the request to its first event; 0: unknown.
+    units::Duration expectedFirstEvent{};
+    // With retryDelay: room is booked for the request at that time.
+    bool isReturnScheduled = false;
+    // Endpoint from which the chosen one copies cached prompt parts; empty: none.
+    units::EndpointId cacheSource;
+};
+
+// Progress of a stream that has ended.
+struct StreamProgress
+{
+    int events = 0; // that the client received
+    units::Duration duration{}; // from the first event to the last
 };
 
 // Chooses endpoints for requests and tracks the load that it has placed on each.
@@ -103,7 +117,11 @@
     // the request was placed: in an overload a first event takes longer than the silence timeout.
     // EndpointPaused lowers the rank of the endpoint for all hosts, because it is likely to reject
     // their requests too. Events of unknown tickets are ignored.
-    void onEvent(const PlacementTicket &ticket, PlacementEvent event, units::TimePoint now);
+    // progress: of a completed stream.
+    void onEvent(const PlacementTicket &ticket, PlacementEvent event, units::TimePoint now,
+                 const StreamProgress &progress = {});
+    // Sets the pools of the configuration in force.
+    void setPools(const std::vector<TrafficPool> &pools);
     // True if place() would find an endpoint.
     bool hasEndpoint(const PlacementQuery &query,
                      const std::vector<EndpointRegistry::Status> &available,
@@ -170,6 +188,7 @@
     ShortPauseReserve reserve_;
     std::unordered_map<std::string, performance::PrefillSizes> prefillSizes_; // by pool
     queueing::SizeFairnessByTier sizeFairness_;
+    std::unordered_map<std::string, TrafficPool> pools_;
     units::TimePoint nextCleanupAt_{};
 };
 
--- a/include/monsoongrade/routing/trafficpool.h
+++ b/include/monsoongrade/routing/trafficpool.h
@@ -9,6 +9,13 @@
 
 namespace monsoongrade::routing {
 
+// Copying of cached prompt parts between endpoints of a pool.
+struct CacheTransfer
+{
+    std::int64_t bytesPerToken = 0;
+    double megabitsPerSecond = 0; // of one endpoint's link; transfers run one after another
+};
+
 // A pool of equivalent endpoints.
 struct TrafficPool
 {
@@ -19,6 +26,8 @@
     bool runsModel = false;
     // Tokens per stream event. Known engines send 5 or 6.
     int tokensPerEvent = 5;
+    // Unset if the endpoints can't copy cached parts.
+    std::optional<CacheTransfer> cacheTransfer;
     // A route of the pool has streams that need short event gaps. Set by RouteTable.
     bool servesShortPauses = false;
     // Unset if the pool is not scaled by this service.
--- a/schema/placement.capnp
+++ b/schema/placement.capnp
@@ -30,6 +30,14 @@
   limit @15 :Gossip.LimitNews;
   # The part of each endpoint's limit that the asking host lends, 0 to 1.
   lentShare @16 :Float32;
+  # Empty if the request belongs to none.
+  workspace @17 :Text;
+  # The same for all client attempts of a request; 0 if unknown.
+  returnKey @18 :UInt64;
+  # Longest time between two events that is still on time; 0 if the response is no stream.
+  maxEventGapMs @19 :UInt32;
+  # The client's estimate, else the maximum that it asked for; 0 if unknown.
+  outputTokens @20 :UInt32;
 }
 
 struct PlacementAnswer {
@@ -44,6 +52,12 @@
   comeBackInMs @5 :UInt32;
   # The placing host knows a limit of the endpoint and has counted this request against it.
   isLimited @6 :Bool;
+  # Expected time from sending the request to its first event; 0 if unknown.
+  expectedFirstEventMs @7 :UInt32;
+  # With refused: room is booked for the request at comeBackInMs.
+  isReturnScheduled @8 :Bool;
+  # Endpoint from which the chosen one copies cached prompt parts; empty: none.
+  cacheSource @9 :Text;
 }
 
 # From a host with waiting requests: are they still in the queue?
@@ -59,6 +73,9 @@
 struct PlacementNews {
   number @0 :UInt64;
   news @1 :News;
+  # With completed: events that the client received, and the time from the first to the last.
+  events @2 :UInt32;
+  streamMs @3 :UInt32;
 
   enum News {
     firstEvent @0;
@@ -89,6 +106,21 @@
   }
 }
 
+# From the placing host to those that would take over.
+struct EndpointSpeeds {
+  speeds @0 :List(Speed);
+
+  struct Speed {
+    endpoint @0 :Text;
+    incarnation @1 :Int64;
+    # Prefill speed relative to the mean of the pool.
+    relativeSpeed @2 :Float32;
+    samples @3 :UInt32;
+    # Milliseconds since the newest sample.
+    ageMs @4 :UInt32;
+  }
+}
+
 struct PlacementMessage {
   union {
     ask @0 :PlacementAsk;
@@ -98,5 +130,6 @@
     stillWaiting @4 :StillWaiting;
     notWaiting @5 :NotWaiting;
     loan @6 :ShareLoan;
+    endpointSpeeds @7 :EndpointSpeeds;
   }
 }
--- a/schema/placement.capnp.h
+++ b/schema/placement.capnp.h
@@ -36,6 +36,8 @@
 CAPNP_DECLARE_SCHEMA(a79291027e755f69);
 CAPNP_DECLARE_SCHEMA(aa410731b99bbd0a);
 CAPNP_DECLARE_SCHEMA(eff64deac2482f86);
+CAPNP_DECLARE_SCHEMA(e8770c10bcba8ea4);
+CAPNP_DECLARE_SCHEMA(951edbf74927413f);
 CAPNP_DECLARE_SCHEMA(ef5fe5780a12750a);
 
 } // namespace schemas
@@ -54,7 +56,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(ceb6b6014d2b2208, 5, 7)
+        CAPNP_DECLARE_STRUCT_HEADER(ceb6b6014d2b2208, 7, 8)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -74,7 +76,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(a1ef986c4a4b2b9f, 3, 1)
+        CAPNP_DECLARE_STRUCT_HEADER(a1ef986c4a4b2b9f, 3, 2)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -135,7 +137,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(e36e8bb5010bb043, 2, 0)
+        CAPNP_DECLARE_STRUCT_HEADER(e36e8bb5010bb043, 3, 0)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -206,6 +208,47 @@
     };
 };
 
+struct EndpointSpeeds
+{
+    EndpointSpeeds() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+    struct Speed;
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(e8770c10bcba8ea4, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
+struct EndpointSpeeds::Speed
+{
+    Speed() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(951edbf74927413f, 3, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
 struct PlacementMessage
 {
     PlacementMessage() = delete;
@@ -221,6 +264,7 @@
         STILL_WAITING,
         NOT_WAITING,
         LOAN,
+        ENDPOINT_SPEEDS,
     };
 
     struct _capnpPrivate
@@ -298,6 +342,15 @@
 
     inline float getLentShare() const;
 
+    inline bool hasWorkspace() const;
+    inline ::capnp::Text::Reader getWorkspace() const;
+
+    inline ::uint64_t getReturnKey() const;
+
+    inline ::uint32_t getMaxEventGapMs() const;
+
+    inline ::uint32_t getOutputTokens() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -416,6 +469,22 @@
     inline float getLentShare();
     inline void setLentShare(float value);
 
+    inline bool hasWorkspace();
+    inline ::capnp::Text::Builder getWorkspace();
+    inline void setWorkspace(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initWorkspace(unsigned int size);
+    inline void adoptWorkspace(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownWorkspace();
+
+    inline ::uint64_t getReturnKey();
+    inline void setReturnKey(::uint64_t value);
+
+    inline ::uint32_t getMaxEventGapMs();
+    inline void setMaxEventGapMs(::uint32_t value);
+
+    inline ::uint32_t getOutputTokens();
+    inline void setOutputTokens(::uint32_t value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -485,6 +554,13 @@
 
     inline bool getIsLimited() const;
 
+    inline ::uint32_t getExpectedFirstEventMs() const;
+
+    inline bool getIsReturnScheduled() const;
+
+    inline bool hasCacheSource() const;
+    inline ::capnp::Text::Reader getCacheSource() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -545,6 +621,19 @@
     inline bool getIsLimited();
     inline void setIsLimited(bool value);
 
+    inline ::uint32_t getExpectedFirstEventMs();
+    inline void setExpectedFirstEventMs(::uint32_t value);
+
+    inline bool getIsReturnScheduled();
+    inline void setIsReturnScheduled(bool value);
+
+    inline bool hasCacheSource();
+    inline ::capnp::Text::Builder getCacheSource();
+    inline void setCacheSource(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initCacheSource(unsigned int size);
+    inline void adoptCacheSource(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownCacheSource();
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -801,6 +890,10 @@
 
     inline ::monsoongrade::schema::PlacementNews::News getNews() const;
 
+    inline ::uint32_t getEvents() const;
+
+    inline ::uint32_t getStreamMs() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -842,6 +935,12 @@
     inline ::monsoongrade::schema::PlacementNews::News getNews();
     inline void setNews(::monsoongrade::schema::PlacementNews::News value);
 
+    inline ::uint32_t getEvents();
+    inline void setEvents(::uint32_t value);
+
+    inline ::uint32_t getStreamMs();
+    inline void setStreamMs(::uint32_t value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -1187,6 +1286,231 @@
 };
 #endif // !CAPNP_LITE
 
+class EndpointSpeeds::Reader
+{
+public:
+    typedef EndpointSpeeds Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasSpeeds() const;
+    inline ::capnp::List<::monsoongrade::schema::EndpointSpeeds::Speed,
+                         ::capnp::Kind::STRUCT>::Reader
+    getSpeeds() const;
+
+private:
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class EndpointSpeeds::Builder
+{
+public:
+    typedef EndpointSpeeds Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasSpeeds();
+    inline ::capnp::List<::monsoongrade::schema::EndpointSpeeds::Speed,
+                         ::capnp::Kind::STRUCT>::Builder
+    getSpeeds();
+    inline void setSpeeds(::capnp::List<::monsoongrade::schema::EndpointSpeeds::Speed,
+                                        ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::monsoongrade::schema::EndpointSpeeds::Speed,
+                         ::capnp::Kind::STRUCT>::Builder
+    initSpeeds(unsigned int size);
+    inline void
+    adoptSpeeds(::capnp::Orphan<::capnp::List<::monsoongrade::schema::EndpointSpeeds::Speed,
+                                              ::capnp::Kind::STRUCT>> &&value);
+    inline ::capnp::Orphan<
+        ::capnp::List<::monsoongrade::schema::EndpointSpeeds::Speed, ::capnp::Kind::STRUCT>>
+    disownSpeeds();
+
+private:
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EndpointSpeeds::Pipeline
+{
+public:
+    typedef EndpointSpeeds Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+class EndpointSpeeds::Speed::Reader
+{
+public:
+    typedef Speed Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasEndpoint() const;
+    inline ::capnp::Text::Reader getEndpoint() const;
+
+    inline ::int64_t getIncarnation() const;
+
+    inline float getRelativeSpeed() const;
+
+    inline ::uint32_t getSamples() const;
+
+    inline ::uint32_t getAgeMs() const;
+
+private:
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class EndpointSpeeds::Speed::Builder
+{
+public:
+    typedef Speed Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasEndpoint();
+    inline ::capnp::Text::Builder getEndpoint();
+    inline void setEndpoint(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initEndpoint(unsigned int size);
+    inline void adoptEndpoint(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownEndpoint();
+
+    inline ::int64_t getIncarnation();
+    inline void setIncarnation(::int64_t value);
+
+    inline float getRelativeSpeed();
+    inline void setRelativeSpeed(float value);
+
+    inline ::uint32_t getSamples();
+    inline void setSamples(::uint32_t value);
+
+    inline ::uint32_t getAgeMs();
+    inline void setAgeMs(::uint32_t value);
+
+private:
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EndpointSpeeds::Speed::Pipeline
+{
+public:
+    typedef Speed Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
 class PlacementMessage::Reader
 {
 public:
@@ -1236,6 +1560,10 @@
     inline bool hasLoan() const;
     inline ::monsoongrade::schema::ShareLoan::Reader getLoan() const;
 
+    inline bool isEndpointSpeeds() const;
+    inline bool hasEndpointSpeeds() const;
+    inline ::monsoongrade::schema::EndpointSpeeds::Reader getEndpointSpeeds() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -1328,6 +1656,15 @@
     inline void adoptLoan(::capnp::Orphan<::monsoongrade::schema::ShareLoan> &&value);
     inline ::capnp::Orphan<::monsoongrade::schema::ShareLoan> disownLoan();
 
+    inline bool isEndpointSpeeds();
+    inline bool hasEndpointSpeeds();
+    inline ::monsoongrade::schema::EndpointSpeeds::Builder getEndpointSpeeds();
+    inline void setEndpointSpeeds(::monsoongrade::schema::EndpointSpeeds::Reader value);
+    inline ::monsoongrade::schema::EndpointSpeeds::Builder initEndpointSpeeds();
+    inline void
+    adoptEndpointSpeeds(::capnp::Orphan<::monsoongrade::schema::EndpointSpeeds> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::EndpointSpeeds> disownEndpointSpeeds();
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -1802,6 +2139,87 @@
     _builder.setDataField<float>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PlacementAsk::Reader::hasWorkspace() const
+{
+    return !_reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool PlacementAsk::Builder::hasWorkspace()
+{
+    return !_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader PlacementAsk::Reader::getWorkspace() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder PlacementAsk::Builder::getWorkspace()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void PlacementAsk::Builder::setWorkspace(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder PlacementAsk::Builder::initWorkspace(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void PlacementAsk::Builder::adoptWorkspace(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> PlacementAsk::Builder::disownWorkspace()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline ::uint64_t PlacementAsk::Reader::getReturnKey() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t PlacementAsk::Builder::getReturnKey()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void PlacementAsk::Builder::setReturnKey(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint32_t PlacementAsk::Reader::getMaxEventGapMs() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t PlacementAsk::Builder::getMaxEventGapMs()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void PlacementAsk::Builder::setMaxEventGapMs(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint32_t PlacementAsk::Reader::getOutputTokens() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t PlacementAsk::Builder::getOutputTokens()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void PlacementAsk::Builder::setOutputTokens(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
 inline ::uint64_t PlacementAnswer::Reader::getNumber() const
 {
     return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1925,6 +2343,73 @@
     _builder.setDataField<bool>(::capnp::bounded<98>() * ::capnp::ELEMENTS, value);
 }
 
+inline ::uint32_t PlacementAnswer::Reader::getExpectedFirstEventMs() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t PlacementAnswer::Builder::getExpectedFirstEventMs()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void PlacementAnswer::Builder::setExpectedFirstEventMs(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PlacementAnswer::Reader::getIsReturnScheduled() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<99>() * ::capnp::ELEMENTS);
+}
+
+inline bool PlacementAnswer::Builder::getIsReturnScheduled()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<99>() * ::capnp::ELEMENTS);
+}
+inline void PlacementAnswer::Builder::setIsReturnScheduled(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<99>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PlacementAnswer::Reader::hasCacheSource() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PlacementAnswer::Builder::hasCacheSource()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader PlacementAnswer::Reader::getCacheSource() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder PlacementAnswer::Builder::getCacheSource()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PlacementAnswer::Builder::setCacheSource(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder PlacementAnswer::Builder::initCacheSource(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PlacementAnswer::Builder::adoptCacheSource(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> PlacementAnswer::Builder::disownCacheSource()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool StillWaiting::Reader::hasNumbers() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2056,6 +2541,34 @@
         ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline ::uint32_t PlacementNews::Reader::getEvents() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t PlacementNews::Builder::getEvents()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PlacementNews::Builder::setEvents(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint32_t PlacementNews::Reader::getStreamMs() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t PlacementNews::Builder::getStreamMs()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PlacementNews::Builder::setStreamMs(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline float ShareLoan::Reader::getLentShare() const
 {
     return _reader.getDataField<float>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2229,6 +2742,155 @@
     _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool EndpointSpeeds::Reader::hasSpeeds() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EndpointSpeeds::Builder::hasSpeeds()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::monsoongrade::schema::EndpointSpeeds::Speed, ::capnp::Kind::STRUCT>::Reader
+EndpointSpeeds::Reader::getSpeeds() const
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::EndpointSpeeds::Speed, ::capnp::Kind::STRUCT>>::
+        get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::monsoongrade::schema::EndpointSpeeds::Speed, ::capnp::Kind::STRUCT>::Builder
+EndpointSpeeds::Builder::getSpeeds()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::EndpointSpeeds::Speed, ::capnp::Kind::STRUCT>>::
+        get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+EndpointSpeeds::Builder::setSpeeds(::capnp::List<::monsoongrade::schema::EndpointSpeeds::Speed,
+                                                 ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::EndpointSpeeds::Speed, ::capnp::Kind::STRUCT>>::
+        set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::monsoongrade::schema::EndpointSpeeds::Speed, ::capnp::Kind::STRUCT>::Builder
+EndpointSpeeds::Builder::initSpeeds(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::EndpointSpeeds::Speed, ::capnp::Kind::STRUCT>>::
+        init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EndpointSpeeds::Builder::adoptSpeeds(
+    ::capnp::Orphan<::capnp::List<::monsoongrade::schema::EndpointSpeeds::Speed,
+                                  ::capnp::Kind::STRUCT>> &&value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::EndpointSpeeds::Speed, ::capnp::Kind::STRUCT>>::
+        adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<
+    ::capnp::List<::monsoongrade::schema::EndpointSpeeds::Speed, ::capnp::Kind::STRUCT>>
+EndpointSpeeds::Builder::disownSpeeds()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::EndpointSpeeds::Speed, ::capnp::Kind::STRUCT>>::
+        disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EndpointSpeeds::Speed::Reader::hasEndpoint() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EndpointSpeeds::Speed::Builder::hasEndpoint()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader EndpointSpeeds::Speed::Reader::getEndpoint() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder EndpointSpeeds::Speed::Builder::getEndpoint()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EndpointSpeeds::Speed::Builder::setEndpoint(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder EndpointSpeeds::Speed::Builder::initEndpoint(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EndpointSpeeds::Speed::Builder::adoptEndpoint(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> EndpointSpeeds::Speed::Builder::disownEndpoint()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::int64_t EndpointSpeeds::Speed::Reader::getIncarnation() const
+{
+    return _reader.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::int64_t EndpointSpeeds::Speed::Builder::getIncarnation()
+{
+    return _builder.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EndpointSpeeds::Speed::Builder::setIncarnation(::int64_t value)
+{
+    _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline float EndpointSpeeds::Speed::Reader::getRelativeSpeed() const
+{
+    return _reader.getDataField<float>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline float EndpointSpeeds::Speed::Builder::getRelativeSpeed()
+{
+    return _builder.getDataField<float>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void EndpointSpeeds::Speed::Builder::setRelativeSpeed(float value)
+{
+    _builder.setDataField<float>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint32_t EndpointSpeeds::Speed::Reader::getSamples() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t EndpointSpeeds::Speed::Builder::getSamples()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void EndpointSpeeds::Speed::Builder::setSamples(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint32_t EndpointSpeeds::Speed::Reader::getAgeMs() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t EndpointSpeeds::Speed::Builder::getAgeMs()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void EndpointSpeeds::Speed::Builder::setAgeMs(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline ::monsoongrade::schema::PlacementMessage::Which PlacementMessage::Reader::which() const
 {
     return _reader.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2696,6 +3358,75 @@
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PlacementMessage::Reader::isEndpointSpeeds() const
+{
+    return which() == PlacementMessage::ENDPOINT_SPEEDS;
+}
+inline bool PlacementMessage::Builder::isEndpointSpeeds()
+{
+    return which() == PlacementMessage::ENDPOINT_SPEEDS;
+}
+inline bool PlacementMessage::Reader::hasEndpointSpeeds() const
+{
+    if (which() != PlacementMessage::ENDPOINT_SPEEDS)
+        return false;
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PlacementMessage::Builder::hasEndpointSpeeds()
+{
+    if (which() != PlacementMessage::ENDPOINT_SPEEDS)
+        return false;
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::monsoongrade::schema::EndpointSpeeds::Reader
+PlacementMessage::Reader::getEndpointSpeeds() const
+{
+    KJ_IREQUIRE((which() == PlacementMessage::ENDPOINT_SPEEDS),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::EndpointSpeeds>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::monsoongrade::schema::EndpointSpeeds::Builder
+PlacementMessage::Builder::getEndpointSpeeds()
+{
+    KJ_IREQUIRE((which() == PlacementMessage::ENDPOINT_SPEEDS),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::EndpointSpeeds>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+PlacementMessage::Builder::setEndpointSpeeds(::monsoongrade::schema::EndpointSpeeds::Reader value)
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::ENDPOINT_SPEEDS);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::EndpointSpeeds>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::monsoongrade::schema::EndpointSpeeds::Builder
+PlacementMessage::Builder::initEndpointSpeeds()
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::ENDPOINT_SPEEDS);
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::EndpointSpeeds>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PlacementMessage::Builder::adoptEndpointSpeeds(
+    ::capnp::Orphan<::monsoongrade::schema::EndpointSpeeds> &&value)
+{
+    _builder.setDataField<PlacementMessage::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                   PlacementMessage::ENDPOINT_SPEEDS);
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::EndpointSpeeds>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::monsoongrade::schema::EndpointSpeeds>
+PlacementMessage::Builder::disownEndpointSpeeds()
+{
+    KJ_IREQUIRE((which() == PlacementMessage::ENDPOINT_SPEEDS),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::EndpointSpeeds>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 } // namespace schema
 } // namespace monsoongrade
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -61,6 +61,7 @@
     }
     if (choice.endpoint == nullptr) {
         retryDelay_ = choice.retryDelay;
+        isReturnScheduled_ = choice.isReturnScheduled;
         giveUp(mayHaveRun_ ? routing::NextStep::RespondOutcomeUnknown
                            : routing::NextStep::RefuseNotRun,
                retryDelay_ ? units::ResultCode::QueueFull : units::ResultCode::NoEndpointAvailable);
@@ -71,6 +72,8 @@
     const units::Duration placementTime = state_.timers.now() - placementStartedAt_;
     state_.log.metrics.observe("monsoongrade_gateway_placing_seconds", "", placementTime);
     tokensToRead_ = choice.tokensToRead;
+    expectedFirstEvent_ = choice.expectedFirstEvent;
+    cacheSource_ = std::move(choice.cacheSource);
     if (state_.log.mayWrite("request-placed"))
         logPlaced(placementTime);
     query_.tried.push_back(endpoint_->registration.id);
@@ -162,6 +165,8 @@
     request.workspace = admission_.workspace;
     request.timeLeft = timeLeft();
     request.tier = admission_.tier;
+    if (const auto source = state_.registry.findAvailable(cacheSource_); source != nullptr)
+        request.cacheSource = source->registration.address;
     request.resumeAfter = events_.lastId().empty() ? metadata_.lastEventId : events_.lastId();
     return state_.headerCodec.endpointHeaders(httpio::endToEndHeaders(request_.head.headers),
                                               request);
--- a/src/gateway/exchangeadmission.cpp
+++ b/src/gateway/exchangeadmission.cpp
@@ -81,6 +81,8 @@
     poolSettings_ = table_->pool(pool_);
     query_ = routing::placementQuery(metadata_, *route_, pool_, poolSettings_, admission_.tier,
                                      state_.ownDomain);
+    query_.workspace = admission_.workspace;
+    query_.returnKey = routing::returnKeyOf(metadata_, request_.head.target);
     query_.mayWait = true;
     deadline_ = std::min(deadline_, request_.receivedAt + route_->timeout);
     if (state_.plannedStop && state_.plannedStop->shouldRefuse(deadline_, state_.timers.now())) {
--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -143,6 +143,9 @@
         || reason == units::ResultCode::NoEndpointAvailable;
     if (!retryDelay_ && isForWantOfEndpoint)
         retryDelay_ = pauseOfPool();
+    // Jitter would miss the time for which room is booked.
+    if (isReturnScheduled_ && reason == units::ResultCode::QueueFull)
+        return *retryDelay_;
     return retryDelay_ ? routing::queueing::retryAfter(*retryDelay_, metadata_.id, timeLeft())
                        : routing::queueing::retryAfter(reason, metadata_.id, timeLeft());
 }
@@ -242,7 +245,7 @@
 void Exchange::releaseEndpoint(routing::PlacementEvent event)
 {
     if (endpoint_ != nullptr)
-        state_.placement.report(ticket_, event);
+        state_.placement.report(ticket_, event, {events_.count(), events_.duration()});
     forgetEndpoint();
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -149,6 +149,7 @@
     state_.callerLimits.idleTimeout = configuration.limits.idleTimeout;
     state_.table = std::make_shared<const routing::RouteTable>(std::move(configuration));
     const routing::TrafficConfiguration &applied = state_.table->configuration();
+    state_.placement.setPools(applied.pools);
     observability::log(observability::LogLevel::Info, "configuration-applied",
                        {{"version", applied.version},
                         {"revision", applied.revision.value()},
--- a/src/gateway/internal/placementmessages.h
+++ b/src/gateway/internal/placementmessages.h
@@ -32,12 +32,16 @@
     bool isWaiting = false; // queued; another answer follows
     std::optional<units::Duration> retryDelay; // set if refused because of a long queue
     bool isLimited = false; // counted against the endpoint's limit
+    units::Duration expectedFirstEvent{}; // 0: unknown
+    bool isReturnScheduled = false;
+    units::EndpointId cacheSource; // empty: none
 };
 
 struct EventMessage
 {
     std::uint64_t number = 0;
     routing::PlacementEvent event = routing::PlacementEvent::Withdrawn;
+    routing::StreamProgress progress; // of a completed stream
 };
 
 struct CachedPartsMessage
--- a/src/gateway/placementmessages.cpp
+++ b/src/gateway/placementmessages.cpp
@@ -64,6 +64,10 @@
     if (query.softwareVersion)
         ask.setSoftwareVersion(query.softwareVersion->value());
     ask.setLentShare(float(from.lentShare));
+    ask.setWorkspace(query.workspace.value());
+    ask.setReturnKey(query.returnKey.value());
+    ask.setMaxEventGapMs(inMilliseconds(query.maxEventGap));
+    ask.setOutputTokens(std::uint32_t(query.outputTokens));
     if (from.limit)
         encodeLimit(ask.initLimit(), *from.limit);
 }
@@ -90,6 +94,10 @@
     if (ask.getIsVersionBound())
         query.softwareVersion = units::SoftwareVersion(ask.getSoftwareVersion());
     message.lentShare = readShare(ask.getLentShare());
+    query.workspace = units::WorkspaceName(ask.getWorkspace());
+    query.returnKey = routing::ReturnKey(ask.getReturnKey());
+    query.maxEventGap = std::chrono::milliseconds(ask.getMaxEventGapMs());
+    query.outputTokens = ask.getOutputTokens();
     if (ask.hasLimit())
         message.limit = decodeLimit(ask.getLimit());
     return message;
@@ -105,6 +113,9 @@
     answer.setRefused(from.retryDelay.has_value());
     answer.setComeBackInMs(inMilliseconds(from.retryDelay.value_or(units::Duration::zero())));
     answer.setIsLimited(from.isLimited);
+    answer.setExpectedFirstEventMs(inMilliseconds(from.expectedFirstEvent));
+    answer.setIsReturnScheduled(from.isReturnScheduled);
+    answer.setCacheSource(from.cacheSource.value());
 }
 
 AnswerMessage read(schema::PlacementAnswer::Reader answer)
@@ -117,6 +128,9 @@
     if (answer.getRefused())
         message.retryDelay = std::chrono::milliseconds(answer.getComeBackInMs());
     message.isLimited = answer.getIsLimited();
+    message.expectedFirstEvent = std::chrono::milliseconds(answer.getExpectedFirstEventMs());
+    message.isReturnScheduled = answer.getIsReturnScheduled();
+    message.cacheSource = units::EndpointId(answer.getCacheSource());
     return message;
 }
 
@@ -125,11 +139,18 @@
     auto news = root.initNews();
     news.setNumber(from.number);
     news.setNews(static_cast<schema::PlacementNews::News>(from.event));
+    news.setEvents(std::uint32_t(from.progress.events));
+    news.setStreamMs(inMilliseconds(from.progress.duration));
 }
 
 EventMessage read(schema::PlacementNews::Reader news)
 {
-    return {news.getNumber(), static_cast<routing::PlacementEvent>(news.getNews())};
+    constexpr std::uint32_t MaxEvents = 1'000'000;
+    EventMessage message{
+        news.getNumber(), static_cast<routing::PlacementEvent>(news.getNews()), {}};
+    message.progress.events = int(std::min(news.getEvents(), MaxEvents));
+    message.progress.duration = std::chrono::milliseconds(news.getStreamMs());
+    return message;
 }
 
 void write(const CachedPartsMessage &from, schema::PlacementMessage::Builder root)
@@ -197,6 +218,9 @@
         answer.endpoint = choice.endpoint->registration.id;
     answer.tokensToRead = choice.tokensToRead;
     answer.isLimited = choice.isLimited;
+    answer.expectedFirstEvent = choice.expectedFirstEvent;
+    answer.isReturnScheduled = choice.isReturnScheduled;
+    answer.cacheSource = choice.cacheSource;
     return answer;
 }
 
--- a/src/gateway/placementservice.cpp
+++ b/src/gateway/placementservice.cpp
@@ -104,16 +104,17 @@
         placed(ticket, choice);
 }
 
-void PlacementService::report(const routing::PlacementTicket &ticket, routing::PlacementEvent event)
+void PlacementService::report(const routing::PlacementTicket &ticket, routing::PlacementEvent event,
+                              const routing::StreamProgress &progress)
 {
     const auto coordinator = coordinators_.find(ticket.number);
     if (coordinator == coordinators_.end()) {
-        placer_.onEvent(ticket, event, timers_.now());
+        placer_.onEvent(ticket, event, timers_.now(), progress);
         localWaiting_.erase(ticket.number);
         schedulePlaceWaiting();
         return;
     }
-    socket_.send(coordinator->second, encode(EventMessage{ticket.number, event}));
+    socket_.send(coordinator->second, encode(EventMessage{ticket.number, event, progress}));
     const bool staysOpen = event == routing::PlacementEvent::FirstEvent
         || event == routing::PlacementEvent::EndpointSilent;
     if (!staysOpen)
@@ -202,7 +203,7 @@
     metrics_.add("monsoongrade_gateway_placements_unanswered_total");
     // A late choice of the coordinator must not count as load there.
     socket_.send(pending.coordinator,
-                 encode(EventMessage{number, routing::PlacementEvent::Withdrawn}));
+                 encode(EventMessage{number, routing::PlacementEvent::Withdrawn, {}}));
     // Since this host does not know the other hosts' requests, queueing would only add delay.
     routing::PlacementQuery query = pending.query;
     query.mayWait = false;
@@ -246,7 +247,7 @@
 
 void PlacementService::onMessage(const std::string &host, const EventMessage &message)
 {
-    placer_.onEvent({host, message.number}, message.event, timers_.now());
+    placer_.onEvent({host, message.number}, message.event, timers_.now(), message.progress);
     schedulePlaceWaiting();
 }
 
@@ -284,6 +285,7 @@
     if (message.retryDelay) {
         routing::PlacementChoice refused;
         refused.retryDelay = message.retryDelay;
+        refused.isReturnScheduled = message.isReturnScheduled;
         pending.placed({settings_.ownIp, message.number}, std::move(refused));
         return;
     }
@@ -297,6 +299,8 @@
         routing::PlacementChoice choice;
         choice.endpoint = status;
         choice.tokensToRead = message.tokensToRead;
+        choice.expectedFirstEvent = message.expectedFirstEvent;
+        choice.cacheSource = message.cacheSource;
         pending.placed({settings_.ownIp, message.number}, std::move(choice));
         return;
     }
--- a/src/routing/placementquery.cpp
+++ b/src/routing/placementquery.cpp
@@ -1,6 +1,7 @@
 #include <monsoongrade/routing/placementquery.h>
 
 #include <monsoongrade/routing/shortpausereserve.h>
+#include <monsoongrade/units/stablehash.h>
 
 namespace monsoongrade::routing {
 
@@ -21,6 +22,9 @@
     query.promptTokens = metadata.promptTokens.value();
     query.ownTokens = query.promptTokens;
     query.tier = tier;
+    query.outputTokens = metadata.outputTokensHint.value_or(metadata.maxOutputTokens).value();
+    if (route.kind == RouteKind::Stream)
+        query.maxEventGap = route.maxEventGap;
     query.requesterDomain = requesterDomain;
     if (metadata.promptParts.empty())
         return query;
@@ -30,4 +34,19 @@
     return query;
 }
 
+ReturnKey returnKeyOf(const RequestMetadata &metadata, std::string_view target)
+{
+    if (metadata.promptParts.empty())
+        return ReturnKey(0);
+    units::StableHash hash;
+    for (const std::string_view text :
+         {std::string_view(metadata.host), target, std::string_view(metadata.key),
+          std::string_view(metadata.promptParts.back().id)}) {
+        hash.add(text);
+        hash.add(std::uint64_t(text.size()));
+    }
+    hash.add(std::uint64_t(metadata.promptTokens.value()));
+    return ReturnKey(hash.spread());
+}
+
 } // namespace monsoongrade::routing
--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -135,8 +135,15 @@
     return placed;
 }
 
+void RequestPlacer::setPools(const std::vector<TrafficPool> &pools)
+{
+    pools_.clear();
+    for (const TrafficPool &pool : pools)
+        pools_[pool.name.value()] = pool;
+}
+
 void RequestPlacer::onEvent(const PlacementTicket &ticket, PlacementEvent event,
-                            units::TimePoint now)
+                            units::TimePoint now, const StreamProgress & /*progress*/)
 {
     queue_.remove(ticket);
     const auto found = placed_.find(ticket);
