Placement: capacity is reserved for the retries of refused requests

In an overload, callers refused together were told the same time, retried together and were refused again. A retry competed with first-time requests.

ReturnSchedule reserves capacity for a refused request that has a return key and gives its caller a time that it can use: at most a third of the time left, with at least 1.3 s left after it. A retry that arrives from 100 ms before to 1 s after that time goes before first-time requests of its tier, and is refused only if higher tiers need the capacity; then it gets no second reservation. Reserved tokens count as load ahead of first-time requests of the same or a lower tier. There are at most 4,096 reservations, at the coordinator only.

Retry times leave three quarters of the drain rate to first-time requests, and do not wait for late queued requests, which go behind scheduled retries.

PlacementChoice carries RefusalDetails for the log line of refusals. PlacementService exports four counters, several times a second.

--- a/include/monsoongrade/gateway/placementservice.h
+++ b/include/monsoongrade/gateway/placementservice.h
@@ -121,6 +121,7 @@
     void sendQuery(std::uint64_t number, const PendingQuery &pending);
     routing::ShareDelegation &sharesOf(const units::PoolName &pool);
     void lendIdleShares();
+    void exportReturnCounts();
     void placeLocally(std::uint64_t number, const routing::PlacementQuery &query,
                       const PlacedHandler &placed);
     void onTimeout(std::uint64_t number);
--- /dev/null
+++ b/include/monsoongrade/routing/queueing/refusaldetails.h
@@ -0,0 +1,21 @@
+#ifndef MONSOONGRADE_ROUTING_QUEUEING_REFUSALDETAILS_H
+#define MONSOONGRADE_ROUTING_QUEUEING_REFUSALDETAILS_H
+
+#include <monsoongrade/units/clock.h>
+
+#include <cstdint>
+
+namespace monsoongrade::routing::queueing {
+
+// Why a request was refused because of a long queue, for the log.
+struct RefusalDetails
+{
+    units::Duration returnIn{}; // the retry time given to the caller
+    bool isBooked = false; // capacity is reserved at that time
+    std::int64_t aheadTokens = 0; // queued ahead of the request
+    std::int64_t bookedTokens = 0; // reserved ahead of it for scheduled retries
+};
+
+} // namespace monsoongrade::routing::queueing
+
+#endif // MONSOONGRADE_ROUTING_QUEUEING_REFUSALDETAILS_H
--- a/include/monsoongrade/routing/queueing/waitforecast.h
+++ b/include/monsoongrade/routing/queueing/waitforecast.h
@@ -23,6 +23,9 @@
 {
     WaitDecision decision = WaitDecision::Wait;
     units::Duration retryDelay{};
+    // Until the requests ahead that can be on time have drained. Late ones go behind scheduled
+    // retries, so a reservation does not wait for them.
+    units::Duration onTimeWait{};
 };
 
 // Predicts how long a request with a long prefill waits for an endpoint, from the tokens ahead of
--- a/include/monsoongrade/routing/requestplacer.h
+++ b/include/monsoongrade/routing/requestplacer.h
@@ -8,6 +8,8 @@
 #include <monsoongrade/routing/placementquery.h>
 #include <monsoongrade/routing/prefixcache/prefixcacheindex.h>
 #include <monsoongrade/routing/queueing/prefillqueue.h>
+#include <monsoongrade/routing/queueing/refusaldetails.h>
+#include <monsoongrade/routing/queueing/returnschedule.h>
 #include <monsoongrade/routing/queueing/sizefairness.h>
 #include <monsoongrade/routing/sharedelegation.h>
 #include <monsoongrade/routing/shortpausereserve.h>
@@ -51,6 +53,8 @@
     units::Duration expectedFirstEvent{};
     // With retryDelay: room is booked for the request at that time.
     bool isReturnScheduled = false;
+    // With retryDelay, if refused on arrival.
+    queueing::RefusalDetails refusal{};
     // Endpoint from which the chosen one copies cached prompt parts; empty: none.
     units::EndpointId cacheSource;
 };
@@ -78,7 +82,7 @@
 // in a burst of uncached prompts the endpoints' queues would otherwise grow to seconds, with the
 // short requests of higher tiers at their end. Queued requests are placed by tier, then those that
 // can still meet their target, by due time. A request that would wait too long is refused at once,
-// see WaitForecaster.
+// see WaitForecaster; capacity is reserved for its retry, see ReturnSchedule.
 //
 // Streams with short event gaps have reserved endpoints, see ShortPauseReserve. They overflow to
 // the others when those are full, and long prefills use reserved endpoints only as a last resort.
@@ -132,6 +136,9 @@
     // Adds a part that another coordinator has placed.
     void addCachedPart(const CachedPart &part, units::TimePoint now);
 
+    // Takes the counts of scheduled retries since the last call.
+    queueing::ReturnSchedule::Counts takeReturnCounts() { return returns_.takeCounts(); }
+
     std::size_t openRequests() const { return placed_.size(); }
     int openRequests(const EndpointStatus &endpoint) const;
     std::int64_t tokensToRead(const EndpointStatus &endpoint) const;
@@ -151,7 +158,8 @@
 
     PlacementChoice queueOrRefuse(const PlacementTicket &ticket, const PlacementQuery &query,
                                   PlacementChoice choice, std::size_t endpoints,
-                                  units::TimePoint now);
+                                  bool isScheduledRetry, units::TimePoint now);
+    void countScheduledRetry(const PlacementChoice &choice);
     PlacementChoice commit(const PlacementTicket &ticket, const PlacementQuery &query,
                            PlacementChoice choice, units::TimePoint now);
     PlacementChoice chooseForModel(const PlacementQuery &query,
@@ -185,6 +193,7 @@
     performance::PrefillRates prefillRates_;
     queueing::PrefillQueue queue_;
     queueing::WaitForecaster forecaster_;
+    queueing::ReturnSchedule returns_;
     ShortPauseReserve reserve_;
     std::unordered_map<std::string, performance::PrefillSizes> prefillSizes_; // by pool
     queueing::SizeFairnessByTier sizeFairness_;
--- a/src/gateway/placementservice.cpp
+++ b/src/gateway/placementservice.cpp
@@ -139,6 +139,16 @@
     cellRanking_ = std::move(ofCell);
     updateSuccessors();
     lendIdleShares();
+    exportReturnCounts();
+}
+
+void PlacementService::exportReturnCounts()
+{
+    const routing::queueing::ReturnSchedule::Counts counts = placer_.takeReturnCounts();
+    metrics_.add("monsoongrade_gateway_returns_booked_total", {}, counts.booked);
+    metrics_.add("monsoongrade_gateway_returns_served_total", {}, counts.served);
+    metrics_.add("monsoongrade_gateway_returns_refused_total", {}, counts.refused);
+    metrics_.add("monsoongrade_gateway_returns_missed_total", {}, counts.missed);
 }
 
 const std::vector<std::string> &PlacementService::rankingFor(const units::PoolName &pool) const
--- a/src/routing/queueing/prefillqueue.cpp
+++ b/src/routing/queueing/prefillqueue.cpp
@@ -14,14 +14,18 @@
 } // namespace
 
 void PrefillQueue::add(const PlacementTicket &ticket, const PlacementQuery &query,
-                       std::int64_t tokensToRead, units::TimePoint now)
+                       std::int64_t tokensToRead, units::TimePoint now, Arrival arrival)
 {
     remove(ticket);
     const bool isPartQueued = byPart_.count(query.sharedPart) != 0;
     Entry entry;
-    entry.waiting = {ticket, query, now + query.targetIn, now + query.expiresIn,
-                     isPartQueued ? query.ownTokens : tokensToRead};
-    entry.sortKey = {query.tier, false, entry.waiting.targetAt, ticket};
+    entry.waiting = {ticket,
+                     query,
+                     now + query.targetIn,
+                     now + query.expiresIn,
+                     isPartQueued ? query.ownTokens : tokensToRead,
+                     arrival};
+    entry.sortKey = {query.tier, arrival, false, entry.waiting.targetAt, ticket};
     order_.insert(entry.sortKey);
     byPart_.emplace(query.sharedPart, ticket);
     byExpiry_.emplace(entry.waiting.expiresAt, ticket);
@@ -101,6 +105,11 @@
     return ahead;
 }
 
+TokensAhead PrefillQueue::tokensAbove(units::Tier tier) const
+{
+    return tier == units::Tier(0) ? TokensAhead{} : tokensAhead(units::Tier(tier.value() - 1));
+}
+
 std::vector<PlacementTicket> PrefillQueue::withSharedPart(const std::string &part) const
 {
     std::vector<PlacementTicket> tickets;
--- a/src/routing/queueing/waitforecast.cpp
+++ b/src/routing/queueing/waitforecast.cpp
@@ -71,7 +71,7 @@
         = milliseconds(LateFactor * double(ahead.onTime + ahead.late) / rate);
     if (lateWait <= MaxLateWait && lateWait + TimeAtEndpoint + StreamTime <= expiresIn)
         return {};
-    return {WaitDecision::Refuse, backlog};
+    return {WaitDecision::Refuse, backlog, onTimeWait};
 }
 
 } // namespace monsoongrade::routing::queueing
--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -36,33 +36,73 @@
         waiting.isWaiting = true;
         return waiting;
     }
+    const bool isScheduledRetry = returns_.onArrived(ticket, query, now);
     PlacementChoice choice = query.runsModel ? chooseForModel(query, available, now)
                                              : chooseLeastLoaded(query, available, now);
     // The client of a stream that has begun has waited already, and the forecast of the queue
     // counts endpoints of all versions.
     const bool mayWait = query.mayWait && !query.softwareVersion;
     if (choice.isWaiting && mayWait)
-        return queueOrRefuse(ticket, query, std::move(choice), available.size(), now);
+        return queueOrRefuse(ticket, query, std::move(choice), available.size(), isScheduledRetry,
+                             now);
+    if (isScheduledRetry)
+        countScheduledRetry(choice);
     return commit(ticket, query, std::move(choice), now);
 }
 
 PlacementChoice RequestPlacer::queueOrRefuse(const PlacementTicket &ticket,
                                              const PlacementQuery &query, PlacementChoice choice,
-                                             std::size_t endpoints, units::TimePoint now)
+                                             std::size_t endpoints, bool isScheduledRetry,
+                                             units::TimePoint now)
 {
-    const queueing::WaitForecast forecast
-        = forecaster_.forecast(queue_.tokensAhead(query.tier), query.targetIn, query.expiresIn,
-                               endpoints, prefillRates_.of(query.pool).tokensPerMs(now));
-    if (forecast.decision == queueing::WaitDecision::Wait) {
-        queue_.add(ticket, query, choice.tokensToRead, now);
+    using Arrival = queueing::PrefillQueue::Arrival;
+    const auto forecastFor = [&](const queueing::TokensAhead &ahead) {
+        return forecaster_.forecast(ahead, query.targetIn, query.expiresIn, endpoints,
+                                    prefillRates_.of(query.pool).tokensPerMs(now));
+    };
+    queueing::TokensAhead ahead = queue_.tokensAhead(query.tier);
+    queueing::RefusalDetails details;
+    details.aheadTokens = ahead.onTime + ahead.late;
+    details.bookedTokens = returns_.tokensAhead(query.tier);
+    queueing::TokensAhead beforeReturn = ahead;
+    beforeReturn.onTime += returns_.tokensUntilNext(query.tier);
+    // Scheduled retries go before first-time requests.
+    ahead.onTime += details.bookedTokens;
+    const queueing::WaitForecast forecast = forecastFor(ahead);
+    const auto canWait = [&] {
+        return forecast.decision == queueing::WaitDecision::Wait
+            || (isScheduledRetry
+                && forecastFor(queue_.tokensAbove(query.tier)).decision
+                    == queueing::WaitDecision::Wait);
+    };
+    if (canWait()) {
+        queue_.add(ticket, query, choice.tokensToRead, now,
+                   isScheduledRetry ? Arrival::ScheduledRetry : Arrival::FirstTime);
         return choice;
     }
     sizeFairness_.of(query.pool, query.tier).onRefused(query.promptTokens, now);
+    std::optional<units::Duration> reserved;
+    if (isScheduledRetry)
+        returns_.onRefused();
+    else
+        reserved = returns_.reserve(ticket, query, forecastFor(beforeReturn).onTimeWait, now);
+    details.returnIn = reserved.value_or(forecast.retryDelay);
+    details.isBooked = reserved.has_value();
     choice = {};
-    choice.retryDelay = forecast.retryDelay;
+    choice.retryDelay = details.returnIn;
+    choice.isReturnScheduled = details.isBooked;
+    choice.refusal = details;
     return choice;
 }
 
+void RequestPlacer::countScheduledRetry(const PlacementChoice &choice)
+{
+    if (choice.endpoint == nullptr)
+        returns_.onRefused();
+    else
+        returns_.onServed();
+}
+
 PlacementChoice RequestPlacer::commit(const PlacementTicket &ticket, const PlacementQuery &query,
                                       PlacementChoice choice, units::TimePoint now)
 {
@@ -109,6 +149,8 @@
         if (choice.isWaiting)
             return false;
         drained += choice.tokensToRead;
+        if (waiting->arrival == queueing::PrefillQueue::Arrival::ScheduledRetry)
+            countScheduledRetry(choice);
         placed.emplace_back(ticket, commit(ticket, query, std::move(choice), now));
         return true;
     };
@@ -116,6 +158,8 @@
          queue_.takeExpired(MaxTriedPerCall, now)) {
         const PlacementQuery &query = expired.query;
         sizeFairness_.of(query.pool, query.tier).onRefused(query.promptTokens, now);
+        if (expired.arrival == queueing::PrefillQueue::Arrival::ScheduledRetry)
+            countScheduledRetry({});
         placed.emplace_back(expired.ticket, PlacementChoice{});
         placed.back().second.retryDelay = units::Duration::zero();
     }
--- a/tests/routing/simulatedpool.cpp
+++ b/tests/routing/simulatedpool.cpp
@@ -1,5 +1,7 @@
 #include "simulatedpool.h"
 
+#include <monsoongrade/routing/queueing/retryafter.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -50,9 +52,12 @@
 {
     constexpr auto Tick = std::chrono::milliseconds(1);
     constexpr int TicksPerPlacement = 4;
-    for (int tick = 0; now_ < end_ || !open_.empty(); ++tick, now_ += Tick) {
+    for (int tick = 0; now_ < end_ || !open_.empty() || !returning_.empty(); ++tick, now_ += Tick) {
+        if (tick * Tick == options_.coordinatorLossAt)
+            replaceCoordinator();
         if (now_ < end_)
             arrive();
+        placeRetries();
         removeExpired();
         if (tick % TicksPerPlacement == 0) {
             for (const auto &[ticket, choice] : placer_.placeWaiting(registry_, now_))
@@ -64,6 +69,7 @@
                 step(engine);
         }
     }
+    addReturnCounts();
     return outcomes_;
 }
 
@@ -78,17 +84,75 @@
             request.part = kind.name
                 + std::to_string(std::uniform_int_distribution<int>(1, kind.parts)(random_));
             request.arrivedAt = now_;
+            request.attemptAt = now_;
+            request.returnKey = number;
             request.own = drawOwnTokens(kind);
             ++outcomes_[kind.name].asked;
             if (isAmongLargest(request))
                 ++outcomes_[kind.name].largest;
-            submit(number,
-                   placer_.place(ticketOf(number), queryFor(request), registry_.available(Pool),
-                                 now_));
+            place(number);
         }
     }
 }
 
+void SimulatedPool::place(std::uint64_t number)
+{
+    submit(number,
+           placer_.place(ticketOf(number), queryFor(open_.at(number)), registry_.available(Pool),
+                         now_));
+}
+
+// Returns whether the caller of a refused request retries.
+bool SimulatedPool::retryLater(const Request &request, const PlacementChoice &choice)
+{
+    if (request.retries >= options_.maxRetries || !choice.retryDelay)
+        return false;
+    constexpr auto Connect = std::chrono::milliseconds(5);
+    const units::Duration timeLeft = request.arrivedAt + request.kind->maxWait - now_;
+    const units::RequestId id(std::to_string(last_ + returning_.size()));
+    const units::Duration delay = choice.isReturnScheduled
+        ? *choice.retryDelay
+        : queueing::retryAfter(*choice.retryDelay, id, timeLeft);
+    if (delay > timeLeft / 3)
+        return false;
+    SimulatedOutcome &outcome = outcomes_[request.kind->name];
+    ++outcome.retries;
+    outcome.retried += request.retries == 0 ? 1 : 0;
+    Request again = request;
+    ++again.retries;
+    returning_.emplace(now_ + delay + Connect, std::move(again));
+    return true;
+}
+
+void SimulatedPool::placeRetries()
+{
+    while (!returning_.empty() && returning_.begin()->first <= now_) {
+        const std::uint64_t number = ++last_;
+        Request &request = open_[number] = std::move(returning_.begin()->second);
+        request.attemptAt = now_;
+        returning_.erase(returning_.begin());
+        place(number);
+    }
+}
+
+// The new coordinator knows nothing; hosts repeat the queries of their queued requests there.
+void SimulatedPool::replaceCoordinator()
+{
+    addReturnCounts();
+    placer_ = RequestPlacer();
+    for (const std::uint64_t number : std::set<std::uint64_t>(queued_))
+        place(number);
+}
+
+void SimulatedPool::addReturnCounts()
+{
+    const queueing::ReturnSchedule::Counts counts = placer_.takeReturnCounts();
+    returnCounts_.booked += counts.booked;
+    returnCounts_.served += counts.served;
+    returnCounts_.refused += counts.refused;
+    returnCounts_.missed += counts.missed;
+}
+
 std::int64_t SimulatedPool::drawOwnTokens(const SimulatedClass &kind)
 {
     if (kind.sizeSigma == 0)
@@ -120,8 +184,9 @@
     query.needsShortPauses
         = options_.keepsEndpoints && needsShortPauses(route, options_.engine.tokensPerEvent);
     query.poolServesShortPauses = options_.keepsEndpoints;
-    query.targetIn = kind.target;
-    query.expiresIn = kind.maxWait;
+    query.targetIn = request.attemptAt + kind.target - now_;
+    query.expiresIn = request.arrivedAt + kind.maxWait - now_;
+    query.returnKey = ReturnKey(options_.hasReturnKeys ? request.returnKey : 0);
     query.mayWait = options_.mayWait;
     return query;
 }
@@ -142,6 +207,11 @@
     }
     const bool hasWaited = queued_.erase(number) != 0;
     if (choice.endpoint == nullptr) {
+        outcome.refusedTwice += request.retries == 1 ? 1 : 0;
+        if (retryLater(request, choice)) {
+            open_.erase(found);
+            return;
+        }
         ++outcome.refused;
         outcome.refusedAfterWait += hasWaited ? 1 : 0;
         outcome.largestRefusedAfterWait += hasWaited && isLargest ? 1 : 0;
@@ -226,6 +296,7 @@
     if (request.tokensMade % options_.engine.tokensPerEvent != 0 && !isEnd)
         return;
     if (request.lastEventAt == units::TimePoint{}) {
+        request.firstEventAt = engine.nextStep;
         request.isFirstLate = engine.nextStep - request.arrivedAt > request.kind->target;
         placer_.onEvent(ticketOf(number), PlacementEvent::FirstEvent, now_);
     } else {
@@ -249,6 +320,9 @@
 {
     const Request &request = open_.at(number);
     SimulatedOutcome &outcome = outcomes_[request.kind->name];
+    outcome.totalWait += request.firstEventAt - request.arrivedAt;
+    if (request.isFirstLate && request.firstEventAt - request.attemptAt <= request.kind->target)
+        ++outcome.onTimeAfterRetry;
     if (request.isFirstLate)
         ++outcome.firstLate;
     else if (request.hadLongGap)
--- a/tests/routing/simulatedpool.h
+++ b/tests/routing/simulatedpool.h
@@ -60,6 +60,12 @@
     int largestQueued = 0;
     int largestRefusedAfterWait = 0;
     int queued = 0;
+    int retries = 0;
+    int retried = 0; // requests with at least one retry
+    int refusedTwice = 0; // requests refused at least twice
+    // Of firstLate: those in time for the target of their last attempt.
+    int onTimeAfterRetry = 0;
+    units::Duration totalWait{}; // of the served: from the first arrival to the first event
 
     int served() const { return onTime + firstLate + paused; }
 };
@@ -78,12 +84,17 @@
         std::chrono::milliseconds length = std::chrono::seconds(9);
         bool mayWait = true; // false: each request is sent to an endpoint at once
         bool keepsEndpoints = true; // false: no endpoints are reserved for short event gaps
+        int maxRetries = 0; // of a refused request, at the time that its caller is told
+        bool hasReturnKeys = false; // false: no retry is scheduled
+        std::chrono::milliseconds coordinatorLossAt{-1}; // after the start; negative: never
     };
 
     SimulatedPool(const Options &options, std::vector<SimulatedClass> classes);
 
     // Runs the simulation until the load has ended and all requests are done.
     std::map<std::string, SimulatedOutcome> play();
+    // Counts of scheduled retries, of all coordinators.
+    const queueing::ReturnSchedule::Counts &returnCounts() const { return returnCounts_; }
 
 private:
     struct Request
@@ -91,6 +102,10 @@
         const SimulatedClass *kind = nullptr;
         std::string part;
         units::TimePoint arrivedAt;
+        std::uint64_t returnKey = 0; // number of its first attempt
+        int retries = 0;
+        units::TimePoint attemptAt; // when its last attempt arrived
+        units::TimePoint firstEventAt{};
         std::int64_t own = 0; // tokens of its own
         std::int64_t tokensLeft = 0; // tokens still to prefill
         std::int64_t context = 0; // tokens prefilled
@@ -112,7 +127,12 @@
     std::int64_t drawOwnTokens(const SimulatedClass &kind);
     static bool isAmongLargest(const Request &request);
     PlacementQuery queryFor(const Request &request) const;
+    void place(std::uint64_t number);
     void submit(std::uint64_t number, const PlacementChoice &choice);
+    bool retryLater(const Request &request, const PlacementChoice &choice);
+    void placeRetries();
+    void replaceCoordinator();
+    void addReturnCounts();
     void removeExpired();
     void step(Engine &engine);
     std::int64_t prefillChunk(Engine &engine);
@@ -126,6 +146,8 @@
     std::map<std::string, Engine> engines_; // by endpoint id
     std::map<std::uint64_t, Request> open_;
     std::set<std::uint64_t> queued_;
+    std::multimap<units::TimePoint, Request> returning_;
+    queueing::ReturnSchedule::Counts returnCounts_;
     std::map<std::string, SimulatedOutcome> outcomes_;
     std::mt19937 random_{1}; // NOLINT(cert-msc32-c,cert-msc51-cpp): the same load in each run
     units::TimePoint now_ = units::TimePoint(std::chrono::hours(1));
