Placement: the reason for the reserved part of the drain rate states the measured range

The comment said that a third to a half fewer requests were on time with the whole rate reserved. Comment only.

Tested: routing_tests, suites of queueing and placement: 61 of 61 passed.

--- a/src/routing/queueing/returnschedule.cpp
+++ b/src/routing/queueing/returnschedule.cpp
@@ -19,7 +19,7 @@
 constexpr auto MinTimeAfterReturn = std::chrono::milliseconds(1300);
 // One part in this many of the drain rate is reserved. A request served at its retry is late
 // compared with its first attempt, and displaces one that could be on time. With the whole rate
-// reserved, a third to a half fewer requests of a sustained overload were on time.
+// reserved, a quarter to a half fewer requests of a sustained overload were on time.
 constexpr std::int64_t PartsOfDrainRate = 4;
 
 bool isSame(const PlacementTicket &a, const PlacementTicket &b)
