Routing: fair shares of workspaces in the queue of long prefills

Cause: in an overload of one workspace, the requests of all workspaces of its tier waited behind its requests and were refused with them.

Change: WorkspaceShares counts the prompt tokens that each workspace has demanded and that were placed for it, by pool and tier, and finds the max-min fair level. PrefillQueue places workspaces within their share before those over it and counts only requests ahead as tokens ahead, so the forecast refuses the overloading workspace first. A request over its share is not placed on arrival, nor with its shared part, while others within their share wait in its pool and tier.

Queued requests with the same part wait for the same endpoint, so only the first of them uses one of the 16 attempts per call. Without this, a few popular parts at the front blocked the requests behind them, which left endpoints idle as soon as requests over their share went last.

The coordinator logs placement-refused and counts refusals of workspaces over their share; a gauge has the number of these workspaces.

One RefusalDetails serves the log line.

--- a/include/monsoongrade/gateway/gatewaystate.h
+++ b/include/monsoongrade/gateway/gatewaystate.h
@@ -61,8 +61,7 @@
         , hostConnections(io, timersToUse)
         , log(timersToUse)
         , startupGate(timersToUse)
-        , placement(io, timersToUse, std::move(placementSettings), registry, announcements,
-                    log.metrics)
+        , placement(io, timersToUse, std::move(placementSettings), registry, announcements, log)
         , streamVersions(io, timersToUse, streamVersionSettings, otherHosts, poolVersions,
                          log.metrics)
     {
--- a/include/monsoongrade/gateway/placementservice.h
+++ b/include/monsoongrade/gateway/placementservice.h
@@ -2,6 +2,7 @@
 #define MONSOONGRADE_GATEWAY_PLACEMENTSERVICE_H
 
 #include <monsoongrade/gateway/datagramsocket.h>
+#include <monsoongrade/gateway/ratelimitedlog.h>
 #include <monsoongrade/httpio/timers.h>
 #include <monsoongrade/observability/metrics.h>
 #include <monsoongrade/routing/coordinatorselector.h>
@@ -45,8 +46,7 @@
 
     PlacementService(asio::io_context &io, httpio::Timers &timers, Settings settings,
                      const routing::EndpointRegistry &registry,
-                     routing::EndpointAnnouncements &announcements,
-                     observability::Metrics &metrics);
+                     routing::EndpointAnnouncements &announcements, RateLimitedLog &log);
 
     void start();
     // Sets the hosts that may be coordinator, in order of preference: in the whole fleet, and in
@@ -92,6 +92,8 @@
     }
     // Number of requests, of all hosts, that this host has placed and whose end was not reported.
     std::size_t openRequests() const { return placer_.openRequests(); }
+    // Number of workspaces over their share of what this host places.
+    std::size_t workspacesOverShare() { return placer_.workspacesOverShare(timers_.now()); }
     // True if place() could find an endpoint on this host.
     bool hasEndpoint(const routing::PlacementQuery &query) const;
 
@@ -124,6 +126,9 @@
     void exportReturnCounts();
     void placeLocally(std::uint64_t number, const routing::PlacementQuery &query,
                       const PlacedHandler &placed);
+    // Logs and counts the choice if it is a refusal.
+    void noteRefusal(const routing::PlacementTicket &ticket,
+                     const routing::PlacementChoice &choice);
     void onTimeout(std::uint64_t number);
     bool isLostAfterTimeout(const std::string &host, units::TimePoint sentAt);
     void scheduleWaitingCheck();
@@ -145,6 +150,7 @@
     Settings settings_;
     const routing::EndpointRegistry &registry_;
     routing::EndpointAnnouncements &announcements_;
+    RateLimitedLog &log_;
     observability::Metrics &metrics_;
     std::vector<std::string> fleetRanking_;
     std::vector<std::string> cellRanking_;
--- a/include/monsoongrade/routing/queueing/refusaldetails.h
+++ b/include/monsoongrade/routing/queueing/refusaldetails.h
@@ -2,6 +2,7 @@
 #define MONSOONGRADE_ROUTING_QUEUEING_REFUSALDETAILS_H
 
 #include <monsoongrade/units/clock.h>
+#include <monsoongrade/units/ids.h>
 
 #include <cstdint>
 
@@ -10,6 +11,10 @@
 // Why a request was refused because of a long queue, for the log.
 struct RefusalDetails
 {
+    units::PoolName pool;
+    units::Tier tier;
+    units::WorkspaceName workspace;
+    bool isOverShare = false; // its workspace was over its share
     units::Duration returnIn{}; // the retry time given to the caller
     bool isBooked = false; // capacity is reserved at that time
     std::int64_t aheadTokens = 0; // queued ahead of the request
--- a/include/monsoongrade/routing/requestplacer.h
+++ b/include/monsoongrade/routing/requestplacer.h
@@ -11,6 +11,7 @@
 #include <monsoongrade/routing/queueing/refusaldetails.h>
 #include <monsoongrade/routing/queueing/returnschedule.h>
 #include <monsoongrade/routing/queueing/sizefairness.h>
+#include <monsoongrade/routing/queueing/workspaceshares.h>
 #include <monsoongrade/routing/sharedelegation.h>
 #include <monsoongrade/routing/shortpausereserve.h>
 #include <monsoongrade/routing/trafficpool.h>
@@ -19,6 +20,7 @@
 #include <optional>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace monsoongrade::routing {
 
@@ -53,10 +55,10 @@
     units::Duration expectedFirstEvent{};
     // With retryDelay: room is booked for the request at that time.
     bool isReturnScheduled = false;
-    // With retryDelay, if refused on arrival.
-    queueing::RefusalDetails refusal{};
     // Endpoint from which the chosen one copies cached prompt parts; empty: none.
     units::EndpointId cacheSource;
+    // With retryDelay.
+    std::optional<queueing::RefusalDetails> refusal;
 };
 
 // Progress of a stream that has ended.
@@ -80,9 +82,11 @@
 //
 // A long prefill is queued here while every endpoint that could take it is busy with long ones:
 // in a burst of uncached prompts the endpoints' queues would otherwise grow to seconds, with the
-// short requests of higher tiers at their end. Queued requests are placed by tier, then those that
-// can still meet their target, by due time. A request that would wait too long is refused at once,
-// see WaitForecaster; capacity is reserved for its retry, see ReturnSchedule.
+// short requests of higher tiers at their end. Queued requests are placed by tier, then those of
+// workspaces within their share, then scheduled retries, then those that can still meet their
+// target, by due time. A request that would wait too long is refused at once, see WaitForecaster;
+// capacity is reserved for its retry, see ReturnSchedule. A request of a workspace over its share
+// is not placed while others within theirs wait in its pool and tier.
 //
 // Streams with short event gaps have reserved endpoints, see ShortPauseReserve. They overflow to
 // the others when those are full, and long prefills use reserved endpoints only as a last resort.
@@ -142,6 +146,8 @@
     std::size_t openRequests() const { return placed_.size(); }
     int openRequests(const EndpointStatus &endpoint) const;
     std::int64_t tokensToRead(const EndpointStatus &endpoint) const;
+    // Number of workspaces over their share, counted once for each pool and tier.
+    std::size_t workspacesOverShare(units::TimePoint now);
 
 private:
     struct Placed
@@ -159,7 +165,13 @@
     PlacementChoice queueOrRefuse(const PlacementTicket &ticket, const PlacementQuery &query,
                                   PlacementChoice choice, std::size_t endpoints,
                                   bool isScheduledRetry, units::TimePoint now);
+    PlacementChoice refuse(const PlacementQuery &query, queueing::RefusalDetails details,
+                           units::TimePoint now);
     void countScheduledRetry(const PlacementChoice &choice);
+    std::vector<PlacementTicket> nextToTry(units::TimePoint now);
+    void updateShares(units::TimePoint now);
+    bool isOverShare(const PlacementQuery &query) const;
+    bool mustYield(const PlacementQuery &query) const;
     PlacementChoice commit(const PlacementTicket &ticket, const PlacementQuery &query,
                            PlacementChoice choice, units::TimePoint now);
     PlacementChoice chooseForModel(const PlacementQuery &query,
@@ -197,6 +209,7 @@
     ShortPauseReserve reserve_;
     std::unordered_map<std::string, performance::PrefillSizes> prefillSizes_; // by pool
     queueing::SizeFairnessByTier sizeFairness_;
+    queueing::WorkspaceShares workspaceShares_;
     std::unordered_map<std::string, TrafficPool> pools_;
     units::TimePoint nextCleanupAt_{};
 };
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -31,6 +31,8 @@
     metrics.set("monsoongrade_gateway_hosts_compared_total", "", double(hostsCompared_.value()));
     metrics.set("monsoongrade_gateway_fleet_cells", "", double(division().cells()));
     metrics.set("monsoongrade_gateway_own_cell", "", double(division().cellOf(settings_.ip)));
+    metrics.set("monsoongrade_gateway_workspaces_over_share", "",
+                double(state_.placement.workspacesOverShare()));
     metrics.set("monsoongrade_gateway_serving", "", isServing() ? 1 : 0);
     const units::Duration age = state_.lease.age(timers_.now());
     if (age != units::Duration::max())
--- a/src/gateway/placementservice.cpp
+++ b/src/gateway/placementservice.cpp
@@ -33,14 +33,15 @@
 PlacementService::PlacementService(asio::io_context &io, httpio::Timers &timers, Settings settings,
                                    const routing::EndpointRegistry &registry,
                                    routing::EndpointAnnouncements &announcements,
-                                   observability::Metrics &metrics)
+                                   RateLimitedLog &log)
     : socket_(io, settings.ownIp, settings.port, MaxDatagramBytes,
               DatagramSocket::AddressReuse::Forbidden)
     , timers_(timers)
     , settings_(std::move(settings))
     , registry_(registry)
     , announcements_(announcements)
-    , metrics_(metrics)
+    , log_(log)
+    , metrics_(log.metrics)
     , lastNumber_(firstNumber())
 {
 }
@@ -98,6 +99,7 @@
         sharesOf(query.pool).keep(timers_.now());
     const routing::PlacementChoice choice
         = placer_.place(ticket, query, registry_.available(query.pool), timers_.now());
+    noteRefusal(ticket, choice);
     if (choice.isWaiting)
         localWaiting_[number] = placed;
     else
@@ -252,6 +254,7 @@
         receiveLimit(*message.limit, "query");
     const auto choice = placer_.place({host, message.number}, query,
                                       registry_.available(query.pool), timers_.now());
+    noteRefusal({host, message.number}, choice);
     socket_.send(host, encode(answerFor(message.number, choice)));
 }
 
--- a/src/gateway/placementwaiting.cpp
+++ b/src/gateway/placementwaiting.cpp
@@ -1,5 +1,6 @@
 #include <monsoongrade/gateway/placementservice.h>
 
+#include <gateway/internal/milliseconds.h>
 #include <gateway/internal/placementmessages.h>
 
 #include <algorithm>
@@ -103,6 +104,27 @@
     }
 }
 
+void PlacementService::noteRefusal(const routing::PlacementTicket &ticket,
+                                   const routing::PlacementChoice &choice)
+{
+    if (!choice.refusal)
+        return;
+    const routing::queueing::RefusalDetails &refused = *choice.refusal;
+    if (refused.isOverShare)
+        metrics_.add("monsoongrade_gateway_refused_over_share_total");
+    log_.write(observability::LogLevel::Info, "placement-refused",
+               {{"host", ticket.host},
+                {"number", ticket.number},
+                {"pool", refused.pool.value()},
+                {"tier", std::int64_t(refused.tier.value())},
+                {"workspace", refused.workspace.value()},
+                {"over-share", refused.isOverShare ? "yes" : "no"},
+                {"return-ms", inMilliseconds(refused.returnIn)},
+                {"booked", refused.isBooked ? "yes" : "no"},
+                {"ahead-tokens", refused.aheadTokens},
+                {"booked-tokens", refused.bookedTokens}});
+}
+
 // Called when an endpoint may have become free for queued requests.
 void PlacementService::schedulePlaceWaiting()
 {
@@ -118,6 +140,7 @@
 void PlacementService::placeWaiting()
 {
     for (const auto &[ticket, choice] : placer_.placeWaiting(registry_, timers_.now())) {
+        noteRefusal(ticket, choice);
         if (ticket.host != settings_.ownIp) {
             socket_.send(ticket.host, encode(answerFor(ticket.number, choice)));
             continue;
--- a/src/routing/queueing/prefillqueue.cpp
+++ b/src/routing/queueing/prefillqueue.cpp
@@ -14,7 +14,8 @@
 } // namespace
 
 void PrefillQueue::add(const PlacementTicket &ticket, const PlacementQuery &query,
-                       std::int64_t tokensToRead, units::TimePoint now, Arrival arrival)
+                       std::int64_t tokensToRead, units::TimePoint now, bool isOverShare,
+                       Arrival arrival)
 {
     remove(ticket);
     const bool isPartQueued = byPart_.count(query.sharedPart) != 0;
@@ -25,18 +26,47 @@
                      now + query.expiresIn,
                      isPartQueued ? query.ownTokens : tokensToRead,
                      arrival};
-    entry.sortKey = {query.tier, arrival, false, entry.waiting.targetAt, ticket};
-    order_.insert(entry.sortKey);
+    entry.sortKey = {query.tier, isOverShare, arrival, false, entry.waiting.targetAt, ticket};
+    insertInOrder(entry);
     byPart_.emplace(query.sharedPart, ticket);
-    byExpiry_.emplace(entry.waiting.expiresAt, ticket);
-    tokensOf(entry) += entry.waiting.tokensToRead;
+    byWorkspace_[workspaceKey(query)].insert(ticket);
     waiting_.emplace(ticket, std::move(entry));
 }
 
-std::int64_t &PrefillQueue::tokensOf(const Entry &entry)
+PrefillQueue::TierOfPool PrefillQueue::tierOfPool(const PlacementQuery &query)
 {
-    TokensAhead &tokens = tokens_[entry.waiting.query.tier];
-    return std::get<bool>(entry.sortKey) ? tokens.late : tokens.onTime;
+    return {query.pool.value(), query.tier};
+}
+
+PrefillQueue::WorkspaceKey PrefillQueue::workspaceKey(const PlacementQuery &query)
+{
+    return {tierOfPool(query), query.workspace.value()};
+}
+
+std::int64_t &PrefillQueue::tokensOf(const SortKey &key)
+{
+    TokensAhead &tokens = tokens_[{key.tier, key.isOverShare}];
+    return key.isLate ? tokens.late : tokens.onTime;
+}
+
+void PrefillQueue::insertInOrder(const Entry &entry)
+{
+    const SortKey &key = entry.sortKey;
+    order_.insert(key);
+    byExpiry_[key.isOverShare ? 1 : 0].emplace(entry.waiting.expiresAt, key.ticket);
+    tokensOf(key) += entry.waiting.tokensToRead;
+    if (!key.isOverShare)
+        ++withinShare_[tierOfPool(entry.waiting.query)];
+}
+
+void PrefillQueue::removeFromOrder(const Entry &entry)
+{
+    const SortKey &key = entry.sortKey;
+    order_.erase(key);
+    byExpiry_[key.isOverShare ? 1 : 0].erase({entry.waiting.expiresAt, key.ticket});
+    tokensOf(key) -= entry.waiting.tokensToRead;
+    if (!key.isOverShare)
+        --withinShare_[tierOfPool(entry.waiting.query)];
 }
 
 void PrefillQueue::remove(const PlacementTicket &ticket)
@@ -44,9 +74,11 @@
     const auto found = waiting_.find(ticket);
     if (found == waiting_.end())
         return;
-    order_.erase(found->second.sortKey);
-    byExpiry_.erase({found->second.waiting.expiresAt, ticket});
-    tokensOf(found->second) -= found->second.waiting.tokensToRead;
+    removeFromOrder(found->second);
+    const auto ofWorkspace = byWorkspace_.find(workspaceKey(found->second.waiting.query));
+    ofWorkspace->second.erase(ticket);
+    if (ofWorkspace->second.empty())
+        byWorkspace_.erase(ofWorkspace);
     auto [begin, end] = byPart_.equal_range(found->second.waiting.query.sharedPart);
     for (; begin != end; ++begin) {
         if (!(begin->second < ticket) && !(ticket < begin->second)) {
@@ -57,24 +89,35 @@
     waiting_.erase(found);
 }
 
+void PrefillQueue::setOverShare(const units::PoolName &pool, units::Tier tier,
+                                const units::WorkspaceName &workspace, bool isOverShare)
+{
+    const auto found = byWorkspace_.find({{pool.value(), tier}, workspace.value()});
+    if (found == byWorkspace_.end())
+        return;
+    for (const PlacementTicket &ticket : found->second) {
+        Entry &entry = waiting_.at(ticket);
+        removeFromOrder(entry);
+        entry.sortKey.isOverShare = isOverShare;
+        insertInOrder(entry);
+    }
+}
+
 std::vector<PlacementTicket> PrefillQueue::next(std::size_t maxCount, units::TimePoint now)
 {
     std::vector<PlacementTicket> tickets;
     auto each = order_.begin();
     while (each != order_.end() && tickets.size() < maxCount) {
         const SortKey sortKey = *each++;
-        const PlacementTicket &ticket = std::get<PlacementTicket>(sortKey);
-        Entry &entry = waiting_.at(ticket);
-        const bool isLate = now + TypicalReadTime > entry.waiting.targetAt;
-        if (!isLate || std::get<bool>(sortKey)) {
-            tickets.push_back(ticket);
+        const bool isLate = now + TypicalReadTime > sortKey.targetAt;
+        if (!isLate || sortKey.isLate) {
+            tickets.push_back(sortKey.ticket);
             continue;
         }
-        order_.erase(sortKey);
-        tokensOf(entry) -= entry.waiting.tokensToRead;
-        std::get<bool>(entry.sortKey) = true;
-        tokensOf(entry) += entry.waiting.tokensToRead;
-        order_.insert(entry.sortKey);
+        Entry &entry = waiting_.at(sortKey.ticket);
+        removeFromOrder(entry);
+        entry.sortKey.isLate = true;
+        insertInOrder(entry);
         // The next entry may come before the new position of this one.
         each = order_.upper_bound(sortKey);
     }
@@ -85,19 +128,28 @@
                                                              units::TimePoint now)
 {
     std::vector<Waiting> expired;
-    while (!byExpiry_.empty() && expired.size() < maxCount
-           && byExpiry_.begin()->first <= now + MinUsefulTime) {
-        expired.push_back(waiting_.at(byExpiry_.begin()->second).waiting);
-        remove(expired.back().ticket);
+    for (auto byExpiry = byExpiry_.rbegin(); byExpiry != byExpiry_.rend(); ++byExpiry) {
+        while (!byExpiry->empty() && expired.size() < maxCount
+               && byExpiry->begin()->first <= now + MinUsefulTime) {
+            expired.push_back(waiting_.at(byExpiry->begin()->second).waiting);
+            remove(expired.back().ticket);
+        }
     }
     return expired;
 }
 
-TokensAhead PrefillQueue::tokensAhead(units::Tier tier) const
+bool PrefillQueue::hasWithinShare(const units::PoolName &pool, units::Tier tier) const
+{
+    const auto found = withinShare_.find({pool.value(), tier});
+    return found != withinShare_.end() && found->second > 0;
+}
+
+TokensAhead PrefillQueue::tokensAhead(units::Tier tier, bool isOverShare) const
 {
     TokensAhead ahead;
+    const std::pair<units::Tier, bool> own(tier, isOverShare);
     for (const auto &[each, tokens] : tokens_) {
-        if (tier < each)
+        if (own < each)
             break;
         ahead.onTime += tokens.onTime;
         ahead.late += tokens.late;
@@ -107,7 +159,8 @@
 
 TokensAhead PrefillQueue::tokensAbove(units::Tier tier) const
 {
-    return tier == units::Tier(0) ? TokensAhead{} : tokensAhead(units::Tier(tier.value() - 1));
+    return tier == units::Tier(0) ? TokensAhead{}
+                                  : tokensAhead(units::Tier(tier.value() - 1), true);
 }
 
 std::vector<PlacementTicket> PrefillQueue::withSharedPart(const std::string &part) const
--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <set>
 
 namespace monsoongrade::routing {
 
@@ -10,6 +11,9 @@
 // Queued requests that are tried per call. Each waits for the best endpoint for its part and must
 // not block the others behind it; trying more takes the placement coordinator too much time.
 constexpr std::size_t MaxTriedPerCall = 16;
+// Queued requests that are looked at per call. Those with the same part wait for the same endpoint
+// and need only one attempt; otherwise a few popular parts would block all others.
+constexpr std::size_t MaxSeenPerCall = 4 * MaxTriedPerCall;
 // Prefills on an endpoint that is slower than expected by this factor reflect its fault and are
 // not used to estimate the prefill rate of the pool.
 constexpr double MaxSlownessOfSamples = 4;
@@ -27,6 +31,7 @@
 {
     removeExpired(now);
     shares(query.isPoolDivided).update(now);
+    updateShares(now);
     // A repeated query gets the result that was lost. Placing the request again would count it as
     // part of the queue ahead of itself, and could refuse it while it is queued.
     if (const auto earlier = choiceOf(ticket))
@@ -37,11 +42,15 @@
         return waiting;
     }
     const bool isScheduledRetry = returns_.onArrived(ticket, query, now);
+    if (query.runsModel && !isScheduledRetry)
+        workspaceShares_.onArrived(query.pool, query.tier, query.workspace, query.promptTokens,
+                                   now);
     PlacementChoice choice = query.runsModel ? chooseForModel(query, available, now)
                                              : chooseLeastLoaded(query, available, now);
     // The client of a stream that has begun has waited already, and the forecast of the queue
     // counts endpoints of all versions.
     const bool mayWait = query.mayWait && !query.softwareVersion;
+    choice.isWaiting = choice.isWaiting || (choice.endpoint != nullptr && mustYield(query));
     if (choice.isWaiting && mayWait)
         return queueOrRefuse(ticket, query, std::move(choice), available.size(), isScheduledRetry,
                              now);
@@ -60,7 +69,8 @@
         return forecaster_.forecast(ahead, query.targetIn, query.expiresIn, endpoints,
                                     prefillRates_.of(query.pool).tokensPerMs(now));
     };
-    queueing::TokensAhead ahead = queue_.tokensAhead(query.tier);
+    const bool overShare = isOverShare(query);
+    queueing::TokensAhead ahead = queue_.tokensAhead(query.tier, overShare);
     queueing::RefusalDetails details;
     details.aheadTokens = ahead.onTime + ahead.late;
     details.bookedTokens = returns_.tokensAhead(query.tier);
@@ -76,22 +86,32 @@
                     == queueing::WaitDecision::Wait);
     };
     if (canWait()) {
-        queue_.add(ticket, query, choice.tokensToRead, now,
+        queue_.add(ticket, query, choice.tokensToRead, now, overShare,
                    isScheduledRetry ? Arrival::ScheduledRetry : Arrival::FirstTime);
         return choice;
     }
-    sizeFairness_.of(query.pool, query.tier).onRefused(query.promptTokens, now);
     std::optional<units::Duration> reserved;
     if (isScheduledRetry)
         returns_.onRefused();
-    else
+    else if (!overShare) // its reservation would delay those within their share
         reserved = returns_.reserve(ticket, query, forecastFor(beforeReturn).onTimeWait, now);
     details.returnIn = reserved.value_or(forecast.retryDelay);
     details.isBooked = reserved.has_value();
-    choice = {};
+    return refuse(query, details, now);
+}
+
+PlacementChoice RequestPlacer::refuse(const PlacementQuery &query, queueing::RefusalDetails details,
+                                      units::TimePoint now)
+{
+    sizeFairness_.of(query.pool, query.tier).onRefused(query.promptTokens, now);
+    details.pool = query.pool;
+    details.tier = query.tier;
+    details.workspace = query.workspace;
+    details.isOverShare = isOverShare(query);
+    PlacementChoice choice;
     choice.retryDelay = details.returnIn;
     choice.isReturnScheduled = details.isBooked;
-    choice.refusal = details;
+    choice.refusal = std::move(details);
     return choice;
 }
 
@@ -103,6 +123,24 @@
         returns_.onServed();
 }
 
+void RequestPlacer::updateShares(units::TimePoint now)
+{
+    for (const auto &change : workspaceShares_.update(now))
+        queue_.setOverShare(change.pool, change.tier, change.workspace, change.isOverShare);
+}
+
+bool RequestPlacer::isOverShare(const PlacementQuery &query) const
+{
+    return query.runsModel && workspaceShares_.isOverShare(query.pool, query.tier, query.workspace);
+}
+
+// Without this, requests of an overloading workspace would take the room of those that wait, as
+// they arrive more often than the queue is served. Short prefills yield as well.
+bool RequestPlacer::mustYield(const PlacementQuery &query) const
+{
+    return isOverShare(query) && queue_.hasWithinShare(query.pool, query.tier);
+}
+
 PlacementChoice RequestPlacer::commit(const PlacementTicket &ticket, const PlacementQuery &query,
                                       PlacementChoice choice, units::TimePoint now)
 {
@@ -123,6 +161,7 @@
     if (query.runsModel) {
         prefillSizes_[query.pool.value()].add(choice.tokensToRead, now);
         sizeFairness_.of(query.pool, query.tier).onPlaced(query.promptTokens, now);
+        workspaceShares_.onPlaced(query.pool, query.tier, query.workspace, query.promptTokens, now);
     }
     if (query.runsModel && !query.sharedPart.empty()) {
         const DiscoveredEndpoint &registration = endpoint.registration;
@@ -133,11 +172,31 @@
     return choice;
 }
 
+// The next queued requests, without those that wait for the same endpoint as an earlier one.
+std::vector<PlacementTicket> RequestPlacer::nextToTry(units::TimePoint now)
+{
+    std::vector<PlacementTicket> tickets;
+    std::set<std::pair<std::string, std::string>> parts; // with their pools
+    for (const PlacementTicket &ticket : queue_.next(MaxSeenPerCall, now)) {
+        const PlacementQuery &query = queue_.find(ticket)->query;
+        const bool mayUseAll = query.tried.empty() && query.paused.empty();
+        const bool isRepeated = mayUseAll && !query.sharedPart.empty()
+            && !parts.emplace(query.pool.value(), query.sharedPart).second;
+        if (isRepeated)
+            continue;
+        tickets.push_back(ticket);
+        if (tickets.size() == MaxTriedPerCall)
+            break;
+    }
+    return tickets;
+}
+
 std::vector<std::pair<PlacementTicket, PlacementChoice>>
 RequestPlacer::placeWaiting(const EndpointRegistry &registry, units::TimePoint now)
 {
     fleetShares_.update(now);
     cellShares_.update(now);
+    updateShares(now);
     std::vector<std::pair<PlacementTicket, PlacementChoice>> placed;
     std::int64_t drained = 0;
     const auto tryPlace = [&](const PlacementTicket &ticket) {
@@ -156,21 +215,20 @@
     };
     for (const queueing::PrefillQueue::Waiting &expired :
          queue_.takeExpired(MaxTriedPerCall, now)) {
-        const PlacementQuery &query = expired.query;
-        sizeFairness_.of(query.pool, query.tier).onRefused(query.promptTokens, now);
         if (expired.arrival == queueing::PrefillQueue::Arrival::ScheduledRetry)
             countScheduledRetry({});
-        placed.emplace_back(expired.ticket, PlacementChoice{});
-        placed.back().second.retryDelay = units::Duration::zero();
+        placed.emplace_back(expired.ticket, refuse(expired.query, {}, now));
     }
-    for (const PlacementTicket &ticket : queue_.next(MaxTriedPerCall, now)) {
+    for (const PlacementTicket &ticket : nextToTry(now)) {
         const queueing::PrefillQueue::Waiting *waiting = queue_.find(ticket);
         const std::string part = waiting == nullptr ? std::string() : waiting->query.sharedPart;
         if (!tryPlace(ticket))
             continue;
         // Requests with the same shared part now need only their own tokens prefilled.
-        for (const PlacementTicket &same : queue_.withSharedPart(part))
-            tryPlace(same);
+        for (const PlacementTicket &same : queue_.withSharedPart(part)) {
+            if (!mustYield(queue_.find(same)->query))
+                tryPlace(same);
+        }
     }
     if (queue_.isEmpty())
         forecaster_.onQueueEmpty();
@@ -276,6 +334,12 @@
     return loads_.of(endpoint).openRequests;
 }
 
+std::size_t RequestPlacer::workspacesOverShare(units::TimePoint now)
+{
+    updateShares(now);
+    return workspaceShares_.overShareCount();
+}
+
 std::int64_t RequestPlacer::tokensToRead(const EndpointStatus &endpoint) const
 {
     return loads_.of(endpoint).tokensToRead;
--- a/tests/gateway/placementservice_test.cpp
+++ b/tests/gateway/placementservice_test.cpp
@@ -32,7 +32,7 @@
 {
     Host(int number, const std::vector<std::string> &order)
         : timers(io, clock)
-        , placement(io, timers, {addressOf(number), 17342}, registry, announcements, metrics)
+        , placement(io, timers, {addressOf(number), 17342}, registry, announcements, log)
     {
         routing::DiscoveredEndpoint endpoint;
         endpoint.id = units::EndpointId("e");
@@ -58,7 +58,8 @@
     routing::EndpointRegistry registry;
     duties::WallTimeEstimate wallTime;
     routing::EndpointAnnouncements announcements{wallTime};
-    observability::Metrics metrics;
+    gateway::RateLimitedLog log{timers};
+    observability::Metrics &metrics = log.metrics;
     PlacementService placement;
 };
 
--- a/tests/routing/queueing/scheduledretries_test.cpp
+++ b/tests/routing/queueing/scheduledretries_test.cpp
@@ -91,10 +91,12 @@
     REQUIRE(first.isReturnScheduled);
     REQUIRE(second.isReturnScheduled);
     CHECK(*second.retryDelay > *first.retryDelay);
-    CHECK(second.refusal.isBooked);
-    CHECK(second.refusal.returnIn == *second.retryDelay);
-    CHECK(second.refusal.aheadTokens == first.refusal.aheadTokens);
-    CHECK(second.refusal.bookedTokens == 17000);
+    REQUIRE(first.refusal);
+    REQUIRE(second.refusal);
+    CHECK(second.refusal->isBooked);
+    CHECK(second.refusal->returnIn == *second.retryDelay);
+    CHECK(second.refusal->aheadTokens == first.refusal->aheadTokens);
+    CHECK(second.refusal->bookedTokens == 17000);
     CHECK_FALSE(full.askFor(2).isWaiting);
     full.now += *first.retryDelay;
     CHECK_FALSE(full.askFor(0).isWaiting);
@@ -124,7 +126,7 @@
     PlacementQuery query = modelQuery("p", 13300, 3720);
     query.tier = units::Tier(2);
     queue.add({"h", 1}, query, 3720, TestStart);
-    queue.add({"h", 2}, query, 3720, TestStart + milliseconds(500), Arrival::ScheduledRetry);
+    queue.add({"h", 2}, query, 3720, TestStart + milliseconds(500), false, Arrival::ScheduledRetry);
     query.tier = units::Tier(1);
     queue.add({"h", 3}, query, 3720, TestStart + milliseconds(600));
     std::vector<std::uint64_t> order;
@@ -189,7 +191,7 @@
     options.maxRetries = 2;
     options.hasReturnKeys = true;
     const Result kept = playOverload(150, options);
-    options.coordinatorLossAt = seconds(4);
+    options.coordinatorLostAt = seconds(4);
     const Result lost = playOverload(150, options);
     for (const SimulatedOutcome &outcome : {lost.longPrompts, lost.middle}) {
         INFO(text(outcome));
--- a/tests/routing/simulatedpool.cpp
+++ b/tests/routing/simulatedpool.cpp
@@ -53,11 +53,11 @@
     constexpr auto Tick = std::chrono::milliseconds(1);
     constexpr int TicksPerPlacement = 4;
     for (int tick = 0; now_ < end_ || !open_.empty() || !returning_.empty(); ++tick, now_ += Tick) {
-        if (tick * Tick == options_.coordinatorLossAt)
-            replaceCoordinator();
         if (now_ < end_)
             arrive();
         placeRetries();
+        if (options_.coordinatorLostAt.count() > 0 && now_ == start_ + options_.coordinatorLostAt)
+            replaceCoordinator();
         removeExpired();
         if (tick % TicksPerPlacement == 0) {
             for (const auto &[ticket, choice] : placer_.placeWaiting(registry_, now_))
@@ -76,6 +76,8 @@
 void SimulatedPool::arrive()
 {
     for (const SimulatedClass &kind : classes_) {
+        if (now_ < start_ + kind.startsAfter)
+            continue;
         int count = std::poisson_distribution<int>(kind.perSecond / 1000)(random_);
         while (count-- > 0) {
             const std::uint64_t number = ++last_;
@@ -87,9 +89,9 @@
             request.attemptAt = now_;
             request.returnKey = number;
             request.own = drawOwnTokens(kind);
-            ++outcomes_[kind.name].asked;
+            ++outcomeOf(request).asked;
             if (isAmongLargest(request))
-                ++outcomes_[kind.name].largest;
+                ++outcomeOf(request).largest;
             place(number);
         }
     }
@@ -136,14 +138,6 @@
 }
 
 // The new coordinator knows nothing; hosts repeat the queries of their queued requests there.
-void SimulatedPool::replaceCoordinator()
-{
-    addReturnCounts();
-    placer_ = RequestPlacer();
-    for (const std::uint64_t number : std::set<std::uint64_t>(queued_))
-        place(number);
-}
-
 void SimulatedPool::addReturnCounts()
 {
     const queueing::ReturnSchedule::Counts counts = placer_.takeReturnCounts();
@@ -178,6 +172,7 @@
     query.promptTokens = kind.sharedTokens + request.own;
     query.ownTokens = request.own;
     query.tier = units::Tier(kind.tier);
+    query.workspace = kind.workspace;
     Route route;
     route.kind = RouteKind::Stream;
     route.maxEventGap = kind.maxEventGap;
@@ -197,7 +192,7 @@
     if (found == open_.end())
         return;
     Request &request = found->second;
-    SimulatedOutcome &outcome = outcomes_[request.kind->name];
+    SimulatedOutcome &outcome = outcomeOf(request);
     const bool isLargest = isAmongLargest(request);
     if (choice.isWaiting) {
         queued_.insert(number);
@@ -218,6 +213,7 @@
         open_.erase(found);
         return;
     }
+    outcome.placedTokens += request.kind->sharedTokens + request.own;
     Engine &engine = engines_[choice.endpoint->registration.id.value()];
     const auto cached = std::find(engine.cached.begin(), engine.cached.end(), request.part);
     const bool isCached = cached != engine.cached.end();
@@ -237,6 +233,24 @@
     engine.nextStep = std::max(engine.nextStep, now_);
 }
 
+SimulatedOutcome &SimulatedPool::outcomeOf(const Request &request)
+{
+    return request.arrivedAt < start_ + options_.countedFrom ? uncounted_
+                                                             : outcomes_[request.kind->name];
+}
+
+void SimulatedPool::replaceCoordinator()
+{
+    addReturnCounts();
+    placer_ = RequestPlacer();
+    for (const auto &[id, engine] : engines_) {
+        for (const std::string &part : engine.cached)
+            placer_.addCachedPart({part, engine.status->registration.id, {}}, now_);
+    }
+    for (const std::uint64_t number : std::set<std::uint64_t>(queued_))
+        place(number);
+}
+
 // Removes queued requests whose callers have given up.
 void SimulatedPool::removeExpired()
 {
@@ -245,7 +259,7 @@
         const Request &request = open_.at(number);
         if (now_ < request.arrivedAt + request.kind->maxWait)
             continue;
-        ++outcomes_[request.kind->name].left;
+        ++outcomeOf(request).left;
         placer_.onEvent(ticketOf(number), PlacementEvent::Withdrawn, now_);
         queued_.erase(number);
         open_.erase(number);
@@ -308,7 +322,7 @@
         return;
     engine.running.erase(std::find(engine.running.begin(), engine.running.end(), number));
     if (isCut) {
-        ++outcomes_[request.kind->name].cut;
+        ++outcomeOf(request).cut;
         placer_.onEvent(ticketOf(number), PlacementEvent::Withdrawn, now_);
         open_.erase(number);
         return;
@@ -319,7 +333,7 @@
 void SimulatedPool::finish(std::uint64_t number)
 {
     const Request &request = open_.at(number);
-    SimulatedOutcome &outcome = outcomes_[request.kind->name];
+    SimulatedOutcome &outcome = outcomeOf(request);
     outcome.totalWait += request.firstEventAt - request.arrivedAt;
     if (request.isFirstLate && request.firstEventAt - request.attemptAt <= request.kind->target)
         ++outcome.onTimeAfterRetry;
--- a/tests/routing/simulatedpool.h
+++ b/tests/routing/simulatedpool.h
@@ -30,6 +30,8 @@
     double sizeSigma = 0;
     std::int64_t maxOwnTokens = 0;
     std::chrono::milliseconds deadline = std::chrono::seconds(60); // until a stream is cut
+    units::WorkspaceName workspace;
+    std::chrono::milliseconds startsAfter{}; // time without requests of the class at the start
 };
 
 // Performance parameters of the simulated engines.
@@ -66,6 +68,7 @@
     // Of firstLate: those in time for the target of their last attempt.
     int onTimeAfterRetry = 0;
     units::Duration totalWait{}; // of the served: from the first arrival to the first event
+    std::int64_t placedTokens = 0; // prompt tokens
 
     int served() const { return onTime + firstLate + paused; }
 };
@@ -86,7 +89,9 @@
         bool keepsEndpoints = true; // false: no endpoints are reserved for short event gaps
         int maxRetries = 0; // of a refused request, at the time that its caller is told
         bool hasReturnKeys = false; // false: no retry is scheduled
-        std::chrono::milliseconds coordinatorLossAt{-1}; // after the start; negative: never
+        std::chrono::milliseconds countedFrom{}; // earlier requests are not in the results
+        // A new coordinator takes over, which knows only the cached parts; 0: none.
+        std::chrono::milliseconds coordinatorLostAt{};
     };
 
     SimulatedPool(const Options &options, std::vector<SimulatedClass> classes);
@@ -131,8 +136,9 @@
     void submit(std::uint64_t number, const PlacementChoice &choice);
     bool retryLater(const Request &request, const PlacementChoice &choice);
     void placeRetries();
-    void replaceCoordinator();
     void addReturnCounts();
+    SimulatedOutcome &outcomeOf(const Request &request);
+    void replaceCoordinator();
     void removeExpired();
     void step(Engine &engine);
     std::int64_t prefillChunk(Engine &engine);
@@ -151,7 +157,9 @@
     std::map<std::string, SimulatedOutcome> outcomes_;
     std::mt19937 random_{1}; // NOLINT(cert-msc32-c,cert-msc51-cpp): the same load in each run
     units::TimePoint now_ = units::TimePoint(std::chrono::hours(1));
+    units::TimePoint start_ = now_;
     units::TimePoint end_;
+    SimulatedOutcome uncounted_;
     std::uint64_t last_ = 0;
 };
 
