--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -74,6 +74,7 @@
     void finishRelay();
     void onCollectedEnd();
     void deliverCollected();
+    double expectedMs() const;
     void onFirstByte();
     void countUsage();
     void readAnnouncements(const EndpointResponseInfo &answer);
--- a/include/monsoongrade/gateway/placementservice.h
+++ b/include/monsoongrade/gateway/placementservice.h
@@ -23,6 +23,7 @@
 struct AnswerMessage;
 struct EventMessage;
 struct CachedPartsMessage;
+struct EndpointSpeedsMessage;
 struct StillWaitingMessage;
 struct NotWaitingMessage;
 struct LoanMessage;
@@ -51,7 +52,7 @@
     void start();
     // Sets the hosts that may be coordinator, in order of preference: in the whole fleet, and in
     // this host's cell for divided pools. Called several times a second; also sends the successors
-    // which prompt parts this host has placed since the last call.
+    // which prompt parts this host has placed since the last call, and learned speeds of endpoints.
     void setCoordinatorRankings(std::vector<std::string> ofFleet, std::vector<std::string> ofCell);
 
     // The number of hosts that use the same endpoints, and this host's index among them, from 0.
@@ -94,6 +95,9 @@
     std::size_t openRequests() const { return placer_.openRequests(); }
     // Number of workspaces over their share of what this host places.
     std::size_t workspacesOverShare() { return placer_.workspacesOverShare(timers_.now()); }
+    // Lowest and highest prefill speed of the endpoints relative to their pools. Empty if this host
+    // is not coordinator, or has learned none.
+    std::optional<std::pair<double, double>> speedRange() const;
     // True if place() could find an endpoint on this host.
     bool hasEndpoint(const routing::PlacementQuery &query) const;
 
@@ -118,7 +122,10 @@
     };
     const std::vector<std::string> &rankingFor(const units::PoolName &pool) const;
     std::vector<std::string> successors() const;
+    bool isCoordinator() const;
     void updateSuccessors();
+    void sendSpeeds(const std::vector<std::string> &hosts);
+    void logSpeeds();
     void sendOrPlace(std::uint64_t number, PendingQuery pending);
     void sendQuery(std::uint64_t number, const PendingQuery &pending);
     routing::ShareDelegation &sharesOf(const units::PoolName &pool);
@@ -139,6 +146,7 @@
     void onMessage(const std::string &host, const internal::AnswerMessage &message);
     void onMessage(const std::string &host, const internal::EventMessage &message);
     void onMessage(const std::string &host, const internal::CachedPartsMessage &message);
+    void onMessage(const std::string &host, const internal::EndpointSpeedsMessage &message);
     void onMessage(const std::string &host, const internal::StillWaitingMessage &message);
     void onMessage(const std::string &host, const internal::NotWaitingMessage &message);
     void onMessage(const std::string &host, const internal::LoanMessage &message);
--- a/include/monsoongrade/routing/performance/prefillrate.h
+++ b/include/monsoongrade/routing/performance/prefillrate.h
@@ -5,6 +5,7 @@
 #include <monsoongrade/units/ids.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -34,6 +35,17 @@
     double tokensPerMs(units::TimePoint now) const;
     // Tokens that an engine prefills in the given time.
     std::int64_t tokensIn(units::Duration time, units::TimePoint now) const;
+    // Times of a prefill. Empty until there are enough samples.
+    struct Times
+    {
+        units::Duration fixed{};
+        units::Duration perTokens{}; // grows with the number of tokens
+
+        units::Duration total() const { return fixed + perTokens; }
+    };
+    // relativeSpeed: of the endpoint; the fixed time does not depend on it.
+    std::optional<Times> expectedTimes(std::int64_t tokens, double relativeSpeed,
+                                       units::TimePoint now) const;
 
 private:
     double fitTokensPerMs() const;
--- a/include/monsoongrade/routing/requestplacer.h
+++ b/include/monsoongrade/routing/requestplacer.h
@@ -3,6 +3,8 @@
 
 #include <monsoongrade/routing/endpointloads.h>
 #include <monsoongrade/routing/endpointregistry.h>
+#include <monsoongrade/routing/performance/learnedendpointspeeds.h>
+#include <monsoongrade/routing/performance/prefillperiods.h>
 #include <monsoongrade/routing/performance/prefillrate.h>
 #include <monsoongrade/routing/performance/prefillsizes.h>
 #include <monsoongrade/routing/placementquery.h>
@@ -142,6 +144,9 @@
 
     // Takes the counts of scheduled retries since the last call.
     queueing::ReturnSchedule::Counts takeReturnCounts() { return returns_.takeCounts(); }
+    // Learned prefill speeds of the endpoints.
+    performance::LearnedEndpointSpeeds &speeds() { return speeds_; }
+    const performance::LearnedEndpointSpeeds &speeds() const { return speeds_; }
 
     std::size_t openRequests() const { return placed_.size(); }
     int openRequests(const EndpointStatus &endpoint) const;
@@ -159,6 +164,7 @@
         bool isSolePrefill = false; // its endpoint had no other prefill when it was placed
         bool isStreaming = false; // has had its first event
         bool isLimited = false;
+        units::Duration expectedFirstEvent{};
     };
     using Candidates = std::vector<const EndpointRegistry::Status *>;
 
@@ -187,7 +193,12 @@
                                       units::TimePoint now) const;
     static const EndpointStatus *firstByHash(const PlacementQuery &query,
                                              const Candidates &candidates);
+    // Measured rate of the endpoint; 0: unknown.
+    double tokensPerMs(const EndpointStatus &endpoint, units::TimePoint now) const;
+    units::Duration expectedFirstEvent(const EndpointStatus &endpoint, units::TimePoint now) const;
     void onFirstEvent(Placed &placed, units::TimePoint now);
+    void learnRate(const Placed &placed, units::TimePoint now);
+    void learnSpeed(const Placed &placed, units::TimePoint now);
     void release(const Placed &placed);
     void onEndpointSilent(const Placed &placed, units::TimePoint now);
     void removeExpired(units::TimePoint now);
@@ -203,6 +214,8 @@
     EndpointLoads loads_;
     std::map<PlacementTicket, Placed> placed_;
     performance::PrefillRates prefillRates_;
+    performance::PrefillPeriods prefillPeriods_;
+    performance::LearnedEndpointSpeeds speeds_;
     queueing::PrefillQueue queue_;
     queueing::WaitForecaster forecaster_;
     queueing::ReturnSchedule returns_;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -252,6 +252,20 @@
     state_.usage->onRequestStarted(admission_.workspace);
 }
 
+// Time to the first byte that does not count as slow, in milliseconds.
+double Exchange::expectedMs() const
+{
+    using Milliseconds = std::chrono::duration<double, std::milli>;
+    // Plain endpoints usually respond within a quarter of their target latency.
+    if (!query_.runsModel)
+        return Milliseconds(route_->targetLatency).count() / 4;
+    // Engines prefill about 150 tokens per millisecond and need another 30 to 40 ms. The learned
+    // time is a mean that half of all requests exceed. On such engines it is shorter than this
+    // allowance, which keeps their noise from counting as slowness.
+    const double allowance = 50 + double(tokensToRead_) / double(PrefillTokensPerMs);
+    return std::max(allowance, Milliseconds(expectedFirstEvent_).count());
+}
+
 void Exchange::onFirstByte()
 {
     if (firstByteSeen_)
@@ -260,15 +274,10 @@
     countUsage();
     const units::TimePoint now = state_.timers.now();
     const double took = std::chrono::duration<double, std::milli>(now - sentAt_).count();
-    // Engines prefill about 150 tokens per millisecond and need another 30 to 40 ms; plain
-    // endpoints usually respond within a quarter of their target latency.
     state_.log.metrics.observe("monsoongrade_gateway_first_byte_seconds",
                                observability::label("pool", pool_.value()),
                                now - request_.receivedAt);
-    const double expected = query_.runsModel
-        ? 50 + double(tokensToRead_) / double(PrefillTokensPerMs)
-        : std::chrono::duration<double, std::milli>(route_->targetLatency).count() / 4;
-    endpoint_->health.onLatency(std::max(1.0, took / std::max(expected, 1.0)), now);
+    endpoint_->health.onLatency(std::max(1.0, took / std::max(expectedMs(), 1.0)), now);
     state_.placement.report(ticket_, routing::PlacementEvent::FirstEvent);
 }
 
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -19,6 +19,9 @@
     metrics.set("monsoongrade_gateway_requests_quarantined", "",
                 double(state_.crashes.quarantinedCount(timers_.now())));
     metrics.set("monsoongrade_gateway_limit_share", "", state_.placement.limitShare());
+    const auto speeds = state_.placement.speedRange();
+    metrics.set("monsoongrade_gateway_endpoint_speed_min", "", speeds ? speeds->first : 1);
+    metrics.set("monsoongrade_gateway_endpoint_speed_max", "", speeds ? speeds->second : 1);
     metrics.set("monsoongrade_gateway_endpoints_limited", "",
                 double(state_.announcements.limited()));
     metrics.set("monsoongrade_gateway_endpoints_leaving", "",
--- a/src/gateway/internal/placementmessages.h
+++ b/src/gateway/internal/placementmessages.h
@@ -49,6 +49,11 @@
     std::vector<routing::CachedPart> parts;
 };
 
+struct EndpointSpeedsMessage
+{
+    std::vector<routing::performance::LearnedSpeed> speeds;
+};
+
 struct StillWaitingMessage
 {
     std::vector<std::uint64_t> numbers;
@@ -65,8 +70,9 @@
     bool isOfCell = false; // in divided pools, not in the others
 };
 
-using PlacementMessage = std::variant<QueryMessage, AnswerMessage, EventMessage, CachedPartsMessage,
-                                      StillWaitingMessage, NotWaitingMessage, LoanMessage>;
+using PlacementMessage
+    = std::variant<QueryMessage, AnswerMessage, EventMessage, CachedPartsMessage,
+                   StillWaitingMessage, NotWaitingMessage, LoanMessage, EndpointSpeedsMessage>;
 
 // Returns the answer that describes the choice.
 AnswerMessage answerFor(std::uint64_t number, const routing::PlacementChoice &choice);
--- a/src/gateway/placementmessages.cpp
+++ b/src/gateway/placementmessages.cpp
@@ -206,6 +206,35 @@
     loan.setIsOfCell(from.isOfCell);
 }
 
+void write(const EndpointSpeedsMessage &from, schema::PlacementMessage::Builder root)
+{
+    auto list = root.initEndpointSpeeds().initSpeeds(unsigned(from.speeds.size()));
+    for (std::size_t i = 0; i < from.speeds.size(); ++i) {
+        const routing::performance::LearnedSpeed &speed = from.speeds[i];
+        list[unsigned(i)].setEndpoint(speed.endpoint.id.value());
+        list[unsigned(i)].setIncarnation(speed.endpoint.incarnation.value());
+        list[unsigned(i)].setRelativeSpeed(float(speed.relativeSpeed));
+        list[unsigned(i)].setSamples(std::uint32_t(speed.samples));
+        list[unsigned(i)].setAgeMs(inMilliseconds(speed.age));
+    }
+}
+
+EndpointSpeedsMessage read(schema::EndpointSpeeds::Reader speeds)
+{
+    constexpr std::uint32_t MaxSamples = 1'000'000;
+    EndpointSpeedsMessage message;
+    for (const auto speed : speeds.getSpeeds()) {
+        routing::performance::LearnedSpeed each;
+        each.endpoint = {units::EndpointId(speed.getEndpoint()),
+                         routing::Incarnation(speed.getIncarnation())};
+        each.relativeSpeed = double(speed.getRelativeSpeed());
+        each.samples = int(std::min(speed.getSamples(), MaxSamples));
+        each.age = std::chrono::milliseconds(speed.getAgeMs());
+        message.speeds.push_back(each);
+    }
+    return message;
+}
+
 } // namespace
 
 AnswerMessage answerFor(std::uint64_t number, const routing::PlacementChoice &choice)
@@ -251,6 +280,8 @@
         return NotWaitingMessage{numbersOf(root.getNotWaiting().getNumbers())};
     case schema::PlacementMessage::LOAN:
         return LoanMessage{readShare(root.getLoan().getLentShare()), root.getLoan().getIsOfCell()};
+    case schema::PlacementMessage::ENDPOINT_SPEEDS:
+        return read(root.getEndpointSpeeds());
     }
     KJ_FAIL_REQUIRE("unknown type of placement message, sent by a newer version");
 }
--- a/src/gateway/placementservice.cpp
+++ b/src/gateway/placementservice.cpp
@@ -182,10 +182,12 @@
 
 void PlacementService::updateSuccessors()
 {
+    logSpeeds();
+    const std::vector<std::string> hosts = successors();
+    sendSpeeds(hosts);
     const std::vector<routing::CachedPart> parts = placer_.takeNewCachedParts();
     if (parts.empty())
         return;
-    const std::vector<std::string> hosts = successors();
     for (std::size_t begin = 0; begin < parts.size(); begin += MaxPartsInDatagram) {
         const std::size_t count = std::min(MaxPartsInDatagram, parts.size() - begin);
         const auto first = parts.begin() + std::ptrdiff_t(begin);
--- a/src/routing/performance/prefillrate.cpp
+++ b/src/routing/performance/prefillrate.cpp
@@ -71,6 +71,18 @@
     return std::int64_t(std::chrono::duration<double, std::milli>(time).count() * tokensPerMs(now));
 }
 
+std::optional<PrefillRate::Times>
+PrefillRate::expectedTimes(std::int64_t tokens, double relativeSpeed, units::TimePoint now) const
+{
+    if (weight_ < MinTotalWeight || now - lastSampleAt_ >= EstimateLifetime)
+        return std::nullopt;
+    const auto inMs = [](double ms) {
+        return std::chrono::duration_cast<units::Duration>(
+            std::chrono::duration<double, std::milli>(ms));
+    };
+    return Times{inMs(fixedMs_), inMs(double(tokens) / (tokensPerMs_ * relativeSpeed))};
+}
+
 const PrefillRate &PrefillRates::of(const units::PoolName &pool) const
 {
     const auto found = pools_.find(pool.value());
--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -156,6 +156,11 @@
     placed.isLimited = choice.isLimited;
     placed.isSolePrefill = query.runsModel && loads_.of(endpoint).tokensToRead == 0;
     loads_.add(endpoint, choice.tokensToRead);
+    if (query.runsModel) {
+        prefillPeriods_.onPlaced(endpoint, choice.tokensToRead, tokensPerMs(endpoint, now), now);
+        choice.expectedFirstEvent = expectedFirstEvent(endpoint, now);
+        placed.expectedFirstEvent = choice.expectedFirstEvent;
+    }
     if (query.needsShortPauses)
         reserve_.onStreamOpened(endpoint.registration.pool);
     if (query.runsModel) {
@@ -275,14 +280,63 @@
     placed_.erase(found);
 }
 
+double RequestPlacer::tokensPerMs(const EndpointStatus &endpoint, units::TimePoint now) const
+{
+    const DiscoveredEndpoint &registration = endpoint.registration;
+    const performance::PrefillRate &rate = prefillRates_.of(registration.pool);
+    if (!rate.expectedTimes(0, 1, now))
+        return 0;
+    return rate.tokensPerMs(now) * speeds_.relativeSpeed(registration.pool, registration, now);
+}
+
+// For a request that was just placed there, behind the outstanding ones.
+units::Duration RequestPlacer::expectedFirstEvent(const EndpointStatus &endpoint,
+                                                  units::TimePoint now) const
+{
+    const DiscoveredEndpoint &registration = endpoint.registration;
+    const auto times
+        = prefillRates_.of(registration.pool)
+              .expectedTimes(loads_.of(endpoint).tokensToRead,
+                             speeds_.relativeSpeed(registration.pool, registration, now), now);
+    return times ? times->total() : units::Duration::zero();
+}
+
+// The tokens are converted to those that the mean endpoint of the pool prefills in the same time.
+// Otherwise the rate would depend on which endpoints had the latest prefills, and on which of them
+// the longest.
+void RequestPlacer::learnRate(const Placed &placed, units::TimePoint now)
+{
+    const DiscoveredEndpoint &registration = placed.endpoint->registration;
+    const double speed = speeds_.speedRelativeToSampled(registration.pool, registration, now);
+    prefillRates_.addSample(registration.pool, std::int64_t(double(placed.tokensToRead) / speed),
+                            now - placed.at, now);
+}
+
+void RequestPlacer::learnSpeed(const Placed &placed, units::TimePoint now)
+{
+    const EndpointStatus &endpoint = *placed.endpoint;
+    const auto sample = prefillPeriods_.onFirstEvent(endpoint, placed.tokensToRead,
+                                                     tokensPerMs(endpoint, now), now);
+    if (!sample)
+        return;
+    const DiscoveredEndpoint &registration = endpoint.registration;
+    const auto times = prefillRates_.of(registration.pool).expectedTimes(sample->tokens, 1, now);
+    if (!times)
+        return;
+    const units::Duration took
+        = sample->took - (sample->includesFixedTime ? times->fixed : units::Duration::zero());
+    speeds_.onPrefillDone(registration.pool, registration, sample->tokens, took, times->perTokens,
+                          now);
+}
+
 void RequestPlacer::onFirstEvent(Placed &placed, units::TimePoint now)
 {
     const EndpointStatus &endpoint = *placed.endpoint;
     loads_.addResult(endpoint, now);
     if (placed.isSolePrefill && endpoint.health.slowness(now) < MaxSlownessOfSamples)
-        prefillRates_.addSample(endpoint.registration.pool, placed.tokensToRead, now - placed.at,
-                                now);
+        learnRate(placed, now);
     placed.isSolePrefill = false;
+    learnSpeed(placed, now);
     loads_.removeTokens(endpoint, placed.tokensToRead);
     placed.tokensToRead = 0;
     if (!placed.isStreaming)
@@ -318,6 +372,7 @@
     choice.endpoint = found->second.endpoint;
     choice.tokensToRead = found->second.tokensToRead;
     choice.isLimited = found->second.isLimited;
+    choice.expectedFirstEvent = found->second.expectedFirstEvent;
     return choice;
 }
 
@@ -349,6 +404,7 @@
 {
     if (placed.needsShortPauses)
         reserve_.onStreamEnded(placed.endpoint->registration.pool);
+    prefillPeriods_.onRemoved(*placed.endpoint, placed.tokensToRead);
     loads_.end(*placed.endpoint, placed.tokensToRead, placed.isStreaming);
 }
 
@@ -365,6 +421,7 @@
             continue;
         }
         if (placed.tokensToRead > 0 && now - placed.at >= MaxPrefillTime) {
+            prefillPeriods_.onRemoved(*placed.endpoint, placed.tokensToRead);
             loads_.removeTokens(*placed.endpoint, placed.tokensToRead);
             placed.tokensToRead = 0;
         }
