Placement: cost is time, long prefills are paced for running streams

Cause: an engine that prefills long prompts without interruption makes the events of its streams too late, and a fast endpoint got as much work as a slow one.

Change: the cost of an endpoint is divided by its relative speed (EndpointSpeedModel; 1 without a model, so that choices stay the same). PrefillPacing limits the prefills that are placed on an endpoint between two pauses to what the smallest event gap of its streams allows. Only queueable long prefills of pools in the configuration wait for it, and only for streams of the same or a higher tier. PacedChoice places prefills that are longer than a batch. The answer carries the expected time of the first event, which request-placed logs; monsoongrade_gateway_prefills_paced_total counts paced requests.

A batch that has lasted longer than the gap is over when at most 90 ms of prefill are outstanding, because short prompts may keep an endpoint busy without end.

The existing routing tests are unchanged.

Paced prefill: prompts that fit in no batch are placed by cost

Cause: prefills longer than a batch went to the endpoint with the fewest streams, and late ones to any endpoint.

Change: such a prefill goes to an endpoint on which it fits if that costs at most 1.5 times the cheapest one.

--- a/include/monsoongrade/routing/requestplacer.h
+++ b/include/monsoongrade/routing/requestplacer.h
@@ -3,7 +3,9 @@
 
 #include <monsoongrade/routing/endpointloads.h>
 #include <monsoongrade/routing/endpointregistry.h>
+#include <monsoongrade/routing/performance/endpointspeedmodel.h>
 #include <monsoongrade/routing/performance/learnedendpointspeeds.h>
+#include <monsoongrade/routing/performance/pacedchoice.h>
 #include <monsoongrade/routing/performance/prefillperiods.h>
 #include <monsoongrade/routing/performance/prefillrate.h>
 #include <monsoongrade/routing/performance/prefillsizes.h>
@@ -61,6 +63,7 @@
     units::EndpointId cacheSource;
     // With retryDelay.
     std::optional<queueing::RefusalDetails> refusal;
+    bool isPaced = false; // with isWaiting: waits for the sake of streams, see PrefillPacing
 };
 
 // Progress of a stream that has ended.
@@ -76,11 +79,12 @@
 // knows each endpoint's outstanding prefill. The cost of an endpoint is its outstanding prefill
 // tokens plus those of the request: the whole prompt, or only its own part if the shared part is
 // cached. A prefill delays the streams that run on the endpoint, so the cost grows with their
-// number. The cheapest endpoint is chosen. The prefill of a breakdown with 13,300 shared and 3,720
-// own tokens takes 108 ms in full and 24 ms with the shared part cached, and a pool can't sustain
-// a burst of full prefills; a short prompt goes to an endpoint without long prefills. Where no
-// endpoint is known to have the shared part, all hosts prefer the first endpoint by rendezvous
-// hashing, so that cached parts are found when the coordinator changes or a host places locally.
+// number. The sum is divided by the endpoint's speed. The cheapest endpoint is chosen. The prefill
+// of a breakdown with 13,300 shared and 3,720 own tokens takes 108 ms in full and 24 ms with the
+// shared part cached, and a pool can't sustain a burst of full prefills; a short prompt goes to an
+// endpoint without long prefills. Where no endpoint is known to have the shared part, all hosts
+// prefer the first endpoint by rendezvous hashing, so that cached parts are found when the
+// coordinator changes or a host places locally.
 //
 // A long prefill is queued here while every endpoint that could take it is busy with long ones:
 // in a burst of uncached prompts the endpoints' queues would otherwise grow to seconds, with the
@@ -90,6 +94,9 @@
 // capacity is reserved for its retry, see ReturnSchedule. A request of a workspace over its share
 // is not placed while others within theirs wait in its pool and tier.
 //
+// Where uninterrupted prefill would delay the events of running streams too much, queued prefills
+// are placed in batches, see PrefillPacing.
+//
 // Streams with short event gaps have reserved endpoints, see ShortPauseReserve. They overflow to
 // the others when those are full, and long prefills use reserved endpoints only as a last resort.
 //
@@ -132,6 +139,8 @@
                  const StreamProgress &progress = {});
     // Sets the pools of the configuration in force.
     void setPools(const std::vector<TrafficPool> &pools);
+    // Sets the speeds of the endpoints by which requests are placed; null: the learned ones.
+    void setSpeedModel(const performance::EndpointSpeedModel *model) { speedModel_ = model; }
     // True if place() would find an endpoint.
     bool hasEndpoint(const PlacementQuery &query,
                      const std::vector<EndpointRegistry::Status> &available,
@@ -148,6 +157,8 @@
     performance::LearnedEndpointSpeeds &speeds() { return speeds_; }
     const performance::LearnedEndpointSpeeds &speeds() const { return speeds_; }
 
+    // Requests that were queued because no endpoint was open to their prefill, see PrefillPacing.
+    std::int64_t prefillsPaced() const { return prefillsPaced_; }
     std::size_t openRequests() const { return placed_.size(); }
     int openRequests(const EndpointStatus &endpoint) const;
     std::int64_t tokensToRead(const EndpointStatus &endpoint) const;
@@ -164,8 +175,11 @@
         bool isSolePrefill = false; // its endpoint had no other prefill when it was placed
         bool isStreaming = false; // has had its first event
         bool isLimited = false;
+        performance::StreamGap gap;
         units::Duration expectedFirstEvent{};
     };
+    // What the cost of all endpoints for one request depends on.
+    struct CostBasis;
     using Candidates = std::vector<const EndpointRegistry::Status *>;
 
     PlacementChoice queueOrRefuse(const PlacementTicket &ticket, const PlacementQuery &query,
@@ -183,6 +197,16 @@
     PlacementChoice chooseForModel(const PlacementQuery &query,
                                    const std::vector<EndpointRegistry::Status> &available,
                                    units::TimePoint now);
+    CostBasis costBasisFor(const PlacementQuery &query, const Candidates &candidates,
+                           units::TimePoint now);
+    performance::PacedChoice::Candidate assess(const EndpointRegistry::Status &endpoint,
+                                               const PlacementQuery &query, const CostBasis &basis,
+                                               units::TimePoint now) const;
+    performance::PrefillRoom roomFor(const EndpointStatus &endpoint, std::int64_t tokensToPrefill,
+                                     const PlacementQuery &query, const CostBasis &basis,
+                                     units::TimePoint now) const;
+    // Relative to the mean of the endpoint's pool.
+    double speedOf(const EndpointStatus &endpoint, units::TimePoint now) const;
     bool hasSlot(const EndpointStatus &endpoint, const RateShare &share) const;
     bool hasRoomInReserve(const EndpointStatus &endpoint, std::int64_t maxBacklog) const;
     Candidates candidatesFor(const PlacementQuery &query,
@@ -224,6 +248,8 @@
     queueing::SizeFairnessByTier sizeFairness_;
     queueing::WorkspaceShares workspaceShares_;
     std::unordered_map<std::string, TrafficPool> pools_;
+    const performance::EndpointSpeedModel *speedModel_ = nullptr; // in place of speeds_
+    std::int64_t prefillsPaced_ = 0;
     units::TimePoint nextCleanupAt_{};
 };
 
--- a/src/gateway/exchangelog.cpp
+++ b/src/gateway/exchangelog.cpp
@@ -20,6 +20,7 @@
                         {"resumes", resumedRequest()},
                         {"placed-by", state_.placement.placedBy(ticket_)},
                         {"tokens-to-read", tokensToRead_},
+                        {"expected-first-event-ms", inMilliseconds(expectedFirstEvent_)},
                         {"tier", std::int64_t(admission_.tier.value())},
                         {"placing-ms", inMilliseconds(placementTime)}});
 }
--- a/src/routing/endpointchoice.cpp
+++ b/src/routing/endpointchoice.cpp
@@ -1,5 +1,6 @@
 #include <monsoongrade/routing/requestplacer.h>
 
+#include <monsoongrade/routing/performance/prefillpacing.h>
 #include <monsoongrade/units/stablehash.h>
 
 #include <algorithm>
@@ -42,6 +43,11 @@
     return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
+double inMs(units::Duration time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
 double penalty(const EndpointStatus &endpoint, units::TimePoint now)
 {
     return endpoint.health.slowness(now) * (1 + FailurePenalty * endpoint.health.failureRate(now));
@@ -104,61 +110,130 @@
     return byReserve.empty() ? usable : byReserve;
 }
 
-PlacementChoice
-RequestPlacer::chooseForModel(const PlacementQuery &query,
-                              const std::vector<EndpointRegistry::Status> &available,
-                              units::TimePoint now)
+struct RequestPlacer::CostBasis
 {
-    const Candidates candidates = candidatesFor(query, available, now);
-    PlacementChoice choice;
-    double best = std::numeric_limits<double>::infinity();
-    const std::int64_t shared = query.promptTokens - query.ownTokens;
+    const EndpointStatus *first = nullptr; // by hash
+    const std::vector<prefixcache::PrefixCacheIndex::Holder> *holders = nullptr; // of the part
+    bool isCachedSomewhere = false;
+    double precedence = 1; // of short prefills
+    std::optional<double> meanPrefill;
+    double longPrefill = 0; // a prefill of more tokens is long
+    std::int64_t maxBacklog = 0; // in tokens of an endpoint with the speed 1
+    double tokensPerMs = 0; // of such an endpoint
+    std::optional<int> tokensPerEvent; // unknown: the pool is not in the configuration
+    bool isPaced = false;
+};
+
+RequestPlacer::CostBasis RequestPlacer::costBasisFor(const PlacementQuery &query,
+                                                     const Candidates &candidates,
+                                                     units::TimePoint now)
+{
+    CostBasis basis;
     const performance::PrefillRate &rate = prefillRates_.of(query.pool);
-    const double precedence = sizeFairness_.of(query.pool, query.tier).shortPrecedence(now);
     const performance::PrefillSizes &sizes = prefillSizes_[query.pool.value()];
+    basis.precedence = sizeFairness_.of(query.pool, query.tier).shortPrecedence(now);
+    basis.meanPrefill = sizes.mean(now);
     const auto longByTime = double(rate.tokensIn(LongPrefill, now));
     const double longBySize = sizes.meanByTokens(now).value_or(longByTime) * LongShareOfMean;
-    const double longPrefill = precedence * std::min(longByTime, longBySize);
-    const std::int64_t maxBacklogTokens = rate.tokensIn(MaxBacklog, now);
-    const EndpointStatus *first = firstByHash(query, candidates);
-    const std::vector<prefixcache::PrefixCacheIndex::Holder> *holders
-        = prefixCache_.holders(query.sharedPart);
-    const bool isCachedSomewhere
+    basis.longPrefill = basis.precedence * std::min(longByTime, longBySize);
+    basis.maxBacklog = rate.tokensIn(MaxBacklog, now);
+    basis.tokensPerMs = rate.tokensPerMs(now);
+    basis.first = firstByHash(query, candidates);
+    basis.holders = prefixCache_.holders(query.sharedPart);
+    basis.isCachedSomewhere
         = std::any_of(candidates.begin(), candidates.end(), [&](const auto *endpoint) {
-              return prefixcache::PrefixCacheIndex::holds(holders, (*endpoint)->registration, now);
+              return prefixcache::PrefixCacheIndex::holds(basis.holders, (*endpoint)->registration,
+                                                          now);
           });
-    for (const EndpointRegistry::Status *candidate : candidates) {
-        const EndpointRegistry::Status &endpoint = *candidate;
-        const std::int64_t sharedToPrefill
-            = prefixcache::PrefixCacheIndex::holds(holders, endpoint->registration, now) ? 0
-                                                                                         : shared;
-        const std::int64_t tokensToPrefill = query.ownTokens + sharedToPrefill;
-        const EndpointLoad load = loads_.of(*endpoint);
-        // Penalty for deviating from the default choice: a host that places locally, or a new
-        // coordinator, looks for the part on the first endpoint by hash.
-        const double detourPenalty = isCachedSomewhere
-            ? double(sharedToPrefill) * RepeatedPrefillWeight
-            : endpoint.get() == first ? 0.0
-                                      : double(shared) * DetourPenaltyWeight;
-        // With its own size alone, each long prompt would wait for the endpoint with the fewest
-        // streams while others have room.
-        const double delayingTokens = precedence * double(tokensToPrefill)
-            + (1 - precedence) * sizes.mean(now).value_or(double(tokensToPrefill));
-        const double streamDelay = delayingTokens * load.streams * PrefillWeightPerStream;
-        const double cost
-            = (double(load.tokensToRead + tokensToPrefill) + streamDelay + detourPenalty)
-            * penalty(*endpoint, now);
-        const bool hasRoom
-            = double(tokensToPrefill) <= longPrefill || load.tokensToRead <= maxBacklogTokens;
-        if (cost < best) {
-            best = cost;
-            choice = {endpoint, tokensToPrefill};
-            choice.isWaiting = !hasRoom;
-        }
-    }
+    const auto pool = pools_.find(query.pool.value());
+    if (pool != pools_.end())
+        basis.tokensPerEvent = pool->second.tokensPerEvent;
+    basis.isPaced = basis.tokensPerEvent && query.mayWait && !query.softwareVersion;
+    return basis;
+}
+
+PlacementChoice
+RequestPlacer::chooseForModel(const PlacementQuery &query,
+                              const std::vector<EndpointRegistry::Status> &available,
+                              units::TimePoint now)
+{
+    const Candidates candidates = candidatesFor(query, available, now);
+    const CostBasis basis = costBasisFor(query, candidates, now);
+    performance::PacedChoice paced;
+    for (const EndpointRegistry::Status *candidate : candidates)
+        paced.add(assess(*candidate, query, basis, now));
+    const performance::PacedChoice::Candidate best = paced.best();
+    PlacementChoice choice;
+    if (best.endpoint == nullptr)
+        return choice;
+    choice.endpoint = *best.endpoint;
+    choice.tokensToRead = best.tokensToPrefill;
+    choice.isWaiting = best.room != performance::PrefillRoom::Open;
+    choice.isPaced = best.isPaced();
     return choice;
 }
 
+performance::PacedChoice::Candidate RequestPlacer::assess(const EndpointRegistry::Status &endpoint,
+                                                          const PlacementQuery &query,
+                                                          const CostBasis &basis,
+                                                          units::TimePoint now) const
+{
+    const std::int64_t shared = query.promptTokens - query.ownTokens;
+    const std::int64_t sharedToPrefill
+        = prefixcache::PrefixCacheIndex::holds(basis.holders, endpoint->registration, now) ? 0
+                                                                                           : shared;
+    const std::int64_t tokensToPrefill = query.ownTokens + sharedToPrefill;
+    const EndpointLoad &load = loads_.of(*endpoint);
+    // Penalty for deviating from the default choice: a host that places locally, or a new
+    // coordinator, looks for the part on the first endpoint by hash.
+    const double detourPenalty = basis.isCachedSomewhere
+        ? double(sharedToPrefill) * RepeatedPrefillWeight
+        : endpoint.get() == basis.first ? 0.0
+                                        : double(shared) * DetourPenaltyWeight;
+    // With its own size alone, each long prompt would wait for the endpoint with the fewest
+    // streams while others have room.
+    const double delayingTokens = basis.precedence * double(tokensToPrefill)
+        + (1 - basis.precedence) * basis.meanPrefill.value_or(double(tokensToPrefill));
+    const double streamDelay = delayingTokens * load.streams * PrefillWeightPerStream;
+    const double tokens = double(load.tokensToRead + tokensToPrefill) + streamDelay + detourPenalty;
+    performance::PacedChoice::Candidate candidate{&endpoint, tokensToPrefill};
+    candidate.room = roomFor(*endpoint, tokensToPrefill, query, basis, now);
+    candidate.cost = tokens / speedOf(*endpoint, now) * penalty(*endpoint, now);
+    // The next batch starts one event after the prefill of this one has ended.
+    if (candidate.room == performance::PrefillRoom::BatchFull)
+        candidate.cost += inMs(performance::PrefillPacing::eventTime(*basis.tokensPerEvent))
+            * basis.tokensPerMs * penalty(*endpoint, now);
+    return candidate;
+}
+
+performance::PrefillRoom RequestPlacer::roomFor(const EndpointStatus &endpoint,
+                                                std::int64_t tokensToPrefill,
+                                                const PlacementQuery &query, const CostBasis &basis,
+                                                units::TimePoint now) const
+{
+    using performance::PrefillRoom;
+    const double speed = speedOf(endpoint, now);
+    if (double(tokensToPrefill) <= basis.longPrefill * speed)
+        return PrefillRoom::Open;
+    const EndpointLoad &load = loads_.of(endpoint);
+    const bool isBacklogFull = double(load.tokensToRead) > double(basis.maxBacklog) * speed;
+    const performance::PrefillPacing pacing(basis.tokensPerMs * speed,
+                                            basis.tokensPerEvent.value_or(0),
+                                            load.gaps.smallest(query.tier));
+    if (!basis.isPaced || !pacing.isPacingNeeded())
+        return isBacklogFull ? PrefillRoom::BacklogFull : PrefillRoom::Open;
+    if (pacing.fitsInBatch(tokensToPrefill))
+        return pacing.mayPlace(load, tokensToPrefill, now) ? PrefillRoom::Open
+                                                           : PrefillRoom::BatchFull;
+    return isBacklogFull ? PrefillRoom::TooLargeForBatchBacklogFull : PrefillRoom::TooLargeForBatch;
+}
+
+double RequestPlacer::speedOf(const EndpointStatus &endpoint, units::TimePoint now) const
+{
+    const performance::EndpointSpeedModel &model = speedModel_ == nullptr ? speeds_ : *speedModel_;
+    return model.relativeSpeed(endpoint.registration.pool, endpoint.registration, now);
+}
+
 const EndpointStatus *RequestPlacer::firstByHash(const PlacementQuery &query,
                                                  const Candidates &candidates)
 {
--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -88,6 +88,7 @@
     if (canWait()) {
         queue_.add(ticket, query, choice.tokensToRead, now, overShare,
                    isScheduledRetry ? Arrival::ScheduledRetry : Arrival::FirstTime);
+        prefillsPaced_ += choice.isPaced ? 1 : 0;
         return choice;
     }
     std::optional<units::Duration> reserved;
@@ -152,10 +153,15 @@
     choice.endpoint->rateLimiter.onPlaced(shareFor(query, now));
     choice.isLimited = endpoint.rateLimiter.limit().has_value();
     Placed &placed = placed_[ticket];
-    placed = {choice.endpoint, choice.tokensToRead, now, query.needsShortPauses};
+    placed = {};
+    placed.endpoint = choice.endpoint;
+    placed.tokensToRead = choice.tokensToRead;
+    placed.at = now;
+    placed.needsShortPauses = query.needsShortPauses;
     placed.isLimited = choice.isLimited;
     placed.isSolePrefill = query.runsModel && loads_.of(endpoint).tokensToRead == 0;
-    loads_.add(endpoint, choice.tokensToRead);
+    placed.gap = {query.tier, query.maxEventGap};
+    loads_.add(endpoint, choice.tokensToRead, placed.gap, now);
     if (query.runsModel) {
         prefillPeriods_.onPlaced(endpoint, choice.tokensToRead, tokensPerMs(endpoint, now), now);
         choice.expectedFirstEvent = expectedFirstEvent(endpoint, now);
@@ -405,7 +411,7 @@
     if (placed.needsShortPauses)
         reserve_.onStreamEnded(placed.endpoint->registration.pool);
     prefillPeriods_.onRemoved(*placed.endpoint, placed.tokensToRead);
-    loads_.end(*placed.endpoint, placed.tokensToRead, placed.isStreaming);
+    loads_.end(*placed.endpoint, placed.tokensToRead, placed.gap, placed.isStreaming);
 }
 
 void RequestPlacer::removeExpired(units::TimePoint now)
--- /dev/null
+++ b/tests/routing/fixedspeeds.h
@@ -0,0 +1,31 @@
+#ifndef MONSOONGRADE_TESTS_ROUTING_FIXEDSPEEDS_H
+#define MONSOONGRADE_TESTS_ROUTING_FIXEDSPEEDS_H
+
+#include <monsoongrade/routing/performance/endpointspeedmodel.h>
+
+#include <map>
+#include <string>
+
+namespace monsoongrade::routing {
+
+// Speeds that are known from the start, by endpoint id.
+class FixedSpeeds : public performance::EndpointSpeedModel
+{
+public:
+    double relativeSpeed(const units::PoolName &, const DiscoveredEndpoint &endpoint,
+                         units::TimePoint) const override
+    {
+        return speeds.at(endpoint.id.value());
+    }
+    bool isSlowNow(const DiscoveredEndpoint &, units::TimePoint) const override { return false; }
+    void onPrefillDone(const units::PoolName &, const DiscoveredEndpoint &, std::int64_t,
+                       units::Duration, units::Duration, units::TimePoint) override
+    {
+    }
+
+    std::map<std::string, double> speeds;
+};
+
+} // namespace monsoongrade::routing
+
+#endif // MONSOONGRADE_TESTS_ROUTING_FIXEDSPEEDS_H
--- a/tests/routing/simulatedpool.cpp
+++ b/tests/routing/simulatedpool.cpp
@@ -35,6 +35,7 @@
 SimulatedPool::SimulatedPool(const Options &options, std::vector<SimulatedClass> classes)
     : options_(options)
     , classes_(std::move(classes))
+    , random_(options.seed)
     , end_(now_ + options.length)
 {
     for (int i = 0; i < options.endpoints; ++i) {
@@ -44,8 +45,25 @@
         endpoint.slots = options.slots;
         registry_.update(endpoint);
     }
-    for (const EndpointRegistry::Status &status : registry_.available(Pool))
-        engines_[status->registration.id.value()].status = status;
+    for (const EndpointRegistry::Status &status : registry_.available(Pool)) {
+        const std::string &id = status->registration.id.value();
+        const std::vector<double> &speeds = options.engine.speeds;
+        engines_[id].status = status;
+        engines_[id].speed = speeds_.speeds[id] = speeds[std::stoul(id.substr(1)) % speeds.size()];
+    }
+    double meanTime = 0;
+    for (const auto &[id, engine] : engines_)
+        meanTime += 1 / engine.speed / double(engines_.size());
+    for (auto &[id, speed] : speeds_.speeds)
+        speed *= meanTime;
+    if (options.knowsSpeeds)
+        placer_.setSpeedModel(&speeds_);
+    if (options.pacesPrefill) {
+        TrafficPool pool;
+        pool.name = Pool;
+        pool.tokensPerEvent = options.engine.tokensPerEvent;
+        placer_.setPools({pool});
+    }
 }
 
 std::map<std::string, SimulatedOutcome> SimulatedPool::play()
@@ -73,6 +91,15 @@
     return outcomes_;
 }
 
+double SimulatedPool::prefillShare() const
+{
+    units::Duration total{};
+    for (const auto &[id, engine] : engines_)
+        total += engine.prefillTime;
+    return std::chrono::duration<double>(total).count()
+        / (std::chrono::duration<double>(options_.length).count() * double(engines_.size()));
+}
+
 void SimulatedPool::arrive()
 {
     for (const SimulatedClass &kind : classes_) {
@@ -179,6 +206,7 @@
     query.needsShortPauses
         = options_.keepsEndpoints && needsShortPauses(route, options_.engine.tokensPerEvent);
     query.poolServesShortPauses = options_.keepsEndpoints;
+    query.maxEventGap = kind.maxEventGap;
     query.targetIn = request.attemptAt + kind.target - now_;
     query.expiresIn = request.arrivedAt + kind.maxWait - now_;
     query.returnKey = ReturnKey(options_.hasReturnKeys ? request.returnKey : 0);
@@ -274,10 +302,13 @@
     if (int(engine.running.size()) < options_.slots && !engine.prefilling.empty()) {
         const std::int64_t context = open_.at(engine.prefilling.front()).context;
         const std::int64_t tokens = prefillChunk(engine);
-        took += double(tokens) / options_.engine.prefillTokensPerMs
+        const double prefillMs = double(tokens) / options_.engine.prefillTokensPerMs
             + double(tokens) * double(context) / 1e6 * options_.engine.attentionMsPerMillionPairs;
+        took += prefillMs;
+        if (now_ < end_)
+            engine.prefillTime += milliseconds(prefillMs / engine.speed);
     }
-    engine.nextStep += milliseconds(took);
+    engine.nextStep += milliseconds(took / engine.speed);
     const std::vector<std::uint64_t> running = engine.running;
     for (const std::uint64_t number : running)
         emit(engine, number);
@@ -382,4 +413,24 @@
     return {plan};
 }
 
+std::vector<SimulatedClass> longPromptsAmongShortStreams(double endpoints)
+{
+    using std::chrono::milliseconds;
+    const auto scaled = [&](double perEndpoint) {
+        return std::max(1, int(perEndpoint * endpoints));
+    };
+    SimulatedClass longest{"long", 2,   4.0 * endpoints,    scaled(2),          13300,
+                           3720,   120, milliseconds(2000), milliseconds(1500), milliseconds(2600)};
+    longest.sizeSigma = 0.4;
+    longest.maxOwnTokens = 9000;
+    longest.deadline = milliseconds(8000);
+    SimulatedClass middle{"middle", 1,  3.0 * endpoints,   scaled(2),         6300,
+                          2890,     54, milliseconds(600), milliseconds(600), milliseconds(1600)};
+    middle.deadline = milliseconds(5000);
+    SimulatedClass brief{"short", 0,   9.0 * endpoints,   scaled(2),         350,
+                         1110,    174, milliseconds(400), milliseconds(400), milliseconds(3300)};
+    brief.deadline = milliseconds(10000);
+    return {longest, middle, brief};
+}
+
 } // namespace monsoongrade::routing
--- a/tests/routing/simulatedpool.h
+++ b/tests/routing/simulatedpool.h
@@ -1,6 +1,8 @@
 #ifndef MONSOONGRADE_TESTS_ROUTING_SIMULATEDPOOL_H
 #define MONSOONGRADE_TESTS_ROUTING_SIMULATEDPOOL_H
 
+#include "fixedspeeds.h"
+
 #include <monsoongrade/routing/requestplacer.h>
 
 #include <deque>
@@ -44,6 +46,7 @@
     std::int64_t chunkTokens = 4096;
     int tokensPerEvent = 6;
     std::size_t cachedParts = 45; // shared parts cached in addition to the running streams
+    std::vector<double> speeds{1}; // of the engines relative to the rates above, repeating
 };
 
 // Results of one request class.
@@ -86,12 +89,15 @@
         SimulatedEngine engine;
         std::chrono::milliseconds length = std::chrono::seconds(9);
         bool mayWait = true; // false: each request is sent to an endpoint at once
+        unsigned seed = 1;
         bool keepsEndpoints = true; // false: no endpoints are reserved for short event gaps
         int maxRetries = 0; // of a refused request, at the time that its caller is told
         bool hasReturnKeys = false; // false: no retry is scheduled
         std::chrono::milliseconds countedFrom{}; // earlier requests are not in the results
         // A new coordinator takes over, which knows only the cached parts; 0: none.
         std::chrono::milliseconds coordinatorLostAt{};
+        bool knowsSpeeds = false; // the placer knows the engines' speeds
+        bool pacesPrefill = false; // the placer knows the pool's configuration
     };
 
     SimulatedPool(const Options &options, std::vector<SimulatedClass> classes);
@@ -100,6 +106,9 @@
     std::map<std::string, SimulatedOutcome> play();
     // Counts of scheduled retries, of all coordinators.
     const queueing::ReturnSchedule::Counts &returnCounts() const { return returnCounts_; }
+    // Part of the engines' time until the end of the load in which they prefilled.
+    double prefillShare() const;
+    std::int64_t prefillsPaced() const { return placer_.prefillsPaced(); }
 
 private:
     struct Request
@@ -126,6 +135,8 @@
         std::vector<std::uint64_t> running;
         std::vector<std::string> cached; // least recently used first
         units::TimePoint nextStep{};
+        double speed = 1;
+        units::Duration prefillTime{}; // until the end of the load
     };
 
     void arrive();
@@ -148,6 +159,7 @@
     Options options_;
     std::vector<SimulatedClass> classes_;
     EndpointRegistry registry_;
+    FixedSpeeds speeds_; // relative to the mean prefill time, which the placer learns
     RequestPlacer placer_;
     std::map<std::string, Engine> engines_; // by endpoint id
     std::map<std::uint64_t, Request> open_;
@@ -155,7 +167,7 @@
     std::multimap<units::TimePoint, Request> returning_;
     queueing::ReturnSchedule::Counts returnCounts_;
     std::map<std::string, SimulatedOutcome> outcomes_;
-    std::mt19937 random_{1}; // NOLINT(cert-msc32-c,cert-msc51-cpp): the same load in each run
+    std::mt19937 random_; // the same load in each run with the same seed
     units::TimePoint now_ = units::TimePoint(std::chrono::hours(1));
     units::TimePoint start_ = now_;
     units::TimePoint end_;
@@ -171,6 +183,11 @@
 // can handle; the load is scaled with the rate of the engines.
 std::vector<SimulatedClass> overloadOfMixedSizes(double prefillTokensPerMs);
 
+// Long prompts, of different sizes, that keep engines of 61 tokens per millisecond prefilling for
+// most of the time, with short and middle requests of higher tiers whose gaps that makes too long.
+// The load is for one endpoint, scaled by the number of endpoints.
+std::vector<SimulatedClass> longPromptsAmongShortStreams(double endpoints);
+
 } // namespace monsoongrade::routing
 
 #endif // MONSOONGRADE_TESTS_ROUTING_SIMULATEDPOOL_H
