Routing: endpoints copy cached prefixes instead of prefilling them again

Cause: requests with a common prefix waited for the endpoints that hold it, or prefilled it again elsewhere, although engines can copy cached prefixes in a tenth of the time.

Change: CacheTransferPlanner finds the best sources of a prefix once a request: one for each failure domain, and one for endpoints of other domains. A candidate that lacks the prefix then costs the time of the copy, and the choice names the source. A copy must take at most a quarter of the prefill, save a twentieth of the target, and its source's link may have at most 100 ms of copies outstanding. A source counts only after a first event with the prefix, must have the software version of the endpoint, and is not one that failed the request. The requesting host resolves the source in its own registry, and counts the copies that it sends. Streams that continue do not copy.

Tested: routing_tests, 222 test cases pass; unit tests of the planner, the placement and the codec of the answer.

A test checks that only the gateway names the source of a copy to an endpoint.

--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -58,6 +58,8 @@
     void onConnection(ConnectOutcome outcome, std::shared_ptr<httpio::Channel> channel);
     void send();
     httpio::Headers endpointHeaders() const;
+    std::string cacheSourceAddress() const;
+    void countCacheCopy();
 
     // Sending through another host
     std::string forwardingHost() const;
--- a/include/monsoongrade/routing/performance/pacedchoice.h
+++ b/include/monsoongrade/routing/performance/pacedchoice.h
@@ -2,6 +2,7 @@
 #define MONSOONGRADE_ROUTING_PERFORMANCE_PACEDCHOICE_H
 
 #include <monsoongrade/routing/endpointregistry.h>
+#include <monsoongrade/routing/prefixcache/cachetransferplan.h>
 
 #include <cstdint>
 #include <limits>
@@ -31,6 +32,7 @@
         std::int64_t tokensToPrefill = 0;
         double cost = std::numeric_limits<double>::infinity();
         PrefillRoom room = PrefillRoom::Open;
+        const prefixcache::CacheTransferPlan *copy = nullptr; // of the shared part; null: none
 
         bool isTooLarge() const { return room >= PrefillRoom::TooLargeForBatch; }
         // True if the request can be placed there only later because of pacing.
--- a/include/monsoongrade/routing/requestplacer.h
+++ b/include/monsoongrade/routing/requestplacer.h
@@ -10,6 +10,8 @@
 #include <monsoongrade/routing/performance/prefillrate.h>
 #include <monsoongrade/routing/performance/prefillsizes.h>
 #include <monsoongrade/routing/placementquery.h>
+#include <monsoongrade/routing/prefixcache/cachetransferplanner.h>
+#include <monsoongrade/routing/prefixcache/highestprefillrate.h>
 #include <monsoongrade/routing/prefixcache/prefixcacheindex.h>
 #include <monsoongrade/routing/queueing/prefillqueue.h>
 #include <monsoongrade/routing/queueing/refusaldetails.h>
@@ -64,6 +66,8 @@
     // With retryDelay.
     std::optional<queueing::RefusalDetails> refusal;
     bool isPaced = false; // with isWaiting: waits for the sake of streams, see PrefillPacing
+    // That copy, on the host that places the request.
+    std::optional<prefixcache::CacheTransferPlan> cacheTransfer;
 };
 
 // Progress of a stream that has ended.
@@ -177,6 +181,8 @@
         bool isLimited = false;
         performance::StreamGap gap;
         units::Duration expectedFirstEvent{};
+        std::string sharedPart; // of a model request; may be empty
+        units::EndpointId cacheSource;
     };
     // What the cost of all endpoints for one request depends on.
     struct CostBasis;
@@ -215,6 +221,9 @@
     PlacementChoice chooseLeastLoaded(const PlacementQuery &query,
                                       const std::vector<EndpointRegistry::Status> &available,
                                       units::TimePoint now) const;
+    prefixcache::CacheTransferSources
+    cacheSourcesFor(const PlacementQuery &query,
+                    const std::vector<EndpointRegistry::Status> &available, units::TimePoint now);
     static const EndpointStatus *firstByHash(const PlacementQuery &query,
                                              const Candidates &candidates);
     // Measured rate of the endpoint; 0: unknown.
@@ -234,6 +243,8 @@
     ShareDelegation fleetShares_;
     ShareDelegation cellShares_;
     prefixcache::PrefixCacheIndex prefixCache_;
+    prefixcache::CacheTransferPlanner cacheTransfers_;
+    std::unordered_map<std::string, prefixcache::HighestPrefillRate> highestRates_; // by pool
     std::vector<CachedPart> unannouncedParts_;
     EndpointLoads loads_;
     std::map<PlacementTicket, Placed> placed_;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -147,6 +147,7 @@
     channel_->send(httpio::encodeRequestHead(request_.head.method, request_.head.target,
                                              endpointHeaders(), request_.body->size()),
                    request_.body, *this);
+    countCacheCopy();
     const auto readTime = std::chrono::milliseconds(2 * tokensToRead_ / PrefillTokensPerMs);
     suspicionTimer_ = state_.timers.after(SilenceTimeout + readTime,
                                           [self = shared_from_this()] { self->reportIfSilent(); });
@@ -165,13 +166,32 @@
     request.workspace = admission_.workspace;
     request.timeLeft = timeLeft();
     request.tier = admission_.tier;
-    if (const auto source = state_.registry.findAvailable(cacheSource_); source != nullptr)
-        request.cacheSource = source->registration.address;
+    request.cacheSource = cacheSourceAddress();
     request.resumeAfter = events_.lastId().empty() ? metadata_.lastEventId : events_.lastId();
     return state_.headerCodec.endpointHeaders(httpio::endToEndHeaders(request_.head.headers),
                                               request);
 }
 
+// Empty if nothing is to be copied. The host that placed the request may not know yet that the
+// source is leaving or gone.
+std::string Exchange::cacheSourceAddress() const
+{
+    const bool isContinuation = isResumption() || !events_.lastId().empty();
+    const auto source = state_.registry.findAvailable(cacheSource_);
+    if (isContinuation || source == nullptr || source->leaving || source == endpoint_)
+        return {};
+    return source->registration.address;
+}
+
+void Exchange::countCacheCopy()
+{
+    if (cacheSourceAddress().empty())
+        return;
+    state_.log.metrics.add("monsoongrade_gateway_cache_copies_total");
+    state_.log.metrics.add("monsoongrade_gateway_cache_copied_tokens_total", "",
+                           query_.promptTokens - query_.ownTokens);
+}
+
 void Exchange::onResponseHead(const httpio::MessageHead &head)
 {
     endpoint_->lastReceivedAt = state_.timers.now();
--- a/src/gateway/exchangelog.cpp
+++ b/src/gateway/exchangelog.cpp
@@ -21,6 +21,7 @@
                         {"placed-by", state_.placement.placedBy(ticket_)},
                         {"tokens-to-read", tokensToRead_},
                         {"expected-first-event-ms", inMilliseconds(expectedFirstEvent_)},
+                        {"cache-source", cacheSource_.isEmpty() ? "none" : cacheSource_.value()},
                         {"tier", std::int64_t(admission_.tier.value())},
                         {"placing-ms", inMilliseconds(placementTime)}});
 }
--- a/src/routing/endpointchoice.cpp
+++ b/src/routing/endpointchoice.cpp
@@ -33,6 +33,27 @@
 // Factor added to the load of an endpoint that fails every request.
 constexpr double FailurePenalty = 20;
 
+// What the shared part of a prompt costs on an endpoint, in prompt tokens.
+struct SharedPartCost
+{
+    std::int64_t toPrefill = 0;
+    double copying = 0; // prefilled during the time of the copy
+    const prefixcache::CacheTransferPlan *copy = nullptr;
+
+    double total() const { return double(toPrefill) + copying; }
+};
+
+// The cost on an endpoint that lacks the part. A copy is planned only where it is cheaper.
+SharedPartCost costOfSharedPart(std::int64_t shared, const DiscoveredEndpoint &endpoint,
+                                const prefixcache::CacheTransferSources &sources,
+                                const performance::PrefillRate &rate, units::TimePoint now)
+{
+    const prefixcache::CacheTransferPlan *copy = sources.planFor(endpoint);
+    if (copy == nullptr)
+        return {shared};
+    return {0, double(rate.tokensIn(copy->duration, now)), copy};
+}
+
 std::uint64_t rankHash(const std::string &part, const EndpointStatus &endpoint)
 {
     return units::spreadHash({part, endpoint.registration.id.value()});
@@ -122,6 +143,8 @@
     double tokensPerMs = 0; // of such an endpoint
     std::optional<int> tokensPerEvent; // unknown: the pool is not in the configuration
     bool isPaced = false;
+    const performance::PrefillRate *rate = nullptr;
+    const prefixcache::CacheTransferSources *sources = nullptr;
 };
 
 RequestPlacer::CostBasis RequestPlacer::costBasisFor(const PlacementQuery &query,
@@ -138,6 +161,7 @@
     basis.longPrefill = basis.precedence * std::min(longByTime, longBySize);
     basis.maxBacklog = rate.tokensIn(MaxBacklog, now);
     basis.tokensPerMs = rate.tokensPerMs(now);
+    basis.rate = &rate;
     basis.first = firstByHash(query, candidates);
     basis.holders = prefixCache_.holders(query.sharedPart);
     basis.isCachedSomewhere
@@ -158,7 +182,9 @@
                               units::TimePoint now)
 {
     const Candidates candidates = candidatesFor(query, available, now);
-    const CostBasis basis = costBasisFor(query, candidates, now);
+    const prefixcache::CacheTransferSources sources = cacheSourcesFor(query, available, now);
+    CostBasis basis = costBasisFor(query, candidates, now);
+    basis.sources = &sources;
     performance::PacedChoice paced;
     for (const EndpointRegistry::Status *candidate : candidates)
         paced.add(assess(*candidate, query, basis, now));
@@ -170,6 +196,10 @@
     choice.tokensToRead = best.tokensToPrefill;
     choice.isWaiting = best.room != performance::PrefillRoom::Open;
     choice.isPaced = best.isPaced();
+    if (best.copy != nullptr) {
+        choice.cacheSource = best.copy->source;
+        choice.cacheTransfer = *best.copy;
+    }
     return choice;
 }
 
@@ -179,15 +209,17 @@
                                                           units::TimePoint now) const
 {
     const std::int64_t shared = query.promptTokens - query.ownTokens;
-    const std::int64_t sharedToPrefill
-        = prefixcache::PrefixCacheIndex::holds(basis.holders, endpoint->registration, now) ? 0
-                                                                                           : shared;
-    const std::int64_t tokensToPrefill = query.ownTokens + sharedToPrefill;
+    const bool isHeld
+        = prefixcache::PrefixCacheIndex::holds(basis.holders, endpoint->registration, now);
+    const SharedPartCost sharedCost = isHeld
+        ? SharedPartCost{}
+        : costOfSharedPart(shared, endpoint->registration, *basis.sources, *basis.rate, now);
+    const std::int64_t tokensToPrefill = query.ownTokens + sharedCost.toPrefill;
     const EndpointLoad &load = loads_.of(*endpoint);
     // Penalty for deviating from the default choice: a host that places locally, or a new
     // coordinator, looks for the part on the first endpoint by hash.
-    const double detourPenalty = basis.isCachedSomewhere
-        ? double(sharedToPrefill) * RepeatedPrefillWeight
+    const double detourPenalty = basis.isCachedSomewhere || sharedCost.copy != nullptr
+        ? double(sharedCost.toPrefill) * RepeatedPrefillWeight
         : endpoint.get() == basis.first ? 0.0
                                         : double(shared) * DetourPenaltyWeight;
     // With its own size alone, each long prompt would wait for the endpoint with the fewest
@@ -196,9 +228,11 @@
         + (1 - basis.precedence) * basis.meanPrefill.value_or(double(tokensToPrefill));
     const double streamDelay = delayingTokens * load.streams * PrefillWeightPerStream;
     const double tokens = double(load.tokensToRead + tokensToPrefill) + streamDelay + detourPenalty;
+    const double copying = sharedCost.copying * (1 + RepeatedPrefillWeight);
     performance::PacedChoice::Candidate candidate{&endpoint, tokensToPrefill};
+    candidate.copy = sharedCost.copy;
     candidate.room = roomFor(*endpoint, tokensToPrefill, query, basis, now);
-    candidate.cost = tokens / speedOf(*endpoint, now) * penalty(*endpoint, now);
+    candidate.cost = (tokens / speedOf(*endpoint, now) + copying) * penalty(*endpoint, now);
     // The next batch starts one event after the prefill of this one has ended.
     if (candidate.room == performance::PrefillRoom::BatchFull)
         candidate.cost += inMs(performance::PrefillPacing::eventTime(*basis.tokensPerEvent))
@@ -234,6 +268,24 @@
     return model.relativeSpeed(endpoint.registration.pool, endpoint.registration, now);
 }
 
+// No copies in pools whose configuration does not describe them, nor for a stream that continues.
+prefixcache::CacheTransferSources
+RequestPlacer::cacheSourcesFor(const PlacementQuery &query,
+                               const std::vector<EndpointRegistry::Status> &available,
+                               units::TimePoint now)
+{
+    const auto pool = pools_.find(query.pool.value());
+    if (pool == pools_.end() || !pool->second.cacheTransfer || query.softwareVersion)
+        return prefixcache::CacheTransferSources({});
+    prefixcache::CacheTransferDemand demand;
+    demand.tokens = query.promptTokens - query.ownTokens;
+    demand.transfer = *pool->second.cacheTransfer;
+    demand.tokensPerMs = highestRates_[query.pool.value()].tokensPerMs();
+    demand.target = query.targetIn;
+    return cacheTransfers_.sources(demand, prefixCache_.holders(query.sharedPart), available,
+                                   query.tried, now);
+}
+
 const EndpointStatus *RequestPlacer::firstByHash(const PlacementQuery &query,
                                                  const Candidates &candidates)
 {
--- a/src/routing/prefixcache/prefixcacheindex.cpp
+++ b/src/routing/prefixcache/prefixcacheindex.cpp
@@ -12,6 +12,9 @@
 // A new standby coordinator knows all parts in use after this time. Costs about one datagram of 20
 // parts every 0.2 s.
 constexpr auto AnnounceInterval = std::chrono::seconds(2);
+// A part that another host has sent counts as prefilled after this time. Prefills take longer only
+// in an overload, in which such requests are late.
+constexpr auto AssumedPrefillTime = std::chrono::seconds(2);
 
 bool isExpired(const PrefixCacheIndex::Holder &holder, units::TimePoint now)
 {
@@ -35,6 +38,8 @@
                                [&](const Holder &each) { return isSame(each, endpoint); });
     if (holder == holders.end())
         holder = holders.insert(holders.end(), {endpoint.id, endpoint.incarnation, now, {}});
+    if (isExpired(*holder, now))
+        holder->readyAt = units::TimePoint::max();
     holder->lastSent = now;
     const bool isAnnouncementDue = now - holder->lastAnnounced >= AnnounceInterval;
     if (isAnnouncementDue)
@@ -42,6 +47,36 @@
     return isAnnouncementDue;
 }
 
+void PrefixCacheIndex::recordAnnounced(const std::string &part, const DiscoveredEndpoint &endpoint,
+                                       units::TimePoint now)
+{
+    recordSent(part, endpoint, now);
+    setReadyAt(part, endpoint, now + AssumedPrefillTime);
+}
+
+void PrefixCacheIndex::recordPrefilled(const std::string &part, const DiscoveredEndpoint &endpoint,
+                                       units::TimePoint now)
+{
+    setReadyAt(part, endpoint, now);
+}
+
+void PrefixCacheIndex::setReadyAt(const std::string &part, const DiscoveredEndpoint &endpoint,
+                                  units::TimePoint readyAt)
+{
+    const auto found = parts_.find(part);
+    if (found == parts_.end())
+        return;
+    for (Holder &holder : found->second) {
+        if (isSame(holder, endpoint))
+            holder.readyAt = std::min(holder.readyAt, readyAt);
+    }
+}
+
+bool PrefixCacheIndex::isReady(const Holder &holder, units::TimePoint now)
+{
+    return !isExpired(holder, now) && now >= holder.readyAt;
+}
+
 const std::vector<PrefixCacheIndex::Holder> *
 PrefixCacheIndex::holders(const std::string &part) const
 {
--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -159,12 +159,20 @@
     placed.at = now;
     placed.needsShortPauses = query.needsShortPauses;
     placed.isLimited = choice.isLimited;
-    placed.isSolePrefill = query.runsModel && loads_.of(endpoint).tokensToRead == 0;
+    placed.cacheSource = choice.cacheSource;
+    // The time of a copy would make the prefill rate and the endpoint look slower than they are.
+    const bool isCopied = !choice.cacheSource.isEmpty();
+    placed.isSolePrefill = query.runsModel && loads_.of(endpoint).tokensToRead == 0 && !isCopied;
+    if (choice.cacheTransfer)
+        cacheTransfers_.onPlaced(*choice.cacheTransfer, now);
     placed.gap = {query.tier, query.maxEventGap};
     loads_.add(endpoint, choice.tokensToRead, placed.gap, now);
     if (query.runsModel) {
-        prefillPeriods_.onPlaced(endpoint, choice.tokensToRead, tokensPerMs(endpoint, now), now);
+        prefillPeriods_.onPlaced(endpoint, choice.tokensToRead,
+                                 isCopied ? 0 : tokensPerMs(endpoint, now), now);
         choice.expectedFirstEvent = expectedFirstEvent(endpoint, now);
+        if (choice.cacheTransfer && choice.expectedFirstEvent != units::Duration::zero())
+            choice.expectedFirstEvent += choice.cacheTransfer->duration;
         placed.expectedFirstEvent = choice.expectedFirstEvent;
     }
     if (query.needsShortPauses)
@@ -175,6 +183,7 @@
         workspaceShares_.onPlaced(query.pool, query.tier, query.workspace, query.promptTokens, now);
     }
     if (query.runsModel && !query.sharedPart.empty()) {
+        placed.sharedPart = query.sharedPart;
         const DiscoveredEndpoint &registration = endpoint.registration;
         if (prefixCache_.recordSent(query.sharedPart, registration, now))
             unannouncedParts_.push_back(
@@ -339,14 +348,19 @@
 {
     const EndpointStatus &endpoint = *placed.endpoint;
     loads_.addResult(endpoint, now);
-    if (placed.isSolePrefill && endpoint.health.slowness(now) < MaxSlownessOfSamples)
+    if (placed.isSolePrefill && endpoint.health.slowness(now) < MaxSlownessOfSamples) {
         learnRate(placed, now);
+        highestRates_[endpoint.registration.pool.value()].addSample(placed.tokensToRead,
+                                                                    now - placed.at, now);
+    }
     placed.isSolePrefill = false;
     learnSpeed(placed, now);
     loads_.removeTokens(endpoint, placed.tokensToRead);
     placed.tokensToRead = 0;
-    if (!placed.isStreaming)
+    if (!placed.isStreaming) {
         loads_.addStream(endpoint);
+        prefixCache_.recordPrefilled(placed.sharedPart, endpoint.registration, now);
+    }
     placed.isStreaming = true;
 }
 
@@ -379,6 +393,7 @@
     choice.tokensToRead = found->second.tokensToRead;
     choice.isLimited = found->second.isLimited;
     choice.expectedFirstEvent = found->second.expectedFirstEvent;
+    choice.cacheSource = found->second.cacheSource;
     return choice;
 }
 
@@ -387,7 +402,7 @@
     DiscoveredEndpoint endpoint;
     endpoint.id = part.endpoint;
     endpoint.incarnation = part.incarnation;
-    prefixCache_.recordSent(part.part, endpoint, now);
+    prefixCache_.recordAnnounced(part.part, endpoint, now);
 }
 
 int RequestPlacer::openRequests(const EndpointStatus &endpoint) const
--- a/tests/adapter/platformheadercodec_test.cpp
+++ b/tests/adapter/platformheadercodec_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace monsoongrade;
 using namespace monsoongrade::platform;
 
@@ -70,3 +72,20 @@
     CHECK(*httpio::findHeader(forwarded, "Deadline-Ms") == "1234");
     CHECK(forwarded.size() == 3);
 }
+
+// Guards against a client that makes an endpoint fetch memory from an address of its choice, and
+// against a source that is lost on the way.
+TEST_CASE("PlatformHeaderCodec.OnlyTheGatewayNamesTheSourceOfACopy")
+{
+    const httpio::Headers client{{"kv-fetch", "9.9.9.9:9"}, {"Attempt-Id", "id"}};
+    gateway::EndpointRequest request;
+    CHECK(httpio::findHeader(PlatformHeaderCodec().endpointHeaders(client, request), "Kv-Fetch")
+          == nullptr);
+    request.cacheSource = "10.0.0.1:80";
+    const httpio::Headers sent = PlatformHeaderCodec().endpointHeaders(client, request);
+    CHECK(*httpio::findHeader(sent, "Kv-Fetch") == "10.0.0.1:80");
+    CHECK(std::count_if(
+              sent.begin(), sent.end(),
+              [](const auto &header) { return httpio::sameHeaderName(header.first, "Kv-Fetch"); })
+          == 1);
+}
--- a/tests/gateway/placementmessages_test.cpp
+++ b/tests/gateway/placementmessages_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <variant>
+
 using namespace monsoongrade;
 using namespace monsoongrade::gateway::internal;
 using routing::performance::LearnedSpeed;
@@ -31,3 +33,19 @@
         CHECK(decoded.speeds[i].age == message.speeds[i].age);
     }
 }
+
+// Guards against a copy that the placing host plans and the requesting host never learns of: the
+// endpoint would prefill the whole prompt, and both would expect its own tokens only.
+TEST_CASE("PlacementMessages.AnswerNamesTheSourceOfACopy")
+{
+    for (const std::string source : {"", "e7"}) {
+        routing::PlacementChoice choice;
+        choice.tokensToRead = 3720;
+        choice.cacheSource = units::EndpointId(source);
+        const PlacementMessage decoded = decodePlacementMessage(encode(answerFor(5, choice)));
+        const auto &answer = std::get<AnswerMessage>(decoded);
+        CHECK(answer.number == 5);
+        CHECK(answer.tokensToRead == 3720);
+        CHECK(answer.cacheSource.value() == source);
+    }
+}
--- a/tests/routing/simulatedpool.cpp
+++ b/tests/routing/simulatedpool.cpp
@@ -58,10 +58,11 @@
         speed *= meanTime;
     if (options.knowsSpeeds)
         placer_.setSpeedModel(&speeds_);
-    if (options.pacesPrefill) {
+    if (options.pacesPrefill || options.cacheTransfer) {
         TrafficPool pool;
         pool.name = Pool;
         pool.tokensPerEvent = options.engine.tokensPerEvent;
+        pool.cacheTransfer = options.cacheTransfer;
         placer_.setPools({pool});
     }
 }
@@ -77,6 +78,7 @@
         if (options_.coordinatorLostAt.count() > 0 && now_ == start_ + options_.coordinatorLostAt)
             replaceCoordinator();
         removeExpired();
+        endCopies();
         if (tick % TicksPerPlacement == 0) {
             for (const auto &[ticket, choice] : placer_.placeWaiting(registry_, now_))
                 submit(ticket.number, choice);
@@ -112,6 +114,8 @@
             request.kind = &kind;
             request.part = kind.name
                 + std::to_string(std::uniform_int_distribution<int>(1, kind.parts)(random_));
+            if (kind.commonShare > 0 && std::bernoulli_distribution(kind.commonShare)(random_))
+                request.part = kind.name + "0";
             request.arrivedAt = now_;
             request.attemptAt = now_;
             request.returnKey = number;
@@ -248,10 +252,54 @@
     if (isCached)
         engine.cached.erase(cached);
     engine.cached.push_back(request.part);
-    if (engine.cached.size() > options_.engine.cachedParts)
+    if (engine.cached.size() > options_.engine.cachedParts) {
+        engine.prefilled.erase(engine.cached.front());
         engine.cached.erase(engine.cached.begin());
-    request.tokensLeft = request.own + (isCached ? 0 : request.kind->sharedTokens);
-    request.context = isCached ? request.kind->sharedTokens : 0;
+    }
+    const bool isNew = seenParts_.insert(request.part).second;
+    const bool isCopied = !isCached && startCopy(engine, number, choice);
+    const bool skipsShared = isCached || isCopied;
+    request.tokensLeft = request.own + (skipsShared ? 0 : request.kind->sharedTokens);
+    request.context = skipsShared ? request.kind->sharedTokens : 0;
+    outcome.sharedPrefilledAgain += skipsShared || isNew ? 0 : request.kind->sharedTokens;
+    if (!isCopied)
+        startPrefill(engine, number);
+}
+
+// Returns false if the source does not hold the part; the engine then prefills it.
+bool SimulatedPool::startCopy(Engine &engine, std::uint64_t number, const PlacementChoice &choice)
+{
+    if (choice.cacheSource.isEmpty())
+        return false;
+    const Request &request = open_.at(number);
+    SimulatedOutcome &outcome = outcomes_[request.kind->name];
+    const auto source = engines_.find(choice.cacheSource.value());
+    if (source == engines_.end() || source->second.prefilled.count(request.part) == 0) {
+        ++outcome.failedCopies;
+        return false;
+    }
+    ++outcome.copies;
+    const double bits
+        = double(request.kind->sharedTokens * options_.cacheTransfer->bytesPerToken) * 8;
+    units::TimePoint &freeAt = source->second.linkFreeAt;
+    freeAt = std::max(freeAt, now_)
+        + milliseconds(bits / options_.cacheTransfer->megabitsPerSecond / 1000 + 2);
+    copies_.emplace(freeAt, std::make_pair(&engine, number));
+    return true;
+}
+
+void SimulatedPool::endCopies()
+{
+    while (!copies_.empty() && copies_.begin()->first <= now_) {
+        const auto [engine, number] = copies_.begin()->second;
+        copies_.erase(copies_.begin());
+        startPrefill(*engine, number);
+    }
+}
+
+void SimulatedPool::startPrefill(Engine &engine, std::uint64_t number)
+{
+    const Request &request = open_.at(number);
     const auto isLessUrgent = [&](std::uint64_t other) {
         return open_.at(other).kind->tier > request.kind->tier;
     };
@@ -327,6 +375,9 @@
         if (request.tokensLeft > 0)
             break;
         engine.prefilling.pop_front();
+        if (std::find(engine.cached.begin(), engine.cached.end(), request.part)
+            != engine.cached.end())
+            engine.prefilled.insert(request.part);
         engine.running.push_back(number);
     }
     return options_.engine.chunkTokens - room;
@@ -344,6 +395,11 @@
         request.firstEventAt = engine.nextStep;
         request.isFirstLate = engine.nextStep - request.arrivedAt > request.kind->target;
         placer_.onEvent(ticketOf(number), PlacementEvent::FirstEvent, now_);
+        SimulatedOutcome &outcome = outcomes_[request.kind->name];
+        outcome.firstEventMs
+            += std::chrono::duration<double, std::milli>(engine.nextStep - request.arrivedAt)
+                   .count();
+        ++outcome.firstEvents;
     } else {
         request.hadLongGap = request.hadLongGap
             || engine.nextStep - request.lastEventAt > request.kind->maxEventGap;
@@ -394,6 +450,17 @@
     return {breakdown, tagging, summary};
 }
 
+std::vector<SimulatedClass> overloadWithCommonPart()
+{
+    using std::chrono::milliseconds;
+    SimulatedClass report{
+        "report",          2, 110, 200, 13300, 3720, 120, milliseconds(2000), milliseconds(1500),
+        milliseconds(2700)};
+    report.deadline = milliseconds(8000);
+    report.commonShare = 1.0 / 3;
+    return {report};
+}
+
 std::vector<SimulatedClass> overloadOfMixedSizes(double prefillTokensPerMs)
 {
     using std::chrono::milliseconds;
--- a/tests/routing/simulatedpool.h
+++ b/tests/routing/simulatedpool.h
@@ -34,6 +34,7 @@
     std::chrono::milliseconds deadline = std::chrono::seconds(60); // until a stream is cut
     units::WorkspaceName workspace;
     std::chrono::milliseconds startsAfter{}; // time without requests of the class at the start
+    double commonShare = 0; // of the requests that share one part; the others draw from parts
 };
 
 // Performance parameters of the simulated engines.
@@ -72,6 +73,11 @@
     int onTimeAfterRetry = 0;
     units::Duration totalWait{}; // of the served: from the first arrival to the first event
     std::int64_t placedTokens = 0; // prompt tokens
+    std::int64_t sharedPrefilledAgain = 0; // tokens of parts that an engine had prefilled before
+    int copies = 0;
+    int failedCopies = 0; // the source did not hold the part
+    double firstEventMs = 0; // sum over the requests with a first event
+    int firstEvents = 0;
 
     int served() const { return onTime + firstLate + paused; }
 };
@@ -98,6 +104,7 @@
         std::chrono::milliseconds coordinatorLostAt{};
         bool knowsSpeeds = false; // the placer knows the engines' speeds
         bool pacesPrefill = false; // the placer knows the pool's configuration
+        std::optional<CacheTransfer> cacheTransfer; // set: engines copy shared parts
     };
 
     SimulatedPool(const Options &options, std::vector<SimulatedClass> classes);
@@ -134,6 +141,8 @@
         std::deque<std::uint64_t> prefilling;
         std::vector<std::uint64_t> running;
         std::vector<std::string> cached; // least recently used first
+        std::set<std::string> prefilled; // of the cached parts, those that can be copied
+        units::TimePoint linkFreeAt{};
         units::TimePoint nextStep{};
         double speed = 1;
         units::Duration prefillTime{}; // until the end of the load
@@ -151,6 +160,9 @@
     SimulatedOutcome &outcomeOf(const Request &request);
     void replaceCoordinator();
     void removeExpired();
+    void startPrefill(Engine &engine, std::uint64_t number);
+    bool startCopy(Engine &engine, std::uint64_t number, const PlacementChoice &choice);
+    void endCopies();
     void step(Engine &engine);
     std::int64_t prefillChunk(Engine &engine);
     void emit(Engine &engine, std::uint64_t number);
@@ -166,6 +178,8 @@
     std::set<std::uint64_t> queued_;
     std::multimap<units::TimePoint, Request> returning_;
     queueing::ReturnSchedule::Counts returnCounts_;
+    std::multimap<units::TimePoint, std::pair<Engine *, std::uint64_t>> copies_; // by end
+    std::set<std::string> seenParts_;
     std::map<std::string, SimulatedOutcome> outcomes_;
     std::mt19937 random_; // the same load in each run with the same seed
     units::TimePoint now_ = units::TimePoint(std::chrono::hours(1));
@@ -179,6 +193,10 @@
 // summaries; for 60 endpoints, scaled by share.
 std::vector<SimulatedClass> burstOfLongPrompts(double share);
 
+// Twice as many long prompts as twelve engines that prefill 61 tokens per millisecond can handle in
+// full. A third of them share one part.
+std::vector<SimulatedClass> overloadWithCommonPart();
+
 // More prompts, of very different sizes, than ten engines that prefill 66 tokens per millisecond
 // can handle; the load is scaled with the rate of the engines.
 std::vector<SimulatedClass> overloadOfMixedSizes(double prefillTokensPerMs);
