--- a/include/monsoongrade/gateway/placementservice.h
+++ b/include/monsoongrade/gateway/placementservice.h
@@ -98,8 +98,6 @@
     // Lowest and highest prefill speed of the endpoints relative to their pools. Empty if this host
     // is not coordinator, or has learned none.
     std::optional<std::pair<double, double>> speedRange() const;
-    // Number of requests that this host has queued for the sake of running streams.
-    std::int64_t prefillsPaced() const { return placer_.prefillsPaced(); }
     // True if place() could find an endpoint on this host.
     bool hasEndpoint(const routing::PlacementQuery &query) const;
 
--- a/include/monsoongrade/routing/endpointloads.h
+++ b/include/monsoongrade/routing/endpointloads.h
@@ -2,7 +2,6 @@
 #define MONSOONGRADE_ROUTING_ENDPOINTLOADS_H
 
 #include <monsoongrade/routing/endpointstatus.h>
-#include <monsoongrade/routing/performance/streamgaps.h>
 
 #include <unordered_map>
 
@@ -15,10 +14,6 @@
     int streams = 0; // open requests that have received their first event
     std::int64_t tokensToRead = 0; // unprocessed prompt tokens of the others
     units::TimePoint lastResultAt{}; // last first event or complete response
-    performance::StreamGaps gaps; // of the open requests
-    // While prompt tokens are unprocessed: since when, and the tokens placed since then.
-    units::TimePoint busySince{};
-    std::int64_t batchTokens = 0;
 };
 
 // Counts the open requests and unprocessed prompt tokens of each endpoint.
@@ -26,20 +21,16 @@
 {
 public:
     // All zero if the endpoint has no open request.
-    const EndpointLoad &of(const EndpointStatus &endpoint) const;
-    void add(const EndpointStatus &endpoint, std::int64_t tokensToRead,
-             const performance::StreamGap &gap, units::TimePoint now);
+    EndpointLoad of(const EndpointStatus &endpoint) const;
+    void add(const EndpointStatus &endpoint, std::int64_t tokensToRead);
     // The endpoint has processed these tokens, or is no longer expected to process them.
     void removeTokens(const EndpointStatus &endpoint, std::int64_t tokens);
     void addStream(const EndpointStatus &endpoint);
     void addResult(const EndpointStatus &endpoint, units::TimePoint now);
     // A request has ended. isStream: addStream() was called for it.
-    void end(const EndpointStatus &endpoint, std::int64_t tokensToRead,
-             const performance::StreamGap &gap, bool isStream);
+    void end(const EndpointStatus &endpoint, std::int64_t tokensToRead, bool isStream);
 
 private:
-    static void removeTokens(EndpointLoad &load, std::int64_t tokens);
-
     std::unordered_map<const EndpointStatus *, EndpointLoad> loads_;
 };
 
--- a/include/monsoongrade/routing/requestplacer.h
+++ b/include/monsoongrade/routing/requestplacer.h
@@ -5,7 +5,6 @@
 #include <monsoongrade/routing/endpointregistry.h>
 #include <monsoongrade/routing/performance/endpointspeedmodel.h>
 #include <monsoongrade/routing/performance/learnedendpointspeeds.h>
-#include <monsoongrade/routing/performance/pacedchoice.h>
 #include <monsoongrade/routing/performance/prefillperiods.h>
 #include <monsoongrade/routing/performance/prefillrate.h>
 #include <monsoongrade/routing/performance/prefillsizes.h>
@@ -65,7 +64,6 @@
     units::EndpointId cacheSource;
     // With retryDelay.
     std::optional<queueing::RefusalDetails> refusal;
-    bool isPaced = false; // with isWaiting: waits for the sake of streams, see PrefillPacing
     // That copy, on the host that places the request.
     std::optional<prefixcache::CacheTransferPlan> cacheTransfer;
 };
@@ -98,9 +96,6 @@
 // capacity is reserved for its retry, see ReturnSchedule. A request of a workspace over its share
 // is not placed while others within theirs wait in its pool and tier.
 //
-// Where uninterrupted prefill would delay the events of running streams too much, queued prefills
-// are placed in batches, see PrefillPacing.
-//
 // Streams with short event gaps have reserved endpoints, see ShortPauseReserve. They overflow to
 // the others when those are full, and long prefills use reserved endpoints only as a last resort.
 //
@@ -161,8 +156,6 @@
     performance::LearnedEndpointSpeeds &speeds() { return speeds_; }
     const performance::LearnedEndpointSpeeds &speeds() const { return speeds_; }
 
-    // Requests that were queued because no endpoint was open to their prefill, see PrefillPacing.
-    std::int64_t prefillsPaced() const { return prefillsPaced_; }
     std::size_t openRequests() const { return placed_.size(); }
     int openRequests(const EndpointStatus &endpoint) const;
     std::int64_t tokensToRead(const EndpointStatus &endpoint) const;
@@ -179,13 +172,14 @@
         bool isSolePrefill = false; // its endpoint had no other prefill when it was placed
         bool isStreaming = false; // has had its first event
         bool isLimited = false;
-        performance::StreamGap gap;
         units::Duration expectedFirstEvent{};
         std::string sharedPart; // of a model request; may be empty
         units::EndpointId cacheSource;
     };
     // What the cost of all endpoints for one request depends on.
     struct CostBasis;
+    // What a request costs on one endpoint.
+    struct Assessment;
     using Candidates = std::vector<const EndpointRegistry::Status *>;
 
     PlacementChoice queueOrRefuse(const PlacementTicket &ticket, const PlacementQuery &query,
@@ -205,12 +199,8 @@
                                    units::TimePoint now);
     CostBasis costBasisFor(const PlacementQuery &query, const Candidates &candidates,
                            units::TimePoint now);
-    performance::PacedChoice::Candidate assess(const EndpointRegistry::Status &endpoint,
-                                               const PlacementQuery &query, const CostBasis &basis,
-                                               units::TimePoint now) const;
-    performance::PrefillRoom roomFor(const EndpointStatus &endpoint, std::int64_t tokensToPrefill,
-                                     const PlacementQuery &query, const CostBasis &basis,
-                                     units::TimePoint now) const;
+    Assessment assess(const EndpointRegistry::Status &endpoint, const PlacementQuery &query,
+                      const CostBasis &basis, units::TimePoint now) const;
     // Relative to the mean of the endpoint's pool.
     double speedOf(const EndpointStatus &endpoint, units::TimePoint now) const;
     bool hasSlot(const EndpointStatus &endpoint, const RateShare &share) const;
@@ -260,7 +250,6 @@
     queueing::WorkspaceShares workspaceShares_;
     std::unordered_map<std::string, TrafficPool> pools_;
     const performance::EndpointSpeedModel *speedModel_ = nullptr; // in place of speeds_
-    std::int64_t prefillsPaced_ = 0;
     units::TimePoint nextCleanupAt_{};
 };
 
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -32,8 +32,6 @@
                 double(state_.reach.lostPools().size()));
     metrics.set("monsoongrade_gateway_live_hosts", "", double(state_.liveHosts));
     metrics.set("monsoongrade_gateway_hosts_compared_total", "", double(hostsCompared_.value()));
-    metrics.set("monsoongrade_gateway_prefills_paced_total", "",
-                double(state_.placement.prefillsPaced()));
     metrics.set("monsoongrade_gateway_fleet_cells", "", double(division().cells()));
     metrics.set("monsoongrade_gateway_own_cell", "", double(division().cellOf(settings_.ip)));
     metrics.set("monsoongrade_gateway_workspaces_over_share", "",
--- a/src/routing/endpointchoice.cpp
+++ b/src/routing/endpointchoice.cpp
@@ -1,6 +1,5 @@
 #include <monsoongrade/routing/requestplacer.h>
 
-#include <monsoongrade/routing/performance/prefillpacing.h>
 #include <monsoongrade/units/stablehash.h>
 
 #include <algorithm>
@@ -39,8 +38,6 @@
     std::int64_t toPrefill = 0;
     double copying = 0; // prefilled during the time of the copy
     const prefixcache::CacheTransferPlan *copy = nullptr;
-
-    double total() const { return double(toPrefill) + copying; }
 };
 
 // The cost on an endpoint that lacks the part. A copy is planned only where it is cheaper.
@@ -64,11 +61,6 @@
     return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
-double inMs(units::Duration time)
-{
-    return std::chrono::duration<double, std::milli>(time).count();
-}
-
 double penalty(const EndpointStatus &endpoint, units::TimePoint now)
 {
     return endpoint.health.slowness(now) * (1 + FailurePenalty * endpoint.health.failureRate(now));
@@ -131,6 +123,16 @@
     return byReserve.empty() ? usable : byReserve;
 }
 
+struct RequestPlacer::Assessment
+{
+    const EndpointRegistry::Status *endpoint = nullptr;
+    std::int64_t tokensToPrefill = 0;
+    const prefixcache::CacheTransferPlan *copy = nullptr; // of the shared part; null: none
+    // Prompt tokens that an endpoint with the speed 1 prefills in the time.
+    double cost = std::numeric_limits<double>::infinity();
+    bool hasRoom = true; // for a long prefill
+};
+
 struct RequestPlacer::CostBasis
 {
     const EndpointStatus *first = nullptr; // by hash
@@ -140,9 +142,6 @@
     std::optional<double> meanPrefill;
     double longPrefill = 0; // a prefill of more tokens is long
     std::int64_t maxBacklog = 0; // in tokens of an endpoint with the speed 1
-    double tokensPerMs = 0; // of such an endpoint
-    std::optional<int> tokensPerEvent; // unknown: the pool is not in the configuration
-    bool isPaced = false;
     const performance::PrefillRate *rate = nullptr;
     const prefixcache::CacheTransferSources *sources = nullptr;
 };
@@ -160,7 +159,6 @@
     const double longBySize = sizes.meanByTokens(now).value_or(longByTime) * LongShareOfMean;
     basis.longPrefill = basis.precedence * std::min(longByTime, longBySize);
     basis.maxBacklog = rate.tokensIn(MaxBacklog, now);
-    basis.tokensPerMs = rate.tokensPerMs(now);
     basis.rate = &rate;
     basis.first = firstByHash(query, candidates);
     basis.holders = prefixCache_.holders(query.sharedPart);
@@ -169,10 +167,6 @@
               return prefixcache::PrefixCacheIndex::holds(basis.holders, (*endpoint)->registration,
                                                           now);
           });
-    const auto pool = pools_.find(query.pool.value());
-    if (pool != pools_.end())
-        basis.tokensPerEvent = pool->second.tokensPerEvent;
-    basis.isPaced = basis.tokensPerEvent && query.mayWait && !query.softwareVersion;
     return basis;
 }
 
@@ -185,17 +179,18 @@
     const prefixcache::CacheTransferSources sources = cacheSourcesFor(query, available, now);
     CostBasis basis = costBasisFor(query, candidates, now);
     basis.sources = &sources;
-    performance::PacedChoice paced;
-    for (const EndpointRegistry::Status *candidate : candidates)
-        paced.add(assess(*candidate, query, basis, now));
-    const performance::PacedChoice::Candidate best = paced.best();
+    Assessment best;
+    for (const EndpointRegistry::Status *candidate : candidates) {
+        const Assessment assessment = assess(*candidate, query, basis, now);
+        if (assessment.cost < best.cost)
+            best = assessment;
+    }
     PlacementChoice choice;
     if (best.endpoint == nullptr)
         return choice;
     choice.endpoint = *best.endpoint;
     choice.tokensToRead = best.tokensToPrefill;
-    choice.isWaiting = best.room != performance::PrefillRoom::Open;
-    choice.isPaced = best.isPaced();
+    choice.isWaiting = !best.hasRoom;
     if (best.copy != nullptr) {
         choice.cacheSource = best.copy->source;
         choice.cacheTransfer = *best.copy;
@@ -203,10 +198,9 @@
     return choice;
 }
 
-performance::PacedChoice::Candidate RequestPlacer::assess(const EndpointRegistry::Status &endpoint,
-                                                          const PlacementQuery &query,
-                                                          const CostBasis &basis,
-                                                          units::TimePoint now) const
+RequestPlacer::Assessment RequestPlacer::assess(const EndpointRegistry::Status &endpoint,
+                                                const PlacementQuery &query, const CostBasis &basis,
+                                                units::TimePoint now) const
 {
     const std::int64_t shared = query.promptTokens - query.ownTokens;
     const bool isHeld
@@ -229,37 +223,15 @@
     const double streamDelay = delayingTokens * load.streams * PrefillWeightPerStream;
     const double tokens = double(load.tokensToRead + tokensToPrefill) + streamDelay + detourPenalty;
     const double copying = sharedCost.copying * (1 + RepeatedPrefillWeight);
-    performance::PacedChoice::Candidate candidate{&endpoint, tokensToPrefill};
-    candidate.copy = sharedCost.copy;
-    candidate.room = roomFor(*endpoint, tokensToPrefill, query, basis, now);
-    candidate.cost = (tokens / speedOf(*endpoint, now) + copying) * penalty(*endpoint, now);
-    // The next batch starts one event after the prefill of this one has ended.
-    if (candidate.room == performance::PrefillRoom::BatchFull)
-        candidate.cost += inMs(performance::PrefillPacing::eventTime(*basis.tokensPerEvent))
-            * basis.tokensPerMs * penalty(*endpoint, now);
-    return candidate;
-}
-
-performance::PrefillRoom RequestPlacer::roomFor(const EndpointStatus &endpoint,
-                                                std::int64_t tokensToPrefill,
-                                                const PlacementQuery &query, const CostBasis &basis,
-                                                units::TimePoint now) const
-{
-    using performance::PrefillRoom;
-    const double speed = speedOf(endpoint, now);
-    if (double(tokensToPrefill) <= basis.longPrefill * speed)
-        return PrefillRoom::Open;
-    const EndpointLoad &load = loads_.of(endpoint);
-    const bool isBacklogFull = double(load.tokensToRead) > double(basis.maxBacklog) * speed;
-    const performance::PrefillPacing pacing(basis.tokensPerMs * speed,
-                                            basis.tokensPerEvent.value_or(0),
-                                            load.gaps.smallest(query.tier));
-    if (!basis.isPaced || !pacing.isPacingNeeded())
-        return isBacklogFull ? PrefillRoom::BacklogFull : PrefillRoom::Open;
-    if (pacing.fitsInBatch(tokensToPrefill))
-        return pacing.mayPlace(load, tokensToPrefill, now) ? PrefillRoom::Open
-                                                           : PrefillRoom::BatchFull;
-    return isBacklogFull ? PrefillRoom::TooLargeForBatchBacklogFull : PrefillRoom::TooLargeForBatch;
+    const double speed = speedOf(*endpoint, now);
+    Assessment assessment;
+    assessment.endpoint = &endpoint;
+    assessment.tokensToPrefill = tokensToPrefill;
+    assessment.copy = sharedCost.copy;
+    assessment.cost = (tokens / speed + copying) * penalty(*endpoint, now);
+    assessment.hasRoom = double(tokensToPrefill) <= basis.longPrefill * speed
+        || double(load.tokensToRead) <= double(basis.maxBacklog) * speed;
+    return assessment;
 }
 
 double RequestPlacer::speedOf(const EndpointStatus &endpoint, units::TimePoint now) const
--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -88,7 +88,6 @@
     if (canWait()) {
         queue_.add(ticket, query, choice.tokensToRead, now, overShare,
                    isScheduledRetry ? Arrival::ScheduledRetry : Arrival::FirstTime);
-        prefillsPaced_ += choice.isPaced ? 1 : 0;
         return choice;
     }
     std::optional<units::Duration> reserved;
@@ -165,8 +164,7 @@
     placed.isSolePrefill = query.runsModel && loads_.of(endpoint).tokensToRead == 0 && !isCopied;
     if (choice.cacheTransfer)
         cacheTransfers_.onPlaced(*choice.cacheTransfer, now);
-    placed.gap = {query.tier, query.maxEventGap};
-    loads_.add(endpoint, choice.tokensToRead, placed.gap, now);
+    loads_.add(endpoint, choice.tokensToRead);
     if (query.runsModel) {
         prefillPeriods_.onPlaced(endpoint, choice.tokensToRead,
                                  isCopied ? 0 : tokensPerMs(endpoint, now), now);
@@ -426,7 +424,7 @@
     if (placed.needsShortPauses)
         reserve_.onStreamEnded(placed.endpoint->registration.pool);
     prefillPeriods_.onRemoved(*placed.endpoint, placed.tokensToRead);
-    loads_.end(*placed.endpoint, placed.tokensToRead, placed.gap, placed.isStreaming);
+    loads_.end(*placed.endpoint, placed.tokensToRead, placed.isStreaming);
 }
 
 void RequestPlacer::removeExpired(units::TimePoint now)
