--- a/tests/routing/simulatedpool.cpp
+++ b/tests/routing/simulatedpool.cpp
@@ -1,6 +1,5 @@
 #include "simulatedpool.h"
 
-#include <monsoongrade/routing/queueing/retryafter.h>
 
 #include <algorithm>
 #include <cmath>
@@ -122,49 +121,6 @@
                          now_));
 }
 
-// Returns whether the caller of a refused request retries.
-bool SimulatedPool::retryLater(const Request &request, const PlacementChoice &choice)
-{
-    if (request.retries >= options_.maxRetries || !choice.retryDelay)
-        return false;
-    constexpr auto Connect = std::chrono::milliseconds(5);
-    const units::Duration timeLeft = request.arrivedAt + request.kind->maxWait - now_;
-    const units::RequestId id(std::to_string(last_ + returning_.size()));
-    const units::Duration delay = choice.isReturnScheduled
-        ? *choice.retryDelay
-        : queueing::retryAfter(*choice.retryDelay, id, timeLeft);
-    if (delay > timeLeft / 3)
-        return false;
-    SimulatedOutcome &outcome = outcomes_[request.kind->name];
-    ++outcome.retries;
-    outcome.retried += request.retries == 0 ? 1 : 0;
-    Request again = request;
-    ++again.retries;
-    returning_.emplace(now_ + delay + Connect, std::move(again));
-    return true;
-}
-
-void SimulatedPool::placeRetries()
-{
-    while (!returning_.empty() && returning_.begin()->first <= now_) {
-        const std::uint64_t number = ++last_;
-        Request &request = open_[number] = std::move(returning_.begin()->second);
-        request.attemptAt = now_;
-        returning_.erase(returning_.begin());
-        place(number);
-    }
-}
-
-// The new coordinator knows nothing; hosts repeat the queries of their queued requests there.
-void SimulatedPool::addReturnCounts()
-{
-    const queueing::ReturnSchedule::Counts counts = placer_.takeReturnCounts();
-    returnCounts_.booked += counts.booked;
-    returnCounts_.served += counts.served;
-    returnCounts_.refused += counts.refused;
-    returnCounts_.missed += counts.missed;
-}
-
 std::int64_t SimulatedPool::drawOwnTokens(const SimulatedClass &kind)
 {
     if (kind.sizeSigma == 0)
@@ -302,18 +258,6 @@
                                                              : outcomes_[request.kind->name];
 }
 
-void SimulatedPool::replaceCoordinator()
-{
-    addReturnCounts();
-    placer_ = RequestPlacer();
-    for (const auto &[id, engine] : engines_) {
-        for (const std::string &part : engine.cached)
-            placer_.addCachedPart({part, engine.status->registration.id, {}}, now_);
-    }
-    for (const std::uint64_t number : std::set<std::uint64_t>(queued_))
-        place(number);
-}
-
 // Removes queued requests whose callers have given up.
 void SimulatedPool::removeExpired()
 {
@@ -420,68 +364,4 @@
     open_.erase(number);
 }
 
-std::vector<SimulatedClass> burstOfLongPrompts(double share)
-{
-    using std::chrono::milliseconds;
-    SimulatedClass breakdown{
-        "breakdown", 4,   1030 * share,       int(2059 * share), 13300,
-        3720,        120, milliseconds(1200), milliseconds(800), milliseconds(6400)};
-    SimulatedClass tagging{"tagging", 2,  157 * share,       int(1544 * share), 6300,
-                           2890,      54, milliseconds(400), milliseconds(300), milliseconds(2400)};
-    SimulatedClass summary{
-        "summary", 0,   191 * share,       int(833 * share),  350,
-        1110,      174, milliseconds(250), milliseconds(200), milliseconds(2000)};
-    return {breakdown, tagging, summary};
-}
-
-std::vector<SimulatedClass> overloadWithCommonPart()
-{
-    using std::chrono::milliseconds;
-    SimulatedClass report{
-        "report",          2, 110, 200, 13300, 3720, 120, milliseconds(2000), milliseconds(1500),
-        milliseconds(2700)};
-    report.deadline = milliseconds(8000);
-    report.commonShare = 1.0 / 3;
-    return {report};
-}
-
-std::vector<SimulatedClass> overloadOfMixedSizes(double prefillTokensPerMs)
-{
-    using std::chrono::milliseconds;
-    SimulatedClass plan{"plan",
-                        4,
-                        85 * prefillTokensPerMs / 66,
-                        150,
-                        5382,
-                        6610,
-                        380,
-                        milliseconds(2000),
-                        milliseconds(800),
-                        milliseconds(8000)};
-    plan.sizeSigma = 1.4;
-    plan.maxOwnTokens = 54600;
-    plan.deadline = milliseconds(15000);
-    return {plan};
-}
-
-std::vector<SimulatedClass> longPromptsAmongShortStreams(double endpoints)
-{
-    using std::chrono::milliseconds;
-    const auto scaled = [&](double perEndpoint) {
-        return std::max(1, int(perEndpoint * endpoints));
-    };
-    SimulatedClass longest{"long", 2,   4.0 * endpoints,    scaled(2),          13300,
-                           3720,   120, milliseconds(2000), milliseconds(1500), milliseconds(2600)};
-    longest.sizeSigma = 0.4;
-    longest.maxOwnTokens = 9000;
-    longest.deadline = milliseconds(8000);
-    SimulatedClass middle{"middle", 1,  3.0 * endpoints,   scaled(2),         6300,
-                          2890,     54, milliseconds(600), milliseconds(600), milliseconds(1600)};
-    middle.deadline = milliseconds(5000);
-    SimulatedClass brief{"short", 0,   9.0 * endpoints,   scaled(2),         350,
-                         1110,    174, milliseconds(400), milliseconds(400), milliseconds(3300)};
-    brief.deadline = milliseconds(10000);
-    return {longest, middle, brief};
-}
-
 } // namespace monsoongrade::routing
