Workspace shares are a setting, off by default; copies start from a high rate

Change: shares act only with workspace-shares: true. The highest prefill rate counts its start value as measured in the first period again, so pools of fast engines do not copy.

--- a/include/monsoongrade/gateway/gatewaysettings.h
+++ b/include/monsoongrade/gateway/gatewaysettings.h
@@ -26,6 +26,7 @@
     std::uint16_t metricsPort = 0; // 0 serves no metrics
     std::uint16_t gossipPort = 0;
     std::uint16_t placementPort = 0;
+    bool hasFairShares = false; // for workspaces, while model requests are queued
     std::uint16_t relayPort = 0;
     // On which hosts tell each other at which software version streams began; 0: they don't.
     std::uint16_t streamVersionsPort = 0;
--- a/include/monsoongrade/gateway/placementservice.h
+++ b/include/monsoongrade/gateway/placementservice.h
@@ -43,6 +43,7 @@
     {
         std::string ownIp;
         std::uint16_t port = 0; // the same on all hosts
+        bool hasFairShares = false; // for workspaces, while requests are queued
     };
 
     PlacementService(asio::io_context &io, httpio::Timers &timers, Settings settings,
--- a/include/monsoongrade/routing/prefixcache/highestprefillrate.h
+++ b/include/monsoongrade/routing/prefixcache/highestprefillrate.h
@@ -18,7 +18,8 @@
 public:
     // The time from placing a request on an endpoint without other prefills to its first event.
     void addSample(std::int64_t tokens, units::Duration took, units::TimePoint now);
-    // The start value of PrefillRate until there are enough samples.
+    // The start value of PrefillRate counts as measured in the first period: an overload may last
+    // since the start, and engines that read fast would look slow enough for copies.
     double tokensPerMs() const;
 
 private:
@@ -26,7 +27,7 @@
     double weight_ = 0;
     double tokens_ = 0;
     double ms_ = 0;
-    double highest_ = 0; // since periodStart_; 0: not measured
+    double highest_ = performance::PrefillRate::InitialTokensPerMs; // since periodStart_
     double previous_ = 0; // in the period before
     units::TimePoint periodStart_{};
 };
--- a/include/monsoongrade/routing/requestplacer.h
+++ b/include/monsoongrade/routing/requestplacer.h
@@ -138,6 +138,8 @@
                  const StreamProgress &progress = {});
     // Sets the pools of the configuration in force.
     void setPools(const std::vector<TrafficPool> &pools);
+    // Whether workspaces get fair shares while requests are queued. On by default.
+    void setFairShares(bool areOn) { hasFairShares_ = areOn; }
     // Sets the speeds of the endpoints by which requests are placed; null: the learned ones.
     void setSpeedModel(const performance::EndpointSpeedModel *model) { speedModel_ = model; }
     // True if place() would find an endpoint.
@@ -248,6 +250,7 @@
     std::unordered_map<std::string, performance::PrefillSizes> prefillSizes_; // by pool
     queueing::SizeFairnessByTier sizeFairness_;
     queueing::WorkspaceShares workspaceShares_;
+    bool hasFairShares_ = true;
     std::unordered_map<std::string, TrafficPool> pools_;
     const performance::EndpointSpeedModel *speedModel_ = nullptr; // in place of speeds_
     units::TimePoint nextCleanupAt_{};
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -65,7 +65,8 @@
     , pages_(std::move(pages))
     , state_(io, timers, headerCodec,
              routing::FreshnessLease(settings.revocationBound, LeaseMargin),
-             {settings.ip, settings.placementPort}, {settings.ip, settings.streamVersionsPort})
+             {settings.ip, settings.placementPort, settings.hasFairShares},
+             {settings.ip, settings.streamVersionsPort})
     , gossip_(io, timers, gossipSettings(settings), state_.crashes, state_.announcements)
 {
     state_.ownDomain = settings.failureDomain;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -42,6 +42,7 @@
     settings.metricsPort = std::uint16_t(reader.integer("metrics-port", 0, 0, MaxPort));
     settings.gossipPort = std::uint16_t(reader.integer("gossip-port", 0, 1, MaxPort));
     settings.placementPort = std::uint16_t(reader.integer("placement-port", 0, 1, MaxPort));
+    settings.hasFairShares = reader.flag("workspace-shares", false);
     settings.relayPort = std::uint16_t(reader.integer("relay-port", 0, 1, MaxPort));
     settings.forwardingPort
         = std::uint16_t(reader.integer("forwarding-port", settings.placementPort, 0, MaxPort));
--- a/src/gateway/placementservice.cpp
+++ b/src/gateway/placementservice.cpp
@@ -44,6 +44,7 @@
     , metrics_(log.metrics)
     , lastNumber_(firstNumber())
 {
+    placer_.setFairShares(settings_.hasFairShares);
 }
 
 void PlacementService::start()
--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -39,7 +39,7 @@
         return waiting;
     }
     const bool isScheduledRetry = returns_.onArrived(ticket, query, now);
-    if (query.runsModel && !isScheduledRetry)
+    if (query.runsModel && hasFairShares_ && !isScheduledRetry)
         workspaceShares_.onArrived(query.pool, query.tier, query.workspace, query.promptTokens,
                                    now);
     PlacementChoice choice = query.runsModel ? chooseForModel(query, available, now)
@@ -175,7 +175,9 @@
     if (query.runsModel) {
         prefillSizes_[query.pool.value()].add(choice.tokensToRead, now);
         sizeFairness_.of(query.pool, query.tier).onPlaced(query.promptTokens, now);
-        workspaceShares_.onPlaced(query.pool, query.tier, query.workspace, query.promptTokens, now);
+        if (hasFairShares_)
+            workspaceShares_.onPlaced(query.pool, query.tier, query.workspace, query.promptTokens,
+                                      now);
     }
     if (query.runsModel && !query.sharedPart.empty()) {
         placed.sharedPart = query.sharedPart;
