--- a/tests/routing/simulatedpool.cpp
+++ b/tests/routing/simulatedpool.cpp
@@ -1,6 +1,5 @@
 #include "simulatedpool.h"
 
-
 #include <algorithm>
 #include <cmath>
 
