Placement: message fields without a reader are removed

Paced prefill was to use a stream's event gap and output, and nothing reads them since it was removed.

--- a/include/monsoongrade/gateway/eventrelay.h
+++ b/include/monsoongrade/gateway/eventrelay.h
@@ -34,12 +34,6 @@
     // The longest time between two successive events so far, whether due to the endpoint or the
     // network; zero with fewer than two events.
     units::Duration longestPause() const { return longestPause_; }
-    // Events sent to the client, and the time from the first to the last.
-    int count() const { return count_; }
-    units::Duration duration() const
-    {
-        return firstEventAt_ ? lastEventAt_ - *firstEventAt_ : units::Duration::zero();
-    }
 
 private:
     std::string removeKnownEvents(const std::string &whole);
@@ -53,7 +47,6 @@
     std::optional<units::TimePoint> firstEventAt_;
     units::TimePoint lastEventAt_{};
     units::Duration longestPause_{};
-    int count_ = 0;
 };
 
 } // namespace monsoongrade::gateway
--- a/include/monsoongrade/gateway/placementservice.h
+++ b/include/monsoongrade/gateway/placementservice.h
@@ -81,8 +81,7 @@
     // Cancels a request that is not placed yet.
     void withdraw(std::uint64_t number);
     // Reports an event of a placed request to the host that placed it.
-    void report(const routing::PlacementTicket &ticket, routing::PlacementEvent event,
-                const routing::StreamProgress &progress = {});
+    void report(const routing::PlacementTicket &ticket, routing::PlacementEvent event);
     // Sets the pools of the configuration in force.
     void setPools(const std::vector<routing::TrafficPool> &pools) { placer_.setPools(pools); }
     // Returns the IP of the host that chose the open request's endpoint.
--- a/include/monsoongrade/routing/placementquery.h
+++ b/include/monsoongrade/routing/placementquery.h
@@ -30,10 +30,6 @@
     units::Tier tier;
     units::WorkspaceName workspace; // empty if there is none
     ReturnKey returnKey;
-    // The longest time between two events of a stream that is still on time; 0: not a stream.
-    units::Duration maxEventGap{};
-    // The client's estimate of the output, else the maximum that it asked for; 0: unknown.
-    std::int64_t outputTokens = 0;
     // Its maximum event gap is too short for an endpoint that prefills long prompts meanwhile.
     bool needsShortPauses = false;
     // Some requests of the pool need that. One endpoint is then reserved even while none is open:
--- a/include/monsoongrade/routing/requestmetadata.h
+++ b/include/monsoongrade/routing/requestmetadata.h
@@ -29,7 +29,6 @@
     std::vector<PromptPart> promptParts; // in order; the last belongs to this request or session
     units::TokenCount promptTokens;
     units::TokenCount maxOutputTokens;
-    std::optional<units::TokenCount> outputTokensHint; // the client's estimate, often far off
     std::string lastEventId; // the client resumes its stream after this event
     // The client attempt that brought the first event of the stream that it resumes.
     units::RequestId resumes;
--- a/include/monsoongrade/routing/requestplacer.h
+++ b/include/monsoongrade/routing/requestplacer.h
@@ -68,13 +68,6 @@
     std::optional<prefixcache::CacheTransferPlan> cacheTransfer;
 };
 
-// Progress of a stream that has ended.
-struct StreamProgress
-{
-    int events = 0; // that the client received
-    units::Duration duration{}; // from the first event to the last
-};
-
 // Chooses endpoints for requests and tracks the load that it has placed on each.
 //
 // Model pools: one host, the placement coordinator, places the requests of all hosts, so that it
@@ -133,9 +126,7 @@
     // the request was placed: in an overload a first event takes longer than the silence timeout.
     // EndpointPaused lowers the rank of the endpoint for all hosts, because it is likely to reject
     // their requests too. Events of unknown tickets are ignored.
-    // progress: of a completed stream.
-    void onEvent(const PlacementTicket &ticket, PlacementEvent event, units::TimePoint now,
-                 const StreamProgress &progress = {});
+    void onEvent(const PlacementTicket &ticket, PlacementEvent event, units::TimePoint now);
     // Sets the pools of the configuration in force.
     void setPools(const std::vector<TrafficPool> &pools);
     // Whether workspaces get fair shares while requests are queued. On by default.
--- a/schema/placement.capnp
+++ b/schema/placement.capnp
@@ -34,10 +34,6 @@
   workspace @17 :Text;
   # The same for all client attempts of a request; 0 if unknown.
   returnKey @18 :UInt64;
-  # Longest time between two events that is still on time; 0 if the response is no stream.
-  maxEventGapMs @19 :UInt32;
-  # The client's estimate, else the maximum that it asked for; 0 if unknown.
-  outputTokens @20 :UInt32;
 }
 
 struct PlacementAnswer {
@@ -73,9 +69,6 @@
 struct PlacementNews {
   number @0 :UInt64;
   news @1 :News;
-  # With completed: events that the client received, and the time from the first to the last.
-  events @2 :UInt32;
-  streamMs @3 :UInt32;
 
   enum News {
     firstEvent @0;
--- a/schema/placement.capnp.h
+++ b/schema/placement.capnp.h
@@ -56,7 +56,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(ceb6b6014d2b2208, 7, 8)
+        CAPNP_DECLARE_STRUCT_HEADER(ceb6b6014d2b2208, 6, 8)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -137,7 +137,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(e36e8bb5010bb043, 3, 0)
+        CAPNP_DECLARE_STRUCT_HEADER(e36e8bb5010bb043, 2, 0)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -347,10 +347,6 @@
 
     inline ::uint64_t getReturnKey() const;
 
-    inline ::uint32_t getMaxEventGapMs() const;
-
-    inline ::uint32_t getOutputTokens() const;
-
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -479,12 +475,6 @@
     inline ::uint64_t getReturnKey();
     inline void setReturnKey(::uint64_t value);
 
-    inline ::uint32_t getMaxEventGapMs();
-    inline void setMaxEventGapMs(::uint32_t value);
-
-    inline ::uint32_t getOutputTokens();
-    inline void setOutputTokens(::uint32_t value);
-
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -890,10 +880,6 @@
 
     inline ::monsoongrade::schema::PlacementNews::News getNews() const;
 
-    inline ::uint32_t getEvents() const;
-
-    inline ::uint32_t getStreamMs() const;
-
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -935,12 +921,6 @@
     inline ::monsoongrade::schema::PlacementNews::News getNews();
     inline void setNews(::monsoongrade::schema::PlacementNews::News value);
 
-    inline ::uint32_t getEvents();
-    inline void setEvents(::uint32_t value);
-
-    inline ::uint32_t getStreamMs();
-    inline void setStreamMs(::uint32_t value);
-
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -2192,34 +2172,6 @@
     _builder.setDataField<::uint64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t PlacementAsk::Reader::getMaxEventGapMs() const
-{
-    return _reader.getDataField<::uint32_t>(::capnp::bounded<9>() * ::capnp::ELEMENTS);
-}
-
-inline ::uint32_t PlacementAsk::Builder::getMaxEventGapMs()
-{
-    return _builder.getDataField<::uint32_t>(::capnp::bounded<9>() * ::capnp::ELEMENTS);
-}
-inline void PlacementAsk::Builder::setMaxEventGapMs(::uint32_t value)
-{
-    _builder.setDataField<::uint32_t>(::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
-}
-
-inline ::uint32_t PlacementAsk::Reader::getOutputTokens() const
-{
-    return _reader.getDataField<::uint32_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS);
-}
-
-inline ::uint32_t PlacementAsk::Builder::getOutputTokens()
-{
-    return _builder.getDataField<::uint32_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS);
-}
-inline void PlacementAsk::Builder::setOutputTokens(::uint32_t value)
-{
-    _builder.setDataField<::uint32_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
-}
-
 inline ::uint64_t PlacementAnswer::Reader::getNumber() const
 {
     return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2541,34 +2493,6 @@
         ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t PlacementNews::Reader::getEvents() const
-{
-    return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline ::uint32_t PlacementNews::Builder::getEvents()
-{
-    return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void PlacementNews::Builder::setEvents(::uint32_t value)
-{
-    _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline ::uint32_t PlacementNews::Reader::getStreamMs() const
-{
-    return _reader.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline ::uint32_t PlacementNews::Builder::getStreamMs()
-{
-    return _builder.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void PlacementNews::Builder::setStreamMs(::uint32_t value)
-{
-    _builder.setDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
 inline float ShareLoan::Reader::getLentShare() const
 {
     return _reader.getDataField<float>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway/eventrelay.cpp
+++ b/src/gateway/eventrelay.cpp
@@ -88,7 +88,6 @@
         }
         if (!id.empty())
             lastId_ = id;
-        ++count_;
         passed.append(event);
     }
     return passed;
--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -245,7 +245,7 @@
 void Exchange::releaseEndpoint(routing::PlacementEvent event)
 {
     if (endpoint_ != nullptr)
-        state_.placement.report(ticket_, event, {events_.count(), events_.duration()});
+        state_.placement.report(ticket_, event);
     forgetEndpoint();
 }
 
--- a/src/gateway/internal/placementmessages.h
+++ b/src/gateway/internal/placementmessages.h
@@ -41,7 +41,6 @@
 {
     std::uint64_t number = 0;
     routing::PlacementEvent event = routing::PlacementEvent::Withdrawn;
-    routing::StreamProgress progress; // of a completed stream
 };
 
 struct CachedPartsMessage
--- a/src/gateway/placementmessages.cpp
+++ b/src/gateway/placementmessages.cpp
@@ -66,8 +66,6 @@
     ask.setLentShare(float(from.lentShare));
     ask.setWorkspace(query.workspace.value());
     ask.setReturnKey(query.returnKey.value());
-    ask.setMaxEventGapMs(inMilliseconds(query.maxEventGap));
-    ask.setOutputTokens(std::uint32_t(query.outputTokens));
     if (from.limit)
         encodeLimit(ask.initLimit(), *from.limit);
 }
@@ -96,8 +94,6 @@
     message.lentShare = readShare(ask.getLentShare());
     query.workspace = units::WorkspaceName(ask.getWorkspace());
     query.returnKey = routing::ReturnKey(ask.getReturnKey());
-    query.maxEventGap = std::chrono::milliseconds(ask.getMaxEventGapMs());
-    query.outputTokens = ask.getOutputTokens();
     if (ask.hasLimit())
         message.limit = decodeLimit(ask.getLimit());
     return message;
@@ -139,18 +135,11 @@
     auto news = root.initNews();
     news.setNumber(from.number);
     news.setNews(static_cast<schema::PlacementNews::News>(from.event));
-    news.setEvents(std::uint32_t(from.progress.events));
-    news.setStreamMs(inMilliseconds(from.progress.duration));
 }
 
 EventMessage read(schema::PlacementNews::Reader news)
 {
-    constexpr std::uint32_t MaxEvents = 1'000'000;
-    EventMessage message{
-        news.getNumber(), static_cast<routing::PlacementEvent>(news.getNews()), {}};
-    message.progress.events = int(std::min(news.getEvents(), MaxEvents));
-    message.progress.duration = std::chrono::milliseconds(news.getStreamMs());
-    return message;
+    return {news.getNumber(), static_cast<routing::PlacementEvent>(news.getNews())};
 }
 
 void write(const CachedPartsMessage &from, schema::PlacementMessage::Builder root)
--- a/src/gateway/placementservice.cpp
+++ b/src/gateway/placementservice.cpp
@@ -107,17 +107,16 @@
         placed(ticket, choice);
 }
 
-void PlacementService::report(const routing::PlacementTicket &ticket, routing::PlacementEvent event,
-                              const routing::StreamProgress &progress)
+void PlacementService::report(const routing::PlacementTicket &ticket, routing::PlacementEvent event)
 {
     const auto coordinator = coordinators_.find(ticket.number);
     if (coordinator == coordinators_.end()) {
-        placer_.onEvent(ticket, event, timers_.now(), progress);
+        placer_.onEvent(ticket, event, timers_.now());
         localWaiting_.erase(ticket.number);
         schedulePlaceWaiting();
         return;
     }
-    socket_.send(coordinator->second, encode(EventMessage{ticket.number, event, progress}));
+    socket_.send(coordinator->second, encode(EventMessage{ticket.number, event}));
     const bool staysOpen = event == routing::PlacementEvent::FirstEvent
         || event == routing::PlacementEvent::EndpointSilent;
     if (!staysOpen)
@@ -218,7 +217,7 @@
     metrics_.add("monsoongrade_gateway_placements_unanswered_total");
     // A late choice of the coordinator must not count as load there.
     socket_.send(pending.coordinator,
-                 encode(EventMessage{number, routing::PlacementEvent::Withdrawn, {}}));
+                 encode(EventMessage{number, routing::PlacementEvent::Withdrawn}));
     // Since this host does not know the other hosts' requests, queueing would only add delay.
     routing::PlacementQuery query = pending.query;
     query.mayWait = false;
@@ -263,7 +262,7 @@
 
 void PlacementService::onMessage(const std::string &host, const EventMessage &message)
 {
-    placer_.onEvent({host, message.number}, message.event, timers_.now(), message.progress);
+    placer_.onEvent({host, message.number}, message.event, timers_.now());
     schedulePlaceWaiting();
 }
 
--- a/src/routing/placementquery.cpp
+++ b/src/routing/placementquery.cpp
@@ -22,9 +22,6 @@
     query.promptTokens = metadata.promptTokens.value();
     query.ownTokens = query.promptTokens;
     query.tier = tier;
-    query.outputTokens = metadata.outputTokensHint.value_or(metadata.maxOutputTokens).value();
-    if (route.kind == RouteKind::Stream)
-        query.maxEventGap = route.maxEventGap;
     query.requesterDomain = requesterDomain;
     if (metadata.promptParts.empty())
         return query;
--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -262,7 +262,7 @@
 }
 
 void RequestPlacer::onEvent(const PlacementTicket &ticket, PlacementEvent event,
-                            units::TimePoint now, const StreamProgress & /*progress*/)
+                            units::TimePoint now)
 {
     queue_.remove(ticket);
     const auto found = placed_.find(ticket);
--- a/tests/routing/simulatedpool.cpp
+++ b/tests/routing/simulatedpool.cpp
@@ -152,7 +152,6 @@
     query.needsShortPauses
         = options_.keepsEndpoints && needsShortPauses(route, options_.engine.tokensPerEvent);
     query.poolServesShortPauses = options_.keepsEndpoints;
-    query.maxEventGap = kind.maxEventGap;
     query.targetIn = request.attemptAt + kind.target - now_;
     query.expiresIn = request.arrivedAt + kind.maxWait - now_;
     query.returnKey = ReturnKey(options_.hasReturnKeys ? request.returnKey : 0);
