--- a/tests/routing/prefixcache/cachetransferload_test.cpp
+++ b/tests/routing/prefixcache/cachetransferload_test.cpp
@@ -80,6 +80,7 @@
     options.endpoints = 12;
     options.length = std::chrono::seconds(20);
     options.cacheTransfer = LinksOfFastEngines;
-    for (const auto &[name, outcome] : SimulatedPool(options, burstOfLongPrompts(0.2)).play())
-        CHECK_MESSAGE(outcome.copies + outcome.failedCopies == 0, name, ": ", textOf(outcome));
+    for (const auto &each : SimulatedPool(options, burstOfLongPrompts(0.2)).play())
+        CHECK_MESSAGE(each.second.copies + each.second.failedCopies == 0, each.first, ": ",
+                      textOf(each.second));
 }
