--- a/tests/docs/reference_test.cpp
+++ b/tests/docs/reference_test.cpp
@@ -132,7 +132,7 @@
     events.merge(matches(sources(), "log\\([^;{]*\\? \"[a-z-]+\"\\s*: \"([a-z]+(?:-[a-z]+)*)\""));
     events.merge(matches(sources(), "event=([a-z]+(?:-[a-z]+)*) "));
     // Lines with a budget.
-    events.merge(matches(sources(), "log\\.write\\([^;{\"]*\"([a-z]+(?:-[a-z]+)*)\""));
+    events.merge(matches(sources(), "log_?\\.write\\([^;{\"]*\"([a-z]+(?:-[a-z]+)*)\""));
     events.merge(decisionNames());
     events.erase("unnamed");
     return events;
