--- a/soak/announcementchecks.cpp
+++ b/soak/announcementchecks.cpp
@@ -17,6 +17,11 @@
 // Requests under way when an endpoint asks for a pause may arrive for this time, and a few later.
 constexpr auto InFlightTime = milliseconds(500);
 constexpr int MaxArrivalsInPause = 2;
+// Crashes of brittle endpoints of a service, beside a share of their number.
+constexpr int MaxCrashes = 2;
+constexpr double MaxCrashesPerEndpoint = 0.1;
+// A host that was disturbed within this time before a crash is not to blame for it.
+constexpr auto ContactTime = milliseconds(3000);
 
 } // namespace
 
@@ -39,6 +44,35 @@
         }
         checkLimit(endpoint, found);
     }
+    for (const bool areModelEndpoints : {true, false})
+        checkCrashes(areModelEndpoints, found);
+}
+
+// A crash counts if most of the rejected requests came from undisturbed hosts.
+void SoakRun::checkCrashes(bool areModelEndpoints, std::vector<std::string> &found) const
+{
+    const std::size_t first = areModelEndpoints ? 0 : ModelEndpoints;
+    const std::size_t last = areModelEndpoints ? ModelEndpoints : Endpoints;
+    std::size_t crashes = 0;
+    std::string times;
+    for (std::size_t endpoint = first; endpoint < last; ++endpoint) {
+        for (const standins::WorkerCrash &crash : endpoints_[endpoint]->crashes()) {
+            const auto counted = std::count_if(
+                crash.rejectedIds.begin(), crash.rejectedIds.end(), [&](const std::string &id) {
+                    return !isHostDisturbed(recordOf(id).host, crash.at - ContactTime, crash.at);
+                });
+            if (std::size_t(counted) * 2 <= crash.rejectedIds.size())
+                continue;
+            ++crashes;
+            times += " " + endpointParty(endpoint) + " at "
+                + std::to_string(
+                         std::chrono::duration_cast<milliseconds>(crash.at - startedAt_).count())
+                + " ms,";
+        }
+    }
+    const double allowed = MaxCrashes + MaxCrashesPerEndpoint * double(last - first);
+    if (double(crashes) > allowed)
+        found.push_back("brittle endpoints crashed " + std::to_string(crashes) + " times:" + times);
 }
 
 void SoakRun::checkLimit(std::size_t endpoint, std::vector<std::string> &found) const
@@ -114,7 +148,8 @@
 {
     const CallRecord &record = recordOf(arrival.requestId);
     return record.isEnded && record.status == 200
-        && record.signature.rfind(endpointParty(endpoint) + ".", 0) == 0;
+        && (record.signature.rfind(endpointParty(endpoint) + ".", 0) == 0
+            || record.signature.rfind(endpointParty(endpoint) + "-", 0) == 0);
 }
 
 // A host that is killed or frozen forgets what it was told, or acts late.
--- a/soak/soakchecks.cpp
+++ b/soak/soakchecks.cpp
@@ -230,6 +230,12 @@
             out << " " << (status == 0 ? "none" : std::to_string(status)) << " " << count;
         out << "\n";
     }
+    for (std::size_t endpoint = 0; endpoint < endpoints_.size(); ++endpoint) {
+        for (const standins::WorkerCrash &crash : endpoints_[endpoint]->crashes())
+            out << endpointParty(endpoint) << " crashed at "
+                << std::chrono::duration_cast<milliseconds>(crash.at - startedAt_).count()
+                << " ms, after " << crash.rejectedIds.size() << " rejections in a second\n";
+    }
     return out.str();
 }
 
--- a/soak/soakparties.h
+++ b/soak/soakparties.h
@@ -9,6 +9,7 @@
 // The parties of a run, as its faults and its checks name them.
 
 constexpr std::size_t Endpoints = 8;
+constexpr std::size_t ModelEndpoints = 5; // the first ones; the others serve plain requests
 constexpr int EventsOfStream = 12;
 inline const std::string FirstKey = "key-one";
 // The key that a run may revoke.
--- a/soak/soakplan.cpp
+++ b/soak/soakplan.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr int FaultKinds = 17;
+constexpr int FaultKinds = 19;
 constexpr int FaultsPerSecond = 1;
 constexpr int MinFaultMs = 300;
 constexpr int MaxFaultMs = 4000;
@@ -57,6 +57,7 @@
     case FaultKind::EntryLapses:
     case FaultKind::EntryOfAnotherWriter:
     case FaultKind::EndpointNamesLimit:
+    case FaultKind::EndpointIsBrittle:
         return true;
     default:
         return false;
@@ -100,6 +101,10 @@
         return "entry-of-another-writer";
     case FaultKind::EndpointNamesLimit:
         return "endpoint-names-limit";
+    case FaultKind::EndpointIsBrittle:
+        return "endpoint-is-brittle";
+    case FaultKind::Burst:
+        return "burst";
     }
     return "unknown";
 }
@@ -153,7 +158,8 @@
         hasRevoked = hasRevoked || fault.kind == FaultKind::KeyRevoked;
         fault.beginsAt = std::chrono::milliseconds(below(lastBegin));
         const bool isAnnounced = fault.kind == FaultKind::EndpointAnnouncesLeaving
-            || fault.kind == FaultKind::EndpointNamesLimit;
+            || fault.kind == FaultKind::EndpointNamesLimit
+            || fault.kind == FaultKind::EndpointIsBrittle;
         const int minMs = isAnnounced ? MinAnnouncedMs : MinFaultMs;
         const int maxMs = isAnnounced ? MaxAnnouncedMs : MaxFaultMs;
         const std::uint32_t lasts = std::uint32_t(minMs) + below(std::uint32_t(maxMs - minMs));
--- a/soak/soakplan.h
+++ b/soak/soakplan.h
@@ -27,6 +27,8 @@
     EntryLapses, // its entry in the store is gone until the end
     EntryOfAnotherWriter, // its entry is overwritten by one that can't be its own, until the end
     EndpointNamesLimit, // it takes few requests a second, and says so in its responses
+    EndpointIsBrittle, // it crashes when it has to reject many requests, and says so in responses
+    Burst, // many more requests than usual
 };
 
 // Whether the fault's target is an endpoint; otherwise it is a host.
--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -19,11 +19,18 @@
 
 constexpr auto AskedPause = milliseconds(3000);
 constexpr double NamedLimit = 2; // requests a second
+constexpr double MaxRejections = 2; // a second
+constexpr int ModelSlots = 16;
+constexpr int PlainSlots = 6;
+constexpr int MaxWaiting = 4;
+// Brittle endpoints let fewer requests wait from this time on.
+constexpr auto WaitingShrinksAfter = milliseconds(3000);
+// Requests in a burst for each one at other times.
+constexpr int BurstFactor = 6;
 // The first host places the requests of all whenever it runs.
 constexpr double LargeCpuShare = 1;
 constexpr double SmallCpuShare = 0.5;
 constexpr std::uint16_t CallersPort = 8001;
-constexpr std::size_t ModelEndpoints = 5;
 constexpr std::size_t Domains = 3;
 constexpr auto BetweenRequests = milliseconds(8);
 constexpr auto StartWithin = milliseconds(10000);
@@ -77,9 +84,10 @@
     endpoint.id = endpointParty(number);
     endpoint.service = number < ModelEndpoints ? "model" : "plain";
     endpoint.zone = "z" + std::to_string(number % Domains);
-    endpoint.slots = 32;
+    endpoint.slots = number < ModelEndpoints ? ModelSlots : PlainSlots;
+    endpoint.maxWaiting = MaxWaiting;
     endpoint.events = EventsOfStream;
-    endpoint.work = milliseconds(15);
+    endpoint.work = milliseconds(number < ModelEndpoints ? 15 : 60);
     endpoint.eventGap = milliseconds(25);
     endpoint.announcedAddress = "127.0.0.1:" + std::to_string(proxyPort(number));
     endpoints_.push_back(std::make_unique<standins::StandInWorker>(io_, timers_, store_, endpoint));
@@ -118,17 +126,18 @@
     json workspaces{{{"name", "w1"}, {"api_keys", {FirstKey}}}};
     if (hasSecondKey)
         workspaces.push_back({{"name", "w2"}, {"api_keys", {SecondKey}}});
-    store_.put("config", "main",
-               {{"version", version},
-                {"routes",
-                 {route("/safe/", "safe", "plain", 1, 2, false),
-                  route("/unsafe/", "unsafe", "plain", 1, 2, false),
-                  route("/stream/", "streaming", "model", 2, 2, false),
-                  route("/resume/", "streaming", "model", 0, 2, true)}},
-                {"services",
-                 {{{"name", "plain"}, {"max_connections", 200}},
-                  {{"name", "model"}, {"max_connections", 200}, {"engine", {{"slots", 32}}}}}},
-                {"tenants", workspaces}});
+    store_.put(
+        "config", "main",
+        {{"version", version},
+         {"routes",
+          {route("/safe/", "safe", "plain", 1, 2, false),
+           route("/unsafe/", "unsafe", "plain", 1, 2, false),
+           route("/stream/", "streaming", "model", 2, 2, false),
+           route("/resume/", "streaming", "model", 0, 2, true)}},
+         {"services",
+          {{{"name", "plain"}, {"max_connections", 200}},
+           {{"name", "model"}, {"max_connections", 200}, {"engine", {{"slots", ModelSlots}}}}}},
+         {"tenants", workspaces}});
 }
 
 void SoakRun::startHost(Host &host)
@@ -195,7 +204,11 @@
     restartEnded();
     if (timers_.now() >= startedAt_ + settings_.length)
         return;
-    sendOne();
+    const bool isBurst = std::any_of(faults_.begin(), faults_.end(), [&](const Fault &fault) {
+        return fault.kind == FaultKind::Burst && isInForce(fault, timers_.now(), timers_.now());
+    });
+    for (int i = 0; i < (isBurst ? BurstFactor : 1); ++i)
+        sendOne();
     timers_.after(BetweenRequests, [this] { scheduleLoad(); });
 }
 
@@ -266,6 +279,15 @@
     case FaultKind::EndpointNamesLimit:
         endpoints_[fault.target]->announceLimit(NamedLimit);
         break;
+    case FaultKind::EndpointIsBrittle:
+        endpoints_[fault.target]->announceMaxRejections(MaxRejections);
+        timers_.after(WaitingShrinksAfter, [this, &fault] {
+            if (isInForce(fault, timers_.now(), timers_.now()))
+                endpoints_[fault.target]->setMaxWaiting(0);
+        });
+        break;
+    case FaultKind::Burst:
+        break;
     case FaultKind::EndpointRestarts:
         endpoints_[fault.target]->restart();
         break;
@@ -338,6 +360,12 @@
     case FaultKind::EndpointNamesLimit:
         endpoints_[fault.target]->announceLimit(std::nullopt);
         break;
+    case FaultKind::EndpointIsBrittle:
+        endpoints_[fault.target]->announceMaxRejections(std::nullopt);
+        endpoints_[fault.target]->setMaxWaiting(MaxWaiting);
+        break;
+    case FaultKind::Burst:
+        break;
     }
 }
 
--- a/soak/soakrun.h
+++ b/soak/soakrun.h
@@ -41,7 +41,7 @@
     bool play();
     // What broke a promise; empty if nothing did.
     std::vector<std::string> violations() const;
-    // A table of what the callers saw, by kind of request.
+    // A table of what the callers saw, by kind of request, and of crashed endpoints.
     std::string table() const;
 
 private:
@@ -76,6 +76,7 @@
     void checkPause(const standins::WorkerArrival &rejection, std::size_t endpoint,
                     std::vector<std::string> &found) const;
     void checkLimit(std::size_t endpoint, std::vector<std::string> &found) const;
+    void checkCrashes(bool areModelEndpoints, std::vector<std::string> &found) const;
     bool wasPassedOn(const standins::WorkerArrival &arrival, std::size_t endpoint) const;
     bool isHostDisturbed(std::size_t host, units::TimePoint from, units::TimePoint until) const;
     bool isPathDisturbed(std::size_t endpoint, units::TimePoint from, units::TimePoint until) const;
--- a/tests/platform_standin/standinworker.cpp
+++ b/tests/platform_standin/standinworker.cpp
@@ -4,11 +4,15 @@
 #include <chrono>
 #include <cstdlib>
 #include <map>
+#include <utility>
 
 namespace monsoongrade::standins {
 
 namespace {
 
+constexpr auto RestartTime = std::chrono::seconds(3);
+constexpr auto RejectionSpan = std::chrono::seconds(1);
+
 std::string valueOf(const httpio::Headers &headers, std::string_view name)
 {
     const std::string *value = httpio::findHeader(headers, name);
@@ -23,22 +27,40 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
 }
 
+// A request that runs or waits for a slot.
+struct StandInWorker::Run
+{
+    WorkerRun record;
+    Reply reply;
+    httpio::Headers response;
+    bool isStream = false;
+    int firstEvent = 1;
+};
+
 StandInWorker::StandInWorker(asio::io_context &io, httpio::Timers &timers, StandInStore &store,
                              Settings settings)
-    : timers_(timers)
+    : io_(io)
+    , timers_(timers)
     , store_(store)
     , settings_(std::move(settings))
-    , server_(
-          io, timers, {asio::ip::address_v4::loopback(), settings_.port}, limits_,
-          [this](const httpio::ServerRequest &request,
-                 const std::shared_ptr<httpio::ResponseWriter> &reply) { handle(request, reply); })
+    , firstId_(settings_.id)
     , born_(unixMilliseconds())
 {
+    servers_.push_back(listen(settings_.port));
+}
+
+std::unique_ptr<httpio::Server> StandInWorker::listen(std::uint16_t port)
+{
+    return std::make_unique<httpio::Server>(
+        io_, timers_, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), port), limits_,
+        [this](const httpio::ServerRequest &request, const Reply &reply) {
+            handle(request, reply);
+        });
 }
 
 std::string StandInWorker::address() const
 {
-    return "127.0.0.1:" + std::to_string(server_.address().port());
+    return "127.0.0.1:" + std::to_string(servers_.back()->address().port());
 }
 
 void StandInWorker::announce(const std::string &state)
@@ -84,6 +106,10 @@
 void StandInWorker::handle(const httpio::ServerRequest &request,
                            const std::shared_ptr<httpio::ResponseWriter> &reply)
 {
+    if (isCrashed_) {
+        reply->abort();
+        return;
+    }
     if (isSilent_) {
         heldRequests_.emplace_back([this, request, reply] { handle(request, reply); });
         return;
@@ -102,49 +128,129 @@
         response.emplace_back("Server-Leaving", "1");
     if (limit_)
         response.emplace_back("Server-Limit", std::to_string(*limit_));
-    if (isFull_ || running_ >= settings_.slots || pause_.count() > 0) {
-        ++rejected_;
-        response.emplace_back("Not-Executed", "1");
-        if (pause_.count() > 0)
-            response.emplace_back("Retry-After", std::to_string(double(pause_.count()) / 1000));
-        reply->respond(503, response, "");
+    if (maxRejections_)
+        response.emplace_back("Server-Brittle", std::to_string(*maxRejections_));
+    const bool hasSlot = int(running_.size()) < settings_.slots;
+    const bool mayWait = int(waiting_.size()) < settings_.maxWaiting;
+    if (isFull_ || pause_.count() > 0 || (!hasSlot && !mayWait)) {
+        reject(reply, std::move(response), id);
         return;
     }
-    ++running_;
-    runs_.push_back({id, valueOf(headers, "Tenant"), request.head.target, *request.body,
-                     valueOf(headers, "Last-Event-Id"), headers});
     response.emplace_back("Response-Signature", settings_.id + "." + id);
-    reply->onClientDisconnected([this] {
+    const auto run = std::make_shared<Run>();
+    run->record = {id,
+                   valueOf(headers, "Tenant"),
+                   request.head.target,
+                   *request.body,
+                   valueOf(headers, "Last-Event-Id"),
+                   headers};
+    run->reply = reply;
+    run->response = std::move(response);
+    run->isStream = httpio::findHeader(headers, "Prompt-Prefix") != nullptr;
+    run->firstEvent = std::atoi(valueOf(headers, "Last-Event-Id").c_str()) + 1;
+    reply->onClientDisconnected([this, weak = std::weak_ptr<Run>(run)] {
         ++clientsDisconnected_;
-        --running_;
+        if (const auto left = weak.lock())
+            finish(left);
     });
-    const bool isStream = httpio::findHeader(headers, "Prompt-Prefix") != nullptr;
-    const int firstEvent = std::atoi(valueOf(headers, "Last-Event-Id").c_str()) + 1;
-    timers_.after(settings_.work, [this, reply, response, isStream, firstEvent] {
-        if (isStream) {
-            stream(reply, response, firstEvent);
+    if (hasSlot)
+        begin(run);
+    else
+        waiting_.push_back(run);
+}
+
+void StandInWorker::reject(const Reply &reply, httpio::Headers response,
+                           const std::string &requestId)
+{
+    ++rejected_;
+    response.emplace_back("Not-Executed", "1");
+    if (pause_.count() > 0)
+        response.emplace_back("Retry-After", std::to_string(double(pause_.count()) / 1000));
+    reply->respond(503, response, "");
+    if (pause_.count() == 0) {
+        arrivals_.back().isRejectedForRoom = true;
+        crashIfOverwhelmed();
+    }
+}
+
+void StandInWorker::crashIfOverwhelmed()
+{
+    if (!maxRejections_)
+        return;
+    std::vector<std::string> rejectedIds;
+    for (auto arrival = arrivals_.rbegin(); arrival != arrivals_.rend(); ++arrival) {
+        if (arrival->born != born_ || timers_.now() - arrival->at > RejectionSpan)
+            break;
+        if (arrival->isRejectedForRoom)
+            rejectedIds.push_back(arrival->requestId);
+    }
+    if (double(rejectedIds.size()) > *maxRejections_)
+        crash(std::move(rejectedIds));
+}
+
+void StandInWorker::crash(std::vector<std::string> rejectedIds)
+{
+    crashes_.push_back({timers_.now(), std::move(rejectedIds)});
+    isCrashed_ = true;
+    const std::uint16_t port = servers_.back()->address().port();
+    servers_.back()->stopAccepting();
+    const auto running = std::exchange(running_, {});
+    for (const std::shared_ptr<Run> &run : running)
+        run->reply->abort();
+    for (const std::shared_ptr<Run> &run : std::exchange(waiting_, {}))
+        run->reply->abort();
+    timers_.after(RestartTime, [this, port] {
+        isCrashed_ = false;
+        removeEntry();
+        settings_.id = firstId_ + "-" + std::to_string(crashes_.size());
+        servers_.push_back(listen(port));
+        restart();
+        announce();
+    });
+}
+
+void StandInWorker::begin(const std::shared_ptr<Run> &run)
+{
+    running_.insert(run);
+    runs_.push_back(run->record);
+    timers_.after(settings_.work, [this, run] {
+        if (running_.count(run) == 0)
+            return;
+        if (run->isStream) {
+            httpio::Headers headers = run->response;
+            headers.emplace_back("Content-Type", "text/event-stream");
+            run->reply->begin(200, headers);
+            stream(run, run->firstEvent);
             return;
         }
-        --running_;
-        reply->respond(200, response, "answer of " + settings_.id);
+        finish(run);
+        run->reply->respond(200, run->response, "answer of " + settings_.id);
     });
 }
 
-void StandInWorker::stream(const std::shared_ptr<httpio::ResponseWriter> &reply,
-                           const httpio::Headers &headers, int next)
+void StandInWorker::stream(const std::shared_ptr<Run> &run, int next)
 {
-    if (!headers.empty()) {
-        httpio::Headers all = headers;
-        all.emplace_back("Content-Type", "text/event-stream");
-        reply->begin(200, all);
-    }
-    reply->write("id: " + std::to_string(next) + "\ndata: event " + std::to_string(next) + "\n\n");
+    if (running_.count(run) == 0)
+        return;
+    run->reply->write("id: " + std::to_string(next) + "\ndata: event " + std::to_string(next)
+                      + "\n\n");
     if (next >= settings_.events) {
-        --running_;
-        reply->end();
+        finish(run);
+        run->reply->end();
         return;
     }
-    timers_.after(settings_.eventGap, [this, reply, next] { stream(reply, {}, next + 1); });
+    timers_.after(settings_.eventGap, [this, run, next] { stream(run, next + 1); });
+}
+
+// The run has ended, or its client has left. Its slot goes to a request that waits.
+void StandInWorker::finish(const std::shared_ptr<Run> &run)
+{
+    waiting_.erase(std::remove(waiting_.begin(), waiting_.end(), run), waiting_.end());
+    if (running_.erase(run) == 0 || waiting_.empty())
+        return;
+    const std::shared_ptr<Run> next = waiting_.front();
+    waiting_.pop_front();
+    begin(next);
 }
 
 int mostRunsOfARequest(const std::vector<std::unique_ptr<StandInWorker>> &workers)
--- a/tests/platform_standin/standinworker.h
+++ b/tests/platform_standin/standinworker.h
@@ -3,9 +3,11 @@
 
 #include "standinstore.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -34,6 +36,14 @@
     bool announcedLeaving = false;
     std::chrono::milliseconds pause{}; // 0: none was asked for
     std::optional<double> limit; // requests a second
+    bool isRejectedForRoom = false;
+};
+
+// A worker ended because it had to reject more requests in a second than it survives.
+struct WorkerCrash
+{
+    units::TimePoint at;
+    std::vector<std::string> rejectedIds; // in the second before
 };
 
 // A worker of the platform: registers itself in the store, responds to plain requests after a
@@ -53,6 +63,7 @@
         std::uint16_t port = 0;
         // IP:PORT to announce in place of its own, such as that of a proxy in front of it.
         std::string announcedAddress = {};
+        int maxWaiting = 0; // requests that wait for a slot; more are rejected
     };
 
     StandInWorker(asio::io_context &io, httpio::Timers &timers, StandInStore &store,
@@ -79,9 +90,14 @@
     void askForPauses(std::chrono::milliseconds pause) { pause_ = pause; }
     // All responses announce this limit of requests a second, or none.
     void announceLimit(std::optional<double> perSecond) { limit_ = perSecond; }
+    // All responses announce how many rejections for want of room a second the worker survives, or
+    // none. If it has to reject more, it crashes, and is back later under another id.
+    void announceMaxRejections(std::optional<double> perSecond) { maxRejections_ = perSecond; }
+    void setMaxWaiting(int requests) { settings_.maxWaiting = requests; }
 
     const std::vector<WorkerRun> &runs() const { return runs_; }
     const std::vector<WorkerArrival> &arrivals() const { return arrivals_; }
+    const std::vector<WorkerCrash> &crashes() const { return crashes_; }
     int rejected() const { return rejected_; }
     // Clients that disconnected before the end of their response.
     int clientsDisconnected() const { return clientsDisconnected_; }
@@ -89,16 +105,26 @@
     const Settings &settings() const { return settings_; }
 
 private:
-    void handle(const httpio::ServerRequest &request,
-                const std::shared_ptr<httpio::ResponseWriter> &reply);
-    void stream(const std::shared_ptr<httpio::ResponseWriter> &reply,
-                const httpio::Headers &headers, int next);
-
+    using Reply = std::shared_ptr<httpio::ResponseWriter>;
+    struct Run;
+
+    std::unique_ptr<httpio::Server> listen(std::uint16_t port);
+    void handle(const httpio::ServerRequest &request, const Reply &reply);
+    void reject(const Reply &reply, httpio::Headers response, const std::string &requestId);
+    void begin(const std::shared_ptr<Run> &run);
+    void stream(const std::shared_ptr<Run> &run, int next);
+    void finish(const std::shared_ptr<Run> &run);
+    void crashIfOverwhelmed();
+    void crash(std::vector<std::string> rejectedIds);
+
+    asio::io_context &io_;
     httpio::Timers &timers_;
     StandInStore &store_;
     Settings settings_;
+    std::string firstId_;
     httpio::ServerLimits limits_;
-    httpio::Server server_;
+    std::vector<std::unique_ptr<httpio::Server>>
+        servers_; // one for each start; the last one listens
     std::vector<WorkerRun> runs_;
     std::vector<WorkerArrival> arrivals_;
     bool isFull_ = false;
@@ -107,8 +133,12 @@
     std::vector<std::function<void()>> heldRequests_; // that came while it was silent
     std::chrono::milliseconds pause_{};
     std::optional<double> limit_;
+    std::optional<double> maxRejections_;
+    std::vector<WorkerCrash> crashes_;
+    bool isCrashed_ = false;
     std::int64_t born_ = 0; // Unix time of the start, in milliseconds
-    int running_ = 0;
+    std::set<std::shared_ptr<Run>> running_;
+    std::deque<std::shared_ptr<Run>> waiting_; // for a slot
     int rejected_ = 0;
     int clientsDisconnected_ = 0;
     int sequence_ = 0;
