Log: rejections of endpoints that survive few, and who placed the request

The log could not tell whether hosts use more slots than a brittle endpoint has, or do not know that it is one.

--- a/src/gateway/exchangeannouncements.cpp
+++ b/src/gateway/exchangeannouncements.cpp
@@ -64,6 +64,13 @@
 {
     if (answer.provenNotRun && !answer.maxRejections)
         return;
+    if (answer.provenNotRun)
+        state_.log.write(observability::LogLevel::Warning, "endpoint-rejected-for-room",
+                         {{"endpoint", endpoint_->registration.id.value()},
+                          {"request", metadata_.id.value()},
+                          {"placed-by", state_.placement.placedBy(ticket_)},
+                          {"slots", std::int64_t(endpoint_->registration.slots)},
+                          {"was-known", endpoint_->maxRejections ? "yes" : "no"}});
     if (endpoint_->maxRejections != answer.maxRejections)
         state_.log.write(observability::LogLevel::Info, "endpoint-rejections-limited",
                          {{"endpoint", endpoint_->registration.id.value()},
