Hosts use no slot of a brittle endpoint that they have not been given

Callers saw: in a burst all engines that survive few rejections crashed within 100 ms, and the streams on them broke.

Cause: the slots of such an endpoint are divided by the hosts' shares, but each host used one at least, whatever its share, also while it had lent it to the placing host. When the placing host had filled the slots and answered that it had none, the hosts that asked placed the requests themselves, one on each engine: seven more than there is room for. Class: a common quota with a minimum for each member, so that the parts add up to more than the whole.

A host has the whole slots of its share now, and none if the share is less than one.

RequestPlacer.HostsTogetherUseTheSlots... failed before (96 requests on 16 slots with 81 hosts; 209 checks).

--- a/src/routing/endpointchoice.cpp
+++ b/src/routing/endpointchoice.cpp
@@ -3,6 +3,7 @@
 #include <monsoongrade/units/stablehash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace monsoongrade::routing {
@@ -29,6 +30,8 @@
 // Limit on the outstanding prefill of a reserved endpoint. When all clients return at once after
 // an outage, their short prompts would otherwise queue up on a single endpoint.
 constexpr auto MaxBacklogInReserve = std::chrono::milliseconds(120);
+// Allowed in a sum of shares, which should be a whole number of slots.
+constexpr double RoundingError = 1e-6;
 // Factor added to the load of an endpoint that fails every request.
 constexpr double FailurePenalty = 20;
 
@@ -84,13 +87,15 @@
 }
 
 // An endpoint that survives few rejections gets no more requests than it can run: how many it lets
-// wait may shrink at any moment.
+// wait may shrink at any moment. A host whose share is less than a slot has none, since the hosts
+// would together use more than there are.
 bool RequestPlacer::hasSlot(const EndpointStatus &endpoint, const RateShare &share) const
 {
     if (!endpoint.maxRejections)
         return true;
-    const double ownSlots = endpoint.registration.slots * share.fraction;
-    return loads_.of(endpoint).openRequests < std::max(1, int(ownSlots));
+    const int ownSlots
+        = int(std::floor(endpoint.registration.slots * share.fraction + RoundingError));
+    return loads_.of(endpoint).openRequests < ownSlots;
 }
 
 bool RequestPlacer::hasRoomInReserve(const EndpointStatus &endpoint, std::int64_t maxBacklog) const
--- a/tests/routing/requestplacer_test.cpp
+++ b/tests/routing/requestplacer_test.cpp
@@ -356,3 +356,35 @@
         CHECK(onLimited <= 5);
     }
 }
+
+// Guards against hosts that together use more slots of an endpoint than it has, because each uses
+// one whatever its share is.
+TEST_CASE("RequestPlacer.HostsTogetherUseTheSlotsOfAnEndpointThatSurvivesFewRejections")
+{
+    constexpr int Slots = 16;
+    for (const int hosts : {1, 3, 8, 40, 81}) {
+        for (const int lenders : {0, 1, hosts / 2, hosts - 1}) {
+            int open = 0;
+            for (int host = 0; host < hosts; ++host) {
+                PlacerFixture fixture(1, Slots);
+                fixture.registry.available(TestPool)[0]->maxRejections = 2;
+                ShareDelegation &shares = fixture.placer.shares(false);
+                shares.setOwnShare(1.0 / hosts, fixture.now);
+                const bool isLender = host != 0 && host <= lenders;
+                if (isLender)
+                    shares.lendTo("coordinator", fixture.now);
+                for (int lender = 1; host == 0 && lender <= lenders; ++lender)
+                    shares.borrow(std::to_string(lender), 1.0 / hosts, fixture.now);
+                for (int i = 0; i < 2 * Slots; ++i) {
+                    const bool isPlaced
+                        = fixture.place(modelQuery("s", 100, 100)).endpoint != nullptr;
+                    CHECK_FALSE((isPlaced && isLender));
+                    open += isPlaced ? 1 : 0;
+                }
+            }
+            CHECK_MESSAGE(open <= Slots, hosts, " hosts, lenders ", lenders);
+            if (lenders == hosts - 1)
+                CHECK(open >= Slots - 1);
+        }
+    }
+}
