Hosts tell each other how few rejections an endpoint survives

Callers saw: with the placing host restarted just before a burst, four of five brittle engines crashed.

Cause: the number was read from a host's own responses only. The placing host chooses for all hosts and may have had none, and an endpoint that is back under another id is new to all of them.

The number is now one of the endpoint's limits: sent in gossip, to starting hosts, and with a query if the answer was not counted against it. A new endpoint is taken to survive as few as its pool, for 30 s at most. An older build ignores the new fields; its choices are used.

--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -81,11 +81,12 @@
     void countUsage();
     void readAnnouncements(const EndpointResponseInfo &answer);
     void onLeavingAnnounced();
-    void readMaxRejections(const EndpointResponseInfo &answer);
+    void onRejectedForRoom(routing::RequestsPerSecond maxRejections);
     void onPauseAnnounced(std::chrono::duration<double> pause);
     std::vector<units::EndpointId> pausedEndpoints() const;
     std::optional<units::Duration> pauseOfPool() const;
-    void updateLimit();
+    void updateLimits();
+    void logLimits(const routing::AnnouncedLimits &before, const routing::AnnouncedLimits &now);
 
     // Failures
     void onAttemptFailed(units::ResultCode reason, bool mayHaveRun);
--- a/include/monsoongrade/gateway/placementservice.h
+++ b/include/monsoongrade/gateway/placementservice.h
@@ -65,15 +65,16 @@
     // Sets the hosts that share the endpoints' limits: all, and those of this host's cell for
     // divided pools.
     void setLiveHosts(HostPosition inFleet, HostPosition inCell);
-    // Sets the latest limit received from the endpoint. Returns whether it changed.
-    bool setLimit(routing::EndpointStatus &endpoint,
-                  std::optional<routing::RequestsPerSecond> limit);
+    // Sets the latest limits received from the endpoint. Returns whether they changed.
+    bool setLimits(routing::EndpointStatus &endpoint, const routing::AnnouncedLimits &limits);
     // The part of each endpoint's limit that this host may use now for pools with a coordinator.
     double limitShare() const;
-    // Sets the limit that was announced for the process that the store lists.
-    void applyKnownLimit(const routing::DiscoveredEndpoint &listed);
-    // Another host received a limit. source: where this host learned it from, for the log.
-    void receiveLimit(const routing::RateLimitUpdate &update, std::string_view source);
+    // Sets the limits that were announced for the process that the store lists. One of which no
+    // response is known is taken to survive as few rejections as the last of its pool that
+    // announced them, since it may be the replacement of one that crashed.
+    void applyKnownLimits(const routing::DiscoveredEndpoint &listed);
+    // Another host received limits. source: where this host learned them from, for the log.
+    void receiveLimits(const routing::RateLimitUpdate &update, std::string_view source);
 
     // Chooses an endpoint. Unless the request is withdrawn, calls placed once, possibly before this
     // function returns. Returns the number of the request's ticket.
@@ -127,6 +128,8 @@
     void sendSpeeds(const std::vector<std::string> &hosts);
     void logSpeeds();
     void sendOrPlace(std::uint64_t number, PendingQuery pending);
+    static bool mustCountLimit(const routing::EndpointStatus &endpoint,
+                               const PendingQuery &pending, units::TimePoint now);
     void sendQuery(std::uint64_t number, const PendingQuery &pending);
     routing::ShareDelegation &sharesOf(const units::PoolName &pool);
     void lendIdleShares();
@@ -172,6 +175,13 @@
     std::unordered_map<std::uint64_t, PlacedHandler> localWaiting_; // in this host's queue
     std::uint64_t lastNumber_;
     // This host's index divided by the number of hosts.
+    // The latest announcement of an endpoint of each pool.
+    struct PoolRejections
+    {
+        std::optional<routing::RequestsPerSecond> rejections;
+        units::TimePoint at;
+    };
+    std::unordered_map<std::string, PoolRejections> poolRejections_;
     double fleetPhase_ = 0;
     double cellPhase_ = 0;
     bool isPlacingScheduled_ = false;
--- a/include/monsoongrade/routing/endpointannouncements.h
+++ b/include/monsoongrade/routing/endpointannouncements.h
@@ -36,12 +36,13 @@
     // wallClock: the time of day on which most hosts agree.
     explicit EndpointAnnouncements(const units::WallClock &wallClock);
 
-    // A response to this or another host announced this rate limit or none. Returns false if a
-    // later response is known, or if the endpoint had no limit before and has none now.
-    bool setLimit(const EndpointInstance &endpoint, std::optional<RequestsPerSecond> limit,
-                  units::TimePoint at);
-    // The limit that the process which the store lists has announced last; empty if it has none.
-    std::optional<RequestsPerSecond> limitOf(const EndpointInstance &listed) const;
+    // A response to this or another host announced these limits or none. Returns false if a later
+    // response is known, or if the endpoint had no limits before and has none now.
+    bool setLimits(const EndpointInstance &endpoint, const AnnouncedLimits &limits,
+                   units::TimePoint at);
+    // The limits that the process which the store lists has announced last; null if no response of
+    // it is known, or if it has always announced none.
+    const AnnouncedLimits *limitsOf(const EndpointInstance &listed) const;
     // The same as an update for another host; empty if the process has announced nothing.
     std::optional<RateLimitUpdate> limitUpdateOf(const EndpointInstance &listed,
                                                  units::TimePoint now) const;
@@ -83,15 +84,16 @@
         return !isLeaving(listed, now) && pauseRemaining(listed, now) == units::Duration::zero();
     }
 
-    // Number of endpoints that currently have a limit.
+    // Number of endpoints that currently have a limit of requests, or of rejections.
     std::size_t limited() const;
+    std::size_t brittle() const;
     std::size_t leaving() const { return leaving_.size(); }
     std::size_t size() const { return limits_.size() + leaving_.size() + pauses_.size(); }
 
 private:
     struct Limit
     {
-        std::optional<RequestsPerSecond> limit;
+        AnnouncedLimits limits;
         units::TimePoint announcedAt;
         int roundsLeft = 0;
         units::TimePoint lastSentAt;
@@ -113,6 +115,7 @@
 
     const std::pair<const EndpointInstance, Limit> *
     latestLimitFor(const EndpointInstance &listed) const;
+    std::size_t count(std::optional<RequestsPerSecond> AnnouncedLimits::*limit) const;
     bool eraseOtherLimits(const EndpointInstance &endpoint, units::TimePoint at);
     bool isLaterStart(Incarnation start, units::TimePoint announcedAt) const;
 
--- a/include/monsoongrade/routing/endpointstatus.h
+++ b/include/monsoongrade/routing/endpointstatus.h
@@ -20,8 +20,14 @@
     // its address.
     bool leaving = false;
     // Rejections for want of room that it survives, a second and from all hosts; empty if any
-    // number. As of its latest response to this host.
+    // number. As of its latest known response; before the first one as presumed until then.
     std::optional<RequestsPerSecond> maxRejections;
+    units::TimePoint maxRejectionsUntil = units::TimePoint::max();
+
+    bool isBrittle(units::TimePoint now) const
+    {
+        return maxRejections && now < maxRejectionsUntil;
+    }
     // When this host last received data from it.
     units::TimePoint lastReceivedAt{};
 };
--- a/include/monsoongrade/routing/ratelimitupdate.h
+++ b/include/monsoongrade/routing/ratelimitupdate.h
@@ -10,12 +10,26 @@
 
 using RequestsPerSecond = double;
 
-// Gossip item about the rate limit that an endpoint announced in a response.
+// What an endpoint announced in a response about the requests of all hosts together.
+struct AnnouncedLimits
+{
+    std::optional<RequestsPerSecond> requests; // that it takes; empty: any number
+    // Rejections for want of room that it survives; empty: any number.
+    std::optional<RequestsPerSecond> rejections;
+
+    bool hasAny() const { return requests || rejections; }
+    bool operator==(const AnnouncedLimits &other) const
+    {
+        return requests == other.requests && rejections == other.rejections;
+    }
+    bool operator!=(const AnnouncedLimits &other) const { return !(*this == other); }
+};
+
+// Gossip item about the limits that an endpoint announced in a response.
 struct RateLimitUpdate
 {
     EndpointInstance endpoint;
-    // For the requests of all hosts together; empty if the response announced no limit.
-    std::optional<RequestsPerSecond> limit;
+    AnnouncedLimits limits;
     units::Duration age{}; // since the response
 };
 
--- a/include/monsoongrade/routing/requestplacer.h
+++ b/include/monsoongrade/routing/requestplacer.h
@@ -196,7 +196,8 @@
                       const CostBasis &basis, units::TimePoint now) const;
     // Relative to the mean of the endpoint's pool.
     double speedOf(const EndpointStatus &endpoint, units::TimePoint now) const;
-    bool hasSlot(const EndpointStatus &endpoint, const RateShare &share) const;
+    bool hasSlot(const EndpointStatus &endpoint, const RateShare &share,
+                 units::TimePoint now) const;
     bool hasRoomInReserve(const EndpointStatus &endpoint, std::int64_t maxBacklog) const;
     Candidates candidatesFor(const PlacementQuery &query,
                              const std::vector<EndpointRegistry::Status> &available,
--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -56,7 +56,7 @@
   }
 }
 
-# A limit that an endpoint named in an answer.
+# The limits that an endpoint named in an answer.
 struct LimitNews {
   endpoint @0 :Text;
   incarnation @1 :Int64;
@@ -65,6 +65,9 @@
   requestsPerSecond @3 :Float64;
   # Milliseconds since the answer.
   ageMs @4 :UInt64;
+  # The endpoint survives only so many rejections for want of room a second.
+  isBrittle @5 :Bool;
+  rejectionsPerSecond @6 :Float64;
 }
 
 # An endpoint said in an answer that it is leaving.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -205,7 +205,7 @@
     }
     responseHead_ = head;
     answer_ = answer;
-    updateLimit();
+    updateLimits();
     if (state_.crashes.size() > 0 && !answer_.wrongEndpoint)
         state_.crashes.onAnswered(routing::instanceOf(endpoint_->registration), sentAt_);
     const bool isEventStream
--- a/src/gateway/exchangeannouncements.cpp
+++ b/src/gateway/exchangeannouncements.cpp
@@ -22,8 +22,8 @@
 {
     if (answer.isLeaving && !answer.wrongEndpoint)
         onLeavingAnnounced();
-    if (!answer.wrongEndpoint)
-        readMaxRejections(answer);
+    if (answer.provenNotRun && answer.maxRejections && !answer.wrongEndpoint)
+        onRejectedForRoom(*answer.maxRejections);
     if (answer.pause)
         onPauseAnnounced(*answer.pause);
     const std::string &endpoint = endpoint_->registration.id.value();
@@ -58,28 +58,16 @@
 }
 
 // Each host takes its equal part of the rejections that the endpoint survives, and keeps away from
-// it after each one until the next is due. A rejection without a number is ignored: the part of the
-// endpoint that sent it may not know the number.
-void Exchange::readMaxRejections(const EndpointResponseInfo &answer)
+// it after each one until the next is due.
+void Exchange::onRejectedForRoom(routing::RequestsPerSecond maxRejections)
 {
-    if (answer.provenNotRun && !answer.maxRejections)
-        return;
-    if (answer.provenNotRun)
-        state_.log.write(observability::LogLevel::Warning, "endpoint-rejected-for-room",
-                         {{"endpoint", endpoint_->registration.id.value()},
-                          {"request", metadata_.id.value()},
-                          {"placed-by", state_.placement.placedBy(ticket_)},
-                          {"slots", std::int64_t(endpoint_->registration.slots)},
-                          {"was-known", endpoint_->maxRejections ? "yes" : "no"}});
-    if (endpoint_->maxRejections != answer.maxRejections)
-        state_.log.write(observability::LogLevel::Info, "endpoint-rejections-limited",
-                         {{"endpoint", endpoint_->registration.id.value()},
-                          {"request", metadata_.id.value()},
-                          {"rejections-per-second", answer.maxRejections.value_or(-1)}});
-    endpoint_->maxRejections = answer.maxRejections;
-    if (!answer.provenNotRun)
-        return;
-    const double ownShare = *answer.maxRejections / std::max(state_.liveHosts, 1);
+    state_.log.write(observability::LogLevel::Warning, "endpoint-rejected-for-room",
+                     {{"endpoint", endpoint_->registration.id.value()},
+                      {"request", metadata_.id.value()},
+                      {"placed-by", state_.placement.placedBy(ticket_)},
+                      {"slots", std::int64_t(endpoint_->registration.slots)},
+                      {"was-known", endpoint_->maxRejections ? "yes" : "no"}});
+    const double ownShare = maxRejections / std::max(state_.liveHosts, 1);
     const std::chrono::duration<double> pause(
         ownShare > 0 ? RejectionSpacing / ownShare : std::numeric_limits<double>::infinity());
     state_.announcements.addPause(
@@ -126,22 +114,48 @@
     return shortest;
 }
 
-// A rejection without a limit is ignored: the part of the endpoint that sent it may not know the
-// limit.
-void Exchange::updateLimit()
+// A rejection without a limit does not end it: the part of the endpoint that sent it may not know
+// the limit.
+void Exchange::updateLimits()
 {
-    if (answer_.provenNotRun && !answer_.requestLimit)
-        return;
-    // A response to a request that was sent before a limit was announced does not end the limit.
-    const units::TimePoint at = answer_.requestLimit ? state_.timers.now() : sentAt_;
     const routing::EndpointInstance instance = routing::instanceOf(endpoint_->registration);
-    if (!state_.announcements.setLimit(instance, answer_.requestLimit, at)
-        || !state_.placement.setLimit(*endpoint_, answer_.requestLimit))
+    routing::AnnouncedLimits limits{answer_.requestLimit, answer_.maxRejections};
+    if (answer_.provenNotRun) {
+        if (!limits.hasAny())
+            return;
+        const routing::AnnouncedLimits *known = state_.announcements.limitsOf(instance);
+        limits.requests = limits.requests || known == nullptr ? limits.requests : known->requests;
+        limits.rejections
+            = limits.rejections || known == nullptr ? limits.rejections : known->rejections;
+    }
+    // A response to a request that was sent before a limit was announced does not end the limit.
+    const units::TimePoint at = limits.hasAny() ? state_.timers.now() : sentAt_;
+    const routing::AnnouncedLimits before{endpoint_->rateLimiter.limit(), endpoint_->maxRejections};
+    if (!state_.announcements.setLimits(instance, limits, at)) {
+        // A response without limits ends what was presumed of an endpoint with no earlier one.
+        if (!limits.hasAny() && state_.announcements.limitsOf(instance) == nullptr)
+            endpoint_->maxRejections.reset();
         return;
-    state_.log.write(observability::LogLevel::Info, "endpoint-limit-changed",
-                     {{"endpoint", instance.id.value()},
-                      {"request", metadata_.id.value()},
-                      {"requests-per-second", answer_.requestLimit.value_or(-1)}});
+    }
+    if (state_.placement.setLimits(*endpoint_, limits))
+        logLimits(before, limits);
+}
+
+void Exchange::logLimits(const routing::AnnouncedLimits &before,
+                         const routing::AnnouncedLimits &now)
+{
+    const std::string &endpoint = endpoint_->registration.id.value();
+    const std::string &request = metadata_.id.value();
+    if (before.requests != now.requests)
+        state_.log.write(observability::LogLevel::Info, "endpoint-limit-changed",
+                         {{"endpoint", endpoint},
+                          {"request", request},
+                          {"requests-per-second", now.requests.value_or(-1)}});
+    if (before.rejections != now.rejections)
+        state_.log.write(observability::LogLevel::Info, "endpoint-rejections-limited",
+                         {{"endpoint", endpoint},
+                          {"request", request},
+                          {"rejections-per-second", now.rejections.value_or(-1)}});
 }
 
 } // namespace monsoongrade::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -130,7 +130,7 @@
     }
     gossip_.onRound([this] { onGossipRound(); });
     gossip_.onLimit([this](const routing::RateLimitUpdate &update) {
-        state_.placement.receiveLimit(update, "gossip");
+        state_.placement.receiveLimits(update, "gossip");
     });
     gossip_.onLeaving([this](const routing::LeavingUpdate &update) { onLeavingUpdate(update); });
     gossip_.start();
@@ -170,7 +170,7 @@
 {
     state_.registry.replaceAll(endpoints, timers_.now(), keepMissingUntil);
     for (const routing::DiscoveredEndpoint &endpoint : endpoints)
-        state_.placement.applyKnownLimit(endpoint);
+        state_.placement.applyKnownLimits(endpoint);
     recordPoolVersions(state_.registry.softwareVersions());
     computeDivision();
     state_.startupGate.onEndpoints();
@@ -182,7 +182,7 @@
 void Gateway::updateEndpoint(const routing::DiscoveredEndpoint &endpoint)
 {
     state_.registry.update(endpoint);
-    state_.placement.applyKnownLimit(endpoint);
+    state_.placement.applyKnownLimits(endpoint);
     recordPoolVersions({{endpoint.pool, {endpoint.softwareVersion}}});
     computeDivision();
     if (endpoint.draining)
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -24,6 +24,8 @@
     metrics.set("monsoongrade_gateway_endpoint_speed_max", "", speeds ? speeds->second : 1);
     metrics.set("monsoongrade_gateway_endpoints_limited", "",
                 double(state_.announcements.limited()));
+    metrics.set("monsoongrade_gateway_endpoints_brittle", "",
+                double(state_.announcements.brittle()));
     metrics.set("monsoongrade_gateway_endpoints_leaving", "",
                 double(state_.announcements.leaving()));
     metrics.set("monsoongrade_gateway_endpoints_paused", "",
--- a/src/gateway/internal/gossipmessages.cpp
+++ b/src/gateway/internal/gossipmessages.cpp
@@ -86,20 +86,25 @@
 {
     limit.setEndpoint(update.endpoint.id.value());
     limit.setIncarnation(update.endpoint.incarnation.value());
-    limit.setIsLimited(update.limit.has_value());
-    limit.setRequestsPerSecond(update.limit.value_or(0));
+    limit.setIsLimited(update.limits.requests.has_value());
+    limit.setRequestsPerSecond(update.limits.requests.value_or(0));
+    limit.setIsBrittle(update.limits.rejections.has_value());
+    limit.setRejectionsPerSecond(update.limits.rejections.value_or(0));
     limit.setAgeMs(inMilliseconds(update.age));
 }
 
 std::optional<routing::RateLimitUpdate> decodeLimit(schema::LimitNews::Reader limit)
 {
-    if (!std::isfinite(limit.getRequestsPerSecond()) || limit.getRequestsPerSecond() < 0)
+    const auto isRate = [](double rate) { return std::isfinite(rate) && rate >= 0; };
+    if (!isRate(limit.getRequestsPerSecond()) || !isRate(limit.getRejectionsPerSecond()))
         return std::nullopt;
     routing::RateLimitUpdate update;
     update.endpoint
         = {units::EndpointId(limit.getEndpoint()), routing::Incarnation(limit.getIncarnation())};
     if (limit.getIsLimited())
-        update.limit = limit.getRequestsPerSecond();
+        update.limits.requests = limit.getRequestsPerSecond();
+    if (limit.getIsBrittle())
+        update.limits.rejections = limit.getRejectionsPerSecond();
     update.age = std::chrono::milliseconds(limit.getAgeMs());
     return update;
 }
--- a/src/gateway/placementlimits.cpp
+++ b/src/gateway/placementlimits.cpp
@@ -12,6 +12,14 @@
 
 namespace monsoongrade::gateway {
 
+namespace {
+
+// How long an announcement of rejections is taken to hold for new endpoints of the pool. A crashed
+// endpoint is replaced within seconds.
+constexpr auto PresumedFor = std::chrono::seconds(30);
+
+} // namespace
+
 using namespace internal;
 
 void PlacementService::setLiveHosts(HostPosition inFleet, HostPosition inCell)
@@ -40,7 +48,7 @@
 // A host without callers lends its share as well: an unused one would be lost to the endpoints.
 void PlacementService::lendIdleShares()
 {
-    if (announcements_.limited() == 0)
+    if (announcements_.limited() + announcements_.brittle() == 0)
         return;
     const units::TimePoint now = timers_.now();
     const auto lend = [&](const std::vector<std::string> &ranking, bool isOfCell) {
@@ -61,41 +69,68 @@
     placer_.shares(message.isOfCell).borrow(host, message.lentShare, timers_.now());
 }
 
-bool PlacementService::setLimit(routing::EndpointStatus &endpoint,
-                                std::optional<routing::RequestsPerSecond> limit)
+bool PlacementService::setLimits(routing::EndpointStatus &endpoint,
+                                 const routing::AnnouncedLimits &limits)
 {
     // The hosts take turns; which of them is first differs between endpoints.
     const double first = double(units::spreadHash({endpoint.registration.id.value()}))
         / double(std::numeric_limits<std::uint64_t>::max());
     const bool isDivided = registry_.division().isDivided(endpoint.registration.pool);
     const double phase = isDivided ? cellPhase_ : fleetPhase_;
-    return endpoint.rateLimiter.setLimit(limit, std::fmod(phase + first, 1.0), timers_.now());
+    const bool isChanged = endpoint.rateLimiter.setLimit(
+        limits.requests, std::fmod(phase + first, 1.0), timers_.now());
+    poolRejections_[endpoint.registration.pool.value()] = {limits.rejections, timers_.now()};
+    const bool areRejectionsChanged = endpoint.maxRejections != limits.rejections;
+    endpoint.maxRejections = limits.rejections;
+    endpoint.maxRejectionsUntil = units::TimePoint::max();
+    return isChanged || areRejectionsChanged;
 }
 
-// The entry may be of another process than the one that announced the limit, which then ends.
-void PlacementService::applyKnownLimit(const routing::DiscoveredEndpoint &listed)
+// The entry may be of another process than the one that announced the limits, which then end.
+void PlacementService::applyKnownLimits(const routing::DiscoveredEndpoint &listed)
 {
     const routing::EndpointInstance instance = routing::instanceOf(listed);
     const auto endpoint = registry_.find(instance);
-    if (endpoint != nullptr)
-        setLimit(*endpoint, announcements_.limitOf(instance));
+    if (endpoint == nullptr)
+        return;
+    if (const routing::AnnouncedLimits *known = announcements_.limitsOf(instance)) {
+        setLimits(*endpoint, *known);
+        return;
+    }
+    const units::TimePoint now = timers_.now();
+    endpoint->rateLimiter.setLimit(std::nullopt, 0, now);
+    const auto ofPool = poolRejections_.find(listed.pool.value());
+    const bool isPresumed = endpoint->lastReceivedAt == units::TimePoint{}
+        && ofPool != poolRejections_.end() && ofPool->second.rejections
+        && now < ofPool->second.at + PresumedFor;
+    if (!isPresumed)
+        return;
+    endpoint->maxRejections = ofPool->second.rejections;
+    endpoint->maxRejectionsUntil = ofPool->second.at + PresumedFor;
 }
 
-void PlacementService::receiveLimit(const routing::RateLimitUpdate &update, std::string_view source)
+void PlacementService::receiveLimits(const routing::RateLimitUpdate &update,
+                                     std::string_view source)
 {
-    if (!announcements_.setLimit(update.endpoint, update.limit, timers_.now() - update.age))
+    if (!announcements_.setLimits(update.endpoint, update.limits, timers_.now() - update.age))
         return;
     const auto endpoint = registry_.findAvailable(update.endpoint.id);
     if (endpoint == nullptr)
         return;
     const bool wasLimited = endpoint->rateLimiter.limit().has_value();
-    applyKnownLimit(endpoint->registration);
+    const bool wasBrittle = endpoint->maxRejections.has_value();
+    applyKnownLimits(endpoint->registration);
     const auto &limit = endpoint->rateLimiter.limit();
     if (limit.has_value() != wasLimited)
         observability::log(observability::LogLevel::Info, "endpoint-limit-learned",
                            {{"endpoint", update.endpoint.id.value()},
                             {"requests-per-second", limit.value_or(-1)},
                             {"source", source}});
+    if (endpoint->maxRejections.has_value() != wasBrittle)
+        observability::log(observability::LogLevel::Info, "endpoint-rejections-learned",
+                           {{"endpoint", update.endpoint.id.value()},
+                            {"rejections-per-second", endpoint->maxRejections.value_or(-1)},
+                            {"source", source}});
 }
 
 } // namespace monsoongrade::gateway
--- a/src/gateway/placementservice.cpp
+++ b/src/gateway/placementservice.cpp
@@ -253,7 +253,7 @@
     query.isPoolDivided = registry_.division().isDivided(query.pool);
     sharesOf(query.pool).borrow(host, message.lentShare, timers_.now());
     if (message.limit)
-        receiveLimit(*message.limit, "query");
+        receiveLimits(*message.limit, "query");
     const auto choice = placer_.place({host, message.number}, query,
                                       registry_.available(query.pool), timers_.now());
     noteRefusal({host, message.number}, choice);
@@ -272,6 +272,15 @@
         placer_.addCachedPart(part, timers_.now());
 }
 
+// Whether a limit that this host knows rules out a choice which was not counted against it. The
+// coordinator is told the limits once. One of an older build does not count rejections even then,
+// and its choices are used all the same.
+bool PlacementService::mustCountLimit(const routing::EndpointStatus &endpoint,
+                                      const PendingQuery &pending, units::TimePoint now)
+{
+    return endpoint.rateLimiter.limit() || (endpoint.isBrittle(now) && !pending.limit);
+}
+
 void PlacementService::withdraw(std::uint64_t number)
 {
     const auto found = pending_.find(number);
@@ -308,7 +317,8 @@
     const auto status = registry_.findAvailable(message.endpoint);
     const bool isUsable = status != nullptr && status->health.accepts(now)
         && routing::hasPermittedVersion(status->registration, pending.query);
-    const bool isLimitUnknown = isUsable && status->rateLimiter.limit() && !message.isLimited;
+    const bool isLimitUnknown
+        = isUsable && !message.isLimited && mustCountLimit(*status, found->second, now);
     if (isUsable && !isLimitUnknown) {
         coordinators_[message.number] = host;
         routing::PlacementChoice choice;
--- a/src/routing/endpointannouncements.cpp
+++ b/src/routing/endpointannouncements.cpp
@@ -71,23 +71,23 @@
     return start.value() > latestOfAnnouncer.count();
 }
 
-bool EndpointAnnouncements::setLimit(const EndpointInstance &endpoint,
-                                     std::optional<RequestsPerSecond> limit, units::TimePoint at)
+bool EndpointAnnouncements::setLimits(const EndpointInstance &endpoint,
+                                      const AnnouncedLimits &limits, units::TimePoint at)
 {
     const bool replacesOther = eraseOtherLimits(endpoint, at);
     const auto found = limits_.find(endpoint);
     if (found == limits_.end()) {
-        if ((!limit && !replacesOther) || limits_.size() >= MaxLimits)
+        if ((!limits.hasAny() && !replacesOther) || limits_.size() >= MaxLimits)
             return false;
-        limits_[endpoint] = {limit, at, RoundsPerUpdate, {}};
+        limits_[endpoint] = {limits, at, RoundsPerUpdate, {}};
         return true;
     }
     Limit &entry = found->second;
     if (at <= entry.announcedAt)
         return false;
     entry.announcedAt = at;
-    if (entry.limit != limit) {
-        entry.limit = limit;
+    if (entry.limits != limits) {
+        entry.limits = limits;
         entry.roundsLeft = RoundsPerUpdate;
     }
     return true;
@@ -123,11 +123,10 @@
     return latest;
 }
 
-std::optional<RequestsPerSecond>
-EndpointAnnouncements::limitOf(const EndpointInstance &listed) const
+const AnnouncedLimits *EndpointAnnouncements::limitsOf(const EndpointInstance &listed) const
 {
     const auto *latest = latestLimitFor(listed);
-    return latest == nullptr ? std::nullopt : latest->second.limit;
+    return latest == nullptr ? nullptr : &latest->second.limits;
 }
 
 std::optional<RateLimitUpdate> EndpointAnnouncements::limitUpdateOf(const EndpointInstance &listed,
@@ -136,13 +135,24 @@
     const auto *latest = latestLimitFor(listed);
     if (latest == nullptr)
         return std::nullopt;
-    return RateLimitUpdate{latest->first, latest->second.limit, now - latest->second.announcedAt};
+    return RateLimitUpdate{latest->first, latest->second.limits, now - latest->second.announcedAt};
 }
 
 std::size_t EndpointAnnouncements::limited() const
 {
-    return std::size_t(std::count_if(limits_.begin(), limits_.end(), [](const auto &entry) {
-        return entry.second.limit.has_value();
+    return count(&AnnouncedLimits::requests);
+}
+
+std::size_t EndpointAnnouncements::brittle() const
+{
+    return count(&AnnouncedLimits::rejections);
+}
+
+std::size_t
+EndpointAnnouncements::count(std::optional<RequestsPerSecond> AnnouncedLimits::*limit) const
+{
+    return std::size_t(std::count_if(limits_.begin(), limits_.end(), [limit](const auto &entry) {
+        return (entry.second.limits.*limit).has_value();
     }));
 }
 
@@ -153,18 +163,18 @@
         const Limit &known = entry->second;
         const units::Duration age = now - known.announcedAt;
         const bool isLiftExpired
-            = known.roundsLeft == 0 && !known.limit && age >= LiftedLimitRetention;
+            = known.roundsLeft == 0 && !known.limits.hasAny() && age >= LiftedLimitRetention;
         entry = isLiftExpired || age >= MaxAge ? limits_.erase(entry) : std::next(entry);
     }
     const auto isDue = [now](const Limit &known) {
-        return known.roundsLeft > 0 || (known.limit && now - known.lastSentAt >= ResendInterval);
+        return known.roundsLeft > 0 || (known.limits.hasAny() && now - known.lastSentAt >= ResendInterval);
     };
     std::vector<RateLimitUpdate> updates;
     for (const auto &entry : recordsToSend(limits_, maxItems, isDue)) {
         Limit &known = entry->second;
         known.roundsLeft -= known.roundsLeft > 0 ? 1 : 0;
         known.lastSentAt = now;
-        updates.push_back({entry->first, known.limit, now - known.announcedAt});
+        updates.push_back({entry->first, known.limits, now - known.announcedAt});
     }
     return updates;
 }
@@ -173,8 +183,8 @@
 {
     std::vector<RateLimitUpdate> updates;
     for (const auto &[endpoint, known] : limits_) {
-        if (known.limit)
-            updates.push_back({endpoint, known.limit, now - known.announcedAt});
+        if (known.limits.hasAny())
+            updates.push_back({endpoint, known.limits, now - known.announcedAt});
     }
     return updates;
 }
--- a/src/routing/endpointchoice.cpp
+++ b/src/routing/endpointchoice.cpp
@@ -83,15 +83,16 @@
     const units::EndpointId &id = endpoint.registration.id;
     return !contains(query.tried, id) && !contains(query.paused, id) && !endpoint.leaving
         && hasPermittedVersion(endpoint.registration, query) && endpoint.health.accepts(now)
-        && endpoint.rateLimiter.allows(share, now) && hasSlot(endpoint, share);
+        && endpoint.rateLimiter.allows(share, now) && hasSlot(endpoint, share, now);
 }
 
 // An endpoint that survives few rejections gets no more requests than it can run: how many it lets
 // wait may shrink at any moment. A host whose share is less than a slot has none, since the hosts
 // would together use more than there are.
-bool RequestPlacer::hasSlot(const EndpointStatus &endpoint, const RateShare &share) const
+bool RequestPlacer::hasSlot(const EndpointStatus &endpoint, const RateShare &share,
+                            units::TimePoint now) const
 {
-    if (!endpoint.maxRejections)
+    if (!endpoint.isBrittle(now))
         return true;
     const int ownSlots
         = int(std::floor(endpoint.registration.slots * share.fraction + RoundingError));
--- a/src/routing/endpointregistry.cpp
+++ b/src/routing/endpointregistry.cpp
@@ -42,6 +42,7 @@
             status->rateLimiter = entry.status->rateLimiter;
             // An endpoint that fell over is met by all hosts when it returns.
             status->maxRejections = entry.status->maxRejections;
+            status->maxRejectionsUntil = entry.status->maxRejectionsUntil;
         }
         entry.status = status;
         incrementSize(endpoint.pool);
--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -147,7 +147,7 @@
         return choice;
     const EndpointStatus &endpoint = *choice.endpoint;
     choice.endpoint->rateLimiter.onPlaced(shareFor(query, now));
-    choice.isLimited = endpoint.rateLimiter.limit().has_value();
+    choice.isLimited = endpoint.rateLimiter.limit() || endpoint.isBrittle(now);
     Placed &placed = placed_[ticket];
     placed = {};
     placed.endpoint = choice.endpoint;
--- a/tests/gateway/peergossip_test.cpp
+++ b/tests/gateway/peergossip_test.cpp
@@ -104,8 +104,8 @@
 void announceLimits(Host &host, std::size_t endpoints)
 {
     for (std::size_t i = 0; i < endpoints; ++i)
-        host.announcements.setLimit(
-            {units::EndpointId("e" + std::to_string(i)), routing::Incarnation(7)}, 1.6,
+        host.announcements.setLimits(
+            {units::EndpointId("e" + std::to_string(i)), routing::Incarnation(7)}, {1.6, {}},
             host.timers.now());
 }
 
@@ -164,13 +164,13 @@
     fleet.hosts[2]->gossip.onLimit(
         [&](const routing::RateLimitUpdate &update) { received = update; });
     const routing::EndpointInstance endpoint{units::EndpointId("e1"), routing::Incarnation(7)};
-    fleet.hosts[1]->announcements.setLimit(endpoint, 1.6, fleet.hosts[1]->timers.now());
+    fleet.hosts[1]->announcements.setLimits(endpoint, {1.6, 2.5}, fleet.hosts[1]->timers.now());
     REQUIRE(fleet.runUntil([&] { return received.has_value(); }));
     CHECK(received->endpoint == endpoint);
-    CHECK(received->limit == 1.6);
+    CHECK(received->limits == routing::AnnouncedLimits{1.6, 2.5});
     received.reset();
-    fleet.hosts[1]->announcements.setLimit(endpoint, std::nullopt, fleet.hosts[1]->timers.now());
-    REQUIRE(fleet.runUntil([&] { return received && !received->limit; }));
+    fleet.hosts[1]->announcements.setLimits(endpoint, {}, fleet.hosts[1]->timers.now());
+    REQUIRE(fleet.runUntil([&] { return received && !received->limits.hasAny(); }));
 }
 
 // Guards against limits of some endpoints that wait until those of all others have been sent.
--- a/tests/gateway/placementservice_test.cpp
+++ b/tests/gateway/placementservice_test.cpp
@@ -44,13 +44,14 @@
         placement.start();
     }
 
-    // The endpoint has announced this limit to the host.
-    void announceLimit(double limit)
+    // The endpoint has announced this to the host.
+    void announce(const routing::AnnouncedLimits &limits)
     {
         const auto endpoint = registry.findAvailable(units::EndpointId("e"));
-        announcements.setLimit(routing::instanceOf(endpoint->registration), limit, timers.now());
-        placement.setLimit(*endpoint, limit);
+        announcements.setLimits(routing::instanceOf(endpoint->registration), limits, timers.now());
+        placement.setLimits(*endpoint, limits);
     }
+    void announceLimit(double limit) { announce({limit, {}}); }
 
     units::BootClock clock;
     asio::io_context io;
@@ -246,3 +247,38 @@
     CHECK_MESSAGE(placed <= int(1.5 * limit * 4 + 5), "placed ", placed);
     CHECK_MESSAGE(placed >= int(0.75 * limit * 4), "placed ", placed);
 }
+
+// Guards against a coordinator that fills an endpoint beyond its slots because it has had no
+// response that says how few rejections the endpoint survives.
+TEST_CASE("PlacementService.CoordinatorIsToldHowFewRejectionsAnEndpointSurvives")
+{
+    const std::vector<std::string> order{addressOf(0), addressOf(1)};
+    Host coordinator(0, order);
+    Host requester(1, order);
+    requester.announce({{}, 2.0});
+    int placed = 0;
+    for (int i = 0; i < 200; ++i) {
+        requester.placement.place(shortPrompt(i), [&](const auto &, const auto &choice) {
+            placed += choice.endpoint == nullptr ? 0 : 1;
+        });
+        runFor(milliseconds(2), {&coordinator, &requester});
+    }
+    CHECK(coordinator.announcements.brittle() == 1);
+    CHECK_MESSAGE(placed <= 64, "placed ", placed);
+}
+
+// Guards against a burst that meets the replacement of a crashed endpoint before its first response
+// says that it survives few rejections as well.
+TEST_CASE("PlacementService.ReplacementIsTakenToSurviveAsFewRejectionsAsItsPool")
+{
+    Host host(0, {});
+    host.announce({{}, 2.0});
+    routing::DiscoveredEndpoint replacement
+        = host.registry.findAvailable(units::EndpointId("e"))->registration;
+    replacement.id = units::EndpointId("replacement");
+    host.registry.update(replacement);
+    host.placement.applyKnownLimits(replacement);
+    CHECK(host.registry.findAvailable(replacement.id)->isBrittle(host.timers.now()));
+    CHECK_FALSE(host.registry.findAvailable(replacement.id)
+                    ->isBrittle(host.timers.now() + std::chrono::minutes(1)));
+}
--- a/tests/routing/endpointannouncements_test.cpp
+++ b/tests/routing/endpointannouncements_test.cpp
@@ -37,6 +37,13 @@
     return endpoint;
 }
 
+std::optional<RequestsPerSecond> requestLimitOf(const EndpointAnnouncements &announcements,
+                                                const EndpointInstance &listed)
+{
+    const AnnouncedLimits *known = announcements.limitsOf(listed);
+    return known == nullptr ? std::nullopt : known->requests;
+}
+
 // The announcements that a host knows and its list of endpoints, as a gateway connects them.
 struct Host
 {
@@ -261,6 +268,21 @@
     CHECK_FALSE(announcements.onListed(later, Start + seconds(7)));
 }
 
+// Guards against a host that has no response from an endpoint and fills it beyond its slots.
+TEST_CASE("EndpointAnnouncements.RejectionsThatAnEndpointSurvivesAreSentLikeLimits")
+{
+    EndpointAnnouncements announcements(LongAgo);
+    CHECK(announcements.setLimits(instance("a"), {{}, 2.0}, Start));
+    CHECK(announcements.limited() == 0);
+    CHECK(announcements.brittle() == 1);
+    const auto updates = announcements.takeLimitUpdates(DatagramItems, Start);
+    REQUIRE(updates.size() == 1);
+    CHECK(updates[0].limits == AnnouncedLimits{{}, 2.0});
+    CHECK(announcements.limitsInForce(Start).size() == 1);
+    CHECK(announcements.setLimits(instance("a"), {}, Start + seconds(1)));
+    CHECK(announcements.brittle() == 0);
+}
+
 // Guards against a limit that comes back after the endpoint has lifted it under another start.
 TEST_CASE("EndpointAnnouncements.LatestResponseDecidesOnTheLimit")
 {
@@ -268,11 +290,11 @@
     EndpointAnnouncements announcements(wallClock);
     const EndpointInstance known{units::EndpointId("a"), startAt(Start - minutes(10))};
     const EndpointInstance readLater{units::EndpointId("a"), startAt(Start - seconds(2))};
-    announcements.setLimit(known, 1.5, Start);
-    CHECK(announcements.limitOf(readLater) == 1.5);
-    CHECK_FALSE(announcements.limitOf({known.id, startAt(Start + seconds(2))}));
-    CHECK(announcements.setLimit(readLater, std::nullopt, Start + seconds(1)));
-    CHECK_FALSE(announcements.limitOf(readLater));
+    announcements.setLimits(known, {1.5, {}}, Start);
+    CHECK(requestLimitOf(announcements, readLater) == 1.5);
+    CHECK_FALSE(requestLimitOf(announcements, {known.id, startAt(Start + seconds(2))}));
+    CHECK(announcements.setLimits(readLater, {}, Start + seconds(1)));
+    CHECK_FALSE(requestLimitOf(announcements, readLater));
     announcements.takeLimitUpdates(DatagramItems, Start + minutes(1));
-    CHECK_FALSE(announcements.limitOf(readLater));
+    CHECK_FALSE(requestLimitOf(announcements, readLater));
 }
--- a/tests/routing/endpointlimits_test.cpp
+++ b/tests/routing/endpointlimits_test.cpp
@@ -151,13 +151,13 @@
 {
     const LongAgoWallClock wallClock;
     EndpointAnnouncements table(wallClock);
-    CHECK_FALSE(table.setLimit(Endpoint, std::nullopt, Start));
-    CHECK(table.setLimit(Endpoint, 2.0, Start));
-    CHECK(table.setLimit(Endpoint, std::nullopt, Start + seconds(1)));
-    CHECK_FALSE(table.setLimit(Endpoint, 2.0, Start));
+    CHECK_FALSE(table.setLimits(Endpoint, {}, Start));
+    CHECK(table.setLimits(Endpoint, {2.0, {}}, Start));
+    CHECK(table.setLimits(Endpoint, {}, Start + seconds(1)));
+    CHECK_FALSE(table.setLimits(Endpoint, {2.0, {}}, Start));
     const auto updates = table.takeLimitUpdates(DatagramItems, Start + seconds(1));
     REQUIRE(updates.size() == 1);
-    CHECK_FALSE(updates[0].limit.has_value());
+    CHECK_FALSE(updates[0].limits.hasAny());
 }
 
 // Guards against a host that was disconnected and never learns of a limit in force.
@@ -165,7 +165,7 @@
 {
     const LongAgoWallClock wallClock;
     EndpointAnnouncements table(wallClock);
-    table.setLimit(Endpoint, 2.0, Start);
+    table.setLimits(Endpoint, {2.0, {}}, Start);
     units::TimePoint now = Start;
     for (; now < Start + seconds(20); now += milliseconds(250))
         table.takeLimitUpdates(DatagramItems, now);
@@ -173,7 +173,7 @@
     for (; now < Start + seconds(23); now += milliseconds(250))
         sent += table.takeLimitUpdates(DatagramItems, now).size();
     CHECK(sent >= 1);
-    table.setLimit(Endpoint, std::nullopt, now);
+    table.setLimits(Endpoint, {}, now);
     for (; now < Start + seconds(60); now += milliseconds(250))
         table.takeLimitUpdates(DatagramItems, now);
     CHECK(table.size() == 0);
--- a/tests/routing/limitedfleet.cpp
+++ b/tests/routing/limitedfleet.cpp
@@ -101,12 +101,12 @@
 void LimitedFleet::setLimit(Host &host, const EndpointInstance &endpoint)
 {
     host.registry.findAvailable(endpoint.id)
-        ->rateLimiter.setLimit(host.announcements.limitOf(endpoint), host.phase, now_);
+        ->rateLimiter.setLimit(host.announcements.limitsOf(endpoint)->requests, host.phase, now_);
 }
 
 void LimitedFleet::receive(std::size_t host, const RateLimitUpdate &update)
 {
-    if (hosts_[host]->announcements.setLimit(update.endpoint, update.limit, now_ - update.age))
+    if (hosts_[host]->announcements.setLimits(update.endpoint, update.limits, now_ - update.age))
         setLimit(*hosts_[host], update.endpoint);
 }
 
@@ -251,7 +251,7 @@
         tests::LimitedArrivals &arrivals = engines_[std::stoul(endpoint.id.value())].arrivals;
         arrivals.onAnnounced(now_);
         arrivals.onTold(ipOf(host), now_);
-        receive(host, {endpoint, settings_.limit, units::Duration::zero()});
+        receive(host, {endpoint, {settings_.limit, {}}, units::Duration::zero()});
     });
     schedule(TimeToEnd, [this, placing, ticket] {
         hosts_[placing]->placer.onEvent(ticket, PlacementEvent::Completed, now_);
