--- a/include/monsoongrade/gateway/placementservice.h
+++ b/include/monsoongrade/gateway/placementservice.h
@@ -29,7 +29,8 @@
 struct LoanMessage;
 } // namespace internal
 
-// Places requests on endpoints. For model pools, the hosts agree on one serving host as the
+// Places requests on endpoints. For model pools, and for others while their endpoints survive few
+// rejections, the hosts agree on one serving host as the
 // coordinator, which places the requests of all hosts and so knows the load of each endpoint. It
 // tells its successors which prompt parts are cached on which endpoint. If the coordinator does not
 // answer two queries within milliseconds, this host places the request itself with the load that it
@@ -128,8 +129,9 @@
     void sendSpeeds(const std::vector<std::string> &hosts);
     void logSpeeds();
     void sendOrPlace(std::uint64_t number, PendingQuery pending);
-    static bool mustCountLimit(const routing::EndpointStatus &endpoint,
-                               const PendingQuery &pending, units::TimePoint now);
+    bool isCoordinated(const routing::PlacementQuery &query) const;
+    static bool mustCountLimit(const routing::EndpointStatus &endpoint, const PendingQuery &pending,
+                               units::TimePoint now);
     void sendQuery(std::uint64_t number, const PendingQuery &pending);
     routing::ShareDelegation &sharesOf(const units::PoolName &pool);
     void lendIdleShares();
--- a/include/monsoongrade/routing/endpointstatus.h
+++ b/include/monsoongrade/routing/endpointstatus.h
@@ -24,10 +24,7 @@
     std::optional<RequestsPerSecond> maxRejections;
     units::TimePoint maxRejectionsUntil = units::TimePoint::max();
 
-    bool isBrittle(units::TimePoint now) const
-    {
-        return maxRejections && now < maxRejectionsUntil;
-    }
+    bool isBrittle(units::TimePoint now) const { return maxRejections && now < maxRejectionsUntil; }
     // When this host last received data from it.
     units::TimePoint lastReceivedAt{};
 };
--- a/include/monsoongrade/routing/placementquery.h
+++ b/include/monsoongrade/routing/placementquery.h
@@ -23,6 +23,8 @@
 {
     units::PoolName pool;
     bool runsModel = false;
+    // One host places the requests of all hosts, as it does for all that run a model.
+    bool isCoordinated = false;
     // Id of the prompt prefix shared with other requests, or of the only part; may be empty.
     std::string sharedPart;
     std::int64_t promptTokens = 0; // the whole prompt
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -7,10 +7,10 @@
 #include <kj/windows-sanity.h>
 
 #if CAPNP_VERSION != 9002
-#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error                                                                                             \
+    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
-
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -18,1428 +18,1692 @@
 
 CAPNP_DECLARE_SCHEMA(b1e1eed5a6d82e8d);
 CAPNP_DECLARE_SCHEMA(fa07614e2f5d8752);
-enum class State_fa07614e2f5d8752: uint16_t {
-  SERVING,
-  WAITING,
-  LEAVING,
-  LOST,
+enum class State_fa07614e2f5d8752 : uint16_t {
+    SERVING,
+    WAITING,
+    LEAVING,
+    LOST,
 };
 CAPNP_DECLARE_ENUM(State, fa07614e2f5d8752);
 CAPNP_DECLARE_SCHEMA(cc2338b0f1eec7cc);
 CAPNP_DECLARE_SCHEMA(a53246b1ca29c58c);
-enum class Kind_a53246b1ca29c58c: uint16_t {
-  CRASHED,
-  COMPLETED,
-  ENDPOINT_ANSWERED,
+enum class Kind_a53246b1ca29c58c : uint16_t {
+    CRASHED,
+    COMPLETED,
+    ENDPOINT_ANSWERED,
 };
 CAPNP_DECLARE_ENUM(Kind, a53246b1ca29c58c);
 CAPNP_DECLARE_SCHEMA(d5cf9a91c8ba42cc);
 CAPNP_DECLARE_SCHEMA(de5b338a0e49ed62);
 CAPNP_DECLARE_SCHEMA(c14fbc6b85aa253c);
 
-}  // namespace schemas
-}  // namespace capnp
+} // namespace schemas
+} // namespace capnp
 
 namespace monsoongrade {
 namespace schema {
 
-struct GossipPeer {
-  GossipPeer() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-  typedef ::capnp::schemas::State_fa07614e2f5d8752 State;
+struct GossipPeer
+{
+    GossipPeer() = delete;
 
+    class Reader;
+    class Builder;
+    class Pipeline;
+    typedef ::capnp::schemas::State_fa07614e2f5d8752 State;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b1e1eed5a6d82e8d, 5, 3)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(b1e1eed5a6d82e8d, 5, 3)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct CrashNews {
-  CrashNews() = delete;
+struct CrashNews
+{
+    CrashNews() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
-  typedef ::capnp::schemas::Kind_a53246b1ca29c58c Kind;
+    class Reader;
+    class Builder;
+    class Pipeline;
+    typedef ::capnp::schemas::Kind_a53246b1ca29c58c Kind;
 
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cc2338b0f1eec7cc, 4, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(cc2338b0f1eec7cc, 4, 2)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct LimitNews {
-  LimitNews() = delete;
+struct LimitNews
+{
+    LimitNews() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d5cf9a91c8ba42cc, 5, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(d5cf9a91c8ba42cc, 5, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct LeavingNews {
-  LeavingNews() = delete;
+struct LeavingNews
+{
+    LeavingNews() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(de5b338a0e49ed62, 2, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(de5b338a0e49ed62, 2, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct GossipMessage {
-  GossipMessage() = delete;
+struct GossipMessage
+{
+    GossipMessage() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c14fbc6b85aa253c, 2, 5)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(c14fbc6b85aa253c, 2, 5)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 // =======================================================================================
 
-class GossipPeer::Reader {
+class GossipPeer::Reader
+{
 public:
-  typedef GossipPeer Reads;
+    typedef GossipPeer Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasIp() const;
-  inline  ::capnp::Text::Reader getIp() const;
+    inline bool hasIp() const;
+    inline ::capnp::Text::Reader getIp() const;
 
-  inline bool hasFailureDomain() const;
-  inline  ::capnp::Text::Reader getFailureDomain() const;
+    inline bool hasFailureDomain() const;
+    inline ::capnp::Text::Reader getFailureDomain() const;
 
-  inline  ::monsoongrade::schema::GossipPeer::State getState() const;
+    inline ::monsoongrade::schema::GossipPeer::State getState() const;
 
-  inline  ::uint32_t getAgeMs() const;
+    inline ::uint32_t getAgeMs() const;
 
-  inline  ::uint64_t getUptimeMs() const;
+    inline ::uint64_t getUptimeMs() const;
 
-  inline  ::uint32_t getMillicores() const;
+    inline ::uint32_t getMillicores() const;
 
-  inline  ::uint64_t getStoreForMs() const;
+    inline ::uint64_t getStoreForMs() const;
 
-  inline bool getStoreRefused() const;
+    inline bool getStoreRefused() const;
 
-  inline  ::uint64_t getDutyToken() const;
+    inline ::uint64_t getDutyToken() const;
 
-  inline bool hasUnreachablePools() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getUnreachablePools() const;
+    inline bool hasUnreachablePools() const;
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getUnreachablePools() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class GossipPeer::Builder {
+class GossipPeer::Builder
+{
 public:
-  typedef GossipPeer Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef GossipPeer Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasIp();
-  inline  ::capnp::Text::Builder getIp();
-  inline void setIp( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initIp(unsigned int size);
-  inline void adoptIp(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownIp();
-
-  inline bool hasFailureDomain();
-  inline  ::capnp::Text::Builder getFailureDomain();
-  inline void setFailureDomain( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
-  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
-
-  inline  ::monsoongrade::schema::GossipPeer::State getState();
-  inline void setState( ::monsoongrade::schema::GossipPeer::State value);
-
-  inline  ::uint32_t getAgeMs();
-  inline void setAgeMs( ::uint32_t value);
-
-  inline  ::uint64_t getUptimeMs();
-  inline void setUptimeMs( ::uint64_t value);
-
-  inline  ::uint32_t getMillicores();
-  inline void setMillicores( ::uint32_t value);
-
-  inline  ::uint64_t getStoreForMs();
-  inline void setStoreForMs( ::uint64_t value);
-
-  inline bool getStoreRefused();
-  inline void setStoreRefused(bool value);
-
-  inline  ::uint64_t getDutyToken();
-  inline void setDutyToken( ::uint64_t value);
-
-  inline bool hasUnreachablePools();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getUnreachablePools();
-  inline void setUnreachablePools( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setUnreachablePools(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initUnreachablePools(unsigned int size);
-  inline void adoptUnreachablePools(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownUnreachablePools();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasIp();
+    inline ::capnp::Text::Builder getIp();
+    inline void setIp(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initIp(unsigned int size);
+    inline void adoptIp(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownIp();
+
+    inline bool hasFailureDomain();
+    inline ::capnp::Text::Builder getFailureDomain();
+    inline void setFailureDomain(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initFailureDomain(unsigned int size);
+    inline void adoptFailureDomain(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownFailureDomain();
+
+    inline ::monsoongrade::schema::GossipPeer::State getState();
+    inline void setState(::monsoongrade::schema::GossipPeer::State value);
+
+    inline ::uint32_t getAgeMs();
+    inline void setAgeMs(::uint32_t value);
+
+    inline ::uint64_t getUptimeMs();
+    inline void setUptimeMs(::uint64_t value);
+
+    inline ::uint32_t getMillicores();
+    inline void setMillicores(::uint32_t value);
+
+    inline ::uint64_t getStoreForMs();
+    inline void setStoreForMs(::uint64_t value);
+
+    inline bool getStoreRefused();
+    inline void setStoreRefused(bool value);
+
+    inline ::uint64_t getDutyToken();
+    inline void setDutyToken(::uint64_t value);
+
+    inline bool hasUnreachablePools();
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getUnreachablePools();
+    inline void
+    setUnreachablePools(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
+    inline void setUnreachablePools(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+    initUnreachablePools(unsigned int size);
+    inline void adoptUnreachablePools(
+        ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+    disownUnreachablePools();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class GossipPeer::Pipeline {
+class GossipPeer::Pipeline
+{
 public:
-  typedef GossipPeer Pipelines;
+    typedef GossipPeer Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class CrashNews::Reader {
+class CrashNews::Reader
+{
 public:
-  typedef CrashNews Reads;
+    typedef CrashNews Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::monsoongrade::schema::CrashNews::Kind getKind() const;
+    inline ::monsoongrade::schema::CrashNews::Kind getKind() const;
 
-  inline bool hasWorkspace() const;
-  inline  ::capnp::Text::Reader getWorkspace() const;
+    inline bool hasWorkspace() const;
+    inline ::capnp::Text::Reader getWorkspace() const;
 
-  inline  ::uint64_t getDigest() const;
+    inline ::uint64_t getDigest() const;
 
-  inline bool hasEndpoint() const;
-  inline  ::capnp::Text::Reader getEndpoint() const;
+    inline bool hasEndpoint() const;
+    inline ::capnp::Text::Reader getEndpoint() const;
 
-  inline  ::int64_t getIncarnation() const;
+    inline ::int64_t getIncarnation() const;
 
-  inline  ::uint64_t getAgeMs() const;
+    inline ::uint64_t getAgeMs() const;
 
-  inline  ::uint16_t getPartPosition() const;
+    inline ::uint16_t getPartPosition() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class CrashNews::Builder {
+class CrashNews::Builder
+{
 public:
-  typedef CrashNews Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef CrashNews Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::monsoongrade::schema::CrashNews::Kind getKind();
-  inline void setKind( ::monsoongrade::schema::CrashNews::Kind value);
+    inline ::monsoongrade::schema::CrashNews::Kind getKind();
+    inline void setKind(::monsoongrade::schema::CrashNews::Kind value);
 
-  inline bool hasWorkspace();
-  inline  ::capnp::Text::Builder getWorkspace();
-  inline void setWorkspace( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
-  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
+    inline bool hasWorkspace();
+    inline ::capnp::Text::Builder getWorkspace();
+    inline void setWorkspace(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initWorkspace(unsigned int size);
+    inline void adoptWorkspace(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownWorkspace();
 
-  inline  ::uint64_t getDigest();
-  inline void setDigest( ::uint64_t value);
+    inline ::uint64_t getDigest();
+    inline void setDigest(::uint64_t value);
 
-  inline bool hasEndpoint();
-  inline  ::capnp::Text::Builder getEndpoint();
-  inline void setEndpoint( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
-  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+    inline bool hasEndpoint();
+    inline ::capnp::Text::Builder getEndpoint();
+    inline void setEndpoint(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initEndpoint(unsigned int size);
+    inline void adoptEndpoint(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownEndpoint();
 
-  inline  ::int64_t getIncarnation();
-  inline void setIncarnation( ::int64_t value);
+    inline ::int64_t getIncarnation();
+    inline void setIncarnation(::int64_t value);
 
-  inline  ::uint64_t getAgeMs();
-  inline void setAgeMs( ::uint64_t value);
+    inline ::uint64_t getAgeMs();
+    inline void setAgeMs(::uint64_t value);
 
-  inline  ::uint16_t getPartPosition();
-  inline void setPartPosition( ::uint16_t value);
+    inline ::uint16_t getPartPosition();
+    inline void setPartPosition(::uint16_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class CrashNews::Pipeline {
+class CrashNews::Pipeline
+{
 public:
-  typedef CrashNews Pipelines;
+    typedef CrashNews Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class LimitNews::Reader {
+class LimitNews::Reader
+{
 public:
-  typedef LimitNews Reads;
+    typedef LimitNews Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasEndpoint() const;
-  inline  ::capnp::Text::Reader getEndpoint() const;
+    inline bool hasEndpoint() const;
+    inline ::capnp::Text::Reader getEndpoint() const;
 
-  inline  ::int64_t getIncarnation() const;
+    inline ::int64_t getIncarnation() const;
 
-  inline bool getIsLimited() const;
+    inline bool getIsLimited() const;
 
-  inline double getRequestsPerSecond() const;
+    inline double getRequestsPerSecond() const;
 
-  inline  ::uint64_t getAgeMs() const;
+    inline ::uint64_t getAgeMs() const;
 
-  inline bool getIsBrittle() const;
+    inline bool getIsBrittle() const;
 
-  inline double getRejectionsPerSecond() const;
+    inline double getRejectionsPerSecond() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class LimitNews::Builder {
+class LimitNews::Builder
+{
 public:
-  typedef LimitNews Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef LimitNews Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasEndpoint();
-  inline  ::capnp::Text::Builder getEndpoint();
-  inline void setEndpoint( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
-  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+    inline bool hasEndpoint();
+    inline ::capnp::Text::Builder getEndpoint();
+    inline void setEndpoint(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initEndpoint(unsigned int size);
+    inline void adoptEndpoint(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownEndpoint();
 
-  inline  ::int64_t getIncarnation();
-  inline void setIncarnation( ::int64_t value);
+    inline ::int64_t getIncarnation();
+    inline void setIncarnation(::int64_t value);
 
-  inline bool getIsLimited();
-  inline void setIsLimited(bool value);
+    inline bool getIsLimited();
+    inline void setIsLimited(bool value);
 
-  inline double getRequestsPerSecond();
-  inline void setRequestsPerSecond(double value);
+    inline double getRequestsPerSecond();
+    inline void setRequestsPerSecond(double value);
 
-  inline  ::uint64_t getAgeMs();
-  inline void setAgeMs( ::uint64_t value);
+    inline ::uint64_t getAgeMs();
+    inline void setAgeMs(::uint64_t value);
 
-  inline bool getIsBrittle();
-  inline void setIsBrittle(bool value);
+    inline bool getIsBrittle();
+    inline void setIsBrittle(bool value);
 
-  inline double getRejectionsPerSecond();
-  inline void setRejectionsPerSecond(double value);
+    inline double getRejectionsPerSecond();
+    inline void setRejectionsPerSecond(double value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class LimitNews::Pipeline {
+class LimitNews::Pipeline
+{
 public:
-  typedef LimitNews Pipelines;
+    typedef LimitNews Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class LeavingNews::Reader {
+class LeavingNews::Reader
+{
 public:
-  typedef LeavingNews Reads;
+    typedef LeavingNews Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasEndpoint() const;
-  inline  ::capnp::Text::Reader getEndpoint() const;
+    inline bool hasEndpoint() const;
+    inline ::capnp::Text::Reader getEndpoint() const;
 
-  inline  ::int64_t getIncarnation() const;
+    inline ::int64_t getIncarnation() const;
 
-  inline  ::uint64_t getAgeMs() const;
+    inline ::uint64_t getAgeMs() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class LeavingNews::Builder {
+class LeavingNews::Builder
+{
 public:
-  typedef LeavingNews Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef LeavingNews Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasEndpoint();
-  inline  ::capnp::Text::Builder getEndpoint();
-  inline void setEndpoint( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
-  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+    inline bool hasEndpoint();
+    inline ::capnp::Text::Builder getEndpoint();
+    inline void setEndpoint(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initEndpoint(unsigned int size);
+    inline void adoptEndpoint(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownEndpoint();
 
-  inline  ::int64_t getIncarnation();
-  inline void setIncarnation( ::int64_t value);
+    inline ::int64_t getIncarnation();
+    inline void setIncarnation(::int64_t value);
 
-  inline  ::uint64_t getAgeMs();
-  inline void setAgeMs( ::uint64_t value);
+    inline ::uint64_t getAgeMs();
+    inline void setAgeMs(::uint64_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class LeavingNews::Pipeline {
+class LeavingNews::Pipeline
+{
 public:
-  typedef LeavingNews Pipelines;
+    typedef LeavingNews Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class GossipMessage::Reader {
+class GossipMessage::Reader
+{
 public:
-  typedef GossipMessage Reads;
+    typedef GossipMessage Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasSender() const;
-  inline  ::monsoongrade::schema::GossipPeer::Reader getSender() const;
+    inline bool hasSender() const;
+    inline ::monsoongrade::schema::GossipPeer::Reader getSender() const;
 
-  inline bool hasKnown() const;
-  inline  ::capnp::List< ::monsoongrade::schema::GossipPeer,  ::capnp::Kind::STRUCT>::Reader getKnown() const;
+    inline bool hasKnown() const;
+    inline ::capnp::List<::monsoongrade::schema::GossipPeer, ::capnp::Kind::STRUCT>::Reader
+    getKnown() const;
 
-  inline  ::int64_t getWallMs() const;
+    inline ::int64_t getWallMs() const;
 
-  inline bool hasCrashes() const;
-  inline  ::capnp::List< ::monsoongrade::schema::CrashNews,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+    inline bool hasCrashes() const;
+    inline ::capnp::List<::monsoongrade::schema::CrashNews, ::capnp::Kind::STRUCT>::Reader
+    getCrashes() const;
 
-  inline bool hasLimits() const;
-  inline  ::capnp::List< ::monsoongrade::schema::LimitNews,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
+    inline bool hasLimits() const;
+    inline ::capnp::List<::monsoongrade::schema::LimitNews, ::capnp::Kind::STRUCT>::Reader
+    getLimits() const;
 
-  inline bool getIsProbe() const;
+    inline bool getIsProbe() const;
 
-  inline bool hasLeaving() const;
-  inline  ::capnp::List< ::monsoongrade::schema::LeavingNews,  ::capnp::Kind::STRUCT>::Reader getLeaving() const;
+    inline bool hasLeaving() const;
+    inline ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>::Reader
+    getLeaving() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class GossipMessage::Builder {
+class GossipMessage::Builder
+{
 public:
-  typedef GossipMessage Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef GossipMessage Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasSender();
-  inline  ::monsoongrade::schema::GossipPeer::Builder getSender();
-  inline void setSender( ::monsoongrade::schema::GossipPeer::Reader value);
-  inline  ::monsoongrade::schema::GossipPeer::Builder initSender();
-  inline void adoptSender(::capnp::Orphan< ::monsoongrade::schema::GossipPeer>&& value);
-  inline ::capnp::Orphan< ::monsoongrade::schema::GossipPeer> disownSender();
-
-  inline bool hasKnown();
-  inline  ::capnp::List< ::monsoongrade::schema::GossipPeer,  ::capnp::Kind::STRUCT>::Builder getKnown();
-  inline void setKnown( ::capnp::List< ::monsoongrade::schema::GossipPeer,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::monsoongrade::schema::GossipPeer,  ::capnp::Kind::STRUCT>::Builder initKnown(unsigned int size);
-  inline void adoptKnown(::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::GossipPeer,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::GossipPeer,  ::capnp::Kind::STRUCT>> disownKnown();
-
-  inline  ::int64_t getWallMs();
-  inline void setWallMs( ::int64_t value);
-
-  inline bool hasCrashes();
-  inline  ::capnp::List< ::monsoongrade::schema::CrashNews,  ::capnp::Kind::STRUCT>::Builder getCrashes();
-  inline void setCrashes( ::capnp::List< ::monsoongrade::schema::CrashNews,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::monsoongrade::schema::CrashNews,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
-  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::CrashNews,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::CrashNews,  ::capnp::Kind::STRUCT>> disownCrashes();
-
-  inline bool hasLimits();
-  inline  ::capnp::List< ::monsoongrade::schema::LimitNews,  ::capnp::Kind::STRUCT>::Builder getLimits();
-  inline void setLimits( ::capnp::List< ::monsoongrade::schema::LimitNews,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::monsoongrade::schema::LimitNews,  ::capnp::Kind::STRUCT>::Builder initLimits(unsigned int size);
-  inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::LimitNews,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::LimitNews,  ::capnp::Kind::STRUCT>> disownLimits();
-
-  inline bool getIsProbe();
-  inline void setIsProbe(bool value);
-
-  inline bool hasLeaving();
-  inline  ::capnp::List< ::monsoongrade::schema::LeavingNews,  ::capnp::Kind::STRUCT>::Builder getLeaving();
-  inline void setLeaving( ::capnp::List< ::monsoongrade::schema::LeavingNews,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::monsoongrade::schema::LeavingNews,  ::capnp::Kind::STRUCT>::Builder initLeaving(unsigned int size);
-  inline void adoptLeaving(::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::LeavingNews,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::LeavingNews,  ::capnp::Kind::STRUCT>> disownLeaving();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasSender();
+    inline ::monsoongrade::schema::GossipPeer::Builder getSender();
+    inline void setSender(::monsoongrade::schema::GossipPeer::Reader value);
+    inline ::monsoongrade::schema::GossipPeer::Builder initSender();
+    inline void adoptSender(::capnp::Orphan<::monsoongrade::schema::GossipPeer> &&value);
+    inline ::capnp::Orphan<::monsoongrade::schema::GossipPeer> disownSender();
+
+    inline bool hasKnown();
+    inline ::capnp::List<::monsoongrade::schema::GossipPeer, ::capnp::Kind::STRUCT>::Builder
+    getKnown();
+    inline void setKnown(
+        ::capnp::List<::monsoongrade::schema::GossipPeer, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::monsoongrade::schema::GossipPeer, ::capnp::Kind::STRUCT>::Builder
+    initKnown(unsigned int size);
+    inline void adoptKnown(
+        ::capnp::Orphan<::capnp::List<::monsoongrade::schema::GossipPeer, ::capnp::Kind::STRUCT>>
+            &&value);
+    inline ::capnp::Orphan<::capnp::List<::monsoongrade::schema::GossipPeer, ::capnp::Kind::STRUCT>>
+    disownKnown();
+
+    inline ::int64_t getWallMs();
+    inline void setWallMs(::int64_t value);
+
+    inline bool hasCrashes();
+    inline ::capnp::List<::monsoongrade::schema::CrashNews, ::capnp::Kind::STRUCT>::Builder
+    getCrashes();
+    inline void setCrashes(
+        ::capnp::List<::monsoongrade::schema::CrashNews, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::monsoongrade::schema::CrashNews, ::capnp::Kind::STRUCT>::Builder
+    initCrashes(unsigned int size);
+    inline void adoptCrashes(
+        ::capnp::Orphan<::capnp::List<::monsoongrade::schema::CrashNews, ::capnp::Kind::STRUCT>>
+            &&value);
+    inline ::capnp::Orphan<::capnp::List<::monsoongrade::schema::CrashNews, ::capnp::Kind::STRUCT>>
+    disownCrashes();
+
+    inline bool hasLimits();
+    inline ::capnp::List<::monsoongrade::schema::LimitNews, ::capnp::Kind::STRUCT>::Builder
+    getLimits();
+    inline void setLimits(
+        ::capnp::List<::monsoongrade::schema::LimitNews, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::monsoongrade::schema::LimitNews, ::capnp::Kind::STRUCT>::Builder
+    initLimits(unsigned int size);
+    inline void adoptLimits(
+        ::capnp::Orphan<::capnp::List<::monsoongrade::schema::LimitNews, ::capnp::Kind::STRUCT>>
+            &&value);
+    inline ::capnp::Orphan<::capnp::List<::monsoongrade::schema::LimitNews, ::capnp::Kind::STRUCT>>
+    disownLimits();
+
+    inline bool getIsProbe();
+    inline void setIsProbe(bool value);
+
+    inline bool hasLeaving();
+    inline ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>::Builder
+    getLeaving();
+    inline void setLeaving(
+        ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>::Builder
+    initLeaving(unsigned int size);
+    inline void adoptLeaving(
+        ::capnp::Orphan<::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>>
+            &&value);
+    inline ::capnp::Orphan<
+        ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>>
+    disownLeaving();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class GossipMessage::Pipeline {
+class GossipMessage::Pipeline
+{
 public:
-  typedef GossipMessage Pipelines;
+    typedef GossipMessage Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline ::monsoongrade::schema::GossipPeer::Pipeline getSender();
 
-  inline  ::monsoongrade::schema::GossipPeer::Pipeline getSender();
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 // =======================================================================================
 
-inline bool GossipPeer::Reader::hasIp() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool GossipPeer::Reader::hasIp() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool GossipPeer::Builder::hasIp() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool GossipPeer::Builder::hasIp()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader GossipPeer::Reader::getIp() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader GossipPeer::Reader::getIp() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder GossipPeer::Builder::getIp() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder GossipPeer::Builder::getIp()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void GossipPeer::Builder::setIp( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void GossipPeer::Builder::setIp(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder GossipPeer::Builder::initIp(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder GossipPeer::Builder::initIp(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void GossipPeer::Builder::adoptIp(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void GossipPeer::Builder::adoptIp(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> GossipPeer::Builder::disownIp() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> GossipPeer::Builder::disownIp()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool GossipPeer::Reader::hasFailureDomain() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool GossipPeer::Reader::hasFailureDomain() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool GossipPeer::Builder::hasFailureDomain() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool GossipPeer::Builder::hasFailureDomain()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader GossipPeer::Reader::getFailureDomain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader GossipPeer::Reader::getFailureDomain() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder GossipPeer::Builder::getFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder GossipPeer::Builder::getFailureDomain()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void GossipPeer::Builder::setFailureDomain( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void GossipPeer::Builder::setFailureDomain(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder GossipPeer::Builder::initFailureDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder GossipPeer::Builder::initFailureDomain(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void GossipPeer::Builder::adoptFailureDomain(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void GossipPeer::Builder::adoptFailureDomain(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> GossipPeer::Builder::disownFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> GossipPeer::Builder::disownFailureDomain()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::monsoongrade::schema::GossipPeer::State GossipPeer::Reader::getState() const {
-  return _reader.getDataField< ::monsoongrade::schema::GossipPeer::State>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::monsoongrade::schema::GossipPeer::State GossipPeer::Reader::getState() const
+{
+    return _reader.getDataField<::monsoongrade::schema::GossipPeer::State>(::capnp::bounded<0>()
+                                                                           * ::capnp::ELEMENTS);
 }
 
-inline  ::monsoongrade::schema::GossipPeer::State GossipPeer::Builder::getState() {
-  return _builder.getDataField< ::monsoongrade::schema::GossipPeer::State>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::monsoongrade::schema::GossipPeer::State GossipPeer::Builder::getState()
+{
+    return _builder.getDataField<::monsoongrade::schema::GossipPeer::State>(::capnp::bounded<0>()
+                                                                            * ::capnp::ELEMENTS);
 }
-inline void GossipPeer::Builder::setState( ::monsoongrade::schema::GossipPeer::State value) {
-  _builder.setDataField< ::monsoongrade::schema::GossipPeer::State>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void GossipPeer::Builder::setState(::monsoongrade::schema::GossipPeer::State value)
+{
+    _builder.setDataField<::monsoongrade::schema::GossipPeer::State>(
+        ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t GossipPeer::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t GossipPeer::Reader::getAgeMs() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t GossipPeer::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t GossipPeer::Builder::getAgeMs()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void GossipPeer::Builder::setAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void GossipPeer::Builder::setAgeMs(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t GossipPeer::Reader::getUptimeMs() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t GossipPeer::Reader::getUptimeMs() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GossipPeer::Builder::getUptimeMs() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t GossipPeer::Builder::getUptimeMs()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void GossipPeer::Builder::setUptimeMs( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void GossipPeer::Builder::setUptimeMs(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t GossipPeer::Reader::getMillicores() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint32_t GossipPeer::Reader::getMillicores() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t GossipPeer::Builder::getMillicores() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint32_t GossipPeer::Builder::getMillicores()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void GossipPeer::Builder::setMillicores( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void GossipPeer::Builder::setMillicores(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t GossipPeer::Reader::getStoreForMs() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint64_t GossipPeer::Reader::getStoreForMs() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GossipPeer::Builder::getStoreForMs() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint64_t GossipPeer::Builder::getStoreForMs()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void GossipPeer::Builder::setStoreForMs( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void GossipPeer::Builder::setStoreForMs(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool GossipPeer::Reader::getStoreRefused() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline bool GossipPeer::Reader::getStoreRefused() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
 
-inline bool GossipPeer::Builder::getStoreRefused() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline bool GossipPeer::Builder::getStoreRefused()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
-inline void GossipPeer::Builder::setStoreRefused(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+inline void GossipPeer::Builder::setStoreRefused(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t GossipPeer::Reader::getDutyToken() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint64_t GossipPeer::Reader::getDutyToken() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GossipPeer::Builder::getDutyToken() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint64_t GossipPeer::Builder::getDutyToken()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void GossipPeer::Builder::setDutyToken( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void GossipPeer::Builder::setDutyToken(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool GossipPeer::Reader::hasUnreachablePools() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool GossipPeer::Reader::hasUnreachablePools() const
+{
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool GossipPeer::Builder::hasUnreachablePools() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool GossipPeer::Builder::hasUnreachablePools()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader GossipPeer::Reader::getUnreachablePools() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
+GossipPeer::Reader::getUnreachablePools() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder GossipPeer::Builder::getUnreachablePools() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+GossipPeer::Builder::getUnreachablePools()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void GossipPeer::Builder::setUnreachablePools( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void GossipPeer::Builder::setUnreachablePools(
+    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline void GossipPeer::Builder::setUnreachablePools(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void
+GossipPeer::Builder::setUnreachablePools(::kj::ArrayPtr<const ::capnp::Text::Reader> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder GossipPeer::Builder::initUnreachablePools(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+GossipPeer::Builder::initUnreachablePools(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void GossipPeer::Builder::adoptUnreachablePools(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> GossipPeer::Builder::disownUnreachablePools() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+GossipPeer::Builder::disownUnreachablePools()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::monsoongrade::schema::CrashNews::Kind CrashNews::Reader::getKind() const {
-  return _reader.getDataField< ::monsoongrade::schema::CrashNews::Kind>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::monsoongrade::schema::CrashNews::Kind CrashNews::Reader::getKind() const
+{
+    return _reader.getDataField<::monsoongrade::schema::CrashNews::Kind>(::capnp::bounded<0>()
+                                                                         * ::capnp::ELEMENTS);
 }
 
-inline  ::monsoongrade::schema::CrashNews::Kind CrashNews::Builder::getKind() {
-  return _builder.getDataField< ::monsoongrade::schema::CrashNews::Kind>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::monsoongrade::schema::CrashNews::Kind CrashNews::Builder::getKind()
+{
+    return _builder.getDataField<::monsoongrade::schema::CrashNews::Kind>(::capnp::bounded<0>()
+                                                                          * ::capnp::ELEMENTS);
 }
-inline void CrashNews::Builder::setKind( ::monsoongrade::schema::CrashNews::Kind value) {
-  _builder.setDataField< ::monsoongrade::schema::CrashNews::Kind>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void CrashNews::Builder::setKind(::monsoongrade::schema::CrashNews::Kind value)
+{
+    _builder.setDataField<::monsoongrade::schema::CrashNews::Kind>(
+        ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CrashNews::Reader::hasWorkspace() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool CrashNews::Reader::hasWorkspace() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool CrashNews::Builder::hasWorkspace() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool CrashNews::Builder::hasWorkspace()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CrashNews::Reader::getWorkspace() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader CrashNews::Reader::getWorkspace() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CrashNews::Builder::getWorkspace() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder CrashNews::Builder::getWorkspace()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CrashNews::Builder::setWorkspace( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void CrashNews::Builder::setWorkspace(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder CrashNews::Builder::initWorkspace(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder CrashNews::Builder::initWorkspace(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void CrashNews::Builder::adoptWorkspace(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void CrashNews::Builder::adoptWorkspace(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> CrashNews::Builder::disownWorkspace() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> CrashNews::Builder::disownWorkspace()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t CrashNews::Reader::getDigest() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t CrashNews::Reader::getDigest() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t CrashNews::Builder::getDigest() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t CrashNews::Builder::getDigest()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void CrashNews::Builder::setDigest( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void CrashNews::Builder::setDigest(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CrashNews::Reader::hasEndpoint() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool CrashNews::Reader::hasEndpoint() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool CrashNews::Builder::hasEndpoint() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool CrashNews::Builder::hasEndpoint()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CrashNews::Reader::getEndpoint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader CrashNews::Reader::getEndpoint() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CrashNews::Builder::getEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder CrashNews::Builder::getEndpoint()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void CrashNews::Builder::setEndpoint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void CrashNews::Builder::setEndpoint(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder CrashNews::Builder::initEndpoint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder CrashNews::Builder::initEndpoint(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void CrashNews::Builder::adoptEndpoint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void CrashNews::Builder::adoptEndpoint(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> CrashNews::Builder::disownEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> CrashNews::Builder::disownEndpoint()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t CrashNews::Reader::getIncarnation() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::int64_t CrashNews::Reader::getIncarnation() const
+{
+    return _reader.getDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t CrashNews::Builder::getIncarnation() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::int64_t CrashNews::Builder::getIncarnation()
+{
+    return _builder.getDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void CrashNews::Builder::setIncarnation( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void CrashNews::Builder::setIncarnation(::int64_t value)
+{
+    _builder.setDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t CrashNews::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint64_t CrashNews::Reader::getAgeMs() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t CrashNews::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint64_t CrashNews::Builder::getAgeMs()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void CrashNews::Builder::setAgeMs( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void CrashNews::Builder::setAgeMs(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t CrashNews::Reader::getPartPosition() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint16_t CrashNews::Reader::getPartPosition() const
+{
+    return _reader.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t CrashNews::Builder::getPartPosition() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint16_t CrashNews::Builder::getPartPosition()
+{
+    return _builder.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void CrashNews::Builder::setPartPosition( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void CrashNews::Builder::setPartPosition(::uint16_t value)
+{
+    _builder.setDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool LimitNews::Reader::hasEndpoint() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool LimitNews::Reader::hasEndpoint() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool LimitNews::Builder::hasEndpoint() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool LimitNews::Builder::hasEndpoint()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader LimitNews::Reader::getEndpoint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader LimitNews::Reader::getEndpoint() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder LimitNews::Builder::getEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder LimitNews::Builder::getEndpoint()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LimitNews::Builder::setEndpoint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void LimitNews::Builder::setEndpoint(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder LimitNews::Builder::initEndpoint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder LimitNews::Builder::initEndpoint(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void LimitNews::Builder::adoptEndpoint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void LimitNews::Builder::adoptEndpoint(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> LimitNews::Builder::disownEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> LimitNews::Builder::disownEndpoint()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t LimitNews::Reader::getIncarnation() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::int64_t LimitNews::Reader::getIncarnation() const
+{
+    return _reader.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t LimitNews::Builder::getIncarnation() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::int64_t LimitNews::Builder::getIncarnation()
+{
+    return _builder.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void LimitNews::Builder::setIncarnation( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void LimitNews::Builder::setIncarnation(::int64_t value)
+{
+    _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool LimitNews::Reader::getIsLimited() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline bool LimitNews::Reader::getIsLimited() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline bool LimitNews::Builder::getIsLimited() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline bool LimitNews::Builder::getIsLimited()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void LimitNews::Builder::setIsLimited(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline void LimitNews::Builder::setIsLimited(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline double LimitNews::Reader::getRequestsPerSecond() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline double LimitNews::Reader::getRequestsPerSecond() const
+{
+    return _reader.getDataField<double>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline double LimitNews::Builder::getRequestsPerSecond() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline double LimitNews::Builder::getRequestsPerSecond()
+{
+    return _builder.getDataField<double>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void LimitNews::Builder::setRequestsPerSecond(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void LimitNews::Builder::setRequestsPerSecond(double value)
+{
+    _builder.setDataField<double>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t LimitNews::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint64_t LimitNews::Reader::getAgeMs() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t LimitNews::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint64_t LimitNews::Builder::getAgeMs()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void LimitNews::Builder::setAgeMs( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void LimitNews::Builder::setAgeMs(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool LimitNews::Reader::getIsBrittle() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+inline bool LimitNews::Reader::getIsBrittle() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<65>() * ::capnp::ELEMENTS);
 }
 
-inline bool LimitNews::Builder::getIsBrittle() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+inline bool LimitNews::Builder::getIsBrittle()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<65>() * ::capnp::ELEMENTS);
 }
-inline void LimitNews::Builder::setIsBrittle(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+inline void LimitNews::Builder::setIsBrittle(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
 }
 
-inline double LimitNews::Reader::getRejectionsPerSecond() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline double LimitNews::Reader::getRejectionsPerSecond() const
+{
+    return _reader.getDataField<double>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline double LimitNews::Builder::getRejectionsPerSecond() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline double LimitNews::Builder::getRejectionsPerSecond()
+{
+    return _builder.getDataField<double>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void LimitNews::Builder::setRejectionsPerSecond(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void LimitNews::Builder::setRejectionsPerSecond(double value)
+{
+    _builder.setDataField<double>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool LeavingNews::Reader::hasEndpoint() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool LeavingNews::Reader::hasEndpoint() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool LeavingNews::Builder::hasEndpoint() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool LeavingNews::Builder::hasEndpoint()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader LeavingNews::Reader::getEndpoint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader LeavingNews::Reader::getEndpoint() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder LeavingNews::Builder::getEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder LeavingNews::Builder::getEndpoint()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LeavingNews::Builder::setEndpoint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void LeavingNews::Builder::setEndpoint(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder LeavingNews::Builder::initEndpoint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder LeavingNews::Builder::initEndpoint(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void LeavingNews::Builder::adoptEndpoint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void LeavingNews::Builder::adoptEndpoint(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> LeavingNews::Builder::disownEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> LeavingNews::Builder::disownEndpoint()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t LeavingNews::Reader::getIncarnation() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::int64_t LeavingNews::Reader::getIncarnation() const
+{
+    return _reader.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t LeavingNews::Builder::getIncarnation() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::int64_t LeavingNews::Builder::getIncarnation()
+{
+    return _builder.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void LeavingNews::Builder::setIncarnation( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void LeavingNews::Builder::setIncarnation(::int64_t value)
+{
+    _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t LeavingNews::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t LeavingNews::Reader::getAgeMs() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t LeavingNews::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t LeavingNews::Builder::getAgeMs()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void LeavingNews::Builder::setAgeMs( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void LeavingNews::Builder::setAgeMs(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool GossipMessage::Reader::hasSender() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool GossipMessage::Reader::hasSender() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool GossipMessage::Builder::hasSender() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool GossipMessage::Builder::hasSender()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::monsoongrade::schema::GossipPeer::Reader GossipMessage::Reader::getSender() const {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::GossipPeer>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::monsoongrade::schema::GossipPeer::Reader GossipMessage::Reader::getSender() const
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::GossipPeer>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::monsoongrade::schema::GossipPeer::Builder GossipMessage::Builder::getSender() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::GossipPeer>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::monsoongrade::schema::GossipPeer::Builder GossipMessage::Builder::getSender()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::GossipPeer>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::monsoongrade::schema::GossipPeer::Pipeline GossipMessage::Pipeline::getSender() {
-  return  ::monsoongrade::schema::GossipPeer::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void GossipMessage::Builder::setSender( ::monsoongrade::schema::GossipPeer::Reader value) {
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::GossipPeer>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::monsoongrade::schema::GossipPeer::Builder GossipMessage::Builder::initSender() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::GossipPeer>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void GossipMessage::Builder::adoptSender(
-    ::capnp::Orphan< ::monsoongrade::schema::GossipPeer>&& value) {
-  ::capnp::_::PointerHelpers< ::monsoongrade::schema::GossipPeer>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::monsoongrade::schema::GossipPeer> GossipMessage::Builder::disownSender() {
-  return ::capnp::_::PointerHelpers< ::monsoongrade::schema::GossipPeer>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool GossipMessage::Reader::hasKnown() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool GossipMessage::Builder::hasKnown() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::monsoongrade::schema::GossipPeer,  ::capnp::Kind::STRUCT>::Reader GossipMessage::Reader::getKnown() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::GossipPeer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::monsoongrade::schema::GossipPeer,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::getKnown() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::GossipPeer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void GossipMessage::Builder::setKnown( ::capnp::List< ::monsoongrade::schema::GossipPeer,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::GossipPeer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::monsoongrade::schema::GossipPeer,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::initKnown(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::GossipPeer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::monsoongrade::schema::GossipPeer::Pipeline GossipMessage::Pipeline::getSender()
+{
+    return ::monsoongrade::schema::GossipPeer::Pipeline(_typeless.getPointerField(0));
+}
+#endif // !CAPNP_LITE
+inline void GossipMessage::Builder::setSender(::monsoongrade::schema::GossipPeer::Reader value)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::GossipPeer>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::monsoongrade::schema::GossipPeer::Builder GossipMessage::Builder::initSender()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::GossipPeer>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+GossipMessage::Builder::adoptSender(::capnp::Orphan<::monsoongrade::schema::GossipPeer> &&value)
+{
+    ::capnp::_::PointerHelpers<::monsoongrade::schema::GossipPeer>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::monsoongrade::schema::GossipPeer> GossipMessage::Builder::disownSender()
+{
+    return ::capnp::_::PointerHelpers<::monsoongrade::schema::GossipPeer>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool GossipMessage::Reader::hasKnown() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipMessage::Builder::hasKnown()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::monsoongrade::schema::GossipPeer, ::capnp::Kind::STRUCT>::Reader
+GossipMessage::Reader::getKnown() const
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::GossipPeer, ::capnp::Kind::STRUCT>>::
+        get(_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::monsoongrade::schema::GossipPeer, ::capnp::Kind::STRUCT>::Builder
+GossipMessage::Builder::getKnown()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::GossipPeer, ::capnp::Kind::STRUCT>>::
+        get(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GossipMessage::Builder::setKnown(
+    ::capnp::List<::monsoongrade::schema::GossipPeer, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::GossipPeer, ::capnp::Kind::STRUCT>>::
+        set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::monsoongrade::schema::GossipPeer, ::capnp::Kind::STRUCT>::Builder
+GossipMessage::Builder::initKnown(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::GossipPeer, ::capnp::Kind::STRUCT>>::
+        init(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void GossipMessage::Builder::adoptKnown(
-    ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::GossipPeer,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::GossipPeer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::GossipPeer,  ::capnp::Kind::STRUCT>> GossipMessage::Builder::disownKnown() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::GossipPeer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline  ::int64_t GossipMessage::Reader::getWallMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t GossipMessage::Builder::getWallMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void GossipMessage::Builder::setWallMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool GossipMessage::Reader::hasCrashes() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool GossipMessage::Builder::hasCrashes() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::monsoongrade::schema::CrashNews,  ::capnp::Kind::STRUCT>::Reader GossipMessage::Reader::getCrashes() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::CrashNews,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::monsoongrade::schema::CrashNews,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::getCrashes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::CrashNews,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void GossipMessage::Builder::setCrashes( ::capnp::List< ::monsoongrade::schema::CrashNews,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::CrashNews,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::monsoongrade::schema::CrashNews,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::initCrashes(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::CrashNews,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+    ::capnp::Orphan<::capnp::List<::monsoongrade::schema::GossipPeer, ::capnp::Kind::STRUCT>>
+        &&value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::GossipPeer, ::capnp::Kind::STRUCT>>::
+        adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::monsoongrade::schema::GossipPeer, ::capnp::Kind::STRUCT>>
+GossipMessage::Builder::disownKnown()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::GossipPeer, ::capnp::Kind::STRUCT>>::
+        disown(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline ::int64_t GossipMessage::Reader::getWallMs() const
+{
+    return _reader.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::int64_t GossipMessage::Builder::getWallMs()
+{
+    return _builder.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GossipMessage::Builder::setWallMs(::int64_t value)
+{
+    _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GossipMessage::Reader::hasCrashes() const
+{
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipMessage::Builder::hasCrashes()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::monsoongrade::schema::CrashNews, ::capnp::Kind::STRUCT>::Reader
+GossipMessage::Reader::getCrashes() const
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::CrashNews, ::capnp::Kind::STRUCT>>::
+        get(_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::monsoongrade::schema::CrashNews, ::capnp::Kind::STRUCT>::Builder
+GossipMessage::Builder::getCrashes()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::CrashNews, ::capnp::Kind::STRUCT>>::
+        get(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void GossipMessage::Builder::setCrashes(
+    ::capnp::List<::monsoongrade::schema::CrashNews, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::CrashNews, ::capnp::Kind::STRUCT>>::
+        set(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::monsoongrade::schema::CrashNews, ::capnp::Kind::STRUCT>::Builder
+GossipMessage::Builder::initCrashes(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::CrashNews, ::capnp::Kind::STRUCT>>::
+        init(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void GossipMessage::Builder::adoptCrashes(
-    ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::CrashNews,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::CrashNews,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::CrashNews,  ::capnp::Kind::STRUCT>> GossipMessage::Builder::disownCrashes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::CrashNews,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline bool GossipMessage::Reader::hasLimits() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool GossipMessage::Builder::hasLimits() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::monsoongrade::schema::LimitNews,  ::capnp::Kind::STRUCT>::Reader GossipMessage::Reader::getLimits() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::LimitNews,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::monsoongrade::schema::LimitNews,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::getLimits() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::LimitNews,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void GossipMessage::Builder::setLimits( ::capnp::List< ::monsoongrade::schema::LimitNews,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::LimitNews,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::monsoongrade::schema::LimitNews,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::initLimits(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::LimitNews,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+    ::capnp::Orphan<::capnp::List<::monsoongrade::schema::CrashNews, ::capnp::Kind::STRUCT>>
+        &&value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::CrashNews, ::capnp::Kind::STRUCT>>::
+        adopt(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::monsoongrade::schema::CrashNews, ::capnp::Kind::STRUCT>>
+GossipMessage::Builder::disownCrashes()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::CrashNews, ::capnp::Kind::STRUCT>>::
+        disown(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool GossipMessage::Reader::hasLimits() const
+{
+    return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipMessage::Builder::hasLimits()
+{
+    return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::monsoongrade::schema::LimitNews, ::capnp::Kind::STRUCT>::Reader
+GossipMessage::Reader::getLimits() const
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::LimitNews, ::capnp::Kind::STRUCT>>::
+        get(_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::monsoongrade::schema::LimitNews, ::capnp::Kind::STRUCT>::Builder
+GossipMessage::Builder::getLimits()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::LimitNews, ::capnp::Kind::STRUCT>>::
+        get(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void GossipMessage::Builder::setLimits(
+    ::capnp::List<::monsoongrade::schema::LimitNews, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::LimitNews, ::capnp::Kind::STRUCT>>::
+        set(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::monsoongrade::schema::LimitNews, ::capnp::Kind::STRUCT>::Builder
+GossipMessage::Builder::initLimits(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::LimitNews, ::capnp::Kind::STRUCT>>::
+        init(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void GossipMessage::Builder::adoptLimits(
-    ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::LimitNews,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::LimitNews,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::LimitNews,  ::capnp::Kind::STRUCT>> GossipMessage::Builder::disownLimits() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::LimitNews,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
-inline bool GossipMessage::Reader::getIsProbe() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-
-inline bool GossipMessage::Builder::getIsProbe() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-inline void GossipMessage::Builder::setIsProbe(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool GossipMessage::Reader::hasLeaving() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline bool GossipMessage::Builder::hasLeaving() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::monsoongrade::schema::LeavingNews,  ::capnp::Kind::STRUCT>::Reader GossipMessage::Reader::getLeaving() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::LeavingNews,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::monsoongrade::schema::LeavingNews,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::getLeaving() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::LeavingNews,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline void GossipMessage::Builder::setLeaving( ::capnp::List< ::monsoongrade::schema::LeavingNews,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::LeavingNews,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::monsoongrade::schema::LeavingNews,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::initLeaving(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::LeavingNews,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+    ::capnp::Orphan<::capnp::List<::monsoongrade::schema::LimitNews, ::capnp::Kind::STRUCT>>
+        &&value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::LimitNews, ::capnp::Kind::STRUCT>>::
+        adopt(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::monsoongrade::schema::LimitNews, ::capnp::Kind::STRUCT>>
+GossipMessage::Builder::disownLimits()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::LimitNews, ::capnp::Kind::STRUCT>>::
+        disown(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool GossipMessage::Reader::getIsProbe() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool GossipMessage::Builder::getIsProbe()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void GossipMessage::Builder::setIsProbe(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GossipMessage::Reader::hasLeaving() const
+{
+    return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipMessage::Builder::hasLeaving()
+{
+    return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>::Reader
+GossipMessage::Reader::getLeaving() const
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>>::
+        get(_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>::Builder
+GossipMessage::Builder::getLeaving()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>>::
+        get(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void GossipMessage::Builder::setLeaving(
+    ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>>::
+        set(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>::Builder
+GossipMessage::Builder::initLeaving(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>>::
+        init(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
 inline void GossipMessage::Builder::adoptLeaving(
-    ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::LeavingNews,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::LeavingNews,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>>
+        &&value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>>::
+        adopt(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::monsoongrade::schema::LeavingNews,  ::capnp::Kind::STRUCT>> GossipMessage::Builder::disownLeaving() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::monsoongrade::schema::LeavingNews,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>>
+GossipMessage::Builder::disownLeaving()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::monsoongrade::schema::LeavingNews, ::capnp::Kind::STRUCT>>::
+        disown(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-}  // namespace
-}  // namespace
+} // namespace schema
+} // namespace monsoongrade
 
 CAPNP_END_HEADER
-
--- a/schema/placement.capnp
+++ b/schema/placement.capnp
@@ -34,6 +34,8 @@
   workspace @17 :Text;
   # The same for all client attempts of a request; 0 if unknown.
   returnKey @18 :UInt64;
+  # The request runs no model.
+  isPlain @19 :Bool;
 }
 
 struct PlacementAnswer {
--- a/schema/placement.capnp.h
+++ b/schema/placement.capnp.h
@@ -347,6 +347,8 @@
 
     inline ::uint64_t getReturnKey() const;
 
+    inline bool getIsPlain() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -475,6 +477,9 @@
     inline ::uint64_t getReturnKey();
     inline void setReturnKey(::uint64_t value);
 
+    inline bool getIsPlain();
+    inline void setIsPlain(bool value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -2172,6 +2177,20 @@
     _builder.setDataField<::uint64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PlacementAsk::Reader::getIsPlain() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<227>() * ::capnp::ELEMENTS);
+}
+
+inline bool PlacementAsk::Builder::getIsPlain()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<227>() * ::capnp::ELEMENTS);
+}
+inline void PlacementAsk::Builder::setIsPlain(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<227>() * ::capnp::ELEMENTS, value);
+}
+
 inline ::uint64_t PlacementAnswer::Reader::getNumber() const
 {
     return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway/internal/gossipmessages.cpp
+++ b/src/gateway/internal/gossipmessages.cpp
@@ -95,7 +95,9 @@
 
 std::optional<routing::RateLimitUpdate> decodeLimit(schema::LimitNews::Reader limit)
 {
-    const auto isRate = [](double rate) { return std::isfinite(rate) && rate >= 0; };
+    const auto isRate = [](double rate) {
+        return std::isfinite(rate) && rate >= 0;
+    };
     if (!isRate(limit.getRequestsPerSecond()) || !isRate(limit.getRejectionsPerSecond()))
         return std::nullopt;
     routing::RateLimitUpdate update;
--- a/src/gateway/placementmessages.cpp
+++ b/src/gateway/placementmessages.cpp
@@ -66,6 +66,7 @@
     ask.setLentShare(float(from.lentShare));
     ask.setWorkspace(query.workspace.value());
     ask.setReturnKey(query.returnKey.value());
+    ask.setIsPlain(!query.runsModel);
     if (from.limit)
         encodeLimit(ask.initLimit(), *from.limit);
 }
@@ -76,7 +77,8 @@
     message.number = ask.getNumber();
     routing::PlacementQuery &query = message.query;
     query.pool = units::PoolName(ask.getPool());
-    query.runsModel = true;
+    query.runsModel = !ask.getIsPlain();
+    query.isCoordinated = true;
     query.sharedPart = ask.getSharedPart();
     query.promptTokens = ask.getPromptTokens();
     query.ownTokens = ask.getOwnTokens();
--- a/src/gateway/placementservice.cpp
+++ b/src/gateway/placementservice.cpp
@@ -72,7 +72,8 @@
     pending.isWaiting = false;
     pending.wasRepeated = false;
     pending.query.isPoolDivided = registry_.division().isDivided(pending.query.pool);
-    pending.coordinator = pending.query.runsModel
+    pending.query.isCoordinated = isCoordinated(pending.query);
+    pending.coordinator = pending.query.isCoordinated
         ? selector_.selectHost(rankingFor(pending.query.pool), settings_.ownIp, now)
         : std::string();
     if (pending.coordinator.empty()) {
@@ -96,7 +97,7 @@
                                     const PlacedHandler &placed)
 {
     const routing::PlacementTicket ticket{settings_.ownIp, number};
-    if (query.runsModel)
+    if (query.isCoordinated)
         sharesOf(query.pool).keep(timers_.now());
     const routing::PlacementChoice choice
         = placer_.place(ticket, query, registry_.available(query.pool), timers_.now());
@@ -131,7 +132,21 @@
 
 bool PlacementService::hasEndpoint(const routing::PlacementQuery &query) const
 {
-    return placer_.hasEndpoint(query, registry_.available(query.pool), timers_.now());
+    routing::PlacementQuery coordinated = query;
+    coordinated.isCoordinated = isCoordinated(query);
+    return placer_.hasEndpoint(coordinated, registry_.available(query.pool), timers_.now());
+}
+
+// The slots of a plain endpoint that survives few rejections are often fewer than the hosts, so
+// that only one host that knows all open requests can fill them.
+bool PlacementService::isCoordinated(const routing::PlacementQuery &query) const
+{
+    if (query.runsModel)
+        return true;
+    const auto &endpoints = registry_.available(query.pool);
+    return std::any_of(
+        endpoints.begin(), endpoints.end(),
+        [now = timers_.now()](const auto &endpoint) { return endpoint->isBrittle(now); });
 }
 
 void PlacementService::setCoordinatorRankings(std::vector<std::string> ofFleet,
--- a/src/routing/endpointannouncements.cpp
+++ b/src/routing/endpointannouncements.cpp
@@ -167,7 +167,8 @@
         entry = isLiftExpired || age >= MaxAge ? limits_.erase(entry) : std::next(entry);
     }
     const auto isDue = [now](const Limit &known) {
-        return known.roundsLeft > 0 || (known.limits.hasAny() && now - known.lastSentAt >= ResendInterval);
+        return known.roundsLeft > 0
+            || (known.limits.hasAny() && now - known.lastSentAt >= ResendInterval);
     };
     std::vector<RateLimitUpdate> updates;
     for (const auto &entry : recordsToSend(limits_, maxItems, isDue)) {
--- a/src/routing/endpointchoice.cpp
+++ b/src/routing/endpointchoice.cpp
@@ -74,7 +74,8 @@
 RateShare RequestPlacer::shareFor(const PlacementQuery &query, units::TimePoint now) const
 {
     const ShareDelegation &shareOfPool = shares(query.isPoolDivided);
-    return query.runsModel ? shareOfPool.availableShare(now) : shareOfPool.ownShare(now);
+    return query.runsModel || query.isCoordinated ? shareOfPool.availableShare(now)
+                                                  : shareOfPool.ownShare(now);
 }
 
 bool RequestPlacer::isUsable(const EndpointStatus &endpoint, const PlacementQuery &query,
--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -303,8 +303,8 @@
                                 units::TimePoint now) const
 {
     RateShare share = shareFor(query, now);
-    // A share that is lent to the host which this one asks can be used there.
-    if (share.fraction == 0)
+    // Its own part may be too small for a request, but the host which this one asks has others'.
+    if (share.fraction < 1 && (query.runsModel || query.isCoordinated))
         share = {1, std::numeric_limits<double>::infinity(), false};
     return std::any_of(available.begin(), available.end(), [&](const auto &endpoint) {
         return isUsable(*endpoint, query, share, now);
--- a/tests/gateway/placementservice_test.cpp
+++ b/tests/gateway/placementservice_test.cpp
@@ -282,3 +282,33 @@
     CHECK_FALSE(host.registry.findAvailable(replacement.id)
                     ->isBrittle(host.timers.now() + std::chrono::minutes(1)));
 }
+
+// Guards against hosts that each fill a plain endpoint which has fewer slots than there are hosts,
+// or that leave it idle.
+TEST_CASE("PlacementService.HostsTogetherFillThePlainSlotsOfAnEndpointThatSurvivesFewRejections")
+{
+    constexpr int Slots = 2;
+    const std::vector<std::string> order{addressOf(0), addressOf(1), addressOf(2)};
+    Host first(0, order);
+    Host second(1, order);
+    Host third(2, order);
+    int placed = 0;
+    for (Host *host : {&first, &second, &third}) {
+        const auto endpoint = host->registry.findAvailable(units::EndpointId("e"));
+        endpoint->registration.slots = Slots;
+        const int index = host == &first ? 0 : host == &second ? 1 : 2;
+        host->placement.setLiveHosts({3, index}, {3, index});
+        host->announce({{}, 2.0});
+    }
+    for (int i = 0; i < 12; ++i) {
+        for (Host *host : {&first, &second, &third}) {
+            routing::PlacementQuery query;
+            query.pool = Pool;
+            host->placement.place(query, [&](const auto &, const auto &choice) {
+                placed += choice.endpoint == nullptr ? 0 : 1;
+            });
+        }
+        runFor(milliseconds(20), {&first, &second, &third});
+    }
+    CHECK_MESSAGE(placed == Slots, "placed ", placed);
+}
