A rejection is not taken for the first byte of a response

Found when looking for the cause of crashes after a restart of the placing host: a rejection was reported to the placing host as a first event. It then learned the engine's prefill speed from a response that had prefilled nothing, held the shared part for cached there, and the latency of the endpoint looked short. What callers saw of this was not measured.

WorkerFaults.RejectionIsNotTakenForAFirstByte failed before (the metric of first bytes counted the rejection).

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -211,7 +211,8 @@
     const bool isEventStream
         = route_->kind == routing::RouteKind::Stream && isSuccess(head.status) && answer.isSigned;
     use_ = isEventStream ? ResponseUse::Relayed : ResponseUse::Collected;
-    if (use_ == ResponseUse::Collected)
+    // A rejection tells nothing of how long the endpoint takes to answer.
+    if (use_ == ResponseUse::Collected && !answer_.provenNotRun && !answer_.wrongEndpoint)
         onFirstByte();
 }
 
--- /dev/null
+++ b/src/routing/admissionwindow.cpp
@@ -0,0 +1,42 @@
+#include <monsoongrade/routing/admissionwindow.h>
+
+#include <algorithm>
+
+namespace monsoongrade::routing {
+
+namespace {
+
+// Rejections are spaced out by more than their number a second allows, as requests that are under
+// way arrive at uneven intervals.
+constexpr double RejectionSpacing = 1.2;
+// After a rejection by an endpoint that survives none. In this time it has run all that it had.
+constexpr auto MaxPause = std::chrono::duration<double>(5);
+// Share of the rejections that the host may cause; other hosts may place requests as well.
+constexpr double UsedShareOfRejections = 0.5;
+
+} // namespace
+
+void AdmissionWindow::onAccepted(int open)
+{
+    accepted_ = std::max(accepted_, open);
+}
+
+void AdmissionWindow::onRejected(int open, RequestsPerSecond maxRejections, units::TimePoint now)
+{
+    accepted_ = std::min(accepted_, open);
+    const std::chrono::duration<double> pause(
+        maxRejections > 0 ? RejectionSpacing / maxRejections : MaxPause.count());
+    // Several requests may be rejected at the same time.
+    growsFrom_ = std::max(growsFrom_, now)
+        + std::chrono::duration_cast<units::Duration>(std::min(pause, MaxPause));
+}
+
+bool AdmissionWindow::admits(int open, RequestsPerSecond maxRejections, units::TimePoint now) const
+{
+    if (open < accepted_)
+        return true;
+    const int growth = std::max(1, int(maxRejections * UsedShareOfRejections));
+    return now >= growsFrom_ && open < accepted_ + growth;
+}
+
+} // namespace monsoongrade::routing
--- a/tests/adapter/workerfaults_test.cpp
+++ b/tests/adapter/workerfaults_test.cpp
@@ -110,6 +110,24 @@
     CHECK(retryAfter < 2.5 / 3 + 0.01);
 }
 
+// Guards against learning that an endpoint is fast, and that it has read the prompt, from a
+// rejection.
+TEST_CASE("WorkerFaults.RejectionIsNotTakenForAFirstByte")
+{
+    FaultFixture fixture;
+    RawPeer full(fixture.io, [](RawConnection &connection, const std::string &text, int) {
+        connection.write("HTTP/1.1 503 Unavailable\r\nAttempt-Id: " + idIn(text)
+                         + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    });
+    fixture.announce("e", "model", full.address());
+    fixture.serve(1);
+    CHECK(fixture.call(request("POST", "/stream/a", "id1", "", StreamHeaders))->status() == 503);
+    CHECK(full.requests() == 1);
+    CHECK(fixture.gateway->state().log.metrics.exposition().find(
+              "monsoongrade_gateway_first_byte_seconds")
+          == std::string::npos);
+}
+
 TEST_CASE("WorkerFaults.LateSecondResponseIsNotTakenForTheNextOne")
 {
     // A worker sends a second response to the first request while the second request is on the
