A host finds the room of a brittle endpoint a few requests at a time

Callers saw: a placing host that was killed or stopped and started again in a burst crashed endpoints within 100 ms, up to all eight.

Cause: a new coordinator counts all slots as free, though requests of its predecessor hold some of them, and fills them at once; a rejection concerned the host that got it, while the coordinator went on for the others. Class: state of a role that its new holder does not have, taken for zero.

routing/AdmissionWindow goes beyond the number of open requests that the endpoint has accepted before by half of the rejections that it survives, one at least, and after a rejection waits until the next may follow.

--- a/include/monsoongrade/routing/endpointstatus.h
+++ b/include/monsoongrade/routing/endpointstatus.h
@@ -1,6 +1,7 @@
 #ifndef MONSOONGRADE_ROUTING_ENDPOINTSTATUS_H
 #define MONSOONGRADE_ROUTING_ENDPOINTSTATUS_H
 
+#include <monsoongrade/routing/admissionwindow.h>
 #include <monsoongrade/routing/discoveredendpoint.h>
 #include <monsoongrade/routing/endpointhealth.h>
 #include <monsoongrade/routing/endpointratelimiter.h>
@@ -16,6 +17,7 @@
     DiscoveredEndpoint registration;
     EndpointHealth health;
     EndpointRateLimiter rateLimiter; // for the requests that this host places
+    AdmissionWindow admissionWindow; // for the same
     // Accepts no new requests: it is draining, was removed from the store, or another process has
     // its address.
     bool leaving = false;
--- a/include/monsoongrade/routing/requestplacer.h
+++ b/include/monsoongrade/routing/requestplacer.h
@@ -125,7 +125,8 @@
     // placed here. EndpointSilent counts only if no host has had a result from the endpoint since
     // the request was placed: in an overload a first event takes longer than the silence timeout.
     // EndpointPaused lowers the rank of the endpoint for all hosts, because it is likely to reject
-    // their requests too. Events of unknown tickets are ignored.
+    // their requests too; one that survives few rejections gets fewer requests. Events of unknown
+    // tickets are ignored.
     void onEvent(const PlacementTicket &ticket, PlacementEvent event, units::TimePoint now);
     // Sets the pools of the configuration in force.
     void setPools(const std::vector<TrafficPool> &pools);
@@ -165,6 +166,7 @@
         bool isSolePrefill = false; // its endpoint had no other prefill when it was placed
         bool isStreaming = false; // has had its first event
         bool isLimited = false;
+        int openRequests = 0; // of the endpoint when it was placed, including this one
         units::Duration expectedFirstEvent{};
         std::string sharedPart; // of a model request; may be empty
         units::EndpointId cacheSource;
--- a/soak/soakchecks.cpp
+++ b/soak/soakchecks.cpp
@@ -183,10 +183,24 @@
             = fault.kind == FaultKind::CutToEndpoint || fault.kind == FaultKind::CutFromEndpoint;
         return (isOfHost || isOfPath) && overlaps(fault, record);
     });
-    if (isStopped && !isHarmed)
+    if (isStopped && !isHarmed && !hasEndpointCrashed(record))
         found.push_back(record.id + ": cut off by a planned stop of " + hostParty(record.host));
 }
 
+// Whether an endpoint that may have run the request crashed before its end.
+bool SoakRun::hasEndpointCrashed(const CallRecord &record) const
+{
+    return std::any_of(endpoints_.begin(), endpoints_.end(), [&](const auto &endpoint) {
+        const auto &runs = endpoint->runs();
+        const auto &crashes = endpoint->crashes();
+        return std::any_of(runs.begin(), runs.end(),
+                           [&](const auto &run) { return run.requestId == record.id; })
+            && std::any_of(crashes.begin(), crashes.end(), [&](const auto &crash) {
+                   return record.sentAt <= crash.at && crash.at <= record.endedAt;
+               });
+    });
+}
+
 // No kind of request or workspace starves, and all are served again when the faults are over.
 void SoakRun::checkShares(std::vector<std::string> &found) const
 {
--- a/soak/soakrun.h
+++ b/soak/soakrun.h
@@ -82,6 +82,7 @@
     bool isPathDisturbed(std::size_t endpoint, units::TimePoint from, units::TimePoint until) const;
     bool isInForce(const Fault &fault, units::TimePoint from, units::TimePoint until) const;
     bool isAloneOnEntry(const Fault &fault) const;
+    bool hasEndpointCrashed(const CallRecord &record) const;
     void checkPlannedStop(const CallRecord &record, std::vector<std::string> &found) const;
     void checkDuties(std::vector<std::string> &found) const;
     void checkShares(std::vector<std::string> &found) const;
--- a/src/routing/admissionwindow.cpp
+++ b/src/routing/admissionwindow.cpp
@@ -24,8 +24,8 @@
 void AdmissionWindow::onRejected(int open, RequestsPerSecond maxRejections, units::TimePoint now)
 {
     accepted_ = std::min(accepted_, open);
-    const std::chrono::duration<double> pause(
-        maxRejections > 0 ? RejectionSpacing / maxRejections : MaxPause.count());
+    const std::chrono::duration<double> pause(maxRejections > 0 ? RejectionSpacing / maxRejections
+                                                                : MaxPause.count());
     // Several requests may be rejected at the same time.
     growsFrom_ = std::max(growsFrom_, now)
         + std::chrono::duration_cast<units::Duration>(std::min(pause, MaxPause));
--- a/src/routing/endpointchoice.cpp
+++ b/src/routing/endpointchoice.cpp
@@ -97,7 +97,8 @@
         return true;
     const int ownSlots
         = int(std::floor(endpoint.registration.slots * share.fraction + RoundingError));
-    return loads_.of(endpoint).openRequests < ownSlots;
+    const int open = loads_.of(endpoint).openRequests;
+    return open < ownSlots && endpoint.admissionWindow.admits(open, *endpoint.maxRejections, now);
 }
 
 bool RequestPlacer::hasRoomInReserve(const EndpointStatus &endpoint, std::int64_t maxBacklog) const
--- a/src/routing/prefilllearning.cpp
+++ b/src/routing/prefilllearning.cpp
@@ -62,6 +62,7 @@
 void RequestPlacer::onFirstEvent(Placed &placed, units::TimePoint now)
 {
     const EndpointStatus &endpoint = *placed.endpoint;
+    placed.endpoint->admissionWindow.onAccepted(placed.openRequests);
     loads_.addResult(endpoint, now);
     if (placed.isSolePrefill && endpoint.health.slowness(now) < MaxSlownessOfSamples) {
         learnRate(placed, now);
--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -162,6 +162,7 @@
     if (choice.cacheTransfer)
         cacheTransfers_.onPlaced(*choice.cacheTransfer, now);
     loads_.add(endpoint, choice.tokensToRead);
+    placed.openRequests = loads_.of(endpoint).openRequests;
     if (query.runsModel) {
         prefillPeriods_.onPlaced(endpoint, choice.tokensToRead,
                                  isCopied ? 0 : tokensPerMs(endpoint, now), now);
@@ -277,6 +278,7 @@
         onEndpointSilent(placed, now);
         return;
     case PlacementEvent::Completed:
+        placed.endpoint->admissionWindow.onAccepted(placed.openRequests);
         loads_.addResult(*placed.endpoint, now);
         break;
     case PlacementEvent::EndpointFailed:
@@ -284,6 +286,9 @@
         break;
     case PlacementEvent::EndpointPaused:
         placed.endpoint->health.onErrorResponse(now);
+        if (placed.endpoint->maxRejections)
+            placed.endpoint->admissionWindow.onRejected(
+                loads_.of(*placed.endpoint).openRequests - 1, *placed.endpoint->maxRejections, now);
         break;
     case PlacementEvent::Withdrawn:
         break;
--- a/tests/routing/requestplacer_test.cpp
+++ b/tests/routing/requestplacer_test.cpp
@@ -380,6 +380,9 @@
                         = fixture.place(modelQuery("s", 100, 100)).endpoint != nullptr;
                     CHECK_FALSE((isPlaced && isLender));
                     open += isPlaced ? 1 : 0;
+                    // Accepted, so that the next one may be placed beside it.
+                    fixture.placer.onEvent(fixture.lastTicket(), PlacementEvent::FirstEvent,
+                                           fixture.now);
                 }
             }
             CHECK_MESSAGE(open <= Slots, hosts, " hosts, lenders ", lenders);
