--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -18,7 +18,8 @@
 using std::chrono::milliseconds;
 
 constexpr auto AskedPause = milliseconds(3000);
-constexpr double NamedLimit = 2; // requests a second
+// Requests a second; which one follows from the begin of the fault.
+constexpr double NamedLimits[] = {0.3, 1, 8, 40, 0, 1.6, 2};
 constexpr double MaxRejections = 2; // a second
 constexpr int ModelSlots = 16;
 constexpr int PlainSlots = 6;
@@ -37,6 +38,11 @@
 // After the last request: its deadline, and some more for what runs unattended.
 constexpr auto Aftermath = milliseconds(7000);
 constexpr auto StopWithin = std::chrono::seconds(4);
+double limitOf(const Fault &fault)
+{
+    return NamedLimits[std::size_t(fault.beginsAt / milliseconds(100)) % std::size(NamedLimits)];
+}
+
 // Runs stand side by side: each takes addresses and ports by its process id. The ports stay below
 // those that the system gives to outgoing connections.
 int runNumber()
@@ -277,7 +283,7 @@
         endpoints_[fault.target]->askForPauses(AskedPause);
         break;
     case FaultKind::EndpointNamesLimit:
-        endpoints_[fault.target]->announceLimit(NamedLimit);
+        endpoints_[fault.target]->announceLimit(limitOf(fault));
         break;
     case FaultKind::EndpointIsBrittle:
         endpoints_[fault.target]->announceMaxRejections(MaxRejections);
