A query's answer says which limits its choice was counted against

Found when reading the change again, in code of this landing only: - An answer was counted as limited if the coordinator knew either limit, so that a choice which ignored a rate limit was accepted where the coordinator knew the rejections alone. The answer says both now. - The check read a query that had been erased. - A host that only presumes that an endpoint survives few rejections would have asked again and again, since it has nothing to tell. - Rejections by one endpoint could add up to a pause without a bound; a huge number overflowed. - Plain requests look for brittle endpoints only where some endpoint has announced limits.

--- a/include/monsoongrade/gateway/placementservice.h
+++ b/include/monsoongrade/gateway/placementservice.h
@@ -130,8 +130,6 @@
     void logSpeeds();
     void sendOrPlace(std::uint64_t number, PendingQuery pending);
     bool isCoordinated(const routing::PlacementQuery &query) const;
-    static bool mustCountLimit(const routing::EndpointStatus &endpoint, const PendingQuery &pending,
-                               units::TimePoint now);
     void sendQuery(std::uint64_t number, const PendingQuery &pending);
     routing::ShareDelegation &sharesOf(const units::PoolName &pool);
     void lendIdleShares();
--- a/include/monsoongrade/routing/requestplacer.h
+++ b/include/monsoongrade/routing/requestplacer.h
@@ -56,6 +56,7 @@
     // Set if the request is refused because of a long queue: when its client should retry.
     std::optional<units::Duration> retryDelay;
     bool isLimited = false; // counted against the endpoint's rate limit
+    bool isWithinSlots = false; // counted against its slots, as it survives few rejections
     // Expected time from sending the request to its first event; 0: unknown.
     units::Duration expectedFirstEvent{};
     // With retryDelay: room is booked for the request at that time.
@@ -166,6 +167,7 @@
         bool isSolePrefill = false; // its endpoint had no other prefill when it was placed
         bool isStreaming = false; // has had its first event
         bool isLimited = false;
+        bool isWithinSlots = false;
         int openRequests = 0; // of the endpoint when it was placed, including this one
         units::Duration expectedFirstEvent{};
         std::string sharedPart; // of a model request; may be empty
--- a/schema/placement.capnp
+++ b/schema/placement.capnp
@@ -56,6 +56,8 @@
   isReturnScheduled @8 :Bool;
   # Endpoint from which the chosen one copies cached prompt parts; empty: none.
   cacheSource @9 :Text;
+  # The placing host knows that the endpoint survives few rejections and counts its open requests.
+  isWithinSlots @10 :Bool;
 }
 
 # From a host with waiting requests: are they still in the queue?
--- a/schema/placement.capnp.h
+++ b/schema/placement.capnp.h
@@ -556,6 +556,8 @@
     inline bool hasCacheSource() const;
     inline ::capnp::Text::Reader getCacheSource() const;
 
+    inline bool getIsWithinSlots() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -629,6 +631,9 @@
     inline void adoptCacheSource(::capnp::Orphan<::capnp::Text> &&value);
     inline ::capnp::Orphan<::capnp::Text> disownCacheSource();
 
+    inline bool getIsWithinSlots();
+    inline void setIsWithinSlots(bool value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -2381,6 +2386,20 @@
         _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool PlacementAnswer::Reader::getIsWithinSlots() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<100>() * ::capnp::ELEMENTS);
+}
+
+inline bool PlacementAnswer::Builder::getIsWithinSlots()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<100>() * ::capnp::ELEMENTS);
+}
+inline void PlacementAnswer::Builder::setIsWithinSlots(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<100>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool StillWaiting::Reader::hasNumbers() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/gateway/exchangeannouncements.cpp
+++ b/src/gateway/exchangeannouncements.cpp
@@ -133,7 +133,9 @@
     const routing::AnnouncedLimits before{endpoint_->rateLimiter.limit(), endpoint_->maxRejections};
     if (!state_.announcements.setLimits(instance, limits, at)) {
         // A response without limits ends what was presumed of an endpoint with no earlier one.
-        if (!limits.hasAny() && state_.announcements.limitsOf(instance) == nullptr)
+        const bool isPresumed
+            = endpoint_->maxRejections && state_.announcements.limitsOf(instance) == nullptr;
+        if (isPresumed && !limits.hasAny())
             endpoint_->maxRejections.reset();
         return;
     }
--- a/src/gateway/internal/placementmessages.h
+++ b/src/gateway/internal/placementmessages.h
@@ -31,7 +31,8 @@
     std::int64_t tokensToRead = 0;
     bool isWaiting = false; // queued; another answer follows
     std::optional<units::Duration> retryDelay; // set if refused because of a long queue
-    bool isLimited = false; // counted against the endpoint's limit
+    bool isLimited = false; // counted against the endpoint's limit of requests
+    bool isWithinSlots = false; // counted against its slots, as it survives few rejections
     units::Duration expectedFirstEvent{}; // 0: unknown
     bool isReturnScheduled = false;
     units::EndpointId cacheSource; // empty: none
--- a/src/gateway/placementmessages.cpp
+++ b/src/gateway/placementmessages.cpp
@@ -111,6 +111,7 @@
     answer.setRefused(from.retryDelay.has_value());
     answer.setComeBackInMs(inMilliseconds(from.retryDelay.value_or(units::Duration::zero())));
     answer.setIsLimited(from.isLimited);
+    answer.setIsWithinSlots(from.isWithinSlots);
     answer.setExpectedFirstEventMs(inMilliseconds(from.expectedFirstEvent));
     answer.setIsReturnScheduled(from.isReturnScheduled);
     answer.setCacheSource(from.cacheSource.value());
@@ -126,6 +127,7 @@
     if (answer.getRefused())
         message.retryDelay = std::chrono::milliseconds(answer.getComeBackInMs());
     message.isLimited = answer.getIsLimited();
+    message.isWithinSlots = answer.getIsWithinSlots();
     message.expectedFirstEvent = std::chrono::milliseconds(answer.getExpectedFirstEventMs());
     message.isReturnScheduled = answer.getIsReturnScheduled();
     message.cacheSource = units::EndpointId(answer.getCacheSource());
@@ -238,6 +240,7 @@
         answer.endpoint = choice.endpoint->registration.id;
     answer.tokensToRead = choice.tokensToRead;
     answer.isLimited = choice.isLimited;
+    answer.isWithinSlots = choice.isWithinSlots;
     answer.expectedFirstEvent = choice.expectedFirstEvent;
     answer.isReturnScheduled = choice.isReturnScheduled;
     answer.cacheSource = choice.cacheSource;
--- a/src/gateway/placementservice.cpp
+++ b/src/gateway/placementservice.cpp
@@ -141,8 +141,8 @@
 // that only one host that knows all open requests can fill them.
 bool PlacementService::isCoordinated(const routing::PlacementQuery &query) const
 {
-    if (query.runsModel)
-        return true;
+    if (query.runsModel || poolRejections_.empty())
+        return query.runsModel;
     const auto &endpoints = registry_.available(query.pool);
     return std::any_of(
         endpoints.begin(), endpoints.end(),
@@ -287,15 +287,6 @@
         placer_.addCachedPart(part, timers_.now());
 }
 
-// Whether a limit that this host knows rules out a choice which was not counted against it. The
-// coordinator is told the limits once. One of an older build does not count rejections even then,
-// and its choices are used all the same.
-bool PlacementService::mustCountLimit(const routing::EndpointStatus &endpoint,
-                                      const PendingQuery &pending, units::TimePoint now)
-{
-    return endpoint.rateLimiter.limit() || (endpoint.isBrittle(now) && !pending.limit);
-}
-
 void PlacementService::withdraw(std::uint64_t number)
 {
     const auto found = pending_.find(number);
@@ -332,8 +323,13 @@
     const auto status = registry_.findAvailable(message.endpoint);
     const bool isUsable = status != nullptr && status->health.accepts(now)
         && routing::hasPermittedVersion(status->registration, pending.query);
-    const bool isLimitUnknown
-        = isUsable && !message.isLimited && mustCountLimit(*status, found->second, now);
+    const bool isRateUncounted = isUsable && status->rateLimiter.limit() && !message.isLimited;
+    // A coordinator of an older build does not count slots even if it is told, and is trusted then.
+    // What is only presumed of an endpoint can't be told.
+    const bool areSlotsUncounted = isUsable && status->isBrittle(now) && !message.isWithinSlots
+        && !pending.limit
+        && announcements_.limitsOf(routing::instanceOf(status->registration)) != nullptr;
+    const bool isLimitUnknown = isRateUncounted || areSlotsUncounted;
     if (isUsable && !isLimitUnknown) {
         coordinators_[message.number] = host;
         routing::PlacementChoice choice;
--- a/src/routing/admissionwindow.cpp
+++ b/src/routing/admissionwindow.cpp
@@ -1,6 +1,7 @@
 #include <monsoongrade/routing/admissionwindow.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace monsoongrade::routing {
 
@@ -27,15 +28,18 @@
     const std::chrono::duration<double> pause(maxRejections > 0 ? RejectionSpacing / maxRejections
                                                                 : MaxPause.count());
     // Several requests may be rejected at the same time.
-    growsFrom_ = std::max(growsFrom_, now)
-        + std::chrono::duration_cast<units::Duration>(std::min(pause, MaxPause));
+    const auto inUnits = [](std::chrono::duration<double> time) {
+        return std::chrono::duration_cast<units::Duration>(time);
+    };
+    growsFrom_ = std::min(std::max(growsFrom_, now) + inUnits(std::min(pause, MaxPause)),
+                          now + inUnits(MaxPause));
 }
 
 bool AdmissionWindow::admits(int open, RequestsPerSecond maxRejections, units::TimePoint now) const
 {
     if (open < accepted_)
         return true;
-    const int growth = std::max(1, int(maxRejections * UsedShareOfRejections));
+    const double growth = std::max(1.0, std::floor(maxRejections * UsedShareOfRejections));
     return now >= growsFrom_ && open < accepted_ + growth;
 }
 
--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -147,7 +147,8 @@
         return choice;
     const EndpointStatus &endpoint = *choice.endpoint;
     choice.endpoint->rateLimiter.onPlaced(shareFor(query, now));
-    choice.isLimited = endpoint.rateLimiter.limit() || endpoint.isBrittle(now);
+    choice.isLimited = endpoint.rateLimiter.limit().has_value();
+    choice.isWithinSlots = endpoint.isBrittle(now);
     Placed &placed = placed_[ticket];
     placed = {};
     placed.endpoint = choice.endpoint;
@@ -155,6 +156,7 @@
     placed.at = now;
     placed.needsShortPauses = query.needsShortPauses;
     placed.isLimited = choice.isLimited;
+    placed.isWithinSlots = choice.isWithinSlots;
     placed.cacheSource = choice.cacheSource;
     // The time of a copy would make the prefill rate and the endpoint look slower than they are.
     const bool isCopied = !choice.cacheSource.isEmpty();
@@ -325,6 +327,7 @@
     choice.endpoint = found->second.endpoint;
     choice.tokensToRead = found->second.tokensToRead;
     choice.isLimited = found->second.isLimited;
+    choice.isWithinSlots = found->second.isWithinSlots;
     choice.expectedFirstEvent = found->second.expectedFirstEvent;
     choice.cacheSource = found->second.cacheSource;
     return choice;
