--- a/tests/platform_standin/standinworker.cpp
+++ b/tests/platform_standin/standinworker.cpp
@@ -133,7 +133,7 @@
     const bool hasSlot = int(running_.size()) < settings_.slots;
     const bool mayWait = int(waiting_.size()) < settings_.maxWaiting;
     if (isFull_ || pause_.count() > 0 || (!hasSlot && !mayWait)) {
-        reject(reply, std::move(response), id);
+        reject(reply, std::move(response));
         return;
     }
     response.emplace_back("Response-Signature", settings_.id + "." + id);
@@ -159,8 +159,7 @@
         waiting_.push_back(run);
 }
 
-void StandInWorker::reject(const Reply &reply, httpio::Headers response,
-                           const std::string &requestId)
+void StandInWorker::reject(const Reply &reply, httpio::Headers response)
 {
     ++rejected_;
     response.emplace_back("Not-Executed", "1");
--- a/tests/platform_standin/standinworker.h
+++ b/tests/platform_standin/standinworker.h
@@ -110,7 +110,7 @@
 
     std::unique_ptr<httpio::Server> listen(std::uint16_t port);
     void handle(const httpio::ServerRequest &request, const Reply &reply);
-    void reject(const Reply &reply, httpio::Headers response, const std::string &requestId);
+    void reject(const Reply &reply, httpio::Headers response);
     void begin(const std::shared_ptr<Run> &run);
     void stream(const std::shared_ptr<Run> &run, int next);
     void finish(const std::shared_ptr<Run> &run);
