Limits: the pause after a rejection is computed in one place

Read again; no change of behaviour. - The host that was rejected and the admission window each had the spacing, the longest pause and the formula: AdmissionWindow::pauseAfterRejection() serves both. - Whether a query has a coordinator was spelled out at each use, with a second state that repeated runsModel: PlacementQuery::hasCoordinator(). - Completing the limits of a rejection from those known is a function without nested conditions. - A member's comment stood above another member.

--- a/include/monsoongrade/gateway/placementservice.h
+++ b/include/monsoongrade/gateway/placementservice.h
@@ -30,11 +30,11 @@
 } // namespace internal
 
 // Places requests on endpoints. For model pools, and for others while their endpoints survive few
-// rejections, the hosts agree on one serving host as the
-// coordinator, which places the requests of all hosts and so knows the load of each endpoint. It
-// tells its successors which prompt parts are cached on which endpoint. If the coordinator does not
-// answer two queries within milliseconds, this host places the request itself with the load that it
-// knows, so no request waits until the failure of a host is detected.
+// rejections, the hosts agree on one serving host as the coordinator, which places the requests of
+// all hosts and so knows the load of each endpoint. It tells its successors which prompt parts are
+// cached on which endpoint. If the coordinator does not answer two queries within milliseconds,
+// this host places the request itself with the load that it knows, so no request waits until the
+// failure of a host is detected.
 class PlacementService
 {
 public:
@@ -122,6 +122,12 @@
         std::optional<routing::RateLimitUpdate> limit;
         httpio::Timers::Handle timeout;
     };
+    // The rejections that an endpoint of a pool survives, as it announced.
+    struct PoolRejections
+    {
+        std::optional<routing::RequestsPerSecond> rejections;
+        units::TimePoint at;
+    };
     const std::vector<std::string> &rankingFor(const units::PoolName &pool) const;
     std::vector<std::string> successors() const;
     bool isCoordinator() const;
@@ -129,7 +135,7 @@
     void sendSpeeds(const std::vector<std::string> &hosts);
     void logSpeeds();
     void sendOrPlace(std::uint64_t number, PendingQuery pending);
-    bool isCoordinated(const routing::PlacementQuery &query) const;
+    bool hasBrittleEndpoint(const units::PoolName &pool) const;
     void sendQuery(std::uint64_t number, const PendingQuery &pending);
     routing::ShareDelegation &sharesOf(const units::PoolName &pool);
     void lendIdleShares();
@@ -174,14 +180,8 @@
     std::unordered_map<std::uint64_t, std::string> coordinators_;
     std::unordered_map<std::uint64_t, PlacedHandler> localWaiting_; // in this host's queue
     std::uint64_t lastNumber_;
+    std::unordered_map<std::string, PoolRejections> poolRejections_; // latest of each pool
     // This host's index divided by the number of hosts.
-    // The latest announcement of an endpoint of each pool.
-    struct PoolRejections
-    {
-        std::optional<routing::RequestsPerSecond> rejections;
-        units::TimePoint at;
-    };
-    std::unordered_map<std::string, PoolRejections> poolRejections_;
     double fleetPhase_ = 0;
     double cellPhase_ = 0;
     bool isPlacingScheduled_ = false;
--- a/include/monsoongrade/routing/admissionwindow.h
+++ b/include/monsoongrade/routing/admissionwindow.h
@@ -16,6 +16,10 @@
 class AdmissionWindow
 {
 public:
+    // Time after a rejection until another one may be risked, by who may cause this number of
+    // rejections a second. At most 5 s.
+    static std::chrono::duration<double> pauseAfterRejection(RequestsPerSecond rejections);
+
     // The endpoint has accepted a request that made this number of open ones.
     void onAccepted(int open);
     // The endpoint has rejected a request and has this number of others of the host.
--- a/include/monsoongrade/routing/endpointstatus.h
+++ b/include/monsoongrade/routing/endpointstatus.h
@@ -25,10 +25,11 @@
     // number. As of its latest known response; before the first one as presumed until then.
     std::optional<RequestsPerSecond> maxRejections;
     units::TimePoint maxRejectionsUntil = units::TimePoint::max();
-
-    bool isBrittle(units::TimePoint now) const { return maxRejections && now < maxRejectionsUntil; }
     // When this host last received data from it.
     units::TimePoint lastReceivedAt{};
+
+    // Whether it survives a limited number of rejections.
+    bool isBrittle(units::TimePoint now) const { return maxRejections && now < maxRejectionsUntil; }
 };
 
 } // namespace monsoongrade::routing
--- a/include/monsoongrade/routing/placementquery.h
+++ b/include/monsoongrade/routing/placementquery.h
@@ -23,7 +23,7 @@
 {
     units::PoolName pool;
     bool runsModel = false;
-    // One host places the requests of all hosts, as it does for all that run a model.
+    // The coordinator places it though it runs no model.
     bool isCoordinated = false;
     // Id of the prompt prefix shared with other requests, or of the only part; may be empty.
     std::string sharedPart;
@@ -53,6 +53,9 @@
     bool mayWait = false;
     // Each endpoint of the pool is used by the hosts of one cell only.
     bool isPoolDivided = false;
+
+    // Whether one host, the coordinator, places such requests of all hosts.
+    bool hasCoordinator() const { return runsModel || isCoordinated; }
 };
 
 // Whether the software version of the endpoint permits it to run the request.
--- a/src/gateway/exchangeannouncements.cpp
+++ b/src/gateway/exchangeannouncements.cpp
@@ -1,18 +1,23 @@
 #include <monsoongrade/gateway/exchange.h>
 
 #include <algorithm>
-#include <limits>
 
 namespace monsoongrade::gateway {
 
 namespace {
 
-// Rejections are spaced out by more than their number a second allows, as requests that are under
-// way arrive at uneven intervals.
-constexpr double RejectionSpacing = 1.2;
-// An endpoint that survives no rejection is tried again after this time, in which it has run all
-// that was waiting.
-constexpr auto MaxPauseAfterRejection = std::chrono::seconds(5);
+// The limits, where they are missing those known before; known may be null.
+routing::AnnouncedLimits completed(routing::AnnouncedLimits limits,
+                                   const routing::AnnouncedLimits *known)
+{
+    if (known == nullptr)
+        return limits;
+    if (!limits.requests)
+        limits.requests = known->requests;
+    if (!limits.rejections)
+        limits.rejections = known->rejections;
+    return limits;
+}
 
 } // namespace
 
@@ -68,12 +73,9 @@
                       {"slots", std::int64_t(endpoint_->registration.slots)},
                       {"was-known", endpoint_->maxRejections ? "yes" : "no"}});
     const double ownShare = maxRejections / std::max(state_.liveHosts, 1);
-    const std::chrono::duration<double> pause(
-        ownShare > 0 ? RejectionSpacing / ownShare : std::numeric_limits<double>::infinity());
-    state_.announcements.addPause(
-        routing::instanceOf(endpoint_->registration),
-        std::min<std::chrono::duration<double>>(pause, MaxPauseAfterRejection),
-        state_.timers.now());
+    state_.announcements.addPause(routing::instanceOf(endpoint_->registration),
+                                  routing::AdmissionWindow::pauseAfterRejection(ownShare),
+                                  state_.timers.now());
 }
 
 void Exchange::onPauseAnnounced(std::chrono::duration<double> pause)
@@ -123,10 +125,7 @@
     if (answer_.provenNotRun) {
         if (!limits.hasAny())
             return;
-        const routing::AnnouncedLimits *known = state_.announcements.limitsOf(instance);
-        limits.requests = limits.requests || known == nullptr ? limits.requests : known->requests;
-        limits.rejections
-            = limits.rejections || known == nullptr ? limits.rejections : known->rejections;
+        limits = completed(limits, state_.announcements.limitsOf(instance));
     }
     // A response to a request that was sent before a limit was announced does not end the limit.
     const units::TimePoint at = limits.hasAny() ? state_.timers.now() : sentAt_;
--- a/src/gateway/placementservice.cpp
+++ b/src/gateway/placementservice.cpp
@@ -72,8 +72,9 @@
     pending.isWaiting = false;
     pending.wasRepeated = false;
     pending.query.isPoolDivided = registry_.division().isDivided(pending.query.pool);
-    pending.query.isCoordinated = isCoordinated(pending.query);
-    pending.coordinator = pending.query.isCoordinated
+    pending.query.isCoordinated
+        = !pending.query.runsModel && hasBrittleEndpoint(pending.query.pool);
+    pending.coordinator = pending.query.hasCoordinator()
         ? selector_.selectHost(rankingFor(pending.query.pool), settings_.ownIp, now)
         : std::string();
     if (pending.coordinator.empty()) {
@@ -97,7 +98,7 @@
                                     const PlacedHandler &placed)
 {
     const routing::PlacementTicket ticket{settings_.ownIp, number};
-    if (query.isCoordinated)
+    if (query.hasCoordinator())
         sharesOf(query.pool).keep(timers_.now());
     const routing::PlacementChoice choice
         = placer_.place(ticket, query, registry_.available(query.pool), timers_.now());
@@ -133,17 +134,17 @@
 bool PlacementService::hasEndpoint(const routing::PlacementQuery &query) const
 {
     routing::PlacementQuery coordinated = query;
-    coordinated.isCoordinated = isCoordinated(query);
+    coordinated.isCoordinated = !query.runsModel && hasBrittleEndpoint(query.pool);
     return placer_.hasEndpoint(coordinated, registry_.available(query.pool), timers_.now());
 }
 
 // The slots of a plain endpoint that survives few rejections are often fewer than the hosts, so
 // that only one host that knows all open requests can fill them.
-bool PlacementService::isCoordinated(const routing::PlacementQuery &query) const
+bool PlacementService::hasBrittleEndpoint(const units::PoolName &pool) const
 {
-    if (query.runsModel || poolRejections_.empty())
-        return query.runsModel;
-    const auto &endpoints = registry_.available(query.pool);
+    if (poolRejections_.empty())
+        return false;
+    const auto &endpoints = registry_.available(pool);
     return std::any_of(
         endpoints.begin(), endpoints.end(),
         [now = timers_.now()](const auto &endpoint) { return endpoint->isBrittle(now); });
--- a/src/routing/admissionwindow.cpp
+++ b/src/routing/admissionwindow.cpp
@@ -11,12 +11,19 @@
 // way arrive at uneven intervals.
 constexpr double RejectionSpacing = 1.2;
 // After a rejection by an endpoint that survives none. In this time it has run all that it had.
-constexpr auto MaxPause = std::chrono::duration<double>(5);
+constexpr std::chrono::duration<double> MaxPause = std::chrono::seconds(5);
 // Share of the rejections that the host may cause; other hosts may place requests as well.
 constexpr double UsedShareOfRejections = 0.5;
 
 } // namespace
 
+std::chrono::duration<double> AdmissionWindow::pauseAfterRejection(RequestsPerSecond rejections)
+{
+    if (rejections <= 0)
+        return MaxPause;
+    return std::min(std::chrono::duration<double>(RejectionSpacing / rejections), MaxPause);
+}
+
 void AdmissionWindow::onAccepted(int open)
 {
     accepted_ = std::max(accepted_, open);
@@ -25,13 +32,11 @@
 void AdmissionWindow::onRejected(int open, RequestsPerSecond maxRejections, units::TimePoint now)
 {
     accepted_ = std::min(accepted_, open);
-    const std::chrono::duration<double> pause(maxRejections > 0 ? RejectionSpacing / maxRejections
-                                                                : MaxPause.count());
-    // Several requests may be rejected at the same time.
     const auto inUnits = [](std::chrono::duration<double> time) {
         return std::chrono::duration_cast<units::Duration>(time);
     };
-    growsFrom_ = std::min(std::max(growsFrom_, now) + inUnits(std::min(pause, MaxPause)),
+    // Several requests may be rejected at the same time.
+    growsFrom_ = std::min(std::max(growsFrom_, now) + inUnits(pauseAfterRejection(maxRejections)),
                           now + inUnits(MaxPause));
 }
 
--- a/src/routing/endpointchoice.cpp
+++ b/src/routing/endpointchoice.cpp
@@ -74,8 +74,7 @@
 RateShare RequestPlacer::shareFor(const PlacementQuery &query, units::TimePoint now) const
 {
     const ShareDelegation &shareOfPool = shares(query.isPoolDivided);
-    return query.runsModel || query.isCoordinated ? shareOfPool.availableShare(now)
-                                                  : shareOfPool.ownShare(now);
+    return query.hasCoordinator() ? shareOfPool.availableShare(now) : shareOfPool.ownShare(now);
 }
 
 bool RequestPlacer::isUsable(const EndpointStatus &endpoint, const PlacementQuery &query,
--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -311,7 +311,7 @@
 {
     RateShare share = shareFor(query, now);
     // Its own part may be too small for a request, but the host which this one asks has others'.
-    if (share.fraction < 1 && (query.runsModel || query.isCoordinated))
+    if (share.fraction < 1 && query.hasCoordinator())
         share = {1, std::numeric_limits<double>::infinity(), false};
     return std::any_of(available.begin(), available.end(), [&](const auto &endpoint) {
         return isUsable(*endpoint, query, share, now);
