--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -57,7 +57,7 @@
     void logPlaced(units::Duration placementTime) const;
     void onConnection(ConnectOutcome outcome, std::shared_ptr<httpio::Channel> channel);
     void send();
-    httpio::Headers endpointHeaders() const;
+    httpio::Headers endpointHeaders(std::string cacheSource) const;
     std::string cacheSourceAddress() const;
     void countCacheCopy();
 
--- a/include/monsoongrade/routing/performance/learnedendpointspeeds.h
+++ b/include/monsoongrade/routing/performance/learnedendpointspeeds.h
@@ -5,6 +5,7 @@
 #include <monsoongrade/routing/performance/endpointspeedmodel.h>
 #include <monsoongrade/routing/performance/learnedspeed.h>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -21,10 +22,13 @@
 public:
     double relativeSpeed(const units::PoolName &pool, const DiscoveredEndpoint &endpoint,
                          units::TimePoint now) const override;
-    bool isSlowNow(const DiscoveredEndpoint &endpoint, units::TimePoint now) const override;
+    // True while the endpoint is temporarily much slower than it steadily is.
+    bool isSlowNow(const DiscoveredEndpoint &endpoint, units::TimePoint now) const;
+    // The endpoint prefilled the tokens in the given time without a break. expected: the time that
+    // the mean endpoint of the pool would have taken.
     void onPrefillDone(const units::PoolName &pool, const DiscoveredEndpoint &endpoint,
                        std::int64_t tokens, units::Duration took, units::Duration expected,
-                       units::TimePoint now) override;
+                       units::TimePoint now);
 
     // Speed of the endpoint relative to the mean of those that this host has samples of. Speeds are
     // learned relative to an estimated rate of the pool, which may be wrong by a common factor.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -144,10 +144,12 @@
     ++sends_;
     sentAt_ = now;
     sentToVersion_ = endpoint_->registration.softwareVersion;
+    const std::string cacheSource = cacheSourceAddress();
     channel_->send(httpio::encodeRequestHead(request_.head.method, request_.head.target,
-                                             endpointHeaders(), request_.body->size()),
+                                             endpointHeaders(cacheSource), request_.body->size()),
                    request_.body, *this);
-    countCacheCopy();
+    if (!cacheSource.empty())
+        countCacheCopy();
     const auto readTime = std::chrono::milliseconds(2 * tokensToRead_ / PrefillTokensPerMs);
     suspicionTimer_ = state_.timers.after(SilenceTimeout + readTime,
                                           [self = shared_from_this()] { self->reportIfSilent(); });
@@ -159,14 +161,14 @@
             std::max<units::Duration>(std::chrono::seconds(1), route_->targetLatency * 5 / 2));
 }
 
-httpio::Headers Exchange::endpointHeaders() const
+httpio::Headers Exchange::endpointHeaders(std::string cacheSource) const
 {
     EndpointRequest request;
     request.endpoint = endpoint_->registration.id;
     request.workspace = admission_.workspace;
     request.timeLeft = timeLeft();
     request.tier = admission_.tier;
-    request.cacheSource = cacheSourceAddress();
+    request.cacheSource = std::move(cacheSource);
     request.resumeAfter = events_.lastId().empty() ? metadata_.lastEventId : events_.lastId();
     return state_.headerCodec.endpointHeaders(httpio::endToEndHeaders(request_.head.headers),
                                               request);
@@ -185,8 +187,6 @@
 
 void Exchange::countCacheCopy()
 {
-    if (cacheSourceAddress().empty())
-        return;
     state_.log.metrics.add("monsoongrade_gateway_cache_copies_total");
     state_.log.metrics.add("monsoongrade_gateway_cache_copied_tokens_total", "",
                            query_.promptTokens - query_.ownTokens);
--- a/src/routing/endpointchoice.cpp
+++ b/src/routing/endpointchoice.cpp
@@ -210,8 +210,8 @@
                                                 units::TimePoint now) const
 {
     const std::int64_t shared = query.promptTokens - query.ownTokens;
-    const bool isHeld
-        = prefixcache::PrefixCacheIndex::holds(basis.holders, endpoint->registration, now);
+    const bool isHeld = basis.isCachedSomewhere
+        && prefixcache::PrefixCacheIndex::holds(basis.holders, endpoint->registration, now);
     const SharedPartCost sharedCost = isHeld
         ? SharedPartCost{}
         : costOfSharedPart(shared, endpoint->registration, *basis.sources, *basis.rate, now);
--- a/tests/routing/fixedspeeds.h
+++ b/tests/routing/fixedspeeds.h
@@ -17,11 +17,6 @@
     {
         return speeds.at(endpoint.id.value());
     }
-    bool isSlowNow(const DiscoveredEndpoint &, units::TimePoint) const override { return false; }
-    void onPrefillDone(const units::PoolName &, const DiscoveredEndpoint &, std::int64_t,
-                       units::Duration, units::Duration, units::TimePoint) override
-    {
-    }
 
     std::map<std::string, double> speeds;
 };
