Log: why a host found no endpoint for a model request

A refusal for want of an endpoint was logged alike, whether the endpoints were suspended, at their rate limits, without a slot or excluded for the request. placement-without-endpoint names the counts, so that scarcity of one kind can be told from the others.

--- a/include/monsoongrade/gateway/placementservice.h
+++ b/include/monsoongrade/gateway/placementservice.h
@@ -145,6 +145,8 @@
     // Logs and counts the choice if it is a refusal.
     void noteRefusal(const routing::PlacementTicket &ticket,
                      const routing::PlacementChoice &choice);
+    void logWithoutEndpoint(const routing::PlacementTicket &ticket,
+                            const routing::UnavailableEndpoints &unavailable);
     void onTimeout(std::uint64_t number);
     bool isLostAfterTimeout(const std::string &host, units::TimePoint sentAt);
     void scheduleWaitingCheck();
--- a/include/monsoongrade/routing/requestplacer.h
+++ b/include/monsoongrade/routing/requestplacer.h
@@ -20,6 +20,7 @@
 #include <monsoongrade/routing/sharedelegation.h>
 #include <monsoongrade/routing/shortpausereserve.h>
 #include <monsoongrade/routing/trafficpool.h>
+#include <monsoongrade/routing/unavailableendpoints.h>
 
 #include <map>
 #include <optional>
@@ -65,6 +66,8 @@
     units::EndpointId cacheSource;
     // With retryDelay.
     std::optional<queueing::RefusalDetails> refusal;
+    // Set if a request of a model pool found no endpoint.
+    std::optional<UnavailableEndpoints> unavailable;
     // That copy, on the host that places the request.
     std::optional<prefixcache::CacheTransferPlan> cacheTransfer;
 };
@@ -224,8 +227,23 @@
     void onEndpointSilent(const Placed &placed, units::TimePoint now);
     void removeExpired(units::TimePoint now);
 
+    enum class Availability : std::uint8_t {
+        Usable,
+        Excluded,
+        Suspended,
+        RateLimited,
+        WithoutSlot,
+    };
+    Availability availabilityOf(const EndpointStatus &endpoint, const PlacementQuery &query,
+                                const RateShare &share, units::TimePoint now) const;
     bool isUsable(const EndpointStatus &endpoint, const PlacementQuery &query,
-                  const RateShare &share, units::TimePoint now) const;
+                  const RateShare &share, units::TimePoint now) const
+    {
+        return availabilityOf(endpoint, query, share, now) == Availability::Usable;
+    }
+    UnavailableEndpoints unavailableFor(const PlacementQuery &query,
+                                        const std::vector<EndpointRegistry::Status> &available,
+                                        units::TimePoint now) const;
     RateShare shareFor(const PlacementQuery &query, units::TimePoint now) const;
 
     ShareDelegation fleetShares_;
--- a/src/gateway/placementwaiting.cpp
+++ b/src/gateway/placementwaiting.cpp
@@ -107,6 +107,8 @@
 void PlacementService::noteRefusal(const routing::PlacementTicket &ticket,
                                    const routing::PlacementChoice &choice)
 {
+    if (choice.unavailable)
+        logWithoutEndpoint(ticket, *choice.unavailable);
     if (!choice.refusal)
         return;
     const routing::queueing::RefusalDetails &refused = *choice.refusal;
@@ -125,6 +127,20 @@
                 {"booked-tokens", refused.bookedTokens}});
 }
 
+void PlacementService::logWithoutEndpoint(const routing::PlacementTicket &ticket,
+                                          const routing::UnavailableEndpoints &unavailable)
+{
+    log_.write(observability::LogLevel::Info, "placement-without-endpoint",
+               {{"host", ticket.host},
+                {"number", ticket.number},
+                {"pool", unavailable.pool.value()},
+                {"tier", std::int64_t(unavailable.tier.value())},
+                {"excluded", unavailable.excluded},
+                {"suspended", unavailable.suspended},
+                {"rate-limited", unavailable.rateLimited},
+                {"without-slot", unavailable.withoutSlot}});
+}
+
 // Called when an endpoint may have become free for queued requests.
 void PlacementService::schedulePlaceWaiting()
 {
--- a/src/routing/endpointchoice.cpp
+++ b/src/routing/endpointchoice.cpp
@@ -77,13 +77,50 @@
     return query.hasCoordinator() ? shareOfPool.availableShare(now) : shareOfPool.ownShare(now);
 }
 
-bool RequestPlacer::isUsable(const EndpointStatus &endpoint, const PlacementQuery &query,
-                             const RateShare &share, units::TimePoint now) const
+RequestPlacer::Availability RequestPlacer::availabilityOf(const EndpointStatus &endpoint,
+                                                          const PlacementQuery &query,
+                                                          const RateShare &share,
+                                                          units::TimePoint now) const
 {
     const units::EndpointId &id = endpoint.registration.id;
-    return !contains(query.tried, id) && !contains(query.paused, id) && !endpoint.leaving
-        && hasPermittedVersion(endpoint.registration, query) && endpoint.health.accepts(now)
-        && endpoint.rateLimiter.allows(share, now) && hasSlot(endpoint, share, now);
+    if (contains(query.tried, id) || contains(query.paused, id) || endpoint.leaving
+        || !hasPermittedVersion(endpoint.registration, query))
+        return Availability::Excluded;
+    if (!endpoint.health.accepts(now))
+        return Availability::Suspended;
+    if (!endpoint.rateLimiter.allows(share, now))
+        return Availability::RateLimited;
+    return hasSlot(endpoint, share, now) ? Availability::Usable : Availability::WithoutSlot;
+}
+
+UnavailableEndpoints
+RequestPlacer::unavailableFor(const PlacementQuery &query,
+                              const std::vector<EndpointRegistry::Status> &available,
+                              units::TimePoint now) const
+{
+    const RateShare share = shareFor(query, now);
+    UnavailableEndpoints unavailable;
+    unavailable.pool = query.pool;
+    unavailable.tier = query.tier;
+    for (const EndpointRegistry::Status &endpoint : available) {
+        switch (availabilityOf(*endpoint, query, share, now)) {
+        case Availability::Usable:
+            break;
+        case Availability::Excluded:
+            ++unavailable.excluded;
+            break;
+        case Availability::Suspended:
+            ++unavailable.suspended;
+            break;
+        case Availability::RateLimited:
+            ++unavailable.rateLimited;
+            break;
+        case Availability::WithoutSlot:
+            ++unavailable.withoutSlot;
+            break;
+        }
+    }
+    return unavailable;
 }
 
 // An endpoint that survives few rejections gets no more requests than it can run: how many it lets
@@ -193,8 +230,10 @@
             best = assessment;
     }
     PlacementChoice choice;
-    if (best.endpoint == nullptr)
+    if (best.endpoint == nullptr) {
+        choice.unavailable = unavailableFor(query, available, now);
         return choice;
+    }
     choice.endpoint = *best.endpoint;
     choice.tokensToRead = best.tokensToPrefill;
     choice.isWaiting = !best.hasRoom;
