--- a/tests/routing/simulatedpool.cpp
+++ b/tests/routing/simulatedpool.cpp
@@ -175,6 +175,7 @@
     }
     const bool hasWaited = queued_.erase(number) != 0;
     if (choice.endpoint == nullptr) {
+        lastRefusals_[request.kind->tier] = now_;
         outcome.refusedTwice += request.retries == 1 ? 1 : 0;
         if (retryLater(request, choice)) {
             open_.erase(found);
@@ -186,6 +187,7 @@
         open_.erase(found);
         return;
     }
+    outcome.sentAfterHigherRefusal += wasHigherTierRefused(request.kind->tier) ? 1 : 0;
     outcome.placedTokens += request.kind->sharedTokens + request.own;
     Engine &engine = engines_[choice.endpoint->registration.id.value()];
     const auto cached = std::find(engine.cached.begin(), engine.cached.end(), request.part);
@@ -207,6 +209,13 @@
         startPrefill(engine, number);
 }
 
+bool SimulatedPool::wasHigherTierRefused(std::uint32_t tier) const
+{
+    constexpr auto Recent = std::chrono::milliseconds(500);
+    return std::any_of(lastRefusals_.begin(), lastRefusals_.lower_bound(tier),
+                       [&](const auto &each) { return now_ - each.second <= Recent; });
+}
+
 // Returns false if the source does not hold the part; the engine then prefills it.
 bool SimulatedPool::startCopy(Engine &engine, std::uint64_t number, const PlacementChoice &choice)
 {
--- a/tests/routing/simulatedpool.h
+++ b/tests/routing/simulatedpool.h
@@ -76,6 +76,8 @@
     std::int64_t sharedPrefilledAgain = 0; // tokens of parts that an engine had prefilled before
     int copies = 0;
     int failedCopies = 0; // the source did not hold the part
+    // Sent to an endpoint within half a second after a request of a higher tier was refused.
+    int sentAfterHigherRefusal = 0;
     double firstEventMs = 0; // sum over the requests with a first event
     int firstEvents = 0;
 
@@ -149,6 +151,7 @@
     PlacementQuery queryFor(const Request &request) const;
     void place(std::uint64_t number);
     void submit(std::uint64_t number, const PlacementChoice &choice);
+    bool wasHigherTierRefused(std::uint32_t tier) const;
     bool retryLater(const Request &request, const PlacementChoice &choice);
     void placeRetries();
     void addReturnCounts();
@@ -175,6 +178,7 @@
     queueing::ReturnSchedule::Counts returnCounts_;
     std::multimap<units::TimePoint, std::pair<Engine *, std::uint64_t>> copies_; // by end
     std::set<std::string> seenParts_;
+    std::map<std::uint32_t, units::TimePoint> lastRefusals_; // by tier
     std::map<std::string, SimulatedOutcome> outcomes_;
     std::mt19937 random_; // the same load in each run with the same seed
     units::TimePoint now_ = units::TimePoint(std::chrono::hours(1));
--- /dev/null
+++ b/tests/routing/tierprecedence_test.cpp
@@ -0,0 +1,183 @@
+#include "placerfixture.h"
+#include "scarceendpoints.h"
+#include "simulatedpool.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <vector>
+
+using namespace monsoongrade;
+using namespace monsoongrade::routing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+using Scarcity = ScarceEndpoints::Scarcity;
+
+constexpr unsigned Seeds = 3;
+
+PlacementQuery longQuery(const std::string &part, std::uint32_t tier)
+{
+    PlacementQuery query = modelQuery(part, 0, 17000);
+    query.tier = units::Tier(tier);
+    query.mayWait = true;
+    return query;
+}
+
+// Two endpoints that are busy with long prefills, so that further ones wait.
+struct BusyEndpoints : PlacerFixture
+{
+    BusyEndpoints()
+        : PlacerFixture(2)
+    {
+        while (!place(longQuery("busy" + std::to_string(last), 0)).isWaiting)
+            ;
+        placer.onEvent(lastTicket(), PlacementEvent::Withdrawn, now);
+    }
+
+    // Refuses a request of the tier for want of capacity, and returns when its caller is told to
+    // return. Those that wait are withdrawn.
+    units::TimePoint refuseOne(std::uint32_t tier)
+    {
+        std::vector<PlacementTicket> waiting;
+        PlacementChoice choice;
+        while (!(choice = place(longQuery("many" + std::to_string(last), tier))).retryDelay)
+            waiting.push_back(lastTicket());
+        for (const PlacementTicket &ticket : waiting)
+            placer.onEvent(ticket, PlacementEvent::Withdrawn, now);
+        return now + *choice.retryDelay;
+    }
+
+    // The placer takes all prefills as ended after 3 s.
+    void endPrefills()
+    {
+        now += milliseconds(3001);
+        place(modelQuery("other", 0, 10));
+    }
+};
+
+} // namespace
+
+// Guards against rate limits whose turns go to whichever request arrives next.
+TEST_CASE("TierPrecedence.RateLimitedEndpointsServeTheHigherTierFirst")
+{
+    for (unsigned seed = 1; seed <= Seeds; ++seed) {
+        ScarceEndpoints endpoints(Scarcity::RateLimits, seed);
+        endpoints.play({}, seconds(10));
+        CHECK(endpoints.urgent().refused == 0);
+        CHECK(endpoints.other().began > 0);
+    }
+}
+
+// Guards against slots that go to whichever request arrives next.
+TEST_CASE("TierPrecedence.EndpointsWithFewSlotsServeTheHigherTierFirst")
+{
+    for (unsigned seed = 1; seed <= Seeds; ++seed) {
+        ScarceEndpoints endpoints(Scarcity::Slots, seed);
+        endpoints.play({}, seconds(10));
+        CHECK(endpoints.urgent().refused == 0);
+        CHECK(endpoints.other().began > 0);
+    }
+}
+
+// Guards against callers that are held until they leave although no room is in sight.
+TEST_CASE("TierPrecedence.RequestsThatCannotBeginSoonAreRefusedAtOnce")
+{
+    for (const Scarcity scarcity : {Scarcity::RateLimits, Scarcity::Slots}) {
+        ScarceEndpoints endpoints(scarcity, 1);
+        endpoints.play({}, seconds(10));
+        CHECK(endpoints.other().refused > 0);
+        CHECK(endpoints.other().longestWait <= seconds(4));
+    }
+}
+
+// Guards against a lower tier that stays refused after the load of the higher one has ended.
+TEST_CASE("TierPrecedence.TheLowerTierIsServedAgainSoonAfterTheHigherOne")
+{
+    for (const Scarcity scarcity : {Scarcity::RateLimits, Scarcity::Slots}) {
+        ScarceEndpoints endpoints(scarcity, 1);
+        ScarceEndpoints::Load load;
+        load.urgentPerSecond = 100;
+        load.urgentUntil = seconds(4);
+        endpoints.play(load, seconds(8));
+        // 24 requests a second have room; the hold and the rest of the queue end within 2 s.
+        CHECK(endpoints.otherAfterUrgent() >= 24);
+    }
+}
+
+// Guards against a request that takes the room for which one of a higher tier waits.
+TEST_CASE("TierPrecedence.ArrivalDoesNotOvertakeAWaitingHigherTier")
+{
+    BusyEndpoints endpoints;
+    REQUIRE(endpoints.place(longQuery("urgent", 1)).isWaiting);
+    PlacementQuery brief = modelQuery("brief", 0, 100);
+    brief.mayWait = true;
+    brief.tier = units::Tier(2);
+    CHECK(endpoints.place(brief).isWaiting);
+    brief.tier = units::Tier(1);
+    CHECK(endpoints.place(brief).endpoint != nullptr);
+}
+
+// Guards against a forecast that admits a lower tier as if late requests of a higher one came last.
+TEST_CASE("TierPrecedence.LateRequestsOfAHigherTierDelayALowerOne")
+{
+    BusyEndpoints endpoints;
+    int waiting = 0;
+    while (endpoints.place(longQuery("urgent" + std::to_string(waiting), 1)).isWaiting)
+        ++waiting;
+    REQUIRE(waiting > 0);
+    // Their targets pass, and they are still ahead of all of the lower tier.
+    endpoints.now += milliseconds(1001);
+    endpoints.placer.placeWaiting(endpoints.registry, endpoints.now);
+    PlacementQuery lower = longQuery("lower", 2);
+    lower.targetIn = milliseconds(900);
+    lower.expiresIn = milliseconds(1900);
+    CHECK(endpoints.place(lower).retryDelay);
+}
+
+// Guards against a lower tier that begins while callers of a refused higher one wait to return.
+TEST_CASE("TierPrecedence.LowerTierIsHeldUntilARefusedHigherOneMayReturn")
+{
+    BusyEndpoints endpoints;
+    const units::TimePoint returnsAt = endpoints.refuseOne(1);
+    const units::TimePoint refusedAt = endpoints.now;
+    endpoints.placer.setPools({});
+    const auto placeBrief = [&](std::uint32_t tier) {
+        PlacementQuery query = modelQuery("brief", 0, 100);
+        query.mayWait = true;
+        query.tier = units::Tier(tier);
+        return endpoints.place(query);
+    };
+    CHECK(placeBrief(2).isWaiting);
+    CHECK(placeBrief(1).endpoint != nullptr);
+    endpoints.now = returnsAt - milliseconds(1);
+    CHECK(placeBrief(2).isWaiting);
+    endpoints.now = std::max(returnsAt, refusedAt + seconds(2)) + milliseconds(1);
+    CHECK(placeBrief(2).endpoint != nullptr);
+    // Those that were held are placed as well.
+    endpoints.endPrefills();
+    CHECK(endpoints.placer.placeWaiting(endpoints.registry, endpoints.now).size() == 2);
+}
+
+// Guards against breakdowns that begin while callers of tagging get nothing for want of prefill.
+TEST_CASE("TierPrecedence.OverloadOfTheHigherTierIsNotSharedWithTheLowerOne")
+{
+    for (unsigned seed = 1; seed <= Seeds; ++seed) {
+        std::vector<SimulatedClass> loads = burstOfLongPrompts(0.2);
+        SimulatedClass &breakdown = loads[0];
+        SimulatedClass &tagging = loads[1];
+        breakdown.tier = 2;
+        breakdown.perSecond /= 3;
+        tagging.tier = 1;
+        tagging.parts = 4;
+        tagging.perSecond *= 16;
+        SimulatedPool::Options options;
+        options.endpoints = 12;
+        options.seed = seed;
+        const auto outcomes = SimulatedPool(options, loads).play();
+        REQUIRE(outcomes.at("tagging").refused > 0);
+        CHECK(outcomes.at("breakdown").sentAfterHigherRefusal == 0);
+    }
+}
