Requests queue by tier for turns of rate limits and for slots

Callers of tier 1 got nothing while tier 2 began: where every endpoint of a model pool was at its announced rate limit, or without a slot as it survives few rejections, a request was refused at once, and the next turn or slot went to whichever request arrived next. Only prefill had a queue.

Such requests wait in the same queue now, in the same order. RoomForecaster says who can't begin in time to be of use, and is refused at once; its rate is learned from queued placements, with a start value, an age and a lower bound. The placing host also looks at its queue every 20 ms, as no event announces a turn.

--- a/include/monsoongrade/gateway/placementservice.h
+++ b/include/monsoongrade/gateway/placementservice.h
@@ -162,6 +162,7 @@
     void onMessage(const std::string &host, const internal::NotWaitingMessage &message);
     void onMessage(const std::string &host, const internal::LoanMessage &message);
     void schedulePlaceWaiting();
+    void placeWaitingWithin(units::Duration delay);
     void placeWaiting();
 
     DatagramSocket socket_;
@@ -186,7 +187,8 @@
     // This host's index divided by the number of hosts.
     double fleetPhase_ = 0;
     double cellPhase_ = 0;
-    bool isPlacingScheduled_ = false;
+    std::optional<units::TimePoint> placingAt_; // of the next call of placeWaiting()
+    httpio::Timers::Handle placingTimer_;
     bool isCheckScheduled_ = false;
 };
 
--- a/include/monsoongrade/routing/queueing/prefillqueue.h
+++ b/include/monsoongrade/routing/queueing/prefillqueue.h
@@ -15,7 +15,8 @@
 
 namespace monsoongrade::routing::queueing {
 
-// Queue of requests with long prefills that wait for an endpoint. Ordered by tier; within a tier
+// Queue of requests that wait for an endpoint: those with long prefills, and all of a pool whose
+// endpoints are at their rate limits or without a slot. Ordered by tier; within a tier
 // the requests of workspaces within their share go first, see WorkspaceShares; among those,
 // scheduled retries, see ReturnSchedule; among those, the requests that can still meet their
 // target, by due time. A request that is already late would otherwise delay one that is not. The
@@ -54,6 +55,10 @@
     TokensAhead tokensAhead(units::Tier tier, bool isOverShare = false) const;
     // Tokens of the requests of higher tiers.
     TokensAhead tokensAbove(units::Tier tier) const;
+    // Number of requests of the pool that go before a new one of the tier, whose workspace is over
+    // its share or not.
+    std::size_t requestsAhead(const units::PoolName &pool, units::Tier tier,
+                              bool isOverShare) const;
     // True if requests of workspaces within their share wait in the pool and tier.
     bool hasWithinShare(const units::PoolName &pool, units::Tier tier) const;
     // The requests that wait for the same shared part.
@@ -83,6 +88,11 @@
         Waiting waiting;
         SortKey sortKey;
     };
+    struct RequestCounts
+    {
+        std::size_t withinShare = 0;
+        std::size_t overShare = 0;
+    };
     using TierOfPool = std::pair<std::string, units::Tier>;
     using WorkspaceKey = std::pair<TierOfPool, std::string>;
     using ByExpiry = std::set<std::pair<units::TimePoint, PlacementTicket>>;
@@ -93,13 +103,14 @@
     void insertInOrder(const Entry &entry);
     void removeFromOrder(const Entry &entry);
     std::int64_t &tokensOf(const SortKey &key);
+    std::size_t &countOf(const Entry &entry);
 
     std::map<PlacementTicket, Entry> waiting_;
     std::set<SortKey> order_;
     std::multimap<std::string, PlacementTicket> byPart_;
     std::map<WorkspaceKey, std::set<PlacementTicket>> byWorkspace_;
     std::array<ByExpiry, 2> byExpiry_; // of workspaces within and over their share
-    std::map<TierOfPool, std::size_t> withinShare_; // number of requests
+    std::map<TierOfPool, RequestCounts> counts_;
     std::map<std::pair<units::Tier, bool>, TokensAhead> tokens_; // by tier and isOverShare
 };
 
--- a/include/monsoongrade/routing/queueing/waitforecast.h
+++ b/include/monsoongrade/routing/queueing/waitforecast.h
@@ -28,6 +28,11 @@
     units::Duration onTimeWait{};
 };
 
+// Whether a request that is placed after this time can have its first event by its target.
+bool canBeOnTime(units::Duration wait, units::Duration targetIn);
+// Whether a late response after this wait is of use to a client that gives up at expiresIn.
+bool isUsefulLate(units::Duration wait, units::Duration expiresIn);
+
 // Predicts how long a request with a long prefill waits for an endpoint, from the tokens ahead of
 // it and the rate at which the queue drains, and decides whether to queue it.
 //
--- a/include/monsoongrade/routing/requestplacer.h
+++ b/include/monsoongrade/routing/requestplacer.h
@@ -15,6 +15,7 @@
 #include <monsoongrade/routing/queueing/prefillqueue.h>
 #include <monsoongrade/routing/queueing/refusaldetails.h>
 #include <monsoongrade/routing/queueing/returnschedule.h>
+#include <monsoongrade/routing/queueing/roomforecast.h>
 #include <monsoongrade/routing/queueing/sizefairness.h>
 #include <monsoongrade/routing/queueing/workspaceshares.h>
 #include <monsoongrade/routing/sharedelegation.h>
@@ -68,6 +69,8 @@
     std::optional<queueing::RefusalDetails> refusal;
     // Set if a request of a model pool found no endpoint.
     std::optional<UnavailableEndpoints> unavailable;
+    // Whether it can wait for one of these.
+    bool isRoomExpected() const { return unavailable && unavailable->isRoomExpected(); }
     // That copy, on the host that places the request.
     std::optional<prefixcache::CacheTransferPlan> cacheTransfer;
 };
@@ -85,6 +88,9 @@
 // prefer the first endpoint by rendezvous hashing, so that cached parts are found when the
 // coordinator changes or a host places locally.
 //
+// While all endpoints that could take a request are at their rate limits or without a slot, it is
+// queued as well, whatever its size.
+//
 // A long prefill is queued here while every endpoint that could take it is busy with long ones:
 // in a burst of uncached prompts the endpoints' queues would otherwise grow to seconds, with the
 // short requests of higher tiers at their end. Queued requests are placed by tier, then those of
@@ -185,6 +191,11 @@
     PlacementChoice queueOrRefuse(const PlacementTicket &ticket, const PlacementQuery &query,
                                   PlacementChoice choice, std::size_t endpoints,
                                   bool isScheduledRetry, units::TimePoint now);
+    PlacementChoice queueForRoomOrRefuse(const PlacementTicket &ticket, const PlacementQuery &query,
+                                         PlacementChoice choice, std::size_t endpoints,
+                                         bool isScheduledRetry, units::TimePoint now);
+    void enqueue(const PlacementTicket &ticket, const PlacementQuery &query,
+                 std::int64_t tokensToRead, bool isScheduledRetry, units::TimePoint now);
     PlacementChoice refuse(const PlacementQuery &query, queueing::RefusalDetails details,
                            units::TimePoint now);
     void countScheduledRetry(const PlacementChoice &choice);
@@ -259,6 +270,7 @@
     performance::LearnedEndpointSpeeds speeds_;
     queueing::PrefillQueue queue_;
     queueing::WaitForecaster forecaster_;
+    queueing::RoomForecaster roomForecaster_;
     queueing::ReturnSchedule returns_;
     ShortPauseReserve reserve_;
     std::unordered_map<std::string, performance::PrefillSizes> prefillSizes_; // by pool
--- a/src/gateway/placementservice.cpp
+++ b/src/gateway/placementservice.cpp
@@ -103,10 +103,12 @@
     const routing::PlacementChoice choice
         = placer_.place(ticket, query, registry_.available(query.pool), timers_.now());
     noteRefusal(ticket, choice);
-    if (choice.isWaiting)
-        localWaiting_[number] = placed;
-    else
+    if (!choice.isWaiting) {
         placed(ticket, choice);
+        return;
+    }
+    localWaiting_[number] = placed;
+    schedulePlaceWaiting();
 }
 
 void PlacementService::report(const routing::PlacementTicket &ticket, routing::PlacementEvent event)
@@ -274,6 +276,8 @@
                                       registry_.available(query.pool), timers_.now());
     noteRefusal({host, message.number}, choice);
     socket_.send(host, encode(answerFor(message.number, choice)));
+    if (choice.isWaiting)
+        schedulePlaceWaiting();
 }
 
 void PlacementService::onMessage(const std::string &host, const EventMessage &message)
--- a/src/gateway/placementwaiting.cpp
+++ b/src/gateway/placementwaiting.cpp
@@ -13,6 +13,9 @@
 // Interval for placing queued requests. Trying to place them at every event would use all CPU time
 // in a burst.
 constexpr auto WaitingInterval = std::chrono::milliseconds(4);
+// The same if no event announces that there is room: a rate limit has another turn, or a request
+// has waited for too long.
+constexpr auto IdleWaitingInterval = std::chrono::milliseconds(20);
 // Interval for checking that the coordinator still has this host's queued requests. They share
 // datagrams, because with one query for each the coordinator could not answer other hosts in time.
 constexpr auto WaitingCheckInterval = std::chrono::milliseconds(250);
@@ -144,12 +147,20 @@
 // Called when an endpoint may have become free for queued requests.
 void PlacementService::schedulePlaceWaiting()
 {
-    if (!placer_.hasWaiting() || isPlacingScheduled_)
+    placeWaitingWithin(WaitingInterval);
+}
+
+void PlacementService::placeWaitingWithin(units::Duration delay)
+{
+    const units::TimePoint at = timers_.now() + delay;
+    if (!placer_.hasWaiting() || (placingAt_ && *placingAt_ <= at))
         return;
-    isPlacingScheduled_ = true;
-    timers_.after(WaitingInterval, [this] {
-        isPlacingScheduled_ = false;
+    timers_.cancel(placingTimer_);
+    placingAt_ = at;
+    placingTimer_ = timers_.at(at, [this] {
+        placingAt_.reset();
         placeWaiting();
+        placeWaitingWithin(IdleWaitingInterval);
     });
 }
 
--- a/src/routing/queueing/prefillqueue.cpp
+++ b/src/routing/queueing/prefillqueue.cpp
@@ -49,14 +49,19 @@
     return key.isLate ? tokens.late : tokens.onTime;
 }
 
+std::size_t &PrefillQueue::countOf(const Entry &entry)
+{
+    RequestCounts &counts = counts_[tierOfPool(entry.waiting.query)];
+    return entry.sortKey.isOverShare ? counts.overShare : counts.withinShare;
+}
+
 void PrefillQueue::insertInOrder(const Entry &entry)
 {
     const SortKey &key = entry.sortKey;
     order_.insert(key);
     byExpiry_[key.isOverShare ? 1 : 0].emplace(entry.waiting.expiresAt, key.ticket);
     tokensOf(key) += entry.waiting.tokensToRead;
-    if (!key.isOverShare)
-        ++withinShare_[tierOfPool(entry.waiting.query)];
+    ++countOf(entry);
 }
 
 void PrefillQueue::removeFromOrder(const Entry &entry)
@@ -65,8 +70,7 @@
     order_.erase(key);
     byExpiry_[key.isOverShare ? 1 : 0].erase({entry.waiting.expiresAt, key.ticket});
     tokensOf(key) -= entry.waiting.tokensToRead;
-    if (!key.isOverShare)
-        --withinShare_[tierOfPool(entry.waiting.query)];
+    --countOf(entry);
 }
 
 void PrefillQueue::remove(const PlacementTicket &ticket)
@@ -140,8 +144,20 @@
 
 bool PrefillQueue::hasWithinShare(const units::PoolName &pool, units::Tier tier) const
 {
-    const auto found = withinShare_.find({pool.value(), tier});
-    return found != withinShare_.end() && found->second > 0;
+    const auto found = counts_.find({pool.value(), tier});
+    return found != counts_.end() && found->second.withinShare > 0;
+}
+
+std::size_t PrefillQueue::requestsAhead(const units::PoolName &pool, units::Tier tier,
+                                        bool isOverShare) const
+{
+    std::size_t ahead = 0;
+    for (auto each = counts_.lower_bound({pool.value(), units::Tier(0)});
+         each != counts_.end() && each->first <= TierOfPool(pool.value(), tier); ++each) {
+        const bool countsOverShare = isOverShare || each->first.second < tier;
+        ahead += each->second.withinShare + (countsOverShare ? each->second.overShare : 0);
+    }
+    return ahead;
 }
 
 TokensAhead PrefillQueue::tokensAhead(units::Tier tier, bool isOverShare) const
--- a/src/routing/queueing/waitforecast.cpp
+++ b/src/routing/queueing/waitforecast.cpp
@@ -32,6 +32,16 @@
 
 } // namespace
 
+bool canBeOnTime(units::Duration wait, units::Duration targetIn)
+{
+    return wait + TimeAtEndpoint <= targetIn;
+}
+
+bool isUsefulLate(units::Duration wait, units::Duration expiresIn)
+{
+    return wait <= MaxLateWait && wait + TimeAtEndpoint + StreamTime <= expiresIn;
+}
+
 void WaitForecaster::onDrained(std::int64_t tokens, units::TimePoint now)
 {
     if (windowStart_ == units::TimePoint{}) {
@@ -64,12 +74,12 @@
 {
     const double rate = drainRate(endpoints, tokensPerMs);
     const units::Duration onTimeWait = milliseconds(double(ahead.onTime) / rate);
-    if (onTimeWait + TimeAtEndpoint <= targetIn)
+    if (canBeOnTime(onTimeWait, targetIn))
         return {};
     const units::Duration backlog = milliseconds(double(ahead.onTime + ahead.late) / rate);
     const units::Duration lateWait
         = milliseconds(LateFactor * double(ahead.onTime + ahead.late) / rate);
-    if (lateWait <= MaxLateWait && lateWait + TimeAtEndpoint + StreamTime <= expiresIn)
+    if (isUsefulLate(lateWait, expiresIn))
         return {};
     return {WaitDecision::Refuse, backlog, onTimeWait};
 }
--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -47,6 +47,9 @@
     // The client of a stream that has begun has waited already, and the forecast of the queue
     // counts endpoints of all versions.
     const bool mayWait = query.mayWait && !query.softwareVersion;
+    if (choice.isRoomExpected() && mayWait)
+        return queueForRoomOrRefuse(ticket, query, std::move(choice), available.size(),
+                                    isScheduledRetry, now);
     choice.isWaiting = choice.isWaiting || (choice.endpoint != nullptr && mustYield(query));
     if (choice.isWaiting && mayWait)
         return queueOrRefuse(ticket, query, std::move(choice), available.size(), isScheduledRetry,
@@ -61,7 +64,6 @@
                                              std::size_t endpoints, bool isScheduledRetry,
                                              units::TimePoint now)
 {
-    using Arrival = queueing::PrefillQueue::Arrival;
     const auto forecastFor = [&](const queueing::TokensAhead &ahead) {
         return forecaster_.forecast(ahead, query.targetIn, query.expiresIn, endpoints,
                                     prefillRates_.of(query.pool).tokensPerMs(now));
@@ -83,8 +85,7 @@
                     == queueing::WaitDecision::Wait);
     };
     if (canWait()) {
-        queue_.add(ticket, query, choice.tokensToRead, now, overShare,
-                   isScheduledRetry ? Arrival::ScheduledRetry : Arrival::FirstTime);
+        enqueue(ticket, query, choice.tokensToRead, isScheduledRetry, now);
         return choice;
     }
     std::optional<units::Duration> reserved;
@@ -97,6 +98,38 @@
     return refuse(query, details, now);
 }
 
+// Turns and slots are not reserved for retries, as endpoints may take them away at any time.
+PlacementChoice RequestPlacer::queueForRoomOrRefuse(const PlacementTicket &ticket,
+                                                    const PlacementQuery &query,
+                                                    PlacementChoice choice, std::size_t endpoints,
+                                                    bool isScheduledRetry, units::TimePoint now)
+{
+    const std::size_t ahead = queue_.requestsAhead(query.pool, query.tier, isOverShare(query));
+    const queueing::WaitForecast forecast = roomForecaster_.forecast(
+        query.pool, query.tier, ahead, query.targetIn, query.expiresIn, endpoints, now);
+    if (forecast.decision == queueing::WaitDecision::Wait) {
+        enqueue(ticket, query, query.ownTokens, isScheduledRetry, now);
+        choice.isWaiting = true;
+        choice.unavailable.reset();
+        return choice;
+    }
+    if (isScheduledRetry)
+        returns_.onRefused();
+    queueing::RefusalDetails details;
+    details.returnIn = forecast.retryDelay;
+    PlacementChoice refused = refuse(query, details, now);
+    refused.unavailable = choice.unavailable;
+    return refused;
+}
+
+void RequestPlacer::enqueue(const PlacementTicket &ticket, const PlacementQuery &query,
+                            std::int64_t tokensToRead, bool isScheduledRetry, units::TimePoint now)
+{
+    using Arrival = queueing::PrefillQueue::Arrival;
+    queue_.add(ticket, query, tokensToRead, now, isOverShare(query),
+               isScheduledRetry ? Arrival::ScheduledRetry : Arrival::FirstTime);
+}
+
 PlacementChoice RequestPlacer::refuse(const PlacementQuery &query, queueing::RefusalDetails details,
                                       units::TimePoint now)
 {
@@ -225,8 +258,10 @@
             return false;
         const PlacementQuery query = waiting->query;
         PlacementChoice choice = chooseForModel(query, registry.available(query.pool), now);
-        if (choice.isWaiting)
+        if (choice.isWaiting || choice.isRoomExpected())
             return false;
+        if (choice.endpoint != nullptr)
+            roomForecaster_.onPlaced(query.pool, query.tier, now);
         drained += choice.tokensToRead;
         if (waiting->arrival == queueing::PrefillQueue::Arrival::ScheduledRetry)
             countScheduledRetry(choice);
