The forecast of a lower tier counts late requests of higher ones

Breakdowns were queued while tagging was refused: the forecast for a request left out those that can no longer be on time, as they go behind it. Those of higher tiers do not; they go first, late or not.

Test, failed before: TierPrecedence.LateRequestsOfAHigherTierDelayALowerOne.

--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -70,6 +70,10 @@
     };
     const bool overShare = isOverShare(query);
     queueing::TokensAhead ahead = queue_.tokensAhead(query.tier, overShare);
+    // Those of higher tiers go first even if they are late.
+    const queueing::TokensAhead above = queue_.tokensAbove(query.tier);
+    ahead.onTime += above.late;
+    ahead.late -= above.late;
     queueing::RefusalDetails details;
     details.aheadTokens = ahead.onTime + ahead.late;
     details.bookedTokens = returns_.tokensAhead(query.tier);
