After a refusal, lower tiers are held until the caller may have returned

Callers of tagging were refused and breakdowns began in the same milliseconds: a refusal was remembered nowhere. TierHold keeps lower tiers of the pool back until the refused caller may have returned, for 0.5 to 2 s; they wait in the queue or are told a time after the hold. A host whose request was refused by another one holds lower tiers as well, for when it places requests alone. placement-refused names held-ms.

--- a/include/monsoongrade/routing/queueing/refusaldetails.h
+++ b/include/monsoongrade/routing/queueing/refusaldetails.h
@@ -17,6 +17,7 @@
     bool isOverShare = false; // its workspace was over its share
     units::Duration returnIn{}; // the retry time given to the caller
     bool isBooked = false; // capacity is reserved at that time
+    units::Duration heldFor{}; // of the retry time, see TierHold
     std::int64_t aheadTokens = 0; // queued ahead of the request
     std::int64_t bookedTokens = 0; // reserved ahead of it for scheduled retries
 };
--- a/include/monsoongrade/routing/requestplacer.h
+++ b/include/monsoongrade/routing/requestplacer.h
@@ -17,6 +17,7 @@
 #include <monsoongrade/routing/queueing/returnschedule.h>
 #include <monsoongrade/routing/queueing/roomforecast.h>
 #include <monsoongrade/routing/queueing/sizefairness.h>
+#include <monsoongrade/routing/queueing/tierhold.h>
 #include <monsoongrade/routing/queueing/workspaceshares.h>
 #include <monsoongrade/routing/sharedelegation.h>
 #include <monsoongrade/routing/shortpausereserve.h>
@@ -138,6 +139,10 @@
     // their requests too; one that survives few rejections gets fewer requests. Events of unknown
     // tickets are ignored.
     void onEvent(const PlacementTicket &ticket, PlacementEvent event, units::TimePoint now);
+    // Another host refused the request, and told its caller to return after returnIn. Lower tiers
+    // are then held on this host, too, in case it places requests itself.
+    void onRefusedElsewhere(const PlacementQuery &query, units::Duration returnIn,
+                            units::TimePoint now);
     // Sets the pools of the configuration in force.
     void setPools(const std::vector<TrafficPool> &pools);
     // Whether workspaces get fair shares while requests are queued. On by default.
@@ -202,7 +207,8 @@
     std::vector<PlacementTicket> nextToTry(units::TimePoint now);
     void updateShares(units::TimePoint now);
     bool isOverShare(const PlacementQuery &query) const;
-    bool mustYield(const PlacementQuery &query) const;
+    bool mustYield(const PlacementQuery &query, units::TimePoint now) const;
+    units::Duration heldFor(const PlacementQuery &query, units::TimePoint now) const;
     PlacementChoice commit(const PlacementTicket &ticket, const PlacementQuery &query,
                            PlacementChoice choice, units::TimePoint now);
     PlacementChoice chooseForModel(const PlacementQuery &query,
@@ -272,6 +278,7 @@
     queueing::WaitForecaster forecaster_;
     queueing::RoomForecaster roomForecaster_;
     queueing::ReturnSchedule returns_;
+    queueing::TierHold tierHold_;
     ShortPauseReserve reserve_;
     std::unordered_map<std::string, performance::PrefillSizes> prefillSizes_; // by pool
     queueing::SizeFairnessByTier sizeFairness_;
--- a/src/gateway/placementservice.cpp
+++ b/src/gateway/placementservice.cpp
@@ -318,6 +318,7 @@
     PendingQuery pending = std::move(found->second);
     pending_.erase(found);
     if (message.retryDelay) {
+        placer_.onRefusedElsewhere(pending.query, *message.retryDelay, timers_.now());
         routing::PlacementChoice refused;
         refused.retryDelay = message.retryDelay;
         refused.isReturnScheduled = message.isReturnScheduled;
--- a/src/gateway/placementwaiting.cpp
+++ b/src/gateway/placementwaiting.cpp
@@ -126,6 +126,7 @@
                 {"over-share", refused.isOverShare ? "yes" : "no"},
                 {"return-ms", inMilliseconds(refused.returnIn)},
                 {"booked", refused.isBooked ? "yes" : "no"},
+                {"held-ms", inMilliseconds(refused.heldFor)},
                 {"ahead-tokens", refused.aheadTokens},
                 {"booked-tokens", refused.bookedTokens}});
 }
--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -20,6 +20,13 @@
 constexpr auto MaxPrefillTime = std::chrono::seconds(3);
 constexpr auto CleanupInterval = std::chrono::milliseconds(250);
 
+queueing::RefusalDetails returningIn(units::Duration returnIn)
+{
+    queueing::RefusalDetails details;
+    details.returnIn = returnIn;
+    return details;
+}
+
 } // namespace
 
 PlacementChoice RequestPlacer::place(const PlacementTicket &ticket, const PlacementQuery &query,
@@ -50,12 +57,14 @@
     if (choice.isRoomExpected() && mayWait)
         return queueForRoomOrRefuse(ticket, query, std::move(choice), available.size(),
                                     isScheduledRetry, now);
-    choice.isWaiting = choice.isWaiting || (choice.endpoint != nullptr && mustYield(query));
+    choice.isWaiting = choice.isWaiting || (choice.endpoint != nullptr && mustYield(query, now));
     if (choice.isWaiting && mayWait)
         return queueOrRefuse(ticket, query, std::move(choice), available.size(), isScheduledRetry,
                              now);
     if (isScheduledRetry)
         countScheduledRetry(choice);
+    if (const units::Duration held = heldFor(query, now); held > units::Duration::zero())
+        return refuse(query, returningIn(held), now);
     return commit(ticket, query, std::move(choice), now);
 }
 
@@ -64,8 +73,9 @@
                                              std::size_t endpoints, bool isScheduledRetry,
                                              units::TimePoint now)
 {
+    const units::Duration held = heldFor(query, now);
     const auto forecastFor = [&](const queueing::TokensAhead &ahead) {
-        return forecaster_.forecast(ahead, query.targetIn, query.expiresIn, endpoints,
+        return forecaster_.forecast(ahead, query.targetIn - held, query.expiresIn - held, endpoints,
                                     prefillRates_.of(query.pool).tokensPerMs(now));
     };
     const bool overShare = isOverShare(query);
@@ -96,8 +106,9 @@
     if (isScheduledRetry)
         returns_.onRefused();
     else if (!overShare) // its reservation would delay those within their share
-        reserved = returns_.reserve(ticket, query, forecastFor(beforeReturn).onTimeWait, now);
-    details.returnIn = reserved.value_or(forecast.retryDelay);
+        reserved
+            = returns_.reserve(ticket, query, held + forecastFor(beforeReturn).onTimeWait, now);
+    details.returnIn = reserved.value_or(held + forecast.retryDelay);
     details.isBooked = reserved.has_value();
     return refuse(query, details, now);
 }
@@ -109,8 +120,10 @@
                                                     bool isScheduledRetry, units::TimePoint now)
 {
     const std::size_t ahead = queue_.requestsAhead(query.pool, query.tier, isOverShare(query));
-    const queueing::WaitForecast forecast = roomForecaster_.forecast(
-        query.pool, query.tier, ahead, query.targetIn, query.expiresIn, endpoints, now);
+    const units::Duration held = heldFor(query, now);
+    const queueing::WaitForecast forecast
+        = roomForecaster_.forecast(query.pool, query.tier, ahead, query.targetIn - held,
+                                   query.expiresIn - held, endpoints, now);
     if (forecast.decision == queueing::WaitDecision::Wait) {
         enqueue(ticket, query, query.ownTokens, isScheduledRetry, now);
         choice.isWaiting = true;
@@ -119,9 +132,7 @@
     }
     if (isScheduledRetry)
         returns_.onRefused();
-    queueing::RefusalDetails details;
-    details.returnIn = forecast.retryDelay;
-    PlacementChoice refused = refuse(query, details, now);
+    PlacementChoice refused = refuse(query, returningIn(held + forecast.retryDelay), now);
     refused.unavailable = choice.unavailable;
     return refused;
 }
@@ -138,6 +149,8 @@
                                       units::TimePoint now)
 {
     sizeFairness_.of(query.pool, query.tier).onRefused(query.promptTokens, now);
+    tierHold_.onRefused(query.pool, query.tier, details.returnIn, now);
+    details.heldFor = heldFor(query, now);
     details.pool = query.pool;
     details.tier = query.tier;
     details.workspace = query.workspace;
@@ -171,10 +184,26 @@
 // Without this, requests of an overloading workspace or of a lower tier would take the room of
 // those that wait, as they arrive more often than the queue is served. Short prefills yield as
 // well.
-bool RequestPlacer::mustYield(const PlacementQuery &query) const
+bool RequestPlacer::mustYield(const PlacementQuery &query, units::TimePoint now) const
 {
     return (isOverShare(query) && queue_.hasWithinShare(query.pool, query.tier))
-        || queue_.hasHigherTier(query.pool, query.tier);
+        || (query.runsModel && queue_.hasHigherTier(query.pool, query.tier))
+        || heldFor(query, now) > units::Duration::zero();
+}
+
+// The client of a stream that has begun has waited already.
+units::Duration RequestPlacer::heldFor(const PlacementQuery &query, units::TimePoint now) const
+{
+    return query.runsModel && !query.softwareVersion
+        ? tierHold_.remaining(query.pool, query.tier, now)
+        : units::Duration::zero();
+}
+
+void RequestPlacer::onRefusedElsewhere(const PlacementQuery &query, units::Duration returnIn,
+                                       units::TimePoint now)
+{
+    if (query.runsModel)
+        tierHold_.onRefused(query.pool, query.tier, returnIn, now);
 }
 
 PlacementChoice RequestPlacer::commit(const PlacementTicket &ticket, const PlacementQuery &query,
@@ -238,6 +267,8 @@
     std::set<std::pair<std::string, std::string>> parts; // with their pools
     for (const PlacementTicket &ticket : queue_.next(MaxSeenPerCall, now)) {
         const PlacementQuery &query = queue_.find(ticket)->query;
+        if (heldFor(query, now) > units::Duration::zero())
+            continue;
         const bool mayUseAll = query.tried.empty() && query.paused.empty();
         const bool isRepeated = mayUseAll && !query.sharedPart.empty()
             && !parts.emplace(query.pool.value(), query.sharedPart).second;
@@ -287,7 +318,7 @@
             continue;
         // Requests with the same shared part now need only their own tokens prefilled.
         for (const PlacementTicket &same : queue_.withSharedPart(part)) {
-            if (!mustYield(queue_.find(same)->query))
+            if (!mustYield(queue_.find(same)->query, now))
                 tryPlace(same);
         }
     }
