Responses without an end are closed at a bound

An endpoint in trouble may send bytes that are no answer until its caller closes. Callers waited for the whole of their time, and the body of an error, or of a success without a signature, was collected without a bound; so were skipped bodies, events that the client got in parts, and interim responses. Each is closed at 256 KiB (heads, with all interim ones, at 64 KiB) and counts as the endpoint's failure; the request goes on as after a broken answer, and no crash is counted against it. A signed success may be larger and is passed on as it arrives, as before, until its time is over.

RawConnection can write without blocking the thread that it shares with the gateway.

--- a/include/monsoongrade/gateway/eventrelay.h
+++ b/include/monsoongrade/gateway/eventrelay.h
@@ -20,6 +20,8 @@
     // Adds bytes received from the endpoint and returns the events to send to the client now. After
     // a resume, omits events that the client already has.
     std::string feed(std::string_view bytes, units::TimePoint now);
+    // True if an event is longer than any that an endpoint sends. Nothing of it is returned.
+    bool hasOversizedEvent() const { return !events_.isAtEventBoundary(); }
     // After a regular end of the stream: returns the incomplete last event.
     std::string takePartialEvent() { return events_.takePartialEvent(); }
     bool hasPartialEvent() const { return events_.hasPartialEvent(); }
--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -89,6 +89,7 @@
     void logLimits(const routing::AnnouncedLimits &before, const routing::AnnouncedLimits &now);
 
     // Failures
+    void onResponseTooLong();
     void onAttemptFailed(units::ResultCode reason, bool mayHaveRun);
     routing::AttemptFailure describeFailure(bool timedOut);
     bool canRetry();
@@ -157,6 +158,7 @@
     httpio::MessageHead responseHead_;
     EndpointResponseInfo answer_;
     std::string collected_;
+    std::size_t skippedBytes_ = 0; // of responses to other requests
 
     std::shared_ptr<ForwardedRequest> forwarded_; // while another host handles the request
 
--- a/src/gateway/eventrelay.cpp
+++ b/src/gateway/eventrelay.cpp
@@ -49,7 +49,10 @@
 
 std::string EventRelay::feed(std::string_view bytes, units::TimePoint now)
 {
-    std::string passed = removeKnownEvents(events_.feed(bytes));
+    const std::string whole = events_.feed(bytes);
+    if (hasOversizedEvent())
+        return {};
+    std::string passed = removeKnownEvents(whole);
     if (passed.empty())
         return passed;
     if (firstEventAt_)
@@ -62,7 +65,7 @@
 
 void EventRelay::resume()
 {
-    events_.discardPartialEvent();
+    events_ = {};
     checkingResume_ = !lastId_.empty();
 }
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -80,6 +80,7 @@
     endpoint_->health.onSent(state_.timers.now());
     use_ = ResponseUse::None;
     firstByteSeen_ = false;
+    skippedBytes_ = 0;
     collected_.clear();
     const int connections
         = poolSettings_ == nullptr ? DefaultMaxConnections : poolSettings_->maxConnections;
@@ -223,12 +224,21 @@
         relay(bytes);
         return;
     }
+    if (use_ == ResponseUse::OfOtherRequest)
+        skippedBytes_ += bytes.size();
+    if (skippedBytes_ > internal::MaxCollectedBytes) {
+        onResponseTooLong();
+        return;
+    }
     if (use_ != ResponseUse::Collected)
         return;
     collected_.append(bytes);
-    if (collected_.size() <= internal::MaxCollectedBytes || !isSuccess(responseHead_.status)
-        || !answer_.isSigned)
+    if (collected_.size() <= internal::MaxCollectedBytes)
+        return;
+    if (!isSuccess(responseHead_.status) || !answer_.isSigned) {
+        onResponseTooLong();
         return;
+    }
     if (!responseBegun_) {
         responseBegun_ = true;
         reply_->begin(responseHead_.status,
@@ -242,6 +252,10 @@
 void Exchange::relay(std::string_view bytes)
 {
     const std::string whole = events_.feed(bytes, state_.timers.now());
+    if (events_.hasOversizedEvent()) {
+        onResponseTooLong();
+        return;
+    }
     if (whole.empty())
         return;
     onFirstByte();
--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -42,6 +42,19 @@
                     true);
 }
 
+// A faulty endpoint may send without end. It has not crashed under the request.
+void Exchange::onResponseTooLong()
+{
+    const auto self = shared_from_this();
+    state_.log.write(observability::LogLevel::Warning, "endpoint-response-too-long",
+                     {{"request", metadata_.id.value()},
+                      {"endpoint", endpoint_->registration.id.value()},
+                      {"status", responseHead_.status}});
+    dropChannel();
+    onEndpointFailure();
+    onAttemptFailed(units::ResultCode::EndpointBrokeInAnswer, true);
+}
+
 void Exchange::onAttemptFailed(units::ResultCode reason, bool mayHaveRun)
 {
     mayHaveRun_ = mayHaveRun_ || mayHaveRun;
--- a/src/httpio/messageparser.cpp
+++ b/src/httpio/messageparser.cpp
@@ -25,6 +25,9 @@
     return false;
 }
 
+// Counted for each interim response, so that a server can't send them without end. Less than the
+// shortest one has.
+constexpr std::size_t InterimHeadBytes = 16;
 // The content_length of http_parser for a message without a length.
 constexpr std::uint64_t NoLength = std::numeric_limits<std::uint64_t>::max();
 
@@ -119,11 +122,12 @@
     int onBegin()
     {
         head_ = {};
-        headBytes_ = 0;
+        headBytes_ = isAfterInterim_ ? headBytes_ + InterimHeadBytes : 0;
+        isAfterInterim_ = false;
         inside_ = true;
         headDone_ = false;
         readingValue_ = false;
-        return 0;
+        return countHeadBytes(0);
     }
 
     // Used as a callback's result: a value other than 0 stops the parser.
@@ -194,6 +198,7 @@
         inside_ = false;
         if (isInterim()) {
             headDone_ = false;
+            isAfterInterim_ = true;
             return 0;
         }
         headDone_ = false;
@@ -230,6 +235,7 @@
     MessageHead head_;
     std::size_t headBytes_ = 0;
     bool readingValue_ = false;
+    bool isAfterInterim_ = false;
     bool messageEnded_ = false;
     bool endsAtClose_ = false;
 };
--- a/tests/platform_standin/rawpeer.cpp
+++ b/tests/platform_standin/rawpeer.cpp
@@ -13,6 +13,13 @@
     asio::write(socket_, asio::buffer(bytes), ignored);
 }
 
+std::size_t RawConnection::writeSome(const std::string &bytes)
+{
+    asio::error_code error; // it is full or closed
+    socket_.non_blocking(true, error);
+    return socket_.write_some(asio::buffer(bytes), error);
+}
+
 void RawConnection::closeGracefully()
 {
     asio::error_code ignored;
--- a/tests/platform_standin/rawpeer.h
+++ b/tests/platform_standin/rawpeer.h
@@ -21,6 +21,8 @@
     }
 
     void write(const std::string &bytes);
+    // Writes what the socket takes without waiting, and returns how much that is.
+    std::size_t writeSome(const std::string &bytes);
     void closeGracefully();
     void reset();
     bool isClosedByPeer() const { return closedByPeer_; }
