--- a/tests/adapter/endpointsilence_test.cpp
+++ b/tests/adapter/endpointsilence_test.cpp
@@ -39,21 +39,24 @@
         for (milliseconds sent{}; sent < time; sent += Interval) {
             clients.push_back(connect());
             clients.back()->send(request("POST", path, "id" + std::to_string(++calls_), "b",
-                                         path == "/stream/a" ? StreamHeaders : ""));
+                                         path == "/unsafe/a" ? "" : StreamHeaders));
             runFor(Interval);
         }
         return clients;
     }
-    // Number of requests sent around the silence of the first worker that were not served.
-    std::ptrdiff_t unservedAroundSilence(const std::string &path)
+    // Number of requests sent around the silence of the first workers, one after the other, that
+    // were not served.
+    std::ptrdiff_t unservedAroundSilence(const std::string &path, std::size_t silentWorkers = 1)
     {
         std::vector<std::shared_ptr<RawClient>> all = sendFor(milliseconds(300), path);
         const auto add = [&all](const std::vector<std::shared_ptr<RawClient>> &clients) {
             all.insert(all.end(), clients.begin(), clients.end());
         };
-        workers_[0]->setSilent(true);
-        add(sendFor(Silence, path));
-        workers_[0]->setSilent(false);
+        for (std::size_t i = 0; i < silentWorkers; ++i) {
+            workers_[i]->setSilent(true);
+            add(sendFor(Silence, path));
+            workers_[i]->setSilent(false);
+        }
         add(sendFor(milliseconds(500), path));
         runFor(milliseconds(300));
         return std::count_if(all.begin(), all.end(),
@@ -99,3 +102,12 @@
     CHECK(fixture.gateway->state().reach.lostPools().empty());
     CHECK(fixture.gateway->state().crashes.quarantinedCount(fixture.timers.now()) == 0);
 }
+
+// Guards against streams that may run twice and are refused, or whose prompt parts are quarantined,
+// because endpoints say nothing for a second one after the other.
+TEST_CASE("EndpointSilence.ResumableStreamsAreServedThoughEndpointsFallSilentInTurn")
+{
+    SilentWorkerFixture fixture("model", 3);
+    CHECK(fixture.unservedAroundSilence("/resume/a", 3) == 0);
+    CHECK(fixture.gateway->state().crashes.quarantinedCount(fixture.timers.now()) == 0);
+}
