Only long prefills are held, and only after many refusals

Short prefills waited as well, though they delay others little; arrivals that had room went to the end of a queue of which 16 are tried at a time, so that endpoints were idle; and a single refusal stopped lower tiers of the whole pool.

Short prefills go at once again, except for turns and slots; lower tiers are held from one refusal in fifty on; an arrival that has room yields for one pass of the queue, and for turns and slots only, after which it is queued or refused by the forecast. A queue in which all are held does not count as slow.

--- a/include/monsoongrade/routing/requestplacer.h
+++ b/include/monsoongrade/routing/requestplacer.h
@@ -56,6 +56,7 @@
     // Prompt tokens that the endpoint has to prefill before its first event, as far as known here.
     std::int64_t tokensToRead = 0;
     bool isWaiting = false; // queued; a later call of placeWaiting() places it
+    bool isShortPrefill = false; // delays others little
     // Set if the request is refused because of a long queue: when its client should retry.
     std::optional<units::Duration> retryDelay;
     bool isLimited = false; // counted against the endpoint's rate limit
@@ -199,6 +200,9 @@
     PlacementChoice queueForRoomOrRefuse(const PlacementTicket &ticket, const PlacementQuery &query,
                                          PlacementChoice choice, std::size_t endpoints,
                                          bool isScheduledRetry, units::TimePoint now);
+    std::optional<PlacementChoice> queueAgain(const PlacementTicket &ticket,
+                                              const EndpointRegistry &registry,
+                                              units::TimePoint now);
     void enqueue(const PlacementTicket &ticket, const PlacementQuery &query,
                  std::int64_t tokensToRead, bool isScheduledRetry, units::TimePoint now);
     PlacementChoice refuse(const PlacementQuery &query, queueing::RefusalDetails details,
@@ -207,7 +211,9 @@
     std::vector<PlacementTicket> nextToTry(units::TimePoint now);
     void updateShares(units::TimePoint now);
     bool isOverShare(const PlacementQuery &query) const;
-    bool mustYield(const PlacementQuery &query, units::TimePoint now) const;
+    bool mustYield(const PlacementQuery &query) const;
+    static bool needsTurnOrSlot(const PlacementChoice &choice, units::TimePoint now);
+    static bool competesForRoom(const PlacementChoice &choice, units::TimePoint now);
     units::Duration heldFor(const PlacementQuery &query, units::TimePoint now) const;
     PlacementChoice commit(const PlacementTicket &ticket, const PlacementQuery &query,
                            PlacementChoice choice, units::TimePoint now);
@@ -275,6 +281,9 @@
     performance::PrefillPeriods prefillPeriods_;
     performance::LearnedEndpointSpeeds speeds_;
     queueing::PrefillQueue queue_;
+    // Queued requests for which there was room when they arrived, while higher tiers waited. Tried
+    // after those in the next call of placeWaiting(), wherever they are in the queue.
+    std::vector<PlacementTicket> yielding_;
     queueing::WaitForecaster forecaster_;
     queueing::RoomForecaster roomForecaster_;
     queueing::ReturnSchedule returns_;
--- a/src/routing/endpointchoice.cpp
+++ b/src/routing/endpointchoice.cpp
@@ -174,6 +174,7 @@
     const prefixcache::CacheTransferPlan *copy = nullptr; // of the shared part; null: none
     // Prompt tokens that an endpoint with the speed 1 prefills in the time.
     double cost = std::numeric_limits<double>::infinity();
+    bool isShort = true; // its prefill
     bool hasRoom = true; // for a long prefill
 };
 
@@ -237,6 +238,7 @@
     choice.endpoint = *best.endpoint;
     choice.tokensToRead = best.tokensToPrefill;
     choice.isWaiting = !best.hasRoom;
+    choice.isShortPrefill = best.isShort;
     if (best.copy != nullptr) {
         choice.cacheSource = best.copy->source;
         choice.cacheTransfer = *best.copy;
@@ -275,8 +277,9 @@
     assessment.tokensToPrefill = tokensToPrefill;
     assessment.copy = sharedCost.copy;
     assessment.cost = (tokens / speed + copying) * penalty(*endpoint, now);
-    assessment.hasRoom = double(tokensToPrefill) <= basis.longPrefill * speed
-        || double(load.tokensToRead) <= double(basis.maxBacklog) * speed;
+    assessment.isShort = double(tokensToPrefill) <= basis.longPrefill * speed;
+    assessment.hasRoom
+        = assessment.isShort || double(load.tokensToRead) <= double(basis.maxBacklog) * speed;
     return assessment;
 }
 
@@ -326,6 +329,7 @@
 {
     const RateShare share = shareFor(query, now);
     PlacementChoice choice;
+    choice.isShortPrefill = true;
     double best = std::numeric_limits<double>::infinity();
     for (const EndpointRegistry::Status &endpoint : available) {
         const EndpointLoad load = loads_.of(*endpoint);
--- a/src/routing/queueing/tierhold.cpp
+++ b/src/routing/queueing/tierhold.cpp
@@ -1,6 +1,7 @@
 #include <monsoongrade/routing/queueing/tierhold.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace monsoongrade::routing::queueing {
 
@@ -11,26 +12,49 @@
 // Requests that are held wait, and are worth little to their callers after more than this.
 constexpr auto MaxHold = std::chrono::seconds(2);
 
+constexpr std::chrono::duration<double> HalfLife = std::chrono::seconds(1);
+constexpr double MinRefusedShare = 0.02;
+
 } // namespace
 
+TierHold::TierState &TierHold::decayed(const units::PoolName &pool, units::Tier tier,
+                                       units::TimePoint now)
+{
+    TierState &state = tiers_[pool.value()][tier];
+    const double left = std::exp2(-std::chrono::duration<double>(now - state.countedAt) / HalfLife);
+    state.arrived *= left;
+    state.refused *= left;
+    state.countedAt = now;
+    return state;
+}
+
+void TierHold::onArrived(const units::PoolName &pool, units::Tier tier, units::TimePoint now)
+{
+    ++decayed(pool, tier, now).arrived;
+}
+
 void TierHold::onRefused(const units::PoolName &pool, units::Tier tier, units::Duration returnIn,
                          units::TimePoint now)
 {
-    units::TimePoint &until = heldUntil_[pool.value()][tier];
-    until = std::max(until, now + std::clamp<units::Duration>(returnIn, MinHold, MaxHold));
+    TierState &state = decayed(pool, tier, now);
+    ++state.refused;
+    if (state.refused < state.arrived * MinRefusedShare)
+        return;
+    state.heldUntil
+        = std::max(state.heldUntil, now + std::clamp<units::Duration>(returnIn, MinHold, MaxHold));
 }
 
 units::Duration TierHold::remaining(const units::PoolName &pool, units::Tier tier,
                                     units::TimePoint now) const
 {
     units::TimePoint until = now;
-    const auto found = heldUntil_.find(pool.value());
-    if (found == heldUntil_.end())
+    const auto found = tiers_.find(pool.value());
+    if (found == tiers_.end())
         return {};
-    for (const auto &[refused, heldUntil] : found->second) {
-        if (!(refused < tier))
+    for (const auto &[each, state] : found->second) {
+        if (!(each < tier))
             break;
-        until = std::max(until, heldUntil);
+        until = std::max(until, state.heldUntil);
     }
     return until - now;
 }
--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -46,6 +46,8 @@
         return waiting;
     }
     const bool isScheduledRetry = returns_.onArrived(ticket, query, now);
+    if (query.runsModel)
+        tierHold_.onArrived(query.pool, query.tier, now);
     if (query.runsModel && hasFairShares_ && !isScheduledRetry)
         workspaceShares_.onArrived(query.pool, query.tier, query.workspace, query.promptTokens,
                                    now);
@@ -57,14 +59,26 @@
     if (choice.isRoomExpected() && mayWait)
         return queueForRoomOrRefuse(ticket, query, std::move(choice), available.size(),
                                     isScheduledRetry, now);
-    choice.isWaiting = choice.isWaiting || (choice.endpoint != nullptr && mustYield(query, now));
+    const bool isHeld
+        = competesForRoom(choice, now) && heldFor(query, now) > units::Duration::zero();
+    choice.isWaiting
+        = choice.isWaiting || isHeld || (choice.endpoint != nullptr && mustYield(query));
+    const bool isHigherTierWaiting
+        = needsTurnOrSlot(choice, now) && queue_.hasHigherTier(query.pool, query.tier);
+    // Room is reserved for a scheduled retry.
+    if (!choice.isWaiting && isHigherTierWaiting && mayWait && !isScheduledRetry) {
+        enqueue(ticket, query, choice.tokensToRead, isScheduledRetry, now);
+        yielding_.push_back(ticket);
+        choice.isWaiting = true;
+        return choice;
+    }
     if (choice.isWaiting && mayWait)
         return queueOrRefuse(ticket, query, std::move(choice), available.size(), isScheduledRetry,
                              now);
     if (isScheduledRetry)
         countScheduledRetry(choice);
-    if (const units::Duration held = heldFor(query, now); held > units::Duration::zero())
-        return refuse(query, returningIn(held), now);
+    if (isHeld)
+        return refuse(query, returningIn(heldFor(query, now)), now);
     return commit(ticket, query, std::move(choice), now);
 }
 
@@ -181,14 +195,24 @@
     return query.runsModel && workspaceShares_.isOverShare(query.pool, query.tier, query.workspace);
 }
 
-// Without this, requests of an overloading workspace or of a lower tier would take the room of
-// those that wait, as they arrive more often than the queue is served. Short prefills yield as
-// well.
-bool RequestPlacer::mustYield(const PlacementQuery &query, units::TimePoint now) const
+// Without this, requests of an overloading workspace would take the room of those that wait, as
+// they arrive more often than the queue is served. Short prefills yield as well.
+bool RequestPlacer::mustYield(const PlacementQuery &query) const
+{
+    return isOverShare(query) && queue_.hasWithinShare(query.pool, query.tier);
+}
+
+bool RequestPlacer::needsTurnOrSlot(const PlacementChoice &choice, units::TimePoint now)
+{
+    return choice.endpoint != nullptr
+        && (choice.endpoint->rateLimiter.limit() || choice.endpoint->isBrittle(now));
+}
+
+// Whether the request takes room that one of a higher tier may come back for. Short prefills delay
+// others little, but need a turn or a slot like all others.
+bool RequestPlacer::competesForRoom(const PlacementChoice &choice, units::TimePoint now)
 {
-    return (isOverShare(query) && queue_.hasWithinShare(query.pool, query.tier))
-        || (query.runsModel && queue_.hasHigherTier(query.pool, query.tier))
-        || heldFor(query, now) > units::Duration::zero();
+    return choice.endpoint != nullptr && (!choice.isShortPrefill || needsTurnOrSlot(choice, now));
 }
 
 // The client of a stream that has begun has waited already.
@@ -311,24 +335,59 @@
             countScheduledRetry({});
         placed.emplace_back(expired.ticket, refuse(expired.query, {}, now));
     }
-    for (const PlacementTicket &ticket : nextToTry(now)) {
+    const std::vector<PlacementTicket> tickets = nextToTry(now);
+    for (const PlacementTicket &ticket : tickets) {
         const queueing::PrefillQueue::Waiting *waiting = queue_.find(ticket);
-        const std::string part = waiting == nullptr ? std::string() : waiting->query.sharedPart;
+        if (waiting == nullptr)
+            continue;
+        const std::string part = waiting->query.sharedPart;
+        const units::Tier tier = waiting->query.tier;
         if (!tryPlace(ticket))
             continue;
         // Requests with the same shared part now need only their own tokens prefilled.
         for (const PlacementTicket &same : queue_.withSharedPart(part)) {
-            if (!mustYield(queue_.find(same)->query, now))
+            const PlacementQuery &query = queue_.find(same)->query;
+            if (query.tier <= tier && !mustYield(query))
                 tryPlace(same);
         }
     }
-    if (queue_.isEmpty())
+    if (queue_.isEmpty() || tickets.empty()) // or all that wait are held
         forecaster_.onQueueEmpty();
     else
         forecaster_.onDrained(drained, now);
+    // What the requests of higher tiers had no use for.
+    for (const PlacementTicket &ticket : std::exchange(yielding_, {})) {
+        if (queue_.find(ticket) == nullptr || tryPlace(ticket))
+            continue;
+        if (auto refused = queueAgain(ticket, registry, now))
+            placed.emplace_back(ticket, std::move(*refused));
+    }
     return placed;
 }
 
+// Decides on a request that arrived when it had room, and has none any more. Returns its refusal,
+// or nothing if it waits on.
+std::optional<PlacementChoice> RequestPlacer::queueAgain(const PlacementTicket &ticket,
+                                                         const EndpointRegistry &registry,
+                                                         units::TimePoint now)
+{
+    const queueing::PrefillQueue::Waiting waiting = *queue_.find(ticket);
+    const bool isScheduledRetry
+        = waiting.arrival == queueing::PrefillQueue::Arrival::ScheduledRetry;
+    queue_.remove(ticket);
+    const auto &available = registry.available(waiting.query.pool);
+    PlacementChoice choice = chooseForModel(waiting.query, available, now);
+    if (choice.endpoint == nullptr && !choice.isRoomExpected())
+        return choice;
+    choice = choice.isRoomExpected() ? queueForRoomOrRefuse(
+                 ticket, waiting.query, std::move(choice), available.size(), isScheduledRetry, now)
+                                     : queueOrRefuse(ticket, waiting.query, std::move(choice),
+                                                     available.size(), isScheduledRetry, now);
+    if (isWaiting(ticket))
+        return std::nullopt;
+    return choice;
+}
+
 void RequestPlacer::setPools(const std::vector<TrafficPool> &pools)
 {
     pools_.clear();
--- a/tests/routing/queueing/tierhold_test.cpp
+++ b/tests/routing/queueing/tierhold_test.cpp
@@ -54,3 +54,16 @@
     CHECK(hold.remaining(Pool, units::Tier(1), Start) == seconds(2));
     CHECK(hold.remaining(Pool, units::Tier(2), Start) == seconds(2));
 }
+
+// Guards against a pool whose lower tiers are held for a single request that found no endpoint.
+TEST_CASE("TierHold.SingleRefusalsHoldNothing")
+{
+    TierHold hold;
+    for (int i = 0; i < 200; ++i)
+        hold.onArrived(Pool, units::Tier(1), Start);
+    hold.onRefused(Pool, units::Tier(1), seconds(1), Start);
+    CHECK(hold.remaining(Pool, units::Tier(2), Start) == None);
+    for (int i = 0; i < 3; ++i)
+        hold.onRefused(Pool, units::Tier(1), seconds(1), Start);
+    CHECK(hold.remaining(Pool, units::Tier(2), Start) == seconds(1));
+}
