--- a/include/monsoongrade/routing/requestplacer.h
+++ b/include/monsoongrade/routing/requestplacer.h
@@ -197,6 +197,10 @@
     PlacementChoice queueOrRefuse(const PlacementTicket &ticket, const PlacementQuery &query,
                                   PlacementChoice choice, std::size_t endpoints,
                                   bool isScheduledRetry, units::TimePoint now);
+    PlacementChoice queueForPrefillOrRefuse(const PlacementTicket &ticket,
+                                            const PlacementQuery &query, PlacementChoice choice,
+                                            std::size_t endpoints, bool isScheduledRetry,
+                                            units::TimePoint now);
     PlacementChoice queueForRoomOrRefuse(const PlacementTicket &ticket, const PlacementQuery &query,
                                          PlacementChoice choice, std::size_t endpoints,
                                          bool isScheduledRetry, units::TimePoint now);
--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -56,13 +56,10 @@
     // The client of a stream that has begun has waited already, and the forecast of the queue
     // counts endpoints of all versions.
     const bool mayWait = query.mayWait && !query.softwareVersion;
-    if (choice.isRoomExpected() && mayWait)
-        return queueForRoomOrRefuse(ticket, query, std::move(choice), available.size(),
-                                    isScheduledRetry, now);
     const bool isHeld
         = competesForRoom(choice, now) && heldFor(query, now) > units::Duration::zero();
-    choice.isWaiting
-        = choice.isWaiting || isHeld || (choice.endpoint != nullptr && mustYield(query));
+    choice.isWaiting = choice.isWaiting || choice.isRoomExpected() || isHeld
+        || (choice.endpoint != nullptr && mustYield(query));
     const bool isHigherTierWaiting
         = needsTurnOrSlot(choice, now) && queue_.hasHigherTier(query.pool, query.tier);
     // Room is reserved for a scheduled retry.
@@ -86,6 +83,17 @@
                                              const PlacementQuery &query, PlacementChoice choice,
                                              std::size_t endpoints, bool isScheduledRetry,
                                              units::TimePoint now)
+{
+    const auto decide = choice.isRoomExpected() ? &RequestPlacer::queueForRoomOrRefuse
+                                                : &RequestPlacer::queueForPrefillOrRefuse;
+    return (this->*decide)(ticket, query, std::move(choice), endpoints, isScheduledRetry, now);
+}
+
+PlacementChoice RequestPlacer::queueForPrefillOrRefuse(const PlacementTicket &ticket,
+                                                       const PlacementQuery &query,
+                                                       PlacementChoice choice,
+                                                       std::size_t endpoints, bool isScheduledRetry,
+                                                       units::TimePoint now)
 {
     const units::Duration held = heldFor(query, now);
     const auto forecastFor = [&](const queueing::TokensAhead &ahead) {
@@ -140,7 +148,6 @@
                                    query.expiresIn - held, endpoints, now);
     if (forecast.decision == queueing::WaitDecision::Wait) {
         enqueue(ticket, query, query.ownTokens, isScheduledRetry, now);
-        choice.isWaiting = true;
         choice.unavailable.reset();
         return choice;
     }
@@ -379,10 +386,8 @@
     PlacementChoice choice = chooseForModel(waiting.query, available, now);
     if (choice.endpoint == nullptr && !choice.isRoomExpected())
         return choice;
-    choice = choice.isRoomExpected() ? queueForRoomOrRefuse(
-                 ticket, waiting.query, std::move(choice), available.size(), isScheduledRetry, now)
-                                     : queueOrRefuse(ticket, waiting.query, std::move(choice),
-                                                     available.size(), isScheduledRetry, now);
+    choice = queueOrRefuse(ticket, waiting.query, std::move(choice), available.size(),
+                           isScheduledRetry, now);
     if (isWaiting(ticket))
         return std::nullopt;
     return choice;
