--- a/src/routing/endpointhealth.cpp
+++ b/src/routing/endpointhealth.cpp
@@ -1,7 +1,8 @@
 #include <monsoongrade/routing/endpointhealth.h>
 
+#include <monsoongrade/units/halflife.h>
+
 #include <algorithm>
-#include <cmath>
 
 namespace monsoongrade::routing {
 
@@ -20,13 +21,7 @@
 constexpr double MaxCountedLatencyRatio = 20;
 // An avoided endpoint gets no requests that could improve its averages, so they decay with this
 // half-life. Slow and failing periods last 4 to 7 s.
-constexpr double HalfLifeSeconds = 3;
-
-double remembered(units::TimePoint since, units::TimePoint now)
-{
-    const double seconds = std::chrono::duration<double>(now - since).count();
-    return std::exp2(-std::max(seconds, 0.0) / HalfLifeSeconds);
-}
+constexpr std::chrono::duration<double> HalfLife = std::chrono::seconds(3);
 
 } // namespace
 
@@ -83,12 +78,13 @@
 
 double EndpointHealth::failureRate(units::TimePoint now) const
 {
-    return failureShare_ == 0 ? 0 : failureShare_ * remembered(failureShareAt_, now);
+    return failureShare_ == 0 ? 0
+                              : failureShare_ * units::shareLeft(now - failureShareAt_, HalfLife);
 }
 
 double EndpointHealth::slowness(units::TimePoint now) const
 {
-    return slowness_ == 1 ? 1 : 1 + (slowness_ - 1) * remembered(slownessAt_, now);
+    return slowness_ == 1 ? 1 : 1 + (slowness_ - 1) * units::shareLeft(now - slownessAt_, HalfLife);
 }
 
 void EndpointHealth::addResult(double failed, units::TimePoint now)
--- a/src/routing/performance/endpointspeed.cpp
+++ b/src/routing/performance/endpointspeed.cpp
@@ -1,5 +1,7 @@
 #include <monsoongrade/routing/performance/endpointspeed.h>
 
+#include <monsoongrade/units/halflife.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -15,9 +17,9 @@
 constexpr int UncappedSamples = 2;
 // One sample counts as at most this factor above or below the estimate.
 constexpr double MaxFactorOfSample = 2;
-constexpr double SteadyHalfLifeSeconds = 10;
+constexpr std::chrono::duration<double> SteadyHalfLife = std::chrono::seconds(10);
 // Slow periods last a few seconds and have to be noticed within the first.
-constexpr double FastHalfLifeSeconds = 1;
+constexpr std::chrono::duration<double> FastHalfLife = std::chrono::seconds(1);
 // One sample counts for at most half of the fast estimate, so that it can't make an endpoint slow.
 constexpr double MinFastWeight = 1;
 // The endpoint is slow now below this share of its steady speed. Slow periods are slower by a
@@ -35,12 +37,6 @@
 // Weight of an estimate received from another host, enough for the tolerance of 10%.
 constexpr int MaxReceivedWeight = 32;
 
-double decay(units::Duration time, double halfLifeSeconds)
-{
-    const double seconds = std::chrono::duration<double>(time).count();
-    return std::exp2(-std::max(seconds, 0.0) / halfLifeSeconds);
-}
-
 double limited(double timesExpected)
 {
     return std::clamp(timesExpected, 1 / EndpointSpeed::MaxSpeed, 1 / EndpointSpeed::MinSpeed);
@@ -83,10 +79,11 @@
     }
     if (sinceLast >= SlowLifetime)
         fast_ = {steady_.timesExpected, MinFastWeight};
-    const double fastWeight = fast_.weight * decay(sinceLast, FastHalfLifeSeconds);
+    const double fastWeight = fast_.weight * units::shareLeft(sinceLast, FastHalfLife);
     fast_.add(capped(sample, fast_.timesExpected), std::min(weight, MinFastWeight),
               std::max(fastWeight, MinFastWeight));
-    const double kept = samples_ < PlainMeanSamples ? 1 : decay(sinceLast, SteadyHalfLifeSeconds);
+    const double kept
+        = samples_ < PlainMeanSamples ? 1 : units::shareLeft(sinceLast, SteadyHalfLife);
     steady_.add(capped(sample, steady_.timesExpected), weight, steady_.weight * kept);
     ++samples_;
 }
--- a/src/routing/queueing/roomforecast.cpp
+++ b/src/routing/queueing/roomforecast.cpp
@@ -1,5 +1,7 @@
 #include <monsoongrade/routing/queueing/roomforecast.h>
 
+#include <monsoongrade/units/halflife.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -12,11 +14,6 @@
 constexpr double InitialPerEndpoint = 1; // requests a second
 constexpr double MinShareOfInitial = 0.25;
 
-double decay(units::Duration passed)
-{
-    return std::exp2(-std::chrono::duration<double>(passed) / HalfLife);
-}
-
 } // namespace
 
 void RoomForecaster::onPlaced(const units::PoolName &pool, units::Tier tier, units::TimePoint now)
@@ -26,7 +23,7 @@
         placements = {now, now, {}};
     placements.lastAt = now;
     DecayingCount &placed = placements.byTier[tier];
-    placed.count = placed.count * decay(now - placed.at) + 1;
+    placed.count = placed.count * units::shareLeft(now - placed.at, HalfLife) + 1;
     placed.at = now;
 }
 
@@ -40,10 +37,10 @@
     const Placements &placements = found->second;
     double count = 0;
     for (auto each = placements.byTier.lower_bound(tier); each != placements.byTier.end(); ++each)
-        count += each->second.count * decay(now - each->second.at);
+        count += each->second.count * units::shareLeft(now - each->second.at, HalfLife);
     // The counts start from none, so that the initial rate counts for what they lack.
-    const double perSecond
-        = count * std::log(2.0) / HalfLife.count() + initial * decay(now - placements.firstAt);
+    const double perSecond = count * std::log(2.0) / HalfLife.count()
+        + initial * units::shareLeft(now - placements.firstAt, HalfLife);
     return std::max(perSecond, initial * MinShareOfInitial);
 }
 
--- a/src/routing/queueing/sizefairness.cpp
+++ b/src/routing/queueing/sizefairness.cpp
@@ -1,7 +1,8 @@
 #include <monsoongrade/routing/queueing/sizefairness.h>
 
+#include <monsoongrade/units/halflife.h>
+
 #include <algorithm>
-#include <cmath>
 
 namespace monsoongrade::routing::queueing {
 
@@ -9,7 +10,7 @@
 
 constexpr auto AdjustmentInterval = std::chrono::milliseconds(100);
 // Half-life of the counts. Bursts last some seconds.
-constexpr double HalfLifeSeconds = 2;
+constexpr std::chrono::duration<double> HalfLife = std::chrono::seconds(2);
 // The estimate expires after this time without requests.
 constexpr auto EstimateLifetime = std::chrono::seconds(60);
 constexpr double LargestShare = 0.1;
@@ -84,8 +85,7 @@
 
 void SizeFairness::decay(units::Duration passed)
 {
-    const double factor
-        = std::exp2(-std::chrono::duration<double>(passed).count() / HalfLifeSeconds);
+    const double factor = units::shareLeft(passed, HalfLife);
     for (Counts &counts : bySize_) {
         counts.asked *= factor;
         counts.placed *= factor;
--- a/src/routing/queueing/tierhold.cpp
+++ b/src/routing/queueing/tierhold.cpp
@@ -1,7 +1,8 @@
 #include <monsoongrade/routing/queueing/tierhold.h>
 
+#include <monsoongrade/units/halflife.h>
+
 #include <algorithm>
-#include <cmath>
 
 namespace monsoongrade::routing::queueing {
 
@@ -21,7 +22,7 @@
                                        units::TimePoint now)
 {
     TierState &state = tiers_[pool.value()][tier];
-    const double left = std::exp2(-std::chrono::duration<double>(now - state.countedAt) / HalfLife);
+    const double left = units::shareLeft(now - state.countedAt, HalfLife);
     state.arrived *= left;
     state.refused *= left;
     state.countedAt = now;
--- a/src/routing/queueing/workspaceshares.cpp
+++ b/src/routing/queueing/workspaceshares.cpp
@@ -1,7 +1,8 @@
 #include <monsoongrade/routing/queueing/workspaceshares.h>
 
+#include <monsoongrade/units/halflife.h>
+
 #include <algorithm>
-#include <cmath>
 #include <iterator>
 #include <limits>
 #include <numeric>
@@ -11,7 +12,7 @@
 namespace {
 
 // Half-life of the counts. Bursts last some seconds, and a request waits for up to 2 s.
-constexpr double HalfLifeSeconds = 3;
+constexpr std::chrono::duration<double> HalfLife = std::chrono::seconds(3);
 // Part of the level above which a workspace is over its share. A workspace that bears all refusals
 // alone gets exactly the level. If it were within its share then, its waiting requests would delay
 // the others at each small change of the counts.
@@ -101,8 +102,7 @@
 
 void WorkspaceShares::decay(Group &group, units::TimePoint now)
 {
-    const double seconds = std::chrono::duration<double>(now - group.updatedAt).count();
-    const double factor = std::exp2(-seconds / HalfLifeSeconds);
+    const double factor = units::shareLeft(now - group.updatedAt, HalfLife);
     group.updatedAt = now;
     for (auto &[name, workspace] : group.workspaces) {
         workspace.demanded *= factor;
