Parser: interim heads are counted where they end

The count of head bytes is reset at the end of a final message, so that no state has to say that the message before was an interim one. The bounds are the same.

--- a/src/httpio/messageparser.cpp
+++ b/src/httpio/messageparser.cpp
@@ -122,12 +122,10 @@
     int onBegin()
     {
         head_ = {};
-        headBytes_ = isAfterInterim_ ? headBytes_ + InterimHeadBytes : 0;
-        isAfterInterim_ = false;
         inside_ = true;
         headDone_ = false;
         readingValue_ = false;
-        return countHeadBytes(0);
+        return 0;
     }
 
     // Used as a callback's result: a value other than 0 stops the parser.
@@ -198,10 +196,10 @@
         inside_ = false;
         if (isInterim()) {
             headDone_ = false;
-            isAfterInterim_ = true;
-            return 0;
+            return countHeadBytes(InterimHeadBytes);
         }
         headDone_ = false;
+        headBytes_ = 0;
         messageEnded_ = true;
         listener_.onEnd();
         http_parser_pause(&parser_, 1);
@@ -235,7 +233,6 @@
     MessageHead head_;
     std::size_t headBytes_ = 0;
     bool readingValue_ = false;
-    bool isAfterInterim_ = false;
     bool messageEnded_ = false;
     bool endsAtClose_ = false;
 };
