--- a/include/monsoongrade/routing/requestplacer.h
+++ b/include/monsoongrade/routing/requestplacer.h
@@ -204,11 +204,12 @@
     PlacementChoice queueForRoomOrRefuse(const PlacementTicket &ticket, const PlacementQuery &query,
                                          PlacementChoice choice, std::size_t endpoints,
                                          bool isScheduledRetry, units::TimePoint now);
-    std::optional<PlacementChoice> queueAgain(const PlacementTicket &ticket,
-                                              const EndpointRegistry &registry,
-                                              units::TimePoint now);
+    PlacementChoice placeYielding(const PlacementTicket &ticket, const EndpointRegistry &registry,
+                                  units::TimePoint now);
     void enqueue(const PlacementTicket &ticket, const PlacementQuery &query,
                  std::int64_t tokensToRead, bool isScheduledRetry, units::TimePoint now);
+    PlacementChoice refuseUntil(const PlacementQuery &query, units::Duration returnIn,
+                                units::TimePoint now);
     PlacementChoice refuse(const PlacementQuery &query, queueing::RefusalDetails details,
                            units::TimePoint now);
     void countScheduledRetry(const PlacementChoice &choice);
--- a/src/routing/endpointchoice.cpp
+++ b/src/routing/endpointchoice.cpp
@@ -329,7 +329,6 @@
 {
     const RateShare share = shareFor(query, now);
     PlacementChoice choice;
-    choice.isShortPrefill = true;
     double best = std::numeric_limits<double>::infinity();
     for (const EndpointRegistry::Status &endpoint : available) {
         const EndpointLoad load = loads_.of(*endpoint);
--- a/tests/routing/scarceendpoints.cpp
+++ b/tests/routing/scarceendpoints.cpp
@@ -38,8 +38,7 @@
     };
     for (int tick = 0; fixture_.now < start + length; ++tick, fixture_.now += Tick) {
         endStreams();
-        const bool isUrgentOn
-            = fixture_.now >= start + load.urgentFrom && fixture_.now < urgentUntil_;
+        const bool isUrgentOn = fixture_.now < urgentUntil_;
         for (int count = isUrgentOn ? arrivals(load.urgentPerSecond) : 0; count > 0; --count)
             arrive(true);
         for (int count = arrivals(load.otherPerSecond); count > 0; --count)
--- a/tests/routing/scarceendpoints.h
+++ b/tests/routing/scarceendpoints.h
@@ -25,7 +25,6 @@
     {
         double urgentPerSecond = 20; // tier 1
         double otherPerSecond = 60; // tier 2
-        std::chrono::milliseconds urgentFrom{};
         std::chrono::milliseconds urgentUntil = std::chrono::seconds(10);
     };
 
