Review, case 1: stray bytes of a faulty worker become a promise that a request has not run (REFUSED)

Cause: a response without an id that isn't a success is taken for the response to the request that was sent last on the connection.

--- a/review/standin/platform.cpp
+++ b/review/standin/platform.cpp
@@ -301,6 +301,28 @@
     server_.stop();
 }
 
+void Worker::setGarble(const Garble &garble)
+{
+    const std::lock_guard lock(garbleMutex_);
+    garble_ = garble;
+    answers_ = 0;
+    toGarble_.clear();
+}
+
+// Sends the bytes that are due on the connection, and decides on those after the next response.
+bool Worker::sendGarble(Connection &connection)
+{
+    const std::lock_guard lock(garbleMutex_);
+    const bool isDue = toGarble_.erase(&connection) != 0;
+    const int number = answers_++;
+    if (int((number + 1) * garble_.share) > int(number * garble_.share))
+        toGarble_.insert(&connection);
+    if (!isDue)
+        return true;
+    ++garbled_;
+    return connection.send(garble_.bytes);
+}
+
 bool Worker::serve(const Message &request, Connection &connection)
 {
     const std::string id = request.header("attempt-id");
@@ -317,6 +339,8 @@
     }
     arrival.ran = true;
     arrivals_.add(arrival);
+    if (!sendGarble(connection))
+        return false;
     {
         std::unique_lock lock(slots_);
         slotFree_.wait(lock, [this] { return running_ < settings_.slots; });
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -125,12 +125,23 @@
         double failureShare = 0; // answered with its own 500, which counts as run
     };
 
+    // A faulty worker: bytes that it sends at the point where the next response of a connection is
+    // expected, after this share of its responses.
+    struct Garble
+    {
+        double share = 0;
+        std::string bytes;
+    };
+
     Worker(Store &store, Arrivals &arrivals, Settings settings);
     ~Worker();
 
     const std::string &id() const { return settings_.id; }
     std::string address() const { return server_.address(); }
     void setFailureShare(double share) { failureShare_ = share; }
+    void setGarble(const Garble &garble);
+    // Times that such bytes were sent.
+    int garbled() const { return garbled_; }
     // Returns once the store has acknowledged the report.
     void announceDraining();
     // The planned end after draining.
@@ -140,6 +151,7 @@
     std::string spec();
     void beat();
     bool serve(const Message &request, Connection &connection);
+    bool sendGarble(Connection &connection);
 
     Store &store_;
     Arrivals &arrivals_;
@@ -152,6 +164,11 @@
     std::mutex slots_;
     std::condition_variable slotFree_;
     int running_ = 0;
+    std::mutex garbleMutex_;
+    Garble garble_;
+    int answers_ = 0; // since the garble was set
+    std::set<const Connection *> toGarble_;
+    std::atomic<int> garbled_{0};
     std::mutex stopMutex_;
     std::condition_variable stopChanged_;
     bool isStopping_ = false;
