--- a/review/standin/platform.cpp
+++ b/review/standin/platform.cpp
@@ -395,10 +395,15 @@
     for (int number = 0; !isStopping_; ++number) {
         Attempt attempt;
         attempt.id = settings_.name + "-" + std::to_string(number);
-        attempt.gateway = settings_.gateway;
         attempt.target = settings_.path + "x" + std::to_string(number);
         if (connection == nullptr)
             connection = Connection::open(settings_.gateway, 1000);
+        for (std::size_t i = 0; connection == nullptr && i < settings_.others.size(); ++i) {
+            settings_.gateway
+                = settings_.others[std::size_t(number + int(i)) % settings_.others.size()];
+            connection = Connection::open(settings_.gateway, 1000);
+        }
+        attempt.gateway = settings_.gateway;
         attempt.sentAt = nowMs();
         std::string head = settings_.method + " " + attempt.target
             + " HTTP/1.1\r\nHost: " + settings_.host + "\r\nAttempt-Id: " + attempt.id
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -207,6 +207,7 @@
     {
         std::string name;
         std::string gateway; // IP:PORT
+        std::vector<std::string> others; // used in turn where a gateway can't be reached
         std::string host;
         std::string method = "GET";
         std::string path;
