--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -97,7 +97,10 @@
             return CouldNotRun;
         }
     }
+    for (const auto &client : clients)
+        client->stop();
     clients.clear();
+    writeAll(record, attempts, arrivals);
     int late = 0;
     int atNew = 0;
     for (const Arrival &arrival : arrivals.all()) {
--- a/review/standin/platform.cpp
+++ b/review/standin/platform.cpp
@@ -19,6 +19,8 @@
 constexpr std::int64_t HistoryMs = 20000;
 constexpr std::int64_t HeartbeatMs = 1200;
 constexpr std::size_t PageSize = 500;
+// A client's next try after a gateway could not be reached or gave no answer.
+constexpr std::int64_t AgainMs = 50;
 
 std::string queryValue(const std::string &query, const std::string &name)
 {
@@ -47,9 +49,14 @@
 }
 
 void Record::write(const std::string &line)
+{
+    write(nowMs(), line);
+}
+
+void Record::write(std::int64_t at, const std::string &line)
 {
     const std::lock_guard lock(mutex_);
-    file_ << nowMs() - startedAt_ << " ms  " << line << std::endl;
+    file_ << at - startedAt_ << " ms  " << line << std::endl;
 }
 
 Store::Store(Record &record)
@@ -275,7 +282,8 @@
 {
     std::unique_lock lock(stopMutex_);
     while (!isStopping_) {
-        store_.put("servers", settings_.id, spec());
+        if (fellAt_ == 0)
+            store_.put("servers", settings_.id, spec());
         stopChanged_.wait_for(lock, std::chrono::milliseconds(HeartbeatMs));
     }
 }
@@ -323,6 +331,39 @@
     return connection.send(garble_.bytes);
 }
 
+bool Worker::takeSlot()
+{
+    std::unique_lock lock(slots_);
+    if (running_ >= settings_.slots && waiting_ >= settings_.maxWaiting)
+        return false;
+    ++waiting_;
+    slotFree_.wait(lock, [this] { return running_ < settings_.slots; });
+    --waiting_;
+    ++running_;
+    return true;
+}
+
+bool Worker::reject(Connection &connection, std::vector<std::string> headers)
+{
+    headers.emplace_back("Not-Executed: 1");
+    const bool isSent = connection.send(encodeResponse(503, headers, ""));
+    bool falls = false;
+    {
+        const std::lock_guard lock(slots_);
+        ++rejected_;
+        rejections_.push_back(nowMs());
+        while (nowMs() - rejections_.front() > 1000)
+            rejections_.pop_front();
+        falls
+            = settings_.brittle > 0 && int(rejections_.size()) > settings_.brittle && fellAt_ == 0;
+        if (falls)
+            fellAt_ = nowMs();
+    }
+    if (falls)
+        server_.stop();
+    return isSent && !falls;
+}
+
 bool Worker::serve(const Message &request, Connection &connection)
 {
     const std::string id = request.header("attempt-id");
@@ -337,21 +378,23 @@
         headers.emplace_back("Not-Executed: 1");
         return connection.send(encodeResponse(421, headers, ""));
     }
+    if (settings_.brittle > 0)
+        headers.push_back("Server-Brittle: " + std::to_string(settings_.brittle));
+    if (!takeSlot()) {
+        arrivals_.add(arrival);
+        return reject(connection, headers);
+    }
     arrival.ran = true;
     arrivals_.add(arrival);
-    if (!sendGarble(connection))
-        return false;
-    {
-        std::unique_lock lock(slots_);
-        slotFree_.wait(lock, [this] { return running_ < settings_.slots; });
-        ++running_;
-    }
+    const bool isGarbleSent = sendGarble(connection);
     sleepMs(settings_.workMs);
     {
         const std::lock_guard lock(slots_);
         --running_;
     }
     slotFree_.notify_one();
+    if (!isGarbleSent || fellAt_ != 0)
+        return false;
     // Spread evenly, so that each run of the case has the same share.
     const int number = count_++;
     const double share = failureShare_;
@@ -376,6 +419,25 @@
     return attempts_;
 }
 
+void writeAll(Record &record, const Attempts &attempts, const Arrivals &arrivals)
+{
+    std::multimap<std::int64_t, std::string> lines;
+    for (const Attempt &attempt : attempts.all()) {
+        lines.emplace(attempt.sentAt,
+                      "sent " + attempt.id + " " + attempt.target + " to " + attempt.gateway);
+        lines.emplace(attempt.endedAt,
+                      "answered " + attempt.id + " "
+                          + (attempt.status == 0 ? "nothing" : std::to_string(attempt.status))
+                          + (attempt.isSigned ? " signed" : ""));
+    }
+    for (const Arrival &arrival : arrivals.all())
+        lines.emplace(arrival.at,
+                      std::string(arrival.ran ? "ran " : "rejected ") + arrival.id + " at "
+                          + arrival.worker);
+    for (const auto &[at, line] : lines)
+        record.write(at, line);
+}
+
 Client::Client(Attempts &attempts, Settings settings)
     : attempts_(attempts)
     , settings_(std::move(settings))
@@ -395,7 +457,8 @@
     for (int number = 0; !isStopping_; ++number) {
         Attempt attempt;
         attempt.id = settings_.name + "-" + std::to_string(number);
-        attempt.target = settings_.path + "x" + std::to_string(number);
+        attempt.target
+            = settings_.path + (settings_.isSameTarget ? "all" : "x" + std::to_string(number));
         if (connection == nullptr)
             connection = Connection::open(settings_.gateway, 1000);
         for (std::size_t i = 0; connection == nullptr && i < settings_.others.size(); ++i) {
@@ -426,7 +489,12 @@
         if (!response || response->header("connection") == "close")
             connection.reset();
         attempts_.add(attempt);
-        sleepMs(settings_.pauseMs);
+        const double pause = response ? std::atof(response->header("retry-after").c_str()) : 0;
+        if (attempt.status == 0 && connection == nullptr) {
+            sleepMs(AgainMs);
+            continue;
+        }
+        sleepMs(std::max(settings_.pauseMs, std::min(int(pause * 1000), settings_.deadlineMs / 3)));
     }
 }
 
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -20,6 +20,8 @@
     explicit Record(const std::string &path);
 
     void write(const std::string &line);
+    // For what happened at another time.
+    void write(std::int64_t at, const std::string &line);
 
 private:
     std::mutex mutex_;
@@ -123,6 +125,8 @@
         int workMs = 60;
         int slots = 6;
         double failureShare = 0; // answered with its own 500, which counts as run
+        int maxWaiting = 1000000; // requests that wait for a slot; more are rejected
+        int brittle = 0; // survives so many rejections a second, and says so; 0: any number
     };
 
     // A faulty worker: bytes that it sends at the point where the next response of a connection is
@@ -146,12 +150,18 @@
     void announceDraining();
     // The planned end after draining.
     void leave();
+    // When it fell over because it had to reject too many requests; 0 if it didn't. Its entry
+    // stays.
+    std::int64_t fellAt() const { return fellAt_; }
+    int rejected() const { return rejected_; }
 
 private:
     std::string spec();
     void beat();
     bool serve(const Message &request, Connection &connection);
     bool sendGarble(Connection &connection);
+    bool reject(Connection &connection, std::vector<std::string> headers);
+    bool takeSlot();
 
     Store &store_;
     Arrivals &arrivals_;
@@ -164,6 +174,10 @@
     std::mutex slots_;
     std::condition_variable slotFree_;
     int running_ = 0;
+    int waiting_ = 0;
+    std::deque<std::int64_t> rejections_; // of the last second
+    std::atomic<int> rejected_{0};
+    std::atomic<std::int64_t> fellAt_{0};
     std::mutex garbleMutex_;
     Garble garble_;
     int answers_ = 0; // since the garble was set
@@ -199,6 +213,9 @@
     std::vector<Attempt> attempts_;
 };
 
+// Writes what was sent and answered, and what ran, in order of time.
+void writeAll(Record &record, const Attempts &attempts, const Arrivals &arrivals);
+
 // Sends one request after the other to one gateway, on a kept connection, until it is stopped.
 class Client
 {
@@ -211,6 +228,7 @@
         std::string host;
         std::string method = "GET";
         std::string path;
+        bool isSameTarget = false; // for all requests; else each has a target of its own
         std::string key;
         int pauseMs = 50;
         int deadlineMs = 3000;
@@ -219,6 +237,9 @@
     Client(Attempts &attempts, Settings settings);
     ~Client();
 
+    // Ends after the request that is open.
+    void stop() { isStopping_ = true; }
+
 private:
     void run();
 
