--- a/review/standin/platform.cpp
+++ b/review/standin/platform.cpp
@@ -19,8 +19,9 @@
 constexpr std::int64_t HistoryMs = 20000;
 constexpr std::int64_t HeartbeatMs = 1200;
 constexpr std::size_t PageSize = 500;
-// A client's next try after a gateway could not be reached or gave no answer.
-constexpr std::int64_t AgainMs = 50;
+// Further tries of a client after a gateway could not be reached or gave no answer, as on the
+// sheet.
+constexpr int Retries = 1;
 
 std::string queryValue(const std::string &query, const std::string &name)
 {
@@ -250,6 +251,7 @@
     , settings_(std::move(settings))
     , born_(unixMs())
     , failureShare_(settings_.failureShare)
+    , maxWaiting_(settings_.maxWaiting)
     , server_("127.0.0.1", 0,
               [this](const Message &request, Connection &connection) {
                   return serve(request, connection);
@@ -334,7 +336,7 @@
 bool Worker::takeSlot()
 {
     std::unique_lock lock(slots_);
-    if (running_ >= settings_.slots && waiting_ >= settings_.maxWaiting)
+    if (running_ >= settings_.slots && waiting_ >= maxWaiting_)
         return false;
     ++waiting_;
     slotFree_.wait(lock, [this] { return running_ < settings_.slots; });
@@ -454,6 +456,7 @@
 void Client::run()
 {
     std::unique_ptr<Connection> connection;
+    int retries = 0;
     for (int number = 0; !isStopping_; ++number) {
         Attempt attempt;
         attempt.id = settings_.name + "-" + std::to_string(number);
@@ -490,10 +493,9 @@
             connection.reset();
         attempts_.add(attempt);
         const double pause = response ? std::atof(response->header("retry-after").c_str()) : 0;
-        if (attempt.status == 0 && connection == nullptr) {
-            sleepMs(AgainMs);
+        if (attempt.status == 0 && retries++ < Retries)
             continue;
-        }
+        retries = 0;
         sleepMs(std::max(settings_.pauseMs, std::min(int(pause * 1000), settings_.deadlineMs / 3)));
     }
 }
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -154,6 +154,7 @@
     // stays.
     std::int64_t fellAt() const { return fellAt_; }
     int rejected() const { return rejected_; }
+    void setMaxWaiting(int requests) { maxWaiting_ = requests; }
 
 private:
     std::string spec();
@@ -177,6 +178,7 @@
     int waiting_ = 0;
     std::deque<std::int64_t> rejections_; // of the last second
     std::atomic<int> rejected_{0};
+    std::atomic<int> maxWaiting_;
     std::atomic<std::int64_t> fellAt_{0};
     std::mutex garbleMutex_;
     Garble garble_;
