Logs tell a low forecast and a client that left from their alternatives

placement-refused gets the rate that the forecast assumes, a counter tells placements beside a hold of their tier, and client-left-before-send is written when the connection of a request's client is already closed as the request is sent. No decision changes.

--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -55,6 +55,7 @@
     void startAttempt();
     void onPlaced(const routing::PlacementTicket &ticket, routing::PlacementChoice choice);
     void logPlaced(units::Duration placementTime) const;
+    void logClientLeftBeforeSend() const;
     void onConnection(ConnectOutcome outcome, std::shared_ptr<httpio::Channel> channel);
     void send();
     httpio::Headers endpointHeaders(std::string cacheSource) const;
--- a/include/monsoongrade/httpio/responsewriter.h
+++ b/include/monsoongrade/httpio/responsewriter.h
@@ -24,6 +24,9 @@
     virtual void end() = 0;
     // Closes the connection, so that the client notices that the response is incomplete.
     virtual void abort() = 0;
+    // Whether the client's end of the connection is open. Asks the kernel: the handler of
+    // onClientDisconnected() may still be due on a busy host.
+    virtual bool isClientConnected() const = 0;
     // Bytes passed to write() that the kernel has not accepted yet.
     virtual std::size_t unsentBytes() const = 0;
     // The handler is called once if the client disconnects before the end of the response.
--- a/include/monsoongrade/routing/queueing/refusaldetails.h
+++ b/include/monsoongrade/routing/queueing/refusaldetails.h
@@ -20,6 +20,7 @@
     units::Duration heldFor{}; // of the retry time, see TierHold
     std::int64_t aheadTokens = 0; // queued ahead of the request
     std::int64_t bookedTokens = 0; // reserved ahead of it for scheduled retries
+    double tokensPerMs = 0; // at which these are expected to drain; 0: not used
 };
 
 } // namespace monsoongrade::routing::queueing
--- a/include/monsoongrade/routing/queueing/waitforecast.h
+++ b/include/monsoongrade/routing/queueing/waitforecast.h
@@ -26,6 +26,7 @@
     // Until the requests ahead that can be on time have drained. Late ones go behind scheduled
     // retries, so a reservation does not wait for them.
     units::Duration onTimeWait{};
+    double tokensPerMs = 0; // rate at which the queue is expected to drain
 };
 
 // Whether a request that is placed after this time can have its first event by its target.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -136,6 +136,8 @@
                units::ResultCode::RetryBudgetSpent);
         return;
     }
+    if (!reply_->isClientConnected())
+        logClientLeftBeforeSend();
     ++totalSends_;
     ++sends_;
     sentAt_ = now;
--- a/src/gateway/exchangelog.cpp
+++ b/src/gateway/exchangelog.cpp
@@ -26,6 +26,17 @@
                         {"placing-ms", inMilliseconds(placementTime)}});
 }
 
+void Exchange::logClientLeftBeforeSend() const
+{
+    state_.log.metrics.add("monsoongrade_gateway_clients_left_before_send_total");
+    state_.log.write(
+        observability::LogLevel::Info, "client-left-before-send",
+        {{"request", metadata_.id.value()},
+         {"endpoint", endpoint_->registration.id.value()},
+         {"sends", sends_},
+         {"received-ms-ago", inMilliseconds(state_.timers.now() - request_.receivedAt)}});
+}
+
 void Exchange::logEnd(std::string_view outcome, int status, units::ResultCode reason) const
 {
     const units::TimePoint now = state_.timers.now();
--- a/src/gateway/placementwaiting.cpp
+++ b/src/gateway/placementwaiting.cpp
@@ -107,9 +107,11 @@
     }
 }
 
-void PlacementService::noteRefusal(const routing::PlacementTicket &ticket,
-                                   const routing::PlacementChoice &choice)
+void PlacementService::recordChoice(const routing::PlacementTicket &ticket,
+                                    const routing::PlacementChoice &choice)
 {
+    if (choice.isBesideHold)
+        metrics_.add("monsoongrade_gateway_placed_beside_hold_total");
     if (choice.unavailable)
         logWithoutEndpoint(ticket, *choice.unavailable);
     if (!choice.refusal)
@@ -128,7 +130,8 @@
                 {"booked", refused.isBooked ? "yes" : "no"},
                 {"held-ms", inMilliseconds(refused.heldFor)},
                 {"ahead-tokens", refused.aheadTokens},
-                {"booked-tokens", refused.bookedTokens}});
+                {"booked-tokens", refused.bookedTokens},
+                {"tokens-per-ms", refused.tokensPerMs}});
 }
 
 void PlacementService::logWithoutEndpoint(const routing::PlacementTicket &ticket,
@@ -168,7 +171,7 @@
 void PlacementService::placeWaiting()
 {
     for (const auto &[ticket, choice] : placer_.placeWaiting(registry_, timers_.now())) {
-        noteRefusal(ticket, choice);
+        recordChoice(ticket, choice);
         if (ticket.host != settings_.ownIp) {
             socket_.send(ticket.host, encode(answerFor(ticket.number, choice)));
             continue;
--- a/src/httpio/internal/serverconnection.cpp
+++ b/src/httpio/internal/serverconnection.cpp
@@ -6,6 +6,10 @@
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 
+#include <sys/socket.h>
+
+#include <cerrno>
+
 namespace monsoongrade::httpio {
 
 namespace {
@@ -57,6 +61,10 @@
         if (isCurrent())
             connection_->abort();
     }
+    bool isClientConnected() const override
+    {
+        return isCurrent() && connection_->isClientConnected();
+    }
     std::size_t unsentBytes() const override
     {
         return isCurrent() ? connection_->unsentBytes() : 0;
@@ -101,6 +109,13 @@
         close();
 }
 
+bool ServerConnection::isClientConnected()
+{
+    char byte = 0;
+    const auto count = recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count > 0 || (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+}
+
 void ServerConnection::closeForShutdown()
 {
     onClientDisconnected_ = nullptr;
--- a/src/httpio/internal/serverconnection.h
+++ b/src/httpio/internal/serverconnection.h
@@ -36,6 +36,7 @@
     void write(std::string_view bytes);
     void end();
     void abort();
+    bool isClientConnected();
     std::size_t unsentBytes() const { return pending_.size() + writing_.size(); }
     void setOnClientDisconnected(std::function<void()> handler)
     {
--- a/src/routing/queueing/waitforecast.cpp
+++ b/src/routing/queueing/waitforecast.cpp
@@ -81,7 +81,7 @@
         = milliseconds(LateFactor * double(ahead.onTime + ahead.late) / rate);
     if (isUsefulLate(lateWait, expiresIn))
         return {};
-    return {WaitDecision::Refuse, backlog, onTimeWait};
+    return {WaitDecision::Refuse, backlog, onTimeWait, rate};
 }
 
 } // namespace monsoongrade::routing::queueing
--- a/src/routing/requestqueueing.cpp
+++ b/src/routing/requestqueueing.cpp
@@ -70,6 +70,7 @@
             = returns_.reserve(ticket, query, held + forecastFor(beforeReturn).onTimeWait, now);
     details.returnIn = reserved.value_or(held + forecast.retryDelay);
     details.isBooked = reserved.has_value();
+    details.tokensPerMs = forecast.tokensPerMs;
     return refuse(query, details, now);
 }
 
