--- a/tests/routing/simulatedloads.cpp
+++ b/tests/routing/simulatedloads.cpp
@@ -1,7 +1,37 @@
 #include "simulatedpool.h"
 
+#include <algorithm>
+
 namespace monsoongrade::routing {
 
+namespace {
+
+constexpr auto Window = std::chrono::seconds(5);
+constexpr std::ptrdiff_t MinUnserved = 10;
+constexpr std::ptrdiff_t PartOfArrivals = 12;
+
+} // namespace
+
+bool isUnservedBesideOthers(const SimulatedOutcome &urgent, const SimulatedOutcome &other)
+{
+    using Arrival = SimulatedOutcome::Arrival;
+    const std::vector<Arrival> &arrivals = urgent.arrivals;
+    for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
+        const auto last = std::find_if(first, arrivals.end(), [first](const Arrival &each) {
+            return each.at >= first->at + Window;
+        });
+        const auto unserved
+            = std::count_if(first, last, [](const Arrival &each) { return each.gotNothing; });
+        const bool hasOthers
+            = std::any_of(other.beganAt.begin(), other.beganAt.end(), [first](units::TimePoint at) {
+                  return at >= first->at && at < first->at + Window;
+              });
+        if (hasOthers && unserved >= MinUnserved && unserved * PartOfArrivals > last - first)
+            return true;
+    }
+    return false;
+}
+
 std::vector<SimulatedClass> burstOfLongPrompts(double share)
 {
     using std::chrono::milliseconds;
--- a/tests/routing/simulatedpool.cpp
+++ b/tests/routing/simulatedpool.cpp
@@ -10,6 +10,8 @@
 const units::PoolName Pool("model");
 // The 90th percentile of a normal distribution, in standard deviations.
 constexpr double UpperTenthSigmas = 1.2816;
+// Without an event for this time and that of its prefill, an engine is suspected.
+constexpr auto SilenceTimeout = std::chrono::milliseconds(500);
 
 units::Duration milliseconds(double count)
 {
@@ -72,13 +74,15 @@
         if (options_.coordinatorLostAt.count() > 0 && now_ == start_ + options_.coordinatorLostAt)
             replaceCoordinator();
         removeExpired();
+        startSilences();
+        reportSilentEngines();
         endCopies();
         if (tick % TicksPerPlacement == 0) {
             for (const auto &[ticket, choice] : placer_.placeWaiting(registry_, now_))
                 submit(ticket.number, choice);
         }
         for (auto &[id, engine] : engines_) {
-            while (engine.nextStep <= now_
+            while (engine.nextStep <= now_ && engine.silentUntil <= now_
                    && (!engine.prefilling.empty() || !engine.running.empty()))
                 step(engine);
         }
@@ -108,11 +112,54 @@
             ++outcomeOf(request).asked;
             if (isAmongLargest(request))
                 ++outcomeOf(request).largest;
+            recordArrival(request);
             place(number);
         }
     }
 }
 
+void SimulatedPool::recordArrival(Request &request)
+{
+    std::vector<SimulatedOutcome::Arrival> &arrivals = outcomeOf(request).arrivals;
+    request.arrival = arrivals.size();
+    arrivals.push_back({now_});
+}
+
+void SimulatedPool::recordNothing(const Request &request)
+{
+    outcomeOf(request).arrivals[request.arrival].gotNothing = true;
+}
+
+void SimulatedPool::startSilences()
+{
+    const std::vector<Silence> &silences = options_.silences;
+    while (startedSilences_ < silences.size()
+           && start_ + silences[startedSilences_].at <= now_) {
+        const Silence &silence = silences[startedSilences_++];
+        std::vector<Engine *> engines;
+        for (auto &[id, engine] : engines_)
+            engines.push_back(&engine);
+        std::shuffle(engines.begin(), engines.end(), random_);
+        engines.resize(std::min(engines.size(), std::size_t(silence.engines)));
+        for (Engine *engine : engines) {
+            engine->silentUntil = now_ + silence.length;
+            engine->nextStep = std::max(engine->nextStep, engine->silentUntil);
+        }
+    }
+}
+
+// As hosts report them: an engine that sent nothing since a request was sent to it.
+void SimulatedPool::reportSilentEngines()
+{
+    while (!suspicions_.empty() && suspicions_.begin()->first <= now_) {
+        const std::uint64_t number = suspicions_.begin()->second;
+        suspicions_.erase(suspicions_.begin());
+        const auto found = open_.find(number);
+        if (found != open_.end() && found->second.engine->lastEventAt < found->second.sentAt)
+            placer_.onEvent(ticketOf(number), PlacementEvent::EndpointSilent, now_);
+    }
+}
+
 void SimulatedPool::place(std::uint64_t number)
 {
     submit(number,
@@ -175,6 +222,7 @@
     }
     const bool hasWaited = queued_.erase(number) != 0;
     if (choice.endpoint == nullptr) {
+        recordNothing(request);
         lastRefusals_[request.kind->tier] = now_;
         outcome.refusedTwice += request.retries == 1 ? 1 : 0;
         if (retryLater(request, choice)) {
@@ -190,6 +238,10 @@
     outcome.sentAfterHigherRefusal += wasHigherTierRefused(request.kind->tier) ? 1 : 0;
     outcome.placedTokens += request.kind->sharedTokens + request.own;
     Engine &engine = engines_[choice.endpoint->registration.id.value()];
+    request.engine = &engine;
+    request.sentAt = now_;
+    suspicions_.emplace(now_ + SilenceTimeout + milliseconds(2 * double(choice.tokensToRead) / 100),
+                        number);
     const auto cached = std::find(engine.cached.begin(), engine.cached.end(), request.part);
     const bool isCached = cached != engine.cached.end();
     if (isCached)
@@ -274,6 +326,7 @@
         if (now_ < request.arrivedAt + request.kind->maxWait)
             continue;
         ++outcomeOf(request).left;
+        recordNothing(request);
         placer_.onEvent(ticketOf(number), PlacementEvent::Withdrawn, now_);
         queued_.erase(number);
         open_.erase(number);
@@ -321,6 +374,7 @@
 void SimulatedPool::emit(Engine &engine, std::uint64_t number)
 {
     Request &request = open_.at(number);
+    engine.lastEventAt = now_;
     ++request.tokensMade;
     const bool isCut = engine.nextStep > request.arrivedAt + request.kind->deadline;
     const bool isEnd = isCut || request.tokensMade >= request.kind->outputTokens;
@@ -330,6 +384,7 @@
         request.firstEventAt = engine.nextStep;
         request.isFirstLate = engine.nextStep - request.arrivedAt > request.kind->target;
         placer_.onEvent(ticketOf(number), PlacementEvent::FirstEvent, now_);
+        outcomeOf(request).beganAt.push_back(now_);
         SimulatedOutcome &outcome = outcomes_[request.kind->name];
         outcome.firstEventMs
             += std::chrono::duration<double, std::milli>(engine.nextStep - request.arrivedAt)
--- a/tests/routing/simulatedpool.h
+++ b/tests/routing/simulatedpool.h
@@ -53,6 +53,12 @@
 // Results of one request class.
 struct SimulatedOutcome
 {
+    struct Arrival
+    {
+        units::TimePoint at;
+        bool gotNothing = false; // refused, or the caller left
+    };
+
     int asked = 0;
     int onTime = 0;
     int firstLate = 0; // completed, with a first event after its target
@@ -80,6 +86,8 @@
     int sentAfterHigherRefusal = 0;
     double firstEventMs = 0; // sum over the requests with a first event
     int firstEvents = 0;
+    std::vector<Arrival> arrivals; // attempts, by their time of arrival
+    std::vector<units::TimePoint> beganAt; // first events
 
     int served() const { return onTime + firstLate + paused; }
 };
@@ -90,6 +98,14 @@
 class SimulatedPool
 {
 public:
+    // Engines that do nothing for a time and go on afterwards.
+    struct Silence
+    {
+        std::chrono::milliseconds at{};
+        std::chrono::milliseconds length{};
+        int engines = 0; // chosen at random
+    };
+
     struct Options
     {
         int endpoints = 60;
@@ -106,6 +122,7 @@
         std::chrono::milliseconds coordinatorLostAt{};
         bool ignoresSpeeds = false; // the placer takes all engines for equally fast
         std::optional<CacheTransfer> cacheTransfer; // set: engines copy shared parts
+        std::vector<Silence> silences;
     };
 
     SimulatedPool(const Options &options, std::vector<SimulatedClass> classes);
@@ -116,6 +133,7 @@
     const queueing::ReturnSchedule::Counts &returnCounts() const { return returnCounts_; }
 
 private:
+    struct Engine;
     struct Request
     {
         const SimulatedClass *kind = nullptr;
@@ -129,6 +147,9 @@
         std::int64_t tokensLeft = 0; // tokens still to prefill
         std::int64_t context = 0; // tokens prefilled
         int tokensMade = 0; // output tokens
+        std::size_t arrival = 0; // index of its last attempt among the arrivals of its class
+        Engine *engine = nullptr;
+        units::TimePoint sentAt{};
         units::TimePoint lastEventAt{};
         bool isFirstLate = false;
         bool hadLongGap = false;
@@ -143,9 +164,15 @@
         units::TimePoint linkFreeAt{};
         units::TimePoint nextStep{};
         double speed = 1;
+        units::TimePoint silentUntil{};
+        units::TimePoint lastEventAt{};
     };
 
     void arrive();
+    void recordArrival(Request &request);
+    void recordNothing(const Request &request);
+    void startSilences();
+    void reportSilentEngines();
     std::int64_t drawOwnTokens(const SimulatedClass &kind);
     static bool isAmongLargest(const Request &request);
     PlacementQuery queryFor(const Request &request) const;
@@ -175,6 +202,8 @@
     std::map<std::uint64_t, Request> open_;
     std::set<std::uint64_t> queued_;
     std::multimap<units::TimePoint, Request> returning_;
+    std::multimap<units::TimePoint, std::uint64_t> suspicions_; // requests by when they are due
+    std::size_t startedSilences_ = 0;
     queueing::ReturnSchedule::Counts returnCounts_;
     std::multimap<units::TimePoint, std::pair<Engine *, std::uint64_t>> copies_; // by end
     std::set<std::string> seenParts_;
@@ -188,6 +217,10 @@
     std::uint64_t last_ = 0;
 };
 
+// Whether a tier gets nothing while a lower one is served: in some five seconds ten or more and
+// over a twelfth of the urgent requests got nothing, and others began.
+bool isUnservedBesideOthers(const SimulatedOutcome &urgent, const SimulatedOutcome &other);
+
 // Three times the usual load of breakdowns, all uncached, and the usual load of tagging and
 // summaries; for 60 endpoints, scaled by share.
 std::vector<SimulatedClass> burstOfLongPrompts(double share);
--- a/tests/routing/simulatedretries.cpp
+++ b/tests/routing/simulatedretries.cpp
@@ -33,6 +33,7 @@
         Request &request = open_[number] = std::move(returning_.begin()->second);
         request.attemptAt = now_;
         returning_.erase(returning_.begin());
+        recordArrival(request);
         place(number);
     }
 }
--- a/tests/routing/tierprecedence_test.cpp
+++ b/tests/routing/tierprecedence_test.cpp
@@ -60,8 +60,79 @@
     std::vector<PlacementTicket> busy_;
 };
 
+// The usual load of tagging, of tier 1, and this many times that of breakdowns, of tier 2, on twelve
+// engines.
+std::vector<SimulatedClass> taggingAmongBreakdowns(double breakdowns)
+{
+    constexpr double BreakdownsInBurst = 3;
+    std::vector<SimulatedClass> loads = burstOfLongPrompts(0.2);
+    loads[0].tier = 2;
+    loads[0].perSecond *= breakdowns / BreakdownsInBurst;
+    loads[1].tier = 1;
+    return loads;
+}
+
+struct SilenceLoad
+{
+    std::vector<SimulatedClass> classes;
+    int silentEngines = 0; // of twelve
+    milliseconds silence{};
+    int silences = 1; // every 1.5 s
+};
+
+// Whether tagging got nothing while breakdowns began, in some five seconds of the load.
+bool isTaggingUnserved(const SilenceLoad &load, unsigned seed)
+{
+    SimulatedPool::Options options;
+    options.endpoints = 12;
+    options.seed = seed;
+    options.length = seconds(16);
+    options.hasReturnKeys = true;
+    for (int i = 0; i < load.silences; ++i)
+        options.silences.push_back(
+            {seconds(7) + milliseconds(1500) * i, load.silence, load.silentEngines});
+    const auto outcomes = SimulatedPool(options, load.classes).play();
+    REQUIRE_FALSE(outcomes.at("breakdown").beganAt.empty());
+    return isUnservedBesideOthers(outcomes.at("tagging"), outcomes.at("breakdown"));
+}
+
 } // namespace
 
+// Guards against tagging that is refused, as sound engines are silent for a second, while
+// breakdowns begin.
+TEST_CASE("TierPrecedence.SilentEnginesLeaveNoHigherTierUnserved")
+{
+    for (unsigned seed = 1; seed <= Seeds; ++seed) {
+        CAPTURE(seed);
+        CHECK_FALSE(isTaggingUnserved({taggingAmongBreakdowns(2), 6, seconds(1)}, seed));
+    }
+}
+
+// Guards against the same while engines fall silent one after the other in a burst of tagging.
+TEST_CASE("TierPrecedence.EnginesSilentInSeriesLeaveNoHigherTierUnserved")
+{
+    SilenceLoad load{taggingAmongBreakdowns(2), 4, seconds(1), 4};
+    SimulatedClass burst = load.classes[1];
+    burst.startsAfter = seconds(6);
+    load.classes.push_back(burst);
+    for (unsigned seed = 1; seed <= Seeds; ++seed) {
+        CAPTURE(seed);
+        CHECK_FALSE(isTaggingUnserved(load, seed));
+    }
+}
+
+// Guards against requests that wait for the endpoint with their cached part while another is idle.
+TEST_CASE("TierPrecedence.NoRequestWaitsWhileAnEndpointIsIdle")
+{
+    PlacerFixture endpoints(2);
+    PlacementQuery query = modelQuery("popular", 6300, 9000);
+    query.mayWait = true;
+    while (!endpoints.place(query).isWaiting)
+        REQUIRE(endpoints.last < 20);
+    for (const EndpointRegistry::Status &endpoint : endpoints.registry.available(TestPool))
+        CHECK(endpoints.placer.tokensToRead(*endpoint) > 0);
+}
+
 // Guards against rate limits whose turns go to whichever request arrives next.
 TEST_CASE("TierPrecedence.RateLimitedEndpointsServeTheHigherTierFirst")
 {
@@ -184,6 +255,22 @@
     CHECK(endpoints.place(longQuery("lower2", 2)).endpoint != nullptr);
 }
 
+// Guards against prompts whose part is cached, and which are therefore short, that begin beside
+// refusals of a higher tier.
+TEST_CASE("TierPrecedence.CachedPromptsOfALowerTierAreHeldToo")
+{
+    BusyEndpoints endpoints;
+    PlacementQuery cached = modelQuery("cached", 13300, 1000);
+    cached.tier = units::Tier(2);
+    cached.mayWait = true;
+    REQUIRE(endpoints.place(modelQuery("cached", 13300, 1000)).endpoint != nullptr);
+    REQUIRE(endpoints.place(cached).endpoint != nullptr);
+    endpoints.refuseOne(1);
+    CHECK(endpoints.place(cached).endpoint == nullptr);
+    cached.tier = units::Tier(1);
+    CHECK(endpoints.place(cached).endpoint != nullptr);
+}
+
 // Guards against breakdowns that begin while callers of tagging get nothing for want of prefill.
 TEST_CASE("TierPrecedence.OverloadOfTheHigherTierIsNotSharedWithTheLowerOne")
 {
