Requests of clients that have left are not sent on

Cause: a host learned that a client had left only by reading the end of its connection, and that comes after the request. It sends a request in the same call that reads it if it has a kept connection to the endpoint.

Why it works: the system knows that the connection has ended, whatever the host has read so far. It is asked right before each send and each forwarding, also of retries and of requests that waited for a connection or an endpoint.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -110,6 +110,14 @@
 
 void Exchange::send()
 {
+    // A busy host reads the end of a connection long after the request that came before it.
+    if (!reply_->isClientConnected()) {
+        logClientLeftBeforeSend();
+        state_.connections.release(*endpoint_, channel_, std::nullopt);
+        channel_.reset();
+        onClientDisconnected();
+        return;
+    }
     const units::TimePoint now = state_.timers.now();
     const bool isAllowed = !endpoint_->leaving
         && routing::hasPermittedVersion(endpoint_->registration, query_)
@@ -136,8 +144,6 @@
                units::ResultCode::RetryBudgetSpent);
         return;
     }
-    if (!reply_->isClientConnected())
-        logClientLeftBeforeSend();
     ++totalSends_;
     ++sends_;
     sentAt_ = now;
--- a/src/gateway/exchangeforwarding.cpp
+++ b/src/gateway/exchangeforwarding.cpp
@@ -49,6 +49,10 @@
 
 void Exchange::forward(const std::string &host)
 {
+    if (!reply_->isClientConnected()) {
+        onClientDisconnected();
+        return;
+    }
     triedHosts_.push_back(host);
     state_.forwardingHosts.onForwarded(host);
     state_.log.metrics.add("monsoongrade_gateway_requests_forwarded_total");
--- a/tests/adapter/clientdeparture_test.cpp
+++ b/tests/adapter/clientdeparture_test.cpp
@@ -100,7 +100,8 @@
     CHECK(fixture.arrived() == before);
 }
 
-// Guards against a check of the connection that takes a client with further bytes for one that left.
+// Guards against a check of the connection that takes a client with further bytes for one that
+// left.
 TEST_CASE("ClientDeparture.ClientsThatSendTheirNextRequestEarlyAreServed")
 {
     DepartureFixture fixture;
--- a/tests/adapter/cuthosts.h
+++ b/tests/adapter/cuthosts.h
@@ -82,6 +82,14 @@
     }
 
     int mostRunsOfARequest() const { return standins::mostRunsOfARequest(workers_); }
+    // Requests that reached the workers.
+    std::size_t arrived() const
+    {
+        std::size_t count = 0;
+        for (const auto &worker : workers_)
+            count += worker->arrivals().size();
+        return count;
+    }
     // From now on the workers' streams have no end.
     void setEndless()
     {
--- a/tests/adapter/cuthosts_test.cpp
+++ b/tests/adapter/cuthosts_test.cpp
@@ -1,5 +1,7 @@
 #include "cuthosts.h"
 
+#include <thread>
+
 using namespace monsoongrade;
 using namespace monsoongrade::platform;
 using standins::LinkFault;
@@ -138,3 +140,21 @@
     CHECK(fixture.runUntil([&] { return fixture.clientsDisconnected() > before; },
                            milliseconds(500)));
 }
+
+// Guards against requests that are passed on for clients that left before they were read.
+TEST_CASE("CutHosts.RequestsOfClientsThatLeftAreNotForwarded")
+{
+    CutHostsFixture fixture;
+    fixture.cut("plain", LinkFault::Reset);
+    fixture.callFor(fixture.cutHost, "/unsafe/a", milliseconds(1500), Interval);
+    REQUIRE_FALSE(fixture.cutHost.gateway->state().reach.lostPools().empty());
+    const std::size_t before = fixture.arrived();
+    std::vector<std::shared_ptr<RawClient>> clients;
+    for (int i = 0; i < 12; ++i)
+        clients.push_back(fixture.send(fixture.cutHost, "/unsafe/a"));
+    for (const auto &client : clients)
+        client->close();
+    std::this_thread::sleep_for(milliseconds(50));
+    fixture.runFor(milliseconds(300));
+    CHECK(fixture.arrived() == before);
+}
--- a/tests/routing/simulatedpool.cpp
+++ b/tests/routing/simulatedpool.cpp
@@ -133,8 +133,7 @@
 void SimulatedPool::startSilences()
 {
     const std::vector<Silence> &silences = options_.silences;
-    while (startedSilences_ < silences.size()
-           && start_ + silences[startedSilences_].at <= now_) {
+    while (startedSilences_ < silences.size() && start_ + silences[startedSilences_].at <= now_) {
         const Silence &silence = silences[startedSilences_++];
         std::vector<Engine *> engines;
         for (auto &[id, engine] : engines_)
--- a/tests/routing/tierprecedence_test.cpp
+++ b/tests/routing/tierprecedence_test.cpp
@@ -60,8 +60,8 @@
     std::vector<PlacementTicket> busy_;
 };
 
-// The usual load of tagging, of tier 1, and this many times that of breakdowns, of tier 2, on twelve
-// engines.
+// The usual load of tagging, of tier 1, and this many times that of breakdowns, of tier 2, on
+// twelve engines.
 std::vector<SimulatedClass> taggingAmongBreakdowns(double breakdowns)
 {
     constexpr double BreakdownsInBurst = 3;
