Held tiers begin no cached prompts either

Cause: a refusal of a higher tier held back only long prefills of lower tiers. A large prompt whose shared part is cached is a short prefill, and most are: in an overload the lower tier went on with them beside the refusals and used a good part of the engines.

A request that yielded for one pass is held as well.

Tried and not kept: an idle endpoint instead of a wait for the one with the cached part.

--- a/include/monsoongrade/routing/requestplacer.h
+++ b/include/monsoongrade/routing/requestplacer.h
@@ -219,7 +219,6 @@
     bool isOverShare(const PlacementQuery &query) const;
     bool mustYield(const PlacementQuery &query) const;
     static bool needsTurnOrSlot(const PlacementChoice &choice, units::TimePoint now);
-    static bool competesForRoom(const PlacementChoice &choice, units::TimePoint now);
     units::Duration heldFor(const PlacementQuery &query, units::TimePoint now) const;
     PlacementChoice commit(const PlacementTicket &ticket, const PlacementQuery &query,
                            PlacementChoice choice, units::TimePoint now);
--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -43,7 +43,7 @@
     // counts endpoints of all versions.
     const bool mayWait = query.mayWait && !query.softwareVersion;
     const units::Duration held
-        = competesForRoom(choice, now) ? heldFor(query, now) : units::Duration::zero();
+        = choice.endpoint != nullptr ? heldFor(query, now) : units::Duration::zero();
     const bool isHeld = held > units::Duration::zero();
     choice.isWaiting = choice.isWaiting || choice.isRoomExpected() || isHeld
         || (choice.endpoint != nullptr && mustYield(query));
@@ -90,14 +90,9 @@
         && (choice.endpoint->rateLimiter.limit() || choice.endpoint->isBrittle(now));
 }
 
-// Whether the request takes room that one of a higher tier may come back for. Short prefills delay
-// others little, but need a turn or a slot like all others.
-bool RequestPlacer::competesForRoom(const PlacementChoice &choice, units::TimePoint now)
-{
-    return choice.endpoint != nullptr && (!choice.isShortPrefill || needsTurnOrSlot(choice, now));
-}
-
-// The client of a stream that has begun has waited already.
+// Short prefills are held too: the prompts of a lower tier may be the larger ones, and are short
+// only because their shared parts are cached. The client of a stream that has begun has waited
+// already.
 units::Duration RequestPlacer::heldFor(const PlacementQuery &query, units::TimePoint now) const
 {
     return query.runsModel && !query.softwareVersion
--- a/src/routing/requestqueueing.cpp
+++ b/src/routing/requestqueueing.cpp
@@ -226,7 +226,8 @@
     const PlacementQuery query = queue_.find(ticket)->query;
     const auto &available = registry.available(query.pool);
     PlacementChoice choice = chooseForModel(query, available, now);
-    if (!choice.isWaiting && !choice.isRoomExpected())
+    const bool isHeld = heldFor(query, now) > units::Duration::zero();
+    if (!isHeld && !choice.isWaiting && !choice.isRoomExpected())
         return commit(ticket, query, std::move(choice), now);
     queue_.remove(ticket);
     return queueOrRefuse(ticket, query, std::move(choice), available.size(), false, now);
