A response without an id is not the response to a request that has one

Cause: a response that named no request, and was no success, was taken for the response to the request that had just been sent on the connection. Additional bytes of a faulty endpoint arrive at that point. Its status, its promise, its announcements, limits and pauses were believed.

Evidence: with a stray 503, 400, 429, 421, 404 or 200 before the own response, clients got 503, 429 or 404 for requests that had reached the endpoint, and an endpoint was taken for leaving; WorkerFaults.ResponseWithoutAnId* and IdempotentRequestGoesOn* failed before.

Why it works: an endpoint names the request in each response to one with an id. What names none is bytes of no request: the connection is closed, the request may have run, and it goes on or ends as after a broken response. Requests of clients without ids still get responses without one. A response of another host to a forwarded request must name the request as well; no test plays a host that does not.

--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -91,6 +91,8 @@
 
     // Failures
     void onResponseTooLong();
+    void onResponseWithoutId(int status);
+    void abandonResponse();
     void onAttemptFailed(units::ResultCode reason, bool mayHaveRun);
     routing::AttemptFailure describeFailure(bool timedOut);
     bool canRetry();
--- a/include/monsoongrade/gateway/forwardedrequest.h
+++ b/include/monsoongrade/gateway/forwardedrequest.h
@@ -25,6 +25,8 @@
 public:
     struct Handlers
     {
+        // Whether the head is that of a response to this request.
+        std::function<bool(const httpio::MessageHead &)> isOwnResponse;
         std::function<void()> onRelayBegun; // the client gets the response from now on
         // Called once; the request is then finished. Not called after cancel().
         std::function<void(ForwardingResult)> onEnded;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -200,10 +200,12 @@
 {
     endpoint_->lastReceivedAt = state_.timers.now();
     const EndpointResponseInfo answer = state_.headerCodec.decodeResponse(head);
-    const bool belongsHere
-        = answer.request == metadata_.id || (answer.request.isEmpty() && !isSuccess(head.status));
+    if (answer.request.isEmpty() && !metadata_.id.isEmpty()) {
+        onResponseWithoutId(head.status);
+        return;
+    }
     readAnnouncements(answer);
-    if (!belongsHere) {
+    if (answer.request != metadata_.id) {
         use_ = ResponseUse::OfOtherRequest;
         return;
     }
--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -42,14 +42,31 @@
                     true);
 }
 
-// A faulty endpoint may send without end. It has not crashed under the request.
+// A faulty endpoint may send without end.
 void Exchange::onResponseTooLong()
 {
-    const auto self = shared_from_this();
     state_.log.write(observability::LogLevel::Warning, "endpoint-response-too-long",
                      {{"request", metadata_.id.value()},
                       {"endpoint", endpoint_->registration.id.value()},
                       {"status", responseHead_.status}});
+    abandonResponse();
+}
+
+// Endpoints name the request in each response to one that has an id. Other bytes, such as an
+// additional response of a faulty endpoint, must not become the result of this request.
+void Exchange::onResponseWithoutId(int status)
+{
+    state_.log.write(observability::LogLevel::Warning, "endpoint-response-without-id",
+                     {{"request", metadata_.id.value()},
+                      {"endpoint", endpoint_->registration.id.value()},
+                      {"status", status}});
+    abandonResponse();
+}
+
+// The endpoint has not crashed, but nothing more that comes on the connection can be used.
+void Exchange::abandonResponse()
+{
+    const auto self = shared_from_this();
     dropChannel();
     onEndpointFailure();
     onAttemptFailed(units::ResultCode::EndpointBrokeInAnswer, true);
--- a/src/gateway/exchangeforwarding.cpp
+++ b/src/gateway/exchangeforwarding.cpp
@@ -65,7 +65,11 @@
     forwarded_ = std::make_shared<ForwardedRequest>(
         state_.hostConnections, host + ":" + std::to_string(state_.forwardingPort),
         std::chrono::duration_cast<std::chrono::seconds>(state_.callerLimits.idleTimeout), reply_,
-        ForwardedRequest::Handlers{[self] { self->responseBegun_ = true; },
+        ForwardedRequest::Handlers{[self](const httpio::MessageHead &head) {
+                                       return self->state_.headerCodec.decodeResponse(head).request
+                                           == self->metadata_.id;
+                                   },
+                                   [self] { self->responseBegun_ = true; },
                                    [self](ForwardingResult result) {
                                        self->onForwardingEnded(result);
                                    }});
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -64,6 +64,13 @@
 
 void ForwardedRequest::onResponseHead(const httpio::MessageHead &head)
 {
+    if (!handlers_.isOwnResponse(head)) {
+        const auto self = shared_from_this();
+        connections_.discard(host_, channel_);
+        channel_.reset();
+        end(ForwardingResult::Broken);
+        return;
+    }
     head_ = head;
     if (httpio::findHeader(head.headers, "Content-Length") == nullptr)
         beginRelay();
