--- a/src/routing/endpointchoice.cpp
+++ b/src/routing/endpointchoice.cpp
@@ -238,7 +238,6 @@
     choice.endpoint = *best.endpoint;
     choice.tokensToRead = best.tokensToPrefill;
     choice.isWaiting = !best.hasRoom;
-    choice.isShortPrefill = best.isShort;
     if (best.copy != nullptr) {
         choice.cacheSource = best.copy->source;
         choice.cacheTransfer = *best.copy;
