--- a/tests/adapter/cuthosts_test.cpp
+++ b/tests/adapter/cuthosts_test.cpp
@@ -149,9 +149,9 @@
     fixture.callFor(fixture.cutHost, "/unsafe/a", milliseconds(1500), Interval);
     REQUIRE_FALSE(fixture.cutHost.gateway->state().reach.lostPools().empty());
     const std::size_t before = fixture.arrived();
-    std::vector<std::shared_ptr<RawClient>> clients;
-    for (int i = 0; i < 12; ++i)
-        clients.push_back(fixture.send(fixture.cutHost, "/unsafe/a"));
+    std::vector<std::shared_ptr<RawClient>> clients(12);
+    for (auto &client : clients)
+        client = fixture.send(fixture.cutHost, "/unsafe/a");
     for (const auto &client : clients)
         client->close();
     std::this_thread::sleep_for(milliseconds(50));
--- a/tests/adapter/storeresponse_test.cpp
+++ b/tests/adapter/storeresponse_test.cpp
@@ -15,19 +15,14 @@
     std::string deep = "1";
     for (int i = 0; i < 100000; ++i)
         deep.insert(0, 1, '[').push_back(']');
-    return {R"({"address":")"
-            "\xff\xfe"
-            R"("})",
-            R"({"address":"\udcff\udcfe"})",
-            R"({"address":"\ud800"})",
-            "{\"address\":\"a\x01"
-            "b\"}",
-            R"({"slots":1e999})",
-            R"({"slots":-})",
-            R"({"address":"a",})",
-            R"({"address":"\q"})",
-            R"({"address":"]}],\"}"  "x"})",
-            deep};
+    const auto withAddress = [](const std::string &text) {
+        return R"({"address":")" + text + R"("})";
+    };
+    return {withAddress("\xff\xfe"),  withAddress(R"(\udcff\udcfe)"),
+            withAddress(R"(\ud800)"), withAddress("\x01"),
+            withAddress(R"(\q)"),     withAddress(R"(]}],\"}"x)"),
+            R"({"slots":1e999})",     R"({"slots":-})",
+            R"({"address":"a",})",    deep};
 }
 
 std::string item(const std::string &name, int revision, const std::string &spec)
