The entry with brackets in a string is the one that was meant

Its text lost a quote when the test was reformatted for the linter, so that the body could not be told apart into entries any more and the test failed.

--- a/tests/adapter/storeresponse_test.cpp
+++ b/tests/adapter/storeresponse_test.cpp
@@ -20,7 +20,7 @@
     };
     return {withAddress("\xff\xfe"),  withAddress(R"(\udcff\udcfe)"),
             withAddress(R"(\ud800)"), withAddress("\x01"),
-            withAddress(R"(\q)"),     withAddress(R"(]}],\"}"x)"),
+            withAddress(R"(\q)"),     withAddress(R"(]}],\"}"  "x)"),
             R"({"slots":1e999})",     R"({"slots":-})",
             R"({"address":"a",})",    deep};
 }
