One look at a socket's input, one release of an unused connection

No change of behaviour.

- The state of a client's connection and that of an idle connection to an endpoint are asked of the system the same way: pendingInput() serves both.
- An unsent connection is given back in two places: releaseUnusedChannel().
- A forwarded request with a foreign response ends as one with a broken response does, and now calls it.
- The counter of placements beside a hold cost a look-up for each placement, and can only be 0 since held tiers begin nothing; it is taken out.

--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -116,6 +116,7 @@
     std::string quarantinedPart();
     void logQuarantined();
     std::string sharedPartIds() const;
+    void releaseUnusedChannel();
     void dropChannel();
     // The endpoint or host of the latest attempt.
     std::string latestTarget() const;
--- a/include/monsoongrade/gateway/placementservice.h
+++ b/include/monsoongrade/gateway/placementservice.h
@@ -142,9 +142,9 @@
     void exportReturnCounts();
     void placeLocally(std::uint64_t number, const routing::PlacementQuery &query,
                       const PlacedHandler &placed);
-    // Logs and counts the choice if it is a refusal or is made beside a hold of its tier.
-    void recordChoice(const routing::PlacementTicket &ticket,
-                      const routing::PlacementChoice &choice);
+    // Logs and counts the choice if it is a refusal.
+    void noteRefusal(const routing::PlacementTicket &ticket,
+                     const routing::PlacementChoice &choice);
     void logWithoutEndpoint(const routing::PlacementTicket &ticket,
                             const routing::UnavailableEndpoints &unavailable);
     void onTimeout(std::uint64_t number);
--- a/include/monsoongrade/routing/requestplacer.h
+++ b/include/monsoongrade/routing/requestplacer.h
@@ -56,7 +56,6 @@
     // Prompt tokens that the endpoint has to prefill before its first event, as far as known here.
     std::int64_t tokensToRead = 0;
     bool isWaiting = false; // queued; a later call of placeWaiting() places it
-    bool isBesideHold = false; // placed although its tier is held back, see TierHold
     // Set if the request is refused because of a long queue: when its client should retry.
     std::optional<units::Duration> retryDelay;
     bool isLimited = false; // counted against the endpoint's rate limit
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -113,8 +113,7 @@
     // A busy host reads the end of a connection long after the request that came before it.
     if (!reply_->isClientConnected()) {
         logClientLeftBeforeSend();
-        state_.connections.release(*endpoint_, channel_, std::nullopt);
-        channel_.reset();
+        releaseUnusedChannel();
         onClientDisconnected();
         return;
     }
--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -75,11 +75,8 @@
 void Exchange::onAttemptFailed(units::ResultCode reason, bool mayHaveRun)
 {
     mayHaveRun_ = mayHaveRun_ || mayHaveRun;
-    if (channel_ != nullptr) {
-        // Nothing was sent on the connection, so it can be reused.
-        state_.connections.release(*endpoint_, channel_, std::nullopt);
-        channel_.reset();
-    }
+    if (channel_ != nullptr)
+        releaseUnusedChannel();
     state_.log.metrics.add(
         "monsoongrade_gateway_attempts_failed_total",
         observability::label("reason", std::string(units::resultCodeName(reason))));
@@ -319,6 +316,13 @@
                           {"failure-share", endpoint.health.failureRate(now)}});
 }
 
+// Nothing was sent on the connection, so it can be reused.
+void Exchange::releaseUnusedChannel()
+{
+    state_.connections.release(*endpoint_, channel_, std::nullopt);
+    channel_.reset();
+}
+
 void Exchange::dropChannel()
 {
     state_.connections.discard(*endpoint_, channel_);
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -65,10 +65,7 @@
 void ForwardedRequest::onResponseHead(const httpio::MessageHead &head)
 {
     if (!handlers_.isOwnResponse(head)) {
-        const auto self = shared_from_this();
-        connections_.discard(host_, channel_);
-        channel_.reset();
-        end(ForwardingResult::Broken);
+        onChannelFailure(httpio::ChannelFailure::BrokenInResponse);
         return;
     }
     head_ = head;
--- a/src/gateway/placementservice.cpp
+++ b/src/gateway/placementservice.cpp
@@ -102,7 +102,7 @@
         sharesOf(query.pool).keep(timers_.now());
     const routing::PlacementChoice choice
         = placer_.place(ticket, query, registry_.available(query.pool), timers_.now());
-    recordChoice(ticket, choice);
+    noteRefusal(ticket, choice);
     if (!choice.isWaiting) {
         placed(ticket, choice);
         return;
@@ -274,7 +274,7 @@
         receiveLimits(*message.limit, "query");
     const auto choice = placer_.place({host, message.number}, query,
                                       registry_.available(query.pool), timers_.now());
-    recordChoice({host, message.number}, choice);
+    noteRefusal({host, message.number}, choice);
     socket_.send(host, encode(answerFor(message.number, choice)));
     if (choice.isWaiting)
         schedulePlaceWaiting();
--- a/src/gateway/placementwaiting.cpp
+++ b/src/gateway/placementwaiting.cpp
@@ -107,11 +107,9 @@
     }
 }
 
-void PlacementService::recordChoice(const routing::PlacementTicket &ticket,
-                                    const routing::PlacementChoice &choice)
+void PlacementService::noteRefusal(const routing::PlacementTicket &ticket,
+                                   const routing::PlacementChoice &choice)
 {
-    if (choice.isBesideHold)
-        metrics_.add("monsoongrade_gateway_placed_beside_hold_total");
     if (choice.unavailable)
         logWithoutEndpoint(ticket, *choice.unavailable);
     if (!choice.refusal)
@@ -171,7 +169,7 @@
 void PlacementService::placeWaiting()
 {
     for (const auto &[ticket, choice] : placer_.placeWaiting(registry_, timers_.now())) {
-        recordChoice(ticket, choice);
+        noteRefusal(ticket, choice);
         if (ticket.host != settings_.ownIp) {
             socket_.send(ticket.host, encode(answerFor(ticket.number, choice)));
             continue;
--- a/src/httpio/channel.cpp
+++ b/src/httpio/channel.cpp
@@ -5,8 +5,6 @@
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 
-#include <sys/socket.h>
-
 namespace monsoongrade::httpio {
 
 namespace {
@@ -118,9 +116,7 @@
 
 bool Channel::isStillIdle()
 {
-    char byte = 0;
-    const auto count = recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return open_ && count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return open_ && pendingInput(socket_) == PendingInput::None;
 }
 
 void Channel::read()
--- a/src/httpio/internal/serverconnection.cpp
+++ b/src/httpio/internal/serverconnection.cpp
@@ -6,10 +6,6 @@
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 
-#include <sys/socket.h>
-
-#include <cerrno>
-
 namespace monsoongrade::httpio {
 
 namespace {
@@ -109,13 +105,6 @@
         close();
 }
 
-bool ServerConnection::isClientConnected()
-{
-    char byte = 0;
-    const auto count = recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return count > 0 || (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
-}
-
 void ServerConnection::closeForShutdown()
 {
     onClientDisconnected_ = nullptr;
--- a/src/httpio/internal/serverconnection.h
+++ b/src/httpio/internal/serverconnection.h
@@ -3,6 +3,7 @@
 
 #include <monsoongrade/httpio/messageparser.h>
 #include <monsoongrade/httpio/server.h>
+#include <monsoongrade/httpio/socketoptions.h>
 
 #include <array>
 #include <optional>
@@ -36,7 +37,7 @@
     void write(std::string_view bytes);
     void end();
     void abort();
-    bool isClientConnected();
+    bool isClientConnected() { return pendingInput(socket_) != PendingInput::EndOrError; }
     std::size_t unsentBytes() const { return pending_.size() + writing_.size(); }
     void setOnClientDisconnected(std::function<void()> handler)
     {
--- a/src/httpio/socketoptions.cpp
+++ b/src/httpio/socketoptions.cpp
@@ -1,7 +1,9 @@
 #include <monsoongrade/httpio/socketoptions.h>
 
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
+#include <cerrno>
 #include <charconv>
 
 namespace monsoongrade::httpio {
@@ -36,6 +38,16 @@
     set(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, int(UserTimeoutMs));
 }
 
+PendingInput pendingInput(asio::ip::tcp::socket &socket)
+{
+    char byte = 0;
+    const auto count = recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (count > 0)
+        return PendingInput::Bytes;
+    const bool hasNone = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return hasNone ? PendingInput::None : PendingInput::EndOrError;
+}
+
 std::optional<asio::ip::tcp::endpoint> parseAddress(const std::string &text)
 {
     const std::size_t colon = text.rfind(':');
--- a/src/routing/requestplacer.cpp
+++ b/src/routing/requestplacer.cpp
@@ -121,7 +121,6 @@
     choice.endpoint->rateLimiter.onPlaced(shareFor(query, now));
     choice.isLimited = endpoint.rateLimiter.limit().has_value();
     choice.isWithinSlots = endpoint.isBrittle(now);
-    choice.isBesideHold = heldFor(query, now) > units::Duration::zero();
     Placed &placed = placed_[ticket];
     placed = {};
     placed.endpoint = choice.endpoint;
