--- a/tests/routing/simulatedpool.cpp
+++ b/tests/routing/simulatedpool.cpp
@@ -10,8 +10,6 @@
 const units::PoolName Pool("model");
 // The 90th percentile of a normal distribution, in standard deviations.
 constexpr double UpperTenthSigmas = 1.2816;
-// Without an event for this time and that of its prefill, an engine is suspected.
-constexpr auto SilenceTimeout = std::chrono::milliseconds(500);
 
 units::Duration milliseconds(double count)
 {
@@ -25,13 +23,13 @@
     return std::log(double(kind.ownTokens)) - kind.sizeSigma * kind.sizeSigma / 2;
 }
 
-PlacementTicket ticketOf(std::uint64_t number)
+} // namespace
+
+PlacementTicket SimulatedPool::ticketOf(std::uint64_t number)
 {
     return {"host", number};
 }
 
-} // namespace
-
 SimulatedPool::SimulatedPool(const Options &options, std::vector<SimulatedClass> classes)
     : options_(options)
     , classes_(std::move(classes))
@@ -130,35 +128,6 @@
     outcomeOf(request).arrivals[request.arrival].gotNothing = true;
 }
 
-void SimulatedPool::startSilences()
-{
-    const std::vector<Silence> &silences = options_.silences;
-    while (startedSilences_ < silences.size() && start_ + silences[startedSilences_].at <= now_) {
-        const Silence &silence = silences[startedSilences_++];
-        std::vector<Engine *> engines;
-        for (auto &[id, engine] : engines_)
-            engines.push_back(&engine);
-        std::shuffle(engines.begin(), engines.end(), random_);
-        engines.resize(std::min(engines.size(), std::size_t(silence.engines)));
-        for (Engine *engine : engines) {
-            engine->silentUntil = now_ + silence.length;
-            engine->nextStep = std::max(engine->nextStep, engine->silentUntil);
-        }
-    }
-}
-
-// As hosts report them: an engine that sent nothing since a request was sent to it.
-void SimulatedPool::reportSilentEngines()
-{
-    while (!suspicions_.empty() && suspicions_.begin()->first <= now_) {
-        const std::uint64_t number = suspicions_.begin()->second;
-        suspicions_.erase(suspicions_.begin());
-        const auto found = open_.find(number);
-        if (found != open_.end() && found->second.engine->lastEventAt < found->second.sentAt)
-            placer_.onEvent(ticketOf(number), PlacementEvent::EndpointSilent, now_);
-    }
-}
-
 void SimulatedPool::place(std::uint64_t number)
 {
     submit(number,
@@ -239,8 +208,7 @@
     Engine &engine = engines_[choice.endpoint->registration.id.value()];
     request.engine = &engine;
     request.sentAt = now_;
-    suspicions_.emplace(now_ + SilenceTimeout + milliseconds(2 * double(choice.tokensToRead) / 100),
-                        number);
+    expectEvent(number, choice.tokensToRead);
     const auto cached = std::find(engine.cached.begin(), engine.cached.end(), request.part);
     const bool isCached = cached != engine.cached.end();
     if (isCached)
--- a/tests/routing/simulatedpool.h
+++ b/tests/routing/simulatedpool.h
@@ -171,7 +171,9 @@
     void arrive();
     void recordArrival(Request &request);
     void recordNothing(const Request &request);
+    static PlacementTicket ticketOf(std::uint64_t number);
     void startSilences();
+    void expectEvent(std::uint64_t number, std::int64_t tokensToRead);
     void reportSilentEngines();
     std::int64_t drawOwnTokens(const SimulatedClass &kind);
     static bool isAmongLargest(const Request &request);
