Logs name the requests that a stopping host cuts off

The host therefore owns its open requests in place of counting them, so that one whose callbacks are all lost is still there to be found.

--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -33,6 +33,9 @@
              std::shared_ptr<httpio::ResponseWriter> reply, RequestOrigin origin);
     ~Exchange() override;
 
+    // The host ends while the request is open.
+    void logCutOff() const;
+
 private:
     enum class ResponseUse {
         None, // no response head received yet
@@ -122,6 +125,8 @@
     std::string latestTarget() const;
     std::string resumedRequest() const;
     void logEnd(std::string_view outcome, int status, units::ResultCode reason) const;
+    // What the request waits for, as the log names it.
+    std::string_view phase() const;
     void finish(std::string_view outcome, int status, units::ResultCode reason);
     units::Duration timeLeft() const;
     routing::RetryAllowance &retryAllowance();
--- a/include/monsoongrade/gateway/gatewaystate.h
+++ b/include/monsoongrade/gateway/gatewaystate.h
@@ -23,9 +23,12 @@
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace monsoongrade::gateway {
 
+class Exchange;
+
 // Times of a planned stop. Until acceptsAllUntil, callers may not know yet that the host is leaving
 // and every request is accepted. After that, a request that may still be running at stopsAt is
 // refused, because its caller has been given other hosts that can complete it.
@@ -93,7 +96,7 @@
     httpio::ServerLimits callerLimits;
     units::FailureDomain ownDomain;
     int liveHosts = 1; // including this one
-    int openRequests = 0; // accepted and not finished
+    std::unordered_set<std::shared_ptr<Exchange>> openExchanges; // accepted and not finished
     std::optional<PlannedStop> plannedStop; // set while the host is leaving
     RateLimitedLog log;
     StartupGate startupGate;
--- a/src/gateway/exchangeadmission.cpp
+++ b/src/gateway/exchangeadmission.cpp
@@ -49,7 +49,7 @@
 void Exchange::run()
 {
     state_.log.metrics.add("monsoongrade_gateway_requests_accepted_total");
-    ++state_.openRequests;
+    state_.openExchanges.insert(shared_from_this());
     metadata_ = state_.headerCodec.decodeRequest(request_.head.headers);
     deadline_ = request_.receivedAt + metadata_.timeLeft.value_or(DefaultTimeLeft);
     reply_->onClientDisconnected([self = shared_from_this()] { self->onClientDisconnected(); });
--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -333,8 +333,9 @@
 {
     if (finished_)
         return;
+    const auto self = shared_from_this();
     finished_ = true;
-    --state_.openRequests;
+    state_.openExchanges.erase(self);
     if (isPlacing_)
         state_.placement.withdraw(placementNumber_);
     if (forwarded_ != nullptr) {
--- a/src/gateway/exchangelog.cpp
+++ b/src/gateway/exchangelog.cpp
@@ -65,6 +65,30 @@
          {"live-hosts", state_.liveHosts}});
 }
 
+void Exchange::logCutOff() const
+{
+    state_.log.write(observability::LogLevel::Warning, "request-cut-off",
+                     {{"request", metadata_.id.value()},
+                      {"phase", phase()},
+                      {"pool", pool_.value()},
+                      {"endpoint", latestTarget()},
+                      {"sends", sends_},
+                      {"may-have-run", mayHaveRun_ ? "yes" : "no"},
+                      {"took-ms", inMilliseconds(state_.timers.now() - request_.receivedAt)},
+                      {"left-ms", inMilliseconds(timeLeft())}});
+}
+
+std::string_view Exchange::phase() const
+{
+    if (forwarded_ != nullptr)
+        return "forwarded";
+    if (responseBegun_)
+        return "response-begun";
+    if (channel_ != nullptr)
+        return "sent";
+    return isPlacing_ ? "waiting-for-endpoint" : "starting";
+}
+
 // The request that began the stream of which this attempt is to bring the rest; "none" for a new
 // one.
 std::string Exchange::resumedRequest() const
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -9,7 +9,7 @@
         return;
     }
     observability::Metrics &metrics = state_.log.metrics;
-    metrics.set("monsoongrade_gateway_requests_in_flight", "", double(state_.openRequests));
+    metrics.set("monsoongrade_gateway_requests_in_flight", "", double(state_.openExchanges.size()));
     metrics.set("monsoongrade_gateway_caller_connections", "", double(callers_->connections()));
     metrics.set("monsoongrade_gateway_endpoint_connections_opened", "",
                 double(state_.connections.opened()));
--- a/src/gateway/gatewaystop.cpp
+++ b/src/gateway/gatewaystop.cpp
@@ -1,3 +1,4 @@
+#include <monsoongrade/gateway/exchange.h>
 #include <monsoongrade/gateway/gateway.h>
 
 #include <algorithm>
@@ -53,6 +54,8 @@
         timers_.after(OpenRequestsCheckInterval, [this] { waitForOpenRequests(); });
         return;
     }
+    for (const auto &exchange : state_.openExchanges)
+        exchange->logCutOff();
     observability::log(observability::LogLevel::Info, "gateway-stopped",
                        {{"open-requests", std::uint64_t(open)}});
     if (state_.usage != nullptr)
