Failing tests of requests that are open when a host ends

Two cases on loopback, and the soak: a request that a stopped host had read counts as cut off also if it never ran, and streams of one route may wait for an endpoint until their deadline.

--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -63,7 +63,11 @@
     }
 
 private:
-    void send() { channel_->send(headOf(*record_), std::make_shared<const std::string>(), *this); }
+    void send()
+    {
+        record_->wasSent = true;
+        channel_->send(headOf(*record_), std::make_shared<const std::string>(), *this);
+    }
     void onResponseHead(const httpio::MessageHead &head) override
     {
         status_ = head.status;
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -24,6 +24,7 @@
     units::TimePoint sentAt;
     units::TimePoint endedAt;
     bool isEnded = false;
+    bool wasSent = false; // on an open connection
     int status = 0; // 0: no whole response
     std::string signature;
     std::string body;
--- a/soak/soakchecks.cpp
+++ b/soak/soakchecks.cpp
@@ -14,6 +14,8 @@
 // Promises of the product: a revoked key stops working, a leaving endpoint gets no new requests.
 constexpr auto RevokedWithin = milliseconds(5000);
 constexpr auto LeavesWithin = milliseconds(2000);
+// A request that crosses the close of its connection ends within this time.
+constexpr auto CrossesWithin = milliseconds(200);
 // A disturbance of a host, or of its path, may show this long after its end.
 constexpr auto Afterwards = milliseconds(3500);
 // No class or workspace gets less than a quarter of the share that all get.
@@ -166,11 +168,13 @@
         && record.sentAt <= startedAt_ + fault.endsAt + Afterwards;
 }
 
-// A planned stop cuts nothing off: a request that reached an endpoint gets its answer, unless its
-// host, or an endpoint, was harmed as well.
+// A planned stop cuts nothing off: a request that was read gets its answer, whether it reached an
+// endpoint or not, unless its host, or an endpoint, was harmed as well.
 void SoakRun::checkPlannedStop(const CallRecord &record, std::vector<std::string> &found) const
 {
-    if (record.status != 0 || !record.isEnded || runsOf(record.id) == 0)
+    const bool wasRead = runsOf(record.id) > 0
+        || (record.wasSent && record.endedAt - record.sentAt > units::Duration(CrossesWithin));
+    if (record.status != 0 || !record.isEnded || !wasRead)
         return;
     const bool isStopped = std::any_of(faults_.begin(), faults_.end(), [&](const Fault &fault) {
         return fault.kind == FaultKind::Stop && fault.target == record.host
@@ -184,7 +188,8 @@
         return (isOfHost || isOfPath) && overlaps(fault, record);
     });
     if (isStopped && !isHarmed && !hasEndpointCrashed(record))
-        found.push_back(record.id + ": cut off by a planned stop of " + hostParty(record.host));
+        found.push_back(record.id + ": cut off by a planned stop of " + hostParty(record.host)
+                        + (runsOf(record.id) > 0 ? "" : " before it ran"));
 }
 
 // Whether an endpoint that may have run the request crashed before its end.
--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -38,6 +38,9 @@
 // After the last request: its deadline, and some more for what runs unattended.
 constexpr auto Aftermath = milliseconds(7000);
 constexpr auto StopWithin = std::chrono::seconds(4);
+// Lets streams wait for an endpoint until their deadline, which may be after the end of a host.
+constexpr auto LongTarget = milliseconds(1000);
+
 double limitOf(const Fault &fault)
 {
     return NamedLimits[std::size_t(fault.beginsAt / milliseconds(100)) % std::size(NamedLimits)];
@@ -56,10 +59,10 @@
 }
 
 json route(const std::string &prefix, const std::string &kind, const std::string &service, int tier,
-           int attempts, bool resumable)
+           int attempts, bool resumable, milliseconds target = milliseconds(500))
 {
     return {{"name", "r" + prefix}, {"host", "soak.example"}, {"path_prefix", prefix},
-            {"kind", kind},         {"timeout_ms", 4000},     {"target_latency_ms", 500},
+            {"kind", kind},         {"timeout_ms", 4000},     {"target_latency_ms", target.count()},
             {"priority", tier},     {"service", service},     {"max_attempts", attempts},
             {"public", false},      {"resumable", resumable}, {"gap_aim_ms", 300}};
 }
@@ -138,7 +141,7 @@
          {"routes",
           {route("/safe/", "safe", "plain", 1, 2, false),
            route("/unsafe/", "unsafe", "plain", 1, 2, false),
-           route("/stream/", "streaming", "model", 2, 2, false),
+           route("/stream/", "streaming", "model", 2, 2, false, LongTarget),
            route("/resume/", "streaming", "model", 0, 2, true)}},
          {"services",
           {{{"name", "plain"}, {"max_connections", 200}},
--- /dev/null
+++ b/tests/adapter/plannedstop_test.cpp
@@ -0,0 +1,92 @@
+#include "gatewayfixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace monsoongrade;
+using namespace monsoongrade::platform;
+
+namespace {
+
+constexpr auto StopWithin = std::chrono::seconds(2);
+// What a host that is asked to stop leaves for the answers to reach their clients.
+constexpr auto TimeToDeliver = std::chrono::milliseconds(100);
+
+// One gateway before a model worker that reads long prompts for longer than the test lasts, so that
+// further long prompts wait for it.
+struct StoppingHost : GatewayFixture
+{
+    StoppingHost()
+        : model(io, timers, store,
+                {"m1", "model", "z1", 8,
+                 std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::seconds(20))})
+    {
+        settings.stopWithin = StopWithin;
+        nlohmann::json configuration = operatorConfiguration();
+        for (nlohmann::json &route : configuration["routes"])
+            route["gap_aim_ms"] = 500; // clients wait for events for longer than the stop lasts
+        store.put("config", "main", configuration);
+        model.announce("ready");
+        start();
+        REQUIRE(awaitServing(1));
+    }
+
+    std::shared_ptr<RawClient> sendLongPrompt(const std::string &id, const std::string &path)
+    {
+        auto client = connect();
+        client->send(
+            request("POST", path, id, "b",
+                    "Model: m\r\nToken-Counts: 300000,20\r\nPrompt-Prefix: " + id + ":300000\r\n"));
+        return client;
+    }
+    void beginStop()
+    {
+        gateway->stop([this] { isStopped_ = true; });
+    }
+    // Runs until the host would end. Returns false if that takes longer than the host has.
+    bool awaitEnd()
+    {
+        return runUntil([this] { return isStopped_; }, StopWithin + std::chrono::milliseconds(500));
+    }
+
+    standins::StandInWorker model;
+
+private:
+    bool isStopped_ = false;
+};
+
+} // namespace
+
+// Guards against ending while a request waits for an endpoint, whose client would get no answer.
+TEST_CASE("PlannedStop.RequestThatWaitsForAnEndpointIsRefused")
+{
+    for (const char *path : {"/stream/a", "/resume/a"}) {
+        StoppingHost host;
+        const auto running = host.sendLongPrompt("first", path);
+        REQUIRE(host.runUntil([&] { return host.model.runs().size() == 1; }));
+        host.beginStop();
+        host.runFor(std::chrono::milliseconds(500)); // it still accepts requests
+        const auto waiting = host.sendLongPrompt("second", path);
+        host.runFor(std::chrono::milliseconds(100));
+        REQUIRE(waiting->status() == 0);
+        REQUIRE(host.awaitEnd());
+        host.runFor(TimeToDeliver);
+        CHECK(waiting->isComplete());
+        CHECK(waiting->status() == 503);
+        CHECK_FALSE(standins::headerIn(waiting->received(), "Retry-After").empty());
+        CHECK(host.model.runs().size() == 1);
+    }
+}
+
+// Guards against closing the connection of a request that an endpoint has not answered in time.
+TEST_CASE("PlannedStop.RequestThatOutlastsTheHostIsAnswered")
+{
+    StoppingHost host;
+    const auto running = host.sendLongPrompt("first", "/stream/a");
+    REQUIRE(host.runUntil([&] { return host.model.runs().size() == 1; }));
+    host.beginStop();
+    REQUIRE(host.awaitEnd());
+    host.runFor(TimeToDeliver);
+    CHECK(running->isComplete());
+    CHECK(running->status() == 502);
+    CHECK(standins::headerIn(running->received(), "Retry-After").empty());
+}
