A stopping host answers the requests that it can't complete

Callers saw their connection close without an answer when a host was stopped: the host ended with the requests that were still open, whether they waited for an endpoint or had been sent to one. Streams may wait for an endpoint for longer than a stop lasts, so a request that was accepted before the stop could be cut off without ever having been sent.

Cause: the end of the process was the end of its requests. Nothing owned them, so nothing could give them a last answer.

Now, when the host closes its listening sockets, requests that still wait for an endpoint and may outlast the host are refused as not run, with a time to come back, while other hosts can still serve them. A quarter of a second before the time for the stop is over, each request that is left gets its answer: 503 if it was not sent, 502 if an endpoint may have run it. A response that has begun is broken off, as before.

Evidence: PlannedStop.RequestThatWaitsForAnEndpointIsRefused and PlannedStop.RequestThatOutlastsTheHostIsAnswered failed before and pass.

--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -33,8 +33,12 @@
              std::shared_ptr<httpio::ResponseWriter> reply, RequestOrigin origin);
     ~Exchange() override;
 
-    // The host ends while the request is open.
-    void logCutOff() const;
+    // The host closes its listening sockets for a planned stop. Refuses the request if it waits for
+    // an endpoint and may outlast the host, as other hosts can still serve it.
+    void onHostClosing();
+    // The host is about to end. Responds with what is known of the request, or breaks off a
+    // response that has begun.
+    void onHostEnding();
 
 private:
     enum class ResponseUse {
@@ -125,6 +129,7 @@
     std::string latestTarget() const;
     std::string resumedRequest() const;
     void logEnd(std::string_view outcome, int status, units::ResultCode reason) const;
+    void logCutOff() const;
     // What the request waits for, as the log names it.
     std::string_view phase() const;
     void finish(std::string_view outcome, int status, units::ResultCode reason);
--- a/include/monsoongrade/gateway/gateway.h
+++ b/include/monsoongrade/gateway/gateway.h
@@ -83,7 +83,11 @@
     void onLeavingUpdate(const routing::LeavingUpdate &update);
     void publishOwnState();
     void logHostChanges(const std::vector<routing::PeerUpdate> &hosts);
+    // Ends once no request is open, or when the time for the stop is over.
     void waitForOpenRequests();
+    bool hasConnections() const;
+    void end();
+    std::vector<std::shared_ptr<Exchange>> openExchanges() const;
     // The servers that take requests of clients, directly or from other hosts.
     std::vector<httpio::Server *> requestServers() const;
     void serveMetrics(const httpio::ServerRequest &request, httpio::ResponseWriter &reply);
--- a/src/gateway/gatewaystop.cpp
+++ b/src/gateway/gatewaystop.cpp
@@ -13,8 +13,10 @@
 // Quarters of that time in which all requests are accepted, including those that may outlast the
 // host: 2.8 of 3.8 s. In the rest of it, such requests are refused and go to other hosts.
 constexpr int AcceptAllQuarters = 3;
-// Time left when open requests are aborted, so that the process exits before it is killed.
+// Time left when open requests are ended, so that the process exits before it is killed.
 constexpr auto StopReserve = std::chrono::milliseconds(250);
+// Part of it in which their responses are sent.
+constexpr auto FinalResponsesTime = std::chrono::milliseconds(150);
 constexpr auto OpenRequestsCheckInterval = std::chrono::milliseconds(25);
 
 } // namespace
@@ -37,32 +39,48 @@
     timers_.after(accepting, [this] {
         for (httpio::Server *server : requestServers())
             server->stopAccepting();
+        for (const auto &exchange : openExchanges())
+            exchange->onHostClosing();
         waitForOpenRequests();
     });
 }
 
 void Gateway::waitForOpenRequests()
 {
-    // Also waits for connections whose clients are still reading the last response.
-    std::size_t open = 0;
-    std::size_t connections = 0;
-    for (const httpio::Server *server : requestServers()) {
-        open += server->openRequests();
-        connections += server->connections();
-    }
-    if (connections > 0 && timers_.now() < stopBy_) {
+    if (!hasConnections()) {
+        end();
+    } else if (timers_.now() < stopBy_) {
         timers_.after(OpenRequestsCheckInterval, [this] { waitForOpenRequests(); });
-        return;
+    } else {
+        for (const auto &exchange : openExchanges())
+            exchange->onHostEnding();
+        timers_.after(FinalResponsesTime, [this] { end(); });
     }
-    for (const auto &exchange : state_.openExchanges)
-        exchange->logCutOff();
+}
+
+// Connections also stay open while their clients read the last response.
+bool Gateway::hasConnections() const
+{
+    const auto servers = requestServers();
+    return std::any_of(servers.begin(), servers.end(),
+                       [](const httpio::Server *server) { return server->connections() > 0; });
+}
+
+void Gateway::end()
+{
     observability::log(observability::LogLevel::Info, "gateway-stopped",
-                       {{"open-requests", std::uint64_t(open)}});
+                       {{"open-requests", std::uint64_t(state_.openExchanges.size())}});
     if (state_.usage != nullptr)
         state_.usage->sendCounts();
     stopped_();
 }
 
+// A copy, as an exchange that ends leaves the original.
+std::vector<std::shared_ptr<Exchange>> Gateway::openExchanges() const
+{
+    return {state_.openExchanges.begin(), state_.openExchanges.end()};
+}
+
 std::vector<httpio::Server *> Gateway::requestServers() const
 {
     std::vector<httpio::Server *> servers{callers_.get()};
