A draining host responds to all requests that it has read

A client that sends its next request before the response to the one before lost it when the host was being stopped: the first response announced the close of the connection, and the second request, already read, was discarded without an answer.

Cause: whether a response announces the close was decided by the state of the host alone. A response now announces it only if no further request has been read on the connection.

Evidence: PlannedStop.RequestsThatArriveTogetherAreAllAnswered failed before (the second request had no answer) and passes.

--- a/src/httpio/internal/serverconnection.cpp
+++ b/src/httpio/internal/serverconnection.cpp
@@ -236,9 +236,10 @@
         close();
 }
 
+// A draining server still responds to the requests that were read with this one.
 bool ServerConnection::keepsAlive() const
 {
-    return clientKeepsAlive_ && !server_.draining_;
+    return clientKeepsAlive_ && (!server_.draining_ || !unparsed_.empty());
 }
 
 void ServerConnection::respond(int status, const Headers &headers, std::string_view body)
--- a/tests/adapter/plannedstop_test.cpp
+++ b/tests/adapter/plannedstop_test.cpp
@@ -90,3 +90,26 @@
     CHECK(running->status() == 502);
     CHECK(standins::headerIn(running->received(), "Retry-After").empty());
 }
+
+// Guards against dropping a request that was read with the one before it.
+TEST_CASE("PlannedStop.RequestsThatArriveTogetherAreAllAnswered")
+{
+    GatewayFixture host;
+    standins::StandInWorker plain(host.io, host.timers, host.store,
+                                  {"p1", "plain", "z1", 8, std::chrono::milliseconds(200)});
+    host.store.put("config", "main", operatorConfiguration());
+    plain.announce("ready");
+    host.settings.stopWithin = StopWithin;
+    host.start();
+    REQUIRE(host.awaitServing(1));
+    const auto client = host.connect();
+    client->send(request("GET", "/safe/a", "id1") + request("POST", "/unsafe/b", "id2"));
+    REQUIRE(host.runUntil([&] { return plain.runs().size() == 1; }));
+    bool isStopped = false;
+    host.gateway->stop([&] { isStopped = true; });
+    REQUIRE(host.runUntil([&] { return isStopped; }));
+    CHECK(client->received().find("p1.id1") != std::string::npos);
+    CHECK(client->received().find("p1.id2") != std::string::npos);
+    // Only the last response announces the close.
+    CHECK(client->received().find("Connection: close") > client->received().find("p1.id2"));
+}
