A stream stays at its engine while its client reads slowly

A client that did not read for some 0.7 s lost its engine: the host stopped reading from the engine, as it limits what it holds for a client, and then took the engine for silent. The stream went on at another engine, for which one more send was spent; if none took it, the response broke off although the engine was sound.

Cause: the timer for silent endpoints ran while the host itself read nothing. It now starts again while reading is paused.

Evidence: SlowReaders.StreamStaysAtItsEngineWhileItsClientDoesNotRead failed before (two engines got the request) and passes.

--- a/include/monsoongrade/httpio/channel.h
+++ b/include/monsoongrade/httpio/channel.h
@@ -67,6 +67,7 @@
     // Pause and resume reading, for backpressure from a slow reader.
     void pauseReading();
     void resumeReading();
+    bool isReadingPaused() const { return paused_; }
 
     // Returns false if the server has closed the connection or sent bytes that are not read yet.
     // Asks the kernel, which may know of a close that this process has not handled yet.
--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -180,8 +180,13 @@
 void Exchange::startSilenceTimer(units::Duration limit)
 {
     state_.timers.cancel(silenceTimer_);
-    silenceTimer_
-        = state_.timers.after(limit, [self = shared_from_this()] { self->onSilenceTimeout(); });
+    silenceTimer_ = state_.timers.after(limit, [self = shared_from_this(), limit] {
+        // While a slow client keeps the host from reading, nothing can be received.
+        if (self->channel_ != nullptr && self->channel_->isReadingPaused())
+            self->startSilenceTimer(limit);
+        else
+            self->onSilenceTimeout();
+    });
 }
 
 void Exchange::onSilenceTimeout()
