Numbers and types of entries are checked before they are converted

What was seen: an entry with 1e300 slots, a start of 2^63 or a zone that is no text was used as a worker's.

Cause: fields of another type were read as missing, and numbers were converted to their type before their range was known.

An entry whose fields are missing, of another type, out of range or over 256 bytes long describes no endpoint now, nor does one whose name is no value of a header (it is sent in one).

--- a/tests/adapter/oddentries.h
+++ b/tests/adapter/oddentries.h
@@ -135,7 +135,8 @@
     for (const char *host : {"", " 127.0.0.1", "127.0.0.1 ", "127.1", "127.0.0.256", "[::1]", "::1",
                              "localhost", "127.0.0.1\r\nX: y"})
         specs.push_back(with("address", std::string(host) + ":9"));
-    specs.push_back(with("address", std::string(1000000, 'a')));
+    for (const char *key : {"service", "address", "zone", "version", "state"})
+        specs.push_back(with(key, std::string(1000000, 'a')));
     return specs;
 }
 
