An odd list of quarantined requests does not end the process

What was seen: with "more" of another type than a boolean, a real gateway ended with exit code 1 and "type must be boolean, but is string" on its first read of the list. A page whose last name was that of the page before was read for ever.

Cause: value() throws on another type, outside the try block, and the exception left the event loop.

--- a/tests/adapter/oddobjects_test.cpp
+++ b/tests/adapter/oddobjects_test.cpp
@@ -107,12 +107,12 @@
 // against one that reads the same page for ever.
 TEST_CASE("OddObjects.QuarantineListWithAnotherFrameCountsAsNoAnswer")
 {
-    const std::string items
-        = R"("items":[{"metadata":{"name":"a"},"spec":)" + SoundQuarantine + "}]";
+    const std::string items = R"({"as_of":9,"items":[{"metadata":{"name":"a","revision":3},"spec":)"
+        + SoundQuarantine + "}]";
     for (const std::string &body :
-         {"{" + items + R"(,"more":"yes"})", "{" + items + R"(,"more":null})",
-          "{" + items + R"(,"more":true})", std::string(R"({"items":7,"more":false})"),
-          std::string(R"({"items":[null],"more":true})"), std::string("7"),
+         {items + R"(,"more":"yes"})", items + R"(,"more":null})", items + R"(,"more":true})",
+          items + "}", std::string(R"({"as_of":9,"items":7,"more":false})"),
+          std::string(R"({"as_of":9,"items":[null],"more":true})"), std::string("7"),
           nested(100000, "[", "]")}) {
         CAPTURE(body.substr(0, 120));
         ObjectsFixture fixture;
