--- a/src/routing/endpointregistry.cpp
+++ b/src/routing/endpointregistry.cpp
@@ -187,8 +187,9 @@
 void EndpointRegistry::markMissing(const std::string &id, Entry &entry, units::TimePoint now,
                                    units::TimePoint keepMissingUntil)
 {
-    if (missing_.insert(id).second)
-        entry.keepUntil = std::max(now, keepMissingUntil);
+    const bool isNewlyMissing = missing_.insert(id).second;
+    const units::TimePoint until = std::max(now, keepMissingUntil);
+    entry.keepUntil = isNewlyMissing ? until : std::min(entry.keepUntil, until);
 }
 
 // Position of the endpoint, or where to insert it, in a list ordered by id.
