Signals that come while a gateway starts do not end it without a shutdown

What was seen: SIGHUP sent to a real gateway that was reading its settings ended it (exit code 129), and SIGTERM ended it without a shutdown (143).

Cause: the handlers are installed when everything else has started. A change of the settings between their first read and that moment was missed as well.

The signals are blocked at the begin of main() until the supervisor handles them, and the time of the settings file is taken before it is read.

A gateway that starts with half of a file ends with exit code 2, as before.

--- a/programs/monsoongrade-gateway/main.cpp
+++ b/programs/monsoongrade-gateway/main.cpp
@@ -40,6 +40,26 @@
     });
 }
 
+// Blocks or unblocks the signals that the supervisor handles. They are blocked until then: one that
+// comes while the process starts must not end it without a shutdown.
+void maskSignals(int how)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (const int signal : {SIGTERM, SIGINT, SIGHUP})
+        sigaddset(&signals, signal);
+    pthread_sigmask(how, &signals, nullptr);
+}
+
+// Zero if the file can't be read.
+timespec changeTime(const std::string &path)
+{
+    struct stat status
+    {
+    };
+    return stat(path.c_str(), &status) == 0 ? status.st_mtim : timespec{};
+}
+
 // The duties of one host at a time, with the calls to the platform that they make.
 class Duties
 {
@@ -69,20 +89,21 @@
 {
 public:
     Supervisor(asio::io_context &io, httpio::Timers &timers, gateway::Gateway &gateway,
-               std::optional<Duties> &duties, std::string path)
+               std::optional<Duties> &duties, std::string path, const timespec &changedAt)
         : io_(io)
         , timers_(timers)
         , gateway_(gateway)
         , duties_(duties)
         , path_(std::move(path))
         , signals_(io, SIGTERM, SIGINT, SIGHUP)
-        , changedAt_(changeTime())
+        , changedAt_(changedAt)
     {
     }
 
     void start()
     {
         awaitSignal();
+        maskSignals(SIG_UNBLOCK);
         checkSettings();
     }
 
@@ -109,7 +130,7 @@
 
     void checkSettings()
     {
-        const timespec now = changeTime();
+        const timespec now = changeTime(path_);
         if (now.tv_sec != changedAt_.tv_sec || now.tv_nsec != changedAt_.tv_nsec) {
             changedAt_ = now;
             reload();
@@ -127,15 +148,6 @@
                                {{"path", path_}});
     }
 
-    // Zero if the file can't be read; the settings in force stay.
-    timespec changeTime() const
-    {
-        struct stat status
-        {
-        };
-        return stat(path_.c_str(), &status) == 0 ? status.st_mtim : timespec{};
-    }
-
     asio::io_context &io_;
     httpio::Timers &timers_;
     gateway::Gateway &gateway_;
@@ -145,7 +157,9 @@
     timespec changedAt_;
 };
 
-int run(const gateway::GatewaySettings &settings, const std::string &path)
+// changedAt: of the settings file, before it was read.
+int run(const gateway::GatewaySettings &settings, const std::string &path,
+        const timespec &changedAt)
 {
     const auto store = httpio::parseAddress(settings.storeAddress);
     if (!store) {
@@ -176,7 +190,7 @@
     std::optional<Duties> duties;
     if (settings.reportsUsage())
         duties.emplace(io, timers, gateway, *store, *dutiesAddress, clock);
-    Supervisor supervisor(io, timers, gateway, duties, path);
+    Supervisor supervisor(io, timers, gateway, duties, path, changedAt);
     supervisor.start();
     observability::log(
         observability::LogLevel::Info, "gateway-started",
@@ -194,6 +208,7 @@
 
 int main(int argc, char **argv)
 {
+    maskSignals(SIG_BLOCK);
     CLI::App app("Serves callers by the operator's routes and the platform's endpoints.",
                  "monsoongrade-gateway");
     std::string path;
@@ -203,6 +218,7 @@
     app.set_version_flag("--version", std::string(MONSOONGRADE_VERSION));
     if (const auto exitCode = daemon::parseArguments(app, argc, argv))
         return *exitCode;
+    const timespec changedAt = changeTime(path);
     gateway::GatewaySettings settings;
     if (!readSettings(path, settings))
         return ExitBadSettings;
@@ -211,7 +227,7 @@
     observability::startLogging(daemon::logLevelFor(settings.logLevel));
     std::signal(SIGPIPE, SIG_IGN);
     try {
-        return run(settings, path);
+        return run(settings, path, changedAt);
     } catch (const std::exception &error) {
         std::cerr << "monsoongrade-gateway: " << error.what() << "\n";
         return ExitFailed;
