--- a/tests/adapter/oddentries.h
+++ b/tests/adapter/oddentries.h
@@ -82,6 +82,8 @@
             {"quotes around brackets", R"({"address":"]}],\"}"x"})"},
             {"closing brackets", R"({"address":"a"}]}]})"},
             {"closing braces", R"({"address":"a"}}})"},
+            {"brace and bracket", R"({"address":"a"}}])"},
+            {"brace and brackets", R"({"address":"a"}}]])"},
             {"opening brackets", R"({"address":[[{{"a"})"},
             {"other kind of bracket", R"({"address":["a"})"},
             {"nothing", ""},
--- a/tests/adapter/storeresponse_test.cpp
+++ b/tests/adapter/storeresponse_test.cpp
@@ -82,6 +82,21 @@
     }
 }
 
+// Guards against an odd entry that contains what looks like others and like the end of the list.
+TEST_CASE("StoreResponse.EntriesWithinAnUnreadableOneDoNotHideOthers")
+{
+    const std::string spec
+        = R"({"x":[1,{"metadata":{"x":[1,{"metadata":{"name":"n","revision":1}}]}}]}})";
+    const auto body
+        = parseStoreResponse(R"({"items":[)" + item("a", 1, "{}") + "," + item("bad", 2, spec) + ","
+                             + item("c", 3, "{}") + R"(],"more":false,"as_of":9})");
+    REQUIRE(body.is_object());
+    CHECK(body["items"].front()["metadata"]["name"] == "a");
+    CHECK(body["items"].back()["metadata"]["name"] == "c");
+    CHECK(body["items"].back().contains("spec"));
+    CHECK_FALSE(body["items"][1].contains("spec"));
+}
+
 // Guards against a truncated or foreign body that passes for an empty list.
 TEST_CASE("StoreResponse.BodyThatIsNotJsonIsDiscarded")
 {
