Hosts are not known by addresses that are no IP

A gossip datagram with such an address made the host read from it or forward to it, and make_address_v4() throws outside of any handler: the process would have ended. Found by a search for throwing calls, not seen in a run. The peer is passed over now.

--- a/src/gateway/internal/gossipmessages.cpp
+++ b/src/gateway/internal/gossipmessages.cpp
@@ -1,5 +1,7 @@
 #include <gateway/internal/gossipmessages.h>
 
+#include <asio/ip/address_v4.hpp>
+
 #include <algorithm>
 #include <cmath>
 
@@ -42,6 +44,10 @@
         return std::nullopt; // from a newer version
     routing::PeerUpdate update;
     update.ip = peer.getIp();
+    asio::error_code error;
+    asio::ip::make_address_v4(update.ip, error);
+    if (error)
+        return std::nullopt;
     update.failureDomain = units::FailureDomain(peer.getFailureDomain());
     update.state = static_cast<routing::PeerState>(state);
     update.age = std::chrono::milliseconds(peer.getAgeMs());
