--- a/tests/adapter/oddobjects_test.cpp
+++ b/tests/adapter/oddobjects_test.cpp
@@ -8,6 +8,9 @@
 
 #include <doctest/doctest.h>
 
+#include <mutation.h>
+#include <rapidcheck.h>
+
 #include <limits>
 
 using namespace monsoongrade;
@@ -162,6 +165,17 @@
     }
 }
 
+// Guards against a name in a datagram of another host that ends the process as it is written.
+TEST_CASE("OddObjects.NameThatIsNotUtf8IsWritten")
+{
+    ObjectsFixture fixture;
+    bool isDone = false;
+    fixture.duties.createOrRead(
+        duties::WindowNumber(5), {{units::WorkspaceName("w\xff"), 3}},
+        [&](const std::optional<duties::UsageCounts> &counts) { isDone = counts.has_value(); });
+    CHECK(fixture.runUntil([&] { return isDone; }));
+}
+
 // Guards against an odd size of a pool that ends the process or is ordered.
 TEST_CASE("OddObjects.PoolBaselineIsUnknown")
 {
@@ -210,6 +224,23 @@
     CHECK(fixture.runUntil([&] { return version() == 4; }, std::chrono::seconds(2)));
 }
 
+// Guards against objects of any other kind that end the process.
+TEST_CASE("OddObjects.MutatedOnesAreReadWithoutExceptions")
+{
+    ObjectsFixture fixture;
+    CHECK(rc::check([&fixture] {
+        fixture.store.putRaw("quarantined-requests", "a", SoundQuarantine);
+        fixture.store.putRaw("quarantined-requests", "odd", tests::mutated(SoundQuarantine));
+        fixture.store.putRaw("quarantined-requests", "z", SoundQuarantine);
+        const auto kept = fixture.readQuarantines();
+        RC_ASSERT(kept.has_value());
+        RC_ASSERT(kept->size() >= 2U);
+        fixture.store.putRaw("duty-leases", "all",
+                             tests::mutated(R"({"holder":"h","token":1,"renewal":1})"));
+        fixture.readLease();
+    }));
+}
+
 // Guards against numbers beyond the range of their type, whose conversion is undefined.
 TEST_CASE("TrafficDecoder.NumbersOfTheConfigurationAreClampedToTheirRange")
 {
