Failing tests of streams that are resumed without records or contact

Reports from systems like this one: after the loss of all hosts, streams were resumed at another version or not at all; at one host out of step with the others, streams went on at another version while endpoints of a new version joined. Both hosts of the fixture now read one store, run in loops of their own, and can be restarted, stopped, or cut off from the store.

After a restart of all hosts, all resumed streams are refused, whether the pool has one version or two. A host that has listed one version for 20 s sends a stream that began at a new version elsewhere to the old one, both while it is cut off from the store and the other host, and after it stood still for 1.7 s: its list counts as proof for up to 3 s. StreamsOfAVersionThatLeftDoNotGoOnAfterTheLossOfAllHosts passes: hosts that have just started refuse every stream that no host knows.

--- a/tests/adapter/gatewayhost.h
+++ b/tests/adapter/gatewayhost.h
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace monsoongrade::platform {
@@ -53,13 +54,20 @@
             gateway::Gateway::PageHandlers{serveReadiness, serveDirectory});
         gateway->start();
         watcher = std::make_unique<PlatformWatcher>(loop_.io, loop_.timers, *gateway,
-                                                    store.address(), RelayPort);
+                                                    storeAddress(), RelayPort);
         watcher->start();
     }
 
+    // That of its own store, unless the test has another one for it.
+    asio::ip::tcp::endpoint storeAddress() const
+    {
+        return sharedStore ? *sharedStore : store.address();
+    }
+
     static constexpr std::uint16_t RelayPort = 8007;
 
     standins::StandInStore store;
+    std::optional<asio::ip::tcp::endpoint> sharedStore;
     gateway::GatewaySettings settings;
     PlatformHeaderCodec codec;
     std::unique_ptr<gateway::Gateway> gateway;
--- a/tests/adapter/versionedengines.h
+++ b/tests/adapter/versionedengines.h
@@ -22,23 +22,58 @@
     static constexpr int Events = 4; // of a stream
     static constexpr int EventsBeforeCrash = 2;
 
-    explicit VersionedEnginesFixture(const std::vector<std::string> &versions)
+    // Whether the hosts get each other's datagrams about streams.
+    enum class Datagrams { Arrive, AreLost };
+
+    explicit VersionedEnginesFixture(const std::vector<std::string> &versions,
+                                     Datagrams datagrams = Datagrams::Arrive)
+        : datagrams_(datagrams)
     {
+        nlohmann::json configuration = operatorConfiguration();
+        configuration["routes"].push_back(route("/once/", "streaming", "model", 1, true));
+        store_.put("config", "main", configuration);
         for (const std::string &version : versions)
-            addEngine(version);
-        for (GatewayHost *host : {&firstHost, &secondHost}) {
-            host->settings.seeds = {GatewayHost::ipOf(1) + ":1", GatewayHost::ipOf(2) + ":1"};
-            nlohmann::json configuration = operatorConfiguration();
-            configuration["routes"].push_back(route("/once/", "streaming", "model", 1, true));
-            host->store.put("config", "main", configuration);
-            host->start();
-        }
-        runFirstHost();
-        REQUIRE(runUntil([this] { return isReady(firstHost) && isReady(secondHost); }));
+            list(add(version), "ready");
+        for (Process &process : processes_)
+            process.storeAddress = store_.addAddress();
+        startHosts();
+        runHosts();
+        REQUIRE(runUntil([this] { return areReady(); }));
     }
 
-    // The first host stops without a word.
-    void loseFirstHost() { isFirstHostLost_ = true; }
+    GatewayHost &firstHost() { return processes_[0].running->host; }
+    GatewayHost &secondHost() { return processes_[1].running->host; }
+
+    // The first host does nothing from now on, as after its loss.
+    void stopFirstHost() { processes_[0].isStopped = true; }
+    void continueFirstHost() { processes_[0].isStopped = false; }
+    // Ends all hosts at once and starts them again.
+    void restartHosts()
+    {
+        for (Process &process : processes_)
+            process.running.reset();
+        startHosts();
+        REQUIRE(runUntil([this] { return areReady(); }));
+    }
+    // The store accepts calls of the first host and does not respond.
+    void cutFirstHostFromStore()
+    {
+        processes_[0].isCutFromStore = true;
+        store_.setBehavior(standins::StoreBehavior::Silent, processes_[0].storeAddress);
+    }
+    void reconnectFirstHostToStore()
+    {
+        processes_[0].isCutFromStore = false;
+        store_.setBehavior(standins::StoreBehavior::Normal, processes_[0].storeAddress);
+    }
+    // Starts an engine, and waits until the hosts that reach the store know.
+    void addEngine(const std::string &version)
+    {
+        list(add(version), "ready");
+        awaitRegistries([&](const GatewayHost &host) {
+            return host.gateway->state().registry.size() == engines_.size();
+        });
+    }
 
     // Engines of these versions break each stream after its first events.
     void setCrashing(std::set<std::string> versions) { crashing_ = std::move(versions); }
@@ -53,13 +88,11 @@
                 ++left;
                 continue;
             }
-            firstHost.store.remove("servers", idOf(i));
-            secondHost.store.remove("servers", idOf(i));
+            store_.remove("servers", idOf(i));
         }
-        const auto lists = [left](const GatewayHost &host) {
+        awaitRegistries([left](const GatewayHost &host) {
             return host.gateway->state().registry.size() == left;
-        };
-        REQUIRE(runUntil([&] { return lists(firstHost) && lists(secondHost); }));
+        });
     }
     // Lets time pass on all clocks in short steps, so that nothing times out.
     void pass(std::chrono::seconds time)
@@ -67,7 +100,8 @@
         constexpr auto Step = std::chrono::milliseconds(50);
         for (std::chrono::milliseconds passed{}; passed < time; passed += Step) {
             clock.jump(Step);
-            firstLoop_.clock.jump(Step);
+            for (Process &process : processes_)
+                process.running->loop.clock.jump(Step);
             runFor(std::chrono::milliseconds(10));
         }
     }
@@ -80,16 +114,25 @@
         return count;
     }
 
-    // Sends a request for a stream, each with another prompt, and waits for the end of the
-    // response.
-    std::shared_ptr<RawClient> call(const GatewayHost &host, const std::string &path,
+    // Sends a request for a stream, each with another prompt.
+    std::shared_ptr<RawClient> send(const GatewayHost &host, const std::string &path,
                                     const std::string &id, const std::string &extraHeaders = {})
     {
         const std::string prompt = "Model: m\r\nToken-Counts: 100,20\r\nPrompt-Prefix: "
             + std::to_string(++calls_ * PromptStep) + ":60,bb:40\r\n";
         auto client = RawClient::connect(io, *httpio::parseAddress(host.settings.callersAddress));
         client->send(request("POST", path, id, id, prompt + extraHeaders));
-        runUntil([&] { return client->isComplete() || client->isClosed(); });
+        return client;
+    }
+    void awaitEnd(const RawClient &client)
+    {
+        runUntil([&] { return client.isComplete() || client.isClosed(); });
+    }
+    std::shared_ptr<RawClient> call(const GatewayHost &host, const std::string &path,
+                                    const std::string &id)
+    {
+        auto client = send(host, path, id);
+        awaitEnd(*client);
         return client;
     }
     // Begins a stream that breaks off at an engine of this version. Returns the id of its request.
@@ -117,13 +160,13 @@
         // Engines that crashed are suspended until a stream has ended well.
         for (int i = 0; i < StreamsOfEngine; ++i) {
             runFor(std::chrono::milliseconds(100));
-            call(secondHost, "/stream/a", "sound" + std::to_string(i));
+            call(secondHost(), "/stream/a", "sound" + std::to_string(i));
         }
         isHolding_ = true;
         const int before = requests(version);
         for (int i = 0; i < StreamsOfEngine * engines; ++i) {
-            held_.push_back(
-                RawClient::connect(io, *httpio::parseAddress(secondHost.settings.callersAddress)));
+            held_.push_back(RawClient::connect(
+                io, *httpio::parseAddress(secondHost().settings.callersAddress)));
             held_.back()->send(
                 request("POST", "/stream/a", "held" + std::to_string(i), "", StreamHeaders));
         }
@@ -132,21 +175,69 @@
         setOnlyReady("");
     }
     // As a client does that resumes the stream that began with this request.
-    std::shared_ptr<RawClient> resume(const GatewayHost &host, const std::string &began)
+    std::shared_ptr<RawClient> sendResumption(const GatewayHost &host, const std::string &began)
     {
-        return call(host, "/resume/a", "resumes" + std::to_string(calls_),
+        return send(host, "/resume/a", "resumes" + std::to_string(calls_),
                     "Resumes: " + began + "\r\nLast-Event-Id: " + std::to_string(EventsBeforeCrash)
                         + "\r\n");
     }
+    std::shared_ptr<RawClient> resume(const GatewayHost &host, const std::string &began)
+    {
+        auto client = sendResumption(host, began);
+        awaitEnd(*client);
+        return client;
+    }
 
 private:
-    void runFirstHost()
+    struct RunningHost
     {
-        if (isFirstHostLost_)
-            return;
-        firstLoop_.io.restart();
-        firstLoop_.io.poll();
-        timers.after(std::chrono::milliseconds(1), [this] { runFirstHost(); });
+        explicit RunningHost(int number)
+            : host(loop, number)
+        {
+        }
+
+        EventLoop loop;
+        GatewayHost host;
+    };
+    struct Process
+    {
+        std::unique_ptr<RunningHost> running;
+        asio::ip::tcp::endpoint storeAddress;
+        bool isStopped = false;
+        bool isCutFromStore = false;
+    };
+
+    void startHosts()
+    {
+        for (std::size_t i = 0; i < processes_.size(); ++i) {
+            processes_[i].running = std::make_unique<RunningHost>(int(i) + 1);
+            GatewayHost &host = processes_[i].running->host;
+            host.sharedStore = processes_[i].storeAddress;
+            host.settings.seeds = {GatewayHost::ipOf(1) + ":1", GatewayHost::ipOf(2) + ":1"};
+            if (datagrams_ == Datagrams::AreLost)
+                host.settings.streamVersionsPort += std::uint16_t(i);
+            host.start();
+        }
+    }
+    void runHosts()
+    {
+        for (Process &process : processes_) {
+            if (process.isStopped || process.running == nullptr)
+                continue;
+            process.running->loop.io.restart();
+            process.running->loop.io.poll();
+        }
+        timers.after(std::chrono::milliseconds(1), [this] { runHosts(); });
+    }
+    // Waits until the condition holds for all hosts that reach the store.
+    template <typename Condition>
+    void awaitRegistries(const Condition &condition)
+    {
+        REQUIRE(runUntil([&] {
+            return std::all_of(processes_.begin(), processes_.end(), [&](const Process &process) {
+                return process.isCutFromStore || condition(process.running->host);
+            });
+        }));
     }
 
     // Distance of prompt ids, so that they differ in several digits.
@@ -165,12 +256,17 @@
                                                      "delta", "ember", "fjord"};
         return Ids.at(engine);
     }
+    bool areReady() const
+    {
+        return std::all_of(processes_.begin(), processes_.end(),
+                           [](const Process &process) { return isReady(process.running->host); });
+    }
     static bool isReady(const GatewayHost &host)
     {
         return host.gateway->isServing() && host.gateway->state().otherHosts.size() == 1
             && host.gateway->state().registry.size() > 0;
     }
-    void addEngine(const std::string &version)
+    std::size_t add(const std::string &version)
     {
         const std::size_t number = engines_.size();
         engines_.push_back(
@@ -180,7 +276,7 @@
                  [this, number](standins::RawConnection &connection, const std::string &text, int) {
                      respond(number, connection, text);
                  })});
-        list(number, "ready");
+        return number;
     }
     void list(std::size_t engine, const std::string &state)
     {
@@ -188,8 +284,7 @@
         entry["version"] = engines_[engine].version;
         entry["slots"] = 64;
         entry["state"] = state;
-        for (GatewayHost *host : {&firstHost, &secondHost})
-            host->store.put("servers", idOf(engine), entry);
+        store_.put("servers", idOf(engine), entry);
     }
     // Lists the engines of the other versions as draining; with an empty version, all as ready.
     void setOnlyReady(const std::string &version)
@@ -200,11 +295,10 @@
             ready += isListedReady ? 1 : 0;
             list(i, isListedReady ? "ready" : "draining");
         }
-        const auto knows = [ready](const GatewayHost &host) {
+        awaitRegistries([ready](const GatewayHost &host) {
             return host.gateway->state().registry.available(units::PoolName("model")).size()
                 == ready;
-        };
-        REQUIRE(runUntil([&] { return knows(firstHost) && knows(secondHost); }));
+        });
     }
     void respond(std::size_t index, standins::RawConnection &connection, const std::string &text)
     {
@@ -231,18 +325,15 @@
                      [open = connection.shared_from_this()] { open->reset(); });
     }
 
-    EventLoop firstLoop_;
-    bool isFirstHostLost_ = false;
+    Datagrams datagrams_;
+    standins::StandInStore store_{io, timers, 0};
+    std::array<Process, 2> processes_;
     std::vector<Engine> engines_;
     std::set<std::string> crashing_; // versions
     bool crashesNext_ = false;
     bool isHolding_ = false; // streams do not end
     std::vector<std::shared_ptr<RawClient>> held_;
     int calls_ = 0;
-
-public:
-    GatewayHost firstHost{firstLoop_, 1};
-    GatewayHost secondHost{*this, 2};
 };
 
 } // namespace monsoongrade::platform
