Unknown streams are resumed by what the store holds, not by a host's list

What callers saw. After all hosts were lost and had started again, every resumed stream was refused (2010) for 20 s, also in a pool of one version. At a host that was cut off, or had stood still, streams that began at a new version elsewhere went on at the old one.

The versions of streams were kept by hosts only. For a stream that no host knew, a host decided by the versions that it had listed itself: nothing for 20 s after its start, and later a list that could be 3 s old, also if no other host answered. A version seen in a list that was not known to be current was not recorded at all.

An object for each pool with resumable streams holds the versions whose streams may still be resumed. The first three hosts by IP that reach the store write it when a version appears; the first removes a version that has been absent for longer than streams are resumed. Writes depend on the revision, and each writer writes after an appearance, so a host that has not seen the version come back fails to remove it. For an unknown stream the host reads the objects after the request has come, at most once in 150 ms for all requests; with one version the stream goes on there, unless a host has seen another. While a pool has several versions, those of streams are saved in batches, which are read then. What a host has listed only forbids from now on, and counts also from an old list. Versions count for longer where a route allows streams of more than 15 s.

Why it works. The read is newer than the request, so a host that is out of step learns of every version that was stored before the stream could break off; one that can't read refuses. The object outlasts all hosts. A property of the writer is checked over random appearances, standstills and restarts; it first failed, as a host that stands still while a version leaves has last seen it up to 2.5 s too early, so removal waits for MaxListGap more.

StreamVersionReport.UnknownStreamNeedsAPoolOfOneVersion said that a host's own list permits resuming; it is replaced by UnknownStreamNeedsTheStore and the same cases with the store's versions, which are stricter.

--- a/include/monsoongrade/gateway/gateway.h
+++ b/include/monsoongrade/gateway/gateway.h
@@ -79,7 +79,8 @@
     void computeDivision();
     void setPositionAmong(const std::vector<routing::PeerUpdate> &live);
     void updateCoordinatorRankings(const std::vector<routing::PeerUpdate> &live);
-    void recordPoolVersions(const routing::EndpointRegistry::SoftwareVersions &listed);
+    // isNews: the list has just been read.
+    void recordPoolVersions(const routing::EndpointRegistry::SoftwareVersions &listed, bool isNews);
     void onLeavingUpdate(const routing::LeavingUpdate &update);
     void publishOwnState();
     void logHostChanges(const std::vector<routing::PeerUpdate> &hosts);
--- a/include/monsoongrade/gateway/streamversionservice.h
+++ b/include/monsoongrade/gateway/streamversionservice.h
@@ -2,6 +2,7 @@
 #define MONSOONGRADE_GATEWAY_STREAMVERSIONSERVICE_H
 
 #include <monsoongrade/gateway/datagramsocket.h>
+#include <monsoongrade/gateway/storedstreamversions.h>
 #include <monsoongrade/httpio/timers.h>
 #include <monsoongrade/observability/metrics.h>
 #include <monsoongrade/routing/peertable.h>
@@ -10,6 +11,7 @@
 #include <monsoongrade/routing/streamversionreport.h>
 #include <monsoongrade/routing/streamversions.h>
 
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -47,12 +49,15 @@
                          observability::Metrics &metrics);
 
     void start();
-    // The stream's first event, from an endpoint of this version, is about to be sent to its
-    // client.
-    void onBegan(const routing::StreamIdentity &stream, const units::SoftwareVersion &version);
+    // What the store holds, for streams that no host knows; without it, they are refused.
+    void setStored(StoredStreamVersions &stored) { stored_ = &stored; }
+    // The stream's first event, from an endpoint of this pool and version, is about to be sent to
+    // its client.
+    void onBegan(const routing::StreamIdentity &stream, const units::PoolName &pool,
+                 const units::SoftwareVersion &version);
     // Finds the version at which the stream may go on in the pool. Calls found once, possibly
     // before this function returns, at the latest when the hosts that are asked have had time for
-    // two queries.
+    // two queries, and the store for a read.
     void find(const routing::StreamIdentity &stream, const units::PoolName &pool,
               FoundHandler found);
 
@@ -68,21 +73,36 @@
         httpio::Timers::Handle timeout;
     };
 
+    struct Begun
+    {
+        routing::StreamIdentity stream;
+        units::PoolName pool;
+        units::SoftwareVersion version;
+        units::TimePoint at;
+    };
+
+    // Has the streams saved that began in pools of several versions.
+    void saveStreams();
     routing::StreamVersionReport ownReport(const routing::StreamIdentity &stream,
                                            const units::PoolName &pool) const;
     void ask(std::uint64_t number);
     void onTimeout(std::uint64_t number);
     void conclude(std::uint64_t number);
+    void findInStore(PendingQuery query);
+    void report(const FoundHandler &found, std::optional<units::SoftwareVersion> version);
     void onDatagram(std::string_view datagram, const asio::ip::udp::endpoint &sender);
     void onMessage(const std::string &host, const internal::StreamBegunMessage &message);
     void onMessage(const std::string &host, const internal::StreamVersionQueryMessage &message);
     void onMessage(const std::string &host, const internal::StreamVersionResponseMessage &message);
 
+    std::string ownIp_;
     std::optional<DatagramSocket> socket_; // empty: this host tells and asks nobody
     httpio::Timers &timers_;
     const std::vector<routing::PeerUpdate> &otherHosts_;
     const routing::PoolVersions &poolVersions_;
     observability::Metrics &metrics_;
+    StoredStreamVersions *stored_ = nullptr;
+    std::deque<Begun> unsaved_; // began here lately, the oldest first
     routing::StreamVersions versions_;
     std::unordered_map<std::uint64_t, PendingQuery> pending_;
     std::uint64_t lastNumber_;
--- a/include/monsoongrade/routing/streamversionreport.h
+++ b/include/monsoongrade/routing/streamversionreport.h
@@ -4,6 +4,7 @@
 #include <monsoongrade/routing/poolversions.h>
 
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace monsoongrade::routing {
@@ -15,11 +16,25 @@
     PoolVersionHistory history; // of the pool that serves it
 };
 
-// The software version at which the stream may go on, from the reports of several hosts; empty if
-// that is not certain. A stream that no host knows may go on only if one of them knows that the
-// pool has had one version for as long as streams are resumed, and none knows of another version.
+// What the store holds about a stream and its pool, as of a time after the client resumed it.
+struct StoredStreamVersion
+{
+    std::optional<units::SoftwareVersion> version; // at which it began; empty: not known
+    // Versions of the pool whose streams may still be resumed; empty: not known.
+    std::set<units::SoftwareVersion> ofPool;
+};
+
+// Whether any host knows the stream, so that the store can add nothing.
+bool isKnown(const std::vector<StreamVersionReport> &reports);
+// The software version at which the stream may go on, from the records of several hosts; empty if
+// none has one, or they differ.
 std::optional<units::SoftwareVersion>
 versionToResumeAt(const std::vector<StreamVersionReport> &reports);
+// The same for a stream that no host knows: its version in the store, or the only version of its
+// pool there. Empty if a host has seen another version in the pool: the store may be late.
+std::optional<units::SoftwareVersion>
+versionToResumeAt(const std::vector<StreamVersionReport> &reports,
+                  const StoredStreamVersion &stored);
 
 } // namespace monsoongrade::routing
 
--- a/programs/monsoongrade-gateway/main.cpp
+++ b/programs/monsoongrade-gateway/main.cpp
@@ -3,6 +3,7 @@
 #include <monsoongrade/daemon/settingsfile.h>
 #include <monsoongrade/gateway/dutyservice.h>
 #include <monsoongrade/gateway/quarantinepersister.h>
+#include <monsoongrade/gateway/versionpersister.h>
 #include <monsoongrade/httpio/socketoptions.h>
 #include <monsoongrade/observability/log.h>
 #include <monsoongrade/units/bootclock.h>
@@ -13,6 +14,7 @@
 #include <platform/platformpages.h>
 #include <platform/platformwatcher.h>
 #include <platform/quarantineobjectstore.h>
+#include <platform/versionobjectstore.h>
 
 #include <CLI/CLI.hpp>
 #include <asio/signal_set.hpp>
@@ -173,6 +175,9 @@
     gateway::QuarantinePersister quarantineKeeper(timers, gateway.state().crashes,
                                                   quarantineObjects);
     quarantineKeeper.start();
+    platform::VersionObjectStore versionObjects(storeClient, *store);
+    gateway::VersionPersister versionPersister(timers, gateway, versionObjects, versionObjects);
+    versionPersister.start();
     std::optional<Duties> duties;
     if (settings.reportsUsage())
         duties.emplace(io, timers, gateway, *store, *dutiesAddress, clock);
--- a/src/gateway/exchangeresumption.cpp
+++ b/src/gateway/exchangeresumption.cpp
@@ -44,7 +44,7 @@
         return;
     query_.softwareVersion = sentToVersion_;
     if (route_->resumable)
-        state_.streamVersions.onBegan({admission_.workspace, metadata_.id}, sentToVersion_);
+        state_.streamVersions.onBegan({admission_.workspace, metadata_.id}, pool_, sentToVersion_);
 }
 
 } // namespace monsoongrade::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -171,7 +171,7 @@
     state_.registry.replaceAll(endpoints, timers_.now(), keepMissingUntil);
     for (const routing::DiscoveredEndpoint &endpoint : endpoints)
         state_.placement.applyKnownLimits(endpoint);
-    recordPoolVersions(state_.registry.softwareVersions());
+    recordPoolVersions(state_.registry.softwareVersions(), true);
     computeDivision();
     state_.startupGate.onEndpoints();
     observability::log(observability::LogLevel::Info, "endpoints-listed",
@@ -183,7 +183,7 @@
 {
     state_.registry.update(endpoint);
     state_.placement.applyKnownLimits(endpoint);
-    recordPoolVersions({{endpoint.pool, {endpoint.softwareVersion}}});
+    recordPoolVersions({{endpoint.pool, {endpoint.softwareVersion}}}, true);
     computeDivision();
     if (endpoint.draining)
         state_.log.write(observability::LogLevel::Info, "endpoint-draining",
@@ -241,7 +241,7 @@
     sampleOwnWallTime();
     state_.registry.removeExpired(timers_.now());
     state_.registry.restoreUnannounced();
-    recordPoolVersions(state_.registry.softwareVersions());
+    recordPoolVersions(state_.registry.softwareVersions(), false);
     const std::vector<routing::PeerUpdate> live = hosts();
     state_.otherHosts.assign(live.begin(), std::prev(live.end())); // this host comes last
     state_.liveHosts = int(live.size());
@@ -305,15 +305,19 @@
     applyDivision(routing::divideFleet(state_.registry.sizes(), state_.registry.division()));
 }
 
-// A list that may lack changes does not show which versions serve. It comes from the same source as
-// the configuration, whose age is known.
-void Gateway::recordPoolVersions(const routing::EndpointRegistry::SoftwareVersions &listed)
+// A list that may lack changes does not show that no other version serves. It comes from the same
+// source as the configuration, whose age is known.
+void Gateway::recordPoolVersions(const routing::EndpointRegistry::SoftwareVersions &listed,
+                                 bool isNews)
 {
     const units::TimePoint now = timers_.now();
-    if (state_.lease.age(now) > MaxListAge)
-        return;
-    for (const auto &[pool, versions] : listed)
-        state_.poolVersions.onListed(pool, versions, now);
+    const bool isCurrent = state_.lease.age(now) <= MaxListAge;
+    for (const auto &[pool, versions] : listed) {
+        if (isCurrent)
+            state_.poolVersions.onListed(pool, versions, now);
+        else if (isNews)
+            state_.poolVersions.onSeen(pool, versions, now);
+    }
 }
 
 void Gateway::onLeavingUpdate(const routing::LeavingUpdate &update)
--- a/src/gateway/streamversionservice.cpp
+++ b/src/gateway/streamversionservice.cpp
@@ -19,6 +19,10 @@
 // already, so a lost datagram may cost it a little more.
 constexpr auto ResponseTimeout = std::chrono::milliseconds(25);
 constexpr std::size_t MaxDatagramBytes = 2048;
+constexpr auto SaveInterval = std::chrono::milliseconds(100);
+constexpr int MaxSavedPerInterval = 100;
+// An entry takes about 200 bytes. In a pool of one version they wait for a second one.
+constexpr std::size_t MaxUnsaved = 2000;
 
 // A restarted host must not take responses to queries of its last run for its own.
 std::uint64_t firstNumber()
@@ -34,7 +38,8 @@
                                            const std::vector<routing::PeerUpdate> &otherHosts,
                                            const routing::PoolVersions &poolVersions,
                                            observability::Metrics &metrics)
-    : timers_(timers)
+    : ownIp_(settings.ownIp)
+    , timers_(timers)
     , otherHosts_(otherHosts)
     , poolVersions_(poolVersions)
     , metrics_(metrics)
@@ -47,6 +52,7 @@
 
 void StreamVersionService::start()
 {
+    saveStreams();
     if (!socket_)
         return;
     socket_->receive([this](std::string_view datagram, const asio::ip::udp::endpoint &sender) {
@@ -55,11 +61,17 @@
 }
 
 void StreamVersionService::onBegan(const routing::StreamIdentity &stream,
+                                   const units::PoolName &pool,
                                    const units::SoftwareVersion &version)
 {
     if (!routing::StreamVersions::isRecordable(stream))
         return;
     versions_.add(stream, version, timers_.now());
+    if (stored_ != nullptr) {
+        unsaved_.push_back({stream, pool, version, timers_.now()});
+        if (unsaved_.size() > MaxUnsaved)
+            unsaved_.pop_front();
+    }
     if (!socket_)
         return;
     const std::string datagram = encode(StreamBegunMessage{stream, version});
@@ -67,6 +79,30 @@
         socket_->send(host, datagram);
 }
 
+void StreamVersionService::saveStreams()
+{
+    timers_.after(SaveInterval, [this] { saveStreams(); });
+    const units::TimePoint now = timers_.now();
+    while (!unsaved_.empty() && now - unsaved_.front().at > poolVersions_.streamAge())
+        unsaved_.pop_front();
+    if (unsaved_.empty() || !poolVersions_.hasSeveralVersions(now))
+        return;
+    int saved = 0;
+    const auto isSaved = [&](const Begun &begun) {
+        const bool isDue = saved < MaxSavedPerInterval
+            && poolVersions_.recent(begun.pool, now).appearedAt.size() > 1;
+        if (!isDue)
+            return false;
+        ++saved;
+        stored_->save(begun.stream, begun.version); // if this is the host that saves it
+        const std::string host = stored_->savingHost(begun.stream);
+        if (socket_ && !host.empty() && host != ownIp_)
+            socket_->send(host, encode(StreamBegunMessage{begun.stream, begun.version}));
+        return true;
+    };
+    unsaved_.erase(std::remove_if(unsaved_.begin(), unsaved_.end(), isSaved), unsaved_.end());
+}
+
 void StreamVersionService::find(const routing::StreamIdentity &stream, const units::PoolName &pool,
                                 FoundHandler found)
 {
@@ -113,10 +149,29 @@
     PendingQuery query = std::move(entry->second);
     pending_.erase(entry);
     timers_.cancel(query.timeout);
-    const auto version = routing::versionToResumeAt(query.reports);
+    if (routing::isKnown(query.reports) || stored_ == nullptr)
+        report(query.found, routing::versionToResumeAt(query.reports));
+    else
+        findInStore(std::move(query));
+}
+
+void StreamVersionService::findInStore(PendingQuery query)
+{
+    metrics_.add("monsoongrade_gateway_stream_versions_read_total");
+    stored_->find(query.stream, query.pool,
+                  [this, query](const routing::StoredStreamVersion &stored) mutable {
+                      // This host may have seen another version since.
+                      query.reports.push_back(ownReport(query.stream, query.pool));
+                      report(query.found, routing::versionToResumeAt(query.reports, stored));
+                  });
+}
+
+void StreamVersionService::report(const FoundHandler &found,
+                                  std::optional<units::SoftwareVersion> version)
+{
     if (!version)
         metrics_.add("monsoongrade_gateway_stream_versions_unknown_total");
-    query.found(version);
+    found(std::move(version));
 }
 
 routing::StreamVersionReport StreamVersionService::ownReport(const routing::StreamIdentity &stream,
@@ -141,6 +196,9 @@
 void StreamVersionService::onMessage(const std::string &, const StreamBegunMessage &message)
 {
     versions_.add(message.stream, message.version, timers_.now());
+    // The message does not tell the pool, so streams of other pools are saved meanwhile too.
+    if (stored_ != nullptr && poolVersions_.hasSeveralVersions(timers_.now()))
+        stored_->save(message.stream, message.version);
 }
 
 void StreamVersionService::onMessage(const std::string &host,
--- a/src/routing/poolversions.cpp
+++ b/src/routing/poolversions.cpp
@@ -5,30 +5,57 @@
 void PoolVersions::onListed(const units::PoolName &pool,
                             const std::set<units::SoftwareVersion> &versions, units::TimePoint now)
 {
-    const auto [found, isNew] = pools_.try_emplace(pool);
-    Pool &listed = found->second;
-    if (isNew || now - listed.listedAt > MaxListGap)
+    Pool &listed = pools_[pool];
+    if (!listed.isListed || now - listed.listedAt > MaxListGap)
         listed.listedSince = now;
+    listed.isListed = true;
     listed.listedAt = now;
+    onSeen(pool, versions, now);
+}
+
+void PoolVersions::onSeen(const units::PoolName &pool,
+                          const std::set<units::SoftwareVersion> &versions, units::TimePoint now)
+{
+    std::map<units::SoftwareVersion, Version> &known = pools_[pool].versions;
+    for (auto each = known.begin(); each != known.end();)
+        each = now - each->second.seenAt > streamAge_ ? known.erase(each) : std::next(each);
     for (const units::SoftwareVersion &version : versions)
-        listed.lastSeenAt[version] = now;
-    for (auto seen = listed.lastSeenAt.begin(); seen != listed.lastSeenAt.end();)
-        seen = now - seen->second > MaxStreamAge ? listed.lastSeenAt.erase(seen) : std::next(seen);
+        known.try_emplace(version, Version{now, now}).first->second.seenAt = now;
 }
 
 PoolVersionHistory PoolVersions::history(const units::PoolName &pool, units::TimePoint now) const
 {
-    const auto found = pools_.find(pool);
-    if (found == pools_.end() || found->second.lastSeenAt.empty())
+    const Recent seen = recent(pool, now);
+    if (seen.appearedAt.empty())
         return {};
-    const Pool &listed = found->second;
-    if (listed.lastSeenAt.size() > 1)
+    if (seen.appearedAt.size() > 1)
         return {PoolVersionHistory::Kind::SeveralVersions, {}};
-    const bool isContinuous
-        = now - listed.listedAt <= MaxListGap && now - listed.listedSince >= MaxStreamAge;
-    if (!isContinuous)
-        return {};
-    return {PoolVersionHistory::Kind::OneVersion, listed.lastSeenAt.begin()->first};
+    return {seen.isComplete ? PoolVersionHistory::Kind::OneVersion
+                            : PoolVersionHistory::Kind::Unknown,
+            seen.appearedAt.begin()->first};
+}
+
+PoolVersions::Recent PoolVersions::recent(const units::PoolName &pool, units::TimePoint now) const
+{
+    Recent result;
+    const auto found = pools_.find(pool);
+    if (found == pools_.end())
+        return result;
+    const Pool &known = found->second;
+    for (const auto &[version, times] : known.versions) {
+        if (now - times.seenAt <= streamAge_)
+            result.appearedAt.emplace(version, times.appearedAt);
+    }
+    result.isComplete = known.isListed && now - known.listedAt <= MaxListGap
+        && now - known.listedSince >= streamAge_;
+    return result;
+}
+
+bool PoolVersions::hasSeveralVersions(units::TimePoint now) const
+{
+    return std::any_of(pools_.begin(), pools_.end(), [&](const auto &pool) {
+        return recent(pool.first, now).appearedAt.size() > 1;
+    });
 }
 
 } // namespace monsoongrade::routing
--- a/tests/adapter/gatewayhost.h
+++ b/tests/adapter/gatewayhost.h
@@ -2,6 +2,7 @@
 #define MONSOONGRADE_TESTS_ADAPTER_GATEWAYHOST_H
 
 #include "eventloop.h"
+#include "versionstorage.h"
 
 #include "../platform_standin/standinstore.h"
 
@@ -56,6 +57,7 @@
         watcher = std::make_unique<PlatformWatcher>(loop_.io, loop_.timers, *gateway,
                                                     storeAddress(), RelayPort);
         watcher->start();
+        versions = startVersionPersister(loop_, *gateway, storeAddress());
     }
 
     // That of its own store, unless the test has another one for it.
@@ -72,6 +74,7 @@
     PlatformHeaderCodec codec;
     std::unique_ptr<gateway::Gateway> gateway;
     std::unique_ptr<PlatformWatcher> watcher;
+    std::shared_ptr<void> versions; // owns what keeps software versions in the store
 
 private:
     EventLoop &loop_;
--- a/tests/routing/streamversions_test.cpp
+++ b/tests/routing/streamversions_test.cpp
@@ -153,6 +153,28 @@
     }
 }
 
+// Guards against ignoring a new version because others may be missing from the list.
+TEST_CASE("PoolVersions.VersionSeenInAnOldListCounts")
+{
+    PoolVersions pools = listedFor(seconds(30), {V1});
+    pools.onSeen(Pool, {V2}, Start + seconds(31));
+    CHECK(pools.history(Pool, Start + seconds(31)).kind == Kind::SeveralVersions);
+    CHECK(pools.hasSeveralVersions(Start + seconds(31)));
+}
+
+// Guards against forgetting a version while routes allow its streams to go on.
+TEST_CASE("PoolVersions.LongStreamsKeepAVersionLonger")
+{
+    PoolVersions pools;
+    pools.setStreamAge(seconds(40));
+    pools.onListed(Pool, {V1, V2}, Start);
+    for (int second = 1; second <= 41; ++second) {
+        pools.onListed(Pool, {V1}, Start + seconds(second));
+        const Kind kind = pools.history(Pool, Start + seconds(second)).kind;
+        CHECK(kind == (second <= 40 ? Kind::SeveralVersions : Kind::OneVersion));
+    }
+}
+
 TEST_CASE("StreamVersionReport.KnownVersionIsUsed")
 {
     const StreamVersionReport unknown{{}, {Kind::SeveralVersions, {}}};
@@ -161,15 +183,34 @@
     CHECK_FALSE(versionToResumeAt({known, {V2, {}}}));
 }
 
+// Guards against resuming a stream by what hosts have listed: one may be out of step with the rest.
+TEST_CASE("StreamVersionReport.UnknownStreamNeedsTheStore")
+{
+    CHECK_FALSE(versionToResumeAt({{{}, {Kind::OneVersion, V1}}, {{}, {Kind::OneVersion, V1}}}));
+}
+
 // Guards against resuming a stream anywhere because no host knows where it began.
 TEST_CASE("StreamVersionReport.UnknownStreamNeedsAPoolOfOneVersion")
 {
+    const StoredStreamVersion onlyV1{{}, {V1}};
     const StreamVersionReport none{{}, {}};
     const StreamVersionReport v1{{}, {Kind::OneVersion, V1}};
     const StreamVersionReport v2{{}, {Kind::OneVersion, V2}};
+    const StreamVersionReport newV2{{}, {Kind::Unknown, V2}};
+    const StreamVersionReport several{{}, {Kind::SeveralVersions, {}}};
+    CHECK(versionToResumeAt({none}, onlyV1) == V1);
+    CHECK(versionToResumeAt({none, v1, v1}, onlyV1) == V1);
+    CHECK_FALSE(versionToResumeAt({v1, several}, onlyV1));
+    CHECK_FALSE(versionToResumeAt({v1, v2}, onlyV1));
+    CHECK_FALSE(versionToResumeAt({v1, newV2}, onlyV1));
+    CHECK_FALSE(versionToResumeAt({v1}, {{}, {V1, V2}}));
+    CHECK_FALSE(versionToResumeAt({v1}, {{}, {}}));
+}
+
+TEST_CASE("StreamVersionReport.VersionInTheStoreIsUsedIfNoHostKnowsTheStream")
+{
     const StreamVersionReport several{{}, {Kind::SeveralVersions, {}}};
-    CHECK_FALSE(versionToResumeAt({none, none}));
-    CHECK(versionToResumeAt({none, v1, v1}) == V1);
-    CHECK_FALSE(versionToResumeAt({v1, several}));
-    CHECK_FALSE(versionToResumeAt({v1, v2}));
+    CHECK(versionToResumeAt({several}, {V2, {V1, V2}}) == V2);
+    CHECK(versionToResumeAt({several, {V1, {}}}, {V2, {V1, V2}}) == V1);
+    CHECK_FALSE(versionToResumeAt({{V2, {}}, {V1, {}}}, {V2, {V1, V2}}));
 }
