Streams are saved sooner, and also if they begin before their host knows others

Hosts now have streams saved every 50 ms and write every 200 ms, each batch half as long.

StreamsGoOnAtTheirVersionsAfterTheLossOfAllHosts failed once in two runs: the stream began 40 ms after its host had started, which knew no host that saves yet and took the stream for saved. Such streams wait now. A host that is told of a stream saves it whenever it writes batches, as it may know other hosts than the one that told it.

New tests: StreamsAreSavedOnlyWhileSeveralVersionsServe, UnknownStreamIsRefusedWhileTheStoreIsSilent.

--- a/include/monsoongrade/gateway/storedstreamversions.h
+++ b/include/monsoongrade/gateway/storedstreamversions.h
@@ -23,7 +23,7 @@
         = 0;
     // IP of the host that saves the stream's version; empty if there is none.
     virtual std::string savingHost(const routing::StreamIdentity &stream) const = 0;
-    // Saves the stream's version, if this is the host that does, within about a second.
+    // Saves the stream's version, if this is a host that does, within about half a second.
     virtual void save(const routing::StreamIdentity &stream, const units::SoftwareVersion &version)
         = 0;
 };
--- a/include/monsoongrade/gateway/versionpersister.h
+++ b/include/monsoongrade/gateway/versionpersister.h
@@ -42,7 +42,8 @@
     void round();
     void writePools(const routing::AllStoredPoolVersions &writes);
     void saveBatch();
-    std::optional<std::size_t> ownRank() const;
+    std::optional<std::size_t> ownRank() const; // among the hosts that write
+    std::optional<std::size_t> ownRing() const; // in which this host saves streams
     units::Duration longestStream() const; // of those that may be resumed
     std::set<units::PoolName> resumablePools() const;
     void readPools();
--- a/include/monsoongrade/routing/streamversionarchive.h
+++ b/include/monsoongrade/routing/streamversionarchive.h
@@ -22,11 +22,11 @@
 public:
     // Hosts that save batches, each in a ring of its own.
     static constexpr std::size_t Rings = 2;
-    static constexpr auto WriteInterval = std::chrono::milliseconds(400);
+    static constexpr auto WriteInterval = std::chrono::milliseconds(200);
     // At one object per interval, longer than streams are resumed.
-    static constexpr std::size_t ObjectsPerRing = 64;
+    static constexpr std::size_t ObjectsPerRing = 128;
     // An entry takes 19 bytes.
-    static constexpr std::size_t MaxStreamsPerObject = 500;
+    static constexpr std::size_t MaxStreamsPerObject = 250;
 
     struct Step
     {
--- a/src/gateway/streamversionservice.cpp
+++ b/src/gateway/streamversionservice.cpp
@@ -19,8 +19,8 @@
 // already, so a lost datagram may cost it a little more.
 constexpr auto ResponseTimeout = std::chrono::milliseconds(25);
 constexpr std::size_t MaxDatagramBytes = 2048;
-constexpr auto SaveInterval = std::chrono::milliseconds(100);
-constexpr int MaxSavedPerInterval = 100;
+constexpr auto SaveInterval = std::chrono::milliseconds(50);
+constexpr int MaxSavedPerInterval = 50;
 // An entry takes about 200 bytes. In a pool of one version they wait for a second one.
 constexpr std::size_t MaxUnsaved = 2000;
 
@@ -93,10 +93,13 @@
             && poolVersions_.recent(begun.pool, now).appearedAt.size() > 1;
         if (!isDue)
             return false;
-        ++saved;
-        stored_->save(begun.stream, begun.version); // if this is the host that saves it
         const std::string host = stored_->savingHost(begun.stream);
-        if (socket_ && !host.empty() && host != ownIp_)
+        if (host.empty())
+            return false; // none is known yet
+        ++saved;
+        if (host == ownIp_)
+            stored_->save(begun.stream, begun.version);
+        else if (socket_)
             socket_->send(host, encode(StreamBegunMessage{begun.stream, begun.version}));
         return true;
     };
--- a/src/gateway/versionpersister.cpp
+++ b/src/gateway/versionpersister.cpp
@@ -79,10 +79,7 @@
 {
     if (isSavingBatch_)
         return;
-    auto ring = ownRank();
-    if (ring && *ring >= routing::StreamVersionArchive::Rings)
-        ring.reset();
-    const routing::StreamVersionArchive::Step step = archive_.next(ring, timers_.now());
+    const routing::StreamVersionArchive::Step step = archive_.next(ownRing(), timers_.now());
     if (step.mustRead) {
         isSavingBatch_ = true;
         streams_.readStreams(routing::StreamVersionStore::Age::Latest, [this](const auto &stored) {
@@ -112,6 +109,12 @@
     return std::size_t(own - writers_.begin());
 }
 
+std::optional<std::size_t> VersionPersister::ownRing() const
+{
+    const auto rank = ownRank();
+    return rank && *rank < routing::StreamVersionArchive::Rings ? rank : std::nullopt;
+}
+
 units::Duration VersionPersister::longestStream() const
 {
     units::Duration longest{};
@@ -149,7 +152,8 @@
 void VersionPersister::save(const routing::StreamIdentity &stream,
                             const units::SoftwareVersion &version)
 {
-    if (savingHost(stream) == gateway_.settings().ip)
+    // The host that sent the stream here may know other hosts than this one.
+    if (ownRing())
         archive_.add(routing::digestOf(stream), version, timers_.now());
 }
 
--- a/tests/adapter/streamversions_test.cpp
+++ b/tests/adapter/streamversions_test.cpp
@@ -218,3 +218,33 @@
     CHECK_FALSE(holds(*client, "v1"));
     CHECK(fixture.requests("v1") == 0);
 }
+
+// Guards against writes to the store for each stream, which are dear.
+TEST_CASE("StreamVersions.StreamsAreSavedOnlyWhileSeveralVersionsServe")
+{
+    VersionedEnginesFixture fixture({"v1", "v1"});
+    fixture.beginAndBreak(fixture.firstHost(), "v1");
+    fixture.runFor(TimeToSave);
+    CHECK(fixture.listObjects("stream-versions").find("\"items\":[]") != std::string::npos);
+    CHECK(fixture.listObjects("pool-versions").find("\"versions\":[\"v1\"]") != std::string::npos);
+    fixture.addEngine("v2");
+    fixture.runFor(TimeToSave);
+    // The stream of the first version is saved too.
+    CHECK(fixture.listObjects("stream-versions").find("\"v1\":[") != std::string::npos);
+    CHECK(fixture.listObjects("pool-versions").find("\"versions\":[\"v1\",\"v2\"]")
+          != std::string::npos);
+}
+
+// Guards against resuming an unknown stream without proof while the store does not respond.
+TEST_CASE("StreamVersions.UnknownStreamIsRefusedWhileTheStoreIsSilent")
+{
+    VersionedEnginesFixture fixture({"v1", "v1"});
+    const std::string began = fixture.beginAndBreak(fixture.secondHost(), "v1");
+    fixture.runFor(TimeToSave);
+    CHECK(goesOn(*fixture.resume(fixture.firstHost(), "unknown"), "v1"));
+    fixture.cutFirstHostFromStore();
+    CHECK(isRefused(*fixture.resume(fixture.firstHost(), "unknown")));
+    CHECK(goesOn(*fixture.resume(fixture.firstHost(), began), "v1"));
+    fixture.reconnectFirstHostToStore();
+    CHECK(goesOn(*fixture.resume(fixture.firstHost(), "unknown"), "v1"));
+}
--- a/tests/adapter/versionedengines.h
+++ b/tests/adapter/versionedengines.h
@@ -66,6 +66,14 @@
         processes_[0].isCutFromStore = false;
         store_.setBehavior(standins::StoreBehavior::Normal, processes_[0].storeAddress);
     }
+    // The store's response to a list of the objects of a kind.
+    std::string listObjects(const std::string &kind)
+    {
+        auto client = RawClient::connect(io, store_.address());
+        client->send("GET /objects/" + kind + " HTTP/1.1\r\nHost: store\r\n\r\n");
+        awaitEnd(*client);
+        return client->received();
+    }
     // Starts an engine, and waits until the hosts that reach the store know.
     void addEngine(const std::string &version)
     {
