--- a/tests/adapter/gatewayhost.h
+++ b/tests/adapter/gatewayhost.h
@@ -2,6 +2,7 @@
 #define MONSOONGRADE_TESTS_ADAPTER_GATEWAYHOST_H
 
 #include "eventloop.h"
+#include "versionstorage.h"
 
 #include "../platform_standin/standinstore.h"
 
@@ -12,6 +13,7 @@
 #include <unistd.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace monsoongrade::platform {
@@ -53,17 +55,26 @@
             gateway::Gateway::PageHandlers{serveReadiness, serveDirectory});
         gateway->start();
         watcher = std::make_unique<PlatformWatcher>(loop_.io, loop_.timers, *gateway,
-                                                    store.address(), RelayPort);
+                                                    storeAddress(), RelayPort);
         watcher->start();
+        versions = startVersionPersister(loop_, *gateway, storeAddress());
+    }
+
+    // That of its own store, unless the test has another one for it.
+    asio::ip::tcp::endpoint storeAddress() const
+    {
+        return sharedStore ? *sharedStore : store.address();
     }
 
     static constexpr std::uint16_t RelayPort = 8007;
 
     standins::StandInStore store;
+    std::optional<asio::ip::tcp::endpoint> sharedStore;
     gateway::GatewaySettings settings;
     PlatformHeaderCodec codec;
     std::unique_ptr<gateway::Gateway> gateway;
     std::unique_ptr<PlatformWatcher> watcher;
+    std::shared_ptr<void> versions; // owns what keeps software versions in the store
 
 private:
     EventLoop &loop_;
