A silent endpoint keeps its request until another one has taken it

Callers saw streams break off, and 502 for plain requests that may run twice, though their endpoint was sound: it had sent nothing for a moment.

Cause: after the silence limit the connection was closed at once, and only then another endpoint was looked for. If that one rejected the request, broke off, could not be reached or had no place for it, nothing was left of the request.

Now the silent endpoint keeps the request while ReplacementAttempt offers it to another one. It is given up, with the same consequences for its health and for the blame of crashes as before, when the head of a response that the client can get has come from the other one: signed success, for streams only that. If the first endpoint sends something of its response before, the replacement is withdrawn; if that one fails, the silence limit starts again. What is sent is bounded by the attempts of the route and the shared retry limit, which a replacement that is not sent does not use. Two runs overlap only between the start of the second and the head of its response; where a model's response has no head before its end, an engine that has not rejected the request within 200 ms counts as having taken it. If the first endpoint breaks off meanwhile, the replacement goes on as the only attempt. A replacement that is refused a place books none for a return.

What responses announce is read by functions outside Exchange, as both attempts need it. When to replace and what counts as taken are decided in routing/silencedecision.

--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -4,6 +4,7 @@
 #include <monsoongrade/gateway/eventrelay.h>
 #include <monsoongrade/gateway/forwardedrequest.h>
 #include <monsoongrade/gateway/gatewaystate.h>
+#include <monsoongrade/gateway/replacementattempt.h>
 #include <monsoongrade/httpio/server.h>
 #include <monsoongrade/routing/admission.h>
 #include <monsoongrade/routing/failuredecision.h>
@@ -23,7 +24,9 @@
 // Handles one client request from receipt to the final response: selects an endpoint, sends the
 // request, relays the response, and retries or gives up after a failure as the routing library
 // decides. Keeps itself alive until it is finished.
-class Exchange : public std::enable_shared_from_this<Exchange>, private httpio::ChannelListener
+class Exchange : public std::enable_shared_from_this<Exchange>,
+                 private httpio::ChannelListener,
+                 private ReplacementListener
 {
 public:
     static void start(GatewayState &state, httpio::ServerRequest request,
@@ -60,14 +63,35 @@
 
     // Sending
     void startAttempt();
+    void updateQuery();
     void onPlaced(const routing::PlacementTicket &ticket, routing::PlacementChoice choice);
-    void logPlaced(units::Duration placementTime) const;
+    int maxConnections() const;
+    void logPlaced(const EndpointAttempt &attempt, units::Duration placementTime) const;
     void logClientLeftBeforeSend() const;
     void onConnection(ConnectOutcome outcome, std::shared_ptr<httpio::Channel> channel);
     void send();
-    httpio::Headers endpointHeaders(std::string cacheSource) const;
-    std::string cacheSourceAddress() const;
+    bool maySendTo(const routing::EndpointStatus &endpoint) const;
+    std::string requestHeadFor(const routing::EndpointStatus &endpoint,
+                               const std::string &cacheSource) const;
+    std::string cacheSourceAddress(const routing::EndpointStatus &endpoint,
+                                   const units::EndpointId &cacheSource) const;
     void countCacheCopy();
+    void startSuspicionTimer();
+
+    // Another endpoint for a request whose endpoint is silent
+    void startSilenceTimer(units::Duration limit);
+    void onSilenceTimeout();
+    void seekReplacement();
+    void onReplacementPlaced(units::Duration placementTime) override;
+    void onReplacementConnected() override;
+    void onReplacementAccepted(const httpio::MessageHead &head) override;
+    void onReplacementFailed(const FailedReplacement &failed) override;
+    void giveUpSilentEndpoint();
+    void giveUpSilentReplacement();
+    void takeReplacement();
+    void keepCurrentAttempt();
+    void dropReplacement();
+    void addTried(const units::EndpointId &endpoint);
 
     // Sending through another host
     std::string forwardingHost() const;
@@ -87,27 +111,20 @@
     double expectedMs() const;
     void onFirstByte();
     void countUsage();
-    void readAnnouncements(const EndpointResponseInfo &answer);
-    void onLeavingAnnounced();
-    void onRejectedForRoom(routing::RequestsPerSecond maxRejections);
-    void onPauseAnnounced(std::chrono::duration<double> pause);
     std::vector<units::EndpointId> pausedEndpoints() const;
     std::optional<units::Duration> pauseOfPool() const;
-    void updateLimits();
-    void logLimits(const routing::AnnouncedLimits &before, const routing::AnnouncedLimits &now);
 
     // Failures
     void onResponseTooLong();
     void onResponseWithoutId(int status);
     void abandonResponse();
     void onAttemptFailed(units::ResultCode reason, bool mayHaveRun);
+    void logAttemptFailed(const std::string &target, units::ResultCode reason);
     routing::AttemptFailure describeFailure(bool timedOut);
     bool canRetry();
     void giveUp(routing::NextStep step, units::ResultCode reason);
     void refuse(int status, units::ResultCode reason, bool mayRetry);
     std::optional<units::Duration> retryAfter(units::ResultCode reason);
-    void startSilenceTimer(units::Duration limit);
-    void onSilenceTimeout();
     void onDeadline();
     void onClientDisconnected();
 
@@ -115,9 +132,11 @@
     void releaseEndpoint(routing::PlacementEvent event = routing::PlacementEvent::Withdrawn);
     void forgetEndpoint();
     void onEndpointFailure();
+    void reportEndpointFailure(const routing::EndpointRegistry::Status &endpoint,
+                               const routing::PlacementTicket &ticket);
     void countFailure(routing::EndpointStatus &endpoint, const routing::PlacementTicket &ticket);
-    void recordCrash();
-    void recordCrashOfParts();
+    void recordCrash(const routing::EndpointStatus &endpoint);
+    void recordCrashOfParts(const routing::EndpointStatus &endpoint);
     void recordCompletion();
     std::optional<units::Duration> quarantineRemaining();
     std::string quarantinedPart();
@@ -174,6 +193,7 @@
     std::string collected_;
     std::size_t skippedBytes_ = 0; // of responses to other requests
 
+    std::shared_ptr<ReplacementAttempt> replacement_; // while the endpoint is silent
     std::shared_ptr<ForwardedRequest> forwarded_; // while another host handles the request
 
     // Over all attempts
--- a/include/monsoongrade/httpio/channel.h
+++ b/include/monsoongrade/httpio/channel.h
@@ -54,6 +54,10 @@
     // release() or close() is called.
     void send(std::string head, std::shared_ptr<const std::string> body, ChannelListener &listener);
 
+    // Passes the request that the channel carries to another listener, also from within a call of
+    // the present one.
+    void setListener(ChannelListener &listener) { listener_ = &listener; }
+
     // Ends the use of a channel whose response is complete. Returns true if it can carry another
     // request; onUnusable is then called if the server closes it or sends unsolicited bytes while
     // it is idle.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -1,9 +1,11 @@
 #include <monsoongrade/gateway/exchange.h>
 
 #include <gateway/internal/httpstatus.h>
+#include <gateway/internal/responseannouncements.h>
 #include <gateway/internal/responsebuffers.h>
 
 #include <monsoongrade/httpio/messagewriter.h>
+#include <monsoongrade/routing/silencedecision.h>
 
 #include <algorithm>
 
@@ -33,12 +35,9 @@
         forward(host);
         return;
     }
-    const units::TimePoint now = state_.timers.now();
-    query_.targetIn = request_.receivedAt + route_->targetLatency - now;
-    query_.expiresIn = std::min(deadline_, request_.receivedAt + route_->maxClientWait) - now;
-    query_.paused = pausedEndpoints();
+    updateQuery();
     isPlacing_ = true;
-    placementStartedAt_ = now;
+    placementStartedAt_ = state_.timers.now();
     placementNumber_
         = state_.placement.place(query_,
                                  [self = shared_from_this()](const routing::PlacementTicket &ticket,
@@ -47,6 +46,14 @@
                                  });
 }
 
+void Exchange::updateQuery()
+{
+    const units::TimePoint now = state_.timers.now();
+    query_.targetIn = request_.receivedAt + route_->targetLatency - now;
+    query_.expiresIn = std::min(deadline_, request_.receivedAt + route_->maxClientWait) - now;
+    query_.paused = pausedEndpoints();
+}
+
 void Exchange::onPlaced(const routing::PlacementTicket &ticket, routing::PlacementChoice choice)
 {
     isPlacing_ = false;
@@ -70,21 +77,17 @@
     expectedFirstEvent_ = choice.expectedFirstEvent;
     cacheSource_ = std::move(choice.cacheSource);
     if (state_.log.mayWrite("request-placed"))
-        logPlaced(placementTime);
+        logPlaced({endpoint_, ticket_, tokensToRead_, expectedFirstEvent_, cacheSource_},
+                  placementTime);
     query_.tried.push_back(endpoint_->registration.id);
     endpoint_->health.onSent(state_.timers.now());
     use_ = ResponseUse::None;
     firstByteSeen_ = false;
     skippedBytes_ = 0;
     collected_.clear();
-    const int connections
-        = poolSettings_ == nullptr ? DefaultMaxConnections : poolSettings_->maxConnections;
-    const int ownShare
-        = std::max(MinConnectionsPerHost,
-                   int(connections * UsedShareOfConnections) / std::max(state_.liveHosts, 1));
     const auto self = shared_from_this();
     state_.connections.acquire(
-        *endpoint_, ownShare, !route_->mayRunTwice(),
+        *endpoint_, maxConnections(), !route_->mayRunTwice(),
         [self, endpoint = endpoint_](ConnectOutcome outcome,
                                      std::shared_ptr<httpio::Channel> channel) {
             if (self->finished_ && channel != nullptr)
@@ -94,6 +97,15 @@
         });
 }
 
+// This host's share of the connections that an endpoint of the pool accepts.
+int Exchange::maxConnections() const
+{
+    const int connections
+        = poolSettings_ == nullptr ? DefaultMaxConnections : poolSettings_->maxConnections;
+    return std::max(MinConnectionsPerHost,
+                    int(connections * UsedShareOfConnections) / std::max(state_.liveHosts, 1));
+}
+
 void Exchange::onConnection(ConnectOutcome outcome, std::shared_ptr<httpio::Channel> channel)
 {
     if (outcome == ConnectOutcome::Connected) {
@@ -118,12 +130,7 @@
         return;
     }
     const units::TimePoint now = state_.timers.now();
-    const bool isAllowed = !endpoint_->leaving
-        && routing::hasPermittedVersion(endpoint_->registration, query_)
-        && state_.announcements.allowsRequests(routing::instanceOf(endpoint_->registration), now);
-    if (!isAllowed) {
-        // The endpoint began to leave, asked for a pause, or is known to have another software
-        // version, since it was chosen.
+    if (!maySendTo(*endpoint_)) {
         onAttemptFailed(units::ResultCode::EndpointRefused, false);
         return;
     }
@@ -147,43 +154,55 @@
     ++sends_;
     sentAt_ = now;
     sentToVersion_ = endpoint_->registration.softwareVersion;
-    const std::string cacheSource = cacheSourceAddress();
-    channel_->send(httpio::encodeRequestHead(request_.head.method, request_.head.target,
-                                             endpointHeaders(cacheSource), request_.body->size()),
-                   request_.body, *this);
+    const std::string cacheSource = cacheSourceAddress(*endpoint_, cacheSource_);
+    channel_->send(requestHeadFor(*endpoint_, cacheSource), request_.body, *this);
     if (!cacheSource.empty())
         countCacheCopy();
+    startSuspicionTimer();
+    if (route_->mayRunTwice())
+        startSilenceTimer(routing::silenceLimit(*route_, false));
+}
+
+// False if the endpoint began to leave, asked for a pause, or is known to have another software
+// version, since it was chosen.
+bool Exchange::maySendTo(const routing::EndpointStatus &endpoint) const
+{
+    return !endpoint.leaving && routing::hasPermittedVersion(endpoint.registration, query_)
+        && state_.announcements.allowsRequests(routing::instanceOf(endpoint.registration),
+                                               state_.timers.now());
+}
+
+void Exchange::startSuspicionTimer()
+{
     const auto readTime = std::chrono::milliseconds(2 * tokensToRead_ / PrefillTokensPerMs);
     suspicionTimer_ = state_.timers.after(SilenceTimeout + readTime,
                                           [self = shared_from_this()] { self->reportIfSilent(); });
-    if (route_->kind == routing::RouteKind::Idempotent)
-        startSilenceTimer(
-            std::max<units::Duration>(std::chrono::milliseconds(300), 2 * route_->targetLatency));
-    else if (route_->mayRunTwice())
-        startSilenceTimer(
-            std::max<units::Duration>(std::chrono::seconds(1), route_->targetLatency * 5 / 2));
 }
 
-httpio::Headers Exchange::endpointHeaders(std::string cacheSource) const
+std::string Exchange::requestHeadFor(const routing::EndpointStatus &endpoint,
+                                     const std::string &cacheSource) const
 {
     EndpointRequest request;
-    request.endpoint = endpoint_->registration.id;
+    request.endpoint = endpoint.registration.id;
     request.workspace = admission_.workspace;
     request.timeLeft = timeLeft();
     request.tier = admission_.tier;
-    request.cacheSource = std::move(cacheSource);
+    request.cacheSource = cacheSource;
     request.resumeAfter = events_.lastId().empty() ? metadata_.lastEventId : events_.lastId();
-    return state_.headerCodec.endpointHeaders(httpio::endToEndHeaders(request_.head.headers),
-                                              request);
+    const httpio::Headers headers = state_.headerCodec.endpointHeaders(
+        httpio::endToEndHeaders(request_.head.headers), request);
+    return httpio::encodeRequestHead(request_.head.method, request_.head.target, headers,
+                                     request_.body->size());
 }
 
 // Empty if nothing is to be copied. The host that placed the request may not know yet that the
 // source is leaving or gone.
-std::string Exchange::cacheSourceAddress() const
+std::string Exchange::cacheSourceAddress(const routing::EndpointStatus &endpoint,
+                                         const units::EndpointId &cacheSource) const
 {
     const bool isContinuation = isResumption() || !events_.lastId().empty();
-    const auto source = state_.registry.findAvailable(cacheSource_);
-    if (isContinuation || source == nullptr || source->leaving || source == endpoint_)
+    const auto source = state_.registry.findAvailable(cacheSource);
+    if (isContinuation || source == nullptr || source->leaving || source.get() == &endpoint)
         return {};
     return source->registration.address;
 }
@@ -203,19 +222,22 @@
         onResponseWithoutId(head.status);
         return;
     }
-    readAnnouncements(answer);
+    const internal::SentRequest sent{metadata_.id, endpoint_, ticket_, sentAt_};
+    internal::readAnnouncements(state_, sent, answer);
     if (answer.request != metadata_.id) {
         use_ = ResponseUse::OfOtherRequest;
         return;
     }
     responseHead_ = head;
     answer_ = answer;
-    updateLimits();
+    internal::updateLimits(state_, sent, answer);
     if (state_.crashes.size() > 0 && !answer_.wrongEndpoint)
         state_.crashes.onAnswered(routing::instanceOf(endpoint_->registration), sentAt_);
     const bool isEventStream
         = route_->kind == routing::RouteKind::Stream && isSuccess(head.status) && answer.isSigned;
     use_ = isEventStream ? ResponseUse::Relayed : ResponseUse::Collected;
+    if (isSuccess(head.status) && answer.isSigned)
+        keepCurrentAttempt();
     // A rejection tells nothing of how long the endpoint takes to answer.
     if (use_ == ResponseUse::Collected && !answer_.provenNotRun && !answer_.wrongEndpoint)
         onFirstByte();
@@ -225,6 +247,7 @@
 {
     if (use_ == ResponseUse::Relayed) {
         endpoint_->lastReceivedAt = state_.timers.now();
+        keepCurrentAttempt();
         relay(bytes);
         return;
     }
@@ -236,6 +259,8 @@
     }
     if (use_ != ResponseUse::Collected)
         return;
+    if (isSuccess(responseHead_.status) && answer_.isSigned)
+        keepCurrentAttempt();
     collected_.append(bytes);
     if (collected_.size() <= internal::MaxCollectedBytes)
         return;
@@ -277,8 +302,7 @@
     onFirstEvent();
     reply_->write(whole);
     if (route_->mayRunTwice())
-        startSilenceTimer(
-            std::max<units::Duration>(std::chrono::milliseconds(700), route_->maxEventGap * 5 / 2));
+        startSilenceTimer(routing::silenceLimit(*route_, true));
     internal::throttleIfBacklogged(*reply_, channel_);
 }
 
--- a/src/gateway/exchangecompletion.cpp
+++ b/src/gateway/exchangecompletion.cpp
@@ -6,13 +6,9 @@
 
 namespace {
 
+using internal::isServerError;
 using internal::isSuccess;
 
-bool isServerError(int status)
-{
-    return status >= 500;
-}
-
 } // namespace
 
 void Exchange::onResponseEnd()
--- a/src/gateway/exchangecrashes.cpp
+++ b/src/gateway/exchangecrashes.cpp
@@ -21,23 +21,23 @@
 
 // A connection also breaks if only the network fails or if the endpoint has too many connections.
 // Such a break counts as a crash until the endpoint responds again.
-void Exchange::recordCrash()
+void Exchange::recordCrash(const routing::EndpointStatus &endpoint)
 {
     if (state_.reach.isLost(pool_))
         return;
     const units::TimePoint now = state_.timers.now();
     const bool wasQuarantined = quarantineRemaining().has_value();
-    state_.crashes.onCrash(identity(), routing::instanceOf(endpoint_->registration), now);
+    state_.crashes.onCrash(identity(), routing::instanceOf(endpoint.registration), now);
     const bool hasJustBegun
         = !events_.firstEventAt() || now - *events_.firstEventAt() <= MaxTimeToCrash;
     if (hasJustBegun)
-        recordCrashOfParts();
+        recordCrashOfParts(endpoint);
     const auto left = quarantineRemaining();
     state_.log.write(observability::LogLevel::Warning, "endpoint-broke-under-request",
                      {{"request", metadata_.id.value()},
                       {"digest", routing::digestText(identity().digest)},
                       {"workspace", admission_.workspace.value()},
-                      {"endpoint", endpoint_->registration.id.value()},
+                      {"endpoint", endpoint.registration.id.value()},
                       {"parts", sharedPartIds()},
                       {"first-event-ago-ms",
                        events_.firstEventAt() ? inMilliseconds(now - *events_.firstEventAt())
@@ -51,11 +51,11 @@
                             {"for-ms", inMilliseconds(*left)}});
 }
 
-void Exchange::recordCrashOfParts()
+void Exchange::recordCrashOfParts(const routing::EndpointStatus &endpoint)
 {
     int position = 0;
     for (const routing::RequestIdentity &part : sharedParts())
-        state_.crashes.onCrash(part, routing::instanceOf(endpoint_->registration),
+        state_.crashes.onCrash(part, routing::instanceOf(endpoint.registration),
                                state_.timers.now(), ++position);
 }
 
--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -29,7 +29,7 @@
         || failure == httpio::ChannelFailure::NotConnected;
     dropChannel();
     if (!isUnsent)
-        recordCrash();
+        recordCrash(*endpoint_);
     onEndpointFailure();
     if (isUnsent) {
         --sends_;
@@ -77,21 +77,17 @@
     mayHaveRun_ = mayHaveRun_ || mayHaveRun;
     if (channel_ != nullptr)
         releaseUnusedChannel();
-    state_.log.metrics.add(
-        "monsoongrade_gateway_attempts_failed_total",
-        observability::label("reason", std::string(units::resultCodeName(reason))));
-    state_.log.write(observability::LogLevel::Info, "attempt-failed",
-                     {{"request", metadata_.id.value()},
-                      {"endpoint", latestTarget()},
-                      {"reason", units::resultCodeName(reason)},
-                      {"may-have-run", mayHaveRun_ ? "yes" : "no"},
-                      {"sends", sends_},
-                      {"left-ms", inMilliseconds(timeLeft())}});
+    logAttemptFailed(latestTarget(), reason);
     releaseEndpoint();
     if (clientDisconnected_) {
         finish("client-left", 0, units::ResultCode::CallerLeft);
         return;
     }
+    if (replacement_ != nullptr && replacement_->hasRequest()) {
+        takeReplacement();
+        return;
+    }
+    dropReplacement();
     const routing::NextStep step = routing::decideAfterFailure(describeFailure(false));
     if (step == routing::NextStep::SendAgain) {
         events_.resume();
@@ -177,27 +173,6 @@
                        : routing::queueing::retryAfter(reason, metadata_.id, timeLeft());
 }
 
-void Exchange::startSilenceTimer(units::Duration limit)
-{
-    state_.timers.cancel(silenceTimer_);
-    silenceTimer_
-        = state_.timers.after(limit, [self = shared_from_this()] { self->onSilenceTimeout(); });
-}
-
-void Exchange::onSilenceTimeout()
-{
-    // If no retry is possible, a late response is better than none.
-    if (finished_ || channel_ == nullptr || !canRetry())
-        return;
-    dropChannel();
-    state_.reach.onSuspected(*endpoint_, sentAt_);
-    // An endpoint that crashed together with its machine does not close its connections.
-    if (endpoint_->lastReceivedAt < sentAt_)
-        recordCrash();
-    onEndpointFailure();
-    onAttemptFailed(units::ResultCode::EndpointSilent, true);
-}
-
 // The operating system closes the connections to an endpoint that lost power or network only after
 // 3 s. Silence on all requests of this host reveals the failure earlier.
 void Exchange::reportIfSilent()
@@ -285,17 +260,22 @@
 
 void Exchange::onEndpointFailure()
 {
-    // A host that has lost its path would suspend sound endpoints for all hosts for which it
-    // places, or which place for it.
+    reportEndpointFailure(endpoint_, ticket_);
+    forgetEndpoint();
+}
+
+// A host that has lost its path would suspend sound endpoints for all hosts for which it places, or
+// which place for it.
+void Exchange::reportEndpointFailure(const routing::EndpointRegistry::Status &endpoint,
+                                     const routing::PlacementTicket &ticket)
+{
     state_.reach.whenFaultIsKnown(
-        pool_,
-        [self = shared_from_this(), endpoint = endpoint_, ticket = ticket_](bool isEndpointsFault) {
+        pool_, [self = shared_from_this(), endpoint, ticket](bool isEndpointsFault) {
             if (isEndpointsFault)
                 self->countFailure(*endpoint, ticket);
             else
                 self->state_.placement.report(ticket, routing::PlacementEvent::Withdrawn);
         });
-    forgetEndpoint();
 }
 
 // The host that placed the request counts the reported failure. If that is another host, this one
@@ -338,6 +318,7 @@
     state_.openExchanges.erase(self);
     if (isPlacing_)
         state_.placement.withdraw(placementNumber_);
+    dropReplacement();
     if (forwarded_ != nullptr) {
         forwarded_->cancel();
         forwarded_.reset();
--- a/src/gateway/exchangelog.cpp
+++ b/src/gateway/exchangelog.cpp
@@ -8,22 +8,23 @@
 
 using internal::inMilliseconds;
 
-void Exchange::logPlaced(units::Duration placementTime) const
+void Exchange::logPlaced(const EndpointAttempt &attempt, units::Duration placementTime) const
 {
-    observability::log(observability::LogLevel::Info, "request-placed",
-                       {{"request", metadata_.id.value()},
-                        {"route", route_->name.value()},
-                        {"pool", pool_.value()},
-                        {"endpoint", endpoint_->registration.id.value()},
-                        {"incarnation", endpoint_->registration.incarnation.value()},
-                        {"software", endpoint_->registration.softwareVersion.value()},
-                        {"resumes", resumedRequest()},
-                        {"placed-by", state_.placement.placedBy(ticket_)},
-                        {"tokens-to-read", tokensToRead_},
-                        {"expected-first-event-ms", inMilliseconds(expectedFirstEvent_)},
-                        {"cache-source", cacheSource_.isEmpty() ? "none" : cacheSource_.value()},
-                        {"tier", std::int64_t(admission_.tier.value())},
-                        {"placing-ms", inMilliseconds(placementTime)}});
+    observability::log(
+        observability::LogLevel::Info, "request-placed",
+        {{"request", metadata_.id.value()},
+         {"route", route_->name.value()},
+         {"pool", pool_.value()},
+         {"endpoint", attempt.endpoint->registration.id.value()},
+         {"incarnation", attempt.endpoint->registration.incarnation.value()},
+         {"software", attempt.endpoint->registration.softwareVersion.value()},
+         {"resumes", resumedRequest()},
+         {"placed-by", state_.placement.placedBy(attempt.ticket)},
+         {"tokens-to-read", attempt.tokensToRead},
+         {"expected-first-event-ms", inMilliseconds(attempt.expectedFirstEvent)},
+         {"cache-source", attempt.cacheSource.isEmpty() ? "none" : attempt.cacheSource.value()},
+         {"tier", std::int64_t(admission_.tier.value())},
+         {"placing-ms", inMilliseconds(placementTime)}});
 }
 
 void Exchange::logClientLeftBeforeSend() const
@@ -37,6 +38,20 @@
          {"received-ms-ago", inMilliseconds(state_.timers.now() - request_.receivedAt)}});
 }
 
+void Exchange::logAttemptFailed(const std::string &target, units::ResultCode reason)
+{
+    state_.log.metrics.add(
+        "monsoongrade_gateway_attempts_failed_total",
+        observability::label("reason", std::string(units::resultCodeName(reason))));
+    state_.log.write(observability::LogLevel::Info, "attempt-failed",
+                     {{"request", metadata_.id.value()},
+                      {"endpoint", target},
+                      {"reason", units::resultCodeName(reason)},
+                      {"may-have-run", mayHaveRun_ ? "yes" : "no"},
+                      {"sends", sends_},
+                      {"left-ms", inMilliseconds(timeLeft())}});
+}
+
 void Exchange::logEnd(std::string_view outcome, int status, units::ResultCode reason) const
 {
     const units::TimePoint now = state_.timers.now();
--- a/src/gateway/internal/httpstatus.h
+++ b/src/gateway/internal/httpstatus.h
@@ -15,6 +15,11 @@
     return status >= 200 && status < 300;
 }
 
+inline bool isServerError(int status)
+{
+    return status >= 500;
+}
+
 } // namespace monsoongrade::gateway::internal
 
 #endif // MONSOONGRADE_GATEWAY_INTERNAL_HTTPSTATUS_H
