A replacement that is never ended closes its connection

A connection reports to the attempt that it carries by a plain reference. If the whole gateway goes while a replacement is open, nothing ends the attempt, and its connection could have reported to what is gone. The place is not given back then, as the placement may be gone as well. SilentReplacement, WorkerFaults and EndpointSilence pass (40 cases); this way out has no case of its own.

--- a/include/monsoongrade/gateway/replacementattempt.h
+++ b/include/monsoongrade/gateway/replacementattempt.h
@@ -63,6 +63,8 @@
     // isStream: only an event stream can continue the request.
     ReplacementAttempt(GatewayState &state, units::RequestId request, bool isStream,
                        ReplacementListener &listener);
+    // Closes the connection of an attempt that was not ended, as when the whole gateway goes.
+    ~ReplacementAttempt() override;
 
     // Looks for an endpoint and connects to it, with at most maxConnections open to it. Events may
     // be reported before this returns.
--- a/src/gateway/replacementattempt.cpp
+++ b/src/gateway/replacementattempt.cpp
@@ -19,6 +19,12 @@
 {
 }
 
+ReplacementAttempt::~ReplacementAttempt()
+{
+    if (!isEnded_ && attempt_.channel != nullptr)
+        attempt_.channel->close();
+}
+
 void ReplacementAttempt::start(const routing::PlacementQuery &query, int maxConnections)
 {
     const auto self = shared_from_this();
