Crashes that rejections explain count against no request

Cause: brittle endpoints crash when they have to reject more requests in a second than they survive. Hosts that have just started do not know that number and send all that comes. Each crash counted in full against the requests that ran there, and callers all send the same few.

Why it works: hosts that know the number keep rejections below it, so only those of requests sent without that knowledge explain a crash. The host that received one tells the others with the update that older builds understand, which takes blame back that was already given. A fatal request that crashes only brittle endpoints is stopped after six.

BrittleEndpoints.RequestsThatRanBesideRejectionsAreServedAfterCrashes fails with the report of rejections taken out.

--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -166,6 +166,7 @@
     units::EndpointId cacheSource_; // endpoint to copy cached prompt parts from; empty: none
     std::shared_ptr<httpio::Channel> channel_;
     units::TimePoint sentAt_;
+    bool wasBrittleWhenSent_ = false; // as far as this host knew
     units::SoftwareVersion sentToVersion_;
     bool firstByteSeen_ = false;
     ResponseUse use_ = ResponseUse::None;
--- a/include/monsoongrade/routing/crashtracker.h
+++ b/include/monsoongrade/routing/crashtracker.h
@@ -1,6 +1,7 @@
 #ifndef MONSOONGRADE_ROUTING_CRASHTRACKER_H
 #define MONSOONGRADE_ROUTING_CRASHTRACKER_H
 
+#include <monsoongrade/routing/crashexplanations.h>
 #include <monsoongrade/routing/crashupdate.h>
 #include <monsoongrade/routing/recentcompletions.h>
 
@@ -23,6 +24,11 @@
 // quarantine it, since no attempt could clear it then. A connection that broke for another reason
 // counts until its endpoint responds to something.
 //
+// A crash counts only as far as nothing else explains it. One that follows rejections of requests
+// which were sent without regard to how many the endpoint survives counts against no request, on
+// any host: the host that received such a rejection tells the others. Any other crash of a brittle
+// endpoint counts half, since rejections may be to blame of which no host knows.
+//
 // Parts that prompts share are tracked like requests: a part may crash endpoints in requests of
 // which no two are alike. It comes with other parts, which sound requests share. Those are cleared
 // when such a request is completed; until then, a crash counts against the quarantined part that is
@@ -30,7 +36,8 @@
 class CrashTracker
 {
 public:
-    // Number of different crashed endpoints after which a request or part is quarantined.
+    // Number of different crashed endpoints after which a request or part is quarantined; twice as
+    // many if they are brittle.
     static constexpr std::size_t CrashesToQuarantine = 3;
 
     // The endpoint crashed while running the request for this host. partPosition: 0, or the
@@ -41,6 +48,10 @@
     void onCompleted(const RequestIdentity &request, units::TimePoint now);
     // The endpoint responded to something that this host sent at sentAt.
     void onAnswered(const EndpointInstance &endpoint, units::TimePoint sentAt);
+    // The endpoint announced to this or another host that it survives only so many rejections.
+    void onBrittle(const EndpointInstance &endpoint, units::TimePoint now);
+    // The endpoint rejected a request that this host had sent without regard to that number.
+    void onRejected(const EndpointInstance &endpoint, units::TimePoint now);
     // Applies an update from another host. Updates may arrive repeatedly and in any order.
     void receive(const CrashUpdate &update, units::TimePoint now);
 
@@ -67,12 +78,13 @@
     {
         EndpointInstance endpoint;
         units::TimePoint at;
+        bool isOfBrittle = false;
     };
     // An endpoint that is listed in some record.
     struct SuspectedEndpoint
     {
         units::TimePoint lastCrashAt;
-        std::optional<units::TimePoint> knownAliveAt; // send time of a request that it answered
+        std::optional<units::TimePoint> clearedUntil; // crashes before this time do not count
     };
     struct Record
     {
@@ -90,6 +102,8 @@
         int roundsLeft = 0;
     };
 
+    static double blameFor(const Crash &crash);
+    static double blameOf(const Record &record);
     static std::optional<units::TimePoint> quarantineEnd(const Record &record);
     bool isQuarantined(const Record &record, units::TimePoint now) const;
     bool isExplained(const Record &part) const;
@@ -97,6 +111,8 @@
     static void appendCrashes(const Records::value_type &record, std::vector<CrashUpdate> &updates,
                               units::TimePoint now);
     bool clearIfCompleted(const CrashUpdate &crash, units::TimePoint at, units::TimePoint now);
+    bool clearIfRejected(const EndpointInstance &endpoint, units::TimePoint crashAt);
+    void eraseCrashesOf(const EndpointInstance &endpoint);
     bool apply(const CrashUpdate &update, units::TimePoint at, units::TimePoint now);
     bool addCrash(const CrashUpdate &update, units::TimePoint at, units::TimePoint now);
     bool clearEndpoint(const EndpointInstance &endpoint, units::TimePoint sentAt);
@@ -108,6 +124,7 @@
     Records records_;
     std::map<EndpointInstance, SuspectedEndpoint> suspects_;
     RecentCompletions completions_;
+    CrashExplanations explanations_;
     std::deque<PendingUpdate> pending_;
     RequestIdentity lastResent_;
     units::TimePoint nextCleanupAt_{};
--- a/include/monsoongrade/routing/crashupdate.h
+++ b/include/monsoongrade/routing/crashupdate.h
@@ -15,14 +15,16 @@
     enum class Kind : std::uint8_t {
         Crashed, // the endpoint crashed while running the request
         Completed, // the request received a complete response, so it does not crash endpoints
-        EndpointAnswered, // the endpoint answered a later request, so it had not crashed
+        // Crashes of the endpoint before this time count against no request: it answered a later
+        // one, or it crashed because it had to reject too many.
+        EndpointCleared,
     };
 
     Kind kind = Kind::Crashed;
-    RequestIdentity request; // unset for EndpointAnswered
+    RequestIdentity request; // unset for EndpointCleared
     int partPosition = 0; // of a prompt part, counted from 1; 0 for a whole request
     EndpointInstance endpoint; // unset for Completed
-    units::Duration age{}; // since the event; for EndpointAnswered, since the request was sent
+    units::Duration age{}; // since the event; for EndpointCleared, since that time
 };
 
 } // namespace monsoongrade::routing
--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -42,7 +42,8 @@
   # Not of completed.
   endpoint @3 :Text;
   incarnation @4 :Int64;
-  # Milliseconds since it happened; of endpointAnswered, since the request was sent.
+  # Milliseconds since it happened; of endpointAnswered, since the time before which crashes of the
+  # endpoint count against no request.
   ageMs @5 :UInt64;
 
   # Of a prompt part that requests share, its position, from 1; 0 for a whole request.
@@ -51,7 +52,8 @@
   enum Kind {
     crashed @0;
     completed @1;
-    # The endpoint answered a request that was sent later, so it had not crashed.
+    # The endpoint answered a request that was sent later, so it had not crashed, or it crashed
+    # because it had to reject too many.
     endpointAnswered @2;
   }
 }
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -146,6 +146,7 @@
     ++totalSends_;
     ++sends_;
     sentAt_ = now;
+    wasBrittleWhenSent_ = endpoint_->isBrittle(now);
     sentToVersion_ = endpoint_->registration.softwareVersion;
     const std::string cacheSource = cacheSourceAddress();
     channel_->send(httpio::encodeRequestHead(request_.head.method, request_.head.target,
--- a/src/gateway/exchangeannouncements.cpp
+++ b/src/gateway/exchangeannouncements.cpp
@@ -72,6 +72,11 @@
                       {"placed-by", state_.placement.placedBy(ticket_)},
                       {"slots", std::int64_t(endpoint_->registration.slots)},
                       {"was-known", endpoint_->maxRejections ? "yes" : "no"}});
+    // Hosts that know how many the endpoint survives cause fewer, so that rejections of requests
+    // sent in that knowledge do not explain its crash.
+    if (!wasBrittleWhenSent_)
+        state_.crashes.onRejected(routing::instanceOf(endpoint_->registration),
+                                  state_.timers.now());
     const double ownShare = maxRejections / std::max(state_.liveHosts, 1);
     state_.announcements.addPause(routing::instanceOf(endpoint_->registration),
                                   routing::AdmissionWindow::pauseAfterRejection(ownShare),
@@ -122,6 +127,8 @@
 {
     const routing::EndpointInstance instance = routing::instanceOf(endpoint_->registration);
     routing::AnnouncedLimits limits{answer_.requestLimit, answer_.maxRejections};
+    if (limits.rejections)
+        state_.crashes.onBrittle(instance, state_.timers.now());
     if (answer_.provenNotRun) {
         if (!limits.hasAny())
             return;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -130,6 +130,8 @@
     }
     gossip_.onRound([this] { onGossipRound(); });
     gossip_.onLimit([this](const routing::RateLimitUpdate &update) {
+        if (update.limits.rejections)
+            state_.crashes.onBrittle(update.endpoint, timers_.now());
         state_.placement.receiveLimits(update, "gossip");
     });
     gossip_.onLeaving([this](const routing::LeavingUpdate &update) { onLeavingUpdate(update); });
--- a/src/gateway/internal/gossipmessages.cpp
+++ b/src/gateway/internal/gossipmessages.cpp
@@ -69,7 +69,7 @@
 std::optional<routing::CrashUpdate> decodeCrash(schema::CrashNews::Reader crash)
 {
     const auto kind = static_cast<std::uint16_t>(crash.getKind());
-    if (kind > static_cast<std::uint16_t>(routing::CrashUpdate::Kind::EndpointAnswered))
+    if (kind > static_cast<std::uint16_t>(routing::CrashUpdate::Kind::EndpointCleared))
         return std::nullopt; // from a newer version
     routing::CrashUpdate update;
     update.kind = static_cast<routing::CrashUpdate::Kind>(kind);
--- a/src/routing/crashtracker.cpp
+++ b/src/routing/crashtracker.cpp
@@ -15,6 +15,9 @@
 constexpr std::size_t MaxPending = 4096;
 // After this time a new process may respond under the same id before its store entry is known.
 constexpr auto MaxProofDelay = std::chrono::seconds(1);
+// By how much the times differ at which hosts notice the same crash.
+constexpr auto MaxNoticeDelay = std::chrono::milliseconds(250);
+constexpr double BlameForBrittle = 0.5;
 constexpr int RoundsPerUpdate = 6;
 constexpr auto CleanupInterval = std::chrono::seconds(10);
 
@@ -24,7 +27,8 @@
                            units::TimePoint now, int partPosition)
 {
     const CrashUpdate update{CrashUpdate::Kind::Crashed, request, partPosition, endpoint, {}};
-    if (clearIfCompleted(update, now, now) || !addCrash(update, now, now))
+    if (clearIfRejected(endpoint, now) || clearIfCompleted(update, now, now)
+        || !addCrash(update, now, now))
         return;
     records_[request].isLocallyObserved = true;
     enqueue(update, now);
@@ -40,7 +44,27 @@
 void CrashTracker::onAnswered(const EndpointInstance &endpoint, units::TimePoint sentAt)
 {
     if (clearEndpoint(endpoint, sentAt))
-        enqueue({CrashUpdate::Kind::EndpointAnswered, {}, 0, endpoint, {}}, sentAt);
+        enqueue({CrashUpdate::Kind::EndpointCleared, {}, 0, endpoint, {}}, sentAt);
+}
+
+void CrashTracker::onBrittle(const EndpointInstance &endpoint, units::TimePoint now)
+{
+    const bool wasKnown = explanations_.isBrittle(endpoint);
+    explanations_.onBrittle(endpoint, now);
+    if (wasKnown || suspects_.count(endpoint) == 0)
+        return;
+    for (auto &[request, record] : records_) {
+        for (Crash &crash : record.crashes)
+            crash.isOfBrittle = crash.isOfBrittle || crash.endpoint == endpoint;
+    }
+}
+
+void CrashTracker::onRejected(const EndpointInstance &endpoint, units::TimePoint now)
+{
+    explanations_.onRejected(endpoint, now);
+    const auto found = suspects_.find(endpoint);
+    if (found != suspects_.end())
+        clearIfRejected(endpoint, found->second.lastCrashAt);
 }
 
 void CrashTracker::receive(const CrashUpdate &update, units::TimePoint now)
@@ -50,6 +74,21 @@
         enqueue(update, at);
 }
 
+// Whether rejections to this host explain the crash. If so, the other hosts are informed.
+bool CrashTracker::clearIfRejected(const EndpointInstance &endpoint, units::TimePoint crashAt)
+{
+    if (!explanations_.hasRejectedBefore(endpoint, crashAt))
+        return false;
+    SuspectedEndpoint &suspect = suspects_[endpoint];
+    if (suspect.clearedUntil && crashAt < *suspect.clearedUntil)
+        return true;
+    suspect.lastCrashAt = std::max(suspect.lastCrashAt, crashAt);
+    suspect.clearedUntil = suspect.lastCrashAt + MaxNoticeDelay;
+    eraseCrashesOf(endpoint);
+    enqueue({CrashUpdate::Kind::EndpointCleared, {}, 0, endpoint, {}}, *suspect.clearedUntil);
+    return true;
+}
+
 // Whether this host recently completed the request. If so, the other hosts are informed.
 bool CrashTracker::clearIfCompleted(const CrashUpdate &crash, units::TimePoint at,
                                     units::TimePoint now)
@@ -75,10 +114,11 @@
 {
     switch (update.kind) {
     case CrashUpdate::Kind::Crashed:
-        return !clearIfCompleted(update, at, now) && addCrash(update, at, now);
+        return !clearIfRejected(update.endpoint, at) && !clearIfCompleted(update, at, now)
+            && addCrash(update, at, now);
     case CrashUpdate::Kind::Completed:
         return clearRequest(update.request, at);
-    case CrashUpdate::Kind::EndpointAnswered:
+    case CrashUpdate::Kind::EndpointCleared:
         return clearEndpoint(update.endpoint, at);
     }
     return false;
@@ -87,7 +127,7 @@
 bool CrashTracker::addCrash(const CrashUpdate &update, units::TimePoint at, units::TimePoint now)
 {
     SuspectedEndpoint &suspect = suspects_[update.endpoint];
-    if (suspect.knownAliveAt && at < *suspect.knownAliveAt)
+    if (suspect.clearedUntil && at < *suspect.clearedUntil)
         return false;
     suspect.lastCrashAt = std::max(suspect.lastCrashAt, at);
     if (records_.count(update.request) == 0)
@@ -98,20 +138,21 @@
         return false;
     const bool isKnown
         = std::any_of(record.crashes.begin(), record.crashes.end(),
-                      [&](const Crash &crash) { return crash.endpoint == update.endpoint; });
+                      [&](const Crash &known) { return known.endpoint == update.endpoint; });
     if (isKnown)
         return false;
+    const Crash crash{update.endpoint, at, explanations_.isBrittle(update.endpoint)};
     const auto position = std::upper_bound(
         record.crashes.begin(), record.crashes.end(), at,
-        [](units::TimePoint time, const Crash &crash) { return time < crash.at; });
+        [](units::TimePoint time, const Crash &known) { return time < known.at; });
     if (record.crashes.size() == MaxCrashesKept) {
         if (position == record.crashes.begin())
             return false;
         const auto index = position - record.crashes.begin() - 1;
         record.crashes.erase(record.crashes.begin());
-        record.crashes.insert(record.crashes.begin() + index, {update.endpoint, at});
+        record.crashes.insert(record.crashes.begin() + index, crash);
     } else {
-        record.crashes.insert(position, {update.endpoint, at});
+        record.crashes.insert(position, crash);
     }
     record.changedAt = std::max(record.changedAt, at);
     return true;
@@ -125,9 +166,15 @@
     SuspectedEndpoint &suspect = found->second;
     if (sentAt - suspect.lastCrashAt > MaxProofDelay)
         return false;
-    if (suspect.knownAliveAt && *suspect.knownAliveAt > suspect.lastCrashAt)
+    if (suspect.clearedUntil && *suspect.clearedUntil > suspect.lastCrashAt)
         return false; // already cleared
-    suspect.knownAliveAt = sentAt;
+    suspect.clearedUntil = sentAt;
+    eraseCrashesOf(endpoint);
+    return true;
+}
+
+void CrashTracker::eraseCrashesOf(const EndpointInstance &endpoint)
+{
     for (auto &[request, record] : records_) {
         auto &crashes = record.crashes;
         crashes.erase(
@@ -135,7 +182,6 @@
                            [&](const Crash &crash) { return crash.endpoint == endpoint; }),
             crashes.end());
     }
-    return true;
 }
 
 bool CrashTracker::clearRequest(const RequestIdentity &request, units::TimePoint at)
@@ -155,11 +201,25 @@
     return hasCleared;
 }
 
+double CrashTracker::blameFor(const Crash &crash)
+{
+    return crash.isOfBrittle ? BlameForBrittle : 1;
+}
+
+double CrashTracker::blameOf(const Record &record)
+{
+    double blame = 0;
+    for (const Crash &crash : record.crashes)
+        blame += blameFor(crash);
+    return blame;
+}
+
 std::optional<units::TimePoint> CrashTracker::quarantineEnd(const Record &record)
 {
-    if (record.crashes.size() < CrashesToQuarantine)
+    const auto blame = std::size_t(blameOf(record));
+    if (blame < CrashesToQuarantine)
         return std::nullopt;
-    const auto doublings = record.crashes.size() - CrashesToQuarantine;
+    const auto doublings = blame - CrashesToQuarantine;
     return record.crashes.back().at + units::Duration(InitialQuarantine) * (1 << doublings);
 }
 
@@ -176,17 +236,17 @@
 {
     if (part.partPosition == 0)
         return false;
-    const auto explained
-        = std::count_if(part.crashes.begin(), part.crashes.end(),
-                        [&](const Crash &crash) { return isExplainedElsewhere(crash, part); });
-    return part.crashes.size() - std::size_t(explained) < CrashesToQuarantine;
+    double blame = 0;
+    for (const Crash &crash : part.crashes)
+        blame += isExplainedElsewhere(crash, part) ? 0 : blameFor(crash);
+    return blame < CrashesToQuarantine;
 }
 
 bool CrashTracker::isExplainedElsewhere(const Crash &crash, const Record &part) const
 {
     return std::any_of(records_.begin(), records_.end(), [&](const auto &each) {
         const Record &other = each.second;
-        return other.partPosition > part.partPosition && other.crashes.size() >= CrashesToQuarantine
+        return other.partPosition > part.partPosition && blameOf(other) >= CrashesToQuarantine
             && std::any_of(other.crashes.begin(), other.crashes.end(),
                            [&](const Crash &its) { return its.endpoint == crash.endpoint; });
     });
@@ -245,7 +305,7 @@
     for (std::size_t left = std::min(maxItems, pending_.size()); left > 0; --left) {
         PendingUpdate next = std::move(pending_.front());
         pending_.pop_front();
-        next.update.age = now - next.at;
+        next.update.age = std::max<units::Duration>(now - next.at, units::Duration::zero());
         updates.push_back(next.update);
         if (--next.roundsLeft > 0)
             pending_.push_back(std::move(next));
@@ -302,6 +362,7 @@
     if (now < nextCleanupAt_)
         return;
     nextCleanupAt_ = now + CleanupInterval;
+    explanations_.removeOutdated(now);
     for (auto entry = records_.begin(); entry != records_.end();) {
         // After a quarantine the record is kept once more, so that a single further crash in this
         // time quarantines the request again.
--- a/tests/adapter/brittleendpoints_test.cpp
+++ b/tests/adapter/brittleendpoints_test.cpp
@@ -1,5 +1,10 @@
 #include "announcingworkers.h"
 
+#include <array>
+#include <memory>
+#include <string>
+#include <vector>
+
 using namespace monsoongrade;
 using namespace monsoongrade::platform;
 using std::chrono::milliseconds;
@@ -32,8 +37,83 @@
     return rejections(fixture, path);
 }
 
+// Workers that hold the first request, and crash because they have to reject the second one. They
+// are back at once as new processes, and sound after each has crashed.
+struct OverwhelmedWorkers : GatewayFixture
+{
+    OverwhelmedWorkers()
+    {
+        store.put("config", "main", operatorConfiguration());
+        for (std::size_t i = 0; i < Workers; ++i) {
+            peers_.push_back(std::make_unique<standins::RawPeer>(
+                io, [this, i](standins::RawConnection &connection, const std::string &text, int) {
+                    respond(i, connection, standins::headerIn(text, "Attempt-Id"));
+                }));
+            announceWorker(i);
+        }
+        start();
+        REQUIRE(awaitServing(Workers));
+    }
+
+    static constexpr std::size_t Workers = 7;
+    std::size_t crashes = 0;
+
+private:
+    void announceWorker(std::size_t index)
+    {
+        announce("p" + std::to_string(index) + "-" + std::to_string(crashes), "plain",
+                 peers_[index]->address());
+    }
+    void respond(std::size_t index, standins::RawConnection &connection, const std::string &id)
+    {
+        if (crashes == Workers) {
+            connection.write(workerResponse(id, "fine"));
+            return;
+        }
+        if (!isHolding_[index]) {
+            isHolding_[index] = true;
+            return;
+        }
+        if (hasCrashed_[index])
+            return;
+        hasCrashed_[index] = true;
+        connection.write("HTTP/1.1 503 Unavailable\r\nAttempt-Id: " + id
+                         + "\r\nNot-Executed: 1\r\nServer-Brittle: 0\r\n"
+                           "Content-Length: 0\r\n\r\n");
+        ++crashes;
+        for (const auto &other : peers_[index]->all()) {
+            if (other.get() == &connection)
+                other->closeGracefully();
+            else
+                other->reset();
+        }
+        store.remove("servers", "p" + std::to_string(index) + "-0");
+        announceWorker(index);
+    }
+
+    std::vector<std::unique_ptr<standins::RawPeer>> peers_;
+    std::array<bool, Workers> isHolding_{};
+    std::array<bool, Workers> hasCrashed_{};
+};
+
 } // namespace
 
+// Guards against refusing a sound request that many callers send after workers crashed because they
+// had to reject it too often.
+TEST_CASE("BrittleEndpoints.RequestsThatRanBesideRejectionsAreServedAfterCrashes")
+{
+    OverwhelmedWorkers fixture;
+    std::vector<std::shared_ptr<RawClient>> clients;
+    for (int i = 0; i < 60; ++i) {
+        clients.push_back(fixture.connect());
+        clients.back()->send(request("GET", "/unsafe/same", "c" + std::to_string(i)));
+    }
+    REQUIRE(fixture.runUntil([&] { return fixture.crashes == OverwhelmedWorkers::Workers; }));
+    fixture.runFor(milliseconds(500));
+    CHECK(fixture.gateway->state().crashes.quarantinedCount(fixture.timers.now()) == 0);
+    CHECK(fixture.call(request("GET", "/unsafe/same", "last"))->status() == 200);
+}
+
 // Guards against a plain endpoint that falls over because it has to reject too many requests.
 TEST_CASE("BrittleEndpoints.PlainEndpointRejectsNoMoreThanItBears")
 {
