A completion protects a request on every host

The others cleared what they had counted until then, and forgot a completion of a request that they did not know yet.

Why it works: each host that is told of a completion keeps it, and no crash in the next 30 s counts against the request there.

CrashTracker.CompletionProtectsARequestAfterItsHostIsGone and CompletionIsKeptForCrashesThatArriveLater failed before.

--- a/src/routing/crashtracker.cpp
+++ b/src/routing/crashtracker.cpp
@@ -11,6 +11,10 @@
 constexpr auto InitialQuarantine = std::chrono::minutes(10);
 // Also limits the time in quarantine, which each further crash doubles.
 constexpr std::size_t MaxCrashesKept = 10;
+// A request that was completed crashes no endpoint for this time: many callers send the same one,
+// and the loss of several endpoints must not quarantine it. Also holds where the host that saw the
+// completion is gone.
+constexpr auto ProtectionAfterCompletion = std::chrono::seconds(30);
 constexpr std::size_t MaxRecords = 4096;
 constexpr std::size_t MaxPending = 4096;
 // After this time a new process may respond under the same id before its store entry is known.
@@ -117,6 +121,9 @@
         return !clearIfRejected(update.endpoint, at) && !clearIfCompleted(update, at, now)
             && addCrash(update, at, now);
     case CrashUpdate::Kind::Completed:
+        if (records_.count(update.request) == 0)
+            evictIfFull(now);
+        records_.try_emplace(update.request);
         return clearRequest(update.request, at);
     case CrashUpdate::Kind::EndpointCleared:
         return clearEndpoint(update.endpoint, at);
@@ -134,7 +141,7 @@
         evictIfFull(now);
     Record &record = records_[update.request];
     record.partPosition = std::max(record.partPosition, update.partPosition);
-    if (record.completedAt && at <= *record.completedAt)
+    if (record.completedAt && at <= *record.completedAt + ProtectionAfterCompletion)
         return false;
     const bool isKnown
         = std::any_of(record.crashes.begin(), record.crashes.end(),
@@ -194,8 +201,10 @@
         return false;
     record.completedAt = at;
     record.changedAt = std::max(record.changedAt, at);
-    const auto firstLater = std::find_if(record.crashes.begin(), record.crashes.end(),
-                                         [at](const Crash &crash) { return crash.at > at; });
+    const units::TimePoint protectedUntil = at + ProtectionAfterCompletion;
+    const auto firstLater
+        = std::find_if(record.crashes.begin(), record.crashes.end(),
+                       [&](const Crash &crash) { return crash.at > protectedUntil; });
     const bool hasCleared = firstLater != record.crashes.begin();
     record.crashes.erase(record.crashes.begin(), firstLater);
     return hasCleared;
--- a/tests/routing/crashtracker_test.cpp
+++ b/tests/routing/crashtracker_test.cpp
@@ -153,6 +153,40 @@
     CHECK(hosts.isQuarantined(2));
 }
 
+// Guards against a quarantine of a request whose completion only a host saw that is gone.
+TEST_CASE("CrashTracker.CompletionProtectsARequestAfterItsHostIsGone")
+{
+    Hosts hosts(3);
+    hosts.crash(1, 0);
+    hosts.gossip();
+    hosts.trackers[0].onCompleted(Fatal, hosts.now);
+    hosts.gossip();
+    hosts.trackers[0] = CrashTracker();
+    hosts.now += seconds(10);
+    for (int endpoint = 1; endpoint < 4; ++endpoint)
+        hosts.crash(1 + std::size_t(endpoint % 2), endpoint);
+    for (int round = 0; round < 4; ++round)
+        hosts.gossip();
+    for (std::size_t host = 0; host < 3; ++host)
+        CHECK_FALSE(hosts.isQuarantined(host));
+    // Not for good: a new version of the engine may crash under it.
+    hosts.now += minutes(1);
+    for (int endpoint = 10; endpoint < 13; ++endpoint)
+        hosts.crash(1, endpoint);
+    hosts.gossip();
+    CHECK(hosts.isQuarantined(2));
+}
+
+// Guards against a quarantine because the completion arrived before the crash that it clears.
+TEST_CASE("CrashTracker.CompletionIsKeptForCrashesThatArriveLater")
+{
+    Hosts hosts(1);
+    hosts.trackers[0].receive({CrashUpdate::Kind::Completed, Fatal, 0, {}, {}}, hosts.now);
+    for (int endpoint = 0; endpoint < 3; ++endpoint)
+        hosts.crash(0, endpoint);
+    CHECK_FALSE(hosts.isQuarantined(0));
+}
+
 // Guards against quarantines after connections broke for another reason, as in a network fault.
 TEST_CASE("CrashTracker.EndpointThatRespondsLaterIsNotCountedAsCrashed")
 {
