Bytes that are no response are not a crash

A request was quarantined if three faulty endpoints sent it bytes that are no response.

Cause: a malformed response was handled like a broken connection, which counts as a crash of the endpoint under the request.

Why it works: an endpoint that sends bytes runs. The connection is closed and the request may have run, as before; if the endpoint crashes after that, its other connections show it.

CrashingRequests.BytesThatAreNoResponseQuarantineNothing guards it.

--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -28,7 +28,8 @@
     const bool isUnsent = failure == httpio::ChannelFailure::NothingSent
         || failure == httpio::ChannelFailure::NotConnected;
     dropChannel();
-    if (!isUnsent)
+    // An endpoint that sends bytes which are no response is faulty, but has not crashed.
+    if (!isUnsent && failure != httpio::ChannelFailure::Malformed)
         recordCrash();
     onEndpointFailure();
     if (isUnsent) {
--- a/tests/adapter/crashingrequests_test.cpp
+++ b/tests/adapter/crashingrequests_test.cpp
@@ -83,6 +83,29 @@
     CHECK(fixture.crashes() > before);
 }
 
+// Guards against a quarantine of requests to which faulty workers sent bytes that are no response.
+TEST_CASE("CrashingRequests.BytesThatAreNoResponseQuarantineNothing")
+{
+    GatewayFixture fixture;
+    fixture.store.put("config", "main", operatorConfiguration());
+    int garbled = 0;
+    standins::RawPeer worker(
+        fixture.io, [&](standins::RawConnection &connection, const std::string &, int) {
+            ++garbled;
+            connection.write("this is no response\r\n\r\n");
+            fixture.announce("garbling", "plain", worker.address(), garbled + 1);
+        });
+    fixture.announce("garbling", "plain", worker.address());
+    fixture.start();
+    REQUIRE(fixture.awaitServing(1));
+    for (int attempt = 0; attempt < 2 * MaxCrashes; ++attempt) {
+        fixture.call(request("GET", "/safe/a", "g" + std::to_string(attempt)));
+        fixture.runFor(std::chrono::milliseconds(100));
+    }
+    CHECK(garbled >= MaxCrashes);
+    CHECK(fixture.gateway->state().crashes.size() == 0);
+}
+
 namespace {
 
 // The crash state of one host and its persistence in the store, without a gateway.
