Deleting a quarantine's object lifts it at running hosts

What operators saw: no way to end a quarantine before its time; deleting its object in the store changed nothing, as the hosts have it in memory.

Cause: the store was read at the start of a host only.

Why it works: hosts that saved or loaded a quarantine list the store every 5 s while it is in force. One that is missing is looked for by itself, as a list may be older, and lifted only if the store says that it is gone. A part's lift also clears the parts before it, which would be quarantined in its place.

CrashTracker.Lift* and CrashingRequests.DeletedQuarantineIsLiftedAtRunningHosts and StoredCrashesOfBrittleEndpointsCountHalf guard it; the interface is new.

--- a/include/monsoongrade/routing/crashtracker.h
+++ b/include/monsoongrade/routing/crashtracker.h
@@ -52,6 +52,8 @@
     void onBrittle(const EndpointInstance &endpoint, units::TimePoint now);
     // The endpoint rejected a request that this host had sent without regard to that number.
     void onRejected(const EndpointInstance &endpoint, units::TimePoint now);
+    // Ends the quarantine on all hosts. Crashes from now on count again.
+    void lift(const RequestIdentity &request, units::TimePoint now);
     // Applies an update from another host. Updates may arrive repeatedly and in any order.
     void receive(const CrashUpdate &update, units::TimePoint now);
 
@@ -74,6 +76,9 @@
     std::vector<CrashUpdate> quarantineUpdates(std::size_t maxItems, units::TimePoint now) const;
 
 private:
+    // Also limits the time in quarantine, which each further crash doubles.
+    static constexpr std::size_t MaxCrashesKept = 10;
+
     struct Crash
     {
         EndpointInstance endpoint;
@@ -107,6 +112,7 @@
     static std::optional<units::TimePoint> quarantineEnd(const Record &record);
     bool isQuarantined(const Record &record, units::TimePoint now) const;
     bool isExplained(const Record &part) const;
+    bool isQuarantineHidden(const Record &part) const;
     bool isExplainedElsewhere(const Crash &crash, const Record &part) const;
     static void appendCrashes(const Records::value_type &record, std::vector<CrashUpdate> &updates,
                               units::TimePoint now);
--- a/include/monsoongrade/routing/crashupdate.h
+++ b/include/monsoongrade/routing/crashupdate.h
@@ -25,6 +25,7 @@
     int partPosition = 0; // of a prompt part, counted from 1; 0 for a whole request
     EndpointInstance endpoint; // unset for Completed
     units::Duration age{}; // since the event; for EndpointCleared, since that time
+    bool isOfBrittle = false; // the endpoint is known to survive only so many rejections
 };
 
 } // namespace monsoongrade::routing
--- a/src/gateway/quarantinepersister.cpp
+++ b/src/gateway/quarantinepersister.cpp
@@ -1,11 +1,16 @@
 #include <monsoongrade/gateway/quarantinepersister.h>
 
+#include <monsoongrade/observability/log.h>
+
+#include <algorithm>
+
 namespace monsoongrade::gateway {
 
 namespace {
 
 constexpr auto RoundInterval = std::chrono::seconds(1);
 constexpr auto ReadRetryInterval = std::chrono::seconds(2);
+constexpr auto CheckInterval = std::chrono::seconds(5);
 
 } // namespace
 
@@ -21,6 +26,7 @@
 {
     read();
     round();
+    timers_.after(CheckInterval, [this] { check(); });
 }
 
 void QuarantinePersister::read()
@@ -42,7 +48,9 @@
         requests.insert(update.request);
     }
     for (const routing::RequestIdentity &request : requests) {
-        if (!crashes_.quarantineRemaining(request, now))
+        if (crashes_.quarantineRemaining(request, now))
+            stored_.insert(request);
+        else
             store_.remove(request); // the quarantine has expired
     }
 }
@@ -54,7 +62,9 @@
         if (!saved_.insert(request).second)
             continue;
         store_.save(request, crashes_.crashesOf(request, now), [this, request](bool isSaved) {
-            if (!isSaved)
+            if (isSaved)
+                stored_.insert(request);
+            else
                 saved_.erase(request); // retried in the next round
         });
     }
@@ -66,7 +76,56 @@
         store_.remove(*request);
         request = saved_.erase(request);
     }
+    dropEnded();
     timers_.after(RoundInterval, [this] { round(); });
 }
 
+void QuarantinePersister::dropEnded()
+{
+    const units::TimePoint now = timers_.now();
+    for (auto request = stored_.begin(); request != stored_.end();) {
+        const bool isInForce = crashes_.quarantineRemaining(*request, now).has_value();
+        request = isInForce ? std::next(request) : stored_.erase(request);
+    }
+}
+
+void QuarantinePersister::check()
+{
+    timers_.after(CheckInterval, [this] { check(); });
+    if (stored_.empty())
+        return;
+    store_.readAll([this](const std::optional<std::vector<routing::CrashUpdate>> &kept) {
+        if (kept)
+            checkEach(*kept);
+    });
+}
+
+// The list may be older than the request in it, so one that is missing is looked for by itself.
+void QuarantinePersister::checkEach(const std::vector<routing::CrashUpdate> &kept)
+{
+    const std::set<routing::RequestIdentity> expected = stored_;
+    for (const routing::RequestIdentity &request : expected) {
+        const bool isListed
+            = std::any_of(kept.begin(), kept.end(), [&](const routing::CrashUpdate &update) {
+                  return update.request == request;
+              });
+        if (!isListed)
+            store_.find(request, [this, request](std::optional<bool> isStored) {
+                if (isStored == false)
+                    liftIfGone(request);
+            });
+    }
+}
+
+void QuarantinePersister::liftIfGone(const routing::RequestIdentity &request)
+{
+    if (stored_.erase(request) == 0)
+        return; // it ended meanwhile
+    saved_.erase(request);
+    crashes_.lift(request, timers_.now());
+    observability::log(observability::LogLevel::Info, "quarantine-lifted",
+                       {{"digest", routing::digestText(request.digest)},
+                        {"workspace", request.workspace.value()}});
+}
+
 } // namespace monsoongrade::gateway
--- a/src/routing/crashtracker.cpp
+++ b/src/routing/crashtracker.cpp
@@ -9,20 +9,16 @@
 // A record is removed after this time without a change, unless its request is quarantined.
 constexpr auto RecordRetention = std::chrono::minutes(10);
 constexpr auto InitialQuarantine = std::chrono::minutes(10);
-// Also limits the time in quarantine, which each further crash doubles.
-constexpr std::size_t MaxCrashesKept = 10;
 // A request that was completed crashes no endpoint for this time: many callers send the same one,
 // and the loss of several endpoints must not quarantine it. Also holds where the host that saw the
 // completion is gone.
 constexpr auto ProtectionAfterCompletion = std::chrono::seconds(30);
 constexpr std::size_t MaxRecords = 4096;
-constexpr std::size_t MaxPending = 4096;
 // After this time a new process may respond under the same id before its store entry is known.
 constexpr auto MaxProofDelay = std::chrono::seconds(1);
 // By how much the times differ at which hosts notice the same crash.
 constexpr auto MaxNoticeDelay = std::chrono::milliseconds(250);
 constexpr double BlameForBrittle = 0.5;
-constexpr int RoundsPerUpdate = 6;
 constexpr auto CleanupInterval = std::chrono::seconds(10);
 
 } // namespace
@@ -148,7 +144,8 @@
                       [&](const Crash &known) { return known.endpoint == update.endpoint; });
     if (isKnown)
         return false;
-    const Crash crash{update.endpoint, at, explanations_.isBrittle(update.endpoint)};
+    const Crash crash{update.endpoint, at,
+                      update.isOfBrittle || explanations_.isBrittle(update.endpoint)};
     const auto position = std::upper_bound(
         record.crashes.begin(), record.crashes.end(), at,
         [](units::TimePoint time, const Crash &known) { return time < known.at; });
@@ -251,6 +248,11 @@
     return blame < CrashesToQuarantine;
 }
 
+bool CrashTracker::isQuarantineHidden(const Record &part) const
+{
+    return blameOf(part) >= CrashesToQuarantine && isExplained(part);
+}
+
 bool CrashTracker::isExplainedElsewhere(const Crash &crash, const Record &part) const
 {
     return std::any_of(records_.begin(), records_.end(), [&](const auto &each) {
@@ -261,6 +263,26 @@
     });
 }
 
+// A lift clears what has been counted, and protects the request from nothing.
+void CrashTracker::lift(const RequestIdentity &request, units::TimePoint now)
+{
+    const auto found = records_.find(request);
+    if (found == records_.end())
+        return;
+    std::vector<RequestIdentity> lifted{request};
+    for (const auto &[other, record] : records_) {
+        const bool isExplainedByIt = record.partPosition > 0
+            && record.partPosition < found->second.partPosition && isQuarantineHidden(record);
+        if (isExplainedByIt)
+            lifted.push_back(other);
+    }
+    const units::TimePoint at = now - ProtectionAfterCompletion;
+    for (const RequestIdentity &each : lifted) {
+        if (clearRequest(each, at))
+            enqueue({CrashUpdate::Kind::Completed, each, 0, {}, {}}, at);
+    }
+}
+
 std::optional<units::Duration> CrashTracker::quarantineRemaining(const RequestIdentity &request,
                                                                  units::TimePoint now) const
 {
@@ -288,70 +310,6 @@
     return requests;
 }
 
-std::vector<CrashUpdate> CrashTracker::crashesOf(const RequestIdentity &request,
-                                                 units::TimePoint now) const
-{
-    std::vector<CrashUpdate> updates;
-    const auto found = records_.find(request);
-    if (found != records_.end())
-        appendCrashes(*found, updates, now);
-    return updates;
-}
-
-// New updates are sent before those that have been sent already: after a crash there are more than
-// fit in one datagram.
-void CrashTracker::enqueue(const CrashUpdate &update, units::TimePoint at)
-{
-    if (pending_.size() >= MaxPending)
-        pending_.pop_back();
-    pending_.push_front({update, at, RoundsPerUpdate});
-}
-
-std::vector<CrashUpdate> CrashTracker::takeUpdates(std::size_t maxItems, units::TimePoint now)
-{
-    removeOutdated(now);
-    std::vector<CrashUpdate> updates;
-    for (std::size_t left = std::min(maxItems, pending_.size()); left > 0; --left) {
-        PendingUpdate next = std::move(pending_.front());
-        pending_.pop_front();
-        next.update.age = std::max<units::Duration>(now - next.at, units::Duration::zero());
-        updates.push_back(next.update);
-        if (--next.roundsLeft > 0)
-            pending_.push_back(std::move(next));
-    }
-    const auto findQuarantined = [&](Records::const_iterator first, Records::const_iterator last) {
-        return std::find_if(
-            first, last, [this, now](const auto &each) { return isQuarantined(each.second, now); });
-    };
-    auto resent = findQuarantined(records_.upper_bound(lastResent_), records_.end());
-    if (resent == records_.end())
-        resent = findQuarantined(records_.begin(), records_.end());
-    if (resent != records_.end() && updates.size() + MaxCrashesKept <= maxItems) {
-        lastResent_ = resent->first;
-        appendCrashes(*resent, updates, now);
-    }
-    return updates;
-}
-
-std::vector<CrashUpdate> CrashTracker::quarantineUpdates(std::size_t maxItems,
-                                                         units::TimePoint now) const
-{
-    std::vector<CrashUpdate> updates;
-    for (const auto &record : records_) {
-        if (isQuarantined(record.second, now) && updates.size() + MaxCrashesKept <= maxItems)
-            appendCrashes(record, updates, now);
-    }
-    return updates;
-}
-
-void CrashTracker::appendCrashes(const Records::value_type &record,
-                                 std::vector<CrashUpdate> &updates, units::TimePoint now)
-{
-    for (const Crash &crash : record.second.crashes)
-        updates.push_back({CrashUpdate::Kind::Crashed, record.first, record.second.partPosition,
-                           crash.endpoint, now - crash.at});
-}
-
 // Evicts the record that has been unchanged for the longest time, quarantined ones last.
 void CrashTracker::evictIfFull(units::TimePoint now)
 {
--- a/tests/adapter/crashingrequests_test.cpp
+++ b/tests/adapter/crashingrequests_test.cpp
@@ -2,6 +2,8 @@
 
 #include <monsoongrade/gateway/quarantinepersister.h>
 
+#include <monsoongrade/units/stablehash.h>
+
 #include <platform/quarantineobjectstore.h>
 
 #include <doctest/doctest.h>
@@ -119,11 +121,17 @@
     {
     }
 
-    void crash(int endpoint)
+    static routing::EndpointInstance endpointNumber(int endpoint)
+    {
+        return {units::EndpointId(std::to_string(endpoint)), routing::Incarnation(1)};
+    }
+    void crash(int endpoint) { crashes.onCrash(request, endpointNumber(endpoint), timers.now()); }
+    // As in the name of the request's object.
+    std::string nameOfWorkspace() const
     {
-        crashes.onCrash(request,
-                        {units::EndpointId(std::to_string(endpoint)), routing::Incarnation(1)},
-                        timers.now());
+        units::StableHash workspace;
+        workspace.add(request.workspace.value());
+        return routing::digestText(routing::RequestDigest(workspace.value()));
     }
     bool isQuarantined() { return crashes.quarantineRemaining(request, timers.now()).has_value(); }
 
@@ -156,6 +164,48 @@
     CHECK(fixture.runUntil([&] { return started.isQuarantined(); }));
 }
 
+// Guards against a quarantine that stays in force at running hosts when an operator deletes it.
+TEST_CASE("CrashingRequests.DeletedQuarantineIsLiftedAtRunningHosts")
+{
+    GatewayFixture fixture;
+    QuarantineHost saving(fixture);
+    saving.persister.start();
+    for (int endpoint = 0; endpoint < MaxCrashes; ++endpoint)
+        saving.crash(endpoint);
+    fixture.runFor(std::chrono::milliseconds(1500));
+    QuarantineHost loading(fixture);
+    loading.persister.start();
+    REQUIRE(fixture.runUntil([&] { return loading.isQuarantined(); }));
+    // Not while the store can't be read, nor because a list is older than the quarantine.
+    fixture.store.setBehavior(standins::StoreBehavior::Refusing);
+    fixture.runFor(std::chrono::milliseconds(5500));
+    CHECK(saving.isQuarantined());
+    CHECK(loading.isQuarantined());
+    fixture.store.setBehavior(standins::StoreBehavior::Normal);
+    fixture.store.remove("quarantined-requests", "fedcba9876543210-" + saving.nameOfWorkspace());
+    CHECK(fixture.runUntil([&] { return !saving.isQuarantined() && !loading.isQuarantined(); },
+                           std::chrono::seconds(10)));
+}
+
+// Guards against a longer quarantine after a restart of all hosts, as crashes of brittle endpoints
+// would count in full.
+TEST_CASE("CrashingRequests.StoredCrashesOfBrittleEndpointsCountHalf")
+{
+    GatewayFixture fixture;
+    QuarantineHost lost(fixture);
+    lost.persister.start();
+    for (int endpoint = 0; endpoint < 2 * MaxCrashes; ++endpoint) {
+        lost.crashes.onBrittle(QuarantineHost::endpointNumber(endpoint), lost.timers.now());
+        lost.crash(endpoint);
+    }
+    fixture.runFor(std::chrono::milliseconds(1500));
+    QuarantineHost started(fixture);
+    started.persister.start();
+    REQUIRE(fixture.runUntil([&] { return started.isQuarantined(); }));
+    CHECK(*started.crashes.quarantineRemaining(started.request, started.timers.now())
+          <= std::chrono::minutes(10));
+}
+
 // Guards against refusing a request after a restart although its quarantine was cleared before.
 TEST_CASE("CrashingRequests.ClearedQuarantineIsRemovedFromTheStore")
 {
--- a/tests/routing/crashtracker_test.cpp
+++ b/tests/routing/crashtracker_test.cpp
@@ -280,6 +280,41 @@
     CHECK(hosts.isQuarantined(2));
 }
 
+// Guards against a quarantine that an operator can't end, or that protects the request for good.
+TEST_CASE("CrashTracker.LiftEndsTheQuarantineOnAllHosts")
+{
+    Hosts hosts(3);
+    for (int endpoint = 0; endpoint < 3; ++endpoint)
+        hosts.crash(0, endpoint);
+    hosts.gossip();
+    REQUIRE(hosts.isQuarantined(2));
+    hosts.trackers[1].lift(Fatal, hosts.now);
+    for (int round = 0; round < 10; ++round)
+        hosts.gossip();
+    for (std::size_t host = 0; host < 3; ++host)
+        CHECK_FALSE(hosts.isQuarantined(host));
+    for (int endpoint = 10; endpoint < 13; ++endpoint)
+        hosts.crash(0, endpoint);
+    CHECK(hosts.isQuarantined(0));
+}
+
+// Guards against the quarantine of another part in place of the one that an operator has lifted.
+TEST_CASE("CrashTracker.LiftOfAPartAlsoClearsThePartsBeforeIt")
+{
+    CrashTracker tracker;
+    const units::TimePoint now{hours(1)};
+    const RequestIdentity before = requestNumber(2);
+    const RequestIdentity last = requestNumber(3);
+    for (int endpoint = 0; endpoint < 3; ++endpoint) {
+        tracker.onCrash(before, endpointNumber(endpoint), now, 1);
+        tracker.onCrash(last, endpointNumber(endpoint), now, 2);
+    }
+    REQUIRE(tracker.quarantineRemaining(last, now));
+    REQUIRE_FALSE(tracker.quarantineRemaining(before, now));
+    tracker.lift(last, now);
+    CHECK(tracker.quarantinedCount(now) == 0);
+}
+
 // Guards against memory use that grows with the number of requests running during crashes.
 TEST_CASE("CrashTracker.RecordsAreBoundedAndQuarantinedOnesEvictedLast")
 {
