A request's connection is returned on every way out

Why it works: HeldConnection owns the connection and returns it when it is reset or destroyed: for reuse if nothing was sent, closed otherwise. The request gives it up with its endpoint.

--- a/include/monsoongrade/gateway/endpointconnections.h
+++ b/include/monsoongrade/gateway/endpointconnections.h
@@ -22,7 +22,7 @@
 
 // Pools connections to endpoints. They stay open between requests, because a new connection costs a
 // round trip and processing time at the endpoint. Every channel passed to an AcquireHandler must be
-// passed to release() or discard().
+// passed to release() or discard(); HeldConnection does so.
 class EndpointConnections
 {
 public:
@@ -54,6 +54,10 @@
 
     std::size_t opened() const { return opened_; }
     std::size_t idle() const;
+    // Connections to the endpoint that are idle, in use and connecting.
+    int open(const routing::EndpointStatus &endpoint) const;
+    // Expires when this object is destroyed.
+    std::weak_ptr<const void> lifetime() const { return lifetime_; }
 
 private:
     struct Idle
@@ -79,6 +83,7 @@
     ConnectObserver connectObserver_;
     std::map<std::string, PerEndpoint> endpoints_;
     std::size_t opened_ = 0;
+    std::shared_ptr<const void> lifetime_ = std::make_shared<char>();
 };
 
 } // namespace monsoongrade::gateway
--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -4,6 +4,7 @@
 #include <monsoongrade/gateway/eventrelay.h>
 #include <monsoongrade/gateway/forwardedrequest.h>
 #include <monsoongrade/gateway/gatewaystate.h>
+#include <monsoongrade/gateway/heldconnection.h>
 #include <monsoongrade/httpio/server.h>
 #include <monsoongrade/routing/admission.h>
 #include <monsoongrade/routing/failuredecision.h>
@@ -164,7 +165,7 @@
     std::int64_t tokensToRead_ = 0;
     units::Duration expectedFirstEvent_{}; // 0: unknown
     units::EndpointId cacheSource_; // endpoint to copy cached prompt parts from; empty: none
-    std::shared_ptr<httpio::Channel> channel_;
+    HeldConnection channel_;
     units::TimePoint sentAt_;
     bool wasBrittleWhenSent_ = false; // as far as this host knew
     units::SoftwareVersion sentToVersion_;
--- a/src/gateway/endpointconnections.cpp
+++ b/src/gateway/endpointconnections.cpp
@@ -160,6 +160,12 @@
     return count;
 }
 
+int EndpointConnections::open(const routing::EndpointStatus &endpoint) const
+{
+    const auto found = endpoints_.find(keyOf(endpoint));
+    return found == endpoints_.end() ? 0 : found->second.open;
+}
+
 void EndpointConnections::onClosed(const std::string &key, const httpio::Channel *channel)
 {
     const auto found = endpoints_.find(key);
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -97,7 +97,7 @@
 void Exchange::onConnection(ConnectOutcome outcome, std::shared_ptr<httpio::Channel> channel)
 {
     if (outcome == ConnectOutcome::Connected) {
-        channel_ = std::move(channel);
+        channel_ = HeldConnection(state_.connections, endpoint_, std::move(channel));
         send();
         return;
     }
@@ -149,9 +149,9 @@
     wasBrittleWhenSent_ = endpoint_->isBrittle(now);
     sentToVersion_ = endpoint_->registration.softwareVersion;
     const std::string cacheSource = cacheSourceAddress();
-    channel_->send(httpio::encodeRequestHead(request_.head.method, request_.head.target,
-                                             endpointHeaders(cacheSource), request_.body->size()),
-                   request_.body, *this);
+    channel_.send(httpio::encodeRequestHead(request_.head.method, request_.head.target,
+                                            endpointHeaders(cacheSource), request_.body->size()),
+                  request_.body, *this);
     if (!cacheSource.empty())
         countCacheCopy();
     const auto readTime = std::chrono::milliseconds(2 * tokensToRead_ / PrefillTokensPerMs);
@@ -251,7 +251,7 @@
     }
     reply_->write(collected_);
     collected_.clear();
-    internal::throttleIfBacklogged(*reply_, channel_);
+    internal::throttleIfBacklogged(*reply_, channel_.channel());
 }
 
 void Exchange::relay(std::string_view bytes)
@@ -280,7 +280,7 @@
     if (route_->mayRunTwice())
         startSilenceTimer(
             std::max<units::Duration>(std::chrono::milliseconds(700), route_->maxEventGap * 5 / 2));
-    internal::throttleIfBacklogged(*reply_, channel_);
+    internal::throttleIfBacklogged(*reply_, channel_.channel());
 }
 
 // Counts a request once, even if several endpoints began to run it.
--- a/src/gateway/exchangecompletion.cpp
+++ b/src/gateway/exchangecompletion.cpp
@@ -45,8 +45,7 @@
     reply_->end();
     endpoint_->health.onSuccess(state_.timers.now());
     recordCompletion();
-    state_.connections.release(*endpoint_, channel_, answer_.idleTimeout);
-    channel_.reset();
+    channel_.release(answer_.idleTimeout);
     releaseEndpoint(routing::PlacementEvent::Completed);
     finish("completed", responseHead_.status, units::ResultCode::Ok);
 }
@@ -56,8 +55,7 @@
 {
     const units::TimePoint now = state_.timers.now();
     const int status = responseHead_.status;
-    state_.connections.release(*endpoint_, channel_, answer_.idleTimeout);
-    channel_.reset();
+    channel_.release(answer_.idleTimeout);
     if (answer_.provenNotRun || answer_.wrongEndpoint) {
         endpoint_->health.onErrorResponse(now);
         if (answer_.wrongEndpoint) {
--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -281,6 +281,7 @@
 {
     state_.timers.cancel(silenceTimer_);
     state_.timers.cancel(suspicionTimer_);
+    channel_.reset();
     endpoint_.reset();
 }
 
@@ -320,14 +321,12 @@
 // Nothing was sent on the connection, so it can be reused.
 void Exchange::releaseUnusedChannel()
 {
-    state_.connections.release(*endpoint_, channel_, std::nullopt);
     channel_.reset();
 }
 
 void Exchange::dropChannel()
 {
-    state_.connections.discard(*endpoint_, channel_);
-    channel_.reset();
+    channel_.discard();
 }
 
 void Exchange::finish(std::string_view outcome, int status, units::ResultCode reason)
