A host that has just started retries nothing for one window

Cause: retries are counted in the memory of each process. One that starts again had its whole share at once, and of the whole limit until it knew other hosts.

Why it works: what an earlier process has spent lies before the start, and is out of the window when the new one begins to spend. The others keep their shares, as the limit is divided by live hosts as before. First sends are not held up. The log says retries-withheld at the start.

Cost: a request whose endpoint fails gets no second send from such a host. The fixture of adapter tests starts hosts as if they had run for two windows; RetryBudget.NewProcessSpendsNothingInTheWindowOfTheEarlierOne starts a new one. RetryAllowance.NothingIsSpentWithinAWindowAfterTheStart guards the decision. RetryBudget.* fails without it.

--- a/include/monsoongrade/gateway/gatewaystate.h
+++ b/include/monsoongrade/gateway/gatewaystate.h
@@ -51,6 +51,7 @@
                  PlacementService::Settings placementSettings,
                  const StreamVersionService::Settings &streamVersionSettings)
         : timers(timersToUse)
+        , startedAt(timersToUse.now())
         , headerCodec(headerCodecToUse)
         , lease(leaseToUse)
         , connections(io, timersToUse)
@@ -78,6 +79,7 @@
     bool hasAnnouncedLeaving(const routing::EndpointInstance &listed);
 
     httpio::Timers &timers;
+    units::TimePoint startedAt; // of this process; no retry is spent within a window after it
     const HeaderCodec &headerCodec;
     std::shared_ptr<const routing::RouteTable> table; // null until the first configuration
     routing::FreshnessLease lease;
--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -366,7 +366,7 @@
 
 routing::RetryAllowance &Exchange::retryAllowance()
 {
-    return state_.retryAllowances[pool_.value()];
+    return state_.retryAllowances.try_emplace(pool_.value(), state_.startedAt).first->second;
 }
 
 } // namespace monsoongrade::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -136,6 +136,8 @@
     });
     gossip_.onLeaving([this](const routing::LeavingUpdate &update) { onLeavingUpdate(update); });
     gossip_.start();
+    observability::log(observability::LogLevel::Info, "retries-withheld",
+                       {{"for-ms", internal::inMilliseconds(state_.retryLimit.window)}});
     state_.placement.start();
     state_.streamVersions.start();
     if (state_.usage != nullptr)
--- a/src/routing/retryallowance.cpp
+++ b/src/routing/retryallowance.cpp
@@ -28,6 +28,8 @@
 bool RetryAllowance::hasLeft(const RetryLimit &limit, int hosts, units::TimePoint now)
 {
     removeExpired(limit, now);
+    if (now - startedAt_ < limit.window)
+        return false;
     const double allowed
         = limit.share * double(requests_.size()) + limit.fixed / std::max(hosts, 1);
     return double(retries_.size()) + 1 <= allowed * UsableShareOfLimit;
--- a/tests/adapter/gatewayhost.h
+++ b/tests/adapter/gatewayhost.h
@@ -45,8 +45,14 @@
             + std::to_string((pid >> 6) % 256) + "." + std::to_string(number + (pid % 64) * 3);
     }
 
-    // Starts the gateway, which reads the store at once.
+    // Starts the gateway, which reads the store at once, as one that has run for long enough to
+    // retry requests.
     void start()
+    {
+        startNewProcess();
+        gateway->state().startedAt -= 2 * settings.retryLimit.window;
+    }
+    void startNewProcess()
     {
         gateway = std::make_unique<gateway::Gateway>(
             loop_.io, loop_.timers, settings, codec,
