--- a/include/monsoongrade/gateway/replacementattempt.h
+++ b/include/monsoongrade/gateway/replacementattempt.h
@@ -2,6 +2,7 @@
 #define MONSOONGRADE_GATEWAY_REPLACEMENTATTEMPT_H
 
 #include <monsoongrade/gateway/gatewaystate.h>
+#include <monsoongrade/gateway/heldconnection.h>
 #include <monsoongrade/httpio/channel.h>
 #include <monsoongrade/units/resultcode.h>
 
@@ -20,9 +21,10 @@
     std::int64_t tokensToRead = 0;
     units::Duration expectedFirstEvent{}; // 0: unknown
     units::EndpointId cacheSource; // endpoint to copy cached prompt parts from; empty: none
-    std::shared_ptr<httpio::Channel> channel; // null while not connected
+    HeldConnection channel{}; // none while not connected
     bool wasSent = false;
-    units::TimePoint sentAt;
+    units::TimePoint sentAt{};
+    bool wasBrittleWhenSent = false; // as far as this host knew
     // The response that comes now is one to an earlier request on the connection.
     bool isSkipping = false;
 };
@@ -63,9 +65,6 @@
     // isStream: only an event stream can continue the request.
     ReplacementAttempt(GatewayState &state, units::RequestId request, bool isStream,
                        ReplacementListener &listener);
-    // Closes the connection of an attempt that was not ended, as when the whole gateway goes.
-    ~ReplacementAttempt() override;
-
     // Looks for an endpoint and connects to it, with at most maxConnections open to it. Events may
     // be reported before this returns.
     void start(const routing::PlacementQuery &query, int maxConnections);
@@ -92,7 +91,6 @@
     void onRejected(const EndpointResponseInfo &answer);
     void onUnusableResponse();
     void fail(units::ResultCode reason, bool isEndpointsFault);
-    void discardChannel();
 
     GatewayState &state_;
     units::RequestId request_;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -109,7 +109,7 @@
 void Exchange::onConnection(ConnectOutcome outcome, std::shared_ptr<httpio::Channel> channel)
 {
     if (outcome == ConnectOutcome::Connected) {
-        channel_ = std::move(channel);
+        channel_ = HeldConnection(state_.connections, endpoint_, std::move(channel));
         send();
         return;
     }
@@ -153,9 +153,10 @@
     ++totalSends_;
     ++sends_;
     sentAt_ = now;
+    wasBrittleWhenSent_ = endpoint_->isBrittle(now);
     sentToVersion_ = endpoint_->registration.softwareVersion;
     const std::string cacheSource = cacheSourceAddress(*endpoint_, cacheSource_);
-    channel_->send(requestHeadFor(*endpoint_, cacheSource), request_.body, *this);
+    channel_.send(requestHeadFor(*endpoint_, cacheSource), request_.body, *this);
     if (!cacheSource.empty())
         countCacheCopy();
     startSuspicionTimer();
@@ -222,7 +223,8 @@
         onResponseWithoutId(head.status);
         return;
     }
-    const internal::SentRequest sent{metadata_.id, endpoint_, ticket_, sentAt_};
+    const internal::SentRequest sent{metadata_.id, endpoint_, ticket_, sentAt_,
+                                     wasBrittleWhenSent_};
     internal::readAnnouncements(state_, sent, answer);
     if (answer.request != metadata_.id) {
         use_ = ResponseUse::OfOtherRequest;
@@ -275,7 +277,7 @@
     }
     reply_->write(collected_);
     collected_.clear();
-    internal::throttleIfBacklogged(*reply_, channel_);
+    internal::throttleIfBacklogged(*reply_, channel_.channel());
 }
 
 void Exchange::relay(std::string_view bytes)
@@ -303,7 +305,7 @@
     reply_->write(whole);
     if (route_->mayRunTwice())
         startSilenceTimer(routing::silenceLimit(*route_, true));
-    internal::throttleIfBacklogged(*reply_, channel_);
+    internal::throttleIfBacklogged(*reply_, channel_.channel());
 }
 
 // Counts a request once, even if several endpoints began to run it.
--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -28,7 +28,8 @@
     const bool isUnsent = failure == httpio::ChannelFailure::NothingSent
         || failure == httpio::ChannelFailure::NotConnected;
     dropChannel();
-    if (!isUnsent)
+    // An endpoint that sends bytes which are no response is faulty, but has not crashed.
+    if (!isUnsent && failure != httpio::ChannelFailure::Malformed)
         recordCrash(*endpoint_);
     onEndpointFailure();
     if (isUnsent) {
@@ -255,6 +256,7 @@
 {
     state_.timers.cancel(silenceTimer_);
     state_.timers.cancel(suspicionTimer_);
+    channel_.reset();
     endpoint_.reset();
 }
 
@@ -299,14 +301,12 @@
 // Nothing was sent on the connection, so it can be reused.
 void Exchange::releaseUnusedChannel()
 {
-    state_.connections.release(*endpoint_, channel_, std::nullopt);
     channel_.reset();
 }
 
 void Exchange::dropChannel()
 {
-    state_.connections.discard(*endpoint_, channel_);
-    channel_.reset();
+    channel_.discard();
 }
 
 void Exchange::finish(std::string_view outcome, int status, units::ResultCode reason)
@@ -347,7 +347,7 @@
 
 routing::RetryAllowance &Exchange::retryAllowance()
 {
-    return state_.retryAllowances[pool_.value()];
+    return state_.retryAllowances.try_emplace(pool_.value(), state_.startedAt).first->second;
 }
 
 } // namespace monsoongrade::gateway
--- a/src/gateway/exchangereplacement.cpp
+++ b/src/gateway/exchangereplacement.cpp
@@ -12,7 +12,7 @@
     state_.timers.cancel(silenceTimer_);
     silenceTimer_ = state_.timers.after(limit, [self = shared_from_this(), limit] {
         // While a slow client keeps the host from reading, nothing can be received.
-        if (self->channel_ != nullptr && self->channel_->isReadingPaused())
+        if (self->channel_ != nullptr && self->channel_.channel()->isReadingPaused())
             self->startSilenceTimer(limit);
         else
             self->onSilenceTimeout();
@@ -132,9 +132,9 @@
 void Exchange::giveUpSilentReplacement()
 {
     mayHaveRun_ = true;
-    const EndpointAttempt lost = replacement_->take();
+    EndpointAttempt lost = replacement_->take();
     replacement_.reset();
-    state_.connections.discard(*lost.endpoint, lost.channel);
+    lost.channel.discard();
     state_.reach.onSuspected(*lost.endpoint, lost.sentAt);
     if (lost.endpoint->lastReceivedAt < lost.sentAt)
         recordCrash(*lost.endpoint);
@@ -153,8 +153,9 @@
     expectedFirstEvent_ = next.expectedFirstEvent;
     cacheSource_ = std::move(next.cacheSource);
     channel_ = std::move(next.channel);
-    channel_->setListener(*this);
+    channel_.channel()->setListener(*this);
     sentAt_ = next.sentAt;
+    wasBrittleWhenSent_ = next.wasBrittleWhenSent;
     sentToVersion_ = endpoint_->registration.softwareVersion;
     firstByteSeen_ = false;
     use_ = next.isSkipping ? ResponseUse::OfOtherRequest : ResponseUse::None;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -130,10 +130,14 @@
     }
     gossip_.onRound([this] { onGossipRound(); });
     gossip_.onLimit([this](const routing::RateLimitUpdate &update) {
+        if (update.limits.rejections)
+            state_.crashes.onBrittle(update.endpoint, timers_.now());
         state_.placement.receiveLimits(update, "gossip");
     });
     gossip_.onLeaving([this](const routing::LeavingUpdate &update) { onLeavingUpdate(update); });
     gossip_.start();
+    observability::log(observability::LogLevel::Info, "retries-withheld",
+                       {{"for-ms", internal::inMilliseconds(state_.retryLimit.window)}});
     state_.placement.start();
     state_.streamVersions.start();
     if (state_.usage != nullptr)
--- a/src/gateway/internal/responseannouncements.cpp
+++ b/src/gateway/internal/responseannouncements.cpp
@@ -45,6 +45,10 @@
                      {"placed-by", state.placement.placedBy(request.ticket)},
                      {"slots", std::int64_t(endpoint.registration.slots)},
                      {"was-known", endpoint.maxRejections ? "yes" : "no"}});
+    // Hosts that know how many the endpoint survives cause fewer, so that rejections of requests
+    // sent in that knowledge do not explain its crash.
+    if (!request.wasBrittleWhenSent)
+        state.crashes.onRejected(routing::instanceOf(endpoint.registration), state.timers.now());
     const double ownShare = maxRejections / std::max(state.liveHosts, 1);
     state.announcements.addPause(routing::instanceOf(endpoint.registration),
                                  routing::AdmissionWindow::pauseAfterRejection(ownShare),
@@ -111,6 +115,8 @@
     routing::EndpointStatus &endpoint = *request.endpoint;
     const routing::EndpointInstance instance = routing::instanceOf(endpoint.registration);
     routing::AnnouncedLimits limits{answer.requestLimit, answer.maxRejections};
+    if (limits.rejections)
+        state.crashes.onBrittle(instance, state.timers.now());
     if (answer.provenNotRun) {
         if (!limits.hasAny())
             return;
--- a/src/gateway/internal/responseannouncements.h
+++ b/src/gateway/internal/responseannouncements.h
@@ -12,6 +12,7 @@
     const routing::EndpointRegistry::Status &endpoint;
     const routing::PlacementTicket &ticket;
     units::TimePoint sentAt;
+    bool wasBrittleWhenSent = false; // as far as this host knew
 };
 
 // Applies what a response says about its endpoint, other than limits. A late response to an earlier
--- a/src/gateway/replacementattempt.cpp
+++ b/src/gateway/replacementattempt.cpp
@@ -19,12 +19,6 @@
 {
 }
 
-ReplacementAttempt::~ReplacementAttempt()
-{
-    if (!isEnded_ && attempt_.channel != nullptr)
-        attempt_.channel->close();
-}
-
 void ReplacementAttempt::start(const routing::PlacementQuery &query, int maxConnections)
 {
     const auto self = shared_from_this();
@@ -76,7 +70,7 @@
         fail(units::ResultCode::EndpointUnreachable, outcome == ConnectOutcome::Failed);
         return;
     }
-    attempt_.channel = std::move(channel);
+    attempt_.channel = HeldConnection(state_.connections, attempt_.endpoint, std::move(channel));
     listener_.onReplacementConnected();
 }
 
@@ -84,7 +78,8 @@
 {
     attempt_.wasSent = true;
     attempt_.sentAt = state_.timers.now();
-    attempt_.channel->send(std::move(head), std::move(body), *this);
+    attempt_.wasBrittleWhenSent = attempt_.endpoint->isBrittle(attempt_.sentAt);
+    attempt_.channel.send(std::move(head), std::move(body), *this);
 }
 
 void ReplacementAttempt::withdraw()
@@ -95,10 +90,7 @@
         state_.placement.withdraw(placementNumber_);
         return;
     }
-    if (attempt_.channel != nullptr && attempt_.wasSent)
-        discardChannel();
-    else if (attempt_.channel != nullptr)
-        state_.connections.release(*attempt_.endpoint, attempt_.channel, std::nullopt);
+    attempt_.channel.reset();
     state_.placement.report(attempt_.ticket, routing::PlacementEvent::Withdrawn);
 }
 
@@ -123,7 +115,8 @@
     response.provenNotRun = answer.provenNotRun;
     response.isOfOtherEndpoint = answer.wrongEndpoint;
     response.mustBeStream = isStream_;
-    const internal::SentRequest sent{request_, endpoint, attempt_.ticket, attempt_.sentAt};
+    const internal::SentRequest sent{request_, endpoint, attempt_.ticket, attempt_.sentAt,
+                                     attempt_.wasBrittleWhenSent};
     switch (routing::judgeReplacement(response)) {
     case routing::ReplacementVerdict::TakesOver:
         listener_.onReplacementAccepted(head);
@@ -168,8 +161,7 @@
     // The address belongs to another endpoint now; the intended one is gone.
     if (answer.wrongEndpoint)
         endpoint->leaving = true;
-    state_.connections.release(*endpoint, attempt_.channel, answer.idleTimeout);
-    attempt_.channel.reset();
+    attempt_.channel.release(answer.idleTimeout);
     const bool isPause = answer.pause || answer.maxRejections;
     state_.placement.report(attempt_.ticket,
                             isPause ? routing::PlacementEvent::EndpointPaused
@@ -187,7 +179,7 @@
 void ReplacementAttempt::onUnusableResponse()
 {
     const auto self = shared_from_this();
-    discardChannel();
+    attempt_.channel.discard();
     fail(units::ResultCode::EndpointBrokeInAnswer, true);
 }
 
@@ -196,7 +188,7 @@
     const auto self = shared_from_this();
     const bool isUnsent = failure == httpio::ChannelFailure::NothingSent
         || failure == httpio::ChannelFailure::NotConnected;
-    discardChannel();
+    attempt_.channel.discard();
     isEnded_ = true;
     FailedReplacement failed;
     failed.reason = isUnsent ? units::ResultCode::EndpointUnreachable
@@ -228,10 +220,4 @@
     listener_.onReplacementFailed(failed);
 }
 
-void ReplacementAttempt::discardChannel()
-{
-    state_.connections.discard(*attempt_.endpoint, attempt_.channel);
-    attempt_.channel.reset();
-}
-
 } // namespace monsoongrade::gateway
--- a/src/routing/crashtracker.cpp
+++ b/src/routing/crashtracker.cpp
@@ -9,13 +9,16 @@
 // A record is removed after this time without a change, unless its request is quarantined.
 constexpr auto RecordRetention = std::chrono::minutes(10);
 constexpr auto InitialQuarantine = std::chrono::minutes(10);
-// Also limits the time in quarantine, which each further crash doubles.
-constexpr std::size_t MaxCrashesKept = 10;
+// A request that was completed crashes no endpoint for this time: many callers send the same one,
+// and the loss of several endpoints must not quarantine it. Also holds where the host that saw the
+// completion is gone.
+constexpr auto ProtectionAfterCompletion = std::chrono::seconds(30);
 constexpr std::size_t MaxRecords = 4096;
-constexpr std::size_t MaxPending = 4096;
 // After this time a new process may respond under the same id before its store entry is known.
 constexpr auto MaxProofDelay = std::chrono::seconds(1);
-constexpr int RoundsPerUpdate = 6;
+// By how much the times differ at which hosts notice the same crash.
+constexpr auto MaxNoticeDelay = std::chrono::milliseconds(250);
+constexpr double BlameForBrittle = 0.5;
 constexpr auto CleanupInterval = std::chrono::seconds(10);
 
 } // namespace
@@ -24,7 +27,8 @@
                            units::TimePoint now, int partPosition)
 {
     const CrashUpdate update{CrashUpdate::Kind::Crashed, request, partPosition, endpoint, {}};
-    if (clearIfCompleted(update, now, now) || !addCrash(update, now, now))
+    if (clearIfRejected(endpoint, now) || clearIfCompleted(update, now, now)
+        || !addCrash(update, now, now))
         return;
     records_[request].isLocallyObserved = true;
     enqueue(update, now);
@@ -40,7 +44,27 @@
 void CrashTracker::onAnswered(const EndpointInstance &endpoint, units::TimePoint sentAt)
 {
     if (clearEndpoint(endpoint, sentAt))
-        enqueue({CrashUpdate::Kind::EndpointAnswered, {}, 0, endpoint, {}}, sentAt);
+        enqueue({CrashUpdate::Kind::EndpointCleared, {}, 0, endpoint, {}}, sentAt);
+}
+
+void CrashTracker::onBrittle(const EndpointInstance &endpoint, units::TimePoint now)
+{
+    const bool wasKnown = explanations_.isBrittle(endpoint);
+    explanations_.onBrittle(endpoint, now);
+    if (wasKnown || suspects_.count(endpoint) == 0)
+        return;
+    for (auto &[request, record] : records_) {
+        for (Crash &crash : record.crashes)
+            crash.isOfBrittle = crash.isOfBrittle || crash.endpoint == endpoint;
+    }
+}
+
+void CrashTracker::onRejected(const EndpointInstance &endpoint, units::TimePoint now)
+{
+    explanations_.onRejected(endpoint, now);
+    const auto found = suspects_.find(endpoint);
+    if (found != suspects_.end())
+        clearIfRejected(endpoint, found->second.lastCrashAt);
 }
 
 void CrashTracker::receive(const CrashUpdate &update, units::TimePoint now)
@@ -50,6 +74,21 @@
         enqueue(update, at);
 }
 
+// Whether rejections to this host explain the crash. If so, the other hosts are informed.
+bool CrashTracker::clearIfRejected(const EndpointInstance &endpoint, units::TimePoint crashAt)
+{
+    if (!explanations_.hasRejectedBefore(endpoint, crashAt))
+        return false;
+    SuspectedEndpoint &suspect = suspects_[endpoint];
+    if (suspect.clearedUntil && crashAt < *suspect.clearedUntil)
+        return true;
+    suspect.lastCrashAt = std::max(suspect.lastCrashAt, crashAt);
+    suspect.clearedUntil = suspect.lastCrashAt + MaxNoticeDelay;
+    eraseCrashesOf(endpoint);
+    enqueue({CrashUpdate::Kind::EndpointCleared, {}, 0, endpoint, {}}, *suspect.clearedUntil);
+    return true;
+}
+
 // Whether this host recently completed the request. If so, the other hosts are informed.
 bool CrashTracker::clearIfCompleted(const CrashUpdate &crash, units::TimePoint at,
                                     units::TimePoint now)
@@ -75,10 +114,14 @@
 {
     switch (update.kind) {
     case CrashUpdate::Kind::Crashed:
-        return !clearIfCompleted(update, at, now) && addCrash(update, at, now);
+        return !clearIfRejected(update.endpoint, at) && !clearIfCompleted(update, at, now)
+            && addCrash(update, at, now);
     case CrashUpdate::Kind::Completed:
+        if (records_.count(update.request) == 0)
+            evictIfFull(now);
+        records_.try_emplace(update.request);
         return clearRequest(update.request, at);
-    case CrashUpdate::Kind::EndpointAnswered:
+    case CrashUpdate::Kind::EndpointCleared:
         return clearEndpoint(update.endpoint, at);
     }
     return false;
@@ -87,31 +130,33 @@
 bool CrashTracker::addCrash(const CrashUpdate &update, units::TimePoint at, units::TimePoint now)
 {
     SuspectedEndpoint &suspect = suspects_[update.endpoint];
-    if (suspect.knownAliveAt && at < *suspect.knownAliveAt)
+    if (suspect.clearedUntil && at < *suspect.clearedUntil)
         return false;
     suspect.lastCrashAt = std::max(suspect.lastCrashAt, at);
     if (records_.count(update.request) == 0)
         evictIfFull(now);
     Record &record = records_[update.request];
     record.partPosition = std::max(record.partPosition, update.partPosition);
-    if (record.completedAt && at <= *record.completedAt)
+    if (record.completedAt && at <= *record.completedAt + ProtectionAfterCompletion)
         return false;
     const bool isKnown
         = std::any_of(record.crashes.begin(), record.crashes.end(),
-                      [&](const Crash &crash) { return crash.endpoint == update.endpoint; });
+                      [&](const Crash &known) { return known.endpoint == update.endpoint; });
     if (isKnown)
         return false;
+    const Crash crash{update.endpoint, at,
+                      update.isOfBrittle || explanations_.isBrittle(update.endpoint)};
     const auto position = std::upper_bound(
         record.crashes.begin(), record.crashes.end(), at,
-        [](units::TimePoint time, const Crash &crash) { return time < crash.at; });
+        [](units::TimePoint time, const Crash &known) { return time < known.at; });
     if (record.crashes.size() == MaxCrashesKept) {
         if (position == record.crashes.begin())
             return false;
         const auto index = position - record.crashes.begin() - 1;
         record.crashes.erase(record.crashes.begin());
-        record.crashes.insert(record.crashes.begin() + index, {update.endpoint, at});
+        record.crashes.insert(record.crashes.begin() + index, crash);
     } else {
-        record.crashes.insert(position, {update.endpoint, at});
+        record.crashes.insert(position, crash);
     }
     record.changedAt = std::max(record.changedAt, at);
     return true;
@@ -125,9 +170,15 @@
     SuspectedEndpoint &suspect = found->second;
     if (sentAt - suspect.lastCrashAt > MaxProofDelay)
         return false;
-    if (suspect.knownAliveAt && *suspect.knownAliveAt > suspect.lastCrashAt)
+    if (suspect.clearedUntil && *suspect.clearedUntil > suspect.lastCrashAt)
         return false; // already cleared
-    suspect.knownAliveAt = sentAt;
+    suspect.clearedUntil = sentAt;
+    eraseCrashesOf(endpoint);
+    return true;
+}
+
+void CrashTracker::eraseCrashesOf(const EndpointInstance &endpoint)
+{
     for (auto &[request, record] : records_) {
         auto &crashes = record.crashes;
         crashes.erase(
@@ -135,7 +186,6 @@
                            [&](const Crash &crash) { return crash.endpoint == endpoint; }),
             crashes.end());
     }
-    return true;
 }
 
 bool CrashTracker::clearRequest(const RequestIdentity &request, units::TimePoint at)
@@ -148,18 +198,34 @@
         return false;
     record.completedAt = at;
     record.changedAt = std::max(record.changedAt, at);
-    const auto firstLater = std::find_if(record.crashes.begin(), record.crashes.end(),
-                                         [at](const Crash &crash) { return crash.at > at; });
+    const units::TimePoint protectedUntil = at + ProtectionAfterCompletion;
+    const auto firstLater
+        = std::find_if(record.crashes.begin(), record.crashes.end(),
+                       [&](const Crash &crash) { return crash.at > protectedUntil; });
     const bool hasCleared = firstLater != record.crashes.begin();
     record.crashes.erase(record.crashes.begin(), firstLater);
     return hasCleared;
 }
 
+double CrashTracker::blameFor(const Crash &crash)
+{
+    return crash.isOfBrittle ? BlameForBrittle : 1;
+}
+
+double CrashTracker::blameOf(const Record &record)
+{
+    double blame = 0;
+    for (const Crash &crash : record.crashes)
+        blame += blameFor(crash);
+    return blame;
+}
+
 std::optional<units::TimePoint> CrashTracker::quarantineEnd(const Record &record)
 {
-    if (record.crashes.size() < CrashesToQuarantine)
+    const auto blame = std::size_t(blameOf(record));
+    if (blame < CrashesToQuarantine)
         return std::nullopt;
-    const auto doublings = record.crashes.size() - CrashesToQuarantine;
+    const auto doublings = blame - CrashesToQuarantine;
     return record.crashes.back().at + units::Duration(InitialQuarantine) * (1 << doublings);
 }
 
@@ -176,22 +242,47 @@
 {
     if (part.partPosition == 0)
         return false;
-    const auto explained
-        = std::count_if(part.crashes.begin(), part.crashes.end(),
-                        [&](const Crash &crash) { return isExplainedElsewhere(crash, part); });
-    return part.crashes.size() - std::size_t(explained) < CrashesToQuarantine;
+    double blame = 0;
+    for (const Crash &crash : part.crashes)
+        blame += isExplainedElsewhere(crash, part) ? 0 : blameFor(crash);
+    return blame < CrashesToQuarantine;
+}
+
+bool CrashTracker::isQuarantineHidden(const Record &part) const
+{
+    return blameOf(part) >= CrashesToQuarantine && isExplained(part);
 }
 
 bool CrashTracker::isExplainedElsewhere(const Crash &crash, const Record &part) const
 {
     return std::any_of(records_.begin(), records_.end(), [&](const auto &each) {
         const Record &other = each.second;
-        return other.partPosition > part.partPosition && other.crashes.size() >= CrashesToQuarantine
+        return other.partPosition > part.partPosition && blameOf(other) >= CrashesToQuarantine
             && std::any_of(other.crashes.begin(), other.crashes.end(),
                            [&](const Crash &its) { return its.endpoint == crash.endpoint; });
     });
 }
 
+// A lift clears what has been counted, and protects the request from nothing.
+void CrashTracker::lift(const RequestIdentity &request, units::TimePoint now)
+{
+    const auto found = records_.find(request);
+    if (found == records_.end())
+        return;
+    std::vector<RequestIdentity> lifted{request};
+    for (const auto &[other, record] : records_) {
+        const bool isExplainedByIt = record.partPosition > 0
+            && record.partPosition < found->second.partPosition && isQuarantineHidden(record);
+        if (isExplainedByIt)
+            lifted.push_back(other);
+    }
+    const units::TimePoint at = now - ProtectionAfterCompletion;
+    for (const RequestIdentity &each : lifted) {
+        if (clearRequest(each, at))
+            enqueue({CrashUpdate::Kind::Completed, each, 0, {}, {}}, at);
+    }
+}
+
 std::optional<units::Duration> CrashTracker::quarantineRemaining(const RequestIdentity &request,
                                                                  units::TimePoint now) const
 {
@@ -219,70 +310,6 @@
     return requests;
 }
 
-std::vector<CrashUpdate> CrashTracker::crashesOf(const RequestIdentity &request,
-                                                 units::TimePoint now) const
-{
-    std::vector<CrashUpdate> updates;
-    const auto found = records_.find(request);
-    if (found != records_.end())
-        appendCrashes(*found, updates, now);
-    return updates;
-}
-
-// New updates are sent before those that have been sent already: after a crash there are more than
-// fit in one datagram.
-void CrashTracker::enqueue(const CrashUpdate &update, units::TimePoint at)
-{
-    if (pending_.size() >= MaxPending)
-        pending_.pop_back();
-    pending_.push_front({update, at, RoundsPerUpdate});
-}
-
-std::vector<CrashUpdate> CrashTracker::takeUpdates(std::size_t maxItems, units::TimePoint now)
-{
-    removeOutdated(now);
-    std::vector<CrashUpdate> updates;
-    for (std::size_t left = std::min(maxItems, pending_.size()); left > 0; --left) {
-        PendingUpdate next = std::move(pending_.front());
-        pending_.pop_front();
-        next.update.age = now - next.at;
-        updates.push_back(next.update);
-        if (--next.roundsLeft > 0)
-            pending_.push_back(std::move(next));
-    }
-    const auto findQuarantined = [&](Records::const_iterator first, Records::const_iterator last) {
-        return std::find_if(
-            first, last, [this, now](const auto &each) { return isQuarantined(each.second, now); });
-    };
-    auto resent = findQuarantined(records_.upper_bound(lastResent_), records_.end());
-    if (resent == records_.end())
-        resent = findQuarantined(records_.begin(), records_.end());
-    if (resent != records_.end() && updates.size() + MaxCrashesKept <= maxItems) {
-        lastResent_ = resent->first;
-        appendCrashes(*resent, updates, now);
-    }
-    return updates;
-}
-
-std::vector<CrashUpdate> CrashTracker::quarantineUpdates(std::size_t maxItems,
-                                                         units::TimePoint now) const
-{
-    std::vector<CrashUpdate> updates;
-    for (const auto &record : records_) {
-        if (isQuarantined(record.second, now) && updates.size() + MaxCrashesKept <= maxItems)
-            appendCrashes(record, updates, now);
-    }
-    return updates;
-}
-
-void CrashTracker::appendCrashes(const Records::value_type &record,
-                                 std::vector<CrashUpdate> &updates, units::TimePoint now)
-{
-    for (const Crash &crash : record.second.crashes)
-        updates.push_back({CrashUpdate::Kind::Crashed, record.first, record.second.partPosition,
-                           crash.endpoint, now - crash.at});
-}
-
 // Evicts the record that has been unchanged for the longest time, quarantined ones last.
 void CrashTracker::evictIfFull(units::TimePoint now)
 {
@@ -302,6 +329,7 @@
     if (now < nextCleanupAt_)
         return;
     nextCleanupAt_ = now + CleanupInterval;
+    explanations_.removeOutdated(now);
     for (auto entry = records_.begin(); entry != records_.end();) {
         // After a quarantine the record is kept once more, so that a single further crash in this
         // time quarantines the request again.
