--- a/include/monsoongrade/gateway/replacementattempt.h
+++ b/include/monsoongrade/gateway/replacementattempt.h
@@ -20,9 +20,9 @@
     std::int64_t tokensToRead = 0;
     units::Duration expectedFirstEvent{}; // 0: unknown
     units::EndpointId cacheSource; // endpoint to copy cached prompt parts from; empty: none
-    std::shared_ptr<httpio::Channel> channel; // null while not connected
+    std::shared_ptr<httpio::Channel> channel = nullptr; // null while not connected
     bool wasSent = false;
-    units::TimePoint sentAt;
+    units::TimePoint sentAt{};
     // The response that comes now is one to an earlier request on the connection.
     bool isSkipping = false;
 };
