--- a/tests/adapter/silentreplacementfixture.h
+++ b/tests/adapter/silentreplacementfixture.h
@@ -175,8 +175,8 @@
     bool hasRetryLeft()
     {
         gateway::GatewayState &state = gateway->state();
-        return state.retryAllowances["model"].hasLeft(state.retryLimit, state.liveHosts,
-                                                      timers.now());
+        return state.retryAllowances.try_emplace("model", state.startedAt)
+            .first->second.hasLeft(state.retryLimit, state.liveHosts, timers.now());
     }
 
     ScriptedEndpoint first;
