Hosts that write versions are ranked with each round of gossip

They were ranked 20 times a second, which copies the state of all known hosts each time: at 390 hosts a noticeable part of the 1% of a core that a host may use for control. Hosts are only learned by gossip, in rounds of 250 ms.

All 18 StreamVersions.* of adapter_tests pass, twice.

--- a/include/monsoongrade/gateway/versionpersister.h
+++ b/include/monsoongrade/gateway/versionpersister.h
@@ -57,7 +57,8 @@
     Gateway &gateway_;
     routing::PoolVersionStore &pools_;
     routing::StreamVersionStore &streams_;
-    std::vector<std::string> writers_; // IPs, as of the last round
+    std::vector<std::string> writers_; // IPs
+    units::TimePoint ranksHostsAt_;
     routing::PoolVersionWriter writer_;
     int openPoolCalls_ = 0; // of the writer
     routing::StreamVersionArchive archive_;
--- a/src/gateway/versionpersister.cpp
+++ b/src/gateway/versionpersister.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr auto RoundInterval = std::chrono::milliseconds(50);
+// The known hosts change with each round of gossip.
+constexpr auto RankInterval = std::chrono::milliseconds(250);
 // For all streams of this host together; the store takes 2,000 reads a second from all hosts.
 constexpr auto MinPoolReadInterval = std::chrono::milliseconds(150);
 // Batches are up to a megabyte.
@@ -25,6 +27,7 @@
     , gateway_(gateway)
     , pools_(pools)
     , streams_(streams)
+    , ranksHostsAt_(timers.now())
     , mayReadPoolsAt_(timers.now())
     , mayReadBatchesAt_(timers.now())
 {
@@ -39,8 +42,11 @@
 void VersionPersister::round()
 {
     timers_.after(RoundInterval, [this] { round(); });
-    writers_ = routing::versionWriters(gateway_.hosts());
-    gateway_.state().poolVersions.setStreamAge(longestStream() + ResumptionMargin);
+    if (timers_.now() >= ranksHostsAt_) {
+        ranksHostsAt_ = timers_.now() + RankInterval;
+        writers_ = routing::versionWriters(gateway_.hosts());
+        gateway_.state().poolVersions.setStreamAge(longestStream() + ResumptionMargin);
+    }
     saveBatch();
     if (openPoolCalls_ > 0)
         return;
