Stand-in endpoints name their software version, fall silent as a whole, and start anew

The fault soak has to show streams that go on at another software version, and answers that end while a sound endpoint is silent. For that a stand-in worker writes its version into its entry and, if asked, into each event; setSilent() also holds back what runs already, where it held new requests only; startAs() ends it and starts it with another id and version. The stand-in store shows a spec as any text, so that entries which are no JSON can be written.

--- a/tests/platform_standin/standinstore.cpp
+++ b/tests/platform_standin/standinstore.cpp
@@ -105,6 +105,25 @@
     record(kind, object, false);
 }
 
+void StandInStore::putText(const std::string &kind, const std::string &name,
+                           const std::string &spec)
+{
+    const std::string placeholder = "text-of-" + kind + "-" + name;
+    texts_[json(placeholder).dump()] = spec;
+    put(kind, name, placeholder);
+}
+
+std::string StandInStore::bodyOf(const json &response) const
+{
+    std::string body = response.dump();
+    for (const auto &[placeholder, text] : texts_) {
+        for (std::size_t at = body.find(placeholder); at != std::string::npos;
+             at = body.find(placeholder, at + text.size()))
+            body.replace(at, placeholder.size(), text);
+    }
+    return body;
+}
+
 void StandInStore::remove(const std::string &kind, const std::string &name)
 {
     const auto found = objects_[kind].find(name);
@@ -166,7 +185,7 @@
         if (found == objects_[kind].end())
             reply->respond(404, JsonHeaders, "{}");
         else
-            reply->respond(200, JsonHeaders, found->second.dump());
+            reply->respond(200, JsonHeaders, bodyOf(found->second));
     } else if (!http::queryValue(query, "watch").empty()) {
         watch(listener, kind, http::queryNumber(query, "watch"),
               std::chrono::milliseconds(http::queryNumber(query, "wait_ms")), reply);
@@ -179,7 +198,7 @@
 }
 
 void StandInStore::list(const Objects &all, std::uint64_t asOf, const std::string &kind,
-                        const std::string &after, httpio::ResponseWriter &reply)
+                        const std::string &after, httpio::ResponseWriter &reply) const
 {
     json response{{"items", json::array()}, {"more", false}, {"as_of", asOf}};
     const auto ofKind = all.find(kind);
@@ -192,7 +211,7 @@
         }
         response["items"].push_back(it->second);
     }
-    reply.respond(200, JsonHeaders, response.dump());
+    reply.respond(200, JsonHeaders, bodyOf(response));
 }
 
 void StandInStore::watch(const Listener &listener, const std::string &kind, std::uint64_t from,
@@ -241,7 +260,7 @@
             response["events"].push_back({{"object", event.object}, {"deleted", event.deleted}});
         watch->isFinished = true;
         watches_.erase(std::remove(watches_.begin(), watches_.end(), watch), watches_.end());
-        watch->reply->respond(200, JsonHeaders, response.dump());
+        watch->reply->respond(200, JsonHeaders, bodyOf(response));
     }
 }
 
--- a/tests/platform_standin/standinstore.h
+++ b/tests/platform_standin/standinstore.h
@@ -44,6 +44,8 @@
     // Changes made by the operator and by endpoints.
     void put(const std::string &kind, const std::string &name, const nlohmann::json &spec);
     void remove(const std::string &kind, const std::string &name);
+    // Writes an object whose spec is shown as this text, which need not be JSON.
+    void putText(const std::string &kind, const std::string &name, const std::string &spec);
     // Appends an event with an older state of an object to the history.
     void repeatOldEvent(const std::string &kind, const std::string &name,
                         const nlohmann::json &oldSpec, std::uint64_t oldRevision);
@@ -83,14 +85,15 @@
                 const std::shared_ptr<httpio::ResponseWriter> &reply);
     void serve(const Listener &listener, const httpio::ServerRequest &request,
                const std::shared_ptr<httpio::ResponseWriter> &reply);
-    static void list(const Objects &objects, std::uint64_t asOf, const std::string &kind,
-                     const std::string &after, httpio::ResponseWriter &reply);
+    void list(const Objects &objects, std::uint64_t asOf, const std::string &kind,
+              const std::string &after, httpio::ResponseWriter &reply) const;
     void watch(const Listener &listener, const std::string &kind, std::uint64_t from,
                std::chrono::milliseconds wait,
                const std::shared_ptr<httpio::ResponseWriter> &reply);
     void write(const std::string &method, const std::string &kind, const std::string &name,
                const std::string &body, httpio::ResponseWriter &reply);
     void record(const std::string &kind, const nlohmann::json &object, bool deleted);
+    std::string bodyOf(const nlohmann::json &response) const;
     std::vector<Event> eventsSince(const std::string &kind, std::uint64_t from) const;
     void respondToWatches();
 
@@ -100,6 +103,7 @@
     std::vector<std::unique_ptr<Listener>> listeners_;
     Objects objects_;
     std::optional<Objects> staleObjects_;
+    std::map<std::string, std::string> texts_; // in place of these specs
     std::uint64_t staleRevision_ = 0;
     std::deque<Event> history_;
     std::uint64_t revision_ = 1;
--- a/tests/platform_standin/standinworker.cpp
+++ b/tests/platform_standin/standinworker.cpp
@@ -35,6 +35,7 @@
     httpio::Headers response;
     bool isStream = false;
     int firstEvent = 1;
+    std::size_t index = 0; // among the runs of the worker, once it runs
 };
 
 StandInWorker::StandInWorker(asio::io_context &io, httpio::Timers &timers, StandInStore &store,
@@ -71,7 +72,7 @@
         {{"service", settings_.service},
          {"address", settings_.announcedAddress.empty() ? address() : settings_.announcedAddress},
          {"zone", settings_.zone},
-         {"version", "v1"},
+         {"version", settings_.version},
          {"slots", settings_.slots},
          {"state", state_},
          {"cold_remaining_ms", 0},
@@ -87,6 +88,19 @@
     state_ = "ready";
 }
 
+void StandInWorker::startAs(const std::string &id, const std::string &version)
+{
+    settings_.version = version;
+    if (isCrashed_)
+        return; // starts later
+    abortAll();
+    if (id != settings_.id)
+        removeEntry();
+    settings_.id = id;
+    restart();
+    announce();
+}
+
 void StandInWorker::removeEntry()
 {
     store_.remove("servers", settings_.id);
@@ -97,10 +111,8 @@
     isSilent_ = isSilent;
     if (isSilent)
         return;
-    const auto held = std::move(heldRequests_);
-    heldRequests_.clear();
-    for (const auto &handleRequest : held)
-        handleRequest();
+    for (const auto &goOn : std::exchange(held_, {}))
+        goOn();
 }
 
 void StandInWorker::handle(const httpio::ServerRequest &request,
@@ -111,7 +123,7 @@
         return;
     }
     if (isSilent_) {
-        heldRequests_.emplace_back([this, request, reply] { handle(request, reply); });
+        held_.emplace_back([this, request, reply] { handle(request, reply); });
         return;
     }
     const httpio::Headers &headers = request.head.headers;
@@ -193,11 +205,7 @@
     isCrashed_ = true;
     const std::uint16_t port = servers_.back()->address().port();
     servers_.back()->stopAccepting();
-    const auto running = std::exchange(running_, {});
-    for (const std::shared_ptr<Run> &run : running)
-        run->reply->abort();
-    for (const std::shared_ptr<Run> &run : std::exchange(waiting_, {}))
-        run->reply->abort();
+    abortAll();
     timers_.after(RestartTime, [this, port] {
         isCrashed_ = false;
         removeEntry();
@@ -208,31 +216,52 @@
     });
 }
 
+void StandInWorker::abortAll()
+{
+    for (const std::shared_ptr<Run> &run : std::exchange(running_, {}))
+        run->reply->abort();
+    for (const std::shared_ptr<Run> &run : std::exchange(waiting_, {}))
+        run->reply->abort();
+}
+
 void StandInWorker::begin(const std::shared_ptr<Run> &run)
 {
     running_.insert(run);
+    run->index = runs_.size();
     runs_.push_back(run->record);
-    timers_.after(settings_.work, [this, run] {
-        if (running_.count(run) == 0)
-            return;
-        if (run->isStream) {
-            httpio::Headers headers = run->response;
-            headers.emplace_back("Content-Type", "text/event-stream");
-            run->reply->begin(200, headers);
-            stream(run, run->firstEvent);
-            return;
-        }
-        finish(run);
-        run->reply->respond(200, run->response, "answer of " + settings_.id);
-    });
+    timers_.after(settings_.work, [this, run] { respond(run); });
+}
+
+void StandInWorker::respond(const std::shared_ptr<Run> &run)
+{
+    if (running_.count(run) == 0)
+        return;
+    if (isSilent_) {
+        held_.emplace_back([this, run] { respond(run); });
+        return;
+    }
+    if (run->isStream) {
+        httpio::Headers headers = run->response;
+        headers.emplace_back("Content-Type", "text/event-stream");
+        run->reply->begin(200, headers);
+        stream(run, run->firstEvent);
+        return;
+    }
+    finish(run);
+    run->reply->respond(200, run->response, "answer of " + settings_.id);
 }
 
 void StandInWorker::stream(const std::shared_ptr<Run> &run, int next)
 {
     if (running_.count(run) == 0)
         return;
-    run->reply->write("id: " + std::to_string(next) + "\ndata: event " + std::to_string(next)
-                      + "\n\n");
+    if (isSilent_) {
+        held_.emplace_back([this, run, next] { stream(run, next); });
+        return;
+    }
+    const std::string number = std::to_string(next);
+    run->reply->write("id: " + number + "\ndata: event " + number
+                      + (settings_.eventsNameVersion ? " of " + settings_.version : "") + "\n\n");
     if (next >= settings_.events) {
         finish(run);
         run->reply->end();
@@ -245,7 +274,10 @@
 void StandInWorker::finish(const std::shared_ptr<Run> &run)
 {
     waiting_.erase(std::remove(waiting_.begin(), waiting_.end(), run), waiting_.end());
-    if (running_.erase(run) == 0 || waiting_.empty())
+    if (running_.erase(run) == 0)
+        return;
+    runs_[run->index].endedAt = timers_.now();
+    if (waiting_.empty())
         return;
     const std::shared_ptr<Run> next = waiting_.front();
     waiting_.pop_front();
--- a/tests/platform_standin/standinworker.h
+++ b/tests/platform_standin/standinworker.h
@@ -25,6 +25,7 @@
     std::string body;
     std::string lastEventId;
     httpio::Headers headers;
+    std::optional<units::TimePoint> endedAt = {}; // none if it runs, or the worker ended first
 };
 
 // A request that reached a worker, run or not, and what the response announced about the worker.
@@ -64,6 +65,8 @@
         // IP:PORT to announce in place of its own, such as that of a proxy in front of it.
         std::string announcedAddress = {};
         int maxWaiting = 0; // requests that wait for a slot; more are rejected
+        std::string version = "v1"; // of the worker's software
+        bool eventsNameVersion = false; // each event of a stream holds the software version
     };
 
     StandInWorker(asio::io_context &io, httpio::Timers &timers, StandInStore &store,
@@ -78,7 +81,8 @@
     // Number of events of the streams that run from now on.
     void setEvents(int events) { settings_.events = events; }
 
-    // While silent, the worker takes requests and sends nothing; it handles them afterwards.
+    // While silent, the worker takes requests and sends nothing, neither of these nor of those that
+    // run already; it goes on with all of them afterwards.
     void setSilent(bool isSilent);
 
     // From now on all responses announce that the worker is leaving; the store is not told.
@@ -86,6 +90,9 @@
     // Starts again under the same id, as a new incarnation that has announced nothing. The store is
     // told with the next announce().
     void restart();
+    // Ends with its running requests cut off, and starts at once with this id and software version.
+    // The entry of its earlier id is removed, and the new one is written.
+    void startAs(const std::string &id, const std::string &version);
     // Rejects all requests and asks each client for a pause; 0 ends that.
     void askForPauses(std::chrono::milliseconds pause) { pause_ = pause; }
     // All responses announce this limit of requests a second, or none.
@@ -112,10 +119,12 @@
     void handle(const httpio::ServerRequest &request, const Reply &reply);
     void reject(const Reply &reply, httpio::Headers response);
     void begin(const std::shared_ptr<Run> &run);
+    void respond(const std::shared_ptr<Run> &run);
     void stream(const std::shared_ptr<Run> &run, int next);
     void finish(const std::shared_ptr<Run> &run);
     void crashIfOverwhelmed();
     void crash(std::vector<std::string> rejectedIds);
+    void abortAll();
 
     asio::io_context &io_;
     httpio::Timers &timers_;
@@ -130,7 +139,7 @@
     bool isFull_ = false;
     bool isLeaving_ = false;
     bool isSilent_ = false;
-    std::vector<std::function<void()>> heldRequests_; // that came while it was silent
+    std::vector<std::function<void()>> held_; // what it does when it is no longer silent
     std::chrono::milliseconds pause_{};
     std::optional<double> limit_;
     std::optional<double> maxRejections_;
