The fault soak resumes streams, plays lost hosts, reloads and odd entries, and checks for lost requests

Streams that break off are resumed as the platform's clients do, at any host and after the asked pause, and each event names its endpoint's version. So the run sees events that are missing, repeated or of two versions over all attempts, and whether resumed streams go on at least half as often as new ones begin while two endpoints of their version serve.

New faults: kill-all, new-version, endpoint-silent, reload, configuration and odd-entry. They are drawn by a sequence of their own, so that the faults that a seed had before stay as they were.

New checks: requests on kept connections that get no whole answer from hosts in touch and sound endpoints; requests cut off by a planned stop, a reload or new configurations; hosts that end by themselves. The check of planned stops now counts from SIGTERM until 1 s after the time to stop, as the platform's rules do, and no longer excuses or counts by the end of the fault; it leaves out requests whose time was over, whose endpoint ended, and those sent early in the stop that are still at work in its last sixth.

--- a/soak/announcementchecks.cpp
+++ b/soak/announcementchecks.cpp
@@ -156,12 +156,18 @@
 bool SoakRun::isHostDisturbed(std::size_t host, units::TimePoint from, units::TimePoint until) const
 {
     return std::any_of(faults_.begin(), faults_.end(), [&](const Fault &fault) {
-        const bool isOfHost = fault.kind == FaultKind::Kill || fault.kind == FaultKind::Stop
-            || fault.kind == FaultKind::Freeze;
-        return isOfHost && fault.target == host && isInForce(fault, from, until);
+        return isOfHost(fault, host) && isInForce(fault, from, until);
     });
 }
 
+// Whether the fault kills, stops or freezes the host.
+bool SoakRun::isOfHost(const Fault &fault, std::size_t host)
+{
+    const bool isOfOne = fault.kind == FaultKind::Kill || fault.kind == FaultKind::Stop
+        || fault.kind == FaultKind::Freeze;
+    return fault.kind == FaultKind::KillAll || (isOfOne && fault.target == host);
+}
+
 // A rejection may not get through a cut.
 bool SoakRun::isPathDisturbed(std::size_t endpoint, units::TimePoint from,
                               units::TimePoint until) const
--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -1,24 +1,31 @@
 #include "caller.h"
 
+#include "soakparties.h"
+
 #include <monsoongrade/httpio/messagewriter.h>
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace monsoongrade::soak {
 
 namespace {
 
-constexpr auto Deadline = std::chrono::milliseconds(4000);
 // A gateway ends each request at its deadline; a frozen one does not.
-constexpr auto GiveUpAfter = std::chrono::milliseconds(5000);
+constexpr auto GiveUpAfterDeadline = std::chrono::milliseconds(1000);
+
+std::chrono::milliseconds deadlineOf(const CallRecord &record)
+{
+    const auto left = record.firstSentAt + StreamTime - record.sentAt;
+    return std::min(RequestDeadline, std::chrono::duration_cast<std::chrono::milliseconds>(left));
+}
 
 std::string headOf(const CallRecord &record)
 {
-    httpio::Headers headers{
-        {"Host", "soak.example"},
-        {"Attempt-Id", record.id},
-        {"Deadline-Ms", std::to_string(std::chrono::milliseconds(Deadline).count())},
-        {"Authorization", "Bearer " + record.key}};
+    httpio::Headers headers{{"Host", "soak.example"},
+                            {"Attempt-Id", record.id},
+                            {"Deadline-Ms", std::to_string(deadlineOf(record).count())},
+                            {"Authorization", "Bearer " + record.key}};
     const bool isStream
         = record.kind == RequestKind::Stream || record.kind == RequestKind::ResumableStream;
     if (isStream) {
@@ -27,6 +34,10 @@
                              "part" + record.id.substr(record.id.size() - 1) + ":80,own" + record.id
                                  + ":20");
     }
+    if (!record.began.empty()) {
+        headers.emplace_back("Resumes", record.began);
+        headers.emplace_back("Last-Event-Id", std::to_string(record.lastEvent));
+    }
     const char *const paths[] = {"/safe/a", "/unsafe/a", "/stream/a", "/resume/a"};
     return httpio::encodeRequestHead(record.kind == RequestKind::Safe ? "GET" : "POST",
                                      paths[std::size_t(record.kind)], headers, 0);
@@ -46,7 +57,10 @@
     void start(std::shared_ptr<httpio::Channel> channel, bool isConnected)
     {
         channel_ = std::move(channel);
-        timeout_ = caller_.timers_.after(GiveUpAfter, [self = shared_from_this()] {
+        record_->isOnKeptConnection = isConnected;
+        const auto giveUpAfter = deadlineOf(*record_) + GiveUpAfterDeadline;
+        timeout_ = caller_.timers_.after(giveUpAfter, [self = shared_from_this()] {
+            self->record_->wasGivenUp = true;
             self->channel_->close();
             self->end(0);
         });
@@ -70,17 +84,21 @@
     }
     void onResponseHead(const httpio::MessageHead &head) override
     {
-        status_ = head.status;
+        record_->headStatus = head.status;
         const std::string *signature = httpio::findHeader(head.headers, "Response-Signature");
         if (signature != nullptr)
             record_->signature = *signature;
+        const std::string *wait = httpio::findHeader(head.headers, "Retry-After");
+        if (wait != nullptr)
+            record_->retryAfter
+                = std::chrono::milliseconds(std::int64_t(std::atof(wait->c_str()) * 1000));
     }
     void onResponseBody(std::string_view bytes) override { record_->body.append(bytes); }
     void onResponseEnd() override
     {
         const auto self = shared_from_this();
         caller_.keep(channel_);
-        end(status_);
+        end(record_->headStatus);
     }
     void onChannelFailure(httpio::ChannelFailure) override { end(0); }
     void end(int status)
@@ -93,13 +111,14 @@
         record_->endedAt = caller_.timers_.now();
         caller_.timers_.cancel(timeout_);
         --caller_.open_;
+        if (caller_.ended_)
+            caller_.ended_(*record_);
     }
 
     Caller &caller_;
     std::shared_ptr<CallRecord> record_;
     std::shared_ptr<httpio::Channel> channel_;
     httpio::Timers::Handle timeout_;
-    int status_ = 0;
 };
 
 Caller::Caller(asio::io_context &io, httpio::Timers &timers)
@@ -111,6 +130,10 @@
 void Caller::send(const asio::ip::tcp::endpoint &address, CallRecord record)
 {
     record.sentAt = timers_.now();
+    if (record.id.empty())
+        record.id = "id" + std::to_string(records_.size());
+    if (record.began.empty())
+        record.firstSentAt = record.sentAt;
     records_.push_back(std::make_shared<CallRecord>(std::move(record)));
     ++open_;
     auto channel = takeIdle(address);
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -5,6 +5,7 @@
 
 #include <csignal>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
 
 namespace {
@@ -62,6 +63,7 @@
             ++failed;
             continue;
         }
+        std::ofstream(settings.folder + "/requests.txt") << soak.requests();
         const std::vector<std::string> violations = soak.violations();
         std::cout << "seed " << settings.seed << ": " << violations.size() << " broken\n";
         if (!violations.empty() || runs == 1)
--- a/soak/soakchecks.cpp
+++ b/soak/soakchecks.cpp
@@ -1,6 +1,7 @@
 #include "soakrun.h"
 
 #include "soakparties.h"
+#include "streamchain.h"
 
 #include <algorithm>
 #include <sstream>
@@ -24,14 +25,6 @@
 constexpr double MinRecovered = 0.9;
 constexpr int RunLengthParts = 8;
 
-bool isWholeStream(const std::string &body)
-{
-    std::string expected;
-    for (int i = 1; i <= EventsOfStream; ++i)
-        expected += "id: " + std::to_string(i) + "\ndata: event " + std::to_string(i) + "\n\n";
-    return body == expected;
-}
-
 bool isStream(RequestKind kind)
 {
     return kind == RequestKind::Stream || kind == RequestKind::ResumableStream;
@@ -61,9 +54,12 @@
     std::vector<std::string> found;
     for (const auto &record : caller_.records()) {
         checkAnswer(*record, found);
+        checkEvents(*record, found);
         checkRuns(*record, found);
-        checkPlannedStop(*record, found);
     }
+    checkLost(found);
+    checkResumedStreams(found);
+    found.insert(found.end(), ownEnds_.begin(), ownEnds_.end());
     checkAnnouncements(found);
     checkShares(found);
     checkDuties(found);
@@ -98,8 +94,10 @@
     const std::string endpoint = record.signature.substr(0, dot);
     if (dot == std::string::npos || record.signature.substr(dot + 1) != record.id)
         found.push_back(record.id + ": answer of another request, signed " + record.signature);
-    const bool isWhole = isStream(record.kind) ? isWholeStream(record.body)
-                                               : record.body == "answer of " + endpoint;
+    const std::vector<StreamEvent> events = wholeEvents(record.body);
+    const bool isWhole = isStream(record.kind)
+        ? !events.empty() && events.back().number == EventsOfStream
+        : record.body == "answer of " + endpoint;
     if (!isWhole)
         found.push_back(record.id + ": an answer that is not whole looks complete");
 }
@@ -132,13 +130,14 @@
             || ((fault.kind == FaultKind::StoreRefuses || fault.kind == FaultKind::StoreLosesAnswers
                  || fault.kind == FaultKind::Freeze)
                 && fault.target == record.host);
-        return isOfStore && overlaps(fault, record);
+        return (isOfStore || fault.kind == FaultKind::KillAll) && overlaps(fault, record);
     });
     if (isExcused)
         return Endpoints;
     for (const Fault &fault : faults_) {
-        if (fault.kind != FaultKind::EndpointLeaves
-            || record.sentAt <= startedAt_ + fault.beginsAt + LeavesWithin
+        const bool leaves
+            = fault.kind == FaultKind::EndpointLeaves || fault.kind == FaultKind::NewVersion;
+        if (!leaves || record.sentAt <= startedAt_ + fault.beginsAt + LeavesWithin
             || record.endedAt >= startedAt_ + fault.endsAt)
             continue;
         const auto &runs = endpoints_[fault.target]->runs();
@@ -157,7 +156,7 @@
         const bool writesEntry = other.kind == FaultKind::EndpointLeaves
             || other.kind == FaultKind::EndpointAnnouncesLeaving
             || other.kind == FaultKind::EndpointRestarts || other.kind == FaultKind::EntryLapses
-            || other.kind == FaultKind::EntryOfAnotherWriter;
+            || other.kind == FaultKind::NewVersion || other.kind == FaultKind::EntryOfAnotherWriter;
         return &other != &fault && writesEntry && other.target == fault.target;
     });
 }
@@ -168,44 +167,6 @@
         && record.sentAt <= startedAt_ + fault.endsAt + Afterwards;
 }
 
-// A planned stop cuts nothing off: a request that was read gets its answer, whether it reached an
-// endpoint or not, unless its host, or an endpoint, was harmed as well.
-void SoakRun::checkPlannedStop(const CallRecord &record, std::vector<std::string> &found) const
-{
-    const bool wasRead = runsOf(record.id) > 0
-        || (record.wasSent && record.endedAt - record.sentAt > units::Duration(CrossesWithin));
-    if (record.status != 0 || !record.isEnded || !wasRead)
-        return;
-    const bool isStopped = std::any_of(faults_.begin(), faults_.end(), [&](const Fault &fault) {
-        return fault.kind == FaultKind::Stop && fault.target == record.host
-            && overlaps(fault, record);
-    });
-    const bool isHarmed = std::any_of(faults_.begin(), faults_.end(), [&](const Fault &fault) {
-        const bool isOfHost = (fault.kind == FaultKind::Kill || fault.kind == FaultKind::Freeze)
-            && fault.target == record.host;
-        const bool isOfPath
-            = fault.kind == FaultKind::CutToEndpoint || fault.kind == FaultKind::CutFromEndpoint;
-        return (isOfHost || isOfPath) && overlaps(fault, record);
-    });
-    if (isStopped && !isHarmed && !hasEndpointCrashed(record))
-        found.push_back(record.id + ": cut off by a planned stop of " + hostParty(record.host)
-                        + (runsOf(record.id) > 0 ? "" : " before it ran"));
-}
-
-// Whether an endpoint that may have run the request crashed before its end.
-bool SoakRun::hasEndpointCrashed(const CallRecord &record) const
-{
-    return std::any_of(endpoints_.begin(), endpoints_.end(), [&](const auto &endpoint) {
-        const auto &runs = endpoint->runs();
-        const auto &crashes = endpoint->crashes();
-        return std::any_of(runs.begin(), runs.end(),
-                           [&](const auto &run) { return run.requestId == record.id; })
-            && std::any_of(crashes.begin(), crashes.end(), [&](const auto &crash) {
-                   return record.sentAt <= crash.at && crash.at <= record.endedAt;
-               });
-    });
-}
-
 // No kind of request or workspace starves, and all are served again when the faults are over.
 void SoakRun::checkShares(std::vector<std::string> &found) const
 {
@@ -214,7 +175,9 @@
     std::pair<int, int> last;
     const auto lastBegins = startedAt_ + settings_.length - settings_.length / RunLengthParts;
     for (const auto &record : caller_.records()) {
-        if (record->key == SecondKey && revokedAt_ && record->sentAt >= *revokedAt_)
+        const bool isRevoked
+            = record->key == SecondKey && revokedAt_ && record->sentAt >= *revokedAt_;
+        if (isRevoked || !record->began.empty())
             continue;
         const int served = record->status == 200 ? 1 : 0;
         for (auto *group : {&groups[kindName(record->kind)], &groups[record->key], &all}) {
@@ -249,6 +212,11 @@
             out << " " << (status == 0 ? "none" : std::to_string(status)) << " " << count;
         out << "\n";
     }
+    const ResumedStreams streams = resumedStreams();
+    out << "resumed at hosts in touch: " << streams.all << " streams, " << streams.goOn
+        << " went on\n";
+    for (const std::string &lost : lostAtSoundEndpoints())
+        out << "lost at a sound endpoint: " << lost << "\n";
     for (std::size_t endpoint = 0; endpoint < endpoints_.size(); ++endpoint) {
         for (const standins::WorkerCrash &crash : endpoints_[endpoint]->crashes())
             out << endpointParty(endpoint) << " crashed at "
@@ -258,4 +226,23 @@
     return out.str();
 }
 
+std::string SoakRun::requests() const
+{
+    const auto after = [&](units::TimePoint at) {
+        return std::chrono::duration_cast<milliseconds>(at - startedAt_).count();
+    };
+    std::ostringstream out;
+    for (const auto &record : caller_.records()) {
+        out << record->id << " " << kindName(record->kind) << " " << hostParty(record->host)
+            << " sent=" << after(record->sentAt) << " ended=" << after(record->endedAt)
+            << " status=" << record->headStatus << "/" << record->status
+            << " connected=" << record->wasSent << " kept=" << record->isOnKeptConnection
+            << " signature=" << record->signature;
+        if (!record->began.empty())
+            out << " resumes=" << record->began << " after=" << record->lastEvent;
+        out << "\n";
+    }
+    return out.str();
+}
+
 } // namespace monsoongrade::soak
--- a/soak/soakparties.h
+++ b/soak/soakparties.h
@@ -1,6 +1,7 @@
 #ifndef MONSOONGRADE_SOAK_SOAKPARTIES_H
 #define MONSOONGRADE_SOAK_SOAKPARTIES_H
 
+#include <chrono>
 #include <cstddef>
 #include <string>
 
@@ -11,6 +12,13 @@
 constexpr std::size_t Endpoints = 8;
 constexpr std::size_t ModelEndpoints = 5; // the first ones; the others serve plain requests
 constexpr int EventsOfStream = 12;
+constexpr int MaxWaiting = 4; // requests at an endpoint
+// Of a request, and of all attempts of a stream together.
+constexpr auto RequestDeadline = std::chrono::milliseconds(4000);
+constexpr auto StreamTime = std::chrono::milliseconds(10000);
+// The shortest time-out that a route ever has.
+constexpr auto MinRouteTimeout = std::chrono::milliseconds(3600);
+constexpr auto StopWithin = std::chrono::seconds(4);
 inline const std::string FirstKey = "key-one";
 // The key that a run may revoke.
 inline const std::string SecondKey = "key-two";
--- a/soak/soakplan.cpp
+++ b/soak/soakplan.cpp
@@ -8,13 +8,22 @@
 
 namespace {
 
-constexpr int FaultKinds = 19;
+constexpr int FaultKinds = 25;
 constexpr int FaultsPerSecond = 1;
+// Kinds from this one on are drawn by themselves, for one fault in two of the others.
+constexpr int FirstExtraKind = int(FaultKind::KillAll);
+constexpr std::size_t FaultsPerExtraFault = 2;
 constexpr int MinFaultMs = 300;
 constexpr int MaxFaultMs = 4000;
 // What an endpoint announces binds hosts from 2 or 3 s on, so shorter times test little.
 constexpr int MinAnnouncedMs = 3000;
 constexpr int MaxAnnouncedMs = 9000;
+// Sound endpoints are silent for about a second at most.
+constexpr int MinSilentMs = 600;
+constexpr int MaxSilentMs = 1100;
+// Hosts stop sending to an endpoint within 2 s of its leaving.
+constexpr int MinLeavingMs = 2200;
+constexpr int MaxLeavingMs = 4000;
 // A host that is started again at the end of its fault serves within this time, and so do all after
 // an outage of the store.
 constexpr auto RecoveryTime = std::chrono::milliseconds(4500);
@@ -43,6 +52,59 @@
     return fault;
 }
 
+std::chrono::milliseconds durationOf(FaultKind kind, std::mt19937 &random)
+{
+    int minMs = MinFaultMs;
+    int maxMs = MaxFaultMs;
+    switch (kind) {
+    case FaultKind::EndpointAnnouncesLeaving:
+    case FaultKind::EndpointNamesLimit:
+    case FaultKind::EndpointIsBrittle:
+        minMs = MinAnnouncedMs;
+        maxMs = MaxAnnouncedMs;
+        break;
+    case FaultKind::EndpointSilent:
+        minMs = MinSilentMs;
+        maxMs = MaxSilentMs;
+        break;
+    case FaultKind::NewVersion:
+        minMs = MinLeavingMs;
+        maxMs = MaxLeavingMs;
+        break;
+    default:
+        break;
+    }
+    return std::chrono::milliseconds(minMs + int(random() % std::uint32_t(maxMs - minMs)));
+}
+
+// Adds faults of the later kinds. All hosts are killed at most once, as little runs meanwhile.
+void addExtraFaults(std::vector<Fault> &faults, std::uint32_t seed,
+                    std::chrono::milliseconds faultTime, std::size_t hosts, std::size_t endpoints)
+{
+    constexpr std::uint32_t SeedOffset = 1000000;
+    constexpr auto KillLead = std::chrono::milliseconds(300);
+    constexpr auto KillTime = std::chrono::milliseconds(500);
+    std::mt19937 random(seed + SeedOffset);
+    const std::size_t count = faults.size() / FaultsPerExtraFault;
+    const auto lastBegin = std::uint32_t(faultTime.count() - MinFaultMs);
+    bool hasKilledAll = false;
+    for (std::size_t i = 0; i < count; ++i) {
+        Fault fault;
+        fault.kind = FaultKind(FirstExtraKind + int(random() % (FaultKinds - FirstExtraKind)));
+        if (fault.kind == FaultKind::KillAll && hasKilledAll)
+            fault.kind = FaultKind::EndpointSilent;
+        hasKilledAll = hasKilledAll || fault.kind == FaultKind::KillAll;
+        fault.beginsAt = std::chrono::milliseconds(random() % lastBegin);
+        fault.endsAt = std::min(fault.beginsAt + durationOf(fault.kind, random), faultTime);
+        fault.target = random() % (isOfEndpoint(fault.kind) ? endpoints : hosts);
+        faults.push_back(fault);
+        if (fault.kind == FaultKind::Reload && random() % 2 == 0) {
+            const auto begin = std::max(fault.beginsAt - KillLead, std::chrono::milliseconds(0));
+            faults.push_back({FaultKind::Kill, begin, begin + KillTime, fault.target});
+        }
+    }
+}
+
 } // namespace
 
 bool isOfEndpoint(FaultKind kind)
@@ -58,6 +120,9 @@
     case FaultKind::EntryOfAnotherWriter:
     case FaultKind::EndpointNamesLimit:
     case FaultKind::EndpointIsBrittle:
+    case FaultKind::NewVersion:
+    case FaultKind::EndpointSilent:
+    case FaultKind::OddEntry: // as many of them as endpoints
         return true;
     default:
         return false;
@@ -105,6 +170,18 @@
         return "endpoint-is-brittle";
     case FaultKind::Burst:
         return "burst";
+    case FaultKind::KillAll:
+        return "kill-all";
+    case FaultKind::NewVersion:
+        return "new-version";
+    case FaultKind::EndpointSilent:
+        return "endpoint-silent";
+    case FaultKind::Reload:
+        return "reload";
+    case FaultKind::Configuration:
+        return "configuration";
+    case FaultKind::OddEntry:
+        return "odd-entry";
     }
     return "unknown";
 }
@@ -152,24 +229,18 @@
     bool hasRevoked = false;
     for (std::size_t i = 0; i < count; ++i) {
         Fault fault;
-        fault.kind = FaultKind(below(FaultKinds));
+        fault.kind = FaultKind(below(FirstExtraKind));
         if (fault.kind == FaultKind::KeyRevoked && hasRevoked)
             fault.kind = FaultKind::Kill;
         hasRevoked = hasRevoked || fault.kind == FaultKind::KeyRevoked;
         fault.beginsAt = std::chrono::milliseconds(below(lastBegin));
-        const bool isAnnounced = fault.kind == FaultKind::EndpointAnnouncesLeaving
-            || fault.kind == FaultKind::EndpointNamesLimit
-            || fault.kind == FaultKind::EndpointIsBrittle;
-        const int minMs = isAnnounced ? MinAnnouncedMs : MinFaultMs;
-        const int maxMs = isAnnounced ? MaxAnnouncedMs : MaxFaultMs;
-        const std::uint32_t lasts = std::uint32_t(minMs) + below(std::uint32_t(maxMs - minMs));
-        fault.endsAt = std::min<std::chrono::milliseconds>(
-            fault.beginsAt + std::chrono::milliseconds(lasts), length - RecoveryTime);
+        fault.endsAt = std::min(fault.beginsAt + durationOf(fault.kind, random), faultTime);
         fault.target = below(std::uint32_t(isOfEndpoint(fault.kind) ? endpoints : hosts));
         faults.push_back(fault);
         if (fault.kind == FaultKind::EndpointAnnouncesLeaving)
             faults.push_back(entryFaultDuring(fault, random));
     }
+    addExtraFaults(faults, seed, faultTime, hosts, endpoints);
     std::sort(faults.begin(), faults.end(),
               [](const Fault &a, const Fault &b) { return a.beginsAt < b.beginsAt; });
     return faults;
--- a/soak/soakplan.h
+++ b/soak/soakplan.h
@@ -29,6 +29,12 @@
     EndpointNamesLimit, // it takes few requests a second, and says so in its responses
     EndpointIsBrittle, // it crashes when it has to reject many requests, and says so in responses
     Burst, // many more requests than usual
+    KillAll, // SIGKILL of all hosts, started again at the end
+    NewVersion, // an endpoint leaves, and is back at the end with a newer software version
+    EndpointSilent, // an endpoint sends nothing, and goes on at the end
+    Reload, // a host's settings file is replaced many times, each time with SIGHUP
+    Configuration, // new versions in quick succession with other routes and time-outs
+    OddEntry, // an entry that can't be read stands beside those of the endpoints
 };
 
 // Whether the fault's target is an endpoint; otherwise it is a host.
@@ -37,7 +43,7 @@
 std::string faultName(FaultKind kind);
 
 // One fault of a run: begins and ends at these times after the start of the load. target: the host
-// or endpoint, where the kind has one.
+// or endpoint, where the kind has one, or which of the entries that can't be read.
 struct Fault
 {
     FaultKind kind = FaultKind::Kill;
@@ -53,6 +59,7 @@
 std::optional<Fault> parseFault(const std::string &text);
 
 // Faults that follow from the seed alone, in order of their begin. They come in series and overlap.
+// A host that is reloaded may be killed just before, so that signals also come when it starts.
 // All end 4.5 s before the run does, so that recovery shows.
 std::vector<Fault> planFaults(std::uint32_t seed, std::chrono::seconds length, std::size_t hosts,
                               std::size_t endpoints);
--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -1,6 +1,7 @@
 #include "soakrun.h"
 
 #include "soakparties.h"
+#include "streamchain.h"
 
 #include <algorithm>
 #include <csignal>
@@ -14,18 +15,10 @@
 namespace {
 
 using nlohmann::json;
-using standins::StoreBehavior;
 using std::chrono::milliseconds;
 
-constexpr auto AskedPause = milliseconds(3000);
-// Requests a second; which one follows from the begin of the fault.
-constexpr double NamedLimits[] = {0.3, 1, 8, 40, 0, 1.6, 2};
-constexpr double MaxRejections = 2; // a second
 constexpr int ModelSlots = 16;
 constexpr int PlainSlots = 6;
-constexpr int MaxWaiting = 4;
-// Brittle endpoints let fewer requests wait from this time on.
-constexpr auto WaitingShrinksAfter = milliseconds(3000);
 // Requests in a burst for each one at other times.
 constexpr int BurstFactor = 6;
 // The first host places the requests of all whenever it runs.
@@ -37,15 +30,9 @@
 constexpr auto StartWithin = milliseconds(10000);
 // After the last request: its deadline, and some more for what runs unattended.
 constexpr auto Aftermath = milliseconds(7000);
-constexpr auto StopWithin = std::chrono::seconds(4);
 // Lets streams wait for an endpoint until their deadline, which may be after the end of a host.
 constexpr auto LongTarget = milliseconds(1000);
 
-double limitOf(const Fault &fault)
-{
-    return NamedLimits[std::size_t(fault.beginsAt / milliseconds(100)) % std::size(NamedLimits)];
-}
-
 // Runs stand side by side: each takes addresses and ports by its process id. The ports stay below
 // those that the system gives to outgoing connections.
 int runNumber()
@@ -59,12 +46,20 @@
 }
 
 json route(const std::string &prefix, const std::string &kind, const std::string &service, int tier,
-           int attempts, bool resumable, milliseconds target = milliseconds(500))
+           bool resumable, milliseconds target = milliseconds(500))
 {
-    return {{"name", "r" + prefix}, {"host", "soak.example"}, {"path_prefix", prefix},
-            {"kind", kind},         {"timeout_ms", 4000},     {"target_latency_ms", target.count()},
-            {"priority", tier},     {"service", service},     {"max_attempts", attempts},
-            {"public", false},      {"resumable", resumable}, {"gap_aim_ms", 300}};
+    return {{"name", "r" + prefix},
+            {"host", "soak.example"},
+            {"path_prefix", prefix},
+            {"kind", kind},
+            {"timeout_ms", RequestDeadline.count()},
+            {"target_latency_ms", target.count()},
+            {"priority", tier},
+            {"service", service},
+            {"max_attempts", 2},
+            {"public", false},
+            {"resumable", resumable},
+            {"gap_aim_ms", 300}};
 }
 
 } // namespace
@@ -79,8 +74,10 @@
     , duties_(io_, timers_, 0)
     , caller_(io_, timers_)
     , random_(settings.seed)
+    , resumptionRandom_(settings.seed)
 {
-    putConfiguration(1, true);
+    caller_.onEnd([this](const CallRecord &ended) { resumeLater(ended); });
+    putConfiguration();
     for (std::size_t i = 0; i < Endpoints; ++i)
         addEndpoint(i);
     for (std::size_t i = 0; i < settings_.hosts; ++i)
@@ -96,6 +93,7 @@
     endpoint.slots = number < ModelEndpoints ? ModelSlots : PlainSlots;
     endpoint.maxWaiting = MaxWaiting;
     endpoint.events = EventsOfStream;
+    endpoint.eventsNameVersion = true;
     endpoint.work = milliseconds(number < ModelEndpoints ? 15 : 60);
     endpoint.eventGap = milliseconds(25);
     endpoint.announcedAddress = "127.0.0.1:" + std::to_string(proxyPort(number));
@@ -115,7 +113,7 @@
     host.settingsPath = settings_.folder + "/" + hostParty(number) + ".yaml";
     host.callers = {asio::ip::make_address_v4(host.ip), CallersPort};
     host.store = store_.addAddress();
-    std::ofstream out(host.settingsPath);
+    std::ostringstream out;
     out << "host: " << hostParty(number) << "\nip: \"" << host.ip << "\"\nfailure-domain: z"
         << number % Domains << "\ncpu-share: " << (number == 0 ? LargeCpuShare : SmallCpuShare)
         << "\n";
@@ -127,22 +125,34 @@
         << "\"\nstop-within-s: " << StopWithin.count()
         << "\nduties-address: \"127.0.0.1:" << duties_.address().port()
         << "\"\ncounts-port: 8007\nusage-window-s: 1\n";
+    host.settings = out.str();
     hosts_.push_back(std::move(host));
 }
 
-void SoakRun::putConfiguration(int version, bool hasSecondKey)
+// Each version of a configuration fault has other routes beside those of the load, and other
+// time-outs.
+void SoakRun::putConfiguration()
 {
+    constexpr int ExtraRoutes = 3;
+    ++configuration_;
     json workspaces{{{"name", "w1"}, {"api_keys", {FirstKey}}}};
-    if (hasSecondKey)
+    if (!revokedAt_)
         workspaces.push_back({{"name", "w2"}, {"api_keys", {SecondKey}}});
+    json routes{route("/safe/", "safe", "plain", 1, false),
+                route("/unsafe/", "unsafe", "plain", 1, false),
+                route("/stream/", "streaming", "model", 2, false, LongTarget),
+                route("/resume/", "streaming", "model", 0, true)};
+    if (configuration_ % 2 == 0) {
+        for (json &each : routes)
+            each["timeout_ms"] = MinRouteTimeout.count();
+    }
+    for (int i = 0; i < configuration_ % (ExtraRoutes + 1); ++i)
+        routes.push_back(route("/extra-" + std::to_string(configuration_ + i) + "/", "safe",
+                               i % 2 == 0 ? "plain" : "model", 1, false));
     store_.put(
         "config", "main",
-        {{"version", version},
-         {"routes",
-          {route("/safe/", "safe", "plain", 1, 2, false),
-           route("/unsafe/", "unsafe", "plain", 1, 2, false),
-           route("/stream/", "streaming", "model", 2, 2, false, LongTarget),
-           route("/resume/", "streaming", "model", 0, 2, true)}},
+        {{"version", configuration_},
+         {"routes", routes},
          {"services",
           {{{"name", "plain"}, {"max_connections", 200}},
            {{"name", "model"}, {"max_connections", 200}, {"engine", {{"slots", ModelSlots}}}}}},
@@ -152,6 +162,10 @@
 void SoakRun::startHost(Host &host)
 {
     const std::size_t number = std::size_t(&host - hosts_.data());
+    std::ofstream(host.settingsPath) << host.settings;
+    host.isEndAsked = false;
+    host.isEndNoted = false;
+    host.startedAt = timers_.now();
     host.process = std::make_unique<scenarios::Process>(
         std::vector<std::string>{settings_.gateway, "--config", host.settingsPath},
         settings_.folder + "/" + hostParty(number) + ".log");
@@ -164,7 +178,6 @@
     for (const Host &host : hosts_) {
         while (true) {
             CallRecord probe;
-            probe.id = "probe" + std::to_string(caller_.records().size());
             probe.key = FirstKey;
             caller_.send(host.callers, probe);
             const std::shared_ptr<CallRecord> sent = caller_.records().back();
@@ -196,11 +209,15 @@
     io_.restart();
     io_.run_for(settings_.length + Aftermath);
     for (Host &host : hosts_) {
+        noteEnd(host);
+        host.isEndAsked = true;
         host.process->signal(SIGCONT);
         host.process->signal(SIGTERM);
     }
     io_.restart();
     io_.run_for(StopWithin + milliseconds(500));
+    for (Host &host : hosts_)
+        noteEnd(host);
     for (const auto &endpoint : endpoints_) {
         for (const standins::WorkerRun &run : endpoint->runs())
             ++runs_[run.requestId];
@@ -224,158 +241,21 @@
 void SoakRun::sendOne()
 {
     CallRecord record;
-    record.id = "id" + std::to_string(caller_.records().size());
     record.kind = RequestKind(random_() % 4);
     record.key = random_() % 2 == 0 ? FirstKey : SecondKey;
     record.host = random_() % hosts_.size();
     caller_.send(hosts_[record.host].callers, record);
 }
 
-void SoakRun::restartEnded()
-{
-    for (Host &host : hosts_) {
-        if (host.mustRestart && host.process->exitCode()) {
-            host.mustRestart = false;
-            startHost(host);
-        }
-    }
-}
-
-void SoakRun::begin(const Fault &fault)
+void SoakRun::resumeLater(const CallRecord &ended)
 {
-    Host *const host = fault.target < hosts_.size() ? &hosts_[fault.target] : nullptr;
-    switch (fault.kind) {
-    case FaultKind::Kill:
-        host->process->signal(SIGKILL);
-        break;
-    case FaultKind::Freeze:
-        host->process->signal(SIGSTOP);
-        break;
-    case FaultKind::Stop:
-        host->process->signal(SIGTERM);
-        break;
-    case FaultKind::StoreRefuses:
-        store_.setBehavior(StoreBehavior::Refusing, host->store);
-        break;
-    case FaultKind::StoreLosesAnswers:
-        store_.setBehavior(StoreBehavior::DroppingResponses, host->store);
-        break;
-    case FaultKind::StoreAway:
-        store_.setBehavior(StoreBehavior::Refusing);
-        break;
-    case FaultKind::HistoryGone:
-        store_.compact();
-        break;
-    case FaultKind::CutToEndpoint:
-        relay_.cut({"hosts", endpointParty(fault.target)});
-        break;
-    case FaultKind::CutFromEndpoint:
-        relay_.cut({endpointParty(fault.target), "hosts"});
-        break;
-    case FaultKind::EndpointLeaves:
-        endpoints_[fault.target]->announce("draining");
-        break;
-    case FaultKind::KeyRevoked:
-        revokedAt_ = timers_.now();
-        putConfiguration(2, false);
-        break;
-    case FaultKind::EndpointAnnouncesLeaving:
-        endpoints_[fault.target]->announceLeavingInResponses();
-        break;
-    case FaultKind::EndpointAsksForPauses:
-        endpoints_[fault.target]->askForPauses(AskedPause);
-        break;
-    case FaultKind::EndpointNamesLimit:
-        endpoints_[fault.target]->announceLimit(limitOf(fault));
-        break;
-    case FaultKind::EndpointIsBrittle:
-        endpoints_[fault.target]->announceMaxRejections(MaxRejections);
-        timers_.after(WaitingShrinksAfter, [this, &fault] {
-            if (isInForce(fault, timers_.now(), timers_.now()))
-                endpoints_[fault.target]->setMaxWaiting(0);
-        });
-        break;
-    case FaultKind::Burst:
-        break;
-    case FaultKind::EndpointRestarts:
-        endpoints_[fault.target]->restart();
-        break;
-    case FaultKind::EntryLapses:
-        endpoints_[fault.target]->removeEntry();
-        break;
-    case FaultKind::EntryOfAnotherWriter:
-        overwriteEntry(fault);
-        break;
-    }
-}
-
-// Writes an entry that names no endpoint to use, or shows no later start than the endpoint's own.
-void SoakRun::overwriteEntry(const Fault &fault)
-{
-    const standins::StandInWorker &endpoint = *endpoints_[fault.target];
-    const json starts[] = {0, 1700000000000, "soon", nullptr, 1.5};
-    json entry{{"service", endpoint.settings().service},
-               {"address", endpoint.settings().announcedAddress},
-               {"zone", endpoint.settings().zone},
-               {"slots", 1},
-               {"state", "ready"},
-               {"born", starts[std::size_t(fault.beginsAt.count()) % std::size(starts)]}};
-    if (entry["born"].is_null())
-        entry.erase("born");
-    store_.put("servers", endpoint.settings().id, entry);
-}
-
-void SoakRun::end(const Fault &fault)
-{
-    Host *const host = fault.target < hosts_.size() ? &hosts_[fault.target] : nullptr;
-    switch (fault.kind) {
-    case FaultKind::Kill:
-    case FaultKind::Stop:
-        host->process->signal(SIGCONT); // one that is frozen as well could not end
-        host->mustRestart = true;
-        break;
-    case FaultKind::Freeze:
-        host->process->signal(SIGCONT);
-        break;
-    case FaultKind::StoreRefuses:
-    case FaultKind::StoreLosesAnswers:
-        store_.setBehavior(StoreBehavior::Normal, host->store);
-        break;
-    case FaultKind::StoreAway:
-        store_.setBehavior(StoreBehavior::Normal);
-        break;
-    case FaultKind::HistoryGone:
-    case FaultKind::KeyRevoked:
-        break;
-    case FaultKind::CutToEndpoint:
-        relay_.heal({"hosts", endpointParty(fault.target)}, false);
-        break;
-    case FaultKind::CutFromEndpoint:
-        relay_.heal({endpointParty(fault.target), "hosts"}, false);
-        break;
-    case FaultKind::EndpointLeaves:
-    case FaultKind::EndpointAnnouncesLeaving:
-        endpoints_[fault.target]->restart();
-        endpoints_[fault.target]->announce();
-        break;
-    case FaultKind::EndpointRestarts:
-    case FaultKind::EntryLapses:
-    case FaultKind::EntryOfAnotherWriter:
-        endpoints_[fault.target]->announce();
-        break;
-    case FaultKind::EndpointAsksForPauses:
-        endpoints_[fault.target]->askForPauses(milliseconds(0));
-        break;
-    case FaultKind::EndpointNamesLimit:
-        endpoints_[fault.target]->announceLimit(std::nullopt);
-        break;
-    case FaultKind::EndpointIsBrittle:
-        endpoints_[fault.target]->announceMaxRejections(std::nullopt);
-        endpoints_[fault.target]->setMaxWaiting(MaxWaiting);
-        break;
-    case FaultKind::Burst:
-        break;
-    }
+    const auto resumption = resumptionOf(ended, resumptionRandom_);
+    if (!resumption)
+        return;
+    timers_.after(resumption->delay, [this, record = resumption->next]() mutable {
+        record.host = resumptionRandom_() % hosts_.size();
+        caller_.send(hosts_[record.host].callers, record);
+    });
 }
 
 } // namespace monsoongrade::soak
--- a/soak/soakrun.h
+++ b/soak/soakrun.h
@@ -43,16 +43,22 @@
     std::vector<std::string> violations() const;
     // A table of what the callers saw, by kind of request, and of crashed endpoints.
     std::string table() const;
+    // A line for each request, with its times after the start of the load.
+    std::string requests() const;
 
 private:
     struct Host
     {
         std::string ip;
         std::string settingsPath;
+        std::string settings;
         asio::ip::tcp::endpoint callers;
         asio::ip::tcp::endpoint store;
         std::unique_ptr<scenarios::Process> process;
         bool mustRestart = false;
+        bool isEndAsked = false; // of the process, by a fault
+        bool isEndNoted = false;
+        units::TimePoint startedAt;
     };
 
     void addEndpoint(std::size_t number);
@@ -61,11 +67,25 @@
     bool awaitServing();
     void scheduleLoad();
     void sendOne();
+    void resumeLater(const CallRecord &ended);
     void begin(const Fault &fault);
+    void beginOfHost(const Fault &fault, Host &host);
+    void beginOfEndpoint(const Fault &fault, standins::StandInWorker &endpoint);
     void end(const Fault &fault);
+    void endOfHost(const Fault &fault, Host &host);
+    void endOfEndpoint(const Fault &fault, standins::StandInWorker &endpoint);
+    void end(Host &host, int signal);
+    void restartOnceEnded(Host &host);
+    void noteEnd(Host &host);
     void restartEnded();
+    void signalDuringStart(Host &host);
     void overwriteEntry(const Fault &fault);
-    void putConfiguration(int version, bool hasSecondKey);
+    void startNewVersion(const Fault &fault);
+    void reload(const Fault &fault);
+    void replaceSettings(const Fault &fault);
+    void changeConfiguration(const Fault &fault);
+    void putConfiguration();
+    std::string versionOf(std::size_t endpoint, units::TimePoint at) const;
     int runsOf(const std::string &id) const;
     void checkAnswer(const CallRecord &record, std::vector<std::string> &found) const;
     void checkRuns(const CallRecord &record, std::vector<std::string> &found) const;
@@ -78,12 +98,37 @@
     void checkLimit(std::size_t endpoint, std::vector<std::string> &found) const;
     void checkCrashes(bool areModelEndpoints, std::vector<std::string> &found) const;
     bool wasPassedOn(const standins::WorkerArrival &arrival, std::size_t endpoint) const;
+    static bool isOfHost(const Fault &fault, std::size_t host);
     bool isHostDisturbed(std::size_t host, units::TimePoint from, units::TimePoint until) const;
     bool isPathDisturbed(std::size_t endpoint, units::TimePoint from, units::TimePoint until) const;
     bool isInForce(const Fault &fault, units::TimePoint from, units::TimePoint until) const;
     bool isAloneOnEntry(const Fault &fault) const;
-    bool hasEndpointCrashed(const CallRecord &record) const;
-    void checkPlannedStop(const CallRecord &record, std::vector<std::string> &found) const;
+    // Requests that end without an answer.
+    void checkLost(std::vector<std::string> &found) const;
+    std::vector<std::string> lostAtSoundEndpoints() const;
+    void checkPlannedWork(const CallRecord &record, std::vector<std::string> &found) const;
+    void checkConfigurationWork(std::vector<std::string> &found) const;
+    bool isCutOff(const CallRecord &record) const;
+    bool isStopExcused(const Fault &stop, const CallRecord &record) const;
+    bool hasEndpointBrokenOff(const CallRecord &record) const;
+    bool isPathDisturbed(const CallRecord &record) const;
+    bool isInTouch(std::size_t host, units::TimePoint from, units::TimePoint until) const;
+    // Streams over all attempts.
+    void checkEvents(const CallRecord &record, std::vector<std::string> &found) const;
+    struct ResumedStreams
+    {
+        int all = 0; // that clients resumed at hosts in touch
+        int goOn = 0;
+        double expected = 0; // that would go on if they fared as new streams do
+        std::map<int, int> endings; // attempts that brought nothing, by status
+    };
+
+    ResumedStreams resumedStreams() const;
+    void checkResumedStreams(std::vector<std::string> &found) const;
+    bool isToBeResumed(const CallRecord &record) const;
+    double shareOfNewStreams(units::TimePoint around) const;
+    bool isServing(std::size_t endpoint, const std::string &version, units::TimePoint from,
+                   units::TimePoint until) const;
     void checkDuties(std::vector<std::string> &found) const;
     void checkShares(std::vector<std::string> &found) const;
     bool overlaps(const Fault &fault, const CallRecord &record) const;
@@ -101,6 +146,9 @@
     std::vector<Host> hosts_;
     Caller caller_;
     std::mt19937 random_;
+    std::mt19937 resumptionRandom_;
+    int configuration_ = 0; // version
+    std::vector<std::string> ownEnds_; // of hosts
     units::TimePoint startedAt_;
     std::optional<units::TimePoint> revokedAt_;
     std::map<std::string, int> runs_; // by request, filled at the end
