--- a/tests/adapter/oddobjects_test.cpp
+++ b/tests/adapter/oddobjects_test.cpp
@@ -288,7 +288,7 @@
     const nlohmann::json spec = standins::workerEntry("plain", "127.0.0.1:9");
     for (const std::string name : {"i-7f3a91c2", "a/b", "a%20b", "a&b=c"})
         CHECK(decodeEndpoint(name, spec));
-    for (const std::string name :
+    for (const std::string &name :
          {std::string(), std::string("a b"), std::string("a\r\nX: y"), std::string("a\0b", 3),
           std::string("\xc3\xa9"), std::string("a\x7f"), std::string(1000000, 'a')})
         CHECK_FALSE(decodeEndpoint(name, spec));
