--- a/tests/platform_standin/standinstore.cpp
+++ b/tests/platform_standin/standinstore.cpp
@@ -125,7 +125,7 @@
 
 std::string StandInStore::textOf(const json &body) const
 {
-    const std::string text = body.dump();
+    std::string text = body.dump();
     if (rawSpecs_.empty())
         return text;
     std::string whole;
