--- a/tests/routing/brittlecrashsimulation_test.cpp
+++ b/tests/routing/brittlecrashsimulation_test.cpp
@@ -154,10 +154,9 @@
         knowsBrittle_[host] = true;
         std::vector<units::TimePoint> &times = rejections_[endpoint];
         times.push_back(now_);
-        times.erase(
-            std::remove_if(times.begin(), times.end(),
-                           [this](units::TimePoint at) { return now_ - at > seconds(1); }),
-            times.end());
+        times.erase(std::remove_if(times.begin(), times.end(),
+                                   [this](units::TimePoint at) { return now_ - at > seconds(1); }),
+                    times.end());
         if (times.size() <= RejectionsPerSecond)
             return;
         ++counts_.otherCrashes;
