--- a/tests/routing/streamversionarchive_test.cpp
+++ b/tests/routing/streamversionarchive_test.cpp
@@ -96,7 +96,8 @@
     StreamVersionArchive archive;
     for (int round = 0; round < 200; ++round) {
         for (int i = 0; i < 2000; ++i)
-            archive.add(stream(std::uint64_t(round * 2000 + i)), V1, Start + round * Interval);
+            archive.add(stream(std::uint64_t(round) * 2000 + std::uint64_t(i)), V1,
+                        Start + round * Interval);
         store.step(archive, 1, Start + round * Interval);
     }
     CHECK(store.batches().size() == StreamVersionArchive::ObjectsPerRing);
@@ -133,7 +134,7 @@
     StreamVersionArchive second;
     for (int i = 0; i < 10; ++i) {
         first.add(stream(std::uint64_t(i)), V1, Start);
-        second.add(stream(std::uint64_t(100 + i)), V2, Start);
+        second.add(stream(std::uint64_t(100) + std::uint64_t(i)), V2, Start);
         store.step(first, 0, Start + i * Interval);
         store.step(second, 0, Start + i * Interval);
     }
