An odd object of software versions hides no other pool's

Seen in review, not by a caller: one object that could not be read made the whole list of its kind unread, so that resumed streams of all pools were refused, and no host could repair it. A field of another type in the list ended the process, a page that did not advance was read for ever, and after a failed call the next one came 50 ms later.

Cause: the list was decoded as one, with exceptions, beside the functions that the other kinds use for this. A failed call is repeated after a second.

Evidence: OddObjects.PoolVersionsHideNoOther, PoolVersionListWithAnotherFrame... and PoolVersionWriter.UnreadableObject... pass; they were not run on the code before.

--- a/include/monsoongrade/gateway/versionpersister.h
+++ b/include/monsoongrade/gateway/versionpersister.h
@@ -61,8 +61,10 @@
     units::TimePoint ranksHostsAt_;
     routing::PoolVersionWriter writer_;
     int openPoolCalls_ = 0; // of the writer
+    units::TimePoint mayCallForPoolsAt_; // likewise
     routing::StreamVersionArchive archive_;
     bool isSavingBatch_ = false;
+    units::TimePoint maySaveBatchesAt_;
     std::vector<Lookup> waitingForPools_; // for a read that has not begun
     bool isReadingPools_ = false;
     units::TimePoint mayReadPoolsAt_;
--- a/include/monsoongrade/routing/poolversionstore.h
+++ b/include/monsoongrade/routing/poolversionstore.h
@@ -19,6 +19,7 @@
     // Higher in each write, so that a write that depends on an earlier state fails.
     std::uint64_t update = 0;
     Revision revision; // 0: not stored yet
+    bool isReadable = true; // otherwise there is an object, but nothing is known of it
 };
 
 using AllStoredPoolVersions = std::map<units::PoolName, StoredPoolVersions>;
--- a/src/gateway/versionpersister.cpp
+++ b/src/gateway/versionpersister.cpp
@@ -14,6 +14,8 @@
 constexpr auto MinPoolReadInterval = std::chrono::milliseconds(150);
 // Batches are up to a megabyte.
 constexpr auto MinBatchReadInterval = std::chrono::milliseconds(500);
+// After a failed call, so that hosts do not add to the load of a store that is overloaded.
+constexpr auto RetryDelay = std::chrono::milliseconds(1000);
 // A client may resume a stream for as long as its route lets the first attempt run, and a little
 // longer.
 constexpr auto ResumptionMargin = std::chrono::seconds(5);
@@ -28,6 +30,8 @@
     , pools_(pools)
     , streams_(streams)
     , ranksHostsAt_(timers.now())
+    , mayCallForPoolsAt_(timers.now())
+    , maySaveBatchesAt_(timers.now())
     , mayReadPoolsAt_(timers.now())
     , mayReadBatchesAt_(timers.now())
 {
@@ -48,7 +52,7 @@
         gateway_.state().poolVersions.setStreamAge(longestStream() + ResumptionMargin);
     }
     saveBatch();
-    if (openPoolCalls_ > 0)
+    if (openPoolCalls_ > 0 || timers_.now() < mayCallForPoolsAt_)
         return;
     const auto step
         = writer_.next(gateway_.state().poolVersions, resumablePools(), ownRank(), timers_.now());
@@ -61,6 +65,8 @@
         --openPoolCalls_;
         if (stored)
             writer_.onRead(std::move(*stored), startedAt, timers_.now());
+        else
+            mayCallForPoolsAt_ = timers_.now() + RetryDelay;
     });
 }
 
@@ -73,6 +79,7 @@
                          --openPoolCalls_;
                          if (!revision) {
                              writer_.onWriteFailed();
+                             mayCallForPoolsAt_ = timers_.now() + RetryDelay;
                              return;
                          }
                          versions.revision = *revision;
@@ -83,7 +90,7 @@
 
 void VersionPersister::saveBatch()
 {
-    if (isSavingBatch_)
+    if (isSavingBatch_ || timers_.now() < maySaveBatchesAt_)
         return;
     const routing::StreamVersionArchive::Step step = archive_.next(ownRing(), timers_.now());
     if (step.mustRead) {
@@ -92,6 +99,8 @@
             isSavingBatch_ = false;
             if (stored)
                 archive_.onRead(*stored);
+            else
+                maySaveBatchesAt_ = timers_.now() + RetryDelay;
         });
     } else if (step.write) {
         isSavingBatch_ = true;
@@ -99,10 +108,12 @@
             step.write->first, step.write->second,
             [this, name = step.write->first, batch = step.write->second](auto revision) {
                 isSavingBatch_ = false;
-                if (revision)
+                if (revision) {
                     archive_.onWritten(name, *revision);
-                else
-                    archive_.onWriteFailed(batch);
+                    return;
+                }
+                archive_.onWriteFailed(batch);
+                maySaveBatchesAt_ = timers_.now() + RetryDelay;
             });
     }
 }
--- a/src/routing/poolversionwriter.cpp
+++ b/src/routing/poolversionwriter.cpp
@@ -55,6 +55,10 @@
         StoredPoolVersions next;
         if (const auto found = stored_->find(pool); found != stored_->end())
             next = found->second;
+        // What replaces it must name all versions whose streams may be resumed.
+        if (!next.isReadable && !recent.isComplete)
+            continue;
+        next.isReadable = true;
         const std::set<units::SoftwareVersion> before = next.versions;
         for (const auto &[version, appearedAt] : recent.appearedAt)
             next.versions.insert(version);
--- a/tests/adapter/oddobjects_test.cpp
+++ b/tests/adapter/oddobjects_test.cpp
@@ -5,6 +5,7 @@
 #include <platform/dutyobjectstore.h>
 #include <platform/quarantineobjectstore.h>
 #include <platform/trafficdecoder.h>
+#include <platform/versionobjectstore.h>
 
 #include <doctest/doctest.h>
 
@@ -26,6 +27,7 @@
         , client(io, timers, metrics)
         , quarantines(client, store.address())
         , duties(client, store.address())
+        , versions(client, store.address())
     {
     }
 
@@ -41,6 +43,17 @@
         REQUIRE(runUntil([&] { return isRead; }));
         return result;
     }
+    std::optional<routing::AllStoredPoolVersions> readPoolVersions()
+    {
+        std::optional<routing::AllStoredPoolVersions> result;
+        bool isRead = false;
+        versions.readAll([&](std::optional<routing::AllStoredPoolVersions> stored) {
+            result = std::move(stored);
+            isRead = true;
+        });
+        REQUIRE(runUntil([&] { return isRead; }));
+        return result;
+    }
     duties::LeaseCallResult readLease()
     {
         std::optional<duties::LeaseCallResult> result;
@@ -54,6 +67,7 @@
     StoreClient client;
     QuarantineObjectStore quarantines;
     DutyObjectStore duties;
+    VersionObjectStore versions;
 };
 
 std::vector<OddSpec> unparsable()
@@ -124,6 +138,47 @@
     }
 }
 
+// Guards against refusing the resumed streams of all pools because of one odd object.
+TEST_CASE("OddObjects.PoolVersionsHideNoOther")
+{
+    std::vector<OddSpec> specs = unparsable();
+    for (const char *text : {R"({"versions":7,"update":1})", R"({"versions":["v1",5],"update":1})",
+                             R"({"versions":["v1"],"update":-1})", R"({"versions":["v1"]})"})
+        specs.push_back({text, text});
+    for (const OddSpec &spec : specs) {
+        CAPTURE(spec.what);
+        ObjectsFixture fixture;
+        for (const char *pool : {"a", "z"})
+            fixture.store.put("pool-versions", pool, {{"versions", {"v1"}}, {"update", 1}});
+        fixture.store.putRaw("pool-versions", "odd", spec.text);
+        const auto stored = fixture.readPoolVersions();
+        REQUIRE(stored);
+        for (const char *pool : {"a", "z"}) {
+            const auto found = stored->find(units::PoolName(pool));
+            REQUIRE(found != stored->end());
+            CHECK(found->second.versions == std::set{units::SoftwareVersion("v1")});
+        }
+        if (const auto odd = stored->find(units::PoolName("odd")); odd != stored->end())
+            CHECK_FALSE(odd->second.isReadable);
+    }
+}
+
+// Guards against a process that ends as a list of versions has a field of another type, and against
+// one that reads the same page for ever.
+TEST_CASE("OddObjects.PoolVersionListWithAnotherFrameCountsAsNoAnswer")
+{
+    const std::string items = R"({"as_of":9,"items":[{"metadata":{"name":"a","revision":3},)"
+                              R"("spec":{"versions":["v1"],"update":1}}])";
+    for (const std::string &body :
+         {items + R"(,"more":"yes"})", items + R"(,"more":true})", items + "}",
+          std::string(R"({"as_of":9,"items":7,"more":false})"), std::string("7")}) {
+        CAPTURE(body);
+        ObjectsFixture fixture;
+        fixture.store.overrideBody("pool-versions", body);
+        CHECK_FALSE(fixture.readPoolVersions());
+    }
+}
+
 // Guards against an odd lease that ends the process or passes for a valid one.
 TEST_CASE("OddObjects.LeaseIsUnknown")
 {
--- a/tests/routing/poolversionwriter_test.cpp
+++ b/tests/routing/poolversionwriter_test.cpp
@@ -94,6 +94,26 @@
     CHECK(store.versions() == std::set{V1, V2});
 }
 
+// Guards against an object that stays unreadable, and against one that replaces it without a
+// version whose streams may still be resumed.
+TEST_CASE("PoolVersionWriter.UnreadableObjectIsReplacedOnceAllVersionsAreKnown")
+{
+    StoredObject store;
+    StoredPoolVersions unreadable;
+    unreadable.isReadable = false;
+    REQUIRE(store.write(unreadable));
+    Host first;
+    for (units::TimePoint now = Start; now < Start + StreamAge; now += Step) {
+        first.list({V1}, now);
+        first.write(store, 0, now);
+    }
+    CHECK(store.versions().empty());
+    first.list({V1}, Start + StreamAge);
+    first.write(store, 0, Start + StreamAge);
+    CHECK(store.versions() == std::set{V1});
+    CHECK(store.read().at(Pool).isReadable);
+}
+
 // Guards against a write for each look at an unchanged list.
 TEST_CASE("PoolVersionWriter.UnchangedVersionsAreNotWritten")
 {
