Replacements: version as sent, no blame for bytes, a later try

Three findings of the review in the replacement of silent endpoints. The software version of a replacement was read when its response came, and its entry may have changed since it was sent. Bytes that are no response counted as a crash of the request. A request for which no retry was allowed at the moment of silence never looked for another endpoint again; it now does after each further silence limit.

--- a/include/monsoongrade/gateway/replacementattempt.h
+++ b/include/monsoongrade/gateway/replacementattempt.h
@@ -24,6 +24,7 @@
     HeldConnection channel{}; // none while not connected
     bool wasSent = false;
     units::TimePoint sentAt{};
+    units::SoftwareVersion sentToVersion{};
     bool wasBrittleWhenSent = false; // as far as this host knew
     // The response that comes now is one to an earlier request on the connection.
     bool isSkipping = false;
--- a/src/gateway/exchangereplacement.cpp
+++ b/src/gateway/exchangereplacement.cpp
@@ -30,6 +30,8 @@
         && replacement_ != nullptr && replacement_->hasRequest();
     switch (routing::decideOnSilence(silent)) {
     case routing::SilenceStep::KeepWaiting:
+        // Another endpoint or a retry may be available later.
+        startSilenceTimer(routing::silenceLimit(*route_, firstByteSeen_));
         return;
     case routing::SilenceStep::ChangeReplacement:
         giveUpSilentReplacement();
@@ -156,7 +158,7 @@
     channel_.channel()->setListener(*this);
     sentAt_ = next.sentAt;
     wasBrittleWhenSent_ = next.wasBrittleWhenSent;
-    sentToVersion_ = endpoint_->registration.softwareVersion;
+    sentToVersion_ = std::move(next.sentToVersion);
     firstByteSeen_ = false;
     use_ = next.isSkipping ? ResponseUse::OfOtherRequest : ResponseUse::None;
     skippedBytes_ = 0;
--- a/src/gateway/replacementattempt.cpp
+++ b/src/gateway/replacementattempt.cpp
@@ -78,6 +78,7 @@
 {
     attempt_.wasSent = true;
     attempt_.sentAt = state_.timers.now();
+    attempt_.sentToVersion = attempt_.endpoint->registration.softwareVersion;
     attempt_.wasBrittleWhenSent = attempt_.endpoint->isBrittle(attempt_.sentAt);
     attempt_.channel.send(std::move(head), std::move(body), *this);
 }
@@ -199,7 +200,8 @@
     failed.ticket = attempt_.ticket;
     failed.isEndpointsFault = true;
     failed.mayHaveRun = !isUnsent;
-    failed.mayHaveCrashed = !isUnsent;
+    // An endpoint that sends bytes which are no response is faulty, but has not crashed.
+    failed.mayHaveCrashed = !isUnsent && failure != httpio::ChannelFailure::Malformed;
     failed.countsAsSend = !isUnsent;
     listener_.onReplacementFailed(failed);
 }
