--- a/review/standin2/standin.cpp
+++ b/review/standin2/standin.cpp
@@ -535,6 +535,68 @@
     return 0;
 }
 
+Deployment::Deployment(std::string folder)
+    : network(ownNetwork())
+    , store(network + "250")
+    , folder_(std::move(folder))
+{
+}
+
+void Deployment::addWorker(const std::string &service, int slots, const WorkerHandler &handler)
+{
+    Worker worker;
+    worker.id = "i-worker" + std::to_string(workers.size() + 1);
+    worker.service = service;
+    worker.ip = network + std::to_string(201 + workers.size());
+    worker.slots = slots;
+    worker.server = std::make_unique<Server>(
+        worker.ip, [id = worker.id, handler](Connection &each) { handler(each, id); });
+    workers.push_back(std::move(worker));
+    store.put("servers", workers.back().id, workerSpec(workers.size() - 1, "ready"));
+}
+
+std::string Deployment::workerSpec(std::size_t index, const std::string &state) const
+{
+    const Worker &worker = workers[index];
+    return R"({"service":")" + worker.service + R"(","address":")" + worker.ip + ":"
+        + std::to_string(worker.server->port()) + R"(","zone":"zone-a","version":"v1","slots":)"
+        + std::to_string(worker.slots) + R"(,"state":")" + state
+        + R"(","cold_remaining_ms":0,"sequence":1})";
+}
+
+Gateway &Deployment::addGateway(Gateway::Settings settings)
+{
+    const std::string number = std::to_string(gateways.size() + 1);
+    settings.name = "front-" + number;
+    settings.ip = network + number;
+    settings.zone = "zone-a";
+    settings.folder = folder_;
+    settings.storeAddress = network + "250:" + std::to_string(store.port());
+    settings.seeds = {network + "1:8229", network + "2:8229"};
+    gateways.push_back(std::make_unique<Gateway>(std::move(settings)));
+    gateways.back()->start();
+    return *gateways.back();
+}
+
+void Deployment::waitReady(Record &record)
+{
+    constexpr std::int64_t MaxStartMs = 8000;
+    for (const auto &gateway : gateways) {
+        if (!gateway->waitReady(MaxStartMs)) {
+            record.line("could not run: " + gateway->name() + " is not ready");
+            gateways.clear();
+            endProgram(2);
+        }
+        record.line(gateway->name() + " ready at " + gateway->ip());
+    }
+}
+
+bool hasTrouble()
+{
+    const char *trouble = std::getenv("TROUBLE");
+    return trouble == nullptr || std::string(trouble) != "0";
+}
+
 void endProgram(int exitCode)
 {
     _exit(exitCode);
--- a/review/standin2/standin.h
+++ b/review/standin2/standin.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <sys/types.h>
@@ -180,6 +181,41 @@
     pid_t process_ = -1;
 };
 
+// A store, workers and gateways on a loopback network of their own.
+class Deployment
+{
+public:
+    using WorkerHandler = std::function<void(Connection &, const std::string &id)>;
+    explicit Deployment(std::string folder);
+
+    // Starts a worker with the next address and enters it in the store as ready.
+    void addWorker(const std::string &service, int slots, const WorkerHandler &handler);
+    // Starts a gateway with the next address; name, ip, folder, store and seeds are filled in.
+    Gateway &addGateway(Gateway::Settings settings);
+    // Waits for all gateways. If one does not get ready, ends the program with 2.
+    void waitReady(Record &record);
+    std::string workerSpec(std::size_t index, const std::string &state) const;
+
+    std::string network;
+    Store store;
+    struct Worker
+    {
+        std::string id;
+        std::string service;
+        std::string ip;
+        int slots = 0;
+        std::unique_ptr<Server> server;
+    };
+    std::vector<Worker> workers;
+    std::vector<std::unique_ptr<Gateway>> gateways;
+
+private:
+    std::string folder_;
+};
+
+// False if the environment has TROUBLE=0, which leaves the disruption out.
+bool hasTrouble();
+
 // Ends the program at once, as threads of servers still run.
 [[noreturn]] void endProgram(int exitCode);
 
