--- a/review/standin2/standin.cpp
+++ b/review/standin2/standin.cpp
@@ -283,6 +283,27 @@
     return socket;
 }
 
+int beginConnecting(const std::string &ip, std::uint16_t port)
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    const int on = 1;
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    const sockaddr_in address = addressOf(ip, port);
+    if (connect(socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0
+        && errno != EINPROGRESS)
+        std::perror("connect");
+    return socket;
+}
+
+bool isConnected(int socket)
+{
+    pollfd waiting{socket, POLLOUT, 0};
+    int error = 0;
+    socklen_t size = sizeof(error);
+    return poll(&waiting, 1, 0) == 1 && getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &size) == 0
+        && error == 0;
+}
+
 std::string encodeHead(const std::string &start, const Headers &headers)
 {
     std::string text = start + "\r\n";
--- a/review/standin2/standin.h
+++ b/review/standin2/standin.h
@@ -90,6 +90,9 @@
 int listenOn(const std::string &ip, std::uint16_t port);
 int connectTo(const std::string &ip, std::uint16_t port, std::int64_t timeoutMs,
               const SocketOptions &options = {});
+// Without waiting, for a client that has many connections.
+int beginConnecting(const std::string &ip, std::uint16_t port);
+bool isConnected(int socket);
 std::uint16_t portOf(int socket);
 
 std::string encode(const std::string &start, const Headers &headers, const std::string &body);
