--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for program in review/[4-8]/case.cpp; do
+for program in review/[4-8]/program.cpp; do
     [ -e "$program" ] || continue
     number=$(basename "$(dirname "$program")")
     g++ -std=c++17 -O1 -Wall -Wextra -o "target/review-2/case-$number" \
