--- a/review/standin2/standin.cpp
+++ b/review/standin2/standin.cpp
@@ -523,17 +523,22 @@
         kill(process_, number);
 }
 
+bool Gateway::isReady() const
+{
+    const int socket = connectTo(settings_.ip, ReadinessPort, 500);
+    if (socket < 0)
+        return false;
+    Connection connection(socket);
+    connection.send(encode("GET /ready HTTP/1.1", {{"Host", "gateway"}}, ""));
+    return connection.read(1000).status() == 200;
+}
+
 bool Gateway::waitReady(std::int64_t timeoutMs) const
 {
     const std::int64_t until = nowMs() + timeoutMs;
     while (nowMs() < until) {
-        const int socket = connectTo(settings_.ip, ReadinessPort, 500);
-        if (socket >= 0) {
-            Connection connection(socket);
-            connection.send(encode("GET /ready HTTP/1.1", {{"Host", "gateway"}}, ""));
-            if (connection.read(1000).status() == 200)
-                return true;
-        }
+        if (isReady())
+            return true;
         sleepMs(50);
     }
     return false;
@@ -556,6 +561,19 @@
     return 0;
 }
 
+void Runs::add(const std::string &request, const std::string &worker)
+{
+    record_.line("run " + request + " at " + worker);
+    const std::lock_guard lock(mutex_);
+    requests_.insert(request);
+}
+
+bool Runs::contains(const std::string &request) const
+{
+    const std::lock_guard lock(mutex_);
+    return requests_.count(request) != 0;
+}
+
 Deployment::Deployment(std::string folder)
     : network(ownNetwork())
     , store(network + "250")
--- a/review/standin2/standin.h
+++ b/review/standin2/standin.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <sys/types.h>
 #include <utility>
@@ -168,6 +169,8 @@
     void signal(int number) const;
     // Waits until the readiness address answers 200.
     bool waitReady(std::int64_t timeoutMs) const;
+    // Asks the readiness address once.
+    bool isReady() const;
     // True if the process has ended.
     bool hasEnded();
     // Resident memory in MB; 0 if the process has ended.
@@ -184,6 +187,23 @@
     pid_t process_ = -1;
 };
 
+// The requests that workers have run, by their ids.
+class Runs
+{
+public:
+    explicit Runs(Record &record)
+        : record_(record)
+    {
+    }
+    void add(const std::string &request, const std::string &worker);
+    bool contains(const std::string &request) const;
+
+private:
+    Record &record_;
+    mutable std::mutex mutex_;
+    std::set<std::string> requests_;
+};
+
 // A store, workers and gateways on a loopback network of their own.
 class Deployment
 {
