Connections: a host at its bound makes room, or refuses at once and is not ready

Cause: a server stopped accepting at a fixed number of connections, a third of the descriptors, and waited until one closed. Clients that use theirs every few seconds never reach the idle timeout. Evidence: 1,025 = 3,075 / 3 connections, constant until the end, at 26 MB of 120 MB and with idle endpoints. The directory and the pages use the same server.

Change: at its bound a server closes the connection that has been idle longest for each new one (not one idle for less than 1 s or with bytes to be read). If none is idle, it accepts a few only to answer 503 with Retry-After at once, and /ready answers 503 meanwhile. Read buffers take 4 KB instead of 16 KB. A refusal for want of memory for bodies now says when to come back as well.

--- a/include/monsoongrade/gateway/gateway.h
+++ b/include/monsoongrade/gateway/gateway.h
@@ -56,6 +56,10 @@
     void setDutyToken(std::uint64_t token) { gossip_.setDutyToken(token); }
     // True if a fresh configuration is in force and the host is not leaving.
     bool isServing() const;
+    // True if the host serves and has room for more connections of callers. Other hosts still list
+    // a full host for callers: these close their connections to hosts that are no longer listed, so
+    // all of them would move at once and fill the next host.
+    bool isReady() const;
     // Returns the IP:PORT addresses that callers should use now.
     std::vector<std::string> callerAddresses(const units::FailureDomain &callersDomain,
                                              std::size_t maxAddresses) const;
@@ -84,6 +88,7 @@
     void onLeavingUpdate(const routing::LeavingUpdate &update);
     void publishOwnState();
     void logHostChanges(const std::vector<routing::PeerUpdate> &hosts);
+    void logFullness();
     // Ends once no request is open, or when the time for the stop is over.
     void waitForOpenRequests();
     bool hasConnections() const;
@@ -98,6 +103,8 @@
     GatewaySettings settings_;
     PageHandlers pages_;
     GatewayState state_;
+    httpio::ServerLimits forwardedLimits_;
+    httpio::ServerLimits directoryLimits_;
     httpio::ServerLimits pageLimits_;
     std::unique_ptr<httpio::Server> callers_;
     std::unique_ptr<httpio::Server> forwarded_; // null: other hosts can't pass on requests
@@ -107,6 +114,7 @@
     PeerGossip gossip_;
     bool listsAllEndpoints_ = true;
     bool leaving_ = false;
+    bool wasFull_ = false;
     routing::PeerState lastState_ = routing::PeerState::NotReady;
     std::vector<std::string> lastHosts_; // sorted
     units::WorkCount hostsCompared_; // comparisons made when ordering hosts
--- a/include/monsoongrade/httpio/server.h
+++ b/include/monsoongrade/httpio/server.h
@@ -9,7 +9,9 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
+#include <utility>
 
 namespace monsoongrade::httpio {
 
@@ -44,12 +46,22 @@
     // Requests that have been read and whose response is incomplete.
     std::size_t openRequests() const { return openRequests_; }
     std::size_t connections() const { return connections_.size(); }
+    // Connections closed while idle to make room for new ones, since the start.
+    std::size_t evictedConnections() const { return evictedConnections_; }
+    // Connections accepted without room to serve them, since the start.
+    std::size_t refusedConnections() const { return refusedConnections_; }
+    // A connection was refused a moment ago. Stays true for a while, so that it does not flap.
+    bool isFull() const;
     const asio::ip::tcp::endpoint &address() const { return address_; }
 
 private:
     friend class ServerConnection;
 
     void accept();
+    void add(asio::ip::tcp::socket socket);
+    bool closeLongestIdle();
+    void onIdle(ServerConnection &connection);
+    void onBusy(ServerConnection &connection);
 
     asio::io_context &io_;
     Timers &timers_;
@@ -58,7 +70,12 @@
     const ServerLimits &limits_;
     RequestHandler handler_;
     std::set<std::shared_ptr<ServerConnection>> connections_;
+    // Those between two requests, the longest idle first.
+    std::set<std::pair<units::TimePoint, ServerConnection *>> idle_;
     std::size_t openRequests_ = 0;
+    std::size_t evictedConnections_ = 0;
+    std::size_t refusedConnections_ = 0;
+    std::optional<units::TimePoint> lastRefusedAt_;
     std::size_t bufferedBytes_ = 0;
     bool draining_ = false;
     bool accepting_ = true;
--- a/include/monsoongrade/httpio/serverlimits.h
+++ b/include/monsoongrade/httpio/serverlimits.h
@@ -19,7 +19,12 @@
     // Total size of the bodies of all connections, above which requests are refused. Set from the
     // memory of the host.
     std::size_t maxBufferedBytes = 64 * 1024 * 1024;
+    // Connections that are served. Above it, the one that has been idle longest is closed for each
+    // new one.
     std::size_t maxConnections = 1000;
+    // Further connections, accepted while none of the others is idle. Their requests are refused as
+    // not run, so that clients need not wait. Above it, connections are not accepted.
+    std::size_t maxRefusedConnections = 16;
 };
 
 } // namespace monsoongrade::httpio
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-// Hosts that can reach a pool are few while many can't; each has a third of its descriptors for
-// callers.
+// Hosts that can reach a pool are few while many can't; each accepts several hundred connections
+// from other hosts.
 constexpr int MaxConnectionsPerHost = 256;
 
 } // namespace
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <gateway/internal/milliseconds.h>
 
+#include <monsoongrade/gateway/connectionshares.h>
 #include <monsoongrade/gateway/directory.h>
 #include <monsoongrade/gateway/exchange.h>
 #include <monsoongrade/httpio/socketoptions.h>
@@ -24,8 +25,6 @@
 // Request bodies may use one part in this many of the host's memory. With some 20 MB of base usage
 // and the socket buffers, that stays far below the limit.
 constexpr std::int64_t BodyMemoryDivisor = 4;
-// Each client connection needs one descriptor, and each of its requests about one more.
-constexpr std::int64_t DescriptorsPerClient = 3;
 
 asio::ip::tcp::endpoint addressOf(const std::string &text, const char *what)
 {
@@ -74,8 +73,15 @@
     state_.retryLimit = settings.retryLimit;
     state_.callerLimits.maxBufferedBytes
         = std::size_t(settings.memoryMegabytes / BodyMemoryDivisor) * 1024 * 1024;
-    state_.callerLimits.maxConnections
-        = std::size_t(settings.maxDescriptors / DescriptorsPerClient);
+    const ConnectionShares shares = divideDescriptors(settings.maxDescriptors);
+    state_.callerLimits.maxConnections = shares.callers;
+    state_.callerLimits.maxRefusedConnections = shares.refusedCallers;
+    forwardedLimits_.maxBufferedBytes = state_.callerLimits.maxBufferedBytes;
+    forwardedLimits_.maxConnections = shares.otherHosts;
+    // A host that can't connect tries another one, but would take a refusal for a broken response.
+    forwardedLimits_.maxRefusedConnections = 0;
+    directoryLimits_.maxConnections = shares.directory;
+    pageLimits_.maxConnections = shares.page;
     if (settings.reportsUsage()) {
         state_.usage = std::make_unique<UsageMeter>(
             io, timers,
@@ -100,7 +106,7 @@
         const asio::ip::tcp::endpoint address(asio::ip::make_address_v4(settings_.ip),
                                               settings_.forwardingPort);
         forwarded_ = std::make_unique<httpio::Server>(
-            io_, timers_, address, state_.callerLimits,
+            io_, timers_, address, forwardedLimits_,
             [this](httpio::ServerRequest request, std::shared_ptr<httpio::ResponseWriter> reply) {
                 Exchange::start(state_, std::move(request), std::move(reply),
                                 RequestOrigin::OtherHost);
@@ -116,7 +122,7 @@
         io_, timers_, addressOf(settings_.readinessAddress, "readiness-address"), pageLimits_,
         page(pages_.readiness));
     directory_ = std::make_unique<httpio::Server>(
-        io_, timers_, addressOf(settings_.directoryAddress, "directory-address"), pageLimits_,
+        io_, timers_, addressOf(settings_.directoryAddress, "directory-address"), directoryLimits_,
         page(pages_.directory));
     if (settings_.metricsPort != 0) {
         const asio::ip::tcp::endpoint address(asio::ip::make_address_v4(settings_.ip),
@@ -148,10 +154,12 @@
 {
     if (state_.table != nullptr && configuration.revision <= state_.table->configuration().revision)
         return;
-    state_.callerLimits.maxHeadBytes = configuration.limits.maxHeadBytes;
-    state_.callerLimits.maxBodyBytes = configuration.limits.maxBodyBytes;
-    state_.callerLimits.headTimeout = configuration.limits.headTimeout;
-    state_.callerLimits.idleTimeout = configuration.limits.idleTimeout;
+    for (httpio::ServerLimits *limits : {&state_.callerLimits, &forwardedLimits_}) {
+        limits->maxHeadBytes = configuration.limits.maxHeadBytes;
+        limits->maxBodyBytes = configuration.limits.maxBodyBytes;
+        limits->headTimeout = configuration.limits.headTimeout;
+        limits->idleTimeout = configuration.limits.idleTimeout;
+    }
     state_.table = std::make_shared<const routing::RouteTable>(std::move(configuration));
     const routing::TrafficConfiguration &applied = state_.table->configuration();
     state_.placement.setPools(applied.pools);
@@ -212,6 +220,11 @@
     return peerState() == routing::PeerState::Serving;
 }
 
+bool Gateway::isReady() const
+{
+    return isServing() && !callers_->isFull();
+}
+
 routing::PeerState Gateway::peerState() const
 {
     if (leaving_)
@@ -252,6 +265,7 @@
     logHostChanges(live);
     setPositionAmong(live);
     updateCoordinatorRankings(live);
+    logFullness();
 }
 
 void Gateway::setPositionAmong(const std::vector<routing::PeerUpdate> &live)
@@ -364,27 +378,6 @@
           age == units::Duration::max() ? std::int64_t(-1) : internal::inMilliseconds(age)}});
 }
 
-void Gateway::logHostChanges(const std::vector<routing::PeerUpdate> &hosts)
-{
-    std::vector<std::string> now;
-    now.reserve(hosts.size());
-    for (const routing::PeerUpdate &host : hosts)
-        now.push_back(host.ip);
-    std::sort(now.begin(), now.end());
-    std::vector<std::string> found;
-    std::set_difference(now.begin(), now.end(), lastHosts_.begin(), lastHosts_.end(),
-                        std::back_inserter(found));
-    std::vector<std::string> lost;
-    std::set_difference(lastHosts_.begin(), lastHosts_.end(), now.begin(), now.end(),
-                        std::back_inserter(lost));
-    lastHosts_ = std::move(now);
-    for (const std::string &host : found)
-        state_.log.write(observability::LogLevel::Info, "host-found", {{"host", host}});
-    for (const std::string &host : lost)
-        state_.log.write(observability::LogLevel::Warning, "host-lost",
-                         {{"host", host}, {"live-hosts", std::uint64_t(lastHosts_.size())}});
-}
-
 void Gateway::reload(const GatewaySettings &settings)
 {
     state_.retryLimit = settings.retryLimit;
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -11,6 +11,12 @@
     observability::Metrics &metrics = state_.log.metrics;
     metrics.set("monsoongrade_gateway_requests_in_flight", "", double(state_.openExchanges.size()));
     metrics.set("monsoongrade_gateway_caller_connections", "", double(callers_->connections()));
+    metrics.set("monsoongrade_gateway_caller_connections_max", "",
+                double(state_.callerLimits.maxConnections));
+    metrics.set("monsoongrade_gateway_caller_connections_evicted_total", "",
+                double(callers_->evictedConnections()));
+    metrics.set("monsoongrade_gateway_caller_connections_refused_total", "",
+                double(callers_->refusedConnections()));
     metrics.set("monsoongrade_gateway_endpoint_connections_opened", "",
                 double(state_.connections.opened()));
     metrics.set("monsoongrade_gateway_endpoint_connections_idle", "",
--- a/src/httpio/internal/serverconnection.cpp
+++ b/src/httpio/internal/serverconnection.cpp
@@ -16,6 +16,9 @@
 // How long a half-closed connection still reads and discards bytes: closing a socket with unread
 // bytes sends a reset, on which the client may lose the response.
 constexpr auto LingerTime = std::chrono::seconds(1);
+// How long a connection that will be refused may take to send the head of its request.
+constexpr auto RefusalTimeout = std::chrono::seconds(1);
+const Headers RetryLater{{"Retry-After", "1"}};
 
 constexpr int StatusBadRequest = 400;
 constexpr int StatusRequestTimeout = 408;
@@ -95,7 +98,9 @@
 void ServerConnection::start()
 {
     setSocketOptions(socket_);
+    receivedAt_ = server_.timers_.now();
     setTimeout();
+    becomeIdleIfUnused();
     read();
 }
 
@@ -105,6 +110,34 @@
         close();
 }
 
+bool ServerConnection::closeUnlessReadable()
+{
+    if (pendingInput(socket_) == PendingInput::Bytes)
+        return false;
+    close();
+    return true;
+}
+
+void ServerConnection::setIdle(bool idle)
+{
+    if (idle == idle_)
+        return;
+    if (idle)
+        idleSince_ = server_.timers_.now();
+    idle_ = idle;
+    if (idle)
+        server_.onIdle(*this);
+    else
+        server_.onBusy(*this);
+}
+
+void ServerConnection::becomeIdleIfUnused()
+{
+    const bool isUsed = requestOpen_ || refuses_ || closeAfterWrite_ || parser_.insideMessage()
+        || !unparsed_.empty() || isWriting_;
+    setIdle(open_ && !isUsed);
+}
+
 void ServerConnection::closeForShutdown()
 {
     onClientDisconnected_ = nullptr;
@@ -137,10 +170,12 @@
         return;
     }
     if (!lingering_) {
+        setIdle(false);
         if (!requestOpen_ && !parser_.insideMessage())
             receivedAt_ = server_.timers_.now();
         unparsed_.append(buffer_.data(), count);
         parse();
+        becomeIdleIfUnused();
     }
     read();
 }
@@ -165,6 +200,10 @@
 
 void ServerConnection::onHead(MessageHead head)
 {
+    if (refuses_) {
+        rejectRequest(StatusUnavailable, RetryLater);
+        return;
+    }
     clientKeepsAlive_ = head.keepAlive;
     headRequest_ = head.method == "HEAD";
     head_ = std::move(head);
@@ -184,7 +223,7 @@
         return;
     }
     if (server_.bufferedBytes_ + bytes.size() > server_.limits_.maxBufferedBytes) {
-        rejectRequest(StatusUnavailable);
+        rejectRequest(StatusUnavailable, RetryLater);
         return;
     }
     body_.append(bytes);
@@ -210,10 +249,10 @@
 }
 
 // Responds with an error and closes, as the start of the next request is unknown.
-void ServerConnection::rejectRequest(int status)
+void ServerConnection::rejectRequest(int status, const Headers &headers)
 {
     closeAfterWrite_ = true;
-    pending_ += encodeResponseHead(status, {}, Framing::Length, 0, false);
+    pending_ += encodeResponseHead(status, headers, Framing::Length, 0, false);
     flush();
 }
 
@@ -221,8 +260,9 @@
 {
     server_.timers_.cancel(timeout_);
     const bool inHead = parser_.insideMessage() && !parser_.headComplete();
-    const units::TimePoint at = inHead ? receivedAt_ + server_.limits_.headTimeout
-                                       : server_.timers_.now() + server_.limits_.idleTimeout;
+    const units::TimePoint at = refuses_ ? receivedAt_ + RefusalTimeout
+        : inHead                         ? receivedAt_ + server_.limits_.headTimeout
+                                         : server_.timers_.now() + server_.limits_.idleTimeout;
     timeout_ = server_.timers_.at(at, [self = shared_from_this()] { self->onTimeout(); });
 }
 
@@ -336,6 +376,8 @@
         lingerAndClose();
     else if (requestOpen_ && onDrained_)
         onDrained_();
+    else
+        becomeIdleIfUnused();
 }
 
 void ServerConnection::onClientClosed()
@@ -370,6 +412,7 @@
 {
     if (!open_)
         return;
+    setIdle(false);
     open_ = false;
     server_.timers_.cancel(timeout_);
     server_.bufferedBytes_ -= bufferedBytes_;
--- a/src/httpio/internal/serverconnection.h
+++ b/src/httpio/internal/serverconnection.h
@@ -21,8 +21,15 @@
     ServerConnection(Server &server, asio::ip::tcp::socket socket);
 
     void start();
+    // Called before start(): the server has no room for this connection, so its first request is
+    // refused as not run.
+    void refuseRequests() { refuses_ = true; }
     // Closes if no request is open or arriving, as the server stops accepting.
     void closeIfIdle();
+    // Closes an idle connection, unless bytes from its client are already there to be read.
+    bool closeUnlessReadable();
+    // Time of the last change to idle; only that of an idle connection is used.
+    units::TimePoint idleSince() const { return idleSince_; }
     // Closes because the server is being destroyed.
     void closeForShutdown();
 
@@ -46,7 +53,8 @@
     void setOnDrained(std::function<void()> handler) { onDrained_ = std::move(handler); }
 
 private:
-    static constexpr std::size_t ReadBufferBytes = 16 * 1024;
+    // Each idle connection holds one buffer; most requests fit into it.
+    static constexpr std::size_t ReadBufferBytes = 4 * 1024;
 
     void onHead(MessageHead head) override;
     void onBody(std::string_view bytes) override;
@@ -55,7 +63,9 @@
     void read();
     void onRead(const asio::error_code &error, std::size_t count);
     void parse();
-    void rejectRequest(int status);
+    void rejectRequest(int status, const Headers &headers = {});
+    void setIdle(bool idle);
+    void becomeIdleIfUnused();
     void setTimeout();
     void onTimeout();
     void flush();
@@ -74,6 +84,7 @@
     MessageHead head_;
     std::string body_;
     units::TimePoint receivedAt_;
+    units::TimePoint idleSince_;
     Timers::Handle timeout_;
     std::function<void()> onClientDisconnected_;
     std::function<void()> onDrained_;
@@ -89,6 +100,8 @@
     bool headRequest_ = false;
     bool closeAfterWrite_ = false;
     bool lingering_ = false;
+    bool idle_ = false;
+    bool refuses_ = false;
 };
 
 } // namespace monsoongrade::httpio
--- a/src/httpio/server.cpp
+++ b/src/httpio/server.cpp
@@ -11,6 +11,11 @@
 // Delay after a failed accept, for example when out of file descriptors: an immediate retry would
 // fail again and use up the processor.
 constexpr auto AcceptRetryDelay = std::chrono::milliseconds(50);
+// A connection idle for less than this is not closed to make room: its client may just be sending.
+constexpr auto MinIdleTime = std::chrono::seconds(1);
+// Idle connections with unread bytes that are passed over in one search.
+constexpr int MaxSkippedConnections = 16;
+constexpr auto FullTime = std::chrono::seconds(2);
 
 } // namespace
 
@@ -34,7 +39,8 @@
 
 void Server::accept()
 {
-    if (!accepting_ || acceptPending_ || connections_.size() >= limits_.maxConnections)
+    const std::size_t maxOpen = limits_.maxConnections + limits_.maxRefusedConnections;
+    if (!accepting_ || acceptPending_ || connections_.size() >= maxOpen)
         return;
     acceptPending_ = true;
     acceptor_.async_accept([this](const asio::error_code &error, asio::ip::tcp::socket socket) {
@@ -42,16 +48,62 @@
         if (error == asio::error::operation_aborted)
             return;
         if (error) {
+            if (error == asio::error::no_descriptors)
+                closeLongestIdle();
             timers_.after(AcceptRetryDelay, [this] { accept(); });
             return;
         }
-        auto connection = std::make_shared<ServerConnection>(*this, std::move(socket));
-        connections_.insert(connection);
-        connection->start();
+        add(std::move(socket));
         accept();
     });
 }
 
+void Server::add(asio::ip::tcp::socket socket)
+{
+    const bool hasRoom = connections_.size() < limits_.maxConnections || closeLongestIdle();
+    const auto connection = std::make_shared<ServerConnection>(*this, std::move(socket));
+    connections_.insert(connection);
+    if (!hasRoom) {
+        ++refusedConnections_;
+        lastRefusedAt_ = timers_.now();
+        connection->refuseRequests();
+    }
+    connection->start();
+}
+
+bool Server::isFull() const
+{
+    return lastRefusedAt_ && timers_.now() < *lastRefusedAt_ + FullTime;
+}
+
+// Returns false if no connection has been idle for long enough. One with unread bytes is kept, as
+// they are the next request.
+bool Server::closeLongestIdle()
+{
+    const units::TimePoint latest = timers_.now() - MinIdleTime;
+    int skipped = 0;
+    for (const auto &[since, connection] : idle_) {
+        if (since > latest || skipped == MaxSkippedConnections)
+            return false;
+        if (connection->closeUnlessReadable()) {
+            ++evictedConnections_;
+            return true;
+        }
+        ++skipped;
+    }
+    return false;
+}
+
+void Server::onIdle(ServerConnection &connection)
+{
+    idle_.insert({connection.idleSince(), &connection});
+}
+
+void Server::onBusy(ServerConnection &connection)
+{
+    idle_.erase({connection.idleSince(), &connection});
+}
+
 void Server::startDraining()
 {
     draining_ = true;
