A response without a length that is reset during the upload is not whole

The client got the part as a whole answer.

Cause: after a reset the kernel reports the error once. With an upload under way the writing side gets it, and the next read returns the end of the stream, as after an orderly close, which completes a response without a length.

Change: a channel whose send has failed takes no end of the stream for an orderly one. While the request is still being sent, such a response waits for the result of the send, so one whose worker half-closes and reads on is still delivered. Requests passed to other hosts and calls of the store use the same channel.

--- a/include/monsoongrade/httpio/channel.h
+++ b/include/monsoongrade/httpio/channel.h
@@ -91,6 +91,7 @@
     void read();
     void onRead(const asio::error_code &error, std::size_t count);
     void parse(std::string_view bytes);
+    void onSent(const asio::error_code &error, std::size_t count);
     void onClosedByPeer(bool isOrderly);
     // Closes an idle channel and notifies its owner.
     void becomeUnusable();
@@ -108,6 +109,8 @@
     bool reading_ = false;
     bool paused_ = false;
     bool sending_ = false;
+    bool sendFailed_ = false;
+    bool closedWhileSending_ = false; // by the peer, in order as far as the read side can tell
     bool sentSomething_ = false;
     bool receivedSomething_ = false;
     bool keepAlive_ = true;
--- a/include/monsoongrade/httpio/messageparser.h
+++ b/include/monsoongrade/httpio/messageparser.h
@@ -36,6 +36,9 @@
     // belongs to the next message, which takes another call.
     std::size_t feed(std::string_view bytes);
 
+    // The current message is a response without a length, whose head is complete: an orderly close
+    // by the peer completes it.
+    bool endsAtClose() const;
     // Handles an orderly close by the peer. Returns true if that completes a response without
     // length.
     bool finishAtClose();
--- a/src/httpio/channel.cpp
+++ b/src/httpio/channel.cpp
@@ -51,6 +51,8 @@
     head_ = std::move(head);
     body_ = std::move(body);
     sending_ = true;
+    sendFailed_ = false;
+    closedWhileSending_ = false;
     sentSomething_ = false;
     receivedSomething_ = false;
     keepAlive_ = true;
@@ -60,17 +62,27 @@
     const std::array<asio::const_buffer, 2> buffers{asio::buffer(head_), asio::buffer(*body_)};
     asio::async_write(socket_, buffers,
                       [self = shared_from_this()](const asio::error_code &error, std::size_t sent) {
-                          self->sending_ = false;
-                          self->sentSomething_ = self->sentSomething_ || sent > 0;
-                          // Once bytes have been sent, the read side reports the failure, since
-                          // an early response may still be readable.
-                          if (error && self->open_ && sent == 0)
-                              self->fail(ChannelFailure::NothingSent);
+                          self->onSent(error, sent);
                       });
     // The write may already be in progress: bytes count as sent unless known to be unsent.
     sentSomething_ = true;
 }
 
+void Channel::onSent(const asio::error_code &error, std::size_t count)
+{
+    sending_ = false;
+    sendFailed_ = bool(error);
+    sentSomething_ = sentSomething_ || count > 0;
+    if (!open_)
+        return;
+    // Once bytes have been sent, the read side reports the failure, since an early response may
+    // still be readable.
+    if (error && count == 0)
+        fail(ChannelFailure::NothingSent);
+    else if (closedWhileSending_)
+        onClosedByPeer(true);
+}
+
 bool Channel::release(std::function<void()> onUnusable)
 {
     listener_ = nullptr;
@@ -168,9 +180,15 @@
         becomeUnusable();
         return;
     }
+    // After a reset, the kernel reports the error only once. If that was to a write, a read finds
+    // the end of the stream as after an orderly close.
+    if (isOrderly && sending_ && parser_.endsAtClose()) {
+        closedWhileSending_ = true;
+        return;
+    }
     // A response without length is complete only after an orderly close: a reset may have
     // truncated it anywhere.
-    if (isOrderly && parser_.finishAtClose() && listener_ == nullptr)
+    if (isOrderly && !sendFailed_ && parser_.finishAtClose() && listener_ == nullptr)
         return;
     if (open_ && listener_ != nullptr)
         fail(receivedSomething_   ? ChannelFailure::BrokenInResponse
--- a/src/httpio/messageparser.cpp
+++ b/src/httpio/messageparser.cpp
@@ -103,12 +103,13 @@
     bool finishAtClose()
     {
         messageEnded_ = false;
-        if (failed_ || !inside_ || !endsAtClose_ || !headDone_)
+        if (!endsAtClose())
             return false;
         http_parser_execute(&parser_, &settings_, nullptr, 0);
         return messageEnded_;
     }
 
+    bool endsAtClose() const { return !failed_ && inside_ && headDone_ && endsAtClose_; }
     bool failed() const { return failed_; }
     bool headTooLarge() const { return headTooLarge_; }
     bool insideMessage() const { return inside_; }
@@ -254,6 +255,11 @@
     return impl_->finishAtClose();
 }
 
+bool MessageParser::endsAtClose() const
+{
+    return impl_->endsAtClose();
+}
+
 bool MessageParser::failed() const
 {
     return impl_->failed();
