Responses: a status line that is none is malformed

Here 000, 2 or 20 were skipped as if they were interim responses, with their body, and what followed was taken for the response; 0200, 600 to 999, versions other than 1.x, two spaces and "HTTQ/1.1" were accepted, and 999 and 0200 reached the client.

Cause: http_parser takes up to three digits with any zeros before them and any version, and a status below 200 counted as interim.

--- a/tests/adapter/brokenresponses_test.cpp
+++ b/tests/adapter/brokenresponses_test.cpp
@@ -6,6 +6,8 @@
 
 using namespace monsoongrade;
 using namespace monsoongrade::platform;
+using standins::RawConnection;
+using standins::RawPeer;
 using std::chrono::milliseconds;
 
 namespace {
@@ -182,3 +184,60 @@
     CHECK(client->status() == 200);
     CHECK(client->body() == "all of it");
 }
+
+// Guards against bytes that are no response and become the client's answer.
+TEST_CASE("BrokenResponses.StatusThatIsNoneIsNotForwarded")
+{
+    for (const std::string status : {"000", "20", "999", "0200"}) {
+        for (const std::string path : {"/unsafe/a", "/stream/a", "/resume/a"}) {
+            CAPTURE(status + path);
+            FaultFixture fixture;
+            RawPeer peer(fixture.io, [&](RawConnection &connection, const std::string &text, int) {
+                connection.write("HTTP/1.1 " + status + " Trouble\r\nAttempt-Id: " + idIn(text)
+                                 + "\r\nResponse-Signature: s\r\nConnection: close\r\n\r\n"
+                                 + Events);
+                connection.closeGracefully();
+            });
+            fixture.announce("w1", path == "/unsafe/a" ? "plain" : "model", peer.address());
+            fixture.serve(1);
+            const auto client = fixture.call(request("POST", path, "id1", "b", StreamHeaders));
+            CHECK(peer.requests() >= 1);
+            CHECK(client->status() == 502);
+            CHECK(client->received().find("event 1") == std::string::npos);
+        }
+    }
+}
+
+// Guards against a response that is framed as whole though its head broke off.
+TEST_CASE("BrokenResponses.HeadThatBreaksOffIsNoResponse")
+{
+    for (const std::string path : {"/unsafe/a", "/stream/a"}) {
+        const auto responseTo = [](const std::string &id) {
+            return "HTTP/1.1 103 Early Hints\r\n\r\n"
+                + openEndedHead(id, "Content-Type: text/event-stream\r\nContent-Length: 18\r\n");
+        };
+        const std::size_t length = responseTo("id000").size();
+        FaultFixture fixture;
+        std::size_t cut = 0;
+        bool isReset = false;
+        RawPeer peer(fixture.io, [&](RawConnection &connection, const std::string &text, int) {
+            connection.write(responseTo(idIn(text)).substr(0, cut));
+            if (isReset)
+                connection.reset();
+            else
+                connection.closeGracefully();
+        });
+        fixture.announce("w1", path == "/unsafe/a" ? "plain" : "model", peer.address());
+        fixture.serve(1);
+        for (cut = 0; cut < length; ++cut) {
+            isReset = cut % 2 == 1;
+            const std::string id = std::to_string(100 + cut);
+            const auto client = fixture.call(
+                request("POST", path, "id" + id, "b",
+                        "Model: m\r\nToken-Counts: 9,9\r\nPrompt-Prefix: " + id + ":9\r\n"));
+            CAPTURE(cut);
+            CHECK(client->status() >= 500);
+        }
+        CHECK(peer.requests() > 0);
+    }
+}
--- a/tests/httpio/messageparser_test.cpp
+++ b/tests/httpio/messageparser_test.cpp
@@ -127,6 +127,43 @@
     CHECK(recorder.ends == 1);
 }
 
+// Guards against bytes that are no response but are skipped, or taken for one.
+TEST_CASE("MessageParser.StatusLineIsAVersionAndAStatus")
+{
+    const std::string rest = " OK\r\nContent-Length: 2\r\n\r\nok";
+    for (const std::string start :
+         {"HTTP/1.1 000",  "HTTP/1.1 0",    "HTTP/1.1 2",    "HTTP/1.1 20",   "HTTP/1.1 099",
+          "HTTP/1.1 0200", "HTTP/1.1 2000", "HTTP/1.1 600",  "HTTP/1.1 999",  "HTTP/1.1  200",
+          "HTTP/1.1 -20",  "HTTP/1.1 2x0",  "HTTP/1.1",      "HTTP/1.12 200", "HTTP/1. 200",
+          "HTTP/0.9 200",  "HTTP/2.0 200",  "HTTP/2 200",    "HTTP/9.9 200",  "HTTQ/1.1 200",
+          "http/1.1 200",  "200",           " HTTP/1.1 200", "HTTP/1.1\t200"}) {
+        for (const std::string before : {"", "HTTP/1.1 100 Continue\r\n\r\n",
+                                         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}) {
+            CAPTURE(before + start);
+            Recorder recorder;
+            MessageParser parser(MessageKind::Response, MaxHead, recorder);
+            feedAll(parser, before);
+            const std::size_t headsBefore = recorder.heads.size();
+            for (const char c : start + rest) {
+                if (!parser.failed())
+                    parser.feed(std::string_view(&c, 1));
+            }
+            CHECK(parser.failed());
+            CHECK(recorder.heads.size() == headsBefore);
+            CHECK(recorder.body.empty());
+            CHECK_FALSE(parser.finishAtClose());
+        }
+    }
+    for (const std::string start : {"HTTP/1.1 200", "HTTP/1.0 200", "\r\nHTTP/1.1 503"}) {
+        Recorder recorder;
+        MessageParser parser(MessageKind::Response, MaxHead, recorder);
+        feedAll(parser, "HTTP/1.1 103 Early Hints\r\n\r\n" + start + rest + start + rest);
+        CHECK_FALSE(parser.failed());
+        CHECK(recorder.ends == 2);
+        CHECK(recorder.body == "okok");
+    }
+}
+
 // Guards against headers that are not understood because of the space around their values.
 TEST_CASE("MessageParser.ValuesHaveNoSpaceAroundThem")
 {
