Tests: endless bytes outside a body, and requests of each tenth of a planned stop

Endless bytes: the parser rejects them within 256 KB in the first line, header names and values, many headers, interim responses, chunk sizes and extensions, and trailers.

Late in a planned stop: requests on kept and on new connections and with a body still arriving, sent at each tenth of the stop to an endpoint that takes 50 or 900 ms. Each that ran is answered, a 503 never ran, and none sent after two fifths of the stop is cut off with an unknown outcome. Not tried: requests passed on over a second host that stops as well.

--- a/tests/adapter/plannedstop_test.cpp
+++ b/tests/adapter/plannedstop_test.cpp
@@ -2,6 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <string>
+#include <vector>
+
 using namespace monsoongrade;
 using namespace monsoongrade::platform;
 
@@ -113,3 +117,80 @@
     // Only the last response announces the close.
     CHECK(client->received().find("Connection: close") > client->received().find("p1.id2"));
 }
+
+// Guards against requests that are taken late in a stop, passed on, and cut off at its end.
+TEST_CASE("PlannedStop.RequestsOfEachTenthOfTheStopAreAnsweredOrNeverRun")
+{
+    constexpr int Tenths = 10;
+    constexpr auto Tenth = std::chrono::milliseconds(StopWithin) / Tenths;
+    // Requests sent earlier may outlast the host, whose outcome is unknown then.
+    constexpr auto AlwaysRefusedFrom = StopWithin * 2 / 5;
+    for (const auto workTime : {std::chrono::milliseconds(50), std::chrono::milliseconds(900)}) {
+        GatewayFixture host;
+        standins::StandInWorker plain(host.io, host.timers, host.store,
+                                      {"p1", "plain", "z1", 100, workTime});
+        host.store.put("config", "main", operatorConfiguration());
+        plain.announce("ready");
+        host.settings.stopWithin = StopWithin;
+        host.start();
+        REQUIRE(host.awaitServing(1));
+
+        enum class Way { Kept, New, SlowBody };
+        struct Sent
+        {
+            std::shared_ptr<RawClient> client;
+            std::string id;
+            std::chrono::milliseconds at;
+        };
+        std::vector<std::shared_ptr<RawClient>> kept;
+        for (int i = 0; i < Tenths; ++i)
+            kept.push_back(
+                host.call(request("POST", "/unsafe/a", "kept" + std::to_string(i), "b")));
+        std::vector<Sent> sent;
+        const auto send = [&](Way way, int tenth) {
+            const std::string id = std::to_string(int(way)) + "-" + std::to_string(tenth);
+            std::shared_ptr<RawClient> client = kept[std::size_t(tenth)];
+            client->clear();
+            if (way != Way::Kept) {
+                try {
+                    client = host.connect();
+                } catch (const asio::system_error &) {
+                    return; // the host no longer listens
+                }
+            }
+            const std::string text = request("POST", "/unsafe/a", id, std::string(1000, 'b'));
+            const std::size_t first = way == Way::SlowBody ? text.size() - 500 : text.size();
+            client->send(text.substr(0, first));
+            if (way == Way::SlowBody)
+                host.timers.after(Tenth * 3 / 2,
+                                  [client, rest = text.substr(first)] { client->send(rest); });
+            sent.push_back({client, id, Tenth * tenth});
+        };
+        bool isStopped = false;
+        host.gateway->stop([&] { isStopped = true; });
+        for (int tenth = 0; tenth < Tenths && !isStopped; ++tenth) {
+            for (const Way way : {Way::New, Way::SlowBody, Way::Kept})
+                send(way, tenth);
+            host.runUntil([&] { return isStopped; }, Tenth);
+        }
+        REQUIRE(host.runUntil([&] { return isStopped; }));
+        host.runFor(TimeToDeliver);
+
+        std::size_t served = 0;
+        for (const Sent &each : sent) {
+            CAPTURE(each.id);
+            CAPTURE(each.client->received());
+            const bool hasRun
+                = std::any_of(plain.runs().begin(), plain.runs().end(),
+                              [&](const auto &run) { return run.requestId == each.id; });
+            if (hasRun)
+                CHECK(each.client->isComplete());
+            if (each.client->status() == 503)
+                CHECK_FALSE(hasRun);
+            if (each.at >= AlwaysRefusedFrom)
+                CHECK(each.client->status() != 502);
+            served += each.client->status() == 200 ? 1 : 0;
+        }
+        CHECK(served >= 3);
+    }
+}
--- a/tests/httpio/messageparser_test.cpp
+++ b/tests/httpio/messageparser_test.cpp
@@ -191,6 +191,44 @@
     CHECK(holds);
 }
 
+// Guards against a peer that sends bytes without an end, where no body is due.
+TEST_CASE("MessageParser.EndlessBytesOutsideABodyAreRejected")
+{
+    constexpr std::size_t MaxConsumed = 256 * 1024;
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> cases{
+        {"", "\r\n"},
+        {"", "a"},
+        {"HTTP/1.1 200 ", "a"},
+        {"HTTP/1.1 200 OK\r\n", "a"},
+        {"HTTP/1.1 200 OK\r\nX: ", "a"},
+        {"HTTP/1.1 200 OK\r\nX: ", " "},
+        {"HTTP/1.1 200 OK\r\nX: a", "\r\n b"},
+        {"HTTP/1.1 200 OK\r\n", "X: 1\r\n"},
+        {"HTTP/1.1 200 OK\r\n", ":\r\n"},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"", "HTTP/1.1 103 Hints\r\nLink: " + std::string(3000, 'x') + "\r\n\r\n"},
+        {chunked, "0"},
+        {chunked, "1"},
+        {chunked + "1;", "x"},
+        {chunked + "1\r\na\r\n0\r\n", "X: 1\r\n"},
+        {chunked + "0\r\nX: ", "a"}};
+    for (const auto &[start, repeated] : cases) {
+        CAPTURE(start);
+        CAPTURE(repeated.substr(0, 40));
+        Recorder recorder;
+        MessageParser parser(MessageKind::Response, MaxHead, recorder);
+        feedAll(parser, start);
+        std::size_t consumed = 0;
+        while (!parser.failed() && consumed <= MaxConsumed) {
+            feedAll(parser, repeated);
+            consumed += repeated.size();
+        }
+        CHECK(parser.failed());
+        CHECK(recorder.body.size() <= 1);
+    }
+}
+
 TEST_CASE("MessageHead.HopByHopHeadersAreNotForwarded")
 {
     const Headers headers{
