Connections whose clients still read a response are not idle

Cause: the idle timer started when a response was handed over and closed the connection without a look at what was still to be written.

Change: the timer starts again with each part that is written and when the response has been written. At its end a connection is kept while its client acknowledges bytes of the response; a write completes only when much of that has happened, which takes a slow client longer than the timeout. A client that reads nothing for two timeouts is closed.

--- a/include/monsoongrade/httpio/socketoptions.h
+++ b/include/monsoongrade/httpio/socketoptions.h
@@ -3,6 +3,7 @@
 
 #include <asio/ip/tcp.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -19,6 +20,10 @@
 // What a read of the socket would return now, without reading it or waiting.
 PendingInput pendingInput(asio::ip::tcp::socket &socket);
 
+// Bytes written to the socket that the peer has not acknowledged yet; 0 if the kernel does not
+// tell.
+std::size_t unacknowledgedBytes(asio::ip::tcp::socket &socket);
+
 // Parses an IPv4 address with port, such as "1.2.3.4:80"; returns nothing if the text is invalid.
 std::optional<asio::ip::tcp::endpoint> parseAddress(const std::string &text);
 
--- a/src/httpio/internal/serverconnection.cpp
+++ b/src/httpio/internal/serverconnection.cpp
@@ -4,7 +4,6 @@
 #include <monsoongrade/httpio/socketoptions.h>
 
 #include <asio/buffer.hpp>
-#include <asio/write.hpp>
 
 namespace monsoongrade::httpio {
 
@@ -254,15 +253,18 @@
     closeAfterWrite_ = true;
     pending_ += encodeResponseHead(status, headers, Framing::Length, 0, false);
     flush();
+    setTimeout();
 }
 
 void ServerConnection::setTimeout()
 {
     server_.timers_.cancel(timeout_);
     const bool inHead = parser_.insideMessage() && !parser_.headComplete();
-    const units::TimePoint at = refuses_ ? receivedAt_ + RefusalTimeout
-        : inHead                         ? receivedAt_ + server_.limits_.headTimeout
-                                         : server_.timers_.now() + server_.limits_.idleTimeout;
+    units::TimePoint at = server_.timers_.now() + server_.limits_.idleTimeout;
+    if (!closeAfterWrite_ && refuses_)
+        at = receivedAt_ + RefusalTimeout;
+    else if (!closeAfterWrite_ && inHead)
+        at = receivedAt_ + server_.limits_.headTimeout;
     timeout_ = server_.timers_.at(at, [self = shared_from_this()] { self->onTimeout(); });
 }
 
@@ -270,12 +272,27 @@
 {
     if (requestOpen_ || !open_)
         return;
+    if (isClientReading()) {
+        setTimeout();
+        return;
+    }
     if (parser_.insideMessage() && !closeAfterWrite_)
         rejectRequest(StatusRequestTimeout);
     else
         close();
 }
 
+// True if the client still reads the last response. All of it may be in the kernel, which reports a
+// write as complete long before a slow client has read it.
+bool ServerConnection::isClientReading()
+{
+    const std::size_t bytes = unacknowledgedBytes(socket_);
+    const bool isUnread = isWriting_ || bytes > 0;
+    const bool hasLess = !queuedBytes_ || bytes < *queuedBytes_;
+    queuedBytes_ = bytes;
+    return isUnread && hasLess;
+}
+
 // A draining server still responds to the requests that were read with this one.
 bool ServerConnection::keepsAlive() const
 {
@@ -332,10 +349,10 @@
     server_.bufferedBytes_ -= bufferedBytes_;
     bufferedBytes_ = 0;
     flush();
-    if (!open_ || closeAfterWrite_)
+    if (!open_)
         return;
     setTimeout();
-    if (!unparsed_.empty()) {
+    if (!closeAfterWrite_ && !unparsed_.empty()) {
         receivedAt_ = server_.timers_.now();
         // Posted, so that a handler that responds at once does not recurse for each request.
         asio::post(socket_.get_executor(), [self = shared_from_this()] {
@@ -351,16 +368,32 @@
         return;
     isWriting_ = true;
     writing_.swap(pending_);
-    pending_.clear();
-    asio::async_write(socket_, asio::buffer(writing_),
-                      [self = shared_from_this()](const asio::error_code &error, std::size_t) {
-                          self->onWritten(error);
-                      });
+    writtenBytes_ = 0;
+    writeSome();
+}
+
+void ServerConnection::writeSome()
+{
+    socket_.async_write_some(
+        asio::buffer(writing_) + writtenBytes_,
+        [self = shared_from_this()](const asio::error_code &error, std::size_t count) {
+            self->onWritten(error, count);
+        });
 }
 
-void ServerConnection::onWritten(const asio::error_code &error)
+void ServerConnection::onWritten(const asio::error_code &error, std::size_t count)
 {
+    writtenBytes_ += count;
+    queuedBytes_.reset();
+    if (open_ && !error && writtenBytes_ < writing_.size()) {
+        // A client that reads slowly is not idle.
+        if (!requestOpen_)
+            setTimeout();
+        writeSome();
+        return;
+    }
     isWriting_ = false;
+    writtenBytes_ = 0;
     writing_.clear();
     if (!open_)
         return;
@@ -374,10 +407,16 @@
     }
     if (!requestOpen_ && closeAfterWrite_)
         lingerAndClose();
-    else if (requestOpen_ && onDrained_)
+    else if (!requestOpen_)
+        onResponseWritten();
+    else if (onDrained_)
         onDrained_();
-    else
-        becomeIdleIfUnused();
+}
+
+void ServerConnection::onResponseWritten()
+{
+    setTimeout();
+    becomeIdleIfUnused();
 }
 
 void ServerConnection::onClientClosed()
--- a/src/httpio/internal/serverconnection.h
+++ b/src/httpio/internal/serverconnection.h
@@ -45,7 +45,7 @@
     void end();
     void abort();
     bool isClientConnected() { return pendingInput(socket_) != PendingInput::EndOrError; }
-    std::size_t unsentBytes() const { return pending_.size() + writing_.size(); }
+    std::size_t unsentBytes() const { return pending_.size() + writing_.size() - writtenBytes_; }
     void setOnClientDisconnected(std::function<void()> handler)
     {
         onClientDisconnected_ = std::move(handler);
@@ -68,8 +68,11 @@
     void becomeIdleIfUnused();
     void setTimeout();
     void onTimeout();
+    bool isClientReading();
     void flush();
-    void onWritten(const asio::error_code &error);
+    void writeSome();
+    void onWritten(const asio::error_code &error, std::size_t count);
+    void onResponseWritten();
     void finishRequest();
     void onClientClosed();
     void lingerAndClose();
@@ -90,6 +93,9 @@
     std::function<void()> onDrained_;
     std::string pending_; // to be written after writing_
     std::string writing_;
+    std::size_t writtenBytes_ = 0; // of writing_
+    // Bytes in the kernel at the last timeout; none if more have been written since.
+    std::optional<std::size_t> queuedBytes_;
     std::uint64_t requestNumber_ = 0;
     std::size_t bufferedBytes_ = 0;
     bool open_ = true;
--- a/src/httpio/socketoptions.cpp
+++ b/src/httpio/socketoptions.cpp
@@ -1,6 +1,8 @@
 #include <monsoongrade/httpio/socketoptions.h>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -48,6 +50,12 @@
     return hasNone ? PendingInput::None : PendingInput::EndOrError;
 }
 
+std::size_t unacknowledgedBytes(asio::ip::tcp::socket &socket)
+{
+    int bytes = 0;
+    return ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 ? std::size_t(bytes) : 0;
+}
+
 std::optional<asio::ip::tcp::endpoint> parseAddress(const std::string &text)
 {
     const std::size_t colon = text.rfind(':');
--- /dev/null
+++ b/tests/adapter/slowclients_test.cpp
@@ -0,0 +1,105 @@
+#include "faultfixture.h"
+
+#include <doctest/doctest.h>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+using namespace monsoongrade;
+using namespace monsoongrade::platform;
+using standins::RawConnection;
+using standins::RawPeer;
+using std::chrono::milliseconds;
+
+namespace {
+
+// A client that reads as many bytes at a time as the test asks for. Its kernel holds few bytes.
+class PacedClient
+{
+public:
+    PacedClient(asio::io_context &io, const std::string &address)
+        : socket_(io, asio::ip::tcp::v4())
+    {
+        constexpr int EthernetSegmentBytes = 1460;
+        socket_.set_option(asio::socket_base::receive_buffer_size(4096));
+        // The default on loopback makes the kernel of the gateway hold megabytes.
+        setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_MAXSEG, &EthernetSegmentBytes,
+                   sizeof(EthernetSegmentBytes));
+        socket_.connect(*httpio::parseAddress(address));
+    }
+    void send(const std::string &text) { asio::write(socket_, asio::buffer(text)); }
+    // Reads at most so many bytes without waiting.
+    void readSome(std::size_t bytes)
+    {
+        std::string part(bytes, '\0');
+        socket_.non_blocking(true);
+        asio::error_code error;
+        const std::size_t count = socket_.read_some(asio::buffer(part), error);
+        received_.append(part, 0, count);
+        isClosed_ = isClosed_ || (error && error != asio::error::would_block);
+    }
+    bool isClosed() const { return isClosed_; }
+    std::size_t bodyBytes() const
+    {
+        const std::size_t end = received_.find("\r\n\r\n");
+        return end == std::string::npos ? 0 : received_.size() - end - 4;
+    }
+
+private:
+    asio::ip::tcp::socket socket_;
+    std::string received_;
+    bool isClosed_ = false;
+};
+
+// A gateway before a worker whose responses have so many bytes.
+struct LongResponses : FaultFixture
+{
+    LongResponses(std::size_t bytes, int idleTimeoutMs)
+        : worker(io, [bytes](RawConnection &connection, const std::string &text, int) {
+            connection.write(workerResponse(idIn(text), std::string(bytes, 'r')));
+        })
+    {
+        nlohmann::json configuration = operatorConfiguration(2);
+        configuration["limits"]["idle_timeout_ms"] = idleTimeoutMs;
+        store.put("config", "main", configuration);
+        announce("p1", "plain", worker.address());
+        settings.metricsPort = 8006;
+        serve(1);
+    }
+
+    RawPeer worker;
+};
+
+} // namespace
+
+// Guards against taking a connection for idle whose client still reads its response.
+TEST_CASE("SlowClients.ResponseThatIsReadWithoutAPauseIsNotCutByTheIdleTimeout")
+{
+    constexpr std::size_t BodyBytes = 250000;
+    LongResponses fixture(BodyBytes, 300);
+    PacedClient client(fixture.io, fixture.settings.callersAddress);
+    client.send(request("GET", "/safe/a", "id1"));
+    // Far longer than the idle timeout.
+    while (client.bodyBytes() < BodyBytes && !client.isClosed()) {
+        fixture.runFor(milliseconds(30));
+        client.readSome(5000);
+    }
+    CHECK(client.bodyBytes() == BodyBytes);
+    // The connection is idle now.
+    fixture.runFor(milliseconds(600));
+    client.readSome(1);
+    CHECK(client.isClosed());
+}
+
+// Guards against keeping the response of a client that never reads it.
+TEST_CASE("SlowClients.ConnectionOfAClientThatNeverReadsIsClosed")
+{
+    LongResponses fixture(250000, 300);
+    PacedClient client(fixture.io, fixture.settings.callersAddress);
+    client.send(request("GET", "/safe/a", "id1"));
+    fixture.runFor(milliseconds(1000));
+    const auto metrics = [&] {
+        return fixture.getPage(fixture.settings.ip + ":8006", "/metrics")->received();
+    };
+    CHECK(metrics().find("monsoongrade_gateway_caller_connections 0") != std::string::npos);
+}
