Accepted connections have no user timeout: a client that pauses is not gone

Cause: TCP_USER_TIMEOUT of 3 s, meant for hosts that lost power. The kernel counts a closed window, too, so a client that does not read is taken for one that is gone, though its host answers each probe.

Change: accepted connections have keep-alive probes only. The timer of the connection (two idle timeouts without an acknowledged byte) and the deadline of the request bound the rest.

--- a/include/monsoongrade/httpio/socketoptions.h
+++ b/include/monsoongrade/httpio/socketoptions.h
@@ -15,6 +15,11 @@
 // reset and would otherwise look connected forever.
 void setSocketOptions(asio::ip::tcp::socket &socket);
 
+// The same without the user timeout, for connections that a server accepts. To the kernel, a client
+// that does not read for that long looks like one that is gone. The server itself has to close
+// connections whose clients read nothing for too long.
+void setClientSocketOptions(asio::ip::tcp::socket &socket);
+
 enum class PendingInput : std::uint8_t { None, Bytes, EndOrError };
 
 // What a read of the socket would return now, without reading it or waiting.
--- a/src/httpio/internal/serverconnection.cpp
+++ b/src/httpio/internal/serverconnection.cpp
@@ -96,7 +96,7 @@
 
 void ServerConnection::start()
 {
-    setSocketOptions(socket_);
+    setClientSocketOptions(socket_);
     receivedAt_ = server_.timers_.now();
     setTimeout();
     becomeIdleIfUnused();
--- a/src/httpio/socketoptions.cpp
+++ b/src/httpio/socketoptions.cpp
@@ -30,13 +30,18 @@
 
 } // namespace
 
-void setSocketOptions(asio::ip::tcp::socket &socket)
+void setClientSocketOptions(asio::ip::tcp::socket &socket)
 {
     set(socket, IPPROTO_TCP, TCP_NODELAY, 1);
     set(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
     set(socket, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
     set(socket, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
     set(socket, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+}
+
+void setSocketOptions(asio::ip::tcp::socket &socket)
+{
+    setClientSocketOptions(socket);
     set(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, int(UserTimeoutMs));
 }
 
--- a/tests/adapter/slowclients_test.cpp
+++ b/tests/adapter/slowclients_test.cpp
@@ -91,6 +91,23 @@
     CHECK(client.isClosed());
 }
 
+// Guards against taking a client that pauses for one whose host is gone.
+TEST_CASE("SlowClients.PauseInReadingDoesNotCutTheResponse")
+{
+    constexpr std::size_t BodyBytes = 100000;
+    LongResponses fixture(BodyBytes, 15000);
+    PacedClient client(fixture.io, fixture.settings.callersAddress);
+    client.send(request("GET", "/safe/a", "id1"));
+    fixture.runFor(milliseconds(100));
+    client.readSome(2000);
+    fixture.runFor(milliseconds(4500));
+    for (int i = 0; i < 1000 && client.bodyBytes() < BodyBytes && !client.isClosed(); ++i) {
+        client.readSome(5000);
+        fixture.runFor(milliseconds(5));
+    }
+    CHECK(client.bodyBytes() == BodyBytes);
+}
+
 // Guards against keeping the response of a client that never reads it.
 TEST_CASE("SlowClients.ConnectionOfAClientThatNeverReadsIsClosed")
 {
--- a/tests/httpio/socketoptions_test.cpp
+++ b/tests/httpio/socketoptions_test.cpp
@@ -31,3 +31,14 @@
         + optionOf(socket, TCP_KEEPINTVL) * optionOf(socket, TCP_KEEPCNT);
     CHECK(optionOf(socket, TCP_USER_TIMEOUT) == probing * 1000);
 }
+
+// Guards against a kernel that takes a client which pauses for one which is gone.
+TEST_CASE("SocketOptions.AcceptedConnectionsAreProbedButHaveNoUserTimeout")
+{
+    asio::io_context io;
+    asio::ip::tcp::socket socket(io, asio::ip::tcp::v4());
+    httpio::setClientSocketOptions(socket);
+    CHECK(optionOf(socket, TCP_USER_TIMEOUT) == 0);
+    CHECK(optionOf(socket, TCP_KEEPIDLE) == 1);
+    CHECK(optionOf(socket, TCP_KEEPCNT) == 2);
+}
