A host bounds the bytes of all responses that it holds

Cause: each response was collected up to 256 KB and then kept until its client had read it, and nothing counted these bytes over all requests.

Change: a budget of a quarter of the memory counts what is collected and what waits to be sent, of callers and of other hosts. While half of it is used, a response is passed on from 16 KB on, the endpoint is read no faster than its client reads, and what can't be passed on is given up at 16 KB. Large buffers are not kept for the next response.

--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -150,6 +150,7 @@
     std::string resumedRequest() const;
     void logEnd(std::string_view outcome, int status, units::ResultCode reason) const;
     void logCutOff() const;
+    void countHeldBytes();
     // What the request waits for, as the log names it.
     std::string_view phase() const;
     void finish(std::string_view outcome, int status, units::ResultCode reason);
@@ -216,6 +217,7 @@
     // Error response of an earlier attempt, sent to the client if no later attempt succeeds.
     std::optional<httpio::MessageHead> fallbackHead_;
     std::string fallbackBody_;
+    units::HeldBytes heldBytes_; // in collected_ and fallbackBody_
 };
 
 } // namespace monsoongrade::gateway
--- a/include/monsoongrade/gateway/forwardedrequest.h
+++ b/include/monsoongrade/gateway/forwardedrequest.h
@@ -3,6 +3,7 @@
 
 #include <monsoongrade/gateway/endpointconnections.h>
 #include <monsoongrade/httpio/responsewriter.h>
+#include <monsoongrade/units/bytebudget.h>
 
 #include <functional>
 #include <memory>
@@ -32,10 +33,12 @@
         std::function<void(ForwardingResult)> onEnded;
     };
 
-    // idleTimeout: after which the other host closes an idle connection.
+    // idleTimeout: after which the other host closes an idle connection. responses: counts the
+    // bytes of all responses that this host holds.
     ForwardedRequest(EndpointConnections &connections, const std::string &hostAddress,
                      std::chrono::seconds idleTimeout,
-                     std::shared_ptr<httpio::ResponseWriter> reply, Handlers handlers);
+                     std::shared_ptr<httpio::ResponseWriter> reply,
+                     std::shared_ptr<units::ByteBudget> responses, Handlers handlers);
 
     void start(std::string head, std::shared_ptr<const std::string> body);
     // Closes the connection, so that the other host notices that the client has left.
@@ -65,6 +68,8 @@
     std::shared_ptr<httpio::Channel> channel_;
     httpio::MessageHead head_;
     std::string body_;
+    std::shared_ptr<units::ByteBudget> responses_;
+    units::HeldBytes heldBytes_; // in body_
     bool wasSent_ = false;
     bool isRelayed_ = false;
     bool isFinished_ = false;
--- a/include/monsoongrade/gateway/gatewaystate.h
+++ b/include/monsoongrade/gateway/gatewaystate.h
@@ -19,6 +19,7 @@
 #include <monsoongrade/routing/poolversions.h>
 #include <monsoongrade/routing/retryallowance.h>
 #include <monsoongrade/routing/routetable.h>
+#include <monsoongrade/units/bytebudget.h>
 
 #include <memory>
 #include <optional>
@@ -49,7 +50,8 @@
     GatewayState(asio::io_context &io, httpio::Timers &timersToUse,
                  const HeaderCodec &headerCodecToUse, routing::FreshnessLease leaseToUse,
                  PlacementService::Settings placementSettings,
-                 const StreamVersionService::Settings &streamVersionSettings)
+                 const StreamVersionService::Settings &streamVersionSettings,
+                 std::size_t maxResponseBytes)
         : timers(timersToUse)
         , startedAt(timersToUse.now())
         , headerCodec(headerCodecToUse)
@@ -63,6 +65,7 @@
               })
         , reach(timersToUse, connections, registry)
         , hostConnections(io, timersToUse)
+        , responseBytes(std::make_shared<units::ByteBudget>(maxResponseBytes))
         , log(timersToUse)
         , startupGate(timersToUse)
         , placement(io, timersToUse, std::move(placementSettings), registry, announcements, log)
@@ -96,6 +99,8 @@
     routing::RetryLimit retryLimit;
     std::unordered_map<std::string, routing::RetryAllowance> retryAllowances; // by pool
     httpio::ServerLimits callerLimits;
+    // Bytes of responses that wait to be complete or to be read by their clients.
+    std::shared_ptr<units::ByteBudget> responseBytes;
     units::FailureDomain ownDomain;
     int liveHosts = 1; // including this one
     std::unordered_set<std::shared_ptr<Exchange>> openExchanges; // accepted and not finished
--- a/include/monsoongrade/httpio/server.h
+++ b/include/monsoongrade/httpio/server.h
@@ -4,6 +4,7 @@
 #include <monsoongrade/httpio/responsewriter.h>
 #include <monsoongrade/httpio/serverlimits.h>
 #include <monsoongrade/httpio/timers.h>
+#include <monsoongrade/units/bytebudget.h>
 
 #include <asio/ip/tcp.hpp>
 
@@ -38,6 +39,11 @@
            const ServerLimits &limits, RequestHandler handler);
     ~Server();
 
+    // Counts the response bytes of further connections that wait to be sent.
+    void countUnsentBytes(std::shared_ptr<units::ByteBudget> budget)
+    {
+        unsentBytes_ = std::move(budget);
+    }
     // From now on, each response asks the client to close the connection. New connections are
     // still accepted, because clients keep using an address for some seconds.
     void startDraining();
@@ -77,6 +83,7 @@
     std::size_t refusedConnections_ = 0;
     std::optional<units::TimePoint> lastRefusedAt_;
     std::size_t bufferedBytes_ = 0;
+    std::shared_ptr<units::ByteBudget> unsentBytes_; // null: not counted
     bool draining_ = false;
     bool accepting_ = true;
     bool acceptPending_ = false;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -255,7 +255,7 @@
     }
     if (use_ == ResponseUse::OfOtherRequest) {
         skippedBytes_ += bytes.size();
-        if (skippedBytes_ > internal::MaxCollectedBytes)
+        if (skippedBytes_ > internal::MaxSkippedBytes)
             onResponseTooLong();
         return;
     }
@@ -264,7 +264,8 @@
     if (isSuccess(responseHead_.status) && answer_.isSigned)
         keepCurrentAttempt();
     collected_.append(bytes);
-    if (collected_.size() <= internal::MaxCollectedBytes)
+    countHeldBytes();
+    if (collected_.size() <= internal::maxCollectedBytes(*state_.responseBytes))
         return;
     if (!isSuccess(responseHead_.status) || !answer_.isSigned) {
         onResponseTooLong();
@@ -277,7 +278,13 @@
     }
     reply_->write(collected_);
     collected_.clear();
-    internal::throttleIfBacklogged(*reply_, channel_.channel());
+    countHeldBytes();
+    internal::throttleIfBacklogged(*reply_, channel_.channel(), *state_.responseBytes);
+}
+
+void Exchange::countHeldBytes()
+{
+    heldBytes_.set(collected_.size() + fallbackBody_.size());
 }
 
 void Exchange::relay(std::string_view bytes)
@@ -305,7 +312,7 @@
     reply_->write(whole);
     if (route_->mayRunTwice())
         startSilenceTimer(routing::silenceLimit(*route_, true));
-    internal::throttleIfBacklogged(*reply_, channel_.channel());
+    internal::throttleIfBacklogged(*reply_, channel_.channel(), *state_.responseBytes);
 }
 
 // Counts a request once, even if several endpoints began to run it.
--- a/src/gateway/exchangeadmission.cpp
+++ b/src/gateway/exchangeadmission.cpp
@@ -41,6 +41,7 @@
     , request_(std::move(request))
     , reply_(std::move(reply))
     , origin_(origin)
+    , heldBytes_(state.responseBytes)
 {
 }
 
--- a/src/gateway/exchangecompletion.cpp
+++ b/src/gateway/exchangecompletion.cpp
@@ -97,6 +97,9 @@
         reply_->respond(responseHead_.status,
                         state_.headerCodec.clientHeaders(responseHead_.headers), collected_);
     }
+    collected_.clear();
+    fallbackBody_.clear();
+    countHeldBytes();
     finish("completed", responseHead_.status, units::ResultCode::Ok);
 }
 
--- a/src/gateway/exchangeforwarding.cpp
+++ b/src/gateway/exchangeforwarding.cpp
@@ -65,6 +65,7 @@
     forwarded_ = std::make_shared<ForwardedRequest>(
         state_.hostConnections, host + ":" + std::to_string(state_.forwardingPort),
         std::chrono::duration_cast<std::chrono::seconds>(state_.callerLimits.idleTimeout), reply_,
+        state_.responseBytes,
         ForwardedRequest::Handlers{[self](const httpio::MessageHead &head) {
                                        return self->state_.headerCodec.decodeResponse(head).request
                                            == self->metadata_.id;
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -16,11 +16,14 @@
 
 ForwardedRequest::ForwardedRequest(EndpointConnections &connections, const std::string &hostAddress,
                                    std::chrono::seconds idleTimeout,
-                                   std::shared_ptr<httpio::ResponseWriter> reply, Handlers handlers)
+                                   std::shared_ptr<httpio::ResponseWriter> reply,
+                                   std::shared_ptr<units::ByteBudget> responses, Handlers handlers)
     : connections_(connections)
     , idleTimeout_(idleTimeout)
     , reply_(std::move(reply))
     , handlers_(std::move(handlers))
+    , responses_(std::move(responses))
+    , heldBytes_(responses_)
 {
     host_.registration.id = units::EndpointId(hostAddress);
     host_.registration.address = hostAddress;
@@ -77,15 +80,17 @@
 {
     if (!isRelayed_) {
         body_.append(bytes);
-        if (body_.size() <= internal::MaxCollectedBytes)
+        heldBytes_.set(body_.size());
+        if (body_.size() <= internal::maxCollectedBytes(*responses_))
             return;
         beginRelay();
         reply_->write(body_);
         body_.clear();
+        heldBytes_.set(0);
     } else {
         reply_->write(bytes);
     }
-    internal::throttleIfBacklogged(*reply_, channel_);
+    internal::throttleIfBacklogged(*reply_, channel_, *responses_);
 }
 
 void ForwardedRequest::beginRelay()
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -22,10 +22,15 @@
 constexpr auto LeaseMargin = std::chrono::milliseconds(1300);
 // While a host can read the store, its configuration is confirmed every 1 to 1.6 s.
 constexpr auto MaxListAge = std::chrono::milliseconds(2500);
-// Request bodies may use one part in this many of the host's memory. With some 20 MB of base usage
-// and the socket buffers, that stays far below the limit.
+// Request bodies may use one part in this many of the host's memory, and responses another one.
+// With some 20 MB of base usage and the socket buffers, that stays far below the limit.
 constexpr std::int64_t BodyMemoryDivisor = 4;
 
+std::size_t maxBodyBytes(const GatewaySettings &settings)
+{
+    return std::size_t(settings.memoryMegabytes / BodyMemoryDivisor) * 1024 * 1024;
+}
+
 asio::ip::tcp::endpoint addressOf(const std::string &text, const char *what)
 {
     const auto address = httpio::parseAddress(text);
@@ -65,14 +70,13 @@
     , state_(io, timers, headerCodec,
              routing::FreshnessLease(settings.revocationBound, LeaseMargin),
              {settings.ip, settings.placementPort, settings.hasFairShares},
-             {settings.ip, settings.streamVersionsPort})
+             {settings.ip, settings.streamVersionsPort}, maxBodyBytes(settings))
     , gossip_(io, timers, gossipSettings(settings), state_.crashes, state_.announcements)
 {
     state_.ownDomain = settings.failureDomain;
     state_.forwardingPort = settings.forwardingPort;
     state_.retryLimit = settings.retryLimit;
-    state_.callerLimits.maxBufferedBytes
-        = std::size_t(settings.memoryMegabytes / BodyMemoryDivisor) * 1024 * 1024;
+    state_.callerLimits.maxBufferedBytes = maxBodyBytes(settings);
     const ConnectionShares shares = divideDescriptors(settings.maxDescriptors);
     state_.callerLimits.maxConnections = shares.callers;
     state_.callerLimits.maxRefusedConnections = shares.refusedCallers;
@@ -112,6 +116,8 @@
                                 RequestOrigin::OtherHost);
             });
     }
+    for (httpio::Server *server : requestServers())
+        server->countUnsentBytes(state_.responseBytes);
     const auto page = [this](const PageHandler &serve) {
         return [this, serve](const httpio::ServerRequest &request,
                              const std::shared_ptr<httpio::ResponseWriter> &reply) {
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -17,6 +17,8 @@
                 double(callers_->evictedConnections()));
     metrics.set("monsoongrade_gateway_caller_connections_refused_total", "",
                 double(callers_->refusedConnections()));
+    metrics.set("monsoongrade_gateway_response_bytes_held", "",
+                double(state_.responseBytes->used()));
     metrics.set("monsoongrade_gateway_endpoint_connections_opened", "",
                 double(state_.connections.opened()));
     metrics.set("monsoongrade_gateway_endpoint_connections_idle", "",
--- a/src/gateway/replacementattempt.cpp
+++ b/src/gateway/replacementattempt.cpp
@@ -142,7 +142,7 @@
 void ReplacementAttempt::onResponseBody(std::string_view bytes)
 {
     skippedBytes_ += bytes.size();
-    if (skippedBytes_ > internal::MaxCollectedBytes)
+    if (skippedBytes_ > internal::MaxSkippedBytes)
         onUnusableResponse();
 }
 
--- a/src/httpio/internal/serverconnection.cpp
+++ b/src/httpio/internal/serverconnection.cpp
@@ -15,6 +15,8 @@
 // How long a half-closed connection still reads and discards bytes: closing a socket with unread
 // bytes sends a reset, on which the client may lose the response.
 constexpr auto LingerTime = std::chrono::seconds(1);
+// A larger buffer is not kept for the next response.
+constexpr std::size_t MaxKeptCapacity = 16 * 1024;
 // How long a connection that will be refused may take to send the head of its request.
 constexpr auto RefusalTimeout = std::chrono::seconds(1);
 const Headers RetryLater{{"Retry-After", "1"}};
@@ -91,6 +93,7 @@
     : server_(server)
     , socket_(std::move(socket))
     , parser_(MessageKind::Request, server.limits_.maxHeadBytes, *this)
+    , heldBytes_(server.unsentBytes_)
 {
 }
 
@@ -364,6 +367,7 @@
 
 void ServerConnection::flush()
 {
+    heldBytes_.set(unsentBytes());
     if (!open_ || isWriting_ || pending_.empty())
         return;
     isWriting_ = true;
@@ -384,6 +388,7 @@
 void ServerConnection::onWritten(const asio::error_code &error, std::size_t count)
 {
     writtenBytes_ += count;
+    heldBytes_.set(unsentBytes());
     queuedBytes_.reset();
     if (open_ && !error && writtenBytes_ < writing_.size()) {
         // A client that reads slowly is not idle.
@@ -395,6 +400,8 @@
     isWriting_ = false;
     writtenBytes_ = 0;
     writing_.clear();
+    if (writing_.capacity() > MaxKeptCapacity)
+        writing_.shrink_to_fit();
     if (!open_)
         return;
     if (error) {
@@ -457,6 +464,8 @@
     server_.bufferedBytes_ -= bufferedBytes_;
     bufferedBytes_ = 0;
     onDrained_ = nullptr;
+    pending_ = {};
+    heldBytes_.set(0);
     asio::error_code ignored; // the socket is closed even if this fails
     socket_.close(ignored);
     server_.connections_.erase(shared_from_this());
--- a/src/httpio/internal/serverconnection.h
+++ b/src/httpio/internal/serverconnection.h
@@ -96,6 +96,7 @@
     std::size_t writtenBytes_ = 0; // of writing_
     // Bytes in the kernel at the last timeout; none if more have been written since.
     std::optional<std::size_t> queuedBytes_;
+    units::HeldBytes heldBytes_; // in pending_ and writing_
     std::uint64_t requestNumber_ = 0;
     std::size_t bufferedBytes_ = 0;
     bool open_ = true;
--- a/tests/adapter/slowclients_test.cpp
+++ b/tests/adapter/slowclients_test.cpp
@@ -5,6 +5,13 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
 using namespace monsoongrade;
 using namespace monsoongrade::platform;
 using standins::RawConnection;
@@ -120,3 +127,101 @@
     };
     CHECK(metrics().find("monsoongrade_gateway_caller_connections 0") != std::string::npos);
 }
+
+namespace {
+
+constexpr std::size_t ManyClients = 100;
+
+// A gateway with little memory before a worker that takes many requests at once and writes its
+// responses as fast as the gateway reads them.
+struct SmallHost : FaultFixture
+{
+    using ResponseFor = std::function<std::string(const std::string &id)>;
+
+    explicit SmallHost(ResponseFor responseFor)
+        : worker(io,
+                 [this, responseFor = std::move(responseFor)](RawConnection &connection,
+                                                              const std::string &text, int) {
+                     unsent_[connection.shared_from_this()] = responseFor(idIn(text));
+                 })
+    {
+        pump();
+        nlohmann::json configuration = operatorConfiguration(2);
+        for (nlohmann::json &service : configuration["services"])
+            service["max_connections"] = 1000;
+        store.put("config", "main", configuration);
+        nlohmann::json entry = standins::workerEntry("plain", worker.address());
+        entry["slots"] = 2 * ManyClients;
+        entry["born"] = 1;
+        store.put("servers", "p1", entry);
+        settings.memoryMegabytes = 16;
+        serve(1);
+        for (std::size_t i = 0; i < ManyClients; ++i) {
+            clients.push_back(std::make_unique<PacedClient>(io, settings.callersAddress));
+            clients.back()->send(request("GET", "/safe/a", "id" + std::to_string(i)));
+        }
+    }
+    // Runs for so long, and returns the most bytes of responses that the gateway has held.
+    std::size_t mostHeld(milliseconds time)
+    {
+        std::size_t most = 0;
+        runUntil(
+            [&] {
+                most = std::max(most, gateway->state().responseBytes->used());
+                return false;
+            },
+            time);
+        return most;
+    }
+
+    RawPeer worker;
+    std::vector<std::unique_ptr<PacedClient>> clients;
+
+private:
+    void pump()
+    {
+        for (auto &[connection, rest] : unsent_) {
+            if (!rest.empty() && !connection->isClosedByPeer())
+                rest.erase(0, connection->writeSome(rest));
+        }
+        timers.after(milliseconds(1), [this] { pump(); });
+    }
+
+    std::map<std::shared_ptr<RawConnection>, std::string> unsent_;
+};
+
+constexpr std::size_t QuarterOfMemory = 4 * 1024 * 1024;
+
+} // namespace
+
+// Guards against holding whole responses for all slow clients at once, which takes a host over its
+// memory.
+TEST_CASE("SlowClients.ResponsesForManyOfThemFitIntoTheMemoryOfTheHost")
+{
+    constexpr std::size_t BodyBytes = 250000;
+    SmallHost host(
+        [](const std::string &id) { return workerResponse(id, std::string(BodyBytes, 'r')); });
+    CHECK(host.mostHeld(milliseconds(700)) <= QuarterOfMemory);
+    CHECK(host.worker.requests() == ManyClients);
+    // They get all of it in the end.
+    const auto readAll = [&] {
+        std::size_t whole = 0;
+        for (const auto &client : host.clients) {
+            client->readSome(65536);
+            whole += client->bodyBytes() >= BodyBytes ? 1 : 0;
+        }
+        return whole == ManyClients;
+    };
+    CHECK(host.runUntil(readAll));
+}
+
+// Guards against a faulty worker that sends long errors to many requests at once and ends none.
+TEST_CASE("SlowClients.UnfinishedErrorsForManyRequestsFitIntoTheMemoryOfTheHost")
+{
+    SmallHost host([](const std::string &id) {
+        return "HTTP/1.1 500 Error\r\nAttempt-Id: " + id + "\r\nResponse-Signature: s." + id
+            + "\r\nContent-Length: 250000\r\n\r\n" + std::string(240000, 'r');
+    });
+    CHECK(host.mostHeld(milliseconds(700)) <= QuarterOfMemory);
+    CHECK(host.worker.requests() * std::size_t(240000) > 2 * QuarterOfMemory);
+}
