--- a/include/monsoongrade/httpio/server.h
+++ b/include/monsoongrade/httpio/server.h
@@ -65,6 +65,7 @@
 
     void accept();
     void add(asio::ip::tcp::socket socket);
+    void retry();
     bool closeLongestIdle();
     void onIdle(ServerConnection &connection);
     void onBusy(ServerConnection &connection);
@@ -84,6 +85,9 @@
     std::optional<units::TimePoint> lastRefusedAt_;
     std::size_t bufferedBytes_ = 0;
     std::shared_ptr<units::ByteBudget> unsentBytes_; // null: not counted
+    // Accepted without room, where none is refused; no other is accepted meanwhile.
+    std::optional<asio::ip::tcp::socket> waiting_;
+    Timers::Handle retryTimer_;
     bool draining_ = false;
     bool accepting_ = true;
     bool acceptPending_ = false;
--- a/include/monsoongrade/httpio/serverlimits.h
+++ b/include/monsoongrade/httpio/serverlimits.h
@@ -23,7 +23,8 @@
     // new one.
     std::size_t maxConnections = 1000;
     // Further connections, accepted while none of the others is idle. Their requests are refused as
-    // not run, so that clients need not wait. Above it, connections are not accepted.
+    // not run, so that clients need not wait. Above it, connections are not accepted. With 0, a new
+    // connection waits until there is room.
     std::size_t maxRefusedConnections = 16;
 };
 
--- a/src/httpio/internal/serverconnection.h
+++ b/src/httpio/internal/serverconnection.h
@@ -72,7 +72,6 @@
     void flush();
     void writeSome();
     void onWritten(const asio::error_code &error, std::size_t count);
-    void onResponseWritten();
     void finishRequest();
     void onClientClosed();
     void lingerAndClose();
--- a/src/httpio/server.cpp
+++ b/src/httpio/server.cpp
@@ -33,6 +33,7 @@
 
 Server::~Server()
 {
+    timers_.cancel(retryTimer_);
     for (const auto &connection : connections_)
         connection->closeForShutdown();
 }
@@ -40,7 +41,8 @@
 void Server::accept()
 {
     const std::size_t maxOpen = limits_.maxConnections + limits_.maxRefusedConnections;
-    if (!accepting_ || acceptPending_ || connections_.size() >= maxOpen)
+    const bool isAtLimit = limits_.maxRefusedConnections > 0 && connections_.size() >= maxOpen;
+    if (!accepting_ || acceptPending_ || waiting_ || isAtLimit)
         return;
     acceptPending_ = true;
     acceptor_.async_accept([this](const asio::error_code &error, asio::ip::tcp::socket socket) {
@@ -50,7 +52,7 @@
         if (error) {
             if (error == asio::error::no_descriptors)
                 closeLongestIdle();
-            timers_.after(AcceptRetryDelay, [this] { accept(); });
+            retryTimer_ = timers_.after(AcceptRetryDelay, [this] { retry(); });
             return;
         }
         add(std::move(socket));
@@ -61,6 +63,11 @@
 void Server::add(asio::ip::tcp::socket socket)
 {
     const bool hasRoom = connections_.size() < limits_.maxConnections || closeLongestIdle();
+    if (!hasRoom && limits_.maxRefusedConnections == 0) {
+        waiting_ = std::move(socket);
+        retryTimer_ = timers_.after(AcceptRetryDelay, [this] { retry(); });
+        return;
+    }
     const auto connection = std::make_shared<ServerConnection>(*this, std::move(socket));
     connections_.insert(connection);
     if (!hasRoom) {
@@ -71,6 +78,16 @@
     connection->start();
 }
 
+void Server::retry()
+{
+    if (waiting_) {
+        asio::ip::tcp::socket socket = std::move(*waiting_);
+        waiting_.reset();
+        add(std::move(socket));
+    }
+    accept();
+}
+
 bool Server::isFull() const
 {
     return lastRefusedAt_ && timers_.now() < *lastRefusedAt_ + FullTime;
@@ -114,6 +131,7 @@
     accepting_ = false;
     asio::error_code ignored; // it may be closed already
     acceptor_.close(ignored);
+    waiting_.reset();
     const std::vector<std::shared_ptr<ServerConnection>> all(connections_.begin(),
                                                              connections_.end());
     for (const auto &connection : all)
--- a/tests/adapter/connectionbound_test.cpp
+++ b/tests/adapter/connectionbound_test.cpp
@@ -36,6 +36,7 @@
     std::vector<std::shared_ptr<RawClient>> send(std::size_t connections, const std::string &prefix)
     {
         std::vector<std::shared_ptr<RawClient>> clients;
+        clients.reserve(connections);
         for (std::size_t i = 0; i < connections; ++i) {
             clients.push_back(connect());
             clients.back()->send(request("GET", "/safe/a", prefix + std::to_string(i)));
@@ -139,6 +140,7 @@
     const auto first = host.send(MaxConnections, "first");
     REQUIRE(host.runUntil([&] { return host.worker.runs().size() == MaxConnections; }));
     std::vector<std::shared_ptr<RawClient>> silent;
+    silent.reserve(MaxRefused);
     for (std::size_t i = 0; i < MaxRefused; ++i)
         silent.push_back(host.connect());
     host.runFor(milliseconds(100));
@@ -151,8 +153,10 @@
 TEST_CASE("ConnectionBound.AddressesAreListedWhileIdleCallersFillTheDirectory")
 {
     BoundedHost host;
+    constexpr std::size_t Connections = 16; // more than the directory keeps
     std::vector<std::shared_ptr<RawClient>> idle;
-    for (int i = 0; i < 16; ++i)
+    idle.reserve(Connections);
+    for (std::size_t i = 0; i < Connections; ++i)
         idle.push_back(
             RawClient::connect(host.io, *httpio::parseAddress(host.settings.directoryAddress)));
     host.runFor(Idle);
--- a/tests/adapter/plannedstop_test.cpp
+++ b/tests/adapter/plannedstop_test.cpp
@@ -118,75 +118,99 @@
     CHECK(client->received().find("Connection: close") > client->received().find("p1.id2"));
 }
 
-// Guards against requests that are taken late in a stop, passed on, and cut off at its end.
-TEST_CASE("PlannedStop.RequestsOfEachTenthOfTheStopAreAnsweredOrNeverRun")
+namespace {
+
+constexpr int Tenths = 10;
+constexpr auto Tenth = std::chrono::milliseconds(StopWithin) / Tenths;
+
+// A gateway before a plain worker, which gets requests in each tenth of its stop.
+struct HostStoppedUnderLoad : GatewayFixture
 {
-    constexpr int Tenths = 10;
-    constexpr auto Tenth = std::chrono::milliseconds(StopWithin) / Tenths;
-    // Requests sent earlier may outlast the host, whose outcome is unknown then.
-    constexpr auto AlwaysRefusedFrom = StopWithin * 2 / 5;
-    for (const auto workTime : {std::chrono::milliseconds(50), std::chrono::milliseconds(900)}) {
-        GatewayFixture host;
-        standins::StandInWorker plain(host.io, host.timers, host.store,
-                                      {"p1", "plain", "z1", 100, workTime});
-        host.store.put("config", "main", operatorConfiguration());
-        plain.announce("ready");
-        host.settings.stopWithin = StopWithin;
-        host.start();
-        REQUIRE(host.awaitServing(1));
-
-        enum class Way { Kept, New, SlowBody };
-        struct Sent
-        {
-            std::shared_ptr<RawClient> client;
-            std::string id;
-            std::chrono::milliseconds at;
-        };
-        std::vector<std::shared_ptr<RawClient>> kept;
+    enum class Way { Kept, New, SlowBody }; // of sending: on which connection, or in two parts
+    struct Sent
+    {
+        std::shared_ptr<RawClient> client;
+        std::string id;
+        std::chrono::milliseconds at;
+    };
+
+    explicit HostStoppedUnderLoad(std::chrono::milliseconds workTime)
+        : worker(io, timers, store, {"p1", "plain", "z1", 100, workTime})
+    {
+        store.put("config", "main", operatorConfiguration());
+        worker.announce("ready");
+        settings.stopWithin = StopWithin;
+        start();
+        REQUIRE(awaitServing(1));
+        kept_.reserve(Tenths);
         for (int i = 0; i < Tenths; ++i)
-            kept.push_back(
-                host.call(request("POST", "/unsafe/a", "kept" + std::to_string(i), "b")));
-        std::vector<Sent> sent;
-        const auto send = [&](Way way, int tenth) {
-            const std::string id = std::to_string(int(way)) + "-" + std::to_string(tenth);
-            std::shared_ptr<RawClient> client = kept[std::size_t(tenth)];
-            client->clear();
-            if (way != Way::Kept) {
-                try {
-                    client = host.connect();
-                } catch (const asio::system_error &) {
-                    return; // the host no longer listens
-                }
-            }
-            const std::string text = request("POST", "/unsafe/a", id, std::string(1000, 'b'));
-            const std::size_t first = way == Way::SlowBody ? text.size() - 500 : text.size();
-            client->send(text.substr(0, first));
-            if (way == Way::SlowBody)
-                host.timers.after(Tenth * 3 / 2,
-                                  [client, rest = text.substr(first)] { client->send(rest); });
-            sent.push_back({client, id, Tenth * tenth});
-        };
+            kept_.push_back(call(request("POST", "/unsafe/a", "kept" + std::to_string(i), "b")));
+    }
+    void stopUnderLoad()
+    {
         bool isStopped = false;
-        host.gateway->stop([&] { isStopped = true; });
+        gateway->stop([&] { isStopped = true; });
         for (int tenth = 0; tenth < Tenths && !isStopped; ++tenth) {
             for (const Way way : {Way::New, Way::SlowBody, Way::Kept})
                 send(way, tenth);
-            host.runUntil([&] { return isStopped; }, Tenth);
+            runUntil([&] { return isStopped; }, Tenth);
         }
-        REQUIRE(host.runUntil([&] { return isStopped; }));
-        host.runFor(TimeToDeliver);
+        REQUIRE(runUntil([&] { return isStopped; }));
+        runFor(TimeToDeliver);
+    }
+    bool hasRun(const std::string &id) const
+    {
+        const auto &runs = worker.runs();
+        return std::any_of(runs.begin(), runs.end(),
+                           [&](const auto &run) { return run.requestId == id; });
+    }
+
+    standins::StandInWorker worker;
+    std::vector<Sent> sent;
+
+private:
+    void send(Way way, int tenth)
+    {
+        const std::string id = std::to_string(int(way)) + "-" + std::to_string(tenth);
+        std::shared_ptr<RawClient> client = kept_[std::size_t(tenth)];
+        client->clear();
+        if (way != Way::Kept) {
+            try {
+                client = connect();
+            } catch (const asio::system_error &) {
+                return; // the host no longer listens
+            }
+        }
+        const std::string text = request("POST", "/unsafe/a", id, std::string(1000, 'b'));
+        const std::size_t first = way == Way::SlowBody ? text.size() - 500 : text.size();
+        client->send(text.substr(0, first));
+        if (way == Way::SlowBody)
+            timers.after(Tenth * 3 / 2,
+                         [client, rest = text.substr(first)] { client->send(rest); });
+        sent.push_back({client, id, Tenth * tenth});
+    }
 
-        std::size_t served = 0;
-        for (const Sent &each : sent) {
+    std::vector<std::shared_ptr<RawClient>> kept_;
+};
+
+} // namespace
+
+// Guards against requests that are taken late in a stop, passed on, and cut off at its end.
+TEST_CASE("PlannedStop.RequestsOfEachTenthOfTheStopAreAnsweredOrNeverRun")
+{
+    // Requests sent earlier may outlast the host, whose outcome is unknown then.
+    constexpr auto AlwaysRefusedFrom = StopWithin * 2 / 5;
+    for (const auto workTime : {std::chrono::milliseconds(50), std::chrono::milliseconds(900)}) {
+        HostStoppedUnderLoad host(workTime);
+        host.stopUnderLoad();
+        int served = 0;
+        for (const HostStoppedUnderLoad::Sent &each : host.sent) {
             CAPTURE(each.id);
             CAPTURE(each.client->received());
-            const bool hasRun
-                = std::any_of(plain.runs().begin(), plain.runs().end(),
-                              [&](const auto &run) { return run.requestId == each.id; });
-            if (hasRun)
+            if (host.hasRun(each.id))
                 CHECK(each.client->isComplete());
             if (each.client->status() == 503)
-                CHECK_FALSE(hasRun);
+                CHECK_FALSE(host.hasRun(each.id));
             if (each.at >= AlwaysRefusedFrom)
                 CHECK(each.client->status() != 502);
             served += each.client->status() == 200 ? 1 : 0;
--- a/tests/httpio/messageparser_test.cpp
+++ b/tests/httpio/messageparser_test.cpp
@@ -196,7 +196,12 @@
 {
     constexpr std::size_t MaxConsumed = 256 * 1024;
     const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-    const std::vector<std::pair<std::string, std::string>> cases{
+    struct Endless
+    {
+        std::string start;
+        std::string repeated;
+    };
+    const std::vector<Endless> cases{
         {"", "\r\n"},
         {"", "a"},
         {"HTTP/1.1 200 ", "a"},
@@ -213,16 +218,16 @@
         {chunked + "1;", "x"},
         {chunked + "1\r\na\r\n0\r\n", "X: 1\r\n"},
         {chunked + "0\r\nX: ", "a"}};
-    for (const auto &[start, repeated] : cases) {
-        CAPTURE(start);
-        CAPTURE(repeated.substr(0, 40));
+    for (const Endless &each : cases) {
+        CAPTURE(each.start);
+        CAPTURE(each.repeated.substr(0, 40));
         Recorder recorder;
         MessageParser parser(MessageKind::Response, MaxHead, recorder);
-        feedAll(parser, start);
+        feedAll(parser, each.start);
         std::size_t consumed = 0;
         while (!parser.failed() && consumed <= MaxConsumed) {
-            feedAll(parser, repeated);
-            consumed += repeated.size();
+            feedAll(parser, each.repeated);
+            consumed += each.repeated.size();
         }
         CHECK(parser.failed());
         CHECK(recorder.body.size() <= 1);
