Unfinished events of streams count among the response bytes of a host

They count now, and while the budget is short a stream whose unfinished event is longer than 16 KB goes on elsewhere or is broken off, as one that is too long is.

--- a/include/monsoongrade/gateway/eventrelay.h
+++ b/include/monsoongrade/gateway/eventrelay.h
@@ -22,6 +22,8 @@
     std::string feed(std::string_view bytes, units::TimePoint now);
     // True if an event is longer than any that an endpoint sends. Nothing of it is returned.
     bool hasOversizedEvent() const { return !events_.isAtEventBoundary(); }
+    // Bytes of the incomplete last event.
+    std::size_t partialBytes() const { return events_.partialBytes(); }
     // After a regular end of the stream: returns the incomplete last event.
     std::string takePartialEvent() { return events_.takePartialEvent(); }
     bool hasPartialEvent() const { return events_.hasPartialEvent(); }
--- a/include/monsoongrade/gateway/exchange.h
+++ b/include/monsoongrade/gateway/exchange.h
@@ -217,7 +217,7 @@
     // Error response of an earlier attempt, sent to the client if no later attempt succeeds.
     std::optional<httpio::MessageHead> fallbackHead_;
     std::string fallbackBody_;
-    units::HeldBytes heldBytes_; // in collected_ and fallbackBody_
+    units::HeldBytes heldBytes_; // in collected_, fallbackBody_ and events_
 };
 
 } // namespace monsoongrade::gateway
--- a/include/monsoongrade/httpio/sseeventbuffer.h
+++ b/include/monsoongrade/httpio/sseeventbuffer.h
@@ -18,6 +18,7 @@
     // Returns the buffered part of an incomplete event and clears the buffer.
     std::string takePartialEvent();
     bool hasPartialEvent() const { return !buffer_.empty(); }
+    std::size_t partialBytes() const { return buffer_.size(); }
     // Discards the part of an event that an endpoint did not complete.
     void discardPartialEvent() { buffer_.clear(); }
     // False while the caller has received part of an incomplete event.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -284,13 +284,15 @@
 
 void Exchange::countHeldBytes()
 {
-    heldBytes_.set(collected_.size() + fallbackBody_.size());
+    heldBytes_.set(collected_.size() + fallbackBody_.size() + events_.partialBytes());
 }
 
 void Exchange::relay(std::string_view bytes)
 {
     const std::string whole = events_.feed(bytes, state_.timers.now());
-    if (events_.hasOversizedEvent()) {
+    countHeldBytes();
+    const std::size_t maxPartial = internal::maxCollectedBytes(*state_.responseBytes);
+    if (events_.hasOversizedEvent() || events_.partialBytes() > maxPartial) {
         onResponseTooLong();
         return;
     }
--- a/tests/adapter/slowclients_test.cpp
+++ b/tests/adapter/slowclients_test.cpp
@@ -138,7 +138,7 @@
 {
     using ResponseFor = std::function<std::string(const std::string &id)>;
 
-    explicit SmallHost(ResponseFor responseFor)
+    SmallHost(const std::string &service, const std::string &path, ResponseFor responseFor)
         : worker(io,
                  [this, responseFor = std::move(responseFor)](RawConnection &connection,
                                                               const std::string &text, int) {
@@ -149,8 +149,9 @@
         nlohmann::json configuration = operatorConfiguration(2);
         for (nlohmann::json &service : configuration["services"])
             service["max_connections"] = 1000;
+        configuration["services"][1]["engine"]["slots"] = 2 * ManyClients;
         store.put("config", "main", configuration);
-        nlohmann::json entry = standins::workerEntry("plain", worker.address());
+        nlohmann::json entry = standins::workerEntry(service, worker.address());
         entry["slots"] = 2 * ManyClients;
         entry["born"] = 1;
         store.put("servers", "p1", entry);
@@ -158,7 +159,10 @@
         serve(1);
         for (std::size_t i = 0; i < ManyClients; ++i) {
             clients.push_back(std::make_unique<PacedClient>(io, settings.callersAddress));
-            clients.back()->send(request("GET", "/safe/a", "id" + std::to_string(i)));
+            const std::string number = std::to_string(i);
+            clients.back()->send(
+                request("POST", path, "id" + number, "b",
+                        "Model: m\r\nToken-Counts: 9,9\r\nPrompt-Prefix: a" + number + ":9\r\n"));
         }
     }
     // Runs for so long, and returns the most bytes of responses that the gateway has held.
@@ -199,8 +203,9 @@
 TEST_CASE("SlowClients.ResponsesForManyOfThemFitIntoTheMemoryOfTheHost")
 {
     constexpr std::size_t BodyBytes = 250000;
-    SmallHost host(
-        [](const std::string &id) { return workerResponse(id, std::string(BodyBytes, 'r')); });
+    SmallHost host("plain", "/safe/a", [](const std::string &id) {
+        return workerResponse(id, std::string(BodyBytes, 'r'));
+    });
     CHECK(host.mostHeld(milliseconds(700)) <= QuarterOfMemory);
     CHECK(host.worker.requests() == ManyClients);
     // They get all of it in the end.
@@ -218,10 +223,20 @@
 // Guards against a faulty worker that sends long errors to many requests at once and ends none.
 TEST_CASE("SlowClients.UnfinishedErrorsForManyRequestsFitIntoTheMemoryOfTheHost")
 {
-    SmallHost host([](const std::string &id) {
+    SmallHost host("plain", "/safe/a", [](const std::string &id) {
         return "HTTP/1.1 500 Error\r\nAttempt-Id: " + id + "\r\nResponse-Signature: s." + id
             + "\r\nContent-Length: 250000\r\n\r\n" + std::string(240000, 'r');
     });
     CHECK(host.mostHeld(milliseconds(700)) <= QuarterOfMemory);
     CHECK(host.worker.requests() * std::size_t(240000) > 2 * QuarterOfMemory);
 }
+
+// Guards against the same with events of streams.
+TEST_CASE("SlowClients.UnfinishedEventsOfManyStreamsFitIntoTheMemoryOfTheHost")
+{
+    SmallHost host("model", "/stream/a", [](const std::string &id) {
+        return streamHead(id) + httpio::encodeChunk("id: 1\ndata: " + std::string(240000, 'r'));
+    });
+    CHECK(host.mostHeld(milliseconds(700)) <= QuarterOfMemory);
+    CHECK(host.worker.requests() * std::size_t(240000) > 2 * QuarterOfMemory);
+}
