--- a/tests/httpio/server_test.cpp
+++ b/tests/httpio/server_test.cpp
@@ -35,6 +35,18 @@
         return client;
     }
 
+    // Returns as many clients as the server accepts, whose connections are idle.
+    std::vector<std::shared_ptr<RawClient>> fill()
+    {
+        std::vector<std::shared_ptr<RawClient>> clients;
+        clients.reserve(MaxConnections);
+        for (std::size_t i = 0; i < MaxConnections; ++i) {
+            clients.push_back(call());
+            REQUIRE(runUntil([&] { return clients.back()->isComplete(); }));
+        }
+        return clients;
+    }
+
     ServerLimits limits;
     Server server{io,
                   timers,
@@ -51,12 +63,7 @@
 TEST_CASE("Server.ConnectionWaitsUntilAnIdleOneMakesRoom")
 {
     WaitingServer fixture;
-    std::vector<std::shared_ptr<RawClient>> first;
-    first.reserve(MaxConnections);
-    for (std::size_t i = 0; i < MaxConnections; ++i) {
-        first.push_back(fixture.call());
-        REQUIRE(fixture.runUntil([&] { return first.back()->isComplete(); }));
-    }
+    const std::vector<std::shared_ptr<RawClient>> first = fixture.fill();
     const auto waiting = fixture.call();
     fixture.runFor(milliseconds(300));
     CHECK(waiting->received().empty());
@@ -73,12 +80,7 @@
 TEST_CASE("Server.WaitingConnectionIsClosedWhenTheServerStopsAccepting")
 {
     WaitingServer fixture;
-    std::vector<std::shared_ptr<RawClient>> first;
-    first.reserve(MaxConnections);
-    for (std::size_t i = 0; i < MaxConnections; ++i) {
-        first.push_back(fixture.call());
-        REQUIRE(fixture.runUntil([&] { return first.back()->isComplete(); }));
-    }
+    const std::vector<std::shared_ptr<RawClient>> first = fixture.fill();
     const auto waiting = fixture.call();
     fixture.runFor(milliseconds(100));
     fixture.server.stopAccepting();
