Responses: a header whose name is no token makes them malformed

Names with a control byte were refused before.

Cause: http_parser accepts spaces in names, and takes "Content-Length : 3" for a length. The names were checked in requests only. Interim heads and trailers were not looked at, so a response went on after lines that were no headers.

Change: the parser rejects each name in a response that is not a token (RFC 9110), in the final head, interim heads and trailers. Workers, other hosts and the store are all read through it. The client gets what it gets for any malformed response, and a request that may run once is not sent again. Requests are checked as before.

--- a/include/monsoongrade/httpio/messageparser.h
+++ b/include/monsoongrade/httpio/messageparser.h
@@ -23,7 +23,9 @@
 
 // Incremental parser of HTTP/1.1 messages. Skips interim responses (1xx). Rejects requests with
 // ambiguous framing, such as both a length and chunks, to prevent request smuggling: a request
-// hidden in the body of another could otherwise reach an endpoint.
+// hidden in the body of another could otherwise reach an endpoint. Rejects responses with a
+// malformed status line or header name, which may come from a faulty server, in interim responses
+// and trailers as well.
 class MessageParser
 {
 public:
--- a/src/httpio/messageparser.cpp
+++ b/src/httpio/messageparser.cpp
@@ -1,7 +1,10 @@
 #include <monsoongrade/httpio/messageparser.h>
 
+#include <monsoongrade/httpsyntax/headersyntax.h>
+
 #include <http_parser.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <limits>
 
@@ -12,17 +15,13 @@
 constexpr int FirstFinalStatus = 200;
 constexpr int StatusNoContent = 204;
 constexpr int StatusNotModified = 304;
-// http_parser accepts spaces in names, and an upstream server could interpret
-// "Content-Length : 3" either as a length or as another header.
+
+// http_parser accepts spaces in names. To another server, "Content-Length : 3" could be a length or
+// a header of its own.
 bool hasMalformedName(const Headers &headers)
 {
-    const std::string_view allowed = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz"
-                                     "ABCDEFGHIJKLMNOPQRSTUVWXYZ";
-    for (const auto &header : headers) {
-        if (header.first.empty() || header.first.find_first_not_of(allowed) != std::string::npos)
-            return true;
-    }
-    return false;
+    return std::any_of(headers.begin(), headers.end(),
+                       [](const auto &header) { return !httpsyntax::isHeaderName(header.first); });
 }
 
 // Counted for each interim response, so that a server can't send them without end. Less than the
@@ -196,6 +195,10 @@
 
     int onHeaderName(std::string_view text)
     {
+        // Also in interim responses and trailers: what isn't a header there may be the start of
+        // bytes that belong to no response.
+        if (kind_ == MessageKind::Response && !httpsyntax::hasOnlyTokenCharacters(text))
+            return -1;
         if (headDone_) // trailers are not forwarded
             return 0;
         if (readingValue_ || head_.headers.empty())
--- a/tests/httpio/messageparser_test.cpp
+++ b/tests/httpio/messageparser_test.cpp
@@ -164,6 +164,47 @@
     }
 }
 
+// Guards against bytes that are no header but are skipped, passed on, or change the framing.
+TEST_CASE("MessageParser.NamesInResponsesAreTokens")
+{
+    const std::string start = "HTTP/1.1 200 OK\r\n";
+    const auto isAccepted = [](const std::string &response) {
+        Recorder recorder;
+        MessageParser parser(MessageKind::Response, MaxHead, recorder);
+        for (const char c : response) {
+            if (!parser.failed())
+                parser.feed(std::string_view(&c, 1));
+        }
+        return !parser.failed() && recorder.ends == 1;
+    };
+    const std::string punctuation = "!#$%&'*+-.^_`|~";
+    for (int code = 0; code < 256; ++code) {
+        const char c = char(code);
+        // The colon and the line ends are no part of a name.
+        if (c == ':' || c == '\r' || c == '\n')
+            continue;
+        CAPTURE(code);
+        const bool isAllowed = (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z')
+            || (c >= 'A' && c <= 'Z') || (c != '\0' && punctuation.find(c) != std::string::npos);
+        for (const std::string &name :
+             {std::string(1, c) + "X", "X" + std::string(1, c) + "X", "X" + std::string(1, c)}) {
+            const std::string line = name + ": v\r\n";
+            const std::string end = "Content-Length: 2\r\n\r\nok";
+            CHECK(isAccepted(start + line + end) == isAllowed);
+            CHECK(isAccepted("HTTP/1.1 103 Early Hints\r\n" + line + "\r\n" + start + end)
+                  == isAllowed);
+            CHECK(isAccepted(start + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + line
+                             + "\r\n")
+                  == isAllowed);
+            // A line that begins with a blank continues the one before.
+            const bool isContinuation = name.front() == ' ' || name.front() == '\t';
+            CHECK(isAccepted(start + "X-A: a\r\n" + line + end) == (isAllowed || isContinuation));
+        }
+    }
+    CHECK_FALSE(isAccepted(start + ": v\r\nContent-Length: 2\r\n\r\nok"));
+    CHECK_FALSE(isAccepted(start + "Content-Length : 2\r\n\r\nok"));
+}
+
 // Guards against headers that are not understood because of the space around their values.
 TEST_CASE("MessageParser.ValuesHaveNoSpaceAroundThem")
 {
