Endpoint client: malformed status lines and headers end a call in an error

What callers saw: behind the router of the engines, nearly the same as behind the gateway. An engine in trouble sent a name with a blank or a control byte, and the caller got a 200 with that line, in one case without the control byte; a status of 999 and answers with a malformed interim head or trailer were passed on too. "Content-Length : 3" and "Transfer-Encoding : chunked" gave the class that reads for the router an unbounded body as a whole one; the router itself refuses answers without a known end. A status of 000 was an error before.

Cause: libcurl checks little of a head, and this class passed on each line that had a colon. A folded line with a colon became a header of its own.

Change: each line outside the body is checked (interim heads, the final head, trailers): status lines and names with the functions that the gateway's parser uses, for which the check of the status line moves to httpsyntax, and values for control characters, as http_parser does. A malformed line ends the call as EndpointBrokeBeforeAnswer, or ...InAnswer after the first byte of the body, and the message of the end names the check. A folded value is joined to the line before. The router, the load tool, the control program and the reader of the platform's API all use this class.

Evidence: on the class before, the first three cases of MalformedAnswers failed; all four pass now. The fourth guards unusual headers that are well-formed.

--- a/src/endpoints/internal/curlcall.cpp
+++ b/src/endpoints/internal/curlcall.cpp
@@ -1,25 +1,18 @@
 #include <endpoints/internal/curlcall.h>
 
-#include <algorithm>
-#include <cctype>
-
 namespace monsoongrade::endpoints::internal {
 
 namespace {
 
+// Returned by a callback, this ends the transfer with an error.
+constexpr std::size_t Rejected = 0;
+
 long milliseconds(units::Duration duration)
 {
     return static_cast<long>(
         std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
-std::string lowerCase(std::string text)
-{
-    std::transform(text.begin(), text.end(), text.begin(),
-                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return text;
-}
-
 } // namespace
 
 CurlCall::CurlCall(CallId id, EndpointRequest request, std::shared_ptr<EndpointListener> listener)
@@ -108,8 +101,7 @@
 {
     auto *self = static_cast<CurlCall *>(call);
     self->lastActivity_ = std::chrono::steady_clock::now();
-    self->readHeaderLine({data, size * count});
-    return size * count;
+    return self->head_.addLine({data, size * count}) ? size * count : Rejected;
 }
 
 std::size_t CurlCall::onBody(char *data, std::size_t size, std::size_t count, void *call)
@@ -124,22 +116,6 @@
     return size * count;
 }
 
-void CurlCall::readHeaderLine(std::string_view line)
-{
-    while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
-        line.remove_suffix(1);
-    // Fields of an interim answer, such as 100, are not those of the final one.
-    if (line.substr(0, 5) == "HTTP/")
-        answerHeaders_.clear();
-    const std::size_t colon = line.find(':');
-    if (colon == std::string_view::npos)
-        return;
-    std::string_view value = line.substr(colon + 1);
-    while (!value.empty() && value.front() == ' ')
-        value.remove_prefix(1);
-    answerHeaders_.emplace_back(lowerCase(std::string(line.substr(0, colon))), std::string(value));
-}
-
 void CurlCall::giveHead()
 {
     if (headGiven_)
@@ -147,7 +123,7 @@
     headGiven_ = true;
     long status = 0;
     curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &status);
-    listener_->answerHead(static_cast<int>(status), answerHeaders_);
+    listener_->answerHead(static_cast<int>(status), head_.headers());
 }
 
 EndpointEnd CurlCall::endFor(CURLcode result) const
@@ -156,7 +132,7 @@
     if (result == CURLE_OK)
         return end;
     end.requestSent = mayHaveSent_;
-    end.message = curl_easy_strerror(result);
+    end.message = head_.problem().empty() ? curl_easy_strerror(result) : head_.problem();
     if (!end.requestSent)
         end.code = sendingDenied_ ? units::ResultCode::WaitedTooLong
                                   : units::ResultCode::EndpointUnreachable;
--- a/src/endpoints/internal/curlcall.h
+++ b/src/endpoints/internal/curlcall.h
@@ -1,6 +1,8 @@
 #ifndef MONSOONGRADE_SRC_ENDPOINTS_INTERNAL_CURLCALL_H
 #define MONSOONGRADE_SRC_ENDPOINTS_INTERNAL_CURLCALL_H
 
+#include <endpoints/internal/responseheadreader.h>
+
 #include <monsoongrade/endpoints/endpointclient.h>
 
 #include <curl/curl.h>
@@ -33,7 +35,6 @@
     static int onConnected(void *call, char *, char *, int, int);
     static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *call);
     static std::size_t onBody(char *data, std::size_t size, std::size_t count, void *call);
-    void readHeaderLine(std::string_view line);
     void giveHead();
     EndpointEnd endFor(CURLcode result) const;
 
@@ -42,7 +43,7 @@
     std::shared_ptr<EndpointListener> listener_;
     CURL *handle_;
     curl_slist *headerList_ = nullptr;
-    Headers answerHeaders_;
+    ResponseHeadReader head_;
     bool headGiven_ = false;
     bool mayHaveSent_ = false;
     bool sendingDenied_ = false;
--- a/src/httpio/messageparser.cpp
+++ b/src/httpio/messageparser.cpp
@@ -1,6 +1,7 @@
 #include <monsoongrade/httpio/messageparser.h>
 
 #include <monsoongrade/httpsyntax/headersyntax.h>
+#include <monsoongrade/httpsyntax/statuslinechecker.h>
 
 #include <http_parser.h>
 
@@ -30,58 +31,6 @@
 // The content_length of http_parser for a message without a length.
 constexpr std::uint64_t NoLength = std::numeric_limits<std::uint64_t>::max();
 
-bool isDigit(char c)
-{
-    return c >= '0' && c <= '9';
-}
-
-// Checks the start of responses. http_parser accepts any version and up to three digits as the
-// status, with any number of zeros and spaces before them, and would skip a status such as 000 or
-// 20 as if it were that of an interim response.
-class StatusLineChecker
-{
-public:
-    // The next byte begins another response.
-    void restart() { checked_ = 0; }
-
-    // Returns false if the bytes can't continue a response.
-    bool accept(std::string_view bytes)
-    {
-        for (const char c : bytes) {
-            if (checked_ == Length)
-                return true;
-            if (checked_ == 0 && (c == '\r' || c == '\n'))
-                continue; // http_parser skips empty lines before a message
-            if (!isAllowed(c))
-                return false;
-            ++checked_;
-        }
-        return true;
-    }
-
-private:
-    static constexpr std::string_view VersionPrefix = "HTTP/1.";
-    static constexpr std::size_t MinorVersionAt = VersionPrefix.size();
-    static constexpr std::size_t StatusAt = MinorVersionAt + 2; // after a space
-    static constexpr std::size_t StatusEnd = StatusAt + 3;
-    static constexpr std::size_t Length = StatusEnd + 1;
-
-    bool isAllowed(char c) const
-    {
-        if (checked_ < MinorVersionAt)
-            return c == VersionPrefix[checked_];
-        if (checked_ == StatusAt - 1)
-            return c == ' ';
-        if (checked_ == StatusAt)
-            return c >= '1' && c <= '5';
-        if (checked_ == StatusEnd)
-            return c == ' ' || c == '\r' || c == '\n';
-        return isDigit(c);
-    }
-
-    std::size_t checked_ = 0;
-};
-
 bool isRequestFramingAmbiguous(const MessageHead &head)
 {
     std::size_t lengths = 0;
@@ -291,7 +240,7 @@
     bool inside_ = false;
     bool headDone_ = false;
     bool noBody_ = false;
-    StatusLineChecker statusLine_;
+    httpsyntax::StatusLineChecker statusLine_;
     http_parser parser_{};
     http_parser_settings settings_{};
     MessageHead head_;
--- a/src/httpsyntax/headersyntax.cpp
+++ b/src/httpsyntax/headersyntax.cpp
@@ -1,5 +1,7 @@
 #include <monsoongrade/httpsyntax/headersyntax.h>
 
+#include <algorithm>
+
 namespace monsoongrade::httpsyntax {
 
 bool hasOnlyTokenCharacters(std::string_view text)
@@ -14,4 +16,11 @@
     return !text.empty() && hasOnlyTokenCharacters(text);
 }
 
+bool isHeaderValue(std::string_view text)
+{
+    constexpr unsigned char Delete = 0x7f;
+    return std::all_of(text.begin(), text.end(),
+                       [](unsigned char c) { return c == '\t' || (c >= ' ' && c != Delete); });
+}
+
 } // namespace monsoongrade::httpsyntax
--- a/tests/adapter/malformedheaders_test.cpp
+++ b/tests/adapter/malformedheaders_test.cpp
@@ -244,7 +244,8 @@
                                   {"X-Empty:", "X-Empty: "},
                                   {"X-Blanks:\t a b\tc : d \t", "X-Blanks: a b\tc : d"},
                                   {"X-High: \xc3\xa4\xff", "X-High: \xc3\xa4\xff"},
-                                  {"X-Colon::", "X-Colon: :"}};
+                                  {"X-Colon::", "X-Colon: :"},
+                                  {"X-Folded: a\r\n \t b: c", "X-Folded: a \t b: c"}};
     for (const Line &line : lines) {
         CAPTURE(line.sent);
         for (const Route &route : Routes) {
