Endpoint client: an answer whose head breaks off ends in an error

What callers saw: behind the router of the engines, a worker that closes its connection within the headers of its answer, after "Content-Length: 0", gives the caller a 200 with an empty body, framed as whole. The gateway refuses such heads already.

Cause: libcurl ends a transfer without an error if the connection is closed in an orderly way within the head, and the end of a transfer without an error counted as the end of a response. Where no length had arrived the router refused the answer, but other users of this class got it. libcurl also takes what follows a 101, which no request asks for, for a body.

Change: an answer counts only if the empty line after its head was read. A 101 is an error.

Evidence: MalformedAnswers.HeadThatBreaksOffEndsInAnError cuts a final head after an interim one at each byte, with a close or a reset. Both it and MalformedAnswers.ChangeOfProtocolEndsInAnError failed before and pass now.

--- a/src/endpoints/internal/curlcall.cpp
+++ b/src/endpoints/internal/curlcall.cpp
@@ -60,7 +60,7 @@
 
 void CurlCall::finish(CURLcode result)
 {
-    if (result == CURLE_OK)
+    if (isWhole(result))
         giveHead();
     listener_->answerEnd(endFor(result));
 }
@@ -126,13 +126,24 @@
     listener_->answerHead(static_cast<int>(status), head_.headers());
 }
 
+// libcurl takes a close within the head for the end of a response without a body.
+bool CurlCall::isWhole(CURLcode result) const
+{
+    return result == CURLE_OK && head_.isComplete();
+}
+
 EndpointEnd CurlCall::endFor(CURLcode result) const
 {
     EndpointEnd end;
-    if (result == CURLE_OK)
+    if (isWhole(result))
         return end;
     end.requestSent = mayHaveSent_;
-    end.message = head_.problem().empty() ? curl_easy_strerror(result) : head_.problem();
+    if (!head_.problem().empty())
+        end.message = head_.problem();
+    else if (result == CURLE_OK)
+        end.message = "the connection was closed within the head of the answer";
+    else
+        end.message = curl_easy_strerror(result);
     if (!end.requestSent)
         end.code = sendingDenied_ ? units::ResultCode::WaitedTooLong
                                   : units::ResultCode::EndpointUnreachable;
--- a/src/endpoints/internal/curlcall.h
+++ b/src/endpoints/internal/curlcall.h
@@ -36,6 +36,7 @@
     static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *call);
     static std::size_t onBody(char *data, std::size_t size, std::size_t count, void *call);
     void giveHead();
+    bool isWhole(CURLcode result) const;
     EndpointEnd endFor(CURLcode result) const;
 
     CallId id_;
--- a/src/endpoints/internal/responseheadreader.cpp
+++ b/src/endpoints/internal/responseheadreader.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr int StatusSwitchingProtocols = 101;
 constexpr int FirstFinalStatus = 200;
 
 std::string lowerCase(std::string_view text)
@@ -50,6 +51,8 @@
     const std::optional<int> status = httpsyntax::statusIn(line);
     if (!status)
         return fail("malformed status line");
+    if (*status == StatusSwitchingProtocols) // no request asks for that
+        return fail("unexpected change of the protocol");
     isInterim_ = *status < FirstFinalStatus;
     headers_.clear();
     next_ = Next::Header;
--- a/src/endpoints/internal/responseheadreader.h
+++ b/src/endpoints/internal/responseheadreader.h
@@ -17,6 +17,8 @@
     // trailers. Returns false if it is malformed; no other line may follow then.
     bool addLine(std::string_view line);
 
+    // The head of the final response has arrived with its empty line.
+    bool isComplete() const { return next_ == Next::Trailer; }
     // The headers of the response that was read last, without trailers. Names are in lower case.
     const Headers &headers() const { return headers_; }
     // Says what is malformed; empty if nothing is.
--- a/tests/endpoints/malformedanswers_test.cpp
+++ b/tests/endpoints/malformedanswers_test.cpp
@@ -15,9 +15,11 @@
 using namespace std::string_literals;
 
 // A call that must not be repeated, to an endpoint that sends this text and closes.
-WholeAnswer answerTo(const std::string &text)
+WholeAnswer answerTo(const std::string &text, ConnectionEnd end = ConnectionEnd::Close)
 {
-    ScriptedServer server({{text}});
+    ScriptedServer server({{text}}, end);
+    if (end == ConnectionEnd::ResetAfterLastText)
+        server.keepOpenFor(std::chrono::milliseconds(5)); // the client reads the text before
     CurlEndpointClient client;
     EndpointRequest request;
     request.url = server.url("/");
@@ -83,6 +85,27 @@
     }
 }
 
+// Guards against a success with an empty body whose head broke off.
+TEST_CASE("MalformedAnswers.HeadThatBreaksOffEndsInAnError")
+{
+    const std::string head = "HTTP/1.1 103 Early Hints\r\nX-A: 1\r\n\r\n"
+                             "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-A: 1\r\n\r\n";
+    for (const ConnectionEnd end : {ConnectionEnd::Close, ConnectionEnd::ResetAfterLastText}) {
+        for (std::size_t cut = 0; cut < head.size(); ++cut) {
+            CAPTURE(cut);
+            CAPTURE((end == ConnectionEnd::Close));
+            checkBrokeBeforeAnswer(answerTo(head.substr(0, cut), end));
+        }
+    }
+}
+
+// Guards against a change of protocol that the client did not ask for and takes for an answer.
+TEST_CASE("MalformedAnswers.ChangeOfProtocolEndsInAnError")
+{
+    for (const std::string body : {"", "whole"})
+        checkBrokeBeforeAnswer(answerTo("HTTP/1.1 101 Switching Protocols\r\n\r\n" + body));
+}
+
 // Guards against refusing answers with unusual but well-formed headers.
 TEST_CASE("MalformedAnswers.WellFormedHeadersArePassedOn")
 {
--- a/tests/endpoints/scriptedserver.h
+++ b/tests/endpoints/scriptedserver.h
@@ -22,6 +22,8 @@
     ResetAtOnce,
     // Once bytes of a request have arrived, which stay unread.
     ResetWhenRequestArrives,
+    // Once the last text was sent and the time of keepOpenFor() has passed.
+    ResetAfterLastText,
 };
 
 // A TCP server that plays an endpoint: for the n-th request on a connection it sends the n-th
@@ -108,6 +110,8 @@
         pollfd client{socket.native_handle(), POLLIN | POLLRDHUP, 0};
         if (end_ == ConnectionEnd::ResetWhenRequestArrives)
             poll(&client, 1, UntilReady);
+        else if (end_ == ConnectionEnd::ResetAfterLastText)
+            std::this_thread::sleep_for(keepOpen_.load());
         else if (keepOpen_.load().count() > 0)
             poll(&client, 1, static_cast<int>(keepOpen_.load().count()));
     }
