--- a/tests/endpoints/malformedanswers_test.cpp
+++ b/tests/endpoints/malformedanswers_test.cpp
@@ -106,6 +106,27 @@
         checkBrokeBeforeAnswer(answerTo("HTTP/1.1 101 Switching Protocols\r\n\r\n" + body));
 }
 
+// Guards against a part of a body that is whole to the caller after a reset during the request.
+TEST_CASE("MalformedAnswers.ResetDuringAnUploadEndsInAnError")
+{
+    constexpr std::size_t UploadBytes = 32'000'000; // more than the kernel buffers
+    for (const auto delay : {0, 5, 30, 200}) {
+        CAPTURE(delay);
+        ScriptedServer server({{"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of it"}},
+                              ConnectionEnd::ResetAfterLastText);
+        server.keepOpenFor(std::chrono::milliseconds(delay));
+        CurlEndpointClient client;
+        EndpointRequest request;
+        request.url = server.url("/");
+        request.freshConnection = true;
+        request.body = std::string(UploadBytes, 'u');
+        const WholeAnswer answer = callAndWait(client, request);
+        CHECK(server.requests() == 1);
+        CHECK(answer.end.code != ResultCode::Ok);
+        CHECK(answer.end.requestSent);
+    }
+}
+
 // Guards against refusing answers with unusual but well-formed headers.
 TEST_CASE("MalformedAnswers.WellFormedHeadersArePassedOn")
 {
