Log: endpoint-response-malformed tells which check a response failed

An operator saw a response that the gateway refuses as malformed only as attempt-failed with endpoint-broke-before-answer, like a connection that was closed. The parser now keeps the first check that failed, and the gateway logs it with the request and the endpoint, within the budget of its log lines. The bytes themselves are not logged. No decision changes.

--- a/include/monsoongrade/httpio/channel.h
+++ b/include/monsoongrade/httpio/channel.h
@@ -78,6 +78,9 @@
     bool isStillIdle();
 
     bool isOpen() const { return open_; }
+    // What was wrong with the response after ChannelFailure::Malformed; see
+    // MessageParser::problem().
+    std::string_view problem() const { return parser_.problem(); }
     const asio::ip::tcp::endpoint &address() const { return address_; }
 
 private:
--- a/include/monsoongrade/httpio/messageparser.h
+++ b/include/monsoongrade/httpio/messageparser.h
@@ -46,6 +46,9 @@
     bool finishAtClose();
 
     bool failed() const;
+    // What made failed() true, as a short name for logs: "status-line", "header-name", "head-size",
+    // "request-framing", or the name that http_parser has for it. Empty if nothing did.
+    std::string_view problem() const;
     // The head exceeded the limit; failed() is true as well.
     bool headTooLarge() const;
     // A message has arrived in part.
--- a/src/gateway/exchangefailures.cpp
+++ b/src/gateway/exchangefailures.cpp
@@ -1,6 +1,7 @@
 #include <monsoongrade/gateway/exchange.h>
 
 #include <gateway/internal/httpstatus.h>
+#include <gateway/internal/malformedresponse.h>
 #include <gateway/internal/milliseconds.h>
 
 #include <monsoongrade/routing/queueing/retryafter.h>
@@ -27,9 +28,13 @@
     const auto self = shared_from_this();
     const bool isUnsent = failure == httpio::ChannelFailure::NothingSent
         || failure == httpio::ChannelFailure::NotConnected;
-    dropChannel();
     // An endpoint that sends bytes which are no response is faulty, but has not crashed.
-    if (!isUnsent && failure != httpio::ChannelFailure::Malformed)
+    const bool isMalformed = failure == httpio::ChannelFailure::Malformed;
+    if (isMalformed)
+        logMalformedResponse(state_.log, metadata_.id, endpoint_->registration.id,
+                             *channel_.channel());
+    dropChannel();
+    if (!isUnsent && !isMalformed)
         recordCrash(*endpoint_);
     onEndpointFailure();
     if (isUnsent) {
--- a/src/gateway/replacementattempt.cpp
+++ b/src/gateway/replacementattempt.cpp
@@ -1,6 +1,7 @@
 #include <monsoongrade/gateway/replacementattempt.h>
 
 #include <gateway/internal/httpstatus.h>
+#include <gateway/internal/malformedresponse.h>
 #include <gateway/internal/responseannouncements.h>
 #include <gateway/internal/responsebuffers.h>
 
@@ -189,6 +190,11 @@
     const auto self = shared_from_this();
     const bool isUnsent = failure == httpio::ChannelFailure::NothingSent
         || failure == httpio::ChannelFailure::NotConnected;
+    // An endpoint that sends bytes which are no response is faulty, but has not crashed.
+    const bool isMalformed = failure == httpio::ChannelFailure::Malformed;
+    if (isMalformed)
+        internal::logMalformedResponse(state_.log, request_, attempt_.endpoint->registration.id,
+                                       *attempt_.channel.channel());
     attempt_.channel.discard();
     isEnded_ = true;
     FailedReplacement failed;
@@ -200,8 +206,7 @@
     failed.ticket = attempt_.ticket;
     failed.isEndpointsFault = true;
     failed.mayHaveRun = !isUnsent;
-    // An endpoint that sends bytes which are no response is faulty, but has not crashed.
-    failed.mayHaveCrashed = !isUnsent && failure != httpio::ChannelFailure::Malformed;
+    failed.mayHaveCrashed = !isUnsent && !isMalformed;
     failed.countsAsSend = !isUnsent;
     listener_.onReplacementFailed(failed);
 }
--- a/src/httpio/messageparser.cpp
+++ b/src/httpio/messageparser.cpp
@@ -91,7 +91,7 @@
         while (taken < bytes.size() && !failed_ && !messageEnded_) {
             const std::string_view rest = bytes.substr(taken);
             if (kind_ == MessageKind::Response && !statusLine_.accept(rest)) {
-                failed_ = true;
+                reject("status-line");
                 break;
             }
             const std::size_t step
@@ -99,8 +99,10 @@
             taken += step;
             if (HTTP_PARSER_ERRNO(&parser_) == HPE_PAUSED)
                 http_parser_pause(&parser_, 0);
-            else if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || parser_.upgrade)
-                failed_ = true;
+            else if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK)
+                reject(http_errno_name(HTTP_PARSER_ERRNO(&parser_)));
+            else if (parser_.upgrade)
+                reject("upgrade");
         }
         return taken;
     }
@@ -116,6 +118,7 @@
 
     bool endsAtClose() const { return !failed_ && inside_ && headDone_ && endsAtClose_; }
     bool failed() const { return failed_; }
+    std::string_view problem() const { return problem_; }
     bool headTooLarge() const { return headTooLarge_; }
     bool insideMessage() const { return inside_; }
     bool headComplete() const { return inside_ && headDone_; }
@@ -125,6 +128,16 @@
 private:
     static Impl &self(http_parser *parser) { return *static_cast<Impl *>(parser->data); }
 
+    // The first problem counts; http_parser reports one of a callback as another of its own.
+    // Returns what stops the parser as a callback's result.
+    int reject(std::string_view problem)
+    {
+        failed_ = true;
+        if (problem_.empty())
+            problem_ = problem;
+        return -1;
+    }
+
     int onBegin()
     {
         head_ = {};
@@ -134,12 +147,12 @@
         return 0;
     }
 
-    // Used as a callback's result: a value other than 0 stops the parser.
+    // Returns a callback's result.
     int countHeadBytes(std::size_t count)
     {
         headBytes_ += count;
         headTooLarge_ = headBytes_ > maxHeadBytes_;
-        return headTooLarge_ ? -1 : 0;
+        return headTooLarge_ ? reject("head-size") : 0;
     }
 
     int onHeaderName(std::string_view text)
@@ -147,7 +160,7 @@
         // Also in interim responses and trailers: what isn't a header there may be the start of
         // bytes that belong to no response.
         if (kind_ == MessageKind::Response && !httpsyntax::hasOnlyTokenCharacters(text))
-            return -1;
+            return reject("header-name");
         if (headDone_) // trailers are not forwarded
             return 0;
         if (readingValue_ || head_.headers.empty())
@@ -172,9 +185,10 @@
         if (isInterim())
             return 0;
         headDone_ = true;
-        if (kind_ == MessageKind::Request
-            && (isRequestFramingAmbiguous(head_) || hasMalformedName(head_.headers)))
-            return -1;
+        if (kind_ == MessageKind::Request && isRequestFramingAmbiguous(head_))
+            return reject("request-framing");
+        if (kind_ == MessageKind::Request && hasMalformedName(head_.headers))
+            return reject("header-name");
         // http_parser leaves trailing space in the values. Framing is checked on the raw values, as
         // another server might not accept a length or an encoding with space after it.
         for (auto &header : head_.headers)
@@ -236,6 +250,7 @@
     std::size_t maxHeadBytes_;
     MessageListener &listener_;
     bool failed_ = false;
+    std::string_view problem_;
     bool headTooLarge_ = false;
     bool inside_ = false;
     bool headDone_ = false;
@@ -277,6 +292,11 @@
     return impl_->failed();
 }
 
+std::string_view MessageParser::problem() const
+{
+    return impl_->problem();
+}
+
 bool MessageParser::headTooLarge() const
 {
     return impl_->headTooLarge();
--- a/tests/httpio/messageparser_test.cpp
+++ b/tests/httpio/messageparser_test.cpp
@@ -205,6 +205,24 @@
     CHECK_FALSE(isAccepted(start + "Content-Length : 2\r\n\r\nok"));
 }
 
+// Guards against a log that does not tell why a response was refused.
+TEST_CASE("MessageParser.ProblemTellsWhatIsMalformed")
+{
+    const std::string start = "HTTP/1.1 200 OK\r\n";
+    const auto problemOf = [](const std::string &response) {
+        Recorder recorder;
+        MessageParser parser(MessageKind::Response, MaxHead, recorder);
+        feedAll(parser, response);
+        CHECK(parser.failed() == !parser.problem().empty());
+        return std::string(parser.problem());
+    };
+    CHECK(problemOf("HTTP/1.1 000 OK\r\n") == "status-line");
+    CHECK(problemOf(start + "X Y: v\r\n") == "header-name");
+    CHECK(problemOf(start + "X: " + std::string(MaxHead, 'x')) == "head-size");
+    CHECK(problemOf(start + "Content-Length: x\r\n") == "HPE_INVALID_CONTENT_LENGTH");
+    CHECK(problemOf(start + "Content-Length: 0\r\n\r\n").empty());
+}
+
 // Guards against headers that are not understood because of the space around their values.
 TEST_CASE("MessageParser.ValuesHaveNoSpaceAroundThem")
 {
