--- a/include/monsoongrade/httpio/messageparser.h
+++ b/include/monsoongrade/httpio/messageparser.h
@@ -47,7 +47,7 @@
 
     bool failed() const;
     // What made failed() true, as a short name for logs: "status-line", "header-name", "head-size",
-    // "request-framing", or the name that http_parser has for it. Empty if nothing did.
+    // "request-framing", "upgrade", or http_parser's name of its error. Empty if nothing did.
     std::string_view problem() const;
     // The head exceeded the limit; failed() is true as well.
     bool headTooLarge() const;
--- a/src/httpio/messageparser.cpp
+++ b/src/httpio/messageparser.cpp
@@ -128,8 +128,8 @@
 private:
     static Impl &self(http_parser *parser) { return *static_cast<Impl *>(parser->data); }
 
-    // The first problem counts; http_parser reports one of a callback as another of its own.
-    // Returns what stops the parser as a callback's result.
+    // Keeps the first problem, as http_parser reports an error of its own after that of a callback.
+    // Returns the callback's result that stops it.
     int reject(std::string_view problem)
     {
         failed_ = true;
